--- /dev/null
+++ b/internal/adapters/httpx/client.go
@@ -0,0 +1,161 @@
+package httpx
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Sizes of a connection's buffers, in bytes. They are held only while a
+// request is in progress; a response header has to fit the first.
+const (
+	readBuffer  = 4096
+	writeBuffer = 4096
+)
+
+// Client sends requests to one address. It sends each request at most once.
+type Client struct {
+	addr string
+	opts Options
+	host *fasthttp.HostClient
+}
+
+// New returns a client for an address.
+func New(addr string, o Options) *Client {
+	o = o.withDefaults()
+	c := &Client{addr: addr, opts: o}
+	c.host = &fasthttp.HostClient{
+		Addr:                addr,
+		MaxConns:            o.MaxConns,
+		MaxIdleConnDuration: DefaultIdle,
+		ConnPoolStrategy:    fasthttp.LIFO,
+		ReadBufferSize:      readBuffer,
+		WriteBufferSize:     writeBuffer,
+		DialTimeout:         c.dial,
+		// The client's own Do isn't used; these say so to whoever adds a use.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                neverRetry,
+	}
+	return c
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// Addr returns the address that the client sends to.
+func (c *Client) Addr() string { return c.addr }
+
+// CloseIdle closes the connections that serve no request.
+func (c *Client) CloseIdle() { c.host.CloseIdleConnections() }
+
+// dial makes a connection with its TLS handshake, so that a failed handshake
+// counts as not sent.
+func (c *Client) dial(addr string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 || timeout > c.opts.DialTimeout {
+		timeout = c.opts.DialTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	conn, err := c.opts.Dial(ctx, addr)
+	if err != nil || c.opts.TLS == nil {
+		return conn, err
+	}
+	secured := tls.Client(conn, c.tlsConfig())
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
+func (c *Client) tlsConfig() *tls.Config {
+	if c.opts.TLS.ServerName != "" || c.opts.TLS.InsecureSkipVerify {
+		return c.opts.TLS
+	}
+	cfg := c.opts.TLS.Clone()
+	host, _, err := net.SplitHostPort(c.addr)
+	if err == nil {
+		cfg.ServerName = host
+	}
+	return cfg
+}
+
+// Do sends a request and reads the whole response. Its error is a *CallError;
+// any response, whatever its status, is no error.
+func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	x, err := c.start(ctx, req)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, x.abort)
+	defer stop()
+	resp.SkipBody = req.Header.IsHead()
+	if err := x.send(req); err != nil {
+		x.end(false)
+		return Broken(cause(ctx, err))
+	}
+	if err := x.receive(resp, c.opts.MaxBody); err != nil {
+		x.end(false)
+		return Broken(cause(ctx, err))
+	}
+	x.end(!resp.ConnectionClose())
+	return nil
+}
+
+// start gets a connection for a request.
+func (c *Client) start(ctx context.Context, req *fasthttp.Request) (*exchange, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, notSent(err)
+	}
+	c.prepare(req)
+	x, err := c.connect(ctx)
+	if err != nil {
+		return nil, notSent(cause(ctx, err))
+	}
+	return x, nil
+}
+
+func (c *Client) prepare(req *fasthttp.Request) {
+	req.Header.SetHost(c.addr)
+	if c.opts.Sender != "" {
+		req.Header.Set(HeaderSender, c.opts.Sender)
+	}
+}
+
+// connect takes a kept connection or makes one. A kept connection that the far
+// end has closed meanwhile, or on which bytes have come that nobody asked for,
+// is dropped here, before the request: the first would make a request fail as
+// "may have run" that never ran, the second would give it another's answer.
+func (c *Client) connect(ctx context.Context) (*exchange, error) {
+	for {
+		cc, err := c.host.AcquireConn(timeLeft(ctx), false)
+		if err != nil {
+			return nil, err
+		}
+		kept := !cc.LastUseTime().IsZero()
+		if kept && !quiet(cc.Conn()) {
+			c.host.CloseConn(cc)
+			continue
+		}
+		giveBack := func(reuse bool) {
+			if reuse {
+				c.host.ReleaseConn(cc)
+				return
+			}
+			c.host.CloseConn(cc)
+		}
+		return &exchange{conn: cc.Conn(), host: c.host, giveBack: giveBack}, nil
+	}
+}
+
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(deadline), time.Millisecond)
+}
--- /dev/null
+++ b/internal/adapters/httpx/stream.go
@@ -0,0 +1,97 @@
+package httpx
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Stream is a response whose body is read as it comes. It holds two small
+// buffers; an unread body stays with the sender.
+type Stream struct {
+	exchange *exchange
+	resp     *fasthttp.Response
+	// reading is held while Read is in progress.
+	reading sync.Mutex
+	over    bool
+}
+
+// Stream sends a request and returns once the response header has come. The
+// context and Options.Timeout bound the call only until then.
+func (c *Client) Stream(ctx context.Context, req *fasthttp.Request) (*Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	x, err := c.start(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, x.abort)
+	s := &Stream{exchange: x, resp: &fasthttp.Response{StreamBody: true}}
+	err = x.send(req)
+	if err == nil {
+		err = x.receive(s.resp, 0)
+	}
+	if err == nil && !stop() {
+		// The context ended just now and has closed, or will close, the
+		// connection.
+		err = ctx.Err()
+	}
+	if err != nil {
+		stop()
+		x.end(false)
+		return nil, Broken(cause(ctx, err))
+	}
+	return s, nil
+}
+
+// Header returns the response header.
+func (s *Stream) Header() *fasthttp.ResponseHeader { return &s.resp.Header }
+
+// Read reads from the body. After its end, the connection is kept for other
+// requests. Read and Close may be called from different goroutines.
+func (s *Stream) Read(p []byte) (int, error) {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	if s.over {
+		return 0, io.EOF
+	}
+	n, err := s.resp.BodyStream().Read(p)
+	if err == nil {
+		return n, nil
+	}
+	s.finish(err == io.EOF && !s.resp.ConnectionClose())
+	return n, err
+}
+
+// Abort closes the connection unless the body has ended; a Read in progress
+// fails.
+func (s *Stream) Abort() { s.exchange.abort() }
+
+// Close ends the stream. A connection whose body wasn't read whole is closed.
+func (s *Stream) Close() error {
+	s.Abort()
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	if !s.over {
+		s.finish(false)
+	}
+	return nil
+}
+
+func (s *Stream) finish(reuse bool) {
+	s.over = true
+	_ = s.resp.CloseBodyStream()
+	s.exchange.end(reuse)
+}
+
+// Drain reads the rest of a short body, such as an error's text, up to max
+// bytes, and closes the stream.
+func (s *Stream) Drain(ctx context.Context, max int64) []byte {
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	body, _ := io.ReadAll(io.LimitReader(s, max))
+	_ = s.Close()
+	return body
+}
--- /dev/null
+++ b/internal/adapters/logclient/logclient.go
@@ -0,0 +1,147 @@
+// Package logclient speaks to the platform's log over HTTP.
+package logclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/platform"
+	"tamarackchute/upstream"
+)
+
+// Paths of the log's protocol.
+const (
+	PathAppend = "/append"
+	PathRead   = "/read"
+)
+
+// Record is a record as msgpack on the wire.
+type Record struct {
+	Offset uint64 `msgpack:"o"`
+	// At is the log's clock, in nanoseconds of Unix time.
+	At   int64  `msgpack:"t"`
+	Data []byte `msgpack:"d"`
+}
+
+// ReadReply is the msgpack response to a read.
+type ReadReply struct {
+	Oldest  uint64   `msgpack:"oldest"`
+	Next    uint64   `msgpack:"next"`
+	Records []Record `msgpack:"records"`
+}
+
+// Client is the adapter.
+type Client struct {
+	appends *httpx.Client
+	// reads wait long, so they have a client of their own.
+	reads   *httpx.Client
+	timeout time.Duration
+}
+
+// New returns an adapter for the log at an address.
+func New(addr string, o httpx.Options) platform.Log {
+	if o.Timeout <= 0 {
+		o.Timeout = httpx.DefaultTimeout
+	}
+	long := o
+	long.Timeout = maxWait + o.Timeout
+	return &Client{appends: httpx.New(addr, o), reads: httpx.New(addr, long), timeout: o.Timeout}
+}
+
+// maxWait bounds how long one read waits for a record.
+const maxWait = time.Minute
+
+// Append implements platform.Log. A lost connection leaves open whether the
+// record was written; only a refused connection or a refusal marked as not run
+// says that it wasn't.
+func (c *Client) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(PathAppend)
+	req.Header.SetContentType("application/octet-stream")
+	req.SetBodyRaw(data)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.appends.Do(ctx, req, resp); err != nil {
+		return 0, appendError(err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return 0, appendError(httpx.StatusOf(resp))
+	}
+	offset, err := strconv.ParseUint(string(resp.Header.Peek(HeaderOffset)), 10, 64)
+	if err != nil {
+		return 0, appendError(httpx.Broken(err))
+	}
+	return platform.Offset(offset), nil
+}
+
+// HeaderOffset carries the offset in the response to an append.
+const HeaderOffset = "X-Offset"
+
+func appendError(err error) error {
+	var status *httpx.StatusError
+	switch {
+	case errors.As(err, &status) && status.NotRun && status.Status == fasthttp.StatusTooManyRequests:
+		return platform.ErrRateLimited
+	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, upstream.ErrRefused):
+		return fmt.Errorf("%w: %w", platform.ErrNotWritten, err)
+	default:
+		return fmt.Errorf("%w: append: %w", platform.ErrUnavailable, err)
+	}
+}
+
+// Read implements platform.Log. It waits for at most a minute, whatever wait
+// says.
+func (c *Client) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+	wait = min(wait, maxWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodGet)
+	req.SetRequestURI(fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", PathRead, from, limit, wait.Milliseconds()))
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.reads.Do(ctx, req, resp); err != nil {
+		return platform.ReadResult{}, unreadable(err)
+	}
+	status := resp.StatusCode()
+	if status != fasthttp.StatusOK && status != fasthttp.StatusGone {
+		return platform.ReadResult{}, unreadable(httpx.StatusOf(resp))
+	}
+	var reply ReadReply
+	if err := msgpack.Unmarshal(resp.Body(), &reply); err != nil {
+		return platform.ReadResult{}, unreadable(err)
+	}
+	if status == fasthttp.StatusGone {
+		return platform.ReadResult{}, &platform.TrimmedError{Oldest: platform.Offset(reply.Oldest)}
+	}
+	return reply.result(), nil
+}
+
+func unreadable(err error) error {
+	return fmt.Errorf("%w: read: %w", platform.ErrUnavailable, err)
+}
+
+func (r ReadReply) result() platform.ReadResult {
+	out := platform.ReadResult{Oldest: platform.Offset(r.Oldest), Next: platform.Offset(r.Next)}
+	if len(r.Records) > 0 {
+		out.Records = make([]platform.Record, len(r.Records))
+	}
+	for i, rec := range r.Records {
+		out.Records[i] = platform.Record{
+			Offset: platform.Offset(rec.Offset),
+			At:     time.Unix(0, rec.At),
+			Data:   rec.Data,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/adapters/serviceclient/serviceclient.go
@@ -0,0 +1,84 @@
+// Package serviceclient speaks to a plain HTTP service. It sends each request
+// once, whatever becomes of it.
+package serviceclient
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/upstream"
+)
+
+// Client is the adapter for one service.
+type Client struct{ http *httpx.Client }
+
+// New returns an adapter for the service at an address.
+func New(addr string, o httpx.Options) upstream.Service {
+	return &Client{http: httpx.New(addr, o)}
+}
+
+// Call implements upstream.Service. Any response that doesn't say "not run" is
+// returned as it is. The response owns its memory. Of a call that ended with
+// its context nothing arrives later: its connection is closed.
+func (c *Client) Call(ctx context.Context, r upstream.ServiceRequest) (upstream.ServiceResponse, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	fill(req, r)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.http.Do(ctx, req, resp); err != nil {
+		return upstream.ServiceResponse{}, err
+	}
+	if httpx.Refused(&resp.Header) {
+		return upstream.ServiceResponse{}, httpx.StatusOf(resp)
+	}
+	if got := resp.Header.Peek(httpx.HeaderAttempt); len(got) > 0 && string(got) != r.AttemptID {
+		return upstream.ServiceResponse{}, httpx.Broken(
+			fmt.Errorf("response is for attempt %q, wanted %q", got, r.AttemptID))
+	}
+	return response(resp), nil
+}
+
+func fill(req *fasthttp.Request, r upstream.ServiceRequest) {
+	req.Header.SetMethod(r.Method)
+	req.SetRequestURI(r.Path)
+	for _, h := range r.Headers {
+		if !ofOneHop(h.Name) {
+			req.Header.Add(h.Name, h.Value)
+		}
+	}
+	if r.AttemptID != "" {
+		req.Header.Set(httpx.HeaderAttempt, r.AttemptID)
+	}
+	req.SetBodyRaw(r.Body)
+}
+
+func response(resp *fasthttp.Response) upstream.ServiceResponse {
+	out := upstream.ServiceResponse{
+		Status: resp.StatusCode(),
+		Body:   append([]byte(nil), resp.Body()...),
+	}
+	for name, value := range resp.Header.All() {
+		if !ofOneHop(string(name)) {
+			out.Headers = append(out.Headers, upstream.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return out
+}
+
+// ofOneHop reports whether a header belongs to one connection, or is set by
+// the library from the message itself.
+func ofOneHop(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+		"proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+		"content-length", "host", "expect", strings.ToLower(httpx.HeaderAttempt):
+		return true
+	default:
+		return false
+	}
+}
