--- /dev/null
+++ b/router/affinity.go
@@ -0,0 +1,33 @@
+package router
+
+// BlockTokens is the length of a prefix block in tokens.
+const BlockTokens = 16
+
+// lookUpCache asks the prefix index once for the decision.
+func (d *decision) lookUpCache() {
+	d.sc.matches = d.sc.matches[:0]
+	if d.s.cache == nil || len(d.r.PrefixBlocks) == 0 {
+		return
+	}
+	d.sc.matches = d.s.cache.lookUp(d.sc.matches, d.r.PrefixBlocks, d.now)
+}
+
+// cachedOn returns the prompt tokens that a node's cache is expected to save:
+// what it should hold, times the belief in that.
+func (d *decision) cachedOn(n *node) int {
+	for _, m := range d.sc.matches {
+		if m.Engine == n.id {
+			held := min(m.Blocks*BlockTokens, d.r.PromptTokens)
+			return int(float64(held) * m.Confidence)
+		}
+	}
+	return 0
+}
+
+// nodeByID returns the node of an index number, nil if it has gone.
+func (s *Snapshot) nodeByID(id int32) *node {
+	if id < 0 || int(id) >= len(s.nodes) {
+		return nil
+	}
+	return s.nodes[id]
+}
--- /dev/null
+++ b/router/config.go
@@ -0,0 +1,89 @@
+package router
+
+import "time"
+
+// Config sets a Tracker and the decisions made over its snapshots.
+type Config struct {
+	// DataCentre is the process's own.
+	DataCentre string
+	// Links gives the one-way latency between data centres, both ways alike.
+	Links []Link
+	// CrossCost is what leaving the own data centre costs beside the latency:
+	// an upstream elsewhere must be better by at least this much.
+	CrossCost time.Duration
+	// HandoffBytesPerSecond is the rate of KV handoff within a data centre,
+	// CrossHandoffBytesPerSecond the rate between two.
+	HandoffBytesPerSecond      float64
+	CrossHandoffBytesPerSecond float64
+	// KVBytesPerToken is used until handoffs have been observed.
+	KVBytesPerToken float64
+	// SplitMinTokens is the shortest prompt whose prefill and decode may be
+	// split, SplitGain the share of the expected time that it must save.
+	SplitMinTokens int
+	SplitGain      float64
+	// PrefillPerSecond and DecodePerSecond stand in for an engine's rates until
+	// its first report, MaxBatch for its batch.
+	PrefillPerSecond float64
+	DecodePerSecond  float64
+	MaxBatch         int
+	// CacheBlocks bounds the prefix index.
+	CacheBlocks int
+	// CacheHalfLife is the time after which a belief that an engine holds a
+	// block counts half.
+	CacheHalfLife time.Duration
+	// Outlier sets when an upstream is ejected.
+	Outlier OutlierConfig
+}
+
+// Link is the one-way latency between two data centres.
+type Link struct {
+	From, To string
+	OneWay   time.Duration
+}
+
+// OutlierConfig sets when an upstream is ejected and how it comes back.
+type OutlierConfig struct {
+	// Consecutive failures eject, as does a failure rate above MaxFailureRate
+	// once MinAttempts have been seen.
+	Consecutive    int
+	MaxFailureRate float64
+	MinAttempts    int
+	// SlowFactor ejects an upstream whose times exceed the prediction by this
+	// factor more than its pool's do.
+	SlowFactor float64
+	// Hold is the first ejection's length; it doubles up to MaxHold.
+	Hold, MaxHold time.Duration
+	// Trials is how many requests in a row must succeed on return.
+	Trials int
+	// MaxFraction is the greatest share of a pool that may be ejected at once;
+	// upstreams that can't be connected to don't count.
+	MaxFraction float64
+}
+
+// DefaultConfig returns the settings used where nothing else is said.
+func DefaultConfig(dataCentre string) Config {
+	return Config{
+		DataCentre:                 dataCentre,
+		CrossCost:                  50 * time.Millisecond,
+		HandoffBytesPerSecond:      2e9,
+		CrossHandoffBytesPerSecond: 5e8,
+		KVBytesPerToken:            50_000,
+		SplitMinTokens:             512,
+		SplitGain:                  0.10,
+		PrefillPerSecond:           8000,
+		DecodePerSecond:            800,
+		MaxBatch:                   32,
+		CacheBlocks:                1 << 17,
+		CacheHalfLife:              5 * time.Minute,
+		Outlier: OutlierConfig{
+			Consecutive:    3,
+			MaxFailureRate: 0.5,
+			MinAttempts:    10,
+			SlowFactor:     4,
+			Hold:           2 * time.Second,
+			MaxHold:        60 * time.Second,
+			Trials:         2,
+			MaxFraction:    0.34,
+		},
+	}
+}
--- /dev/null
+++ b/router/node.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// health is an upstream's standing by its own record.
+type health uint32
+
+const (
+	healthy health = iota
+	ejected        // out until heldUntil, then on trial
+	trial          // takes one request at a time
+)
+
+// node is one upstream in a snapshot. What identifies it never changes; state
+// is replaced whole, and live is changed in place, so that two picks in the
+// same millisecond see each other without a new snapshot.
+type node struct {
+	id    int32
+	dc    int32
+	state atomic.Pointer[Upstream]
+	live  live
+}
+
+// live is the part of an upstream's books that each request changes.
+type live struct {
+	requests, prompt, output atomic.Int64 // correction of the report
+	inFlight                 atomic.Int64
+	health                   atomic.Uint32
+	heldUntil                atomic.Int64 // Unix nanoseconds
+	prefillFactor            atomicFloat
+	gapFactor                atomicFloat
+	failureRate              atomicFloat
+	serviceTime              atomic.Int64 // nanoseconds
+}
+
+// atomicFloat is a float64 that is read and written whole.
+type atomicFloat struct{ bits atomic.Uint64 }
+
+func (f *atomicFloat) load() float64   { return math.Float64frombits(f.bits.Load()) }
+func (f *atomicFloat) store(v float64) { f.bits.Store(math.Float64bits(v)) }
+
+// newNode makes a node whose live part starts from the values in u.
+func newNode(id, dc int32, u Upstream) *node {
+	n := &node{id: id, dc: dc}
+	n.live.requests.Store(int64(u.Own.Requests))
+	n.live.prompt.Store(int64(u.Own.PromptTokens))
+	n.live.output.Store(int64(u.Own.OutputTokens))
+	n.live.inFlight.Store(int64(u.InFlight))
+	n.live.prefillFactor.store(factorOrOne(u.PrefillFactor))
+	n.live.gapFactor.store(factorOrOne(u.GapFactor))
+	n.live.failureRate.store(u.FailureRate)
+	n.live.serviceTime.Store(int64(u.ServiceTime))
+	switch {
+	case u.Ejected:
+		n.live.health.Store(uint32(ejected))
+		n.live.heldUntil.Store(math.MaxInt64)
+	case u.Trial:
+		n.live.health.Store(uint32(trial))
+	}
+	n.state.Store(&u)
+	return n
+}
+
+func factorOrOne(f float64) float64 {
+	if f <= 0 {
+		return 1
+	}
+	return f
+}
+
+// standing returns the health at a time: an ejection that has run out is a
+// trial.
+func (n *node) standing(now time.Time) health {
+	h := health(n.live.health.Load())
+	if h == ejected && now.UnixNano() >= n.live.heldUntil.Load() {
+		return trial
+	}
+	return h
+}
+
+// view returns the upstream as it is now, live parts filled in.
+func (n *node) view(now time.Time) Upstream {
+	u := *n.state.Load()
+	u.Own = Work{
+		Requests:     int(n.live.requests.Load()),
+		PromptTokens: int(n.live.prompt.Load()),
+		OutputTokens: int(n.live.output.Load()),
+	}
+	u.InFlight = int(n.live.inFlight.Load())
+	u.PrefillFactor = n.live.prefillFactor.load()
+	u.GapFactor = n.live.gapFactor.load()
+	u.FailureRate = n.live.failureRate.load()
+	u.ServiceTime = time.Duration(n.live.serviceTime.Load())
+	h := n.standing(now)
+	u.Ejected = h == ejected
+	u.Trial = h == trial
+	return u
+}
--- /dev/null
+++ b/router/pick.go
@@ -0,0 +1,101 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Picker chooses among scored candidates.
+type Picker interface {
+	// Pick returns the index of the candidate chosen, and why. There is at
+	// least one.
+	Pick(cands []Candidate, r *Request, rnd *rand.Rand) (int, Why)
+}
+
+// spreadPicker draws among the candidates whose cost is near the least, each
+// with a chance that falls with its cost.
+//
+// It guards against herding: seven processes with the same late reports all
+// see the same engine as the best and send it everything until the next
+// report, so that its queue grows while others idle. The draw spreads them,
+// and the band widens with the age of the reports, since a difference between
+// two engines means less the older it is.
+type spreadPicker struct {
+	// base is the band's least width, share its width by the least cost, and
+	// ageShare its width by the age of the reports.
+	base     time.Duration
+	share    float64
+	ageShare float64
+}
+
+func defaultPicker() spreadPicker {
+	return spreadPicker{base: 5 * time.Millisecond, share: 0.10, ageShare: 0.05}
+}
+
+func (p spreadPicker) Pick(cands []Candidate, _ *Request, rnd *rand.Rand) (int, Why) {
+	best := cheapest(cands)
+	if len(cands) == 1 {
+		return 0, WhyOnly
+	}
+	width := p.width(&cands[best])
+	limit := cands[best].Cost + width
+	var total float64
+	near := 0
+	for i := range cands {
+		if w := weight(&cands[i], limit, width); w > 0 {
+			total += w
+			near++
+		}
+	}
+	if near == 1 {
+		return best, reasonOf(&cands[best], WhyLeast)
+	}
+	return p.draw(cands, limit, width, rnd.Float64()*total, best)
+}
+
+func (p spreadPicker) draw(cands []Candidate, limit, width time.Duration, at float64, best int) (int, Why) {
+	for i := range cands {
+		w := weight(&cands[i], limit, width)
+		if w <= 0 {
+			continue
+		}
+		if at -= w; at <= 0 {
+			return i, reasonOf(&cands[i], WhySpread)
+		}
+	}
+	return best, reasonOf(&cands[best], WhySpread)
+}
+
+func (p spreadPicker) width(best *Candidate) time.Duration {
+	byCost := time.Duration(p.share * float64(best.Cost))
+	byAge := time.Duration(p.ageShare * float64(best.ReportAge))
+	return max(p.base, byCost, byAge)
+}
+
+// weight falls from 1 at limit-width to 0 at limit.
+func weight(c *Candidate, limit, width time.Duration) float64 {
+	if c.Cost >= limit {
+		return 0
+	}
+	return min(1, float64(limit-c.Cost)/float64(width))
+}
+
+func reasonOf(c *Candidate, otherwise Why) Why {
+	if c.Trial {
+		return WhyTrial
+	}
+	if c.CachedTokens > 0 {
+		return WhyPrefix
+	}
+	return otherwise
+}
+
+func cheapest(cands []Candidate) int {
+	best := 0
+	for i := range cands {
+		if cands[i].Cost < cands[best].Cost {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/router/schedule.go
@@ -0,0 +1,259 @@
+package router
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// The bounds of what one decision looks at. A group up to scanAll is scored
+// whole; of a larger one, random samples of the own data centre and of the
+// others, with the engines that the prefix index names.
+const (
+	scanAll      = 48
+	sampleLocal  = 24
+	sampleOthers = 12
+	maxCached    = 8
+	scratchSize  = scanAll + maxCached
+)
+
+// Scheduler is a pipeline of filters, scorers and a picker.
+type Scheduler struct {
+	// Filters for whole requests, cheapest first.
+	Filters []Filter
+	// Fallback replaces Filters if those leave nothing: it lets upstreams on
+	// probation and engines set up for prefill run whole requests.
+	Fallback []Filter
+	Scorers  []Scorer
+	Picker   Picker
+	cfg      Config
+}
+
+// NewScheduler returns the usual pipeline.
+func NewScheduler(cfg Config) *Scheduler {
+	s := &Scheduler{
+		Filters: []Filter{
+			leavingFilter{}, serviceFilter{}, ejectedFilter{}, trialFilter{},
+			roleFilter{}, excludedFilter{}, isolatedFilter{},
+		},
+		Fallback: []Filter{
+			leavingFilter{}, serviceFilter{}, ejectedFilter{},
+			excludedFilter{}, isolatedFilter{},
+		},
+		Picker: defaultPicker(),
+		cfg:    cfg,
+	}
+	s.Scorers = []Scorer{timeScorer{&s.cfg}, crossScorer{cfg.CrossCost}, failureScorer{}}
+	return s
+}
+
+// scratch is the memory of one decision, kept for the next.
+type scratch struct {
+	cands   []Candidate
+	nodes   []*node
+	matches []Match
+	dropped []int
+}
+
+var scratches = sync.Pool{New: func() any {
+	return &scratch{
+		cands: make([]Candidate, 0, scratchSize),
+		nodes: make([]*node, 0, scratchSize),
+	}
+}}
+
+// Pick decides where a request runs, with the snapshot's pipeline. The error
+// is a *NoUpstreamError; nothing else fails.
+func Pick(s *Snapshot, r Request, now time.Time, rnd *rand.Rand) (Plan, error) {
+	return s.scheduler.Pick(s, r, now, rnd)
+}
+
+// Pick decides where a request runs.
+func (p *Scheduler) Pick(s *Snapshot, r Request, now time.Time, rnd *rand.Rand) (Plan, error) {
+	g := s.groups[groupKey{r.Pool, r.Model}]
+	if g == nil {
+		return Plan{}, lackOf(s, &r)
+	}
+	sc := scratches.Get().(*scratch)
+	defer scratches.Put(sc)
+	d := decision{s: s, g: g, r: &r, now: now, rnd: rnd, sc: sc, dc: s.ownDC(r.DataCentre)}
+	return p.run(&d)
+}
+
+func lackOf(s *Snapshot, r *Request) error {
+	e := &NoUpstreamError{Pool: r.Pool, Model: r.Model, Reason: LackPool}
+	if s.pools[r.Pool] > 0 {
+		e.Reason = LackModel
+	}
+	return e
+}
+
+// ownDC returns the index of the request's data centre; an unknown one counts
+// as the process's own, which has index 0.
+func (s *Snapshot) ownDC(name string) int32 {
+	if name == "" {
+		return 0
+	}
+	return s.dcs[name]
+}
+
+// decision is one run of the pipeline.
+type decision struct {
+	s   *Snapshot
+	g   *group
+	r   *Request
+	now time.Time
+	rnd *rand.Rand
+	sc  *scratch
+	dc  int32
+}
+
+func (p *Scheduler) run(d *decision) (Plan, error) {
+	d.lookUpCache()
+	why := Why("")
+	d.gather(p.Filters)
+	if len(d.sc.cands) == 0 {
+		why = WhyFallback
+		d.gather(p.Fallback)
+	}
+	if len(d.sc.cands) == 0 {
+		return Plan{}, d.lack(p.Filters)
+	}
+	p.score(d)
+	i, reason := p.Picker.Pick(d.sc.cands, d.r, d.rnd)
+	if why == "" {
+		why = reason
+	}
+	c := &d.sc.cands[i]
+	plan := Plan{
+		Engine:       c.Up.Name,
+		Estimate:     c.Estimate,
+		Reason:       why,
+		CachedTokens: c.CachedTokens,
+		Considered:   len(d.sc.cands),
+	}
+	return p.trySplit(d, plan), nil
+}
+
+func (p *Scheduler) score(d *decision) {
+	for i := range d.sc.cands {
+		c := &d.sc.cands[i]
+		c.CachedTokens = d.cachedOn(c.node)
+		for _, s := range p.Scorers {
+			c.Cost += s.Cost(c, d.r)
+		}
+	}
+}
+
+// gather fills the candidates with upstreams that the filters keep. If a
+// sample holds none, it goes on through the whole group.
+func (d *decision) gather(filters []Filter) {
+	d.sc.cands = d.sc.cands[:0]
+	d.sc.dropped = append(d.sc.dropped[:0], make([]int, len(filters))...)
+	if len(d.g.nodes) <= scanAll {
+		d.keep(d.g.nodes, filters)
+		return
+	}
+	d.keep(d.sample(), filters)
+	if len(d.sc.cands) > 0 {
+		return
+	}
+	clear(d.sc.dropped)
+	start := d.rnd.IntN(len(d.g.nodes))
+	d.keep(d.g.nodes[start:], filters)
+	d.keep(d.g.nodes[:start], filters)
+}
+
+// keep appends those of the nodes that pass, up to the scratch's size.
+func (d *decision) keep(nodes []*node, filters []Filter) {
+	for _, n := range nodes {
+		if len(d.sc.cands) == scratchSize {
+			return
+		}
+		d.sc.cands = d.sc.cands[:len(d.sc.cands)+1]
+		c := &d.sc.cands[len(d.sc.cands)-1]
+		c.load(d.s, n, d.dc, d.now)
+		if i := firstDrop(filters, c, d.r); i >= 0 {
+			d.sc.dropped[i]++
+			d.sc.cands = d.sc.cands[:len(d.sc.cands)-1]
+		}
+	}
+}
+
+// firstDrop returns the index of the first filter that drops c, or -1.
+func firstDrop(filters []Filter, c *Candidate, r *Request) int {
+	for i, f := range filters {
+		if !f.Keep(c, r) {
+			return i
+		}
+	}
+	return -1
+}
+
+// sample draws nodes of a large group: of the own data centre, of the others,
+// and those whose prefix cache should hold most of the prompt.
+func (d *decision) sample() []*node {
+	d.sc.nodes = d.sc.nodes[:0]
+	for _, m := range d.sc.matches {
+		n := d.s.nodeByID(m.Engine)
+		if n != nil && d.inGroup(n) {
+			d.sc.nodes = append(d.sc.nodes, n)
+		}
+	}
+	d.draw(d.g.byDC[d.dc], sampleLocal)
+	d.draw(d.g.nodes, sampleOthers)
+	return d.sc.nodes
+}
+
+func (d *decision) draw(from []*node, count int) {
+	if len(from) == 0 {
+		return
+	}
+	// A run from a random start would tie neighbours together, so each is
+	// drawn by itself; a node that comes up twice is dropped.
+	for range min(count, len(from)) {
+		n := from[d.rnd.IntN(len(from))]
+		if !contains(d.sc.nodes, n) {
+			d.sc.nodes = append(d.sc.nodes, n)
+		}
+	}
+}
+
+func contains(nodes []*node, n *node) bool {
+	for _, have := range nodes {
+		if have == n {
+			return true
+		}
+	}
+	return false
+}
+
+// inGroup reports whether a node serves the request's pool and model.
+func (d *decision) inGroup(n *node) bool {
+	u := n.state.Load()
+	if u.Pool != d.r.Pool {
+		return false
+	}
+	for _, m := range u.Models {
+		if m == d.r.Model {
+			return true
+		}
+	}
+	return false
+}
+
+// lack names the filter that dropped the most; ties go to the later one, which
+// is the more particular.
+func (d *decision) lack(filters []Filter) error {
+	e := &NoUpstreamError{Pool: d.r.Pool, Model: d.r.Model, Members: len(d.g.nodes)}
+	d.gather(filters)
+	most := 0
+	for i, f := range filters {
+		e.Dropped = append(e.Dropped, Dropped{f.Lack(), d.sc.dropped[i]})
+		if d.sc.dropped[i] >= most && d.sc.dropped[i] > 0 {
+			most = d.sc.dropped[i]
+			e.Reason = f.Lack()
+		}
+	}
+	return e
+}
