entry: OpenAI forms, event ids, kept text, and a watch on callers' connections

Cause: a streamed answer has to outlive its entry and its engine, and a caller that goes must be noticed while the engine is silent, though fasthttp reads a connection only between requests and its context never ends.

Ruled out: reading a byte of the connection (it would take a pipelined request from the server); MSG_PEEK (it doesn't see a close behind unread bytes); a goroutine per request.

Event ids carry the origin under an HMAC over it and over the organisation, path and body, so any instance opens them and no other caller can. The text kept for a continuation has a limit a stream and a budget a process. OpenAI requests with members that would change the answer's shape are refused rather than half honoured.

--- /dev/null
+++ b/internal/entry/callerwatch/watch_test.go
@@ -0,0 +1,81 @@
+package callerwatch
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A driver closes the app while the engine still thinks, and the engine works
+// on for nobody: the server reads the connection only between requests, so it
+// doesn't see the close. The watch must see it, and must not take a caller for
+// gone that has merely sent its next request early.
+func TestSweepSeesCallersThatHaveGone(t *testing.T) {
+	for name, tc := range map[string]struct {
+		caller func(t *testing.T, c *net.TCPConn)
+		gone   bool
+	}{
+		"waits":                 {func(*testing.T, *net.TCPConn) {}, false},
+		"pipelines":             {func(t *testing.T, c *net.TCPConn) { write(t, c) }, false},
+		"closes":                {func(t *testing.T, c *net.TCPConn) { require.NoError(t, c.Close()) }, true},
+		"writes and goes":       {func(t *testing.T, c *net.TCPConn) { write(t, c); require.NoError(t, c.Close()) }, true},
+		"half closes":           {func(t *testing.T, c *net.TCPConn) { require.NoError(t, c.CloseWrite()) }, true},
+		"resets":                {func(t *testing.T, c *net.TCPConn) { require.NoError(t, c.SetLinger(0)); require.NoError(t, c.Close()) }, true},
+		"goes, but ended":       {func(t *testing.T, c *net.TCPConn) { require.NoError(t, c.Close()) }, false},
+		"goes behind a wrapper": {func(t *testing.T, c *net.TCPConn) { require.NoError(t, c.Close()) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			caller, served := pair(t)
+			ctx, cancel := context.WithCancelCause(t.Context())
+			defer cancel(nil)
+			w := New()
+			var conn net.Conn = served
+			if name == "goes behind a wrapper" {
+				conn = wrapper{served}
+			}
+			one := w.Add(conn, cancel)
+			w.sweep()
+			require.NoError(t, ctx.Err(), "the first sweep looks at nobody")
+			tc.caller(t, caller)
+			if name == "goes, but ended" {
+				one.Remove()
+			}
+			if tc.gone {
+				// Loopback delivers the close soon, but not at once.
+				for ctx.Err() == nil && t.Context().Err() == nil {
+					w.sweep()
+				}
+				require.ErrorIs(t, context.Cause(ctx), ErrGone)
+				require.Empty(t, w.active)
+				return
+			}
+			for range 20 {
+				w.sweep()
+			}
+			require.NoError(t, ctx.Err())
+		})
+	}
+}
+
+type wrapper struct{ net.Conn }
+
+func (w wrapper) NetConn() net.Conn { return w.Conn }
+
+func write(t *testing.T, c *net.TCPConn) {
+	_, err := c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	require.NoError(t, err)
+}
+
+func pair(t *testing.T) (caller, served *net.TCPConn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	dialled, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	accepted, err := ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = dialled.Close(); _ = accepted.Close() })
+	return dialled.(*net.TCPConn), accepted.(*net.TCPConn)
+}
--- /dev/null
+++ b/internal/entry/openai/answer.go
@@ -0,0 +1,167 @@
+package openai
+
+import (
+	"encoding/json"
+	"strconv"
+)
+
+// Usage counts the tokens of one answer.
+type Usage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	Details          *UsageDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+// UsageDetails says how much of the prompt was not worked through again.
+type UsageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// NewUsage returns the usage of an answer.
+func NewUsage(prompt, cached, completion int) Usage {
+	u := Usage{
+		PromptTokens:     prompt,
+		CompletionTokens: completion,
+		TotalTokens:      prompt + completion,
+	}
+	if cached > 0 {
+		u.Details = &UsageDetails{CachedTokens: cached}
+	}
+	return u
+}
+
+// Answer is a whole answer to a completion or a chat request.
+type Answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   Usage    `json:"usage"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Message      *chatMsg `json:"message,omitempty"`
+	FinishReason string   `json:"finish_reason"`
+}
+
+type chatMsg struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// NewAnswer puts a whole answer into its form. Created is in Unix seconds.
+func NewAnswer(kind Kind, id, model string, created int64, text, finish string, usage Usage) Answer {
+	a := Answer{ID: id, Object: "text_completion", Created: created, Model: model, Usage: usage}
+	c := choice{FinishReason: finish}
+	if kind == Chat {
+		a.Object = "chat.completion"
+		c.Message = &chatMsg{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	a.Choices = []choice{c}
+	return a
+}
+
+// Chunks writes the streamed chunks of one answer. The parts that all chunks
+// share are made once, as a chunk goes out for each token.
+type Chunks struct {
+	head   string
+	before string
+	after  string
+}
+
+// NewChunks returns the writer for an answer. Created is in Unix seconds.
+func NewChunks(kind Kind, id, model string, created int64) *Chunks {
+	object, before, after := "text_completion", `{"index":0,"text":`, `,"finish_reason":`
+	if kind == Chat {
+		object = "chat.completion.chunk"
+		before, after = `{"index":0,"delta":{"content":`, `},"finish_reason":`
+	}
+	head := `{"id":` + quoted(id) + `,"object":"` + object + `","created":` +
+		strconv.FormatInt(created, 10) + `,"model":` + quoted(model) + `,"choices":[`
+	return &Chunks{head: head, before: before, after: after}
+}
+
+// AppendToken appends the chunk of one token; finish is "" but for the last.
+func (c *Chunks) AppendToken(dst []byte, text, finish string) []byte {
+	dst = append(dst, c.head...)
+	dst = append(dst, c.before...)
+	dst = AppendString(dst, text)
+	dst = append(dst, c.after...)
+	if finish == "" {
+		dst = append(dst, "null"...)
+	} else {
+		dst = AppendString(dst, finish)
+	}
+	return append(dst, "}]}"...)
+}
+
+// AppendUsage appends the last chunk, which has no choice but the usage.
+func (c *Chunks) AppendUsage(dst []byte, u Usage) []byte {
+	dst = append(dst, c.head...)
+	dst = append(dst, `],"usage":`...)
+	text, err := json.Marshal(u)
+	if err != nil {
+		panic(err) // a struct of numbers always has a JSON form
+	}
+	dst = append(dst, text...)
+	return append(dst, '}')
+}
+
+// AppendString appends a JSON string. Bytes that are no UTF-8 become U+FFFD,
+// so that the result is always valid.
+func AppendString(dst []byte, s string) []byte {
+	if isPlain(s) {
+		dst = append(dst, '"')
+		dst = append(dst, s...)
+		return append(dst, '"')
+	}
+	return append(dst, quoted(s)...)
+}
+
+// isPlain reports whether a string is its own JSON form, which holds for
+// nearly every token.
+func isPlain(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; c < ' ' || c >= 0x7f || c == '"' || c == '\\' {
+			return false
+		}
+	}
+	return true
+}
+
+func quoted(s string) string {
+	text, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // a string always has a JSON form
+	}
+	return string(text)
+}
+
+// Model is one row of the list of models.
+type Model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// ModelList is the answer to GET /v1/models.
+type ModelList struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// NewModelList returns the list of the models named.
+func NewModelList(names []string) ModelList {
+	list := ModelList{Object: "list", Data: make([]Model, len(names))}
+	for i, name := range names {
+		list.Data[i] = Model{ID: name, Object: "model", OwnedBy: "tamarackchute"}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/entry/stream/eventid.go
@@ -0,0 +1,116 @@
+// Package stream holds what a streamed answer needs to outlive an engine or an
+// entry instance: event ids from which any instance can take it up again, the
+// text sent so far within a bounded memory, and the join that lets no token
+// through twice or out of order.
+package stream
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Origin is what an instance needs to take up a running answer.
+type Origin struct {
+	// Answer is the answer's id as the caller sees it, Created its time in
+	// Unix seconds.
+	Answer  string `msgpack:"i"`
+	Created int64  `msgpack:"c"`
+	// Upstream names the engine, Attempt the attempt that runs there.
+	Upstream string `msgpack:"u"`
+	Attempt  string `msgpack:"a"`
+	// First is the index of the attempt's first token: 0 unless it continues
+	// what another engine began.
+	First int `msgpack:"f"`
+}
+
+// Owner is the digest of what a resume must repeat: the caller's organisation,
+// the path and the request's body.
+type Owner [sha256.Size]byte
+
+// NewOwner returns the digest of a request.
+func NewOwner(organisation, path string, body []byte) Owner {
+	h := sha256.New()
+	for _, part := range []string{organisation, path} {
+		h.Write(strconv.AppendInt(nil, int64(len(part)), 10))
+		h.Write([]byte{':'})
+		h.Write([]byte(part))
+	}
+	h.Write(body)
+	return Owner(h.Sum(nil))
+}
+
+// ErrEventID says that an event id was not issued by this deployment for the
+// request that brings it.
+var ErrEventID = errors.New("the event id doesn't belong to this request")
+
+// macBytes is the length of the authentication code kept in an id: 128 bits.
+const macBytes = 16
+
+// idContext separates these codes from other uses of the same secret.
+const idContext = "tamarackchute event id 1\x00"
+
+// Signer seals and opens event ids. All instances share its secret.
+type Signer struct{ secret []byte }
+
+// NewSigner returns a signer with the secret that the instances share.
+func NewSigner(secret []byte) *Signer {
+	return &Signer{secret: append([]byte(nil), secret...)}
+}
+
+var idEncoding = base64.RawURLEncoding
+
+// Prefix returns the part that all event ids of one attempt share. The code in
+// it covers the origin and the owner, so that a caller can neither make an id
+// nor use one of another's. The token index that follows isn't covered: every
+// index reaches only the caller's own answer.
+func (s *Signer) Prefix(o Origin, owner Owner) string {
+	sealed, err := msgpack.Marshal(&o)
+	if err != nil {
+		panic(err) // a struct of strings and numbers always has a msgpack form
+	}
+	sealed = append(sealed, s.mac(sealed, owner)...)
+	return idEncoding.EncodeToString(sealed) + "."
+}
+
+// AppendID appends the event id of one token.
+func AppendID(dst []byte, prefix string, index int) []byte {
+	dst = append(dst, prefix...)
+	return strconv.AppendInt(dst, int64(index), 10)
+}
+
+// Open checks an event id and returns its origin and token index. The error is
+// ErrEventID.
+func (s *Signer) Open(id string, owner Owner) (Origin, int, error) {
+	encoded, number, found := strings.Cut(id, ".")
+	index, err := strconv.Atoi(number)
+	if !found || err != nil || index < 0 {
+		return Origin{}, 0, ErrEventID
+	}
+	sealed, err := idEncoding.DecodeString(encoded)
+	if err != nil || len(sealed) < macBytes {
+		return Origin{}, 0, ErrEventID
+	}
+	body, mac := sealed[:len(sealed)-macBytes], sealed[len(sealed)-macBytes:]
+	if !hmac.Equal(mac, s.mac(body, owner)) {
+		return Origin{}, 0, ErrEventID
+	}
+	var o Origin
+	if err := msgpack.Unmarshal(body, &o); err != nil {
+		return Origin{}, 0, ErrEventID
+	}
+	return o, index, nil
+}
+
+func (s *Signer) mac(body []byte, owner Owner) []byte {
+	h := hmac.New(sha256.New, s.secret)
+	h.Write([]byte(idContext))
+	h.Write(owner[:])
+	h.Write(body)
+	return h.Sum(nil)[:macBytes]
+}
--- /dev/null
+++ b/internal/entry/stream/stream_test.go
@@ -0,0 +1,90 @@
+package stream
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// A caller edits the id of an event, or sends an id that it has seen in
+// another's log, so as to read an answer that isn't its own. Each such id must
+// be refused, while its own id opens at any instance that has the secret.
+func TestEventIDOpensOnlyForItsOwner(t *testing.T) {
+	origin := Origin{Answer: "cmpl-1", Created: 5, Upstream: "Vík-3", Attempt: "a-1", First: 4}
+	owner := NewOwner("farm-1", "/v1/completions", []byte("body"))
+	id := string(AppendID(nil, NewSigner([]byte("secret")).Prefix(origin, owner), 17))
+
+	other := NewSigner([]byte("secret"))
+	got, index, err := other.Open(id, owner)
+	require.NoError(t, err)
+	require.Equal(t, origin, got)
+	require.Equal(t, 17, index)
+
+	for name, attempt := range map[string]func() error{
+		"other organisation": func() error {
+			_, _, err := other.Open(id, NewOwner("farm-2", "/v1/completions", []byte("body")))
+			return err
+		},
+		"other body": func() error {
+			_, _, err := other.Open(id, NewOwner("farm-1", "/v1/completions", []byte("bodY")))
+			return err
+		},
+		"parts moved between fields": func() error {
+			_, _, err := other.Open(id, NewOwner("farm-1/v1", "/completions", []byte("body")))
+			return err
+		},
+		"other secret": func() error {
+			_, _, err := NewSigner([]byte("secret2")).Open(id, owner)
+			return err
+		},
+		"negative index": func() error {
+			_, _, err := other.Open(strings.Replace(id, ".17", ".-1", 1), owner)
+			return err
+		},
+		"empty": func() error { _, _, err := other.Open("", owner); return err },
+	} {
+		require.ErrorIs(t, attempt(), ErrEventID, name)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		at := rapid.IntRange(0, strings.IndexByte(id, '.')-1).Draw(t, "at")
+		c := rapid.SampledFrom([]byte("ABCabc019-_=")).Draw(t, "c")
+		forged := id[:at] + string(c) + id[at+1:]
+		if forged == id {
+			return
+		}
+		if got, _, err := other.Open(forged, owner); err == nil {
+			// The last character of base64 has bits that stand for nothing.
+			require.Equal(t, origin, got)
+		}
+	})
+}
+
+// A thousand long answers run at once and the entry is killed by the kernel
+// for its memory, because each kept its whole text. The text kept must stay
+// within the stream's limit and the process's budget, and come back in full
+// once the streams end.
+func TestPriorStaysWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := NewBudget(64)
+		streams := []*Prior{NewPrior(budget, 30), NewPrior(budget, 30), NewPrior(budget, 30)}
+		full := make([]string, len(streams))
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(streams)-1).Draw(t, "stream")
+			text := rapid.StringMatching(`[a-c]{0,4}`).Draw(t, "text")
+			streams[i].Add(text)
+			full[i] += text
+			require.LessOrEqual(t, budget.Used(), int64(64))
+			if got, kept := streams[i].Text(); kept {
+				require.Equal(t, full[i], got)
+				require.LessOrEqual(t, len(got), 30)
+			}
+		}
+		for _, s := range streams {
+			s.GiveUp()
+			s.GiveUp()
+		}
+		require.Zero(t, budget.Used())
+	})
+}
