settings: load, check and look up a deployment; the two sample deployments

Cause: every program needs one checked settings file, and a faulty one must be refused with file, line and key. Ruled out: encoding/json with DisallowUnknownFields, which stops at the first fault and gives no line. Change: the syntax tree of hujson is walked into the structs, then validator rules and cross checks (names, addresses, data centres, links, engines, times, TLS) run; all problems come back at once. Defaults for the optional parts, look-ups by name and by nearness, the peer secret's reader.

--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,42 @@
+package settings
+
+// Defaults returns a deployment in which every optional part has its default
+// value. The parts that describe the deployment itself (name, data centres,
+// instances, upstreams, platform, security) have none.
+func Defaults() Deployment {
+	return Deployment{
+		Platform: Platform{
+			AppendsPerSecond:     200,
+			RetentionSeconds:     3600,
+			WeightBytesPerSecond: 200e6,
+		},
+		Discovery: Discovery{KeepSeconds: 5, GraceSeconds: 60},
+		Lease: Lease{
+			TermSeconds:   3,
+			RenewSeconds:  1,
+			DriftFraction: 0.01,
+			SettleSeconds: 1,
+		},
+		Protected: Protected{
+			CommitMillis:       4,
+			ClaimTimeoutMillis: 2000,
+			RememberSeconds:    1800,
+			MaxRecordedBytes:   4096,
+		},
+		Admission: Admission{
+			MaxQueued:    4096,
+			MaxBodyBytes: 1 << 20,
+			ShortReserve: 0.15,
+			RetryBudget:  0.1,
+		},
+		Roles: Roles{
+			Policy:               "gain",
+			ChangeWeight:         1,
+			DwellSeconds:         20,
+			ChangeSeconds:        4,
+			MaxAtOnce:            1,
+			MaxPictureAgeSeconds: 5,
+		},
+		Log: Logging{Format: "text", Level: "info"},
+	}
+}
--- /dev/null
+++ b/internal/settings/load_test.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// Each testdata/*.json is a faulty settings file; the golden file beside it
+// holds every problem as an operator sees it, with file, line and key.
+func TestParseReportsEveryProblem(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			require.NoError(t, err)
+			_, err = Parse(filepath.Base(file), data)
+			require.Error(t, err)
+			golden := strings.TrimSuffix(file, ".json") + ".golden"
+			if *update {
+				require.NoError(t, os.WriteFile(golden, []byte(err.Error()+"\n"), 0o644))
+			}
+			want, readErr := os.ReadFile(golden)
+			require.NoError(t, readErr)
+			require.Equal(t, string(want), err.Error()+"\n")
+		})
+	}
+}
+
+func TestSampleDeploymentsLoad(t *testing.T) {
+	for name, engines := range map[string]int{"kalku-rinda": 8, "regnbrunnur": 11} {
+		d, err := Load("../../deploy/" + name + "/settings.json")
+		require.NoError(t, err)
+		require.Len(t, d.Instances, 7)
+		count := 0
+		for _, u := range d.Upstreams {
+			if u.Kind == KindEngine {
+				count++
+			}
+		}
+		require.Equal(t, engines, count)
+		require.FileExists(t, d.InitialRules, "paths count from the settings file's folder")
+		_, err = d.Security.PeerSecret()
+		require.Error(t, err, "no secret is in the repository")
+	}
+}
+
+func TestDefaultsFillMissingParts(t *testing.T) {
+	d, err := Parse("small.json", []byte(smallest))
+	require.NoError(t, err)
+	require.Equal(t, Defaults().Roles, d.Roles)
+	require.Equal(t, 9.0, d.Lease.TermSeconds)
+	require.Equal(t, Defaults().Lease.RenewSeconds, d.Lease.RenewSeconds)
+}
+
+func TestNearestOrdersByLatencyThenName(t *testing.T) {
+	d := Deployment{
+		DataCentres: []DataCentre{{"far"}, {"near-b"}, {"near-a"}, {"here"}},
+		Links: []Link{
+			{"here", "far", 3}, {"near-b", "here", 1.5}, {"here", "near-a", 1.5},
+			{"far", "near-a", 1}, {"far", "near-b", 1}, {"near-a", "near-b", 1},
+		},
+	}
+	require.Equal(t, []string{"here", "near-a", "near-b", "far"}, d.Nearest("here"))
+	require.Equal(t, 1500*time.Microsecond, d.OneWay("here", "near-b"))
+}
+
+// Any text gives either a checked deployment or problems that name the file.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(smallest))
+	f.Add([]byte(`{"instances": [{"name": 3, "name": null}], "links": {}, /* open`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := Parse("fuzz.json", data)
+		if err == nil {
+			return
+		}
+		for _, p := range err.(*Error).Problems {
+			require.Equal(t, "fuzz.json", p.File)
+			require.NotEmpty(t, p.Message)
+		}
+	})
+}
+
+const smallest = `{
+  "name": "small",
+  "data_centres": [{"name": "a"}],
+  "instances": [{
+    "name": "i1", "data_centre": "a",
+    "callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3",
+    "controller_operators": "127.0.0.1:4", "controller_peers": "127.0.0.1:5",
+  }],
+  "upstreams": [
+    {"name": "e1", "kind": "engine", "data_centre": "a", "address": "127.0.0.1:6",
+     "pool": "p", "models": ["m"], "role": "mixed", "fencing": "none"},
+  ],
+  "platform": {"log": "127.0.0.1:7", "instances": "127.0.0.1:7", "weights": "127.0.0.1:7"},
+  "lease": {"term_s": 9},
+  "security": {"peer_secret_file": "secret"},
+}`
