Lease and order folds with their views

A reader that starts on a trimmed log can begin at any record, each tells the whole state.

Ruled out: a fold that needs the first claim, for the log keeps records for a limited time only.

--- /dev/null
+++ b/lease/machine.go
@@ -0,0 +1,297 @@
+package lease
+
+import "time"
+
+// Config sets a process's part in the lease of one scope.
+type Config struct {
+	Scope string
+	// Instance and Incarnation name this process. Incarnation differs for
+	// each start of the program.
+	Instance    string
+	Incarnation string
+	// Term is how long a record gives authority.
+	Term time.Duration
+	// Renew is the time between renewals, well under Term.
+	Renew time.Duration
+	// Drift is the most by which two clocks' rates may differ, as a fraction.
+	Drift float64
+	// ByProof is set for a scope whose upstreams don't check fencing numbers.
+	// It never passes on by time alone.
+	ByProof bool
+	// Settle is waited between a claim of a ByProof scope and the first order,
+	// for bytes that a dead process left in the network.
+	Settle time.Duration
+	// ClaimDelay sets claimants apart, so that they don't all claim at once.
+	ClaimDelay time.Duration
+	// Retention is how long the log keeps a record; 0 means for ever.
+	Retention time.Duration
+}
+
+// checkpointFraction is the part of the retention after which a scope's last
+// record is repeated.
+const checkpointFraction = 4
+
+// Authority is the right to give orders within a scope.
+type Authority struct {
+	Scope string
+	// Fence is the fencing number that each order carries.
+	Fence uint64
+	// From is the earliest time for an order, Until the time at which the
+	// right ends, both by this process's clock with its monotonic part.
+	From  time.Time
+	Until time.Time
+}
+
+// Valid reports whether an order may be given at that time. It is the last
+// look at the clock before a write, which may still be held up after it:
+// fencing numbers or the passing by proof guard against that.
+func (a Authority) Valid(now time.Time) bool {
+	return !now.Before(a.From) && now.Before(a.Until)
+}
+
+// Sight is what a process sees of other instances beside the journal.
+type Sight struct {
+	// HolderGone says that the platform's list names the scope's holder no
+	// more, by answers asked for after its last record was read.
+	HolderGone bool
+	// SelfListed says that the list names this instance.
+	SelfListed bool
+	// AddressBound says that this process has bound its instance's exclusive
+	// address, so no former process of the instance is alive.
+	AddressBound bool
+}
+
+// Step is what a process should do next.
+type Step struct {
+	// Record is to be appended now; nil means wait.
+	Record *Record
+	// WakeAt is when to ask again at the latest.
+	WakeAt time.Time
+}
+
+// pending is a record sent whose fate is open.
+type pending struct {
+	id     string
+	record Record
+	sentAt time.Time
+}
+
+// Machine decides for one process and one scope when to claim, renew and
+// release. It is pure: no clock, no I/O, no goroutine.
+type Machine struct {
+	cfg       Config
+	startedAt time.Time
+	sent      *pending
+	// heldID is the last accepted record of this process, heldFrom when it
+	// was sent, settled when orders may begin.
+	heldID   string
+	heldFrom time.Time
+	settled  time.Time
+	renumber bool
+}
+
+// NewMachine returns the machine of a process that started at that time.
+func NewMachine(cfg Config, startedAt time.Time) *Machine {
+	return &Machine{cfg: cfg, startedAt: startedAt}
+}
+
+// Step returns the next thing to do in a state of the scope.
+func (m *Machine) Step(s ScopeState, see Sight, now time.Time) Step {
+	m.Observe(s, now)
+	if m.sent != nil {
+		return m.resend(s, now)
+	}
+	if s.HeldBy(m.cfg.Instance, m.cfg.Incarnation) {
+		return m.keep(s, see, now)
+	}
+	if m.needsCheckpoint(s, now) {
+		r := m.repeat(s, OpCheckpoint)
+		return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
+	}
+	ground, at := m.claimable(s, see)
+	if ground == 0 || now.Before(at) {
+		return Step{WakeAt: m.earlier(now.Add(m.cfg.Renew), at)}
+	}
+	r := m.claim(s, ground)
+	return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
+}
+
+// resend repeats the very record whose fate is open, under the same entry ID
+// and with the first send's time, so that whichever copy is accepted gives no
+// more authority than the first would have.
+func (m *Machine) resend(s ScopeState, now time.Time) Step {
+	if s.Last != m.sent.record.After {
+		m.sent = nil
+		return Step{WakeAt: now}
+	}
+	r := m.sent.record
+	return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
+}
+
+func (m *Machine) keep(s ScopeState, see Sight, now time.Time) Step {
+	if m.cfg.ByProof && !see.SelfListed {
+		r := m.repeat(s, OpRelease)
+		return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
+	}
+	if m.renumber {
+		r := m.claim(s, GroundRenumber)
+		return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
+	}
+	due := m.heldFrom.Add(m.cfg.Renew)
+	if now.Before(due) {
+		return Step{WakeAt: due}
+	}
+	r := m.repeat(s, OpRenewal)
+	return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
+}
+
+// claimable returns the ground on which this process may claim, and from when;
+// a zero ground if it may not.
+func (m *Machine) claimable(s ScopeState, see Sight) (Ground, time.Time) {
+	if m.cfg.ByProof && !(see.SelfListed && see.AddressBound) {
+		return 0, time.Time{}
+	}
+	switch {
+	case !s.Known:
+		return GroundFirst, m.startedAt.Add(m.wait(m.cfg.Term) + m.cfg.ClaimDelay)
+	case !s.Held:
+		return GroundReleased, s.LastReadAt.Add(m.cfg.ClaimDelay)
+	case s.Holder == m.cfg.Instance:
+		return m.succeed(see)
+	case s.ByProof || m.cfg.ByProof:
+		if !see.HolderGone {
+			return 0, time.Time{}
+		}
+		return GroundGone, s.LastReadAt.Add(m.cfg.ClaimDelay)
+	default:
+		return GroundExpired, s.LastReadAt.Add(m.wait(s.Term) + m.cfg.ClaimDelay)
+	}
+}
+
+// succeed claims after a former process of the same instance. Having bound
+// the instance's address, which the kernel gives to one living process, is
+// the proof that the former one is dead.
+func (m *Machine) succeed(see Sight) (Ground, time.Time) {
+	if !see.AddressBound {
+		return 0, time.Time{}
+	}
+	return GroundSuccessor, m.startedAt
+}
+
+// wait is how long this clock must run until the holder's has run a term.
+func (m *Machine) wait(term time.Duration) time.Duration {
+	return term + time.Duration(float64(term)*m.cfg.Drift)
+}
+
+func (m *Machine) needsCheckpoint(s ScopeState, now time.Time) bool {
+	if !s.Known || m.cfg.Retention == 0 {
+		return false
+	}
+	return now.Sub(s.LastReadAt) > m.cfg.Retention/checkpointFraction+m.cfg.ClaimDelay
+}
+
+func (m *Machine) claim(s ScopeState, g Ground) Record {
+	return Record{
+		Op: OpClaim, Scope: m.cfg.Scope, Holder: m.cfg.Instance, Incarnation: m.cfg.Incarnation,
+		Term: m.cfg.Term, After: s.Last, ByProof: m.cfg.ByProof, Ground: g,
+	}
+}
+
+// repeat returns a record that keeps the state's holder and term.
+func (m *Machine) repeat(s ScopeState, op Op) Record {
+	return Record{
+		Op: op, Scope: s.Scope, Holder: s.Holder, Incarnation: s.Incarnation,
+		Term: s.Term, After: s.Last, ByProof: s.ByProof,
+		Fence: s.Fence, Since: s.Since, Released: !s.Held,
+	}
+}
+
+// earlier returns the earlier of two times; a zero b stands for never.
+func (m *Machine) earlier(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Sending notes, before the append begins, that a record goes out. A repeated
+// ID keeps the time of its first send.
+func (m *Machine) Sending(id string, r Record, now time.Time) {
+	if m.sent != nil && m.sent.id == id {
+		return
+	}
+	m.sent = &pending{id: id, record: r, sentAt: now}
+}
+
+// PendingID returns the entry ID under which a record must be sent again, or
+// "" if that record isn't one whose fate is open.
+func (m *Machine) PendingID(r Record) string {
+	if m.sent == nil || m.sent.record != r {
+		return ""
+	}
+	return m.sent.id
+}
+
+// Settled notes that the fate of a record is known: it has been folded, or it
+// is not in the log and never will be.
+func (m *Machine) Settled(id string) {
+	if m.sent != nil && m.sent.id == id {
+		m.sent = nil
+	}
+}
+
+// Observe takes note of a state of the scope.
+func (m *Machine) Observe(s ScopeState, now time.Time) {
+	if m.sent == nil || s.LastID != m.sent.id {
+		return
+	}
+	r := m.sent.record
+	if r.Op == OpClaim && r.Ground == GroundRenumber {
+		m.renumber = false
+	}
+	if r.Op == OpClaim && r.Ground != GroundRenumber {
+		m.settled = now.Add(m.settle())
+	}
+	if r.Op == OpClaim || r.Op == OpRenewal {
+		m.heldID = m.sent.id
+		m.heldFrom = m.sent.sentAt
+	}
+	m.sent = nil
+}
+
+func (m *Machine) settle() time.Duration {
+	if m.cfg.ByProof {
+		return m.cfg.Settle
+	}
+	return 0
+}
+
+// Renumber asks for a new term with a higher fencing number at the next step.
+func (m *Machine) Renumber() { m.renumber = true }
+
+// Release returns the record that gives the scope up, if this process holds it.
+func (m *Machine) Release(s ScopeState) (Record, bool) {
+	if !s.HeldBy(m.cfg.Instance, m.cfg.Incarnation) {
+		return Record{}, false
+	}
+	return m.repeat(s, OpRelease), true
+}
+
+// releasing reports whether a release has been sent. From then on another
+// process may hold the scope, even while the release's fate is open here.
+func (m *Machine) releasing() bool {
+	return m.sent != nil && m.sent.record.Op == OpRelease
+}
+
+// Authority returns the right to give orders, if this process has it in a
+// state of the scope. The term counts from before the last accepted record
+// was sent: a claimant counts from after it read that record, so it begins
+// later, however long the append and its reply took.
+func (m *Machine) Authority(s ScopeState, now time.Time) (Authority, bool) {
+	m.Observe(s, now)
+	if m.releasing() || !s.HeldBy(m.cfg.Instance, m.cfg.Incarnation) || s.LastID != m.heldID {
+		return Authority{}, false
+	}
+	a := Authority{Scope: s.Scope, Fence: s.Fence, From: m.settled, Until: m.heldFrom.Add(s.Term)}
+	return a, a.Valid(now)
+}
--- /dev/null
+++ b/lease/state.go
@@ -0,0 +1,142 @@
+package lease
+
+import (
+	"time"
+
+	"tamarackchute/journal"
+)
+
+// ScopeState is what the accepted records say about a scope. All fields but
+// LastReadAt are alike in every process that has read as far.
+type ScopeState struct {
+	Scope string
+	// Known is false until a record of the scope has been accepted.
+	Known bool
+	// Held is false once the holder has released the scope.
+	Held        bool
+	Holder      string
+	Incarnation string
+	Term        time.Duration
+	ByProof     bool
+	// Fence is the fencing number: the offset of the claim of this term.
+	Fence uint64
+	// Since is the log's wall clock when it took that claim.
+	Since time.Time
+	// Ground is why the claim was allowed; zero if the claim had expired from
+	// the log before this process started.
+	Ground Ground
+	// Last and LastID name the last accepted record.
+	Last   journal.Position
+	LastID string
+	// LastAt is the log's wall clock when it took that record.
+	LastAt time.Time
+	// LastReadAt is this process's own clock just after it read that record.
+	LastReadAt time.Time
+
+	chain Chain
+}
+
+// HeldBy reports whether that process holds the scope, as far as records say.
+func (s ScopeState) HeldBy(instance, incarnation string) bool {
+	return s.Held && s.Holder == instance && s.Incarnation == incarnation
+}
+
+// Apply returns the state after a record, and whether it was accepted.
+func (s ScopeState) Apply(p journal.Placed, r Record) (ScopeState, bool) {
+	link := s.chain.Judge(r.After, p.Position)
+	if link == LinkLoses {
+		return s, false
+	}
+	if link == LinkFollows && !s.allows(r) {
+		return s, false
+	}
+	next := s.with(p, r)
+	next.chain.Accept(link, r.After, p.Position)
+	next.Last = p.Position
+	next.LastID = p.Entry.ID
+	next.LastAt = p.At
+	next.LastReadAt = p.ReadAt
+	return next, true
+}
+
+// allows reports whether the operation fits the state it follows.
+func (s ScopeState) allows(r Record) bool {
+	if r.Op == OpClaim {
+		return s.allowsClaim(r)
+	}
+	same := r.Holder == s.Holder && r.Incarnation == s.Incarnation && r.Fence == s.Fence
+	if r.Op == OpCheckpoint {
+		return same && r.Released != s.Held
+	}
+	return same && s.Held
+}
+
+// allowsClaim checks what the records can show of a claim's ground. That a
+// term has run out on the claimant's clock, or that the list no longer names
+// an instance, the claimant alone knows.
+func (s ScopeState) allowsClaim(r Record) bool {
+	switch r.Ground {
+	case GroundReleased:
+		return !s.Held
+	case GroundExpired:
+		return !s.Held || !s.ByProof
+	case GroundSuccessor:
+		return r.Holder == s.Holder && r.Incarnation != s.Incarnation
+	case GroundGone:
+		return r.Holder != s.Holder
+	case GroundRenumber:
+		return s.HeldBy(r.Holder, r.Incarnation)
+	default:
+		return false
+	}
+}
+
+func (s ScopeState) with(p journal.Placed, r Record) ScopeState {
+	s.Scope = r.Scope
+	s.Known = true
+	s.Held = r.Op != OpRelease && !r.Released
+	s.Holder = r.Holder
+	s.Incarnation = r.Incarnation
+	s.Term = r.Term
+	s.ByProof = r.ByProof
+	if r.Op == OpClaim {
+		s.Fence = uint64(p.Position.Offset)
+		s.Since = p.At
+		s.Ground = r.Ground
+		return s
+	}
+	if s.Fence != r.Fence {
+		s.Ground = 0
+	}
+	s.Fence = r.Fence
+	s.Since = r.Since
+	return s
+}
+
+// State is the pure fold over all scopes. The zero value is empty.
+type State struct {
+	scopes map[string]ScopeState
+}
+
+// Apply folds one journal entry and reports whether it was an accepted record.
+func (s *State) Apply(p journal.Placed) (ScopeState, bool) {
+	if p.Entry.Kind != journal.KindLease {
+		return ScopeState{}, false
+	}
+	r, err := DecodeRecord(p.Entry.Body)
+	if err != nil {
+		return ScopeState{}, false
+	}
+	next, ok := s.scopes[r.Scope].Apply(p, r)
+	if !ok {
+		return ScopeState{}, false
+	}
+	if s.scopes == nil {
+		s.scopes = make(map[string]ScopeState)
+	}
+	s.scopes[r.Scope] = next
+	return next, true
+}
+
+// Scope returns the state of a scope; its Known is false if there is none.
+func (s *State) Scope(name string) ScopeState { return s.scopes[name] }
--- /dev/null
+++ b/lease/view.go
@@ -0,0 +1,71 @@
+package lease
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"tamarackchute/journal"
+)
+
+// Snapshot is a state of all scopes that doesn't change any more.
+type Snapshot struct {
+	// Position is the last journal entry that it takes account of.
+	Position journal.Position
+	// Scopes is read-only.
+	Scopes map[string]ScopeState
+}
+
+// Scope returns the state of a scope; its Known is false if there is none.
+func (s *Snapshot) Scope(name string) ScopeState { return s.Scopes[name] }
+
+// View folds the journal's lease records and shows who leads which scope. It
+// implements journal.Folder; its other methods may be called from anywhere.
+type View struct {
+	state   State
+	current atomic.Pointer[Snapshot]
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// NewView returns a view of an empty journal.
+func NewView() *View {
+	v := &View{changed: make(chan struct{})}
+	v.current.Store(&Snapshot{Scopes: map[string]ScopeState{}})
+	return v
+}
+
+// Apply implements journal.Folder.
+func (v *View) Apply(p journal.Placed) {
+	next := &Snapshot{Position: p.Position, Scopes: v.current.Load().Scopes}
+	_, accepted := v.state.Apply(p)
+	if accepted {
+		next.Scopes = maps.Clone(v.state.scopes)
+	}
+	v.current.Store(next)
+	if accepted {
+		v.wake()
+	}
+}
+
+// Snapshot returns the current state.
+func (v *View) Snapshot() *Snapshot { return v.current.Load() }
+
+// Scope returns the current state of a scope.
+func (v *View) Scope(name string) ScopeState { return v.current.Load().Scope(name) }
+
+// Changed returns a channel that closes with the next accepted record. Take
+// the channel before the snapshot, so that no change falls between the two.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *View) wake() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
--- /dev/null
+++ b/orders/view.go
@@ -0,0 +1,78 @@
+package orders
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"tamarackchute/journal"
+)
+
+// Snapshot is a state of all engines that doesn't change any more.
+type Snapshot struct {
+	// Position is the last journal entry that it takes account of. An entry
+	// instance reports it as the position applied, and must read it before
+	// its counts of work in flight: counted first, a request could be missing
+	// from the counts and yet have been picked before the position.
+	Position journal.Position
+	// Engines is read-only.
+	Engines map[string]Engine
+}
+
+// Engine returns what is known of an engine; its Known is false, and it takes
+// work, if there is no record of it.
+func (s *Snapshot) Engine(name string) Engine {
+	e, ok := s.Engines[name]
+	if !ok {
+		return Engine{Name: name}
+	}
+	return e
+}
+
+// View folds the journal's order records. It implements journal.Folder; its
+// other methods may be called from anywhere.
+type View struct {
+	state   State
+	current atomic.Pointer[Snapshot]
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// NewView returns a view of an empty journal.
+func NewView() *View {
+	v := &View{changed: make(chan struct{})}
+	v.current.Store(&Snapshot{Engines: map[string]Engine{}})
+	return v
+}
+
+// Apply implements journal.Folder.
+func (v *View) Apply(p journal.Placed) {
+	next := &Snapshot{Position: p.Position, Engines: v.current.Load().Engines}
+	_, accepted := v.state.Apply(p)
+	if accepted {
+		next.Engines = maps.Clone(v.state.engines)
+	}
+	v.current.Store(next)
+	if accepted {
+		v.wake()
+	}
+}
+
+// Snapshot returns the current state.
+func (v *View) Snapshot() *Snapshot { return v.current.Load() }
+
+// Changed returns a channel that closes with the next accepted record. Take
+// the channel before the snapshot, so that no change falls between the two.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *View) wake() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
