rules: the document, its check and the match

Cause: programs need the operators' rule set: what a document says, which faults keep it from being published, and which rule decides a request. Ruled out: evaluating each condition in the expression library for every request, as rules hold plain comparisons for the most part; loops and clock functions in conditions, as their cost or result would depend on more than the request. Change: rules.Parse lists every fault with line and column (unknown fields and names, type errors, contradictions, rules that can't be reached); Set.Match decides by guards taken from the condition's syntax tree and evaluates the rest. Conclusion: others can code against Parse, Match, Then and Decision.

--- /dev/null
+++ b/rules/environment.go
@@ -0,0 +1,95 @@
+package rules
+
+import (
+	"strings"
+
+	"github.com/expr-lang/expr"
+	"github.com/expr-lang/expr/ast"
+	"github.com/expr-lang/expr/conf"
+)
+
+// environment is what a condition's names are typed against. It is handed to
+// the evaluator by value: reflection then reads its fields without copying
+// each to the heap.
+type environment struct {
+	Model        string              `expr:"model"`
+	Path         string              `expr:"path"`
+	Method       string              `expr:"method"`
+	Organisation string              `expr:"organisation"`
+	Header       func(string) string `expr:"header"`
+	PromptTokens int                 `expr:"prompt_tokens"`
+	OutputTokens int                 `expr:"output_tokens"`
+	DataCentre   string              `expr:"data_centre"`
+	Load         float64             `expr:"load"`
+	Stream       bool                `expr:"stream"`
+}
+
+func newEnvironment(r *Request) environment {
+	header := r.Header
+	if header == nil {
+		header = noHeader
+	}
+	return environment{
+		Model: r.Model, Path: r.Path, Method: r.Method, Organisation: r.Organisation,
+		Header: header, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
+		DataCentre: r.DataCentre, Load: r.Load, Stream: r.Stream,
+	}
+}
+
+func noHeader(string) string { return "" }
+
+// allowedBuiltins are the functions a condition may call. Those that loop over
+// collections, read the clock or build large values are left out, so that the
+// cost of a condition is bounded by its length and its result depends on the
+// request alone.
+var allowedBuiltins = []string{
+	"len", "lower", "upper", "trim", "trimPrefix", "trimSuffix", "hasPrefix", "hasSuffix",
+	"indexOf", "lastIndexOf", "abs", "ceil", "floor", "round", "min", "max", "int", "float",
+}
+
+// maxConditionNodes bounds the size of a condition's syntax tree.
+const maxConditionNodes = 500
+
+// conditionConfig returns the settings under which conditions are compiled.
+func conditionConfig() *conf.Config {
+	c := conf.CreateNew()
+	options := []expr.Option{
+		expr.Env(environment{}), expr.AsBool(), expr.WarnOnAny(), expr.MaxNodes(maxConditionNodes),
+		expr.DisableAllBuiltins(), expr.Patch(lowerHeaderNames{}),
+	}
+	for _, name := range allowedBuiltins {
+		options = append(options, expr.EnableBuiltin(name))
+	}
+	for _, option := range options {
+		option(c)
+	}
+	for name := range c.Disabled {
+		delete(c.Builtins, name)
+	}
+	return c
+}
+
+// lowerHeaderNames turns the names in header("X-Name") into lower case, so that
+// nothing has to be converted when a request comes.
+type lowerHeaderNames struct{}
+
+// Visit implements ast.Visitor.
+func (lowerHeaderNames) Visit(node *ast.Node) {
+	if name := headerName(*node); name != nil {
+		name.Value = strings.ToLower(name.Value)
+	}
+}
+
+// headerName returns the literal name in a call of header, or nil.
+func headerName(node ast.Node) *ast.StringNode {
+	call, ok := node.(*ast.CallNode)
+	if !ok || len(call.Arguments) != 1 {
+		return nil
+	}
+	callee, ok := call.Callee.(*ast.IdentifierNode)
+	if !ok || callee.Value != "header" {
+		return nil
+	}
+	name, _ := call.Arguments[0].(*ast.StringNode)
+	return name
+}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,163 @@
+// Package rules holds the operators' ordered rule set: its document form, its
+// check before publication, the match of a request against it, and the fold
+// that gives every instance the same version from the log.
+//
+// A document is JSON with comments:
+//
+//	{"rules": [
+//	  {"name": "bookings", "when": "path startsWith \"/bookings\"",
+//	   "then": {"pool": "booking", "protected": true, "deadline_ms": 5000}},
+//	]}
+//
+// The first rule whose condition holds decides. No rule after it is looked at.
+package rules
+
+import "time"
+
+// Document is a rule set as operators write it.
+type Document struct {
+	Rules []Rule `json:"rules"`
+}
+
+// Rule is one entry of the ordered list.
+type Rule struct {
+	// Name is unique within the set.
+	Name string `json:"name"`
+	// When is the condition: an expression over the request's environment.
+	When string `json:"when"`
+	// Then says what becomes of a request for which When holds.
+	Then Then `json:"then"`
+}
+
+// Then is the consequence of a rule: either Pool or Refuse is set.
+type Then struct {
+	// Pool names the upstream pool that serves the request.
+	Pool string `json:"pool,omitempty"`
+	// Priority orders work within an upstream: higher goes first.
+	Priority int `json:"priority,omitempty"`
+	// DeadlineMillis bounds the time to the whole answer, in milliseconds; 0
+	// leaves the default of the settings.
+	DeadlineMillis int `json:"deadline_ms,omitempty"`
+	// Protected makes the request run at most once. It needs a caller's
+	// Idempotency-Key.
+	Protected bool `json:"protected,omitempty"`
+	// Retry says what a retry may repeat; empty means RetryUnsent.
+	Retry RetryClass `json:"retry,omitempty"`
+	// Refuse refuses the request as not run.
+	Refuse *Refusal `json:"refuse,omitempty"`
+	// Limit bounds what the rule lets through.
+	Limit *Limit `json:"limit,omitempty"`
+	// Class sorts the request for the reserve of engine time; empty leaves it
+	// to the estimated number of tokens.
+	Class Class `json:"class,omitempty"`
+}
+
+// Deadline returns the time to the whole answer, or 0 if the rule sets none.
+func (t Then) Deadline() time.Duration {
+	return time.Duration(t.DeadlineMillis) * time.Millisecond
+}
+
+// RetryClass returns the retry class in force.
+func (t Then) RetryClass() RetryClass {
+	if t.Retry == "" {
+		return RetryUnsent
+	}
+	return t.Retry
+}
+
+// RetryClass says after which failures a request may be sent again.
+type RetryClass string
+
+// The retry classes.
+const (
+	// RetryNever sends a request once.
+	RetryNever RetryClass = "never"
+	// RetryUnsent sends it again only if no byte of it went out.
+	RetryUnsent RetryClass = "unsent"
+	// RetryRepeatable sends it again after any failure; the call is idempotent.
+	RetryRepeatable RetryClass = "repeatable"
+)
+
+// Class sorts requests by the length of their work.
+type Class string
+
+// The classes.
+const (
+	ClassShort Class = "short"
+	ClassLong  Class = "long"
+)
+
+// Refusal is the answer to a request that a rule refuses.
+type Refusal struct {
+	// Status is the HTTP status, from 400 to 599.
+	Status int `json:"status"`
+	// Reason is told to the caller.
+	Reason string `json:"reason"`
+}
+
+// Limit bounds the requests that a rule lets through on one instance.
+type Limit struct {
+	// RequestsPerSecond bounds their rate; 0 leaves it free.
+	RequestsPerSecond float64 `json:"requests_per_s,omitempty"`
+	// Concurrent bounds those in flight; 0 leaves it free.
+	Concurrent int `json:"concurrent,omitempty"`
+	// Per says whose requests are counted together; empty means LimitAll.
+	Per LimitScope `json:"per,omitempty"`
+}
+
+// LimitScope says whose requests a limit counts together.
+type LimitScope string
+
+// The scopes of a limit.
+const (
+	LimitAll          LimitScope = "all"
+	LimitOrganisation LimitScope = "organisation"
+)
+
+// Request is what conditions see of a request. Match keeps none of its strings.
+type Request struct {
+	Model        string
+	Path         string
+	Method       string
+	Organisation string
+	// Header returns the first value of a header by its lower-case name, or
+	// "". It may be nil.
+	Header func(name string) string
+	// PromptTokens and OutputTokens are estimates.
+	PromptTokens int
+	OutputTokens int
+	DataCentre   string
+	// Load is the work in flight as a share of what the local upstreams can
+	// take: 0 is idle, 1 is full, above 1 requests wait.
+	Load   float64
+	Stream bool
+}
+
+// Decision is the result of a match.
+type Decision struct {
+	// Rule and Index name the rule that matched; "" and -1 if none did.
+	Rule  string
+	Index int
+	// Then is the rule's consequence. Without a match it is a refusal.
+	Then    Then
+	Matched bool
+}
+
+// NoMatchStatus and NoMatchReason make up the refusal of a request for which no
+// rule holds. Such a request isn't run.
+const (
+	NoMatchStatus = 404
+	NoMatchReason = "no rule matches"
+)
+
+var noMatch = Decision{
+	Index: -1,
+	Then:  Then{Refuse: &Refusal{Status: NoMatchStatus, Reason: NoMatchReason}},
+}
+
+// Known lists the names that a set may use. A nil list isn't checked.
+type Known struct {
+	Pools       []string
+	Models      []string
+	DataCentres []string
+}
--- /dev/null
+++ b/rules/set.go
@@ -0,0 +1,138 @@
+package rules
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/expr-lang/expr/vm"
+)
+
+// Set is a checked rule set, ready to match requests. It is safe for use by
+// many goroutines and never changes.
+type Set struct {
+	document []byte
+	rules    []Rule
+	compiled []compiledRule
+	machines sync.Pool
+	failures atomic.Uint64
+}
+
+type compiledRule struct {
+	guards []guard
+	// program is nil if the guards decide the condition.
+	program *vm.Program
+}
+
+// Parse checks a document and compiles it. An error is an *InvalidError that
+// lists all problems.
+func Parse(src []byte, known Known) (*Set, error) {
+	c := &collector{src: src}
+	sources := decode(c)
+	s := &Set{document: src}
+	s.machines.New = func() any { return new(vm.VM) }
+	forms := make([]form, len(sources))
+	for i := range sources {
+		var compiled compiledRule
+		compiled, forms[i] = compileRule(c, &sources[i], known)
+		s.rules = append(s.rules, sources[i].rule)
+		s.compiled = append(s.compiled, compiled)
+	}
+	checkNames(c, sources)
+	checkReachable(c, sources, forms)
+	if err := c.err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func compileRule(c *collector, s *source, known Known) (compiledRule, form) {
+	if s.whole {
+		checkThen(c, s, known)
+	}
+	if s.raw == nil || s.raw[0] != '"' {
+		return compiledRule{}, form{}
+	}
+	if len(s.rule.When) > MaxConditionBytes {
+		c.add(s.when, s.rule.Name, "when has %d bytes, more than %d", len(s.rule.When), MaxConditionBytes)
+		return compiledRule{}, form{}
+	}
+	program, f, fault := compileCondition(s.rule.When)
+	if fault != nil {
+		c.add(s.when+literalOffset(s.raw, fault.at), s.rule.Name, "when: %s", fault.message)
+		return compiledRule{}, form{}
+	}
+	checkConstants(c, s, known)
+	guards, whole := newGuards(f)
+	if whole {
+		program = nil
+	}
+	return compiledRule{guards: guards, program: program}, f
+}
+
+// Document returns the set as it was published. The caller must not change it.
+func (s *Set) Document() []byte { return s.document }
+
+// Rules returns the rules in their order. The caller must not change them.
+func (s *Set) Rules() []Rule { return s.rules }
+
+// Failures counts the conditions that failed when evaluated, such as a division
+// by zero. Each counted as no match.
+func (s *Set) Failures() uint64 { return s.failures.Load() }
+
+// Match returns the decision of the first rule that holds. It keeps no
+// reference to the request's strings in the decision.
+func (s *Set) Match(r Request) Decision {
+	var e evaluation
+	defer e.end(s)
+	for i := range s.compiled {
+		rule := &s.compiled[i]
+		if !rule.guardsHold(&r) {
+			continue
+		}
+		if rule.program != nil && !e.holds(s, rule.program, &r) {
+			continue
+		}
+		return Decision{Rule: s.rules[i].Name, Index: i, Then: s.rules[i].Then, Matched: true}
+	}
+	return noMatch
+}
+
+func (c *compiledRule) guardsHold(r *Request) bool {
+	for i := range c.guards {
+		if !c.guards[i].holds(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// evaluation runs programs for one request. Its parts are made when the first
+// program runs, as most requests need none.
+type evaluation struct {
+	machine     *vm.VM
+	environment any
+}
+
+func (e *evaluation) holds(s *Set, program *vm.Program, r *Request) bool {
+	if e.machine == nil {
+		e.machine = s.machines.Get().(*vm.VM)
+		e.environment = newEnvironment(r)
+	}
+	result, err := e.machine.Run(program, e.environment)
+	if err != nil {
+		s.failures.Add(1)
+		return false
+	}
+	holds, _ := result.(bool)
+	return holds
+}
+
+// end gives the machine back. Its stack is emptied first, for it may refer to
+// the request's strings, whose memory the HTTP library reuses.
+func (e *evaluation) end(s *Set) {
+	if e.machine == nil {
+		return
+	}
+	clear(e.machine.Stack[:cap(e.machine.Stack)])
+	s.machines.Put(e.machine)
+}
