--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,200 @@
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/journal"
+	"tamarackchute/journal/journaltest"
+	"tamarackchute/platform"
+)
+
+// bodies is a folder that keeps what it is given.
+type bodies struct {
+	got     []string
+	trimmed platform.Offset
+}
+
+func (b *bodies) Apply(p journal.Placed)         { b.got = append(b.got, string(p.Entry.Body)) }
+func (b *bodies) Trimmed(oldest platform.Offset) { b.trimmed = oldest }
+func entry(id string) journal.Entry {
+	return journal.Entry{Kind: journal.KindAudit, ID: id, Body: []byte(id)}
+}
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+func within(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
+
+// run starts a journal within a synctest bubble and ends it with the test.
+func run(t *testing.T, log platform.Log, cfg journal.Config) (*journal.Journal, *bodies) {
+	cfg.Writer, cfg.Logger = "test", quiet()
+	j, f := journal.New(log, cfg), &bodies{}
+	j.Register(journal.KindAudit, f)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = j.Serve(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return j, f
+}
+
+func TestEntriesShareAppends(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		cfg     journal.Config
+		appends int
+	}{
+		{"batched", journal.Config{Linger: 5 * time.Millisecond, AppendsPerSecond: 100}, 1},
+		{"one by one", journal.Config{MaxBatchEntries: 1, AppendsPerSecond: 100}, 50},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := journaltest.NewLog()
+				j, f := run(t, log, c.cfg)
+				var wg conc.WaitGroup
+				for i := range 50 {
+					wg.Go(func() {
+						pos, err := j.Append(t.Context(), entry(fmt.Sprint(i)))
+						require.NoError(t, err)
+						require.False(t, j.Applied().Less(pos), "returned before its entry was folded")
+					})
+				}
+				wg.Wait()
+				require.Len(t, f.got, 50)
+				require.Equal(t, c.appends, log.Appends())
+			})
+		})
+	}
+}
+
+// A caller's claim is written, but the log's reply gets lost, or the record
+// arrives late. The journal sends the entry again, so that it stands in the
+// log twice. Folding it twice would be a second publish or a second claim.
+func TestUnclearAppendCountsOnce(t *testing.T) {
+	for name, faults := range map[string][]journaltest.Fault{
+		"reply lost":         {journaltest.FaultReplyLost},
+		"late":               {journaltest.FaultLate},
+		"late, then hang":    {journaltest.FaultLate, journaltest.FaultHang},
+		"lost":               {journaltest.FaultLost},
+		"refused, then late": {journaltest.FaultNotWritten, journaltest.FaultLate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := journaltest.NewLog()
+				log.Fail(faults...)
+				j, f := run(t, log, journal.Config{})
+				_, err := j.Append(t.Context(), entry("a"))
+				require.NoError(t, err)
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				require.Equal(t, []string{"a"}, f.got)
+			})
+		})
+	}
+}
+
+// An operator's publish times out. If the journal said "not written" of an
+// entry that lands later, the operator would publish the rules twice.
+func TestGivenUpAppendTellsTheTruth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		log.Fail(journaltest.FaultHang)
+		j, f := run(t, log, journal.Config{MaxInFlight: 1})
+		var wg conc.WaitGroup
+		wg.Go(func() {
+			ctx, cancel := within(500 * time.Millisecond)
+			defer cancel()
+			_, err := j.Append(ctx, entry("sent"))
+			require.ErrorIs(t, err, journal.ErrOutcomeUnknown)
+			require.NotErrorIs(t, err, platform.ErrNotWritten)
+		})
+		synctest.Wait()
+		ctx, cancel := within(100 * time.Millisecond)
+		defer cancel()
+		_, err := j.Append(ctx, entry("queued"))
+		require.ErrorIs(t, err, platform.ErrNotWritten)
+		wg.Wait()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		require.Equal(t, []string{"sent"}, f.got)
+	})
+}
+
+// With the log down for an hour, each call that wants to write must be
+// answered and memory must not grow; afterwards the journal works again.
+func TestOutageBoundsTheBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		log.Outage(true)
+		j, f := run(t, log, journal.Config{MaxPending: 10})
+		var wg conc.WaitGroup
+		for i := range 10 {
+			wg.Go(func() {
+				ctx, cancel := within(time.Hour)
+				defer cancel()
+				_, err := j.Append(ctx, entry(fmt.Sprint(i)))
+				require.ErrorIs(t, err, platform.ErrNotWritten)
+			})
+		}
+		synctest.Wait()
+		_, err := j.Append(t.Context(), entry("too many"))
+		require.ErrorIs(t, err, journal.ErrBacklogFull)
+		require.ErrorIs(t, err, platform.ErrNotWritten)
+		require.False(t, j.Health().LogUp)
+		wg.Wait()
+
+		log.Outage(false)
+		time.Sleep(2 * time.Second)
+		require.True(t, j.Health().LogUp)
+		_, err = j.Append(t.Context(), entry("after"))
+		require.NoError(t, err)
+		require.Equal(t, []string{"after"}, f.got)
+	})
+}
+
+// An instance that was paused for longer than the log's retention comes back:
+// its reader asks for records that have expired. It must not stop there, and
+// its folders must learn that they missed some.
+func TestReaderGoesOnBehindExpiredAndForeignRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		for i := range 3 {
+			data, err := journal.EncodeRecord("other", []journal.Entry{entry(fmt.Sprint(i))})
+			require.NoError(t, err)
+			log.Put(data)
+		}
+		log.Put([]byte("not ours"))
+		log.Trim(3)
+		j, f := run(t, log, journal.Config{})
+		<-j.CaughtUp()
+		require.Equal(t, platform.Offset(3), f.trimmed)
+		require.Equal(t, []string{"2"}, f.got)
+		require.Equal(t, platform.Offset(4), j.Applied().Offset)
+		require.Equal(t, int64(1), j.Stats().Corrupt)
+	})
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	data, err := journal.EncodeRecord("w", []journal.Entry{entry("a"), entry("b")})
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Add([]byte{0x93, 1, 0xa1, 'w', 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entries, err := journal.DecodeRecord(data)
+		if err != nil {
+			return
+		}
+		again, err := journal.EncodeRecord("", entries)
+		require.NoError(t, err)
+		back, err := journal.DecodeRecord(again)
+		require.NoError(t, err)
+		require.Equal(t, len(entries), len(back))
+	})
+}
