prove: the runner of random interleavings and its scenario interface

Cause: the coordination protocols need one runner that counts checks per invariant and shows that broken variants are caught.

Ruled out: a runner per protocol, whose outputs could not be read as one.

--- /dev/null
+++ b/internal/prove/prove.go
@@ -0,0 +1,218 @@
+// Package prove runs random interleavings of the coordination protocols and
+// counts, per invariant, how often it was checked and violated. It also runs
+// deliberately broken variants (mutants), which a check must catch.
+package prove
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+)
+
+// Scenario is one protocol under proof.
+type Scenario interface {
+	// Name is a short name for the output, like "claim".
+	Name() string
+	// Mutants names the broken variants that Run knows.
+	Mutants() []string
+	// Run runs one interleaving, wholly determined by seed, and reports its
+	// checks to r. The mutant is "" for the real thing. Run is called from
+	// several goroutines at once, each with a Report of its own.
+	Run(seed uint64, mutant string, r *Report)
+}
+
+// Tally counts the checks of one invariant.
+type Tally struct {
+	Checked, Violated int64
+	// Example describes the first violation, with its seed.
+	Example string
+}
+
+// Report collects the checks of interleavings. It isn't safe for concurrent
+// use.
+type Report struct {
+	// Seed is the seed of the interleaving that runs now.
+	Seed       uint64
+	Invariants map[string]Tally
+	// Events counts what the interleavings came through, so that a reader
+	// sees that the faults and outcomes did occur.
+	Events map[string]int64
+}
+
+// NewReport returns an empty report.
+func NewReport() *Report {
+	return &Report{Invariants: map[string]Tally{}, Events: map[string]int64{}}
+}
+
+// Check counts one check of an invariant. The detail is asked for only if it
+// was violated.
+func (r *Report) Check(invariant string, ok bool, detail func() string) {
+	t := r.Invariants[invariant]
+	t.Checked++
+	if !ok {
+		t.Violated++
+		if t.Example == "" {
+			t.Example = fmt.Sprintf("seed %d: %s", r.Seed, detail())
+		}
+	}
+	r.Invariants[invariant] = t
+}
+
+// Event counts something that happened.
+func (r *Report) Event(name string) { r.Events[name]++ }
+
+// Violated counts the violations of all invariants.
+func (r *Report) Violated() int64 {
+	var n int64
+	for _, t := range r.Invariants {
+		n += t.Violated
+	}
+	return n
+}
+
+func (r *Report) merge(o *Report) {
+	for name, t := range o.Invariants {
+		sum := r.Invariants[name]
+		sum.Checked += t.Checked
+		sum.Violated += t.Violated
+		sum.Example = cmp.Or(sum.Example, t.Example)
+		r.Invariants[name] = sum
+	}
+	for name, n := range o.Events {
+		r.Events[name] += n
+	}
+}
+
+// Options sets a run.
+type Options struct {
+	// Interleavings is how many to run per scenario; a mutant gets at most as
+	// many, and ends with the first that catches it.
+	Interleavings int
+	// Seed is the seed of the first interleaving; the others follow by one.
+	Seed uint64
+	// Workers is how many run at once.
+	Workers int
+}
+
+// MutantResult tells how a mutant fared.
+type MutantResult struct {
+	Name   string
+	Caught bool
+	// After is the number of interleavings that it took.
+	After int
+	// By names the violated invariants of the interleaving that caught it.
+	By []string
+}
+
+// Summary is the result of one scenario.
+type Summary struct {
+	Scenario      string
+	Interleavings int
+	Took          time.Duration
+	Report        *Report
+	Mutants       []MutantResult
+}
+
+// OK reports whether no invariant was violated and every mutant was caught.
+func (s Summary) OK() bool {
+	caught := !slices.ContainsFunc(s.Mutants, func(m MutantResult) bool { return !m.Caught })
+	return caught && s.Report.Violated() == 0 && len(s.Report.Invariants) > 0
+}
+
+// Run runs the scenario's interleavings and then its mutants. It stops early
+// when ctx ends; the summary then counts what ran.
+func Run(ctx context.Context, s Scenario, o Options) Summary {
+	start := time.Now()
+	sum := Summary{Scenario: s.Name(), Report: NewReport()}
+	sum.Interleavings = runAll(ctx, s, o, sum.Report)
+	sum.Mutants = runMutants(ctx, s, o)
+	sum.Took = time.Since(start)
+	return sum
+}
+
+func runAll(ctx context.Context, s Scenario, o Options, into *Report) int {
+	var mu sync.Mutex
+	ran := 0
+	p := pool.New().WithMaxGoroutines(max(o.Workers, 1))
+	const chunk = 100
+	for first := 0; first < o.Interleavings; first += chunk {
+		p.Go(func() {
+			r, n := NewReport(), 0
+			for i := first; i < min(first+chunk, o.Interleavings) && ctx.Err() == nil; i++ {
+				r.Seed = o.Seed + uint64(i)
+				s.Run(r.Seed, "", r)
+				n++
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			into.merge(r)
+			ran += n
+		})
+	}
+	p.Wait()
+	return ran
+}
+
+func runMutants(ctx context.Context, s Scenario, o Options) []MutantResult {
+	names := s.Mutants()
+	results := make([]MutantResult, len(names))
+	p := pool.New().WithMaxGoroutines(max(o.Workers, 1))
+	for i, name := range names {
+		p.Go(func() { results[i] = runMutant(ctx, s, o, name) })
+	}
+	p.Wait()
+	return results
+}
+
+func runMutant(ctx context.Context, s Scenario, o Options, name string) MutantResult {
+	m := MutantResult{Name: name}
+	for i := 0; i < o.Interleavings && ctx.Err() == nil; i++ {
+		r := NewReport()
+		r.Seed = o.Seed + uint64(i)
+		s.Run(r.Seed, name, r)
+		m.After = i + 1
+		if r.Violated() == 0 {
+			continue
+		}
+		m.Caught = true
+		for _, inv := range slices.Sorted(maps.Keys(r.Invariants)) {
+			if r.Invariants[inv].Violated > 0 {
+				m.By = append(m.By, inv)
+			}
+		}
+		return m
+	}
+	return m
+}
+
+// Print writes a summary for people.
+func (s Summary) Print(w io.Writer) {
+	fmt.Fprintf(w, "%s: %d interleavings in %.1f s\n", s.Scenario, s.Interleavings, s.Took.Seconds())
+	for _, name := range slices.Sorted(maps.Keys(s.Report.Invariants)) {
+		t := s.Report.Invariants[name]
+		fmt.Fprintf(w, "  %-58s checked %9d  violated %d\n", name, t.Checked, t.Violated)
+		if t.Violated > 0 {
+			fmt.Fprintf(w, "    first: %s\n", t.Example)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Report.Events)) {
+		fmt.Fprintf(w, "  event %-52s %d\n", name, s.Report.Events[name])
+	}
+	caught := 0
+	for _, m := range s.Mutants {
+		verdict := "MISSED"
+		if m.Caught {
+			verdict = "caught"
+			caught++
+		}
+		fmt.Fprintf(w, "  mutant %-40s %s after %d, by %v\n", m.Name, verdict, m.After, m.By)
+	}
+	fmt.Fprintf(w, "  mutants caught %d of %d\n", caught, len(s.Mutants))
+}
