rolepolicy: the gain policy, with the fluid model that ranks its tries

Cause: roles that follow the mix win goodput, each change loses some. Change: smoothed demand with a damped trend, the split that pays best over the expected length of the shift in the least favourable of three demands, changes ordered alike by all leaders, a picture that is too old or too thin refused.

--- /dev/null
+++ b/rolepolicy/capacity.go
@@ -0,0 +1,157 @@
+package rolepolicy
+
+import (
+	"slices"
+
+	"tamarackchute/upstream"
+)
+
+// roleIndex orders the roles for arrays.
+type roleIndex int
+
+const (
+	prefill roleIndex = iota
+	decode
+	mixed
+	roleCount
+)
+
+// roleNames gives the role of an index.
+var roleNames = [roleCount]upstream.Role{upstream.RolePrefill, upstream.RoleDecode, upstream.RoleMixed}
+
+// indexOf returns the index of a role; an unknown role counts as mixed.
+func indexOf(r upstream.Role) roleIndex {
+	switch r {
+	case upstream.RolePrefill:
+		return prefill
+	case upstream.RoleDecode:
+		return decode
+	default:
+		return mixed
+	}
+}
+
+// rateTable is what one engine serves in each role.
+type rateTable [roleCount]Rates
+
+// priorTable holds the shares of an engine's best rates that each role gives,
+// until reports have shown better: a prefill engine decodes at a quarter.
+var priorTable = rateTable{
+	prefill: {Prefill: 1, Decode: 0.25},
+	decode:  {Prefill: 0.25, Decode: 1},
+	mixed:   {Prefill: 0.6, Decode: 0.6},
+}
+
+// learner keeps the last rates that each engine reported in each role.
+type learner struct {
+	seen map[string]*rateTable
+}
+
+func newLearner() learner { return learner{seen: map[string]*rateTable{}} }
+
+// observe takes in an engine's report. An engine in the middle of a change
+// reports rates that belong to neither role.
+func (l learner) observe(e Engine) {
+	if e.Changing || !e.InService || e.Reported.Prefill <= 0 || e.Reported.Decode <= 0 {
+		return
+	}
+	t := l.seen[e.Name]
+	if t == nil {
+		t = &rateTable{}
+		l.seen[e.Name] = t
+	}
+	t[indexOf(e.Role)] = e.Reported
+}
+
+// forget drops the engines that are not in the picture any more.
+func (l learner) forget(engines []Engine) {
+	if len(l.seen) <= len(engines) {
+		return
+	}
+	known := make(map[string]bool, len(engines))
+	for _, e := range engines {
+		known[e.Name] = true
+	}
+	for name := range l.seen {
+		if !known[name] {
+			delete(l.seen, name)
+		}
+	}
+}
+
+// rates returns the table for a group of engines: per role the median of what
+// was reported, which one engine with wrong figures doesn't move; a role that
+// nobody has reported is worked out from the others by the prior table. It
+// returns false if no engine has reported any rate.
+func (l learner) rates(engines []Engine) (rateTable, bool) {
+	var reported [roleCount]struct{ p, d []float64 }
+	var base struct{ p, d []float64 }
+	for _, e := range engines {
+		t := l.seen[e.Name]
+		if t == nil {
+			continue
+		}
+		for r := range roleCount {
+			if t[r].Prefill <= 0 {
+				continue
+			}
+			reported[r].p = append(reported[r].p, t[r].Prefill)
+			reported[r].d = append(reported[r].d, t[r].Decode)
+			base.p = append(base.p, t[r].Prefill/priorTable[r].Prefill)
+			base.d = append(base.d, t[r].Decode/priorTable[r].Decode)
+		}
+	}
+	var out rateTable
+	if len(base.p) == 0 {
+		return out, false
+	}
+	best := Rates{Prefill: median(base.p, 0), Decode: median(base.d, 0)}
+	for r := range roleCount {
+		out[r].Prefill = median(reported[r].p, best.Prefill*priorTable[r].Prefill)
+		out[r].Decode = median(reported[r].d, best.Decode*priorTable[r].Decode)
+	}
+	return out, true
+}
+
+// median returns the middle value, or the fallback if there is none.
+func median(v []float64, fallback float64) float64 {
+	if len(v) == 0 {
+		return fallback
+	}
+	slices.Sort(v)
+	return v[len(v)/2]
+}
+
+// counts is how many engines have each role.
+type counts [roleCount]int
+
+func (c counts) total() int { return c[prefill] + c[decode] + c[mixed] }
+
+// capacity is what a group with these roles serves.
+func (t *rateTable) capacity(c counts) Rates {
+	var sum Rates
+	for r := range roleCount {
+		sum.Prefill += float64(c[r]) * t[r].Prefill
+		sum.Decode += float64(c[r]) * t[r].Decode
+	}
+	return sum
+}
+
+// usable is the share of its rate at which an engine still answers in time;
+// above it queues grow faster than the deadlines allow.
+const usable = 0.9
+
+// served is the share of the demanded requests that the roles can answer in
+// time. Each request needs both its prompt and its output, so the scarcer kind
+// of capacity decides.
+func (t *rateTable) served(c counts, demand Rates) float64 {
+	have := t.capacity(c)
+	share := 1.0
+	if demand.Prefill > 0 {
+		share = min(share, usable*have.Prefill/demand.Prefill)
+	}
+	if demand.Decode > 0 {
+		share = min(share, usable*have.Decode/demand.Decode)
+	}
+	return share
+}
--- a/rolepolicy/gain.go
+++ b/rolepolicy/gain.go
@@ -1,15 +1,290 @@
 package rolepolicy
 
-import "time"
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"tamarackchute/upstream"
+)
 
 // Gain changes a role where the goodput won over the expected length of the
 // shift exceeds the capacity lost by the change, times its weight.
+//
+// Every leader plans for the engines of all data centres and orders the
+// candidates in the same way, then decides on its own alone; so leaders with
+// the same picture don't both answer one shortage.
 type Gain struct {
-	c Config
+	c       Config
+	learner learner
+	history map[string]*history
+	// chosen is since when an engine of another data centre has been a
+	// candidate that its own leader did not change.
+	chosen map[string]time.Time
 }
 
+// Defaults of Gain's settings.
+const (
+	horizonDwells  = 10
+	defaultHorizon = 5 * time.Minute
+	// minFresh is the share of entries and of engines that must have
+	// reported for the picture to count.
+	minFresh = 0.5
+	// patience is how many change times a leader waits for another data
+	// centre's leader to make the change that is its turn.
+	patience = 3
+	// persistence is the goodput that must have been missed before a change,
+	// in changes' costs: it keeps out what only one noisy value asks for.
+	persistence = 0.1
+)
+
 // NewGain returns the policy with its defaults filled in.
-func NewGain(c Config) *Gain { return &Gain{c: c} }
+func NewGain(c Config) *Gain {
+	c.MaxAtOnce = max(1, c.MaxAtOnce)
+	if c.Horizon <= 0 {
+		c.Horizon = horizonDwells * c.Dwell
+	}
+	if c.Horizon <= 0 {
+		c.Horizon = defaultHorizon
+	}
+	return &Gain{
+		c:       c,
+		learner: newLearner(),
+		history: map[string]*history{},
+		chosen:  map[string]time.Time{},
+	}
+}
+
+// Decide returns the changes that pay, at most MaxAtOnce less those going on.
+func (g *Gain) Decide(s State, now time.Time) []Decision {
+	for _, e := range s.Engines {
+		if g.reported(e) {
+			g.learner.observe(e)
+		}
+	}
+	g.learner.forget(s.Engines)
+	room := g.c.MaxAtOnce - changing(s)
+	var out []Decision
+	for _, p := range pools(s.Engines) {
+		found := g.decidePool(p, s, now, room)
+		room -= len(found)
+		out = append(out, found...)
+	}
+	return out
+}
+
+// changing counts the data centre's engines in the middle of a change.
+func changing(s State) int {
+	n := 0
+	for _, e := range s.Engines {
+		if e.DataCentre == s.DataCentre && e.Changing {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *Gain) decidePool(p pool, s State, now time.Time, room int) []Decision {
+	h := g.history[p.key()]
+	if h == nil {
+		h = &history{}
+		g.history[p.key()] = h
+	}
+	seen, fresh := sum(p, s.Demand, now, g.c.MaxPictureAge)
+	if fresh <= minFresh {
+		return nil
+	}
+	h.add(seen, now, g.c.Change.Seconds())
+	if !h.settled(g.c.Change.Seconds()) {
+		return nil
+	}
+	usable := g.usableEngines(p)
+	if float64(len(usable)) <= minFresh*float64(len(p.engines)) {
+		return nil
+	}
+	table, ok := g.learner.rates(usable)
+	if !ok {
+		return nil
+	}
+	sit := g.situation(table, usable, h, now)
+	found := sit.best()
+	h.missed.add(found.rate, now)
+	if found.moves == 0 || room <= 0 || h.missed.sum < persistence*sit.unitCost() {
+		return nil
+	}
+	return g.choose(sit, found, usable, s.DataCentre, now, room)
+}
+
+// reported is whether the engine's report is recent enough to rest on.
+func (g *Gain) reported(e Engine) bool {
+	return g.c.MaxPictureAge <= 0 || e.ReportAge <= g.c.MaxPictureAge
+}
+
+// usableEngines are those that serve now or will after their change. An engine
+// without a recent report counts as lost.
+func (g *Gain) usableEngines(p pool) []Engine {
+	var out []Engine
+	for _, e := range p.engines {
+		if e.Changing || (e.InService && g.reported(e)) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// roleAfter is the role that the engine has, or will have after its change.
+func roleAfter(e Engine) upstream.Role {
+	if e.Changing && e.To != "" {
+		return e.To
+	}
+	return e.Role
+}
+
+func (g *Gain) situation(table rateTable, engines []Engine, h *history, now time.Time) situation {
+	s := situation{
+		table:    table,
+		change:   g.c.Change.Seconds(),
+		parallel: g.parallel(engines),
+		weight:   g.c.ChangeWeight,
+	}
+	for _, e := range engines {
+		s.now[indexOf(roleAfter(e))]++
+	}
+	ahead := h.forecast(s.change)
+	doubt := h.doubt()
+	s.demands = []total{ahead, skewed(ahead, 1+doubt), skewed(ahead, 1-doubt)}
+	h.regime.add(s.table.ratio(ahead.Rates), now)
+	s.horizon = h.regime.remaining(now, g.c.Horizon.Seconds())
+	return s
+}
+
+// skewed is the demand with its prompt part times f and its output part less.
+func skewed(t total, f float64) total {
+	t.Prefill *= f
+	t.Decode /= f
+	return t
+}
+
+// ratio is prefill work to decode work, in the measure of the best rates.
+func (t *rateTable) ratio(demand Rates) float64 {
+	if demand.Decode <= 0 || t[prefill].Prefill <= 0 {
+		return 1
+	}
+	return (demand.Prefill / t[prefill].Prefill) / (demand.Decode / t[decode].Decode)
+}
+
+// parallel is how many changes can run at once over all data centres.
+func (g *Gain) parallel(engines []Engine) int {
+	centres := map[string]bool{}
+	for _, e := range engines {
+		centres[e.DataCentre] = true
+	}
+	return max(1, len(centres)*g.c.MaxAtOnce)
+}
+
+// choose names the engines for the plan's first steps and keeps those of this
+// data centre.
+func (g *Gain) choose(sit situation, found plan, engines []Engine, centre string, now time.Time, room int) []Decision {
+	var out []Decision
+	taken := map[string]bool{}
+	perCentre := busyPerCentre(engines)
+	counts := sit.now
+	for len(out) < room {
+		give, take, ok := sit.step(counts, found.target)
+		if !ok {
+			break
+		}
+		e, ok := g.candidate(engines, roleNames[give], centre, taken, perCentre, now)
+		if !ok {
+			break
+		}
+		taken[e.Name] = true
+		perCentre[e.DataCentre]++
+		counts[give]--
+		counts[take]++
+		if e.DataCentre != centre {
+			continue
+		}
+		out = append(out, Decision{
+			Engine: e.Name, From: e.Role, To: roleNames[take],
+			Reason: g.reason(sit, found),
+			Gain:   found.gain / float64(found.moves),
+			Cost:   found.cost / float64(found.moves),
+		})
+	}
+	g.forgetChosen(taken)
+	return out
+}
+
+func busyPerCentre(engines []Engine) map[string]int {
+	busy := map[string]int{}
+	for _, e := range engines {
+		if e.Changing {
+			busy[e.DataCentre]++
+		}
+	}
+	return busy
+}
 
-// Decide returns the changes that pay.
-func (g *Gain) Decide(s State, now time.Time) []Decision { return nil }
+// candidate picks the engine whose turn it is: from the data centre with the
+// fewest changes going on, then the one that changed longest ago, then by
+// name. It passes over engines whose own leader has let its turn go by.
+func (g *Gain) candidate(engines []Engine, role upstream.Role, centre string,
+	taken map[string]bool, busy map[string]int, now time.Time) (Engine, bool) {
+	var free []Engine
+	for _, e := range engines {
+		if e.Role == role && !taken[e.Name] && g.free(e, now) && busy[e.DataCentre] < g.c.MaxAtOnce {
+			free = append(free, e)
+		}
+	}
+	slices.SortStableFunc(free, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(busy[a.DataCentre], busy[b.DataCentre]),
+			a.LastChange.Compare(b.LastChange), cmp.Compare(a.Name, b.Name))
+	})
+	for _, e := range free {
+		if e.DataCentre == centre || !g.overdue(e.Name, now) {
+			return e, true
+		}
+	}
+	return Engine{}, false
+}
+
+// free is whether the engine may change now.
+func (g *Gain) free(e Engine, now time.Time) bool {
+	return !e.Changing && e.InService &&
+		(e.LastChange.IsZero() || now.Sub(e.LastChange) >= g.c.Dwell)
+}
+
+// overdue is whether another data centre's engine has been the candidate for
+// so long that its leader evidently won't change it: that leader is cut off or
+// sees another picture.
+func (g *Gain) overdue(name string, now time.Time) bool {
+	since, ok := g.chosen[name]
+	if !ok {
+		g.chosen[name] = now
+		return false
+	}
+	return now.Sub(since) > patience*g.c.Change
+}
+
+// forgetChosen drops the engines that are no candidates any more. One that was
+// passed over as overdue gets its turn again at the next decision.
+func (g *Gain) forgetChosen(taken map[string]bool) {
+	for name := range g.chosen {
+		if !taken[name] {
+			delete(g.chosen, name)
+		}
+	}
+}
+
+func (g *Gain) reason(sit situation, found plan) string {
+	d := sit.demands[0]
+	have := sit.table.capacity(sit.now)
+	return fmt.Sprintf("gain: demand %.0f prompt and %.0f output tokens/s against %.0f and %.0f served; "+
+		"%d/%d/%d prefill/decode/mixed to %d/%d/%d wins %.0f requests over %.0f s, costs %.0f",
+		d.Prefill, d.Decode, have.Prefill, have.Decode,
+		sit.now[prefill], sit.now[decode], sit.now[mixed],
+		found.target[prefill], found.target[decode], found.target[mixed],
+		found.gain, sit.horizon, found.cost)
+}
