Stand-ins for the log, the list, the weight store and plain services

Cause: tests and trials need what surrounds the system, with faults on demand. Ruled out: a cluster simulator; third-party servers. Change: one part per outside interface on an address of its own, with counters and a typed fault page; a listener that crashes and revives on the same address; oracle, the pure functions of the answers, for whoever checks them.

--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,212 @@
+package standin
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tamarackchute/internal/adapters/listclient"
+	"tamarackchute/platform"
+)
+
+// ListConfig sets up the list of instances.
+type ListConfig struct {
+	Addr string
+	TLS  *tls.Config
+	// Lag is how far the list is behind the truth.
+	Lag  time.Duration
+	Rows []platform.Instance
+	// OnLeaving is told, once the lag has passed, which instances the list
+	// now names as leaving.
+	OnLeaving func(names []string)
+}
+
+// ListFaults are the list's faults. The last three change the truth, once.
+type ListFaults struct {
+	Reach
+	LagMillis int `json:"lag_ms"`
+	// Leaving marks instances as leaving.
+	Leaving []string `json:"leaving"`
+	// Remove takes instances off the list.
+	Remove []string `json:"remove"`
+	// Add puts instances on the list, in place of rows with the same name.
+	Add []platform.Instance `json:"add"`
+}
+
+// ListCounters are the list's counters.
+type ListCounters struct {
+	Reads   int64 `json:"reads"`
+	Changes int64 `json:"changes"`
+	Rows    int   `json:"rows"`
+	Leaving int   `json:"leaving"`
+}
+
+// List stands in for the platform's list of instances.
+type List struct {
+	*node
+	config ListConfig
+	faults *switchboard[ListFaults]
+	reads  atomic.Int64
+
+	mu      sync.Mutex
+	history listHistory
+	changes int64
+}
+
+// NewList returns a list that listens already.
+func NewList(c ListConfig) (*List, error) {
+	n, err := newNode("list", "list", c.Addr, c.TLS)
+	if err != nil {
+		return nil, err
+	}
+	faults := ListFaults{LagMillis: int(c.Lag.Milliseconds())}
+	return &List{
+		node:    n,
+		config:  c,
+		faults:  newSwitchboard(faults),
+		history: listHistory{{Rows: c.Rows}},
+	}, nil
+}
+
+// Serve implements Part.
+func (l *List) Serve(ctx context.Context) error { return l.serve(ctx, l.handle) }
+
+func (l *List) handle(ctx *fasthttp.RequestCtx) {
+	if admin(l, ctx) || cutOff(l.node, l.faults, ctx) {
+		return
+	}
+	if string(ctx.Path()) != listclient.PathInstances {
+		ctx.NotFound()
+		return
+	}
+	l.reads.Add(1)
+	replyJSON(ctx, listclient.Reply{Instances: l.seen(time.Now())})
+}
+
+func (l *List) lag() time.Duration {
+	return time.Duration(l.faults.get().LagMillis) * time.Millisecond
+}
+
+// seen returns what the list says at a time.
+func (l *List) seen(now time.Time) []platform.Instance {
+	lag := l.lag()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.history.at(now.Add(-lag))
+}
+
+// Counters returns the counters.
+func (l *List) Counters() ListCounters {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rows := l.history.latest()
+	return ListCounters{
+		Reads:   l.reads.Load(),
+		Changes: l.changes,
+		Rows:    len(rows),
+		Leaving: len(leavingNames(rows)),
+	}
+}
+
+// CountersJSON implements Part.
+func (l *List) CountersJSON() []byte { return encode(l.Counters()) }
+
+// FaultsJSON implements Part.
+func (l *List) FaultsJSON() []byte { return encode(l.faults.get()) }
+
+// SetFaults implements Part.
+func (l *List) SetFaults(doc []byte) error {
+	if err := l.faults.merge(doc); err != nil {
+		return err
+	}
+	f := l.faults.get()
+	l.faults.set(func(f *ListFaults) { f.Leaving, f.Remove, f.Add = nil, nil, nil })
+	if len(f.Leaving)+len(f.Remove)+len(f.Add) > 0 {
+		l.change(f)
+	}
+	return nil
+}
+
+// change alters the truth; the list shows it after the lag.
+func (l *List) change(f ListFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rows := changedRows(l.history.latest(), f)
+	l.history = l.history.add(time.Now(), rows)
+	l.changes++
+	if l.config.OnLeaving != nil {
+		names := leavingNames(rows)
+		time.AfterFunc(time.Duration(f.LagMillis)*time.Millisecond, func() { l.config.OnLeaving(names) })
+	}
+}
+
+// listState is the truth from a time on.
+type listState struct {
+	From time.Time
+	Rows []platform.Instance
+}
+
+// listHistory holds the states that the list may still show, oldest first; the
+// first is valid from ever.
+type listHistory []listState
+
+// maxListHistory bounds the states kept.
+const maxListHistory = 256
+
+func (h listHistory) latest() []platform.Instance { return h[len(h)-1].Rows }
+
+func (h listHistory) at(t time.Time) []platform.Instance {
+	for i := len(h) - 1; i > 0; i-- {
+		if !h[i].From.After(t) {
+			return h[i].Rows
+		}
+	}
+	return h[0].Rows
+}
+
+func (h listHistory) add(from time.Time, rows []platform.Instance) listHistory {
+	h = append(h, listState{From: from, Rows: rows})
+	if len(h) > maxListHistory {
+		h = h[1:]
+	}
+	return h
+}
+
+func changedRows(rows []platform.Instance, f ListFaults) []platform.Instance {
+	added := nameSet(nil)
+	for _, r := range f.Add {
+		added[r.Name] = true
+	}
+	removed, leaving := nameSet(f.Remove), nameSet(f.Leaving)
+	var out []platform.Instance
+	for _, r := range rows {
+		if removed[r.Name] || added[r.Name] {
+			continue
+		}
+		r.Leaving = r.Leaving || leaving[r.Name]
+		out = append(out, r)
+	}
+	return append(out, f.Add...)
+}
+
+func nameSet(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, n := range names {
+		set[n] = true
+	}
+	return set
+}
+
+func leavingNames(rows []platform.Instance) []string {
+	var names []string
+	for _, r := range rows {
+		if r.Leaving {
+			names = append(names, r.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,278 @@
+package standin
+
+import (
+	"context"
+	"crypto/tls"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
+
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/internal/adapters/logclient"
+)
+
+// LogConfig sets up the log.
+type LogConfig struct {
+	Addr string
+	TLS  *tls.Config
+	// AppendsPerSecond is the rate limit over all writers.
+	AppendsPerSecond float64
+	// Retention is how long a record is kept.
+	Retention time.Duration
+}
+
+// LogFaults are the log's faults.
+type LogFaults struct {
+	Reach
+	// SlowMillis delays each append and read.
+	SlowMillis int `json:"slow_ms"`
+	// LoseReply closes the connection after an append took effect.
+	LoseReply Dose `json:"lose_reply"`
+	// LandLate answers an append with an error and makes it take effect
+	// LandLateMillis later.
+	LandLate       Dose `json:"land_late"`
+	LandLateMillis int  `json:"land_late_ms"`
+	// FailReads answers reads with an error.
+	FailReads Dose `json:"fail_reads"`
+	// ExpireAll drops the records kept at the moment, once.
+	ExpireAll bool `json:"expire_all"`
+}
+
+// LogCounters are the log's counters.
+type LogCounters struct {
+	Appends     int64  `json:"appends"`
+	AppendBytes int64  `json:"append_bytes"`
+	RateLimited int64  `json:"rate_limited"`
+	LostReplies int64  `json:"lost_replies"`
+	LandedLate  int64  `json:"landed_late"`
+	Reads       int64  `json:"reads"`
+	ReadBytes   int64  `json:"read_bytes"`
+	Oldest      uint64 `json:"oldest"`
+	Next        uint64 `json:"next"`
+	// Senders gives the same by sender, in order of name.
+	Senders []LogSender `json:"senders"`
+}
+
+// LogSender counts one sender's use of the log.
+type LogSender struct {
+	Sender      string `json:"sender"`
+	Appends     int64  `json:"appends"`
+	AppendBytes int64  `json:"append_bytes"`
+	Reads       int64  `json:"reads"`
+	ReadBytes   int64  `json:"read_bytes"`
+}
+
+// Log stands in for the platform's log.
+type Log struct {
+	*node
+	faults  *switchboard[LogFaults]
+	limiter *rate.Limiter
+
+	mu       sync.Mutex
+	store    logStore
+	grown    chan struct{} // closed and replaced with each append
+	counters LogCounters
+	senders  map[string]*LogSender
+}
+
+// burstSeconds of the rate limit may be appended at once.
+const burstSeconds = 0.1
+
+// NewLog returns a log that listens already.
+func NewLog(c LogConfig) (*Log, error) {
+	n, err := newNode("log", "log", c.Addr, c.TLS)
+	if err != nil {
+		return nil, err
+	}
+	burst := max(1, int(c.AppendsPerSecond*burstSeconds))
+	return &Log{
+		node:    n,
+		faults:  newSwitchboard(LogFaults{}),
+		limiter: rate.NewLimiter(rate.Limit(c.AppendsPerSecond), burst),
+		store:   logStore{next: 1, oldest: 1, retention: c.Retention},
+		grown:   make(chan struct{}),
+		senders: map[string]*LogSender{},
+	}, nil
+}
+
+// Serve implements Part.
+func (l *Log) Serve(ctx context.Context) error { return l.serve(ctx, l.handle) }
+
+func (l *Log) handle(ctx *fasthttp.RequestCtx) {
+	if admin(l, ctx) || cutOff(l.node, l.faults, ctx) {
+		return
+	}
+	l.pause(time.Duration(l.faults.get().SlowMillis) * time.Millisecond)
+	switch string(ctx.Path()) {
+	case logclient.PathAppend:
+		l.handleAppend(ctx)
+	case logclient.PathRead:
+		l.handleRead(ctx)
+	default:
+		ctx.NotFound()
+	}
+}
+
+func (l *Log) handleAppend(ctx *fasthttp.RequestCtx) {
+	if !l.limiter.Allow() {
+		l.count(func(c *LogCounters) { c.RateLimited++ })
+		refuse(ctx, fasthttp.StatusTooManyRequests, "append rate limit")
+		return
+	}
+	data := append([]byte(nil), ctx.PostBody()...)
+	sender := string(ctx.Request.Header.Peek(httpx.HeaderSender))
+	if l.faults.take(func(f *LogFaults) *Dose { return &f.LandLate }) {
+		l.landLate(sender, data)
+		ctx.Error("append failed", fasthttp.StatusInternalServerError)
+		return
+	}
+	offset := l.append(sender, data)
+	if l.faults.take(func(f *LogFaults) *Dose { return &f.LoseReply }) {
+		l.count(func(c *LogCounters) { c.LostReplies++ })
+		hangUp(ctx)
+		return
+	}
+	ctx.Response.Header.Set(logclient.HeaderOffset, strconv.FormatUint(offset, 10))
+}
+
+// landLate appends after a delay, as a record does that was held up in the
+// log's own network while its writer was told of a failure.
+func (l *Log) landLate(sender string, data []byte) {
+	delay := time.Duration(l.faults.get().LandLateMillis) * time.Millisecond
+	time.AfterFunc(delay, func() {
+		l.append(sender, data)
+		l.count(func(c *LogCounters) { c.LandedLate++ })
+	})
+}
+
+func (l *Log) append(sender string, data []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := l.store.append(time.Now(), data)
+	close(l.grown)
+	l.grown = make(chan struct{})
+	s := l.sender(sender)
+	l.counters.Appends++
+	s.Appends++
+	l.counters.AppendBytes += int64(len(data))
+	s.AppendBytes += int64(len(data))
+	return offset
+}
+
+func (l *Log) handleRead(ctx *fasthttp.RequestCtx) {
+	if l.faults.take(func(f *LogFaults) *Dose { return &f.FailReads }) {
+		ctx.Error("read failed", fasthttp.StatusInternalServerError)
+		return
+	}
+	args := ctx.QueryArgs()
+	from := uint64(args.GetUintOrZero("from"))
+	limit := args.GetUintOrZero("max")
+	wait := time.Duration(args.GetUintOrZero("wait_ms")) * time.Millisecond
+	reply, trimmed := l.readWaiting(from, limit, wait)
+	if cutOff(l.node, l.faults, ctx) {
+		return
+	}
+	doc, err := msgpack.Marshal(&reply)
+	if err != nil {
+		panic(err)
+	}
+	l.countRead(string(ctx.Request.Header.Peek(httpx.HeaderSender)), len(doc))
+	if trimmed {
+		ctx.SetStatusCode(fasthttp.StatusGone)
+	}
+	ctx.SetContentType("application/msgpack")
+	ctx.SetBody(doc)
+}
+
+// readWaiting reads, and waits for the first record if there is none yet. A
+// change of the faults ends the wait, as an outage breaks off waiting reads.
+func (l *Log) readWaiting(from uint64, limit int, wait time.Duration) (logclient.ReadReply, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	_, changed := l.faults.watch()
+	for {
+		reply, trimmed, grown := l.read(from, limit)
+		if trimmed || len(reply.Records) > 0 {
+			return reply, trimmed
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return reply, false
+		case <-changed:
+			return reply, false
+		case <-l.ended:
+			return reply, false
+		}
+	}
+}
+
+func (l *Log) read(from uint64, limit int) (logclient.ReadReply, bool, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply, trimmed := l.store.read(time.Now(), from, limit)
+	return reply, trimmed, l.grown
+}
+
+func (l *Log) count(add func(*LogCounters)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	add(&l.counters)
+}
+
+func (l *Log) countRead(sender string, bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sender(sender)
+	l.counters.Reads++
+	s.Reads++
+	l.counters.ReadBytes += int64(bytes)
+	s.ReadBytes += int64(bytes)
+}
+
+func (l *Log) sender(name string) *LogSender {
+	s := l.senders[name]
+	if s == nil {
+		s = &LogSender{Sender: name}
+		l.senders[name] = s
+	}
+	return s
+}
+
+// Counters returns the counters.
+func (l *Log) Counters() LogCounters {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.counters
+	c.Oldest, c.Next = l.store.oldest, l.store.next
+	for _, s := range l.senders {
+		c.Senders = append(c.Senders, *s)
+	}
+	sort.Slice(c.Senders, func(i, j int) bool { return c.Senders[i].Sender < c.Senders[j].Sender })
+	return c
+}
+
+// CountersJSON implements Part.
+func (l *Log) CountersJSON() []byte { return encode(l.Counters()) }
+
+// FaultsJSON implements Part.
+func (l *Log) FaultsJSON() []byte { return encode(l.faults.get()) }
+
+// SetFaults implements Part.
+func (l *Log) SetFaults(doc []byte) error {
+	if err := l.faults.merge(doc); err != nil {
+		return err
+	}
+	if l.faults.get().ExpireAll {
+		l.faults.set(func(f *LogFaults) { f.ExpireAll = false })
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.store.trim(l.store.next)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/oracle/oracle.go
@@ -0,0 +1,143 @@
+// Package oracle says what the stand-in engines and services answer. The
+// answers are pure functions of the request, so that a load generator can
+// check them whole, and so that an answer begun on one engine goes on exactly
+// on another.
+package oracle
+
+import (
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// DefaultMaxTokens bounds an answer whose request names no bound.
+	DefaultMaxTokens = 128
+	// PoisonMarker in a prompt or a body crashes the stand-in that runs it.
+	PoisonMarker = "crash-this-upstream"
+)
+
+// The two reasons for which an answer ends.
+const (
+	FinishStop   = "stop"
+	FinishLength = "length"
+)
+
+// Answer is one engine's whole answer to a prompt.
+type Answer struct {
+	seed uint64
+	// Tokens is the answer's length in tokens.
+	Tokens int
+	// Finish is why it ends there.
+	Finish string
+}
+
+// For returns the answer of a model to a whole prompt. A maxTokens of 0 or
+// less means DefaultMaxTokens.
+func For(model, prompt string, maxTokens int) Answer {
+	if maxTokens <= 0 {
+		maxTokens = DefaultMaxTokens
+	}
+	natural := naturalLength(prompt, maxTokens)
+	a := Answer{seed: seed(model, prompt), Tokens: natural, Finish: FinishStop}
+	if natural >= maxTokens {
+		a.Tokens, a.Finish = maxTokens, FinishLength
+	}
+	return a
+}
+
+// Token returns the text of token i, counted from 0.
+func (a Answer) Token(i int) string {
+	word := words[mix(a.seed+uint64(i))%uint64(len(words))]
+	if i == 0 {
+		return word[1:]
+	}
+	return word
+}
+
+// Text returns the tokens from from up to but without to, joined.
+func (a Answer) Text(from, to int) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		b.WriteString(a.Token(i))
+	}
+	return b.String()
+}
+
+// Token returns the text of token i of a model's answer to a whole prompt.
+func Token(model, prompt string, i int) string {
+	return Answer{seed: seed(model, prompt)}.Token(i)
+}
+
+// Length returns the length in tokens of the answer to a whole prompt.
+func Length(prompt string, maxTokens int) int { return For("", prompt, maxTokens).Tokens }
+
+// PromptTokens returns the engines' count of a text's tokens: its words.
+func PromptTokens(text string) int {
+	n, inWord := 0, false
+	for i := range len(text) {
+		space := isSpace(text[i])
+		if !space && !inWord {
+			n++
+		}
+		inWord = !space
+	}
+	return n
+}
+
+// Echo returns the digest by which a plain service's answer names the request
+// that it belongs to.
+func Echo(method, path string, body []byte) string {
+	d := xxhash.New()
+	_, _ = d.WriteString(method)
+	_, _ = d.WriteString("\n" + path + "\n")
+	_, _ = d.Write(body)
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
+// naturalLength spreads evenly from half of maxTokens to a quarter above it.
+func naturalLength(prompt string, maxTokens int) int {
+	spread := maxTokens*3/4 + 1
+	h := mix(xxhash.Sum64String(prompt) + lengthSalt)
+	return max(1, maxTokens/2+int(h%uint64(spread)))
+}
+
+const lengthSalt = 0x6c656e677468
+
+func seed(model, prompt string) uint64 {
+	var m [8]byte
+	binary.LittleEndian.PutUint64(m[:], xxhash.Sum64String(model))
+	d := xxhash.New()
+	_, _ = d.Write(m[:])
+	_, _ = d.WriteString(prompt)
+	return d.Sum64()
+}
+
+// mix is the finaliser of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+func isSpace(c byte) bool { return c == ' ' || c == '\n' || c == '\t' || c == '\r' }
+
+// words holds the vocabulary, each with a space before it.
+var words = vocabulary()
+
+func vocabulary() []string {
+	heads := strings.Fields("ka le mi no pu ra se ti vo zu da fe gi ho ju ba")
+	tails := strings.Fields("lin mar nes pol rim sat tun vek dor fal gan hil jor bes kum zet")
+	out := make([]string, 0, len(heads)*len(heads)*len(tails))
+	for _, a := range heads {
+		for _, b := range heads {
+			for _, c := range tails {
+				out = append(out, " "+a+b+c)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,264 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/internal/standin/oracle"
+)
+
+// HeaderIdempotencyKey names the call that may run at most once.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// leavingGrace is how long after the list shows an upstream as leaving it may
+// still be given new work.
+const leavingGrace = 3 * time.Second
+
+// ServiceConfig sets up a plain service.
+type ServiceConfig struct {
+	Name string
+	Addr string
+	TLS  *tls.Config
+	// Latency is how long a call runs.
+	Latency time.Duration
+	// Ledger counts runs by key over all services that share it; nil makes one
+	// for this service alone.
+	Ledger *Ledger
+}
+
+// ServiceFaults are a service's faults. Those with "before" strike before the
+// call has run, those with "after" once it has.
+type ServiceFaults struct {
+	Reach
+	LatencyMillis int  `json:"latency_ms"`
+	CrashBefore   Dose `json:"crash_before"`
+	CrashAfter    Dose `json:"crash_after"`
+	// CloseBefore and CloseAfter close the connection without answering.
+	CloseBefore Dose `json:"close_before"`
+	CloseAfter  Dose `json:"close_after"`
+	// Hang runs the call and never answers.
+	Hang Dose `json:"hang"`
+	// HangMillis answers after that long instead, which is late for most.
+	HangMillis int `json:"hang_ms"`
+	// Refuse answers that the call was not run.
+	Refuse Dose `json:"refuse"`
+	// Fail runs the call and answers 500.
+	Fail Dose `json:"fail"`
+	// Stray sends a second response, which nobody asked for, after one.
+	Stray Dose `json:"stray"`
+	// Poison is the marker in a body that crashes the service; empty for none.
+	Poison string `json:"poison"`
+	// RestartMillis is how long a crash lasts that names no time of its own.
+	RestartMillis int `json:"restart_ms"`
+	// Crash crashes it now, once.
+	Crash *Crash `json:"crash"`
+}
+
+// ServiceCounters are a service's counters.
+type ServiceCounters struct {
+	Calls      int64 `json:"calls"`
+	Ran        int64 `json:"ran"`
+	RefusedRun int64 `json:"refused_not_run"`
+	Unanswered int64 `json:"unanswered"`
+	Crashes    int64 `json:"crashes"`
+	// WorkAfterLeaving counts calls that came more than 3 s after the list
+	// showed the service as leaving.
+	WorkAfterLeaving int64 `json:"work_after_leaving"`
+	// Keys, RanTwice and Doubled are those of the ledger, which services of
+	// one process share: keys seen, keys whose call ran more than once, and
+	// the first few of these.
+	Keys     int64    `json:"keys"`
+	RanTwice int64    `json:"ran_twice"`
+	Doubled  []string `json:"doubled"`
+}
+
+// ServiceAnswer is the body of a service's answer.
+type ServiceAnswer struct {
+	Service string `json:"service"`
+	// Echo is oracle.Echo of the request.
+	Echo string `json:"echo"`
+	// Run is how often a call with this key had run, this time included; 0
+	// without a key.
+	Run int `json:"run"`
+}
+
+// Service stands in for a plain service.
+type Service struct {
+	*node
+	config  ServiceConfig
+	faults  *switchboard[ServiceFaults]
+	ledger  *Ledger
+	leaving leavingMark
+
+	calls, ran, refused, unanswered, crashes, afterLeaving atomic.Int64
+}
+
+// Defaults of the service's faults.
+const defaultRestartMillis = 2000
+
+// NewService returns a service that listens already.
+func NewService(c ServiceConfig) (*Service, error) {
+	n, err := newNode(c.Name, "service", c.Addr, c.TLS)
+	if err != nil {
+		return nil, err
+	}
+	if c.Ledger == nil {
+		c.Ledger = NewLedger()
+	}
+	return &Service{
+		node:   n,
+		config: c,
+		ledger: c.Ledger,
+		faults: newSwitchboard(ServiceFaults{
+			LatencyMillis: int(c.Latency.Milliseconds()),
+			Poison:        oracle.PoisonMarker,
+			RestartMillis: defaultRestartMillis,
+		}),
+	}, nil
+}
+
+// Serve implements Part.
+func (s *Service) Serve(ctx context.Context) error { return s.serve(ctx, s.handle) }
+
+func (s *Service) handle(ctx *fasthttp.RequestCtx) {
+	if admin(s, ctx) || cutOff(s.node, s.faults, ctx) {
+		return
+	}
+	s.calls.Add(1)
+	if s.leaving.overdue(time.Now()) {
+		s.afterLeaving.Add(1)
+	}
+	if !s.strikeBefore(ctx) {
+		return
+	}
+	s.pause(time.Duration(s.faults.get().LatencyMillis) * time.Millisecond)
+	run := s.run(ctx)
+	if s.strikeAfter(ctx) {
+		s.answer(ctx, run)
+	}
+}
+
+// strikeBefore acts out the faults that keep a call from running, and reports
+// whether it is to run.
+func (s *Service) strikeBefore(ctx *fasthttp.RequestCtx) bool {
+	poison := s.faults.get().Poison
+	switch {
+	case s.faults.take(func(f *ServiceFaults) *Dose { return &f.Refuse }):
+		s.refused.Add(1)
+		refuse(ctx, fasthttp.StatusServiceUnavailable, "service takes no work")
+	case poison != "" && bytes.Contains(ctx.PostBody(), []byte(poison)),
+		s.faults.take(func(f *ServiceFaults) *Dose { return &f.CrashBefore }):
+		s.crashInHandler(ctx)
+	case s.faults.take(func(f *ServiceFaults) *Dose { return &f.CloseBefore }):
+		s.unanswered.Add(1)
+		hangUp(ctx)
+	default:
+		return true
+	}
+	return false
+}
+
+// run runs the call and returns the number of its run.
+func (s *Service) run(ctx *fasthttp.RequestCtx) int {
+	s.ran.Add(1)
+	key := ctx.Request.Header.Peek(HeaderIdempotencyKey)
+	if len(key) == 0 {
+		return 0
+	}
+	return s.ledger.ran(string(key))
+}
+
+// strikeAfter acts out the faults that keep a call's answer from its caller,
+// and reports whether to answer.
+func (s *Service) strikeAfter(ctx *fasthttp.RequestCtx) bool {
+	switch {
+	case s.faults.take(func(f *ServiceFaults) *Dose { return &f.CrashAfter }):
+		s.crashInHandler(ctx)
+	case s.faults.take(func(f *ServiceFaults) *Dose { return &f.CloseAfter }):
+		s.unanswered.Add(1)
+		hangUp(ctx)
+	case s.faults.take(func(f *ServiceFaults) *Dose { return &f.Hang }):
+		return s.hang(ctx)
+	case s.faults.take(func(f *ServiceFaults) *Dose { return &f.Fail }):
+		ctx.Error("service failed", fasthttp.StatusInternalServerError)
+	default:
+		return true
+	}
+	return false
+}
+
+// hang keeps the answer back, for good or for the time that is set.
+func (s *Service) hang(ctx *fasthttp.RequestCtx) bool {
+	if late := s.faults.get().HangMillis; late > 0 {
+		s.pause(time.Duration(late) * time.Millisecond)
+		return true
+	}
+	s.unanswered.Add(1)
+	<-s.ended
+	hangUp(ctx)
+	return false
+}
+
+func (s *Service) answer(ctx *fasthttp.RequestCtx, run int) {
+	echo := oracle.Echo(string(ctx.Method()), string(ctx.RequestURI()), ctx.PostBody())
+	if attempt := ctx.Request.Header.Peek(httpx.HeaderAttempt); len(attempt) > 0 {
+		ctx.Response.Header.SetBytesV(httpx.HeaderAttempt, attempt)
+	}
+	replyJSON(ctx, ServiceAnswer{Service: s.name, Echo: echo, Run: run})
+	if s.faults.take(func(f *ServiceFaults) *Dose { return &f.Stray }) {
+		sendTwice(ctx)
+	}
+}
+
+func (s *Service) crashInHandler(ctx *fasthttp.RequestCtx) {
+	s.unanswered.Add(1)
+	s.crash(time.Duration(s.faults.get().RestartMillis) * time.Millisecond)
+	hangUp(ctx)
+}
+
+func (s *Service) crash(down time.Duration) {
+	s.crashes.Add(1)
+	s.gate.crash(down)
+}
+
+// SetLeaving tells the service whether the list shows it as leaving.
+func (s *Service) SetLeaving(leaving bool) { s.leaving.set(time.Now(), leaving) }
+
+// Counters returns the counters.
+func (s *Service) Counters() ServiceCounters {
+	c := ServiceCounters{
+		Calls:            s.calls.Load(),
+		Ran:              s.ran.Load(),
+		RefusedRun:       s.refused.Load(),
+		Unanswered:       s.unanswered.Load(),
+		Crashes:          s.crashes.Load(),
+		WorkAfterLeaving: s.afterLeaving.Load(),
+	}
+	c.Keys, c.RanTwice, c.Doubled = s.ledger.totals()
+	return c
+}
+
+// CountersJSON implements Part.
+func (s *Service) CountersJSON() []byte { return encode(s.Counters()) }
+
+// FaultsJSON implements Part.
+func (s *Service) FaultsJSON() []byte { return encode(s.faults.get()) }
+
+// SetFaults implements Part.
+func (s *Service) SetFaults(doc []byte) error {
+	if err := s.faults.merge(doc); err != nil {
+		return err
+	}
+	f := s.faults.get()
+	if f.Crash != nil {
+		s.faults.set(func(f *ServiceFaults) { f.Crash = nil })
+		s.crash(f.Crash.down())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/weights.go
@@ -0,0 +1,200 @@
+package standin
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tamarackchute/internal/adapters/weightclient"
+	"tamarackchute/platform"
+)
+
+// PathWeightLoad is where engines load weights.
+const PathWeightLoad = "/load"
+
+// WeightsConfig sets up the weight store.
+type WeightsConfig struct {
+	Addr string
+	TLS  *tls.Config
+	// BytesPerSecond is shared by all loads.
+	BytesPerSecond float64
+	Versions       []platform.WeightVersion
+}
+
+// WeightLoad asks for the weights of a version; the response comes when they
+// have been read.
+type WeightLoad struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Engine  string `json:"engine"`
+}
+
+// WeightLoaded is the response to a load.
+type WeightLoaded struct {
+	Bytes      int64 `json:"bytes"`
+	WaitMillis int64 `json:"wait_ms"`
+}
+
+// WeightFaults are the weight store's faults.
+type WeightFaults struct {
+	Reach
+	// FailLoads answers loads with an error, after their time.
+	FailLoads Dose `json:"fail_loads"`
+	// SlowFactor above 1 makes loads slower.
+	SlowFactor float64 `json:"slow_factor"`
+	// Add stores versions, once.
+	Add []platform.WeightVersion `json:"add"`
+}
+
+// WeightCounters are the weight store's counters.
+type WeightCounters struct {
+	Loads         int64 `json:"loads"`
+	LoadBytes     int64 `json:"load_bytes"`
+	FailedLoads   int64 `json:"failed_loads"`
+	LongestMillis int64 `json:"longest_load_ms"`
+}
+
+// Weights stands in for the platform's weight store.
+type Weights struct {
+	*node
+	config WeightsConfig
+	faults *switchboard[WeightFaults]
+
+	mu       sync.Mutex
+	versions []platform.WeightVersion
+	// busyUntil is when the loads taken so far end: they go one after the
+	// other, each at the full rate, which takes them the same time in all as
+	// sharing it would.
+	busyUntil time.Time
+	counters  WeightCounters
+}
+
+// NewWeights returns a weight store that listens already.
+func NewWeights(c WeightsConfig) (*Weights, error) {
+	n, err := newNode("weights", "weights", c.Addr, c.TLS)
+	if err != nil {
+		return nil, err
+	}
+	return &Weights{
+		node:     n,
+		config:   c,
+		faults:   newSwitchboard(WeightFaults{SlowFactor: 1}),
+		versions: c.Versions,
+	}, nil
+}
+
+// Serve implements Part.
+func (w *Weights) Serve(ctx context.Context) error { return w.serve(ctx, w.handle) }
+
+func (w *Weights) handle(ctx *fasthttp.RequestCtx) {
+	if admin(w, ctx) || cutOff(w.node, w.faults, ctx) {
+		return
+	}
+	switch string(ctx.Path()) {
+	case weightclient.PathVersions:
+		model := string(ctx.QueryArgs().Peek("model"))
+		replyJSON(ctx, weightclient.Reply{Versions: w.versionsOf(model)})
+	case PathWeightLoad:
+		w.handleLoad(ctx)
+	default:
+		ctx.NotFound()
+	}
+}
+
+func (w *Weights) versionsOf(model string) []platform.WeightVersion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := []platform.WeightVersion{}
+	for _, v := range w.versions {
+		if v.Model == model {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (w *Weights) handleLoad(ctx *fasthttp.RequestCtx) {
+	var load WeightLoad
+	if err := json.Unmarshal(ctx.PostBody(), &load); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	bytes, found := w.sizeOf(load)
+	if !found {
+		ctx.Error("no such version", fasthttp.StatusNotFound)
+		return
+	}
+	wait := w.reserve(time.Now(), bytes)
+	w.pause(wait)
+	if w.faults.take(func(f *WeightFaults) *Dose { return &f.FailLoads }) {
+		w.count(func(c *WeightCounters) { c.FailedLoads++ })
+		ctx.Error("load failed", fasthttp.StatusInternalServerError)
+		return
+	}
+	w.count(func(c *WeightCounters) {
+		c.Loads++
+		c.LoadBytes += bytes
+		c.LongestMillis = max(c.LongestMillis, wait.Milliseconds())
+	})
+	replyJSON(ctx, WeightLoaded{Bytes: bytes, WaitMillis: wait.Milliseconds()})
+}
+
+// sizeOf finds a version; an empty one means the model's latest.
+func (w *Weights) sizeOf(load WeightLoad) (int64, bool) {
+	versions := w.versionsOf(load.Model)
+	for i := len(versions) - 1; i >= 0; i-- {
+		if load.Version == "" || versions[i].Version == load.Version {
+			return versions[i].Bytes, true
+		}
+	}
+	return 0, false
+}
+
+// reserve books the time that a load takes and returns how long until its end.
+func (w *Weights) reserve(now time.Time, bytes int64) time.Duration {
+	slow := max(1, w.faults.get().SlowFactor)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.busyUntil.Before(now) {
+		w.busyUntil = now
+	}
+	seconds := float64(bytes) / w.config.BytesPerSecond * slow
+	w.busyUntil = w.busyUntil.Add(time.Duration(seconds * float64(time.Second)))
+	return w.busyUntil.Sub(now)
+}
+
+func (w *Weights) count(add func(*WeightCounters)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	add(&w.counters)
+}
+
+// Counters returns the counters.
+func (w *Weights) Counters() WeightCounters {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.counters
+}
+
+// CountersJSON implements Part.
+func (w *Weights) CountersJSON() []byte { return encode(w.Counters()) }
+
+// FaultsJSON implements Part.
+func (w *Weights) FaultsJSON() []byte { return encode(w.faults.get()) }
+
+// SetFaults implements Part.
+func (w *Weights) SetFaults(doc []byte) error {
+	if err := w.faults.merge(doc); err != nil {
+		return err
+	}
+	f := w.faults.get()
+	w.faults.set(func(f *WeightFaults) { f.Add = nil })
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.versions = append(w.versions, f.Add...)
+	return nil
+}
