admission and quarantine: the interfaces and a first working form

Cause: the entry needs interfaces to code against. Change: admission with a window of work sent ahead, fair queueing, limits, a retry budget and early refusal; quarantine as a fold with isolated runs of suspects and a guard.

--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,287 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// poolKey names the upstreams that share a capacity.
+type poolKey struct{ pool, model string }
+
+// Controller admits requests. It is safe for use by many goroutines.
+type Controller struct {
+	cfg Config
+	now func() time.Time
+
+	mu       sync.Mutex
+	pools    map[poolKey]*pool
+	limits   *limits
+	budget   budget
+	queued   int
+	stopping bool
+	counts   Counts
+}
+
+// Counts are totals since the start, for metrics.
+type Counts struct {
+	Admitted, Queued uint64
+	Refused          map[Reason]uint64
+	Waiting          int
+}
+
+// New makes a controller. now is the clock; nil means time.Now. Its Serve
+// must run for waiting requests to be refused before their last moment.
+func New(cfg Config, now func() time.Time) *Controller {
+	if now == nil {
+		now = time.Now
+	}
+	return &Controller{
+		cfg:    cfg,
+		now:    now,
+		pools:  map[poolKey]*pool{},
+		limits: newLimits(cfg.MaxOrganisations),
+		budget: budget{share: cfg.RetryBudget},
+		counts: Counts{Refused: map[Reason]uint64{}},
+	}
+}
+
+// pool returns the core of a pool and model, made if needed.
+func (c *Controller) pool(name, model string) *pool {
+	k := poolKey{name, model}
+	p := c.pools[k]
+	if p == nil {
+		p = newPool(&c.cfg)
+		c.pools[k] = p
+	}
+	return p
+}
+
+// SetCapacity takes what the router knows of a pool and model. Call it about
+// once a second and when engines come or go. Until the first call nothing of
+// that pool waits; plain services need none.
+func (c *Controller) SetCapacity(name, model string, capacity Capacity) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pool(name, model)
+	p.setCapacity(capacity)
+	c.pump(p)
+}
+
+// Acquire waits until a request may be sent. Its error is always a *Refusal,
+// after which the request has not run. A grant must be released.
+func (c *Controller) Acquire(ctx context.Context, r Request) (*Grant, error) {
+	w := &waiter{req: r, class: c.classOf(&r), verdict: make(chan *Refusal, 1)}
+	if ref := c.arrive(w); ref != nil {
+		return nil, ref
+	}
+	grant := &Grant{c: c, w: w}
+	if ref := c.await(ctx, w); ref != nil {
+		return nil, ref
+	}
+	return grant, nil
+}
+
+func (c *Controller) classOf(r *Request) Class {
+	if r.Class != ClassAuto {
+		return r.Class
+	}
+	if r.PromptTokens >= c.cfg.LongTokens {
+		return ClassLong
+	}
+	return ClassShort
+}
+
+// arrive decides on a new request: refused, started (the verdict is there at
+// once) or waiting.
+func (c *Controller) arrive(w *waiter) *Refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	w.arrived = now
+	p := c.pool(w.req.Pool, w.req.Model)
+	p.tick(now)
+	ref := c.check(p, w, now)
+	if ref == nil {
+		ref = c.limits.take(&w.req, now)
+	}
+	if ref != nil {
+		c.counts.Refused[ref.Reason]++
+		return ref
+	}
+	c.budget.earn(now)
+	p.enqueue(w)
+	c.queued++
+	c.pump(p)
+	if !w.onWay {
+		c.counts.Queued++
+	}
+	return nil
+}
+
+// check refuses what can't be answered in time and what finds no room.
+func (c *Controller) check(p *pool, w *waiter, now time.Time) *Refusal {
+	if c.stopping {
+		return &Refusal{Reason: ReasonStopping, RetryAfter: time.Second}
+	}
+	if p.known && p.capacity.Engines == 0 {
+		return &Refusal{Reason: ReasonNoCapacity, RetryAfter: 2 * time.Second}
+	}
+	wait := p.expectedWait(w)
+	if ref := p.tooLate(w, wait, now); ref != nil {
+		return ref
+	}
+	if c.queued >= c.cfg.MaxQueued {
+		return &Refusal{Reason: ReasonQueueFull, RetryAfter: min(c.cfg.MaxRetryAfter, retryAfter(wait))}
+	}
+	return nil
+}
+
+// pump starts what may start.
+func (c *Controller) pump(p *pool) {
+	now := c.now()
+	for w := p.next(now); w != nil; w = p.next(now) {
+		c.queued--
+		c.counts.Admitted++
+		w.verdict <- nil
+	}
+}
+
+// await waits for the verdict, the caller's going away, or the last moment at
+// which the request can start.
+func (c *Controller) await(ctx context.Context, w *waiter) *Refusal {
+	select {
+	case ref := <-w.verdict:
+		return ref
+	default:
+	}
+	var last <-chan time.Time
+	if latest := w.latest(); !latest.IsZero() {
+		t := time.NewTimer(latest.Sub(c.now()))
+		defer t.Stop()
+		last = t.C
+	}
+	select {
+	case ref := <-w.verdict:
+		return ref
+	case <-ctx.Done():
+		return c.giveUp(w, ReasonCancelled)
+	case <-last:
+		return c.giveUp(w, ReasonDeadline)
+	}
+}
+
+// giveUp takes a waiting request out, unless its verdict came meanwhile. A
+// grant that came together with the caller's going away is given back.
+func (c *Controller) giveUp(w *waiter, why Reason) *Refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case ref := <-w.verdict:
+		if ref != nil || why != ReasonCancelled {
+			return ref
+		}
+		c.release(w)
+		return &Refusal{Reason: ReasonCancelled}
+	default:
+	}
+	now := c.now()
+	p := c.pool(w.req.Pool, w.req.Model)
+	p.tick(now)
+	ref := &Refusal{Reason: why, Waited: now.Sub(w.arrived)}
+	if why == ReasonDeadline {
+		ref.Needed = w.req.Estimate.Complete
+		ref.Left = w.req.Deadline.Sub(now)
+		ref.Expected = p.lane(w.class).meter.wait(p.lane(w.class).queue.ahead(w.req.Organisation, w.req.Priority))
+		ref.RetryAfter = p.whenToComeBack(w, ref.Expected, now)
+	}
+	c.remove(p, w, ref)
+	return ref
+}
+
+// remove takes a waiting request out with a refusal.
+func (c *Controller) remove(p *pool, w *waiter, ref *Refusal) {
+	p.drop(w)
+	c.queued--
+	c.limits.release(&w.req)
+	c.counts.Refused[ref.Reason]++
+}
+
+// release ends a granted request's claims on window and limits.
+func (c *Controller) release(w *waiter) {
+	p := c.pool(w.req.Pool, w.req.Model)
+	p.tick(c.now())
+	p.leave(w)
+	c.limits.release(&w.req)
+	c.pump(p)
+}
+
+// sweepPeriod is how often waiting requests are judged anew.
+const sweepPeriod = 100 * time.Millisecond
+
+// Serve refuses waiting requests as soon as it is clear that they won't make
+// their deadlines, until ctx ends.
+func (c *Controller) Serve(ctx context.Context) error {
+	t := time.NewTicker(sweepPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			c.sweep()
+		}
+	}
+}
+
+func (c *Controller) sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for _, p := range c.pools {
+		p.tick(now)
+		p.window.adjust(now)
+		for _, e := range p.late(now) {
+			c.remove(p, e.w, e.refusal)
+			e.w.verdict <- e.refusal
+		}
+		c.pump(p)
+	}
+}
+
+// Stop refuses what waits and what comes. Granted requests go on.
+func (c *Controller) Stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	for _, p := range c.pools {
+		for i := range p.lanes {
+			for it := p.lanes[i].queue.peek(); it != nil; it = p.lanes[i].queue.peek() {
+				ref := &Refusal{Reason: ReasonStopping, RetryAfter: time.Second}
+				c.remove(p, it.waiter, ref)
+				it.waiter.verdict <- ref
+			}
+		}
+	}
+}
+
+// MayRetry reports whether the retry budget allows one more attempt of an
+// admitted request, and counts it.
+func (c *Controller) MayRetry() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.budget.spend(c.now())
+}
+
+// Counts returns the totals.
+func (c *Controller) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.counts
+	out.Waiting = c.queued
+	out.Refused = make(map[Reason]uint64, len(c.counts.Refused))
+	for k, v := range c.counts.Refused {
+		out.Refused[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/admission/fair.go
@@ -0,0 +1,284 @@
+package admission
+
+import (
+	"container/heap"
+	"slices"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// item is one waiting request in a fair queue.
+type item struct {
+	org      string
+	priority int
+	cost     float64
+	waiter   *waiter
+	flow     *flow
+	removed  bool
+}
+
+// flow is the waiting requests of one organisation at one priority.
+type flow struct {
+	org     string
+	finish  float64 // virtual time at which its last served request ends
+	start   float64 // virtual start time of its first waiting request
+	seq     uint64  // breaks ties by arrival
+	items   []*item // in order of arrival; removed ones are dropped when met
+	live    int     // items that aren't removed
+	cost    float64 // their sum
+	heapPos int
+}
+
+// fairQueue orders waiting requests by priority, then by start-time fair
+// queueing: each organisation's requests get virtual start times spaced by
+// their cost, and the least start time goes first. It is work-conserving, for
+// virtual time only moves as requests are served: whoever is alone gets all.
+//
+// An organisation with nothing waiting needs state only while its last finish
+// time lies ahead of the virtual time. Those are kept in a bounded LRU; one
+// that falls out of it may get one request's cost too much, once.
+type fairQueue struct {
+	levels []*level // highest priority first
+	idle   int      // bound of remembered idle flows for each level
+	len    int
+	cost   float64
+	seq    uint64
+}
+
+// level is the waiting requests of one priority.
+type level struct {
+	priority int
+	virtual  float64
+	flows    map[string]*flow
+	ready    flowHeap
+	recent   *simplelru.LRU[string, float64] // finish times of idle flows
+	cost     float64
+	live     int
+}
+
+func newFairQueue(idle int) *fairQueue { return &fairQueue{idle: max(1, idle)} }
+
+// level returns the level of a priority, made if needed.
+func (q *fairQueue) level(priority int) *level {
+	i, ok := slices.BinarySearchFunc(q.levels, priority, func(l *level, p int) int { return p - l.priority })
+	if ok {
+		return q.levels[i]
+	}
+	// The size is at least 1, so that NewLRU can't fail.
+	recent, _ := simplelru.NewLRU[string, float64](q.idle, nil)
+	l := &level{priority: priority, flows: map[string]*flow{}, recent: recent}
+	q.levels = slices.Insert(q.levels, i, l)
+	return l
+}
+
+// push adds a request at the end of its organisation's.
+func (q *fairQueue) push(it *item) {
+	l := q.level(it.priority)
+	f := l.flows[it.org]
+	if f == nil {
+		f = l.revive(it.org)
+	}
+	it.flow = f
+	f.items = append(f.items, it)
+	f.live++
+	f.cost += it.cost
+	l.cost += it.cost
+	l.live++
+	q.cost += it.cost
+	q.len++
+	if f.live == 1 {
+		q.seq++
+		f.seq = q.seq
+		f.start = max(l.virtual, f.finish)
+		heap.Push(&l.ready, f)
+	}
+}
+
+// revive takes an organisation back from the idle ones.
+func (l *level) revive(org string) *flow {
+	f := &flow{org: org}
+	if finish, ok := l.recent.Peek(org); ok {
+		f.finish = finish
+		l.recent.Remove(org)
+	}
+	l.flows[org] = f
+	return f
+}
+
+// peek returns the request that goes next, nil if none waits.
+func (q *fairQueue) peek() *item {
+	for _, l := range q.levels {
+		if len(l.ready) > 0 {
+			return l.ready[0].first()
+		}
+	}
+	return nil
+}
+
+// first returns the first item that isn't removed. There is one while the
+// flow is in the heap.
+func (f *flow) first() *item {
+	for f.items[0].removed {
+		f.items[0] = nil
+		f.items = f.items[1:]
+	}
+	return f.items[0]
+}
+
+// pop takes the request that peek returned.
+func (q *fairQueue) pop() *item {
+	it := q.peek()
+	if it == nil {
+		return nil
+	}
+	l := q.level(it.priority)
+	f := it.flow
+	l.virtual = max(l.virtual, f.start)
+	f.finish = f.start + it.cost
+	q.take(l, it)
+	return it
+}
+
+// remove takes a request out of the middle. Its organisation isn't charged.
+func (q *fairQueue) remove(it *item) {
+	if it.removed {
+		return
+	}
+	q.take(q.level(it.priority), it)
+}
+
+func (q *fairQueue) take(l *level, it *item) {
+	f := it.flow
+	it.removed = true
+	f.live--
+	f.cost -= it.cost
+	l.cost -= it.cost
+	l.live--
+	q.cost -= it.cost
+	q.len--
+	if f.live == 0 {
+		heap.Remove(&l.ready, f.heapPos)
+		l.retire(f)
+		return
+	}
+	f.first()
+	f.start = max(f.start, f.finish)
+	heap.Fix(&l.ready, f.heapPos)
+}
+
+// retire drops a flow with nothing waiting, and remembers its finish time if
+// that still lies ahead.
+func (l *level) retire(f *flow) {
+	delete(l.flows, f.org)
+	if f.finish > l.virtual {
+		l.recent.Add(f.org, f.finish)
+	}
+	if len(l.ready) == 0 {
+		// Nobody waits: the next to come competes with nobody's past.
+		l.recent.Purge()
+		l.cost = 0
+	}
+}
+
+// charge corrects an organisation's account by the difference between what a
+// request was taken to cost and what it cost.
+func (q *fairQueue) charge(org string, priority int, difference float64) {
+	l := q.level(priority)
+	if f := l.flows[org]; f != nil {
+		f.finish += difference
+		return
+	}
+	if finish, ok := l.recent.Peek(org); ok {
+		l.recent.Add(org, finish+difference)
+	}
+}
+
+// ahead is the cost of what will be served before a new request.
+func (q *fairQueue) ahead(org string, priority int) float64 {
+	var own float64
+	for _, l := range q.levels {
+		if l.priority != priority {
+			continue
+		}
+		if f := l.flows[org]; f != nil {
+			own = f.cost
+		}
+	}
+	return q.aheadOf(priority, own)
+}
+
+// aheadOf is the cost of what will be served before a request that has a cost
+// of its own organisation's before it: everything of higher priority, and of
+// its own as much from each organisation as from its own.
+func (q *fairQueue) aheadOf(priority int, own float64) float64 {
+	var sum float64
+	for _, l := range q.levels {
+		if l.priority < priority {
+			break
+		}
+		if l.priority > priority {
+			sum += l.cost
+			continue
+		}
+		sum += min(l.cost, own+l.fairPart(own))
+	}
+	return sum
+}
+
+// fairPart is what the other organisations of a level are served while one is
+// served a cost; at least one request each.
+func (l *level) fairPart(own float64) float64 {
+	if len(l.ready) == 0 {
+		return 0
+	}
+	mean := l.cost / float64(l.live)
+	return max(own, mean) * float64(len(l.ready))
+}
+
+// visit calls f for each waiting request with the cost that its organisation
+// has before it. f may not change the queue.
+func (q *fairQueue) visit(f func(it *item, own float64)) {
+	for _, l := range q.levels {
+		for _, fl := range l.ready {
+			var own float64
+			for _, it := range fl.items {
+				if it != nil && !it.removed {
+					f(it, own)
+					own += it.cost
+				}
+			}
+		}
+	}
+}
+
+// flowHeap is a heap of flows by start time.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].seq < h[j].seq
+}
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapPos = i
+	h[j].heapPos = j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.heapPos = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return f
+}
--- /dev/null
+++ b/quarantine/checkpoint.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"tamarackchute/journal"
+)
+
+// maxCheckpoints bounds the checkpoints written at a time.
+const maxCheckpoints = 16
+
+// due returns checkpoints of the digests whose newest entry has used up half
+// of the retention. Their IDs are made from what they tell, so that the same
+// checkpoint by several instances counts once.
+func (g *Guard) due(retention time.Duration) []journal.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []journal.Entry
+	for _, x := range g.state.suspects {
+		if len(out) == maxCheckpoints {
+			break
+		}
+		age := g.state.logNow.Sub(x.written)
+		if age < retention/2 || len(x.crashes) == 0 {
+			continue
+		}
+		id := fmt.Sprintf("quarantine/%s/%d.%d/%d", x.digest, x.basis.Offset, x.basis.Index, x.written.UnixNano())
+		out = append(out, entryOf(id, g.writer, message{Checkpoint: x.checkpoint()}))
+	}
+	return out
+}
+
+func (x *suspect) checkpoint() *checkpoint {
+	return &checkpoint{
+		Digest:      x.digest,
+		Crashes:     x.crashes,
+		Strikes:     x.strikes,
+		Quarantined: x.quarantined,
+		Basis:       x.basis,
+	}
+}
--- /dev/null
+++ b/quarantine/isolation.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+
+	"github.com/google/uuid"
+)
+
+// Isolation is a suspect's run on an upstream without other suspects.
+type Isolation struct {
+	g        *Guard
+	upstream string
+	digest   Digest
+	logged   bool
+	once     sync.Once
+}
+
+// End ends the isolation. passed says that the run got its whole answer, or
+// further by some tokens than the run that made it a suspect: what crashed the
+// upstream then would have crashed it again. If the upstream has crashed, call
+// Crashed first. Ending twice does nothing.
+func (i *Isolation) End(ctx context.Context, passed bool) {
+	i.once.Do(func() { i.end(ctx, passed) })
+}
+
+func (i *Isolation) end(ctx context.Context, passed bool) {
+	i.g.dropLocally(i.upstream, i.digest)
+	if passed {
+		i.g.acquit(i.digest)
+	}
+	e := entryOf(uuid.NewString(), i.g.writer, message{Cleared: &cleared{i.digest, i.upstream, passed}})
+	if _, err := i.g.w.Append(ctx, e); err != nil && passed {
+		i.g.keep(e)
+	}
+}
+
+// acquit lifts the suspicion that only this process knows of.
+func (g *Guard) acquit(d Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.own, d)
+}
