orders: the next step of a leader; one folder a kind

And a leader needs its next step decided.

An order without a reply is taken for lost only once it can't take effect: its number has been outdated, or, at an engine without the check, it has answered reads for the settle time.

Ruled out: undoing or repeating by a timeout alone.

--- /dev/null
+++ b/orders/contact.go
@@ -0,0 +1,149 @@
+package orders
+
+import (
+	"errors"
+	"time"
+
+	"tamarackchute/upstream"
+)
+
+// Outcome is what a sender knows of an order after the reply, or without one.
+type Outcome uint8
+
+// The outcomes of a send.
+const (
+	// OutcomeNone: this process has not sent it.
+	OutcomeNone Outcome = iota
+	// OutcomeTaken: the engine said that it took the order.
+	OutcomeTaken
+	// OutcomeNotTaken: the engine didn't take it and won't.
+	OutcomeNotTaken
+	// OutcomeFenced: the engine has seen a higher fencing number.
+	OutcomeFenced
+	// OutcomeOpen: no usable reply; it may have been taken, or may still be.
+	OutcomeOpen
+)
+
+// outcomeOf sorts the error of a send.
+func outcomeOf(err error) Outcome {
+	switch {
+	case err == nil:
+		return OutcomeTaken
+	case errors.Is(err, upstream.ErrFenced):
+		return OutcomeFenced
+	case errors.Is(err, upstream.ErrBusy),
+		errors.Is(err, upstream.ErrNotSent),
+		errors.Is(err, upstream.ErrRefused):
+		return OutcomeNotTaken
+	default:
+		return OutcomeOpen
+	}
+}
+
+// Contact is what a leader has learnt from its own dealings with one engine
+// under one fencing number. The zero value has learnt nothing.
+type Contact struct {
+	fence  uint64
+	raised bool
+	// state is the last state read; readAt is when that read was begun, zero
+	// if none has been answered.
+	state  upstream.EngineState
+	readAt time.Time
+	// answeringSince is when the first read was begun that the engine
+	// answered after the last send or takeover whose fate is open.
+	answeringSince time.Time
+	// sentID, sentAttempt and sent tell the last send.
+	sentID      string
+	sentAttempt int
+	sentAt      time.Time
+	sent        Outcome
+	// changeID and changeSince tell since when this leader has had the open
+	// change in hand.
+	changeID    string
+	changeSince time.Time
+	// retryAt puts off the next action after a failure.
+	retryAt time.Time
+}
+
+// under forgets everything that was learnt under another fencing number.
+func (c *Contact) under(fence uint64) {
+	if c.fence != fence {
+		*c = Contact{fence: fence}
+	}
+}
+
+// State returns the engine's state as last read, and when the read was begun;
+// a zero time if none has been answered.
+func (c *Contact) State() (upstream.EngineState, time.Time) { return c.state, c.readAt }
+
+// RaiseDone takes in the reply to an order that raises the fencing number.
+func (c *Contact) RaiseDone(err error, now time.Time, retry time.Duration) {
+	c.raised = err == nil
+	c.backOff(err, now, retry)
+}
+
+// ReadDone takes in the answer to a read of the engine's state that was begun
+// at a time. A failed read ends the time for which the engine has answered.
+func (c *Contact) ReadDone(s upstream.EngineState, err error, begun time.Time, retry time.Duration) {
+	c.backOff(err, begun, retry)
+	if err != nil {
+		c.answeringSince = time.Time{}
+		return
+	}
+	c.state = s
+	c.readAt = begun
+	// An engine that restarted may have forgotten the number that guards it.
+	if s.FencingNumber < c.fence {
+		c.raised = false
+	}
+	if c.answeringSince.IsZero() {
+		c.answeringSince = begun
+	}
+}
+
+// SendDone takes in the reply to an order that was sent at a time.
+func (c *Contact) SendDone(ch Change, err error, begun, now time.Time, retry time.Duration) {
+	c.sentID = ch.ID
+	c.sentAttempt = ch.Attempt
+	c.sentAt = begun
+	c.sent = outcomeOf(err)
+	c.answeringSince = time.Time{}
+	c.readAt = time.Time{}
+	c.backOff(err, now, retry)
+}
+
+// AppendDone takes in whether a record was accepted.
+func (c *Contact) AppendDone(accepted bool, now time.Time, retry time.Duration) {
+	if !accepted {
+		c.retryAt = now.Add(retry)
+	}
+}
+
+func (c *Contact) backOff(err error, now time.Time, retry time.Duration) {
+	c.retryAt = time.Time{}
+	if err != nil {
+		c.retryAt = now.Add(retry)
+	}
+}
+
+// outcome returns what is known of an attempt of a change.
+func (c *Contact) outcome(ch Change) Outcome {
+	if c.sentID != ch.ID || c.sentAttempt != ch.Attempt {
+		return OutcomeNone
+	}
+	return c.sent
+}
+
+// fresh reports whether the state read last was asked for recently.
+func (c *Contact) fresh(now time.Time, within time.Duration) bool {
+	return !c.readAt.IsZero() && now.Sub(c.readAt) <= within
+}
+
+// inHand returns for how long this leader has had a change in hand.
+func (c *Contact) inHand(id string, now time.Time) time.Duration {
+	if c.changeID != id {
+		c.changeID = id
+		c.changeSince = now
+	}
+	return now.Sub(c.changeSince)
+}
--- a/orders/state.go
+++ b/orders/state.go
@@ -38,16 +38,25 @@
 // then send a request that it had picked before that position.
 func (e Engine) TakesWork() bool { return e.Open() == nil }
 
-// State is the pure fold over all engines. The zero value is empty.
+// Leases tells who led a scope at the place of the journal that is being
+// folded. A lease.State or lease.View does, if it is given each journal entry
+// no later than the State that asks it.
+type Leases interface {
+	Scope(name string) lease.ScopeState
+}
+
+// State is the pure fold over all engines.
 type State struct {
-	leases  lease.State
+	leases  Leases
 	engines map[string]Engine
 }
 
+// NewState returns the state of an empty journal.
+func NewState(leases Leases) *State { return &State{leases: leases} }
+
 // Apply folds one journal entry and reports whether it was an accepted record
-// of an order; lease records are folded too, for the check of authority.
+// of an order.
 func (s *State) Apply(p journal.Placed) (Engine, bool) {
-	s.leases.Apply(p)
 	if p.Entry.Kind != journal.KindOrder {
 		return Engine{}, false
 	}
--- a/orders/view.go
+++ b/orders/view.go
@@ -10,10 +10,11 @@
 
 // Snapshot is a state of all engines that doesn't change any more.
 type Snapshot struct {
-	// Position is the last journal entry that it takes account of. An entry
-	// instance reports it as the position applied, and must read it before
-	// its counts of work in flight: counted first, a request could be missing
-	// from the counts and yet have been picked before the position.
+	// Position is the last order record that was folded. An entry instance
+	// that reports how far it obeys the journal must read the position (this
+	// one, or the whole journal's) before its counts of work in flight: counted
+	// first, a request could be missing from the counts and yet have been
+	// picked before the position.
 	Position journal.Position
 	// Engines is read-only.
 	Engines map[string]Engine
@@ -32,16 +33,17 @@
 // View folds the journal's order records. It implements journal.Folder; its
 // other methods may be called from anywhere.
 type View struct {
-	state   State
+	state   *State
 	current atomic.Pointer[Snapshot]
 
 	mu      sync.Mutex
 	changed chan struct{}
 }
 
-// NewView returns a view of an empty journal.
-func NewView() *View {
-	v := &View{changed: make(chan struct{})}
+// NewView returns a view of an empty journal. Register it for KindOrder with
+// the same journal as leases for KindLease.
+func NewView(leases Leases) *View {
+	v := &View{state: NewState(leases), changed: make(chan struct{})}
 	v.current.Store(&Snapshot{Engines: map[string]Engine{}})
 	return v
 }
