chute-controller: leads scopes, drains, orders and reads back

Cause: nobody sent orders to engines yet.

An order that got a reply and isn't shown any more counts as given up at once: its one copy has arrived.

--- /dev/null
+++ b/internal/controller/loads.go
@@ -0,0 +1,86 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"tamarackchute/upstream"
+)
+
+// loadPoll is the time between two reads of an engine's load report.
+const loadPoll = time.Second
+
+// LoadReporter is the part of an engine that tells its load.
+type LoadReporter interface {
+	Load(ctx context.Context) (upstream.LoadReport, error)
+}
+
+// Loads keeps the last load report of each engine while this process leads.
+// It is a suture service.
+type Loads struct {
+	engines map[string]LoadReporter
+	leading func() bool
+
+	mu   sync.Mutex
+	last map[string]load
+}
+
+type load struct {
+	report upstream.LoadReport
+	at     time.Time
+}
+
+// age is how old the figures of a report are, the engine's own lag included.
+func (l load) age(now time.Time) time.Duration {
+	return now.Sub(l.at) + time.Duration(l.report.AgeMillis)*time.Millisecond
+}
+
+// NewLoads returns a poller of the engines; it reads only while leading says so.
+func NewLoads(engines map[string]LoadReporter, leading func() bool) *Loads {
+	return &Loads{engines: engines, leading: leading, last: map[string]load{}}
+}
+
+// String names the service for the supervisor's log.
+func (l *Loads) String() string { return "load reports" }
+
+// Serve polls until the context ends. An engine that doesn't answer holds up
+// its own next report alone.
+func (l *Loads) Serve(ctx context.Context) error {
+	var wg conc.WaitGroup
+	for name, e := range l.engines {
+		wg.Go(func() { l.follow(ctx, name, e) })
+	}
+	wg.Wait()
+	return ctx.Err()
+}
+
+func (l *Loads) follow(ctx context.Context, name string, e LoadReporter) {
+	for ctx.Err() == nil {
+		if l.leading() {
+			l.poll(ctx, name, e)
+		}
+		sleep(ctx, loadPoll)
+	}
+}
+
+func (l *Loads) poll(ctx context.Context, name string, e LoadReporter) {
+	pollCtx, cancel := context.WithTimeout(ctx, 2*loadPoll)
+	defer cancel()
+	report, err := e.Load(pollCtx)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last[name] = load{report: report, at: time.Now()}
+}
+
+func (l *Loads) of(engine string) (load, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.last[engine]
+	return r, ok
+}
--- /dev/null
+++ b/internal/controller/page.go
@@ -0,0 +1,128 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/rotisserie/eris"
+
+	"tamarackchute/internal/telemetry"
+	"tamarackchute/orders"
+)
+
+// Bounds of the operators' page.
+const (
+	pageMaxBody = 4 << 10
+	pageTimeout = 10 * time.Second
+	contentText = "text/plain; version=0.0.4; charset=utf-8"
+)
+
+// Page serves the operators' address of a controller over HTTP. It is a
+// suture service.
+type Page struct {
+	addr    string
+	tls     *tls.Config
+	metrics *telemetry.Page
+	status  func() Status
+	ready   func() bool
+}
+
+// Status is what a controller shows of itself.
+type Status struct {
+	Instance    string `json:"instance"`
+	DataCentre  string `json:"data_centre"`
+	Incarnation string `json:"incarnation"`
+	LogUp       bool   `json:"log_up"`
+	// Scopes lists all scopes of the deployment, whoever leads them.
+	Scopes []ScopeStatus `json:"scopes"`
+	// Engines lists the engines of this data centre.
+	Engines []EngineStatus `json:"engines"`
+	// StatusAgeMillis tells how old each entry's last status is.
+	StatusAgeMillis map[string]int64 `json:"status_age_ms"`
+}
+
+// ScopeStatus tells who leads a scope.
+type ScopeStatus struct {
+	Scope  string    `json:"scope"`
+	Holder string    `json:"holder"`
+	Fence  uint64    `json:"fence"`
+	Since  time.Time `json:"since"`
+	Ground string    `json:"ground"`
+	// Led is whether this process may give orders in the scope now.
+	Led bool `json:"led"`
+}
+
+// EngineStatus tells what is known of an engine.
+type EngineStatus struct {
+	Engine   string          `json:"engine"`
+	Scope    string          `json:"scope"`
+	Believed orders.Settings `json:"believed"`
+	// Change is the last change, open or ended.
+	Change *orders.Change `json:"change,omitempty"`
+	Phase  string         `json:"phase,omitempty"`
+	Open   bool           `json:"open"`
+	// Doing is what the leader does or waits for.
+	Doing string `json:"doing,omitempty"`
+	// Busy, Running and the rest are as last read back by this process.
+	Busy          bool   `json:"busy"`
+	Running       int    `json:"running"`
+	FencingNumber uint64 `json:"fencing_number"`
+	LastOrder     string `json:"last_order,omitempty"`
+	Incarnation   string `json:"incarnation,omitempty"`
+}
+
+// String names the service for the supervisor's log.
+func (p *Page) String() string { return "operators' page " + p.addr }
+
+// Serve answers until the context ends.
+func (p *Page) Serve(ctx context.Context) error {
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return eris.Wrapf(err, "operators' address %s can't be taken", p.addr)
+	}
+	if p.tls != nil {
+		l = tls.NewListener(l, p.tls)
+	}
+	app := p.app()
+	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(time.Second) })
+	defer stop()
+	if err := app.Listener(l); err != nil && ctx.Err() == nil {
+		return eris.Wrap(err, "operators' page")
+	}
+	return ctx.Err()
+}
+
+func (p *Page) app() *fiber.App {
+	app := fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             pageMaxBody,
+		ReadTimeout:           pageTimeout,
+		WriteTimeout:          pageTimeout,
+		IdleTimeout:           pageTimeout,
+	})
+	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
+	app.Get("/readyz", p.readyz)
+	app.Get("/metrics", p.metricsText)
+	app.Get("/status", func(c *fiber.Ctx) error { return c.JSON(p.status()) })
+	return app
+}
+
+func (p *Page) readyz(c *fiber.Ctx) error {
+	if !p.ready() {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("the log has not been read\n")
+	}
+	return c.SendString("ok\n")
+}
+
+func (p *Page) metricsText(c *fiber.Ctx) error {
+	var buf bytes.Buffer
+	if _, err := p.metrics.WriteTo(&buf); err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, contentText)
+	return c.Send(buf.Bytes())
+}
--- a/orders/next.go
+++ b/orders/next.go
@@ -287,12 +287,12 @@
 func lost(s Situation, c *Contact, open Change, own bool, inHand time.Duration) Action {
 	seen := SettingsOf(c.state)
 	switch {
-	case !closed(s, c, open, own):
+	case !closed(s, c, own):
 		return pursue(s, c, own)
 	case open.Reached(seen):
 		return end(s, open, PhaseConfirmed, seen, "engine shows the change")
 	case own && c.sent == OutcomeTaken:
-		return end(s, open, PhaseUndone, seen, "engine restarted in the middle of the change")
+		return end(s, open, PhaseUndone, seen, "engine gave the change up, or restarted during it")
 	case inHand > s.Limits.Order:
 		return end(s, open, PhaseUndone, seen, "order was not taken in time")
 	}
@@ -305,34 +305,27 @@
 // closed reports whether the order, which the engine doesn't show, can't take
 // effect any more.
 //
-// After a reply the engine has worked on it, so only a restart can have made
-// it forget: then no copy is under way. Without one, and for a predecessor's
-// order, a copy may lie in a buffer or in a paused sender. An engine that
-// checks fencing numbers refuses it once the number has been raised above the
-// order's. For one that doesn't, the sender is dead or is this process, whose
-// connection is closed, and the engine has answered reads for the settle time,
-// in which it works off what it had received.
-func closed(s Situation, c *Contact, open Change, own bool) bool {
-	if own && c.sent == OutcomeTaken && c.state.Incarnation != open.Incarnation {
+// After a reply the one copy that was sent has arrived, and the engine has
+// given it up or restarted since. Without one, and for a predecessor's order, a
+// copy may lie in a buffer or in a paused sender. An engine that checks fencing
+// numbers refuses it once the number has been raised above the order's. For
+// one that doesn't, the sender is dead or is this process, whose connection is
+// closed, and the engine has answered reads for the settle time, in which it
+// works off what it had received.
+func closed(s Situation, c *Contact, own bool) bool {
+	if own && c.sent == OutcomeTaken {
 		return true
 	}
 	if s.Checked {
 		return !own
 	}
-	if own && c.sent == OutcomeTaken && s.Now.Sub(c.sentAt) < s.Limits.Order {
-		return false
-	}
 	return c.readAt.Sub(c.answeringSince) >= s.Limits.Settle
 }
 
 // pursue waits for an order's fate, or forces it: a higher fencing number
 // outdates a copy still under way.
 func pursue(s Situation, c *Contact, own bool) Action {
-	patience := s.Limits.Retry
-	if c.sent == OutcomeTaken {
-		patience = s.Limits.Order
-	}
-	if !s.Checked || !own || s.Now.Sub(c.sentAt) < patience {
+	if !s.Checked || !own || s.Now.Sub(c.sentAt) < s.Limits.Retry {
 		return wait("the order's fate is open")
 	}
 	return Action{Kind: ActionRenumber, Reason: "outdate an order without reply"}
