--- /dev/null
+++ b/internal/entry/answer/fail.go
@@ -0,0 +1,97 @@
+package answer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"tamarackchute/internal/entry/callerwatch"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/quarantine"
+	"tamarackchute/upstream"
+)
+
+const (
+	statusQuarantined = http.StatusUnprocessableEntity
+	statusNoUpstream  = http.StatusServiceUnavailable
+	retryNoUpstream   = time.Second
+	// cancelTimeout bounds a cancel whose caller no longer waits.
+	cancelTimeout = time.Second
+)
+
+// fail returns a failure that says what is known of the request's running.
+func (a *Answer) fail(status int, code outcome.Code, cause error, message string) *outcome.Failure {
+	ran := a.ran
+	if ran == "" {
+		ran = outcome.NotRun
+	}
+	return &outcome.Failure{Status: status, Code: code, Message: message, Ran: ran, Cause: cause}
+}
+
+func (a *Answer) quarantined(cause error) *outcome.Failure {
+	f := a.fail(statusQuarantined, outcome.CodeQuarantined, cause,
+		"the request has crashed engines and is kept from others")
+	var held *quarantine.Error
+	if errors.As(cause, &held) {
+		f.RetryAfter = held.RetryAfter
+		f.Message = held.Error()
+	}
+	return f
+}
+
+// ContextFailure returns the failure of an answer whose context has ended: the
+// deadline has passed, or the caller has gone.
+func (a *Answer) ContextFailure(ctx context.Context) *outcome.Failure {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, callerwatch.ErrGone) {
+		return a.fail(outcome.StatusCallerGone, outcome.CodeCallerGone, cause, "the caller closed its connection")
+	}
+	if errors.Is(cause, context.DeadlineExceeded) {
+		return a.fail(http.StatusGatewayTimeout, outcome.CodeDeadline, cause, "the deadline has passed")
+	}
+	return a.fail(http.StatusServiceUnavailable, outcome.CodeInternal, cause, "the instance is stopping")
+}
+
+// upstreamFailure is the failure of an answer that ran out of attempts.
+func (a *Answer) upstreamFailure(err error, unsent bool) *outcome.Failure {
+	if unsent {
+		f := a.fail(statusNoUpstream, outcome.CodeNoUpstream, err, "the engines took no work")
+		return f.After(retryNoUpstream)
+	}
+	if errors.Is(err, upstream.ErrBroken) {
+		return a.fail(http.StatusBadGateway, outcome.CodeUpstreamBroken, err, "the engine broke off")
+	}
+	return a.fail(http.StatusBadGateway, outcome.CodeUpstreamError, err, "the engine answered with an error")
+}
+
+// lose handles an attempt that was taken and then broke off. It returns the
+// final failure, or nil if the answer may go on elsewhere.
+func (a *Answer) lose(ctx context.Context, err error) *outcome.Failure {
+	a.tried = append(a.tried, a.attempt.engine)
+	a.endAttempt(err, cancelled(ctx))
+	if cancelled(ctx) {
+		return a.ContextFailure(ctx)
+	}
+	if _, kept := a.prior.Text(); !kept {
+		return a.fail(http.StatusBadGateway, outcome.CodeStreamLost, err,
+			"the engine died and the answer had grown too long to be continued elsewhere")
+	}
+	if !a.mayContinue() {
+		return a.upstreamFailure(err, false)
+	}
+	return nil
+}
+
+// cancelUnanswered drops what an engine may be doing for a call that ended
+// before the engine had answered it.
+func (a *Answer) cancelUnanswered(ctx context.Context, engine upstream.Engine, id string, err error) {
+	if !cancelled(ctx) || errors.Is(err, upstream.ErrNotSent) {
+		return
+	}
+	a.runner.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = engine.Cancel(ctx, id)
+	})
+}
--- /dev/null
+++ b/internal/entry/answer/resume.go
@@ -0,0 +1,80 @@
+package answer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/router"
+	"tamarackchute/upstream"
+)
+
+// Place is where an answer is taken up again.
+type Place struct {
+	Engine, Attempt string
+	// First is the index of the attempt's first token, Last that of the last
+	// token that the caller has.
+	First, Last int
+}
+
+// Resume returns the answer that an event id names, from the token after the
+// last one that the caller has. It asks the engine for the whole attempt and keeps
+// the tokens that the caller has already, so that the answer can still go on
+// elsewhere if this engine dies.
+func (r *Runner) Resume(ctx context.Context, w Work, from Place) (*Answer, *outcome.Failure) {
+	a := r.Start(w)
+	a.ran = outcome.MayHaveRun
+	a.deliverFrom = from.Last + 1
+	a.prior.Skip(from.First)
+	engine := r.Engines.Engine(from.Engine)
+	if engine == nil {
+		return nil, a.fail(http.StatusGone, outcome.CodeStreamLost, nil, "the engine of this answer is gone")
+	}
+	if !r.Holds.Hold(from.Engine) {
+		return nil, a.fail(http.StatusGone, outcome.CodeStreamLost, nil,
+			"the engine of this answer is being changed; ask again without Last-Event-ID")
+	}
+	run, err := r.Suspects.Begin(ctx, from.Engine, w.Digest, false)
+	if err != nil {
+		a.release(from.Engine)
+		return nil, a.quarantined(err)
+	}
+	route := w.Route
+	route.OutputTokens = max(1, route.OutputTokens-from.Last)
+	plan := router.Plan{Engine: from.Engine, CachedTokens: route.PromptTokens}
+	t := &attempt{
+		id:     from.Attempt,
+		engine: from.Engine,
+		holds:  []string{from.Engine},
+		first:  from.First,
+		run:    run,
+		ticket: r.Books.Begin(plan, route),
+	}
+	a.attempt = t
+	a.attempts++
+	t.stream, err = engine.Resume(ctx, from.Attempt, from.First)
+	if err == nil {
+		return a, nil
+	}
+	f := a.resumeFailure(ctx, err)
+	a.endAttempt(err, cancelled(ctx))
+	a.prior.GiveUp()
+	return nil, f
+}
+
+func (a *Answer) resumeFailure(ctx context.Context, err error) *outcome.Failure {
+	switch {
+	case cancelled(ctx):
+		return a.ContextFailure(ctx)
+	case errors.Is(err, upstream.ErrGone):
+		return a.fail(http.StatusGone, outcome.CodeStreamUnknown, err,
+			"the engine no longer knows this answer; ask again without Last-Event-ID")
+	case errors.Is(err, upstream.ErrRefused):
+		return a.fail(http.StatusServiceUnavailable, outcome.CodeOverload, err,
+			"the engine takes no work now").After(retryNoUpstream)
+	default:
+		return a.fail(http.StatusBadGateway, outcome.CodeStreamLost, err,
+			"the engine of this answer has died; ask again without Last-Event-ID")
+	}
+}
--- /dev/null
+++ b/internal/entry/answer/runner.go
@@ -0,0 +1,111 @@
+package answer
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"tamarackchute/internal/entry/crash"
+	"tamarackchute/internal/entry/openai"
+	"tamarackchute/internal/entry/stream"
+	"tamarackchute/quarantine"
+	"tamarackchute/router"
+	"tamarackchute/rules"
+	"tamarackchute/upstream"
+)
+
+// Books picks engines and books attempts; router.Tracker is one.
+type Books interface {
+	Pick(r router.Request) (router.Plan, error)
+	Begin(p router.Plan, r router.Request) *router.Ticket
+}
+
+// Engines finds the adapter of an engine, or nil if the name is unknown.
+type Engines interface {
+	Engine(name string) upstream.Engine
+}
+
+// Suspects keeps requests that crash engines from crashing more of them;
+// crash.Watch is one.
+type Suspects interface {
+	Check(d quarantine.Digest) (suspected bool, err error)
+	MayRunOn(engine string, d quarantine.Digest) bool
+	Begin(ctx context.Context, engine string, d quarantine.Digest, suspected bool) (*crash.Run, error)
+	Waiting(d quarantine.Digest) error
+}
+
+// Holds counts requests at engines for the drains that precede orders;
+// inflight.Book is one.
+type Holds interface {
+	Hold(engine string) bool
+	Release(engine string)
+}
+
+// Retries bounds what failures may add to the load; it counts one more attempt
+// and reports whether that may be made.
+type Retries interface {
+	Allow() bool
+}
+
+// Runner runs model requests. Its fields are set once; it is safe for use by
+// many goroutines.
+type Runner struct {
+	Books    Books
+	Engines  Engines
+	Holds    Holds
+	Suspects Suspects
+	Retries  Retries
+	Budget   *stream.Budget
+	// PriorLimit bounds the text kept of one answer, in bytes.
+	PriorLimit int
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
+	NewID       func() string
+
+	// background holds cancels whose caller no longer waits.
+	background conc.WaitGroup
+}
+
+// Work is one model request with what the rules made of it.
+type Work struct {
+	Request openai.Request
+	Route   router.Request
+	Retry   rules.RetryClass
+	Digest  quarantine.Digest
+	// Answer is the answer's id as the caller sees it.
+	Answer  string
+	Created time.Time
+}
+
+// Start returns the answer of a request. Nothing is sent until its first Next.
+func (r *Runner) Start(w Work) *Answer {
+	return &Answer{
+		runner: r,
+		work:   w,
+		prior:  stream.NewPrior(r.Budget, r.PriorLimit),
+	}
+}
+
+// Wait returns once the cancels under way are done.
+func (r *Runner) Wait() { r.background.Wait() }
+
+// generateRequest is the request for the next attempt.
+func (a *Answer) generateRequest(attempt string) upstream.GenerateRequest {
+	text, _ := a.prior.Text()
+	q := &a.work.Request
+	return upstream.GenerateRequest{
+		AttemptID:   attempt,
+		Model:       q.Model,
+		Adapter:     q.Adapter,
+		Prompt:      q.Prompt,
+		Prior:       text,
+		PriorTokens: a.prior.Tokens(),
+		MaxTokens:   q.MaxTokens,
+		Priority:    a.work.Route.Priority,
+	}
+}
+
+// cancelled reports whether the context ended the attempt, in which case the
+// engine is not to blame.
+func cancelled(ctx context.Context) bool { return ctx.Err() != nil }
--- /dev/null
+++ b/internal/entry/crash/crash.go
@@ -0,0 +1,219 @@
+// Package crash tells the quarantine which requests were in flight when an
+// engine died.
+package crash
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"tamarackchute/quarantine"
+	"tamarackchute/upstream"
+)
+
+// Guard answers what may run where; quarantine.Guard is one.
+type Guard interface {
+	Check(d quarantine.Digest) (quarantine.Verdict, error)
+	MayRunOn(upstream string, d quarantine.Digest) bool
+	Isolate(ctx context.Context, upstream string, d quarantine.Digest) (*quarantine.Isolation, error)
+	Crashed(ctx context.Context, upstream, incarnation string, inFlight []quarantine.Digest) error
+	Answered(d quarantine.Digest)
+	Waiting(d quarantine.Digest) *quarantine.Error
+}
+
+// Probe asks an engine for a sign of life. An error that matches
+// upstream.ErrNotSent means that nothing listens there.
+type Probe func(ctx context.Context, engine string) error
+
+const (
+	// probes are made this often, probeGap apart. A process that died is gone
+	// for longer than that, even if something restarts it.
+	probes       = 3
+	probeGap     = 50 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
+	// reportWait is how long a broken request waits for the log to take the
+	// report. The report goes on behind it.
+	reportWait    = 200 * time.Millisecond
+	reportTimeout = 5 * time.Second
+)
+
+// Watch knows the requests in flight at each engine. It is safe for use by many
+// goroutines.
+type Watch struct {
+	guard Guard
+	probe Probe
+
+	mu      sync.Mutex
+	running map[string]map[*Run]struct{}
+	checks  map[string]*check
+	tasks   conc.WaitGroup
+}
+
+// New returns a watch that reports to a guard.
+func New(g Guard, p Probe) *Watch {
+	return &Watch{
+		guard:   g,
+		probe:   p,
+		running: map[string]map[*Run]struct{}{},
+		checks:  map[string]*check{},
+	}
+}
+
+// Wait returns once the reports under way are done.
+func (w *Watch) Wait() { w.tasks.Wait() }
+
+// Check reports whether a request is suspected, or its refusal if it is
+// quarantined.
+func (w *Watch) Check(d quarantine.Digest) (suspected bool, err error) {
+	v, err := w.guard.Check(d)
+	return v.Standing == quarantine.Suspected, err
+}
+
+// MayRunOn reports whether a suspected request may start on an engine.
+func (w *Watch) MayRunOn(engine string, d quarantine.Digest) bool {
+	return w.guard.MayRunOn(engine, d)
+}
+
+// Waiting returns the refusal of a suspect that found no engine to itself.
+func (w *Watch) Waiting(d quarantine.Digest) error { return w.guard.Waiting(d) }
+
+// Result says how a run ended.
+type Result uint8
+
+// The results of a run.
+const (
+	// Ended is a run that says nothing: cancelled, refused, never sent.
+	Ended Result = iota
+	// Answered is a run that got its whole answer.
+	Answered
+	// Broken is a run that broke off, maybe because the engine died.
+	Broken
+)
+
+// Run is one request at one engine.
+type Run struct {
+	watch     *Watch
+	engine    string
+	digest    quarantine.Digest
+	isolation *quarantine.Isolation
+}
+
+// Begin books a request at an engine before anything is sent there. A suspected
+// one gets the engine without other suspects, or quarantine.ErrHeld.
+func (w *Watch) Begin(ctx context.Context, engine string, d quarantine.Digest, suspected bool) (*Run, error) {
+	r := &Run{watch: w, engine: engine, digest: d}
+	if suspected {
+		isolation, err := w.guard.Isolate(ctx, engine, d)
+		if err != nil {
+			return nil, err
+		}
+		r.isolation = isolation
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running[engine] == nil {
+		w.running[engine] = map[*Run]struct{}{}
+	}
+	w.running[engine][r] = struct{}{}
+	return r, nil
+}
+
+// End ends the run. After Broken it returns once it is known whether the engine
+// died, so that the request doesn't go to the next engine as an innocent one.
+func (r *Run) End(result Result) {
+	w := r.watch
+	switch result {
+	case Answered:
+		w.guard.Answered(r.digest)
+	case Broken:
+		w.broken(r)
+	}
+	w.mu.Lock()
+	delete(w.running[r.engine], r)
+	w.mu.Unlock()
+	if r.isolation != nil {
+		w.endIsolation(r.isolation, result == Answered)
+	}
+}
+
+// endIsolation writes to the log, which may be slow; nobody waits for it.
+func (w *Watch) endIsolation(i *quarantine.Isolation, passed bool) {
+	w.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		i.End(ctx, passed)
+	})
+}
+
+// check finds out whether one engine has died.
+type check struct {
+	digests map[quarantine.Digest]struct{}
+	done    chan struct{}
+}
+
+// broken waits for the check of the run's engine, and starts one if none runs.
+// The suspects are all that are in flight there now or join meanwhile: an
+// engine takes all of them down with it, and which one did it isn't known.
+func (w *Watch) broken(r *Run) {
+	w.mu.Lock()
+	c := w.checks[r.engine]
+	if c == nil {
+		c = &check{digests: map[quarantine.Digest]struct{}{}, done: make(chan struct{})}
+		w.checks[r.engine] = c
+		for other := range w.running[r.engine] {
+			c.digests[other.digest] = struct{}{}
+		}
+		w.tasks.Go(func() { w.run(r.engine, c) })
+	}
+	c.digests[r.digest] = struct{}{}
+	w.mu.Unlock()
+	<-c.done
+}
+
+func (w *Watch) run(engine string, c *check) {
+	defer close(c.done)
+	dead := w.dead(engine)
+	w.mu.Lock()
+	delete(w.checks, engine)
+	suspects := make([]quarantine.Digest, 0, len(c.digests))
+	for d := range c.digests {
+		suspects = append(suspects, d)
+	}
+	w.mu.Unlock()
+	if !dead {
+		return
+	}
+	reported := make(chan struct{})
+	w.tasks.Go(func() {
+		defer close(reported)
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		_ = w.guard.Crashed(ctx, engine, "", suspects) // the guard keeps what the log doesn't take
+	})
+	timer := time.NewTimer(reportWait)
+	defer timer.Stop()
+	select {
+	case <-reported:
+	case <-timer.C:
+	}
+}
+
+// dead reports whether nothing listens at the engine's address. A connection
+// that broke with the engine alive is no crash.
+func (w *Watch) dead(engine string) bool {
+	for i := range probes {
+		if i > 0 {
+			time.Sleep(probeGap)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		err := w.probe(ctx, engine)
+		cancel()
+		if errors.Is(err, upstream.ErrNotSent) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/forward/forward.go
@@ -0,0 +1,165 @@
+// Package forward sends a request to a plain service, and again to another one
+// if its retry class allows.
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"tamarackchute/internal/entry/callerwatch"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/router"
+	"tamarackchute/rules"
+	"tamarackchute/upstream"
+)
+
+// Books picks services and books attempts; router.Tracker is one.
+type Books interface {
+	Pick(r router.Request) (router.Plan, error)
+	Begin(p router.Plan, r router.Request) *router.Ticket
+}
+
+// Services finds the adapter of a service, or nil if the name is unknown.
+type Services interface {
+	Service(name string) upstream.Service
+}
+
+// Retries bounds what failures may add to the load.
+type Retries interface {
+	Allow() bool
+}
+
+// Runner sends requests to services. It is safe for use by many goroutines.
+type Runner struct {
+	Books       Books
+	Services    Services
+	Retries     Retries
+	MaxAttempts int
+	NewID       func() string
+}
+
+// Work is one request with what the rules made of it.
+type Work struct {
+	Request upstream.ServiceRequest
+	Route   router.Request
+	Retry   rules.RetryClass
+}
+
+// retryNoService is when asking again is worth while if no service took it.
+const retryNoService = time.Second
+
+// Call sends the request and returns the service's answer, whatever its status.
+func (r *Runner) Call(ctx context.Context, w Work) (upstream.ServiceResponse, *outcome.Failure) {
+	c := call{runner: r, work: w, ran: outcome.NotRun}
+	for {
+		if ctx.Err() != nil {
+			return upstream.ServiceResponse{}, c.contextFailure(ctx)
+		}
+		response, err, f := c.attempt(ctx)
+		if f != nil {
+			return upstream.ServiceResponse{}, f
+		}
+		if err == nil {
+			return response, nil
+		}
+		if f := c.failed(ctx, err); f != nil {
+			return upstream.ServiceResponse{}, f
+		}
+	}
+}
+
+// call is the state of one Call.
+type call struct {
+	runner   *Runner
+	work     Work
+	attempts int
+	tried    []string
+	ran      outcome.Ran
+}
+
+// attempt sends the request once. The failure is final; the error isn't.
+func (c *call) attempt(ctx context.Context) (upstream.ServiceResponse, error, *outcome.Failure) {
+	route := c.work.Route
+	route.Exclude = c.tried
+	plan, err := c.runner.Books.Pick(route)
+	if err != nil {
+		f := c.fail(http.StatusServiceUnavailable, outcome.CodeNoUpstream, err, "no service can take the request now")
+		return upstream.ServiceResponse{}, nil, f.After(retryNoService)
+	}
+	c.attempts++
+	c.tried = append(c.tried, plan.Engine)
+	ticket := c.runner.Books.Begin(plan, route)
+	response, err := c.send(ctx, plan.Engine)
+	ticket.End(routerOutcome(ctx, response, err))
+	return response, err, nil
+}
+
+func (c *call) send(ctx context.Context, name string) (upstream.ServiceResponse, error) {
+	service := c.runner.Services.Service(name)
+	if service == nil {
+		return upstream.ServiceResponse{}, upstream.ErrNotSent
+	}
+	request := c.work.Request
+	request.AttemptID = c.runner.NewID()
+	return service.Call(ctx, request)
+}
+
+// failed returns the final failure of a broken attempt, or nil if another may
+// be made.
+func (c *call) failed(ctx context.Context, err error) *outcome.Failure {
+	unsent := errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrRefused)
+	if !unsent {
+		c.ran = outcome.MayHaveRun
+	}
+	if ctx.Err() != nil {
+		return c.contextFailure(ctx)
+	}
+	if c.mayTryAgain(unsent) {
+		return nil
+	}
+	if unsent {
+		return c.fail(http.StatusServiceUnavailable, outcome.CodeNoUpstream, err,
+			"the services took no work").After(retryNoService)
+	}
+	return c.fail(http.StatusBadGateway, outcome.CodeUpstreamBroken, err, "the service broke off")
+}
+
+func (c *call) mayTryAgain(unsent bool) bool {
+	if c.attempts >= c.runner.MaxAttempts || c.work.Retry == rules.RetryNever {
+		return false
+	}
+	return unsent || (c.work.Retry == rules.RetryRepeatable && c.runner.Retries.Allow())
+}
+
+func (c *call) fail(status int, code outcome.Code, cause error, message string) *outcome.Failure {
+	return &outcome.Failure{Status: status, Code: code, Message: message, Ran: c.ran, Cause: cause}
+}
+
+func (c *call) contextFailure(ctx context.Context) *outcome.Failure {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, callerwatch.ErrGone) {
+		return c.fail(outcome.StatusCallerGone, outcome.CodeCallerGone, cause, "the caller closed its connection")
+	}
+	return c.fail(http.StatusGatewayTimeout, outcome.CodeDeadline, cause, "the deadline has passed")
+}
+
+func routerOutcome(ctx context.Context, response upstream.ServiceResponse, err error) router.Outcome {
+	switch {
+	case err == nil && response.Status >= http.StatusInternalServerError:
+		return router.OutcomeBroken
+	case err == nil:
+		return router.OutcomeOK
+	case errors.Is(err, upstream.ErrNotSent):
+		return router.OutcomeNotSent
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return router.OutcomeTimeout
+	case ctx.Err() != nil:
+		return router.OutcomeCancelled
+	case errors.Is(err, upstream.ErrRefused):
+		return router.OutcomeRefused
+	default:
+		return router.OutcomeBroken
+	}
+}
--- /dev/null
+++ b/internal/entry/gateway/call.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tamarackchute/admission"
+	"tamarackchute/internal/entry/callerwatch"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/router"
+	"tamarackchute/rules"
+)
+
+// Headers of requests and responses.
+const (
+	headerOrganisation   = "OpenAI-Organization"
+	headerTimeout        = "X-Request-Timeout-Ms"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerLastEventID    = "Last-Event-ID"
+	headerRequestID      = "Chute-Request-Id"
+)
+
+const (
+	defaultOrganisation = "anonymous"
+	// maxOrganisation bounds an organisation's name, in bytes, as names are
+	// kept in tables.
+	maxOrganisation = 128
+)
+
+// call is one request of a caller. It holds copies only: fiber reuses the
+// memory of headers, paths and bodies for the next request of the connection,
+// while parts of a call live on in queues, tables and streams.
+type call struct {
+	id           string
+	began        time.Time
+	method       string
+	path         string
+	organisation string
+	decision     rules.Decision
+	deadline     time.Time
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	stop   context.CancelFunc
+	watch  *callerwatch.Watched
+}
+
+func newCall(c *fiber.Ctx, id string) (*call, *outcome.Failure) {
+	k := &call{
+		id:           id,
+		began:        time.Now(),
+		method:       strings.Clone(c.Method()),
+		path:         strings.Clone(c.Path()),
+		organisation: defaultOrganisation,
+	}
+	if name := c.Get(headerOrganisation); name != "" {
+		k.organisation = strings.Clone(name)
+	}
+	if len(k.organisation) > maxOrganisation {
+		return k, outcome.Refused(fiber.StatusBadRequest, outcome.CodeInvalidRequest,
+			"the header %s is longer than %d bytes", headerOrganisation, maxOrganisation)
+	}
+	return k, nil
+}
+
+// begin starts the clock of the call and the watch on its caller.
+func (g *Gateway) begin(c *fiber.Ctx, k *call) *outcome.Failure {
+	limit := g.opts.DefaultDeadline
+	if d := k.decision.Then.Deadline(); d > 0 {
+		limit = d
+	}
+	if text := c.Get(headerTimeout); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil || ms <= 0 {
+			return outcome.Refused(fiber.StatusBadRequest, outcome.CodeInvalidRequest,
+				"the header %s must be a whole number of milliseconds above 0", headerTimeout)
+		}
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	k.deadline = k.began.Add(limit)
+	timed, stop := context.WithDeadline(context.Background(), k.deadline)
+	k.stop = stop
+	k.ctx, k.cancel = context.WithCancelCause(timed)
+	k.watch = g.parts.Watch.Add(c.Context().Conn(), k.cancel)
+	return nil
+}
+
+// end releases what begin took. It may be called without begin.
+func (k *call) end() {
+	if k.ctx == nil {
+		return
+	}
+	k.watch.Remove()
+	k.cancel(nil)
+	k.stop()
+}
+
+// decide finds the first rule that holds.
+func (g *Gateway) decide(c *fiber.Ctx, k *call, r rules.Request) *outcome.Failure {
+	r.Path, r.Method, r.Organisation = k.path, k.method, k.organisation
+	r.DataCentre, r.Load = g.opts.DataCentre, g.parts.Load()
+	r.Header = func(name string) string { return c.Get(name) }
+	decision, known := g.parts.Rules.Match(r)
+	if !known {
+		return outcome.Refused(fiber.StatusServiceUnavailable, outcome.CodeRulesMissing,
+			"this instance has not learnt the rules yet").After(time.Second)
+	}
+	k.decision = decision
+	if refuse := decision.Then.Refuse; refuse != nil {
+		code := outcome.CodeRefusedByRule
+		if !decision.Matched {
+			code = outcome.CodeNoRule
+		}
+		f := outcome.Refused(refuse.Status, code, "%s", refuse.Reason)
+		f.Rule = decision.Rule
+		return f
+	}
+	return nil
+}
+
+// admit waits for leave to send the request.
+func (g *Gateway) admit(k *call, route router.Request) (*admission.Grant, *outcome.Failure) {
+	r := admission.Request{
+		Pool:         route.Pool,
+		Model:        route.Model,
+		Organisation: k.organisation,
+		PromptTokens: route.PromptTokens,
+		OutputTokens: route.OutputTokens,
+		Priority:     route.Priority,
+		Deadline:     route.Deadline,
+		Limits:       limitsOf(k.decision, g.opts.Entries),
+	}
+	switch k.decision.Then.Class {
+	case rules.ClassShort:
+		r.Class = admission.ClassShort
+	case rules.ClassLong:
+		r.Class = admission.ClassLong
+	}
+	if plan, err := g.parts.Estimator.Pick(route); err == nil {
+		r.Estimate = admission.Estimate(plan.Estimate)
+	}
+	grant, err := g.parts.Admission.Acquire(k.ctx, r)
+	if err != nil {
+		return nil, refusedByAdmission(k, err)
+	}
+	return grant, nil
+}
+
+// limitsOf returns the limits of the rule that matched. A rule's limit is for
+// one instance, as rules.Limit says.
+func limitsOf(d rules.Decision, _ int) []admission.Limit {
+	l := d.Then.Limit
+	if l == nil {
+		return nil
+	}
+	return []admission.Limit{{
+		Rule:              d.Rule,
+		RequestsPerSecond: l.RequestsPerSecond,
+		Concurrent:        l.Concurrent,
+		PerOrganisation:   l.Per == rules.LimitOrganisation,
+	}}
+}
--- /dev/null
+++ b/internal/entry/gateway/failure.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tamarackchute/admission"
+	"tamarackchute/internal/entry/callerwatch"
+	"tamarackchute/internal/entry/openai"
+	"tamarackchute/internal/entry/outcome"
+)
+
+// refusedByAdmission turns admission's refusal into a failure. Nothing was sent.
+func refusedByAdmission(k *call, err error) *outcome.Failure {
+	var refusal *admission.Refusal
+	if !errors.As(err, &refusal) {
+		return outcome.Refused(fiber.StatusServiceUnavailable, outcome.CodeOverload, "%v", err)
+	}
+	f := outcome.Refused(fiber.StatusServiceUnavailable, outcome.CodeOverload, "%v", refusal)
+	f.RetryAfter = refusal.RetryAfter
+	f.Rule = k.decision.Rule
+	switch refusal.Reason {
+	case admission.ReasonDeadline:
+		f.Code = outcome.CodeDeadlineTooShort
+	case admission.ReasonRate, admission.ReasonConcurrent:
+		f.Status, f.Code = fiber.StatusTooManyRequests, outcome.CodeRuleLimit
+	case admission.ReasonNoCapacity:
+		f.Code = outcome.CodeNoUpstream
+	case admission.ReasonCancelled:
+		f.Status, f.Code = fiber.StatusGatewayTimeout, outcome.CodeDeadline
+		if errors.Is(context.Cause(k.ctx), callerwatch.ErrGone) {
+			f.Status, f.Code = outcome.StatusCallerGone, outcome.CodeCallerGone
+		}
+	}
+	return f
+}
+
+func errorBody(f *outcome.Failure) openai.ErrorBody {
+	return openai.ErrorBody{Error: openai.ErrorDetail{
+		Message: f.Message,
+		Type:    f.Type(),
+		Code:    string(f.Code),
+		Outcome: string(f.Ran),
+	}}
+}
+
+// fail answers with a failure, at once: a caller is told when to come back, and
+// never held until then.
+func (g *Gateway) fail(c *fiber.Ctx, k *call, f *outcome.Failure) error {
+	g.metrics.failed(f)
+	g.parts.Log.Debug("request failed", "request", k.id, "path", k.path, "rule", f.Rule,
+		"code", f.Code, "outcome", f.Ran, "after", time.Since(k.began), "cause", f.Cause)
+	c.Set(headerRequestID, k.id)
+	return writeFailure(c, f)
+}
+
+func writeFailure(c *fiber.Ctx, f *outcome.Failure) error {
+	c.Status(f.Status)
+	c.Set(outcome.Header, string(f.Ran))
+	if f.RetryAfter > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(f.RetryAfterSeconds()))
+	}
+	return c.JSON(errorBody(f))
+}
+
+// serverError answers what fasthttp refused before any handler ran: bodies and
+// headers that are too large, slow senders, requests that are no HTTP.
+func (g *Gateway) serverError(c *fiber.Ctx, err error) error {
+	f := outcome.Refused(fiber.StatusBadRequest, outcome.CodeInvalidRequest, "the request can't be read")
+	var status *fiber.Error
+	if errors.As(err, &status) {
+		f.Status = status.Code
+	}
+	switch f.Status {
+	case fiber.StatusRequestEntityTooLarge:
+		f.Code = outcome.CodeBodyTooLarge
+		f.Message = "the body is larger than " + strconv.Itoa(g.opts.MaxBodyBytes) + " bytes"
+	case fiber.StatusRequestHeaderFieldsTooLarge:
+		f.Message = "the headers are too large"
+	case fiber.StatusRequestTimeout:
+		f.Message = "the request did not arrive in time"
+	}
+	f.Cause = err
+	g.metrics.failed(f)
+	return writeFailure(c, f)
+}
--- /dev/null
+++ b/internal/entry/gateway/gateway.go
@@ -0,0 +1,159 @@
+// Package gateway serves callers over HTTP: model requests plain and streamed,
+// requests to plain services, where to connect, health and readiness.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"tamarackchute/admission"
+	"tamarackchute/internal/entry/answer"
+	"tamarackchute/internal/entry/callerwatch"
+	"tamarackchute/internal/entry/discovery"
+	"tamarackchute/internal/entry/forward"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/internal/entry/stream"
+	"tamarackchute/router"
+	"tamarackchute/rules"
+	"tamarackchute/upstream"
+)
+
+// Rules matches requests. It reports false as long as no rules are known.
+type Rules interface {
+	Match(r rules.Request) (rules.Decision, bool)
+}
+
+// Admission lets requests in; admission.Controller is one.
+type Admission interface {
+	Acquire(ctx context.Context, r admission.Request) (*admission.Grant, error)
+}
+
+// Estimator foresees where and how long a request would run; router.Tracker is
+// one.
+type Estimator interface {
+	Pick(r router.Request) (router.Plan, error)
+}
+
+// Protected runs calls at most once per key.
+type Protected interface {
+	// Do runs the call unless its key was claimed before. The response may be
+	// one that was recorded then.
+	Do(ctx context.Context, c ProtectedCall, run RunCall) (upstream.ServiceResponse, *outcome.Failure)
+}
+
+// RunCall sends a call to a service.
+type RunCall func(ctx context.Context) (upstream.ServiceResponse, *outcome.Failure)
+
+// ProtectedCall names a call that must run at most once.
+type ProtectedCall struct {
+	Organisation string
+	Key          string
+	// Digest tells a resend from another call under the same key.
+	Digest string
+}
+
+// Directory names the addresses that callers may use.
+type Directory interface {
+	Where(dataCentre string) discovery.Answer
+}
+
+// Options are the gateway's settings.
+type Options struct {
+	DataCentre   string
+	MaxBodyBytes int
+	// DefaultDeadline is for requests whose rule sets none.
+	DefaultDeadline time.Duration
+	// Heartbeat is the longest that a stream is silent.
+	Heartbeat time.Duration
+	// WriteTimeout is the longest that a caller may leave an answer unread.
+	WriteTimeout time.Duration
+	// ReadTimeout is the longest that a caller may take to send a request,
+	// IdleTimeout the longest that a connection is kept between two.
+	ReadTimeout, IdleTimeout time.Duration
+	// Models are listed to callers.
+	Models []string
+	// ServicePools names the pools of plain services; all others have engines.
+	ServicePools map[string]bool
+	// Entries counts the instances that share a rule's limits.
+	Entries int
+}
+
+// Parts are what the gateway works with.
+type Parts struct {
+	Rules     Rules
+	Admission Admission
+	Estimator Estimator
+	Answers   *answer.Runner
+	Services  *forward.Runner
+	Protected Protected
+	Directory Directory
+	Signer    *stream.Signer
+	Watch     *callerwatch.Watch
+	Demand    Demand
+	// Ready returns nil once the instance can serve.
+	Ready func() error
+	// Load is the share of the local engines' capacity in use.
+	Load  func() float64
+	NewID func() string
+	Scope tally.Scope
+	Log   *slog.Logger
+}
+
+// Demand is told what callers ask for.
+type Demand interface {
+	Asked(model string, promptTokens int)
+	Produced(model string, outputTokens int)
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	opts    Options
+	parts   Parts
+	app     *fiber.App
+	metrics *metrics
+	// active counts requests that have begun and whose answer isn't out.
+	active atomic.Int64
+	// pumps are the goroutines that read engines' streams.
+	pumps conc.WaitGroup
+}
+
+// New returns a gateway. It serves nothing until its App is given a listener.
+func New(o Options, p Parts) *Gateway {
+	g := &Gateway{opts: o, parts: p, metrics: newMetrics(p.Scope)}
+	g.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             o.MaxBodyBytes,
+		ReadTimeout:           o.ReadTimeout,
+		IdleTimeout:           o.IdleTimeout,
+		ErrorHandler:          g.serverError,
+		// A body is parsed by the handler that knows its form.
+		DisablePreParseMultipartForm: true,
+	})
+	g.routes()
+	return g
+}
+
+func (g *Gateway) routes() {
+	g.app.Get("/healthz", g.healthz)
+	g.app.Get("/readyz", g.readyz)
+	g.app.Get("/v1/where", g.where)
+	g.app.Get("/v1/models", g.models)
+	g.app.Post("/v1/completions", g.completions)
+	g.app.Post("/v1/chat/completions", g.chat)
+	g.app.Use(g.service)
+}
+
+// App returns the HTTP application.
+func (g *Gateway) App() *fiber.App { return g.app }
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
+
+// Wait returns once no stream is read any more. No request may come meanwhile.
+func (g *Gateway) Wait() { g.pumps.Wait() }
--- /dev/null
+++ b/internal/entry/gateway/metrics.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"tamarackchute/internal/entry/outcome"
+)
+
+// metrics are the gateway's figures.
+type metrics struct {
+	scope      tally.Scope
+	answered   tally.Counter
+	streams    tally.Counter
+	resumed    tally.Counter
+	continued  tally.Counter
+	tokens     tally.Counter
+	firstToken tally.Histogram
+	whole      tally.Histogram
+
+	mu       sync.Mutex
+	failures map[failureKey]tally.Counter
+}
+
+type failureKey struct {
+	code outcome.Code
+	ran  outcome.Ran
+}
+
+func newMetrics(s tally.Scope) *metrics {
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
+	return &metrics{
+		scope:      s,
+		answered:   s.Counter("requests_answered"),
+		streams:    s.Counter("streams_begun"),
+		resumed:    s.Counter("streams_resumed"),
+		continued:  s.Counter("answers_continued_elsewhere"),
+		tokens:     s.Counter("output_tokens"),
+		firstToken: s.Histogram("first_token", buckets),
+		whole:      s.Histogram("whole_answer", buckets),
+		failures:   map[failureKey]tally.Counter{},
+	}
+}
+
+// failed counts a failure by its reason and outcome.
+func (m *metrics) failed(f *outcome.Failure) {
+	m.failure(failureKey{f.Code, f.Ran}).Inc(1)
+}
+
+func (m *metrics) failure(key failureKey) tally.Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counter := m.failures[key]
+	if counter == nil {
+		tags := map[string]string{"reason": string(key.code), "outcome": string(key.ran)}
+		counter = m.scope.Tagged(tags).Counter("requests_failed")
+		m.failures[key] = counter
+	}
+	return counter
+}
--- /dev/null
+++ b/internal/entry/gateway/model.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"strings"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tamarackchute/admission"
+	"tamarackchute/internal/entry/answer"
+	"tamarackchute/internal/entry/openai"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/internal/entry/stream"
+	"tamarackchute/quarantine"
+	"tamarackchute/router"
+	"tamarackchute/rules"
+	"tamarackchute/upstream"
+)
+
+func (g *Gateway) completions(c *fiber.Ctx) error { return g.model(c, openai.Completion, "cmpl-") }
+
+func (g *Gateway) chat(c *fiber.Ctx) error { return g.model(c, openai.Chat, "chatcmpl-") }
+
+// model serves one model request.
+func (g *Gateway) model(c *fiber.Ctx, kind openai.Kind, idPrefix string) error {
+	g.active.Add(1)
+	k, f := newCall(c, idPrefix+g.parts.NewID())
+	if f == nil {
+		f = g.answerModel(c, k, kind)
+	}
+	if f == nil {
+		return nil
+	}
+	k.end()
+	g.active.Add(-1)
+	return g.fail(c, k, f)
+}
+
+// answerModel answers a model request, or returns its failure with everything
+// released but the call itself.
+func (g *Gateway) answerModel(c *fiber.Ctx, k *call, kind openai.Kind) *outcome.Failure {
+	request, f := parseModel(c, kind)
+	if f != nil {
+		return f
+	}
+	f = g.decide(c, k, rules.Request{
+		Model:        request.Model,
+		PromptTokens: request.PromptTokens,
+		OutputTokens: request.MaxTokens,
+		Stream:       request.Stream,
+	})
+	if f != nil {
+		return f
+	}
+	if g.opts.ServicePools[k.decision.Then.Pool] {
+		return g.passOn(c, k)
+	}
+	if f := g.begin(c, k); f != nil {
+		return f
+	}
+	work := g.workOf(c, k, request)
+	if id := c.Get(headerLastEventID); id != "" && request.Stream {
+		return g.resume(c, k, work, strings.Clone(id))
+	}
+	grant, f := g.admit(k, work.Route)
+	if f != nil {
+		return f
+	}
+	g.parts.Demand.Asked(request.Model, request.PromptTokens)
+	a := g.parts.Answers.Start(work)
+	if request.Stream {
+		return g.stream(c, k, &running{call: k, work: work, answer: a, grant: grant})
+	}
+	return g.whole(c, &running{call: k, work: work, answer: a, grant: grant})
+}
+
+func parseModel(c *fiber.Ctx, kind openai.Kind) (openai.Request, *outcome.Failure) {
+	if encoding := c.Get(fiber.HeaderContentEncoding); encoding != "" && encoding != "identity" {
+		return openai.Request{}, outcome.Refused(fiber.StatusUnsupportedMediaType, outcome.CodeInvalidRequest,
+			"a body with a content encoding is not taken")
+	}
+	request, err := openai.ParseRequest(kind, c.BodyRaw())
+	if err != nil {
+		return request, outcome.Refused(fiber.StatusBadRequest, outcome.CodeInvalidRequest, "%v", err)
+	}
+	return request, nil
+}
+
+func (g *Gateway) workOf(c *fiber.Ctx, k *call, request openai.Request) answer.Work {
+	then := k.decision.Then
+	return answer.Work{
+		Request: request,
+		Route: router.Request{
+			Pool:         then.Pool,
+			Model:        request.Model,
+			Organisation: k.organisation,
+			DataCentre:   g.opts.DataCentre,
+			PromptTokens: request.PromptTokens,
+			OutputTokens: request.MaxTokens,
+			PrefixBlocks: router.PrefixBlocks(request.Prompt),
+			Priority:     then.Priority,
+			Deadline:     k.deadline,
+		},
+		Retry:   then.RetryClass(),
+		Digest:  quarantine.DigestOf(request.Model, k.path, c.BodyRaw()),
+		Answer:  k.id,
+		Created: k.began,
+	}
+}
+
+// running is a model request whose answer is under way.
+type running struct {
+	call   *call
+	work   answer.Work
+	answer *answer.Answer
+	grant  *admission.Grant
+	begun  bool
+}
+
+// next returns the next token, and keeps the figures.
+func (g *Gateway) next(r *running) (upstream.Token, error) {
+	t, err := r.answer.Next(r.call.ctx)
+	if err != nil {
+		return t, err
+	}
+	if !r.begun {
+		r.begun = true
+		if r.grant != nil {
+			r.grant.FirstToken()
+		}
+		g.metrics.firstToken.RecordDuration(sinceBegan(r.call))
+	}
+	return t, nil
+}
+
+// finish releases what the answer holds. A nil failure means that it is whole.
+func (g *Gateway) finish(r *running, f *outcome.Failure) {
+	r.answer.Close()
+	produced := r.answer.Tokens()
+	if r.grant != nil {
+		r.grant.Release(admissionResult(f), produced)
+	}
+	g.parts.Demand.Produced(r.work.Request.Model, produced)
+	g.metrics.tokens.Inc(int64(produced))
+	if n := r.answer.Attempt(); n > 1 {
+		g.metrics.continued.Inc(int64(n - 1))
+	}
+	if f == nil {
+		g.metrics.answered.Inc(1)
+		g.metrics.whole.RecordDuration(sinceBegan(r.call))
+	}
+}
+
+func admissionResult(f *outcome.Failure) admission.Result {
+	switch {
+	case f == nil:
+		return admission.ResultDone
+	case f.Code == outcome.CodeCallerGone:
+		return admission.ResultCancelled
+	default:
+		return admission.ResultFailed
+	}
+}
+
+// whole collects the answer and sends it as one.
+func (g *Gateway) whole(c *fiber.Ctx, r *running) *outcome.Failure {
+	text, finish, f := g.collect(r)
+	prompt, cached := r.answer.PromptTokens()
+	usage := openai.NewUsage(prompt, cached, r.answer.Tokens())
+	g.finish(r, f)
+	if f != nil {
+		return f
+	}
+	k, request := r.call, &r.work.Request
+	k.end()
+	g.active.Add(-1)
+	c.Set(outcome.Header, string(outcome.RanWhole))
+	c.Set(headerRequestID, k.id)
+	body := openai.NewAnswer(request.Kind, k.id, request.Model, k.began.Unix(), text, finish, usage)
+	if err := c.JSON(body); err != nil {
+		g.parts.Log.Error("answer has no JSON form", "request", k.id, "error", err)
+	}
+	return nil
+}
+
+func (g *Gateway) collect(r *running) (text, finish string, f *outcome.Failure) {
+	var all strings.Builder
+	for {
+		t, err := g.next(r)
+		if errors.Is(err, io.EOF) {
+			return all.String(), finish, nil
+		}
+		if errors.As(err, &f) {
+			return "", "", f
+		}
+		all.WriteString(t.Text)
+		finish = t.Finish
+	}
+}
+
+// resume takes a stream up again that another connection, or another instance,
+// has begun.
+func (g *Gateway) resume(c *fiber.Ctx, k *call, work answer.Work, id string) *outcome.Failure {
+	owner := stream.NewOwner(k.organisation, k.path, c.BodyRaw())
+	origin, last, err := g.parts.Signer.Open(id, owner)
+	if err != nil {
+		return outcome.Refused(fiber.StatusBadRequest, outcome.CodeNotPermitted, "%v", err)
+	}
+	work.Answer, work.Created = origin.Answer, timeOf(origin.Created)
+	a, f := g.parts.Answers.Resume(k.ctx, work, answer.Place{
+		Engine: origin.Upstream, Attempt: origin.Attempt, First: origin.First, Last: last,
+	})
+	if f != nil {
+		return f
+	}
+	g.metrics.resumed.Inc(1)
+	return g.stream(c, k, &running{call: k, work: work, answer: a, begun: true})
+}
--- /dev/null
+++ b/internal/entry/gateway/pages.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tamarackchute/internal/entry/openai"
+)
+
+// healthz says that the process runs.
+func (g *Gateway) healthz(c *fiber.Ctx) error { return c.SendString("ok\n") }
+
+// readyz says whether callers may be sent here.
+func (g *Gateway) readyz(c *fiber.Ctx) error {
+	if err := g.parts.Ready(); err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error() + "\n")
+	}
+	return c.SendString("ready\n")
+}
+
+// where names the addresses to use.
+func (g *Gateway) where(c *fiber.Ctx) error {
+	a := g.parts.Directory.Where(c.Query("data_centre"))
+	c.Set(fiber.HeaderCacheControl, "max-age="+strconv.Itoa(int(a.KeepSeconds)))
+	return c.JSON(a)
+}
+
+// models lists the models that the deployment's engines serve.
+func (g *Gateway) models(c *fiber.Ctx) error {
+	return c.JSON(openai.NewModelList(g.opts.Models))
+}
+
+func sinceBegan(k *call) time.Duration { return time.Since(k.began) }
+
+func timeOf(unixSeconds int64) time.Time { return time.Unix(unixSeconds, 0) }
--- /dev/null
+++ b/internal/entry/gateway/service.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"strings"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tamarackchute/internal/entry/forward"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/internal/entry/stream"
+	"tamarackchute/router"
+	"tamarackchute/rules"
+	"tamarackchute/upstream"
+)
+
+// maxIdempotencyKey bounds a caller's key, in bytes.
+const maxIdempotencyKey = 256
+
+// service serves any path that the rules send to a plain service.
+func (g *Gateway) service(c *fiber.Ctx) error {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	k, f := newCall(c, g.parts.NewID())
+	defer k.end()
+	if f == nil {
+		f = g.decide(c, k, rules.Request{})
+	}
+	if f == nil && !g.opts.ServicePools[k.decision.Then.Pool] {
+		f = outcome.Refused(fiber.StatusNotFound, outcome.CodeInvalidRequest,
+			"rule %q sends this path to engines, which take only model requests", k.decision.Rule)
+	}
+	if f == nil {
+		f = g.callService(c, k)
+	}
+	if f == nil {
+		return nil
+	}
+	return g.fail(c, k, f)
+}
+
+// passOn serves a model request that the rules send to a plain service.
+func (g *Gateway) passOn(c *fiber.Ctx, k *call) *outcome.Failure {
+	f := g.callService(c, k)
+	if f == nil {
+		k.end()
+		g.active.Add(-1)
+	}
+	return f
+}
+
+// callService forwards the request and writes the service's answer.
+func (g *Gateway) callService(c *fiber.Ctx, k *call) *outcome.Failure {
+	if f := g.begin(c, k); f != nil {
+		return f
+	}
+	then := k.decision.Then
+	work := forward.Work{
+		Request: serviceRequest(c, k),
+		Route: router.Request{
+			Pool:         then.Pool,
+			Organisation: k.organisation,
+			DataCentre:   g.opts.DataCentre,
+			Priority:     then.Priority,
+			Deadline:     k.deadline,
+			NoTrial:      then.Protected,
+		},
+		Retry: then.RetryClass(),
+	}
+	key := strings.Clone(c.Get(headerIdempotencyKey))
+	if f := checkKey(then.Protected, key); f != nil {
+		return f
+	}
+	grant, f := g.admit(k, work.Route)
+	if f != nil {
+		return f
+	}
+	response, f := g.runService(k, work, key)
+	grant.Release(admissionResult(f), 0)
+	if f != nil {
+		return f
+	}
+	g.metrics.answered.Inc(1)
+	g.metrics.whole.RecordDuration(sinceBegan(k))
+	writeResponse(c, k, response)
+	return nil
+}
+
+func checkKey(protected bool, key string) *outcome.Failure {
+	if !protected {
+		return nil
+	}
+	if key == "" {
+		return outcome.Refused(fiber.StatusBadRequest, outcome.CodeKeyRequired,
+			"this call runs at most once and needs the header %s", headerIdempotencyKey)
+	}
+	if len(key) > maxIdempotencyKey {
+		return outcome.Refused(fiber.StatusBadRequest, outcome.CodeInvalidRequest,
+			"the header %s is longer than %d bytes", headerIdempotencyKey, maxIdempotencyKey)
+	}
+	return nil
+}
+
+// runService runs the call, at most once if it is protected. Of a protected
+// call only an attempt that certainly did not run is made again.
+func (g *Gateway) runService(k *call, work forward.Work, key string) (upstream.ServiceResponse, *outcome.Failure) {
+	if !k.decision.Then.Protected {
+		return g.parts.Services.Call(k.ctx, work)
+	}
+	if work.Retry == rules.RetryRepeatable {
+		work.Retry = rules.RetryUnsent
+	}
+	protected := ProtectedCall{Organisation: k.organisation, Key: key, Digest: digestOf(work.Request)}
+	return g.parts.Protected.Do(k.ctx, protected, func(ctx context.Context) (upstream.ServiceResponse, *outcome.Failure) {
+		return g.parts.Services.Call(ctx, work)
+	})
+}
+
+// digestOf tells a resend of a call from another under the same key.
+func digestOf(r upstream.ServiceRequest) string {
+	sum := stream.NewOwner(r.Method, r.Path, r.Body)
+	return string(sum[:])
+}
+
+// serviceRequest copies the request: the call may outlive the handler, whose
+// memory is used again for the connection's next request.
+func serviceRequest(c *fiber.Ctx, k *call) upstream.ServiceRequest {
+	r := upstream.ServiceRequest{
+		Method: k.method,
+		Path:   strings.Clone(c.OriginalURL()),
+		Body:   bytes.Clone(c.BodyRaw()),
+	}
+	for name, value := range c.Request().Header.All() {
+		r.Headers = append(r.Headers, upstream.Header{Name: string(name), Value: string(value)})
+	}
+	return r
+}
+
+func writeResponse(c *fiber.Ctx, k *call, r upstream.ServiceResponse) {
+	c.Status(r.Status)
+	for _, h := range r.Headers {
+		c.Response().Header.Add(h.Name, h.Value)
+	}
+	c.Set(outcome.Header, string(outcome.RanWhole))
+	c.Set(headerRequestID, k.id)
+	c.Response().SetBodyRaw(r.Body)
+}
--- /dev/null
+++ b/internal/entry/gateway/sse.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tamarackchute/internal/entry/openai"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/internal/entry/stream"
+	"tamarackchute/upstream"
+)
+
+const (
+	// eventsAhead is how many tokens a stream reads ahead of its caller. When
+	// the caller doesn't read, they fill, the engine's connection isn't read
+	// any more, and so the engine waits in its turn.
+	eventsAhead = 16
+	// fillBytes is how much is gathered for one write to the caller.
+	fillBytes = 2048
+)
+
+var (
+	heartbeatComment = []byte(":\n\n")
+	doneEvent        = []byte("data: [DONE]\n\n")
+)
+
+// event is one step of a stream: a token, or its end. idPrefix is set with the
+// first token of each attempt.
+type event struct {
+	token    upstream.Token
+	idPrefix string
+	usage    *openai.Usage
+	failure  *outcome.Failure
+}
+
+// sse is the body of a streamed answer. One goroutine, the pump, reads the
+// engine; the connection's own goroutine calls Read, which writes events and,
+// while there are none, heartbeats.
+type sse struct {
+	gateway *Gateway
+	running *running
+	conn    net.Conn
+	chunks  *openai.Chunks
+	owner   stream.Owner
+	events  chan event
+	// closed ends with the body: nobody reads events any more.
+	closed    chan struct{}
+	closeOnce sync.Once
+
+	heartbeat *time.Ticker
+	quiet     bool
+	idPrefix  string
+	buf       []byte
+	sent      int
+	over      bool
+}
+
+// stream sends the answer as events. It waits for the first one, so that a
+// request that fails before it gets an ordinary HTTP error, but no longer than
+// until a heartbeat is due.
+func (g *Gateway) stream(c *fiber.Ctx, k *call, r *running) *outcome.Failure {
+	request := &r.work.Request
+	s := &sse{
+		gateway:   g,
+		running:   r,
+		conn:      c.Context().Conn(),
+		chunks:    openai.NewChunks(request.Kind, r.work.Answer, request.Model, r.work.Created.Unix()),
+		owner:     stream.NewOwner(k.organisation, k.path, c.BodyRaw()),
+		events:    make(chan event, eventsAhead),
+		closed:    make(chan struct{}),
+		heartbeat: time.NewTicker(g.opts.Heartbeat),
+	}
+	g.pumps.Go(s.pump)
+	if f := s.awaitFirst(); f != nil {
+		s.heartbeat.Stop()
+		return f
+	}
+	g.metrics.streams.Inc(1)
+	c.Set(headerRequestID, k.id)
+	c.Set(fiber.HeaderContentType, "text/event-stream")
+	c.Set(fiber.HeaderCacheControl, "no-cache")
+	// The server takes this deadline back when the response is out; Read
+	// moves it on.
+	_ = c.Context().SetWriteDeadline(time.Now().Add(g.opts.WriteTimeout))
+	c.Context().SetBodyStream(s, -1)
+	return nil
+}
+
+// awaitFirst returns the failure of an answer that fails before its first
+// token.
+func (s *sse) awaitFirst() *outcome.Failure {
+	select {
+	case e := <-s.events:
+		if e.failure != nil {
+			return e.failure
+		}
+		s.add(e)
+	case <-s.heartbeat.C:
+		s.buf = append(s.buf, heartbeatComment...)
+	}
+	return nil
+}
+
+// pump hands the answer's tokens to Read until the answer or the call ends.
+func (s *sse) pump() {
+	defer close(s.events)
+	f := s.forwardTokens()
+	s.gateway.finish(s.running, f)
+	last := event{failure: f}
+	if f == nil {
+		last.usage = s.usage()
+	}
+	select {
+	case s.events <- last:
+	case <-s.closed:
+	}
+}
+
+func (s *sse) forwardTokens() *outcome.Failure {
+	attempt := 0
+	for {
+		t, err := s.gateway.next(s.running)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		var f *outcome.Failure
+		if errors.As(err, &f) {
+			return f
+		}
+		e := event{token: t}
+		if n := s.running.answer.Attempt(); n != attempt {
+			attempt = n
+			e.idPrefix = s.gateway.parts.Signer.Prefix(s.running.answer.Origin(), s.owner)
+		}
+		if f := s.offer(e); f != nil {
+			return f
+		}
+	}
+}
+
+// offer waits until the caller has read enough for one more event. It ends with
+// the call too, so that a caller that doesn't read holds no engine beyond the
+// deadline.
+func (s *sse) offer(e event) *outcome.Failure {
+	select {
+	case s.events <- e:
+		return nil
+	case <-s.running.call.ctx.Done():
+		return s.running.answer.ContextFailure(s.running.call.ctx)
+	}
+}
+
+func (s *sse) usage() *openai.Usage {
+	prompt, cached := s.running.answer.PromptTokens()
+	u := openai.NewUsage(prompt, cached, s.running.answer.Tokens())
+	return &u
+}
+
+// Read gives the next events to the server, which writes them out at once.
+func (s *sse) Read(p []byte) (int, error) {
+	if s.sent == len(s.buf) {
+		if s.over {
+			return 0, io.EOF
+		}
+		s.buf, s.sent = s.buf[:0], 0
+		s.fill()
+		_ = s.conn.SetWriteDeadline(time.Now().Add(s.gateway.opts.WriteTimeout))
+	}
+	n := copy(p, s.buf[s.sent:])
+	s.sent += n
+	return n, nil
+}
+
+// fill waits for an event or a heartbeat, and takes what else is there.
+func (s *sse) fill() {
+	for len(s.buf) == 0 && !s.over {
+		select {
+		case e, open := <-s.events:
+			s.take(e, open)
+		case <-s.heartbeat.C:
+			if s.quiet {
+				s.buf = append(s.buf, heartbeatComment...)
+			}
+			s.quiet = true
+		}
+	}
+	for len(s.buf) < fillBytes && !s.over {
+		select {
+		case e, open := <-s.events:
+			s.take(e, open)
+		default:
+			return
+		}
+	}
+}
+
+func (s *sse) take(e event, open bool) {
+	s.quiet = false
+	if !open {
+		// The pump always ends with a last event, unless it panicked.
+		e = event{failure: &outcome.Failure{
+			Status: fiber.StatusInternalServerError, Code: outcome.CodeInternal,
+			Message: "the stream broke inside the instance", Ran: outcome.MayHaveRun,
+		}}
+	}
+	s.add(e)
+}
+
+// add appends an event in the form of server-sent events.
+func (s *sse) add(e event) {
+	switch {
+	case e.failure != nil:
+		s.addFailure(e.failure)
+		s.over = true
+	case e.usage != nil:
+		if s.running.work.Request.IncludeUsage {
+			s.buf = append(s.buf, "data: "...)
+			s.buf = s.chunks.AppendUsage(s.buf, *e.usage)
+			s.buf = append(s.buf, "\n\n"...)
+		}
+		s.buf = append(s.buf, doneEvent...)
+		s.over = true
+	default:
+		s.addToken(e)
+	}
+}
+
+func (s *sse) addToken(e event) {
+	if e.idPrefix != "" {
+		s.idPrefix = e.idPrefix
+	}
+	s.buf = append(s.buf, "id: "...)
+	s.buf = stream.AppendID(s.buf, s.idPrefix, e.token.Index)
+	s.buf = append(s.buf, "\ndata: "...)
+	s.buf = s.chunks.AppendToken(s.buf, e.token.Text, e.token.Finish)
+	s.buf = append(s.buf, "\n\n"...)
+}
+
+// addFailure appends the error event of a stream that can't be finished. No
+// [DONE] follows, so the answer can't be taken for a whole one.
+func (s *sse) addFailure(f *outcome.Failure) {
+	s.gateway.metrics.failed(f)
+	if f.RetryAfter > 0 {
+		s.buf = append(s.buf, "retry: "...)
+		s.buf = strconv.AppendInt(s.buf, f.RetryAfter.Milliseconds(), 10)
+		s.buf = append(s.buf, '\n')
+	}
+	s.buf = append(s.buf, "event: error\ndata: "...)
+	body, err := json.Marshal(errorBody(f))
+	if err != nil {
+		panic(err) // a struct of strings always has a JSON form
+	}
+	s.buf = append(s.buf, body...)
+	s.buf = append(s.buf, "\n\n"...)
+}
+
+// Close is called by the server when the response is out or its connection has
+// failed; the engine's work is cancelled if it isn't done.
+func (s *sse) Close() error {
+	s.closeOnce.Do(func() {
+		s.heartbeat.Stop()
+		close(s.closed)
+		s.running.call.end()
+		s.gateway.active.Add(-1)
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/entry/inflight/inflight.go
@@ -0,0 +1,70 @@
+// Package inflight counts an entry's requests at each engine for the drains
+// that precede orders.
+package inflight
+
+import (
+	"sync/atomic"
+
+	"tamarackchute/journal"
+	"tamarackchute/orders"
+)
+
+// Orders tells which engines are being drained or changed; orders.View is one.
+type Orders interface {
+	Snapshot() *orders.Snapshot
+}
+
+// Book counts requests at engines. It is safe for use by many goroutines.
+type Book struct {
+	orders Orders
+	counts map[string]*atomic.Int64
+}
+
+// NewBook returns a book for the engines named.
+func NewBook(o Orders, engines []string) *Book {
+	b := &Book{orders: o, counts: make(map[string]*atomic.Int64, len(engines))}
+	for _, name := range engines {
+		b.counts[name] = new(atomic.Int64)
+	}
+	return b
+}
+
+// Hold counts a request at an engine and reports whether it may go there. If it
+// may, the caller must Release it.
+//
+// It counts first and asks second, which guards against a drain that is applied
+// between the pick and the sending: asked first, the request could be missing
+// from the counts that acknowledge the drain, and then be cut off by the order.
+func (b *Book) Hold(engine string) bool {
+	count := b.counts[engine]
+	if count == nil {
+		return false
+	}
+	count.Add(1)
+	if b.orders.Snapshot().Engine(engine).TakesWork() {
+		return true
+	}
+	count.Add(-1)
+	return false
+}
+
+// Release uncounts a held request.
+func (b *Book) Release(engine string) {
+	if n := b.counts[engine].Add(-1); n < 0 {
+		panic("inflight: released more often than held: " + engine)
+	}
+}
+
+// Status returns the place in the log up to which drains are obeyed, and the
+// engines that have requests. The position is read before the counts: a request
+// counted too late for it can't have been let through after it.
+func (b *Book) Status() (journal.Position, map[string]int) {
+	applied := b.orders.Snapshot().Position
+	busy := map[string]int{}
+	for name, count := range b.counts {
+		if n := count.Load(); n > 0 {
+			busy[name] = int(n)
+		}
+	}
+	return applied, busy
+}
--- /dev/null
+++ b/internal/entry/outcome/outcome.go
@@ -0,0 +1,117 @@
+// Package outcome holds how a request ended: whether it ran, and if it failed,
+// why, with which HTTP status, and when the caller may come back.
+package outcome
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Ran says whether a request ran, as far as the system knows for certain.
+type Ran string
+
+// The answers to the question whether a request ran. They stand in the
+// Chute-Outcome header.
+const (
+	// RanWhole is a request whose answer came.
+	RanWhole Ran = "ran"
+	// NotRun is a request that certainly did not run and never will.
+	NotRun Ran = "not-run"
+	// MayHaveRun is everything else.
+	MayHaveRun Ran = "may-have-run"
+)
+
+// Header is the response header that carries a Ran.
+const Header = "Chute-Outcome"
+
+// StatusCallerGone is what logs usually show for a caller that closed its
+// connection; the caller sees it only if it closed just its sending side.
+const StatusCallerGone = 499
+
+// Code names the reason of a failure for programs.
+type Code string
+
+// The reasons of failures.
+const (
+	CodeInvalidRequest   Code = "invalid_request"
+	CodeBodyTooLarge     Code = "body_too_large"
+	CodeKeyRequired      Code = "idempotency_key_required"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeKeyInProgress    Code = "idempotency_key_in_progress"
+	CodeKeyExpired       Code = "idempotency_key_expired"
+	CodeKeyNotRecorded   Code = "answer_not_recorded"
+	CodeNoClaim          Code = "claim_not_possible"
+	CodeNoRule           Code = "no_rule_matches"
+	CodeRefusedByRule    Code = "refused_by_rule"
+	CodeRulesMissing     Code = "rules_not_loaded"
+	CodeRuleLimit        Code = "rule_limit"
+	CodeOverload         Code = "overloaded"
+	CodeDeadlineTooShort Code = "deadline_cannot_be_met"
+	CodeDeadline         Code = "deadline_exceeded"
+	CodeNoUpstream       Code = "no_upstream"
+	CodeQuarantined      Code = "quarantined"
+	CodeUpstreamBroken   Code = "upstream_broken"
+	CodeUpstreamError    Code = "upstream_error"
+	CodeCallerGone       Code = "caller_gone"
+	CodeStreamUnknown    Code = "stream_not_known"
+	CodeStreamLost       Code = "stream_lost"
+	CodeNotPermitted     Code = "event_id_not_valid"
+	CodeInternal         Code = "internal_error"
+)
+
+// Failure is a request that got no answer of an upstream. It is an error and a
+// value: each has its status, its reason and what is known of its running.
+type Failure struct {
+	Status  int
+	Code    Code
+	Message string
+	Ran     Ran
+	// RetryAfter is when asking again is worth while; 0 says nothing.
+	RetryAfter time.Duration
+	// Rule names the rule that decided, if one did.
+	Rule string
+	// Cause is for the log; the caller doesn't see it.
+	Cause error
+}
+
+func (f *Failure) Error() string {
+	if f.Cause == nil {
+		return fmt.Sprintf("%s (%s): %s", f.Code, f.Ran, f.Message)
+	}
+	return fmt.Sprintf("%s (%s): %s: %v", f.Code, f.Ran, f.Message, f.Cause)
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Type returns the failure's class as the OpenAI interface names it.
+func (f *Failure) Type() string {
+	switch {
+	case f.Status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case f.Status == http.StatusServiceUnavailable:
+		return "overloaded_error"
+	case f.Status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// Refused returns the failure of a request that was not run.
+func Refused(status int, code Code, format string, args ...any) *Failure {
+	return &Failure{Status: status, Code: code, Message: fmt.Sprintf(format, args...), Ran: NotRun}
+}
+
+// After sets when asking again is worth while, and returns the failure.
+func (f *Failure) After(d time.Duration) *Failure {
+	f.RetryAfter = d
+	return f
+}
+
+// RetryAfterSeconds returns the Retry-After header's number: whole seconds,
+// rounded up, as 0 would mean at once.
+func (f *Failure) RetryAfterSeconds() int {
+	return int((f.RetryAfter + time.Second - 1) / time.Second)
+}
--- /dev/null
+++ b/internal/entry/shutdown/shutdown.go
@@ -0,0 +1,62 @@
+// Package shutdown orders the steps of a graceful stop.
+package shutdown
+
+import (
+	"time"
+)
+
+// Phase is a step of a stop.
+type Phase uint8
+
+// The phases, in their order.
+const (
+	// Serving is before the stop.
+	Serving Phase = iota
+	// Leaving: out of every new answer of where to connect, but callers still
+	// hold answers that name this instance, so new requests are served.
+	Leaving
+	// Draining: no caller holds such an answer any more; requests in progress
+	// are served to their end, and new ones too, as nothing is gained by
+	// refusing them.
+	Draining
+	// Stopped: nothing is in progress, or the grace has run out.
+	Stopped
+)
+
+// State decides when an instance may exit. The zero value serves.
+type State struct {
+	// Keep is how long callers may keep an answer, Grace how long the instance
+	// waits beyond that for its requests to end.
+	Keep, Grace time.Duration
+
+	begun   bool
+	beganAt time.Time
+}
+
+// Begin starts the stop. Only the first call counts.
+func (s *State) Begin(now time.Time) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.beganAt = now
+}
+
+// Phase returns the step at a time, with a number of requests in progress.
+func (s *State) Phase(now time.Time, active int) Phase {
+	if !s.begun {
+		return Serving
+	}
+	waited := now.Sub(s.beganAt)
+	switch {
+	case waited < s.Keep:
+		return Leaving
+	case active > 0 && waited < s.Keep+s.Grace:
+		return Draining
+	default:
+		return Stopped
+	}
+}
+
+// Leaving reports whether the stop has begun.
+func (s *State) Leaving() bool { return s.begun }
--- /dev/null
+++ b/internal/entry/shutdown/shutdown_test.go
@@ -0,0 +1,34 @@
+package shutdown
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An instance is replaced. A caller that asked a moment before where to connect
+// comes with its kept answer, and a stream is still running; both are cut off
+// if the process exits as soon as it is told. It may exit only when every kept
+// answer has run out and every request has ended, or the grace is over.
+func TestStopWaitsForKeptAnswersAndRequests(t *testing.T) {
+	began := time.Unix(1000, 0)
+	s := State{Keep: 5 * time.Second, Grace: 60 * time.Second}
+	require.Equal(t, Serving, s.Phase(began, 0))
+	s.Begin(began)
+	s.Begin(began.Add(3 * time.Second))
+	for _, tc := range []struct {
+		after  time.Duration
+		active int
+		want   Phase
+	}{
+		{0, 0, Leaving},
+		{4999 * time.Millisecond, 0, Leaving},
+		{5 * time.Second, 1, Draining},
+		{5 * time.Second, 0, Stopped},
+		{64 * time.Second, 1, Draining},
+		{65 * time.Second, 1, Stopped},
+	} {
+		require.Equal(t, tc.want, s.Phase(began.Add(tc.after), tc.active), "%v, %d active", tc.after, tc.active)
+	}
+}
