rolepolicy: engines divide their time between prefill and decode

Cause: the capacity model let an engine serve prefill and decode at full rate at once; the stand-in engines, like real ones, spend each step on either. Ruled out: the old model with lower rates, which values mixed engines too high. Change: the served share is found by filling the roles in the order of their advantage, so that one role at most divides its time.

--- a/rolepolicy/capacity.go
+++ b/rolepolicy/capacity.go
@@ -127,7 +127,7 @@
 
 func (c counts) total() int { return c[prefill] + c[decode] + c[mixed] }
 
-// capacity is what a group with these roles serves.
+// capacity is what a group serves of each kind of work if it does nothing else.
 func (t *rateTable) capacity(c counts) Rates {
 	var sum Rates
 	for r := range roleCount {
@@ -137,21 +137,53 @@
 	return sum
 }
 
-// usable is the share of its rate at which an engine still answers in time;
-// above it queues grow faster than the deadlines allow.
+// usable is the share of its time that an engine can spend on answers that
+// come in time; above it queues grow faster than the deadlines allow.
 const usable = 0.9
 
+// byAdvantage orders the roles by how much better they are at prefill than at
+// decode; routing gives prefill to the first and decode to the last.
+var byAdvantage = [roleCount]roleIndex{prefill, mixed, decode}
+
 // served is the share of the demanded requests that the roles can answer in
-// time. Each request needs both its prompt and its output, so the scarcer kind
-// of capacity decides.
+// time. An engine divides its time between the two kinds of work, and each
+// request needs both. Routing fills the roles by their advantage, so that at
+// most one role has to divide its time; that role is searched for.
 func (t *rateTable) served(c counts, demand Rates) float64 {
-	have := t.capacity(c)
-	share := 1.0
-	if demand.Prefill > 0 {
-		share = min(share, usable*have.Prefill/demand.Prefill)
+	if demand.Prefill <= 0 && demand.Decode <= 0 {
+		return 1
+	}
+	// a and b are the capacity for prefill and decode as multiples of the
+	// demand, the first roles working on prefill alone.
+	a, b := 0.0, 0.0
+	for r := range roleCount {
+		b += over(usable*float64(c[r])*t[r].Decode, demand.Decode)
+	}
+	for _, r := range byAdvantage {
+		da := over(usable*float64(c[r])*t[r].Prefill, demand.Prefill)
+		db := over(usable*float64(c[r])*t[r].Decode, demand.Decode)
+		if a+da >= b-db {
+			if da+db <= 0 {
+				return min(1, a, b)
+			}
+			part := (b - a) / (da + db)
+			return min(1, a+part*da)
+		}
+		a, b = a+da, b-db
 	}
-	if demand.Decode > 0 {
-		share = min(share, usable*have.Decode/demand.Decode)
+	return min(1, a)
+}
+
+// enough stands for more capacity than any demand can use.
+const enough = 1e9
+
+// over is a capacity as a multiple of the demand.
+func over(capacity, demand float64) float64 {
+	if demand <= 0 {
+		if capacity <= 0 {
+			return 0
+		}
+		return enough
 	}
-	return share
+	return capacity / demand
 }
--- a/rolepolicy/gain.go
+++ b/rolepolicy/gain.go
@@ -153,7 +153,7 @@
 	}
 	ahead := h.forecast(s.change)
 	doubt := h.doubt()
-	s.demands = []total{ahead, skewed(ahead, 1+doubt), skewed(ahead, 1-doubt)}
+	s.demands = []total{ahead, skewed(ahead, 1+doubt), skewed(ahead, 1-doubt), less(ahead, 1-doubt)}
 	h.regime.add(s.table.ratio(ahead.Rates), now)
 	s.horizon = h.regime.remaining(now, g.c.Horizon.Seconds())
 	return s
@@ -166,6 +166,14 @@
 	return t
 }
 
+// less is the demand with all its parts times f.
+func less(t total, f float64) total {
+	t.Prefill *= f
+	t.Decode *= f
+	t.requests *= f
+	return t
+}
+
 // ratio is prefill work to decode work, in the measure of the best rates.
 func (t *rateTable) ratio(demand Rates) float64 {
 	if demand.Decode <= 0 || t[prefill].Prefill <= 0 {
