--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,275 @@
+package standin
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/upstream"
+)
+
+// EngineConfig sets up an engine.
+type EngineConfig struct {
+	Name string
+	Addr string
+	TLS  *tls.Config
+	// ClientTLS is for the engine's own calls to engines and the weight store.
+	ClientTLS *tls.Config
+	Models    []string
+	Role      upstream.Role
+	// ChecksFencing says whether orders with an old number are refused.
+	ChecksFencing bool
+	// Weights is the address of the weight store; empty means that models
+	// load in the time of a change.
+	Weights string
+	Speed   Speed
+}
+
+// Times that the scale doesn't touch.
+const (
+	// streamKeep is how long an ended stream can be taken up again.
+	streamKeep = 15 * time.Second
+	// loneliness is how long a running stream lasts with nobody reading it.
+	loneliness = 5 * time.Second
+	// kvKeep is how long exported KV cache is kept.
+	kvKeep = 30 * time.Second
+	// maxBehind bounds the time that an engine catches up with after it was
+	// late, such as after a pause of the process.
+	maxBehind = 250 * time.Millisecond
+)
+
+// maxQueued bounds an engine's queue.
+const maxQueued = 4096
+
+// Engine stands in for a model engine that batches continuously.
+type Engine struct {
+	*node
+	config EngineConfig
+	faults *switchboard[EngineFaults]
+	peers  peerClients
+	tasks  conc.WaitGroup
+	// wake rouses the loop after a change.
+	wake    chan struct{}
+	leaving leavingMark
+
+	mu        sync.Mutex
+	batch     batch
+	kv        *kvCache
+	sequences map[string]*sequence
+	past      []endedSequence // in order of their end
+	// stopped says that no task may be started any more.
+	stopped  bool
+	exports  map[string]*export
+	control  controlState
+	load     loadHistory
+	events   eventLog
+	counters EngineCounters
+	rng      *rand.Rand
+}
+
+type endedSequence struct {
+	seq *sequence
+	at  time.Time
+}
+
+// export is KV cache kept for another engine.
+type export struct {
+	seq    *sequence
+	handle upstream.KVHandle
+	until  time.Time
+}
+
+// NewEngine returns an engine that listens already.
+func NewEngine(c EngineConfig) (*Engine, error) {
+	n, err := newNode(c.Name, "engine", c.Addr, c.TLS)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{
+		node:      n,
+		config:    c,
+		faults:    newSwitchboard(newEngineFaults()),
+		peers:     peerClients{tls: c.ClientTLS},
+		wake:      make(chan struct{}, 1),
+		sequences: map[string]*sequence{},
+		exports:   map[string]*export{},
+		load:      newLoadHistory(c.Speed.scaled(c.Speed.LoadLag)),
+		rng:       rand.New(rand.NewPCG(faultSeed, modelKey(c.Name))),
+	}
+	e.kv = newKVCache(c.Speed.KVTokens, e.cacheEvent)
+	e.batch = batch{speed: c.Speed, kv: e.kv}
+	e.control = newControlState(c)
+	e.note(time.Now())
+	return e, nil
+}
+
+// cacheEvent is called with the lock held.
+func (e *Engine) cacheEvent(block uint64, stored bool) {
+	lost := e.rng.Float64() < e.config.Speed.EventLoss
+	e.events.add(time.Now(), block, stored, lost)
+}
+
+// Serve implements Part.
+func (e *Engine) Serve(ctx context.Context) error {
+	var loop conc.WaitGroup
+	loop.Go(func() { e.run(ctx) })
+	err := e.serve(ctx, e.handle)
+	loop.Wait()
+	e.stop()
+	e.tasks.Wait()
+	return err
+}
+
+func (e *Engine) stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped = true
+	e.endAll(cut)
+}
+
+// run makes steps until ctx ends. Each step ends when its time on the clock
+// has come; one that is late doesn't put off the next, so the speed is kept
+// whatever the timer's grain.
+func (e *Engine) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	due := time.Now()
+	for ctx.Err() == nil {
+		st, ok := e.nextStep()
+		if !ok {
+			e.rest(ctx)
+			due = time.Now()
+			continue
+		}
+		now := time.Now()
+		if now.Sub(due) > maxBehind {
+			due = now
+		}
+		due = due.Add(e.lasts(st))
+		if wait := due.Sub(now); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+		e.completeStep(st)
+	}
+}
+
+// lasts is how long a step takes on the clock.
+func (e *Engine) lasts(st step) time.Duration {
+	slow := max(1, e.faults.get().SlowFactor)
+	return time.Duration(float64(e.config.Speed.scaled(st.prefill+st.decode)) * slow)
+}
+
+// rest waits until there may be work.
+func (e *Engine) rest(ctx context.Context) {
+	_, changed := e.faults.watch()
+	select {
+	case <-e.wake:
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
+func (e *Engine) rouse() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) nextStep() (step, bool) {
+	if e.faults.get().Freeze {
+		return step{}, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.control.inService {
+		return step{}, false
+	}
+	role := e.control.state.Role
+	st := e.batch.plan(func(prompt, batch int) (time.Duration, time.Duration) {
+		return e.config.Speed.prefillTime(role, prompt), e.config.Speed.decodeTime(role, batch)
+	})
+	return st, !st.empty()
+}
+
+func (e *Engine) completeStep(st step) {
+	if st.poisoned {
+		e.crash(Crash{DownMillis: e.faults.get().RestartMillis})
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	done, tokens := e.batch.complete(st)
+	c := &e.counters
+	c.Steps++
+	c.Tokens += int64(tokens)
+	c.PrefillMicros += e.config.Speed.scaled(st.prefill).Microseconds()
+	c.DecodeMicros += e.config.Speed.scaled(st.decode).Microseconds()
+	for _, ch := range st.chunks {
+		c.PrefilledTokens += int64(ch.tokens)
+	}
+	for _, s := range done {
+		if s.keepKV {
+			e.keepExport(now, s)
+		}
+		c.Completed++
+		e.end(now, s, finished)
+	}
+	e.note(now)
+}
+
+// note records the load for later reports. It is called with the lock held.
+func (e *Engine) note(now time.Time) {
+	prefill, decode := e.config.Speed.rates(e.control.state.Role)
+	e.load.add(upstream.LoadReport{
+		At:              now,
+		Role:            e.control.state.Role,
+		InService:       e.control.inService,
+		Running:         len(e.batch.running),
+		Waiting:         e.batch.queue.Len(),
+		QueuedPrompt:    e.batch.queuedPrompt,
+		KVUsedTokens:    e.kv.used(),
+		KVTotalTokens:   e.kv.total,
+		PrefillPerSec:   prefill,
+		DecodePerSec:    decode,
+		MaxBatch:        e.config.Speed.MaxBatch,
+		Models:          e.control.models,
+		FencingNumber:   e.control.state.FencingNumber,
+		OrdersCompleted: e.control.completed,
+	})
+}
+
+// peerClients keeps clients for the engine's own calls.
+type peerClients struct {
+	tls     *tls.Config
+	mu      sync.Mutex
+	clients map[string]*httpx.Client
+}
+
+func (p *peerClients) to(addr string) *httpx.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[addr]
+	if c == nil {
+		c = httpx.New(addr, httpx.Options{TLS: p.tls, Timeout: loadTimeout})
+		if p.clients == nil {
+			p.clients = map[string]*httpx.Client{}
+		}
+		p.clients[addr] = c
+	}
+	return c
+}
+
+// loadTimeout bounds a load of weights and a transfer of KV cache.
+const loadTimeout = 10 * time.Minute
--- /dev/null
+++ b/internal/standin/engine_batch.go
@@ -0,0 +1,200 @@
+package standin
+
+import (
+	"container/heap"
+	"time"
+)
+
+// batch is what an engine works on: a queue in order of priority, and the
+// sequences in its running batch. It has no clock and no goroutine.
+type batch struct {
+	speed   Speed
+	kv      *kvCache
+	queue   sequenceQueue
+	running []*sequence
+	arrived uint64
+	// queuedPrompt is the prompt tokens still to be worked through, in the
+	// queue and in the batch.
+	queuedPrompt int
+}
+
+// chunk is the part of a prompt that one step works through.
+type chunk struct {
+	seq    *sequence
+	tokens int
+}
+
+// step is one round of the engine.
+type step struct {
+	chunks  []chunk
+	decodes []*sequence
+	prefill time.Duration
+	decode  time.Duration
+	// poisoned says that a sequence in it crashes the engine.
+	poisoned bool
+}
+
+func (s step) empty() bool { return len(s.chunks) == 0 && len(s.decodes) == 0 }
+
+func (b *batch) enqueue(s *sequence) {
+	b.arrived++
+	s.arrival = b.arrived
+	b.queuedPrompt += s.todo
+	heap.Push(&b.queue, s)
+}
+
+// admit moves sequences from the queue to the batch while there is room. The
+// first that finds no room holds up those behind it.
+func (b *batch) admit() {
+	for len(b.running) < b.speed.MaxBatch && b.queue.Len() > 0 {
+		s := b.queue[0]
+		hits, ok := b.kv.reserve(s.model, s.blocks, s.private)
+		if !ok {
+			return
+		}
+		heap.Pop(&b.queue)
+		b.begin(s, hits)
+	}
+}
+
+// begin puts a sequence into the batch. At least one token of its prompt has
+// to be worked through to make the first one.
+func (b *batch) begin(s *sequence, hits int) {
+	s.admitted = true
+	s.cachedTokens = min(hits*blockTokens, s.promptTokens)
+	saved := min(max(s.cachedTokens, s.importedTokens), s.todo-1)
+	s.todo -= saved
+	b.queuedPrompt -= saved
+	b.running = append(b.running, s)
+}
+
+// plan returns the next step in a role.
+func (b *batch) plan(speedOf func(prompt, batch int) (prefill, decode time.Duration)) step {
+	b.admit()
+	var st step
+	for _, s := range b.running {
+		if s.todo == 0 {
+			st.decodes = append(st.decodes, s)
+		}
+	}
+	budget := b.speed.ChunkTokens
+	if len(st.decodes) == 0 {
+		budget = b.speed.AloneTokens
+	}
+	prompt := 0
+	for _, s := range b.running {
+		n := min(s.todo, budget-prompt)
+		if n <= 0 {
+			continue
+		}
+		prompt += n
+		st.chunks = append(st.chunks, chunk{seq: s, tokens: n})
+		st.poisoned = st.poisoned || s.poisoned
+	}
+	st.prefill, st.decode = speedOf(prompt, len(st.decodes))
+	return st
+}
+
+// complete carries out a step and returns the sequences that it finished.
+func (b *batch) complete(st step) (done []*sequence, tokens int) {
+	for _, c := range st.chunks {
+		if !c.seq.admitted {
+			continue
+		}
+		c.seq.todo -= c.tokens
+		b.queuedPrompt -= c.tokens
+		if c.seq.todo > 0 {
+			continue
+		}
+		if c.seq.keepKV {
+			b.leave(c.seq)
+			done = append(done, c.seq)
+			continue
+		}
+		st.decodes = append(st.decodes, c.seq)
+	}
+	for _, s := range st.decodes {
+		if !s.admitted {
+			continue
+		}
+		tokens++
+		if s.produce() {
+			b.leave(s)
+			b.free(s)
+			done = append(done, s)
+		}
+	}
+	return done, tokens
+}
+
+// drop takes a sequence out, wherever it is.
+func (b *batch) drop(s *sequence) {
+	if s.admitted {
+		b.queuedPrompt -= s.todo
+		b.leave(s)
+		b.free(s)
+		return
+	}
+	for i, q := range b.queue {
+		if q == s {
+			b.queuedPrompt -= s.todo
+			heap.Remove(&b.queue, i)
+			return
+		}
+	}
+}
+
+func (b *batch) leave(s *sequence) {
+	s.admitted = false
+	for i, r := range b.running {
+		if r == s {
+			b.running = append(b.running[:i], b.running[i+1:]...)
+			return
+		}
+	}
+}
+
+// free gives back a sequence's KV memory. Blocks that weren't worked through
+// hold nothing.
+func (b *batch) free(s *sequence) {
+	computed := len(s.blocks)
+	if s.todo > 0 {
+		through := max(0, s.promptTokens-s.todo)
+		computed = min(computed, through/blockTokens)
+	}
+	b.kv.release(s.model, s.blocks, computed, s.private)
+}
+
+// empty forgets everything.
+func (b *batch) empty() {
+	b.queue = nil
+	b.running = nil
+	b.queuedPrompt = 0
+}
+
+// sequenceQueue is a heap: higher priority first, then earlier arrival.
+type sequenceQueue []*sequence
+
+func (q sequenceQueue) Len() int { return len(q) }
+
+func (q sequenceQueue) Less(i, j int) bool {
+	if q[i].priority != q[j].priority {
+		return q[i].priority > q[j].priority
+	}
+	return q[i].arrival < q[j].arrival
+}
+
+func (q sequenceQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *sequenceQueue) Push(x any) { *q = append(*q, x.(*sequence)) }
+
+// Pop implements heap.Interface.
+func (q *sequenceQueue) Pop() any {
+	old := *q
+	n := len(old) - 1
+	s := old[n]
+	old[n] = nil
+	*q = old[:n]
+	return s
+}
--- /dev/null
+++ b/internal/standin/engine_control.go
@@ -0,0 +1,259 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/upstream"
+)
+
+// adapterShare is how long an adapter loads, as a share of a role change. The
+// engine stays in service meanwhile.
+const adapterShare = 0.2
+
+// controlState is what orders change.
+type controlState struct {
+	checksFencing bool
+	state         upstream.EngineState
+	models        []string
+	inService     bool
+	completed     uint64
+	// highest is the highest fencing number ever seen. An engine that doesn't
+	// check neither reports nor uses it; it is there to count what such an
+	// engine lets through.
+	highest uint64
+	// epoch changes with each change and crash, so that the end of a change
+	// which a crash has overtaken is ignored.
+	epoch int
+}
+
+func newControlState(c EngineConfig) controlState {
+	role := c.Role
+	if role == "" {
+		role = upstream.RoleMixed
+	}
+	st := upstream.EngineState{Role: role, Version: firstVersion, Incarnation: uuid.NewString()}
+	if len(c.Models) > 0 {
+		st.Model = c.Models[0]
+	}
+	return controlState{
+		checksFencing: c.ChecksFencing,
+		state:         st,
+		models:        slices.Clone(c.Models),
+		inService:     true,
+	}
+}
+
+// restart brings the engine back as it was before any change under way.
+func (c *controlState) restart(forgetFence bool) {
+	c.epoch++
+	c.state.Busy = false
+	c.state.LastOrder = ""
+	c.state.Incarnation = uuid.NewString()
+	c.inService = true
+	if forgetFence {
+		c.state.FencingNumber = 0
+	}
+}
+
+// raise notes a fencing number and reports whether it is outdated.
+func (c *controlState) raise(fence uint64) (outdated bool) {
+	outdated = fence < c.highest
+	c.highest = max(c.highest, fence)
+	if c.checksFencing {
+		outdated = fence < c.state.FencingNumber
+		c.state.FencingNumber = max(c.state.FencingNumber, fence)
+	}
+	return outdated
+}
+
+// satisfied reports whether an order asks for what is there already.
+func (c *controlState) satisfied(o upstream.Order) bool {
+	switch o.Kind {
+	case upstream.OrderRole:
+		return o.Role == c.state.Role
+	case upstream.OrderModel:
+		return o.Model == c.state.Model && o.Version == c.state.Version
+	case upstream.OrderAdapter:
+		return o.Adapter == c.state.Adapter
+	default:
+		return true
+	}
+}
+
+// apply makes a change true.
+func (c *controlState) apply(o upstream.Order) {
+	switch o.Kind {
+	case upstream.OrderRole:
+		c.state.Role = o.Role
+	case upstream.OrderModel:
+		c.loadModel(o.Model)
+		c.state.Model, c.state.Version = o.Model, o.Version
+	case upstream.OrderAdapter:
+		c.state.Adapter = o.Adapter
+	}
+}
+
+// loadModel puts a model in the place of the one that orders last named,
+// unless it is loaded already.
+func (c *controlState) loadModel(model string) {
+	if slices.Contains(c.models, model) {
+		return
+	}
+	next := slices.Clone(c.models)
+	if i := slices.Index(next, c.state.Model); i >= 0 {
+		next[i] = model
+	} else {
+		next = append(next, model)
+	}
+	c.models = next
+}
+
+var errUnknownOrder = errors.New("order is not understood")
+
+func validOrder(o upstream.Order) bool {
+	switch o.Kind {
+	case upstream.OrderRole:
+		_, known := efficiencies[o.Role]
+		return known
+	case upstream.OrderModel:
+		return o.Model != ""
+	case upstream.OrderAdapter, upstream.OrderFence:
+		return true
+	default:
+		return false
+	}
+}
+
+// order takes an order. It returns upstream.ErrFenced, upstream.ErrBusy or
+// errUnknownOrder if it doesn't.
+func (e *Engine) order(o upstream.Order) error {
+	if !validOrder(o) {
+		return errUnknownOrder
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counters.Orders++
+	if e.control.raise(o.Fence) {
+		if e.control.checksFencing {
+			e.counters.FencedOrders++
+			return upstream.ErrFenced
+		}
+		e.counters.OutdatedOrdersTaken++
+	}
+	switch {
+	case o.Kind == upstream.OrderFence:
+		return nil
+	case o.ID != "" && o.ID == e.control.state.LastOrder:
+		e.counters.RepeatedOrders++
+		return nil
+	case e.control.state.Busy, e.stopped:
+		e.counters.ConflictingOrders++
+		return upstream.ErrBusy
+	}
+	e.control.state.LastOrder = o.ID
+	if e.control.satisfied(o) {
+		e.control.completed++
+		return nil
+	}
+	e.begin(o)
+	return nil
+}
+
+// begin starts a change. It is called with the lock held.
+func (e *Engine) begin(o upstream.Order) {
+	e.control.epoch++
+	e.control.state.Busy = true
+	epoch := e.control.epoch
+	if o.Kind != upstream.OrderAdapter {
+		e.control.inService = false
+		e.counters.CutByOrder += int64(e.endAll(cut))
+		e.kv.clear(true)
+	}
+	e.note(time.Now())
+	e.tasks.Go(func() { e.change(o, epoch) })
+}
+
+// change carries an order out.
+func (e *Engine) change(o upstream.Order, epoch int) {
+	begun := time.Now()
+	took := e.config.Speed.scaled(e.config.Speed.Change)
+	if o.Kind == upstream.OrderAdapter {
+		took = time.Duration(float64(took) * adapterShare)
+	}
+	if e.faults.take(func(f *EngineFaults) *Dose { return &f.CrashInChange }) {
+		e.pause(took / 2)
+		e.crash(Crash{DownMillis: e.faults.get().RestartMillis})
+		return
+	}
+	ok := true
+	if o.Kind == upstream.OrderModel && e.config.Weights != "" {
+		ok = e.loadWeights(o)
+	} else {
+		e.pause(took)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.control.epoch != epoch {
+		return
+	}
+	e.finishChange(o, ok)
+	e.counters.ChangeMillis += time.Since(begun).Milliseconds()
+}
+
+// finishChange is called with the lock held.
+func (e *Engine) finishChange(o upstream.Order, ok bool) {
+	e.control.state.Busy = false
+	e.control.inService = true
+	if ok {
+		e.control.apply(o)
+		e.control.completed++
+		if o.Kind == upstream.OrderRole {
+			e.counters.RoleChanges++
+		}
+	} else {
+		e.control.state.LastOrder = ""
+		e.counters.FailedOrders++
+	}
+	e.note(time.Now())
+	e.rouse()
+}
+
+func (e *Engine) loadWeights(o upstream.Order) bool {
+	ctx, cancel := e.untilEnd()
+	defer cancel()
+	load := WeightLoad{Model: o.Model, Version: o.Version, Engine: e.name}
+	_, err := httpx.CallJSON[WeightLoad, WeightLoaded](
+		ctx, e.peers.to(e.config.Weights), fasthttp.MethodPost, PathWeightLoad, load)
+	return err == nil
+}
+
+// untilEnd returns a context that ends with the engine.
+func (e *Engine) untilEnd() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var watch conc.WaitGroup
+	watch.Go(func() {
+		select {
+		case <-e.ended:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	return ctx, cancel
+}
+
+// State returns the engine's state as its control side reports it.
+func (e *Engine) State() upstream.EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	st := e.control.state
+	st.Running = len(e.batch.running) + e.batch.queue.Len()
+	return st
+}
--- /dev/null
+++ b/internal/standin/engine_http.go
@@ -0,0 +1,267 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tamarackchute/internal/adapters/engineclient"
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/upstream"
+)
+
+const contentLines = "application/x-ndjson"
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	if admin(e, ctx) || cutOff(e.node, e.faults, ctx) {
+		return
+	}
+	if !e.thawed("") {
+		hangUp(ctx)
+		return
+	}
+	path := string(ctx.Path())
+	switch {
+	case path == engineclient.PathGenerate:
+		e.handleGenerate(ctx)
+	case path == engineclient.PathPrefill:
+		e.handlePrefill(ctx)
+	case strings.HasPrefix(path, engineclient.PathStreams):
+		e.handleStream(ctx, strings.TrimPrefix(path, engineclient.PathStreams))
+	case strings.HasPrefix(path, engineclient.PathKV):
+		e.handleKV(ctx, strings.TrimPrefix(path, engineclient.PathKV))
+	case path == engineclient.PathLoad:
+		e.handleLoad(ctx)
+	case path == engineclient.PathCacheEvents:
+		e.handleCacheEvents(ctx)
+	case path == engineclient.PathOrder:
+		e.handleOrder(ctx)
+	case path == engineclient.PathState:
+		replyJSON(ctx, e.State())
+	default:
+		ctx.NotFound()
+	}
+}
+
+// thawed waits while the engine is frozen or a sender is partitioned from it;
+// it reports false once the engine has ended.
+func (e *Engine) thawed(sender string) bool {
+	f, changed := e.faults.watch()
+	for f.Freeze || f.of(sender) == OutageHang {
+		if !e.await(changed) {
+			return false
+		}
+		f, changed = e.faults.watch()
+	}
+	return true
+}
+
+func (e *Engine) handleGenerate(ctx *fasthttp.RequestCtx) {
+	s := e.submitted(ctx, false)
+	if s == nil {
+		return
+	}
+	r := s.open()
+	if e.faults.take(func(f *EngineFaults) *Dose { return &f.CloseGenerate }) {
+		r.left = e.readerLeft
+		_ = r.Close()
+		hangUp(ctx)
+		return
+	}
+	if e.faults.take(func(f *EngineFaults) *Dose { return &f.BreakStream }) {
+		r.breakAt = s.first + e.faults.get().BreakAt
+	}
+	attempt := s.id
+	if e.faults.take(func(f *EngineFaults) *Dose { return &f.CrossAnswers }) {
+		attempt = "crossed-" + attempt
+	}
+	e.stream(ctx, r, attempt)
+}
+
+// submitted takes a request in, or answers why not and returns nil.
+func (e *Engine) submitted(ctx *fasthttp.RequestCtx, keepKV bool) *sequence {
+	var m engineclient.GenerateMessage
+	if err := json.Unmarshal(ctx.PostBody(), &m); err != nil || m.AttemptID == "" {
+		ctx.Error("request can't be read", fasthttp.StatusBadRequest)
+		return nil
+	}
+	if e.faults.take(func(f *EngineFaults) *Dose { return &f.Refuse }) {
+		refuse(ctx, fasthttp.StatusServiceUnavailable, "engine takes no work")
+		return nil
+	}
+	s, err := e.submit(m, keepKV)
+	switch {
+	case err == nil:
+		return s
+	case errors.Is(err, errOutOfService), errors.Is(err, errNoModel):
+		refuse(ctx, fasthttp.StatusServiceUnavailable, err.Error())
+	case errors.Is(err, errQueueFull):
+		refuse(ctx, fasthttp.StatusTooManyRequests, err.Error())
+	case errors.Is(err, errDuplicate):
+		ctx.Error(err.Error(), fasthttp.StatusConflict)
+	default:
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	}
+	return nil
+}
+
+func (e *Engine) stream(ctx *fasthttp.RequestCtx, r *tokenReader, attempt string) {
+	sender := string(ctx.Request.Header.Peek(httpx.HeaderSender))
+	r.gate = func() bool { return e.thawed(sender) }
+	r.left = e.readerLeft
+	ctx.SetContentType(contentLines)
+	ctx.Response.Header.Set(httpx.HeaderAttempt, attempt)
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.SetBodyStream(r, -1)
+}
+
+func (e *Engine) handlePrefill(ctx *fasthttp.RequestCtx) {
+	s := e.submitted(ctx, true)
+	if s == nil {
+		return
+	}
+	select {
+	case <-s.done:
+	case <-e.ended:
+	}
+	handle, ok := e.exportOf(s)
+	if !ok {
+		hangUp(ctx)
+		return
+	}
+	replyJSON(ctx, handle)
+}
+
+func (e *Engine) handleStream(ctx *fasthttp.RequestCtx, id string) {
+	if ctx.IsDelete() {
+		e.cancel(id)
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+		return
+	}
+	r := e.resume(id, ctx.QueryArgs().GetUintOrZero("from"))
+	if r == nil {
+		ctx.Error("stream is not known", fasthttp.StatusGone)
+		return
+	}
+	e.stream(ctx, r, id)
+}
+
+func (e *Engine) resume(id string, from int) *tokenReader {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var r *tokenReader
+	if s := e.sequences[id]; s != nil {
+		r = s.resume(from)
+	}
+	if r == nil {
+		e.counters.ResumeGone++
+		return nil
+	}
+	e.counters.Resumed++
+	return r
+}
+
+func (e *Engine) handleKV(ctx *fasthttp.RequestCtx, id string) {
+	if e.faults.take(func(f *EngineFaults) *Dose { return &f.FailExports }) {
+		ctx.Error("export failed", fasthttp.StatusInternalServerError)
+		return
+	}
+	handle, ok := e.takeExport(id)
+	if !ok {
+		ctx.Error("no such KV cache", fasthttp.StatusGone)
+		return
+	}
+	e.count(func(c *EngineCounters) { c.KVExports++ })
+	replyJSON(ctx, handle)
+}
+
+func (e *Engine) handleLoad(ctx *fasthttp.RequestCtx) {
+	if e.faults.get().SilentLoad {
+		ctx.Error("no load report", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	e.mu.Lock()
+	r := e.load.at(time.Now())
+	e.mu.Unlock()
+	replyJSON(ctx, r)
+}
+
+func (e *Engine) handleCacheEvents(ctx *fasthttp.RequestCtx) {
+	after, err := uintArg(ctx, "after")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	before := time.Now().Add(-e.config.Speed.scaled(e.config.Speed.EventLag))
+	e.mu.Lock()
+	events := e.events.after(after, before)
+	e.mu.Unlock()
+	replyJSON(ctx, engineclient.CacheEventsReply{Events: events})
+}
+
+func (e *Engine) handleOrder(ctx *fasthttp.RequestCtx) {
+	var o upstream.Order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if e.faults.take(func(f *EngineFaults) *Dose { return &f.LateOrder }) {
+		delay := time.Duration(e.faults.get().LateOrderMillis) * time.Millisecond
+		time.AfterFunc(delay, func() { _ = e.order(o) })
+		hangUp(ctx)
+		return
+	}
+	err := e.order(o)
+	if e.faults.take(func(f *EngineFaults) *Dose { return &f.LoseOrderReply }) {
+		hangUp(ctx)
+		return
+	}
+	switch {
+	case err == nil:
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+	case errors.Is(err, upstream.ErrFenced):
+		ctx.Error(err.Error(), engineclient.StatusFenced)
+	case errors.Is(err, upstream.ErrBusy):
+		ctx.Error(err.Error(), engineclient.StatusBusy)
+	default:
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	}
+}
+
+func (e *Engine) count(add func(*EngineCounters)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	add(&e.counters)
+}
+
+// SetLeaving tells the engine whether the list shows it as leaving.
+func (e *Engine) SetLeaving(leaving bool) { e.leaving.set(time.Now(), leaving) }
+
+// Counters returns the counters.
+func (e *Engine) Counters() EngineCounters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counters
+}
+
+// CountersJSON implements Part.
+func (e *Engine) CountersJSON() []byte { return encode(e.Counters()) }
+
+// FaultsJSON implements Part.
+func (e *Engine) FaultsJSON() []byte { return encode(e.faults.get()) }
+
+// SetFaults implements Part.
+func (e *Engine) SetFaults(doc []byte) error {
+	if err := e.faults.merge(doc); err != nil {
+		return err
+	}
+	f := e.faults.get()
+	if f.Crash != nil {
+		e.faults.set(func(f *EngineFaults) { f.Crash = nil })
+		e.crash(*f.Crash)
+	}
+	return nil
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -8,10 +8,13 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
 	"github.com/valyala/fasthttp"
 
 	"tamarackchute/internal/adapters/httpx"
@@ -52,7 +55,7 @@
 	gate       *gate
 	tls        *tls.Config
 	server     *fasthttp.Server
-	// up is closed when the part ends.
+	// ended is closed when the part ends.
 	ended chan struct{}
 }
 
@@ -96,7 +99,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	return err
+	return eris.Wrapf(errors.Join(err, suture.ErrTerminateSupervisorTree), "stand-in %s", n.name)
 }
 
 // silent drops the server's log lines: a crashed part breaks connections on
@@ -206,3 +209,9 @@
 	case <-n.ended:
 	}
 }
+
+func uintArg(ctx *fasthttp.RequestCtx, name string) (uint64, error) {
+	return strconv.ParseUint(string(ctx.QueryArgs().Peek(name)), 10, 64)
+}
+
+func (n *node) closeGate() { _ = n.gate.Close() }
--- /dev/null
+++ b/internal/standin/set.go
@@ -0,0 +1,254 @@
+package standin
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"tamarackchute/internal/settings"
+	"tamarackchute/platform"
+	"tamarackchute/upstream"
+)
+
+// NamePlatform stands for the log, the list and the weight store.
+const NamePlatform = "platform"
+
+// Config sets up the stand-ins of a deployment.
+type Config struct {
+	Deployment *settings.Deployment
+	// Only names the parts to run: NamePlatform and names of upstreams. Empty
+	// means all.
+	Only []string
+	// Control is the address of the page for all parts; empty for none.
+	Control string
+	// TLS is for listening, ClientTLS for calls between parts; nil for plain
+	// TCP.
+	TLS, ClientTLS *tls.Config
+	// LogAppendsPerSecond is the log's limit over all writers.
+	LogAppendsPerSecond float64
+	// Retention is how long the log keeps a record; 0 means what the settings
+	// say.
+	Retention time.Duration
+	// ListLag is how far the list of instances is behind.
+	ListLag time.Duration
+	// ServiceLatency is how long a call to a plain service runs.
+	ServiceLatency time.Duration
+	// WeightBytes is the size of each version of a model.
+	WeightBytes int64
+	Speed       Speed
+}
+
+// Defaults of Config.
+const (
+	DefaultLogAppendsPerSecond = 300
+	DefaultListLag             = 2 * time.Second
+	DefaultServiceLatency      = 5 * time.Millisecond
+	DefaultWeightBytes         = 16 << 30
+)
+
+// The versions of each model; engines start with the first.
+const (
+	firstVersion  = "v1"
+	secondVersion = "v2"
+)
+
+// leaver is a part that wants to know whether the list shows it as leaving.
+type leaver interface {
+	Part
+	SetLeaving(leaving bool)
+}
+
+// Set is the stand-ins of a deployment.
+type Set struct {
+	parts   []Part
+	leavers []leaver
+	control *Control
+	ledger  *Ledger
+}
+
+// NewSet makes the stand-ins; they listen already.
+func NewSet(c Config) (*Set, error) {
+	s := &Set{ledger: NewLedger()}
+	err := s.build(c)
+	if err != nil {
+		s.closeAll()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Set) build(c Config) error {
+	if err := unknownNames(c); err != nil {
+		return err
+	}
+	if c.wants(NamePlatform) {
+		if err := s.buildPlatform(c); err != nil {
+			return err
+		}
+	}
+	for _, u := range c.Deployment.Upstreams {
+		if !c.wants(u.Name) {
+			continue
+		}
+		if err := s.buildUpstream(c, u); err != nil {
+			return err
+		}
+	}
+	if c.Control == "" {
+		return nil
+	}
+	control, err := NewControl(c.Control, c.TLS, s.parts)
+	s.control = control
+	return err
+}
+
+func (c Config) wants(name string) bool {
+	return len(c.Only) == 0 || slices.Contains(c.Only, name)
+}
+
+func unknownNames(c Config) error {
+	for _, name := range c.Only {
+		known := name == NamePlatform || slices.ContainsFunc(c.Deployment.Upstreams,
+			func(u settings.Upstream) bool { return u.Name == name })
+		if !known {
+			return eris.Errorf("no stand-in is called %q", name)
+		}
+	}
+	return nil
+}
+
+func (s *Set) buildPlatform(c Config) error {
+	p := c.Deployment.Platform
+	retention := c.Retention
+	if retention <= 0 {
+		retention = time.Duration(p.RetentionSeconds * float64(time.Second))
+	}
+	log, err := NewLog(LogConfig{
+		Addr: p.Log, TLS: c.TLS, AppendsPerSecond: c.LogAppendsPerSecond, Retention: retention,
+	})
+	if err != nil {
+		return err
+	}
+	s.parts = append(s.parts, log)
+	list, err := NewList(ListConfig{
+		Addr: p.Instances, TLS: c.TLS, Lag: c.ListLag, Rows: rows(c.Deployment), OnLeaving: s.onLeaving,
+	})
+	if err != nil {
+		return err
+	}
+	s.parts = append(s.parts, list)
+	weights, err := NewWeights(WeightsConfig{
+		Addr: p.Weights, TLS: c.TLS, BytesPerSecond: p.WeightBytesPerSecond, Versions: versions(c),
+	})
+	if err != nil {
+		return err
+	}
+	s.parts = append(s.parts, weights)
+	return nil
+}
+
+func (s *Set) buildUpstream(c Config, u settings.Upstream) error {
+	var part leaver
+	var err error
+	if u.Kind == settings.KindEngine {
+		part, err = NewEngine(EngineConfig{
+			Name:          u.Name,
+			Addr:          u.Address,
+			TLS:           c.TLS,
+			ClientTLS:     c.ClientTLS,
+			Models:        u.Models,
+			Role:          upstream.Role(u.Role),
+			ChecksFencing: u.Fencing != settings.FencingNone,
+			Weights:       c.Deployment.Platform.Weights,
+			Speed:         c.Speed,
+		})
+	} else {
+		part, err = NewService(ServiceConfig{
+			Name: u.Name, Addr: u.Address, TLS: c.TLS, Latency: c.ServiceLatency, Ledger: s.ledger,
+		})
+	}
+	if err != nil {
+		return err
+	}
+	s.parts = append(s.parts, part)
+	s.leavers = append(s.leavers, part)
+	return nil
+}
+
+func rows(d *settings.Deployment) []platform.Instance {
+	var out []platform.Instance
+	for _, i := range d.Instances {
+		out = append(out, platform.Instance{Name: i.Name, Kind: platform.KindEntry, DataCentre: i.DataCentre})
+	}
+	for _, u := range d.Upstreams {
+		kind := platform.KindService
+		if u.Kind == settings.KindEngine {
+			kind = platform.KindEngine
+		}
+		out = append(out, platform.Instance{Name: u.Name, Kind: kind, DataCentre: u.DataCentre})
+	}
+	return out
+}
+
+// versions gives each model of the deployment two versions.
+func versions(c Config) []platform.WeightVersion {
+	var out []platform.WeightVersion
+	seen := map[string]bool{}
+	for _, u := range c.Deployment.Upstreams {
+		for _, m := range u.Models {
+			if seen[m] {
+				continue
+			}
+			seen[m] = true
+			for _, v := range []string{firstVersion, secondVersion} {
+				out = append(out, platform.WeightVersion{Model: m, Version: v, Bytes: c.WeightBytes})
+			}
+		}
+	}
+	return out
+}
+
+func (s *Set) onLeaving(names []string) {
+	for _, p := range s.leavers {
+		p.SetLeaving(slices.Contains(names, p.Name()))
+	}
+}
+
+// Parts returns the parts.
+func (s *Set) Parts() []Part { return s.parts }
+
+// ControlAddr returns the address of the control page, or "".
+func (s *Set) ControlAddr() string {
+	if s.control == nil {
+		return ""
+	}
+	return s.control.Addr()
+}
+
+// Serve runs all parts until ctx ends.
+func (s *Set) Serve(ctx context.Context) error {
+	sup := suture.New("standin", suture.Spec{EventHook: func(e suture.Event) {
+		slog.Error("stand-in", "event", e.String())
+	}})
+	for _, p := range s.parts {
+		sup.Add(p)
+	}
+	if s.control != nil {
+		sup.Add(s.control)
+	}
+	return sup.Serve(ctx)
+}
+
+// closeAll closes what listens, after a failure to make the rest.
+func (s *Set) closeAll() {
+	for _, p := range s.parts {
+		if g, ok := p.(interface{ closeGate() }); ok {
+			g.closeGate()
+		}
+	}
+}
