--- /dev/null
+++ b/claim/call.go
@@ -0,0 +1,250 @@
+package claim
+
+import (
+	"time"
+
+	"tamarackchute/journal"
+)
+
+// callState says how far a call has come.
+type callState uint8
+
+const (
+	stateClaiming callState = iota
+	stateWon
+	stateDispatching
+	stateWaiting
+)
+
+// call is one request for a protected call.
+type call struct {
+	id     CallID
+	key    Key
+	digest uint64
+	state  callState
+	// attempt is the claim under way or won, claimSent when it was handed over
+	// for the log, claims how many there were.
+	attempt   AttemptID
+	claimSent time.Time
+	claims    int
+}
+
+// Step is what the runtime does next for a call: ClaimStep, DispatchStep,
+// WaitStep or AnswerStep.
+type Step interface{ isStep() }
+
+// ClaimStep asks for an append, bounded by ClaimTimeout, and then for Claimed.
+type ClaimStep struct{ Entry journal.Entry }
+
+// DispatchStep asks for Confirm, then for the dispatch, then for Dispatched.
+type DispatchStep struct{}
+
+// WaitStep asks for Resume when the call has Changed or at the latest at Until.
+type WaitStep struct{ Until time.Time }
+
+// AnswerStep ends the call.
+type AnswerStep struct{ Result Result }
+
+func (ClaimStep) isStep()    {}
+func (DispatchStep) isStep() {}
+func (WaitStep) isStep()     {}
+func (AnswerStep) isStep()   {}
+
+// AppendResult says what became of a claim's append.
+type AppendResult uint8
+
+// The results of an append.
+const (
+	// Appended: the record is in the log and was folded.
+	Appended AppendResult = iota
+	// NotAppended: it is not there and never will be.
+	NotAppended
+	// AppendUnclear: it may be there, or may still arrive.
+	AppendUnclear
+)
+
+// Start begins a call.
+func (c *Core) Start(env Env, key Key, digest uint64) (CallID, Step) {
+	c.lastID++
+	k := &call{id: c.lastID, key: key, digest: digest}
+	c.calls[k.id] = k
+	return k.id, c.decide(env, k)
+}
+
+// Resume goes on with a waiting call. If its time is up it is answered.
+func (c *Core) Resume(env Env, id CallID, timeUp bool) Step {
+	k := c.calls[id]
+	step := c.decide(env, k)
+	if _, waits := step.(WaitStep); waits && timeUp {
+		if _, own := c.latched[c.ledger.live[k.key.ID].attempt]; own {
+			return c.notRun(k, ReasonClaimUnclear, ScopeRequest)
+		}
+		return c.answer(k, MayHaveRun{ReasonRunning})
+	}
+	if _, claims := step.(ClaimStep); claims && timeUp {
+		return c.notRun(k, ReasonCallerGone, ScopeRequest)
+	}
+	return step
+}
+
+// decide looks at what is known of the key.
+func (c *Core) decide(env Env, k *call) Step {
+	v := c.view(k.key)
+	_, withdrawn := c.latched[v.holder.attempt]
+	if v.phase != phaseFree && v.digest != k.digest && !withdrawn {
+		return c.answer(k, KeyReused{})
+	}
+	switch v.phase {
+	case phaseDone:
+		return c.answer(k, replay(v))
+	case phaseBrokenOff:
+		return c.answer(k, MayHaveRun{ReasonBrokenOff})
+	case phaseClaimed:
+		return c.await(env, k, v, withdrawn)
+	default:
+		return c.claim(env, k, v)
+	}
+}
+
+func replay(v view) Done {
+	if v.answer == nil {
+		return Done{Recorded: Recorded{Status: int(v.status)}, Replayed: true}
+	}
+	return Done{Recorded: v.answer.recorded(), Replayed: true, AnswerKept: v.answer.Kept}
+}
+
+// await deals with a claim that stands. If it is this process's own, given up
+// and to be withdrawn, no run can come of it.
+func (c *Core) await(env Env, k *call, v view, withdrawn bool) Step {
+	c.withdraw(k.key.ID, v.holder.attempt)
+	if withdrawn && !env.LogUp {
+		return c.notRun(k, ReasonLogDown, ScopeRequest)
+	}
+	left := c.cfg.staleAfter() - c.ledger.age(v.holder, env.Now)
+	if withdrawn {
+		left = c.cfg.ClaimTimeout
+	}
+	if left <= 0 {
+		return c.answer(k, MayHaveRun{ReasonNoOutcome})
+	}
+	k.state = stateWaiting
+	return WaitStep{Until: env.Now.Add(left)}
+}
+
+// claim asks for the right to run a free key.
+func (c *Core) claim(env Env, k *call, v view) Step {
+	switch {
+	case k.key.Timed() && c.ledger.tooOld(k.key.Made):
+		return c.answer(k, KeyTooOld{})
+	case k.claims > 0 && k.key.Made.After(c.ledger.now.Add(c.cfg.KeySkew)):
+		return c.notRun(k, ReasonKeyFromFuture, ScopeRequest)
+	case !v.exact:
+		return c.notRun(k, ReasonHistoryUnknown, ScopeRequest)
+	case !env.LogUp:
+		return c.notRun(k, ReasonLogDown, ScopeRequest)
+	case c.ledger.Len() >= c.cfg.MaxKeys || len(c.latched) >= maxLatched:
+		return c.notRun(k, ReasonTooManyKeys, ScopeRequest)
+	case k.claims >= maxClaims:
+		return c.notRun(k, ReasonContended, ScopeRequest)
+	}
+	k.claims++
+	k.state = stateClaiming
+	k.attempt = c.NewAttempt()
+	// Counted from before the append: a pause in between makes the claim look
+	// older, never younger.
+	k.claimSent = env.Now
+	m := claimed{Key: k.key.ID, Attempt: k.attempt, Digest: k.digest}
+	if k.key.Timed() {
+		m.MadeMillis = k.key.Made.UnixMilli()
+	}
+	return ClaimStep{Entry: m.entry()}
+}
+
+// Claimed goes on when a claim's append has ended.
+func (c *Core) Claimed(env Env, id CallID, r AppendResult) Step {
+	k := c.calls[id]
+	v := c.view(k.key)
+	won := v.phase == phaseClaimed && v.holder.attempt == k.attempt
+	switch {
+	case won && v.exact:
+		// Also when the reply was lost: reading has settled it.
+		k.state = stateWon
+		return DispatchStep{}
+	case r == Appended && v.exact:
+		// Decided against: somebody else has the key, or it is out of time.
+		return c.decide(env, k)
+	case r != NotAppended:
+		// The reply was lost, or what was read can't be trusted. The claim may
+		// win by the others' books, now or later, so it is never dispatched.
+		c.latch(env, k.key.ID, k.attempt)
+	}
+	if v.phase != phaseFree && !won {
+		return c.decide(env, k)
+	}
+	if r == NotAppended {
+		return c.notRun(k, ReasonLogDown, ScopeRequest)
+	}
+	return c.notRun(k, ReasonClaimUnclear, ScopeRequest)
+}
+
+// Confirm is the last look before the dispatch. It returns nil if the call may
+// be dispatched, else its answer. The claim is exclusive, so a pause before or
+// after this look lets nobody else run; the bound on the claim's age keeps it
+// far below the time after which the claim is forgotten.
+func (c *Core) Confirm(env Env, id CallID, timeUp bool) Step {
+	k := c.calls[id]
+	reason := ReasonPaused
+	if timeUp {
+		reason = ReasonCallerGone
+	}
+	if timeUp || env.Now.Sub(k.claimSent) > c.cfg.MaxClaimAge {
+		c.latch(env, k.key.ID, k.attempt)
+		return c.notRun(k, reason, ScopeKey)
+	}
+	k.state = stateDispatching
+	return nil
+}
+
+// Dispatched ends a call whose dispatch has returned.
+func (c *Core) Dispatched(env Env, id CallID, r Recorded, e DispatchError) Step {
+	k := c.calls[id]
+	switch e {
+	case DispatchNotRun:
+		c.latch(env, k.key.ID, k.attempt)
+		return c.notRun(k, ReasonUpstream, ScopeKey)
+	case DispatchAnswered:
+		m := newOutcome(k.key.ID, k.attempt, k.digest, r, c.cfg.MaxRecordedBytes)
+		c.record(k, m.entry(), row{digest: k.digest, status: m.Status, phase: phaseDone}, &m)
+		return c.answer(k, Done{Recorded: r, AnswerKept: true})
+	default:
+		m := brokenOff{Key: k.key.ID, Attempt: k.attempt, Digest: k.digest}
+		c.record(k, m.entry(), row{digest: k.digest, phase: phaseBrokenOff}, nil)
+		return c.answer(k, MayHaveRun{ReasonBrokenOff})
+	}
+}
+
+// record notes a run's outcome here, and for the log.
+func (c *Core) record(k *call, e journal.Entry, r row, answer *outcome) {
+	c.local[k.key.ID] = &localOutcome{attempt: k.attempt, row: r, answer: answer}
+	c.outbox = append(c.outbox, Message{Entry: e, key: k.key.ID, attempt: k.attempt})
+	c.notify(k.key.ID)
+}
+
+// view is the ledger's, with the outcomes of this process on top.
+func (c *Core) view(key Key) view {
+	v := c.ledger.view(key)
+	if l, ok := c.local[key.ID]; ok && v.phase != phaseDone {
+		v.row, v.answer = l.row, l.answer
+	}
+	return v
+}
+
+func (c *Core) notRun(k *call, reason NotRunReason, scope Scope) Step {
+	return c.answer(k, NotRun{Reason: reason, Scope: scope, RetryAfter: c.cfg.RetryAfter})
+}
+
+func (c *Core) answer(k *call, r Result) Step {
+	delete(c.calls, k.id)
+	delete(c.changed, k.id)
+	return AnswerStep{Result: r}
+}
--- /dev/null
+++ b/claim/checkpoint.go
@@ -0,0 +1,243 @@
+package claim
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tamarackchute/journal"
+	"tamarackchute/platform"
+)
+
+// maxTail bounds the entries kept behind a gap until a checkpoint closes it.
+const maxTail = 200_000
+
+// maxSets bounds the checkpoints that are collected at once.
+const maxSets = 8
+
+// checkpointBytes is about the size of a checkpoint's part.
+const checkpointBytes = 32 << 10
+
+// gap is what a ledger keeps from the moment that records expired unread until
+// a checkpoint tells what they said. The checkpoint must cover all that
+// expired; the entries behind it are then folded again, on top of it.
+type gap struct {
+	oldest platform.Offset
+	// since is the log's time of the first entry read behind the gap.
+	since time.Time
+	tail  []event
+	sets  map[AttemptID]*checkpointSet
+	order []AttemptID
+}
+
+// checkpointSet collects the parts of one checkpoint.
+type checkpointSet struct {
+	upTo  journal.Position
+	now   int64
+	parts map[uint32][]byte
+}
+
+func newGap(oldest platform.Offset) *gap {
+	return &gap{oldest: oldest, sets: map[AttemptID]*checkpointSet{}}
+}
+
+func (g *gap) begun() bool { return !g.since.IsZero() }
+
+// remember keeps an entry for the time when the gap is closed, without the
+// answer that an outcome holds.
+func (l *Ledger) remember(e event) {
+	if l.gap == nil {
+		return
+	}
+	if len(l.gap.tail) >= maxTail {
+		// Too much to keep: as if all up to here had expired.
+		l.Trimmed(e.position.Offset + 1)
+	}
+	g := l.gap
+	if !g.begun() {
+		g.since = e.at
+	}
+	if e.at.After(g.since.Add(l.cfg.Remember + l.keys.width)) {
+		// All that is missing would be forgotten by now.
+		l.gap = nil
+		return
+	}
+	if m, ok := e.message.(*outcome); ok {
+		e.message = &outcome{Key: m.Key, Attempt: m.Attempt, Digest: m.Digest, Status: m.Status}
+	}
+	g.tail = append(g.tail, e)
+}
+
+// applyCheckpoint notes a part. A ledger without a gap needs no more of it
+// than its time.
+func (l *Ledger) applyCheckpoint(e event, c *checkpoint) {
+	e.message = nil
+	l.remember(e)
+	l.apply(e)
+	if l.checkpoints.note(c) {
+		l.checkpoints.last, l.checkpoints.lastRead = e.at, e.readAt
+	}
+	if l.gap == nil || c.UpTo.Offset+1 < l.gap.oldest {
+		return
+	}
+	if s := l.gap.add(c); s != nil {
+		l.closeGap(s)
+	}
+}
+
+// add takes a part in and returns its set if that is whole.
+func (g *gap) add(c *checkpoint) *checkpointSet {
+	s, ok := g.sets[c.Set]
+	if !ok {
+		s = &checkpointSet{upTo: c.UpTo, now: c.NowMillis, parts: map[uint32][]byte{}}
+		g.sets[c.Set] = s
+		g.order = append(g.order, c.Set)
+		if len(g.order) > maxSets {
+			delete(g.sets, g.order[0])
+			g.order = g.order[1:]
+		}
+	}
+	s.parts[c.Part] = c.Rows
+	if c.Parts == 0 || len(s.parts) < int(c.Parts) {
+		return nil
+	}
+	return s
+}
+
+// closeGap rebuilds the ledger from a checkpoint and the entries behind it.
+// Entries that the checkpoint covers are left out: they are in its rows. The
+// answers read so far stay, as rows have none.
+func (l *Ledger) closeGap(s *checkpointSet) {
+	now, tail, answers := l.now, l.gap.tail, l.answers
+	l.clear()
+	l.gap = nil
+	l.answers = answers
+	l.now = time.UnixMilli(s.now)
+	for _, part := range s.parts {
+		l.load(part)
+	}
+	for _, e := range tail {
+		if s.upTo.Less(e.position) {
+			l.apply(e)
+		}
+	}
+	l.advance(now)
+}
+
+// load takes the rows of one part.
+func (l *Ledger) load(part []byte) {
+	dec := msgpack.NewDecoder(bytes.NewReader(part))
+	for {
+		var r checkpointRow
+		if err := dec.Decode(&r); err != nil {
+			if !errors.Is(err, io.EOF) {
+				l.corrupt++
+			}
+			return
+		}
+		if r.Phase == phaseSpent {
+			l.keys.spend(r.Bucket, r.Attempt)
+			continue
+		}
+		l.keys.put(r.Bucket, r.Key, row{digest: r.Digest, status: r.Status, phase: r.Phase})
+		if r.Phase == phaseClaimed {
+			l.live[r.Key] = holder{attempt: r.Attempt, writer: r.Writer}
+		}
+	}
+}
+
+// rows calls f for each row of a checkpoint. The row is valid only during the
+// call.
+func (l *Ledger) rows(f func(*checkpointRow)) {
+	for index, b := range l.keys.byTime {
+		for key, r := range b.rows {
+			c := checkpointRow{Bucket: index, Phase: r.phase, Key: key, Digest: r.digest, Status: r.status}
+			if r.phase == phaseClaimed {
+				h := l.live[key]
+				c.Attempt, c.Writer = h.attempt, h.writer
+			}
+			f(&c)
+		}
+		for a := range b.spent {
+			f(&checkpointRow{Bucket: index, Phase: phaseSpent, Attempt: a})
+		}
+	}
+}
+
+func encodeRow(r *checkpointRow) []byte {
+	var b bytes.Buffer
+	enc := msgpack.NewEncoder(&b)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(r); err != nil {
+		panic(err) // rows always encode
+	}
+	return b.Bytes()
+}
+
+// checkpoint returns the entries of a new checkpoint. The journal must have
+// applied everything up to applied before the ledger is looked at.
+func (l *Ledger) checkpoint(applied journal.Position) []journal.Entry {
+	// Between the ledger's last entry and applied there was none for it.
+	upTo := applied
+	if upTo.Less(l.position) {
+		upTo = l.position
+	}
+	var parts [][]byte
+	var part bytes.Buffer
+	l.rows(func(r *checkpointRow) {
+		part.Write(encodeRow(r))
+		if part.Len() >= checkpointBytes {
+			parts = append(parts, bytes.Clone(part.Bytes()))
+			part.Reset()
+		}
+	})
+	if part.Len() > 0 || len(parts) == 0 {
+		parts = append(parts, part.Bytes())
+	}
+	return checkpointEntries(upTo, l.now, parts)
+}
+
+// acceptGap returns a checkpoint that says that nothing was claimed before the
+// ledger's gap.
+func (l *Ledger) acceptGap() []journal.Entry {
+	before := journal.Position{Offset: l.gap.oldest - 1, Index: math.MaxUint16}
+	return checkpointEntries(before, time.Time{}, [][]byte{nil})
+}
+
+func checkpointEntries(upTo journal.Position, now time.Time, parts [][]byte) []journal.Entry {
+	set := newAttempt()
+	entries := make([]journal.Entry, len(parts))
+	for i, rows := range parts {
+		c := checkpoint{
+			Set:       set,
+			Part:      uint32(i),
+			Parts:     uint32(len(parts)),
+			UpTo:      upTo,
+			NowMillis: now.UnixMilli(),
+			Rows:      rows,
+		}
+		entries[i] = encodeEntry(typeCheckpoint, set, "k"+strconv.Itoa(i), &c)
+	}
+	return entries
+}
+
+// checkpointWatch tells when a whole checkpoint was read last.
+type checkpointWatch struct {
+	parts map[AttemptID]uint32
+	// last is the log's time of its last part, lastRead the reader's.
+	last, lastRead time.Time
+}
+
+// note counts a part and reports whether its checkpoint is whole.
+func (w *checkpointWatch) note(c *checkpoint) bool {
+	if w.parts == nil || len(w.parts) >= maxSets {
+		w.parts = map[AttemptID]uint32{}
+	}
+	w.parts[c.Set]++
+	return w.parts[c.Set] == c.Parts
+}
