chute-load try: a checked mixed load with resends, resumes and kept addresses

Cause: the whole path needs a caller that checks every answer and counts what the system did from the outside. Ruled out: the library's own resends (net/http repeats a keyed POST by itself unless its body can't be read again); counting broken connections at an instance that a script killed as cuts by a planned stop. Change: internal/load with seeded mixes, an open loop that counts latency from the intended time, answers checked whole against the stand-ins' oracle, the stand-ins' counters, and chute-load try.

--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,209 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/standin/oracle"
+)
+
+const testModel = "agronomy"
+
+// fakeEntry answers as an entry instance does, with one defect at a time.
+type fakeEntry struct {
+	server *httptest.Server
+	// cutAt breaks the first stream's connection before that token.
+	cutAt int
+	// spoil changes the tokens of a stream before they are sent.
+	spoil   func(tokens []string) []string
+	calls   atomic.Int32
+	resumed atomic.Int32
+	answer  func(w http.ResponseWriter, r *http.Request) // for services
+}
+
+func newFakeEntry(t *testing.T) *fakeEntry {
+	f := &fakeEntry{cutAt: -1}
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathWhere, func(w http.ResponseWriter, _ *http.Request) {
+		addr := f.server.Listener.Addr().String()
+		fmt.Fprintf(w, `{"addresses":[{"address":%q},{"address":"127.0.0.1:1"},{"address":%q}],"keep_s":5}`,
+			addr, strings.Replace(addr, "127.0.0.1", "localhost", 1))
+	})
+	mux.HandleFunc("/v1/completions", f.completions)
+	mux.HandleFunc("/bookings", func(w http.ResponseWriter, r *http.Request) { f.answer(w, r) })
+	f.server = httptest.NewServer(mux)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fakeEntry) completions(w http.ResponseWriter, r *http.Request) {
+	f.calls.Add(1)
+	var b modelBody
+	_ = json.NewDecoder(r.Body).Decode(&b)
+	a := oracle.For(b.Model, b.Prompt, b.MaxTokens)
+	var tokens []string
+	for i := range a.Tokens {
+		tokens = append(tokens, a.Token(i))
+	}
+	if f.spoil != nil {
+		tokens = f.spoil(tokens)
+	}
+	from := 0
+	if id := r.Header.Get(headerLastEventID); id != "" {
+		n, _ := strconv.Atoi(id)
+		from = n + 1
+		f.resumed.Add(1)
+	}
+	for i := from; i < len(tokens); i++ {
+		if i == f.cutAt && f.resumed.Load() == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		finish := "null"
+		if i == len(tokens)-1 {
+			finish = strconv.Quote(a.Finish)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"text\":%q,\"finish_reason\":%s}]}\n\n", i, tokens[i], finish)
+		w.(http.Flusher).Flush()
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (f *fakeEntry) caller() *caller {
+	c := NewClient(testModel)
+	dir := &directory{client: c.HTTP, now: time.Now, seeds: []string{f.server.Listener.Addr().String()}}
+	return &caller{Client: c, dir: dir}
+}
+
+var testClass = Class{Name: ClassShort, Kind: KindCompletion, Deadline: 5 * time.Second}
+
+// An answer that is short, doubled or another's must never count as complete,
+// whatever the stream's end says.
+func TestStreamsAreCheckedWhole(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func([]string) []string
+		want  Outcome
+	}{
+		{"right", nil, Complete},
+		{"a token missing in the middle", func(s []string) []string { return append(s[:3:3], s[4:]...) }, Wrong},
+		{"a token doubled", func(s []string) []string { return append(s[:4:4], s[3:]...) }, Wrong},
+		{"short, but ended as if whole", func(s []string) []string { return s[:len(s)-1] }, Wrong},
+		{"one too many", func(s []string) []string { return append(s, s[0]) }, Wrong},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFakeEntry(t)
+			f.spoil = c.spoil
+			a := Arrival{Seed: 5, Prompt: 20, Output: 30, Streamed: true}
+			res, _ := f.caller().model(context.Background(), testClass, a, time.Now())
+			assert.Equal(t, c.want, res.Outcome, res.Detail)
+		})
+	}
+}
+
+// The entry that streams an answer dies. The caller takes the stream up at
+// another address from its last event, and the answer is whole.
+func TestBrokenStreamIsTakenUpElsewhere(t *testing.T) {
+	f := newFakeEntry(t)
+	f.cutAt = 7
+	a := Arrival{Seed: 5, Prompt: 20, Output: 30, Streamed: true}
+	res, gaps := f.caller().model(context.Background(), testClass, a, time.Now())
+	require.Equal(t, Complete, res.Outcome, res.Detail)
+	assert.Equal(t, 1, res.Resumed)
+	assert.Equal(t, []string{f.server.Listener.Addr().String()}, res.Broken)
+	assert.Len(t, gaps, res.Tokens-1)
+}
+
+// A booking's first answer is lost: the caller can't know whether it ran, and
+// sends it again under its key. If then told "not run", it still can't rule out
+// that the first one ran.
+func TestProtectedCallIsResentUnderItsKey(t *testing.T) {
+	echo := func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_ = json.NewEncoder(w).Encode(serviceAnswer{Service: "s", Run: 1, Echo: oracle.Echo(r.Method, r.URL.Path, body)})
+	}
+	notRun := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerOutcome, outcomeNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	cases := []struct {
+		name   string
+		second func(http.ResponseWriter, *http.Request)
+		want   Outcome
+	}{
+		{"then answered", echo, Complete},
+		{"then refused", notRun, NotRun},
+		{"then another's answer", func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, `{"service":"s","run":1,"echo":"1"}`)
+		}, Wrong},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFakeEntry(t)
+			var keys []string
+			f.answer = func(w http.ResponseWriter, r *http.Request) {
+				keys = append(keys, r.Header.Get(headerIdempotencyKey))
+				if len(keys) == 1 {
+					panic(http.ErrAbortHandler)
+				}
+				c.second(w, r)
+			}
+			class := Class{Kind: KindProtected, Path: "/bookings", Deadline: 5 * time.Second}
+			res := f.caller().service(context.Background(), class, Arrival{Seed: 9}, time.Now())
+			assert.Equal(t, c.want, res.Outcome, res.Detail)
+			assert.True(t, res.unsure)
+			assert.Equal(t, []string{"9", "9"}, keys)
+		})
+	}
+}
+
+func TestArrivalsRepeatWithTheSeed(t *testing.T) {
+	m := Preset{Model: testModel, Classes: classes("/bookings")}.TryMix(5 * time.Second)
+	a, b, other := m.Arrivals(1, 8), m.Arrivals(1, 8), m.Arrivals(2, 8)
+	assert.Equal(t, a, b)
+	assert.NotEqual(t, a, other)
+	assert.InDelta(t, 43*5, len(a), 60)
+}
+
+// A run is scaled so that a shift passes in less time. What it asks of engines
+// that are as much faster must stay the same.
+func TestScaleKeepsTheDemandPerShift(t *testing.T) {
+	p := Preset{Model: testModel, Classes: classes("/bookings")}
+	m, err := p.Mix(MixShift, 3, 8, Speed{Prefill: 8000, Decode: 1000})
+	require.NoError(t, err)
+	s := m.Scaled(10)
+	assert.Equal(t, m.Length()/10, s.Length())
+	for i := range m.Phases {
+		assert.InEpsilon(t, 10*m.Demand(m.Phases[i]).PromptPerSec, s.Demand(s.Phases[i]).PromptPerSec, 1e-9)
+	}
+}
+
+// Every key that ran although all its answers said "not run" must show, and a
+// connection that breaks at an instance nobody killed is a cut.
+func TestSummaryCountsBrokenPromises(t *testing.T) {
+	m := Mix{Classes: []Class{{Name: ClassProtected, Kind: KindProtected}}}
+	rec := NewRecorder()
+	add := func(o Outcome, unsure bool, broken ...string) {
+		rec.Add(Result{Arrival: Arrival{Class: ClassProtected}, Outcome: o, unsure: unsure, Broken: broken}, nil)
+	}
+	add(Complete, false)
+	add(NotRun, false)
+	add(NotRun, true, "10.0.0.1:1")
+	add(Unknown, true, "10.0.0.2:1")
+	s := rec.Summarise(m, time.Second, []string{"10.0.0.1:1"}, Counted{Keys: 4})
+	assert.Equal(t, int64(1), s.NotRunButRan)
+	assert.Equal(t, 1, s.CutByPlannedStop)
+	assert.Equal(t, []int{4, 1, 2, 1}, []int{s.Requests, s.Complete, s.NotRun, s.Unknown})
+}
--- /dev/null
+++ b/internal/load/preset.go
@@ -0,0 +1,166 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tamarackchute/internal/settings"
+)
+
+// The names of the classes that all presets have.
+const (
+	// ClassShort is the field and fault queries, which must come in time.
+	ClassShort = "short"
+	// ClassLong is the summaries and specification bundles.
+	ClassLong = "long"
+	// ClassChat is a conversation.
+	ClassChat      = "chat"
+	ClassProtected = "protected"
+	ClassLookup    = "lookup"
+)
+
+// Preset is what the callers of one deployment send.
+type Preset struct {
+	Model   string
+	Classes []Class
+}
+
+// PresetFor returns the preset of a deployment: the one of its name, or for
+// another name one with the first model and the usual paths.
+func PresetFor(d *settings.Deployment) (Preset, error) {
+	model := ""
+	for _, u := range d.Upstreams {
+		if u.Kind == settings.KindEngine && len(u.Models) > 0 {
+			model = u.Models[0]
+			break
+		}
+	}
+	if model == "" {
+		return Preset{}, eris.New("the deployment has no engine with a model")
+	}
+	path := "/bookings"
+	if d.Name == "regnbrunnur" {
+		path = "/check-ins"
+	}
+	return Preset{Model: model, Classes: classes(path)}, nil
+}
+
+// classes is the sorts of request, with the callers' own deadlines. A short
+// query asks little and gets half a page; a long one reads much and answers
+// with a mark and its grounds.
+func classes(path string) []Class {
+	return []Class{
+		{Name: ClassShort, Kind: KindCompletion, Prompt: Range{30, 150}, Output: Range{150, 350},
+			Streamed: 0.7, Deadline: 15 * time.Second},
+		{Name: ClassChat, Kind: KindChat, Prompt: Range{100, 400}, Output: Range{150, 350},
+			Streamed: 0.9, Deadline: 20 * time.Second},
+		{Name: ClassLong, Kind: KindCompletion, Prompt: Range{2000, 6000}, Output: Range{20, 80},
+			Streamed: 0.5, Deadline: 45 * time.Second},
+		{Name: ClassProtected, Kind: KindProtected, Path: path, Deadline: 10 * time.Second, Prompt: Range{1, 1000}, Output: Range{1, 1}},
+		{Name: ClassLookup, Kind: KindLookup, Path: path, Deadline: 5 * time.Second, Prompt: Range{1, 1}, Output: Range{1, 1}},
+	}
+}
+
+// The names of the mixes.
+const (
+	MixShift  = "shift"
+	MixSteady = "steady"
+	MixSpring = "spring"
+	MixTry    = "try"
+)
+
+// Mixes names the mixes that Mix knows.
+var Mixes = []string{MixShift, MixSteady, MixSpring}
+
+// Speed is what one engine does at full efficiency, in tokens a second.
+type Speed struct{ Prefill, Decode float64 }
+
+// Mix returns a named mix, sized for a fleet of engines of a speed.
+func (p Preset) Mix(name string, seed uint64, engines int, speed Speed) (Mix, error) {
+	m := Mix{Name: name, Classes: p.Classes}
+	rng := rand.New(rand.NewPCG(seed, 77))
+	switch name {
+	case MixShift:
+		m.Phases = p.shift(rng, engines, speed)
+	case MixSteady:
+		m.Phases = []Phase{p.phase("steady", 20*time.Minute, engines, speed, 0.25, 0.3)}
+	case MixSpring:
+		m.Phases = p.spring(rng, engines, speed)
+	default:
+		return Mix{}, eris.Errorf("unknown mix %q", name)
+	}
+	return m, nil
+}
+
+// phase is a phase whose demand is a share of the fleet's whole time: so much
+// for long requests, so much for short ones and chats.
+func (p Preset) phase(name string, length time.Duration, engines int, speed Speed, long, short float64) Phase {
+	m := Mix{Classes: p.Classes}
+	// share is the fleet's time that one request a second of a class takes.
+	share := func(class string) float64 {
+		d := m.Demand(Phase{Rates: map[string]float64{class: 1}})
+		return (d.PromptPerSec/speed.Prefill + d.OutputPerSec/speed.Decode) / float64(engines)
+	}
+	return Phase{Name: name, Length: length, Rates: map[string]float64{
+		ClassLong:      long / share(ClassLong),
+		ClassShort:     0.7 * short / share(ClassShort),
+		ClassChat:      0.3 * short / share(ClassChat),
+		ClassProtected: 1,
+		ClassLookup:    0.5,
+	}}
+}
+
+// shift alternates long bundles and bursts of short queries for 20 minutes,
+// each for 1 to 4 minutes and of its own height, now and then with a balanced
+// stretch between them.
+func (p Preset) shift(rng *rand.Rand, engines int, speed Speed) []Phase {
+	const total = 20 * time.Minute
+	var out []Phase
+	bundles := true
+	for at := time.Duration(0); at < total; {
+		length := min(total-at, time.Duration(60+rng.IntN(180))*time.Second)
+		high := 0.5 + 0.25*rng.Float64()
+		low := 0.05 + 0.15*rng.Float64()
+		switch {
+		case rng.Float64() < 0.2:
+			out = append(out, p.phase("balanced", length, engines, speed, 0.35, 0.35))
+		case bundles:
+			out = append(out, p.phase("bundles", length, engines, speed, high, low))
+			bundles = false
+		default:
+			out = append(out, p.phase("queries", length, engines, speed, low, high))
+			bundles = true
+		}
+		at += length
+	}
+	return out
+}
+
+// spring is a spring morning: a slow rise of short queries, a rush, and the
+// summaries after it.
+func (p Preset) spring(rng *rand.Rand, engines int, speed Speed) []Phase {
+	var out []Phase
+	add := func(name string, seconds int, long, short float64) {
+		jitter := 0.9 + 0.2*rng.Float64()
+		out = append(out, p.phase(name, time.Duration(seconds)*time.Second, engines, speed, long, short*jitter))
+	}
+	add("dawn", 180, 0.2, 0.2)
+	add("rise", 120, 0.15, 0.4)
+	add("rise", 120, 0.1, 0.55)
+	add("rush", 240, 0.05, 0.75)
+	add("rise", 120, 0.2, 0.5)
+	add("summaries", 240, 0.65, 0.1)
+	add("noon", 180, 0.3, 0.25)
+	return out
+}
+
+// TryMix is a short mixed load for a first look at a deployment: few requests
+// of every sort.
+func (p Preset) TryMix(length time.Duration) Mix {
+	return Mix{Name: MixTry, Classes: p.Classes, Phases: []Phase{{
+		Name: "mixed", Length: length,
+		Rates: map[string]float64{ClassShort: 12, ClassChat: 6, ClassLong: 2, ClassProtected: 15, ClassLookup: 8},
+	}}}
+}
