wire: frames, handshake, links and server; codec: safe msgpack

Cause: our processes need an authenticated, bounded way to each other. Ruled out: plain msgpack.Unmarshal. The fuzz test found a body of 24 bytes for which msgpack v5.4.1 asks for 2.4 G slice elements (its limit is off by a wrong flag test), which ends the process, and one of 2 bytes on which it panics. Change: length-prefixed frames of at most 1 MiB; a mutual HMAC-SHA256 challenge with both nonces and a label a side; a numbered code on each frame under the connection's own keys; deadlines on every read and write; a bounded outbox that drops its oldest; links that come back with jitter and deliver the newest first; TLS underneath by settings. internal/codec holds lengths and depth against the bytes that are there before it decodes. Conclusion: whoever decodes msgpack from elsewhere should use codec.Unmarshal.

--- /dev/null
+++ b/internal/wire/handshake.go
@@ -0,0 +1,158 @@
+package wire
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tamarackchute/internal/codec"
+)
+
+// Version is the protocol's version. Both ends must have the same.
+const Version = 1
+
+const (
+	nonceBytes        = 32
+	maxHandshakeBytes = 512
+)
+
+// Labels keep the uses of the secret apart: a proof of one side can't be sent
+// back as the other's, and no proof is a key.
+const (
+	labelClientProof  = "tamarackchute client proof"
+	labelServerProof  = "tamarackchute server proof"
+	labelClientFrames = "tamarackchute client frames"
+	labelServerFrames = "tamarackchute server frames"
+)
+
+// hello opens a handshake; the server answers with one of its own.
+type hello struct {
+	Version int    `msgpack:"v"`
+	Name    string `msgpack:"n"`
+	Nonce   []byte `msgpack:"r"`
+}
+
+// secrets is what a handshake yields: the peer's name and a key a direction.
+type secrets struct {
+	peer       string
+	sendKey    []byte
+	receiveKey []byte
+}
+
+// handshakeClient proves the secret to a server and checks its proof:
+//
+//	client: hello with a nonce
+//	server: hello with a nonce
+//	client: HMAC(secret, client label, both hellos)
+//	server: HMAC(secret, server label, both hellos)
+//
+// The server proves nothing before the client has. Both nonces are in both
+// proofs, so a recorded proof fits no later handshake.
+func handshakeClient(rw io.ReadWriter, name string, secret []byte) (secrets, error) {
+	sent, err := sendHello(rw, name)
+	if err != nil {
+		return secrets{}, err
+	}
+	received, peer, err := receiveHello(rw)
+	if err != nil {
+		return secrets{}, err
+	}
+	transcript := appendRaw(appendRaw(nil, sent), received)
+	if err := writeRaw(rw, derive(secret, labelClientProof, transcript)); err != nil {
+		return secrets{}, err
+	}
+	if err := checkProof(rw, derive(secret, labelServerProof, transcript)); err != nil {
+		return secrets{}, err
+	}
+	return secrets{
+		peer:       peer,
+		sendKey:    derive(secret, labelClientFrames, transcript),
+		receiveKey: derive(secret, labelServerFrames, transcript),
+	}, nil
+}
+
+// handshakeServer is the other side of handshakeClient.
+func handshakeServer(rw io.ReadWriter, name string, secret []byte) (secrets, error) {
+	received, peer, err := receiveHello(rw)
+	if err != nil && !eris.Is(err, ErrVersion) {
+		return secrets{}, err
+	}
+	// A peer of another version gets our hello too, so that it can tell why.
+	sent, sendErr := sendHello(rw, name)
+	if err != nil {
+		return secrets{}, err
+	}
+	if sendErr != nil {
+		return secrets{}, sendErr
+	}
+	transcript := appendRaw(appendRaw(nil, received), sent)
+	if err := checkProof(rw, derive(secret, labelClientProof, transcript)); err != nil {
+		return secrets{}, err
+	}
+	if err := writeRaw(rw, derive(secret, labelServerProof, transcript)); err != nil {
+		return secrets{}, err
+	}
+	return secrets{
+		peer:       peer,
+		sendKey:    derive(secret, labelServerFrames, transcript),
+		receiveKey: derive(secret, labelClientFrames, transcript),
+	}, nil
+}
+
+func derive(secret []byte, label string, transcript []byte) []byte {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte(label))
+	mac.Write(transcript)
+	return mac.Sum(nil)
+}
+
+func sendHello(w io.Writer, name string) ([]byte, error) {
+	h := hello{Version: Version, Name: name, Nonce: make([]byte, nonceBytes)}
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(h.Nonce)
+	data, err := msgpack.Marshal(h)
+	if err != nil {
+		return nil, eris.Wrap(err, "hello can't be encoded")
+	}
+	return data, writeRaw(w, data)
+}
+
+func receiveHello(r io.Reader) (raw []byte, name string, err error) {
+	raw, err = readRaw(r, maxHandshakeBytes)
+	if err != nil {
+		return nil, "", err
+	}
+	var h hello
+	if err := codec.Unmarshal(raw, &h); err != nil || len(h.Nonce) != nonceBytes {
+		return nil, "", eris.Wrap(ErrMalformed, "hello")
+	}
+	if h.Version != Version {
+		return nil, "", eris.Wrapf(ErrVersion, "version %d, ours is %d", h.Version, Version)
+	}
+	return raw, h.Name, nil
+}
+
+// checkProof reads the peer's proof and compares it in constant time. A peer
+// that hangs up instead has not taken our proof or has none.
+func checkProof(r io.Reader, want []byte) error {
+	got, err := readRaw(r, maxHandshakeBytes)
+	if err == io.EOF {
+		return eris.Wrap(ErrNotAuthentic, "peer hung up before its proof")
+	}
+	if err != nil {
+		return err
+	}
+	if !hmac.Equal(got, want) {
+		return ErrNotAuthentic
+	}
+	return nil
+}
+
+func writeRaw(w io.Writer, data []byte) error {
+	_, err := w.Write(appendRaw(nil, data))
+	return err
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -3,6 +3,10 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
 	"tamarackchute/membership"
 )
@@ -20,7 +24,6 @@
 	KindStatusAck    Kind = 5
 	KindRulesRequest Kind = 6
 	KindRulesReply   Kind = 7
-	KindLeaving      Kind = 8
 )
 
 // Message is a typed message between two processes of the system.
@@ -46,6 +49,10 @@
 type EntryStatus struct {
 	Instance   string `msgpack:"n"`
 	DataCentre string `msgpack:"d"`
+	// Incarnation tells the starts of the entry apart, and Seq counts the
+	// statuses of one; the sender of statuses fills both.
+	Incarnation uint64 `msgpack:"i"`
+	Seq         uint64 `msgpack:"q"`
 	// Applied is the place in the log up to which the entry acts on what it has
 	// read. A drain entry up to there is obeyed.
 	Applied journal.Position `msgpack:"a"`
@@ -95,12 +102,6 @@
 	Through journal.Position `msgpack:"t"`
 }
 
-// Leaving tells an entry's peers at once that it has begun to stop.
-type Leaving struct {
-	Instance    string `msgpack:"n"`
-	Incarnation uint64 `msgpack:"i"`
-}
-
 // Kind implements Message.
 func (Ping) Kind() Kind { return KindPing }
 
@@ -122,5 +123,38 @@
 // Kind implements Message.
 func (RulesReply) Kind() Kind { return KindRulesReply }
 
-// Kind implements Message.
-func (Leaving) Kind() Kind { return KindLeaving }
+func encode(m Message) ([]byte, error) {
+	body, err := msgpack.Marshal(m)
+	return body, eris.Wrapf(err, "message of kind %d can't be encoded", m.Kind())
+}
+
+// decode turns a body into the message of its kind. An unknown kind is an
+// error: peers of another version don't get past the handshake.
+func decode(k Kind, body []byte) (Message, error) {
+	switch k {
+	case KindPing:
+		return Ping{}, nil
+	case KindHeartbeat:
+		return decodeAs[Heartbeat](body)
+	case KindSummary:
+		return decodeAs[Summary](body)
+	case KindEntryStatus:
+		return decodeAs[EntryStatus](body)
+	case KindStatusAck:
+		return decodeAs[StatusAck](body)
+	case KindRulesRequest:
+		return decodeAs[RulesRequest](body)
+	case KindRulesReply:
+		return decodeAs[RulesReply](body)
+	default:
+		return nil, eris.Errorf("message of unknown kind %d", k)
+	}
+}
+
+func decodeAs[M Message](body []byte) (Message, error) {
+	var m M
+	if err := codec.Unmarshal(body, &m); err != nil {
+		return nil, eris.Wrapf(err, "message of kind %d", m.Kind())
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,174 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/sync/semaphore"
+
+	"tamarackchute/internal/codec"
+)
+
+// acceptPause keeps a failing accept from spinning.
+const acceptPause = 100 * time.Millisecond
+
+// Handler takes the messages that a server receives. It is called from one
+// goroutine a connection and must not block. Replies go to the connection that
+// the message came from; they may be sent later too, and are dropped once it
+// has closed.
+type Handler interface {
+	Handle(peer string, m Message, reply func(Message))
+}
+
+// HandlerFunc is a function that serves as a Handler.
+type HandlerFunc func(peer string, m Message, reply func(Message))
+
+// Handle implements Handler.
+func (f HandlerFunc) Handle(peer string, m Message, reply func(Message)) { f(peer, m, reply) }
+
+// Server takes connections of the system's other processes.
+type Server struct {
+	cfg     Config
+	address string
+	handler Handler
+	log     *slog.Logger
+
+	mu       sync.Mutex
+	listener net.Listener
+}
+
+// NewServer returns a server for an address; Serve runs it.
+func NewServer(cfg Config, address string, handler Handler, log *slog.Logger) *Server {
+	cfg.Limits = cfg.Limits.withDefaults()
+	return &Server{cfg: cfg, address: address, handler: handler, log: log}
+}
+
+// String names the service for the supervisor.
+func (s *Server) String() string { return "wire server " + s.address }
+
+// Bind takes the address before Serve does. Whoever needs to know that no other
+// process serves there, such as a successor on the same instance, calls it
+// first. Calling it again is harmless.
+func (s *Server) Bind() error {
+	_, err := s.bind()
+	return err
+}
+
+func (s *Server) bind() (net.Listener, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		return s.listener, nil
+	}
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "peers' address %s can't be taken", s.address)
+	}
+	s.listener = l
+	return l, nil
+}
+
+// Addr returns the bound address, or nil before Bind.
+func (s *Server) Addr() net.Addr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener == nil {
+		return nil
+	}
+	return s.listener.Addr()
+}
+
+// Serve takes connections until the context ends, then closes them all.
+func (s *Server) Serve(ctx context.Context) error {
+	l, err := s.bind()
+	if err != nil {
+		return err
+	}
+	defer s.release(l)
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	free := semaphore.NewWeighted(int64(s.cfg.Limits.Connections))
+	for {
+		raw, err := l.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return eris.Wrap(err, "peers' listener")
+		}
+		if err != nil {
+			// Out of file descriptors, say. The connections that stand go on.
+			s.log.Warn("peer's connection can't be taken", "err", err)
+			sleep(ctx, acceptPause)
+			continue
+		}
+		if !free.TryAcquire(1) {
+			// Beyond the limit a peer is turned away at once; it tries again.
+			_ = raw.Close()
+			continue
+		}
+		wg.Go(func() {
+			defer free.Release(1)
+			s.serveConn(ctx, raw)
+		})
+	}
+}
+
+func (s *Server) release(l net.Listener) {
+	_ = l.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = nil
+}
+
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	defer func() { _ = raw.Close() }()
+	c, err := s.accept(ctx, raw)
+	if err != nil {
+		s.log.Warn("peer turned away", "remote", raw.RemoteAddr().String(), "err", err)
+		return
+	}
+	out := newOutbox()
+	reply := func(m Message) { out.put(m) }
+	err = c.run(ctx, out, func(m Message) { s.handler.Handle(c.peer, m, reply) })
+	if unexpected(err) {
+		s.log.Warn("peer's connection broke", "peer", c.peer, "err", err)
+	}
+}
+
+// unexpected tells a fault of the protocol from the end of a connection.
+func unexpected(err error) bool {
+	var tooLarge *TooLargeError
+	return errors.Is(err, ErrTampered) || errors.Is(err, ErrMalformed) ||
+		errors.Is(err, codec.ErrMalformed) || errors.As(err, &tooLarge)
+}
+
+// accept carries out the handshake within its limit: a slow or silent peer
+// holds a connection no longer than that.
+func (s *Server) accept(ctx context.Context, raw net.Conn) (*conn, error) {
+	if s.cfg.ServerTLS != nil {
+		raw = tls.Server(raw, s.cfg.ServerTLS)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	if err := raw.SetDeadline(time.Now().Add(s.cfg.Limits.Handshake)); err != nil {
+		return nil, err
+	}
+	sec, err := handshakeServer(raw, s.cfg.Name, s.cfg.Secret)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, sec, s.cfg.Limits), raw.SetDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,276 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/binary"
+	"io"
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	testSecret = []byte("a secret of the tests, 32 bytes.")
+	quiet      = slog.New(slog.DiscardHandler)
+	testConfig = Config{Name: "i1/entry", Secret: testSecret}
+)
+
+// echo answers each rules request with the name that its sender gave.
+var echo = HandlerFunc(func(peer string, _ Message, reply func(Message)) {
+	reply(RulesReply{Known: true, Document: []byte(peer)})
+})
+
+// startServer runs a server on a free port until the test ends or stop is called.
+func startServer(t *testing.T, cfg Config, address string, h Handler) (s *Server, stop func()) {
+	t.Helper()
+	s = NewServer(cfg, address, h, quiet)
+	require.NoError(t, s.Bind())
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = s.Serve(ctx) })
+	stop = func() { cancel(); wg.Wait() }
+	t.Cleanup(stop)
+	return s, stop
+}
+
+// handshakes runs both sides over a pipe and returns their errors.
+func handshakes(client, server func(io.ReadWriter) error) (clientErr, serverErr error) {
+	a, b := net.Pipe()
+	var wg conc.WaitGroup
+	wg.Go(func() { clientErr = client(a); _ = a.Close() })
+	wg.Go(func() { serverErr = server(b); _ = b.Close() })
+	wg.Wait()
+	return clientErr, serverErr
+}
+
+func asClient(secret []byte) func(io.ReadWriter) error {
+	return func(rw io.ReadWriter) error { _, err := handshakeClient(rw, "c", secret); return err }
+}
+
+func asServer(secret []byte) func(io.ReadWriter) error {
+	return func(rw io.ReadWriter) error { _, err := handshakeServer(rw, "s", secret); return err }
+}
+
+func TestHandshakeTurnsAwayAWrongSecret(t *testing.T) {
+	wrong := bytes.Repeat([]byte("x"), len(testSecret))
+	_, serverErr := handshakes(asClient(wrong), asServer(testSecret))
+	require.ErrorIs(t, serverErr, ErrNotAuthentic)
+
+	// A server that lets everybody in still can't pass for one of ours.
+	lax := func(rw io.ReadWriter) error {
+		_, _, _ = receiveHello(rw)
+		_, _ = sendHello(rw, "lax")
+		_, _ = readRaw(rw, maxHandshakeBytes)
+		return writeRaw(rw, make([]byte, 32))
+	}
+	clientErr, _ := handshakes(asClient(testSecret), lax)
+	require.ErrorIs(t, clientErr, ErrNotAuthentic)
+}
+
+// Somebody on the way records a client's side of a good handshake and plays it
+// to the server later, or sends a side's own proof back to it. The server's new
+// nonce and the label of the side must make both worthless.
+func TestHandshakeTurnsAwayReplays(t *testing.T) {
+	var recorded bytes.Buffer
+	recording := func(rw io.ReadWriter) error {
+		return asClient(testSecret)(struct {
+			io.Reader
+			io.Writer
+		}{rw, io.MultiWriter(rw, &recorded)})
+	}
+	clientErr, serverErr := handshakes(recording, asServer(testSecret))
+	require.NoError(t, clientErr)
+	require.NoError(t, serverErr)
+
+	replay := func(rw io.ReadWriter) error {
+		helloSize := lengthBytes + int(binary.BigEndian.Uint32(recorded.Bytes()))
+		_, _ = rw.Write(recorded.Bytes()[:helloSize])
+		_, _, _ = receiveHello(rw)
+		_, err := rw.Write(recorded.Bytes()[helloSize:])
+		return err
+	}
+	_, serverErr = handshakes(replay, asServer(testSecret))
+	require.ErrorIs(t, serverErr, ErrNotAuthentic)
+
+	reflect := func(rw io.ReadWriter) error {
+		_, _, _ = receiveHello(rw)
+		_, _ = sendHello(rw, "mirror")
+		proof, _ := readRaw(rw, maxHandshakeBytes)
+		return writeRaw(rw, proof)
+	}
+	clientErr, _ = handshakes(asClient(testSecret), reflect)
+	require.ErrorIs(t, clientErr, ErrNotAuthentic)
+}
+
+func TestFramesAreRefused(t *testing.T) {
+	key := []byte("key")
+	frame, err := newSealer(key).seal(RulesReply{Known: true, Document: []byte("rules")})
+	require.NoError(t, err)
+	altered := bytes.Clone(frame)
+	altered[lengthBytes+3] ^= 1
+	for name, tc := range map[string]struct {
+		frames [][]byte
+		want   error
+	}{
+		"altered":                  {[][]byte{altered}, ErrTampered},
+		"repeated":                 {[][]byte{frame, frame}, ErrTampered},
+		"of another connection":    {[][]byte{mustSeal(t, []byte("other"))}, ErrTampered},
+		"too short":                {[][]byte{{0, 0, 0, 1, 1}}, ErrMalformed},
+		"broken off in the body":   {[][]byte{frame[:20]}, io.ErrUnexpectedEOF},
+		"broken off in its length": {[][]byte{frame[:2]}, io.ErrUnexpectedEOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, in := bytes.NewReader(bytes.Join(tc.frames, nil)), newSealer(key)
+			var err error
+			for err == nil {
+				var data []byte
+				if data, err = readRaw(r, MaxFrameBytes); err == nil {
+					_, err = in.open(data)
+				}
+			}
+			require.ErrorIs(t, err, tc.want)
+		})
+	}
+}
+
+func mustSeal(t *testing.T, key []byte) []byte {
+	frame, err := newSealer(key).seal(Ping{})
+	require.NoError(t, err)
+	return frame
+}
+
+// A peer announces a frame of 4 GB, or we are about to send one that is too
+// large. Neither may take memory or reach the other side.
+func TestOversizedFrames(t *testing.T) {
+	_, err := readRaw(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 1}), MaxFrameBytes)
+	var tooLarge *TooLargeError
+	require.ErrorAs(t, err, &tooLarge)
+	_, err = newSealer(nil).seal(RulesReply{Document: make([]byte, MaxFrameBytes)})
+	require.ErrorAs(t, err, &tooLarge)
+}
+
+// A peer connects and says nothing, or stops reading for good. It must not hold
+// a connection or a goroutine beyond the limits.
+func TestSilentPeersAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewServer(testConfig, "", echo, quiet)
+		silent, end := net.Pipe()
+		defer silent.Close()
+		start := time.Now()
+		s.serveConn(t.Context(), end)
+		require.Equal(t, defaultHandshake, time.Since(start))
+
+		silent, end = net.Pipe()
+		defer silent.Close()
+		c := newConn(end, secrets{}, s.cfg.Limits)
+		start = time.Now()
+		require.Error(t, c.run(t.Context(), newOutbox(), func(Message) {}))
+		require.Equal(t, defaultPing+defaultWrite, time.Since(start), "the first ping can't be written")
+	})
+}
+
+func TestAskOverTLS(t *testing.T) {
+	certs := httptest.NewTLSServer(nil)
+	defer certs.Close()
+	authorities := x509.NewCertPool()
+	authorities.AddCert(certs.Certificate())
+	cfg := testConfig
+	cfg.ServerTLS = &tls.Config{Certificates: certs.TLS.Certificates}
+	cfg.ClientTLS = &tls.Config{RootCAs: authorities}
+	s, _ := startServer(t, cfg, "127.0.0.1:0", echo)
+	answer, err := Ask(t.Context(), cfg, s.Addr().String(), RulesRequest{})
+	require.NoError(t, err)
+	require.Equal(t, "i1/entry", string(answer.(RulesReply).Document))
+
+	_, err = Ask(t.Context(), testConfig, s.Addr().String(), RulesRequest{})
+	require.Error(t, err, "a listener with TLS takes no plain peer")
+}
+
+// A controller isn't up yet and is restarted later, while an entry goes on
+// sending statuses. The link must come back by itself each time, and deliver
+// what is newest, not what piled up: that would look fresh to the controller.
+func TestLinkComesBackWithTheNewest(t *testing.T) {
+	received := make(chan uint64, 100)
+	take := HandlerFunc(func(_ string, m Message, _ func(Message)) { received <- m.(EntryStatus).Seq })
+	cfg := testConfig
+	cfg.Limits = Limits{RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond}
+	// Not 127.0.0.1: dialling a free port from there may connect to itself.
+	s, stop := startServer(t, cfg, "127.9.0.1:0", take)
+	address := s.Addr().String()
+	stop()
+
+	links := NewLinks("links", cfg, nil, quiet)
+	for seq := range uint64(7) {
+		links.Send(address, EntryStatus{Seq: seq})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = links.Serve(ctx) })
+	defer func() { cancel(); wg.Wait() }()
+	_, stop = startServer(t, cfg, address, take)
+	require.Equal(t, uint64(6), <-received)
+
+	stop()
+	startServer(t, cfg, address, take)
+	for {
+		links.Send(address, EntryStatus{Seq: 7})
+		select {
+		case seq := <-received:
+			require.Equal(t, uint64(7), seq)
+			return
+		case <-time.After(time.Millisecond):
+			// What was written into the old connection is lost.
+		}
+	}
+}
+
+func TestOutboxDropsTheOldest(t *testing.T) {
+	o := newOutbox()
+	for seq := range uint64(outboxSize + 3) {
+		require.Equal(t, seq >= outboxSize, o.put(EntryStatus{Seq: seq}))
+	}
+	first, ok := o.take()
+	require.True(t, ok)
+	require.Equal(t, uint64(3), first.(EntryStatus).Seq)
+	o.keepNewest()
+	last, _ := o.take()
+	require.Equal(t, uint64(outboxSize+2), last.(EntryStatus).Seq)
+	_, ok = o.take()
+	require.False(t, ok)
+}
+
+// Bytes from a peer that passed the handshake give a message or an error.
+func FuzzDecode(f *testing.F) {
+	for _, m := range []Message{Heartbeat{}, Summary{}, EntryStatus{InFlight: []EngineInFlight{{"e", 1}}}, RulesReply{}} {
+		body, err := encode(m)
+		require.NoError(f, err)
+		f.Add(byte(m.Kind()), body)
+	}
+	f.Fuzz(func(t *testing.T, kind byte, body []byte) {
+		if m, err := decode(Kind(kind), body); err == nil {
+			require.Equal(t, Kind(kind), m.Kind())
+		}
+	})
+}
+
+// Bytes from anybody who can reach the port give a frame or an error.
+func FuzzReadFrame(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 2, 1, 2})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bytes.NewReader(data)
+		if raw, err := readRaw(r, 1<<12); err == nil {
+			require.LessOrEqual(t, len(raw), 1<<12)
+			_, _ = newSealer(nil).open(raw)
+		}
+		_, _, _ = receiveHello(bytes.NewReader(data))
+	})
+}
