chute-entry: the first whole path as separate processes

Cause: nothing served a caller from end to end yet.

Ruled out: nothing; this is the first form. Claims of protected calls and the membership stand open behind their interfaces, a protected call is refused as not run until then.

--- /dev/null
+++ b/internal/entry/deployment.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"tamarackchute/internal/settings"
+	"tamarackchute/platform"
+	"tamarackchute/router"
+	"tamarackchute/upstream"
+)
+
+func routerConfig(d *settings.Deployment, dataCentre string) router.Config {
+	c := router.DefaultConfig(dataCentre)
+	for _, l := range d.Links {
+		c.Links = append(c.Links, router.Link{
+			From:   l.From,
+			To:     l.To,
+			OneWay: time.Duration(l.OneWayMillis * float64(time.Millisecond)),
+		})
+	}
+	return c
+}
+
+func routerUpstreams(d *settings.Deployment) []router.Upstream {
+	all := make([]router.Upstream, 0, len(d.Upstreams))
+	for _, u := range d.Upstreams {
+		one := router.Upstream{
+			Name:       u.Name,
+			Kind:       platform.KindService,
+			Pool:       u.Pool,
+			DataCentre: u.DataCentre,
+		}
+		if u.Kind == settings.KindEngine {
+			one.Kind = platform.KindEngine
+			one.Models = u.Models
+			one.Role = upstream.Role(u.Role)
+		}
+		all = append(all, one)
+	}
+	return all
+}
+
+func engineNames(d *settings.Deployment) []string {
+	var names []string
+	for _, u := range d.Upstreams {
+		if u.Kind == settings.KindEngine {
+			names = append(names, u.Name)
+		}
+	}
+	return names
+}
+
+// poolModel names the engines that can serve alike.
+type poolModel struct{ pool, model string }
+
+func poolModels(d *settings.Deployment) []poolModel {
+	var all []poolModel
+	for _, u := range d.Upstreams {
+		for _, m := range u.Models {
+			if pm := (poolModel{u.Pool, m}); !slices.Contains(all, pm) {
+				all = append(all, pm)
+			}
+		}
+	}
+	return all
+}
+
+func modelNames(d *settings.Deployment) []string {
+	var names []string
+	for _, pm := range poolModels(d) {
+		if !slices.Contains(names, pm.model) {
+			names = append(names, pm.model)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func servicePools(d *settings.Deployment) map[string]bool {
+	pools := map[string]bool{}
+	for _, u := range d.Upstreams {
+		if u.Kind == settings.KindService {
+			pools[u.Pool] = true
+		}
+	}
+	return pools
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,206 @@
+// Package entry assembles chute-entry: what serves callers, what it learns from
+// the log, the list and the engines, and the supervisor tree that runs it all.
+package entry
+
+import (
+	"crypto/tls"
+	"log/slog"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"tamarackchute/admission"
+	"tamarackchute/internal/entry/answer"
+	"tamarackchute/internal/entry/callerwatch"
+	"tamarackchute/internal/entry/crash"
+	"tamarackchute/internal/entry/discovery"
+	"tamarackchute/internal/entry/forward"
+	"tamarackchute/internal/entry/gateway"
+	"tamarackchute/internal/entry/inflight"
+	"tamarackchute/internal/entry/shutdown"
+	"tamarackchute/internal/entry/stream"
+	"tamarackchute/internal/settings"
+	"tamarackchute/internal/telemetry"
+	"tamarackchute/journal"
+	"tamarackchute/lease"
+	"tamarackchute/orders"
+	"tamarackchute/platform"
+	"tamarackchute/quarantine"
+	"tamarackchute/router"
+	"tamarackchute/rules"
+)
+
+// Bounds of an entry that no setting changes.
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+	// priorLimit bounds the text kept of one stream for a continuation, in
+	// bytes; priorBudget that of all streams together.
+	priorLimit  = 64 << 10
+	priorBudget = 16 << 20
+	// defaultDeadline is for requests whose rule sets none.
+	defaultDeadline = 2 * time.Minute
+	heartbeat       = 2 * time.Second
+	writeTimeout    = 30 * time.Second
+	readTimeout     = 30 * time.Second
+	idleTimeout     = 60 * time.Second
+)
+
+// Config is what an entry works with.
+type Config struct {
+	Deployment *settings.Deployment
+	// Instance is the name of the instance that it runs on.
+	Instance string
+	Log      platform.Log
+	List     platform.InstanceList
+	// Upstreams holds an adapter for each engine and service.
+	Upstreams *Upstreams
+	Secret    []byte
+	// ServerTLS and ClientTLS are nil if TLS is off.
+	ServerTLS *tls.Config
+	ClientTLS *tls.Config
+	Metrics   *telemetry.Metrics
+	Logger    *slog.Logger
+}
+
+// Entry is one running chute-entry.
+type Entry struct {
+	cfg         Config
+	self        settings.Instance
+	incarnation string
+	log         *slog.Logger
+
+	journal   *journal.Journal
+	rules     *rules.Book
+	leases    *lease.View
+	orders    *orders.View
+	suspects  *quarantine.Guard
+	crashes   *crash.Watch
+	tracker   *router.Tracker
+	admission *admission.Controller
+	inflight  *inflight.Book
+	demand    *demand
+	load      *loadShare
+	directory *discovery.Directory
+	answers   *answer.Runner
+	callers   *callerwatch.Watch
+	gateway   *gateway.Gateway
+	stop      shutdown.State
+}
+
+// New returns an entry; Run runs it.
+func New(cfg Config) (*Entry, error) {
+	self, ok := cfg.Deployment.Instance(cfg.Instance)
+	if !ok {
+		return nil, eris.Errorf("the settings name no instance %q", cfg.Instance)
+	}
+	e := &Entry{
+		cfg:         cfg,
+		self:        self,
+		incarnation: uuid.NewString(),
+		log:         cfg.Logger,
+		stop: shutdown.State{
+			Keep:  seconds(cfg.Deployment.Discovery.KeepSeconds),
+			Grace: seconds(cfg.Deployment.Discovery.GraceSeconds),
+		},
+	}
+	e.buildJournal()
+	e.buildDecisions()
+	e.buildServing()
+	return e, nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (e *Entry) writer() string { return e.cfg.Instance + "/entry/" + e.incarnation }
+
+// buildJournal makes the journal and what is folded from it.
+func (e *Entry) buildJournal() {
+	d := e.cfg.Deployment
+	e.journal = journal.New(e.cfg.Log, journal.Config{
+		Writer:           e.writer(),
+		Linger:           time.Duration(d.Protected.CommitMillis * float64(time.Millisecond)),
+		AppendsPerSecond: d.Platform.AppendsPerSecond / float64(len(d.Instances)),
+		Retention:        seconds(d.Platform.RetentionSeconds),
+		Logger:           e.log,
+	})
+	e.rules = rules.NewBook(rules.BookOptions{Logger: e.log})
+	e.leases = lease.NewView()
+	e.orders = orders.NewView(e.leases)
+	e.suspects = quarantine.NewGuard(quarantine.DefaultConfig(), e.journal, e.writer(), nil)
+	e.journal.Register(journal.KindRules, e.rules)
+	e.journal.Register(journal.KindLease, e.leases)
+	e.journal.Register(journal.KindOrder, e.orders)
+	e.journal.Register(journal.KindQuarantine, e.suspects)
+}
+
+// buildDecisions makes what decides where and when a request runs.
+func (e *Entry) buildDecisions() {
+	d := e.cfg.Deployment
+	e.tracker = router.NewTracker(routerConfig(d, e.self.DataCentre), routerUpstreams(d), nil)
+	a := admission.DefaultConfig()
+	a.MaxQueued = d.Admission.MaxQueued
+	a.ShortReserve = d.Admission.ShortReserve
+	a.RetryBudget = d.Admission.RetryBudget
+	e.admission = admission.New(a, nil)
+	e.inflight = inflight.NewBook(e.orders, e.journal.Applied, engineNames(d))
+	e.demand = newDemand(time.Now)
+	e.load = &loadShare{}
+	e.crashes = crash.New(e.suspects, e.cfg.Upstreams.Probe)
+}
+
+// buildServing makes what callers see.
+func (e *Entry) buildServing() {
+	e.directory = discovery.New(e.cfg.Deployment, e.self, e.members())
+	e.callers = callerwatch.New()
+	e.answers = &answer.Runner{
+		Books:       e.tracker,
+		Engines:     e.cfg.Upstreams,
+		Holds:       e.inflight,
+		Suspects:    e.crashes,
+		Retries:     retries{e.admission},
+		Budget:      stream.NewBudget(priorBudget),
+		PriorLimit:  priorLimit,
+		MaxAttempts: maxAttempts,
+		NewID:       uuid.NewString,
+	}
+	e.gateway = gateway.New(e.gatewayOptions(), gateway.Parts{
+		Rules:     ruleSource{e.rules, e.journal.CaughtUp()},
+		Admission: e.admission,
+		Estimator: e.tracker,
+		Answers:   e.answers,
+		Services: &forward.Runner{
+			Books:       e.tracker,
+			Services:    e.cfg.Upstreams,
+			Retries:     retries{e.admission},
+			MaxAttempts: maxAttempts,
+			NewID:       uuid.NewString,
+		},
+		Protected: e.protected(),
+		Directory: e.directory,
+		Signer:    stream.NewSigner(e.cfg.Secret),
+		Watch:     e.callers,
+		Demand:    e.demand,
+		Ready:     e.ready,
+		Load:      e.load.get,
+		NewID:     uuid.NewString,
+		Scope:     e.cfg.Metrics.Scope,
+		Log:       e.log,
+	})
+}
+
+func (e *Entry) gatewayOptions() gateway.Options {
+	d := e.cfg.Deployment
+	return gateway.Options{
+		DataCentre:      e.self.DataCentre,
+		MaxBodyBytes:    d.Admission.MaxBodyBytes,
+		DefaultDeadline: defaultDeadline,
+		Heartbeat:       heartbeat,
+		WriteTimeout:    writeTimeout,
+		ReadTimeout:     readTimeout,
+		IdleTimeout:     idleTimeout,
+		Models:          modelNames(d),
+		ServicePools:    servicePools(d),
+	}
+}
--- /dev/null
+++ b/internal/entry/feeds.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"tamarackchute/admission"
+	"tamarackchute/internal/settings"
+	"tamarackchute/platform"
+	"tamarackchute/router"
+	"tamarackchute/upstream"
+)
+
+// Times of the feeds.
+const (
+	// listEvery bounds, with the list's own lag, how long a leaving upstream
+	// still gets new work.
+	listEvery   = 500 * time.Millisecond
+	listTimeout = 2 * time.Second
+	// reportEvery is the time between two questions to one engine.
+	reportEvery   = 500 * time.Millisecond
+	reportTimeout = time.Second
+	capacityEvery = 250 * time.Millisecond
+)
+
+// listFeed brings the platform's list to the router and to the membership.
+type listFeed struct {
+	list platform.InstanceList
+	take []func([]platform.Instance)
+}
+
+func (f *listFeed) String() string { return "platform's list" }
+
+// Serve asks for the list until ctx ends. While the list can't be had, the last
+// one counts: it is a hint that lags anyway.
+func (f *listFeed) Serve(ctx context.Context) error {
+	return every(ctx, listEvery, func() {
+		ask, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		list, err := f.list.Instances(ask)
+		if err != nil {
+			return
+		}
+		for _, take := range f.take {
+			take(list)
+		}
+	})
+}
+
+// engineFeed brings one engine's load reports and cache events to the router.
+type engineFeed struct {
+	name    string
+	engine  upstream.Engine
+	tracker *router.Tracker
+	seq     uint64
+}
+
+func (f *engineFeed) String() string { return "reports of " + f.name }
+
+// Serve asks the engine until ctx ends. A report that fails to come leaves the
+// last one, whose age the router allows for.
+func (f *engineFeed) Serve(ctx context.Context) error {
+	return every(ctx, reportEvery, func() {
+		ask, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		report, err := f.engine.Load(ask)
+		if err != nil {
+			return
+		}
+		f.tracker.SetReport(f.name, report, time.Now())
+		events, err := f.engine.CacheEvents(ask, f.seq)
+		if err != nil || len(events) == 0 {
+			return
+		}
+		f.tracker.SetCacheEvents(f.name, events)
+		f.seq = events[len(events)-1].Seq
+	})
+}
+
+// capacityFeed tells admission, and the rules, what the engines can take.
+type capacityFeed struct {
+	deployment *settings.Deployment
+	dataCentre string
+	tracker    *router.Tracker
+	admission  *admission.Controller
+	load       *loadShare
+	entries    func() int
+}
+
+func (f *capacityFeed) String() string { return "capacity" }
+
+// Serve sums the engines up until ctx ends.
+func (f *capacityFeed) Serve(ctx context.Context) error {
+	pools := poolModels(f.deployment)
+	return every(ctx, capacityEvery, func() {
+		entries := f.entries()
+		for _, pm := range pools {
+			sum := f.tracker.PoolLoad(pm.pool, pm.model)
+			f.admission.SetCapacity(pm.pool, pm.model, admission.Capacity{
+				Engines:          sum.Engines,
+				Entries:          entries,
+				PrefillPerSecond: sum.PrefillPerSecond,
+				DecodePerSecond:  sum.DecodePerSecond,
+			})
+		}
+		f.load.set(f.localShare())
+	})
+}
+
+// localShare is the reported work of the data centre's engines over what their
+// batches hold.
+func (f *capacityFeed) localShare() float64 {
+	work, room := 0, 0
+	for _, u := range f.tracker.Snapshot().Upstreams(time.Now()) {
+		if u.Kind != platform.KindEngine || u.DataCentre != f.dataCentre || u.Leaving || u.Draining {
+			continue
+		}
+		work += max(0, u.Report.Running+u.Report.Waiting+u.Own.Requests)
+		room += u.Report.MaxBatch
+	}
+	if room == 0 {
+		return 0
+	}
+	return float64(work) / float64(room)
+}
+
+// every runs a step at once and then at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, step func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		step()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -132,7 +132,7 @@
 		OutputTokens: route.OutputTokens,
 		Priority:     route.Priority,
 		Deadline:     route.Deadline,
-		Limits:       limitsOf(k.decision, g.opts.Entries),
+		Limits:       limitsOf(k.decision),
 	}
 	switch k.decision.Then.Class {
 	case rules.ClassShort:
@@ -152,7 +152,7 @@
 
 // limitsOf returns the limits of the rule that matched. A rule's limit is for
 // one instance, as rules.Limit says.
-func limitsOf(d rules.Decision, _ int) []admission.Limit {
+func limitsOf(d rules.Decision) []admission.Limit {
 	l := d.Then.Limit
 	if l == nil {
 		return nil
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -80,8 +80,6 @@
 	Models []string
 	// ServicePools names the pools of plain services; all others have engines.
 	ServicePools map[string]bool
-	// Entries counts the instances that share a rule's limits.
-	Entries int
 }
 
 // Parts are what the gateway works with.
@@ -121,6 +119,8 @@
 	active atomic.Int64
 	// pumps are the goroutines that read engines' streams.
 	pumps conc.WaitGroup
+	// leaving asks callers to close their connections.
+	leaving atomic.Bool
 }
 
 // New returns a gateway. It serves nothing until its App is given a listener.
@@ -140,6 +140,7 @@
 }
 
 func (g *Gateway) routes() {
+	g.app.Use(g.askToClose)
 	g.app.Get("/healthz", g.healthz)
 	g.app.Get("/readyz", g.readyz)
 	g.app.Get("/v1/where", g.where)
@@ -149,6 +150,22 @@
 	g.app.Use(g.service)
 }
 
+// askToClose ends kept connections of callers while the instance is leaving, so
+// that they come back to another one instead of finding theirs closed.
+func (g *Gateway) askToClose(c *fiber.Ctx) error {
+	if g.leaving.Load() {
+		c.Response().SetConnectionClose()
+	}
+	return c.Next()
+}
+
+// Leave begins to ask callers to close their connections. Requests are served
+// as before.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Leaving reports whether Leave was called.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
 // App returns the HTTP application.
 func (g *Gateway) App() *fiber.App { return g.app }
 
--- a/internal/entry/inflight/inflight.go
+++ b/internal/entry/inflight/inflight.go
@@ -14,15 +14,20 @@
 	Snapshot() *orders.Snapshot
 }
 
+// Applied tells the place in the log up to which every entry has been folded;
+// journal.Journal.Applied is one.
+type Applied func() journal.Position
+
 // Book counts requests at engines. It is safe for use by many goroutines.
 type Book struct {
-	orders Orders
-	counts map[string]*atomic.Int64
+	orders  Orders
+	applied Applied
+	counts  map[string]*atomic.Int64
 }
 
 // NewBook returns a book for the engines named.
-func NewBook(o Orders, engines []string) *Book {
-	b := &Book{orders: o, counts: make(map[string]*atomic.Int64, len(engines))}
+func NewBook(o Orders, a Applied, engines []string) *Book {
+	b := &Book{orders: o, applied: a, counts: make(map[string]*atomic.Int64, len(engines))}
 	for _, name := range engines {
 		b.counts[name] = new(atomic.Int64)
 	}
@@ -59,7 +64,7 @@
 // engines that have requests. The position is read before the counts: a request
 // counted too late for it can't have been let through after it.
 func (b *Book) Status() (journal.Position, map[string]int) {
-	applied := b.orders.Snapshot().Position
+	applied := b.applied()
 	busy := map[string]int{}
 	for name, count := range b.counts {
 		if n := count.Load(); n > 0 {
--- a/internal/entry/inflight/inflight_test.go
+++ b/internal/entry/inflight/inflight_test.go
@@ -36,7 +36,7 @@
 		},
 	}
 	o := &fakeOrders{snapshot: orders.Snapshot{Position: journal.Position{Offset: 8}}}
-	book := NewBook(o, []string{"e1"})
+	book := NewBook(o, func() journal.Position { return o.snapshot.Position }, []string{"e1"})
 
 	o.before = func() {
 		o.before = nil
--- /dev/null
+++ b/internal/entry/ordersfeed.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"context"
+
+	"tamarackchute/orders"
+	"tamarackchute/router"
+)
+
+// ordersFeed tells the router which engines are drained or changed and which
+// roles they have by the journal. It is only the router's hint: the book of
+// requests in flight asks the orders themselves.
+type ordersFeed struct {
+	orders  *orders.View
+	engines []string
+	tracker *router.Tracker
+}
+
+func (f *ordersFeed) String() string { return "orders" }
+
+// Serve follows the orders until ctx ends.
+func (f *ordersFeed) Serve(ctx context.Context) error {
+	for {
+		changed := f.orders.Changed()
+		f.apply(f.orders.Snapshot())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (f *ordersFeed) apply(s *orders.Snapshot) {
+	for _, name := range f.engines {
+		engine := s.Engine(name)
+		f.tracker.SetDraining(name, !engine.TakesWork())
+		if role := engine.Believed.Role; role != "" {
+			f.tracker.SetRole(name, role)
+		}
+	}
+}
--- a/internal/entry/shutdown/shutdown.go
+++ b/internal/entry/shutdown/shutdown.go
@@ -58,5 +58,16 @@
 	}
 }
 
-// Leaving reports whether the stop has begun.
-func (s *State) Leaving() bool { return s.begun }
+// String returns the phase's name for logs.
+func (p Phase) String() string {
+	switch p {
+	case Leaving:
+		return "leaving"
+	case Draining:
+		return "draining"
+	case Stopped:
+		return "stopped"
+	default:
+		return "serving"
+	}
+}
--- /dev/null
+++ b/internal/entry/tree.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"tamarackchute/internal/entry/shutdown"
+)
+
+// stopCheck is how often a stopping entry looks whether it may exit.
+const stopCheck = 50 * time.Millisecond
+
+// tree is the supervisor tree:
+//
+//	entry
+//	├── journal            reads the whole log, appends in groups
+//	├── learning
+//	│   ├── platform's list
+//	│   ├── reports of …   one an engine: load and cache events
+//	│   ├── orders         drains and roles from the journal to the router
+//	│   ├── capacity       sums for admission and rules
+//	│   ├── admission      refuses early what can't be in time
+//	│   └── quarantine     appends crash reports that the log hasn't taken
+//	└── serving
+//	    ├── callers' connections
+//	    ├── callers        HTTP
+//	    └── operators      HTTP
+//
+// A service that ends is started again by its own supervisor; one that keeps
+// failing is tried at growing intervals and takes nothing else down.
+func (e *Entry) tree() *suture.Supervisor {
+	root := suture.New("entry", e.spec())
+	root.Add(e.journal)
+	root.Add(e.learning())
+	root.Add(e.serving())
+	return root
+}
+
+func (e *Entry) spec() suture.Spec {
+	return suture.Spec{EventHook: e.hook, FailureBackoff: time.Second, Timeout: 2 * closeTimeout}
+}
+
+func (e *Entry) learning() *suture.Supervisor {
+	s := suture.New("learning", e.spec())
+	s.Add(&listFeed{list: e.cfg.List, take: e.listTakers()})
+	engines := engineNames(e.cfg.Deployment)
+	for _, name := range engines {
+		s.Add(&engineFeed{name: name, engine: e.cfg.Upstreams.Engine(name), tracker: e.tracker})
+	}
+	s.Add(&ordersFeed{orders: e.orders, engines: engines, tracker: e.tracker})
+	s.Add(&capacityFeed{
+		deployment: e.cfg.Deployment,
+		dataCentre: e.self.DataCentre,
+		tracker:    e.tracker,
+		admission:  e.admission,
+		load:       e.load,
+		entries:    e.entries,
+	})
+	s.Add(e.admission)
+	return s
+}
+
+func (e *Entry) serving() *suture.Supervisor {
+	s := suture.New("serving", e.spec())
+	s.Add(e.callers)
+	s.Add(&listener{name: "callers", addr: e.self.Callers, tls: e.cfg.ServerTLS, app: e.gateway.App()})
+	s.Add(&listener{name: "operators", addr: e.self.Operators, tls: e.cfg.ServerTLS, app: e.operatorsApp()})
+	return s
+}
+
+func (e *Entry) hook(event suture.Event) {
+	e.log.Warn("supervisor", "event", event.String())
+}
+
+// Run works until ctx ends, and then on until a graceful stop is done.
+func (e *Entry) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	done := e.tree().ServeBackground(work)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	e.drain(done)
+	stopWork()
+	<-done
+	e.gateway.Wait()
+	e.answers.Wait()
+	e.crashes.Wait()
+	return nil
+}
+
+// drain leaves the answers of where to connect at once, and returns when the
+// instance may exit.
+func (e *Entry) drain(done <-chan error) {
+	e.directory.Leave()
+	e.gateway.Leave()
+	e.leave()
+	e.stop.Begin(time.Now())
+	ticker := time.NewTicker(stopCheck)
+	defer ticker.Stop()
+	phase := shutdown.Serving
+	for {
+		next := e.stop.Phase(time.Now(), e.gateway.Active())
+		if next != phase {
+			phase = next
+			e.log.Info("stopping", "phase", phase.String(), "active", e.gateway.Active())
+		}
+		if phase == shutdown.Stopped {
+			return
+		}
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
