settings: roles.schedule and routing.picker, for the baselines

Cause: the known-mix schedule and the routing baselines run behind the same programs as the policy, so the settings must name them. Ruled out: flags of the programs; one file sets up a deployment. Change: the two keys; a schedule policy without steps is refused; the controller hands the steps to the policy.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -290,10 +290,16 @@
 
 func (c *Controller) newPolicy() (rolepolicy.Policy, error) {
 	r := c.cfg.Deployment.Roles
+	var plan rolepolicy.Plan
+	for _, step := range r.Schedule {
+		at := time.UnixMilli(int64(step.AtUnixSeconds * 1000))
+		split := rolepolicy.Split{Prefill: step.Prefill, Decode: step.Decode, Mixed: step.Mixed}
+		plan = append(plan, rolepolicy.Step{At: at, Split: split})
+	}
 	return rolepolicy.New(r.Policy, rolepolicy.Config{
 		ChangeWeight: r.ChangeWeight, Dwell: seconds(r.DwellSeconds),
 		Change: seconds(r.ChangeSeconds), MaxAtOnce: r.MaxAtOnce,
-		MaxPictureAge: seconds(r.MaxPictureAgeSeconds),
+		MaxPictureAge: seconds(r.MaxPictureAgeSeconds), Schedule: plan,
 	})
 }
 
--- a/internal/settings/checkparts.go
+++ b/internal/settings/checkparts.go
@@ -176,6 +176,9 @@
 		ps.add("roles.dwell_s", "%v is below roles.change_s, %v: an engine would change again before it is back",
 			r.DwellSeconds, r.ChangeSeconds)
 	}
+	if r.Policy == "schedule" && len(r.Schedule) == 0 {
+		ps.add("roles.schedule", "the policy schedule needs it")
+	}
 }
 
 func checkSecurity(d *Deployment, ps *problems) {
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -16,6 +16,7 @@
 	Protected Protected  `json:"protected"`
 	Admission Admission  `json:"admission"`
 	Roles     Roles      `json:"roles"`
+	Routing   Routing    `json:"routing"`
 	Security  Security   `json:"security"`
 	Log       Logging    `json:"log"`
 	// InitialRules is the path of a rule set that an operator publishes first;
@@ -142,7 +143,7 @@
 
 // Roles sets the role policy.
 type Roles struct {
-	Policy string `json:"policy" validate:"oneof=gain fixed threshold"`
+	Policy string `json:"policy" validate:"oneof=gain fixed threshold schedule"`
 	// ChangeWeight is what one role change costs beside the capacity lost: 1
 	// counts goodput most, higher values make changes rarer.
 	ChangeWeight float64 `json:"change_weight" validate:"gt=0"`
@@ -154,6 +155,24 @@
 	MaxAtOnce int `json:"max_at_once" validate:"gt=0"`
 	// MaxPictureAgeSeconds is the oldest demand picture acted on.
 	MaxPictureAgeSeconds float64 `json:"max_picture_age_s" validate:"gt=0"`
+	// Schedule is followed by the policy "schedule" and no other.
+	Schedule []RoleStep `json:"schedule" validate:"dive"`
+}
+
+// RoleStep says how many engines of the deployment have each role from a time
+// on.
+type RoleStep struct {
+	// AtUnixSeconds is the time, in seconds since 1970.
+	AtUnixSeconds float64 `json:"at_unix_s" validate:"gt=0"`
+	Prefill       int     `json:"prefill" validate:"gte=0"`
+	Decode        int     `json:"decode" validate:"gte=0"`
+	Mixed         int     `json:"mixed" validate:"gte=0"`
+}
+
+// Routing sets how an upstream is picked.
+type Routing struct {
+	// Picker is "cost" if empty; the others are baselines for experiments.
+	Picker string `json:"picker" validate:"omitempty,oneof=cost least_outstanding round_robin"`
 }
 
 // Security holds secrets' hashes and files, never a secret itself.
