entry: demand counts what was asked, before anything refuses it

Cause: prompt tokens were counted only once let in and output tokens only as produced. Both follow the capacity, so a shortage never showed in the picture that the role policy decides on. Ruled out: adding the refused ones back from admission's counters, which know no tokens. Change: Asked comes before admission, with the bound on the output; the shares by which estimate and bound err are learnt from whole answers. The smoothing follows the time of a role change instead of 5 s. routing.picker chooses the router's baselines.

--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -7,24 +7,47 @@
 	"time"
 
 	"tamarackchute/admission"
+	"tamarackchute/internal/settings"
 	"tamarackchute/internal/wire"
 	"tamarackchute/rules"
 )
 
-// demandWindow is the time constant of the demand's smoothing: what was asked
-// that long ago counts about a third.
-const demandWindow = 5 * time.Second
+// The demand's window is the time constant of its smoothing: what was asked
+// that long ago counts about a third. It follows the time that a role change
+// takes, as the demand serves to decide on these.
+const (
+	windowChanges  = 0.5
+	shortestWindow = 200 * time.Millisecond
+)
+
+// demandWindow returns the window for a deployment.
+func demandWindow(r settings.Roles) time.Duration {
+	w := time.Duration(windowChanges * r.ChangeSeconds * float64(time.Second))
+	return max(w, shortestWindow)
+}
 
-// demand measures what callers ask of each model. The number of models seen is
-// bounded by those that the rules let through to an engine.
+// demand measures what callers ask of each model, whether it is let in or not.
+// A measure of what was produced would never exceed the capacity, and so hide
+// each shortage from those who could end it.
 type demand struct {
-	now func() time.Time
+	now    func() time.Time
+	window time.Duration
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// models is bounded by the models that the rules let through to an engine.
 	models map[string]*modelDemand
 }
 
-type modelDemand struct{ requests, prompt, output rate }
+type modelDemand struct {
+	requests, prompt, output rate
+	// promptShare and outputShare are what the estimates have to be multiplied
+	// by: the engine's count of prompt tokens over ours, the tokens of whole
+	// answers over their bounds.
+	promptShare, outputShare float64
+}
+
+// learnShare is the weight of one answer in the learnt shares.
+const learnShare = 0.02
 
 // rate is a smoothed number a second.
 type rate struct {
@@ -34,44 +57,52 @@
 
 // add counts n at a time. The sum decays, so that divided by the window it is
 // the rate.
-func (r *rate) add(n float64, now time.Time) {
+func (r *rate) add(n float64, now time.Time, window time.Duration) {
 	if !r.last.IsZero() {
-		r.sum *= math.Exp(-now.Sub(r.last).Seconds() / demandWindow.Seconds())
+		r.sum *= math.Exp(-now.Sub(r.last).Seconds() / window.Seconds())
 	}
 	r.last = now
 	r.sum += n
 }
 
-func (r *rate) perSecond(now time.Time) float64 {
-	r.add(0, now)
-	return r.sum / demandWindow.Seconds()
+func (r *rate) perSecond(now time.Time, window time.Duration) float64 {
+	r.add(0, now, window)
+	return r.sum / window.Seconds()
 }
 
-func newDemand(now func() time.Time) *demand {
-	return &demand{now: now, models: map[string]*modelDemand{}}
+func newDemand(now func() time.Time, window time.Duration) *demand {
+	return &demand{now: now, window: window, models: map[string]*modelDemand{}}
 }
 
-// Asked counts a request that was let in.
-func (d *demand) Asked(model string, promptTokens int) {
+// Asked counts a request before anything can refuse it. The tokens are our
+// estimate of the prompt and the bound on the output.
+func (d *demand) Asked(model string, promptTokens, maxTokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := d.model(model)
 	now := d.now()
-	m.requests.add(1, now)
-	m.prompt.add(float64(promptTokens), now)
+	m.requests.add(1, now, d.window)
+	m.prompt.add(float64(promptTokens)*m.promptShare, now, d.window)
+	m.output.add(float64(maxTokens)*m.outputShare, now, d.window)
 }
 
-// Produced counts the tokens of an answer.
-func (d *demand) Produced(model string, outputTokens int) {
+// Answered learns from a whole answer how far the estimates are from what the
+// engine counted.
+func (d *demand) Answered(model string, promptTokens, maxTokens, prompt, output int) {
+	if promptTokens <= 0 || maxTokens <= 0 {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.model(model).output.add(float64(outputTokens), d.now())
+	m := d.model(model)
+	m.promptShare += learnShare * (float64(prompt)/float64(promptTokens) - m.promptShare)
+	m.outputShare += learnShare * (float64(output)/float64(maxTokens) - m.outputShare)
 }
 
 func (d *demand) model(name string) *modelDemand {
 	m := d.models[name]
 	if m == nil {
-		m = &modelDemand{}
+		m = &modelDemand{promptShare: 1, outputShare: 1}
 		d.models[name] = m
 	}
 	return m
@@ -86,9 +117,9 @@
 	for name, m := range d.models {
 		all = append(all, wire.ModelDemand{
 			Model:              name,
-			PromptTokensPerSec: m.prompt.perSecond(now),
-			OutputTokensPerSec: m.output.perSecond(now),
-			RequestsPerSec:     m.requests.perSecond(now),
+			PromptTokensPerSec: m.prompt.perSecond(now, d.window),
+			OutputTokensPerSec: m.output.perSecond(now, d.window),
+			RequestsPerSec:     m.requests.perSecond(now, d.window),
 		})
 	}
 	return all
--- a/internal/entry/deployment.go
+++ b/internal/entry/deployment.go
@@ -19,6 +19,12 @@
 			OneWay: time.Duration(l.OneWayMillis * float64(time.Millisecond)),
 		})
 	}
+	switch d.Routing.Picker {
+	case "round_robin":
+		c.Pipeline = router.Baseline(&router.RoundRobin{})
+	case "least_outstanding":
+		c.Pipeline = router.Baseline(router.LeastOutstanding{})
+	}
 	return c
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -145,7 +145,7 @@
 	a.RetryBudget = d.Admission.RetryBudget
 	e.admission = admission.New(a, nil)
 	e.inflight = inflight.NewBook(e.orders, e.journal.Applied, engineNames(d))
-	e.demand = newDemand(time.Now)
+	e.demand = newDemand(time.Now, demandWindow(d.Roles))
 	e.load = &loadShare{}
 	e.crashes = crash.New(e.suspects, e.cfg.Upstreams.Probe)
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -105,8 +105,11 @@
 
 // Demand is told what callers ask for.
 type Demand interface {
-	Asked(model string, promptTokens int)
-	Produced(model string, outputTokens int)
+	// Asked counts a request with the estimate of its prompt and the bound on
+	// its output, before it can be refused.
+	Asked(model string, promptTokens, maxTokens int)
+	// Answered tells, of a whole answer, what the engine counted for these.
+	Answered(model string, promptTokens, maxTokens, prompt, output int)
 }
 
 // Gateway serves callers.
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -63,11 +63,11 @@
 	if id := c.Get(headerLastEventID); id != "" && request.Stream {
 		return g.resume(c, k, work, strings.Clone(id))
 	}
+	g.parts.Demand.Asked(request.Model, request.PromptTokens, request.MaxTokens)
 	grant, f := g.admit(k, work.Route)
 	if f != nil {
 		return f
 	}
-	g.parts.Demand.Asked(request.Model, request.PromptTokens)
 	a := g.parts.Answers.Start(work)
 	if request.Stream {
 		return g.stream(c, k, &running{call: k, work: work, answer: a, grant: grant})
@@ -141,12 +141,14 @@
 	if r.grant != nil {
 		r.grant.Release(admissionResult(f), produced)
 	}
-	g.parts.Demand.Produced(r.work.Request.Model, produced)
 	g.metrics.tokens.Inc(int64(produced))
 	if n := r.answer.Attempt(); n > 1 {
 		g.metrics.continued.Inc(int64(n - 1))
 	}
 	if f == nil {
+		request := &r.work.Request
+		prompt, _ := r.answer.PromptTokens()
+		g.parts.Demand.Answered(request.Model, request.PromptTokens, request.MaxTokens, prompt, produced)
 		g.metrics.answered.Inc(1)
 		g.metrics.whole.RecordDuration(sinceBegan(r.call))
 	}
