chute-load: prepare, run and table for experiments with role policies

Cause: policies are compared by real processes under the same recorded mixes. Ruled out: a program that starts the processes; a script does that. Figures: none measured; the whole path doesn't run yet.

--- a/cmd/chute-load/main.go
+++ b/cmd/chute-load/main.go
@@ -27,12 +27,15 @@
 // commands maps each subcommand to its function, which gets the arguments
 // after its name.
 var commands = map[string]func(context.Context, []string) error{
-	"try": try,
+	"try":     try,
+	"prepare": prepare,
+	"run":     run,
+	"table":   table,
 }
 
 func main() {
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: chute-load try [flags]")
+		fmt.Fprintln(os.Stderr, "usage: chute-load try|prepare|run|table [flags]")
 		os.Exit(exitUsage)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -53,13 +56,15 @@
 	seed                           *uint64
 }
 
+// commonFlags declares the flags but for the seed, which a subcommand declares
+// itself if it has other flags that go with it.
 func commonFlags(f *flag.FlagSet) common {
 	return common{
 		settings: f.String("settings", "", "settings `file` of the deployment"),
 		out:      f.String("out", "", "`folder` for the results; none are kept if empty"),
 		control:  f.String("control", "", "`address` of the stand-ins' control page"),
 		killed:   f.String("killed", "", "`instances` killed on purpose, by commas"),
-		seed:     f.Uint64("seed", 1, "seed of the load"),
+		seed:     new(uint64),
 	}
 }
 
@@ -81,6 +86,7 @@
 func try(ctx context.Context, args []string) error {
 	f := flag.NewFlagSet("chute-load try", flag.ContinueOnError)
 	c := commonFlags(f)
+	c.seed = f.Uint64("seed", 1, "seed of the load")
 	seconds := f.Float64("seconds", 30, "how long requests are sent")
 	if err := f.Parse(args); err != nil {
 		return err
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -173,3 +174,13 @@
 		})
 	}
 }
+
+// writeArrivals records a mix, so that what was sent can be looked up.
+func writeArrivals(path string, arrivals []Arrival) error {
+	header := []string{"at_ms", "class", "seed", "prompt", "output", "streamed", "caller"}
+	return writeCSV(path, header, len(arrivals), func(i int) []string {
+		a := arrivals[i]
+		return []string{millis(a.At), a.Class, strconv.FormatUint(a.Seed, 10), strconv.Itoa(a.Prompt),
+			strconv.Itoa(a.Output), strconv.FormatBool(a.Streamed), strconv.Itoa(a.Caller)}
+	})
+}
