--- a/admission/controller.go
+++ b/admission/controller.go
@@ -71,15 +71,46 @@
 // Acquire waits until a request may be sent. Its error is always a *Refusal,
 // after which the request has not run. A grant must be released.
 func (c *Controller) Acquire(ctx context.Context, r Request) (*Grant, error) {
+	p, err := c.Submit(r)
+	if err != nil {
+		return nil, err
+	}
+	if ref := c.await(ctx, p.w); ref != nil {
+		return nil, ref
+	}
+	return &Grant{c: c, w: p.w}, nil
+}
+
+// Pending is a request that was taken in and may still wait. It is for callers
+// that don't want to block; others use Acquire.
+type Pending struct {
+	c *Controller
+	w *waiter
+}
+
+// Submit takes a request in without waiting, or refuses it at once with a
+// *Refusal. Something must call Sweep, or run Serve, for the waiting to be
+// refused in time.
+func (c *Controller) Submit(r Request) (*Pending, error) {
 	w := &waiter{req: r, class: c.classOf(&r), verdict: make(chan *Refusal, 1)}
 	if ref := c.arrive(w); ref != nil {
 		return nil, ref
 	}
-	grant := &Grant{c: c, w: w}
-	if ref := c.await(ctx, w); ref != nil {
-		return nil, ref
+	return &Pending{c, w}, nil
+}
+
+// Poll returns the grant or the *Refusal once there is one; ok says whether
+// there is. It is there once.
+func (p *Pending) Poll() (g *Grant, ok bool, err error) {
+	select {
+	case ref := <-p.w.verdict:
+		if ref != nil {
+			return nil, true, ref
+		}
+		return &Grant{c: p.c, w: p.w}, true, nil
+	default:
+		return nil, false, nil
 	}
-	return grant, nil
 }
 
 func (c *Controller) classOf(r *Request) Class {
@@ -129,6 +160,7 @@
 	}
 	wait := p.expectedWait(w)
 	if ref := p.tooLate(w, wait, now); ref != nil {
+		p.lane(w.class).pressure.add(refusedSample)
 		return ref
 	}
 	if c.queued >= c.cfg.MaxQueued {
@@ -229,18 +261,20 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
-			c.sweep()
+			c.Sweep()
 		}
 	}
 }
 
-func (c *Controller) sweep() {
+// Sweep refuses the waiting requests that won't make their deadlines, and
+// starts those that may start. Serve calls it.
+func (c *Controller) Sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
 	for _, p := range c.pools {
 		p.tick(now)
-		p.window.adjust(now)
+		p.steer(now)
 		for _, e := range p.late(now) {
 			c.remove(p, e.w, e.refusal)
 			e.w.verdict <- e.refusal
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -35,7 +35,9 @@
 	}
 	g.released = true
 	if res == ResultDone {
-		g.c.pool(g.w.req.Pool, g.w.req.Model).settle(g.w, output)
+		p := g.c.pool(g.w.req.Pool, g.w.req.Model)
+		p.settle(g.w, output)
+		p.completed(g.w, g.c.now())
 	}
 	g.c.release(g.w)
 }
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -25,10 +25,13 @@
 	return w.req.Deadline.Add(-w.req.Estimate.Complete)
 }
 
-// lane is the waiting requests of one class.
+// lane is the requests of one class.
 type lane struct {
-	queue *fairQueue
-	meter meter
+	queue    *fairQueue
+	meter    meter
+	window   window
+	pressure pressure
+	served   float64 // cost granted lately, for the floor
 }
 
 // pool is the pure core for the upstreams of one pool and model. Time comes in
@@ -37,12 +40,8 @@
 	cfg      *Config
 	capacity Capacity
 	known    bool // a capacity was set; without one nothing waits
-	window   *window
 	lanes    [2]lane
-	// longOnWay counts long requests that are sent and not started.
-	longOnWay int
-	// shortServed and longServed are the cost granted lately, for the floor.
-	shortServed, longServed float64
+	since    time.Time // start of the windows' period
 	// outputCost is what an output token costs in prompt tokens.
 	outputCost float64
 }
@@ -55,7 +54,6 @@
 	for i := range p.lanes {
 		p.lanes[i].queue = newFairQueue(cfg.MaxOrganisations)
 	}
-	p.window = newWindow(cfg.QueueTarget, Capacity{})
 	return p
 }
 
@@ -68,17 +66,14 @@
 
 // setCapacity takes what the router knows of the upstreams.
 func (p *pool) setCapacity(c Capacity) {
-	if !p.known {
-		p.window = newWindow(p.cfg.QueueTarget, c)
-	}
 	p.known = true
 	p.capacity = c
-	p.window.resize(c)
 	if c.PrefillPerSecond > 0 && c.DecodePerSecond > 0 {
 		p.outputCost = c.PrefillPerSecond / c.DecodePerSecond
 	}
 	own := c.PrefillPerSecond / float64(max(1, c.Entries))
 	for i := range p.lanes {
+		p.lanes[i].window.resize(c)
 		p.lanes[i].meter.prime(own)
 	}
 }
@@ -183,7 +178,8 @@
 // turn is the order in which the classes are served: short first, unless long
 // requests have got less than their floor.
 func (p *pool) turn() [2]Class {
-	if p.longServed < p.cfg.LongFloor*(p.shortServed+p.longServed) {
+	short, long := p.lane(ClassShort).served, p.lane(ClassLong).served
+	if long < p.cfg.LongFloor*(short+long) {
 		return [2]Class{ClassLong, ClassShort}
 	}
 	return [2]Class{ClassShort, ClassLong}
@@ -194,66 +190,69 @@
 const servedMemory = 10
 
 func (p *pool) serve(c Class, cost float64) {
-	if c == ClassLong {
-		p.longServed += cost
-	} else {
-		p.shortServed += cost
-	}
-	bound := servedMemory * max(1000, p.capacity.PrefillPerSecond/float64(max(1, p.capacity.Entries)))
-	if p.shortServed+p.longServed > bound {
-		p.shortServed /= 2
-		p.longServed /= 2
+	p.lane(c).served += cost
+	rate := p.capacity.PrefillPerSecond / float64(max(1, p.capacity.Entries))
+	if p.lanes[0].served+p.lanes[1].served > servedMemory*max(1000, rate) {
+		p.lanes[0].served /= 2
+		p.lanes[1].served /= 2
 	}
 }
 
-// mayStart reports whether the window lets a request be sent.
+// mayStart reports whether its window lets a request be sent.
 func (p *pool) mayStart(w *waiter) bool {
-	if !p.known {
-		return true
-	}
-	if w.class != ClassLong {
-		return p.window.fits(w.work(), 0)
-	}
-	if p.longOnWay >= p.longCap() {
-		return false
-	}
-	return p.window.fits(w.work(), p.cfg.ShortReserve)
+	return !p.known || p.lane(w.class).window.fits(w.work())
 }
 
-// longCap bounds the long requests that this entry has on their way to one for
-// each engine.
-func (p *pool) longCap() int { return max(1, p.capacity.Engines) }
-
 // start marks a request as on its way.
 func (p *pool) start(w *waiter, now time.Time) {
 	w.granted = now
 	w.onWay = true
-	p.window.send(w.work())
-	if w.class == ClassLong {
-		p.longOnWay++
-	}
+	p.lane(w.class).window.send(w.work())
 }
 
 // started marks a request's first token.
 func (p *pool) started(w *waiter, now time.Time) {
 	if p.leave(w) {
-		p.window.observe(now.Sub(w.granted), w.req.Estimate.own(), now)
+		p.press(w, now.Sub(w.granted)-w.req.Estimate.own())
 	}
 }
 
-// leave takes a request out of the window, and reports whether it was in it.
+// completed marks a request's whole answer.
+func (p *pool) completed(w *waiter, now time.Time) {
+	p.press(w, now.Sub(w.granted)-w.req.Estimate.ownComplete())
+}
+
+func (p *pool) press(w *waiter, delay time.Duration) {
+	p.lane(w.class).pressure.add(w.lost(delay))
+}
+
+// leave takes a request out of its window, and reports whether it was in it.
 func (p *pool) leave(w *waiter) bool {
 	if !w.onWay {
 		return false
 	}
 	w.onWay = false
-	p.window.start(w.work())
-	if w.class == ClassLong {
-		p.longOnWay--
-	}
+	p.lane(w.class).window.start(w.work())
 	return true
 }
 
+// steer ends a period of the windows if its time has come. Pressure on short
+// requests first holds long ones back; only when that has gone as far as it
+// can are short ones held back too.
+func (p *pool) steer(now time.Time) {
+	if now.Sub(p.since) < windowPeriod {
+		return
+	}
+	p.since = now
+	short, long := p.lane(ClassShort), p.lane(ClassLong)
+	onShort, onLong := short.pressure.mean(), long.pressure.mean()
+	noLong := long.window.atLeast() || long.window.requests == 0
+	long.window.adjust(onShort > p.cfg.LongPressure || onLong > p.cfg.ShortPressure)
+	short.window.adjust(onShort > p.cfg.ShortPressure && noLong)
+	short.pressure = pressure{}
+	long.pressure = pressure{}
+}
+
 // settle corrects the organisation's account by what the answer really took.
 func (p *pool) settle(w *waiter, output int) {
 	difference := p.cost(0, output-w.req.OutputTokens)
--- a/admission/types.go
+++ b/admission/types.go
@@ -38,6 +38,9 @@
 // own is the time to the first token without a wait at the upstream.
 func (e Estimate) own() time.Duration { return max(0, e.FirstToken-e.Queue) }
 
+// ownComplete is the time to the whole answer without a wait at the upstream.
+func (e Estimate) ownComplete() time.Duration { return max(0, e.Complete-e.Queue) }
+
 // Limit is a rule's limit on the requests that it matches.
 type Limit struct {
 	// Rule names the rule; requests of one rule share its limits.
@@ -98,17 +101,15 @@
 type Config struct {
 	// MaxQueued is the most requests that wait, over all pools.
 	MaxQueued int
-	// ShortReserve is the share of the work sent ahead to the engines that
-	// long requests leave free for short ones.
-	ShortReserve float64
+	// LongPressure is the share of their slack that short requests may lose to
+	// waiting at the engines before fewer long ones are sent, and ShortPressure
+	// the share from which fewer short ones are.
+	LongPressure, ShortPressure float64
 	// LongFloor is the share of capacity that waiting long requests get even
 	// while short ones wait.
 	LongFloor float64
 	// LongTokens is the prompt length from which ClassAuto means long.
 	LongTokens int
-	// QueueTarget is the wait at an upstream that is aimed for: long enough
-	// that its batch never runs dry, short enough that priorities act here.
-	QueueTarget time.Duration
 	// RetryBudget is the share of requests that may be retried.
 	RetryBudget float64
 	// MaxOrganisations bounds the organisations whose recent use is
@@ -122,10 +123,10 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxQueued:        2000,
-		ShortReserve:     0.3,
+		LongPressure:     0.25,
+		ShortPressure:    0.5,
 		LongFloor:        0.2,
 		LongTokens:       1024,
-		QueueTarget:      150 * time.Millisecond,
 		RetryBudget:      0.1,
 		MaxOrganisations: 4096,
 		MaxRetryAfter:    time.Minute,
--- a/admission/window.go
+++ b/admission/window.go
@@ -2,63 +2,51 @@
 
 import "time"
 
-// The steps of the window: every windowPeriod it grows by windowGrow of itself
-// if it was what held requests back, and shrinks by windowShrink if all first
-// tokens of the period came late.
+// The bounds and steps of the windows.
 const (
 	windowPeriod = 250 * time.Millisecond
-	windowGrow   = 0.10
-	windowShrink = 0.15
+	windowGrow   = 1.08
+	windowShrink = 0.85
 	// windowLeast lets an entry always have something on its way.
 	windowLeast = 20 * time.Millisecond
-	// expectedSlack is how far over its expectation a first token may come
-	// before it counts as late, for the engines' rates are known to 30 % only.
-	expectedSlack = 0.5
+	// windowMost is the work on its way for each engine that an entry never
+	// goes beyond.
+	windowMost = 20 * time.Second
 	// sendCost is charged for each request beside its prefill.
 	sendCost = 5 * time.Millisecond
 )
 
-// window bounds the work that has been sent to the engines and not yet started
-// there, in seconds of prefill. It is what keeps the engines' own queues short,
-// so that priorities and fair shares act in ours.
+// window bounds the work of a class that has been sent to the engines and not
+// yet started there, in seconds of prefill. It is what keeps the engines' own
+// queues short, so that priorities and fair shares act in ours.
 //
 // It works like a congestion window, for the entries share the engines without
-// talking to each other: if even the least wait of a period was over the
-// target, a queue stands at the engines and the window shrinks; if the window
-// was full and no queue stood, it grows. An engine whose batch is full doesn't
-// start what it is sent, so that a full batch closes the window too.
+// talking to each other: under pressure it shrinks, and if it held a request
+// back without pressure it grows. An engine whose batch is full doesn't start
+// what it is sent, so a full batch closes the window too.
 type window struct {
-	target time.Duration
-	limit  time.Duration
-	most   time.Duration
-
+	limit    time.Duration
+	most     time.Duration
 	sent     time.Duration // work on its way
 	requests int           // requests on their way
 	full     bool          // a request was held back in this period
-	least    time.Duration // least wait over expectation in this period
-	samples  int
-	since    time.Time // start of the period
-}
-
-// newWindow starts with as much work on its way as keeps the engines busy for
-// twice the target, this entry's part of it.
-func newWindow(target time.Duration, c Capacity) *window {
-	w := &window{target: target}
-	w.resize(c)
-	w.limit = max(windowLeast, 2*target*time.Duration(max(1, c.Engines))/time.Duration(max(1, c.Entries)))
-	return w
 }
 
-// resize bounds the window by the number of engines.
+// resize sets the bounds by the number of engines. The first time it also sets
+// the limit, to this entry's part of a start that keeps the engines busy.
 func (w *window) resize(c Capacity) {
-	w.most = 20 * w.target * time.Duration(max(1, c.Engines))
+	engines := time.Duration(max(1, c.Engines))
+	if w.most == 0 {
+		w.limit = max(windowLeast, engines*time.Second/time.Duration(max(1, c.Entries)))
+	}
+	w.most = windowMost * engines
 	w.limit = min(w.limit, w.most)
 }
 
-// fits reports whether work may be sent that leaves a share of the window free.
-func (w *window) fits(work time.Duration, reserve float64) bool {
-	limit := time.Duration(float64(w.limit) * (1 - reserve))
-	if w.requests == 0 || w.sent+work <= limit {
+// fits reports whether work may be sent. A window that is empty takes any, or
+// else a request larger than it would never go.
+func (w *window) fits(work time.Duration) bool {
+	if w.requests == 0 || w.sent+work <= w.limit {
 		return true
 	}
 	w.full = true
@@ -76,32 +64,61 @@
 	w.requests--
 }
 
-// observe takes the time to a first token.
-func (w *window) observe(took, expected time.Duration, now time.Time) {
-	over := took - time.Duration(float64(expected)*(1+expectedSlack))
-	if w.samples == 0 || over < w.least {
-		w.least = over
+// adjust ends a period.
+func (w *window) adjust(pressed bool) {
+	switch {
+	case pressed:
+		w.limit = max(windowLeast, time.Duration(windowShrink*float64(w.limit)))
+	case w.full:
+		w.limit = min(w.most, time.Duration(windowGrow*float64(w.limit)))
 	}
-	w.samples++
-	w.adjust(now)
+	w.full = false
 }
 
-// adjust ends a period if its time has come.
-func (w *window) adjust(now time.Time) {
-	if w.since.IsZero() {
-		w.since = now
-	}
-	if now.Sub(w.since) < windowPeriod || w.samples == 0 {
-		return
+// atLeast reports whether the window can't shrink further.
+func (w *window) atLeast() bool { return w.limit <= windowLeast }
+
+// pressure is how much of their slack the requests of a class lose to waiting
+// at the upstreams: 0 for none, 1 for all of it. The slack is the time until
+// the deadline that the answer itself doesn't take.
+//
+// Pressure rather than a wait in milliseconds is what the windows steer by: a
+// wait of a second is nothing to an answer that is due in a minute, and too
+// long for one that is due in two seconds.
+type pressure struct {
+	sum     float64
+	samples int
+}
+
+// Bounds of one sample: a single stall shouldn't close a window.
+const (
+	mostPressure   = 2.0
+	refusedSample  = 1.0
+	unboundedSlack = 10 * time.Second
+)
+
+func (p *pressure) add(v float64) {
+	p.sum += min(mostPressure, max(0, v))
+	p.samples++
+}
+
+// mean is the pressure of the period; 0 if nothing was seen.
+func (p *pressure) mean() float64 {
+	if p.samples == 0 {
+		return 0
 	}
-	switch {
-	case w.least > w.target:
-		w.limit -= time.Duration(windowShrink * float64(w.limit))
-	case w.full:
-		w.limit += time.Duration(windowGrow * float64(w.limit))
+	return p.sum / float64(p.samples)
+}
+
+// lost is the part of a request's slack that a delay took.
+func (w *waiter) lost(delay time.Duration) float64 {
+	slack := unboundedSlack
+	if !w.req.Deadline.IsZero() {
+		slack = w.req.Deadline.Sub(w.granted) - w.req.Estimate.ownComplete()
 	}
-	w.limit = min(w.most, max(windowLeast, w.limit))
-	w.since = now
-	w.samples = 0
-	w.full = false
+	return float64(delay) / float64(max(slack, minSlack))
 }
+
+// minSlack keeps a request that was granted at the last moment from counting
+// without bounds.
+const minSlack = 100 * time.Millisecond
--- /dev/null
+++ b/router/baselines.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+)
+
+// LeastCost always takes the cheapest candidate. It is here to be measured
+// against: with late reports several processes pick the same one.
+type LeastCost struct{}
+
+// Pick implements Picker.
+func (LeastCost) Pick(cands []Candidate, _ *Request, _ *rand.Rand) (int, Why) {
+	return cheapest(cands), WhyLeast
+}
+
+// LeastOutstanding takes the candidate with the fewest own requests in flight,
+// at random among equals.
+type LeastOutstanding struct{}
+
+// Pick implements Picker.
+func (LeastOutstanding) Pick(cands []Candidate, _ *Request, rnd *rand.Rand) (int, Why) {
+	best, equals := 0, 1
+	for i := 1; i < len(cands); i++ {
+		switch {
+		case cands[i].InFlight < cands[best].InFlight:
+			best, equals = i, 1
+		case cands[i].InFlight == cands[best].InFlight:
+			if equals++; rnd.IntN(equals) == 0 {
+				best = i
+			}
+		}
+	}
+	return best, WhyLeast
+}
+
+// RoundRobin takes the candidates in turn.
+type RoundRobin struct{ next atomic.Uint64 }
+
+// Pick implements Picker.
+func (p *RoundRobin) Pick(cands []Candidate, _ *Request, _ *rand.Rand) (int, Why) {
+	return int((p.next.Add(1) - 1) % uint64(len(cands))), WhyLeast
+}
+
+// Baseline returns a pipeline that filters as usual, costs as usual and picks
+// by another picker, without splits of prefill and decode.
+func Baseline(p Picker) func(Config) *Scheduler {
+	return func(cfg Config) *Scheduler {
+		s := NewScheduler(cfg)
+		s.Picker = p
+		s.cfg.SplitMinTokens = noSplit
+		return s
+	}
+}
+
+// noSplit is a prompt length that no request has.
+const noSplit = 1 << 40
--- a/router/book.go
+++ b/router/book.go
@@ -9,8 +9,8 @@
 
 // change is what one event added to an upstream's work.
 type change struct {
-	at                       time.Time
-	requests, prompt, output int64
+	at                   time.Time
+	requests, prompt, kv int64
 }
 
 // The bounds of what a book keeps for correcting reports. Changes nearer than
@@ -36,18 +36,17 @@
 func newBook(t *Tracker, n *node) *book { return &book{t: t, node: n} }
 
 // add notes a change of the work and corrects the live sums by it.
-func (b *book) add(at time.Time, requests, prompt, output int) {
+func (b *book) add(at time.Time, requests, prompt, kv int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.addLocked(change{at, int64(requests), int64(prompt), int64(output)})
-}
-
-func (b *book) addLocked(c change) {
+	c := change{at, int64(requests), int64(prompt), int64(kv)}
 	l := &b.node.live
 	l.requests.Add(c.requests)
 	l.prompt.Add(c.prompt)
-	l.output.Add(c.output)
+	l.kv.Add(c.kv)
 	l.inFlight.Add(c.requests)
+	l.ownPrompt.Add(c.prompt)
+	l.ownKV.Add(c.kv)
 	last := len(b.changes) - 1
 	if last >= 0 && c.at.Sub(b.changes[last].at) < changeGrain {
 		b.changes[last].merge(c)
@@ -63,7 +62,7 @@
 func (c *change) merge(o change) {
 	c.requests += o.requests
 	c.prompt += o.prompt
-	c.output += o.output
+	c.kv += o.kv
 }
 
 // setReport takes a report and reports whether a new snapshot is needed.
@@ -85,6 +84,12 @@
 		rebuild = true
 	}
 	b.node.state.Store(&u)
+	if p := b.node.peers.Load(); p != nil {
+		p.observe(othersAt(&u, &b.node.live), len(b.t.order))
+	}
+	if r.InService {
+		b.reached(measured)
+	}
 	return rebuild
 }
 
@@ -102,7 +107,7 @@
 	l := &b.node.live
 	l.requests.Store(sum.requests)
 	l.prompt.Store(sum.prompt)
-	l.output.Store(sum.output)
+	l.kv.Store(sum.kv)
 }
 
 // change replaces the upstream's state by a changed copy.
--- a/router/candidate.go
+++ b/router/candidate.go
@@ -15,6 +15,8 @@
 	InFlight int
 	// Ejected and Trial are its standing at the time of the decision.
 	Ejected, Trial bool
+	// Trials counts the requests in flight that are to show whether it is well.
+	Trials int
 	// Link is the one-way latency from the request's data centre.
 	Link  time.Duration
 	Local bool
@@ -26,54 +28,32 @@
 	// Cost is the sum of the scorers' costs.
 	Cost time.Duration
 
-	node *node
-	rate rates
-}
-
-// rates is what an engine gets done, by its report and by what was learnt.
-type rates struct {
-	prefill float64 // prompt tokens a second
-	decode  float64 // output tokens a second over all its streams
-	batch   int
+	node       *node
+	model      engineModel
+	needTokens int           // KV tokens that the request takes
+	slack      time.Duration // until the deadline, or noSlack
 }
 
 // load reads a node for a decision.
-func (c *Candidate) load(s *Snapshot, n *node, dc int32, now time.Time) {
+func (c *Candidate) load(s *Snapshot, n *node, r *Request, dc int32, now time.Time) {
 	u := n.state.Load()
-	*c = Candidate{Up: u, node: n, Local: n.dc == dc, Link: s.latency[dc][n.dc]}
+	*c = Candidate{Up: u, node: n, Local: n.dc == dc, Link: s.latency[dc][n.dc], slack: noSlack}
+	if !r.Deadline.IsZero() {
+		c.slack = r.Deadline.Sub(now)
+	}
 	h := n.standing(now)
 	c.Ejected = h == ejected
 	c.Trial = h == trial
+	c.Trials = int(n.live.trials.Load())
 	c.InFlight = int(n.live.inFlight.Load())
-	c.Work = Work{
-		Requests:     max(0, u.Report.Running+u.Report.Waiting+int(n.live.requests.Load())),
-		PromptTokens: max(0, u.Report.QueuedPrompt+int(n.live.prompt.Load())),
-		OutputTokens: max(0, int(n.live.output.Load())),
-	}
 	if !u.ReportAt.IsZero() {
 		c.ReportAge = max(0, now.Sub(u.ReportAt))
 	}
+	c.Work = n.workNow(u, c.ReportAge)
 	if u.Kind == platform.KindEngine {
-		c.rate = ratesOf(&s.cfg, u, &n.live)
-	}
-}
-
-// ratesOf takes the report's rates, or the settings' where there is none, and
-// corrects them by what was learnt.
-func ratesOf(cfg *Config, u *Upstream, l *live) rates {
-	r := rates{u.Report.PrefillPerSec, u.Report.DecodePerSec, u.Report.MaxBatch}
-	if r.prefill <= 0 {
-		r.prefill = cfg.PrefillPerSecond
-	}
-	if r.decode <= 0 {
-		r.decode = cfg.DecodePerSecond
-	}
-	if r.batch <= 0 {
-		r.batch = cfg.MaxBatch
+		c.model = modelOf(&s.cfg, u, &n.live)
+		c.needTokens = r.PromptTokens + r.OutputTokens
 	}
-	r.prefill /= l.prefillFactor.load()
-	r.decode /= l.gapFactor.load()
-	return r
 }
 
 // outOfService says that the engine's own report has it out of service.
--- a/router/config.go
+++ b/router/config.go
@@ -21,6 +21,17 @@
 	// split, SplitGain the share of the expected time that it must save.
 	SplitMinTokens int
 	SplitGain      float64
+	// OccupancyWeight is what a second of engine time taken from others costs
+	// beside a second of the request's own time.
+	OccupancyWeight float64
+	// ApartCost is what it costs at most to put a long prompt among streams,
+	// or a stream among long prompts.
+	ApartCost time.Duration
+	// ChunkTokens is how many prompt tokens an engine works through between
+	// two tokens of its streams, FirstStepShare the time of a step with one
+	// stream as a share of one with a full batch.
+	ChunkTokens    float64
+	FirstStepShare float64
 	// PrefillPerSecond and DecodePerSecond stand in for an engine's rates until
 	// its first report, MaxBatch for its batch.
 	PrefillPerSecond float64
@@ -33,6 +44,15 @@
 	CacheHalfLife time.Duration
 	// Outlier sets when an upstream is ejected.
 	Outlier OutlierConfig
+	// Pipeline makes the pipeline; nil means NewScheduler.
+	Pipeline func(Config) *Scheduler
+}
+
+func (c Config) pipeline() *Scheduler {
+	if c.Pipeline != nil {
+		return c.Pipeline(c)
+	}
+	return NewScheduler(c)
 }
 
 // Link is the one-way latency between two data centres.
@@ -51,8 +71,9 @@
 	// SlowFactor ejects an upstream whose times exceed the prediction by this
 	// factor more than its pool's do.
 	SlowFactor float64
-	// Hold is the first ejection's length; it doubles up to MaxHold.
-	Hold, MaxHold time.Duration
+	// Hold is the first ejection's length; it doubles up to MaxHold, or up to
+	// MaxHoldDead for an upstream out of reach, which a trial costs little.
+	Hold, MaxHold, MaxHoldDead time.Duration
 	// Trials is how many requests in a row must succeed on return.
 	Trials int
 	// MaxFraction is the greatest share of a pool that may be ejected at once;
@@ -70,8 +91,12 @@
 		KVBytesPerToken:            50_000,
 		SplitMinTokens:             512,
 		SplitGain:                  0.10,
-		PrefillPerSecond:           8000,
-		DecodePerSecond:            800,
+		OccupancyWeight:            0.3,
+		ApartCost:                  500 * time.Millisecond,
+		ChunkTokens:                256,
+		FirstStepShare:             0.5,
+		PrefillPerSecond:           5000,
+		DecodePerSecond:            640,
 		MaxBatch:                   32,
 		CacheBlocks:                1 << 17,
 		CacheHalfLife:              5 * time.Minute,
@@ -81,7 +106,8 @@
 			MinAttempts:    10,
 			SlowFactor:     4,
 			Hold:           2 * time.Second,
-			MaxHold:        60 * time.Second,
+			MaxHold:        8 * time.Second,
+			MaxHoldDead:    4 * time.Second,
 			Trials:         2,
 			MaxFraction:    0.34,
 		},
--- a/router/errors.go
+++ b/router/errors.go
@@ -11,7 +11,7 @@
 	LackModel    Lack = "no engine of the pool serves the model"
 	LackLeaving  Lack = "all upstreams are leaving or being changed"
 	LackService  Lack = "all engines are out of service"
-	LackRole     Lack = "no engine's role can run the request"
+	LackMemory   Lack = "the request exceeds every engine's KV memory"
 	LackEjected  Lack = "all upstreams failed lately"
 	LackExcluded Lack = "all upstreams have been tried"
 	LackIsolated Lack = "a suspected request must run apart from others"
--- a/router/filter.go
+++ b/router/filter.go
@@ -1,10 +1,6 @@
 package router
 
-import (
-	"slices"
-
-	"tamarackchute/upstream"
-)
+import "slices"
 
 // Filter drops upstreams that may not run a request.
 type Filter interface {
@@ -21,7 +17,7 @@
 	trialFilter    struct{}
 	excludedFilter struct{}
 	isolatedFilter struct{}
-	roleFilter     struct{}
+	memoryFilter   struct{}
 )
 
 // leavingFilter holds new work back from upstreams that leave or are about to
@@ -41,7 +37,7 @@
 // trialFilter lets an upstream on probation have one request at a time, and
 // none that must not fail.
 func (trialFilter) Keep(c *Candidate, r *Request) bool {
-	return !c.Trial || (c.InFlight == 0 && !r.NoTrial)
+	return !c.Trial || (c.Trials == 0 && !r.NoTrial)
 }
 func (trialFilter) Lack() Lack { return LackEjected }
 
@@ -57,6 +53,10 @@
 }
 func (isolatedFilter) Lack() Lack { return LackIsolated }
 
-// roleFilter keeps whole requests off engines set up for prefill alone.
-func (roleFilter) Keep(c *Candidate, _ *Request) bool { return c.role() != upstream.RolePrefill }
-func (roleFilter) Lack() Lack                         { return LackRole }
+// memoryFilter drops engines whose KV memory couldn't hold the request even if
+// it were alone there.
+func (memoryFilter) Keep(c *Candidate, _ *Request) bool {
+	total := c.Up.Report.KVTotalTokens
+	return total <= 0 || c.needTokens <= total
+}
+func (memoryFilter) Lack() Lack { return LackMemory }
--- /dev/null
+++ b/router/fleet_test.go
@@ -0,0 +1,442 @@
+package router_test
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"tamarackchute/admission"
+	"tamarackchute/platform"
+	"tamarackchute/router"
+	"tamarackchute/upstream"
+)
+
+// The fakes below are as simple as lets them show queues: engines that batch
+// in steps, as in the stand-in, and entries that are a tracker and a
+// controller each. Time is a counter; nothing runs by itself.
+
+const tick = 5 * time.Millisecond
+
+// job is one request on its way through the fakes.
+type job struct {
+	class              string
+	prompt, out        int
+	todo, left         int
+	arrived, deadline  time.Time
+	entry              *fakeEntry
+	pending            *admission.Pending
+	grant              *admission.Grant
+	ticket             *router.Ticket
+	engine, decode     *fakeEngine
+	prefillOnly, ended bool
+	inTime             bool
+	first              time.Time
+	refused            bool
+	est                router.Estimate
+	note               router.Why
+	trueQ, trueN       int
+}
+
+// fakeEngine works as the stand-in does: chunks of prompts in order of
+// arrival, one token a step for each stream.
+type fakeEngine struct {
+	name                string
+	role                upstream.Role
+	prefill             float64
+	stepFirst, stepFull float64
+	slow                float64
+	kvTotal, kvUsed     int
+	waiting, running    []*job
+	chunks              map[*job]int
+	busyUntil           time.Time
+	worked              time.Duration
+	reports             []upstream.LoadReport
+	reportsAt           []time.Time
+}
+
+const (
+	fakeBatch = 32
+	fakeChunk = 256
+	fakeAlone = 1024
+)
+
+func newFakeEngine(name string, role upstream.Role) *fakeEngine {
+	e := &fakeEngine{name: name, role: role, prefill: 8000, stepFirst: 0.015, stepFull: 0.030, slow: 1, kvTotal: 60000}
+	switch role {
+	case upstream.RolePrefill:
+		e.stepFirst, e.stepFull = e.stepFirst/0.25, e.stepFull/0.25
+	case upstream.RoleDecode:
+		e.prefill *= 0.25
+	default:
+		e.prefill *= 0.6
+		e.stepFirst, e.stepFull = e.stepFirst/0.6, e.stepFull/0.6
+	}
+	return e
+}
+
+func (e *fakeEngine) report(now time.Time) {
+	queued := 0
+	for _, j := range append(append([]*job(nil), e.waiting...), e.running...) {
+		queued += j.todo
+	}
+	e.reports = append(e.reports, upstream.LoadReport{
+		Role: e.role, InService: true, Running: len(e.running), Waiting: len(e.waiting), QueuedPrompt: queued,
+		KVUsedTokens: e.kvUsed, KVTotalTokens: e.kvTotal, MaxBatch: fakeBatch,
+		PrefillPerSec: e.prefill, DecodePerSec: fakeBatch / e.stepFull,
+	})
+	e.reportsAt = append(e.reportsAt, now)
+}
+
+func (e *fakeEngine) step(now time.Time) {
+	if now.Before(e.busyUntil) {
+		return
+	}
+	e.complete(now)
+	for len(e.running) < fakeBatch && len(e.waiting) > 0 && e.kvUsed+e.waiting[0].prompt+e.waiting[0].out <= e.kvTotal {
+		j := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		e.running = append(e.running, j)
+		e.kvUsed += j.prompt + j.out
+	}
+	decoding := 0
+	for _, j := range e.running {
+		if j.todo == 0 {
+			decoding++
+		}
+	}
+	budget := fakeAlone
+	if decoding > 0 {
+		budget = fakeChunk
+	}
+	e.chunks = map[*job]int{}
+	took := 0.0
+	for _, j := range e.running {
+		n := min(j.todo, budget)
+		if n > 0 {
+			e.chunks[j] = n
+			budget -= n
+			took += float64(n) / e.prefill
+		}
+	}
+	if decoding > 0 {
+		took += e.stepFirst + (e.stepFull-e.stepFirst)*float64(decoding-1)/(fakeBatch-1)
+	}
+	if took > 0 {
+		d := time.Duration(took * e.slow * float64(time.Second))
+		e.busyUntil = now.Add(d)
+		e.worked += d
+	}
+}
+
+func (e *fakeEngine) complete(now time.Time) {
+	if e.chunks == nil {
+		return
+	}
+	for _, j := range append([]*job(nil), e.running...) {
+		j.todo -= e.chunks[j]
+		if j.todo > 0 {
+			continue
+		}
+		if j.prefillOnly {
+			e.drop(j)
+			j.handOver(now)
+			continue
+		}
+		j.left--
+		if j.first.IsZero() {
+			j.first = now
+			j.ticket.FirstToken()
+			j.grant.FirstToken()
+		}
+		j.ticket.Tokens(1)
+		if j.left == 0 {
+			e.drop(j)
+			j.inTime = !now.After(j.deadline)
+			j.end(router.OutcomeOK, admission.ResultDone)
+		}
+	}
+	e.chunks = nil
+}
+
+func (e *fakeEngine) drop(j *job) {
+	for i, r := range e.running {
+		if r == j {
+			e.running = append(e.running[:i], e.running[i+1:]...)
+			e.kvUsed -= j.prompt + j.out
+			return
+		}
+	}
+	for i, r := range e.waiting {
+		if r == j {
+			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+func (j *job) handOver(now time.Time) {
+	j.ticket.Prefilled()
+	j.prefillOnly = false
+	j.engine = j.decode
+	j.todo = 1
+	j.decode.waiting = append(j.decode.waiting, j)
+}
+
+func (j *job) end(o router.Outcome, r admission.Result) {
+	j.ended = true
+	j.ticket.End(o)
+	j.grant.Release(r, j.out-j.left)
+}
+
+// fakeEntry is one entry instance.
+type fakeEntry struct {
+	tracker   *router.Tracker
+	admission *admission.Controller
+	waiting   []*job
+	running   []*job
+}
+
+// fleet is entries and engines under one clock.
+type fleet struct {
+	now     time.Time
+	rnd     *rand.Rand
+	engines []*fakeEngine
+	byName  map[string]*fakeEngine
+	entries []*fakeEntry
+	lag     time.Duration
+	jobs    []*job
+	debug   func(*job, router.Plan)
+	each    func()
+	// imbalance sums, over seconds, the longest engine queue less the mean.
+	imbalance, mean float64
+	busy            float64 // share of time in which engines worked
+}
+
+func newFleet(seed uint64, roles []upstream.Role, entries int, cfg router.Config, lag time.Duration) *fleet {
+	f := &fleet{now: time.Unix(1e9, 0), rnd: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*fakeEngine{}, lag: lag}
+	var ups []router.Upstream
+	for i, role := range roles {
+		e := newFakeEngine(string(rune('a'+i)), role)
+		f.engines = append(f.engines, e)
+		f.byName[e.name] = e
+		ups = append(ups, router.Upstream{Name: e.name, Kind: platform.KindEngine, Pool: "p", DataCentre: "dc",
+			Models: []string{"m"}, Role: role})
+	}
+	clock := func() time.Time { return f.now }
+	for range entries {
+		f.entries = append(f.entries, &fakeEntry{
+			tracker:   router.NewTracker(cfg, ups, clock),
+			admission: admission.New(admission.DefaultConfig(), clock),
+		})
+	}
+	return f
+}
+
+// arrive sends a request to a random entry.
+func (f *fleet) arrive(class string, prompt, out int, limit time.Duration) {
+	j := &job{class: class, prompt: prompt, out: out, todo: prompt, left: out, arrived: f.now,
+		deadline: f.now.Add(limit), entry: f.entries[f.rnd.IntN(len(f.entries))]}
+	f.jobs = append(f.jobs, j)
+	plan, err := j.entry.tracker.Pick(j.request())
+	if err != nil {
+		j.refused = true
+		return
+	}
+	priority := 0
+	if class == "short" {
+		priority = 1
+	}
+	j.pending, err = j.entry.admission.Submit(admission.Request{Pool: "p", Model: "m", Organisation: class,
+		PromptTokens: prompt, OutputTokens: out, Priority: priority, Deadline: j.deadline,
+		Estimate: admission.Estimate(plan.Estimate)})
+	if err != nil {
+		j.refused = true
+		return
+	}
+	j.entry.waiting = append(j.entry.waiting, j)
+}
+
+func (j *job) request() router.Request {
+	return router.Request{Pool: "p", Model: "m", PromptTokens: j.prompt, OutputTokens: j.out, Deadline: j.deadline}
+}
+
+// poll dispatches what has been granted.
+func (f *fleet) poll(e *fakeEntry) {
+	keep := e.waiting[:0]
+	for _, j := range e.waiting {
+		g, ok, err := j.pending.Poll()
+		switch {
+		case !ok:
+			keep = append(keep, j)
+		case err != nil:
+			j.refused = true
+		default:
+			j.grant = g
+			f.dispatch(j)
+		}
+	}
+	e.waiting = keep
+}
+
+func (f *fleet) dispatch(j *job) {
+	plan, err := j.entry.tracker.Pick(j.request())
+	if err != nil {
+		j.refused = true
+		j.grant.Release(admission.ResultFailed, 0)
+		return
+	}
+	j.ticket = j.entry.tracker.Begin(plan, j.request())
+	j.engine = f.byName[plan.Engine]
+	if plan.Prefill != "" {
+		j.decode = j.engine
+		j.engine = f.byName[plan.Prefill]
+		j.prefillOnly = true
+	}
+	if f.debug != nil {
+		f.debug(j, plan)
+	}
+	j.engine.waiting = append(j.engine.waiting, j)
+	j.entry.running = append(j.entry.running, j)
+}
+
+// advance moves the clock by one tick.
+func (f *fleet) advance() {
+	f.now = f.now.Add(tick)
+	if f.each != nil {
+		f.each()
+	}
+	for _, e := range f.engines {
+		e.step(f.now)
+	}
+	second := f.now.Sub(f.now.Truncate(time.Second)) < tick
+	for _, e := range f.entries {
+		f.cancelLate(e)
+		if f.now.Sub(f.now.Truncate(100*time.Millisecond)) < tick {
+			e.admission.Sweep()
+		}
+		f.poll(e)
+	}
+	if second {
+		f.reportAll()
+	}
+}
+
+func (f *fleet) cancelLate(e *fakeEntry) {
+	keep := e.running[:0]
+	for _, j := range e.running {
+		if !j.ended && f.now.After(j.deadline) {
+			j.engine.drop(j)
+			j.end(router.OutcomeCancelled, admission.ResultCancelled)
+		}
+		if !j.ended {
+			keep = append(keep, j)
+		}
+	}
+	e.running = keep
+}
+
+// reportAll lets the engines report, lag late, and tells admission.
+func (f *fleet) reportAll() {
+	longest, sum := 0.0, 0.0
+	for _, e := range f.engines {
+		e.report(f.now)
+		at := sort.Search(len(e.reportsAt), func(i int) bool { return e.reportsAt[i].After(f.now.Add(-f.lag)) }) - 1
+		if at >= 0 {
+			r := e.reports[at]
+			r.AgeMillis = f.now.Sub(e.reportsAt[at]).Milliseconds()
+			for _, en := range f.entries {
+				en.tracker.SetReport(e.name, r, f.now)
+			}
+		}
+		queued := float64(e.reports[len(e.reports)-1].QueuedPrompt) / e.prefill
+		longest = max(longest, queued)
+		sum += queued
+	}
+	f.imbalance += longest
+	f.mean += sum / float64(len(f.engines))
+	for _, en := range f.entries {
+		l := en.tracker.PoolLoad("p", "m")
+		en.admission.SetCapacity("p", "m", admission.Capacity{Engines: l.Engines, Entries: len(f.entries),
+			PrefillPerSecond: l.PrefillPerSecond, DecodePerSecond: l.DecodePerSecond})
+	}
+}
+
+// mix is a stream of requests: short ones and long ones a second.
+type mix struct{ short, long float64 }
+
+// run drives arrivals for a time and lets what is left end. It returns the
+// tallies of those that arrived after the warm-up.
+func (f *fleet) run(m mix, warm, length time.Duration) tally {
+	start := f.now
+	f.reportAll()
+	next := [2]time.Duration{}
+	rates := [2]float64{m.short, m.long}
+	for f.now.Sub(start) < length {
+		for i := range next {
+			for rates[i] > 0 && next[i] <= f.now.Sub(start) {
+				f.arriveOne(i)
+				next[i] += time.Duration(f.rnd.ExpFloat64() / rates[i] * float64(time.Second))
+			}
+		}
+		f.advance()
+	}
+	for _, e := range f.engines {
+		f.busy += e.worked.Seconds() / length.Seconds() / float64(len(f.engines))
+	}
+	for range int(40 * time.Second / tick) {
+		f.advance()
+	}
+	return tallyOf(f.jobs, start.Add(warm))
+}
+
+func (f *fleet) arriveOne(kind int) {
+	if kind == 0 {
+		f.arrive("short", 50+f.rnd.IntN(250), 10+f.rnd.IntN(60), 6*time.Second)
+		return
+	}
+	f.arrive("long", 2000+f.rnd.IntN(4000), 10+f.rnd.IntN(60), 30*time.Second)
+}
+
+// tally counts what became of requests.
+type tally struct {
+	offered, inTime, refused, late int
+	shortOffered, shortInTime      int
+	// work is the tokens of answers in time, prompt and output, as engine time.
+	work  float64
+	waits []time.Duration // first-token times of short answers
+}
+
+func tallyOf(jobs []*job, from time.Time) tally {
+	var t tally
+	for _, j := range jobs {
+		if j.arrived.Before(from) {
+			continue
+		}
+		t.offered++
+		if j.class == "short" {
+			t.shortOffered++
+		}
+		switch {
+		case j.refused:
+			t.refused++
+		case !j.inTime:
+			t.late++
+		default:
+			t.inTime++
+			t.work += float64(j.prompt)/4800 + float64(j.out)*0.0017
+			if j.class == "short" {
+				t.shortInTime++
+				t.waits = append(t.waits, j.first.Sub(j.arrived))
+			}
+		}
+	}
+	sort.Slice(t.waits, func(i, j int) bool { return t.waits[i] < t.waits[j] })
+	return t
+}
+
+func (t tally) p(share float64) time.Duration {
+	if len(t.waits) == 0 {
+		return 0
+	}
+	return t.waits[int(share*float64(len(t.waits)-1))]
+}
--- a/router/node.go
+++ b/router/node.go
@@ -21,20 +21,28 @@
 type node struct {
 	id    int32
 	dc    int32
+	rank  float64               // 0 to 1, its place in its pool and data centre
+	peers atomic.Pointer[peers] // nil in snapshots that don't change
 	state atomic.Pointer[Upstream]
 	live  live
 }
 
 // live is the part of an upstream's books that each request changes.
 type live struct {
-	requests, prompt, output atomic.Int64 // correction of the report
-	inFlight                 atomic.Int64
-	health                   atomic.Uint32
-	heldUntil                atomic.Int64 // Unix nanoseconds
-	prefillFactor            atomicFloat
-	gapFactor                atomicFloat
-	failureRate              atomicFloat
-	serviceTime              atomic.Int64 // nanoseconds
+	// The corrections of the report.
+	requests, prompt, kv atomic.Int64
+	// The own work in flight, whatever the report says.
+	inFlight, ownPrompt, ownKV, output atomic.Int64
+	health                             atomic.Uint32
+	heldUntil                          atomic.Int64 // Unix nanoseconds
+	dead                               atomic.Bool  // ejected for being out of reach
+	trials                             atomic.Int64 // requests in flight that are trials
+	prefillFactor                      atomicFloat
+	gapFactor                          atomicFloat
+	slowness                           atomicFloat // times seen over times predicted, queues and all
+	failureRate                        atomicFloat
+	meanOutput                         atomicFloat  // tokens of an answer
+	serviceTime                        atomic.Int64 // nanoseconds
 }
 
 // atomicFloat is a float64 that is read and written whole.
@@ -49,10 +57,15 @@
 	n.live.requests.Store(int64(u.Own.Requests))
 	n.live.prompt.Store(int64(u.Own.PromptTokens))
 	n.live.output.Store(int64(u.Own.OutputTokens))
+	n.live.kv.Store(int64(u.Own.KVTokens))
 	n.live.inFlight.Store(int64(u.InFlight))
+	n.live.ownPrompt.Store(int64(u.Own.PromptTokens))
+	n.live.ownKV.Store(int64(u.Own.KVTokens))
 	n.live.prefillFactor.store(factorOrOne(u.PrefillFactor))
 	n.live.gapFactor.store(factorOrOne(u.GapFactor))
 	n.live.failureRate.store(u.FailureRate)
+	n.live.slowness.store(1)
+	n.live.meanOutput.store(unknownOutputTokens)
 	n.live.serviceTime.Store(int64(u.ServiceTime))
 	switch {
 	case u.Ejected:
@@ -88,6 +101,7 @@
 	u.Own = Work{
 		Requests:     int(n.live.requests.Load()),
 		PromptTokens: int(n.live.prompt.Load()),
+		KVTokens:     int(n.live.kv.Load()),
 		OutputTokens: int(n.live.output.Load()),
 	}
 	u.InFlight = int(n.live.inFlight.Load())
--- a/router/schedule.go
+++ b/router/schedule.go
@@ -22,7 +22,7 @@
 	// Filters for whole requests, cheapest first.
 	Filters []Filter
 	// Fallback replaces Filters if those leave nothing: it lets upstreams on
-	// probation and engines set up for prefill run whole requests.
+	// probation run more than trials.
 	Fallback []Filter
 	Scorers  []Scorer
 	Picker   Picker
@@ -33,23 +33,28 @@
 func NewScheduler(cfg Config) *Scheduler {
 	s := &Scheduler{
 		Filters: []Filter{
-			leavingFilter{}, serviceFilter{}, ejectedFilter{}, trialFilter{},
-			roleFilter{}, excludedFilter{}, isolatedFilter{},
+			leavingFilter{}, serviceFilter{}, memoryFilter{}, ejectedFilter{},
+			trialFilter{}, excludedFilter{}, isolatedFilter{},
 		},
 		Fallback: []Filter{
-			leavingFilter{}, serviceFilter{}, ejectedFilter{},
+			leavingFilter{}, serviceFilter{}, memoryFilter{}, ejectedFilter{},
 			excludedFilter{}, isolatedFilter{},
 		},
 		Picker: defaultPicker(),
 		cfg:    cfg,
 	}
-	s.Scorers = []Scorer{timeScorer{&s.cfg}, crossScorer{cfg.CrossCost}, failureScorer{}}
+	s.Scorers = []Scorer{
+		timeScorer{}, occupancyScorer{cfg.OccupancyWeight}, apartScorer{cfg.ApartCost},
+		crossScorer{cfg.CrossCost}, failureScorer{},
+	}
 	return s
 }
 
 // scratch is the memory of one decision, kept for the next.
 type scratch struct {
 	cands   []Candidate
+	pre     []Candidate // engines for prefill
+	dec     []Candidate // engines to take over from one of them
 	nodes   []*node
 	matches []Match
 	dropped []int
@@ -132,7 +137,7 @@
 		CachedTokens: c.CachedTokens,
 		Considered:   len(d.sc.cands),
 	}
-	return p.trySplit(d, plan), nil
+	return p.trySplit(d, plan, c.Cost), nil
 }
 
 func (p *Scheduler) score(d *decision) {
@@ -172,7 +177,7 @@
 		}
 		d.sc.cands = d.sc.cands[:len(d.sc.cands)+1]
 		c := &d.sc.cands[len(d.sc.cands)-1]
-		c.load(d.s, n, d.dc, d.now)
+		c.load(d.s, n, d.r, d.dc, d.now)
 		if i := firstDrop(filters, c, d.r); i >= 0 {
 			d.sc.dropped[i]++
 			d.sc.cands = d.sc.cands[:len(d.sc.cands)-1]
@@ -205,6 +210,16 @@
 	return d.sc.nodes
 }
 
+// sampleOf returns the nodes, or a sample if they are many.
+func (d *decision) sampleOf(from []*node) []*node {
+	if len(from) <= scanAll {
+		return from
+	}
+	d.sc.nodes = d.sc.nodes[:0]
+	d.draw(from, sampleLocal)
+	return d.sc.nodes
+}
+
 func (d *decision) draw(from []*node, count int) {
 	if len(from) == 0 {
 		return
--- a/router/score.go
+++ b/router/score.go
@@ -1,10 +1,10 @@
 package router
 
 import (
-	"math"
 	"time"
 
 	"tamarackchute/platform"
+	"tamarackchute/upstream"
 )
 
 // Scorer says what an upstream would cost a request, in time. Costs add up.
@@ -12,16 +12,64 @@
 	Cost(c *Candidate, r *Request) time.Duration
 }
 
-// timeScorer costs the expected time until the answer is whole.
-type timeScorer struct{ cfg *Config }
+// timeScorer costs the expected time until the answer is whole, weighted by
+// how much of the time until the deadline that is: a request with time in hand
+// can afford a queue, and leaves the idle engine to one that can't.
+type timeScorer struct{}
 
-func (s timeScorer) Cost(c *Candidate, r *Request) time.Duration {
+func (timeScorer) Cost(c *Candidate, r *Request) time.Duration {
 	if c.Up.Kind == platform.KindService {
 		c.Estimate = estimateService(c)
-	} else {
-		c.Estimate = estimateWhole(s.cfg, c, r)
+		return c.Estimate.Complete
 	}
-	return c.Estimate.Complete
+	c.Estimate = estimateWhole(c, r)
+	return urgent(c.Estimate.Complete, c.slack)
+}
+
+// maxUrgency bounds the weight of a request that is late already.
+const maxUrgency = 3.0
+
+// urgent weights a time by the share of the slack that it takes up.
+func urgent(t, slack time.Duration) time.Duration {
+	if slack == noSlack {
+		return t
+	}
+	share := maxUrgency
+	if slack > 0 {
+		share = min(maxUrgency, float64(t)/float64(slack))
+	}
+	return time.Duration(float64(t) * share)
+}
+
+// noSlack stands for a request without a deadline.
+const noSlack = time.Duration(-1 << 63)
+
+// occupancyScorer costs the time that the request takes from others.
+type occupancyScorer struct{ weight float64 }
+
+func (s occupancyScorer) Cost(c *Candidate, r *Request) time.Duration {
+	if c.Up.Kind == platform.KindService {
+		return 0
+	}
+	prompt := max(0, r.PromptTokens-c.CachedTokens)
+	return seconds(s.weight * c.occupancy(prompt, r.OutputTokens))
+}
+
+// apartScorer keeps long prompts and streams apart on engines of no particular
+// role. A long prompt holds up every stream beside it, so both fare better if
+// the long ones share some of the engines. Which ones, all processes agree on
+// without a word, by the engines' rank: long prompts are drawn to one end,
+// streams to the other, and the queues move the border between them.
+type apartScorer struct{ cost time.Duration }
+
+func (s apartScorer) Cost(c *Candidate, r *Request) time.Duration {
+	if c.Up.Kind == platform.KindService || c.role() != upstream.RoleMixed {
+		return 0
+	}
+	prompt := float64(r.PromptTokens-c.CachedTokens) / c.model.prefill
+	output := float64(r.OutputTokens) * c.model.stepFirst
+	long := prompt / (prompt + output + 1e-9)
+	return time.Duration(float64(s.cost) * (long*c.node.rank + (1-long)*(1-c.node.rank)))
 }
 
 // crossScorer costs leaving the data centre beyond the latency, which
@@ -35,52 +83,26 @@
 	return s.cost
 }
 
-// failureScorer costs the attempt that an upstream's failures would waste: at
+// failureScorer costs the attempts that an upstream's failures would waste: at
 // failure rate f the request is expected to be run f/(1-f) times in vain.
 type failureScorer struct{}
 
 func (failureScorer) Cost(c *Candidate, _ *Request) time.Duration {
-	f := min(c.node.live.failureRate.load(), 0.9)
-	if f <= 0.01 {
-		return 0
-	}
+	f := min(c.node.live.failureRate.load(), maxFailureRate)
 	return time.Duration(float64(c.Estimate.Complete) * f / (1 - f))
 }
 
-// Times beyond this are cut, so that sums of costs can't overflow.
-const longestEstimate = time.Hour
+// maxFailureRate bounds the cost of failures.
+const maxFailureRate = 0.9
 
-// Expected output of streams that others started, whose lengths aren't known.
-const unknownOutputTokens = 200
+// unknownOutputTokens is the length of an answer until some have been seen.
+const unknownOutputTokens = 128
 
 // defaultServiceTime stands in until a plain service has been called.
 const defaultServiceTime = 20 * time.Millisecond
 
-// estimateWhole says how long a request takes that one engine runs whole.
-func estimateWhole(cfg *Config, c *Candidate, r *Request) Estimate {
-	queue := queueSeconds(c)
-	prompt := max(0, r.PromptTokens-c.CachedTokens)
-	first := queue + float64(prompt)/c.rate.prefill + 2*c.Link.Seconds()
-	complete := first + float64(r.OutputTokens)*gapSeconds(c)
-	return Estimate{seconds(queue), seconds(first), seconds(complete)}
-}
-
-// queueSeconds is the wait for the prompts ahead and for a place in the batch.
-func queueSeconds(c *Candidate) float64 {
-	wait := float64(c.Work.PromptTokens) / c.rate.prefill
-	over := c.Work.Requests + 1 - c.rate.batch
-	if over <= 0 {
-		return wait
-	}
-	perPlace := unknownOutputTokens / c.rate.decode
-	return wait + float64(over)*perPlace
-}
-
-// gapSeconds is the time between two tokens of a stream that joins now.
-func gapSeconds(c *Candidate) float64 {
-	streams := min(c.Work.Requests+1, c.rate.batch)
-	return float64(streams) / c.rate.decode
-}
+// serviceParallel is how many calls a plain service is taken to run at a time.
+const serviceParallel = 4
 
 // estimateService says how long a plain service's call takes: its usual time,
 // longer by the calls of ours that it has in hand.
@@ -89,15 +111,7 @@
 	if usual <= 0 {
 		usual = defaultServiceTime
 	}
-	queue := usual * time.Duration(c.InFlight) / 4
+	queue := usual * time.Duration(c.InFlight) / serviceParallel
 	complete := queue + usual + 2*c.Link
 	return Estimate{queue, complete, complete}
 }
-
-// seconds converts, with a bound.
-func seconds(s float64) time.Duration {
-	if math.IsNaN(s) || s >= longestEstimate.Seconds() {
-		return longestEstimate
-	}
-	return time.Duration(s * float64(time.Second))
-}
--- a/router/snapshot.go
+++ b/router/snapshot.go
@@ -27,6 +27,7 @@
 	cfg       Config
 	scheduler *Scheduler
 	cache     *PrefixIndex
+	handoff   *handoff
 	nodes     []*node
 	byName    map[string]*node
 	pools     map[string]int
@@ -40,7 +41,7 @@
 // prefix index may be nil. Tests and embedders without a Tracker use it.
 func NewSnapshot(cfg Config, ups []Upstream, cache *PrefixIndex) *Snapshot {
 	nodes := make([]*node, len(ups))
-	s := newSnapshot(cfg, cache)
+	s := newSnapshot(cfg, cache, newHandoff())
 	for i, u := range ups {
 		nodes[i] = newNode(int32(i), s.dataCentre(u.DataCentre), u)
 	}
@@ -48,11 +49,12 @@
 	return s
 }
 
-func newSnapshot(cfg Config, cache *PrefixIndex) *Snapshot {
+func newSnapshot(cfg Config, cache *PrefixIndex, h *handoff) *Snapshot {
 	s := &Snapshot{
 		cfg:       cfg,
-		scheduler: NewScheduler(cfg),
+		scheduler: cfg.pipeline(),
 		cache:     cache,
+		handoff:   h,
 		byName:    map[string]*node{},
 		pools:     map[string]int{},
 		groups:    map[groupKey]*group{},
@@ -81,6 +83,7 @@
 func (s *Snapshot) index(nodes []*node) {
 	s.nodes = nodes
 	s.latency = latencies(s.cfg.Links, s.dcs)
+	rankNodes(nodes)
 	for _, n := range nodes {
 		u := n.state.Load()
 		s.byName[u.Name] = n
@@ -94,6 +97,30 @@
 	}
 }
 
+// rankNodes spreads the members of each pool and data centre evenly from 0 to
+// 1, in order of their names, so that all processes agree.
+func rankNodes(nodes []*node) {
+	type place struct {
+		pool string
+		dc   int32
+	}
+	names := map[place][]string{}
+	for _, n := range nodes {
+		u := n.state.Load()
+		p := place{u.Pool, n.dc}
+		names[p] = append(names[p], u.Name)
+	}
+	for _, list := range names {
+		slices.Sort(list)
+	}
+	for _, n := range nodes {
+		u := n.state.Load()
+		list := names[place{u.Pool, n.dc}]
+		at, _ := slices.BinarySearch(list, u.Name)
+		n.rank = (float64(at) + 0.5) / float64(len(list))
+	}
+}
+
 func (s *Snapshot) addTo(k groupKey, n *node, u *Upstream) {
 	g := s.groups[k]
 	if g == nil {
--- a/router/split.go
+++ b/router/split.go
@@ -1,5 +1,128 @@
 package router
 
-// trySplit returns the plan, or a split of prefill and decode if that is
-// expected to be enough faster.
-func (p *Scheduler) trySplit(d *decision, whole Plan) Plan { return whole }
+import (
+	"time"
+
+	"tamarackchute/upstream"
+)
+
+// handoff is what has been learnt of KV handoffs: their time over that which
+// the settings give, within a data centre and between two.
+type handoff struct{ local, cross atomicFloat }
+
+func newHandoff() *handoff {
+	h := &handoff{}
+	h.local.store(1)
+	h.cross.store(1)
+	return h
+}
+
+func (h *handoff) factor(same bool) *atomicFloat {
+	if same {
+		return &h.local
+	}
+	return &h.cross
+}
+
+// handoffSeconds is the time that a prompt's KV cache takes between two
+// engines, as the settings have it.
+func (c *Config) handoffSeconds(tokens int, same bool, oneWay time.Duration) float64 {
+	rate := c.CrossHandoffBytesPerSecond
+	if same {
+		rate = c.HandoffBytesPerSecond
+	}
+	return c.KVBytesPerToken*float64(tokens)/rate + 2*oneWay.Seconds()
+}
+
+// trySplit returns the plan, or a split of prefill and decode if that costs
+// less by a margin. A split pays for a long prompt with many tokens to come,
+// when the decode engines' streams would otherwise be held up by its prefill;
+// it costs the handoff, and a queue at each of two engines.
+func (p *Scheduler) trySplit(d *decision, whole Plan, cost time.Duration) Plan {
+	if d.r.NoSplit || d.r.PromptTokens-whole.CachedTokens < p.cfg.SplitMinTokens || len(d.g.prefill) == 0 {
+		return whole
+	}
+	pre := d.prefillCandidates(p)
+	if len(pre) == 0 {
+		return whole
+	}
+	i, _ := p.Picker.Pick(pre, d.r, d.rnd)
+	dec := d.decodeCandidates(p, &pre[i])
+	if len(dec) == 0 {
+		return whole
+	}
+	j, _ := p.Picker.Pick(dec, d.r, d.rnd)
+	if float64(dec[j].Cost) > float64(cost)*(1-p.cfg.SplitGain) {
+		return whole
+	}
+	return Plan{
+		Engine:       dec[j].Up.Name,
+		Prefill:      pre[i].Up.Name,
+		Estimate:     dec[j].Estimate,
+		Reason:       WhySplit,
+		CachedTokens: pre[i].CachedTokens,
+		Considered:   len(pre) + len(dec),
+	}
+}
+
+// prefillCandidates scores engines set up for prefill by the time until the
+// prompt is worked through.
+func (d *decision) prefillCandidates(p *Scheduler) []Candidate {
+	out := d.sc.pre[:0]
+	for _, n := range d.sampleOf(d.g.prefill) {
+		var c Candidate
+		c.load(d.s, n, d.r, d.dc, d.now)
+		c.needTokens = d.r.PromptTokens
+		if c.Trial || firstDrop(p.Filters, &c, d.r) >= 0 {
+			continue
+		}
+		c.CachedTokens = d.cachedOn(n)
+		c.estimatePrefill(p, d.r)
+		out = append(out, c)
+	}
+	d.sc.pre = out
+	return out
+}
+
+func (c *Candidate) estimatePrefill(p *Scheduler, r *Request) {
+	prompt := max(1, r.PromptTokens-c.CachedTokens)
+	queue := c.queueSeconds()
+	done := queue + c.model.prefillSeconds(float64(prompt), min(c.Work.Requests, c.model.batch)) + 2*c.Link.Seconds()
+	c.Estimate = Estimate{Queue: seconds(queue), FirstToken: seconds(done), Complete: seconds(done)}
+	c.Cost = urgent(c.Estimate.Complete, c.slack) + seconds(p.cfg.OccupancyWeight*c.occupancy(prompt, 0))
+	if !c.Local {
+		c.Cost += p.cfg.CrossCost
+	}
+}
+
+// decodeCandidates scores the engines that may take over from an engine for
+// prefill; their estimates and costs are the whole split's.
+func (d *decision) decodeCandidates(p *Scheduler, pre *Candidate) []Candidate {
+	out := d.sc.dec[:0]
+	for i := range d.sc.cands {
+		c := d.sc.cands[i]
+		if c.role() == upstream.RolePrefill || c.Trial || c.node == pre.node {
+			continue
+		}
+		same := c.node.dc == pre.node.dc
+		oneWay := d.s.latency[pre.node.dc][c.node.dc]
+		move := p.cfg.handoffSeconds(d.r.PromptTokens, same, oneWay) * d.s.handoff.factor(same).load()
+		c.estimateDecode(p, d.r, pre, move)
+		out = append(out, c)
+	}
+	d.sc.dec = out
+	return out
+}
+
+func (c *Candidate) estimateDecode(p *Scheduler, r *Request, pre *Candidate, move float64) {
+	m := &c.model
+	wait := c.placeSeconds()
+	first := pre.Estimate.Complete.Seconds() + move + wait + m.step(c.Work.Requests+1) + 2*c.Link.Seconds()
+	complete := first + float64(max(0, r.OutputTokens-1))*m.step(c.Work.Requests+1)
+	c.Estimate = Estimate{pre.Estimate.Queue, seconds(first), seconds(complete)}
+	c.Cost = pre.Cost - urgent(pre.Estimate.Complete, c.slack) + urgent(c.Estimate.Complete, c.slack)
+	c.Cost += seconds(p.cfg.OccupancyWeight * c.occupancy(0, r.OutputTokens))
+	if !c.Local {
+		c.Cost += p.cfg.CrossCost
+	}
+}
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -12,13 +12,21 @@
 	plan    Plan
 	engine  *book
 	prefill *book // nil unless prefill runs on an engine of its own
-	began   time.Time
+	// movedFrom is that engine once it is done.
+	movedFrom *book
+	tokens    int // of the prompt
+	began     time.Time
+	trial     bool
+	quiet     bool // no prompts were ahead at the start
 
 	mu       sync.Mutex
 	prompt   int // prompt tokens still booked
 	output   int // output tokens still booked
+	kv       int // KV tokens booked
 	produced int
 	firstAt  time.Time
+	movedAt  time.Time // prefill on an engine of its own was done
+	gap      float64   // seconds between tokens that were predicted at firstAt
 	ended    bool
 }
 
@@ -27,27 +35,37 @@
 		k.ended = true
 		return
 	}
-	at := k.engine
-	if k.prefill != nil {
-		k.engine.add(now, 1, 0, k.output)
-		k.prefill.add(now, 1, k.prompt, 0)
-		at = k.prefill
-	} else {
-		k.engine.add(now, 1, k.prompt, k.output)
+	l := &k.engine.node.live
+	l.output.Add(int64(k.output))
+	k.quiet = k.engine.quietNow(now)
+	if k.engine.node.standing(now) == trial {
+		k.trial = true
+		l.trials.Add(1)
 	}
-	k.t.cache.predict(at.node.id, blocks, now)
+	if k.prefill == nil {
+		k.engine.add(now, 1, k.prompt, k.kv)
+		k.t.cache.predict(k.engine.node.id, blocks, now)
+		return
+	}
+	k.engine.add(now, 1, 0, k.kv)
+	k.prefill.add(now, 1, k.prompt, k.prompt)
+	k.t.cache.predict(k.prefill.node.id, blocks, now)
 }
 
 // Prefilled says that the engine for prefill is done and has handed over. It
-// is for plans with a Prefill only. Bytes and tokens are the KV handle's.
+// is for plans with a Prefill only.
 func (k *Ticket) Prefilled() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.ended || k.prefill == nil {
 		return
 	}
-	k.prefill.add(k.t.now(), -1, -k.prompt, 0)
+	now := k.t.now()
+	k.prefill.add(now, -1, -k.prompt, -k.prompt)
+	k.prefill.succeeded(now)
 	k.prompt = 0
+	k.movedFrom = k.prefill
+	k.movedAt = now
 	k.prefill = nil
 }
 
@@ -59,13 +77,20 @@
 		return
 	}
 	k.firstAt = k.t.now()
-	if k.prompt > 0 {
+	k.gap = k.engine.rawGap()
+	if k.prompt > 0 && k.prefill == nil {
 		k.engine.add(k.firstAt, 0, -k.prompt, 0)
 		k.prompt = 0
 	}
+	switch {
+	case k.movedFrom != nil:
+		k.learnHandoff()
+	case k.plan.Prefill == "":
+		k.engine.learnFirst(k)
+	}
 }
 
-// Tokens says that n more tokens have come.
+// Tokens says that n more tokens have come, the first included.
 func (k *Ticket) Tokens(n int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -73,9 +98,13 @@
 		return
 	}
 	k.produced += n
+	n = min(n, k.output)
+	k.output -= n
+	k.engine.node.live.output.Add(int64(-n))
 }
 
-// End closes the ticket with the attempt's outcome.
+// End closes the ticket with the attempt's outcome. If prefill on an engine of
+// its own hasn't ended, the outcome is that engine's.
 func (k *Ticket) End(o Outcome) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -84,10 +113,21 @@
 	}
 	k.ended = true
 	now := k.t.now()
+	l := &k.engine.node.live
+	l.output.Add(int64(-k.output))
+	if k.trial {
+		l.trials.Add(-1)
+	}
+	blamed := k.engine
 	if k.prefill != nil {
-		k.prefill.add(now, -1, -k.prompt, 0)
-		k.prompt = 0
+		k.prefill.add(now, -1, -k.prompt, -k.prompt)
+		k.engine.add(now, -1, 0, -k.kv)
+		blamed = k.prefill
+	} else {
+		k.engine.add(now, -1, -k.prompt, -k.kv)
+	}
+	blamed.outcome(o, k.began, now)
+	if o == OutcomeOK {
+		k.engine.learnEnd(k, now)
 	}
-	k.engine.add(now, -1, -k.prompt, -k.output)
-	k.engine.learn(k, o, now)
 }
--- a/router/tracker.go
+++ b/router/tracker.go
@@ -15,13 +15,15 @@
 // use by many goroutines; Pick and Begin take no lock that another upstream's
 // requests hold.
 type Tracker struct {
-	cfg   Config
-	now   func() time.Time
-	cache *PrefixIndex
-	snap  atomic.Pointer[Snapshot]
-	rnds  sync.Pool
+	cfg     Config
+	now     func() time.Time
+	cache   *PrefixIndex
+	handoff *handoff
+	snap    atomic.Pointer[Snapshot]
+	rnds    sync.Pool
 
 	mu    sync.Mutex // guards changes of membership, role and leaving
+	peers map[peersKey]*peers
 	books map[string]*book
 	order []*book
 	seen  map[string]bool // upstreams that the platform's list has named
@@ -35,14 +37,16 @@
 		now = time.Now
 	}
 	t := &Tracker{
-		cfg:   cfg,
-		now:   now,
-		cache: NewPrefixIndex(cfg.CacheBlocks, cfg.CacheHalfLife),
-		books: map[string]*book{},
-		seen:  map[string]bool{},
+		cfg:     cfg,
+		now:     now,
+		cache:   NewPrefixIndex(cfg.CacheBlocks, cfg.CacheHalfLife),
+		handoff: newHandoff(),
+		peers:   map[peersKey]*peers{},
+		books:   map[string]*book{},
+		seen:    map[string]bool{},
 	}
 	t.rnds.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-	s := newSnapshot(cfg, t.cache)
+	s := newSnapshot(cfg, t.cache, t.handoff)
 	for i, u := range ups {
 		b := newBook(t, newNode(int32(i), s.dataCentre(u.DataCentre), u))
 		t.books[u.Name] = b
@@ -57,14 +61,27 @@
 	nodes := make([]*node, len(t.order))
 	for i, b := range t.order {
 		nodes[i] = b.node
+		u := b.node.state.Load()
+		b.node.peers.Store(t.peersOf(peersKey{u.Pool, u.Role}))
 	}
 	s.index(nodes)
 	t.snap.Store(s)
 }
 
+// peersOf returns the averages of engines that are alike. t.mu is held, or the
+// tracker is being made.
+func (t *Tracker) peersOf(k peersKey) *peers {
+	p := t.peers[k]
+	if p == nil {
+		p = &peers{}
+		t.peers[k] = p
+	}
+	return p
+}
+
 // rebuild makes a new snapshot after a change of role or models.
 func (t *Tracker) rebuild() {
-	s := newSnapshot(t.cfg, t.cache)
+	s := newSnapshot(t.cfg, t.cache, t.handoff)
 	for _, b := range t.order {
 		s.dataCentre(b.node.state.Load().DataCentre)
 	}
@@ -144,6 +161,8 @@
 	k := &Ticket{t: t, engine: t.books[p.Engine], began: now, plan: p}
 	k.prompt = max(0, r.PromptTokens-p.CachedTokens)
 	k.output = r.OutputTokens
+	k.tokens = r.PromptTokens
+	k.kv = r.PromptTokens + r.OutputTokens
 	if p.Prefill != "" {
 		k.prefill = t.books[p.Prefill]
 	}
@@ -176,13 +195,13 @@
 		if u.Leaving || u.Draining || n.standing(now) == ejected {
 			continue
 		}
-		r := ratesOf(&s.cfg, u, &n.live)
+		m := modelOf(&s.cfg, u, &n.live)
 		sum.Engines++
-		sum.Slots += r.batch
+		sum.Slots += m.batch
 		sum.Running += u.Report.Running
 		sum.Waiting += u.Report.Waiting
-		sum.PrefillPerSecond += r.prefill
-		sum.DecodePerSecond += r.decode
+		sum.PrefillPerSecond += m.prefill
+		sum.DecodePerSecond += float64(m.batch) / m.stepFull
 	}
 	return sum
 }
--- a/router/types.go
+++ b/router/types.go
@@ -13,7 +13,10 @@
 	Requests int
 	// PromptTokens counts prompt tokens whose prefill isn't done.
 	PromptTokens int
-	// OutputTokens counts output tokens still expected.
+	// KVTokens counts the tokens that KV memory is taken for.
+	KVTokens int
+	// OutputTokens counts output tokens still expected. Reports don't have
+	// them, so this is always the process's own.
 	OutputTokens int
 }
 
