rolepolicy: learns how long a change takes, the drain included

Cause: the settings' change_s is the engine's own part; the drain before it lasts as long as the answers in flight. Ruled out: a setting for the drain, which nobody could keep right. Change: the time from Changing to its end is measured and takes the place of change_s in a change's cost.

--- a/rolepolicy/gain.go
+++ b/rolepolicy/gain.go
@@ -19,6 +19,7 @@
 	c       Config
 	learner learner
 	history map[string]*history
+	changes durations
 	// chosen is since when an engine of another data centre has been a
 	// candidate that its own leader did not change.
 	chosen map[string]time.Time
@@ -52,6 +53,7 @@
 		c:       c,
 		learner: newLearner(),
 		history: map[string]*history{},
+		changes: newDurations(c.Change),
 		chosen:  map[string]time.Time{},
 	}
 }
@@ -64,6 +66,7 @@
 		}
 	}
 	g.learner.forget(s.Engines)
+	g.changes.observe(s.Engines, now)
 	room := g.c.MaxAtOnce - changing(s)
 	var out []Decision
 	for _, p := range pools(s.Engines) {
@@ -144,7 +147,7 @@
 func (g *Gain) situation(table rateTable, engines []Engine, h *history, now time.Time) situation {
 	s := situation{
 		table:    table,
-		change:   g.c.Change.Seconds(),
+		change:   g.changes.mean.Seconds(),
 		parallel: g.parallel(engines),
 		weight:   g.c.ChangeWeight,
 	}
@@ -273,7 +276,7 @@
 		g.chosen[name] = now
 		return false
 	}
-	return now.Sub(since) > patience*g.c.Change
+	return now.Sub(since) > patience*g.changes.mean
 }
 
 // forgetChosen drops the engines that are no candidates any more. One that was
--- a/rolepolicy/policy_test.go
+++ b/rolepolicy/policy_test.go
@@ -224,3 +224,19 @@
 		})
 	}
 }
+
+// The settings say that a change takes 5 s, but draining takes 25 s more. A
+// policy that doesn't notice counts each change at a sixth of its cost.
+func TestDurationsAreLearnt(t *testing.T) {
+	d := newDurations(5 * time.Second)
+	now := time.Unix(1000, 0)
+	for range 10 {
+		d.observe([]Engine{{Name: "a", Changing: true}}, now)
+		now = now.Add(30 * time.Second)
+		d.observe([]Engine{{Name: "a"}}, now)
+	}
+	assert.InDelta(t, 30, d.mean.Seconds(), 1)
+	d.observe([]Engine{{Name: "a", Changing: true}}, now)
+	d.observe(nil, now)
+	assert.Empty(t, d.begun)
+}
