membership: live, suspected, leaving and gone, from beats, summaries and the list

Cause: the platform's list lags by seconds; callers must not be sent to instances that have gone or are leaving for so long. Ruled out: gossip with refutation of suspicions (first-hand heartbeats within a data centre make it needless); a fixed receiver a data centre (two senders replaced at once never found each other again, and with the lowest live name as the only receiver one broken way made summaries come and go). Change: a pure machine (messages, list, time in; messages and a view out) and a thin runner over a transport. Within a data centre everybody beats to everybody; between data centres one sender a centre sends one summary a second to one receiver that stays while it works. Vouching by third instances, incarnations, leaving, a list that is behind.

--- a/membership/message.go
+++ b/membership/message.go
@@ -31,11 +31,19 @@
 	}
 }
 
+// Message is a Heartbeat or a Summary.
+type Message interface {
+	membershipMessage()
+}
+
+func (Heartbeat) membershipMessage() {}
+func (Summary) membershipMessage()   {}
+
 // Heartbeat goes from each instance to every other of its data centre.
 type Heartbeat struct {
 	From string `msgpack:"f"`
-	// Incarnation tells the starts of an instance apart. It grows with each
-	// start, and whenever the instance learns that it is suspected.
+	// Incarnation tells the starts of an instance apart: messages of an earlier
+	// start don't count any more.
 	Incarnation uint64 `msgpack:"i"`
 	// Seq counts the heartbeats of an incarnation.
 	Seq     uint64 `msgpack:"q"`
@@ -47,7 +55,8 @@
 	Truncated bool `msgpack:"t,omitempty"`
 }
 
-// Suspect names an instance that the sender of a heartbeat doesn't hear.
+// Suspect names an instance that the sender of a heartbeat doesn't hear, with
+// the highest incarnation that the sender knows of it.
 type Suspect struct {
 	Name        string `msgpack:"n"`
 	Incarnation uint64 `msgpack:"i"`
@@ -62,6 +71,8 @@
 	// Seq counts the summaries of an incarnation of From.
 	Seq     uint64   `msgpack:"q"`
 	Members []Member `msgpack:"m"`
+	// Hears names the data centres of which From has a recent summary.
+	Hears []string `msgpack:"h,omitempty"`
 	// Relayed says that the summary was handed on within a data centre; it goes
 	// no further.
 	Relayed bool `msgpack:"r,omitempty"`
