rules: the fold, publisher, checkpoints and peers' states

Cause: every instance needs the same rules in force from the log, whatever expires, arrives late or twice, and a process that starts during an outage needs them from a peer. Two racing publishers, 1,000 rounds: one winner each, three readers agree.

--- /dev/null
+++ b/rules/publisher_test.go
@@ -0,0 +1,267 @@
+package rules
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/journal"
+	"tamarackchute/journal/journaltest"
+	"tamarackchute/platform"
+)
+
+const testRetention = time.Minute
+
+// instance is a process with its journal, book and publisher over a log.
+type instance struct {
+	journal   *journal.Journal
+	book      *Book
+	publisher *Publisher
+	stop      func()
+}
+
+// cut is a log that can be made unreachable for one process.
+type cut struct {
+	platform.Log
+	mu  sync.Mutex
+	off bool
+}
+
+func (c *cut) set(off bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.off = off
+}
+
+func (c *cut) isOff() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.off
+}
+
+func (c *cut) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+	if c.isOff() {
+		return 0, platform.ErrUnavailable
+	}
+	return c.Log.Append(ctx, data)
+}
+
+func (c *cut) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+	result, err := c.Log.Read(ctx, from, limit, wait)
+	if c.isOff() {
+		return platform.ReadResult{}, platform.ErrUnavailable
+	}
+	return result, err
+}
+
+// startInstance runs the parts that an entry has for the rules.
+func startInstance(log platform.Log, slot int) *instance {
+	quiet := slog.New(slog.DiscardHandler)
+	j := journal.New(log, journal.Config{Writer: fmt.Sprint("instance", slot), Retention: testRetention, Logger: quiet})
+	b := NewBook(BookOptions{Logger: quiet})
+	j.Register(journal.KindRules, b)
+	c := NewCheckpointer(j, b, CheckpointerOptions{Retention: testRetention, Slot: slot, Slots: 7, Logger: quiet})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = j.Serve(ctx) })
+	wg.Go(func() { _ = c.Serve(ctx) })
+	stop := sync.OnceFunc(func() { cancel(); wg.Wait() })
+	return &instance{journal: j, book: b, publisher: NewPublisher(j, b, testKnown), stop: stop}
+}
+
+func (i *instance) publish(t require.TestingT, base Version, when string) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := i.publisher.Publish(ctx, Publish{Base: base, Document: document(rule("r", when, toAgronomy)), Author: "anna"})
+	require.NoError(t, err)
+	return r
+}
+
+// expire lets the log forget what is older than its retention.
+func expire(log *journaltest.Log) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for off := platform.Offset(1); off < log.Next(); off++ {
+		result, err := log.Read(ctx, off, 1, 0)
+		if err != nil {
+			continue // trimmed already
+		}
+		if time.Since(result.Records[0].At) <= testRetention {
+			return
+		}
+		log.Trim(off + 1)
+	}
+}
+
+// Two operators publish at the same time, again and again: each time one of
+// them must win, the other be told, and no instance may show the loser's rules
+// or go back. Order: both edit the version in force and send at once through
+// different instances. Cause of a fault: a decision by time of arrival at an
+// instance instead of by place in the log.
+func TestRacingPublishers(t *testing.T) {
+	const rounds = 1000
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		log.SetLatency(2 * time.Millisecond)
+		instances := []*instance{startInstance(log, 0), startInstance(log, 1), startInstance(log, 2)}
+		defer func() {
+			for _, i := range instances {
+				i.stop()
+			}
+		}()
+		version := Version{}
+		for round := range rounds {
+			results := make([]Result, 2)
+			var wg sync.WaitGroup
+			for side := range results {
+				wg.Go(func() {
+					results[side] = instances[side].publish(t, version, fmt.Sprintf("load > %d.%d", round, side))
+				})
+			}
+			wg.Wait()
+			if results[0].Outcome != OutcomeAccepted {
+				results[0], results[1] = results[1], results[0]
+			}
+			require.Equal(t, OutcomeAccepted, results[0].Outcome, "round %d", round)
+			require.Equal(t, OutcomeConflict, results[1].Outcome, "round %d", round)
+			require.Equal(t, results[0].Version, results[1].Current)
+			require.Len(t, results[1].Diff, 1)
+			require.True(t, version.Less(results[0].Version))
+			version = results[0].Version
+			time.Sleep(10 * time.Millisecond)
+			for _, i := range instances {
+				require.Equal(t, version, i.book.Current().Version, "round %d", round)
+			}
+		}
+	})
+}
+
+// An operator is told "unknown" or sees the own change undone by sending it
+// again. Order: the append takes effect, its reply is lost; or nothing was
+// written; or the record arrives after the second try. Cause: a second record
+// that counts as a second publication.
+func TestLostAppendReply(t *testing.T) {
+	faults := []journaltest.Fault{journaltest.FaultReplyLost, journaltest.FaultLost, journaltest.FaultLate, journaltest.FaultHang}
+	for _, fault := range faults {
+		synctest.Test(t, func(t *testing.T) {
+			log := journaltest.NewLog()
+			a, b := startInstance(log, 0), startInstance(log, 1)
+			defer a.stop()
+			defer b.stop()
+			synctest.Wait()
+			log.Fail(fault)
+			result := a.publish(t, Version{}, "stream")
+			require.Equal(t, OutcomeAccepted, result.Outcome)
+			next := b.publish(t, result.Version, "!stream")
+			require.Equal(t, OutcomeAccepted, next.Outcome)
+			// Sent once more, elsewhere, it still has its first verdict.
+			again := Publish{ID: result.ID, Document: document(rule("r", "stream", toAgronomy))}
+			settled, err := b.publisher.Publish(t.Context(), again)
+			require.NoError(t, err)
+			require.Equal(t, OutcomeAccepted, settled.Outcome)
+			time.Sleep(3 * time.Second)
+			require.Equal(t, next.Version, a.book.Current().Version)
+			require.Equal(t, next.Version, b.book.Current().Version)
+		})
+	}
+}
+
+// Rules vanish a while after they were published, though the log works: the
+// record expired. Order: publish, then nothing for many retentions; an instance
+// with empty memory starts. Then the same where nobody was there to repeat them.
+func TestRulesOutliveRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		a, b := startInstance(log, 0), startInstance(log, 3)
+		version := a.publish(t, Version{}, "stream").Version
+		before := log.Appends()
+		for range 100 {
+			time.Sleep(testRetention / 10)
+			expire(log)
+		}
+		require.InDelta(t, 30, log.Appends()-before, 6, "one checkpoint in a third of the retention")
+		late := startInstance(log, 5)
+		defer late.stop()
+		time.Sleep(3 * time.Second)
+		require.Equal(t, version, late.book.Current().Version)
+		require.Equal(t, OutcomeAccepted, late.publish(t, version, "!stream").Outcome)
+
+		a.stop()
+		b.stop()
+		late.stop()
+		time.Sleep(2 * testRetention)
+		expire(log)
+		lost := startInstance(log, 0)
+		defer lost.stop()
+		time.Sleep(20 * time.Second)
+		require.Nil(t, lost.book.Current(), "nothing is known, and that isn't the same as no rules")
+		require.Equal(t, OutcomeUnknown, lost.publish(t, Version{}, "stream").Outcome)
+		forced, err := lost.publisher.Publish(t.Context(), Publish{Document: document(rule("r", "load > 1", toAgronomy)), Force: true})
+		require.NoError(t, err)
+		require.Equal(t, OutcomeAccepted, forced.Outcome)
+		require.Equal(t, forced.Version, lost.book.Current().Version)
+	})
+}
+
+// An instance comes back after its connection to the log was cut for longer
+// than the retention. It must not go back, nor decide a race that it has seen
+// half of: it asks, and has the rules in force within seconds.
+func TestPartitionedInstanceComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		link := &cut{Log: log}
+		a, b := startInstance(log, 0), startInstance(link, 1)
+		defer a.stop()
+		defer b.stop()
+		first := a.publish(t, Version{}, "stream").Version
+		time.Sleep(time.Second)
+		link.set(true)
+		second := a.publish(t, first, "!stream").Version
+		for range 30 {
+			time.Sleep(testRetention / 10)
+			expire(log)
+		}
+		require.Equal(t, first, b.book.Current().Version, "cut off, it goes on with what it has")
+		link.set(false)
+		third := a.publish(t, second, "load > 1").Version
+		time.Sleep(3 * time.Second)
+		require.Equal(t, third, b.book.Current().Version)
+		require.True(t, b.book.Status().Settled)
+	})
+}
+
+// An instance starts while the log is down and refuses everything, though its
+// neighbours have the rules. Order: outage, start, a peer's state, the log comes
+// back with a newer publication.
+func TestStartDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		a := startInstance(log, 0)
+		defer a.stop()
+		first := a.publish(t, Version{}, "stream").Version
+		log.Outage(true)
+		b := startInstance(log, 1)
+		defer b.stop()
+		time.Sleep(time.Second)
+		require.True(t, b.book.Current().Version.IsZero())
+		require.True(t, b.book.Offer(a.book.PeerState(a.journal.Applied())))
+		require.Equal(t, first, b.book.Current().Version)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := a.publisher.Publish(ctx, Publish{Base: first, Document: document(rule("r", "!stream", toAgronomy))})
+		require.True(t, errors.Is(err, platform.ErrNotWritten), "refused while the log is down: %v", err)
+		log.Outage(false)
+		second := a.publish(t, first, "!stream").Version
+		time.Sleep(3 * time.Second)
+		require.Equal(t, second, b.book.Current().Version)
+		require.Zero(t, b.book.Status().Faults)
+		require.False(t, b.book.Offer(PeerState{State: State{Version: first}, Through: journal.Position(first)}))
+	})
+}
