status: the entry's exchange with peers and leaders

Cause: entries had stand-in members that were all live, told controllers nothing and could not start without the log. Ruled out: a receiver of its own here, as the controller keeps the statuses; a second poll of the platform's list, as the entry has one. RulesReply carries rules.PeerState. The membership's runner is given the list rather than polling it.

--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -9,6 +9,7 @@
 	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
 	"tamarackchute/membership"
+	"tamarackchute/rules"
 )
 
 // Kind tells the types of message apart. Its numbers go over the wire: never
@@ -92,14 +93,7 @@
 
 // RulesReply is the answer: the rules in force as that peer has folded them.
 type RulesReply struct {
-	// Known is false if the peer has no rules itself.
-	Known bool `msgpack:"k"`
-	// Version is the place of the accepted publication.
-	Version journal.Position `msgpack:"v"`
-	// Document is the rule set as it was published.
-	Document []byte `msgpack:"d"`
-	// Through is how far the peer had read the log.
-	Through journal.Position `msgpack:"t"`
+	rules.PeerState
 }
 
 // Kind implements Message.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
+
+	"tamarackchute/rules"
 )
 
 var (
@@ -26,9 +28,14 @@
 
 // echo answers each rules request with the name that its sender gave.
 var echo = HandlerFunc(func(peer string, _ Message, reply func(Message)) {
-	reply(RulesReply{Known: true, Document: []byte(peer)})
+	reply(rulesReply(peer))
 })
 
+func rulesReply(document string) RulesReply {
+	version := rules.Version{Offset: 7, Index: 3}
+	return RulesReply{rules.PeerState{State: rules.State{Version: version, Document: []byte(document)}, Settled: true}}
+}
+
 // startServer runs a server on a free port until the test ends or stop is called.
 func startServer(t *testing.T, cfg Config, address string, h Handler) (s *Server, stop func()) {
 	t.Helper()
@@ -113,7 +120,7 @@
 
 func TestFramesAreRefused(t *testing.T) {
 	key := []byte("key")
-	frame, err := newSealer(key).seal(RulesReply{Known: true, Document: []byte("rules")})
+	frame, err := newSealer(key).seal(rulesReply("rules"))
 	require.NoError(t, err)
 	altered := bytes.Clone(frame)
 	altered[lengthBytes+3] ^= 1
@@ -154,7 +161,7 @@
 	_, err := readRaw(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 1}), MaxFrameBytes)
 	var tooLarge *TooLargeError
 	require.ErrorAs(t, err, &tooLarge)
-	_, err = newSealer(nil).seal(RulesReply{Document: make([]byte, MaxFrameBytes)})
+	_, err = newSealer(nil).seal(rulesReply(string(make([]byte, MaxFrameBytes))))
 	require.ErrorAs(t, err, &tooLarge)
 }
 
@@ -189,7 +196,7 @@
 	s, _ := startServer(t, cfg, "127.0.0.1:0", echo)
 	answer, err := Ask(t.Context(), cfg, s.Addr().String(), RulesRequest{})
 	require.NoError(t, err)
-	require.Equal(t, "i1/entry", string(answer.(RulesReply).Document))
+	require.Equal(t, rulesReply("i1/entry"), answer)
 
 	_, err = Ask(t.Context(), testConfig, s.Addr().String(), RulesRequest{})
 	require.Error(t, err, "a listener with TLS takes no plain peer")
--- a/membership/runner.go
+++ b/membership/runner.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"tamarackchute/platform"
 )
 
@@ -18,21 +15,14 @@
 	Send(to string, m Message)
 }
 
-const (
-	// tickEvery is well below a beat, so that silence is noticed in time.
-	tickEvery = 100 * time.Millisecond
-	// listEvery is the time between two looks at the platform's list.
-	listEvery   = time.Second
-	listTimeout = 2 * time.Second
-)
+// tickEvery is well below a beat, so that silence is noticed in time.
+const tickEvery = 100 * time.Millisecond
 
 // Runner runs a Machine: it passes it time, messages and the platform's list,
 // and hands its messages to a transport. All its methods may be called from
 // several goroutines.
 type Runner struct {
 	transport Transport
-	list      platform.InstanceList
-	log       *slog.Logger
 
 	mu      sync.Mutex
 	machine *Machine
@@ -42,8 +32,8 @@
 }
 
 // NewRunner returns a runner; Serve runs it. Its view is usable at once.
-func NewRunner(cfg Config, t Transport, list platform.InstanceList, log *slog.Logger) *Runner {
-	r := &Runner{transport: t, list: list, log: log, machine: New(cfg, time.Now())}
+func NewRunner(cfg Config, t Transport) *Runner {
+	r := &Runner{transport: t, machine: New(cfg, time.Now())}
 	first := make(chan struct{})
 	r.changed.Store(&first)
 	r.view.Store(r.machine.View())
@@ -62,9 +52,6 @@
 
 // Serve runs until the context ends.
 func (r *Runner) Serve(ctx context.Context) error {
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	wg.Go(func() { r.pollList(ctx) })
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -92,6 +79,15 @@
 	})
 }
 
+// TakeList takes an answer of the platform's list. While it can't be read, the
+// last one counts on.
+func (r *Runner) TakeList(rows []platform.Instance) {
+	r.step(func(m *Machine, now time.Time) []Outgoing {
+		m.ReadList(rows, now)
+		return nil
+	})
+}
+
 // Leave tells the others that this instance has begun to stop. Serve must go on
 // running until the end, or the others take it for dead.
 func (r *Runner) Leave() {
@@ -113,32 +109,3 @@
 	next := make(chan struct{})
 	close(*r.changed.Swap(&next))
 }
-
-// pollList reads the platform's list again and again. While it is down, the
-// last one read counts on.
-func (r *Runner) pollList(ctx context.Context) {
-	tick := time.NewTicker(listEvery)
-	defer tick.Stop()
-	for {
-		r.readList(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
-func (r *Runner) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	rows, err := r.list.Instances(ctx)
-	if err != nil {
-		r.log.Debug("platform's list can't be read", "err", err)
-		return
-	}
-	r.step(func(m *Machine, now time.Time) []Outgoing {
-		m.ReadList(rows, now)
-		return nil
-	})
-}
