--- /dev/null
+++ b/internal/audit/trail.go
@@ -0,0 +1,90 @@
+package audit
+
+import (
+	"log/slog"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tamarackchute/journal"
+	"tamarackchute/rules"
+)
+
+// defaultCapacity is the number of records a trail keeps.
+const defaultCapacity = 1000
+
+// Trail keeps the latest records. It implements journal.Folder; register it for
+// journal.KindAudit. Its methods may be called from any goroutine.
+type Trail struct {
+	logger *slog.Logger
+
+	mu sync.Mutex
+	// ring holds the records; next is the place of the next one.
+	ring []Record
+	next int
+}
+
+var _ journal.Folder = (*Trail)(nil)
+
+// NewTrail returns a trail of the latest records, 1,000 if capacity is 0.
+func NewTrail(capacity int, logger *slog.Logger) *Trail {
+	if capacity <= 0 {
+		capacity = defaultCapacity
+	}
+	if logger == nil {
+		logger = slog.Default()
+	}
+	return &Trail{logger: logger, ring: make([]Record, 0, capacity)}
+}
+
+// Apply implements journal.Folder.
+func (t *Trail) Apply(p journal.Placed) {
+	var r Record
+	if err := msgpack.Unmarshal(p.Entry.Body, &r); err != nil {
+		t.logger.Error("audit record can't be read; it is left out", "position", p.Position, "err", err)
+		return
+	}
+	r.At = p.At
+	t.Add(r)
+}
+
+// ObserveRules adds the verdict on a publication. Give it to a rules.Book as its
+// observer.
+func (t *Trail) ObserveRules(v rules.Verdict) {
+	r := Record{
+		Who: v.Author, What: RulesUncertain, Target: "rules " + v.Version.String(), Reason: v.Note,
+		From: v.Base.String(), At: v.At,
+	}
+	switch v.Outcome {
+	case rules.OutcomeAccepted:
+		r.What, r.From, r.To = RulesPublished, v.Former.String(), v.Version.String()
+	case rules.OutcomeConflict:
+		r.What, r.To = RulesConflict, v.Former.String()
+	}
+	t.Add(r)
+}
+
+// Add adds a record that follows from another fold.
+func (t *Trail) Add(r Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.ring) < cap(t.ring) {
+		t.ring = append(t.ring, r)
+		return
+	}
+	t.ring[t.next] = r
+	t.next = (t.next + 1) % len(t.ring)
+}
+
+// Latest returns up to n records, newest first.
+func (t *Trail) Latest(n int) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n = min(max(n, 0), len(t.ring))
+	records := make([]Record, 0, n)
+	for i := range n {
+		place := (t.next + 2*len(t.ring) - 1 - i) % len(t.ring)
+		records = append(records, t.ring[place])
+	}
+	return records
+}
