--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -106,3 +107,26 @@
   "lease": {"term_s": 9},
   "security": {"peer_secret_file": "secret"},
 }`
+
+// A key that no page explains might as well not be there.
+func TestEveryKeyIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/settings.md")
+	require.NoError(t, err)
+	var walk func(key string, typ reflect.Type)
+	walk = func(key string, typ reflect.Type) {
+		switch {
+		case typ.Kind() == reflect.Struct:
+			for i := range typ.NumField() {
+				walk(joinKey(key, jsonName(typ.Field(i))), typ.Field(i).Type)
+			}
+		case typ.Kind() == reflect.Slice && typ.Elem().Kind() == reflect.Struct:
+			walk(key+"[]", typ.Elem())
+		default:
+			last := key[strings.LastIndex(key, ".")+1:]
+			if !strings.Contains(string(page), "`"+key+"`") && !strings.Contains(string(page), "`."+last+"`") {
+				t.Errorf("%s isn't in docs/operators/settings.md", key)
+			}
+		}
+	}
+	walk("", reflect.TypeFor[Deployment]())
+}
