claim: the Guard under failures, and the dispatch's deadline before the look

Cause: the dispatch's deadline was set after the last look at the clock, so a pause between the two moved it, and the upstream could get the call long after its claim.

Ruled out: a second look within each adapter; the deadline in the context does it for all of them.

Change: the deadline is taken before Confirm, and nothing is dispatched behind it.

Conclusion: what remains is a pause within the adapter's own write.

--- a/claim/guard.go
+++ b/claim/guard.go
@@ -24,7 +24,8 @@
 
 // Dispatch sends a protected call to its upstream, at most once. It may try
 // several upstreams as long as each before certainly did not run the call. It
-// may go on running after Do has returned, so it must not hold memory that the
+// must send nothing once ctx has ended, and then say DispatchNotRun if it had
+// sent nothing. It may go on running after Do has returned, so it must not hold memory that the
 // caller's HTTP library uses again.
 type Dispatch func(ctx context.Context) (Recorded, DispatchError)
 
@@ -156,6 +157,7 @@
 // time is up gets its answer, and the upstream's answer still gets recorded.
 func (g *Guard) dispatch(ctx context.Context, id CallID, dispatch Dispatch) Step {
 	timeUp := ctx.Err() != nil
+	deadline := time.Now().Add(g.cfg.MaxDispatch)
 	if s := g.step(func(env Env) Step { return g.core.Confirm(env, id, timeUp) }); s != nil {
 		return s
 	}
@@ -166,7 +168,7 @@
 		defer g.leave()
 		// A dispatch that panics may have run.
 		r, e := Recorded{}, DispatchMayHaveRun
-		caught.Try(func() { r, e = g.bounded(ctx, dispatch) })
+		caught.Try(func() { r, e = bounded(ctx, deadline, dispatch) })
 		ended <- g.step(func(env Env) Step { return g.core.Dispatched(env, id, r, e) })
 		if p := caught.Recovered(); p != nil {
 			slog.Error("a protected call's dispatch panicked", "err", p.AsError())
@@ -181,9 +183,15 @@
 	}
 }
 
-func (g *Guard) bounded(ctx context.Context, dispatch Dispatch) (Recorded, DispatchError) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.cfg.MaxDispatch)
+// bounded runs the dispatch, which the caller's leaving doesn't break off. The
+// deadline was set before the last look at the clock: after a pause behind
+// that look nothing is sent any more.
+func bounded(ctx context.Context, deadline time.Time, dispatch Dispatch) (Recorded, DispatchError) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
+	if ctx.Err() != nil {
+		return Recorded{}, DispatchNotRun
+	}
 	return dispatch(ctx)
 }
 
--- a/claim/guard_test.go
+++ b/claim/guard_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
@@ -51,10 +53,10 @@
 }
 
 // service counts the runs of a booking and answers each with its number.
-type service struct{ runs int }
+type service struct{ runs atomic.Int64 }
 
 func (s *service) book(context.Context) (claim.Recorded, claim.DispatchError) {
-	s.runs++
+	s.runs.Add(1)
 	return claim.Recorded{
 		Status:  201,
 		Headers: []upstream.Header{{Name: "Location", Value: "/bookings/1"}},
@@ -81,7 +83,7 @@
 		require.True(t, second.Replayed)
 		require.True(t, second.AnswerKept)
 		require.Equal(t, first.(claim.Done).Recorded, second.Recorded)
-		require.Equal(t, 1, s.runs)
+		require.EqualValues(t, 1, s.runs.Load())
 		require.Equal(t, claim.KeyReused{}, b.Do(t.Context(), "k", 2, s.book))
 	})
 }
@@ -102,9 +104,137 @@
 			})
 		}
 		wg.Wait()
-		require.Equal(t, 1, s.runs)
+		require.EqualValues(t, 1, s.runs.Load())
 		for _, r := range results {
 			require.Equal(t, "booked", string(r.(claim.Done).Recorded.Body))
 		}
 	})
 }
+
+// call is a dispatch with a given end; it counts as a run unless refused.
+func (s *service) call(after time.Duration, body string, end claim.DispatchError) claim.Dispatch {
+	return func(ctx context.Context) (claim.Recorded, claim.DispatchError) {
+		if end != claim.DispatchNotRun {
+			s.runs.Add(1)
+		}
+		time.Sleep(after)
+		return claim.Recorded{Status: 201, Body: []byte(body)}, end
+	}
+}
+
+// Each case: what the first request is told while something goes wrong, and
+// what a resend at another instance is told a minute after it went well again.
+func TestFailuresGetHonestAnswers(t *testing.T) {
+	const big = 1 << 12
+	done := claim.Done{Recorded: claim.Recorded{Status: 201, Body: []byte("booked")}, AnswerKept: true}
+	replayed := done
+	replayed.Replayed = true
+	refused := func(r claim.NotRunReason, s claim.Scope) claim.NotRun {
+		return claim.NotRun{Reason: r, Scope: s, RetryAfter: time.Second}
+	}
+	for _, c := range []struct {
+		name          string
+		faults        []journaltest.Fault
+		outage        bool
+		after         time.Duration
+		body          string
+		end           claim.DispatchError
+		first, resend claim.Result
+		runs          int
+	}{
+		{name: "reply of the claim lost", faults: []journaltest.Fault{journaltest.FaultReplyLost}, first: done, resend: replayed, runs: 1},
+		// The claim lands 30 s late, after the caller was told "not run". It must
+		// not run then; it is withdrawn, and the resend runs.
+		{name: "claim lands late", faults: []journaltest.Fault{journaltest.FaultHang},
+			first: refused(claim.ReasonClaimUnclear, claim.ScopeRequest), resend: done, runs: 1},
+		{name: "claim refused by the log", faults: []journaltest.Fault{
+			journaltest.FaultNotWritten, journaltest.FaultNotWritten, journaltest.FaultNotWritten,
+			journaltest.FaultNotWritten, journaltest.FaultNotWritten, journaltest.FaultNotWritten},
+			first: refused(claim.ReasonLogDown, claim.ScopeRequest), resend: done, runs: 1},
+		{name: "log down", outage: true, first: refused(claim.ReasonLogDown, claim.ScopeRequest), resend: done, runs: 1},
+		// The answer reaches the caller although its record doesn't reach the log.
+		{name: "reply of the outcome lost", faults: []journaltest.Fault{journaltest.FaultNone, journaltest.FaultLost}, first: done, resend: replayed, runs: 1},
+		{name: "upstream refuses", end: claim.DispatchNotRun, first: refused(claim.ReasonUpstream, claim.ScopeKey), resend: done, runs: 1},
+		{name: "upstream breaks off", end: claim.DispatchMayHaveRun, first: claim.MayHaveRun{Reason: claim.ReasonBrokenOff},
+			resend: claim.MayHaveRun{Reason: claim.ReasonBrokenOff}, runs: 1},
+		{name: "caller's time is up first", after: 20 * time.Second, first: claim.MayHaveRun{Reason: claim.ReasonRunning}, resend: replayed, runs: 1},
+		{name: "large answer", body: string(make([]byte, big)),
+			first:  claim.Done{Recorded: claim.Recorded{Status: 201, Body: make([]byte, big)}, AnswerKept: true},
+			resend: claim.Done{Recorded: claim.Recorded{Status: 201}, Replayed: true}, runs: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, s := journaltest.NewLog(), &service{}
+				log.SetLateAfter(30 * time.Second)
+				cfg := claim.Config{MaxRecordedBytes: big / 2}
+				a, b := start(t, log, "a", cfg), start(t, log, "b", cfg)
+				log.Fail(c.faults...)
+				log.Outage(c.outage)
+				time.Sleep(5 * time.Second)
+				body := c.body
+				if body == "" {
+					body = "booked"
+				}
+				require.Equal(t, c.first, a.do("k", s.call(c.after, body, c.end)))
+				log.Outage(false)
+				time.Sleep(time.Minute)
+				require.Equal(t, c.resend, b.do("k", s.call(0, body, claim.DispatchAnswered)))
+				require.EqualValues(t, c.runs, s.runs.Load())
+			})
+		})
+	}
+}
+
+// An instance dies between its claim and the outcome. Whether the booking was
+// made is not known; a resend elsewhere must not run it and must say so, at
+// once when no outcome can come any more.
+func TestClaimantDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, s := journaltest.NewLog(), &service{}
+		a, b := start(t, log, "a", claim.Config{DrainTimeout: time.Second}), start(t, log, "b", claim.Config{})
+		var wg conc.WaitGroup
+		wg.Go(func() { a.do("k", s.call(20*time.Second, "never recorded", claim.DispatchAnswered)) })
+		time.Sleep(time.Second)
+		a.stop()
+		require.Equal(t, claim.MayHaveRun{Reason: claim.ReasonRunning}, b.do("k", s.book))
+		time.Sleep(time.Minute)
+		asked := time.Now()
+		require.Equal(t, claim.MayHaveRun{Reason: claim.ReasonNoOutcome}, b.do("k", s.book))
+		require.Equal(t, asked, time.Now())
+		require.EqualValues(t, 1, s.runs.Load())
+		wg.Wait()
+	})
+}
+
+// A booking is sent again six hours later, to an instance that was started
+// after its records had expired from the log. The checkpoints that running
+// instances write keep the key known; a timed key beyond that is refused
+// without a claim about the past.
+func TestKeysOutliveTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, s := journaltest.NewLog(), &service{}
+		a := start(t, log, "a", claim.Config{})
+		old, err := uuid.NewV7()
+		require.NoError(t, err)
+		require.IsType(t, claim.Done{}, a.do("plain", s.book))
+		require.IsType(t, claim.Done{}, a.do(old.String(), s.book))
+		letTimePass(log, 6*time.Hour)
+		b := start(t, log, "b", claim.Config{})
+		for _, key := range []string{"plain", old.String()} {
+			require.Equal(t, claim.Done{Recorded: claim.Recorded{Status: 201}, Replayed: true}, b.do(key, s.book))
+		}
+		letTimePass(log, 24*time.Hour)
+		require.Equal(t, claim.KeyTooOld{}, b.do(old.String(), s.book))
+		require.EqualValues(t, 2, s.runs.Load())
+		a.stop()
+		require.Equal(t, claim.ReasonStopping, a.do("other", s.book).(claim.NotRun).Reason)
+	})
+}
+
+// letTimePass lets time pass on a log that keeps records for an hour.
+func letTimePass(log *journaltest.Log, d time.Duration) {
+	for range int(d / (10 * time.Minute)) {
+		time.Sleep(10 * time.Minute)
+		log.TrimBefore(time.Now().Add(-time.Hour))
+	}
+}
--- a/journal/journaltest/log.go
+++ b/journal/journaltest/log.go
@@ -98,6 +98,19 @@
 	})
 }
 
+// TrimBefore lets all records expire that were written before t.
+func (l *Log) TrimBefore(t time.Time) {
+	l.mu.Lock()
+	oldest := l.oldest
+	for _, r := range l.records {
+		if r.At.Before(t) {
+			oldest = r.Offset + 1
+		}
+	}
+	l.mu.Unlock()
+	l.Trim(oldest)
+}
+
 // Put writes a record, whatever the faults. It serves as another writer.
 func (l *Log) Put(data []byte) platform.Offset {
 	l.mu.Lock()
