entry: protected calls over the claims; the traps of the path, each with a test

Cause: protected calls were refused as long as nothing claimed them, and the traps of fasthttp and fiber had no test.

Ruled out: an organisation's name put before every key (it would hide the time of a UUID of version 7, by which the claims know a key that is too old).

Change: claim results are put into a caller's terms; where "not run" speaks of one request only, Chute-Key-Outcome says so.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"tamarackchute/admission"
+	"tamarackchute/claim"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/crash"
@@ -18,6 +19,7 @@
 	"tamarackchute/internal/entry/forward"
 	"tamarackchute/internal/entry/gateway"
 	"tamarackchute/internal/entry/inflight"
+	"tamarackchute/internal/entry/protect"
 	"tamarackchute/internal/entry/shutdown"
 	"tamarackchute/internal/entry/stream"
 	"tamarackchute/internal/settings"
@@ -86,6 +88,7 @@
 	answers   *answer.Runner
 	callers   *callerwatch.Watch
 	gateway   *gateway.Gateway
+	claims    *claim.Guard
 	stop      shutdown.State
 }
 
@@ -105,7 +108,9 @@
 			Grace: seconds(cfg.Deployment.Discovery.GraceSeconds),
 		},
 	}
-	e.buildJournal()
+	if err := e.buildJournal(); err != nil {
+		return nil, err
+	}
 	e.buildDecisions()
 	e.buildServing()
 	return e, nil
@@ -116,7 +121,7 @@
 func (e *Entry) writer() string { return e.cfg.Instance + "/entry/" + e.incarnation }
 
 // buildJournal makes the journal and what is folded from it.
-func (e *Entry) buildJournal() {
+func (e *Entry) buildJournal() error {
 	d := e.cfg.Deployment
 	e.journal = journal.New(e.cfg.Log, journal.Config{
 		Writer:           e.writer(),
@@ -133,6 +138,28 @@
 	e.journal.Register(journal.KindLease, e.leases)
 	e.journal.Register(journal.KindOrder, e.orders)
 	e.journal.Register(journal.KindQuarantine, e.suspects)
+	var err error
+	e.claims, err = claim.NewGuard(e.journal, e.claimConfig())
+	if err != nil {
+		return err
+	}
+	e.journal.Register(journal.KindClaim, e.claims)
+	return nil
+}
+
+func (e *Entry) claimConfig() claim.Config {
+	d := e.cfg.Deployment
+	c := claim.Config{
+		Writer:           e.writer(),
+		ClaimTimeout:     time.Duration(d.Protected.ClaimTimeoutMillis * float64(time.Millisecond)),
+		Remember:         seconds(d.Protected.RememberSeconds),
+		Retention:        seconds(d.Platform.RetentionSeconds),
+		MaxRecordedBytes: d.Protected.MaxRecordedBytes,
+	}
+	if c.MaxRecordedBytes == 0 {
+		c.MaxRecordedBytes = -1 // none; 0 stands for the default there
+	}
+	return c
 }
 
 // buildDecisions makes what decides where and when a request runs.
@@ -141,7 +168,6 @@
 	e.tracker = router.NewTracker(routerConfig(d, e.self.DataCentre), routerUpstreams(d), nil)
 	a := admission.DefaultConfig()
 	a.MaxQueued = d.Admission.MaxQueued
-	a.ShortReserve = d.Admission.ShortReserve
 	a.RetryBudget = d.Admission.RetryBudget
 	e.admission = admission.New(a, nil)
 	e.inflight = inflight.NewBook(e.orders, e.journal.Applied, engineNames(d))
@@ -177,7 +203,7 @@
 			MaxAttempts: maxAttempts,
 			NewID:       uuid.NewString,
 		},
-		Protected: e.protected(),
+		Protected: protect.New(e.claims),
 		Directory: e.directory,
 		Signer:    stream.NewSigner(e.cfg.Secret),
 		Watch:     e.callers,
--- a/internal/entry/gateway/failure.go
+++ b/internal/entry/gateway/failure.go
@@ -64,6 +64,9 @@
 	if f.RetryAfter > 0 {
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(f.RetryAfterSeconds()))
 	}
+	if f.KeyUnknown {
+		c.Set(outcome.KeyHeader, outcome.KeyOutcomeUnknown)
+	}
 	return c.JSON(errorBody(f))
 }
 
--- /dev/null
+++ b/internal/entry/gateway/rig_test.go
@@ -0,0 +1,318 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"tamarackchute/admission"
+	"tamarackchute/internal/entry/answer"
+	"tamarackchute/internal/entry/callerwatch"
+	"tamarackchute/internal/entry/crash"
+	"tamarackchute/internal/entry/forward"
+	"tamarackchute/internal/entry/gateway"
+	"tamarackchute/internal/entry/stream"
+	"tamarackchute/journal"
+	"tamarackchute/platform"
+	"tamarackchute/quarantine"
+	"tamarackchute/router"
+	"tamarackchute/rules"
+	"tamarackchute/upstream"
+)
+
+// fakeEngine gives the tokens t0, t1, … of any prompt.
+type fakeEngine struct {
+	total int
+	// dieAt breaks a stream off before the token with that index; silentAt
+	// stops there and says nothing more. Both are off below 0.
+	dieAt, silentAt int
+	// spent, if set, lets one death happen among the engines that share it.
+	spent  *atomic.Bool
+	refuse error
+
+	mu        sync.Mutex
+	requests  []upstream.GenerateRequest
+	cancelled chan string
+	dead      atomic.Bool
+}
+
+func newEngine(total int) *fakeEngine {
+	return &fakeEngine{total: total, dieAt: -1, silentAt: -1, cancelled: make(chan string, 1024)}
+}
+
+func (e *fakeEngine) Generate(_ context.Context, r upstream.GenerateRequest) (upstream.TokenStream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests = append(e.requests, r)
+	if e.refuse != nil {
+		return nil, e.refuse
+	}
+	return &fakeStream{engine: e, attempt: r.AttemptID, next: r.PriorTokens, closed: make(chan struct{})}, nil
+}
+
+func (e *fakeEngine) Resume(_ context.Context, attempt string, from int) (upstream.TokenStream, error) {
+	if e.dead.Load() {
+		return nil, upstream.ErrGone
+	}
+	return &fakeStream{engine: e, attempt: attempt, next: from, closed: make(chan struct{})}, nil
+}
+
+func (e *fakeEngine) Prefill(context.Context, upstream.GenerateRequest) (upstream.KVHandle, error) {
+	return upstream.KVHandle{ID: "kv"}, nil
+}
+
+func (e *fakeEngine) Cancel(_ context.Context, attempt string) error {
+	e.cancelled <- attempt
+	return nil
+}
+
+func (e *fakeEngine) Load(context.Context) (upstream.LoadReport, error) {
+	return upstream.LoadReport{}, nil
+}
+
+func (e *fakeEngine) CacheEvents(context.Context, uint64) ([]upstream.CacheEvent, error) {
+	return nil, nil
+}
+
+func (e *fakeEngine) seen() []upstream.GenerateRequest {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]upstream.GenerateRequest(nil), e.requests...)
+}
+
+type fakeStream struct {
+	engine  *fakeEngine
+	attempt string
+	next    int
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (s *fakeStream) Next(ctx context.Context) (upstream.Token, error) {
+	e := s.engine
+	if s.next == e.dieAt && (e.spent == nil || e.spent.CompareAndSwap(false, true)) {
+		e.dead.Store(true)
+		return upstream.Token{}, upstream.ErrBroken
+	}
+	if s.next == e.silentAt {
+		<-ctx.Done()
+		return upstream.Token{}, fmt.Errorf("%w: %w", upstream.ErrBroken, ctx.Err())
+	}
+	t := upstream.Token{Index: s.next, Text: text(s.next)}
+	if s.next++; s.next == e.total {
+		t.Finish = "stop"
+	}
+	return t, nil
+}
+
+func (s *fakeStream) Close() error {
+	s.once.Do(func() { s.engine.cancelled <- s.attempt })
+	return nil
+}
+
+func itoa(i int) string { return strconv.Itoa(i) }
+
+func text(i int) string { return fmt.Sprintf(" t%d", i) }
+
+// whole is the answer's text.
+func whole(total int) string {
+	var b strings.Builder
+	for i := range total {
+		b.WriteString(text(i))
+	}
+	return b.String()
+}
+
+// parts implements the gateway's views of upstreams and rules.
+type parts struct {
+	engines  map[string]*fakeEngine
+	services map[string]upstream.Service
+	then     rules.Then
+	admitted func(admission.Request)
+	refuse   *admission.Refusal
+	control  *admission.Controller
+	// protected is nil where no call is.
+	protected gateway.Protected
+}
+
+func (p *parts) Engine(name string) upstream.Engine {
+	if e := p.engines[name]; e != nil {
+		return e
+	}
+	return nil
+}
+
+func (p *parts) Service(name string) upstream.Service { return p.services[name] }
+
+func (p *parts) Match(rules.Request) (rules.Decision, bool) {
+	return rules.Decision{Rule: "all", Then: p.then, Matched: true}, true
+}
+
+func (p *parts) Acquire(ctx context.Context, r admission.Request) (*admission.Grant, error) {
+	if p.admitted != nil {
+		p.admitted(r)
+	}
+	if p.refuse != nil {
+		return nil, p.refuse
+	}
+	return p.control.Acquire(ctx, r)
+}
+
+func (p *parts) probe(_ context.Context, name string) error {
+	if e := p.engines[name]; e != nil && e.dead.Load() {
+		return upstream.ErrNotSent
+	}
+	return nil
+}
+
+func (*parts) Hold(string) bool                    { return true }
+func (*parts) Release(string)                      {}
+func (*parts) Allow() bool                         { return true }
+func (*parts) Asked(string, int, int)              {}
+func (*parts) Answered(string, int, int, int, int) {}
+func (*parts) Append(context.Context, journal.Entry) (journal.Position, error) {
+	return journal.Position{}, platform.ErrNotWritten
+}
+
+// rig is a gateway on a loopback address.
+type rig struct {
+	*parts
+	gateway *gateway.Gateway
+	address string
+}
+
+// newRig starts a gateway whose heartbeat is short, as nothing but their order
+// depends on it.
+func newRig(t *testing.T, p *parts, change ...func(*gateway.Options)) *rig {
+	var ups []router.Upstream
+	for name := range p.engines {
+		ups = append(ups, router.Upstream{Name: name, Kind: platform.KindEngine, Pool: "p", DataCentre: "dc", Models: []string{"m"}, Role: upstream.RoleMixed})
+	}
+	for name := range p.services {
+		ups = append(ups, router.Upstream{Name: name, Kind: platform.KindService, Pool: "s", DataCentre: "dc"})
+	}
+	if p.then.Pool == "" {
+		p.then.Pool = "p"
+	}
+	tracker := router.NewTracker(router.DefaultConfig("dc"), ups, nil)
+	p.control = admission.New(admission.DefaultConfig(), nil)
+	guard := quarantine.NewGuard(quarantine.DefaultConfig(), p, "w", nil)
+	watch := callerwatch.New()
+	ids := new(atomic.Int64)
+	newID := func() string { return fmt.Sprint("id", ids.Add(1)) }
+	options := gateway.Options{
+		DataCentre: "dc", MaxBodyBytes: 1 << 16, DefaultDeadline: time.Minute, Heartbeat: 20 * time.Millisecond,
+		WriteTimeout: time.Minute, ReadTimeout: time.Minute, ServicePools: map[string]bool{"s": true},
+	}
+	for _, c := range change {
+		c(&options)
+	}
+	g := gateway.New(options, gateway.Parts{
+		Rules: p, Admission: p, Estimator: tracker, Demand: p, Watch: watch,
+		Answers: &answer.Runner{
+			Books: tracker, Engines: p, Holds: p, Suspects: crash.New(guard, p.probe), Retries: p,
+			Budget: stream.NewBudget(1 << 20), PriorLimit: 1 << 10, MaxAttempts: 3, NewID: newID,
+		},
+		Services:  &forward.Runner{Books: tracker, Services: p, Retries: p, MaxAttempts: 3, NewID: newID},
+		Protected: p.protected,
+		Signer:    stream.NewSigner([]byte("secret")),
+		Load:      func() float64 { return 0 },
+		NewID:     newID, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = watch.Serve(ctx) }()
+	go func() { _ = g.App().Listener(ln) }()
+	t.Cleanup(func() {
+		_ = g.App().ShutdownWithTimeout(time.Minute)
+		cancel()
+		<-done
+		g.Wait()
+	})
+	return &rig{parts: p, gateway: g, address: ln.Addr().String()}
+}
+
+// post sends a request; header holds names and values in turn.
+func (r *rig) post(t *testing.T, path, body string, header ...string) *http.Response {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+r.address+path, strings.NewReader(body))
+	require.NoError(t, err)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func read(t *testing.T, r *http.Response) string {
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+// sseEvent is one event of a stream; a heartbeat has no field set.
+type sseEvent struct{ id, name, data string }
+
+type sseReader struct{ lines *bufio.Scanner }
+
+func events(r *http.Response) *sseReader { return &sseReader{bufio.NewScanner(r.Body)} }
+
+// next returns the next event, and false at the stream's end.
+func (r *sseReader) next() (sseEvent, bool) {
+	var e sseEvent
+	for r.lines.Scan() {
+		line := r.lines.Text()
+		switch {
+		case line == "":
+			return e, true
+		case strings.HasPrefix(line, "id: "):
+			e.id = line[len("id: "):]
+		case strings.HasPrefix(line, "event: "):
+			e.name = line[len("event: "):]
+		case strings.HasPrefix(line, "data: "):
+			e.data = line[len("data: "):]
+		}
+	}
+	return e, false
+}
+
+// tokens reads up to n token events, or to the end if n is below 0, and returns
+// their text, the last id, and the last event.
+func (r *sseReader) tokens(t *testing.T, n int) (all, id string, last sseEvent) {
+	for count := 0; count != n; {
+		e, more := r.next()
+		if !more {
+			return all, id, last
+		}
+		if e.data == "" {
+			continue
+		}
+		last = e
+		if e.id == "" {
+			continue
+		}
+		var chunk struct{ Choices []struct{ Text string } }
+		require.NoError(t, json.Unmarshal([]byte(e.data), &chunk))
+		all += chunk.Choices[0].Text
+		id = e.id
+		count++
+	}
+	return all, id, last
+}
--- /dev/null
+++ b/internal/entry/gateway/service_test.go
@@ -0,0 +1,249 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/admission"
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/internal/adapters/serviceclient"
+	"tamarackchute/internal/entry/gateway"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/rules"
+	"tamarackchute/upstream"
+)
+
+// serveTCP runs a server that handles each request by hand, and returns its
+// address.
+func serveTCP(t *testing.T, handle func(conn net.Conn, request *http.Request)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					handle(conn, request)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func reply(conn net.Conn, body string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
+}
+
+// A booking server takes a request and dies before it answers. fasthttp's own
+// client sent one PUT five times to such a server, and five trucks would come.
+// By the rule's class it must reach the server once, or once a repeat that the
+// rule allows.
+func TestServerThatClosesWithoutAnswer(t *testing.T) {
+	for retry, want := range map[rules.RetryClass]int64{rules.RetryUnsent: 1, rules.RetryNever: 1, rules.RetryRepeatable: 3} {
+		var runs atomic.Int64
+		services := map[string]upstream.Service{}
+		for _, name := range []string{"s1", "s2", "s3", "s4"} {
+			address := serveTCP(t, func(conn net.Conn, _ *http.Request) { runs.Add(1); _ = conn.Close() })
+			services[name] = serviceclient.New(address, httpx.Options{})
+		}
+		r := newRig(t, &parts{services: services, then: rules.Then{Pool: "s", Retry: retry}})
+		response := r.post(t, "/bookings", "x")
+		require.Equal(t, 502, response.StatusCode)
+		require.Equal(t, string(outcome.MayHaveRun), response.Header.Get(outcome.Header))
+		require.Equal(t, want, runs.Load(), retry)
+	}
+}
+
+// A booking server answers after the caller's deadline, and the connection
+// serves the next caller. A call that timed out goes on in fasthttp's
+// background; its late answer must never come to the next request.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	release := make(chan struct{})
+	address := serveTCP(t, func(conn net.Conn, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		if string(body) == "late" {
+			<-release
+		}
+		reply(conn, "answer to "+string(body))
+	})
+	r := newRig(t, &parts{
+		services: map[string]upstream.Service{"s1": serviceclient.New(address, httpx.Options{})},
+		then:     rules.Then{Pool: "s"},
+	})
+	late := r.post(t, "/bookings", "late", "X-Request-Timeout-Ms", "100")
+	require.Equal(t, 504, late.StatusCode)
+	require.Equal(t, string(outcome.MayHaveRun), late.Header.Get(outcome.Header))
+	close(release)
+	for i := range 20 {
+		body := "next" + itoa(i)
+		require.Equal(t, "answer to "+body, read(t, r.post(t, "/bookings", body)))
+	}
+}
+
+// Two callers share a connection's memory in turn: fiber hands out strings that
+// lie in the connection's buffer, which the next request overwrites. What a
+// queue or a table keeps of the first caller must not turn into the second.
+func TestNothingKeptChangesWithTheNextRequest(t *testing.T) {
+	var kept []admission.Request
+	p := &parts{
+		engines:  map[string]*fakeEngine{"e1": newEngine(2)},
+		admitted: func(r admission.Request) { kept = append(kept, r) },
+	}
+	r := newRig(t, p)
+	conn, err := net.Dial("tcp", r.address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, name := range []string{"farm-one", "FARM-TWO"} {
+		body := strings.Replace(plainBody, "a b c", name, 1)
+		_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: x\r\nOpenAI-Organization: "+name+
+			"\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+	}
+	require.Equal(t, "farm-one", kept[0].Organisation)
+	require.Equal(t, "FARM-TWO", kept[1].Organisation)
+	require.Equal(t, "farm-one", p.engines["e1"].seen()[0].Prompt)
+}
+
+// A booking goes on after its caller's deadline, while the same connection
+// already brings the next request. The service must get what the first caller
+// sent, not the bytes of the second.
+func TestCallThatOutlivesItsRequestKeepsItsBody(t *testing.T) {
+	service := &recordingService{calls: make(chan upstream.ServiceRequest, 2)}
+	r := newRig(t, &parts{services: map[string]upstream.Service{"s1": service}, then: rules.Then{Pool: "s"}})
+	conn, err := net.Dial("tcp", r.address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, name := range []string{"first-farm", "SECOND-ONE"} {
+		_, err = io.WriteString(conn, "POST /"+name+" HTTP/1.1\r\nHost: x\r\nX-Name: "+name+"\r\nContent-Length: 10\r\n\r\n"+name)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+	}
+	first := <-service.calls
+	require.Equal(t, "first-farm", string(first.Body))
+	require.Equal(t, "/first-farm", first.Path)
+	require.Contains(t, first.Headers, upstream.Header{Name: "X-Name", Value: "first-farm"})
+}
+
+// recordingService keeps what it was called with.
+type recordingService struct{ calls chan upstream.ServiceRequest }
+
+func (s *recordingService) Call(_ context.Context, r upstream.ServiceRequest) (upstream.ServiceResponse, error) {
+	s.calls <- r
+	return upstream.ServiceResponse{Status: 201, Headers: []upstream.Header{{Name: "X-Slip", Value: "7"}}, Body: []byte("done")}, nil
+}
+
+// A protected call without a key can't be told from its resend, so it must be
+// refused before anything is sent. With a key it goes through the claims.
+func TestProtectedCallNeedsKey(t *testing.T) {
+	service := &recordingService{calls: make(chan upstream.ServiceRequest, 8)}
+	claims := &recordingClaims{}
+	r := newRig(t, &parts{
+		services:  map[string]upstream.Service{"s1": service},
+		then:      rules.Then{Pool: "s", Protected: true, Retry: rules.RetryRepeatable},
+		protected: claims,
+	})
+	refused := r.post(t, "/bookings", "x")
+	require.Equal(t, 400, refused.StatusCode)
+	require.Equal(t, string(outcome.NotRun), refused.Header.Get(outcome.Header))
+	require.Empty(t, service.calls)
+
+	done := r.post(t, "/bookings?field=3", "x", "Idempotency-Key", "k1", "OpenAI-Organization", "farm")
+	require.Equal(t, 201, done.StatusCode)
+	require.Equal(t, "7", done.Header.Get("X-Slip"))
+	require.Equal(t, "done", read(t, done))
+	sent := <-service.calls
+	require.Equal(t, "/bookings?field=3", sent.Path)
+	require.NotEmpty(t, sent.AttemptID)
+	again := r.post(t, "/bookings?field=4", "x", "Idempotency-Key", "k1", "OpenAI-Organization", "farm")
+	require.Equal(t, 201, again.StatusCode)
+	require.Equal(t, "k1", claims.calls[0].Key)
+	require.Equal(t, "farm", claims.calls[0].Organisation)
+	require.NotEqual(t, claims.calls[0].Digest, claims.calls[1].Digest, "another call under the same key")
+}
+
+type recordingClaims struct{ calls []gateway.ProtectedCall }
+
+func (c *recordingClaims) Do(ctx context.Context, p gateway.ProtectedCall, run gateway.RunCall) (upstream.ServiceResponse, *outcome.Failure) {
+	c.calls = append(c.calls, p)
+	return run(ctx)
+}
+
+// A request that is given up gets its answer at once, though its deadline is an
+// hour away: a caller that is told when to come back can go elsewhere.
+func TestRefusalComesAtOnce(t *testing.T) {
+	r := newRig(t, &parts{
+		engines: map[string]*fakeEngine{"e1": newEngine(2)},
+		refuse:  &admission.Refusal{Reason: admission.ReasonQueueFull, RetryAfter: 1500 * time.Millisecond},
+		then:    rules.Then{DeadlineMillis: int(time.Hour / time.Millisecond)},
+	})
+	response := r.post(t, path, plainBody)
+	require.Equal(t, 503, response.StatusCode)
+	require.Equal(t, string(outcome.NotRun), response.Header.Get(outcome.Header))
+	require.Equal(t, "2", response.Header.Get("Retry-After"))
+	require.Empty(t, r.engines["e1"].seen())
+}
+
+// Bodies and headers that are too large, senders that stop in the middle, and
+// connections that are half closed get a clear error and hold nothing.
+func TestRequestsThatCannotBeServed(t *testing.T) {
+	engine := newEngine(20)
+	engine.silentAt = 0
+	r := newRig(t, &parts{engines: map[string]*fakeEngine{"e1": engine}}, func(o *gateway.Options) {
+		o.ReadTimeout = 300 * time.Millisecond
+	})
+	for name, tc := range map[string]struct {
+		sent      string
+		halfClose bool
+		status    int
+	}{
+		"large body":   {"POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\nx", false, 413},
+		"large header": {"GET / HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", 1<<16) + "\r\n\r\n", false, 431},
+		"slow sender":  {"POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nx", false, 408},
+		"no HTTP":      {"\x16\x03\x01\x02\x00\r\n\r\n", false, 400},
+		"half closed":  {request(plainBody), true, 499},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", r.address)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, tc.sent)
+			if tc.halfClose {
+				require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.Equal(t, tc.status, response.StatusCode)
+			require.NotEmpty(t, response.Header.Get(outcome.Header))
+			require.Zero(t, r.gateway.Active())
+		})
+	}
+}
--- /dev/null
+++ b/internal/entry/gateway/stream_test.go
@@ -0,0 +1,211 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/entry/gateway"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/rules"
+	"tamarackchute/upstream"
+)
+
+const (
+	plainBody  = `{"model":"m","prompt":"a b c","max_tokens":50}`
+	streamBody = `{"model":"m","prompt":"a b c","max_tokens":50,"stream":true,"stream_options":{"include_usage":true}}`
+	path       = "/v1/completions"
+)
+
+func TestAnswersPlainAndStreamed(t *testing.T) {
+	r := newRig(t, &parts{engines: map[string]*fakeEngine{"e1": newEngine(5)}})
+	plain := r.post(t, path, plainBody)
+	require.Equal(t, 200, plain.StatusCode)
+	require.Equal(t, string(outcome.RanWhole), plain.Header.Get(outcome.Header))
+	require.Contains(t, read(t, plain), `"text":"`+whole(5)+`"`)
+
+	streamed := r.post(t, path, streamBody)
+	body := read(t, streamed)
+	require.Equal(t, "text/event-stream", streamed.Header.Get("Content-Type"))
+	require.Equal(t, 5, strings.Count(body, "id: "))
+	require.Contains(t, body, `"usage":{"prompt_tokens":4,"completion_tokens":5,"total_tokens":9}`)
+	require.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
+}
+
+// A driver reads an answer as it comes, and its engine dies in the middle. The
+// caller must get every token once and in order, from another engine that was
+// given the text so far, and the usual end.
+func TestStreamGoesOnAfterEngineDeath(t *testing.T) {
+	spent := new(atomic.Bool)
+	engines := map[string]*fakeEngine{"e1": newEngine(12), "e2": newEngine(12)}
+	for _, e := range engines {
+		e.dieAt, e.spent = 5, spent
+	}
+	r := newRig(t, &parts{engines: engines})
+	got, _, last := events(r.post(t, path, streamBody)).tokens(t, -1)
+	require.Equal(t, whole(12), got)
+	require.Equal(t, "[DONE]", last.data)
+
+	first, second := engines["e1"].seen(), engines["e2"].seen()
+	if engines["e2"].dead.Load() {
+		first, second = second, first
+	}
+	require.Len(t, first, 1)
+	require.Len(t, second, 1)
+	require.Equal(t, 5, second[0].PriorTokens)
+	require.Equal(t, whole(5), second[0].Prior)
+	require.NotEqual(t, first[0].AttemptID, second[0].AttemptID)
+}
+
+// The engine of a long stream dies when the stream has outgrown the text that
+// is kept of it, or there is no other engine. The caller must see an error
+// event and no [DONE], so that it can't take the part for the whole.
+func TestStreamThatCannotGoOnSaysSo(t *testing.T) {
+	for name, tc := range map[string]struct {
+		dieAt  int
+		others int
+		code   outcome.Code
+	}{
+		"outgrown":        {800, 1, outcome.CodeStreamLost},
+		"no other engine": {5, 0, outcome.CodeNoUpstream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engines := map[string]*fakeEngine{}
+			for _, n := range []string{"e1", "e2"}[:tc.others+1] {
+				engines[n] = newEngine(1000)
+				engines[n].dieAt = tc.dieAt
+			}
+			got, _, last := events(newRig(t, &parts{engines: engines}).post(t, path, streamBody)).tokens(t, -1)
+			require.Equal(t, whole(tc.dieAt), got)
+			require.Equal(t, "error", last.name)
+			require.Contains(t, last.data, `"code":"`+string(tc.code)+`"`)
+			require.Contains(t, last.data, `"outcome":"may-have-run"`)
+		})
+	}
+}
+
+// An entry instance is killed while it streams. Its caller comes to another
+// instance with the last event's id and the same body, and must get exactly the
+// rest; the engine dies then too, and the answer must still go on, for the
+// second instance has the text from the engine. A stranger with the id gets
+// nothing.
+func TestResumeAtAnotherInstance(t *testing.T) {
+	engine := newEngine(20)
+	engine.silentAt = 8
+	first := newRig(t, &parts{engines: map[string]*fakeEngine{"e1": engine}})
+	head, id, _ := events(first.post(t, path, streamBody)).tokens(t, 7)
+	require.Equal(t, whole(7), head)
+
+	dying := newEngine(20)
+	dying.dieAt = 12
+	second := newRig(t, &parts{engines: map[string]*fakeEngine{"e1": dying, "e2": newEngine(20)}})
+	tail, _, last := events(second.post(t, path, streamBody, "Last-Event-ID", id)).tokens(t, -1)
+	require.Equal(t, whole(20), head+tail)
+	require.Equal(t, "[DONE]", last.data)
+
+	stranger := second.post(t, path, streamBody, "Last-Event-ID", id, "OpenAI-Organization", "other")
+	require.Equal(t, 400, stranger.StatusCode)
+	require.Contains(t, read(t, stranger), outcome.CodeNotPermitted)
+
+	gone := second.post(t, path, streamBody, "Last-Event-ID", id)
+	require.Equal(t, 410, gone.StatusCode)
+	require.Equal(t, string(outcome.MayHaveRun), gone.Header.Get(outcome.Header))
+}
+
+// A driver closes the app while the engine still works through a long prompt.
+// Nothing is written then, so no write fails, and fasthttp doesn't read the
+// connection: without a look at it the engine would work on for nobody.
+func TestCallerGoneWhileEngineIsSilent(t *testing.T) {
+	for name, body := range map[string]string{"plain": plainBody, "streamed": streamBody} {
+		t.Run(name, func(t *testing.T) {
+			engine := newEngine(20)
+			engine.silentAt = 0
+			r := newRig(t, &parts{engines: map[string]*fakeEngine{"e1": engine}}, func(o *gateway.Options) {
+				o.Heartbeat = time.Hour // no write may give the caller's going away
+			})
+			conn, err := net.Dial("tcp", r.address)
+			require.NoError(t, err)
+			_, err = io.WriteString(conn, request(body))
+			require.NoError(t, err)
+			for len(engine.seen()) == 0 {
+				require.NoError(t, t.Context().Err())
+			}
+			require.NoError(t, conn.Close())
+			require.Equal(t, engine.seen()[0].AttemptID, <-engine.cancelled)
+			for r.gateway.Active() > 0 {
+				require.NoError(t, t.Context().Err())
+			}
+		})
+	}
+}
+
+func request(body string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// A caller of a streamed answer hears nothing for the time of a long prefill
+// and gives up. It must get the headers and heartbeats meanwhile.
+func TestHeartbeatsWhileEngineIsSilent(t *testing.T) {
+	engine := newEngine(20)
+	engine.silentAt = 2
+	r := newRig(t, &parts{engines: map[string]*fakeEngine{"e1": engine}})
+	s := events(r.post(t, path, streamBody))
+	s.tokens(t, 2)
+	for range 3 {
+		e, more := s.next()
+		require.True(t, more)
+		require.Equal(t, sseEvent{}, e)
+	}
+}
+
+// An engine refuses, or can't be reached: the request certainly did not run and
+// may go elsewhere in every class but never. One that broke off may have run
+// and goes elsewhere only if it is repeatable.
+func TestRetryClasses(t *testing.T) {
+	for _, tc := range []struct {
+		retry   rules.RetryClass
+		failure error
+		engines int
+		status  int
+		ran     outcome.Ran
+	}{
+		{rules.RetryUnsent, upstream.ErrRefused, 3, 503, outcome.NotRun},
+		{rules.RetryUnsent, upstream.ErrNotSent, 3, 503, outcome.NotRun},
+		{rules.RetryNever, upstream.ErrNotSent, 1, 503, outcome.NotRun},
+		{rules.RetryUnsent, upstream.ErrBroken, 1, 502, outcome.MayHaveRun},
+		{rules.RetryRepeatable, upstream.ErrBroken, 3, 502, outcome.MayHaveRun},
+	} {
+		engines := map[string]*fakeEngine{}
+		for _, n := range []string{"e1", "e2", "e3", "e4"} {
+			engines[n] = newEngine(3)
+			engines[n].refuse = tc.failure
+		}
+		r := newRig(t, &parts{engines: engines, then: rules.Then{Retry: tc.retry}})
+		response := r.post(t, path, plainBody)
+		require.Equal(t, tc.status, response.StatusCode, tc)
+		require.Equal(t, string(tc.ran), response.Header.Get(outcome.Header))
+		tried := 0
+		for _, e := range engines {
+			tried += len(e.seen())
+		}
+		require.Equal(t, tc.engines, tried, tc)
+	}
+}
+
+// A deadline passes while the engine is silent. The caller must be told at that
+// moment, and told that the request may have run.
+func TestDeadline(t *testing.T) {
+	engine := newEngine(3)
+	engine.silentAt = 1
+	r := newRig(t, &parts{engines: map[string]*fakeEngine{"e1": engine}})
+	short := strings.Replace(plainBody, ":50", ":3", 1) // admission lets it in
+	response := r.post(t, path, short, "X-Request-Timeout-Ms", "300")
+	require.Equal(t, 504, response.StatusCode)
+	require.Equal(t, string(outcome.MayHaveRun), response.Header.Get(outcome.Header))
+	require.Equal(t, engine.seen()[0].AttemptID, <-engine.cancelled)
+}
--- a/internal/entry/outcome/outcome.go
+++ b/internal/entry/outcome/outcome.go
@@ -29,6 +29,13 @@
 // connection; the caller sees it only if it closed just its sending side.
 const StatusCallerGone = 499
 
+// KeyHeader is set to KeyOutcomeUnknown beside a not-run that speaks of one
+// request only, and not of earlier ones with its idempotency key.
+const (
+	KeyHeader         = "Chute-Key-Outcome"
+	KeyOutcomeUnknown = "unknown"
+)
+
 // Code names the reason of a failure for programs.
 type Code string
 
@@ -69,6 +76,9 @@
 	Ran     Ran
 	// RetryAfter is when asking again is worth while; 0 says nothing.
 	RetryAfter time.Duration
+	// KeyUnknown says of a protected call that was not run that an earlier
+	// request with its key may have been.
+	KeyUnknown bool
 	// Rule names the rule that decided, if one did.
 	Rule string
 	// Cause is for the log; the caller doesn't see it.
--- /dev/null
+++ b/internal/entry/protect/protect.go
@@ -0,0 +1,147 @@
+// Package protect runs protected calls over the claims, and puts what became of
+// them into a caller's terms.
+package protect
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tamarackchute/claim"
+	"tamarackchute/internal/entry/gateway"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/upstream"
+)
+
+// Guard runs a call unless its key was claimed before; claim.Guard is one.
+type Guard interface {
+	Do(ctx context.Context, key string, digest uint64, dispatch claim.Dispatch) claim.Result
+}
+
+// Calls implements gateway.Protected.
+type Calls struct{ guard Guard }
+
+// New returns the protected calls over a guard.
+func New(g Guard) *Calls { return &Calls{g} }
+
+// retryRunning is when a resend may find the answer of a call that still runs.
+const retryRunning = time.Second
+
+// Do implements gateway.Protected.
+func (c *Calls) Do(ctx context.Context, p gateway.ProtectedCall, run gateway.RunCall) (upstream.ServiceResponse, *outcome.Failure) {
+	result := c.guard.Do(ctx, KeyOf(p.Organisation, p.Key), digest(p), func(ctx context.Context) (claim.Recorded, claim.DispatchError) {
+		response, f := run(ctx)
+		switch {
+		case f == nil:
+			return claim.Recorded(response), claim.DispatchAnswered
+		case f.Ran == outcome.NotRun:
+			return claim.Recorded{}, claim.DispatchNotRun
+		default:
+			return claim.Recorded{}, claim.DispatchMayHaveRun
+		}
+	})
+	return answer(ctx, result)
+}
+
+// KeyOf makes the keys of different organisations different. A UUID of version
+// 7 keeps its time, by which the claims tell a key that is too old from a new
+// one; only its random part changes.
+func KeyOf(organisation, key string) string {
+	sum := sha256.Sum256([]byte(organisation + "\x00" + key))
+	u, err := uuid.Parse(key)
+	if err != nil || u.Version() != 7 {
+		return organisation + "\x00" + key
+	}
+	const timeBytes = 6
+	copy(u[timeBytes:], sum[:])
+	u[6] = u[6]&0x0f | 0x70 // version 7
+	u[8] = u[8]&0x3f | 0x80 // the variant of RFC 9562
+	return u.String()
+}
+
+// digest tells a resend from another call under the same key. Its first 64
+// bits do: they guard against a caller's mistake, not against malice.
+func digest(p gateway.ProtectedCall) uint64 {
+	return binary.BigEndian.Uint64([]byte(p.Digest))
+}
+
+// answer puts a result into a caller's terms.
+func answer(ctx context.Context, result claim.Result) (upstream.ServiceResponse, *outcome.Failure) {
+	switch r := result.(type) {
+	case claim.Done:
+		return done(r)
+	case claim.NotRun:
+		return upstream.ServiceResponse{}, notRun(ctx, r)
+	case claim.MayHaveRun:
+		return upstream.ServiceResponse{}, mayHaveRun(ctx, r)
+	case claim.KeyReused:
+		return upstream.ServiceResponse{}, outcome.Refused(http.StatusUnprocessableEntity, outcome.CodeKeyReused,
+			"the idempotency key belongs to a different request")
+	case claim.KeyTooOld:
+		// The request itself did not run, but an earlier one with the key may
+		// have, and that is what its caller wants to know.
+		return upstream.ServiceResponse{}, failure(http.StatusConflict, outcome.CodeKeyExpired, outcome.MayHaveRun,
+			"the idempotency key is older than keys are known; an earlier request with it may have run")
+	default:
+		panic("protect: unknown result of a claim")
+	}
+}
+
+// replayedHeader marks an answer that an earlier request with the key got.
+const replayedHeader = "Chute-Replayed"
+
+func done(r claim.Done) (upstream.ServiceResponse, *outcome.Failure) {
+	if !r.AnswerKept {
+		f := failure(http.StatusConflict, outcome.CodeKeyNotRecorded, outcome.RanWhole,
+			"the call ran; its answer is no longer kept, or was too large to be")
+		return upstream.ServiceResponse{}, f
+	}
+	response := upstream.ServiceResponse(r.Recorded)
+	if r.Replayed {
+		replayed := upstream.Header{Name: replayedHeader, Value: "true"}
+		response.Headers = append(append([]upstream.Header(nil), response.Headers...), replayed)
+	}
+	return response, nil
+}
+
+func notRun(ctx context.Context, r claim.NotRun) *outcome.Failure {
+	code := outcome.CodeNoClaim
+	if r.Reason == claim.ReasonUpstream {
+		code = outcome.CodeNoUpstream
+	}
+	f := outcome.Refused(http.StatusServiceUnavailable, code, "this request was not run: %s", r.Reason)
+	f.RetryAfter = r.RetryAfter
+	f.KeyUnknown = r.Scope == claim.ScopeRequest
+	if f.KeyUnknown {
+		f.Message += "; whether an earlier one with its key ran is not known now"
+	}
+	if r.Reason == claim.ReasonCallerGone && ctx.Err() != nil {
+		f.Status, f.Code = http.StatusGatewayTimeout, outcome.CodeDeadline
+	}
+	return f
+}
+
+func mayHaveRun(ctx context.Context, r claim.MayHaveRun) *outcome.Failure {
+	switch {
+	case r.Reason == claim.ReasonRunning && ctx.Err() != nil:
+		return failure(http.StatusGatewayTimeout, outcome.CodeDeadline, outcome.MayHaveRun,
+			"the deadline has passed while the call may be running; ask again with the same key").After(retryRunning)
+	case r.Reason == claim.ReasonRunning:
+		return failure(http.StatusConflict, outcome.CodeKeyInProgress, outcome.MayHaveRun,
+			"a request with this key may be running; ask again with the same key").After(retryRunning)
+	case r.Reason == claim.ReasonBrokenOff:
+		return failure(http.StatusBadGateway, outcome.CodeUpstreamBroken, outcome.MayHaveRun,
+			"the service broke off; the call is not run again")
+	default:
+		return failure(http.StatusConflict, outcome.CodeUpstreamBroken, outcome.MayHaveRun,
+			"the call was claimed and no outcome is known; it is not run again")
+	}
+}
+
+func failure(status int, code outcome.Code, ran outcome.Ran, message string) *outcome.Failure {
+	return &outcome.Failure{Status: status, Code: code, Message: message, Ran: ran}
+}
--- /dev/null
+++ b/internal/entry/protect/protect_test.go
@@ -0,0 +1,105 @@
+package protect
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/claim"
+	"tamarackchute/internal/entry/gateway"
+	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/upstream"
+)
+
+// fixed is a guard with one answer; it runs the dispatch first.
+type fixed struct {
+	result   claim.Result
+	dispatch claim.DispatchError
+}
+
+func (f *fixed) Do(ctx context.Context, _ string, _ uint64, d claim.Dispatch) claim.Result {
+	_, f.dispatch = d(ctx)
+	return f.result
+}
+
+// A haulier's booking is told "not run" although it may have run, its driver
+// books again and two trucks come. Each result of a claim must reach the caller
+// with the outcome that is certain, and no other.
+func TestResultsKeepTheirOutcome(t *testing.T) {
+	ended, cancel := context.WithCancelCause(t.Context())
+	cancel(errors.New("over"))
+	call := gateway.ProtectedCall{Organisation: "o", Key: "k", Digest: "12345678"}
+	for name, tc := range map[string]struct {
+		ctx        context.Context
+		result     claim.Result
+		status     int
+		ran        outcome.Ran
+		retry      time.Duration
+		keyUnknown bool
+	}{
+		"log down": {t.Context(), claim.NotRun{Reason: claim.ReasonLogDown, RetryAfter: time.Second},
+			503, outcome.NotRun, time.Second, true},
+		"upstream refused": {t.Context(), claim.NotRun{Reason: claim.ReasonUpstream, Scope: claim.ScopeKey},
+			503, outcome.NotRun, 0, false},
+		"time up before dispatch": {ended, claim.NotRun{Reason: claim.ReasonCallerGone, Scope: claim.ScopeKey},
+			504, outcome.NotRun, 0, false},
+		"running": {t.Context(), claim.MayHaveRun{Reason: claim.ReasonRunning},
+			409, outcome.MayHaveRun, time.Second, false},
+		"time up while running": {ended, claim.MayHaveRun{Reason: claim.ReasonRunning},
+			504, outcome.MayHaveRun, time.Second, false},
+		"broken off": {t.Context(), claim.MayHaveRun{Reason: claim.ReasonBrokenOff},
+			502, outcome.MayHaveRun, 0, false},
+		"no outcome":      {t.Context(), claim.MayHaveRun{Reason: claim.ReasonNoOutcome}, 409, outcome.MayHaveRun, 0, false},
+		"key reused":      {t.Context(), claim.KeyReused{}, 422, outcome.NotRun, 0, false},
+		"key too old":     {t.Context(), claim.KeyTooOld{}, 409, outcome.MayHaveRun, 0, false},
+		"answer not kept": {t.Context(), claim.Done{Replayed: true}, 409, outcome.RanWhole, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, f := New(&fixed{result: tc.result}).Do(tc.ctx, call, func(context.Context) (upstream.ServiceResponse, *outcome.Failure) {
+				return upstream.ServiceResponse{}, nil
+			})
+			require.NotNil(t, f)
+			require.Equal(t, tc.status, f.Status)
+			require.Equal(t, tc.ran, f.Ran)
+			require.Equal(t, tc.retry, f.RetryAfter)
+			require.Equal(t, tc.keyUnknown, f.KeyUnknown)
+		})
+	}
+}
+
+// A service refuses a booking before running it, and the claim must learn
+// that; one whose connection broke must never be told as not run.
+func TestDispatchTellsWhatRan(t *testing.T) {
+	for f, want := range map[*outcome.Failure]claim.DispatchError{
+		nil:                       claim.DispatchAnswered,
+		{Ran: outcome.NotRun}:     claim.DispatchNotRun,
+		{Ran: outcome.MayHaveRun}: claim.DispatchMayHaveRun,
+	} {
+		g := &fixed{result: claim.Done{AnswerKept: true, Replayed: true}}
+		response, failed := New(g).Do(t.Context(), gateway.ProtectedCall{Digest: "12345678"},
+			func(context.Context) (upstream.ServiceResponse, *outcome.Failure) {
+				return upstream.ServiceResponse{}, f
+			})
+		require.Nil(t, failed)
+		require.Equal(t, want, g.dispatch)
+		require.Equal(t, []upstream.Header{{Name: replayedHeader, Value: "true"}}, response.Headers)
+	}
+}
+
+// Two organisations number their bookings from 1. The second one's booking must
+// not be taken for a resend of the first one's. A key that carries its time
+// must keep it.
+func TestKeysOfOrganisationsDiffer(t *testing.T) {
+	require.NotEqual(t, KeyOf("a", "1"), KeyOf("b", "1"))
+	require.NotEqual(t, KeyOf("a", "b\x001"), KeyOf("a\x00b", "2"))
+	u, err := uuid.NewV7()
+	require.NoError(t, err)
+	a, b := KeyOf("a", u.String()), KeyOf("b", u.String())
+	require.NotEqual(t, a, b)
+	require.Equal(t, claim.ParseKey(u.String()).Made.UnixMilli(), claim.ParseKey(a).Made.UnixMilli())
+	require.Equal(t, a, KeyOf("a", u.String()))
+}
--- a/internal/entry/stubs.go
+++ b/internal/entry/stubs.go
@@ -1,19 +1,13 @@
 package entry
 
 import (
-	"context"
 	"errors"
-	"net/http"
-	"time"
 
 	"github.com/gofiber/fiber/v2"
 
 	"tamarackchute/internal/entry/discovery"
-	"tamarackchute/internal/entry/gateway"
-	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/membership"
 	"tamarackchute/platform"
-	"tamarackchute/upstream"
 )
 
 type allLive struct{}
@@ -30,14 +24,6 @@
 	return []func([]platform.Instance){e.tracker.SetList}
 }
 
-type noClaims struct{}
-
-func (noClaims) Do(context.Context, gateway.ProtectedCall, gateway.RunCall) (upstream.ServiceResponse, *outcome.Failure) {
-	return upstream.ServiceResponse{}, outcome.Refused(http.StatusServiceUnavailable, outcome.CodeNoClaim, "claims are not built yet").After(time.Second)
-}
-
-func (e *Entry) protected() gateway.Protected { return noClaims{} }
-
 var errLeaving = errors.New("leaving")
 var errNoRules = errors.New("rules are not known yet")
 
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -12,10 +12,16 @@
 // stopCheck is how often a stopping entry looks whether it may exit.
 const stopCheck = 50 * time.Millisecond
 
+// stopTimeout bounds the end of a service: claims take up to 5 s to record
+// what became of calls under way.
+const stopTimeout = 8 * time.Second
+
 // tree is the supervisor tree:
 //
+//	base                   outlives the rest
+//	└── journal            reads the whole log, appends in groups
 //	entry
-//	├── journal            reads the whole log, appends in groups
+//	├── claims             checkpoints; at the end records what is under way
 //	├── learning
 //	│   ├── platform's list
 //	│   ├── reports of …   one an engine: load and cache events
@@ -32,14 +38,20 @@
 // failing is tried at growing intervals and takes nothing else down.
 func (e *Entry) tree() *suture.Supervisor {
 	root := suture.New("entry", e.spec())
-	root.Add(e.journal)
+	root.Add(e.claims)
 	root.Add(e.learning())
 	root.Add(e.serving())
 	return root
 }
 
+func (e *Entry) base() *suture.Supervisor {
+	s := suture.New("base", e.spec())
+	s.Add(e.journal)
+	return s
+}
+
 func (e *Entry) spec() suture.Spec {
-	return suture.Spec{EventHook: e.hook, FailureBackoff: time.Second, Timeout: 2 * closeTimeout}
+	return suture.Spec{EventHook: e.hook, FailureBackoff: time.Second, Timeout: stopTimeout}
 }
 
 func (e *Entry) learning() *suture.Supervisor {
@@ -76,6 +88,9 @@
 
 // Run works until ctx ends, and then on until a graceful stop is done.
 func (e *Entry) Run(ctx context.Context) error {
+	base, stopBase := context.WithCancel(context.Background())
+	defer stopBase()
+	baseDone := e.base().ServeBackground(base)
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	done := e.tree().ServeBackground(work)
@@ -90,6 +105,8 @@
 	e.gateway.Wait()
 	e.answers.Wait()
 	e.crashes.Wait()
+	stopBase()
+	<-baseDone
 	return nil
 }
 
