operator: the operators' HTTP interface; rules: moves keep comments

Cause: operators publish and read rules, the trail and the status over the entry's operators' address, each with an own token. Ruled out: tokens in settings (only their hashes stand there); an audit record after a release from quarantine (a crash between would leave none); a document refused because its last line is a comment without a line end. Change: operator.Register adds the routes behind the token check; api holds the bodies that chutectl shares; operatortest runs the interface over any log. Bytes from the log are decoded by the checked codec.

--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -4,8 +4,7 @@
 	"log/slog"
 	"sync"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
 	"tamarackchute/rules"
 )
@@ -40,7 +39,7 @@
 // Apply implements journal.Folder.
 func (t *Trail) Apply(p journal.Placed) {
 	var r Record
-	if err := msgpack.Unmarshal(p.Entry.Body, &r); err != nil {
+	if err := codec.Unmarshal(p.Entry.Body, &r); err != nil {
 		t.logger.Error("audit record can't be read; it is left out", "position", p.Position, "err", err)
 		return
 	}
--- /dev/null
+++ b/internal/operator/api/api.go
@@ -0,0 +1,130 @@
+// Package api holds the requests and replies of the operators' HTTP interface,
+// shared by the entry that serves it and by chutectl. Bodies are JSON. Each call
+// carries "Authorization: Bearer TOKEN".
+package api
+
+import (
+	"time"
+
+	"tamarackchute/internal/audit"
+	"tamarackchute/rules"
+)
+
+// The paths of the interface.
+const (
+	PathRules             = "/v1/rules"
+	PathValidate          = "/v1/rules/validate"
+	PathHistory           = "/v1/rules/history"
+	PathAudit             = "/v1/audit"
+	PathStatus            = "/v1/status"
+	PathQuarantineRelease = "/v1/quarantine/release"
+)
+
+// ParamCount is the query parameter that bounds the length of a list.
+const ParamCount = "n"
+
+// Rules is the reply to GET PathRules: the version in force on the instance.
+type Rules struct {
+	Version  rules.Version `json:"version"`
+	Author   string        `json:"author"`
+	Note     string        `json:"note"`
+	At       time.Time     `json:"at"`
+	Document string        `json:"document"`
+}
+
+// PublishRequest is the body of PUT PathRules.
+type PublishRequest struct {
+	// ID is unique to the publication. Sent again with the same ID, to any
+	// instance, it counts once and gets the same answer. Empty means a new one.
+	ID string `json:"id,omitempty"`
+	// Base is the version that was edited.
+	Base     rules.Version `json:"base"`
+	Document string        `json:"document"`
+	Note     string        `json:"note,omitempty"`
+	// Force is for a deployment that no longer knows its state, see
+	// rules.Publish.
+	Force bool `json:"force,omitempty"`
+}
+
+// PublishReply is the reply to PUT PathRules with status 200, 409 and, if the
+// outcome is unknown, 503.
+type PublishReply struct {
+	rules.Result
+}
+
+// ValidateRequest is the body of POST PathValidate.
+type ValidateRequest struct {
+	Document string `json:"document"`
+}
+
+// Problems is the reply with status 422, and to a valid POST PathValidate.
+type Problems struct {
+	Problems []rules.Problem `json:"problems"`
+}
+
+// History is the reply to GET PathHistory, newest first.
+type History struct {
+	Publications []rules.Verdict `json:"publications"`
+}
+
+// Audit is the reply to GET PathAudit, newest first.
+type Audit struct {
+	Records []audit.Record `json:"records"`
+}
+
+// ReleaseRequest is the body of POST PathQuarantineRelease.
+type ReleaseRequest struct {
+	// Digest names the request, as in the refusal of it.
+	Digest string `json:"digest"`
+	Reason string `json:"reason"`
+}
+
+// Error is the reply with any other status.
+type Error struct {
+	Error string `json:"error"`
+}
+
+// Status is the reply to GET PathStatus: what one instance knows.
+type Status struct {
+	Instance   string `json:"instance"`
+	DataCentre string `json:"data_centre"`
+	Ready      bool   `json:"ready"`
+	Leaving    bool   `json:"leaving"`
+	LogUp      bool   `json:"log_up"`
+	// Requests is the number in flight.
+	Requests  int              `json:"requests"`
+	Rules     rules.Status     `json:"rules"`
+	Instances []InstanceStatus `json:"instances"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
+	Leaders   []LeaderStatus   `json:"leaders"`
+}
+
+// InstanceStatus is what the instance believes of an entry instance.
+type InstanceStatus struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	State      string `json:"state"`
+}
+
+// UpstreamStatus is what the instance knows of an upstream.
+type UpstreamStatus struct {
+	Name       string `json:"name"`
+	Kind       string `json:"kind"`
+	DataCentre string `json:"data_centre"`
+	Pool       string `json:"pool"`
+	// Role and Change are for engines: the role now, and a change under way.
+	Role   string `json:"role,omitempty"`
+	Change string `json:"change,omitempty"`
+	// Usable is whether new work goes there.
+	Usable bool `json:"usable"`
+	// InFlight counts this instance's own requests there.
+	InFlight int `json:"in_flight"`
+}
+
+// LeaderStatus tells who leads a scope.
+type LeaderStatus struct {
+	Scope  string    `json:"scope"`
+	Holder string    `json:"holder"`
+	Fence  uint64    `json:"fence"`
+	Since  time.Time `json:"since"`
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,91 @@
+// Package operator serves the operators' HTTP interface of an entry: rules,
+// status, audit trail and releases from quarantine. It belongs on the operators'
+// address only, never on that of callers.
+package operator
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tamarackchute/internal/audit"
+	"tamarackchute/internal/operator/api"
+	"tamarackchute/internal/settings"
+	"tamarackchute/journal"
+	"tamarackchute/quarantine"
+	"tamarackchute/rules"
+)
+
+// Times and bounds of the interface.
+const (
+	defaultWriteTimeout = 8 * time.Second
+	defaultCount        = 50
+	maxCount            = 1000
+)
+
+// Releaser ends the quarantine of a request; quarantine.Guard is one.
+type Releaser interface {
+	Release(ctx context.Context, r quarantine.Release) error
+}
+
+// Deps is what the interface works with. All fields but the last two are needed.
+type Deps struct {
+	Operators []settings.Operator
+	Publisher *rules.Publisher
+	Book      *rules.Book
+	Known     rules.Known
+	Trail     *audit.Trail
+	// Journal takes audit records.
+	Journal    journal.Writer
+	Quarantine Releaser
+	// Status returns what the instance knows.
+	Status func() api.Status
+	Logger *slog.Logger
+	// WriteTimeout bounds the wait for the log, after which the outcome of a
+	// write is unknown; 8 s if 0.
+	WriteTimeout time.Duration
+}
+
+type handler struct {
+	Deps
+}
+
+// Register adds the routes, each behind the operators' token.
+func Register(app fiber.Router, d Deps) {
+	if d.Logger == nil {
+		d.Logger = slog.Default()
+	}
+	if d.WriteTimeout <= 0 {
+		d.WriteTimeout = defaultWriteTimeout
+	}
+	h := &handler{Deps: d}
+	auth := newAuthenticator(d.Operators, d.Logger)
+	route := func(method, path string, serve fiber.Handler) {
+		app.Add(method, path, auth.check, serve)
+	}
+	route(fiber.MethodGet, api.PathRules, h.getRules)
+	route(fiber.MethodPut, api.PathRules, h.putRules)
+	route(fiber.MethodPost, api.PathValidate, h.validate)
+	route(fiber.MethodGet, api.PathHistory, h.getHistory)
+	route(fiber.MethodGet, api.PathAudit, h.getAudit)
+	route(fiber.MethodGet, api.PathStatus, h.getStatus)
+	route(fiber.MethodPost, api.PathQuarantineRelease, h.release)
+}
+
+func fail(c *fiber.Ctx, status int, message string) error {
+	return c.Status(status).JSON(api.Error{Error: message})
+}
+
+// count reads the wanted length of a list.
+func count(c *fiber.Ctx) int {
+	n := c.QueryInt(api.ParamCount, defaultCount)
+	return min(max(n, 0), maxCount)
+}
+
+func (h *handler) getAudit(c *fiber.Ctx) error {
+	return c.JSON(api.Audit{Records: h.Trail.Latest(count(c))})
+}
+
+func (h *handler) getStatus(c *fiber.Ctx) error { return c.JSON(h.Status()) }
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,108 @@
+package operator_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/operator/api"
+	"tamarackchute/internal/operator/operatortest"
+	"tamarackchute/journal/journaltest"
+	"tamarackchute/rules"
+)
+
+const (
+	oneRule    = `{"rules": [{"name": "a", "when": "stream", "then": {"pool": "agronomy"}}]} // é`
+	otherRule  = `{"rules": [{"name": "a", "when": "!stream", "then": {"pool": "booking"}}]}`
+	faultyRule = `{"rules": [{"name": "a", "when": "strem", "then": {"pool": "agronomy"}}]}`
+)
+
+// call sends one request and returns the status and the body.
+func call(t *testing.T, app *fiber.App, method, path, token string, body any) (int, string) {
+	data, err := json.Marshal(body)
+	require.NoError(t, err)
+	request := httptest.NewRequest(method, path, bytes.NewReader(data))
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := app.Test(request, -1)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(text)
+}
+
+func TestCallsAndTheirReplies(t *testing.T) {
+	log := journaltest.NewLog()
+	i := operatortest.Start(log, "c1", slog.New(slog.DiscardHandler))
+	defer i.Stop()
+	v1, v2 := rules.Version{Offset: 1}, rules.Version{Offset: 2}
+	digest := strings.Repeat("0f", 16)
+	for _, step := range []struct {
+		name, method, path string
+		body               any
+		status             int
+		want               string
+	}{
+		{"no rules yet", "GET", api.PathRules, nil, 200, `"version":"none"`},
+		{"first", "PUT", api.PathRules, api.PublishRequest{ID: "p1", Document: oneRule, Note: "n"}, 200, `"version":"1.0"`},
+		{"sent again", "PUT", api.PathRules, api.PublishRequest{ID: "p1", Document: oneRule}, 200, `"version":"1.0"`},
+		{"read", "GET", api.PathRules, nil, 200, `"version":"1.0","author":"anna","note":"n"`},
+		{"old base", "PUT", api.PathRules, api.PublishRequest{Document: otherRule}, 409, `"kind":"changed","rule":"a"`},
+		{"faulty", "PUT", api.PathRules, api.PublishRequest{Base: v1, Document: faultyRule}, 422, `"line":1,"column":35,"rule":"a","message":"when: unknown name strem"`},
+		{"valid", "POST", api.PathValidate, api.ValidateRequest{Document: oneRule}, 200, `{"problems":[]}`},
+		{"invalid", "POST", api.PathValidate, api.ValidateRequest{Document: "{"}, 422, `"line":1`},
+		{"no JSON", "PUT", api.PathRules, 3, 400, `the body is no publication`},
+		{"no version", "PUT", api.PathRules, map[string]string{"base": "x"}, 400, `is no version`},
+		{"second", "PUT", api.PathRules, api.PublishRequest{Base: v2, Document: otherRule}, 409, `"current":"1.0"`},
+		{"history", "GET", api.PathHistory + "?n=2", nil, 200, `"outcome":"conflict"`},
+		{"audit", "GET", api.PathAudit, nil, 200, `"who":"anna","what":"rules published","target":"rules 1.0","reason":"n","from":"none","to":"1.0"`},
+		{"status", "GET", api.PathStatus, nil, 200, `"in_force":"1.0","accepted":"1.0","settled":true`},
+		{"release", "POST", api.PathQuarantineRelease, api.ReleaseRequest{Digest: digest, Reason: "fixed"}, 204, ``},
+		{"released", "GET", api.PathAudit, nil, 200, `"what":"quarantine released","target":"` + digest + `","reason":"fixed"`},
+		{"no digest", "POST", api.PathQuarantineRelease, api.ReleaseRequest{Reason: "x"}, 400, `error`},
+		{"no reason", "POST", api.PathQuarantineRelease, api.ReleaseRequest{Digest: digest}, 400, `needs a reason`},
+	} {
+		status, body := call(t, i.App, step.method, step.path, operatortest.Token, step.body)
+		require.Equal(t, step.status, status, "%s: %s", step.name, body)
+		require.Contains(t, body, step.want, step.name)
+	}
+	log.Outage(true)
+	status, body := call(t, i.App, "PUT", api.PathRules, operatortest.Token, api.PublishRequest{Base: v1, Document: otherRule})
+	require.Equal(t, 503, status, body)
+	require.Contains(t, body, "not published")
+}
+
+// A token in a log file, or a call that works without one, gives the rules away.
+// Each route must refuse, and the log must say who tried without the token.
+func TestEveryRouteNeedsATokenThatNoLogShows(t *testing.T) {
+	var lines bytes.Buffer
+	i := operatortest.Start(journaltest.NewLog(), "c1", slog.New(slog.NewTextHandler(&lines, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	routes := 0
+	for _, route := range i.App.GetRoutes() {
+		if route.Method == http.MethodHead {
+			continue
+		}
+		routes++
+		for _, token := range []string{"", operatortest.Token + "x", "wrong-secret"} {
+			status, body := call(t, i.App, route.Method, route.Path, token, nil)
+			require.Equal(t, 401, status, "%s %s", route.Method, route.Path)
+			require.NotContains(t, body, "secret")
+		}
+	}
+	require.Equal(t, 7, routes)
+	call(t, i.App, "PUT", api.PathRules, operatortest.Token, api.PublishRequest{Document: oneRule})
+	call(t, i.App, "PUT", api.PathRules, operatortest.Token, api.PublishRequest{Document: faultyRule})
+	i.Stop()
+	require.Contains(t, lines.String(), "without a valid token")
+	require.NotContains(t, lines.String(), "secret")
+	require.NotContains(t, lines.String(), operatortest.Token)
+}
--- a/rules/document.go
+++ b/rules/document.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode/utf8"
@@ -42,7 +43,7 @@
 		c.add(0, "", "the document has %d bytes, more than %d", len(c.src), MaxDocumentBytes)
 		return nil
 	}
-	value, err := hujson.Parse(c.src)
+	value, err := parseDocument(c.src)
 	if err != nil {
 		c.addSyntax(err)
 		return nil
@@ -71,6 +72,11 @@
 	return sources
 }
 
+// parseDocument takes a comment on the last line also if no line end follows.
+func parseDocument(src []byte) (hujson.Value, error) {
+	return hujson.Parse(slices.Concat(src, []byte("\n")))
+}
+
 func (c *collector) addSyntax(err error) {
 	m := hujsonPlace.FindStringSubmatch(err.Error())
 	if m == nil {
--- a/rules/edit.go
+++ b/rules/edit.go
@@ -29,7 +29,7 @@
 	if to.Before == name {
 		return nil, eris.Errorf("rules: rule %q can't stand before itself", name)
 	}
-	value, err := hujson.Parse(document)
+	value, err := parseDocument(document)
 	if err != nil {
 		return nil, eris.Wrap(err, "rules: document can't be read")
 	}
@@ -48,7 +48,7 @@
 		return nil, eris.Errorf("rules: no rule %q", to.Before)
 	}
 	putTogether(array, slices.Insert(pieces, at, moved))
-	return value.Pack(), nil
+	return bytes.TrimSuffix(value.Pack(), []byte("\n")), nil
 }
 
 func ruleNames(document []byte) ([]string, error) {
@@ -71,10 +71,6 @@
 // parser counts all of it to the rule that follows.
 func takeApart(array *hujson.Array) []piece {
 	last := len(array.Elements) - 1
-	if array.AfterExtra == nil {
-		array.AfterExtra = append(hujson.Extra{}, array.Elements[last].AfterExtra...)
-		array.Elements[last].AfterExtra = nil
-	}
 	pieces := make([]piece, len(array.Elements))
 	for i, element := range array.Elements {
 		pieces[i].value = element
@@ -90,12 +86,22 @@
 	return pieces
 }
 
+// putTogether keeps the list's habit of a comma behind its last rule, which the
+// parser's form tells by an AfterExtra that isn't nil.
 func putTogether(array *hujson.Array, pieces []piece) {
+	last := len(array.Elements) - 1
+	comma := array.Elements[last].AfterExtra != nil
 	tail := hujson.Extra(nil)
 	for i, p := range pieces {
 		p.value.BeforeExtra = slices.Concat(tail, p.value.BeforeExtra)
 		array.Elements[i] = p.value
 		tail = p.tail
 	}
-	array.AfterExtra = append(append(hujson.Extra{}, tail...), array.AfterExtra...)
+	array.AfterExtra = slices.Concat(tail, array.AfterExtra)
+	end := &array.Elements[last].AfterExtra
+	if comma && *end == nil {
+		*end = hujson.Extra{}
+	} else if !comma && len(*end) == 0 {
+		*end = nil
+	}
 }
--- a/rules/record.go
+++ b/rules/record.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
 	"tamarackchute/platform"
 )
@@ -105,7 +106,7 @@
 
 func decodeBody(body []byte) (record, error) {
 	var r record
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	if err := codec.Unmarshal(body, &r); err != nil {
 		return record{}, eris.Wrap(err, "rules: record can't be decoded")
 	}
 	document, err := decompress(r.Document)
