chute-entry: membership, statuses to the leaders, operators' interface, audit

Cause: the entry answered for all instances as live, told no controller what it has in flight, and had no way for an operator to publish.

Ruled out: the router's own counts as the acknowledgement of a drain (a prefill engine's end before the decode engine has taken the KV cache).

Change: the exchange with peers and leaders, the operators' routes beside the metrics page on their own address, the audit trail, checkpoints of rules and quarantine under the supervisor tree.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"tamarackchute/admission"
 	"tamarackchute/claim"
+	"tamarackchute/internal/audit"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/crash"
@@ -23,6 +24,7 @@
 	"tamarackchute/internal/entry/shutdown"
 	"tamarackchute/internal/entry/stream"
 	"tamarackchute/internal/settings"
+	"tamarackchute/internal/status"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/journal"
 	"tamarackchute/lease"
@@ -75,6 +77,8 @@
 
 	journal   *journal.Journal
 	rules     *rules.Book
+	source    ruleSource
+	trail     *audit.Trail
 	leases    *lease.View
 	orders    *orders.View
 	suspects  *quarantine.Guard
@@ -84,6 +88,7 @@
 	inflight  *inflight.Book
 	demand    *demand
 	load      *loadShare
+	node      *status.Node
 	directory *discovery.Directory
 	answers   *answer.Runner
 	callers   *callerwatch.Watch
@@ -112,6 +117,7 @@
 		return nil, err
 	}
 	e.buildDecisions()
+	e.buildExchange()
 	e.buildServing()
 	return e, nil
 }
@@ -130,11 +136,14 @@
 		Retention:        seconds(d.Platform.RetentionSeconds),
 		Logger:           e.log,
 	})
-	e.rules = rules.NewBook(rules.BookOptions{Logger: e.log})
+	e.trail = audit.NewTrail(0, e.log)
+	e.rules = rules.NewBook(rules.BookOptions{Logger: e.log, Observe: e.trail.ObserveRules})
+	e.source = ruleSource{e.rules, e.journal.CaughtUp()}
 	e.leases = lease.NewView()
 	e.orders = orders.NewView(e.leases)
 	e.suspects = quarantine.NewGuard(quarantine.DefaultConfig(), e.journal, e.writer(), nil)
 	e.journal.Register(journal.KindRules, e.rules)
+	e.journal.Register(journal.KindAudit, e.trail)
 	e.journal.Register(journal.KindLease, e.leases)
 	e.journal.Register(journal.KindOrder, e.orders)
 	e.journal.Register(journal.KindQuarantine, e.suspects)
@@ -178,7 +187,7 @@
 
 // buildServing makes what callers see.
 func (e *Entry) buildServing() {
-	e.directory = discovery.New(e.cfg.Deployment, e.self, e.members())
+	e.directory = discovery.New(e.cfg.Deployment, e.self, e.node)
 	e.callers = callerwatch.New()
 	e.answers = &answer.Runner{
 		Books:       e.tracker,
@@ -192,7 +201,7 @@
 		NewID:       uuid.NewString,
 	}
 	e.gateway = gateway.New(e.gatewayOptions(), gateway.Parts{
-		Rules:     ruleSource{e.rules, e.journal.CaughtUp()},
+		Rules:     e.source,
 		Admission: e.admission,
 		Estimator: e.tracker,
 		Answers:   e.answers,
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"tamarackchute/internal/status"
+	"tamarackchute/internal/wire"
+	"tamarackchute/membership"
+	"tamarackchute/platform"
+)
+
+// The reasons for not being ready.
+var (
+	errLeaving = eris.New("this instance is stopping")
+	errNoRules = eris.New("this instance has not learnt the rules yet")
+)
+
+// ready returns nil once callers may be sent here.
+func (e *Entry) ready() error {
+	if e.gateway.Leaving() {
+		return errLeaving
+	}
+	if e.source.current() == nil {
+		return errNoRules
+	}
+	return nil
+}
+
+// buildExchange makes the exchange with peers and leaders.
+func (e *Entry) buildExchange() {
+	e.node = status.NewNode(status.Options{
+		Deployment: e.cfg.Deployment,
+		Self:       e.self,
+		Secret:     e.cfg.Secret,
+		ServerTLS:  e.cfg.ServerTLS,
+		ClientTLS:  e.cfg.ClientTLS,
+		Leases:     e.leases,
+		Rules:      e.rules,
+		Applied:    e.journal.Applied,
+		CaughtUp:   e.journal.CaughtUp(),
+		Source:     e.entryStatus,
+		Logger:     e.log,
+	})
+}
+
+// entryStatus is what the leaders need to know of this entry.
+func (e *Entry) entryStatus() wire.EntryStatus {
+	applied, busy := e.inflight.Status()
+	s := wire.EntryStatus{Applied: applied, Demand: e.demand.report()}
+	for name, n := range busy {
+		s.InFlight = append(s.InFlight, wire.EngineInFlight{Engine: name, Requests: n})
+	}
+	slices.SortFunc(s.InFlight, func(a, b wire.EngineInFlight) int {
+		return compareStrings(a.Engine, b.Engine)
+	})
+	return s
+}
+
+func compareStrings(a, b string) int { return strings.Compare(a, b) }
+
+// entries counts the instances that share the engines.
+func (e *Entry) entries() int {
+	serving := 0
+	for _, m := range e.node.View().Members {
+		if m.Name == e.self.Name || m.State == membership.Live || m.State == membership.Leaving {
+			serving++
+		}
+	}
+	return max(1, serving)
+}
+
+// listTakers are told each answer of the platform's list.
+func (e *Entry) listTakers() []func([]platform.Instance) {
+	return []func([]platform.Instance){e.tracker.SetList, e.node.TakeList}
+}
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tamarackchute/internal/operator"
+	"tamarackchute/internal/operator/api"
+	"tamarackchute/internal/settings"
+	"tamarackchute/rules"
+)
+
+// Bounds of the operators' address.
+const (
+	// operatorsMaxBody holds the largest rule set with its escapes.
+	operatorsMaxBody = 1 << 20
+	operatorsTimeout = 15 * time.Second
+	contentMetrics   = "text/plain; version=0.0.4; charset=utf-8"
+)
+
+// operatorsApp serves the operators' address: the metrics page and, behind
+// their tokens, what operators do.
+func (e *Entry) operatorsApp() *fiber.App {
+	app := fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             operatorsMaxBody,
+		ReadTimeout:           operatorsTimeout,
+		WriteTimeout:          operatorsTimeout,
+	})
+	app.Get("/metrics", func(c *fiber.Ctx) error {
+		c.Set(fiber.HeaderContentType, contentMetrics)
+		_, err := e.cfg.Metrics.Page.WriteTo(c)
+		return err
+	})
+	known := knownNames(e.cfg.Deployment)
+	operator.Register(app, operator.Deps{
+		Operators:  e.cfg.Deployment.Security.Operators,
+		Publisher:  rules.NewPublisher(e.journal, e.rules, known),
+		Book:       e.rules,
+		Known:      known,
+		Trail:      e.trail,
+		Journal:    e.journal,
+		Quarantine: e.suspects,
+		Status:     e.status,
+		Logger:     e.log,
+	})
+	return app
+}
+
+func knownNames(d *settings.Deployment) rules.Known {
+	known := rules.Known{Models: modelNames(d)}
+	for _, u := range d.Upstreams {
+		if !slices.Contains(known.Pools, u.Pool) {
+			known.Pools = append(known.Pools, u.Pool)
+		}
+	}
+	for _, dc := range d.DataCentres {
+		known.DataCentres = append(known.DataCentres, dc.Name)
+	}
+	return known
+}
+
+// status tells operators what this instance knows.
+func (e *Entry) status() api.Status {
+	s := api.Status{
+		Instance:   e.self.Name,
+		DataCentre: e.self.DataCentre,
+		Ready:      e.ready() == nil,
+		Leaving:    e.gateway.Leaving(),
+		LogUp:      e.journal.Health().LogUp,
+		Requests:   e.gateway.Active(),
+		Rules:      e.rules.Status(),
+		Upstreams:  e.upstreamStatus(),
+	}
+	for _, m := range e.node.View().Members {
+		s.Instances = append(s.Instances, api.InstanceStatus{
+			Name: m.Name, DataCentre: m.DataCentre, State: m.State.String(),
+		})
+	}
+	for name, scope := range e.leases.Snapshot().Scopes {
+		if scope.Held {
+			s.Leaders = append(s.Leaders, api.LeaderStatus{
+				Scope: name, Holder: scope.Holder, Fence: uint64(scope.Fence), Since: scope.Since,
+			})
+		}
+	}
+	slices.SortFunc(s.Leaders, func(a, b api.LeaderStatus) int {
+		return compareStrings(a.Scope, b.Scope)
+	})
+	return s
+}
+
+func (e *Entry) upstreamStatus() []api.UpstreamStatus {
+	changes := e.orders.Snapshot()
+	var all []api.UpstreamStatus
+	for _, u := range e.tracker.Snapshot().Upstreams(time.Now()) {
+		one := api.UpstreamStatus{
+			Name:       u.Name,
+			Kind:       string(u.Kind),
+			DataCentre: u.DataCentre,
+			Pool:       u.Pool,
+			Role:       string(u.Role),
+			Usable:     !u.Leaving && !u.Draining && !u.Ejected,
+			InFlight:   u.InFlight,
+		}
+		if change := changes.Engine(u.Name).Open(); change != nil {
+			one.Change = change.Phase.String()
+		}
+		all = append(all, one)
+	}
+	return all
+}
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/thejerf/suture/v4"
 
 	"tamarackchute/internal/entry/shutdown"
+	"tamarackchute/internal/settings"
+	"tamarackchute/quarantine"
+	"tamarackchute/rules"
 )
 
 // stopCheck is how often a stopping entry looks whether it may exit.
@@ -28,7 +32,9 @@
 //	│   ├── orders         drains and roles from the journal to the router
 //	│   ├── capacity       sums for admission and rules
 //	│   ├── admission      refuses early what can't be in time
-//	│   └── quarantine     appends crash reports that the log hasn't taken
+//	│   ├── rules          checkpoints
+//	│   └── quarantine     checkpoints; crash reports that the log hasn't taken
+//	├── exchange with peers  membership, status to the leaders, peers' rules
 //	└── serving
 //	    ├── callers' connections
 //	    ├── callers        HTTP
@@ -39,6 +45,7 @@
 func (e *Entry) tree() *suture.Supervisor {
 	root := suture.New("entry", e.spec())
 	root.Add(e.claims)
+	root.Add(e.node)
 	root.Add(e.learning())
 	root.Add(e.serving())
 	return root
@@ -71,9 +78,33 @@
 		entries:    e.entries,
 	})
 	s.Add(e.admission)
+	s.Add(e.checkpointer())
+	s.Add(quarantineKeeper{e.suspects, seconds(e.cfg.Deployment.Platform.RetentionSeconds)})
 	return s
 }
 
+func (e *Entry) checkpointer() *rules.Checkpointer {
+	instances := e.cfg.Deployment.Instances
+	slot := slices.IndexFunc(instances, func(in settings.Instance) bool { return in.Name == e.self.Name })
+	return rules.NewCheckpointer(e.journal, e.rules, rules.CheckpointerOptions{
+		Retention: seconds(e.cfg.Deployment.Platform.RetentionSeconds),
+		Slot:      slot,
+		Slots:     len(instances),
+		Logger:    e.log,
+	})
+}
+
+// quarantineKeeper keeps the quarantine's records in the log.
+type quarantineKeeper struct {
+	guard     *quarantine.Guard
+	retention time.Duration
+}
+
+func (k quarantineKeeper) String() string { return "quarantine" }
+
+// Serve implements suture.Service.
+func (k quarantineKeeper) Serve(ctx context.Context) error { return k.guard.Serve(ctx, k.retention) }
+
 func (e *Entry) serving() *suture.Supervisor {
 	s := suture.New("serving", e.spec())
 	s.Add(e.callers)
@@ -115,7 +146,7 @@
 func (e *Entry) drain(done <-chan error) {
 	e.directory.Leave()
 	e.gateway.Leave()
-	e.leave()
+	e.node.Leave()
 	e.stop.Begin(time.Now())
 	ticker := time.NewTicker(stopCheck)
 	defer ticker.Stop()
