chutectl: rules, status and audit on the command line

Cause: operators drive the system by publishing and reordering rules only, and must know whether a publication is in force, lost a race, or may still come. Ruled out: one instance as the only address (it may be gone); a second try under a new ID (it could count twice, or tell a conflict with itself). Change: internal/ctl with the commands rules get, validate, diff, publish, move and history, status and audit; exit codes 0 to 6; every copy of a publication has one ID and goes from instance to instance until one tells the verdict. Golden sessions run against the real interface over an in-memory log. Both sample rule sets pass the check. Conclusion: an operator can publish the first rules with it.

--- /dev/null
+++ b/internal/ctl/command.go
@@ -0,0 +1,148 @@
+package ctl
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// command is one of the program's commands.
+type command struct {
+	// name is its words, as "rules get"; arguments shows what follows.
+	name, arguments string
+	// summary is one line; help says more.
+	summary, help string
+	// prepare adds the command's flags and returns what runs it.
+	prepare func(*flag.FlagSet) runner
+	// operands is the number of arguments beside flags.
+	operands int
+}
+
+// runner runs a command with its operands.
+type runner func(s *session, operands []string) error
+
+var commands = []command{
+	{
+		name:    "rules get",
+		summary: "prints the rules in force",
+		help: "The first line, a comment, records the version: edit what you got, and publish\n" +
+			"takes it as the version that you edited.",
+		prepare: prepareGet,
+	},
+	{
+		name: "rules validate", arguments: "FILE", operands: 1,
+		summary: "checks a rule set and publishes nothing",
+		help:    "Lists every problem with line and column. FILE may be - for the standard input.",
+		prepare: prepareValidate,
+	},
+	{
+		name: "rules diff", arguments: "FILE", operands: 1,
+		summary: "shows what leads from the rules in force to those in FILE",
+		help:    "Rules are told apart by their names. Comments don't count.",
+		prepare: prepareDiff,
+	},
+	{
+		name: "rules publish", arguments: "FILE", operands: 1,
+		summary: "puts the rules in FILE in force",
+		help: "Only if the version that you edited still is in force. If another operator was\n" +
+			"faster, it shows the difference and ends with exit code 3.",
+		prepare: preparePublish,
+	},
+	{
+		name: "rules move", arguments: "RULE", operands: 1,
+		summary: "moves one rule of those in force and publishes the result",
+		help:    "Give one of -before, -first and -last.",
+		prepare: prepareMove,
+	},
+	{
+		name:    "rules history",
+		summary: "lists the latest publications, newest first",
+		help:    "Conflicts and unknown outcomes are in it too.",
+		prepare: prepareHistory,
+	},
+	{
+		name:    "status",
+		summary: "shows instances, leaders and upstreams",
+		help:    "Asks every instance which rules it has in force. Leaders and upstreams are as the\nfirst instance that answers knows them.",
+		prepare: prepareStatus,
+	},
+	{
+		name:    "audit",
+		summary: "lists who changed what, newest first",
+		help:    "Each record tells when, why, and from which state to which.",
+		prepare: prepareAudit,
+	},
+}
+
+// findCommand splits the words of a command from its arguments.
+func findCommand(args []string) (*command, []string, error) {
+	for i := range commands {
+		words := strings.Fields(commands[i].name)
+		if len(args) >= len(words) && strings.Join(args[:len(words)], " ") == commands[i].name {
+			return &commands[i], args[len(words):], nil
+		}
+	}
+	if len(args) == 0 {
+		return nil, nil, usageError("no command; see chutectl -h")
+	}
+	return nil, nil, usageError("unknown command %q; see chutectl -h", strings.Join(args[:min(len(args), 2)], " "))
+}
+
+func (s *session) runCommand(c *command, args []string) error {
+	flags := flag.NewFlagSet(c.name, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	run := c.prepare(flags)
+	operands, err := parseMixed(flags, args)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		s.printCommandHelp(c, flags)
+		return nil
+	case err != nil:
+		return usageError("%s: %v; see chutectl %s -h", c.name, err, c.name)
+	case len(operands) != c.operands:
+		return usageError("%s takes %d arguments, not %d; see chutectl %s -h", c.name, c.operands, len(operands), c.name)
+	}
+	return run(s, operands)
+}
+
+// parseMixed takes flags before and after the operands.
+func parseMixed(flags *flag.FlagSet, args []string) ([]string, error) {
+	var operands []string
+	for {
+		if err := flags.Parse(args); err != nil {
+			return nil, err
+		}
+		if flags.NArg() == 0 {
+			return operands, nil
+		}
+		operands = append(operands, flags.Arg(0))
+		args = flags.Args()[1:]
+	}
+}
+
+func (s *session) printHelp(flags *flag.FlagSet) {
+	fmt.Fprint(s.Stdout, "Usage: chutectl [flags] COMMAND [arguments]\n\nCommands:\n")
+	for _, c := range commands {
+		fmt.Fprintf(s.Stdout, "  %-20s %s\n", strings.TrimSpace(c.name+" "+c.arguments), c.summary)
+	}
+	fmt.Fprint(s.Stdout, "\nFlags:\n")
+	printFlags(s.Stdout, flags)
+	fmt.Fprint(s.Stdout, `
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflict, 4 invalid rules,
+5 outcome unknown, 6 unauthorised.
+`)
+}
+
+func (s *session) printCommandHelp(c *command, flags *flag.FlagSet) {
+	fmt.Fprintf(s.Stdout, "Usage: chutectl [flags] %s\n\n%s %s.\n%s\n\n",
+		strings.TrimSpace(c.name+" [flags] "+c.arguments), c.name, c.summary, c.help)
+	printFlags(s.Stdout, flags)
+}
+
+func printFlags(w io.Writer, flags *flag.FlagSet) {
+	flags.SetOutput(w)
+	flags.PrintDefaults()
+	flags.SetOutput(io.Discard)
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,195 @@
+package ctl
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/operator/api"
+	"tamarackchute/internal/operator/operatortest"
+	"tamarackchute/internal/settings"
+	"tamarackchute/journal/journaltest"
+	"tamarackchute/rules"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+const settingsForm = `{
+  "name": "test",
+  "data_centres": [{"name": "cesis-a"}],
+  "instances": [
+    {"name": "c1", "data_centre": "cesis-a", "callers": "127.0.0.1:1", "operators": "%s",
+     "peers": "127.0.0.1:2", "controller_operators": "127.0.0.1:3", "controller_peers": "127.0.0.1:4"},
+    {"name": "c2", "data_centre": "cesis-a", "callers": "127.0.0.1:5", "operators": "%s",
+     "peers": "127.0.0.1:6", "controller_operators": "127.0.0.1:7", "controller_peers": "127.0.0.1:8"},
+  ],
+  "upstreams": [
+    {"name": "e1", "kind": "engine", "data_centre": "cesis-a", "address": "127.0.0.1:9", "pool": "agronomy",
+     "models": ["soil"], "fencing": "checked", "role": "mixed"},
+    {"name": "s1", "kind": "service", "data_centre": "cesis-a", "address": "127.0.0.1:10", "pool": "booking"},
+  ],
+  "platform": {"log": "127.0.0.1:11", "instances": "127.0.0.1:12", "weights": "127.0.0.1:13"},
+  "security": {"peer_secret_file": "peer.secret"},
+}`
+
+// bench is a deployment of two instances over one log, and a folder of files.
+type bench struct {
+	t      *testing.T
+	folder string
+	log    *journaltest.Log
+	// stops end each instance's HTTP server.
+	stops []func()
+	first *operatortest.Instance
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, folder: t.TempDir(), log: journaltest.NewLog()}
+	var addresses []any
+	for _, name := range []string{"c1", "c2"} {
+		i := operatortest.Start(b.log, name, slog.New(slog.DiscardHandler))
+		if b.first == nil {
+			b.first = i
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		addresses = append(addresses, l.Addr().String())
+		go func() { _ = i.App.Listener(l) }()
+		stop := func() { _ = i.App.ShutdownWithTimeout(time.Second) }
+		b.stops = append(b.stops, stop)
+		t.Cleanup(func() { stop(); i.Stop() })
+	}
+	b.write("settings.json", fmt.Sprintf(settingsForm, addresses...))
+	b.write("token", operatortest.Token+"\n")
+	return b
+}
+
+func (b *bench) write(name, content string) {
+	require.NoError(b.t, os.WriteFile(filepath.Join(b.folder, name), []byte(content), 0o600))
+}
+
+// run runs chutectl; words that end in .json are files of the bench.
+func (b *bench) run(line string) (Exit, string, string) {
+	args := []string{"-settings", filepath.Join(b.folder, "settings.json"), "-timeout", "10s"}
+	if !strings.Contains(line, "-token-file") {
+		args = append(args, "-token-file", filepath.Join(b.folder, "token"))
+	}
+	for _, word := range strings.Fields(line) {
+		if strings.HasSuffix(word, ".json") {
+			word = filepath.Join(b.folder, word)
+		}
+		args = append(args, word)
+	}
+	var out, errs bytes.Buffer
+	exit := Run(args, Environment{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &errs, Getenv: func(string) string { return "" }})
+	require.NotContains(b.t, out.String()+errs.String(), operatortest.Token)
+	return exit, out.String(), errs.String()
+}
+
+// variable is what differs from run to run.
+var variable = []struct {
+	form *regexp.Regexp
+	by   string
+}{
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[\d:.]+(Z|[+-]\d\d:\d\d)`), "2026-05-04T03:02:01Z"},
+	{regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`), "ID"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`/\S+/(\w+\.json)`), "$1"},
+}
+
+func (b *bench) golden(name string, sessions ...string) {
+	var got strings.Builder
+	for _, line := range sessions {
+		exit, out, errs := b.run(line)
+		fmt.Fprintf(&got, "$ chutectl %s\n%s%s(exit code %d)\n\n", line, out, errs, exit)
+	}
+	text := got.String()
+	for _, v := range variable {
+		text = v.form.ReplaceAllString(text, v.by)
+	}
+	file := filepath.Join("testdata", name+".golden")
+	if *update {
+		require.NoError(b.t, os.WriteFile(file, []byte(text), 0o644))
+	}
+	want, err := os.ReadFile(file)
+	require.NoError(b.t, err)
+	require.Equal(b.t, string(want), text, "session %s; run with -update if the change is meant", name)
+}
+
+const (
+	editedByAnna = `// chutectl: version none
+{
+  "rules": [
+    // Bookings run once.
+    {"name": "book", "when": "path == \"/book\"", "then": {"pool": "booking", "protected": true}},
+    {"name": "rest", "when": "load < 2", "then": {"pool": "agronomy"}},
+  ],
+}
+`
+	editedByBen = `// chutectl: version none
+{"rules": [{"name": "rest", "when": "model == \"soil\"", "then": {"pool": "agronomy", "class": "short"}}]}`
+	invalid = `// chutectl: version none
+{"rules": [
+  {"name": "rest", "when": "true", "then": {"pool": "agronomie"}},
+  {"name": "late", "when": "strem", "then": {"pool": "booking"}},
+]}`
+)
+
+func TestSessions(t *testing.T) {
+	b := newBench(t)
+	b.write("anna.json", editedByAnna)
+	b.write("ben.json", editedByBen)
+	b.write("invalid.json", invalid)
+	b.write("bare.json", `{"rules": []}`)
+	b.golden("help", "-h", "rules publish -h", "rules move -h")
+	b.golden("usage", "", "rule get", "-o xml status", "rules publish", "rules publish bare.json", "rules move book",
+		"rules move book -first -last", "rules publish -base x anna.json", "-instance c9 status", "audit -x")
+	b.golden("publish", "rules get", "rules validate invalid.json", "-o json rules validate -local invalid.json",
+		"rules validate anna.json", "rules publish invalid.json", "rules publish -note first anna.json",
+		"rules diff ben.json", "rules publish ben.json", "-o json rules publish ben.json", "rules get",
+		"rules move book -last", "rules move rest -before book -note back", "rules move gone -first", "rules get",
+		"rules publish -base 1.0 bare.json", "rules history -n 3")
+	b.golden("lists", "status", "-o json rules get", "-o json status", "audit -n 2", "-o json audit -n 1", "-token-file settings.json status",
+		"-token-file settings.json rules get")
+}
+
+// The first instance is gone, or the log is: chutectl must go on to the next,
+// and must not say "not published" of what may be in force.
+func TestInstancesFail(t *testing.T) {
+	b := newBench(t)
+	b.write("anna.json", editedByAnna)
+	b.write("ben.json", editedByBen)
+	b.stops[0]()
+	b.golden("failover", "rules publish anna.json", "-instance c2 rules history", "-instance c1 status")
+	b.log.Outage(true)
+	b.golden("outage", "rules publish -base 1.0 ben.json")
+	b.log.Outage(false)
+	b.log.Hang(true)
+	b.golden("unknown", "rules publish -base 1.0 ben.json", "-o json rules publish -base 1.0 ben.json")
+	b.log.Hang(false)
+	b.stops[1]()
+	b.golden("down", "rules get", "rules publish anna.json", "status")
+}
+
+// The first rule set of each deployment must pass the check that publication
+// makes, or the trial script fails at its start.
+func TestSampleRulesAreValid(t *testing.T) {
+	for _, name := range []string{"kalku-rinda", "regnbrunnur"} {
+		folder := filepath.Join("..", "..", "deploy", name)
+		d, err := settings.Load(filepath.Join(folder, "settings.json"))
+		require.NoError(t, err)
+		document, err := os.ReadFile(filepath.Join(folder, "rules.json"))
+		require.NoError(t, err)
+		_, err = rules.Parse(document, api.KnownNames(d))
+		require.NoError(t, err)
+	}
+}
