--- a/internal/entry/answer/attempt.go
+++ b/internal/entry/answer/attempt.go
@@ -26,8 +26,15 @@
 	ticket *router.Ticket
 	run    *crash.Run
 	began  bool
+	// produced counts the tokens that came in their place.
+	produced int
 }
 
+// acquitAfter is how many tokens a suspected request must give on an engine of
+// its own before it counts as innocent: what crashed the former engine was
+// further on than that, or something else.
+const acquitAfter = 16
+
 func (t *attempt) origin(w Work) stream.Origin {
 	return stream.Origin{
 		Answer:   w.Answer,
@@ -70,6 +77,9 @@
 		}
 		if token.Index == due {
 			t.ticket.Tokens(1)
+			if t.produced++; t.produced == acquitAfter {
+				t.run.Acquit()
+			}
 			return token, nil
 		}
 	}
--- a/internal/entry/answer/fail.go
+++ b/internal/entry/answer/fail.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -35,7 +36,8 @@
 	var held *quarantine.Error
 	if errors.As(cause, &held) {
 		f.RetryAfter = held.RetryAfter
-		f.Message = held.Error()
+		f.Message = fmt.Sprintf("the request was in flight when %d engines crashed and is kept from others; "+
+			"an operator may release it as %s", len(held.Verdict.Upstreams), held.Digest)
 	}
 	return f
 }
--- a/internal/entry/crash/crash.go
+++ b/internal/entry/crash/crash.go
@@ -139,6 +139,17 @@
 	}
 }
 
+// Acquit ends the isolation of a suspected run that has got further than the
+// one that made it a suspect. If its engine crashes after that, it is a suspect
+// for the first time again. It must not run at the same time as End.
+func (r *Run) Acquit() {
+	if r.isolation == nil {
+		return
+	}
+	r.watch.endIsolation(r.isolation, true)
+	r.isolation = nil
+}
+
 // endIsolation writes to the log, which may be slow; nobody waits for it.
 func (w *Watch) endIsolation(i *quarantine.Isolation, passed bool) {
 	w.tasks.Go(func() {
