discovery: the instances of a data centre take turns in being named first

Ruled out: leaving the spread to callers, who are told "nearest first". Change: each answer begins with another instance of a data centre. The test's second expectation is the turned order, and one more call is checked. Conclusion: the order of data centres is as before.

--- a/internal/entry/discovery/discovery.go
+++ b/internal/entry/discovery/discovery.go
@@ -38,6 +38,8 @@
 	// near holds, for each data centre, all instances, the nearest first.
 	near    map[string][]settings.Instance
 	leaving atomic.Bool
+	// turn counts answers; each begins with another instance of a data centre.
+	turn atomic.Uint64
 }
 
 // New returns the directory of the instance self.
@@ -66,25 +68,32 @@
 // Where answers for a caller in a data centre; one that is not known counts as
 // the instance's own. Instances that are only suspected come after all others,
 // since they may well be up; those that leave or have gone don't come at all.
+//
+// Callers connect to the first address. So that they don't all go to the same
+// instance, those of one data centre take turns in being named first.
 func (d *Directory) Where(dataCentre string) Answer {
 	order, known := d.near[dataCentre]
 	if !known {
 		order = d.near[d.self.DataCentre]
 	}
+	turn := d.turn.Add(1) - 1
 	answer := Answer{Addresses: make([]Address, 0, len(order)), KeepSeconds: d.keep}
-	answer.add(d, order, membership.Live)
-	answer.add(d, order, membership.Suspected)
+	answer.add(d, order, membership.Live, turn)
+	answer.add(d, order, membership.Suspected, turn)
 	return answer
 }
 
-func (a *Answer) add(d *Directory, order []settings.Instance, state membership.State) {
-	for _, in := range order {
-		if d.state(in) != state {
-			continue
+func (a *Answer) add(d *Directory, order []settings.Instance, state membership.State, turn uint64) {
+	var group []Address
+	for i, in := range order {
+		if d.state(in) == state {
+			group = append(group, Address{Address: in.Callers, DataCentre: in.DataCentre, Instance: in.Name})
+		}
+		if last := i+1 == len(order) || order[i+1].DataCentre != in.DataCentre; last && len(group) > 0 {
+			first := turn % uint64(len(group))
+			a.Addresses = append(append(a.Addresses, group[first:]...), group[:first]...)
+			group = group[:0]
 		}
-		a.Addresses = append(a.Addresses, Address{
-			Address: in.Callers, DataCentre: in.DataCentre, Instance: in.Name,
-		})
 	}
 }
 
--- a/internal/entry/discovery/discovery_test.go
+++ b/internal/entry/discovery/discovery_test.go
@@ -42,8 +42,9 @@
 		return got
 	}
 	require.Equal(t, []string{"h1", "h2", "s1", "v1"}, names(""))
-	require.Equal(t, []string{"h1", "h2", "s1", "v1"}, names("nowhere"))
+	require.Equal(t, []string{"h2", "h1", "s1", "v1"}, names("nowhere"), "instances take turns")
 	require.Equal(t, []string{"v1", "s1", "h1", "h2"}, names("vik"))
+	require.Equal(t, []string{"v1", "s1", "h2", "h1"}, names("vik"), "within a data centre only")
 	require.Equal(t, Address{"10.0.0.3:1", "vik", "v1"}, dir.Where("vik").Addresses[0])
 	require.InDelta(t, 5, dir.Where("").KeepSeconds, 0)
 
