rules: a set that its checkpoint couldn't carry is refused; compiled before the swap

Cause: a publication that only just fits into a record of the log would be lost once it expired, as its checkpoint is larger. Ruled out: a larger record, as the platform's limit isn't known. Change: Publisher refuses documents above 48 KiB compressed, with a problem of the document; a version is compiled before it is swapped in; one set of compiler settings serves all conditions of a document. Conclusion: what is accepted can be kept.

--- a/rules/book.go
+++ b/rules/book.go
@@ -239,10 +239,11 @@
 		return
 	}
 	next := newSnapshot(newest, now)
-	b.current.Store(next)
 	if compile {
+		// Before the swap: no request waits for it.
 		b.compile(next)
 	}
+	b.current.Store(next)
 }
 
 func (b *Book) compile(s *snapshot) {
--- a/rules/condition.go
+++ b/rules/condition.go
@@ -6,6 +6,7 @@
 	"github.com/expr-lang/expr/ast"
 	"github.com/expr-lang/expr/checker"
 	"github.com/expr-lang/expr/compiler"
+	"github.com/expr-lang/expr/conf"
 	"github.com/expr-lang/expr/file"
 	"github.com/expr-lang/expr/optimizer"
 	"github.com/expr-lang/expr/vm"
@@ -20,8 +21,7 @@
 
 // compileCondition checks an expression's types and compiles it. The form is
 // taken before the optimiser rewrites the tree.
-func compileCondition(source string) (*vm.Program, form, *conditionError) {
-	config := conditionConfig()
+func compileCondition(config *conf.Config, source string) (*vm.Program, form, *conditionError) {
 	tree, err := checker.ParseCheck(source, config)
 	if err != nil {
 		return nil, form{}, asConditionError(err)
--- a/rules/publisher.go
+++ b/rules/publisher.go
@@ -44,7 +44,7 @@
 // one. Errors are *InvalidError and those that match platform.ErrNotWritten:
 // the document is then not published and never will be.
 func (p *Publisher) Publish(ctx context.Context, publish Publish) (Result, error) {
-	if _, err := Parse(publish.Document, p.known); err != nil {
+	if err := p.check(publish.Document); err != nil {
 		return Result{}, err
 	}
 	if publish.ID == "" {
@@ -68,6 +68,21 @@
 	}
 }
 
+// check refuses what Parse refuses, and a document that won't fit into a record.
+// One that fits only just would be lost at its first checkpoint, which is larger.
+func (p *Publisher) check(document []byte) error {
+	if _, err := Parse(document, p.known); err != nil {
+		return err
+	}
+	size := len(compress(document))
+	if size <= maxCompressedBytes {
+		return nil
+	}
+	c := &collector{src: document}
+	c.add(0, "", "the document has %d bytes after compression, more than %d", size, maxCompressedBytes)
+	return c.err()
+}
+
 // await waits for the verdict on a publication that may be in the log.
 func (p *Publisher) await(ctx context.Context, publish Publish) Result {
 	for {
--- a/rules/publisher_test.go
+++ b/rules/publisher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -237,6 +238,20 @@
 	})
 }
 
+// A rule set that only just fits into a record would be in force until its first
+// checkpoint, which is larger and fails, and vanish with its record.
+func TestTooLargeForARecord(t *testing.T) {
+	noise := make([]byte, maxCompressedBytes)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(noise)
+	large := fmt.Appendf(nil, "/* %x */ {\"rules\": []}", noise)
+	_, err := NewPublisher(nil, nil, testKnown).Publish(t.Context(), Publish{Document: large})
+	require.ErrorContains(t, err, "after compression")
+	fits := Checkpoint{State: State{Document: large[:maxCompressedBytes]}}
+	record, err := journal.EncodeRecord("w", []journal.Entry{{Body: encodeCheckpoint(fits)}})
+	require.NoError(t, err)
+	require.Less(t, len(record), 64<<10-2*maxNameBytes-1000)
+}
+
 // An instance starts while the log is down and refuses everything, though its
 // neighbours have the rules. Order: outage, start, a peer's state, the log comes
 // back with a newer publication.
--- a/rules/record.go
+++ b/rules/record.go
@@ -131,6 +131,10 @@
 	}
 }
 
+// maxCompressedBytes bounds a document in the log. With the rest of its entry it
+// fits into a record of the journal.
+const maxCompressedBytes = 48 << 10
+
 func compress(document []byte) []byte { return s2.EncodeBest(nil, document) }
 
 // decompress refuses what is larger than a document may be, so that a damaged
--- a/rules/set.go
+++ b/rules/set.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/expr-lang/expr/conf"
 	"github.com/expr-lang/expr/vm"
 )
 
@@ -31,9 +32,10 @@
 	s := &Set{document: src}
 	s.machines.New = func() any { return new(vm.VM) }
 	forms := make([]form, len(sources))
+	config := conditionConfig()
 	for i := range sources {
 		var compiled compiledRule
-		compiled, forms[i] = compileRule(c, &sources[i], known)
+		compiled, forms[i] = compileRule(c, config, &sources[i], known)
 		s.rules = append(s.rules, sources[i].rule)
 		s.compiled = append(s.compiled, compiled)
 	}
@@ -45,7 +47,7 @@
 	return s, nil
 }
 
-func compileRule(c *collector, s *source, known Known) (compiledRule, form) {
+func compileRule(c *collector, config *conf.Config, s *source, known Known) (compiledRule, form) {
 	if s.whole {
 		checkThen(c, s, known)
 	}
@@ -56,7 +58,7 @@
 		c.add(s.when, s.rule.Name, "when has %d bytes, more than %d", len(s.rule.When), MaxConditionBytes)
 		return compiledRule{}, form{}
 	}
-	program, f, fault := compileCondition(s.rule.When)
+	program, f, fault := compileCondition(config, s.rule.When)
 	if fault != nil {
 		c.add(s.when+literalOffset(s.raw, fault.at), s.rule.Name, "when: %s", fault.message)
 		return compiledRule{}, form{}
--- a/rules/set_test.go
+++ b/rules/set_test.go
@@ -158,7 +158,7 @@
 		text := rapid.SampledFrom([]string{"", "a", "b"})
 		operator := rapid.SampledFrom([]string{") && (", ") || (", ") and not ("}).Draw(t, "operator")
 		when := "(" + strings.Join(rapid.SliceOfN(rapid.SampledFrom(atoms), 1, 4).Draw(t, "atoms"), operator) + ")"
-		program, f, fault := compileCondition(when)
+		program, f, fault := compileCondition(conditionConfig(), when)
 		require.Nil(t, fault)
 		r := Request{
 			Model: text.Draw(t, "model"), Path: text.Draw(t, "path"), Organisation: text.Draw(t, "organisation"),
