controller: the policy's pace follows the time of a change; older pictures count

Cause: reports that are 5 s old, read once a second, are 6 s old when used; with a bound of 5 s the policy refused to act on them at all. Ruled out: leaving the lag out of a report's age, which would hide a real fault.

--- a/internal/controller/chooser.go
+++ b/internal/controller/chooser.go
@@ -13,8 +13,18 @@
 	"tamarackchute/upstream"
 )
 
-// decideEvery is the time between two decisions of the role policy.
-const decideEvery = time.Second
+// A decision of the role policy comes decisionsPerChange times in the time that
+// a change takes, within bounds; the engines' reports come as often.
+const (
+	decisionsPerChange = 4
+	fastestPace        = 100 * time.Millisecond
+	slowestPace        = time.Second
+)
+
+// pace is the time between two decisions.
+func pace(r settings.Roles) time.Duration {
+	return min(slowestPace, max(fastestPace, seconds(r.ChangeSeconds/decisionsPerChange)))
+}
 
 // Chooser asks the role policy what to change and hands its decisions to the
 // executors. It is a suture service.
@@ -22,6 +32,7 @@
 	dataCentre string
 	engines    []settings.Upstream
 	newPolicy  func() (rolepolicy.Policy, error)
+	every      time.Duration
 	executors  map[string]*Executor
 	leading    func() bool
 	view       *orders.View
@@ -39,7 +50,7 @@
 func (c *Chooser) Serve(ctx context.Context) error {
 	var policy rolepolicy.Policy
 	for ctx.Err() == nil {
-		sleep(ctx, decideEvery)
+		sleep(ctx, c.every)
 		if !c.leading() {
 			policy = nil
 			continue
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -138,7 +138,7 @@
 			c.executors[u.Name] = c.newExecutor(u)
 		}
 	}
-	c.loads = NewLoads(reporters, c.leading)
+	c.loads = NewLoads(reporters, c.leading, pace(c.cfg.Deployment.Roles))
 }
 
 func (c *Controller) newExecutor(u settings.Upstream) *Executor {
@@ -282,7 +282,7 @@
 		}
 	}
 	return &Chooser{
-		dataCentre: c.self.DataCentre, engines: engines, newPolicy: c.newPolicy,
+		dataCentre: c.self.DataCentre, engines: engines, newPolicy: c.newPolicy, every: pace(c.cfg.Deployment.Roles),
 		executors: c.executors, leading: c.leading, view: c.changes,
 		presence: c.presence, statuses: c.statuses, loads: c.loads, log: c.log,
 	}
--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -10,8 +10,8 @@
 	"tamarackchute/upstream"
 )
 
-// loadPoll is the time between two reads of an engine's load report.
-const loadPoll = time.Second
+// loadTimeout bounds the wait for an engine's load report.
+const loadTimeout = 2 * time.Second
 
 // LoadReporter is the part of an engine that tells its load.
 type LoadReporter interface {
@@ -23,6 +23,7 @@
 type Loads struct {
 	engines map[string]LoadReporter
 	leading func() bool
+	every   time.Duration
 
 	mu   sync.Mutex
 	last map[string]load
@@ -38,9 +39,10 @@
 	return now.Sub(l.at) + time.Duration(l.report.AgeMillis)*time.Millisecond
 }
 
-// NewLoads returns a poller of the engines; it reads only while leading says so.
-func NewLoads(engines map[string]LoadReporter, leading func() bool) *Loads {
-	return &Loads{engines: engines, leading: leading, last: map[string]load{}}
+// NewLoads returns a poller of the engines; it reads only while leading says so,
+// and then each engine so often.
+func NewLoads(engines map[string]LoadReporter, leading func() bool, every time.Duration) *Loads {
+	return &Loads{engines: engines, leading: leading, every: every, last: map[string]load{}}
 }
 
 // String names the service for the supervisor's log.
@@ -62,12 +64,12 @@
 		if l.leading() {
 			l.poll(ctx, name, e)
 		}
-		sleep(ctx, loadPoll)
+		sleep(ctx, l.every)
 	}
 }
 
 func (l *Loads) poll(ctx context.Context, name string, e LoadReporter) {
-	pollCtx, cancel := context.WithTimeout(ctx, 2*loadPoll)
+	pollCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	report, err := e.Load(pollCtx)
 	if err != nil {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -170,7 +170,7 @@
 }
 
 func TestArrivalsRepeatWithTheSeed(t *testing.T) {
-	m := Preset{Model: testModel, Classes: classes("/bookings")}.TryMix(5 * time.Second)
+	m := Preset{Model: testModel, Classes: classes("/bookings", time.Second, time.Second)}.TryMix(5 * time.Second)
 	a, b, other := m.Arrivals(1, 8), m.Arrivals(1, 8), m.Arrivals(2, 8)
 	assert.Equal(t, a, b)
 	assert.NotEqual(t, a, other)
@@ -180,7 +180,7 @@
 // A run is scaled so that a shift passes in less time. What it asks of engines
 // that are as much faster must stay the same.
 func TestScaleKeepsTheDemandPerShift(t *testing.T) {
-	p := Preset{Model: testModel, Classes: classes("/bookings")}
+	p := Preset{Model: testModel, Classes: classes("/bookings", time.Second, time.Second)}
 	m, err := p.Mix(MixShift, 3, 8, Speed{Prefill: 8000, Decode: 1000})
 	require.NoError(t, err)
 	s := m.Scaled(10)
--- a/internal/load/preset.go
+++ b/internal/load/preset.go
@@ -40,24 +40,23 @@
 	if model == "" {
 		return Preset{}, eris.New("the deployment has no engine with a model")
 	}
-	path := "/bookings"
 	if d.Name == "regnbrunnur" {
-		path = "/check-ins"
+		return Preset{Model: model, Classes: classes("/check-ins", 15*time.Second, 90*time.Second)}, nil
 	}
-	return Preset{Model: model, Classes: classes(path)}, nil
+	return Preset{Model: model, Classes: classes("/bookings", 20*time.Second, 60*time.Second)}, nil
 }
 
-// classes is the sorts of request, with the callers' own deadlines. A short
-// query asks little and gets half a page; a long one reads much and answers
-// with a mark and its grounds.
-func classes(path string) []Class {
+// classes is the sorts of request. A short query asks little and gets half a
+// page; a long one reads much and answers with a mark and its grounds. The
+// deadlines are those of the deployments' own rules.
+func classes(path string, short, long time.Duration) []Class {
 	return []Class{
 		{Name: ClassShort, Kind: KindCompletion, Prompt: Range{30, 150}, Output: Range{150, 350},
-			Streamed: 0.7, Deadline: 15 * time.Second},
+			Streamed: 0.7, Deadline: short},
 		{Name: ClassChat, Kind: KindChat, Prompt: Range{100, 400}, Output: Range{150, 350},
-			Streamed: 0.9, Deadline: 20 * time.Second},
+			Streamed: 0.9, Deadline: short},
 		{Name: ClassLong, Kind: KindCompletion, Prompt: Range{2000, 6000}, Output: Range{20, 80},
-			Streamed: 0.5, Deadline: 45 * time.Second},
+			Streamed: 0.5, Deadline: long},
 		{Name: ClassProtected, Kind: KindProtected, Path: path, Deadline: 10 * time.Second, Prompt: Range{1, 1000}, Output: Range{1, 1}},
 		{Name: ClassLookup, Kind: KindLookup, Path: path, Deadline: 5 * time.Second, Prompt: Range{1, 1}, Output: Range{1, 1}},
 	}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -35,7 +35,7 @@
 			DwellSeconds:         20,
 			ChangeSeconds:        4,
 			MaxAtOnce:            1,
-			MaxPictureAgeSeconds: 5,
+			MaxPictureAgeSeconds: 10,
 		},
 		Log: Logging{Format: "text", Level: "info"},
 	}
