--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -66,16 +66,17 @@
 	incarnation string
 	log         *slog.Logger
 
-	journal   *journal.Journal
-	leases    *lease.View
-	changes   *orders.View
-	presence  *Presence
-	statuses  *Statuses
-	loads     *Loads
-	keepers   map[string]*lease.Keeper
-	executors map[string]*Executor
-	peers     *wire.Server
-	trail     Trail
+	journal    *journal.Journal
+	leases     *lease.View
+	changes    *orders.View
+	presence   *Presence
+	statuses   *Statuses
+	loads      *Loads
+	keepers    map[string]*lease.Keeper
+	executors  map[string]*Executor
+	peers      *wire.Server
+	trail      *auditTrail
+	leadership *Leadership
 }
 
 // New returns a controller; Run runs it.
@@ -102,8 +103,12 @@
 		ClientTLS: cfg.ClientTLS, ServerTLS: cfg.ServerTLS,
 	}
 	c.peers = wire.NewServer(wireCfg, self.ControllerPeers, c.statuses, cfg.Logger)
-	c.trail = metricsTrail{scope: cfg.Metrics.Scope}
+	c.trail = newTrail(c.journal, cfg.Instance, cfg.Metrics.Scope, cfg.Logger)
 	c.build()
+	c.leadership = &Leadership{
+		instance: cfg.Instance, incarnation: c.incarnation,
+		scopes: c.scopeNames(), view: c.leases, trail: c.trail,
+	}
 	return c, nil
 }
 
@@ -252,10 +257,12 @@
 	s.Add(fatal{c.peers})
 	s.Add(c.journal)
 	s.Add(c.presence)
+	s.Add(c.trail)
 	for _, k := range c.keepers {
 		s.Add(k)
 	}
 	s.Add(c.page())
+	s.Add(c.leadership)
 	return s
 }
 
@@ -266,10 +273,6 @@
 		s.Add(x)
 	}
 	s.Add(c.loads)
-	s.Add(&Leadership{
-		instance: c.cfg.Instance, incarnation: c.incarnation,
-		scopes: c.scopeNames(), view: c.leases, trail: c.trail,
-	})
 	s.Add(c.chooser())
 	return s
 }
@@ -311,6 +314,8 @@
 			c.log.Warn("lease not released", "scope", k.Scope(), "error", err)
 		}
 	}
+	c.leadership.look()
+	c.trail.drain(ctx)
 }
 
 func (c *Controller) hook(e suture.Event) { c.log.Debug("supervisor", "event", e.String()) }
--- a/internal/controller/executor.go
+++ b/internal/controller/executor.go
@@ -159,7 +159,7 @@
 	defer cancel()
 	begun := time.Now()
 	state, err := x.control.State(callCtx)
-	x.contact.ReadDone(state, err, begun, x.limits.Retry)
+	x.contact.ReadDone(state, err, begun, time.Now(), x.limits)
 	if err == nil {
 		x.mu.Lock()
 		x.state, x.stateAt = state, begun
@@ -169,6 +169,7 @@
 }
 
 func (x *Executor) append(ctx context.Context, action orders.Action) bool {
+	was := x.view.Snapshot().Engine(x.engine).Believed
 	p, err := x.journal.Append(ctx, journal.Entry{
 		Kind: journal.KindOrder, ID: uuid.NewString(), Writer: x.writer, Body: action.Record.Encode(),
 	})
@@ -180,13 +181,13 @@
 		return false
 	}
 	if action.Record.Change != nil {
-		x.settled(*engine.Change, action.Reason)
+		x.settled(*engine.Change, was, action.Reason)
 	}
 	return true
 }
 
 // settled reports an accepted step of a change.
-func (x *Executor) settled(c orders.Change, reason string) {
+func (x *Executor) settled(c orders.Change, was orders.Settings, reason string) {
 	x.mu.Lock()
 	if x.want != nil && x.want.ID == c.ID {
 		x.want = nil
@@ -194,7 +195,7 @@
 	x.mu.Unlock()
 	x.log.Info("change", "id", c.ID, "phase", c.Phase.String(), "kind", c.Kind,
 		"role", c.Target.Role, "fence", c.Fence, "reason", reason)
-	x.trail.Change(c, reason)
+	x.trail.Change(c, was, reason)
 }
 
 // send sends an order. The look at the clock is the last thing before the
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -2,19 +2,22 @@
 
 import (
 	"context"
+	"sync"
 
 	"tamarackchute/lease"
 )
 
 // Leadership follows the lease view and reports each term that this process
-// begins, and each of its scopes that passes to another. It is a suture
-// service.
+// begins or releases. It is a suture service.
 type Leadership struct {
 	instance    string
 	incarnation string
 	scopes      []string
 	view        *lease.View
 	trail       Trail
+
+	mu   sync.Mutex
+	told map[string]lease.ScopeState
 }
 
 // String names the service for the supervisor's log.
@@ -22,16 +25,9 @@
 
 // Serve follows until the context ends.
 func (l *Leadership) Serve(ctx context.Context) error {
-	told := map[string]lease.ScopeState{}
 	for ctx.Err() == nil {
 		changed := l.view.Changed()
-		for _, name := range l.scopes {
-			s := l.view.Scope(name)
-			if l.news(told[name], s) {
-				l.trail.Leads(s)
-			}
-			told[name] = s
-		}
+		l.look()
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -40,6 +36,22 @@
 	return ctx.Err()
 }
 
+// look reports what has changed since the last look.
+func (l *Leadership) look() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.told == nil {
+		l.told = map[string]lease.ScopeState{}
+	}
+	for _, name := range l.scopes {
+		s := l.view.Scope(name)
+		if l.news(l.told[name], s) {
+			l.trail.Leads(s)
+		}
+		l.told[name] = s
+	}
+}
+
 // news reports whether this process has begun a term, or has released one.
 func (l *Leadership) news(before, after lease.ScopeState) bool {
 	if after.Holder != l.instance || after.Incarnation != l.incarnation {
--- a/orders/contact.go
+++ b/orders/contact.go
@@ -49,8 +49,8 @@
 	// if none has been answered.
 	state  upstream.EngineState
 	readAt time.Time
-	// answeringSince is when the first read was begun that the engine
-	// answered after the last send or takeover whose fate is open.
+	// answeringSince is when the first of the latest reads that the engine
+	// answered without delay was answered, after the last send.
 	answeringSince time.Time
 	// sentID, sentAttempt and sent tell the last send.
 	sentID      string
@@ -82,23 +82,29 @@
 	c.backOff(err, now, retry)
 }
 
+// minSlowRead is the shortest time of a read that counts as slow.
+const minSlowRead = 50 * time.Millisecond
+
 // ReadDone takes in the answer to a read of the engine's state that was begun
-// at a time. A failed read ends the time for which the engine has answered.
-func (c *Contact) ReadDone(s upstream.EngineState, err error, begun time.Time, retry time.Duration) {
-	c.backOff(err, begun, retry)
-	if err != nil {
+// at a time. A failed or slow read ends the time for which the engine has
+// answered: the engine may have been paused meanwhile.
+func (c *Contact) ReadDone(s upstream.EngineState, err error, begun, now time.Time, l Limits) {
+	c.backOff(err, now, l.Retry)
+	if err != nil || now.Sub(begun) > max(l.Settle/4, minSlowRead) {
 		c.answeringSince = time.Time{}
+	}
+	if err != nil {
 		return
 	}
 	c.state = s
 	c.readAt = begun
+	if c.answeringSince.IsZero() {
+		c.answeringSince = now
+	}
 	// An engine that restarted may have forgotten the number that guards it.
 	if s.FencingNumber < c.fence {
 		c.raised = false
 	}
-	if c.answeringSince.IsZero() {
-		c.answeringSince = begun
-	}
 }
 
 // SendDone takes in the reply to an order that was sent at a time.
--- a/orders/next.go
+++ b/orders/next.go
@@ -319,7 +319,7 @@
 	if s.Checked {
 		return !own
 	}
-	return c.readAt.Sub(c.answeringSince) >= s.Limits.Settle
+	return !c.answeringSince.IsZero() && c.readAt.Sub(c.answeringSince) >= s.Limits.Settle
 }
 
 // pursue waits for an order's fate, or forces it: a higher fencing number
--- a/orders/state.go
+++ b/orders/state.go
@@ -188,3 +188,12 @@
 	}
 	return e
 }
+
+// Engine returns what is known of an engine; its Known is false if nothing is.
+func (s *State) Engine(name string) Engine {
+	e, ok := s.engines[name]
+	if !ok {
+		return Engine{Name: name}
+	}
+	return e
+}
