make try: a trial of a sample deployment with real processes

Cause: a newcomer must see the whole system at work with one command. Ruled out: curl and jq, which a fresh machine may lack (bash speaks HTTP over /dev/tcp here); a fixed trial token in the repository.

--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,8 @@
 	@bad=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$bad" ]; then echo "not gofmt clean:"; echo "$$bad"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
+
+DEPLOYMENT ?= kalku-rinda
+TRY_SECONDS ?= 30
+try:
+	scripts/try.sh $(DEPLOYMENT) $(TRY_SECONDS)
--- /dev/null
+++ b/scripts/lib/http.sh
@@ -0,0 +1,41 @@
+# HTTP by bash alone, for the trial script: no other program is needed.
+
+# http METHOD ADDRESS PATH [BODY [TOKEN]] prints the answer's body. It fails if
+# the answer isn't 2xx or doesn't come within http_timeout seconds.
+http_timeout=3
+http() {
+  local method=$1 address=$2 path=$3 body=${4-} token=${5-}
+  local status line
+  exec {conn}<>"/dev/tcp/${address%:*}/${address##*:}" || return 1
+  {
+    printf '%s %s HTTP/1.0\r\nHost: %s\r\n' "$method" "$path" "$address"
+    [ -z "$token" ] || printf 'Authorization: Bearer %s\r\n' "$token"
+    printf 'Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s' "${#body}" "$body"
+  } >&"$conn"
+  read -r -t "$http_timeout" _ status _ <&"$conn" || status=0
+  while read -r -t "$http_timeout" line <&"$conn" && [ "$line" != $'\r' ]; do :; done
+  IFS= read -r -d '' -t "$http_timeout" line <&"$conn" || true
+  exec {conn}>&-
+  printf '%s' "$line"
+  [[ $status == 2* ]]
+} 2>/dev/null
+
+# wait_for SECONDS COMMAND... repeats a command until it succeeds.
+wait_for() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null; do
+    [ "$SECONDS" -lt "$end" ] || return 1
+    sleep 0.1
+  done
+}
+
+# json_value KEY prints the first value of a key in the JSON text on stdin, if it
+# is a number, a word or a string without quotes in it.
+json_value() {
+  local text
+  IFS= read -r -d '' text || true
+  [[ $text == *"\"$1\""* ]] || return 1
+  text=${text#*"\"$1\""}
+  [[ $text =~ ^[[:space:]]*:[[:space:]]*\"?([^\",}[:space:]]*) ]] && printf '%s' "${BASH_REMATCH[1]}"
+}
--- /dev/null
+++ b/scripts/lib/trial.sh
@@ -0,0 +1,137 @@
+# The steps of scripts/try.sh.
+
+say() { printf '%s\n' "== $*"; }
+
+fail() {
+  printf 'try: %s; logs are in %s\n' "$*" "${logs-}" >&2
+  exit 1
+}
+
+random_hex() { od -An -N24 -tx1 /dev/urandom | tr -d ' \n'; }
+
+# prepare_settings copies the sample and puts a secret and operators' tokens of
+# this trial into the copy. None of them is in the repository.
+prepare_settings() {
+  settings=$run/settings.json
+  token=$(random_hex)
+  local hash
+  hash=$(printf %s "$token" | sha256sum)
+  hash=${hash%% *}
+  (umask 077 && random_hex >"$run/peer.secret" && printf %s "$token" >"$run/operator.token")
+  # The first operator of the sample gets the trial's token.
+  sed "s/0\{63\}1\"/$hash\"/" "$source_dir/settings.json" >"$settings"
+  cp "$source_dir/rules.json" "$run/rules.json"
+}
+
+# read_settings fills in the instances and their addresses from the copy. It relies
+# on the sample's layout of one key a line.
+read_settings() {
+  declare -gA callers operators controllers
+  instances=()
+  local key value name=
+  while IFS='"' read -r _ key _ value _; do
+    case $key in
+    name) name=$value ;;
+    callers) instances+=("$name") callers[$name]=$value ;;
+    operators) [[ $value != *:* ]] || operators[$name]=$value ;;
+    controller_operators) controllers[$name]=$value ;;
+    log) [[ $value != *:* ]] || control=${value%:*}:7009 ;;
+    instances) [[ $value != *:* ]] || list=$value ;;
+    esac
+  done <"$settings"
+}
+
+start_instance() {
+  start "controller/$1" bin/chute-controller -settings "$settings" -instance "$1"
+  start "entry/$1" bin/chute-entry -settings "$settings" -instance "$1"
+}
+
+# at PERCENT waits until so much of the load's time has passed.
+at() {
+  local when=$((began + seconds * $1 / 100))
+  while [ "$SECONDS" -lt "$when" ]; do sleep 0.1; done
+}
+
+list_change() { http POST "$list" /faults "$1" >/dev/null || fail "the list's stand-in refuses"; }
+
+now_ms() { local t=${EPOCHREALTIME/./}; echo $((t / 1000)); }
+
+chutectl() { bin/chutectl -settings "$settings" -token-file "$run/operator.token" "$@"; }
+
+# live lists the instances whose entries serve.
+live() {
+  local name
+  for name in "${instances[@]}"; do
+    if [ -n "${pid_of[entry/$name]-}" ] && running "entry/$name"; then printf '%s\n' "$name"; fi
+  done
+}
+
+in_force_on() {
+  http GET "${operators[$1]}" /v1/status "" "$token" | json_value in_force
+}
+
+# wait_in_force VERSION waits until the version is in force on all live entries.
+wait_in_force() {
+  local version=$1 name end=$((SECONDS + 20))
+  for name in $(live); do
+    until [ "$(in_force_on "$name")" = "$version" ]; do
+      # An entry that ends meanwhile isn't live any more.
+      running "entry/$name" || break
+      [ "$SECONDS" -lt "$end" ] || return 1
+      sleep 0.02
+    done
+  done
+}
+
+in_force_ms=()
+
+# publish_and_time COMMAND... publishes by a command of chutectl and notes the
+# time from its start until the new version is in force on all live entries.
+publish_and_time() {
+  local from version
+  from=$(now_ms)
+  version=$(chutectl -o json "$@" | json_value version)
+  [ -n "$version" ] || fail "publishing failed: $*"
+  wait_in_force "$version" || fail "version $version isn't in force everywhere after 20 s"
+  in_force_ms+=($(($(now_ms) - from)))
+}
+
+# edited_rules writes the rules in force, with one more in front, to a file.
+edited_rules() {
+  local rule='{"name": "trial", "when": "header(\\"X-Trial\\") != \\"\\"", '
+  rule+='"then": {"refuse": {"status": 403, "reason": "trial"}}},'
+  chutectl rules get | sed "s|\"rules\": \[|&$rule|" >"$run/edited.json"
+}
+
+# expect NAME VALUE WANTED counts a figure that is off.
+expect() {
+  [ "$2" = "$3" ] && return
+  off+=("$1 is ${2:-missing}, not $3")
+}
+
+# report prints what was measured; the last line is JSON. It fails if a figure
+# that must be 0 isn't, or if a planned stop went wrong.
+report() {
+  local load_line name slowest=0 ms off=()
+  load_line=$(tail -n 1 "$logs/load.log")
+  for ms in "${in_force_ms[@]}"; do [ "$ms" -le "$slowest" ] || slowest=$ms; done
+  expect "exit code of the load" "${exit_code_of[load]}" 0
+  for name in wrong_answer cut_by_planned_stop ran_twice not_run_but_ran; do
+    expect "$name" "$(json_value "$name" <<<"$load_line")" 0
+  done
+  for name in cut_by_order conflicting_orders outdated_orders_taken work_after_leaving; do
+    expect "$name" "$(json_value "$name" <<<"$totals")" 0
+  done
+  for name in "${!exit_code_of[@]}"; do
+    case $name in
+    load | "entry/$killed" | "controller/$killed") ;;
+    *) expect "exit code of $name" "${exit_code_of[$name]}" 0 ;;
+    esac
+  done
+  for name in "${off[@]}"; do say "WRONG: $name"; done
+  [[ $load_line == {*} ]] || fail "the load printed no figures"
+  printf '%s,"rules_in_force_ms":%d,"stopped_exit_code":%d,"log_appends":%s,"faults":%d}\n' \
+    "${load_line%\}}" "$slowest" "${exit_code_of[entry/$stopped]}" \
+    "$(json_value log_appends <<<"$totals")" "${#off[@]}"
+  [ ${#off[@]} -eq 0 ]
+}
--- /dev/null
+++ b/scripts/try.sh
@@ -0,0 +1,88 @@
+#!/usr/bin/env bash
+# A trial of one deployment with real processes on this machine: the stand-ins,
+# 7 entries and 7 controllers, mixed traffic, rules published meanwhile, one
+# instance killed, one stopped, one controller killed and started again. The
+# last line is JSON with the figures; docs/operators/deployments.md explains it.
+#
+#   scripts/try.sh kalku-rinda|regnbrunnur [SECONDS]
+#
+# Needs go, make, bash and the usual core utilities.
+set -uo pipefail
+export LC_ALL=C
+cd "$(dirname "$0")/.."
+. scripts/lib/http.sh
+. scripts/lib/processes.sh
+. scripts/lib/trial.sh
+
+deployment=${1:?usage: scripts/try.sh kalku-rinda|regnbrunnur [SECONDS]}
+seconds=${2:-30}
+source_dir=deploy/$deployment
+[ -f "$source_dir/settings.json" ] || fail "no deployment in $source_dir"
+
+out=out/try/$deployment
+logs=$out/logs
+run=$out/run # the settings' copy and the trial's own secrets
+rm -rf "$out"
+mkdir -p "$logs" "$run"
+trap 'trap - EXIT INT TERM; end_all' EXIT
+trap 'exit 130' INT TERM
+
+say "building"
+make -s build || fail "build failed"
+prepare_settings
+read_settings
+[ ${#instances[@]} -ge 5 ] || fail "the trial needs 5 instances"
+restarted=${instances[0]} killed=${instances[1]} stopped=${instances[4]}
+
+say "starting the stand-ins, ${#instances[@]} entries and ${#instances[@]} controllers"
+start standin bin/chute-standin -settings "$settings" -control "$control"
+wait_up 10 standin "$control" /totals || fail "the stand-ins don't start"
+for name in "${instances[@]}"; do start_instance "$name"; done
+for name in "${instances[@]}"; do
+  wait_up 20 "entry/$name" "${callers[$name]}" /readyz || fail "the entry on $name isn't ready"
+  wait_up 20 "controller/$name" "${controllers[$name]}" /readyz || fail "the controller on $name isn't ready"
+done
+publish_and_time rules publish -base none -note "first rules" "$run/rules.json"
+
+say "sending mixed traffic for $seconds s"
+start load bin/chute-load try -settings "$settings" -control "$control" \
+  -seconds "$seconds" -seed 1 -out "$out"
+began=$SECONDS
+
+at 20 # percent of the time
+say "publishing other rules"
+edited_rules
+publish_and_time rules publish -note "a rule more" "$run/edited.json"
+
+at 35
+say "killing $killed and the controller of $restarted"
+printf '%s\n' "$killed" >>"$out/killed"
+end KILL "entry/$killed"
+end KILL "controller/$killed"
+reap "entry/$killed"
+reap "controller/$killed"
+end KILL "controller/$restarted"
+reap "controller/$restarted"
+sleep 1
+start "controller/$restarted" bin/chute-controller -settings "$settings" -instance "$restarted"
+# The platform notices, and its list shows it after a lag of its own.
+list_change "{\"remove\": [\"$killed\"]}"
+
+at 50
+say "stopping $stopped"
+list_change "{\"leaving\": [\"$stopped\"]}"
+end TERM "entry/$stopped"
+end TERM "controller/$stopped"
+
+at 65
+say "moving a rule"
+publish_and_time rules move trial -last
+
+say "waiting for $stopped to stop and the load to end"
+reap_within 75 "entry/$stopped" "controller/$stopped"
+list_change "{\"remove\": [\"$stopped\"]}"
+reap_within $((seconds + 120)) load
+totals=$(http GET "$control" /totals) || fail "the stand-ins don't answer"
+say "stopping everything"
+end_all
+report
