--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -92,16 +92,12 @@
 			failures = append(failures, in.Name+": "+cause(err))
 			continue
 		}
-		if r.status != fasthttp.StatusServiceUnavailable {
+		if decided(r.status) || (!maybePublished && r.status < fasthttp.StatusInternalServerError) {
 			return s.showPublished(r)
 		}
-		var undecided api.PublishReply
-		if r.into(&undecided) == nil && undecided.Outcome == rules.OutcomeUnknown {
-			maybePublished = true
-			failures = append(failures, in.Name+": "+undecided.Reason)
-			continue
-		}
-		failures = append(failures, r.failure().Error())
+		undecided, reason := r.undecided()
+		maybePublished = maybePublished || undecided
+		failures = append(failures, reason)
 	}
 	reasons := strings.Join(failures, "; ")
 	if maybePublished {
@@ -116,6 +112,23 @@
 	return &exitError{code: ExitFailed, message: "not published: " + reasons}
 }
 
+// decided reports whether an answer tells a verdict.
+func decided(status int) bool { return status == fasthttp.StatusOK || status == fasthttp.StatusConflict }
+
+// undecided reads an answer without a verdict: whether the publication may be in
+// force or may come, and why. An instance that failed in its handler says nothing
+// of that.
+func (r *reply) undecided() (bool, string) {
+	var p api.PublishReply
+	if r.status == fasthttp.StatusServiceUnavailable {
+		if r.into(&p) == nil && p.Outcome == rules.OutcomeUnknown {
+			return true, r.instance + ": " + p.Reason
+		}
+		return false, r.failure().Error()
+	}
+	return r.status >= fasthttp.StatusInternalServerError, r.failure().Error()
+}
+
 // showPublished prints an instance's answer to a publication.
 func (s *session) showPublished(r *reply) error {
 	switch r.status {
--- a/rules/checkpointer.go
+++ b/rules/checkpointer.go
@@ -14,8 +14,10 @@
 const (
 	// defaultTick is the time between two looks at the state.
 	defaultTick = 250 * time.Millisecond
-	// answerStep is the time between the turns of two instances to answer.
+	// answerStep is the time between the turns of two instances to answer;
+	// allTurns bounds the turns of all, in a large deployment.
 	answerStep = 300 * time.Millisecond
+	allTurns   = 10 * time.Second
 	// askInterval is the time after which an unanswered question is repeated.
 	askInterval = 5 * time.Second
 	// appendTimeout bounds one append.
@@ -102,7 +104,10 @@
 }
 
 // turn is how long this instance lets those before it go first.
-func (c *Checkpointer) turn() time.Duration { return time.Duration(c.options.Slot) * answerStep }
+func (c *Checkpointer) turn() time.Duration {
+	step := min(answerStep, allTurns/time.Duration(c.options.Slots))
+	return time.Duration(c.options.Slot) * step
+}
 
 func (c *Checkpointer) append(ctx context.Context, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
