--- a/lease/record.go
+++ b/lease/record.go
@@ -6,6 +6,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
 )
 
@@ -89,7 +90,7 @@
 // entry is no lease record and changes nothing.
 func DecodeRecord(body []byte) (Record, error) {
 	var r Record
-	if err := msgpack.Unmarshal(body, &r); err != nil {
+	if err := codec.Unmarshal(body, &r); err != nil {
 		return Record{}, eris.Wrap(err, "lease: decode record")
 	}
 	return r, nil
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -4,8 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
 )
 
@@ -88,7 +87,7 @@
 		return
 	}
 	var m message
-	if msgpack.Unmarshal(p.Entry.Body, &m) != nil {
+	if codec.Unmarshal(p.Entry.Body, &m) != nil {
 		return
 	}
 	s.expire()
