--- a/internal/adapters/engineclient/stream.go
+++ b/internal/adapters/engineclient/stream.go
@@ -19,7 +19,10 @@
 	maxLine    = 64 << 10
 )
 
-var errLineTooLong = errors.New("token line is too long")
+var (
+	errLineTooLong = errors.New("token line is too long")
+	errClosed      = errors.New("stream was closed by its reader")
+)
 
 // stream is a running answer. It holds one line at most: what the caller
 // hasn't asked for stays in the sockets and then with the engine.
@@ -49,8 +52,11 @@
 func (s *stream) Next(ctx context.Context) (upstream.Token, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.finished {
+	switch {
+	case s.finished:
 		return upstream.Token{}, io.EOF
+	case s.closed:
+		return upstream.Token{}, httpx.Broken(errClosed)
 	}
 	s.watch(ctx)
 	line, err := s.readLine()
@@ -135,7 +141,6 @@
 	if s.finished {
 		return nil
 	}
-	s.finished = true
 	s.cancels.send(s.attempt)
 	return s.body.Close()
 }
--- a/internal/adapters/httpx/errors.go
+++ b/internal/adapters/httpx/errors.go
@@ -1,7 +1,9 @@
 package httpx
 
 import (
+	"errors"
 	"fmt"
+	"io"
 
 	"github.com/valyala/fasthttp"
 
@@ -35,8 +37,15 @@
 
 func notSent(cause error) error { return &CallError{Kind: upstream.ErrNotSent, Cause: cause} }
 
-// Broken wraps the cause of a failure after request bytes were sent.
-func Broken(cause error) error { return &CallError{Kind: upstream.ErrBroken, Cause: cause} }
+// Broken wraps the cause of a failure after request bytes were sent. The
+// result never matches io.EOF, by which a stream's reader tells the end of a
+// whole answer: a connection closed too early would pass for a short answer.
+func Broken(cause error) error {
+	if errors.Is(cause, io.EOF) {
+		cause = io.ErrUnexpectedEOF
+	}
+	return &CallError{Kind: upstream.ErrBroken, Cause: cause}
+}
 
 // StatusError is a response whose status is not the one wanted. It matches
 // upstream.ErrRefused if the server said that the request did not run.
--- /dev/null
+++ b/internal/adapters/serviceclient/serviceclient_test.go
@@ -0,0 +1,187 @@
+package serviceclient_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/internal/adapters/serviceclient"
+	"tamarackchute/internal/standin"
+	"tamarackchute/internal/standin/oracle"
+	"tamarackchute/internal/standin/standintest"
+	"tamarackchute/upstream"
+)
+
+func booking(attempt, key, body string) upstream.ServiceRequest {
+	return upstream.ServiceRequest{
+		AttemptID: attempt,
+		Method:    "POST",
+		Path:      "/bookings?field=7",
+		Headers:   []upstream.Header{{Name: "Idempotency-Key", Value: key}, {Name: "Connection", Value: "close"}},
+		Body:      []byte(body),
+	}
+}
+
+func decode(t *testing.T, r upstream.ServiceResponse) standin.ServiceAnswer {
+	t.Helper()
+	var a standin.ServiceAnswer
+	require.NoError(t, json.Unmarshal(r.Body, &a))
+	return a
+}
+
+// A farmer's booking is made twice: the service closed the connection without
+// answering, and the HTTP client sent the same request again by itself (fasthttp
+// sent one PUT five times; net/http resends what carries an Idempotency-Key).
+func TestRequestIsSentOnce(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "PUT", "POST", "DELETE"} {
+		for _, kept := range []bool{false, true} {
+			name := method + " on a new connection"
+			if kept {
+				name = method + " on a kept connection"
+			}
+			t.Run(name, func(t *testing.T) {
+				addr, came := closingServer(t, kept)
+				c := serviceclient.New(addr, httpx.Options{})
+				r := booking("a", "k", "")
+				r.Method = method
+				if kept {
+					_, err := c.Call(t.Context(), r)
+					require.NoError(t, err)
+				}
+				_, err := c.Call(t.Context(), r)
+				require.ErrorIs(t, err, upstream.ErrBroken)
+				assert.EqualValues(t, 1, came.Load())
+			})
+		}
+	}
+}
+
+// closingServer closes each connection on a request without answering it,
+// after it has answered one if kept is set. It counts the unanswered ones.
+func closingServer(t *testing.T, kept bool) (string, *atomic.Int64) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	var came atomic.Int64
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		r := bufio.NewReader(c)
+		if kept {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = c.Write([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+		}
+		if _, err := http.ReadRequest(r); err == nil {
+			came.Add(1)
+		}
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String(), &came
+}
+
+func TestContract(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults string
+		// want is the error's kind; nil with the status wanted.
+		want   error
+		status int
+		ran    int64
+	}{
+		{"answers", `{}`, nil, 200, 1},
+		{"fails after running", `{"fail":{"next":1}}`, nil, 500, 1},
+		{"refuses", `{"refuse":{"next":1}}`, upstream.ErrRefused, 0, 0},
+		{"closes before running", `{"close_before":{"next":1}}`, upstream.ErrBroken, 0, 0},
+		{"closes after running", `{"close_after":{"next":1}}`, upstream.ErrBroken, 0, 1},
+		{"crashes before running", `{"crash_before":{"next":1}}`, upstream.ErrBroken, 0, 0},
+		{"crashes after running", `{"crash_after":{"next":1}}`, upstream.ErrBroken, 0, 1},
+		{"crashes on a poisonous body", `{"poison":"seven"}`, upstream.ErrBroken, 0, 0},
+		{"is down", `{"crash":{"down_ms":-1}}`, upstream.ErrNotSent, 0, 0},
+		{"outage", `{"outage":"error"}`, nil, 503, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := standintest.Service(t, standin.ServiceConfig{})
+			standintest.Faults(t, s, tc.faults)
+			c := serviceclient.New(s.Addr(), httpx.Options{Sender: "entry-1"})
+			r := booking("a1", "k1", "field seven")
+			got, err := c.Call(t.Context(), r)
+			if tc.want != nil {
+				require.ErrorIs(t, err, tc.want)
+			} else {
+				require.NoError(t, err)
+				assert.Equal(t, tc.status, got.Status)
+			}
+			if tc.status == 200 {
+				a := decode(t, got)
+				assert.Equal(t, oracle.Echo(r.Method, r.Path, r.Body), a.Echo)
+				assert.Equal(t, 1, a.Run)
+			}
+			assert.Equal(t, tc.ran, s.Counters().Ran)
+		})
+	}
+}
+
+// A driver gets another driver's confirmation: a call timed out in the entry,
+// its response came late and was read as the response to the next call on the
+// same connection.
+func TestLateAndStrayResponsesReachNobody(t *testing.T) {
+	cases := map[string]struct {
+		faults  string
+		timeout time.Duration
+	}{
+		"late":  {`{"hang":{"next":1},"hang_ms":60}`, 20 * time.Millisecond},
+		"stray": {`{"stray":{"next":1}}`, 5 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := standintest.Service(t, standin.ServiceConfig{})
+			standintest.Faults(t, s, tc.faults)
+			c := serviceclient.New(s.Addr(), httpx.Options{})
+			ctx, cancel := context.WithTimeout(t.Context(), tc.timeout)
+			defer cancel()
+			_, err := c.Call(ctx, booking("a0", "k0", "first"))
+			if name == "late" {
+				require.ErrorIs(t, err, upstream.ErrBroken)
+				require.ErrorIs(t, err, context.DeadlineExceeded)
+			}
+			for i := range 20 {
+				r := booking("a", "k", "later "+string(rune('a'+i)))
+				got, err := c.Call(t.Context(), r)
+				require.NoError(t, err)
+				assert.Equal(t, oracle.Echo(r.Method, r.Path, r.Body), decode(t, got).Echo)
+			}
+		})
+	}
+}
+
+// A booking is lost between two services that share their callers: the count
+// of runs must be over both, or a call that ran once on each looks fine.
+func TestRunsAreCountedOverServices(t *testing.T) {
+	ledger := standin.NewLedger()
+	for i := range 2 {
+		s := standintest.Service(t, standin.ServiceConfig{Ledger: ledger})
+		got, err := serviceclient.New(s.Addr(), httpx.Options{}).Call(t.Context(), booking("a", "same", "x"))
+		require.NoError(t, err)
+		assert.Equal(t, i+1, decode(t, got).Run)
+		assert.EqualValues(t, i, s.Counters().RanTwice)
+	}
+}
--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -140,6 +140,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer func() { e.note(time.Now()) }()
 	e.counters.Orders++
 	if e.control.raise(o.Fence) {
 		if e.control.checksFencing {
--- a/internal/standin/engine_sequence.go
+++ b/internal/standin/engine_sequence.go
@@ -156,9 +156,11 @@
 	start    bool
 	replaced bool
 	breakAt  int // index before which a fault breaks off; -1 for none
+	// rest is the rest of a line that didn't fit the last Read.
+	rest []byte
 }
 
-// maxTokenLine is more than the longest token line, in bytes.
+// maxTokenLine is more than a token line usually takes, in bytes.
 const maxTokenLine = 192
 
 func (r *tokenReader) rouse() {
@@ -190,14 +192,10 @@
 	if r.replaced {
 		return 0, errReplaced
 	}
-	out := p[:0]
-	for r.at < s.next && len(p)-len(out) >= maxTokenLine {
-		if r.at == r.breakAt {
-			break
-		}
-		out = r.line(out)
-		r.at++
-		r.start = false
+	out := p[:copy(p, r.rest)]
+	r.rest = r.rest[len(out):]
+	for len(out) < len(p) && r.at < s.next && r.at != r.breakAt {
+		out = r.put(out, len(p))
 	}
 	switch {
 	case len(out) > 0:
@@ -211,6 +209,17 @@
 	}
 }
 
+// put appends the next line to out, as far as limit allows.
+func (r *tokenReader) put(out []byte, limit int) []byte {
+	var space [maxTokenLine]byte
+	line := r.line(space[:0])
+	r.at++
+	r.start = false
+	fits := min(len(line), limit-len(out))
+	r.rest = append(r.rest[:0], line[fits:]...)
+	return append(out, line[:fits]...)
+}
+
 // line appends the line of the token at r.at. The vocabulary needs no escapes.
 func (r *tokenReader) line(b []byte) []byte {
 	s := r.seq
--- /dev/null
+++ b/internal/standin/platform_test.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/platform"
+)
+
+var noon = time.Date(2030, 1, 1, 12, 0, 0, 0, time.UTC)
+
+func TestLogRetention(t *testing.T) {
+	s := logStore{next: 1, oldest: 1, retention: time.Minute}
+	for i := range 10 {
+		s.append(noon.Add(time.Duration(i)*10*time.Second), []byte{byte(i)})
+	}
+	cases := []struct {
+		name    string
+		at      time.Duration
+		from    uint64
+		oldest  uint64
+		first   uint64 // 0 if none
+		trimmed bool
+	}{
+		{"all kept so far", 90 * time.Second, 4, 4, 4, false},
+		{"the oldest has gone", 91 * time.Second, 4, 5, 0, true},
+		{"from the end", 91 * time.Second, 11, 5, 0, false},
+		{"all have gone", time.Hour, 11, 11, 0, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r, trimmed := s.read(noon.Add(tc.at), tc.from, 3)
+			assert.Equal(t, tc.trimmed, trimmed)
+			assert.Equal(t, tc.oldest, r.Oldest)
+			assert.EqualValues(t, 11, r.Next)
+			if tc.first == 0 {
+				assert.Empty(t, r.Records)
+				return
+			}
+			require.Len(t, r.Records, 3)
+			assert.Equal(t, tc.first, r.Records[0].Offset)
+		})
+	}
+}
+
+func TestListHistory(t *testing.T) {
+	row := func(name string) []platform.Instance { return []platform.Instance{{Name: name}} }
+	h := listHistory{{Rows: row("first")}}
+	h = h.add(noon, row("second"))
+	h = h.add(noon.Add(time.Second), row("third"))
+	assert.Equal(t, row("first"), h.at(noon.Add(-time.Nanosecond)))
+	assert.Equal(t, row("second"), h.at(noon))
+	assert.Equal(t, row("third"), h.at(noon.Add(time.Hour)))
+}
+
+// Two data centres load weights at once: together they get the store's rate,
+// not each of them.
+func TestWeightLoadsShareTheRate(t *testing.T) {
+	w := &Weights{config: WeightsConfig{BytesPerSecond: 100}, faults: newSwitchboard(WeightFaults{})}
+	assert.Equal(t, time.Second, w.reserve(noon, 100))
+	assert.Equal(t, 3*time.Second, w.reserve(noon, 200))
+	assert.Equal(t, 3*time.Second, w.reserve(noon.Add(time.Second), 100))
+	assert.Equal(t, time.Second, w.reserve(noon.Add(time.Hour), 100))
+}
+
+func TestFaultDocuments(t *testing.T) {
+	s := newSwitchboard(LogFaults{SlowMillis: 5})
+	require.NoError(t, s.merge([]byte(`{"outage":"hang","blocked":["a","b"]}`)))
+	before := s.get()
+	require.NoError(t, s.merge([]byte(`{"blocked":["c"]}`)))
+	assert.Equal(t, []string{"a", "b"}, before.Blocked, "a copy handed out doesn't change")
+	assert.Equal(t, OutageHang, s.get().Outage)
+	assert.Equal(t, 5, s.get().SlowMillis)
+	require.Error(t, s.merge([]byte(`{"outtage":"hang"}`)))
+	assert.Equal(t, OutageHang, s.get().Outage)
+}
+
+func TestDose(t *testing.T) {
+	for name, tc := range map[string]struct {
+		dose Dose
+		want int // of 1000
+	}{
+		"none":     {Dose{}, 0},
+		"next 3":   {Dose{Next: 3}, 3},
+		"all":      {Dose{Next: -1}, 1000},
+		"fraction": {Dose{Fraction: 1}, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSwitchboard(LogFaults{LoseReply: tc.dose})
+			struck := 0
+			for range 1000 {
+				if s.take(func(f *LogFaults) *Dose { return &f.LoseReply }) {
+					struck++
+				}
+			}
+			assert.Equal(t, tc.want, struck)
+		})
+	}
+}
+
+func TestLeavingMark(t *testing.T) {
+	var m leavingMark
+	assert.False(t, m.overdue(noon))
+	m.set(noon, true)
+	m.set(noon.Add(time.Minute), true)
+	assert.False(t, m.overdue(noon.Add(leavingGrace)))
+	assert.True(t, m.overdue(noon.Add(leavingGrace+1)))
+	m.set(noon, false)
+	assert.False(t, m.overdue(noon.Add(time.Hour)))
+}
