controller, status: a killed entry's last status can't speak for its successor

Cause: a leader counted a status of up to 5 s as an entry's acknowledgement of a drain. An entry killed after it acknowledged is replaced within a second; a successor that can't read the log (or is still reading it) served on a peer's rules at once, without knowing the drain, and could send a request to an engine whose order went out on the predecessor's word: a request cut off by a planned change. Change: listed entries' statuses count for 1 s (wire.StatusFresh), and a starting entry asks peers for rules only 1.1 s after its start. Entries that aren't listed yet are waited for 5 s as before. Left: a leader paused for less than its term that reads such a status out of a socket's buffer after its pause takes it for fresh.

--- a/internal/controller/executor.go
+++ b/internal/controller/executor.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"tamarackchute/internal/wire"
 	"tamarackchute/journal"
 	"tamarackchute/lease"
 	"tamarackchute/orders"
@@ -20,8 +21,8 @@
 	stepPause = 100 * time.Millisecond
 	// callTimeout bounds one call of an engine's control side.
 	callTimeout = 2 * time.Second
-	// statusFresh is the age up to which an entry's status counts in a drain.
-	statusFresh = 5 * time.Second
+	// heardFresh is how long an entry that isn't listed yet is waited for.
+	heardFresh = 5 * time.Second
 	// wantFresh is how long a decision of the policy is good for.
 	wantFresh = 3 * time.Second
 )
@@ -119,7 +120,7 @@
 	if !known {
 		return false, "the instance list has not been read"
 	}
-	return x.statuses.Drained(x.engine, drain, listed, now, statusFresh)
+	return x.statuses.Drained(x.engine, drain, listed, now, wire.StatusFresh, heardFresh)
 }
 
 func (x *Executor) carryOut(ctx context.Context, a lease.Authority, action orders.Action) bool {
--- a/internal/controller/statuses.go
+++ b/internal/controller/statuses.go
@@ -56,19 +56,22 @@
 }
 
 // Drained reports whether every entry instance has obeyed a drain and has
-// nothing in flight on the engine: those listed, and those heard of lately
-// that the lagging list doesn't name yet. If not, it names one that hasn't.
-func (s *Statuses) Drained(engine string, drain journal.Position, listed []string, now time.Time, fresh time.Duration) (bool, string) {
+// nothing in flight on the engine: those listed, each by a status not older than
+// ack, and those heard of within a time that the lagging list doesn't name yet.
+// If not, it names one that hasn't.
+func (s *Statuses) Drained(
+	engine string, drain journal.Position, listed []string, now time.Time, ack, heard time.Duration,
+) (bool, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, name := range listed {
 		r, ok := s.last[name]
-		if !ok || now.Sub(r.at) > fresh {
+		if !ok || now.Sub(r.at) > ack {
 			return false, fmt.Sprintf("no recent status of %s", name)
 		}
 	}
 	for name, r := range s.last {
-		if now.Sub(r.at) > fresh {
+		if now.Sub(r.at) > heard {
 			continue
 		}
 		if r.status.Applied.Less(drain) {
--- a/internal/status/fetch.go
+++ b/internal/status/fetch.go
@@ -15,6 +15,14 @@
 )
 
 const (
+	// askAfter is how long a starting entry waits for the log before it serves
+	// on a peer's rules. It guards against a request cut off by an order: a
+	// peer's rules say nothing of drains, and for a second after an entry was
+	// killed a leader still counts its last status as an acknowledgement. A successor that served within that second
+	// could send work to an engine about to change. Later on the leader misses a
+	// recent status of this instance and gives no orders, until the successor
+	// has read the log and says so.
+	askAfter = wire.StatusFresh + 100*time.Millisecond
 	// askAtOnce bounds how many peers are asked at the same time.
 	askAtOnce = 8
 	// askTimeout bounds one question, well within the two seconds in which an
@@ -84,11 +92,9 @@
 
 // Serve ends for good once the log has been read.
 func (f *rulesFetcher) Serve(ctx context.Context) error {
+	wait := askAfter
 	for round := 0; ; round++ {
-		if f.node.FetchRules(ctx, round) {
-			f.node.log.Info("rules taken from a peer")
-		}
-		t := time.NewTimer(askAgain)
+		t := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			t.Stop()
@@ -98,5 +104,9 @@
 			return eris.Wrap(suture.ErrDoNotRestart, "the log has been read")
 		case <-t.C:
 		}
+		if f.node.FetchRules(ctx, round) {
+			f.node.log.Info("rules taken from a peer")
+		}
+		wait = askAgain
 	}
 }
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -65,7 +65,9 @@
 }
 
 // An instance starts with empty memory while the log is down. Callers of it are
-// refused until it has rules, and the only place to get them is a peer.
+// refused until it has rules, and the only place to get them is a peer. It must
+// not serve on them so soon that a leader could still take its killed
+// predecessor's last status for its own.
 func TestRulesComeFromAPeerWhileTheLogIsDown(t *testing.T) {
 	d := testDeployment(t, 3) // i1 never runs
 	giver := start(t, d, 0)
@@ -75,8 +77,10 @@
 		State:   rules.State{Version: version, Document: document, At: time.Unix(9, 0)},
 		Through: journal.Position(version),
 	}))
+	began := time.Now()
 	taker := start(t, d, 2)
 	require.Eventually(t, func() bool { return taker.book.Current().Version == version }, patience, time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(began), askAfter)
 	decision := taker.book.Current().Set.Match(rules.Request{})
 	require.Equal(t, "p", decision.Then.Pool)
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -46,6 +46,12 @@
 	membership.Summary
 }
 
+// StatusFresh is the age up to which a leader counts a listed entry's status as
+// its acknowledgement of a drain. An entry that was killed since is replaced by
+// one with empty memory, which knows of no drain before it has read the log.
+// Therefore it serves on nothing but the log for longer than this.
+const StatusFresh = time.Second
+
 // EntryStatus is what an entry tells the leading controllers of itself.
 type EntryStatus struct {
 	Instance   string `msgpack:"n"`
