make experiment: policies and routing compared by real processes

Cause: the aims are measured against baselines in the same run by the same tool. Ruled out: runs one after another, which take an hour.

--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 TRY_SECONDS ?= 30
 try:
 	scripts/try.sh $(DEPLOYMENT) $(TRY_SECONDS)
+
+experiment:
+	scripts/experiment.sh
