scripts: recover.sh measures how soon an instance with empty memory serves

Cause: "within 2 s, with the log up and with it down" needs a command and a figure. Ruled out: a Go test with real processes, which would time what the test machine happens to do. Change: scripts/recover.sh; what it shares with try.sh moves to scripts/lib.

--- a/scripts/lib/trial.sh
+++ b/scripts/lib/trial.sh
@@ -1,4 +1,6 @@
-# The steps of scripts/try.sh.
+# What the trial scripts share. They run from the repository's root.
+. scripts/lib/http.sh
+. scripts/lib/processes.sh
 
 say() { printf '%s\n' "== $*"; }
 
@@ -7,6 +9,38 @@
   exit 1
 }
 
+# begin_trial KIND DEPLOYMENT makes the folder out/KIND/DEPLOYMENT anew, builds the
+# programs and prepares the settings. All processes end when the script does.
+begin_trial() {
+  source_dir=deploy/$2
+  [ -f "$source_dir/settings.json" ] || fail "no deployment in $source_dir"
+  out=out/$1/$2
+  logs=$out/logs
+  run=$out/run # the settings' copy and the trial's own secrets
+  rm -rf "$out"
+  mkdir -p "$logs" "$run"
+  trap 'trap - EXIT INT TERM; end_all' EXIT
+  trap 'exit 130' INT TERM
+  say "building"
+  make -s build || fail "build failed"
+  prepare_settings
+  read_settings
+}
+
+# start_deployment starts everything and publishes the first rules.
+start_deployment() {
+  local name
+  say "starting the stand-ins, ${#instances[@]} entries and ${#instances[@]} controllers"
+  start standin bin/chute-standin -settings "$settings" -control "$control"
+  wait_up 10 standin "$control" /totals || fail "the stand-ins don't start"
+  for name in "${instances[@]}"; do start_instance "$name"; done
+  for name in "${instances[@]}"; do
+    wait_up 20 "entry/$name" "${callers[$name]}" /readyz || fail "the entry on $name isn't ready"
+    wait_up 20 "controller/$name" "${controllers[$name]}" /readyz || fail "the controller on $name isn't ready"
+  done
+  publish_and_time rules publish -base none -note "first rules" "$run/rules.json"
+}
+
 random_hex() { od -An -N24 -tx1 /dev/urandom | tr -d ' \n'; }
 
 # prepare_settings copies the sample and puts a secret and operators' tokens of
@@ -35,10 +69,11 @@
     callers) instances+=("$name") callers[$name]=$value ;;
     operators) [[ $value != *:* ]] || operators[$name]=$value ;;
     controller_operators) controllers[$name]=$value ;;
-    log) [[ $value != *:* ]] || control=${value%:*}:7009 ;;
+    log) [[ $value != *:* ]] || log=$value control=${value%:*}:7009 ;;
     instances) [[ $value != *:* ]] || list=$value ;;
     esac
   done <"$settings"
+  model=$(sed -nE 's/.*"models": \["([^"]+)".*/\1/p' "$settings" | head -n 1)
 }
 
 start_instance() {
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -10,39 +10,13 @@
 set -uo pipefail
 export LC_ALL=C
 cd "$(dirname "$0")/.."
-. scripts/lib/http.sh
-. scripts/lib/processes.sh
 . scripts/lib/trial.sh
 
-deployment=${1:?usage: scripts/try.sh kalku-rinda|regnbrunnur [SECONDS]}
+begin_trial try "${1:?usage: scripts/try.sh kalku-rinda|regnbrunnur [SECONDS]}"
 seconds=${2:-30}
-source_dir=deploy/$deployment
-[ -f "$source_dir/settings.json" ] || fail "no deployment in $source_dir"
-
-out=out/try/$deployment
-logs=$out/logs
-run=$out/run # the settings' copy and the trial's own secrets
-rm -rf "$out"
-mkdir -p "$logs" "$run"
-trap 'trap - EXIT INT TERM; end_all' EXIT
-trap 'exit 130' INT TERM
-
-say "building"
-make -s build || fail "build failed"
-prepare_settings
-read_settings
 [ ${#instances[@]} -ge 5 ] || fail "the trial needs 5 instances"
 restarted=${instances[0]} killed=${instances[1]} stopped=${instances[4]}
-
-say "starting the stand-ins, ${#instances[@]} entries and ${#instances[@]} controllers"
-start standin bin/chute-standin -settings "$settings" -control "$control"
-wait_up 10 standin "$control" /totals || fail "the stand-ins don't start"
-for name in "${instances[@]}"; do start_instance "$name"; done
-for name in "${instances[@]}"; do
-  wait_up 20 "entry/$name" "${callers[$name]}" /readyz || fail "the entry on $name isn't ready"
-  wait_up 20 "controller/$name" "${controllers[$name]}" /readyz || fail "the controller on $name isn't ready"
-done
-publish_and_time rules publish -base none -note "first rules" "$run/rules.json"
+start_deployment
 
 say "sending mixed traffic for $seconds s"
 start load bin/chute-load try -settings "$settings" -control "$control" \
