--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -240,6 +240,10 @@
 // SetLeaving tells the engine whether the list shows it as leaving.
 func (e *Engine) SetLeaving(leaving bool) { e.leaving.set(time.Now(), leaving) }
 
+// LeavingSince returns since when the list has shown the engine as leaving;
+// zero if it doesn't.
+func (e *Engine) LeavingSince() time.Time { return e.leaving.begun() }
+
 // Counters returns the counters.
 func (e *Engine) Counters() EngineCounters {
 	e.mu.Lock()
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -66,6 +66,12 @@
 	}
 }
 
+func (m *leavingMark) begun() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.since
+}
+
 func (m *leavingMark) overdue(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -70,6 +70,10 @@
 // Name implements Part.
 func (n *node) Name() string { return n.name }
 
+// String names the part in the supervisor's messages. Without it the
+// supervisor would print the whole part by reflection, and race with its work.
+func (n *node) String() string { return n.kind + " " + n.name }
+
 // Kind implements Part.
 func (n *node) Kind() string { return n.kind }
 
