entry: entrybench, gauges, addresses bound at the start, a stop that tells

Cause: the entry's own cost was not measured; a stop whose grace ran out closed streams without a word; an occupied address was tried for ever.

Ruled out: cancelling the engines' work at the end of the grace, as a caller could then not take its stream up again at another instance.

Change: entrybench plays the upstreams without delay and measures latency, processor time and memory around one real entry process. At the grace's end callers get an error event and engines keep their streams. The write deadline of a stream moves at most every tenth of its length.

--- a/internal/entry/answer/fail.go
+++ b/internal/entry/answer/fail.go
@@ -17,6 +17,8 @@
 	statusQuarantined = http.StatusUnprocessableEntity
 	statusNoUpstream  = http.StatusServiceUnavailable
 	retryNoUpstream   = time.Second
+	// retryElsewhere is next to nothing: other instances serve.
+	retryElsewhere = 100 * time.Millisecond
 	// cancelTimeout bounds a cancel whose caller no longer waits.
 	cancelTimeout = time.Second
 )
@@ -49,10 +51,11 @@
 	if errors.Is(cause, callerwatch.ErrGone) {
 		return a.fail(outcome.StatusCallerGone, outcome.CodeCallerGone, cause, "the caller closed its connection")
 	}
-	if errors.Is(cause, context.DeadlineExceeded) {
-		return a.fail(http.StatusGatewayTimeout, outcome.CodeDeadline, cause, "the deadline has passed")
+	if errors.Is(cause, outcome.ErrStopping) {
+		return a.fail(http.StatusServiceUnavailable, outcome.CodeStopping, cause,
+			"the instance is stopping; take the stream up again at another").After(retryElsewhere)
 	}
-	return a.fail(http.StatusServiceUnavailable, outcome.CodeInternal, cause, "the instance is stopping")
+	return a.fail(http.StatusGatewayTimeout, outcome.CodeDeadline, cause, "the deadline has passed")
 }
 
 // upstreamFailure is the failure of an answer that ran out of attempts.
@@ -71,6 +74,11 @@
 // final failure, or nil if the answer may go on elsewhere.
 func (a *Answer) lose(ctx context.Context, err error) *outcome.Failure {
 	a.tried = append(a.tried, a.attempt.engine)
+	if errors.Is(context.Cause(ctx), outcome.ErrStopping) {
+		// Not closed, so not cancelled: the engine sees the connection end with
+		// the process, and keeps the stream for whoever takes it up again.
+		a.attempt.stream = nil
+	}
 	a.endAttempt(err, cancelled(ctx))
 	if cancelled(ctx) {
 		return a.ContextFailure(ctx)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,6 +94,7 @@
 	callers   *callerwatch.Watch
 	gateway   *gateway.Gateway
 	claims    *claim.Guard
+	listeners []*listener
 	stop      shutdown.State
 }
 
--- /dev/null
+++ b/internal/entry/entrybench/plain.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"tamarackchute/internal/adapters/engineclient"
+)
+
+// request makes one request of a kind to one address.
+type request struct {
+	address string
+	method  string
+	path    string
+	body    []byte
+}
+
+func serviceRequest(address string) request {
+	return request{address: address, method: fasthttp.MethodGet, path: "/bookings/1"}
+}
+
+// generateRequest asks an engine for a short answer, gapless.
+func generateRequest(address string) request {
+	body, err := json.Marshal(engineclient.GenerateMessage{
+		AttemptID: "bench", Model: "agronomy", Prompt: "0 x", MaxTokens: plainTokens,
+	})
+	if err != nil {
+		panic(err) // a plain struct has a JSON form
+	}
+	return request{address: address, method: fasthttp.MethodPost, path: engineclient.PathGenerate, body: body}
+}
+
+func completionRequest(address string) request {
+	body := fmt.Sprintf(`{"model":"agronomy","prompt":"0 x","max_tokens":%d}`, plainTokens)
+	return request{address: address, method: fasthttp.MethodPost, path: "/v1/completions", body: []byte(body)}
+}
+
+// Bounds of the latencies kept: 1 µs to 10 s, three figures.
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 10_000_000, 3) }
+
+// measurePlain sends requests straight and through the entry, in turn, each at
+// the rate. Latencies count from the moment at which a request was due.
+func measurePlain(o options, p process, name string, straight, through request) error {
+	sides := []*side{newSide(straight), newSide(through)}
+	for _, s := range sides { // connections and caches are warm before the clock runs
+		s.drive(o.rate/4, time.Second)
+		s.latencies.Reset()
+	}
+	before, err := p.cpu()
+	if err != nil {
+		return err
+	}
+	var wg conc.WaitGroup
+	for _, s := range sides {
+		wg.Go(func() { s.drive(o.rate, o.length) })
+	}
+	wg.Wait()
+	after, err := p.cpu()
+	if err != nil {
+		return err
+	}
+	return reportPlain(name, sides[0], sides[1], after-before)
+}
+
+func reportPlain(name string, straight, through *side, cpu time.Duration) error {
+	if n := straight.failed.Load() + through.failed.Load(); n > 0 {
+		return eris.Errorf("%s: %d requests failed", name, n)
+	}
+	a, b := straight.latencies, through.latencies
+	fmt.Printf("%-22s straight p50 %d µs p99 %d µs, through p50 %d µs p99 %d µs, added p50 %d µs p99 %d µs, %.0f µs of processor time a request, n %d\n",
+		name, a.ValueAtQuantile(50), a.ValueAtQuantile(99), b.ValueAtQuantile(50), b.ValueAtQuantile(99),
+		b.ValueAtQuantile(50)-a.ValueAtQuantile(50), b.ValueAtQuantile(99)-a.ValueAtQuantile(99),
+		float64(cpu.Microseconds())/float64(b.TotalCount()), b.TotalCount())
+	return nil
+}
+
+// side is one of the two ways.
+type side struct {
+	request   request
+	client    *fasthttp.HostClient
+	failed    atomic.Int64
+	mu        sync.Mutex
+	latencies *hdrhistogram.Histogram
+}
+
+func newSide(r request) *side {
+	return &side{
+		request:   r,
+		client:    &fasthttp.HostClient{Addr: r.address, MaxConns: 4096, MaxIdemponentCallAttempts: 1},
+		latencies: newHistogram(),
+	}
+}
+
+// senders is how many goroutines share the sending; each takes every senders-th
+// moment, and a late answer delays only its own next request.
+const senders = 128
+
+func (s *side) drive(rate int, length time.Duration) {
+	start := time.Now()
+	step := time.Second / time.Duration(rate)
+	total := int(length / step)
+	var wg conc.WaitGroup
+	for k := range senders {
+		wg.Go(func() {
+			for i := k; i < total; i += senders {
+				due := start.Add(time.Duration(i) * step)
+				time.Sleep(time.Until(due))
+				s.send(due)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (s *side) send(due time.Time) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(s.request.method)
+	req.SetRequestURI("http://" + s.request.address + s.request.path)
+	req.SetBodyRaw(s.request.body)
+	if err := s.client.Do(req, resp); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+		s.failed.Add(1)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.latencies.RecordValue(max(1, time.Since(due).Microseconds()))
+}
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -142,6 +142,9 @@
 	if errors.Is(cause, callerwatch.ErrGone) {
 		return c.fail(outcome.StatusCallerGone, outcome.CodeCallerGone, cause, "the caller closed its connection")
 	}
+	if errors.Is(cause, outcome.ErrStopping) {
+		return c.fail(http.StatusServiceUnavailable, outcome.CodeStopping, cause, "the instance is stopping")
+	}
 	return c.fail(http.StatusGatewayTimeout, outcome.CodeDeadline, cause, "the deadline has passed")
 }
 
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -82,7 +82,7 @@
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
 	k.deadline = k.began.Add(limit)
-	timed, stop := context.WithDeadline(context.Background(), k.deadline)
+	timed, stop := context.WithDeadline(g.base, k.deadline)
 	k.stop = stop
 	k.ctx, k.cancel = context.WithCancelCause(timed)
 	k.watch = g.parts.Watch.Add(c.Context().Conn(), k.cancel)
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -124,11 +124,15 @@
 	pumps conc.WaitGroup
 	// leaving asks callers to close their connections.
 	leaving atomic.Bool
+	// base is the parent of all calls' contexts.
+	base  context.Context
+	abort context.CancelCauseFunc
 }
 
 // New returns a gateway. It serves nothing until its App is given a listener.
 func New(o Options, p Parts) *Gateway {
 	g := &Gateway{opts: o, parts: p, metrics: newMetrics(p.Scope)}
+	g.base, g.abort = context.WithCancelCause(context.Background())
 	g.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             o.MaxBodyBytes,
@@ -169,6 +173,11 @@
 // Leaving reports whether Leave was called.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
 
+// Abort ends the requests still in progress, once the grace of a stop is over.
+// Their callers are told, and engines keep the streams for a while, so that
+// they can be taken up again at another instance.
+func (g *Gateway) Abort() { g.abort(outcome.ErrStopping) }
+
 // App returns the HTTP application.
 func (g *Gateway) App() *fiber.App { return g.app }
 
--- a/internal/entry/gateway/sse.go
+++ b/internal/entry/gateway/sse.go
@@ -55,11 +55,13 @@
 	closeOnce sync.Once
 
 	heartbeat *time.Ticker
-	quiet     bool
-	idPrefix  string
-	buf       []byte
-	sent      int
-	over      bool
+	// extended is when the write deadline was moved last.
+	extended time.Time
+	quiet    bool
+	idPrefix string
+	buf      []byte
+	sent     int
+	over     bool
 }
 
 // stream sends the answer as events. It waits for the first one, so that a
@@ -171,13 +173,25 @@
 		}
 		s.buf, s.sent = s.buf[:0], 0
 		s.fill()
-		_ = s.conn.SetWriteDeadline(time.Now().Add(s.gateway.opts.WriteTimeout))
+		s.extendWriteDeadline()
 	}
 	n := copy(p, s.buf[s.sent:])
 	s.sent += n
 	return n, nil
 }
 
+// extendWriteDeadline gives the caller WriteTimeout from now on, to within the
+// tenth that a move of the deadline may be late.
+func (s *sse) extendWriteDeadline() {
+	now := time.Now()
+	timeout := s.gateway.opts.WriteTimeout
+	if now.Sub(s.extended) < timeout/10 {
+		return
+	}
+	s.extended = now
+	_ = s.conn.SetWriteDeadline(now.Add(timeout))
+}
+
 // fill waits for an event or a heartbeat, and takes what else is there.
 func (s *sse) fill() {
 	for len(s.buf) == 0 && !s.over {
--- a/internal/entry/gateway/stream_test.go
+++ b/internal/entry/gateway/stream_test.go
@@ -117,6 +117,23 @@
 	require.Equal(t, string(outcome.MayHaveRun), gone.Header.Get(outcome.Header))
 }
 
+// An instance is stopped for good while a stream still runs beyond the grace.
+// Its caller must be told, and the engine must not be told to drop the work:
+// the caller takes the stream up again elsewhere.
+func TestAbortLeavesStreamsToOtherInstances(t *testing.T) {
+	engine := newEngine(20)
+	engine.silentAt = 4
+	r := newRig(t, &parts{engines: map[string]*fakeEngine{"e1": engine}})
+	s := events(r.post(t, path, streamBody))
+	s.tokens(t, 4)
+	r.gateway.Abort()
+	_, _, last := s.tokens(t, -1)
+	require.Equal(t, "error", last.name)
+	require.Contains(t, last.data, outcome.CodeStopping)
+	r.gateway.Wait()
+	require.Empty(t, engine.cancelled)
+}
+
 // A driver closes the app while the engine still works through a long prompt.
 // Nothing is written then, so no write fails, and fasthttp doesn't read the
 // connection: without a look at it the engine would work on for nobody.
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -19,12 +19,15 @@
 	addr string
 	tls  *tls.Config
 	app  *fiber.App
+	// bound is the address taken before the first Serve.
+	bound net.Listener
 }
 
 func (l *listener) String() string { return l.name + " " + l.addr }
 
-// Serve answers until ctx ends, then lets requests in progress end.
-func (l *listener) Serve(ctx context.Context) error {
+// bind takes the address, so that a wrong or occupied one ends the program at
+// its start instead of being tried again and again.
+func (l *listener) bind() error {
 	ln, err := net.Listen("tcp", l.addr)
 	if err != nil {
 		return eris.Wrapf(err, "%s address %s can't be taken", l.name, l.addr)
@@ -32,12 +35,25 @@
 	if l.tls != nil {
 		ln = tls.NewListener(ln, l.tls)
 	}
+	l.bound = ln
+	return nil
+}
+
+// Serve answers until ctx ends, then lets requests in progress end.
+func (l *listener) Serve(ctx context.Context) error {
+	if l.bound == nil {
+		if err := l.bind(); err != nil {
+			return err
+		}
+	}
+	ln := l.bound
+	l.bound = nil
 	closed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(closed)
 		_ = l.app.ShutdownWithTimeout(closeTimeout)
 	})
-	err = l.app.Listener(ln)
+	err := l.app.Listener(ln)
 	if !stop() {
 		<-closed
 		return ctx.Err()
--- a/internal/entry/outcome/outcome.go
+++ b/internal/entry/outcome/outcome.go
@@ -3,6 +3,7 @@
 package outcome
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -36,6 +37,10 @@
 	KeyOutcomeUnknown = "unknown"
 )
 
+// ErrStopping is the cause of a context that ended because the instance stops
+// and its grace is over.
+var ErrStopping = errors.New("the instance is stopping")
+
 // Code names the reason of a failure for programs.
 type Code string
 
@@ -64,6 +69,7 @@
 	CodeStreamUnknown    Code = "stream_not_known"
 	CodeStreamLost       Code = "stream_lost"
 	CodeNotPermitted     Code = "event_id_not_valid"
+	CodeStopping         Code = "instance_stopping"
 	CodeInternal         Code = "internal_error"
 )
 
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -32,6 +32,7 @@
 //	│   ├── orders         drains and roles from the journal to the router
 //	│   ├── capacity       sums for admission and rules
 //	│   ├── admission      refuses early what can't be in time
+//	│   ├── gauges         state for the metrics page
 //	│   ├── rules          checkpoints
 //	│   └── quarantine     checkpoints; crash reports that the log hasn't taken
 //	├── exchange with peers  membership, status to the leaders, peers' rules
@@ -79,6 +80,7 @@
 	})
 	s.Add(e.admission)
 	s.Add(e.checkpointer())
+	s.Add(newGauges(e))
 	s.Add(quarantineKeeper{e.suspects, seconds(e.cfg.Deployment.Platform.RetentionSeconds)})
 	return s
 }
@@ -108,8 +110,9 @@
 func (e *Entry) serving() *suture.Supervisor {
 	s := suture.New("serving", e.spec())
 	s.Add(e.callers)
-	s.Add(&listener{name: "callers", addr: e.self.Callers, tls: e.cfg.ServerTLS, app: e.gateway.App()})
-	s.Add(&listener{name: "operators", addr: e.self.Operators, tls: e.cfg.ServerTLS, app: e.operatorsApp()})
+	for _, l := range e.listeners {
+		s.Add(l)
+	}
 	return s
 }
 
@@ -119,6 +122,15 @@
 
 // Run works until ctx ends, and then on until a graceful stop is done.
 func (e *Entry) Run(ctx context.Context) error {
+	e.listeners = []*listener{
+		{name: "callers", addr: e.self.Callers, tls: e.cfg.ServerTLS, app: e.gateway.App()},
+		{name: "operators", addr: e.self.Operators, tls: e.cfg.ServerTLS, app: e.operatorsApp()},
+	}
+	for _, l := range e.listeners {
+		if err := l.bind(); err != nil {
+			return err
+		}
+	}
 	base, stopBase := context.WithCancel(context.Background())
 	defer stopBase()
 	baseDone := e.base().ServeBackground(base)
@@ -131,6 +143,7 @@
 	case <-ctx.Done():
 	}
 	e.drain(done)
+	e.gateway.Abort()
 	stopWork()
 	<-done
 	e.gateway.Wait()
