--- a/internal/adapters/serviceclient/serviceclient_test.go
+++ b/internal/adapters/serviceclient/serviceclient_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -185,3 +187,37 @@
 		assert.EqualValues(t, i, s.Counters().RanTwice)
 	}
 }
+
+func TestMessagePassesUnchanged(t *testing.T) {
+	var got *http.Request
+	var body []byte
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		body, _ = io.ReadAll(r.Body)
+		w.Header().Add("Set-Cookie", "a=1")
+		w.Header().Add("Set-Cookie", "b=2")
+		w.Header().Set("Content-Type", "text/x-slip")
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = w.Write([]byte{0, 1, 2})
+	}))
+	t.Cleanup(server.Close)
+	resp, err := serviceclient.New(server.Listener.Addr().String(), httpx.Options{}).Call(t.Context(), upstream.ServiceRequest{
+		AttemptID: "a1", Method: "PATCH", Path: "/a%2Fb//c/../d?x=%20&y", Body: []byte("\x00raw\r\n"),
+		Headers: []upstream.Header{
+			{Name: "X-Two", Value: "1"}, {Name: "X-Two", Value: "2"}, {Name: "User-Agent", Value: "farm"},
+			{Name: "Cookie", Value: "k=v"}, {Name: "Upgrade", Value: "h2c"}, {Name: "Content-Length", Value: "999"},
+		},
+	})
+	require.NoError(t, err)
+	assert.Equal(t, "PATCH /a%2Fb//c/../d?x=%20&y", got.Method+" "+got.RequestURI)
+	assert.Equal(t, "\x00raw\r\n", string(body))
+	assert.Equal(t, []string{"1", "2"}, got.Header["X-Two"])
+	assert.Equal(t, "farm", got.UserAgent())
+	assert.Equal(t, "k=v", got.Header.Get("Cookie"))
+	assert.Empty(t, got.Header.Get("Upgrade"))
+	assert.Equal(t, http.StatusAccepted, resp.Status)
+	assert.Equal(t, []byte{0, 1, 2}, resp.Body)
+	assert.Contains(t, resp.Headers, upstream.Header{Name: "Content-Type", Value: "text/x-slip"})
+	assert.Contains(t, resp.Headers, upstream.Header{Name: "Set-Cookie", Value: "a=1"})
+	assert.Contains(t, resp.Headers, upstream.Header{Name: "Set-Cookie", Value: "b=2"})
+}
--- a/internal/standin/set_test.go
+++ b/internal/standin/set_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -146,11 +147,19 @@
 	certified := httptest.NewTLSServer(http.NotFoundHandler())
 	t.Cleanup(certified.Close)
 	s := standintest.Service(t, standin.ServiceConfig{TLS: certified.TLS.Clone()})
-	trust := certified.Client().Transport.(*http.Transport).TLSClientConfig
-	for range 2 {
-		got, err := serviceclient.New(s.Addr(), httpx.Options{TLS: trust}).Call(t.Context(),
-			upstream.ServiceRequest{Method: "GET", Path: "/"})
+	dials := 0
+	c := serviceclient.New(s.Addr(), httpx.Options{
+		TLS: certified.Client().Transport.(*http.Transport).TLSClientConfig,
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			dials++
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", addr)
+		},
+	})
+	for range 3 {
+		got, err := c.Call(t.Context(), upstream.ServiceRequest{Method: "GET", Path: "/"})
 		require.NoError(t, err)
 		assert.Equal(t, http.StatusOK, got.Status)
 	}
+	assert.Equal(t, 1, dials, "the connection is kept")
 }
