chute-controller: real processes killed, paused and stopped; prove runs orders

Cause: the runtime around the lease and the orders had no test.

Change: tests start controllers as processes against stand-ins and kill, pause, wake and stop the leader, for engines that check fencing numbers and those that don't; a benchmark measures the time without a leader. make prove runs the orders scenario. Reads of an engine's state keep pace with the length of a change.

Ruled out: asserting that nobody claims by waiting; the test follows the other scope's terms instead.

--- /dev/null
+++ b/cmd/chute-controller/handover_bench_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"tamarackchute/internal/settings"
+	"tamarackchute/lease"
+)
+
+// BenchmarkHandover measures the time without a leader: from a signal to the
+// leader until the journal shows the successor's claim, and for engines that
+// don't check fencing numbers the settle time after it.
+func BenchmarkHandover(b *testing.B) {
+	cases := []struct {
+		name   string
+		f      settings.Fencing
+		signal syscall.Signal
+		// again starts the leader's program again at once, unlist takes its
+		// instance off the list.
+		again, unlist bool
+	}{
+		{"checked/SIGKILL", settings.FencingChecked, syscall.SIGKILL, false, false},
+		{"checked/SIGKILL-restarted", settings.FencingChecked, syscall.SIGKILL, true, false},
+		{"checked/SIGSTOP", settings.FencingChecked, syscall.SIGSTOP, false, false},
+		{"checked/SIGTERM", settings.FencingChecked, syscall.SIGTERM, false, false},
+		{"none/SIGKILL-restarted", settings.FencingNone, syscall.SIGKILL, true, false},
+		{"none/SIGKILL-unlisted", settings.FencingNone, syscall.SIGKILL, false, true},
+		{"none/SIGTERM", settings.FencingNone, syscall.SIGTERM, false, false},
+	}
+	for _, bc := range cases {
+		b.Run(bc.name, func(b *testing.B) {
+			c := startWith(b, deployment(b, bc.f, bc.f))
+			var total, longest time.Duration
+			for i := range b.N {
+				before := c.leader(scopeOf(bc.f), 0)
+				// Anywhere between two renewals.
+				time.Sleep(time.Second + time.Duration(i%7)*150*time.Millisecond)
+				took := c.handOver(before, bc.signal, bc.again, bc.unlist)
+				total += took
+				longest = max(longest, took)
+			}
+			b.ReportMetric(total.Seconds()/float64(b.N), "s-leaderless")
+			b.ReportMetric(longest.Seconds(), "s-longest")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// handOver takes the leader away and returns how long nobody could lead.
+func (c *cluster) handOver(before lease.ScopeState, s syscall.Signal, again, unlist bool) time.Duration {
+	begun := time.Now()
+	c.signal(before.Holder, s)
+	if s != syscall.SIGSTOP {
+		_ = c.running[before.Holder].Wait()
+		delete(c.running, before.Holder)
+	}
+	if unlist {
+		c.unlist(before.Holder)
+	}
+	if again {
+		c.launch(before.Holder)
+	}
+	after := c.leader(before.Scope, before.Fence)
+	took := time.Since(begun)
+	if after.ByProof {
+		took += time.Duration(c.d.Lease.SettleSeconds * float64(time.Second))
+	}
+	c.restore(before.Holder)
+	return took
+}
+
+// restore brings an instance back for the next round.
+func (c *cluster) restore(instance string) {
+	if cmd, ok := c.running[instance]; ok {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		return
+	}
+	c.relist(instance)
+	c.launch(instance)
+}
--- a/cmd/chute-prove/main.go
+++ b/cmd/chute-prove/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 
+	"tamarackchute/internal/controller/interleave"
 	"tamarackchute/internal/prove"
 	"tamarackchute/internal/prove/claims"
 )
@@ -17,6 +18,7 @@
 // scenarios lists what is proved.
 var scenarios = []prove.Scenario{
 	claims.Scenario{},
+	interleave.Scenario{},
 }
 
 func main() {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -32,6 +32,11 @@
 	claimStagger = 50 * time.Millisecond
 	// drainChanges is how many times the length of a change a drain may take.
 	drainChanges = 30
+	// An engine's state is read readsPerChange times in the length of a
+	// change, within bounds.
+	readsPerChange = 8
+	fastestRead    = 50 * time.Millisecond
+	slowestRead    = 500 * time.Millisecond
 	// orderChanges is how many times the length of a change an order may take.
 	orderChanges = 10
 )
@@ -158,10 +163,11 @@
 
 func (c *Controller) limits() orders.Limits {
 	change := seconds(c.cfg.Deployment.Roles.ChangeSeconds)
+	read := min(slowestRead, max(fastestRead, change/readsPerChange))
 	return orders.Limits{
 		Drain: drainChanges * change, Order: orderChanges * change,
 		Settle: seconds(c.cfg.Deployment.Lease.SettleSeconds),
-		Read:   500 * time.Millisecond, Fresh: time.Second, Retry: 500 * time.Millisecond,
+		Read:   read, Fresh: 2 * read, Retry: read,
 	}
 }
 
