--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -133,13 +133,10 @@
 	}
 }
 
-// BenchmarkFold measures how fast a starting instance folds claims and their
-// outcomes, and what a key takes in memory once its answer has expired.
-func BenchmarkFold(b *testing.B) {
-	const keys = 200_000
-	entries := make([]journal.Entry, 0, 2*keys)
-	env := claim.Env{Now: time.Unix(1_700_000_000, 0), LogUp: true}
-	for i := range keys {
+// settledCalls returns the claims and outcomes of n calls, in turn.
+func settledCalls(env claim.Env, n int) []journal.Entry {
+	entries := make([]journal.Entry, 0, 2*n)
+	for i := range n {
 		core := claim.NewCore(claim.Config{}, env.Now)
 		id, step := core.Start(env, claim.ParseKey(fmt.Sprint("key", i)), 1)
 		entry := step.(claim.ClaimStep).Entry
@@ -149,6 +146,15 @@
 		core.Dispatched(env, id, claim.Recorded{Status: 201, Body: []byte(`{"booking":"1234567"}`)}, claim.DispatchAnswered)
 		entries = append(entries, entry, core.Outbox()[0].Entry)
 	}
+	return entries
+}
+
+// BenchmarkFold measures how fast claims and their outcomes are folded, and
+// what a key takes in memory with its answer and once that has expired.
+func BenchmarkFold(b *testing.B) {
+	const keys = 200_000
+	env := claim.Env{Now: time.Unix(1_700_000_000, 0), LogUp: true}
+	entries := settledCalls(env, keys)
 	for b.Loop() {
 		before := heap()
 		l := claim.NewLedger(claim.Config{})
@@ -167,6 +173,33 @@
 	b.ReportMetric(0, "ns/op")
 }
 
+// BenchmarkCatchUp measures how long an instance with empty memory takes to
+// know all calls of a log that holds 100,000 records of two entries each.
+func BenchmarkCatchUp(b *testing.B) {
+	const records = 100_000
+	env := claim.Env{Now: time.Now(), LogUp: true}
+	entries := settledCalls(env, records)
+	log := journaltest.NewLog()
+	log.SetLatency(benchLogLatency)
+	for i := range records {
+		data, err := journal.EncodeRecord("instance", entries[2*i:2*i+2])
+		require.NoError(b, err)
+		log.Put(data)
+	}
+	for b.Loop() {
+		ctx, cancel := context.WithCancel(context.Background())
+		j := journal.New(log, journal.Config{Logger: slog.New(slog.DiscardHandler)})
+		g, err := claim.NewGuard(j, claim.Config{})
+		require.NoError(b, err)
+		j.Register(journal.KindClaim, g)
+		go func() { _ = j.Serve(ctx) }()
+		<-j.CaughtUp()
+		cancel()
+		require.Equal(b, records, g.Stats().Keys)
+	}
+	b.ReportMetric(records*float64(b.N)/b.Elapsed().Seconds(), "records/s")
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
