chute-standin: TLS follows the settings

Cause: the system's processes speak TLS to upstreams and the platform once the settings name a certificate; the stand-ins needed a flag for it, and read the certificate by code that the settings package has too. Ruled out: keeping the flag, which could only be set wrongly. Change: the flag and the second copy go. Conclusion: one setting for all listeners.

--- a/cmd/chute-standin/main.go
+++ b/cmd/chute-standin/main.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"flag"
 	"fmt"
@@ -61,7 +59,6 @@
 	f := flag.NewFlagSet("chute-standin", flag.ContinueOnError)
 	file := f.String("settings", "", "settings `file` of the deployment")
 	only := f.String("only", "", "parts to run: platform and `names` of upstreams, by commas; all if empty")
-	secure := f.Bool("tls", false, "serve TLS with the certificate of the settings")
 	f.StringVar(&c.Control, "control", "", "`address` of the page for all parts; none if empty")
 	f.Float64Var(&c.LogAppendsPerSecond, "log-rate", standin.DefaultLogAppendsPerSecond, "appends a second that the log takes")
 	f.DurationVar(&c.Retention, "retention", 0, "how long the log keeps a record; 0 for what the settings say")
@@ -83,9 +80,11 @@
 	if *only != "" {
 		c.Only = strings.Split(*only, ",")
 	}
-	if *secure {
-		c.TLS, c.ClientTLS, err = tlsConfigs(deployment.Security)
+	c.TLS, err = deployment.Security.ServerTLS()
+	if err != nil {
+		return c, err
 	}
+	c.ClientTLS, err = deployment.Security.ClientTLS()
 	return c, err
 }
 
@@ -103,24 +102,3 @@
 	f.DurationVar(&s.EventLag, "event-lag", s.EventLag, "how late cache events are")
 	f.Float64Var(&s.EventLoss, "event-loss", s.EventLoss, "fraction of cache events that are lost")
 }
-
-func tlsConfigs(s settings.Security) (server, client *tls.Config, err error) {
-	cert, err := tls.LoadX509KeyPair(s.TLSCertFile, s.TLSKeyFile)
-	if err != nil {
-		return nil, nil, eris.Wrap(err, "TLS certificate of the settings")
-	}
-	server = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
-	client = &tls.Config{MinVersion: tls.VersionTLS12}
-	if s.TLSCAFile == "" {
-		return server, client, nil
-	}
-	pem, err := os.ReadFile(s.TLSCAFile)
-	if err != nil {
-		return nil, nil, eris.Wrap(err, "TLS authority of the settings")
-	}
-	client.RootCAs = x509.NewCertPool()
-	if !client.RootCAs.AppendCertsFromPEM(pem) {
-		return nil, nil, eris.Errorf("no certificate in %s", s.TLSCAFile)
-	}
-	return server, client, nil
-}
