--- a/internal/wire/handshake.go
+++ b/internal/wire/handshake.go
@@ -91,7 +91,7 @@
 	}
 	transcript := appendRaw(appendRaw(nil, received), sent)
 	if err := checkProof(rw, derive(secret, labelClientProof, transcript)); err != nil {
-		return secrets{}, err
+		return secrets{}, eris.Wrapf(err, "peer that calls itself %q", peer)
 	}
 	if err := writeRaw(rw, derive(secret, labelServerProof, transcript)); err != nil {
 		return secrets{}, err
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -181,7 +181,7 @@
 		}
 	}
 	mem := m.member(h.From)
-	if mem == nil || mem == m.self || mem.DataCentre != m.self.DataCentre {
+	if mem == nil || mem == m.self || mem.DataCentre != m.self.DataCentre || len(h.Unheard) > maxUnheard {
 		return
 	}
 	before := m.believe(mem, now)
@@ -194,7 +194,7 @@
 // from there is handed on to everybody of this data centre.
 func (m *Machine) ReceiveSummary(s Summary, now time.Time) []Outgoing {
 	dc := m.other(s.DataCentre)
-	if dc == nil || !dc.knows(s.From) || len(s.Members) > len(dc.members) {
+	if dc == nil || !dc.knows(s.From) || len(s.Members) > len(dc.members) || len(s.Hears) > len(m.remote) {
 		return nil
 	}
 	if !dc.add(s, now) {
