--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -268,6 +270,7 @@
 		s.Add(k)
 	}
 	s.Add(c.page())
+	s.Add(c.checkpointer())
 	s.Add(c.leadership)
 	return s
 }
@@ -283,6 +286,14 @@
 	return s
 }
 
+func (c *Controller) checkpointer() *Checkpointer {
+	return &Checkpointer{
+		engines: slices.Sorted(maps.Keys(c.executors)), delay: 100 * c.stagger(),
+		retention: seconds(c.cfg.Deployment.Platform.RetentionSeconds),
+		journal:   c.journal, writer: c.writer(), view: c.changes, log: c.log,
+	}
+}
+
 func (c *Controller) chooser() *Chooser {
 	var engines []settings.Upstream
 	for _, u := range c.cfg.Deployment.Upstreams {
--- a/lease/chain.go
+++ b/lease/chain.go
@@ -54,15 +54,23 @@
 
 // Accept takes a record over, after Judge has returned the link.
 func (c *Chain) Accept(link Link, after, at journal.Position) {
-	if link == LinkStarts || link == LinkRestarts {
-		if !c.begun {
-			c.first = at
-		}
+	if link == LinkStarts {
+		c.first = at
+	}
+	if link != LinkFollows {
 		c.base = after
 		c.begun = true
 	}
 	c.last = at
 }
 
+// Forget makes the next record start the chain anew, for a reader that has
+// missed records which expired before it read them.
+func (c *Chain) Forget() { c.begun = false }
+
+// Alone reports whether the last accepted record is the one that the reader's
+// knowledge started from, so that it may still prove to have lost.
+func (c Chain) Alone() bool { return c.begun && c.last == c.first }
+
 // Last returns the position of the last accepted record.
 func (c Chain) Last() journal.Position { return c.last }
--- /dev/null
+++ b/lease/chain_test.go
@@ -0,0 +1,91 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tamarackchute/journal"
+	"tamarackchute/platform"
+)
+
+// history is a log of one scope with the states that a reader of all of it
+// went through.
+type history struct {
+	records []journal.Placed
+	states  []ScopeState
+	// accepted tells which records were.
+	accepted []bool
+}
+
+// add appends a record that its writer made when it had read up to a place;
+// what was written since may make it lose.
+func (h *history) add(r Record) {
+	at := journal.Position{Offset: platform.Offset(len(h.records) + 1)}
+	p := journal.Placed{Position: at, Entry: journal.Entry{Kind: journal.KindLease, Body: r.Encode()}}
+	before := ScopeState{}
+	if n := len(h.states); n > 0 {
+		before = h.states[n-1]
+	}
+	after, ok := before.Apply(p, r)
+	h.records = append(h.records, p)
+	h.states = append(h.states, after)
+	h.accepted = append(h.accepted, ok)
+}
+
+// record is what an honest process writes that has read up to a state.
+func record(t *rapid.T, s ScopeState) Record {
+	who := rapid.SampledFrom([]string{"i1", "i2", "i3"}).Draw(t, "who")
+	r := Record{Scope: "s", Holder: who, Incarnation: "1", Term: time.Second, After: s.Last}
+	if !s.HeldBy(who, "1") {
+		r.Op, r.Ground = OpClaim, GroundExpired
+		if !s.Known {
+			r.Ground = GroundFirst
+		}
+		return r
+	}
+	r.Op = rapid.SampledFrom([]Op{OpRenewal, OpRenewal, OpRelease, OpCheckpoint}).Draw(t, "op")
+	r.Fence = s.Fence
+	return r
+}
+
+// An instance starts after the log's oldest records have expired. The first
+// record it meets may be one that lost against an expired one; were it to go on
+// believing that, it could hold itself for the leader beside another.
+func TestReaderOfATrimmedLogAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{}
+		for range rapid.IntRange(1, 40).Draw(t, "records") {
+			known := ScopeState{}
+			if n := len(h.states); n > 0 {
+				// Writers lag behind, some by a lot.
+				lag := rapid.SampledFrom([]int{0, 0, 0, 1, 2, 10}).Draw(t, "lag")
+				known = h.states[max(0, n-1-lag)]
+			}
+			h.add(record(t, known))
+		}
+		start := rapid.IntRange(0, len(h.records)-1).Draw(t, "start")
+		late := ScopeState{}
+		if start > 0 && rapid.Bool().Draw(t, "read some before") {
+			late = h.states[rapid.IntRange(0, start-1).Draw(t, "read up to")]
+			late.chain.Forget()
+		}
+		seen := false
+		for i := start; i < len(h.records); i++ {
+			r, err := DecodeRecord(h.records[i].Entry.Body)
+			require.NoError(t, err)
+			late, _ = late.Apply(h.records[i], r)
+			seen = seen || h.accepted[i]
+			if !seen {
+				continue
+			}
+			full := h.states[i]
+			require.Equal(t, full.Last, late.Last, "at %d of a log read from %d", i+1, start+1)
+			require.Equal(t, full.Fence, late.Fence)
+			require.Equal(t, full.Holder, late.Holder)
+			require.Equal(t, full.Held, late.Held)
+		}
+	})
+}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -116,11 +116,12 @@
 		Kind: journal.KindLease, ID: id, Writer: k.cfg.Writer, Body: r.Encode(),
 	})
 	cancel()
-	k.appended(id, err)
-	if err != nil && ctx.Err() == nil {
-		k.log.Warn("lease record not confirmed", "op", r.Op, "error", err)
-		k.sleep(ctx, nil, time.Now().Add(k.cfg.Renew/2))
+	accepted := k.appended(id, err)
+	if accepted || ctx.Err() != nil {
+		return
 	}
+	k.log.Warn("lease record not accepted", "op", r.Op, "error", err)
+	k.sleep(ctx, nil, time.Now().Add(k.cfg.Renew/2))
 }
 
 func (k *Keeper) sending(r Record) (id string) {
@@ -134,7 +135,9 @@
 	return id
 }
 
-func (k *Keeper) appended(id string, err error) {
+// appended takes in what became of an append, and reports whether the record
+// is the scope's last accepted one.
+func (k *Keeper) appended(id string, err error) bool {
 	s := k.view.Scope(k.cfg.Scope)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -142,6 +145,7 @@
 	if err == nil || errors.Is(err, platform.ErrNotWritten) {
 		k.machine.Settled(id)
 	}
+	return s.LastID == id
 }
 
 // sleep waits until a time, a change of the view or the context's end.
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -153,7 +153,7 @@
 	}
 	switch {
 	case !s.Known:
-		return GroundFirst, m.startedAt.Add(m.wait(m.cfg.Term) + m.cfg.ClaimDelay)
+		return GroundFirst, later(m.startedAt, s.LastReadAt).Add(m.wait(m.cfg.Term) + m.cfg.ClaimDelay)
 	case !s.Held:
 		return GroundReleased, s.LastReadAt.Add(m.cfg.ClaimDelay)
 	case s.Holder == m.cfg.Instance:
@@ -214,6 +214,13 @@
 	return b
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Sending notes, before the append begins, that a record goes out. A repeated
 // ID keeps the time of its first send.
 func (m *Machine) Sending(id string, r Record, now time.Time) {
@@ -250,7 +257,7 @@
 		m.renumber = false
 	}
 	if r.Op == OpClaim && r.Ground != GroundRenumber {
-		m.settled = now.Add(m.settle())
+		m.settled = now.Add(m.settle(s))
 	}
 	if r.Op == OpClaim || r.Op == OpRenewal {
 		m.heldID = m.sent.id
@@ -259,11 +266,19 @@
 	m.sent = nil
 }
 
-func (m *Machine) settle() time.Duration {
+// settle is how long a new holder waits before its first order. Where its
+// claim is all that this process knows of the scope, others may know of an
+// older record, after which the claim has lost; they tell by their own records
+// within a term.
+func (m *Machine) settle(s ScopeState) time.Duration {
+	var wait time.Duration
 	if m.cfg.ByProof {
-		return m.cfg.Settle
+		wait = m.cfg.Settle
+	}
+	if s.Uncertain {
+		wait = max(wait, m.wait(s.Term))
 	}
-	return 0
+	return wait
 }
 
 // Renumber asks for a new term with a higher fencing number at the next step.
--- a/lease/state.go
+++ b/lease/state.go
@@ -33,6 +33,11 @@
 	// LastReadAt is this process's own clock just after it read that record.
 	LastReadAt time.Time
 
+	// Uncertain is true if the last accepted record is all that this process
+	// knows of the scope, and earlier ones have expired: it may yet prove to
+	// have lost.
+	Uncertain bool
+
 	chain Chain
 }
 
@@ -116,6 +121,8 @@
 // State is the pure fold over all scopes. The zero value is empty.
 type State struct {
 	scopes map[string]ScopeState
+	// gapAt is when this reader last learnt that it had missed records.
+	gapAt time.Time
 }
 
 // Apply folds one journal entry and reports whether it was an accepted record.
@@ -131,6 +138,7 @@
 	if !ok {
 		return ScopeState{}, false
 	}
+	next.Uncertain = !s.gapAt.IsZero() && next.chain.Alone()
 	if s.scopes == nil {
 		s.scopes = make(map[string]ScopeState)
 	}
@@ -138,5 +146,23 @@
 	return next, true
 }
 
+// Gap takes note that records have expired before they were read. What was
+// known is kept, but the next record of a scope may follow one that was
+// missed, and nobody may conclude from silence before a whole term from now.
+func (s *State) Gap(now time.Time) {
+	s.gapAt = now
+	for name, scope := range s.scopes {
+		scope.chain.Forget()
+		scope.LastReadAt = now
+		s.scopes[name] = scope
+	}
+}
+
 // Scope returns the state of a scope; its Known is false if there is none.
-func (s *State) Scope(name string) ScopeState { return s.scopes[name] }
+func (s *State) Scope(name string) ScopeState {
+	scope, ok := s.scopes[name]
+	if !ok {
+		return ScopeState{LastReadAt: s.gapAt}
+	}
+	return scope
+}
--- a/lease/view.go
+++ b/lease/view.go
@@ -4,8 +4,10 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"tamarackchute/journal"
+	"tamarackchute/platform"
 )
 
 // Snapshot is a state of all scopes that doesn't change any more.
@@ -14,13 +16,21 @@
 	Position journal.Position
 	// Scopes is read-only.
 	Scopes map[string]ScopeState
+
+	gapAt time.Time
 }
 
 // Scope returns the state of a scope; its Known is false if there is none.
-func (s *Snapshot) Scope(name string) ScopeState { return s.Scopes[name] }
+func (s *Snapshot) Scope(name string) ScopeState {
+	scope, ok := s.Scopes[name]
+	if !ok {
+		return ScopeState{LastReadAt: s.gapAt}
+	}
+	return scope
+}
 
 // View folds the journal's lease records and shows who leads which scope. It
-// implements journal.Folder; its other methods may be called from anywhere.
+// implements journal.Folder and journal.Trimmer; its other methods may be called from anywhere.
 type View struct {
 	state   State
 	current atomic.Pointer[Snapshot]
@@ -38,7 +48,7 @@
 
 // Apply implements journal.Folder.
 func (v *View) Apply(p journal.Placed) {
-	next := &Snapshot{Position: p.Position, Scopes: v.current.Load().Scopes}
+	next := &Snapshot{Position: p.Position, Scopes: v.current.Load().Scopes, gapAt: v.state.gapAt}
 	_, accepted := v.state.Apply(p)
 	if accepted {
 		next.Scopes = maps.Clone(v.state.scopes)
@@ -49,6 +59,14 @@
 	}
 }
 
+// Trimmed implements journal.Trimmer.
+func (v *View) Trimmed(platform.Offset) {
+	v.state.Gap(time.Now())
+	now := v.current.Load()
+	v.current.Store(&Snapshot{Position: now.Position, Scopes: maps.Clone(v.state.scopes), gapAt: v.state.gapAt})
+	v.wake()
+}
+
 // Snapshot returns the current state.
 func (v *View) Snapshot() *Snapshot { return v.current.Load() }
 
--- a/orders/record.go
+++ b/orders/record.go
@@ -139,6 +139,16 @@
 	Believed Settings `msgpack:"b"`
 }
 
+// CheckpointOf returns the record that repeats what is known of an engine,
+// under the scope and number of its last change.
+func CheckpointOf(e Engine) Record {
+	r := Record{Engine: e.Name, After: e.Last, Checkpoint: true, Change: e.Change, Believed: e.Believed}
+	if e.Change != nil {
+		r.Scope, r.Fence = e.Change.Scope, e.Change.Fence
+	}
+	return r
+}
+
 // Encode returns the record as the body of a journal entry.
 func (r Record) Encode() []byte {
 	b, err := msgpack.Marshal(&r)
--- a/orders/state.go
+++ b/orders/state.go
@@ -1,6 +1,8 @@
 package orders
 
 import (
+	"time"
+
 	"tamarackchute/journal"
 	"tamarackchute/lease"
 )
@@ -15,8 +17,10 @@
 	Believed Settings
 	// Change is the last change; Phase.Open tells whether it still runs.
 	Change *Change
-	// Last is the position of the last accepted record.
-	Last journal.Position
+	// Last is the position of the last accepted record, LastReadAt this
+	// process's own clock just after it read that record.
+	Last       journal.Position
+	LastReadAt time.Time
 
 	chain lease.Chain
 }
@@ -173,6 +177,7 @@
 	e.Known = true
 	e.Believed = r.Believed
 	e.Last = p.Position
+	e.LastReadAt = p.ReadAt
 	if r.Change == nil {
 		return e
 	}
@@ -189,6 +194,16 @@
 	return e
 }
 
+// Gap takes note that records have expired before they were read. What was
+// known is kept, but the next record of an engine may follow one that was
+// missed.
+func (s *State) Gap() {
+	for name, e := range s.engines {
+		e.chain.Forget()
+		s.engines[name] = e
+	}
+}
+
 // Engine returns what is known of an engine; its Known is false if nothing is.
 func (s *State) Engine(name string) Engine {
 	e, ok := s.engines[name]
--- a/orders/view.go
+++ b/orders/view.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"tamarackchute/journal"
+	"tamarackchute/platform"
 )
 
 // Snapshot is a state of all engines that doesn't change any more.
@@ -30,8 +31,8 @@
 	return e
 }
 
-// View folds the journal's order records. It implements journal.Folder; its
-// other methods may be called from anywhere.
+// View folds the journal's order records. It implements journal.Folder and
+// journal.Trimmer; its other methods may be called from anywhere.
 type View struct {
 	state   *State
 	current atomic.Pointer[Snapshot]
@@ -61,6 +62,9 @@
 	}
 }
 
+// Trimmed implements journal.Trimmer.
+func (v *View) Trimmed(platform.Offset) { v.state.Gap() }
+
 // Snapshot returns the current state.
 func (v *View) Snapshot() *Snapshot { return v.current.Load() }
 
