--- a/internal/controller/parts_test.go
+++ b/internal/controller/parts_test.go
@@ -70,7 +70,7 @@
 			for _, st := range c.statuses {
 				s.Take(st, at(0))
 			}
-			got, _ := s.Drained("e", drain, []string{"n1", "n2"}, at(c.now), 5*time.Second)
+			got, _ := s.Drained("e", drain, []string{"n1", "n2"}, at(c.now), time.Second, 5*time.Second)
 			assert.Equal(t, c.want, got)
 		})
 	}
