status, entry: a peer's rules come with its drains

Cause: an entry that starts without the log served on a peer's rules alone. A drain that its killed predecessor had acknowledged was unknown to it, so it could send a request to an engine whose order was about to go out. Change: RulesReply names the engines that the peer gives no new work; the book of requests in flight holds these back until the log has been read, and tells them on. With the wait: a drain not yet applied by the peer that answers is completed by its later status only, by when the predecessor's is too old to count. Conclusion: left is a leader that is paused for less than its term and then takes a status out of a socket's buffer for a fresh one.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,6 +81,7 @@
 	trail     *audit.Trail
 	leases    *lease.View
 	orders    *orders.View
+	drains    *peerDrains
 	suspects  *quarantine.Guard
 	crashes   *crash.Watch
 	tracker   *router.Tracker
@@ -180,7 +181,8 @@
 	a.MaxQueued = d.Admission.MaxQueued
 	a.RetryBudget = d.Admission.RetryBudget
 	e.admission = admission.New(a, nil)
-	e.inflight = inflight.NewBook(e.orders, e.journal.Applied, engineNames(d))
+	e.drains = newPeerDrains(e.orders, e.journal.CaughtUp())
+	e.inflight = inflight.NewBook(e.drains, e.journal.Applied, engineNames(d))
 	e.demand = newDemand(time.Now, demandWindow(d.Roles))
 	e.load = &loadShare{}
 	e.crashes = crash.New(e.suspects, e.cfg.Upstreams.Probe)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -39,6 +39,7 @@
 		ClientTLS:  e.cfg.ClientTLS,
 		Leases:     e.leases,
 		Rules:      e.rules,
+		Drains:     e.drains,
 		Applied:    e.journal.Applied,
 		CaughtUp:   e.journal.CaughtUp(),
 		Source:     e.entryStatus,
--- a/internal/status/fetch.go
+++ b/internal/status/fetch.go
@@ -15,13 +15,12 @@
 )
 
 const (
-	// askAfter is how long a starting entry waits for the log before it serves
-	// on a peer's rules. It guards against a request cut off by an order: a
-	// peer's rules say nothing of drains, and for a second after an entry was
-	// killed a leader still counts its last status as an acknowledgement. A successor that served within that second
-	// could send work to an engine about to change. Later on the leader misses a
-	// recent status of this instance and gives no orders, until the successor
-	// has read the log and says so.
+	// askAfter is how long a starting entry waits for the log before it asks
+	// peers. It guards against a request cut off by an order: an entry that was
+	// killed had acknowledged a drain of which its successor doesn't know, and
+	// for a while a leader still counts the acknowledgement. Once it doesn't any
+	// more, no drain is complete without this instance, but those that every
+	// peer has applied already; the peer's answer names these.
 	askAfter = wire.StatusFresh + 100*time.Millisecond
 	// askAtOnce bounds how many peers are asked at the same time.
 	askAtOnce = 8
@@ -81,6 +80,8 @@
 		n.log.Warn("peer answered with something else", "peer", in.Name, "kind", answer.Kind())
 		return false
 	}
+	// First the drains: with the rules the entry begins to serve.
+	n.opts.Drains.Avoid(reply.Draining)
 	return n.opts.Rules.Offer(reply.PeerState)
 }
 
--- a/internal/status/node.go
+++ b/internal/status/node.go
@@ -23,6 +23,15 @@
 	Offer(rules.PeerState) bool
 }
 
+// Drains is what a Node needs of the engines' drains.
+type Drains interface {
+	// Draining names the engines that get no new work.
+	Draining() []string
+	// Avoid takes engines that a peer gives no new work. Until the log has been
+	// read, they get none here either.
+	Avoid(engines []string)
+}
+
 // Source tells the state of the entry; the node fills in who and when. The
 // position must be read before the counts of requests.
 type Source func() wire.EntryStatus
@@ -37,6 +46,7 @@
 	ClientTLS *tls.Config
 	Leases    *lease.View
 	Rules     Book
+	Drains    Drains
 	Applied   func() journal.Position
 	// CaughtUp is closed once the log has been read to its end.
 	CaughtUp <-chan struct{}
@@ -126,7 +136,8 @@
 	case wire.Summary:
 		n.members.Receive(m.Summary)
 	case wire.RulesRequest:
-		reply(wire.RulesReply{PeerState: n.opts.Rules.PeerState(n.opts.Applied())})
+		state := n.opts.Rules.PeerState(n.opts.Applied())
+		reply(wire.RulesReply{PeerState: state, Draining: n.opts.Drains.Draining()})
 	}
 }
 
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -45,14 +45,23 @@
 	*Node
 	book   *rules.Book
 	leases *lease.View
+	drains *drains
 }
 
+type drains struct {
+	draining []string
+	avoided  chan []string
+}
+
+func (d *drains) Draining() []string     { return d.draining }
+func (d *drains) Avoid(engines []string) { d.avoided <- engines }
+
 // start runs the node of an instance until the test ends. Its log is down.
 func start(t *testing.T, d *settings.Deployment, i int) testNode {
-	n := testNode{book: rules.NewBook(rules.BookOptions{}), leases: lease.NewView()}
+	n := testNode{book: rules.NewBook(rules.BookOptions{}), leases: lease.NewView(), drains: &drains{[]string{"e" + d.Instances[i].Name}, make(chan []string, 100)}}
 	n.Node = NewNode(Options{
 		Deployment: d, Self: d.Instances[i], Secret: []byte("a secret of the tests"),
-		Leases: n.leases, Rules: n.book,
+		Leases: n.leases, Rules: n.book, Drains: n.drains,
 		Applied: func() journal.Position { return journal.Position{} },
 		Source:  func() wire.EntryStatus { return wire.EntryStatus{Applied: journal.Position{Offset: 5}} },
 		Logger:  slog.New(slog.DiscardHandler),
@@ -67,7 +76,7 @@
 // An instance starts with empty memory while the log is down. Callers of it are
 // refused until it has rules, and the only place to get them is a peer. It must
 // not serve on them so soon that a leader could still take its killed
-// predecessor's last status for its own.
+// predecessor's last status for its own, nor before it knows the peer's drains.
 func TestRulesComeFromAPeerWhileTheLogIsDown(t *testing.T) {
 	d := testDeployment(t, 3) // i1 never runs
 	giver := start(t, d, 0)
@@ -81,6 +90,7 @@
 	taker := start(t, d, 2)
 	require.Eventually(t, func() bool { return taker.book.Current().Version == version }, patience, time.Millisecond)
 	require.GreaterOrEqual(t, time.Since(began), askAfter)
+	require.Equal(t, []string{"ei0"}, <-taker.drains.avoided)
 	decision := taker.book.Current().Set.Match(rules.Request{})
 	require.Equal(t, "p", decision.Then.Pool)
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -100,6 +100,9 @@
 // RulesReply is the answer: the rules in force as that peer has folded them.
 type RulesReply struct {
 	rules.PeerState
+	// Draining names the engines that the peer gives no new work, for an order
+	// that is to come or under way.
+	Draining []string `msgpack:"drains"`
 }
 
 // Kind implements Message.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -33,7 +33,8 @@
 
 func rulesReply(document string) RulesReply {
 	version := rules.Version{Offset: 7, Index: 3}
-	return RulesReply{rules.PeerState{State: rules.State{Version: version, Document: []byte(document)}, Settled: true}}
+	state := rules.PeerState{State: rules.State{Version: version, Document: []byte(document)}, Settled: true}
+	return RulesReply{PeerState: state, Draining: []string{"e1"}}
 }
 
 // startServer runs a server on a free port until the test ends or stop is called.
