--- a/cmd/chute-entry/main.go
+++ b/cmd/chute-entry/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
+
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/adapters/listclient"
 	"tamarackchute/internal/adapters/logclient"
@@ -32,6 +34,7 @@
 )
 
 func main() {
+	uuid.EnableRandPool() // ids are made for each request and attempt
 	file := flag.String("settings", "", "settings file of the deployment")
 	instance := flag.String("instance", "", "name of the instance that this runs on")
 	flag.Parse()
--- a/internal/entry/crash/crash.go
+++ b/internal/entry/crash/crash.go
@@ -38,6 +38,9 @@
 	// report. The report goes on behind it.
 	reportWait    = 200 * time.Millisecond
 	reportTimeout = 5 * time.Second
+	// isolateTimeout bounds the wait for the log to take an isolation. Without
+	// the log the suspects are kept apart within this process.
+	isolateTimeout = 250 * time.Millisecond
 )
 
 // Watch knows the requests in flight at each engine. It is safe for use by many
@@ -106,6 +109,8 @@
 func (w *Watch) Begin(ctx context.Context, engine string, d quarantine.Digest, suspected bool) (*Run, error) {
 	r := &Run{watch: w, engine: engine, digest: d}
 	if suspected {
+		ctx, cancel := context.WithTimeout(ctx, isolateTimeout)
+		defer cancel()
 		isolation, err := w.guard.Isolate(ctx, engine, d)
 		if err != nil {
 			return nil, err
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -76,6 +76,11 @@
 }
 
 func parseModel(c *fiber.Ctx, kind openai.Kind) (openai.Request, *outcome.Failure) {
+	if !c.Request().Header.IsHTTP11() {
+		// Its answer would have to be gathered whole before the first byte.
+		return openai.Request{}, outcome.Refused(fiber.StatusHTTPVersionNotSupported, outcome.CodeInvalidRequest,
+			"model requests need HTTP/1.1")
+	}
 	if encoding := c.Get(fiber.HeaderContentEncoding); encoding != "" && encoding != "identity" {
 		return openai.Request{}, outcome.Refused(fiber.StatusUnsupportedMediaType, outcome.CodeInvalidRequest,
 			"a body with a content encoding is not taken")
--- a/internal/entry/gateway/rig_test.go
+++ b/internal/entry/gateway/rig_test.go
@@ -147,6 +147,9 @@
 	control  *admission.Controller
 	// protected is nil where no call is.
 	protected gateway.Protected
+	// byPath, if set, stands in for then; directory is nil where it isn't asked.
+	byPath    func(path string) rules.Then
+	directory gateway.Directory
 }
 
 func (p *parts) Engine(name string) upstream.Engine {
@@ -158,7 +161,10 @@
 
 func (p *parts) Service(name string) upstream.Service { return p.services[name] }
 
-func (p *parts) Match(rules.Request) (rules.Decision, bool) {
+func (p *parts) Match(r rules.Request) (rules.Decision, bool) {
+	if p.byPath != nil {
+		return rules.Decision{Rule: "by path", Then: p.byPath(r.Path), Matched: true}, true
+	}
 	return rules.Decision{Rule: "all", Then: p.then, Matched: true}, true
 }
 
@@ -229,6 +235,7 @@
 		},
 		Services:  &forward.Runner{Books: tracker, Services: p, Retries: p, MaxAttempts: 3, NewID: newID},
 		Protected: p.protected,
+		Directory: p.directory,
 		Signer:    stream.NewSigner([]byte("secret")),
 		Load:      func() float64 { return 0 },
 		NewID:     newID, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
--- a/internal/entry/gateway/sse.go
+++ b/internal/entry/gateway/sse.go
@@ -68,17 +68,7 @@
 // request that fails before it gets an ordinary HTTP error, but no longer than
 // until a heartbeat is due.
 func (g *Gateway) stream(c *fiber.Ctx, k *call, r *running) *outcome.Failure {
-	request := &r.work.Request
-	s := &sse{
-		gateway:   g,
-		running:   r,
-		conn:      c.Context().Conn(),
-		chunks:    openai.NewChunks(request.Kind, r.work.Answer, request.Model, r.work.Created.Unix()),
-		owner:     stream.NewOwner(k.organisation, k.path, c.BodyRaw()),
-		events:    make(chan event, eventsAhead),
-		closed:    make(chan struct{}),
-		heartbeat: time.NewTicker(g.opts.Heartbeat),
-	}
+	s := g.newSSE(c.Context().Conn(), r, stream.NewOwner(k.organisation, k.path, c.BodyRaw()))
 	g.pumps.Go(s.pump)
 	if f := s.awaitFirst(); f != nil {
 		s.heartbeat.Stop()
@@ -95,6 +85,20 @@
 	return nil
 }
 
+func (g *Gateway) newSSE(conn net.Conn, r *running, owner stream.Owner) *sse {
+	request := &r.work.Request
+	return &sse{
+		gateway:   g,
+		running:   r,
+		conn:      conn,
+		chunks:    openai.NewChunks(request.Kind, r.work.Answer, request.Model, r.work.Created.Unix()),
+		owner:     owner,
+		events:    make(chan event, eventsAhead),
+		closed:    make(chan struct{}),
+		heartbeat: time.NewTicker(g.opts.Heartbeat),
+	}
+}
+
 // awaitFirst returns the failure of an answer that fails before its first
 // token.
 func (s *sse) awaitFirst() *outcome.Failure {
