--- a/admission/pool.go
+++ b/admission/pool.go
@@ -31,7 +31,6 @@
 	meter    meter
 	window   window
 	pressure pressure
-	served   float64 // cost granted lately, for the floor
 }
 
 // pool is the pure core for the upstreams of one pool and model. Time comes in
@@ -160,7 +159,7 @@
 // next returns the request that starts now, nil if none may. It has been taken
 // from its queue and is on its way.
 func (p *pool) next(now time.Time) *waiter {
-	for _, c := range p.turn() {
+	for _, c := range [...]Class{ClassShort, ClassLong} {
 		l := p.lane(c)
 		it := l.queue.peek()
 		if it == nil || !p.mayStart(it.waiter) {
@@ -168,39 +167,28 @@
 		}
 		l.queue.pop()
 		l.meter.serve(it.cost)
-		p.serve(c, it.cost)
 		p.start(it.waiter, now)
 		return it.waiter
 	}
 	return nil
 }
 
-// turn is the order in which the classes are served: short first, unless long
-// requests have got less than their floor.
-func (p *pool) turn() [2]Class {
-	short, long := p.lane(ClassShort).served, p.lane(ClassLong).served
-	if long < p.cfg.LongFloor*(short+long) {
-		return [2]Class{ClassLong, ClassShort}
+// mayStart reports whether its window lets a request be sent. Long requests
+// also leave a share of the engines free.
+func (p *pool) mayStart(w *waiter) bool {
+	if !p.known {
+		return true
 	}
-	return [2]Class{ClassShort, ClassLong}
-}
-
-// servedMemory is the cost after which what was served counts half, in seconds
-// of the pool's prefill.
-const servedMemory = 10
-
-func (p *pool) serve(c Class, cost float64) {
-	p.lane(c).served += cost
-	rate := p.capacity.PrefillPerSecond / float64(max(1, p.capacity.Entries))
-	if p.lanes[0].served+p.lanes[1].served > servedMemory*max(1000, rate) {
-		p.lanes[0].served /= 2
-		p.lanes[1].served /= 2
+	win := &p.lane(w.class).window
+	if w.class == ClassLong && win.requests >= p.longRoom() {
+		return false
 	}
+	return win.fits(w.work())
 }
 
-// mayStart reports whether its window lets a request be sent.
-func (p *pool) mayStart(w *waiter) bool {
-	return !p.known || p.lane(w.class).window.fits(w.work())
+// longRoom is how many long requests may be on their way from here.
+func (p *pool) longRoom() int {
+	return max(1, int((1-p.cfg.ShortReserve)*float64(p.capacity.Engines)))
 }
 
 // start marks a request as on its way.
--- a/admission/types.go
+++ b/admission/types.go
@@ -101,13 +101,13 @@
 type Config struct {
 	// MaxQueued is the most requests that wait, over all pools.
 	MaxQueued int
+	// ShortReserve is the share of the engines that an entry keeps free of long
+	// requests that have not started.
+	ShortReserve float64
 	// LongPressure is the share of their slack that short requests may lose to
 	// waiting at the engines before fewer long ones are sent, and ShortPressure
 	// the share from which fewer short ones are.
 	LongPressure, ShortPressure float64
-	// LongFloor is the share of capacity that waiting long requests get even
-	// while short ones wait.
-	LongFloor float64
 	// LongTokens is the prompt length from which ClassAuto means long.
 	LongTokens int
 	// RetryBudget is the share of requests that may be retried.
@@ -123,9 +123,9 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxQueued:        2000,
-		LongPressure:     0.25,
-		ShortPressure:    0.5,
-		LongFloor:        0.2,
+		ShortReserve:     0.15,
+		LongPressure:     0.15,
+		ShortPressure:    0.8,
 		LongTokens:       1024,
 		RetryBudget:      0.1,
 		MaxOrganisations: 4096,
--- a/router/book.go
+++ b/router/book.go
@@ -85,7 +85,8 @@
 	}
 	b.node.state.Store(&u)
 	if p := b.node.peers.Load(); p != nil {
-		p.observe(othersAt(&u, &b.node.live), len(b.t.order))
+		age := received.Sub(measured)
+		p.observe(othersAt(&u, &b.node.live), len(b.t.order), trustIn(age, b.t.cfg.StaleAfter))
 	}
 	if r.InService {
 		b.reached(measured)
--- a/router/config.go
+++ b/router/config.go
@@ -8,6 +8,12 @@
 	DataCentre string
 	// Links gives the one-way latency between data centres, both ways alike.
 	Links []Link
+	// StaleAfter is the age at which a report's word on other processes' work
+	// counts for a quarter.
+	StaleAfter time.Duration
+	// Spread widens the band of nearly equal upstreams, as a share of the least
+	// cost and of the reports' age.
+	Spread, SpreadByAge float64
 	// CrossCost is what leaving the own data centre costs beside the latency:
 	// an upstream elsewhere must be better by at least this much.
 	CrossCost time.Duration
@@ -24,9 +30,6 @@
 	// OccupancyWeight is what a second of engine time taken from others costs
 	// beside a second of the request's own time.
 	OccupancyWeight float64
-	// ApartCost is what it costs at most to put a long prompt among streams,
-	// or a stream among long prompts.
-	ApartCost time.Duration
 	// ChunkTokens is how many prompt tokens an engine works through between
 	// two tokens of its streams, FirstStepShare the time of a step with one
 	// stream as a share of one with a full batch.
@@ -85,14 +88,16 @@
 func DefaultConfig(dataCentre string) Config {
 	return Config{
 		DataCentre:                 dataCentre,
+		StaleAfter:                 time.Second,
+		Spread:                     0.05,
+		SpreadByAge:                0.02,
 		CrossCost:                  50 * time.Millisecond,
 		HandoffBytesPerSecond:      2e9,
 		CrossHandoffBytesPerSecond: 5e8,
 		KVBytesPerToken:            50_000,
-		SplitMinTokens:             512,
-		SplitGain:                  0.10,
-		OccupancyWeight:            0.3,
-		ApartCost:                  500 * time.Millisecond,
+		SplitMinTokens:             128,
+		SplitGain:                  0.02,
+		OccupancyWeight:            1.5,
 		ChunkTokens:                256,
 		FirstStepShare:             0.5,
 		PrefillPerSecond:           5000,
--- a/router/learn.go
+++ b/router/learn.go
@@ -36,6 +36,11 @@
 	if k.quiet {
 		adjust(&l.prefillFactor, took/predicted)
 	}
+	own := k.plan.Estimate.FirstToken - k.plan.Estimate.Queue
+	wait := took - overhead - own.Seconds()
+	if p := b.node.peers.Load(); p != nil {
+		p.met(max(0, wait/k.pace-k.ownAhead))
+	}
 }
 
 // learnHandoff compares a KV handoff's time with what the settings give. The
@@ -82,15 +87,6 @@
 	return m.step(max(1, streams)) / l.gapFactor.load()
 }
 
-// quietNow reports whether an engine has no prompts ahead, for all that is
-// known.
-func (b *book) quietNow(now time.Time) bool {
-	n := b.node
-	u := n.state.Load()
-	age := now.Sub(u.ReportAt)
-	return !u.ReportAt.IsZero() && age < staleAfter && n.workNow(u, age).PromptTokens == 0
-}
-
 // adjust moves a factor by a part of an observed ratio of seen to predicted.
 func adjust(f *atomicFloat, ratio float64) {
 	ratio = min(ratioBound, max(1/ratioBound, ratio))
--- a/router/node.go
+++ b/router/node.go
@@ -21,7 +21,6 @@
 type node struct {
 	id    int32
 	dc    int32
-	rank  float64               // 0 to 1, its place in its pool and data centre
 	peers atomic.Pointer[peers] // nil in snapshots that don't change
 	state atomic.Pointer[Upstream]
 	live  live
--- a/router/peers.go
+++ b/router/peers.go
@@ -1,16 +1,11 @@
 package router
 
 import (
-	"math"
 	"time"
 
 	"tamarackchute/upstream"
 )
 
-// staleAfter is the age at which a report's word on other processes' work
-// counts for 1/e of what it says.
-const staleAfter = 1500 * time.Millisecond
-
 // peers is what other processes have in flight on average at the engines of
 // one pool and role.
 //
@@ -29,14 +24,23 @@
 }
 
 // observe takes one engine's report into the average of n engines, over about
-// two reports of each.
-func (p *peers) observe(w others, n int) {
-	step := 1 / float64(2*max(1, n))
+// two reports of each; an old report counts for less.
+func (p *peers) observe(w others, n int, trust float64) {
+	step := trust / float64(2*max(1, n))
 	mix(&p.requests, w.requests, step)
 	mix(&p.prompt, w.prompt, step)
 	mix(&p.kv, w.kv, step)
 }
 
+// met takes the prompts of others that one of our own requests found ahead of
+// it. That is as fresh as a first token, where a report may be seconds old:
+// processes that steer by late reports alone all hold back at once, and then
+// all come at once.
+func (p *peers) met(prompt float64) { mix(&p.prompt, prompt, metStep) }
+
+// metStep is the weight of one such request.
+const metStep = 0.1
+
 func mix(f *atomicFloat, v, step float64) { f.store(f.load() + step*(v-f.load())) }
 
 // others is work of other processes at an engine.
@@ -57,7 +61,7 @@
 
 // workNow is the best guess at what is in flight at an engine: the own work,
 // which is known, and the others' by report and average.
-func (n *node) workNow(u *Upstream, age time.Duration) Work {
+func (n *node) workNow(u *Upstream, age, staleAfter time.Duration) Work {
 	l := &n.live
 	own := Work{
 		Requests:     int(l.inFlight.Load()),
@@ -70,7 +74,7 @@
 	}
 	o := othersAt(u, l)
 	if p := n.peers.Load(); p != nil {
-		trust := math.Exp(-age.Seconds() / staleAfter.Seconds())
+		trust := trustIn(age, staleAfter)
 		o.requests = blend(o.requests, p.requests.load(), trust)
 		o.prompt = blend(o.prompt, p.prompt.load(), trust)
 		o.kv = blend(o.kv, p.kv.load(), trust)
@@ -81,4 +85,10 @@
 	return own
 }
 
+// trustIn falls from 1 at age 0 to a quarter at staleAfter.
+func trustIn(age, staleAfter time.Duration) float64 {
+	t := float64(staleAfter) / float64(staleAfter+age)
+	return t * t
+}
+
 func blend(seen, average, trust float64) float64 { return trust*seen + (1-trust)*average }
--- a/router/pick.go
+++ b/router/pick.go
@@ -28,9 +28,8 @@
 	ageShare float64
 }
 
-func defaultPicker() spreadPicker {
-	return spreadPicker{base: 5 * time.Millisecond, share: 0.10, ageShare: 0.05}
-}
+// leastSpread is the band's least width.
+const leastSpread = 5 * time.Millisecond
 
 func (p spreadPicker) Pick(cands []Candidate, _ *Request, rnd *rand.Rand) (int, Why) {
 	best := cheapest(cands)
--- a/router/schedule.go
+++ b/router/schedule.go
@@ -11,8 +11,8 @@
 // others, with the engines that the prefix index names.
 const (
 	scanAll      = 48
-	sampleLocal  = 24
-	sampleOthers = 12
+	sampleLocal  = 18
+	sampleOthers = 8
 	maxCached    = 8
 	scratchSize  = scanAll + maxCached
 )
@@ -40,11 +40,11 @@
 			leavingFilter{}, serviceFilter{}, memoryFilter{}, ejectedFilter{},
 			excludedFilter{}, isolatedFilter{},
 		},
-		Picker: defaultPicker(),
+		Picker: spreadPicker{base: leastSpread, share: cfg.Spread, ageShare: cfg.SpreadByAge},
 		cfg:    cfg,
 	}
 	s.Scorers = []Scorer{
-		timeScorer{}, occupancyScorer{cfg.OccupancyWeight}, apartScorer{cfg.ApartCost},
+		timeScorer{}, occupancyScorer{cfg.OccupancyWeight},
 		crossScorer{cfg.CrossCost}, failureScorer{},
 	}
 	return s
@@ -58,6 +58,13 @@
 	nodes   []*node
 	matches []Match
 	dropped []int
+	request Request
+}
+
+// put gives the scratch back, without what its request points to.
+func (sc *scratch) put() {
+	sc.request = Request{}
+	scratches.Put(sc)
 }
 
 var scratches = sync.Pool{New: func() any {
@@ -77,17 +84,18 @@
 func (p *Scheduler) Pick(s *Snapshot, r Request, now time.Time, rnd *rand.Rand) (Plan, error) {
 	g := s.groups[groupKey{r.Pool, r.Model}]
 	if g == nil {
-		return Plan{}, lackOf(s, &r)
+		return Plan{}, lackOf(s, r.Pool, r.Model)
 	}
 	sc := scratches.Get().(*scratch)
-	defer scratches.Put(sc)
-	d := decision{s: s, g: g, r: &r, now: now, rnd: rnd, sc: sc, dc: s.ownDC(r.DataCentre)}
+	defer sc.put()
+	sc.request = r
+	d := decision{s: s, g: g, r: &sc.request, now: now, rnd: rnd, sc: sc, dc: s.ownDC(r.DataCentre)}
 	return p.run(&d)
 }
 
-func lackOf(s *Snapshot, r *Request) error {
-	e := &NoUpstreamError{Pool: r.Pool, Model: r.Model, Reason: LackPool}
-	if s.pools[r.Pool] > 0 {
+func lackOf(s *Snapshot, pool, model string) error {
+	e := &NoUpstreamError{Pool: pool, Model: model, Reason: LackPool}
+	if s.pools[pool] > 0 {
 		e.Reason = LackModel
 	}
 	return e
--- a/router/score.go
+++ b/router/score.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"tamarackchute/platform"
-	"tamarackchute/upstream"
 )
 
 // Scorer says what an upstream would cost a request, in time. Costs add up.
@@ -55,23 +54,6 @@
 	return seconds(s.weight * c.occupancy(prompt, r.OutputTokens))
 }
 
-// apartScorer keeps long prompts and streams apart on engines of no particular
-// role. A long prompt holds up every stream beside it, so both fare better if
-// the long ones share some of the engines. Which ones, all processes agree on
-// without a word, by the engines' rank: long prompts are drawn to one end,
-// streams to the other, and the queues move the border between them.
-type apartScorer struct{ cost time.Duration }
-
-func (s apartScorer) Cost(c *Candidate, r *Request) time.Duration {
-	if c.Up.Kind == platform.KindService || c.role() != upstream.RoleMixed {
-		return 0
-	}
-	prompt := float64(r.PromptTokens-c.CachedTokens) / c.model.prefill
-	output := float64(r.OutputTokens) * c.model.stepFirst
-	long := prompt / (prompt + output + 1e-9)
-	return time.Duration(float64(s.cost) * (long*c.node.rank + (1-long)*(1-c.node.rank)))
-}
-
 // crossScorer costs leaving the data centre beyond the latency, which
 // timeScorer counts: links between data centres are shared and may part.
 type crossScorer struct{ cost time.Duration }
--- a/router/snapshot.go
+++ b/router/snapshot.go
@@ -83,7 +83,6 @@
 func (s *Snapshot) index(nodes []*node) {
 	s.nodes = nodes
 	s.latency = latencies(s.cfg.Links, s.dcs)
-	rankNodes(nodes)
 	for _, n := range nodes {
 		u := n.state.Load()
 		s.byName[u.Name] = n
@@ -97,30 +96,6 @@
 	}
 }
 
-// rankNodes spreads the members of each pool and data centre evenly from 0 to
-// 1, in order of their names, so that all processes agree.
-func rankNodes(nodes []*node) {
-	type place struct {
-		pool string
-		dc   int32
-	}
-	names := map[place][]string{}
-	for _, n := range nodes {
-		u := n.state.Load()
-		p := place{u.Pool, n.dc}
-		names[p] = append(names[p], u.Name)
-	}
-	for _, list := range names {
-		slices.Sort(list)
-	}
-	for _, n := range nodes {
-		u := n.state.Load()
-		list := names[place{u.Pool, n.dc}]
-		at, _ := slices.BinarySearch(list, u.Name)
-		n.rank = (float64(at) + 0.5) / float64(len(list))
-	}
-}
-
 func (s *Snapshot) addTo(k groupKey, n *node, u *Upstream) {
 	g := s.groups[k]
 	if g == nil {
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -18,6 +18,9 @@
 	began     time.Time
 	trial     bool
 	quiet     bool // no prompts were ahead at the start
+	// ownAhead is the own prompt tokens ahead at the start, pace the seconds
+	// that the engine was taken to need for one.
+	ownAhead, pace float64
 
 	mu       sync.Mutex
 	prompt   int // prompt tokens still booked
@@ -37,7 +40,7 @@
 	}
 	l := &k.engine.node.live
 	l.output.Add(int64(k.output))
-	k.quiet = k.engine.quietNow(now)
+	k.look(now)
 	if k.engine.node.standing(now) == trial {
 		k.trial = true
 		l.trials.Add(1)
@@ -52,6 +55,17 @@
 	k.t.cache.predict(k.prefill.node.id, blocks, now)
 }
 
+// look notes how things stand at the engine as the attempt begins.
+func (k *Ticket) look(now time.Time) {
+	b := k.engine
+	u := b.node.state.Load()
+	work := b.node.workNow(u, now.Sub(u.ReportAt), b.t.cfg.StaleAfter)
+	m := modelOf(&b.t.cfg, u, &b.node.live)
+	k.pace = m.prefillSeconds(1, min(work.Requests, m.batch))
+	k.ownAhead = float64(b.node.live.ownPrompt.Load())
+	k.quiet = !u.ReportAt.IsZero() && now.Sub(u.ReportAt) < b.t.cfg.StaleAfter && work.PromptTokens == 0
+}
+
 // Prefilled says that the engine for prefill is done and has handed over. It
 // is for plans with a Prefill only.
 func (k *Ticket) Prefilled() {
