controller: engines load models that they should serve; drains don't eat the order's time

Cause: a replaced engine that came without its model stayed useless. And the time for trying an order was counted from the plan, so that after a long drain the order was given up before it was sent.

The bound of a change counts drain and order together. A claimant that waits for the list or its address looks again every 0.1 s instead of once a renewal.

Ruled out: loading again at once; an engine with fewer places than models would load them in turn for ever.

--- a/cmd/chute-controller/handover_bench_test.go
+++ b/cmd/chute-controller/handover_bench_test.go
@@ -31,7 +31,8 @@
 	}
 	for _, bc := range cases {
 		b.Run(bc.name, func(b *testing.B) {
-			c := startWith(b, deployment(b, bc.f, bc.f))
+			d := deployment(b, bc.f, bc.f)
+			c := startWith(b, d, d)
 			var total, longest time.Duration
 			for i := range b.N {
 				before := c.leader(scopeOf(bc.f), 0)
--- a/cmd/chute-controller/harness_test.go
+++ b/cmd/chute-controller/harness_test.go
@@ -46,6 +46,9 @@
 	changes  *orders.View
 	statuses *wire.Links
 
+	// real is what the stand-ins are, if not what the settings say.
+	real *settings.Deployment
+
 	mu     sync.Mutex
 	demand []wire.ModelDemand
 }
@@ -103,12 +106,13 @@
 func start(t testing.TB, kinds ...settings.Fencing) *cluster {
 	d := deployment(t, kinds...)
 	d.Lease.TermSeconds, d.Lease.RenewSeconds = 1.2, 0.4
-	return startWith(t, d)
+	return startWith(t, d, d)
 }
 
-func startWith(t testing.TB, d *settings.Deployment) *cluster {
+// startWith takes what the settings say and what the stand-ins really are.
+func startWith(t testing.TB, d, real *settings.Deployment) *cluster {
 	c := &cluster{
-		t: t, d: d, engines: map[string]*standin.Engine{}, running: map[string]*exec.Cmd{},
+		t: t, d: d, real: real, engines: map[string]*standin.Engine{}, running: map[string]*exec.Cmd{},
 		leases: lease.NewView(),
 	}
 	dir := t.TempDir()
@@ -140,7 +144,7 @@
 	speed.Change = 400 * time.Millisecond
 	speed.LoadLag = 100 * time.Millisecond
 	set, err := standin.NewSet(standin.Config{
-		Deployment: c.d, LogAppendsPerSecond: 300, ListLag: 500 * time.Millisecond,
+		Deployment: c.real, LogAppendsPerSecond: 300, ListLag: 500 * time.Millisecond,
 		WeightBytes: 1 << 20, Speed: speed,
 	})
 	require.NoError(c.t, err)
--- a/cmd/chute-controller/main.go
+++ b/cmd/chute-controller/main.go
@@ -16,6 +16,7 @@
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/adapters/listclient"
 	"tamarackchute/internal/adapters/logclient"
+	"tamarackchute/internal/adapters/weightclient"
 	"tamarackchute/internal/controller"
 	"tamarackchute/internal/settings"
 	"tamarackchute/internal/telemetry"
@@ -87,6 +88,7 @@
 		Deployment: d, Instance: instance, Secret: secret,
 		Log:     logclient.New(d.Platform.Log, o),
 		List:    listclient.New(d.Platform.Instances, o),
+		Weights: weightclient.New(d.Platform.Weights, o),
 		Engines: engines(d, o), ServerTLS: server, ClientTLS: client,
 		Metrics: m, Logger: log,
 	}, nil
--- a/cmd/chute-controller/process_test.go
+++ b/cmd/chute-controller/process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	"tamarackchute/internal/settings"
 	"tamarackchute/orders"
+	"tamarackchute/upstream"
 )
 
 // heavy and light are demands that call for prefill and for decode.
@@ -132,6 +134,25 @@
 	assert.Equal(t, "released", second.Ground.String())
 }
 
+// An engine has been replaced by one that holds another model. Requests for the
+// model that it should serve would be refused there until somebody loads it.
+func TestReplacedEngineLoadsItsModel(t *testing.T) {
+	d := deployment(t, settings.FencingChecked, settings.FencingChecked)
+	d.Platform.WeightBytesPerSecond = 10 << 20
+	real := *d
+	real.Upstreams = slices.Clone(d.Upstreams)
+	real.Upstreams[0].Models = []string{"old"}
+	c := startWith(t, d, &real)
+	ch := c.changed(func(ch orders.Change) bool { return ch.Phase == orders.PhaseConfirmed })
+	assert.Equal(t, upstream.OrderModel, ch.Kind)
+	assert.Equal(t, "e1", ch.Engine)
+	assert.InDelta(t, 5<<20, ch.Reserve.BytesPerSec, 1)
+	state := c.engines["e1"].State()
+	assert.Equal(t, "m", state.Model)
+	assert.Equal(t, "v2", state.Version)
+	c.soundEngines()
+}
+
 func scopeOf(f settings.Fencing) string {
 	if f == settings.FencingChecked {
 		return "a/fenced"
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,6 +56,7 @@
 	Instance string
 	Log      platform.Log
 	List     platform.InstanceList
+	Weights  platform.WeightStore
 	// Engines holds an adapter for each engine of the deployment.
 	Engines map[string]Engine
 	Secret  []byte
@@ -141,10 +142,7 @@
 // build makes the parts that depend on the engines.
 func (c *Controller) build() {
 	reporters := map[string]LoadReporter{}
-	for _, u := range c.cfg.Deployment.Upstreams {
-		if u.Kind != settings.KindEngine {
-			continue
-		}
+	for _, u := range c.allEngines() {
 		reporters[u.Name] = c.cfg.Engines[u.Name]
 		if u.DataCentre == c.self.DataCentre {
 			c.executors[u.Name] = c.newExecutor(u)
@@ -282,6 +280,7 @@
 		s.Add(x)
 	}
 	s.Add(c.loads)
+	s.Add(c.loader())
 	s.Add(c.chooser())
 	return s
 }
@@ -294,15 +293,29 @@
 	}
 }
 
-func (c *Controller) chooser() *Chooser {
+// allEngines returns the engines of all data centres.
+func (c *Controller) allEngines() []settings.Upstream {
 	var engines []settings.Upstream
 	for _, u := range c.cfg.Deployment.Upstreams {
 		if u.Kind == settings.KindEngine {
 			engines = append(engines, u)
 		}
 	}
+	return engines
+}
+
+func (c *Controller) loader() *Loader {
+	return &Loader{
+		engines: c.allEngines(), executors: c.executors, loads: c.loads, view: c.changes,
+		presence: c.presence, weights: c.cfg.Weights, log: c.log,
+		limit: c.cfg.Deployment.Platform.WeightBytesPerSecond,
+		fresh: seconds(c.cfg.Deployment.Roles.MaxPictureAgeSeconds),
+	}
+}
+
+func (c *Controller) chooser() *Chooser {
 	return &Chooser{
-		dataCentre: c.self.DataCentre, engines: engines, newPolicy: c.newPolicy, every: pace(c.cfg.Deployment.Roles),
+		dataCentre: c.self.DataCentre, engines: c.allEngines(), newPolicy: c.newPolicy, every: pace(c.cfg.Deployment.Roles),
 		executors: c.executors, leading: c.leading, view: c.changes,
 		presence: c.presence, statuses: c.statuses, loads: c.loads, log: c.log,
 	}
--- a/internal/controller/interleave/scenario_test.go
+++ b/internal/controller/interleave/scenario_test.go
@@ -38,7 +38,7 @@
 		mutantReleaseInHand:     529,
 		mutantNoSettle:          800,
 		mutantNoDrift:           9,
-		mutantLostIsNotTaken:    10,
+		mutantLostIsNotTaken:    166,
 		mutantNoAcknowledgement: 102,
 		mutantLookFirst:         17,
 	}
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -31,6 +31,10 @@
 // record is repeated.
 const checkpointFraction = 4
 
+// lookAgain is the time between two looks for a ground that stands outside the
+// journal, such as the platform's list.
+const lookAgain = 100 * time.Millisecond
+
 // Authority is the right to give orders within a scope.
 type Authority struct {
 	Scope string
@@ -109,8 +113,11 @@
 		return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
 	}
 	ground, at := m.claimable(s, see)
-	if ground == 0 || now.Before(at) {
-		return Step{WakeAt: m.earlier(now.Add(m.cfg.Renew), at)}
+	if ground == 0 {
+		return Step{WakeAt: now.Add(min(m.cfg.Renew, lookAgain))}
+	}
+	if now.Before(at) {
+		return Step{WakeAt: earlier(now.Add(m.cfg.Renew), at)}
 	}
 	r := m.claim(s, ground)
 	return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
@@ -206,9 +213,8 @@
 	}
 }
 
-// earlier returns the earlier of two times; a zero b stands for never.
-func (m *Machine) earlier(a, b time.Time) time.Time {
-	if b.IsZero() || a.Before(b) {
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
 		return a
 	}
 	return b
--- a/orders/next.go
+++ b/orders/next.go
@@ -23,7 +23,8 @@
 type Limits struct {
 	// Drain is the longest that a drain may take before it is undone.
 	Drain time.Duration
-	// Order is the longest that a leader tries to get an order carried out.
+	// Order is the longest that a leader tries, beyond that, to get an order
+	// taken.
 	Order time.Duration
 	// Settle is the time within which an engine that doesn't check fencing
 	// numbers, once it answers, has worked off whatever was sent to it before.
@@ -37,6 +38,10 @@
 	Retry time.Duration
 }
 
+// whole is the longest that a change may be in one leader's hand before it is
+// given up, unless the engine is carrying it out.
+func (l Limits) whole() time.Duration { return l.Drain + l.Order }
+
 // Situation is all that a decision about one engine rests on, beside Contact.
 type Situation struct {
 	Now       time.Time
@@ -197,7 +202,7 @@
 	if a, ok := giveUp(s, open, inHand); ok {
 		return a
 	}
-	if inHand > s.Limits.Drain+s.Limits.Order {
+	if inHand > s.Limits.whole() {
 		return end(s, open, PhaseUndone, s.Engine.Believed, "engine did not become free")
 	}
 	if !c.fresh(s.Now, s.Limits.Fresh) {
@@ -246,7 +251,7 @@
 func settle(s Situation, c *Contact, open Change, inHand time.Duration) Action {
 	own := open.Fence == s.Authority.Fence
 	unsent := own && !mayBeTaken(c, open)
-	if unsent && inHand > s.Limits.Order {
+	if unsent && inHand > s.Limits.whole() {
 		return end(s, open, PhaseUndone, s.Engine.Believed, "order could not be sent in time")
 	}
 	if !c.fresh(s.Now, s.Limits.Read) {
@@ -293,7 +298,7 @@
 		return end(s, open, PhaseConfirmed, seen, "engine shows the change")
 	case own && c.sent == OutcomeTaken:
 		return end(s, open, PhaseUndone, seen, "engine gave the change up, or restarted during it")
-	case inHand > s.Limits.Order:
+	case inHand > s.Limits.whole():
 		return end(s, open, PhaseUndone, seen, "order was not taken in time")
 	}
 	if reason, ok := free(s, c); !ok {
