entry: requests that lost their engine wait for another one

Cause: after an engine's crash all that it ran are suspects and may use the other engines only one after the other. Those that didn't get one at once were refused as quarantined in the middle of their answers.

Ruled out: isolating fewer of them, as any may be the guilty one; letting new requests wait too, which are better told at once to come back.

Change: a request that may have run looks every 100 ms for an engine, for 30 s at most and never beyond its deadline. 4 tokens instead of 16 end a suspect's isolation. Plain answers have a write timeout, too. A protected call whose caller has gone is counted as that and not as late.

--- a/internal/entry/answer/answer.go
+++ b/internal/entry/answer/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/internal/entry/stream"
@@ -19,6 +20,8 @@
 	// tried names the engines that the next attempt keeps away from.
 	tried    []string
 	attempts int
+	// waited is how long it has looked for an engine since it lost one.
+	waited time.Duration
 	// ran says whether any attempt may have run.
 	ran outcome.Ran
 	// noSplit keeps prefill and decode together after a handoff has failed.
--- a/internal/entry/answer/attempt.go
+++ b/internal/entry/answer/attempt.go
@@ -33,7 +33,7 @@
 // acquitAfter is how many tokens a suspected request must give on an engine of
 // its own before it counts as innocent: what crashed the former engine was
 // further on than that, or something else.
-const acquitAfter = 16
+const acquitAfter = 4
 
 func (t *attempt) origin(w Work) stream.Origin {
 	return stream.Origin{
--- a/internal/entry/answer/open.go
+++ b/internal/entry/answer/open.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"tamarackchute/internal/entry/crash"
 	"tamarackchute/internal/entry/outcome"
@@ -24,6 +25,9 @@
 		}
 		plan, route, f := a.pick(suspected)
 		if f != nil {
+			if a.waitForEngine(ctx) {
+				continue
+			}
 			return f
 		}
 		if !a.hold(plan) {
@@ -39,6 +43,28 @@
 	}
 }
 
+// engineLook is the time between two looks for an engine.
+const engineLook = 100 * time.Millisecond
+
+// waitForEngine waits a little and reports whether to look for an engine again.
+// Only a request that has lost its engine waits: to refuse it would cut off an
+// answer, whereas a new one is better told at once to come back. After a crash
+// all that were in flight are suspects, who take turns on the other engines.
+func (a *Answer) waitForEngine(ctx context.Context) bool {
+	if a.ran != outcome.MayHaveRun || a.waited >= a.runner.EngineWait {
+		return false
+	}
+	a.waited += engineLook
+	a.tried = nil
+	timer := time.NewTimer(engineLook)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // pick asks the router. A suspected request stays on one engine, where no other
 // suspect runs.
 func (a *Answer) pick(suspected bool) (router.Plan, router.Request, *outcome.Failure) {
@@ -179,6 +205,10 @@
 	}
 	if !unsent {
 		a.ran = outcome.MayHaveRun
+	} else if a.ran == outcome.MayHaveRun {
+		// The answer goes on as soon as an engine takes it; EngineWait bounds
+		// the looking, not the number of engines that refuse meanwhile.
+		a.attempts--
 	}
 	if cancelled(ctx) {
 		return a.ContextFailure(ctx)
--- a/internal/entry/answer/runner.go
+++ b/internal/entry/answer/runner.go
@@ -61,7 +61,10 @@
 	PriorLimit int
 	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts int
-	NewID       func() string
+	// EngineWait bounds how long a request that has lost its engine looks for
+	// another, over all its losses.
+	EngineWait time.Duration
+	NewID      func() string
 
 	// background holds cancels whose caller no longer waits.
 	background conc.WaitGroup
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,9 @@
 const (
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
+	// engineWait bounds how long a request that has lost its engine looks for
+	// another; its deadline may be earlier.
+	engineWait = 30 * time.Second
 	// priorLimit bounds the text kept of one stream for a continuation, in
 	// bytes; priorBudget that of all streams together.
 	priorLimit  = 64 << 10
@@ -201,6 +204,7 @@
 		Budget:      stream.NewBudget(priorBudget),
 		PriorLimit:  priorLimit,
 		MaxAttempts: maxAttempts,
+		EngineWait:  engineWait,
 		NewID:       uuid.NewString,
 	}
 	e.gateway = gateway.New(e.gatewayOptions(), gateway.Parts{
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -138,6 +138,7 @@
 		BodyLimit:             o.MaxBodyBytes,
 		ReadTimeout:           o.ReadTimeout,
 		IdleTimeout:           o.IdleTimeout,
+		WriteTimeout:          o.WriteTimeout, // of plain answers; streams move theirs on
 		ErrorHandler:          g.serverError,
 		// A body is parsed by the handler that knows its form.
 		DisablePreParseMultipartForm: true,
--- a/internal/entry/protect/protect.go
+++ b/internal/entry/protect/protect.go
@@ -6,12 +6,14 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 
 	"tamarackchute/claim"
+	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/gateway"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/upstream"
@@ -120,7 +122,7 @@
 		f.Message += "; whether an earlier one with its key ran is not known now"
 	}
 	if r.Reason == claim.ReasonCallerGone && ctx.Err() != nil {
-		f.Status, f.Code = http.StatusGatewayTimeout, outcome.CodeDeadline
+		f.Status, f.Code = timeUp(ctx)
 	}
 	return f
 }
@@ -128,8 +130,9 @@
 func mayHaveRun(ctx context.Context, r claim.MayHaveRun) *outcome.Failure {
 	switch {
 	case r.Reason == claim.ReasonRunning && ctx.Err() != nil:
-		return failure(http.StatusGatewayTimeout, outcome.CodeDeadline, outcome.MayHaveRun,
-			"the deadline has passed while the call may be running; ask again with the same key").After(retryRunning)
+		status, code := timeUp(ctx)
+		return failure(status, code, outcome.MayHaveRun,
+			"the time was up while the call may be running; ask again with the same key").After(retryRunning)
 	case r.Reason == claim.ReasonRunning:
 		return failure(http.StatusConflict, outcome.CodeKeyInProgress, outcome.MayHaveRun,
 			"a request with this key may be running; ask again with the same key").After(retryRunning)
@@ -142,6 +145,14 @@
 	}
 }
 
+// timeUp tells a caller that has gone from a deadline that has passed.
+func timeUp(ctx context.Context) (status int, code outcome.Code) {
+	if errors.Is(context.Cause(ctx), callerwatch.ErrGone) {
+		return outcome.StatusCallerGone, outcome.CodeCallerGone
+	}
+	return http.StatusGatewayTimeout, outcome.CodeDeadline
+}
+
 func failure(status int, code outcome.Code, ran outcome.Ran, message string) *outcome.Failure {
 	return &outcome.Failure{Status: status, Code: code, Message: message, Ran: ran}
 }
