entry: admission.short_reserve has its effect again

Cause: admission dropped its field for a while, and the entry its line; with the field back, the settings key was read by nobody. Ruled out: dropping the key. Change: the line is back; the key's explanation says what admission does now.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -182,6 +182,7 @@
 	e.tracker = router.NewTracker(routerConfig(d, e.self.DataCentre), routerUpstreams(d), nil)
 	a := admission.DefaultConfig()
 	a.MaxQueued = d.Admission.MaxQueued
+	a.ShortReserve = d.Admission.ShortReserve
 	a.RetryBudget = d.Admission.RetryBudget
 	e.admission = admission.New(a, nil)
 	e.drains = newPeerDrains(e.orders, e.journal.CaughtUp())
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -135,7 +135,8 @@
 	MaxQueued int `json:"max_queued" validate:"gt=0"`
 	// MaxBodyBytes is the largest request taken.
 	MaxBodyBytes int `json:"max_body_bytes" validate:"gt=0"`
-	// ShortReserve is the share of engine time kept for short requests.
+	// ShortReserve is the share of the engines kept free of long requests that
+	// have not started.
 	ShortReserve float64 `json:"short_reserve" validate:"gte=0,lt=1"`
 	// RetryBudget is the share of requests that may be retried.
 	RetryBudget float64 `json:"retry_budget" validate:"gte=0,lte=1"`
