quarantine: tests; an operator's release outlives stale checkpoints

Cause: a checkpoint that a slow process appended after an operator's release would have brought the quarantine back, and for a process that started after the log's trim the release would not have existed. Ruled out: giving checkpoints the writer's read position alone; a late reader that never saw the release can't compare with it. Tests tell the story of a poisonous request among ten innocents at each place, the fold in a table, checkpoints across a trim, the log down, random interleavings.

--- a/quarantine/checkpoint.go
+++ b/quarantine/checkpoint.go
@@ -28,6 +28,21 @@
 		id := fmt.Sprintf("quarantine/%s/%d.%d/%d", x.digest, x.basis.Offset, x.basis.Index, x.written.UnixNano())
 		out = append(out, entryOf(id, g.writer, message{Checkpoint: x.checkpoint()}))
 	}
+	return append(out, g.state.releasesDue(retention, g.writer)...)
+}
+
+// releasesDue repeats the releases that the log is about to forget.
+func (s *State) releasesDue(retention time.Duration, writer string) []journal.Entry {
+	var out []journal.Entry
+	for d, r := range s.released {
+		if s.logNow.Sub(r.written) < retention/2 || len(out) == maxCheckpoints {
+			continue
+		}
+		again := r.release
+		again.Basis, again.At = r.position, r.at
+		id := fmt.Sprintf("quarantine/release/%s/%d", d, r.written.UnixNano())
+		out = append(out, entryOf(id, writer, message{Release: &again}))
+	}
 	return out
 }
 
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -64,6 +64,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.state.Apply(p)
+	for _, d := range g.state.touched {
+		// The journal has the report now, and what follows it.
+		delete(g.own, d)
+	}
 }
 
 // Check returns a digest's verdict, and an *Error if it is quarantined.
--- a/quarantine/isolation.go
+++ b/quarantine/isolation.go
@@ -30,7 +30,7 @@
 		i.g.acquit(i.digest)
 	}
 	e := entryOf(uuid.NewString(), i.g.writer, message{Cleared: &cleared{i.digest, i.upstream, passed}})
-	if _, err := i.g.w.Append(ctx, e); err != nil && passed {
+	if _, err := i.g.w.Append(ctx, e); err != nil {
 		i.g.keep(e)
 	}
 }
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -48,6 +48,10 @@
 	Digest   Digest `msgpack:"d"`
 	Operator string `msgpack:"o"`
 	Reason   string `msgpack:"r"`
+	// Basis is zero in an operator's release. In a repeat of one, before the
+	// log forgets it, it is the release's own position and At its time.
+	Basis journal.Position `msgpack:"b"`
+	At    time.Time        `msgpack:"t"`
 }
 
 // checkpoint repeats what is known of a digest before the log forgets it.
@@ -58,7 +62,8 @@
 	// Quarantined is when it was quarantined, zero if it is a suspect.
 	Quarantined time.Time `msgpack:"q"`
 	// Basis is the position of the last entry that the writer had folded for
-	// the digest: a checkpoint never wins over something newer.
+	// the digest: a checkpoint never wins over something newer, a release
+	// among it.
 	Basis journal.Position `msgpack:"b"`
 }
 
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,350 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tamarackchute/journal"
+	"tamarackchute/platform"
+)
+
+var testStart = time.Unix(1_700_000_000, 0)
+
+// fakeLog is a log that several guards fold at once, each entry ID once.
+type fakeLog struct {
+	at      time.Time
+	entries []journal.Placed
+	seen    map[string]bool
+	guards  []*Guard
+	down    bool
+}
+
+var errDown = errors.New("log is down")
+
+func newFakeLog(instances int) *fakeLog {
+	l := &fakeLog{at: testStart, seen: map[string]bool{}}
+	for i := range instances {
+		l.guards = append(l.guards, l.guard(fmt.Sprintf("i%d", i)))
+	}
+	return l
+}
+
+func (l *fakeLog) guard(name string) *Guard {
+	return NewGuard(DefaultConfig(), l, name, func() time.Time { return l.at })
+}
+
+// Append implements journal.Writer.
+func (l *fakeLog) Append(_ context.Context, e journal.Entry) (journal.Position, error) {
+	if l.down {
+		return journal.Position{}, errDown
+	}
+	l.at = l.at.Add(5 * time.Millisecond)
+	p := journal.Placed{Position: journal.Position{Offset: platform.Offset(len(l.entries) + 1)}, At: l.at, ReadAt: l.at, Entry: e}
+	l.entries = append(l.entries, p)
+	if l.seen[e.ID] {
+		return p.Position, nil
+	}
+	l.seen[e.ID] = true
+	for _, g := range l.guards {
+		g.Apply(p)
+	}
+	return p.Position, nil
+}
+
+// late makes a guard that reads the log from an offset, as if what was before
+// had been trimmed.
+func (l *fakeLog) late(from int) *Guard {
+	g := l.guard("late")
+	for _, p := range l.entries[from:] {
+		g.Apply(p)
+	}
+	return g
+}
+
+func digest(i int) Digest { return DigestOf("m", "/v1/completions", fmt.Appendf(nil, "request %d", i)) }
+
+func standing(g *Guard, d Digest) Standing {
+	v, _ := g.Check(d)
+	return v.Standing
+}
+
+var background = context.Background()
+
+// One poisonous request and ten others run on engine a, sent by three
+// instances. The engine dies. All are tried again, each on an engine where no
+// other suspect runs; the poisonous one kills a second engine. Its caller then
+// sends it again to every instance. Nobody else may be refused, and no third
+// engine may die.
+func TestPoisonAmongInnocents(t *testing.T) {
+	for poison := range 11 {
+		l := newFakeLog(3)
+		inFlight := make([][]Digest, 3)
+		for i := range 11 {
+			inFlight[i%3] = append(inFlight[i%3], digest(i))
+		}
+		for i, g := range l.guards {
+			require.NoError(t, g.Crashed(background, "a", "", inFlight[i]))
+		}
+		dead := map[string]bool{"a": true}
+		running := map[int]*Isolation{} // engine of three, to the run there
+		engines := []string{"b", "c", "d"}
+		waiting := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
+		for len(waiting) > 0 {
+			started := map[int]int{}
+			var left []int
+			for _, i := range waiting {
+				if !startSomewhere(l.guards[i%3], engines, dead, digest(i), func(e int, iso *Isolation) {
+					running[e], started[e] = iso, i
+				}) {
+					left = append(left, i)
+				}
+			}
+			waiting = left
+			for e, i := range started {
+				if i != poison {
+					running[e].End(background, true)
+					continue
+				}
+				dead[engines[e]] = true
+				require.NoError(t, l.guards[i%3].Crashed(background, engines[e], "", []Digest{digest(i)}))
+				running[e].End(background, false)
+			}
+		}
+		require.Len(t, dead, 2, "the poisonous request killed two engines")
+		for i := range 11 {
+			for _, g := range append(l.guards, l.late(0)) {
+				want := Clean
+				if i == poison {
+					want = Quarantined
+				}
+				require.Equal(t, want, standing(g, digest(i)), "request %d", i)
+			}
+		}
+		_, err := l.guards[2].Check(digest(poison))
+		var refused *Error
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, "a", refused.Verdict.Upstreams[0])
+		require.Positive(t, refused.RetryAfter)
+	}
+}
+
+func startSomewhere(g *Guard, engines []string, dead map[string]bool, d Digest, started func(int, *Isolation)) bool {
+	for e, name := range engines {
+		if dead[name] || !g.MayRunOn(name, d) {
+			continue
+		}
+		iso, err := g.Isolate(background, name, d)
+		if errors.Is(err, ErrHeld) {
+			continue
+		}
+		started(e, iso)
+		return true
+	}
+	return false
+}
+
+func TestFold(t *testing.T) {
+	d := digest(1)
+	crash := func(g *Guard, upstream, incarnation string) {
+		if err := g.Crashed(background, upstream, incarnation, []Digest{d}); err != nil {
+			panic(err)
+		}
+	}
+	cases := []struct {
+		name string
+		do   func(l *fakeLog)
+		want Standing
+	}{
+		{"one crash", func(l *fakeLog) { crash(l.guards[0], "a", "1") }, Suspected},
+		{"one crash told by all", func(l *fakeLog) {
+			for _, g := range l.guards {
+				crash(g, "a", "")
+			}
+		}, Suspected},
+		{"two upstreams", func(l *fakeLog) { crash(l.guards[0], "a", "1"); crash(l.guards[1], "b", "1") }, Quarantined},
+		{"one upstream twice", func(l *fakeLog) { crash(l.guards[0], "a", "1"); crash(l.guards[0], "a", "2") }, Suspected},
+		{"one upstream three times", func(l *fakeLog) {
+			for _, n := range []string{"1", "2", "3"} {
+				crash(l.guards[0], "a", n)
+			}
+		}, Quarantined},
+		{"answered between the crashes", func(l *fakeLog) {
+			crash(l.guards[0], "a", "1")
+			iso, err := l.guards[1].Isolate(background, "b", d)
+			if err != nil {
+				panic(err)
+			}
+			iso.End(background, true)
+			crash(l.guards[1], "c", "1")
+		}, Suspected},
+		{"answered lately, so that it isn't the cause", func(l *fakeLog) {
+			l.guards[0].Answered(d)
+			crash(l.guards[0], "a", "1")
+			crash(l.guards[0], "b", "1")
+		}, Clean},
+		{"but three crashes are too many", func(l *fakeLog) {
+			l.guards[0].Answered(d)
+			for _, u := range []string{"a", "b", "c"} {
+				crash(l.guards[0], u, "1")
+			}
+		}, Quarantined},
+		{"suspicion runs out", func(l *fakeLog) { crash(l.guards[0], "a", "1"); l.at = l.at.Add(11 * time.Minute) }, Clean},
+		{"quarantine runs out", func(l *fakeLog) {
+			crash(l.guards[0], "a", "1")
+			crash(l.guards[0], "b", "1")
+			l.at = l.at.Add(61 * time.Minute)
+		}, Clean},
+		{"released", func(l *fakeLog) {
+			crash(l.guards[0], "a", "1")
+			crash(l.guards[0], "b", "1")
+			if err := l.guards[1].Release(background, Release{Digest: d, Operator: "ann"}); err != nil {
+				panic(err)
+			}
+		}, Clean},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newFakeLog(3)
+			c.do(l)
+			for _, g := range append(l.guards, l.late(0)) {
+				require.Equal(t, c.want, standing(g, d))
+			}
+		})
+	}
+}
+
+// The log trims its old records. An instance that starts later must still
+// refuse what is quarantined, for as long as the others do and no longer, and
+// a repeat of old news must not undo an operator's release.
+func TestCheckpointsOutliveTheLog(t *testing.T) {
+	l := newFakeLog(2)
+	bad, freed := digest(1), digest(2)
+	for _, u := range []string{"a", "b"} {
+		require.NoError(t, l.guards[0].Crashed(background, u, "1", []Digest{bad, freed}))
+	}
+	l.at = l.at.Add(20 * time.Minute)
+	stale := l.guards[1].due(0) // about to be appended by a slow process
+	require.NoError(t, l.guards[0].Release(background, Release{Digest: freed}))
+	l.guards[1].appendAll(background, stale)
+	trimmed := len(l.entries) - len(stale)
+
+	l.at = l.at.Add(10 * time.Minute)
+	_, _ = l.Append(background, journal.Entry{Kind: journal.KindAudit, ID: "time goes on"})
+	for _, g := range l.guards {
+		g.appendAll(background, g.due(10*time.Minute))
+	}
+	late := l.late(trimmed)
+	for _, g := range append(l.guards, late) {
+		require.Equal(t, Quarantined, standing(g, bad))
+		require.Equal(t, Clean, standing(g, freed))
+	}
+	l.at = l.at.Add(31 * time.Minute)
+	require.Equal(t, Clean, standing(late, bad), "a repeat doesn't prolong it")
+}
+
+// The log is down as an engine dies. The suspicion must hold here at once, two
+// suspects of ours must not share an engine, and the log learns of it later.
+func TestLogIsDown(t *testing.T) {
+	l := newFakeLog(2)
+	l.down = true
+	g := l.guards[0]
+	require.Error(t, g.Crashed(background, "a", "1", []Digest{digest(1), digest(2)}))
+	require.Equal(t, Suspected, standing(g, digest(1)))
+	iso, err := g.Isolate(background, "b", digest(1))
+	require.NoError(t, err)
+	require.False(t, g.MayRunOn("b", digest(2)))
+	_, err = g.Isolate(background, "b", digest(2))
+	require.ErrorIs(t, err, ErrHeld)
+	require.True(t, g.MayRunOn("b", digest(9)), "others may run there")
+	iso.End(background, false)
+	for range 2 * maxPending {
+		_ = g.Crashed(background, "x", "1", []Digest{digest(3)})
+	}
+	require.Len(t, g.pending, maxPending)
+	l.down = false
+	g.flush(background)
+	require.Empty(t, g.pending)
+	require.Equal(t, Suspected, standing(l.guards[1], digest(3)))
+}
+
+// Two instances ask for the same engine for two suspects at the same moment.
+func TestOneSuspectAtATime(t *testing.T) {
+	l := newFakeLog(2)
+	require.NoError(t, l.guards[0].Crashed(background, "a", "1", []Digest{digest(1), digest(2)}))
+	iso, err := l.guards[0].Isolate(background, "b", digest(1))
+	require.NoError(t, err)
+	_, err = l.guards[1].Isolate(background, "b", digest(2))
+	require.ErrorIs(t, err, ErrHeld)
+	_, err = l.guards[1].Isolate(background, "c", digest(1))
+	require.ErrorIs(t, err, ErrHeld, "the same suspect on two engines could kill both")
+	iso.End(background, true)
+	_, err = l.guards[1].Isolate(background, "b", digest(2))
+	require.NoError(t, err)
+	l.at = l.at.Add(2 * time.Minute)
+	require.NoError(t, l.guards[0].Crashed(background, "x", "1", []Digest{digest(3)}))
+	require.True(t, l.guards[0].MayRunOn("b", digest(3)), "a run that nobody ended runs out")
+}
+
+// All processes that have folded the same entries refuse the same requests,
+// and the state stays bounded whatever is reported.
+func TestFoldIsAlikeAndBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.MaxDigests = 5
+		l := newFakeLog(2)
+		for _, g := range l.guards {
+			g.state = NewState(cfg)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			l.at = l.at.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "wait")) * time.Second)
+			g := l.guards[rapid.IntRange(0, 1).Draw(t, "who")]
+			d := digest(rapid.IntRange(0, 8).Draw(t, "digest"))
+			u := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "upstream")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				_ = g.Crashed(background, u, "", []Digest{d})
+			case 2:
+				if iso, err := g.Isolate(background, u, d); err == nil {
+					iso.End(background, rapid.Bool().Draw(t, "passed"))
+				}
+			case 3:
+				_ = g.Release(background, Release{Digest: d})
+			default:
+				g.appendAll(background, g.due(10*time.Minute))
+			}
+			require.LessOrEqual(t, len(g.state.suspects), cfg.MaxDigests)
+			for i := range 9 {
+				require.Equal(t, l.guards[0].state.Verdict(digest(i), l.at), l.guards[1].state.Verdict(digest(i), l.at))
+			}
+		}
+	})
+}
+
+func TestDigest(t *testing.T) {
+	d := DigestOf("m", "/p", []byte("body"))
+	require.NotEqual(t, d, DigestOf("m/", "p", []byte("body")))
+	require.NotEqual(t, d, DigestOf("m", "/pb", []byte("ody")))
+	back, err := ParseDigest(d.String())
+	require.NoError(t, err)
+	require.Equal(t, d, back)
+	_, err = ParseDigest("short")
+	require.Error(t, err)
+}
+
+func BenchmarkCheck(b *testing.B) {
+	l := newFakeLog(1)
+	for i := range 1000 {
+		_ = l.guards[0].Crashed(background, "a", "1", []Digest{digest(i)})
+	}
+	body := make([]byte, 8<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = l.guards[0].Check(DigestOf("m", "/v1/completions", body))
+	}
+}
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -61,24 +61,38 @@
 	since  time.Time
 }
 
+// released is an operator's release. It is remembered as long as a quarantine
+// lasts, or a checkpoint that a lagging process writes after it would bring
+// the quarantine back.
+type released struct {
+	release  Release
+	position journal.Position
+	at       time.Time
+	written  time.Time
+}
+
 // State is the folded quarantine. It isn't safe for use by many goroutines;
 // Guard is.
 type State struct {
 	cfg      Config
 	suspects map[Digest]*suspect
 	holds    map[string]hold
-	logNow   time.Time
-	readAt   time.Time
+	released map[Digest]released
+	// touched are the digests that the last crash report named.
+	touched []Digest
+	logNow  time.Time
+	readAt  time.Time
 }
 
 // NewState makes an empty state.
 func NewState(cfg Config) *State {
-	return &State{cfg: cfg, suspects: map[Digest]*suspect{}, holds: map[string]hold{}}
+	return &State{cfg: cfg, suspects: map[Digest]*suspect{}, holds: map[string]hold{}, released: map[Digest]released{}}
 }
 
 // Apply folds an entry. Bodies that can't be read are skipped, alike at every
 // process.
 func (s *State) Apply(p journal.Placed) {
+	s.touched = s.touched[:0]
 	if p.At.After(s.logNow) {
 		s.logNow = p.At
 		s.readAt = p.ReadAt
@@ -99,13 +113,14 @@
 	case m.Cleared != nil:
 		s.applyCleared(m.Cleared, p)
 	case m.Release != nil:
-		delete(s.suspects, m.Release.Digest)
+		s.applyRelease(m.Release, p)
 	case m.Checkpoint != nil:
 		s.applyCheckpoint(m.Checkpoint, p)
 	}
 }
 
 func (s *State) applyCrash(c *Crash, p journal.Placed) {
+	s.touched = append(append(s.touched, c.Suspects...), c.Doubtful...)
 	for _, d := range c.Suspects {
 		s.strike(d, c, p, true)
 	}
@@ -185,13 +200,27 @@
 	x.written = p.At
 }
 
+func (s *State) applyRelease(r *Release, p journal.Placed) {
+	mark := released{*r, r.Basis, r.At, p.At}
+	if r.Basis.IsZero() {
+		mark.position, mark.at = p.Position, p.At
+	}
+	if mark.position.Less(s.released[r.Digest].position) {
+		return
+	}
+	s.released[r.Digest] = mark
+	if x := s.suspects[r.Digest]; x != nil && x.basis.Less(mark.position) {
+		delete(s.suspects, r.Digest)
+	}
+}
+
 // applyCheckpoint restores what a process that began to read later can't know.
 func (s *State) applyCheckpoint(c *checkpoint, p journal.Placed) {
 	x := s.suspects[c.Digest]
 	if x != nil && c.Basis.Less(x.basis) {
 		return
 	}
-	if len(c.Crashes) == 0 {
+	if len(c.Crashes) == 0 || c.Basis.Less(s.released[c.Digest].position) {
 		return
 	}
 	fresh := &suspect{
@@ -225,6 +254,11 @@
 			delete(s.suspects, d)
 		}
 	}
+	for d, r := range s.released {
+		if s.logNow.Sub(r.at) >= s.cfg.QuarantineFor {
+			delete(s.released, d)
+		}
+	}
 	for u, h := range s.holds {
 		if s.logNow.Sub(h.since) >= s.cfg.IsolateFor {
 			delete(s.holds, u)
