quarantine: two tests bite that did not

Cause: with the check of a held upstream taken out of the fold, and with a release forgotten, the tests still passed: the first was covered by the local look before it, the second by the repeat of the release. Change: a race of isolations in the log, and a look right after a stale checkpoint.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -232,6 +232,8 @@
 	stale := l.guards[1].due(0) // about to be appended by a slow process
 	require.NoError(t, l.guards[0].Release(background, Release{Digest: freed}))
 	l.guards[1].appendAll(background, stale)
+	require.Equal(t, Clean, standing(l.guards[0], freed))
+	require.Equal(t, Quarantined, standing(l.guards[0], bad))
 	trimmed := len(l.entries) - len(stale)
 
 	l.at = l.at.Add(10 * time.Minute)
@@ -273,7 +275,24 @@
 	require.Equal(t, Suspected, standing(l.guards[1], digest(3)))
 }
 
-// Two instances ask for the same engine for two suspects at the same moment.
+// Two instances ask at the same moment, before either has read the other's
+// entry: for one engine for two suspects, then for two engines for one suspect.
+// The log's order decides, and both see the same.
+func TestRaceForIsolation(t *testing.T) {
+	l := newFakeLog(2)
+	for i, c := range []struct {
+		d        Digest
+		upstream string
+		wins     bool
+	}{{digest(1), "b", true}, {digest(2), "b", false}, {digest(1), "c", false}, {digest(2), "c", true}} {
+		_, _ = l.Append(background, entryOf(fmt.Sprint(i), "w", message{Isolate: &isolate{c.d, c.upstream}}))
+		for _, g := range l.guards {
+			require.Equal(t, c.wins, g.heldBy(c.upstream, c.d))
+		}
+	}
+}
+
+// Two suspects and one engine; then one suspect and two engines.
 func TestOneSuspectAtATime(t *testing.T) {
 	l := newFakeLog(2)
 	require.NoError(t, l.guards[0].Crashed(background, "a", "1", []Digest{digest(1), digest(2)}))
