admission: a meter for queues that drain in lumps; trials aren't charged twice

Cause: with one long request served each ten seconds the meter forgot its last serve before the next came, took the queue to have stopped, and refused waiting requests that would have made it (7 of 10 where 6 at most are hopeless). A recovering upstream's failure rate kept trials away from it beside its hold. Ruled out: a larger margin before a waiting request is thrown out, which makes the hopeless wait longer too. Change: the meter forgets by what is served; the time since the last serve counts once it is longer than usual. Tests of hopeless waiting, of a caller that never has two requests waiting, of late comers.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -178,6 +178,38 @@
 	})
 }
 
+// An engine turns slow after requests were taken in: one goes each ten seconds,
+// not each second. The last in the queue have half a minute left, yet it is
+// clear that they won't make it. Told now, their callers can go elsewhere.
+func TestHopelessIsToldBeforeTheLastMoment(t *testing.T) {
+	c, clock := newTest(nil)
+	c.SetCapacity("p", "m", oneEngine)
+	var waiting []*Pending
+	for range 10 {
+		waiting = append(waiting, submit(t, c, longRequest("a", time.Minute, clock.at)))
+	}
+	refused := 0
+	var running *Grant
+	for s := range 30 {
+		clock.at = clock.at.Add(time.Second)
+		for _, p := range waiting {
+			g, ok, err := p.Poll()
+			if err != nil {
+				require.Equal(t, ReasonDeadline, refusal(t, err).Reason)
+				refused++
+			} else if ok {
+				running = g
+			}
+		}
+		if s%10 == 9 {
+			running.FirstToken()
+		}
+		c.Sweep()
+	}
+	require.GreaterOrEqual(t, refused, 2)
+	require.LessOrEqual(t, refused, 6, "six can still make it")
+}
+
 // One organisation floods. The others' shares must not shrink with its queue,
 // and while they are silent it gets everything.
 func TestFairShares(t *testing.T) {
@@ -197,6 +229,19 @@
 	for _, org := range []string{"flood", "big", "small"} {
 		require.InDelta(t, 64.0/3, served[org], 2, "%v", served)
 	}
+	for range 60 {
+		q.pop()
+	}
+	for range 10 {
+		q.push(&item{org: "late", cost: 1})
+	}
+	late := 0
+	for range 10 {
+		if q.pop().org == "late" {
+			late++
+		}
+	}
+	require.InDelta(t, 5, late, 1, "who comes late has nothing to catch up on")
 	for q.len > 0 {
 		q.pop()
 	}
@@ -204,6 +249,24 @@
 	require.Equal(t, "flood", q.pop().org, "work-conserving")
 }
 
+// An organisation sends its next request only once the last one has gone, so
+// that it never has two waiting. It must not pass a queue at every turn.
+func TestOneAtATimeIsNoWayAround(t *testing.T) {
+	q := newFairQueue(100)
+	for range 40 {
+		q.push(&item{org: "queue", cost: 1})
+	}
+	q.push(&item{org: "single", cost: 1})
+	single := 0
+	for range 20 {
+		if q.pop().org == "single" {
+			single++
+			q.push(&item{org: "single", cost: 1})
+		}
+	}
+	require.InDelta(t, 10, single, 1)
+}
+
 // Whatever is pushed, popped and removed, in any order: nothing is lost or
 // served twice, higher priority goes first, and the sums come out.
 func TestFairQueueHoldsTogether(t *testing.T) {
--- a/admission/meter.go
+++ b/admission/meter.go
@@ -8,12 +8,17 @@
 // meterSpan is the time over which a meter forgets.
 const meterSpan = 4 * time.Second
 
-// meter measures how fast a queue drains: cost served over the time in which
-// something waited, both forgotten exponentially. Time without a queue says
-// nothing about capacity and isn't counted.
+// meter measures how fast a queue drains: the cost served over the time in
+// which something waited, both forgotten alike. Time without a queue says
+// nothing about capacity and isn't counted. The time since the last serve
+// counts once it is longer than usual, so that a queue that goes in lumps
+// doesn't seem to have stopped between two of them, and one that has stopped
+// does.
 type meter struct {
 	served float64
-	busy   float64 // seconds
+	busy   float64 // seconds, up to the last serve
+	serves float64
+	open   float64 // seconds since the last serve
 	last   time.Time
 }
 
@@ -24,34 +29,34 @@
 	}
 	m.served = rate
 	m.busy = 1
+	m.serves = 1
 }
 
 // tick moves time on. waiting says whether something has waited since the
 // last tick.
 func (m *meter) tick(now time.Time, waiting bool) {
-	if m.last.IsZero() {
-		m.last = now
-		return
+	if waiting && !m.last.IsZero() {
+		m.open += max(0, now.Sub(m.last).Seconds())
 	}
-	dt := now.Sub(m.last).Seconds()
 	m.last = now
-	if !waiting || dt <= 0 {
-		return
-	}
-	keep := math.Exp(-dt / meterSpan.Seconds())
-	m.served *= keep
-	m.busy = m.busy*keep + dt
 }
 
 // serve counts something taken from the queue.
-func (m *meter) serve(cost float64) { m.served += cost }
+func (m *meter) serve(cost float64) {
+	keep := math.Exp(-m.open / meterSpan.Seconds())
+	m.served = m.served*keep + cost
+	m.busy = m.busy*keep + m.open
+	m.serves = m.serves*keep + 1
+	m.open = 0
+}
 
 // rate is the cost served a second; 0 if nothing is known.
 func (m *meter) rate() float64 {
 	if m.busy <= 0 {
 		return 0
 	}
-	return m.served / m.busy
+	usual := m.busy / m.serves
+	return m.served / (m.busy + max(0, m.open-usual))
 }
 
 // wait is the time to serve a cost.
--- a/router/score.go
+++ b/router/score.go
@@ -70,6 +70,9 @@
 type failureScorer struct{}
 
 func (failureScorer) Cost(c *Candidate, _ *Request) time.Duration {
+	if c.Trial {
+		return 0 // it has been kept out for that already
+	}
 	f := min(c.node.live.failureRate.load(), maxFailureRate)
 	return time.Duration(float64(c.Estimate.Complete) * f / (1 - f))
 }
--- a/router/tracker_test.go
+++ b/router/tracker_test.go
@@ -120,8 +120,9 @@
 	}
 	clock.advance(2 * time.Second)
 	trials := 0
+	rnd := testRand()
 	for range 20 {
-		plan, err := tr.Pick(testRequest)
+		plan, err := Pick(tr.Snapshot(), testRequest, clock.now(), rnd)
 		require.NoError(t, err)
 		if plan.Engine == "a" {
 			trials++
