--- a/cmd/chute-controller/handover_bench_test.go
+++ b/cmd/chute-controller/handover_bench_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/controller"
 	"tamarackchute/internal/settings"
 	"tamarackchute/lease"
 )
@@ -49,6 +52,47 @@
 	}
 }
 
+// BenchmarkAtRest counts the appends a second of a whole deployment's
+// controllers while nothing happens.
+func BenchmarkAtRest(b *testing.B) {
+	for _, name := range []string{"kalku-rinda", "regnbrunnur"} {
+		b.Run(name, func(b *testing.B) {
+			d := moved(b, "../../deploy/"+name+"/settings.json")
+			c := startWith(b, d, d)
+			for _, u := range d.Upstreams {
+				if u.Kind == settings.KindEngine {
+					c.leader(controller.ScopeOf(u), 0)
+				}
+			}
+			time.Sleep(5 * time.Second) // the records of the beginning
+			const interval = 20 * time.Second
+			before := c.log.Counters().Appends
+			time.Sleep(interval)
+			b.ReportMetric(float64(c.log.Counters().Appends-before)/interval.Seconds(), "appends/s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// moved loads a deployment and gives it free addresses.
+func moved(b *testing.B, file string) *settings.Deployment {
+	d, err := settings.Load(file)
+	require.NoError(b, err)
+	free := &ports{t: b}
+	defer free.free()
+	for i := range d.Instances {
+		in := &d.Instances[i]
+		in.Callers, in.Operators, in.Peers = free.next(), free.next(), free.next()
+		in.ControllerOperators, in.ControllerPeers = free.next(), free.next()
+	}
+	for i := range d.Upstreams {
+		d.Upstreams[i].Address = free.next()
+	}
+	d.Platform.Log, d.Platform.Instances, d.Platform.Weights = free.next(), free.next(), free.next()
+	d.Security.PeerSecretFile = "peer.secret"
+	return d
+}
+
 // handOver takes the leader away and returns how long nobody could lead.
 func (c *cluster) handOver(before lease.ScopeState, s syscall.Signal, again, unlist bool) time.Duration {
 	begun := time.Now()
--- a/cmd/chute-controller/harness_test.go
+++ b/cmd/chute-controller/harness_test.go
@@ -39,6 +39,7 @@
 	file     string
 	binary   string
 	list     *standin.List
+	log      *standin.Log
 	engines  map[string]*standin.Engine
 	running  map[string]*exec.Cmd
 	journal  *journal.Journal
@@ -154,6 +155,8 @@
 			c.engines[part.Name()] = part
 		case *standin.List:
 			c.list = part
+		case *standin.Log:
+			c.log = part
 		}
 	}
 	c.background(set.Serve)
@@ -191,7 +194,7 @@
 		for _, from := range c.d.Instances {
 			for _, to := range c.d.Instances {
 				c.statuses.Send(to.ControllerPeers, wire.EntryStatus{
-					Instance: from.Name, DataCentre: "a", Incarnation: 1, Seq: seq,
+					Instance: from.Name, DataCentre: from.DataCentre, Incarnation: 1, Seq: seq,
 					Applied: applied, Demand: demand, At: time.Now(),
 				})
 			}
