make prove and make bench

Cause: the proving program and the benchmarks had no target. Change: two targets; prove's number and seed are settable.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Commands for developers; .ci/run calls `make test` and `make lint`.
-PROGRAMS := chute-entry chute-controller chutectl chute-standin chute-load
+PROGRAMS := chute-entry chute-controller chutectl chute-standin chute-load chute-prove
 
 .PHONY: build test lint try bench prove experiment capacity
 
@@ -22,3 +22,13 @@
 
 experiment:
 	scripts/experiment.sh
+
+PROVE_INTERLEAVINGS ?= 20000
+PROVE_SEED ?= 1
+prove:
+	go run ./cmd/chute-prove -interleavings $(PROVE_INTERLEAVINGS) -seed $(PROVE_SEED)
+
+# Benchmarks: packages first, then the entry's added latency by real processes.
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+	internal/entry/entrybench/run.sh
