--- /dev/null
+++ b/orders/example_test.go
@@ -0,0 +1,34 @@
+package orders_test
+
+import (
+	"fmt"
+
+	"tamarackchute/journal"
+	"tamarackchute/lease"
+	"tamarackchute/orders"
+	"tamarackchute/upstream"
+)
+
+// An entry follows which engines take work: not one that is being drained.
+func ExampleView() {
+	leases := lease.NewView()
+	view := orders.NewView(leases)
+	claim := lease.Record{Op: lease.OpClaim, Scope: "a/fenced", Holder: "i1", Ground: lease.GroundFirst}
+	leases.Apply(journal.Placed{
+		Position: journal.Position{Offset: 1},
+		Entry:    journal.Entry{Kind: journal.KindLease, Body: claim.Encode()},
+	})
+	plan := orders.Record{Engine: "e1", Scope: "a/fenced", Fence: 1, Change: &orders.Change{
+		ID: "c1", Engine: "e1", Scope: "a/fenced", Fence: 1, Phase: orders.PhaseDraining,
+		Kind: upstream.OrderRole, Target: orders.Settings{Role: upstream.RoleDecode},
+	}}
+	fmt.Println(view.Snapshot().Engine("e1").TakesWork())
+	view.Apply(journal.Placed{
+		Position: journal.Position{Offset: 2},
+		Entry:    journal.Entry{Kind: journal.KindOrder, Body: plan.Encode()},
+	})
+	fmt.Println(view.Snapshot().Engine("e1").TakesWork(), view.Snapshot().Engine("e1").Change.Phase)
+	// Output:
+	// true
+	// false draining
+}
