rolepolicy: a change costs twice the loss, and lasts at first twice its own time

Change: costUnit 0.5 to 1; the time of a change begins at twice change_s, as the drain takes about as long as the change in the logs (0.3 to 1.3 s at scale 10).

--- a/rolepolicy/gain.go
+++ b/rolepolicy/gain.go
@@ -35,6 +35,9 @@
 	// patience is how many change times a leader waits for another data
 	// centre's leader to make the change that is its turn.
 	patience = 3
+	// drainPrior is how many times its own length a change is taken to last,
+	// drain included, until changes have been seen.
+	drainPrior = 2
 	// persistence is the goodput that must have been missed before a change,
 	// in changes' costs: it keeps out what only one noisy value asks for.
 	persistence = 0.1
@@ -53,7 +56,7 @@
 		c:       c,
 		learner: newLearner(),
 		history: map[string]*history{},
-		changes: newDurations(c.Change),
+		changes: newDurations(drainPrior * c.Change),
 		chosen:  map[string]time.Time{},
 	}
 }
--- a/rolepolicy/optimise.go
+++ b/rolepolicy/optimise.go
@@ -26,7 +26,7 @@
 // loses, at weight 1: this many times the work that one engine would have done
 // meanwhile. It covers what the model doesn't see: streams that move, a cold
 // prefix cache, a picture that was wrong.
-const costUnit = 0.5
+const costUnit = 1.0
 
 // best tries every split of the pool and returns the one whose gain exceeds
 // its cost by most; moves is 0 if none does.
