rolepolicy: the forecast counts the picture's age; the fluid test is deterministic

Change: leaders are asked in the order of their names; the forecast reaches ahead by the age of the picture too.

--- a/rolepolicy/demand.go
+++ b/rolepolicy/demand.go
@@ -9,6 +9,8 @@
 type total struct {
 	Rates
 	requests float64
+	// age is how old the oldest part is, in seconds.
+	age float64
 }
 
 // sum adds up what the entries saw of a pool's models. Values older than
@@ -29,6 +31,7 @@
 			continue
 		}
 		recent[d.Entry] = true
+		t.age = max(t.age, now.Sub(d.At).Seconds())
 		t.Prefill += d.PromptPerSec
 		t.Decode += d.OutputPerSec
 		t.requests += d.RequestsPerSec
@@ -92,6 +95,7 @@
 	h.strayP += slow * (stray(v.Prefill, h.level.Prefill) - h.strayP)
 	h.strayD += slow * (stray(v.Decode, h.level.Decode) - h.strayD)
 	before := h.level
+	h.level.age = v.age
 	h.level.Prefill += a * (v.Prefill - h.level.Prefill)
 	h.level.Decode += a * (v.Decode - h.level.Decode)
 	h.level.requests += a * (v.requests - h.level.requests)
@@ -112,9 +116,10 @@
 	return h.last.Sub(h.first).Seconds() >= warmUp*max(tau, 2*h.interval)
 }
 
-// forecast is the demand expected some seconds ahead.
+// forecast is the demand expected some seconds ahead of now.
 func (h *history) forecast(ahead float64) total {
 	f := h.level
+	ahead += f.age
 	f.Prefill = followed(f.Prefill, ahead*h.trend.Prefill)
 	f.Decode = followed(f.Decode, ahead*h.trend.Decode)
 	return f
--- a/rolepolicy/fluid_test.go
+++ b/rolepolicy/fluid_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tamarackchute/upstream"
@@ -69,8 +71,8 @@
 			o.offered += ph.requests
 			o.served += ph.requests * f.share(ph)
 			f.step(ph, now)
-			for dc, p := range policies {
-				o.changes += f.apply(dc, p, now)
+			for _, dc := range slices.Sorted(maps.Keys(policies)) {
+				o.changes += f.apply(dc, policies[dc], now)
 			}
 		}
 	}
