router, admission: decisions no longer hang on seconds of their own

Cause: with a time scale of 10 (engines ten times as fast, deadlines a tenth) reports of half a second are as stale as 5 s, the windows moved ten times too seldom, and leaving a data centre cost as much as an answer. Ruled out: a scale in the settings, which a deployment with faster engines would have to guess. Change: a report's trust falls with a share of the time of an answer; a window's period ends after 3 samples; it begins at two requests like the first for each engine; the meter also forgets by serves; leaving the data centre costs 2 ms and 5 % of the time; a handoff is taken to be fast until seen.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -249,7 +249,7 @@
 }
 
 // sweepPeriod is how often waiting requests are judged anew.
-const sweepPeriod = 100 * time.Millisecond
+const sweepPeriod = 25 * time.Millisecond
 
 // Serve refuses waiting requests as soon as it is clear that they won't make
 // their deadlines, until ctx ends.
--- a/admission/meter.go
+++ b/admission/meter.go
@@ -8,6 +8,9 @@
 // meterSpan is the time over which a meter forgets.
 const meterSpan = 4 * time.Second
 
+// meterKeep is what a serve leaves of those before it at most.
+const meterKeep = 0.98
+
 // meter measures how fast a queue drains: the cost served over the time in
 // which something waited, both forgotten alike. Time without a queue says
 // nothing about capacity and isn't counted. The time since the last serve
@@ -43,7 +46,7 @@
 
 // serve counts something taken from the queue.
 func (m *meter) serve(cost float64) {
-	keep := math.Exp(-m.open / meterSpan.Seconds())
+	keep := min(meterKeep, math.Exp(-m.open/meterSpan.Seconds()))
 	m.served = m.served*keep + cost
 	m.busy = m.busy*keep + m.open
 	m.serves = m.serves*keep + 1
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -82,9 +82,6 @@
 	return float64(prompt) + p.outputCost*float64(output)
 }
 
-// waiting counts the requests in the queue.
-func (p *pool) waiting() int { return p.lanes[0].queue.len + p.lanes[1].queue.len }
-
 // tick moves the meters on; called before each change of the queues.
 func (p *pool) tick(now time.Time) {
 	for i := range p.lanes {
@@ -202,12 +199,14 @@
 func (p *pool) started(w *waiter, now time.Time) {
 	if p.leave(w) {
 		p.press(w, now.Sub(w.granted)-w.req.Estimate.own())
+		p.steer(now)
 	}
 }
 
 // completed marks a request's whole answer.
 func (p *pool) completed(w *waiter, now time.Time) {
 	p.press(w, now.Sub(w.granted)-w.req.Estimate.ownComplete())
+	p.steer(now)
 }
 
 func (p *pool) press(w *waiter, delay time.Duration) {
@@ -228,7 +227,8 @@
 // requests first holds long ones back; only when that has gone as far as it
 // can are short ones held back too.
 func (p *pool) steer(now time.Time) {
-	if now.Sub(p.since) < windowPeriod {
+	samples := p.lanes[0].pressure.samples + p.lanes[1].pressure.samples
+	if now.Sub(p.since) < windowPeriod && samples < windowSamples {
 		return
 	}
 	p.since = now
--- a/admission/window.go
+++ b/admission/window.go
@@ -4,11 +4,13 @@
 
 // The bounds and steps of the windows.
 const (
-	windowPeriod = 250 * time.Millisecond
-	windowGrow   = 1.08
-	windowShrink = 0.85
+	// A period ends after some samples, or after windowPeriod without.
+	windowPeriod  = 250 * time.Millisecond
+	windowSamples = 3
+	windowGrow    = 1.08
+	windowShrink  = 0.85
 	// windowLeast lets an entry always have something on its way.
-	windowLeast = 20 * time.Millisecond
+	windowLeast = 10 * time.Millisecond
 	// windowMost is the work on its way for each engine that an entry never
 	// goes beyond.
 	windowMost = 20 * time.Second
@@ -27,25 +29,28 @@
 type window struct {
 	limit    time.Duration
 	most     time.Duration
+	part     float64       // engines for each entry
 	sent     time.Duration // work on its way
 	requests int           // requests on their way
 	full     bool          // a request was held back in this period
 }
 
-// resize sets the bounds by the number of engines. The first time it also sets
-// the limit, to this entry's part of a start that keeps the engines busy.
+// resize sets the bounds by the number of engines, and this entry's part of
+// them, with which the window begins.
 func (w *window) resize(c Capacity) {
-	engines := time.Duration(max(1, c.Engines))
-	if w.most == 0 {
-		w.limit = max(windowLeast, engines*time.Second/time.Duration(max(1, c.Entries)))
-	}
-	w.most = windowMost * engines
+	engines := max(1, c.Engines)
+	w.most = windowMost * time.Duration(engines)
+	w.part = float64(engines) / float64(max(1, c.Entries))
 	w.limit = min(w.limit, w.most)
 }
 
 // fits reports whether work may be sent. A window that is empty takes any, or
 // else a request larger than it would never go.
 func (w *window) fits(work time.Duration) bool {
+	if w.limit == 0 {
+		// Two requests like the first for each engine.
+		w.limit = max(windowLeast, time.Duration(2*w.part*float64(work)))
+	}
 	if w.requests == 0 || w.sent+work <= w.limit {
 		return true
 	}
@@ -121,4 +126,4 @@
 
 // minSlack keeps a request that was granted at the last moment from counting
 // without bounds.
-const minSlack = 100 * time.Millisecond
+const minSlack = 10 * time.Millisecond
--- a/router/candidate.go
+++ b/router/candidate.go
@@ -49,7 +49,7 @@
 	if !u.ReportAt.IsZero() {
 		c.ReportAge = max(0, now.Sub(u.ReportAt))
 	}
-	c.Work = n.workNow(u, c.ReportAge, s.cfg.StaleAfter)
+	c.Work = n.workNow(&s.cfg, u, c.ReportAge)
 	if u.Kind == platform.KindEngine {
 		c.model = modelOf(&s.cfg, u, &n.live)
 		c.needTokens = r.PromptTokens + r.OutputTokens
--- a/router/config.go
+++ b/router/config.go
@@ -8,15 +8,20 @@
 	DataCentre string
 	// Links gives the one-way latency between data centres, both ways alike.
 	Links []Link
-	// StaleAfter is the age at which a report's word on other processes' work
+	// StaleAfter bounds the age at which a report's word on other processes' work
 	// counts for a quarter.
 	StaleAfter time.Duration
+	// StaleShare sets that age as a share of the time of an answer; 0 leaves
+	// the bound alone.
+	StaleShare float64
 	// Spread widens the band of nearly equal upstreams, as a share of the least
 	// cost and of the reports' age.
 	Spread, SpreadByAge float64
 	// CrossCost is what leaving the own data centre costs beside the latency:
 	// an upstream elsewhere must be better by at least this much.
 	CrossCost time.Duration
+	// CrossShare is added to it, as a share of the request's expected time.
+	CrossShare float64
 	// HandoffBytesPerSecond is the rate of KV handoff within a data centre,
 	// CrossHandoffBytesPerSecond the rate between two.
 	HandoffBytesPerSecond      float64
@@ -89,11 +94,13 @@
 	return Config{
 		DataCentre:                 dataCentre,
 		StaleAfter:                 time.Second,
+		StaleShare:                 0.25,
 		Spread:                     0.05,
 		SpreadByAge:                0.02,
-		CrossCost:                  50 * time.Millisecond,
-		HandoffBytesPerSecond:      2e9,
-		CrossHandoffBytesPerSecond: 5e8,
+		CrossCost:                  2 * time.Millisecond,
+		CrossShare:                 0.05,
+		HandoffBytesPerSecond:      20e9,
+		CrossHandoffBytesPerSecond: 5e9,
 		KVBytesPerToken:            50_000,
 		SplitMinTokens:             128,
 		SplitGain:                  0.02,
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -318,7 +318,7 @@
 	second := f.now.Sub(f.now.Truncate(time.Second)) < tick
 	for _, e := range f.entries {
 		f.cancelLate(e)
-		if f.now.Sub(f.now.Truncate(100*time.Millisecond)) < tick {
+		if f.now.Sub(f.now.Truncate(25*time.Millisecond)) < tick {
 			e.admission.Sweep()
 		}
 		f.poll(e)
--- a/router/learn.go
+++ b/router/learn.go
@@ -17,7 +17,7 @@
 	ratioBound = 3.0
 	// overhead is added to both sides of a comparison of times, so that a few
 	// milliseconds on a short prompt don't count as a slow engine.
-	overhead = 0.03
+	overhead = 0.005
 	// leastGaps is the number of gaps from which an answer's pace is learnt.
 	leastGaps = 8
 )
@@ -69,6 +69,9 @@
 		l.serviceTime.Store(usual + int64(learnStep*float64(int64(took)-usual)))
 		return
 	}
+	if p := b.node.peers.Load(); p != nil {
+		p.ended(now.Sub(k.began).Seconds())
+	}
 	l.meanOutput.store(l.meanOutput.load() + learnStep*(float64(k.produced)-l.meanOutput.load()))
 	if k.produced <= leastGaps || k.firstAt.IsZero() {
 		return
--- a/router/peers.go
+++ b/router/peers.go
@@ -15,7 +15,11 @@
 // that was long is shorter by now, one that was empty has been found by others.
 // So others' work is taken for a mean of the report and of the peers' average.
 // Without that, engines with a lucky report draw everybody.
-type peers struct{ requests, prompt, kv atomicFloat }
+type peers struct {
+	requests, prompt, kv atomicFloat
+	// answer is the mean time in seconds from an attempt's begin to its end.
+	answer atomicFloat
+}
 
 // peersKey names engines that are alike.
 type peersKey struct {
@@ -38,6 +42,15 @@
 // all come at once.
 func (p *peers) met(prompt float64) { mix(&p.prompt, prompt, metStep) }
 
+// ended takes the time of a whole answer.
+func (p *peers) ended(took float64) {
+	if p.answer.load() == 0 {
+		p.answer.store(took)
+		return
+	}
+	mix(&p.answer, took, metStep)
+}
+
 // metStep is the weight of one such request.
 const metStep = 0.1
 
@@ -46,6 +59,16 @@
 // others is work of other processes at an engine.
 type others struct{ requests, prompt, kv float64 }
 
+// staleAfter is the age at which a report counts for a quarter: a share of the
+// time of an answer, in which the prompts that it saw have been worked through.
+func (p *peers) staleAfter(cfg *Config) time.Duration {
+	share := seconds(cfg.StaleShare * p.answer.load())
+	if share <= 0 {
+		return cfg.StaleAfter
+	}
+	return min(share, cfg.StaleAfter)
+}
+
 // othersAt is what the report says of other processes: all less the own work
 // that was there at its time.
 func othersAt(u *Upstream, l *live) others {
@@ -61,7 +84,7 @@
 
 // workNow is the best guess at what is in flight at an engine: the own work,
 // which is known, and the others' by report and average.
-func (n *node) workNow(u *Upstream, age, staleAfter time.Duration) Work {
+func (n *node) workNow(cfg *Config, u *Upstream, age time.Duration) Work {
 	l := &n.live
 	own := Work{
 		Requests:     int(l.inFlight.Load()),
@@ -74,7 +97,7 @@
 	}
 	o := othersAt(u, l)
 	if p := n.peers.Load(); p != nil {
-		trust := trustIn(age, staleAfter)
+		trust := trustIn(age, p.staleAfter(cfg))
 		o.requests = blend(o.requests, p.requests.load(), trust)
 		o.prompt = blend(o.prompt, p.prompt.load(), trust)
 		o.kv = blend(o.kv, p.kv.load(), trust)
--- a/router/schedule.go
+++ b/router/schedule.go
@@ -45,7 +45,7 @@
 	}
 	s.Scorers = []Scorer{
 		timeScorer{}, occupancyScorer{cfg.OccupancyWeight},
-		crossScorer{cfg.CrossCost}, failureScorer{},
+		crossScorer{&s.cfg}, failureScorer{},
 	}
 	return s
 }
--- a/router/score.go
+++ b/router/score.go
@@ -56,13 +56,15 @@
 
 // crossScorer costs leaving the data centre beyond the latency, which
 // timeScorer counts: links between data centres are shared and may part.
-type crossScorer struct{ cost time.Duration }
+type crossScorer struct{ cfg *Config }
 
-func (s crossScorer) Cost(c *Candidate, _ *Request) time.Duration {
+func (s crossScorer) Cost(c *Candidate, _ *Request) time.Duration { return s.cfg.crossCost(c) }
+
+func (cfg *Config) crossCost(c *Candidate) time.Duration {
 	if c.Local {
 		return 0
 	}
-	return s.cost
+	return cfg.CrossCost + time.Duration(cfg.CrossShare*float64(c.Estimate.Complete))
 }
 
 // failureScorer costs the attempts that an upstream's failures would waste: at
--- a/router/split.go
+++ b/router/split.go
@@ -90,9 +90,7 @@
 	done := queue + c.model.prefillSeconds(float64(prompt), min(c.Work.Requests, c.model.batch)) + 2*c.Link.Seconds()
 	c.Estimate = Estimate{Queue: seconds(queue), FirstToken: seconds(done), Complete: seconds(done)}
 	c.Cost = urgent(c.Estimate.Complete, c.slack) + seconds(p.cfg.OccupancyWeight*c.occupancy(prompt, 0))
-	if !c.Local {
-		c.Cost += p.cfg.CrossCost
-	}
+	c.Cost += p.cfg.crossCost(c)
 }
 
 // decodeCandidates scores the engines that may take over from an engine for
@@ -122,7 +120,5 @@
 	c.Estimate = Estimate{pre.Estimate.Queue, seconds(first), seconds(complete)}
 	c.Cost = pre.Cost - urgent(pre.Estimate.Complete, c.slack) + urgent(c.Estimate.Complete, c.slack)
 	c.Cost += seconds(p.cfg.OccupancyWeight * c.occupancy(0, r.OutputTokens))
-	if !c.Local {
-		c.Cost += p.cfg.CrossCost
-	}
+	c.Cost += p.cfg.crossCost(c)
 }
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -59,7 +59,7 @@
 func (k *Ticket) look(now time.Time) {
 	b := k.engine
 	u := b.node.state.Load()
-	work := b.node.workNow(u, now.Sub(u.ReportAt), b.t.cfg.StaleAfter)
+	work := b.node.workNow(&b.t.cfg, u, now.Sub(u.ReportAt))
 	m := modelOf(&b.t.cfg, u, &b.node.live)
 	k.pace = m.prefillSeconds(1, min(work.Requests, m.batch))
 	k.ownAhead = float64(b.node.live.ownPrompt.Load())
--- a/router/tracker_test.go
+++ b/router/tracker_test.go
@@ -52,7 +52,7 @@
 	work := func() Work {
 		n := tr.Snapshot().byName["a"]
 		u := n.state.Load()
-		return n.workNow(u, 0, time.Second)
+		return n.workNow(&tr.cfg, u, 0)
 	}
 	require.Equal(t, Work{Requests: 1, PromptTokens: 1000, KVTokens: 1050, OutputTokens: 50}, work())
 	u, _ := tr.Snapshot().Upstream("a", clock.now())
