chute-load: an overload mix, and figures by phase

Cause: goodput at twice the load, and after it, doesn't show in one figure for the whole run. Ruled out: separate runs for each load, which can't show the way back. Change: the mix overload; goodput and short queries in time by phase, printed for that mix; make experiment runs it.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -169,6 +169,17 @@
 	}
 }
 
+func TestPhasesAreToldApart(t *testing.T) {
+	m := Mix{Classes: []Class{{Name: ClassShort}}, Phases: []Phase{
+		{Name: "a", Length: 2 * time.Second}, {Name: "b", Length: time.Second}}}
+	at := func(ms int, late bool) Result {
+		return Result{Arrival: Arrival{Class: ClassShort, At: time.Duration(ms) * time.Millisecond}, Outcome: Complete, Late: late}
+	}
+	got := phases(m, []Result{at(0, false), at(1999, true), at(2000, false)})
+	assert.Equal(t, []PhaseFigures{
+		{Name: "a", Asked: 1, Goodput: 0.5, ShortInTime: 0.5}, {Name: "b", Asked: 1, Goodput: 1, ShortInTime: 1}}, got)
+}
+
 func TestArrivalsRepeatWithTheSeed(t *testing.T) {
 	m := Preset{Model: testModel, Classes: classes("/bookings", time.Second, time.Second)}.TryMix(5 * time.Second)
 	a, b, other := m.Arrivals(1, 8), m.Arrivals(1, 8), m.Arrivals(2, 8)
--- a/internal/load/preset.go
+++ b/internal/load/preset.go
@@ -67,11 +67,14 @@
 	MixShift  = "shift"
 	MixSteady = "steady"
 	MixSpring = "spring"
-	MixTry    = "try"
+	// MixOverload asks for what the fleet can take, for twice that, and for
+	// the first again.
+	MixOverload = "overload"
+	MixTry      = "try"
 )
 
 // Mixes names the mixes that Mix knows.
-var Mixes = []string{MixShift, MixSteady, MixSpring}
+var Mixes = []string{MixShift, MixSteady, MixSpring, MixOverload}
 
 // Speed is what one engine does at full efficiency, in tokens a second.
 type Speed struct{ Prefill, Decode float64 }
@@ -87,6 +90,12 @@
 		m.Phases = []Phase{p.phase("steady", 20*time.Minute, engines, speed, 0.15, 0.2)}
 	case MixSpring:
 		m.Phases = p.spring(rng, engines, speed)
+	case MixOverload:
+		m.Phases = []Phase{
+			p.phase("full", 5*time.Minute, engines, speed, 0.25, 0.3),
+			p.phase("double", 10*time.Minute, engines, speed, 0.5, 0.6),
+			p.phase("after", 5*time.Minute, engines, speed, 0.25, 0.3),
+		}
 	default:
 		return Mix{}, eris.Errorf("unknown mix %q", name)
 	}
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -46,10 +46,55 @@
 	GoodputTokens float64 `json:"goodput_tokens"`
 	// ShortInTime is the share of short requests answered whole and in time.
 	ShortInTime float64 `json:"short_in_time"`
+	// Phases are the figures of each phase of the mix, by when requests were
+	// due; none if it has only one.
+	Phases []PhaseFigures `json:"phases,omitempty"`
 	// SentLateP99 is how late the load tool itself was.
 	SentLateP99 float64 `json:"sent_late_p99"`
 }
 
+// PhaseFigures are the figures of one phase of a mix.
+type PhaseFigures struct {
+	Name        string  `json:"name"`
+	Asked       float64 `json:"asked"` // model requests a second
+	Goodput     float64 `json:"goodput"`
+	ShortInTime float64 `json:"short_in_time"`
+}
+
+// phases works out the figures by phase.
+func phases(m Mix, results []Result) []PhaseFigures {
+	var out []PhaseFigures
+	start := time.Duration(0)
+	for _, p := range m.Phases {
+		f := PhaseFigures{Name: p.Name}
+		var shorts float64
+		for _, res := range results {
+			class, _ := m.Class(res.Class)
+			if class.Path != "" || res.At < start || res.At >= start+p.Length {
+				continue
+			}
+			f.Asked++
+			short := class.Name == ClassShort
+			if short {
+				shorts++
+			}
+			if !res.inTime() {
+				continue
+			}
+			f.Goodput++
+			if short {
+				f.ShortInTime++
+			}
+		}
+		f.Asked /= p.Length.Seconds()
+		f.Goodput /= p.Length.Seconds()
+		f.ShortInTime /= max(1, shorts)
+		out = append(out, f)
+		start += p.Length
+	}
+	return out
+}
+
 // Summarise works out the figures of a run. killed holds the callers'
 // addresses of instances that were killed on purpose.
 func (r *Recorder) Summarise(m Mix, length time.Duration, killed []string, counted Counted) Summary {
@@ -95,6 +140,9 @@
 	if shorts > 0 {
 		s.ShortInTime = float64(shortInTime) / float64(shorts)
 	}
+	if len(m.Phases) > 1 {
+		s.Phases = phases(m, r.results)
+	}
 	s.quantiles(all, first, sent, r.gaps)
 	return s
 }
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -129,10 +129,24 @@
 			printRow(tab, r)
 		}
 		fmt.Fprintln(tab)
+		if g.mix == MixOverload {
+			printPhases(tab, byGroup[g])
+		}
 	}
 	return eris.Wrap(tab.Flush(), "table")
 }
 
+// printPhases writes the figures of each phase of each policy's first trial.
+func printPhases(w io.Writer, rs []row) {
+	fmt.Fprintln(w, "policy\tphase\tasked/s\tgoodput/s\tshort in time\t")
+	for _, r := range rs {
+		for _, p := range r.trials[0].Summary.Phases {
+			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.3f\t\n", r.policy, p.Name, p.Asked, p.Goodput, p.ShortInTime)
+		}
+	}
+	fmt.Fprintln(w)
+}
+
 func printRow(w io.Writer, r row) {
 	least, most := r.spread(goodput)
 	of := func(f func(Summary) float64) float64 { return r.median(f) }
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -10,7 +10,7 @@
 #   OUT=out/experiment  SEEDS="1"  SCALE=10  PARALLEL=6
 #   DEPLOYMENTS="kalku-rinda regnbrunnur"  FAULTS="no yes"
 #   POLICIES="fixed-round-robin fixed-least-outstanding threshold hindsight-split known-mix gain"
-#   EXTRA=1   also the steady mix and the other deployment's change weight
+#   EXTRA=1   also the steady mix, an overload, and the other deployment's weight
 #
 # Needs go, make, bash and the usual core utilities.
 set -uo pipefail
@@ -103,6 +103,7 @@
   [ "$extra" = 1 ] || continue
   for deployment in $deployments; do
     runs+=("$deployment gain steady $seed no 0 gain")
+    runs+=("$deployment gain overload $seed no 0 gain")
   done
   # Regnbrunnur's fleet and mix under Kaļķu Rinda's weight.
   runs+=("regnbrunnur gain shift $seed no 1 gain-weight-1")
