--- a/internal/entry/openai/answer.go
+++ b/internal/entry/openai/answer.go
@@ -33,38 +33,51 @@
 
 // Answer is a whole answer to a completion or a chat request.
 type Answer struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   Usage    `json:"usage"`
-}
-
-type choice struct {
-	Index        int      `json:"index"`
-	Text         *string  `json:"text,omitempty"`
-	Message      *chatMsg `json:"message,omitempty"`
-	FinishReason string   `json:"finish_reason"`
+	Kind      Kind
+	ID, Model string
+	// Created is in Unix seconds.
+	Created      int64
+	Text, Finish string
+	Usage        Usage
+}
+
+// AppendAnswer appends a whole answer.
+func AppendAnswer(dst []byte, a Answer) []byte {
+	object, before, after := "text_completion", `"text":`, ""
+	if a.Kind == Chat {
+		object, before, after = "chat.completion", `"message":{"role":"assistant","content":`, "}"
+	}
+	dst = appendHead(dst, a.ID, object, a.Created, a.Model)
+	dst = append(dst, `{"index":0,`...)
+	dst = append(dst, before...)
+	dst = AppendString(dst, a.Text)
+	dst = append(dst, after...)
+	dst = append(dst, `,"finish_reason":`...)
+	dst = AppendString(dst, a.Finish)
+	dst = append(dst, `}],"usage":`...)
+	dst = appendUsage(dst, a.Usage)
+	return append(dst, '}')
 }
 
-type chatMsg struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+// appendHead appends what answers and chunks begin with, up to their choices.
+func appendHead(dst []byte, id, object string, created int64, model string) []byte {
+	dst = append(dst, `{"id":`...)
+	dst = AppendString(dst, id)
+	dst = append(dst, `,"object":"`...)
+	dst = append(dst, object...)
+	dst = append(dst, `","created":`...)
+	dst = strconv.AppendInt(dst, created, 10)
+	dst = append(dst, `,"model":`...)
+	dst = AppendString(dst, model)
+	return append(dst, `,"choices":[`...)
 }
 
-// NewAnswer puts a whole answer into its form. Created is in Unix seconds.
-func NewAnswer(kind Kind, id, model string, created int64, text, finish string, usage Usage) Answer {
-	a := Answer{ID: id, Object: "text_completion", Created: created, Model: model, Usage: usage}
-	c := choice{FinishReason: finish}
-	if kind == Chat {
-		a.Object = "chat.completion"
-		c.Message = &chatMsg{Role: "assistant", Content: text}
-	} else {
-		c.Text = &text
+func appendUsage(dst []byte, u Usage) []byte {
+	text, err := json.Marshal(u)
+	if err != nil {
+		panic(err) // a struct of numbers always has a JSON form
 	}
-	a.Choices = []choice{c}
-	return a
+	return append(dst, text...)
 }
 
 // Chunks writes the streamed chunks of one answer. The parts that all chunks
@@ -82,9 +95,8 @@
 		object = "chat.completion.chunk"
 		before, after = `{"index":0,"delta":{"content":`, `},"finish_reason":`
 	}
-	head := `{"id":` + quoted(id) + `,"object":"` + object + `","created":` +
-		strconv.FormatInt(created, 10) + `,"model":` + quoted(model) + `,"choices":[`
-	return &Chunks{head: head, before: before, after: after}
+	head := appendHead(nil, id, object, created, model)
+	return &Chunks{head: string(head), before: before, after: after}
 }
 
 // AppendToken appends the chunk of one token; finish is "" but for the last.
@@ -105,11 +117,7 @@
 func (c *Chunks) AppendUsage(dst []byte, u Usage) []byte {
 	dst = append(dst, c.head...)
 	dst = append(dst, `],"usage":`...)
-	text, err := json.Marshal(u)
-	if err != nil {
-		panic(err) // a struct of numbers always has a JSON form
-	}
-	dst = append(dst, text...)
+	dst = appendUsage(dst, u)
 	return append(dst, '}')
 }
 
--- a/internal/entry/openai/openai_test.go
+++ b/internal/entry/openai/openai_test.go
@@ -68,6 +68,7 @@
 		require.Equal(t, text, got.Choices[0].Delta.Content)
 		require.Equal(t, "stop", *got.Choices[0].FinishReason)
 	})
+	require.True(t, json.Valid(AppendAnswer(nil, Answer{Kind: Chat, ID: "i", Model: "\"", Text: "\n"})))
 	require.True(t, json.Valid(chunks.AppendUsage(nil, NewUsage(3, 1, 4))))
 	require.True(t, json.Valid(chunks.AppendToken(nil, "\xff\x00", "")))
 }
--- a/internal/entry/openai/request.go
+++ b/internal/entry/openai/request.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 )
@@ -52,13 +53,13 @@
 // Sampling settings (temperature, top_p, seed) are left to the engine and read
 // by nobody here.
 type body struct {
-	Model               string          `json:"model"`
-	Adapter             string          `json:"adapter"`
-	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []message       `json:"messages"`
-	MaxTokens           *int            `json:"max_tokens"`
-	MaxCompletionTokens *int            `json:"max_completion_tokens"`
-	Stream              bool            `json:"stream"`
+	Model               string    `json:"model"`
+	Adapter             string    `json:"adapter"`
+	Prompt              *string   `json:"prompt"`
+	Messages            []message `json:"messages"`
+	MaxTokens           *int      `json:"max_tokens"`
+	MaxCompletionTokens *int      `json:"max_completion_tokens"`
+	Stream              bool      `json:"stream"`
 	StreamOptions       struct {
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
@@ -90,7 +91,7 @@
 func ParseRequest(kind Kind, data []byte) (Request, error) {
 	var b body
 	if err := json.Unmarshal(data, &b); err != nil {
-		return Request{}, requestErrorf("the body is no JSON request: %v", err)
+		return Request{}, decodeError(err)
 	}
 	if b.Model == "" {
 		return Request{}, requestErrorf("the member model is missing")
@@ -161,11 +162,20 @@
 	if kind == Chat {
 		return b.chatPrompt()
 	}
-	var prompt string
-	if err := json.Unmarshal(b.Prompt, &prompt); err != nil {
-		return "", requestErrorf("the member prompt must be one string")
+	if b.Prompt == nil {
+		return "", errPrompt
 	}
-	return prompt, nil
+	return *b.Prompt, nil
+}
+
+var errPrompt = requestErrorf("the member prompt must be one string")
+
+func decodeError(err error) error {
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) && mismatch.Field == "prompt" {
+		return errPrompt
+	}
+	return requestErrorf("the body is no JSON request: %v", err)
 }
 
 // chatPrompt lays the messages out as one text, a line a message, and leaves
