--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -57,10 +57,7 @@
 		if ctx.Err() != nil {
 			return upstream.ServiceResponse{}, c.contextFailure(ctx)
 		}
-		response, err, f := c.attempt(ctx)
-		if f != nil {
-			return upstream.ServiceResponse{}, f
-		}
+		response, err := c.attempt(ctx)
 		if err == nil {
 			return response, nil
 		}
@@ -79,21 +76,21 @@
 	ran      outcome.Ran
 }
 
-// attempt sends the request once. The failure is final; the error isn't.
-func (c *call) attempt(ctx context.Context) (upstream.ServiceResponse, error, *outcome.Failure) {
+// attempt sends the request once. It returns a *router.NoUpstreamError, with
+// nothing sent, if there is nobody to send it to.
+func (c *call) attempt(ctx context.Context) (upstream.ServiceResponse, error) {
 	route := c.work.Route
 	route.Exclude = c.tried
 	plan, err := c.runner.Books.Pick(route)
 	if err != nil {
-		f := c.fail(http.StatusServiceUnavailable, outcome.CodeNoUpstream, err, "no service can take the request now")
-		return upstream.ServiceResponse{}, nil, f.After(retryNoService)
+		return upstream.ServiceResponse{}, err
 	}
 	c.attempts++
 	c.tried = append(c.tried, plan.Engine)
 	ticket := c.runner.Books.Begin(plan, route)
 	response, err := c.send(ctx, plan.Engine)
 	ticket.End(routerOutcome(ctx, response, err))
-	return response, err, nil
+	return response, err
 }
 
 func (c *call) send(ctx context.Context, name string) (upstream.ServiceResponse, error) {
@@ -109,6 +106,11 @@
 // failed returns the final failure of a broken attempt, or nil if another may
 // be made.
 func (c *call) failed(ctx context.Context, err error) *outcome.Failure {
+	var lack *router.NoUpstreamError
+	if errors.As(err, &lack) {
+		return c.fail(http.StatusServiceUnavailable, outcome.CodeNoUpstream, err,
+			"no service can take the request now").After(retryNoService)
+	}
 	unsent := errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrRefused)
 	if !unsent {
 		c.ran = outcome.MayHaveRun
