rolepolicy: entries long gone don't make the picture stale; gain.go parted

Cause: a leader keeps the last picture of entries that were replaced. Once they outnumbered those that report, the policy would have refused to act for good. Ruled out: a shorter bound for what counts as fresh. Change: an entry silent for six times max_picture_age_s is left out; a test with its story, which failed before. The choice of the engine is a file of its own.

--- /dev/null
+++ b/rolepolicy/choose.go
@@ -0,0 +1,108 @@
+package rolepolicy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tamarackchute/upstream"
+)
+
+// patience is how many change times a leader waits for another data centre's
+// leader to make the change that is its turn.
+const patience = 3
+
+// choose names the engines for the plan's first steps and keeps those of this
+// data centre.
+func (g *Gain) choose(sit situation, found plan, engines []Engine, centre string, now time.Time, room int) []Decision {
+	var out []Decision
+	taken := map[string]bool{}
+	perCentre := busyPerCentre(engines)
+	counts := sit.now
+	for len(out) < room {
+		give, take, ok := sit.step(counts, found.target)
+		if !ok {
+			break
+		}
+		e, ok := g.candidate(engines, roleNames[give], centre, taken, perCentre, now)
+		if !ok {
+			break
+		}
+		taken[e.Name] = true
+		perCentre[e.DataCentre]++
+		counts[give]--
+		counts[take]++
+		if e.DataCentre != centre {
+			continue
+		}
+		out = append(out, Decision{
+			Engine: e.Name, From: e.Role, To: roleNames[take],
+			Reason: g.reason(sit, found),
+			Gain:   found.gain / float64(found.moves),
+			Cost:   found.cost / float64(found.moves),
+		})
+	}
+	g.forgetChosen(taken)
+	return out
+}
+
+func busyPerCentre(engines []Engine) map[string]int {
+	busy := map[string]int{}
+	for _, e := range engines {
+		if e.Changing {
+			busy[e.DataCentre]++
+		}
+	}
+	return busy
+}
+
+// candidate picks the engine whose turn it is: from the data centre with the
+// fewest changes going on, then the one that changed longest ago, then by
+// name. It passes over engines whose own leader has let its turn go by.
+func (g *Gain) candidate(engines []Engine, role upstream.Role, centre string,
+	taken map[string]bool, busy map[string]int, now time.Time) (Engine, bool) {
+	var free []Engine
+	for _, e := range engines {
+		if e.Role == role && !taken[e.Name] && g.free(e, now) && busy[e.DataCentre] < g.c.MaxAtOnce {
+			free = append(free, e)
+		}
+	}
+	slices.SortStableFunc(free, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(busy[a.DataCentre], busy[b.DataCentre]),
+			a.LastChange.Compare(b.LastChange), cmp.Compare(a.Name, b.Name))
+	})
+	for _, e := range free {
+		if e.DataCentre == centre || !g.overdue(e.Name, now) {
+			return e, true
+		}
+	}
+	return Engine{}, false
+}
+
+// free is whether the engine may change now.
+func (g *Gain) free(e Engine, now time.Time) bool {
+	return !e.Changing && e.InService &&
+		(e.LastChange.IsZero() || now.Sub(e.LastChange) >= g.c.Dwell)
+}
+
+// overdue is whether another data centre's engine has been the candidate for
+// so long that its leader evidently won't change it: that leader is cut off or
+// sees another picture.
+func (g *Gain) overdue(name string, now time.Time) bool {
+	since, ok := g.chosen[name]
+	if !ok {
+		g.chosen[name] = now
+		return false
+	}
+	return now.Sub(since) > patience*g.changes.mean
+}
+
+// forgetChosen drops the engines that are no candidates any more. One that was
+// passed over as overdue gets its turn again at the next decision.
+func (g *Gain) forgetChosen(taken map[string]bool) {
+	for name := range g.chosen {
+		if !taken[name] {
+			delete(g.chosen, name)
+		}
+	}
+}
--- a/rolepolicy/demand.go
+++ b/rolepolicy/demand.go
@@ -13,6 +13,11 @@
 	age float64
 }
 
+// goneAges is how many times the oldest age acted on an entry is silent until
+// it counts as gone. Else the entries that were replaced over the weeks would
+// one day outnumber those that report, and the picture never be fresh again.
+const goneAges = 6
+
 // sum adds up what the entries saw of a pool's models. Values older than
 // maxAge are left out; fresh is the share of the entries that are recent.
 func sum(p pool, demand []Demand, now time.Time, maxAge time.Duration) (t total, fresh float64) {
@@ -23,15 +28,16 @@
 	all := map[string]bool{}
 	recent := map[string]bool{}
 	for _, d := range demand {
-		if !serves[d.Model] {
+		age := now.Sub(d.At)
+		if !serves[d.Model] || (maxAge > 0 && age > goneAges*maxAge) {
 			continue
 		}
 		all[d.Entry] = true
-		if maxAge > 0 && now.Sub(d.At) > maxAge {
+		if maxAge > 0 && age > maxAge {
 			continue
 		}
 		recent[d.Entry] = true
-		t.age = max(t.age, now.Sub(d.At).Seconds())
+		t.age = max(t.age, age.Seconds())
 		t.Prefill += d.PromptPerSec
 		t.Decode += d.OutputPerSec
 		t.requests += d.RequestsPerSec
--- a/rolepolicy/gain.go
+++ b/rolepolicy/gain.go
@@ -1,9 +1,7 @@
 package rolepolicy
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
 	"tamarackchute/upstream"
@@ -32,9 +30,6 @@
 	// minFresh is the share of entries and of engines that must have
 	// reported for the picture to count.
 	minFresh = 0.5
-	// patience is how many change times a leader waits for another data
-	// centre's leader to make the change that is its turn.
-	patience = 3
 	// drainPrior is how many times its own length a change is taken to last,
 	// drain included, until changes have been seen.
 	drainPrior = 2
@@ -105,21 +100,21 @@
 	if !h.settled(g.c.Change.Seconds()) {
 		return nil
 	}
-	usable := g.usableEngines(p)
-	if float64(len(usable)) <= minFresh*float64(len(p.engines)) {
+	serving := g.servingEngines(p)
+	if float64(len(serving)) <= minFresh*float64(len(p.engines)) {
 		return nil
 	}
-	table, ok := g.learner.rates(usable)
+	table, ok := g.learner.rates(serving)
 	if !ok {
 		return nil
 	}
-	sit := g.situation(table, usable, h, now)
+	sit := g.situation(table, serving, h, now)
 	found := sit.best()
 	h.missed.add(found.rate, now)
 	if found.moves == 0 || room <= 0 || h.missed.sum < persistence*sit.unitCost() {
 		return nil
 	}
-	return g.choose(sit, found, usable, s.DataCentre, now, room)
+	return g.choose(sit, found, serving, s.DataCentre, now, room)
 }
 
 // reported is whether the engine's report is recent enough to rest on.
@@ -127,9 +122,9 @@
 	return g.c.MaxPictureAge <= 0 || e.ReportAge <= g.c.MaxPictureAge
 }
 
-// usableEngines are those that serve now or will after their change. An engine
+// servingEngines are those that serve now or will after their change. An engine
 // without a recent report counts as lost.
-func (g *Gain) usableEngines(p pool) []Engine {
+func (g *Gain) servingEngines(p pool) []Engine {
 	var out []Engine
 	for _, e := range p.engines {
 		if e.Changing || (e.InService && g.reported(e)) {
@@ -197,101 +192,6 @@
 	return max(1, len(centres)*g.c.MaxAtOnce)
 }
 
-// choose names the engines for the plan's first steps and keeps those of this
-// data centre.
-func (g *Gain) choose(sit situation, found plan, engines []Engine, centre string, now time.Time, room int) []Decision {
-	var out []Decision
-	taken := map[string]bool{}
-	perCentre := busyPerCentre(engines)
-	counts := sit.now
-	for len(out) < room {
-		give, take, ok := sit.step(counts, found.target)
-		if !ok {
-			break
-		}
-		e, ok := g.candidate(engines, roleNames[give], centre, taken, perCentre, now)
-		if !ok {
-			break
-		}
-		taken[e.Name] = true
-		perCentre[e.DataCentre]++
-		counts[give]--
-		counts[take]++
-		if e.DataCentre != centre {
-			continue
-		}
-		out = append(out, Decision{
-			Engine: e.Name, From: e.Role, To: roleNames[take],
-			Reason: g.reason(sit, found),
-			Gain:   found.gain / float64(found.moves),
-			Cost:   found.cost / float64(found.moves),
-		})
-	}
-	g.forgetChosen(taken)
-	return out
-}
-
-func busyPerCentre(engines []Engine) map[string]int {
-	busy := map[string]int{}
-	for _, e := range engines {
-		if e.Changing {
-			busy[e.DataCentre]++
-		}
-	}
-	return busy
-}
-
-// candidate picks the engine whose turn it is: from the data centre with the
-// fewest changes going on, then the one that changed longest ago, then by
-// name. It passes over engines whose own leader has let its turn go by.
-func (g *Gain) candidate(engines []Engine, role upstream.Role, centre string,
-	taken map[string]bool, busy map[string]int, now time.Time) (Engine, bool) {
-	var free []Engine
-	for _, e := range engines {
-		if e.Role == role && !taken[e.Name] && g.free(e, now) && busy[e.DataCentre] < g.c.MaxAtOnce {
-			free = append(free, e)
-		}
-	}
-	slices.SortStableFunc(free, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(busy[a.DataCentre], busy[b.DataCentre]),
-			a.LastChange.Compare(b.LastChange), cmp.Compare(a.Name, b.Name))
-	})
-	for _, e := range free {
-		if e.DataCentre == centre || !g.overdue(e.Name, now) {
-			return e, true
-		}
-	}
-	return Engine{}, false
-}
-
-// free is whether the engine may change now.
-func (g *Gain) free(e Engine, now time.Time) bool {
-	return !e.Changing && e.InService &&
-		(e.LastChange.IsZero() || now.Sub(e.LastChange) >= g.c.Dwell)
-}
-
-// overdue is whether another data centre's engine has been the candidate for
-// so long that its leader evidently won't change it: that leader is cut off or
-// sees another picture.
-func (g *Gain) overdue(name string, now time.Time) bool {
-	since, ok := g.chosen[name]
-	if !ok {
-		g.chosen[name] = now
-		return false
-	}
-	return now.Sub(since) > patience*g.changes.mean
-}
-
-// forgetChosen drops the engines that are no candidates any more. One that was
-// passed over as overdue gets its turn again at the next decision.
-func (g *Gain) forgetChosen(taken map[string]bool) {
-	for name := range g.chosen {
-		if !taken[name] {
-			delete(g.chosen, name)
-		}
-	}
-}
-
 func (g *Gain) reason(sit situation, found plan) string {
 	d := sit.demands[0]
 	have := sit.table.capacity(sit.now)
--- a/rolepolicy/policy_test.go
+++ b/rolepolicy/policy_test.go
@@ -115,6 +115,16 @@
 	}
 }
 
+// Over the weeks more entries were replaced than serve now. The leader still
+// holds their last pictures; they must not make the picture look stale.
+func TestEntriesLongGoneDontBlock(t *testing.T) {
+	g, s, now := shortOfPrefill(t, "dc0")
+	for _, name := range []string{"old-1", "old-2"} {
+		s.Demand = append(s.Demand, Demand{Entry: name, Model: "m", At: now.Add(-time.Hour)})
+	}
+	assert.Len(t, g.Decide(s, now), 1)
+}
+
 // Three leaders see one shortage that one engine answers. If each leader
 // answered it alone, three engines would change at once.
 func TestOneShortageIsAnsweredOnce(t *testing.T) {
