router: an idle engine has nobody to take time from

The occupancy cost charged the first stream of an idle engine for its whole steps (1.5 x 333 tokens x 25 ms = 12 s), though it takes time from nobody, so a queue of ten at a full engine looked cheaper. Ruled out: late reports (the fleet's state was wrong for 10 s and more, reports are 1 s old); admission's windows (they let the work go); the role policy (roles stood still). Change: occupancy counts the streams that are there, each for the slope of a step. CrossShare goes from 0.05 to 0.2, as the test "local first" had rested on the former cost; the test is unchanged.

--- a/router/config.go
+++ b/router/config.go
@@ -98,7 +98,7 @@
 		Spread:                     0.05,
 		SpreadByAge:                0.02,
 		CrossCost:                  2 * time.Millisecond,
-		CrossShare:                 0.05,
+		CrossShare:                 0.2,
 		HandoffBytesPerSecond:      20e9,
 		CrossHandoffBytesPerSecond: 5e9,
 		KVBytesPerToken:            50_000,
--- a/router/engine.go
+++ b/router/engine.go
@@ -107,16 +107,11 @@
 
 // occupancy is the time in seconds that a request takes from others: each of
 // the streams waits while its prompt is worked through, and for what its own
-// tokens add to the steps. The first stream pays for whole steps, for without
-// it there would be none.
+// tokens add to the steps. An idle engine has nobody to take time from.
 func (c *Candidate) occupancy(prompt, output int) float64 {
 	m := &c.model
 	streams := float64(min(c.Work.Requests, m.batch))
-	added := m.slope()
-	if c.Work.Requests == 0 {
-		added = m.stepFirst
-	}
-	return (1 + streams) * (float64(prompt)/m.prefill + float64(output)*added)
+	return streams * (float64(prompt)/m.prefill + float64(output)*m.slope())
 }
 
 // longestEstimate bounds times, so that sums of costs can't overflow.
