entry: no new work for an engine that leaves while the prompt is elsewhere

A request whose prefill and decode are split is planned once, waits at the prefill engine for seconds when that has a queue, and then began at the decode engine, which had been marked as leaving meanwhile. The same holds for a suspect that waits for its turn. Ruled out: the list's reading (every 0.5 s, the router's filter drops the engine from then on); drains before orders, which count the request at both engines from the plan on. Change: before the request goes to the engine, the ticket is asked whether it has begun to leave; if so the plan is given up and made anew, without counting as an attempt. Measured: TestEngineLeavesDuringPrefillElsewhere fails without the check (the answer begins at e0) and passes with it.

--- a/internal/entry/answer/leave_test.go
+++ b/internal/entry/answer/leave_test.go
@@ -18,17 +18,24 @@
 // the answer is marked as leaving while the prompt is worked through elsewhere.
 type departure struct {
 	world
-	*router.Tracker
-	picks int
-	began []string
+	tracker *router.Tracker
+	picks   int
+	began   []string
 }
 
-func (d *departure) Pick(r router.Request) (router.Plan, error) {
+// departureBooks is the fleet's books.
+type departureBooks struct{ *departure }
+
+func (d departureBooks) Begin(p router.Plan, r router.Request) *router.Ticket {
+	return d.tracker.Begin(p, r)
+}
+
+func (d departureBooks) Pick(r router.Request) (router.Plan, error) {
 	d.picks++
 	if d.picks == 1 {
 		return router.Plan{Engine: "e0", Prefill: "e1"}, nil
 	}
-	return d.Tracker.Pick(r)
+	return d.tracker.Pick(r)
 }
 
 func (d *departure) Engine(name string) upstream.Engine {
@@ -41,7 +48,7 @@
 }
 
 func (e departureEngine) Prefill(context.Context, upstream.GenerateRequest) (upstream.KVHandle, error) {
-	e.fleet.SetList([]platform.Instance{{Name: "e0", Leaving: true}, {Name: "e1"}})
+	e.fleet.tracker.SetList([]platform.Instance{{Name: "e0", Leaving: true}, {Name: "e1"}})
 	return upstream.KVHandle{Engine: "e1"}, nil
 }
 
@@ -58,8 +65,8 @@
 func TestEngineLeavesDuringPrefillElsewhere(t *testing.T) {
 	d := &departure{}
 	runner := newRunner(&d.world, 2)
-	d.Tracker = runner.Books.(*router.Tracker)
-	runner.Books, runner.Engines = d, d
+	d.tracker = runner.Books.(*router.Tracker)
+	runner.Books, runner.Engines = departureBooks{d}, d
 	a := runner.Start(Work{
 		Request: openai.Request{Model: "m", MaxTokens: total},
 		Route:   router.Request{Pool: "p", Model: "m", OutputTokens: total},
--- a/internal/entry/answer/open.go
+++ b/internal/entry/answer/open.go
@@ -37,12 +37,28 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, errEngineLeaves) {
+			a.planAnew()
+			continue
+		}
 		if f := a.notTaken(ctx, err); f != nil {
 			return f
 		}
 	}
 }
 
+// errEngineLeaves says that the engine planned for the answer has begun to
+// leave before the request was sent to it.
+var errEngineLeaves = errors.New("the engine has begun to leave")
+
+// planAnew gives a plan up whose engine leaves. No attempt was made, so it
+// counts as none, whatever the rule's retry class.
+func (a *Answer) planAnew() {
+	a.attempts--
+	a.tried = append(a.tried, a.attempt.engine)
+	a.endAttempt(context.Canceled, true)
+}
+
 // engineLook is the time between two looks for an engine.
 const engineLook = 100 * time.Millisecond
 
@@ -141,6 +157,12 @@
 		request.KV = &handle
 		t.ticket.Prefilled()
 	}
+	// Waiting for the prompt elsewhere, or for a suspect's turn, takes seconds.
+	// An engine that has begun to leave meanwhile must not get new work: the
+	// platform could stop it, and with it the answer.
+	if t.ticket.EngineLeaves() {
+		return errEngineLeaves
+	}
 	engine := a.runner.Engines.Engine(plan.Engine)
 	if engine == nil {
 		return upstream.ErrNotSent
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -83,6 +83,12 @@
 	k.prefill = nil
 }
 
+// EngineLeaves reports whether the engine that should give the answer has
+// begun to leave since the attempt began.
+func (k *Ticket) EngineLeaves() bool {
+	return k.engine != nil && k.engine.node.state.Load().Leaving
+}
+
 // FirstToken says that the first token has come.
 func (k *Ticket) FirstToken() {
 	k.mu.Lock()
