claims: operators can accept a gap in the history

Cause: claim.Guard.AcceptGap was reachable by no program. After all processes were down for longer than the log's retention, or at the first start on a log in use, plain keys were refused with history_unknown for good.

Ruled out: accepting at every instance (one whose gap is wider would throw away what the first has run since); accepting by itself at a start (it can't tell a lost history from one that another instance still has).

Change: POST /v1/claims/accept-gap behind the operators' token, with a reason; an audit record with who and why goes first. 409 if the history is complete, 503 not accepted, 504 outcome unknown. GET /v1/status tells history_complete and keys. chutectl claims status and claims accept-gap; the latter asks all instances and refuses while one has the complete history, and while one doesn't answer unless -force is given. AcceptGap writes a checkpoint right behind, so that instances whose gap is wider don't wait for the next regular one.

Tests: TestAcceptedGapClosesWiderOnesAtOnce failed before the checkpoint was added (b incomplete); the others name a route and commands that weren't there. Golden files of help, usage and the JSON status changed by the additions only; the count of routes that need a token is 8 instead of 7.

Conclusion: the state has a way out that leaves a record.

--- a/claim/guard_test.go
+++ b/claim/guard_test.go
@@ -238,3 +238,31 @@
 		log.TrimBefore(time.Now().Add(-time.Hour))
 	}
 }
+
+// After a failure of all instances the log has let everything expire. Instance b
+// started a little later than a, so more was gone for it. The operator accepts
+// the gap at a; b must not refuse plain keys until the next regular checkpoint,
+// and must know what a has run since.
+func TestAcceptedGapClosesWiderOnesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, s := journaltest.NewLog(), &service{}
+		log.Put([]byte("expired"))
+		log.Put([]byte("expired"))
+		log.Trim(2)
+		a := start(t, log, "a", claim.Config{})
+		log.Trim(3)
+		b := start(t, log, "b", claim.Config{})
+		for _, in := range []*instance{a, b} {
+			require.Equal(t, claim.ReasonHistoryUnknown, in.do("k", s.book).(claim.NotRun).Reason)
+		}
+		require.NoError(t, a.AcceptGap(t.Context()))
+		synctest.Wait()
+		require.True(t, b.Stats().Complete)
+		require.False(t, a.do("k", s.book).(claim.Done).Replayed)
+		synctest.Wait()
+		require.True(t, b.do("k", s.book).(claim.Done).Replayed)
+		appends := log.Appends()
+		require.NoError(t, a.AcceptGap(t.Context()))
+		require.Equal(t, appends, log.Appends(), "nothing to accept any more")
+	})
+}
--- a/claim/serve.go
+++ b/claim/serve.go
@@ -85,10 +85,32 @@
 // read them, and no checkpoint tells what they said, as at the first start on
 // a log that is already in use. The operator accepts that calls with plain
 // keys from before are forgotten. It does nothing if the history is complete.
+//
+// No process may have the complete history then: it would still hold keys that
+// this one takes as free. A checkpoint follows at once, as the gap of a process
+// that started later is wider than the one accepted.
 func (g *Guard) AcceptGap(ctx context.Context) error {
 	var parts []journal.Entry
 	g.locked(func() { parts = g.core.AcceptGap() })
-	for _, e := range parts {
+	if len(parts) == 0 {
+		return nil
+	}
+	if err := g.appendAll(ctx, parts); err != nil {
+		return err
+	}
+	applied := g.journal.Applied()
+	parts = nil
+	g.locked(func() {
+		// Not if more has expired meanwhile: it would tell of too little.
+		if g.core.Ledger().Complete() {
+			parts = g.core.Checkpoint(applied)
+		}
+	})
+	return g.appendAll(ctx, parts)
+}
+
+func (g *Guard) appendAll(ctx context.Context, entries []journal.Entry) error {
+	for _, e := range entries {
 		if _, err := g.journal.Append(ctx, e); err != nil {
 			return eris.Wrap(err, "claim: accept gap")
 		}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -29,6 +29,7 @@
 	LeadershipEnded   Action = "leadership ended"
 	QuarantineEntered Action = "quarantine entered"
 	QuarantineEnded   Action = "quarantine released"
+	ClaimGapAccepted  Action = "claim gap accepted"
 )
 
 // Record is one change.
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -74,6 +74,22 @@
 		help:    "Each record tells when, why, and from which state to which.",
 		prepare: prepareAudit,
 	},
+	{
+		name:    "claims status",
+		summary: "shows whether each instance knows all protected calls",
+		help: "An instance without the complete history refuses plain keys that it doesn't know,\n" +
+			"until it has read a checkpoint by one that has it, or the gap is accepted.",
+		prepare: prepareClaimsStatus,
+	},
+	{
+		name:    "claims accept-gap",
+		summary: "takes calls from before a gap in the log as forgotten",
+		help: "For when no instance has the complete history any more: all were down for longer\n" +
+			"than the log keeps records, or the log was already in use at the first start. Calls\n" +
+			"with plain keys from before the gap may then run again. Refused while an instance\n" +
+			"has the complete history: its checkpoint closes the gap without loss.",
+		prepare: prepareAcceptGap,
+	},
 }
 
 // findCommand splits the words of a command from its arguments.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,5 +1,5 @@
-// Package ctl is chutectl, the operators' command line: rules, status and audit
-// trail over the operators' addresses of the deployment's instances.
+// Package ctl is chutectl, the operators' command line: rules, status, audit trail
+// and claims over the operators' addresses of the deployment's instances.
 package ctl
 
 import (
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -48,17 +48,21 @@
 	folder string
 	log    *journaltest.Log
 	// stops end each instance's HTTP server.
-	stops []func()
-	first *operatortest.Instance
+	stops         []func()
+	first, second *operatortest.Instance
 }
 
-func newBench(t *testing.T) *bench {
-	b := &bench{t: t, folder: t.TempDir(), log: journaltest.NewLog()}
+func newBench(t *testing.T) *bench { return newBenchOver(t, journaltest.NewLog()) }
+
+func newBenchOver(t *testing.T, log *journaltest.Log) *bench {
+	b := &bench{t: t, folder: t.TempDir(), log: log}
 	var addresses []any
 	for _, name := range []string{"c1", "c2"} {
 		i := operatortest.Start(b.log, name, slog.New(slog.DiscardHandler))
 		if b.first == nil {
 			b.first = i
+		} else {
+			b.second = i
 		}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
@@ -150,9 +154,10 @@
 	b.write("ben.json", editedByBen)
 	b.write("invalid.json", invalid)
 	b.write("bare.json", `{"rules": []}`)
-	b.golden("help", "-h", "rules publish -h", "rules move -h")
+	b.golden("help", "-h", "rules publish -h", "rules move -h", "claims accept-gap -h")
 	b.golden("usage", "", "rule get", "-o xml status", "rules publish", "rules publish bare.json", "rules move book",
-		"rules move book -first -last", "rules publish -base x anna.json", "-instance c9 status", "audit -x")
+		"rules move book -first -last", "rules publish -base x anna.json", "-instance c9 status", "audit -x",
+		"claims accept-gap")
 	b.golden("publish", "rules get", "rules validate invalid.json", "-o json rules validate -local invalid.json",
 		"rules validate anna.json", "rules publish invalid.json", "rules publish -note first anna.json",
 		"rules diff ben.json", "rules publish ben.json", "-o json rules publish ben.json", "rules get",
@@ -180,6 +185,30 @@
 	b.golden("down", "rules get", "rules publish anna.json", "status")
 }
 
+// The log was in use before the first start, so both instances refuse plain keys.
+// The operator accepts the gap, and once it is closed a second try is refused: a
+// complete history must not be thrown away. Nor may the gap be accepted while an
+// instance that may know more is out of reach.
+func TestClaimsSessions(t *testing.T) {
+	b := newBenchOver(t, gapped())
+	b.golden("claims", "claims status", "claims accept-gap -reason first-start")
+	for _, i := range []*operatortest.Instance{b.first, b.second} {
+		require.Eventually(t, func() bool { return i.Claims.Stats().Complete }, 5*time.Second, time.Millisecond)
+	}
+	b.golden("claims-accepted", "claims status", "-o json claims status", "audit -n 1", "claims accept-gap -reason again")
+	fresh := newBenchOver(t, gapped())
+	fresh.stops[0]()
+	fresh.golden("claims-down", "claims status", "claims accept-gap -reason x", "-o json claims accept-gap -reason x -force")
+}
+
+// gapped returns a log whose first record has expired.
+func gapped() *journaltest.Log {
+	log := journaltest.NewLog()
+	log.Put([]byte("expired"))
+	log.Trim(2)
+	return log
+}
+
 // The first rule set of each deployment must pass the check that publication
 // makes, or the trial script fails at its start.
 func TestSampleRulesAreValid(t *testing.T) {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -43,6 +43,7 @@
 		Trail:      e.trail,
 		Journal:    e.journal,
 		Quarantine: e.suspects,
+		Claims:     e.claims,
 		Status:     e.status,
 		Logger:     e.log,
 	})
@@ -64,6 +65,7 @@
 
 // status tells operators what this instance knows.
 func (e *Entry) status() api.Status {
+	claims := e.claims.Stats()
 	s := api.Status{
 		Instance:   e.self.Name,
 		DataCentre: e.self.DataCentre,
@@ -71,6 +73,7 @@
 		Leaving:    e.gateway.Leaving(),
 		LogUp:      e.journal.Health().LogUp,
 		Requests:   e.gateway.Active(),
+		Claims:     api.ClaimStatus{Complete: claims.Complete, Keys: claims.Keys},
 		Rules:      e.rules.Status(),
 		Upstreams:  e.upstreamStatus(),
 	}
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -18,6 +18,7 @@
 	PathAudit             = "/v1/audit"
 	PathStatus            = "/v1/status"
 	PathQuarantineRelease = "/v1/quarantine/release"
+	PathAcceptGap         = "/v1/claims/accept-gap"
 )
 
 // ParamCount is the query parameter that bounds the length of a list.
@@ -79,6 +80,13 @@
 	Reason string `json:"reason"`
 }
 
+// AcceptGapRequest is the body of POST PathAcceptGap. It is right only if no
+// instance has the complete history: one that has writes a checkpoint of it, and
+// until the others have read that they must not take its keys as free.
+type AcceptGapRequest struct {
+	Reason string `json:"reason"`
+}
+
 // Error is the reply with any other status.
 type Error struct {
 	Error string `json:"error"`
@@ -93,12 +101,22 @@
 	LogUp      bool   `json:"log_up"`
 	// Requests is the number in flight.
 	Requests  int              `json:"requests"`
+	Claims    ClaimStatus      `json:"claims"`
 	Rules     rules.Status     `json:"rules"`
 	Instances []InstanceStatus `json:"instances"`
 	Upstreams []UpstreamStatus `json:"upstreams"`
 	Leaders   []LeaderStatus   `json:"leaders"`
 }
 
+// ClaimStatus is what the instance knows of protected calls.
+type ClaimStatus struct {
+	// Complete is whether no claim can be missing; if not, plain keys that the
+	// instance doesn't know are refused with history_unknown.
+	Complete bool `json:"history_complete"`
+	// Keys is the number of keys and decided attempts known.
+	Keys int `json:"keys"`
+}
+
 // InstanceStatus is what the instance believes of an entry instance.
 type InstanceStatus struct {
 	Name       string `json:"name"`
--- /dev/null
+++ b/internal/operator/claims.go
@@ -0,0 +1,50 @@
+package operator
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tamarackchute/internal/audit"
+	"tamarackchute/internal/operator/api"
+	"tamarackchute/platform"
+)
+
+// historyTarget is the audit records' target for the history of claims.
+const historyTarget = "claims"
+
+// acceptGap takes the history of protected calls as complete although records
+// expired unread. The audit record goes first, as with a release.
+func (h *handler) acceptGap(c *fiber.Ctx) error {
+	var r api.AcceptGapRequest
+	if err := c.BodyParser(&r); err != nil {
+		return fail(c, fiber.StatusBadRequest, "the body has no reason: "+err.Error())
+	}
+	if r.Reason == "" {
+		return fail(c, fiber.StatusBadRequest, "accepting the gap needs a reason")
+	}
+	if h.Claims.Stats().Complete {
+		return fail(c, fiber.StatusConflict, "the history of claims is complete here; there is no gap to accept")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), h.WriteTimeout)
+	defer cancel()
+	record := audit.Record{
+		Who: operatorOf(c), What: audit.ClaimGapAccepted, Target: historyTarget, Reason: r.Reason,
+	}
+	if err := audit.Append(ctx, h.Journal, record); err != nil {
+		return h.gapNotAccepted(c, err)
+	}
+	if err := h.Claims.AcceptGap(ctx); err != nil {
+		return h.gapNotAccepted(c, err)
+	}
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+func (h *handler) gapNotAccepted(c *fiber.Ctx, err error) error {
+	h.Logger.Warn("gap in the claims not accepted", "operator", operatorOf(c), "err", err)
+	if errors.Is(err, platform.ErrNotWritten) {
+		return fail(c, fiber.StatusServiceUnavailable, "not accepted: the log didn't take it")
+	}
+	return fail(c, fiber.StatusGatewayTimeout, "the outcome is unknown: the log hasn't shown it; it may be sent again")
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,5 +1,5 @@
 // Package operator serves the operators' HTTP interface of an entry: rules,
-// status, audit trail and releases from quarantine. It belongs on the operators'
+// status, audit trail, releases from quarantine and the acceptance of lost claims. It belongs on the operators'
 // address only, never on that of callers.
 package operator
 
@@ -10,6 +10,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"tamarackchute/claim"
 	"tamarackchute/internal/audit"
 	"tamarackchute/internal/operator/api"
 	"tamarackchute/internal/settings"
@@ -30,6 +31,12 @@
 	Release(ctx context.Context, r quarantine.Release) error
 }
 
+// Claims is the history of protected calls; claim.Guard is one.
+type Claims interface {
+	AcceptGap(ctx context.Context) error
+	Stats() claim.Stats
+}
+
 // Deps is what the interface works with. All fields but the last two are needed.
 type Deps struct {
 	Operators []settings.Operator
@@ -40,6 +47,7 @@
 	// Journal takes audit records.
 	Journal    journal.Writer
 	Quarantine Releaser
+	Claims     Claims
 	// Status returns what the instance knows.
 	Status func() api.Status
 	Logger *slog.Logger
@@ -72,6 +80,7 @@
 	route(fiber.MethodGet, api.PathAudit, h.getAudit)
 	route(fiber.MethodGet, api.PathStatus, h.getStatus)
 	route(fiber.MethodPost, api.PathQuarantineRelease, h.release)
+	route(fiber.MethodPost, api.PathAcceptGap, h.acceptGap)
 }
 
 func fail(c *fiber.Ctx, status int, message string) error {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -98,7 +98,7 @@
 			require.NotContains(t, body, "secret")
 		}
 	}
-	require.Equal(t, 7, routes)
+	require.Equal(t, 8, routes)
 	call(t, i.App, "PUT", api.PathRules, operatortest.Token, api.PublishRequest{Document: oneRule})
 	call(t, i.App, "PUT", api.PathRules, operatortest.Token, api.PublishRequest{Document: faultyRule})
 	i.Stop()
@@ -106,3 +106,50 @@
 	require.NotContains(t, lines.String(), "secret")
 	require.NotContains(t, lines.String(), operatortest.Token)
 }
+
+// The log was in use before this system, so the history of protected calls has a
+// gap that no checkpoint closes, and plain keys are refused until somebody
+// accepts it. That act must be in the audit trail, with who and why.
+func TestAcceptedGapIsOnRecord(t *testing.T) {
+	log := journaltest.NewLog()
+	log.Put([]byte("expired"))
+	log.Trim(2)
+	i := operatortest.Start(log, "c1", slog.New(slog.DiscardHandler))
+	defer i.Stop()
+	for _, step := range []struct {
+		name, method, path string
+		body               any
+		status             int
+		want               string
+	}{
+		{"gap", "GET", api.PathStatus, nil, 200, `"claims":{"history_complete":false,"keys":0}`},
+		{"no reason", "POST", api.PathAcceptGap, api.AcceptGapRequest{}, 400, `needs a reason`},
+		{"no JSON", "POST", api.PathAcceptGap, 3, 400, `error`},
+		{"nothing done", "GET", api.PathAudit, nil, 200, `{"records":[]}`},
+		{"accepted", "POST", api.PathAcceptGap, api.AcceptGapRequest{Reason: "first start"}, 204, ``},
+		{"complete", "GET", api.PathStatus, nil, 200, `"claims":{"history_complete":true`},
+		{"on record", "GET", api.PathAudit, nil, 200, `"who":"anna","what":"claim gap accepted","target":"claims","reason":"first start"`},
+		{"again", "POST", api.PathAcceptGap, api.AcceptGapRequest{Reason: "x"}, 409, `no gap to accept`},
+	} {
+		status, body := call(t, i.App, step.method, step.path, operatortest.Token, step.body)
+		require.Equal(t, step.status, status, "%s: %s", step.name, body)
+		require.Contains(t, body, step.want, step.name)
+	}
+}
+
+// With the log down, or silent, an operator must not read "accepted".
+func TestGapIsNotAcceptedWithoutTheLog(t *testing.T) {
+	log := journaltest.NewLog()
+	log.Put([]byte("expired"))
+	log.Trim(2)
+	i := operatortest.Start(log, "c1", slog.New(slog.DiscardHandler))
+	defer i.Stop()
+	log.Outage(true)
+	status, body := call(t, i.App, "POST", api.PathAcceptGap, operatortest.Token, api.AcceptGapRequest{Reason: "x"})
+	require.Equal(t, 503, status, body)
+	require.Contains(t, body, "not accepted")
+	log.Outage(false)
+	log.Hang(true)
+	status, body = call(t, i.App, "POST", api.PathAcceptGap, operatortest.Token, api.AcceptGapRequest{Reason: "x"})
+	require.Equal(t, 504, status, body)
+}
--- a/internal/operator/operatortest/instance.go
+++ b/internal/operator/operatortest/instance.go
@@ -12,6 +12,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"tamarackchute/claim"
 	"tamarackchute/internal/audit"
 	"tamarackchute/internal/operator"
 	"tamarackchute/internal/operator/api"
@@ -39,6 +40,7 @@
 	Book    *rules.Book
 	Trail   *audit.Trail
 	Guard   *quarantine.Guard
+	Claims  *claim.Guard
 	// Stop ends the instance's journal.
 	Stop func()
 }
@@ -54,6 +56,12 @@
 	i.Journal.Register(journal.KindRules, i.Book)
 	i.Journal.Register(journal.KindAudit, i.Trail)
 	i.Journal.Register(journal.KindQuarantine, i.Guard)
+	claims, err := claim.NewGuard(i.Journal, claim.Config{Writer: name + "/entry/1"})
+	if err != nil {
+		panic(err) // the defaults fit together
+	}
+	i.Claims = claims
+	i.Journal.Register(journal.KindClaim, i.Claims)
 	operator.Register(i.App, operator.Deps{
 		Operators:  []settings.Operator{{Name: "anna", TokenSHA256: hashOf(Token)}},
 		Publisher:  rules.NewPublisher(i.Journal, i.Book, Known),
@@ -62,6 +70,7 @@
 		Trail:      i.Trail,
 		Journal:    i.Journal,
 		Quarantine: i.Guard,
+		Claims:     i.Claims,
 		Status:     func() api.Status { return i.status(name) },
 		Logger:     logger,
 		// Long against a loopback, short for a test of an outage.
@@ -86,6 +95,7 @@
 func (i *Instance) status(name string) api.Status {
 	return api.Status{
 		Instance: name, DataCentre: "cesis-a", Ready: true, LogUp: i.Journal.Health().LogUp, Requests: 3,
+		Claims:    api.ClaimStatus{Complete: i.Claims.Stats().Complete, Keys: i.Claims.Stats().Keys},
 		Rules:     i.Book.Status(),
 		Instances: []api.InstanceStatus{{Name: "c1", DataCentre: "cesis-a", State: "live"}},
 		Upstreams: []api.UpstreamStatus{
