entry: the audit trail tells when a quarantine began

Cause: only releases were recorded. Who looked into the trail for the cause of a 422 "quarantined" found nothing.

Ruled out: appending a record where an instance sees the transition (each instance does, so it would stand there once an instance, or not at all if that one dies first); deriving it from checkpoints too (a checkpoint that comes late may speak of a quarantine that is over).

Change: quarantine.Guard.Observe gets each quarantine that the fold of a crash report begins, with the crashes and the first reporter; audit.Trail adds a record of it, as it does for publications. The entry and only it wires the two.

Test: TestQuarantineStandsInEveryTrailOnce (two entries that both report each crash, a release, a second quarantine, a third entry that starts later) failed before with an empty trail.

Conclusion: each instance's trail tells each beginning once; one that learns of a quarantine from a checkpoint only doesn't have its record, as with other records that the log has let expire.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -1,6 +1,7 @@
 // Package audit keeps the trail of changes: who did what to what, when, why, and
 // from which state. Records go through the journal, so every instance shows the
-// same trail; publications of rules are taken from the rules' own fold.
+// same trail; publications of rules and the beginnings of quarantines are taken
+// from those packages' own folds.
 package audit
 
 import (
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -2,10 +2,12 @@
 
 import (
 	"log/slog"
+	"strings"
 	"sync"
 
 	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
+	"tamarackchute/quarantine"
 	"tamarackchute/rules"
 )
 
@@ -63,6 +65,24 @@
 	t.Add(r)
 }
 
+// ObserveQuarantine adds the beginning of a quarantine. Give it to a
+// quarantine.Guard as its observer.
+func (t *Trail) ObserveQuarantine(e quarantine.Entered) {
+	t.Add(Record{
+		Who: program(e.Writer), What: QuarantineEntered, Target: e.Digest.String(),
+		Reason: "in flight at the crashes of " + strings.Join(e.Upstreams, ", "),
+		From:   "suspected", To: "quarantined", At: e.At,
+	})
+}
+
+// program shortens a writer's name, instance/program/incarnation, to the form
+// that stands in records.
+func program(writer string) string {
+	instance, rest, _ := strings.Cut(writer, "/")
+	name, _, _ := strings.Cut(rest, "/")
+	return instance + "/" + name
+}
+
 // Add adds a record that follows from another fold.
 func (t *Trail) Add(r Record) {
 	t.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -147,6 +147,7 @@
 	e.leases = lease.NewView()
 	e.orders = orders.NewView(e.leases)
 	e.suspects = quarantine.NewGuard(quarantine.DefaultConfig(), e.journal, e.writer(), nil)
+	e.suspects.Observe(e.trail.ObserveQuarantine)
 	e.journal.Register(journal.KindRules, e.rules)
 	e.journal.Register(journal.KindAudit, e.trail)
 	e.journal.Register(journal.KindLease, e.leases)
--- /dev/null
+++ b/internal/entry/quarantine_test.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/internal/audit"
+	"tamarackchute/internal/settings"
+	"tamarackchute/internal/telemetry"
+	"tamarackchute/journal/journaltest"
+	"tamarackchute/quarantine"
+)
+
+// reading returns an entry of an instance that does
+// nothing but follow the log.
+func reading(t *testing.T, log *journaltest.Log, instance string) *Entry {
+	d, err := settings.Load("../../deploy/kalku-rinda/settings.json")
+	require.NoError(t, err)
+	metrics := telemetry.NewMetrics("chute-entry", instance)
+	t.Cleanup(func() { _ = metrics.Close() })
+	e, err := New(Config{
+		Deployment: d, Instance: instance, Log: log, Upstreams: NewUpstreams(d, httpx.Options{}),
+		Secret: []byte("0123456789abcdef0123"), Metrics: metrics, Logger: slog.New(slog.DiscardHandler),
+	})
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = e.journal.Serve(ctx) })
+	t.Cleanup(func() { stop(); wg.Wait() })
+	<-e.journal.CaughtUp()
+	return e
+}
+
+// A farmer's request is answered 422 from one moment to the next. The operator
+// looks into the audit trail and finds no word of it: two engines had died with
+// the request in flight, which quarantined it, and only releases were recorded.
+// Every instance's trail must tell it, once, although each instance reports each
+// crash; after a release a new quarantine is told again.
+func TestQuarantineStandsInEveryTrailOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		d, err := settings.Load("../../deploy/kalku-rinda/settings.json")
+		require.NoError(t, err)
+		a, b := reading(t, log, d.Instances[0].Name), reading(t, log, d.Instances[1].Name)
+		digest := quarantine.DigestOf("m", "/v1/completions", []byte("poison"))
+		crash := func(engine string) {
+			for _, e := range []*Entry{a, b} {
+				require.NoError(t, e.suspects.Crashed(t.Context(), engine, "1", []quarantine.Digest{digest}))
+			}
+		}
+		crash("e1")
+		crash("e2")
+		require.NoError(t, a.suspects.Release(t.Context(), quarantine.Release{Digest: digest, Operator: "anna"}))
+		crash("e3")
+		crash("e4")
+		synctest.Wait()
+		late := reading(t, log, d.Instances[2].Name)
+		record := func(engines string) audit.Record {
+			return audit.Record{
+				Who: a.self.Name + "/entry", What: audit.QuarantineEntered, Target: digest.String(),
+				Reason: "in flight at the crashes of " + engines, From: "suspected", To: "quarantined",
+			}
+		}
+		want := []audit.Record{record("e3, e4"), record("e1, e2")}
+		for _, e := range []*Entry{a, b, late} {
+			got := e.trail.Latest(10)
+			require.Equal(t, a.trail.Latest(10), got, e.self.Name)
+			for i := range got {
+				require.WithinDuration(t, time.Now(), got[i].At, time.Minute)
+				got[i].At = time.Time{}
+			}
+			require.Equal(t, want, got, e.self.Name)
+		}
+	})
+}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -32,6 +32,8 @@
 	w      journal.Writer
 	writer string
 	now    func() time.Time
+	// observe is told of quarantines that begin; it may be nil.
+	observe func(Entered)
 
 	mu       sync.Mutex
 	state    *State
@@ -68,6 +70,12 @@
 		// The journal has the report now, and what follows it.
 		delete(g.own, d)
 	}
+	if g.observe == nil {
+		return
+	}
+	for _, e := range g.state.entered {
+		g.observe(e)
+	}
 }
 
 // Check returns a digest's verdict, and an *Error if it is quarantined.
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -80,6 +80,8 @@
 	released map[Digest]released
 	// touched are the digests that the last crash report named.
 	touched []Digest
+	// entered are the quarantines that began with the last entry.
+	entered []Entered
 	logNow  time.Time
 	readAt  time.Time
 }
@@ -93,6 +95,7 @@
 // process.
 func (s *State) Apply(p journal.Placed) {
 	s.touched = s.touched[:0]
+	s.entered = s.entered[:0]
 	if p.At.After(s.logNow) {
 		s.logNow = p.At
 		s.readAt = p.ReadAt
@@ -151,6 +154,7 @@
 	}
 	if x.quarantined.IsZero() && (x.strikes >= maxStrikes || len(x.crashes) >= maxCrashes) {
 		x.quarantined = p.At
+		s.entered = append(s.entered, x.entered(p))
 	}
 }
 
