entry: one list of the names that rules may use

Cause: the entry had a list of its own beside api.KnownNames, which chutectl uses. They differed in a deployment without engines: the entry's list of models was nil, which package rules takes as "not checked", so the entry took a rule on a model that "rules validate -local" refused.

Ruled out: keeping the entry's one (chutectl can't import the entry).

Change: the entry's list is gone; it uses api.KnownNames.

Conclusion: both sides give one verdict.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -8,7 +8,6 @@
 
 	"tamarackchute/internal/operator"
 	"tamarackchute/internal/operator/api"
-	"tamarackchute/internal/settings"
 	"tamarackchute/rules"
 )
 
@@ -34,7 +33,7 @@
 		_, err := e.cfg.Metrics.Page.WriteTo(c)
 		return err
 	})
-	known := knownNames(e.cfg.Deployment)
+	known := api.KnownNames(e.cfg.Deployment)
 	operator.Register(app, operator.Deps{
 		Operators:  e.cfg.Deployment.Security.Operators,
 		Publisher:  rules.NewPublisher(e.journal, e.rules, known),
@@ -50,19 +49,6 @@
 	return app
 }
 
-func knownNames(d *settings.Deployment) rules.Known {
-	known := rules.Known{Models: modelNames(d)}
-	for _, u := range d.Upstreams {
-		if !slices.Contains(known.Pools, u.Pool) {
-			known.Pools = append(known.Pools, u.Pool)
-		}
-	}
-	for _, dc := range d.DataCentres {
-		known.DataCentres = append(known.DataCentres, dc.Name)
-	}
-	return known
-}
-
 // status tells operators what this instance knows.
 func (e *Entry) status() api.Status {
 	claims := e.claims.Stats()
