capacity: whole processes, the page's text, what replaces what breaks

Ruled out: tables by hand. Each row is a formula over ids of the CSV file and the values of a scenario; the program works out value, bound and breaking size. Rows for whole programs stand beside what was measured of the deployments.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,7 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 	internal/entry/entrybench/run.sh
+
+# Slopes of each role, for docs/CAPACITY.md; under 10 minutes.
+capacity:
+	scripts/capacity.sh
--- a/cmd/chute-capacity/main.go
+++ b/cmd/chute-capacity/main.go
@@ -20,12 +20,18 @@
 // after its name.
 var commands = map[string]func([]string) error{
 	"measure": measure,
+	"fleet":   fleet,
+	"watch":   watch,
+	"streams": streams,
+	"fit":     fit,
+	"merge":   merge,
+	"compare": compare,
 	"page":    page,
 }
 
 func main() {
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: chute-capacity measure [flags]")
+		fmt.Fprintln(os.Stderr, "usage: chute-capacity measure|fleet|watch|streams|fit|merge|compare|page [flags]")
 		os.Exit(exitUsage)
 	}
 	err := commands[os.Args[1]](os.Args[2:])
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -45,7 +45,7 @@
 	require.NoError(t, err)
 	anew, err := ReplaceTables(string(page), NewMeasured(measuredLines(t)))
 	require.NoError(t, err)
-	require.Equal(t, anew, string(page), "run: make capacity-page")
+	require.Equal(t, anew, string(page), "run: go run ./cmd/chute-capacity page")
 }
 
 func TestLinesSurviveTheirFile(t *testing.T) {
@@ -92,13 +92,13 @@
 
 // A made-up fleet that the programs refuse would be measured as nothing.
 func TestFleetIsAccepted(t *testing.T) {
-	_, err := settings.Load(writeFleet(t, FleetSize{DataCentres: 3, Instances: 5, Engines: 40, Services: 2, Models: 2, Network: "127.60"}))
-	require.NoError(t, err)
-}
-
-func writeFleet(t *testing.T, s FleetSize) string {
-	t.Helper()
-	file, err := WriteFleet(t.TempDir(), s, []byte("a secret of this test only"))
-	require.NoError(t, err)
-	return file
+	for _, s := range []FleetSize{
+		{DataCentres: 1, Instances: 1, Engines: 1, Models: 1, Network: "127.60"},
+		{DataCentres: 3, Instances: 5, Engines: 40, Services: 2, Models: 2, Network: "127.60"},
+	} {
+		file, err := WriteFleet(t.TempDir(), s, Secrets{Peers: "a secret of this test only"})
+		require.NoError(t, err)
+		_, err = settings.Load(file)
+		require.NoError(t, err)
+	}
 }
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -33,6 +33,7 @@
 func Fleet(s FleetSize) *settings.Deployment {
 	d := &settings.Deployment{
 		Name:      "fleet",
+		Links:     []settings.Link{},
 		Discovery: settings.Discovery{KeepSeconds: 5, GraceSeconds: 60},
 		Lease:     settings.Lease{TermSeconds: 3, RenewSeconds: 1, DriftFraction: 0.01},
 		Protected: settings.Protected{
@@ -85,8 +86,8 @@
 	}
 }
 
-// roles are dealt out to the engines in turn.
-var roles = []string{"prefill", "decode", "mixed"}
+// roles are dealt out in turn to the engines of each model.
+var roles = []string{"mixed", "prefill", "decode"}
 
 func model(i int) string { return fmt.Sprintf("model-%d", i) }
 
@@ -100,7 +101,7 @@
 		Pool:       enginePool,
 		Models:     []string{model(i % s.Models)},
 		Fencing:    settings.FencingChecked,
-		Role:       roles[i%len(roles)],
+		Role:       roles[i/s.Models%len(roles)],
 	}
 }
 
--- a/internal/capacity/lines.go
+++ b/internal/capacity/lines.go
@@ -20,6 +20,8 @@
 	KindBase  LineKind = "base"
 	// KindPoint is the mean at one size.
 	KindPoint LineKind = "point"
+	// KindMean is the mean over a deployment as it is, nothing varied.
+	KindMean LineKind = "mean"
 )
 
 // Line is one measured figure.
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -39,6 +39,9 @@
 	}
 	p := &page{w: w}
 	p.nearest(worked)
+	if err := p.breaks(worked); err != nil {
+		return err
+	}
 	for _, role := range rolesOf(worked) {
 		p.heading(role)
 		for i, row := range worked {
@@ -96,12 +99,25 @@
 
 func (p *page) row(number int, w Worked) {
 	p.printf("| %d | %s | %s |", number, w.What, w.Resource)
-	for _, r := range w.Results {
-		p.printf(" %s |", show(r, w.Resource))
+	for i, r := range w.Results {
+		p.printf(" %s |", w.cell(i, r))
 	}
 	p.printf(" %s | %s |\n", bound(w), w.Mechanism)
 }
 
+// cell gives a scenario's value: what was measured of the whole deployment
+// first, if it was.
+func (w Worked) cell(scenario int, r Result) string {
+	switch {
+	case scenario < len(w.Today):
+		return fmt.Sprintf("%s m (%s)", amount(w.Today[scenario], w.Resource), show(r, w.Resource))
+	case w.Proposed && scenario < len(w.Results)-1:
+		return "–"
+	default:
+		return show(r, w.Resource)
+	}
+}
+
 // show gives a result with its unit, and marks it m (measured at this size) or
 // d (derived).
 func show(r Result, of Resource) string {
@@ -137,11 +153,17 @@
 	}
 }
 
+// least is the smallest amount that is shown as a number.
+const least = 0.001
+
 // digits gives a number with three significant digits and no exponent.
 func digits(v float64) string {
 	if v == 0 {
 		return "0"
 	}
+	if math.Abs(v) < least {
+		return "<0.001"
+	}
 	places := 2 - int(math.Floor(math.Log10(math.Abs(v))))
 	if places <= 0 {
 		return thousands(strconv.FormatFloat(v, 'f', 0, 64))
@@ -162,10 +184,11 @@
 		return "–"
 	case w.Breaks == nil:
 		return digits(100*w.Share) + "%"
+	case w.shareIn(0) > 1:
+		return digits(w.Share) + "×, over it today"
 	default:
 		v := w.Breaks.Values
-		return fmt.Sprintf("%s×, breaks at %s instances / %s upstreams",
-			digits(w.Share), digits(math.Floor(v["instances"])), digits(math.Floor(v["upstreams"])))
+		return fmt.Sprintf("%s×, from %.0f instances / %.0f upstreams on", digits(w.Share), v["instances"], v["upstreams"])
 	}
 }
 
@@ -184,34 +207,47 @@
 // nearestRows is how many rows are named for each scenario.
 const nearestRows = 3
 
-// nearest lists the rows with the greatest shares of their bounds.
+// nearest lists the rows nearest below their bounds, and those furthest above.
 func (p *page) nearest(all []Worked) {
-	p.printf("\n### The rows nearest their bounds\n\n| size | rows, with their value as a share of the bound |\n|---|---|\n")
+	p.printf("\n### The rows nearest their bounds\n\n| size | nearest below | furthest above | rows above |\n|---|---|---|---|\n")
 	for i, s := range Scenarios {
-		var names []string
-		for _, at := range nearestIn(all, i) {
-			w := all[at]
-			names = append(names, fmt.Sprintf("%d. %s: %s, %s×", at+1, w.Role, w.What, digits(w.shareIn(i))))
-		}
-		p.printf("| %s | %s |\n", s.Name, strings.Join(names, "<br>"))
+		below, above := bounded(all, i)
+		p.printf("| %s | %s | %s | %d |\n", s.Name, named(all, below, i), named(all, above, i), len(above))
 	}
 }
 
-// nearestIn returns the places of the rows nearest their bounds in a scenario.
-func nearestIn(all []Worked, scenario int) []int {
-	var places []int
+// bounded returns the places of the rows below and above their bounds in a
+// scenario, those with the greatest shares first.
+func bounded(all []Worked, scenario int) (below, above []int) {
 	for i, w := range all {
-		if _, ok := w.limit(); ok {
-			places = append(places, i)
+		if _, ok := w.limit(); !ok || w.Proposed {
+			continue
 		}
+		if w.shareIn(scenario) > 1 {
+			above = append(above, i)
+		} else {
+			below = append(below, i)
+		}
+	}
+	byShare := func(a, b int) int { return cmp.Compare(all[b].shareIn(scenario), all[a].shareIn(scenario)) }
+	slices.SortFunc(below, byShare)
+	slices.SortFunc(above, byShare)
+	return below, above
+}
+
+func named(all []Worked, places []int, scenario int) string {
+	var names []string
+	for _, at := range places[:min(nearestRows, len(places))] {
+		w := all[at]
+		names = append(names, fmt.Sprintf("%d. %s: %s, %s: %s×", at+1, w.Role, w.What, w.Resource, digits(w.shareIn(scenario))))
 	}
-	slices.SortFunc(places, func(a, b int) int {
-		return cmp.Compare(all[b].shareIn(scenario), all[a].shareIn(scenario))
-	})
-	return places[:min(nearestRows, len(places))]
+	return strings.Join(names, "<br>")
 }
 
 func (w Worked) shareIn(scenario int) float64 {
 	limit, _ := w.limit()
+	if scenario < len(w.Today) {
+		return w.Today[scenario] / limit
+	}
 	return w.Results[scenario].Value / limit
 }
--- a/internal/capacity/role_rules.go
+++ b/internal/capacity/role_rules.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// document is a rule set of n rules, the last of which matches any model.
+// document is a rule set of n rules, the last of which matches any call of a model.
 func document(n int) []byte {
 	var b bytes.Buffer
 	b.WriteString("{\n  \"rules\": [\n")
@@ -66,7 +66,7 @@
 		fmt.Fprintf(&b, "     \"then\": {\"pool\": \"%s\", \"priority\": %d, \"deadline_ms\": %d, \"retry\": \"repeatable\"}},\n",
 			enginePool, rand.IntN(20), 1000*(5+rand.IntN(90)))
 	}
-	fmt.Fprintf(&b, "    {\"name\": \"rest\", \"when\": \"model != \\\"\\\"\", \"then\": {\"pool\": \"%s\"}},\n  ],\n}\n", enginePool)
+	fmt.Fprintf(&b, "    {\"name\": \"rest\", \"when\": \"path startsWith \\\"/v1/\\\"\", \"then\": {\"pool\": \"%s\"}},\n  ],\n}\n", enginePool)
 	return b.Bytes()
 }
 
--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -41,6 +41,12 @@
 	Limit float64
 	// LimitName says what the own bound is.
 	LimitName string
+	// Today names the means that were measured of today's deployments as they
+	// are, or sums of them, in the order of Scenarios; they stand beside what is
+	// derived.
+	Today []string
+	// Proposed marks a mechanism that isn't built; only its target counts.
+	Proposed bool
 }
 
 // limit returns the row's bound, and whether it has one.
@@ -60,6 +66,8 @@
 	Row
 	// Results are in the order of Scenarios.
 	Results []Result
+	// Today holds the values of Row.Today.
+	Today []float64
 	// Share is the target's value as a share of the row's bound; 0 if it has
 	// none.
 	Share float64
@@ -78,6 +86,13 @@
 		}
 		w.Results = append(w.Results, v)
 	}
+	for i, formula := range r.Today {
+		v, err := Evaluate(formula, m, Scenarios[i])
+		if err != nil {
+			return w, eris.Wrapf(err, "%s: %s", r.Role, r.What)
+		}
+		w.Today = append(w.Today, v.Value)
+	}
 	limit, ok := r.limit()
 	if !ok {
 		return w, nil
@@ -119,7 +134,7 @@
 // Rows returns all rows in the page's order.
 func Rows() []Row {
 	var all []Row
-	for _, group := range [][]Row{entryRows, sharedRows, logRows, controllerRows} {
+	for _, group := range [][]Row{processRows, entryRows, sharedRows, logRows, controllerRows, lossRows, proposedRows} {
 		all = append(all, group...)
 	}
 	return all
--- a/internal/capacity/rows_entry.go
+++ b/internal/capacity/rows_entry.go
@@ -86,7 +86,7 @@
 	},
 	{
 		Role: "Entry: requests", What: "one request: match, check, admit, pick, book", Resource: CPU, Serving: true,
-		Formula: `requests_per_s / instances * (at("rules.match.ns", rules) + at("quarantine.check.ns", candidates)` +
+		Formula: `requests_per_s / instances * (at("rules.match.ns", rule_count) + at("quarantine.check.ns", candidates)` +
 			` + admission.acquire.ns_base + at("router.pick.ns", candidates) + router.books.ns_base)`,
 		Mechanism: "the decisions alone, without HTTP and streams",
 	},
--- a/internal/capacity/rows_shared.go
+++ b/internal/capacity/rows_shared.go
@@ -5,7 +5,7 @@
 const (
 	journalRenewals = "leaders * renewals_per_s * (lease.renewal.bytes_per_renewal + log.read.bytes_per_record)"
 	journalClaims   = "protected_per_s * claim.entries.bytes_per_call"
-	journalRules    = "rule_changes_per_s * at(\"rules.publication.bytes\", rules)"
+	journalRules    = "rule_changes_per_s * at(\"rules.publication.bytes\", rule_count)"
 	journalOrders   = "role_changes_per_s * records_per_change * (orders.change.bytes_per_record + audit.record.bytes_per_record)"
 	journalCrashes  = "crashes_per_s * at(\"quarantine.crash.bytes\", streams / engines)"
 	journalBytes    = "(" + journalRenewals + " + " + journalClaims + " + " + journalRules + " + " +
@@ -89,21 +89,21 @@
 	},
 	{
 		Role: "Rules: distribution and match", What: "compiling each change", Resource: CPU,
-		Formula:   `rule_changes_per_s * at("rules.fold.ns", rules)`,
+		Formula:   `rule_changes_per_s * at("rules.fold.ns", rule_count)`,
 		Mechanism: "`rules.Book`: every entry compiles every version whole",
 	},
 	{
 		Role: "Rules: distribution and match", What: "set in force", Resource: Memory,
-		Formula:   `at("rules.set.bytes", rules)`,
+		Formula:   `at("rules.set.bytes", rule_count)`,
 		Mechanism: "`rules.Set`",
 	},
 	{
 		Role: "Rules: distribution and match", What: "match of a request", Resource: CPU, Serving: true,
-		Formula:   `requests_per_s / instances * at("rules.match.ns", rules)`,
+		Formula:   `requests_per_s / instances * at("rules.match.ns", rule_count)`,
 		Mechanism: "`Set.Match`, the last rule",
 	},
 	{
-		Role: "Rules: distribution and match", What: "time from one change to the next", Resource: Rate,
+		Role: "Rules: distribution and match", What: "changes in the time that one has", Resource: Rate,
 		Formula:   `rule_changes_per_s * 13`,
 		Mechanism: "changes in the 13 s that one has to be in force; above 1 editors race each other", Limit: 1, LimitName: "one change under way",
 	},
--- a/internal/capacity/scenario.go
+++ b/internal/capacity/scenario.go
@@ -38,7 +38,21 @@
 	"max_queued":            4096,
 	"max_organisations":     4096,
 	"claim_timeout_s":       2,
+	"summary_fresh_s":       4, // membership.DefaultSummaryFresh
 	"processes_an_instance": 2,
+
+	// Sizes of the proposals that aren't built.
+	"shared_polls_per_s":     0.5,
+	"subset_engines":         64,
+	"digest_bytes":           24,
+	"frame_bytes":            60,
+	"group_instances":        14,
+	"group_beats_per_s":      0.5,
+	"lease_engines":          69,
+	"long_renewals_per_s":    0.1,
+	"recorder_copies":        3,
+	"recorder_appends_per_s": 20,
+	"regions":                5,
 }
 
 // KalkuRinda, Regnbrunnur and Target are the sizes of docs/CAPACITY.md. The
@@ -46,21 +60,21 @@
 var (
 	KalkuRinda = newScenario("Kaļķu Rinda", map[string]float64{
 		"instances": 7, "data_centres": 3, "dc_instances": 3, "engines": 8, "services": 3, "dc_engines": 3,
-		"scopes": 3, "models": 1, "candidates": 8, "rules": 5, "organisations": 24, "callers": 100,
+		"scopes": 3, "models": 1, "candidates": 8, "rule_count": 5, "organisations": 24, "callers": 100,
 		"requests_per_s": 10, "tokens_per_s": 3000, "streams": 108, "prompt_tokens_per_s": 6000,
 		"protected_per_s": 2, "rule_changes_per_s": 10. / secondsPerDay, "role_changes_per_s": 200. / secondsPerDay,
 		"crashes_per_s": 1. / secondsPerDay, "starts_per_s": 7. / secondsPerDay,
 	})
 	Regnbrunnur = newScenario("Regnbrunnur", map[string]float64{
 		"instances": 7, "data_centres": 4, "dc_instances": 2, "engines": 11, "services": 4, "dc_engines": 3,
-		"scopes": 4, "models": 1, "candidates": 11, "rules": 6, "organisations": 24, "callers": 100,
+		"scopes": 4, "models": 1, "candidates": 11, "rule_count": 6, "organisations": 24, "callers": 100,
 		"requests_per_s": 10, "tokens_per_s": 3000, "streams": 108, "prompt_tokens_per_s": 6000,
 		"protected_per_s": 2, "rule_changes_per_s": 10. / secondsPerDay, "role_changes_per_s": 100. / secondsPerDay,
 		"crashes_per_s": 1. / secondsPerDay, "starts_per_s": 7. / secondsPerDay,
 	})
 	Target = newScenario("target", map[string]float64{
 		"instances": 1700, "data_centres": 10, "dc_instances": 170, "engines": 6900, "services": 0, "dc_engines": 690,
-		"scopes": 10, "models": 6, "candidates": 1150, "rules": 300, "organisations": 47000, "callers": 47000,
+		"scopes": 10, "models": 6, "candidates": 1150, "rule_count": 300, "organisations": 47000, "callers": 47000,
 		"requests_per_s": 75_000, "tokens_per_s": 22e6, "streams": 22e6 * 0.036, "prompt_tokens_per_s": 13000e9 / 50000,
 		"protected_per_s": 750, "rule_changes_per_s": 12000. / secondsPerDay,
 		"role_changes_per_s": 2 * 0.16 * 6900 / secondsPerDay,
