claim: decodes by package codec

Cause: claims, outcomes and checkpoints were decoded by the msgpack library directly, without the checks of package codec. A checkpoint whose position held an unknown member of 60,000 levels was taken (the library recurses over it), and so were bytes behind a message. Bodies that claim 4 G elements were refused before too, by the shape of the messages.

Ruled out: a guard of the claims' own; one Unmarshal a checkpoint part (its rows are values one after the other, and the log holds such parts).

Change: codec.Next decodes the first of several values; Unmarshal is Next without a rest. A message's type is read as the one byte that it is.

Tests: TestHarmfulBytesAreSkipped failed before in two of its nine cases, the levels and the bytes behind.

--- a/claim/checkpoint.go
+++ b/claim/checkpoint.go
@@ -2,14 +2,13 @@
 
 import (
 	"bytes"
-	"errors"
-	"io"
 	"math"
 	"strconv"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
 	"tamarackchute/platform"
 )
@@ -128,13 +127,11 @@
 
 // load takes the rows of one part.
 func (l *Ledger) load(part []byte) {
-	dec := msgpack.NewDecoder(bytes.NewReader(part))
-	for {
+	for len(part) > 0 {
 		var r checkpointRow
-		if err := dec.Decode(&r); err != nil {
-			if !errors.Is(err, io.EOF) {
-				l.corrupt++
-			}
+		var err error
+		if part, err = codec.Next(part, &r); err != nil {
+			l.corrupt++
 			return
 		}
 		if r.Phase == phaseSpent {
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -150,3 +151,33 @@
 		l.Fingerprint()
 	})
 }
+
+// A record that other software, or a broken writer, put into the log must cost
+// no reader more than its own size: each instance reads it at each start, so one
+// that ends the process ends them all, again and again.
+func TestHarmfulBytesAreSkipped(t *testing.T) {
+	deep := append(bytes.Repeat([]byte{0x91}, 60_000), 0xc0)
+	for name, body := range map[string][]byte{
+		"60,000 levels":         append(append([]byte{byte(typeCheckpoint), 0x96, 0xc0, 0, 1, 0x81, 0xa1, 'z'}, deep...), 0, 0xc0),
+		"60,000 levels in rows": checkpointOf(append([]byte{0x98, 0, 0, 0xc0, 0, 0, 0xc0, 0}, deep...)),
+		"4 G members":           {byte(typeAbandoned), 0x93, 0xc0, 0xc0, 0xdf, 0xff, 0xff, 0xff, 0xff},
+		"4 G elements in rows":  checkpointOf([]byte{0xdd, 0xff, 0xff, 0xff, 0xff}),
+		"4 G bytes":             {byte(typeCheckpoint), 0x96, 0xc6, 0xff, 0xff, 0xff, 0xff},
+		"bytes after the end":   append(claimed{Key: KeyID{1}}.entry().Body, 0xc0),
+		"no message":            {byte(typeClaim)},
+		"unknown type":          {99, 0x90},
+		"nothing":               nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger(testConfig)
+			l.Trimmed(1)
+			l.Apply(journal.Placed{Position: journal.Position{Offset: 1}, At: testStart, Entry: journal.Entry{Body: body}})
+			require.Equal(t, 1, l.Corrupt())
+		})
+	}
+}
+
+// checkpointOf is the body of a whole checkpoint with these rows.
+func checkpointOf(rows []byte) []byte {
+	return checkpointEntries(journal.Position{Offset: 1}, testStart, [][]byte{rows})[0].Body
+}
--- a/claim/messages.go
+++ b/claim/messages.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
 	"tamarackchute/upstream"
 )
@@ -135,13 +136,12 @@
 
 // decodeEntry returns a pointer to one of the message types.
 func decodeEntry(body []byte) (any, error) {
-	dec := msgpack.NewDecoder(bytes.NewReader(body))
-	t, err := dec.DecodeUint8()
-	if err != nil {
-		return nil, eris.Wrap(errCorrupt, err.Error())
+	// The type is below 128, so it is its own msgpack form.
+	if len(body) == 0 {
+		return nil, errCorrupt
 	}
 	var m any
-	switch messageType(t) {
+	switch messageType(body[0]) {
 	case typeClaim:
 		m = new(claimed)
 	case typeAbandoned:
@@ -155,7 +155,7 @@
 	default:
 		return nil, errCorrupt
 	}
-	if err := dec.Decode(m); err != nil {
+	if err := codec.Unmarshal(body[1:], m); err != nil {
 		return nil, eris.Wrap(errCorrupt, err.Error())
 	}
 	return m, nil
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -20,32 +20,47 @@
 // for lack of memory, and it panics on nil in place of a time. So the lengths
 // are held against the bytes that are there first, and a panic of the decoder
 // becomes an error.
-func Unmarshal(data []byte, v any) (err error) {
-	if err := check(data); err != nil {
-		return err
+func Unmarshal(data []byte, v any) error {
+	rest, err := Next(data, v)
+	if err == nil && len(rest) > 0 {
+		return eris.Wrapf(ErrMalformed, "%d bytes after the value", len(rest))
+	}
+	return err
+}
+
+// Next decodes the first of several values, as Unmarshal does a single one, and
+// returns the bytes behind it.
+func Next(data []byte, v any) (rest []byte, err error) {
+	n, err := length(data)
+	if err != nil {
+		return nil, err
 	}
 	defer func() {
 		if r := recover(); r != nil {
 			err = eris.Wrapf(ErrMalformed, "decoder failed: %v", r)
 		}
 	}()
-	if err := msgpack.Unmarshal(data, v); err != nil {
-		return eris.Wrapf(ErrMalformed, "%v", err)
+	if err := msgpack.Unmarshal(data[:n], v); err != nil {
+		return nil, eris.Wrapf(ErrMalformed, "%v", err)
 	}
-	return nil
+	return data[n:], nil
 }
 
 // maxDepth bounds how deep arrays and maps lie in each other: the library
 // recurses over parts that v has no field for.
 const maxDepth = 32
 
-// check walks over the value without recursion. Every element takes one byte at
-// least, so more elements than bytes can't be.
-func check(data []byte) error {
+// length returns the length of the first value in bytes. It walks over it without
+// recursion. Every element takes one byte at least, so more elements than bytes
+// can't be.
+func length(data []byte) (int, error) {
 	r := bytes.NewReader(data)
-	d := msgpack.NewDecoder(r)
+	d := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(d)
+	d.Reset(r)
 	// due holds how many values are still to come at each open level.
-	due := []int{1}
+	var levels [maxDepth + 1]int
+	due := append(levels[:0], 1)
 	for len(due) > 0 {
 		last := len(due) - 1
 		if due[last] == 0 {
@@ -56,19 +71,16 @@
 		children, err := skipOne(d)
 		switch {
 		case err != nil:
-			return eris.Wrapf(ErrMalformed, "%v", err)
+			return 0, eris.Wrapf(ErrMalformed, "%v", err)
 		case children > r.Len():
-			return eris.Wrapf(ErrMalformed, "%d elements in %d bytes", children, r.Len())
+			return 0, eris.Wrapf(ErrMalformed, "%d elements in %d bytes", children, r.Len())
 		case len(due) > maxDepth:
-			return eris.Wrapf(ErrMalformed, "more than %d levels", maxDepth)
+			return 0, eris.Wrapf(ErrMalformed, "more than %d levels", maxDepth)
 		case children > 0:
 			due = append(due, children)
 		}
 	}
-	if r.Len() > 0 {
-		return eris.Wrapf(ErrMalformed, "%d bytes after the value", r.Len())
-	}
-	return nil
+	return len(data) - r.Len(), nil
 }
 
 // skipOne steps over a plain value, or into an array or map and returns how many
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -53,3 +53,17 @@
 		}
 	})
 }
+
+func TestNextTakesOneValueAfterTheOther(t *testing.T) {
+	data := []byte("\x81\xa1n\xa1a\x81\xa1n\xa1b\x81\xa1p\xdd\xff\xff\xff\xff")
+	var names []string
+	var err error
+	for err == nil {
+		var s sample
+		if data, err = Next(data, &s); err == nil {
+			names = append(names, s.Name)
+		}
+	}
+	require.Equal(t, []string{"a", "b"}, names)
+	require.ErrorIs(t, err, ErrMalformed)
+}
