settings: what streams may keep, and the default deadline

Cause: the text kept of one stream (64 KiB) and of all (16 MiB) and the deadline of requests whose rule sets none (2 min) were constants of the entry, so nobody could fit them to a deployment's memory and patience.

Ruled out: putting the deadline under admission (it is a bound of an answer, as the others are).

Change: a section streams with kept_bytes, kept_bytes_in_all and default_deadline_s, with the former constants as defaults; kept_bytes above the sum is refused. A deployment without the section is written without it.

Conclusion: nothing changes for a settings file without the section.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,17 +41,11 @@
 	maxAttempts = 4
 	// engineWait bounds how long a request that has lost its engine looks for
 	// another; its deadline may be earlier.
-	engineWait = 30 * time.Second
-	// priorLimit bounds the text kept of one stream for a continuation, in
-	// bytes; priorBudget that of all streams together.
-	priorLimit  = 64 << 10
-	priorBudget = 16 << 20
-	// defaultDeadline is for requests whose rule sets none.
-	defaultDeadline = 2 * time.Minute
-	heartbeat       = 2 * time.Second
-	writeTimeout    = 30 * time.Second
-	readTimeout     = 30 * time.Second
-	idleTimeout     = 60 * time.Second
+	engineWait   = 30 * time.Second
+	heartbeat    = 2 * time.Second
+	writeTimeout = 30 * time.Second
+	readTimeout  = 30 * time.Second
+	idleTimeout  = 60 * time.Second
 )
 
 // Config is what an entry works with.
@@ -203,8 +197,8 @@
 		Holds:       e.inflight,
 		Suspects:    e.crashes,
 		Retries:     retries{e.admission},
-		Budget:      stream.NewBudget(priorBudget),
-		PriorLimit:  priorLimit,
+		Budget:      stream.NewBudget(e.cfg.Deployment.Streams.KeptBytesInAll),
+		PriorLimit:  e.cfg.Deployment.Streams.KeptBytes,
 		MaxAttempts: maxAttempts,
 		EngineWait:  engineWait,
 		NewID:       uuid.NewString,
@@ -239,7 +233,7 @@
 	return gateway.Options{
 		DataCentre:      e.self.DataCentre,
 		MaxBodyBytes:    d.Admission.MaxBodyBytes,
-		DefaultDeadline: defaultDeadline,
+		DefaultDeadline: seconds(d.Streams.DefaultDeadlineSeconds),
 		Heartbeat:       heartbeat,
 		WriteTimeout:    writeTimeout,
 		ReadTimeout:     readTimeout,
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/entry/stream"
+	"tamarackchute/internal/settings"
+	"tamarackchute/journal/journaltest"
+)
+
+// An operator gives the entries less memory for streams and a shorter deadline.
+// What the settings say must hold, not what was once built in.
+func TestStreamsFollowTheSettings(t *testing.T) {
+	d, err := settings.Load("../../deploy/kalku-rinda/settings.json")
+	require.NoError(t, err)
+	d.Streams = settings.Streams{KeptBytes: 8, KeptBytesInAll: 12, DefaultDeadlineSeconds: 3}
+	e := built(t, d, journaltest.NewLog(), d.Instances[0].Name)
+	require.Equal(t, 3*time.Second, e.gatewayOptions().DefaultDeadline)
+	for _, c := range []struct {
+		text string
+		kept bool
+	}{{"12345678", true}, {"12345", false}, {"1234", true}, {"123456789", false}} {
+		p := stream.NewPrior(e.answers.Budget, e.answers.PriorLimit)
+		p.Add(c.text)
+		_, kept := p.Text()
+		require.Equal(t, c.kept, kept, c.text)
+	}
+}
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -15,14 +15,12 @@
 	"tamarackchute/internal/settings"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/journal/journaltest"
+	"tamarackchute/platform"
 	"tamarackchute/quarantine"
 )
 
-// reading returns an entry of an instance that does
-// nothing but follow the log.
-func reading(t *testing.T, log *journaltest.Log, instance string) *Entry {
-	d, err := settings.Load("../../deploy/kalku-rinda/settings.json")
-	require.NoError(t, err)
+// built returns an entry that doesn't run.
+func built(t *testing.T, d *settings.Deployment, log platform.Log, instance string) *Entry {
 	metrics := telemetry.NewMetrics("chute-entry", instance)
 	t.Cleanup(func() { _ = metrics.Close() })
 	e, err := New(Config{
@@ -30,6 +28,15 @@
 		Secret: []byte("0123456789abcdef0123"), Metrics: metrics, Logger: slog.New(slog.DiscardHandler),
 	})
 	require.NoError(t, err)
+	return e
+}
+
+// reading returns an entry of an instance that does
+// nothing but follow the log.
+func reading(t *testing.T, log *journaltest.Log, instance string) *Entry {
+	d, err := settings.Load("../../deploy/kalku-rinda/settings.json")
+	require.NoError(t, err)
+	e := built(t, d, log, instance)
 	ctx, stop := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = e.journal.Serve(ctx) })
--- a/internal/settings/checkparts.go
+++ b/internal/settings/checkparts.go
@@ -150,7 +150,7 @@
 	}
 }
 
-// checkTimes refuses durations that can't hold together.
+// checkTimes refuses durations, and bounds of memory, that can't hold together.
 func checkTimes(d *Deployment, ps *problems) {
 	l, p, r := d.Lease, d.Protected, d.Roles
 	// A holder must get two tries at a renewal within its term, less drift.
@@ -172,6 +172,9 @@
 		ps.add("discovery.grace_s", "%v is below protected.claim_timeout_ms, %v s: a stop would cut off a protected call",
 			d.Discovery.GraceSeconds, claim)
 	}
+	if s := d.Streams; int64(s.KeptBytes) > s.KeptBytesInAll {
+		ps.add("streams.kept_bytes", "%v is above streams.kept_bytes_in_all, %v", s.KeptBytes, s.KeptBytesInAll)
+	}
 	if r.Policy != "fixed" && r.DwellSeconds < r.ChangeSeconds {
 		ps.add("roles.dwell_s", "%v is below roles.change_s, %v: an engine would change again before it is back",
 			r.DwellSeconds, r.ChangeSeconds)
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -29,6 +29,11 @@
 			ShortReserve: 0.15,
 			RetryBudget:  0.1,
 		},
+		Streams: Streams{
+			KeptBytes:              64 << 10,
+			KeptBytesInAll:         16 << 20,
+			DefaultDeadlineSeconds: 120,
+		},
 		Roles: Roles{
 			Policy:               "gain",
 			ChangeWeight:         1,
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -59,6 +59,7 @@
 	d, err := Parse("small.json", []byte(smallest))
 	require.NoError(t, err)
 	require.Equal(t, Defaults().Roles, d.Roles)
+	require.Equal(t, Streams{KeptBytes: 65536, KeptBytesInAll: 16777216, DefaultDeadlineSeconds: 120}, d.Streams)
 	require.Equal(t, 9.0, d.Lease.TermSeconds)
 	require.Equal(t, Defaults().Lease.RenewSeconds, d.Lease.RenewSeconds)
 }
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -15,10 +15,12 @@
 	Lease     Lease      `json:"lease"`
 	Protected Protected  `json:"protected"`
 	Admission Admission  `json:"admission"`
-	Roles     Roles      `json:"roles"`
-	Routing   Routing    `json:"routing"`
-	Security  Security   `json:"security"`
-	Log       Logging    `json:"log"`
+	// Streams is left out of a file that is written from a deployment without it.
+	Streams  Streams  `json:"streams,omitzero"`
+	Roles    Roles    `json:"roles"`
+	Routing  Routing  `json:"routing"`
+	Security Security `json:"security"`
+	Log      Logging  `json:"log"`
 	// InitialRules is the path of a rule set that an operator publishes first;
 	// it is used by no program but the trial script.
 	InitialRules string `json:"initial_rules"`
@@ -142,6 +144,17 @@
 	RetryBudget float64 `json:"retry_budget" validate:"gte=0,lte=1"`
 }
 
+// Streams sets what answers may take, in time and memory.
+type Streams struct {
+	// KeptBytes bounds the text kept of one stream so that another engine can
+	// continue it; KeptBytesInAll bounds that of all streams of one entry.
+	KeptBytes      int   `json:"kept_bytes" validate:"gte=0"`
+	KeptBytesInAll int64 `json:"kept_bytes_in_all" validate:"gte=0"`
+	// DefaultDeadlineSeconds is for requests, streams or not, whose rule sets no
+	// deadline.
+	DefaultDeadlineSeconds float64 `json:"default_deadline_s" validate:"gt=0,lte=86400"`
+}
+
 // Roles sets the role policy.
 type Roles struct {
 	Policy string `json:"policy" validate:"oneof=gain fixed threshold schedule"`
