controller: /status needs an operator's token

Cause: whoever reached a controller's page could read who leads and which engine is about to change; the entries' status of the same needed a token.

Ruled out: a check of the controller's own (two checks of one token drift apart); closing health and metrics too (probes and scrapers have no token).

Open: internal/capacity's watch reads it without a token, so the idle part of scripts/capacity.sh ends with "status of controller/...: 401" until it sends one.

Conclusion: no operators' fact is open to callers without a token but health and metrics.

--- a/internal/controller/page.go
+++ b/internal/controller/page.go
@@ -21,14 +21,16 @@
 	contentText = "text/plain; version=0.0.4; charset=utf-8"
 )
 
-// Page serves the operators' address of a controller over HTTP. It is a
-// suture service.
+// Page serves the operators' address of a controller over HTTP: the status behind
+// an operator's token, health and metrics without. It is a suture service.
 type Page struct {
 	addr    string
 	tls     *tls.Config
 	metrics *telemetry.Page
 	status  func() Status
 	ready   func() bool
+	// authorise lets operators through to the status.
+	authorise fiber.Handler
 }
 
 // Status is what a controller shows of itself.
@@ -107,7 +109,7 @@
 	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", p.readyz)
 	app.Get("/metrics", p.metricsText)
-	app.Get("/status", func(c *fiber.Ctx) error { return c.JSON(p.status()) })
+	app.Get("/status", p.authorise, func(c *fiber.Ctx) error { return c.JSON(p.status()) })
 	return app
 }
 
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tamarackchute/internal/operator"
 	"tamarackchute/internal/settings"
 	"tamarackchute/lease"
 )
@@ -13,6 +14,7 @@
 	return &Page{
 		addr: c.self.ControllerOperators, tls: c.cfg.ServerTLS,
 		metrics: c.cfg.Metrics.Page, status: c.Status, ready: c.ready,
+		authorise: operator.RequireToken(c.cfg.Deployment.Security.Operators, c.log),
 	}
 }
 
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -40,6 +40,12 @@
 	return a
 }
 
+// RequireToken returns a handler that lets requests through only with the token of
+// an operator. Other programs' pages use it, so that there is one check.
+func RequireToken(operators []settings.Operator, logger *slog.Logger) fiber.Handler {
+	return newAuthenticator(operators, logger).check
+}
+
 // check lets a request through that carries an operator's token. Neither the
 // token nor its hash is logged.
 func (a *authenticator) check(c *fiber.Ctx) error {
