router, admission: answers are shorter than asked for; pressure against an idle engine

And pressure was measured against an estimate that had the load in it, so that slow decoding beside long prompts counted for nothing. Change: the length of answers is learnt as a share of what is asked for; an estimate also says what the answer takes at an idle engine, and pressure counts from there; LongPressure 0.2; deadlines are judged with a tenth in hand.

--- a/admission/pool.go
+++ b/admission/pool.go
@@ -17,12 +17,22 @@
 // work is the waiter's weight in the window.
 func (w *waiter) work() time.Duration { return sendCost + w.req.Estimate.own() }
 
+// caution is what estimates are multiplied by before they are held against a
+// deadline: an answer that comes too late has taken engine time from one that
+// would have been in time.
+const caution = 1.1
+
+// needs is the time from its start that a request is judged by.
+func (w *waiter) needs() time.Duration {
+	return time.Duration(caution * float64(w.req.Estimate.Complete))
+}
+
 // latest is the last moment at which it can start; zero without a deadline.
 func (w *waiter) latest() time.Time {
 	if w.req.Deadline.IsZero() {
 		return time.Time{}
 	}
-	return w.req.Deadline.Add(-w.req.Estimate.Complete)
+	return w.req.Deadline.Add(-w.needs())
 }
 
 // lane is the requests of one class.
@@ -105,7 +115,7 @@
 		return nil
 	}
 	left := w.req.Deadline.Sub(now)
-	needed := w.req.Estimate.Complete
+	needed := w.needs()
 	if wait+needed <= left {
 		return nil
 	}
@@ -123,7 +133,7 @@
 // the same request with the same time in hand would be taken: what the queue
 // has too much, at the rate at which it drains.
 func (p *pool) whenToComeBack(w *waiter, wait time.Duration, now time.Time) time.Duration {
-	inHand := w.req.Deadline.Sub(w.arrived) - w.req.Estimate.Complete
+	inHand := w.req.Deadline.Sub(w.arrived) - w.needs()
 	back := wait - max(0, inHand)
 	if w.req.Estimate.Queue > back {
 		back = w.req.Estimate.Queue
@@ -205,7 +215,7 @@
 
 // completed marks a request's whole answer.
 func (p *pool) completed(w *waiter, now time.Time) {
-	p.press(w, now.Sub(w.granted)-w.req.Estimate.ownComplete())
+	p.press(w, now.Sub(w.granted)-w.req.Estimate.Alone)
 	p.steer(now)
 }
 
--- a/admission/types.go
+++ b/admission/types.go
@@ -33,14 +33,13 @@
 	Queue      time.Duration
 	FirstToken time.Duration
 	Complete   time.Duration
+	// Alone is what Complete would be with no other work at the upstream.
+	Alone time.Duration
 }
 
 // own is the time to the first token without a wait at the upstream.
 func (e Estimate) own() time.Duration { return max(0, e.FirstToken-e.Queue) }
 
-// ownComplete is the time to the whole answer without a wait at the upstream.
-func (e Estimate) ownComplete() time.Duration { return max(0, e.Complete-e.Queue) }
-
 // Limit is a rule's limit on the requests that it matches.
 type Limit struct {
 	// Rule names the rule; requests of one rule share its limits.
@@ -124,7 +123,7 @@
 	return Config{
 		MaxQueued:        2000,
 		ShortReserve:     0.15,
-		LongPressure:     0.15,
+		LongPressure:     0.2,
 		ShortPressure:    0.8,
 		LongTokens:       1024,
 		RetryBudget:      0.1,
--- a/router/engine.go
+++ b/router/engine.go
@@ -14,6 +14,7 @@
 	stepFirst float64 // seconds of a step with one stream
 	stepFull  float64 // seconds of a step with a full batch
 	batch     int
+	stepIdle  float64 // stepFirst by the report alone
 	chunk     float64 // prompt tokens in a step that also makes tokens
 }
 
@@ -34,6 +35,7 @@
 	m.prefill /= l.prefillFactor.load()
 	m.stepFull = float64(m.batch) / decode * l.gapFactor.load()
 	m.stepFirst = m.stepFull * cfg.FirstStepShare
+	m.stepIdle = m.stepFirst / l.gapFactor.load()
 	return m
 }
 
@@ -101,8 +103,14 @@
 	prompt := max(1, r.PromptTokens-c.CachedTokens)
 	queue := c.queueSeconds()
 	first := queue + m.prefillSeconds(float64(prompt), streams) + m.step(streams+1) + 2*c.Link.Seconds()
-	complete := first + float64(max(0, r.OutputTokens-1))*m.step(streams+1)
-	return Estimate{seconds(queue), seconds(first), seconds(complete)}
+	output := c.node.outputOf(r)
+	complete := first + output*m.step(streams+1)
+	return Estimate{seconds(queue), seconds(first), seconds(complete), m.alone(float64(prompt), output)}
+}
+
+// alone is the time of an answer at an idle engine.
+func (m *engineModel) alone(prompt, output float64) time.Duration {
+	return seconds(prompt/m.prefill + output*m.stepIdle)
 }
 
 // occupancy is the time in seconds that a request takes from others: each of
--- a/router/learn.go
+++ b/router/learn.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if p := b.node.peers.Load(); p != nil {
-		p.ended(now.Sub(k.began).Seconds())
+		p.ended(now.Sub(k.began).Seconds(), float64(k.produced)/float64(max(1, k.asked)))
 	}
 	l.meanOutput.store(l.meanOutput.load() + learnStep*(float64(k.produced)-l.meanOutput.load()))
 	if k.produced <= leastGaps || k.firstAt.IsZero() {
--- a/router/peers.go
+++ b/router/peers.go
@@ -19,6 +19,8 @@
 	requests, prompt, kv atomicFloat
 	// answer is the mean time in seconds from an attempt's begin to its end.
 	answer atomicFloat
+	// output is the mean length of answers as a share of what was asked for.
+	output atomicFloat
 }
 
 // peersKey names engines that are alike.
@@ -43,14 +45,29 @@
 func (p *peers) met(prompt float64) { mix(&p.prompt, prompt, metStep) }
 
 // ended takes the time of a whole answer.
-func (p *peers) ended(took float64) {
+func (p *peers) ended(took, output float64) {
 	if p.answer.load() == 0 {
 		p.answer.store(took)
-		return
+		p.output.store(1)
 	}
+	mix(&p.output, min(1, output), lengthStep)
 	mix(&p.answer, took, metStep)
 }
 
+// outputOf is the expected length of an answer. What is asked for is a bound,
+// and taken as the length it would have requests refused that end in time.
+func (n *node) outputOf(r *Request) float64 {
+	asked := float64(max(0, r.OutputTokens-1))
+	p := n.peers.Load()
+	if p == nil || p.output.load() == 0 {
+		return asked
+	}
+	return asked * p.output.load()
+}
+
+// lengthStep is the weight of one answer's length.
+const lengthStep = 0.02
+
 // metStep is the weight of one such request.
 const metStep = 0.1
 
--- a/router/score.go
+++ b/router/score.go
@@ -100,5 +100,5 @@
 	}
 	queue := usual * time.Duration(c.InFlight) / serviceParallel
 	complete := queue + usual + 2*c.Link
-	return Estimate{queue, complete, complete}
+	return Estimate{queue, complete, complete, usual + 2*c.Link}
 }
--- a/router/split.go
+++ b/router/split.go
@@ -88,7 +88,7 @@
 	prompt := max(1, r.PromptTokens-c.CachedTokens)
 	queue := c.queueSeconds()
 	done := queue + c.model.prefillSeconds(float64(prompt), min(c.Work.Requests, c.model.batch)) + 2*c.Link.Seconds()
-	c.Estimate = Estimate{Queue: seconds(queue), FirstToken: seconds(done), Complete: seconds(done)}
+	c.Estimate = Estimate{seconds(queue), seconds(done), seconds(done), c.model.alone(float64(prompt), 0)}
 	c.Cost = urgent(c.Estimate.Complete, c.slack) + seconds(p.cfg.OccupancyWeight*c.occupancy(prompt, 0))
 	c.Cost += p.cfg.crossCost(c)
 }
@@ -116,8 +116,10 @@
 	m := &c.model
 	wait := c.placeSeconds()
 	first := pre.Estimate.Complete.Seconds() + move + wait + m.step(c.Work.Requests+1) + 2*c.Link.Seconds()
-	complete := first + float64(max(0, r.OutputTokens-1))*m.step(c.Work.Requests+1)
-	c.Estimate = Estimate{pre.Estimate.Queue, seconds(first), seconds(complete)}
+	output := c.node.outputOf(r)
+	complete := first + output*m.step(c.Work.Requests+1)
+	alone := pre.Estimate.Alone + seconds(move) + m.alone(0, output)
+	c.Estimate = Estimate{pre.Estimate.Queue, seconds(first), seconds(complete), alone}
 	c.Cost = pre.Cost - urgent(pre.Estimate.Complete, c.slack) + urgent(c.Estimate.Complete, c.slack)
 	c.Cost += seconds(p.cfg.OccupancyWeight * c.occupancy(0, r.OutputTokens))
 	c.Cost += p.cfg.crossCost(c)
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -26,6 +26,7 @@
 	prompt   int // prompt tokens still booked
 	output   int // output tokens still booked
 	kv       int // KV tokens booked
+	asked    int
 	produced int
 	firstAt  time.Time
 	movedAt  time.Time // prefill on an engine of its own was done
--- a/router/tracker.go
+++ b/router/tracker.go
@@ -161,6 +161,7 @@
 	k := &Ticket{t: t, engine: t.books[p.Engine], began: now, plan: p}
 	k.prompt = max(0, r.PromptTokens-p.CachedTokens)
 	k.output = r.OutputTokens
+	k.asked = r.OutputTokens
 	k.tokens = r.PromptTokens
 	k.kv = r.PromptTokens + r.OutputTokens
 	if p.Prefill != "" {
--- a/router/tracker_test.go
+++ b/router/tracker_test.go
@@ -67,6 +67,28 @@
 	require.Equal(t, 0, work().Requests, "an older report must not replace a younger one")
 }
 
+// Callers ask for many tokens and get a third. Taken at the bound, a request
+// would be refused for a deadline that it makes with ease.
+func TestAnswersAreShorterThanAskedFor(t *testing.T) {
+	tr, clock := newTestTracker("a")
+	r := testRequest
+	r.OutputTokens = 300
+	estimate := func() time.Duration {
+		plan, err := tr.Pick(r)
+		require.NoError(t, err)
+		return plan.Estimate.Alone
+	}
+	before := estimate()
+	for range 300 {
+		k := tr.Begin(Plan{Engine: "a"}, r)
+		clock.advance(time.Second)
+		k.FirstToken()
+		k.Tokens(100)
+		k.End(OutcomeOK)
+	}
+	require.InDelta(t, 0.35, estimate().Seconds()/before.Seconds(), 0.05)
+}
+
 // The books hold whatever the order of begin, first token, end and reports,
 // and many goroutines at once.
 func TestBooksEndAtNothing(t *testing.T) {
--- a/router/types.go
+++ b/router/types.go
@@ -93,6 +93,8 @@
 	FirstToken time.Duration
 	// Complete is the time until the whole answer is back.
 	Complete time.Duration
+	// Alone is what Complete would be if the engine had nothing else to do.
+	Alone time.Duration
 }
 
 // Why says in a word what decided a plan.
