--- a/cmd/chute-capacity/process.go
+++ b/cmd/chute-capacity/process.go
@@ -44,6 +44,7 @@
 	f := flag.NewFlagSet("chute-capacity watch", flag.ContinueOnError)
 	file := f.String("settings", "", "settings `file` of the deployment")
 	samples := f.String("samples", "", "`file` of samples to add to")
+	tokenFile := f.String("token-file", "", "`file` that holds an operator's token")
 	w := capacity.Watch{PIDs: map[string]int{}}
 	f.StringVar(&w.Control, "control", "", "`address` of the stand-ins' control page")
 	f.StringVar(&w.Series, "series", "", "what is varied, or the deployment's name")
@@ -57,6 +58,11 @@
 	if w.Deployment, err = settings.Load(*file); err != nil {
 		return err
 	}
+	token, err := os.ReadFile(*tokenFile)
+	if err != nil {
+		return eris.Wrap(err, "token can't be read")
+	}
+	w.Token = strings.TrimSpace(string(token))
 	for _, arg := range f.Args() {
 		name, pid, _ := strings.Cut(arg, "=")
 		if w.PIDs[name], err = strconv.Atoi(pid); err != nil {
--- a/internal/capacity/watch.go
+++ b/internal/capacity/watch.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
 	"gonum.org/v1/gonum/stat"
 
 	"tamarackchute/internal/adapters/httpx"
@@ -30,6 +32,8 @@
 	PIDs map[string]int
 	// Control is the address of the stand-ins' control page.
 	Control string
+	// Token is an operator's, for the controllers' pages.
+	Token   string
 	Series  string
 	Size    int
 	Windows int
@@ -81,18 +85,39 @@
 		if !ok {
 			return nil, eris.Errorf("the settings name no instance %q", instance)
 		}
-		page, err := httpx.GetJSON[controller.Status](ctx, httpx.New(in.ControllerOperators, httpx.Options{}), "/status")
+		leads, err := w.leads(ctx, in)
 		if err != nil {
 			return nil, eris.Wrapf(err, "status of %s", name)
 		}
 		roles[name] = roleFollower
-		if slices.ContainsFunc(page.Scopes, func(s controller.ScopeStatus) bool { return s.Led }) {
+		if leads {
 			roles[name] = roleLeader
 		}
 	}
 	return roles, nil
 }
 
+// leads asks an instance's controller whether it leads any scope.
+func (w Watch) leads(ctx context.Context, in settings.Instance) (bool, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("/status")
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+w.Token)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := httpx.New(in.ControllerOperators, httpx.Options{}).Do(ctx, req, resp); err != nil {
+		return false, err
+	}
+	if !httpx.IsSuccess(resp.StatusCode()) {
+		return false, httpx.StatusOf(resp)
+	}
+	var page controller.Status
+	if err := json.Unmarshal(resp.Body(), &page); err != nil {
+		return false, err
+	}
+	return slices.ContainsFunc(page.Scopes, func(s controller.ScopeStatus) bool { return s.Led }), nil
+}
+
 // looked is one look at all processes and at the log.
 type looked struct {
 	usage   map[string]Usage
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -101,7 +101,8 @@
   for name in "${!pid_of[@]}"; do
     [ "$name" = standin ] || named+=("$name=${pid_of[$name]}")
   done
-  bin/chute-capacity watch -settings "$settings" -control "$control" -samples "$samples" \
+  bin/chute-capacity watch -settings "$settings" -token-file "$(dirname "$settings")/operator.token" \
+    -control "$control" -samples "$samples" \
     -series "$1" -size "$2" -windows "$rounds" -window "$window" "${named[@]}" || fail "$1 $2"
 }
 
@@ -126,7 +127,7 @@
     watch instances "$n"
     kill_all
   done
-  for n in 4 16 48; do
+  for n in 4 16 64 200; do
     say "3 instances, $n engines, idle"
     new_fleet 3 "$n"
     watch engines "$n"
