--- a/lease/view.go
+++ b/lease/view.go
@@ -2,10 +2,10 @@
 
 import (
 	"maps"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"tamarackchute/internal/notify"
 	"tamarackchute/journal"
 	"tamarackchute/platform"
 )
@@ -34,14 +34,12 @@
 type View struct {
 	state   State
 	current atomic.Pointer[Snapshot]
-
-	mu      sync.Mutex
-	changed chan struct{}
+	changes notify.Changes
 }
 
 // NewView returns a view of an empty journal.
 func NewView() *View {
-	v := &View{changed: make(chan struct{})}
+	v := &View{}
 	v.current.Store(&Snapshot{Scopes: map[string]ScopeState{}})
 	return v
 }
@@ -55,7 +53,7 @@
 	}
 	v.current.Store(next)
 	if accepted {
-		v.wake()
+		v.changes.Wake()
 	}
 }
 
@@ -64,7 +62,7 @@
 	v.state.Gap(time.Now())
 	now := v.current.Load()
 	v.current.Store(&Snapshot{Position: now.Position, Scopes: maps.Clone(v.state.scopes), gapAt: v.state.gapAt})
-	v.wake()
+	v.changes.Wake()
 }
 
 // Snapshot returns the current state.
@@ -75,15 +73,4 @@
 
 // Changed returns a channel that closes with the next accepted record. Take
 // the channel before the snapshot, so that no change falls between the two.
-func (v *View) Changed() <-chan struct{} {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.changed
-}
-
-func (v *View) wake() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	close(v.changed)
-	v.changed = make(chan struct{})
-}
+func (v *View) Changed() <-chan struct{} { return v.changes.Changed() }
--- a/orders/view.go
+++ b/orders/view.go
@@ -2,9 +2,9 @@
 
 import (
 	"maps"
-	"sync"
 	"sync/atomic"
 
+	"tamarackchute/internal/notify"
 	"tamarackchute/journal"
 	"tamarackchute/platform"
 )
@@ -36,15 +36,13 @@
 type View struct {
 	state   *State
 	current atomic.Pointer[Snapshot]
-
-	mu      sync.Mutex
-	changed chan struct{}
+	changes notify.Changes
 }
 
 // NewView returns a view of an empty journal. Register it for KindOrder with
 // the same journal as leases for KindLease.
 func NewView(leases Leases) *View {
-	v := &View{state: NewState(leases), changed: make(chan struct{})}
+	v := &View{state: NewState(leases)}
 	v.current.Store(&Snapshot{Engines: map[string]Engine{}})
 	return v
 }
@@ -58,7 +56,7 @@
 	}
 	v.current.Store(next)
 	if accepted {
-		v.wake()
+		v.changes.Wake()
 	}
 }
 
@@ -70,15 +68,4 @@
 
 // Changed returns a channel that closes with the next accepted record. Take
 // the channel before the snapshot, so that no change falls between the two.
-func (v *View) Changed() <-chan struct{} {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.changed
-}
-
-func (v *View) wake() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	close(v.changed)
-	v.changed = make(chan struct{})
-}
+func (v *View) Changed() <-chan struct{} { return v.changes.Changed() }
