make faults: a trial under many faults at once; recover.sh mended

Cause: `make try` kills and stops processes but has no freezes, partitions, outages of the platform, racing publishers or poisonous requests, alone or together.

The checks that try.sh and faults.sh share moved into functions (expect_zeros, expect_exit_codes) unchanged. end_all also sends CONT, so a frozen process gets its TERM.

Found meanwhile: scripts/recover.sh failed since entries refuse model requests by HTTP/1.0, as scripts/lib/http.sh spoke 1.0: every answer() got "model requests need HTTP/1.1". It speaks 1.1 with Connection: close now. Ruled out: a fault of the entry, whose refusal is on purpose.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Commands for developers; .ci/run calls `make test` and `make lint`.
 PROGRAMS := chute-entry chute-controller chutectl chute-standin chute-load chute-prove
 
-.PHONY: build test lint try bench prove experiment capacity
+.PHONY: build test lint try faults bench prove experiment capacity
 
 build:
 	mkdir -p bin
@@ -20,6 +20,10 @@
 try:
 	scripts/try.sh $(DEPLOYMENT) $(TRY_SECONDS)
 
+FAULTS_SECONDS ?= 80
+faults:
+	scripts/faults.sh $(DEPLOYMENT) $(FAULTS_SECONDS)
+
 experiment:
 	scripts/experiment.sh
 
--- /dev/null
+++ b/scripts/faults.sh
@@ -0,0 +1,168 @@
+#!/usr/bin/env bash
+# A trial of one deployment with real processes under many faults, some of them at
+# once: processes frozen, killed and cut off, the platform's log losing replies,
+# late or down, its list down, publishers racing, engines and services crashing, a
+# request that crashes engines. The last line is JSON with the figures;
+# docs/measurements/faults.md has the table of faults.
+#
+#   scripts/faults.sh kalku-rinda|regnbrunnur [SECONDS]
+#
+# Needs go, make, bash and the usual core utilities.
+set -uo pipefail
+export LC_ALL=C
+cd "$(dirname "$0")/.."
+. scripts/lib/trial.sh
+. scripts/lib/versions.sh
+. scripts/lib/faults.sh
+
+begin_trial faults "${1:?usage: scripts/faults.sh kalku-rinda|regnbrunnur [SECONDS]}"
+seconds=${2:-80}
+[ "$seconds" -ge 80 ] || fail "the faults take 80 s"
+[ ${#instances[@]} -ge 6 ] || fail "the trial needs 6 instances"
+frozen=${instances[0]} killed=${instances[1]} cut=${instances[3]}
+sound=("${instances[2]}" "${instances[4]}" "${instances[5]}")
+asked=${sound[0]}
+mapfile -t engines < <(upstreams engine)
+mapfile -t services < <(upstreams service)
+protected=$(protected_path)
+publish_rounds=0 one_winner=0 off=()
+start_deployment
+start_watching
+
+say "sending mixed traffic for $seconds s"
+start load bin/chute-load try -settings "$settings" -control "$control" \
+  -seconds "$seconds" -seed 1 -out "$out"
+began=$SECONDS
+
+at_second 5
+say "freezing the entry on $frozen for 4 s"
+start fault/entry freeze "entry/$frozen" 4
+
+at_second 7
+scope=$(http GET "${controllers[$asked]}" /status "" "$token" | grep -oE '"scope":"[^"]+/[^"]*fenced","holder":"[^"]+"' | head -n 1)
+scope=${scope#*:\"}
+scope=${scope%%\"*}
+leader=$(leader_of "$scope")
+[ -n "$leader" ] || fail "nobody leads"
+[ "$leader" != "$asked" ] || asked=${sound[1]}
+say "freezing the controller on $leader, which leads $scope, for 7 s"
+start fault/controller freeze "controller/$leader" 7
+
+at_second 10
+say "the log loses replies, and appends land late, for 8 s"
+fault log '{"lose_reply": {"fraction": 0.2}, "land_late": {"fraction": 0.1}, "land_late_ms": 700}'
+
+at_second 13
+next_leader=$(leader_of "$scope")
+say "$scope is led by ${next_leader:-nobody} while $leader is frozen"
+say "publishers racing, ten rounds"
+for ((round = 1; round <= 10; round++)); do
+  publish_race "$round" "${sound[0]}" "${sound[2]}"
+  [ "$round" != 3 ] || start fault/engine fault "${engines[1]}" '{"crash": {"down_ms": 4000}}'
+  [ "$SECONDS" -lt $((began + 18)) ] || fault log '{"lose_reply": {}, "land_late": {}}'
+done
+at_second 18
+fault log '{"lose_reply": {}, "land_late": {}}'
+
+at_second 34
+say "cutting the entry on $cut off from the log for 10 s"
+fault log "{\"blocked\": [\"$cut/entry\"]}"
+base=$(in_force_on "$asked")
+publish_on "$asked" "$base" cut-1
+say "sending a request that crashes engines"
+send_poison 9
+say "$poison_crashes engines crashed; $poison_refused sends of 9 refused as quarantined"
+at_second 44
+publish_on "$asked" "$(in_force_on "$asked")" cut-2
+version=$(json_value version <"$run/cut-2.answer") || fail "publishing failed while $cut was cut off"
+say "$cut is back; it has $(in_force_on "$cut"), in force is $version"
+fault log '{"blocked": []}'
+rejoin_ms=$(rejoin "$cut" "$version")
+
+at_second 47
+say "an engine crashes; the log is down for 15 s"
+fault "${engines[0]}" '{"crash": {"down_ms": 5000}}'
+fault log '{"outage": "close"}'
+at_second 49
+say "killing the entry on $killed, and starting it again"
+printf '%s\n' "$killed" >>"$out/killed"
+end KILL "entry/$killed"
+reap "entry/$killed"
+booked=("${sound[@]}" "$frozen" "$cut")
+for name in "${booked[@]}"; do book "outage-$name" "$name" >"$run/outage-$name" & done
+start "entry/$killed" bin/chute-entry -settings "$settings" -instance "$killed"
+at_second 54
+say "the list is down too, for 10 s; the log's outage goes on in silence"
+fault list '{"outage": "error"}'
+fault log '{"outage": "hang"}'
+for name in "${booked[@]}"; do book "silent-$name" "$name" >"$run/silent-$name" & done
+at_second 62
+fault log '{"outage": ""}'
+at_second 64
+fault list '{"outage": ""}'
+
+at_second 67
+say "services crash after running"
+for name in "${services[@]}"; do fault "$name" '{"crash_after": {"next": 2}, "restart_ms": 500}'; done
+
+say "waiting for the load to end"
+reap_within $((seconds + 120)) load
+outage_not_refused=0 outage_ran=0
+for name in "${booked[@]}"; do
+  for kind in outage silent; do
+    got=$(outcome <"$run/$kind-$name")
+    if [ "$got" != not-run ]; then
+      outage_not_refused=$((outage_not_refused + 1))
+      say "a booking in the outage at $name got $got"
+    fi
+  done
+done
+say "sending those bookings again: none may have run before"
+for name in "${booked[@]}"; do
+  for kind in outage silent; do
+    before=$(counted keys)
+    answer=$(book "$kind-$name" "$asked")
+    # An answer without a new key at the services would be of a run in the outage.
+    if [ "$(outcome <<<"$answer")" = ran ] && [ "$(counted keys)" = "$before" ]; then
+      outage_ran=$((outage_ran + 1))
+      say "a booking refused in the outage at $name had run"
+    fi
+  done
+done
+say "a service crashes after running a call, which is sent again"
+for name in "${services[@]}"; do fault "$name" '{"crash_after": {"next": 1}}'; done
+crash_first=$(book after-load "$asked" | outcome)
+for name in "${services[@]}"; do fault "$name" '{"crash_after": {"next": 0}}'; done
+crash_resends_ran=0
+for name in "${instances[@]}"; do
+  [ "$(book after-load "$name" | outcome)" != ran ] || crash_resends_ran=$((crash_resends_ran + 1))
+done
+
+totals=$(http GET "$control" /totals) || fail "the stand-ins don't answer"
+say "stopping everything"
+stop_watching
+end_all
+count_reverts
+
+load_line=$(tail -n 1 "$logs/load.log")
+expect_zeros
+expect "ran_twice at the end" "$(json_value ran_twice <<<"$totals")" 0
+expect_exit_codes
+expect version_reverts "$version_reverts" 0
+[ "$fewest_versions" -ge 5 ] || off+=("an entry was watched at $fewest_versions versions only")
+expect "rounds with one winner" "$one_winner" "$publish_rounds"
+expect "bookings in the outage that weren't refused" "$outage_not_refused" 0
+expect "bookings refused in the outage that had run" "$outage_ran" 0
+[ "$poison_refused" -ge 6 ] || off+=("poison_refused is $poison_refused of 9 sends")
+expect "the answer to the call whose service crashed" "$crash_first" may-have-run
+expect "its resends that were answered as run" "$crash_resends_ran" 0
+[ "$rejoin_ms" -le 3000 ] || off+=("rejoin_ms is $rejoin_ms, more than 3000")
+[ "$poison_crashes" -le 2 ] || say "NOTE: the poison request crashed $poison_crashes engines, not two"
+[ "$poison_crashes" -le 3 ] || off+=("poison_crashes is $poison_crashes, more than 3")
+for name in "${off[@]}"; do say "WRONG: $name"; done
+[[ $load_line == {*} ]] || fail "the load printed no figures"
+printf '%s,"publish_rounds":%d,"one_winner":%d,"version_reverts":%d,"rejoin_ms":%d,"poison_refused":%d,"poison_crashes":%d,' \
+  "${load_line%\}}" "$publish_rounds" "$one_winner" "$version_reverts" "$rejoin_ms" "$poison_refused" "$poison_crashes"
+printf '"outage_bookings":%d,"lease_passed":%s,"stand_ins":%s,"faults":%d}\n' \
+  $((2 * ${#booked[@]})) "$([ -n "$next_leader" ] && [ "$next_leader" != "$leader" ] && echo true || echo false)" "$totals" "${#off[@]}"
+[ ${#off[@]} -eq 0 ]
--- a/scripts/lib/http.sh
+++ b/scripts/lib/http.sh
@@ -1,15 +1,17 @@
 # HTTP by bash alone, for the trial script: no other program is needed.
 
-# http METHOD ADDRESS PATH [BODY [TOKEN]] prints the answer's body. It fails if
-# the answer isn't 2xx or doesn't come within http_timeout seconds.
+# http METHOD ADDRESS PATH [BODY [TOKEN [KEY]]] prints the answer's body. It fails if
+# the answer isn't 2xx or doesn't come within http_timeout seconds. KEY is sent as
+# the Idempotency-Key.
 http_timeout=3
 http() {
-  local method=$1 address=$2 path=$3 body=${4-} token=${5-}
+  local method=$1 address=$2 path=$3 body=${4-} token=${5-} key=${6-}
   local status line
   exec {conn}<>"/dev/tcp/${address%:*}/${address##*:}" || return 1
   {
-    printf '%s %s HTTP/1.0\r\nHost: %s\r\n' "$method" "$path" "$address"
+    printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n' "$method" "$path" "$address"
     [ -z "$token" ] || printf 'Authorization: Bearer %s\r\n' "$token"
+    [ -z "$key" ] || printf 'Idempotency-Key: %s\r\n' "$key"
     printf 'Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s' "${#body}" "$body"
   } >&"$conn"
   read -r -t "$http_timeout" _ status _ <&"$conn" || status=0
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -60,7 +60,8 @@
   for name in "${!pid_of[@]}"; do
     [ "$name" = standin ] || names+=("$name")
   done
-  for name in "${names[@]}"; do end TERM "$name"; done
+  # A process that a trial froze gets the TERM once it goes on.
+  for name in "${names[@]}"; do end TERM "$name" && end CONT "$name"; done
   [ ${#names[@]} -eq 0 ] || reap_within 75 "${names[@]}"
   if [ -n "${pid_of[standin]-}" ]; then
     end TERM standin
--- a/scripts/lib/trial.sh
+++ b/scripts/lib/trial.sh
@@ -95,6 +95,11 @@
   while [ "$SECONDS" -lt "$when" ]; do sleep 0.1; done
 }
 
+# at_second N waits until so many seconds of the load have passed.
+at_second() {
+  while [ "$SECONDS" -lt $((began + $1)) ]; do sleep 0.1; done
+}
+
 list_change() { http POST "$list" /faults "$1" >/dev/null || fail "the list's stand-in refuses"; }
 
 now_ms() { local t=${EPOCHREALTIME/./}; echo $((t / 1000)); }
@@ -152,25 +157,34 @@
   off+=("$1 is ${2:-missing}, not $3")
 }
 
-# report prints what was measured; the last line is JSON. It fails if a figure
-# that must be 0 isn't, or if a planned stop went wrong.
-report() {
-  local load_line name slowest=0 ms off=()
-  load_line=$(tail -n 1 "$logs/load.log")
-  for ms in "${in_force_ms[@]}"; do [ "$ms" -le "$slowest" ] || slowest=$ms; done
-  expect "exit code of the load" "${exit_code_of[load]}" 0
+# expect_zeros counts the load's and the stand-ins' figures that must be 0.
+expect_zeros() {
+  local name
   for name in wrong_answer cut_by_planned_stop ran_twice not_run_but_ran; do
     expect "$name" "$(json_value "$name" <<<"$load_line")" 0
   done
   for name in cut_by_order conflicting_orders outdated_orders_taken work_after_leaving; do
     expect "$name" "$(json_value "$name" <<<"$totals")" 0
   done
+}
+
+# expect_exit_codes NAME... counts processes that ended with another code than 0,
+# except those named.
+expect_exit_codes() {
+  local name
   for name in "${!exit_code_of[@]}"; do
-    case $name in
-    load | "entry/$killed" | "controller/$killed") ;;
-    *) expect "exit code of $name" "${exit_code_of[$name]}" 0 ;;
-    esac
+    [[ " $* " == *" $name "* ]] || expect "exit code of $name" "${exit_code_of[$name]}" 0
   done
+}
+
+# report prints what was measured; the last line is JSON. It fails if a figure
+# that must be 0 isn't, or if a planned stop went wrong.
+report() {
+  local load_line name slowest=0 ms off=()
+  load_line=$(tail -n 1 "$logs/load.log")
+  for ms in "${in_force_ms[@]}"; do [ "$ms" -le "$slowest" ] || slowest=$ms; done
+  expect_zeros
+  expect_exit_codes "entry/$killed" "controller/$killed"
   for name in "${off[@]}"; do say "WRONG: $name"; done
   [[ $load_line == {*} ]] || fail "the load printed no figures"
   printf '%s,"rules_in_force_ms":%d,"stopped_exit_code":%d,"log_appends":%s,"work_after_leaving":%s,"faults":%d}\n' \
--- /dev/null
+++ b/scripts/lib/versions.sh
@@ -0,0 +1,98 @@
+# The rules' versions in a trial: watched on every entry all through, and raced
+# for by two publishers.
+
+# version_less A B compares two versions, "offset.index".
+version_less() {
+  local a=${1%.*} b=${2%.*}
+  [ "$a" -lt "$b" ] || { [ "$a" -eq "$b" ] && [ "${1#*.}" -lt "${2#*.}" ]; }
+}
+
+# watch_versions NAME notes each new version in force on an entry, one a line with
+# the time, until the file stop_watching is there. An entry that has just started
+# without any version counts as not seen.
+watch_versions() {
+  local now before=
+  while [ ! -e "$run/stop_watching" ]; do
+    now=$(in_force_on "$1")
+    if [ -n "$now" ] && [ "$now" != none ] && [ "$now" != "$before" ]; then
+      printf '%s %s\n' "$(now_ms)" "$now" >>"$out/versions/$1"
+      before=$now
+    fi
+    sleep 0.1
+  done
+}
+
+start_watching() {
+  local name
+  mkdir -p "$out/versions"
+  for name in "${instances[@]}"; do start "watch/$name" watch_versions "$name"; done
+}
+
+stop_watching() {
+  local name
+  : >"$run/stop_watching"
+  for name in "${instances[@]}"; do reap_within 10 "watch/$name"; done
+}
+
+# count_reverts sets version_reverts: how often an entry was seen with an older
+# version than before, restarts of its process included; and fewest_versions: the
+# fewest versions seen on an entry, which tells that there was something to watch.
+count_reverts() {
+  local name now before seen
+  version_reverts=0 fewest_versions=1000000
+  for name in "${instances[@]}"; do
+    before=0.0 seen=0
+    while read -r _ now; do
+      if version_less "$now" "$before"; then
+        version_reverts=$((version_reverts + 1))
+        say "$name went back from $before to $now"
+      fi
+      before=$now seen=$((seen + 1))
+    done <"$out/versions/$name"
+    [ "$seen" -ge "$fewest_versions" ] || fewest_versions=$seen
+  done
+}
+
+# rules_with NAME FILE writes the first rules with a rule of that name in front.
+rules_with() {
+  local rule="{\"name\": \"$1\", \"when\": \"header(\\\\\"X-Trial\\\\\") == \\\\\"$1\\\\\"\", "
+  rule+='"then": {"refuse": {"status": 403, "reason": "trial"}}},'
+  sed "s|\"rules\": \[|&$rule|" "$run/rules.json" >"$2"
+}
+
+# publish_on INSTANCE BASE RULE publishes with one instance asked first; it notes
+# its exit code and answer under the rule's name.
+publish_on() {
+  local code=0
+  rules_with "$3" "$run/$3.json"
+  chutectl -o json -instance "$1" rules publish -base "$2" -note "$3" "$run/$3.json" \
+    >"$run/$3.answer" 2>>"$logs/publish.log" || code=$?
+  printf '%s\n' "$code" >"$run/$3.code"
+}
+
+# publish_race ROUND INSTANCE INSTANCE lets two operators publish on one base. It
+# adds to publish_rounds, and to one_winner if one got through, the other met a
+# conflict and all live entries came to the winner's version, a newer one.
+publish_race() {
+  local base codes winner="" name
+  base=$(in_force_on "$2")
+  publish_rounds=$((publish_rounds + 1))
+  publish_on "$2" "$base" "race-$1-a" &
+  local first=$!
+  publish_on "$3" "$base" "race-$1-b" &
+  wait "$first" "$!"
+  codes="$(<"$run/race-$1-a.code") $(<"$run/race-$1-b.code")"
+  case $codes in
+  "0 3") name=race-$1-a ;;
+  "3 0") name=race-$1-b ;;
+  *) say "round $1: exit codes $codes" && return ;;
+  esac
+  winner=$(json_value version <"$run/$name.answer")
+  if ! version_less "$base" "$winner"; then
+    say "round $1: $winner isn't newer than $base"
+  elif ! wait_in_force "$winner"; then
+    say "round $1: $winner isn't in force everywhere"
+  else
+    one_winner=$((one_winner + 1))
+  fi
+}
