--- a/internal/adapters/httpx/client_test.go
+++ b/internal/adapters/httpx/client_test.go
@@ -148,3 +148,12 @@
 		})
 	}
 }
+
+func TestTrustedCertificateIsTaken(t *testing.T) {
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("safe")) }))
+	t.Cleanup(s.Close)
+	roots := s.Client().Transport.(*http.Transport).TLSClientConfig
+	body, err := get(t.Context(), New(s.Listener.Addr().String(), Options{TLS: roots}))
+	require.NoError(t, err)
+	assert.Equal(t, "safe", body)
+}
--- a/internal/adapters/serviceclient/serviceclient_test.go
+++ b/internal/adapters/serviceclient/serviceclient_test.go
@@ -175,6 +175,19 @@
 	}
 }
 
+// A booking is lost between two services that share their callers: the count
+// of runs must be over both, or a call that ran once on each looks fine.
+func TestRunsAreCountedOverServices(t *testing.T) {
+	ledger := standin.NewLedger()
+	for i := range 2 {
+		s := standintest.Service(t, standin.ServiceConfig{Ledger: ledger})
+		got, err := serviceclient.New(s.Addr(), httpx.Options{}).Call(t.Context(), booking("a", "same", "x"))
+		require.NoError(t, err)
+		assert.Equal(t, i+1, decode(t, got).Run)
+		assert.EqualValues(t, i, s.Counters().RanTwice)
+	}
+}
+
 func TestMessagePassesUnchanged(t *testing.T) {
 	var got *http.Request
 	var body []byte
