quarantine: a process cut off from the log counts the crashes it saw

Each retry went to another engine, and each resend would again.

Ruled out: a wait too short for the report (the log was silent for 10 s); the other instances (they refused after two, as before).

A report that is read back takes its upstream off that list only, not the whole suspicion. Innocents: the same reports would quarantine them once appended, so no digest is refused that the log wouldn't refuse.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -39,7 +39,7 @@
 	state    *State
 	local    map[string]Digest // upstreams on which suspects of ours run
 	pending  []journal.Entry   // crash reports that the log hasn't taken yet
-	own      map[Digest]time.Time
+	own      map[Digest]*ownCrashes
 	answered *simplelru.LRU[Digest, time.Time]
 }
 
@@ -56,7 +56,7 @@
 		now:      now,
 		state:    NewState(cfg),
 		local:    map[string]Digest{},
-		own:      map[Digest]time.Time{},
+		own:      map[Digest]*ownCrashes{},
 		answered: answered,
 	}
 }
@@ -67,8 +67,7 @@
 	defer g.mu.Unlock()
 	g.state.Apply(p)
 	for _, d := range g.state.touched {
-		// The journal has the report now, and what follows it.
-		delete(g.own, d)
+		g.readBack(d, g.state.crashed)
 	}
 	if g.observe == nil {
 		return
@@ -89,25 +88,6 @@
 	return v, nil
 }
 
-// verdict adds the crashes that only this process knows of so far.
-func (g *Guard) verdict(d Digest) Verdict {
-	v := g.state.Verdict(d, g.now())
-	until, ok := g.own[d]
-	if !ok {
-		return v
-	}
-	left := until.Sub(g.now())
-	if left <= 0 {
-		delete(g.own, d)
-		return v
-	}
-	if v.Standing == Clean {
-		v.Standing = Suspected
-		v.Left = left
-	}
-	return v
-}
-
 // MayRunOn reports whether a digest may start on an upstream: a suspect not
 // where another one runs. The router asks it for each candidate.
 func (g *Guard) MayRunOn(upstream string, d Digest) bool {
@@ -152,7 +132,7 @@
 			continue
 		}
 		c.Suspects = append(c.Suspects, d)
-		g.own[d] = g.now().Add(g.state.cfg.SuspectFor)
+		g.noteOwn(d, upstream)
 	}
 	return entryOf(uuid.NewString(), g.writer, message{Crash: c})
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -275,6 +275,42 @@
 	require.Equal(t, Suspected, standing(l.guards[1], digest(3)))
 }
 
+// An instance is cut off from the log. A caller sends it a poisonous request again
+// and again, and each try kills another engine. The log can't tell of the second
+// one, so the instance must count what it saw itself and refuse from then on; a
+// second death of the same engine, or a success between, must not count.
+func TestLogIsDownAndEnginesDie(t *testing.T) {
+	const a, b = "a", "b"
+	l := newFakeLog(2)
+	g := l.guards[0]
+	die := func(engines ...string) {
+		for _, e := range engines {
+			require.ErrorIs(t, g.Crashed(background, e, "", []Digest{digest(0)}), errDown)
+		}
+	}
+	require.NoError(t, l.guards[1].Crashed(background, a, "", []Digest{digest(1)}))
+	l.down = true
+	require.ErrorIs(t, g.Crashed(background, a, "", []Digest{digest(1)}), errDown)
+	require.Equal(t, Suspected, standing(g, digest(1)), "one death, told by the log and seen here")
+	require.ErrorIs(t, g.Crashed(background, b, "", []Digest{digest(1)}), errDown)
+	require.Equal(t, Quarantined, standing(g, digest(1)), "one told by the log, one seen here")
+
+	die(a, a)
+	require.Equal(t, Suspected, standing(g, digest(0)))
+	iso, err := g.Isolate(background, b, digest(0))
+	require.NoError(t, err)
+	iso.End(background, true)
+	die(b)
+	require.Equal(t, Suspected, standing(g, digest(0)), "a success lay between")
+	die(a)
+	_, err = g.Check(digest(0))
+	var refused *Error
+	require.ErrorAs(t, err, &refused)
+	require.ElementsMatch(t, []string{a, b}, refused.Verdict.Upstreams)
+	l.at = l.at.Add(DefaultConfig().SuspectFor)
+	require.Equal(t, Clean, standing(g, digest(0)))
+}
+
 // Two instances ask at the same moment, before either has read the other's
 // entry: for one engine for two suspects, then for two engines for one suspect.
 // The log's order decides, and both see the same.
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -78,8 +78,10 @@
 	suspects map[Digest]*suspect
 	holds    map[string]hold
 	released map[Digest]released
-	// touched are the digests that the last crash report named.
+	// touched are the digests that the last crash report named, crashed the
+	// upstream that it was about.
 	touched []Digest
+	crashed string
 	// entered are the quarantines that began with the last entry.
 	entered []Entered
 	logNow  time.Time
@@ -124,6 +126,7 @@
 
 func (s *State) applyCrash(c *Crash, p journal.Placed) {
 	s.touched = append(append(s.touched, c.Suspects...), c.Doubtful...)
+	s.crashed = c.Upstream
 	for _, d := range c.Suspects {
 		s.strike(d, c, p, true)
 	}
