rolepolicy: the expected length starts from a guess; measurements

The first phase had lasted 6 s, that alone was taken for the mean, and nothing paid any more. Change: the mean begins as a guess, forty times change_s instead of ten dwells, and each phase counts 0.3.

--- a/rolepolicy/config.go
+++ b/rolepolicy/config.go
@@ -21,7 +21,7 @@
 	// MaxPictureAge is the oldest demand and engine report acted on.
 	MaxPictureAge time.Duration
 	// Horizon is how long a shift is expected to last until shifts have been
-	// seen; 0 means ten times Dwell.
+	// seen; 0 means forty times Change.
 	Horizon time.Duration
 	// Schedule is for the "schedule" policy only.
 	Schedule Plan
--- a/rolepolicy/demand.go
+++ b/rolepolicy/demand.go
@@ -145,10 +145,9 @@
 // regime measures how long the mix stays on one side: more prefill work than
 // decode work in the capacity's measure, or less.
 type regime struct {
-	side    int
-	since   time.Time
-	mean    float64 // seconds
-	weights float64
+	side  int
+	since time.Time
+	mean  float64 // seconds; begins as a guess
 }
 
 // The share by which one side must outweigh the other for a new regime, and
@@ -175,32 +174,20 @@
 		return
 	}
 	if r.side != 0 {
-		r.finish(now.Sub(r.since).Seconds())
+		r.mean += regimeNewest * (now.Sub(r.since).Seconds() - r.mean)
 	}
 	r.side, r.since = side, now
 }
 
-func (r *regime) finish(seconds float64) {
-	if r.weights == 0 {
-		r.mean, r.weights = seconds, 1
-		return
-	}
-	r.mean += regimeNewest * (seconds - r.mean)
-}
-
 // remaining is how many more seconds the present mix is expected to last:
 // what is left of the mean length, but at least half of it, for a shift that
 // has outlasted the mean tells nothing about its end.
-func (r *regime) remaining(now time.Time, prior float64) float64 {
-	mean := prior
-	if r.weights > 0 {
-		mean = r.mean
-	}
+func (r *regime) remaining(now time.Time) float64 {
 	age := 0.0
 	if !r.since.IsZero() {
 		age = now.Sub(r.since).Seconds()
 	}
-	return max(mean/2, mean-age)
+	return max(r.mean/2, r.mean-age)
 }
 
 // missed adds up the goodput that was missed by not changing, in requests. It
--- a/rolepolicy/gain.go
+++ b/rolepolicy/gain.go
@@ -25,8 +25,9 @@
 
 // Defaults of Gain's settings.
 const (
-	horizonDwells  = 10
-	defaultHorizon = 5 * time.Minute
+	// horizonChanges is how many times the time of a change the first mix is
+	// expected to last.
+	horizonChanges = 40
 	// minFresh is the share of entries and of engines that must have
 	// reported for the picture to count.
 	minFresh = 0.5
@@ -42,10 +43,7 @@
 func NewGain(c Config) *Gain {
 	c.MaxAtOnce = max(1, c.MaxAtOnce)
 	if c.Horizon <= 0 {
-		c.Horizon = horizonDwells * c.Dwell
-	}
-	if c.Horizon <= 0 {
-		c.Horizon = defaultHorizon
+		c.Horizon = horizonChanges * c.Change
 	}
 	return &Gain{
 		c:       c,
@@ -89,7 +87,7 @@
 func (g *Gain) decidePool(p pool, s State, now time.Time, room int) []Decision {
 	h := g.history[p.key()]
 	if h == nil {
-		h = &history{}
+		h = &history{regime: regime{mean: g.c.Horizon.Seconds()}}
 		g.history[p.key()] = h
 	}
 	seen, fresh := sum(p, s.Demand, now, g.c.MaxPictureAge)
@@ -156,7 +154,7 @@
 	doubt := h.doubt()
 	s.demands = []total{ahead, skewed(ahead, 1+doubt), skewed(ahead, 1-doubt), less(ahead, 1-doubt)}
 	h.regime.add(s.table.ratio(ahead.Rates), now)
-	s.horizon = h.regime.remaining(now, g.c.Horizon.Seconds())
+	s.horizon = h.regime.remaining(now)
 	return s
 }
 
