make faults: late orders, a second kill, publications in an outage, a partition's poison

Cause: the first form left out orders that arrive late, faults that strike twice, publications while the log is down, scopes of engines that don't check fencing numbers, and a poisonous request at an entry cut off from the log.

Change: these steps, each with its check.

--- a/scripts/lib/faults.sh
+++ b/scripts/lib/faults.sh
@@ -16,6 +16,12 @@
   end CONT "$1"
 }
 
+# scopes prints the deployment's scopes, as the controller on $asked knows them.
+scopes() {
+  http GET "${controllers[$asked]}" /status "" "$token" |
+    grep -oE '"scope":"[^"]+","holder"' | sed -E 's/"scope":"([^"]+)".*/\1/'
+}
+
 # leader_of SCOPE prints who leads a scope, as the controller on $asked knows it.
 leader_of() {
   http GET "${controllers[$asked]}" /status "" "$token" |
@@ -37,16 +43,18 @@
   json_value outcome <<<"$answer" || { [ -n "$(json_value run <<<"$answer")" ] && printf 'ran'; } || printf 'none'
 }
 
-# send_poison SENDS sends one request that crashes engines again and again, at one
-# instance after the other, without a pause. It sets poison_crashes and
-# poison_refused, the sends refused as quarantined.
+# send_poison WORD SENDS INSTANCE... sends one request, told apart by the word, that
+# crashes engines again and again, at one instance after the other, without a pause.
+# It sets poison_crashes, the engines that crashed meanwhile, and poison_refused, the
+# sends refused as quarantined.
 send_poison() {
-  local before body answer name http_timeout=30 n
+  local word=$1 sends=$2 before body answer name http_timeout=30 n
+  shift 2
   before=$(counted crashes)
-  body="{\"model\": \"$model\", \"prompt\": \"a request with crash-this-upstream in it\", \"max_tokens\": 8}"
+  body="{\"model\": \"$model\", \"prompt\": \"the $word request with crash-this-upstream in it\", \"max_tokens\": 8}"
   poison_refused=0
-  for ((n = 0; n < $1; n++)); do
-    name=${sound[$((n % ${#sound[@]}))]}
+  for ((n = 1; n <= sends; n++)); do
+    name=${*:(n - 1) % $# + 1:1}
     answer=$(http POST "${callers[$name]}" /v1/completions "$body") || true
     printf '%s %s\n' "$name" "$answer" >>"$logs/poison.log"
     [ "$(json_value code <<<"$answer")" != quarantined ] || poison_refused=$((poison_refused + 1))
--- a/scripts/lib/versions.sh
+++ b/scripts/lib/versions.sh
@@ -60,12 +60,12 @@
   sed "s|\"rules\": \[|&$rule|" "$run/rules.json" >"$2"
 }
 
-# publish_on INSTANCE BASE RULE publishes with one instance asked first; it notes
-# its exit code and answer under the rule's name.
+# publish_on INSTANCE BASE RULE [OPTION...] publishes with one instance asked first; it
+# notes its exit code and answer under the rule's name, which is the note too.
 publish_on() {
   local code=0
   rules_with "$3" "$run/$3.json"
-  chutectl -o json -instance "$1" rules publish -base "$2" -note "$3" "$run/$3.json" \
+  chutectl -o json "${@:4}" -instance "$1" rules publish -base "$2" -note "$3" "$run/$3.json" \
     >"$run/$3.answer" 2>>"$logs/publish.log" || code=$?
   printf '%s\n' "$code" >"$run/$3.code"
 }
@@ -96,3 +96,17 @@
     one_winner=$((one_winner + 1))
   fi
 }
+
+# told_wrong RULE succeeds if the publication's exit code says something else than the
+# history does. Code 5 leaves it open; after 1 it must not have come into force.
+told_wrong() {
+  local code verdict
+  code=$(<"$run/$1.code")
+  verdict=$(chutectl -o json rules history -n 50 | tr -d ' \n' |
+    grep -oE "\"outcome\":\"[a-z]+\"[^{}]*\"note\":\"$1\"" | head -n 1)
+  verdict=${verdict#*:\"}
+  say "publication $1: exit code $code, in the history: ${verdict%%\"*}"
+  case $code/${verdict%%\"*} in
+  0/accepted | 1/ | 1/conflict | 3/conflict | 5/*) return 1 ;;
+  esac
+}
