--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,9 @@
 # Commands for developers; .ci/run calls `make test` and `make lint`.
-PROGRAMS := chute-entry chute-controller chutectl chute-standin chute-load chute-prove
 
 .PHONY: build test lint try faults bench prove experiment capacity
 
 build:
-	mkdir -p bin
-	set -e; for p in $(PROGRAMS); do if [ -d cmd/$$p ]; then go build -o bin/$$p ./cmd/$$p; fi; done
+	go build -o bin/ ./cmd/...
 
 test:
 	scripts/test.sh
