--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -106,7 +106,7 @@
     runs+=("$deployment gain overload $seed no 0 gain")
   done
   # Regnbrunnur's fleet and mix under Kaļķu Rinda's weight.
-  runs+=("regnbrunnur gain shift $seed no 3 gain-weight-3")
+  runs+=("regnbrunnur gain shift $seed no 6 gain-weight-6")
 done
 
 # Runs that are under way when the script is ended end with it.
