capacity: the page from three whole runs

Cause: the page rested on one run on a busy machine. Ruled out: taking the calmest run alone: its spread would be too narrow.

--- a/internal/capacity/compare.go
+++ b/internal/capacity/compare.go
@@ -8,7 +8,9 @@
 )
 
 // Merge puts the lines of several runs together: of each id the middle value,
-// with the least and the most that any run's interval reaches.
+// with the least and the most that any run's interval reaches. From three runs
+// on it also reaches as far as one more run should be from their mean, by how
+// far they are apart: the machine is busier at one time than at another.
 func Merge(runs [][]Line) []Line {
 	byID := map[string][]Line{}
 	var ids []string
@@ -36,13 +38,22 @@
 	})
 	out := same[len(same)/2]
 	out.Rounds = 0
+	var values []float64
 	for _, l := range same {
 		out.Low, out.High = min(out.Low, l.Low), max(out.High, l.High)
 		out.Rounds += l.Rounds
+		values = append(values, l.Value)
+	}
+	if len(values) >= leastRuns {
+		next := nextRun(values)
+		out.Low, out.High = min(out.Low, next.Low), max(out.High, next.High)
 	}
 	return out
 }
 
+// leastRuns is the number of runs from which their differences tell something.
+const leastRuns = 3
+
 // Compare prints the slopes and means of a run that lie outside the intervals
 // kept, and returns their number and that of all compared.
 func Compare(w io.Writer, kept, run []Line) (outside, compared int) {
--- a/internal/capacity/experiment.go
+++ b/internal/capacity/experiment.go
@@ -154,6 +154,15 @@
 	return Figure{Value: stat.Mean(values, nil), Low: slices.Min(values), High: slices.Max(values)}
 }
 
+// mean is the mean at the only size, with its interval.
+func (s Samples) mean() Figure {
+	values := make([]float64, len(s.Rounds))
+	for r, row := range s.Rounds {
+		values[r] = row[0]
+	}
+	return spread(stat.Mean(values, nil), values)
+}
+
 func floats(sizes []int) []float64 {
 	out := make([]float64, len(sizes))
 	for i, n := range sizes {
@@ -173,7 +182,20 @@
 	if n < 2 {
 		return Figure{Value: value, Low: value, High: value}
 	}
-	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile((1 + confidence) / 2)
-	half := t * stat.StdDev(rounds, nil) * math.Sqrt(2/n)
+	half := quantile(n) * stat.StdDev(rounds, nil) * math.Sqrt(2/n)
 	return Figure{Value: value, Low: value - half, High: value + half}
 }
+
+// nextRun is the interval for the value of one more run.
+func nextRun(runs []float64) Figure {
+	n := float64(len(runs))
+	mean := stat.Mean(runs, nil)
+	half := quantile(n) * stat.StdDev(runs, nil) * math.Sqrt(1+1/n)
+	return Figure{Value: mean, Low: mean - half, High: mean + half}
+}
+
+// quantile is how many standard deviations of n values make up half of an
+// interval.
+func quantile(n float64) float64 {
+	return distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile((1 + confidence) / 2)
+}
--- a/internal/capacity/rows_entry.go
+++ b/internal/capacity/rows_entry.go
@@ -52,6 +52,11 @@
 		Formula:   `processes_an_instance * list_polls_per_s * at("list.poll.bytes", listed)`,
 		Mechanism: "`listFeed` and `controller.Presence` read the whole list",
 	},
+	{
+		Role: "Entry: the platform's list", What: "polls and their answers", Resource: Messages,
+		Formula:   `2 * processes_an_instance * list_polls_per_s`,
+		Mechanism: "as above",
+	},
 	{
 		Role: "Entry: the platform's list", What: "decoding and taking in", Resource: CPU,
 		Formula: `list_polls_per_s * (processes_an_instance * at("list.decode.ns", listed)` +
@@ -63,6 +68,11 @@
 		Formula:   `callers / keep_s / instances * at("discovery.answer.bytes", instances)`,
 		Mechanism: "`discovery.Directory` names every live instance; each caller asks once in `keep_s`",
 	},
+	{
+		Role: "Entry: discovery", What: "questions and answers", Resource: Messages,
+		Formula:   `2 * callers / keep_s / instances`,
+		Mechanism: "as above",
+	},
 	{
 		Role: "Entry: discovery", What: "making the answers", Resource: CPU,
 		Formula:   `callers / keep_s / instances * at("discovery.answer.ns", instances)`,
@@ -82,11 +92,11 @@
 		Role: "Entry: admission", What: "shares and rates of organisations", Resource: Memory,
 		Formula: `min(organisations, max_organisations) * (models * admission.organisations.bytes_per_organisation` +
 			` + admission.limits.bytes_per_organisation)`,
-		Mechanism: "LRU of `MaxOrganisations`; whoever falls out starts with a full bucket",
+		Mechanism: "LRU of `MaxOrganisations`; whoever falls out starts with a full bucket. Each entry by itself: no messages",
 	},
 	{
 		Role: "Entry: requests", What: "one request: match, check, admit, pick, book", Resource: CPU, Serving: true,
-		Formula: `requests_per_s / instances * (at("rules.match.ns", rule_count) + at("quarantine.check.ns", candidates)` +
+		Formula: `requests_per_s / instances * (at("rules.match.ns", rule_count) + quarantine.check.ns_per_candidate` +
 			` + admission.acquire.ns_base + at("router.pick.ns", candidates) + router.books.ns_base)`,
 		Mechanism: "the decisions alone, without HTTP and streams",
 	},
@@ -105,6 +115,11 @@
 		Formula:   `pushes_per_s * leaders * (at("wire.status.bytes", min(engines, streams / instances)) + wire.ack.bytes_per_ack)`,
 		Mechanism: "`status.pusher`: each entry to every leader, all engines with work",
 	},
+	{
+		Role: "Entry: status to the leaders", What: "messages of it", Resource: Messages,
+		Formula:   `2 * pushes_per_s * leaders`,
+		Mechanism: "a status and its acknowledgement",
+	},
 	{
 		Role: "Entry: status to the leaders", What: "making and sending them", Resource: CPU,
 		Formula:   `pushes_per_s * leaders * wire.status.ns_per_status`,
--- a/internal/capacity/rows_log.go
+++ b/internal/capacity/rows_log.go
@@ -17,6 +17,11 @@
 		Formula:   journalClaims,
 		Mechanism: "claim and outcome through the journal",
 	},
+	{
+		Role: "Claims: at most once", What: "claims and outcomes read", Resource: Messages,
+		Formula:   `2 * protected_per_s`,
+		Mechanism: "entries, several to a record",
+	},
 	{
 		Role: "Claims: at most once", What: "folding", Resource: CPU,
 		Formula:   `protected_per_s * claim.fold.ns_per_call`,
@@ -60,6 +65,11 @@
 		Formula:   `(role_changes_per_s * records_per_change + rule_changes_per_s) * audit.record.bytes_per_record`,
 		Mechanism: "through the journal; rules' records follow from their fold",
 	},
+	{
+		Role: "Audit", What: "records read", Resource: Messages,
+		Formula:   `role_changes_per_s * records_per_change + rule_changes_per_s`,
+		Mechanism: "as above",
+	},
 	{
 		Role: "Audit", What: "folding", Resource: CPU,
 		Formula:   `(role_changes_per_s * records_per_change + rule_changes_per_s) * audit.fold.ns_per_record`,
@@ -86,8 +96,8 @@
 		Mechanism: "`quarantine.State`",
 	},
 	{
-		Role: "Quarantine", What: "check of the candidates", Resource: CPU, Serving: true,
-		Formula:   `requests_per_s / instances * at("quarantine.check.ns", candidates)`,
-		Mechanism: "`Guard.MayRunOn` for each candidate, under one lock",
+		Role: "Quarantine", What: "a look at each request", Resource: CPU, Serving: true,
+		Formula:   `requests_per_s / instances * quarantine.check.ns_per_candidate`,
+		Mechanism: "`Guard.Check`; suspects alone are asked about for each candidate",
 	},
 }
--- a/internal/capacity/rows_process.go
+++ b/internal/capacity/rows_process.go
@@ -50,13 +50,17 @@
 		Limit: 300, LimitName: "the log's appends a second", Today: deployments("log", "per_s"),
 	},
 	{
-		Role: "Whole programs", What: "chute-entry, serving", Resource: CPU, Serving: true,
+		Role: "Entry: streams", What: "requests and tokens of an entry", Resource: Messages, Serving: true,
+		Formula: "(requests_per_s + tokens_per_s) / instances", Mechanism: "one event a token to the caller, one line from the engine",
+	},
+	{
+		Role: "Entry: streams", What: "chute-entry, serving", Resource: CPU, Serving: true,
 		Formula: "requests_per_s / instances * process.entry_tokens.ns_base" +
 			" + tokens_per_s / instances * process.entry_tokens.ns_per_token",
 		Mechanism: "streamed requests through the real entry, HTTP included",
 	},
 	{
-		Role: "Whole programs", What: "chute-entry, open streams", Resource: Memory, Serving: true,
+		Role: "Entry: streams", What: "chute-entry, open streams", Resource: Memory, Serving: true,
 		Formula:   "streams / instances * process.entry_streams.bytes_per_stream",
 		Mechanism: "as resident memory",
 	},
--- a/internal/capacity/rows_shared.go
+++ b/internal/capacity/rows_shared.go
@@ -67,6 +67,11 @@
 		Formula:   `processes_an_instance * (` + journalBytes + ` + idle_reads_per_s * log.idle.bytes_per_poll)`,
 		Mechanism: "`journal.Journal`: every process reads the whole log",
 	},
+	{
+		Role: "Journal reading", What: "reads and their answers", Resource: Messages,
+		Formula:   `2 * processes_an_instance * (idle_reads_per_s + min(appends_per_s, leaders * renewals_per_s + 2 * protected_per_s))`,
+		Mechanism: "one long poll at a time, answered at each append",
+	},
 	{
 		Role: "Journal reading", What: "decoding and known IDs", Resource: CPU,
 		Formula:   `processes_an_instance * ` + journalEntries + ` * journal.read.ns_per_entry`,
@@ -87,6 +92,11 @@
 		Formula:   journalRules,
 		Mechanism: "each change carries the whole document, compressed",
 	},
+	{
+		Role: "Rules: distribution and match", What: "publications", Resource: Messages,
+		Formula:   `rule_changes_per_s`,
+		Mechanism: "within the journal's reads",
+	},
 	{
 		Role: "Rules: distribution and match", What: "compiling each change", Resource: CPU,
 		Formula:   `rule_changes_per_s * at("rules.fold.ns", rule_count)`,
@@ -103,7 +113,7 @@
 		Mechanism: "`Set.Match`, the last rule",
 	},
 	{
-		Role: "Rules: distribution and match", What: "changes in the time that one has", Resource: Rate,
+		Role: "Rules: distribution and match", What: "changes in the time that one has", Resource: Count,
 		Formula:   `rule_changes_per_s * 13`,
 		Mechanism: "changes in the 13 s that one has to be in force; above 1 editors race each other", Limit: 1, LimitName: "one change under way",
 	},
--- a/internal/capacity/samples.go
+++ b/internal/capacity/samples.go
@@ -120,7 +120,7 @@
 	per, varied := seriesOf[k.series]
 	if !varied {
 		return []Line{{
-			ID: e.ID + "." + string(e.Unit), Kind: KindMean, Unit: e.Unit, Figure: s.point(0),
+			ID: e.ID + "." + string(e.Unit), Kind: KindMean, Unit: e.Unit, Figure: s.mean(),
 			Sizes: s.Sizes, Rounds: rounds, Method: e.Method,
 		}}, nil
 	}
