--- a/internal/capacity/compare.go
+++ b/internal/capacity/compare.go
@@ -1,16 +1,18 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math"
 	"slices"
 )
 
-// Merge puts the lines of several runs together: of each id the middle value,
-// with the least and the most that any run's interval reaches. From three runs
-// on it also reaches as far as one more run should be from their mean, by how
-// far they are apart: the machine is busier at one time than at another.
+// Merge puts the lines of several runs together: of each id the middle value.
+// From leastRuns on, its interval is where one more run should be, by how far
+// the runs are apart, and never less than what they span; the machine is busier
+// at one time than at another, which the rounds of one run don't show. With
+// fewer runs it reaches as far as any of their intervals.
 func Merge(runs [][]Line) []Line {
 	byID := map[string][]Line{}
 	var ids []string
@@ -29,31 +31,26 @@
 	return merged
 }
 
+// leastRuns is the number of runs from which their differences tell something.
+const leastRuns = 3
+
 func mergeLine(same []Line) Line {
-	slices.SortFunc(same, func(a, b Line) int {
-		if a.Value < b.Value {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(same, func(a, b Line) int { return cmp.Compare(a.Value, b.Value) })
 	out := same[len(same)/2]
 	out.Rounds = 0
-	var values []float64
-	for _, l := range same {
-		out.Low, out.High = min(out.Low, l.Low), max(out.High, l.High)
+	values := make([]float64, len(same))
+	for i, l := range same {
+		values[i] = l.Value
 		out.Rounds += l.Rounds
-		values = append(values, l.Value)
+		out.Low, out.High = min(out.Low, l.Low), max(out.High, l.High)
 	}
-	if len(values) >= leastRuns {
+	if len(same) >= leastRuns {
 		next := nextRun(values)
-		out.Low, out.High = min(out.Low, next.Low), max(out.High, next.High)
+		out.Low, out.High = min(values[0], next.Low), max(values[len(values)-1], next.High)
 	}
 	return out
 }
 
-// leastRuns is the number of runs from which their differences tell something.
-const leastRuns = 3
-
 // Compare prints the slopes and means of a run that lie outside the intervals
 // kept, and returns their number and that of all compared.
 func Compare(w io.Writer, kept, run []Line) (outside, compared int) {
--- a/internal/capacity/probe.go
+++ b/internal/capacity/probe.go
@@ -7,9 +7,34 @@
 	"golang.org/x/sys/unix"
 )
 
+// What else the process holds changes by some kilobytes between two looks. So
+// small things are built as often as makes up leastHeap, up to mostCopies.
+const (
+	leastHeap  = 1 << 20
+	mostCopies = 256
+)
+
 // heapOf returns the bytes of live heap and goroutine stacks that build adds
-// and that what it returns keeps alive.
+// and that what it returns keeps alive. It calls build several times, and each
+// must add the same.
 func heapOf(build func() any) float64 {
+	once := heapOnce(build)
+	copies := int(min(mostCopies, leastHeap/max(once, 1)))
+	if copies <= 1 {
+		return once
+	}
+	all := heapOnce(func() any {
+		kept := make([]any, copies)
+		for i := range kept {
+			kept[i] = build()
+		}
+		return kept
+	})
+	return all / float64(copies)
+}
+
+// heapOnce is heapOf with a single call of build.
+func heapOnce(build func() any) float64 {
 	before := liveBytes()
 	kept := build()
 	after := liveBytes()
--- a/internal/capacity/role_admission.go
+++ b/internal/capacity/role_admission.go
@@ -122,9 +122,9 @@
 
 // measureLimits is what a rule with a rate for each organisation keeps of n.
 func measureLimits(n int) (float64, error) {
-	c := openController()
 	var err error
 	bytes := heapOf(func() any {
+		c := openController()
 		for i := range n {
 			r := admitted(organisation(i))
 			r.Limits = []admission.Limit{{Rule: "rule", RequestsPerSecond: 10, PerOrganisation: true}}
--- a/internal/capacity/role_router.go
+++ b/internal/capacity/role_router.go
@@ -227,9 +227,9 @@
 }
 
 func measurePrefixState(blocks int) (float64, error) {
-	t := newTracker(11, 1)
 	name := engineFleet(1).Upstreams[0].Name
 	return heapOf(func() any {
+		t := newTracker(11, 1)
 		t.SetCacheEvents(name, cacheEvents(blocks, 0))
 		return t
 	}), nil
--- a/internal/capacity/role_wire.go
+++ b/internal/capacity/role_wire.go
@@ -132,7 +132,7 @@
 func measureLinks(n int) (float64, error) {
 	var pairs []*wirePair
 	var err error
-	bytes := heapOf(func() any {
+	bytes := heapOnce(func() any {
 		for range n {
 			p, e := newWirePair(false)
 			if e != nil {
