--- a/claim/checkpoint.go
+++ b/claim/checkpoint.go
@@ -8,9 +8,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // maxTail bounds the entries kept behind a gap until a checkpoint closes it.
@@ -28,7 +28,7 @@
 // alone closes no gap: a claim that lost to an unknown one, and so seems to
 // stand, makes later verdicts on its key wrong for as long as it is used.
 type gap struct {
-	oldest platform.Offset
+	oldest infra.Offset
 	// since is the log's time of the first entry read behind the gap.
 	since time.Time
 	tail  []event
@@ -43,7 +43,7 @@
 	parts map[uint32][]byte
 }
 
-func newGap(oldest platform.Offset) *gap {
+func newGap(oldest infra.Offset) *gap {
 	return &gap{oldest: oldest, sets: map[AttemptID]*checkpointSet{}}
 }
 
--- a/claim/core.go
+++ b/claim/core.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // Core is the decision logic of one process's protected calls: a state machine
@@ -97,7 +97,7 @@
 }
 
 // Trimmed says that records expired before they were read.
-func (c *Core) Trimmed(oldest platform.Offset) {
+func (c *Core) Trimmed(oldest infra.Offset) {
 	c.ledger.Trimmed(oldest)
 	for id, k := range c.calls {
 		if k.state == stateWaiting {
--- a/claim/guard.go
+++ b/claim/guard.go
@@ -10,8 +10,8 @@
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // Journal is what a Guard needs of a journal.Journal.
@@ -83,7 +83,7 @@
 }
 
 // Trimmed implements journal.Trimmer.
-func (g *Guard) Trimmed(oldest platform.Offset) {
+func (g *Guard) Trimmed(oldest infra.Offset) {
 	g.locked(func() { g.core.Trimmed(oldest) })
 }
 
@@ -131,7 +131,7 @@
 	switch {
 	case err == nil:
 		return Appended
-	case errors.Is(err, platform.ErrNotWritten):
+	case errors.Is(err, infra.ErrNotWritten):
 		return NotAppended
 	default:
 		return AppendUnclear
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -5,8 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // Ledger is the state that all claims, withdrawals and outcomes in the journal
@@ -93,7 +93,7 @@
 
 // Trimmed implements journal.Trimmer. What was known may be out of date from
 // here on, so the ledger starts anew, behind a gap that a checkpoint closes.
-func (l *Ledger) Trimmed(oldest platform.Offset) {
+func (l *Ledger) Trimmed(oldest infra.Offset) {
 	l.clear()
 	l.gap = newGap(oldest)
 }
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 var testConfig = Config{Remember: 10 * time.Minute, Retention: time.Minute, KeySkew: 20 * time.Second}
@@ -21,7 +21,7 @@
 
 func (h *history) add(at time.Time, e journal.Entry, writer string) {
 	e.Writer = writer
-	position := journal.Position{Offset: platform.Offset(len(*h) + 1)}
+	position := journal.Position{Offset: infra.Offset(len(*h) + 1)}
 	*h = append(*h, journal.Placed{Position: position, At: at, ReadAt: at, Entry: e})
 }
 
@@ -71,7 +71,7 @@
 		var parts []journal.Entry
 		for i := range n {
 			if i == taken {
-				parts = h.fold(NewLedger(testConfig)).checkpoint(journal.Position{Offset: platform.Offset(i)})
+				parts = h.fold(NewLedger(testConfig)).checkpoint(journal.Position{Offset: infra.Offset(i)})
 			}
 			if i == written {
 				h.add(at, parts[0], "other")
@@ -81,12 +81,12 @@
 		}
 		if written == n {
 			if taken == n {
-				parts = h.fold(NewLedger(testConfig)).checkpoint(journal.Position{Offset: platform.Offset(n)})
+				parts = h.fold(NewLedger(testConfig)).checkpoint(journal.Position{Offset: infra.Offset(n)})
 			}
 			h.add(at, parts[0], "other")
 		}
 		late := NewLedger(testConfig)
-		late.Trimmed(platform.Offset(oldest + 1))
+		late.Trimmed(infra.Offset(oldest + 1))
 		h[oldest:].fold(late)
 		require.True(t, late.Complete())
 		require.Equal(t, h.fold(full).Fingerprint(), late.Fingerprint())
--- a/platform/errors.go
+++ b/infra/errors.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"errors"
@@ -7,7 +7,7 @@
 
 // ErrNotWritten matches each append error after which the record is certainly
 // not in the log and never will be.
-var ErrNotWritten = errors.New("platform: record not written")
+var ErrNotWritten = errors.New("infra: record not written")
 
 // ErrRateLimited says that the log refused an append because of its rate
 // limit. It matches ErrNotWritten.
@@ -15,7 +15,7 @@
 
 // ErrUnavailable says that a service of the platform gave no usable answer.
 // For an append it leaves open whether the record was written.
-var ErrUnavailable = errors.New("platform: service unavailable")
+var ErrUnavailable = errors.New("infra: service unavailable")
 
 // TrimmedError says that a read began before the oldest retained record.
 type TrimmedError struct {
@@ -23,5 +23,5 @@
 }
 
 func (e *TrimmedError) Error() string {
-	return fmt.Sprintf("platform: records before offset %d have expired", e.Oldest)
+	return fmt.Sprintf("infra: records before offset %d have expired", e.Oldest)
 }
--- a/platform/platform.go
+++ b/infra/platform.go
@@ -1,7 +1,7 @@
-// Package platform holds the small interfaces behind which the platform's
+// Package infra holds the small interfaces behind which the platform's
 // services stand: the append-only log, the list of instances and the weight
 // store. Adapters for a concrete wire form live elsewhere.
-package platform
+package infra
 
 import (
 	"context"
--- a/internal/adapters/logclient/logclient.go
+++ b/internal/adapters/logclient/logclient.go
@@ -11,8 +11,8 @@
 	"github.com/valyala/fasthttp"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/httpx"
-	"tamarackchute/platform"
 	"tamarackchute/upstream"
 )
 
@@ -46,7 +46,7 @@
 }
 
 // New returns an adapter for the log at an address.
-func New(addr string, o httpx.Options) platform.Log {
+func New(addr string, o httpx.Options) infra.Log {
 	if o.Timeout <= 0 {
 		o.Timeout = httpx.DefaultTimeout
 	}
@@ -58,10 +58,10 @@
 // maxWait bounds how long one read waits for a record.
 const maxWait = time.Minute
 
-// Append implements platform.Log. A lost connection leaves open whether the
+// Append implements infra.Log. A lost connection leaves open whether the
 // record was written; only a refused connection or a refusal marked as not run
 // says that it wasn't.
-func (c *Client) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+func (c *Client) Append(ctx context.Context, data []byte) (infra.Offset, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodPost)
@@ -80,7 +80,7 @@
 	if err != nil {
 		return 0, appendError(httpx.Broken(err))
 	}
-	return platform.Offset(offset), nil
+	return infra.Offset(offset), nil
 }
 
 // HeaderOffset carries the offset in the response to an append.
@@ -90,17 +90,17 @@
 	var status *httpx.StatusError
 	switch {
 	case errors.As(err, &status) && status.NotRun && status.Status == fasthttp.StatusTooManyRequests:
-		return platform.ErrRateLimited
+		return infra.ErrRateLimited
 	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, upstream.ErrRefused):
-		return fmt.Errorf("%w: %w", platform.ErrNotWritten, err)
+		return fmt.Errorf("%w: %w", infra.ErrNotWritten, err)
 	default:
-		return fmt.Errorf("%w: append: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: append: %w", infra.ErrUnavailable, err)
 	}
 }
 
-// Read implements platform.Log. It waits for at most a minute, whatever wait
+// Read implements infra.Log. It waits for at most a minute, whatever wait
 // says.
-func (c *Client) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+func (c *Client) Read(ctx context.Context, from infra.Offset, limit int, wait time.Duration) (infra.ReadResult, error) {
 	wait = min(wait, maxWait)
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
@@ -111,34 +111,34 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	if err := c.reads.Do(ctx, req, resp); err != nil {
-		return platform.ReadResult{}, unreadable(err)
+		return infra.ReadResult{}, unreadable(err)
 	}
 	status := resp.StatusCode()
 	if status != fasthttp.StatusOK && status != fasthttp.StatusGone {
-		return platform.ReadResult{}, unreadable(httpx.StatusOf(resp))
+		return infra.ReadResult{}, unreadable(httpx.StatusOf(resp))
 	}
 	var reply ReadReply
 	if err := msgpack.Unmarshal(resp.Body(), &reply); err != nil {
-		return platform.ReadResult{}, unreadable(err)
+		return infra.ReadResult{}, unreadable(err)
 	}
 	if status == fasthttp.StatusGone {
-		return platform.ReadResult{}, &platform.TrimmedError{Oldest: platform.Offset(reply.Oldest)}
+		return infra.ReadResult{}, &infra.TrimmedError{Oldest: infra.Offset(reply.Oldest)}
 	}
 	return reply.result(), nil
 }
 
 func unreadable(err error) error {
-	return fmt.Errorf("%w: read: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: read: %w", infra.ErrUnavailable, err)
 }
 
-func (r ReadReply) result() platform.ReadResult {
-	out := platform.ReadResult{Oldest: platform.Offset(r.Oldest), Next: platform.Offset(r.Next)}
+func (r ReadReply) result() infra.ReadResult {
+	out := infra.ReadResult{Oldest: infra.Offset(r.Oldest), Next: infra.Offset(r.Next)}
 	if len(r.Records) > 0 {
-		out.Records = make([]platform.Record, len(r.Records))
+		out.Records = make([]infra.Record, len(r.Records))
 	}
 	for i, rec := range r.Records {
-		out.Records[i] = platform.Record{
-			Offset: platform.Offset(rec.Offset),
+		out.Records[i] = infra.Record{
+			Offset: infra.Offset(rec.Offset),
 			At:     time.Unix(0, rec.At),
 			Data:   rec.Data,
 		}
--- a/internal/adapters/logclient/logclient_test.go
+++ b/internal/adapters/logclient/logclient_test.go
@@ -9,11 +9,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/adapters/logclient"
 	"tamarackchute/internal/standin"
 	"tamarackchute/internal/standin/standintest"
-	"tamarackchute/platform"
 )
 
 func config(perSecond float64) standin.LogConfig {
@@ -44,7 +44,7 @@
 	l := standintest.Log(t, config(1000))
 	c := logclient.New(l.Addr(), httpx.Options{})
 	type read struct {
-		result platform.ReadResult
+		result infra.ReadResult
 		err    error
 	}
 	waiting := make(chan read, 1)
@@ -77,12 +77,12 @@
 	}{
 		{"none", `{}`, nil, true},
 		{"slow", `{"slow_ms":20}`, nil, true},
-		{"reply lost", `{"lose_reply":{"next":1}}`, platform.ErrUnavailable, true},
-		{"lands late", `{"land_late":{"next":1},"land_late_ms":30}`, platform.ErrUnavailable, true},
-		{"outage with errors", `{"outage":"error"}`, platform.ErrUnavailable, false},
-		{"outage with closed connections", `{"outage":"close"}`, platform.ErrUnavailable, false},
-		{"outage without answers", `{"outage":"hang"}`, platform.ErrUnavailable, false},
-		{"this sender is partitioned", `{"blocked":["entry-1"]}`, platform.ErrUnavailable, false},
+		{"reply lost", `{"lose_reply":{"next":1}}`, infra.ErrUnavailable, true},
+		{"lands late", `{"land_late":{"next":1},"land_late_ms":30}`, infra.ErrUnavailable, true},
+		{"outage with errors", `{"outage":"error"}`, infra.ErrUnavailable, false},
+		{"outage with closed connections", `{"outage":"close"}`, infra.ErrUnavailable, false},
+		{"outage without answers", `{"outage":"hang"}`, infra.ErrUnavailable, false},
+		{"this sender is partitioned", `{"blocked":["entry-1"]}`, infra.ErrUnavailable, false},
 		{"another sender is partitioned", `{"blocked":["entry-2"]}`, nil, true},
 	}
 	for _, tc := range cases {
@@ -95,7 +95,7 @@
 				require.NoError(t, err)
 			} else {
 				require.ErrorIs(t, err, tc.want)
-				assert.NotErrorIs(t, err, platform.ErrNotWritten)
+				assert.NotErrorIs(t, err, infra.ErrNotWritten)
 			}
 			standintest.Faults(t, l, `{"outage":"","blocked":[]}`)
 			wait := time.Duration(0)
@@ -116,13 +116,13 @@
 		_, err := c.Append(t.Context(), []byte("x"))
 		require.NoError(t, err)
 		_, err = c.Append(t.Context(), []byte("y"))
-		require.ErrorIs(t, err, platform.ErrRateLimited)
-		require.ErrorIs(t, err, platform.ErrNotWritten)
+		require.ErrorIs(t, err, infra.ErrRateLimited)
+		require.ErrorIs(t, err, infra.ErrNotWritten)
 		assert.EqualValues(t, 1, l.Counters().Appends)
 	})
 	t.Run("nobody listens", func(t *testing.T) {
 		_, err := logclient.New("127.0.0.1:1", httpx.Options{}).Append(t.Context(), []byte("x"))
-		require.ErrorIs(t, err, platform.ErrNotWritten)
+		require.ErrorIs(t, err, infra.ErrNotWritten)
 	})
 }
 
@@ -135,7 +135,7 @@
 			standintest.Faults(t, l, faults)
 			c := logclient.New(l.Addr(), httpx.Options{Timeout: 100 * time.Millisecond})
 			_, err := c.Read(t.Context(), 1, 10, 0)
-			require.ErrorIs(t, err, platform.ErrUnavailable)
+			require.ErrorIs(t, err, infra.ErrUnavailable)
 		})
 	}
 }
@@ -151,7 +151,7 @@
 	}
 	standintest.Faults(t, l, `{"expire_all":true}`)
 	_, err := c.Read(t.Context(), 2, 10, 0)
-	var trimmed *platform.TrimmedError
+	var trimmed *infra.TrimmedError
 	require.ErrorAs(t, err, &trimmed)
 	assert.EqualValues(t, 4, trimmed.Oldest)
 	offset, err := c.Append(t.Context(), []byte("x"))
--- a/internal/adapters/weightclient/weightclient.go
+++ b/internal/adapters/weightclient/weightclient.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"net/url"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/httpx"
-	"tamarackchute/platform"
 )
 
 // PathVersions is where the versions of a model stand.
@@ -15,23 +15,23 @@
 
 // Reply is the response with the versions of a model, oldest first.
 type Reply struct {
-	Versions []platform.WeightVersion `json:"versions"`
+	Versions []infra.WeightVersion `json:"versions"`
 }
 
 // Client is the adapter.
 type Client struct{ http *httpx.Client }
 
 // New returns an adapter for the weight store at an address.
-func New(addr string, o httpx.Options) platform.WeightStore {
+func New(addr string, o httpx.Options) infra.WeightStore {
 	return &Client{http: httpx.New(addr, o)}
 }
 
-// Versions implements platform.WeightStore.
-func (c *Client) Versions(ctx context.Context, model string) ([]platform.WeightVersion, error) {
+// Versions implements infra.WeightStore.
+func (c *Client) Versions(ctx context.Context, model string) ([]infra.WeightVersion, error) {
 	path := PathVersions + "?model=" + url.QueryEscape(model)
 	reply, err := httpx.GetJSON[Reply](ctx, c.http, path)
 	if err != nil {
-		return nil, fmt.Errorf("%w: versions: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: versions: %w", infra.ErrUnavailable, err)
 	}
 	return reply.Versions, nil
 }
--- a/internal/adapters/weightclient/weightclient_test.go
+++ b/internal/adapters/weightclient/weightclient_test.go
@@ -7,26 +7,26 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/adapters/weightclient"
 	"tamarackchute/internal/standin"
 	"tamarackchute/internal/standin/standintest"
-	"tamarackchute/platform"
 )
 
 func TestVersions(t *testing.T) {
-	stored := []platform.WeightVersion{{Model: "a b", Version: "v1", Bytes: 10}, {Model: "c", Version: "v1", Bytes: 5}}
-	added := platform.WeightVersion{Model: "a b", Version: "v2", Bytes: 11}
+	stored := []infra.WeightVersion{{Model: "a b", Version: "v1", Bytes: 10}, {Model: "c", Version: "v1", Bytes: 5}}
+	added := infra.WeightVersion{Model: "a b", Version: "v2", Bytes: 11}
 	cases := []struct {
 		name, faults, model string
-		want                []platform.WeightVersion
+		want                []infra.WeightVersion
 		err                 error
 	}{
 		{"stored", `{}`, "a b", stored[:1], nil},
-		{"unknown model", `{}`, "d", []platform.WeightVersion{}, nil},
+		{"unknown model", `{}`, "d", []infra.WeightVersion{}, nil},
 		{"one added", `{"add":[{"model":"a b","version":"v2","bytes":11}]}`, "a b", append(stored[:1:1], added), nil},
-		{"outage", `{"outage":"close"}`, "a b", nil, platform.ErrUnavailable},
-		{"outage without answers", `{"outage":"hang"}`, "a b", nil, platform.ErrUnavailable},
+		{"outage", `{"outage":"close"}`, "a b", nil, infra.ErrUnavailable},
+		{"outage without answers", `{"outage":"hang"}`, "a b", nil, infra.ErrUnavailable},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -52,7 +52,7 @@
 const maxFieldBytes = 1 << 10
 
 // Append writes a record to the journal. It returns when the own reader has
-// folded it. An error that matches platform.ErrNotWritten is final; after any
+// folded it. An error that matches infra.ErrNotWritten is final; after any
 // other the record may be in the log.
 func Append(ctx context.Context, w journal.Writer, r Record) error {
 	for _, field := range []*string{&r.Who, &r.Target, &r.Reason, &r.From, &r.To} {
--- a/internal/capacity/breaks.go
+++ b/internal/capacity/breaks.go
@@ -24,7 +24,7 @@
 		rows:      []string{"appends wanted without group commit", "time between two appends of an instance"},
 		by: "a writer a region that batches its processes' entries: the equal share of the limit is what breaks first, " +
 			"not the limit; then one log a region, with rules alone in the common one",
-		through: "`journal.Writer`, which says nothing of who appends; `platform.Log`",
+		through: "`journal.Writer`, which says nothing of who appends; `infra.Log`",
 	},
 	{
 		mechanism: "protected calls at 75,000 requests a second",
@@ -38,7 +38,7 @@
 		rows:      []string{"both programs' reads", "known IDs", "reads served"},
 		by: "a reader a data centre that hands records on, without what only other data centres need; one reader for " +
 			"both programs of an instance",
-		through: "`platform.Log` as the relay's two sides; `journal.Folder` by kind; positions stay those of the log",
+		through: "`infra.Log` as the relay's two sides; `journal.Folder` by kind; positions stay those of the log",
 	},
 	{
 		mechanism: "rules to 1,700 daemons",
@@ -85,7 +85,7 @@
 		rows:      []string{"both programs' polls", "decoding and taking in"},
 		by: "one reader a data centre that hands changes on. It alone stays over its budget while the list has no " +
 			"way to ask for changes: this needs the platform",
-		through: "`platform.InstanceList`; `membership` already corrects the list faster than it is read",
+		through: "`infra.InstanceList`; `membership` already corrects the list faster than it is read",
 	},
 	{
 		mechanism: "discovery",
--- a/internal/capacity/role_journal.go
+++ b/internal/capacity/role_journal.go
@@ -9,9 +9,9 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
 	"tamarackchute/journal/journaltest"
-	"tamarackchute/platform"
 )
 
 // journalExperiments measure the journal itself, whatever its entries mean. An
@@ -74,7 +74,7 @@
 }
 
 // filledLog holds n entries.
-func filledLog(n int) (platform.Log, error) {
+func filledLog(n int) (infra.Log, error) {
 	log := journaltest.NewLog()
 	for left := n; left > 0; left -= perRecord {
 		data, err := journal.EncodeRecord(writer, plainEntries(min(left, perRecord)))
@@ -94,7 +94,7 @@
 func (noFolder) Apply(journal.Placed) {}
 
 // readAll reads a log to its end and returns the journal that did it.
-func readAll(log platform.Log) *journal.Journal {
+func readAll(log infra.Log) *journal.Journal {
 	j := journal.New(log, journal.Config{Writer: writer, Logger: slog.New(slog.DiscardHandler)})
 	j.Register(journal.KindClaim, noFolder{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -108,7 +108,7 @@
 
 // sequence places entries one after the other, each in a record of its own.
 type sequence struct {
-	next platform.Offset
+	next infra.Offset
 	at   time.Time
 }
 
--- a/internal/capacity/role_router.go
+++ b/internal/capacity/role_router.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/settings"
-	"tamarackchute/platform"
 	"tamarackchute/router"
 	"tamarackchute/upstream"
 )
@@ -79,7 +79,7 @@
 	ups := make([]router.Upstream, len(d.Upstreams))
 	for i, u := range d.Upstreams {
 		ups[i] = router.Upstream{
-			Name: u.Name, Kind: platform.KindEngine, Pool: u.Pool, DataCentre: u.DataCentre,
+			Name: u.Name, Kind: infra.KindEngine, Pool: u.Pool, DataCentre: u.DataCentre,
 			Models: u.Models, Role: upstream.Role(u.Role),
 		}
 	}
@@ -186,13 +186,13 @@
 }
 
 // listRows is the platform's list of a fleet's upstreams.
-func listRows(d *settings.Deployment) []platform.Instance {
-	rows := make([]platform.Instance, 0, len(d.Instances)+len(d.Upstreams))
+func listRows(d *settings.Deployment) []infra.Instance {
+	rows := make([]infra.Instance, 0, len(d.Instances)+len(d.Upstreams))
 	for _, in := range d.Instances {
-		rows = append(rows, platform.Instance{Name: in.Name, Kind: platform.KindEntry, DataCentre: in.DataCentre})
+		rows = append(rows, infra.Instance{Name: in.Name, Kind: infra.KindEntry, DataCentre: in.DataCentre})
 	}
 	for _, u := range d.Upstreams {
-		rows = append(rows, platform.Instance{Name: u.Name, Kind: platform.KindEngine, DataCentre: u.DataCentre})
+		rows = append(rows, infra.Instance{Name: u.Name, Kind: infra.KindEngine, DataCentre: u.DataCentre})
 	}
 	return rows
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,13 +13,13 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/settings"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/internal/wire"
 	"tamarackchute/journal"
 	"tamarackchute/lease"
 	"tamarackchute/orders"
-	"tamarackchute/platform"
 	"tamarackchute/rolepolicy"
 	"tamarackchute/upstream"
 )
@@ -54,9 +54,9 @@
 	Deployment *settings.Deployment
 	// Instance is the name of the instance that it runs on.
 	Instance string
-	Log      platform.Log
-	List     platform.InstanceList
-	Weights  platform.WeightStore
+	Log      infra.Log
+	List     infra.InstanceList
+	Weights  infra.WeightStore
 	// Engines holds an adapter for each engine of the deployment.
 	Engines map[string]Engine
 	Secret  []byte
--- a/internal/controller/interleave/log.go
+++ b/internal/controller/interleave/log.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
 	"tamarackchute/lease"
-	"tamarackchute/platform"
 )
 
 // log is the platform's log with its faults.
@@ -24,7 +24,7 @@
 // The errors of an append, as the journal tells them.
 var (
 	errUnknown    = journal.ErrOutcomeUnknown
-	errNotWritten = platform.ErrNotWritten
+	errNotWritten = infra.ErrNotWritten
 )
 
 // outages lets the log be down now and then.
@@ -67,7 +67,7 @@
 		return l.find(e.ID)
 	}
 	l.landed[e.ID] = true
-	at := journal.Position{Offset: platform.Offset(len(l.records) + 1)}
+	at := journal.Position{Offset: infra.Offset(len(l.records) + 1)}
 	if w.mutant == mutantNoComparison && e.Kind == journal.KindLease {
 		e.Body = w.uncompared(e.Body)
 	}
--- a/internal/controller/loader.go
+++ b/internal/controller/loader.go
@@ -9,9 +9,9 @@
 
 	"github.com/google/uuid"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/settings"
 	"tamarackchute/orders"
-	"tamarackchute/platform"
 	"tamarackchute/upstream"
 )
 
@@ -35,7 +35,7 @@
 	loads     *Loads
 	view      *orders.View
 	presence  *Presence
-	weights   platform.WeightStore
+	weights   infra.WeightStore
 	// limit is the weight store's rate in bytes a second, fresh the age up to
 	// which an engine's report counts.
 	limit float64
--- a/internal/controller/parts_test.go
+++ b/internal/controller/parts_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/wire"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 func at(seconds float64) time.Time {
@@ -19,8 +19,8 @@
 // late. Taking either for "taken away" would give an unchecked engine a second
 // leader beside a living one.
 func TestGoneNeedsTheLagOfAnswersSinceTheLastRecord(t *testing.T) {
-	with := []platform.Instance{{Name: "i1"}, {Name: "i2"}}
-	without := []platform.Instance{{Name: "i2"}}
+	with := []infra.Instance{{Name: "i1"}, {Name: "i2"}}
+	without := []infra.Instance{{Name: "i2"}}
 	p := NewPresence(nil, 3*time.Second, nil)
 	assert.False(t, p.Gone("i1", at(0)), "no answer yet")
 	p.take(without, at(0))
@@ -42,7 +42,7 @@
 	drain := journal.Position{Offset: 9}
 	status := func(name string, seq, applied uint64, requests int) wire.EntryStatus {
 		return wire.EntryStatus{
-			Instance: name, Incarnation: 1, Seq: seq, Applied: journal.Position{Offset: platform.Offset(applied)},
+			Instance: name, Incarnation: 1, Seq: seq, Applied: journal.Position{Offset: infra.Offset(applied)},
 			InFlight: []wire.EngineInFlight{{Engine: "e", Requests: requests}},
 		}
 	}
--- a/internal/controller/presence.go
+++ b/internal/controller/presence.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // listPoll is the time between two reads of the platform's list.
@@ -17,14 +17,14 @@
 // Presence follows the platform's list of instances. It is a suture service
 // and implements lease.Presence.
 type Presence struct {
-	list platform.InstanceList
+	list infra.InstanceList
 	log  *slog.Logger
 	// lag is how long an answer may be behind the truth.
 	lag time.Duration
 
 	mu sync.Mutex
 	// current is the last answer, lastAsked when it was asked for.
-	current   map[string]platform.Instance
+	current   map[string]infra.Instance
 	lastAsked time.Time
 	// absentSince tells, for instances that the last answer doesn't name,
 	// when the first answer of the present run without them was asked for.
@@ -34,7 +34,7 @@
 
 // NewPresence returns a follower of the list. An instance counts as gone only
 // after it has been missing from all answers for the lag.
-func NewPresence(list platform.InstanceList, lag time.Duration, log *slog.Logger) *Presence {
+func NewPresence(list infra.InstanceList, lag time.Duration, log *slog.Logger) *Presence {
 	return &Presence{list: list, lag: lag, log: log, absentSince: map[string]time.Time{}}
 }
 
@@ -63,11 +63,11 @@
 }
 
 // take notes an answer that was asked for at a time.
-func (p *Presence) take(rows []platform.Instance, asked time.Time) {
+func (p *Presence) take(rows []infra.Instance, asked time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.current
-	p.current = make(map[string]platform.Instance, len(rows))
+	p.current = make(map[string]infra.Instance, len(rows))
 	for _, row := range rows {
 		p.current[row.Name] = row
 		delete(p.absentSince, row.Name)
@@ -111,7 +111,7 @@
 	return ok
 }
 
-func (p *Presence) row(instance string) (platform.Instance, bool) {
+func (p *Presence) row(instance string) (infra.Instance, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	row, ok := p.current[instance]
@@ -140,7 +140,7 @@
 	}
 	var names []string
 	for _, name := range slices.Sorted(maps.Keys(p.current)) {
-		if p.current[name].Kind == platform.KindEntry {
+		if p.current[name].Kind == infra.KindEntry {
 			names = append(names, name)
 		}
 	}
--- a/internal/entry/crash/crash_test.go
+++ b/internal/entry/crash/crash_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 	"tamarackchute/quarantine"
 	"tamarackchute/upstream"
 )
@@ -19,7 +19,7 @@
 type ownLog struct {
 	mu    sync.Mutex
 	guard *quarantine.Guard
-	next  platform.Offset
+	next  infra.Offset
 }
 
 func (l *ownLog) Append(_ context.Context, e journal.Entry) (journal.Position, error) {
--- a/internal/entry/deployment.go
+++ b/internal/entry/deployment.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/settings"
-	"tamarackchute/platform"
 	"tamarackchute/router"
 	"tamarackchute/upstream"
 )
@@ -33,12 +33,12 @@
 	for _, u := range d.Upstreams {
 		one := router.Upstream{
 			Name:       u.Name,
-			Kind:       platform.KindService,
+			Kind:       infra.KindService,
 			Pool:       u.Pool,
 			DataCentre: u.DataCentre,
 		}
 		if u.Kind == settings.KindEngine {
-			one.Kind = platform.KindEngine
+			one.Kind = infra.KindEngine
 			one.Models = u.Models
 			one.Role = upstream.Role(u.Role)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"tamarackchute/admission"
 	"tamarackchute/claim"
+	"tamarackchute/infra"
 	"tamarackchute/internal/audit"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
@@ -29,7 +30,6 @@
 	"tamarackchute/journal"
 	"tamarackchute/lease"
 	"tamarackchute/orders"
-	"tamarackchute/platform"
 	"tamarackchute/quarantine"
 	"tamarackchute/router"
 	"tamarackchute/rules"
@@ -53,8 +53,8 @@
 	Deployment *settings.Deployment
 	// Instance is the name of the instance that it runs on.
 	Instance string
-	Log      platform.Log
-	List     platform.InstanceList
+	Log      infra.Log
+	List     infra.InstanceList
 	// Upstreams holds an adapter for each engine and service.
 	Upstreams *Upstreams
 	Secret    []byte
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -6,10 +6,10 @@
 
 	"github.com/rotisserie/eris"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/status"
 	"tamarackchute/internal/wire"
 	"tamarackchute/membership"
-	"tamarackchute/platform"
 )
 
 // The reasons for not being ready.
@@ -74,6 +74,6 @@
 }
 
 // listTakers are told each answer of the platform's list.
-func (e *Entry) listTakers() []func([]platform.Instance) {
-	return []func([]platform.Instance){e.tracker.SetList, e.node.TakeList}
+func (e *Entry) listTakers() []func([]infra.Instance) {
+	return []func([]infra.Instance){e.tracker.SetList, e.node.TakeList}
 }
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"tamarackchute/admission"
+	"tamarackchute/infra"
 	"tamarackchute/internal/settings"
-	"tamarackchute/platform"
 	"tamarackchute/router"
 	"tamarackchute/upstream"
 )
@@ -25,8 +25,8 @@
 
 // listFeed brings the platform's list to the router and to the membership.
 type listFeed struct {
-	list platform.InstanceList
-	take []func([]platform.Instance)
+	list infra.InstanceList
+	take []func([]infra.Instance)
 }
 
 func (f *listFeed) String() string { return "platform's list" }
@@ -112,7 +112,7 @@
 func (f *capacityFeed) localShare() float64 {
 	work, room := 0, 0
 	for _, u := range f.tracker.Snapshot().Upstreams(time.Now()) {
-		if u.Kind != platform.KindEngine || u.DataCentre != f.dataCentre || u.Leaving || u.Draining {
+		if u.Kind != infra.KindEngine || u.DataCentre != f.dataCentre || u.Leaving || u.Draining {
 			continue
 		}
 		work += max(0, u.Report.Running+u.Report.Waiting+u.Own.Requests)
--- a/internal/entry/gateway/rig_test.go
+++ b/internal/entry/gateway/rig_test.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"tamarackchute/admission"
+	"tamarackchute/infra"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/crash"
@@ -27,7 +28,6 @@
 	"tamarackchute/internal/entry/gateway"
 	"tamarackchute/internal/entry/stream"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 	"tamarackchute/quarantine"
 	"tamarackchute/router"
 	"tamarackchute/rules"
@@ -191,7 +191,7 @@
 func (*parts) Asked(string, int, int)              {}
 func (*parts) Answered(string, int, int, int, int) {}
 func (*parts) Append(context.Context, journal.Entry) (journal.Position, error) {
-	return journal.Position{}, platform.ErrNotWritten
+	return journal.Position{}, infra.ErrNotWritten
 }
 
 // rig is a gateway on a loopback address.
@@ -206,10 +206,10 @@
 func newRig(t *testing.T, p *parts, change ...func(*gateway.Options)) *rig {
 	var ups []router.Upstream
 	for name := range p.engines {
-		ups = append(ups, router.Upstream{Name: name, Kind: platform.KindEngine, Pool: "p", DataCentre: "dc", Models: []string{"m"}, Role: upstream.RoleMixed})
+		ups = append(ups, router.Upstream{Name: name, Kind: infra.KindEngine, Pool: "p", DataCentre: "dc", Models: []string{"m"}, Role: upstream.RoleMixed})
 	}
 	for name := range p.services {
-		ups = append(ups, router.Upstream{Name: name, Kind: platform.KindService, Pool: "s", DataCentre: "dc"})
+		ups = append(ups, router.Upstream{Name: name, Kind: infra.KindService, Pool: "s", DataCentre: "dc"})
 	}
 	if p.then.Pool == "" {
 		p.then.Pool = "p"
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -10,17 +10,17 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/audit"
 	"tamarackchute/internal/settings"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/journal/journaltest"
-	"tamarackchute/platform"
 	"tamarackchute/quarantine"
 )
 
 // built returns an entry that doesn't run.
-func built(t *testing.T, d *settings.Deployment, log platform.Log, instance string) *Entry {
+func built(t *testing.T, d *settings.Deployment, log infra.Log, instance string) *Entry {
 	metrics := telemetry.NewMetrics("chute-entry", instance)
 	t.Cleanup(func() { _ = metrics.Close() })
 	e, err := New(Config{
--- a/internal/operator/claims.go
+++ b/internal/operator/claims.go
@@ -6,9 +6,9 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/audit"
 	"tamarackchute/internal/operator/api"
-	"tamarackchute/platform"
 )
 
 // historyTarget is the audit records' target for the history of claims.
@@ -43,7 +43,7 @@
 
 func (h *handler) gapNotAccepted(c *fiber.Ctx, err error) error {
 	h.Logger.Warn("gap in the claims not accepted", "operator", operatorOf(c), "err", err)
-	if errors.Is(err, platform.ErrNotWritten) {
+	if errors.Is(err, infra.ErrNotWritten) {
 		return fail(c, fiber.StatusServiceUnavailable, "not accepted: the log didn't take it")
 	}
 	return fail(c, fiber.StatusGatewayTimeout, "the outcome is unknown: the log hasn't shown it; it may be sent again")
--- a/internal/operator/operatortest/instance.go
+++ b/internal/operator/operatortest/instance.go
@@ -13,12 +13,12 @@
 	"github.com/gofiber/fiber/v2"
 
 	"tamarackchute/claim"
+	"tamarackchute/infra"
 	"tamarackchute/internal/audit"
 	"tamarackchute/internal/operator"
 	"tamarackchute/internal/operator/api"
 	"tamarackchute/internal/settings"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 	"tamarackchute/quarantine"
 	"tamarackchute/rules"
 )
@@ -47,7 +47,7 @@
 
 // Start runs an instance over a log and waits until it has read it, if the log
 // answers.
-func Start(log platform.Log, name string, logger *slog.Logger) *Instance {
+func Start(log infra.Log, name string, logger *slog.Logger) *Instance {
 	i := &Instance{App: fiber.New(fiber.Config{DisableStartupMessage: true})}
 	i.Journal = journal.New(log, journal.Config{Writer: name + "/entry/1", Logger: logger})
 	i.Trail = audit.NewTrail(0, logger)
--- a/internal/operator/release.go
+++ b/internal/operator/release.go
@@ -6,9 +6,9 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/audit"
 	"tamarackchute/internal/operator/api"
-	"tamarackchute/platform"
 	"tamarackchute/quarantine"
 )
 
@@ -43,7 +43,7 @@
 
 func (h *handler) notReleased(c *fiber.Ctx, err error) error {
 	h.Logger.Warn("quarantine not released", "operator", operatorOf(c), "err", err)
-	if errors.Is(err, platform.ErrNotWritten) {
+	if errors.Is(err, infra.ErrNotWritten) {
 		return fail(c, fiber.StatusServiceUnavailable, "not released: the log didn't take it")
 	}
 	return fail(c, fiber.StatusServiceUnavailable, "the outcome is unknown: the log hasn't shown the release; it may be sent again")
--- a/internal/prove/claims/log.go
+++ b/internal/prove/claims/log.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // simLog is the platform's log.
 type simLog struct {
 	records []logRecord // records[i] has offset i+1
-	oldest  platform.Offset
+	oldest  infra.Offset
 	down    bool
 	// late holds records that are on their way although their writers have
 	// given them up.
@@ -22,7 +22,7 @@
 	entries []journal.Entry
 }
 
-func (l *simLog) next() platform.Offset { return platform.Offset(len(l.records) + 1) }
+func (l *simLog) next() infra.Offset { return infra.Offset(len(l.records) + 1) }
 
 func (l *simLog) write(w *world, entries []journal.Entry) {
 	l.records = append(l.records, logRecord{at: w.now, entries: entries})
--- a/internal/prove/claims/process.go
+++ b/internal/prove/claims/process.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"tamarackchute/claim"
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // process is one instance's process: the real core, with a reader, a writer
@@ -17,7 +17,7 @@
 	incarnation int
 	name        string
 	core        *claim.Core
-	next        platform.Offset
+	next        infra.Offset
 	logUp       bool
 	appends     []*pendingAppend
 	calls       []*call
--- a/internal/standin/golden_test.go
+++ b/internal/standin/golden_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/engineclient"
 	"tamarackchute/internal/adapters/listclient"
 	"tamarackchute/internal/adapters/logclient"
@@ -17,7 +18,6 @@
 	"tamarackchute/internal/adapters/weightclient"
 	"tamarackchute/internal/standin"
 	"tamarackchute/internal/standin/standintest"
-	"tamarackchute/platform"
 	"tamarackchute/upstream"
 )
 
@@ -35,31 +35,31 @@
 	_, err := c.Append(t.Context(), []byte("first"))
 	require.NoError(t, err)
 	_, err = c.Append(t.Context(), []byte("over the limit"))
-	require.ErrorIs(t, err, platform.ErrRateLimited)
+	require.ErrorIs(t, err, infra.ErrRateLimited)
 	_, err = c.Read(t.Context(), 1, 10, 0)
 	require.NoError(t, err)
 	standintest.Faults(t, l, `{"fail_reads":{"next":1}}`)
 	_, err = c.Read(t.Context(), 1, 10, 0)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, infra.ErrUnavailable)
 	standintest.Faults(t, l, `{"expire_all":true}`)
 	_, err = c.Read(t.Context(), 1, 10, 0)
 	require.Error(t, err)
 	standintest.Faults(t, l, `{"outage":"error"}`)
 	_, err = c.Append(t.Context(), []byte("in the outage"))
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, infra.ErrUnavailable)
 	standintest.Faults(t, l, `{"outage":"close"}`)
 	_, err = c.Append(t.Context(), []byte("closed on"))
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, infra.ErrUnavailable)
 	r.golden(t, "log")
 }
 
 func TestListAndWeightsSession(t *testing.T) {
-	row := platform.Instance{Name: "s1", Kind: platform.KindService, DataCentre: "a"}
-	l, err := standin.NewList(standin.ListConfig{Addr: "127.0.0.1:0", Rows: []platform.Instance{row}})
+	row := infra.Instance{Name: "s1", Kind: infra.KindService, DataCentre: "a"}
+	l, err := standin.NewList(standin.ListConfig{Addr: "127.0.0.1:0", Rows: []infra.Instance{row}})
 	require.NoError(t, err)
 	standintest.Serve(t, l)
 	w, err := standin.NewWeights(standin.WeightsConfig{Addr: "127.0.0.1:0", BytesPerSecond: 1e9,
-		Versions: []platform.WeightVersion{{Model: "m", Version: "v1", Bytes: 10}}})
+		Versions: []infra.WeightVersion{{Model: "m", Version: "v1", Bytes: 10}}})
 	require.NoError(t, err)
 	standintest.Serve(t, w)
 	var r recorder
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -9,8 +9,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/listclient"
-	"tamarackchute/platform"
 )
 
 // ListConfig sets up the list of instances.
@@ -19,7 +19,7 @@
 	TLS  *tls.Config
 	// Lag is how far the list is behind the truth.
 	Lag  time.Duration
-	Rows []platform.Instance
+	Rows []infra.Instance
 	// OnLeaving is told, once the lag has passed, which instances the list
 	// now names as leaving.
 	OnLeaving func(names []string)
@@ -34,7 +34,7 @@
 	// Remove takes instances off the list.
 	Remove []string `json:"remove"`
 	// Add puts instances on the list, in place of rows with the same name.
-	Add []platform.Instance `json:"add"`
+	Add []infra.Instance `json:"add"`
 }
 
 // ListCounters are the list's counters.
@@ -92,7 +92,7 @@
 }
 
 // seen returns what the list says at a time.
-func (l *List) seen(now time.Time) []platform.Instance {
+func (l *List) seen(now time.Time) []infra.Instance {
 	lag := l.lag()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -147,7 +147,7 @@
 // listState is the truth from a time on.
 type listState struct {
 	From time.Time
-	Rows []platform.Instance
+	Rows []infra.Instance
 }
 
 // listHistory holds the states that the list may still show, oldest first; the
@@ -157,9 +157,9 @@
 // maxListHistory bounds the states kept.
 const maxListHistory = 256
 
-func (h listHistory) latest() []platform.Instance { return h[len(h)-1].Rows }
+func (h listHistory) latest() []infra.Instance { return h[len(h)-1].Rows }
 
-func (h listHistory) at(t time.Time) []platform.Instance {
+func (h listHistory) at(t time.Time) []infra.Instance {
 	for i := len(h) - 1; i > 0; i-- {
 		if !h[i].From.After(t) {
 			return h[i].Rows
@@ -168,7 +168,7 @@
 	return h[0].Rows
 }
 
-func (h listHistory) add(from time.Time, rows []platform.Instance) listHistory {
+func (h listHistory) add(from time.Time, rows []infra.Instance) listHistory {
 	h = append(h, listState{From: from, Rows: rows})
 	if len(h) > maxListHistory {
 		h = h[1:]
@@ -176,13 +176,13 @@
 	return h
 }
 
-func changedRows(rows []platform.Instance, f ListFaults) []platform.Instance {
+func changedRows(rows []infra.Instance, f ListFaults) []infra.Instance {
 	added := nameSet(nil)
 	for _, r := range f.Add {
 		added[r.Name] = true
 	}
 	removed, leaving := nameSet(f.Remove), nameSet(f.Leaving)
-	var out []platform.Instance
+	var out []infra.Instance
 	for _, r := range rows {
 		if removed[r.Name] || added[r.Name] {
 			continue
@@ -201,7 +201,7 @@
 	return set
 }
 
-func leavingNames(rows []platform.Instance) []string {
+func leavingNames(rows []infra.Instance) []string {
 	var names []string
 	for _, r := range rows {
 		if r.Leaving {
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 var noon = time.Date(2030, 1, 1, 12, 0, 0, 0, time.UTC)
@@ -47,7 +47,7 @@
 }
 
 func TestListHistory(t *testing.T) {
-	row := func(name string) []platform.Instance { return []platform.Instance{{Name: name}} }
+	row := func(name string) []infra.Instance { return []infra.Instance{{Name: name}} }
 	h := listHistory{{Rows: row("first")}}
 	h = h.add(noon, row("second"))
 	h = h.add(noon.Add(time.Second), row("third"))
--- a/internal/standin/set.go
+++ b/internal/standin/set.go
@@ -10,8 +10,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/settings"
-	"tamarackchute/platform"
 	"tamarackchute/upstream"
 )
 
@@ -180,24 +180,24 @@
 	return nil
 }
 
-func rows(d *settings.Deployment) []platform.Instance {
-	var out []platform.Instance
+func rows(d *settings.Deployment) []infra.Instance {
+	var out []infra.Instance
 	for _, i := range d.Instances {
-		out = append(out, platform.Instance{Name: i.Name, Kind: platform.KindEntry, DataCentre: i.DataCentre})
+		out = append(out, infra.Instance{Name: i.Name, Kind: infra.KindEntry, DataCentre: i.DataCentre})
 	}
 	for _, u := range d.Upstreams {
-		kind := platform.KindService
+		kind := infra.KindService
 		if u.Kind == settings.KindEngine {
-			kind = platform.KindEngine
+			kind = infra.KindEngine
 		}
-		out = append(out, platform.Instance{Name: u.Name, Kind: kind, DataCentre: u.DataCentre})
+		out = append(out, infra.Instance{Name: u.Name, Kind: kind, DataCentre: u.DataCentre})
 	}
 	return out
 }
 
 // versions gives each model of the deployment two versions.
-func versions(c Config) []platform.WeightVersion {
-	var out []platform.WeightVersion
+func versions(c Config) []infra.WeightVersion {
+	var out []infra.WeightVersion
 	seen := map[string]bool{}
 	for _, u := range c.Deployment.Upstreams {
 		for _, m := range u.Models {
@@ -206,7 +206,7 @@
 			}
 			seen[m] = true
 			for _, v := range []string{firstVersion, secondVersion} {
-				out = append(out, platform.WeightVersion{Model: m, Version: v, Bytes: c.WeightBytes})
+				out = append(out, infra.WeightVersion{Model: m, Version: v, Bytes: c.WeightBytes})
 			}
 		}
 	}
--- a/internal/standin/set_test.go
+++ b/internal/standin/set_test.go
@@ -13,13 +13,13 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/engineclient"
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/adapters/serviceclient"
 	"tamarackchute/internal/settings"
 	"tamarackchute/internal/standin"
 	"tamarackchute/internal/standin/standintest"
-	"tamarackchute/platform"
 	"tamarackchute/upstream"
 )
 
@@ -127,7 +127,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			w, err := standin.NewWeights(standin.WeightsConfig{Addr: anyAddress, BytesPerSecond: 1e9,
-				Versions: []platform.WeightVersion{{Model: "m", Version: "v2", Bytes: 100}}})
+				Versions: []infra.WeightVersion{{Model: "m", Version: "v2", Bytes: 100}}})
 			require.NoError(t, err)
 			standintest.Serve(t, w)
 			standintest.Faults(t, w, tc.faults)
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -9,8 +9,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/weightclient"
-	"tamarackchute/platform"
 )
 
 // PathWeightLoad is where engines load weights.
@@ -22,7 +22,7 @@
 	TLS  *tls.Config
 	// BytesPerSecond is shared by all loads.
 	BytesPerSecond float64
-	Versions       []platform.WeightVersion
+	Versions       []infra.WeightVersion
 }
 
 // WeightLoad asks for the weights of a version; the response comes when they
@@ -47,7 +47,7 @@
 	// SlowFactor above 1 makes loads slower.
 	SlowFactor float64 `json:"slow_factor"`
 	// Add stores versions, once.
-	Add []platform.WeightVersion `json:"add"`
+	Add []infra.WeightVersion `json:"add"`
 }
 
 // WeightCounters are the weight store's counters.
@@ -65,7 +65,7 @@
 	faults *switchboard[WeightFaults]
 
 	mu       sync.Mutex
-	versions []platform.WeightVersion
+	versions []infra.WeightVersion
 	// busyUntil is when the loads taken so far end: they go one after the
 	// other, each at the full rate, which takes them the same time in all as
 	// sharing it would.
@@ -105,10 +105,10 @@
 	}
 }
 
-func (w *Weights) versionsOf(model string) []platform.WeightVersion {
+func (w *Weights) versionsOf(model string) []infra.WeightVersion {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := []platform.WeightVersion{}
+	out := []infra.WeightVersion{}
 	for _, v := range w.versions {
 		if v.Model == model {
 			out = append(out, v)
--- a/journal/errors.go
+++ b/journal/errors.go
@@ -5,21 +5,21 @@
 
 	"github.com/rotisserie/eris"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
-// The errors of Append. Those that match platform.ErrNotWritten are final: the
+// The errors of Append. Those that match infra.ErrNotWritten are final: the
 // entry is not in the log and never will be.
 var (
 	// ErrBacklogFull says that too many entries wait for the log, as they do
-	// while it is down. It matches platform.ErrNotWritten.
-	ErrBacklogFull = fmt.Errorf("journal: too many entries wait for the log: %w", platform.ErrNotWritten)
+	// while it is down. It matches infra.ErrNotWritten.
+	ErrBacklogFull = fmt.Errorf("journal: too many entries wait for the log: %w", infra.ErrNotWritten)
 	// ErrNeverSent says that the caller's context ended before the entry was
-	// sent. It matches platform.ErrNotWritten.
-	ErrNeverSent = fmt.Errorf("journal: given up before the entry was sent: %w", platform.ErrNotWritten)
+	// sent. It matches infra.ErrNotWritten.
+	ErrNeverSent = fmt.Errorf("journal: given up before the entry was sent: %w", infra.ErrNotWritten)
 	// ErrTooLarge says that the entry doesn't fit into one record. It matches
-	// platform.ErrNotWritten.
-	ErrTooLarge = fmt.Errorf("journal: entry is larger than a record may be: %w", platform.ErrNotWritten)
+	// infra.ErrNotWritten.
+	ErrTooLarge = fmt.Errorf("journal: entry is larger than a record may be: %w", infra.ErrNotWritten)
 	// ErrOutcomeUnknown says that the caller's context ended after the entry
 	// was sent and before the own reader had folded it. The entry may be in
 	// the log, or may still arrive.
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -8,14 +8,14 @@
 	"context"
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // Position is the place of an entry: the offset of its log record, and its
 // index within that record. Positions are totally ordered, alike everywhere.
 type Position struct {
-	Offset platform.Offset `msgpack:"o" json:"offset"`
-	Index  uint16          `msgpack:"i" json:"index"`
+	Offset infra.Offset `msgpack:"o" json:"offset"`
+	Index  uint16       `msgpack:"i" json:"index"`
 }
 
 // Less reports whether p comes before q.
@@ -75,7 +75,7 @@
 type Writer interface {
 	// Append adds an entry and returns its position once the process's own
 	// reader has folded everything up to it, so that the caller sees the
-	// verdict. An error that matches platform.ErrNotWritten is final. After
+	// verdict. An error that matches infra.ErrNotWritten is final. After
 	// any other error the entry may be in the log, or may still arrive.
 	Append(ctx context.Context, e Entry) (Position, error)
 }
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -11,19 +11,19 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
 	"tamarackchute/journal/journaltest"
-	"tamarackchute/platform"
 )
 
 // bodies is a folder that keeps what it is given.
 type bodies struct {
 	got     []string
-	trimmed platform.Offset
+	trimmed infra.Offset
 }
 
-func (b *bodies) Apply(p journal.Placed)         { b.got = append(b.got, string(p.Entry.Body)) }
-func (b *bodies) Trimmed(oldest platform.Offset) { b.trimmed = oldest }
+func (b *bodies) Apply(p journal.Placed)      { b.got = append(b.got, string(p.Entry.Body)) }
+func (b *bodies) Trimmed(oldest infra.Offset) { b.trimmed = oldest }
 func entry(id string) journal.Entry {
 	return journal.Entry{Kind: journal.KindAudit, ID: id, Body: []byte(id)}
 }
@@ -33,7 +33,7 @@
 }
 
 // run starts a journal within a synctest bubble and ends it with the test.
-func run(t *testing.T, log platform.Log, cfg journal.Config) (*journal.Journal, *bodies) {
+func run(t *testing.T, log infra.Log, cfg journal.Config) (*journal.Journal, *bodies) {
 	cfg.Writer, cfg.Logger = "test", quiet()
 	j, f := journal.New(log, cfg), &bodies{}
 	j.Register(journal.KindAudit, f)
@@ -112,13 +112,13 @@
 			defer cancel()
 			_, err := j.Append(ctx, entry("sent"))
 			require.ErrorIs(t, err, journal.ErrOutcomeUnknown)
-			require.NotErrorIs(t, err, platform.ErrNotWritten)
+			require.NotErrorIs(t, err, infra.ErrNotWritten)
 		})
 		synctest.Wait()
 		ctx, cancel := within(100 * time.Millisecond)
 		defer cancel()
 		_, err := j.Append(ctx, entry("queued"))
-		require.ErrorIs(t, err, platform.ErrNotWritten)
+		require.ErrorIs(t, err, infra.ErrNotWritten)
 		wg.Wait()
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
@@ -139,13 +139,13 @@
 				ctx, cancel := within(time.Hour)
 				defer cancel()
 				_, err := j.Append(ctx, entry(fmt.Sprint(i)))
-				require.ErrorIs(t, err, platform.ErrNotWritten)
+				require.ErrorIs(t, err, infra.ErrNotWritten)
 			})
 		}
 		synctest.Wait()
 		_, err := j.Append(t.Context(), entry("too many"))
 		require.ErrorIs(t, err, journal.ErrBacklogFull)
-		require.ErrorIs(t, err, platform.ErrNotWritten)
+		require.ErrorIs(t, err, infra.ErrNotWritten)
 		require.False(t, j.Health().LogUp)
 		wg.Wait()
 
@@ -173,9 +173,9 @@
 		log.Trim(3)
 		j, f := run(t, log, journal.Config{})
 		<-j.CaughtUp()
-		require.Equal(t, platform.Offset(3), f.trimmed)
+		require.Equal(t, infra.Offset(3), f.trimmed)
 		require.Equal(t, []string{"2"}, f.got)
-		require.Equal(t, platform.Offset(4), j.Applied().Offset)
+		require.Equal(t, infra.Offset(4), j.Applied().Offset)
 		require.Equal(t, int64(1), j.Stats().Corrupt)
 	})
 }
--- a/journal/journaltest/log.go
+++ b/journal/journaltest/log.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // Fault is what happens to one append.
@@ -34,11 +34,11 @@
 	FaultHang
 )
 
-// Log implements platform.Log in memory. Its zero value is not usable.
+// Log implements infra.Log in memory. Its zero value is not usable.
 type Log struct {
 	mu      sync.Mutex
-	records []platform.Record
-	oldest  platform.Offset
+	records []infra.Record
+	oldest  infra.Offset
 	// changed is closed and replaced with each new record or change of state.
 	changed chan struct{}
 	outage  bool
@@ -50,7 +50,7 @@
 	appends int
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ infra.Log = (*Log)(nil)
 
 // NewLog returns an empty log without faults.
 func NewLog() *Log {
@@ -88,7 +88,7 @@
 func (l *Log) Fail(faults ...Fault) { l.set(func() { l.faults = append(l.faults, faults...) }) }
 
 // Trim lets all records before oldest expire.
-func (l *Log) Trim(oldest platform.Offset) {
+func (l *Log) Trim(oldest infra.Offset) {
 	l.set(func() {
 		oldest = min(oldest, l.next())
 		for len(l.records) > 0 && l.records[0].Offset < oldest {
@@ -112,14 +112,14 @@
 }
 
 // Put writes a record, whatever the faults. It serves as another writer.
-func (l *Log) Put(data []byte) platform.Offset {
+func (l *Log) Put(data []byte) infra.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.put(data)
 }
 
 // Next returns the offset that the next record will get.
-func (l *Log) Next() platform.Offset {
+func (l *Log) Next() infra.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.next()
@@ -132,11 +132,11 @@
 	return l.appends
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (l *Log) Append(ctx context.Context, data []byte) (infra.Offset, error) {
 	data = append([]byte(nil), data...)
 	if err := pause(ctx, l.begin()/2); err != nil {
-		return 0, platform.ErrNotWritten
+		return 0, infra.ErrNotWritten
 	}
 	off, late, err := l.take(data)
 	if late > 0 {
@@ -144,19 +144,19 @@
 	}
 	if err == errHang {
 		<-ctx.Done()
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	if err != nil {
 		return 0, err
 	}
 	if err := pause(ctx, l.wait()/2); err != nil {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	return off, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+// Read implements infra.Log.
+func (l *Log) Read(ctx context.Context, from infra.Offset, limit int, wait time.Duration) (infra.ReadResult, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	expired := wait <= 0
@@ -167,7 +167,7 @@
 		}
 		if !hang && (len(res.Records) > 0 || expired) {
 			if pause(ctx, l.wait()) != nil {
-				return platform.ReadResult{}, platform.ErrUnavailable
+				return infra.ReadResult{}, infra.ErrUnavailable
 			}
 			return res, nil
 		}
@@ -176,7 +176,7 @@
 		case <-timer.C:
 			expired = true
 		case <-ctx.Done():
-			return platform.ReadResult{}, platform.ErrUnavailable
+			return infra.ReadResult{}, infra.ErrUnavailable
 		}
 	}
 }
@@ -189,28 +189,28 @@
 func (e hangError) Error() string { return string(e) }
 
 // take decides what becomes of one append.
-func (l *Log) take(data []byte) (off platform.Offset, late time.Duration, err error) {
+func (l *Log) take(data []byte) (off infra.Offset, late time.Duration, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.outage {
-		return 0, 0, platform.ErrNotWritten
+		return 0, 0, infra.ErrNotWritten
 	}
 	if l.hang {
 		return 0, 0, errHang
 	}
 	if l.limiter != nil && !l.limiter.Allow() {
-		return 0, 0, platform.ErrRateLimited
+		return 0, 0, infra.ErrRateLimited
 	}
 	switch l.nextFault() {
 	case FaultNotWritten:
-		return 0, 0, platform.ErrNotWritten
+		return 0, 0, infra.ErrNotWritten
 	case FaultReplyLost:
 		l.put(data)
-		return 0, 0, platform.ErrUnavailable
+		return 0, 0, infra.ErrUnavailable
 	case FaultLost:
-		return 0, 0, platform.ErrUnavailable
+		return 0, 0, infra.ErrUnavailable
 	case FaultLate:
-		return 0, l.late, platform.ErrUnavailable
+		return 0, l.late, infra.ErrUnavailable
 	case FaultHang:
 		return 0, l.late, errHang
 	default:
@@ -227,18 +227,18 @@
 	return f
 }
 
-func (l *Log) look(from platform.Offset, limit int) (platform.ReadResult, chan struct{}, bool, error) {
+func (l *Log) look(from infra.Offset, limit int) (infra.ReadResult, chan struct{}, bool, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.outage {
-		return platform.ReadResult{}, nil, false, platform.ErrUnavailable
+		return infra.ReadResult{}, nil, false, infra.ErrUnavailable
 	}
-	res := platform.ReadResult{Oldest: l.oldest, Next: l.next()}
+	res := infra.ReadResult{Oldest: l.oldest, Next: l.next()}
 	if l.hang {
 		return res, l.changed, true, nil
 	}
 	if from < l.oldest {
-		return res, nil, false, &platform.TrimmedError{Oldest: l.oldest}
+		return res, nil, false, &infra.TrimmedError{Oldest: l.oldest}
 	}
 	if from < res.Next {
 		first := len(l.records) - int(res.Next-from)
@@ -248,14 +248,14 @@
 	return res, l.changed, false, nil
 }
 
-func (l *Log) put(data []byte) platform.Offset {
-	r := platform.Record{Offset: l.next(), At: time.Now(), Data: data}
+func (l *Log) put(data []byte) infra.Offset {
+	r := infra.Record{Offset: l.next(), At: time.Now(), Data: data}
 	l.records = append(l.records, r)
 	l.signal()
 	return r.Offset
 }
 
-func (l *Log) next() platform.Offset { return l.oldest + platform.Offset(len(l.records)) }
+func (l *Log) next() infra.Offset { return l.oldest + infra.Offset(len(l.records)) }
 
 func (l *Log) signal() {
 	close(l.changed)
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // readMax is the most records asked for at once.
@@ -43,7 +43,7 @@
 	res, err := j.log.Read(rctx, from, readMax, wait)
 	readAt := time.Now()
 
-	var trimmed *platform.TrimmedError
+	var trimmed *infra.TrimmedError
 	if errors.As(err, &trimmed) && trimmed.Oldest > from {
 		j.contact(readAt)
 		j.skipTo(trimmed.Oldest)
@@ -60,7 +60,7 @@
 	return j.reached(ctx, res)
 }
 
-func (j *Journal) readFrom() (from platform.Offset, first bool) {
+func (j *Journal) readFrom() (from infra.Offset, first bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.next, j.target == 0
@@ -69,7 +69,7 @@
 // reached closes CaughtUp when it is time, and reports whether the answer
 // makes sense: a log whose end lies before what was read has lost records,
 // and asking it again at once would be answered at once.
-func (j *Journal) reached(ctx context.Context, res platform.ReadResult) bool {
+func (j *Journal) reached(ctx context.Context, res infra.ReadResult) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.target == 0 {
@@ -87,7 +87,7 @@
 }
 
 // fold gives a record's entries to their folders.
-func (j *Journal) fold(r platform.Record, readAt time.Time) {
+func (j *Journal) fold(r infra.Record, readAt time.Time) {
 	entries, err := DecodeRecord(r.Data)
 	var folded, duplicates, corrupt int64
 	if err != nil {
@@ -121,7 +121,7 @@
 }
 
 // skipTo goes on after a gap of expired records.
-func (j *Journal) skipTo(oldest platform.Offset) {
+func (j *Journal) skipTo(oldest infra.Offset) {
 	j.cfg.Logger.Warn("records expired before they were read", "next", oldest)
 	for _, f := range j.folders {
 		if t, ok := f.(Trimmer); ok {
--- a/journal/runtime.go
+++ b/journal/runtime.go
@@ -11,7 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // Defaults of Config.
@@ -81,7 +81,7 @@
 // were read. Trimmed is called from the goroutine that calls Apply: every
 // record before oldest that wasn't applied yet never will be.
 type Trimmer interface {
-	Trimmed(oldest platform.Offset)
+	Trimmed(oldest infra.Offset)
 }
 
 // Health is what a journal knows about the log.
@@ -110,7 +110,7 @@
 // the writer.
 type Journal struct {
 	cfg     Config
-	log     platform.Log
+	log     infra.Log
 	limiter *rate.Limiter
 	folders map[Kind]Folder
 	dedupe  *deduper
@@ -121,8 +121,8 @@
 
 	mu      sync.Mutex
 	queue   *queue
-	next    platform.Offset // first offset not read yet
-	target  platform.Offset // Next of the first read after the start
+	next    infra.Offset // first offset not read yet
+	target  infra.Offset // Next of the first read after the start
 	applied Position
 	health  Health
 	stats   Stats
@@ -131,7 +131,7 @@
 }
 
 // New returns a journal over log. Folders are registered before Serve.
-func New(log platform.Log, cfg Config) *Journal {
+func New(log infra.Log, cfg Config) *Journal {
 	cfg = cfg.withDefaults()
 	limit := rate.Inf
 	if cfg.AppendsPerSecond > 0 {
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -7,7 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // settleWait is how long an append of unknown outcome waits for the own
@@ -142,7 +142,7 @@
 	}
 	// After a lost reply the record may be there. The own reader then settles
 	// the entries; sending them again is harmless, as an ID counts once.
-	sleep(ctx, j.failed(b, errors.Is(err, platform.ErrNotWritten)))
+	sleep(ctx, j.failed(b, errors.Is(err, infra.ErrNotWritten)))
 	j.mu.Lock()
 	j.queue.giveBack(b.pendings)
 	j.mu.Unlock()
--- a/lease/chain_test.go
+++ b/lease/chain_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // history is a log of one scope with the states that a reader of all of it
@@ -23,7 +23,7 @@
 // add appends a record that its writer made when it had read up to a place;
 // what was written since may make it lose.
 func (h *history) add(r Record) {
-	at := journal.Position{Offset: platform.Offset(len(h.records) + 1)}
+	at := journal.Position{Offset: infra.Offset(len(h.records) + 1)}
 	p := journal.Placed{Position: at, Entry: journal.Entry{Kind: journal.KindLease, Body: r.Encode()}}
 	before := ScopeState{}
 	if n := len(h.states); n > 0 {
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -10,8 +10,8 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // Presence tells a keeper about other instances, from the platform's list.
@@ -142,7 +142,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.machine.Observe(s, time.Now())
-	if err == nil || errors.Is(err, platform.ErrNotWritten) {
+	if err == nil || errors.Is(err, infra.ErrNotWritten) {
 		k.machine.Settled(id)
 	}
 	return s.LastID == id
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 var (
@@ -30,7 +30,7 @@
 	return s
 }
 
-func placed(offset platform.Offset, id string, readAt time.Time) journal.Placed {
+func placed(offset infra.Offset, id string, readAt time.Time) journal.Placed {
 	return journal.Placed{
 		Position: journal.Position{Offset: offset}, At: readAt, ReadAt: readAt,
 		Entry: journal.Entry{ID: id},
--- a/lease/view.go
+++ b/lease/view.go
@@ -5,9 +5,9 @@
 	"sync/atomic"
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/notify"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // Snapshot is a state of all scopes that doesn't change any more.
@@ -58,7 +58,7 @@
 }
 
 // Trimmed implements journal.Trimmer.
-func (v *View) Trimmed(platform.Offset) {
+func (v *View) Trimmed(infra.Offset) {
 	v.state.Gap(time.Now())
 	now := v.current.Load()
 	v.current.Store(&Snapshot{Position: now.Position, Scopes: maps.Clone(v.state.scopes), gapAt: v.state.gapAt})
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // Outgoing is a message to be sent to an instance.
@@ -153,11 +153,11 @@
 }
 
 // ReadList takes the platform's list; rows of other kinds are skipped.
-func (m *Machine) ReadList(rows []platform.Instance, now time.Time) {
+func (m *Machine) ReadList(rows []infra.Instance, now time.Time) {
 	m.listRead = true
-	byName := make(map[string]platform.Instance, len(rows))
+	byName := make(map[string]infra.Instance, len(rows))
 	for _, r := range rows {
-		if r.Kind == platform.KindEntry {
+		if r.Kind == infra.KindEntry {
 			byName[r.Name] = r
 		}
 	}
--- a/membership/runner.go
+++ b/membership/runner.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // Transport sends messages to other instances. Send must not block, and may
@@ -81,7 +81,7 @@
 
 // TakeList takes an answer of the platform's list. While it can't be read, the
 // last one counts on.
-func (r *Runner) TakeList(rows []platform.Instance) {
+func (r *Runner) TakeList(rows []infra.Instance) {
 	r.step(func(m *Machine, now time.Time) []Outgoing {
 		m.ReadList(rows, now)
 		return nil
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 const (
@@ -47,7 +47,7 @@
 
 type listed struct {
 	at   time.Time
-	rows []platform.Instance
+	rows []infra.Instance
 }
 
 func newSim(t require.TestingT, seed uint64, perDataCentre ...int) *sim {
@@ -146,9 +146,9 @@
 
 // recordList notes what the list will show after its lag.
 func (s *sim) recordList() {
-	var rows []platform.Instance
+	var rows []infra.Instance
 	for _, name := range s.names() {
-		rows = append(rows, platform.Instance{Name: name, Kind: platform.KindEntry, Leaving: s.leaving[name]})
+		rows = append(rows, infra.Instance{Name: name, Kind: infra.KindEntry, Leaving: s.leaving[name]})
 	}
 	s.lists = append(s.lists, listed{s.now, rows})
 	for len(s.lists) > 1 && !s.lists[1].at.After(s.now.Add(-listLag)) {
--- a/orders/state_test.go
+++ b/orders/state_test.go
@@ -7,9 +7,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
 	"tamarackchute/lease"
-	"tamarackchute/platform"
 	"tamarackchute/upstream"
 )
 
@@ -25,7 +25,7 @@
 // book folds records one after the other.
 type book struct {
 	*State
-	next platform.Offset
+	next infra.Offset
 }
 
 func newBook(l leaders) *book { return &book{State: NewState(l), next: 100} }
--- a/orders/view.go
+++ b/orders/view.go
@@ -4,9 +4,9 @@
 	"maps"
 	"sync/atomic"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/notify"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // Snapshot is a state of all engines that doesn't change any more.
@@ -61,7 +61,7 @@
 }
 
 // Trimmed implements journal.Trimmer.
-func (v *View) Trimmed(platform.Offset) { v.state.Gap() }
+func (v *View) Trimmed(infra.Offset) { v.state.Gap() }
 
 // Snapshot returns the current state.
 func (v *View) Snapshot() *Snapshot { return v.current.Load() }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 var testStart = time.Unix(1_700_000_000, 0)
@@ -45,7 +45,7 @@
 		return journal.Position{}, errDown
 	}
 	l.at = l.at.Add(5 * time.Millisecond)
-	p := journal.Placed{Position: journal.Position{Offset: platform.Offset(len(l.entries) + 1)}, At: l.at, ReadAt: l.at, Entry: e}
+	p := journal.Placed{Position: journal.Position{Offset: infra.Offset(len(l.entries) + 1)}, At: l.at, ReadAt: l.at, Entry: e}
 	l.entries = append(l.entries, p)
 	if l.seen[e.ID] {
 		return p.Position, nil
--- a/router/candidate.go
+++ b/router/candidate.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 	"tamarackchute/upstream"
 )
 
@@ -50,7 +50,7 @@
 		c.ReportAge = max(0, now.Sub(u.ReportAt))
 	}
 	c.Work = n.workNow(&s.cfg, u, c.ReportAge)
-	if u.Kind == platform.KindEngine {
+	if u.Kind == infra.KindEngine {
 		c.model = modelOf(&s.cfg, u, &n.live)
 		c.needTokens = r.PromptTokens + r.OutputTokens
 	}
@@ -58,7 +58,7 @@
 
 // outOfService says that the engine's own report has it out of service.
 func (c *Candidate) outOfService() bool {
-	return c.Up.Kind == platform.KindEngine && !c.Up.ReportAt.IsZero() && !c.Up.Report.InService
+	return c.Up.Kind == infra.KindEngine && !c.Up.ReportAt.IsZero() && !c.Up.Report.InService
 }
 
 // role returns the role in force; an engine of unknown role counts as mixed.
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"tamarackchute/admission"
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 	"tamarackchute/router"
 	"tamarackchute/upstream"
 )
@@ -222,7 +222,7 @@
 		e := newFakeEngine(string(rune('a'+i)), role)
 		f.engines = append(f.engines, e)
 		f.byName[e.name] = e
-		ups = append(ups, router.Upstream{Name: e.name, Kind: platform.KindEngine, Pool: "p", DataCentre: "dc",
+		ups = append(ups, router.Upstream{Name: e.name, Kind: infra.KindEngine, Pool: "p", DataCentre: "dc",
 			Models: []string{"m"}, Role: role})
 	}
 	defer f.reportAll()
--- a/router/learn.go
+++ b/router/learn.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // The steps of what is learnt from own attempts.
@@ -60,7 +60,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := &b.node.live
-	if b.node.state.Load().Kind == platform.KindService {
+	if b.node.state.Load().Kind == infra.KindService {
 		took := now.Sub(k.began)
 		usual := l.serviceTime.Load()
 		if usual == 0 {
--- a/router/pick_test.go
+++ b/router/pick_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 	"tamarackchute/upstream"
 )
 
@@ -17,7 +17,7 @@
 
 func engine(name string, change func(*Upstream)) Upstream {
 	u := Upstream{
-		Name: name, Kind: platform.KindEngine, Pool: "p", DataCentre: "dc", Models: []string{"m"},
+		Name: name, Kind: infra.KindEngine, Pool: "p", DataCentre: "dc", Models: []string{"m"},
 		Role: upstream.RoleMixed, ReportAt: testNow,
 		Report: upstream.LoadReport{InService: true, PrefillPerSec: 5000, DecodePerSec: 640, MaxBatch: 32, KVTotalTokens: 60000},
 	}
--- a/router/score.go
+++ b/router/score.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 )
 
 // Scorer says what an upstream would cost a request, in time. Costs add up.
@@ -17,7 +17,7 @@
 type timeScorer struct{}
 
 func (timeScorer) Cost(c *Candidate, r *Request) time.Duration {
-	if c.Up.Kind == platform.KindService {
+	if c.Up.Kind == infra.KindService {
 		c.Estimate = estimateService(c)
 		return c.Estimate.Complete
 	}
@@ -47,7 +47,7 @@
 type occupancyScorer struct{ weight float64 }
 
 func (s occupancyScorer) Cost(c *Candidate, r *Request) time.Duration {
-	if c.Up.Kind == platform.KindService {
+	if c.Up.Kind == infra.KindService {
 		return 0
 	}
 	prompt := max(0, r.PromptTokens-c.CachedTokens)
--- a/router/tracker.go
+++ b/router/tracker.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 	"tamarackchute/upstream"
 )
 
@@ -122,7 +122,7 @@
 
 // SetList takes the platform's list: an upstream that it calls leaving, or
 // that it has named before and doesn't any more, gets no new work.
-func (t *Tracker) SetList(list []platform.Instance) {
+func (t *Tracker) SetList(list []infra.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	listed := make(map[string]bool, len(list))
--- a/router/tracker_test.go
+++ b/router/tracker_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 	"tamarackchute/upstream"
 )
 
@@ -207,12 +207,12 @@
 		}
 		return plan.Engine
 	}
-	tr.SetList([]platform.Instance{{Name: "a", Leaving: true}, {Name: "b"}})
+	tr.SetList([]infra.Instance{{Name: "a", Leaving: true}, {Name: "b"}})
 	require.Equal(t, "b", pick())
 	tr.SetDraining("b", true)
 	require.Equal(t, "", pick())
 	tr.SetDraining("b", false)
-	tr.SetList([]platform.Instance{{Name: "a"}})
+	tr.SetList([]infra.Instance{{Name: "a"}})
 	require.Equal(t, "a", pick(), "b has gone from the list")
 	tr.SetList(nil)
 	require.Equal(t, "", pick())
--- a/router/types.go
+++ b/router/types.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"tamarackchute/platform"
+	"tamarackchute/infra"
 	"tamarackchute/upstream"
 )
 
@@ -23,7 +23,7 @@
 // Upstream is what the router knows about one engine or plain service.
 type Upstream struct {
 	Name       string
-	Kind       platform.InstanceKind
+	Kind       infra.InstanceKind
 	Pool       string
 	DataCentre string
 	// Models are those that an engine serves; empty for a plain service.
--- a/rules/book.go
+++ b/rules/book.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // freshRecord is the greatest age of a publication whose document is compiled
@@ -194,7 +194,7 @@
 }
 
 // Trimmed implements journal.Trimmer.
-func (b *Book) Trimmed(oldest platform.Offset) {
+func (b *Book) Trimmed(oldest infra.Offset) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.notify()
--- a/rules/fold.go
+++ b/rules/fold.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // Outcome is what became of a publication.
@@ -58,7 +58,7 @@
 	// through is the position up to which state accounts for the log.
 	through journal.Position
 	// seenFrom is the offset from which on no record was missed.
-	seenFrom platform.Offset
+	seenFrom infra.Offset
 	// pending are the publications read since seenFrom while not settled.
 	pending []placedPublish
 }
@@ -197,7 +197,7 @@
 // trimmed notes that records before oldest expired unread. What was published
 // among them can't be known, so the state is no longer settled; it stays as the
 // least that was in force.
-func (f *fold) trimmed(oldest platform.Offset) []Verdict {
+func (f *fold) trimmed(oldest infra.Offset) []Verdict {
 	f.seenFrom = max(f.seenFrom, oldest)
 	if f.settled && f.through.Offset >= oldest {
 		return nil // the state was taken over from a process that had read them
--- a/rules/fold_test.go
+++ b/rules/fold_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // logRecord is one entry of the model's log: a record has one entry.
@@ -22,7 +22,7 @@
 // modelReader is a process that folds the model's log, perhaps with gaps.
 type modelReader struct {
 	book    *Book
-	next    platform.Offset
+	next    infra.Offset
 	seen    map[string]bool
 	highest Version
 }
@@ -31,7 +31,7 @@
 // checkpoints and copies, and compares them with a reader that misses nothing.
 type foldMachine struct {
 	log     []logRecord // log[i] has offset i+1
-	oldest  platform.Offset
+	oldest  infra.Offset
 	truth   *modelReader
 	states  []Version // the truth's version after each offset
 	readers []*modelReader
@@ -119,7 +119,7 @@
 }
 
 func (m *foldMachine) trim(t *rapid.T) {
-	m.oldest += platform.Offset(rapid.IntRange(0, len(m.log)+1-int(m.oldest)).Draw(t, "trim"))
+	m.oldest += infra.Offset(rapid.IntRange(0, len(m.log)+1-int(m.oldest)).Draw(t, "trim"))
 }
 
 func (m *foldMachine) readSome(t *rapid.T) {
--- a/rules/publisher.go
+++ b/rules/publisher.go
@@ -41,7 +41,7 @@
 // folded the verdict; the outcome is unknown if ctx ends first. A publication
 // that was sent before, here or elsewhere, keeps its ID and its verdict: so a
 // lost reply is settled by sending it again. An empty ID is replaced by a new
-// one. Errors are *InvalidError and those that match platform.ErrNotWritten:
+// one. Errors are *InvalidError and those that match infra.ErrNotWritten:
 // the document is then not published and never will be.
 func (p *Publisher) Publish(ctx context.Context, publish Publish) (Result, error) {
 	if err := p.check(publish.Document); err != nil {
--- a/rules/publisher_test.go
+++ b/rules/publisher_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
 	"tamarackchute/journal/journaltest"
-	"tamarackchute/platform"
 )
 
 const testRetention = time.Minute
@@ -30,7 +30,7 @@
 
 // cut is a log that can be made unreachable for one process.
 type cut struct {
-	platform.Log
+	infra.Log
 	mu  sync.Mutex
 	off bool
 }
@@ -47,23 +47,23 @@
 	return c.off
 }
 
-func (c *cut) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+func (c *cut) Append(ctx context.Context, data []byte) (infra.Offset, error) {
 	if c.isOff() {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	return c.Log.Append(ctx, data)
 }
 
-func (c *cut) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+func (c *cut) Read(ctx context.Context, from infra.Offset, limit int, wait time.Duration) (infra.ReadResult, error) {
 	result, err := c.Log.Read(ctx, from, limit, wait)
 	if c.isOff() {
-		return platform.ReadResult{}, platform.ErrUnavailable
+		return infra.ReadResult{}, infra.ErrUnavailable
 	}
 	return result, err
 }
 
 // startInstance runs the parts that an entry has for the rules.
-func startInstance(log platform.Log, slot int) *instance {
+func startInstance(log infra.Log, slot int) *instance {
 	quiet := slog.New(slog.DiscardHandler)
 	j := journal.New(log, journal.Config{Writer: fmt.Sprint("instance", slot), Retention: testRetention, Logger: quiet})
 	b := NewBook(BookOptions{Logger: quiet})
@@ -89,7 +89,7 @@
 func expire(log *journaltest.Log) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	for off := platform.Offset(1); off < log.Next(); off++ {
+	for off := infra.Offset(1); off < log.Next(); off++ {
 		result, err := log.Read(ctx, off, 1, 0)
 		if err != nil {
 			continue // trimmed already
@@ -271,7 +271,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := a.publisher.Publish(ctx, Publish{Base: first, Document: document(rule("r", "!stream", toAgronomy))})
-		require.True(t, errors.Is(err, platform.ErrNotWritten), "refused while the log is down: %v", err)
+		require.True(t, errors.Is(err, infra.ErrNotWritten), "refused while the log is down: %v", err)
 		log.Outage(false)
 		second := a.publish(t, first, "!stream").Version
 		time.Sleep(3 * time.Second)
--- a/rules/record.go
+++ b/rules/record.go
@@ -7,9 +7,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/codec"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // State is a published rule set as it stands in the log.
@@ -34,7 +34,7 @@
 	Author   string
 	Note     string
 	// Through is the last record that its writer had read before it wrote.
-	Through platform.Offset
+	Through infra.Offset
 	// Force accepts it also over another version than Base, unless that was
 	// published after Through. It is for operators of a deployment all of whose
 	// instances have missed records, and can't tell what is in force in the log.
--- a/rules/version.go
+++ b/rules/version.go
@@ -6,8 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
-	"tamarackchute/platform"
 )
 
 // Version names a published rule set by the position of its publication in the
@@ -42,7 +42,7 @@
 	if !ok || errOffset != nil || errIndex != nil || o == 0 {
 		return Version{}, eris.Errorf("rules: %q is no version; versions look like 1042.0", s)
 	}
-	return Version{Offset: platform.Offset(o), Index: uint16(i)}, nil
+	return Version{Offset: infra.Offset(o), Index: uint16(i)}, nil
 }
 
 // MarshalText implements encoding.TextMarshaler.
