--- /dev/null
+++ b/internal/member/feeds.go
@@ -0,0 +1,336 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"maps"
+	"sync"
+	"time"
+
+	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/wire"
+)
+
+const (
+	// longWait is how long the store may keep a read waiting for a change.
+	longWait = 20 * time.Second
+	// upstreamsEvery is the least time between two reads of the upstreams'
+	// entries. Each of them is written about once a second, so a waiting read
+	// returns at once; a change must be known well within a leaving upstream's
+	// last two seconds.
+	upstreamsEvery = 500 * time.Millisecond
+	// retryMin and retryMax bound the wait after a failed read.
+	retryMin = 100 * time.Millisecond
+	retryMax = 500 * time.Millisecond
+	// callSlack is added to the wait that the store was asked for.
+	callSlack = 1500 * time.Millisecond
+	// outageAfter is the time without a successful read after which removals
+	// are doubted: entries lapse while their owners can't reach the store.
+	outageAfter = 1500 * time.Millisecond
+)
+
+// topicReader follows one topic of the store: the newest entries first, then
+// each change, and the newest again if the store has dropped records since.
+type topicReader struct {
+	store Store
+	topic Topic
+	name  string
+	// every is the least time between reads, wait how long one may wait.
+	every, wait time.Duration
+	// reset takes the newest entries, apply a change.
+	reset func([]Entry)
+	apply func([]Entry)
+	log   *slog.Logger
+
+	mu     sync.Mutex
+	readAt time.Time
+	down   bool
+}
+
+// String names the service for the supervisor.
+func (r *topicReader) String() string { return "feed of " + r.name }
+
+// age returns the time since the last successful read.
+func (r *topicReader) age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.readAt.IsZero() {
+		return time.Hour
+	}
+	return time.Since(r.readAt)
+}
+
+// Serve implements suture.Service.
+func (r *topicReader) Serve(ctx context.Context) error {
+	var from Position
+	known := false
+	pause := retryMin
+	for ctx.Err() == nil {
+		began := time.Now()
+		next, err := r.read(ctx, known, from)
+		switch {
+		case err == nil:
+			from, known, pause = next, true, retryMin
+			sleep(ctx, r.every-time.Since(began))
+		case errors.Is(err, ErrExpired):
+			known = false
+		default:
+			r.lost(ctx, err)
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMax)
+		}
+	}
+	return ctx.Err()
+}
+
+func (r *topicReader) read(ctx context.Context, known bool, from Position) (Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.wait+callSlack)
+	defer cancel()
+	if !known {
+		entries, next, err := r.store.Newest(ctx, r.topic)
+		if err != nil {
+			return from, err
+		}
+		r.reset(entries)
+		r.regained()
+		return next, nil
+	}
+	entries, next, err := r.store.Changes(ctx, r.topic, from, r.wait)
+	if err != nil {
+		return from, err
+	}
+	if len(entries) > 0 {
+		r.apply(entries)
+	}
+	r.regained()
+	return next, nil
+}
+
+func (r *topicReader) regained() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readAt = time.Now()
+	if r.down {
+		r.down = false
+		r.log.Info("store regained", "topic", r.name)
+	}
+}
+
+func (r *topicReader) lost(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.down {
+		r.down = true
+		r.log.Warn("store lost", "topic", r.name, "err", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// configFeed puts new versions of the configuration into force.
+type configFeed struct {
+	formats Formats
+	state   *fleet.State
+	log     *slog.Logger
+}
+
+func (f *configFeed) take(entries []Entry) {
+	for _, e := range entries {
+		c, ok, err := f.formats.Config(e)
+		if err != nil {
+			f.log.Warn("configuration refused; the one in force stays", "err", err)
+			continue
+		}
+		if ok && f.state.ApplyConfig(c) {
+			f.log.Info("configuration in force", "version", c.Version, "rules", len(c.Rules.Rules()))
+		}
+	}
+}
+
+// upstreamFeed keeps the list of upstreams.
+type upstreamFeed struct {
+	formats Formats
+	state   *fleet.State
+	log     *slog.Logger
+	// returnWithin is how long after an outage a lapsed entry may come back.
+	returnWithin time.Duration
+	age          func() time.Duration
+
+	mu   sync.Mutex
+	raw  map[string][]byte
+	list map[string]*fleet.Upstream
+	// doubted are upstreams whose entries went while the store was away, with
+	// the time at which they count as gone.
+	doubted map[string]time.Time
+}
+
+func newUpstreamFeed(formats Formats, state *fleet.State, returnWithin time.Duration, log *slog.Logger) *upstreamFeed {
+	return &upstreamFeed{
+		formats: formats, state: state, log: log, returnWithin: returnWithin,
+		raw: make(map[string][]byte), list: make(map[string]*fleet.Upstream), doubted: make(map[string]time.Time),
+	}
+}
+
+// reset takes the newest entries of all upstreams.
+func (f *upstreamFeed) reset(entries []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(entries))
+	changed := false
+	for _, e := range entries {
+		listed[e.Key] = e.Value != nil
+		changed = f.put(e) || changed
+	}
+	for id := range f.list {
+		if !listed[id] {
+			changed = f.remove(id) || changed
+		}
+	}
+	f.finish(changed)
+}
+
+// apply takes changes in their order.
+func (f *upstreamFeed) apply(entries []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
+	for _, e := range entries {
+		changed = f.put(e) || changed
+	}
+	f.finish(changed)
+}
+
+func (f *upstreamFeed) put(e Entry) bool {
+	if e.Value == nil {
+		return f.remove(e.Key)
+	}
+	u, err := f.formats.Upstream(e)
+	if err != nil {
+		f.log.Warn("upstream's entry left out", "upstream", e.Key, "err", err)
+		return false
+	}
+	f.raw[e.Key] = e.Value
+	delete(f.doubted, e.Key)
+	old := f.list[e.Key]
+	if old != nil && *old == *u {
+		return false
+	}
+	f.list[e.Key] = u
+	f.log.Info("upstream", "upstream", u.ID, "pool", u.Pool, "address", u.Address, "data_centre", u.DataCentre,
+		"role", u.Role, "slots", u.Slots, "leaving", u.Leaving, "new", old == nil)
+	return true
+}
+
+// remove takes an upstream out, or doubts it for a while if the store was away.
+func (f *upstreamFeed) remove(id string) bool {
+	if f.list[id] == nil {
+		return false
+	}
+	if f.age() > outageAfter {
+		if _, already := f.doubted[id]; !already {
+			f.doubted[id] = time.Now().Add(f.returnWithin)
+			f.log.Info("upstream doubted", "upstream", id)
+		}
+		return false
+	}
+	if _, doubted := f.doubted[id]; doubted {
+		return false
+	}
+	f.drop(id)
+	return true
+}
+
+func (f *upstreamFeed) drop(id string) {
+	delete(f.list, id)
+	delete(f.raw, id)
+	delete(f.doubted, id)
+	f.log.Info("upstream gone", "upstream", id)
+}
+
+func (f *upstreamFeed) finish(changed bool) {
+	now := time.Now()
+	for id, until := range f.doubted {
+		if now.After(until) {
+			f.drop(id)
+			changed = true
+		}
+	}
+	if changed {
+		f.state.SetUpstreams(maps.Clone(f.list))
+	}
+}
+
+// entries returns what was read, for a peer that can't reach the store.
+func (f *upstreamFeed) entries() map[string][]byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.raw)
+}
+
+// memberFeed learns of other daemons from their entries.
+type memberFeed struct {
+	peers *Peers
+	log   *slog.Logger
+}
+
+func (f *memberFeed) take(entries []Entry) {
+	for _, e := range entries {
+		if e.Value == nil {
+			continue
+		}
+		var a wire.MemberAddress
+		if err := json.Unmarshal(e.Value, &a); err != nil {
+			f.log.Warn("daemon's entry left out", "key", e.Key, "err", err)
+			continue
+		}
+		f.peers.Learn(a)
+	}
+}
+
+// announcer writes this daemon's entry, so that others find it.
+type announcer struct {
+	store Store
+	self  wire.MemberAddress
+	log   *slog.Logger
+}
+
+// String names the service for the supervisor.
+func (a *announcer) String() string { return "announcer" }
+
+// Serve implements suture.Service.
+func (a *announcer) Serve(ctx context.Context) error {
+	value, err := json.Marshal(a.self)
+	if err != nil {
+		return err
+	}
+	pause := retryMin
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callSlack)
+		err := a.store.Put(call, TopicMembers, Entry{Key: a.self.Instance, Value: value})
+		cancel()
+		if err == nil {
+			a.log.Info("announced", "address", a.self.Peers)
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		a.log.Warn("not announced", "err", err)
+		sleep(ctx, pause)
+		pause = min(2*pause, 4*retryMax)
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,240 @@
+package member
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"tamarackchute/internal/entry/shutdown"
+	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/relay"
+	"tamarackchute/internal/wire"
+	"tamarackchute/placement"
+)
+
+const (
+	// keepAnswer is how long callers may keep an answer of where to connect.
+	// Short, so that a daemon that falls silent is soon left alone; each answer
+	// costs little.
+	keepAnswer = time.Second
+	// keepFactor covers callers that keep an answer longer than they are told.
+	keepFactor = 3
+	// stopMargin is the part of the grace kept back for the end of the process.
+	stopMargin = 1200 * time.Millisecond
+	// stopCheck is how often a stopping daemon looks whether it may exit.
+	stopCheck = 50 * time.Millisecond
+	// expectedDaemons divides what all daemons share while their number isn't
+	// known for sure: a daemon that believes in too few peers would take too
+	// large a part.
+	expectedDaemons = 8
+	// peerSecret isn't secret: the platform's network is closed, and its
+	// settings hold nothing that only the system's processes know. It keeps
+	// other protocols apart.
+	peerSecret = "tamarackchute member exchange, protocol 1"
+	// minRetryAfter is the time to come back that a refusal names at least.
+	minRetryAfter = 400 * time.Millisecond
+)
+
+// Config is what a Member is built of.
+type Config struct {
+	Settings Settings
+	Store    Store
+	Formats  Formats
+	Dialect  relay.Dialect
+	// DirectoryHandler and ReadyHandler make the outer interfaces.
+	DirectoryHandler func(*Member) http.Handler
+	ReadyHandler     func(ready func() bool) http.Handler
+	Logger           *slog.Logger
+}
+
+// Member is the daemon.
+type Member struct {
+	cfg       Config
+	log       *slog.Logger
+	state     *fleet.State
+	books     *placement.Books
+	relay     *relay.Relay
+	peers     *Peers
+	upstreams *upstreamFeed
+	readers   []*topicReader
+	self      wire.MemberAddress
+	stop      shutdown.State
+	leaving   atomic.Bool
+}
+
+// New builds a daemon.
+func New(cfg Config) *Member {
+	s := cfg.Settings
+	m := &Member{cfg: cfg, log: cfg.Logger, state: fleet.NewState(), books: placement.NewBooks(nil)}
+	m.self = wire.MemberAddress{Instance: s.Instance, DataCentre: s.DataCentre, Callers: s.Callers, Peers: s.PeerAddress}
+	m.stop = shutdown.State{Keep: keepFactor * keepAnswer, Grace: s.Grace - keepFactor*keepAnswer - stopMargin}
+	m.relay = relay.New(relay.Config{
+		DataCentre:    s.DataCentre,
+		Dialect:       cfg.Dialect,
+		State:         m.state,
+		Books:         m.books,
+		Budget:        relay.NewBudget(s.RetryRatio, s.RetrySlack/expectedDaemons, s.RetryWindow, nil),
+		Logger:        m.log,
+		MinRetryAfter: minRetryAfter,
+	})
+	m.peers = newPeers(m.self, m.wireConfig(), m.books, m.log)
+	m.peers.about, m.peers.view, m.peers.change = m.about, m.view, m.relay.Changed
+	m.buildFeeds()
+	return m
+}
+
+func (m *Member) wireConfig() wire.Config {
+	return wire.Config{
+		Name: m.cfg.Settings.Instance, Secret: []byte(peerSecret),
+		Limits: wire.Limits{Ping: time.Second, Idle: 3 * time.Second, RetryMax: time.Second},
+	}
+}
+
+func (m *Member) buildFeeds() {
+	store, formats := m.cfg.Store, m.cfg.Formats
+	configs := &configFeed{formats: formats, state: m.state, log: m.log}
+	m.upstreams = newUpstreamFeed(formats, m.state, m.cfg.Settings.ReturnWithin, m.log)
+	members := &memberFeed{peers: m.peers, log: m.log}
+	upstreams := &topicReader{
+		store: store, topic: TopicUpstreams, name: "upstreams", every: upstreamsEvery,
+		reset: m.upstreams.reset, apply: m.upstreams.apply, log: m.log,
+	}
+	m.upstreams.age = upstreams.age
+	m.readers = []*topicReader{
+		upstreams,
+		{store: store, topic: TopicConfig, name: "configuration", wait: longWait, reset: configs.take, apply: configs.take, log: m.log},
+		{store: store, topic: TopicMembers, name: "daemons", wait: longWait, every: time.Second, reset: members.take, apply: members.take, log: m.log},
+	}
+}
+
+// Ready reports whether callers may be sent here.
+func (m *Member) Ready() bool {
+	return !m.leaving.Load() && m.state.Snapshot().Config != nil
+}
+
+func (m *Member) about() About {
+	a := About{Serving: m.Ready(), ReadAge: m.readers[0].age()}
+	if c := m.state.Snapshot().Config; c != nil {
+		a.Config = c.Version
+	}
+	return a
+}
+
+func (m *Member) view() wire.ViewReply {
+	v := wire.ViewReply{Upstreams: m.upstreams.entries(), Age: m.readers[0].age()}
+	if c := m.state.Snapshot().Config; c != nil {
+		v.Config = c.Document
+	}
+	return v
+}
+
+// Where returns where callers of a data centre may connect: to the daemons
+// there if there are two or more, since each crossing costs time and bytes, and
+// to all otherwise.
+func (m *Member) Where(dataCentre string) ([]string, time.Duration) {
+	up := m.peers.Up()
+	if m.Ready() {
+		up = append(up, m.self)
+	}
+	var near, all []string
+	for _, a := range up {
+		all = append(all, a.Callers)
+		if a.DataCentre == dataCentre {
+			near = append(near, a.Callers)
+		}
+	}
+	if len(near) >= minNear {
+		return near, keepAnswer
+	}
+	return all, keepAnswer
+}
+
+// minNear is the number of daemons in a data centre from which its callers are
+// sent nowhere else: with one, its loss would leave them without any.
+const minNear = 2
+
+// Run serves until the context ends, and then until a graceful stop is done.
+func (m *Member) Run(ctx context.Context) error {
+	for _, seed := range m.cfg.Settings.Seeds {
+		m.peers.Learn(wire.MemberAddress{Peers: seed})
+	}
+	servers, err := m.listen()
+	if err != nil {
+		return err
+	}
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	done := m.tree(servers).ServeBackground(work)
+	m.log.Info("started", "instance", m.self.Instance, "data_centre", m.self.DataCentre, "callers", m.self.Callers)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	m.drain()
+	stopWork()
+	<-done
+	return nil
+}
+
+// tree is the supervisor tree:
+//
+//	member
+//	├── learning
+//	│   ├── feed of upstreams, configuration, daemons
+//	│   ├── view of peers, while the store can't be reached
+//	│   └── announcer
+//	├── exchange
+//	│   ├── wire server
+//	│   └── peers
+//	└── serving
+//	    └── callers, directory, ready
+func (m *Member) tree(servers []*httpService) *suture.Supervisor {
+	spec := suture.Spec{EventHook: m.hook, FailureBackoff: time.Second, Timeout: 2 * time.Second}
+	learning := suture.New("learning", spec)
+	for _, r := range m.readers {
+		learning.Add(r)
+	}
+	learning.Add(&peerView{member: m})
+	learning.Add(&announcer{store: m.cfg.Store, self: m.self, log: m.log})
+	exchange := suture.New("exchange", spec)
+	exchange.Add(wire.NewServer(m.wireConfig(), m.self.Peers, m.peers, m.log))
+	exchange.Add(m.peers)
+	serving := suture.New("serving", spec)
+	for _, s := range servers {
+		serving.Add(s)
+	}
+	root := suture.New("member", spec)
+	root.Add(learning)
+	root.Add(exchange)
+	root.Add(serving)
+	return root
+}
+
+func (m *Member) hook(e suture.Event) {
+	m.log.Warn("supervisor", "event", e.String())
+}
+
+// drain stops taking callers and returns when the process may exit.
+func (m *Member) drain() {
+	m.leaving.Store(true)
+	m.relay.CloseConnections()
+	m.stop.Begin(time.Now())
+	phase := shutdown.Serving
+	for {
+		active := int(m.relay.Active())
+		next := m.stop.Phase(time.Now(), active)
+		if next != phase {
+			phase = next
+			m.log.Info("stopping", "phase", phase.String(), "active", active)
+		}
+		if phase == shutdown.Stopped {
+			return
+		}
+		time.Sleep(stopCheck)
+	}
+}
--- /dev/null
+++ b/internal/member/serve.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long an idle connection is kept: longer than callers
+	// use one, so that none is closed under a request.
+	idleTimeout = 90 * time.Second
+	// maxHeader bounds a request's head in bytes.
+	maxHeader = 64 << 10
+	// endTimeout bounds the end of the servers after the drain.
+	endTimeout = 500 * time.Millisecond
+)
+
+// httpService is one HTTP interface as a supervised service.
+type httpService struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+// String names the service for the supervisor.
+func (s *httpService) String() string { return s.name }
+
+// Serve implements suture.Service.
+func (s *httpService) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		end, cancel := context.WithTimeout(context.Background(), endTimeout)
+		defer cancel()
+		_ = s.server.Shutdown(end) // requests still in progress are cut off by the exit
+	})
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return eris.Wrap(err, s.name)
+}
+
+// listen binds all interfaces, so that a taken address ends the start.
+func (m *Member) listen() ([]*httpService, error) {
+	s := m.cfg.Settings
+	handlers := []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"callers", s.Callers, m.relay},
+		{"ready", s.Ready, m.cfg.ReadyHandler(m.Ready)},
+		{"directory", s.Directory, m.cfg.DirectoryHandler(m)},
+	}
+	var services []*httpService
+	for _, h := range handlers {
+		if h.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", h.address)
+		if err != nil {
+			return nil, eris.Wrapf(err, "%s: address %s can't be taken", h.name, h.address)
+		}
+		services = append(services, &httpService{name: h.name, listener: l, server: newServer(h.handler)})
+	}
+	return services, nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          log.New(io.Discard, "", 0), // broken connections of callers, one line each
+	}
+}
--- /dev/null
+++ b/internal/member/settings.go
@@ -0,0 +1,63 @@
+// Package member is the daemon that runs on every instance of a site whose
+// platform lists its upstreams and holds its configuration: a supervisor tree of
+// the feeds that learn, the exchange with the other daemons, and the relay that
+// serves callers.
+package member
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Settings are what a daemon is told at its start.
+type Settings struct {
+	// Instance names the machine, DataCentre and Region its place.
+	Instance, DataCentre, Region string
+	// Callers, Ready and Directory are the addresses to serve at, IP:PORT.
+	Callers, Ready, Directory string
+	// PeerAddress is where the other daemons reach this one, PeerPort the port
+	// at which all of them listen.
+	PeerAddress string
+	PeerPort    int
+	// Seeds are peer addresses of some daemons; they may be outdated.
+	Seeds []string
+	// Store is the address of the platform's store.
+	Store string
+	// MemoryBytes is the most that the process may use.
+	MemoryBytes int64
+	// Grace is the time from the signal to stop to the kill.
+	Grace time.Duration
+	// DrainWithin bounds the time in which a leaving upstream gets its last
+	// request, ApplyWithin that in which a configuration comes into force.
+	DrainWithin, ApplyWithin time.Duration
+	// ReturnWithin is the time after an outage of the store in which entries
+	// that lapsed meanwhile come back.
+	ReturnWithin time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound repeats: in each window a
+	// pool gets at most ratio x requests + slack of them from all daemons.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// DirectoryTTL is the longest time that callers keep a directory's answer.
+	DirectoryTTL time.Duration
+}
+
+// Check returns all faults of the settings at once, each naming its field.
+func (s *Settings) Check() error {
+	var faults []error
+	need := func(ok bool, field, problem string) {
+		if !ok {
+			faults = append(faults, fmt.Errorf("settings: %s %s", field, problem))
+		}
+	}
+	need(s.Instance != "", "instance name", "is missing")
+	need(s.DataCentre != "", "data centre", "is missing")
+	need(s.Store != "", "store address", "is missing")
+	need(s.Callers != "", "callers' address", "is missing")
+	need(s.PeerAddress != "", "peers' address", "is missing")
+	need(s.Grace > 0, "grace", "must be more than 0")
+	need(s.RetryWindow > 0, "retry window", "must be more than 0")
+	need(s.RetryRatio >= 0, "retry ratio", "must not be negative")
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,295 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tamarackchute/internal/exchange"
+	"tamarackchute/internal/fleet"
+	"tamarackchute/placement"
+	"tamarackchute/rules/pathset"
+)
+
+// fate says what is known of a request's running after an attempt.
+type fate uint8
+
+const (
+	// notSent: nothing reached an upstream.
+	notSent fate = iota
+	// notRun: the upstream says that it did not run the request.
+	notRun
+	// mayHaveRun: it was sent, and no answer tells.
+	mayHaveRun
+)
+
+func (f fate) String() string {
+	return [...]string{"not sent", "not run", "may have run"}[f]
+}
+
+// result is how an attempt ended.
+type result struct {
+	// done says that the caller has its answer.
+	done bool
+	fate fate
+	// arrived says that an upstream got the request.
+	arrived bool
+	outcome placement.Outcome
+	status  int
+	err     error
+}
+
+const (
+	// maxAnswer bounds the answer of a plain call, in bytes.
+	maxAnswer = 8 << 20
+	// prefillFactor and prefillSlack bound the wait for a prompt to be read,
+	// beyond its expected time: a silent engine shows no other sign.
+	prefillFactor = 4
+	prefillSlack  = 250 * time.Millisecond
+	// releaseTimeout bounds the call that frees a KV cache that nobody fetches.
+	releaseTimeout = time.Second
+)
+
+// attempt sends the request to a place.
+func (c *call) attempt(ctx context.Context, p *place) result {
+	var handoff Handoff
+	if p.prefill != nil {
+		handle, res := c.prefill(ctx, p)
+		if res.err != nil {
+			p.ticket.End(placement.Cancelled)
+			return res
+		}
+		handoff = Handoff{Address: p.prefill.Address, Handle: handle}
+	}
+	res := c.send(ctx, p, handoff)
+	p.ticket.End(res.outcome)
+	if handoff.Handle != "" && !res.done && res.fate != mayHaveRun {
+		c.release(p.prefill, handoff.Handle)
+	}
+	c.relay.Changed()
+	return res
+}
+
+func (c *call) request(u *fleet.Upstream, a Attempt) *exchange.Request {
+	d := c.relay.cfg.Dialect
+	h := d.Forwarded(c.in.Header)
+	a.Upstream = u.ID
+	if c.Patience > 0 || c.rule.Timeout > 0 {
+		a.Left = max(time.Millisecond, time.Until(c.deadline))
+	}
+	a.Urgency = -1
+	if c.Generation != nil {
+		a.Urgency = min(9, c.rule.Priority)
+	}
+	a.ResumeAfter = c.resumeAfter()
+	d.Apply(h, a)
+	return &exchange.Request{
+		Method:   c.in.Method,
+		Target:   c.in.RequestURI,
+		Host:     c.in.Host,
+		Header:   h,
+		Body:     c.body,
+		IDHeader: d.RequestIDHeader(),
+		ID:       c.ID,
+		Once:     c.rule.Repeat == pathset.Once,
+	}
+}
+
+func (c *call) resumeAfter() int {
+	if c.stream != nil {
+		return c.stream.last
+	}
+	return c.ResumeAfter
+}
+
+// prefill has the prompt read at the place's reader and returns the handle of
+// its KV cache. Nothing runs by that.
+func (c *call) prefill(ctx context.Context, p *place) (string, result) {
+	ctx, cancel := context.WithTimeout(ctx, prefillFactor*p.plan.FirstToken+prefillSlack)
+	defer cancel()
+	r := c.request(p.prefill, Attempt{PrefillOnly: true})
+	r.IDHeader = ""
+	handle, res := c.readPrefill(ctx, p, r)
+	if res.err == nil {
+		p.reader.PromptRead()
+		p.reader.End(placement.Done)
+		c.relay.Changed()
+		return handle, res
+	}
+	if ctx.Err() != nil && c.in.Context().Err() != nil {
+		res.outcome = placement.Cancelled
+	}
+	p.reader.End(res.outcome)
+	c.exclude = append(c.exclude, p.prefill.ID)
+	return "", res
+}
+
+var errPrefill = errors.New("the prompt was not read")
+
+func (c *call) readPrefill(ctx context.Context, p *place, r *exchange.Request) (string, result) {
+	resp, err := c.relay.connections(p.prefill).Do(ctx, r)
+	if err != nil {
+		return "", result{fate: notRun, arrived: sent(err), outcome: brokenOutcome(ctx), err: err}
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer))
+	if err != nil {
+		return "", result{fate: notRun, arrived: true, outcome: placement.Failed, err: err}
+	}
+	if resp.Status != http.StatusOK {
+		return "", result{fate: notRun, arrived: true, outcome: refusalOutcome(resp.Status), status: resp.Status, err: errPrefill}
+	}
+	handle, err := c.relay.cfg.Dialect.ParsePrefill(body)
+	if err != nil {
+		return "", result{fate: notRun, arrived: true, outcome: placement.Failed, err: err}
+	}
+	return handle, result{}
+}
+
+func sent(err error) bool {
+	var lost *exchange.LostError
+	return errors.As(err, &lost)
+}
+
+func brokenOutcome(ctx context.Context) placement.Outcome {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return placement.Cancelled
+	case ctx.Err() != nil:
+		return placement.Failed // too slow
+	default:
+		return placement.Unreachable
+	}
+}
+
+func refusalOutcome(status int) placement.Outcome {
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return placement.Replaced
+	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
+		return placement.Refused
+	default:
+		return placement.Failed
+	}
+}
+
+// release frees a KV cache that no engine will fetch. It goes on after the
+// request has ended: memory that is never taken keeps others out for seconds.
+func (c *call) release(u *fleet.Upstream, handle string) {
+	method, target := c.relay.cfg.Dialect.ReleaseHandoff(handle)
+	pool := c.relay.connections(u)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		resp, err := pool.Do(ctx, &exchange.Request{Method: method, Target: target, Host: u.Address, Header: http.Header{}})
+		if err != nil {
+			c.log.Warn("KV cache not freed", "request", c.ID, "upstream", u.ID, "handle", handle, "err", err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp)
+		resp.Close()
+	}()
+}
+
+// send sends the request and brings the answer to the caller.
+func (c *call) send(ctx context.Context, p *place, handoff Handoff) result {
+	if f := c.ended(ctx); f != nil {
+		return result{fate: notSent, outcome: placement.Cancelled, err: errors.New(f.message)}
+	}
+	resp, err := c.relay.connections(p.target).Do(ctx, c.request(p.target, Attempt{Handoff: handoff}))
+	if err != nil {
+		return c.sendFailed(ctx, p, err)
+	}
+	defer resp.Close()
+	switch verdict := c.relay.cfg.Dialect.Judge(resp.Status, resp.Header); verdict {
+	case NotRun, WrongUpstream:
+		c.exclude = append(c.exclude, p.target.ID)
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxAnswer)) // frees the connection
+		res := result{fate: notRun, arrived: true, outcome: refusalOutcome(resp.Status), status: resp.Status, err: errNotRun}
+		if verdict == NotRun {
+			res.outcome = placement.Refused
+		}
+		return res
+	case Unsigned:
+		return c.lost(p, placement.Failed, errUnsigned)
+	}
+	c.attempts++
+	c.ran = true
+	if c.rule.Stream && resp.Status == http.StatusOK {
+		return c.relayStream(ctx, p, resp)
+	}
+	return c.relayPlain(ctx, p, resp)
+}
+
+var (
+	errNotRun   = errors.New("the upstream did not run the request")
+	errUnsigned = errors.New("the answer isn't the upstream's own")
+	errStatus   = errors.New("the upstream failed")
+)
+
+func (c *call) sendFailed(ctx context.Context, p *place, err error) result {
+	outcome := brokenOutcome(ctx)
+	if !sent(err) {
+		c.exclude = append(c.exclude, p.target.ID)
+		return result{fate: notSent, outcome: outcome, err: err}
+	}
+	c.attempts++
+	return c.lost(p, outcome, err)
+}
+
+// lost is the result of an attempt that may have run without a usable answer.
+func (c *call) lost(p *place, o placement.Outcome, err error) result {
+	c.ran = true
+	c.exclude = append(c.exclude, p.target.ID)
+	return result{fate: mayHaveRun, arrived: true, outcome: o, err: err}
+}
+
+// relayPlain reads the whole answer before the caller gets any of it: one that
+// is cut short must not look complete, and may be asked for again.
+func (c *call) relayPlain(ctx context.Context, p *place, resp *exchange.Response) result {
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer))
+	if err != nil {
+		return c.lost(p, brokenOutcome(ctx), err)
+	}
+	if c.worthAnother(resp.Status) {
+		res := c.lost(p, placement.Failed, errStatus)
+		res.status = resp.Status
+		return res
+	}
+	if isPromise(resp.Status) {
+		// The upstream has run the request, and these statuses would tell the
+		// caller that nobody has.
+		return c.lost(p, placement.Failed, errStatus)
+	}
+	c.relay.cfg.Dialect.Returned(c.out.Header(), resp.Header)
+	c.out.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.out.WriteHeader(resp.Status)
+	_, _ = c.out.Write(body) // a caller that has gone needs no answer
+	outcome := placement.Done
+	if resp.Status >= http.StatusInternalServerError {
+		outcome = placement.Failed
+	}
+	return result{done: true, outcome: outcome, status: resp.Status, arrived: true}
+}
+
+// worthAnother reports whether an upstream's failure is better answered by
+// another upstream.
+func (c *call) worthAnother(status int) bool {
+	return status >= http.StatusInternalServerError &&
+		c.rule.Repeat != pathset.Once &&
+		c.attempts < c.rule.MaxAttempts &&
+		time.Until(c.deadline) > leastLeft
+}
+
+// isPromise reports whether a status says that a request has not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable,
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relay/call.go
@@ -0,0 +1,174 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"tamarackchute/internal/fleet"
+	"tamarackchute/rules/pathset"
+)
+
+const (
+	// answerSlack is how long an answer may arrive after the deadline that its
+	// upstream was given: it crosses the network, and the upstream's own word
+	// on a missed deadline is better than none.
+	answerSlack = 80 * time.Millisecond
+	// defaultPatience bounds a request that names no deadline under a rule
+	// that has none.
+	defaultPatience = 60 * time.Second
+	// leastLeft is the shortest time that is worth an attempt.
+	leastLeft = 5 * time.Millisecond
+)
+
+// call is one caller's request on its way.
+type call struct {
+	Call
+	relay   *Relay
+	out     http.ResponseWriter
+	in      *http.Request
+	log     *slog.Logger
+	arrived time.Time
+	// deadline is when the caller or the rule gives up.
+	deadline time.Time
+	version  uint64
+	rule     *pathset.Rule
+	pool     string
+	body     []byte
+
+	// arrivals counts the sendings that an upstream got, attempts those that
+	// may have run.
+	arrivals, attempts int
+	// ran says that the request may have run.
+	ran bool
+	// exclude names upstreams that won't be tried again.
+	exclude []string
+	// stream is set once the head of a streamed answer has gone out.
+	stream *streamState
+	// placed is when an upstream was first found, zero before.
+	placed time.Time
+}
+
+// readBody reads the whole body: it may have to be sent more than once, and a
+// caller that stops halfway must not leave half a request at an upstream.
+func (c *call) readBody(l fleet.Limits) *failure {
+	limit := int64(l.BodyBytes)
+	if limit <= 0 {
+		limit = 4 << 20
+	}
+	if c.in.ContentLength > limit {
+		return refused(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body is too large")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.out, c.in.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refused(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body is too large")
+	case err != nil:
+		return refused(http.StatusBadRequest, reasonBadBody, "the body can't be read: "+err.Error())
+	}
+	c.body = body
+	return nil
+}
+
+// serve runs the request to its end.
+func (c *call) serve() {
+	c.deadline = c.arrived.Add(c.patience())
+	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline.Add(answerSlack))
+	defer cancel()
+	c.relay.cfg.Budget.Request(c.pool)
+	f := c.run(ctx)
+	switch {
+	case f == nil:
+	case c.stream != nil:
+		c.logEnd(f)
+		// The answer has begun: only a broken connection tells the caller that
+		// it isn't whole.
+		panic(http.ErrAbortHandler)
+	default:
+		c.relay.refuse(c.out, c.in, c, f)
+	}
+}
+
+func (c *call) patience() time.Duration {
+	p := c.Patience
+	if p == 0 {
+		p = defaultPatience
+	}
+	if c.rule.Timeout > 0 {
+		p = min(p, c.rule.Timeout)
+	}
+	return p
+}
+
+// run places and sends the request until it is answered or can't be sent again.
+func (c *call) run(ctx context.Context) *failure {
+	for {
+		place, f := c.place(ctx)
+		if f != nil {
+			return f
+		}
+		res := c.attempt(ctx, place)
+		c.logAttempt(place, res)
+		if res.done {
+			c.logEnd(nil)
+			return nil
+		}
+		if f := c.again(ctx, res); f != nil {
+			return f
+		}
+	}
+}
+
+// again decides whether the request may be sent once more after a failed
+// attempt; nil says yes.
+func (c *call) again(ctx context.Context, res result) *failure {
+	if f := c.ended(ctx); f != nil {
+		return f
+	}
+	switch {
+	case res.fate == mayHaveRun && c.rule.Repeat == pathset.Once:
+		return c.fail(reasonLost, "the upstream's answer was lost; the request may have run")
+	case res.fate == mayHaveRun && c.attempts >= c.rule.MaxAttempts:
+		return c.fail(reasonAttempts, "all attempts have failed")
+	case time.Until(c.deadline) < leastLeft:
+		return c.fail(reasonDeadline, "the deadline has passed")
+	case res.arrived && !c.relay.cfg.Budget.Allow(c.pool):
+		return c.fail(reasonNoBudget, "too many requests are being repeated")
+	}
+	return nil
+}
+
+// ended returns the failure of a call whose context is over.
+func (c *call) ended(ctx context.Context) *failure {
+	if c.in.Context().Err() != nil {
+		return c.fail(reasonGone, "the caller has gone")
+	}
+	if ctx.Err() != nil {
+		return c.fail(reasonDeadline, "the deadline has passed")
+	}
+	return nil
+}
+
+// fail returns the failure that tells the truth about what has run: 503 is a
+// promise that nothing has, 502 and 504 promise nothing.
+func (c *call) fail(why reason, message string) *failure {
+	switch {
+	case !c.ran:
+		return refused(http.StatusServiceUnavailable, why, message).after(c.retryAfter())
+	case why == reasonDeadline:
+		return refused(http.StatusGatewayTimeout, why, message)
+	default:
+		return refused(http.StatusBadGateway, why, message)
+	}
+}
+
+// retryAfter is when the caller should come back: not at once, and within a
+// third of the time that it has left, beyond which callers don't wait.
+func (c *call) retryAfter() time.Duration {
+	left := time.Until(c.deadline)
+	return max(0, min(c.relay.cfg.MinRetryAfter, left/4))
+}
--- /dev/null
+++ b/internal/relay/log.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"log/slog"
+	"time"
+)
+
+// logAttempt writes one line on an attempt: where it went, by which figures,
+// and how it ended.
+func (c *call) logAttempt(p *place, res result) {
+	level := slog.LevelInfo
+	if !res.done {
+		level = slog.LevelWarn
+	}
+	attrs := []any{
+		"request", c.ID, "upstream", p.target.ID, "pool", c.pool, "config", c.version,
+		"waited_ms", ms(p.waited), "expected_ms", ms(p.plan.FirstToken), "uncached", p.plan.Uncached,
+		"considered", p.plan.Considered, "done", res.done, "status", res.status,
+	}
+	if p.prefill != nil {
+		attrs = append(attrs, "prefill", p.prefill.ID)
+	}
+	if res.err != nil {
+		attrs = append(attrs, "fate", res.fate.String(), "err", res.err)
+	}
+	c.log.Log(c.in.Context(), level, "attempt", attrs...)
+}
+
+// logEnd writes the line on a request's end; nil says that it was answered by an
+// upstream.
+func (c *call) logEnd(f *failure) {
+	attrs := []any{"request", c.ID, "took_ms", ms(time.Since(c.arrived)), "attempts", c.attempts}
+	if c.rule != nil {
+		attrs = append(attrs, "rule", c.rule.Name, "pool", c.pool)
+	}
+	if c.stream != nil {
+		attrs = append(attrs, "first_ms", ms(c.stream.started.Sub(c.arrived)), "gap_ms", ms(c.stream.gap), "last_event", c.stream.last)
+	}
+	if f == nil {
+		c.log.Info("answered", attrs...)
+		return
+	}
+	attrs = append(attrs, "status", f.status, "reason", string(f.reason), "ran", c.ran, "retry_after_ms", ms(f.retryAfter))
+	c.log.Warn("failed", attrs...)
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/internal/relay/queue.go
@@ -0,0 +1,139 @@
+package relay
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+)
+
+// queue holds the requests of one pool that wait for a place, the most urgent
+// first and among equals the one that came first.
+type queue struct {
+	mu      sync.Mutex
+	waiting waiters
+	seq     uint64
+}
+
+type waiter struct {
+	priority int
+	seq      uint64
+	index    int
+	// turn gets a token when it is worth trying again.
+	turn chan struct{}
+}
+
+// recheck is how often a waiting request looks again by itself: rates and holds
+// of upstreams change without a signal.
+const recheck = 10 * time.Millisecond
+
+// await calls try until it returns true, the context ends, or a time has come.
+// Requests that are less urgent, or as urgent and later, don't overtake.
+func (q *queue) await(ctx context.Context, priority int, until time.Time, try func() bool) bool {
+	q.mu.Lock()
+	if !q.ahead(priority) && try() {
+		q.mu.Unlock()
+		return true
+	}
+	q.seq++
+	w := &waiter{priority: priority, seq: q.seq, turn: make(chan struct{}, 1)}
+	heap.Push(&q.waiting, w)
+	q.mu.Unlock()
+
+	timer := time.NewTimer(recheck)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			q.leave(w)
+			return false
+		case <-w.turn:
+		case <-timer.C:
+			timer.Reset(recheck)
+		}
+		if q.tryFirst(w, try) {
+			return true
+		}
+		if !time.Now().Before(until) {
+			q.leave(w)
+			return false
+		}
+	}
+}
+
+// ahead reports whether someone waits who goes before a newcomer.
+func (q *queue) ahead(priority int) bool {
+	return len(q.waiting) > 0 && q.waiting[0].priority <= priority
+}
+
+// tryFirst tries if w is the first in line; the next one then gets its turn.
+func (q *queue) tryFirst(w *waiter, try func() bool) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waiting[0] != w || !try() {
+		return false
+	}
+	heap.Remove(&q.waiting, w.index)
+	q.wakeFirst()
+	return true
+}
+
+func (q *queue) leave(w *waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	heap.Remove(&q.waiting, w.index)
+	q.wakeFirst()
+}
+
+// wake gives the first in line a turn: a place may have come free.
+func (q *queue) wake() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.wakeFirst()
+}
+
+func (q *queue) wakeFirst() {
+	if len(q.waiting) == 0 {
+		return
+	}
+	select {
+	case q.waiting[0].turn <- struct{}{}:
+	default:
+	}
+}
+
+func (q *queue) length() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting)
+}
+
+// waiters implements heap.Interface.
+type waiters []*waiter
+
+func (w waiters) Len() int { return len(w) }
+
+func (w waiters) Less(i, j int) bool {
+	if w[i].priority != w[j].priority {
+		return w[i].priority < w[j].priority
+	}
+	return w[i].seq < w[j].seq
+}
+
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i, j
+}
+
+func (w *waiters) Push(x any) {
+	item := x.(*waiter)
+	item.index = len(*w)
+	*w = append(*w, item)
+}
+
+func (w *waiters) Pop() any {
+	old := *w
+	item := old[len(old)-1]
+	*w = old[:len(old)-1]
+	return item
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tamarackchute/internal/exchange"
+	"tamarackchute/internal/fleet"
+	"tamarackchute/placement"
+)
+
+// Config sets a Relay.
+type Config struct {
+	DataCentre string
+	Dialect    Dialect
+	State      *fleet.State
+	Books      *placement.Books
+	Budget     *Budget
+	Logger     *slog.Logger
+	// MinRetryAfter is the least time to come back that a refusal names.
+	MinRetryAfter time.Duration
+}
+
+// Relay serves callers. It is an http.Handler.
+type Relay struct {
+	cfg    Config
+	active atomic.Int64
+	// closing makes answers ask for the connection to be closed.
+	closing atomic.Bool
+
+	mu     sync.Mutex
+	queues map[string]*queue
+	conns  map[string]*exchange.Pool
+}
+
+// New returns a relay. It follows the state's upstreams from then on, so it must
+// be made before the state's first change.
+func New(cfg Config) *Relay {
+	r := &Relay{cfg: cfg, queues: make(map[string]*queue), conns: make(map[string]*exchange.Pool)}
+	cfg.State.Watch(r.follow)
+	return r
+}
+
+// Active returns the number of requests in progress.
+func (r *Relay) Active() int64 { return r.active.Load() }
+
+// CloseConnections makes each answer from now on the last of its connection.
+func (r *Relay) CloseConnections() { r.closing.Store(true) }
+
+// Changed wakes the requests that wait: a place may have come free elsewhere.
+func (r *Relay) Changed() {
+	r.mu.Lock()
+	queues := make([]*queue, 0, len(r.queues))
+	for _, q := range r.queues {
+		queues = append(queues, q)
+	}
+	r.mu.Unlock()
+	for _, q := range queues {
+		q.wake()
+	}
+}
+
+func (r *Relay) queue(pool string) *queue {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.queues[pool]
+	if q == nil {
+		q = &queue{}
+		r.queues[pool] = q
+	}
+	return q
+}
+
+// follow takes over a new list of upstreams: books for the new ones, and no
+// kept connections to those that are gone.
+func (r *Relay) follow(s *fleet.Snapshot) {
+	members := make([]placement.Member, 0, len(s.Upstreams))
+	for _, u := range s.Upstreams {
+		members = append(members, member(s, u))
+	}
+	r.cfg.Books.Sync(members)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, pool := range r.conns {
+		if s.Upstreams[id] == nil {
+			pool.Close()
+			delete(r.conns, id)
+		}
+	}
+}
+
+func member(s *fleet.Snapshot, u *fleet.Upstream) placement.Member {
+	m := placement.Member{ID: u.ID, DataCentre: u.DataCentre, Role: u.Role, Slots: u.Slots}
+	if s.Config == nil {
+		return m
+	}
+	if p := s.Config.Pools[u.Pool]; p != nil && p.Engine != nil {
+		m.KVTokens = p.Engine.KVTokens
+	}
+	return m
+}
+
+func (r *Relay) connections(u *fleet.Upstream) *exchange.Pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pool := r.conns[u.ID]
+	if pool == nil {
+		pool = exchange.NewPool(u.Address, exchange.Options{})
+		r.conns[u.ID] = pool
+	}
+	return pool
+}
+
+// candidates returns the IDs of a pool's upstreams that take new work.
+func candidates(s *fleet.Snapshot, pool string) []string {
+	members := s.Pools[pool]
+	ids := make([]string, 0, len(members))
+	for _, u := range members {
+		if !u.Leaving {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	if r.closing.Load() || slices.Contains(in.TransferEncoding, "chunked") {
+		// A request with both a length and chunks can hide another one behind
+		// its body. The standard library follows the chunks; what is left of the
+		// connection must not be read as a request.
+		w.Header().Set("Connection", "close")
+	}
+	c, f := r.accept(w, in)
+	if f != nil {
+		r.refuse(w, in, c, f)
+		return
+	}
+	c.serve()
+}
+
+// accept reads a request and finds its rule.
+func (r *Relay) accept(w http.ResponseWriter, in *http.Request) (*call, *failure) {
+	c := &call{relay: r, out: w, in: in, arrived: time.Now(), log: r.cfg.Logger}
+	var err error
+	if c.Call, err = r.cfg.Dialect.ParseCall(in); err != nil {
+		return c, refused(http.StatusBadRequest, reasonBadHead, err.Error())
+	}
+	s := r.cfg.State.Snapshot()
+	if s.Config == nil {
+		return c, refused(http.StatusServiceUnavailable, reasonNoConfig, "no configuration is known yet").after(r.cfg.MinRetryAfter)
+	}
+	c.version = s.Config.Version
+	rule, ok := s.Config.Rules.Match(hostOf(in.Host), pathOf(in.RequestURI))
+	if !ok {
+		return c, refused(http.StatusNotFound, reasonNoRule, "no rule matches")
+	}
+	c.rule = rule
+	c.pool = rule.Pool()
+	return c, c.readBody(s.Config.Limits)
+}
+
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// pathOf returns the path of a request target as it was sent: decoding it could
+// make two different paths equal.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	if i := strings.Index(path, "://"); i > 0 {
+		if j := strings.IndexByte(path[i+3:], '/'); j >= 0 {
+			return path[i+3+j:]
+		}
+	}
+	return path
+}
--- /dev/null
+++ b/internal/relay/types.go
@@ -0,0 +1,96 @@
+// Package relay carries requests whose head and body it doesn't interpret from
+// callers to upstreams, and answers back: it finds the rule, waits for a place,
+// sends, decides after a failure whether the request may be sent again, and
+// tells the caller the truth about what has run.
+//
+// Names and formats of the outer protocol are a Dialect's.
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"tamarackchute/placement"
+)
+
+// Call is what a caller's request says about itself.
+type Call struct {
+	// ID is the caller's id of this attempt.
+	ID string
+	// Patience is how long the caller waits from now; 0 if it doesn't say.
+	Patience time.Duration
+	// Generation is nil unless the request asks a model.
+	Generation *Generation
+	// ResumeAfter is the id of the last event that the caller has of a stream;
+	// 0 if it asks for the whole.
+	ResumeAfter int
+}
+
+// Generation says what a model request asks for.
+type Generation struct {
+	Model        string
+	PromptTokens int
+	// MaxOutput bounds the tokens generated; Expected is the caller's guess, 0
+	// if it has none.
+	MaxOutput, Expected int
+	Parts               []placement.Part
+}
+
+// Attempt is what one sending of a request adds to its head.
+type Attempt struct {
+	// Upstream is the incarnation that the request is meant for; any other
+	// must turn it away.
+	Upstream string
+	// Left is the time that the upstream may take.
+	Left time.Duration
+	// PrefillOnly asks for the prompt to be read and kept for another engine.
+	PrefillOnly bool
+	// Handoff names a KV cache to be fetched; the zero value is none.
+	Handoff Handoff
+	// ResumeAfter is the last event that the caller has; 0 is none.
+	ResumeAfter int
+	// Urgency from 0, the most urgent, to 9; -1 leaves the header out.
+	Urgency int
+}
+
+// Handoff names the KV cache of a prompt at the engine that has read it.
+type Handoff struct {
+	Address, Handle string
+}
+
+// Verdict is what an upstream's answer says about the running of the request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Genuine answers are an upstream's own, whatever their status.
+	Genuine Verdict = iota
+	// NotRun says that the upstream did not and will not run the request.
+	NotRun
+	// WrongUpstream says that another incarnation has the address; nothing ran.
+	WrongUpstream
+	// Unsigned answers lack the upstream's signature and prove nothing.
+	Unsigned
+)
+
+// Dialect translates between the outer protocol's names and this package's.
+type Dialect interface {
+	// ParseCall reads a caller's head.
+	ParseCall(r *http.Request) (Call, error)
+	// Forwarded returns a copy of the headers that go on to an upstream.
+	Forwarded(h http.Header) http.Header
+	// Apply adds an attempt's headers to forwarded ones.
+	Apply(h http.Header, a Attempt)
+	// RequestIDHeader is the header in which upstreams echo a request's id.
+	RequestIDHeader() string
+	// Judge reads an upstream's answer.
+	Judge(status int, h http.Header) Verdict
+	// Returned copies the headers of an upstream's answer that go to the caller.
+	Returned(dst, src http.Header)
+	// ParsePrefill reads the answer to a prefill and returns the handle.
+	ParsePrefill(body []byte) (string, error)
+	// ReleaseHandoff returns the call that frees a KV cache that nobody fetches.
+	ReleaseHandoff(handle string) (method, target string)
+	// Refuse writes an answer of the system's own.
+	Refuse(w http.ResponseWriter, status int, retryAfter time.Duration, message string)
+}
--- /dev/null
+++ b/internal/wire/member.go
@@ -0,0 +1,62 @@
+package wire
+
+import (
+	"time"
+
+	"tamarackchute/placement"
+)
+
+// MemberAddress is where a daemon is reached.
+type MemberAddress struct {
+	Instance   string `msgpack:"n" json:"instance"`
+	DataCentre string `msgpack:"d" json:"data_centre"`
+	// Callers and Peers are IP:PORT.
+	Callers string `msgpack:"c" json:"callers"`
+	Peers   string `msgpack:"p" json:"peers"`
+}
+
+// MemberState is what a daemon tells the others of itself, several times a
+// second while requests come and go.
+type MemberState struct {
+	MemberAddress
+	// Incarnation tells the starts of a daemon apart; Seq counts the states of
+	// one. A state that was overtaken by a newer one is dropped.
+	Incarnation uint64 `msgpack:"i"`
+	Seq         uint64 `msgpack:"q"`
+	// Serving says that callers may be sent there.
+	Serving bool `msgpack:"s"`
+	// Config is the version of the configuration in force there.
+	Config uint64 `msgpack:"v"`
+	// ReadAge is the time since its last read of the list of upstreams.
+	ReadAge time.Duration `msgpack:"a"`
+	// Loads are its requests in flight by upstream. HasLoads tells an empty
+	// list from a state that says nothing on them.
+	Loads    map[string]placement.Load `msgpack:"l"`
+	HasLoads bool                      `msgpack:"h"`
+	// Reads are prompts read lately for its requests.
+	Reads []placement.Read `msgpack:"r"`
+	// Known are other daemons that it hears from.
+	Known []MemberAddress `msgpack:"k"`
+}
+
+// Kind implements Message.
+func (MemberState) Kind() Kind { return KindMemberState }
+
+// ViewRequest asks a peer for what it has read from the store, by a daemon that
+// can't reach the store itself.
+type ViewRequest struct{}
+
+// Kind implements Message.
+func (ViewRequest) Kind() Kind { return KindViewRequest }
+
+// ViewReply is the answer: documents as the store holds them.
+type ViewReply struct {
+	// Config is nil if the peer knows none.
+	Config []byte `msgpack:"c"`
+	// Upstreams are the entries by ID, Age the time since they were read.
+	Upstreams map[string][]byte `msgpack:"u"`
+	Age       time.Duration     `msgpack:"a"`
+}
+
+// Kind implements Message.
+func (ViewReply) Kind() Kind { return KindViewReply }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -25,6 +25,9 @@
 	KindStatusAck    Kind = 5
 	KindRulesRequest Kind = 6
 	KindRulesReply   Kind = 7
+	KindMemberState  Kind = 8
+	KindViewRequest  Kind = 9
+	KindViewReply    Kind = 10
 )
 
 // Message is a typed message between two processes of the system.
@@ -149,6 +152,12 @@
 		return decodeAs[RulesRequest](body)
 	case KindRulesReply:
 		return decodeAs[RulesReply](body)
+	case KindMemberState:
+		return decodeAs[MemberState](body)
+	case KindViewRequest:
+		return ViewRequest{}, nil
+	case KindViewReply:
+		return decodeAs[ViewReply](body)
 	default:
 		return nil, eris.Errorf("message of unknown kind %d", k)
 	}
--- /dev/null
+++ b/placement/types.go
@@ -0,0 +1,80 @@
+// Package placement decides where a model request runs: on one engine that
+// reads the prompt and generates, or on one that reads and another that
+// generates. A decision is a pure function of a View and a Request; Books keep
+// the view.
+package placement
+
+import (
+	"time"
+
+	"tamarackchute/upstream"
+)
+
+// Part is a piece of a prompt that requests may share. Engines keep the KV cache
+// of parts; a part is of use only if all parts before it are kept too.
+type Part struct {
+	ID     uint64 `msgpack:"i"`
+	Tokens int    `msgpack:"t"`
+}
+
+// Request is what a decision needs to know about a request.
+type Request struct {
+	// Parts are the prompt's pieces in order. The last belongs to the request
+	// or its session alone.
+	Parts []Part
+	// PromptTokens is the whole prompt, OutputTokens what is expected to be
+	// generated.
+	PromptTokens, OutputTokens int
+	// DataCentre is where the request came in.
+	DataCentre string
+	// Exclude names engines that an earlier attempt has failed at.
+	Exclude []string
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+}
+
+// Engine is what is believed of one engine at the moment of a decision.
+type Engine struct {
+	ID         string
+	DataCentre string
+	Role       upstream.Role
+	Slots      int
+	// Running counts the requests in flight there, of all daemons as far as
+	// known, Own those of this daemon.
+	Running, Own int
+	// PendingTokens are prompt tokens sent there and not yet read.
+	PendingTokens float64
+	// TokensPerMilli is the learnt rate of reading prompts, in tokens a
+	// millisecond.
+	TokensPerMilli float64
+	// Trial says that the engine has failed lately and gets one request at a
+	// time.
+	Trial bool
+	// LatencyMillis is the smoothed time of a call to a plain service.
+	LatencyMillis float64
+	// Cached returns how many tokens of a prompt are believed to be in the
+	// engine's KV cache.
+	Cached func(parts []Part) int
+}
+
+// Plan is a decision.
+type Plan struct {
+	// Engine generates; it reads the prompt too unless Prefill is set.
+	Engine string
+	// Prefill reads the prompt and hands its KV cache to Engine.
+	Prefill string
+	// FirstToken is the expected time to the first token.
+	FirstToken time.Duration
+	// Uncached is how many prompt tokens have to be read.
+	Uncached int
+	// Considered counts the engines that could take the request.
+	Considered int
+}
+
+// Reader returns the engine that reads the prompt.
+func (p Plan) Reader() string {
+	if p.Prefill != "" {
+		return p.Prefill
+	}
+	return p.Engine
+}
