relay: a request that can't be in time is refused at once

Change: a place counts as good only if the first event can be expected within 0.85 of the objective; whoever finds none within 0.11 of it is refused with a time to come back; one that comes back takes what is left over.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -48,8 +48,8 @@
 	exclude []string
 	// stream is set once the head of a streamed answer has gone out.
 	stream *streamState
-	// placed is when an upstream was first found, zero before.
-	placed time.Time
+	// comeback says that the caller asks again after an earlier attempt.
+	comeback bool
 }
 
 // readBody reads the whole body: it may have to be sent more than once, and a
@@ -79,6 +79,7 @@
 	c.deadline = c.arrived.Add(c.patience())
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline.Add(answerSlack))
 	defer cancel()
+	c.comeback = c.relay.patience.comeback(c.rule.Name, c.Patience)
 	c.relay.cfg.Budget.Request(c.pool)
 	f := c.run(ctx)
 	switch {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -9,15 +9,20 @@
 )
 
 const (
-	// queueShare is the share of the objective that the expected first event
-	// may take for a place to count as good.
-	queueShare = 0.6
-	// patienceShare is the share of the objective that a request waits for a
-	// good place before it takes any.
-	patienceShare = 0.5
-	// refuseShare is the share of the time to the deadline that a request waits
-	// for any place before it is refused.
-	refuseShare = 0.5
+	// onTimeShare is the share of the objective within which the first event
+	// must be expected for a place to count as good; the rest covers what the
+	// estimate doesn't know.
+	onTimeShare = 0.85
+	// waitShare is the share of the objective that a request waits for a good
+	// place. Whoever got none by then would be late: it is refused at once, as
+	// a late answer takes as much of an engine as one in time and is worth less.
+	waitShare = 0.11
+	// lateWaitShare is the share of the time left that a request which can't be
+	// in time any more waits for a place that nobody else wants.
+	lateWaitShare = 0.01
+	// comebackShare is the share of the usual patience below which a caller
+	// has been here before: it asks again with what is left of its time.
+	comebackShare = 0.85
 	// assumedOutput is the number of tokens expected of a request that doesn't
 	// say.
 	assumedOutput = 64
@@ -45,40 +50,57 @@
 // place waits for an upstream that can take the request.
 func (c *call) place(ctx context.Context) (*place, *failure) {
 	began := time.Now()
-	good := began.Add(time.Duration(float64(c.rule.Objective) * patienceShare))
-	until := began.Add(time.Duration(float64(time.Until(c.deadline)) * refuseShare))
+	late := c.late(began)
 	var found *place
 	try := func() bool {
-		found = c.tryPlace(time.Now().Before(good))
+		found = c.tryPlace(late)
 		return found != nil
 	}
-	if !c.relay.queue(c.pool).await(ctx, c.rule.Priority, until, try) {
+	if !c.relay.queue(c.rule.Name).await(ctx, late, began.Add(c.longestWait(late)), try) {
 		if f := c.ended(ctx); f != nil {
 			return nil, f
 		}
 		return nil, c.fail(reasonNoPlace, "no upstream has a free place")
 	}
 	found.waited = time.Since(began)
-	if c.placed.IsZero() {
-		c.placed = time.Now()
-	}
 	return found, nil
 }
 
+// late reports whether the request can't be in time any more: it has failed at
+// an upstream already, or its caller comes back after a refusal.
+func (c *call) late(now time.Time) bool {
+	if c.rule.Objective == 0 {
+		return false
+	}
+	return c.comeback || now.Sub(c.arrived) > time.Duration(onTimeShare*float64(c.rule.Objective))
+}
+
+// longestWait is how long the request waits for a place. A stream that has begun
+// looks on for as long as its caller does.
+func (c *call) longestWait(late bool) time.Duration {
+	switch {
+	case c.stream != nil, c.ran:
+		return time.Until(c.deadline)
+	case late || c.rule.Objective == 0:
+		return time.Duration(lateWaitShare * float64(time.Until(c.deadline)))
+	default:
+		return time.Duration(waitShare * float64(c.rule.Objective))
+	}
+}
+
 // tryPlace looks for a place now and books it.
-func (c *call) tryPlace(onlyGood bool) *place {
+func (c *call) tryPlace(late bool) *place {
 	s := c.relay.cfg.State.Snapshot()
 	engines := c.relay.cfg.Books.Engines(candidates(s, c.pool))
 	if c.Generation == nil {
-		return c.tryService(s, engines, onlyGood)
+		return c.tryService(s, engines)
 	}
 	req := c.placementRequest()
 	plan, ok := placement.Pick(engines, req)
 	if !ok || s.Upstreams[plan.Engine] == nil {
 		return nil
 	}
-	limit := time.Duration(float64(c.rule.Objective) * queueShare)
-	if onlyGood && limit > 0 && plan.FirstToken > limit {
+	if !c.goodEnough(plan, late) {
 		return nil
 	}
 	p := &place{target: s.Upstreams[plan.Engine], plan: plan}
@@ -93,9 +115,26 @@
 	return p
 }
 
-func (c *call) tryService(s *fleet.Snapshot, upstreams []placement.Engine, onlyGood bool) *place {
-	id, wait, ok := placement.PickService(upstreams, c.placementRequest())
-	if !ok || (wait && onlyGood) {
+// goodEnough reports whether the first event can be expected in time. A late
+// request takes what the others leave: a place without a queue.
+func (c *call) goodEnough(plan placement.Plan, late bool) bool {
+	if c.rule.Objective == 0 {
+		return true
+	}
+	if late {
+		return plan.Queue <= time.Duration(lateQueueShare*float64(c.rule.Objective))
+	}
+	spent := time.Since(c.arrived)
+	return spent+plan.FirstToken <= time.Duration(onTimeShare*float64(c.rule.Objective))
+}
+
+// lateQueueShare is the share of the objective that the queue before a late
+// request may take.
+const lateQueueShare = 0.1
+
+func (c *call) tryService(s *fleet.Snapshot, upstreams []placement.Engine) *place {
+	id, full, ok := placement.PickService(upstreams, c.placementRequest())
+	if !ok || full || s.Upstreams[id] == nil {
 		return nil
 	}
 	return &place{target: s.Upstreams[id], ticket: c.relay.cfg.Books.Begin(id, 0, nil)}
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// queue holds the requests of one pool that wait for a place, the most urgent
-// first and among equals the one that came first.
+// queue holds the requests of one rule that wait for a place: those that can be
+// in time before those that are late, and among equals the one that came first.
 type queue struct {
 	mu      sync.Mutex
 	waiting waiters
@@ -16,9 +16,9 @@
 }
 
 type waiter struct {
-	priority int
-	seq      uint64
-	index    int
+	late  bool
+	seq   uint64
+	index int
 	// turn gets a token when it is worth trying again.
 	turn chan struct{}
 }
@@ -28,15 +28,15 @@
 const recheck = 10 * time.Millisecond
 
 // await calls try until it returns true, the context ends, or a time has come.
-// Requests that are less urgent, or as urgent and later, don't overtake.
-func (q *queue) await(ctx context.Context, priority int, until time.Time, try func() bool) bool {
+// Late requests, and those that came later, don't overtake.
+func (q *queue) await(ctx context.Context, late bool, until time.Time, try func() bool) bool {
 	q.mu.Lock()
-	if !q.ahead(priority) && try() {
+	if !q.ahead(late) && try() {
 		q.mu.Unlock()
 		return true
 	}
 	q.seq++
-	w := &waiter{priority: priority, seq: q.seq, turn: make(chan struct{}, 1)}
+	w := &waiter{late: late, seq: q.seq, turn: make(chan struct{}, 1)}
 	heap.Push(&q.waiting, w)
 	q.mu.Unlock()
 
@@ -62,8 +62,8 @@
 }
 
 // ahead reports whether someone waits who goes before a newcomer.
-func (q *queue) ahead(priority int) bool {
-	return len(q.waiting) > 0 && q.waiting[0].priority <= priority
+func (q *queue) ahead(late bool) bool {
+	return len(q.waiting) > 0 && (late || !q.waiting[0].late)
 }
 
 // tryFirst tries if w is the first in line; the next one then gets its turn.
@@ -114,8 +114,8 @@
 func (w waiters) Len() int { return len(w) }
 
 func (w waiters) Less(i, j int) bool {
-	if w[i].priority != w[j].priority {
-		return w[i].priority < w[j].priority
+	if w[i].late != w[j].late {
+		return w[j].late
 	}
 	return w[i].seq < w[j].seq
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,8 +29,9 @@
 
 // Relay serves callers. It is an http.Handler.
 type Relay struct {
-	cfg    Config
-	active atomic.Int64
+	cfg      Config
+	active   atomic.Int64
+	patience patienceBook
 	// closing makes answers ask for the connection to be closed.
 	closing atomic.Bool
 
@@ -66,13 +67,13 @@
 	}
 }
 
-func (r *Relay) queue(pool string) *queue {
+func (r *Relay) queue(rule string) *queue {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	q := r.queues[pool]
+	q := r.queues[rule]
 	if q == nil {
 		q = &queue{}
-		r.queues[pool] = q
+		r.queues[rule] = q
 	}
 	return q
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -61,12 +61,15 @@
 			considered := plan.Considered
 			plan = p
 			plan.Considered = considered
-			plan.FirstToken = time.Duration((readTime(e, p.Uncached) + firstStep) * float64(time.Millisecond))
+			plan.Queue = millis(readTime(e, 0))
+			plan.FirstToken = millis(readTime(e, p.Uncached) + firstStep)
 		}
 	}
 	return plan, !math.IsInf(best, 1)
 }
 
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 func excluded(e *Engine, r Request) bool { return slices.Contains(r.Exclude, e.ID) }
 
 func full(e *Engine) bool { return e.Slots > 0 && e.Running >= e.Slots }
--- a/placement/types.go
+++ b/placement/types.go
@@ -65,6 +65,8 @@
 	Prefill string
 	// FirstToken is the expected time to the first token.
 	FirstToken time.Duration
+	// Queue is the part of it that passes before the engine begins to read.
+	Queue time.Duration
 	// Uncached is how many prompt tokens have to be read.
 	Uncached int
 	// Considered counts the engines that could take the request.
