--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -52,7 +52,7 @@
 	c.used = true
 	stop := context.AfterFunc(ctx, c.close)
 	resp := &Response{pool: p, conn: c, stop: stop, sent: make(chan error, 1)}
-	if err := resp.exchange(r); err != nil {
+	if err := resp.exchange(r, kept); err != nil {
 		stop()
 		c.close()
 		if ctx.Err() != nil {
@@ -63,7 +63,9 @@
 	return resp, nil
 }
 
-func (resp *Response) exchange(r *Request) error {
+// exchange sends the request and reads the head of its answer. Only on a kept
+// connection can an answer to an earlier request come first.
+func (resp *Response) exchange(r *Request, kept bool) error {
 	if len(r.Body) < writeBuffer {
 		resp.sent <- r.write(resp.conn.writer)
 	} else {
@@ -79,6 +81,9 @@
 		if r.IDHeader == "" || answer.Header.Get(r.IDHeader) == r.ID {
 			return resp.adopt(answer)
 		}
+		if !kept {
+			return ErrForeign
+		}
 		if err := skip(answer); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,330 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// wait bounds what a test waits for; nothing takes that long.
+const wait = 10 * time.Second
+
+// script is a server that does the same with each connection, by number.
+type script struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    int
+}
+
+func serve(t *testing.T, do func(n int, c net.Conn, in *bufio.Reader)) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &script{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			n := s.conns
+			s.conns++
+			s.mu.Unlock()
+			go func() {
+				defer func() { _ = c.Close() }()
+				do(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *script) pool() *Pool { return NewPool(s.listener.Addr().String(), Options{}) }
+
+func (s *script) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+// readRequest reads one request and returns its target and body.
+func readRequest(in *bufio.Reader) (string, string, bool) {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return "", "", false
+	}
+	body, err := io.ReadAll(r.Body)
+	return r.RequestURI, string(body), err == nil
+}
+
+func request(target string) *Request {
+	return &Request{Method: "POST", Target: target, Host: "h", Header: http.Header{}, Body: []byte("b"), IDHeader: "X-Id", ID: target}
+}
+
+func reply(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func do(t *testing.T, p *Pool, r *Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	resp, err := p.Do(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(resp)
+	return string(body), err
+}
+
+func requireLost(t *testing.T, err error) {
+	t.Helper()
+	var lost *LostError
+	require.ErrorAs(t, err, &lost)
+}
+
+// Nothing listens at the address: the request is known not to have been sent.
+func TestNothingSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	_, err = do(t, NewPool(l.Addr().String(), Options{}), request("/a"))
+	var notSent *NotSentError
+	require.ErrorAs(t, err, &notSent)
+}
+
+// The server reads a request and closes: it may have run.
+func TestClosedWithoutAnswer(t *testing.T) {
+	s := serve(t, func(_ int, _ net.Conn, in *bufio.Reader) { readRequest(in) })
+	_, err := do(t, s.pool(), request("/a"))
+	requireLost(t, err)
+	require.Equal(t, 1, s.connections(), "the request was sent again")
+}
+
+// A kept connection is used again, and one that the server has closed meanwhile
+// is not: the request would be lost there.
+func TestKeptConnections(t *testing.T) {
+	closed := make(chan struct{})
+	s := serve(t, func(n int, c net.Conn, in *bufio.Reader) {
+		for range 2 {
+			target, _, ok := readRequest(in)
+			if !ok {
+				return
+			}
+			reply(c, target, "ok")
+		}
+		if n == 0 {
+			_ = c.Close()
+			close(closed)
+		}
+	})
+	p := s.pool()
+	for _, target := range []string{"/a", "/b"} {
+		body, err := do(t, p, request(target))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	require.Equal(t, 1, s.connections())
+	<-closed
+	require.Eventually(t, func() bool {
+		c := p.popIdle()
+		defer func() { p.idle = append(p.idle, c) }()
+		return !c.quiet()
+	}, wait, time.Millisecond)
+	body, err := do(t, p, request("/c"))
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	require.Equal(t, 2, s.connections())
+}
+
+// A request that may run once only keeps off connections that have been idle for
+// a while: the server may be closing one just now.
+func TestOnceKeepsOffIdleConnections(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			target, _, ok := readRequest(in)
+			if !ok {
+				return
+			}
+			reply(c, target, "ok")
+		}
+	})
+	p := NewPool(s.listener.Addr().String(), Options{IdleOnce: time.Nanosecond})
+	_, err := do(t, p, request("/a"))
+	require.NoError(t, err)
+	r := request("/b")
+	r.Once = true
+	_, err = do(t, p, r)
+	require.NoError(t, err)
+	require.Equal(t, 2, s.connections())
+}
+
+// A late second answer to the first request comes where the second one's is
+// due. The caller of the second must get its own.
+func TestLateAnswerToAnEarlierRequest(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		first, _, _ := readRequest(in)
+		reply(c, first, "first")
+		second, _, _ := readRequest(in)
+		reply(c, first, "first again")
+		reply(c, second, "second")
+		readRequest(in)
+	})
+	p := s.pool()
+	body, err := do(t, p, request("/a"))
+	require.NoError(t, err)
+	require.Equal(t, "first", body)
+	body, err = do(t, p, request("/b"))
+	require.NoError(t, err)
+	require.Equal(t, "second", body)
+	require.Equal(t, 1, s.connections())
+}
+
+// On a new connection an answer under another id can't be a late one.
+func TestForeignAnswerOnANewConnection(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		readRequest(in)
+		reply(c, "another", "body")
+		readRequest(in)
+	})
+	_, err := do(t, s.pool(), request("/a"))
+	requireLost(t, err)
+	require.ErrorIs(t, err, ErrForeign)
+}
+
+// Bytes behind a whole answer belong to no request: the connection must not
+// carry another one.
+func TestBytesBehindAnAnswer(t *testing.T) {
+	s := serve(t, func(n int, c net.Conn, in *bufio.Reader) {
+		target, _, _ := readRequest(in)
+		if n == 0 {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nX-Id: /b\r\nContent-Length: 5\r\n\r\nwrong", target)
+		} else {
+			reply(c, target, "right")
+		}
+		readRequest(in)
+	})
+	p := s.pool()
+	body, err := do(t, p, request("/a"))
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	body, err = do(t, p, request("/b"))
+	require.NoError(t, err)
+	require.Equal(t, "right", body)
+}
+
+// Answers that end early, by whichever framing, are errors; one without a length
+// that ends with a close is whole.
+func TestEndsOfAnswers(t *testing.T) {
+	cases := []struct {
+		name, text string
+		reset      bool
+		body       string
+		whole      bool
+	}{
+		{"length", "Content-Length: 4\r\n\r\nbody", false, "body", true},
+		{"length, short", "Content-Length: 9\r\n\r\nbody", false, "", false},
+		{"chunks", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false, "body", true},
+		{"chunks, no last one", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false, "", false},
+		{"no length, closed", "\r\nbody", false, "body", true},
+		{"no length, reset", "\r\nbody", true, "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := serve(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+				target, _, _ := readRequest(in)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s", target, c.text)
+				if c.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			body, err := do(t, s.pool(), request("/a"))
+			if !c.whole {
+				require.Error(t, err)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, c.body, body)
+		})
+	}
+}
+
+// A server rejects a long request before it has read it, and keeps the
+// connection. The rest of that body is due there, so nothing else may be sent.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	release := make(chan struct{})
+	s := serve(t, func(n int, c net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		reply(c, r.RequestURI, "early")
+		if n == 0 {
+			<-release
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	defer close(release)
+	p := s.pool()
+	long := request("/a")
+	long.Body = []byte(strings.Repeat("x", 64<<20))
+	body, err := do(t, p, long)
+	require.NoError(t, err)
+	require.Equal(t, "early", body)
+	body, err = do(t, p, request("/b"))
+	require.NoError(t, err)
+	require.Equal(t, "early", body)
+	require.Equal(t, 2, s.connections())
+}
+
+// The context ends while the server works: the server sees its connection close.
+func TestCancelClosesTheConnection(t *testing.T) {
+	got, gone := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		readRequest(in)
+		close(got)
+		_, _ = in.ReadByte()
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-got
+		cancel()
+	}()
+	_, err := s.pool().Do(ctx, request("/a"))
+	requireLost(t, err)
+	require.True(t, errors.Is(err, context.Canceled))
+	<-gone
+}
+
+func TestKeepAliveHeader(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"timeout=5":        5*time.Second - keepAliveMargin,
+		"max=9, timeout=2": 2*time.Second - keepAliveMargin,
+		"Timeout=\"1\"":    time.Second - keepAliveMargin,
+		"timeout=0":        0,
+		"max=9":            -1,
+		"timeout=x":        -1,
+		"timeout=-1":       -1,
+		"":                 -1,
+	} {
+		got, ok := keepAlive(header)
+		require.Equal(t, want >= 0, ok, header)
+		if ok {
+			require.Equal(t, want, got, header)
+		}
+	}
+}
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -133,6 +133,7 @@
 		p.mu.Unlock()
 		return
 	}
+	anew := m.Incarnation != from.incarnation
 	from.incarnation, from.seq = m.Incarnation, m.Seq
 	from.serving, from.config, from.readAge = m.Serving, m.Config, m.ReadAge
 	from.heard = time.Now()
@@ -142,10 +143,10 @@
 	if regained {
 		p.log.Info("peer heard", "peer", m.Instance, "address", m.Peers, "config", m.Config)
 	}
-	if m.HasLoads {
-		p.books.SetPeer(m.Peers, m.Loads)
+	if anew {
+		p.books.ForgetPeer(m.Peers) // its former process's requests are gone
 	}
-	p.books.NoteReads(m.Reads)
+	p.books.NotePeer(m.Peers, m.Loads, m.Reads)
 	p.change()
 }
 
@@ -170,7 +171,7 @@
 			if now.Sub(lastLoad) < p.loadInterval() {
 				continue
 			}
-			if s := p.state(false); s.HasLoads {
+			if s := p.state(false); len(s.Loads) > 0 {
 				lastLoad = now
 				p.send(s)
 			}
@@ -188,7 +189,7 @@
 // state returns the state to be told. A full one carries the loads even if they
 // haven't changed, and the addresses of other daemons.
 func (p *Peers) state(full bool) wire.MemberState {
-	loads, reads, changed := p.books.Own()
+	loads, reads := p.books.Own(full)
 	about := p.about()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -196,14 +197,11 @@
 	s := wire.MemberState{
 		MemberAddress: p.self, Incarnation: p.incarnation, Seq: p.seq,
 		Serving: about.Serving, Config: about.Config, ReadAge: about.ReadAge,
-		Loads: loads, HasLoads: changed, Reads: reads,
+		Loads: loads, Reads: reads,
 	}
 	if !full {
 		return s
 	}
-	if !changed {
-		s.Loads, s.HasLoads = p.books.Loads(), true
-	}
 	for _, other := range p.peers {
 		if other.up {
 			s.Known = append(s.Known, other.MemberAddress)
@@ -227,7 +225,7 @@
 	for address, other := range p.peers {
 		if other.up && now.Sub(other.heard) > silentAfter {
 			other.up = false
-			p.books.SetPeer(address, nil)
+			p.books.ForgetPeer(address)
 			p.log.Warn("peer silent", "peer", other.Instance, "address", address, "silent_ms", now.Sub(other.heard).Milliseconds())
 		}
 		if !other.up && now.Sub(other.named) > forgetAfter {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -55,6 +55,7 @@
 
 // attempt sends the request to a place.
 func (c *call) attempt(ctx context.Context, p *place) result {
+	p.sentAt = time.Now()
 	var handoff Handoff
 	if p.prefill != nil {
 		handle, res := c.prefill(ctx, p)
@@ -114,6 +115,7 @@
 	r.IDHeader = ""
 	handle, res := c.readPrefill(ctx, p, r)
 	if res.err == nil {
+		p.read = time.Since(p.sentAt)
 		p.reader.PromptRead()
 		p.reader.End(placement.Done)
 		c.relay.Changed()
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -39,9 +39,8 @@
 	pool     string
 	body     []byte
 
-	// arrivals counts the sendings that an upstream got, attempts those that
-	// may have run.
-	arrivals, attempts int
+	// attempts counts the sendings that may have run.
+	attempts int
 	// ran says that the request may have run.
 	ran bool
 	// exclude names upstreams that won't be tried again.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -14,8 +14,8 @@
 	}
 	attrs := []any{
 		"request", c.ID, "upstream", p.target.ID, "pool", c.pool, "config", c.version,
-		"waited_ms", ms(p.waited), "expected_ms", ms(p.plan.FirstToken), "uncached", p.plan.Uncached,
-		"considered", p.plan.Considered, "done", res.done, "status", res.status,
+		"waited_ms", ms(p.waited), "expected_ms", ms(p.plan.FirstToken), "prompt", c.promptTokens(), "output", c.outputTokens(), "uncached", p.plan.Uncached,
+		"queue_ms", ms(p.plan.Queue), "read_ms", ms(p.read), "first_ms", ms(p.first), "considered", p.plan.Considered, "done", res.done, "status", res.status,
 	}
 	if p.prefill != nil {
 		attrs = append(attrs, "prefill", p.prefill.ID)
@@ -45,3 +45,17 @@
 }
 
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func (c *call) promptTokens() int {
+	if c.Generation == nil {
+		return 0
+	}
+	return c.Generation.PromptTokens
+}
+
+func (c *call) outputTokens() int {
+	if c.Generation == nil {
+		return 0
+	}
+	return expectedOutput(c.Generation)
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -26,6 +26,9 @@
 	// assumedOutput is the number of tokens expected of a request that doesn't
 	// say.
 	assumedOutput = 64
+	// longOutput is the number of tokens from which an answer counts as one that
+	// takes seconds.
+	longOutput = 1000
 )
 
 // place is where an attempt goes, with its entries in the books.
@@ -37,14 +40,11 @@
 	// ticket is the target's, reader that of the prefill.
 	ticket, reader *placement.Ticket
 	waited         time.Duration
-}
-
-// end closes the books of a place that isn't used.
-func (p *place) end(o placement.Outcome) {
-	p.ticket.End(o)
-	if p.reader != nil {
-		p.reader.End(placement.Cancelled)
-	}
+	sentAt         time.Time
+	// read is the time from the sending until the prompt had been read, as the
+	// prefill engine's answer or the first event tells; first that until the
+	// first event. Zero if they weren't.
+	read, first time.Duration
 }
 
 // place waits for an upstream that can take the request.
@@ -106,12 +106,12 @@
 	p := &place{target: s.Upstreams[plan.Engine], plan: plan}
 	books := c.relay.cfg.Books
 	if plan.Prefill == "" {
-		p.ticket = books.Begin(plan.Engine, plan.Uncached, req.Parts)
+		p.ticket = books.Begin(plan.Engine, placement.Work{Tokens: plan.Uncached, Parts: req.Parts, Long: req.Long})
 		return p
 	}
 	p.prefill = s.Upstreams[plan.Prefill]
-	p.ticket = books.Begin(plan.Engine, 0, req.Parts)
-	p.reader = books.Begin(plan.Prefill, plan.Uncached, req.Parts)
+	p.ticket = books.Begin(plan.Engine, placement.Work{Parts: req.Parts, Long: req.Long})
+	p.reader = books.Begin(plan.Prefill, placement.Work{Tokens: plan.Uncached, Parts: req.Parts})
 	return p
 }
 
@@ -137,7 +137,7 @@
 	if !ok || full || s.Upstreams[id] == nil {
 		return nil
 	}
-	return &place{target: s.Upstreams[id], ticket: c.relay.cfg.Books.Begin(id, 0, nil)}
+	return &place{target: s.Upstreams[id], ticket: c.relay.cfg.Books.Begin(id, placement.Work{})}
 }
 
 func (c *call) placementRequest() placement.Request {
@@ -150,6 +150,9 @@
 		r.Parts = g.Parts
 		r.PromptTokens = g.PromptTokens
 		r.OutputTokens = expectedOutput(g)
+		r.BodyBytes = len(c.body)
+		r.Objective = c.rule.Objective
+		r.Long = r.OutputTokens >= longOutput
 	}
 	return r
 }
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -102,12 +102,6 @@
 	}
 }
 
-func (q *queue) length() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return len(q.waiting)
-}
-
 // waiters implements heap.Interface.
 type waiters []*waiter
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,6 +39,10 @@
 		}
 		if first {
 			first = false
+			p.first = time.Since(p.sentAt)
+			if p.prefill == nil {
+				p.read = p.first
+			}
 			p.ticket.PromptRead()
 			c.relay.Changed()
 		}
@@ -59,6 +63,9 @@
 		if e.id <= s.last {
 			return nil
 		}
+		if e.id > s.last+1 {
+			return errEventGap
+		}
 		s.last = e.id
 	}
 	now := time.Now()
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -29,12 +29,10 @@
 	Config uint64 `msgpack:"v"`
 	// ReadAge is the time since its last read of the list of upstreams.
 	ReadAge time.Duration `msgpack:"a"`
-	// Loads are its requests in flight by upstream. HasLoads tells an empty
-	// list from a state that says nothing on them.
-	Loads    map[string]placement.Load `msgpack:"l"`
-	HasLoads bool                      `msgpack:"h"`
-	// Reads are prompts read lately for its requests.
-	Reads []placement.Read `msgpack:"r"`
+	// Loads are what has changed of its work at upstreams, Reads the prompts read
+	// lately for it.
+	Loads []placement.LoadAt `msgpack:"l"`
+	Reads []placement.Read   `msgpack:"r"`
 	// Known are other daemons that it hears from.
 	Known []MemberAddress `msgpack:"k"`
 }
--- a/placement/books.go
+++ b/placement/books.go
@@ -4,18 +4,9 @@
 	"sync"
 	"time"
 
-	"tamarackchute/upstream"
-)
+	"github.com/cespare/xxhash/v2"
 
-// The rates assumed of an engine until it has shown its own, in prompt tokens a
-// millisecond: engines that generate read at about half the speed.
-const (
-	assumedPrefillRate = 400.0
-	assumedDecodeRate  = 180.0
-	// rateStep is the weight of one reading in the learnt rate.
-	rateStep = 0.1
-	// minReadTokens is the shortest reading that says something about the rate.
-	minReadTokens = 512
+	"tamarackchute/upstream"
 )
 
 // Member is an upstream as the feeds describe it.
@@ -26,6 +17,11 @@
 	KVTokens       int
 }
 
+// Key names an upstream between daemons, in fewer bytes than its ID.
+type Key uint32
+
+func keyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
+
 // Books keep what is in flight where, of this daemon and of its peers, and what
 // was learnt of each upstream. They are safe for use by many goroutines.
 type Books struct {
@@ -33,33 +29,51 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*entry
-	// reads are the prompts read since the last Load, for the peers.
+	keys      map[Key]*entry
+	// reads are the prompts read since the last Own, for the peers.
 	reads []Read
-	dirty bool
 }
 
 type entry struct {
 	Member
-	running int
-	pending float64
+	own Load
+	// told is what the peers were told last.
+	told    Load
 	peers   map[string]Load
 	cache   *cacheBelief
-	rate    float64
+	pace    pace
 	latency float64 // smoothed milliseconds of a plain call
 	health  health
 	trials  int
 }
 
-// Load is a daemon's work in flight at one upstream.
+// Load is a daemon's work at one upstream.
 type Load struct {
-	Running int     `msgpack:"r"`
-	Pending float64 `msgpack:"p"`
+	//lint:ignore U1000 msgpack reads it: the fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
+	// Running counts requests in flight, Long those of them that generate for
+	// seconds.
+	Running, Long int
+	// Sent sums up the prompt tokens ever sent there to be read. The difference
+	// between two states is what was added, also if states in between are lost.
+	Sent uint32
+}
+
+// LoadAt is a load with the upstream's key.
+type LoadAt struct {
+	//lint:ignore U1000 msgpack reads it: the fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
+	At       Key
+	Load     Load
 }
 
-// Read says that an engine has read a prompt.
+// Read says that an engine has read the shared parts of a prompt.
 type Read struct {
-	Engine string `msgpack:"e"`
-	Parts  []Part `msgpack:"p"`
+	//lint:ignore U1000 msgpack reads it: the fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
+	At       Key
+	// Last is the last shared part; those before it are kept as well.
+	Last Part
 }
 
 // NewBooks returns empty books; now is the clock, nil means time.Now.
@@ -67,7 +81,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Books{now: now, upstreams: make(map[string]*entry)}
+	return &Books{now: now, upstreams: make(map[string]*entry), keys: make(map[Key]*entry)}
 }
 
 // Sync replaces the list of upstreams. What was learnt of those that stay is
@@ -76,45 +90,40 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	listed := make(map[string]*entry, len(members))
+	keys := make(map[Key]*entry, len(members))
 	for _, m := range members {
 		e := b.upstreams[m.ID]
 		if e == nil {
 			e = newEntry(m)
 		}
 		if e.Role != m.Role {
-			e.rate = assumedRate(m.Role)
+			e.pace = newPace(m.Role)
 		}
 		e.Member = m
 		listed[m.ID] = e
+		keys[keyOf(m.ID)] = e
 	}
-	b.upstreams = listed
+	b.upstreams, b.keys = listed, keys
 }
 
 func newEntry(m Member) *entry {
-	e := &entry{Member: m, peers: make(map[string]Load), rate: assumedRate(m.Role)}
+	e := &entry{Member: m, peers: make(map[string]Load), pace: newPace(m.Role)}
 	if m.Role != "" {
 		e.cache = newCacheBelief(m.KVTokens)
 	}
 	return e
 }
 
-func assumedRate(r upstream.Role) float64 {
-	if r == upstream.RoleDecode {
-		return assumedDecodeRate
-	}
-	return assumedPrefillRate
-}
-
-func (e *entry) totals() Load {
-	t := Load{Running: e.running, Pending: e.pending}
+func (e *entry) running() (running, long int) {
+	running, long = e.own.Running, e.own.Long
 	for _, l := range e.peers {
-		t.Running += l.Running
-		t.Pending += l.Pending
+		running += l.Running
+		long += l.Long
 	}
-	return t
+	return running, long
 }
 
-// Engines returns the engines among some upstreams that may take work now.
+// Engines returns the upstreams among some that may take work now.
 func (b *Books) Engines(ids []string) []Engine {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -125,91 +134,90 @@
 		if e == nil || e.health.out(now) || (e.health.trial && e.trials > 0) {
 			continue
 		}
-		total := e.totals()
-		view := Engine{
-			ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots,
-			Running: total.Running, Own: e.running,
-			PendingTokens: total.Pending, TokensPerMilli: e.rate,
-			Trial: e.health.trial, LatencyMillis: e.latency,
-		}
-		if e.cache != nil {
-			view.Cached = e.cached(b)
-		}
-		list = append(list, view)
+		list = append(list, e.view(b, now))
 	}
 	return list
 }
 
-// cached returns the engine's lookup, which takes the lock for itself.
-func (e *entry) cached(b *Books) func([]Part) int {
-	return func(parts []Part) int {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		return e.cache.kept(parts)
+func (e *entry) view(b *Books, now time.Time) Engine {
+	running, long := e.running()
+	v := Engine{
+		ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots,
+		Running: running, Long: long, Own: e.own.Running,
+		QueueMillis: e.pace.queue(now), TokensPerMilli: e.pace.rate, OverheadMillis: e.pace.overhead,
+		Trial: e.health.trial, LatencyMillis: e.latency,
+	}
+	if e.cache != nil {
+		v.Cached = func(parts []Part) int {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return e.cache.kept(parts)
+		}
 	}
+	return v
+}
+
+// Work is what an attempt asks of an upstream.
+type Work struct {
+	// Tokens are the prompt tokens to be read there, 0 if it reads none.
+	Tokens int
+	// Parts are the prompt's.
+	Parts []Part
+	// Long says that it generates for seconds.
+	Long bool
 }
 
 // Ticket is one attempt at one upstream.
 type Ticket struct {
 	books   *Books
 	entry   *entry
+	work    Work
 	began   time.Time
-	tokens  float64
-	parts   []Part
+	reading reading
 	trial   bool
-	reading bool
+	read    bool
 	ended   bool
 }
 
-// Begin books an attempt at an upstream; tokens are the prompt tokens that it
-// will have to read there.
-func (b *Books) Begin(id string, tokens int, parts []Part) *Ticket {
+// Begin books an attempt at an upstream.
+func (b *Books) Begin(id string, w Work) *Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.upstreams[id]
 	if e == nil {
 		e = newEntry(Member{ID: id}) // it left just now; its books go nowhere
 	}
-	t := &Ticket{books: b, entry: e, began: b.now(), tokens: float64(tokens), parts: parts, reading: tokens > 0}
-	e.running++
-	e.pending += t.tokens
+	t := &Ticket{books: b, entry: e, work: w, began: b.now()}
+	e.own.Running++
+	if w.Long {
+		e.own.Long++
+	}
+	e.own.Sent += uint32(w.Tokens)
+	t.reading = e.pace.add(t.began, float64(w.Tokens))
 	if e.health.trial {
 		t.trial = true
 		e.trials++
 	}
-	b.dirty = true
 	return t
 }
 
-// PromptRead notes that the engine has read the prompt.
+// PromptRead notes that the engine has the prompt in its memory: it has read it,
+// or fetched it.
 func (t *Ticket) PromptRead() {
 	t.books.mu.Lock()
 	defer t.books.mu.Unlock()
-	if !t.reading {
+	if t.read || t.entry.cache == nil {
 		return
 	}
-	t.stopReading()
-	if t.entry.cache != nil {
-		t.entry.cache.read(t.parts)
-		t.books.reads = append(t.books.reads, Read{Engine: t.entry.ID, Parts: t.parts})
+	t.read = true
+	t.entry.pace.learn(t.reading, t.books.now())
+	shared := sharedParts(t.work.Parts)
+	t.entry.cache.read(t.work.Parts)
+	if len(shared) > 0 {
+		last := shared[len(shared)-1]
+		last.Tokens = sumTokens(shared)
+		t.books.reads = append(t.books.reads, Read{At: keyOf(t.entry.ID), Last: last})
 	}
-	t.learnRate()
-}
-
-func (t *Ticket) stopReading() {
-	t.reading = false
-	t.entry.pending = max(0, t.entry.pending-t.tokens)
-	t.books.dirty = true
-}
-
-// learnRate takes a reading that had the engine's prompts to itself as a sample
-// of its rate.
-func (t *Ticket) learnRate() {
-	elapsed := float64(t.books.now().Sub(t.began)) / float64(time.Millisecond)
-	if t.tokens < minReadTokens || elapsed <= 0 || t.entry.totals().Pending > 0 {
-		return
-	}
-	t.entry.rate += rateStep * (t.tokens/elapsed - t.entry.rate)
 }
 
 // End closes the attempt. Only the first call counts.
@@ -220,71 +228,86 @@
 		return
 	}
 	t.ended = true
-	if t.reading {
-		t.stopReading()
-	}
 	e := t.entry
-	e.running--
+	e.own.Running--
+	if t.work.Long {
+		e.own.Long--
+	}
 	if t.trial {
 		e.trials--
 	}
 	now := t.books.now()
 	if o == Done && e.Role == "" {
-		e.latency += rateStep * (float64(now.Sub(t.began))/float64(time.Millisecond) - e.latency)
+		e.latency += learnStep * (toMillis(now.Sub(t.began)) - e.latency)
 	}
 	e.health.note(o, t.began, now)
-	t.books.dirty = true
 }
 
-// Own returns this daemon's load by upstream and the prompts read since the last
-// call; ok is false if nothing has changed since.
-func (b *Books) Own() (loads map[string]Load, reads []Read, ok bool) {
+// Own returns what has changed of this daemon's load since the last call, and
+// the prompts read since then. With all, the whole load is returned.
+func (b *Books) Own(all bool) ([]LoadAt, []Read) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.dirty && len(b.reads) == 0 {
-		return nil, nil, false
-	}
-	reads, b.reads, b.dirty = b.reads, nil, false
-	return b.ownLoads(), reads, true
-}
-
-func (b *Books) ownLoads() map[string]Load {
-	loads := make(map[string]Load)
+	var loads []LoadAt
 	for id, e := range b.upstreams {
-		if e.running > 0 || e.pending > 0 {
-			loads[id] = Load{Running: e.running, Pending: e.pending}
+		if e.own != e.told || (all && e.own != (Load{})) {
+			e.told = e.own
+			loads = append(loads, LoadAt{At: keyOf(id), Load: e.own})
 		}
 	}
-	return loads
+	reads := b.reads
+	b.reads = nil
+	return loads, reads
 }
 
-// SetPeer replaces what is known of a peer's load. A nil map forgets the peer.
-func (b *Books) SetPeer(peer string, loads map[string]Load) {
+// NotePeer takes what a peer says of its load at some upstreams.
+func (b *Books) NotePeer(peer string, loads []LoadAt, reads []Read) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, e := range b.upstreams {
-		if l, ok := loads[id]; ok {
-			e.peers[peer] = l
-		} else {
-			delete(e.peers, peer)
+	now := b.now()
+	for _, l := range loads {
+		e := b.keys[l.At]
+		if e == nil {
+			continue
+		}
+		before, known := e.peers[peer]
+		e.peers[peer] = l.Load
+		// A peer that was unknown, or has started anew, has added what it says at
+		// an unknown time; only the difference to a known state is news.
+		if added := l.Load.Sent - before.Sent; known && added < maxAdded {
+			e.pace.add(now, float64(added))
 		}
 	}
-}
-
-// NoteReads takes the prompts that a peer's requests had read.
-func (b *Books) NoteReads(reads []Read) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	for _, r := range reads {
-		if e := b.upstreams[r.Engine]; e != nil && e.cache != nil {
-			e.cache.read(r.Parts)
+		if e := b.keys[r.At]; e != nil && e.cache != nil {
+			e.cache.read([]Part{r.Last})
 		}
 	}
 }
 
-// Loads returns this daemon's load by upstream.
-func (b *Books) Loads() map[string]Load {
+// maxAdded is the most prompt tokens that a peer can have added between two
+// states; a greater difference means that its count began anew.
+const maxAdded = 1 << 20
+
+// ForgetPeer drops the load of a peer that has fallen silent.
+func (b *Books) ForgetPeer(peer string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ownLoads()
+	for _, e := range b.upstreams {
+		delete(e.peers, peer)
+	}
+}
+
+// sharedParts returns the parts of a prompt that other requests may share: all
+// but the last.
+func sharedParts(parts []Part) []Part {
+	return parts[:max(0, len(parts)-1)]
+}
+
+func sumTokens(parts []Part) int {
+	n := 0
+	for _, p := range parts {
+		n += p.Tokens
+	}
+	return n
 }
--- a/placement/cache.go
+++ b/placement/cache.go
@@ -10,7 +10,9 @@
 const maxParts = 8192
 
 // cacheBelief guesses which parts an engine keeps: those that it read last, as
-// far as its memory goes. Engines drop the least recently used parts too.
+// far as its memory goes. Engines drop the least recently used parts too. A part
+// that is kept has those before it in the prompt kept as well, since it was read
+// behind them.
 type cacheBelief struct {
 	parts    *lru.LRU[uint64, int]
 	tokens   int
@@ -44,12 +46,10 @@
 
 // kept returns how many tokens from the beginning of a prompt are kept.
 func (c *cacheBelief) kept(parts []Part) int {
-	tokens := 0
-	for _, p := range parts {
-		if !c.parts.Contains(p.ID) {
-			break
+	for i := len(parts) - 1; i >= 0; i-- {
+		if c.parts.Contains(parts[i].ID) {
+			return sumTokens(parts[:i+1])
 		}
-		tokens += p.Tokens
 	}
-	return tokens
+	return 0
 }
--- /dev/null
+++ b/placement/pace.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"time"
+
+	"tamarackchute/upstream"
+)
+
+// What is assumed of an engine until it has shown its own pace: engines that
+// generate read at about half the speed of those that only read.
+const (
+	assumedPrefillRate = 430.0 // tokens a millisecond
+	assumedDecodeRate  = 200.0
+	assumedOverhead    = 12.0 // milliseconds
+	// learnStep is the weight of one observation in a learnt figure.
+	learnStep = 0.05
+	// minReadTokens is the shortest queue of tokens whose time says something
+	// about the rate; below quickTokens it says something about the overhead.
+	minReadTokens = 4000.0
+	quickTokens   = 2500.0
+	// rateSpan bounds the learnt rate to this factor around the assumed one.
+	rateSpan = 4.0
+)
+
+// pace models how an engine reads prompts: one after the other at a rate, each
+// answer an overhead later. The overhead (network, scheduling, the first token)
+// doesn't keep the engine from the next prompt; to count it as work would make
+// a busy engine look busier the more requests it answers.
+type pace struct {
+	rate     float64 // tokens a millisecond
+	overhead float64 // milliseconds
+	assumed  float64
+	// free is when all prompts sent so far are expected to have been read.
+	free time.Time
+}
+
+// reading is one prompt in an engine's queue.
+type reading struct {
+	began time.Time
+	// ahead are the tokens to be read until it is done, its own included.
+	ahead float64
+	// due is when it was expected to be done.
+	due time.Time
+}
+
+func newPace(r upstream.Role) pace {
+	rate := assumedPrefillRate
+	if r == upstream.RoleDecode {
+		rate = assumedDecodeRate
+	}
+	return pace{rate: rate, assumed: rate, overhead: assumedOverhead}
+}
+
+// queue returns the time until the engine is free, in milliseconds.
+func (p *pace) queue(now time.Time) float64 { return max(0, toMillis(p.free.Sub(now))) }
+
+// add puts tokens at the end of the queue.
+func (p *pace) add(now time.Time, tokens float64) reading {
+	if tokens <= 0 {
+		return reading{}
+	}
+	queued := p.queue(now)
+	total := queued + tokens/p.rate
+	p.free = now.Add(millis(total))
+	return reading{began: now, ahead: total * p.rate, due: p.free}
+}
+
+// learn compares a reading's end with what was expected of it.
+func (p *pace) learn(r reading, now time.Time) {
+	if r.ahead == 0 {
+		return
+	}
+	took := toMillis(now.Sub(r.began))
+	switch {
+	case r.ahead >= minReadTokens && took > p.overhead+1:
+		sample := r.ahead / (took - p.overhead)
+		p.rate += learnStep * (bounded(sample, p.assumed) - p.rate)
+	case r.ahead < quickTokens:
+		sample := max(0, took-r.ahead/p.rate)
+		p.overhead += learnStep * (min(sample, 4*assumedOverhead) - p.overhead)
+	}
+	// A reading that ended later than expected has kept the later ones too.
+	if late := toMillis(now.Sub(r.due)) - p.overhead; late > 0 && p.free.After(now) {
+		p.free = p.free.Add(millis(late * learnStep))
+	}
+}
+
+func bounded(rate, assumed float64) float64 {
+	return min(max(rate, assumed/rateSpan), assumed*rateSpan)
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func toMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -3,93 +3,129 @@
 import (
 	"math"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"tamarackchute/upstream"
 )
 
-// The figures of the time estimate, in milliseconds. They are about what engines
-// show beside the reading of the prompt.
+// The figures of the choice, in milliseconds of an engine unless said otherwise.
 const (
-	// firstStep is from the end of the prompt to the first event.
-	firstStep = 6.0
 	// handoff is the setting up of a KV transfer; its bytes take under a
 	// millisecond on the links that engines have.
 	handoff = 2.5
-	// crossing is the way to another data centre and back, with the price of
-	// the bytes that cross in it.
-	crossing = 4.0
-	// homeBonus is the share of its time that a prompt's home engine is
+	// crossing is the way to another data centre and back, crossingPerKB what
+	// each KB of the request that crosses counts: such bytes are paid for.
+	crossing      = 1.0
+	crossingPerKB = 0.5
+	// homeBonus is the share of its reading time that a prompt's home engine is
 	// favoured by, so that daemons that know nothing of each other's requests
 	// still send a shared prompt to the same engine.
 	homeBonus = 0.15
-	// streamBurden is what reading a prompt costs the streams that run beside
-	// it, as a share of the reading time for each.
-	streamBurden = 0.02
+	// queueWeight is what a millisecond of waiting counts while the request is
+	// expected in time, lateWeight beyond that. Work counts in full: a part read
+	// a second time keeps others waiting, whom this request never meets.
+	queueWeight = 0.5
+	lateWeight  = 3.0
+	// comfort is the share of the objective up to which a first event counts as
+	// certainly in time.
+	comfort = 0.5
+	// longBurden is what reading a prompt costs a long stream beside it: its
+	// tokens come at half the pace meanwhile.
+	longBurden = 3.0
+	// openingLong is the cost of putting a long stream where none runs: streams
+	// that are together leave other engines free to read prompts.
+	openingLong = 12.0
+	// spareSlots are left free by long streams, for the short answers that other
+	// engines have read the prompts of.
+	spareSlots = 3
 )
 
-// Pick returns the plan with the least expected time to the first token among
-// the engines that have a free place. ok is false if none has.
+// Pick returns the plan with the least cost among the engines that have a free
+// place. ok is false if none has.
 func Pick(engines []Engine, r Request) (plan Plan, ok bool) {
 	best := math.Inf(1)
-	generator, generatorCost := cheapestGenerator(engines, r)
+	generator, generatorMillis := cheapestGenerator(engines, r)
 	homeID := home(engines, r)
+	considered := 0
 	for i := range engines {
 		e := &engines[i]
-		if excluded(e, r) {
+		if excluded(e, r) || !canRead(e, r, generator) {
 			continue
 		}
-		p := Plan{Engine: e.ID, Uncached: uncached(e, r)}
-		cost := readTime(e, p.Uncached) + crossTime(e, r)
-		if e.ID == homeID {
-			cost *= 1 - homeBonus
-		}
-		switch {
-		case e.Role == upstream.RolePrefill && generator != nil:
+		considered++
+		p, cost := consider(e, r, homeID)
+		if e.Role == upstream.RolePrefill {
 			p.Engine, p.Prefill = generator.ID, e.ID
-			cost += handoff + generatorCost
-		case e.Role == upstream.RolePrefill, full(e):
-			continue
-		default:
-			cost *= 1 + streamBurden*float64(e.Running)
+			cost += handoff + generatorMillis
+			p.FirstToken += millis(handoff + generatorMillis)
 		}
-		plan.Considered++
 		if cost < best {
-			best = cost
-			considered := plan.Considered
-			plan = p
-			plan.Considered = considered
-			plan.Queue = millis(readTime(e, 0))
-			plan.FirstToken = millis(readTime(e, p.Uncached) + firstStep)
+			best, plan = cost, p
 		}
 	}
+	plan.Considered = considered
 	return plan, !math.IsInf(best, 1)
 }
 
-func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// canRead reports whether an engine may read the prompt.
+func canRead(e *Engine, r Request, generator *Engine) bool {
+	if e.Role == upstream.RolePrefill {
+		return generator != nil && !r.Long
+	}
+	return !full(e, r)
+}
+
+// consider returns the plan that an engine reads the prompt, and its cost.
+func consider(e *Engine, r Request, homeID string) (Plan, float64) {
+	p := Plan{Engine: e.ID, Uncached: uncached(e, r)}
+	work := float64(p.Uncached) / max(1, e.TokensPerMilli)
+	first := e.QueueMillis + work + e.OverheadMillis
+	p.Queue, p.FirstToken = millis(e.QueueMillis), millis(first)
+	cost := work + queueWeight*e.QueueMillis + crossCost(e, r)
+	if e.ID == homeID {
+		cost -= homeBonus * work
+	}
+	if certain := comfort * toMillis(r.Objective); r.Objective > 0 && first > certain {
+		cost += lateWeight * (first - certain)
+	}
+	switch {
+	case r.Long && e.Long == 0:
+		cost += openingLong
+	case !r.Long:
+		cost += longBurden * math.Sqrt(float64(e.Long)) * min(1, work/10)
+	}
+	return p, cost
+}
 
 func excluded(e *Engine, r Request) bool { return slices.Contains(r.Exclude, e.ID) }
 
-func full(e *Engine) bool { return e.Slots > 0 && e.Running >= e.Slots }
+func full(e *Engine, r Request) bool {
+	if e.Slots <= 0 {
+		return false
+	}
+	if r.Long {
+		return e.Running >= e.Slots || e.Long >= max(1, e.Slots-spareSlots)
+	}
+	return e.Running >= e.Slots
+}
 
-// cheapestGenerator returns the engine with the least work that can generate
-// from another engine's KV cache.
+// cheapestGenerator returns the engine that soonest goes on from another
+// engine's KV cache, and the time that it takes to begin.
 func cheapestGenerator(engines []Engine, r Request) (*Engine, float64) {
 	var best *Engine
-	least := math.Inf(1)
+	least, leastMillis := math.Inf(1), 0.0
 	for i := range engines {
 		e := &engines[i]
-		if e.Role != upstream.RoleDecode || excluded(e, r) || full(e) {
+		if e.Role != upstream.RoleDecode || excluded(e, r) || full(e, r) {
 			continue
 		}
-		cost := e.PendingTokens/max(1, e.TokensPerMilli)/2 + crossTime(e, r) + float64(e.Running)*0.5
+		cost := e.QueueMillis + crossCost(e, r) + float64(e.Running)*0.5
 		if cost < least {
-			best, least = e, cost
+			best, least, leastMillis = e, cost, e.QueueMillis
 		}
 	}
-	return best, least
+	return best, leastMillis
 }
 
 func uncached(e *Engine, r Request) int {
@@ -99,36 +135,33 @@
 	return max(1, r.PromptTokens-e.Cached(r.Parts))
 }
 
-// readTime is the time until the engine has read the prompts sent there and
-// this one, in milliseconds.
-func readTime(e *Engine, tokens int) float64 {
-	return (e.PendingTokens + float64(tokens)) / max(1, e.TokensPerMilli)
-}
-
-func crossTime(e *Engine, r Request) float64 {
+func crossCost(e *Engine, r Request) float64 {
 	if e.DataCentre == r.DataCentre {
 		return 0
 	}
-	return crossing
+	return crossing + crossingPerKB*float64(r.BodyBytes)/1000
 }
 
 // home returns the engine that a prompt belongs to by rendezvous hashing,
 // weighted by the engines' rates; "" if the prompt shares nothing.
 func home(engines []Engine, r Request) string {
-	if len(r.Parts) < 2 {
+	shared := sharedParts(r.Parts)
+	if len(shared) == 0 {
 		return ""
 	}
-	shared := r.Parts[len(r.Parts)-2].ID
+	key := shared[len(shared)-1].ID
 	best, bestScore := "", math.Inf(-1)
 	for i := range engines {
-		if score := rendezvous(shared, &engines[i]); score > bestScore {
+		if score := rendezvous(key, &engines[i]); score > bestScore {
 			best, bestScore = engines[i].ID, score
 		}
 	}
 	return best
 }
 
-// rendezvous is the weighted score of an engine for a key.
+// rendezvous is the weighted score of an engine for a key. The weight is the
+// rate assumed of its role: learnt rates differ between daemons, which have to
+// agree.
 func rendezvous(key uint64, e *Engine) float64 {
 	h := xxhash.Sum64String(e.ID) ^ key*0x9e3779b97f4a7c15
 	var raw [8]byte
@@ -136,29 +169,41 @@
 		raw[i] = byte(h >> (8 * i))
 	}
 	u := (float64(xxhash.Sum64(raw[:])>>11) + 0.5) / (1 << 53)
-	return -max(1, e.TokensPerMilli) / math.Log(u)
+	return -newPace(e.Role).rate / math.Log(u)
 }
 
-// PickService returns the plain upstream with the fewest requests for its slots.
-func PickService(upstreams []Engine, r Request) (id string, wait bool, ok bool) {
+// PickService returns the plain upstream with the fewest requests for its slots,
+// and whether it has none free.
+func PickService(upstreams []Engine, r Request) (id string, full, ok bool) {
 	best := math.Inf(1)
 	for i := range upstreams {
 		u := &upstreams[i]
 		if excluded(u, r) {
 			continue
 		}
-		slots := max(1, float64(u.Slots))
-		cost := float64(u.Running) / slots
-		if u.Running >= u.Slots {
-			cost++ // a free slot elsewhere is better than any queue
-		}
-		if u.DataCentre != r.DataCentre {
-			cost += 0.3
-		}
-		cost += u.LatencyMillis / 1000
+		cost := serviceCost(u, r)
 		if cost < best {
-			best, id, wait = cost, u.ID, u.Running >= u.Slots
+			best, id, full = cost, u.ID, u.Running >= u.Slots
 		}
 	}
-	return id, wait, id != ""
+	return id, full, id != ""
+}
+
+const (
+	// queuePenalty makes a free slot anywhere better than any queue.
+	queuePenalty = 1.0
+	// farPenalty is what a call to another data centre counts, in shares of an
+	// upstream's slots.
+	farPenalty = 0.3
+)
+
+func serviceCost(u *Engine, r Request) float64 {
+	cost := float64(u.Running)/max(1, float64(u.Slots)) + u.LatencyMillis/1000
+	if u.Running >= u.Slots {
+		cost += queuePenalty
+	}
+	if u.DataCentre != r.DataCentre {
+		cost += farPenalty
+	}
+	return cost
 }
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,307 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/upstream"
+)
+
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time       { return c.at }
+func (c *clock) pass(d time.Duration) { c.at = c.at.Add(d) }
+
+func fleet(roles ...upstream.Role) []Member {
+	list := make([]Member, len(roles))
+	for i, role := range roles {
+		list[i] = Member{ID: fmt.Sprint("e", i), DataCentre: "d", Role: role, Slots: 4, KVTokens: 100_000}
+	}
+	return list
+}
+
+func ids(members []Member) []string {
+	var all []string
+	for _, m := range members {
+		all = append(all, m.ID)
+	}
+	return all
+}
+
+func prompt(shared uint64) Request {
+	return Request{
+		Parts:        []Part{{ID: 1, Tokens: 1000}, {ID: shared, Tokens: 4000}, {ID: shared << 20, Tokens: 1000}},
+		PromptTokens: 6000, OutputTokens: 10, DataCentre: "d",
+	}
+}
+
+// A prompt whose shared parts an engine has read goes there again: anywhere else
+// they would be read a second time.
+func TestSharedPartsDecide(t *testing.T) {
+	c := &clock{time.Unix(1, 0)}
+	b := NewBooks(c.now)
+	members := fleet(upstream.RoleDecode, upstream.RoleDecode, upstream.RoleDecode, upstream.RoleDecode)
+	b.Sync(members)
+	for shared := uint64(2); shared < 10; shared++ {
+		r := prompt(shared)
+		first, ok := Pick(b.Engines(ids(members)), r)
+		require.True(t, ok)
+		ticket := b.Begin(first.Engine, Work{Tokens: first.Uncached, Parts: r.Parts})
+		ticket.PromptRead()
+		ticket.End(Done)
+		r.Parts[2].ID++
+		again, ok := Pick(b.Engines(ids(members)), r)
+		require.True(t, ok)
+		require.Equal(t, first.Engine, again.Engine)
+		require.Equal(t, 1000, again.Uncached)
+	}
+}
+
+// Daemons that know nothing of each other's requests send the same shared parts
+// to the same engine.
+func TestDaemonsAgreeOnAHome(t *testing.T) {
+	members := fleet(upstream.RoleDecode, upstream.RoleDecode, upstream.RoleDecode)
+	homes := map[string]int{}
+	for shared := uint64(2); shared < 60; shared++ {
+		var first string
+		for range 3 {
+			b := NewBooks(nil)
+			b.Sync(members)
+			plan, ok := Pick(b.Engines(ids(members)), prompt(shared))
+			require.True(t, ok)
+			if first == "" {
+				first = plan.Engine
+				homes[first]++
+			}
+			require.Equal(t, first, plan.Engine)
+		}
+	}
+	require.Len(t, homes, 3, "some engine is nobody's home")
+}
+
+// Peers' work counts: an engine that another daemon has filled gets no more.
+func TestPeersLoadCounts(t *testing.T) {
+	b := NewBooks(nil)
+	members := fleet(upstream.RoleDecode, upstream.RoleDecode)
+	b.Sync(members)
+	b.NotePeer("other", []LoadAt{{At: keyOf("e0"), Load: Load{Running: 4}}}, nil)
+	plan, ok := Pick(b.Engines(ids(members)), prompt(2))
+	require.True(t, ok)
+	require.Equal(t, "e1", plan.Engine)
+	b.NotePeer("other", []LoadAt{{At: keyOf("e1"), Load: Load{Running: 4}}}, nil)
+	_, ok = Pick(b.Engines(ids(members)), prompt(2))
+	require.False(t, ok)
+	b.ForgetPeer("other")
+	_, ok = Pick(b.Engines(ids(members)), prompt(2))
+	require.True(t, ok)
+}
+
+// A prefill engine can't generate: without a decode engine there is no place.
+func TestPrefillNeedsAGenerator(t *testing.T) {
+	b := NewBooks(nil)
+	members := fleet(upstream.RolePrefill, upstream.RoleDecode)
+	b.Sync(members)
+	plan, ok := Pick(b.Engines(ids(members)), prompt(2))
+	require.True(t, ok)
+	require.Equal(t, "e0", plan.Prefill)
+	require.Equal(t, "e1", plan.Engine)
+	require.Equal(t, "e0", plan.Reader())
+	r := prompt(2)
+	r.Exclude = []string{"e1"}
+	_, ok = Pick(b.Engines(ids(members)), r)
+	require.False(t, ok)
+}
+
+// An engine breaks connection after connection. It is left alone for a while,
+// longer each time, and comes back by one request at a time.
+func TestEjectionAndTrial(t *testing.T) {
+	c := &clock{time.Unix(1, 0)}
+	b := NewBooks(c.now)
+	members := fleet("", "")
+	b.Sync(members)
+	hold := firstHold
+	for range 3 {
+		for range unreachableLimit {
+			b.Begin("e0", Work{}).End(Unreachable)
+		}
+		require.Len(t, b.Engines(ids(members)), 1)
+		c.pass(hold + time.Millisecond)
+		require.Len(t, b.Engines(ids(members)), 2)
+		trial := b.Begin("e0", Work{})
+		require.Len(t, b.Engines(ids(members)), 1, "one trial at a time")
+		trial.End(Unreachable) // fails the trial
+		require.Len(t, b.Engines(ids(members)), 1)
+		hold *= 2
+		c.pass(min(hold, maxHold) + time.Millisecond)
+		hold *= 2
+	}
+	b.Begin("e0", Work{}).End(Done)
+	require.Len(t, b.Engines(ids(members)), 2)
+	one, two := b.Begin("e0", Work{}), b.Begin("e0", Work{})
+	require.Len(t, b.Engines(ids(members)), 2)
+	one.End(Done)
+	two.End(Cancelled)
+}
+
+// One broken connection is no reason to leave an upstream alone.
+func TestOneBreakIsForgiven(t *testing.T) {
+	b := NewBooks(nil)
+	members := fleet("", "")
+	b.Sync(members)
+	b.Begin("e0", Work{}).End(Unreachable)
+	b.Begin("e0", Work{}).End(Done)
+	b.Begin("e0", Work{}).End(Unreachable)
+	require.Len(t, b.Engines(ids(members)), 2)
+}
+
+// The books balance whatever order attempts end in, and ending twice counts once.
+func TestTicketsBalance(t *testing.T) {
+	b := NewBooks(nil)
+	b.Sync(fleet(upstream.RoleDecode))
+	one := b.Begin("e0", Work{Tokens: 100, Parts: prompt(2).Parts, Long: true})
+	two := b.Begin("e0", Work{Tokens: 200, Parts: prompt(3).Parts})
+	loads, _ := b.Own(false)
+	require.Equal(t, []LoadAt{{At: keyOf("e0"), Load: Load{Running: 2, Long: 1, Sent: 300}}}, loads)
+	one.PromptRead()
+	one.PromptRead()
+	two.End(Cancelled)
+	two.End(Done)
+	one.End(Done)
+	loads, reads := b.Own(false)
+	require.Equal(t, []LoadAt{{At: keyOf("e0"), Load: Load{Sent: 300}}}, loads)
+	require.Equal(t, []Read{{At: keyOf("e0"), Last: Part{ID: 2, Tokens: 5000}}}, reads)
+	loads, reads = b.Own(false)
+	require.Empty(t, loads, "nothing has changed")
+	require.Empty(t, reads)
+	loads, _ = b.Own(true)
+	require.Len(t, loads, 1)
+	b.Begin("gone", Work{Tokens: 5}).End(Done) // an upstream that has left
+}
+
+// What one daemon sends to an engine makes the engine look busy to the others,
+// also if a state was lost on the way; a peer's new start counts from nothing.
+func TestPeersQueue(t *testing.T) {
+	c := &clock{time.Unix(1, 0)}
+	a, b := NewBooks(c.now), NewBooks(c.now)
+	members := fleet(upstream.RolePrefill)
+	a.Sync(members)
+	b.Sync(members)
+	queue := func() float64 { return b.Engines(ids(members))[0].QueueMillis }
+	first, _ := a.Own(true)
+	b.NotePeer("a", append(first, LoadAt{At: keyOf("e0")}), nil)
+	a.Begin("e0", Work{Tokens: 4300})
+	a.Own(false) // lost on the way
+	a.Begin("e0", Work{Tokens: 4300})
+	second, _ := a.Own(false)
+	b.NotePeer("a", second, nil)
+	require.InDelta(t, 20, queue(), 0.1)
+	c.pass(15 * time.Millisecond)
+	require.InDelta(t, 5, queue(), 0.1, "the engine works meanwhile")
+	c.pass(15 * time.Millisecond)
+	require.Zero(t, queue())
+	b.NotePeer("a", []LoadAt{{At: keyOf("e0"), Load: Load{Sent: 10}}}, nil)
+	require.Zero(t, queue())
+}
+
+// An engine's rate and overhead are learnt from what its readings took.
+func TestPaceIsLearnt(t *testing.T) {
+	c := &clock{time.Unix(1, 0)}
+	b := NewBooks(c.now)
+	members := fleet(upstream.RolePrefill)
+	b.Sync(members)
+	for range 400 {
+		for _, tokens := range []int{1000, 20_000} {
+			ticket := b.Begin("e0", Work{Tokens: tokens})
+			c.pass(time.Duration(20+tokens/250) * time.Millisecond)
+			ticket.PromptRead()
+			ticket.End(Done)
+			c.pass(time.Second)
+		}
+	}
+	e := b.Engines(ids(members))[0]
+	require.InDelta(t, 250, e.TokensPerMilli, 5)
+	require.InDelta(t, 20, e.OverheadMillis, 1)
+}
+
+// Long streams go together, so that other engines are free to read prompts, but
+// leave some slots of theirs.
+func TestLongStreamsGoTogether(t *testing.T) {
+	b := NewBooks(nil)
+	members := fleet(upstream.RoleDecode, upstream.RoleDecode, upstream.RoleDecode)
+	for i := range members {
+		members[i].Slots = 16
+	}
+	b.Sync(members)
+	chat := Request{PromptTokens: 200, Long: true, DataCentre: "d", Objective: 100 * time.Millisecond}
+	used := map[string]int{}
+	for range 2 * (16 - spareSlots) {
+		plan, ok := Pick(b.Engines(ids(members)), chat)
+		require.True(t, ok)
+		b.Begin(plan.Engine, Work{Tokens: plan.Uncached, Long: true}).PromptRead()
+		used[plan.Engine]++
+	}
+	require.Len(t, used, 2)
+	for _, n := range used {
+		require.Equal(t, 16-spareSlots, n)
+	}
+	for range 5 {
+		plan, ok := Pick(b.Engines(ids(members)), prompt(2))
+		require.True(t, ok)
+		require.Zero(t, used[plan.Engine], "prompts are read where no long stream runs")
+	}
+}
+
+// An engine's memory is bounded: what was used least recently is believed gone.
+func TestCacheBeliefIsBounded(t *testing.T) {
+	cache := newCacheBelief(10_000)
+	for i := range uint64(100) {
+		cache.read([]Part{{ID: 1, Tokens: 500}, {ID: 100 + i, Tokens: 1000}})
+	}
+	require.LessOrEqual(t, cache.tokens, cache.capacity)
+	require.Equal(t, 1500, cache.kept([]Part{{ID: 1, Tokens: 500}, {ID: 199, Tokens: 1000}}))
+	require.Equal(t, 500, cache.kept([]Part{{ID: 1, Tokens: 500}, {ID: 100, Tokens: 1000}}))
+	require.Zero(t, cache.kept([]Part{{ID: 1000, Tokens: 500}, {ID: 2000, Tokens: 1000}}))
+}
+
+// Plain calls go to the upstream with the most free slots, near ones first.
+func TestPickService(t *testing.T) {
+	list := []Engine{
+		{ID: "far", DataCentre: "x", Slots: 4},
+		{ID: "near", DataCentre: "d", Slots: 4, Running: 1},
+		{ID: "full", DataCentre: "d", Slots: 4, Running: 4},
+	}
+	id, full, ok := PickService(list, Request{DataCentre: "d"})
+	require.True(t, ok)
+	require.False(t, full)
+	require.Equal(t, "near", id)
+	id, full, ok = PickService(list, Request{DataCentre: "d", Exclude: []string{"near", "far"}})
+	require.True(t, ok)
+	require.True(t, full)
+	require.Equal(t, "full", id)
+	_, _, ok = PickService(list, Request{Exclude: []string{"near", "far", "full"}})
+	require.False(t, ok)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{8, 35, 200} {
+		roles := make([]upstream.Role, n)
+		for i := range roles {
+			roles[i] = upstream.RoleDecode
+			if i%4 == 0 {
+				roles[i] = upstream.RolePrefill
+			}
+		}
+		members := fleet(roles...)
+		books := NewBooks(nil)
+		books.Sync(members)
+		list := ids(members)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				Pick(books.Engines(list), prompt(2))
+			}
+		})
+	}
+}
--- a/placement/types.go
+++ b/placement/types.go
@@ -13,8 +13,10 @@
 // Part is a piece of a prompt that requests may share. Engines keep the KV cache
 // of parts; a part is of use only if all parts before it are kept too.
 type Part struct {
-	ID     uint64 `msgpack:"i"`
-	Tokens int    `msgpack:"t"`
+	//lint:ignore U1000 msgpack reads it: the fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       uint64
+	Tokens   int
 }
 
 // Request is what a decision needs to know about a request.
@@ -25,6 +27,13 @@
 	// PromptTokens is the whole prompt, OutputTokens what is expected to be
 	// generated.
 	PromptTokens, OutputTokens int
+	// BodyBytes is the size of the request.
+	BodyBytes int
+	// Objective is the time within which the first event is worth most; 0 is
+	// none.
+	Objective time.Duration
+	// Long says that it generates for seconds.
+	Long bool
 	// DataCentre is where the request came in.
 	DataCentre string
 	// Exclude names engines that an earlier attempt has failed at.
@@ -40,13 +49,16 @@
 	Role       upstream.Role
 	Slots      int
 	// Running counts the requests in flight there, of all daemons as far as
-	// known, Own those of this daemon.
-	Running, Own int
-	// PendingTokens are prompt tokens sent there and not yet read.
-	PendingTokens float64
+	// known, Long those of them that generate for seconds, Own those of this
+	// daemon.
+	Running, Long, Own int
+	// QueueMillis is the time until the prompts sent there have been read.
+	QueueMillis float64
 	// TokensPerMilli is the learnt rate of reading prompts, in tokens a
 	// millisecond.
 	TokensPerMilli float64
+	// OverheadMillis is the time to the first token beside the reading.
+	OverheadMillis float64
 	// Trial says that the engine has failed lately and gets one request at a
 	// time.
 	Trial bool
