placement: work counted in tokens, homes favoured, generators apart; states to neighbours

Cause: two thirds of the prompts went to prefill engines whether or not these kept the shared parts (6,069 tokens read a prompt there, 3,654 at decode engines with 88 in 100 of the shared tokens kept): a millisecond of a fast engine counted as one of a slow one. Each handoff left its prompt at all decode engines.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -27,10 +27,10 @@
 	stopMargin = 1200 * time.Millisecond
 	// stopCheck is how often a stopping daemon looks whether it may exit.
 	stopCheck = 50 * time.Millisecond
-	// expectedDaemons divides what all daemons share while their number isn't
-	// known for sure: a daemon that believes in too few peers would take too
+	// expectedDaemons is the least number by which what all daemons share is
+	// divided: one that has just started knows too few peers, and would take too
 	// large a part.
-	expectedDaemons = 8
+	expectedDaemons = 10
 	// peerSecret isn't secret: the platform's network is closed, and its
 	// settings hold nothing that only the system's processes know. It keeps
 	// other protocols apart.
@@ -77,7 +77,7 @@
 		Dialect:       cfg.Dialect,
 		State:         m.state,
 		Books:         m.books,
-		Budget:        relay.NewBudget(s.RetryRatio, s.RetrySlack/expectedDaemons, s.RetryWindow, nil),
+		Budget:        relay.NewBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil),
 		Logger:        m.log,
 		MinRetryAfter: minRetryAfter,
 	})
@@ -87,6 +87,12 @@
 	return m
 }
 
+// retrySlack is this daemon's part of the repeats that all may make beyond their
+// share of requests.
+func (m *Member) retrySlack() float64 {
+	return m.cfg.Settings.RetrySlack / float64(max(expectedDaemons, m.peers.Known()))
+}
+
 func (m *Member) wireConfig() wire.Config {
 	return wire.Config{
 		Name: m.cfg.Settings.Instance, Secret: []byte(peerSecret),
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -14,13 +14,11 @@
 )
 
 const (
-	// stateEvery is how often changed loads are told to the peers: about the
-	// time of one prompt's reading, so that a place is seldom given twice.
-	stateEvery = 5 * time.Millisecond
-	// stateFanout is the number of peers up to which stateEvery holds; with
-	// more of them states go out more seldom, so that a daemon's traffic stays
-	// the same.
-	stateFanout = 8
+	// stateEvery is how often changed loads are told to the peers of a small
+	// site: about the time of one prompt's reading, so that a place is seldom
+	// given twice. sparseEvery is that of a site with too many for a full mesh.
+	stateEvery  = 5 * time.Millisecond
+	sparseEvery = 50 * time.Millisecond
 	// beatEvery is how often a daemon is heard from when nothing changes.
 	beatEvery = 200 * time.Millisecond
 	// silentAfter is the silence after which a peer counts as down: no caller is
@@ -46,6 +44,8 @@
 	peers       map[string]*peer // by peer address
 	incarnation uint64
 	seq         uint64
+	// full says that states go to every known peer.
+	full bool
 }
 
 // About is what a daemon says of itself beside its load.
@@ -57,6 +57,7 @@
 
 type peer struct {
 	wire.MemberAddress
+	// link is nil unless states are sent there.
 	link        *wire.Link
 	token       suture.ServiceToken
 	incarnation uint64
@@ -97,18 +98,46 @@
 	known := p.peers[a.Peers]
 	if known == nil {
 		known = &peer{MemberAddress: a}
-		known.link = wire.NewLink(p.cfg, a.Peers, nil, p.log)
-		known.token = p.links.Add(known.link)
 		p.peers[a.Peers] = known
 		p.log.Info("peer found", "peer", a.Instance, "address", a.Peers)
-	}
-	if a.Instance != "" {
+		p.relink()
+	} else if a.Instance != "" && known.MemberAddress != a {
 		known.MemberAddress = a
+		p.relink()
 	}
 	known.named = time.Now()
 	return known
 }
 
+// relink opens and closes connections after a change of the known peers.
+func (p *Peers) relink() {
+	addresses := make([]wire.MemberAddress, 0, len(p.peers))
+	for _, other := range p.peers {
+		addresses = append(addresses, other.MemberAddress)
+	}
+	wanted := neighbours(p.self, addresses)
+	p.full = len(wanted) == len(addresses)
+	for address, other := range p.peers {
+		switch {
+		case wanted[address] && other.link == nil:
+			other.link = wire.NewLink(p.cfg, address, nil, p.log)
+			other.token = p.links.Add(other.link)
+		case !wanted[address] && other.link != nil:
+			p.unlink(other)
+		}
+	}
+}
+
+func (p *Peers) unlink(other *peer) {
+	if other.link == nil {
+		return
+	}
+	if err := p.links.Remove(other.token); err != nil {
+		p.log.Warn("peer's link not removed", "address", other.Peers, "err", err)
+	}
+	other.link = nil
+}
+
 // Handle implements wire.Handler.
 func (p *Peers) Handle(_ string, m wire.Message, reply func(wire.Message)) {
 	switch m := m.(type) {
@@ -179,11 +208,13 @@
 	}
 }
 
-// loadInterval grows with the number of peers.
 func (p *Peers) loadInterval() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return stateEvery * time.Duration(1+len(p.peers)/stateFanout)
+	if p.full {
+		return stateEvery
+	}
+	return sparseEvery
 }
 
 // state returns the state to be told. A full one carries the loads even if they
@@ -214,7 +245,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, to := range p.peers {
-		to.link.Send(s)
+		if to.link != nil {
+			to.link.Send(s)
+		}
 	}
 }
 
@@ -229,12 +262,27 @@
 			p.log.Warn("peer silent", "peer", other.Instance, "address", address, "silent_ms", now.Sub(other.heard).Milliseconds())
 		}
 		if !other.up && now.Sub(other.named) > forgetAfter {
+			p.unlink(other)
 			delete(p.peers, address)
-			if err := p.links.Remove(other.token); err != nil {
-				p.log.Warn("peer's link not removed", "address", address, "err", err)
-			}
+			p.relink()
 		}
 	}
+	p.books.SetUnheard(p.unheard())
+}
+
+// unheard is the number of daemons for each one heard whose loads aren't told
+// to this one.
+func (p *Peers) unheard() float64 {
+	heard := 0
+	for _, other := range p.peers {
+		if other.up {
+			heard++
+		}
+	}
+	if p.full || heard == 0 {
+		return 0
+	}
+	return float64(len(p.peers)-heard) / float64(heard)
 }
 
 // Up returns the daemons heard from lately that serve callers.
@@ -269,15 +317,10 @@
 	return best
 }
 
-// Count returns the number of daemons known to be up, this one included.
-func (p *Peers) Count() int {
+// Known returns the number of daemons that are or lately were part of the
+// system, this one included.
+func (p *Peers) Known() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 1
-	for _, other := range p.peers {
-		if other.up {
-			n++
-		}
-	}
-	return n
+	return 1 + len(p.peers)
 }
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -13,9 +13,10 @@
 // window; each keeps to that share of its own requests and to its part of the
 // little more, so that the sum holds whoever else is running.
 type Budget struct {
-	ratio, slack float64
-	slot         time.Duration
-	now          func() time.Time
+	ratio float64
+	slack func() float64
+	slot  time.Duration
+	now   func() time.Time
 
 	mu    sync.Mutex
 	pools map[string]*window
@@ -27,8 +28,8 @@
 }
 
 // NewBudget returns a budget: ratio of the requests of a window, and slack
-// repeats beside them, this daemon's part. now nil means time.Now.
-func NewBudget(ratio, slack float64, length time.Duration, now func() time.Time) *Budget {
+// repeats beside them, this daemon's part at the moment. now nil means time.Now.
+func NewBudget(ratio float64, slack func() float64, length time.Duration, now func() time.Time) *Budget {
 	if now == nil {
 		now = time.Now
 	}
@@ -54,7 +55,7 @@
 		requests += s.requests
 		repeats += s.repeats
 	}
-	if repeats+1 > b.ratio*requests+b.slack {
+	if repeats+1 > b.ratio*requests+b.slack() {
 		return false
 	}
 	w.slots[w.at%budgetSlots].repeats++
--- a/placement/books.go
+++ b/placement/books.go
@@ -32,6 +32,9 @@
 	keys      map[Key]*entry
 	// reads are the prompts read since the last Own, for the peers.
 	reads []Read
+	// unheard is the number of daemons for each peer heard whose loads aren't
+	// known.
+	unheard float64
 }
 
 type entry struct {
@@ -39,7 +42,7 @@
 	own Load
 	// told is what the peers were told last.
 	told    Load
-	peers   map[string]Load
+	peers   map[string]peerLoad
 	cache   *cacheBelief
 	pace    pace
 	latency float64 // smoothed milliseconds of a plain call
@@ -59,6 +62,12 @@
 	Sent uint32
 }
 
+// peerLoad is what a peer said last, and when.
+type peerLoad struct {
+	Load
+	at time.Time
+}
+
 // LoadAt is a load with the upstream's key.
 type LoadAt struct {
 	//lint:ignore U1000 msgpack reads it: the fields go without their names.
@@ -107,19 +116,22 @@
 }
 
 func newEntry(m Member) *entry {
-	e := &entry{Member: m, peers: make(map[string]Load), pace: newPace(m.Role)}
+	e := &entry{Member: m, peers: make(map[string]peerLoad), pace: newPace(m.Role)}
 	if m.Role != "" {
 		e.cache = newCacheBelief(m.KVTokens)
 	}
 	return e
 }
 
-func (e *entry) running() (running, long int) {
-	running, long = e.own.Running, e.own.Long
+// running returns the requests in flight of all daemons. For those that aren't
+// heard, the average of the others stands in.
+func (e *entry) running(unheard float64) (running, long int) {
 	for _, l := range e.peers {
 		running += l.Running
 		long += l.Long
 	}
+	running = e.own.Running + int(float64(running)*(1+unheard)+0.5)
+	long = e.own.Long + int(float64(long)*(1+unheard)+0.5)
 	return running, long
 }
 
@@ -140,11 +152,11 @@
 }
 
 func (e *entry) view(b *Books, now time.Time) Engine {
-	running, long := e.running()
+	running, long := e.running(b.unheard)
 	v := Engine{
 		ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots,
 		Running: running, Long: long, Own: e.own.Running,
-		QueueMillis: e.pace.queue(now), TokensPerMilli: e.pace.rate, OverheadMillis: e.pace.overhead,
+		QueueMillis: e.pace.queue(now) + e.pace.crowd(now), TokensPerMilli: e.pace.rate, OverheadMillis: e.pace.overhead,
 		Trial: e.health.trial, LatencyMillis: e.latency,
 	}
 	if e.cache != nil {
@@ -271,11 +283,11 @@
 			continue
 		}
 		before, known := e.peers[peer]
-		e.peers[peer] = l.Load
+		e.peers[peer] = peerLoad{Load: l.Load, at: now}
 		// A peer that was unknown, or has started anew, has added what it says at
 		// an unknown time; only the difference to a known state is news.
 		if added := l.Load.Sent - before.Sent; known && added < maxAdded {
-			e.pace.add(now, float64(added))
+			b.peerAdded(e, float64(added), now.Sub(before.at), now)
 		}
 	}
 	for _, r := range reads {
@@ -285,6 +297,27 @@
 	}
 }
 
+// instant is the time between two states of a peer up to which what it added
+// counts as sent just now. Over longer times most of it has been read already,
+// and as much is likely to follow: it counts as a flow.
+const instant = 40 * time.Millisecond
+
+func (b *Books) peerAdded(e *entry, tokens float64, since time.Duration, now time.Time) {
+	if since <= instant || b.unheard == 0 {
+		e.pace.add(now, tokens)
+		return
+	}
+	e.pace.flow(now, tokens*(1+b.unheard))
+}
+
+// SetUnheard sets the number of daemons for each peer heard whose loads aren't
+// known: too many to tell each other everything.
+func (b *Books) SetUnheard(n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unheard = n
+}
+
 // maxAdded is the most prompt tokens that a peer can have added between two
 // states; a greater difference means that its count began anew.
 const maxAdded = 1 << 20
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"tamarackchute/upstream"
@@ -32,6 +33,10 @@
 	assumed  float64
 	// free is when all prompts sent so far are expected to have been read.
 	free time.Time
+	// inflow is the smoothed flow of tokens from other daemons, in tokens a
+	// millisecond, as of flowAt.
+	inflow float64
+	flowAt time.Time
 }
 
 // reading is one prompt in an engine's queue.
@@ -51,6 +56,49 @@
 	return pace{rate: rate, assumed: rate, overhead: assumedOverhead}
 }
 
+// flowSpan is the time over which flows are smoothed: long against the states of
+// single peers, short against the swings of the load.
+const flowSpan = 400.0 // milliseconds
+
+// flow notes tokens that peers have sent over some time. They come in many small
+// amounts; what exceeds the engine's rate makes the queue grow.
+func (p *pace) flow(now time.Time, tokens float64) {
+	elapsed := toMillis(now.Sub(p.flowAt))
+	p.inflow = p.inflow*math.Exp(-elapsed/flowSpan) + tokens/flowSpan
+	p.flowAt = now
+	if p.inflow > p.rate {
+		p.push(now, tokens*(1-p.rate/p.inflow))
+	}
+}
+
+// push puts tokens at the end of the queue and returns its length in
+// milliseconds.
+func (p *pace) push(now time.Time, tokens float64) float64 {
+	total := p.queue(now) + tokens/p.rate
+	p.free = now.Add(millis(total))
+	return total
+}
+
+// maxCrowd bounds the expected wait behind an inflow, in milliseconds; crowdRead
+// is the reading time of one prompt of it.
+const (
+	maxCrowd  = 60.0
+	crowdRead = 10.0
+)
+
+// crowd is the expected wait behind prompts of other daemons that aren't heard of
+// one by one, as in a queue with random arrivals, in milliseconds.
+func (p *pace) crowd(now time.Time) float64 {
+	if p.inflow == 0 {
+		return 0
+	}
+	busy := p.inflow * math.Exp(-toMillis(now.Sub(p.flowAt))/flowSpan) / p.rate
+	if busy >= 1 {
+		return maxCrowd
+	}
+	return min(maxCrowd, crowdRead*busy/(1-busy)/2)
+}
+
 // queue returns the time until the engine is free, in milliseconds.
 func (p *pace) queue(now time.Time) float64 { return max(0, toMillis(p.free.Sub(now))) }
 
@@ -59,9 +107,7 @@
 	if tokens <= 0 {
 		return reading{}
 	}
-	queued := p.queue(now)
-	total := queued + tokens/p.rate
-	p.free = now.Add(millis(total))
+	total := p.push(now, tokens)
 	return reading{began: now, ahead: total * p.rate, due: p.free}
 }
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -9,32 +10,39 @@
 	"tamarackchute/upstream"
 )
 
-// The figures of the choice, in milliseconds of an engine unless said otherwise.
+// The figures of the choice, in milliseconds unless said otherwise.
 const (
+	// commonRate turns tokens to be read into milliseconds of cost, alike for all
+	// engines. A millisecond of a fast engine is worth more than one of a slow
+	// engine: by their own rates a fast engine that has to read the shared parts
+	// anew would look as good as a slow one that keeps them.
+	commonRate = 300.0
 	// handoff is the setting up of a KV transfer; its bytes take under a
 	// millisecond on the links that engines have.
 	handoff = 2.5
 	// crossing is the way to another data centre and back, crossingPerKB what
 	// each KB of the request that crosses counts: such bytes are paid for.
 	crossing      = 1.0
-	crossingPerKB = 0.5
-	// homeBonus is the share of its reading time that a prompt's home engine is
-	// favoured by, so that daemons that know nothing of each other's requests
-	// still send a shared prompt to the same engine.
-	homeBonus = 0.15
-	// queueWeight is what a millisecond of waiting counts while the request is
-	// expected in time, lateWeight beyond that. Work counts in full: a part read
-	// a second time keeps others waiting, whom this request never meets.
-	queueWeight = 0.5
-	lateWeight  = 3.0
+	crossingPerKB = 0.3
+	// homeBonus is what a prompt's home engine is favoured by, so that daemons
+	// that know nothing of each other's requests still send a shared prompt to
+	// the same engine.
+	homeBonus = 8.0
+	// waitWeight is what a millisecond of the time to the first token counts
+	// while the request is expected in time, lateWeight beyond that. Work counts
+	// in full: a part read a second time keeps others waiting, whom this request
+	// never meets.
+	waitWeight = 0.25
+	lateWeight = 3.0
 	// comfort is the share of the objective up to which a first event counts as
 	// certainly in time.
-	comfort = 0.5
-	// longBurden is what reading a prompt costs a long stream beside it: its
-	// tokens come at half the pace meanwhile.
-	longBurden = 3.0
-	// openingLong is the cost of putting a long stream where none runs: streams
-	// that are together leave other engines free to read prompts.
+	comfort = 0.6
+	// generatorBurden is what reading a prompt at a generator counts beside its
+	// time: the streams there get their tokens at half the pace meanwhile.
+	// Prompts that take less than shortWork count in proportion.
+	generatorBurden = 15.0
+	shortWork       = 10.0
+	// openingLong is the cost of putting a long stream where prompts are read.
 	openingLong = 12.0
 	// spareSlots are left free by long streams, for the short answers that other
 	// engines have read the prompts of.
@@ -45,6 +53,7 @@
 // place. ok is false if none has.
 func Pick(engines []Engine, r Request) (plan Plan, ok bool) {
 	best := math.Inf(1)
+	markGenerators(engines)
 	generator, generatorMillis := cheapestGenerator(engines, r)
 	homeID := home(engines, r)
 	considered := 0
@@ -79,21 +88,21 @@
 // consider returns the plan that an engine reads the prompt, and its cost.
 func consider(e *Engine, r Request, homeID string) (Plan, float64) {
 	p := Plan{Engine: e.ID, Uncached: uncached(e, r)}
-	work := float64(p.Uncached) / max(1, e.TokensPerMilli)
-	first := e.QueueMillis + work + e.OverheadMillis
+	first := e.QueueMillis + float64(p.Uncached)/max(1, e.TokensPerMilli) + e.OverheadMillis
 	p.Queue, p.FirstToken = millis(e.QueueMillis), millis(first)
-	cost := work + queueWeight*e.QueueMillis + crossCost(e, r)
+	work := float64(p.Uncached) / commonRate
+	cost := work + waitWeight*first + crossCost(e, r)
 	if e.ID == homeID {
-		cost -= homeBonus * work
+		cost -= homeBonus
 	}
 	if certain := comfort * toMillis(r.Objective); r.Objective > 0 && first > certain {
 		cost += lateWeight * (first - certain)
 	}
 	switch {
-	case r.Long && e.Long == 0:
+	case r.Long && !e.generator:
 		cost += openingLong
-	case !r.Long:
-		cost += longBurden * math.Sqrt(float64(e.Long)) * min(1, work/10)
+	case !r.Long && e.generator:
+		cost += generatorBurden * min(1, work/shortWork)
 	}
 	return p, cost
 }
@@ -121,6 +130,9 @@
 			continue
 		}
 		cost := e.QueueMillis + crossCost(e, r) + float64(e.Running)*0.5
+		if !e.generator {
+			cost += generatorBurden
+		}
 		if cost < least {
 			best, least, leastMillis = e, cost, e.QueueMillis
 		}
@@ -128,6 +140,29 @@
 	return best, leastMillis
 }
 
+// markGenerators sets the engines apart that generate: those that long streams
+// run on, and that go on from other engines' KV caches. Each handoff leaves its
+// whole prompt in their memory, which pushes the shared parts out; kept to few
+// engines, the others keep theirs. All daemons mark the same ones, the first in
+// the order of their IDs' hashes, as many as the long streams need.
+func markGenerators(engines []Engine) {
+	var decode []*Engine
+	long, slots := 0, 1
+	for i := range engines {
+		e := &engines[i]
+		if e.Role == upstream.RoleDecode {
+			decode = append(decode, e)
+			long += e.Long
+			slots = max(slots, e.Slots-spareSlots)
+		}
+	}
+	slices.SortFunc(decode, func(a, b *Engine) int { return cmp.Compare(keyOf(a.ID), keyOf(b.ID)) })
+	need := min(1+long/slots, len(decode))
+	for _, e := range decode[:need] {
+		e.generator = true
+	}
+}
+
 func uncached(e *Engine, r Request) int {
 	if e.Cached == nil {
 		return r.PromptTokens
@@ -152,6 +187,9 @@
 	key := shared[len(shared)-1].ID
 	best, bestScore := "", math.Inf(-1)
 	for i := range engines {
+		if engines[i].generator {
+			continue
+		}
 		if score := rendezvous(key, &engines[i]); score > bestScore {
 			best, bestScore = engines[i].ID, score
 		}
--- a/placement/types.go
+++ b/placement/types.go
@@ -67,6 +67,9 @@
 	// Cached returns how many tokens of a prompt are believed to be in the
 	// engine's KV cache.
 	Cached func(parts []Part) int
+
+	// generator is set while a decision is made.
+	generator bool
 }
 
 // Plan is a decision.
