--- a/cmd/chute-member/main.go
+++ b/cmd/chute-member/main.go
@@ -63,6 +63,8 @@
 		Store:            store,
 		Formats:          store,
 		Dialect:          platform.Dialect{},
+		Log:              platform.NewLog(store),
+		Engines:          platform.Engines{},
 		DirectoryHandler: func(m *member.Member) http.Handler { return platform.DirectoryHandler(m) },
 		ReadyHandler:     platform.ReadyHandler,
 		Logger:           log,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,8 @@
 	LinkBytesPerSecond float64
 	// HandoffKept is how long an engine keeps a KV cache for another to fetch.
 	HandoffKept time.Duration
+	// SwitchTime is how long an engine is out of service when its role changes.
+	SwitchTime time.Duration
 }
 
 // Pool is a named group of upstreams that serve the same requests.
--- /dev/null
+++ b/internal/member/engines.go
@@ -0,0 +1,57 @@
+package member
+
+import (
+	"context"
+
+	"tamarackchute/internal/fleet"
+	"tamarackchute/upstream"
+)
+
+// EngineState is an engine's own word on its role.
+type EngineState struct {
+	Role upstream.Role
+	// Changing says that an order is being carried out.
+	Changing bool
+	// Orders counts the orders that it has accepted since its start.
+	Orders uint64
+}
+
+// RoleOrder asks an engine to change its role.
+type RoleOrder struct {
+	Role upstream.Role
+	// Holder names the process that gives the order, Fence is its fencing
+	// number.
+	Holder string
+	Fence  uint64
+	// After is the number of orders that the engine must have accepted before
+	// this one: an order that is carried out late, after a newer one, has no
+	// effect.
+	After uint64
+}
+
+// OrderOutcome is what became of an order.
+type OrderOutcome uint8
+
+// The outcomes.
+const (
+	// OrderOpen: no answer; it may be carried out, now or later.
+	OrderOpen OrderOutcome = iota
+	// OrderTaken: it is being carried out.
+	OrderTaken
+	// OrderHolds: the engine has the role already.
+	OrderHolds
+	// OrderRefused: it has no effect.
+	OrderRefused
+	// OrderFenced: a newer holder has given orders.
+	OrderFenced
+)
+
+func (o OrderOutcome) String() string {
+	return [...]string{"open", "taken", "holds", "refused", "fenced"}[o]
+}
+
+// Engines are the control calls of model engines.
+type Engines interface {
+	State(ctx context.Context, u *fleet.Upstream) (EngineState, error)
+	SetRole(ctx context.Context, u *fleet.Upstream, o RoleOrder) (OrderOutcome, error)
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -9,11 +9,13 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/entry/shutdown"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/relay"
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
+	"tamarackchute/rolepolicy"
 )
 
 const (
@@ -45,6 +47,9 @@
 	Store    Store
 	Formats  Formats
 	Dialect  relay.Dialect
+	// Log and Engines are for the changes of roles.
+	Log     infra.Log
+	Engines Engines
 	// DirectoryHandler and ReadyHandler make the outer interfaces.
 	DirectoryHandler func(*Member) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
@@ -82,11 +87,20 @@
 		MinRetryAfter: minRetryAfter,
 	})
 	m.peers = newPeers(m.self, m.wireConfig(), m.books, m.log)
+	m.peers.demand = m.demand
 	m.peers.about, m.peers.view, m.peers.change = m.about, m.view, m.relay.Changed
 	m.buildFeeds()
 	return m
 }
 
+func (m *Member) demand() map[string]wire.MemberDemand {
+	all := make(map[string]wire.MemberDemand)
+	for pool, d := range m.relay.Demand() {
+		all[pool] = wire.MemberDemand{Tokens: d.Tokens, Short: d.Short}
+	}
+	return all
+}
+
 // retrySlack is this daemon's part of the repeats that all may make beyond their
 // share of requests.
 func (m *Member) retrySlack() float64 {
@@ -197,6 +211,8 @@
 //	├── exchange
 //	│   ├── wire server
 //	│   └── peers
+//	├── directing
+//	│   └── director of roles, with journal and lease where it is a candidate
 //	└── serving
 //	    └── callers, directory, ready
 func (m *Member) tree(servers []*httpService) *suture.Supervisor {
@@ -214,7 +230,14 @@
 	for _, s := range servers {
 		serving.Add(s)
 	}
+	directing := suture.New("directing", spec)
+	directing.Add(&director{
+		member: m, log: m.cfg.Log, engines: m.cfg.Engines, logger: m.log,
+		policy: make(map[string]*rolepolicy.Balance), changes: make(map[string]roleChange),
+		logged: make(map[string]time.Time),
+	})
 	root := suture.New("member", spec)
+	root.Add(directing)
 	root.Add(learning)
 	root.Add(exchange)
 	root.Add(serving)
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -44,6 +44,10 @@
 	peers       map[string]*peer // by peer address
 	incarnation uint64
 	seq         uint64
+	// away are engines that this daemon has ordered to change.
+	away map[placement.Key]time.Time
+	// demand measures what callers ask of this daemon.
+	demand func() map[string]wire.MemberDemand
 	// full says that states go to every known peer.
 	full bool
 }
@@ -65,6 +69,7 @@
 	serving     bool
 	config      uint64
 	readAge     time.Duration
+	demands     map[string]wire.MemberDemand
 	heard       time.Time
 	named       time.Time
 	up          bool
@@ -75,6 +80,7 @@
 		self: self, cfg: cfg, books: books, log: log,
 		links:       suture.New("peers' links", suture.Spec{FailureBackoff: time.Second}),
 		peers:       make(map[string]*peer),
+		away:        make(map[placement.Key]time.Time),
 		incarnation: rand.Uint64(),
 	}
 }
@@ -165,6 +171,9 @@
 	anew := m.Incarnation != from.incarnation
 	from.incarnation, from.seq = m.Incarnation, m.Seq
 	from.serving, from.config, from.readAge = m.Serving, m.Config, m.ReadAge
+	if m.Demands != nil {
+		from.demands = m.Demands
+	}
 	from.heard = time.Now()
 	regained := !from.up
 	from.up = true
@@ -175,6 +184,9 @@
 	if anew {
 		p.books.ForgetPeer(m.Peers) // its former process's requests are gone
 	}
+	for _, a := range m.Away {
+		p.books.SendAway(a.At, a.Left)
+	}
 	p.books.NotePeer(m.Peers, m.Loads, m.Reads)
 	p.change()
 }
@@ -230,9 +242,11 @@
 		Serving: about.Serving, Config: about.Config, ReadAge: about.ReadAge,
 		Loads: loads, Reads: reads,
 	}
+	s.Away = p.awayNow()
 	if !full {
 		return s
 	}
+	s.Demands = p.demand()
 	for _, other := range p.peers {
 		if other.up {
 			s.Known = append(s.Known, other.MemberAddress)
@@ -241,6 +255,60 @@
 	return s
 }
 
+// SendAway keeps the requests of all daemons from an engine for some time.
+func (p *Peers) SendAway(id string, d time.Duration) {
+	at := placement.KeyOf(id)
+	p.books.SendAway(at, d)
+	p.mu.Lock()
+	p.away[at] = time.Now().Add(d)
+	p.mu.Unlock()
+	p.send(p.state(true))
+}
+
+func (p *Peers) awayNow() []wire.AwayEngine {
+	var list []wire.AwayEngine
+	for at, until := range p.away {
+		left := time.Until(until)
+		if left <= 0 {
+			delete(p.away, at)
+			continue
+		}
+		list = append(list, wire.AwayEngine{At: at, Left: left})
+	}
+	return list
+}
+
+// Demand returns what callers ask of a pool at all daemons. For those that aren't
+// heard the average of the others stands in.
+func (p *Peers) Demand(pool string) wire.MemberDemand {
+	own := p.demand()[pool]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum wire.MemberDemand
+	for _, other := range p.peers {
+		if other.up {
+			sum.Tokens += other.demands[pool].Tokens
+			sum.Short += other.demands[pool].Short
+		}
+	}
+	scale := 1 + p.unheard()
+	return wire.MemberDemand{Tokens: own.Tokens + scale*sum.Tokens, Short: own.Short + scale*sum.Short}
+}
+
+// Rank returns the number of serving daemons heard whose address comes before
+// this one's.
+func (p *Peers) Rank() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rank := 0
+	for address, other := range p.peers {
+		if other.up && other.serving && address < p.self.Peers {
+			rank++
+		}
+	}
+	return rank
+}
+
 func (p *Peers) send(s wire.MemberState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -39,6 +39,10 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// LeaseTerm is how long one daemon's right to order engines lasts.
+	LeaseTerm time.Duration
+	// StoreKeeps is how long the store keeps records.
+	StoreKeeps time.Duration
 	// DirectoryTTL is the longest time that callers keep a directory's answer.
 	DirectoryTTL time.Duration
 }
@@ -58,6 +62,7 @@
 	need(s.PeerAddress != "", "peers' address", "is missing")
 	need(s.Grace > 0, "grace", "must be more than 0")
 	need(s.RetryWindow > 0, "retry window", "must be more than 0")
+	need(s.LeaseTerm > 0, "lease term", "must be more than 0")
 	need(s.RetryRatio >= 0, "retry ratio", "must not be negative")
 	return errors.Join(faults...)
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -49,6 +49,8 @@
 	stream *streamState
 	// comeback says that the caller asks again after an earlier attempt.
 	comeback bool
+	// counted says that the request is part of the demand measured.
+	counted bool
 }
 
 // readBody reads the whole body: it may have to be sent more than once, and a
--- /dev/null
+++ b/internal/relay/demand.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// demandSpan is the time over which demand is smoothed: long against single
+// requests, short against the seconds that a shift of the load lasts.
+const demandSpan = 1500 * time.Millisecond
+
+// Demand is what callers ask of a pool of engines, refused requests included.
+type Demand struct {
+	// Tokens are prompt tokens a second that have to be read.
+	Tokens float64
+	// Short are answers a second that take well under a second.
+	Short float64
+}
+
+// demandMeter smooths the demand on each pool.
+type demandMeter struct {
+	mu    sync.Mutex
+	pools map[string]*measured
+}
+
+type measured struct {
+	Demand
+	at time.Time
+}
+
+func (m *demandMeter) add(pool string, tokens int, long bool, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pools == nil {
+		m.pools = make(map[string]*measured)
+	}
+	p := m.pools[pool]
+	if p == nil {
+		p = &measured{at: now}
+		m.pools[pool] = p
+	}
+	p.decay(now)
+	p.Tokens += float64(tokens) / demandSpan.Seconds()
+	if !long {
+		p.Short += 1 / demandSpan.Seconds()
+	}
+}
+
+func (p *measured) decay(now time.Time) {
+	keep := math.Exp(-float64(now.Sub(p.at)) / float64(demandSpan))
+	p.Tokens *= keep
+	p.Short *= keep
+	p.at = now
+}
+
+// Demand returns the demand on each pool of engines now.
+func (r *Relay) Demand() map[string]Demand {
+	r.demand.mu.Lock()
+	defer r.demand.mu.Unlock()
+	all := make(map[string]Demand, len(r.demand.pools))
+	now := time.Now()
+	for name, p := range r.demand.pools {
+		p.decay(now)
+		all[name] = p.Demand
+	}
+	return all
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -97,6 +97,7 @@
 	}
 	req := c.placementRequest()
 	plan, ok := placement.Pick(engines, req)
+	c.noteDemand(plan, ok, req)
 	if !ok || s.Upstreams[plan.Engine] == nil {
 		return nil
 	}
@@ -115,6 +116,19 @@
 	return p
 }
 
+// noteDemand counts a request once, by what it needs to have read.
+func (c *call) noteDemand(plan placement.Plan, ok bool, req placement.Request) {
+	if c.counted || c.comeback {
+		return
+	}
+	c.counted = true
+	tokens := req.PromptTokens
+	if ok {
+		tokens = plan.Uncached
+	}
+	c.relay.demand.add(c.pool, tokens, req.Long, time.Now())
+}
+
 // goodEnough reports whether the first event can be expected in time. A late
 // request takes what the others leave: a place without a queue.
 func (c *call) goodEnough(plan placement.Plan, late bool) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,7 @@
 	cfg      Config
 	active   atomic.Int64
 	patience patienceBook
+	demand   demandMeter
 	// closing makes answers ask for the connection to be closed.
 	closing atomic.Bool
 
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -33,10 +33,28 @@
 	// lately for it.
 	Loads []placement.LoadAt `msgpack:"l"`
 	Reads []placement.Read   `msgpack:"r"`
+	// Demands is what callers ask of it, by pool.
+	Demands map[string]MemberDemand `msgpack:"m,omitempty"`
+	// Away are engines that have been ordered to change.
+	Away []AwayEngine `msgpack:"w,omitempty"`
 	// Known are other daemons that it hears from.
 	Known []MemberAddress `msgpack:"k"`
 }
 
+// MemberDemand is what callers ask of one pool at one daemon, a second.
+type MemberDemand struct {
+	// Tokens are prompt tokens to be read, Short the answers that take well
+	// under a second.
+	Tokens float64 `msgpack:"t"`
+	Short  float64 `msgpack:"s"`
+}
+
+// AwayEngine is an engine that takes no work for a while.
+type AwayEngine struct {
+	At   placement.Key `msgpack:"e"`
+	Left time.Duration `msgpack:"l"`
+}
+
 // Kind implements Message.
 func (MemberState) Kind() Kind { return KindMemberState }
 
--- a/placement/books.go
+++ b/placement/books.go
@@ -20,7 +20,8 @@
 // Key names an upstream between daemons, in fewer bytes than its ID.
 type Key uint32
 
-func keyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
+// KeyOf returns the key of an upstream.
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
 
 // Books keep what is in flight where, of this daemon and of its peers, and what
 // was learnt of each upstream. They are safe for use by many goroutines.
@@ -48,8 +49,19 @@
 	latency float64 // smoothed milliseconds of a plain call
 	health  health
 	trials  int
+	// away is the time until which the engine takes no work, as it changes.
+	away time.Time
+	// refusals counts those in a row, up to maxRefusals.
+	refusals int
 }
 
+// refusedFor is how long a daemon leaves an upstream alone for each time in a row
+// that it has refused, up to maxRefusals.
+const (
+	refusedFor  = 60 * time.Millisecond
+	maxRefusals = 8
+)
+
 // Load is a daemon's work at one upstream.
 type Load struct {
 	//lint:ignore U1000 msgpack reads it: the fields go without their names.
@@ -107,10 +119,11 @@
 		}
 		if e.Role != m.Role {
 			e.pace = newPace(m.Role)
+			e.away = time.Time{} // the change that it was away for is done
 		}
 		e.Member = m
 		listed[m.ID] = e
-		keys[keyOf(m.ID)] = e
+		keys[KeyOf(m.ID)] = e
 	}
 	b.upstreams, b.keys = listed, keys
 }
@@ -143,7 +156,7 @@
 	list := make([]Engine, 0, len(ids))
 	for _, id := range ids {
 		e := b.upstreams[id]
-		if e == nil || e.health.out(now) || (e.health.trial && e.trials > 0) {
+		if e == nil || now.Before(e.away) || e.health.out(now) || (e.health.trial && e.trials > 0) {
 			continue
 		}
 		list = append(list, e.view(b, now))
@@ -169,6 +182,26 @@
 	return v
 }
 
+// SendAway keeps requests from an engine for some time. Of two times the later
+// one holds.
+func (b *Books) SendAway(at Key, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.keys[at]; e != nil {
+		if until := b.now().Add(d); until.After(e.away) {
+			e.away = until
+		}
+	}
+}
+
+// Away reports whether an engine is changing.
+func (b *Books) Away(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.upstreams[id]
+	return e != nil && b.now().Before(e.away)
+}
+
 // Work is what an attempt asks of an upstream.
 type Work struct {
 	// Tokens are the prompt tokens to be read there, 0 if it reads none.
@@ -228,7 +261,7 @@
 	if len(shared) > 0 {
 		last := shared[len(shared)-1]
 		last.Tokens = sumTokens(shared)
-		t.books.reads = append(t.books.reads, Read{At: keyOf(t.entry.ID), Last: last})
+		t.books.reads = append(t.books.reads, Read{At: KeyOf(t.entry.ID), Last: last})
 	}
 }
 
@@ -253,6 +286,15 @@
 		e.latency += learnStep * (toMillis(now.Sub(t.began)) - e.latency)
 	}
 	e.health.note(o, t.began, now)
+	if o == Refused {
+		// Whatever made it refuse lasts longer than the next request takes.
+		e.refusals = min(e.refusals+1, maxRefusals)
+		if until := now.Add(refusedFor * time.Duration(e.refusals)); until.After(e.away) {
+			e.away = until
+		}
+	} else if o == Done {
+		e.refusals = 0
+	}
 }
 
 // Own returns what has changed of this daemon's load since the last call, and
@@ -264,7 +306,7 @@
 	for id, e := range b.upstreams {
 		if e.own != e.told || (all && e.own != (Load{})) {
 			e.told = e.own
-			loads = append(loads, LoadAt{At: keyOf(id), Load: e.own})
+			loads = append(loads, LoadAt{At: KeyOf(id), Load: e.own})
 		}
 	}
 	reads := b.reads
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -20,7 +20,7 @@
 	minReadTokens = 4000.0
 	quickTokens   = 2500.0
 	// rateSpan bounds the learnt rate to this factor around the assumed one.
-	rateSpan = 4.0
+	rateSpan = 2.0
 )
 
 // pace models how an engine reads prompts: one after the other at a rate, each
@@ -48,11 +48,17 @@
 	due time.Time
 }
 
-func newPace(r upstream.Role) pace {
-	rate := assumedPrefillRate
+// AssumedRate is the rate at which an engine is assumed to read prompts, in tokens
+// a millisecond.
+func AssumedRate(r upstream.Role) float64 {
 	if r == upstream.RoleDecode {
-		rate = assumedDecodeRate
+		return assumedDecodeRate
 	}
+	return assumedPrefillRate
+}
+
+func newPace(r upstream.Role) pace {
+	rate := AssumedRate(r)
 	return pace{rate: rate, assumed: rate, overhead: assumedOverhead}
 }
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -156,7 +156,7 @@
 			slots = max(slots, e.Slots-spareSlots)
 		}
 	}
-	slices.SortFunc(decode, func(a, b *Engine) int { return cmp.Compare(keyOf(a.ID), keyOf(b.ID)) })
+	slices.SortFunc(decode, func(a, b *Engine) int { return cmp.Compare(KeyOf(a.ID), KeyOf(b.ID)) })
 	need := min(1+long/slots, len(decode))
 	for _, e := range decode[:need] {
 		e.generator = true
