placement, rolepolicy: long streams packed; enough engines go on generating

Change: long streams go to the engines in a fixed order; reading there costs 40 ms more; the role policy counts reading beside streams for little, never leaves fewer than 0.45 of the engines to generate, and gives one back when slots lack.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -46,6 +46,9 @@
 			p.ticket.PromptRead()
 			c.relay.Changed()
 		}
+		if s := c.stream; s != nil && c.rule.PauseObjective > 0 {
+			p.ticket.Paused(float64(time.Since(s.lastAt)) / float64(c.rule.PauseObjective))
+		}
 		if err := c.deliver(e, resp); err != nil {
 			return c.cutStream(ctx, p, err)
 		}
--- a/placement/books.go
+++ b/placement/books.go
@@ -166,10 +166,11 @@
 
 func (e *entry) view(b *Books, now time.Time) Engine {
 	running, long := e.running(b.unheard)
+	e.pace.streams = long > 0
 	v := Engine{
 		ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots,
 		Running: running, Long: long, Own: e.own.Running,
-		QueueMillis: e.pace.queue(now) + e.pace.crowd(now), TokensPerMilli: e.pace.rate, OverheadMillis: e.pace.overhead,
+		QueueMillis: e.pace.queue(now) + e.pace.crowd(now), TokensPerMilli: e.pace.effective(), OverheadMillis: e.pace.overhead,
 		Trial: e.health.trial, LatencyMillis: e.latency,
 	}
 	if e.cache != nil {
@@ -265,6 +266,17 @@
 	}
 }
 
+// Paused notes a pause between two events of a long stream, as a share of the
+// longest that counts as on time.
+func (t *Ticket) Paused(share float64) {
+	if !t.work.Long {
+		return
+	}
+	t.books.mu.Lock()
+	defer t.books.mu.Unlock()
+	t.entry.pace.paused(share, t.books.now())
+}
+
 // End closes the attempt. Only the first call counts.
 func (t *Ticket) End(o Outcome) {
 	t.books.mu.Lock()
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -37,6 +37,11 @@
 	// millisecond, as of flowAt.
 	inflow float64
 	flowAt time.Time
+	// duty is the share of the time in which prompts are read while long streams
+	// run there; streams says that some do.
+	duty    float64
+	streams bool
+	eased   time.Time
 }
 
 // reading is one prompt in an engine's queue.
@@ -48,6 +53,40 @@
 	due time.Time
 }
 
+// An engine that reads prompts without a break gives its streams their events at
+// the slowest pace, which may be longer than the pause that counts as on time.
+// The duty leaves breaks. It falls with each pause that comes near the objective
+// and rises while they stay well below.
+const (
+	firstDuty    = 0.85
+	leastDuty    = 0.4
+	dutyDrop     = 0.06
+	dutyRise     = 0.01
+	pauseHigh    = 0.95
+	pauseLow     = 0.85
+	dutyInterval = 150 * time.Millisecond
+)
+
+// effective is the rate at which prompts should be sent there.
+func (p *pace) effective() float64 {
+	if p.streams {
+		return p.rate * p.duty
+	}
+	return p.rate
+}
+
+// paused takes a pause between two events of a long stream there, as a share of
+// the longest that counts as on time.
+func (p *pace) paused(share float64, now time.Time) {
+	switch {
+	case share > pauseHigh && now.Sub(p.eased) > dutyInterval:
+		p.duty = max(leastDuty, p.duty-dutyDrop)
+		p.eased = now
+	case share < pauseLow:
+		p.duty = min(1, p.duty+dutyRise*(pauseLow-share))
+	}
+}
+
 // AssumedRate is the rate at which an engine is assumed to read prompts, in tokens
 // a millisecond.
 func AssumedRate(r upstream.Role) float64 {
@@ -59,7 +98,7 @@
 
 func newPace(r upstream.Role) pace {
 	rate := AssumedRate(r)
-	return pace{rate: rate, assumed: rate, overhead: assumedOverhead}
+	return pace{rate: rate, assumed: rate, overhead: assumedOverhead, duty: firstDuty}
 }
 
 // flowSpan is the time over which flows are smoothed: long against the states of
@@ -80,7 +119,7 @@
 // push puts tokens at the end of the queue and returns its length in
 // milliseconds.
 func (p *pace) push(now time.Time, tokens float64) float64 {
-	total := p.queue(now) + tokens/p.rate
+	total := p.queue(now) + tokens/p.effective()
 	p.free = now.Add(millis(total))
 	return total
 }
@@ -114,7 +153,7 @@
 		return reading{}
 	}
 	total := p.push(now, tokens)
-	return reading{began: now, ahead: total * p.rate, due: p.free}
+	return reading{began: now, ahead: total * p.effective(), due: p.free}
 }
 
 // learn compares a reading's end with what was expected of it.
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -40,10 +40,13 @@
 	// generatorBurden is what reading a prompt at a generator counts beside its
 	// time: the streams there get their tokens at half the pace meanwhile.
 	// Prompts that take less than shortWork count in proportion.
-	generatorBurden = 15.0
+	generatorBurden = 40.0
 	shortWork       = 10.0
-	// openingLong is the cost of putting a long stream where prompts are read.
-	openingLong = 12.0
+	// openingLong is the cost of putting a long stream on the next engine in the
+	// order of generators rather than on the one before it. Streams that are
+	// together leave other engines free to read prompts, and to change their role
+	// without waiting for a stream to end.
+	openingLong = 20.0
 	// spareSlots are left free by long streams, for the short answers that other
 	// engines have read the prompts of.
 	spareSlots = 3
@@ -99,8 +102,8 @@
 		cost += lateWeight * (first - certain)
 	}
 	switch {
-	case r.Long && !e.generator:
-		cost += openingLong
+	case r.Long:
+		cost += openingLong * float64(e.rank)
 	case !r.Long && e.generator:
 		cost += generatorBurden * min(1, work/shortWork)
 	}
@@ -158,8 +161,9 @@
 	}
 	slices.SortFunc(decode, func(a, b *Engine) int { return cmp.Compare(KeyOf(a.ID), KeyOf(b.ID)) })
 	need := min(1+long/slots, len(decode))
-	for _, e := range decode[:need] {
-		e.generator = true
+	for i, e := range decode {
+		e.rank = i
+		e.generator = i < need
 	}
 }
 
--- a/placement/types.go
+++ b/placement/types.go
@@ -68,8 +68,10 @@
 	// engine's KV cache.
 	Cached func(parts []Part) int
 
-	// generator is set while a decision is made.
+	// generator and rank are set while a decision is made: whether the engine is
+	// set apart for generating, and its place in the order in which engines are.
 	generator bool
+	rank      int
 }
 
 // Plan is a decision.
--- a/rolepolicy/balance.go
+++ b/rolepolicy/balance.go
@@ -27,10 +27,12 @@
 	ReadShare float64
 	// SpareSlots of each generating engine are left free by long streams.
 	SpareSlots int
-	// FullShare is the share of all slots at which long streams lack room,
-	// RoomShare that of the slots left to them which must not be exceeded by
-	// giving an engine away.
+	// FullShare is the share of the slots left to long streams at which they lack
+	// room, RoomShare that which must not be exceeded by giving an engine away.
 	FullShare, RoomShare float64
+	// LeastDecode is the share of the engines that go on generating whatever the
+	// demand: what they have to do now is no measure of the next minute.
+	LeastDecode float64
 	// FullGain is the gain that room for long streams counts as.
 	FullGain float64
 }
@@ -39,7 +41,7 @@
 func DefaultBalanceConfig() BalanceConfig {
 	return BalanceConfig{
 		Dwell: 1500 * time.Millisecond, Sustain: 900 * time.Millisecond, MaxChanging: 0.26,
-		LeastGain: 0.1, ReadShare: 0.45, SpareSlots: 3, FullShare: 0.95, RoomShare: 0.7, FullGain: 0.5,
+		LeastGain: 0.1, ReadShare: 0.15, SpareSlots: 3, FullShare: 0.92, RoomShare: 0.6, FullGain: 0.5, LeastDecode: 0.45,
 	}
 }
 
@@ -105,14 +107,14 @@
 	if engines < 2 || float64(p.Changing+1) > math.Max(1, b.cfg.MaxChanging*float64(engines)) {
 		return Change{}, false
 	}
-	if p.Prefill > 1 && p.LongStreams > b.cfg.FullShare*float64(p.Decode*p.Slots) {
+	if p.Prefill > 1 && p.LongStreams > b.cfg.FullShare*b.slots(p, p.Decode) {
 		return Change{
 			To:     upstream.RoleDecode,
 			Gain:   b.cfg.FullGain,
 			Reason: fmt.Sprintf("%.0f long streams on %d engines", p.LongStreams, p.Decode),
 		}, true
 	}
-	if p.Decode < 2 || p.LongStreams > b.cfg.RoomShare*b.slots(p, p.Decode-1) {
+	if float64(p.Decode-1) < b.cfg.LeastDecode*float64(engines) || p.LongStreams > b.cfg.RoomShare*b.slots(p, p.Decode-1) {
 		return Change{}, false
 	}
 	now := b.readWell(p, p.Prefill)
