--- /dev/null
+++ b/internal/member/feeds_test.go
@@ -0,0 +1,212 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/fleet"
+	"tamarackchute/rules/pathset"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// plainFormats reads entries as "pool address [leaving]" and configurations as
+// their version.
+type plainFormats struct{}
+
+func (plainFormats) Config(e Entry) (*fleet.Config, bool, error) {
+	if e.Key != "config" {
+		return nil, false, nil
+	}
+	c, err := plainFormats{}.ConfigDocument(e.Value)
+	return c, true, err
+}
+
+func (plainFormats) ConfigDocument(document []byte) (*fleet.Config, error) {
+	v, err := strconv.ParseUint(string(document), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return &fleet.Config{Version: v, Rules: pathset.New(nil), Document: document}, nil
+}
+
+func (plainFormats) Upstream(e Entry) (*fleet.Upstream, error) {
+	fields := strings.Fields(string(e.Value))
+	if len(fields) < 2 {
+		return nil, fmt.Errorf("entry %q", e.Value)
+	}
+	return &fleet.Upstream{ID: e.Key, Pool: fields[0], Address: fields[1], Leaving: len(fields) > 2}, nil
+}
+
+func entry(key, value string) Entry {
+	if value == "" {
+		return Entry{Key: key}
+	}
+	return Entry{Key: key, Value: []byte(value)}
+}
+
+type feedRig struct {
+	feed  *upstreamFeed
+	state *fleet.State
+	age   time.Duration
+}
+
+func newFeedRig() *feedRig {
+	r := &feedRig{state: fleet.NewState()}
+	r.feed = newUpstreamFeed(plainFormats{}, r.state, 30*time.Millisecond, quiet)
+	r.feed.age = func() time.Duration { return r.age }
+	return r
+}
+
+func (r *feedRig) ids() string {
+	var all []string
+	for _, pool := range []string{"p", "q"} {
+		for _, u := range r.state.Snapshot().Pools[pool] {
+			id := u.ID
+			if u.Leaving {
+				id += " leaving"
+			}
+			all = append(all, id)
+		}
+	}
+	return strings.Join(all, ",")
+}
+
+// Servers are found, change, leave and go; an entry that makes no sense is left
+// out and harms no other.
+func TestUpstreamsFollowTheirEntries(t *testing.T) {
+	r := newFeedRig()
+	r.feed.reset([]Entry{entry("b", "p 1:1"), entry("a", "p 1:2"), entry("c", "nonsense"), entry("d", "q 1:3")})
+	require.Equal(t, "a,b,d", r.ids())
+	r.feed.apply([]Entry{entry("a", "p 1:2 leaving"), entry("e", "p 1:4")})
+	require.Equal(t, "a leaving,b,e,d", r.ids())
+	r.feed.apply([]Entry{entry("a", ""), entry("never", "")})
+	require.Equal(t, "b,e,d", r.ids())
+	r.feed.reset([]Entry{entry("e", "p 1:4")})
+	require.Equal(t, "e", r.ids())
+}
+
+// The store is away, and entries of servers that live lapse meanwhile. They must
+// go on being used until the servers have had time to write again; those that
+// don't come back are gone.
+func TestEntriesThatLapseInAnOutage(t *testing.T) {
+	r := newFeedRig()
+	r.feed.reset([]Entry{entry("a", "p 1:1"), entry("b", "p 1:2")})
+	r.age = 2 * outageAfter
+	r.feed.apply([]Entry{entry("a", ""), entry("b", "")})
+	require.Equal(t, "a,b", r.ids())
+	r.age = 0
+	r.feed.apply([]Entry{entry("a", "p 1:1")})
+	require.Equal(t, "a,b", r.ids())
+	time.Sleep(40 * time.Millisecond) // beyond the feed's time to return
+	r.feed.apply(nil)
+	require.Equal(t, "a", r.ids())
+	r.feed.apply([]Entry{entry("a", "")})
+	require.Empty(t, r.ids(), "without an outage a removal counts at once")
+}
+
+// What a peer has read adds to the own list and takes nothing away: its entries
+// may have lapsed while it couldn't read either.
+func TestPeersListOnlyAdds(t *testing.T) {
+	r := newFeedRig()
+	r.feed.reset([]Entry{entry("a", "p 1:1")})
+	r.feed.adopt(map[string][]byte{"b": []byte("p 1:2 leaving")})
+	require.Equal(t, "a,b leaving", r.ids())
+}
+
+// A late or repeated message with an older version must never bring it back, and
+// one that can't be read leaves the version in force as it is.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	state := fleet.NewState()
+	feed := &configFeed{formats: plainFormats{}, state: state, log: quiet}
+	version := func() uint64 { return state.Snapshot().Config.Version }
+	feed.take([]Entry{entry("config", "5")})
+	require.EqualValues(t, 5, version())
+	feed.take([]Entry{entry("config", "9"), entry("config", "7"), entry("other", "12")})
+	require.EqualValues(t, 9, version())
+	feed.take([]Entry{entry("config", "broken"), entry("config", "3")})
+	require.EqualValues(t, 9, version())
+}
+
+// scriptedStore answers from lists of calls and fails as told.
+type scriptedStore struct {
+	mu      sync.Mutex
+	newest  int
+	changes []Position
+	expire  bool
+	fail    bool
+}
+
+func (s *scriptedStore) Newest(context.Context, Topic) ([]Entry, Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail {
+		return nil, 0, errors.New("store is down")
+	}
+	s.newest++
+	return []Entry{entry("config", strconv.Itoa(s.newest))}, Position(10 * s.newest), nil
+}
+
+func (s *scriptedStore) Changes(_ context.Context, _ Topic, from Position, _ time.Duration) ([]Entry, Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail {
+		return nil, from, errors.New("store is down")
+	}
+	if s.expire {
+		s.expire = false
+		return nil, from, ErrExpired
+	}
+	s.changes = append(s.changes, from)
+	return nil, from + 1, nil
+}
+
+func (s *scriptedStore) Put(context.Context, Topic, Entry) error { return nil }
+
+// The store drops its history. The reader must take the newest entries again
+// rather than wait for changes that it will never see.
+func TestReaderStartsAnewWhenHistoryIsDropped(t *testing.T) {
+	store := &scriptedStore{}
+	state := fleet.NewState()
+	feed := &configFeed{formats: plainFormats{}, state: state, log: quiet}
+	r := &topicReader{store: store, topic: TopicConfig, name: "configuration", every: time.Millisecond, reset: feed.take, apply: feed.take, log: quiet}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.Serve(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	reads := func() int {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return len(store.changes)
+	}
+	require.Eventually(t, func() bool { return reads() > 2 }, 10*time.Second, time.Millisecond)
+	store.mu.Lock()
+	require.Equal(t, []Position{10, 11, 12}, store.changes[:3])
+	store.expire = true
+	store.mu.Unlock()
+	require.Eventually(t, func() bool { return state.Snapshot().Config.Version == 2 }, 10*time.Second, time.Millisecond)
+
+	store.mu.Lock()
+	store.fail = true
+	store.mu.Unlock()
+	require.Eventually(t, func() bool { return r.age() > 20*time.Millisecond }, 10*time.Second, time.Millisecond)
+	store.mu.Lock()
+	store.fail = false
+	store.mu.Unlock()
+	require.Eventually(t, func() bool { return r.age() < 20*time.Millisecond }, 10*time.Second, time.Millisecond)
+}
