member: one daemon reads the list of servers for those that hear of it

Change: states carry the place, digest and age of the list; a daemon reads only when nobody it hears has read within 0.45 s and a random part of 0.3 s; another list is fetched from the peer that has read it.

--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -4,11 +4,17 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/wire"
 )
@@ -20,7 +26,10 @@
 	// entries. Each of them is written about once a second, so a waiting read
 	// returns at once; a change must be known well within a leaving upstream's
 	// last two seconds.
-	upstreamsEvery = 500 * time.Millisecond
+	upstreamsEvery = 450 * time.Millisecond
+	// upstreamsSpread is the random time that is added, so that one daemon reads
+	// and the others hear of it.
+	upstreamsSpread = 300 * time.Millisecond
 	// retryMin and retryMax bound the wait after a failed read.
 	retryMin = 100 * time.Millisecond
 	retryMax = 500 * time.Millisecond
@@ -42,9 +51,15 @@
 	// reset takes the newest entries, apply a change.
 	reset func([]Entry)
 	apply func([]Entry)
-	log   *slog.Logger
+	// spread is the random time beyond every by which a read waits while another
+	// daemon's reading is as good; 0 reads always.
+	spread time.Duration
+	log    *slog.Logger
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// from is the position to read on from, known says that there is one.
+	from   Position
+	known  bool
 	readAt time.Time
 	down   bool
 }
@@ -64,18 +79,20 @@
 
 // Serve implements suture.Service.
 func (r *topicReader) Serve(ctx context.Context) error {
-	var from Position
-	known := false
 	pause := retryMin
 	for ctx.Err() == nil {
-		began := time.Now()
-		next, err := r.read(ctx, known, from)
+		if hold := r.hold(); hold > 0 {
+			sleep(ctx, hold)
+			continue
+		}
+		err := r.read(ctx)
 		switch {
 		case err == nil:
-			from, known, pause = next, true, retryMin
-			sleep(ctx, r.every-time.Since(began))
+			pause = retryMin
 		case errors.Is(err, ErrExpired):
-			known = false
+			r.mu.Lock()
+			r.known = false
+			r.mu.Unlock()
 		default:
 			r.lost(ctx, err)
 			sleep(ctx, pause)
@@ -85,33 +102,69 @@
 	return ctx.Err()
 }
 
-func (r *topicReader) read(ctx context.Context, known bool, from Position) (Position, error) {
+// hold returns how long the next read has to wait. The draw of spread lets one
+// daemon read for all that hear of it.
+func (r *topicReader) hold() time.Duration {
+	wait := r.every
+	if r.spread > 0 {
+		wait += rand.N(r.spread)
+	}
+	return wait - r.age()
+}
+
+func (r *topicReader) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, r.wait+callSlack)
 	defer cancel()
+	r.mu.Lock()
+	from, known := r.from, r.known
+	r.mu.Unlock()
+	began := time.Now()
 	if !known {
 		entries, next, err := r.store.Newest(ctx, r.topic)
 		if err != nil {
-			return from, err
+			return err
 		}
 		r.reset(entries)
-		r.regained()
-		return next, nil
+		r.done(next, began)
+		return nil
 	}
 	entries, next, err := r.store.Changes(ctx, r.topic, from, r.wait)
 	if err != nil {
-		return from, err
+		return err
 	}
 	if len(entries) > 0 {
 		r.apply(entries)
 	}
-	r.regained()
-	return next, nil
+	if r.wait > 0 {
+		began = time.Now() // the answer is of the moment of its end
+	}
+	r.done(next, began)
+	return nil
 }
 
-func (r *topicReader) regained() {
+// heard takes over that the state as of a position is known as of a time ago, as
+// another daemon has read the same.
+func (r *topicReader) heard(at Position, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readAt = time.Now()
+	r.known = true
+	r.from = max(r.from, at)
+	if readAt := time.Now().Add(-age); readAt.After(r.readAt) {
+		r.readAt = readAt
+	}
+}
+
+func (r *topicReader) position() Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.from
+}
+
+func (r *topicReader) done(next Position, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.from, r.known = next, true
+	r.readAt = at
 	if r.down {
 		r.down = false
 		r.log.Info("store regained", "topic", r.name)
@@ -171,6 +224,9 @@
 	returnWithin time.Duration
 	age          func() time.Duration
 
+	// digest tells whether two daemons have the same list.
+	digest atomic.Uint64
+
 	mu   sync.Mutex
 	raw  map[string][]byte
 	list map[string]*fleet.Upstream
@@ -271,10 +327,20 @@
 		}
 	}
 	if changed {
+		f.digest.Store(digestOf(f.list))
 		f.state.SetUpstreams(maps.Clone(f.list))
 	}
 }
 
+func digestOf(list map[string]*fleet.Upstream) uint64 {
+	h := xxhash.New()
+	for _, id := range slices.Sorted(maps.Keys(list)) {
+		u := list[id]
+		_, _ = fmt.Fprintf(h, "%s %s %s %s %t\n", u.ID, u.Pool, u.Address, u.Role, u.Leaving) // a hash never fails
+	}
+	return h.Sum64()
+}
+
 // entries returns what was read, for a peer that can't reach the store.
 func (f *upstreamFeed) entries() map[string][]byte {
 	f.mu.Lock()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -88,6 +88,7 @@
 	})
 	m.peers = newPeers(m.self, m.wireConfig(), m.books, m.log)
 	m.peers.demand = m.demand
+	m.peers.sameList = m.readSame
 	m.peers.about, m.peers.view, m.peers.change = m.about, m.view, m.relay.Changed
 	m.buildFeeds()
 	return m
@@ -101,6 +102,15 @@
 	return all
 }
 
+// readSame takes over that a peer has read the list of upstreams that this daemon
+// has.
+func (m *Member) readSame(at Position, digest uint64, age time.Duration) {
+	age += transit
+	if digest == m.upstreams.digest.Load() && digest != 0 && age+youngerBy < m.readers[0].age() {
+		m.readers[0].heard(at, age)
+	}
+}
+
 // retrySlack is this daemon's part of the repeats that all may make beyond their
 // share of requests.
 func (m *Member) retrySlack() float64 {
@@ -120,7 +130,7 @@
 	m.upstreams = newUpstreamFeed(formats, m.state, m.cfg.Settings.ReturnWithin, m.log)
 	members := &memberFeed{peers: m.peers, log: m.log}
 	upstreams := &topicReader{
-		store: store, topic: TopicUpstreams, name: "upstreams", every: upstreamsEvery,
+		store: store, topic: TopicUpstreams, name: "upstreams", every: upstreamsEvery, spread: upstreamsSpread,
 		reset: m.upstreams.reset, apply: m.upstreams.apply, log: m.log,
 	}
 	m.upstreams.age = upstreams.age
@@ -137,7 +147,10 @@
 }
 
 func (m *Member) about() About {
-	a := About{Serving: m.Ready(), ReadAge: m.readers[0].age()}
+	a := About{
+		Serving: m.Ready(), ReadAge: m.readers[0].age(),
+		ListPosition: m.readers[0].position(), ListDigest: m.upstreams.digest.Load(),
+	}
 	if c := m.state.Snapshot().Config; c != nil {
 		a.Config = c.Version
 	}
@@ -145,7 +158,8 @@
 }
 
 func (m *Member) view() wire.ViewReply {
-	v := wire.ViewReply{Upstreams: m.upstreams.entries(), Age: m.readers[0].age()}
+	v := wire.ViewReply{Position: uint64(m.readers[0].position()), Age: m.readers[0].age()}
+	v.Upstreams = m.upstreams.entries() // read last: the list may be newer than its position, never older
 	if c := m.state.Snapshot().Config; c != nil {
 		v.Config = c.Document
 	}
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -21,6 +21,8 @@
 	sparseEvery = 50 * time.Millisecond
 	// beatEvery is how often a daemon is heard from when nothing changes.
 	beatEvery = 200 * time.Millisecond
+	// knownEvery is the number of full states of which one names other daemons.
+	knownEvery = 10
 	// silentAfter is the silence after which a peer counts as down: no caller is
 	// sent there, and its load is forgotten.
 	silentAfter = time.Second
@@ -46,8 +48,12 @@
 	seq         uint64
 	// away are engines that this daemon has ordered to change.
 	away map[placement.Key]time.Time
+	// sameList is told what list a peer has.
+	sameList func(at Position, digest uint64, age time.Duration)
 	// demand measures what callers ask of this daemon.
 	demand func() map[string]wire.MemberDemand
+	// beats counts full states.
+	beats int
 	// full says that states go to every known peer.
 	full bool
 }
@@ -56,7 +62,10 @@
 type About struct {
 	Serving bool
 	Config  uint64
-	ReadAge time.Duration
+	// ListPosition, ListDigest and ReadAge are of the list of upstreams.
+	ListPosition Position
+	ListDigest   uint64
+	ReadAge      time.Duration
 }
 
 type peer struct {
@@ -66,9 +75,7 @@
 	token       suture.ServiceToken
 	incarnation uint64
 	seq         uint64
-	serving     bool
-	config      uint64
-	readAge     time.Duration
+	about       About
 	demands     map[string]wire.MemberDemand
 	heard       time.Time
 	named       time.Time
@@ -170,7 +177,10 @@
 	}
 	anew := m.Incarnation != from.incarnation
 	from.incarnation, from.seq = m.Incarnation, m.Seq
-	from.serving, from.config, from.readAge = m.Serving, m.Config, m.ReadAge
+	from.about = About{
+		Serving: m.Serving, Config: m.Config,
+		ListPosition: Position(m.ListPosition), ListDigest: m.ListDigest, ReadAge: m.ReadAge,
+	}
 	if m.Demands != nil {
 		from.demands = m.Demands
 	}
@@ -184,6 +194,7 @@
 	if anew {
 		p.books.ForgetPeer(m.Peers) // its former process's requests are gone
 	}
+	p.sameList(Position(m.ListPosition), m.ListDigest, m.ReadAge)
 	for _, a := range m.Away {
 		p.books.SendAway(a.At, a.Left)
 	}
@@ -240,6 +251,7 @@
 	s := wire.MemberState{
 		MemberAddress: p.self, Incarnation: p.incarnation, Seq: p.seq,
 		Serving: about.Serving, Config: about.Config, ReadAge: about.ReadAge,
+		ListPosition: uint64(about.ListPosition), ListDigest: about.ListDigest,
 		Loads: loads, Reads: reads,
 	}
 	s.Away = p.awayNow()
@@ -247,6 +259,9 @@
 		return s
 	}
 	s.Demands = p.demand()
+	if p.beats++; p.beats%knownEvery != 1 {
+		return s
+	}
 	for _, other := range p.peers {
 		if other.up {
 			s.Known = append(s.Known, other.MemberAddress)
@@ -302,7 +317,7 @@
 	defer p.mu.Unlock()
 	rank := 0
 	for address, other := range p.peers {
-		if other.up && other.serving && address < p.self.Peers {
+		if other.up && other.about.Serving && address < p.self.Peers {
 			rank++
 		}
 	}
@@ -359,27 +374,32 @@
 	defer p.mu.Unlock()
 	var up []wire.MemberAddress
 	for _, other := range p.peers {
-		if other.up && other.serving {
+		if other.up && other.about.Serving {
 			up = append(up, other.MemberAddress)
 		}
 	}
 	return up
 }
 
-// Freshest returns the peer address of a daemon with a newer configuration than
-// a version, or else one whose list of upstreams is younger than an age; "" if
-// there is none.
-func (p *Peers) Freshest(version uint64, age time.Duration) string {
+// Better returns the peer address of a daemon with a newer configuration than
+// this one's, or else one with another list of upstreams that was read later; ""
+// if there is none.
+func (p *Peers) Better(own About) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, newest, youngest := "", version, age
+	best, newest, youngest := "", own.Config, own.ReadAge-youngerBy
 	for address, other := range p.peers {
 		if !other.up {
 			continue
 		}
-		readAge := other.readAge + time.Since(other.heard)
-		if other.config > newest || (other.config == newest && readAge < youngest) {
-			best, newest, youngest = address, other.config, readAge
+		a := other.about
+		age := a.ReadAge + time.Since(other.heard)
+		newerList := a.ListPosition > own.ListPosition && a.ListDigest != own.ListDigest && age < youngest
+		if a.Config > newest || (a.Config == newest && newerList) {
+			best, newest = address, a.Config
+			if newerList {
+				youngest = age
+			}
 		}
 	}
 	return best
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -9,16 +9,20 @@
 
 const (
 	// viewEvery is how often a daemon looks whether a peer knows more.
-	viewEvery = 250 * time.Millisecond
+	viewEvery = 100 * time.Millisecond
 	// viewTimeout bounds the question to a peer.
 	viewTimeout = time.Second
-	// staleAfter is the age of the own reading from which a peer's is taken.
-	staleAfter = 1200 * time.Millisecond
+	// youngerBy is how much younger a peer's reading must be to be taken over,
+	// transit what is added to its age for the way here: without it two daemons
+	// could keep each other's word young.
+	youngerBy = 100 * time.Millisecond
+	transit   = 20 * time.Millisecond
 )
 
-// peerView learns from a peer what the store can't tell: a daemon that is cut
-// off from the store, or starts while it is away, would otherwise serve by an
-// outdated configuration, or not at all.
+// peerView learns from a peer what the own reading doesn't show yet. It spares
+// the store most reads; and a daemon that is cut off from the store, or starts
+// while it is away, would otherwise serve by an outdated configuration, or not at
+// all.
 type peerView struct {
 	member *Member
 }
@@ -30,12 +34,7 @@
 func (v *peerView) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, viewEvery)
-		own := v.member.about()
-		age := max(staleAfter, own.ReadAge) - viewEvery
-		if own.ReadAge < staleAfter {
-			age = 0 // only a newer configuration is of interest
-		}
-		if peer := v.member.peers.Freshest(own.Config, age); peer != "" {
+		if peer := v.member.peers.Better(v.member.about()); peer != "" {
 			v.ask(ctx, peer)
 		}
 	}
@@ -46,6 +45,7 @@
 	m := v.member
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
+	asked := time.Now()
 	answer, err := wire.Ask(ctx, m.wireConfig(), peer, wire.ViewRequest{})
 	if err != nil {
 		m.log.Warn("peer's view not had", "peer", peer, "err", err)
@@ -58,10 +58,7 @@
 	if reply.Config != nil {
 		v.takeConfig(peer, reply.Config)
 	}
-	if own := m.readers[0].age(); own > staleAfter && reply.Age < own {
-		m.log.Info("upstreams from a peer", "peer", peer, "age_ms", reply.Age.Milliseconds(), "own_age_ms", own.Milliseconds())
-		m.upstreams.adopt(reply.Upstreams)
-	}
+	v.takeUpstreams(peer, reply, reply.Age+time.Since(asked))
 }
 
 func (v *peerView) takeConfig(peer string, document []byte) {
@@ -75,12 +72,18 @@
 	}
 }
 
-// adopt takes a peer's entries in place of the own ones. Nothing is removed by
-// them: what is missing may have lapsed while the peer couldn't read either.
-func (f *upstreamFeed) adopt(raw map[string][]byte) {
-	entries := make([]Entry, 0, len(raw))
-	for id, value := range raw {
+// takeUpstreams replaces the list by the peer's if that was read later.
+func (v *peerView) takeUpstreams(peer string, reply wire.ViewReply, age time.Duration) {
+	m := v.member
+	own := m.readers[0].age()
+	if Position(reply.Position) <= m.readers[0].position() || age >= own {
+		return
+	}
+	m.log.Info("upstreams from a peer", "peer", peer, "age_ms", age.Milliseconds(), "own_age_ms", own.Milliseconds())
+	entries := make([]Entry, 0, len(reply.Upstreams))
+	for id, value := range reply.Upstreams {
 		entries = append(entries, Entry{Key: id, Value: value})
 	}
-	f.apply(entries)
+	m.upstreams.reset(entries)
+	m.readers[0].heard(Position(reply.Position), age)
 }
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -27,8 +27,12 @@
 	Serving bool `msgpack:"s"`
 	// Config is the version of the configuration in force there.
 	Config uint64 `msgpack:"v"`
-	// ReadAge is the time since its last read of the list of upstreams.
-	ReadAge time.Duration `msgpack:"a"`
+	// ListPosition is the place in the store up to which its list of upstreams
+	// goes, ListDigest tells whether two lists are the same, and ReadAge is the
+	// time since the list was read, by it or by a daemon that it heard.
+	ListPosition uint64        `msgpack:"o"`
+	ListDigest   uint64        `msgpack:"g"`
+	ReadAge      time.Duration `msgpack:"a"`
 	// Loads are what has changed of its work at upstreams, Reads the prompts read
 	// lately for it.
 	Loads []placement.LoadAt `msgpack:"l"`
@@ -69,8 +73,10 @@
 type ViewReply struct {
 	// Config is nil if the peer knows none.
 	Config []byte `msgpack:"c"`
-	// Upstreams are the entries by ID, Age the time since they were read.
+	// Upstreams are the entries by ID, Position the place in the store up to
+	// which they go, Age the time since they were read.
 	Upstreams map[string][]byte `msgpack:"u"`
+	Position  uint64            `msgpack:"o"`
 	Age       time.Duration     `msgpack:"a"`
 }
 
