member: in a large site one daemon adds up the loads

Change: beyond 16 peers all report to one collector, chosen by capacity and address, which answers each with the totals of the others; the next in line takes over after 0.5 s of silence.

--- /dev/null
+++ b/internal/member/collector.go
@@ -0,0 +1,121 @@
+package member
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/thejerf/suture/v4"
+
+	"tamarackchute/internal/wire"
+	"tamarackchute/placement"
+)
+
+const (
+	// collectEvery is how often a daemon of a large site reports its load, and the
+	// collector answers with the totals; perDaemon is added for each daemon, so
+	// that the collector's traffic doesn't grow with the square of their number.
+	collectEvery = 25 * time.Millisecond
+	perDaemon    = 500 * time.Microsecond
+	// fullEvery is the number of reports of which one is full, to make up for
+	// those that were lost.
+	fullEvery = 20
+	// collectorSilent is the silence after which the next daemon in line is asked
+	// to collect, collectorRetry the time after which the first is tried again.
+	collectorSilent = 500 * time.Millisecond
+	collectorRetry  = 3 * time.Second
+	// totalsFrom names the collector's word in the books.
+	totalsFrom = "totals"
+)
+
+// In a large site not every daemon can tell every other what it has in flight. All
+// tell one, which adds up and tells each what the others have. Any daemon can:
+// who does follows from the addresses that all know, and if it falls silent the
+// next one in line does. Nothing is lost with it but a moment's knowledge.
+
+// collectors returns the daemons in the order in which they are to collect: those
+// with the most capacity first.
+func collectors(all []wire.MemberAddress) []wire.MemberAddress {
+	line := slices.Clone(all)
+	slices.SortFunc(line, func(a, b wire.MemberAddress) int {
+		return cmp.Or(
+			cmp.Compare(b.Capacity, a.Capacity),
+			cmp.Compare(xxhash.Sum64String(a.Peers), xxhash.Sum64String(b.Peers)),
+		)
+	})
+	return line
+}
+
+// tally is the collector's side: what each daemon has reported.
+type tally struct {
+	mu      sync.Mutex
+	reports map[string]*report
+}
+
+type report struct {
+	loads map[placement.Key]placement.Load
+	heard time.Time
+}
+
+// take books a report and answers with the totals.
+func (t *tally) take(m wire.LoadReport, reply func(wire.Message), now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reports == nil {
+		t.reports = make(map[string]*report)
+	}
+	r := t.reports[m.Peers]
+	if r == nil {
+		r = &report{loads: make(map[placement.Key]placement.Load)}
+		t.reports[m.Peers] = r
+	}
+	if m.Full {
+		clear(r.loads)
+	}
+	for _, l := range m.Loads {
+		r.loads[l.At] = l.Load
+	}
+	r.heard = now
+	reply(t.totals(m.Peers, now))
+}
+
+// totals adds up what all daemons but one have. Those that have fallen silent are
+// left out and forgotten.
+func (t *tally) totals(but string, now time.Time) wire.LoadTotals {
+	sum := make(map[placement.Key]placement.Load)
+	senders := 0
+	for from, r := range t.reports {
+		if now.Sub(r.heard) > silentAfter {
+			delete(t.reports, from)
+			continue
+		}
+		if from == but {
+			continue
+		}
+		senders++
+		for at, l := range r.loads {
+			sum[at] = sum[at].Plus(l)
+		}
+	}
+	totals := wire.LoadTotals{Senders: senders}
+	for _, at := range slices.Sorted(maps.Keys(sum)) {
+		totals.Loads = append(totals.Loads, placement.LoadAt{At: at, Load: sum[at]})
+	}
+	return totals
+}
+
+// collection is a daemon's side: whom it reports to.
+type collection struct {
+	line    []wire.MemberAddress
+	current int
+	link    *wire.Link
+	token   suture.ServiceToken
+	reports int
+	// heard is when the collector answered last, or was chosen; left when the
+	// first in line was given up.
+	heard, left time.Time
+	sent        time.Time
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -75,7 +75,7 @@
 func New(cfg Config) *Member {
 	s := cfg.Settings
 	m := &Member{cfg: cfg, log: cfg.Logger, state: fleet.NewState(), books: placement.NewBooks(nil)}
-	m.self = wire.MemberAddress{Instance: s.Instance, DataCentre: s.DataCentre, Callers: s.Callers, Peers: s.PeerAddress}
+	m.self = wire.MemberAddress{Instance: s.Instance, DataCentre: s.DataCentre, Callers: s.Callers, Peers: s.PeerAddress, Capacity: s.Capacity}
 	m.stop = shutdown.State{Keep: keepFactor * keepAnswer, Grace: s.Grace - keepFactor*keepAnswer - stopMargin}
 	m.relay = relay.New(relay.Config{
 		DataCentre:    s.DataCentre,
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -16,9 +16,8 @@
 const (
 	// stateEvery is how often changed loads are told to the peers of a small
 	// site: about the time of one prompt's reading, so that a place is seldom
-	// given twice. sparseEvery is that of a site with too many for a full mesh.
-	stateEvery  = 5 * time.Millisecond
-	sparseEvery = 50 * time.Millisecond
+	// given twice.
+	stateEvery = 5 * time.Millisecond
 	// beatEvery is how often a daemon is heard from when nothing changes.
 	beatEvery = 200 * time.Millisecond
 	// knownEvery is the number of full states of which one names other daemons.
@@ -56,6 +55,9 @@
 	beats int
 	// full says that states go to every known peer.
 	full bool
+	// tally is of the reports that this daemon collects, collect its own part.
+	tally   tally
+	collect collection
 }
 
 // About is what a daemon says of itself beside its load.
@@ -130,6 +132,9 @@
 	}
 	wanted := neighbours(p.self, addresses)
 	p.full = len(wanted) == len(addresses)
+	if !p.full {
+		p.relineCollectors(addresses, time.Now())
+	}
 	for address, other := range p.peers {
 		switch {
 		case wanted[address] && other.link == nil:
@@ -158,6 +163,8 @@
 		p.take(m)
 	case wire.ViewRequest:
 		reply(p.view())
+	case wire.LoadReport:
+		p.tally.take(m, reply, time.Now())
 	}
 }
 
@@ -220,7 +227,11 @@
 				p.send(p.state(true))
 				continue
 			}
-			if now.Sub(lastLoad) < p.loadInterval() {
+			if !p.meshed() {
+				p.report(now)
+				continue
+			}
+			if now.Sub(lastLoad) < stateEvery {
 				continue
 			}
 			if s := p.state(false); len(s.Loads) > 0 {
@@ -231,19 +242,103 @@
 	}
 }
 
-func (p *Peers) loadInterval() time.Duration {
+// meshed reports whether every daemon tells every other its state.
+func (p *Peers) meshed() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.full {
-		return stateEvery
+	return p.full
+}
+
+// report tells the collector this daemon's load, if it is time to.
+func (p *Peers) report(now time.Time) {
+	p.mu.Lock()
+	interval := collectEvery + perDaemon*time.Duration(len(p.peers))
+	if now.Sub(p.collect.sent) < interval {
+		p.mu.Unlock()
+		return
+	}
+	p.collect.sent = now
+	link := p.collector(now)
+	p.collect.reports++
+	full := p.collect.reports%fullEvery == 1
+	p.mu.Unlock()
+	loads := p.books.Own(full)
+	m := wire.LoadReport{Peers: p.self.Peers, Full: full, Loads: loads}
+	if link == nil {
+		p.tally.take(m, func(answer wire.Message) { p.takeTotals(answer) }, now)
+		return
+	}
+	link.Send(m)
+}
+
+// collector returns the link to the daemon that collects, nil if it is this one.
+// One that has fallen silent is passed over for a while.
+func (p *Peers) collector(now time.Time) *wire.Link {
+	c := &p.collect
+	switch {
+	case len(c.line) == 0:
+		return nil
+	case c.current > 0 && now.Sub(c.left) > collectorRetry:
+		p.useCollector(0, now)
+	case c.line[c.current].Peers != p.self.Peers && now.Sub(c.heard) > collectorSilent:
+		if c.current == 0 {
+			c.left = now
+		}
+		p.log.Warn("collector of loads silent", "address", c.line[c.current].Peers)
+		p.useCollector((c.current+1)%len(c.line), now)
 	}
-	return sparseEvery
+	return c.link
+}
+
+func (p *Peers) useCollector(i int, now time.Time) {
+	c := &p.collect
+	c.current, c.heard, c.reports = i, now, 0
+	if c.link != nil {
+		if err := p.links.Remove(c.token); err != nil {
+			p.log.Warn("collector's link not removed", "err", err)
+		}
+		c.link = nil
+	}
+	if address := c.line[i].Peers; address != p.self.Peers {
+		c.link = wire.NewLink(p.cfg, address, p.takeTotals, p.log)
+		c.token = p.links.Add(c.link)
+	}
+}
+
+// relineCollectors follows a change of the known daemons.
+func (p *Peers) relineCollectors(all []wire.MemberAddress, now time.Time) {
+	c := &p.collect
+	before := ""
+	if len(c.line) > 0 {
+		before = c.line[c.current].Peers
+	}
+	c.line = collectors(append(all, p.self))
+	c.current = min(c.current, len(c.line)-1)
+	if c.line[c.current].Peers != before {
+		p.useCollector(c.current, now)
+	}
+}
+
+func (p *Peers) takeTotals(m wire.Message) {
+	totals, ok := m.(wire.LoadTotals)
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	p.collect.heard = time.Now()
+	p.mu.Unlock()
+	p.books.NotePeer(totalsFrom, totals.Loads, nil)
+	p.change()
 }
 
 // state returns the state to be told. A full one carries the loads even if they
 // haven't changed, and the addresses of other daemons.
 func (p *Peers) state(full bool) wire.MemberState {
-	loads, reads := p.books.Own(full)
+	reads := p.books.Reads()
+	var loads []placement.LoadAt
+	if p.meshed() {
+		loads = p.books.Own(full)
+	}
 	about := p.about()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -350,7 +445,6 @@
 			p.relink()
 		}
 	}
-	p.books.SetUnheard(p.unheard())
 }
 
 // unheard is the number of daemons for each one heard whose loads aren't told
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -24,6 +24,8 @@
 	Seeds []string
 	// Store is the address of the platform's store.
 	Store string
+	// Capacity ranks daemons by what they can do for the others.
+	Capacity int
 	// MemoryBytes is the most that the process may use.
 	MemoryBytes int64
 	// Grace is the time from the signal to stop to the kill.
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -40,7 +40,7 @@
 	heap.Push(&q.waiting, w)
 	q.mu.Unlock()
 
-	timer := time.NewTimer(recheck)
+	timer := time.NewTimer(min(recheck, time.Until(until)))
 	defer timer.Stop()
 	for {
 		select {
@@ -49,7 +49,7 @@
 			return false
 		case <-w.turn:
 		case <-timer.C:
-			timer.Reset(recheck)
+			timer.Reset(max(0, min(recheck, time.Until(until))))
 		}
 		if q.tryFirst(w, try) {
 			return true
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -13,6 +13,9 @@
 	// Callers and Peers are IP:PORT.
 	Callers string `msgpack:"c" json:"callers"`
 	Peers   string `msgpack:"p" json:"peers"`
+	// Capacity ranks daemons by what they can do for the others beside their own
+	// requests.
+	Capacity int `msgpack:"z" json:"capacity"`
 }
 
 // MemberState is what a daemon tells the others of itself, several times a
@@ -82,3 +85,26 @@
 
 // Kind implements Message.
 func (ViewReply) Kind() Kind { return KindViewReply }
+
+// LoadReport tells a collector of loads what a daemon has in flight.
+type LoadReport struct {
+	// Peers is the sender's address.
+	Peers string `msgpack:"p"`
+	// Full says that upstreams that aren't listed have nothing in flight.
+	Full  bool               `msgpack:"f"`
+	Loads []placement.LoadAt `msgpack:"l"`
+}
+
+// Kind implements Message.
+func (LoadReport) Kind() Kind { return KindLoadReport }
+
+// LoadTotals is what all daemons but the receiver have in flight, as the
+// collector knows it.
+type LoadTotals struct {
+	Loads []placement.LoadAt `msgpack:"l"`
+	// Senders is the number of daemons in it.
+	Senders int `msgpack:"n"`
+}
+
+// Kind implements Message.
+func (LoadTotals) Kind() Kind { return KindLoadTotals }
--- /dev/null
+++ b/internal/wire/member_test.go
@@ -0,0 +1,39 @@
+package wire
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/placement"
+)
+
+// Two fields of a state went under one name: every state that named an engine
+// that changes broke its connection, daemons fell silent to each other, and one
+// that was cut off from the store served by an old configuration.
+func TestMemberMessagesSurviveTheWire(t *testing.T) {
+	at := placement.KeyOf("e")
+	loads := []placement.LoadAt{{At: at, Load: placement.Load{Running: 1, Long: 2, Sent: 3}}}
+	address := MemberAddress{Instance: "n", DataCentre: "d", Callers: "c", Peers: "p", Capacity: 4}
+	for _, m := range []Message{
+		MemberState{
+			MemberAddress: address, Incarnation: 1, Seq: 2, Serving: true, Config: 3,
+			ListPosition: 4, ListDigest: 5, ReadAge: time.Second, Loads: loads,
+			Reads:   []placement.Read{{At: at, Last: placement.Part{ID: 6, Tokens: 7}}},
+			Demands: map[string]MemberDemand{"pool": {Tokens: 8, Short: 9}},
+			Away:    []AwayEngine{{At: at, Left: time.Minute}},
+			Known:   []MemberAddress{address},
+		},
+		ViewRequest{},
+		ViewReply{Config: []byte("c"), Upstreams: map[string][]byte{"u": []byte("x")}, Position: 1, Age: 2},
+		LoadReport{Peers: "p", Full: true, Loads: loads},
+		LoadTotals{Loads: loads, Senders: 2},
+	} {
+		body, err := encode(m)
+		require.NoError(t, err)
+		got, err := decode(m.Kind(), body)
+		require.NoError(t, err)
+		require.Equal(t, m, got)
+	}
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -28,6 +28,8 @@
 	KindMemberState  Kind = 8
 	KindViewRequest  Kind = 9
 	KindViewReply    Kind = 10
+	KindLoadReport   Kind = 11
+	KindLoadTotals   Kind = 12
 )
 
 // Message is a typed message between two processes of the system.
@@ -158,6 +160,10 @@
 		return ViewRequest{}, nil
 	case KindViewReply:
 		return decodeAs[ViewReply](body)
+	case KindLoadReport:
+		return decodeAs[LoadReport](body)
+	case KindLoadTotals:
+		return decodeAs[LoadTotals](body)
 	default:
 		return nil, eris.Errorf("message of unknown kind %d", k)
 	}
--- a/placement/books.go
+++ b/placement/books.go
@@ -33,9 +33,6 @@
 	keys      map[Key]*entry
 	// reads are the prompts read since the last Own, for the peers.
 	reads []Read
-	// unheard is the number of daemons for each peer heard whose loads aren't
-	// known.
-	unheard float64
 }
 
 type entry struct {
@@ -43,7 +40,7 @@
 	own Load
 	// told is what the peers were told last.
 	told    Load
-	peers   map[string]peerLoad
+	peers   map[string]Load
 	cache   *cacheBelief
 	pace    pace
 	latency float64 // smoothed milliseconds of a plain call
@@ -74,10 +71,9 @@
 	Sent uint32
 }
 
-// peerLoad is what a peer said last, and when.
-type peerLoad struct {
-	Load
-	at time.Time
+// Plus returns the sum of two daemons' loads.
+func (l Load) Plus(o Load) Load {
+	return Load{Running: l.Running + o.Running, Long: l.Long + o.Long, Sent: l.Sent + o.Sent}
 }
 
 // LoadAt is a load with the upstream's key.
@@ -129,22 +125,20 @@
 }
 
 func newEntry(m Member) *entry {
-	e := &entry{Member: m, peers: make(map[string]peerLoad), pace: newPace(m.Role)}
+	e := &entry{Member: m, peers: make(map[string]Load), pace: newPace(m.Role)}
 	if m.Role != "" {
 		e.cache = newCacheBelief(m.KVTokens)
 	}
 	return e
 }
 
-// running returns the requests in flight of all daemons. For those that aren't
-// heard, the average of the others stands in.
-func (e *entry) running(unheard float64) (running, long int) {
+// running returns the requests in flight of all daemons.
+func (e *entry) running() (running, long int) {
+	running, long = e.own.Running, e.own.Long
 	for _, l := range e.peers {
 		running += l.Running
 		long += l.Long
 	}
-	running = e.own.Running + int(float64(running)*(1+unheard)+0.5)
-	long = e.own.Long + int(float64(long)*(1+unheard)+0.5)
 	return running, long
 }
 
@@ -165,12 +159,12 @@
 }
 
 func (e *entry) view(b *Books, now time.Time) Engine {
-	running, long := e.running(b.unheard)
+	running, long := e.running()
 	e.pace.streams = long > 0
 	v := Engine{
 		ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots,
 		Running: running, Long: long, Own: e.own.Running,
-		QueueMillis: e.pace.queue(now) + e.pace.crowd(now), TokensPerMilli: e.pace.effective(), OverheadMillis: e.pace.overhead,
+		QueueMillis: e.pace.queue(now), TokensPerMilli: e.pace.effective(), OverheadMillis: e.pace.overhead,
 		Trial: e.health.trial, LatencyMillis: e.latency,
 	}
 	if e.cache != nil {
@@ -309,9 +303,18 @@
 	}
 }
 
-// Own returns what has changed of this daemon's load since the last call, and
-// the prompts read since then. With all, the whole load is returned.
-func (b *Books) Own(all bool) ([]LoadAt, []Read) {
+// Reads returns the prompts read since the last call.
+func (b *Books) Reads() []Read {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reads := b.reads
+	b.reads = nil
+	return reads
+}
+
+// Own returns what has changed of this daemon's load since the last call. With
+// all, the whole load is returned.
+func (b *Books) Own(all bool) []LoadAt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var loads []LoadAt
@@ -321,9 +324,7 @@
 			loads = append(loads, LoadAt{At: KeyOf(id), Load: e.own})
 		}
 	}
-	reads := b.reads
-	b.reads = nil
-	return loads, reads
+	return loads
 }
 
 // NotePeer takes what a peer says of its load at some upstreams.
@@ -337,11 +338,11 @@
 			continue
 		}
 		before, known := e.peers[peer]
-		e.peers[peer] = peerLoad{Load: l.Load, at: now}
+		e.peers[peer] = l.Load
 		// A peer that was unknown, or has started anew, has added what it says at
 		// an unknown time; only the difference to a known state is news.
 		if added := l.Load.Sent - before.Sent; known && added < maxAdded {
-			b.peerAdded(e, float64(added), now.Sub(before.at), now)
+			e.pace.add(now, float64(added))
 		}
 	}
 	for _, r := range reads {
@@ -351,27 +352,6 @@
 	}
 }
 
-// instant is the time between two states of a peer up to which what it added
-// counts as sent just now. Over longer times most of it has been read already,
-// and as much is likely to follow: it counts as a flow.
-const instant = 40 * time.Millisecond
-
-func (b *Books) peerAdded(e *entry, tokens float64, since time.Duration, now time.Time) {
-	if since <= instant || b.unheard == 0 {
-		e.pace.add(now, tokens)
-		return
-	}
-	e.pace.flow(now, tokens*(1+b.unheard))
-}
-
-// SetUnheard sets the number of daemons for each peer heard whose loads aren't
-// known: too many to tell each other everything.
-func (b *Books) SetUnheard(n float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.unheard = n
-}
-
 // maxAdded is the most prompt tokens that a peer can have added between two
 // states; a greater difference means that its count began anew.
 const maxAdded = 1 << 20
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"tamarackchute/upstream"
@@ -31,12 +30,10 @@
 	rate     float64 // tokens a millisecond
 	overhead float64 // milliseconds
 	assumed  float64
-	// free is when all prompts sent so far are expected to have been read.
-	free time.Time
-	// inflow is the smoothed flow of tokens from other daemons, in tokens a
-	// millisecond, as of flowAt.
-	inflow float64
-	flowAt time.Time
+	// queued is the time that the prompts sent there take, in milliseconds, as
+	// of at.
+	queued float64
+	at     time.Time
 	// duty is the share of the time in which prompts are read while long streams
 	// run there; streams says that some do.
 	duty    float64
@@ -49,8 +46,6 @@
 	began time.Time
 	// ahead are the tokens to be read until it is done, its own included.
 	ahead float64
-	// due is when it was expected to be done.
-	due time.Time
 }
 
 // An engine that reads prompts without a break gives its streams their events at
@@ -101,59 +96,30 @@
 	return pace{rate: rate, assumed: rate, overhead: assumedOverhead, duty: firstDuty}
 }
 
-// flowSpan is the time over which flows are smoothed: long against the states of
-// single peers, short against the swings of the load.
-const flowSpan = 400.0 // milliseconds
-
-// flow notes tokens that peers have sent over some time. They come in many small
-// amounts; what exceeds the engine's rate makes the queue grow.
-func (p *pace) flow(now time.Time, tokens float64) {
-	elapsed := toMillis(now.Sub(p.flowAt))
-	p.inflow = p.inflow*math.Exp(-elapsed/flowSpan) + tokens/flowSpan
-	p.flowAt = now
-	if p.inflow > p.rate {
-		p.push(now, tokens*(1-p.rate/p.inflow))
-	}
-}
-
-// push puts tokens at the end of the queue and returns its length in
-// milliseconds.
-func (p *pace) push(now time.Time, tokens float64) float64 {
-	total := p.queue(now) + tokens/p.effective()
-	p.free = now.Add(millis(total))
-	return total
-}
-
-// maxCrowd bounds the expected wait behind an inflow, in milliseconds; crowdRead
-// is the reading time of one prompt of it.
-const (
-	maxCrowd  = 60.0
-	crowdRead = 10.0
-)
+// maxQueued bounds what a queue is believed to be, in milliseconds: a belief
+// beyond that keeps everybody away all the same.
+const maxQueued = 1500.0
 
-// crowd is the expected wait behind prompts of other daemons that aren't heard of
-// one by one, as in a queue with random arrivals, in milliseconds.
-func (p *pace) crowd(now time.Time) float64 {
-	if p.inflow == 0 {
-		return 0
-	}
-	busy := p.inflow * math.Exp(-toMillis(now.Sub(p.flowAt))/flowSpan) / p.rate
-	if busy >= 1 {
-		return maxCrowd
-	}
-	return min(maxCrowd, crowdRead*busy/(1-busy)/2)
+// advance moves the queue on to the present.
+func (p *pace) advance(now time.Time) {
+	p.queued = max(0, p.queued-max(0, toMillis(now.Sub(p.at))))
+	p.at = now
 }
 
 // queue returns the time until the engine is free, in milliseconds.
-func (p *pace) queue(now time.Time) float64 { return max(0, toMillis(p.free.Sub(now))) }
+func (p *pace) queue(now time.Time) float64 {
+	p.advance(now)
+	return p.queued
+}
 
 // add puts tokens at the end of the queue.
 func (p *pace) add(now time.Time, tokens float64) reading {
+	p.advance(now)
 	if tokens <= 0 {
 		return reading{}
 	}
-	total := p.push(now, tokens)
-	return reading{began: now, ahead: total * p.effective(), due: p.free}
+	p.queued = min(maxQueued, p.queued+tokens/p.effective())
+	return reading{began: now, ahead: p.queued * p.effective()}
 }
 
 // learn compares a reading's end with what was expected of it.
@@ -162,6 +128,7 @@
 		return
 	}
 	took := toMillis(now.Sub(r.began))
+	late := took - p.overhead - r.ahead/p.effective()
 	switch {
 	case r.ahead >= minReadTokens && took > p.overhead+1:
 		sample := r.ahead / (took - p.overhead)
@@ -170,12 +137,15 @@
 		sample := max(0, took-r.ahead/p.rate)
 		p.overhead += learnStep * (min(sample, 4*assumedOverhead) - p.overhead)
 	}
-	// A reading that ended later than expected has kept the later ones too.
-	if late := toMillis(now.Sub(r.due)) - p.overhead; late > 0 && p.free.After(now) {
-		p.free = p.free.Add(millis(late * learnStep))
-	}
+	// A reading that ended later than expected has kept those behind it too.
+	p.advance(now)
+	p.queued = min(maxQueued, max(0, p.queued+queueStep*late))
 }
 
+// queueStep is the weight of one reading's lateness in the belief about the queue
+// behind it.
+const queueStep = 0.1
+
 func bounded(rate, assumed float64) float64 {
 	return min(max(rate, assumed/rateSpan), assumed*rateSpan)
 }
