placement: second and third homes; in a large site only these to choose from

In a small site what spilt from a home went anywhere, to be read anew there. Change: engines are ranked for each prompt by rendezvous hashing, the first three favoured; where the view is old only these are considered. The belief about a queue is bounded by the tokens that are waited for.

--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -18,8 +18,8 @@
 	// collectEvery is how often a daemon of a large site reports its load, and the
 	// collector answers with the totals; perDaemon is added for each daemon, so
 	// that the collector's traffic doesn't grow with the square of their number.
-	collectEvery = 25 * time.Millisecond
-	perDaemon    = 500 * time.Microsecond
+	collectEvery = 15 * time.Millisecond
+	perDaemon    = 300 * time.Microsecond
 	// fullEvery is the number of reports of which one is full, to make up for
 	// those that were lost.
 	fullEvery = 20
@@ -27,6 +27,8 @@
 	// to collect, collectorRetry the time after which the first is tried again.
 	collectorSilent = 500 * time.Millisecond
 	collectorRetry  = 3 * time.Second
+	// totalsLogged is the least time between two log lines on the totals.
+	totalsLogged = 2 * time.Second
 	// totalsFrom names the collector's word in the books.
 	totalsFrom = "totals"
 )
@@ -118,4 +120,7 @@
 	// first in line was given up.
 	heard, left time.Time
 	sent        time.Time
+	// senders is the number of daemons in the totals as logged last.
+	senders int
+	logged  time.Time
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -84,6 +84,7 @@
 		Books:         m.books,
 		Budget:        relay.NewBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil),
 		Logger:        m.log,
+		Stale:         func() bool { return !m.peers.meshed() },
 		MinRetryAfter: minRetryAfter,
 	})
 	m.peers = newPeers(m.self, m.wireConfig(), m.books, m.log)
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -326,6 +326,11 @@
 	}
 	p.mu.Lock()
 	p.collect.heard = time.Now()
+	c := &p.collect
+	if totals.Senders != c.senders && time.Since(c.logged) > totalsLogged {
+		c.senders, c.logged = totals.Senders, time.Now()
+		p.log.Info("totals of loads", "collector", c.line[c.current].Peers, "senders", totals.Senders)
+	}
 	p.mu.Unlock()
 	p.books.NotePeer(totalsFrom, totals.Loads, nil)
 	p.change()
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -165,6 +165,7 @@
 		r.PromptTokens = g.PromptTokens
 		r.OutputTokens = expectedOutput(g)
 		r.BodyBytes = len(c.body)
+		r.Stale = c.relay.cfg.Stale != nil && c.relay.cfg.Stale()
 		r.Objective = c.rule.Objective
 		r.Long = r.OutputTokens >= longOutput
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,9 @@
 	Books      *placement.Books
 	Budget     *Budget
 	Logger     *slog.Logger
+	// Stale reports whether the books learn of other daemons' requests only after
+	// a while; nil means never.
+	Stale func() bool
 	// MinRetryAfter is the least time to come back that a refusal names.
 	MinRetryAfter time.Duration
 }
--- a/placement/books.go
+++ b/placement/books.go
@@ -66,14 +66,16 @@
 	// Running counts requests in flight, Long those of them that generate for
 	// seconds.
 	Running, Long int
-	// Sent sums up the prompt tokens ever sent there to be read. The difference
-	// between two states is what was added, also if states in between are lost.
-	Sent uint32
+	// Sent sums up the prompt tokens ever sent there to be read, Done those that
+	// have been read or given up. The difference between two states is what was
+	// added, also if states in between are lost; that between the two sums is
+	// what the engine still has to read.
+	Sent, Done uint32
 }
 
 // Plus returns the sum of two daemons' loads.
 func (l Load) Plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, Long: l.Long + o.Long, Sent: l.Sent + o.Sent}
+	return Load{Running: l.Running + o.Running, Long: l.Long + o.Long, Sent: l.Sent + o.Sent, Done: l.Done + o.Done}
 }
 
 // LoadAt is a load with the upstream's key.
@@ -142,6 +144,16 @@
 	return running, long
 }
 
+// unread returns the prompt tokens that all daemons wait for there. Sums wrap
+// around alike, so their difference is right.
+func (e *entry) unread() float64 {
+	unread := int32(e.own.Sent - e.own.Done)
+	for _, l := range e.peers {
+		unread += int32(l.Sent - l.Done)
+	}
+	return float64(max(0, unread))
+}
+
 // Engines returns the upstreams among some that may take work now.
 func (b *Books) Engines(ids []string) []Engine {
 	b.mu.Lock()
@@ -161,6 +173,7 @@
 func (e *entry) view(b *Books, now time.Time) Engine {
 	running, long := e.running()
 	e.pace.streams = long > 0
+	e.pace.bound(now, e.unread())
 	v := Engine{
 		ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots,
 		Running: running, Long: long, Own: e.own.Running,
@@ -250,6 +263,7 @@
 		return
 	}
 	t.read = true
+	t.entry.own.Done += uint32(t.work.Tokens)
 	t.entry.pace.learn(t.reading, t.books.now())
 	shared := sharedParts(t.work.Parts)
 	t.entry.cache.read(t.work.Parts)
@@ -280,6 +294,9 @@
 	}
 	t.ended = true
 	e := t.entry
+	if !t.read {
+		e.own.Done += uint32(t.work.Tokens)
+	}
 	e.own.Running--
 	if t.work.Long {
 		e.own.Long--
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -142,6 +142,20 @@
 	p.queued = min(maxQueued, max(0, p.queued+queueStep*late))
 }
 
+// bound keeps the belief about the queue within what the tokens that are waited
+// for allow: it can't be longer than they take, nor shorter than that less the
+// time that answers take on their way.
+func (p *pace) bound(now time.Time, unread float64) {
+	p.advance(now)
+	most := unread / p.effective()
+	least := max(0, most-p.overhead-underway)
+	p.queued = min(most, max(least, p.queued))
+}
+
+// underway is the time for which a prompt that has been read is still waited for,
+// beyond the overhead: states between daemons take that long.
+const underway = 15.0
+
 // queueStep is the weight of one reading's lateness in the belief about the queue
 // behind it.
 const queueStep = 0.1
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,10 +25,9 @@
 	// each KB of the request that crosses counts: such bytes are paid for.
 	crossing      = 1.0
 	crossingPerKB = 0.3
-	// homeBonus is what a prompt's home engine is favoured by, so that daemons
-	// that know nothing of each other's requests still send a shared prompt to
-	// the same engine.
-	homeBonus = 8.0
+	// fewHomes is the number of home engines among which a prompt is placed where
+	// the view is old.
+	fewHomes = 3
 	// waitWeight is what a millisecond of the time to the first token counts
 	// while the request is expected in time, lateWeight beyond that. Work counts
 	// in full: a part read a second time keeps others waiting, whom this request
@@ -52,21 +52,26 @@
 	spareSlots = 3
 )
 
+// homeBonus is what a prompt's home engines are favoured by, the first, the second
+// and so on, so that daemons that know nothing of each other's requests still
+// send a shared prompt to the same engines.
+var homeBonus = [...]float64{8, 5, 2}
+
 // Pick returns the plan with the least cost among the engines that have a free
 // place. ok is false if none has.
 func Pick(engines []Engine, r Request) (plan Plan, ok bool) {
 	best := math.Inf(1)
 	markGenerators(engines)
 	generator, generatorMillis := cheapestGenerator(engines, r)
-	homeID := home(engines, r)
+	rankHomes(engines, r)
 	considered := 0
 	for i := range engines {
 		e := &engines[i]
-		if excluded(e, r) || !canRead(e, r, generator) {
+		if excluded(e, r) || !canRead(e, r, generator) || !e.inChoice(r) {
 			continue
 		}
 		considered++
-		p, cost := consider(e, r, homeID)
+		p, cost := consider(e, r)
 		if e.Role == upstream.RolePrefill {
 			p.Engine, p.Prefill = generator.ID, e.ID
 			cost += handoff + generatorMillis
@@ -89,14 +94,14 @@
 }
 
 // consider returns the plan that an engine reads the prompt, and its cost.
-func consider(e *Engine, r Request, homeID string) (Plan, float64) {
+func consider(e *Engine, r Request) (Plan, float64) {
 	p := Plan{Engine: e.ID, Uncached: uncached(e, r)}
 	first := e.QueueMillis + float64(p.Uncached)/max(1, e.TokensPerMilli) + e.OverheadMillis
 	p.Queue, p.FirstToken = millis(e.QueueMillis), millis(first)
 	work := float64(p.Uncached) / commonRate
 	cost := work + waitWeight*first + crossCost(e, r)
-	if e.ID == homeID {
-		cost -= homeBonus
+	if e.home < len(homeBonus) {
+		cost -= homeBonus[e.home]
 	}
 	if certain := comfort * toMillis(r.Objective); r.Objective > 0 && first > certain {
 		cost += lateWeight * (first - certain)
@@ -181,24 +186,37 @@
 	return crossing + crossingPerKB*float64(r.BodyBytes)/1000
 }
 
-// home returns the engine that a prompt belongs to by rendezvous hashing,
-// weighted by the engines' rates; "" if the prompt shares nothing.
-func home(engines []Engine, r Request) string {
-	shared := sharedParts(r.Parts)
-	if len(shared) == 0 {
-		return ""
+// rankHomes sets the order of the engines in which a prompt belongs to them, by
+// rendezvous hashing weighted by their rates. Engines set apart for generating
+// come last; a prompt that shares nothing has an order of its own.
+func rankHomes(engines []Engine, r Request) {
+	key := rand.Uint64()
+	if shared := sharedParts(r.Parts); len(shared) > 0 {
+		key = shared[len(shared)-1].ID
 	}
-	key := shared[len(shared)-1].ID
-	best, bestScore := "", math.Inf(-1)
+	order := make([]*Engine, len(engines))
 	for i := range engines {
-		if engines[i].generator {
-			continue
-		}
-		if score := rendezvous(key, &engines[i]); score > bestScore {
-			best, bestScore = engines[i].ID, score
+		e := &engines[i]
+		e.score = rendezvous(key, e)
+		if e.generator {
+			e.score = math.Inf(-1)
 		}
+		order[i] = e
 	}
-	return best
+	slices.SortFunc(order, func(a, b *Engine) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
+	})
+	for i, e := range order {
+		e.home = i
+	}
+}
+
+// inChoice reports whether a request may be placed at an engine. Where daemons
+// know of each other's requests only after a while, all would send theirs to the
+// engine that looked idle a moment ago; placed among a few engines each, requests
+// for different prompts spread by themselves.
+func (e *Engine) inChoice(r Request) bool {
+	return !r.Stale || r.Long || e.home < fewHomes
 }
 
 // rendezvous is the weighted score of an engine for a key. The weight is the
--- a/placement/types.go
+++ b/placement/types.go
@@ -34,6 +34,8 @@
 	Objective time.Duration
 	// Long says that it generates for seconds.
 	Long bool
+	// Stale says that other daemons' requests are known only after a while.
+	Stale bool
 	// DataCentre is where the request came in.
 	DataCentre string
 	// Exclude names engines that an earlier attempt has failed at.
@@ -72,6 +74,10 @@
 	// set apart for generating, and its place in the order in which engines are.
 	generator bool
 	rank      int
+	// home is the engine's place in the order in which the prompt belongs to
+	// engines, score what that goes by.
+	home  int
+	score float64
 }
 
 // Plan is a decision.
