relay, member: calls wait for a service's next free slot; later end of a stop; tests

Change: calls to plain services wait up to half of their objective, one may wait at the upstream. A waiting read of the store begins anew when another shows that the store is back (test fails first: the read hangs for its whole time). An event over the bound said "buffer full"; it now says so (test first).

--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -62,6 +62,10 @@
 	known  bool
 	readAt time.Time
 	down   bool
+	// breakOff ends the read that is waiting.
+	breakOff context.CancelFunc
+	// returned is called when the store is regained.
+	returned func()
 }
 
 // String names the service for the supervisor.
@@ -93,6 +97,8 @@
 			r.mu.Lock()
 			r.known = false
 			r.mu.Unlock()
+		case errors.Is(err, context.Canceled) && ctx.Err() == nil:
+			// Broken off by restart: the next read begins at once.
 		default:
 			r.lost(ctx, err)
 			sleep(ctx, pause)
@@ -117,6 +123,7 @@
 	defer cancel()
 	r.mu.Lock()
 	from, known := r.from, r.known
+	r.breakOff = cancel
 	r.mu.Unlock()
 	began := time.Now()
 	if !known {
@@ -168,6 +175,19 @@
 	if r.down {
 		r.down = false
 		r.log.Info("store regained", "topic", r.name)
+		if r.returned != nil {
+			r.returned()
+		}
+	}
+}
+
+// restart breaks a waiting read off. Its connection may have fallen silent while
+// the store was out of reach, and would tell of no change until its time is over.
+func (r *topicReader) restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.wait > 0 && r.breakOff != nil {
+		r.breakOff()
 	}
 }
 
--- a/internal/member/feeds_test.go
+++ b/internal/member/feeds_test.go
@@ -232,3 +232,49 @@
 	store.mu.Unlock()
 	require.Eventually(t, func() bool { return r.age() < 20*time.Millisecond }, 10*time.Second, time.Millisecond)
 }
+
+// hangingStore answers its first read of changes, and lets all later ones hang as
+// a connection does that fell silent in an outage.
+type hangingStore struct {
+	scriptedStore
+	hung chan struct{}
+}
+
+func (s *hangingStore) Changes(ctx context.Context, t Topic, from Position, wait time.Duration) ([]Entry, Position, error) {
+	s.mu.Lock()
+	first := len(s.changes) == 0
+	s.changes = append(s.changes, from)
+	s.mu.Unlock()
+	if first {
+		close(s.hung)
+		<-ctx.Done()
+		return nil, from, ctx.Err()
+	}
+	return []Entry{entry("config", "77")}, from + 1, nil
+}
+
+// A daemon is cut off from the store while it waits for a new configuration. The
+// cut heals, but that connection stays silent. Once another read shows that the
+// store is back, the waiting one must begin anew, or the daemon serves by an old
+// configuration until its wait is over.
+func TestWaitingReadBeginsAnewAfterAnOutage(t *testing.T) {
+	store := &hangingStore{hung: make(chan struct{})}
+	state := fleet.NewState()
+	feed := &configFeed{formats: plainFormats{}, state: state, log: quiet}
+	r := &topicReader{store: store, wait: time.Hour, reset: feed.take, apply: feed.take, log: quiet}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.Serve(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	<-store.hung
+	other := &topicReader{log: quiet, returned: r.restart}
+	other.lost(ctx, errors.New("cut off"))
+	other.done(1, time.Now())
+	require.Eventually(t, func() bool { return state.Snapshot().Config.Version == 77 }, 10*time.Second, time.Millisecond)
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -26,7 +26,7 @@
 	// keepFactor covers callers that keep an answer longer than they are told.
 	keepFactor = 3
 	// stopMargin is the part of the grace kept back for the end of the process.
-	stopMargin = 1200 * time.Millisecond
+	stopMargin = 450 * time.Millisecond
 	// stopCheck is how often a stopping daemon looks whether it may exit.
 	stopCheck = 50 * time.Millisecond
 	// expectedDaemons is the least number by which what all daemons share is
@@ -135,6 +135,11 @@
 		reset: m.upstreams.reset, apply: m.upstreams.apply, log: m.log,
 	}
 	m.upstreams.age = upstreams.age
+	upstreams.returned = func() {
+		for _, r := range m.readers[1:] {
+			r.restart()
+		}
+	}
 	m.readers = []*topicReader{
 		upstreams,
 		{store: store, topic: TopicConfig, name: "configuration", wait: longWait, reset: configs.take, apply: configs.take, log: m.log},
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -21,7 +21,7 @@
 	// maxHeader bounds a request's head in bytes.
 	maxHeader = 64 << 10
 	// endTimeout bounds the end of the servers after the drain.
-	endTimeout = 500 * time.Millisecond
+	endTimeout = 100 * time.Millisecond
 )
 
 // httpService is one HTTP interface as a supervised service.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -39,7 +39,10 @@
 	for {
 		line, err := r.in.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEvent {
+		if len(e.raw) > maxEvent {
+			return event{}, fmt.Errorf("an event has more than %d bytes", maxEvent)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err == io.EOF && len(e.raw) > 0 {
@@ -48,9 +51,6 @@
 		if err != nil {
 			return event{}, err
 		}
-		if len(e.raw) > maxEvent {
-			return event{}, fmt.Errorf("an event has more than %d bytes", maxEvent)
-		}
 		if id, ok := eventID(line); ok {
 			e.id = id
 		}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -17,6 +17,9 @@
 	// place. Whoever got none by then would be late: it is refused at once, as
 	// a late answer takes as much of an engine as one in time and is worth less.
 	waitShare = 0.11
+	// serviceWaitShare is that for a call to a plain service: its upstreams get no
+	// more than they run at a time, so the queue is here.
+	serviceWaitShare = 0.5
 	// lateWaitShare is the share of the time left that a request which can't be
 	// in time any more waits for a place that nobody else wants.
 	lateWaitShare = 0.01
@@ -83,6 +86,8 @@
 		return time.Until(c.deadline)
 	case late || c.rule.Objective == 0:
 		return time.Duration(lateWaitShare * float64(time.Until(c.deadline)))
+	case c.Generation == nil:
+		return time.Duration(serviceWaitShare * float64(c.rule.Objective))
 	default:
 		return time.Duration(waitShare * float64(c.rule.Objective))
 	}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -243,13 +243,16 @@
 		}
 		cost := serviceCost(u, r)
 		if cost < best {
-			best, id, full = cost, u.ID, u.Running >= u.Slots
+			best, id, full = cost, u.ID, u.Running >= u.Slots+queuedCalls
 		}
 	}
 	return id, full, id != ""
 }
 
 const (
+	// queuedCalls is how many calls may wait at an upstream beyond its slots, so
+	// that it has the next one at hand when one ends.
+	queuedCalls = 1
 	// queuePenalty makes a free slot anywhere better than any queue.
 	queuePenalty = 1.0
 	// farPenalty is what a call to another data centre counts, in shares of an
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -267,7 +267,7 @@
 	list := []Engine{
 		{ID: "far", DataCentre: "x", Slots: 4},
 		{ID: "near", DataCentre: "d", Slots: 4, Running: 1},
-		{ID: "full", DataCentre: "d", Slots: 4, Running: 4},
+		{ID: "full", DataCentre: "d", Slots: 4, Running: 4 + queuedCalls},
 	}
 	id, full, ok := PickService(list, Request{DataCentre: "d"})
 	require.True(t, ok)
