--- a/cmd/chute-member/main.go
+++ b/cmd/chute-member/main.go
@@ -57,6 +57,8 @@
 	out := telemetry.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	log := slog.New(slog.NewJSONHandler(out, nil)).With("instance", s.Instance)
+	metrics := telemetry.NewMetrics("chute-member", s.Instance)
+	defer func() { _ = metrics.Close() }()
 	store := platform.NewStore(s.Store)
 	m := member.New(member.Config{
 		Settings:         s,
@@ -68,6 +70,7 @@
 		DirectoryHandler: func(m *member.Member) http.Handler { return platform.DirectoryHandler(m) },
 		ReadyHandler:     platform.ReadyHandler,
 		Logger:           log,
+		Metrics:          metrics,
 	})
 	go reloads(reload, file, log)
 	defer log.Info("stopped")
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -24,6 +24,13 @@
 type runner func(s *session, operands []string) error
 
 var commands = []command{
+	{
+		name: "explain", arguments: "REQUEST", operands: 1,
+		summary: "prints the life of one request from the daemons' logs",
+		help: "Reads the log lines that chute-member writes and prints those on the request in\n" +
+			"the order of time, with the figures that decided. Needs no settings file.",
+		prepare: prepareExplain,
+	},
 	{
 		name:    "rules get",
 		summary: "prints the rules in force",
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -13,6 +13,7 @@
 	"tamarackchute/internal/entry/shutdown"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/relay"
+	"tamarackchute/internal/telemetry"
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
 	"tamarackchute/rolepolicy"
@@ -54,6 +55,7 @@
 	DirectoryHandler func(*Member) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
 	Logger           *slog.Logger
+	Metrics          *telemetry.Metrics
 }
 
 // Member is the daemon.
@@ -84,6 +86,7 @@
 		Books:         m.books,
 		Budget:        relay.NewBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil),
 		Logger:        m.log,
+		Metrics:       cfg.Metrics.Scope,
 		Stale:         func() bool { return !m.peers.meshed() },
 		MinRetryAfter: minRetryAfter,
 	})
@@ -234,7 +237,7 @@
 //	├── directing
 //	│   └── director of roles, with journal and lease where it is a candidate
 //	└── serving
-//	    └── callers, directory, ready
+//	    └── callers, directory, ready, metrics
 func (m *Member) tree(servers []*httpService) *suture.Supervisor {
 	spec := suture.Spec{EventHook: m.hook, FailureBackoff: time.Second, Timeout: 2 * time.Second}
 	learning := suture.New("learning", spec)
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -59,6 +59,7 @@
 		{"callers", s.Callers, m.relay},
 		{"ready", s.Ready, m.cfg.ReadyHandler(m.Ready)},
 		{"directory", s.Directory, m.cfg.DirectoryHandler(m)},
+		{"metrics", s.Metrics, http.HandlerFunc(m.metricsPage)},
 	}
 	var services []*httpService
 	for _, h := range handlers {
@@ -74,6 +75,27 @@
 	return services, nil
 }
 
+// metricsPage shows the counters and histograms, and what is believed now.
+func (m *Member) metricsPage(w http.ResponseWriter, _ *http.Request) {
+	m.gauges()
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if _, err := m.cfg.Metrics.Page.WriteTo(w); err != nil {
+		m.log.Warn("metrics page not written", "err", err)
+	}
+}
+
+// gauges brings the figures of the state up to date.
+func (m *Member) gauges() {
+	s := m.cfg.Metrics.Scope
+	about := m.about()
+	s.Gauge("config_version").Update(float64(about.Config))
+	s.Gauge("upstreams").Update(float64(len(m.state.Snapshot().Upstreams)))
+	s.Gauge("upstreams_age_seconds").Update(about.ReadAge.Seconds())
+	s.Gauge("daemons_known").Update(float64(m.peers.Known()))
+	s.Gauge("daemons_serving").Update(float64(len(m.peers.Up())))
+	s.Gauge("requests_active").Update(float64(m.relay.Active()))
+}
+
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -16,6 +16,8 @@
 	Instance, DataCentre, Region string
 	// Callers, Ready and Directory are the addresses to serve at, IP:PORT.
 	Callers, Ready, Directory string
+	// Metrics is the address of the metrics page, IP:PORT; empty for none.
+	Metrics string
 	// PeerAddress is where the other daemons reach this one, PeerPort the port
 	// at which all of them listen.
 	PeerAddress string
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// logAttempt writes one line on an attempt: where it went, by which figures,
+// logAttempt counts an attempt and writes one line on it: where it went, by which figures,
 // and how it ended.
 func (c *call) logAttempt(p *place, res result) {
+	c.relay.metrics.attempt(c, p, res)
 	level := slog.LevelInfo
 	if !res.done {
 		level = slog.LevelWarn
@@ -26,9 +27,10 @@
 	c.log.Log(c.in.Context(), level, "attempt", attrs...)
 }
 
-// logEnd writes the line on a request's end; nil says that it was answered by an
+// logEnd counts a request and writes the line on its end; nil says that it was answered by an
 // upstream.
 func (c *call) logEnd(f *failure) {
+	c.relay.metrics.ended(c, f)
 	attrs := []any{"request", c.ID, "took_ms", ms(time.Since(c.arrived)), "attempts", c.attempts}
 	if c.rule != nil {
 		attrs = append(attrs, "rule", c.rule.Name, "pool", c.pool)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
@@ -23,6 +25,8 @@
 	Books      *placement.Books
 	Budget     *Budget
 	Logger     *slog.Logger
+	// Metrics takes counters and histograms; nil drops them.
+	Metrics tally.Scope
 	// Stale reports whether the books learn of other daemons' requests only after
 	// a while; nil means never.
 	Stale func() bool
@@ -34,6 +38,7 @@
 type Relay struct {
 	cfg      Config
 	active   atomic.Int64
+	metrics  *metrics
 	patience patienceBook
 	demand   demandMeter
 	// closing makes answers ask for the connection to be closed.
@@ -47,7 +52,7 @@
 // New returns a relay. It follows the state's upstreams from then on, so it must
 // be made before the state's first change.
 func New(cfg Config) *Relay {
-	r := &Relay{cfg: cfg, queues: make(map[string]*queue), conns: make(map[string]*exchange.Pool)}
+	r := &Relay{cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]*exchange.Pool)}
 	cfg.State.Watch(r.follow)
 	return r
 }
