member: the collector reads the list of servers for a large site

Change: the totals carry the collector's list position, digest, age and configuration version; the collector reads before all others.

--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -62,8 +62,9 @@
 	heard time.Time
 }
 
-// take books a report and answers with the totals.
-func (t *tally) take(m wire.LoadReport, reply func(wire.Message), now time.Time) {
+// take books a report and answers with the totals, and with what the collector
+// knows itself.
+func (t *tally) take(m wire.LoadReport, own About, reply func(wire.Message), now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.reports == nil {
@@ -81,7 +82,10 @@
 		r.loads[l.At] = l.Load
 	}
 	r.heard = now
-	reply(t.totals(m.Peers, now))
+	totals := t.totals(m.Peers, now)
+	totals.Config, totals.ReadAge = own.Config, own.ReadAge
+	totals.ListPosition, totals.ListDigest = uint64(own.ListPosition), own.ListDigest
+	reply(totals)
 }
 
 // totals adds up what all daemons but one have. Those that have fallen silent are
--- a/internal/member/collector_test.go
+++ b/internal/member/collector_test.go
@@ -18,7 +18,7 @@
 func reported(t *testing.T, c *tally, m wire.LoadReport, now time.Time) wire.LoadTotals {
 	t.Helper()
 	var totals wire.LoadTotals
-	c.take(m, func(m wire.Message) { totals = m.(wire.LoadTotals) }, now)
+	c.take(m, About{}, func(m wire.Message) { totals = m.(wire.LoadTotals) }, now)
 	return totals
 }
 
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -54,7 +54,9 @@
 	// spread is the random time beyond every by which a read waits while another
 	// daemon's reading is as good; 0 reads always.
 	spread time.Duration
-	log    *slog.Logger
+	// first reports whether this daemon is to read before all others; nil is no.
+	first func() bool
+	log   *slog.Logger
 
 	mu sync.Mutex
 	// from is the position to read on from, known says that there is one.
@@ -112,8 +114,8 @@
 // daemon read for all that hear of it.
 func (r *topicReader) hold() time.Duration {
 	wait := r.every
-	if r.spread > 0 {
-		wait += rand.N(r.spread)
+	if r.spread > 0 && (r.first == nil || !r.first()) {
+		wait += r.spread/2 + rand.N(r.spread)
 	}
 	return wait - r.age()
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -134,7 +134,7 @@
 	m.upstreams = newUpstreamFeed(formats, m.state, m.cfg.Settings.ReturnWithin, m.log)
 	members := &memberFeed{peers: m.peers, log: m.log}
 	upstreams := &topicReader{
-		store: store, topic: TopicUpstreams, name: "upstreams", every: upstreamsEvery, spread: upstreamsSpread,
+		store: store, topic: TopicUpstreams, name: "upstreams", every: upstreamsEvery, spread: upstreamsSpread, first: m.peers.Collects,
 		reset: m.upstreams.reset, apply: m.upstreams.apply, log: m.log,
 	}
 	m.upstreams.age = upstreams.age
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -79,7 +79,9 @@
 	seq         uint64
 	about       About
 	demands     map[string]wire.MemberDemand
-	heard       time.Time
+	// heard is when its last state came, told when the last word on what it knows
+	// did, as a state or with the totals.
+	heard, told time.Time
 	named       time.Time
 	up          bool
 }
@@ -91,6 +93,7 @@
 		peers:       make(map[string]*peer),
 		away:        make(map[placement.Key]time.Time),
 		incarnation: rand.Uint64(),
+		full:        true, // with nobody to tell, everybody is told
 	}
 }
 
@@ -164,7 +167,7 @@
 	case wire.ViewRequest:
 		reply(p.view())
 	case wire.LoadReport:
-		p.tally.take(m, reply, time.Now())
+		p.tally.take(m, p.about(), reply, time.Now())
 	}
 }
 
@@ -192,6 +195,7 @@
 		from.demands = m.Demands
 	}
 	from.heard = time.Now()
+	from.told = from.heard
 	regained := !from.up
 	from.up = true
 	p.mu.Unlock()
@@ -265,7 +269,7 @@
 	loads := p.books.Own(full)
 	m := wire.LoadReport{Peers: p.self.Peers, Full: full, Loads: loads}
 	if link == nil {
-		p.tally.take(m, func(answer wire.Message) { p.takeTotals(answer) }, now)
+		p.tally.take(m, p.about(), func(answer wire.Message) { p.takeTotals(answer) }, now)
 		return
 	}
 	link.Send(m)
@@ -319,19 +323,37 @@
 	}
 }
 
+// Collects reports whether this daemon collects the loads of a large site.
+func (p *Peers) Collects() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := &p.collect
+	return !p.full && len(c.line) > 0 && c.line[c.current].Peers == p.self.Peers
+}
+
 func (p *Peers) takeTotals(m wire.Message) {
 	totals, ok := m.(wire.LoadTotals)
 	if !ok {
 		return
 	}
 	p.mu.Lock()
-	p.collect.heard = time.Now()
 	c := &p.collect
+	if len(c.line) == 0 {
+		p.mu.Unlock()
+		return // the site has become small meanwhile
+	}
+	c.heard = time.Now()
+	if from := p.peers[c.line[c.current].Peers]; from != nil {
+		from.about.Config, from.about.ReadAge = totals.Config, totals.ReadAge
+		from.about.ListPosition, from.about.ListDigest = Position(totals.ListPosition), totals.ListDigest
+		from.told = time.Now()
+	}
 	if totals.Senders != c.senders && time.Since(c.logged) > totalsLogged {
 		c.senders, c.logged = totals.Senders, time.Now()
 		p.log.Info("totals of loads", "collector", c.line[c.current].Peers, "senders", totals.Senders)
 	}
 	p.mu.Unlock()
+	p.sameList(Position(totals.ListPosition), totals.ListDigest, totals.ReadAge)
 	p.books.NotePeer(totalsFrom, totals.Loads, nil)
 	p.change()
 }
@@ -488,11 +510,11 @@
 	defer p.mu.Unlock()
 	best, newest, youngest := "", own.Config, own.ReadAge-youngerBy
 	for address, other := range p.peers {
-		if !other.up {
+		if time.Since(other.told) > silentAfter {
 			continue
 		}
 		a := other.about
-		age := a.ReadAge + time.Since(other.heard)
+		age := a.ReadAge + time.Since(other.told)
 		newerList := a.ListPosition > own.ListPosition && a.ListDigest != own.ListDigest && age < youngest
 		if a.Config > newest || (a.Config == newest && newerList) {
 			best, newest = address, a.Config
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -93,6 +93,11 @@
 	s.Gauge("upstreams_age_seconds").Update(about.ReadAge.Seconds())
 	s.Gauge("daemons_known").Update(float64(m.peers.Known()))
 	s.Gauge("daemons_serving").Update(float64(len(m.peers.Up())))
+	collects := 0.0
+	if m.peers.Collects() {
+		collects = 1
+	}
+	s.Gauge("collects_loads").Update(collects)
 	s.Gauge("requests_active").Update(float64(m.relay.Active()))
 }
 
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -104,6 +104,12 @@
 	Loads []placement.LoadAt `msgpack:"l"`
 	// Senders is the number of daemons in it.
 	Senders int `msgpack:"n"`
+	// Config, ListPosition, ListDigest and ReadAge are the collector's, as in a
+	// MemberState: it reads the store for all.
+	Config       uint64        `msgpack:"v"`
+	ListPosition uint64        `msgpack:"o"`
+	ListDigest   uint64        `msgpack:"g"`
+	ReadAge      time.Duration `msgpack:"a"`
 }
 
 // Kind implements Message.
--- a/internal/wire/member_test.go
+++ b/internal/wire/member_test.go
@@ -28,7 +28,7 @@
 		ViewRequest{},
 		ViewReply{Config: []byte("c"), Upstreams: map[string][]byte{"u": []byte("x")}, Position: 1, Age: 2},
 		LoadReport{Peers: "p", Full: true, Loads: loads},
-		LoadTotals{Loads: loads, Senders: 2},
+		LoadTotals{Loads: loads, Senders: 2, Config: 3, ListPosition: 4, ListDigest: 5, ReadAge: 6},
 	} {
 		body, err := encode(m)
 		require.NoError(t, err)
