--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tamarackchute/internal/fleet"
+	"tamarackchute/placement"
 	"tamarackchute/rules/pathset"
 )
 
@@ -49,6 +50,8 @@
 	stream *streamState
 	// comeback says that the caller asks again after an earlier attempt.
 	comeback bool
+	// looked is the best plan of the last look for a place, whether taken or not.
+	looked placement.Plan
 	// counted says that the request is part of the demand measured.
 	counted bool
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -42,6 +42,10 @@
 		c.log.Info("answered", attrs...)
 		return
 	}
+	if f.reason == reasonNoPlace {
+		attrs = append(attrs, "expected_ms", ms(c.looked.FirstToken), "queue_ms", ms(c.looked.Queue),
+			"considered", c.looked.Considered, "objective_ms", ms(c.rule.Objective), "comeback", c.comeback)
+	}
 	attrs = append(attrs, "status", f.status, "reason", string(f.reason), "ran", c.ran, "retry_after_ms", ms(f.retryAfter))
 	c.log.Warn("failed", attrs...)
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -13,10 +13,13 @@
 	// must be expected for a place to count as good; the rest covers what the
 	// estimate doesn't know.
 	onTimeShare = 0.85
+	// rereadShare is that for a prompt whose shared parts would have to be read
+	// first: where engines are busy, two others can be served in that time.
+	rereadShare = 0.65
 	// waitShare is the share of the objective that a request waits for a good
 	// place. Whoever got none by then would be late: it is refused at once, as
 	// a late answer takes as much of an engine as one in time and is worth less.
-	waitShare = 0.11
+	waitShare = 0.1
 	// serviceWaitShare is that for a call to a plain service: its upstreams get no
 	// more than they run at a time, so the queue is here.
 	serviceWaitShare = 0.5
@@ -102,6 +105,7 @@
 	}
 	req := c.placementRequest()
 	plan, ok := placement.Pick(engines, req)
+	c.looked = plan
 	c.noteDemand(plan, ok, req)
 	if !ok || s.Upstreams[plan.Engine] == nil {
 		return nil
@@ -143,8 +147,12 @@
 	if late {
 		return plan.Queue <= time.Duration(lateQueueShare*float64(c.rule.Objective))
 	}
+	share := onTimeShare
+	if c.Generation.reread(plan.Uncached) > 0 {
+		share = rereadShare
+	}
 	spent := time.Since(c.arrived)
-	return spent+plan.FirstToken <= time.Duration(onTimeShare*float64(c.rule.Objective))
+	return spent+plan.FirstToken <= time.Duration(share*float64(c.rule.Objective))
 }
 
 // lateQueueShare is the share of the objective that the queue before a late
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -36,6 +36,16 @@
 	Parts               []placement.Part
 }
 
+// reread returns how many of the tokens to be read belong to parts that requests
+// share.
+func (g *Generation) reread(uncached int) int {
+	own := g.PromptTokens
+	for _, p := range g.Parts[:max(0, len(g.Parts)-1)] {
+		own -= p.Tokens
+	}
+	return max(0, uncached-own)
+}
+
 // Attempt is what one sending of a request adds to its head.
 type Attempt struct {
 	// Upstream is the incarnation that the request is meant for; any other
