--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -38,6 +38,9 @@
 	// settings hold nothing that only the system's processes know. It keeps
 	// other protocols apart.
 	peerSecret = "tamarackchute member exchange, protocol 1"
+	// replacedFor is how long all daemons leave an upstream alone whose address
+	// belongs to another one: its entry lapses after three heartbeats.
+	replacedFor = 3 * time.Second
 	// minRetryAfter is the time to come back that a refusal names at least.
 	minRetryAfter = 400 * time.Millisecond
 )
@@ -87,6 +90,7 @@
 		Budget:        relay.NewBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil),
 		Logger:        m.log,
 		Metrics:       cfg.Metrics.Scope,
+		Replaced:      func(id string) { m.peers.SendAway(id, replacedFor) },
 		Stale:         func() bool { return !m.peers.meshed() },
 		MinRetryAfter: minRetryAfter,
 	})
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -397,9 +397,12 @@
 	at := placement.KeyOf(id)
 	p.books.SendAway(at, d)
 	p.mu.Lock()
+	told := time.Until(p.away[at]) > d/2
 	p.away[at] = time.Now().Add(d)
 	p.mu.Unlock()
-	p.send(p.state(true))
+	if !told {
+		p.send(p.state(true))
+	}
 }
 
 func (p *Peers) awayNow() []wire.AwayEngine {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -56,24 +56,46 @@
 // attempt sends the request to a place.
 func (c *call) attempt(ctx context.Context, p *place) result {
 	p.sentAt = time.Now()
-	var handoff Handoff
 	if p.prefill != nil {
 		handle, res := c.prefill(ctx, p)
 		if res.err != nil {
 			p.ticket.End(placement.Cancelled)
 			return res
 		}
-		handoff = Handoff{Address: p.prefill.Address, Handle: handle}
+		c.kept, c.keptBy, c.keptTries = Handoff{Address: p.prefill.Address, Handle: handle}, p.prefill, 0
 	}
-	res := c.send(ctx, p, handoff)
+	res := c.send(ctx, p, c.kept)
 	p.ticket.End(res.outcome)
-	if handoff.Handle != "" && !res.done && res.fate != mayHaveRun {
-		c.release(p.prefill, handoff.Handle)
-	}
+	c.noteKept(res)
 	c.relay.Changed()
 	return res
 }
 
+// maxKeptTries is how many engines may turn a KV cache away before the prompt is
+// read anew: the cache itself may be what can't be had.
+const maxKeptTries = 2
+
+// noteKept decides after an attempt whether the KV cache is still of use.
+func (c *call) noteKept(res result) {
+	switch {
+	case c.kept.Handle == "":
+	case res.done || res.fate == mayHaveRun:
+		c.kept = Handoff{} // taken over
+	case res.arrived:
+		if c.keptTries++; c.keptTries >= maxKeptTries {
+			c.releaseKept()
+		}
+	}
+}
+
+// releaseKept frees the KV cache that nobody has taken over.
+func (c *call) releaseKept() {
+	if c.kept.Handle != "" {
+		c.release(c.keptBy, c.kept.Handle)
+		c.kept = Handoff{}
+	}
+}
+
 func (c *call) request(u *fleet.Upstream, a Attempt) *exchange.Request {
 	d := c.relay.cfg.Dialect
 	h := d.Forwarded(c.in.Header)
@@ -109,12 +131,18 @@
 // prefill has the prompt read at the place's reader and returns the handle of
 // its KV cache. Nothing runs by that.
 func (c *call) prefill(ctx context.Context, p *place) (string, result) {
+	// The first reading of the prompt is no repeat, any further one is.
+	if c.prefills > 0 && !c.relay.cfg.Budget.Allow(c.pool) {
+		p.reader.End(placement.Cancelled)
+		return "", result{fate: notSent, outcome: placement.Cancelled, err: errNoBudget}
+	}
 	ctx, cancel := context.WithTimeout(ctx, prefillFactor*p.plan.FirstToken+prefillSlack)
 	defer cancel()
 	r := c.request(p.prefill, Attempt{PrefillOnly: true})
 	r.IDHeader = ""
 	handle, res := c.readPrefill(ctx, p, r)
 	if res.err == nil {
+		c.prefills++
 		p.read = time.Since(p.sentAt)
 		p.reader.PromptRead()
 		p.reader.End(placement.Done)
@@ -129,7 +157,10 @@
 	return "", res
 }
 
-var errPrefill = errors.New("the prompt was not read")
+var (
+	errPrefill  = errors.New("the prompt was not read")
+	errNoBudget = errors.New("too many requests are being repeated")
+)
 
 func (c *call) readPrefill(ctx context.Context, p *place, r *exchange.Request) (string, result) {
 	resp, err := c.relay.connections(p.prefill).Do(ctx, r)
@@ -213,6 +244,8 @@
 		res := result{fate: notRun, arrived: true, outcome: refusalOutcome(resp.Status), status: resp.Status, err: errNotRun}
 		if verdict == NotRun {
 			res.outcome = placement.Refused
+		} else if c.relay.cfg.Replaced != nil {
+			c.relay.cfg.Replaced(p.target.ID)
 		}
 		return res
 	case Unsigned:
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -50,6 +50,14 @@
 	stream *streamState
 	// comeback says that the caller asks again after an earlier attempt.
 	comeback bool
+	// kept is the KV cache of the prompt, where one was made and no engine has
+	// taken it over; keptBy is the engine that holds it, keptTries the engines
+	// that turned it away.
+	kept      Handoff
+	keptBy    *fleet.Upstream
+	keptTries int
+	// prefills counts the engines that have read the prompt for others.
+	prefills int
 	// looked is the best plan of the last look for a place, whether taken or not.
 	looked placement.Plan
 	// counted says that the request is part of the demand measured.
@@ -86,6 +94,7 @@
 	c.comeback = c.relay.patience.comeback(c.rule.Name, c.Patience)
 	c.relay.cfg.Budget.Request(c.pool)
 	f := c.run(ctx)
+	c.releaseKept()
 	switch {
 	case f == nil:
 	case c.stream != nil:
@@ -135,6 +144,8 @@
 		return f
 	}
 	switch {
+	case errors.Is(res.err, errNoBudget):
+		return c.fail(reasonNoBudget, "too many requests are being repeated")
 	case res.fate == mayHaveRun && c.rule.Repeat == pathset.Once:
 		return c.fail(reasonLost, "the upstream's answer was lost; the request may have run")
 	case res.fate == mayHaveRun && c.attempts >= c.rule.MaxAttempts:
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -15,7 +15,7 @@
 	onTimeShare = 0.85
 	// rereadShare is that for a prompt whose shared parts would have to be read
 	// first: where engines are busy, two others can be served in that time.
-	rereadShare = 0.65
+	rereadShare = 0.5
 	// waitShare is the share of the objective that a request waits for a good
 	// place. Whoever got none by then would be late: it is refused at once, as
 	// a late answer takes as much of an engine as one in time and is worth less.
@@ -104,6 +104,9 @@
 		return c.tryService(s, engines)
 	}
 	req := c.placementRequest()
+	if c.kept.Handle != "" {
+		return c.tryGenerator(s, engines, req)
+	}
 	plan, ok := placement.Pick(engines, req)
 	c.looked = plan
 	c.noteDemand(plan, ok, req)
@@ -125,6 +128,17 @@
 	return p
 }
 
+// tryGenerator looks for an engine to take over the prompt's KV cache, which is
+// there already: it needn't be read again because one engine turned it away.
+func (c *call) tryGenerator(s *fleet.Snapshot, engines []placement.Engine, req placement.Request) *place {
+	plan, ok := placement.PickGenerator(engines, req)
+	if !ok || s.Upstreams[plan.Engine] == nil {
+		return nil
+	}
+	ticket := c.relay.cfg.Books.Begin(plan.Engine, placement.Work{Parts: req.Parts, Long: req.Long})
+	return &place{target: s.Upstreams[plan.Engine], plan: plan, ticket: ticket}
+}
+
 // noteDemand counts a request once, by what it needs to have read.
 func (c *call) noteDemand(plan placement.Plan, ok bool, req placement.Request) {
 	if c.counted || c.comeback {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,9 @@
 	Books      *placement.Books
 	Budget     *Budget
 	Logger     *slog.Logger
+	// Replaced is told of an upstream whose address belongs to another one; nil
+	// tells nobody.
+	Replaced func(id string)
 	// Metrics takes counters and histograms; nil drops them.
 	Metrics tally.Scope
 	// Stale reports whether the books learn of other daemons' requests only after
--- a/placement/books.go
+++ b/placement/books.go
@@ -52,6 +52,10 @@
 	refusals int
 }
 
+// replacedFor is how long an upstream is left alone whose address belongs to
+// another one: entries lapse after three heartbeats.
+const replacedFor = 4 * time.Second
+
 // refusedFor is how long a daemon leaves an upstream alone for each time in a row
 // that it has refused, up to maxRefusals.
 const (
@@ -309,6 +313,11 @@
 		e.latency += learnStep * (toMillis(now.Sub(t.began)) - e.latency)
 	}
 	e.health.note(o, t.began, now)
+	if o == Replaced {
+		// This incarnation has ended, or works in another role. Its entry takes
+		// seconds to say so.
+		e.away = now.Add(replacedFor)
+	}
 	if o == Refused {
 		// Whatever made it refuse lasts longer than the next request takes.
 		e.refusals = min(e.refusals+1, maxRefusals)
--- a/placement/health.go
+++ b/placement/health.go
@@ -49,7 +49,7 @@
 
 func (h *health) note(o Outcome, began, now time.Time) {
 	switch o {
-	case Cancelled, Refused:
+	case Cancelled, Refused, Replaced:
 		return
 	case Done:
 		h.succeed(began)
@@ -58,8 +58,6 @@
 		h.fail(now)
 	case Failed:
 		h.fail(now)
-	case Replaced:
-		h.eject(now)
 	}
 }
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -50,8 +50,15 @@
 	// spareSlots are left free by long streams, for the short answers that other
 	// engines have read the prompts of.
 	spareSlots = 3
+	// mostLong is the most long streams of one engine, whatever its slots: each
+	// slows the others down, and the longest have to end within their caller's
+	// patience.
+	mostLong = 12
 )
 
+// longSlots returns how many long streams an engine takes.
+func longSlots(slots int) int { return max(1, min(slots-spareSlots, mostLong)) }
+
 // homeBonus is what a prompt's home engines are favoured by, the first, the second
 // and so on, so that daemons that know nothing of each other's requests still
 // send a shared prompt to the same engines.
@@ -85,6 +92,17 @@
 	return plan, !math.IsInf(best, 1)
 }
 
+// PickGenerator returns the engine that soonest goes on from a KV cache that
+// another engine holds already.
+func PickGenerator(engines []Engine, r Request) (plan Plan, ok bool) {
+	markGenerators(engines)
+	e, wait := cheapestGenerator(engines, r)
+	if e == nil {
+		return Plan{}, false
+	}
+	return Plan{Engine: e.ID, Queue: millis(wait), FirstToken: millis(wait + e.OverheadMillis), Considered: len(engines)}, true
+}
+
 // canRead reports whether an engine may read the prompt.
 func canRead(e *Engine, r Request, generator *Engine) bool {
 	if e.Role == upstream.RolePrefill {
@@ -122,7 +140,7 @@
 		return false
 	}
 	if r.Long {
-		return e.Running >= e.Slots || e.Long >= max(1, e.Slots-spareSlots)
+		return e.Running >= e.Slots || e.Long >= longSlots(e.Slots)
 	}
 	return e.Running >= e.Slots
 }
@@ -161,7 +179,7 @@
 		if e.Role == upstream.RoleDecode {
 			decode = append(decode, e)
 			long += e.Long
-			slots = max(slots, e.Slots-spareSlots)
+			slots = max(slots, longSlots(e.Slots))
 		}
 	}
 	slices.SortFunc(decode, func(a, b *Engine) int { return cmp.Compare(KeyOf(a.ID), KeyOf(b.ID)) })
