--- a/internal/member/director.go
+++ b/internal/member/director.go
@@ -239,7 +239,7 @@
 	books := d.member.books
 	demand := d.member.peers.Demand(name)
 	p := rolepolicy.Pool{
-		Slots: pool.Engine.Slots, ReadDemand: demand.Tokens,
+		LongSlots: placement.LongSlots(pool.Engine.Slots), ReadDemand: demand.Tokens,
 	}
 	var ids []string
 	for _, u := range s.Pools[name] {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -56,8 +56,8 @@
 	mostLong = 12
 )
 
-// longSlots returns how many long streams an engine takes.
-func longSlots(slots int) int { return max(1, min(slots-spareSlots, mostLong)) }
+// LongSlots returns how many long streams an engine with some slots takes.
+func LongSlots(slots int) int { return max(1, min(slots-spareSlots, mostLong)) }
 
 // homeBonus is what a prompt's home engines are favoured by, the first, the second
 // and so on, so that daemons that know nothing of each other's requests still
@@ -140,7 +140,7 @@
 		return false
 	}
 	if r.Long {
-		return e.Running >= e.Slots || e.Long >= longSlots(e.Slots)
+		return e.Running >= e.Slots || e.Long >= LongSlots(e.Slots)
 	}
 	return e.Running >= e.Slots
 }
@@ -179,7 +179,7 @@
 		if e.Role == upstream.RoleDecode {
 			decode = append(decode, e)
 			long += e.Long
-			slots = max(slots, longSlots(e.Slots))
+			slots = max(slots, LongSlots(e.Slots))
 		}
 	}
 	slices.SortFunc(decode, func(a, b *Engine) int { return cmp.Compare(KeyOf(a.ID), KeyOf(b.ID)) })
--- a/rolepolicy/balance.go
+++ b/rolepolicy/balance.go
@@ -25,8 +25,6 @@
 	// long stream; what streams it has takes from that in proportion, as reading
 	// holds them back.
 	ReadShare float64
-	// SpareSlots of each generating engine are left free by long streams.
-	SpareSlots int
 	// FullShare is the share of the slots left to long streams at which they lack
 	// room, RoomShare that which must not be exceeded by giving an engine away.
 	FullShare, RoomShare float64
@@ -41,7 +39,7 @@
 func DefaultBalanceConfig() BalanceConfig {
 	return BalanceConfig{
 		Dwell: 1500 * time.Millisecond, Sustain: 900 * time.Millisecond, MaxChanging: 0.26,
-		LeastGain: 0.1, ReadShare: 0.15, SpareSlots: 3, FullShare: 0.92, RoomShare: 0.6, FullGain: 0.5, LeastDecode: 0.45,
+		LeastGain: 0.1, ReadShare: 0.15, FullShare: 0.92, RoomShare: 0.6, FullGain: 0.5, LeastDecode: 0.45,
 	}
 }
 
@@ -52,8 +50,8 @@
 	// PrefillRate and DecodeRate are the rates at which one of each reads
 	// prompts, in tokens a second.
 	PrefillRate, DecodeRate float64
-	// Slots are an engine's places.
-	Slots int
+	// LongSlots is the number of long streams that one engine takes.
+	LongSlots int
 	// ReadDemand is the prompt tokens a second that callers ask to be read,
 	// those of refused requests included. LongStreams are the streams under way
 	// that last for seconds.
@@ -107,11 +105,13 @@
 	if engines < 2 || float64(p.Changing+1) > math.Max(1, b.cfg.MaxChanging*float64(engines)) {
 		return Change{}, false
 	}
-	if p.Prefill > 1 && p.LongStreams > b.cfg.FullShare*b.slots(p, p.Decode) {
+	// Engines that generate may have been taken away since the others changed.
+	few := float64(p.Decode)+0.5 < b.cfg.LeastDecode*float64(engines)
+	if p.Prefill > 1 && (few || p.LongStreams > b.cfg.FullShare*b.slots(p, p.Decode)) {
 		return Change{
 			To:     upstream.RoleDecode,
 			Gain:   b.cfg.FullGain,
-			Reason: fmt.Sprintf("%.0f long streams on %d engines", p.LongStreams, p.Decode),
+			Reason: fmt.Sprintf("%.0f long streams on %d engines of %d", p.LongStreams, p.Decode, engines),
 		}, true
 	}
 	if float64(p.Decode-1) < b.cfg.LeastDecode*float64(engines) || p.LongStreams > b.cfg.RoomShare*b.slots(p, p.Decode-1) {
@@ -139,5 +139,5 @@
 }
 
 func (b *Balance) slots(p Pool, decode int) float64 {
-	return float64(decode * max(1, p.Slots-b.cfg.SpareSlots))
+	return float64(decode * p.LongSlots)
 }
