--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -128,3 +128,108 @@
 	senders int
 	logged  time.Time
 }
+
+// report tells the collector this daemon's load, if it is time to.
+func (p *Peers) report(now time.Time) {
+	p.mu.Lock()
+	interval := collectEvery + perDaemon*time.Duration(len(p.peers))
+	if now.Sub(p.collect.sent) < interval {
+		p.mu.Unlock()
+		return
+	}
+	p.collect.sent = now
+	link := p.collector(now)
+	p.collect.reports++
+	full := p.collect.reports%fullEvery == 1
+	p.mu.Unlock()
+	loads := p.books.Own(full)
+	m := wire.LoadReport{Peers: p.self.Peers, Full: full, Loads: loads}
+	if link == nil {
+		p.tally.take(m, p.about(), func(answer wire.Message) { p.takeTotals(answer) }, now)
+		return
+	}
+	link.Send(m)
+}
+
+// collector returns the link to the daemon that collects, nil if it is this one.
+// One that has fallen silent is passed over for a while.
+func (p *Peers) collector(now time.Time) *wire.Link {
+	c := &p.collect
+	switch {
+	case len(c.line) == 0:
+		return nil
+	case c.current > 0 && now.Sub(c.left) > collectorRetry:
+		p.useCollector(0, now)
+	case c.line[c.current].Peers != p.self.Peers && now.Sub(c.heard) > collectorSilent:
+		if c.current == 0 {
+			c.left = now
+		}
+		p.log.Warn("collector of loads silent", "address", c.line[c.current].Peers)
+		p.useCollector((c.current+1)%len(c.line), now)
+	}
+	return c.link
+}
+
+func (p *Peers) useCollector(i int, now time.Time) {
+	c := &p.collect
+	c.current, c.heard, c.reports = i, now, 0
+	if c.link != nil {
+		if err := p.links.Remove(c.token); err != nil {
+			p.log.Warn("collector's link not removed", "err", err)
+		}
+		c.link = nil
+	}
+	if address := c.line[i].Peers; address != p.self.Peers {
+		c.link = wire.NewLink(p.cfg, address, p.takeTotals, p.log)
+		c.token = p.links.Add(c.link)
+	}
+}
+
+// relineCollectors follows a change of the known daemons.
+func (p *Peers) relineCollectors(all []wire.MemberAddress, now time.Time) {
+	c := &p.collect
+	before := ""
+	if len(c.line) > 0 {
+		before = c.line[c.current].Peers
+	}
+	c.line = collectors(append(all, p.self))
+	c.current = min(c.current, len(c.line)-1)
+	if c.line[c.current].Peers != before {
+		p.useCollector(c.current, now)
+	}
+}
+
+// Collects reports whether this daemon collects the loads of a large site.
+func (p *Peers) Collects() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := &p.collect
+	return !p.full && len(c.line) > 0 && c.line[c.current].Peers == p.self.Peers
+}
+
+func (p *Peers) takeTotals(m wire.Message) {
+	totals, ok := m.(wire.LoadTotals)
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	c := &p.collect
+	if len(c.line) == 0 {
+		p.mu.Unlock()
+		return // the site has become small meanwhile
+	}
+	c.heard = time.Now()
+	if from := p.peers[c.line[c.current].Peers]; from != nil {
+		from.about.Config, from.about.ReadAge = totals.Config, totals.ReadAge
+		from.about.ListPosition, from.about.ListDigest = Position(totals.ListPosition), totals.ListDigest
+		from.told = time.Now()
+	}
+	if totals.Senders != c.senders && time.Since(c.logged) > totalsLogged {
+		c.senders, c.logged = totals.Senders, time.Now()
+		p.log.Info("totals of loads", "collector", c.line[c.current].Peers, "senders", totals.Senders)
+	}
+	p.mu.Unlock()
+	p.sameList(Position(totals.ListPosition), totals.ListDigest, totals.ReadAge)
+	p.books.NotePeer(totalsFrom, totals.Loads, nil)
+	p.change()
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -194,10 +194,14 @@
 			near = append(near, a.Callers)
 		}
 	}
+	keep := keepAnswer
+	if limit := m.cfg.Settings.DirectoryTTL; limit > 0 {
+		keep = min(keep, limit)
+	}
 	if len(near) >= minNear {
-		return near, keepAnswer
+		return near, keep
 	}
-	return all, keepAnswer
+	return all, keep
 }
 
 // minNear is the number of daemons in a data centre from which its callers are
--- /dev/null
+++ b/internal/member/peerview.go
@@ -0,0 +1,110 @@
+package member
+
+import (
+	"time"
+
+	"tamarackchute/internal/wire"
+	"tamarackchute/placement"
+)
+
+// SendAway keeps the requests of all daemons from an engine for some time.
+func (p *Peers) SendAway(id string, d time.Duration) {
+	at := placement.KeyOf(id)
+	p.books.SendAway(at, d)
+	p.mu.Lock()
+	told := time.Until(p.away[at]) > d/2
+	p.away[at] = time.Now().Add(d)
+	p.mu.Unlock()
+	if !told {
+		p.send(p.state(true))
+	}
+}
+
+func (p *Peers) awayNow() []wire.AwayEngine {
+	var list []wire.AwayEngine
+	for at, until := range p.away {
+		left := time.Until(until)
+		if left <= 0 {
+			delete(p.away, at)
+			continue
+		}
+		list = append(list, wire.AwayEngine{At: at, Left: left})
+	}
+	return list
+}
+
+// Demand returns what callers ask of a pool at all daemons. For those that aren't
+// heard the average of the others stands in.
+func (p *Peers) Demand(pool string) wire.MemberDemand {
+	own := p.demand()[pool]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum wire.MemberDemand
+	for _, other := range p.peers {
+		if other.up {
+			sum.Tokens += other.demands[pool].Tokens
+			sum.Short += other.demands[pool].Short
+		}
+	}
+	scale := 1 + p.unheard()
+	return wire.MemberDemand{Tokens: own.Tokens + scale*sum.Tokens, Short: own.Short + scale*sum.Short}
+}
+
+// Rank returns the number of serving daemons heard whose address comes before
+// this one's.
+func (p *Peers) Rank() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rank := 0
+	for address, other := range p.peers {
+		if other.up && other.about.Serving && address < p.self.Peers {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Up returns the daemons heard from lately that serve callers.
+func (p *Peers) Up() []wire.MemberAddress {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var up []wire.MemberAddress
+	for _, other := range p.peers {
+		if other.up && other.about.Serving {
+			up = append(up, other.MemberAddress)
+		}
+	}
+	return up
+}
+
+// Better returns the peer address of a daemon with a newer configuration than
+// this one's, or else one with another list of upstreams that was read later; ""
+// if there is none.
+func (p *Peers) Better(own About) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, newest, youngest := "", own.Config, own.ReadAge-youngerBy
+	for address, other := range p.peers {
+		if time.Since(other.told) > silentAfter {
+			continue
+		}
+		a := other.about
+		age := a.ReadAge + time.Since(other.told)
+		newerList := a.ListPosition > own.ListPosition && a.ListDigest != own.ListDigest && age < youngest
+		if a.Config > newest || (a.Config == newest && newerList) {
+			best, newest = address, a.Config
+			if newerList {
+				youngest = age
+			}
+		}
+	}
+	return best
+}
+
+// Known returns the number of daemons that are or lately were part of the
+// system, this one included.
+func (p *Peers) Known() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return 1 + len(p.peers)
+}
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -12,8 +12,8 @@
 
 // Settings are what a daemon is told at its start.
 type Settings struct {
-	// Instance names the machine, DataCentre and Region its place.
-	Instance, DataCentre, Region string
+	// Instance names the machine, DataCentre its place.
+	Instance, DataCentre string
 	// Callers, Ready and Directory are the addresses to serve at, IP:PORT.
 	Callers, Ready, Directory string
 	// Metrics is the address of the metrics page, IP:PORT; empty for none.
@@ -32,9 +32,6 @@
 	MemoryBytes int64
 	// Grace is the time from the signal to stop to the kill.
 	Grace time.Duration
-	// DrainWithin bounds the time in which a leaving upstream gets its last
-	// request, ApplyWithin that in which a configuration comes into force.
-	DrainWithin, ApplyWithin time.Duration
 	// ReturnWithin is the time after an outage of the store in which entries
 	// that lapsed meanwhile come back.
 	ReturnWithin time.Duration
--- /dev/null
+++ b/internal/member/upstreams.go
@@ -0,0 +1,148 @@
+package member
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tamarackchute/internal/fleet"
+)
+
+// upstreamFeed keeps the list of upstreams.
+type upstreamFeed struct {
+	formats Formats
+	state   *fleet.State
+	log     *slog.Logger
+	// returnWithin is how long after an outage a lapsed entry may come back.
+	returnWithin time.Duration
+	age          func() time.Duration
+
+	// digest tells whether two daemons have the same list.
+	digest atomic.Uint64
+
+	mu   sync.Mutex
+	raw  map[string][]byte
+	list map[string]*fleet.Upstream
+	// doubted are upstreams whose entries went while the store was away, with
+	// the time at which they count as gone.
+	doubted map[string]time.Time
+}
+
+func newUpstreamFeed(formats Formats, state *fleet.State, returnWithin time.Duration, log *slog.Logger) *upstreamFeed {
+	return &upstreamFeed{
+		formats: formats, state: state, log: log, returnWithin: returnWithin,
+		raw: make(map[string][]byte), list: make(map[string]*fleet.Upstream), doubted: make(map[string]time.Time),
+	}
+}
+
+// reset takes the newest entries of all upstreams.
+func (f *upstreamFeed) reset(entries []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(entries))
+	changed := false
+	for _, e := range entries {
+		listed[e.Key] = e.Value != nil
+		changed = f.put(e) || changed
+	}
+	for id := range f.list {
+		if !listed[id] {
+			changed = f.remove(id) || changed
+		}
+	}
+	f.finish(changed)
+}
+
+// apply takes changes in their order.
+func (f *upstreamFeed) apply(entries []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
+	for _, e := range entries {
+		changed = f.put(e) || changed
+	}
+	f.finish(changed)
+}
+
+func (f *upstreamFeed) put(e Entry) bool {
+	if e.Value == nil {
+		return f.remove(e.Key)
+	}
+	u, err := f.formats.Upstream(e)
+	if err != nil {
+		f.log.Warn("upstream's entry left out", "upstream", e.Key, "err", err)
+		return false
+	}
+	f.raw[e.Key] = e.Value
+	delete(f.doubted, e.Key)
+	old := f.list[e.Key]
+	if old != nil && *old == *u {
+		return false
+	}
+	f.list[e.Key] = u
+	f.log.Info("upstream", "upstream", u.ID, "pool", u.Pool, "address", u.Address, "data_centre", u.DataCentre,
+		"role", u.Role, "slots", u.Slots, "leaving", u.Leaving, "new", old == nil)
+	return true
+}
+
+// remove takes an upstream out, or doubts it for a while if the store was away.
+func (f *upstreamFeed) remove(id string) bool {
+	if f.list[id] == nil {
+		return false
+	}
+	if f.age() > outageAfter {
+		if _, already := f.doubted[id]; !already {
+			f.doubted[id] = time.Now().Add(f.returnWithin)
+			f.log.Info("upstream doubted", "upstream", id)
+		}
+		return false
+	}
+	if _, doubted := f.doubted[id]; doubted {
+		return false
+	}
+	f.drop(id)
+	return true
+}
+
+func (f *upstreamFeed) drop(id string) {
+	delete(f.list, id)
+	delete(f.raw, id)
+	delete(f.doubted, id)
+	f.log.Info("upstream gone", "upstream", id)
+}
+
+func (f *upstreamFeed) finish(changed bool) {
+	now := time.Now()
+	for id, until := range f.doubted {
+		if now.After(until) {
+			f.drop(id)
+			changed = true
+		}
+	}
+	if changed {
+		f.digest.Store(digestOf(f.list))
+		f.state.SetUpstreams(maps.Clone(f.list))
+	}
+}
+
+func digestOf(list map[string]*fleet.Upstream) uint64 {
+	h := xxhash.New()
+	for _, id := range slices.Sorted(maps.Keys(list)) {
+		u := list[id]
+		_, _ = fmt.Fprintf(h, "%s %s %s %s %t\n", u.ID, u.Pool, u.Address, u.Role, u.Leaving) // a hash never fails
+	}
+	return h.Sum64()
+}
+
+// entries returns what was read, for a peer that can't reach the store.
+func (f *upstreamFeed) entries() map[string][]byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.raw)
+}
