placement: an engine's time away ends with its change, at all daemons

Change: the word names the role that the engine changes to, and counts for nothing once it has it. Test: an engine that has changed gets work.

--- a/internal/member/director.go
+++ b/internal/member/director.go
@@ -331,9 +331,9 @@
 		// Whatever is sent there before its entry shows the new role is turned
 		// away. Each daemon ends that by itself, whoever leads then.
 		d.changes[u.ID] = roleChange{to: c.To, since: time.Now()}
-		d.member.peers.SendAway(u.ID, changeLimit)
+		d.member.peers.SendAway(u.ID, c.To, changeLimit)
 	case OrderOpen:
-		d.member.peers.SendAway(u.ID, openLimit)
+		d.member.peers.SendAway(u.ID, c.To, openLimit)
 	case OrderFenced:
 		// Somebody else has led since: this authority is worth nothing.
 		d.distrust = time.Now().Add(d.term())
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -90,7 +90,7 @@
 		Budget:        relay.NewBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil),
 		Logger:        m.log,
 		Metrics:       cfg.Metrics.Scope,
-		Replaced:      func(id string) { m.peers.SendAway(id, replacedFor) },
+		Replaced:      func(id string) { m.peers.SendAway(id, "", replacedFor) },
 		Stale:         func() bool { return !m.peers.meshed() },
 		MinRetryAfter: minRetryAfter,
 	})
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -46,7 +46,7 @@
 	incarnation uint64
 	seq         uint64
 	// away are engines that this daemon has ordered to change.
-	away map[placement.Key]time.Time
+	away map[placement.Key]awayEngine
 	// sameList is told what list a peer has.
 	sameList func(at Position, digest uint64, age time.Duration)
 	// demand measures what callers ask of this daemon.
@@ -91,7 +91,7 @@
 		self: self, cfg: cfg, books: books, log: log,
 		links:       suture.New("peers' links", suture.Spec{FailureBackoff: time.Second}),
 		peers:       make(map[string]*peer),
-		away:        make(map[placement.Key]time.Time),
+		away:        make(map[placement.Key]awayEngine),
 		incarnation: rand.Uint64(),
 		full:        true, // with nobody to tell, everybody is told
 	}
@@ -207,7 +207,7 @@
 	}
 	p.sameList(Position(m.ListPosition), m.ListDigest, m.ReadAge)
 	for _, a := range m.Away {
-		p.books.SendAway(a.At, a.Left)
+		p.books.SendAway(a.At, a.To, a.Left)
 	}
 	p.books.NotePeer(m.Peers, m.Loads, m.Reads)
 	p.change()
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -5,15 +5,23 @@
 
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
+	"tamarackchute/upstream"
 )
 
-// SendAway keeps the requests of all daemons from an engine for some time.
-func (p *Peers) SendAway(id string, d time.Duration) {
+// awayEngine is an engine that takes no work until a time, or until it has a role.
+type awayEngine struct {
+	to    upstream.Role
+	until time.Time
+}
+
+// SendAway keeps the requests of all daemons from an engine for some time, or
+// until it has a role; "" if it doesn't change.
+func (p *Peers) SendAway(id string, to upstream.Role, d time.Duration) {
 	at := placement.KeyOf(id)
-	p.books.SendAway(at, d)
+	p.books.SendAway(at, to, d)
 	p.mu.Lock()
-	told := time.Until(p.away[at]) > d/2
-	p.away[at] = time.Now().Add(d)
+	told := time.Until(p.away[at].until) > d/2
+	p.away[at] = awayEngine{to: to, until: time.Now().Add(d)}
 	p.mu.Unlock()
 	if !told {
 		p.send(p.state(true))
@@ -22,13 +30,13 @@
 
 func (p *Peers) awayNow() []wire.AwayEngine {
 	var list []wire.AwayEngine
-	for at, until := range p.away {
-		left := time.Until(until)
+	for at, e := range p.away {
+		left := time.Until(e.until)
 		if left <= 0 {
 			delete(p.away, at)
 			continue
 		}
-		list = append(list, wire.AwayEngine{At: at, Left: left})
+		list = append(list, wire.AwayEngine{At: at, To: e.to, Left: left})
 	}
 	return list
 }
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tamarackchute/placement"
+	"tamarackchute/upstream"
 )
 
 // MemberAddress is where a daemon is reached.
@@ -58,7 +59,9 @@
 
 // AwayEngine is an engine that takes no work for a while.
 type AwayEngine struct {
-	At   placement.Key `msgpack:"e"`
+	At placement.Key `msgpack:"e"`
+	// To is the role that it changes to, empty if it doesn't.
+	To   upstream.Role `msgpack:"r"`
 	Left time.Duration `msgpack:"l"`
 }
 
--- a/internal/wire/member_test.go
+++ b/internal/wire/member_test.go
@@ -22,7 +22,7 @@
 			ListPosition: 4, ListDigest: 5, ReadAge: time.Second, Loads: loads,
 			Reads:   []placement.Read{{At: at, Last: placement.Part{ID: 6, Tokens: 7}}},
 			Demands: map[string]MemberDemand{"pool": {Tokens: 8, Short: 9}},
-			Away:    []AwayEngine{{At: at, Left: time.Minute}},
+			Away:    []AwayEngine{{At: at, To: "prefill", Left: time.Minute}},
 			Known:   []MemberAddress{address},
 		},
 		ViewRequest{},
--- a/placement/books.go
+++ b/placement/books.go
@@ -194,12 +194,14 @@
 	return v
 }
 
-// SendAway keeps requests from an engine for some time. Of two times the later
-// one holds.
-func (b *Books) SendAway(at Key, d time.Duration) {
+// SendAway keeps requests from an engine for some time, or until it has a role;
+// "" for an engine that doesn't change. Of two times the later one holds. Word of
+// a change that is done already counts for nothing: it would keep an engine idle
+// that is ready.
+func (b *Books) SendAway(at Key, to upstream.Role, d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e := b.keys[at]; e != nil {
+	if e := b.keys[at]; e != nil && (to == "" || e.Role != to) {
 		if until := b.now().Add(d); until.After(e.away) {
 			e.away = until
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -301,3 +301,21 @@
 		})
 	}
 }
+
+// An engine has changed its role, and its entry says so. Other daemons still pass
+// on for seconds that it is about to: it must get work all the same.
+func TestAwayEndsWithTheChange(t *testing.T) {
+	b := NewBooks(nil)
+	members := fleet(upstream.RoleDecode, upstream.RoleDecode)
+	b.Sync(members)
+	b.SendAway(KeyOf("e0"), upstream.RolePrefill, time.Minute)
+	require.True(t, b.Away("e0"))
+	require.Len(t, b.Engines(ids(members)), 1)
+	members[0].Role = upstream.RolePrefill
+	b.Sync(members)
+	require.Len(t, b.Engines(ids(members)), 2)
+	b.SendAway(KeyOf("e0"), upstream.RolePrefill, time.Minute)
+	require.Len(t, b.Engines(ids(members)), 2, "old news keeps an engine idle")
+	b.SendAway(KeyOf("e0"), "", time.Minute)
+	require.Len(t, b.Engines(ids(members)), 1)
+}
