--- a/internal/exchange/errors.go
+++ b/internal/exchange/errors.go
@@ -8,6 +8,9 @@
 // ErrForeign says that an upstream answered with another request's answer.
 var ErrForeign = errors.New("exchange: the answer names another request")
 
+// ErrTooLong says that an answer is longer than its reader takes.
+var ErrTooLong = errors.New("exchange: the answer is too long")
+
 // NotSentError says that no byte of the request reached the upstream.
 type NotSentError struct{ Cause error }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -140,6 +140,16 @@
 	return n, err
 }
 
+// ReadAll reads the whole body. One of more than limit bytes is an error: what was
+// read of it must not pass for the whole.
+func (resp *Response) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, ErrTooLong
+	}
+	return body, err
+}
+
 // Close ends the exchange. The connection is kept only if the whole answer was
 // read, the whole request was sent, and nothing more has come.
 func (resp *Response) Close() {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -290,6 +290,26 @@
 	require.Equal(t, 2, s.connections())
 }
 
+// An answer is longer than its reader takes: it must not pass for a whole one.
+func TestAnswerBeyondTheLimit(t *testing.T) {
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		target, _, _ := readRequest(in)
+		reply(c, target, "12345")
+	})
+	for limit, whole := range map[int64]bool{4: false, 5: true} {
+		resp, err := s.pool().Do(t.Context(), request("/a"))
+		require.NoError(t, err)
+		body, err := resp.ReadAll(limit)
+		resp.Close()
+		if !whole {
+			require.ErrorIs(t, err, ErrTooLong)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "12345", string(body))
+	}
+}
+
 // The context ends while the server works: the server sees its connection close.
 func TestCancelClosesTheConnection(t *testing.T) {
 	got, gone := make(chan struct{}), make(chan struct{})
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -41,7 +40,6 @@
 type Pool struct {
 	address string
 	options Options
-	dials   atomic.Int64
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -63,9 +61,6 @@
 	}
 }
 
-// Dials returns the number of connections made so far.
-func (p *Pool) Dials() int64 { return p.dials.Load() }
-
 // Close closes the kept connections; those in use close when they are done.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -118,7 +113,6 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	p.dials.Add(1)
 	d := net.Dialer{Timeout: p.options.DialTimeout, KeepAlive: -1}
 	raw, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -168,7 +168,7 @@
 		return "", result{fate: notRun, arrived: sent(err), outcome: brokenOutcome(ctx), err: err}
 	}
 	defer resp.Close()
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer))
+	body, err := resp.ReadAll(maxAnswer)
 	if err != nil {
 		return "", result{fate: notRun, arrived: true, outcome: placement.Failed, err: err}
 	}
@@ -285,7 +285,7 @@
 // relayPlain reads the whole answer before the caller gets any of it: one that
 // is cut short must not look complete, and may be asked for again.
 func (c *call) relayPlain(ctx context.Context, p *place, resp *exchange.Response) result {
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer))
+	body, err := resp.ReadAll(maxAnswer)
 	if err != nil {
 		return c.lost(p, brokenOutcome(ctx), err)
 	}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -62,14 +62,6 @@
 	return true
 }
 
-// Charge counts a repeat that has been made already.
-func (b *Budget) Charge(pool string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	w := b.window(pool)
-	w.slots[w.at%budgetSlots].repeats++
-}
-
 // window returns a pool's window, moved on to the present.
 func (b *Budget) window(pool string) *window {
 	w := b.pools[pool]
