soak: real daemons between stand-ins, disturbed from outside

Change: internal/soak and chute-soak (make soak): five daemons, a store, servers that share addresses over time, callers that keep connections; signals that stop, pause, kill and reload, links that delay, reset, fall silent or lose one direction, a store and servers that misbehave, seeded. Left out: links between daemons (they announce their own addresses, so a proxy can't stand between), steps of the clock (needs rights that the soak hasn't).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands for developers; .ci/run calls `make test` and `make lint`.
 
-.PHONY: build test lint try faults bench prove experiment capacity
+.PHONY: build test lint try faults bench prove experiment capacity soak soak-planted
 
 build:
 	go build -o bin/ ./cmd/...
@@ -38,3 +38,14 @@
 # Slopes of each role, for docs/CAPACITY.md; under 10 minutes.
 capacity:
 	scripts/capacity.sh
+
+# Real processes between stand-ins, disturbed from outside, with fresh seeds.
+# SOAK_SEED=0 takes the first seed from the time of day.
+SOAK_SEEDS ?= 8
+SOAK_SEED ?= 0
+soak: build
+	bin/chute-soak -seeds $(SOAK_SEEDS) -seed $(SOAK_SEED) -jobs 3
+
+# Shows that the soak finds each of the planted faults.
+soak-planted:
+	scripts/soak-planted.sh
--- /dev/null
+++ b/cmd/chute-soak/main.go
@@ -0,0 +1,110 @@
+// Command chute-soak disturbs a small site of real processes, seed after seed,
+// and checks what the system promises.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"tamarackchute/internal/soak"
+)
+
+// The program's exit codes.
+const (
+	exitOK       = 0
+	exitBroken   = 1
+	exitUsage    = 2
+	exitNotTried = 3
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	o := soak.Options{Shape: soak.DefaultShape()}
+	flag.StringVar(&o.Program, "member", "bin/chute-member", "`path` of the daemon's program")
+	folder := flag.String("folder", filepath.Join(os.TempDir(), "chute-soak"), "`folder` for settings and logs")
+	first := flag.Uint64("seed", 0, "first seed; 0 takes it from the time of day")
+	seeds := flag.Int("seeds", 1, "number of seeds")
+	jobs := flag.Int("jobs", 1, "seeds to run at a time")
+	flag.IntVar(&o.Daemons, "daemons", 5, "number of daemons")
+	flag.IntVar(&o.Callers, "callers", 30, "number of callers")
+	flag.DurationVar(&o.Shape.Length, "length", o.Shape.Length, "time in which troubles begin")
+	flag.DurationVar(&o.Shape.Every, "every", o.Shape.Every, "mean time between two troubles")
+	verbose := flag.Bool("v", false, "print the troubles too")
+	flag.Parse()
+	if flag.NArg() > 0 || *seeds < 1 || *jobs < 1 {
+		flag.Usage()
+		return exitUsage
+	}
+	if *first == 0 {
+		*first = uint64(time.Now().UnixNano())
+	}
+	results := pool.NewWithResults[result]().WithMaxGoroutines(*jobs)
+	for i := range *seeds {
+		results.Go(func() result { return one(o, *folder, *first+uint64(i), i, *verbose) })
+	}
+	return verdict(results.Wait())
+}
+
+// result is what became of a seed.
+type result struct {
+	broken bool
+	err    error
+}
+
+func one(o soak.Options, folder string, seed uint64, number int, verbose bool) result {
+	o.Seed = seed
+	o.Folder = filepath.Join(folder, fmt.Sprint(seed))
+	// Two soaks at a time, or two seeds, must not share addresses.
+	o.Network = fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, number%250+1)
+	report, err := soak.Run(o)
+	if err != nil {
+		fmt.Printf("seed %d: not run: %v\n", seed, err)
+		return result{err: err}
+	}
+	fmt.Printf("seed %d: %d troubles, %d broken promises, recovered after %v;", seed, len(report.Steps), len(report.Violations), report.Recovery.Round(time.Millisecond))
+	for _, outcome := range slices.Sorted(maps.Keys(report.Outcomes)) {
+		fmt.Printf(" %s: %d;", outcome, report.Outcomes[outcome])
+	}
+	fmt.Println()
+	if verbose {
+		for _, step := range report.Steps {
+			fmt.Println("  ", step)
+		}
+	}
+	for _, v := range report.Violations {
+		fmt.Println("   BROKEN", v)
+	}
+	if len(report.Violations) == 0 {
+		_ = os.RemoveAll(o.Folder) // only a failure's logs are worth their room
+	}
+	return result{broken: len(report.Violations) > 0}
+}
+
+func verdict(all []result) int {
+	broken, failed := 0, 0
+	for _, r := range all {
+		if r.broken {
+			broken++
+		}
+		if r.err != nil {
+			failed++
+		}
+	}
+	fmt.Printf("%d seeds, %d with a broken promise, %d not run\n", len(all), broken, failed)
+	switch {
+	case broken > 0:
+		return exitBroken
+	case failed > 0:
+		return exitNotTried
+	default:
+		return exitOK
+	}
+}
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"tamarackchute/platform/standin"
+)
+
+const (
+	// pauseBetween is the mean time between two requests of a caller.
+	pauseBetween = 20 * time.Millisecond
+	// closeOneIn is how often a caller gives up a request that it has sent.
+	closeOneIn = 12
+	// keepAtLeast bounds how often a caller asks where to connect.
+	keepAtLeast = 200 * time.Millisecond
+	// patienceSlack is how long a caller waits beyond its deadline.
+	patienceSlack = 3 * time.Second
+)
+
+// caller sends one request after the other, on connections that it keeps.
+type caller struct {
+	name    int
+	site    *site
+	rng     *rand.Rand
+	client  *standin.Caller
+	known   []string
+	askNext time.Time
+	sent    int
+}
+
+func newCaller(s *site, seed uint64, name int) *caller {
+	return &caller{name: name, site: s, rng: rand.New(rand.NewPCG(seed, uint64(name)+1)), client: standin.NewCaller()}
+}
+
+// run sends requests until ctx ends; one that is under way then ends first.
+func (c *caller) run(ctx context.Context) {
+	defer c.client.Close()
+	for ctx.Err() == nil {
+		c.locate()
+		if len(c.known) > 0 {
+			c.request(c.known[c.rng.IntN(len(c.known))])
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(c.rng.ExpFloat64() * float64(pauseBetween))):
+		}
+	}
+}
+
+// locate asks any daemon where to connect, once the last answer has expired.
+// Without an answer the old one is used on.
+func (c *caller) locate() {
+	if time.Now().Before(c.askNext) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), keepAtLeast)
+	defer cancel()
+	d := c.site.daemons[c.rng.IntN(len(c.site.daemons))]
+	addresses, keep, err := c.client.Resolve(ctx, d.about.Directory())
+	if err != nil || len(addresses) == 0 {
+		c.askNext = time.Now().Add(keepAtLeast)
+		return
+	}
+	c.known = addresses
+	c.askNext = time.Now().Add(max(keep, keepAtLeast))
+}
+
+func (c *caller) request(address string) {
+	d, ok := c.site.daemonAt(address)
+	if !ok {
+		c.site.oracle.report(Recovers, "a directory names %s, which is no daemon's address", address)
+		return
+	}
+	s := services[c.rng.IntN(len(services))]
+	c.sent++
+	id := fmt.Sprintf("%d-%d", c.name, c.sent)
+	life := d.lifeNow()
+	c.site.oracle.sent(id, s, d.number)
+
+	ctx, cancel := context.WithTimeout(context.Background(), s.deadline+patienceSlack)
+	defer cancel()
+	event := func() {}
+	if c.rng.IntN(closeOneIn) == 0 {
+		event = c.giveUp(id, s, cancel)
+	}
+	reply := c.client.Ask(ctx, address, s.name, id, s.deadline, s.stream, event)
+	c.site.oracle.answered(id, life, reply)
+	if reply.Err != nil && !neverConnected(reply.Err) {
+		c.site.checkCut(d, life, id, reply)
+	}
+}
+
+// giveUp closes a request some time after it was sent, or after its second
+// event. It returns what to call after an event.
+func (c *caller) giveUp(id string, s service, cancel func()) (event func()) {
+	closeNow := func() {
+		c.site.oracle.closed(id)
+		cancel()
+	}
+	if !s.stream {
+		time.AfterFunc(time.Duration(c.rng.IntN(100))*time.Millisecond, closeNow)
+		return func() {}
+	}
+	events := 0
+	return func() {
+		if events++; events == 2 {
+			closeNow()
+		}
+	}
+}
+
+// neverConnected tells errors before anything of the request was sent.
+func neverConnected(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// checkCut waits for what ended the connection to be known.
+func (s *site) checkCut(d *daemon, life int, id string, reply standin.Reply) {
+	time.AfterFunc(exitSlack, func() {
+		end, ended := d.endOf(life)
+		if ended && end.killed {
+			return
+		}
+		s.oracle.cut(id, reply, end.at)
+	})
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,118 @@
+package soak
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of trouble.
+type Kind string
+
+// The kinds of trouble.
+const (
+	KillDaemon     Kind = "kill-daemon"
+	StopDaemon     Kind = "stop-daemon"
+	PauseDaemon    Kind = "pause-daemon"
+	ReloadDaemon   Kind = "reload-daemon"
+	StoreFails     Kind = "store-fails"
+	DropHistory    Kind = "drop-history"
+	StoreLink      Kind = "store-link"
+	ServerLink     Kind = "server-link"
+	ServerFaults   Kind = "server-faults"
+	CrashServer    Kind = "crash-server"
+	ServerLeaves   Kind = "server-leaves"
+	PublishVersion Kind = "publish"
+)
+
+// Step is one trouble of a run.
+type Step struct {
+	At   time.Duration
+	Kind Kind
+	// Target picks the daemon or server; it is taken modulo their number.
+	Target int
+	// Variant picks among the forms of a kind, modulo their number.
+	Variant int
+	For     time.Duration
+}
+
+// String describes the step for reports.
+func (s Step) String() string {
+	return fmt.Sprintf("%v %s target %d variant %d for %v", s.At, s.Kind, s.Target, s.Variant, s.For)
+}
+
+// Shape says how much trouble a run has.
+type Shape struct {
+	// Length is the time in which steps begin. The mean time between two is drawn
+	// between Every and slowest times that: with the former several overlap all
+	// the time, with the latter there are calm times between them, in which the
+	// promises that hold in time can be asked for. A step lasts up to Longest.
+	Length, Every, Longest time.Duration
+}
+
+// slowest is the greatest mean time between two steps, in multiples of the least.
+const slowest = 8
+
+// maxVersions bounds the configurations of a run: each is known by a pool of
+// its own.
+const maxVersions = 8
+
+// weights say how often a kind comes, in parts of their sum. Kinds whose target
+// is one of many come more often than those that hit the whole site.
+var weights = []struct {
+	kind   Kind
+	weight int
+}{
+	{KillDaemon, 3}, {StopDaemon, 4}, {PauseDaemon, 3}, {ReloadDaemon, 1},
+	{StoreFails, 2}, {DropHistory, 1}, {StoreLink, 3},
+	{ServerLink, 3}, {ServerFaults, 8}, {CrashServer, 2}, {ServerLeaves, 3}, {PublishVersion, 2},
+}
+
+// NewPlan draws the steps of a run. The same seed and shape give the same steps.
+func NewPlan(seed uint64, shape Shape) []Step {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	every := float64(shape.Every) * math.Pow(slowest, rng.Float64())
+	var steps []Step
+	versions := 1
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * every)
+		if at >= shape.Length {
+			return steps
+		}
+		step := Step{
+			At: at.Round(time.Millisecond), Kind: drawKind(rng), Target: rng.IntN(1 << 16), Variant: rng.IntN(1 << 16),
+			For: drawLength(rng, shape.Longest),
+		}
+		if step.Kind == PublishVersion {
+			if versions == maxVersions {
+				continue
+			}
+			versions++
+		}
+		steps = append(steps, step)
+	}
+}
+
+func drawKind(rng *rand.Rand) Kind {
+	sum := 0
+	for _, w := range weights {
+		sum += w.weight
+	}
+	n := rng.IntN(sum)
+	i := slices.IndexFunc(weights, func(w struct {
+		kind   Kind
+		weight int
+	}) bool {
+		n -= w.weight
+		return n < 0
+	})
+	return weights[i].kind
+}
+
+// drawLength draws short lengths as often as long ones, by magnitude.
+func drawLength(rng *rand.Rand, longest time.Duration) time.Duration {
+	shift := rng.IntN(4)
+	return time.Duration(rng.Int64N(int64(longest>>shift))) + 50*time.Millisecond
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,149 @@
+// Package soak runs the real programs as processes of their own, between
+// stand-ins for the platform, and disturbs them from outside: signals, links that
+// delay, break, fall silent or lose one direction, a store and servers that
+// misbehave. It checks the promises by what callers and servers see.
+//
+// A run follows from its seed, but for the times at which the machine does what
+// it is told: the same seed brings the same troubles, not the same interleaving.
+package soak
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+)
+
+// Options say what to run.
+type Options struct {
+	// Program is the path of the daemon's program.
+	Program string
+	// Folder holds the settings and logs of the daemons.
+	Folder string
+	// Network holds the first three bytes of the daemons' loopback addresses.
+	Network string
+	Seed    uint64
+	Daemons int
+	Callers int
+	Shape   Shape
+}
+
+// DefaultShape has several troubles at a time for some seconds.
+func DefaultShape() Shape {
+	return Shape{Length: 15 * time.Second, Every: 250 * time.Millisecond, Longest: 3 * time.Second}
+}
+
+// Report is the result of a run.
+type Report struct {
+	Seed       uint64
+	Steps      []Step
+	Violations []Violation
+	// Outcomes counts requests by how they ended for their callers, and what the
+	// checks have looked at.
+	Outcomes map[string]int
+	// Recovery is the time from the last trouble's end to the first of some
+	// seconds in which all was served.
+	Recovery time.Duration
+}
+
+const (
+	// startWithin bounds the first start, which isn't disturbed.
+	startWithin = 15 * time.Second
+	// recoverWithin bounds the recovery, which ends with a time of calm.
+	recoverWithin = 15 * time.Second
+	calm          = 2 * time.Second
+	pollEvery     = 50 * time.Millisecond
+)
+
+// Run plays the troubles of a seed. The error is one of the soak itself; broken
+// promises are in the report.
+func Run(o Options) (*Report, error) {
+	if err := os.MkdirAll(o.Folder, folderMode); err != nil {
+		return nil, eris.Wrap(err, "soak's folder")
+	}
+	s, err := newSite(o)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !s.awaitReady(startWithin) {
+		return nil, eris.New("the daemons aren't ready in time; see their logs")
+	}
+	report := &Report{Seed: o.Seed, Steps: NewPlan(o.Seed, o.Shape)}
+	s.play(o, report)
+	s.oracle.finish(siteBudget)
+	s.oracle.checkOrders(s.orders())
+	report.Violations = s.oracle.Violations()
+	report.Outcomes = s.oracle.seen
+	return report, nil
+}
+
+// play runs callers and steps, waits for the recovery and ends the callers.
+func (s *site) play(o Options, report *Report) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { s.troubles.watchMachine(ctx.Done()) })
+	wg.Go(func() { s.relist(ctx.Done()) })
+	for i := range o.Callers {
+		wg.Go(func() { newCaller(s, o.Seed, i).run(ctx) })
+	}
+	var steps conc.WaitGroup
+	began := time.Now()
+	for _, step := range report.Steps {
+		time.Sleep(time.Until(began.Add(step.At)))
+		steps.Go(func() { s.perform(step) })
+	}
+	steps.Wait()
+	report.Recovery = s.recover()
+	cancel()
+	wg.Wait()
+	time.Sleep(2 * exitSlack) // the last checks of cut requests
+}
+
+// recover waits until all daemons are ready and nothing fails for some time.
+func (s *site) recover() time.Duration {
+	began := time.Now()
+	calmSince := began
+	for time.Since(began) < recoverWithin {
+		time.Sleep(pollEvery)
+		if !s.awaitReady(0) || s.oracle.failedSince(calmSince) {
+			calmSince = time.Now()
+		}
+		if time.Since(calmSince) >= calm {
+			return calmSince.Sub(began)
+		}
+	}
+	if s.troubles.quiet(began, time.Now(), subjectMachine) {
+		s.oracle.report(Recovers, "requests fail or daemons aren't ready %v after the last trouble", recoverWithin)
+	}
+	return recoverWithin
+}
+
+// awaitReady waits until all daemons are ready, and reports whether they are.
+func (s *site) awaitReady(within time.Duration) bool {
+	began := time.Now()
+	for !s.ready() {
+		if time.Since(began) >= within {
+			return false
+		}
+		time.Sleep(pollEvery)
+	}
+	return true
+}
+
+func (s *site) ready() bool {
+	caller := newCaller(s, 0, 0)
+	defer caller.client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, d := range s.daemons {
+		if !caller.client.IsReady(ctx, d.about.Ready()) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/soak/site.go
@@ -0,0 +1,330 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tamarackchute/platform/standin"
+)
+
+const (
+	settingsMode = 0o600
+	folderMode   = 0o755
+	// streamEvents is the number of events of a stream, streamPause the time
+	// between two: long enough for a stop or a crash to come midway.
+	streamEvents = 20
+	streamPause  = 60 * time.Millisecond
+	serviceMark  = "mark"
+)
+
+// service is a kind of request.
+type service struct {
+	name string
+	// once says that it must not be repeated.
+	once, stream bool
+	kind         string
+	servers      int
+	deadline     time.Duration
+}
+
+// services are the kinds of request of a run. The answers of the last tell which
+// configuration is in force.
+var services = []service{
+	{name: "once", once: true, kind: "non_idempotent", servers: 3, deadline: 3 * time.Second},
+	{name: "repeat", kind: "idempotent", servers: 3, deadline: 3 * time.Second},
+	{name: "llm", stream: true, kind: "streaming", servers: 4, deadline: 6 * time.Second},
+	{name: serviceMark, kind: "idempotent", deadline: 3 * time.Second},
+}
+
+// markPools are the pools that the rule of serviceMark leads to, by version.
+var markPools = func() []string {
+	pools := make([]string, maxVersions)
+	for i := range pools {
+		pools[i] = fmt.Sprint(serviceMark, i+1)
+	}
+	return pools
+}()
+
+// serversSubject names the servers of a pool and the ways to them.
+func serversSubject(pool string) string { return "servers " + pool }
+
+// storeLinkSubject names a daemon's way to the store.
+func storeLinkSubject(daemon int) string { return fmt.Sprintf("store link %d", daemon) }
+
+// place stands for one server of a pool after another.
+type place struct {
+	pool string
+	role string
+	// change is held by the step that replaces the server.
+	change sync.Mutex
+
+	mu     sync.Mutex
+	server *standin.Server
+	// link is the way to the server; its address is the server's for daemons.
+	link *Proxy
+	// listedRole is the role that the server's entry names.
+	listedRole string
+}
+
+// current returns the server that runs and the way to it.
+func (p *place) current() (*standin.Server, *Proxy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.server, p.link
+}
+
+// site is everything that a run needs: the store, the servers and the daemons.
+type site struct {
+	store     *standin.Store
+	storeHTTP *httptest.Server
+	daemons   []*daemon
+	links     []*Proxy
+	places    []*place
+	oracle    *oracle
+	troubles  *troubles
+
+	mu       sync.Mutex
+	versions int
+	started  int
+	retired  []*standin.Server
+	// free are links whose servers have ended: the next server, of any pool,
+	// has the address that was free longest.
+	free []*Proxy
+}
+
+// spareLinks is the number of addresses that no server has at first.
+const spareLinks = 2
+
+// newSite starts the store and the servers, and lists them. Nothing runs yet that
+// is tested.
+func newSite(o Options) (*site, error) {
+	t := newTroubles()
+	s := &site{store: standin.NewStore(), oracle: newOracle(t), troubles: t}
+	s.storeHTTP = httptest.NewServer(s.store)
+	if err := s.addLinks(); err != nil {
+		return nil, err
+	}
+	for _, v := range services {
+		for i := range v.servers {
+			role := ""
+			if v.stream {
+				role = firstRoles[i%len(firstRoles)]
+			}
+			s.addPlace(v.name, role)
+		}
+	}
+	for _, pool := range markPools {
+		s.addPlace(pool, "")
+	}
+	s.publish()
+	return s, s.addDaemons(o)
+}
+
+// firstRoles are the roles of engines at their start. They suit the requests so
+// badly that the system has to change some.
+var firstRoles = []string{"prefill"}
+
+// addLinks makes a link for each server and some to spare.
+func (s *site) addLinks() error {
+	n := len(markPools) + spareLinks
+	for _, v := range services {
+		n += v.servers
+	}
+	for range n {
+		link, err := NewProxy("")
+		if err != nil {
+			return err
+		}
+		s.free = append(s.free, link)
+	}
+	return nil
+}
+
+func (s *site) addPlace(pool, role string) {
+	p := &place{pool: pool, role: role}
+	s.places = append(s.places, p)
+	s.startServer(p)
+}
+
+// startServer starts the next server of a place, at an address that is free.
+func (s *site) startServer(p *place) {
+	link, number := s.takeLink()
+	server := standin.NewServer(fmt.Sprintf("%s-%d", p.pool, number))
+	server.Watcher = s.oracle
+	if p.role != "" {
+		server.Events, server.Pause = streamEvents, streamPause
+		server.SetStage(p.role)
+	}
+	link.SetTarget(server.Address())
+	s.oracle.serverListed(server.ID, p.pool)
+	p.mu.Lock()
+	p.server, p.link, p.listedRole = server, link, p.role
+	p.mu.Unlock()
+	s.store.List(server, p.pool, link.Address(), false)
+}
+
+func (s *site) takeLink() (*Proxy, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	link := s.free[0]
+	s.free = s.free[1:]
+	s.started++
+	return link, s.started
+}
+
+// retire notes that a server has ended and its address is free.
+func (s *site) retire(server *standin.Server, link *Proxy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retired = append(s.retired, server)
+	s.free = append(s.free, link)
+}
+
+// relistEvery is how often entries of engines are brought up to date with the
+// roles that they have been given.
+const relistEvery = 200 * time.Millisecond
+
+// relist does so until done is closed.
+func (s *site) relist(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(relistEvery):
+		}
+		for _, p := range s.places {
+			p.relist(s.store)
+		}
+	}
+}
+
+func (p *place) relist(store *standin.Store) {
+	// A server that leaves keeps the entry that says so.
+	if p.role == "" || !p.change.TryLock() {
+		return
+	}
+	defer p.change.Unlock()
+	server, link := p.current()
+	if role := server.Stage(); role != p.listedRole {
+		store.List(server, p.pool, link.Address(), false)
+		p.listedRole = role
+	}
+}
+
+// publish puts the next configuration in the store.
+func (s *site) publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.versions == maxVersions {
+		return
+	}
+	s.versions++
+	var rules []standin.Service
+	for _, v := range services {
+		rule := standin.Service{Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline}
+		if v.name == serviceMark {
+			rule.Serves = markPools[s.versions-1]
+		}
+		rules = append(rules, rule)
+	}
+	for _, pool := range markPools {
+		rules = append(rules, standin.Service{Name: pool, Kind: "idempotent", Attempts: 3, Timeout: time.Second})
+	}
+	s.store.PutConfig(s.versions, rules)
+	s.oracle.versionPublished()
+}
+
+func (s *site) addDaemons(o Options) error {
+	ips := make([]string, o.Daemons)
+	for i := range ips {
+		ips[i] = fmt.Sprintf("%s.%d", o.Network, i+1)
+	}
+	for i, ip := range ips {
+		link, err := NewProxy(s.storeHTTP.Listener.Addr().String())
+		if err != nil {
+			return err
+		}
+		s.links = append(s.links, link)
+		d := &daemon{
+			number: i, program: o.Program, oracle: s.oracle, troubles: s.troubles, ends: make(map[int]processEnd),
+			settings: filepath.Join(o.Folder, fmt.Sprintf("daemon-%d.toml", i)),
+			logs:     filepath.Join(o.Folder, fmt.Sprintf("daemon-%d.log", i)),
+			about: standin.Daemon{
+				Name: fmt.Sprintf("d%d", i), IP: ip, Seeds: ips[:min(len(ips), 3)], Store: link.Address(),
+				Grace: grace, RetryRatio: siteBudget.ratio, RetrySlack: siteBudget.slack, RetryWindow: siteBudget.window,
+				LeaseTerm: time.Second,
+			},
+		}
+		if err := os.WriteFile(d.settings, []byte(d.about.SettingsFile()), settingsMode); err != nil {
+			return eris.Wrap(err, "settings")
+		}
+		s.daemons = append(s.daemons, d)
+	}
+	for _, d := range s.daemons {
+		if err := d.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// grace is the time that a daemon has to stop.
+const grace = 8 * time.Second
+
+// siteBudget bounds repeats. The slack is small, so that the troubles of a run
+// can use it up.
+var siteBudget = budget{ratio: 0.2, slack: 10, window: 10 * time.Second}
+
+// close ends the daemons first, then what they use.
+func (s *site) close() {
+	for _, d := range s.daemons {
+		if _, ended := d.endOf(d.lifeNow()); !ended {
+			d.kill()
+		}
+	}
+	for _, p := range s.places {
+		server, link := p.current()
+		link.Close()
+		server.Close()
+	}
+	for _, link := range append(s.links, s.free...) {
+		link.Close()
+	}
+	s.store.Close()
+	s.storeHTTP.CloseClientConnections()
+	s.storeHTTP.Close()
+}
+
+// daemonAt returns the daemon that serves callers at an address.
+func (s *site) daemonAt(address string) (*daemon, bool) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, false
+	}
+	for _, d := range s.daemons {
+		if d.about.IP == host {
+			return d, true
+		}
+	}
+	return nil, false
+}
+
+// orders returns what the engines have accepted.
+func (s *site) orders() []engineOrders {
+	var all []engineOrders
+	for _, p := range s.places {
+		server, _ := p.current()
+		all = append(all, engineOrders{engine: server.ID, orders: server.Orders()})
+	}
+	for _, server := range s.retired {
+		all = append(all, engineOrders{engine: server.ID, orders: server.Orders()})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/soak/steps.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+
+	"tamarackchute/platform/standin"
+)
+
+const (
+	// listLag is how long the platform takes to drop the entry of a server that
+	// has crashed.
+	listLag = 1500 * time.Millisecond
+	// leaveTime is how long a server that leaves goes on after its notice.
+	leaveTime = 5 * time.Second
+	// settleTime is how long the ways to servers count as disturbed after a
+	// trouble: connections that broke and pauses before retries outlast it.
+	settleTime = 2 * time.Second
+)
+
+var (
+	storeFaults  = []standin.StoreFault{standin.StoreBusy, standin.StoreSilent, standin.StoreReset, standin.StoreLosesReplies}
+	linkModes    = []Mode{Delays, Silences, CutsReplies, Resets}
+	serverFaults = []standin.Fault{
+		standin.Shed, standin.Errs, standin.Busy, standin.ResetBefore, standin.LosesAnswer, standin.CutsAnswer,
+		standin.Unsigned, standin.Foreign, standin.Repeats, standin.Hangs,
+	}
+)
+
+// topics whose history a step may drop.
+var droppedTopics = []string{"keyed.op", "keyed.servers", "keyed.members", "journal"}
+
+// perform carries out a step and returns once its trouble is over.
+func (s *site) perform(step Step) {
+	d := s.daemons[step.Target%len(s.daemons)]
+	p := s.places[step.Target%len(s.places)]
+	link := linkModes[step.Variant%len(linkModes)]
+	switch step.Kind {
+	case KillDaemon:
+		d.kill()
+		s.restart(d, step.For)
+	case StopDaemon:
+		d.stop()
+		s.restart(d, step.For)
+	case PauseDaemon:
+		d.pause(step.For)
+	case ReloadDaemon:
+		d.signal(syscall.SIGHUP)
+	case StoreFails:
+		s.failStore(storeFaults[step.Variant%len(storeFaults)], step.For)
+	case DropHistory:
+		s.store.DropHistory(droppedTopics[step.Variant%len(droppedTopics)])
+	case StoreLink:
+		end := s.troubles.begin(storeLinkSubject(d.number))
+		disturb(s.links[d.number], link, step.For)
+		time.AfterFunc(settleTime, end)
+	case ServerLink:
+		end := s.troubles.begin(serversSubject(p.pool))
+		_, way := p.current()
+		disturb(way, link, step.For)
+		time.AfterFunc(settleTime, end)
+	case ServerFaults:
+		s.failServer(p, step)
+	case CrashServer:
+		replace(p, func() { s.crash(p, step.For) })
+	case ServerLeaves:
+		replace(p, func() { s.leave(p) })
+	case PublishVersion:
+		s.publish()
+	}
+}
+
+// replace runs a step that replaces the server of a place, unless another one
+// does that already.
+func replace(p *place, step func()) {
+	if !p.change.TryLock() {
+		return
+	}
+	defer p.change.Unlock()
+	step()
+}
+
+func disturb(link *Proxy, mode Mode, length time.Duration) {
+	link.SetMode(mode)
+	time.Sleep(length)
+	link.SetMode(Passes)
+}
+
+func (s *site) restart(d *daemon, length time.Duration) {
+	time.Sleep(max(length, restartAfter))
+	if err := d.start(); err != nil {
+		s.oracle.report(StaysUp, "daemon %d doesn't start: %v", d.number, err)
+	}
+}
+
+func (s *site) failStore(fault standin.StoreFault, length time.Duration) {
+	end := s.troubles.begin(subjectStore)
+	s.store.Fail(fault)
+	time.Sleep(length)
+	s.store.Fail(standin.StoreWell)
+	time.AfterFunc(settleTime, end)
+}
+
+// failServer fails the next few requests of a server, each in its own way.
+func (s *site) failServer(p *place, step Step) {
+	end := s.troubles.begin(serversSubject(p.pool))
+	server, _ := p.current()
+	for i := range 1 + step.Target%4 {
+		server.Fail(serverFaults[(step.Variant+i)%len(serverFaults)])
+	}
+	time.Sleep(step.For)
+	time.AfterFunc(settleTime, end)
+}
+
+// crash ends a server without notice. Another one, perhaps of another pool, has
+// its address some time later, while the old entry may still be listed.
+func (s *site) crash(p *place, length time.Duration) {
+	end := s.troubles.begin(serversSubject(p.pool))
+	old, link := p.current()
+	old.Close()
+	s.retire(old, link)
+	go func() {
+		time.Sleep(listLag)
+		s.store.Unlist(old.ID)
+	}()
+	time.Sleep(length)
+	s.startServer(p)
+	time.AfterFunc(settleTime, end)
+}
+
+// leave lets a server announce its end, and replaces it.
+func (s *site) leave(p *place) {
+	old, link := p.current()
+	s.store.List(old, p.pool, link.Address(), true)
+	s.oracle.serverLeaves(old.ID)
+	time.Sleep(leaveTime)
+	end := s.troubles.begin(serversSubject(p.pool))
+	s.store.Unlist(old.ID)
+	s.startServer(p)
+	old.Close()
+	s.retire(old, link)
+	time.AfterFunc(settleTime, end)
+}
--- /dev/null
+++ b/scripts/soak-planted.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Shows that the soak can fail: each patch of internal/soak/testdata/planted
+# breaks one promise in a copy of the sources, and the soak must say so within a
+# number of seeds. Prints a line for each; fails if one isn't found.
+# Usage: scripts/soak-planted.sh [SEEDS] [PATCH...]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+seeds=${1:-8}
+shift || true
+patches=("$@")
+[ "${#patches[@]}" -gt 0 ] || patches=(internal/soak/testdata/planted/*.patch)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+go build -o "$work/chute-soak" ./cmd/chute-soak || exit 1
+
+# broken SEED prints the promises that a seed finds broken.
+broken() {
+  "$work/chute-soak" -member "$work/chute-member" -folder "$work/logs" -seed "$1" | sed -n 's/^   BROKEN [^ ]* //p'
+}
+
+missed=0
+for patch in "${patches[@]}"; do
+  name=$(basename "$patch" .patch)
+  promise=$(sed -n 's/^Promise: //p' "$patch")
+  rm -rf "$work/src" && mkdir "$work/src"
+  git ls-files -z | xargs -0 cp --parents -t "$work/src"
+  if ! (cd "$work/src" && patch -s -p1 <"$OLDPWD/$patch" && go build -o "$work/chute-member" ./cmd/chute-member); then
+    echo "$name: the patch doesn't apply or build"
+    missed=$((missed + 1))
+    continue
+  fi
+  found=""
+  for seed in $(seq 1 "$seeds"); do
+    if broken "$seed" | grep -qF "$promise:"; then
+      found=$seed
+      break
+    fi
+  done
+  if [ -n "$found" ]; then
+    echo "$name: found by seed $found: $promise"
+  else
+    echo "$name: NOT found in $seeds seeds: $promise"
+    missed=$((missed + 1))
+  fi
+done
+exit $((missed > 0))
