dispatch: one decision on sending again, for both ways in

Cause: three copies of the same decision (relay, forward, answer) kept the attempts and what may have run each in their own way. The relay's didn't count an attempt whose answer bore no signature: a route sheet with two attempts ran at four servers (TestAttemptsAreBounded, extended first, failed for 'unsigned'). Ruled out: the budget as the bound meant for that case; it is shared by all requests and had room. Change: internal/dispatch holds the state and the decision (repeat, attempts, budget); relay, forward and answer use it. An attempt is counted wherever it may have run.

--- a/internal/entry/answer/answer.go
+++ b/internal/entry/answer/answer.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/entry/stream"
 	"tamarackchute/upstream"
 )
@@ -18,12 +18,10 @@
 
 	attempt *attempt
 	// tried names the engines that the next attempt keeps away from.
-	tried    []string
-	attempts int
+	tried []string
+	tries dispatch.Tries
 	// waited is how long it has looked for an engine since it lost one.
 	waited time.Duration
-	// ran says whether any attempt may have run.
-	ran outcome.Ran
 	// noSplit keeps prefill and decode together after a handoff has failed.
 	noSplit bool
 	// deliverFrom is the index of the first token that the caller lacks: above
@@ -83,7 +81,7 @@
 func (a *Answer) Origin() stream.Origin { return a.origin }
 
 // Attempt returns the number of the attempt that runs, counted from 1.
-func (a *Answer) Attempt() int { return a.attempts }
+func (a *Answer) Attempt() int { return a.tries.Attempts() }
 
 // PromptTokens returns the engine's count of the prompt, or the estimate if the
 // engine gave none, and how many of them came from its cache.
--- a/internal/entry/answer/fail.go
+++ b/internal/entry/answer/fail.go
@@ -25,11 +25,7 @@
 
 // fail returns a failure that says what is known of the request's running.
 func (a *Answer) fail(status int, code outcome.Code, cause error, message string) *outcome.Failure {
-	ran := a.ran
-	if ran == "" {
-		ran = outcome.NotRun
-	}
-	return &outcome.Failure{Status: status, Code: code, Message: message, Ran: ran, Cause: cause}
+	return &outcome.Failure{Status: status, Code: code, Message: message, Ran: outcome.RanOf(a.tries.Ran()), Cause: cause}
 }
 
 func (a *Answer) quarantined(cause error) *outcome.Failure {
--- a/internal/entry/answer/open.go
+++ b/internal/entry/answer/open.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/entry/crash"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/router"
@@ -54,7 +55,7 @@
 // planAnew gives a plan up whose engine leaves. No attempt was made, so it
 // counts as none, whatever the rule's retry class.
 func (a *Answer) planAnew() {
-	a.attempts--
+	a.tries.Uncount()
 	a.tried = append(a.tried, a.attempt.engine)
 	a.endAttempt(context.Canceled, true)
 }
@@ -67,7 +68,7 @@
 // answer, whereas a new one is better told at once to come back. After a crash
 // all that were in flight are suspects, who take turns on the other engines.
 func (a *Answer) waitForEngine(ctx context.Context) bool {
-	if a.ran != outcome.MayHaveRun || a.waited >= a.runner.EngineWait {
+	if !a.tries.Ran() || a.waited >= a.runner.EngineWait {
 		return false
 	}
 	a.waited += engineLook
@@ -135,7 +136,7 @@
 // dispatch sends the request to the plan's engines. The attempt is booked
 // before a byte goes out and stays booked if this succeeds.
 func (a *Answer) dispatch(ctx context.Context, plan router.Plan, route router.Request, suspected bool) error {
-	a.attempts++
+	a.tries.Count()
 	t := &attempt{
 		id:     a.runner.NewID(),
 		engine: plan.Engine,
@@ -169,7 +170,7 @@
 	}
 	t.stream, err = engine.Generate(ctx, request)
 	if err == nil {
-		a.ran = outcome.MayHaveRun
+		a.tries.NoteRun()
 		return nil
 	}
 	a.cancelUnanswered(ctx, engine, t.id, err)
@@ -225,32 +226,26 @@
 		a.tried = append(a.tried, a.attempt.engine)
 		a.endAttempt(err, cancelled(ctx))
 	}
+	fate := dispatch.NotRun
 	if !unsent {
-		a.ran = outcome.MayHaveRun
-	} else if a.ran == outcome.MayHaveRun {
+		fate = dispatch.MayHaveRun
+		a.tries.NoteRun()
+	} else if a.tries.Ran() {
 		// The answer goes on as soon as an engine takes it; EngineWait bounds
 		// the looking, not the number of engines that refuse meanwhile.
-		a.attempts--
+		a.tries.Uncount()
 	}
 	if cancelled(ctx) {
 		return a.ContextFailure(ctx)
 	}
-	if a.mayTryAgain(unsent) {
+	// An attempt that certainly did not run adds nothing to the load, so only
+	// others draw on the retry budget.
+	if a.tries.Next(fate, !unsent) == dispatch.Again {
 		return nil
 	}
 	return a.upstreamFailure(err, unsent)
 }
 
-// mayTryAgain applies the rule's retry class. An attempt that certainly did not
-// run adds nothing to the engines' load, so only others count against the
-// retry budget.
-func (a *Answer) mayTryAgain(unsent bool) bool {
-	if a.attempts >= a.runner.MaxAttempts || a.work.Retry == rules.RetryNever {
-		return false
-	}
-	return unsent || (a.work.Retry == rules.RetryRepeatable && a.runner.Retries.Allow())
-}
-
 // mayContinue reports whether an answer whose engine died may go on elsewhere.
 // A stream may in every class but never: its caller already has a part of the
 // answer, so the only other end would be a broken one. Continuations are
@@ -258,9 +253,9 @@
 // so they go without the retry budget.
 func (a *Answer) mayContinue() bool {
 	if !a.work.Request.Stream {
-		return a.mayTryAgain(false)
+		return a.tries.Next(dispatch.MayHaveRun, true) == dispatch.Again
 	}
-	return a.attempts < a.runner.MaxAttempts && a.work.Retry != rules.RetryNever
+	return !a.tries.Exhausted() && a.work.Retry != rules.RetryNever
 }
 
 // endAttempt closes the attempt's books. A nil error means that its answer came
--- a/internal/entry/answer/runner.go
+++ b/internal/entry/answer/runner.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/entry/crash"
 	"tamarackchute/internal/entry/openai"
 	"tamarackchute/internal/entry/stream"
@@ -86,7 +87,10 @@
 	return &Answer{
 		runner: r,
 		work:   w,
-		prior:  stream.NewPrior(r.Budget, r.PriorLimit),
+		tries: dispatch.New(dispatch.Policy{
+			Repeat: dispatch.RepeatOf(w.Retry), MaxAttempts: r.MaxAttempts, CountUnrun: true, Allow: r.Retries.Allow,
+		}),
+		prior: stream.NewPrior(r.Budget, r.PriorLimit),
 	}
 }
 
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/router"
@@ -52,7 +53,9 @@
 
 // Call sends the request and returns the service's answer, whatever its status.
 func (r *Runner) Call(ctx context.Context, w Work) (upstream.ServiceResponse, *outcome.Failure) {
-	c := call{runner: r, work: w, ran: outcome.NotRun}
+	c := call{runner: r, work: w, tries: dispatch.New(dispatch.Policy{
+		Repeat: dispatch.RepeatOf(w.Retry), MaxAttempts: r.MaxAttempts, CountUnrun: true, Allow: r.Retries.Allow,
+	})}
 	for {
 		if ctx.Err() != nil {
 			return upstream.ServiceResponse{}, c.contextFailure(ctx)
@@ -69,11 +72,10 @@
 
 // call is the state of one Call.
 type call struct {
-	runner   *Runner
-	work     Work
-	attempts int
-	tried    []string
-	ran      outcome.Ran
+	runner *Runner
+	work   Work
+	tries  dispatch.Tries
+	tried  []string
 }
 
 // attempt sends the request once. It returns a *router.NoUpstreamError, with
@@ -85,7 +87,7 @@
 	if err != nil {
 		return upstream.ServiceResponse{}, err
 	}
-	c.attempts++
+	c.tries.Count()
 	c.tried = append(c.tried, plan.Engine)
 	ticket := c.runner.Books.Begin(plan, route)
 	response, err := c.send(ctx, plan.Engine)
@@ -112,13 +114,17 @@
 			"no service can take the request now").After(retryNoService)
 	}
 	unsent := errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrRefused)
+	fate := dispatch.NotRun
 	if !unsent {
-		c.ran = outcome.MayHaveRun
+		fate = dispatch.MayHaveRun
+		c.tries.NoteRun()
 	}
 	if ctx.Err() != nil {
 		return c.contextFailure(ctx)
 	}
-	if c.mayTryAgain(unsent) {
+	// An attempt that certainly did not run adds nothing to the load, so only
+	// others draw on the retry budget.
+	if c.tries.Next(fate, !unsent) == dispatch.Again {
 		return nil
 	}
 	if unsent {
@@ -128,15 +134,8 @@
 	return c.fail(http.StatusBadGateway, outcome.CodeUpstreamBroken, err, "the service broke off")
 }
 
-func (c *call) mayTryAgain(unsent bool) bool {
-	if c.attempts >= c.runner.MaxAttempts || c.work.Retry == rules.RetryNever {
-		return false
-	}
-	return unsent || (c.work.Retry == rules.RetryRepeatable && c.runner.Retries.Allow())
-}
-
 func (c *call) fail(status int, code outcome.Code, cause error, message string) *outcome.Failure {
-	return &outcome.Failure{Status: status, Code: code, Message: message, Ran: c.ran, Cause: cause}
+	return &outcome.Failure{Status: status, Code: code, Message: message, Ran: outcome.RanOf(c.tries.Ran()), Cause: cause}
 }
 
 func (c *call) contextFailure(ctx context.Context) *outcome.Failure {
--- a/internal/entry/outcome/outcome.go
+++ b/internal/entry/outcome/outcome.go
@@ -23,6 +23,14 @@
 	MayHaveRun Ran = "may-have-run"
 )
 
+// RanOf says of a request without an answer whether it ran.
+func RanOf(mayHaveRun bool) Ran {
+	if mayHaveRun {
+		return MayHaveRun
+	}
+	return NotRun
+}
+
 // Header is the response header that carries a Ran.
 const Header = "Chute-Outcome"
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,33 +8,18 @@
 	"strconv"
 	"time"
 
+	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
 	"tamarackchute/rules/pathset"
 )
 
-// fate says what is known of a request's running after an attempt.
-type fate uint8
-
-const (
-	// notSent: nothing reached an upstream.
-	notSent fate = iota
-	// notRun: the upstream says that it did not run the request.
-	notRun
-	// mayHaveRun: it was sent, and no answer tells.
-	mayHaveRun
-)
-
-func (f fate) String() string {
-	return [...]string{"not sent", "not run", "may have run"}[f]
-}
-
 // result is how an attempt ended.
 type result struct {
 	// done says that the caller has its answer.
 	done bool
-	fate fate
+	fate dispatch.Fate
 	// arrived says that an upstream got the request.
 	arrived bool
 	outcome placement.Outcome
@@ -79,7 +64,7 @@
 func (c *call) noteKept(res result) {
 	switch {
 	case c.kept.Handle == "":
-	case res.done || res.fate == mayHaveRun:
+	case res.done || res.fate == dispatch.MayHaveRun:
 		c.kept = Handoff{} // taken over
 	case res.arrived:
 		if c.keptTries++; c.keptTries >= maxKeptTries {
@@ -134,7 +119,7 @@
 	// The first reading of the prompt is no repeat, any further one is.
 	if c.prefills > 0 && !c.relay.cfg.Budget.Allow(c.pool) {
 		p.reader.End(placement.Cancelled)
-		return "", result{fate: notSent, outcome: placement.Cancelled, err: errNoBudget}
+		return "", result{fate: dispatch.NotSent, outcome: placement.Cancelled, err: errNoBudget}
 	}
 	ctx, cancel := context.WithTimeout(ctx, prefillFactor*p.plan.FirstToken+prefillSlack)
 	defer cancel()
@@ -165,19 +150,19 @@
 func (c *call) readPrefill(ctx context.Context, p *place, r *exchange.Request) (string, result) {
 	resp, err := c.relay.connections(p.prefill).Do(ctx, r)
 	if err != nil {
-		return "", result{fate: notRun, arrived: sent(err), outcome: brokenOutcome(ctx), err: err}
+		return "", result{fate: dispatch.NotRun, arrived: sent(err), outcome: brokenOutcome(ctx), err: err}
 	}
 	defer resp.Close()
 	body, err := resp.ReadAll(maxAnswer)
 	if err != nil {
-		return "", result{fate: notRun, arrived: true, outcome: placement.Failed, err: err}
+		return "", result{fate: dispatch.NotRun, arrived: true, outcome: placement.Failed, err: err}
 	}
 	if resp.Status != http.StatusOK {
-		return "", result{fate: notRun, arrived: true, outcome: refusalOutcome(resp.Status), status: resp.Status, err: errPrefill}
+		return "", result{fate: dispatch.NotRun, arrived: true, outcome: refusalOutcome(resp.Status), status: resp.Status, err: errPrefill}
 	}
 	handle, err := c.relay.cfg.Dialect.ParsePrefill(body)
 	if err != nil {
-		return "", result{fate: notRun, arrived: true, outcome: placement.Failed, err: err}
+		return "", result{fate: dispatch.NotRun, arrived: true, outcome: placement.Failed, err: err}
 	}
 	return handle, result{}
 }
@@ -230,7 +215,7 @@
 // send sends the request and brings the answer to the caller.
 func (c *call) send(ctx context.Context, p *place, handoff Handoff) result {
 	if f := c.ended(ctx); f != nil {
-		return result{fate: notSent, outcome: placement.Cancelled, err: errors.New(f.message)}
+		return result{fate: dispatch.NotSent, outcome: placement.Cancelled, err: errors.New(f.message)}
 	}
 	resp, err := c.relay.connections(p.target).Do(ctx, c.request(p.target, Attempt{Handoff: handoff}))
 	if err != nil {
@@ -241,7 +226,7 @@
 	case NotRun, WrongUpstream:
 		c.exclude = append(c.exclude, p.target.ID)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxAnswer)) // frees the connection
-		res := result{fate: notRun, arrived: true, outcome: refusalOutcome(resp.Status), status: resp.Status, err: errNotRun}
+		res := result{fate: dispatch.NotRun, arrived: true, outcome: refusalOutcome(resp.Status), status: resp.Status, err: errNotRun}
 		if verdict == NotRun {
 			res.outcome = placement.Refused
 		} else if c.relay.cfg.Replaced != nil {
@@ -249,10 +234,10 @@
 		}
 		return res
 	case Unsigned:
+		c.noteRun()
 		return c.lost(p, placement.Failed, errUnsigned)
 	}
-	c.attempts++
-	c.ran = true
+	c.noteRun()
 	if c.rule.Stream && resp.Status == http.StatusOK {
 		return c.relayStream(ctx, p, resp)
 	}
@@ -269,17 +254,22 @@
 	outcome := brokenOutcome(ctx)
 	if !sent(err) {
 		c.exclude = append(c.exclude, p.target.ID)
-		return result{fate: notSent, outcome: outcome, err: err}
+		return result{fate: dispatch.NotSent, outcome: outcome, err: err}
 	}
-	c.attempts++
+	c.noteRun()
 	return c.lost(p, outcome, err)
 }
 
+// noteRun counts an attempt that may have run.
+func (c *call) noteRun() {
+	c.tries.Count()
+	c.tries.NoteRun()
+}
+
 // lost is the result of an attempt that may have run without a usable answer.
 func (c *call) lost(p *place, o placement.Outcome, err error) result {
-	c.ran = true
 	c.exclude = append(c.exclude, p.target.ID)
-	return result{fate: mayHaveRun, arrived: true, outcome: o, err: err}
+	return result{fate: dispatch.MayHaveRun, arrived: true, outcome: o, err: err}
 }
 
 // relayPlain reads the whole answer before the caller gets any of it: one that
@@ -315,7 +305,7 @@
 func (c *call) worthAnother(status int) bool {
 	return status >= http.StatusInternalServerError &&
 		c.rule.Repeat != pathset.Once &&
-		c.attempts < c.rule.MaxAttempts &&
+		!c.tries.Exhausted() &&
 		time.Until(c.deadline) > leastLeft
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
 	"tamarackchute/rules/pathset"
@@ -40,10 +41,8 @@
 	pool     string
 	body     []byte
 
-	// attempts counts the sendings that may have run.
-	attempts int
-	// ran says that the request may have run.
-	ran bool
+	// tries counts the sendings that may have run.
+	tries dispatch.Tries
 	// exclude names upstreams that won't be tried again.
 	exclude []string
 	// stream is set once the head of a streamed answer has gone out.
@@ -93,6 +92,7 @@
 	defer cancel()
 	c.comeback = c.relay.patience.comeback(c.rule.Name, c.Patience)
 	c.relay.cfg.Budget.Request(c.pool)
+	c.tries = dispatch.New(c.policy())
 	f := c.run(ctx)
 	c.releaseKept()
 	switch {
@@ -107,6 +107,19 @@
 	}
 }
 
+// policy is what the rule allows. An attempt that did not run isn't one of those
+// that the rule counts; one that reached an upstream draws on the budget.
+func (c *call) policy() dispatch.Policy {
+	p := dispatch.Policy{
+		Repeat: dispatch.Repeatable, MaxAttempts: c.rule.MaxAttempts,
+		Allow: func() bool { return c.relay.cfg.Budget.Allow(c.pool) },
+	}
+	if c.rule.Repeat == pathset.Once {
+		p.Repeat = dispatch.Unsent
+	}
+	return p
+}
+
 func (c *call) patience() time.Duration {
 	p := c.Patience
 	if p == 0 {
@@ -143,19 +156,28 @@
 	if f := c.ended(ctx); f != nil {
 		return f
 	}
-	switch {
-	case errors.Is(res.err, errNoBudget):
-		return c.fail(reasonNoBudget, "too many requests are being repeated")
-	case res.fate == mayHaveRun && c.rule.Repeat == pathset.Once:
+	if errors.Is(res.err, errNoBudget) {
+		return c.failAs(dispatch.NoBudget)
+	}
+	if verdict := c.tries.Next(res.fate, res.arrived); verdict != dispatch.Again {
+		return c.failAs(verdict)
+	}
+	if time.Until(c.deadline) < leastLeft {
+		return c.fail(reasonDeadline, "the deadline has passed")
+	}
+	return nil
+}
+
+// failAs returns the failure of a request that may not be sent again.
+func (c *call) failAs(v dispatch.Verdict) *failure {
+	switch v {
+	case dispatch.NoRepeat:
 		return c.fail(reasonLost, "the upstream's answer was lost; the request may have run")
-	case res.fate == mayHaveRun && c.attempts >= c.rule.MaxAttempts:
+	case dispatch.NoAttempts:
 		return c.fail(reasonAttempts, "all attempts have failed")
-	case time.Until(c.deadline) < leastLeft:
-		return c.fail(reasonDeadline, "the deadline has passed")
-	case res.arrived && !c.relay.cfg.Budget.Allow(c.pool):
+	default:
 		return c.fail(reasonNoBudget, "too many requests are being repeated")
 	}
-	return nil
 }
 
 // ended returns the failure of a call whose context is over.
@@ -173,7 +195,7 @@
 // promise that nothing has, 502 and 504 promise nothing.
 func (c *call) fail(why reason, message string) *failure {
 	switch {
-	case !c.ran:
+	case !c.tries.Ran():
 		return refused(http.StatusServiceUnavailable, why, message).after(c.retryAfter())
 	case why == reasonDeadline:
 		return refused(http.StatusGatewayTimeout, why, message)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -31,7 +31,7 @@
 // upstream.
 func (c *call) logEnd(f *failure) {
 	c.relay.metrics.ended(c, f)
-	attrs := []any{"request", c.ID, "took_ms", ms(time.Since(c.arrived)), "attempts", c.attempts}
+	attrs := []any{"request", c.ID, "took_ms", ms(time.Since(c.arrived)), "attempts", c.tries.Attempts()}
 	if c.rule != nil {
 		attrs = append(attrs, "rule", c.rule.Name, "pool", c.pool)
 	}
@@ -46,7 +46,7 @@
 		attrs = append(attrs, "expected_ms", ms(c.looked.FirstToken), "queue_ms", ms(c.looked.Queue),
 			"considered", c.looked.Considered, "objective_ms", ms(c.rule.Objective), "comeback", c.comeback)
 	}
-	attrs = append(attrs, "status", f.status, "reason", string(f.reason), "ran", c.ran, "retry_after_ms", ms(f.retryAfter))
+	attrs = append(attrs, "status", f.status, "reason", string(f.reason), "ran", c.tries.Ran(), "retry_after_ms", ms(f.retryAfter))
 	c.log.Warn("failed", attrs...)
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -85,7 +85,7 @@
 // looks on for as long as its caller does.
 func (c *call) longestWait(late bool) time.Duration {
 	switch {
-	case c.stream != nil, c.ran:
+	case c.stream != nil, c.tries.Ran():
 		return time.Until(c.deadline)
 	case late || c.rule.Objective == 0:
 		return time.Duration(lateWaitShare * float64(time.Until(c.deadline)))
