member: the collector keeps a running sum; soak: networks of its own, slow calls

Change: the sum is kept with each report; an answer holds what has changed since the receiver's last one.

One plain call in eight is slow, and closes are judged by service, so that a close that isn't passed on shows.

--- a/cmd/chute-soak/main.go
+++ b/cmd/chute-soak/main.go
@@ -24,6 +24,9 @@
 	exitNotTried = 3
 )
 
+// maxShown bounds the broken promises that are printed of a seed.
+const maxShown = 30
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -48,7 +51,7 @@
 	}
 	results := pool.NewWithResults[result]().WithMaxGoroutines(*jobs)
 	for i := range *seeds {
-		results.Go(func() result { return one(o, *folder, *first+uint64(i), i, *verbose) })
+		results.Go(func() result { return one(o, *folder, *first+uint64(i), *verbose) })
 	}
 	return verdict(results.Wait())
 }
@@ -59,11 +62,9 @@
 	err    error
 }
 
-func one(o soak.Options, folder string, seed uint64, number int, verbose bool) result {
+func one(o soak.Options, folder string, seed uint64, verbose bool) result {
 	o.Seed = seed
 	o.Folder = filepath.Join(folder, fmt.Sprint(seed))
-	// Two soaks at a time, or two seeds, must not share addresses.
-	o.Network = fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, number%250+1)
 	report, err := soak.Run(o)
 	if err != nil {
 		fmt.Printf("seed %d: not run: %v\n", seed, err)
@@ -79,7 +80,11 @@
 			fmt.Println("  ", step)
 		}
 	}
-	for _, v := range report.Violations {
+	for i, v := range report.Violations {
+		if i == maxShown {
+			fmt.Printf("   … and %d more\n", len(report.Violations)-maxShown)
+			break
+		}
 		fmt.Println("   BROKEN", v)
 	}
 	if len(report.Violations) == 0 {
--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -51,15 +50,35 @@
 	return line
 }
 
-// tally is the collector's side: what each daemon has reported.
+// tally is the collector's side: what each daemon has reported, and the sum of it.
+// The sum is kept up to date with each report: adding all up for each answer
+// would cost the square of the daemons' number.
 type tally struct {
 	mu      sync.Mutex
 	reports map[string]*report
+	sum     map[placement.Key]*total
+	// order holds the sum's keys in the order in which they came up.
+	order []placement.Key
+	// version counts the changes of the sum.
+	version uint64
+	// checked is when silent daemons were last looked for.
+	checked time.Time
 }
 
 type report struct {
 	loads map[placement.Key]placement.Load
 	heard time.Time
+	// told is the tally's version up to which the daemon was told the totals.
+	told uint64
+}
+
+// total is the sum of all daemons' loads at one upstream.
+type total struct {
+	load    placement.Load
+	daemons int
+	// changed is the tally's version of the last change, at its time.
+	changed uint64
+	at      time.Time
 }
 
 // take books a report and answers with the totals, and with what the collector
@@ -68,48 +87,100 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.reports == nil {
-		t.reports = make(map[string]*report)
+		t.reports, t.sum = make(map[string]*report), make(map[placement.Key]*total)
 	}
+	t.forgetSilent(now)
 	r := t.reports[m.Peers]
 	if r == nil {
 		r = &report{loads: make(map[placement.Key]placement.Load)}
 		t.reports[m.Peers] = r
 	}
+	t.version++
 	if m.Full {
-		clear(r.loads)
+		t.clear(r, now)
+		r.told = 0 // its answers may have been lost as well
 	}
 	for _, l := range m.Loads {
-		r.loads[l.At] = l.Load
+		t.put(r, l, now)
 	}
 	r.heard = now
-	totals := t.totals(m.Peers, now)
+	totals := t.totals(r)
 	totals.Config, totals.ReadAge = own.Config, own.ReadAge
 	totals.ListPosition, totals.ListDigest = uint64(own.ListPosition), own.ListDigest
 	reply(totals)
 }
 
-// totals adds up what all daemons but one have. Those that have fallen silent are
-// left out and forgotten.
-func (t *tally) totals(but string, now time.Time) wire.LoadTotals {
-	sum := make(map[placement.Key]placement.Load)
-	senders := 0
+// put takes one load of a report over.
+func (t *tally) put(r *report, l placement.LoadAt, now time.Time) {
+	sum := t.sum[l.At]
+	if sum == nil {
+		sum = &total{}
+		t.sum[l.At] = sum
+		t.order = append(t.order, l.At)
+	}
+	before, known := r.loads[l.At]
+	if !known {
+		sum.daemons++
+	}
+	sum.load = sum.load.Minus(before).Plus(l.Load)
+	sum.changed, sum.at = t.version, now
+	r.loads[l.At] = l.Load
+}
+
+// clear takes a report out of the sum. An upstream where nobody has work any more
+// stays in the sum for a while, so that all are told.
+func (t *tally) clear(r *report, now time.Time) {
+	for at, l := range r.loads {
+		sum := t.sum[at]
+		sum.load = sum.load.Minus(l)
+		sum.daemons--
+		sum.changed, sum.at = t.version, now
+	}
+	clear(r.loads)
+}
+
+// forgetSilent drops the daemons that have fallen silent, and the upstreams where
+// nobody has had work for long.
+func (t *tally) forgetSilent(now time.Time) {
+	if now.Sub(t.checked) < silentCheck {
+		return
+	}
+	t.checked = now
+	t.version++
 	for from, r := range t.reports {
 		if now.Sub(r.heard) > silentAfter {
+			t.clear(r, now)
 			delete(t.reports, from)
-			continue
 		}
-		if from == but {
-			continue
+	}
+	t.order = slices.DeleteFunc(t.order, func(at placement.Key) bool {
+		sum := t.sum[at]
+		if sum.daemons > 0 || now.Sub(sum.at) < totalsKept {
+			return false
 		}
-		senders++
-		for at, l := range r.loads {
-			sum[at] = sum[at].Plus(l)
+		delete(t.sum, at)
+		return true
+	})
+}
+
+const (
+	// silentCheck is how often silent daemons are looked for.
+	silentCheck = 100 * time.Millisecond
+	// totalsKept is how long all are told that nobody has work at an upstream: some
+	// full answers, in the largest site of several hundred daemons.
+	totalsKept = 10 * time.Second
+)
+
+// totals returns what all daemons but one have, where that has changed since the
+// daemon's last answer. Its own changes are told as well; they change nothing.
+func (t *tally) totals(to *report) wire.LoadTotals {
+	totals := wire.LoadTotals{Senders: len(t.reports) - 1}
+	for _, at := range t.order {
+		if sum := t.sum[at]; sum.changed > to.told {
+			totals.Loads = append(totals.Loads, placement.LoadAt{At: at, Load: sum.load.Minus(to.loads[at])})
 		}
 	}
-	totals := wire.LoadTotals{Senders: senders}
-	for _, at := range slices.Sorted(maps.Keys(sum)) {
-		totals.Loads = append(totals.Loads, placement.LoadAt{At: at, Load: sum[at]})
-	}
+	to.told = t.version
 	return totals
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -15,7 +15,7 @@
 	// pauseBetween is the mean time between two requests of a caller.
 	pauseBetween = 20 * time.Millisecond
 	// closeOneIn is how often a caller gives up a request that it has sent.
-	closeOneIn = 12
+	closeOneIn = 6
 	// keepAtLeast bounds how often a caller asks where to connect.
 	keepAtLeast = 200 * time.Millisecond
 	// patienceSlack is how long a caller waits beyond its deadline.
@@ -103,7 +103,7 @@
 		cancel()
 	}
 	if !s.stream {
-		time.AfterFunc(time.Duration(c.rng.IntN(100))*time.Millisecond, closeNow)
+		time.AfterFunc(time.Duration(c.rng.IntN(200))*time.Millisecond, closeNow)
 		return func() {}
 	}
 	events := 0
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -58,7 +58,7 @@
 	exitSlack = 200 * time.Millisecond
 	// fewLate is the number of closes that may be late in a run, whatever their
 	// share, and lateShare the share of them all.
-	fewLate   = 4
+	fewLate   = 2
 	lateShare = 0.25
 )
 
@@ -68,7 +68,9 @@
 	daemon  int
 	sent    time.Time
 	// closed is when the caller gave up; zero if it didn't.
-	closed  time.Time
+	closed time.Time
+	// worked says that a server worked on it then.
+	worked  bool
 	refused bool
 	runs    int
 	// arrivals counts those of whole requests and those that only read a prompt.
@@ -176,7 +178,8 @@
 func (o *oracle) closed(id string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.requests[id].closed = time.Now()
+	q := o.requests[id]
+	q.closed, q.worked = time.Now(), q.working > 0
 }
 
 // Arrived implements standin.Watcher.
@@ -381,24 +384,29 @@
 	}
 }
 
+// checkCloses looks at the requests that a server was at work on when their
+// caller closed, for each service: streams end sooner than calls that write
+// nothing, as their next event finds the connection closed.
 func (o *oracle) checkCloses() {
-	closed, late := 0, 0
+	closed, late := make(map[string]int), make(map[string]int)
 	for _, q := range o.requests {
-		if q.closed.IsZero() || q.service.once {
+		if !q.worked || q.service.once {
 			continue
 		}
 		due := q.closed.Add(closeWithin)
 		if !o.troubles.quiet(q.closed, due, subjectMachine, daemonSubject(q.daemon), serversSubject(q.service.name)) {
 			continue
 		}
-		closed++
+		closed[q.service.name]++
 		if q.working > 0 || q.lastEnd.After(due) {
-			late++
+			late[q.service.name]++
 		}
 	}
-	o.seen["closes counted"], o.seen["closes late"] = closed, late
-	if late > fewLate && float64(late) > lateShare*float64(closed) {
-		o.violate(CloseIsPassed, "%d of %d closes reached the servers late", late, closed)
+	for name, n := range closed {
+		o.seen["closes counted, "+name] = n
+		if late[name] > fewLate && float64(late[name]) > lateShare*float64(n) {
+			o.violate(CloseIsPassed, "%d of %d closes of %s reached the servers late", late[name], n, name)
+		}
 	}
 }
 
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -114,9 +114,9 @@
 				ask(o, repeat, at("repeat-1"), at("repeat-1"))
 			}
 		}, nil},
-		{"closes passed on", func(o *oracle) { closes(o, func() {}) }, nil},
+		{"closes passed on", func(o *oracle) { closes(o, o.Ended) }, nil},
 		{"closes not passed on", func(o *oracle) {
-			closes(o, func() { o.Arrived(standin.Visit{Server: "repeat-1", ID: "1-1"}) })
+			closes(o, func(standin.Visit) {})
 		}, []Promise{CloseIsPassed}},
 		{"leaving for long", func(o *oracle) {
 			o.serverLeaves("once-1")
@@ -191,12 +191,13 @@
 	}
 }
 
-// closes lets some callers close; after is what still goes on at a server then.
-func closes(o *oracle, after func()) {
+// closes lets some callers close while a server works; after is what it does then.
+func closes(o *oracle, after func(v standin.Visit)) {
 	for range 2 * fewLate {
-		ask(o, repeat, at("repeat-1"))
-		after()
+		ask(o, repeat)
+		o.Arrived(standin.Visit{Server: "repeat-1", ID: "1-1"})
 		o.closed("1-1")
+		after(standin.Visit{Server: "repeat-1", ID: "1-1"})
 		q := o.requests["1-1"]
 		delete(o.requests, "1-1")
 		o.requests[time.Now().String()] = q
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,9 +21,7 @@
 	// Program is the path of the daemon's program.
 	Program string
 	// Folder holds the settings and logs of the daemons.
-	Folder string
-	// Network holds the first three bytes of the daemons' loopback addresses.
-	Network string
+	Folder  string
 	Seed    uint64
 	Daemons int
 	Callers int
@@ -63,7 +61,12 @@
 	if err := os.MkdirAll(o.Folder, folderMode); err != nil {
 		return nil, eris.Wrap(err, "soak's folder")
 	}
-	s, err := newSite(o)
+	network, release, err := reserveNetwork()
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	s, err := newSite(o, network)
 	if s != nil {
 		defer s.close()
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -22,6 +22,10 @@
 	streamEvents = 20
 	streamPause  = 60 * time.Millisecond
 	serviceMark  = "mark"
+	// One of slowEvery calls to a plain server takes slowFor: long against
+	// closeWithin, so that it shows whether a caller's close reaches the server.
+	slowEvery = 8
+	slowFor   = 1500 * time.Millisecond
 )
 
 // service is a kind of request.
@@ -104,7 +108,7 @@
 
 // newSite starts the store and the servers, and lists them. Nothing runs yet that
 // is tested.
-func newSite(o Options) (*site, error) {
+func newSite(o Options, network string) (*site, error) {
 	t := newTroubles()
 	s := &site{store: standin.NewStore(), oracle: newOracle(t), troubles: t}
 	s.storeHTTP = httptest.NewServer(s.store)
@@ -124,7 +128,7 @@
 		s.addPlace(pool, "")
 	}
 	s.publish()
-	return s, s.addDaemons(o)
+	return s, s.addDaemons(o, network)
 }
 
 // firstRoles are the roles of engines at their start. They suit the requests so
@@ -158,6 +162,7 @@
 	link, number := s.takeLink()
 	server := standin.NewServer(fmt.Sprintf("%s-%d", p.pool, number))
 	server.Watcher = s.oracle
+	server.SlowEvery, server.SlowFor = slowEvery, slowFor
 	if p.role != "" {
 		server.Events, server.Pause = streamEvents, streamPause
 		server.SetStage(p.role)
@@ -241,10 +246,10 @@
 	s.oracle.versionPublished()
 }
 
-func (s *site) addDaemons(o Options) error {
+func (s *site) addDaemons(o Options, network string) error {
 	ips := make([]string, o.Daemons)
 	for i := range ips {
-		ips[i] = fmt.Sprintf("%s.%d", o.Network, i+1)
+		ips[i] = fmt.Sprintf("%s.%d", network, i+1)
 	}
 	for i, ip := range ips {
 		link, err := NewProxy(s.storeHTTP.Listener.Addr().String())
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -42,11 +42,11 @@
 	program := filepath.Join(t.TempDir(), "chute-member")
 	out, err := exec.Command("go", "build", "-o", program, "tamarackchute/cmd/chute-member").CombinedOutput()
 	require.NoError(t, err, "%s", out)
-	for i, seed := range kept(t) {
+	for _, seed := range kept(t) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			folder := filepath.Join(t.TempDir(), "logs")
 			report, err := Run(Options{
-				Program: program, Folder: folder, Network: fmt.Sprintf("127.%d.%d", 192+os.Getpid()%32, i+1),
+				Program: program, Folder: folder,
 				Seed: seed, Daemons: 5, Callers: 20, Shape: DefaultShape(),
 			})
 			require.NoError(t, err)
--- a/placement/books.go
+++ b/placement/books.go
@@ -82,6 +82,11 @@
 	return Load{Running: l.Running + o.Running, Long: l.Long + o.Long, Sent: l.Sent + o.Sent, Done: l.Done + o.Done}
 }
 
+// Minus takes a load back that Plus has added.
+func (l Load) Minus(o Load) Load {
+	return Load{Running: l.Running - o.Running, Long: l.Long - o.Long, Sent: l.Sent - o.Sent, Done: l.Done - o.Done}
+}
+
 // LoadAt is a load with the upstream's key.
 type LoadAt struct {
 	//lint:ignore U1000 msgpack reads it: the fields go without their names.
