--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -76,7 +77,7 @@
 		c.site.oracle.report(Recovers, "a directory names %s, which is no daemon's address", address)
 		return
 	}
-	s := services[c.rng.IntN(len(services))]
+	s := c.draw()
 	c.sent++
 	id := fmt.Sprintf("%d-%d", c.name, c.sent)
 	life := d.lifeNow()
@@ -95,6 +96,15 @@
 	}
 }
 
+// draw picks a kind of request. Half are streams: they last long enough to meet
+// troubles midway.
+func (c *caller) draw() service {
+	if c.rng.IntN(2) == 0 {
+		return services[slices.IndexFunc(services, func(s service) bool { return s.stream })]
+	}
+	return services[c.rng.IntN(len(services))]
+}
+
 // giveUp closes a request some time after it was sent, or after its second
 // event. It returns what to call after an event.
 func (c *caller) giveUp(id string, s service, cancel func()) (event func()) {
