--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -51,8 +51,10 @@
 	sameList func(at Position, digest uint64, age time.Duration)
 	// demand measures what callers ask of this daemon.
 	demand func() map[string]wire.MemberDemand
-	// beats counts full states.
+	// beats counts the states of beats.
 	beats int
+	// toldAbout is what the peers were told last of this daemon.
+	toldAbout toldAbout
 	// full says that states go to every known peer.
 	full bool
 	// tally is of the reports that this daemon collects, collect its own part.
@@ -164,6 +166,8 @@
 	switch m := m.(type) {
 	case wire.MemberState:
 		p.take(m)
+	case wire.MemberLoads:
+		p.takeLoads(m)
 	case wire.ViewRequest:
 		reply(p.view())
 	case wire.LoadReport:
@@ -213,6 +217,32 @@
 	p.change()
 }
 
+// takeLoads books what has changed of a peer's work. One whose state hasn't come
+// yet is left out: its next state says all.
+func (p *Peers) takeLoads(m wire.MemberLoads) {
+	p.mu.Lock()
+	from := p.byIncarnation(m.Incarnation)
+	if from == nil || m.Seq <= from.seq {
+		p.mu.Unlock()
+		return
+	}
+	from.seq = m.Seq
+	from.heard = time.Now()
+	address := from.Peers
+	p.mu.Unlock()
+	p.books.NotePeer(address, m.Loads, m.Reads)
+	p.change()
+}
+
+func (p *Peers) byIncarnation(incarnation uint64) *peer {
+	for _, other := range p.peers {
+		if other.incarnation == incarnation && other.up {
+			return other
+		}
+	}
+	return nil
+}
+
 // Serve implements suture.Service.
 func (p *Peers) Serve(ctx context.Context) error {
 	done := p.links.ServeBackground(ctx)
@@ -228,7 +258,7 @@
 			if now.Sub(lastBeat) >= beatEvery {
 				lastBeat, lastLoad = now, now
 				p.checkSilence(now)
-				p.send(p.state(true))
+				p.send(p.state(now))
 				continue
 			}
 			if !p.meshed() {
@@ -238,9 +268,9 @@
 			if now.Sub(lastLoad) < stateEvery {
 				continue
 			}
-			if s := p.state(false); len(s.Loads) > 0 {
+			if m := p.changes(now); m != nil {
 				lastLoad = now
-				p.send(s)
+				p.send(m)
 			}
 		}
 	}
@@ -253,28 +283,65 @@
 	return p.full
 }
 
-// state returns the state to be told. A full one carries the loads even if they
-// haven't changed, and the addresses of other daemons.
-func (p *Peers) state(full bool) wire.MemberState {
-	reads := p.books.Reads()
-	var loads []placement.LoadAt
-	if p.meshed() {
-		loads = p.books.Own(full)
+// changes returns what is to be told between two beats, nil if nothing has
+// changed. A whole state goes out only if there is more to tell than loads.
+func (p *Peers) changes(now time.Time) wire.Message {
+	loads := p.books.Own(false)
+	if len(loads) == 0 {
+		return nil
 	}
 	about := p.about()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.toldAbout.covers(about, now) {
+		return p.stateOf(about, loads, p.books.Reads(), now)
+	}
+	p.seq++
+	return wire.MemberLoads{Incarnation: p.incarnation, Seq: p.seq, Loads: loads, Reads: p.books.Reads()}
+}
+
+// toldAbout is what the last state said of this daemon, and when.
+type toldAbout struct {
+	About
+	at time.Time
+}
+
+// readSlack is the difference between two accounts of when a list was read that
+// count as the same: they are taken at slightly different times.
+const readSlack = 10 * time.Millisecond
+
+// covers reports whether what was told still holds, but for the time that has
+// passed.
+func (t toldAbout) covers(now About, at time.Time) bool {
+	same := t.Serving == now.Serving && t.Config == now.Config &&
+		t.ListPosition == now.ListPosition && t.ListDigest == now.ListDigest
+	return same && now.ReadAge > t.ReadAge+at.Sub(t.at)-readSlack
+}
+
+// stateOf returns the state to be told. p.mu is held.
+func (p *Peers) stateOf(about About, loads []placement.LoadAt, reads []placement.Read, now time.Time) wire.MemberState {
 	p.seq++
-	s := wire.MemberState{
+	p.toldAbout = toldAbout{about, now}
+	return wire.MemberState{
 		MemberAddress: p.self, Incarnation: p.incarnation, Seq: p.seq,
 		Serving: about.Serving, Config: about.Config, ReadAge: about.ReadAge,
 		ListPosition: uint64(about.ListPosition), ListDigest: about.ListDigest,
-		Loads: loads, Reads: reads,
+		Loads: loads, Reads: reads, Away: p.awayNow(),
 	}
-	s.Away = p.awayNow()
-	if !full {
-		return s
+}
+
+// state returns the state of a beat: it carries the loads even if they haven't
+// changed, and now and then the addresses of other daemons.
+func (p *Peers) state(now time.Time) wire.MemberState {
+	reads := p.books.Reads()
+	var loads []placement.LoadAt
+	if p.meshed() {
+		loads = p.books.Own(true)
 	}
+	about := p.about()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stateOf(about, loads, reads, now)
 	s.Demands = p.demand()
 	if p.beats++; p.beats%knownEvery != 1 {
 		return s
@@ -287,12 +354,12 @@
 	return s
 }
 
-func (p *Peers) send(s wire.MemberState) {
+func (p *Peers) send(m wire.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, to := range p.peers {
 		if to.link != nil {
-			to.link.Send(s)
+			to.link.Send(m)
 		}
 	}
 }
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -24,7 +24,7 @@
 	p.away[at] = awayEngine{to: to, until: time.Now().Add(d)}
 	p.mu.Unlock()
 	if !told {
-		p.send(p.state(true))
+		p.send(p.state(time.Now()))
 	}
 }
 
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -49,6 +49,20 @@
 	Known []MemberAddress `msgpack:"k"`
 }
 
+// MemberLoads is what has changed of a daemon's work since its last state, told
+// many times between two. It says nothing else, so that it stays small.
+type MemberLoads struct {
+	//lint:ignore U1000 msgpack reads it: the fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
+	// Incarnation and Seq are as in a MemberState, and tell whose it is.
+	Incarnation, Seq uint64
+	Loads            []placement.LoadAt
+	Reads            []placement.Read
+}
+
+// Kind implements Message.
+func (MemberLoads) Kind() Kind { return KindMemberLoads }
+
 // MemberDemand is what callers ask of one pool at one daemon, a second.
 type MemberDemand struct {
 	// Tokens are prompt tokens to be read.
--- a/internal/wire/member_test.go
+++ b/internal/wire/member_test.go
@@ -25,6 +25,7 @@
 			Away:    []AwayEngine{{At: at, To: "prefill", Left: time.Minute}},
 			Known:   []MemberAddress{address},
 		},
+		MemberLoads{Incarnation: 1, Seq: 2, Loads: loads, Reads: []placement.Read{{At: at, Last: placement.Part{ID: 6, Tokens: 7}}}},
 		ViewRequest{},
 		ViewReply{Config: []byte("c"), Upstreams: map[string][]byte{"u": []byte("x")}, Position: 1, Age: 2},
 		LoadReport{Peers: "p", Full: true, Loads: loads},
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -30,6 +30,7 @@
 	KindViewReply    Kind = 10
 	KindLoadReport   Kind = 11
 	KindLoadTotals   Kind = 12
+	KindMemberLoads  Kind = 13
 )
 
 // Message is a typed message between two processes of the system.
@@ -162,6 +163,8 @@
 		return decodeAs[ViewReply](body)
 	case KindLoadReport:
 		return decodeAs[LoadReport](body)
+	case KindMemberLoads:
+		return decodeAs[MemberLoads](body)
 	case KindLoadTotals:
 		return decodeAs[LoadTotals](body)
 	default:
