--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -54,6 +55,13 @@
 
 func newBench(t *testing.T) *bench { return newBenchOver(t, journaltest.NewLog()) }
 
+// ownAddress returns a loopback address that other processes don't listen at: one
+// of theirs could take the port of an instance that has been stopped, and answer
+// in its place.
+func ownAddress() string {
+	return fmt.Sprintf("127.%d.%d.1:0", 200+rand.IntN(50), rand.IntN(250))
+}
+
 func newBenchOver(t *testing.T, log *journaltest.Log) *bench {
 	b := &bench{t: t, folder: t.TempDir(), log: log}
 	var addresses []any
@@ -64,7 +72,7 @@
 		} else {
 			b.second = i
 		}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ownAddress())
 		require.NoError(t, err)
 		addresses = append(addresses, l.Addr().String())
 		go func() { _ = i.App.Listener(l) }()
@@ -106,7 +114,7 @@
 }{
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[\d:.]+(Z|[+-]\d\d:\d\d)`), "2026-05-04T03:02:01Z"},
 	{regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`), "ID"},
-	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`127(\.\d+){3}:\d+`), "ADDRESS"},
 	{regexp.MustCompile(`/\S+/(\w+\.json)`), "$1"},
 }
 
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -16,7 +16,7 @@
 	attrs := []any{
 		"request", c.ID, "upstream", p.target.ID, "pool", c.pool, "config", c.version,
 		"waited_ms", ms(p.waited), "expected_ms", ms(p.plan.FirstToken), "prompt", c.promptTokens(), "output", c.outputTokens(), "uncached", p.plan.Uncached,
-		"queue_ms", ms(p.plan.Queue), "read_ms", ms(p.read), "first_ms", ms(p.first), "considered", p.plan.Considered, "done", res.done, "status", res.status,
+		"queue_ms", ms(p.plan.Queue), "read_ms", ms(p.read), "first_ms", ms(p.first), "lasted_ms", ms(time.Since(p.sentAt)), "considered", p.plan.Considered, "done", res.done, "status", res.status,
 	}
 	if p.prefill != nil {
 		attrs = append(attrs, "prefill", p.prefill.ID)
@@ -31,7 +31,7 @@
 // upstream.
 func (c *call) logEnd(f *failure) {
 	c.relay.metrics.ended(c, f)
-	attrs := []any{"request", c.ID, "took_ms", ms(time.Since(c.arrived)), "attempts", c.tries.Attempts()}
+	attrs := []any{"request", c.ID, "took_ms", ms(time.Since(c.arrived)), "attempts", c.tries.Attempts(), "config", c.version}
 	if c.rule != nil {
 		attrs = append(attrs, "rule", c.rule.Name, "pool", c.pool)
 	}
@@ -46,6 +46,9 @@
 		attrs = append(attrs, "expected_ms", ms(c.looked.FirstToken), "queue_ms", ms(c.looked.Queue),
 			"considered", c.looked.Considered, "objective_ms", ms(c.rule.Objective), "comeback", c.comeback)
 	}
+	if f.reason == reasonNoRule {
+		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
+	}
 	attrs = append(attrs, "status", f.status, "reason", string(f.reason), "ran", c.tries.Ran(), "retry_after_ms", ms(f.retryAfter))
 	c.log.Warn("failed", attrs...)
 }
--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -8,6 +8,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// standinHost is the last byte of the stand-ins' address in a run's network.
+const standinHost = 253
+
 const (
 	// guardHost and guardPort make the address that a run listens at for as long
 	// as it uses a network. Two runs on the same addresses would serve each
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -49,9 +49,9 @@
 	closed  bool
 }
 
-// NewProxy listens on loopback. Close must be called.
-func NewProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// NewProxy listens at a loopback address. Close must be called.
+func NewProxy(ip, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy")
 	}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -56,7 +56,7 @@
 func TestProxyHoldsWhatItSilences(t *testing.T) {
 	const patience = 10 * time.Second
 	for _, mode := range []Mode{Silences, CutsReplies} {
-		p, err := NewProxy(echo(t))
+		p, err := NewProxy("127.0.0.1", echo(t))
 		require.NoError(t, err)
 		defer p.Close()
 		c := dial(t, p)
@@ -71,7 +71,7 @@
 }
 
 func TestProxyResets(t *testing.T) {
-	p, err := NewProxy(echo(t))
+	p, err := NewProxy("127.0.0.1", echo(t))
 	require.NoError(t, err)
 	defer p.Close()
 	c := dial(t, p)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -41,8 +42,8 @@
 // services are the kinds of request of a run. The answers of the last tell which
 // configuration is in force.
 var services = []service{
-	{name: "once", once: true, kind: "non_idempotent", servers: 3, deadline: 3 * time.Second},
-	{name: "repeat", kind: "idempotent", servers: 3, deadline: 3 * time.Second},
+	{name: "once", once: true, kind: "non_idempotent", servers: 2, deadline: 3 * time.Second},
+	{name: "repeat", kind: "idempotent", servers: 2, deadline: 3 * time.Second},
 	{name: "llm", stream: true, kind: "streaming", servers: 4, deadline: 6 * time.Second},
 	{name: serviceMark, kind: "idempotent", deadline: 3 * time.Second},
 }
@@ -86,6 +87,9 @@
 
 // site is everything that a run needs: the store, the servers and the daemons.
 type site struct {
+	// ip is the address of the stand-ins. It is none that other programs listen
+	// at, so that none of them can be reached at a port that has come free.
+	ip        string
 	store     *standin.Store
 	storeHTTP *httptest.Server
 	daemons   []*daemon
@@ -110,8 +114,13 @@
 // is tested.
 func newSite(o Options, network string) (*site, error) {
 	t := newTroubles()
-	s := &site{store: standin.NewStore(), oracle: newOracle(t), troubles: t}
-	s.storeHTTP = httptest.NewServer(s.store)
+	s := &site{ip: fmt.Sprintf("%s.%d", network, standinHost), store: standin.NewStore(), oracle: newOracle(t), troubles: t}
+	l, err := s.listen()
+	if err != nil {
+		return nil, err
+	}
+	s.storeHTTP = &httptest.Server{Listener: l, Config: &http.Server{Handler: s.store}}
+	s.storeHTTP.Start()
 	if err := s.addLinks(); err != nil {
 		return nil, err
 	}
@@ -121,11 +130,15 @@
 			if v.stream {
 				role = firstRoles[i%len(firstRoles)]
 			}
-			s.addPlace(v.name, role)
+			if err := s.addPlace(v.name, role); err != nil {
+				return nil, err
+			}
 		}
 	}
 	for _, pool := range markPools {
-		s.addPlace(pool, "")
+		if err := s.addPlace(pool, ""); err != nil {
+			return nil, err
+		}
 	}
 	s.publish()
 	return s, s.addDaemons(o, network)
@@ -133,7 +146,7 @@
 
 // firstRoles are the roles of engines at their start. They suit the requests so
 // badly that the system has to change some.
-var firstRoles = []string{"prefill"}
+var firstRoles = []string{"prefill", "decode", "prefill", "prefill"}
 
 // addLinks makes a link for each server and some to spare.
 func (s *site) addLinks() error {
@@ -142,7 +155,7 @@
 		n += v.servers
 	}
 	for range n {
-		link, err := NewProxy("")
+		link, err := NewProxy(s.ip, "")
 		if err != nil {
 			return err
 		}
@@ -151,16 +164,25 @@
 	return nil
 }
 
-func (s *site) addPlace(pool, role string) {
+func (s *site) addPlace(pool, role string) error {
 	p := &place{pool: pool, role: role}
 	s.places = append(s.places, p)
-	s.startServer(p)
+	return s.startServer(p)
+}
+
+func (s *site) listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(s.ip, "0"))
+	return l, eris.Wrap(err, "stand-in")
 }
 
 // startServer starts the next server of a place, at an address that is free.
-func (s *site) startServer(p *place) {
+func (s *site) startServer(p *place) error {
+	l, err := s.listen()
+	if err != nil {
+		return err
+	}
 	link, number := s.takeLink()
-	server := standin.NewServer(fmt.Sprintf("%s-%d", p.pool, number))
+	server := standin.NewServerOn(fmt.Sprintf("%s-%d", p.pool, number), l)
 	server.Watcher = s.oracle
 	server.SlowEvery, server.SlowFor = slowEvery, slowFor
 	if p.role != "" {
@@ -173,6 +195,7 @@
 	p.server, p.link, p.listedRole = server, link, p.role
 	p.mu.Unlock()
 	s.store.List(server, p.pool, link.Address(), false)
+	return nil
 }
 
 func (s *site) takeLink() (*Proxy, int) {
@@ -257,7 +280,7 @@
 		ips[i] = fmt.Sprintf("%s.%d", network, i+1)
 	}
 	for i, ip := range ips {
-		link, err := NewProxy(s.storeHTTP.Listener.Addr().String())
+		link, err := NewProxy(s.ip, s.storeHTTP.Listener.Addr().String())
 		if err != nil {
 			return err
 		}
@@ -290,7 +313,7 @@
 
 // siteBudget bounds repeats. The slack is small, so that the troubles of a run
 // can use it up.
-var siteBudget = budget{ratio: 0.2, slack: 10, window: 10 * time.Second}
+var siteBudget = budget{ratio: 0.05, slack: 5, window: 10 * time.Second}
 
 // close ends the daemons first, then what they use.
 func (s *site) close() {
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -62,6 +62,8 @@
 		time.AfterFunc(settleTime, end)
 	case ServerFaults:
 		s.failServer(p, step)
+	case ServerFails:
+		s.failAll(p, step)
 	case CrashServer:
 		replace(p, func() { s.crash(p, step.For) })
 	case ServerLeaves:
@@ -126,6 +128,16 @@
 	time.AfterFunc(settleTime, end)
 }
 
+// failAll fails all requests of a server in the same way for a while.
+func (s *site) failAll(p *place, step Step) {
+	end := s.troubles.begin(serversSubject(p.pool))
+	server, _ := p.current()
+	server.FailAll(serverFaults[step.Variant%len(serverFaults)])
+	time.Sleep(step.For)
+	server.FailAll(standin.Well)
+	time.AfterFunc(settleTime, end)
+}
+
 // crash ends a server without notice. Another one, perhaps of another pool, has
 // its address some time later, while the old entry may still be listed.
 func (s *site) crash(p *place, length time.Duration) {
@@ -138,10 +150,18 @@
 		s.store.Unlist(old.ID)
 	}()
 	time.Sleep(length)
-	s.startServer(p)
+	s.restartServer(p)
 	time.AfterFunc(settleTime, end)
 }
 
+// restartServer starts a place's next server. Without one the run can't go on as
+// planned, which must not pass for a broken promise of the system.
+func (s *site) restartServer(p *place) {
+	if err := s.startServer(p); err != nil {
+		panic(err)
+	}
+}
+
 // leave lets a server announce its end, and replaces it.
 func (s *site) leave(p *place) {
 	old, link := p.current()
@@ -150,7 +170,7 @@
 	time.Sleep(leaveTime)
 	end := s.troubles.begin(serversSubject(p.pool))
 	s.store.Unlist(old.ID)
-	s.startServer(p)
+	s.restartServer(p)
 	old.Close()
 	s.retire(old, link)
 	time.AfterFunc(settleTime, end)
