--- a/cmd/chute-soak/main.go
+++ b/cmd/chute-soak/main.go
@@ -40,12 +40,21 @@
 	flag.IntVar(&o.Callers, "callers", 30, "number of callers")
 	flag.DurationVar(&o.Shape.Length, "length", o.Shape.Length, "time in which troubles begin")
 	flag.DurationVar(&o.Shape.Every, "every", o.Shape.Every, "mean time between two troubles")
+	plan := flag.String("plan", "", "`file` of a kept plan, played instead of the seed's")
 	verbose := flag.Bool("v", false, "print the troubles too")
 	flag.Parse()
 	if flag.NArg() > 0 || *seeds < 1 || *jobs < 1 {
 		flag.Usage()
 		return exitUsage
 	}
+	if *plan != "" {
+		kept, err := soak.ReadKept(*plan)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "chute-soak:", err)
+			return exitUsage
+		}
+		o.Steps = kept.Steps
+	}
 	if *first == 0 {
 		*first = uint64(time.Now().UnixNano())
 	}
@@ -89,6 +98,8 @@
 	}
 	if len(report.Violations) == 0 {
 		_ = os.RemoveAll(o.Folder) // only a failure's logs are worth their room
+	} else if err := (soak.Kept{Steps: report.Steps}).Write(filepath.Join(o.Folder, "plan.json")); err != nil {
+		fmt.Println("  ", err)
 	}
 	return result{broken: len(report.Violations) > 0}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,11 +1,15 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Kind is a kind of trouble.
@@ -39,6 +43,33 @@
 	For     time.Duration
 }
 
+// Kept is a plan that has shown a fault, kept to be played again. A seed alone
+// would stand for other steps as soon as a kind of trouble is added.
+type Kept struct {
+	// Cause is what was found.
+	Cause string
+	Steps []Step
+}
+
+// ReadKept reads a plan's file.
+func ReadKept(file string) (Kept, error) {
+	var k Kept
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return k, eris.Wrap(err, "plan")
+	}
+	return k, eris.Wrapf(json.Unmarshal(text, &k), "plan %s", file)
+}
+
+// Write writes the plan's file.
+func (k Kept) Write(file string) error {
+	text, err := json.MarshalIndent(k, "", " ")
+	if err != nil {
+		return eris.Wrap(err, "plan")
+	}
+	return eris.Wrap(os.WriteFile(file, append(text, '\n'), settingsMode), "plan")
+}
+
 // String describes the step for reports.
 func (s Step) String() string {
 	return fmt.Sprintf("%v %s target %d variant %d for %v", s.At, s.Kind, s.Target, s.Variant, s.For)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,6 +26,8 @@
 	Daemons int
 	Callers int
 	Shape   Shape
+	// Steps are played instead of those of the seed, unless there are none.
+	Steps []Step
 }
 
 // DefaultShape has several troubles at a time for some seconds.
@@ -76,7 +78,10 @@
 	if !s.awaitReady(startWithin) {
 		return nil, eris.New("the daemons aren't ready in time; see their logs")
 	}
-	report := &Report{Seed: o.Seed, Steps: NewPlan(o.Seed, o.Shape)}
+	report := &Report{Seed: o.Seed, Steps: o.Steps}
+	if len(report.Steps) == 0 {
+		report.Steps = NewPlan(o.Seed, o.Shape)
+	}
 	s.play(o, report)
 	s.oracle.finish(siteBudget)
 	s.oracle.checkOrders(s.orders())
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,12 +1,9 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
-	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,48 +11,69 @@
 	"github.com/stretchr/testify/require"
 )
 
-// kept returns the seeds of testdata/seeds.txt.
-func kept(t *testing.T) []uint64 {
-	t.Helper()
-	file, err := os.Open("testdata/seeds.txt")
+// ciSeeds are played with each run of the tests, beside the kept plans: one with
+// many troubles at once, one with few.
+var ciSeeds = []uint64{13, 11}
+
+func buildMember(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "chute-member")
+	out, err := exec.Command("go", "build", "-o", program, "tamarackchute/cmd/chute-member").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return program
+}
+
+func runClean(t *testing.T, o Options) {
+	o.Folder = filepath.Join(t.TempDir(), "logs")
+	o.Daemons, o.Callers, o.Shape = 5, 20, DefaultShape()
+	report, err := Run(o)
 	require.NoError(t, err)
-	defer func() { _ = file.Close() }()
-	var seeds []uint64
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		if strings.HasPrefix(lines.Text(), "#") {
-			continue
-		}
-		first, _, _ := strings.Cut(lines.Text(), " ")
-		seed, err := strconv.ParseUint(first, 10, 64)
-		require.NoError(t, err)
-		seeds = append(seeds, seed)
-	}
-	require.NoError(t, lines.Err())
-	return seeds
+	require.Empty(t, report.Violations)
+	require.Greater(t, report.Outcomes["once 200"], 0)
 }
 
 // A driver must get the one true answer whatever happens to daemons, store,
 // servers and the links between them, several at a time and one after the other.
-// Real daemons are disturbed as each kept seed says; no promise may break.
-func TestKeptSeeds(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "chute-member")
-	out, err := exec.Command("go", "build", "-o", program, "tamarackchute/cmd/chute-member").CombinedOutput()
-	require.NoError(t, err, "%s", out)
-	for _, seed := range kept(t) {
+// Real daemons are disturbed as each seed says; no promise may break.
+func TestSeeds(t *testing.T) {
+	t.Parallel()
+	program := buildMember(t)
+	for _, seed := range ciSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			folder := filepath.Join(t.TempDir(), "logs")
-			report, err := Run(Options{
-				Program: program, Folder: folder,
-				Seed: seed, Daemons: 5, Callers: 20, Shape: DefaultShape(),
-			})
+			t.Parallel()
+			runClean(t, Options{Program: program, Seed: seed})
+		})
+	}
+}
+
+// Plans that have shown a fault once must not show it again.
+func TestKeptPlans(t *testing.T) {
+	t.Parallel()
+	files, err := filepath.Glob("testdata/plans/*.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	program := buildMember(t)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
+			t.Parallel()
+			kept, err := ReadKept(file)
 			require.NoError(t, err)
-			require.Empty(t, report.Violations)
-			require.Greater(t, report.Outcomes["once 200"], 0)
+			require.NotEmpty(t, kept.Cause)
+			runClean(t, Options{Program: program, Steps: kept.Steps})
 		})
 	}
 }
 
+func TestKeptPlanIsReadAsWritten(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "plan.json")
+	kept := Kept{Cause: "c", Steps: NewPlan(3, DefaultShape())}
+	require.NoError(t, kept.Write(file))
+	got, err := ReadKept(file)
+	require.NoError(t, err)
+	require.Equal(t, kept, got)
+	_, err = ReadKept(filepath.Join(t.TempDir(), "none"))
+	require.Error(t, err)
+}
+
 // A kept seed is worth nothing if it stands for other troubles the next time.
 func TestPlanFollowsFromItsSeed(t *testing.T) {
 	shape := DefaultShape()
