--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -174,6 +174,8 @@
 
 func brokenOutcome(ctx context.Context) placement.Outcome {
 	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		return placement.Unreachable
 	case errors.Is(ctx.Err(), context.Canceled):
 		return placement.Cancelled
 	case ctx.Err() != nil:
@@ -217,6 +219,8 @@
 	if f := c.ended(ctx); f != nil {
 		return result{fate: dispatch.NotSent, outcome: placement.Cancelled, err: errors.New(f.message)}
 	}
+	ctx, watch := c.watchSilence(ctx, p)
+	defer watch.end()
 	resp, err := c.relay.connections(p.target).Do(ctx, c.request(p.target, Attempt{Handoff: handoff}))
 	if err != nil {
 		return c.sendFailed(ctx, p, err)
@@ -239,8 +243,9 @@
 	}
 	c.noteRun()
 	if c.rule.Stream && resp.Status == http.StatusOK {
-		return c.relayStream(ctx, p, resp)
+		return c.relayStream(ctx, p, resp, watch)
 	}
+	watch.heard()
 	return c.relayPlain(ctx, p, resp)
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"tamarackchute/internal/dispatch"
@@ -41,6 +42,8 @@
 	pool     string
 	body     []byte
 
+	// prepaid says that the next repeat has been counted against the budget.
+	prepaid atomic.Bool
 	// tries counts the sendings that may have run.
 	tries dispatch.Tries
 	// exclude names upstreams that won't be tried again.
@@ -112,7 +115,7 @@
 func (c *call) policy() dispatch.Policy {
 	p := dispatch.Policy{
 		Repeat: dispatch.Repeatable, MaxAttempts: c.rule.MaxAttempts,
-		Allow: func() bool { return c.relay.cfg.Budget.Allow(c.pool) },
+		Allow: func() bool { return c.prepaid.Swap(false) || c.relay.cfg.Budget.Allow(c.pool) },
 	}
 	if c.rule.Repeat == pathset.Once {
 		p.Repeat = dispatch.Unsent
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -26,11 +26,12 @@
 
 // relayStream passes events on as they come, each whole and once. The head goes
 // out with the first of them, so that a failure before it can still be mended.
-func (c *call) relayStream(ctx context.Context, p *place, resp *exchange.Response) result {
+func (c *call) relayStream(ctx context.Context, p *place, resp *exchange.Response, watch *silenceWatch) result {
 	events := newEventReader(resp)
 	first := true
 	for {
 		e, err := events.next()
+		watch.heard()
 		if err == io.EOF {
 			return c.endStream(p, resp, first)
 		}
@@ -52,6 +53,7 @@
 		if err := c.deliver(e, resp); err != nil {
 			return c.cutStream(ctx, p, err)
 		}
+		watch.listen(c.pauseSilence())
 	}
 }
 
