--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -257,6 +257,7 @@
 
 func (c *call) sendFailed(ctx context.Context, p *place, err error) result {
 	outcome := brokenOutcome(ctx)
+	err = tellSilence(ctx, err)
 	if !sent(err) {
 		c.exclude = append(c.exclude, p.target.ID)
 		return result{fate: dispatch.NotSent, outcome: outcome, err: err}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -96,6 +96,14 @@
 	w.cancel(errSilent)
 }
 
+// tellSilence adds to an attempt's error that it was given up for silence.
+func tellSilence(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return errors.Join(errSilent, err)
+	}
+	return err
+}
+
 // end releases the watch.
 func (w *silenceWatch) end() {
 	w.heard()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -102,5 +102,5 @@
 	if c.stream != nil {
 		err = errors.Join(err, errors.New("the stream was cut"))
 	}
-	return c.lost(p, brokenOutcome(ctx), err)
+	return c.lost(p, brokenOutcome(ctx), tellSilence(ctx, err))
 }
