soak: successors at each other's addresses; what is meant for the gone

Change: two servers crash at a time and their successors swap addresses while the old entries are listed. A request that reaches another pool's server is turned away there, which is allowed (traced: 421, nothing ran): the pool is checked where requests run, and in turn none may be meant for a server whose entry was taken out more than 5 s before.

--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -20,11 +20,11 @@
 	TrueRefusal     Promise = "a request refused as not run hasn't run"
 	OwnAnswer       Promise = "an answer is the whole and genuine one to the caller's own request"
 	WholeStream     Promise = "events come in order, without a gap, and none is missing at the end"
-	RightPool       Promise = "a request reaches only the pool that its rule names"
+	RightPool       Promise = "a request runs only in the pool that its rule names"
 	NoForgery       Promise = "headers that only the system may set don't come from callers"
 	BoundedRepeats  Promise = "repeats stay within the budget"
 	CloseIsPassed   Promise = "a caller's close ends the work at the servers"
-	LeavingIsSpared Promise = "a server that leaves gets nothing new after some seconds"
+	LeavingIsSpared Promise = "a server that leaves or has gone gets nothing new after some seconds"
 	ConfigInForce   Promise = "a new configuration is in force in time"
 	ConfigNeverBack Promise = "a configuration never goes back"
 	StopCutsNothing Promise = "a daemon that lives or stops as planned cuts off no request"
@@ -51,8 +51,11 @@
 const (
 	configWithin = 3 * time.Second
 	leaveWithin  = 3 * time.Second
-	closeWithin  = 500 * time.Millisecond
-	answerSlack  = time.Second
+	// goneWithin is that for a server whose entry was taken out: after an outage of
+	// the store it may still be used for two seconds more.
+	goneWithin  = 5 * time.Second
+	closeWithin = 500 * time.Millisecond
+	answerSlack = time.Second
 	// exitSlack is the time before a process's end in which a new request on a
 	// kept connection may still be lost.
 	exitSlack = 200 * time.Millisecond
@@ -92,6 +95,8 @@
 	// pools names the pool of each incarnation, leaving when it was listed so.
 	pools   map[string]string
 	leaving map[string]time.Time
+	// gone is when an incarnation's entry was taken out.
+	gone map[string]time.Time
 	// published holds when each version was; versions count from 1.
 	published []time.Time
 	// shown is the newest version that a daemon's process has answered by.
@@ -115,7 +120,7 @@
 func newOracle(t *troubles) *oracle {
 	return &oracle{
 		troubles: t, requests: make(map[string]*request), pools: make(map[string]string),
-		leaving: make(map[string]time.Time), shown: make(map[process]shownVersion),
+		leaving: make(map[string]time.Time), gone: make(map[string]time.Time), shown: make(map[process]shownVersion),
 		repeats: make(map[string][]time.Time), asked: make(map[string][]time.Time), seen: make(map[string]int),
 	}
 }
@@ -152,6 +157,12 @@
 	o.leaving[id] = time.Now()
 }
 
+func (o *oracle) serverGone(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.gone[id] = time.Now()
+}
+
 func (o *oracle) versionPublished() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -203,18 +214,20 @@
 	if q.prefills > 1 && v.PrefillOnly || q.arrivals > 1 && !v.PrefillOnly {
 		o.repeats[q.service.name] = append(o.repeats[q.service.name], now)
 	}
-	o.checkPool(v, q)
 	o.checkLeaving(v, q, now)
+	o.checkGone(v, q, now)
 	q.working++
 }
 
+// checkPool looks at requests that run: until an entry lapses, one that is meant for
+// a server that has crashed may reach its successor, which turns it away.
 func (o *oracle) checkPool(v standin.Visit, q *request) {
 	pool := o.pools[v.Server]
 	if q.service.name == serviceMark && strings.HasPrefix(pool, serviceMark) {
 		return
 	}
 	if pool != q.service.name {
-		o.violate(RightPool, "%s for %s reached %s of pool %s", v.ID, q.service.name, v.Server, pool)
+		o.violate(RightPool, "%s for %s ran at %s of pool %s", v.ID, q.service.name, v.Server, pool)
 	}
 }
 
@@ -229,6 +242,19 @@
 	}
 }
 
+// checkGone looks for requests that are meant for a server whose entry was taken
+// out long ago.
+func (o *oracle) checkGone(v standin.Visit, q *request, now time.Time) {
+	since, gone := o.gone[v.MeantFor]
+	from := now.Add(-goneWithin)
+	if !gone || since.After(from) {
+		return
+	}
+	if o.troubles.quiet(from, now, subjectMachine, subjectStore, daemonSubject(q.daemon), storeLinkSubject(q.daemon)) {
+		o.violate(LeavingIsSpared, "%s was meant for %s, %v after its entry was taken out, by daemon %d", v.ID, v.MeantFor, now.Sub(since), q.daemon)
+	}
+}
+
 // Ran implements standin.Watcher.
 func (o *oracle) Ran(v standin.Visit) {
 	o.mu.Lock()
@@ -237,6 +263,7 @@
 	if q == nil {
 		return // reported on arrival
 	}
+	o.checkPool(v, q)
 	q.runs++
 	if q.service.once && q.runs > 1 {
 		o.violate(RunsOnce, "%s ran %d times, lastly at %s", v.ID, q.runs, v.Server)
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -129,6 +129,19 @@
 			o.troubles.begin(storeLinkSubject(0))
 			ask(o, once, at("once-1"))
 		}, nil},
+		{"gone for long", func(o *oracle) {
+			o.gone["once-0"] = time.Now().Add(-2 * goneWithin)
+			ask(o, once, standin.Visit{Server: "once-1", MeantFor: "once-0"})
+		}, []Promise{LeavingIsSpared}},
+		{"just gone", func(o *oracle) {
+			o.serverGone("once-0")
+			ask(o, once, standin.Visit{Server: "once-1", MeantFor: "once-0"})
+		}, nil},
+		{"turned away by another pool's server", func(o *oracle) {
+			o.sent("1-1", once, 0)
+			o.Arrived(standin.Visit{Server: "repeat-1", MeantFor: "once-0", ID: "1-1"})
+			o.Ended(standin.Visit{Server: "repeat-1", MeantFor: "once-0", ID: "1-1"})
+		}, nil},
 		{"just left", func(o *oracle) { o.serverLeaves("once-1"); ask(o, once, at("once-1")) }, nil},
 		{"old configuration", func(o *oracle) {
 			o.published = []time.Time{time.Now().Add(-2 * configWithin), time.Now().Add(-2 * configWithin)}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -103,11 +103,12 @@
 	started  int
 	retired  []*standin.Server
 	// free are links whose servers have ended: the next server, of any pool,
-	// has the address that was free longest.
+	// has the address that came free last.
 	free []*Proxy
 }
 
-// spareLinks is the number of addresses that no server has at first.
+// spareLinks is the number of addresses that no server has at first: those that
+// leave have their successors before their end.
 const spareLinks = 2
 
 // newSite starts the store and the servers, and lists them. Nothing runs yet that
@@ -201,8 +202,9 @@
 func (s *site) takeLink() (*Proxy, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	link := s.free[0]
-	s.free = s.free[1:]
+	last := len(s.free) - 1
+	link := s.free[last]
+	s.free = s.free[:last]
 	s.started++
 	return link, s.started
 }
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -65,7 +65,7 @@
 	case ServerFails:
 		s.failAll(p, step)
 	case CrashServer:
-		replace(p, func() { s.crash(p, step.For) })
+		replace(p, func() { s.crash(p, step) })
 	case ServerLeaves:
 		replace(p, func() { s.leave(p) })
 	case PublishVersion:
@@ -138,20 +138,45 @@
 	time.AfterFunc(settleTime, end)
 }
 
-// crash ends a server without notice. Another one, perhaps of another pool, has
-// its address some time later, while the old entry may still be listed.
-func (s *site) crash(p *place, length time.Duration) {
-	end := s.troubles.begin(serversSubject(p.pool))
+// crash ends two servers without notice. Soon afterwards each has a successor, at
+// the other one's address, while the old entries are still listed.
+func (s *site) crash(p *place, step Step) {
+	other := s.otherPlace(p, step.Variant)
+	if other == nil {
+		return
+	}
+	defer other.change.Unlock()
+	for _, at := range []*place{p, other} {
+		end := s.troubles.begin(serversSubject(at.pool))
+		time.AfterFunc(listLag+settleTime, end)
+		s.end(at)
+	}
+	time.Sleep(min(step.For, listLag/2))
+	s.restartServer(p)
+	s.restartServer(other)
+}
+
+func (s *site) unlist(id string) {
+	s.store.Unlist(id)
+	s.oracle.serverGone(id)
+}
+
+// otherPlace returns a place of another pool with its change held, nil if it is
+// being changed.
+func (s *site) otherPlace(p *place, variant int) *place {
+	other := s.placeOf(variant)
+	if other.pool == p.pool || !other.change.TryLock() {
+		return nil
+	}
+	return other
+}
+
+// end ends a place's server; its entry lapses some time later.
+func (s *site) end(p *place) {
 	old, link := p.current()
 	old.Close()
 	s.retire(old, link)
-	go func() {
-		time.Sleep(listLag)
-		s.store.Unlist(old.ID)
-	}()
-	time.Sleep(length)
-	s.restartServer(p)
-	time.AfterFunc(settleTime, end)
+	time.AfterFunc(listLag, func() { s.unlist(old.ID) })
 }
 
 // restartServer starts a place's next server. Without one the run can't go on as
@@ -169,7 +194,7 @@
 	s.oracle.serverLeaves(old.ID)
 	time.Sleep(leaveTime)
 	end := s.troubles.begin(serversSubject(p.pool))
-	s.store.Unlist(old.ID)
+	s.unlist(old.ID)
 	s.restartServer(p)
 	old.Close()
 	s.retire(old, link)
