--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -92,6 +92,13 @@
 	q.wakeFirst()
 }
 
+// empty reports whether nobody waits.
+func (q *queue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting) == 0
+}
+
 func (q *queue) wakeFirst() {
 	if len(q.waiting) == 0 {
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,6 +50,8 @@
 	mu     sync.Mutex
 	queues map[string]*queue
 	conns  map[string]*exchange.Pool
+	// followed is the configuration that queues were last looked at for.
+	followed *fleet.Config
 }
 
 // New returns a relay. It follows the state's upstreams from then on, so it must
@@ -100,6 +102,10 @@
 	r.cfg.Books.Sync(members)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s.Config != r.followed {
+		r.followed = s.Config
+		r.forgetRules(s.Config)
+	}
 	for id, pool := range r.conns {
 		if s.Upstreams[id] == nil {
 			pool.Close()
@@ -108,6 +114,21 @@
 	}
 }
 
+// forgetRules drops what was kept for rules that aren't in force any more. r.mu is
+// held.
+func (r *Relay) forgetRules(c *fleet.Config) {
+	inForce := make(map[string]bool)
+	for _, rule := range c.Rules.Rules() {
+		inForce[rule.Name] = true
+	}
+	r.patience.keep(inForce)
+	for name, q := range r.queues {
+		if !inForce[name] && q.empty() {
+			delete(r.queues, name)
+		}
+	}
+}
+
 func member(s *fleet.Snapshot, u *fleet.Upstream) placement.Member {
 	m := placement.Member{ID: u.ID, DataCentre: u.DataCentre, Role: u.Role, Slots: u.Slots}
 	if s.Config == nil {
