--- a/cmd/chute-soak/main.go
+++ b/cmd/chute-soak/main.go
@@ -3,12 +3,15 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"maps"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -58,9 +61,12 @@
 	if *first == 0 {
 		*first = uint64(time.Now().UnixNano())
 	}
+	// Interrupted, the soak ends the processes that it has started.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	results := pool.NewWithResults[result]().WithMaxGoroutines(*jobs)
 	for i := range *seeds {
-		results.Go(func() result { return one(o, *folder, *first+uint64(i), *verbose) })
+		results.Go(func() result { return one(ctx, o, *folder, *first+uint64(i), *verbose) })
 	}
 	return verdict(results.Wait())
 }
@@ -71,10 +77,10 @@
 	err    error
 }
 
-func one(o soak.Options, folder string, seed uint64, verbose bool) result {
+func one(ctx context.Context, o soak.Options, folder string, seed uint64, verbose bool) result {
 	o.Seed = seed
 	o.Folder = filepath.Join(folder, fmt.Sprint(seed))
-	report, err := soak.Run(o)
+	report, err := soak.Run(ctx, o)
 	if err != nil {
 		fmt.Printf("seed %d: not run: %v\n", seed, err)
 		return result{err: err}
--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -46,8 +46,10 @@
 	// ending says that a signal to end was sent to this process, killed that it
 	// was one that lets it finish nothing.
 	ending, killed bool
-	ends           map[int]processEnd
-	exited         chan struct{}
+	// over says that no further process is to be started.
+	over   bool
+	ends   map[int]processEnd
+	exited chan struct{}
 	// endDown ends the trouble of being down and starting.
 	endDown func()
 }
@@ -62,7 +64,7 @@
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, ended := d.ends[d.life]; d.life > 0 && !ended {
+	if _, ended := d.ends[d.life]; d.over || d.life > 0 && !ended {
 		return nil
 	}
 	if d.endDown == nil {
@@ -140,6 +142,17 @@
 	<-exited
 }
 
+// end kills the process for good.
+func (d *daemon) end() {
+	d.mu.Lock()
+	d.over = true
+	started := d.life > 0
+	d.mu.Unlock()
+	if started {
+		d.kill()
+	}
+}
+
 // pause stops the process from running for a while.
 func (d *daemon) pause(length time.Duration) {
 	ends := []func(){d.troubles.begin(daemonSubject(d.number)), d.troubles.begin(pauseSubject(d.number))}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -58,8 +58,9 @@
 )
 
 // Run plays the troubles of a seed. The error is one of the soak itself; broken
-// promises are in the report.
-func Run(o Options) (*Report, error) {
+// promises are in the report. The end of ctx ends the daemons at once, and the run
+// soon afterwards.
+func Run(ctx context.Context, o Options) (*Report, error) {
 	if err := os.MkdirAll(o.Folder, folderMode); err != nil {
 		return nil, eris.Wrap(err, "soak's folder")
 	}
@@ -75,6 +76,8 @@
 	if err != nil {
 		return nil, err
 	}
+	stop := context.AfterFunc(ctx, s.endDaemons)
+	defer stop()
 	if !s.awaitReady(startWithin) {
 		return nil, eris.New("the daemons aren't ready in time; see their logs")
 	}
@@ -82,7 +85,10 @@
 	if len(report.Steps) == 0 {
 		report.Steps = NewPlan(o.Seed, o.Shape)
 	}
-	s.play(o, report)
+	s.play(ctx, o, report)
+	if ctx.Err() != nil {
+		return nil, eris.Wrap(ctx.Err(), "soak")
+	}
 	s.oracle.finish(siteBudget)
 	s.oracle.checkOrders(s.orders())
 	report.Violations = s.oracle.Violations()
@@ -91,8 +97,9 @@
 }
 
 // play runs callers and steps, waits for the recovery and ends the callers.
-func (s *site) play(o Options, report *Report) {
-	ctx, cancel := context.WithCancel(context.Background())
+func (s *site) play(ctx context.Context, o Options, report *Report) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var wg conc.WaitGroup
 	wg.Go(func() { s.troubles.watchMachine(ctx.Done()) })
 	wg.Go(func() { s.relist(ctx.Done()) })
@@ -102,7 +109,9 @@
 	var steps conc.WaitGroup
 	began := time.Now()
 	for _, step := range report.Steps {
-		time.Sleep(time.Until(began.Add(step.At)))
+		if !sleepUntil(ctx, began.Add(step.At)) {
+			break
+		}
 		steps.Go(func() { s.perform(step) })
 	}
 	steps.Wait()
@@ -112,6 +121,16 @@
 	time.Sleep(2 * exitSlack) // the last checks of cut requests
 }
 
+// sleepUntil waits for a time. It returns false if ctx ends before.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(at)):
+		return true
+	}
+}
+
 // recover waits until all daemons are ready and nothing fails for some time.
 func (s *site) recover() time.Duration {
 	began := time.Now()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -319,11 +319,7 @@
 
 // close ends the daemons first, then what they use.
 func (s *site) close() {
-	for _, d := range s.daemons {
-		if _, ended := d.endOf(d.lifeNow()); !ended {
-			d.kill()
-		}
-	}
+	s.endDaemons()
 	for _, p := range s.places {
 		server, link := p.current()
 		link.Close()
@@ -337,6 +333,13 @@
 	s.storeHTTP.Close()
 }
 
+// endDaemons kills all daemons; none is started again.
+func (s *site) endDaemons() {
+	for _, d := range s.daemons {
+		d.end()
+	}
+}
+
 // daemonAt returns the daemon that serves callers at an address.
 func (s *site) daemonAt(address string) (*daemon, bool) {
 	host, _, err := net.SplitHostPort(address)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -25,7 +25,7 @@
 func runClean(t *testing.T, o Options) {
 	o.Folder = filepath.Join(t.TempDir(), "logs")
 	o.Daemons, o.Callers, o.Shape = 5, 20, DefaultShape()
-	report, err := Run(o)
+	report, err := Run(t.Context(), o)
 	require.NoError(t, err)
 	require.Empty(t, report.Violations)
 	require.Greater(t, report.Outcomes["once 200"], 0)
