member: a large list is read from the store, not from the one daemon that has it

Cause: a daemon that hears of a newer list takes the peer's whole list. Ruled out: the collector's sums (their cost fell, the times didn't). Change: states tell the size of the list; above 400 upstreams a daemon that hears of a newer one reads the changes from the store at once, and asks a peer only while the store can't be read, or for a configuration alone. Smaller lists as before: a read of the store costs more there than a peer's answer. Tests: TestLargeListsComeFromTheStore, TestHurriedReaderDoesNotRest.

--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -106,7 +106,7 @@
 	r.heard = now
 	totals := t.totals(r)
 	totals.Config, totals.ReadAge = own.Config, own.ReadAge
-	totals.ListPosition, totals.ListDigest = uint64(own.ListPosition), own.ListDigest
+	totals.ListPosition, totals.ListDigest, totals.ListSize = uint64(own.ListPosition), own.ListDigest, own.ListSize
 	reply(totals)
 }
 
@@ -292,7 +292,7 @@
 	c.heard = time.Now()
 	if from := p.peers[c.line[c.current].Peers]; from != nil {
 		from.about.Config, from.about.ReadAge = totals.Config, totals.ReadAge
-		from.about.ListPosition, from.about.ListDigest = Position(totals.ListPosition), totals.ListDigest
+		from.about.ListPosition, from.about.ListDigest, from.about.ListSize = Position(totals.ListPosition), totals.ListDigest, totals.ListSize
 		from.told = time.Now()
 	}
 	if totals.Senders != c.senders && time.Since(c.logged) > totalsLogged {
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -58,6 +58,8 @@
 	known  bool
 	readAt time.Time
 	down   bool
+	// hurried says that the next read isn't to wait.
+	hurried bool
 	// breakOff ends the read that is waiting.
 	breakOff context.CancelFunc
 	// returned is called when the store is regained.
@@ -82,7 +84,7 @@
 	pause := retryMin
 	for ctx.Err() == nil {
 		if hold := r.hold(); hold > 0 {
-			sleep(ctx, hold)
+			r.rest(ctx, hold)
 			continue
 		}
 		err := r.read(ctx)
@@ -107,6 +109,9 @@
 // hold returns how long the next read has to wait. The draw of spread lets one
 // daemon read for all that hear of it.
 func (r *topicReader) hold() time.Duration {
+	if r.takeHurry() {
+		return 0
+	}
 	wait := r.every
 	if r.spread > 0 && (r.first == nil || !r.first()) {
 		wait += r.spread/2 + rand.N(r.spread)
@@ -114,6 +119,48 @@
 	return wait - r.age()
 }
 
+// restPiece is how soon a reader that rests notices that it is to hurry.
+const restPiece = 50 * time.Millisecond
+
+// rest sleeps for a time, or until the reader is to hurry.
+func (r *topicReader) rest(ctx context.Context, d time.Duration) {
+	for until := time.Now().Add(d); ctx.Err() == nil; {
+		left := time.Until(until)
+		if left <= 0 || r.isHurried() {
+			return
+		}
+		sleep(ctx, min(left, restPiece))
+	}
+}
+
+// hurry makes the next read begin soon: something has changed.
+func (r *topicReader) hurry() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hurried = true
+}
+
+func (r *topicReader) isHurried() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hurried
+}
+
+func (r *topicReader) takeHurry() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hurried := r.hurried
+	r.hurried = false
+	return hurried
+}
+
+// isDown reports whether the last read failed.
+func (r *topicReader) isDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
+}
+
 func (r *topicReader) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, r.wait+callSlack)
 	defer cancel()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -168,6 +168,7 @@
 	a := About{
 		Serving: m.Ready(), ReadAge: m.readers[0].age(),
 		ListPosition: m.readers[0].position(), ListDigest: m.upstreams.digest.Load(),
+		ListSize: len(m.state.Snapshot().Upstreams),
 	}
 	if c := m.state.Snapshot().Config; c != nil {
 		a.Config = c.Version
@@ -175,9 +176,11 @@
 	return a
 }
 
-func (m *Member) view() wire.ViewReply {
+func (m *Member) view(configOnly bool) wire.ViewReply {
 	v := wire.ViewReply{Position: uint64(m.readers[0].position()), Age: m.readers[0].age()}
-	v.Upstreams = m.upstreams.entries() // read last: the list may be newer than its position, never older
+	if !configOnly {
+		v.Upstreams = m.upstreams.entries() // read last: the list may be newer than its position, never older
+	}
 	if c := m.state.Snapshot().Config; c != nil {
 		v.Config = c.Document
 	}
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -37,7 +37,7 @@
 	books  *placement.Books
 	log    *slog.Logger
 	about  func() About
-	view   func() wire.ViewReply
+	view   func(configOnly bool) wire.ViewReply
 	change func()
 	links  *suture.Supervisor
 
@@ -66,10 +66,12 @@
 type About struct {
 	Serving bool
 	Config  uint64
-	// ListPosition, ListDigest and ReadAge are of the list of upstreams.
+	// ListPosition, ListDigest, ListSize and ReadAge are of the list of upstreams.
 	ListPosition Position
 	ListDigest   uint64
-	ReadAge      time.Duration
+	// ListSize is the number of its upstreams.
+	ListSize int
+	ReadAge  time.Duration
 }
 
 type peer struct {
@@ -169,7 +171,7 @@
 	case wire.MemberLoads:
 		p.takeLoads(m)
 	case wire.ViewRequest:
-		reply(p.view())
+		reply(p.view(m.ConfigOnly))
 	case wire.LoadReport:
 		p.tally.take(m, p.about(), reply, time.Now())
 	}
@@ -193,7 +195,7 @@
 	from.incarnation, from.seq = m.Incarnation, m.Seq
 	from.about = About{
 		Serving: m.Serving, Config: m.Config,
-		ListPosition: Position(m.ListPosition), ListDigest: m.ListDigest, ReadAge: m.ReadAge,
+		ListPosition: Position(m.ListPosition), ListDigest: m.ListDigest, ListSize: m.ListSize, ReadAge: m.ReadAge,
 	}
 	if m.Demands != nil {
 		from.demands = m.Demands
@@ -325,7 +327,7 @@
 	return wire.MemberState{
 		MemberAddress: p.self, Incarnation: p.incarnation, Seq: p.seq,
 		Serving: about.Serving, Config: about.Config, ReadAge: about.ReadAge,
-		ListPosition: uint64(about.ListPosition), ListDigest: about.ListDigest,
+		ListPosition: uint64(about.ListPosition), ListDigest: about.ListDigest, ListSize: about.ListSize,
 		Loads: loads, Reads: reads, Away: p.awayNow(),
 	}
 }
--- a/internal/member/peers_test.go
+++ b/internal/member/peers_test.go
@@ -93,3 +93,26 @@
 	b.Handle("", later, nil)
 	require.Zero(t, b.running(), "of the former process")
 }
+
+// In a site of hundreds of daemons a server leaves, and the daemon that has read it
+// first says so. If all others took its whole list, its link would be full for
+// seconds, and the server would get new requests meanwhile.
+func TestLargeListsComeFromTheStore(t *testing.T) {
+	small, large := About{ListSize: largeList, Config: 2}, About{ListSize: largeList + 1, Config: 2}
+	own := About{Config: 2}
+	require.Equal(t, source{whole: true}, sourceOf(own, small, false))
+	require.Equal(t, source{store: true}, sourceOf(own, large, false))
+	require.Equal(t, source{whole: true}, sourceOf(own, large, true), "the store can't be read")
+	require.Equal(t, source{config: true, store: true}, sourceOf(About{Config: 1}, large, false))
+}
+
+// A reader that rests for long must read at once when a peer says that there is
+// something new.
+func TestHurriedReaderDoesNotRest(t *testing.T) {
+	r := &topicReader{every: time.Hour, readAt: time.Now()}
+	require.Positive(t, r.hold())
+	go r.hurry()
+	r.rest(t.Context(), time.Hour)
+	require.Zero(t, r.hold())
+	require.Positive(t, r.hold(), "one read only")
+}
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -85,12 +85,13 @@
 }
 
 // Better returns the peer address of a daemon with a newer configuration than
-// this one's, or else one with another list of upstreams that was read later; ""
-// if there is none.
-func (p *Peers) Better(own About) string {
+// this one's, or else one with another list of upstreams that was read later, and
+// what it says of itself; "" if there is none.
+func (p *Peers) Better(own About) (string, About) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, newest, youngest := "", own.Config, own.ReadAge-youngerBy
+	var about About
 	for address, other := range p.peers {
 		if time.Since(other.told) > silentAfter {
 			continue
@@ -99,13 +100,13 @@
 		age := a.ReadAge + time.Since(other.told)
 		newerList := a.ListPosition > own.ListPosition && a.ListDigest != own.ListDigest && age < youngest
 		if a.Config > newest || (a.Config == newest && newerList) {
-			best, newest = address, a.Config
+			best, newest, about = address, a.Config, a
 			if newerList {
 				youngest = age
 			}
 		}
 	}
-	return best
+	return best, about
 }
 
 // Known returns the number of daemons that are or lately were part of the
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -35,19 +35,57 @@
 	for ctx.Err() == nil {
 		sleep(ctx, viewEvery)
 		v.member.upstreams.expire()
-		if peer := v.member.peers.Better(v.member.about()); peer != "" {
-			v.ask(ctx, peer)
-		}
+		v.look(ctx)
 	}
 	return ctx.Err()
 }
 
-func (v *peerView) ask(ctx context.Context, peer string) {
+// largeList is the number of upstreams beyond which a list isn't taken from a
+// peer while the store can be read: a change in the store is some hundred bytes, a
+// whole list of that size a hundred kilobytes, and all daemons would ask the one
+// that has read it first. A site of several hundred daemons was slow to learn of
+// changes and to recover for that.
+const largeList = 400
+
+// source says where a daemon learns what a peer knows and it doesn't.
+type source struct {
+	// whole asks the peer for everything, config for the configuration only.
+	whole, config bool
+	// store reads the list from the store.
+	store bool
+}
+
+// sourceOf chooses the cheaper way to what a peer knows more.
+func sourceOf(own, peer About, storeDown bool) source {
+	if peer.ListSize <= largeList || storeDown {
+		return source{whole: true}
+	}
+	return source{config: peer.Config > own.Config, store: true}
+}
+
+// look learns from a peer that knows more, if there is one.
+func (v *peerView) look(ctx context.Context) {
+	m := v.member
+	own := m.about()
+	peer, about := m.peers.Better(own)
+	if peer == "" {
+		return
+	}
+	from := sourceOf(own, about, m.readers[0].isDown())
+	if from.store {
+		m.readers[0].hurry()
+	}
+	if from.whole || from.config {
+		v.ask(ctx, peer, wire.ViewRequest{ConfigOnly: !from.whole})
+	}
+}
+
+func (v *peerView) ask(ctx context.Context, peer string, request wire.ViewRequest) {
 	m := v.member
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	asked := time.Now()
-	answer, err := wire.Ask(ctx, m.wireConfig(), peer, wire.ViewRequest{})
+	answer, err := wire.Ask(ctx, m.wireConfig(), peer, request)
 	if err != nil {
 		m.log.Warn("peer's view not had", "peer", peer, "err", err)
 		return
@@ -59,7 +97,9 @@
 	if reply.Config != nil {
 		v.takeConfig(peer, reply.Config)
 	}
-	v.takeUpstreams(peer, reply, reply.Age+time.Since(asked))
+	if !request.ConfigOnly {
+		v.takeUpstreams(peer, reply, reply.Age+time.Since(asked))
+	}
 }
 
 func (v *peerView) takeConfig(peer string, document []byte) {
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -37,6 +37,8 @@
 	ListPosition uint64        `msgpack:"o"`
 	ListDigest   uint64        `msgpack:"g"`
 	ReadAge      time.Duration `msgpack:"a"`
+	// ListSize is the number of upstreams in that list.
+	ListSize int `msgpack:"u"`
 	// Loads are what has changed of its work at upstreams, Reads the prompts read
 	// lately for it.
 	Loads []placement.LoadAt `msgpack:"l"`
@@ -82,7 +84,10 @@
 
 // ViewRequest asks a peer for what it has read from the store, by a daemon that
 // can't reach the store itself.
-type ViewRequest struct{}
+type ViewRequest struct {
+	// ConfigOnly leaves the list of upstreams out.
+	ConfigOnly bool `msgpack:"c,omitempty"`
+}
 
 // Kind implements Message.
 func (ViewRequest) Kind() Kind { return KindViewRequest }
@@ -119,11 +124,12 @@
 	Loads []placement.LoadAt `msgpack:"l"`
 	// Senders is the number of daemons in it.
 	Senders int `msgpack:"n"`
-	// Config, ListPosition, ListDigest and ReadAge are the collector's, as in a
-	// MemberState: it reads the store for all.
+	// Config, ListPosition, ListDigest, ListSize and ReadAge are the collector's,
+	// as in a MemberState: it reads the store for all.
 	Config       uint64        `msgpack:"v"`
 	ListPosition uint64        `msgpack:"o"`
 	ListDigest   uint64        `msgpack:"g"`
+	ListSize     int           `msgpack:"u"`
 	ReadAge      time.Duration `msgpack:"a"`
 }
 
--- a/internal/wire/member_test.go
+++ b/internal/wire/member_test.go
@@ -19,7 +19,7 @@
 	for _, m := range []Message{
 		MemberState{
 			MemberAddress: address, Incarnation: 1, Seq: 2, Serving: true, Config: 3,
-			ListPosition: 4, ListDigest: 5, ReadAge: time.Second, Loads: loads,
+			ListPosition: 4, ListDigest: 5, ListSize: 6, ReadAge: time.Second, Loads: loads,
 			Reads:   []placement.Read{{At: at, Last: placement.Part{ID: 6, Tokens: 7}}},
 			Demands: map[string]MemberDemand{"pool": {Tokens: 8}},
 			Away:    []AwayEngine{{At: at, To: "prefill", Left: time.Minute}},
@@ -27,9 +27,10 @@
 		},
 		MemberLoads{Incarnation: 1, Seq: 2, Loads: loads, Reads: []placement.Read{{At: at, Last: placement.Part{ID: 6, Tokens: 7}}}},
 		ViewRequest{},
+		ViewRequest{ConfigOnly: true},
 		ViewReply{Config: []byte("c"), Upstreams: map[string][]byte{"u": []byte("x")}, Position: 1, Age: 2},
 		LoadReport{Peers: "p", Full: true, Loads: loads},
-		LoadTotals{Loads: loads, Senders: 2, Config: 3, ListPosition: 4, ListDigest: 5, ReadAge: 6},
+		LoadTotals{Loads: loads, Senders: 2, Config: 3, ListPosition: 4, ListDigest: 5, ListSize: 7, ReadAge: 6},
 	} {
 		body, err := encode(m)
 		require.NoError(t, err)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -158,7 +158,7 @@
 	case KindMemberState:
 		return decodeAs[MemberState](body)
 	case KindViewRequest:
-		return ViewRequest{}, nil
+		return decodeAs[ViewRequest](body)
 	case KindViewReply:
 		return decodeAs[ViewReply](body)
 	case KindLoadReport:
