--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -39,7 +39,7 @@
 
 // firstRoles are the roles of engines at their start. They suit the requests so
 // badly that the system has to change some.
-var firstRoles = []string{"prefill", "decode", "prefill", "prefill"}
+var firstRoles = []string{standin.RolePrefill, standin.RoleDecode, standin.RolePrefill, standin.RolePrefill}
 
 // addLinks makes a link for each server and some to spare.
 func (s *site) addLinks() error {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -34,7 +34,7 @@
 	name string
 	// once says that it must not be repeated.
 	once, stream bool
-	kind         string
+	kind         standin.Kind
 	servers      int
 	deadline     time.Duration
 }
@@ -42,10 +42,10 @@
 // services are the kinds of request of a run. The answers of the last tell which
 // configuration is in force.
 var services = []service{
-	{name: "once", once: true, kind: "non_idempotent", servers: 2, deadline: 3 * time.Second},
-	{name: "repeat", kind: "idempotent", servers: 2, deadline: 3 * time.Second},
-	{name: "llm", stream: true, kind: "streaming", servers: 4, deadline: 6 * time.Second},
-	{name: serviceMark, kind: "idempotent", deadline: 3 * time.Second},
+	{name: "once", once: true, kind: standin.OnceOnly, servers: 2, deadline: 3 * time.Second},
+	{name: "repeat", kind: standin.Repeatable, servers: 2, deadline: 3 * time.Second},
+	{name: "llm", stream: true, kind: standin.Streams, servers: 4, deadline: 6 * time.Second},
+	{name: serviceMark, kind: standin.Repeatable, deadline: 3 * time.Second},
 }
 
 // markPools are the pools that the rule of serviceMark leads to, by version.
@@ -136,7 +136,7 @@
 		rules = append(rules, rule)
 	}
 	for _, pool := range markPools {
-		rules = append(rules, standin.Service{Name: pool, Kind: "idempotent", Attempts: 3, Timeout: time.Second})
+		rules = append(rules, standin.Service{Name: pool, Kind: standin.Repeatable, Attempts: 3, Timeout: time.Second})
 	}
 	s.store.PutConfig(s.versions, rules)
 	s.oracle.versionPublished()
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -28,9 +28,6 @@
 	}
 )
 
-// topics whose history a step may drop.
-var droppedTopics = []string{"keyed.op", "keyed.servers", "keyed.members", "journal"}
-
 // perform carries out a step and returns once its trouble is over.
 func (s *site) perform(step Step) {
 	d := s.daemons[step.Target%len(s.daemons)]
@@ -50,7 +47,7 @@
 	case StoreFails:
 		s.failStore(storeFaults[step.Variant%len(storeFaults)], step.For)
 	case DropHistory:
-		s.store.DropHistory(droppedTopics[step.Variant%len(droppedTopics)])
+		s.store.DropHistory(standin.Topics[step.Variant%len(standin.Topics)])
 	case StoreLink:
 		end := s.troubles.begin(storeLinkSubject(d.number))
 		disturb(s.links[d.number], link, step.For)
