--- a/cmd/chute-member/main.go
+++ b/cmd/chute-member/main.go
@@ -82,6 +82,8 @@
 	// size and changed are the file's when it was last read.
 	size    int64
 	changed time.Time
+	// unseen says that the file couldn't be looked at the last time.
+	unseen bool
 }
 
 func (r *reloader) run(ctx context.Context, signals <-chan os.Signal) {
@@ -104,10 +106,18 @@
 }
 
 // looksNew reports whether the file was written since the last look. One that
-// can't be looked at is left to the next signal.
+// can't be looked at is told once; the settings in force stay.
 func (r *reloader) looksNew() bool {
 	info, err := os.Stat(r.file)
-	if err != nil || info.Size() == r.size && info.ModTime().Equal(r.changed) {
+	if err != nil {
+		if !r.unseen {
+			r.log.Warn("settings file can't be looked at; those in force stay", "err", err)
+		}
+		r.unseen = true
+		return false
+	}
+	r.unseen = false
+	if info.Size() == r.size && info.ModTime().Equal(r.changed) {
 		return false
 	}
 	r.size, r.changed = info.Size(), info.ModTime()
