--- a/internal/ctl/beside.go
+++ b/internal/ctl/beside.go
@@ -42,13 +42,10 @@
 	return r.engine == o.engine && r.began.Before(o.end) && o.began.Before(r.end)
 }
 
-// explainBeside prints, for each reading of the request's prompt, those of other
-// requests that the engine had at the same time, from all daemons.
-func (s *session) explainBeside(id, files string) error {
-	own, err := s.linesAbout(files, id)
-	if err != nil {
-		return err
-	}
+// explainBeside prints, for each reading of the request's prompt that its own lines
+// tell, those of other requests that the engine had at the same time, from all
+// daemons.
+func (s *session) explainBeside(own []logLine, id, files string) error {
 	for _, l := range own {
 		if r, ok := readingOf(l); ok {
 			if err := s.printBeside(r, id, files); err != nil {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 
+	"tamarackchute/internal/telemetry"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -38,27 +40,28 @@
 		if *beside && *file == "-" {
 			return usageError("explain: -beside reads the logs twice and needs -log")
 		}
-		if err := s.explain(operands[0], *file); err != nil || !*beside {
+		lines, err := s.explain(operands[0], *file)
+		if err != nil || !*beside {
 			return err
 		}
-		return s.explainBeside(operands[0], *file)
+		return s.explainBeside(lines, operands[0], *file)
 	}
 }
 
 // explain prints the life of one request in the order of time, over all daemons
-// whose logs are given.
-func (s *session) explain(id, files string) error {
+// whose logs are given, and returns its lines.
+func (s *session) explain(id, files string) ([]logLine, error) {
 	lines, err := s.linesAbout(files, id)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if len(lines) == 0 {
-		return &exitError{code: ExitFailed, message: fmt.Sprintf("no line names the request %q", id)}
+		return nil, &exitError{code: ExitFailed, message: fmt.Sprintf("no line names the request %q", id)}
 	}
 	for _, l := range lines {
 		s.printLine(l, lines[0].Time)
 	}
-	return nil
+	return lines, nil
 }
 
 func (s *session) printLine(l logLine, began time.Time) {
@@ -66,7 +69,7 @@
 		fmt.Fprintf(s.Stdout, "%s\n", l.raw)
 		return
 	}
-	fmt.Fprintf(s.Stdout, "%10.3f ms  %-28s %-9s", float64(l.Time.Sub(began).Microseconds())/1000, l.Instance, l.Message)
+	fmt.Fprintf(s.Stdout, "%10.3f ms  %-28s %-9s", telemetry.Millis(l.Time.Sub(began)), l.Instance, l.Message)
 	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
 		fmt.Fprintf(s.Stdout, " %s=%s", name, l.Fields[name])
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -105,6 +105,13 @@
 // Exhausted reports whether all attempts are used up.
 func (t *Tries) Exhausted() bool { return t.attempts >= t.policy.MaxAttempts }
 
+// MayRepeat reports whether the request could be sent again though it may have run,
+// the budget aside. uncounted is the number of attempts under way that aren't
+// counted yet.
+func (t *Tries) MayRepeat(uncounted int) bool {
+	return t.policy.Repeat == Repeatable && t.attempts+uncounted < t.policy.MaxAttempts
+}
+
 // Next decides after an attempt. costly says that the repeat adds to the load of
 // upstreams and so draws on the budget.
 func (t *Tries) Next(f Fate, costly bool) Verdict {
--- a/internal/entry/shutdown/shutdown.go
+++ b/internal/entry/shutdown/shutdown.go
@@ -2,6 +2,7 @@
 package shutdown
 
 import (
+	"log/slog"
 	"time"
 )
 
@@ -58,6 +59,33 @@
 	}
 }
 
+// checkEvery is how often a stopping instance looks whether it may exit.
+const checkEvery = 50 * time.Millisecond
+
+// Drain begins the stop and returns when the instance may exit, or when done ends;
+// a nil done never does. Each phase is logged with the requests in progress.
+func (s *State) Drain(done <-chan error, active func() int, log *slog.Logger) {
+	s.Begin(time.Now())
+	ticker := time.NewTicker(checkEvery)
+	defer ticker.Stop()
+	phase := Serving
+	for {
+		n := active()
+		if next := s.Phase(time.Now(), n); next != phase {
+			phase = next
+			log.Info("stopping", "phase", phase.String(), "active", n)
+		}
+		if phase == Stopped {
+			return
+		}
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // String returns the phase's name for logs.
 func (p Phase) String() string {
 	switch p {
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -7,15 +7,11 @@
 
 	"github.com/thejerf/suture/v4"
 
-	"tamarackchute/internal/entry/shutdown"
 	"tamarackchute/internal/settings"
 	"tamarackchute/quarantine"
 	"tamarackchute/rules"
 )
 
-// stopCheck is how often a stopping entry looks whether it may exit.
-const stopCheck = 50 * time.Millisecond
-
 // stopTimeout bounds the end of a service: claims take up to 5 s to record
 // what became of calls under way.
 const stopTimeout = 8 * time.Second
@@ -160,23 +156,5 @@
 	e.directory.Leave()
 	e.gateway.Leave()
 	e.node.Leave()
-	e.stop.Begin(time.Now())
-	ticker := time.NewTicker(stopCheck)
-	defer ticker.Stop()
-	phase := shutdown.Serving
-	for {
-		next := e.stop.Phase(time.Now(), e.gateway.Active())
-		if next != phase {
-			phase = next
-			e.log.Info("stopping", "phase", phase.String(), "active", e.gateway.Active())
-		}
-		if phase == shutdown.Stopped {
-			return
-		}
-		select {
-		case <-done:
-			return
-		case <-ticker.C:
-		}
-	}
+	e.stop.Drain(done, e.gateway.Active, e.log)
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -29,8 +29,6 @@
 	keepFactor = 3
 	// stopMargin is the part of the grace kept back for the end of the process.
 	stopMargin = 450 * time.Millisecond
-	// stopCheck is how often a stopping daemon looks whether it may exit.
-	stopCheck = 50 * time.Millisecond
 	// expectedDaemons is the least number by which what all daemons share is
 	// divided: one that has just started knows too few peers, and would take too
 	// large a part.
@@ -165,12 +163,13 @@
 }
 
 func (m *Member) about() About {
+	s := m.state.Snapshot()
 	a := About{
 		Serving: m.Ready(), ReadAge: m.readers[0].age(),
 		ListPosition: m.readers[0].position(), ListDigest: m.upstreams.digest.Load(),
-		ListSize: len(m.state.Snapshot().Upstreams),
+		ListSize: len(s.Upstreams),
 	}
-	if c := m.state.Snapshot().Config; c != nil {
+	if c := s.Config; c != nil {
 		a.Config = c.Version
 	}
 	return a
@@ -290,18 +289,5 @@
 	m.leaving.Store(true)
 	m.relay.CloseConnections()
 	stop := shutdown.State{Keep: keepFactor * keepAnswer, Grace: m.settings.Load().Grace - keepFactor*keepAnswer - stopMargin}
-	stop.Begin(time.Now())
-	phase := shutdown.Serving
-	for {
-		active := int(m.relay.Active())
-		next := stop.Phase(time.Now(), active)
-		if next != phase {
-			phase = next
-			m.log.Info("stopping", "phase", phase.String(), "active", active)
-		}
-		if phase == shutdown.Stopped {
-			return
-		}
-		time.Sleep(stopCheck)
-	}
+	stop.Drain(nil, func() int { return int(m.relay.Active()) }, m.log)
 }
--- a/internal/member/reload.go
+++ b/internal/member/reload.go
@@ -9,33 +9,33 @@
 // settingsField is a setting by its name in messages.
 type settingsField struct {
 	name string
-	// live says that a running daemon takes a new value over; the others are what
-	// its sockets and its part in the lease are built on.
-	live bool
 	of   func(*Settings) any
+	// take takes a new value over in a running daemon; nil for what its sockets
+	// and its part in the lease are built on.
+	take func(now, next *Settings)
 }
 
 var settingsFields = []settingsField{
-	{"instance name", false, func(s *Settings) any { return s.Instance }},
-	{"data centre", false, func(s *Settings) any { return s.DataCentre }},
-	{"callers' address", false, func(s *Settings) any { return s.Callers }},
-	{"ready address", false, func(s *Settings) any { return s.Ready }},
-	{"directory address", false, func(s *Settings) any { return s.Directory }},
-	{"metrics address", false, func(s *Settings) any { return s.Metrics }},
-	{"peers' address", false, func(s *Settings) any { return s.PeerAddress }},
-	{"peers' port", false, func(s *Settings) any { return s.PeerPort }},
-	{"store address", false, func(s *Settings) any { return s.Store }},
-	{"capacity", false, func(s *Settings) any { return s.Capacity }},
-	{"retry window", false, func(s *Settings) any { return s.RetryWindow }},
-	{"lease term", false, func(s *Settings) any { return s.LeaseTerm }},
-	{"store's retention", false, func(s *Settings) any { return s.StoreKeeps }},
-	{"return of lapsed entries", false, func(s *Settings) any { return s.ReturnWithin }},
-	{"seeds", true, func(s *Settings) any { return s.Seeds }},
-	{"memory", true, func(s *Settings) any { return s.MemoryBytes }},
-	{"grace", true, func(s *Settings) any { return s.Grace }},
-	{"retry ratio", true, func(s *Settings) any { return s.RetryRatio }},
-	{"retry slack", true, func(s *Settings) any { return s.RetrySlack }},
-	{"directory's time to keep", true, func(s *Settings) any { return s.DirectoryTTL }},
+	{"instance name", func(s *Settings) any { return s.Instance }, nil},
+	{"data centre", func(s *Settings) any { return s.DataCentre }, nil},
+	{"callers' address", func(s *Settings) any { return s.Callers }, nil},
+	{"ready address", func(s *Settings) any { return s.Ready }, nil},
+	{"directory address", func(s *Settings) any { return s.Directory }, nil},
+	{"metrics address", func(s *Settings) any { return s.Metrics }, nil},
+	{"peers' address", func(s *Settings) any { return s.PeerAddress }, nil},
+	{"peers' port", func(s *Settings) any { return s.PeerPort }, nil},
+	{"store address", func(s *Settings) any { return s.Store }, nil},
+	{"capacity", func(s *Settings) any { return s.Capacity }, nil},
+	{"retry window", func(s *Settings) any { return s.RetryWindow }, nil},
+	{"lease term", func(s *Settings) any { return s.LeaseTerm }, nil},
+	{"store's retention", func(s *Settings) any { return s.StoreKeeps }, nil},
+	{"return of lapsed entries", func(s *Settings) any { return s.ReturnWithin }, nil},
+	{"seeds", func(s *Settings) any { return s.Seeds }, func(now, next *Settings) { now.Seeds = next.Seeds }},
+	{"memory", func(s *Settings) any { return s.MemoryBytes }, func(now, next *Settings) { now.MemoryBytes = next.MemoryBytes }},
+	{"grace", func(s *Settings) any { return s.Grace }, func(now, next *Settings) { now.Grace = next.Grace }},
+	{"retry ratio", func(s *Settings) any { return s.RetryRatio }, func(now, next *Settings) { now.RetryRatio = next.RetryRatio }},
+	{"retry slack", func(s *Settings) any { return s.RetrySlack }, func(now, next *Settings) { now.RetrySlack = next.RetrySlack }},
+	{"directory's time to keep", func(s *Settings) any { return s.DirectoryTTL }, func(now, next *Settings) { now.DirectoryTTL = next.DirectoryTTL }},
 }
 
 // Reload takes over the settings that may change while the daemon runs. It
@@ -46,14 +46,13 @@
 	for _, f := range settingsFields {
 		switch {
 		case reflect.DeepEqual(f.of(&now), f.of(&next)):
-		case f.live:
+		case f.take != nil:
+			f.take(&now, &next)
 			applied = append(applied, f.name)
 		default:
 			pending = append(pending, f.name)
 		}
 	}
-	now.Seeds, now.MemoryBytes, now.Grace = next.Seeds, next.MemoryBytes, next.Grace
-	now.RetryRatio, now.RetrySlack, now.DirectoryTTL = next.RetryRatio, next.RetrySlack, next.DirectoryTTL
 	m.settings.Store(&now)
 	m.applySettings(&now)
 	return applied, pending
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -9,6 +9,7 @@
 
 	"tamarackchute/internal/daemonstatus"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/telemetry"
 )
 
 // Status returns what the daemon believes now.
@@ -17,7 +18,7 @@
 	d := daemonstatus.Daemon{
 		Instance: m.self.Instance, DataCentre: m.self.DataCentre, Callers: m.self.Callers,
 		Ready: about.Serving, Stopping: m.leaving.Load(), Requests: m.relay.Active(),
-		ConfigVersion: about.Config, UpstreamsAgeMS: millis(about.ReadAge),
+		ConfigVersion: about.Config, UpstreamsAgeMS: telemetry.Millis(about.ReadAge),
 		Peers: m.peers.statuses(time.Now()), Upstreams: m.reportUpstreams(m.state.Snapshot()), Budgets: []daemonstatus.Budget{},
 	}
 	if l := m.lease.Load(); l != nil {
@@ -55,15 +56,13 @@
 	for _, other := range p.peers {
 		all = append(all, daemonstatus.Peer{
 			Instance: other.Instance, DataCentre: other.DataCentre, Up: other.up, Serving: other.about.Serving,
-			ToldMS: millis(now.Sub(other.told)), ConfigVersion: other.about.Config,
+			ToldMS: telemetry.Millis(now.Sub(other.told)), ConfigVersion: other.about.Config,
 		})
 	}
 	slices.SortFunc(all, func(a, b daemonstatus.Peer) int { return strings.Compare(a.Instance, b.Instance) })
 	return all
 }
 
-func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-
 func (m *Member) statusPage(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(m.Status()); err != nil {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -310,8 +310,7 @@
 // another upstream.
 func (c *call) worthAnother(status int) bool {
 	return status >= http.StatusInternalServerError &&
-		c.rule.Repeat != pathset.Once &&
-		!c.tries.Exhausted() &&
+		c.tries.MayRepeat(0) &&
 		time.Until(c.deadline) > leastLeft
 }
 
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"tamarackchute/internal/telemetry"
 )
 
 // logAttempt counts an attempt and writes one line on it: where it went, by which figures,
@@ -15,8 +17,8 @@
 	}
 	attrs := []any{
 		"request", c.ID, "upstream", p.target.ID, "pool", c.pool, "config", c.version,
-		"waited_ms", ms(p.waited), "expected_ms", ms(p.plan.FirstToken), "prompt", c.promptTokens(), "output", c.outputTokens(), "uncached", p.plan.Uncached,
-		"queue_ms", ms(p.plan.Queue), "read_ms", ms(p.read), "first_ms", ms(p.first), "lasted_ms", ms(time.Since(p.sentAt)), "considered", p.plan.Considered, "done", res.done, "status", res.status,
+		"waited_ms", telemetry.Millis(p.waited), "expected_ms", telemetry.Millis(p.plan.FirstToken), "prompt", c.promptTokens(), "output", c.outputTokens(), "uncached", p.plan.Uncached,
+		"queue_ms", telemetry.Millis(p.plan.Queue), "read_ms", telemetry.Millis(p.read), "first_ms", telemetry.Millis(p.first), "lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "considered", p.plan.Considered, "done", res.done, "status", res.status,
 	}
 	if p.prefill != nil {
 		attrs = append(attrs, "prefill", p.prefill.ID)
@@ -31,30 +33,28 @@
 // upstream.
 func (c *call) logEnd(f *failure) {
 	c.relay.metrics.ended(c, f)
-	attrs := []any{"request", c.ID, "took_ms", ms(time.Since(c.arrived)), "attempts", c.tries.Attempts(), "config", c.version}
+	attrs := []any{"request", c.ID, "took_ms", telemetry.Millis(time.Since(c.arrived)), "attempts", c.tries.Attempts(), "config", c.version}
 	if c.rule != nil {
 		attrs = append(attrs, "rule", c.rule.Name, "pool", c.pool)
 	}
 	if c.stream != nil {
-		attrs = append(attrs, "first_ms", ms(c.stream.started.Sub(c.arrived)), "gap_ms", ms(c.stream.gap), "last_event", c.stream.last)
+		attrs = append(attrs, "first_ms", telemetry.Millis(c.stream.started.Sub(c.arrived)), "gap_ms", telemetry.Millis(c.stream.gap), "last_event", c.stream.last)
 	}
 	if f == nil {
 		c.log.Info("answered", attrs...)
 		return
 	}
 	if f.reason == reasonNoPlace {
-		attrs = append(attrs, "expected_ms", ms(c.looked.FirstToken), "queue_ms", ms(c.looked.Queue),
-			"considered", c.looked.Considered, "objective_ms", ms(c.rule.Objective), "comeback", c.comeback)
+		attrs = append(attrs, "expected_ms", telemetry.Millis(c.looked.FirstToken), "queue_ms", telemetry.Millis(c.looked.Queue),
+			"considered", c.looked.Considered, "objective_ms", telemetry.Millis(c.rule.Objective), "comeback", c.comeback)
 	}
 	if f.reason == reasonNoRule {
 		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
 	}
-	attrs = append(attrs, "status", f.status, "reason", string(f.reason), "ran", c.tries.Ran(), "retry_after_ms", ms(f.retryAfter))
+	attrs = append(attrs, "status", f.status, "reason", string(f.reason), "ran", c.tries.Ran(), "retry_after_ms", telemetry.Millis(f.retryAfter))
 	c.log.Warn("failed", attrs...)
 }
 
-func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-
 func (c *call) promptTokens() int {
 	if c.Generation == nil {
 		return 0
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -5,8 +5,6 @@
 	"errors"
 	"sync"
 	"time"
-
-	"tamarackchute/rules/pathset"
 )
 
 const (
@@ -49,8 +47,7 @@
 // firstSilence returns how long the upstream may be silent at first; 0 is for as
 // long as it likes.
 func (c *call) firstSilence(p *place) time.Duration {
-	// This attempt isn't counted yet.
-	if c.rule.Objective == 0 || c.rule.Repeat == pathset.Once || c.tries.Attempts()+1 >= c.rule.MaxAttempts {
+	if c.rule.Objective == 0 || !c.tries.MayRepeat(1) {
 		return 0
 	}
 	expected := prefillFactor*p.plan.FirstToken + prefillSlack
@@ -59,7 +56,7 @@
 
 // pauseSilence returns how long a stream may be silent between two events.
 func (c *call) pauseSilence() time.Duration {
-	if c.rule.PauseObjective == 0 || c.rule.Repeat == pathset.Once || c.tries.Exhausted() {
+	if c.rule.PauseObjective == 0 || !c.tries.MayRepeat(0) {
 		return 0
 	}
 	return max(leastSilence, pauseSilenceFactor*c.rule.PauseObjective)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -14,6 +14,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+
+	"tamarackchute/platform/standin"
 )
 
 // Options say what to run.
@@ -164,12 +166,12 @@
 }
 
 func (s *site) ready() bool {
-	caller := newCaller(s, 0, 0)
-	defer caller.client.Close()
+	client := standin.NewCaller()
+	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	for _, d := range s.daemons {
-		if !caller.client.IsReady(ctx, d.about.Ready()) {
+		if !client.IsReady(ctx, d.about.Ready()) {
 			return false
 		}
 	}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"log/slog"
+	"time"
 
 	"tamarackchute/internal/settings"
 )
@@ -28,3 +29,7 @@
 	}
 	return slog.New(handler).With("program", program, "instance", instance)
 }
+
+// Millis returns a duration in milliseconds, as log lines and status pages tell it:
+// whole microseconds.
+func Millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
