--- a/rules/publisher_test.go
+++ b/rules/publisher_test.go
@@ -268,7 +268,9 @@
 		require.True(t, b.book.Current().Version.IsZero())
 		require.True(t, b.book.Offer(a.book.PeerState(a.journal.Applied())))
 		require.Equal(t, first, b.book.Current().Version)
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		// Between two tries of the journal's writer, which come at multiples of 50
+		// ms: whoever gives up at the instant of one can't know its end.
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second+25*time.Millisecond)
 		defer cancel()
 		_, err := a.publisher.Publish(ctx, Publish{Base: first, Document: document(rule("r", "!stream", toAgronomy))})
 		require.True(t, errors.Is(err, infra.ErrNotWritten), "refused while the log is down: %v", err)
