member: reports and totals where they are of use, rarer beats, no pings beside messages

Cause: each daemon of a large site asked for the totals every 13 ms whether it had a request to place or not, told its state to sixteen neighbours five times a second, encoded for each, and pinged on connections that carry messages anyway: 237 messages a second and direction for eight requests.

Change: a report goes out when there is news, and wants an answer only every 100 ms, while requests wait, where other daemons are told the totals, or when a request is about to be placed, which waits 5 ms for it at most; states every 320 ms, at once when the daemon begins or ceases to serve or has a newer configuration; encoded once for all; pings only in silence. Parts being read that the engine keeps already aren't told.

--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -11,14 +12,23 @@
 )
 
 const (
-	// collectEvery is how often a daemon of a large site reports its load, and is
-	// answered with the totals; perDaemon is added for each daemon that reports to the
-	// same one, so that its traffic doesn't grow with the square of their number.
+	// collectEvery is how often a daemon of a large site reports its load where that
+	// has changed; perDaemon is added for each daemon that reports to the same one, so
+	// that its traffic doesn't grow with the square of their number.
 	collectEvery = 10 * time.Millisecond
 	perDaemon    = 150 * time.Microsecond
-	// fullEvery is the number of reports of which one is full, to make up for
-	// those that were lost.
-	fullEvery = 20
+	// restEvery is how often a daemon asks for the totals while nothing is to be
+	// decided there: often enough for silence and new lists of upstreams to be noticed.
+	restEvery = 100 * time.Millisecond
+	// fullEvery is the time between two full reports, which make up for those that were
+	// lost.
+	fullEvery = 300 * time.Millisecond
+	// freshFor is the age up to which totals do for a decision without being asked for:
+	// daemons of a small site tell each other that often.
+	freshFor = stateEvery
+	// askLimit is how long a decision waits for totals: some times the way within a data
+	// centre and back, and a hundredth of what callers of short answers wait.
+	askLimit = 5 * time.Millisecond
 	// collectorSilent is the silence after which the next daemon in line is asked
 	// to collect, collectorRetry the time after which the first is tried again.
 	collectorSilent = 500 * time.Millisecond
@@ -87,13 +97,15 @@
 	// if nobody is.
 	current int
 	outgoing
-	// interval is the time between two reports, reports their number.
+	// interval is the least time between two reports.
 	interval time.Duration
-	reports  int
 	// heard is when the last answer came, or the one above was chosen; left when the
 	// first in line was given up.
 	heard, left time.Time
-	sent        time.Time
+	// asked is when the last report went out that wants an answer, full the last full one.
+	asked, full time.Time
+	// answered is closed when the totals come that a decision waits for; nil if none does.
+	answered chan struct{}
 	// senders is the number of daemons in the totals as logged last.
 	senders int
 	logged  time.Time
@@ -107,37 +119,101 @@
 	return c.line[c.current], true
 }
 
-// report books this daemon's load and tells it, with that of those that report to
-// it, if it is time to.
-func (p *Peers) report(now time.Time) {
+// report books this daemon's load and tells it, with that of those that report to it,
+// where there is news. With ask, and now and then, it wants an answer.
+//
+// Before, each daemon asked every 13 ms: 65 reports and as many totals a second and
+// daemon, for eight requests.
+func (p *Peers) report(now time.Time, ask bool) {
+	// A later report must not overtake this one: what it says replaces this one's.
+	p.reporting.Lock()
+	defer p.reporting.Unlock()
 	p.mu.Lock()
 	c := &p.collect
-	if now.Sub(c.sent) < c.interval {
-		p.mu.Unlock()
-		return
-	}
-	c.sent = now
 	link := p.collector(now)
-	c.reports++
-	full := c.reports%fullEvery == 1
+	full := now.Sub(c.full) >= fullEvery
+	if full {
+		c.full = now
+	}
+	ask = ask || full || now.Sub(c.asked) >= restEvery
+	if ask {
+		c.asked = now
+	}
 	away := p.awayNow()
 	p.mu.Unlock()
 	own := wire.LoadReport{Peers: p.self.Peers, Full: full, Loads: p.books.Own(full), Daemons: 1, Away: away, Reads: p.books.Reads()}
 	if totals, ok := p.tally.take(own, now); ok {
 		p.noteTotals(totals)
 	}
-	if link != nil {
-		link.Send(p.tally.reportAbove(p.self.Peers, full, now))
+	if link == nil {
+		return
+	}
+	m := p.tally.reportAbove(p.self.Peers, full, now)
+	m.Unanswered = !ask
+	if ask || m.HasNews() {
+		link.Send(m)
+	}
+}
+
+// needsTotals reports whether the totals are of use here at any moment: requests wait
+// for a place, or other daemons are told them.
+func (p *Peers) needsTotals() bool {
+	return p.waiting() || p.tally.collects(p.self.Peers)
+}
+
+// Refresh asks for what the others have in flight before a decision, and waits for the
+// answer, some milliseconds at most.
+func (p *Peers) Refresh(ctx context.Context) {
+	answered := p.askTotals(time.Now())
+	if answered == nil {
+		return
+	}
+	limit := time.NewTimer(askLimit)
+	defer limit.Stop()
+	select {
+	case <-answered:
+	case <-limit.C:
+	case <-ctx.Done():
 	}
 }
 
+// askTotals asks for the totals, unless they are fresh or have just been asked for. The
+// channel is closed when they have come; nil if there is nothing to wait for.
+func (p *Peers) askTotals(now time.Time) <-chan struct{} {
+	p.mu.Lock()
+	c := &p.collect
+	if p.full || c.link == nil || now.Sub(c.heard) < freshFor {
+		p.mu.Unlock()
+		return nil
+	}
+	answered := c.answered
+	if answered != nil && now.Sub(c.asked) < askLimit {
+		p.mu.Unlock()
+		return answered
+	}
+	answered = make(chan struct{})
+	c.answered = answered
+	p.mu.Unlock()
+	p.report(now, true)
+	return answered
+}
+
 // answerReport takes another daemon's report.
 func (p *Peers) answerReport(m wire.LoadReport, reply func(wire.Message)) {
-	totals, ok := p.tally.take(m, time.Now())
+	var totals wire.LoadTotals
+	var ok bool
+	if m.Unanswered {
+		ok = p.tally.note(m, time.Now())
+	} else {
+		totals, ok = p.tally.take(m, time.Now())
+	}
 	if !ok {
 		p.log.Warn("loads reported in a circle", "from", m.Peers, "depth", m.Depth)
 		return
 	}
+	if m.Unanswered {
+		return
+	}
 	own := p.about()
 	totals.Config, totals.ReadAge = own.Config, own.ReadAge
 	totals.ListPosition, totals.ListDigest, totals.ListSize = uint64(own.ListPosition), own.ListDigest, own.ListSize
@@ -164,7 +240,7 @@
 
 func (p *Peers) useCollector(i int, now time.Time) {
 	c := &p.collect
-	c.current, c.heard, c.reports = i, now, 0
+	c.current, c.heard, c.full = i, now, time.Time{}
 	p.shut(&c.outgoing)
 	if to, ok := c.to(); ok {
 		c.outgoing = p.open(to.Peers, func(m wire.Message) { p.takeTotals(to.Peers, m) })
@@ -220,6 +296,8 @@
 	}
 	now := time.Now()
 	c.heard = now
+	answered := c.answered
+	c.answered = nil
 	if above := p.peers[from]; above != nil {
 		above.about.Config, above.about.ReadAge = totals.Config, totals.ReadAge
 		above.about.ListPosition, above.about.ListDigest, above.about.ListSize = Position(totals.ListPosition), totals.ListDigest, totals.ListSize
@@ -233,6 +311,9 @@
 	p.sameList(Position(totals.ListPosition), totals.ListDigest, totals.ReadAge)
 	p.tally.takeAbove(totals, now)
 	p.noteTotals(p.tally.totalsFor(p.self.Peers, now))
+	if answered != nil {
+		close(answered)
+	}
 }
 
 // noteTotals books what all others have, as far as it is news. It wakes no request that
--- a/internal/member/collector_test.go
+++ b/internal/member/collector_test.go
@@ -168,6 +168,9 @@
 	}
 }
 
+// fullRounds is the number of rounds of which one is in full.
+const fullRounds = 20
+
 // tree is the daemons of a site, of which each reports to the first in its line that
 // is alive.
 type tree struct {
@@ -261,7 +264,7 @@
 			}
 			order := rapid.Permutation(all).Draw(t, "order")
 			for i := range 60 { // the dead are silent for long enough
-				s.round(t, order, i%fullEvery == 0)
+				s.round(t, order, i%fullRounds == 0)
 			}
 		}
 		for _, a := range all {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -93,11 +93,13 @@
 		Budget:        m.budget,
 		Logger:        m.log,
 		Metrics:       cfg.Metrics.Scope,
+		Refresh:       func(ctx context.Context) { m.peers.Refresh(ctx) },
 		Replaced:      func(id string) { m.peers.SendAway(id, "", replacedFor) },
 		MinRetryAfter: minRetryAfter,
 	})
 	m.peers = newPeers(m.self, m.wireConfig(), m.books, m.log)
 	m.peers.demand = m.demand
+	m.peers.waiting = m.relay.Waiting
 	m.peers.sameList = m.readSame
 	m.peers.about, m.peers.view, m.peers.change = m.about, m.view, m.relay.Changed
 	m.buildFeeds()
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -18,8 +18,12 @@
 	// site: about the time of one prompt's reading, so that a place is seldom
 	// given twice.
 	stateEvery = 5 * time.Millisecond
-	// beatEvery is how often a daemon is heard from when nothing changes.
+	// beatEvery is how often a daemon is heard from when nothing changes, and how often
+	// silence is looked for.
 	beatEvery = 200 * time.Millisecond
+	// largeBeatEvery is that in a large site, where work isn't told with the beats: two
+	// may be lost before a daemon counts as silent.
+	largeBeatEvery = 320 * time.Millisecond
 	// knownEvery is the number of full states of which one names other daemons.
 	knownEvery = 10
 	// learntEvery is the number of full states of which one tells what was observed of
@@ -63,6 +67,10 @@
 	// tally is of the loads that this daemon adds up, collect whom it reports to.
 	tally   *tally
 	collect collection
+	// reporting is held while a report is made and sent.
+	reporting sync.Mutex
+	// waiting says whether requests wait for a place here.
+	waiting func() bool
 }
 
 // About is what a daemon says of itself beside its load.
@@ -272,33 +280,77 @@
 func (p *Peers) Serve(ctx context.Context) error {
 	done := p.links.ServeBackground(ctx)
 	defer func() { <-done }()
-	ticker := time.NewTicker(stateEvery)
+	every := p.tellEvery()
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
-	var lastBeat, lastLoad time.Time
+	var t timetable
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			if now.Sub(lastBeat) >= beatEvery {
-				lastBeat, lastLoad = now, now
-				p.checkSilence(now)
-				p.send(p.state(now))
-				continue
-			}
-			if !p.meshed() {
-				p.report(now)
-				continue
-			}
-			if now.Sub(lastLoad) < stateEvery {
-				continue
-			}
-			if m := p.changes(now); m != nil {
-				lastLoad = now
-				p.send(m)
-			}
+			p.tell(&t, now)
 		}
+		if next := p.tellEvery(); next != every {
+			every = next
+			ticker.Reset(every)
+		}
+	}
+}
+
+// timetable is when the peers were told last, and silence looked for.
+type timetable struct{ beat, load, checked time.Time }
+
+// tell does what is due.
+func (p *Peers) tell(t *timetable, now time.Time) {
+	if now.Sub(t.checked) >= beatEvery {
+		t.checked = now
+		p.checkSilence(now)
+	}
+	if !p.meshed() {
+		p.tellLarge(t, now)
+		return
+	}
+	if now.Sub(t.beat) >= beatEvery {
+		t.beat, t.load = now, now
+		p.send(p.state(now))
+		return
+	}
+	if now.Sub(t.load) < stateEvery {
+		return
+	}
+	if m := p.changes(now); m != nil {
+		t.load = now
+		p.send(m)
+	}
+}
+
+// tellLarge tells the neighbours of this daemon and the one above of its work.
+func (p *Peers) tellLarge(t *timetable, now time.Time) {
+	if now.Sub(t.beat) >= largeBeatEvery || p.statusChanged() {
+		t.beat = now
+		p.send(p.state(now))
+	}
+	p.report(now, p.needsTotals())
+}
+
+// statusChanged reports whether callers are to be sent here or not other than the peers
+// were told, or the configuration is newer: neither can wait for the next beat.
+func (p *Peers) statusChanged() bool {
+	about := p.about()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return about.Serving != p.toldAbout.Serving || about.Config != p.toldAbout.Config
+}
+
+// tellEvery is the time between two looks at what is to be told.
+func (p *Peers) tellEvery() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.full {
+		return stateEvery
 	}
+	return p.collect.interval
 }
 
 // meshed reports whether every daemon tells every other its state.
--- a/internal/member/peers_test.go
+++ b/internal/member/peers_test.go
@@ -30,6 +30,7 @@
 	r.Peers.about = func() About { return r.about }
 	r.Peers.demand = func() map[string]wire.MemberDemand { return nil }
 	r.Peers.change = func() {}
+	r.Peers.waiting = func() bool { return false }
 	r.Peers.sameList = func(Position, uint64, time.Duration) {}
 	return r
 }
--- a/internal/member/tally.go
+++ b/internal/member/tally.go
@@ -88,11 +88,29 @@
 func (t *tally) take(m wire.LoadReport, now time.Time) (others wire.LoadTotals, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m.Depth > maxDepth {
+	r, ok := t.hear(m, now)
+	if !ok {
 		return wire.LoadTotals{}, false
 	}
+	return t.totals(r, now), true
+}
+
+// note books a report whose sender wants no answer; what it hasn't been told yet is kept
+// for the next one. ok is as of take.
+func (t *tally) note(m wire.LoadReport, now time.Time) (ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok = t.hear(m, now)
+	return ok
+}
+
+// hear books a report. t.mu is held.
+func (t *tally) hear(m wire.LoadReport, now time.Time) (r *report, ok bool) {
+	if m.Depth > maxDepth {
+		return nil, false
+	}
 	t.forgetSilent(now)
-	r := t.reports[m.Peers]
+	r = t.reports[m.Peers]
 	if r == nil {
 		r = newReport()
 		t.reports[m.Peers] = r
@@ -104,7 +122,19 @@
 	t.book(r, m.Loads, m.Full, now)
 	t.noteAway(m.Away, now)
 	t.passOn(r, m.Reads)
-	return t.totals(r, now), true
+	return r, true
+}
+
+// collects reports whether other daemons than this one report here.
+func (t *tally) collects(self string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for from := range t.reports {
+		if from != self {
+			return true
+		}
+	}
+	return false
 }
 
 // takeAbove books what the daemon that this one reports to tells of the others.
--- a/internal/member/telling.go
+++ b/internal/member/telling.go
@@ -82,12 +82,18 @@
 	return s
 }
 
+// send tells a message to all neighbours.
 func (p *Peers) send(m wire.Message) {
+	encoded, err := wire.Encode(m)
+	if err != nil {
+		p.log.Error("message to peers left out", "kind", m.Kind(), "err", err)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, to := range p.peers {
 		if to.link != nil {
-			to.link.Send(m)
+			to.link.Send(encoded)
 		}
 	}
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -58,6 +58,9 @@
 // place waits for an upstream that can take the request.
 func (c *call) place(ctx context.Context) (*place, *failure) {
 	began := time.Now()
+	if refresh := c.relay.cfg.Refresh; refresh != nil {
+		refresh(ctx)
+	}
 	late := c.late(began)
 	var found *place
 	try := func() bool {
@@ -108,15 +111,14 @@
 // tryPlace looks for a place now and books it.
 func (c *call) tryPlace(late bool) *place {
 	s := c.relay.cfg.State.Snapshot()
-	engines := c.relay.cfg.Books.Engines(candidates(s, c.pool))
 	if c.Generation == nil {
-		return c.tryService(s, engines)
+		return c.tryService(s)
 	}
 	req := c.placementRequest()
 	if c.kept.Handle != "" {
-		return c.tryGenerator(s, engines, req)
+		return c.tryGenerator(s, req)
 	}
-	plan, late, ok := c.choose(engines, &req, late)
+	plan, late, ok := c.choose(&req, late)
 	if !ok || s.Upstreams[plan.Engine] == nil || !c.goodEnough(plan, late) {
 		return nil
 	}
@@ -125,12 +127,13 @@
 
 // choose picks a plan: one for a late answer if the request is late already, or if no
 // engine could answer it in time.
-func (c *call) choose(engines []placement.Engine, req *placement.Request, late bool) (plan placement.Plan, behind, ok bool) {
+func (c *call) choose(req *placement.Request, late bool) (plan placement.Plan, behind, ok bool) {
+	books := c.relay.cfg.Books
 	req.Behind = late
-	plan, ok = placement.Pick(engines, *req)
+	plan, ok = books.Pick(c.pool, *req)
 	if !late && c.hopeless(plan, *req) {
 		req.Behind = true
-		plan, ok = placement.Pick(engines, *req)
+		plan, ok = books.Pick(c.pool, *req)
 	}
 	c.behind = req.Behind
 	if ok || c.looked.Considered == 0 {
@@ -168,8 +171,8 @@
 
 // tryGenerator looks for an engine to take over the prompt's KV cache, which is
 // there already: it needn't be read again because one engine turned it away.
-func (c *call) tryGenerator(s *fleet.Snapshot, engines []placement.Engine, req placement.Request) *place {
-	plan, ok := placement.PickGenerator(engines, c.keptBy.DataCentre, req)
+func (c *call) tryGenerator(s *fleet.Snapshot, req placement.Request) *place {
+	plan, ok := c.relay.cfg.Books.PickGenerator(c.pool, c.keptBy.DataCentre, req)
 	if !ok || s.Upstreams[plan.Engine] == nil {
 		return nil
 	}
@@ -216,8 +219,8 @@
 	return c.rule.Objective > 0 && plan.Ideal > limit-req.Spent
 }
 
-func (c *call) tryService(s *fleet.Snapshot, upstreams []placement.Engine) *place {
-	id, full, ok := placement.PickService(upstreams, c.placementRequest())
+func (c *call) tryService(s *fleet.Snapshot) *place {
+	id, full, ok := c.relay.cfg.Books.PickService(c.pool, c.placementRequest())
 	if !ok || full || s.Upstreams[id] == nil {
 		return nil
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -25,6 +26,9 @@
 	Books      *placement.Books
 	Budget     *Budget
 	Logger     *slog.Logger
+	// Refresh brings the books up to date with other daemons' work before a request is
+	// placed; it takes some milliseconds at most. Nil does nothing.
+	Refresh func(context.Context)
 	// Replaced is told of an upstream whose address belongs to another one; nil
 	// tells nobody.
 	Replaced func(id string)
@@ -65,6 +69,18 @@
 // CloseConnections makes each answer from now on the last of its connection.
 func (r *Relay) CloseConnections() { r.closing.Store(true) }
 
+// Waiting reports whether requests wait for a place.
+func (r *Relay) Waiting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, q := range r.queues {
+		if !q.empty() {
+			return true
+		}
+	}
+	return false
+}
+
 // Changed wakes the requests that wait: a place may have come free elsewhere.
 func (r *Relay) Changed() {
 	r.mu.Lock()
@@ -127,7 +143,7 @@
 }
 
 func member(s *fleet.Snapshot, u *fleet.Upstream) placement.Member {
-	m := placement.Member{ID: u.ID, DataCentre: u.DataCentre, Started: u.Started, Pool: u.Pool, Role: u.Role, Slots: u.Slots}
+	m := placement.Member{ID: u.ID, DataCentre: u.DataCentre, Started: u.Started, Pool: u.Pool, Role: u.Role, Slots: u.Slots, Leaving: u.Leaving}
 	if s.Config == nil {
 		return m
 	}
@@ -160,18 +176,6 @@
 	pool *exchange.Pool
 }
 
-// candidates returns the IDs of a pool's upstreams that take new work.
-func candidates(s *fleet.Snapshot, pool string) []string {
-	members := s.Pools[pool]
-	ids := make([]string, 0, len(members))
-	for _, u := range members {
-		if !u.Leaving {
-			ids = append(ids, u.ID)
-		}
-	}
-	return ids
-}
-
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	r.active.Add(1)
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -86,23 +86,31 @@
 	}
 }
 
+// sendAll pings a peer only while there is nothing else to send: any message shows
+// that the connection lives. The longest silence is twice the time between pings.
 func (c *conn) sendAll(ctx context.Context, outbox *outbox) error {
 	ping := time.NewTicker(c.limits.Ping)
 	defer ping.Stop()
+	silent := true
 	for {
 		for m, ok := outbox.take(); ok; m, ok = outbox.take() {
 			if err := c.send(m); err != nil {
 				return err
 			}
+			silent = false
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-outbox.filled:
+			continue
 		case <-ping.C:
+		}
+		if silent {
 			if err := c.send(Ping{}); err != nil {
 				return err
 			}
 		}
+		silent = true
 	}
 }
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -126,6 +126,13 @@
 	// Away is news of engines that take no work, Reads of prompts that were read.
 	Away  []AwayEngine     `msgpack:"w,omitempty"`
 	Reads []placement.Read `msgpack:"r,omitempty"`
+	// Unanswered says that the sender doesn't need the totals now.
+	Unanswered bool `msgpack:"u,omitempty"`
+}
+
+// HasNews reports whether the report says anything that its receiver may not know.
+func (m LoadReport) HasNews() bool {
+	return len(m.Loads)+len(m.Away)+len(m.Reads) > 0
 }
 
 // Kind implements Message.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -135,7 +135,26 @@
 // Kind implements Message.
 func (RulesReply) Kind() Kind { return KindRulesReply }
 
+// Encoded is a message in the form in which it goes over the wire, made once for all
+// peers that get the same.
+type Encoded struct {
+	kind Kind
+	body []byte
+}
+
+// Kind implements Message.
+func (e Encoded) Kind() Kind { return e.kind }
+
+// Encode encodes a message that several peers will get.
+func Encode(m Message) (Encoded, error) {
+	body, err := encode(m)
+	return Encoded{kind: m.Kind(), body: body}, err
+}
+
 func encode(m Message) ([]byte, error) {
+	if e, done := m.(Encoded); done {
+		return e.body, nil
+	}
 	body, err := msgpack.Marshal(m)
 	return body, eris.Wrapf(err, "message of kind %d can't be encoded", m.Kind())
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -351,6 +351,29 @@
 	}
 }
 
+// Most of what daemons tell each other of prompts was that parts are being read which the
+// engine keeps already. Only the first reading of a part is told before it is over, and
+// each one that is over, as parts that aren't used yield.
+func TestOnlyNewReadingsAreTold(t *testing.T) {
+	b := NewBooks(nil)
+	b.Sync(fleet(upstream.RoleDecode))
+	told := func(o Outcome, read bool) (states []ReadState) {
+		ticket := b.Begin("e0", Work{Read: tokens(100), Parts: prompt(2).Parts})
+		if read {
+			ticket.PromptRead()
+		}
+		ticket.End(o)
+		for _, r := range b.Reads() {
+			states = append(states, r.State)
+		}
+		return states
+	}
+	require.Equal(t, []ReadState{Begun, Abandoned}, told(Failed, false))
+	require.Equal(t, []ReadState{Begun, Finished}, told(Done, true))
+	require.Equal(t, []ReadState{Finished}, told(Done, true))
+	require.Empty(t, told(Failed, false))
+}
+
 // BenchmarkBooksPick is a decision as daemons make it: 14 us before 8 engines, 59 us before
 // 35 and 355 us before 200 when each made its own list, with three allocations an engine.
 func BenchmarkBooksPick(b *testing.B) {
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -39,8 +39,9 @@
 	// before the reading that waited there then, in milliseconds.
 	handedAt time.Time
 	before   float64
-	// informed says that what the engine keeps was known when the prompt was sent.
-	informed bool
+	// informed says that what the engine keeps was known when the prompt was sent, kept
+	// that the prompt's shared parts were among it.
+	informed, kept bool
 	trial    bool
 	read     bool
 	ended    bool
@@ -93,13 +94,20 @@
 
 func (t *Ticket) micros() uint32 { return uint32(t.reading * microsPerMilli) }
 
-// tell notes what became of the prompt, here and for the peers.
+// tell notes what became of the prompt, here and for the peers. That parts are being
+// read which the engine keeps already is no news: most prompts are like that.
 func (t *Ticket) tell(s ReadState) {
 	shared := sharedParts(t.work.Parts)
 	if len(shared) == 0 {
 		return
 	}
 	last := shared[len(shared)-1]
+	if s == Begun {
+		t.kept = t.entry.cache.parts.Contains(last.ID)
+	}
+	if t.kept && s != Finished {
+		return
+	}
 	last.Tokens = sumTokens(shared)
 	r := Read{At: t.entry.key(), State: s, Last: last, Own: t.work.Parts[len(shared)].Tokens}
 	t.books.reads = append(t.books.reads, r)
