wire, placement, enginemodel: loads written out, own changes and fits only where asked for

BenchmarkLoads (22 loads, 30 prompts, there and back, busy machine): 115 us and 128 allocations before, 42 us and 16 after.

--- a/enginemodel/fit.go
+++ b/enginemodel/fit.go
@@ -52,6 +52,10 @@
 	coef   []float64
 	own    Stats
 	others map[string]Stats
+	// all is the sum of those of the others.
+	all Stats
+	// stale says that coef is of before the last observation.
+	stale bool
 }
 
 // coefficient is what is assumed of one of a fit's coefficients.
@@ -67,15 +71,27 @@
 }
 
 func newFit(prior ...coefficient) *fit {
-	f := &fit{prior: prior, coef: make([]float64, len(prior)), own: newStats(len(prior)), others: make(map[string]Stats)}
+	f := &fit{
+		prior: prior, coef: make([]float64, len(prior)),
+		own: newStats(len(prior)), others: make(map[string]Stats), all: newStats(len(prior)),
+	}
 	for i, c := range prior {
 		f.coef[i] = c.assumed
 	}
 	return f
 }
 
+// settle finds the coefficients again if there is something new.
+func (f *fit) settle() {
+	if f.stale {
+		f.stale = false
+		f.solve()
+	}
+}
+
 // predict returns the time for some features.
 func (f *fit) predict(features ...float64) float64 {
+	f.settle()
 	sum := 0.0
 	for i, c := range f.coef {
 		sum += c * features[i]
@@ -84,13 +100,7 @@
 }
 
 // count returns the number of observations of all processes.
-func (f *fit) count() int {
-	n := f.own.Count
-	for _, s := range f.others {
-		n += s.Count
-	}
-	return n
-}
+func (f *fit) count() int { return f.own.Count + f.all.Count }
 
 // learn takes a time that was seen. weight is what it counts, 1 for an observation
 // without doubt.
@@ -118,7 +128,7 @@
 		}
 		f.own.Right[i] = keep*f.own.Right[i] + weight*row[i]*took/unit
 	}
-	f.solve()
+	f.stale = true
 }
 
 // trust is the weight of an observation by its ratio to the prediction.
@@ -140,30 +150,34 @@
 	if len(s.Right) != len(f.prior) || len(s.Normal) != len(f.prior)*len(f.prior) {
 		return // of a process that models engines in another way
 	}
-	if s.Count < min(f.others[from].Count, newcomer) {
+	before, known := f.others[from]
+	if s.Count < min(before.Count, newcomer) {
 		return
 	}
+	if known {
+		f.all.add(before, -1)
+	}
+	f.all.add(s, 1)
 	f.others[from] = s
-	f.solve()
+	f.stale = true
 }
 
 // sum adds up the statistics of all processes.
 func (f *fit) sum() Stats {
-	total := newStats(len(f.prior))
-	add := func(s Stats) {
-		for i := range s.Normal {
-			total.Normal[i] += s.Normal[i]
-		}
-		for i := range s.Right {
-			total.Right[i] += s.Right[i]
-		}
-		total.Count += s.Count
+	total := f.own.clone()
+	total.add(f.all, 1)
+	return total
+}
+
+// add adds the statistics of a process, or with a sign of -1 takes them away.
+func (s *Stats) add(o Stats, sign int) {
+	for i := range s.Normal {
+		s.Normal[i] += float64(sign) * o.Normal[i]
 	}
-	add(f.own)
-	for _, s := range f.others {
-		add(s)
+	for i := range s.Right {
+		s.Right[i] += float64(sign) * o.Right[i]
 	}
-	return total
+	s.Count += sign * o.Count
 }
 
 // solve finds the coefficients. Those that would be negative are left out, the most
--- a/enginemodel/learnt.go
+++ b/enginemodel/learnt.go
@@ -42,7 +42,7 @@
 	if l.Typical > 0 {
 		m.others[from] = l
 	}
-	m.publish()
+	m.current = nil
 }
 
 // output returns the time of generating a token, by all processes' streams.
--- a/enginemodel/model.go
+++ b/enginemodel/model.go
@@ -62,8 +62,10 @@
 	// typical is the smoothed time of reading a prompt, in milliseconds.
 	typical float64
 	// others is what other processes have observed, by their names.
-	others  map[string]Learnt
-	errors  map[upstream.Role]*errorShares
+	others map[string]Learnt
+	errors map[upstream.Role]*errorShares
+	// current is nil if something was learnt since it was last asked for: others tell far
+	// more often what they have learnt than anything is decided by it.
 	current *Figures
 }
 
@@ -82,16 +84,23 @@
 			upstream.RoleDecode:  newErrorShares(),
 		},
 	}
-	m.publish()
 	return m
 }
 
 // Figures returns what is known now. It never changes.
-func (m *Model) Figures() *Figures { return m.current }
+func (m *Model) Figures() *Figures {
+	if m.current == nil {
+		m.current = m.figures()
+	}
+	return m.current
+}
 
-func (m *Model) publish() {
+func (m *Model) figures() *Figures {
+	for _, f := range []*fit{m.reading[upstream.RolePrefill], m.reading[upstream.RoleDecode], m.takeover, m.interval} {
+		f.settle()
+	}
 	prefill, decode := m.readings()
-	m.current = &Figures{
+	return &Figures{
 		prefill: prefill, decode: decode,
 		takeover: handoffOf(m.takeover), interval: lineOf(m.interval),
 		output: m.output(), typical: m.typicalOfAll(),
@@ -145,7 +154,7 @@
 		return
 	}
 	took, ahead := Millis(r.Took), Millis(r.Ahead)
-	own := m.current.Reading(r.Role, r.Prompt)
+	own := m.Figures().Reading(r.Role, r.Prompt)
 	m.errors[r.Role].note(took, ahead+own+f.coef[0])
 	if m.typical == 0 {
 		m.typical = own
@@ -158,20 +167,20 @@
 		}
 		f.learn(alone, weight, 1, float64(r.Tokens), r.pairs())
 	}
-	m.publish()
+	m.current = nil
 }
 
 // LearnTakeover takes the time until an engine that took a KV cache over gave its
 // first event, and the reading that waited there, in milliseconds.
 func (m *Model) LearnTakeover(tokens int, queue float64, took time.Duration) {
 	m.takeover.learn(Millis(took), 1, 1, float64(tokens)/1000, queue)
-	m.publish()
+	m.current = nil
 }
 
 // LearnInterval takes a time between two events during which the engine read nothing.
 func (m *Model) LearnInterval(others int, took time.Duration) {
 	m.interval.learn(Millis(took), 1, 1, float64(max(0, others)))
-	m.publish()
+	m.current = nil
 }
 
 // generationMemory is the number of expected tokens over which the time of one is
@@ -187,7 +196,7 @@
 		m.generated *= keep
 		m.expected *= keep
 	}
-	m.publish()
+	m.current = nil
 }
 
 // Millis returns a time in milliseconds, the unit of all figures here.
--- a/internal/member/collector_test.go
+++ b/internal/member/collector_test.go
@@ -13,8 +13,8 @@
 	"tamarackchute/placement"
 )
 
-func loadsOf(running int, sent uint32) []placement.LoadAt {
-	return []placement.LoadAt{{At: 1, Load: placement.Load{Running: running, Sent: sent}}}
+func loadsOf(running int, sent uint32) wire.Loads {
+	return wire.Loads{{At: 1, Load: placement.Load{Running: running, Sent: sent}}}
 }
 
 // reported books a report and returns the totals in the answer.
--- /dev/null
+++ b/internal/wire/loads.go
@@ -0,0 +1,167 @@
+package wire
+
+import (
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tamarackchute/placement"
+)
+
+// Loads are daemons' work at upstreams. They make up most of what daemons tell each other,
+// and are written out here: by reflection each takes five times as long (BenchmarkLoads).
+type Loads []placement.LoadAt
+
+// Reads are what became of prompts.
+type Reads []placement.Read
+
+// The number of fields of each form.
+const (
+	loadAtFields = 2
+	loadFields   = 7
+	readFields   = 4
+	partFields   = 2
+)
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (l Loads) EncodeMsgpack(e *msgpack.Encoder) error {
+	w := writer{e: e}
+	w.array(len(l))
+	for _, at := range l {
+		w.array(loadAtFields)
+		w.uint(uint64(at.At))
+		w.array(loadFields)
+		w.int(at.Load.Running)
+		w.int(at.Load.Long)
+		w.int(at.Load.Held)
+		w.int(at.Load.Behind)
+		w.uint(uint64(at.Load.Sent))
+		w.uint(uint64(at.Load.Done))
+		w.uint(uint64(at.Load.Moved))
+	}
+	return w.err
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *Loads) DecodeMsgpack(d *msgpack.Decoder) error {
+	r := reader{d: d}
+	n := r.length()
+	*l = make(Loads, 0, n)
+	for range n {
+		var at placement.LoadAt
+		r.array(loadAtFields)
+		at.At = placement.Key(r.uint32())
+		r.array(loadFields)
+		at.Load.Running = r.int()
+		at.Load.Long = r.int()
+		at.Load.Held = r.int()
+		at.Load.Behind = r.int()
+		at.Load.Sent = r.uint32()
+		at.Load.Done = r.uint32()
+		at.Load.Moved = r.uint32()
+		*l = append(*l, at)
+	}
+	return r.err
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (l Reads) EncodeMsgpack(e *msgpack.Encoder) error {
+	w := writer{e: e}
+	w.array(len(l))
+	for _, read := range l {
+		w.array(readFields)
+		w.uint(uint64(read.At))
+		w.uint(uint64(read.State))
+		w.array(partFields)
+		w.uint(read.Last.ID)
+		w.int(read.Last.Tokens)
+		w.int(read.Own)
+	}
+	return w.err
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *Reads) DecodeMsgpack(d *msgpack.Decoder) error {
+	r := reader{d: d}
+	n := r.length()
+	*l = make(Reads, 0, n)
+	for range n {
+		var read placement.Read
+		r.array(readFields)
+		read.At = placement.Key(r.uint32())
+		read.State = placement.ReadState(r.uint32())
+		r.array(partFields)
+		read.Last.ID = r.uint64()
+		read.Last.Tokens = r.int()
+		read.Own = r.int()
+		*l = append(*l, read)
+	}
+	return r.err
+}
+
+// writer writes values until one can't be.
+type writer struct {
+	e   *msgpack.Encoder
+	err error
+}
+
+func (w *writer) array(n int) {
+	if w.err == nil {
+		w.err = w.e.EncodeArrayLen(n)
+	}
+}
+
+func (w *writer) int(n int) {
+	if w.err == nil {
+		w.err = w.e.EncodeInt(int64(n))
+	}
+}
+
+func (w *writer) uint(n uint64) {
+	if w.err == nil {
+		w.err = w.e.EncodeUint(n)
+	}
+}
+
+// reader reads values until one isn't of the form that is expected.
+type reader struct {
+	d   *msgpack.Decoder
+	err error
+}
+
+// length reads the length of a list. The bytes that are there bound it: see codec.
+func (r *reader) length() int {
+	if r.err != nil {
+		return 0
+	}
+	var n int
+	n, r.err = r.d.DecodeArrayLen()
+	return max(0, n)
+}
+
+// array reads the length of a form of some fields.
+func (r *reader) array(fields int) {
+	if n := r.length(); r.err == nil && n != fields {
+		r.err = eris.Errorf("%d fields, not %d", n, fields)
+	}
+}
+
+func (r *reader) int() (n int) {
+	if r.err == nil {
+		n, r.err = r.d.DecodeInt()
+	}
+	return n
+}
+
+func (r *reader) uint32() (n uint32) {
+	if r.err == nil {
+		n, r.err = r.d.DecodeUint32()
+	}
+	return n
+}
+
+func (r *reader) uint64() (n uint64) {
+	if r.err == nil {
+		n, r.err = r.d.DecodeUint64()
+	}
+	return n
+}
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -23,38 +23,40 @@
 // MemberState is what a daemon tells the others of itself, several times a
 // second while requests come and go.
 type MemberState struct {
+	//lint:ignore U1000 msgpack reads it: the fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
 	MemberAddress
 	// Incarnation tells the starts of a daemon apart; Seq counts the states of
 	// one. A state that was overtaken by a newer one is dropped.
-	Incarnation uint64 `msgpack:"i"`
-	Seq         uint64 `msgpack:"q"`
+	Incarnation uint64
+	Seq         uint64
 	// Serving says that callers may be sent there.
-	Serving bool `msgpack:"s"`
+	Serving bool
 	// Config is the version of the configuration in force there.
-	Config uint64 `msgpack:"v"`
+	Config uint64
 	// ListPosition is the place in the store up to which its list of upstreams
 	// goes, ListDigest tells whether two lists are the same, and ReadAge is the
 	// time since the list was read, by it or by a daemon that it heard.
-	ListPosition uint64        `msgpack:"o"`
-	ListDigest   uint64        `msgpack:"g"`
-	ReadAge      time.Duration `msgpack:"a"`
+	ListPosition uint64
+	ListDigest   uint64
+	ReadAge      time.Duration
 	// ListSize is the number of upstreams in that list.
-	ListSize int `msgpack:"u"`
+	ListSize int
 	// Meshed says that it tells all others its work itself; if not, it comes with the
 	// totals of the site.
-	Meshed bool `msgpack:"h,omitempty"`
+	Meshed bool
 	// Loads are what has changed of its work at upstreams, Reads the prompts read
 	// lately for it.
-	Loads []placement.LoadAt `msgpack:"l"`
-	Reads []placement.Read   `msgpack:"r"`
+	Loads Loads
+	Reads Reads
 	// Learnt is what it has observed of the engines, by pool; now and then.
-	Learnt map[string]enginemodel.Learnt `msgpack:"e,omitempty"`
+	Learnt map[string]enginemodel.Learnt
 	// Demands is what callers ask of it, by pool.
-	Demands map[string]MemberDemand `msgpack:"m,omitempty"`
+	Demands map[string]MemberDemand
 	// Away are engines that have been ordered to change.
-	Away []AwayEngine `msgpack:"w,omitempty"`
+	Away []AwayEngine
 	// Known are other daemons that it hears from.
-	Known []MemberAddress `msgpack:"k"`
+	Known []MemberAddress
 }
 
 // MemberLoads is what has changed of a daemon's work since its last state, told
@@ -64,8 +66,8 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	// Incarnation and Seq are as in a MemberState, and tell whose it is.
 	Incarnation, Seq uint64
-	Loads            []placement.LoadAt
-	Reads            []placement.Read
+	Loads            Loads
+	Reads            Reads
 }
 
 // Kind implements Message.
@@ -79,10 +81,12 @@
 
 // AwayEngine is an engine that takes no work for a while.
 type AwayEngine struct {
-	At placement.Key `msgpack:"e"`
+	//lint:ignore U1000 msgpack reads it: the fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
+	At       placement.Key
 	// To is the role that it changes to, empty if it doesn't.
-	To   upstream.Role `msgpack:"r"`
-	Left time.Duration `msgpack:"l"`
+	To   upstream.Role
+	Left time.Duration
 }
 
 // Kind implements Message.
@@ -115,19 +119,21 @@
 // LoadReport tells a collector of loads what a daemon has in flight, and those that
 // report to it.
 type LoadReport struct {
+	//lint:ignore U1000 msgpack reads it: the fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
 	// Peers is the sender's address.
-	Peers string `msgpack:"p"`
+	Peers string
 	// Full says that upstreams that aren't listed have nothing in flight.
-	Full  bool               `msgpack:"f"`
-	Loads []placement.LoadAt `msgpack:"l"`
+	Full  bool
+	Loads Loads
 	// Daemons is how many it is of, Depth how many of them stand below each other.
-	Daemons int `msgpack:"n"`
-	Depth   int `msgpack:"d"`
+	Daemons int
+	Depth   int
 	// Away is news of engines that take no work, Reads of prompts that were read.
-	Away  []AwayEngine     `msgpack:"w,omitempty"`
-	Reads []placement.Read `msgpack:"r,omitempty"`
+	Away  []AwayEngine
+	Reads Reads
 	// Unanswered says that the sender doesn't need the totals now.
-	Unanswered bool `msgpack:"u,omitempty"`
+	Unanswered bool
 }
 
 // HasNews reports whether the report says anything that its receiver may not know.
@@ -141,21 +147,23 @@
 // LoadTotals is what all daemons but the receiver have in flight, as the
 // collector knows it.
 type LoadTotals struct {
+	//lint:ignore U1000 msgpack reads it: the fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
 	// Full says that upstreams that aren't listed have nothing in flight.
-	Full  bool               `msgpack:"f"`
-	Loads []placement.LoadAt `msgpack:"l"`
+	Full  bool
+	Loads Loads
 	// Senders is the number of daemons in it.
-	Senders int `msgpack:"n"`
+	Senders int
 	// Away is news of engines that take no work, Reads of prompts that were read.
-	Away  []AwayEngine     `msgpack:"w,omitempty"`
-	Reads []placement.Read `msgpack:"r,omitempty"`
+	Away  []AwayEngine
+	Reads Reads
 	// Config, ListPosition, ListDigest, ListSize and ReadAge are the collector's,
 	// as in a MemberState: it reads the store for all.
-	Config       uint64        `msgpack:"v"`
-	ListPosition uint64        `msgpack:"o"`
-	ListDigest   uint64        `msgpack:"g"`
-	ListSize     int           `msgpack:"u"`
-	ReadAge      time.Duration `msgpack:"a"`
+	Config       uint64
+	ListPosition uint64
+	ListDigest   uint64
+	ListSize     int
+	ReadAge      time.Duration
 }
 
 // Kind implements Message.
--- a/internal/wire/size_test.go
+++ b/internal/wire/size_test.go
@@ -23,3 +23,22 @@
 	require.NoError(t, err)
 	t.Logf("loads %d bytes, state %d bytes", len(body), len(state))
 }
+
+// BenchmarkLoads is what daemons of a large site tell each other many times a second: 22
+// loads and 30 prompts, encoded and decoded: 42 us beside other load, 115 us by reflection.
+func BenchmarkLoads(b *testing.B) {
+	var m LoadTotals
+	for i := range 22 {
+		m.Loads = append(m.Loads, placement.LoadAt{At: placement.Key(i << 20), Load: placement.Load{Running: i, Held: i << 10, Sent: uint32(i) << 20, Done: uint32(i) << 19}})
+	}
+	for i := range 30 {
+		m.Reads = append(m.Reads, placement.Read{At: placement.Key(i << 20), State: placement.Finished, Last: placement.Part{ID: uint64(i) << 50, Tokens: 6300}, Own: 2890})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		body, err := encode(m)
+		require.NoError(b, err)
+		_, err = decode(m.Kind(), body)
+		require.NoError(b, err)
+	}
+}
--- a/placement/books.go
+++ b/placement/books.go
@@ -41,6 +41,8 @@
 	informed bool
 	// reads are the prompts sent and read since the last Reads, for the peers.
 	reads []Read
+	// touched are those with work of this daemon that may have changed since the last Own.
+	touched []*entry
 	// pools are the engines of each pool, search is used again for each decision.
 	pools  map[string]*roster
 	search search
@@ -50,9 +52,10 @@
 	Member
 	model *enginemodel.Model
 	own   Load
-	// told is what the peers were told last.
-	told  Load
-	peers map[string]Load
+	// told is what the peers were told last, touched says that own may differ.
+	told    Load
+	touched bool
+	peers   map[string]Load
 	// others is the sum of what the peers have there.
 	others Load
 	// hash is that of the ID.
@@ -289,15 +292,33 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var loads []LoadAt
-	for _, e := range b.upstreams {
-		if e.own != e.told || (all && e.own != (Load{})) {
+	if all {
+		for _, e := range b.upstreams {
+			if !e.touched && e.own != (Load{}) {
+				loads = append(loads, LoadAt{At: e.key(), Load: e.own})
+			}
+		}
+	}
+	for _, e := range b.touched {
+		e.touched = false
+		changed := e.own != e.told || (all && e.own != (Load{}))
+		if changed && b.upstreams[e.ID] == e {
 			e.told = e.own
 			loads = append(loads, LoadAt{At: e.key(), Load: e.own})
 		}
 	}
+	b.touched = b.touched[:0]
 	return loads
 }
 
+// touch notes that this daemon's work at an upstream changes. b.mu is held.
+func (b *Books) touch(e *entry) {
+	if !e.touched {
+		e.touched = true
+		b.touched = append(b.touched, e)
+	}
+}
+
 // NotePeer takes what a peer says of its load at some upstreams.
 func (b *Books) NotePeer(peer string, loads []LoadAt, reads []Read) {
 	b.mu.Lock()
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -374,6 +374,19 @@
 	require.Empty(t, told(Failed, false))
 }
 
+// The last call to a plain server ends while a whole state is told. Peers must hear that
+// nothing is left there: left out, it would look busy to them until its next call.
+func TestTheEndOfTheLastCallIsTold(t *testing.T) {
+	b := NewBooks(nil)
+	b.Sync([]Member{{ID: "s", Pool: "p", Slots: 4}})
+	call := b.Begin("s", Work{})
+	require.Equal(t, 1, b.Own(true)[0].Load.Running)
+	call.End(Done)
+	require.Equal(t, []LoadAt{{At: b.KeyOf("s")}}, b.Own(true))
+	require.Empty(t, b.Own(true))
+	require.Empty(t, b.Own(false))
+}
+
 // BenchmarkBooksPick is a decision as daemons make it: 14 us before 8 engines, 59 us before
 // 35 and 355 us before 200 when each made its own list, with three allocations an engine.
 func BenchmarkBooksPick(b *testing.B) {
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -42,9 +42,9 @@
 	// informed says that what the engine keeps was known when the prompt was sent, kept
 	// that the prompt's shared parts were among it.
 	informed, kept bool
-	trial    bool
-	read     bool
-	ended    bool
+	trial          bool
+	read           bool
+	ended          bool
 }
 
 // Begin books an attempt at an upstream.
@@ -56,6 +56,7 @@
 		e = b.newEntry(Member{ID: id}) // it left just now; its books go nowhere
 	}
 	t := &Ticket{books: b, entry: e, work: w, began: b.now(), informed: e.listed}
+	b.touch(e)
 	e.own.Running++
 	e.own.Held += w.Held
 	if w.Long {
@@ -139,6 +140,7 @@
 
 // readingOver takes the reading off what waits at the engine.
 func (t *Ticket) readingOver() {
+	t.books.touch(t.entry)
 	t.entry.own.Done += t.micros()
 	if t.work.Behind && t.work.Read.Tokens > 0 {
 		t.entry.own.Behind--
@@ -219,6 +221,7 @@
 	}
 	t.ended = true
 	e := t.entry
+	t.books.touch(e)
 	if !t.read && t.work.Read.Tokens > 0 && e.model != nil {
 		t.readingOver()
 		t.tell(Abandoned)
