member: calls to a failing store follow the site's size; one daemon acts for a large site

Change: a daemon's readers share one back-off that grows with the daemons of the site, and one of them looks whether the store is back; who reports to a daemon of its own data centre reads daemons' entries every 20 s; in a large site the rank is that in line as collectors, one daemon's 0.

--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -104,6 +104,10 @@
 	heard, left time.Time
 	// asked is when the last report went out that wants an answer, full the last full one.
 	asked, full time.Time
+	// answering is the address of the daemon above that answered last, alone says that
+	// none does.
+	answering string
+	alone     bool
 	// answered is closed when the totals come that a decision waits for; nil if none does.
 	answered chan struct{}
 	// senders is the number of daemons in the totals as logged last.
@@ -242,6 +246,7 @@
 	c := &p.collect
 	c.current, c.heard, c.full = i, now, time.Time{}
 	p.shut(&c.outgoing)
+	c.alone = c.alone || i >= len(c.line)
 	if to, ok := c.to(); ok {
 		c.outgoing = p.open(to.Peers, func(m wire.Message) { p.takeTotals(to.Peers, m) })
 	}
@@ -282,6 +287,25 @@
 	return !p.full && !reports
 }
 
+// ReportsNearby reports whether this daemon of a large site reports to another one of its
+// data centre, which hears of everything before it does.
+func (p *Peers) ReportsNearby() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to, reports := p.collect.to()
+	return !p.full && reports && to.DataCentre == p.self.DataCentre
+}
+
+// rank returns how many daemons stand before this one in line, the silent ones before the
+// one that answers left out. It is 0 for one daemon of a large site.
+func (c *collection) rank() int {
+	if c.alone {
+		return 0
+	}
+	at := slices.IndexFunc(c.line, func(a wire.MemberAddress) bool { return a.Peers == c.answering })
+	return len(c.line) - max(0, at)
+}
+
 // takeTotals takes the answer of the daemon that is reported to.
 func (p *Peers) takeTotals(from string, m wire.Message) {
 	totals, ok := m.(wire.LoadTotals)
@@ -296,6 +320,7 @@
 	}
 	now := time.Now()
 	c.heard = now
+	c.answering, c.alone = from, false
 	answered := c.answered
 	c.answered = nil
 	if above := p.peers[from]; above != nil {
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -24,9 +24,6 @@
 	// upstreamsSpread is the random time that is added, so that one daemon reads
 	// and the others hear of it.
 	upstreamsSpread = 300 * time.Millisecond
-	// retryMin and retryMax bound the wait after a failed read.
-	retryMin = 100 * time.Millisecond
-	retryMax = 500 * time.Millisecond
 	// callSlack is added to the wait that the store was asked for.
 	callSlack = 1500 * time.Millisecond
 	// outageAfter is the time without a successful read after which removals
@@ -42,6 +39,11 @@
 	name  string
 	// every is the least time between reads, wait how long one may wait.
 	every, wait time.Duration
+	// rests reports whether it will do to look now and then, since others tell of what is
+	// new; nil is no.
+	rests func() bool
+	// backoff is shared by all that call the store.
+	backoff *backoff
 	// reset takes the newest entries, apply a change.
 	reset func([]Entry)
 	apply func([]Entry)
@@ -81,17 +83,19 @@
 
 // Serve implements suture.Service.
 func (r *topicReader) Serve(ctx context.Context) error {
-	pause := retryMin
 	for ctx.Err() == nil {
 		if hold := r.hold(); hold > 0 {
 			r.rest(ctx, hold)
 			continue
 		}
+		r.backoff.await(ctx)
+		began := time.Now()
 		err := r.read(ctx)
 		switch {
 		case err == nil:
-			pause = retryMin
+			r.backoff.succeeded()
 		case errors.Is(err, ErrExpired):
+			r.backoff.succeeded()
 			r.mu.Lock()
 			r.known = false
 			r.mu.Unlock()
@@ -99,8 +103,7 @@
 			// Broken off by restart: the next read begins at once.
 		default:
 			r.lost(ctx, err)
-			sleep(ctx, pause)
-			pause = min(2*pause, retryMax)
+			r.backoff.failed(began, time.Now())
 		}
 	}
 	return ctx.Err()
@@ -113,12 +116,29 @@
 		return 0
 	}
 	wait := r.every
+	if r.resting() {
+		wait = restingEvery
+	}
 	if r.spread > 0 && (r.first == nil || !r.first()) {
 		wait += r.spread/2 + rand.N(r.spread)
 	}
 	return wait - r.age()
 }
 
+// restingEvery is how often a reader looks that others tell of what is new.
+const restingEvery = longWait
+
+func (r *topicReader) resting() bool { return r.rests != nil && r.rests() }
+
+// waits returns how long the next read may wait: not at all if nothing says yet that the
+// store answers again, so that it is known.
+func (r *topicReader) waits() time.Duration {
+	if r.isDown() || r.resting() {
+		return 0
+	}
+	return r.wait
+}
+
 // restPiece is how soon a reader that rests notices that it is to hurry.
 const restPiece = 50 * time.Millisecond
 
@@ -162,7 +182,8 @@
 }
 
 func (r *topicReader) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, r.wait+callSlack)
+	wait := r.waits()
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
 	r.mu.Lock()
 	from, known := r.from, r.known
@@ -178,14 +199,14 @@
 		r.done(next, began)
 		return nil
 	}
-	entries, next, err := r.store.Changes(ctx, r.topic, from, r.wait)
+	entries, next, err := r.store.Changes(ctx, r.topic, from, wait)
 	if err != nil {
 		return err
 	}
 	if len(entries) > 0 {
 		r.apply(entries)
 	}
-	if r.wait > 0 {
+	if wait > 0 {
 		began = time.Now() // the answer is of the moment of its end
 	}
 	r.done(next, began)
@@ -300,9 +321,10 @@
 
 // announcer writes this daemon's entry, so that others find it.
 type announcer struct {
-	store Store
-	self  wire.MemberAddress
-	log   *slog.Logger
+	store   Store
+	self    wire.MemberAddress
+	backoff *backoff
+	log     *slog.Logger
 }
 
 // String names the service for the supervisor.
@@ -314,19 +336,20 @@
 	if err != nil {
 		return err
 	}
-	pause := retryMin
 	for ctx.Err() == nil {
+		a.backoff.await(ctx)
+		began := time.Now()
 		call, cancel := context.WithTimeout(ctx, callSlack)
 		err := a.store.Put(call, TopicMembers, Entry{Key: a.self.Instance, Value: value})
 		cancel()
 		if err == nil {
+			a.backoff.succeeded()
 			a.log.Info("announced", "address", a.self.Peers)
 			<-ctx.Done()
 			return ctx.Err()
 		}
 		a.log.Warn("not announced", "err", err)
-		sleep(ctx, pause)
-		pause = min(2*pause, 4*retryMax)
+		a.backoff.failed(began, time.Now())
 	}
 	return ctx.Err()
 }
--- a/internal/member/feeds_test.go
+++ b/internal/member/feeds_test.go
@@ -18,6 +18,9 @@
 	"tamarackchute/rules/pathset"
 )
 
+// alone is the number of daemons of a site of one.
+func alone() int { return 1 }
+
 var quiet = slog.New(slog.DiscardHandler)
 
 // plainFormats reads entries as "pool address [leaving]" and configurations as
@@ -169,7 +172,7 @@
 // that has grown old, and goes on from the place that the other had reached.
 func TestAnotherDaemonsReadingIsAsGood(t *testing.T) {
 	store := &scriptedStore{}
-	r := &topicReader{store: store, every: time.Hour, reset: func([]Entry) {}, apply: func([]Entry) {}, log: quiet}
+	r := &topicReader{backoff: newBackoff(alone), store: store, every: time.Hour, reset: func([]Entry) {}, apply: func([]Entry) {}, log: quiet}
 	require.NoError(t, r.read(context.Background()))
 	require.EqualValues(t, 10, r.position())
 	require.Positive(t, r.hold())
@@ -238,7 +241,7 @@
 	store := &scriptedStore{}
 	state := fleet.NewState()
 	feed := &configFeed{formats: plainFormats{}, state: state, log: quiet}
-	r := &topicReader{store: store, topic: TopicConfig, name: "configuration", every: time.Millisecond, reset: feed.take, apply: feed.take, log: quiet}
+	r := &topicReader{backoff: newBackoff(alone), store: store, topic: TopicConfig, name: "configuration", every: time.Millisecond, reset: feed.take, apply: feed.take, log: quiet}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -299,7 +302,7 @@
 	store := &hangingStore{hung: make(chan struct{})}
 	state := fleet.NewState()
 	feed := &configFeed{formats: plainFormats{}, state: state, log: quiet}
-	r := &topicReader{store: store, wait: time.Hour, reset: feed.take, apply: feed.take, log: quiet}
+	r := &topicReader{backoff: newBackoff(alone), store: store, wait: time.Hour, reset: feed.take, apply: feed.take, log: quiet}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -311,7 +314,7 @@
 		<-done
 	}()
 	<-store.hung
-	other := &topicReader{log: quiet, returned: r.restart}
+	other := &topicReader{backoff: newBackoff(alone), log: quiet, returned: r.restart}
 	other.lost(ctx, errors.New("cut off"))
 	other.done(1, time.Now())
 	require.Eventually(t, func() bool { return state.Snapshot().Config.Version == 77 }, 10*time.Second, time.Millisecond)
--- a/internal/member/large_test.go
+++ b/internal/member/large_test.go
@@ -113,6 +113,30 @@
 	share(placement.Part{ID: 11, Tokens: 200})
 }
 
+// Each daemon of a large site hears sixteen others, and took part in what one should do for
+// all if it came first among these: eleven of 95 tried to lead the changes of roles, and
+// read and wrote the store for it. There must be one that comes first and one second, and
+// another first when that one dies, for good, though the dead is asked again now and then.
+func TestOneDaemonComesFirstInALargeSite(t *testing.T) {
+	rigs := largeSite(t, meshLimit+5)
+	dead := make(map[*daemonRig]bool)
+	ranked := func(rank int) (found []*daemonRig) {
+		for _, r := range rigs {
+			if !dead[r] && r.Rank() == rank {
+				found = append(found, r)
+			}
+		}
+		return found
+	}
+	settled := func() bool { return len(ranked(0)) == 1 && len(ranked(1)) <= 1 }
+	require.Eventually(t, func() bool { return settled() && len(ranked(1)) == 1 }, 20*time.Second, 20*time.Millisecond)
+	first := ranked(0)[0]
+	first.kill()
+	dead[first] = true
+	require.Eventually(t, settled, 20*time.Second, 20*time.Millisecond)
+	require.Never(t, func() bool { return !settled() }, collectorRetry+2*collectorSilent, 20*time.Millisecond)
+}
+
 // A site grows beyond the number up to which each daemon tells all others its work.
 // From then on that work comes with the totals. Booked from before as well, it would
 // count twice for as long as its daemon lives, and engines would stand idle.
--- a/internal/member/learnt.go
+++ b/internal/member/learnt.go
@@ -24,10 +24,11 @@
 // lost at once, nobody else remembers it; learnt anew in the crowd that follows it came
 // out several times wrong, and most answers were late until the next restart.
 type engineMemory struct {
-	store Store
-	books *placement.Books
-	peers *Peers
-	log   *slog.Logger
+	store   Store
+	books   *placement.Books
+	peers   *Peers
+	backoff *backoff
+	log     *slog.Logger
 }
 
 // String names the service for the supervisor.
@@ -47,16 +48,19 @@
 
 // recall reads what is kept, until the store has answered once.
 func (e *engineMemory) recall(ctx context.Context) {
-	for pause := retryMin; ctx.Err() == nil; pause = min(2*pause, retryMax) {
+	for ctx.Err() == nil {
+		e.backoff.await(ctx)
+		began := time.Now()
 		call, cancel := context.WithTimeout(ctx, recallTimeout)
 		entries, _, err := e.store.Newest(call, TopicLearnt)
 		cancel()
 		if err == nil {
+			e.backoff.succeeded()
 			e.take(entries)
 			return
 		}
 		e.log.Warn("what was learnt of the engines not read", "err", err)
-		sleep(ctx, pause)
+		e.backoff.failed(began, time.Now())
 	}
 }
 
--- a/internal/member/learnt_test.go
+++ b/internal/member/learnt_test.go
@@ -53,11 +53,11 @@
 		now = now.Add(time.Second)
 	}
 	store := &entriesOnly{failures: 1, entries: map[string][]byte{"q": []byte("not json")}}
-	(&engineMemory{store: store, books: before, log: quiet}).keep(t.Context())
+	(&engineMemory{store: store, books: before, backoff: newBackoff(alone), log: quiet}).keep(t.Context())
 	require.Len(t, store.entries, 2)
 
 	after := placement.NewBooks(nil)
-	(&engineMemory{store: store, books: after, log: quiet}).recall(t.Context())
+	(&engineMemory{store: store, books: after, backoff: newBackoff(alone), log: quiet}).recall(t.Context())
 	prompt := enginemodel.Prompt{Tokens: 5000}
 	want := before.Reading("p", upstream.RolePrefill, prompt)
 	require.Greater(t, want, 100.0)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -76,6 +76,8 @@
 	// settings are those in force, lease is this daemon's part in it.
 	settings atomic.Pointer[Settings]
 	lease    atomic.Pointer[daemonstatus.Lease]
+	// backoff is of calls to the store.
+	backoff *backoff
 }
 
 // New builds a daemon.
@@ -138,12 +140,13 @@
 
 func (m *Member) buildFeeds() {
 	store, formats := m.cfg.Store, m.cfg.Formats
+	m.backoff = newBackoff(m.peers.Known)
 	configs := &configFeed{formats: formats, state: m.state, log: m.log}
 	m.upstreams = newUpstreamFeed(formats, m.state, m.cfg.Settings.ReturnWithin, m.log)
 	members := &memberFeed{peers: m.peers, log: m.log}
 	upstreams := &topicReader{
 		store: store, topic: TopicUpstreams, name: "upstreams", every: upstreamsEvery, spread: upstreamsSpread, first: m.peers.Collects,
-		reset: m.upstreams.reset, apply: m.upstreams.apply, log: m.log,
+		reset: m.upstreams.reset, apply: m.upstreams.apply, backoff: m.backoff, log: m.log,
 	}
 	m.upstreams.age = upstreams.age
 	upstreams.returned = func() {
@@ -153,8 +156,11 @@
 	}
 	m.readers = []*topicReader{
 		upstreams,
-		{store: store, topic: TopicConfig, name: "configuration", wait: longWait, reset: configs.take, apply: configs.take, log: m.log},
-		{store: store, topic: TopicMembers, name: "daemons", wait: longWait, every: time.Second, reset: members.take, apply: members.take, log: m.log},
+		{store: store, topic: TopicConfig, name: "configuration", wait: longWait, reset: configs.take, apply: configs.take, backoff: m.backoff, log: m.log},
+		{
+			store: store, topic: TopicMembers, name: "daemons", wait: longWait, every: time.Second, rests: m.peers.ReportsNearby,
+			reset: members.take, apply: members.take, backoff: m.backoff, log: m.log,
+		},
 	}
 }
 
@@ -262,9 +268,9 @@
 	}
 	learning.Add(&peerView{member: m})
 	learning.Add(&catchUp{member: m, log: m.log})
-	learning.Add(&engineMemory{store: m.cfg.Store, books: m.books, peers: m.peers, log: m.log})
+	learning.Add(&engineMemory{store: m.cfg.Store, books: m.books, peers: m.peers, backoff: m.backoff, log: m.log})
 	learning.Add(&figuresTeller{books: m.books, scope: m.cfg.Metrics.Scope, log: m.log})
-	learning.Add(&announcer{store: m.cfg.Store, self: m.self, log: m.log})
+	learning.Add(&announcer{store: m.cfg.Store, self: m.self, backoff: m.backoff, log: m.log})
 	exchange := suture.New("exchange", spec)
 	exchange.Add(wire.NewServer(m.wireConfig(), m.self.Peers, m.peers, m.log))
 	exchange.Add(m.peers)
--- a/internal/member/peers_test.go
+++ b/internal/member/peers_test.go
@@ -115,7 +115,7 @@
 // A reader that rests for long must read at once when a peer says that there is
 // something new.
 func TestHurriedReaderDoesNotRest(t *testing.T) {
-	r := &topicReader{every: time.Hour, readAt: time.Now()}
+	r := &topicReader{backoff: newBackoff(alone), every: time.Hour, readAt: time.Now()}
 	require.Positive(t, r.hold())
 	go r.hurry()
 	r.rest(t.Context(), time.Hour)
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -63,11 +63,15 @@
 	return wire.MemberDemand{Readers: own.Readers + scale*sum.Readers}
 }
 
-// Rank returns the number of serving daemons heard whose address comes before
-// this one's.
+// Rank returns how many daemons come before this one where some act for all. In a small
+// site it is the number of those serving and heard whose address is lower; in a large one,
+// where each hears some only, that of those which stand before it in line as collectors.
 func (p *Peers) Rank() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.full {
+		return p.collect.rank()
+	}
 	rank := 0
 	for address, other := range p.peers {
 		if other.up && other.about.Serving && address < p.self.Peers {
