placement: draw what engines may have been sent without its being known

Change: each decision draws for each engine, by what all were sent lately and how late it is known, what may have come on top.

--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -281,6 +281,7 @@
 	done := p.links.ServeBackground(ctx)
 	defer func() { <-done }()
 	every := p.tellEvery()
+	p.books.SetBlind(p.blindFor())
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	var t timetable
@@ -293,6 +294,7 @@
 		}
 		if next := p.tellEvery(); next != every {
 			every = next
+			p.books.SetBlind(p.blindFor())
 			ticker.Reset(every)
 		}
 	}
@@ -353,6 +355,18 @@
 	return p.collect.interval
 }
 
+// blindFor returns how long others' work takes to be known here on average. In a large
+// site that of another data centre waits for the next report of its daemon, of its
+// collector, and for the next answer to this one's, half of the time between two each.
+func (p *Peers) blindFor() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.full {
+		return stateEvery / 2
+	}
+	return 3 * p.collect.interval / 2
+}
+
 // meshed reports whether every daemon tells every other its state.
 func (p *Peers) meshed() bool {
 	p.mu.Lock()
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -28,6 +28,10 @@
 	sources holders
 	// generators are the best generators for prompts read in each data centre.
 	generators []generatorFor
+	// blind is how long other daemons' work takes to be known.
+	blind time.Duration
+	// draw returns a number by which others' unknown work is drawn, 1 on average.
+	draw func() float64
 }
 
 // newSearch returns a search in which the order of generators is known.
@@ -70,6 +74,7 @@
 	markGenerators(s.engines)
 	markHomes(s.engines, r)
 	s.sources.lookUpCaches(s.engines, r)
+	s.drawUnseen()
 }
 
 func (s *search) pickGenerator(dataCentre string, r Request) (plan Plan, ok bool) {
@@ -112,7 +117,7 @@
 		cost += readBesideStreams(e, r, read) + longCost(e, r)
 	}
 	p.FirstToken = millis(first)
-	return p, cost + waitCost(e, first, r), true
+	return p, cost + waitCost(e, first+e.unseen, r), true
 }
 
 // PromptAt returns what the engine that reads the prompt under a plan has to read.
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -120,11 +120,11 @@
 		PromptTokens: k.shared + k.own, OutputTokens: k.outputs, DataCentre: "d",
 		Objective: k.objective, PauseObjective: 150 * time.Millisecond,
 	}
-	plan, ok := Pick(p.books.Engines(ids(p.members)), r)
+	plan, ok := p.books.Pick("p", r)
 	if !ok || float64(plan.FirstToken) > 0.85*float64(k.objective) {
 		// It can't be in time: a late answer is worth more than none.
 		r.Behind = true
-		if plan, ok = Pick(p.books.Engines(ids(p.members)), r); !ok {
+		if plan, ok = p.books.Pick("p", r); !ok {
 			p.refused++
 			return
 		}
@@ -305,3 +305,101 @@
 	}
 	require.Greater(t, len(sources), 2, "%v", sources)
 }
+
+// siteReplay has many daemons that decide, each of which hears of the others' work a while
+// late.
+type siteReplay struct {
+	*replay
+	daemons []*Books
+}
+
+const (
+	// toldEvery and underway are how often a daemon tells of its work, and how long that
+	// takes to be known.
+	toldEvery = 13 * time.Millisecond
+	underway  = 10 * time.Millisecond
+)
+
+func newSiteReplay(daemons, engines int, speed float64, blind time.Duration) *siteReplay {
+	p := &siteReplay{replay: newReplay(engines, speed, true)}
+	for range daemons {
+		b := NewBooks(p.clock.now)
+		b.Inform()
+		b.Sync(p.members)
+		b.SetBlind(blind)
+		b.search.draw = p.rand.ExpFloat64
+		p.daemons = append(p.daemons, b)
+	}
+	return p
+}
+
+// load is as that of a replay, at any of the daemons.
+func (p *siteReplay) load(k kindOf, from, length time.Duration, perSecond float64) {
+	start := p.clock.at
+	for t := from; t < from+length; {
+		at := start.Add(t)
+		p.at(at, func() {
+			p.books = p.daemons[p.rand.IntN(len(p.daemons))]
+			p.ask(k)
+		})
+		t += time.Duration(p.rand.ExpFloat64() / perSecond * float64(time.Second))
+	}
+}
+
+// talk has the daemons tell each other of their work for a while.
+func (p *siteReplay) talk(length time.Duration) {
+	start := p.clock.at
+	for i, from := range p.daemons {
+		for t := time.Duration(i) * toldEvery / time.Duration(len(p.daemons)); t < length; t += toldEvery {
+			p.at(start.Add(t), func() { p.tell(from, fmt.Sprint("daemon ", i)) })
+		}
+	}
+}
+
+func (p *siteReplay) tell(from *Books, name string) {
+	loads, reads := from.Own(false), from.Reads()
+	if len(loads)+len(reads) == 0 {
+		return
+	}
+	p.at(p.clock.at.Add(underway), func() {
+		for _, b := range p.daemons {
+			if b != from {
+				b.NotePeer(name, loads, reads)
+			}
+		}
+	})
+}
+
+// learn has all daemons know the engines from the start.
+func (p *siteReplay) learn(k kindOf) {
+	p.load(k, 0, time.Second, 100)
+	p.run()
+	for i, from := range p.daemons {
+		for _, to := range p.daemons {
+			if to != from {
+				to.Merge(fmt.Sprint("daemon ", i), from.Learnt())
+			}
+		}
+	}
+	p.asked, p.inTime, p.late, p.refused = 0, 0, 0, 0
+}
+
+// Callers press four times as hard as usual for three seconds at a site of many daemons,
+// which hear of each other's work some 20 ms late. Each sends its prompts to the engine
+// that looks best, as do all others in that time: every prompt there was expected in time,
+// and many are late, while other engines have room.
+func TestDaemonsOfALargeSiteDontCrowdOneEngine(t *testing.T) {
+	kind := kindOf{"brief", 6300, 2890, 2, 40, 120 * time.Millisecond}
+	play := func(blind time.Duration) *siteReplay {
+		p := newSiteReplay(40, 16, 600, blind)
+		p.learn(kind)
+		p.talk(3200 * time.Millisecond)
+		p.load(kind, 0, 3*time.Second, 2000)
+		p.run()
+		return p
+	}
+	without, with := play(0), play(toldEvery/2+underway)
+	t.Logf("drawn: %v; not drawn: %v", with, without)
+	require.Greater(t, with.share(), without.share()+0.05)
+	require.Less(t, with.late, without.late/2)
+}
--- a/placement/types.go
+++ b/placement/types.go
@@ -103,6 +103,9 @@
 	// readLately is the reading sent there within the longest pause that counts as on
 	// time, in milliseconds.
 	readLately float64
+	// unseen is the reading that it may have been sent without its being known, in
+	// milliseconds.
+	unseen float64
 }
 
 // Cached returns what is believed to be in the engine's KV cache of a prompt.
