member: work is told when it changes

Cause: a decision was known to other data centres after 24 ms on average: it waited up to 13 ms each for its daemon's, its collector's and the site's next report.

Change: a daemon reports 2 ms after the first change at the latest; those that tell others ask every 5 ms; one with nothing to decide looks 20 times a second, not 77.

--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// collectEvery is how often a daemon of a large site reports its load where that
-	// has changed; perDaemon is added for each daemon that reports to the same one, so
-	// that its traffic doesn't grow with the square of their number.
+	// collectEvery is how often a daemon of a large site asks for the totals while it
+	// needs them; perDaemon is added for each daemon that reports to the same one, so that
+	// its traffic doesn't grow with the square of their number.
 	collectEvery = 10 * time.Millisecond
 	perDaemon    = 150 * time.Microsecond
 	// restEvery is how often a daemon asks for the totals while nothing is to be
@@ -77,17 +77,19 @@
 	return append(near, far...)
 }
 
-// siblings is about how many daemons report to the same one as this: those of its
-// data centre, or one of each data centre.
-func siblings(self, to wire.MemberAddress, others []wire.MemberAddress) int {
-	centres := make(map[string]int)
-	for _, a := range others {
-		centres[a.DataCentre]++
+// reportEvery is the time between two questions for the totals while they are needed. The
+// few daemons that tell them on ask as often as a small site's daemons tell each other.
+func reportEvery(self, to wire.MemberAddress, others []wire.MemberAddress) time.Duration {
+	if to.DataCentre != self.DataCentre {
+		return stateEvery
 	}
-	if to.DataCentre == self.DataCentre {
-		return centres[self.DataCentre]
+	every := collectEvery
+	for _, a := range others {
+		if a.DataCentre == self.DataCentre {
+			every += perDaemon
+		}
 	}
-	return len(centres)
+	return every
 }
 
 // collection is whom a daemon reports to.
@@ -199,6 +201,7 @@
 	c.answered = answered
 	p.mu.Unlock()
 	p.report(now, true)
+	p.noteNews() // whoever finds no place needs the totals again soon
 	return answered
 }
 
@@ -270,10 +273,7 @@
 	c.line = reportLine(p.self, all)
 	c.current = min(c.current, len(c.line))
 	to, has := c.to()
-	c.interval = collectEvery
-	if has {
-		c.interval += perDaemon * time.Duration(siblings(p.self, to, all))
-	}
+	c.interval = reportEvery(p.self, to, all)
 	if had != has || before.Peers != to.Peers {
 		p.useCollector(c.current, now)
 	}
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -18,6 +18,9 @@
 	// site: about the time of one prompt's reading, so that a place is seldom
 	// given twice.
 	stateEvery = 5 * time.Millisecond
+	// newsEvery is the least time between two reports of a large site's daemon: what a
+	// request changes at once goes together.
+	newsEvery = 2 * time.Millisecond
 	// beatEvery is how often a daemon is heard from when nothing changes, and how often
 	// silence is looked for.
 	beatEvery = 200 * time.Millisecond
@@ -69,6 +72,8 @@
 	collect collection
 	// reporting is held while a report is made and sent.
 	reporting sync.Mutex
+	// news gets a token when there is something to tell, or the totals are needed.
+	news chan struct{}
 	// waiting says whether requests wait for a place here.
 	waiting func() bool
 }
@@ -103,7 +108,7 @@
 }
 
 func newPeers(self wire.MemberAddress, cfg wire.Config, books *placement.Books, log *slog.Logger) *Peers {
-	return &Peers{
+	p := &Peers{
 		self: self, cfg: cfg, books: books, log: log,
 		links:       suture.New("peers' links", suture.Spec{FailureBackoff: time.Second}),
 		peers:       make(map[string]*peer),
@@ -111,6 +116,17 @@
 		tally:       newTally(),
 		incarnation: rand.Uint64(),
 		full:        true, // with nobody to tell, everybody is told
+		news:        make(chan struct{}, 1),
+	}
+	books.OnChange(p.noteNews)
+	return p
+}
+
+// noteNews wakes the one that tells the others. It doesn't block.
+func (p *Peers) noteNews() {
+	select {
+	case p.news <- struct{}{}:
+	default:
 	}
 }
 
@@ -286,16 +302,19 @@
 	defer ticker.Stop()
 	var t timetable
 	for {
+		wait := p.tellEvery()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
 			p.tell(&t, now)
+		case <-p.news:
+			wait = min(wait, p.tellNews(&t, time.Now()))
 		}
-		if next := p.tellEvery(); next != every {
-			every = next
-			p.books.SetBlind(p.blindFor())
+		if wait != every {
+			every = wait
 			ticker.Reset(every)
+			p.books.SetBlind(p.blindFor())
 		}
 	}
 }
@@ -303,6 +322,20 @@
 // timetable is when the peers were told last, and silence looked for.
 type timetable struct{ beat, load, checked time.Time }
 
+// tellNews tells the daemon above what is new, and returns the time until that is due: some
+// changes come close to each other and go together.
+func (p *Peers) tellNews(t *timetable, now time.Time) time.Duration {
+	if p.meshed() {
+		return stateEvery
+	}
+	if early := newsEvery - now.Sub(t.load); early > 0 {
+		return early
+	}
+	t.load = now
+	p.report(now, p.needsTotals())
+	return p.tellEvery()
+}
+
 // tell does what is due.
 func (p *Peers) tell(t *timetable, now time.Time) {
 	if now.Sub(t.checked) >= beatEvery {
@@ -333,6 +366,7 @@
 		t.beat = now
 		p.send(p.state(now))
 	}
+	t.load = now
 	p.report(now, p.needsTotals())
 }
 
@@ -347,12 +381,17 @@
 
 // tellEvery is the time between two looks at what is to be told.
 func (p *Peers) tellEvery() time.Duration {
+	busy := p.needsTotals()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.full {
+	switch {
+	case p.full:
 		return stateEvery
+	case busy:
+		return p.collect.interval
+	default:
+		return restEvery / 2
 	}
-	return p.collect.interval
 }
 
 // blindFor returns how long others' work takes to be known here on average. In a large
--- a/placement/books.go
+++ b/placement/books.go
@@ -41,8 +41,10 @@
 	informed bool
 	// reads are the prompts sent and read since the last Reads, for the peers.
 	reads []Read
-	// touched are those with work of this daemon that may have changed since the last Own.
+	// touched are those with work of this daemon that may have changed since the last Own,
+	// changed is called for the first of them.
 	touched []*entry
+	changed func()
 	// pools are the engines of each pool, search is used again for each decision.
 	pools  map[string]*roster
 	search search
@@ -313,12 +315,24 @@
 
 // touch notes that this daemon's work at an upstream changes. b.mu is held.
 func (b *Books) touch(e *entry) {
-	if !e.touched {
-		e.touched = true
-		b.touched = append(b.touched, e)
+	if e.touched {
+		return
+	}
+	e.touched = true
+	b.touched = append(b.touched, e)
+	if len(b.touched) == 1 && b.changed != nil {
+		b.changed()
 	}
 }
 
+// OnChange has f called when there is something new for Own to tell. f must not block, nor
+// call the books.
+func (b *Books) OnChange(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.changed = f
+}
+
 // NotePeer takes what a peer says of its load at some upstreams.
 func (b *Books) NotePeer(peer string, loads []LoadAt, reads []Read) {
 	b.mu.Lock()
