member, placement: the leader knows what all are asked; plans of use come first

Cause: the leader took the average of the sixteen daemons that it hears for that of all; callers aren't spread evenly. And since a decision draws, it could choose a plan that would be late, and be refused, while another was in time.

Change: full reports carry demand, added up to the site's first, which leads; a plan that is expected in time goes before all that aren't.

--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -148,6 +148,9 @@
 	away := p.awayNow()
 	p.mu.Unlock()
 	own := wire.LoadReport{Peers: p.self.Peers, Full: full, Loads: p.books.Own(full), Daemons: 1, Away: away, Reads: p.books.Reads()}
+	if full {
+		own.Demands = p.demand()
+	}
 	if totals, ok := p.tally.take(own, now); ok {
 		p.noteTotals(totals)
 	}
--- a/internal/member/collector_test.go
+++ b/internal/member/collector_test.go
@@ -385,6 +385,29 @@
 	}
 }
 
+// The leader of a large site took what sixteen neighbours are asked for that of all, and
+// callers aren't spread evenly: at one site it changed eleven of sixteen engines to reading
+// where another leader changed eight. It must know what all are asked, also between full
+// reports.
+func TestDemandIsAddedUpOverTheSite(t *testing.T) {
+	now := time.Unix(1000, 0)
+	asked := func(name string, readers float64) wire.LoadReport {
+		return wire.LoadReport{Peers: name, Full: true, Daemons: 1, Demands: map[string]wire.MemberDemand{"p": {Readers: readers}}}
+	}
+	leaf, near, first := newTally(), newTally(), newTally()
+	reported(t, leaf, asked("leaf", 2), now)
+	reported(t, near, asked("near", 3), now)
+	reported(t, near, leaf.reportAbove("leaf", true, now), now)
+	reported(t, first, asked("first", 1), now)
+	reported(t, first, near.reportAbove("near", true, now), now)
+	require.Equal(t, wire.MemberDemand{Readers: 6}, first.demand("p"))
+	reported(t, first, near.reportAbove("near", false, now), now)
+	require.Equal(t, wire.MemberDemand{Readers: 6}, first.demand("p"))
+	now = now.Add(2 * silentAfter)
+	reported(t, first, asked("first", 1), now)
+	require.Equal(t, wire.MemberDemand{Readers: 1}, first.demand("p"), "the others have fallen silent")
+}
+
 // What a daemon is told of the others it must not report back: at a site with much to
 // tell, most of a report would be what its receiver has just said.
 func TestWhatComesFromAboveIsntReportedBack(t *testing.T) {
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -47,20 +47,24 @@
 	return list
 }
 
-// Demand returns what callers ask of a pool at all daemons. For those that aren't
-// heard the average of the others stands in.
+// Demand returns what callers ask of a pool at all daemons. The one that adds up the loads
+// of a large site is told it; for those that another one there doesn't hear the average of
+// the others stands in.
 func (p *Peers) Demand(pool string) wire.MemberDemand {
-	own := p.demand()[pool]
+	if p.Collects() {
+		return p.tally.demand(pool)
+	}
+	sum := p.demand()[pool]
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var sum wire.MemberDemand
+	var others wire.MemberDemand
 	for _, other := range p.peers {
 		if other.up {
-			sum.Readers += other.demands[pool].Readers
+			others = others.Plus(other.demands[pool])
 		}
 	}
-	scale := 1 + p.unheard()
-	return wire.MemberDemand{Readers: own.Readers + scale*sum.Readers}
+	sum.Readers += (1 + p.unheard()) * others.Readers
+	return sum
 }
 
 // Rank returns how many daemons come before this one where some act for all. In a small
--- a/internal/member/tally.go
+++ b/internal/member/tally.go
@@ -54,6 +54,8 @@
 	daemons, depth int
 	// reads are the others' prompts that the sender wasn't told of yet.
 	reads []placement.Read
+	// demands is what callers ask of those daemons, by pool.
+	demands map[string]wire.MemberDemand
 }
 
 func newReport() *report { return &report{loads: make(map[placement.Key]placement.Load)} }
@@ -117,6 +119,7 @@
 	}
 	if m.Full {
 		r.told = 0 // its answers may have been lost as well
+		r.demands = m.Demands
 	}
 	r.daemons, r.depth = max(m.Daemons, 1), m.Depth
 	t.book(r, m.Loads, m.Full, now)
@@ -177,6 +180,9 @@
 		}
 	}
 	t.above.told = t.version
+	if full {
+		m.Demands = t.demands()
+	}
 	for _, r := range t.reports {
 		m.Daemons += r.daemons
 		m.Depth = max(m.Depth, r.depth+1)
@@ -184,6 +190,24 @@
 	return m
 }
 
+// demands adds up what callers ask of all that report. t.mu is held.
+func (t *tally) demands() map[string]wire.MemberDemand {
+	sum := make(map[string]wire.MemberDemand)
+	for _, r := range t.reports {
+		for pool, d := range r.demands {
+			sum[pool] = sum[pool].Plus(d)
+		}
+	}
+	return sum
+}
+
+// demand returns what callers ask of a pool at all daemons that report here.
+func (t *tally) demand(pool string) wire.MemberDemand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.demands()[pool]
+}
+
 // book takes a report's loads into the sum. If it is full, what it doesn't list is
 // taken out of it.
 func (t *tally) book(r *report, loads []placement.LoadAt, full bool, now time.Time) {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -119,7 +119,7 @@
 		return c.tryGenerator(s, req)
 	}
 	plan, late, ok := c.choose(&req, late)
-	if !ok || s.Upstreams[plan.Engine] == nil || !c.goodEnough(plan, late) {
+	if !ok || s.Upstreams[plan.Engine] == nil || !c.goodEnough(plan, req, late) {
 		return nil
 	}
 	return c.book(s, plan, req)
@@ -130,9 +130,12 @@
 func (c *call) choose(req *placement.Request, late bool) (plan placement.Plan, behind, ok bool) {
 	books := c.relay.cfg.Books
 	req.Behind = late
+	if !late {
+		c.inTime(req)
+	}
 	plan, ok = books.Pick(c.pool, *req)
 	if !late && c.hopeless(plan, *req) {
-		req.Behind = true
+		req.Behind, req.Within, req.WithinReread = true, 0, 0
 		plan, ok = books.Pick(c.pool, *req)
 	}
 	c.behind = req.Behind
@@ -198,19 +201,26 @@
 
 // goodEnough reports whether the first event can be expected in time. A late
 // request takes what the others leave: a place without a queue.
-func (c *call) goodEnough(plan placement.Plan, late bool) bool {
+func (c *call) goodEnough(plan placement.Plan, req placement.Request, late bool) bool {
 	if c.rule.Objective == 0 {
 		return true
 	}
 	if late {
 		return time.Until(c.deadline) > plan.FirstToken
 	}
-	share := onTimeShare
-	if plan.Reread {
-		share = rereadShare
+	return plan.InTime(req)
+}
+
+// inTime says until when first events are to be expected for a request to be in time. Its
+// time may be up: then no plan is of use.
+func (c *call) inTime(r *placement.Request) {
+	if c.rule.Objective == 0 {
+		return
+	}
+	left := func(share float64) time.Duration {
+		return max(1, time.Duration(share*float64(c.rule.Objective))-r.Spent)
 	}
-	spent := time.Since(c.arrived)
-	return spent+plan.FirstToken <= time.Duration(share*float64(c.rule.Objective))
+	r.Within, r.WithinReread = left(onTimeShare), left(rereadShare)
 }
 
 // hopeless reports whether no engine could answer in time even if it were idle.
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -79,6 +79,11 @@
 	Readers float64 `msgpack:"t"`
 }
 
+// Plus returns the sum of what two daemons are asked.
+func (d MemberDemand) Plus(o MemberDemand) MemberDemand {
+	return MemberDemand{Readers: d.Readers + o.Readers}
+}
+
 // AwayEngine is an engine that takes no work for a while.
 type AwayEngine struct {
 	//lint:ignore U1000 msgpack reads it: the fields go without their names.
@@ -134,6 +139,8 @@
 	Reads Reads
 	// Unanswered says that the sender doesn't need the totals now.
 	Unanswered bool
+	// Demands is what callers ask of these daemons, by pool; in full reports only.
+	Demands map[string]MemberDemand
 }
 
 // HasNews reports whether the report says anything that its receiver may not know.
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -10,7 +10,7 @@
 )
 
 // Pick returns the plan with the least cost among the engines that have a free
-// place. ok is false if none has. Books.Pick does the same without a list made for it.
+// place, one that is of use if there is any. ok is false if none has a place. Books.Pick does the same without a list made for it.
 func Pick(engines []Engine, r Request) (plan Plan, ok bool) {
 	return newSearch(engines).pick(r)
 }
@@ -42,7 +42,7 @@
 
 func (s *search) pick(r Request) (plan Plan, ok bool) {
 	s.prepare(r)
-	best := math.Inf(1)
+	best, useful := math.Inf(1), false
 	considered := 0
 	room := !r.Behind || roomBehind(s.engines)
 	for i := range s.engines {
@@ -55,8 +55,9 @@
 			continue
 		}
 		considered++
-		if cost < best {
-			best, plan = cost, p
+		use := p.InTime(r)
+		if (use && !useful) || (use == useful && cost < best) {
+			best, useful, plan = cost, use, p
 		}
 	}
 	plan.Considered = considered
@@ -120,6 +121,15 @@
 	return p, cost + waitCost(e, first+e.unseen, r), true
 }
 
+// InTime reports whether the first event is expected soon enough for the plan to be of use.
+func (p Plan) InTime(r Request) bool {
+	limit := r.Within
+	if p.Reread {
+		limit = r.WithinReread
+	}
+	return limit == 0 || p.FirstToken <= limit
+}
+
 // PromptAt returns what the engine that reads the prompt under a plan has to read.
 func (p Plan) PromptAt(r Request) enginemodel.Prompt {
 	return enginemodel.Prompt{Tokens: p.Uncached, Context: r.PromptTokens - p.Uncached}
--- a/placement/types.go
+++ b/placement/types.go
@@ -35,6 +35,10 @@
 	// Objective is the time within which the first event is worth most; 0 is
 	// none. Spent is what has passed of it.
 	Objective, Spent time.Duration
+	// Within is the time within which the first event must be expected for a plan to be of
+	// use, WithinReread that where parts would be read again that another engine keeps; 0
+	// is none.
+	Within, WithinReread time.Duration
 	// PauseObjective is the longest pause between two events that counts as on
 	// time; 0 is none.
 	PauseObjective time.Duration
