--- a/placement/pick.go
+++ b/placement/pick.go
@@ -10,7 +10,7 @@
 )
 
 // Pick returns the plan with the least cost among the engines that have a free
-// place, one that is of use if there is any. ok is false if none has a place. Books.Pick does the same without a list made for it.
+// place. ok is false if none has. Books.Pick does the same without a list made for it.
 func Pick(engines []Engine, r Request) (plan Plan, ok bool) {
 	return newSearch(engines).pick(r)
 }
@@ -42,7 +42,8 @@
 
 func (s *search) pick(r Request) (plan Plan, ok bool) {
 	s.prepare(r)
-	best, useful := math.Inf(1), false
+	best, least := math.Inf(1), math.Inf(1)
+	var plain Plan
 	considered := 0
 	room := !r.Behind || roomBehind(s.engines)
 	for i := range s.engines {
@@ -50,15 +51,20 @@
 		if !room || excluded(e, r) || full(e, r) || unproven(e) {
 			continue
 		}
-		p, cost, fits := s.consider(e, r)
+		p, cost, drawn, fits := s.consider(e, r)
 		if !fits || (r.Behind && disturbs(e, p, r)) {
 			continue
 		}
 		considered++
-		use := p.InTime(r)
-		if (use && !useful) || (use == useful && cost < best) {
-			best, useful, plan = cost, use, p
+		if cost < least {
+			least, plain = cost, p
 		}
+		if cost+drawn < best {
+			best, plan = cost+drawn, p
+		}
+	}
+	if !plan.InTime(r) {
+		plan = plain // the draw must not make a request late that needn't be
 	}
 	plan.Considered = considered
 	plan.Ideal = s.ideal(r)
@@ -89,9 +95,9 @@
 	}, true
 }
 
-// consider returns the plan that an engine reads the prompt, and its cost. fits is
-// false if no engine can generate then.
-func (s *search) consider(e *Engine, r Request) (p Plan, cost float64, fits bool) {
+// consider returns the plan that an engine reads the prompt, its cost, and what is drawn on
+// top for work that isn't known yet. fits is false if no engine can generate then.
+func (s *search) consider(e *Engine, r Request) (p Plan, cost, drawn float64, fits bool) {
 	p = Plan{Engine: e.ID, Long: r.long(e)}
 	prompt, fetch := toRead(e, &s.sources, r)
 	p.Uncached, p.Fetched = prompt.Tokens, fetch.tokens
@@ -107,7 +113,7 @@
 	if e.Role == upstream.RolePrefill {
 		g := s.generatorFor(e.DataCentre, r)
 		if g.engine == nil {
-			return p, 0, false
+			return p, 0, 0, false
 		}
 		p.Engine, p.Prefill = g.engine.ID, e.ID
 		p.Pause = millis(pause(g.engine, 0))
@@ -118,7 +124,8 @@
 		cost += readBesideStreams(e, r, read) + longCost(e, r)
 	}
 	p.FirstToken = millis(first)
-	return p, cost + waitCost(e, first+e.unseen, r), true
+	wait := waitCost(e, first, r)
+	return p, cost + wait, waitCost(e, first+e.unseen, r) - wait, true
 }
 
 // InTime reports whether the first event is expected soon enough for the plan to be of use.
