member, placement, relay: files split by what they do

The exchange between daemons, the collectors' line, the store's readers, the word that is passed on, what daemons tell each other of their work, and prompts read apart have files of their own; nothing else changes.

--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -1,13 +1,9 @@
 package member
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tamarackchute/internal/wire"
 )
 
@@ -39,92 +35,6 @@
 	totalsFrom = "totals"
 )
 
-// In a large site not every daemon can tell every other what it has in flight. Those
-// of a data centre tell one of them, which adds up and tells each what the others
-// have; and the ones that collect in a data centre tell one of the site, which does
-// the same for them. Any daemon can: who does follows from the addresses that all
-// know, and if it falls silent the next one in line does. Nothing is lost with it but
-// a moment's knowledge. With one for all, of every report and answer of other data
-// centres all but a few bytes would cross between them.
-
-// ranked returns the daemons in the order in which they are to collect: those with
-// the most capacity first.
-func ranked(all []wire.MemberAddress) []wire.MemberAddress {
-	line := slices.Clone(all)
-	slices.SortFunc(line, func(a, b wire.MemberAddress) int {
-		return cmp.Or(
-			cmp.Compare(b.Capacity, a.Capacity),
-			cmp.Compare(xxhash.Sum64String(a.Peers), xxhash.Sum64String(b.Peers)),
-		)
-	})
-	return line
-}
-
-// reportLine returns the daemons that one reports to, the first that answers alone:
-// those before it in rank, its own data centre's first. As each reports to one before
-// it, none reports in a circle. The first of all has nobody to report to.
-func reportLine(self wire.MemberAddress, others []wire.MemberAddress) []wire.MemberAddress {
-	all := ranked(append(slices.Clone(others), self))
-	before := all[:slices.IndexFunc(all, func(a wire.MemberAddress) bool { return a.Peers == self.Peers })]
-	var near, far []wire.MemberAddress
-	for _, a := range before {
-		if a.DataCentre == self.DataCentre {
-			near = append(near, a)
-		} else {
-			far = append(far, a)
-		}
-	}
-	return append(near, far...)
-}
-
-// reportEvery is the time between two questions for the totals while they are needed. The
-// few daemons that tell them on ask as often as a small site's daemons tell each other.
-func reportEvery(self, to wire.MemberAddress, others []wire.MemberAddress) time.Duration {
-	if to.DataCentre != self.DataCentre {
-		return stateEvery
-	}
-	every := collectEvery
-	for _, a := range others {
-		if a.DataCentre == self.DataCentre {
-			every += perDaemon
-		}
-	}
-	return every
-}
-
-// collection is whom a daemon reports to.
-type collection struct {
-	line []wire.MemberAddress
-	// current is the place in line of the one that is reported to; the line's length
-	// if nobody is.
-	current int
-	outgoing
-	// interval is the least time between two reports.
-	interval time.Duration
-	// heard is when the last answer came, or the one above was chosen; left when the
-	// first in line was given up.
-	heard, left time.Time
-	// asked is when the last report went out that wants an answer, full the last full one.
-	asked, full time.Time
-	// answering is the address of the daemon above that answered last, alone says that
-	// none does.
-	answering string
-	alone     bool
-	// answered is closed when the totals come that a decision waits for; nil if none does.
-	answered chan struct{}
-	// senders is the number of daemons in the totals as logged last.
-	senders int
-	logged  time.Time
-}
-
-// to returns the daemon that is reported to.
-func (c *collection) to() (wire.MemberAddress, bool) {
-	if c.current >= len(c.line) {
-		return wire.MemberAddress{}, false
-	}
-	return c.line[c.current], true
-}
-
 // report books this daemon's load and tells it, with that of those that report to it,
 // where there is news. With ask, and now and then, it wants an answer.
 //
@@ -299,16 +209,6 @@
 	return !p.full && reports && to.DataCentre == p.self.DataCentre
 }
 
-// rank returns how many daemons stand before this one in line, the silent ones before the
-// one that answers left out. It is 0 for one daemon of a large site.
-func (c *collection) rank() int {
-	if c.alone {
-		return 0
-	}
-	at := slices.IndexFunc(c.line, func(a wire.MemberAddress) bool { return a.Peers == c.answering })
-	return len(c.line) - max(0, at)
-}
-
 // takeTotals takes the answer of the daemon that is reported to.
 func (p *Peers) takeTotals(from string, m wire.Message) {
 	totals, ok := m.(wire.LoadTotals)
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"context"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -160,52 +159,6 @@
 	return known
 }
 
-// relink opens and closes connections after a change of the known peers.
-func (p *Peers) relink() {
-	addresses := make([]wire.MemberAddress, 0, len(p.peers))
-	for _, other := range p.peers {
-		addresses = append(addresses, other.MemberAddress)
-	}
-	wanted := neighbours(p.self, addresses)
-	p.full = len(wanted) == len(addresses)
-	if p.full {
-		p.endCollecting()
-	} else {
-		p.relineCollectors(addresses, time.Now())
-	}
-	for address, other := range p.peers {
-		switch {
-		case wanted[address] && other.link == nil:
-			other.outgoing = p.open(address, nil)
-		case !wanted[address]:
-			p.shut(&other.outgoing)
-		}
-	}
-}
-
-// outgoing is a connection to another daemon that is kept up; link is nil if there is
-// none.
-type outgoing struct {
-	link  *wire.Link
-	token suture.ServiceToken
-}
-
-// open begins to keep up a connection; handle takes what comes back, if anything.
-func (p *Peers) open(address string, handle func(wire.Message)) outgoing {
-	link := wire.NewLink(p.cfg, address, handle, p.log)
-	return outgoing{link: link, token: p.links.Add(link)}
-}
-
-func (p *Peers) shut(o *outgoing) {
-	if o.link == nil {
-		return
-	}
-	if err := p.links.Remove(o.token); err != nil {
-		p.log.Warn("peer's link not removed", "link", o.link.String(), "err", err)
-	}
-	o.link = nil
-}
-
 // Handle implements wire.Handler.
 func (p *Peers) Handle(_ string, m wire.Message, reply func(wire.Message)) {
 	switch m := m.(type) {
@@ -292,127 +245,6 @@
 	return nil
 }
 
-// Serve implements suture.Service.
-func (p *Peers) Serve(ctx context.Context) error {
-	done := p.links.ServeBackground(ctx)
-	defer func() { <-done }()
-	every := p.tellEvery()
-	p.books.SetBlind(p.blindFor())
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	var t timetable
-	for {
-		wait := p.tellEvery()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			p.tell(&t, now)
-		case <-p.news:
-			wait = min(wait, p.tellNews(&t, time.Now()))
-		}
-		if wait != every {
-			every = wait
-			ticker.Reset(every)
-			p.books.SetBlind(p.blindFor())
-		}
-	}
-}
-
-// timetable is when the peers were told last, and silence looked for.
-type timetable struct{ beat, load, checked time.Time }
-
-// tellNews tells the daemon above what is new, and returns the time until that is due: some
-// changes come close to each other and go together.
-func (p *Peers) tellNews(t *timetable, now time.Time) time.Duration {
-	if p.meshed() {
-		return stateEvery
-	}
-	if early := newsEvery - now.Sub(t.load); early > 0 {
-		return early
-	}
-	t.load = now
-	p.report(now, p.needsTotals())
-	return p.tellEvery()
-}
-
-// tell does what is due.
-func (p *Peers) tell(t *timetable, now time.Time) {
-	if now.Sub(t.checked) >= beatEvery {
-		t.checked = now
-		p.checkSilence(now)
-	}
-	if !p.meshed() {
-		p.tellLarge(t, now)
-		return
-	}
-	if now.Sub(t.beat) >= beatEvery {
-		t.beat, t.load = now, now
-		p.send(p.state(now))
-		return
-	}
-	if now.Sub(t.load) < stateEvery {
-		return
-	}
-	if m := p.changes(now); m != nil {
-		t.load = now
-		p.send(m)
-	}
-}
-
-// tellLarge tells the neighbours of this daemon and the one above of its work.
-func (p *Peers) tellLarge(t *timetable, now time.Time) {
-	if now.Sub(t.beat) >= largeBeatEvery || p.statusChanged() {
-		t.beat = now
-		p.send(p.state(now))
-	}
-	t.load = now
-	p.report(now, p.needsTotals())
-}
-
-// statusChanged reports whether callers are to be sent here or not other than the peers
-// were told, or the configuration is newer: neither can wait for the next beat.
-func (p *Peers) statusChanged() bool {
-	about := p.about()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return about.Serving != p.toldAbout.Serving || about.Config != p.toldAbout.Config
-}
-
-// tellEvery is the time between two looks at what is to be told.
-func (p *Peers) tellEvery() time.Duration {
-	busy := p.needsTotals()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case p.full:
-		return stateEvery
-	case busy:
-		return p.collect.interval
-	default:
-		return restEvery / 2
-	}
-}
-
-// blindFor returns how long others' work takes to be known here on average. In a large
-// site that of another data centre waits for the next report of its daemon, of its
-// collector, and for the next answer to this one's, half of the time between two each.
-func (p *Peers) blindFor() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.full {
-		return stateEvery / 2
-	}
-	return 3 * p.collect.interval / 2
-}
-
-// meshed reports whether every daemon tells every other its state.
-func (p *Peers) meshed() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.full
-}
-
 // checkSilence marks peers as down that haven't been heard from.
 func (p *Peers) checkSilence(now time.Time) {
 	p.mu.Lock()
--- a/internal/wire/outbox.go
+++ b/internal/wire/outbox.go
@@ -2,8 +2,8 @@
 
 import "sync"
 
-// outboxSize bounds what waits for one connection. Messages come once or twice
-// a second, so this is some seconds' worth.
+// outboxSize bounds what waits for one connection: some seconds of states, or some tens of
+// milliseconds of reports of load in a burst, whose next full one makes up for those lost.
 const outboxSize = 16
 
 // outbox is a bounded queue of messages to one peer. A full one drops its
