--- a/internal/member/backoff.go
+++ b/internal/member/backoff.go
@@ -22,9 +22,9 @@
 	probeLimit = callSlack
 )
 
-// backoff spaces out the calls of a daemon's readers to a store that fails. Each reader
-// alone would call several times a second: at a site of 95 daemons of which a third was
-// turned away for some seconds, nine calls in ten failed, 6,700 in a day.
+// backoff spaces out the calls of a daemon's readers to a store that fails. Each reader by
+// itself would call two to ten times a second: with 95 daemons, of which a third was turned
+// away for some seconds, 6,700 of a day's 10,400 calls were such.
 type backoff struct {
 	// daemons is how many share the store.
 	daemons func() int
--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -36,10 +36,9 @@
 )
 
 // report books this daemon's load and tells it, with that of those that report to it,
-// where there is news. With ask, and now and then, it wants an answer.
-//
-// Before, each daemon asked every 13 ms: 65 reports and as many totals a second and
-// daemon, for eight requests.
+// where there is news. With ask, and now and then, it wants an answer. Asking every 13 ms
+// whether totals are needed or not takes a third more processor time: 260 s, not 197, of 87
+// daemons over 73 s with eight requests a second each.
 func (p *Peers) report(now time.Time, ask bool) {
 	// A later report must not overtake this one: what it says replaces this one's.
 	p.reporting.Lock()
@@ -245,8 +244,8 @@
 }
 
 // noteTotals books what all others have, as far as it is news. It wakes no request that
-// waits, as a peer's word does: totals come more than a hundred times a second, and each
-// look for a place takes 0.1 ms among ninety engines. Those that wait look every 10 ms.
+// waits, as a peer's word does: those look every 10 ms by themselves, and totals come about
+// as often.
 func (p *Peers) noteTotals(totals wire.LoadTotals) {
 	p.noteAway(totals.Away)
 	p.books.NotePeer(totalsFrom, totals.Loads, totals.Reads)
--- a/internal/member/schedule.go
+++ b/internal/member/schedule.go
@@ -107,9 +107,9 @@
 	}
 }
 
-// blindFor returns how long others' work takes to be known here on average. In a large
-// site that of another data centre waits for the next report of its daemon, of its
-// collector, and for the next answer to this one's, half of the time between two each.
+// blindFor returns how long others' work takes to be known here, on the long side. In a
+// large site that of another data centre goes through three daemons, each of which may have
+// to wait for the next question of the one below it.
 func (p *Peers) blindFor() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/placement/unseen.go
+++ b/placement/unseen.go
@@ -24,7 +24,7 @@
 	unseenFactor = 4
 )
 
-// SetBlind sets how long others' work takes to be known here, on average.
+// SetBlind sets how long others' work takes to be known here; 0 draws nothing.
 func (b *Books) SetBlind(d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
