--- a/internal/member/collector_test.go
+++ b/internal/member/collector_test.go
@@ -408,6 +408,21 @@
 	require.Equal(t, wire.MemberDemand{Readers: 1}, first.demand("p"), "the others have fallen silent")
 }
 
+// A daemon tells its work and wants no answer, as nothing is to be decided there. What others
+// have done meanwhile must come with the next answer, and a report without news says so.
+func TestWhatWasNotAnsweredIsToldLater(t *testing.T) {
+	c := newTally()
+	now := time.Unix(1000, 0)
+	reported(t, c, wire.LoadReport{Peers: "a"}, now)
+	reported(t, c, wire.LoadReport{Peers: "b", Loads: loadsOf(2, 20), Reads: []placement.Read{{At: 3}}}, now)
+	require.True(t, c.note(wire.LoadReport{Peers: "a", Loads: loadsOf(1, 10), Unanswered: true}, now))
+	totals := reported(t, c, wire.LoadReport{Peers: "a"}, now)
+	require.Equal(t, loadsOf(2, 20), totals.Loads)
+	require.Len(t, totals.Reads, 1)
+	require.True(t, c.reportAbove("a", false, now).HasNews())
+	require.False(t, c.reportAbove("a", false, now).HasNews())
+}
+
 // What a daemon is told of the others it must not report back: at a site with much to
 // tell, most of a report would be what its receiver has just said.
 func TestWhatComesFromAboveIsntReportedBack(t *testing.T) {
--- a/internal/member/large_test.go
+++ b/internal/member/large_test.go
@@ -156,6 +156,34 @@
 	require.Equal(t, 1, b.running())
 }
 
+// A request comes to a daemon of a large site that has had nothing to decide for a while, and
+// goes to an engine which others have filled since. Before it is placed the totals must be
+// asked for once, however many requests come, and those that wait must see what they say;
+// totals that have just come do.
+func TestTotalsAreAskedForBeforeADecision(t *testing.T) {
+	r := newPeersRig("a")
+	for _, other := range site(meshLimit + 1) {
+		other.Capacity = 1 // stands before this one
+		r.Learn(other)
+	}
+	above, reports := r.collect.to()
+	require.True(t, reports)
+	now := r.collect.heard.Add(2 * freshFor)
+	answered := r.askTotals(now)
+	require.NotNil(t, answered)
+	require.Equal(t, answered, r.askTotals(now.Add(askLimit/2)), "asked for already")
+	select {
+	case <-answered:
+		t.Fatal("nothing has come yet")
+	default:
+	}
+	r.takeTotals(above.Peers, wire.LoadTotals{Loads: []placement.LoadAt{{At: r.books.KeyOf("e"), Load: placement.Load{Running: 3}}}})
+	<-answered
+	require.Equal(t, 3, r.running())
+	require.Nil(t, r.askTotals(r.collect.heard.Add(freshFor/2)), "fresh")
+	require.NotNil(t, r.askTotals(r.collect.heard.Add(2*freshFor)))
+}
+
 // A site shrinks to the number up to which each daemon tells all others its work. The
 // totals must not count any more.
 func TestTotalsEndInAShrunkSite(t *testing.T) {
