--- /dev/null
+++ b/placement/site_test.go
@@ -0,0 +1,118 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// siteReplay has many daemons that decide, each of which hears of the others' work a while
+// late.
+type siteReplay struct {
+	*replay
+	daemons []*Books
+	// every and underway are how often a daemon tells of its work, and how long that takes
+	// to be known.
+	every, underway time.Duration
+}
+
+func newSiteReplay(daemons, engines int, speed float64, every, underway time.Duration) *siteReplay {
+	p := &siteReplay{replay: newReplay(engines, speed, true), every: every, underway: underway}
+	for range daemons {
+		b := NewBooks(p.clock.now)
+		b.Inform()
+		b.Sync(p.members)
+		b.search.draw = p.rand.ExpFloat64
+		p.daemons = append(p.daemons, b)
+	}
+	return p
+}
+
+// load is as that of a replay, at any of the daemons.
+func (p *siteReplay) load(k kindOf, from, length time.Duration, perSecond float64) {
+	start := p.clock.at
+	for t := from; t < from+length; {
+		at := start.Add(t)
+		p.at(at, func() {
+			p.books = p.daemons[p.rand.IntN(len(p.daemons))]
+			p.ask(k)
+		})
+		t += time.Duration(p.rand.ExpFloat64() / perSecond * float64(time.Second))
+	}
+}
+
+// talk has the daemons tell each other of their work for a while.
+func (p *siteReplay) talk(length time.Duration) {
+	start := p.clock.at
+	for i, from := range p.daemons {
+		for t := time.Duration(i) * p.every / time.Duration(len(p.daemons)); t < length; t += p.every {
+			p.at(start.Add(t), func() { p.tell(from, fmt.Sprint("daemon ", i)) })
+		}
+	}
+}
+
+func (p *siteReplay) tell(from *Books, name string) {
+	loads, reads := from.Own(false), from.Reads()
+	if len(loads)+len(reads) == 0 {
+		return
+	}
+	p.at(p.clock.at.Add(p.underway), func() {
+		for _, b := range p.daemons {
+			if b != from {
+				b.NotePeer(name, loads, reads)
+			}
+		}
+	})
+}
+
+// learn has all daemons know the engines from the start.
+func (p *siteReplay) learn(k kindOf) {
+	p.load(k, 0, time.Second, 100)
+	p.run()
+	for i, from := range p.daemons {
+		for _, to := range p.daemons {
+			if to != from {
+				to.Merge(fmt.Sprint("daemon ", i), from.Learnt())
+			}
+		}
+	}
+	p.asked, p.inTime, p.late, p.refused = 0, 0, 0, 0
+}
+
+// burst plays three seconds in which callers press four times as hard as usual at a site of
+// forty daemons before sixteen engines.
+func burst(every, underway, blind time.Duration) *siteReplay {
+	kind := kindOf{"brief", 6300, 2890, 2, 40, 120 * time.Millisecond}
+	p := newSiteReplay(40, 16, 600, every, underway)
+	p.learn(kind)
+	for _, b := range p.daemons {
+		b.SetBlind(blind)
+	}
+	p.talk(3200 * time.Millisecond)
+	p.load(kind, 0, 3*time.Second, 2000)
+	p.run()
+	return p
+}
+
+// A burst comes to a site of many daemons, which hear of each other's work some 20 ms late.
+// Each sends its prompts to the engine that looks best, as do all others in that time: every
+// prompt there was expected in time, and many are late, while other engines have room.
+func TestDaemonsOfALargeSiteDontCrowdOneEngine(t *testing.T) {
+	const every, underway = 13 * time.Millisecond, 10 * time.Millisecond
+	without, with := burst(every, underway, 0), burst(every, underway, every/2+underway)
+	t.Logf("drawn: %v; not drawn: %v", with, without)
+	require.Greater(t, with.share(), without.share()+0.05)
+	require.Less(t, with.late, without.late/2)
+}
+
+// The same burst, where daemons tell their work as it changes, and where each step waits for
+// the next report: what others have sent must be known sooner for fewer to be late.
+func TestSoonerWordMakesFewerLate(t *testing.T) {
+	late := burst(13*time.Millisecond, 20*time.Millisecond, 0)
+	soon := burst(2*time.Millisecond, 7*time.Millisecond, 0)
+	t.Logf("as it changes: %v; with the next report: %v", soon, late)
+	require.Greater(t, soon.share(), late.share()+0.05)
+	require.Less(t, soon.late, late.late/2)
+}
