--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,7 +34,12 @@
   exit
 fi
 
-skip=$(IFS='|'; echo "^(${known[*]})\$")
+# A name may go down to a case: each of its parts stands for itself alone.
+exact=()
+for name in "${known[@]}"; do
+  exact+=("^${name//\//\$/^}\$")
+done
+skip=$(IFS='|'; echo "${exact[*]}")
 run_all -skip "$skip"
 verdict=$?
 echo "== known red, not counted in the verdict:"
