member, placement: one way to take a report, one to lock the books, nothing unused

Found on reading the change once more; behaviour stays. tally.take answers unless the report wants no answer, in place of two entrances that the caller chose between; three methods of Engine lock the books by one pair of functions; placement.PickGenerator was used by nobody since the books search by themselves. The test of unanswered reports asks the same of take.

--- a/internal/member/collector.go
+++ b/internal/member/collector.go
@@ -119,13 +119,7 @@
 
 // answerReport takes another daemon's report.
 func (p *Peers) answerReport(m wire.LoadReport, reply func(wire.Message)) {
-	var totals wire.LoadTotals
-	var ok bool
-	if m.Unanswered {
-		ok = p.tally.note(m, time.Now())
-	} else {
-		totals, ok = p.tally.take(m, time.Now())
-	}
+	totals, ok := p.tally.take(m, time.Now())
 	if !ok {
 		p.log.Warn("loads reported in a circle", "from", m.Peers, "depth", m.Depth)
 		return
--- a/internal/member/collector_test.go
+++ b/internal/member/collector_test.go
@@ -415,7 +415,7 @@
 	now := time.Unix(1000, 0)
 	reported(t, c, wire.LoadReport{Peers: "a"}, now)
 	reported(t, c, wire.LoadReport{Peers: "b", Loads: loadsOf(2, 20), Reads: []placement.Read{{At: 3}}}, now)
-	require.True(t, c.note(wire.LoadReport{Peers: "a", Loads: loadsOf(1, 10), Unanswered: true}, now))
+	require.Empty(t, reported(t, c, wire.LoadReport{Peers: "a", Loads: loadsOf(1, 10), Unanswered: true}, now))
 	totals := reported(t, c, wire.LoadReport{Peers: "a"}, now)
 	require.Equal(t, loadsOf(2, 20), totals.Loads)
 	require.Len(t, totals.Reads, 1)
--- a/internal/member/tally.go
+++ b/internal/member/tally.go
@@ -79,34 +79,17 @@
 	}
 }
 
-// take books a report and returns the totals of all others. ok is false if it comes
+// take books a report and returns the totals of all others, unless its sender wants no
+// answer: what it hasn't been told yet is kept for the next one. ok is false if it comes
 // from too deep down: the daemons report in a circle.
 func (t *tally) take(m wire.LoadReport, now time.Time) (others wire.LoadTotals, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.hear(m, now)
-	if !ok {
-		return wire.LoadTotals{}, false
-	}
-	return t.totals(r, now), true
-}
-
-// note books a report whose sender wants no answer; what it hasn't been told yet is kept
-// for the next one. ok is as of take.
-func (t *tally) note(m wire.LoadReport, now time.Time) (ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, ok = t.hear(m, now)
-	return ok
-}
-
-// hear books a report. t.mu is held.
-func (t *tally) hear(m wire.LoadReport, now time.Time) (r *report, ok bool) {
 	if m.Depth > maxDepth {
-		return nil, false
+		return wire.LoadTotals{}, false
 	}
 	t.forgetSilent(now)
-	r = t.reports[m.Peers]
+	r := t.reports[m.Peers]
 	if r == nil {
 		r = newReport()
 		t.reports[m.Peers] = r
@@ -119,7 +102,10 @@
 	t.book(r, m.Loads, m.Full, now)
 	t.noteAway(m.Away, now)
 	t.passOn(r, m.Reads)
-	return r, true
+	if m.Unanswered {
+		return wire.LoadTotals{}, true
+	}
+	return t.totals(r, now), true
 }
 
 // collects reports whether other daemons than this one report here.
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -15,12 +15,6 @@
 	return newSearch(engines).pick(r)
 }
 
-// PickGenerator returns the engine that soonest goes on from a KV cache that
-// another engine holds already.
-func PickGenerator(engines []Engine, dataCentre string, r Request) (plan Plan, ok bool) {
-	return newSearch(engines).pickGenerator(dataCentre, r)
-}
-
 // search is one decision among some engines.
 type search struct {
 	engines []Engine
--- a/placement/types.go
+++ b/placement/types.go
@@ -117,10 +117,8 @@
 	if e.entry == nil || e.entry.cache == nil || len(parts) == 0 {
 		return Kept{}
 	}
-	if e.books != nil {
-		e.books.mu.Lock()
-		defer e.books.mu.Unlock()
-	}
+	e.lock()
+	defer e.unlock()
 	return e.entry.cache.kept(parts, e.now)
 }
 
@@ -130,10 +128,8 @@
 	if e.entry == nil {
 		return 0
 	}
-	if e.books != nil {
-		e.books.mu.Lock()
-		defer e.books.mu.Unlock()
-	}
+	e.lock()
+	defer e.unlock()
 	return e.entry.lately.within(e.now, within)
 }
 
@@ -143,11 +139,22 @@
 	if e.entry == nil {
 		return 0
 	}
+	e.lock()
+	defer e.unlock()
+	return e.entry.moved.within(e.now, within)
+}
+
+// lock locks the books, unless they are for the whole of the decision.
+func (e *Engine) lock() {
 	if e.books != nil {
 		e.books.mu.Lock()
-		defer e.books.mu.Unlock()
 	}
-	return e.entry.moved.within(e.now, within)
+}
+
+func (e *Engine) unlock() {
+	if e.books != nil {
+		e.books.mu.Unlock()
+	}
 }
 
 // Kept is how many tokens from the beginning of a prompt an engine keeps.
