relay, placement: an attempt's line tells when its answer was expected whole

Sight for the incident of long answers: an attempt of a long answer now logs beside how many it was placed (beside), when its last event was expected (expected_whole_ms), what was left of its caller's time (left_ms) and how many events came (events); max_output is what the caller allows, beside what it expects. The model learns how many events come for a token. No decision uses any of it yet: the plain search of the tests finds the same plans.

--- a/enginemodel/figures.go
+++ b/enginemodel/figures.go
@@ -9,7 +9,8 @@
 	takeover        handoff
 	interval        line
 	known           map[upstream.Role]bool
-	output, typical float64
+	output, events  float64
+	typical         float64
 }
 
 // reading is what an engine takes for a prompt: to begin, for each token, and for each
@@ -74,7 +75,8 @@
 // Coefficients returns the figures as operators read them: of a prompt the time to
 // begin, that for each token and for each million pairs; of a takeover the base, that
 // for each thousand tokens and for each millisecond of reading before it; of the
-// interval the base and that for each other stream. All are in milliseconds.
+// interval the base and that for each other stream. All are in milliseconds, but for the
+// events that come for a token.
 func (f *Figures) Coefficients() map[string][]float64 {
 	return map[string][]float64{
 		"prefill":  {f.prefill.start, f.prefill.token, f.prefill.pair},
@@ -82,6 +84,7 @@
 		"takeover": {f.takeover.base, f.takeover.move, f.takeover.queue},
 		"interval": {f.interval.base, f.interval.slope},
 		"output":   {f.output},
+		"events":   {f.events},
 		"typical":  {f.typical},
 	}
 }
@@ -99,5 +102,9 @@
 // Generation returns the time of generating some tokens.
 func (f *Figures) Generation(tokens int) float64 { return float64(tokens) * f.output }
 
+// Events returns the number of events in which some tokens come; 0 if no stream was seen
+// whole yet.
+func (f *Figures) Events(tokens int) float64 { return float64(tokens) * f.events }
+
 // TypicalReading returns the smoothed time of reading a prompt.
 func (f *Figures) TypicalReading() float64 { return f.typical }
--- a/enginemodel/learnt.go
+++ b/enginemodel/learnt.go
@@ -12,9 +12,9 @@
 type Learnt struct {
 	Prefill, Decode    Stats
 	Takeover, Interval Stats
-	// Generated is the time of whole streams, in milliseconds, Expected the tokens
-	// that were expected of them.
-	Generated, Expected float64
+	// Generated is the time of whole streams, in milliseconds, Events the number of
+	// their events, Expected the tokens that were expected of them.
+	Generated, Events, Expected float64
 	// Typical is the smoothed time of reading a prompt, in milliseconds; 0 if none
 	// was read.
 	Typical float64
@@ -25,7 +25,7 @@
 	return Learnt{
 		Prefill: m.reading[upstream.RolePrefill].own.clone(), Decode: m.reading[upstream.RoleDecode].own.clone(),
 		Takeover: m.takeover.own.clone(), Interval: m.interval.own.clone(),
-		Generated: m.generated, Expected: m.expected, Typical: m.typical,
+		Generated: m.generated, Events: m.events, Expected: m.expected, Typical: m.typical,
 	}
 }
 
@@ -47,15 +47,32 @@
 
 // output returns the time of generating a token, by all processes' streams.
 func (m *Model) output() float64 {
-	generated, expected := m.generated, m.expected
-	for _, l := range m.others {
-		generated += l.Generated
-		expected += l.Expected
-	}
-	if expected <= 0 {
+	all := m.streams()
+	if all.Expected <= 0 {
 		return assumedOutput
 	}
-	return generated / expected
+	return all.Generated / all.Expected
+}
+
+// eventsPerToken returns the events that streams have for each token expected of them; 0 if
+// none has been seen whole.
+func (m *Model) eventsPerToken() float64 {
+	all := m.streams()
+	if all.Expected <= 0 {
+		return 0
+	}
+	return all.Events / all.Expected
+}
+
+// streams sums up what all processes have seen of whole streams.
+func (m *Model) streams() Learnt {
+	all := Learnt{Generated: m.generated, Events: m.events, Expected: m.expected}
+	for _, l := range m.others {
+		all.Generated += l.Generated
+		all.Events += l.Events
+		all.Expected += l.Expected
+	}
+	return all
 }
 
 // typicalOfAll returns the time of reading a prompt, averaged over the processes.
@@ -83,6 +100,6 @@
 		Typical: m.typicalOfAll(),
 	}
 	l.Expected = generationMemory
-	l.Generated = m.output() * l.Expected
+	l.Generated, l.Events = m.output()*l.Expected, m.eventsPerToken()*l.Expected
 	return l, l.Prefill.Count+l.Decode.Count > 0
 }
--- a/enginemodel/model.go
+++ b/enginemodel/model.go
@@ -56,9 +56,9 @@
 	reading  map[upstream.Role]*fit
 	takeover *fit
 	interval *fit
-	// generated and expected sum up the times of whole streams and the tokens that
-	// were expected of them.
-	generated, expected float64
+	// generated and events sum up the times of whole streams and their events, expected
+	// the tokens that were expected of them.
+	generated, events, expected float64
 	// typical is the smoothed time of reading a prompt, in milliseconds.
 	typical float64
 	// others is what other processes have observed, by their names.
@@ -103,7 +103,7 @@
 	return &Figures{
 		prefill: prefill, decode: decode,
 		takeover: handoffOf(m.takeover), interval: lineOf(m.interval),
-		output: m.output(), typical: m.typicalOfAll(),
+		output: m.output(), events: m.eventsPerToken(), typical: m.typicalOfAll(),
 		known: map[upstream.Role]bool{
 			upstream.RolePrefill: m.reading[upstream.RolePrefill].count() > 0,
 			upstream.RoleDecode:  m.reading[upstream.RoleDecode].count() > 0,
@@ -187,13 +187,16 @@
 // averaged.
 const generationMemory = 20_000.0
 
-// LearnGeneration takes the time from the first event of a whole stream to its last.
-func (m *Model) LearnGeneration(expected int, took time.Duration) {
+// LearnGeneration takes the time from the first event of a whole stream to its last, and
+// how many events it had.
+func (m *Model) LearnGeneration(expected, events int, took time.Duration) {
 	m.generated += Millis(took)
+	m.events += float64(events)
 	m.expected += float64(expected)
 	if m.expected > generationMemory {
 		keep := generationMemory / m.expected
 		m.generated *= keep
+		m.events *= keep
 		m.expected *= keep
 	}
 	m.current = nil
--- a/enginemodel/model_test.go
+++ b/enginemodel/model_test.go
@@ -105,11 +105,12 @@
 	learn(old, e, r, 100, 0)
 	old.LearnTakeover(10_000, 0, 30*time.Millisecond)
 	old.LearnInterval(4, 50*time.Millisecond)
-	old.LearnGeneration(100, 400*time.Millisecond)
+	old.LearnGeneration(100, 10, 400*time.Millisecond)
 	fresh.Merge("old", old.Learnt())
 	require.True(t, fresh.Figures().Known(upstream.RolePrefill))
 	require.Less(t, offBy(fresh, e, r), 1.35)
 	require.InEpsilon(t, old.Figures().Generation(100), fresh.Figures().Generation(100), 0.01)
+	require.InEpsilon(t, 10, fresh.Figures().Events(100), 0.01)
 	require.InEpsilon(t, old.Figures().Takeover(10_000, 0), fresh.Figures().Takeover(10_000, 0), 0.01)
 
 	// The old daemon starts again and knows little: what it knew before stays.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -33,6 +33,7 @@
 // attempt sends the request to a place.
 func (c *call) attempt(ctx context.Context, p *place) result {
 	p.sentAt = time.Now()
+	p.after = c.resumeAfter()
 	if p.prefill != nil {
 		handle, res := c.prefill(ctx, p)
 		if res.err != nil {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -17,9 +17,12 @@
 	}
 	attrs := []any{
 		"request", c.ID, "upstream", p.target.ID, "pool", c.pool, "config", c.version,
-		"waited_ms", telemetry.Millis(p.waited), "expected_ms", telemetry.Millis(p.plan.FirstToken), "prompt", c.promptTokens(), "output", c.outputTokens(), "uncached", p.plan.Uncached,
+		"waited_ms", telemetry.Millis(p.waited), "expected_ms", telemetry.Millis(p.plan.FirstToken), "prompt", c.promptTokens(), "output", c.outputTokens(), "max_output", c.maxOutput(), "uncached", p.plan.Uncached,
 		"queue_ms", telemetry.Millis(p.plan.Queue), "read_ms", telemetry.Millis(p.read), "first_ms", telemetry.Millis(p.first), "lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "expected_gap_ms", telemetry.Millis(p.plan.Pause), "ideal_ms", telemetry.Millis(p.plan.Ideal), "fetched", p.plan.Fetched, "reread", p.plan.Reread, "behind", c.behind, "considered", p.plan.Considered, "done", res.done, "status", res.status,
 	}
+	if p.plan.Long {
+		attrs = append(attrs, "beside", p.plan.Beside, "expected_whole_ms", telemetry.Millis(p.plan.Whole), "left_ms", telemetry.Millis(c.deadline.Sub(p.sentAt)), "events", c.eventsOf(p))
+	}
 	if p.prefill != nil {
 		attrs = append(attrs, "prefill", p.prefill.ID)
 	}
@@ -63,6 +66,21 @@
 	return c.Generation.PromptTokens
 }
 
+func (c *call) maxOutput() int {
+	if c.Generation == nil {
+		return 0
+	}
+	return c.Generation.MaxOutput
+}
+
+// eventsOf returns how many events of an attempt's stream the caller has got.
+func (c *call) eventsOf(p *place) int {
+	if c.stream == nil {
+		return 0
+	}
+	return c.stream.last - p.after
+}
+
 func (c *call) outputTokens() int {
 	if c.Generation == nil {
 		return 0
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -49,6 +49,8 @@
 	ticket, reader *placement.Ticket
 	waited         time.Duration
 	sentAt         time.Time
+	// after is the number of the event behind which its stream begins.
+	after int
 	// read is the time from the sending until the prompt had been read, as the
 	// prefill engine's answer or the first event tells; first that until the
 	// first event. Zero if they weren't.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -98,7 +98,7 @@
 		c.beginStream(resp)
 	}
 	if p.first > 0 {
-		p.ticket.Generated(time.Since(p.sentAt) - p.first)
+		p.ticket.Generated(c.stream.last-p.after, time.Since(p.sentAt)-p.first)
 	}
 	return result{done: true, arrived: true, outcome: placement.Done, status: resp.Status}
 }
--- a/placement/oracle_test.go
+++ b/placement/oracle_test.go
@@ -52,7 +52,7 @@
 	need := 0.0
 	for i := range o.engines {
 		e := &o.engines[i]
-		e.readLately = e.ReadLately(o.r.PauseObjective)
+		e.readLately, e.readInWindow = e.ReadLately(o.r.PauseObjective), e.ReadLately(rememberedFor)
 		e.generating = generating(e)
 		if e.Role == upstream.RoleDecode {
 			decode = append(decode, e)
@@ -133,12 +133,14 @@
 	read := e.Model.Reading(e.Role, prompt) * e.Slowness
 	first := max(e.QueueMillis, fetch.millis) + read + e.Model.Start(e.Role)
 	p.Queue, p.Reading = millis(e.QueueMillis), millis(read)
+	at := e
 	cost = e.Model.Common(prompt) + crossCost(e, r) + fetchWeight*fetch.millis - homeBonus(e, r)
 	if e.Role == upstream.RolePrefill {
 		g := cheapestGenerator(o.engines, e.DataCentre, r)
 		if g.engine == nil {
 			return p, 0, false
 		}
+		at = g.engine
 		p.Engine, p.Prefill = g.engine.ID, e.ID
 		p.Pause = millis(pause(g.engine, 0))
 		first += g.takeover
@@ -147,7 +149,7 @@
 		p.Pause = millis(pause(e, read))
 		cost += readBesideStreams(e, r, read) + longCost(e, r)
 	}
-	p.FirstToken = millis(first)
+	p.FirstToken, p.Whole, p.Beside = millis(first), whole(at, first, 0, r), at.Running
 	return p, cost + waitCost(e, first, r), true
 }
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -70,7 +70,7 @@
 	s.generators = s.generators[:0]
 	for i := range s.engines {
 		e := &s.engines[i]
-		e.readLately = e.ReadLately(r.PauseObjective)
+		e.readLately, e.readInWindow = e.ReadLately(r.PauseObjective), e.ReadLately(rememberedFor)
 	}
 	markGenerators(s.engines)
 	markHomes(s.engines, r)
@@ -86,6 +86,7 @@
 	}
 	return Plan{
 		Engine: g.engine.ID, FirstToken: millis(g.takeover), Pause: millis(pause(g.engine, 0)), Considered: len(s.engines),
+		Whole: whole(g.engine, g.takeover, 0, r), Beside: g.engine.Running,
 	}, true
 }
 
@@ -102,6 +103,7 @@
 	read := e.Model.Reading(e.Role, prompt) * e.Slowness
 	first := max(e.QueueMillis, fetch.millis) + read + e.Model.Start(e.Role)
 	p.Queue, p.Reading = millis(e.QueueMillis), millis(read)
+	at := e
 	work := e.Model.Common(prompt)
 	cost = work + crossCost(e, r) + fetchWeight*fetch.millis - homeBonus(e, r)
 	if e.Role == upstream.RolePrefill {
@@ -109,6 +111,7 @@
 		if g.engine == nil {
 			return p, 0, 0, false
 		}
+		at = g.engine
 		p.Engine, p.Prefill = g.engine.ID, e.ID
 		p.Pause = millis(pause(g.engine, 0))
 		first += g.takeover
@@ -117,7 +120,7 @@
 		p.Pause = millis(pause(e, read))
 		cost += readBesideStreams(e, r, read) + longCost(e, r)
 	}
-	p.FirstToken = millis(first)
+	p.FirstToken, p.Whole, p.Beside = millis(first), whole(at, first, 0, r), at.Running
 	wait := waitCost(e, first, r)
 	return p, cost + wait, waitCost(e, first+e.unseen, r) - wait, true
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -218,7 +218,7 @@
 				ticket.PromptRead()
 				c.pass(2 * time.Second) // no reading falls between the events
 				ticket.Paused(40 * time.Millisecond)
-				ticket.Generated(400 * time.Millisecond)
+				ticket.Generated(10, 400*time.Millisecond)
 				ticket.End(Done)
 			}
 		}
@@ -348,7 +348,7 @@
 		ticket := b.Begin(plan.Engine, Work{Read: plan.PromptAt(r), Parts: r.Parts})
 		ticket.PromptRead()
 		ticket.Paused(time.Millisecond)
-		ticket.Generated(time.Millisecond)
+		ticket.Generated(1, time.Millisecond)
 		defer ticket.End(Done)
 	}
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -203,12 +203,13 @@
 	}
 }
 
-// Generated notes the time from the first event to the last of a whole stream.
-func (t *Ticket) Generated(d time.Duration) {
+// Generated notes the time from the first event to the last of a whole stream, and how many
+// events it had.
+func (t *Ticket) Generated(events int, d time.Duration) {
 	t.books.mu.Lock()
 	defer t.books.mu.Unlock()
 	if t.entry.model != nil && t.work.Output > 0 {
-		t.entry.model.LearnGeneration(t.work.Output, d)
+		t.entry.model.LearnGeneration(t.work.Output, events, d)
 	}
 }
 
--- a/placement/types.go
+++ b/placement/types.go
@@ -107,6 +107,8 @@
 	// readLately is the reading sent there within the longest pause that counts as on
 	// time, in milliseconds.
 	readLately float64
+	// readInWindow is that within the time for which it is remembered.
+	readInWindow float64
 	// unseen is the reading that it may have been sent without its being known, in
 	// milliseconds.
 	unseen float64
@@ -183,6 +185,10 @@
 	Reading time.Duration
 	// Pause is the longest pause expected while the request generates.
 	Pause time.Duration
+	// Whole is the expected time to the last event. Beside is how many requests run on
+	// the engine that generates.
+	Whole  time.Duration
+	Beside int
 	// Uncached is how many prompt tokens have to be read, Fetched how many the
 	// engine that reads it fetches.
 	Uncached, Fetched int
