--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -20,6 +20,8 @@
 	Output int
 	// Long says that it generates for long.
 	Long bool
+	// Left is the time within which the whole answer must be there; 0 is none.
+	Left time.Duration
 	// Behind says that its answer will be late.
 	Behind bool
 }
--- a/placement/types.go
+++ b/placement/types.go
@@ -28,13 +28,16 @@
 	Parts []Part
 	// PromptTokens is the whole prompt.
 	PromptTokens int
-	// OutputTokens is the expected length of the answer.
-	OutputTokens int
+	// OutputTokens is the expected length of the answer, MaxOutput the longest that its
+	// caller allows; 0 if it doesn't say.
+	OutputTokens, MaxOutput int
 	// BodyBytes is the size of the request.
 	BodyBytes int
 	// Objective is the time within which the first event is worth most; 0 is
 	// none. Spent is what has passed of it.
 	Objective, Spent time.Duration
+	// Left is the time within which the whole answer must be there; 0 is none.
+	Left time.Duration
 	// Within is the time within which the first event must be expected for a plan to be of
 	// use, WithinReread that where parts would be read again that another engine keeps; 0
 	// is none.
