placement: long answers go where the longest of them end in time

A plan was judged by its first event and its pauses only. An engine three quarters full of streams, with short answers in its last places and prompts read beside them, is good by both, and gives 171 events in 15.6 s to callers that wait 13 to 15 s.

The pace is the learnt interval beside what runs there, less the time spent on reading; how many events come for a token, how long the longest answers are and how long callers wait are learnt and told like the other figures.

Ruled out, by the attempts' lines: loss (88 and 132 streams broke off with their engines, evenly over all lengths), guards of ours (streams cut late end within milliseconds of left_ms), refusal by length (no place is not more frequent for longer ones).

--- a/enginemodel/figures.go
+++ b/enginemodel/figures.go
@@ -1,6 +1,10 @@
 package enginemodel
 
-import "tamarackchute/upstream"
+import (
+	"math"
+
+	"tamarackchute/upstream"
+)
 
 // Figures are what is known of the engines of a pool at one moment. All times are in
 // milliseconds.
@@ -11,6 +15,7 @@
 	known           map[upstream.Role]bool
 	output, events  float64
 	typical         float64
+	longest, left   float64
 }
 
 // reading is what an engine takes for a prompt: to begin, for each token, and for each
@@ -76,7 +81,8 @@
 // begin, that for each token and for each million pairs; of a takeover the base, that
 // for each thousand tokens and for each millisecond of reading before it; of the
 // interval the base and that for each other stream. All are in milliseconds, but for the
-// events that come for a token.
+// events that come for a token and the tokens of the longest answers, behind which the time
+// that callers give them stands.
 func (f *Figures) Coefficients() map[string][]float64 {
 	return map[string][]float64{
 		"prefill":  {f.prefill.start, f.prefill.token, f.prefill.pair},
@@ -85,6 +91,7 @@
 		"interval": {f.interval.base, f.interval.slope},
 		"output":   {f.output},
 		"events":   {f.events},
+		"answers":  {f.longest, f.left},
 		"typical":  {f.typical},
 	}
 }
@@ -106,5 +113,24 @@
 // whole yet.
 func (f *Figures) Events(tokens int) float64 { return float64(tokens) * f.events }
 
+// LongestAnswer returns the length that only the longest of the long answers exceed, in
+// tokens; 0 if none was asked for yet.
+func (f *Figures) LongestAnswer() float64 { return f.longest }
+
+// AnswerTime returns the mean time that callers give their long answers, in milliseconds.
+func (f *Figures) AnswerTime() float64 { return f.left }
+
+// MostBeside returns beside how many other streams events come within some milliseconds of
+// each other, if the engine reads no prompt; infinitely many if other streams don't matter.
+func (f *Figures) MostBeside(interval float64) float64 {
+	if interval < f.interval.base {
+		return 0
+	}
+	if f.interval.slope <= 0 {
+		return math.Inf(1)
+	}
+	return (interval - f.interval.base) / f.interval.slope
+}
+
 // TypicalReading returns the smoothed time of reading a prompt.
 func (f *Figures) TypicalReading() float64 { return f.typical }
--- a/enginemodel/learnt.go
+++ b/enginemodel/learnt.go
@@ -15,6 +15,8 @@
 	// Generated is the time of whole streams, in milliseconds, Events the number of
 	// their events, Expected the tokens that were expected of them.
 	Generated, Events, Expected float64
+	// Answers are the long answers asked for.
+	Answers Answers
 	// Typical is the smoothed time of reading a prompt, in milliseconds; 0 if none
 	// was read.
 	Typical float64
@@ -25,7 +27,7 @@
 	return Learnt{
 		Prefill: m.reading[upstream.RolePrefill].own.clone(), Decode: m.reading[upstream.RoleDecode].own.clone(),
 		Takeover: m.takeover.own.clone(), Interval: m.interval.own.clone(),
-		Generated: m.generated, Events: m.events, Expected: m.expected, Typical: m.typical,
+		Generated: m.generated, Events: m.events, Expected: m.expected, Answers: m.answers, Typical: m.typical,
 	}
 }
 
@@ -45,34 +47,33 @@
 	m.current = nil
 }
 
-// output returns the time of generating a token, by all processes' streams.
-func (m *Model) output() float64 {
-	all := m.streams()
-	if all.Expected <= 0 {
+// streams sums up what all processes have seen of streams.
+func (m *Model) streams() Learnt {
+	all := Learnt{Generated: m.generated, Events: m.events, Expected: m.expected, Answers: m.answers}
+	for _, l := range m.others {
+		all.Generated += l.Generated
+		all.Events += l.Events
+		all.Expected += l.Expected
+		all.Answers = all.Answers.plus(l.Answers)
+	}
+	return all
+}
+
+// output returns the time of generating a token.
+func (l Learnt) output() float64 {
+	if l.Expected <= 0 {
 		return assumedOutput
 	}
-	return all.Generated / all.Expected
+	return l.Generated / l.Expected
 }
 
 // eventsPerToken returns the events that streams have for each token expected of them; 0 if
 // none has been seen whole.
-func (m *Model) eventsPerToken() float64 {
-	all := m.streams()
-	if all.Expected <= 0 {
+func (l Learnt) eventsPerToken() float64 {
+	if l.Expected <= 0 {
 		return 0
 	}
-	return all.Events / all.Expected
-}
-
-// streams sums up what all processes have seen of whole streams.
-func (m *Model) streams() Learnt {
-	all := Learnt{Generated: m.generated, Events: m.events, Expected: m.expected}
-	for _, l := range m.others {
-		all.Generated += l.Generated
-		all.Events += l.Events
-		all.Expected += l.Expected
-	}
-	return all
+	return l.Events / l.Expected
 }
 
 // typicalOfAll returns the time of reading a prompt, averaged over the processes.
@@ -99,7 +100,11 @@
 		Takeover: m.takeover.sum(), Interval: m.interval.sum(),
 		Typical: m.typicalOfAll(),
 	}
+	streams := m.streams()
 	l.Expected = generationMemory
-	l.Generated, l.Events = m.output()*l.Expected, m.eventsPerToken()*l.Expected
+	l.Generated, l.Events = streams.output()*l.Expected, streams.eventsPerToken()*l.Expected
+	if n := streams.Answers.Count; n > 0 {
+		l.Answers = streams.Answers.times(min(n, answersMemory) / n)
+	}
 	return l, l.Prefill.Count+l.Decode.Count > 0
 }
--- a/enginemodel/model.go
+++ b/enginemodel/model.go
@@ -59,6 +59,8 @@
 	// generated and events sum up the times of whole streams and their events, expected
 	// the tokens that were expected of them.
 	generated, events, expected float64
+	// answers are those asked for.
+	answers Answers
 	// typical is the smoothed time of reading a prompt, in milliseconds.
 	typical float64
 	// others is what other processes have observed, by their names.
@@ -100,10 +102,12 @@
 		f.settle()
 	}
 	prefill, decode := m.readings()
+	streams := m.streams()
 	return &Figures{
 		prefill: prefill, decode: decode,
 		takeover: handoffOf(m.takeover), interval: lineOf(m.interval),
-		output: m.output(), events: m.eventsPerToken(), typical: m.typicalOfAll(),
+		output: streams.output(), events: streams.eventsPerToken(), typical: m.typicalOfAll(),
+		longest: streams.Answers.longest(), left: streams.Answers.left(),
 		known: map[upstream.Role]bool{
 			upstream.RolePrefill: m.reading[upstream.RolePrefill].count() > 0,
 			upstream.RoleDecode:  m.reading[upstream.RoleDecode].count() > 0,
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -170,7 +170,7 @@
 // generating is the work of the engine that generates, whoever reads the prompt.
 func generating(plan placement.Plan, req placement.Request) placement.Work {
 	return placement.Work{
-		Parts: req.Parts, Held: req.PromptTokens + req.OutputTokens, Output: req.OutputTokens, Long: plan.Long, Behind: req.Behind,
+		Parts: req.Parts, Held: req.PromptTokens + req.OutputTokens, Output: req.OutputTokens, Long: plan.Long, Left: req.Left, Behind: req.Behind,
 	}
 }
 
@@ -249,7 +249,8 @@
 		r.PromptTokens = g.PromptTokens
 		r.BodyBytes = len(c.body)
 		r.Objective = c.rule.Objective
-		r.OutputTokens = expectedOutput(g)
+		r.OutputTokens, r.MaxOutput = expectedOutput(g), g.MaxOutput
+		r.Left = time.Until(c.deadline)
 		r.PauseObjective = c.rule.PauseObjective
 		r.Spent = time.Since(c.arrived)
 	}
--- a/placement/generators.go
+++ b/placement/generators.go
@@ -86,7 +86,7 @@
 
 // generating is the share of an engine that its generating takes up.
 func generating(e *Engine) float64 {
-	share := float64(e.Long) / float64(LongSlots(e.Slots))
+	share := float64(e.Long) / longStreams(e)
 	if e.KVTokens > 0 {
 		share = max(share, float64(e.HeldTokens)/(heldShare*float64(e.KVTokens)))
 	}
@@ -146,7 +146,7 @@
 			took += (acrossFactor - 1) * move
 			move *= acrossFactor
 		}
-		cost := fetchWeight*move + crossCost(e, r) + crowding(e, r)
+		cost := fetchWeight*move + crossCost(e, r) + crowding(e, r) + wholeCost(e, took, r)
 		if whole := cost + waitWeight*took; whole < least {
 			best, least = generator{e, took, cost}, whole
 		}
--- a/placement/oracle_test.go
+++ b/placement/oracle_test.go
@@ -147,9 +147,9 @@
 		cost += g.cost
 	} else {
 		p.Pause = millis(pause(e, read))
-		cost += readBesideStreams(e, r, read) + longCost(e, r)
+		cost += readBesideStreams(e, r, read) + longCost(e, r) + wholeCost(e, first, r)
 	}
-	p.FirstToken, p.Whole, p.Beside = millis(first), whole(at, first, 0, r), at.Running
+	p.FirstToken, p.Whole, p.Beside = millis(first), whole(at, first, r), at.Running
 	return p, cost + waitCost(e, first, r), true
 }
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -86,7 +86,7 @@
 	}
 	return Plan{
 		Engine: g.engine.ID, FirstToken: millis(g.takeover), Pause: millis(pause(g.engine, 0)), Considered: len(s.engines),
-		Whole: whole(g.engine, g.takeover, 0, r), Beside: g.engine.Running,
+		Whole: whole(g.engine, g.takeover, r), Beside: g.engine.Running,
 	}, true
 }
 
@@ -118,9 +118,9 @@
 		cost += g.cost
 	} else {
 		p.Pause = millis(pause(e, read))
-		cost += readBesideStreams(e, r, read) + longCost(e, r)
+		cost += readBesideStreams(e, r, read) + longCost(e, r) + wholeCost(e, first, r)
 	}
-	p.FirstToken, p.Whole, p.Beside = millis(first), whole(at, first, 0, r), at.Running
+	p.FirstToken, p.Whole, p.Beside = millis(first), whole(at, first, r), at.Running
 	wait := waitCost(e, first, r)
 	return p, cost + wait, waitCost(e, first+e.unseen, r) - wait, true
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -63,6 +63,7 @@
 	e.own.Held += w.Held
 	if w.Long {
 		e.own.Long++
+		t.learnAnswer()
 	}
 	if e.model != nil {
 		t.bookReading()
@@ -74,6 +75,14 @@
 	return t
 }
 
+// learnAnswer notes what a long answer asks of the engines. Those of callers that come back
+// with what is left of their time say nothing of the next ones.
+func (t *Ticket) learnAnswer() {
+	if t.entry.model != nil && t.work.Left > 0 && !t.work.Behind {
+		t.entry.model.LearnAnswer(t.work.Output, t.work.Left)
+	}
+}
+
 func (t *Ticket) bookReading() {
 	e := t.entry
 	t.reading = e.model.Figures().Reading(e.Role, t.work.Read)
--- a/placement/whole.go
+++ b/placement/whole.go
@@ -6,9 +6,17 @@
 	"tamarackchute/enginemodel"
 )
 
-// mostReading bounds the share of an engine's time that reading is taken to have: its streams
-// get on a little however much it reads.
-const mostReading = 0.75
+const (
+	// mostReading bounds the share of an engine's time that reading is taken to have: its
+	// streams get on a little however much it reads.
+	mostReading = 0.75
+	// wholeShare is the share of the caller's time up to which the longest answers count
+	// as certainly whole: engines fill up, and read more, after a stream has begun there.
+	wholeShare = 0.7
+	// hurriedShare is what reading counts beside streams whose longest it makes late, in
+	// shares of itself: what these have taken of the engine is then lost with them.
+	hurriedShare = 1.0
+)
 
 // pace returns the time between two events of one more stream at an engine that goes on
 // reading as much as it lately did, and some more within the same time, in milliseconds.
@@ -19,6 +27,57 @@
 
 // whole returns the expected time to the last event of an answer whose first comes after
 // some milliseconds.
-func whole(e *Engine, first, read float64, r Request) time.Duration {
-	return millis(first + e.Model.Events(r.OutputTokens)*pace(e, read))
+func whole(e *Engine, first float64, r Request) time.Duration {
+	return millis(first + e.Model.Events(r.OutputTokens)*pace(e, 0))
+}
+
+// hurry returns how far an answer of some events goes beyond what counts as certainly whole
+// in the time left at a pace: 0 if it doesn't, 1 where it ends just then, more beyond.
+func hurry(events, pace, left float64) float64 {
+	if left <= 0 {
+		return 0
+	}
+	return max(0, events*pace/left-wholeShare) / (1 - wholeShare)
+}
+
+// longest returns the tokens that the answer to a request may turn out to have: callers'
+// guesses are often half of that, and nothing takes a stream that has begun elsewhere.
+func (r Request) longest(e *Engine) int {
+	longest := max(r.OutputTokens, int(e.Model.LongestAnswer()))
+	if r.MaxOutput > 0 {
+		longest = min(longest, r.MaxOutput)
+	}
+	return longest
+}
+
+// wholeCost is the cost of an answer's not being whole in time: a stream that is cut has had
+// its share of the engine's time for nothing. It grows on beyond the deadline, so that of
+// engines that are all too slow the fastest is taken.
+func wholeCost(e *Engine, first float64, r Request) float64 {
+	if r.Left <= 0 || !r.long(e) {
+		return 0
+	}
+	left := enginemodel.Millis(r.Left)
+	events := e.Model.Events(r.longest(e))
+	return hurry(events, pace(e, 0), left-first) * left / float64(e.Running+1)
+}
+
+// hurriedCost is the cost of reading at an engine whose longest streams it makes late.
+func hurriedCost(e *Engine, read float64) float64 {
+	if e.Long == 0 {
+		return 0
+	}
+	events := e.Model.Events(int(e.Model.LongestAnswer()))
+	return hurriedShare * read * min(1, hurry(events, pace(e, read), e.Model.AnswerTime()))
+}
+
+// longStreams returns how many long streams an engine bears: as many as leave some of its
+// slots, and with which the longest answers are still whole in time.
+func longStreams(e *Engine) float64 {
+	slots := float64(LongSlots(e.Slots))
+	events := e.Model.Events(int(e.Model.LongestAnswer()))
+	if events <= 0 || e.Model.AnswerTime() <= 0 {
+		return slots
+	}
+	return min(slots, 1+e.Model.MostBeside(wholeShare*e.Model.AnswerTime()/events))
 }
--- a/placement/whole_test.go
+++ b/placement/whole_test.go
@@ -243,10 +243,10 @@
 func (p *batchReplay) wholeByLength() (longest, others, prompts float64) {
 	slices.SortStableFunc(p.streams, func(a, b *playedStream) int { return int(a.events) - int(b.events) })
 	tenth := len(p.streams) - len(p.streams)/10
-	return wholeShare(p.streams[tenth:]), wholeShare(p.streams[:tenth]), float64(p.prompts.inTime) / float64(max(1, p.prompts.asked))
+	return shareWhole(p.streams[tenth:]), shareWhole(p.streams[:tenth]), float64(p.prompts.inTime) / float64(max(1, p.prompts.asked))
 }
 
-func wholeShare(streams []*playedStream) float64 {
+func shareWhole(streams []*playedStream) float64 {
 	whole := 0
 	for _, s := range streams {
 		if s.whole {
@@ -259,17 +259,25 @@
 // Of the longest answers far fewer arrive whole than of the others: their callers see a
 // stream that runs at an even pace and is cut at their deadline. Bursts of long answers and
 // of long prompts take turns. Each stream begins in time and pauses no longer than it may,
-// so it goes to an engine that is three quarters full, or reads beside its streams.
+// so nothing kept it from an engine that was three quarters full of others, whose last places
+// short answers took, and which read beside them: an event then took 92 ms, and 170 of them
+// are due within 15 s. Attempts said "expected_gap_ms":84, "beside":31, "events":156,
+// "lasted_ms":14529, "left_ms":14528, and their engine, alone, makes an event in 42 ms.
 func TestLongestAnswersAreWhole(t *testing.T) {
 	for _, slow := range []float64{0.3, 1, 5} {
-		p := newBatchReplay(12, slow, 1)
-		p.play(40*time.Second, func(at time.Duration) (streams, prompts float64) {
-			if at/(3*time.Second)%2 == 0 {
-				return 20, 250
-			}
-			return 8, 500
-		})
-		longest, others, prompts := p.wholeByLength()
+		var longest, others, prompts float64
+		const seeds = 3
+		for seed := range uint64(seeds) {
+			p := newBatchReplay(12, slow, seed)
+			p.play(40*time.Second, func(at time.Duration) (streams, prompts float64) {
+				if at/(3*time.Second)%2 == 0 {
+					return 20, 250
+				}
+				return 8, 500
+			})
+			l, o, r := p.wholeByLength()
+			longest, others, prompts = longest+l/seeds, others+o/seeds, prompts+r/seeds
+		}
 		t.Logf("times %v: whole of the longest tenth %.3f, of the others %.3f; prompts in time %.3f", slow, longest, others, prompts)
 		assert.GreaterOrEqual(t, longest, 0.95*others)
 		assert.GreaterOrEqual(t, others, 0.99, "no worse than where nothing asks when they are whole")
