relay: no answer is expected to be longer than its caller allows

Callers' guesses of the length go up to six times the bound that they name with them (74,253 tokens where 12,141 are allowed). Memory was held for such answers, and the time of a token and the number of events for one came out too small. The lesser of both counts now. The test fails before (4,200 for 700).

--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -259,6 +259,8 @@
 
 func expectedOutput(g *Generation) int {
 	switch {
+	case g.Expected > 0 && g.MaxOutput > 0:
+		return min(g.Expected, g.MaxOutput)
 	case g.Expected > 0:
 		return g.Expected
 	case g.MaxOutput > 0:
