relay: an answer that can end in time nowhere is refused at once

A caller that comes back with little of its time left got a place as soon as a first event could be expected, and its stream was cut at the deadline. If half of what it expects takes longer than it waits on an idle engine, it is refused now, with a reason of its own. The test fails before.

--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -16,6 +16,7 @@
 	reasonNoConfig reason = "no configuration"
 	reasonNoRule   reason = "no rule"
 	reasonNoPlace  reason = "no place"
+	reasonTooLate  reason = "too late to be whole"
 	reasonNoBudget reason = "no retry budget"
 	reasonAttempts reason = "no attempts left"
 	reasonDeadline reason = "deadline"
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -63,6 +63,9 @@
 	if refresh := c.relay.cfg.Refresh; refresh != nil {
 		refresh(ctx)
 	}
+	if c.tooLate() {
+		return nil, c.fail(reasonTooLate, "no upstream can end the answer in the time left")
+	}
 	late := c.late(began)
 	var found *place
 	try := func() bool {
@@ -86,6 +89,16 @@
 	return found, nil
 }
 
+// tooLate reports whether an answer that hasn't begun can end in time nowhere: sent all the
+// same, it would be cut at its caller's deadline, and have slowed the streams beside it.
+func (c *call) tooLate() bool {
+	if c.Generation == nil || c.stream != nil || c.tries.Ran() {
+		return false
+	}
+	r := c.placementRequest()
+	return c.relay.cfg.Books.Shortest(c.pool, r) > max(0, r.Left)
+}
+
 // late reports whether the request can't be in time any more: it has failed at
 // an upstream already, or its caller comes back after a refusal.
 func (c *call) late(now time.Time) bool {
--- a/placement/whole.go
+++ b/placement/whole.go
@@ -81,3 +81,16 @@
 	}
 	return min(slots, 1+e.Model.MostBeside(wholeShare*e.Model.AnswerTime()/events))
 }
+
+// leastOutput is the share of its expected length that an answer has at least: callers' guesses
+// are seldom off by more.
+const leastOutput = 0.5
+
+// Shortest returns the least time in which the answer to a request can be whole: on an idle
+// engine, should it turn out as short as answers do. It is 0 if too little is known.
+func (b *Books) Shortest(pool string, r Request) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := b.model(pool).Figures()
+	return millis(leastOutput * f.Events(r.OutputTokens) * f.Interval(0))
+}
