member, shutdown: a stopping daemon reads what has arrived before it exits

Callers of a daemon that stops as planned saw "connection reset by peer": it exits when nothing is in progress, and a request that waits to be accepted, or whose head isn't read yet, is in progress for its caller only. On a machine without a free processor that lasts long enough.

The own interface's entry stops by the same steps without the call: left.

--- a/internal/entry/shutdown/shutdown.go
+++ b/internal/entry/shutdown/shutdown.go
@@ -29,6 +29,11 @@
 	// Keep is how long callers may keep an answer, Grace how long the instance
 	// waits beyond that for its requests to end.
 	Keep, Grace time.Duration
+	// Settle, if set, is called when nothing is in progress any more, and returns once
+	// what callers had sent before has been read. Without it a request that has arrived
+	// and that a busy machine hasn't read yet is in progress for nobody but its caller,
+	// who sees the connection reset when the process exits.
+	Settle func()
 
 	begun   bool
 	beganAt time.Time
@@ -71,6 +76,10 @@
 	phase := Serving
 	for {
 		n := active()
+		if n == 0 && s.Settle != nil && s.Phase(time.Now(), n) == Stopped {
+			s.Settle()
+			n = active()
+		}
 		if next := s.Phase(time.Now(), n); next != phase {
 			phase = next
 			log.Info("stopping", "phase", phase.String(), "active", n)
--- a/internal/entry/shutdown/shutdown_test.go
+++ b/internal/entry/shutdown/shutdown_test.go
@@ -1,7 +1,9 @@
 package shutdown
 
 import (
+	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -32,3 +34,27 @@
 		require.Equal(t, tc.want, s.Phase(began.Add(tc.after), tc.active), "%v, %d active", tc.after, tc.active)
 	}
 }
+
+// A caller's request arrives while the instance leaves, and is cut off with "connection reset by
+// peer" when it exits: the machine was so busy that the request still waited to be read when
+// the instance looked for the last time, and found nothing in progress.
+func TestStopReadsWhatHasArrived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unread, inProgress, answered := 1, 0, 0
+		s := State{Keep: time.Second, Grace: time.Minute}
+		s.Settle = func() {
+			inProgress += unread
+			unread = 0
+		}
+		active := func() int {
+			n := inProgress
+			if n > 0 {
+				inProgress--
+				answered++
+			}
+			return n
+		}
+		s.Drain(nil, active, slog.New(slog.DiscardHandler))
+		require.Equal(t, 1, answered)
+	})
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -67,6 +67,7 @@
 	state     *fleet.State
 	books     *placement.Books
 	relay     *relay.Relay
+	callers   *connections
 	peers     *Peers
 	upstreams *upstreamFeed
 	readers   []*topicReader
@@ -83,7 +84,7 @@
 // New builds a daemon.
 func New(cfg Config) *Member {
 	s := cfg.Settings
-	m := &Member{cfg: cfg, log: cfg.Logger, state: fleet.NewState(), books: placement.NewBooks(nil)}
+	m := &Member{cfg: cfg, log: cfg.Logger, state: fleet.NewState(), books: placement.NewBooks(nil), callers: newConnections()}
 	m.self = wire.MemberAddress{Instance: s.Instance, DataCentre: s.DataCentre, Callers: s.Callers, Peers: s.PeerAddress, Capacity: s.Capacity}
 	m.settings.Store(&s)
 	m.budget = relay.NewBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil)
@@ -300,6 +301,9 @@
 func (m *Member) drain() {
 	m.leaving.Store(true)
 	m.relay.CloseConnections()
-	stop := shutdown.State{Keep: keepFactor * keepAnswer, Grace: m.settings.Load().Grace - keepFactor*keepAnswer - stopMargin}
-	stop.Drain(nil, func() int { return int(m.relay.Active()) }, m.log)
+	stop := shutdown.State{
+		Keep: keepFactor * keepAnswer, Grace: m.settings.Load().Grace - keepFactor*keepAnswer - stopMargin,
+		Settle: func() { m.callers.settle(m.self.Callers, m.log) },
+	}
+	stop.Drain(nil, func() int { return m.callers.in(http.StateActive) }, m.log)
 }
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -70,7 +70,11 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "%s: address %s can't be taken", h.name, h.address)
 		}
-		services = append(services, &httpService{name: h.name, listener: l, server: newServer(h.handler)})
+		server := newServer(h.handler)
+		if h.address == s.Callers {
+			server.ConnState = m.callers.note
+		}
+		services = append(services, &httpService{name: h.name, listener: l, server: server})
 	}
 	return services, nil
 }
