placement: the engines set apart for generating share long streams

Each next engine cost two typical readings more, so the first ones were filled up until they were slower by that. Now only an engine that isn't set apart costs that.

The test fails before (spread of streams over engines 3 and more).

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -200,9 +200,11 @@
 	return took
 }
 
-// longCost keeps streams that last for long together: see markGenerators.
+// longCost keeps streams that last for long together, on the engines set apart for
+// generating: see markGenerators. These share them: a cost for each next one would fill the
+// first ones up beyond what leaves their longest streams whole, with room on the others.
 func longCost(e *Engine, r Request) float64 {
-	if !r.long(e) || e.Role != upstream.RoleDecode {
+	if !r.long(e) || e.generator || e.Role != upstream.RoleDecode {
 		return 0
 	}
 	return openingLong * float64(e.rank) * e.Model.TypicalReading()
--- a/placement/whole_test.go
+++ b/placement/whole_test.go
@@ -284,3 +284,35 @@
 		assert.GreaterOrEqual(t, prompts, 0.99, "no worse than where nothing asks when streams are whole")
 	}
 }
+
+// The first of the engines that generate ran 26 streams on average and the sixth 10; thirteen
+// of the fifteen streams cut at their deadline ran on the first. Each next engine cost more, so
+// that the first ones were filled up until they were slower by as much: the more, the longer
+// the prompts that the engines read.
+func TestGeneratorsShareLongStreams(t *testing.T) {
+	p := newBatchReplay(12, 1, 1)
+	for range 300 {
+		p.books.model("p").LearnRead(enginemodel.Read{
+			Role: upstream.RoleDecode, Prompt: enginemodel.Prompt{Tokens: 200_000}, Took: millis(p.reading(upstream.RoleDecode, 200_000)), Alone: true,
+		})
+	}
+	for i := range 100 {
+		p.books.model("p").LearnAnswer(eventTokens*longestEvents*i/100, patience)
+	}
+	for _, e := range p.engines {
+		if e.Role == upstream.RoleDecode {
+			p.books.NotePeer("other", []LoadAt{{At: KeyOf(e.ID, time.Time{}), Load: Load{Running: 8, Long: 8}}}, nil)
+		}
+	}
+	for range 40 {
+		p.askStream()
+	}
+	var running []int
+	for _, e := range p.engines {
+		if e.Role == upstream.RoleDecode {
+			running = append(running, 8+len(e.streams))
+		}
+	}
+	t.Log("streams by engine", running)
+	assert.LessOrEqual(t, slices.Max(running)-slices.Min(running), 1)
+}
