placement: streams that hardly slow each other don't take an engine up

An engine that is too slow for the longest answers even without other streams counted as taken up by one, since only none left them whole. The bound by pace now never goes below what lets events come a quarter later than alone. The test fails before (1 stream instead of 24).

--- a/placement/whole.go
+++ b/placement/whole.go
@@ -71,15 +71,22 @@
 	return hurriedShare * read * min(1, hurry(events, pace(e, read), e.Model.AnswerTime()))
 }
 
+// leastSlowing is how many times as long as alone events may come beside others in any case.
+const leastSlowing = 1.25
+
 // longStreams returns how many long streams an engine bears: as many as leave some of its
-// slots, and with which the longest answers are still whole in time.
+// slots, and with which the longest answers are still whole in time. Where other streams
+// hardly slow an answer down, fewer of them would make none whole: an engine that is too slow
+// even for one would otherwise count as taken up by it, and all engines be set apart for
+// generating.
 func longStreams(e *Engine) float64 {
 	slots := float64(LongSlots(e.Slots))
 	events := e.Model.Events(int(e.Model.LongestAnswer()))
 	if events <= 0 || e.Model.AnswerTime() <= 0 {
 		return slots
 	}
-	return min(slots, 1+e.Model.MostBeside(wholeShare*e.Model.AnswerTime()/events))
+	interval := max(wholeShare*e.Model.AnswerTime()/events, leastSlowing*e.Model.Interval(0))
+	return min(slots, 1+e.Model.MostBeside(interval))
 }
 
 // leastOutput is the share of its expected length that an answer has at least: callers' guesses
--- a/placement/whole_test.go
+++ b/placement/whole_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"tamarackchute/enginemodel"
 	"tamarackchute/upstream"
@@ -316,3 +317,19 @@
 	t.Log("streams by engine", running)
 	assert.LessOrEqual(t, slices.Max(running)-slices.Min(running), 1)
 }
+
+// Engines whose events hardly come later beside other streams, and too late for the longest
+// answers even alone: each counted as taken up by one stream. The leader then saw more
+// generating than there were engines ("generating":19.89 of 16), and left one engine to read
+// ("prefill":1) in a burst of long prompts.
+func TestStreamsThatDontSlowEachOtherTakeNoEngineUp(t *testing.T) {
+	b := NewBooks((&clock{time.Unix(1000, 0)}).now)
+	b.Sync([]Member{{ID: "e", Pool: "p", Role: upstream.RoleDecode, Slots: 32}})
+	m := b.model("p")
+	for i := range 100 {
+		m.LearnInterval(i%20, millis(30+0.1*float64(i%20)))
+		m.LearnGeneration(eventTokens*300, 300, 9*time.Second)
+		m.LearnAnswer(eventTokens*300, 10*time.Second)
+	}
+	require.InDelta(t, LongSlots(32), longStreams(&b.Engines([]string{"e"})[0]), 0.01)
+}
