placement: each engine's pace is learnt from the streams of all daemons

All engines of a pool were taken for alike in how they generate, so they got alike many streams. Each daemon now sums up the times between events that it sees at an engine and what the pool's figures expect of them, and tells both with its work there; the ratio of all daemons' sums is the engine's pace. Sums add up like the other loads, also by data centre, and are no news by themselves. The form on the wire changes: daemons speak protocol 3.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -36,7 +36,7 @@
 	// peerSecret isn't secret: the platform's network is closed, and its
 	// settings hold nothing that only the system's processes know. It keeps
 	// other protocols apart.
-	peerSecret = "tamarackchute member exchange, protocol 2"
+	peerSecret = "tamarackchute member exchange, protocol 3"
 	// replacedFor is how long all daemons leave an upstream alone whose address
 	// belongs to another one: its entry lapses after three heartbeats.
 	replacedFor = 3 * time.Second
--- a/internal/wire/loads.go
+++ b/internal/wire/loads.go
@@ -17,7 +17,7 @@
 // The number of fields of each form.
 const (
 	loadAtFields = 2
-	loadFields   = 7
+	loadFields   = 9
 	readFields   = 4
 	partFields   = 2
 )
@@ -37,6 +37,8 @@
 		w.uint(uint64(at.Load.Sent))
 		w.uint(uint64(at.Load.Done))
 		w.uint(uint64(at.Load.Moved))
+		w.uint(uint64(at.Load.Paced))
+		w.uint(uint64(at.Load.Foreseen))
 	}
 	return w.err
 }
@@ -58,6 +60,8 @@
 		at.Load.Sent = r.uint32()
 		at.Load.Done = r.uint32()
 		at.Load.Moved = r.uint32()
+		at.Load.Paced = r.uint32()
+		at.Load.Foreseen = r.uint32()
 		*l = append(*l, at)
 	}
 	return r.err
--- a/placement/books.go
+++ b/placement/books.go
@@ -218,7 +218,7 @@
 		ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots,
 		Running: load.Running, Long: load.Long, Behind: load.Behind, HeldTokens: load.Held,
 		KVTokens: e.KVTokens, MoveMillisPerToken: e.MoveMillisPerToken,
-		Slowness: e.slowness, Trial: e.health.trial, LatencyMillis: e.latency,
+		Slowness: e.slowness, PaceFactor: load.paceFactor(), Trial: e.health.trial, LatencyMillis: e.latency,
 		Model: nothingKnown, hash: e.hash, entry: e, now: now,
 	}
 	if e.cache == nil {
--- a/placement/load.go
+++ b/placement/load.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -33,6 +34,10 @@
 	Sent, Done uint32
 	// Moved sums up the tokens whose KV caches were ever fetched there.
 	Moved uint32
+	// Paced sums up the times between events of streams there while it read nothing, and
+	// Foreseen what these take engines of its pool on average, in milliseconds; the older
+	// ones count less. Their ratio says how much slower than the others it generates.
+	Paced, Foreseen uint32
 }
 
 // Plus returns the sum of two daemons' loads.
@@ -40,6 +45,7 @@
 	return Load{
 		Running: l.Running + o.Running, Long: l.Long + o.Long, Held: l.Held + o.Held, Behind: l.Behind + o.Behind,
 		Sent: l.Sent + o.Sent, Done: l.Done + o.Done, Moved: l.Moved + o.Moved,
+		Paced: l.Paced + o.Paced, Foreseen: l.Foreseen + o.Foreseen,
 	}
 }
 
@@ -48,9 +54,37 @@
 	return Load{
 		Running: l.Running - o.Running, Long: l.Long - o.Long, Held: l.Held - o.Held, Behind: l.Behind - o.Behind,
 		Sent: l.Sent - o.Sent, Done: l.Done - o.Done, Moved: l.Moved - o.Moved,
+		Paced: l.Paced - o.Paced, Foreseen: l.Foreseen - o.Foreseen,
 	}
 }
 
+const (
+	// pacedMemory is the time between events over which a daemon forgets what it saw at an
+	// engine, in milliseconds: about one long answer.
+	pacedMemory = 10_000
+	// pacedDoubt is the time for which an engine is taken to be like the others, in
+	// milliseconds, beside what was seen there.
+	pacedDoubt = 1000.0
+	// mostPaced bounds what one event may say, in times what was expected: a lost packet
+	// or a stalled daemon makes single ones come late.
+	mostPaced = 4.0
+)
+
+// notePace takes a time between two events and what was expected of it, in milliseconds.
+func (l *Load) notePace(took, expected float64) {
+	l.Paced += uint32(math.Round(min(took, mostPaced*expected)))
+	l.Foreseen += uint32(math.Round(expected))
+	if l.Foreseen > pacedMemory {
+		l.Paced /= 2
+		l.Foreseen /= 2
+	}
+}
+
+// paceFactor is how many times as long as at the others an event takes there.
+func (l Load) paceFactor() float64 {
+	return (float64(l.Paced) + pacedDoubt) / (float64(l.Foreseen) + pacedDoubt)
+}
+
 // LoadAt is a load with the upstream's key.
 type LoadAt struct {
 	//lint:ignore U1000 msgpack reads it: the fields go without their names.
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -210,7 +210,10 @@
 	}
 	// What prompts have added to it says nothing about the streams.
 	if e.lately.within(t.books.now(), d) == 0 && e.unread() == 0 {
-		e.model.LearnInterval(e.total().Running-1, d)
+		others := e.total().Running - 1
+		// It is told with the next change of the work there: events are too many.
+		e.own.notePace(enginemodel.Millis(d), e.model.Figures().Interval(others))
+		e.model.LearnInterval(others, d)
 	}
 }
 
--- a/placement/types.go
+++ b/placement/types.go
@@ -73,6 +73,9 @@
 	LinkMillis float64
 	// Slowness is how much longer than the others of its role it takes to read.
 	Slowness float64
+	// PaceFactor is how many times as long as at the others of its pool an event of a
+	// stream takes.
+	PaceFactor float64
 	// HeldTokens is the KV memory that its requests in flight take, KVTokens what it
 	// has.
 	HeldTokens, KVTokens int
--- a/placement/whole.go
+++ b/placement/whole.go
@@ -22,7 +22,7 @@
 // reading as much as it lately did, and some more within the same time, in milliseconds.
 func pace(e *Engine, read float64) float64 {
 	share := min(mostReading, (e.readInWindow+read)/enginemodel.Millis(rememberedFor))
-	return e.Model.Interval(e.Running) / (1 - share)
+	return e.PaceFactor * e.Model.Interval(e.Running) / (1 - share)
 }
 
 // whole returns the expected time to the last event of an answer whose first comes after
@@ -85,7 +85,7 @@
 	if events <= 0 || e.Model.AnswerTime() <= 0 {
 		return slots
 	}
-	interval := max(wholeShare*e.Model.AnswerTime()/events, leastSlowing*e.Model.Interval(0))
+	interval := max(wholeShare*e.Model.AnswerTime()/(events*e.PaceFactor), leastSlowing*e.Model.Interval(0))
 	return min(slots, 1+e.Model.MostBeside(interval))
 }
 
--- a/placement/whole_test.go
+++ b/placement/whole_test.go
@@ -49,6 +49,8 @@
 
 type batchEngine struct {
 	Member
+	// slower is how many times as long as at the first ones all takes there.
+	slower  float64
 	streams []*playedStream
 	reads   []*playedRead
 }
@@ -82,7 +84,7 @@
 			m.Role = upstream.RolePrefill
 		}
 		members = append(members, m)
-		p.engines = append(p.engines, &batchEngine{Member: m})
+		p.engines = append(p.engines, &batchEngine{Member: m, slower: 1})
 	}
 	p.books.Sync(members)
 	p.learn()
@@ -190,7 +192,7 @@
 		return
 	}
 	e := p.engine(reader(plan))
-	read := &playedRead{left: p.reading(e.Role, r.PromptTokens), deadline: p.clock.at.Add(r.Objective), at: p.engine(plan.Engine)}
+	read := &playedRead{left: e.slower * p.reading(e.Role, r.PromptTokens), deadline: p.clock.at.Add(r.Objective), at: p.engine(plan.Engine)}
 	read.reader = p.books.Begin(e.ID, Work{Read: plan.PromptAt(r), Parts: r.Parts, Held: r.PromptTokens})
 	read.answer = &playedStream{events: shortEvents, deadline: p.clock.at.Add(r.Left), ticket: read.reader}
 	if plan.Prefill != "" {
@@ -216,9 +218,13 @@
 			e.reads = e.reads[1:]
 		}
 	}
-	each := left / p.interval(len(e.streams)-1)
+	interval := e.slower * p.interval(len(e.streams)-1)
+	each := left / interval
 	e.streams = slices.DeleteFunc(e.streams, func(s *playedStream) bool {
 		s.done += each
+		if int(s.done) > int(s.done-each) && len(e.reads) == 0 {
+			s.ticket.Paused(millis(interval))
+		}
 		s.whole = s.done >= s.events
 		over := s.whole || p.clock.at.After(s.deadline)
 		if over {
@@ -257,6 +263,28 @@
 	return float64(whole) / float64(max(1, len(streams)))
 }
 
+// playSeeds plays a pattern with some seeds, and returns the mean shares of the longest tenth
+// of the streams and of the others that were whole, and of the prompts answered in time.
+func playSeeds(slow float64, set func(p *batchReplay), rates func(at time.Duration) (streams, prompts float64)) (longest, others, prompts float64) {
+	const seeds = 3
+	for seed := range uint64(seeds) {
+		p := newBatchReplay(12, slow, seed)
+		set(p)
+		p.play(40*time.Second, rates)
+		l, o, r := p.wholeByLength()
+		longest, others, prompts = longest+l/seeds, others+o/seeds, prompts+r/seeds
+	}
+	return longest, others, prompts
+}
+
+// turns is a mix that swings between long answers and long prompts every three seconds.
+func turns(at time.Duration) (streams, prompts float64) {
+	if at/(3*time.Second)%2 == 0 {
+		return 20, 250
+	}
+	return 8, 500
+}
+
 // Of the longest answers far fewer arrive whole than of the others: their callers see a
 // stream that runs at an even pace and is cut at their deadline. Bursts of long answers and
 // of long prompts take turns. Each stream begins in time and pauses no longer than it may,
@@ -266,19 +294,7 @@
 // "lasted_ms":14529, "left_ms":14528, and their engine, alone, makes an event in 42 ms.
 func TestLongestAnswersAreWhole(t *testing.T) {
 	for _, slow := range []float64{0.3, 1, 5} {
-		var longest, others, prompts float64
-		const seeds = 3
-		for seed := range uint64(seeds) {
-			p := newBatchReplay(12, slow, seed)
-			p.play(40*time.Second, func(at time.Duration) (streams, prompts float64) {
-				if at/(3*time.Second)%2 == 0 {
-					return 20, 250
-				}
-				return 8, 500
-			})
-			l, o, r := p.wholeByLength()
-			longest, others, prompts = longest+l/seeds, others+o/seeds, prompts+r/seeds
-		}
+		longest, others, prompts := playSeeds(slow, func(*batchReplay) {}, turns)
 		t.Logf("times %v: whole of the longest tenth %.3f, of the others %.3f; prompts in time %.3f", slow, longest, others, prompts)
 		assert.GreaterOrEqual(t, longest, 0.95*others)
 		assert.GreaterOrEqual(t, others, 0.99, "no worse than where nothing asks when they are whole")
@@ -286,6 +302,25 @@
 	}
 }
 
+// Some engines of a pool take longer for all than the others, and nobody knew: streams that
+// were cut at their deadline ran on these alone. An event took 42 to 44 ms there, 31 to 33
+// elsewhere, and the longest answers have 322 events, due within 13.3 s; engines taken for
+// alike got alike many streams.
+func TestLongestAnswersAreWholeOnUnequalEngines(t *testing.T) {
+	slower := func(p *batchReplay) {
+		for i, e := range p.engines {
+			if i%4 == 1 {
+				e.slower = 1.6
+			}
+		}
+	}
+	longest, others, prompts := playSeeds(1, slower, turns)
+	t.Logf("whole of the longest tenth %.3f, of the others %.3f; prompts in time %.3f", longest, others, prompts)
+	assert.GreaterOrEqual(t, longest, 0.95*others)
+	assert.GreaterOrEqual(t, others, 0.99)
+	assert.GreaterOrEqual(t, prompts, 0.99)
+}
+
 // The first of the engines that generate ran 26 streams on average and the sixth 10; thirteen
 // of the fifteen streams cut at their deadline ran on the first. Each next engine cost more, so
 // that the first ones were filled up until they were slower by as much: the more, the longer
@@ -333,3 +368,27 @@
 	}
 	require.InDelta(t, LongSlots(32), longStreams(&b.Engines([]string{"e"})[0]), 0.01)
 }
+
+// An engine's pace is known from the streams of all daemons, as each sees only a few there; it
+// goes with what is told of the work, and is no news by itself: events are many.
+func TestPaceOfAnEngineIsTold(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	one, other := NewBooks(c.now), NewBooks(c.now)
+	members := []Member{{ID: "slow", Pool: "p", Role: upstream.RoleDecode}, {ID: "e", Pool: "p", Role: upstream.RoleDecode}}
+	one.Sync(members)
+	other.Sync(members)
+	for range 200 {
+		one.model("p").LearnInterval(0, 40*time.Millisecond)
+	}
+	stream := one.Begin("slow", Work{Output: 1000, Long: true})
+	one.Own(false)
+	for range 100 {
+		stream.Paused(60 * time.Millisecond)
+	}
+	require.Empty(t, one.Own(false))
+	stream.End(Done)
+	other.NotePeer("one", one.Own(false), nil)
+	engines := other.Engines([]string{"slow", "e"})
+	require.Greater(t, engines[0].PaceFactor, 1.2)
+	require.InDelta(t, 1, engines[1].PaceFactor, 0.01)
+}
