placement, relay: paces in a unit for engines of any speed; only whole streams teach lengths

The times between events were summed up in whole milliseconds, which says nothing of engines whose events come faster; the unit is 10 microseconds now (test: 0.3, 4 and 600 ms). A stream that went on from another upstream taught how many events an answer has by its last part alone; it teaches nothing now. The attempt's line is written a group of fields a line, as it was otherwise.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -17,11 +17,16 @@
 	}
 	attrs := []any{
 		"request", c.ID, "upstream", p.target.ID, "pool", c.pool, "config", c.version,
-		"waited_ms", telemetry.Millis(p.waited), "expected_ms", telemetry.Millis(p.plan.FirstToken), "prompt", c.promptTokens(), "output", c.outputTokens(), "max_output", c.maxOutput(), "uncached", p.plan.Uncached,
-		"queue_ms", telemetry.Millis(p.plan.Queue), "read_ms", telemetry.Millis(p.read), "first_ms", telemetry.Millis(p.first), "lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "expected_gap_ms", telemetry.Millis(p.plan.Pause), "ideal_ms", telemetry.Millis(p.plan.Ideal), "fetched", p.plan.Fetched, "reread", p.plan.Reread, "behind", c.behind, "considered", p.plan.Considered, "done", res.done, "status", res.status,
+		"waited_ms", telemetry.Millis(p.waited), "expected_ms", telemetry.Millis(p.plan.FirstToken),
+		"prompt", c.promptTokens(), "output", c.outputTokens(), "max_output", c.maxOutput(),
+		"uncached", p.plan.Uncached, "fetched", p.plan.Fetched, "reread", p.plan.Reread,
+		"queue_ms", telemetry.Millis(p.plan.Queue), "ideal_ms", telemetry.Millis(p.plan.Ideal),
+		"expected_gap_ms", telemetry.Millis(p.plan.Pause), "behind", c.behind, "considered", p.plan.Considered,
+		"read_ms", telemetry.Millis(p.read), "first_ms", telemetry.Millis(p.first),
+		"lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "done", res.done, "status", res.status,
 	}
 	if p.plan.Long {
-		attrs = append(attrs, "beside", p.plan.Beside, "expected_whole_ms", telemetry.Millis(p.plan.Whole), "left_ms", telemetry.Millis(c.deadline.Sub(p.sentAt)), "events", c.eventsOf(p))
+		attrs = append(attrs, c.wholeAttrs(p)...)
 	}
 	if p.prefill != nil {
 		attrs = append(attrs, "prefill", p.prefill.ID)
@@ -32,6 +37,14 @@
 	c.log.Log(c.in.Context(), level, "attempt", attrs...)
 }
 
+// wholeAttrs tells whether a long answer was expected whole in time, and how far it came.
+func (c *call) wholeAttrs(p *place) []any {
+	return []any{
+		"beside", p.plan.Beside, "expected_whole_ms", telemetry.Millis(p.plan.Whole),
+		"left_ms", telemetry.Millis(c.deadline.Sub(p.sentAt)), "events", c.eventsOf(p),
+	}
+}
+
 // logEnd counts a request and writes the line on its end; nil says that it was answered by an
 // upstream.
 func (c *call) logEnd(f *failure) {
@@ -50,7 +63,8 @@
 	}
 	if f.reason == reasonNoPlace {
 		attrs = append(attrs, "expected_ms", telemetry.Millis(c.looked.FirstToken), "queue_ms", telemetry.Millis(c.looked.Queue),
-			"ideal_ms", telemetry.Millis(c.looked.Ideal), "uncached", c.looked.Uncached, "reread", c.looked.Reread, "considered", c.looked.Considered, "objective_ms", telemetry.Millis(c.rule.Objective), "comeback", c.comeback)
+			"ideal_ms", telemetry.Millis(c.looked.Ideal), "uncached", c.looked.Uncached, "reread", c.looked.Reread,
+			"considered", c.looked.Considered, "objective_ms", telemetry.Millis(c.rule.Objective), "comeback", c.comeback)
 	}
 	if f.reason == reasonNoRule {
 		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -97,8 +97,8 @@
 	if empty && c.stream == nil {
 		c.beginStream(resp)
 	}
-	if p.first > 0 {
-		p.ticket.Generated(c.stream.last-p.after, time.Since(p.sentAt)-p.first)
+	if p.first > 0 && p.after == 0 {
+		p.ticket.Generated(c.stream.last, time.Since(p.sentAt)-p.first)
 	}
 	return result{done: true, arrived: true, outcome: placement.Done, status: resp.Status}
 }
--- a/placement/load.go
+++ b/placement/load.go
@@ -35,8 +35,9 @@
 	// Moved sums up the tokens whose KV caches were ever fetched there.
 	Moved uint32
 	// Paced sums up the times between events of streams there while it read nothing, and
-	// Foreseen what these take engines of its pool on average, in milliseconds; the older
-	// ones count less. Their ratio says how much slower than the others it generates.
+	// Foreseen what these take engines of its pool on average, in units of 10 microseconds;
+	// the older ones count less. Their ratio says how much slower than the others it
+	// generates.
 	Paced, Foreseen uint32
 }
 
@@ -59,12 +60,14 @@
 }
 
 const (
+	// pacedPerMilli is the number of units of Paced in a millisecond. The sums of a few
+	// thousand daemons fit in 32 bits.
+	pacedPerMilli = 100
 	// pacedMemory is the time between events over which a daemon forgets what it saw at an
-	// engine, in milliseconds: about one long answer.
-	pacedMemory = 10_000
-	// pacedDoubt is the time for which an engine is taken to be like the others, in
-	// milliseconds, beside what was seen there.
-	pacedDoubt = 1000.0
+	// engine: about one long answer. pacedDoubt is the time for which an engine is taken
+	// to be like the others beside what was seen there.
+	pacedMemory = 10_000 * pacedPerMilli
+	pacedDoubt  = 1000.0 * pacedPerMilli
 	// mostPaced bounds what one event may say, in times what was expected: a lost packet
 	// or a stalled daemon makes single ones come late.
 	mostPaced = 4.0
@@ -72,8 +75,8 @@
 
 // notePace takes a time between two events and what was expected of it, in milliseconds.
 func (l *Load) notePace(took, expected float64) {
-	l.Paced += uint32(math.Round(min(took, mostPaced*expected)))
-	l.Foreseen += uint32(math.Round(expected))
+	l.Paced += uint32(math.Round(pacedPerMilli * min(took, mostPaced*expected)))
+	l.Foreseen += uint32(math.Round(pacedPerMilli * expected))
 	if l.Foreseen > pacedMemory {
 		l.Paced /= 2
 		l.Foreseen /= 2
--- a/placement/whole_test.go
+++ b/placement/whole_test.go
@@ -392,3 +392,15 @@
 	require.Greater(t, engines[0].PaceFactor, 1.2)
 	require.InDelta(t, 1, engines[1].PaceFactor, 0.01)
 }
+
+// Engines of any speed: what one event says isn't lost in the unit in which it is told.
+func TestPaceOfFastEngines(t *testing.T) {
+	for _, interval := range []float64{0.3, 4, 600} {
+		var l Load
+		for range 100_000 {
+			l.notePace(1.4*interval, interval)
+		}
+		require.InDelta(t, 1.4, l.paceFactor(), 0.06, "%v ms between events", interval)
+		require.Less(t, float64(l.Foreseen)*2000, float64(math.MaxUint32), "two thousand daemons' sums")
+	}
+}
