--- a/enginemodel/model_test.go
+++ b/enginemodel/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -106,11 +107,14 @@
 	old.LearnTakeover(10_000, 0, 30*time.Millisecond)
 	old.LearnInterval(4, 50*time.Millisecond)
 	old.LearnGeneration(100, 10, 400*time.Millisecond)
+	old.LearnAnswer(100, 2*time.Second)
 	fresh.Merge("old", old.Learnt())
 	require.True(t, fresh.Figures().Known(upstream.RolePrefill))
 	require.Less(t, offBy(fresh, e, r), 1.35)
 	require.InEpsilon(t, old.Figures().Generation(100), fresh.Figures().Generation(100), 0.01)
 	require.InEpsilon(t, 10, fresh.Figures().Events(100), 0.01)
+	require.InEpsilon(t, old.Figures().LongestAnswer(), fresh.Figures().LongestAnswer(), 0.01)
+	require.InEpsilon(t, 2000, fresh.Figures().AnswerTime(), 0.01)
 	require.InEpsilon(t, old.Figures().Takeover(10_000, 0), fresh.Figures().Takeover(10_000, 0), 0.01)
 
 	// The old daemon starts again and knows little: what it knew before stays.
@@ -169,3 +173,20 @@
 		learn(m, engines["even"], r, 1, 0)
 	}
 }
+
+// What the longest answers are is known from all processes' answers, each of which sees few.
+func TestLongestAnswersOfAllProcesses(t *testing.T) {
+	one, other, all := New(), New(), New()
+	require.Zero(t, all.Figures().LongestAnswer())
+	r := rand.New(rand.NewPCG(9, 10))
+	learn(one, engines["even"], r, 1, 0)
+	learn(other, engines["even"], r, 1, 0)
+	for range 5 * answersMemory {
+		one.LearnAnswer(r.IntN(1000), time.Second)
+		other.LearnAnswer(1000+r.IntN(1000), time.Second)
+	}
+	all.Merge("one", one.Learnt())
+	all.Merge("other", other.Learnt())
+	// The lengths are spread evenly from 0 to 2000; some hundred of them are remembered.
+	require.InEpsilon(t, 1000+longestDeviations*2000/math.Sqrt(12), all.Figures().LongestAnswer(), 0.1)
+}
