--- a/internal/wire/loads.go
+++ b/internal/wire/loads.go
@@ -37,8 +37,8 @@
 		w.uint(uint64(at.Load.Sent))
 		w.uint(uint64(at.Load.Done))
 		w.uint(uint64(at.Load.Moved))
-		w.uint(uint64(at.Load.Paced))
-		w.uint(uint64(at.Load.Foreseen))
+		w.uint(uint64(at.Load.EventTime))
+		w.uint(uint64(at.Load.ExpectedEventTime))
 	}
 	return w.err
 }
@@ -60,8 +60,8 @@
 		at.Load.Sent = r.uint32()
 		at.Load.Done = r.uint32()
 		at.Load.Moved = r.uint32()
-		at.Load.Paced = r.uint32()
-		at.Load.Foreseen = r.uint32()
+		at.Load.EventTime = r.uint32()
+		at.Load.ExpectedEventTime = r.uint32()
 		*l = append(*l, at)
 	}
 	return r.err
--- a/internal/wire/member_test.go
+++ b/internal/wire/member_test.go
@@ -14,7 +14,7 @@
 // that was cut off from the store served by an old configuration.
 func TestMemberMessagesSurviveTheWire(t *testing.T) {
 	at := placement.KeyOf("e", time.Time{})
-	loads := []placement.LoadAt{{At: at, Load: placement.Load{Running: 1, Long: 2, Sent: 3, Paced: 4, Foreseen: 5}}}
+	loads := []placement.LoadAt{{At: at, Load: placement.Load{Running: 1, Long: 2, Sent: 3, EventTime: 4, ExpectedEventTime: 5}}}
 	reads := []placement.Read{{At: at, State: placement.Finished, Last: placement.Part{ID: 1 << 63, Tokens: 7}, Own: 9}}
 	address := MemberAddress{Instance: "n", DataCentre: "d", Callers: "c", Peers: "p", Capacity: 4}
 	for _, m := range []Message{
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -71,7 +71,7 @@
 	if e.Running == 0 {
 		return 0
 	}
-	cost := slowedShare*read + hurriedCost(e, read)
+	cost := slowedShare*read + overrunCost(e, read)
 	if r.PauseObjective > 0 && pause(e, read) > pauseShare*enginemodel.Millis(r.PauseObjective) {
 		cost += harmShare * float64(e.Running) * e.Model.TypicalReading()
 	}
--- a/placement/load.go
+++ b/placement/load.go
@@ -34,11 +34,11 @@
 	Sent, Done uint32
 	// Moved sums up the tokens whose KV caches were ever fetched there.
 	Moved uint32
-	// Paced sums up the times between events of streams there while it read nothing, and
-	// Foreseen what these take engines of its pool on average, in units of 10 microseconds;
-	// the older ones count less. Their ratio says how much slower than the others it
-	// generates.
-	Paced, Foreseen uint32
+	// EventTime sums up the times between events of streams there while it read nothing,
+	// ExpectedEventTime what these take engines of its pool on average, in units of 10
+	// microseconds; the older ones count less. Their ratio says how much slower than the
+	// others it generates.
+	EventTime, ExpectedEventTime uint32
 }
 
 // Plus returns the sum of two daemons' loads.
@@ -46,7 +46,7 @@
 	return Load{
 		Running: l.Running + o.Running, Long: l.Long + o.Long, Held: l.Held + o.Held, Behind: l.Behind + o.Behind,
 		Sent: l.Sent + o.Sent, Done: l.Done + o.Done, Moved: l.Moved + o.Moved,
-		Paced: l.Paced + o.Paced, Foreseen: l.Foreseen + o.Foreseen,
+		EventTime: l.EventTime + o.EventTime, ExpectedEventTime: l.ExpectedEventTime + o.ExpectedEventTime,
 	}
 }
 
@@ -55,37 +55,37 @@
 	return Load{
 		Running: l.Running - o.Running, Long: l.Long - o.Long, Held: l.Held - o.Held, Behind: l.Behind - o.Behind,
 		Sent: l.Sent - o.Sent, Done: l.Done - o.Done, Moved: l.Moved - o.Moved,
-		Paced: l.Paced - o.Paced, Foreseen: l.Foreseen - o.Foreseen,
+		EventTime: l.EventTime - o.EventTime, ExpectedEventTime: l.ExpectedEventTime - o.ExpectedEventTime,
 	}
 }
 
 const (
-	// pacedPerMilli is the number of units of Paced in a millisecond. The sums of a few
+	// eventTimePerMilli is the number of units of EventTime in a millisecond. The sums of a few
 	// thousand daemons fit in 32 bits.
-	pacedPerMilli = 100
-	// pacedMemory is the time between events over which a daemon forgets what it saw at an
-	// engine: about one long answer. pacedDoubt is the time for which an engine is taken
+	eventTimePerMilli = 100
+	// paceMemory is the time between events over which a daemon forgets what it saw at an
+	// engine: about one long answer. paceDoubt is the time for which an engine is taken
 	// to be like the others beside what was seen there.
-	pacedMemory = 10_000 * pacedPerMilli
-	pacedDoubt  = 1000.0 * pacedPerMilli
-	// mostPaced bounds what one event may say, in times what was expected: a lost packet
+	paceMemory = 10_000 * eventTimePerMilli
+	paceDoubt  = 1000.0 * eventTimePerMilli
+	// mostPace bounds what one event may say, in times what was expected: a lost packet
 	// or a stalled daemon makes single ones come late.
-	mostPaced = 4.0
+	mostPace = 4.0
 )
 
-// notePace takes a time between two events and what was expected of it, in milliseconds.
-func (l *Load) notePace(took, expected float64) {
-	l.Paced += uint32(math.Round(pacedPerMilli * min(took, mostPaced*expected)))
-	l.Foreseen += uint32(math.Round(pacedPerMilli * expected))
-	if l.Foreseen > pacedMemory {
-		l.Paced /= 2
-		l.Foreseen /= 2
+// noteEventTime takes a time between two events and what was expected of it, in milliseconds.
+func (l *Load) noteEventTime(took, expected float64) {
+	l.EventTime += uint32(math.Round(eventTimePerMilli * min(took, mostPace*expected)))
+	l.ExpectedEventTime += uint32(math.Round(eventTimePerMilli * expected))
+	if l.ExpectedEventTime > paceMemory {
+		l.EventTime /= 2
+		l.ExpectedEventTime /= 2
 	}
 }
 
 // paceFactor is how many times as long as at the others an event takes there.
 func (l Load) paceFactor() float64 {
-	return (float64(l.Paced) + pacedDoubt) / (float64(l.Foreseen) + pacedDoubt)
+	return (float64(l.EventTime) + paceDoubt) / (float64(l.ExpectedEventTime) + paceDoubt)
 }
 
 // LoadAt is a load with the upstream's key.
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -212,7 +212,7 @@
 	if e.lately.within(t.books.now(), d) == 0 && e.unread() == 0 {
 		others := e.total().Running - 1
 		// It is told with the next change of the work there: events are too many.
-		e.own.notePace(enginemodel.Millis(d), e.model.Figures().Interval(others))
+		e.own.noteEventTime(enginemodel.Millis(d), e.model.Figures().Interval(others))
 		e.model.LearnInterval(others, d)
 	}
 }
--- a/placement/whole.go
+++ b/placement/whole.go
@@ -13,9 +13,9 @@
 	// wholeShare is the share of the caller's time up to which the longest answers count
 	// as certainly whole: engines fill up, and read more, after a stream has begun there.
 	wholeShare = 0.7
-	// hurriedShare is what reading counts beside streams whose longest it makes late, in
+	// overrunShare is what reading counts beside streams whose longest it makes late, in
 	// shares of itself: what these have taken of the engine is then lost with them.
-	hurriedShare = 1.0
+	overrunShare = 1.0
 )
 
 // pace returns the time between two events of one more stream at an engine that goes on
@@ -31,9 +31,9 @@
 	return millis(first + e.Model.Events(r.OutputTokens)*pace(e, 0))
 }
 
-// hurry returns how far an answer of some events goes beyond what counts as certainly whole
+// overrun returns how far an answer of some events goes beyond what counts as certainly whole
 // in the time left at a pace: 0 if it doesn't, 1 where it ends just then, more beyond.
-func hurry(events, pace, left float64) float64 {
+func overrun(events, pace, left float64) float64 {
 	if left <= 0 {
 		return 0
 	}
@@ -59,16 +59,16 @@
 	}
 	left := enginemodel.Millis(r.Left)
 	events := e.Model.Events(r.longest(e))
-	return hurry(events, pace(e, 0), left-first) * left / float64(e.Running+1)
+	return overrun(events, pace(e, 0), left-first) * left / float64(e.Running+1)
 }
 
-// hurriedCost is the cost of reading at an engine whose longest streams it makes late.
-func hurriedCost(e *Engine, read float64) float64 {
+// overrunCost is the cost of reading at an engine whose longest streams it makes late.
+func overrunCost(e *Engine, read float64) float64 {
 	if e.Long == 0 {
 		return 0
 	}
 	events := e.Model.Events(int(e.Model.LongestAnswer()))
-	return hurriedShare * read * min(1, hurry(events, pace(e, read), e.Model.AnswerTime()))
+	return overrunShare * read * min(1, overrun(events, pace(e, read), e.Model.AnswerTime()))
 }
 
 // leastSlowing is how many times as long as alone events may come beside others in any case.
--- a/placement/whole_test.go
+++ b/placement/whole_test.go
@@ -148,9 +148,9 @@
 	for _, interval := range []float64{0.3, 4, 600} {
 		var l Load
 		for range 100_000 {
-			l.notePace(1.4*interval, interval)
+			l.noteEventTime(1.4*interval, interval)
 		}
 		require.InDelta(t, 1.4, l.paceFactor(), 0.06, "%v ms between events", interval)
-		require.Less(t, float64(l.Foreseen)*2000, float64(math.MaxUint32), "two thousand daemons' sums")
+		require.Less(t, float64(l.ExpectedEventTime)*2000, float64(math.MaxUint32), "two thousand daemons' sums")
 	}
 }
