--- a/cmd/chute-soak/main.go
+++ b/cmd/chute-soak/main.go
@@ -57,6 +57,9 @@
 			return exitUsage
 		}
 		o.Steps = kept.Steps
+		if kept.Callers > 0 {
+			o.Callers = kept.Callers
+		}
 	}
 	if *first == 0 {
 		*first = uint64(time.Now().UnixNano())
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -111,24 +111,38 @@
 	}
 }
 
-// cut checks a request whose connection broke before the answer's end. ended is
-// when the daemon's process ended, zero if it lives.
-func (o *oracle) cut(id string, r standin.Reply, ended time.Time) {
+// cut checks a request whose connection broke at a time before the answer's end. end is
+// how the daemon's process ended, zero if it lives.
+func (o *oracle) cut(id string, r standin.Reply, at time.Time, end processEnd) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	q := o.requests[id]
-	if !q.closed.IsZero() || !ended.IsZero() && q.sent.After(ended.Add(-exitSlack)) {
+	if !q.closed.IsZero() || end.killed {
 		return
 	}
-	if !o.troubles.quiet(q.sent, time.Now(), pauseSubject(q.daemon)) {
+	passedOn := q.arrivals+q.prefills > 0
+	if !passedOn && !end.at.IsZero() && q.sent.After(end.at.Add(-exitSlack)) {
+		o.seen["crossed a planned exit"]++
 		return
 	}
-	if r.Status != 0 && (q.service.stream || r.Status != http.StatusOK) && !o.troubles.quiet(q.sent, time.Now(), serversSubject(q.service.name)) {
+	if !o.troubles.quiet(q.sent, at, pauseSubject(q.daemon)) {
+		return
+	}
+	if r.Status != 0 && (q.service.stream || r.Status != http.StatusOK) && !o.troubles.quiet(q.sent, at, serversSubject(q.service.name)) {
 		return // a stream that its servers broke can't be told to have ended well
 	}
-	if o.troubles.quiet(q.sent, time.Now(), subjectMachine) {
-		o.violate(StopCutsNothing, "%s to %s at daemon %d was cut: %v", id, q.service.name, q.daemon, r.Err)
+	if o.troubles.quiet(q.sent, at, subjectMachine) {
+		o.violate(StopCutsNothing, "%s to %s at daemon %d was cut: %v; sent %s, cut %s, process ended %s, passed on %t",
+			id, q.service.name, q.daemon, r, clock(q.sent), clock(at), clock(end.at), passedOn)
+	}
+}
+
+// clock writes a time for reports.
+func clock(t time.Time) string {
+	if t.IsZero() {
+		return "never"
 	}
+	return t.Format("15:04:05.000")
 }
 
 // checkCloses looks at the requests that a server was at work on when their
--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -174,10 +174,16 @@
 	return d.life
 }
 
-// endOf returns how a process ended; ok is false if it lives.
-func (d *daemon) endOf(life int) (end processEnd, ok bool) {
+// awaitEnd returns how a process ended, zero if it lives. It waits for the end of one that
+// has been told to end: its connections close before its end is known.
+func (d *daemon) awaitEnd(life int) processEnd {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	end, ok = d.ends[life]
-	return end, ok
+	end, ended := d.ends[life]
+	ending, exited := life == d.life && d.ending, d.exited
+	d.mu.Unlock()
+	if ended || !ending {
+		return end
+	}
+	<-exited
+	return d.awaitEnd(life)
 }
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -158,12 +158,24 @@
 			markAnswer(o, 2, 1)
 		}, nil},
 		{"cut by a planned stop", func(o *oracle) {
-			ask(o, once)
-			o.cut("1-1", standin.Reply{Err: errors.New("reset")}, time.Now().Add(time.Second))
+			o.sent("1-1", once, 0)
+			cutByEnd(o, processEnd{at: time.Now().Add(time.Second)})
+		}, []Promise{StopCutsNothing}},
+		{"cut by a daemon that lives", func(o *oracle) {
+			o.sent("1-1", once, 0)
+			cutByEnd(o, processEnd{})
 		}, []Promise{StopCutsNothing}},
 		{"sent as the process ended", func(o *oracle) {
+			o.sent("1-1", once, 0)
+			cutByEnd(o, processEnd{at: time.Now()})
+		}, nil},
+		{"passed on as the process ended", func(o *oracle) {
+			ask(o, once, at("once-1"))
+			cutByEnd(o, processEnd{at: time.Now()})
+		}, []Promise{StopCutsNothing}},
+		{"cut by a kill", func(o *oracle) {
 			ask(o, once)
-			o.cut("1-1", standin.Reply{Err: errors.New("reset")}, time.Now())
+			cutByEnd(o, processEnd{at: time.Now().Add(time.Second), killed: true})
 		}, nil},
 		{"late answer", func(o *oracle) {
 			ask(o, once)
@@ -204,6 +216,10 @@
 	}
 }
 
+func cutByEnd(o *oracle, end processEnd) {
+	o.cut("1-1", standin.Reply{Err: errors.New("reset")}, time.Now(), end)
+}
+
 // closes lets some callers close while a server works; after is what it does then.
 func closes(o *oracle, after func(v standin.Visit)) {
 	for range 2 * fewLate {
@@ -224,3 +240,17 @@
 	r.Body = "answer of " + markPools[version-1] + "-1 to 1-1"
 	o.answered("1-1", life, r)
 }
+
+// Guards against a killed daemon taken for a living one, as its exit is learnt after its
+// connections have closed.
+func TestEndOfAStoppingProcessIsAwaited(t *testing.T) {
+	d := &daemon{life: 1, ending: true, ends: make(map[int]processEnd), exited: make(chan struct{})}
+	go func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.ends[1] = processEnd{at: time.Now(), killed: true}
+		close(d.exited)
+	}()
+	require.True(t, d.awaitEnd(1).killed)
+	require.Equal(t, processEnd{}, d.awaitEnd(2))
+}
--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -42,10 +42,10 @@
 var firstRoles = []string{standin.RolePrefill, standin.RoleDecode, standin.RolePrefill, standin.RolePrefill}
 
 // addLinks makes a link for each server and some to spare.
-func (s *site) addLinks() error {
+func (s *site) addLinks(callers int) error {
 	n := len(markPools) + spareLinks
 	for _, v := range services {
-		n += v.servers
+		n += v.serversFor(callers)
 	}
 	for range n {
 		link, err := NewProxy(s.ip, "")
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,7 +50,9 @@
 type Kept struct {
 	// Cause is what was found.
 	Cause string
-	Steps []Step
+	// Callers is how many it takes; 0 leaves it to the run.
+	Callers int `json:",omitempty"`
+	Steps   []Step
 }
 
 // ReadKept reads a plan's file.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -121,7 +121,7 @@
 	report.Recovery = s.recover()
 	cancel()
 	wg.Wait()
-	time.Sleep(2 * exitSlack) // the last checks of cut requests
+	s.cuts.Wait()
 }
 
 // sleepUntil waits for a time. It returns false if ctx ends before.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
 
 	"tamarackchute/platform/standin"
 )
@@ -39,6 +40,16 @@
 	deadline     time.Duration
 }
 
+// callersServed is the number of callers that a service's servers can serve, with some of them
+// away.
+const callersServed = 20
+
+// serversFor returns the number of servers before a number of callers. A site that can't serve
+// what is asked of it refuses, which must not pass for a recovery that doesn't come.
+func (v service) serversFor(callers int) int {
+	return v.servers * max(1, (callers+callersServed-1)/callersServed)
+}
+
 // services are the kinds of request of a run. The answers of the last tell which
 // configuration is in force.
 var services = []service{
@@ -75,6 +86,8 @@
 	places    []*place
 	oracle    *oracle
 	troubles  *troubles
+	// cuts are the checks of broken connections that aren't done.
+	cuts conc.WaitGroup
 
 	mu       sync.Mutex
 	versions int
@@ -96,11 +109,11 @@
 	}
 	s.storeHTTP = &httptest.Server{Listener: l, Config: &http.Server{Handler: s.store}}
 	s.storeHTTP.Start()
-	if err := s.addLinks(); err != nil {
+	if err := s.addLinks(o.Callers); err != nil {
 		return nil, err
 	}
 	for _, v := range services {
-		for i := range v.servers {
+		for i := range v.serversFor(o.Callers) {
 			role := ""
 			if v.stream {
 				role = firstRoles[i%len(firstRoles)]
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -23,14 +24,31 @@
 }
 
 func runClean(t *testing.T, o Options) {
-	o.Folder = filepath.Join(t.TempDir(), "logs")
-	o.Daemons, o.Callers, o.Shape = 5, 20, DefaultShape()
+	o.Folder = keptFolder(t)
+	o.Daemons, o.Shape = 5, DefaultShape()
+	if o.Callers == 0 {
+		o.Callers = 20
+	}
 	report, err := Run(t.Context(), o)
 	require.NoError(t, err)
 	require.Empty(t, report.Violations)
 	require.Greater(t, report.Outcomes["once 200"], 0)
 }
 
+// keptFolder returns a folder for a run's settings and logs, which stays if the test fails.
+func keptFolder(t *testing.T) string {
+	folder, err := os.MkdirTemp("", "chute-soak-test-")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log("settings and logs are kept in", folder)
+			return
+		}
+		require.NoError(t, os.RemoveAll(folder))
+	})
+	return folder
+}
+
 // A driver must get the one true answer whatever happens to daemons, store,
 // servers and the links between them, several at a time and one after the other.
 // Real daemons are disturbed as each seed says; no promise may break.
@@ -58,7 +76,7 @@
 			kept, err := ReadKept(file)
 			require.NoError(t, err)
 			require.NotEmpty(t, kept.Cause)
-			runClean(t, Options{Program: program, Steps: kept.Steps})
+			runClean(t, Options{Program: program, Callers: kept.Callers, Steps: kept.Steps})
 		})
 	}
 }
