graceful: a stopping server ends only connections on which nothing has arrived

What callers saw: "connection reset by peer" for a request on an open connection of a daemon that stops as planned. A kept connection was idle by the server's own state, though a request had arrived that a busy process hadn't read yet; Shutdown closed it, which resets. So it was for a head of which half had come, and for what arrives between the last look at requests in progress and the end of the servers: that was even passed on, and cut 100 ms later by the exit.

Both cases are tests here; so are a request that waits to be accepted, an answer whose caller still sends, and a caller that does nothing.

Why it holds: reads take bytes from the kernel under the connection's lock, and under the same lock the stop asks the kernel for unread bytes before it closes the sending side; so what arrived before is served to its end, and what comes later is dropped unrun, with an end and no reset. New connections end first, once a connection of the daemon's own is accepted, as those are accepted in their order. The stop goes on until none is left or the grace is over. The sending side is closed, and the connection only once the caller has closed too, or 250 ms later: so an answer that its caller hasn't read outlives what that caller still sends.

The same fault elsewhere: the addresses of directory, readiness and metrics, which end the same way now.

--- a/internal/entry/shutdown/shutdown.go
+++ b/internal/entry/shutdown/shutdown.go
@@ -29,11 +29,11 @@
 	// Keep is how long callers may keep an answer, Grace how long the instance
 	// waits beyond that for its requests to end.
 	Keep, Grace time.Duration
-	// Settle, if set, is called when nothing is in progress any more, and returns once
-	// what callers had sent before has been read. Without it a request that has arrived
-	// and that a busy machine hasn't read yet is in progress for nobody but its caller,
-	// who sees the connection reset when the process exits.
-	Settle func()
+	// CloseIdle, if set, is called when nothing is in progress any more, and again until
+	// the stop is over. It takes no new connections, ends those on which no request has
+	// arrived, and returns the number of the others, which are served to their end.
+	// Without it a request that arrives between the last look and the exit is cut off.
+	CloseIdle func() int
 
 	begun   bool
 	beganAt time.Time
@@ -76,9 +76,8 @@
 	phase := Serving
 	for {
 		n := active()
-		if n == 0 && s.Settle != nil && s.Phase(time.Now(), n) == Stopped {
-			s.Settle()
-			n = active()
+		if s.CloseIdle != nil && s.Phase(time.Now(), n) == Stopped {
+			n = s.CloseIdle()
 		}
 		if next := s.Phase(time.Now(), n); next != phase {
 			phase = next
--- a/internal/entry/shutdown/shutdown_test.go
+++ b/internal/entry/shutdown/shutdown_test.go
@@ -42,9 +42,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		unread, inProgress, answered := 1, 0, 0
 		s := State{Keep: time.Second, Grace: time.Minute}
-		s.Settle = func() {
+		s.CloseIdle = func() int {
 			inProgress += unread
 			unread = 0
+			return inProgress
 		}
 		active := func() int {
 			n := inProgress
--- /dev/null
+++ b/internal/graceful/connections.go
@@ -0,0 +1,173 @@
+package graceful
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// lingerTimeout bounds the wait for a caller to close a connection that the server
+	// has closed for sending.
+	lingerTimeout = 250 * time.Millisecond
+	// acceptTimeout bounds the wait for the connections that callers have opened before
+	// a stop to be accepted.
+	acceptTimeout = 150 * time.Millisecond
+	pollEvery     = 2 * time.Millisecond
+)
+
+// Connections are those of a server. The methods may be called from any goroutine.
+type Connections struct {
+	log *slog.Logger
+	// opaque says that bytes read may belong to no request, as those of a handshake.
+	opaque bool
+
+	mu        sync.Mutex
+	open      map[*conn]struct{}
+	listeners []*listener
+}
+
+// New returns the connections of a server.
+func New(log *slog.Logger) *Connections {
+	return &Connections{log: log, open: make(map[*conn]struct{})}
+}
+
+// NewTLS returns those of a server that speaks TLS on what Listen returns.
+func NewTLS(log *slog.Logger) *Connections {
+	c := New(log)
+	c.opaque = true
+	return c
+}
+
+// Listen returns a listener whose connections are followed.
+func (c *Connections) Listen(l net.Listener) net.Listener {
+	followed := &listener{Listener: l, of: c, stopping: make(chan struct{}), closed: make(chan struct{})}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, followed)
+	return followed
+}
+
+// Note is the server's ConnState hook.
+func (c *Connections) Note(of net.Conn, s http.ConnState) {
+	if t, ok := of.(*tls.Conn); ok {
+		of = t.NetConn()
+	}
+	if one, ok := of.(*conn); ok {
+		one.note(s)
+	}
+}
+
+// Active returns the number of connections with a request in progress: one that is read
+// or answered, or that has arrived at least in part.
+func (c *Connections) Active() int {
+	n := 0
+	for _, one := range c.all() {
+		if one.active() {
+			n++
+		}
+	}
+	return n
+}
+
+// CloseIdle takes no new connections any more, ends those without a request in progress and
+// returns the number of the others. Their answers may still be sent.
+func (c *Connections) CloseIdle() int {
+	c.closeListeners()
+	n := 0
+	for _, one := range c.all() {
+		if !one.endIfIdle() {
+			n++
+		}
+	}
+	return n
+}
+
+// Wait returns once callers have closed the connections that CloseIdle has ended, or once
+// lingerTimeout is over.
+func (c *Connections) Wait() {
+	until := time.Now().Add(lingerTimeout)
+	for c.lingering() > 0 && time.Now().Before(until) {
+		time.Sleep(pollEvery)
+	}
+	if n := c.lingering(); n > 0 {
+		c.log.Info("callers haven't closed their connections", "connections", n)
+	}
+}
+
+func (c *Connections) lingering() int {
+	n := 0
+	for _, one := range c.all() {
+		one.mu.Lock()
+		if one.ending && !one.over {
+			n++
+		}
+		one.mu.Unlock()
+	}
+	return n
+}
+
+func (c *Connections) all() []*conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := make([]*conn, 0, len(c.open))
+	for one := range c.open {
+		all = append(all, one)
+	}
+	return all
+}
+
+func (c *Connections) forget(one *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, one)
+}
+
+func (c *Connections) closeListeners() {
+	c.mu.Lock()
+	listeners := c.listeners
+	c.listeners = nil
+	c.mu.Unlock()
+	for _, l := range listeners {
+		if err := c.acceptAll(l); err != nil {
+			c.log.Warn("connections may be left unaccepted", "address", l.Addr().String(), "err", err)
+		}
+		l.stop()
+	}
+}
+
+// acceptAll returns once the connections that callers have opened before are accepted. They
+// are accepted in their order, so all are once one of its own is.
+func (c *Connections) acceptAll(l *listener) error {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	var d net.Dialer
+	own, err := d.DialContext(ctx, "tcp", l.Addr().String())
+	if err != nil {
+		return eris.Wrap(err, "a connection to itself")
+	}
+	defer func() { _ = own.Close() }() // nothing was sent
+	for !c.has(own.LocalAddr().String()) {
+		if ctx.Err() != nil {
+			return eris.New("a connection to itself isn't accepted in time")
+		}
+		time.Sleep(pollEvery)
+	}
+	return nil
+}
+
+// has reports whether a connection from an address has been accepted and is open.
+func (c *Connections) has(remote string) bool {
+	for _, one := range c.all() {
+		if one.RemoteAddr().String() == remote {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/graceful/graceful_test.go
@@ -0,0 +1,240 @@
+package graceful
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// rig is a server whose connections are followed.
+type rig struct {
+	t       *testing.T
+	conns   *Connections
+	server  *httptest.Server
+	handled atomic.Int32
+}
+
+func newRig(t *testing.T, wrap func(net.Listener) net.Listener, handle http.HandlerFunc) *rig {
+	return newHeldRig(t, wrap, handle, nil)
+}
+
+// newHeldRig makes a rig whose server's goroutines are held up after each answer, as on a
+// machine without a free processor, until idle can be received from.
+func newHeldRig(t *testing.T, wrap func(net.Listener) net.Listener, handle http.HandlerFunc, idle chan struct{}) *rig {
+	r := &rig{t: t, conns: New(slog.New(slog.DiscardHandler))}
+	r.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.handled.Add(1)
+		handle(w, q)
+	}))
+	r.server.Config.ConnState = func(c net.Conn, s http.ConnState) {
+		r.conns.Note(c, s)
+		if s == http.StateIdle && idle != nil {
+			<-idle
+		}
+	}
+	r.server.Listener = r.conns.Listen(wrap(r.server.Listener))
+	r.server.Start()
+	t.Cleanup(r.server.Close)
+	return r
+}
+
+func plain(l net.Listener) net.Listener { return l }
+
+func answer(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }
+
+// caller is a connection and what reads answers from it.
+type caller struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (r *rig) dial() *caller {
+	c, err := net.Dial("tcp", r.server.Listener.Addr().String())
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	require.NoError(r.t, c.SetDeadline(time.Now().Add(time.Minute)))
+	return &caller{Conn: c, in: bufio.NewReader(c)}
+}
+
+func (r *rig) send(c *caller, text string) {
+	_, err := io.WriteString(c, text)
+	require.NoError(r.t, err)
+}
+
+func (r *rig) receive(c *caller) *http.Response {
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(r.t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(r.t, err)
+	require.Equal(r.t, "whole", string(body))
+	return resp
+}
+
+// arrive waits until the kernel of the server's side has what was sent.
+func (r *rig) arrive(c *caller) {
+	require.Eventually(r.t, func() bool {
+		for _, one := range r.conns.all() {
+			if one.RemoteAddr().String() == c.LocalAddr().String() {
+				return one.active()
+			}
+		}
+		return false
+	}, time.Minute, time.Millisecond)
+}
+
+// Guards against a request on a kept connection that is reset unread when the server stops.
+func TestRequestUnreadOnAKeptConnectionIsAnswered(t *testing.T) {
+	idle := make(chan struct{})
+	r := newHeldRig(t, plain, answer, idle)
+	c := r.dial()
+	r.send(c, request)
+	r.receive(c)
+	r.send(c, request)
+	r.arrive(c)
+
+	require.Equal(t, 1, r.conns.CloseIdle())
+	close(idle)
+	r.receive(c)
+	require.Eventually(t, func() bool { return r.conns.CloseIdle() == 0 }, time.Minute, time.Millisecond)
+	_, err := c.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// lateListener accepts its first connection a while late, as on a machine without a free
+// processor.
+type lateListener struct {
+	net.Listener
+	late time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	time.Sleep(l.late)
+	l.late = 0
+	return l.Listener.Accept()
+}
+
+// Guards against a request that is reset as it waits to be accepted when the server stops.
+func TestRequestUnacceptedIsAnswered(t *testing.T) {
+	closed := make(chan struct{})
+	late := func(l net.Listener) net.Listener { return &lateListener{Listener: l, late: acceptTimeout / 2} }
+	r := newRig(t, late, func(w http.ResponseWriter, q *http.Request) {
+		<-closed
+		answer(w, q)
+	})
+	c := r.dial()
+	r.send(c, request)
+	require.Zero(t, r.conns.Active(), "it is not accepted yet")
+
+	require.Equal(t, 1, r.conns.CloseIdle())
+	close(closed)
+	r.receive(c)
+}
+
+// Guards against a stop that cuts off a request whose head has come in part.
+func TestRequestSentInTwoPartsIsAnswered(t *testing.T) {
+	r := newRig(t, plain, answer)
+	c := r.dial()
+	r.send(c, request)
+	r.receive(c)
+	half := len(request) / 2
+	r.send(c, request[:half])
+	require.Eventually(t, func() bool { return r.conns.Active() == 1 }, time.Minute, time.Millisecond)
+
+	require.Equal(t, 1, r.conns.CloseIdle())
+	r.send(c, request[half:])
+	r.receive(c)
+}
+
+// Guards against a request that runs though its connection has ended.
+func TestRequestAfterTheEndIsNeitherRunNorReset(t *testing.T) {
+	r := newRig(t, plain, answer)
+	c := r.dial()
+	r.send(c, request)
+	r.receive(c)
+	require.Eventually(t, func() bool { return r.conns.CloseIdle() == 0 }, time.Minute, time.Millisecond)
+
+	r.send(c, request)
+	_, err := c.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	r.send(c, request)
+	time.Sleep(lingerTimeout / 10)
+	_, err = c.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.EqualValues(t, 1, r.handled.Load())
+}
+
+// Guards against an answer that is lost because its caller still sends when the server closes.
+func TestAnswerSurvivesWhatItsCallerStillSends(t *testing.T) {
+	sent := make(chan struct{})
+	big := make([]byte, 4<<20)
+	r := newRig(t, plain, func(w http.ResponseWriter, _ *http.Request) {
+		<-sent
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(big)
+	})
+	c := r.dial()
+	r.send(c, request)
+	r.send(c, request)
+	r.arrive(c)
+	close(sent)
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(t, err)
+	time.Sleep(lingerTimeout / 10)
+	n, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.EqualValues(t, len(big), n)
+	require.EqualValues(t, 1, r.handled.Load())
+}
+
+// Guards against a stop that never ends because a caller neither sends nor closes.
+func TestSilentCallersDelayAStopForABoundedTimeOnly(t *testing.T) {
+	r := newRig(t, plain, answer)
+	silent, kept := r.dial(), r.dial()
+	r.send(kept, request)
+	r.receive(kept)
+	require.Eventually(t, func() bool { return r.conns.CloseIdle() == 0 }, time.Minute, time.Millisecond)
+	r.conns.Wait()
+	require.Eventually(t, func() bool { return len(r.conns.all()) == 0 }, time.Minute, time.Millisecond)
+	for _, c := range []*caller{silent, kept} {
+		_, err := c.in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
+
+// Guards against a server that takes the end of its listener for a failure and serves it again.
+func TestServerOutlivesItsListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conns := New(slog.New(slog.DiscardHandler))
+	server := &http.Server{Handler: http.HandlerFunc(answer), ConnState: conns.Note}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(conns.Listen(l)) }()
+	require.Eventually(t, func() bool { return conns.listening() == 1 }, time.Minute, time.Millisecond)
+	conns.CloseIdle()
+	_, err = net.Dial("tcp", l.Addr().String())
+	require.Error(t, err)
+	select {
+	case err := <-served:
+		require.Fail(t, "the server has ended", "%v", err)
+	case <-time.After(10 * pollEvery):
+	}
+	require.NoError(t, server.Close())
+	require.ErrorIs(t, <-served, http.ErrServerClosed)
+}
+
+func (c *Connections) listening() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.listeners)
+}
--- /dev/null
+++ b/internal/graceful/listener.go
@@ -0,0 +1,60 @@
+package graceful
+
+import (
+	"net"
+	"sync"
+)
+
+// listener returns connections that are followed. Once it is stopped, Accept waits for the
+// server's Close: a server takes the end of its listener for a failure before.
+type listener struct {
+	net.Listener
+	of       *Connections
+	stopped  sync.Once
+	closing  sync.Once
+	closed   chan struct{}
+	stopping chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		select {
+		case <-l.stopping:
+			<-l.closed
+			return nil, net.ErrClosed
+		default:
+			return nil, err
+		}
+	}
+	tcp, ok := accepted.(*net.TCPConn)
+	if !ok {
+		return accepted, nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		l.of.log.Warn("connection not followed", "remote", tcp.RemoteAddr().String(), "err", err)
+		return accepted, nil
+	}
+	c := &conn{TCPConn: tcp, raw: raw, of: l.of}
+	l.of.mu.Lock()
+	defer l.of.mu.Unlock()
+	l.of.open[c] = struct{}{}
+	return c, nil
+}
+
+// stop takes no new connections any more.
+func (l *listener) stop() {
+	l.stopped.Do(func() {
+		close(l.stopping)
+		_ = l.Listener.Close() // an error says that it was closed before
+	})
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.stop()
+	l.closing.Do(func() { close(l.closed) })
+	return nil
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -13,6 +13,7 @@
 	"tamarackchute/internal/daemonstatus"
 	"tamarackchute/internal/entry/shutdown"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/graceful"
 	"tamarackchute/internal/relay"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/internal/wire"
@@ -62,18 +63,19 @@
 
 // Member is the daemon.
 type Member struct {
-	cfg       Config
-	log       *slog.Logger
-	state     *fleet.State
-	books     *placement.Books
-	relay     *relay.Relay
-	callers   *connections
-	peers     *Peers
-	upstreams *upstreamFeed
-	readers   []*topicReader
-	budget    *relay.Budget
-	self      wire.MemberAddress
-	leaving   atomic.Bool
+	cfg   Config
+	log   *slog.Logger
+	state *fleet.State
+	books *placement.Books
+	relay *relay.Relay
+	// callers are connections to the callers' address, pages those to the others.
+	callers, pages *graceful.Connections
+	peers          *Peers
+	upstreams      *upstreamFeed
+	readers        []*topicReader
+	budget         *relay.Budget
+	self           wire.MemberAddress
+	leaving        atomic.Bool
 	// settings are those in force, lease is this daemon's part in it.
 	settings atomic.Pointer[Settings]
 	lease    atomic.Pointer[daemonstatus.Lease]
@@ -84,7 +86,7 @@
 // New builds a daemon.
 func New(cfg Config) *Member {
 	s := cfg.Settings
-	m := &Member{cfg: cfg, log: cfg.Logger, state: fleet.NewState(), books: placement.NewBooks(nil), callers: newConnections()}
+	m := &Member{cfg: cfg, log: cfg.Logger, state: fleet.NewState(), books: placement.NewBooks(nil), callers: graceful.New(cfg.Logger), pages: graceful.New(cfg.Logger)}
 	m.self = wire.MemberAddress{Instance: s.Instance, DataCentre: s.DataCentre, Callers: s.Callers, Peers: s.PeerAddress, Capacity: s.Capacity}
 	m.settings.Store(&s)
 	m.budget = relay.NewBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil)
@@ -303,7 +305,9 @@
 	m.relay.CloseConnections()
 	stop := shutdown.State{
 		Keep: keepFactor * keepAnswer, Grace: m.settings.Load().Grace - keepFactor*keepAnswer - stopMargin,
-		Settle: func() { m.callers.settle(m.self.Callers, m.log) },
+		CloseIdle: m.callers.CloseIdle,
 	}
-	stop.Drain(nil, func() int { return m.callers.in(http.StateActive) }, m.log)
+	stop.Drain(nil, m.callers.Active, m.log)
+	m.pages.CloseIdle()
+	m.callers.Wait()
 }
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -70,11 +70,13 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "%s: address %s can't be taken", h.name, h.address)
 		}
-		server := newServer(h.handler)
+		conns := m.pages
 		if h.address == s.Callers {
-			server.ConnState = m.callers.note
+			conns = m.callers
 		}
-		services = append(services, &httpService{name: h.name, listener: l, server: server})
+		server := newServer(h.handler)
+		server.ConnState = conns.Note
+		services = append(services, &httpService{name: h.name, listener: conns.Listen(l), server: server})
 	}
 	return services, nil
 }
