relay: a stopping daemon takes no request that its exit would cut off

What callers saw: streams and calls that a stopping daemon had taken were cut off when its grace was over.

Cause: requests were taken until the exit, whatever their deadline; the daemon's log shows "draining" with requests in progress up to the grace's end.

Now a request whose deadline comes after the exit is turned away, not run, once callers can know that the daemon leaves (three times the time for which they keep an answer), without a time to wait, as others serve at once. It holds as no request is in progress when the grace ends but those taken in those first seconds, which callers can't avoid.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -302,11 +302,12 @@
 // drain stops taking callers and returns when the process may exit.
 func (m *Member) drain() {
 	m.leaving.Store(true)
-	m.relay.CloseConnections()
 	stop := shutdown.State{
 		Keep: keepFactor * keepAnswer, Grace: m.settings.Load().Grace - keepFactor*keepAnswer - stopMargin,
 		CloseIdle: m.callers.CloseIdle,
 	}
+	known := time.Now().Add(stop.Keep)
+	m.relay.Leave(known, known.Add(stop.Grace))
 	stop.Drain(nil, m.callers.Active, m.log)
 	m.pages.CloseIdle()
 	m.callers.Wait()
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -94,6 +94,10 @@
 // serve runs the request to its end.
 func (c *call) serve() {
 	c.deadline = c.arrived.Add(c.patience())
+	if f := c.leaving(); f != nil {
+		c.relay.refuse(c.out, c.in, c, f)
+		return
+	}
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline.Add(answerSlack))
 	defer cancel()
 	c.comeback = c.relay.patience.comeback(c.rule.Name, c.Patience)
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -22,6 +22,7 @@
 	reasonDeadline reason = "deadline"
 	reasonLost     reason = "answer lost"
 	reasonGone     reason = "caller gone"
+	reasonLeaving  reason = "leaving"
 )
 
 // failure is the end of a request without an upstream's answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,8 +45,8 @@
 	metrics  *metrics
 	patience patienceBook
 	demand   demandMeter
-	// closing makes answers ask for the connection to be closed.
-	closing atomic.Bool
+	// leave is set once the process is to end.
+	leave atomic.Pointer[leave]
 
 	mu     sync.Mutex
 	queues map[string]*queue
@@ -66,9 +66,6 @@
 // Active returns the number of requests in progress.
 func (r *Relay) Active() int64 { return r.active.Load() }
 
-// CloseConnections makes each answer from now on the last of its connection.
-func (r *Relay) CloseConnections() { r.closing.Store(true) }
-
 // Waiting reports whether requests wait for a place.
 func (r *Relay) Waiting() bool {
 	r.mu.Lock()
@@ -180,7 +177,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
-	if r.closing.Load() || slices.Contains(in.TransferEncoding, "chunked") {
+	if r.leave.Load() != nil || slices.Contains(in.TransferEncoding, "chunked") {
 		// A request with both a length and chunks can hide another one behind
 		// its body. The standard library follows the chunks; what is left of the
 		// connection must not be read as a request.
