graceful: a new connection may send its first request before it is ended

What callers saw: a connection that a stopping daemon had accepted and ended at once, with no answer, as their request was still on its way. The test fails before.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -19,6 +19,8 @@
 	raw syscall.RawConn
 	of  *Connections
 
+	accepted time.Time
+
 	// mu is held while bytes are taken from the kernel, so that none are on their way
 	// to the server unnoticed.
 	mu    sync.Mutex
@@ -110,7 +112,10 @@
 
 // busy is active of a connection that isn't ending. c.mu is held.
 func (c *conn) busy() bool {
-	return c.state == http.StateActive || c.arrived && !c.of.opaque || c.unread()
+	if c.state == http.StateActive || c.arrived && !c.of.opaque || c.unread() {
+		return true
+	}
+	return c.state == http.StateNew && time.Since(c.accepted) < firstRequestTimeout
 }
 
 // unread reports whether the kernel has bytes that the server hasn't taken.
--- a/internal/graceful/connections.go
+++ b/internal/graceful/connections.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -19,7 +18,9 @@
 	// acceptTimeout bounds the wait for the connections that callers have opened before
 	// a stop to be accepted.
 	acceptTimeout = 150 * time.Millisecond
-	pollEvery     = 2 * time.Millisecond
+	// firstRequestTimeout is how long the request of a new connection may be on its way.
+	firstRequestTimeout = 150 * time.Millisecond
+	pollEvery           = 2 * time.Millisecond
 )
 
 // Connections are those of a server. The methods may be called from any goroutine.
@@ -56,8 +57,12 @@
 
 // Note is the server's ConnState hook.
 func (c *Connections) Note(of net.Conn, s http.ConnState) {
-	if t, ok := of.(*tls.Conn); ok {
-		of = t.NetConn()
+	for {
+		outer, ok := of.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		of = outer.NetConn() // as a TLS connection's
 	}
 	if one, ok := of.(*conn); ok {
 		one.note(s)
@@ -153,7 +158,7 @@
 		return eris.Wrap(err, "a connection to itself")
 	}
 	defer func() { _ = own.Close() }() // nothing was sent
-	for !c.has(own.LocalAddr().String()) {
+	for !c.endFrom(own.LocalAddr().String()) {
 		if ctx.Err() != nil {
 			return eris.New("a connection to itself isn't accepted in time")
 		}
@@ -162,12 +167,16 @@
 	return nil
 }
 
-// has reports whether a connection from an address has been accepted and is open.
-func (c *Connections) has(remote string) bool {
+// endFrom ends the connection from an address, and reports whether it has been accepted.
+func (c *Connections) endFrom(remote string) bool {
 	for _, one := range c.all() {
-		if one.RemoteAddr().String() == remote {
-			return true
+		if one.RemoteAddr().String() != remote {
+			continue
 		}
+		one.mu.Lock()
+		defer one.mu.Unlock()
+		one.end()
+		return true
 	}
 	return false
 }
--- a/internal/graceful/graceful_test.go
+++ b/internal/graceful/graceful_test.go
@@ -110,6 +110,20 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// Guards against a new connection that is closed before its first request can arrive.
+func TestNewConnectionMaySendItsFirstRequest(t *testing.T) {
+	r := newRig(t, plain, answer)
+	c := r.dial()
+	require.Eventually(t, func() bool { return len(r.conns.all()) == 1 }, time.Minute, time.Millisecond)
+	for _, one := range r.conns.all() {
+		one.accepted = time.Now().Add(time.Minute) // as if it had just been
+	}
+	require.Equal(t, 1, r.conns.CloseIdle())
+	r.send(c, request)
+	r.receive(c)
+	require.Eventually(t, func() bool { return r.conns.CloseIdle() == 0 }, time.Minute, time.Millisecond)
+}
+
 // lateListener accepts its first connection a while late, as on a machine without a free
 // processor.
 type lateListener struct {
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // listener returns connections that are followed. Once it is stopped, Accept waits for the
@@ -37,7 +38,7 @@
 		l.of.log.Warn("connection not followed", "remote", tcp.RemoteAddr().String(), "err", err)
 		return accepted, nil
 	}
-	c := &conn{TCPConn: tcp, raw: raw, of: l.of}
+	c := &conn{TCPConn: tcp, raw: raw, of: l.of, accepted: time.Now()}
 	l.of.mu.Lock()
 	defer l.of.mu.Unlock()
 	l.of.open[c] = struct{}{}
