entry: the own interface's stop ends only connections on which nothing has arrived

The same fault as the daemon's: callers of a stopping entry saw "connection reset by peer" for a request on a kept connection that had arrived and that the busy process hadn't read yet. fasthttp's Shutdown closes what it holds for idle. What was ruled out on the way: a request of which half a line has come isn't reset there (3 of 3 answered within the 2 s of the server's end).

The callers' and the operators' addresses follow their connections with internal/graceful, below TLS where it is on. There, bytes read may be a handshake's, so a connection counts as in progress by the server's state and by unread bytes only.

--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
 
 	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/internal/graceful"
 )
 
 // closeTimeout bounds the end of an address's last connections.
@@ -21,10 +25,20 @@
 	addr string
 	tls  *tls.Config
 	app  *fiber.App
+	// conns follows the connections, so that a stop cuts off no request.
+	conns *graceful.Connections
 	// bound is the address taken before the first Serve.
 	bound net.Listener
 }
 
+func newListener(name, addr string, secure *tls.Config, app *fiber.App, log *slog.Logger) *listener {
+	conns := graceful.New(log)
+	if secure != nil {
+		conns = graceful.NewTLS(log)
+	}
+	return &listener{name: name, addr: addr, tls: secure, app: app, conns: conns}
+}
+
 func (l *listener) String() string { return l.name + " " + l.addr }
 
 // bind takes the address, so that a wrong or occupied one ends the program at
@@ -34,9 +48,11 @@
 	if err != nil {
 		return eris.Wrapf(err, "%s address %s can't be taken", l.name, l.addr)
 	}
+	ln = l.conns.Listen(ln)
 	if l.tls != nil {
 		ln = tls.NewListener(ln, l.tls)
 	}
+	l.app.Server().ConnState = func(c net.Conn, s fasthttp.ConnState) { l.conns.Note(c, http.ConnState(s)) }
 	l.bound = ln
 	return nil
 }
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -7,6 +7,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"tamarackchute/internal/graceful"
 	"tamarackchute/internal/settings"
 	"tamarackchute/quarantine"
 	"tamarackchute/rules"
@@ -118,10 +119,9 @@
 
 // Run works until ctx ends, and then on until a graceful stop is done.
 func (e *Entry) Run(ctx context.Context) error {
-	e.listeners = []*listener{
-		{name: "callers", addr: e.self.Callers, tls: e.cfg.ServerTLS, app: e.gateway.App()},
-		{name: "operators", addr: e.self.Operators, tls: e.cfg.ServerTLS, app: e.operatorsApp()},
-	}
+	callers := newListener("callers", e.self.Callers, e.cfg.ServerTLS, e.gateway.App(), e.log)
+	operators := newListener("operators", e.self.Operators, e.cfg.ServerTLS, e.operatorsApp(), e.log)
+	e.listeners = []*listener{callers, operators}
 	for _, l := range e.listeners {
 		if err := l.bind(); err != nil {
 			return err
@@ -138,7 +138,8 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.drain(done)
+	e.drain(done, callers.conns)
+	operators.conns.CloseIdle()
 	e.gateway.Abort()
 	stopWork()
 	<-done
@@ -152,9 +153,11 @@
 
 // drain leaves the answers of where to connect at once, and returns when the
 // instance may exit.
-func (e *Entry) drain(done <-chan error) {
+func (e *Entry) drain(done <-chan error, callers *graceful.Connections) {
 	e.directory.Leave()
 	e.gateway.Leave()
 	e.node.Leave()
-	e.stop.Drain(done, e.gateway.Active, e.log)
+	e.stop.CloseIdle = callers.CloseIdle
+	e.stop.Drain(done, func() int { return max(e.gateway.Active(), callers.Active()) }, e.log)
+	callers.Wait()
 }
