--- a/internal/graceful/connections.go
+++ b/internal/graceful/connections.go
@@ -84,14 +84,18 @@
 // CloseIdle takes no new connections any more, ends those without a request in progress and
 // returns the number of the others. Their answers may still be sent.
 func (c *Connections) CloseIdle() int {
-	c.closeListeners()
-	n := 0
-	for _, one := range c.all() {
+	first := c.closeListeners()
+	all := c.all()
+	active := 0
+	for _, one := range all {
 		if !one.endIfIdle() {
-			n++
+			active++
 		}
 	}
-	return n
+	if first {
+		c.log.Info("idle connections closed", "closed", len(all)-active, "active", active)
+	}
+	return active
 }
 
 // Wait returns once callers have closed the connections that CloseIdle has ended, or once
@@ -134,7 +138,8 @@
 	delete(c.open, one)
 }
 
-func (c *Connections) closeListeners() {
+// closeListeners reports whether there were any.
+func (c *Connections) closeListeners() bool {
 	c.mu.Lock()
 	listeners := c.listeners
 	c.listeners = nil
@@ -145,6 +150,7 @@
 		}
 		l.stop()
 	}
+	return len(listeners) > 0
 }
 
 // acceptAll returns once the connections that callers have opened before are accepted. They
--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -123,12 +123,16 @@
 // stop asks the process to end, kills it after its grace and waits for the end.
 func (d *daemon) stop() {
 	d.signal(syscall.SIGTERM)
+	told := time.Now()
 	d.mu.Lock()
 	exited := d.exited
 	d.mu.Unlock()
 	select {
 	case <-exited:
 	case <-time.After(d.about.Grace):
+		if d.troubles.quiet(told, time.Now(), pauseSubject(d.number), subjectMachine) {
+			d.oracle.report(EndsInGrace, "daemon %d runs %v after it was told to stop", d.number, d.about.Grace)
+		}
 		d.kill()
 	}
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -26,6 +26,7 @@
 	OneHolder       Promise = "an engine's orders come from one holder at a time"
 	Recovers        Promise = "the system serves everything again soon after the troubles end"
 	StaysUp         Promise = "no daemon ends by itself"
+	EndsInGrace     Promise = "a daemon that is told to stop ends within its grace"
 )
 
 // Violation is a broken promise.
