--- a/infra/errors.go
+++ b/infra/errors.go
@@ -25,3 +25,15 @@
 func (e *TrimmedError) Error() string {
 	return fmt.Sprintf("infra: records before offset %d have expired", e.Oldest)
 }
+
+// RestoredError says that the log has come back from an older copy since the place
+// that a read began at: it may lack records that were read, and hold others in their
+// places.
+type RestoredError struct {
+	// Oldest is the place of the oldest record in the new era.
+	Oldest Offset
+}
+
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("infra: the log was restored from an older copy; its oldest record is %v", e.Oldest)
+}
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -5,13 +5,37 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"time"
 )
 
 // Offset is the place of a record in the log. Offsets start at 1 and grow by
 // one with each record; 0 means "before the first record".
+//
+// A log that comes back from an older copy begins a new era, in which it gives
+// offsets of its own out again. The era stands in the upper bits, so that places
+// of a later era come after all of an earlier one, whatever was lost.
 type Offset uint64
 
+// eraShift leaves a trillion records to an era.
+const eraShift = 40
+
+// OffsetIn returns the place with an index in an era.
+func OffsetIn(era, index uint64) Offset { return Offset(era<<eraShift | index) }
+
+// Era returns the era of the place; 0 of a log that never came back.
+func (o Offset) Era() uint64 { return uint64(o) >> eraShift }
+
+// Index returns the place within its era.
+func (o Offset) Index() uint64 { return uint64(o) & (1<<eraShift - 1) }
+
+// String names the place and its era, for logs.
+func (o Offset) String() string { return fmt.Sprintf("%d/%d", o.Era(), o.Index()) }
+
+// LogValue implements slog.LogValuer.
+func (o Offset) LogValue() slog.Value { return slog.StringValue(o.String()) }
+
 // Record is one entry of the log.
 type Record struct {
 	Offset Offset
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -49,6 +49,12 @@
 		j.skipTo(trimmed.Oldest)
 		return true
 	}
+	var restored *infra.RestoredError
+	if errors.As(err, &restored) {
+		j.contact(readAt)
+		j.beginAnew(restored.Oldest)
+		return true
+	}
 	if err != nil {
 		j.lost(ctx, err)
 		return false
@@ -134,6 +140,23 @@
 	j.applied = Position{Offset: oldest - 1, Index: lastIndex}
 }
 
+// beginAnew reads the log of a new era from its oldest record. Those that were read
+// before and have outlived the restore are folded once more: readers that had read
+// further than others agree again with them, and with one that begins now.
+func (j *Journal) beginAnew(oldest infra.Offset) {
+	j.cfg.Logger.Warn("the log was restored from an older copy", "next", oldest, "era", oldest.Era())
+	j.dedupe = newDeduper(j.cfg.Retention, defaultMaxIDs)
+	for _, f := range j.folders {
+		if r, ok := f.(Restorer); ok {
+			r.Restored(oldest)
+		}
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.next = oldest
+	j.applied = Position{Offset: oldest - 1, Index: lastIndex}
+}
+
 func (j *Journal) contact(at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/journal/runtime.go
+++ b/journal/runtime.go
@@ -84,6 +84,13 @@
 	Trimmed(oldest infra.Offset)
 }
 
+// Restorer is a Folder whose log may come back from an older copy. Restored is called from
+// the goroutine that calls Apply: all that was applied is void, and what has outlived the
+// restore is applied again, from oldest on.
+type Restorer interface {
+	Restored(oldest infra.Offset)
+}
+
 // Health is what a journal knows about the log.
 type Health struct {
 	// LogUp is whether the last read was answered.
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -140,7 +140,7 @@
 		r := m.repeat(s, OpRelease)
 		return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
 	}
-	if m.renumber {
+	if m.renumber || s.formerFence() {
 		r := m.claim(s, GroundRenumber)
 		return Step{Record: &r, WakeAt: now.Add(m.cfg.Renew)}
 	}
@@ -200,7 +200,7 @@
 func (m *Machine) claim(s ScopeState, g Ground) Record {
 	return Record{
 		Op: OpClaim, Scope: m.cfg.Scope, Holder: m.cfg.Instance, Incarnation: m.cfg.Incarnation,
-		Term: m.cfg.Term, After: s.Last, ByProof: m.cfg.ByProof, Ground: g,
+		Term: m.cfg.Term, After: s.Last, ByProof: m.cfg.ByProof, Ground: g, Era: s.Era,
 	}
 }
 
@@ -209,7 +209,7 @@
 	return Record{
 		Op: op, Scope: s.Scope, Holder: s.Holder, Incarnation: s.Incarnation,
 		Term: s.Term, After: s.Last, ByProof: s.ByProof,
-		Fence: s.Fence, Since: s.Since, Released: !s.Held,
+		Fence: s.Fence, Since: s.Since, Released: !s.Held, Era: s.Era,
 	}
 }
 
@@ -310,9 +310,18 @@
 // later, however long the append and its reply took.
 func (m *Machine) Authority(s ScopeState, now time.Time) (Authority, bool) {
 	m.Observe(s, now)
-	if m.releasing() || !s.HeldBy(m.cfg.Instance, m.cfg.Incarnation) || s.LastID != m.heldID {
+	if m.releasing() || !s.HeldBy(m.cfg.Instance, m.cfg.Incarnation) || s.LastID != m.heldID || s.formerFence() {
 		return Authority{}, false
 	}
-	a := Authority{Scope: s.Scope, Fence: s.Fence, From: m.settled, Until: m.heldFrom.Add(s.Term)}
+	a := Authority{Scope: s.Scope, Fence: s.Fence, From: later(m.settled, m.quietUntil(s)), Until: m.heldFrom.Add(s.Term)}
 	return a, a.Valid(now)
 }
+
+// quietUntil is when the last right ends that another process may have by a record that was
+// lost as the log came back from an older copy.
+func (m *Machine) quietUntil(s ScopeState) time.Time {
+	if s.RestoredAt.IsZero() {
+		return time.Time{}
+	}
+	return s.RestoredAt.Add(m.wait(max(s.Term, m.cfg.Term)))
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -75,6 +75,8 @@
 	Fence    uint64    `msgpack:"f,omitempty"`
 	Since    time.Time `msgpack:"b"`
 	Released bool      `msgpack:"r,omitempty"`
+	// Era is the log's, as the writer knew it.
+	Era uint64 `msgpack:"e,omitempty"`
 }
 
 // Encode returns the record as the body of a journal entry.
--- /dev/null
+++ b/lease/restore_test.go
@@ -0,0 +1,155 @@
+package lease
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tamarackchute/infra"
+	"tamarackchute/journal"
+)
+
+// restoredLog is a log that may come back from an older copy.
+type restoredLog struct {
+	era     uint64
+	records []journal.Placed
+}
+
+func (l *restoredLog) append(id string, r Record) {
+	at := journal.Position{Offset: infra.OffsetIn(l.era, uint64(len(l.records)+1))}
+	l.records = append(l.records, journal.Placed{Position: at, Entry: journal.Entry{Kind: journal.KindLease, ID: id, Body: r.Encode()}})
+}
+
+// restore loses the newest records. Those that are left have places in the new era.
+func (l *restoredLog) restore(lost int) {
+	l.era++
+	l.records = l.records[:max(0, len(l.records)-lost)]
+	for i := range l.records {
+		l.records[i].Position.Offset = infra.OffsetIn(l.era, uint64(i+1))
+	}
+}
+
+// claimant is a process that reads the log and may hold the scope.
+type claimant struct {
+	name    string
+	state   State
+	machine *Machine
+	next    infra.Offset
+	seen    map[string]bool
+	sent    int
+}
+
+func newClaimant(name string, now time.Time) *claimant {
+	cfg := Config{Scope: "s", Instance: name, Incarnation: "1", Term: 3 * time.Second, Renew: time.Second, Drift: 0.1}
+	return &claimant{name: name, machine: NewMachine(cfg, now), seen: make(map[string]bool)}
+}
+
+// read folds up to a number of records, after a restore from the oldest on.
+func (c *claimant) read(l *restoredLog, most int, now time.Time) {
+	if c.next == 0 {
+		c.next = infra.OffsetIn(l.era, 1)
+	}
+	if c.next.Era() != l.era {
+		c.next = infra.OffsetIn(l.era, 1)
+		c.seen = make(map[string]bool)
+		c.state.Restored(now, c.next)
+	}
+	for range most {
+		i := int(c.next.Index()) - 1
+		if i >= len(l.records) {
+			return
+		}
+		p := l.records[i]
+		c.next++
+		if c.seen[p.Entry.ID] {
+			continue
+		}
+		c.seen[p.Entry.ID] = true
+		p.At, p.ReadAt = now, now
+		c.state.Apply(p)
+		c.machine.Observe(c.state.Scope("s"), now)
+		c.machine.Settled(p.Entry.ID)
+	}
+}
+
+// write returns what the claimant appends next, if anything.
+func (c *claimant) write(now time.Time) (id string, r Record, ok bool) {
+	step := c.machine.Step(c.state.Scope("s"), here, now)
+	if step.Record == nil {
+		return "", Record{}, false
+	}
+	id = c.machine.PendingID(*step.Record)
+	if id == "" {
+		c.sent++
+		id = fmt.Sprint(c.name, c.sent)
+	}
+	c.machine.Sending(id, *step.Record, now)
+	return id, *step.Record, true
+}
+
+// Guards against two processes that give orders at a time, or under fencing numbers that go
+// back, when the log comes back from an older copy.
+func TestOneHolderOverRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := &restoredLog{}
+		now := testStart
+		all := []*claimant{newClaimant("i1", now), newClaimant("i2", now), newClaimant("i3", now)}
+		type late struct {
+			id string
+			r  Record
+		}
+		var underWay []late
+		newest, newestOf := uint64(0), ""
+		var story []string
+		tell := func(format string, args ...any) {
+			story = append(story, now.Sub(testStart).String()+" "+fmt.Sprintf(format, args...))
+		}
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			c := rapid.SampledFrom(all).Draw(t, "who")
+			switch rapid.IntRange(0, 19).Draw(t, "what") {
+			case 0:
+				lost := rapid.IntRange(0, 6).Draw(t, "lost")
+				log.restore(lost)
+				tell("restored to era %d, %d lost, %d left", log.era, lost, len(log.records))
+			case 1:
+				if len(underWay) > 0 {
+					i := rapid.IntRange(0, len(underWay)-1).Draw(t, "which")
+					log.append(underWay[i].id, underWay[i].r)
+					tell("%s arrives as %d", underWay[i].id, len(log.records))
+					underWay = append(underWay[:i], underWay[i+1:]...)
+				}
+			case 2, 3, 4, 5, 6:
+				now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			case 7, 8, 9, 10, 11, 12:
+				c.read(log, rapid.IntRange(1, 8).Draw(t, "most"), now)
+				tell("%s has read up to %v: %s %s by %v", c.name, c.next, c.state.Scope("s").Holder, c.state.Scope("s").LastID, infra.Offset(c.state.Scope("s").Fence))
+			default:
+				id, r, ok := c.write(now)
+				if ok && rapid.IntRange(0, 5).Draw(t, "delayed") == 0 {
+					underWay = append(underWay, late{id, r})
+					tell("%s sends %s late: op %d ground %v after %v era %d", c.name, id, r.Op, r.Ground, r.After.Offset, r.Era)
+				} else if ok {
+					log.append(id, r)
+					tell("%s appends %s: op %d ground %v after %v era %d", c.name, id, r.Op, r.Ground, r.After.Offset, r.Era)
+				}
+			}
+			var holders []string
+			for _, c := range all {
+				a, ok := c.machine.Authority(c.state.Scope("s"), now)
+				if !ok {
+					continue
+				}
+				holders = append(holders, c.name)
+				if a.Fence < newest || a.Fence == newest && newestOf != c.name {
+					t.Fatalf("%s holds by %v after %s did by %v:\n%s", c.name, infra.Offset(a.Fence), newestOf, infra.Offset(newest), strings.Join(story, "\n"))
+				}
+				newest, newestOf = a.Fence, c.name
+			}
+			require.LessOrEqual(t, len(holders), 1, "%v:\n%s", holders, strings.Join(story, "\n"))
+		}
+	})
+}
--- a/lease/state.go
+++ b/lease/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/journal"
 )
 
@@ -33,12 +34,23 @@
 	// LastReadAt is this process's own clock just after it read that record.
 	LastReadAt time.Time
 
+	// RestoredAt is when this process learnt that the log had come back from an older
+	// copy; zero if it never did.
+	RestoredAt time.Time
+
+	// Era is the log's, as far as this process knows.
+	Era uint64
+
 	// Uncertain is true if the last accepted record is all that this process
 	// knows of the scope, and earlier ones have expired: it may yet prove to
 	// have lost.
 	Uncertain bool
 
 	chain Chain
+	// own says that a record was accepted whose writer knew of the log's present era.
+	// Those of the copy, and of writers that don't know of the restore yet, count until
+	// then only.
+	own bool
 }
 
 // HeldBy reports whether that process holds the scope, as far as records say.
@@ -46,8 +58,16 @@
 	return s.Held && s.Holder == instance && s.Incarnation == incarnation
 }
 
+// formerFence reports whether the fencing number is of an earlier era than the log's. A
+// higher one may have been given out since, by a record that is lost.
+func (s ScopeState) formerFence() bool { return infra.Offset(s.Fence).Era() < s.Era }
+
 // Apply returns the state after a record, and whether it was accepted.
 func (s ScopeState) Apply(p journal.Placed, r Record) (ScopeState, bool) {
+	era := p.Position.Offset.Era()
+	if s.own && r.Era < era {
+		return s, false
+	}
 	link := s.chain.Judge(r.After, p.Position)
 	if link == LinkLoses {
 		return s, false
@@ -57,6 +77,8 @@
 	}
 	next := s.with(p, r)
 	next.chain.Accept(link, r.After, p.Position)
+	next.Era = era
+	next.own = s.own || r.Era == era
 	next.Last = p.Position
 	next.LastID = p.Entry.ID
 	next.LastAt = p.At
@@ -121,12 +143,18 @@
 // State is the pure fold over all scopes. The zero value is empty.
 type State struct {
 	scopes map[string]ScopeState
-	// gapAt is when this reader last learnt that it had missed records.
+	// gapAt is when this reader last learnt that it had missed records, or that they
+	// were lost.
 	gapAt time.Time
+	// restoredAt is when it learnt that the log had come back from an older copy, era
+	// the one that it is in since.
+	restoredAt time.Time
+	era        uint64
 }
 
 // Apply folds one journal entry and reports whether it was an accepted record.
 func (s *State) Apply(p journal.Placed) (ScopeState, bool) {
+	s.noteEra(p)
 	if p.Entry.Kind != journal.KindLease {
 		return ScopeState{}, false
 	}
@@ -139,6 +167,7 @@
 		return ScopeState{}, false
 	}
 	next.Uncertain = !s.gapAt.IsZero() && next.chain.Alone()
+	next.RestoredAt = s.restoredAt
 	if s.scopes == nil {
 		s.scopes = make(map[string]ScopeState)
 	}
@@ -146,6 +175,14 @@
 	return next, true
 }
 
+// noteEra takes the first record of an era for the news of a restore: a reader that begins
+// then can't know how long ago it was.
+func (s *State) noteEra(p journal.Placed) {
+	if era := p.Position.Offset.Era(); era > s.era {
+		s.era, s.restoredAt = era, p.ReadAt
+	}
+}
+
 // Gap takes note that records have expired before they were read. What was
 // known is kept, but the next record of a scope may follow one that was
 // missed, and nobody may conclude from silence before a whole term from now.
@@ -162,7 +199,19 @@
 func (s *State) Scope(name string) ScopeState {
 	scope, ok := s.scopes[name]
 	if !ok {
-		return ScopeState{LastReadAt: s.gapAt}
+		return s.unknown()
 	}
 	return scope
 }
+
+// unknown is the state of a scope without a record.
+func (s *State) unknown() ScopeState {
+	return ScopeState{LastReadAt: s.gapAt, RestoredAt: s.restoredAt, Era: s.era}
+}
+
+// Restored takes note that the log has come back from an older copy. All records are read
+// again, in the order that the copy has; whoever held a scope by a record that is lost may
+// go on until it learns of that, for a term at most.
+func (s *State) Restored(now time.Time, oldest infra.Offset) {
+	*s = State{gapAt: now, restoredAt: now, era: oldest.Era()}
+}
--- a/lease/view.go
+++ b/lease/view.go
@@ -17,20 +17,20 @@
 	// Scopes is read-only.
 	Scopes map[string]ScopeState
 
-	gapAt time.Time
+	unknown ScopeState
 }
 
 // Scope returns the state of a scope; its Known is false if there is none.
 func (s *Snapshot) Scope(name string) ScopeState {
 	scope, ok := s.Scopes[name]
 	if !ok {
-		return ScopeState{LastReadAt: s.gapAt}
+		return s.unknown
 	}
 	return scope
 }
 
 // View folds the journal's lease records and shows who leads which scope. It
-// implements journal.Folder and journal.Trimmer; its other methods may be called from anywhere.
+// implements journal.Folder, journal.Trimmer and journal.Restorer; its other methods may be called from anywhere.
 type View struct {
 	state   State
 	current atomic.Pointer[Snapshot]
@@ -46,7 +46,7 @@
 
 // Apply implements journal.Folder.
 func (v *View) Apply(p journal.Placed) {
-	next := &Snapshot{Position: p.Position, Scopes: v.current.Load().Scopes, gapAt: v.state.gapAt}
+	next := &Snapshot{Position: p.Position, Scopes: v.current.Load().Scopes, unknown: v.state.unknown()}
 	_, accepted := v.state.Apply(p)
 	if accepted {
 		next.Scopes = maps.Clone(v.state.scopes)
@@ -60,8 +60,17 @@
 // Trimmed implements journal.Trimmer.
 func (v *View) Trimmed(infra.Offset) {
 	v.state.Gap(time.Now())
-	now := v.current.Load()
-	v.current.Store(&Snapshot{Position: now.Position, Scopes: maps.Clone(v.state.scopes), gapAt: v.state.gapAt})
+	v.show(v.current.Load().Position)
+}
+
+// Restored implements journal.Restorer.
+func (v *View) Restored(oldest infra.Offset) {
+	v.state.Restored(time.Now(), oldest)
+	v.show(journal.Position{Offset: oldest - 1})
+}
+
+func (v *View) show(at journal.Position) {
+	v.current.Store(&Snapshot{Position: at, Scopes: maps.Clone(v.state.scopes), unknown: v.state.unknown()})
 	v.changes.Wake()
 }
 
