member, platform: a store that comes back from an older copy is noticed, and all is read anew

Positions go between daemons as before and compare right, as a later era's are greater. Each daemon announces itself once an era. Of a copy (upstreamFeed.resetCopy) nothing known goes back: what is in force stays until servers write again, one that the copy lacks is doubted as after an outage, one that only the copy has waits for its entry; an entry below the known Seq of the same start is left out. The configuration goes by version as it did.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,15 @@
 	Role upstream.Role
 	// Leaving says that it is about to stop and takes no new work.
 	Leaving bool
+	// Revision never falls from one entry to the next of the same start.
+	Revision uint64
+}
+
+// SaysSame reports whether two entries say the same of a server, whichever is newer.
+func (u *Upstream) SaysSame(o *Upstream) bool {
+	a, b := *u, *o
+	a.Revision, b.Revision = 0, 0
+	return a == b
 }
 
 // Engine is what a pool's model engines have in common.
--- /dev/null
+++ b/internal/member/eras.go
@@ -0,0 +1,109 @@
+package member
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tamarackchute/internal/notify"
+)
+
+// Eras follows the era of the store: it rises each time the store comes back from an
+// older copy. What was read or written in an earlier era may be lost. The zero value is that
+// of a store that hasn't answered yet.
+type Eras struct {
+	mu      sync.Mutex
+	current uint64
+	known   bool
+	log     *slog.Logger
+	changes notify.Changes
+}
+
+// Current returns the latest era told of.
+func (e *Eras) Current() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
+// Changed returns a channel that closes when the era rises. Take the channel before the
+// era, so that no change falls between the two.
+func (e *Eras) Changed() <-chan struct{} { return e.changes.Changed() }
+
+// LogTo sets where changes are logged.
+func (e *Eras) LogTo(log *slog.Logger) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.log = log
+}
+
+// Refused logs an era that can't be read.
+func (e *Eras) Refused(named, by string, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.warn("era of the store not read", "named", named, "by", by, "err", err)
+}
+
+// warn logs if it was said where. e.mu is held.
+func (e *Eras) warn(message string, args ...any) {
+	if e.log != nil {
+		e.log.Warn(message, args...)
+	}
+}
+
+// Note takes an era that an answer or another daemon has named, and reports whether it is
+// the current one: an answer of an earlier era came late. by says who told it. The first
+// one told is no change.
+func (e *Eras) Note(era uint64, by string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if era < e.current {
+		return false
+	}
+	rises := e.known && era > e.current
+	if rises {
+		e.warn("store restored from an older copy", "era", era, "before", e.current, "by", by)
+	}
+	e.current, e.known = era, true
+	if rises {
+		e.changes.Wake()
+	}
+	return true
+}
+
+// restartPerDaemon spreads the first reads and writes of a new era, by the number of
+// daemons that make them.
+const restartPerDaemon = 4 * time.Millisecond
+
+// eraFollower lets the readers that wait begin anew in a new era.
+type eraFollower struct {
+	eras    *Eras
+	readers []*topicReader
+	daemons func() int
+}
+
+// String names the service for the supervisor.
+func (f *eraFollower) String() string { return "eras of the store" }
+
+// Serve implements suture.Service.
+func (f *eraFollower) Serve(ctx context.Context) error {
+	for {
+		changed := f.eras.Changed()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+		sleep(ctx, turn(f.daemons()))
+		for _, r := range f.readers {
+			r.restart()
+		}
+	}
+}
+
+// turn draws a time to wait, so that all daemons together call the store at a bounded rate.
+func turn(daemons int) time.Duration {
+	return rand.N(time.Duration(max(1, daemons)) * restartPerDaemon)
+}
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -50,11 +50,13 @@
 	}
 }
 
-// announcer writes this daemon's entry, so that others find it.
+// announcer writes this daemon's entry, so that others find it, once in each era of the
+// store: one written just before a restore is lost.
 type announcer struct {
 	store   Store
 	self    wire.MemberAddress
 	backoff *backoff
+	daemons func() int
 	log     *slog.Logger
 }
 
@@ -70,14 +72,19 @@
 	for ctx.Err() == nil {
 		a.backoff.await(ctx)
 		began := time.Now()
+		restored := a.store.Eras().Changed()
 		call, cancel := context.WithTimeout(ctx, callSlack)
 		err := a.store.Put(call, TopicMembers, Entry{Key: a.self.Instance, Value: value})
 		cancel()
 		if err == nil {
 			a.backoff.succeeded()
-			a.log.Info("announced", "address", a.self.Peers)
-			<-ctx.Done()
-			return ctx.Err()
+			a.log.Info("announced", "address", a.self.Peers, "era", a.store.Eras().Current())
+			select {
+			case <-ctx.Done():
+			case <-restored:
+				sleep(ctx, turn(a.daemons()))
+			}
+			continue
 		}
 		a.log.Warn("not announced", "err", err)
 		a.backoff.failed(began, time.Now())
--- a/internal/member/feeds_test.go
+++ b/internal/member/feeds_test.go
@@ -23,7 +23,7 @@
 
 var quiet = slog.New(slog.DiscardHandler)
 
-// plainFormats reads entries as "pool address [leaving]" and configurations as
+// plainFormats reads entries as "pool address [started=N] [revision=N] [leaving]" and configurations as
 // their version.
 type plainFormats struct{}
 
@@ -58,6 +58,14 @@
 			u.Started = time.UnixMilli(n)
 			continue
 		}
+		if revision, ok := strings.CutPrefix(field, "revision="); ok {
+			n, err := strconv.ParseUint(revision, 10, 64)
+			if err != nil {
+				return nil, err
+			}
+			u.Revision = n
+			continue
+		}
 		u.Leaving = true
 	}
 	return u, nil
@@ -207,8 +215,11 @@
 	changes []Position
 	expire  bool
 	fail    bool
+	eras    Eras
 }
 
+func (s *scriptedStore) Eras() *Eras { return &s.eras }
+
 func (s *scriptedStore) Newest(context.Context, Topic) ([]Entry, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -88,6 +88,7 @@
 	s := cfg.Settings
 	m := &Member{cfg: cfg, log: cfg.Logger, state: fleet.NewState(), books: placement.NewBooks(nil), callers: graceful.New(cfg.Logger), pages: graceful.New(cfg.Logger)}
 	m.self = wire.MemberAddress{Instance: s.Instance, DataCentre: s.DataCentre, Callers: s.Callers, Peers: s.PeerAddress, Capacity: s.Capacity}
+	cfg.Store.Eras().LogTo(m.log)
 	m.settings.Store(&s)
 	m.budget = relay.NewBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil)
 	m.relay = relay.New(relay.Config{
@@ -122,6 +123,9 @@
 // readSame takes over that a peer has read the list of upstreams that this daemon
 // has.
 func (m *Member) readSame(at Position, digest uint64, age time.Duration) {
+	if at == 0 || !m.cfg.Store.Eras().Note(at.Era(), "another daemon") {
+		return
+	}
 	age += transit
 	if digest == m.upstreams.digest.Load() && digest != 0 && age+youngerBy < m.readers[0].age() {
 		m.readers[0].heard(at, age)
@@ -149,7 +153,7 @@
 	members := &memberFeed{peers: m.peers, log: m.log}
 	upstreams := &topicReader{
 		store: store, topic: TopicUpstreams, name: "upstreams", every: upstreamsEvery, spread: upstreamsSpread, first: m.peers.Collects,
-		reset: m.upstreams.reset, apply: m.upstreams.apply, backoff: m.backoff, log: m.log,
+		reset: m.upstreams.reset, resetCopy: m.upstreams.resetCopy, apply: m.upstreams.apply, backoff: m.backoff, log: m.log,
 	}
 	m.upstreams.age = upstreams.age
 	upstreams.returned = func() {
@@ -252,6 +256,7 @@
 //	member
 //	├── learning
 //	│   ├── feed of upstreams, configuration, daemons
+//	│   ├── eras of the store
 //	│   ├── view of peers, while the store can't be reached
 //	│   ├── catching up on what is known of the engines
 //	│   ├── figures of the engines, for operators, and their memory in the store
@@ -269,11 +274,12 @@
 	for _, r := range m.readers {
 		learning.Add(r)
 	}
+	learning.Add(&eraFollower{eras: m.cfg.Store.Eras(), readers: m.readers, daemons: m.peers.Known})
 	learning.Add(&peerView{member: m})
 	learning.Add(&catchUp{member: m, log: m.log})
 	learning.Add(&engineMemory{store: m.cfg.Store, books: m.books, peers: m.peers, backoff: m.backoff, log: m.log})
 	learning.Add(&figuresTeller{books: m.books, scope: m.cfg.Metrics.Scope, log: m.log})
-	learning.Add(&announcer{store: m.cfg.Store, self: m.self, backoff: m.backoff, log: m.log})
+	learning.Add(&announcer{store: m.cfg.Store, self: m.self, backoff: m.backoff, daemons: m.peers.Known, log: m.log})
 	exchange := suture.New("exchange", spec)
 	exchange.Add(wire.NewServer(m.wireConfig(), m.self.Peers, m.peers, m.log))
 	exchange.Add(m.peers)
--- /dev/null
+++ b/internal/member/restore_test.go
@@ -0,0 +1,143 @@
+package member
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/infra"
+	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/wire"
+)
+
+// Guards against requests to a server that has said it leaves, as an older entry of it is in
+// force again.
+func TestLeavingServerStaysLeavingOverARestore(t *testing.T) {
+	r := newFeedRig()
+	r.feed.reset([]Entry{entry("a", "p 1:1 started=5 revision=1"), entry("b", "p 1:2 started=5 revision=1")})
+	r.feed.apply([]Entry{entry("a", "p 1:1 started=5 revision=2 leaving")})
+	require.Equal(t, "a leaving,b", r.ids())
+
+	r.feed.resetCopy([]Entry{entry("a", "p 1:1 started=5 revision=1"), entry("b", "p 1:2 started=5 revision=1")})
+	require.Equal(t, "a leaving,b", r.ids())
+	r.feed.apply([]Entry{entry("a", "p 1:1 started=5 revision=1")})
+	require.Equal(t, "a leaving,b", r.ids(), "written again late")
+	r.feed.apply([]Entry{entry("a", "p 1:1 started=9 revision=1")})
+	require.Equal(t, "a,b", r.ids(), "a new start")
+}
+
+// Guards against requests to a server that has gone and that only the copy still has.
+func TestServerThatOnlyTheCopyHasWaitsForItsEntry(t *testing.T) {
+	r := newFeedRig()
+	r.feed.reset([]Entry{entry("a", "p 1:1"), entry("gone", "p 1:2")})
+	r.feed.apply([]Entry{entry("gone", "")})
+	r.feed.resetCopy([]Entry{entry("a", "p 1:1"), entry("gone", "p 1:2"), entry("alive", "p 1:3")})
+	require.Equal(t, "a", r.ids())
+	r.feed.apply([]Entry{entry("alive", "p 1:3")})
+	require.Equal(t, "a,alive", r.ids())
+}
+
+// Guards against a server that gets no requests because the copy is older than its entry, and
+// against one that keeps getting them though it has gone.
+func TestServerThatTheCopyLacksIsDoubted(t *testing.T) {
+	r := newFeedRig()
+	r.feed.reset([]Entry{entry("a", "p 1:1"), entry("b", "p 1:2")})
+	r.feed.resetCopy([]Entry{})
+	require.Equal(t, "a,b", r.ids())
+	r.feed.apply([]Entry{entry("a", "p 1:1")})
+	time.Sleep(2 * r.feed.returnWithin)
+	r.feed.expire()
+	require.Equal(t, "a", r.ids())
+}
+
+// eraStore is a store whose newest entries are of an era.
+type eraStore struct {
+	scriptedStore
+	puts chan Entry
+}
+
+// Newest implements Store.
+func (s *eraStore) Newest(context.Context, Topic) ([]Entry, Position, error) {
+	return []Entry{entry("a", "p 1:1")}, infra.OffsetIn(s.eras.Current(), 1), nil
+}
+
+// Changes implements Store.
+func (s *eraStore) Changes(ctx context.Context, _ Topic, from Position, wait time.Duration) ([]Entry, Position, error) {
+	if from.Era() < s.eras.Current() {
+		return nil, from, ErrExpired
+	}
+	sleep(ctx, wait)
+	return nil, from, ctx.Err()
+}
+
+// Put implements Store.
+func (s *eraStore) Put(_ context.Context, _ Topic, e Entry) error {
+	s.puts <- e
+	return nil
+}
+
+// Guards against a reader that waits on at its old position after another call, or another
+// daemon, has told of a restore.
+func TestWaitingReaderBeginsAnewInANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &eraStore{}
+		copies := make(chan []Entry, 1)
+		r := &topicReader{
+			backoff: newBackoff(alone), store: store, wait: time.Hour, reset: func([]Entry) {}, apply: func([]Entry) {},
+			resetCopy: func(e []Entry) { copies <- e }, log: quiet,
+		}
+		follower := &eraFollower{eras: store.Eras(), readers: []*topicReader{r}, daemons: alone}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Serve(ctx) }()
+		go func() { _ = follower.Serve(ctx) }()
+		store.Eras().Note(0, "the store")
+		synctest.Wait()
+		require.Empty(t, copies)
+		store.Eras().Note(1, "another daemon")
+		require.Len(t, <-copies, 1)
+		require.EqualValues(t, 1, r.position().Era())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a position of an earlier era that is taken for a later one.
+func TestPositionsOfALaterEraComeAfterAllBefore(t *testing.T) {
+	r := &topicReader{log: quiet}
+	r.heard(infra.OffsetIn(0, 1000), time.Second)
+	r.heard(infra.OffsetIn(1, 10), time.Second)
+	require.Equal(t, infra.OffsetIn(1, 10), r.position())
+	r.heard(infra.OffsetIn(0, 2000), time.Second)
+	require.Equal(t, infra.OffsetIn(1, 10), r.position())
+	require.Equal(t, "1/10", r.position().String())
+}
+
+// Guards against a daemon that nobody finds who starts later, as its entry was lost.
+func TestDaemonAnnouncesItselfInEachEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &eraStore{puts: make(chan Entry)}
+		a := &announcer{store: store, self: wire.MemberAddress{Instance: "i"}, backoff: newBackoff(alone), daemons: alone, log: quiet}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = a.Serve(ctx) }()
+		store.Eras().Note(0, "the store")
+		require.Equal(t, "i", (<-store.puts).Key)
+		synctest.Wait()
+		store.Eras().Note(1, "another daemon")
+		require.Equal(t, "i", (<-store.puts).Key)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a configuration that goes back to the copy's.
+func TestConfigurationStaysOverARestore(t *testing.T) {
+	state := fleet.NewState()
+	feed := &configFeed{formats: plainFormats{}, state: state, log: quiet}
+	feed.take([]Entry{entry("config", "7")})
+	feed.take([]Entry{entry("config", "5")})
+	require.EqualValues(t, 7, state.Snapshot().Config.Version)
+}
--- a/internal/member/store.go
+++ b/internal/member/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"tamarackchute/infra"
 	"tamarackchute/internal/fleet"
 )
 
@@ -29,8 +30,9 @@
 	Value []byte
 }
 
-// Position is a place in a topic.
-type Position uint64
+// Position is a place in a topic. A store that comes back from an older copy begins a new
+// era; its places come after all of the era before.
+type Position = infra.Offset
 
 // ErrExpired says that records after a position are no longer kept.
 var ErrExpired = errors.New("store: records have expired")
@@ -42,10 +44,12 @@
 	Newest(ctx context.Context, t Topic) ([]Entry, Position, error)
 	// Changes returns the entries written from a position on, in order, and the
 	// position after them. It waits for one up to a time. ErrExpired means that
-	// Newest is needed.
+	// Newest is needed: the records have expired, or the store has begun a new era.
 	Changes(ctx context.Context, t Topic, from Position, wait time.Duration) ([]Entry, Position, error)
 	// Put writes an entry; a nil value removes the key.
 	Put(ctx context.Context, t Topic, e Entry) error
+	// Eras tells in which era the store is.
+	Eras() *Eras
 }
 
 // Formats reads what the store holds.
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -43,6 +43,9 @@
 	// reset takes the newest entries, apply a change.
 	reset func([]Entry)
 	apply func([]Entry)
+	// resetCopy takes the newest entries of a store that has come back from an older copy;
+	// nil is reset.
+	resetCopy func([]Entry)
 	// spread is the random time beyond every by which a read waits while another
 	// daemon's reading is as good; 0 reads always.
 	spread time.Duration
@@ -191,7 +194,7 @@
 		if err != nil {
 			return err
 		}
-		r.reset(entries)
+		r.takeNewest(entries, next)
 		r.done(next, began)
 		return nil
 	}
@@ -209,6 +212,21 @@
 	return nil
 }
 
+func (r *topicReader) takeNewest(entries []Entry, next Position) {
+	if r.resetCopy != nil && r.isLater(next) {
+		r.resetCopy(entries)
+		return
+	}
+	r.reset(entries)
+}
+
+// isLater reports whether a position is of a later era than what was read.
+func (r *topicReader) isLater(at Position) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.readAt.IsZero() && at.Era() > r.from.Era()
+}
+
 // heard takes over that the state as of a position is known as of a time ago, as
 // another daemon has read the same.
 func (r *topicReader) heard(at Position, age time.Duration) {
--- a/internal/member/upstreams.go
+++ b/internal/member/upstreams.go
@@ -35,6 +35,8 @@
 	mu   sync.Mutex
 	raw  map[string][]byte
 	list map[string]*fleet.Upstream
+	// revisions are those of the newest entries.
+	revisions map[string]uint64
 	// doubted are upstreams whose entries went while the store was away, with
 	// the time at which they count as gone.
 	doubted map[string]time.Time
@@ -44,7 +46,8 @@
 	return &upstreamFeed{
 		formats: formats, state: state, log: log, returnWithin: returnWithin,
 		raw: make(map[string][]byte), list: make(map[string]*fleet.Upstream), doubted: make(map[string]time.Time),
-		newest: make(map[string]time.Time), refusals: make(map[string]uint64),
+		revisions: make(map[string]uint64),
+		newest:    make(map[string]time.Time), refusals: make(map[string]uint64),
 	}
 }
 
@@ -90,11 +93,16 @@
 		f.log.Info("entry of a former start left out", "upstream", u.ID, "started", u.Started, "newest", f.newest[u.ID])
 		return false
 	}
+	if f.older(u) {
+		f.log.Info("older entry left out", "upstream", u.ID, "revision", u.Revision, "newest", f.revisions[u.ID])
+		return false
+	}
 	f.noteStart(u)
 	f.raw[e.Key] = e.Value
 	delete(f.doubted, e.Key)
+	f.revisions[e.Key] = u.Revision
 	old := f.list[e.Key]
-	if old != nil && *old == *u {
+	if old != nil && old.SaysSame(u) {
 		return false
 	}
 	f.list[e.Key] = u
@@ -103,6 +111,37 @@
 	return true
 }
 
+// older reports whether an entry was written before the known one of the same start.
+func (f *upstreamFeed) older(u *fleet.Upstream) bool {
+	known := f.list[u.ID]
+	return known != nil && !u.Started.IsZero() && u.Started.Equal(known.Started) && u.Revision < f.revisions[u.ID]
+}
+
+// resetCopy takes the newest entries of a store that has come back from an older copy. What
+// is known is newer: it stays until servers write again, which each does about once a
+// second. One that the copy lacks counts for as long as one whose entry lapsed in an outage,
+// and one that only the copy has doesn't count before it writes: it may have gone.
+func (f *upstreamFeed) resetCopy(entries []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(entries))
+	changed := false
+	for _, e := range entries {
+		listed[e.Key] = e.Value != nil
+		if f.list[e.Key] == nil {
+			f.log.Info("upstream of an older copy waits for its entry", "upstream", e.Key)
+			continue
+		}
+		changed = f.put(e) || changed
+	}
+	for id := range f.list {
+		if !listed[id] {
+			f.doubt(id)
+		}
+	}
+	f.finish(changed)
+}
+
 // leaveOut takes an entry for none: whoever wrote it, it vouches for no server, and the
 // one that it stands in place of may have gone. It is counted and logged once.
 func (f *upstreamFeed) leaveOut(e Entry, err error) bool {
@@ -141,10 +180,7 @@
 		return false
 	}
 	if f.age() > outageAfter {
-		if _, already := f.doubted[id]; !already {
-			f.doubted[id] = time.Now().Add(f.returnWithin)
-			f.log.Info("upstream doubted", "upstream", id)
-		}
+		f.doubt(id)
 		return false
 	}
 	if _, doubted := f.doubted[id]; doubted {
@@ -154,9 +190,19 @@
 	return true
 }
 
+// doubt lets an upstream count as gone unless it writes again soon.
+func (f *upstreamFeed) doubt(id string) {
+	if _, already := f.doubted[id]; already {
+		return
+	}
+	f.doubted[id] = time.Now().Add(f.returnWithin)
+	f.log.Info("upstream doubted", "upstream", id)
+}
+
 func (f *upstreamFeed) drop(id string) {
 	delete(f.list, id)
 	delete(f.raw, id)
+	delete(f.revisions, id)
 	delete(f.doubted, id)
 	f.log.Info("upstream gone", "upstream", id)
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -120,11 +120,14 @@
 	if Position(reply.Position) <= m.readers[0].position() || age >= own {
 		return
 	}
+	if !m.cfg.Store.Eras().Note(Position(reply.Position).Era(), "another daemon") {
+		return
+	}
 	m.log.Info("upstreams from a peer", "peer", peer, "age_ms", age.Milliseconds(), "own_age_ms", own.Milliseconds())
 	entries := make([]Entry, 0, len(reply.Upstreams))
 	for id, value := range reply.Upstreams {
 		entries = append(entries, Entry{Key: id, Value: value})
 	}
-	m.upstreams.reset(entries)
+	m.readers[0].takeNewest(entries, Position(reply.Position))
 	m.readers[0].heard(Position(reply.Position), age)
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -23,6 +23,7 @@
 	ReloadDaemon   Kind = "reload-daemon"
 	StoreFails     Kind = "store-fails"
 	DropHistory    Kind = "drop-history"
+	StoreRestore   Kind = "store-restore"
 	StoreLink      Kind = "store-link"
 	ServerLink     Kind = "server-link"
 	ServerFaults   Kind = "server-faults"
@@ -102,7 +103,7 @@
 	weight int
 }{
 	{KillDaemon, 3}, {StopDaemon, 4}, {PauseDaemon, 3}, {ReloadDaemon, 3},
-	{StoreFails, 2}, {DropHistory, 1}, {StoreLink, 3},
+	{StoreFails, 2}, {DropHistory, 1}, {StoreRestore, 2}, {StoreLink, 3},
 	{ServerLink, 3}, {ServerFaults, 6}, {ServerFails, 5}, {CrashServer, 2}, {ServerLeaves, 3}, {RestartServer, 2}, {ForeignEntry, 2}, {PublishVersion, 2},
 }
 
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -18,6 +18,12 @@
 	// settleTime is how long the ways to servers count as disturbed after a
 	// trouble: connections that broke and pauses before retries outlast it.
 	settleTime = 2 * time.Second
+	// awayLongest bounds the time for which a store that is restored is away, copyOldest the
+	// age of the copy in seconds, rewriteLatest the time in ms after which what the operator
+	// and the servers wrote since is written again.
+	awayLongest   = time.Second
+	copyOldest    = 5
+	rewriteLatest = 1000
 )
 
 var (
@@ -49,6 +55,8 @@
 		s.failStore(storeFaults[step.Variant%len(storeFaults)], step.For)
 	case DropHistory:
 		s.store.DropHistory(standin.Topics[step.Variant%len(standin.Topics)])
+	case StoreRestore:
+		s.restoreStore(step)
 	case StoreLink:
 		end := s.troubles.begin(storeLinkSubject(d.number))
 		disturb(s.links[d.number], link, step.For)
@@ -119,6 +127,18 @@
 	time.AfterFunc(settleTime, end)
 }
 
+// restoreStore takes the store away for a moment and brings it back from an older copy.
+func (s *site) restoreStore(step Step) {
+	end := s.troubles.begin(subjectStore)
+	s.store.Fail(standin.StoreReset)
+	time.Sleep(min(step.For, awayLongest))
+	age := time.Duration(1+step.Variant%copyOldest) * time.Second
+	rewriteAfter := time.Duration(step.Target%rewriteLatest) * time.Millisecond
+	s.store.Restore(age, rewriteAfter)
+	s.store.Fail(standin.StoreWell)
+	time.AfterFunc(rewriteAfter+settleTime, end)
+}
+
 // failServer fails the next few requests of a server, each in its own way.
 func (s *site) failServer(p *place, step Step) {
 	end := s.troubles.begin(serversSubject(p.pool))
