lease: a process that stops right after its claim releases that claim

What operators saw: no leader for a term after a planned stop. The controller was stopped as soon as others could read its claim; Release asked its own view, which hadn't read it yet, and returned.

Release now waits for a claim under way, for a term at most, as after that it gives no right.

--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -251,15 +251,23 @@
 		return eris.Wrap(ctx.Err(), "lease: an order is still in hand")
 	}
 	for {
+		changed := k.view.Changed()
+		s := k.view.Scope(k.cfg.Scope)
 		k.mu.Lock()
-		r, held := k.machine.Release(k.view.Scope(k.cfg.Scope))
+		r, held := k.machine.Release(s)
+		claiming, until := k.machine.claiming(s, time.Now())
 		k.mu.Unlock()
-		if !held {
+		if !held && !claiming {
 			return nil
 		}
 		if err := ctx.Err(); err != nil {
 			return eris.Wrap(err, "lease: release not confirmed")
 		}
-		k.append(ctx, r)
+		if held {
+			k.append(ctx, r)
+			continue
+		}
+		k.log.Info("lease claim under way; the release waits for it", "until", until)
+		k.sleep(ctx, changed, until)
 	}
 }
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -129,6 +129,25 @@
 	})
 }
 
+// Guards against a process that stops without releasing what it has just claimed, as its own
+// reader hasn't shown it the claim yet: nobody would lead for a term.
+func TestReleaseWaitsForTheClaimUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		log.SetLateAfter(time.Second)
+		log.Fail(journaltest.FaultHang)
+		m := join(log, "i1", 0)
+		time.Sleep(3500 * time.Millisecond)
+		require.Equal(t, 1, log.Appends())
+		require.False(t, m.view.Scope("s").Known)
+		require.NoError(t, m.Release(t.Context()))
+		time.Sleep(10 * time.Second)
+		assert.True(t, m.view.Scope("s").Known)
+		assert.False(t, m.view.Scope("s").Held)
+		m.leave()
+	})
+}
+
 // An order got no reply. Its sender asks for a higher number, so that the
 // engine refuses the copy that may still be under way.
 func TestRenumberBeginsATermWithAHigherNumber(t *testing.T) {
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -298,6 +298,16 @@
 	return m.repeat(s, OpRelease), true
 }
 
+// claiming reports whether a claim has been sent that may yet be accepted, and until when it
+// could give a right.
+func (m *Machine) claiming(s ScopeState, now time.Time) (bool, time.Time) {
+	if m.sent == nil || m.sent.record.Op != OpClaim || s.Last != m.sent.record.After {
+		return false, time.Time{}
+	}
+	until := m.sent.sentAt.Add(m.cfg.Term)
+	return now.Before(until), until
+}
+
 // releasing reports whether a release has been sent. From then on another
 // process may hold the scope, even while the release's fate is open here.
 func (m *Machine) releasing() bool {
