--- a/lease/restore_test.go
+++ b/lease/restore_test.go
@@ -153,3 +153,27 @@
 		}
 	})
 }
+
+// Guards against a scope that goes back to its former holder, by a renewal that was sent before
+// its writer knew of the restore and arrives after another's claim.
+func TestRecordFromBeforeARestoreComesTooLate(t *testing.T) {
+	var s State
+	apply := func(index uint64, id string, r Record) bool {
+		r.Scope, r.Incarnation, r.Term = "s", "1", time.Second
+		_, accepted := s.Apply(journal.Placed{
+			Position: journal.Position{Offset: infra.OffsetIn(1, index)}, ReadAt: testStart,
+			Entry: journal.Entry{Kind: journal.KindLease, ID: id, Body: r.Encode()},
+		})
+		return accepted
+	}
+	lost := journal.Position{Offset: 100}
+	renewal := Record{Op: OpRenewal, Holder: "former", Fence: 90, After: lost}
+
+	s.Restored(testStart, infra.OffsetIn(1, 1))
+	require.True(t, apply(1, "a", renewal), "nobody has claimed: its holder goes on")
+
+	s.Restored(testStart, infra.OffsetIn(1, 1))
+	require.True(t, apply(1, "b", Record{Op: OpClaim, Holder: "new", Ground: GroundFirst, Era: 1}))
+	require.False(t, apply(2, "c", renewal))
+	require.Equal(t, "new", s.Scope("s").Holder)
+}
