--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -78,14 +78,14 @@
 }
 
 func (s *session) printDaemons(reports []daemonReport, teller *daemonstatus.Daemon) error {
-	t := s.table("DAEMON", "DATA CENTRE", "STATE", "LEASE", "CONFIGURATION", "LIST READ", "REQUESTS")
+	t := s.table("DAEMON", "DATA CENTRE", "STATE", "LEASE", "CONFIGURATION", "STORE ERA", "LIST READ", "REQUESTS")
 	for _, r := range reports {
 		if r.Status == nil {
 			t.row(r.Address, "", "no answer: "+r.Error)
 			continue
 		}
 		t.row(r.Status.Instance, r.Status.DataCentre, daemonState(r.Status), leaseOf(r.Status.Lease),
-			strconv.FormatUint(r.Status.ConfigVersion, 10), ago(r.Status.UpstreamsAgeMS), strconv.FormatInt(r.Status.Requests, 10))
+			strconv.FormatUint(r.Status.ConfigVersion, 10), strconv.FormatUint(r.Status.StoreEra, 10), ago(r.Status.UpstreamsAgeMS), strconv.FormatInt(r.Status.Requests, 10))
 	}
 	if err := t.end(); err != nil {
 		return err
--- a/internal/ctl/daemons_test.go
+++ b/internal/ctl/daemons_test.go
@@ -14,7 +14,7 @@
 )
 
 var someDaemon = daemonstatus.Daemon{
-	Instance: "a-1", DataCentre: "a", Ready: true, Requests: 7, ConfigVersion: 12, UpstreamsAgeMS: 640,
+	Instance: "a-1", DataCentre: "a", Ready: true, Requests: 7, ConfigVersion: 12, StoreEra: 2, UpstreamsAgeMS: 640,
 	Lease: daemonstatus.Lease{Candidate: true, Held: true, Fence: 5},
 	Peers: []daemonstatus.Peer{
 		{Instance: "a-2", DataCentre: "a", Up: true, Serving: true, ToldMS: 110, ConfigVersion: 12},
--- a/internal/daemonstatus/status.go
+++ b/internal/daemonstatus/status.go
@@ -16,6 +16,8 @@
 	// Requests is the number in progress.
 	Requests      int64  `json:"requests"`
 	ConfigVersion uint64 `json:"config_version"`
+	// StoreEra counts how often the store has come back from an older copy.
+	StoreEra uint64 `json:"store_era"`
 	// UpstreamsAgeMS is the time since the list of upstreams was read, here or
 	// by a daemon that has the same.
 	UpstreamsAgeMS float64    `json:"upstreams_age_ms"`
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -95,6 +95,7 @@
 	s := m.cfg.Metrics.Scope
 	about := m.about()
 	s.Gauge("config_version").Update(float64(about.Config))
+	s.Gauge("store_era").Update(float64(m.cfg.Store.Eras().Current()))
 	s.Gauge("upstreams").Update(float64(len(m.state.Snapshot().Upstreams)))
 	s.Gauge("upstreams_age_seconds").Update(about.ReadAge.Seconds())
 	s.Gauge("daemons_known").Update(float64(m.peers.Known()))
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -18,7 +18,7 @@
 	d := daemonstatus.Daemon{
 		Instance: m.self.Instance, DataCentre: m.self.DataCentre, Callers: m.self.Callers,
 		Ready: about.Serving, Stopping: m.leaving.Load(), Requests: m.relay.Active(),
-		ConfigVersion: about.Config, UpstreamsAgeMS: telemetry.Millis(about.ReadAge),
+		ConfigVersion: about.Config, StoreEra: m.cfg.Store.Eras().Current(), UpstreamsAgeMS: telemetry.Millis(about.ReadAge),
 		Peers: m.peers.statuses(time.Now()), Upstreams: m.reportUpstreams(m.state.Snapshot()), Budgets: []daemonstatus.Budget{},
 	}
 	if l := m.lease.Load(); l != nil {
