--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -56,26 +56,26 @@
 	return n, nil
 }
 
-// take reads what the kernel has, without waiting.
+// take reads what the kernel has, without waiting. What arrives on a connection that is ending
+// is dropped, and stands for its end.
 func (c *conn) take(fd int, p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for {
-		n, err := unix.Read(fd, p)
-		switch {
-		case errors.Is(err, unix.EINTR):
-			continue
-		case errors.Is(err, unix.EAGAIN):
-			return 0, err
-		case err != nil || n == 0:
-			c.over = true
-			return 0, err
-		case c.ending:
-			continue
-		}
-		c.arrived = true
-		return n, nil
+	n, err := unix.Read(fd, p)
+	for errors.Is(err, unix.EINTR) {
+		n, err = unix.Read(fd, p)
 	}
+	switch {
+	case errors.Is(err, unix.EAGAIN):
+		return 0, err
+	case err != nil || n == 0:
+		c.over = true
+		return 0, err
+	case c.ending:
+		return 0, nil
+	}
+	c.arrived = true
+	return n, nil
 }
 
 // SetReadDeadline implements net.Conn. The bound on a connection that is ending stays.
@@ -172,7 +172,7 @@
 
 // linger drops what the caller still sends, until it closes.
 func (c *conn) linger() {
-	_, _ = io.Copy(io.Discard, struct{ io.Reader }{c}) // ends with the caller's close, a failure or the deadline
+	_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.TCPConn}) // ends with the caller's close, a failure or the deadline
 	_ = c.release()
 }
 
--- a/internal/graceful/graceful_test.go
+++ b/internal/graceful/graceful_test.go
@@ -226,6 +226,23 @@
 	}
 }
 
+// Guards against a caller that sends without end and so keeps its connection past the bound.
+func TestCallerThatSendsOnAndOnIsCutInTheEnd(t *testing.T) {
+	r := newRig(t, plain, answer)
+	c := r.dial()
+	r.send(c, request)
+	r.receive(c)
+	require.Eventually(t, func() bool { return r.conns.CloseIdle() == 0 }, time.Minute, time.Millisecond)
+	chunk := make([]byte, 64<<10)
+	for {
+		if _, err := c.Write(chunk); err != nil {
+			break
+		}
+	}
+	require.Eventually(t, func() bool { return len(r.conns.all()) == 0 }, time.Minute, time.Millisecond)
+	require.EqualValues(t, 1, r.handled.Load())
+}
+
 // Guards against a server that takes the end of its listener for a failure and serves it again.
 func TestServerOutlivesItsListener(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -134,10 +134,7 @@
 			t.Trimmed(oldest)
 		}
 	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.next = oldest
-	j.applied = Position{Offset: oldest - 1, Index: lastIndex}
+	j.goOnAt(oldest)
 }
 
 // beginAnew reads the log of a new era from its oldest record. Those that were read
@@ -151,6 +148,11 @@
 			r.Restored(oldest)
 		}
 	}
+	j.goOnAt(oldest)
+}
+
+// goOnAt makes a record the next one to read.
+func (j *Journal) goOnAt(oldest infra.Offset) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.next = oldest
