--- /dev/null
+++ b/journal/restore_test.go
@@ -0,0 +1,115 @@
+package journal
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/infra"
+)
+
+// copyLog is a log in memory that can come back from an older copy.
+type copyLog struct {
+	mu      sync.Mutex
+	era     uint64
+	records [][]byte
+}
+
+func (l *copyLog) Append(_ context.Context, data []byte) (infra.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, data)
+	return infra.OffsetIn(l.era, uint64(len(l.records))), nil
+}
+
+func (l *copyLog) Read(ctx context.Context, from infra.Offset, _ int, wait time.Duration) (infra.ReadResult, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from > 1 && from.Era() != l.era {
+		return infra.ReadResult{}, &infra.RestoredError{Oldest: infra.OffsetIn(l.era, 1)}
+	}
+	result := infra.ReadResult{Oldest: infra.OffsetIn(l.era, 1), Next: infra.OffsetIn(l.era, uint64(len(l.records)+1))}
+	for i := from.Index() - 1; i < uint64(len(l.records)); i++ {
+		result.Records = append(result.Records, infra.Record{Offset: infra.OffsetIn(l.era, i+1), At: time.Now(), Data: l.records[i]})
+	}
+	if len(result.Records) == 0 {
+		l.mu.Unlock()
+		sleep(ctx, min(wait, 10*time.Millisecond))
+		l.mu.Lock()
+	}
+	return result, nil
+}
+
+func (l *copyLog) restore(kept int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era++
+	l.records = l.records[:kept]
+}
+
+// folded is a folder that keeps what was applied since the last restore.
+type folded struct {
+	mu       sync.Mutex
+	ids      []string
+	restored int
+}
+
+func (f *folded) Apply(p Placed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids = append(f.ids, p.Entry.ID)
+}
+
+func (f *folded) Restored(infra.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids = nil
+	f.restored++
+}
+
+func (f *folded) now() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string{}, f.ids...)
+}
+
+// Guards against two replicas with two states: one that had read what a restore lost, and one
+// that begins after it.
+func TestReplicasAgreeAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &copyLog{}
+		join := func(ctx context.Context) (*Journal, *folded) {
+			j, f := New(log, Config{Writer: "w", Logger: slog.New(slog.DiscardHandler)}), &folded{}
+			j.Register(KindLease, f)
+			go func() { _ = j.Serve(ctx) }()
+			return j, f
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		before, seen := join(ctx)
+		write := func(id string) {
+			_, err := before.Append(ctx, Entry{Kind: KindLease, ID: id})
+			require.NoError(t, err)
+		}
+		write("kept")
+		write("lost")
+		require.Equal(t, []string{"kept", "lost"}, seen.now())
+
+		log.restore(1)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"kept"}, seen.now())
+		require.Equal(t, 1, seen.restored)
+		write("lost") // appended once more under its ID
+		write("new")
+		_, late := join(ctx)
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"kept", "lost", "new"}, seen.now())
+		require.Equal(t, seen.now(), late.now())
+		cancel()
+		synctest.Wait()
+	})
+}
