member: a daemon that doubts servers reads for itself whether they are back

Found by a soak's plan of restores every 2 s (no promise broken, but up to 23 of 300 requests refused, "no place"): after a restore two of five daemons doubted all servers, and two seconds later took all of them for gone, though each had written again a second before. One daemon reads for all; the others hear that it has read the same list, and go on behind what it read. That the list is the same says nothing of whether doubted entries were written again. The same holds after an outage in which entries lapsed, for some of a site's daemons and up to a reading's time.

A daemon with doubts doesn't take another's reading for its own. The test fails before. Readers hurry in a new era, too: the one of the servers' entries waited for its turn.

--- a/internal/member/eras.go
+++ b/internal/member/eras.go
@@ -99,6 +99,7 @@
 		sleep(ctx, turn(f.daemons()))
 		for _, r := range f.readers {
 			r.restart()
+			r.hurry()
 		}
 	}
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -121,11 +121,15 @@
 }
 
 // readSame takes over that a peer has read the list of upstreams that this daemon
-// has.
+// has. Where entries are doubted it has to read for itself: a peer says that the list is
+// the same, not that they were written again.
 func (m *Member) readSame(at Position, digest uint64, age time.Duration) {
 	if at == 0 || !m.cfg.Store.Eras().Note(at.Era(), "another daemon") {
 		return
 	}
+	if m.upstreams.doubts() {
+		return
+	}
 	age += transit
 	if digest == m.upstreams.digest.Load() && digest != 0 && age+youngerBy < m.readers[0].age() {
 		m.readers[0].heard(at, age)
--- a/internal/member/restore_test.go
+++ b/internal/member/restore_test.go
@@ -141,3 +141,21 @@
 	feed.take([]Entry{entry("config", "5")})
 	require.EqualValues(t, 7, state.Snapshot().Config.Version)
 }
+
+// Guards against servers that count as gone though they have written again: a daemon that doubts
+// them went by another's word that its list is the same, and never read that.
+func TestDaemonThatDoubtsReadsForItself(t *testing.T) {
+	rig := newFeedRig()
+	rig.feed.reset([]Entry{entry("a", "p 1:1")})
+	r := &topicReader{log: quiet}
+	r.done(10, time.Now().Add(-time.Minute))
+	m := &Member{cfg: Config{Store: &scriptedStore{}}, upstreams: rig.feed, readers: []*topicReader{r}}
+	same := rig.feed.digest.Load()
+
+	rig.feed.resetCopy(nil)
+	m.readSame(20, same, 0)
+	require.EqualValues(t, 10, r.position())
+	rig.feed.apply([]Entry{entry("a", "p 1:1")})
+	m.readSame(20, same, 0)
+	require.EqualValues(t, 20, r.position())
+}
--- a/internal/member/upstreams.go
+++ b/internal/member/upstreams.go
@@ -190,6 +190,13 @@
 	return true
 }
 
+// doubts reports whether any upstream is doubted.
+func (f *upstreamFeed) doubts() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.doubted) > 0
+}
+
 // doubt lets an upstream count as gone unless it writes again soon.
 func (f *upstreamFeed) doubt(id string) {
 	if _, already := f.doubted[id]; already {
