relay, soak: who is turned away by the last daemons is told when to come back

Where all daemons leave, a refusal without a time to come back made the soak's callers ask every 20 ms (6,706 streams refused in one play of all-daemons-stop). The time is left out only if others serve.

soak: loyal callers come in addition to the others, half as many: as a half of them they had halved what the promises are checked on.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -317,7 +317,7 @@
 		CloseIdle: m.callers.CloseIdle,
 	}
 	known := time.Now().Add(stop.Keep)
-	m.relay.Leave(known, known.Add(stop.Grace))
+	m.relay.Leave(known, known.Add(stop.Grace), func() bool { return len(m.peers.Up()) > 0 })
 	stop.Drain(nil, m.callers.Active, m.log)
 	m.pages.CloseIdle()
 	m.callers.Wait()
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -10,6 +10,8 @@
 	// known is when the last caller has learnt to go elsewhere.
 	known time.Time
 	exit  time.Time
+	// others reports whether other daemons serve.
+	others func() bool
 }
 
 // Leave tells when the process ends. From now on each answer is the last of its connection,
@@ -17,9 +19,9 @@
 //
 // Callers that can't know yet that the process ends are served until then. Those that come
 // after known are turned away unless their deadline comes before the exit: elsewhere they have
-// all of their time.
-func (r *Relay) Leave(known, exit time.Time) {
-	r.leave.Store(&leave{known: known, exit: exit})
+// all of their time. They may go there at once if others serve.
+func (r *Relay) Leave(known, exit time.Time, others func() bool) {
+	r.leave.Store(&leave{known: known, exit: exit, others: others})
 }
 
 // leaving bounds the call by the end of the process, or returns why it isn't taken.
@@ -36,5 +38,9 @@
 		c.deadline = latest
 		return nil
 	}
-	return refused(http.StatusServiceUnavailable, reasonLeaving, "this daemon may stop before the answer's end")
+	f := refused(http.StatusServiceUnavailable, reasonLeaving, "this daemon may stop before the answer's end")
+	if l.others() {
+		return f
+	}
+	return f.after(c.retryAfter())
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -17,8 +17,8 @@
 	// of a loyal one: some of its connections idle while their daemon leaves.
 	pauseBetween = 20 * time.Millisecond
 	loyalPause   = 2 * time.Second
-	// One of loyalEvery callers is loyal.
-	loyalEvery = 2
+	// For each callersForLoyal callers there is a loyal one.
+	callersForLoyal = 2
 	// closeOneIn is how often a caller gives up a request that it has sent.
 	closeOneIn = 6
 	// keepAtLeast bounds how often a caller asks where to connect.
@@ -49,10 +49,12 @@
 }
 
 func newCaller(s *site, seed uint64, name int) *caller {
-	c := &caller{name: name, site: s, rng: rand.New(rand.NewPCG(seed, uint64(name)+1)), client: standin.NewCaller()}
-	if name%loyalEvery == 0 {
-		c.loyal = &loyalty{}
-	}
+	return &caller{name: name, site: s, rng: rand.New(rand.NewPCG(seed, uint64(name)+1)), client: standin.NewCaller()}
+}
+
+func newLoyalCaller(s *site, seed uint64, name int) *caller {
+	c := newCaller(s, seed, name)
+	c.loyal = &loyalty{}
 	return c
 }
 
--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -41,6 +41,15 @@
 // badly that the system has to change some.
 var firstRoles = []string{standin.RolePrefill, standin.RoleDecode, standin.RolePrefill, standin.RolePrefill}
 
+// firstRole returns the role of an engine at its start. Those beyond firstRoles are there to
+// carry more callers, and come in equal parts.
+func firstRole(i int) string {
+	if i < len(firstRoles) {
+		return firstRoles[i]
+	}
+	return [...]string{standin.RoleDecode, standin.RolePrefill}[i%2]
+}
+
 // addLinks makes a link for each server and some to spare.
 func (s *site) addLinks(callers int) error {
 	n := len(markPools) + spareLinks
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -109,6 +109,9 @@
 	for i := range o.Callers {
 		wg.Go(func() { newCaller(s, o.Seed, i).run(ctx) })
 	}
+	for i := range o.Callers / callersForLoyal {
+		wg.Go(func() { newLoyalCaller(s, o.Seed, o.Callers+i).run(ctx) })
+	}
 	var steps conc.WaitGroup
 	began := time.Now()
 	for _, step := range report.Steps {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -116,7 +116,7 @@
 		for i := range v.serversFor(o.Callers) {
 			role := ""
 			if v.stream {
-				role = firstRoles[i%len(firstRoles)]
+				role = firstRole(i)
 			}
 			if err := s.addPlace(v.name, role); err != nil {
 				return nil, err
