--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -42,7 +42,7 @@
 
 // callersServed is the number of callers that a service's servers can serve, with some of them
 // away.
-const callersServed = 20
+const callersServed = 30
 
 // serversFor returns the number of servers before a number of callers. A site that can't serve
 // what is asked of it refuses, which must not pass for a recovery that doesn't come.
