exchange: carry no two requests with the same id on one connection

A server's response that comes once more, late, was taken for the response to another exchange with the same id on the connection: a prefill's for the run's, a run's for the prefill's, and a 503 "not run" of one attempt for the response to the next, which ran. The echoed id tells requests apart, not the exchanges of one request. No report from a caller is traced to this: the relay excludes a server that refused, and callers' attempts have ids of their own, so it takes an engine that changes its role or a caller that repeats an id.

A connection now remembers the hashes of all ids that it has carried and isn't taken for one of them; another connection or a new one is.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -54,6 +54,7 @@
 	}
 	reused := c.used
 	c.used = true
+	c.remember(r.Match)
 	stop := context.AfterFunc(ctx, c.close)
 	resp := &Response{pool: p, conn: c, stop: stop, sent: make(chan error, 1)}
 	if err := resp.exchange(r, reused); err != nil {
@@ -158,7 +159,7 @@
 // completely, the request was sent completely, and no further bytes have arrived.
 func (resp *Response) Close() {
 	usable := resp.stop() && resp.reusable && resp.complete && resp.requestSent()
-	if !usable || resp.conn.reader.Buffered() > 0 {
+	if !usable || resp.conn.worn() || resp.conn.reader.Buffered() > 0 {
 		resp.conn.close()
 		return
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -140,7 +140,7 @@
 	require.Equal(t, 1, s.connections())
 	<-closed
 	require.Eventually(t, func() bool {
-		c := p.popIdle()
+		c := p.popIdle(Match{})
 		defer func() { p.idle = append(p.idle, c) }()
 		return !c.healthy()
 	}, wait, time.Millisecond)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,7 +93,7 @@
 		return nil
 	}
 	for {
-		c := p.popIdle()
+		c := p.popIdle(r.Match)
 		if c == nil {
 			return nil
 		}
@@ -105,16 +106,17 @@
 	}
 }
 
-func (p *Pool) popIdle() *conn {
+// popIdle removes and returns the last used connection that may carry the request.
+func (p *Pool) popIdle(m Match) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if c.mayCarry(m) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn, now time.Time) {
