relay: log and count responses that belong to another request

Nothing said that an upstream answers twice, so the incident left no trace. Where internal/exchange drops such a response it now calls Options.OnMismatch; the relay logs the id wanted, the one found (64 bytes at most), upstream and address, and counts mismatched_responses. No behaviour towards callers changes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -87,6 +87,7 @@
 			resp.setResponse(response, r.Match)
 			return nil
 		}
+		resp.pool.options.OnMismatch(r.Match.mismatch(response, reused))
 		if !reused {
 			return ErrMismatchedResponse
 		}
--- a/internal/exchange/match.go
+++ b/internal/exchange/match.go
@@ -22,3 +22,21 @@
 func (m Match) accepts(h http.Header) bool { return !m.identifies() || h.Get(m.header) == m.id }
 
 func (m Match) hash() uint64 { return xxhash.Sum64String(m.id) }
+
+// maxFoundBytes limits the length of Mismatch.Found, which the upstream controls.
+const maxFoundBytes = 64
+
+// Mismatch describes a dropped response that belongs to another request.
+type Mismatch struct {
+	// Wanted is the request's id. Found is the beginning of the response's, empty if it
+	// has none.
+	Wanted, Found string
+	Status        int
+	// Reused says that the connection had carried earlier requests.
+	Reused bool
+}
+
+func (m Match) mismatch(response *http.Response, reused bool) Mismatch {
+	found := response.Header.Get(m.header)
+	return Mismatch{Wanted: m.id, Found: found[:min(len(found), maxFoundBytes)], Status: response.StatusCode, Reused: reused}
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -21,6 +21,9 @@
 	// UnackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is closed; a network partition shows no other sign.
 	UnackedTimeout time.Duration
+	// OnMismatch is called for each dropped response that belongs to another request; it
+	// must not block. Nil does nothing.
+	OnMismatch func(Mismatch)
 }
 
 // The defaults of Options, and the limit of idle connections.
@@ -54,6 +57,9 @@
 	setDefault(&o.MaxIdleNonIdempotent, defaultMaxIdleNonIdempotent)
 	setDefault(&o.MaxIdle, defaultMaxIdle)
 	setDefault(&o.UnackedTimeout, defaultUnackedTimeout)
+	if o.OnMismatch == nil {
+		o.OnMismatch = func(Mismatch) {}
+	}
 	return &Pool{address: address, options: o}
 }
 
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	"time"
 
+	"tamarackchute/internal/exchange"
+	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/telemetry"
 )
 
@@ -73,6 +75,16 @@
 	c.log.Warn("failed", attrs...)
 }
 
+// mismatchRecorder returns a function that counts and logs an upstream's responses that
+// were dropped because they belong to other requests.
+func (r *Relay) mismatchRecorder(u *fleet.Upstream) func(exchange.Mismatch) {
+	return func(m exchange.Mismatch) {
+		r.metrics.recordMismatch()
+		r.cfg.Logger.Warn("response to another request dropped", "request", m.Wanted, "found", m.Found, "status", m.Status,
+			"upstream", u.ID, "address", u.Address, "reused", m.Reused)
+	}
+}
+
 func (c *call) promptTokens() int {
 	if c.Generation == nil {
 		return 0
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,6 +26,9 @@
 	return m.scope.Tagged(map[string]string{"rule": rule})
 }
 
+// recordMismatch counts a dropped response that belongs to another request.
+func (m *metrics) recordMismatch() { m.scope.Counter("mismatched_responses").Inc(1) }
+
 // recordRequest counts a request by its outcome; a nil failure means that it was answered.
 func (m *metrics) recordRequest(c *call, f *failure) {
 	rule := ""
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -164,7 +164,7 @@
 		if known {
 			c.pool.Close()
 		}
-		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, exchange.Options{})}
+		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, exchange.Options{OnMismatch: r.mismatchRecorder(u)})}
 		r.conns[u.ID] = c
 	}
 	return c.pool
