relay: drop the handoff of an engine that has been replaced

A request could go on from another request's handle, or free one, after its prefill engine had been replaced: another incarnation under the id or at the address gives out handles anew, and engines don't check whose handle it is. The handoff was kept across attempts, and through the prefill itself, without a look at the list of servers.

Nor is the handle freed there. Found by reading, no report is traced to it. What remains is the time until the list names the new incarnation.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -42,6 +42,11 @@
 		}
 		c.handoff, c.handoffFrom, c.handoffRefusals = Handoff{Address: p.prefill.Address, Handle: handle}, p.prefill, 0
 	}
+	if c.handoffLost() {
+		c.handoff = Handoff{}
+		p.ticket.End(placement.Cancelled)
+		return result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: errReplaced}
+	}
 	if c.handoff.Handle != "" {
 		p.ticket.HandoffStarted()
 	}
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -42,10 +42,20 @@
 
 // dropHandoff frees the KV cache that no engine has transferred.
 func (c *call) dropHandoff() {
-	if c.handoff.Handle != "" {
+	if c.handoff.Handle != "" && !c.handoffLost() {
 		c.releaseKV(c.handoffFrom, c.handoff.Handle)
-		c.handoff = Handoff{}
 	}
+	c.handoff = Handoff{}
+}
+
+// handoffLost reports whether the engine that held the KV cache has been replaced. Another
+// one at its address may have given the same handle to another request.
+func (c *call) handoffLost() bool {
+	if c.handoff.Handle == "" {
+		return false
+	}
+	u := c.relay.cfg.State.Snapshot().Upstreams[c.handoffFrom.ID]
+	return u == nil || !u.SameIncarnation(c.handoffFrom) || u.Address != c.handoffFrom.Address
 }
 
 // prefill does the prefill at the assignment's prefill engine and returns the handle of
@@ -79,6 +89,7 @@
 var (
 	errPrefill  = errors.New("prefill failed")
 	errNoBudget = errors.New("too many requests are being repeated")
+	errReplaced = errors.New("the engine that did the prefill has been replaced")
 )
 
 func (c *call) sendPrefill(ctx context.Context, p *assignment, r *exchange.Request) (string, result) {
