relay: name the engine whose handle is freed

The call that frees a handle went to whichever engine has the address. One that replaced the prefill engine, before the list of servers names it, could free the handle that it gave to another request; that request's run would then be refused. The call now carries the id of the engine it is for, like requests and orders, by which another one refuses it (421). Found by reading, no report is traced to it; whether an engine checks the id on this call too wasn't tried.

TestReleaseNamesTheEngine: the call named no engine before, now it does.

--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -117,10 +117,12 @@
 func (c *call) releaseKV(u *fleet.Upstream, handle string) {
 	method, target := c.relay.cfg.Dialect.ReleaseHandoff(handle)
 	pool := c.relay.connsTo(u)
+	r := &exchange.Request{Method: method, Target: target, Host: u.Address, Header: http.Header{}}
+	c.relay.cfg.Dialect.SetAttemptHeaders(r.Header, Attempt{Upstream: u.ID, Urgency: -1})
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		resp, err := pool.Do(ctx, &exchange.Request{Method: method, Target: target, Host: u.Address, Header: http.Header{}})
+		resp, err := pool.Do(ctx, r)
 		if err != nil {
 			c.log.Warn("KV cache not freed", "request", c.ID, "upstream", u.ID, "handle", handle, "err", err)
 			return
