--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,7 +41,7 @@
 // connection, by which upstreams cancel the request. Errors are a *NotSentError or a
 // *NoResponseError.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c := p.take(r.NonIdempotent, time.Now())
+	c := p.take(r, time.Now())
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx); err != nil {
@@ -54,6 +54,7 @@
 	}
 	reused := c.used
 	c.used = true
+	c.remember(r.Match)
 	stop := context.AfterFunc(ctx, c.close)
 	resp := &Response{pool: p, conn: c, stop: stop, sent: make(chan error, 1)}
 	if err := resp.exchange(r, reused); err != nil {
@@ -82,9 +83,11 @@
 		if err != nil {
 			return err
 		}
-		if r.IDHeader == "" || response.Header.Get(r.IDHeader) == r.ID {
-			return resp.setResponse(response)
+		if r.Match.accepts(response.Header) {
+			resp.setResponse(response, r.Match)
+			return nil
 		}
+		resp.pool.options.OnMismatch(r.Match.mismatch(response, reused))
 		if !reused {
 			return ErrMismatchedResponse
 		}
@@ -120,18 +123,17 @@
 	return err
 }
 
-func (resp *Response) setResponse(response *http.Response) error {
+func (resp *Response) setResponse(response *http.Response, m Match) {
 	resp.Status = response.StatusCode
 	resp.Header = response.Header
 	resp.Length = response.ContentLength
 	resp.body = response.Body
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	resp.reusable = framed && !response.Close
+	resp.reusable = framed && !response.Close && resp.pool.mayKeep(m)
 	limit, ok := parseKeepAlive(response.Header.Get("Keep-Alive"))
 	if ok {
 		resp.conn.maxIdle = limit
 	}
-	return nil
 }
 
 // Read reads the body. io.EOF means that it is complete by its framing; a truncated
@@ -158,7 +160,7 @@
 // completely, the request was sent completely, and no further bytes have arrived.
 func (resp *Response) Close() {
 	usable := resp.stop() && resp.reusable && resp.complete && resp.requestSent()
-	if !usable || resp.conn.reader.Buffered() > 0 {
+	if !usable || resp.conn.worn() || resp.conn.reader.Buffered() > 0 {
 		resp.conn.close()
 		return
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -70,7 +70,7 @@
 }
 
 func request(target string) *Request {
-	return &Request{Method: "POST", Target: target, Host: "h", Header: http.Header{}, Body: []byte("b"), IDHeader: "X-Id", ID: target}
+	return &Request{Method: "POST", Target: target, Host: "h", Header: http.Header{}, Body: []byte("b"), Match: EchoedID("X-Id", target)}
 }
 
 func reply(c net.Conn, id, body string) {
@@ -140,7 +140,7 @@
 	require.Equal(t, 1, s.connections())
 	<-closed
 	require.Eventually(t, func() bool {
-		c := p.popIdle()
+		c := p.popIdle(Match{})
 		defer func() { p.idle = append(p.idle, c) }()
 		return !c.healthy()
 	}, wait, time.Millisecond)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	// UnackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is closed; a network partition shows no other sign.
 	UnackedTimeout time.Duration
+	// OnMismatch is called for each dropped response that belongs to another request; it
+	// must not block. Nil does nothing.
+	OnMismatch func(Mismatch)
 }
 
 // The defaults of Options, and the limit of idle connections.
@@ -39,6 +43,8 @@
 type Pool struct {
 	address string
 	options Options
+	// inOrder says that the upstream guarantees what NewInOrderPool requires.
+	inOrder bool
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -51,9 +57,24 @@
 	setDefault(&o.MaxIdleNonIdempotent, defaultMaxIdleNonIdempotent)
 	setDefault(&o.MaxIdle, defaultMaxIdle)
 	setDefault(&o.UnackedTimeout, defaultUnackedTimeout)
+	if o.OnMismatch == nil {
+		o.OnMismatch = func(Mismatch) {}
+	}
 	return &Pool{address: address, options: o}
 }
 
+// NewInOrderPool returns a pool of connections to an upstream which guarantees exactly one
+// response to each request of a connection, in the order of the requests. Only there may
+// exchanges that nothing identifies use kept connections.
+func NewInOrderPool(address string, o Options) *Pool {
+	p := NewPool(address, o)
+	p.inOrder = true
+	return p
+}
+
+// mayKeep reports whether an exchange may use a kept connection and leave it to others.
+func (p *Pool) mayKeep(m Match) bool { return p.inOrder || m.identifies() }
+
 func setDefault(d *time.Duration, fallback time.Duration) {
 	if *d == 0 {
 		*d = fallback
@@ -71,16 +92,19 @@
 	}
 }
 
-// take returns an idle connection, or nil if there is none. It closes those that it
-// finds broken or idle for too long.
-func (p *Pool) take(nonIdempotent bool, now time.Time) *conn {
+// take returns an idle connection, or nil if there is none that the request may use. It
+// closes those that it finds broken or idle for too long.
+func (p *Pool) take(r *Request, now time.Time) *conn {
+	if !p.mayKeep(r.Match) {
+		return nil
+	}
 	for {
-		c := p.popIdle()
+		c := p.popIdle(r.Match)
 		if c == nil {
 			return nil
 		}
 		idle := now.Sub(c.idleSince)
-		usable := idle < c.maxIdle && (!nonIdempotent || idle < p.options.MaxIdleNonIdempotent)
+		usable := idle < c.maxIdle && (!r.NonIdempotent || idle < p.options.MaxIdleNonIdempotent)
 		if usable && c.healthy() {
 			return c
 		}
@@ -88,16 +112,17 @@
 	}
 }
 
-func (p *Pool) popIdle() *conn {
+// popIdle removes and returns the last used connection that may carry the request.
+func (p *Pool) popIdle(m Match) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if c.mayCarry(m) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn, now time.Time) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -42,6 +42,11 @@
 		}
 		c.handoff, c.handoffFrom, c.handoffRefusals = Handoff{Address: p.prefill.Address, Handle: handle}, p.prefill, 0
 	}
+	if c.handoffLost() {
+		c.handoff = Handoff{}
+		p.ticket.End(placement.Cancelled)
+		return result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: errReplaced}
+	}
 	if c.handoff.Handle != "" {
 		p.ticket.HandoffStarted()
 	}
@@ -89,8 +94,7 @@
 		Host:          c.in.Host,
 		Header:        h,
 		Body:          c.body,
-		IDHeader:      d.RequestIDHeader(),
-		ID:            c.ID,
+		Match:         exchange.EchoedID(d.RequestIDHeader(), c.ID),
 		NonIdempotent: c.rule.RetryMode == pathset.NonIdempotent,
 	}
 }
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -42,10 +42,20 @@
 
 // dropHandoff frees the KV cache that no engine has transferred.
 func (c *call) dropHandoff() {
-	if c.handoff.Handle != "" {
+	if c.handoff.Handle != "" && !c.handoffLost() {
 		c.releaseKV(c.handoffFrom, c.handoff.Handle)
-		c.handoff = Handoff{}
 	}
+	c.handoff = Handoff{}
+}
+
+// handoffLost reports whether the engine that held the KV cache has been replaced. Another
+// one at its address may have given the same handle to another request.
+func (c *call) handoffLost() bool {
+	if c.handoff.Handle == "" {
+		return false
+	}
+	u := c.relay.cfg.State.Snapshot().Upstreams[c.handoffFrom.ID]
+	return u == nil || !u.SameIncarnation(c.handoffFrom) || u.Address != c.handoffFrom.Address
 }
 
 // prefill does the prefill at the assignment's prefill engine and returns the handle of
@@ -59,7 +69,6 @@
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeoutFactor*p.plan.FirstToken+prefillSlack)
 	defer cancel()
 	r := c.newRequest(p.prefill, p, Attempt{PrefillOnly: true, KVSource: p.sourceAddress()})
-	r.IDHeader = ""
 	handle, res := c.sendPrefill(ctx, p, r)
 	if res.err == nil {
 		c.prefills++
@@ -80,6 +89,7 @@
 var (
 	errPrefill  = errors.New("prefill failed")
 	errNoBudget = errors.New("too many requests are being repeated")
+	errReplaced = errors.New("the engine that did the prefill has been replaced")
 )
 
 func (c *call) sendPrefill(ctx context.Context, p *assignment, r *exchange.Request) (string, result) {
@@ -107,10 +117,12 @@
 func (c *call) releaseKV(u *fleet.Upstream, handle string) {
 	method, target := c.relay.cfg.Dialect.ReleaseHandoff(handle)
 	pool := c.relay.connsTo(u)
+	r := &exchange.Request{Method: method, Target: target, Host: u.Address, Header: http.Header{}}
+	c.relay.cfg.Dialect.SetAttemptHeaders(r.Header, Attempt{Upstream: u.ID, Urgency: -1})
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		resp, err := pool.Do(ctx, &exchange.Request{Method: method, Target: target, Host: u.Address, Header: http.Header{}})
+		resp, err := pool.Do(ctx, r)
 		if err != nil {
 			c.log.Warn("KV cache not freed", "request", c.ID, "upstream", u.ID, "handle", handle, "err", err)
 			return
