relay, fleet: heed a server that says in its responses that it leaves

What callers saw: requests went on to a server for seconds after one of its answers had said Server-Leaving: 1, as long as the store had not accepted its entry as draining; those that came after the server had ended failed.

Cause: nothing read the header; only the store's entry made a server draining.

The fix: - The headers of each final response read on a connection to a server are observed, also of those that are dropped: runs, prefills, stream heads, refusals, failures, control calls. - fleet.State keeps the incarnations (ID and start) that have said so, and marks them in every list it is given: the list read anew, a lapse, a restored store or another daemon's list cannot take it back, and another start under the ID has said nothing. A request that is held back counts as not sent: it goes to another server, excludes none, uses no retry budget and says nothing about health. Gone servers are held back likewise. Control calls and the freeing of a KV cache ask too; an order held back is refused, not unknown. A KV source that leaves is not named any more. - Draining engines no longer count as engines of unknown cache contents: their lists are not asked for.

Whose headers a 421 bears: another server's that has taken over the address, or the same one's in another role. It counts for the incarnation that the connection was made for, in both cases rightly: in the first that one is gone. Not covered: a server that starts anew under its ID and leaves before its new start is listed; its word is taken for the former start's.

The header is still forwarded to callers: it is the server's own, and nothing but the daemon acts on it.

--- a/cmd/chute-member/main.go
+++ b/cmd/chute-member/main.go
@@ -63,7 +63,7 @@
 		Decoder:          store,
 		Dialect:          platform.Dialect{},
 		Log:              platform.NewLog(store),
-		Engines:          platform.Engines{},
+		Engines:          platform.NewEngines,
 		DirectoryHandler: func(m *member.Member) http.Handler { return platform.DirectoryHandler(m) },
 		ReadyHandler:     platform.ReadyHandler,
 		Logger:           log,
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -34,6 +34,8 @@
 		reader:  bufio.NewReaderSize(raw, readBuffer),
 		writer:  bufio.NewWriterSize(raw, writeBuffer),
 		maxIdle: maxIdle,
+
+		idleSince: time.Now(),
 	}
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -52,6 +52,10 @@
 		c.close()
 		return nil, &NotSentError{Cause: err}
 	}
+	if err := r.admitted(); err != nil {
+		p.putBack(c)
+		return nil, &NotSentError{Cause: err}
+	}
 	reused := c.used
 	c.used = true
 	stop := context.AfterFunc(ctx, c.close)
@@ -103,11 +107,18 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
+			resp.pool.observe(response)
 			return response, nil
 		}
 	}
 }
 
+func (p *Pool) observe(response *http.Response) {
+	if p.options.OnResponse != nil {
+		p.options.OnResponse(response.StatusCode, response.Header)
+	}
+}
+
 // discardStale reads and drops a late response to an earlier request.
 func discardStale(response *http.Response) error {
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	// UnackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is closed; a network partition shows no other sign.
 	UnackedTimeout time.Duration
+	// OnResponse is called for the headers of each final response read, also of those that
+	// are discarded because they belong to no request. Nil does nothing.
+	OnResponse func(status int, h http.Header)
 }
 
 // The defaults of Options, and the limit of idle connections.
@@ -102,6 +106,11 @@
 
 func (p *Pool) put(c *conn, now time.Time) {
 	c.idleSince = now
+	p.putBack(c)
+}
+
+// putBack returns a connection that wasn't used since it became idle.
+func (p *Pool) putBack(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle) >= maxIdleConns {
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -21,6 +21,16 @@
 	// NonIdempotent keeps the request off connections that the upstream may just be
 	// closing: after a reset there it isn't known whether the request ran.
 	NonIdempotent bool
+	// Admit is called once a connection is ready, right before the first byte is written.
+	// An error ends the exchange with nothing sent. Nil admits the request.
+	Admit func() error
+}
+
+func (r *Request) admitted() error {
+	if r.Admit == nil {
+		return nil
+	}
+	return r.Admit()
 }
 
 // write writes the request. If headers and body fit the buffer, they go out in one write.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -99,11 +99,13 @@
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
 	watch   []func(*Snapshot)
+	// leaving are the incarnations that have said themselves that they are draining.
+	leaving leavingSet
 }
 
 // NewState returns a state without configuration and upstreams.
 func NewState() *State {
-	s := &State{}
+	s := &State{leaving: make(leavingSet)}
 	s.current.Store(&Snapshot{})
 	return s
 }
@@ -130,16 +132,44 @@
 	return true
 }
 
-// SetUpstreams replaces the list of upstreams.
+// SetUpstreams replaces the list of upstreams, which must not be changed afterwards. Those
+// that have said themselves that they are draining stay so, whatever their entries say.
 func (s *State) SetUpstreams(list map[string]*Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaving.forget(s.current.Load().Upstreams, list, time.Now())
+	s.setUpstreams(list)
+}
+
+// setUpstreams makes a list the current one. The caller holds s.mu.
+func (s *State) setUpstreams(list map[string]*Upstream) {
+	list = s.leaving.apply(list)
 	next := *s.current.Load()
 	next.Upstreams = list
 	next.Pools = byPool(list)
 	s.swap(&next)
 }
 
+// MarkDraining records that an incarnation has said itself that it is draining: its entry,
+// which is older, can't take that back. It returns false if that was known.
+func (s *State) MarkDraining(u *Upstream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaving.add(u, time.Now()) {
+		return false
+	}
+	current := s.current.Load().Upstreams
+	listed := current[u.ID]
+	if listed == nil || !listed.SameIncarnation(u) {
+		return true
+	}
+	if listed.Draining {
+		return false
+	}
+	s.setUpstreams(current)
+	return true
+}
+
 // swap makes next the current snapshot and calls the watchers. The caller holds s.mu.
 func (s *State) swap(next *Snapshot) {
 	s.current.Store(next)
--- a/internal/member/catchup.go
+++ b/internal/member/catchup.go
@@ -146,7 +146,7 @@
 func (c *catchUp) queryEngine(ctx context.Context, u *fleet.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, cacheListTimeout)
 	defer cancel()
-	parts, err := c.member.cfg.Engines.CachedParts(ctx, u)
+	parts, err := c.member.engines.CachedParts(ctx, u)
 	if err != nil {
 		c.log.Warn("listing an engine's cached parts failed", "engine", u.ID, "err", err)
 		return
--- a/internal/member/engines.go
+++ b/internal/member/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"tamarackchute/internal/fleet"
@@ -53,6 +54,15 @@
 	return [...]string{"open", "taken", "holds", "refused", "fenced"}[o]
 }
 
+// Gate decides whether an upstream may be called, and learns from its responses.
+type Gate interface {
+	// Admit returns an error if nothing may be sent to an upstream now. It is asked right
+	// before the first byte is written.
+	Admit(u *fleet.Upstream) error
+	// Observe is called for the headers of each response.
+	Observe(u *fleet.Upstream, status int, h http.Header)
+}
+
 // Engines calls the control interface of model engines.
 type Engines interface {
 	// CachedParts returns the prompt parts in an engine's KV cache, as listed by the engine. The
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -48,9 +48,10 @@
 	Store    Store
 	Decoder  Decoder
 	Dialect  relay.Dialect
-	// Log and Engines are used for role changes.
-	Log     infra.Log
-	Engines Engines
+	// Log is used for role changes.
+	Log infra.Log
+	// Engines returns the control calls of model engines behind a gate.
+	Engines func(Gate) Engines
 	// DirectoryHandler and ReadyHandler create the platform's HTTP handlers.
 	DirectoryHandler func(*Member) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
@@ -65,6 +66,7 @@
 	state   *fleet.State
 	tracker *placement.Tracker
 	relay   *relay.Relay
+	engines Engines
 	// callerConns are the connections to the callers' address, otherConns those to all other
 	// addresses.
 	callerConns, otherConns *graceful.Connections
@@ -101,6 +103,7 @@
 		OnReplaced:    func(id string) { m.peers.MarkUnavailable(id, "", replacedTimeout) },
 		MinRetryAfter: minRetryAfter,
 	})
+	m.engines = cfg.Engines(m.relay)
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.peers.localDemand = m.localDemand
 	m.peers.requestsWaiting = m.relay.HasWaiting
@@ -290,7 +293,7 @@
 	}
 	directing := suture.New("directing", spec)
 	directing.Add(&director{
-		member: m, log: m.cfg.Log, engines: m.cfg.Engines, logger: m.log,
+		member: m, log: m.cfg.Log, engines: m.engines, logger: m.log,
 		balancers: make(map[string]*rolepolicy.Balancer), changes: make(map[string]roleChange),
 		lastLogged: make(map[string]time.Time),
 	})
--- /dev/null
+++ b/internal/relay/advice.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"tamarackchute/internal/fleet"
+)
+
+// ErrHeldBack is the cause of errors of requests that weren't sent because the upstream wants
+// none. It says nothing about the upstream's health.
+var ErrHeldBack = errors.New("held back")
+
+var (
+	errUpstreamDraining = fmt.Errorf("%w: the upstream is draining", ErrHeldBack)
+	errUpstreamGone     = fmt.Errorf("%w: the upstream is gone", ErrHeldBack)
+)
+
+// Observe records what a response says about further requests to its upstream. It must be
+// called for each response, whether or not a request was waiting for it.
+func (r *Relay) Observe(u *fleet.Upstream, status int, h http.Header) {
+	advice := r.cfg.Dialect.Advice(status, h)
+	if !advice.Draining || !r.cfg.State.MarkDraining(u) {
+		return
+	}
+	r.metrics.recordLeaving(u.Pool)
+	r.cfg.Logger.Info("upstream leaves", "upstream", u.ID, "started", u.Started, "pool", u.Pool, "status", status,
+		"request", h.Get(r.cfg.Dialect.RequestIDHeader()))
+}
+
+// Admit returns an error if nothing may be sent to an upstream now. It is asked right before
+// the first byte is written: the answer may have changed since the upstream was chosen.
+func (r *Relay) Admit(u *fleet.Upstream) error {
+	err := r.heldBack(u)
+	if err != nil {
+		r.metrics.recordHeldBack(u.Pool, err)
+	}
+	return err
+}
+
+func (r *Relay) heldBack(u *fleet.Upstream) error {
+	current := r.cfg.State.Snapshot().Upstreams[u.ID]
+	switch {
+	case current == nil || !current.SameIncarnation(u):
+		return errUpstreamGone
+	case current.Draining:
+		return errUpstreamDraining
+	default:
+		return nil
+	}
+}
+
+// admit returns Admit for one upstream.
+func (r *Relay) admit(u *fleet.Upstream) func() error {
+	return func() error { return r.Admit(u) }
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -57,14 +57,14 @@
 func (c *call) decodeAttempt(p *assignment, handoff Handoff) Attempt {
 	a := Attempt{Handoff: handoff}
 	if p.prefill == nil {
-		a.KVSource = p.sourceAddress()
+		a.KVSource = c.sourceAddress(p)
 	}
 	return a
 }
 
 // sourceAddress returns the address to transfer shared prompt parts from, empty if none.
-func (p *assignment) sourceAddress() string {
-	if p.source == nil {
+func (c *call) sourceAddress(p *assignment) string {
+	if p.source == nil || c.relay.heldBack(p.source) != nil {
 		return ""
 	}
 	return p.source.Address
@@ -92,6 +92,7 @@
 		IDHeader:      d.RequestIDHeader(),
 		ID:            c.ID,
 		NonIdempotent: c.rule.RetryMode == pathset.NonIdempotent,
+		Admit:         c.relay.admit(u),
 	}
 }
 
@@ -196,6 +197,9 @@
 )
 
 func (c *call) sendFailed(ctx context.Context, p *assignment, err error) result {
+	if errors.Is(err, ErrHeldBack) {
+		return result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
+	}
 	outcome := outcomeOfError(ctx)
 	err = withStallError(ctx, err)
 	if !mayHaveReached(err) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// recordLeaving counts an upstream that has said that it is draining.
+func (m *metrics) recordLeaving(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstreams_leaving").Inc(1)
+}
+
+// recordHeldBack counts a request that wasn't sent because the upstream wants none.
+func (m *metrics) recordHeldBack(pool string, cause error) {
+	m.scope.Tagged(map[string]string{"pool": pool, "cause": cause.Error()}).Counter("sends_held_back").Inc(1)
+}
+
 // recordAttempt counts an attempt by its result.
 func (m *metrics) recordAttempt(c *call, p *assignment, res result) {
 	s := m.forRule(c.rule.Name)
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -58,7 +58,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeoutFactor*p.plan.FirstToken+prefillSlack)
 	defer cancel()
-	r := c.newRequest(p.prefill, p, Attempt{PrefillOnly: true, KVSource: p.sourceAddress()})
+	r := c.newRequest(p.prefill, p, Attempt{PrefillOnly: true, KVSource: c.sourceAddress(p)})
 	r.IDHeader = ""
 	handle, res := c.sendPrefill(ctx, p, r)
 	if res.err == nil {
@@ -73,7 +73,9 @@
 		res.outcome = placement.Cancelled
 	}
 	p.prefillTicket.End(res.outcome)
-	c.excluded = append(c.excluded, p.prefill.ID)
+	if !errors.Is(res.err, ErrHeldBack) {
+		c.excluded = append(c.excluded, p.prefill.ID)
+	}
 	return "", res
 }
 
@@ -84,6 +86,9 @@
 
 func (c *call) sendPrefill(ctx context.Context, p *assignment, r *exchange.Request) (string, result) {
 	resp, err := c.relay.connsTo(p.prefill).Do(ctx, r)
+	if errors.Is(err, ErrHeldBack) {
+		return "", result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
+	}
 	if err != nil {
 		return "", result{execution: dispatch.NotRun, reachedUpstream: mayHaveReached(err), outcome: outcomeOfError(ctx), err: err}
 	}
@@ -110,7 +115,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		resp, err := pool.Do(ctx, &exchange.Request{Method: method, Target: target, Host: u.Address, Header: http.Header{}})
+		resp, err := pool.Do(ctx, &exchange.Request{Method: method, Target: target, Host: u.Address, Header: http.Header{}, Admit: c.relay.admit(u)})
 		if err != nil {
 			c.log.Warn("KV cache not freed", "request", c.ID, "upstream", u.ID, "handle", handle, "err", err)
 			return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -164,7 +164,8 @@
 		if known {
 			c.pool.Close()
 		}
-		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, exchange.Options{})}
+		observe := func(status int, h http.Header) { r.Observe(u, status, h) }
+		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, exchange.Options{OnResponse: observe})}
 		r.conns[u.ID] = c
 	}
 	return c.pool
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -75,6 +75,12 @@
 	Unsigned
 )
 
+// Advice is what the headers of a response say about further requests to its upstream.
+type Advice struct {
+	// Draining says that the upstream is about to stop and wants no new work.
+	Draining bool
+}
+
 // Dialect translates between the headers of the outer protocol and this package's types.
 type Dialect interface {
 	// ParseCall parses the headers of a caller's request.
@@ -87,6 +93,8 @@
 	RequestIDHeader() string
 	// Classify returns the class of an upstream's response.
 	Classify(status int, h http.Header) ResponseClass
+	// Advice returns what a response says about further requests to its upstream.
+	Advice(status int, h http.Header) Advice
 	// CopyResponseHeaders copies the response headers that go to the caller.
 	CopyResponseHeaders(dst, src http.Header)
 	// ParsePrefill parses the response to a prefill and returns the handle of its KV cache.
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -129,13 +129,13 @@
 
 // UnknownCaches returns the engines whose cache contents are unknown. Prefill times of
 // these are not learned from: cache hits would pass for fast prefill, and engines believed
-// to be fast get more work than they can handle.
+// to be fast get more work than they can handle. Draining engines are left out.
 func (tr *Tracker) UnknownCaches() []Key {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	var list []Key
 	for key, e := range tr.byKey {
-		if e.cache != nil && !e.cacheKnown {
+		if e.cache != nil && !e.cacheKnown && !e.Draining {
 			list = append(list, key)
 		}
 	}
