relay, placement: heed a server that asks for a rest

What callers saw: requests went on to a server that had turned one away with 503 and Retry-After, and were turned away one after the other; where all servers of a pool rested, each caller was told 0.4 s at most.

Cause: nothing read the header from upstreams; a refusal excluded a server for 60 ms for each refusal in a row, up to 480 ms, whatever it had asked for.

The fix: - Retry-After counts on 503 and 429, marked as not run or not, in each response that is observed. It is a number of seconds above 0, at most a minute is taken; anything else, a date included, is no hint. - Tracker.Rest excludes that start of the upstream by the monotonic clock; the later of several ends holds. Rests are kept by key, so that they outlast a lapse, a new list and a new configuration. They count as no failure. - What is sent is bound: Admit holds back requests, prefills, the freeing of a KV cache and control calls until the end; none is sent in a rest. - Afterwards one request at a time goes there until one is answered; a stream counts from its first event, or a long one would hold up all others. - If all upstreams that could run a request rest (or some rest and the others drain), a request is refused at once, with the time at which the first is back, unless one that it may use is back while it would be queued anyway: then it waits, as does one whose stream has begun or that may have run, if that is before its deadline. Where all drain no time can be named: requests queue as before, since a new server may be listed any moment. The cooldown of 60 ms for each refusal stays as it was.

--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/telemetry"
+	"tamarackchute/placement"
 )
 
 // ErrHeldBack is the cause of errors of requests that weren't sent because the upstream wants
@@ -14,6 +17,7 @@
 
 var (
 	errUpstreamDraining = fmt.Errorf("%w: the upstream is draining", ErrHeldBack)
+	errUpstreamResting  = fmt.Errorf("%w: the upstream rests", ErrHeldBack)
 	errUpstreamGone     = fmt.Errorf("%w: the upstream is gone", ErrHeldBack)
 )
 
@@ -21,14 +25,21 @@
 // called for each response, whether or not a request was waiting for it.
 func (r *Relay) Observe(u *fleet.Upstream, status int, h http.Header) {
 	advice := r.cfg.Dialect.Advice(status, h)
-	if !advice.Draining || !r.cfg.State.MarkDraining(u) {
-		return
+	attrs := []any{
+		"upstream", u.ID, "started", u.Started, "pool", u.Pool, "status", status, "request", h.Get(r.cfg.Dialect.RequestIDHeader()),
+	}
+	if advice.Draining && r.cfg.State.MarkDraining(u) {
+		r.metrics.recordLeaving(u.Pool)
+		r.cfg.Logger.Info("upstream leaves", attrs...)
+	}
+	if rest := advice.RetryAfter; rest > 0 && r.cfg.Tracker.Rest(keyOf(u), rest) {
+		r.metrics.recordRest(u.Pool)
+		r.cfg.Logger.Info("upstream rests", append(attrs, "rest_ms", telemetry.Millis(rest), "until", time.Now().Add(rest))...)
 	}
-	r.metrics.recordLeaving(u.Pool)
-	r.cfg.Logger.Info("upstream leaves", "upstream", u.ID, "started", u.Started, "pool", u.Pool, "status", status,
-		"request", h.Get(r.cfg.Dialect.RequestIDHeader()))
 }
 
+func keyOf(u *fleet.Upstream) placement.Key { return placement.KeyOf(u.ID, u.Started) }
+
 // Admit returns an error if nothing may be sent to an upstream now. It is asked right before
 // the first byte is written: the answer may have changed since the upstream was chosen.
 func (r *Relay) Admit(u *fleet.Upstream) error {
@@ -46,6 +57,8 @@
 		return errUpstreamGone
 	case current.Draining:
 		return errUpstreamDraining
+	case r.cfg.Tracker.RestLeft(keyOf(u)) > 0:
+		return errUpstreamResting
 	default:
 		return nil
 	}
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"tamarackchute/enginemodel"
@@ -66,13 +67,16 @@
 		return nil, c.fail(reasonCannotComplete, "no upstream can end the answer in the time left")
 	}
 	late := c.isLate(began)
+	until := began.Add(c.maxWait(late))
 	var found *assignment
+	rest := c.restBeyond(until)
 	try := func() bool {
-		found = c.tryAssign(late)
-		return found != nil
+		if found = c.tryAssign(late); found == nil {
+			rest = c.restBeyond(until)
+		}
+		return found != nil || rest > 0
 	}
-	until := began.Add(c.maxWait(late))
-	got := c.relay.queue(c.rule.Name).await(ctx, late, until, try)
+	got := rest > 0 || c.relay.queue(c.rule.Name).await(ctx, late, until, try)
 	if !got && !late && c.Generation != nil && c.contextFailure(ctx) == nil {
 		// No upstream can meet the objective. A late response is worth more than none.
 		late = true
@@ -84,10 +88,32 @@
 		}
 		return nil, c.fail(reasonNoCapacity, "no upstream has a free place")
 	}
+	if found == nil {
+		return nil, c.failResting(rest)
+	}
 	found.waited = time.Since(began)
 	return found, nil
 }
 
+// restBeyond returns the time until the first upstream of the pool ends its rest, if all rest
+// and none that the request may use is back while it is queued. It returns 0 otherwise.
+func (c *call) restBeyond(until time.Time) time.Duration {
+	rest, ok := c.relay.cfg.Tracker.PoolRest(c.pool, c.excluded)
+	if !ok || rest.FirstUsable <= time.Until(until) {
+		return 0
+	}
+	return rest.First
+}
+
+// failResting returns the failure of a request for which all upstreams rest too long.
+func (c *call) failResting(rest time.Duration) *failure {
+	f := c.fail(reasonAllResting, "all upstreams have asked for a rest")
+	if f.status == http.StatusServiceUnavailable {
+		f.retryAfter = rest
+	}
+	return f
+}
+
 // cannotComplete reports whether no engine can complete the response before the deadline.
 // If sent, it would be cut off there and have slowed the concurrent streams. A request
 // that may have run or whose stream has begun isn't refused for this.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -50,6 +50,11 @@
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstreams_leaving").Inc(1)
 }
 
+// recordRest counts a rest that an upstream has asked for.
+func (m *metrics) recordRest(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstream_rests").Inc(1)
+}
+
 // recordHeldBack counts a request that wasn't sent because the upstream wants none.
 func (m *metrics) recordHeldBack(pool string, cause error) {
 	m.scope.Tagged(map[string]string{"pool": pool, "cause": cause.Error()}).Counter("sends_held_back").Inc(1)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -79,6 +79,9 @@
 type Advice struct {
 	// Draining says that the upstream is about to stop and wants no new work.
 	Draining bool
+	// RetryAfter is how long the upstream wants no requests from this daemon, 0 if it doesn't
+	// say.
+	RetryAfter time.Duration
 }
 
 // Dialect translates between the headers of the outer protocol and this package's types.
--- a/placement/health.go
+++ b/placement/health.go
@@ -47,6 +47,10 @@
 	lastEjected        time.Time
 	ejectedUntil       time.Time
 	probing            bool
+	// restsUntil is the time until which the upstream wants no requests. probingRest is set
+	// if it is probed only because it has rested.
+	restsUntil  time.Time
+	probingRest bool
 }
 
 func (h *health) record(o Outcome, began, now time.Time) {
@@ -67,11 +71,30 @@
 	h.connectionFailures = 0
 	h.failureRate *= 1 - failureSmoothing
 	if h.probing && began.After(h.ejectedUntil) {
-		h.probing = false
+		h.probing, h.probingRest = false, false
 		h.failureRate = 0
 	}
 }
 
+// rest excludes the upstream until the given time, later than any before, and lets it be
+// probed then. It doesn't count as a failure.
+func (h *health) rest(until time.Time) {
+	h.restsUntil = until
+	if until.After(h.ejectedUntil) {
+		h.ejectedUntil = until
+	}
+	h.probingRest = h.probingRest || !h.probing
+	h.probing = true
+}
+
+// answered ends the probing after a rest once the upstream has begun to answer: a long
+// response must not hold up all others.
+func (h *health) answered(began time.Time) {
+	if h.probingRest && began.After(h.ejectedUntil) {
+		h.probing, h.probingRest = false, false
+	}
+}
+
 func (h *health) fail(now time.Time) {
 	h.failureRate += failureSmoothing * (1 - h.failureRate)
 	if h.ejected(now) {
@@ -89,7 +112,7 @@
 	h.ejectedUntil = now.Add(min(maxEjection, baseEjection<<min(h.ejections, 8)))
 	h.ejections++
 	h.lastEjected = now
-	h.probing = true
+	h.probing, h.probingRest = true, false
 	h.connectionFailures = 0
 }
 
--- /dev/null
+++ b/placement/rest_test.go
@@ -0,0 +1,194 @@
+package placement
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/upstream"
+)
+
+// restingTracker is a tracker of plain upstreams of one pool, with its own clock.
+type restingTracker struct {
+	*Tracker
+	t     *testing.T
+	clock time.Time
+}
+
+func newRestingTracker(t *testing.T, ids ...string) *restingTracker {
+	r := &restingTracker{t: t, clock: time.Now()}
+	r.Tracker = NewTracker(func() time.Time { return r.clock })
+	r.sync(ids...)
+	return r
+}
+
+func (r *restingTracker) sync(ids ...string) {
+	var members []Member
+	for _, id := range ids {
+		members = append(members, Member{ID: id, Pool: "app", Slots: 4})
+	}
+	r.Sync(members)
+}
+
+func (r *restingTracker) pass(d time.Duration) { r.clock = r.clock.Add(d) }
+
+// pick returns the upstream chosen for a request, empty if there is none.
+func (r *restingTracker) pick() string {
+	id, _, _ := r.PickService("app", Request{})
+	return id
+}
+
+func keyOfID(id string) Key { return KeyOf(id, time.Time{}) }
+
+// Guards against all callers coming back to an upstream at once when its rest ends.
+func TestRestingUpstreamIsProbedByOneRequest(t *testing.T) {
+	r := newRestingTracker(t, "a")
+	require.True(t, r.Rest(keyOfID("a"), 3*time.Second))
+	r.pass(3*time.Second - 1)
+	require.Empty(t, r.pick())
+	r.pass(2)
+	require.Equal(t, "a", r.pick())
+	probe := r.Begin("a", Work{})
+	require.Empty(t, r.pick(), "the probe isn't answered yet")
+	probe.End(Cancelled)
+	require.Equal(t, "a", r.pick(), "the probe says nothing")
+	r.Begin("a", Work{}).End(Done)
+	r.Begin("a", Work{})
+	require.Equal(t, "a", r.pick())
+}
+
+// A response to a request from before the rest doesn't end the probing.
+func TestEarlierRequestIsNoProbe(t *testing.T) {
+	r := newRestingTracker(t, "a")
+	earlier := r.Begin("a", Work{})
+	r.Rest(keyOfID("a"), time.Second)
+	r.pass(2 * time.Second)
+	earlier.End(Done)
+	r.Begin("a", Work{})
+	require.Empty(t, r.pick())
+}
+
+// A long stream must not hold up all other requests after a rest: its first event is answer
+// enough. After failures, the whole stream has to succeed.
+func TestFirstEventEndsProbingAfterRest(t *testing.T) {
+	engines := func() *restingTracker {
+		r := newRestingTracker(t)
+		r.Sync([]Member{{ID: "e", Pool: "app", Role: upstream.RoleDecode, Slots: 4, KVTokens: 1000}})
+		return r
+	}
+	r := engines()
+	r.Rest(keyOfID("e"), time.Second)
+	r.pass(2 * time.Second)
+	probe := r.Begin("e", Work{})
+	require.Empty(t, r.Engines([]string{"e"}))
+	probe.PrefillDone()
+	require.Len(t, r.Engines([]string{"e"}), 1)
+
+	r = engines()
+	for range unreachableLimit {
+		r.Begin("e", Work{}).End(Unreachable)
+	}
+	r.Rest(keyOfID("e"), time.Second)
+	r.pass(2 * time.Second)
+	r.Begin("e", Work{}).PrefillDone()
+	require.Empty(t, r.Engines([]string{"e"}))
+}
+
+// Of several responses the one with the later end counts, whichever comes first.
+func TestLaterEndOfRestCounts(t *testing.T) {
+	r := newRestingTracker(t, "a")
+	a := keyOfID("a")
+	require.True(t, r.Rest(a, 3*time.Second))
+	require.False(t, r.Rest(a, time.Second))
+	require.Equal(t, 3*time.Second, r.RestLeft(a))
+	r.pass(time.Second)
+	require.True(t, r.Rest(a, 3*time.Second))
+	require.Equal(t, 3*time.Second, r.RestLeft(a))
+	r.pass(3*time.Second - 1)
+	require.Empty(t, r.pick())
+	r.pass(1)
+	require.Zero(t, r.RestLeft(a))
+}
+
+// A rest is the wish of a healthy upstream: it neither counts as a failure nor shortens an
+// ejection.
+func TestRestIsNoFailure(t *testing.T) {
+	r := newRestingTracker(t, "a")
+	for range 5 {
+		r.Rest(keyOfID("a"), time.Second)
+		r.pass(2 * time.Second)
+	}
+	require.Zero(t, r.byID["a"].health.ejections)
+	require.Zero(t, r.byID["a"].health.failureRate)
+	for range unreachableLimit {
+		r.Begin("a", Work{}).End(Unreachable)
+	}
+	until := r.byID["a"].health.ejectedUntil
+	r.Rest(keyOfID("a"), time.Millisecond)
+	require.Equal(t, until, r.byID["a"].health.ejectedUntil)
+}
+
+// A rest outlasts the lapse of the upstream's entry, and binds no other start under its ID.
+func TestRestOutlastsLapse(t *testing.T) {
+	r := newRestingTracker(t, "a", "b")
+	r.Rest(keyOfID("a"), 3*time.Second)
+	r.sync("b")
+	r.pass(time.Second)
+	r.sync("a")
+	require.Empty(t, r.pick())
+	require.Equal(t, 2*time.Second, r.RestLeft(keyOfID("a")))
+	restarted := Member{ID: "a", Pool: "app", Slots: 4, Started: time.UnixMilli(5000)}
+	r.Sync([]Member{restarted})
+	require.Equal(t, "a", r.pick())
+	require.Zero(t, r.RestLeft(restarted.key()))
+}
+
+// Rests that are over aren't kept.
+func TestOldRestsAreDropped(t *testing.T) {
+	r := newRestingTracker(t, "a", "b")
+	r.Rest(keyOfID("a"), time.Second)
+	r.pass(time.Second)
+	r.Rest(keyOfID("b"), time.Second)
+	require.Len(t, r.rests, 1)
+}
+
+// A pool rests if all upstreams that could run a request rest: until the first one is back.
+func TestPoolRests(t *testing.T) {
+	engine := func(id string, role upstream.Role, draining bool) Member {
+		return Member{ID: id, Pool: "app", Role: role, Slots: 4, KVTokens: 1000, Draining: draining}
+	}
+	r := newRestingTracker(t)
+	requireAwake := func() {
+		t.Helper()
+		_, ok := r.PoolRest("app", nil)
+		require.False(t, ok)
+	}
+	requireRest := func(first, firstUsable time.Duration, exclude ...string) {
+		t.Helper()
+		rest, ok := r.PoolRest("app", exclude)
+		require.True(t, ok)
+		require.Equal(t, PoolRest{First: first, FirstUsable: firstUsable}, rest)
+	}
+	requireAwake()
+	r.Sync([]Member{engine("p", upstream.RolePrefill, false), engine("d1", upstream.RoleDecode, false), engine("d2", upstream.RoleDecode, false), engine("d3", upstream.RoleDecode, true)})
+	requireAwake()
+	r.Rest(keyOfID("d1"), 3*time.Second)
+	requireAwake()
+	r.Rest(keyOfID("d2"), 2*time.Second)
+	requireRest(2*time.Second, 2*time.Second)
+	requireRest(2*time.Second, 3*time.Second, "d2")
+	requireRest(2*time.Second, math.MaxInt64, "d2", "d1")
+	r.pass(2 * time.Second)
+	requireAwake()
+	r.Sync([]Member{engine("p", upstream.RolePrefill, false), engine("d3", upstream.RoleDecode, true)})
+	requireAwake()
+}
+
+// The cache contents of an engine that is draining aren't asked for.
+func TestDrainingEnginesHaveNoUnknownCaches(t *testing.T) {
+	r := newRestingTracker(t)
+	r.Sync([]Member{{ID: "d", Pool: "app", Role: upstream.RoleDecode, Draining: true}})
+	require.Empty(t, r.UnknownCaches())
+}
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -144,6 +144,7 @@
 		return
 	}
 	t.prefilled = true
+	e.health.answered(t.began)
 	t.releasePrefill()
 	e.cache.recordPrefill(t.work.Parts)
 	t.reportPrefill(PrefillFinished)
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -37,6 +37,9 @@
 	byID   map[string]*trackedUpstream
 	byKey  map[Key]*trackedUpstream
 	models map[string]*enginemodel.Model
+	// rests are the ends of the rests that upstreams have asked for, also of those that aren't
+	// listed at the moment.
+	rests map[Key]time.Time
 	// newEnginesEmpty is set if engines that appear from now on have an empty cache.
 	newEnginesEmpty bool
 	// prefillEvents are the events since the last call of PrefillEvents, for the peers.
@@ -103,7 +106,7 @@
 	}
 	return &Tracker{
 		now: now, byID: make(map[string]*trackedUpstream), byKey: make(map[Key]*trackedUpstream),
-		models: make(map[string]*enginemodel.Model),
+		models: make(map[string]*enginemodel.Model), rests: make(map[Key]time.Time),
 	}
 }
 
@@ -172,6 +175,9 @@
 		e.model = tr.model(m.Pool)
 		e.cache = newCacheEstimate(m.KVTokens)
 	}
+	if until := tr.rests[m.key()]; tr.now().Before(until) {
+		e.health.rest(until)
+	}
 	return e
 }
 
