--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -49,16 +49,19 @@
 }
 
 // explain prints the log lines about one request from the given logs of all daemons
-// in chronological order, and returns them.
+// in chronological order, and returns them. Lines on what upstreams had asked for meanwhile,
+// in responses to other requests, are printed with them.
 func (s *session) explain(id, files string) ([]logLine, error) {
-	lines, err := s.requestLines(files, id)
+	lines, advice, err := s.requestLines(files, id)
 	if err != nil {
 		return nil, err
 	}
 	if len(lines) == 0 {
 		return nil, &exitError{code: ExitFailed, message: fmt.Sprintf("no line names the request %q", id)}
 	}
-	for _, l := range lines {
+	shown := append(adviceFor(lines, advice), lines...)
+	sortByTime(shown)
+	for _, l := range shown {
 		s.printLine(l, lines[0].Time)
 	}
 	return lines, nil
@@ -76,13 +79,29 @@
 	fmt.Fprintln(s.Stdout)
 }
 
-// requestLines returns the lines of all files about a request, ordered by time.
-func (s *session) requestLines(files, id string) ([]logLine, error) {
+// requestLines returns the lines of all files about a request, and those on what upstreams
+// have asked for in responses to other requests, each ordered by time.
+func (s *session) requestLines(files, id string) (lines, advice []logLine, err error) {
 	quoted, err := json.Marshal(id)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return s.filterLines(files, func(text []byte) (logLine, bool) { return parseRequestLine(text, quoted) })
+	lines, err = s.filterLines(files, func(text []byte) (logLine, bool) {
+		l, ok := parseRequestLine(text, quoted)
+		if ok || !isAdvice(text) {
+			return l, ok
+		}
+		if l, ok := parseLine(text); ok {
+			advice = append(advice, l)
+		}
+		return logLine{}, false
+	})
+	sortByTime(advice)
+	return lines, advice, err
+}
+
+func sortByTime(lines []logLine) {
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
 }
 
 // filterLines returns the parsed lines of all files that match accepts, ordered by
@@ -96,7 +115,7 @@
 		}
 		lines = append(lines, found...)
 	}
-	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	sortByTime(lines)
 	return lines, nil
 }
 
