--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	// OnMismatch is called for each dropped response that belongs to another request; it
 	// must not block. Nil does nothing.
 	OnMismatch func(Mismatch)
+	// OnResponse is called for the headers of each final response read, also of those that
+	// are discarded because they belong to no request. Nil does nothing.
+	OnResponse func(status int, h http.Header)
 }
 
 // The defaults of Options, and the limit of idle connections.
@@ -127,6 +131,11 @@
 
 func (p *Pool) put(c *conn, now time.Time) {
 	c.idleSince = now
+	p.putBack(c)
+}
+
+// putBack returns a connection that wasn't used since it became idle.
+func (p *Pool) putBack(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle) >= maxIdleConns {
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -68,7 +68,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeoutFactor*p.plan.FirstToken+prefillSlack)
 	defer cancel()
-	r := c.newRequest(p.prefill, p, Attempt{PrefillOnly: true, KVSource: p.sourceAddress()})
+	r := c.newRequest(p.prefill, p, Attempt{PrefillOnly: true, KVSource: c.sourceAddress(p)})
 	handle, res := c.sendPrefill(ctx, p, r)
 	if res.err == nil {
 		c.prefills++
@@ -82,7 +82,9 @@
 		res.outcome = placement.Cancelled
 	}
 	p.prefillTicket.End(res.outcome)
-	c.excluded = append(c.excluded, p.prefill.ID)
+	if !errors.Is(res.err, ErrHeldBack) {
+		c.excluded = append(c.excluded, p.prefill.ID)
+	}
 	return "", res
 }
 
@@ -94,6 +96,9 @@
 
 func (c *call) sendPrefill(ctx context.Context, p *assignment, r *exchange.Request) (string, result) {
 	resp, err := c.relay.connsTo(p.prefill).Do(ctx, r)
+	if errors.Is(err, ErrHeldBack) {
+		return "", result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
+	}
 	if err != nil {
 		return "", result{execution: dispatch.NotRun, reachedUpstream: mayHaveReached(err), outcome: outcomeOfError(ctx), err: err}
 	}
@@ -117,7 +122,7 @@
 func (c *call) releaseKV(u *fleet.Upstream, handle string) {
 	method, target := c.relay.cfg.Dialect.ReleaseHandoff(handle)
 	pool := c.relay.connsTo(u)
-	r := &exchange.Request{Method: method, Target: target, Host: u.Address, Header: http.Header{}}
+	r := &exchange.Request{Method: method, Target: target, Host: u.Address, Header: http.Header{}, Admit: c.relay.admit(u)}
 	c.relay.cfg.Dialect.SetAttemptHeaders(r.Header, Attempt{Upstream: u.ID, Urgency: -1})
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -164,7 +164,9 @@
 		if known {
 			c.pool.Close()
 		}
-		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, exchange.Options{OnMismatch: r.mismatchRecorder(u)})}
+		observe := func(status int, h http.Header) { r.Observe(u, status, h) }
+		options := exchange.Options{OnMismatch: r.mismatchRecorder(u), OnResponse: observe}
+		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, options)}
 		r.conns[u.ID] = c
 	}
 	return c.pool
