httpx: the test server's silent connection stays open until the test ends

Seen: TestErrorsSayWhetherTheRequestWasSent/silent_until_the_deadline failed once with "unexpected EOF" for a deadline. Cause: the handler returns without a reference to the connection, and the garbage collector closes it.

The check itself is unchanged.

--- a/internal/adapters/httpx/client_test.go
+++ b/internal/adapters/httpx/client_test.go
@@ -18,7 +18,8 @@
 	"tamarackchute/upstream"
 )
 
-// serveRaw accepts connections and hands each to serve until the test ends.
+// serveRaw accepts connections and hands each to serve until the test ends. It closes them
+// then; one that nothing refers to would be closed earlier, by the garbage collector.
 func serveRaw(t *testing.T, serve func(n int, c net.Conn)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -29,6 +30,7 @@
 			if err != nil {
 				return
 			}
+			t.Cleanup(func() { _ = c.Close() })
 			go serve(n, c)
 		}
 	}()
