httpx: a response must name its exchange

A peer that repeats no ID still works.

Cause: responses were matched to requests by their order on a kept connection. The check for unsolicited bytes sees only those that arrive before the next request is sent.

Fix: the client sends X-Exchange-Id, unique to the exchange, and the server repeats it (httpx.EchoExchange; the stand-ins and entrybench's upstream do). A response without an ID is accepted only as the first on its connection, and that connection isn't kept: exchange.end returns a connection to the pool only if the response had the ID. On a reused connection a response without an ID ends the call as ErrBroken. The attempt's ID can't serve: an attempt has several exchanges (generate, resume, cancel), and most calls have no attempt. The client still sends once; NotSent and Broken mean what they meant.

Cost: a service or engine that doesn't repeat the ID gets a connection for each call.

--- a/internal/adapters/httpx/client.go
+++ b/internal/adapters/httpx/client.go
@@ -21,12 +21,15 @@
 	addr string
 	opts Options
 	host *fasthttp.HostClient
+	ids  *exchangeIDs
+	// foreign records the dropped responses.
+	foreign *foreignLog
 }
 
 // New returns a client for an address.
 func New(addr string, o Options) *Client {
 	o = o.withDefaults()
-	c := &Client{addr: addr, opts: o}
+	c := &Client{addr: addr, opts: o, ids: newExchangeIDs(), foreign: newForeignLog(addr, o.Logger)}
 	c.host = &fasthttp.HostClient{
 		Addr:                addr,
 		MaxConns:            o.MaxConns,
@@ -114,16 +117,18 @@
 	if err := ctx.Err(); err != nil {
 		return nil, notSent(err)
 	}
-	c.prepare(req)
 	x, err := c.connect(ctx)
 	if err != nil {
 		return nil, notSent(contextCause(ctx, err))
 	}
+	x.id = c.ids.next(req.Header.IsHead())
+	c.prepare(req, x.id)
 	return x, nil
 }
 
-func (c *Client) prepare(req *fasthttp.Request) {
+func (c *Client) prepare(req *fasthttp.Request, id []byte) {
 	req.Header.SetHost(c.addr)
+	req.Header.SetBytesV(HeaderExchange, id)
 	if c.opts.Sender != "" {
 		req.Header.Set(HeaderSender, c.opts.Sender)
 	}
@@ -132,7 +137,7 @@
 // connect returns an idle or a new connection. An idle connection that the peer has
 // closed, or on which unsolicited bytes have arrived, is discarded before a request is
 // sent: on the former a request would fail as "may have run" though it never ran, on
-// the latter it would get another request's response.
+// the latter it may wait behind another request's response.
 func (c *Client) connect(ctx context.Context) (*exchange, error) {
 	for {
 		cc, err := c.host.AcquireConn(timeRemaining(ctx), false)
@@ -151,7 +156,7 @@
 			}
 			c.host.CloseConn(cc)
 		}
-		return &exchange{conn: cc.Conn(), host: c.host, release: release}, nil
+		return &exchange{client: c, conn: cc.Conn(), reused: reused, release: release}, nil
 	}
 }
 
--- a/internal/adapters/httpx/client_test.go
+++ b/internal/adapters/httpx/client_test.go
@@ -38,11 +38,13 @@
 }
 
 func answer(c net.Conn, body string) error {
-	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
 		return err
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
+	resp.Header.Set(HeaderExchange, req.Header.Get(HeaderExchange))
 	resp.SetBodyString(body)
 	w := bufio.NewWriter(c)
 	_ = resp.Write(w)
--- a/internal/adapters/httpx/exchange.go
+++ b/internal/adapters/httpx/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -9,13 +10,19 @@
 	"github.com/valyala/fasthttp"
 )
 
-// exchange is one request and its response on a connection. The connection returns
-// to the pool only if the whole response was read and the exchange wasn't aborted, so
-// that a late response can't be taken for that of a later request.
+// exchange is one request and its response on a connection. The response is the one with
+// the exchange's ID. A response without an ID is accepted only if it is the first on its
+// connection, and the connection is then closed, as a late response on it could be taken
+// for that to a later request.
 type exchange struct {
+	client *Client
 	conn   net.Conn
 	reader *bufio.Reader
-	host   *fasthttp.HostClient
+	id     []byte
+	// reused means that the connection has had earlier exchanges.
+	reused bool
+	// identified means that the response had the exchange's ID.
+	identified bool
 	// release returns the connection to the pool if it can be reused, else closes it.
 	release func(reuse bool)
 
@@ -36,8 +43,9 @@
 	_ = e.conn.Close()
 }
 
-// end ends the exchange and releases the connection; further calls do nothing. No read
-// may be in progress.
+// end ends the exchange and releases the connection; further calls do nothing. With reuse
+// the connection returns to the pool if the whole response was read, had the exchange's ID,
+// and the exchange wasn't aborted. No read may be in progress.
 func (e *exchange) end(reuse bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -45,9 +53,9 @@
 		return
 	}
 	e.ended = true
-	reusable := reuse && !e.aborted && e.reader != nil && e.reader.Buffered() == 0
+	reusable := reuse && e.identified && !e.aborted && e.reader.Buffered() == 0
 	if e.reader != nil {
-		e.host.ReleaseReader(e.reader)
+		e.client.host.ReleaseReader(e.reader)
 		e.reader = nil
 	}
 	e.release(reusable)
@@ -55,18 +63,85 @@
 
 // send writes the request.
 func (e *exchange) send(req *fasthttp.Request) error {
-	w := e.host.AcquireWriter(e.conn)
-	defer e.host.ReleaseWriter(w)
+	host := e.client.host
+	w := host.AcquireWriter(e.conn)
+	defer host.ReleaseWriter(w)
 	if err := req.Write(w); err != nil {
 		return err
 	}
 	return w.Flush()
 }
 
-// receive reads the response, or only its header if resp.StreamBody is set.
+// receive reads the response, or only its header if resp.StreamBody is set. Responses to
+// other exchanges are dropped.
 func (e *exchange) receive(resp *fasthttp.Response, maxBody int) error {
-	e.reader = e.host.AcquireReader(e.conn)
-	return resp.ReadLimitBody(e.reader, maxBody)
+	e.reader = e.client.host.AcquireReader(e.conn)
+	resp.ResetBody()
+	for range maxForeignResponses + 1 {
+		if err := e.readHeader(&resp.Header); err != nil {
+			return err
+		}
+		id := resp.Header.Peek(HeaderExchange)
+		e.identified = bytes.Equal(id, e.id)
+		switch {
+		case e.identified, len(id) == 0 && !e.reused:
+			return e.readBody(resp, maxBody)
+		case len(id) == 0:
+			return errUnidentified
+		}
+		if err := e.discard(&resp.Header, id); err != nil {
+			return err
+		}
+	}
+	return errTooManyForeign
+}
+
+// readHeader reads a response's header and skips informational responses.
+func (e *exchange) readHeader(h *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses + 1 {
+		if err := h.Read(e.reader); err != nil {
+			return err
+		}
+		if !isInterim(h.StatusCode()) {
+			return nil
+		}
+	}
+	return errTooManyInterim
+}
+
+func isInterim(status int) bool {
+	return status >= 100 && status < 200 && status != fasthttp.StatusSwitchingProtocols
+}
+
+// readBody reads the body that belongs to the response's header.
+func (e *exchange) readBody(resp *fasthttp.Response, maxBody int) error {
+	if resp.SkipBody || !hasBody(resp.StatusCode()) {
+		return nil
+	}
+	if err := resp.ReadBody(e.reader, maxBody); err != nil {
+		return err
+	}
+	if resp.StreamBody || resp.Header.ContentLength() != chunked {
+		return nil
+	}
+	return resp.Header.ReadTrailer(e.reader)
+}
+
+// chunked is the content length of a header that announces a chunked body.
+const chunked = -1
+
+func hasBody(status int) bool {
+	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
+// discard reads the rest of a response to another exchange.
+func (e *exchange) discard(h *fasthttp.ResponseHeader, id []byte) error {
+	e.client.foreign.add(h.StatusCode(), id, e.id)
+	foreign := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(foreign)
+	h.CopyTo(&foreign.Header)
+	foreign.SkipBody = bytes.HasSuffix(id, []byte(headSuffix))
+	return e.readBody(foreign, maxForeignBody)
 }
 
 // contextCause returns the context's error if the context has ended, as the I/O error
--- a/internal/adapters/httpx/options.go
+++ b/internal/adapters/httpx/options.go
@@ -4,12 +4,14 @@
 // The client uses fasthttp's connection pool and codec but implements the round
 // trip itself, because fasthttp's client resends a request whose connection was
 // closed without a response, can't abort a call by a context, and doesn't report
-// whether any byte was sent.
+// whether any byte was sent. It also takes the next response on a connection for that to
+// the current request; here each response must name its exchange, see HeaderExchange.
 package httpx
 
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"time"
 )
@@ -43,6 +45,8 @@
 	Sender string
 	// Dial replaces the default TCP dialer.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Logger replaces the default logger.
+	Logger *slog.Logger
 }
 
 func (o Options) withDefaults() Options {
@@ -61,6 +65,9 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
+	if o.Logger == nil {
+		o.Logger = slog.Default()
+	}
 	return o
 }
 
--- a/internal/adapters/serviceclient/serviceclient.go
+++ b/internal/adapters/serviceclient/serviceclient.go
@@ -70,13 +70,19 @@
 	return out
 }
 
+// The lower-case names of headers that belong to the call's connection or attempt.
+var (
+	attemptHeader  = strings.ToLower(httpx.HeaderAttempt)
+	exchangeHeader = strings.ToLower(httpx.HeaderExchange)
+)
+
 // isHopByHop reports whether a header applies to one connection only, or is set by
 // the HTTP library from the message.
 func isHopByHop(name string) bool {
 	switch strings.ToLower(name) {
 	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
 		"proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
-		"content-length", "host", "expect", strings.ToLower(httpx.HeaderAttempt):
+		"content-length", "host", "expect", attemptHeader, exchangeHeader:
 		return true
 	default:
 		return false
--- a/internal/adapters/serviceclient/serviceclient_test.go
+++ b/internal/adapters/serviceclient/serviceclient_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -78,10 +79,13 @@
 		defer func() { _ = c.Close() }()
 		r := bufio.NewReader(c)
 		if reused {
-			if _, err := http.ReadRequest(r); err != nil {
+			req, err := http.ReadRequest(r)
+			if err != nil {
 				return
 			}
-			_, _ = c.Write([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+			// Without the exchange's ID the client wouldn't reuse the connection.
+			id := req.Header.Get(httpx.HeaderExchange)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 204 No Content\r\n%s: %s\r\n\r\n", httpx.HeaderExchange, id)
 		}
 		if _, err := http.ReadRequest(r); err == nil {
 			received.Add(1)
@@ -220,3 +224,23 @@
 	assert.Contains(t, resp.Headers, upstream.Header{Name: "Set-Cookie", Value: "a=1"})
 	assert.Contains(t, resp.Headers, upstream.Header{Name: "Set-Cookie", Value: "b=2"})
 }
+
+// Guards against a caller that sets the exchange's ID, or learns it: the ID tells apart the
+// responses on this connection only.
+func TestExchangeIDIsNotTheCallers(t *testing.T) {
+	var got string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Get(httpx.HeaderExchange)
+		w.Header().Set(httpx.HeaderExchange, got)
+	}))
+	t.Cleanup(server.Close)
+	r := booking("a", "k", "")
+	r.Headers = append(r.Headers, upstream.Header{Name: httpx.HeaderExchange, Value: "callers"})
+	resp, err := serviceclient.New(server.Listener.Addr().String(), httpx.Options{}).Call(t.Context(), r)
+	require.NoError(t, err)
+	assert.NotEmpty(t, got)
+	assert.NotEqual(t, "callers", got)
+	for _, h := range resp.Headers {
+		assert.NotEqual(t, httpx.HeaderExchange, h.Name)
+	}
+}
--- a/internal/entry/entrybench/upstream.go
+++ b/internal/entry/entrybench/upstream.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	go func() { _ = fasthttp.Serve(ln, handleUpstream) }()
+	go func() { _ = fasthttp.Serve(ln, httpx.EchoExchange(handleUpstream)) }()
 	return nil
 }
 
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -82,7 +82,7 @@
 // serve handles requests until ctx ends.
 func (e *endpoint) serve(ctx context.Context, handler fasthttp.RequestHandler) error {
 	e.server = &fasthttp.Server{
-		Handler:               handler,
+		Handler:               httpx.EchoExchange(handler),
 		MaxRequestBodySize:    maxRequestBody,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
--- a/internal/standin/run_counter.go
+++ b/internal/standin/run_counter.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
+
+	"tamarackchute/internal/adapters/httpx"
 )
 
 // maxRepeatedKeys bounds the list of keys whose call ran more than once.
@@ -84,6 +86,7 @@
 func sendDuplicate(ctx *fasthttp.RequestCtx) {
 	var duplicate fasthttp.Response
 	ctx.Response.CopyTo(&duplicate)
+	httpx.SetExchange(&duplicate.Header, &ctx.Request.Header)
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) {
 		w := bufio.NewWriter(c)
--- a/internal/standin/session_test.go
+++ b/internal/standin/session_test.go
@@ -117,13 +117,28 @@
 	if n := len(r.exchanges); n > 0 && r.exchanges[n-1].sent {
 		b.WriteString("< closed\n")
 	}
-	out := b.String()
+	out := numberExchanges(b.String())
 	for _, v := range volatile {
 		out = v.pattern.ReplaceAllString(out, v.replacement)
 	}
 	return out
 }
 
+var exchangeID = regexp.MustCompile(`(?m)^([<>] ` + httpx.HeaderExchange + `: )(.*)$`)
+
+// numberExchanges replaces the exchanges' IDs, which differ between runs, by numbers in the
+// order of their first appearance.
+func numberExchanges(session string) string {
+	numbers := map[string]int{}
+	return exchangeID.ReplaceAllStringFunc(session, func(line string) string {
+		m := exchangeID.FindStringSubmatch(line)
+		if numbers[m[2]] == 0 {
+			numbers[m[2]] = len(numbers) + 1
+		}
+		return fmt.Sprintf("%s<exchange %d>", m[1], numbers[m[2]])
+	})
+}
+
 func writeMessage(t *testing.T, b *strings.Builder, mark, first string, h http.Header, body io.Reader) {
 	fmt.Fprintln(b, mark, first)
 	var names []string
