httpx: a stream whose response has no body ends at once

What callers would see: a panic in the goroutine of a generate or resume that an engine answers with 204 or 304.

Cause: fasthttp sets no body stream for these statuses, and Stream.Read called it. Read now reports the end of such a body.

--- a/internal/adapters/httpx/stream.go
+++ b/internal/adapters/httpx/stream.go
@@ -56,7 +56,12 @@
 	if s.ended {
 		return 0, io.EOF
 	}
-	n, err := s.resp.BodyStream().Read(p)
+	body := s.resp.BodyStream()
+	if body == nil { // the status allows no body
+		s.finish(!s.resp.ConnectionClose())
+		return 0, io.EOF
+	}
+	n, err := body.Read(p)
 	if err == nil {
 		return n, nil
 	}
