standin: count imports of another prompt's KV cache

What users would see: none; the stand-ins didn't notice a request that goes on from another prompt's KV cache, because an engine's answer depends on the prompt alone.

The response to GET /v1/kv/ID now has a digest of the model and prompt; the importing engine counts a mismatch as wrong_kv, also in the totals. Evidence: TestImportOfAnotherPromptIsCounted counts 1 for another prompt and 0 for its own, with -race.

--- a/internal/adapters/engineclient/engineclient_test.go
+++ b/internal/adapters/engineclient/engineclient_test.go
@@ -249,6 +249,35 @@
 	}
 }
 
+// Guards against a request that goes on from another prompt's KV cache unnoticed.
+func TestImportOfAnotherPromptIsCounted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		prompt string
+		want   int64
+	}{
+		"own":     {prompt, 0},
+		"another": {prompt + "and in autumn", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			prefill := standintest.Engine(t, standin.EngineConfig{Role: upstream.RolePrefill})
+			decode := standintest.Engine(t, standin.EngineConfig{Role: upstream.RoleDecode})
+			r := request("p")
+			r.Prompt = tc.prompt
+			kv, err := client(t, prefill).Prefill(t.Context(), r)
+			require.NoError(t, err)
+
+			r = request("d")
+			r.KV = &kv
+			s, err := client(t, decode).Generate(t.Context(), r)
+			require.NoError(t, err)
+			_, _, err = collect(t, s, 0)
+			require.NoError(t, err)
+			assert.EqualValues(t, 1, decode.Counters().KVImports)
+			assert.Equal(t, tc.want, decode.Counters().WrongKV)
+		})
+	}
+}
+
 func TestOrders(t *testing.T) {
 	slow := standin.DefaultSpeed()
 	slow.ChangeDuration = time.Hour
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -37,6 +37,7 @@
 	FencedOrders           int64 `json:"fenced_orders"`
 	OutdatedOrdersAccepted int64 `json:"outdated_orders_taken"`
 	WrongPrior             int64 `json:"wrong_prior"`
+	WrongKV                int64 `json:"wrong_kv"`
 	WorkAfterTermination   int64 `json:"work_after_leaving"`
 	ServiceCalls           int64 `json:"service_calls"`
 	Keys                   int64 `json:"keys"`
@@ -129,6 +130,7 @@
 	t.FencedOrders += c.FencedOrders
 	t.OutdatedOrdersAccepted += c.OutdatedOrdersAccepted
 	t.WrongPrior += c.WrongPrior
+	t.WrongKV += c.WrongKV
 	t.WorkAfterTermination += c.WorkAfterTermination
 }
 
--- a/internal/standin/engine_faults.go
+++ b/internal/standin/engine_faults.go
@@ -63,18 +63,20 @@
 	ResumeGone int64 `json:"resume_gone"`
 	// WrongPrior counts requests whose prior text is not the beginning of the expected
 	// completion.
-	WrongPrior         int64 `json:"wrong_prior"`
-	Steps              int64 `json:"steps"`
-	Tokens             int64 `json:"tokens"`
-	PromptTokens       int64 `json:"prompt_tokens"`
-	PrefilledTokens    int64 `json:"prefilled_tokens"`
-	PrefillMicros      int64 `json:"prefill_us"`
-	DecodeMicros       int64 `json:"decode_us"`
-	ChangeMillis       int64 `json:"change_ms"`
-	KVExports          int64 `json:"kv_exports"`
-	KVImports          int64 `json:"kv_imports"`
-	KVImportsFailed    int64 `json:"kv_imports_failed"`
-	KVImportBytes      int64 `json:"kv_import_bytes"`
+	WrongPrior      int64 `json:"wrong_prior"`
+	Steps           int64 `json:"steps"`
+	Tokens          int64 `json:"tokens"`
+	PromptTokens    int64 `json:"prompt_tokens"`
+	PrefilledTokens int64 `json:"prefilled_tokens"`
+	PrefillMicros   int64 `json:"prefill_us"`
+	DecodeMicros    int64 `json:"decode_us"`
+	ChangeMillis    int64 `json:"change_ms"`
+	KVExports       int64 `json:"kv_exports"`
+	KVImports       int64 `json:"kv_imports"`
+	KVImportsFailed int64 `json:"kv_imports_failed"`
+	KVImportBytes   int64 `json:"kv_import_bytes"`
+	// WrongKV counts imports of another prompt's KV cache.
+	WrongKV            int64 `json:"wrong_kv"`
 	Crashes            int64 `json:"crashes"`
 	InterruptedByCrash int64 `json:"cut_by_crash"`
 	// InterruptedByOrder counts responses that an order interrupted while a caller waited
--- a/internal/standin/engine_sequence.go
+++ b/internal/standin/engine_sequence.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tamarackchute/internal/adapters/engineclient"
 	"tamarackchute/internal/standin/oracle"
 	"tamarackchute/router"
@@ -36,7 +38,9 @@
 	priority   int
 	arrival    uint64
 	model      uint64
-	blocks     []uint64
+	// prompt is a digest of the model and the whole prompt.
+	prompt uint64
+	blocks []uint64
 	// promptTokens is the prompt's length; cachedTokens and importedTokens are the tokens
 	// of it that the prefix cache and a KV import provide.
 	promptTokens, cachedTokens, importedTokens int
@@ -69,6 +73,7 @@
 		completion:   oracle.Expected(m.Model, m.Prompt, m.MaxTokens),
 		priority:     m.Priority,
 		model:        modelKey(m.Model),
+		prompt:       promptDigest(m.Model, m.Prompt),
 		blocks:       blocks,
 		promptTokens: prompt,
 		firstToken:   m.PriorTokens,
@@ -81,6 +86,8 @@
 	return s
 }
 
+func promptDigest(model, prompt string) uint64 { return xxhash.Sum64String(model + "\n" + prompt) }
+
 // open returns the stream's first reader.
 func (s *sequence) open() *tokenReader {
 	s.mu.Lock()
--- a/internal/standin/engine_transfer.go
+++ b/internal/standin/engine_transfer.go
@@ -23,6 +23,13 @@
 	time.AfterFunc(exportRetention, func() { e.takeExport(handle.ID) })
 }
 
+// exportedKV is the response to an engine that imports a KV cache.
+type exportedKV struct {
+	upstream.KVHandle
+	// Prompt is a digest of the prompt that the cache is for.
+	Prompt uint64 `json:"prompt,string"`
+}
+
 // exportOf returns the handle of a prefill's KV cache, or false if the cache isn't kept for
 // another engine now.
 func (e *Engine) exportOf(s *sequence) (upstream.KVHandle, bool) {
@@ -37,7 +44,7 @@
 
 // takeExport returns an exported KV cache once and frees its memory; the prompt's blocks
 // stay in the prefix cache.
-func (e *Engine) takeExport(id string) (upstream.KVHandle, bool) {
+func (e *Engine) takeExport(id string) (exportedKV, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for attempt, x := range e.exports {
@@ -48,9 +55,9 @@
 		e.batch.free(x.seq)
 		e.recordLoad(time.Now())
 		e.wakeLoop()
-		return x.handle, true
+		return exportedKV{KVHandle: x.handle, Prompt: x.seq.prompt}, true
 	}
-	return upstream.KVHandle{}, false
+	return exportedKV{}, false
 }
 
 // importKV transfers a sequence's KV cache from the engine that holds it and then enqueues
@@ -60,7 +67,7 @@
 	defer cancelLifetime()
 	ctx, cancel := context.WithTimeout(lifetime, importTimeout)
 	defer cancel()
-	got, err := httpx.GetJSON[upstream.KVHandle](ctx, e.peers.client(from.Engine), engineclient.PathKV+from.ID)
+	got, err := httpx.GetJSON[exportedKV](ctx, e.peers.client(from.Engine), engineclient.PathKV+from.ID)
 	if err == nil {
 		e.sleep(e.config.Speed.transferTime(got.Bytes))
 	}
@@ -69,6 +76,9 @@
 	if err == nil {
 		e.counters.KVImports++
 		e.counters.KVImportBytes += got.Bytes
+		if got.Prompt != s.prompt {
+			e.counters.WrongKV++
+		}
 		s.importedTokens = got.Tokens
 	} else {
 		e.counters.KVImportsFailed++
