load: notice a response to another request by its request ID

What the load's users would see: a refusal of an earlier request that arrives late counts as this request's not_run, though the request may have run. Answers were checked already: they depend on the prompt or name the call's digest.

An entry gives each request its own Chute-Request-Id, so an ID seen before means a late response; it now counts as wrong_answer. Responses without the ID are taken as before. Evidence: TestResponseToAnotherRequestIsWrong, without the check not_run three times, with it wrong_answer from the second on. Not detected: a late response whose first copy the caller never read.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -31,6 +31,8 @@
 	calls         atomic.Int32
 	resumed       atomic.Int32
 	handleBooking func(w http.ResponseWriter, r *http.Request) // for services
+	// handleCompletion replaces the completions if it is set.
+	handleCompletion func(w http.ResponseWriter, r *http.Request)
 }
 
 func newFakeEntry(t *testing.T) *fakeEntry {
@@ -50,6 +52,10 @@
 
 func (f *fakeEntry) completions(w http.ResponseWriter, r *http.Request) {
 	f.calls.Add(1)
+	if f.handleCompletion != nil {
+		f.handleCompletion(w, r)
+		return
+	}
 	var b modelBody
 	_ = json.NewDecoder(r.Body).Decode(&b)
 	a := oracle.Expected(b.Model, b.Prompt, b.MaxTokens)
@@ -113,6 +119,27 @@
 	}
 }
 
+// Guards against a refusal of another request that counts as one of this request, which may
+// have run: unlike an answer, it doesn't show which request it belongs to.
+func TestResponseToAnotherRequestIsWrong(t *testing.T) {
+	f := newFakeEntry(t)
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerRequestID, "id-1")
+		w.Header().Set(headerOutcome, outcomeNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	f.handleBooking, f.handleCompletion = refuse, refuse
+	class := Class{Kind: KindProtected, Path: "/bookings", Deadline: 5 * time.Second}
+	c := f.caller()
+	want := []Outcome{NotRun, Wrong, Wrong}
+	var got []Outcome
+	for range 2 {
+		got = append(got, c.sendServiceCall(t.Context(), class, Arrival{Seed: 9}, time.Now()).Outcome)
+	}
+	res, _ := c.sendModelRequest(t.Context(), testClass, Arrival{Seed: 5, Prompt: 20, Output: 30, Streamed: true}, time.Now())
+	assert.Equal(t, want, append(got, res.Outcome))
+}
+
 // The entry fails while it streams a response. The caller resumes the stream at another address
 // after its last event, and the response is complete.
 func TestBrokenStreamIsResumedElsewhere(t *testing.T) {
--- a/internal/load/model.go
+++ b/internal/load/model.go
@@ -102,6 +102,10 @@
 	if m.lastEventID != "" {
 		m.result.Resumed++
 	}
+	if errors.Is(err, errForeignResponse) {
+		m.markWrong(err.Error())
+		return true
+	}
 	if err != nil {
 		m.connectionBroken(ctx, addr, err)
 		return false
--- a/internal/load/protected.go
+++ b/internal/load/protected.go
@@ -107,6 +107,10 @@
 		return false
 	}
 	s.result.Attempts++
+	if errors.Is(err, errForeignResponse) {
+		s.result.Outcome, s.result.Detail = Wrong, err.Error()
+		return true
+	}
 	var body []byte
 	if err == nil {
 		body, err = readAll(resp)
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +20,7 @@
 	headerIdempotencyKey = "Idempotency-Key"
 	headerLastEventID    = "Last-Event-ID"
 	headerOrganisation   = "OpenAI-Organization"
+	headerRequestID      = "Chute-Request-Id"
 )
 
 // outcomeNotRun is the header's value for a request that certainly did not run.
@@ -31,6 +33,8 @@
 	Model string
 	// TimeoutFactor is the callers' timeout as a multiple of the deadline.
 	TimeoutFactor float64
+	// responses holds the request IDs of the responses so far.
+	responses sync.Map
 }
 
 // NewClient returns a client that, unlike net/http's default, never retries a request by itself
@@ -54,6 +58,10 @@
 // errNotConnected means that no connection was made, so that nothing of the request was sent.
 var errNotConnected = errors.New("no connection")
 
+// errForeignResponse means that the response belongs to an earlier request. It can be told
+// by its request ID, which an instance gives to one request only.
+var errForeignResponse = errors.New("response to another request")
+
 // send sends one request to one address. The error matches errNotConnected if nothing was sent.
 func (c *Client) send(ctx context.Context, method, addr, path string, headers http.Header, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
@@ -70,7 +78,20 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return nil, errNotConnected
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if id := resp.Header.Get(headerRequestID); id != "" && c.repeated(id) {
+		_ = resp.Body.Close()
+		return nil, errForeignResponse
+	}
+	return resp, nil
+}
+
+// repeated records the request ID of a response and reports whether it was known.
+func (c *Client) repeated(id string) bool {
+	_, known := c.responses.LoadOrStore(id, struct{}{})
+	return known
 }
 
 // errorResponse is the body of an error response or the data of an error event.
