engineclient: check which attempt a prefill's handle is for

What callers would see: a request that goes on from another request's prompt, if an engine answers a prefill with another attempt's handle. A generate checks the attempt in the response; a prefill neither sent it as a header nor checked it.

Fix: Prefill sends X-Attempt-Id as Generate does; a response that names another attempt is ErrBroken, so the handle isn't used. As with services, a response without the header is accepted, since engines didn't have to send it so far. The stand-in engine sends it, and its cross_answers applies to prefills too.

Evidence: TestPrefillAnsweredForAnotherAttempt, no error before, ErrBroken after.

--- a/internal/adapters/engineclient/engineclient.go
+++ b/internal/adapters/engineclient/engineclient.go
@@ -93,9 +93,24 @@
 	return &httpx.StatusError{Status: status, NotRun: refused, Detail: detail}
 }
 
-// Prefill implements upstream.Engine.
+// Prefill implements upstream.Engine. A handle that is for another attempt is an error.
 func (c *Client) Prefill(ctx context.Context, r upstream.GenerateRequest) (upstream.KVHandle, error) {
-	return httpx.CallJSON[GenerateMessage, upstream.KVHandle](ctx, c.http, fasthttp.MethodPost, PathPrefill, generateMessage(r))
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := httpx.FillJSON(req, fasthttp.MethodPost, PathPrefill, generateMessage(r)); err != nil {
+		return upstream.KVHandle{}, err
+	}
+	req.Header.Set(httpx.HeaderAttempt, r.AttemptID)
+	handle, err := httpx.DoJSON[upstream.KVHandle](ctx, c.http, req, resp)
+	if err == nil {
+		err = httpx.CheckAttempt(&resp.Header, r.AttemptID)
+	}
+	if err != nil {
+		return upstream.KVHandle{}, err
+	}
+	return handle, nil
 }
 
 // Cancel implements upstream.Engine.
--- a/internal/adapters/engineclient/engineclient_test.go
+++ b/internal/adapters/engineclient/engineclient_test.go
@@ -278,6 +278,17 @@
 	}
 }
 
+// Guards against a request that goes on from the KV cache of another one: the engine
+// answers a prefill with the handle of another attempt.
+func TestPrefillAnsweredForAnotherAttempt(t *testing.T) {
+	e := standintest.Engine(t, standin.EngineConfig{Role: upstream.RolePrefill})
+	standintest.SetFaults(t, e, `{"cross_answers":{"next":1}}`)
+	_, err := client(t, e).Prefill(t.Context(), request("p"))
+	require.ErrorIs(t, err, upstream.ErrBroken)
+	_, err = client(t, e).Prefill(t.Context(), request("q"))
+	require.NoError(t, err)
+}
+
 func TestOrders(t *testing.T) {
 	slow := standin.DefaultSpeed()
 	slow.ChangeDuration = time.Hour
--- a/internal/adapters/httpx/errors.go
+++ b/internal/adapters/httpx/errors.go
@@ -47,6 +47,16 @@
 	return &CallError{Kind: upstream.ErrBroken, Cause: cause}
 }
 
+// CheckAttempt returns an upstream.ErrBroken if a response names another attempt than the
+// wanted one.
+func CheckAttempt(h *fasthttp.ResponseHeader, want string) error {
+	got := h.Peek(HeaderAttempt)
+	if len(got) == 0 || string(got) == want {
+		return nil
+	}
+	return Broken(fmt.Errorf("response is for attempt %q, wanted %q", got, want))
+}
+
 // StatusError is a response with an unexpected status. It matches
 // upstream.ErrRefused if the response says that the request did not run.
 type StatusError struct {
--- a/internal/adapters/httpx/json.go
+++ b/internal/adapters/httpx/json.go
@@ -28,6 +28,12 @@
 	if err := FillJSON(req, method, path, in); err != nil {
 		return out, notSent(err)
 	}
+	return DoJSON[Out](ctx, c, req, resp)
+}
+
+// DoJSON sends a request and decodes the response, with errors as of CallJSON.
+func DoJSON[Out any](ctx context.Context, c *Client, req *fasthttp.Request, resp *fasthttp.Response) (Out, error) {
+	var out Out
 	if err := c.Do(ctx, req, resp); err != nil {
 		return out, err
 	}
--- a/internal/adapters/serviceclient/serviceclient.go
+++ b/internal/adapters/serviceclient/serviceclient.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -36,9 +35,8 @@
 	if httpx.Refused(&resp.Header) {
 		return upstream.ServiceResponse{}, httpx.NewStatusError(resp)
 	}
-	if got := resp.Header.Peek(httpx.HeaderAttempt); len(got) > 0 && string(got) != r.AttemptID {
-		return upstream.ServiceResponse{}, httpx.Broken(
-			fmt.Errorf("response is for attempt %q, wanted %q", got, r.AttemptID))
+	if err := httpx.CheckAttempt(&resp.Header, r.AttemptID); err != nil {
+		return upstream.ServiceResponse{}, err
 	}
 	return toResponse(resp), nil
 }
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -74,11 +74,15 @@
 	if e.faults.trigger(func(f *EngineFaults) *Trigger { return &f.BreakStream }) {
 		r.breakAt = s.firstToken + e.faults.get().BreakAt
 	}
-	attempt := s.id
+	e.stream(ctx, r, e.answeredAttempt(s))
+}
+
+// answeredAttempt returns the ID of the attempt that the response names.
+func (e *Engine) answeredAttempt(s *sequence) string {
 	if e.faults.trigger(func(f *EngineFaults) *Trigger { return &f.WrongAttemptID }) {
-		attempt = "crossed-" + attempt
+		return "crossed-" + s.id
 	}
-	e.stream(ctx, r, attempt)
+	return s.id
 }
 
 // submitRequest submits the request in the body, or answers with an error and returns nil.
@@ -132,6 +136,7 @@
 		dropConnection(ctx)
 		return
 	}
+	ctx.Response.Header.Set(httpx.HeaderAttempt, e.answeredAttempt(s))
 	replyJSON(ctx, handle)
 }
 
