--- a/internal/adapters/serviceclient/serviceclient.go
+++ b/internal/adapters/serviceclient/serviceclient.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -36,9 +35,8 @@
 	if httpx.Refused(&resp.Header) {
 		return upstream.ServiceResponse{}, httpx.NewStatusError(resp)
 	}
-	if got := resp.Header.Peek(httpx.HeaderAttempt); len(got) > 0 && string(got) != r.AttemptID {
-		return upstream.ServiceResponse{}, httpx.Broken(
-			fmt.Errorf("response is for attempt %q, wanted %q", got, r.AttemptID))
+	if err := httpx.CheckAttempt(&resp.Header, r.AttemptID); err != nil {
+		return upstream.ServiceResponse{}, err
 	}
 	return toResponse(resp), nil
 }
@@ -70,13 +68,19 @@
 	return out
 }
 
+// The lower-case names of headers that belong to the call's connection or attempt.
+var (
+	attemptHeader  = strings.ToLower(httpx.HeaderAttempt)
+	exchangeHeader = strings.ToLower(httpx.HeaderExchange)
+)
+
 // isHopByHop reports whether a header applies to one connection only, or is set by
 // the HTTP library from the message.
 func isHopByHop(name string) bool {
 	switch strings.ToLower(name) {
 	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
 		"proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
-		"content-length", "host", "expect", strings.ToLower(httpx.HeaderAttempt):
+		"content-length", "host", "expect", attemptHeader, exchangeHeader:
 		return true
 	default:
 		return false
