--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -8,7 +8,6 @@
 
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/telemetry"
-	"tamarackchute/placement"
 )
 
 // ErrHeldBack is the cause of errors of requests that weren't sent because the upstream wants
@@ -32,14 +31,12 @@
 		r.metrics.recordLeaving(u.Pool)
 		r.cfg.Logger.Info("upstream leaves", attrs...)
 	}
-	if rest := advice.RetryAfter; rest > 0 && r.cfg.Tracker.Rest(keyOf(u), rest) {
+	if rest := advice.RetryAfter; rest > 0 && r.cfg.Tracker.Rest(u.ID, u.Started, rest) {
 		r.metrics.recordRest(u.Pool)
 		r.cfg.Logger.Info("upstream rests", append(attrs, "rest_ms", telemetry.Millis(rest), "until", time.Now().Add(rest))...)
 	}
 }
 
-func keyOf(u *fleet.Upstream) placement.Key { return placement.KeyOf(u.ID, u.Started) }
-
 // Admit returns an error if nothing may be sent to an upstream now. It is asked right before
 // the first byte is written: the answer may have changed since the upstream was chosen.
 func (r *Relay) Admit(u *fleet.Upstream) error {
@@ -57,7 +54,7 @@
 		return errUpstreamGone
 	case current.Draining:
 		return errUpstreamDraining
-	case r.cfg.Tracker.RestLeft(keyOf(u)) > 0:
+	case r.cfg.Tracker.RestLeft(u.ID, u.Started) > 0:
 		return errUpstreamResting
 	default:
 		return nil
--- a/internal/relay/advice_test.go
+++ b/internal/relay/advice_test.go
@@ -25,7 +25,7 @@
 	for _, u := range []*fleet.Upstream{resting, draining} {
 		require.Equal(t, u.Address, c.sourceAddress(&assignment{source: u}))
 	}
-	tracker.Rest(keyOf(resting), time.Minute)
+	tracker.Rest(resting.ID, resting.Started, time.Minute)
 	state.MarkDraining(draining)
 	for _, u := range []*fleet.Upstream{resting, draining} {
 		require.Empty(t, c.sourceAddress(&assignment{source: u}))
@@ -41,7 +41,7 @@
 		r := New(Config{State: state, Tracker: tracker})
 		u := &fleet.Upstream{ID: "a", Pool: "app"}
 		state.SetUpstreams(map[string]*fleet.Upstream{"a": u})
-		tracker.Rest(keyOf(u), time.Minute)
+		tracker.Rest(u.ID, u.Started, time.Minute)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		start := time.Now()
--- a/placement/rest.go
+++ b/placement/rest.go
@@ -9,20 +9,30 @@
 	"tamarackchute/upstream"
 )
 
+// start identifies one start of an upstream. Unlike Key it is never shared by two: a rest must
+// not bind another upstream.
+type start struct {
+	id string
+	// unixMillis is the time of the start.
+	unixMillis int64
+}
+
+func startOf(id string, started time.Time) start { return start{id, started.UnixMilli()} }
+
 // Rest excludes an upstream for the given time because it has asked for that. The later of
 // two ends holds. Afterwards it gets one request at a time until one is answered. Rest returns
 // false if the upstream already rests for as long.
-func (tr *Tracker) Rest(at Key, d time.Duration) bool {
+func (tr *Tracker) Rest(id string, started time.Time, d time.Duration) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	now := tr.now()
+	now, at := tr.now(), startOf(id, started)
 	until := now.Add(d)
 	if !until.After(tr.rests[at]) {
 		return false
 	}
 	tr.dropOldRests(now)
 	tr.rests[at] = until
-	if e := tr.byKey[at]; e != nil {
+	if e := tr.byID[id]; e != nil && e.Started.Equal(started) {
 		e.health.rest(until)
 	}
 	return true
@@ -30,14 +40,14 @@
 
 // dropOldRests drops the rests that are over. tr.mu is held.
 func (tr *Tracker) dropOldRests(now time.Time) {
-	maps.DeleteFunc(tr.rests, func(_ Key, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(tr.rests, func(_ start, until time.Time) bool { return !now.Before(until) })
 }
 
 // RestLeft returns how long an upstream still rests, 0 if it doesn't.
-func (tr *Tracker) RestLeft(at Key) time.Duration {
+func (tr *Tracker) RestLeft(id string, started time.Time) time.Duration {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if until, rests := tr.rests[at]; rests {
+	if until, rests := tr.rests[startOf(id, started)]; rests {
 		return max(0, until.Sub(tr.now()))
 	}
 	return 0
--- a/placement/rest_test.go
+++ b/placement/rest_test.go
@@ -40,12 +40,13 @@
 	return id
 }
 
-func keyOfID(id string) Key { return KeyOf(id, time.Time{}) }
+// noStart is the start time of upstreams that don't state it.
+var noStart time.Time
 
 // Guards against all callers coming back to an upstream at once when its rest ends.
 func TestRestingUpstreamIsProbedByOneRequest(t *testing.T) {
 	r := newRestingTracker(t, "a")
-	require.True(t, r.Rest(keyOfID("a"), 3*time.Second))
+	require.True(t, r.Rest("a", noStart, 3*time.Second))
 	r.pass(3*time.Second - 1)
 	require.Empty(t, r.pick())
 	r.pass(2)
@@ -63,7 +64,7 @@
 func TestEarlierRequestIsNoProbe(t *testing.T) {
 	r := newRestingTracker(t, "a")
 	earlier := r.Begin("a", Work{})
-	r.Rest(keyOfID("a"), time.Second)
+	r.Rest("a", noStart, time.Second)
 	r.pass(2 * time.Second)
 	earlier.End(Done)
 	r.Begin("a", Work{})
@@ -79,7 +80,7 @@
 		return r
 	}
 	r := engines()
-	r.Rest(keyOfID("e"), time.Second)
+	r.Rest("e", noStart, time.Second)
 	r.pass(2 * time.Second)
 	probe := r.Begin("e", Work{})
 	require.Empty(t, r.Engines([]string{"e"}))
@@ -90,7 +91,7 @@
 	for range unreachableLimit {
 		r.Begin("e", Work{}).End(Unreachable)
 	}
-	r.Rest(keyOfID("e"), time.Second)
+	r.Rest("e", noStart, time.Second)
 	r.pass(2 * time.Second)
 	r.Begin("e", Work{}).PrefillDone()
 	require.Empty(t, r.Engines([]string{"e"}))
@@ -99,17 +100,16 @@
 // Of several responses the one with the later end counts, whichever comes first.
 func TestLaterEndOfRestCounts(t *testing.T) {
 	r := newRestingTracker(t, "a")
-	a := keyOfID("a")
-	require.True(t, r.Rest(a, 3*time.Second))
-	require.False(t, r.Rest(a, time.Second))
-	require.Equal(t, 3*time.Second, r.RestLeft(a))
+	require.True(t, r.Rest("a", noStart, 3*time.Second))
+	require.False(t, r.Rest("a", noStart, time.Second))
+	require.Equal(t, 3*time.Second, r.RestLeft("a", noStart))
 	r.pass(time.Second)
-	require.True(t, r.Rest(a, 3*time.Second))
-	require.Equal(t, 3*time.Second, r.RestLeft(a))
+	require.True(t, r.Rest("a", noStart, 3*time.Second))
+	require.Equal(t, 3*time.Second, r.RestLeft("a", noStart))
 	r.pass(3*time.Second - 1)
 	require.Empty(t, r.pick())
 	r.pass(1)
-	require.Zero(t, r.RestLeft(a))
+	require.Zero(t, r.RestLeft("a", noStart))
 }
 
 // A rest is the wish of a healthy upstream: it neither counts as a failure nor shortens an
@@ -117,7 +117,7 @@
 func TestRestIsNoFailure(t *testing.T) {
 	r := newRestingTracker(t, "a")
 	for range 5 {
-		r.Rest(keyOfID("a"), time.Second)
+		r.Rest("a", noStart, time.Second)
 		r.pass(2 * time.Second)
 	}
 	require.Zero(t, r.byID["a"].health.ejections)
@@ -126,31 +126,31 @@
 		r.Begin("a", Work{}).End(Unreachable)
 	}
 	until := r.byID["a"].health.ejectedUntil
-	r.Rest(keyOfID("a"), time.Millisecond)
+	r.Rest("a", noStart, time.Millisecond)
 	require.Equal(t, until, r.byID["a"].health.ejectedUntil)
 }
 
 // A rest outlasts the lapse of the upstream's entry, and binds no other start under its ID.
 func TestRestOutlastsLapse(t *testing.T) {
 	r := newRestingTracker(t, "a", "b")
-	r.Rest(keyOfID("a"), 3*time.Second)
+	r.Rest("a", noStart, 3*time.Second)
 	r.sync("b")
 	r.pass(time.Second)
 	r.sync("a")
 	require.Empty(t, r.pick())
-	require.Equal(t, 2*time.Second, r.RestLeft(keyOfID("a")))
+	require.Equal(t, 2*time.Second, r.RestLeft("a", noStart))
 	restarted := Member{ID: "a", Pool: "app", Slots: 4, Started: time.UnixMilli(5000)}
 	r.Sync([]Member{restarted})
 	require.Equal(t, "a", r.pick())
-	require.Zero(t, r.RestLeft(restarted.key()))
+	require.Zero(t, r.RestLeft(restarted.ID, restarted.Started))
 }
 
 // Rests that are over aren't kept.
 func TestOldRestsAreDropped(t *testing.T) {
 	r := newRestingTracker(t, "a", "b")
-	r.Rest(keyOfID("a"), time.Second)
+	r.Rest("a", noStart, time.Second)
 	r.pass(time.Second)
-	r.Rest(keyOfID("b"), time.Second)
+	r.Rest("b", noStart, time.Second)
 	require.Len(t, r.rests, 1)
 }
 
@@ -174,9 +174,9 @@
 	requireAwake()
 	r.Sync([]Member{engine("p", upstream.RolePrefill, false), engine("d1", upstream.RoleDecode, false), engine("d2", upstream.RoleDecode, false), engine("d3", upstream.RoleDecode, true)})
 	requireAwake()
-	r.Rest(keyOfID("d1"), 3*time.Second)
+	r.Rest("d1", noStart, 3*time.Second)
 	requireAwake()
-	r.Rest(keyOfID("d2"), 2*time.Second)
+	r.Rest("d2", noStart, 2*time.Second)
 	requireRest(2*time.Second, 2*time.Second)
 	requireRest(2*time.Second, 3*time.Second, "d2")
 	requireRest(2*time.Second, math.MaxInt64, "d2", "d1")
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -39,7 +39,7 @@
 	models map[string]*enginemodel.Model
 	// rests are the ends of the rests that upstreams have asked for, also of those that aren't
 	// listed at the moment.
-	rests map[Key]time.Time
+	rests map[start]time.Time
 	// newEnginesEmpty is set if engines that appear from now on have an empty cache.
 	newEnginesEmpty bool
 	// prefillEvents are the events since the last call of PrefillEvents, for the peers.
@@ -106,7 +106,7 @@
 	}
 	return &Tracker{
 		now: now, byID: make(map[string]*trackedUpstream), byKey: make(map[Key]*trackedUpstream),
-		models: make(map[string]*enginemodel.Model), rests: make(map[Key]time.Time),
+		models: make(map[string]*enginemodel.Model), rests: make(map[start]time.Time),
 	}
 }
 
@@ -175,7 +175,7 @@
 		e.model = tr.model(m.Pool)
 		e.cache = newCacheEstimate(m.KVTokens)
 	}
-	if until := tr.rests[m.key()]; tr.now().Before(until) {
+	if until := tr.rests[startOf(m.ID, m.Started)]; tr.now().Before(until) {
 		e.health.rest(until)
 	}
 	return e
