placement: a failure after a rest isn't the failed probe of an ejected upstream

After a rest one request at a time probes, as after an ejection, and by that a single failed response would have ejected a healthy server for 0.5 s and more, or its success have wiped its failure history. Found by reading; TestRestIsNoFailure covers both and fails without the change.

--- a/placement/health.go
+++ b/placement/health.go
@@ -70,8 +70,9 @@
 func (h *health) succeed(began time.Time) {
 	h.connectionFailures = 0
 	h.failureRate *= 1 - failureSmoothing
+	h.answered(began)
 	if h.probing && began.After(h.ejectedUntil) {
-		h.probing, h.probingRest = false, false
+		h.probing = false
 		h.failureRate = 0
 	}
 }
@@ -100,7 +101,7 @@
 	if h.ejected(now) {
 		return // the request began before the ejection
 	}
-	if h.probing || h.connectionFailures >= unreachableLimit || h.failureRate > failureLimit {
+	if h.probing && !h.probingRest || h.connectionFailures >= unreachableLimit || h.failureRate > failureLimit {
 		h.eject(now)
 	}
 }
--- a/placement/rest_test.go
+++ b/placement/rest_test.go
@@ -120,14 +120,21 @@
 		r.Rest("a", noStart, time.Second)
 		r.pass(2 * time.Second)
 	}
-	require.Zero(t, r.byID["a"].health.ejections)
-	require.Zero(t, r.byID["a"].health.failureRate)
+	health := &r.byID["a"].health
+	require.Zero(t, health.failureRate)
+	r.Begin("a", Work{}).End(Failed)
+	require.Zero(t, health.ejections, "one failure, no ejection")
+	require.Equal(t, "a", r.pick())
+	require.True(t, health.probing, "a failure is no answer")
+	r.Begin("a", Work{}).End(Done)
+	require.False(t, health.probing)
+	require.Positive(t, health.failureRate, "the failure is forgotten")
 	for range unreachableLimit {
 		r.Begin("a", Work{}).End(Unreachable)
 	}
-	until := r.byID["a"].health.ejectedUntil
+	until := health.ejectedUntil
 	r.Rest("a", noStart, time.Millisecond)
-	require.Equal(t, until, r.byID["a"].health.ejectedUntil)
+	require.Equal(t, until, health.ejectedUntil)
 }
 
 // A rest outlasts the lapse of the upstream's entry, and binds no other start under its ID.
