internal/member: TestReaderRestartsInNewEra waits until the reader is idle

The test looked at the reader's position as soon as it had the restored copy; the reader adopts the position only after it has handed the copy on, which is right: a position must not be ahead of what was applied. synctest.Wait lets it finish first.

--- a/internal/member/restore_test.go
+++ b/internal/member/restore_test.go
@@ -98,6 +98,7 @@
 		require.Empty(t, copies)
 		store.Eras().Observe(1, "another daemon")
 		require.Len(t, <-copies, 1)
+		synctest.Wait()
 		require.EqualValues(t, 1, r.position().Era())
 		cancel()
 		synctest.Wait()
