exchange: carry HEAD on connections of its own

Whether a response has a body depends on the method of its request, and a late response doesn't tell that. Before the response to a HEAD, the body of a late response to a GET was read as the next response; after a HEAD, its late response made the exchange skip as many bytes of the next response as its Content-Length says, and take what follows. A body that contains a response with the caller's id, as one that quotes another may, was then taken for the response. Otherwise the exchange was lost. No report is traced to this: callers hardly use HEAD.

An exchange of HEAD now takes no kept connection and leaves none. In an in-order pool nothing changes, as no response comes late there.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,7 +88,7 @@
 			return err
 		}
 		if r.Match.accepts(response.Header) {
-			resp.setResponse(response, r.Match)
+			resp.setResponse(response, r)
 			return nil
 		}
 		resp.pool.options.OnMismatch(r.Match.mismatch(response, reused))
@@ -134,13 +134,13 @@
 	return err
 }
 
-func (resp *Response) setResponse(response *http.Response, m Match) {
+func (resp *Response) setResponse(response *http.Response, r *Request) {
 	resp.Status = response.StatusCode
 	resp.Header = response.Header
 	resp.Length = response.ContentLength
 	resp.body = response.Body
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	resp.reusable = framed && !response.Close && resp.pool.mayKeep(m)
+	resp.reusable = framed && !response.Close && resp.pool.mayKeep(r)
 	limit, ok := parseKeepAlive(response.Header.Get("Keep-Alive"))
 	if ok {
 		resp.conn.maxIdle = limit
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -76,8 +76,12 @@
 	return p
 }
 
-// mayKeep reports whether an exchange may use a kept connection and leave it to others.
-func (p *Pool) mayKeep(m Match) bool { return p.inOrder || m.identifies() }
+// mayKeep reports whether an exchange may use a kept connection and leave it to others. One
+// of HEAD may not: its responses have no body whatever their headers say, so a late one to
+// another method, or its own met by another, would be read to the wrong end.
+func (p *Pool) mayKeep(r *Request) bool {
+	return p.inOrder || r.Match.identifies() && r.Method != http.MethodHead
+}
 
 func setDefault(d *time.Duration, fallback time.Duration) {
 	if *d == 0 {
@@ -99,7 +103,7 @@
 // take returns an idle connection, or nil if there is none that the request may use. It
 // closes those that it finds broken or idle for too long.
 func (p *Pool) take(r *Request, now time.Time) *conn {
-	if !p.mayKeep(r.Match) {
+	if !p.mayKeep(r) {
 		return nil
 	}
 	for {
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -15,7 +15,8 @@
 	// Header holds the end-to-end headers, under their canonical names.
 	Header http.Header
 	Body   []byte
-	// Match identifies the response. Without it the exchange gets a connection of its own.
+	// Match identifies the response. Without it, or with HEAD, the exchange gets a connection
+	// of its own.
 	Match Match
 	// NonIdempotent keeps the request off connections that the upstream may just be
 	// closing: after a reset there it isn't known whether the request ran.
