relay: keep the length that a response to HEAD states

Callers got Content-Length: 0 in each response to a HEAD, whatever length the server had stated, or none: the relay stated the length of the body that it had read, and such a response has none. It now passes the server's length on, if there is one. Found by a test; no report is traced to it.

TestResponsesWithoutBody with `go test -race`: before, the three cases of HEAD got 0; now the server's 7, or none. Those of 204 and 304, with and without bytes where no body is due, passed before too, as did the other new tests of the caller's side: pipelined requests, and Expect and Upgrade, which reach no server.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -247,7 +247,13 @@
 		return c.lostResult(p, placement.Failed, errUpstreamFailed)
 	}
 	c.relay.cfg.Dialect.CopyResponseHeaders(c.out.Header(), resp.Header)
-	c.out.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	length := int64(len(body))
+	if c.in.Method == http.MethodHead {
+		length = resp.Length // of the body that a GET would get
+	}
+	if length >= 0 {
+		c.out.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	c.out.WriteHeader(resp.Status)
 	_, _ = c.out.Write(body) // fails only if the caller has gone
 	outcome := placement.Done
