relay, graceful: reset an HTTP/1.0 caller's connection when its stream breaks off

A stream that broke off looked complete to a caller that speaks HTTP/1.0, for example a proxy in between: such a response has no length and no chunks, and ends with its connection, which was closed in the ordinary way. It is now reset; the daemon's connections, which close their sending side first, leave that out where SetLinger(0) has been called.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -31,7 +31,9 @@
 	closing bool
 	// disconnected means that the caller has closed the connection or that it has failed.
 	disconnected bool
-	closed       bool
+	// reset means that Close resets the connection.
+	reset  bool
+	closed bool
 }
 
 // Read implements io.Reader.
@@ -153,6 +155,14 @@
 	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
+// SetLinger implements part of net.TCPConn. With 0, Close resets the connection.
+func (c *conn) SetLinger(sec int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reset = sec == 0
+	return c.TCPConn.SetLinger(sec)
+}
+
 // Close closes the sending side, and the connection once the caller has closed it too or
 // lingerTimeout has passed. It doesn't block.
 func (c *conn) Close() error {
@@ -162,7 +172,7 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	if c.disconnected {
+	if c.disconnected || c.reset {
 		return c.release()
 	}
 	if !c.closing {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -107,14 +108,34 @@
 	case f == nil:
 	case c.stream != nil:
 		c.logEnd(f)
-		// The response has begun: only a broken connection tells the caller that
-		// it is incomplete.
-		panic(http.ErrAbortHandler)
+		c.abort()
 	default:
 		c.relay.writeFailure(c.out, c.in, c, f)
 	}
 }
 
+// abort breaks the connection of a caller whose response has begun: only that tells that the
+// response is incomplete. Under HTTP/1.0 a closed connection is its proper end, a reset isn't.
+func (c *call) abort() {
+	if !c.in.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(c.out).Hijack(); err == nil {
+			reset(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes a connection so that its peer takes no part of what it got for the whole.
+func reset(conn net.Conn) {
+	if outer, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = outer.NetConn() // of a TLS connection, whose Close would end it properly
+	}
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = conn.Close()
+}
+
 // retryPolicy returns the policy of the rule. Attempts that did not run don't count
 // towards its limit, but a retry of one that reached an upstream uses the retry budget.
 func (c *call) retryPolicy() dispatch.Policy {
