relay: check a handoff's engine right before the run is sent

A run could still go on from another request's handle if its prefill engine was replaced while the run waited for its connection, which may take 700 ms: the list of servers was looked at before. The check is now part of what is asked once the connection is ready, as that of the target is. The handoff is then dropped and the request placed again, as before; nothing has been sent. Found by reading and shown by a test; no report is traced to it.

TestHandoffOfEngineReplacedBeforeSendingIsDropped with `go test -race`: before, the run named the replaced engine's handle; now it names that of its own second prefill. The tests of replaced engines pass as before, five runs each.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -42,11 +42,6 @@
 		}
 		c.handoff, c.handoffFrom, c.handoffRefusals = Handoff{Address: p.prefill.Address, Handle: handle}, p.prefill, 0
 	}
-	if c.handoffLost() {
-		c.handoff = Handoff{}
-		p.ticket.End(placement.Cancelled)
-		return result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: errReplaced}
-	}
 	if c.handoff.Handle != "" {
 		p.ticket.HandoffStarted()
 	}
@@ -96,7 +91,18 @@
 		Body:          c.body,
 		Match:         exchange.EchoedID(d.RequestIDHeader(), c.ID),
 		NonIdempotent: c.rule.RetryMode == pathset.NonIdempotent,
-		Admit:         c.relay.admit(u),
+		Admit:         c.admit(u, a),
+	}
+}
+
+// admit returns the check of an attempt right before it is sent. The engine that holds its KV
+// cache may have been replaced while it waited for a connection.
+func (c *call) admit(u *fleet.Upstream, a Attempt) func() error {
+	return func() error {
+		if a.Handoff.Handle != "" && c.handoffLost() {
+			return errReplaced
+		}
+		return c.relay.Admit(u)
 	}
 }
 
@@ -201,7 +207,10 @@
 )
 
 func (c *call) sendFailed(ctx context.Context, p *assignment, err error) result {
-	if errors.Is(err, ErrHeldBack) {
+	if errors.Is(err, errReplaced) {
+		c.handoff = Handoff{}
+	}
+	if errors.Is(err, ErrHeldBack) || errors.Is(err, errReplaced) {
 		return result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
 	}
 	outcome := outcomeOfError(ctx)
