relay: begin a stream with the engine whose event is sent first

Callers could get one engine's headers and signature above another's events: the headers were sent as soon as an engine's first event had arrived, before the check that none is missing. Where that failed, the engine had given nothing, but its headers stayed, and a request that nobody may repeat ended with a broken connection in place of a 502. The events are now checked first. Found by a test; no report is traced to it.

TestStreamHasTheHeadersOfItsFirstEvent with `go test -race`: before, the stamp was the first engine's above the second's events, and the request that isn't repeated got no status; now the second's, and 502, five runs each. The other tests of streams pass.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,7 +33,7 @@
 		e, err := events.next()
 		watch.disarm()
 		if err == io.EOF {
-			return c.endStream(p, resp, first)
+			return c.endStream(p, resp)
 		}
 		if err != nil {
 			return c.failStream(ctx, p, err)
@@ -62,17 +62,20 @@
 // deliver sends one event to the caller. Events that were sent already are skipped: an
 // upstream that resumes after an event may send it again.
 func (c *call) deliver(e event, resp *exchange.Response) error {
-	if c.stream == nil {
-		c.beginStream(resp)
-	}
-	s := c.stream
 	if e.id > 0 {
-		if e.id <= s.lastEvent {
+		last := c.resumeAfter()
+		if e.id <= last {
 			return nil
 		}
-		if e.id > s.lastEvent+1 {
+		if e.id > last+1 {
 			return errEventGap
 		}
+	}
+	if c.stream == nil {
+		c.beginStream(resp)
+	}
+	s := c.stream
+	if e.id > 0 {
 		s.lastEvent = e.id
 	}
 	now := time.Now()
@@ -92,9 +95,9 @@
 }
 
 // endStream ends the caller's stream after the upstream has ended it properly. A stream
-// without events is passed on as it is.
-func (c *call) endStream(p *assignment, resp *exchange.Response, empty bool) result {
-	if empty && c.stream == nil {
+// without events to send is passed on as it is.
+func (c *call) endStream(p *assignment, resp *exchange.Response) result {
+	if c.stream == nil {
 		c.beginStream(resp)
 	}
 	if p.firstEventTime > 0 && p.resumedAfter == 0 {
