exchange: test the connections of requests that aren't admitted

A connection that is put back unused was tried in three further states: new, with bytes on it before any request; kept, with a late response to come for the request before; its pool closed meanwhile.

--- a/internal/exchange/admit_test.go
+++ b/internal/exchange/admit_test.go
@@ -100,3 +100,67 @@
 	require.ErrorIs(t, err, ErrMismatchedResponse)
 	require.Equal(t, 1, observed)
 }
+
+// Guards against a connection that is put back in a bad state when its request isn't admitted:
+// it may be new and have bytes on it that belong to no request, or its pool may be closed.
+func TestConnectionOfRequestThatIsNotAdmitted(t *testing.T) {
+	t.Run("bytes before any request", func(t *testing.T) {
+		s := serve(t, func(n int, c net.Conn, in *bufio.Reader) {
+			if n == 0 {
+				reply(c, "/b", "unasked")
+			}
+			echo(n, c, in)
+		})
+		p := s.pool()
+		held := request("/held")
+		held.Admit = func() error { return errHeld }
+		_, err := do(t, p, held)
+		require.ErrorIs(t, err, errHeld)
+		require.Eventually(t, func() bool { return !p.idle[0].healthy() }, wait, time.Millisecond)
+		body, err := do(t, p, request("/b"))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+		require.Equal(t, 2, s.connections())
+	})
+	t.Run("late response to the request before", func(t *testing.T) {
+		s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+			last := ""
+			for {
+				target, _, ok := readRequest(in)
+				if !ok {
+					return
+				}
+				if last != "" {
+					reply(c, last, "late")
+				}
+				reply(c, target, "own of "+target)
+				last = target
+			}
+		})
+		p := s.pool()
+		for _, target := range []string{"/a", "/b", "/c"} {
+			body, err := do(t, p, request(target))
+			require.NoError(t, err)
+			require.Equal(t, "own of "+target, body)
+			held := request("/held")
+			held.Admit = func() error { return errHeld }
+			_, err = do(t, p, held)
+			require.ErrorIs(t, err, errHeld)
+		}
+		require.Equal(t, 1, s.connections())
+	})
+	t.Run("closed pool", func(t *testing.T) {
+		gone := make(chan struct{})
+		s := serve(t, func(_ int, _ net.Conn, in *bufio.Reader) {
+			_, _ = in.ReadByte()
+			close(gone)
+		})
+		p := s.pool()
+		held := request("/held")
+		held.Admit = func() error { p.Close(); return errHeld }
+		_, err := do(t, p, held)
+		require.ErrorIs(t, err, errHeld)
+		<-gone
+		require.Empty(t, p.idle)
+	})
+}
