soak: servers that answer twice, say that they leave, or ask for rest

New faults: server-stutters (half of them at engines), server-says-leaving (the entry follows soon, late, or late because the store is down) and server-rests.

A restart or pause of the daemon excuses the last two, a disturbed link the last.

go test -race of the checks: passes.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -45,6 +46,15 @@
 	return true
 }
 
+// began reports whether a disturbance of subject began between from and to.
+func (l *faultLog) began(from, to time.Time, subject string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.intervals[subject], func(fault interval) bool {
+		return !fault.from.Before(from) && !fault.from.After(to)
+	})
+}
+
 const (
 	// subjectStore is the store itself, subjectMachine the machine that runs the soak.
 	subjectStore   = "store"
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -27,6 +27,8 @@
 	// finished.
 	active    int
 	lastEndAt time.Time
+	// saidLeaving holds the servers whose answers to the request said that they leave.
+	saidLeaving map[string]bool
 }
 
 // oracle checks the promises against what callers and servers observe. Its methods are safe for
@@ -49,7 +51,11 @@
 	newestVersion map[process]observedVersion
 	retries       map[string][]time.Time
 	requestTimes  map[string][]time.Time
-	counts        map[string]int
+	// leavingWords holds when a daemon passed on an answer that says that its server leaves,
+	// rests what a server has asked a daemon for.
+	leavingWords map[daemonServer][]time.Time
+	rests        map[daemonServer][]*rest
+	counts       map[string]int
 	// lastFailure is when a request that its caller didn't close last failed.
 	lastFailure time.Time
 }
@@ -57,6 +63,12 @@
 // process identifies one process of a daemon: launch counts the daemon's starts.
 type process struct{ daemon, launch int }
 
+// daemonServer is a daemon and the ID of a server that it uses.
+type daemonServer struct {
+	daemon int
+	server string
+}
+
 // observedVersion is a version and the end of the response that revealed it.
 type observedVersion struct {
 	version int
@@ -68,6 +80,7 @@
 		faults: faults, requests: make(map[string]*request), pools: make(map[string]string),
 		draining: make(map[string]time.Time), removed: make(map[string]time.Time), newestVersion: make(map[process]observedVersion),
 		retries: make(map[string][]time.Time), requestTimes: make(map[string][]time.Time), counts: make(map[string]int),
+		leavingWords: make(map[daemonServer][]time.Time), rests: make(map[daemonServer][]*rest),
 	}
 }
 
@@ -90,11 +103,12 @@
 	return slices.Clone(o.violations)
 }
 
-// serverListed records the pool of a server.
+// serverListed records the pool of a server that starts.
 func (o *oracle) serverListed(id, pool string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pools[id] = pool
+	o.forgetRests(id)
 }
 
 func (o *oracle) serverDraining(id string) {
@@ -127,7 +141,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
-	o.requests[id] = &request{service: s, daemon: daemon, sentAt: now}
+	o.requests[id] = &request{service: s, daemon: daemon, sentAt: now, saidLeaving: make(map[string]bool)}
 	o.requestTimes[s.name] = append(o.requestTimes[s.name], now)
 }
 
@@ -162,6 +176,11 @@
 	}
 	o.checkDraining(v, q, now)
 	o.checkRemoved(v, q, now)
+	if v.ExpectedServer == "" || v.ExpectedServer == v.Server {
+		o.checkLeavingWord(v, q, now)
+		o.checkRests(v, q, now)
+	}
+	q.saidLeaving[v.Server] = q.saidLeaving[v.Server] || v.Leaving
 	q.active++
 }
 
@@ -174,6 +193,7 @@
 		return // reported on arrival
 	}
 	o.checkPool(v, q)
+	o.checkHandle(v)
 	q.runs++
 	if q.service.atMostOnce && q.runs > 1 {
 		o.violate(AtMostOnce, "%s ran %d times, lastly at %s", v.ID, q.runs, v.Server)
@@ -190,6 +210,7 @@
 	if q := o.requests[v.ID]; q != nil {
 		q.active--
 		q.lastEndAt = time.Now()
+		o.recordRest(v, q)
 	}
 }
 
@@ -200,6 +221,7 @@
 	defer o.mu.Unlock()
 	q, now := o.requests[id], time.Now()
 	o.counts[q.service.name+" "+outcomeOf(r)]++
+	o.recordLeavingWord(q, r)
 	if !q.closedAt.IsZero() {
 		return
 	}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -196,24 +196,27 @@
 		}, nil},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			o := newOracle(newFaultLog())
-			for _, s := range services {
-				o.serverListed(s.name+"-1", s.name)
-				o.serverListed(s.name+"-2", s.name)
-			}
-			for i, pool := range versionPools {
-				o.serverListed(versionPools[i]+"-1", pool)
-			}
-			c.play(o)
-			o.finish(siteBudget)
-			var broken []Promise
-			for _, v := range o.Violations() {
-				broken = append(broken, v.Promise)
-			}
-			require.Equal(t, c.broken, broken)
-		})
+		t.Run(c.name, func(t *testing.T) { requireBroken(t, c.play, c.broken) })
+	}
+}
+
+// requireBroken plays a case on a new oracle and requires it to report these promises only.
+func requireBroken(t *testing.T, play func(o *oracle), want []Promise) {
+	o := newOracle(newFaultLog())
+	for _, s := range services {
+		o.serverListed(s.name+"-1", s.name)
+		o.serverListed(s.name+"-2", s.name)
+	}
+	for i, pool := range versionPools {
+		o.serverListed(versionPools[i]+"-1", pool)
+	}
+	play(o)
+	o.finish(siteBudget)
+	var broken []Promise
+	for _, v := range o.Violations() {
+		broken = append(broken, v.Promise)
 	}
+	require.Equal(t, want, broken)
 }
 
 func loseConnection(o *oracle, exit processExit) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -33,6 +34,9 @@
 	RestartServer     FaultKind = "restart-server"
 	WriteForeignEntry FaultKind = "foreign-entry"
 	PublishVersion    FaultKind = "publish"
+	AnswerTwice       FaultKind = "server-stutters"
+	AnnounceLeaving   FaultKind = "server-says-leaving"
+	RestServer        FaultKind = "server-rests"
 )
 
 // Step is one fault of a run.
@@ -95,20 +99,42 @@
 // maxVersions bounds the configurations of a run; each is identified by a pool of its own.
 const maxVersions = 8
 
-// kindWeights are the relative frequencies of the kinds. Faults that hit one of many targets are
-// more frequent than those that hit the whole site.
-var kindWeights = []struct {
+// kindWeight is the relative frequency of a kind.
+type kindWeight struct {
 	kind   FaultKind
 	weight int
-}{
+}
+
+// kindWeights holds the kinds of the first stream of steps. Faults that hit one of many targets
+// are more frequent than those that hit the whole site.
+var kindWeights = []kindWeight{
 	{KillDaemon, 3}, {StopDaemon, 4}, {PauseDaemon, 3}, {ReloadDaemon, 3},
 	{FailStore, 2}, {DropHistory, 1}, {RestoreStore, 2}, {DisturbStoreLink, 3},
 	{DisturbServerLink, 3}, {FailNextRequests, 6}, {FailAllRequests, 5}, {CrashServer, 2}, {DrainServer, 3}, {RestartServer, 2}, {WriteForeignEntry, 2}, {PublishVersion, 2},
 }
 
+// answerKindWeights holds the kinds of the second stream, in which servers answer wrongly or
+// ask for something in their answers.
+var answerKindWeights = []kindWeight{{AnswerTwice, 3}, {AnnounceLeaving, 2}, {RestServer, 3}}
+
+const (
+	// answerStream is the random stream of the second stream of steps. Callers draw from the
+	// streams after 0, one each.
+	answerStream = 1 << 32
+	// answerIntervalFactor is how much longer the intervals of the second stream are.
+	answerIntervalFactor = 2
+)
+
 // NewPlan draws the steps of a run. The same seed and profile yield the same steps.
 func NewPlan(seed uint64, profile FaultProfile) []Step {
-	rng := rand.New(rand.NewPCG(seed, 0))
+	steps := drawSteps(rand.New(rand.NewPCG(seed, 0)), profile, kindWeights)
+	profile.MeanInterval *= answerIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, answerStream)), profile, answerKindWeights)...)
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
+
+func drawSteps(rng *rand.Rand, profile FaultProfile, kinds []kindWeight) []Step {
 	meanInterval := float64(profile.MeanInterval) * math.Pow(maxIntervalFactor, rng.Float64())
 	var steps []Step
 	versions := 1
@@ -118,7 +144,7 @@
 			return steps
 		}
 		step := Step{
-			At: at.Round(time.Millisecond), Kind: drawKind(rng), Target: rng.IntN(1 << 16), Variant: rng.IntN(1 << 16),
+			At: at.Round(time.Millisecond), Kind: drawKind(rng, kinds), Target: rng.IntN(1 << 16), Variant: rng.IntN(1 << 16),
 			For: drawDuration(rng, profile.MaxDuration),
 		}
 		if step.Kind == PublishVersion {
@@ -131,20 +157,17 @@
 	}
 }
 
-func drawKind(rng *rand.Rand) FaultKind {
+func drawKind(rng *rand.Rand, kinds []kindWeight) FaultKind {
 	total := 0
-	for _, w := range kindWeights {
+	for _, w := range kinds {
 		total += w.weight
 	}
 	n := rng.IntN(total)
-	i := slices.IndexFunc(kindWeights, func(w struct {
-		kind   FaultKind
-		weight int
-	}) bool {
+	i := slices.IndexFunc(kinds, func(w kindWeight) bool {
 		n -= w.weight
 		return n < 0
 	})
-	return kindWeights[i].kind
+	return kinds[i].kind
 }
 
 // drawDuration draws 50 ms plus a duration that is uniform below limit, limit/2, limit/4 or
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -27,6 +27,9 @@
 	Recovers               Promise = "the system serves everything again soon after the troubles end"
 	NoUnexpectedExit       Promise = "no daemon ends by itself"
 	StopsWithinGrace       Promise = "a daemon that is told to stop ends within its grace"
+	OwnPrefill             Promise = "a request goes on only from its own prefill"
+	LeavingWordHeeded      Promise = "a server that says it leaves gets nothing new from a daemon that has passed this on"
+	RestHeeded             Promise = "a server that asks for rest gets it"
 )
 
 // Violation is a broken promise.
@@ -58,4 +61,10 @@
 	// the share maxLateShare of them.
 	maxLateCloses = 2
 	maxLateShare  = 0.25
+	// maxLeavingNotice is the limit for a server that says so itself.
+	maxLeavingNotice = 2 * time.Second
+	// From restNotice after a server has asked a daemon for rest until the rest's end, the
+	// daemon may send it maxRestArrivals requests.
+	restNotice      = 500 * time.Millisecond
+	maxRestArrivals = 2
 )
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -71,6 +71,9 @@
 // serversSubject names the servers of a pool and the links to them.
 func serversSubject(pool string) string { return "servers " + pool }
 
+// serverLinkSubject names the link to a server.
+func serverLinkSubject(id string) string { return "server link " + id }
+
 // storeLinkSubject names a daemon's link to the store.
 func storeLinkSubject(daemon int) string { return fmt.Sprintf("store link %d", daemon) }
 
@@ -86,6 +89,8 @@
 	slots     []*serverSlot
 	oracle    *oracle
 	faults    *faultLog
+	// handles records whose prompts the engines' handles hold.
+	handles *standin.Handles
 	// pendingChecks tracks the unfinished checks of broken connections.
 	pendingChecks conc.WaitGroup
 
@@ -101,7 +106,10 @@
 // newSite starts the store and the servers, lists them, and starts the daemons.
 func newSite(o Options, network string) (*site, error) {
 	faults := newFaultLog()
-	s := &site{ip: fmt.Sprintf("%s.%d", network, standinHost), store: standin.NewStore(), oracle: newOracle(faults), faults: faults}
+	s := &site{
+		ip: fmt.Sprintf("%s.%d", network, standinHost), store: standin.NewStore(), oracle: newOracle(faults), faults: faults,
+		handles: standin.NewHandles(),
+	}
 	l, err := s.listen()
 	if err != nil {
 		return nil, err
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -91,7 +91,7 @@
 	}
 	server := standin.NewServerOn(id, l)
 	server.Born = time.Now().UnixMilli()
-	server.Observer = s.oracle
+	server.Observer, server.Handles = s.oracle, s.handles
 	server.SlowEvery, server.SlowFor = slowEvery, slowDuration
 	if slot.role != "" {
 		server.Events, server.EventGap = streamEvents, eventGap
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -61,10 +61,7 @@
 		disturbLink(s.links[d.number], mode, step.For)
 		time.AfterFunc(settleDelay, end)
 	case DisturbServerLink:
-		end := s.faults.begin(serversSubject(slot.pool))
-		_, serverLink := slot.current()
-		disturbLink(serverLink, mode, step.For)
-		time.AfterFunc(settleDelay, end)
+		s.disturbServerLink(slot, mode, step.For)
 	case FailNextRequests:
 		s.failNextRequests(slot, step)
 	case FailAllRequests:
@@ -79,9 +76,23 @@
 		s.writeForeignEntry(slot, step)
 	case PublishVersion:
 		s.publish()
+	case AnswerTwice:
+		s.answerTwice(step)
+	case AnnounceLeaving:
+		tryReplace(slot, func() { s.announceLeaving(slot, step) })
+	case RestServer:
+		s.restServer(slot, step)
 	}
 }
 
+func (s *site) disturbServerLink(slot *serverSlot, mode Mode, duration time.Duration) {
+	server, link := slot.current()
+	endServers, endLink := s.faults.begin(serversSubject(slot.pool)), s.faults.begin(serverLinkSubject(server.ID))
+	disturbLink(link, mode, duration)
+	time.AfterFunc(settleDelay, endServers)
+	time.AfterFunc(settleDelay, endLink)
+}
+
 // slotFor maps a number to a slot: first to a service, then to one of its servers, since some
 // services have many more servers than others.
 func (s *site) slotFor(target int) *serverSlot {
