--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -22,6 +22,10 @@
 	callersPerSingleConn = 2
 	// One in closeOneIn requests is closed by its caller before the response is complete.
 	closeOneIn = 6
+	// One in longPromptsOneIn callers has prompts of longPrompt tokens, which are worth a prefill
+	// at another engine.
+	longPromptsOneIn = 4
+	longPrompt       = 9000
 	// minResolveInterval bounds how often a caller asks a directory for addresses.
 	minResolveInterval = 200 * time.Millisecond
 	// callerTimeoutSlack is how long a caller waits beyond its request's deadline.
@@ -50,7 +54,11 @@
 }
 
 func newCaller(s *site, seed uint64, name int) *caller {
-	return &caller{name: name, site: s, rng: rand.New(rand.NewPCG(seed, uint64(name)+1)), client: standin.NewCaller()}
+	c := &caller{name: name, site: s, rng: rand.New(rand.NewPCG(seed, uint64(name)+1)), client: standin.NewCaller()}
+	if name%longPromptsOneIn == 0 {
+		c.client.PromptTokens = longPrompt
+	}
+	return c
 }
 
 func newSingleConnectionCaller(s *site, seed uint64, name int) *caller {
