cmd/chute-controller: tests use loopback addresses of their own process

Such ports are the kernel's ephemeral ones, which any other socket on 127.0.0.1 may get meanwhile. Each test process now has an address of its own, and its ports are handed out once.

A trial to provoke the old failure (150,000 outgoing connections in 40 s beside two of the tests) was cut by its timeout and shows nothing; that the cause is a taken port is by the message and by reading.

--- a/cmd/chute-controller/handover_bench_test.go
+++ b/cmd/chute-controller/handover_bench_test.go
@@ -78,17 +78,15 @@
 func loadWithFreePorts(b *testing.B, file string) *settings.Deployment {
 	d, err := settings.Load(file)
 	require.NoError(b, err)
-	free := &portPool{t: b}
-	defer free.free()
 	for i := range d.Instances {
 		in := &d.Instances[i]
-		in.Callers, in.Operators, in.Peers = free.next(), free.next(), free.next()
-		in.ControllerOperators, in.ControllerPeers = free.next(), free.next()
+		in.Callers, in.Operators, in.Peers = nextAddress(), nextAddress(), nextAddress()
+		in.ControllerOperators, in.ControllerPeers = nextAddress(), nextAddress()
 	}
 	for i := range d.Upstreams {
-		d.Upstreams[i].Address = free.next()
+		d.Upstreams[i].Address = nextAddress()
 	}
-	d.Platform.Log, d.Platform.Instances, d.Platform.Weights = free.next(), free.next(), free.next()
+	d.Platform.Log, d.Platform.Instances, d.Platform.Weights = nextAddress(), nextAddress(), nextAddress()
 	d.Security.PeerSecretFile = "peer.secret"
 	return d
 }
--- a/cmd/chute-controller/harness_test.go
+++ b/cmd/chute-controller/harness_test.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -54,30 +54,22 @@
 	demand []wire.ModelDemand
 }
 
-// portPool hands out distinct free addresses.
-type portPool struct {
-	t    testing.TB
-	held []net.Listener
-}
+// firstPort is the lowest port that tests use.
+const firstPort = 10000
 
-func (p *portPool) next() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(p.t, err)
-	p.held = append(p.held, l)
-	return l.Addr().String()
-}
+// portsUsed is the number of ports that this process has handed out.
+var portsUsed atomic.Int64
 
-func (p *portPool) free() {
-	for _, l := range p.held {
-		_ = l.Close()
-	}
+// nextAddress returns an address that no other test or process uses: a loopback address of
+// this process's own, with a port that it hasn't handed out before.
+func nextAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 32+pid>>16&31, pid>>8&255, pid&255, firstPort+portsUsed.Add(1))
 }
 
 // deployment returns a data centre with three instances and one engine per given kind of
 // fencing.
 func deployment(t testing.TB, kinds ...settings.Fencing) *settings.Deployment {
-	free := &portPool{t: t}
-	defer free.free()
 	d := settings.Defaults()
 	d.Name = "test"
 	d.DataCentres = []settings.DataCentre{{Name: "a"}}
@@ -85,17 +77,17 @@
 	for i := range 3 {
 		d.Instances = append(d.Instances, settings.Instance{
 			Name: fmt.Sprintf("i%d", i+1), DataCentre: "a",
-			Callers: free.next(), Operators: free.next(), Peers: free.next(),
-			ControllerOperators: free.next(), ControllerPeers: free.next(),
+			Callers: nextAddress(), Operators: nextAddress(), Peers: nextAddress(),
+			ControllerOperators: nextAddress(), ControllerPeers: nextAddress(),
 		})
 	}
 	for i, f := range kinds {
 		d.Upstreams = append(d.Upstreams, settings.Upstream{
 			Name: fmt.Sprintf("e%d", i+1), Kind: settings.KindEngine, DataCentre: "a",
-			Address: free.next(), Pool: "p", Models: []string{"m"}, Fencing: f, Role: "mixed",
+			Address: nextAddress(), Pool: "p", Models: []string{"m"}, Fencing: f, Role: "mixed",
 		})
 	}
-	d.Platform.Log, d.Platform.Instances, d.Platform.Weights = free.next(), free.next(), free.next()
+	d.Platform.Log, d.Platform.Instances, d.Platform.Weights = nextAddress(), nextAddress(), nextAddress()
 	d.Roles.ChangeSeconds, d.Roles.DwellSeconds, d.Roles.MaxAtOnce = 0.4, 1, 2
 	d.Security.PeerSecretFile = "peer.secret"
 	d.Security.Operators = []settings.Operator{}
