--- a/internal/ctl/advice.go
+++ b/internal/ctl/advice.go
@@ -9,8 +9,8 @@
 
 // Messages of the lines that say what an upstream has asked for in a response.
 const (
-	messageLeaves = "upstream leaves"
-	messageRests  = "upstream rests"
+	messageLeaves  = "upstream leaves"
+	messageBackoff = "upstream backoff"
 )
 
 // leavingShown is how long after an upstream has said that it leaves this is shown with
@@ -19,7 +19,7 @@
 
 // isAdvice reports whether the text of a line may say what an upstream has asked for.
 func isAdvice(text []byte) bool {
-	return bytes.Contains(text, []byte(`"`+messageLeaves+`"`)) || bytes.Contains(text, []byte(`"`+messageRests+`"`))
+	return bytes.Contains(text, []byte(`"`+messageLeaves+`"`)) || bytes.Contains(text, []byte(`"`+messageBackoff+`"`))
 }
 
 // adviceFor returns those lines on what upstreams have asked for that a daemon which handled
@@ -37,8 +37,8 @@
 		return false
 	}
 	until := l.Time.Add(leavingShown)
-	if l.Message == messageRests {
-		until = l.Time.Add(l.millisOf("rest_ms"))
+	if l.Message == messageBackoff {
+		until = l.Time.Add(l.millisOf("backoff_ms"))
 	}
 	start := o.Time.Add(-max(o.millisOf("took_ms"), o.millisOf("lasted_ms")))
 	return l.Time.Before(o.Time) && start.Before(until)
--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -16,7 +16,7 @@
 
 var (
 	errUpstreamDraining = fmt.Errorf("%w: the upstream is draining", ErrHeldBack)
-	errUpstreamResting  = fmt.Errorf("%w: the upstream rests", ErrHeldBack)
+	errUpstreamBackoff  = fmt.Errorf("%w: the upstream is in backoff", ErrHeldBack)
 	errUpstreamGone     = fmt.Errorf("%w: the upstream is gone", ErrHeldBack)
 )
 
@@ -31,9 +31,9 @@
 		r.metrics.recordLeaving(u.Pool)
 		r.cfg.Logger.Info("upstream leaves", attrs...)
 	}
-	if rest := advice.RetryAfter; rest > 0 && r.cfg.Tracker.Rest(u.ID, u.Started, rest) {
-		r.metrics.recordRest(u.Pool)
-		r.cfg.Logger.Info("upstream rests", append(attrs, "rest_ms", telemetry.Millis(rest), "until", time.Now().Add(rest))...)
+	if backoff := advice.RetryAfter; backoff > 0 && r.cfg.Tracker.BackOff(u.ID, u.Started, backoff) {
+		r.metrics.recordBackoff(u.Pool)
+		r.cfg.Logger.Info("upstream backoff", append(attrs, "backoff_ms", telemetry.Millis(backoff), "until", time.Now().Add(backoff))...)
 	}
 }
 
@@ -54,8 +54,8 @@
 		return errUpstreamGone
 	case current.Draining:
 		return errUpstreamDraining
-	case r.cfg.Tracker.RestLeft(u.ID, u.Started) > 0:
-		return errUpstreamResting
+	case r.cfg.Tracker.BackoffLeft(u.ID, u.Started) > 0:
+		return errUpstreamBackoff
 	default:
 		return nil
 	}
--- a/internal/relay/advice_test.go
+++ b/internal/relay/advice_test.go
@@ -15,33 +15,33 @@
 	"tamarackchute/rules/pathset"
 )
 
-// Guards against a transfer of shared prompt parts from an engine that has left or rests since
+// Guards against a transfer of shared prompt parts from an engine that has left or is in backoff since
 // the request was placed.
 func TestHeldBackEngineIsNoKVSource(t *testing.T) {
 	state, tracker := fleet.NewState(), placement.NewTracker(nil)
 	c := &call{relay: New(Config{State: state, Tracker: tracker})}
-	resting, draining := &fleet.Upstream{ID: "r", Address: "r:1"}, &fleet.Upstream{ID: "d", Address: "d:1"}
-	state.SetUpstreams(map[string]*fleet.Upstream{"r": resting, "d": draining})
-	for _, u := range []*fleet.Upstream{resting, draining} {
+	inBackoff, draining := &fleet.Upstream{ID: "r", Address: "r:1"}, &fleet.Upstream{ID: "d", Address: "d:1"}
+	state.SetUpstreams(map[string]*fleet.Upstream{"r": inBackoff, "d": draining})
+	for _, u := range []*fleet.Upstream{inBackoff, draining} {
 		require.Equal(t, u.Address, c.sourceAddress(&assignment{source: u}))
 	}
-	tracker.Rest(resting.ID, resting.Started, time.Minute)
+	tracker.BackOff(inBackoff.ID, inBackoff.Started, time.Minute)
 	state.MarkDraining(draining)
-	for _, u := range []*fleet.Upstream{resting, draining} {
+	for _, u := range []*fleet.Upstream{inBackoff, draining} {
 		require.Empty(t, c.sourceAddress(&assignment{source: u}))
 	}
 	require.Empty(t, c.sourceAddress(&assignment{}))
 }
 
-// Guards against a request that queues behind one which waits for the end of a rest, although
+// Guards against a request that queues behind one which waits for the end of a backoff, although
 // it can't wait that long itself.
-func TestRefusalWhileAllRestIsImmediate(t *testing.T) {
+func TestRefusalWhileAllBackOffIsImmediate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		state, tracker := fleet.NewState(), placement.NewTracker(nil)
 		r := New(Config{State: state, Tracker: tracker})
 		u := &fleet.Upstream{ID: "a", Pool: "app"}
 		state.SetUpstreams(map[string]*fleet.Upstream{"a": u})
-		tracker.Rest(u.ID, u.Started, time.Minute)
+		tracker.BackOff(u.ID, u.Started, time.Minute)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		start := time.Now()
@@ -52,7 +52,7 @@
 			rule: &pathset.Rule{Name: "app", Objective: time.Second}, pool: "app",
 		}
 		_, f := c.assign(ctx)
-		require.Equal(t, reasonAllResting, f.reason)
+		require.Equal(t, reasonAllBackingOff, f.reason)
 		require.Equal(t, time.Minute, f.retryAfter)
 		require.Equal(t, start, time.Now())
 	})
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -69,14 +69,14 @@
 	late := c.isLate(began)
 	until := began.Add(c.maxWait(late))
 	var found *assignment
-	rest := c.restBeyond(until)
+	backoff := c.backoffBeyond(until)
 	try := func() bool {
 		if found = c.tryAssign(late); found == nil {
-			rest = c.restBeyond(until)
+			backoff = c.backoffBeyond(until)
 		}
-		return found != nil || rest > 0
+		return found != nil || backoff > 0
 	}
-	got := rest > 0 || c.relay.queue(c.rule.Name).await(ctx, late, until, try)
+	got := backoff > 0 || c.relay.queue(c.rule.Name).await(ctx, late, until, try)
 	if !got && !late && c.Generation != nil && c.contextFailure(ctx) == nil {
 		// No upstream can meet the objective. A late response is worth more than none.
 		late = true
@@ -89,27 +89,27 @@
 		return nil, c.fail(reasonNoCapacity, "no upstream has a free place")
 	}
 	if found == nil {
-		return nil, c.failResting(rest)
+		return nil, c.failBackoff(backoff)
 	}
 	found.waited = time.Since(began)
 	return found, nil
 }
 
-// restBeyond returns the time until the first upstream of the pool ends its rest, if all rest
-// and none that the request may use is back while it is queued. It returns 0 otherwise.
-func (c *call) restBeyond(until time.Time) time.Duration {
-	rest, ok := c.relay.cfg.Tracker.PoolRest(c.pool, c.excluded)
-	if !ok || rest.FirstUsable <= time.Until(until) {
+// backoffBeyond returns the time until the first upstream of the pool ends its backoff, if all
+// are in one and none that the request may use is back while it is queued. Otherwise it is 0.
+func (c *call) backoffBeyond(until time.Time) time.Duration {
+	backoff, ok := c.relay.cfg.Tracker.PoolBackoff(c.pool, c.excluded)
+	if !ok || backoff.FirstUsable <= time.Until(until) {
 		return 0
 	}
-	return rest.First
+	return backoff.First
 }
 
-// failResting returns the failure of a request for which all upstreams rest too long.
-func (c *call) failResting(rest time.Duration) *failure {
-	f := c.fail(reasonAllResting, "all upstreams have asked for a rest")
+// failBackoff returns the failure of a request if all upstreams are in a backoff that is too long.
+func (c *call) failBackoff(backoff time.Duration) *failure {
+	f := c.fail(reasonAllBackingOff, "all upstreams have asked for a backoff")
 	if f.status == http.StatusServiceUnavailable {
-		f.retryAfter = rest
+		f.retryAfter = backoff
 	}
 	return f
 }
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -15,7 +15,7 @@
 	reasonNoConfig       reason = "no configuration"
 	reasonNoRule         reason = "no rule"
 	reasonNoCapacity     reason = "no place"
-	reasonAllResting     reason = "all rest"
+	reasonAllBackingOff  reason = "all back off"
 	reasonCannotComplete reason = "too late to be whole"
 	reasonNoBudget       reason = "no retry budget"
 	reasonNoAttempts     reason = "no attempts left"
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -53,9 +53,9 @@
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstreams_leaving").Inc(1)
 }
 
-// recordRest counts a rest that an upstream has asked for.
-func (m *metrics) recordRest(pool string) {
-	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstream_rests").Inc(1)
+// recordBackoff counts a backoff that an upstream has asked for.
+func (m *metrics) recordBackoff(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstream_backoffs").Inc(1)
 }
 
 // recordHeldBack counts a request that wasn't sent because the upstream wants none.
--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -11,16 +11,16 @@
 	// lateEntryDelay is how long after a server's word its entry says that it leaves, if it
 	// comes late: well over maxLeavingNotice.
 	lateEntryDelay = 2 * maxLeavingNotice
-	// allRefusals is more requests than a server gets in a rest.
+	// allRefusals is more requests than a server gets in a backoff.
 	allRefusals = 1 << 20
 )
 
-// refusalCounts are the numbers of requests that a resting server refuses: a single one, about
+// refusalCounts are the numbers of requests that a server in backoff refuses: a single one, about
 // one of each daemon, or all.
 var refusalCounts = []int{1, 5, allRefusals, allRefusals}
 
 // answerTwice makes a server repeat its next few answers, or all of them for a while. Half of the
-// steps are for engines, whose prefills the requests rest on.
+// steps are for engines, whose prefills the requests depend on.
 func (s *site) answerTwice(step Step) {
 	slot := s.slotFor(step.Target)
 	if step.Variant%2 == 0 {
@@ -55,20 +55,20 @@
 	s.drainServer(slot)
 }
 
-// restServer makes a server refuse requests and ask for rest for the step's duration and the
+// backOffServer makes a server refuse requests and ask for a backoff for the step's duration and the
 // time that a daemon has to heed it.
-func (s *site) restServer(slot *serverSlot, step Step) {
+func (s *site) backOffServer(slot *serverSlot, step Step) {
 	end := s.faults.begin(serversSubject(slot.pool))
 	server, _ := slot.current()
-	duration := restNotice + step.For
-	server.Rest(refusalCounts[step.Variant%len(refusalCounts)], duration)
+	duration := backoffNotice + step.For
+	server.BackOff(refusalCounts[step.Variant%len(refusalCounts)], duration)
 	time.Sleep(duration)
 	time.AfterFunc(settleDelay, end)
 }
 
-// rest is the time in which a server wants no more than maxRestArrivals requests of a daemon.
-type rest struct {
-	// refused is the request whose refusal asked for the rest.
+// backoff is the time in which a server wants no more than maxBackoffArrivals requests of a daemon.
+type backoff struct {
+	// refused is the request whose refusal asked for the backoff.
 	refused         *request
 	asked, from, to time.Time
 	arrivals        int
@@ -109,45 +109,45 @@
 	}
 }
 
-// recordRest records that a server has asked a daemon for rest.
-func (o *oracle) recordRest(v standin.RequestInfo, q *request) {
-	if v.Rest == 0 {
+// recordBackoff records that a server has asked a daemon for a backoff.
+func (o *oracle) recordBackoff(v standin.RequestInfo, q *request) {
+	if v.Backoff == 0 {
 		return
 	}
-	o.counts["rests asked for"]++
+	o.counts["backoffs asked for"]++
 	key, now := daemonServer{q.daemon, v.Server}, time.Now()
-	o.rests[key] = append(o.rests[key], &rest{refused: q, asked: now, from: now.Add(restNotice), to: now.Add(v.Rest)})
+	o.backoffs[key] = append(o.backoffs[key], &backoff{refused: q, asked: now, from: now.Add(backoffNotice), to: now.Add(v.Backoff)})
 }
 
-// checkRests counts an arrival in the rests that it falls into, and reports the first that is
+// checkBackoffs counts an arrival in the backoffs that it falls into, and reports the first that is
 // too much in one.
-func (o *oracle) checkRests(v standin.RequestInfo, q *request, now time.Time) {
-	for _, r := range o.rests[daemonServer{q.daemon, v.Server}] {
+func (o *oracle) checkBackoffs(v standin.RequestInfo, q *request, now time.Time) {
+	for _, r := range o.backoffs[daemonServer{q.daemon, v.Server}] {
 		if !now.After(r.from) || !now.Before(r.to) {
 			continue
 		}
 		r.arrivals++
-		if r.arrivals == maxRestArrivals+1 && o.restKnown(r, v.Server, q.daemon, now) {
-			o.violate(RestHeeded, "%s is request %d that reached %s in a rest of %v, %v after daemon %d was asked for it",
+		if r.arrivals == maxBackoffArrivals+1 && o.backoffKnown(r, v.Server, q.daemon, now) {
+			o.violate(BackoffHeeded, "%s is request %d that reached %s in a backoff of %v, %v after daemon %d was asked for it",
 				v.ID, r.arrivals, v.Server, r.to.Sub(r.asked), now.Sub(r.asked), q.daemon)
 		}
 	}
 }
 
-// restKnown reports whether the daemon must have received the refusal and know of it still. A
+// backoffKnown reports whether the daemon must have received the refusal and know of it still. A
 // caller's close may have ended the exchange before.
-func (o *oracle) restKnown(r *rest, server string, daemon int, now time.Time) bool {
+func (o *oracle) backoffKnown(r *backoff, server string, daemon int, now time.Time) bool {
 	if closed := r.refused.closedAt; !closed.IsZero() && closed.Before(r.from) {
 		return false
 	}
 	return o.faults.undisturbed(r.asked, now, subjectMachine, daemonSubject(daemon), serverLinkSubject(server))
 }
 
-// forgetRests forgets the rests that a server asked for before it started again.
-func (o *oracle) forgetRests(server string) {
-	for key := range o.rests {
+// forgetBackoffs forgets the backoffs that a server asked for before it started again.
+func (o *oracle) forgetBackoffs(server string) {
+	for key := range o.backoffs {
 		if key.server == server {
-			delete(o.rests, key)
+			delete(o.backoffs, key)
 		}
 	}
 }
--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -133,20 +133,20 @@
 	}
 }
 
-// askForRest lets once-1 refuse a request of daemon 0 some time ago and ask for rest.
-func askForRest(o *oracle, ago, duration time.Duration) {
+// requestBackoff lets once-1 refuse a request of daemon 0 some time ago and ask for a backoff.
+func requestBackoff(o *oracle, ago, duration time.Duration) {
 	o.sent("1-1", onceService, 0)
-	v := standin.RequestInfo{Server: "once-1", ID: "1-1", Rest: duration}
+	v := standin.RequestInfo{Server: "once-1", ID: "1-1", Backoff: duration}
 	o.Arrived(v)
 	o.Ended(v)
-	r := o.rests[daemonServer{0, "once-1"}][0]
+	r := o.backoffs[daemonServer{0, "once-1"}][0]
 	for _, at := range []*time.Time{&r.asked, &r.from, &r.to} {
 		*at = at.Add(-ago)
 	}
 }
 
-func TestRestChecks(t *testing.T) {
-	const ago, duration = 2 * restNotice, time.Hour
+func TestBackoffChecks(t *testing.T) {
+	const ago, duration = 2 * backoffNotice, time.Hour
 	reach := func(o *oracle, n int) {
 		for range n {
 			sendRequest(o, onceService, at("once-1"))
@@ -157,73 +157,73 @@
 		play   func(o *oracle)
 		broken []Promise
 	}{
-		{"within the allowance", func(o *oracle) { askForRest(o, ago, duration); reach(o, maxRestArrivals) }, nil},
-		{"one too many", func(o *oracle) { askForRest(o, ago, duration); reach(o, maxRestArrivals+1) }, []Promise{RestHeeded}},
-		{"many too many are told once", func(o *oracle) { askForRest(o, ago, duration); reach(o, 3*maxRestArrivals) }, []Promise{RestHeeded}},
+		{"within the allowance", func(o *oracle) { requestBackoff(o, ago, duration); reach(o, maxBackoffArrivals) }, nil},
+		{"one too many", func(o *oracle) { requestBackoff(o, ago, duration); reach(o, maxBackoffArrivals+1) }, []Promise{BackoffHeeded}},
+		{"many too many are told once", func(o *oracle) { requestBackoff(o, ago, duration); reach(o, 3*maxBackoffArrivals) }, []Promise{BackoffHeeded}},
 		{"refused requests count", func(o *oracle) {
-			askForRest(o, ago, duration)
-			for range maxRestArrivals + 1 {
-				sendRequest(o, onceService, standin.RequestInfo{Server: "once-1", Rest: duration})
+			requestBackoff(o, ago, duration)
+			for range maxBackoffArrivals + 1 {
+				sendRequest(o, onceService, standin.RequestInfo{Server: "once-1", Backoff: duration})
 			}
-		}, []Promise{RestHeeded}},
-		{"before it must be known", func(o *oracle) { askForRest(o, 0, duration); reach(o, 2*maxRestArrivals) }, nil},
-		{"after the rest", func(o *oracle) { askForRest(o, ago, ago/2); reach(o, 2*maxRestArrivals) }, nil},
+		}, []Promise{BackoffHeeded}},
+		{"before it must be known", func(o *oracle) { requestBackoff(o, 0, duration); reach(o, 2*maxBackoffArrivals) }, nil},
+		{"after the backoff", func(o *oracle) { requestBackoff(o, ago, ago/2); reach(o, 2*maxBackoffArrivals) }, nil},
 		{"another server", func(o *oracle) {
-			askForRest(o, ago, duration)
-			for range 2 * maxRestArrivals {
+			requestBackoff(o, ago, duration)
+			for range 2 * maxBackoffArrivals {
 				sendRequest(o, onceService, at("once-2"))
 			}
 		}, nil},
 		{"other daemons", func(o *oracle) {
-			askForRest(o, ago, duration)
-			for range 2 * maxRestArrivals {
+			requestBackoff(o, ago, duration)
+			for range 2 * maxBackoffArrivals {
 				o.sent("1-1", onceService, 1)
 				o.Arrived(standin.RequestInfo{Server: "once-1", ID: "1-1"})
 			}
 		}, nil},
 		{"meant for another server", func(o *oracle) {
-			askForRest(o, ago, duration)
-			for range 2 * maxRestArrivals {
+			requestBackoff(o, ago, duration)
+			for range 2 * maxBackoffArrivals {
 				sendRequest(o, onceService, standin.RequestInfo{Server: "once-1", ExpectedServer: "once-2"})
 			}
 		}, nil},
 		{"the server started again", func(o *oracle) {
-			askForRest(o, ago, duration)
+			requestBackoff(o, ago, duration)
 			o.serverListed("once-1", "once")
-			reach(o, 2*maxRestArrivals)
+			reach(o, 2*maxBackoffArrivals)
 		}, nil},
 		{"the daemon restarted", func(o *oracle) {
-			askForRest(o, ago, duration)
-			disturbed(o, daemonSubject(0), restNotice, 0)
-			reach(o, 2*maxRestArrivals)
+			requestBackoff(o, ago, duration)
+			disturbed(o, daemonSubject(0), backoffNotice, 0)
+			reach(o, 2*maxBackoffArrivals)
 		}, nil},
 		{"the daemon was frozen", func(o *oracle) {
-			askForRest(o, ago, duration)
-			disturbed(o, daemonSubject(0), 2*ago, restNotice)
-			reach(o, 2*maxRestArrivals)
+			requestBackoff(o, ago, duration)
+			disturbed(o, daemonSubject(0), 2*ago, backoffNotice)
+			reach(o, 2*maxBackoffArrivals)
 		}, nil},
 		{"the link was cut", func(o *oracle) {
-			askForRest(o, ago, duration)
-			disturbed(o, serverLinkSubject("once-1"), 2*ago, restNotice)
-			reach(o, 2*maxRestArrivals)
+			requestBackoff(o, ago, duration)
+			disturbed(o, serverLinkSubject("once-1"), 2*ago, backoffNotice)
+			reach(o, 2*maxBackoffArrivals)
 		}, nil},
 		{"another link was cut", func(o *oracle) {
-			askForRest(o, ago, duration)
+			requestBackoff(o, ago, duration)
 			disturbed(o, serverLinkSubject("once-2"), 2*ago, 0)
 			disturbed(o, storeLinkSubject(0), 2*ago, 0)
-			reach(o, 2*maxRestArrivals)
-		}, []Promise{RestHeeded}},
+			reach(o, 2*maxBackoffArrivals)
+		}, []Promise{BackoffHeeded}},
 		{"the refused caller closed", func(o *oracle) {
-			askForRest(o, ago, duration)
+			requestBackoff(o, ago, duration)
 			o.callerClosed("1-1")
 			o.requests["1-1"].closedAt = time.Now().Add(-ago)
-			reach(o, 2*maxRestArrivals)
+			reach(o, 2*maxBackoffArrivals)
 		}, nil},
 		{"the refused caller closed later", func(o *oracle) {
-			askForRest(o, ago, duration)
+			requestBackoff(o, ago, duration)
 			o.callerClosed("1-1")
-			reach(o, 2*maxRestArrivals)
-		}, []Promise{RestHeeded}},
+			reach(o, 2*maxBackoffArrivals)
+		}, []Promise{BackoffHeeded}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { requireBroken(t, c.play, c.broken) })
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -52,9 +52,9 @@
 	retries       map[string][]time.Time
 	requestTimes  map[string][]time.Time
 	// leavingWords holds when a daemon passed on an answer that says that its server leaves,
-	// rests what a server has asked a daemon for.
+	// backoffs what a server has asked a daemon for.
 	leavingWords map[daemonServer][]time.Time
-	rests        map[daemonServer][]*rest
+	backoffs     map[daemonServer][]*backoff
 	counts       map[string]int
 	// lastFailure is when a request that its caller didn't close last failed.
 	lastFailure time.Time
@@ -80,7 +80,7 @@
 		faults: faults, requests: make(map[string]*request), pools: make(map[string]string),
 		draining: make(map[string]time.Time), removed: make(map[string]time.Time), newestVersion: make(map[process]observedVersion),
 		retries: make(map[string][]time.Time), requestTimes: make(map[string][]time.Time), counts: make(map[string]int),
-		leavingWords: make(map[daemonServer][]time.Time), rests: make(map[daemonServer][]*rest),
+		leavingWords: make(map[daemonServer][]time.Time), backoffs: make(map[daemonServer][]*backoff),
 	}
 }
 
@@ -108,7 +108,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.pools[id] = pool
-	o.forgetRests(id)
+	o.forgetBackoffs(id)
 }
 
 func (o *oracle) serverDraining(id string) {
@@ -178,7 +178,7 @@
 	o.checkRemoved(v, q, now)
 	if v.ExpectedServer == "" || v.ExpectedServer == v.Server {
 		o.checkLeavingWord(v, q, now)
-		o.checkRests(v, q, now)
+		o.checkBackoffs(v, q, now)
 	}
 	q.saidLeaving[v.Server] = q.saidLeaving[v.Server] || v.Leaving
 	q.active++
@@ -210,7 +210,7 @@
 	if q := o.requests[v.ID]; q != nil {
 		q.active--
 		q.lastEndAt = time.Now()
-		o.recordRest(v, q)
+		o.recordBackoff(v, q)
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,7 +36,7 @@
 	PublishVersion    FaultKind = "publish"
 	AnswerTwice       FaultKind = "server-stutters"
 	AnnounceLeaving   FaultKind = "server-says-leaving"
-	RestServer        FaultKind = "server-rests"
+	BackOffServer     FaultKind = "server-backs-off"
 )
 
 // Step is one fault of a run.
@@ -115,7 +115,7 @@
 
 // answerKindWeights holds the kinds of the second stream, in which servers answer wrongly or
 // ask for something in their answers.
-var answerKindWeights = []kindWeight{{AnswerTwice, 3}, {AnnounceLeaving, 2}, {RestServer, 3}}
+var answerKindWeights = []kindWeight{{AnswerTwice, 3}, {AnnounceLeaving, 2}, {BackOffServer, 3}}
 
 const (
 	// answerStream is the random stream of the second stream of steps. Callers draw from the
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -29,7 +29,7 @@
 	StopsWithinGrace       Promise = "a daemon that is told to stop ends within its grace"
 	OwnPrefill             Promise = "a request goes on only from its own prefill"
 	LeavingWordHeeded      Promise = "a server that says it leaves gets nothing new from a daemon that has passed this on"
-	RestHeeded             Promise = "a server that asks for rest gets it"
+	BackoffHeeded          Promise = "a server that asks for a backoff gets it"
 )
 
 // Violation is a broken promise.
@@ -63,8 +63,8 @@
 	maxLateShare  = 0.25
 	// maxLeavingNotice is the limit for a server that says so itself.
 	maxLeavingNotice = 2 * time.Second
-	// From restNotice after a server has asked a daemon for rest until the rest's end, the
-	// daemon may send it maxRestArrivals requests.
-	restNotice      = 500 * time.Millisecond
-	maxRestArrivals = 2
+	// From backoffNotice after a server has asked a daemon for a backoff until the backoff's end, the
+	// daemon may send it maxBackoffArrivals requests.
+	backoffNotice      = 500 * time.Millisecond
+	maxBackoffArrivals = 2
 )
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -80,8 +80,8 @@
 		s.answerTwice(step)
 	case AnnounceLeaving:
 		tryReplace(slot, func() { s.announceLeaving(slot, step) })
-	case RestServer:
-		s.restServer(slot, step)
+	case BackOffServer:
+		s.backOffServer(slot, step)
 	}
 }
 
--- a/placement/health.go
+++ b/placement/health.go
@@ -47,10 +47,10 @@
 	lastEjected        time.Time
 	ejectedUntil       time.Time
 	probing            bool
-	// restsUntil is the time until which the upstream wants no requests. probingRest is set
-	// if it is probed only because it has rested.
-	restsUntil  time.Time
-	probingRest bool
+	// backoffUntil is the time until which the upstream wants no requests. probingBackoff is set
+	// if it is probed only because it was in backoff.
+	backoffUntil   time.Time
+	probingBackoff bool
 }
 
 func (h *health) record(o Outcome, began, now time.Time) {
@@ -77,22 +77,22 @@
 	}
 }
 
-// rest excludes the upstream until the given time, later than any before, and lets it be
+// backOff excludes the upstream until the given time, later than any before, and lets it be
 // probed then. It doesn't count as a failure.
-func (h *health) rest(until time.Time) {
-	h.restsUntil = until
+func (h *health) backOff(until time.Time) {
+	h.backoffUntil = until
 	if until.After(h.ejectedUntil) {
 		h.ejectedUntil = until
 	}
-	h.probingRest = h.probingRest || !h.probing
+	h.probingBackoff = h.probingBackoff || !h.probing
 	h.probing = true
 }
 
-// answered ends the probing after a rest once the upstream has begun to answer: a long
+// answered ends the probing after a backoff once the upstream has begun to answer: a long
 // response must not hold up all others.
 func (h *health) answered(began time.Time) {
-	if h.probingRest && began.After(h.ejectedUntil) {
-		h.probing, h.probingRest = false, false
+	if h.probingBackoff && began.After(h.ejectedUntil) {
+		h.probing, h.probingBackoff = false, false
 	}
 }
 
@@ -101,7 +101,7 @@
 	if h.ejected(now) {
 		return // the request began before the ejection
 	}
-	if h.probing && !h.probingRest || h.connectionFailures >= unreachableLimit || h.failureRate > failureLimit {
+	if h.probing && !h.probingBackoff || h.connectionFailures >= unreachableLimit || h.failureRate > failureLimit {
 		h.eject(now)
 	}
 }
@@ -113,7 +113,7 @@
 	h.ejectedUntil = now.Add(min(maxEjection, baseEjection<<min(h.ejections, 8)))
 	h.ejections++
 	h.lastEjected = now
-	h.probing, h.probingRest = true, false
+	h.probing, h.probingBackoff = true, false
 	h.connectionFailures = 0
 }
 
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -37,9 +37,9 @@
 	byID   map[string]*trackedUpstream
 	byKey  map[Key]*trackedUpstream
 	models map[string]*enginemodel.Model
-	// rests are the ends of the rests that upstreams have asked for, also of those that aren't
+	// backoffs are the ends of the backoffs that upstreams have asked for, also of those that aren't
 	// listed at the moment.
-	rests map[start]time.Time
+	backoffs map[start]time.Time
 	// newEnginesEmpty is set if engines that appear from now on have an empty cache.
 	newEnginesEmpty bool
 	// prefillEvents are the events since the last call of PrefillEvents, for the peers.
@@ -106,7 +106,7 @@
 	}
 	return &Tracker{
 		now: now, byID: make(map[string]*trackedUpstream), byKey: make(map[Key]*trackedUpstream),
-		models: make(map[string]*enginemodel.Model), rests: make(map[start]time.Time),
+		models: make(map[string]*enginemodel.Model), backoffs: make(map[start]time.Time),
 	}
 }
 
@@ -175,8 +175,8 @@
 		e.model = tr.model(m.Pool)
 		e.cache = newCacheEstimate(m.KVTokens)
 	}
-	if until := tr.rests[startOf(m.ID, m.Started)]; tr.now().Before(until) {
-		e.health.rest(until)
+	if until := tr.backoffs[startOf(m.ID, m.Started)]; tr.now().Before(until) {
+		e.health.backOff(until)
 	}
 	return e
 }
