--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -57,7 +57,7 @@
 	restarted := server(firstStart.Add(time.Second))
 	s.SetUpstreams(listOf(restarted, other))
 	require.False(t, s.listedDraining("s"))
-	require.False(t, s.MarkDraining(server(firstStart)), "late word of the former incarnation")
+	require.False(t, s.MarkDraining(server(firstStart)), "late notice of the former incarnation")
 	require.False(t, s.listedDraining("s"))
 	require.True(t, s.MarkDraining(restarted))
 	require.True(t, s.listedDraining("s"))
--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// lateEntryDelay is how long after a server's word its entry says that it leaves, if it
+	// lateEntryDelay is how long after a server's drain notice its entry says that it leaves, if it
 	// comes late: well over maxLeavingNotice.
 	lateEntryDelay = 2 * maxLeavingNotice
 	// allRefusals is more requests than a server gets in a backoff.
@@ -85,25 +85,25 @@
 	}
 }
 
-// recordLeavingWord records that a daemon passes on an answer whose server says that it leaves.
-func (o *oracle) recordLeavingWord(q *request, r standin.Reply) {
+// recordDrainNotice records that a daemon passes on an answer whose server says that it leaves.
+func (o *oracle) recordDrainNotice(q *request, r standin.Reply) {
 	if !q.saidLeaving[r.Server] {
 		return
 	}
-	o.counts["leaving words passed on"]++
+	o.counts["drain notices passed on"]++
 	key := daemonServer{q.daemon, r.Server}
-	o.leavingWords[key] = append(o.leavingWords[key], r.HeadAt)
+	o.drainNotices[key] = append(o.drainNotices[key], r.HeadAt)
 }
 
-// checkLeavingWord reports a request that its caller sent more than maxLeavingNotice after its
-// daemon had passed on the server's word, unless the daemon has restarted or paused since.
-func (o *oracle) checkLeavingWord(v standin.RequestInfo, q *request, now time.Time) {
-	for _, at := range o.leavingWords[daemonServer{q.daemon, v.Server}] {
+// checkDrainNotice reports a request that its caller sent more than maxLeavingNotice after its
+// daemon had passed on the server's drain notice, unless the daemon has restarted or paused since.
+func (o *oracle) checkDrainNotice(v standin.RequestInfo, q *request, now time.Time) {
+	for _, at := range o.drainNotices[daemonServer{q.daemon, v.Server}] {
 		if !q.sentAt.After(at.Add(maxLeavingNotice)) || o.faults.began(at.Add(-restartDelay), now, daemonSubject(q.daemon)) {
 			continue
 		}
 		if o.faults.undisturbed(at, now, subjectMachine, pauseSubject(q.daemon)) {
-			o.violate(LeavingWordHeeded, "%s reached %s, sent %v after daemon %d had passed on that it leaves", v.ID, v.Server, q.sentAt.Sub(at), q.daemon)
+			o.violate(DrainNoticeRespected, "%s reached %s, sent %v after daemon %d had passed on that it leaves", v.ID, v.Server, q.sentAt.Sub(at), q.daemon)
 			return
 		}
 	}
@@ -128,7 +128,7 @@
 		}
 		r.arrivals++
 		if r.arrivals == maxBackoffArrivals+1 && o.backoffKnown(r, v.Server, q.daemon, now) {
-			o.violate(BackoffHeeded, "%s is request %d that reached %s in a backoff of %v, %v after daemon %d was asked for it",
+			o.violate(BackoffRespected, "%s is request %d that reached %s in a backoff of %v, %v after daemon %d was asked for it",
 				v.ID, r.arrivals, v.Server, r.to.Sub(r.asked), now.Sub(r.asked), q.daemon)
 		}
 	}
--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// passOnWord lets daemon 0 pass on a word of once-1 that it leaves, some time ago.
-func passOnWord(o *oracle, ago time.Duration) {
+// passOnNotice lets daemon 0 pass on a drain notice of once-1, some time ago.
+func passOnNotice(o *oracle, ago time.Duration) {
 	sendRequest(o, onceService, standin.RequestInfo{Server: "once-1", Leaving: true})
 	r := correctReply(o)
 	r.Server, r.HeadAt = "once-1", time.Now().Add(-ago)
@@ -52,7 +52,7 @@
 	o.faults.intervals[subject] = append(o.faults.intervals[subject], interval{now.Add(-began), now.Add(-ended)})
 }
 
-func TestLeavingWordChecks(t *testing.T) {
+func TestDrainNoticeChecks(t *testing.T) {
 	const longAgo, recently = 2 * maxLeavingNotice, maxLeavingNotice / 2
 	reach := func(o *oracle) { sendRequest(o, onceService, at("once-1")) }
 	cases := []struct {
@@ -60,73 +60,73 @@
 		play   func(o *oracle)
 		broken []Promise
 	}{
-		{"long after the word", func(o *oracle) { passOnWord(o, longAgo); reach(o) }, []Promise{LeavingWordHeeded}},
-		{"soon after the word", func(o *oracle) { passOnWord(o, recently); reach(o) }, nil},
+		{"long after the notice", func(o *oracle) { passOnNotice(o, longAgo); reach(o) }, []Promise{DrainNoticeRespected}},
+		{"soon after the notice", func(o *oracle) { passOnNotice(o, recently); reach(o) }, nil},
 		{"long after the first of two words", func(o *oracle) {
-			passOnWord(o, longAgo)
-			passOnWord(o, recently)
+			passOnNotice(o, longAgo)
+			passOnNotice(o, recently)
 			reach(o)
-		}, []Promise{LeavingWordHeeded, LeavingWordHeeded}},
+		}, []Promise{DrainNoticeRespected, DrainNoticeRespected}},
 		{"for prefill only", func(o *oracle) {
-			passOnWord(o, longAgo)
+			passOnNotice(o, longAgo)
 			sendRequest(o, onceService, standin.RequestInfo{Server: "once-1", PrefillOnly: true})
-		}, []Promise{LeavingWordHeeded}},
-		{"sent soon after the word, delayed on the way", func(o *oracle) {
-			passOnWord(o, longAgo)
+		}, []Promise{DrainNoticeRespected}},
+		{"sent soon after the notice, delayed on the way", func(o *oracle) {
+			passOnNotice(o, longAgo)
 			o.sent("1-1", onceService, 0)
 			o.requests["1-1"].sentAt = time.Now().Add(-longAgo + recently)
 			o.Arrived(standin.RequestInfo{Server: "once-1", ID: "1-1"})
 		}, nil},
-		{"another server", func(o *oracle) { passOnWord(o, longAgo); sendRequest(o, onceService, at("once-2")) }, nil},
+		{"another server", func(o *oracle) { passOnNotice(o, longAgo); sendRequest(o, onceService, at("once-2")) }, nil},
 		{"another daemon", func(o *oracle) {
-			passOnWord(o, longAgo)
+			passOnNotice(o, longAgo)
 			o.sent("1-1", onceService, 1)
 			o.Arrived(standin.RequestInfo{Server: "once-1", ID: "1-1"})
 		}, nil},
 		{"meant for another server", func(o *oracle) {
-			passOnWord(o, longAgo)
+			passOnNotice(o, longAgo)
 			sendRequest(o, onceService, standin.RequestInfo{Server: "once-1", ExpectedServer: "once-2"})
 		}, nil},
-		{"the word wasn't passed on", func(o *oracle) {
+		{"the notice wasn't passed on", func(o *oracle) {
 			sendRequest(o, onceService, standin.RequestInfo{Server: "once-1", Leaving: true})
 			o.answered("1-1", 1, standin.Reply{Status: http.StatusBadGateway, HeadAt: time.Now().Add(-longAgo)})
 			reach(o)
 		}, nil},
-		{"the answer was of before the word", func(o *oracle) {
+		{"the answer was of before the notice", func(o *oracle) {
 			reach(o)
 			r := correctReply(o)
 			r.Server, r.HeadAt = "once-1", time.Now().Add(-longAgo)
 			o.answered("1-1", 1, r)
 			reach(o)
 		}, nil},
-		{"the word's caller closed midway", func(o *oracle) {
+		{"the notice's caller closed midway", func(o *oracle) {
 			sendRequest(o, streamService, standin.RequestInfo{Server: "llm-1", Leaving: true})
 			o.callerClosed("1-1")
 			o.answered("1-1", 1, standin.Reply{Status: http.StatusOK, Server: "llm-1", HeadAt: time.Now().Add(-longAgo)})
 			sendRequest(o, streamService, at("llm-1"))
-		}, []Promise{LeavingWordHeeded}},
+		}, []Promise{DrainNoticeRespected}},
 		{"restarted since", func(o *oracle) {
-			passOnWord(o, longAgo)
+			passOnNotice(o, longAgo)
 			disturbed(o, daemonSubject(0), recently, 0)
 			reach(o)
 		}, nil},
 		{"restarted before", func(o *oracle) {
-			passOnWord(o, longAgo)
+			passOnNotice(o, longAgo)
 			disturbed(o, daemonSubject(0), 2*longAgo, longAgo-time.Second)
 			reach(o)
-		}, []Promise{LeavingWordHeeded}},
+		}, []Promise{DrainNoticeRespected}},
 		{"frozen since", func(o *oracle) {
-			passOnWord(o, longAgo)
+			passOnNotice(o, longAgo)
 			disturbed(o, pauseSubject(0), recently, 0)
 			reach(o)
 		}, nil},
 		{"the store was down", func(o *oracle) {
-			passOnWord(o, longAgo)
+			passOnNotice(o, longAgo)
 			o.faults.begin(subjectStore)
 			o.faults.begin(storeLinkSubject(0))
 			o.faults.begin(serversSubject(onceService.name))
 			reach(o)
-		}, []Promise{LeavingWordHeeded}},
+		}, []Promise{DrainNoticeRespected}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { requireBroken(t, c.play, c.broken) })
@@ -158,14 +158,14 @@
 		broken []Promise
 	}{
 		{"within the allowance", func(o *oracle) { requestBackoff(o, ago, duration); reach(o, maxBackoffArrivals) }, nil},
-		{"one too many", func(o *oracle) { requestBackoff(o, ago, duration); reach(o, maxBackoffArrivals+1) }, []Promise{BackoffHeeded}},
-		{"many too many are told once", func(o *oracle) { requestBackoff(o, ago, duration); reach(o, 3*maxBackoffArrivals) }, []Promise{BackoffHeeded}},
+		{"one too many", func(o *oracle) { requestBackoff(o, ago, duration); reach(o, maxBackoffArrivals+1) }, []Promise{BackoffRespected}},
+		{"many too many are told once", func(o *oracle) { requestBackoff(o, ago, duration); reach(o, 3*maxBackoffArrivals) }, []Promise{BackoffRespected}},
 		{"refused requests count", func(o *oracle) {
 			requestBackoff(o, ago, duration)
 			for range maxBackoffArrivals + 1 {
 				sendRequest(o, onceService, standin.RequestInfo{Server: "once-1", Backoff: duration})
 			}
-		}, []Promise{BackoffHeeded}},
+		}, []Promise{BackoffRespected}},
 		{"before it must be known", func(o *oracle) { requestBackoff(o, 0, duration); reach(o, 2*maxBackoffArrivals) }, nil},
 		{"after the backoff", func(o *oracle) { requestBackoff(o, ago, ago/2); reach(o, 2*maxBackoffArrivals) }, nil},
 		{"another server", func(o *oracle) {
@@ -212,7 +212,7 @@
 			disturbed(o, serverLinkSubject("once-2"), 2*ago, 0)
 			disturbed(o, storeLinkSubject(0), 2*ago, 0)
 			reach(o, 2*maxBackoffArrivals)
-		}, []Promise{BackoffHeeded}},
+		}, []Promise{BackoffRespected}},
 		{"the refused caller closed", func(o *oracle) {
 			requestBackoff(o, ago, duration)
 			o.callerClosed("1-1")
@@ -223,7 +223,7 @@
 			requestBackoff(o, ago, duration)
 			o.callerClosed("1-1")
 			reach(o, 2*maxBackoffArrivals)
-		}, []Promise{BackoffHeeded}},
+		}, []Promise{BackoffRespected}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { requireBroken(t, c.play, c.broken) })
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -51,9 +51,9 @@
 	newestVersion map[process]observedVersion
 	retries       map[string][]time.Time
 	requestTimes  map[string][]time.Time
-	// leavingWords holds when a daemon passed on an answer that says that its server leaves,
+	// drainNotices holds when a daemon passed on an answer that says that its server leaves,
 	// backoffs what a server has asked a daemon for.
-	leavingWords map[daemonServer][]time.Time
+	drainNotices map[daemonServer][]time.Time
 	backoffs     map[daemonServer][]*backoff
 	counts       map[string]int
 	// lastFailure is when a request that its caller didn't close last failed.
@@ -80,7 +80,7 @@
 		faults: faults, requests: make(map[string]*request), pools: make(map[string]string),
 		draining: make(map[string]time.Time), removed: make(map[string]time.Time), newestVersion: make(map[process]observedVersion),
 		retries: make(map[string][]time.Time), requestTimes: make(map[string][]time.Time), counts: make(map[string]int),
-		leavingWords: make(map[daemonServer][]time.Time), backoffs: make(map[daemonServer][]*backoff),
+		drainNotices: make(map[daemonServer][]time.Time), backoffs: make(map[daemonServer][]*backoff),
 	}
 }
 
@@ -177,7 +177,7 @@
 	o.checkDraining(v, q, now)
 	o.checkRemoved(v, q, now)
 	if v.ExpectedServer == "" || v.ExpectedServer == v.Server {
-		o.checkLeavingWord(v, q, now)
+		o.checkDrainNotice(v, q, now)
 		o.checkBackoffs(v, q, now)
 	}
 	q.saidLeaving[v.Server] = q.saidLeaving[v.Server] || v.Leaving
@@ -221,7 +221,7 @@
 	defer o.mu.Unlock()
 	q, now := o.requests[id], time.Now()
 	o.counts[q.service.name+" "+outcomeOf(r)]++
-	o.recordLeavingWord(q, r)
+	o.recordDrainNotice(q, r)
 	if !q.closedAt.IsZero() {
 		return
 	}
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -28,8 +28,8 @@
 	NoUnexpectedExit       Promise = "no daemon ends by itself"
 	StopsWithinGrace       Promise = "a daemon that is told to stop ends within its grace"
 	OwnPrefill             Promise = "a request goes on only from its own prefill"
-	LeavingWordHeeded      Promise = "a server that says it leaves gets nothing new from a daemon that has passed this on"
-	BackoffHeeded          Promise = "a server that asks for a backoff gets it"
+	DrainNoticeRespected   Promise = "a server that says it leaves gets nothing new from a daemon that has passed this on"
+	BackoffRespected       Promise = "a server that asks for a backoff gets it"
 )
 
 // Violation is a broken promise.
