graceful: a stop loses no connection that is queued at its listener

What callers saw: "connection reset by peer" on a connection that a stopping instance's kernel had already opened, unread and not passed on; the user can't know that.

Cause: a stop waited until the server had accepted a connection of its own, and closed the listener after that. Whatever was queued in between was reset, and so was the whole queue if the server didn't get to it in 150 ms; a connection that Accept had just returned wasn't counted yet.

Now the stop takes Accept off the listener, drops new handshakes with a socket filter (Multipath TCP is off for these listeners, which don't support filters) and accepts what is queued itself, right before the close. A caller whose handshake is dropped is refused when it tries again, a second later; without the filter the close comes right after the empty queue.

The harness of the package binds as the programs do; no check is changed.

--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -44,7 +44,7 @@
 // bind opens the address, so that an invalid or occupied one ends the program at
 // startup instead of being retried by the supervisor.
 func (l *listener) bind() error {
-	ln, err := net.Listen("tcp", l.addr)
+	ln, err := graceful.Bind(l.addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s address %s", l.name, l.addr)
 	}
--- a/internal/graceful/connections.go
+++ b/internal/graceful/connections.go
@@ -1,23 +1,23 @@
 package graceful
 
 import (
-	"context"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
 )
 
 const (
 	// lingerTimeout is how long to wait for a caller to close a connection whose sending
 	// side the server has closed.
 	lingerTimeout = 250 * time.Millisecond
-	// acceptTimeout is how long to wait, when the server stops, for the acceptance of
-	// connections that callers have already opened.
-	acceptTimeout = 150 * time.Millisecond
+	// acceptTimeout is how long to wait for a call of Accept to return when its listener stops.
+	acceptTimeout = 500 * time.Millisecond
+	// handshakeTime is the time for handshakes in progress to be completed when a listener stops.
+	handshakeTime = 10 * time.Millisecond
 	// firstRequestTimeout is how long a new connection without a request counts as active,
 	// as its first request may be in transit.
 	firstRequestTimeout = 150 * time.Millisecond
@@ -49,7 +49,7 @@
 
 // Listen returns a listener whose connections are tracked.
 func (c *Connections) Listen(l net.Listener) net.Listener {
-	tracked := &listener{Listener: l, owner: c, stopping: make(chan struct{}), closed: make(chan struct{})}
+	tracked := newListener(l, c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.listeners = append(c.listeners, tracked)
@@ -145,45 +145,10 @@
 	listeners := c.listeners
 	c.listeners = nil
 	c.mu.Unlock()
+	var wg conc.WaitGroup
 	for _, l := range listeners {
-		if err := c.drainBacklog(l); err != nil {
-			c.log.Warn("some connections may not have been accepted", "address", l.Addr().String(), "err", err)
-		}
-		l.stop()
+		wg.Go(l.stop)
 	}
+	wg.Wait()
 	return len(listeners) > 0
 }
-
-// drainBacklog returns once the connections that callers have already opened are accepted.
-// As connections are accepted in order, it opens one to the listener and waits for that one.
-func (c *Connections) drainBacklog(l *listener) error {
-	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
-	defer cancel()
-	var d net.Dialer
-	probe, err := d.DialContext(ctx, "tcp", l.Addr().String())
-	if err != nil {
-		return eris.Wrap(err, "connect to own listener")
-	}
-	defer func() { _ = probe.Close() }() // nothing was sent
-	for !c.closeFrom(probe.LocalAddr().String()) {
-		if ctx.Err() != nil {
-			return eris.New("timeout while waiting for the backlog to be accepted")
-		}
-		time.Sleep(pollInterval)
-	}
-	return nil
-}
-
-// closeFrom closes the connection from an address, and reports whether it was accepted.
-func (c *Connections) closeFrom(remote string) bool {
-	for _, tracked := range c.all() {
-		if tracked.RemoteAddr().String() != remote {
-			continue
-		}
-		tracked.mu.Lock()
-		defer tracked.mu.Unlock()
-		tracked.beginClose()
-		return true
-	}
-	return false
-}
--- a/internal/graceful/graceful_test.go
+++ b/internal/graceful/graceful_test.go
@@ -42,7 +42,10 @@
 			<-idle
 		}
 	}
-	r.server.Listener = r.conns.Listen(wrap(r.server.Listener))
+	require.NoError(t, r.server.Listener.Close())
+	l, err := Bind("127.0.0.1:0")
+	require.NoError(t, err)
+	r.server.Listener = r.conns.Listen(wrap(l))
 	r.server.Start()
 	t.Cleanup(r.server.Close)
 	return r
--- /dev/null
+++ b/internal/graceful/stop_order_test.go
@@ -0,0 +1,160 @@
+package graceful
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// hookedListener lets a test act between the events of a stop.
+type hookedListener struct {
+	*net.TCPListener
+	// accepted is called with each connection before the server gets it.
+	accepted func(net.Conn)
+	// closing is called once, before the listener is closed.
+	closing func()
+	once    sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *hookedListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil && l.accepted != nil {
+		l.accepted(c)
+	}
+	return c, err
+}
+
+// Close implements net.Listener.
+func (l *hookedListener) Close() error {
+	l.once.Do(func() {
+		if l.closing != nil {
+			l.closing()
+		}
+	})
+	return l.TCPListener.Close()
+}
+
+// dialTimeout is how long tryDial waits for a connection.
+const dialTimeout = 200 * time.Millisecond
+
+// tryDial returns nil unless the connection is opened.
+func (r *harness) tryDial() *caller {
+	nc, err := net.DialTimeout("tcp", r.server.Listener.Addr().String(), dialTimeout)
+	if err != nil {
+		return nil
+	}
+	r.t.Cleanup(func() { _ = nc.Close() })
+	require.NoError(r.t, nc.SetDeadline(time.Now().Add(time.Minute)))
+	return &caller{Conn: nc, in: bufio.NewReader(nc)}
+}
+
+// gatedListener calls before ahead of each accept.
+type gatedListener struct {
+	*net.TCPListener
+	before func()
+}
+
+// Accept implements net.Listener.
+func (l *gatedListener) Accept() (net.Conn, error) {
+	l.before()
+	return l.TCPListener.Accept()
+}
+
+// Guards against a stop that doesn't count a connection that the server is just accepting when
+// the listener closes, and that is therefore cut off by the exit.
+func TestConnectionBeingAcceptedIsCounted(t *testing.T) {
+	resume, holding := make(chan struct{}), make(chan struct{})
+	var c *caller
+	var r *harness
+	var dialling sync.Mutex
+	l := &hookedListener{}
+	l.accepted = func(nc net.Conn) {
+		dialling.Lock()
+		defer dialling.Unlock()
+		if c != nil && nc.RemoteAddr().String() == c.LocalAddr().String() {
+			close(holding)
+			<-resume
+		}
+	}
+	l.closing = func() {
+		dialling.Lock()
+		c = r.tryDial()
+		dialling.Unlock()
+		if c != nil {
+			r.send(c, request)
+			<-holding
+		}
+	}
+	r = newHarness(t, func(inner net.Listener) net.Listener { l.TCPListener = inner.(*net.TCPListener); return l }, answer)
+	active := r.conns.CloseIdle()
+	close(resume)
+	if c == nil {
+		return
+	}
+	require.Equal(t, 1, active, "the stop would go on to the exit")
+	r.receive(c)
+}
+
+// Guards against connections that are reset because the server accepts them later than the
+// stop waits, although the grace period isn't over.
+func TestBacklogIsDrainedBeforeListenerCloses(t *testing.T) {
+	resume := make(chan struct{})
+	gated := func(inner net.Listener) net.Listener {
+		return &gatedListener{TCPListener: inner.(*net.TCPListener), before: func() { <-resume }}
+	}
+	r := newHarness(t, gated, answer)
+	c := r.dial()
+	r.send(c, request)
+	r.conns.CloseIdle()
+	close(resume)
+	r.receive(c)
+}
+
+// Guards against a request that runs without an answer, or a reset, when it arrives while its
+// idle connection is being closed.
+func TestRequestDuringCloseIsAnsweredOrNotRun(t *testing.T) {
+	const callers = 200
+	r := newHarness(t, plain, answer)
+	var all []*caller
+	for range callers {
+		c := r.dial()
+		r.send(c, request)
+		r.receive(c)
+		all = append(all, c)
+	}
+	var sending sync.WaitGroup
+	answered, ended := make(chan struct{}, callers), make(chan error, callers)
+	start := make(chan struct{})
+	for _, c := range all {
+		sending.Go(func() {
+			<-start
+			if _, err := io.WriteString(c, request); err != nil {
+				ended <- err
+				return
+			}
+			resp, err := http.ReadResponse(c.in, nil)
+			if err != nil {
+				ended <- err
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			answered <- struct{}{}
+		})
+	}
+	close(start)
+	require.Eventually(t, func() bool { return r.conns.CloseIdle() == 0 }, time.Minute, time.Millisecond)
+	sending.Wait()
+	close(ended)
+	for err := range ended {
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+	require.EqualValues(t, callers+len(answered), r.handled.Load())
+	t.Logf("%d answered, %d ended unrun", len(answered), callers-len(answered))
+}
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"tamarackchute/internal/graceful"
 )
 
 const (
@@ -66,7 +68,7 @@
 		if h.address == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", h.address)
+		l, err := graceful.Bind(h.address)
 		if err != nil {
 			return nil, eris.Wrapf(err, "%s: can't listen on %s", h.name, h.address)
 		}
