graceful, shutdown: listeners close before the end, accepted connections have time to send

What callers saw: a request to a stopping daemon on a connection just opened ended with EOF, unrun and not passed on, with most of the grace left.

Cause: a new connection had 150 ms from its acceptance for its first byte. Listeners, idle connections and process ended in one moment, so at each stop there was a youngest connection, and a caller that got no processor between connect and write lost its request. At the end of the grace of a busy daemon the count of what was still active was ignored altogether.

Now a stop closes the listeners when nothing is in progress, or AcceptReserve before the end of the grace. From then on a connection without a request counts as active for a second, after which callers give up an attempt that isn't read. A refused connection is known to have carried nothing. The other addresses (directory, readiness, metrics; the entry's operators) stop the same way; their active requests were not waited for.

Weighed: listeners that close as soon as callers know of the stop; it refuses callers who have nowhere else three to four seconds sooner. Costs: a stop with unused connections lasts up to a second longer.

--- a/internal/entry/shutdown/shutdown.go
+++ b/internal/entry/shutdown/shutdown.go
@@ -28,6 +28,12 @@
 	// DiscoveryTTL is how long callers may cache a discovery response, Grace how long
 	// the instance waits after that for its requests to end.
 	DiscoveryTTL, Grace time.Duration
+	// AcceptReserve is how long before the end of Grace StopAccepting is called at the latest, so
+	// that accepted connections have time for a request and its response.
+	AcceptReserve time.Duration
+	// StopAccepting, if set, closes the listeners. A refused connection is known to have carried
+	// no request; one that is accepted and closed isn't.
+	StopAccepting func()
 	// CloseIdle, if set, is called repeatedly once nothing is in progress. It stops
 	// accepting connections, closes those without a request, and returns the number of
 	// the others, which are served. Without it, a request that arrives between the last
@@ -36,6 +42,8 @@
 
 	started   bool
 	startedAt time.Time
+	// refusing means that StopAccepting was called.
+	refusing bool
 }
 
 // Begin starts the shutdown. Further calls have no effect.
@@ -63,6 +71,16 @@
 	}
 }
 
+// accepts reports whether new connections are still accepted at a time, given the number of
+// requests in progress.
+func (s *State) accepts(now time.Time, active int) bool {
+	waited := now.Sub(s.startedAt)
+	if waited < s.DiscoveryTTL {
+		return true
+	}
+	return active > 0 && waited < s.DiscoveryTTL+max(0, s.Grace-s.AcceptReserve)
+}
+
 // checkInterval is the time between two checks of whether the instance may exit.
 const checkInterval = 50 * time.Millisecond
 
@@ -74,10 +92,7 @@
 	defer ticker.Stop()
 	phase := Serving
 	for {
-		n := active()
-		if s.CloseIdle != nil && s.Phase(time.Now(), n) == Stopped {
-			n = s.CloseIdle()
-		}
+		n := s.closeConnections(active)
 		if next := s.Phase(time.Now(), n); next != phase {
 			phase = next
 			log.Info("stopping", "phase", phase.String(), "active", n)
@@ -93,6 +108,21 @@
 	}
 }
 
+// closeConnections closes the listeners and the idle connections once it is time for either, and
+// returns the number of requests in progress.
+func (s *State) closeConnections(active func() int) int {
+	n := active()
+	if s.StopAccepting != nil && !s.refusing && !s.accepts(time.Now(), n) {
+		s.refusing = true
+		s.StopAccepting()
+		n = active()
+	}
+	if s.CloseIdle == nil || s.Phase(time.Now(), n) != Stopped {
+		return n
+	}
+	return s.CloseIdle()
+}
+
 // String returns the name of the phase in logs.
 func (p Phase) String() string {
 	switch p {
--- a/internal/entry/shutdown/shutdown_test.go
+++ b/internal/entry/shutdown/shutdown_test.go
@@ -58,3 +58,33 @@
 		require.Equal(t, 1, answered)
 	})
 }
+
+// Guards against an instance that accepts connections until it exits, so that the last ones are
+// closed before their requests arrive.
+func TestListenersCloseBeforeTheEnd(t *testing.T) {
+	for name, tc := range map[string]struct {
+		busyFor, wantClosed time.Duration
+	}{
+		"nothing in progress": {0, time.Second},
+		"busy for a while":    {3 * time.Second, 3 * time.Second},
+		"busy until the end":  {time.Hour, 9 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				var closed time.Duration
+				s := State{DiscoveryTTL: time.Second, Grace: 10 * time.Second, AcceptReserve: 2 * time.Second}
+				s.StopAccepting = func() { closed = time.Since(start) }
+				s.CloseIdle = func() int { return 0 }
+				active := func() int {
+					if time.Since(start) < tc.busyFor {
+						return 1
+					}
+					return 0
+				}
+				s.Drain(nil, active, slog.New(slog.DiscardHandler))
+				require.InDelta(t, tc.wantClosed, closed, float64(checkInterval))
+			})
+		})
+	}
+}
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -138,8 +138,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.drain(done, callers.conns)
-	operators.conns.CloseIdle()
+	e.drain(done, graceful.All{operators.conns, callers.conns})
 	e.gateway.Abort()
 	stopWork()
 	<-done
@@ -153,11 +152,13 @@
 
 // drain removes the instance from discovery responses at once and returns when it may
 // exit.
-func (e *Entry) drain(done <-chan error, callers *graceful.Connections) {
+func (e *Entry) drain(done <-chan error, conns graceful.All) {
 	e.directory.BeginShutdown()
 	e.gateway.BeginShutdown()
 	e.node.Leave()
-	e.shutdown.CloseIdle = callers.CloseIdle
-	e.shutdown.Drain(done, func() int { return max(e.gateway.Active(), callers.Active()) }, e.log)
-	callers.Wait()
+	e.shutdown.AcceptReserve = graceful.AcceptReserve
+	e.shutdown.StopAccepting = conns.StopAccepting
+	e.shutdown.CloseIdle = conns.CloseIdle
+	e.shutdown.Drain(done, func() int { return max(e.gateway.Active(), conns.Active()) }, e.log)
+	conns.Wait()
 }
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -118,7 +118,18 @@
 	if c.state == http.StateActive || c.received && !c.owner.tls || c.hasUnread() {
 		return true
 	}
-	return c.state == http.StateNew && time.Since(c.accepted) < firstRequestTimeout
+	return c.awaitsFirstRequest()
+}
+
+// awaitsFirstRequest reports whether the listeners are closed, but the first request may still be
+// on its way: the caller has just connected, or uses a connection that it opened in advance. c.mu
+// is held.
+func (c *conn) awaitsFirstRequest() bool {
+	closed := c.owner.listenersClosed.Load()
+	if c.state != http.StateNew || closed == nil {
+		return false
+	}
+	return time.Since(*closed) < firstRequestTimeout || time.Since(c.accepted) < firstRequestTimeout
 }
 
 // hasUnread reports whether the socket has bytes that the server hasn't read.
@@ -131,19 +142,19 @@
 	return err == nil && n > 0
 }
 
-// closeIfIdle closes the sending side unless a request is in progress, and reports whether
-// the connection is closing.
-func (c *conn) closeIfIdle() bool {
+// closeIfIdle closes the sending side unless a request is in progress. began means that it has
+// done so now, and not before.
+func (c *conn) closeIfIdle() (closing, began bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		return true
+		return true, false
 	}
 	if c.busy() {
-		return false
+		return false, false
 	}
 	c.beginClose()
-	return true
+	return true, true
 }
 
 // beginClose closes the sending side and sets a deadline for the caller to close. c.mu is
--- a/internal/graceful/connections.go
+++ b/internal/graceful/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -18,10 +19,14 @@
 	acceptTimeout = 500 * time.Millisecond
 	// handshakeTime is the time for handshakes in progress to be completed when a listener stops.
 	handshakeTime = 10 * time.Millisecond
-	// firstRequestTimeout is how long a new connection without a request counts as active,
-	// as its first request may be in transit.
-	firstRequestTimeout = 150 * time.Millisecond
+	// firstRequestTimeout is how long after the listeners' close a connection without a request
+	// counts as active. Callers abandon an attempt that isn't read within a second.
+	firstRequestTimeout = time.Second
 	pollInterval        = 2 * time.Millisecond
+
+	// AcceptReserve is how long before the end of a server its listeners must be closed, so that
+	// each accepted connection has time for its first request and the response.
+	AcceptReserve = acceptTimeout + firstRequestTimeout
 )
 
 // Connections tracks the connections of a server. It is safe for concurrent use.
@@ -29,6 +34,8 @@
 	log *slog.Logger
 	// tls means that bytes read needn't belong to a request, but may be of a handshake.
 	tls bool
+	// listenersClosed is when the listeners were closed.
+	listenersClosed atomic.Pointer[time.Time]
 
 	mu        sync.Mutex
 	open      map[*conn]struct{}
@@ -82,19 +89,30 @@
 	return n
 }
 
+// StopAccepting closes the listeners once the connections that callers have already opened are
+// accepted. Those stay open until CloseIdle.
+func (c *Connections) StopAccepting() {
+	if c.closeListeners() {
+		c.log.Info("listeners closed", "connections", len(c.all()), "active", c.Active())
+	}
+}
+
 // CloseIdle stops accepting connections, closes those without a request in progress and
 // returns the number of the others, which can still send their responses.
 func (c *Connections) CloseIdle() int {
-	first := c.closeListeners()
-	all := c.all()
-	active := 0
-	for _, tracked := range all {
-		if !tracked.closeIfIdle() {
+	c.closeListeners()
+	active, closed := 0, 0
+	for _, tracked := range c.all() {
+		closing, began := tracked.closeIfIdle()
+		if !closing {
 			active++
 		}
+		if began {
+			closed++
+		}
 	}
-	if first {
-		c.log.Info("idle connections closed", "closed", len(all)-active, "active", active)
+	if closed > 0 {
+		c.log.Info("idle connections closed", "closed", closed, "active", active)
 	}
 	return active
 }
@@ -150,5 +168,48 @@
 		wg.Go(l.stop)
 	}
 	wg.Wait()
+	if len(listeners) > 0 {
+		now := time.Now()
+		c.listenersClosed.Store(&now)
+	}
 	return len(listeners) > 0
 }
+
+// All are the connections of all servers of a process, which stop together.
+type All []*Connections
+
+// Active returns the number of connections with a request in progress.
+func (a All) Active() int {
+	n := 0
+	for _, c := range a {
+		n += c.Active()
+	}
+	return n
+}
+
+// StopAccepting closes all listeners.
+func (a All) StopAccepting() {
+	var wg conc.WaitGroup
+	for _, c := range a {
+		wg.Go(c.StopAccepting)
+	}
+	wg.Wait()
+}
+
+// CloseIdle closes the connections without a request in progress and returns the number of the
+// others.
+func (a All) CloseIdle() int {
+	n := 0
+	for _, c := range a {
+		n += c.CloseIdle()
+	}
+	return n
+}
+
+// Wait returns once callers have closed the connections that CloseIdle has closed, or after
+// lingerTimeout for each of the servers.
+func (a All) Wait() {
+	for _, c := range a {
+		c.Wait()
+	}
+}
--- a/internal/graceful/stop_order_test.go
+++ b/internal/graceful/stop_order_test.go
@@ -55,6 +55,22 @@
 	return &caller{Conn: nc, in: bufio.NewReader(nc)}
 }
 
+// Guards against a stop that ends a new connection whose first request arrives later than
+// usual, for example because its caller got no processor between connect and write.
+func TestLateFirstRequestIsAnswered(t *testing.T) {
+	for _, age := range []time.Duration{160 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(age.String(), func(t *testing.T) {
+			r := newHarness(t, plain, answer)
+			c := r.dial()
+			require.Eventually(t, func() bool { return len(r.conns.all()) == 1 }, time.Minute, time.Millisecond)
+			time.Sleep(age)
+			r.conns.CloseIdle()
+			r.send(c, request)
+			r.receive(c)
+		})
+	}
+}
+
 // gatedListener calls before ahead of each accept.
 type gatedListener struct {
 	*net.TCPListener
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -312,13 +312,15 @@
 // drain stops accepting callers and returns once the process may exit.
 func (m *Member) drain() {
 	m.shuttingDown.Store(true)
+	conns := graceful.All{m.otherConns, m.callerConns}
 	stop := shutdown.State{
 		DiscoveryTTL: directoryTTLFactor * directoryTTL, Grace: m.settings.Load().Grace - directoryTTLFactor*directoryTTL - stopMargin,
-		CloseIdle: m.callerConns.CloseIdle,
+		AcceptReserve: graceful.AcceptReserve,
+		StopAccepting: conns.StopAccepting,
+		CloseIdle:     conns.CloseIdle,
 	}
 	directoriesExpired := time.Now().Add(stop.DiscoveryTTL)
 	m.relay.BeginShutdown(directoriesExpired, directoriesExpired.Add(stop.Grace), func() bool { return len(m.peers.Serving()) > 0 })
-	stop.Drain(nil, m.callerConns.Active, m.log)
-	m.otherConns.CloseIdle()
-	m.callerConns.Wait()
+	stop.Drain(nil, conns.Active, m.log)
+	conns.Wait()
 }
