shutdown, member: the process ends right after its last connections are closed

What callers saw: a request on an idle connection to a stopping daemon got EOF, unrun, although the process still ran for up to half a second.

Cause: idle connections were closed first; then the daemon waited up to 250 ms for callers to close, also for those that had had their response long ago, shut down its other addresses and services, and ended. What callers sent meanwhile was dropped.

Ruled out: the last steps of main (0.1 to 0.6 ms).

Now the services that aren't needed to respond are stopped before the last look at the connections, and the process waits for callers to close only while a response of theirs may still be lost.

--- a/internal/entry/shutdown/shutdown.go
+++ b/internal/entry/shutdown/shutdown.go
@@ -34,6 +34,9 @@
 	// StopAccepting, if set, closes the listeners. A refused connection is known to have carried
 	// no request; one that is accepted and closed isn't.
 	StopAccepting func()
+	// BeforeClose, if set, is called once before CloseIdle. It stops what isn't needed to respond,
+	// so that the process can exit as soon as the connections are closed.
+	BeforeClose func()
 	// CloseIdle, if set, is called repeatedly once nothing is in progress. It stops
 	// accepting connections, closes those without a request, and returns the number of
 	// the others, which are served. Without it, a request that arrives between the last
@@ -42,8 +45,8 @@
 
 	started   bool
 	startedAt time.Time
-	// refusing means that StopAccepting was called.
-	refusing bool
+	// refusing means that StopAccepting was called, closing that BeforeClose was.
+	refusing, closing bool
 }
 
 // Begin starts the shutdown. Further calls have no effect.
@@ -120,6 +123,10 @@
 	if s.CloseIdle == nil || s.Phase(time.Now(), n) != Stopped {
 		return n
 	}
+	if s.BeforeClose != nil && !s.closing {
+		s.closing = true
+		s.BeforeClose()
+	}
 	return s.CloseIdle()
 }
 
--- a/internal/entry/shutdown/shutdown_test.go
+++ b/internal/entry/shutdown/shutdown_test.go
@@ -88,3 +88,23 @@
 		})
 	}
 }
+
+// Guards against a process that exits long after it has closed its last connections, or closes
+// them while a request has come in.
+func TestLastStepsAreOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var steps []string
+		late := 1
+		s := State{DiscoveryTTL: time.Second, Grace: time.Minute}
+		s.StopAccepting = func() { steps = append(steps, "stop accepting") }
+		s.BeforeClose = func() { steps = append(steps, "before close") }
+		s.CloseIdle = func() int {
+			steps = append(steps, "close idle")
+			n := late
+			late = 0
+			return n
+		}
+		s.Drain(nil, func() int { return 0 }, slog.New(slog.DiscardHandler))
+		require.Equal(t, []string{"stop accepting", "before close", "close idle", "close idle"}, steps)
+	})
+}
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -25,10 +25,15 @@
 	// to the server unnoticed.
 	mu    sync.Mutex
 	state http.ConnState
+	// responded is when the last response was complete, zero if there was none.
+	responded time.Time
 	// received means that bytes have been read since the last response.
 	received bool
 	// closing means that the sending side is closed; data that still arrives is dropped.
 	closing bool
+	// lossPossibleUntil is how long the last response on a closing connection may be lost if
+	// the connection is dropped.
+	lossPossibleUntil time.Time
 	// disconnected means that the caller has closed the connection or that it has failed.
 	disconnected bool
 	// reset means that Close resets the connection.
@@ -103,6 +108,7 @@
 	c.state = s
 	if s == http.StateIdle {
 		c.received = false
+		c.responded = time.Now()
 	}
 }
 
@@ -153,19 +159,28 @@
 	if c.busy() {
 		return false, false
 	}
-	c.beginClose()
+	c.beginClose(c.responded)
 	return true, true
 }
 
-// beginClose closes the sending side and sets a deadline for the caller to close. c.mu is
-// held.
-func (c *conn) beginClose() {
+// beginClose closes the sending side and sets a deadline for the caller to close. responded is
+// when the last response was written. c.mu is held.
+func (c *conn) beginClose(responded time.Time) {
 	c.closing = true
+	c.lossPossibleUntil = responded.Add(lingerTimeout)
 	// Errors mean that the connection has failed, which the next read reports.
 	_ = c.TCPConn.CloseWrite()
 	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
+// mayLoseResponse reports whether the caller may lose the last response if the closing
+// connection is dropped now.
+func (c *conn) mayLoseResponse(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing && !c.disconnected && now.Before(c.lossPossibleUntil)
+}
+
 // SetLinger implements part of net.TCPConn. With 0, Close resets the connection.
 func (c *conn) SetLinger(sec int) error {
 	c.mu.Lock()
@@ -187,7 +202,7 @@
 		return c.release()
 	}
 	if !c.closing {
-		c.beginClose()
+		c.beginClose(time.Now())
 	}
 	go c.linger()
 	return nil
--- a/internal/graceful/connections.go
+++ b/internal/graceful/connections.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,8 +13,8 @@
 )
 
 const (
-	// lingerTimeout is how long to wait for a caller to close a connection whose sending
-	// side the server has closed.
+	// lingerTimeout is how long after a response to wait for its caller to close a connection
+	// whose sending side the server has closed.
 	lingerTimeout = 250 * time.Millisecond
 	// acceptTimeout is how long to wait for a call of Accept to return when its listener stops.
 	acceptTimeout = 500 * time.Millisecond
@@ -117,28 +118,16 @@
 	return active
 }
 
-// Wait returns once callers have closed the connections that CloseIdle has closed, or after
-// lingerTimeout.
+// Wait returns once no response can be lost any more on the connections that are closing.
 func (c *Connections) Wait() {
-	deadline := time.Now().Add(lingerTimeout)
-	for c.countClosing() > 0 && time.Now().Before(deadline) {
+	for c.mayLoseResponses() {
 		time.Sleep(pollInterval)
 	}
-	if n := c.countClosing(); n > 0 {
-		c.log.Info("callers haven't closed their connections", "connections", n)
-	}
 }
 
-func (c *Connections) countClosing() int {
-	n := 0
-	for _, tracked := range c.all() {
-		tracked.mu.Lock()
-		if tracked.closing && !tracked.disconnected {
-			n++
-		}
-		tracked.mu.Unlock()
-	}
-	return n
+func (c *Connections) mayLoseResponses() bool {
+	now := time.Now()
+	return slices.ContainsFunc(c.all(), func(tracked *conn) bool { return tracked.mayLoseResponse(now) })
 }
 
 func (c *Connections) all() []*conn {
@@ -206,8 +195,7 @@
 	return n
 }
 
-// Wait returns once callers have closed the connections that CloseIdle has closed, or after
-// lingerTimeout for each of the servers.
+// Wait returns once no response can be lost any more on the connections that are closing.
 func (a All) Wait() {
 	for _, c := range a {
 		c.Wait()
--- a/internal/graceful/stop_order_test.go
+++ b/internal/graceful/stop_order_test.go
@@ -174,3 +174,20 @@
 	require.EqualValues(t, callers+len(answered), r.handled.Load())
 	t.Logf("%d answered, %d ended unrun", len(answered), callers-len(answered))
 }
+
+// Guards against a process that exits long after it has closed its idle connections, as one caller
+// hasn't closed its own: in between it would drop what others send.
+func TestIdleConnectionsDelayNoExit(t *testing.T) {
+	r := newHarness(t, plain, answer)
+	c := r.dial()
+	r.send(c, request)
+	r.receive(c)
+	for _, tracked := range r.conns.all() {
+		require.Eventually(t, func() bool { return !tracked.active() }, time.Minute, time.Millisecond)
+		tracked.mu.Lock()
+		tracked.responded = tracked.responded.Add(-lingerTimeout) // as if the response were older
+		tracked.mu.Unlock()
+	}
+	require.Zero(t, r.conns.CloseIdle())
+	require.False(t, r.conns.mayLoseResponses())
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -27,8 +27,12 @@
 	directoryTTL = time.Second
 	// directoryTTLFactor allows for callers that cache an answer longer than its TTL.
 	directoryTTLFactor = 3
-	// stopMargin is the part of the grace period reserved for the exit of the process.
-	stopMargin = 450 * time.Millisecond
+	// stopMargin is the part of the grace period reserved for the exit of the process: for the
+	// background services, the last responses and the servers.
+	stopMargin = 550 * time.Millisecond
+	// backgroundTimeout limits the stop of the background services before the last connections are
+	// closed.
+	backgroundTimeout = 150 * time.Millisecond
 	// minAssumedDaemons is the minimum divisor for limits that all daemons share: a daemon that
 	// has just started knows too few peers and would take too large a share.
 	minAssumedDaemons = 10
@@ -242,37 +246,39 @@
 	}
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	done := m.supervisorTree(servers).ServeBackground(work)
+	root, background := m.supervisorTree(servers)
+	done := root.ServeBackground(work)
 	m.log.Info("started", "instance", m.self.Instance, "data_centre", m.self.DataCentre, "callers", m.self.Callers)
 	select {
 	case err := <-done:
 		return err
 	case <-ctx.Done():
 	}
-	m.drain()
+	m.drain(func() { m.stopBackground(root, background) })
 	stopWork()
 	<-done
 	return nil
 }
 
-// supervisorTree builds the supervisor tree:
+// supervisorTree builds the supervisor tree, and returns its root and the token of background:
 //
 //	member
-//	├── learning
-//	│   ├── readers of upstreams, configuration, daemons
-//	│   ├── restarts of the readers in a new era of the store
-//	│   ├── updates from peers that have newer data
-//	│   ├── initial cache state of the engines
-//	│   ├── engine parameters, for operators, and their copy in the store
-//	│   └── announcer
-//	├── exchange
-//	│   ├── wire server
-//	│   └── peers
-//	├── directing
-//	│   └── director of roles, with journal and lease while it is a candidate
+//	├── background
+//	│   ├── learning
+//	│   │   ├── readers of upstreams, configuration, daemons
+//	│   │   ├── restarts of the readers in a new era of the store
+//	│   │   ├── updates from peers that have newer data
+//	│   │   ├── initial cache state of the engines
+//	│   │   ├── engine parameters, for operators, and their copy in the store
+//	│   │   └── announcer
+//	│   ├── exchange
+//	│   │   ├── wire server
+//	│   │   └── peers
+//	│   └── directing
+//	│       └── director of roles, with journal and lease while it is a candidate
 //	└── serving
 //	    └── callers, directory, ready, metrics
-func (m *Member) supervisorTree(servers []*httpService) *suture.Supervisor {
+func (m *Member) supervisorTree(servers []*httpService) (*suture.Supervisor, suture.ServiceToken) {
 	spec := suture.Spec{EventHook: m.logEvent, FailureBackoff: time.Second, Timeout: 2 * time.Second}
 	learning := suture.New("learning", spec)
 	for _, r := range m.readers {
@@ -297,26 +303,37 @@
 		balancers: make(map[string]*rolepolicy.Balancer), changes: make(map[string]roleChange),
 		lastLogged: make(map[string]time.Time),
 	})
+	background := suture.New("background", spec)
+	background.Add(directing)
+	background.Add(learning)
+	background.Add(exchange)
 	root := suture.New("member", spec)
-	root.Add(directing)
-	root.Add(learning)
-	root.Add(exchange)
+	token := root.Add(background)
 	root.Add(serving)
-	return root
+	return root, token
+}
+
+// stopBackground stops all services but the servers.
+func (m *Member) stopBackground(root *suture.Supervisor, background suture.ServiceToken) {
+	if err := root.RemoveAndWait(background, backgroundTimeout); err != nil {
+		m.log.Warn("background services still running", "err", err)
+	}
 }
 
 func (m *Member) logEvent(e suture.Event) {
 	m.log.Warn("supervisor", "event", e.String())
 }
 
-// drain stops accepting callers and returns once the process may exit.
-func (m *Member) drain() {
+// drain stops accepting callers and returns once the process may exit. beforeClose is called
+// before the last connections are closed.
+func (m *Member) drain(beforeClose func()) {
 	m.shuttingDown.Store(true)
 	conns := graceful.All{m.otherConns, m.callerConns}
 	stop := shutdown.State{
 		DiscoveryTTL: directoryTTLFactor * directoryTTL, Grace: m.settings.Load().Grace - directoryTTLFactor*directoryTTL - stopMargin,
 		AcceptReserve: graceful.AcceptReserve,
 		StopAccepting: conns.StopAccepting,
+		BeforeClose:   beforeClose,
 		CloseIdle:     conns.CloseIdle,
 	}
 	directoriesExpired := time.Now().Add(stop.DiscoveryTTL)
--- a/internal/member/stop_order_test.go
+++ b/internal/member/stop_order_test.go
@@ -73,7 +73,7 @@
 		_ = d.service.Serve(work)
 	}()
 	return func() {
-		d.member.drain()
+		d.member.drain(func() {})
 		stopWork()
 		<-served
 		_ = d.service.server.Close() // the exit
