member: after a restore, an upstream counts only once it has written

What callers saw: requests to a server that had crashed and whose entry was removed, for 8 to 20 s after the store had come back from a copy some seconds old; in part for good.

Cause: a daemon that keeps an upstream whose entry lapsed reports a digest that doesn't show this, with a position behind the removal. A peer with the same list goes on there without reading the removal, or the restored store at all; its list then ends the mark at the first daemon, and lists the server again where it had been dropped.

Evidence: traced twice apart from each other. Ruled out: a removal that isn't written again (it was, in the traces), the own read, the list's size.

Now a new era marks every known upstream as unconfirmed, by whichever way the daemon comes to it. A write read through Changes, or a peer's later list that has it confirmed, ends the mark; otherwise the upstream is dropped after LapsedEntryGrace, counted while the store can be read and anew from each restore. A daemon with marks reports neither its position nor its digest, and its list carries the marks. What isn't listed comes back by a write only. A reading is processed under one lock with its position, and judged by the era in which it began.

--- a/internal/member/feeds_test.go
+++ b/internal/member/feeds_test.go
@@ -146,7 +146,9 @@
 	h.age = 2 * outageThreshold
 	h.feed.apply([]Entry{entry("a", "")})
 	require.Equal(t, "a,b", h.list(), "goes on being used here")
-	require.Equal(t, map[string][]byte{"b": []byte("p 1:2")}, h.feed.entries())
+	confirmed, unconfirmed := h.feed.entries()
+	require.Equal(t, map[string][]byte{"b": []byte("p 1:2")}, confirmed)
+	require.Equal(t, map[string][]byte{"a": []byte("p 1:1")}, unconfirmed)
 }
 
 // Guards against a lapsed entry that never expires when the store has no further changes, or
@@ -156,6 +158,9 @@
 	h.feed.reset([]Entry{entry("a", "p 1:1"), entry("b", "p 1:2")})
 	h.age = 2 * outageThreshold
 	h.feed.apply([]Entry{entry("a", "")})
+	h.feed.expireLapsed()
+	require.Equal(t, "a,b", h.list())
+	h.age = 0
 	time.Sleep(40 * time.Millisecond) // longer than the feed's grace
 	h.feed.expireLapsed()
 	require.Equal(t, "b", h.list())
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -112,7 +112,7 @@
 	m.peers.localDemand = m.localDemand
 	m.peers.requestsWaiting = m.relay.HasWaiting
 	m.peers.onPeerList = m.confirmList
-	m.peers.summary, m.peers.view, m.peers.onUpdate = m.summary, m.view, m.relay.WakeWaiting
+	m.peers.summary, m.peers.view, m.peers.onUpdate = m.reportedSummary, m.view, m.relay.WakeWaiting
 	m.buildFeeds()
 	return m
 }
@@ -126,13 +126,15 @@
 }
 
 // confirmList records that a peer has read the same list of upstreams as this daemon. It is
-// ignored while entries are lapsed: the peer confirms that the list is unchanged, not that those
-// entries were renewed.
+// ignored while upstreams are unconfirmed: the peer confirms that the list is unchanged, not that
+// they have written.
 func (m *Member) confirmList(position Position, digest uint64, age time.Duration) {
 	if position == 0 || !m.cfg.Store.Eras().Observe(position.Era(), "another daemon") {
 		return
 	}
-	if m.upstreams.hasLapsed() {
+	m.readers[0].applying.Lock()
+	defer m.readers[0].applying.Unlock()
+	if m.upstreams.hasUnconfirmed() {
 		return
 	}
 	age += transitAllowance
@@ -164,6 +166,7 @@
 		applyAll: m.upstreams.reset, applyRestored: m.upstreams.resetRestored, applyChanges: m.upstreams.apply, backoff: m.backoff, log: m.log,
 	}
 	m.upstreams.age = upstreams.age
+	m.upstreams.restored = func() bool { return store.Eras().Current() > 0 }
 	upstreams.onRecovered = func() {
 		for _, r := range m.readers[1:] {
 			r.restartRead()
@@ -197,10 +200,23 @@
 	return summary
 }
 
+// reportedSummary returns the summary for peers. While upstreams are unconfirmed, it names the first
+// position of the era and another digest: a peer with the same list must neither take it for
+// confirmed nor go on at this position, which may lie behind a removal that the peer hasn't read.
+// Only a peer that knows less takes the list.
+func (m *Member) reportedSummary() Summary {
+	summary := m.summary()
+	if m.upstreams.hasUnconfirmed() {
+		summary.ListPosition = infra.NewOffset(summary.ListPosition.Era(), 1)
+		summary.ListDigest = ^summary.ListDigest
+	}
+	return summary
+}
+
 func (m *Member) view(configOnly bool) wire.ViewReply {
 	v := wire.ViewReply{Position: uint64(m.readers[0].position()), Age: m.readers[0].age()}
 	if !configOnly {
-		v.Upstreams = m.upstreams.entries() // read last: the list may be newer than its position, never older
+		v.Upstreams, v.Unconfirmed = m.upstreams.entries() // read last: the list may be newer than its position, never older
 	}
 	if c := m.state.Snapshot().Config; c != nil {
 		v.Config = c.Document
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -31,8 +31,8 @@
 	MemoryBytes int64
 	// Grace is the time between the stop signal and the kill.
 	Grace time.Duration
-	// LapsedEntryGrace is how long upstreams whose entries lapsed during a store outage stay in
-	// use, so that they can write their entries again.
+	// LapsedEntryGrace is how long upstreams stay in use whose entries lapsed during a store outage,
+	// or whose store was restored from an older copy, so that they can write their entries again.
 	LapsedEntryGrace time.Duration
 	// RetryRatio, RetryWindow and RetrySlack limit retries: in each window all daemons together
 	// may make ratio x requests + slack retries per pool.
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -42,8 +42,8 @@
 	// applyAll processes the newest entries, applyChanges the changes since.
 	applyAll     func([]Entry)
 	applyChanges func([]Entry)
-	// applyRestored processes the newest entries of a store restored from an older copy; nil
-	// means applyAll.
+	// applyRestored processes the newest entries of a store that was restored from an older copy
+	// since the last read, or at any time before the first one; nil means applyAll.
 	applyRestored func([]Entry)
 	// jitter is the mean of the random delay added to interval, during which a peer's read may
 	// replace this one; 0 for none.
@@ -52,6 +52,10 @@
 	readsFirst func() bool
 	log        *slog.Logger
 
+	// applying is held while a reading, whether of the store or of a peer, is processed together
+	// with its position. Otherwise an older one might replace what a newer one has brought.
+	applying sync.Mutex
+
 	mu sync.Mutex
 	// next is the position of the next read, positioned is set if there is one.
 	next       Position
@@ -194,7 +198,9 @@
 		if err != nil {
 			return err
 		}
-		r.applyNewest(entries, next)
+		r.applying.Lock()
+		defer r.applying.Unlock()
+		r.applyNewest(entries, from, next)
 		r.recordRead(next, start)
 		return nil
 	}
@@ -202,6 +208,8 @@
 	if err != nil {
 		return err
 	}
+	r.applying.Lock()
+	defer r.applying.Unlock()
 	if len(entries) > 0 {
 		r.applyChanges(entries)
 	}
@@ -212,21 +220,16 @@
 	return nil
 }
 
-func (r *topicReader) applyNewest(entries []Entry, next Position) {
-	if r.applyRestored != nil && r.isNewerEra(next) {
+// applyNewest processes the newest entries. from is the position before they were requested: a
+// peer's may have been adopted since.
+func (r *topicReader) applyNewest(entries []Entry, from, next Position) {
+	if r.applyRestored != nil && next.Era() > from.Era() {
 		r.applyRestored(entries)
 		return
 	}
 	r.applyAll(entries)
 }
 
-// isNewerEra reports whether a position is of a later era than the last read.
-func (r *topicReader) isNewerEra(at Position) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.readAt.IsZero() && at.Era() > r.next.Era()
-}
-
 // adopt records that the topic up to a position, as a peer read it some time ago, is known here.
 func (r *topicReader) adopt(at Position, age time.Duration) {
 	r.mu.Lock()
--- a/internal/member/upstreams.go
+++ b/internal/member/upstreams.go
@@ -19,9 +19,12 @@
 	decoder Decoder
 	state   *fleet.State
 	log     *slog.Logger
-	// lapsedGrace is how long an upstream whose entry lapsed in an outage stays listed.
+	// lapsedGrace is how long an unconfirmed upstream stays listed while the store can be read.
 	lapsedGrace time.Duration
-	age         func() time.Duration
+	// age returns the time since the last successful read of the store, restored whether the store
+	// was ever restored from an older copy.
+	age      func() time.Duration
+	restored func() bool
 
 	// latestStart is the latest start seen of each ID, rejected the hash of each invalid entry,
 	// by key.
@@ -36,58 +39,144 @@
 	mu   sync.Mutex
 	raw  map[string][]byte
 	list map[string]*fleet.Upstream
+	// changed means that the list differs from the published one.
+	changed bool
 	// revisions are those of the newest entries.
 	revisions map[string]uint64
-	// lapsed holds the upstreams whose entries were removed during an outage of the store, or
-	// are missing in its restored copy, and when they are dropped.
-	lapsed map[string]time.Time
+	// unconfirmed holds the upstreams that may be gone, and when they are dropped: their entries
+	// were removed during an outage of the store, or haven't been written since it was restored.
+	unconfirmed map[string]time.Time
 }
 
 func newUpstreamFeed(decoder Decoder, state *fleet.State, lapsedGrace time.Duration, log *slog.Logger) *upstreamFeed {
 	return &upstreamFeed{
 		decoder: decoder, state: state, log: log, lapsedGrace: lapsedGrace,
-		raw: make(map[string][]byte), list: make(map[string]*fleet.Upstream), lapsed: make(map[string]time.Time),
+		raw: make(map[string][]byte), list: make(map[string]*fleet.Upstream), unconfirmed: make(map[string]time.Time),
 		revisions:   make(map[string]uint64),
 		latestStart: make(map[string]time.Time), rejected: make(map[string]uint64),
+		restored: func() bool { return false },
 	}
 }
 
-// reset processes the newest entries of all upstreams.
+// reset processes the newest entries of all upstreams, read from a store that has lost nothing
+// since the last read. If it lost something before, an unknown entry may be left from the copy.
 func (f *upstreamFeed) reset(entries []Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	listed := make(map[string]bool, len(entries))
-	changed := false
 	for _, e := range entries {
-		listed[e.Key] = e.Value != nil
-		changed = f.put(e) || changed
-	}
-	for id := range f.list {
-		if !listed[id] {
-			changed = f.remove(id) || changed
+		if f.list[e.Key] != nil || !f.restored() {
+			f.put(e)
 		}
 	}
-	f.publish(changed)
+	f.removeAllBut(entries)
+	f.publish()
 }
 
-// apply processes changes in order.
+// apply processes changes in order. Each confirms that its upstream wrote in the store's current
+// era.
 func (f *upstreamFeed) apply(entries []Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	changed := false
 	for _, e := range entries {
-		changed = f.put(e) || changed
+		if f.put(e) {
+			delete(f.unconfirmed, e.Key)
+		}
+	}
+	f.publish()
+}
+
+// resetRestored processes the newest entries of a store that was restored from an older copy since
+// the last read, or at any time before the first read. An entry of the copy doesn't show that its
+// upstream still exists: until it writes, each upstream is unconfirmed. One that only the copy has
+// is ignored, unless nothing else is known.
+func (f *upstreamFeed) resetRestored(entries []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.beginEra()
+	f.putUnconfirmed(entries)
+	f.log.Info("store restored; upstreams unconfirmed until they write", "entries", len(entries), "unconfirmed", len(f.unconfirmed))
+	f.publish()
+}
+
+// resetFromPeer processes the list of a peer that has read more of the store, with the upstreams
+// that are unconfirmed there. newEra means that the store was restored in between.
+func (f *upstreamFeed) resetFromPeer(confirmed, unconfirmed []Entry, newEra bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if newEra {
+		f.beginEra()
+	}
+	f.putUnconfirmed(unconfirmed)
+	for _, e := range confirmed {
+		if f.put(e) {
+			delete(f.unconfirmed, e.Key)
+		}
+	}
+	f.removeAllBut(slices.Concat(confirmed, unconfirmed))
+	f.publish()
+}
+
+// beginEra marks all upstreams as unconfirmed. The time to write again starts anew for all, as what
+// they have written in an earlier era may be lost.
+func (f *upstreamFeed) beginEra() {
+	for id := range f.list {
+		f.unconfirmed[id] = time.Now().Add(f.lapsedGrace)
+	}
+}
+
+// putUnconfirmed processes entries that don't show that their upstreams still exist. They replace
+// only what is certainly older. Those of unknown upstreams are ignored, unless nothing else is
+// known.
+func (f *upstreamFeed) putUnconfirmed(entries []Entry) {
+	empty := len(f.list) == 0
+	for _, e := range entries {
+		known := f.list[e.Key]
+		if known == nil && !empty {
+			f.log.Info("unconfirmed upstream ignored until it writes", "upstream", e.Key)
+			continue
+		}
+		if known == nil || f.isNewer(e, known) {
+			f.put(e)
+		}
+		if f.list[e.Key] != nil {
+			f.markUnconfirmed(e.Key)
+		}
+	}
+}
+
+// isNewer reports whether an entry is of a later start, or of a later revision of the same start,
+// than the known one.
+func (f *upstreamFeed) isNewer(e Entry, known *fleet.Upstream) bool {
+	u, err := f.decoder.Upstream(e)
+	if err != nil {
+		return false
+	}
+	return u.Started.After(known.Started) || u.Started.Equal(known.Started) && u.Revision > f.revisions[e.Key]
+}
+
+// removeAllBut removes the upstreams that a list of entries lacks.
+func (f *upstreamFeed) removeAllBut(entries []Entry) {
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.Key] = e.Value != nil
+	}
+	for id := range f.list {
+		if !listed[id] {
+			f.remove(id)
+		}
 	}
-	f.publish(changed)
 }
 
+// put processes an entry, and reports whether it is the newest of a listed upstream.
 func (f *upstreamFeed) put(e Entry) bool {
 	if e.Value == nil {
-		return f.remove(e.Key)
+		f.remove(e.Key)
+		return false
 	}
 	u, err := f.decoder.Upstream(e)
 	if err != nil {
-		return f.reject(e, err)
+		f.reject(e, err)
+		return false
 	}
 	delete(f.rejected, e.Key)
 	if u.Started.Before(f.latestStart[u.ID]) {
@@ -100,13 +189,13 @@
 	}
 	f.recordStart(u)
 	f.raw[e.Key] = e.Value
-	delete(f.lapsed, e.Key)
 	f.revisions[e.Key] = u.Revision
 	old := f.list[e.Key]
 	if old != nil && old.EqualExceptRevision(u) {
-		return false
+		return true
 	}
 	f.list[e.Key] = u
+	f.changed = true
 	f.log.Info("upstream", "upstream", u.ID, "started", u.Started, "pool", u.Pool, "address", u.Address, "data_centre", u.DataCentre,
 		"role", u.Role, "slots", u.Slots, "leaving", u.Draining, "new", old == nil)
 	return true
@@ -118,45 +207,18 @@
 	return known != nil && !u.Started.IsZero() && u.Started.Equal(known.Started) && u.Revision < f.revisions[u.ID]
 }
 
-// resetRestored processes the newest entries of a store restored from an older copy. The known
-// list is newer: it stays until the servers write again, each about once a second. An upstream
-// that the copy lacks counts as lapsed; one that only the copy has isn't used before it writes,
-// as it may be gone.
-func (f *upstreamFeed) resetRestored(entries []Entry) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	listed := make(map[string]bool, len(entries))
-	changed := false
-	for _, e := range entries {
-		listed[e.Key] = e.Value != nil
-		if f.list[e.Key] == nil {
-			f.log.Info("upstream known only to the restored copy ignored until it writes", "upstream", e.Key)
-			continue
-		}
-		changed = f.put(e) || changed
-	}
-	for id := range f.list {
-		if !listed[id] {
-			f.markLapsed(id)
-		}
-	}
-	f.publish(changed)
-}
-
 // reject handles an invalid entry: whoever wrote it, it names no server, and the server of the
 // former entry may be gone. Each is counted and logged once.
-func (f *upstreamFeed) reject(e Entry, err error) bool {
+func (f *upstreamFeed) reject(e Entry, err error) {
 	content := xxhash.Sum64(e.Value)
 	if seen, known := f.rejected[e.Key]; !known || seen != content {
 		f.rejected[e.Key] = content
 		f.rejectedCount.Add(1)
 		f.log.Warn("invalid upstream entry ignored", "upstream", e.Key, "bytes", len(e.Value), "err", err)
 	}
-	if f.list[e.Key] == nil {
-		return false
+	if f.list[e.Key] != nil {
+		f.drop(e.Key)
 	}
-	f.drop(e.Key)
-	return true
 }
 
 // rejectedEntries returns the number of invalid entries.
@@ -175,60 +237,70 @@
 	f.latestStart[u.ID] = u.Started
 }
 
-// remove drops an upstream, or marks it as lapsed after an outage of the store.
-func (f *upstreamFeed) remove(id string) bool {
+// remove drops an upstream, unless it is unconfirmed or becomes so by an outage of the store.
+func (f *upstreamFeed) remove(id string) {
 	if f.list[id] == nil {
-		return false
+		return
 	}
-	if f.age() > outageThreshold {
-		f.markLapsed(id)
-		return false
+	if _, unconfirmed := f.unconfirmed[id]; unconfirmed {
+		return
 	}
-	if _, lapsed := f.lapsed[id]; lapsed {
-		return false
+	if f.age() > outageThreshold {
+		f.markUnconfirmed(id)
+		f.log.Info("upstream entry lapsed; upstream kept for now", "upstream", id)
+		return
 	}
 	f.drop(id)
-	return true
 }
 
-// hasLapsed reports whether any upstream is lapsed.
-func (f *upstreamFeed) hasLapsed() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.lapsed) > 0
-}
-
-// markLapsed schedules an upstream to be dropped unless it writes again in time.
-func (f *upstreamFeed) markLapsed(id string) {
-	if _, already := f.lapsed[id]; already {
+// markUnconfirmed schedules an upstream to be dropped unless it writes again in time.
+func (f *upstreamFeed) markUnconfirmed(id string) {
+	if _, already := f.unconfirmed[id]; already {
 		return
 	}
-	f.lapsed[id] = time.Now().Add(f.lapsedGrace)
-	f.log.Info("upstream entry lapsed; upstream kept for now", "upstream", id)
+	f.unconfirmed[id] = time.Now().Add(f.lapsedGrace)
+}
+
+// hasUnconfirmed reports whether any upstream may be gone.
+func (f *upstreamFeed) hasUnconfirmed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.unconfirmed) > 0
 }
 
 func (f *upstreamFeed) drop(id string) {
+	_, unconfirmed := f.unconfirmed[id]
 	delete(f.list, id)
 	delete(f.raw, id)
 	delete(f.revisions, id)
-	delete(f.lapsed, id)
-	f.log.Info("upstream removed", "upstream", id)
+	delete(f.unconfirmed, id)
+	f.changed = true
+	f.log.Info("upstream removed", "upstream", id, "unconfirmed", unconfirmed)
 }
 
-func (f *upstreamFeed) publish(changed bool) {
-	now := time.Now()
-	for id, until := range f.lapsed {
-		if now.After(until) {
-			f.drop(id)
-			changed = true
-		}
-	}
-	if changed {
+func (f *upstreamFeed) publish() {
+	f.dropExpired()
+	if f.changed {
+		f.changed = false
 		f.digest.Store(listDigest(f.list))
 		f.state.SetUpstreams(maps.Clone(f.list))
 	}
 }
 
+// dropExpired drops the unconfirmed upstreams whose entries weren't among those read until their
+// time was over. While the store can't be read, nothing can confirm them, and the time starts anew.
+func (f *upstreamFeed) dropExpired() {
+	now, age := time.Now(), f.age()
+	for id, until := range f.unconfirmed {
+		switch {
+		case age > outageThreshold:
+			f.unconfirmed[id] = now.Add(f.lapsedGrace)
+		case now.Add(-age).After(until):
+			f.drop(id)
+		}
+	}
+}
+
 func listDigest(list map[string]*fleet.Upstream) uint64 {
 	h := xxhash.New()
 	for _, id := range slices.Sorted(maps.Keys(list)) {
@@ -243,18 +315,18 @@
 func (f *upstreamFeed) expireLapsed() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.publish(false)
+	f.publish()
 }
 
-// entries returns the entries read, for a peer whose list is older. Lapsed ones are left
-// out: the peer would neither treat them as lapsed nor receive their removal, which lies before
-// the position from which it continues.
-func (f *upstreamFeed) entries() map[string][]byte {
+// entries returns the entries read, for a peer that has read less of the store. Those of
+// unconfirmed upstreams are apart: the peer must treat them as unconfirmed, too.
+func (f *upstreamFeed) entries() (confirmed, unconfirmed map[string][]byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	entries := maps.Clone(f.raw)
-	for id := range f.lapsed {
-		delete(entries, id)
+	confirmed, unconfirmed = maps.Clone(f.raw), make(map[string][]byte, len(f.unconfirmed))
+	for id := range f.unconfirmed {
+		unconfirmed[id] = f.raw[id]
+		delete(confirmed, id)
 	}
-	return entries
+	return confirmed, unconfirmed
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -114,6 +114,8 @@
 // applyUpstreams replaces the list with the peer's if that was read later.
 func (v *peerView) applyUpstreams(peer string, reply wire.ViewReply, age time.Duration) {
 	m := v.member
+	m.readers[0].applying.Lock()
+	defer m.readers[0].applying.Unlock()
 	localAge := m.readers[0].age()
 	if Position(reply.Position) <= m.readers[0].position() || age >= localAge {
 		return
@@ -122,10 +124,16 @@
 		return
 	}
 	m.log.Info("upstreams taken from a peer", "peer", peer, "age_ms", age.Milliseconds(), "own_age_ms", localAge.Milliseconds())
-	entries := make([]Entry, 0, len(reply.Upstreams))
-	for id, value := range reply.Upstreams {
+	at := Position(reply.Position)
+	newEra := at.Era() > m.readers[0].position().Era()
+	m.upstreams.resetFromPeer(entriesOf(reply.Upstreams), entriesOf(reply.Unconfirmed), newEra)
+	m.readers[0].adopt(at, age)
+}
+
+func entriesOf(values map[string][]byte) []Entry {
+	entries := make([]Entry, 0, len(values))
+	for id, value := range values {
 		entries = append(entries, Entry{Key: id, Value: value})
 	}
-	m.readers[0].applyNewest(entries, Position(reply.Position))
-	m.readers[0].adopt(Position(reply.Position), age)
+	return entries
 }
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -116,10 +116,12 @@
 	// Config is nil if the peer has no configuration.
 	Config []byte `msgpack:"c"`
 	// Upstreams are the entries by ID, Position is their position in the store and Age
-	// the time since they were read.
-	Upstreams map[string][]byte `msgpack:"u"`
-	Position  uint64            `msgpack:"o"`
-	Age       time.Duration     `msgpack:"a"`
+	// the time since they were read. Unconfirmed are those of upstreams that may be gone
+	// and haven't written since.
+	Upstreams   map[string][]byte `msgpack:"u"`
+	Unconfirmed map[string][]byte `msgpack:"n"`
+	Position    uint64            `msgpack:"o"`
+	Age         time.Duration     `msgpack:"a"`
 }
 
 // Kind implements Message.
