member: a long list is read from a slow store

Cause: the newest entries of a topic come in pages, one call after the other; the limit of one call, 1.5 s, stood over all of them. 61 servers in the stand-in's pages of three are 21 calls. With the platform's pages of 500 and a store at fifty times its usual 4 ms, 6,900 servers would never be read either.

Now each call of Newest has the limit. A store that doesn't answer is noticed as before (TestNewestFromSilentStoreFails; passes before, too).

TestLongListIsReadFromSlowStore fails before.

--- a/internal/member/backoff.go
+++ b/internal/member/backoff.go
@@ -19,7 +19,7 @@
 	// seconds of its recovery.
 	maxRetryWait = 4 * time.Second
 	// probeTimeout is how long other callers wait for the one that probes the store.
-	probeTimeout = callTimeout
+	probeTimeout = CallTimeout
 )
 
 // backoff limits the calls of a daemon's readers to a failing store. If each reader retried by
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -73,7 +73,7 @@
 		a.backoff.await(ctx)
 		start := time.Now()
 		restored := a.store.Eras().Changed()
-		call, cancel := context.WithTimeout(ctx, callTimeout)
+		call, cancel := context.WithTimeout(ctx, CallTimeout)
 		err := a.store.Put(call, TopicMembers, Entry{Key: a.self.Instance, Value: value})
 		cancel()
 		if err == nil {
--- a/internal/member/observations.go
+++ b/internal/member/observations.go
@@ -86,7 +86,7 @@
 			s.log.Error("encoding the engine observations of a pool failed", "pool", pool, "err", err)
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, callTimeout)
+		call, cancel := context.WithTimeout(ctx, CallTimeout)
 		err = s.store.Put(call, TopicObservations, Entry{Key: pool, Value: value})
 		cancel()
 		if err != nil {
--- a/internal/member/store.go
+++ b/internal/member/store.go
@@ -39,7 +39,9 @@
 
 // Store is the platform's store.
 type Store interface {
-	// Newest returns the newest entry of each key and the position from which Changes continues.
+	// Newest returns the newest entry of each key and the position from which Changes continues. It
+	// may take many calls, each of which is limited by CallTimeout: on a slow store a long list
+	// takes its time, but a store that doesn't answer is noticed.
 	Newest(ctx context.Context, t Topic) ([]Entry, Position, error)
 	// Changes returns the entries written from a position on, in order, and the position after
 	// them. It waits up to the given time for one. ErrExpired means that Newest is needed: the
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -19,8 +19,8 @@
 	// upstreamsJitter is the mean of the random delay added, so that one daemon reads and the
 	// others learn the result from it.
 	upstreamsJitter = 300 * time.Millisecond
-	// callTimeout limits a call to the store, in addition to the requested wait.
-	callTimeout = 1500 * time.Millisecond
+	// CallTimeout limits a call to the store, in addition to the requested wait.
+	CallTimeout = 1500 * time.Millisecond
 	// outageThreshold is the time without a successful read after which removals aren't trusted:
 	// entries lapse while their owners can't reach the store.
 	outageThreshold = 1500 * time.Millisecond
@@ -185,8 +185,7 @@
 }
 
 func (r *topicReader) read(ctx context.Context) error {
-	wait := r.longPollWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.mu.Lock()
 	from, known := r.next, r.positioned
@@ -204,6 +203,9 @@
 		r.recordRead(next, start)
 		return nil
 	}
+	wait := r.longPollWait()
+	ctx, cancelChanges := context.WithTimeout(ctx, wait+CallTimeout)
+	defer cancelChanges()
 	entries, next, err := r.store.Changes(ctx, r.topic, from, wait)
 	if err != nil {
 		return err
