--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -113,7 +113,7 @@
 	m.peers.localDemand = m.localDemand
 	m.peers.requestsWaiting = m.relay.HasWaiting
 	m.peers.onPeerList = m.confirmList
-	m.peers.summary, m.peers.view, m.peers.onUpdate = m.reportedSummary, m.view, m.relay.WakeWaiting
+	m.peers.summary, m.peers.view, m.peers.onUpdate = m.summaryForPeers, m.view, m.relay.WakeWaiting
 	m.buildFeeds()
 	return m
 }
@@ -135,11 +135,11 @@
 	}
 	m.readers[0].applying.Lock()
 	defer m.readers[0].applying.Unlock()
-	if m.upstreams.hasUnconfirmed() {
+	if m.upstreams.current().unconfirmed {
 		return
 	}
 	age += transitAllowance
-	if digest == m.upstreams.digest.Load() && digest != 0 && age+minAgeGain < m.readers[0].age() {
+	if digest == m.upstreams.current().digest && digest != 0 && age+minAgeGain < m.readers[0].age() {
 		m.readers[0].adopt(position, age)
 	}
 }
@@ -168,6 +168,7 @@
 	}
 	m.upstreams.age = upstreams.age
 	m.upstreams.restored = func() bool { return store.Eras().Current() > 0 }
+	m.upstreams.hasReadSince, m.upstreams.recoveredAt = upstreams.hasReadSince, upstreams.recoveredTime
 	upstreams.onRecovered = func() {
 		for _, r := range m.readers[1:] {
 			r.restartRead()
@@ -189,31 +190,40 @@
 }
 
 func (m *Member) summary() Summary {
-	snapshot := m.state.Snapshot()
-	summary := Summary{
-		Serving: m.Ready(), ListAge: m.readers[0].age(),
-		ListPosition: m.readers[0].position(), ListDigest: m.upstreams.digest.Load(),
-		ListSize: len(snapshot.Upstreams),
-	}
-	if c := snapshot.Config; c != nil {
-		summary.Config = c.Version
-	}
+	summary, _ := m.summarize()
 	return summary
 }
 
-// reportedSummary returns the summary for peers. While upstreams are unconfirmed, it names the first
-// position of the era and another digest: a peer with the same list must neither take it for
+// summaryForPeers returns the summary that peers get. While upstreams are unconfirmed, it names the
+// first position of the era and another digest: a peer with the same list must neither take it for
 // confirmed nor go on at this position, which may lie behind a removal that the peer hasn't read.
 // Only a peer that knows less takes the list.
-func (m *Member) reportedSummary() Summary {
-	summary := m.summary()
-	if m.upstreams.hasUnconfirmed() {
-		summary.ListPosition = infra.NewOffset(summary.ListPosition.Era(), 1)
+func (m *Member) summaryForPeers() Summary {
+	summary, unconfirmed := m.summarize()
+	if unconfirmed {
+		summary.ListPosition = min(summary.ListPosition, infra.NewOffset(summary.ListPosition.Era(), 1))
 		summary.ListDigest = ^summary.ListDigest
 	}
 	return summary
 }
 
+// summarize returns the summary and whether upstreams are unconfirmed. The list is read after its
+// position: it may be newer, never older.
+func (m *Member) summarize() (Summary, bool) {
+	snapshot := m.state.Snapshot()
+	position := m.readers[0].position()
+	list := m.upstreams.current()
+	summary := Summary{
+		Serving: m.Ready(), ListAge: m.readers[0].age(),
+		ListPosition: position, ListDigest: list.digest,
+		ListSize: len(snapshot.Upstreams),
+	}
+	if c := snapshot.Config; c != nil {
+		summary.Config = c.Version
+	}
+	return summary, list.unconfirmed
+}
+
 func (m *Member) view(configOnly bool) wire.ViewReply {
 	v := wire.ViewReply{Position: uint64(m.readers[0].position()), Age: m.readers[0].age()}
 	if !configOnly {
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -62,6 +62,8 @@
 	positioned bool
 	readAt     time.Time
 	down       bool
+	// recoveredAt is when a read first succeeded after an outage.
+	recoveredAt time.Time
 	// expedited means that the next read must not be delayed.
 	expedited bool
 	// cancelRead cancels the read in progress.
@@ -83,6 +85,20 @@
 	return time.Since(r.readAt)
 }
 
+// hasReadSince reports whether a successful read has begun since a time.
+func (r *topicReader) hasReadSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readAt.After(t)
+}
+
+// recoveredTime returns when a read first succeeded after the last outage; zero if there was none.
+func (r *topicReader) recoveredTime() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recoveredAt
+}
+
 // Serve implements suture.Service.
 func (r *topicReader) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -252,6 +268,9 @@
 func (r *topicReader) recordRead(next Position, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.down && time.Since(r.readAt) > outageThreshold {
+		r.recoveredAt = time.Now()
+	}
 	r.next, r.positioned = next, true
 	r.readAt = at
 	if r.down {
--- a/internal/member/upstreams.go
+++ b/internal/member/upstreams.go
@@ -25,6 +25,10 @@
 	// was ever restored from an older copy.
 	age      func() time.Duration
 	restored func() bool
+	// hasReadSince reports whether a successful read has begun since a time, recoveredAt returns
+	// when the store was last reachable again after an outage.
+	hasReadSince func(time.Time) bool
+	recoveredAt  func() time.Time
 
 	// latestStart is the latest start seen of each ID, rejected the hash of each invalid entry,
 	// by key.
@@ -33,8 +37,8 @@
 	// rejectedCount counts the invalid entries, each once.
 	rejectedCount atomic.Int64
 
-	// digest identifies the content of the list, to compare it with a peer's.
-	digest atomic.Uint64
+	// published describes the list as last published.
+	published atomic.Pointer[listState]
 
 	mu   sync.Mutex
 	raw  map[string][]byte
@@ -43,19 +47,49 @@
 	changed bool
 	// revisions are those of the newest entries.
 	revisions map[string]uint64
-	// unconfirmed holds the upstreams that may be gone, and when they are dropped: their entries
-	// were removed during an outage of the store, or haven't been written since it was restored.
-	unconfirmed map[string]time.Time
+	// unconfirmed holds the upstreams that may be gone: their entries were removed during an outage
+	// of the store, or haven't been written since it was restored.
+	unconfirmed map[string]*doubt
 }
 
+// listState describes a list of upstreams for peers.
+type listState struct {
+	// digest identifies the content, to compare it with a peer's.
+	digest uint64
+	// unconfirmed means that some of the upstreams may be gone.
+	unconfirmed bool
+}
+
+// doubt is the state of an unconfirmed upstream.
+type doubt struct {
+	// since is when the time to write began, extensions how often it began anew.
+	since      time.Time
+	extensions int
+}
+
+// maxExtensions limits how often the time to write begins anew because the store was away. A store
+// that refuses some of the reads looks as if it was away each time.
+const maxExtensions = 3
+
 func newUpstreamFeed(decoder Decoder, state *fleet.State, lapsedGrace time.Duration, log *slog.Logger) *upstreamFeed {
 	return &upstreamFeed{
 		decoder: decoder, state: state, log: log, lapsedGrace: lapsedGrace,
-		raw: make(map[string][]byte), list: make(map[string]*fleet.Upstream), unconfirmed: make(map[string]time.Time),
+		raw: make(map[string][]byte), list: make(map[string]*fleet.Upstream), unconfirmed: make(map[string]*doubt),
 		revisions:   make(map[string]uint64),
 		latestStart: make(map[string]time.Time), rejected: make(map[string]uint64),
-		restored: func() bool { return false },
+		restored:     func() bool { return false },
+		hasReadSince: func(time.Time) bool { return true },
+		recoveredAt:  func() time.Time { return time.Time{} },
+	}
+}
+
+// current returns the state of the published list, without waiting for a read that is being
+// processed.
+func (f *upstreamFeed) current() listState {
+	if s := f.published.Load(); s != nil {
+		return *s
 	}
+	return listState{}
 }
 
 // reset processes the newest entries of all upstreams, read from a store that has lost nothing
@@ -94,7 +128,7 @@
 	defer f.mu.Unlock()
 	f.beginEra()
 	f.putUnconfirmed(entries)
-	f.log.Info("store restored; upstreams unconfirmed until they write", "entries", len(entries), "unconfirmed", len(f.unconfirmed))
+	f.log.Info("upstreams unconfirmed until they write", "entries", len(entries), "unconfirmed", len(f.unconfirmed))
 	f.publish()
 }
 
@@ -120,7 +154,7 @@
 // they have written in an earlier era may be lost.
 func (f *upstreamFeed) beginEra() {
 	for id := range f.list {
-		f.unconfirmed[id] = time.Now().Add(f.lapsedGrace)
+		f.unconfirmed[id] = &doubt{since: time.Now()}
 	}
 }
 
@@ -242,7 +276,7 @@
 	if f.list[id] == nil {
 		return
 	}
-	if _, unconfirmed := f.unconfirmed[id]; unconfirmed {
+	if f.unconfirmed[id] != nil {
 		return
 	}
 	if f.age() > outageThreshold {
@@ -255,21 +289,13 @@
 
 // markUnconfirmed schedules an upstream to be dropped unless it writes again in time.
 func (f *upstreamFeed) markUnconfirmed(id string) {
-	if _, already := f.unconfirmed[id]; already {
-		return
+	if f.unconfirmed[id] == nil {
+		f.unconfirmed[id] = &doubt{since: time.Now()}
 	}
-	f.unconfirmed[id] = time.Now().Add(f.lapsedGrace)
-}
-
-// hasUnconfirmed reports whether any upstream may be gone.
-func (f *upstreamFeed) hasUnconfirmed() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.unconfirmed) > 0
 }
 
 func (f *upstreamFeed) drop(id string) {
-	_, unconfirmed := f.unconfirmed[id]
+	unconfirmed := f.unconfirmed[id] != nil
 	delete(f.list, id)
 	delete(f.raw, id)
 	delete(f.revisions, id)
@@ -280,22 +306,25 @@
 
 func (f *upstreamFeed) publish() {
 	f.dropExpired()
+	state := listState{digest: f.current().digest, unconfirmed: len(f.unconfirmed) > 0}
 	if f.changed {
 		f.changed = false
-		f.digest.Store(listDigest(f.list))
+		state.digest = listDigest(f.list)
 		f.state.SetUpstreams(maps.Clone(f.list))
 	}
+	f.published.Store(&state)
 }
 
-// dropExpired drops the unconfirmed upstreams whose entries weren't among those read until their
-// time was over. While the store can't be read, nothing can confirm them, and the time starts anew.
+// dropExpired drops the unconfirmed upstreams whose time to write is over, once a read has shown
+// that they haven't. The time begins anew after an outage of the store, in which they couldn't.
 func (f *upstreamFeed) dropExpired() {
-	now, age := time.Now(), f.age()
-	for id, until := range f.unconfirmed {
-		switch {
-		case age > outageThreshold:
-			f.unconfirmed[id] = now.Add(f.lapsedGrace)
-		case now.Add(-age).After(until):
+	now, recovered := time.Now(), f.recoveredAt()
+	for id, d := range f.unconfirmed {
+		if recovered.After(d.since) && d.extensions < maxExtensions {
+			d.since = recovered
+			d.extensions++
+		}
+		if until := d.since.Add(f.lapsedGrace); now.After(until) && f.hasReadSince(until) {
 			f.drop(id)
 		}
 	}
