graceful: the time for a first request begins with its first byte

What callers could see: a connection opened in advance, as pools do, was closed by the server five seconds after its acceptance; a request that crossed this got EOF, unrun.

Cause, by reading: the limit for reading a header counts from acceptance for the first request, and from its first bytes for all further ones.

Over TLS, after the handshake, it counts as before. Cost: silent connections hold a descriptor for 90 s instead of 5, like those that have had one response.

TestUnusedConnectionIsKeptOpen fails before; TestIncompleteHeaderIsLimited guards the limit itself.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -29,6 +29,8 @@
 	responded time.Time
 	// received means that bytes have been read since the last response.
 	received bool
+	// firstReadTimeout is the server's timeout for the first request, 0 if it has set none.
+	firstReadTimeout time.Duration
 	// closing means that the sending side is closed; data that still arrives is dropped.
 	closing bool
 	// lingerUntil is when the last response on a closing connection has reached its caller, even
@@ -81,18 +83,27 @@
 	case c.closing:
 		return 0, nil
 	}
+	if !c.received && c.firstReadTimeout > 0 {
+		_ = c.TCPConn.SetReadDeadline(time.Now().Add(c.firstReadTimeout)) // fails only if the connection has failed
+		c.firstReadTimeout = 0
+	}
 	c.received = true
 	return n, nil
 }
 
-// SetReadDeadline implements net.Conn. It doesn't change the deadline of a closing
-// connection.
+// SetReadDeadline implements net.Conn. It doesn't change the deadline of a closing connection. The
+// time for the first request begins with its first byte: a caller may have opened the connection in
+// advance, and until then it is as idle as between two requests.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
 		return nil
 	}
+	if c.state == http.StateNew && !c.received && t.After(time.Now()) {
+		c.firstReadTimeout = time.Until(t)
+		t = time.Now().Add(max(c.firstReadTimeout, unusedTimeout))
+	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
--- a/internal/graceful/connections.go
+++ b/internal/graceful/connections.go
@@ -24,7 +24,9 @@
 	// firstRequestTimeout is how long after the listeners' close a connection without a request
 	// counts as active. Callers abandon an attempt that isn't read within a second.
 	firstRequestTimeout = time.Second
-	pollInterval        = 2 * time.Millisecond
+	// unusedTimeout is how long a connection may wait for its first request.
+	unusedTimeout = 90 * time.Second
+	pollInterval  = 2 * time.Millisecond
 
 	// AcceptReserve is how long before the end of a server its listeners must be closed, so that
 	// each accepted connection has time for its first request and the response.
--- a/internal/graceful/stop_order_test.go
+++ b/internal/graceful/stop_order_test.go
@@ -316,3 +316,37 @@
 	require.Zero(t, r.conns.CloseIdle())
 	require.False(t, r.conns.mayLoseResponses())
 }
+
+// newTimeoutHarness returns a harness whose server limits the time to read a request's header.
+func newTimeoutHarness(t *testing.T, limit time.Duration) *harness {
+	conns := New(slog.New(slog.DiscardHandler))
+	server := httptest.NewUnstartedServer(http.HandlerFunc(answer))
+	server.Config.ConnState, server.Config.ReadHeaderTimeout = conns.ConnState, limit
+	require.NoError(t, server.Listener.Close())
+	l, err := Bind("127.0.0.1:0")
+	require.NoError(t, err)
+	server.Listener = conns.Listen(l)
+	server.Start()
+	t.Cleanup(server.Close)
+	return &harness{t: t, conns: conns, server: server}
+}
+
+// Guards against a connection, opened in advance, that the server closes while its first request is
+// on its way, as the time to read a header has begun with the connection.
+func TestUnusedConnectionIsKeptOpen(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	r := newTimeoutHarness(t, limit)
+	c := r.dial()
+	time.Sleep(4 * limit)
+	r.send(c, request)
+	r.receive(c)
+}
+
+// Guards against a caller that occupies a connection with a header that it never completes.
+func TestIncompleteHeaderIsLimited(t *testing.T) {
+	r := newTimeoutHarness(t, 50*time.Millisecond)
+	c := r.dial()
+	r.send(c, request[:len(request)/2])
+	_, err := io.ReadAll(c.in) // the harness's deadline is a minute
+	require.NoError(t, err)
+}
