member: a peer's message doesn't wait for a read that is being processed

A confirmation that comes in that moment is left out: the reading is newer. Tests of the package pass with -race.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -133,7 +133,9 @@
 	if position == 0 || !m.cfg.Store.Eras().Observe(position.Era(), "another daemon") {
 		return
 	}
-	m.readers[0].applying.Lock()
+	if !m.readers[0].applying.TryLock() {
+		return // a reading is being processed; messages of peers don't wait for it
+	}
 	defer m.readers[0].applying.Unlock()
 	if m.upstreams.current().unconfirmed {
 		return
