keys: requests are checked for their organisation's API key, against a provably recent view

Cause: nothing read organisations or keys.

Change: apikey (pure: digests, lookup, proof and its age, when to seek the next one), identity.go in the relay (check at arrival and right before the first byte to an upstream, prefills and retries included; the key never leaves, the organisation's name does), keys.go in the daemon (proofs from own reads of the configuration and from peers, counted from the send of the read or the request by a clock that runs through suspensions; none for a while after a restore). Documents between daemons carry digests. The directory prefers daemons whose keys are usable. An organisation's priority goes before its rule's.

Ruled out: counting a proof's age from the answer (a long poll's answer may be on its way while a key is removed); one-way ages in heartbeats (a delayed message would look fresh); long polls (age up to 20 s).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"tamarackchute/apikey"
 	"tamarackchute/rules/pathset"
 	"tamarackchute/upstream"
 )
@@ -27,6 +28,8 @@
 	Role upstream.Role
 	// Draining says that it is about to stop and takes no new work.
 	Draining bool
+	// Spot says that the platform may reclaim it.
+	Spot bool
 	// Revision never decreases between successive entries of one incarnation.
 	Revision uint64
 }
@@ -59,6 +62,20 @@
 	MaxConns   int
 	// Engine is nil for plain services.
 	Engine *EngineSpec
+	// Scaling is nil if the number of the pool's upstreams is fixed.
+	Scaling *Scaling
+}
+
+// Scaling holds what the platform offers to change the number of a pool's upstreams.
+type Scaling struct {
+	// Min and Max limit the number in each data centre, both kinds together.
+	Min, Max int
+	// BootTime is the time from an order until a new upstream serves.
+	BootTime time.Duration
+	// Prices are the prices of a regular upstream by data centre, SpotRatio the price of a spot
+	// upstream as a share of that; 0 if there are none.
+	Prices    map[string]float64
+	SpotRatio float64
 }
 
 // Limits holds the limits on what a caller may send.
@@ -74,6 +91,8 @@
 	Rules   *pathset.Set
 	Pools   map[string]*Pool
 	Limits  Limits
+	// Keys are the organisations and their API keys; nil if no rule needs a key.
+	Keys *apikey.Set
 	// Document is the published document, which peers that can't reach the store get
 	// from this daemon.
 	Document []byte
--- a/internal/member/aggregation.go
+++ b/internal/member/aggregation.go
@@ -155,7 +155,7 @@
 	p.closeLink(&parent.outgoingLink)
 	parent.noParent = parent.noParent || i >= len(parent.candidates)
 	if to, ok := parent.candidate(); ok {
-		parent.outgoingLink = p.openLink(to.Peers, func(m wire.Message) { p.applyTotals(to.Peers, m) })
+		parent.outgoingLink = p.openLink(to.Peers, func(m wire.Message) { p.handleParentReply(to.Peers, m) })
 	}
 }
 
@@ -199,12 +199,17 @@
 	return !p.fullMesh && reports && to.DataCentre == p.self.DataCentre
 }
 
-// applyTotals processes an answer of the parent.
-func (p *Peers) applyTotals(from string, m wire.Message) {
-	totals, ok := m.(wire.LoadTotals)
-	if !ok {
+// handleParentReply processes a reply of a parent.
+func (p *Peers) handleParentReply(from string, m wire.Message) {
+	if totals, ok := m.(wire.LoadTotals); ok {
+		p.applyTotals(from, totals)
 		return
 	}
+	p.handleReply(m)
+}
+
+// applyTotals processes the totals of the parent.
+func (p *Peers) applyTotals(from string, totals wire.LoadTotals) {
 	p.mu.Lock()
 	parent := &p.parent
 	if to, ok := parent.candidate(); !ok || to.Peers != from {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -83,6 +83,8 @@
 	// settings are the current ones, lease is this daemon's lease status.
 	settings atomic.Pointer[Settings]
 	lease    atomic.Pointer[daemonstatus.Lease]
+	// keys says whether API keys may be used.
+	keys *keyView
 	// backoff is shared by all services that retry failed calls to the store.
 	backoff *backoff
 }
@@ -96,6 +98,7 @@
 	cfg.Store.Eras().SetLogger(m.log)
 	m.settings.Store(&s)
 	m.retryBudget = relay.NewRetryBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil)
+	m.keys = newKeyView(s, m.state, cfg.Store.Eras(), m.log)
 	m.relay = relay.New(relay.Config{
 		DataCentre:    s.DataCentre,
 		Dialect:       cfg.Dialect,
@@ -107,12 +110,14 @@
 		Refresh:       func(ctx context.Context) { m.peers.Refresh(ctx) },
 		OnReplaced:    func(id string) { m.peers.MarkUnavailable(id, "", replacedTimeout) },
 		MinRetryAfter: minRetryAfter,
+		KeysUsable:    m.keys.mayUse,
 	})
 	m.engines = cfg.Engines(m.relay)
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.peers.localDemand = m.localDemand
 	m.peers.requestsWaiting = m.relay.HasWaiting
 	m.peers.onPeerList = m.confirmList
+	m.peers.configProof, m.peers.onConfigProof = m.keys.reply, m.keys.recordReply
 	m.peers.summary, m.peers.view, m.peers.onUpdate = m.summaryForPeers, m.view, m.relay.WakeWaiting
 	m.buildFeeds()
 	return m
@@ -178,9 +183,12 @@
 	}
 	m.readers = []*topicReader{
 		upstreams,
-		{store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, applyAll: configs.apply, applyChanges: configs.apply, backoff: m.backoff, log: m.log},
 		{
-			store: store, topic: TopicMembers, name: "daemons", longPoll: longPollTimeout, interval: time.Second, peersNotify: m.peers.ReportsInDataCentre,
+			store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, triggered: m.keys.enforced, onRead: m.keys.recordRead,
+			applyAll: configs.apply, applyChanges: configs.apply, backoff: m.backoff, log: m.log,
+		},
+		{
+			store: store, topic: TopicMembers, name: "daemons", longPoll: longPollTimeout, interval: time.Second, triggered: m.peers.ReportsInDataCentre,
 			applyAll: daemons.apply, applyChanges: daemons.apply, backoff: m.backoff, log: m.log,
 		},
 	}
@@ -216,7 +224,7 @@
 	position := m.readers[0].position()
 	list := m.upstreams.current()
 	summary := Summary{
-		Serving: m.Ready(), ListAge: m.readers[0].age(),
+		Serving: m.Ready(), KeysStale: !m.keys.mayUse(), ListAge: m.readers[0].age(),
 		ListPosition: position, ListDigest: list.digest,
 		ListSize: len(snapshot.Upstreams),
 	}
@@ -241,8 +249,8 @@
 // there are at least two, since traffic between data centres adds latency and cost, and all
 // daemons otherwise.
 func (m *Member) Locate(dataCentre string) ([]string, time.Duration) {
-	serving := m.peers.Serving()
-	if m.Ready() {
+	serving := m.peers.ServingWithKeys()
+	if m.Ready() && (m.keys.mayUse() || len(serving) == 0) {
 		serving = append(serving, m.self)
 	}
 	var local, all []string
@@ -299,6 +307,7 @@
 //	│   ├── learning
 //	│   │   ├── readers of upstreams, configuration, daemons
 //	│   │   ├── restarts of the readers in a new era of the store
+//	│   │   ├── proofs that the API keys are current
 //	│   │   ├── updates from peers that have newer data
 //	│   │   ├── initial cache state of the engines
 //	│   │   ├── engine parameters, for operators, and their copy in the store
@@ -317,6 +326,9 @@
 		learning.Add(r)
 	}
 	learning.Add(&eraFollower{eras: m.cfg.Store.Eras(), readers: m.readers, daemons: m.peers.KnownCount})
+	if m.keys.freshness.Limit() > 0 {
+		learning.Add(&keyProver{view: m.keys, peers: m.peers, expediteRead: m.readers[1].expedite, isFirst: m.peers.ReadsFirst})
+	}
 	learning.Add(&peerView{member: m})
 	learning.Add(&catchUp{member: m, log: m.log})
 	learning.Add(&observationSync{store: m.cfg.Store, tracker: m.tracker, peers: m.peers, backoff: m.backoff, log: m.log})
--- a/internal/member/peerlinks.go
+++ b/internal/member/peerlinks.go
@@ -24,7 +24,7 @@
 	for address, other := range p.peers {
 		switch {
 		case wanted[address] && other.link == nil:
-			other.outgoingLink = p.openLink(address, nil)
+			other.outgoingLink = p.openLink(address, p.handleReply)
 		case !wanted[address]:
 			p.closeLink(&other.outgoingLink)
 		}
@@ -37,7 +37,14 @@
 	token suture.ServiceToken
 }
 
-// openLink opens a permanent link; handle processes the replies and may be nil.
+// handleReply processes a neighbour's reply.
+func (p *Peers) handleReply(m wire.Message) {
+	if proof, ok := m.(wire.ConfigProofReply); ok {
+		p.onConfigProof(proof)
+	}
+}
+
+// openLink opens a permanent link; handle processes the replies.
 func (p *Peers) openLink(address string, handle func(wire.Message)) outgoingLink {
 	link := wire.NewLink(p.cfg, address, handle, p.log)
 	return outgoingLink{link: link, token: p.links.Add(link)}
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -59,6 +59,10 @@
 	unavailable map[placement.Key]unavailableEngine
 	// onPeerList is called with the position, digest and age of a peer's list.
 	onPeerList func(at Position, digest uint64, age time.Duration)
+	// configProof returns this daemon's proof that its configuration is current, onConfigProof
+	// processes a peer's.
+	configProof   func(wire.ConfigProofRequest) wire.ConfigProofReply
+	onConfigProof func(wire.ConfigProofReply)
 	// localDemand returns the demand of this daemon's callers, by pool.
 	localDemand func() map[string]wire.MemberDemand
 	// heartbeats counts the heartbeats sent.
@@ -89,6 +93,8 @@
 	// ListSize is the number of upstreams in it.
 	ListSize int
 	ListAge  time.Duration
+	// KeysStale means that it can't use the API keys of its configuration now.
+	KeysStale bool
 }
 
 // peer is another daemon as it was last reported.
@@ -176,6 +182,8 @@
 		reply(wire.SnapshotReply{Snapshot: p.tracker.Snapshot(m.Engines)})
 	case wire.LoadReport:
 		p.handleReport(m, reply)
+	case wire.ConfigProofRequest:
+		reply(p.configProof(m))
 	}
 }
 
@@ -199,7 +207,7 @@
 	from.fullMesh = m.FullMesh
 	from.incarnation, from.seq = m.Incarnation, m.Seq
 	from.summary = Summary{
-		Serving: m.Serving, Config: m.ConfigVersion,
+		Serving: m.Serving, KeysStale: m.KeysStale, Config: m.ConfigVersion,
 		ListPosition: Position(m.ListPosition), ListDigest: m.ListDigest, ListSize: m.ListSize, ListAge: m.ListAge,
 	}
 	if m.Demands != nil {
--- a/internal/member/peers_test.go
+++ b/internal/member/peers_test.go
@@ -32,6 +32,8 @@
 	h.Peers.onUpdate = func() {}
 	h.Peers.requestsWaiting = func() bool { return false }
 	h.Peers.onPeerList = func(Position, uint64, time.Duration) {}
+	h.Peers.configProof = func(wire.ConfigProofRequest) wire.ConfigProofReply { return wire.ConfigProofReply{} }
+	h.Peers.onConfigProof = func(wire.ConfigProofReply) {}
 	return h
 }
 
@@ -56,6 +58,7 @@
 		func() { h.summary.ListPosition++ },
 		func() { h.summary.ListDigest++ },
 		func() { h.summary.Serving = false },
+		func() { h.summary.KeysStale = true },
 	} {
 		change()
 		h.tracker.Begin("e", placement.Work{Prefill: enginemodel.Prompt{Tokens: 10}})
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -99,6 +99,75 @@
 	return serving
 }
 
+// ServingWithKeys returns the daemons that serve callers and can use their API keys, or all that
+// serve if none can.
+func (p *Peers) ServingWithKeys() []wire.MemberAddress {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var usable, serving []wire.MemberAddress
+	for _, other := range p.peers {
+		if !other.up || !other.summary.Serving {
+			continue
+		}
+		serving = append(serving, other.MemberAddress)
+		if !other.summary.KeysStale {
+			usable = append(usable, other.MemberAddress)
+		}
+	}
+	if len(usable) == 0 {
+		return serving
+	}
+	return usable
+}
+
+// ReadsFirst reports whether this daemon reads the store for the others: the root of a large site,
+// or the first in rank of a small one.
+func (p *Peers) ReadsFirst() bool {
+	if p.isFullMesh() {
+		return p.Rank() == 0
+	}
+	return p.IsRoot()
+}
+
+// askParent sends a request to the daemon that this one reports to, or to the first in rank of a
+// small site. The request is lost if there is no connection.
+func (p *Peers) askParent(m wire.ConfigProofRequest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.fullMesh {
+		if p.parent.link != nil {
+			p.parent.link.Send(m)
+		}
+		return
+	}
+	if first := p.firstServing(); first != nil && first.link != nil {
+		first.link.Send(m)
+	}
+}
+
+// firstServing returns the serving peer with the lowest address, nil if there is none.
+func (p *Peers) firstServing() *peer {
+	var first *peer
+	for _, other := range p.peers {
+		if other.up && other.summary.Serving && (first == nil || other.Peers < first.Peers) {
+			first = other
+		}
+	}
+	return first
+}
+
+// askAny sends a request to a neighbour chosen at random.
+func (p *Peers) askAny(m wire.ConfigProofRequest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.peers { // the order of the iteration is random
+		if other.up && other.link != nil && !other.summary.KeysStale {
+			other.link.Send(m)
+			return
+		}
+	}
+}
+
 // Freshest returns the address and summary of the peer with the newest configuration, if newer
 // than the local one, or else of one with a different list of upstreams that was read later; ""
 // if there is none.
--- a/internal/member/reporting.go
+++ b/internal/member/reporting.go
@@ -36,7 +36,7 @@
 
 // covers reports whether the reported summary still holds, apart from the time passed.
 func (r reportedSummary) covers(now Summary, at time.Time) bool {
-	same := r.Serving == now.Serving && r.Config == now.Config &&
+	same := r.Serving == now.Serving && r.KeysStale == now.KeysStale && r.Config == now.Config &&
 		r.ListPosition == now.ListPosition && r.ListDigest == now.ListDigest
 	return same && now.ListAge > r.ListAge+at.Sub(r.at)-listAgeSlack
 }
@@ -50,6 +50,7 @@
 		Serving: summary.Serving, ConfigVersion: summary.Config, ListAge: summary.ListAge,
 		ListPosition: uint64(summary.ListPosition), ListDigest: summary.ListDigest, ListSize: summary.ListSize,
 		FullMesh: p.fullMesh, Loads: loads, Prefills: prefills, Unavailable: p.unavailableEngines(),
+		KeysStale: summary.KeysStale,
 	}
 }
 
--- a/internal/member/restore_order_test.go
+++ b/internal/member/restore_order_test.go
@@ -180,6 +180,7 @@
 		},
 		log: discardLogger, state: fleet.NewState(), tracker: placement.NewTracker(nil), self: wire.MemberAddress{Instance: name, Peers: name},
 	}
+	m.keys = newKeyView(m.cfg.Settings, m.state, m.cfg.Store.Eras(), m.log)
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.peers.localDemand = func() map[string]wire.MemberDemand { return nil }
 	m.peers.requestsWaiting = func() bool { return false }
--- a/internal/member/schedule.go
+++ b/internal/member/schedule.go
@@ -83,13 +83,15 @@
 	p.report(now, p.needsTotals())
 }
 
-// statusChanged reports whether the daemon has started or stopped serving, or got a newer
-// configuration, since its last state: neither can wait for the next heartbeat.
+// statusChanged reports whether, since its last state, the daemon has started or stopped serving,
+// can or can't use its API keys any more, or got a newer configuration: none of these can wait for
+// the next heartbeat.
 func (p *Peers) statusChanged() bool {
 	summary := p.summary()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return summary.Serving != p.reported.Serving || summary.Config != p.reported.Config
+	last := p.reported
+	return summary.Serving != last.Serving || summary.KeysStale != last.KeysStale || summary.Config != last.Config
 }
 
 // updateInterval returns the time between two checks for updates to send.
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -43,6 +43,9 @@
 	LeaseTerm time.Duration
 	// StoreRetention is how long the store keeps records.
 	StoreRetention time.Duration
+	// RevocationBound is the time after its removal from which an API key must not be used any more
+	// by any daemon; 0 if there is no such bound.
+	RevocationBound time.Duration
 	// DirectoryTTL limits how long callers cache a directory answer.
 	DirectoryTTL time.Duration
 }
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"tamarackchute/internal/boottime"
 )
 
 const (
@@ -34,9 +36,12 @@
 	name  string
 	// interval is the minimum time between reads, longPoll how long one may wait for a change.
 	interval, longPoll time.Duration
-	// peersNotify reports whether peers report all changes, so that occasional polling suffices;
-	// nil means no.
-	peersNotify func() bool
+	// triggered reports whether others trigger all reads that are needed, so that occasional
+	// polling suffices; nil means no.
+	triggered func() bool
+	// onRead is called after each successful read has been processed, with the time at which it
+	// was sent, by the clock of package boottime; nil does nothing.
+	onRead func(sentAt time.Duration)
 	// backoff is shared by all services that retry failed calls to the store.
 	backoff *backoff
 	// applyAll processes the newest entries, applyChanges the changes since.
@@ -143,13 +148,13 @@
 	return wait - r.age()
 }
 
-// rarePollInterval is the interval of reads while peers report all changes.
+// rarePollInterval is the interval of reads while others trigger those that are needed.
 const rarePollInterval = longPollTimeout
 
-func (r *topicReader) pollsRarely() bool { return r.peersNotify != nil && r.peersNotify() }
+func (r *topicReader) pollsRarely() bool { return r.triggered != nil && r.triggered() }
 
 // longPollWait returns how long the next read may wait for a change. After a failure it is 0, so
-// that the recovery of the store is noticed at once; also while peers report all changes.
+// that the recovery of the store is noticed at once; also while others trigger the reads.
 func (r *topicReader) longPollWait() time.Duration {
 	if r.isDown() || r.pollsRarely() {
 		return 0
@@ -207,7 +212,7 @@
 	from, known := r.next, r.positioned
 	r.cancelRead = cancel
 	r.mu.Unlock()
-	start := time.Now()
+	start, sentAt := time.Now(), boottime.Now()
 	if !known {
 		entries, next, err := r.store.Newest(ctx, r.topic)
 		if err != nil {
@@ -217,6 +222,7 @@
 		defer r.applying.Unlock()
 		r.applyNewest(entries, from, next)
 		r.recordRead(next, start)
+		r.notifyRead(sentAt)
 		return nil
 	}
 	wait := r.longPollWait()
@@ -235,9 +241,16 @@
 		start = time.Now() // a long poll's answer is current when it ends
 	}
 	r.recordRead(next, start)
+	r.notifyRead(sentAt)
 	return nil
 }
 
+func (r *topicReader) notifyRead(sentAt time.Duration) {
+	if r.onRead != nil {
+		r.onRead(sentAt)
+	}
+}
+
 // applyNewest processes the newest entries. from is the position before they were requested: a
 // peer's may have been adopted since.
 func (r *topicReader) applyNewest(entries []Entry, from, next Position) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"tamarackchute/apikey"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
@@ -82,6 +83,10 @@
 		a.Urgency = c.urgency(p)
 	}
 	a.ResumeAfter = c.resumeAfter()
+	if c.identity.keyed {
+		h.Del(apikey.Header)
+	}
+	a.Organisation = c.identity.organisation
 	d.SetAttemptHeaders(h, a)
 	return &exchange.Request{
 		Method:        c.in.Method,
@@ -102,6 +107,9 @@
 		if a.Handoff.Handle != "" && c.handoffLost() {
 			return errReplaced
 		}
+		if err := c.checkIdentity(); err != nil {
+			return err
+		}
 		return c.relay.Admit(u)
 	}
 }
@@ -125,8 +133,16 @@
 	case p.plan.PrefillTime <= short:
 		return 0
 	default:
-		return min(lowestUrgency-1, c.rule.Priority+1)
+		return min(lowestUrgency-1, c.priority()+1)
+	}
+}
+
+// priority returns the rank of the request: its organisation's, or else its rule's.
+func (c *call) priority() int {
+	if p := c.identity.priority; p != nil {
+		return max(0, *p)
 	}
+	return c.rule.Priority
 }
 
 func (c *call) resumeAfter() int {
@@ -189,10 +205,10 @@
 		}
 		return res
 	case Unsigned:
-		c.recordRun()
+		c.recordRun(p)
 		return c.lostResult(p, placement.Failed, errUnsigned)
 	}
-	c.recordRun()
+	c.recordRun(p)
 	if c.rule.Stream && resp.Status == http.StatusOK {
 		return c.relayStream(ctx, p, resp, watch)
 	}
@@ -210,7 +226,7 @@
 	if errors.Is(err, errReplaced) {
 		c.handoff = Handoff{}
 	}
-	if errors.Is(err, ErrHeldBack) || errors.Is(err, errReplaced) {
+	if notAdmitted(err) {
 		return result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
 	}
 	outcome := outcomeOfError(ctx)
@@ -219,14 +235,32 @@
 		c.excluded = append(c.excluded, p.target.ID)
 		return result{execution: dispatch.NotSent, outcome: outcome, err: err}
 	}
-	c.recordRun()
+	c.recordRun(p)
 	return c.lostResult(p, outcome, err)
 }
 
-// recordRun counts an attempt that may have run.
-func (c *call) recordRun() {
+// notAdmitted reports whether an attempt was stopped by the checks right before it is sent.
+func notAdmitted(err error) bool {
+	return errors.Is(err, ErrHeldBack) || errors.Is(err, errReplaced) || errors.Is(err, errIdentityChanged)
+}
+
+// recordBegun reports that the request began to run at an upstream some time ago. Only its first
+// run counts.
+func (c *call) recordBegun(ago time.Duration) {
+	if c.begun || c.identity.organisation == "" || c.relay.cfg.OnBegun == nil {
+		return
+	}
+	c.begun = true
+	c.relay.cfg.OnBegun(c.identity.organisation, ago)
+}
+
+// recordRun counts an attempt that may have run. A stream begins to run with its first event.
+func (c *call) recordRun(p *assignment) {
 	c.attempts.RecordAttempt()
 	c.attempts.RecordRun()
+	if !c.rule.Stream {
+		c.recordBegun(time.Since(p.sentAt))
+	}
 }
 
 // lostResult returns the result of an attempt that may have run but gave no usable
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"tamarackchute/apikey"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
@@ -40,6 +41,12 @@
 	rule     *pathset.Rule
 	pool     string
 	body     []byte
+	// key is the digest of the caller's API key; keyErr says that there is none.
+	key      apikey.Digest
+	keyErr   error
+	identity identity
+	// begun says that the request has begun to run at an upstream.
+	begun bool
 
 	// retryReserved says that the next retry has already been counted against the budget.
 	retryReserved atomic.Bool
@@ -163,6 +170,9 @@
 // run makes attempts until one is answered or no retry is allowed.
 func (c *call) run(ctx context.Context) *failure {
 	for {
+		if f := c.identify(c.relay.cfg.State.Snapshot().Config); f != nil {
+			return f
+		}
 		p, f := c.assign(ctx)
 		if f != nil {
 			return f
@@ -235,6 +245,9 @@
 // retryAfter returns the delay after which the caller should retry. It is a quarter of the
 // caller's remaining time at most: callers don't wait longer than a third of it.
 func (c *call) retryAfter() time.Duration {
+	if c.deadline.IsZero() { // it has not been read completely
+		return c.relay.cfg.MinRetryAfter
+	}
 	left := time.Until(c.deadline)
 	return max(0, min(c.relay.cfg.MinRetryAfter, left/4))
 }
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -23,6 +23,9 @@
 	reasonResponseLost   reason = "answer lost"
 	reasonCallerGone     reason = "caller gone"
 	reasonShuttingDown   reason = "leaving"
+	reasonNoKey          reason = "no key"
+	reasonUnknownKey     reason = "unknown key"
+	reasonStaleKeys      reason = "stale keys"
 )
 
 // failure describes a request that ends without an upstream's response.
@@ -48,5 +51,8 @@
 	if in.Context().Err() != nil {
 		return // the caller has gone
 	}
+	if f.status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
 	r.cfg.Dialect.WriteError(w, f.status, f.retryAfter, f.message)
 }
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -82,7 +82,7 @@
 		res.outcome = placement.Cancelled
 	}
 	p.prefillTicket.End(res.outcome)
-	if !errors.Is(res.err, ErrHeldBack) {
+	if !notAdmitted(res.err) {
 		c.excluded = append(c.excluded, p.prefill.ID)
 	}
 	return "", res
@@ -96,7 +96,7 @@
 
 func (c *call) sendPrefill(ctx context.Context, p *assignment, r *exchange.Request) (string, result) {
 	resp, err := c.relay.connsTo(p.prefill).Do(ctx, r)
-	if errors.Is(err, ErrHeldBack) {
+	if notAdmitted(err) {
 		return "", result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
 	}
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"tamarackchute/apikey"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
@@ -29,6 +30,12 @@
 	// Refresh updates the tracker with other daemons' work before a request is
 	// placed; it must return within milliseconds. Nil does nothing.
 	Refresh func(context.Context)
+	// KeysUsable reports whether the API keys of the configuration in force may be used now. Nil
+	// means that they always may.
+	KeysUsable func() bool
+	// OnBegun is called once for each request of an organisation that has begun to run at an
+	// upstream, with the time since then; nil does nothing.
+	OnBegun func(organisation string, ago time.Duration)
 	// OnReplaced is called for an upstream whose address now belongs to another
 	// incarnation; nil does nothing.
 	OnReplaced func(id string)
@@ -214,6 +221,10 @@
 	}
 	c.rule = rule
 	c.pool = rule.Pool()
+	c.key, c.keyErr = apikey.FromHeader(in.Header[apikey.Header])
+	if f := c.identify(s.Config); f != nil {
+		return c, f
+	}
 	return c, c.readBody(s.Config.Limits)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -47,6 +47,7 @@
 				p.ticket.HandoffDone()
 			}
 			p.ticket.PrefillDone()
+			c.recordBegun(0)
 			c.relay.WakeWaiting()
 		}
 		if s := c.stream; s != nil {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -51,6 +51,8 @@
 	KVSource string
 	// ResumeAfter is the id of the last event that the caller received; 0 is none.
 	ResumeAfter int
+	// Organisation is the organisation that the request belongs to; empty if it has none.
+	Organisation string
 	// Urgency ranges from 0, the most urgent, to 9; -1 omits the header.
 	Urgency int
 }
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -60,6 +60,8 @@
 	Unavailable []UnavailableEngine
 	// KnownPeers are the daemons from which this one receives states.
 	KnownPeers []MemberAddress
+	// KeysStale means that the daemon can't use the API keys of its configuration now.
+	KeysStale bool
 }
 
 // MemberLoads reports the changes of a daemon's loads since its last state. It is sent
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -33,6 +33,9 @@
 
 	KindSnapshotRequest Kind = 14
 	KindSnapshotReply   Kind = 15
+
+	KindConfigProofRequest Kind = 16
+	KindConfigProofReply   Kind = 17
 )
 
 // Message is a typed message between two processes of the system.
@@ -190,6 +193,10 @@
 		return decodeAs[SnapshotRequest](body)
 	case KindSnapshotReply:
 		return decodeAs[SnapshotReply](body)
+	case KindConfigProofRequest:
+		return decodeAs[ConfigProofRequest](body)
+	case KindConfigProofReply:
+		return decodeAs[ConfigProofReply](body)
 	case KindLoadTotals:
 		return decodeAs[LoadTotals](body)
 	default:
--- a/rules/pathset/pathset.go
+++ b/rules/pathset/pathset.go
@@ -53,6 +53,8 @@
 	Priority int
 	// SharedPrompts says that requests have common prompt prefixes.
 	SharedPrompts bool
+	// Public says that requests need no API key.
+	Public bool
 }
 
 // Pool returns a pool for one request, chosen at random by the targets' weights.
