--- a/journal/journal.go
+++ b/journal/journal.go
@@ -41,6 +41,7 @@
 	KindOrder      Kind = 4 // orders: phases of engine changes
 	KindQuarantine Kind = 5 // quarantine: suspicions and releases
 	KindAudit      Kind = 6 // audit: operator and system actions with their reasons
+	KindUsage      Kind = 7 // usage: what is reported of a window
 )
 
 // Entry is one typed entry of the journal.
