--- a/cmd/chute-member/main.go
+++ b/cmd/chute-member/main.go
@@ -57,7 +57,12 @@
 	metrics := telemetry.NewMetrics("chute-member", s.Instance)
 	defer func() { _ = metrics.Close() }()
 	store := platform.NewStore(s.Store)
+	var provider member.Provider
+	if s.Provider.Address != "" {
+		provider = platform.NewCloud(s.Provider.Address)
+	}
 	m := member.New(member.Config{
+		Provider:         provider,
 		Settings:         s,
 		Store:            store,
 		Decoder:          store,
--- a/internal/member/aggregation.go
+++ b/internal/member/aggregation.go
@@ -205,7 +205,7 @@
 		p.applyTotals(from, totals)
 		return
 	}
-	p.handleReply(m)
+	p.handleReply(from, m)
 }
 
 // applyTotals processes the totals of the parent.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -10,6 +10,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"tamarackchute/infra"
+	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/daemonstatus"
 	"tamarackchute/internal/entry/shutdown"
 	"tamarackchute/internal/fleet"
@@ -19,6 +20,7 @@
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
 	"tamarackchute/rolepolicy"
+	"tamarackchute/usage"
 )
 
 const (
@@ -56,6 +58,8 @@
 	Log infra.Log
 	// Engines returns the control calls of model engines behind a gate.
 	Engines func(Gate) Engines
+	// Provider makes the calls to the platform; nil if the settings name none.
+	Provider Provider
 	// DirectoryHandler and ReadyHandler create the platform's HTTP handlers.
 	DirectoryHandler func(*Member) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
@@ -83,6 +87,11 @@
 	// settings are the current ones, lease is this daemon's lease status.
 	settings atomic.Pointer[Settings]
 	lease    atomic.Pointer[daemonstatus.Lease]
+	// leadership is this daemon's part in the lease for the whole site.
+	leadership *leadership
+	// usage counts requests; nil if usage isn't reported. usageSync passes the counts on.
+	usage     *usageMeter
+	usageSync *usageSync
 	// keys says whether API keys may be used.
 	keys *keyView
 	// backoff is shared by all services that retry failed calls to the store.
@@ -111,6 +120,7 @@
 		OnReplaced:    func(id string) { m.peers.MarkUnavailable(id, "", replacedTimeout) },
 		MinRetryAfter: minRetryAfter,
 		KeysUsable:    m.keys.mayUse,
+		OnBegun:       m.recordBegun,
 	})
 	m.engines = cfg.Engines(m.relay)
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
@@ -119,10 +129,31 @@
 	m.peers.onPeerList = m.confirmList
 	m.peers.configProof, m.peers.onConfigProof = m.keys.reply, m.keys.recordReply
 	m.peers.summary, m.peers.view, m.peers.onUpdate = m.summaryForPeers, m.view, m.relay.WakeWaiting
+	m.leadership = &leadership{member: m, log: cfg.Log, logger: m.log}
+	if s.Provider.ReportsUsage {
+		m.buildUsage(s)
+	}
 	m.buildFeeds()
 	return m
 }
 
+// buildUsage creates what counts and reports usage.
+func (m *Member) buildUsage(s Settings) {
+	clock := usage.NewClock(boottime.Now, time.Now)
+	m.usage = &usageMeter{settings: s.Provider, clock: clock, table: usage.NewTable(), instance: s.Instance, incarnation: m.peers.incarnation}
+	m.leadership.ledger = usage.NewLedger(clock.Now)
+	m.usageSync = &usageSync{meter: m.usage, peers: m.peers, leadership: m.leadership, cfg: m.wireConfig(), log: m.log}
+	m.peers.onClock, m.peers.onForget = clock.Observe, clock.Forget
+	m.peers.onUsage, m.peers.onUsageAck = m.usage.table.Merge, m.usageSync.confirm
+}
+
+// recordBegun counts a request that began to run at an upstream some time ago.
+func (m *Member) recordBegun(organisation string, ago time.Duration) {
+	if m.usage != nil {
+		m.usage.add(organisation, ago)
+	}
+}
+
 func (m *Member) localDemand() map[string]wire.MemberDemand {
 	all := make(map[string]wire.MemberDemand)
 	for pool, d := range m.relay.Demand() {
@@ -316,7 +347,9 @@
 //	│   │   ├── wire server
 //	│   │   └── peers
 //	│   └── directing
-//	│       └── director of roles, with journal and lease while it is a candidate
+//	│       ├── leadership, with journal and lease while it is a candidate
+//	│       ├── usage reports
+//	│       └── director of roles
 //	└── serving
 //	    └── callers, directory, ready, metrics
 func (m *Member) supervisorTree(servers []*httpService) (*suture.Supervisor, suture.ServiceToken) {
@@ -342,8 +375,16 @@
 		serving.Add(s)
 	}
 	directing := suture.New("directing", spec)
+	directing.Add(m.leadership)
+	if m.usage != nil {
+		exchange.Add(m.usageSync)
+		directing.Add(&usageReporter{
+			meter: m.usage, leadership: m.leadership, provider: m.cfg.Provider, log: m.log,
+			planner: usage.NewPlanner(m.usage.schedule(), m.leadership.ledger),
+		})
+	}
 	directing.Add(&director{
-		member: m, log: m.cfg.Log, engines: m.engines, logger: m.log,
+		member: m, leadership: m.leadership, engines: m.engines, logger: m.log,
 		balancers: make(map[string]*rolepolicy.Balancer), changes: make(map[string]roleChange),
 		lastLogged: make(map[string]time.Time),
 	})
--- a/internal/member/peerlinks.go
+++ b/internal/member/peerlinks.go
@@ -24,7 +24,7 @@
 	for address, other := range p.peers {
 		switch {
 		case wanted[address] && other.link == nil:
-			other.outgoingLink = p.openLink(address, p.handleReply)
+			other.outgoingLink = p.openLink(address, func(m wire.Message) { p.handleReply(address, m) })
 		case !wanted[address]:
 			p.closeLink(&other.outgoingLink)
 		}
@@ -37,10 +37,15 @@
 	token suture.ServiceToken
 }
 
-// handleReply processes a neighbour's reply.
-func (p *Peers) handleReply(m wire.Message) {
-	if proof, ok := m.(wire.ConfigProofReply); ok {
-		p.onConfigProof(proof)
+// handleReply processes a reply of another daemon.
+func (p *Peers) handleReply(from string, m wire.Message) {
+	switch m := m.(type) {
+	case wire.ConfigProofReply:
+		p.onConfigProof(m)
+	case wire.UsageAck:
+		if p.onUsageAck != nil {
+			p.onUsageAck(from, m)
+		}
 	}
 }
 
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -10,6 +10,7 @@
 
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
+	"tamarackchute/usage"
 )
 
 const (
@@ -63,6 +64,13 @@
 	// processes a peer's.
 	configProof   func(wire.ConfigProofRequest) wire.ConfigProofReply
 	onConfigProof func(wire.ConfigProofReply)
+	// onClock is called with another daemon's time of day, onForget when one falls silent, and
+	// onUsage with its counts; nil if usage isn't reported. onUsageAck is called for the recipient
+	// of this daemon's counts.
+	onClock    func(peer string, clock time.Time)
+	onForget   func(peer string)
+	onUsage    func([]usage.Count)
+	onUsageAck func(from string, ack wire.UsageAck)
 	// localDemand returns the demand of this daemon's callers, by pool.
 	localDemand func() map[string]wire.MemberDemand
 	// heartbeats counts the heartbeats sent.
@@ -184,6 +192,11 @@
 		p.handleReport(m, reply)
 	case wire.ConfigProofRequest:
 		reply(p.configProof(m))
+	case wire.UsageReport:
+		if p.onUsage != nil {
+			p.onUsage(m.Counts)
+			reply(wire.UsageAck{Seq: m.Seq})
+		}
 	}
 }
 
@@ -218,6 +231,9 @@
 	recovered := !from.up
 	from.up = true
 	p.mu.Unlock()
+	if p.onClock != nil && m.Clock != 0 {
+		p.onClock(m.Peers, time.Unix(0, m.Clock))
+	}
 	if recovered {
 		p.log.Info("peer heard", "peer", m.Instance, "address", m.Peers, "config", m.ConfigVersion)
 	}
@@ -265,6 +281,9 @@
 		if other.up && now.Sub(other.lastReceived) > peerTimeout {
 			other.up = false
 			p.tracker.ForgetPeer(address)
+			if p.onForget != nil {
+				p.onForget(address)
+			}
 			p.log.Warn("peer silent", "peer", other.Instance, "address", address, "silent_ms", now.Sub(other.lastReceived).Milliseconds())
 		}
 		if !other.up && now.Sub(other.lastNamed) > forgetPeerAfter {
--- a/internal/member/poolstate.go
+++ b/internal/member/poolstate.go
@@ -14,9 +14,9 @@
 )
 
 // poolState returns the state of a pool on which the policy decides.
-func (d *director) poolState(s *fleet.Snapshot, name string, pool *fleet.Pool) (rolepolicy.Pool, []placement.Engine) {
-	tracker := d.member.tracker
-	demand := d.member.peers.Demand(name)
+func poolState(m *Member, s *fleet.Snapshot, name string, pool *fleet.Pool) (rolepolicy.Pool, []placement.Engine) {
+	tracker := m.tracker
+	demand := m.peers.Demand(name)
 	p := rolepolicy.Pool{PrefillDemand: demand.PrefillEngines, SwitchTime: pool.Engine.RoleSwitchTime}
 	var ids []string
 	for _, u := range s.Pools[name] {
--- a/internal/member/reporting.go
+++ b/internal/member/reporting.go
@@ -50,7 +50,7 @@
 		Serving: summary.Serving, ConfigVersion: summary.Config, ListAge: summary.ListAge,
 		ListPosition: uint64(summary.ListPosition), ListDigest: summary.ListDigest, ListSize: summary.ListSize,
 		FullMesh: p.fullMesh, Loads: loads, Prefills: prefills, Unavailable: p.unavailableEngines(),
-		KeysStale: summary.KeysStale,
+		KeysStale: summary.KeysStale, Clock: time.Now().UnixNano(),
 	}
 }
 
--- a/internal/member/roleorders.go
+++ b/internal/member/roleorders.go
@@ -36,14 +36,11 @@
 		d.logger.Info("role not changed: the engine has restarted", "engine", u.ID, "listed", u.Started, "started", state.Started)
 		return
 	}
-	authority, done, ok := d.keeper.Use()
+	authority, done, ok := d.leadership.use(d.leadership.quietTime())
 	if !ok {
 		return
 	}
 	defer done()
-	if !d.mayOrder() {
-		return
-	}
 	outcome, err := d.engines.SetRole(ctx, u, RoleOrder{
 		Role: c.To, Holder: d.member.self.Instance, FencingToken: authority.FencingToken, ExpectedOrders: state.AcceptedOrders,
 	})
@@ -58,9 +55,7 @@
 	case OrderUnknown:
 		d.member.peers.MarkUnavailable(u.ID, c.To, unknownOrderTimeout)
 	case OrderFenced:
-		// Another daemon has held the lease since: this authority is void.
-		d.blockedUntil = time.Now().Add(d.term())
-		d.keeper.Renumber()
+		d.leadership.fenced()
 	}
 }
 
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -46,6 +46,8 @@
 	// RevocationBound is the time after its removal from which an API key must not be used any more
 	// by any daemon; 0 if there is no such bound.
 	RevocationBound time.Duration
+	// Provider holds the settings of the calls to the platform.
+	Provider ProviderSettings
 	// DirectoryTTL limits how long callers cache a directory answer.
 	DirectoryTTL time.Duration
 }
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -62,6 +62,8 @@
 	KnownPeers []MemberAddress
 	// KeysStale means that the daemon can't use the API keys of its configuration now.
 	KeysStale bool
+	// Clock is the daemon's time of day, in Unix nanoseconds.
+	Clock int64
 }
 
 // MemberLoads reports the changes of a daemon's loads since its last state. It is sent
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -36,6 +36,8 @@
 
 	KindConfigProofRequest Kind = 16
 	KindConfigProofReply   Kind = 17
+	KindUsageReport        Kind = 18
+	KindUsageAck           Kind = 19
 )
 
 // Message is a typed message between two processes of the system.
@@ -197,6 +199,10 @@
 		return decodeAs[ConfigProofRequest](body)
 	case KindConfigProofReply:
 		return decodeAs[ConfigProofReply](body)
+	case KindUsageReport:
+		return decodeAs[UsageReport](body)
+	case KindUsageAck:
+		return decodeAs[UsageAck](body)
 	case KindLoadTotals:
 		return decodeAs[LoadTotals](body)
 	default:
