fleetsize: spot upstreams in place of regular ones, as many as must be left after a reclaim

Change: package fleetsize (pure): the cheapest composition in which enough upstreams are left after the loss of any one data centre's spot upstreams; enough is the peak demand (prefill and decode, as the role policy sees it) at a target utilisation, and the initial size until demand has been seen for a while. Upstreams are given back only as far as those that serve already are enough. Refused spot orders back off; outcomes that aren't known are ordered again. The lease holder orders.

--- /dev/null
+++ b/fleetsize/fleetsize.go
@@ -0,0 +1,220 @@
+// Package fleetsize decides how many upstreams of a pool each data centre should have, and of
+// which kind, where the platform bills them by the second.
+//
+// Spot upstreams cost a fraction of regular ones, but all of a data centre may be reclaimed at
+// once. A composition is therefore judged by what is left after the loss of the data centre with
+// the most of them.
+package fleetsize
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Config configures a Sizer. Zero values select the defaults.
+type Config struct {
+	// TargetUtilisation is the share of the upstreams' time that the peak demand may take after
+	// the loss of a data centre's spot upstreams.
+	TargetUtilisation float64
+	// PeakMemory is how long a peak of the demand is remembered.
+	PeakMemory time.Duration
+	// ObservationTime is how long demand must have been seen before the number is reduced.
+	ObservationTime time.Duration
+	// RefusalBackoff is the first pause after spot upstreams weren't to be had, MaxBackoff the
+	// longest.
+	RefusalBackoff, MaxBackoff time.Duration
+}
+
+// Defaults of Config.
+const (
+	defaultTargetUtilisation = 0.6
+	defaultPeakMemory        = time.Minute
+	defaultObservationTime   = 20 * time.Second
+	defaultRefusalBackoff    = 3 * time.Second
+	defaultMaxBackoff        = 10 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.TargetUtilisation, defaultTargetUtilisation)
+	setDefault(&c.PeakMemory, defaultPeakMemory)
+	setDefault(&c.ObservationTime, defaultObservationTime)
+	setDefault(&c.RefusalBackoff, defaultRefusalBackoff)
+	setDefault(&c.MaxBackoff, defaultMaxBackoff)
+	return c
+}
+
+func setDefault[T ~int64 | ~float64](v *T, value T) {
+	if *v <= 0 {
+		*v = value
+	}
+}
+
+// Centre is a data centre's part of a pool.
+type Centre struct {
+	Name string
+	// Regular and Spot are the numbers of upstreams that serve and aren't draining.
+	Regular, Spot int
+	// Price is that of a regular upstream.
+	Price float64
+}
+
+// Pool is the input of a decision.
+type Pool struct {
+	// Centres are ordered by name.
+	Centres []Centre
+	// Min and Max limit the number in each data centre, both kinds together.
+	Min, Max int
+	// SpotRatio is the price of a spot upstream as a share of a regular one's; 0 if there are none.
+	SpotRatio float64
+	// BootTime is the time from an order until a new upstream serves.
+	BootTime time.Duration
+	// Demand is the work that callers ask for, refused requests included, in upstreams.
+	Demand float64
+}
+
+func (p *Pool) size() int {
+	n := 0
+	for _, c := range p.Centres {
+		n += c.Regular + c.Spot
+	}
+	return n
+}
+
+// Order is the number of upstreams of one kind that a data centre should have.
+type Order struct {
+	Centre string
+	Spot   bool
+	Count  int
+	Reason string
+}
+
+type orderKey struct {
+	centre string
+	spot   bool
+}
+
+// placed is the last order of a kind in a data centre.
+type placed struct {
+	count int
+	at    time.Time
+	// accepted is false while the outcome of the order isn't known.
+	accepted bool
+}
+
+// refusal says how long no spot upstreams are ordered in a data centre.
+type refusal struct {
+	until   time.Time
+	backoff time.Duration
+}
+
+// Sizer decides the size of one pool. It isn't safe for concurrent use.
+type Sizer struct {
+	cfg      Config
+	placed   map[orderKey]placed
+	refusals map[string]refusal
+	// initial is the size at the first decision.
+	initial int
+	// peak is the largest demand seen, at peakAt; demandSince is when demand was first seen.
+	peak                float64
+	peakAt, demandSince time.Time
+}
+
+// NewSizer returns a sizer that has given no orders.
+func NewSizer(cfg Config) *Sizer {
+	return &Sizer{cfg: cfg.withDefaults(), placed: make(map[orderKey]placed), refusals: make(map[string]refusal)}
+}
+
+// Decide returns the orders to give now. Each must be followed by Placed.
+func (s *Sizer) Decide(p Pool, now time.Time) []Order {
+	if len(p.Centres) == 0 || p.size() == 0 || p.Max <= 0 {
+		return nil
+	}
+	if s.initial == 0 {
+		s.initial = p.size()
+	}
+	need, floor := s.need(p, now)
+	target := compose(p, need, func(centre string) bool { return now.Before(s.refusals[centre].until) })
+	return s.orders(p, keepCover(p, target, need, floor), need, now)
+}
+
+// minDemand is the demand from which a pool counts as used.
+const minDemand = 0.01
+
+// need returns the number of upstreams that must be left after the loss of a data centre's spot
+// upstreams, and the least number before it.
+func (s *Sizer) need(p Pool, now time.Time) (need, floor int) {
+	if p.Demand >= s.peak || now.Sub(s.peakAt) > s.cfg.PeakMemory {
+		s.peak, s.peakAt = p.Demand, now
+	}
+	if s.demandSince.IsZero() && p.Demand > minDemand {
+		s.demandSince = now
+	}
+	byDemand := max(1, int(math.Ceil(s.peak/s.cfg.TargetUtilisation)))
+	if s.demandSince.IsZero() || now.Sub(s.demandSince) < s.cfg.ObservationTime {
+		// The demand isn't known yet: what was there before is kept.
+		return max(byDemand, s.initialNeed(p)), s.initial
+	}
+	return byDemand, 0
+}
+
+// initialNeed returns the need for which the composition has the initial size.
+func (s *Sizer) initialNeed(p Pool) int {
+	if n := len(p.Centres); p.SpotRatio > 0 && n > 1 {
+		return s.initial * (n - 1) / n
+	}
+	return s.initial
+}
+
+// orders returns the orders that lead to a composition.
+func (s *Sizer) orders(p Pool, target []composition, need int, now time.Time) []Order {
+	reason := fmt.Sprintf("%d must be left of %d, for a peak demand of %.1f", need, p.size(), s.peak)
+	var orders []Order
+	for i, c := range p.Centres {
+		if p.SpotRatio > 0 && s.due(orderKey{c.Name, true}, c.Spot, target[i].spot, p.BootTime, now) {
+			orders = append(orders, Order{Centre: c.Name, Spot: true, Count: target[i].spot, Reason: reason})
+		}
+		if s.due(orderKey{c.Name, false}, c.Regular, target[i].regular, p.BootTime, now) {
+			orders = append(orders, Order{Centre: c.Name, Count: target[i].regular, Reason: reason})
+		}
+	}
+	return orders
+}
+
+// settleMargin is added to the boot time before the present number is compared with an order.
+const settleMargin = 2 * time.Second
+
+// due reports whether an order for a number has to be given: it differs from the last one, or
+// that has had no effect in time.
+func (s *Sizer) due(key orderKey, have, count int, bootTime time.Duration, now time.Time) bool {
+	if key.spot && now.Before(s.refusals[key.centre].until) && count >= have {
+		return false
+	}
+	last, ordered := s.placed[key]
+	if !ordered {
+		return count != have
+	}
+	if last.count != count || !last.accepted {
+		return now.Sub(last.at) >= minOrderInterval
+	}
+	return have != count && now.Sub(last.at) > bootTime+settleMargin
+}
+
+// minOrderInterval is the minimum time between two orders of a kind in a data centre.
+const minOrderInterval = time.Second
+
+// Placed records an order that was given. accepted is false if its outcome isn't known.
+func (s *Sizer) Placed(o Order, accepted bool, now time.Time) {
+	s.placed[orderKey{o.Centre, o.Spot}] = placed{count: o.Count, at: now, accepted: accepted}
+	if accepted && o.Spot {
+		delete(s.refusals, o.Centre)
+	}
+}
+
+// Refused records that spot upstreams aren't to be had in a data centre now.
+func (s *Sizer) Refused(centre string, now time.Time) {
+	r := s.refusals[centre]
+	r.backoff = min(max(s.cfg.RefusalBackoff, 2*r.backoff), s.cfg.MaxBackoff)
+	r.until = now.Add(r.backoff)
+	s.refusals[centre] = r
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -9,6 +9,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"tamarackchute/fleetsize"
 	"tamarackchute/infra"
 	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/daemonstatus"
@@ -349,6 +350,7 @@
 //	│   └── directing
 //	│       ├── leadership, with journal and lease while it is a candidate
 //	│       ├── usage reports
+//	│       ├── director of fleet size
 //	│       └── director of roles
 //	└── serving
 //	    └── callers, directory, ready, metrics
@@ -383,6 +385,12 @@
 			planner: usage.NewPlanner(m.usage.schedule(), m.leadership.ledger),
 		})
 	}
+	if s := m.cfg.Settings.Provider; s.OrdersServers {
+		directing.Add(&sizeDirector{
+			member: m, leadership: m.leadership, provider: m.cfg.Provider, logger: m.log,
+			sizers: make(map[string]*fleetsize.Sizer), lastLogged: make(map[string]time.Time),
+		})
+	}
 	directing.Add(&director{
 		member: m, leadership: m.leadership, engines: m.engines, logger: m.log,
 		balancers: make(map[string]*rolepolicy.Balancer), changes: make(map[string]roleChange),
