usage: a lease holder that isn't the root of the tree fetches the counts from there

Change: the holder asks its own recipient, and whoever that passes its counts to, for what has changed; nobody has to know the holder.

--- a/internal/member/leadership.go
+++ b/internal/member/leadership.go
@@ -50,7 +50,6 @@
 	mu        sync.Mutex
 	keeper    *lease.Keeper
 	entries   *journal.Journal
-	view      *lease.View
 	stopLease func()
 	// heldSince is when the lease was acquired; it has been held without interruption since.
 	heldSince time.Time
@@ -103,7 +102,7 @@
 	case !candidate && stop != nil:
 		stop()
 		l.mu.Lock()
-		l.stopLease, l.keeper, l.entries, l.view, l.heldSince = nil, nil, nil, nil, time.Time{}
+		l.stopLease, l.keeper, l.entries, l.heldSince = nil, nil, nil, time.Time{}
 		l.mu.Unlock()
 		l.logger.Info("no longer a lease candidate")
 	}
@@ -133,7 +132,7 @@
 	tree.Add(keeper)
 	done := tree.ServeBackground(ctx)
 	l.mu.Lock()
-	l.keeper, l.entries, l.view = keeper, entries, view
+	l.keeper, l.entries = keeper, entries
 	l.stopLease = func() {
 		cancel()
 		<-done
@@ -218,21 +217,6 @@
 	}
 }
 
-// holder returns the instance that holds the lease by the journal; empty if this daemon doesn't
-// read it or nobody does.
-func (l *leadership) holder() string {
-	l.mu.Lock()
-	view := l.view
-	l.mu.Unlock()
-	if view == nil {
-		return ""
-	}
-	if s := view.Scope(leaseScope); s.Held {
-		return s.Holder
-	}
-	return ""
-}
-
 // append adds an entry to the journal, and returns once the local state machines have it.
 func (l *leadership) append(ctx context.Context, e journal.Entry) error {
 	l.mu.Lock()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -146,6 +146,7 @@
 	m.usageSync = &usageSync{meter: m.usage, peers: m.peers, leadership: m.leadership, cfg: m.wireConfig(), log: m.log}
 	m.peers.onClock, m.peers.onForget = clock.Observe, clock.Forget
 	m.peers.onUsage, m.peers.onUsageAck = m.usage.table.Merge, m.usageSync.confirm
+	m.peers.usageReply = m.usageSync.reply
 }
 
 // recordBegun counts a request that began to run at an upstream some time ago.
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -65,11 +65,12 @@
 	configProof   func(wire.ConfigProofRequest) wire.ConfigProofReply
 	onConfigProof func(wire.ConfigProofReply)
 	// onClock is called with another daemon's time of day, onForget when one falls silent, and
-	// onUsage with its counts; nil if usage isn't reported. onUsageAck is called for the recipient
-	// of this daemon's counts.
+	// onUsage with its counts; nil if usage isn't reported. usageReply returns this daemon's.
+	// onUsageAck is called for the recipient of this daemon's counts.
 	onClock    func(peer string, clock time.Time)
 	onForget   func(peer string)
 	onUsage    func([]usage.Count)
+	usageReply func(wire.UsageRequest) wire.UsageReply
 	onUsageAck func(from string, ack wire.UsageAck)
 	// localDemand returns the demand of this daemon's callers, by pool.
 	localDemand func() map[string]wire.MemberDemand
@@ -197,6 +198,10 @@
 			p.onUsage(m.Counts)
 			reply(wire.UsageAck{Seq: m.Seq})
 		}
+	case wire.UsageRequest:
+		if p.usageReply != nil {
+			reply(p.usageReply(m))
+		}
 	}
 }
 
--- a/internal/member/usage.go
+++ b/internal/member/usage.go
@@ -17,8 +17,8 @@
 const (
 	// usagePushInterval is how often new counts go to the daemon that adds them up.
 	usagePushInterval = 500 * time.Millisecond
-	// usageHops is the number of daemons on the way from any daemon to the reporter, at most:
-	// the load aggregator of its data centre, the root and the reporter, if it isn't the root.
+	// usageHops is the number of steps on the way of a count to the reporter, at most: to the load
+	// aggregator of its data centre, to the root, and to the reporter, if it isn't the root.
 	usageHops = 3
 	// usageSettle is how long after the end of a window its counts come in.
 	usageSettle = (usageHops + 2) * usagePushInterval
@@ -58,7 +58,9 @@
 	return usage.Schedule{Length: u.settings.UsageWindow, Settle: usageSettle, GiveUp: usageGiveUpFactor * u.settings.UsageDue}
 }
 
-// usageSync passes counts on towards the reporter. It is a suture.Service.
+// usageSync passes counts on to the daemon that adds them up. The lease holder, if that is another
+// one, fetches them from there: that daemon may be cut off from the journal, which names the
+// holder. It is a suture.Service.
 type usageSync struct {
 	meter      *usageMeter
 	peers      *Peers
@@ -72,6 +74,11 @@
 	seq       uint64
 	// sent are the counts of the last report, until it is confirmed.
 	sent []usage.Count
+
+	// source is the address from which counts are fetched, firstSource the one at which the search
+	// for it began; incarnation and version are those of the source's last reply.
+	source, firstSource  string
+	incarnation, version uint64
 }
 
 // String implements fmt.Stringer; the supervisor logs it.
@@ -82,86 +89,108 @@
 	for ctx.Err() == nil {
 		sleep(ctx, usagePushInterval)
 		s.meter.table.Forget(s.meter.schedule().Oldest(s.meter.clock.Now()))
-		s.push(ctx)
+		s.push()
+		if s.leadership.mayOrder(0) {
+			s.fetch(ctx)
+		}
 	}
 	return ctx.Err()
 }
 
 // push sends what the recipient hasn't confirmed.
-func (s *usageSync) push(ctx context.Context) {
-	to := s.peers.usageRecipient(s.leadership.holder())
+func (s *usageSync) push() {
+	address, link := s.peers.usageRecipient()
 	s.mu.Lock()
-	if to.address != s.recipient {
-		s.recipient, s.sent = to.address, nil
+	defer s.mu.Unlock()
+	if address != s.recipient {
+		s.recipient, s.sent = address, nil
 		s.meter.table.NewRecipient()
 	}
+	if link == nil {
+		return
+	}
 	counts := s.meter.table.Undelivered()
-	if to.address == "" || len(counts) == 0 {
-		s.mu.Unlock()
+	if len(counts) == 0 {
 		return
 	}
 	s.seq++
-	report := wire.UsageReport{Seq: s.seq, Counts: counts}
 	s.sent = counts
-	s.mu.Unlock()
-	if to.link != nil {
-		to.link.Send(report)
-		return
+	link.Send(wire.UsageReport{Seq: s.seq, Counts: counts})
+}
+
+// confirm records that a recipient has a report.
+func (s *usageSync) confirm(from string, ack wire.UsageAck) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from == s.recipient && ack.Seq == s.seq {
+		s.meter.table.Delivered(s.sent)
 	}
-	s.request(ctx, to.address, report)
 }
 
-// request sends a report to a daemon to which there is no link.
-func (s *usageSync) request(ctx context.Context, address string, report wire.UsageReport) {
+// fetch gets the counts of the daemon that adds them up, if that is another one. It asks each
+// daemon on the way there who the next one is.
+func (s *usageSync) fetch(ctx context.Context) {
+	first, _ := s.peers.usageRecipient()
+	if first == "" {
+		return
+	}
+	if s.source == "" || first != s.firstSource {
+		s.firstSource = first
+		s.setSource(first)
+	}
 	ctx, cancel := context.WithTimeout(ctx, usagePushInterval)
 	defer cancel()
-	reply, err := wire.Request(ctx, s.cfg, address, report)
+	reply, err := wire.Request(ctx, s.cfg, s.source, wire.UsageRequest{Incarnation: s.incarnation, Since: s.version})
 	if err != nil {
-		s.log.Warn("usage counts not delivered", "to", address, "counts", len(report.Counts), "err", err)
+		s.log.Warn("usage counts not fetched", "from", s.source, "err", err)
+		s.setSource(first)
+		return
+	}
+	m, ok := reply.(wire.UsageReply)
+	if !ok {
 		return
 	}
-	if ack, ok := reply.(wire.UsageAck); ok {
-		s.confirm(address, ack)
+	s.meter.table.Merge(m.Counts)
+	s.incarnation, s.version = m.Incarnation, m.Version
+	if m.Recipient != "" && m.Recipient != s.peers.self.Peers {
+		s.setSource(m.Recipient)
 	}
 }
 
-// confirm records that a recipient has a report.
-func (s *usageSync) confirm(from string, ack wire.UsageAck) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if from == s.recipient && ack.Seq == s.seq {
-		s.meter.table.Delivered(s.sent)
+// setSource sets the daemon to ask next.
+func (s *usageSync) setSource(address string) {
+	if address != s.source {
+		s.source, s.incarnation, s.version = address, 0, 0
 	}
 }
 
-// usageRecipient is where counts go next.
-type usageRecipient struct {
-	address string
-	link    *wire.Link
+// reply returns the counts that a peer lacks.
+func (s *usageSync) reply(m wire.UsageRequest) wire.UsageReply {
+	since := m.Since
+	if m.Incarnation != s.meter.incarnation {
+		since = 0
+	}
+	counts, version := s.meter.table.Since(since)
+	recipient, _ := s.peers.usageRecipient()
+	return wire.UsageReply{Incarnation: s.meter.incarnation, Version: version, Counts: counts, Recipient: recipient}
 }
 
-// usageRecipient returns the daemon to which this one passes counts: towards the daemon that adds
-// up the loads, from there to the lease holder. It is empty at the holder itself, or if there is
-// none to send to.
-func (p *Peers) usageRecipient(holder string) usageRecipient {
+// usageRecipient returns the daemon to which this one passes counts, and the link to it: the one
+// to which it reports loads, or the first in rank of a small site. It is empty at that daemon.
+func (p *Peers) usageRecipient() (string, *wire.Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if holder == p.self.Instance {
-		return usageRecipient{}
-	}
 	if !p.fullMesh {
-		if to, ok := p.parent.candidate(); ok {
-			return usageRecipient{to.Peers, p.parent.link}
+		to, ok := p.parent.candidate()
+		if !ok {
+			return "", nil
 		}
-	} else if first := p.firstServing(); first != nil && first.Peers < p.self.Peers {
-		return usageRecipient{first.Peers, first.link}
+		return to.Peers, p.parent.link
 	}
-	for _, other := range p.peers {
-		if holder != "" && other.Instance == holder {
-			return usageRecipient{other.Peers, other.link}
-		}
+	if first := p.firstServing(); first != nil && first.Peers < p.self.Peers {
+		return first.Peers, first.link
 	}
-	return usageRecipient{}
+	return "", nil
 }
 
 // usageReporter reports usage while this daemon holds the lease. What it reports of a window is
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -38,6 +38,8 @@
 	KindConfigProofReply   Kind = 17
 	KindUsageReport        Kind = 18
 	KindUsageAck           Kind = 19
+	KindUsageRequest       Kind = 20
+	KindUsageReply         Kind = 21
 )
 
 // Message is a typed message between two processes of the system.
@@ -203,6 +205,10 @@
 		return decodeAs[UsageReport](body)
 	case KindUsageAck:
 		return decodeAs[UsageAck](body)
+	case KindUsageRequest:
+		return decodeAs[UsageRequest](body)
+	case KindUsageReply:
+		return decodeAs[UsageReply](body)
 	case KindLoadTotals:
 		return decodeAs[LoadTotals](body)
 	default:
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -59,6 +59,8 @@
 type Table struct {
 	mu     sync.Mutex
 	counts map[countKey]*entry
+	// version counts the changes.
+	version uint64
 }
 
 type entry struct {
@@ -66,6 +68,8 @@
 	total    uint64
 	// delivered is the total that the current recipient has confirmed.
 	delivered uint64
+	// changed is the table's version of the last change.
+	changed uint64
 }
 
 // NewTable returns an empty table.
@@ -83,6 +87,8 @@
 	}
 	e.requests[organisation]++
 	e.total++
+	t.version++
+	e.changed = t.version
 }
 
 // Merge takes over the counts that are newer than the ones known.
@@ -101,6 +107,8 @@
 			t.counts[c.key()] = known
 		}
 		known.requests, known.total = c.Requests, total
+		t.version++
+		known.changed = t.version
 	}
 }
 
@@ -108,9 +116,21 @@
 func (t *Table) Undelivered() []Count {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.list(func(e *entry) bool { return e.total > e.delivered })
+}
+
+// Since returns the counts that have changed since a version, and the current version.
+func (t *Table) Since(version uint64) ([]Count, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.list(func(e *entry) bool { return e.changed > version }), t.version
+}
+
+// list returns copies of the counts that wanted accepts. t.mu is held.
+func (t *Table) list(wanted func(*entry) bool) []Count {
 	var counts []Count
 	for key, e := range t.counts {
-		if e.total > e.delivered {
+		if wanted(e) {
 			counts = append(counts, Count{Daemon: key.daemon, Incarnation: key.incarnation, Window: key.window, Requests: maps.Clone(e.requests)})
 		}
 	}
