soak, stand-in: organisations, keys, and the platform's calls

Why: keys and reports were only tested in parts.

The soak's callers belong to organisations with two valid keys each; a third stream of steps rotates keys, removes one while no daemon can learn of it, and fails the platform's calls. Five new promises, checked by what callers, servers and platform saw: no key passed on and the right organisation, no run after a revocation's bound, a valid key not refused, one report a window, reports in time and as it was. A token is of one process. The steps that a seed had before stay the same (TestLaterStreamsLeaveOtherSteps, formerly TestAnswerFaultsLeaveOtherSteps, compares both streams); the fleet's size is not in the soak.

--- a/fleetsize/compose.go
+++ b/fleetsize/compose.go
@@ -8,14 +8,23 @@
 // composition is a data centre's numbers of upstreams.
 type composition struct{ regular, spot int }
 
-// compose returns the cheapest composition in which need upstreams are left after the loss of any
-// one data centre's spot upstreams. refused reports where no more of these are to be had.
-func compose(p Pool, need int, refused func(centre string) bool) []composition {
-	regular := composeRegular(p, need)
+// needs are the numbers of upstreams that a pool needs.
+type needs struct {
+	// cover must be left after the loss of any one data centre's spot upstreams, as far as spot
+	// upstreams can be had for it. work is what the present demand keeps busy.
+	cover, work int
+	// floor is the least number before any loss.
+	floor int
+}
+
+// compose returns the cheapest composition for what a pool needs. refused reports where no more
+// spot upstreams are to be had.
+func compose(p Pool, n needs, refused func(centre string) bool) []composition {
+	regular := composeRegular(p, n.cover)
 	if p.SpotRatio <= 0 {
 		return regular
 	}
-	if spot := composeSpot(p, need, refused); cost(p, spot) < cost(p, regular) {
+	if spot := composeSpot(p, n, refused); cost(p, spot) < cost(p, regular) {
 		return spot
 	}
 	return regular
@@ -53,9 +62,10 @@
 }
 
 // composeSpot distributes spot upstreams evenly over the data centres that have them, if there are
-// at least two, and keeps those present in the others. What they can't cover is left to regular
-// ones, in the cheapest data centres.
-func composeSpot(p Pool, need int, refused func(centre string) bool) []composition {
+// at least two, and keeps those present in the others. Regular ones, in the cheapest data centres,
+// only do work for which there are too few: as a mere cover they would cost several times as much
+// as what a loss costs until they boot.
+func composeSpot(p Pool, n needs, refused func(centre string) bool) []composition {
 	all := make([]composition, len(p.Centres))
 	var available []int
 	for i, c := range p.Centres {
@@ -64,17 +74,17 @@
 			available = append(available, i)
 		}
 	}
-	if n := len(available); n > 1 {
-		each := (need + n - 2) / (n - 1)
+	if count := len(available); count > 1 {
+		each := (n.cover + count - 2) / (count - 1)
 		for _, i := range available {
 			all[i].spot = min(max(each, p.Min), p.Max)
 		}
 	}
-	missing := need - left(all)
+	missing := n.work - size(all)
 	for _, i := range byPrice(p) {
-		n := min(max(0, missing), p.Max-all[i].spot)
-		all[i].regular = max(n, p.Min-all[i].spot)
-		missing -= n
+		regular := min(max(0, missing), p.Max-all[i].spot)
+		all[i].regular = max(regular, p.Min-all[i].spot)
+		missing -= regular
 	}
 	return all
 }
@@ -96,18 +106,23 @@
 	return n
 }
 
-// keepCover returns the composition to order now. Upstreams are given back only as far as those
-// that serve already are enough without them: what was ordered may not come. need must be left
-// after the loss of a data centre's spot upstreams, floor before it.
-func keepCover(p Pool, target []composition, need, floor int) []composition {
+// keepServing returns the composition to order now. Upstreams are given back only as far as those
+// that serve already are enough without them: what was ordered may not come.
+func keepServing(p Pool, target []composition, n needs) []composition {
 	serving := make([]composition, len(p.Centres))
 	for i, c := range p.Centres {
 		serving[i] = composition{regular: c.Regular, spot: c.Spot}
 	}
+	enoughForWork := func() bool { return size(serving) >= max(n.work, n.floor) }
+	enoughAfterLoss := func() bool { return left(serving) >= n.cover && enoughForWork() }
+	mayGiveRegular := enoughForWork
+	if p.SpotRatio <= 0 {
+		mayGiveRegular = enoughAfterLoss
+	}
 	next := slices.Clone(target)
 	for i := range next {
-		next[i].regular = giveBack(serving, &serving[i].regular, target[i].regular, need, floor)
-		next[i].spot = giveBack(serving, &serving[i].spot, target[i].spot, need, floor)
+		next[i].regular = giveBack(&serving[i].regular, target[i].regular, mayGiveRegular)
+		next[i].spot = giveBack(&serving[i].spot, target[i].spot, enoughAfterLoss)
 		if over := next[i].regular + next[i].spot - p.Max; over > 0 {
 			next[i].spot = max(0, next[i].spot-over)
 		}
@@ -115,11 +130,11 @@
 	return next
 }
 
-// giveBack reduces a number of serving upstreams towards a target as far as keepCover allows.
-func giveBack(serving []composition, have *int, target, need, floor int) int {
+// giveBack reduces a number of serving upstreams towards a target as far as enough remain.
+func giveBack(have *int, target int, enough func() bool) int {
 	for *have > target {
 		*have--
-		if left(serving) < need || size(serving) < floor {
+		if !enough() {
 			*have++
 			return *have
 		}
--- a/fleetsize/fleetsize.go
+++ b/fleetsize/fleetsize.go
@@ -19,6 +19,8 @@
 	TargetUtilisation float64
 	// PeakMemory is how long a peak of the demand is remembered.
 	PeakMemory time.Duration
+	// MeanTime is the time constant of the mean demand.
+	MeanTime time.Duration
 	// ObservationTime is how long demand must have been seen before the number is reduced.
 	ObservationTime time.Duration
 	// RefusalBackoff is the first pause after spot upstreams weren't to be had, MaxBackoff the
@@ -30,6 +32,7 @@
 const (
 	defaultTargetUtilisation = 0.6
 	defaultPeakMemory        = time.Minute
+	defaultMeanTime          = 3 * time.Second
 	defaultObservationTime   = 20 * time.Second
 	defaultRefusalBackoff    = 3 * time.Second
 	defaultMaxBackoff        = 10 * time.Second
@@ -38,6 +41,7 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.TargetUtilisation, defaultTargetUtilisation)
 	setDefault(&c.PeakMemory, defaultPeakMemory)
+	setDefault(&c.MeanTime, defaultMeanTime)
 	setDefault(&c.ObservationTime, defaultObservationTime)
 	setDefault(&c.RefusalBackoff, defaultRefusalBackoff)
 	setDefault(&c.MaxBackoff, defaultMaxBackoff)
@@ -118,6 +122,9 @@
 	// peak is the largest demand seen, at peakAt; demandSince is when demand was first seen.
 	peak                float64
 	peakAt, demandSince time.Time
+	// mean is the smoothed demand at observedAt.
+	mean       float64
+	observedAt time.Time
 }
 
 // NewSizer returns a sizer that has given no orders.
@@ -133,32 +140,42 @@
 	if s.initial == 0 {
 		s.initial = p.size()
 	}
-	need, floor := s.need(p, now)
-	target := compose(p, need, func(centre string) bool { return now.Before(s.refusals[centre].until) })
-	return s.orders(p, keepCover(p, target, need, floor), need, now)
+	n := s.needs(p, now)
+	target := compose(p, n, func(centre string) bool { return now.Before(s.refusals[centre].until) })
+	return s.orders(p, keepServing(p, target, n), n, now)
 }
 
 // minDemand is the demand from which a pool counts as used.
 const minDemand = 0.01
 
-// need returns the number of upstreams that must be left after the loss of a data centre's spot
-// upstreams, and the least number before it.
-func (s *Sizer) need(p Pool, now time.Time) (need, floor int) {
-	if p.Demand >= s.peak || now.Sub(s.peakAt) > s.cfg.PeakMemory {
-		s.peak, s.peakAt = p.Demand, now
-	}
-	if s.demandSince.IsZero() && p.Demand > minDemand {
-		s.demandSince = now
-	}
-	byDemand := max(1, int(math.Ceil(s.peak/s.cfg.TargetUtilisation)))
+// needs returns what the pool needs.
+func (s *Sizer) needs(p Pool, now time.Time) needs {
+	s.observe(p.Demand, now)
+	n := needs{cover: max(1, ceil(s.peak/s.cfg.TargetUtilisation)), work: ceil(s.mean)}
 	if s.demandSince.IsZero() || now.Sub(s.demandSince) < s.cfg.ObservationTime {
 		// The demand isn't known yet: what was there before is kept.
-		return max(byDemand, s.initialNeed(p)), s.initial
+		n.cover = max(n.cover, s.initialNeed(p))
+		n.floor = s.initial
+	}
+	return n
+}
+
+// observe updates the peak and the mean of the demand.
+func (s *Sizer) observe(demand float64, now time.Time) {
+	if demand >= s.peak || now.Sub(s.peakAt) > s.cfg.PeakMemory {
+		s.peak, s.peakAt = demand, now
 	}
-	return byDemand, 0
+	if s.demandSince.IsZero() && demand > minDemand {
+		s.demandSince = now
+	}
+	weight := 1 - math.Exp(-float64(now.Sub(s.observedAt))/float64(s.cfg.MeanTime))
+	s.mean += weight * (demand - s.mean)
+	s.observedAt = now
 }
 
-// initialNeed returns the need for which the composition has the initial size.
+func ceil(x float64) int { return int(math.Ceil(x)) }
+
+// initialNeed returns the cover for which the composition has the initial size.
 func (s *Sizer) initialNeed(p Pool) int {
 	if n := len(p.Centres); p.SpotRatio > 0 && n > 1 {
 		return s.initial * (n - 1) / n
@@ -167,8 +184,8 @@
 }
 
 // orders returns the orders that lead to a composition.
-func (s *Sizer) orders(p Pool, target []composition, need int, now time.Time) []Order {
-	reason := fmt.Sprintf("%d must be left of %d, for a peak demand of %.1f", need, p.size(), s.peak)
+func (s *Sizer) orders(p Pool, target []composition, n needs, now time.Time) []Order {
+	reason := fmt.Sprintf("%d must be left of %d and %d are busy, for a demand of %.1f, at most %.1f", n.cover, p.size(), n.work, s.mean, s.peak)
 	var orders []Order
 	for i, c := range p.Centres {
 		if p.SpotRatio > 0 && s.due(orderKey{c.Name, true}, c.Spot, target[i].spot, p.BootTime, now) {
--- a/fleetsize/fleetsize_test.go
+++ b/fleetsize/fleetsize_test.go
@@ -147,7 +147,8 @@
 	require.LessOrEqual(t, s.size(), 18)
 }
 
-// Load pattern: no data centre has spot upstreams to be had after one has lost all its own.
+// Load pattern: no data centre has spot upstreams to be had after one has lost all its own. Regular
+// ones do the work for which the others are too few, and no more.
 func TestReclaimWithNoneToBeHad(t *testing.T) {
 	s := newSite(t, 0.15)
 	s.run(60*time.Second, 6, nil)
@@ -156,7 +157,10 @@
 		s.unavailable[name] = true
 	}
 	s.run(15*time.Second, 6, func() { require.GreaterOrEqual(t, s.size(), 10) })
-	require.Positive(t, s.regular(), "regular ones restore the cover")
+	require.Zero(t, s.regular(), "the others carry the demand")
+	s.run(20*time.Second, 13, nil)
+	require.GreaterOrEqual(t, s.size(), 13)
+	require.LessOrEqual(t, s.size(), 14)
 	clear(s.unavailable)
 	s.run(60*time.Second, 6, nil)
 	require.Zero(t, s.regular())
--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -26,7 +26,7 @@
 		{"no known prefill", func(o *oracle) { sendRequest(o, streamService, at("llm-2")) }, nil},
 		{"another request's prefill", func(o *oracle) { sendRequest(o, streamService, fromHandleOf("2-2")) }, []Promise{OwnPrefill}},
 		{"another request's prefill, not run", func(o *oracle) {
-			o.sent("1-1", streamService, 0)
+			o.sent("1-1", streamService, validKey, 0)
 			v := fromHandleOf("2-2")
 			v.ID = "1-1"
 			o.Arrived(v)
@@ -73,14 +73,14 @@
 		}, []Promise{DrainNoticeRespected}},
 		{"sent soon after the notice, delayed on the way", func(o *oracle) {
 			passOnNotice(o, longAgo)
-			o.sent("1-1", onceService, 0)
+			o.sent("1-1", onceService, validKey, 0)
 			o.requests["1-1"].sentAt = time.Now().Add(-longAgo + recently)
 			o.Arrived(standin.RequestInfo{Server: "once-1", ID: "1-1"})
 		}, nil},
 		{"another server", func(o *oracle) { passOnNotice(o, longAgo); sendRequest(o, onceService, at("once-2")) }, nil},
 		{"another daemon", func(o *oracle) {
 			passOnNotice(o, longAgo)
-			o.sent("1-1", onceService, 1)
+			o.sent("1-1", onceService, validKey, 1)
 			o.Arrived(standin.RequestInfo{Server: "once-1", ID: "1-1"})
 		}, nil},
 		{"meant for another server", func(o *oracle) {
@@ -135,7 +135,7 @@
 
 // requestBackoff lets once-1 refuse a request of daemon 0 some time ago and ask for a backoff.
 func requestBackoff(o *oracle, ago, duration time.Duration) {
-	o.sent("1-1", onceService, 0)
+	o.sent("1-1", onceService, validKey, 0)
 	v := standin.RequestInfo{Server: "once-1", ID: "1-1", Backoff: duration}
 	o.Arrived(v)
 	o.Ended(v)
@@ -177,7 +177,7 @@
 		{"other daemons", func(o *oracle) {
 			requestBackoff(o, ago, duration)
 			for range 2 * maxBackoffArrivals {
-				o.sent("1-1", onceService, 1)
+				o.sent("1-1", onceService, validKey, 1)
 				o.Arrived(standin.RequestInfo{Server: "once-1", ID: "1-1"})
 			}
 		}, nil},
@@ -230,15 +230,26 @@
 	}
 }
 
-// The faults of the second stream must not change those that a seed had without them.
-func TestAnswerFaultsLeaveOtherSteps(t *testing.T) {
+// The faults of the later streams must not change those that a seed had without them.
+func TestLaterStreamsLeaveOtherSteps(t *testing.T) {
 	profile := DefaultFaultProfile()
+	later := slices.Concat(answerKindWeights, accessKindWeights)
 	for seed := range uint64(20) {
 		steps := NewPlan(seed, profile)
 		require.True(t, slices.IsSortedFunc(steps, func(a, b Step) int { return int(a.At - b.At) }))
 		other := slices.DeleteFunc(steps, func(s Step) bool {
-			return slices.ContainsFunc(answerKindWeights, func(w kindWeight) bool { return w.kind == s.Kind })
+			return slices.ContainsFunc(later, func(w kindWeight) bool { return w.kind == s.Kind })
 		})
 		require.Equal(t, drawSteps(rand.New(rand.NewPCG(seed, 0)), profile, kindWeights), other)
+		answers := profile
+		answers.MeanInterval *= answerIntervalFactor
+		require.Equal(t, drawSteps(rand.New(rand.NewPCG(seed, answerStream)), answers, answerKindWeights), stepsOf(NewPlan(seed, profile), answerKindWeights))
 	}
 }
+
+// stepsOf returns the steps of some kinds.
+func stepsOf(steps []Step, kinds []kindWeight) []Step {
+	return slices.DeleteFunc(steps, func(s Step) bool {
+		return !slices.ContainsFunc(kinds, func(w kindWeight) bool { return w.kind == s.Kind })
+	})
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -140,7 +140,9 @@
 	s := c.pickService()
 	c.sent++
 	id := fmt.Sprintf("%d-%d", c.name, c.sent)
-	c.site.oracle.sent(id, s, d.number)
+	key := c.site.keyFor(c.name%organisations, c.rng.IntN(removedKeyOneIn) == 0)
+	client.Key = key.text
+	c.site.oracle.sent(id, s, key, d.number)
 
 	ctx, cancel := context.WithTimeout(context.Background(), s.deadline+callerTimeoutSlack)
 	defer cancel()
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -13,6 +13,7 @@
 // request holds what the caller and the servers observed of one request.
 type request struct {
 	service service
+	key     *accessKey
 	daemon  int
 	sentAt  time.Time
 	// closedAt is when the caller closed the connection; zero if it didn't.
@@ -53,6 +54,7 @@
 	requestTimes  map[string][]time.Time
 	// drainNotices holds when a daemon passed on an answer that says that its server leaves,
 	// backoffs what a server has asked a daemon for.
+	billing      billing
 	drainNotices map[daemonServer][]time.Time
 	backoffs     map[daemonServer][]*backoff
 	counts       map[string]int
@@ -77,7 +79,7 @@
 
 func newOracle(faults *faultLog) *oracle {
 	return &oracle{
-		faults: faults, requests: make(map[string]*request), pools: make(map[string]string),
+		billing: newBilling(), faults: faults, requests: make(map[string]*request), pools: make(map[string]string),
 		draining: make(map[string]time.Time), removed: make(map[string]time.Time), newestVersion: make(map[process]observedVersion),
 		retries: make(map[string][]time.Time), requestTimes: make(map[string][]time.Time), counts: make(map[string]int),
 		drainNotices: make(map[daemonServer][]time.Time), backoffs: make(map[daemonServer][]*backoff),
@@ -137,11 +139,11 @@
 }
 
 // sent records that a caller sends a request to a daemon.
-func (o *oracle) sent(id string, s service, daemon int) {
+func (o *oracle) sent(id string, s service, key *accessKey, daemon int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
-	o.requests[id] = &request{service: s, daemon: daemon, sentAt: now, saidLeaving: make(map[string]bool)}
+	o.requests[id] = &request{service: s, key: key, daemon: daemon, sentAt: now, saidLeaving: make(map[string]bool)}
 	o.requestTimes[s.name] = append(o.requestTimes[s.name], now)
 }
 
@@ -166,6 +168,7 @@
 	if v.Forged {
 		o.violate(NoForgedHeaders, "%s at %s", v.ID, v.Server)
 	}
+	o.checkAccess(v, q)
 	if v.PrefillOnly {
 		q.prefills++
 	} else {
@@ -194,7 +197,11 @@
 	}
 	o.checkPool(v, q)
 	o.checkHandle(v)
+	o.checkRevocation(v, q)
 	q.runs++
+	if q.runs == 1 {
+		o.recordBegun(v)
+	}
 	if q.service.atMostOnce && q.runs > 1 {
 		o.violate(AtMostOnce, "%s ran %d times, lastly at %s", v.ID, q.runs, v.Server)
 	}
@@ -225,9 +232,10 @@
 	if !q.closedAt.IsZero() {
 		return
 	}
-	if r.Status != http.StatusOK || r.Err != nil {
+	if (r.Status != http.StatusOK || r.Err != nil) && q.key.removedAt.IsZero() {
 		o.lastFailure = now
 	}
+	o.checkUnauthorised(id, q, r, now)
 	o.checkDeadline(id, q, now)
 	if r.Err != nil && r.Status == 0 {
 		return // connectionLost checks these once the process's exit is known
@@ -249,10 +257,11 @@
 }
 
 // finish runs the checks that need the whole run.
-func (o *oracle) finish(budget retryBudget) {
+func (o *oracle) finish(budget retryBudget, daemons int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.checkCloses()
+	o.checkUsage(daemons, time.Now())
 	for name, times := range o.retries {
 		o.checkRetryBudget(name, times, budget)
 	}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -18,9 +18,13 @@
 	markService   = services[3]
 )
 
+// validKey is a key that has been valid for long. Its organisation has no name, as in the requests of
+// these tests.
+var validKey = &accessKey{text: "key"}
+
 // sendRequest records a caller's request, which the given servers receive and run.
 func sendRequest(o *oracle, s service, visits ...standin.RequestInfo) {
-	o.sent("1-1", s, 0)
+	o.sent("1-1", s, validKey, 0)
 	for _, v := range visits {
 		v.ID = "1-1"
 		o.Arrived(v)
@@ -138,7 +142,7 @@
 			sendRequest(o, onceService, standin.RequestInfo{Server: "once-1", ExpectedServer: "once-0"})
 		}, nil},
 		{"rejected by another pool's server", func(o *oracle) {
-			o.sent("1-1", onceService, 0)
+			o.sent("1-1", onceService, validKey, 0)
 			o.Arrived(standin.RequestInfo{Server: "repeat-1", ExpectedServer: "once-0", ID: "1-1"})
 			o.Ended(standin.RequestInfo{Server: "repeat-1", ExpectedServer: "once-0", ID: "1-1"})
 		}, nil},
@@ -158,15 +162,15 @@
 			answerWithVersion(o, 2, 1)
 		}, nil},
 		{"cut by a planned stop", func(o *oracle) {
-			o.sent("1-1", onceService, 0)
+			o.sent("1-1", onceService, validKey, 0)
 			loseConnection(o, processExit{at: time.Now().Add(time.Second)})
 		}, []Promise{NoCutRequests}},
 		{"cut by a running daemon", func(o *oracle) {
-			o.sent("1-1", onceService, 0)
+			o.sent("1-1", onceService, validKey, 0)
 			loseConnection(o, processExit{})
 		}, []Promise{NoCutRequests}},
 		{"sent as the process exited", func(o *oracle) {
-			o.sent("1-1", onceService, 0)
+			o.sent("1-1", onceService, validKey, 0)
 			loseConnection(o, processExit{at: time.Now()})
 		}, nil},
 		{"forwarded as the process exited", func(o *oracle) {
@@ -211,7 +215,7 @@
 		o.serverListed(versionPools[i]+"-1", pool)
 	}
 	play(o)
-	o.finish(siteBudget)
+	o.finish(siteBudget, 0)
 	var broken []Promise
 	for _, v := range o.Violations() {
 		broken = append(broken, v.Promise)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,6 +37,9 @@
 	AnswerTwice       FaultKind = "server-stutters"
 	AnnounceLeaving   FaultKind = "server-says-leaving"
 	BackOffServer     FaultKind = "server-backs-off"
+	RotateKey         FaultKind = "rotate-key"
+	RevokeInOutage    FaultKind = "revoke-in-outage"
+	FailCloud         FaultKind = "platform-calls-fail"
 )
 
 // Step is one fault of a run.
@@ -117,7 +120,14 @@
 // ask for something in their answers.
 var answerKindWeights = []kindWeight{{AnswerTwice, 3}, {AnnounceLeaving, 2}, {BackOffServer, 3}}
 
+// accessKindWeights holds the kinds of the third stream: keys and the platform's calls.
+var accessKindWeights = []kindWeight{{RotateKey, 4}, {RevokeInOutage, 1}, {FailCloud, 2}}
+
 const (
+	// accessStream is the random stream of the third stream of steps, accessIntervalFactor how much
+	// longer its intervals are.
+	accessStream         = 1 << 33
+	accessIntervalFactor = 4
 	// answerStream is the random stream of the second stream of steps. Callers draw from the
 	// streams after 0, one each.
 	answerStream = 1 << 32
@@ -130,6 +140,8 @@
 	steps := drawSteps(rand.New(rand.NewPCG(seed, 0)), profile, kindWeights)
 	profile.MeanInterval *= answerIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, answerStream)), profile, answerKindWeights)...)
+	profile.MeanInterval *= accessIntervalFactor / answerIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, accessStream)), profile, accessKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -90,7 +90,7 @@
 	if ctx.Err() != nil {
 		return nil, eris.Wrap(ctx.Err(), "soak")
 	}
-	s.oracle.finish(siteBudget)
+	s.oracle.finish(siteBudget, len(s.daemons))
 	s.oracle.checkOrders(s.orders())
 	report.Violations = s.oracle.Violations()
 	report.Outcomes = s.oracle.counts
@@ -120,6 +120,7 @@
 	}
 	steps.Wait()
 	report.RecoveryTime = s.awaitRecovery()
+	sleepUntil(ctx, time.Now().Add(billingTail))
 	cancel()
 	wg.Wait()
 	s.pendingChecks.Wait()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -84,6 +84,9 @@
 	ip        string
 	store     *standin.Store
 	storeHTTP *httptest.Server
+	// cloud receives the calls that one daemon makes for all.
+	cloud     *standin.Cloud
+	cloudHTTP *httptest.Server
 	daemons   []*daemon
 	links     []*Proxy
 	slots     []*serverSlot
@@ -94,8 +97,11 @@
 	// pendingChecks tracks the unfinished checks of broken connections.
 	pendingChecks conc.WaitGroup
 
-	mu             sync.Mutex
-	versions       int
+	mu       sync.Mutex
+	versions int
+	// published counts the configurations, with those that change only keys.
+	published      int
+	access         access
 	serversStarted int
 	stoppedServers []*standin.Server
 	// freeLinks are links whose servers have stopped: the next server, of any pool, gets the
@@ -116,6 +122,13 @@
 	}
 	s.storeHTTP = &httptest.Server{Listener: l, Config: &http.Server{Handler: s.store}}
 	s.storeHTTP.Start()
+	if err := s.startCloud(); err != nil {
+		return nil, err
+	}
+	for i := range organisations {
+		s.access.add(i)
+		s.access.add(i)
+	}
 	if err := s.addLinks(o.Callers); err != nil {
 		return nil, err
 	}
@@ -147,9 +160,17 @@
 		return
 	}
 	s.versions++
+	s.putConfig()
+	s.oracle.versionPublished()
+}
+
+// putConfig stores the configuration with the current version of the rules and the current keys.
+// s.mu must be held.
+func (s *site) putConfig() {
+	s.published++
 	var rules []standin.Service
 	for _, v := range services {
-		rule := standin.Service{Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline}
+		rule := standin.Service{Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline, Public: v.public()}
 		if v.name == versionService {
 			rule.Pool = versionPools[s.versions-1]
 		}
@@ -158,8 +179,30 @@
 	for _, pool := range versionPools {
 		rules = append(rules, standin.Service{Name: pool, Kind: standin.Idempotent, Attempts: 3, Timeout: time.Second})
 	}
-	s.store.PutConfig(s.versions, rules)
-	s.oracle.versionPublished()
+	s.store.PutConfig(s.published, rules, s.access.tenants()...)
+}
+
+// launchOf returns the number of a daemon's current process, 0 if there is no such daemon.
+func (s *site) launchOf(name string) int {
+	for _, d := range s.daemons {
+		if d.config.Name == name {
+			return d.currentLaunch()
+		}
+	}
+	return 0
+}
+
+// startCloud starts the platform's calls.
+func (s *site) startCloud() error {
+	s.cloud = standin.NewCloud(s.oracle.cloudCalled)
+	s.cloud.Tag = s.launchOf
+	l, err := s.listen()
+	if err != nil {
+		return err
+	}
+	s.cloudHTTP = &httptest.Server{Listener: l, Config: &http.Server{Handler: s.cloud}}
+	s.cloudHTTP.Start()
+	return nil
 }
 
 func (s *site) addDaemons(o Options, network string) error {
@@ -180,7 +223,8 @@
 			config: standin.Daemon{
 				Name: fmt.Sprintf("d%d", i), IP: ip, Seeds: ips[:min(len(ips), 3)], Store: link.Address(),
 				Grace: grace, RetryRatio: siteBudget.ratio, RetrySlack: siteBudget.slack, RetryWindow: siteBudget.window,
-				LeaseTerm: time.Second,
+				LeaseTerm: leaseTerm, RevocationBound: revocationBound,
+				Cloud: s.cloudHTTP.Listener.Addr().String(), UsageWindow: usageWindow, UsageDue: usageDue,
 			},
 		}
 		if err := os.WriteFile(d.settings, []byte(d.config.SettingsFile()), settingsMode); err != nil {
@@ -196,6 +240,9 @@
 	return nil
 }
 
+// leaseTerm is the term of the lease for the whole site.
+const leaseTerm = time.Second
+
 // grace is the time that a daemon has to stop.
 const grace = 8 * time.Second
 
@@ -216,6 +263,9 @@
 	s.store.Close()
 	s.storeHTTP.CloseClientConnections()
 	s.storeHTTP.Close()
+	s.cloud.Close()
+	s.cloudHTTP.CloseClientConnections()
+	s.cloudHTTP.Close()
 }
 
 // killDaemons kills all daemons for good.
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -82,6 +82,12 @@
 		tryReplace(slot, func() { s.announceLeaving(slot, step) })
 	case BackOffServer:
 		s.backOffServer(slot, step)
+	case RotateKey:
+		s.rotateKey(step.Target % organisations)
+	case RevokeInOutage:
+		s.revokeInOutage(step)
+	case FailCloud:
+		s.failCloud(cloudFaults[step.Variant%len(cloudFaults)], step.For)
 	}
 }
 
