rules, entry, chutectl: API keys on the own interface

Why: keys are part of the product; only the platform's daemon checked them.

Change: a rule document may list organisations with key digests and a priority, and rules may be public (rules/organisations.go; messages never repeat a key).

Not done: proofs by peers on the own interface (each entry reads the log for itself, as before); engines of the own interface aren't told the organisation, their protocol has no place for it; its platform has no calls for usage or fleet size.

Tests: decisions by key, invalid documents, edits in place, commands, removal during the wait, stale keys, OnRead only after all records.

--- a/fleetsize/fleetsize.go
+++ b/fleetsize/fleetsize.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -19,8 +20,12 @@
 	TargetUtilisation float64
 	// PeakMemory is how long a peak of the demand is remembered.
 	PeakMemory time.Duration
-	// MeanTime is the time constant of the mean demand.
-	MeanTime time.Duration
+	// WorkUtilisation is the share of the upstreams' time that the recent demand may take while no
+	// more spot upstreams are to be had.
+	WorkUtilisation float64
+	// RecentTime is how far back the recent demand goes. It spans the swings that are too short for
+	// an order to answer.
+	RecentTime time.Duration
 	// ObservationTime is how long demand must have been seen before the number is reduced.
 	ObservationTime time.Duration
 	// RefusalBackoff is the first pause after spot upstreams weren't to be had, MaxBackoff the
@@ -32,7 +37,8 @@
 const (
 	defaultTargetUtilisation = 0.6
 	defaultPeakMemory        = time.Minute
-	defaultMeanTime          = 3 * time.Second
+	defaultWorkUtilisation   = 0.9
+	defaultRecentTime        = 8 * time.Second
 	defaultObservationTime   = 20 * time.Second
 	defaultRefusalBackoff    = 3 * time.Second
 	defaultMaxBackoff        = 10 * time.Second
@@ -41,7 +47,8 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.TargetUtilisation, defaultTargetUtilisation)
 	setDefault(&c.PeakMemory, defaultPeakMemory)
-	setDefault(&c.MeanTime, defaultMeanTime)
+	setDefault(&c.WorkUtilisation, defaultWorkUtilisation)
+	setDefault(&c.RecentTime, defaultRecentTime)
 	setDefault(&c.ObservationTime, defaultObservationTime)
 	setDefault(&c.RefusalBackoff, defaultRefusalBackoff)
 	setDefault(&c.MaxBackoff, defaultMaxBackoff)
@@ -112,6 +119,12 @@
 	backoff time.Duration
 }
 
+// sample is the demand at a time.
+type sample struct {
+	at     time.Time
+	demand float64
+}
+
 // Sizer decides the size of one pool. It isn't safe for concurrent use.
 type Sizer struct {
 	cfg      Config
@@ -122,9 +135,8 @@
 	// peak is the largest demand seen, at peakAt; demandSince is when demand was first seen.
 	peak                float64
 	peakAt, demandSince time.Time
-	// mean is the smoothed demand at observedAt.
-	mean       float64
-	observedAt time.Time
+	// recent are the demands seen in the last RecentTime.
+	recent []sample
 }
 
 // NewSizer returns a sizer that has given no orders.
@@ -151,7 +163,7 @@
 // needs returns what the pool needs.
 func (s *Sizer) needs(p Pool, now time.Time) needs {
 	s.observe(p.Demand, now)
-	n := needs{cover: max(1, ceil(s.peak/s.cfg.TargetUtilisation)), work: ceil(s.mean)}
+	n := needs{cover: max(1, ceil(s.peak/s.cfg.TargetUtilisation)), work: ceil(s.recentPeak() / s.cfg.WorkUtilisation)}
 	if s.demandSince.IsZero() || now.Sub(s.demandSince) < s.cfg.ObservationTime {
 		// The demand isn't known yet: what was there before is kept.
 		n.cover = max(n.cover, s.initialNeed(p))
@@ -160,7 +172,7 @@
 	return n
 }
 
-// observe updates the peak and the mean of the demand.
+// observe records the present demand.
 func (s *Sizer) observe(demand float64, now time.Time) {
 	if demand >= s.peak || now.Sub(s.peakAt) > s.cfg.PeakMemory {
 		s.peak, s.peakAt = demand, now
@@ -168,9 +180,16 @@
 	if s.demandSince.IsZero() && demand > minDemand {
 		s.demandSince = now
 	}
-	weight := 1 - math.Exp(-float64(now.Sub(s.observedAt))/float64(s.cfg.MeanTime))
-	s.mean += weight * (demand - s.mean)
-	s.observedAt = now
+	s.recent = slices.DeleteFunc(s.recent, func(old sample) bool { return now.Sub(old.at) > s.cfg.RecentTime })
+	s.recent = append(s.recent, sample{now, demand})
+}
+
+func (s *Sizer) recentPeak() float64 {
+	peak := 0.0
+	for _, seen := range s.recent {
+		peak = max(peak, seen.demand)
+	}
+	return peak
 }
 
 func ceil(x float64) int { return int(math.Ceil(x)) }
@@ -185,7 +204,7 @@
 
 // orders returns the orders that lead to a composition.
 func (s *Sizer) orders(p Pool, target []composition, n needs, now time.Time) []Order {
-	reason := fmt.Sprintf("%d must be left of %d and %d are busy, for a demand of %.1f, at most %.1f", n.cover, p.size(), n.work, s.mean, s.peak)
+	reason := fmt.Sprintf("%d must be left of %d and %d are busy, for a recent demand of %.1f, at most %.1f", n.cover, p.size(), n.work, s.recentPeak(), s.peak)
 	var orders []Order
 	for i, c := range p.Centres {
 		if p.SpotRatio > 0 && s.due(orderKey{c.Name, true}, c.Spot, target[i].spot, p.BootTime, now) {
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -84,6 +84,30 @@
 		help:    "The list includes conflicts and unknown outcomes.",
 		prepare: prepareHistory,
 	},
+	{
+		name:    "keys list",
+		summary: "lists the organisations and their API keys",
+		help:    "Keys are shown by their fingerprints, the first digits of their digests.",
+		prepare: prepareListKeys,
+	},
+	{
+		name: "keys add", arguments: "ORG", operands: 1,
+		summary: "adds an API key of an organisation, and the organisation if it is new",
+		help:    "The key is read from standard input or a file and never sent: the rules contain its\ndigest.",
+		prepare: prepareAddKey,
+	},
+	{
+		name: "keys rotate", arguments: "ORG", operands: 1,
+		summary: "adds an API key and removes all but it and the one before it",
+		help:    "Two keys are valid side by side, until the next rotation or \"keys remove\".",
+		prepare: prepareRotateKey,
+	},
+	{
+		name: "keys remove", arguments: "ORG KEY", operands: 2,
+		summary: "removes an API key",
+		help:    "KEY is the fingerprint that \"keys list\" shows. Says from when on no instance uses the key, also\none that is cut off from the log.",
+		prepare: prepareRemoveKey,
+	},
 	{
 		name:    "status",
 		summary: "shows instances, leaders and upstreams",
--- a/internal/entry/answer/open.go
+++ b/internal/entry/answer/open.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"tamarackchute/internal/dispatch"
@@ -21,6 +22,11 @@
 		if ctx.Err() != nil {
 			return a.ContextFailure(ctx)
 		}
+		if a.job.Admit != nil {
+			if err := a.job.Admit(); err != nil {
+				return a.fail(http.StatusUnauthorized, outcome.CodeUnauthorised, err, "the API key is no longer valid")
+			}
+		}
 		suspected, err := a.runner.CrashDetector.Check(a.job.Digest)
 		if err != nil {
 			return a.quarantineFailure(err)
--- a/internal/entry/answer/runner.go
+++ b/internal/entry/answer/runner.go
@@ -80,6 +80,8 @@
 	// Answer is the answer's id as the caller sees it.
 	Answer  string
 	Created time.Time
+	// Admit is asked before each attempt; an error ends the request. Nil admits it.
+	Admit func() error
 }
 
 // Start returns the answer of a request. Nothing is sent until its first Next.
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackchute/admission"
+	"tamarackchute/apikey"
 	"tamarackchute/internal/settings"
 	"tamarackchute/internal/wire"
 	"tamarackchute/rules"
@@ -153,6 +154,12 @@
 	return inForce.Set.Match(r), true
 }
 
+// Holds implements gateway.Rules.
+func (s ruleSource) Holds(key *apikey.Digest, organisation string) bool {
+	inForce := s.current()
+	return inForce != nil && inForce.Set.Holds(key, organisation)
+}
+
 func (s ruleSource) current() *rules.InForce {
 	inForce := s.replica.Current()
 	if inForce == nil || !inForce.Version.IsZero() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,9 +11,11 @@
 	"github.com/rotisserie/eris"
 
 	"tamarackchute/admission"
+	"tamarackchute/apikey"
 	"tamarackchute/claim"
 	"tamarackchute/infra"
 	"tamarackchute/internal/audit"
+	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/crash"
@@ -72,8 +74,10 @@
 	incarnation string
 	log         *slog.Logger
 
-	journal       *journal.Journal
-	replica       *rules.Replica
+	journal *journal.Journal
+	replica *rules.Replica
+	// keys says how recent the known rules are, for the use of API keys.
+	keys          *apikey.Freshness
 	ruleSource    ruleSource
 	trail         *audit.Trail
 	leases        *lease.View
@@ -121,6 +125,15 @@
 	return e, nil
 }
 
+// keyPollShare is the share of the revocation bound for which a read of the log may wait for a
+// record: the age of what is known of the rules counts from when the read was sent.
+const keyPollShare = 0.2
+
+// keyPollInterval returns how long a read of the log may wait; 0 for the default.
+func keyPollInterval(d *settings.Deployment) time.Duration {
+	return seconds(keyPollShare * d.Keys.RevocationSeconds)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (e *Entry) writer() string { return e.cfg.Instance + "/entry/" + e.incarnation }
@@ -128,7 +141,10 @@
 // buildJournal creates the journal and the views that are built from its entries.
 func (e *Entry) buildJournal() error {
 	d := e.cfg.Deployment
+	e.keys = apikey.NewFreshness(seconds(d.Keys.RevocationSeconds))
 	e.journal = journal.New(e.cfg.Log, journal.Config{
+		LongPoll:         keyPollInterval(d),
+		OnRead:           func(sentAt time.Duration) { e.keys.Record(apikey.Proof{SentAt: sentAt}, 0) },
 		Writer:           e.writer(),
 		Linger:           time.Duration(d.Protected.LingerMillis * float64(time.Millisecond)),
 		AppendsPerSecond: d.Platform.AppendsPerSecond / float64(len(d.Instances)),
@@ -222,6 +238,7 @@
 		Demand:      e.demand,
 		Ready:       e.ready,
 		Load:        e.load.get,
+		KeysUsable:  func() bool { return e.keys.MayUse(boottime.Now()) },
 		NewID:       uuid.NewString,
 		Scope:       e.cfg.Metrics.Scope,
 		Log:         e.log,
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -47,6 +47,8 @@
 	Request upstream.ServiceRequest
 	Route   router.Request
 	Retry   rules.RetryClass
+	// Admit is asked before each attempt; an error ends the request. Nil admits it.
+	Admit func() error
 }
 
 // retryAfterNoService is the Retry-After of a request that no service accepted.
@@ -61,6 +63,9 @@
 		if ctx.Err() != nil {
 			return upstream.ServiceResponse{}, c.contextFailure(ctx)
 		}
+		if err := c.admitted(); err != nil {
+			return upstream.ServiceResponse{}, c.fail(http.StatusUnauthorized, outcome.CodeUnauthorised, err, "the API key is no longer valid")
+		}
 		response, err := c.attempt(ctx)
 		if err == nil {
 			return response, nil
@@ -79,6 +84,13 @@
 	excluded   []string
 }
 
+func (c *call) admitted() error {
+	if c.job.Admit == nil {
+		return nil
+	}
+	return c.job.Admit()
+}
+
 // attempt sends the request once. It returns a *router.NoUpstreamError, and sends
 // nothing, if no service is available.
 func (c *call) attempt(ctx context.Context) (upstream.ServiceResponse, error) {
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -9,6 +9,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"tamarackchute/admission"
+	"tamarackchute/apikey"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/router"
@@ -40,8 +41,10 @@
 	method       string
 	path         string
 	organisation string
-	decision     rules.Decision
-	deadline     time.Time
+	// key is the digest of the caller's API key; nil if there is none.
+	key      *apikey.Digest
+	decision rules.Decision
+	deadline time.Time
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
@@ -57,6 +60,7 @@
 		path:         strings.Clone(c.Path()),
 		organisation: defaultOrganisation,
 	}
+	k.key = keyOf(c)
 	if name := c.Get(headerOrganisation); name != "" {
 		k.organisation = strings.Clone(name)
 	}
@@ -101,7 +105,7 @@
 
 // applyRules sets the decision of the first rule that matches, or returns its refusal.
 func (g *Gateway) applyRules(c *fiber.Ctx, k *call, r rules.Request) *outcome.Failure {
-	r.Path, r.Method, r.Organisation = k.path, k.method, k.organisation
+	r.Path, r.Method, r.Organisation, r.Key = k.path, k.method, k.organisation, k.key
 	r.DataCentre, r.Load = g.opts.DataCentre, g.deps.Load()
 	r.Header = func(name string) string { return c.Get(name) }
 	decision, known := g.deps.Rules.Match(r)
@@ -110,6 +114,9 @@
 			"this instance has not learnt the rules yet").WithRetryAfter(time.Second)
 	}
 	k.decision = decision
+	if f := g.identify(k); f != nil {
+		return f
+	}
 	if refuse := decision.Then.Refuse; refuse != nil {
 		code := outcome.CodeRefusedByRule
 		if !decision.Matched {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"tamarackchute/admission"
+	"tamarackchute/apikey"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/discovery"
@@ -27,6 +28,9 @@
 // Rules matches requests. Match reports false as long as no rules are loaded.
 type Rules interface {
 	Match(r rules.Request) (rules.Decision, bool)
+	// Holds reports whether an organisation still holds a key and the rules in force are known to
+	// be recent enough for it.
+	Holds(key *apikey.Digest, organisation string) bool
 }
 
 // Admission admits or refuses requests; admission.Controller implements it.
@@ -97,6 +101,9 @@
 	Demand      DemandRecorder
 	// Ready returns nil once the instance can serve.
 	Ready func() error
+	// KeysUsable reports whether the rules in force are known to be recent enough for the use of
+	// API keys; nil means that they always are.
+	KeysUsable func() bool
 	// Load returns the fraction of the capacity of the data centre's engines that is
 	// in use.
 	Load  func() float64
--- a/internal/entry/gateway/harness_test.go
+++ b/internal/entry/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"tamarackchute/admission"
+	"tamarackchute/apikey"
 	"tamarackchute/infra"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
@@ -150,6 +151,9 @@
 	// byPath, if set, replaces then; directory is nil if the test doesn't use it.
 	byPath    func(path string) rules.Then
 	directory gateway.Directory
+	// set, if set, decides instead; keysStale says that its keys can't be used.
+	set       *rules.Set
+	keysStale atomic.Bool
 }
 
 func (d *fakeDeps) Engine(name string) upstream.Engine {
@@ -161,7 +165,14 @@
 
 func (d *fakeDeps) Service(name string) upstream.Service { return d.services[name] }
 
+func (d *fakeDeps) Holds(key *apikey.Digest, organisation string) bool {
+	return d.set == nil || d.set.Holds(key, organisation)
+}
+
 func (d *fakeDeps) Match(r rules.Request) (rules.Decision, bool) {
+	if d.set != nil {
+		return d.set.Match(r), true
+	}
 	if d.byPath != nil {
 		return rules.Decision{Rule: "by path", Then: d.byPath(r.Path), Matched: true}, true
 	}
@@ -233,12 +244,13 @@
 			Tracker: tracker, Engines: deps, InFlight: deps, CrashDetector: crash.New(guard, deps.probe), RetryBudget: deps,
 			MemoryBudget: stream.NewMemoryBudget(1 << 20), MaxBufferedBytes: 1 << 10, MaxAttempts: 3, NewID: newID,
 		},
-		Services:  &forward.Runner{Tracker: tracker, Services: deps, RetryBudget: deps, MaxAttempts: 3, NewID: newID},
-		Protected: deps.protected,
-		Directory: deps.directory,
-		Signer:    stream.NewSigner([]byte("secret")),
-		Load:      func() float64 { return 0 },
-		NewID:     newID, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
+		Services:   &forward.Runner{Tracker: tracker, Services: deps, RetryBudget: deps, MaxAttempts: 3, NewID: newID},
+		Protected:  deps.protected,
+		Directory:  deps.directory,
+		Signer:     stream.NewSigner([]byte("secret")),
+		Load:       func() float64 { return 0 },
+		KeysUsable: func() bool { return !deps.keysStale.Load() },
+		NewID:      newID, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -111,6 +111,7 @@
 		Digest:  quarantine.DigestOf(request.Model, k.path, c.BodyRaw()),
 		Answer:  k.id,
 		Created: k.began,
+		Admit:   g.admitKey(k),
 	}
 }
 
--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -67,6 +67,7 @@
 			NoProbe:      then.Protected,
 		},
 		Retry: then.RetryClass(),
+		Admit: g.admitKey(k),
 	}
 	key := strings.Clone(c.Get(headerIdempotencyKey))
 	if f := checkKey(then.Protected, key); f != nil {
@@ -132,8 +133,14 @@
 		Body:   bytes.Clone(c.BodyRaw()),
 	}
 	for name, value := range c.Request().Header.All() {
+		if k.decision.Keyed && isIdentityHeader(string(name)) {
+			continue
+		}
 		r.Headers = append(r.Headers, upstream.Header{Name: string(name), Value: string(value)})
 	}
+	if k.decision.Organisation != "" {
+		r.Headers = append(r.Headers, upstream.Header{Name: headerOrganisation, Value: k.decision.Organisation})
+	}
 	return r
 }
 
--- a/internal/entry/outcome/outcome.go
+++ b/internal/entry/outcome/outcome.go
@@ -61,6 +61,8 @@
 	CodeKeyExpired          Code = "idempotency_key_expired"
 	CodeResponseNotRecorded Code = "answer_not_recorded"
 	CodeClaimFailed         Code = "claim_not_possible"
+	CodeUnauthorised        Code = "api_key_not_valid"
+	CodeKeysStale           Code = "api_keys_not_known"
 	CodeNoRule              Code = "no_rule_matches"
 	CodeRefusedByRule       Code = "refused_by_rule"
 	CodeRulesMissing        Code = "rules_not_loaded"
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -16,6 +16,8 @@
 	Lease     Lease      `json:"lease"`
 	Protected Protected  `json:"protected"`
 	Admission Admission  `json:"admission"`
+	// Keys is omitted when a deployment without it is encoded.
+	Keys Keys `json:"keys,omitzero"`
 	// Streams is omitted when a deployment without it is encoded.
 	Streams  Streams  `json:"streams,omitzero"`
 	Roles    Roles    `json:"roles"`
@@ -138,6 +140,13 @@
 	MaxRecordedBytes int `json:"max_recorded_bytes" validate:"gte=0"`
 }
 
+// Keys configures the callers' API keys, which the rules list.
+type Keys struct {
+	// RevocationSeconds is the time after its removal from which a key isn't used by any instance; 0
+	// means that there is no such bound.
+	RevocationSeconds float64 `json:"revocation_s" validate:"gte=0"`
+}
+
 // Admission configures admission control.
 type Admission struct {
 	// MaxQueued is the most requests that one entry queues.
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackchute/infra"
+	"tamarackchute/internal/boottime"
 )
 
 // maxReadRecords is the maximum number of records requested per read.
@@ -41,6 +42,7 @@
 	}
 	rctx, cancel := context.WithTimeout(ctx, 2*j.cfg.LongPoll)
 	defer cancel()
+	sentAt := boottime.Now()
 	res, err := j.log.Read(rctx, from, maxReadRecords, wait)
 	readAt := time.Now()
 
@@ -64,9 +66,19 @@
 	for _, r := range res.Records {
 		j.applyRecord(r, readAt)
 	}
+	if j.cfg.OnRead != nil && j.hasRead(res.Next) {
+		j.cfg.OnRead(sentAt)
+	}
 	return j.checkProgress(ctx, res)
 }
 
+// hasRead reports whether all records before an offset have been read.
+func (j *Journal) hasRead(end infra.Offset) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.next >= end
+}
+
 // readFrom returns the next offset to read, and whether it is the first read.
 func (j *Journal) readFrom() (from infra.Offset, first bool) {
 	j.mu.Lock()
--- a/journal/runtime.go
+++ b/journal/runtime.go
@@ -53,6 +53,9 @@
 	// LongPoll is how long a read waits for the next record, two seconds by
 	// default. An outage is detected after at most twice that time.
 	LongPoll time.Duration
+	// OnRead is called after each read whose records have been applied, with the time at which it
+	// was sent, by a clock that runs while the machine is suspended. Nil does nothing.
+	OnRead func(sentAt time.Duration)
 	// Logger receives the journal's log messages; slog.Default() if nil.
 	Logger *slog.Logger
 }
--- a/rules/check.go
+++ b/rules/check.go
@@ -89,7 +89,7 @@
 	if refusal.Reason == "" {
 		fail("reason", "refuse has no reason")
 	}
-	for _, field := range []string{"pool", "priority", "deadline_ms", "protected", "retry", "limit", "class"} {
+	for _, field := range []string{"pool", "priority", "deadline_ms", "protected", "public", "retry", "limit", "class"} {
 		if _, given := s.then[field]; given {
 			fail(field, "contradictory: a request that is refused can't have %s", field)
 		}
--- a/rules/diff.go
+++ b/rules/diff.go
@@ -52,7 +52,7 @@
 		return nil, nil
 	}
 	c := &collector{src: document}
-	sources := decode(c)
+	sources := decode(c, &Set{})
 	list := make([]Rule, len(sources))
 	for i := range sources {
 		list[i] = sources[i].rule
--- a/rules/document.go
+++ b/rules/document.go
@@ -37,8 +37,8 @@
 var hujsonPosition = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
 
 // decode parses the document's structure and reports fields that are unknown,
-// missing, duplicated or of the wrong type.
-func decode(c *collector) []ruleSource {
+// missing, duplicated or of the wrong type. It sets the organisations of s.
+func decode(c *collector, s *Set) []ruleSource {
 	if len(c.src) > MaxDocumentBytes {
 		c.add(0, "", "the document has %d bytes, more than %d", len(c.src), MaxDocumentBytes)
 		return nil
@@ -51,7 +51,8 @@
 	var list *hujson.Value
 	d := decoder{c: c}
 	d.object(&value, "the document", map[string]fieldSpec{
-		"rules": {required: true, read: func(v *hujson.Value) { list = v }},
+		"rules":         {required: true, read: func(v *hujson.Value) { list = v }},
+		"organisations": {read: func(v *hujson.Value) { s.keys = decodeOrganisations(c, v) }},
 	})
 	if list == nil {
 		return nil
@@ -130,6 +131,7 @@
 		"priority":    field("priority", &t.Priority),
 		"deadline_ms": field("deadline_ms", &t.DeadlineMillis),
 		"protected":   field("protected", &t.Protected),
+		"public":      field("public", &t.Public),
 		"retry":       field("retry", &t.Retry),
 		"class":       field("class", &t.Class),
 		"refuse": recorded("refuse", func(v *hujson.Value) {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -12,11 +12,17 @@
 // The first rule whose condition holds decides.
 package rules
 
-import "time"
+import (
+	"time"
+
+	"tamarackchute/apikey"
+)
 
 // Document is a rule set as written by operators.
 type Document struct {
 	Rules []Rule `json:"rules"`
+	// Organisations is nil if no rule needs a key.
+	Organisations []Organisation `json:"organisations,omitempty"`
 }
 
 // Rule is one entry of the ordered list.
@@ -41,6 +47,8 @@
 	// Protected makes the request run at most once. The caller must send an
 	// Idempotency-Key.
 	Protected bool `json:"protected,omitempty"`
+	// Public lets requests without an API key pass, if the document has organisations.
+	Public bool `json:"public,omitempty"`
 	// Retry says after which failures a request is retried; empty means
 	// RetryUnsent.
 	Retry RetryClass `json:"retry,omitempty"`
@@ -119,10 +127,13 @@
 // Request holds the properties of a request that conditions can use. Match
 // retains none of its strings.
 type Request struct {
-	Model        string
-	Path         string
-	Method       string
+	Model  string
+	Path   string
+	Method string
+	// Organisation is replaced by the holder of Key if the document has organisations.
 	Organisation string
+	// Key is the digest of the caller's API key; nil if there is none.
+	Key *apikey.Digest
 	// Header returns the first value of a header by its lower-case name, or
 	// "". It may be nil.
 	Header func(name string) string
@@ -144,6 +155,11 @@
 	// Then is the rule's consequence. Without a match it is a refusal.
 	Then    Then
 	Matched bool
+	// Keyed says that the document has organisations. Organisation is the holder of the request's
+	// key then, empty if it has none; Unauthorised says that the rule needs one.
+	Keyed        bool
+	Organisation string
+	Unauthorised bool
 }
 
 // NoMatchStatus and NoMatchReason are the refusal of a request for which no rule
--- a/rules/set.go
+++ b/rules/set.go
@@ -6,12 +6,16 @@
 
 	"github.com/expr-lang/expr/conf"
 	"github.com/expr-lang/expr/vm"
+
+	"tamarackchute/apikey"
 )
 
 // Set is a compiled rule set. It is immutable and safe for concurrent use.
 type Set struct {
 	document []byte
 	rules    []Rule
+	// keys is nil if the document has no organisations.
+	keys     *apikey.Set
 	compiled []compiledRule
 	machines sync.Pool
 	failures atomic.Uint64
@@ -27,8 +31,8 @@
 // lists all problems.
 func Parse(src []byte, known KnownNames) (*Set, error) {
 	c := &collector{src: src}
-	sources := decode(c)
 	s := &Set{document: src}
+	sources := decode(c, s)
 	s.machines.New = func() any { return new(vm.VM) }
 	forms := make([]normalForm, len(sources))
 	config := conditionConfig()
@@ -83,6 +87,18 @@
 // Match returns the decision of the first rule that holds. The decision doesn't
 // refer to the request's strings.
 func (s *Set) Match(r Request) Decision {
+	if s.keys == nil {
+		return s.match(r)
+	}
+	holder := s.holder(&r)
+	r.Organisation = ""
+	if holder != nil {
+		r.Organisation = holder.Name
+	}
+	return s.identify(s.match(r), holder)
+}
+
+func (s *Set) match(r Request) Decision {
 	var e evaluation
 	defer e.release(s)
 	for i := range s.compiled {
