--- a/fleetsize/compose.go
+++ b/fleetsize/compose.go
@@ -11,7 +11,7 @@
 // needs are the numbers of upstreams that a pool needs.
 type needs struct {
 	// cover must be left after the loss of any one data centre's spot upstreams, as far as spot
-	// upstreams can be had for it. work is what the present demand keeps busy.
+	// upstreams can be had for it. work is needed for the demand in any case.
 	cover, work int
 	// floor is the least number before any loss.
 	floor int
@@ -81,6 +81,10 @@
 		}
 	}
 	missing := n.work - size(all)
+	if len(available) == 1 {
+		all[available[0]].spot += min(max(0, missing), p.Max-all[available[0]].spot)
+		missing = n.work - size(all)
+	}
 	for _, i := range byPrice(p) {
 		regular := min(max(0, missing), p.Max-all[i].spot)
 		all[i].regular = max(regular, p.Min-all[i].spot)
@@ -107,8 +111,9 @@
 }
 
 // keepServing returns the composition to order now. Upstreams are given back only as far as those
-// that serve already are enough without them: what was ordered may not come.
-func keepServing(p Pool, target []composition, n needs) []composition {
+// that serve already are enough without them: what was ordered may not come. booting returns the
+// regular upstreams of a data centre that may still come.
+func keepServing(p Pool, target []composition, n needs, booting func(centre string) int) []composition {
 	serving := make([]composition, len(p.Centres))
 	for i, c := range p.Centres {
 		serving[i] = composition{regular: c.Regular, spot: c.Spot}
@@ -117,13 +122,14 @@
 	enoughAfterLoss := func() bool { return left(serving) >= n.cover && enoughForWork() }
 	mayGiveRegular := enoughForWork
 	if p.SpotRatio <= 0 {
-		mayGiveRegular = enoughAfterLoss
+		mayGiveRegular = func() bool { return size(serving) >= max(n.cover, n.floor) }
 	}
 	next := slices.Clone(target)
 	for i := range next {
 		next[i].regular = giveBack(&serving[i].regular, target[i].regular, mayGiveRegular)
 		next[i].spot = giveBack(&serving[i].spot, target[i].spot, enoughAfterLoss)
-		if over := next[i].regular + next[i].spot - p.Max; over > 0 {
+		coming := max(next[i].regular, booting(p.Centres[i].Name))
+		if over := coming + next[i].spot - p.Max; over > 0 {
 			next[i].spot = max(0, next[i].spot-over)
 		}
 	}
--- a/fleetsize/fleetsize.go
+++ b/fleetsize/fleetsize.go
@@ -9,7 +9,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -20,12 +19,8 @@
 	TargetUtilisation float64
 	// PeakMemory is how long a peak of the demand is remembered.
 	PeakMemory time.Duration
-	// WorkUtilisation is the share of the upstreams' time that the recent demand may take while no
-	// more spot upstreams are to be had.
+	// WorkUtilisation is the same while there are no more spot upstreams to be had for a cover.
 	WorkUtilisation float64
-	// RecentTime is how far back the recent demand goes. It spans the swings that are too short for
-	// an order to answer.
-	RecentTime time.Duration
 	// ObservationTime is how long demand must have been seen before the number is reduced.
 	ObservationTime time.Duration
 	// RefusalBackoff is the first pause after spot upstreams weren't to be had, MaxBackoff the
@@ -38,17 +33,15 @@
 	defaultTargetUtilisation = 0.6
 	defaultPeakMemory        = time.Minute
 	defaultWorkUtilisation   = 0.9
-	defaultRecentTime        = 8 * time.Second
 	defaultObservationTime   = 20 * time.Second
-	defaultRefusalBackoff    = 3 * time.Second
-	defaultMaxBackoff        = 10 * time.Second
+	defaultRefusalBackoff    = time.Second
+	defaultMaxBackoff        = 3 * time.Second
 )
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.TargetUtilisation, defaultTargetUtilisation)
 	setDefault(&c.PeakMemory, defaultPeakMemory)
 	setDefault(&c.WorkUtilisation, defaultWorkUtilisation)
-	setDefault(&c.RecentTime, defaultRecentTime)
 	setDefault(&c.ObservationTime, defaultObservationTime)
 	setDefault(&c.RefusalBackoff, defaultRefusalBackoff)
 	setDefault(&c.MaxBackoff, defaultMaxBackoff)
@@ -119,12 +112,6 @@
 	backoff time.Duration
 }
 
-// sample is the demand at a time.
-type sample struct {
-	at     time.Time
-	demand float64
-}
-
 // Sizer decides the size of one pool. It isn't safe for concurrent use.
 type Sizer struct {
 	cfg      Config
@@ -135,8 +122,6 @@
 	// peak is the largest demand seen, at peakAt; demandSince is when demand was first seen.
 	peak                float64
 	peakAt, demandSince time.Time
-	// recent are the demands seen in the last RecentTime.
-	recent []sample
 }
 
 // NewSizer returns a sizer that has given no orders.
@@ -154,7 +139,18 @@
 	}
 	n := s.needs(p, now)
 	target := compose(p, n, func(centre string) bool { return now.Before(s.refusals[centre].until) })
-	return s.orders(p, keepServing(p, target, n), n, now)
+	booting := func(centre string) int { return s.booting(centre, p.BootTime, now) }
+	return s.orders(p, keepServing(p, target, n, booting), n, now)
+}
+
+// booting returns the number of regular upstreams last ordered in a data centre, while they may still
+// come.
+func (s *Sizer) booting(centre string, bootTime time.Duration, now time.Time) int {
+	last, ordered := s.placed[orderKey{centre, false}]
+	if !ordered || now.Sub(last.at) > bootTime+settleMargin {
+		return 0
+	}
+	return last.count
 }
 
 // minDemand is the demand from which a pool counts as used.
@@ -163,7 +159,7 @@
 // needs returns what the pool needs.
 func (s *Sizer) needs(p Pool, now time.Time) needs {
 	s.observe(p.Demand, now)
-	n := needs{cover: max(1, ceil(s.peak/s.cfg.TargetUtilisation)), work: ceil(s.recentPeak() / s.cfg.WorkUtilisation)}
+	n := needs{cover: max(1, ceil(s.peak/s.cfg.TargetUtilisation)), work: ceil(s.peak / s.cfg.WorkUtilisation)}
 	if s.demandSince.IsZero() || now.Sub(s.demandSince) < s.cfg.ObservationTime {
 		// The demand isn't known yet: what was there before is kept.
 		n.cover = max(n.cover, s.initialNeed(p))
@@ -180,16 +176,6 @@
 	if s.demandSince.IsZero() && demand > minDemand {
 		s.demandSince = now
 	}
-	s.recent = slices.DeleteFunc(s.recent, func(old sample) bool { return now.Sub(old.at) > s.cfg.RecentTime })
-	s.recent = append(s.recent, sample{now, demand})
-}
-
-func (s *Sizer) recentPeak() float64 {
-	peak := 0.0
-	for _, seen := range s.recent {
-		peak = max(peak, seen.demand)
-	}
-	return peak
 }
 
 func ceil(x float64) int { return int(math.Ceil(x)) }
@@ -204,7 +190,7 @@
 
 // orders returns the orders that lead to a composition.
 func (s *Sizer) orders(p Pool, target []composition, n needs, now time.Time) []Order {
-	reason := fmt.Sprintf("%d must be left of %d and %d are busy, for a recent demand of %.1f, at most %.1f", n.cover, p.size(), n.work, s.recentPeak(), s.peak)
+	reason := fmt.Sprintf("%d must be left of %d, and %d in any case, for a demand of %.1f, at most %.1f", n.cover, p.size(), n.work, p.Demand, s.peak)
 	var orders []Order
 	for i, c := range p.Centres {
 		if p.SpotRatio > 0 && s.due(orderKey{c.Name, true}, c.Spot, target[i].spot, p.BootTime, now) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -41,7 +41,7 @@
 	minAssumedDaemons = 10
 	// peerSecret isn't confidential: the platform's network is closed, and its settings hold
 	// nothing known only to the system's processes. It rejects other protocols.
-	peerSecret = "tamarackchute member exchange, protocol 3"
+	peerSecret = "tamarackchute member exchange, protocol 4"
 	// replacedTimeout is how long all daemons avoid an upstream whose address now belongs to
 	// another one: its store entry lapses after three missed heartbeats.
 	replacedTimeout = 3 * time.Second
