status, soak: what is known of keys, by fingerprint; no key in a log

The status page, gauges and chutectl daemons show whether keys are usable and how old their proof is. The soak reads the daemons' logs at the end of a run and reports any key in them.

--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -104,6 +104,8 @@
 	switch {
 	case d.ShuttingDown:
 		return "stopping"
+	case d.Ready && d.KeysUsable != nil && !*d.KeysUsable:
+		return "ready, keys stale"
 	case d.Ready:
 		return "ready"
 	default:
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -6,7 +6,6 @@
 	"io"
 	"os"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,16 +53,15 @@
 		fmt.Fprintln(s.Stdout, "no organisations: no rule needs a key")
 		return nil
 	}
-	w := tabwriter.NewWriter(s.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "ORGANISATION\tPRIORITY\tKEYS")
+	t := s.table("ORGANISATION", "PRIORITY", "KEYS")
 	for _, v := range views {
 		priority := "-"
 		if v.Priority != nil {
 			priority = fmt.Sprint(*v.Priority)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\n", v.Name, priority, strings.Join(v.Keys, " "))
+		t.row(v.Name, priority, strings.Join(v.Keys, " "))
 	}
-	return w.Flush()
+	return t.flush()
 }
 
 // connectedRules returns a client with the rules in force.
@@ -76,29 +74,21 @@
 	return c, current, err
 }
 
-func prepareAddKey(flags *flag.FlagSet) runner {
-	file := flags.String("key-file", "-", "`file` that holds the key; - for standard input")
-	note := flags.String("note", "", "`text` for the history and the audit trail")
-	return func(s *session, operands []string) error {
-		key, err := s.readKey(*file)
-		if err != nil {
-			return err
-		}
-		change := func(document []byte) ([]byte, error) { return rules.AddKey(document, operands[0], key) }
-		return s.changeKeys(change, orElse(*note, "add key "+key.Fingerprint()+" of "+operands[0]))
-	}
-}
+func prepareAddKey(flags *flag.FlagSet) runner { return prepareNewKey(flags, "add", rules.AddKey) }
 
-func prepareRotateKey(flags *flag.FlagSet) runner {
-	file := flags.String("key-file", "-", "`file` that holds the new key; - for standard input")
+func prepareRotateKey(flags *flag.FlagSet) runner { return prepareNewKey(flags, "rotate to", rotate) }
+
+// prepareNewKey prepares a command that adds a key to an organisation.
+func prepareNewKey(flags *flag.FlagSet, verb string, change func(document []byte, organisation string, key apikey.Digest) ([]byte, error)) runner {
+	file := flags.String("key-file", "-", "`file` that holds the key; - for standard input")
 	note := flags.String("note", "", "`text` for the history and the audit trail")
 	return func(s *session, operands []string) error {
 		key, err := s.readKey(*file)
 		if err != nil {
 			return err
 		}
-		change := func(document []byte) ([]byte, error) { return rotate(document, operands[0], key) }
-		return s.changeKeys(change, orElse(*note, "rotate keys of "+operands[0]+" to "+key.Fingerprint()))
+		apply := func(document []byte) ([]byte, error) { return change(document, operands[0], key) }
+		return s.changeKeys(apply, orElse(*note, fmt.Sprintf("%s key %s of %s", verb, key.Fingerprint(), operands[0])))
 	}
 }
 
--- a/internal/daemonstatus/status.go
+++ b/internal/daemonstatus/status.go
@@ -20,11 +20,23 @@
 	StoreEra uint64 `json:"store_era"`
 	// UpstreamsAgeMS is the time since the list of upstreams was last read, by this daemon or by
 	// a peer with the same list.
-	UpstreamsAgeMS float64       `json:"upstreams_age_ms"`
-	Lease          Lease         `json:"lease"`
-	Peers          []Peer        `json:"peers"`
-	Upstreams      []Upstream    `json:"upstreams"`
-	RetryBudgets   []RetryBudget `json:"budgets"`
+	UpstreamsAgeMS float64 `json:"upstreams_age_ms"`
+	// KeysUsable says that API keys may be used, KeysProvenAgeMS the age of the proof that they are
+	// current; both only where removed keys must not be used beyond a bound.
+	KeysUsable      *bool          `json:"keys_usable,omitempty"`
+	KeysProvenAgeMS *float64       `json:"keys_proven_ms,omitempty"`
+	Organisations   []Organisation `json:"organisations,omitempty"`
+	Lease           Lease          `json:"lease"`
+	Peers           []Peer         `json:"peers"`
+	Upstreams       []Upstream     `json:"upstreams"`
+	RetryBudgets    []RetryBudget  `json:"budgets"`
+}
+
+// Organisation is one of the callers' organisations.
+type Organisation struct {
+	Name string `json:"name"`
+	// Keys are the fingerprints of its API keys.
+	Keys []string `json:"keys"`
 }
 
 // Lease is the daemon's part in the lease whose holder orders role changes.
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -102,6 +102,14 @@
 	s.Gauge("upstreams_age_seconds").Update(summary.ListAge.Seconds())
 	s.Gauge("daemons_known").Update(float64(m.peers.KnownCount()))
 	s.Gauge("daemons_serving").Update(float64(len(m.peers.Serving())))
+	if m.keys.enforced() {
+		usable := 0.0
+		if m.keys.mayUse() {
+			usable = 1
+		}
+		s.Gauge("keys_usable").Update(usable)
+		s.Gauge("keys_proven_age_seconds").Update(m.keys.age(m.keys.now()).Seconds())
+	}
 	isRoot := 0.0
 	if m.peers.IsRoot() {
 		isRoot = 1
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -21,6 +21,7 @@
 		ConfigVersion: summary.Config, StoreEra: m.cfg.Store.Eras().Current(), UpstreamsAgeMS: telemetry.Millis(summary.ListAge),
 		Peers: m.peers.peerStatuses(time.Now()), Upstreams: m.upstreamStatuses(m.state.Snapshot()), RetryBudgets: []daemonstatus.RetryBudget{},
 	}
+	m.addKeyStatus(&d)
 	if l := m.lease.Load(); l != nil {
 		d.Lease = *l
 	}
@@ -30,6 +31,25 @@
 	return d
 }
 
+// addKeyStatus adds what is known of API keys.
+func (m *Member) addKeyStatus(d *daemonstatus.Daemon) {
+	c := m.state.Snapshot().Config
+	if c == nil || c.Keys == nil {
+		return
+	}
+	for _, o := range c.Keys.Organisations() {
+		status := daemonstatus.Organisation{Name: o.Name, Keys: make([]string, 0, len(o.Keys))}
+		for _, key := range o.Keys {
+			status.Keys = append(status.Keys, key.Fingerprint())
+		}
+		d.Organisations = append(d.Organisations, status)
+	}
+	if m.keys.enforced() {
+		usable, age := m.keys.mayUse(), telemetry.Millis(m.keys.age(m.keys.now()))
+		d.KeysUsable, d.KeysProvenAgeMS = &usable, &age
+	}
+}
+
 func (m *Member) upstreamStatuses(s *fleet.Snapshot) []daemonstatus.Upstream {
 	all := make([]daemonstatus.Upstream, 0, len(s.Upstreams))
 	for _, u := range s.Upstreams {
--- a/internal/soak/access.go
+++ b/internal/soak/access.go
@@ -1,10 +1,14 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"tamarackchute/platform/standin"
 )
 
@@ -95,6 +99,24 @@
 	return keys[len(keys)-2]
 }
 
+// checkLogs reports keys in the daemons' logs.
+func (s *site) checkLogs() error {
+	for _, d := range s.daemons {
+		text, err := os.ReadFile(d.logs)
+		if err != nil {
+			return eris.Wrap(err, "read daemon log")
+		}
+		for _, keys := range s.access.keys {
+			for _, key := range keys {
+				if bytes.Contains(text, []byte(key.text)) {
+					s.oracle.report(KeysStayInside, "the log of daemon %d contains a key of %s", d.number, key.organisation)
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // keyChanged records that a configuration with a new key and without an old one was acknowledged.
 func (o *oracle) keyChanged(added, removed *accessKey) {
 	o.mu.Lock()
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -30,7 +30,7 @@
 	OwnPrefill             Promise = "a request goes on only from its own prefill"
 	DrainNoticeRespected   Promise = "a server that says it leaves gets nothing new from a daemon that has passed this on"
 	BackoffRespected       Promise = "a server that asks for a backoff gets it"
-	KeysStayInside         Promise = "servers are told the caller's organisation and never a key"
+	KeysStayInside         Promise = "servers are told the caller's organisation and never a key, nor do logs have one"
 	RevocationHolds        Promise = "a key isn't used any more soon after its removal"
 	ValidKeysAccepted      Promise = "a valid key isn't refused"
 	OneReport              Promise = "a window's usage is reported in one way only"
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -92,6 +92,9 @@
 	}
 	s.oracle.finish(siteBudget, len(s.daemons))
 	s.oracle.checkOrders(s.orders())
+	if err := s.checkLogs(); err != nil {
+		return nil, err
+	}
 	report.Violations = s.oracle.Violations()
 	report.Outcomes = s.oracle.counts
 	return report, nil
