fleetsize: offered responses count as demand; regular upstreams stay until spot ones serve

Change: daemons report the engine time of all responses asked for (DecodeEngines beside PrefillEngines); spot upstreams are planned at 0.4 of their time after a loss, since they cost little, all others at 0.75; where spot ones were refused, those planned aren't counted on; regular ones stay in the data centre where they are or boot.

--- a/fleetsize/compose.go
+++ b/fleetsize/compose.go
@@ -13,18 +13,24 @@
 	// cover must be left after the loss of any one data centre's spot upstreams, as far as spot
 	// upstreams can be had for it. work is needed for the demand in any case.
 	cover, work int
-	// floor is the least number before any loss.
-	floor int
 }
 
-// compose returns the cheapest composition for what a pool needs. refused reports where no more
-// spot upstreams are to be had.
-func compose(p Pool, n needs, refused func(centre string) bool) []composition {
-	regular := composeRegular(p, n.cover)
+// supply says what is to be had, and what is to come.
+type supply struct {
+	// refused reports where none are ordered for now. doubtful reports where the last order was
+	// refused: those planned there may be ordered, but aren't counted on.
+	refused, doubtful func(centre string) bool
+	// booting returns the regular upstreams of a data centre that may still come.
+	booting func(centre string) int
+}
+
+// compose returns the cheapest composition for what a pool needs.
+func compose(p Pool, n needs, spots supply) []composition {
+	regular := composeRegular(p, max(1, n.work))
 	if p.SpotRatio <= 0 {
 		return regular
 	}
-	if spot := composeSpot(p, n, refused); cost(p, spot) < cost(p, regular) {
+	if spot := composeSpot(p, n, spots); cost(p, spot) < cost(p, regular) {
 		return spot
 	}
 	return regular
@@ -65,12 +71,12 @@
 // at least two, and keeps those present in the others. Regular ones, in the cheapest data centres,
 // only do work for which there are too few: as a mere cover they would cost several times as much
 // as what a loss costs until they boot.
-func composeSpot(p Pool, n needs, refused func(centre string) bool) []composition {
+func composeSpot(p Pool, n needs, spots supply) []composition {
 	all := make([]composition, len(p.Centres))
 	var available []int
 	for i, c := range p.Centres {
 		all[i].spot = min(c.Spot, p.Max)
-		if !refused(c.Name) {
+		if !spots.refused(c.Name) {
 			available = append(available, i)
 		}
 	}
@@ -80,19 +86,53 @@
 			all[i].spot = min(max(each, p.Min), p.Max)
 		}
 	}
-	missing := n.work - size(all)
-	if len(available) == 1 {
-		all[available[0]].spot += min(max(0, missing), p.Max-all[available[0]].spot)
-		missing = n.work - size(all)
-	}
-	for _, i := range byPrice(p) {
-		regular := min(max(0, missing), p.Max-all[i].spot)
-		all[i].regular = max(regular, p.Min-all[i].spot)
-		missing -= regular
+	missing := n.work - countedOn(p, all, spots)
+	if len(available) == 1 && missing > 0 {
+		i := available[0]
+		all[i].spot = min(max(all[i].spot, p.Centres[i].Spot+missing), p.Max)
+		missing = n.work - countedOn(p, all, spots)
 	}
+	addRegular(p, all, missing, spots)
 	return all
 }
 
+// addRegular adds regular upstreams, first where there are some or some may still come: moving them
+// from one data centre to another would cancel them before they serve.
+func addRegular(p Pool, all []composition, missing int, spots supply) {
+	room := func(i int) int {
+		spot := all[i].spot
+		if spots.doubtful(p.Centres[i].Name) {
+			spot = p.Centres[i].Spot
+		}
+		return max(0, p.Max-spot-all[i].regular)
+	}
+	order := byPrice(p)
+	for _, i := range order {
+		kept := min(max(0, missing), room(i), max(p.Centres[i].Regular, spots.booting(p.Centres[i].Name)))
+		all[i].regular += kept
+		missing -= kept
+	}
+	for _, i := range order {
+		added := min(max(0, missing), room(i))
+		all[i].regular += added
+		missing -= added
+		all[i].regular = max(all[i].regular, p.Min-all[i].spot)
+	}
+}
+
+// countedOn returns the spot upstreams that serve or are sure to come.
+func countedOn(p Pool, all []composition, spots supply) int {
+	n := 0
+	for i, c := range p.Centres {
+		if spots.doubtful(c.Name) {
+			n += min(c.Spot, all[i].spot)
+			continue
+		}
+		n += all[i].spot
+	}
+	return n
+}
+
 // left returns what is left after the loss of the data centre with the most spot upstreams.
 func left(all []composition) int {
 	most := 0
@@ -111,18 +151,18 @@
 }
 
 // keepServing returns the composition to order now. Upstreams are given back only as far as those
-// that serve already are enough without them: what was ordered may not come. booting returns the
-// regular upstreams of a data centre that may still come.
+// that serve already are enough without them: what was ordered may not come. booting is that of the
+// supply.
 func keepServing(p Pool, target []composition, n needs, booting func(centre string) int) []composition {
 	serving := make([]composition, len(p.Centres))
 	for i, c := range p.Centres {
 		serving[i] = composition{regular: c.Regular, spot: c.Spot}
 	}
-	enoughForWork := func() bool { return size(serving) >= max(n.work, n.floor) }
+	enoughForWork := func() bool { return size(serving) >= n.work }
 	enoughAfterLoss := func() bool { return left(serving) >= n.cover && enoughForWork() }
 	mayGiveRegular := enoughForWork
 	if p.SpotRatio <= 0 {
-		mayGiveRegular = func() bool { return size(serving) >= max(n.cover, n.floor) }
+		mayGiveRegular = func() bool { return size(serving) >= max(1, n.work) }
 	}
 	next := slices.Clone(target)
 	for i := range next {
--- a/fleetsize/fleetsize.go
+++ b/fleetsize/fleetsize.go
@@ -14,13 +14,13 @@
 
 // Config configures a Sizer. Zero values select the defaults.
 type Config struct {
-	// TargetUtilisation is the share of the upstreams' time that the peak demand may take after
-	// the loss of a data centre's spot upstreams.
-	TargetUtilisation float64
+	// SpotUtilisation is the share of the upstreams' time that the peak demand may take after the
+	// loss of a data centre's spot upstreams. It is low, since they cost little.
+	SpotUtilisation float64
+	// WorkUtilisation is the same without such a loss, and for regular upstreams.
+	WorkUtilisation float64
 	// PeakMemory is how long a peak of the demand is remembered.
 	PeakMemory time.Duration
-	// WorkUtilisation is the same while there are no more spot upstreams to be had for a cover.
-	WorkUtilisation float64
 	// ObservationTime is how long demand must have been seen before the number is reduced.
 	ObservationTime time.Duration
 	// RefusalBackoff is the first pause after spot upstreams weren't to be had, MaxBackoff the
@@ -30,16 +30,16 @@
 
 // Defaults of Config.
 const (
-	defaultTargetUtilisation = 0.6
-	defaultPeakMemory        = time.Minute
-	defaultWorkUtilisation   = 0.9
-	defaultObservationTime   = 20 * time.Second
-	defaultRefusalBackoff    = time.Second
-	defaultMaxBackoff        = 3 * time.Second
+	defaultSpotUtilisation = 0.4
+	defaultWorkUtilisation = 0.75
+	defaultPeakMemory      = time.Minute
+	defaultObservationTime = 20 * time.Second
+	defaultRefusalBackoff  = time.Second
+	defaultMaxBackoff      = 3 * time.Second
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.TargetUtilisation, defaultTargetUtilisation)
+	setDefault(&c.SpotUtilisation, defaultSpotUtilisation)
 	setDefault(&c.PeakMemory, defaultPeakMemory)
 	setDefault(&c.WorkUtilisation, defaultWorkUtilisation)
 	setDefault(&c.ObservationTime, defaultObservationTime)
@@ -119,9 +119,11 @@
 	refusals map[string]refusal
 	// initial is the size at the first decision.
 	initial int
-	// peak is the largest demand seen, at peakAt; demandSince is when demand was first seen.
-	peak                float64
-	peakAt, demandSince time.Time
+	// peak is the largest demand seen, at peakAt.
+	peak   float64
+	peakAt time.Time
+	// demandSince is when demand was first seen.
+	demandSince time.Time
 }
 
 // NewSizer returns a sizer that has given no orders.
@@ -138,8 +140,12 @@
 		s.initial = p.size()
 	}
 	n := s.needs(p, now)
-	target := compose(p, n, func(centre string) bool { return now.Before(s.refusals[centre].until) })
 	booting := func(centre string) int { return s.booting(centre, p.BootTime, now) }
+	target := compose(p, n, supply{
+		booting:  booting,
+		refused:  func(centre string) bool { return now.Before(s.refusals[centre].until) },
+		doubtful: func(centre string) bool { return s.refusals[centre] != (refusal{}) },
+	})
 	return s.orders(p, keepServing(p, target, n, booting), n, now)
 }
 
@@ -159,11 +165,11 @@
 // needs returns what the pool needs.
 func (s *Sizer) needs(p Pool, now time.Time) needs {
 	s.observe(p.Demand, now)
-	n := needs{cover: max(1, ceil(s.peak/s.cfg.TargetUtilisation)), work: ceil(s.peak / s.cfg.WorkUtilisation)}
+	n := needs{cover: max(1, ceil(s.peak/s.cfg.SpotUtilisation)), work: ceil(s.peak / s.cfg.WorkUtilisation)}
 	if s.demandSince.IsZero() || now.Sub(s.demandSince) < s.cfg.ObservationTime {
 		// The demand isn't known yet: what was there before is kept.
 		n.cover = max(n.cover, s.initialNeed(p))
-		n.floor = s.initial
+		n.work = max(n.work, s.initial)
 	}
 	return n
 }
--- a/internal/member/keys.go
+++ b/internal/member/keys.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"tamarackchute/apikey"
 	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/fleet"
@@ -114,7 +116,9 @@
 
 // Serve implements suture.Service.
 func (p *keyProver) Serve(ctx context.Context) error {
-	go p.followEras(ctx)
+	var eras conc.WaitGroup
+	eras.Go(func() { p.followEras(ctx) })
+	defer eras.Wait()
 	search := apikey.Search{Limit: p.view.freshness.Limit(), Spread: rand.Float64()}
 	for ctx.Err() == nil {
 		sleep(ctx, keyCheckInterval)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -159,7 +159,7 @@
 func (m *Member) localDemand() map[string]wire.MemberDemand {
 	all := make(map[string]wire.MemberDemand)
 	for pool, d := range m.relay.Demand() {
-		all[pool] = wire.MemberDemand{PrefillEngines: d.PrefillEngines}
+		all[pool] = wire.MemberDemand{PrefillEngines: d.PrefillEngines, DecodeEngines: d.DecodeEngines}
 	}
 	return all
 }
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -65,6 +65,7 @@
 		}
 	}
 	sum.PrefillEngines += (1 + p.unreportedRatio()) * others.PrefillEngines
+	sum.DecodeEngines += (1 + p.unreportedRatio()) * others.DecodeEngines
 	return sum
 }
 
--- a/internal/member/servers.go
+++ b/internal/member/servers.go
@@ -111,14 +111,15 @@
 	return p
 }
 
-// demand returns the work that callers ask of a pool, in upstreams.
+// demand returns the work that callers ask of a pool, refused requests included, in upstreams.
 func (d *sizeDirector) demand(s *fleet.Snapshot, name string) float64 {
 	pool := s.Config.Pools[name]
 	if pool.Engine == nil {
 		return 0
 	}
 	state, _ := poolState(d.member, s, name, pool)
-	return state.PrefillDemand + state.DecodeLoad
+	offered := d.member.peers.Demand(name).DecodeEngines
+	return state.PrefillDemand + max(state.DecodeLoad, offered)
 }
 
 // order gives one order.
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -226,7 +226,7 @@
 	return &assignment{target: s.Upstreams[plan.Engine], plan: plan, ticket: ticket}
 }
 
-// recordDemand adds a request's prefill work to the measured demand, once per request.
+// recordDemand adds a request's work to the measured demand, once per request.
 func (c *call) recordDemand(plan placement.Plan, ok bool, req placement.Request) {
 	if c.demandCounted || c.retried {
 		return
@@ -236,8 +236,9 @@
 	if ok {
 		prompt = plan.PrefillWork(req)
 	}
-	work := c.relay.cfg.Tracker.PrefillMillis(c.pool, upstream.RolePrefill, prompt)
-	c.relay.demand.add(c.pool, work, time.Now())
+	tracker := c.relay.cfg.Tracker
+	prefill := tracker.PrefillMillis(c.pool, upstream.RolePrefill, prompt)
+	c.relay.demand.add(c.pool, prefill, tracker.DecodeShareMillis(c.pool, req.OutputTokens), time.Now())
 }
 
 // acceptable reports whether a plan is expected to meet the objective, or, for a late
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -17,6 +17,9 @@
 	// PrefillEngines is how many prefill engines the prompts keep busy: the seconds of
 	// prefill that arrive per second.
 	PrefillEngines float64
+	// DecodeEngines is the same for the responses: the seconds of an engine's time that they take
+	// when it runs as many as it has room for.
+	DecodeEngines float64
 }
 
 // demandMeter smooths the demand on each pool.
@@ -30,7 +33,7 @@
 	at time.Time
 }
 
-func (m *demandMeter) add(pool string, millis float64, now time.Time) {
+func (m *demandMeter) add(pool string, prefillMillis, decodeMillis float64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.pools == nil {
@@ -42,12 +45,14 @@
 		m.pools[pool] = p
 	}
 	p.decay(now)
-	p.PrefillEngines += millis / telemetry.Millis(demandTimeConstant)
+	p.PrefillEngines += prefillMillis / telemetry.Millis(demandTimeConstant)
+	p.DecodeEngines += decodeMillis / telemetry.Millis(demandTimeConstant)
 }
 
 func (p *smoothedDemand) decay(now time.Time) {
 	factor := math.Exp(-float64(now.Sub(p.at)) / float64(demandTimeConstant))
 	p.PrefillEngines *= factor
+	p.DecodeEngines *= factor
 	p.at = now
 }
 
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -84,11 +84,13 @@
 type MemberDemand struct {
 	// PrefillEngines is the number of engines that the prompts keep busy.
 	PrefillEngines float64 `msgpack:"t"`
+	// DecodeEngines is the number of engines that the responses keep busy.
+	DecodeEngines float64 `msgpack:"d"`
 }
 
 // Add returns the sum of two demands.
 func (d MemberDemand) Add(o MemberDemand) MemberDemand {
-	return MemberDemand{PrefillEngines: d.PrefillEngines + o.PrefillEngines}
+	return MemberDemand{PrefillEngines: d.PrefillEngines + o.PrefillEngines, DecodeEngines: d.DecodeEngines + o.DecodeEngines}
 }
 
 // UnavailableEngine is an engine that accepts no work for some time.
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -198,6 +198,18 @@
 	return tr.model(pool).Parameters().PrefillMillis(role, p)
 }
 
+// DecodeShareMillis returns the engine time that a response of a pool takes, in milliseconds: its
+// decoding shares an engine with as many others as that has room for.
+func (tr *Tracker) DecodeShareMillis(pool string, tokens int) float64 {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	p := tr.pools[pool]
+	if p == nil || len(p.all) == 0 {
+		return 0
+	}
+	return tr.model(pool).Parameters().DecodeMillis(tokens) / float64(LongSlots(p.all[0].Slots))
+}
+
 // Engines returns those of the given upstreams that may take work now.
 func (tr *Tracker) Engines(ids []string) []Engine {
 	tr.mu.Lock()
