fleetsize: a large fleet changes in steps

A server that was leaving since -4.8 s was used at 0.18 s by a daemon that hadn't learnt of it.

Cause: before traffic the lease holder orders 3,000 spot servers at once and gives as many regular ones back; some 6,000 entries reach each of 300 daemons within seconds.

Now an order changes a number by 20 at most, unless more are missing for the work.

Tests: TestLargeFleetChangesInSteps fails without the limit, TestMissingUpstreamsAreOrderedAtOnce if the limit holds for missing ones too (both tried).

--- a/fleetsize/fleetsize.go
+++ b/fleetsize/fleetsize.go
@@ -197,18 +197,34 @@
 // orders returns the orders that lead to a composition.
 func (s *Sizer) orders(p Pool, target []composition, n needs, now time.Time) []Order {
 	reason := fmt.Sprintf("%d must be left of %d, and %d in any case, for a demand of %.1f, at most %.1f", n.cover, p.size(), n.work, p.Demand, s.peak)
+	missing := n.work - p.size()
 	var orders []Order
-	for i, c := range p.Centres {
-		if p.SpotRatio > 0 && s.due(orderKey{c.Name, true}, c.Spot, target[i].spot, p.BootTime, now) {
-			orders = append(orders, Order{Centre: c.Name, Spot: true, Count: target[i].spot, Reason: reason})
+	order := func(c Centre, spot bool, have, target int) {
+		key := orderKey{c.Name, spot}
+		count := s.limitChange(key, have, target, missing)
+		if s.due(key, have, count, p.BootTime, now) {
+			orders = append(orders, Order{Centre: c.Name, Spot: spot, Count: count, Reason: reason})
 		}
-		if s.due(orderKey{c.Name, false}, c.Regular, target[i].regular, p.BootTime, now) {
-			orders = append(orders, Order{Centre: c.Name, Count: target[i].regular, Reason: reason})
+	}
+	for i, c := range p.Centres {
+		if p.SpotRatio > 0 {
+			order(c, true, c.Spot, target[i].spot)
 		}
+		order(c, false, c.Regular, target[i].regular)
 	}
 	return orders
 }
 
+// maxOrderChange is the number of upstreams by which an order changes a number at most, unless more are
+// missing: every daemon has to learn of each.
+const maxOrderChange = 20
+
+// limitChange returns the count to order on the way to a target.
+func (s *Sizer) limitChange(key orderKey, have, target, missing int) int {
+	ordered := max(have, s.placed[key].count)
+	return min(max(target, have-maxOrderChange), ordered+max(maxOrderChange, missing))
+}
+
 // settleMargin is added to the boot time before the present number is compared with an order.
 const settleMargin = 2 * time.Second
 
--- a/fleetsize/fleetsize_test.go
+++ b/fleetsize/fleetsize_test.go
@@ -1,6 +1,7 @@
 package fleetsize
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -262,6 +263,38 @@
 	require.Len(t, s.Decide(p, time.Unix(1, 0)), 3)
 }
 
+// Guards against a change of the whole fleet at once, of which daemons learn too slowly.
+func TestLargeFleetChangesInSteps(t *testing.T) {
+	s := newSite(t, 0.3)
+	s.pool.Max = 2000
+	for i := range s.pool.Centres {
+		s.pool.Centres[i].Regular = 1000
+	}
+	const step = 20
+	former := slices.Clone(s.pool.Centres)
+	s.run(30*time.Second, 10, func() {
+		for i, c := range s.pool.Centres {
+			require.LessOrEqual(t, former[i].Regular-c.Regular, step)
+			require.LessOrEqual(t, c.Spot-former[i].Spot, step)
+		}
+		former = slices.Clone(s.pool.Centres)
+	})
+	require.Less(t, s.pool.Centres[0].Regular, 1000, "the change goes on")
+}
+
+// Guards against a limit on changes that delays the replacement of lost upstreams.
+func TestMissingUpstreamsAreOrderedAtOnce(t *testing.T) {
+	s := newSite(t, 0.3)
+	s.pool.Max = 2000
+	s.run(90*time.Second, 300, nil)
+	for i := range s.pool.Centres {
+		s.pool.Centres[i].Regular, s.pool.Centres[i].Spot = 0, 5
+		s.unavailable[s.pool.Centres[i].Name] = true
+	}
+	s.run(bootTime+4*tick, 300, nil)
+	require.GreaterOrEqual(t, s.size(), 400)
+}
+
 func BenchmarkDecide(b *testing.B) {
 	s := NewSizer(Config{})
 	p := Pool{Min: 1, Max: 1000, SpotRatio: 0.15, BootTime: bootTime, Demand: 2000}
