--- a/internal/member/leadership.go
+++ b/internal/member/leadership.go
@@ -34,7 +34,10 @@
 	// maxSuspension is the suspension of the process from which it may have lost the lease without
 	// noticing.
 	maxSuspension = 100 * time.Millisecond
-	leaseScope    = "roles"
+	// journalPoll is how long a read of the journal waits for entries. One without a response is
+	// repeated after twice as long; until then the holder doesn't learn that the store is back.
+	journalPoll = 2 * time.Second
+	leaseScope  = "roles"
 )
 
 // leadership competes for the lease whose holder acts for the whole site: it orders roles and
@@ -112,7 +115,7 @@
 	s := l.member.cfg.Settings
 	incarnation := strconv.FormatUint(l.member.peers.incarnation, 36)
 	writer := s.Instance + "/member/" + incarnation
-	entries := journal.New(l.log, journal.Config{Writer: writer, Retention: s.StoreRetention, LongPoll: 10 * time.Second, Logger: l.logger})
+	entries := journal.New(l.log, journal.Config{Writer: writer, Retention: s.StoreRetention, LongPoll: journalPoll, Logger: l.logger})
 	view := lease.NewView()
 	entries.Register(journal.KindLease, view)
 	if l.ledger != nil {
