fleetsize: a step of a large fleet waits for the effect of the last one

A step now waits for the boot time, so that a fleet of 3,000 has changed by a few hundred before its demand is known. Missing upstreams are still ordered at once, and orders of up to 20 a data centre and kind are as before.

TestLargeFleetChangesInSteps fails without the wait, TestMissingUpstreamsAreOrderedAtOnce without the exception.

--- a/fleetsize/fleetsize.go
+++ b/fleetsize/fleetsize.go
@@ -201,7 +201,10 @@
 	var orders []Order
 	order := func(c Centre, spot bool, have, target int) {
 		key := orderKey{c.Name, spot}
-		count := s.limitChange(key, have, target, missing)
+		count := limitChange(have, target, missing)
+		if count != target && now.Sub(s.placed[key].at) < p.BootTime {
+			return // the effect of the last step isn't known yet
+		}
 		if s.due(key, have, count, p.BootTime, now) {
 			orders = append(orders, Order{Centre: c.Name, Spot: spot, Count: count, Reason: reason})
 		}
@@ -215,14 +218,13 @@
 	return orders
 }
 
-// maxOrderChange is the number of upstreams by which an order changes a number at most, unless more are
-// missing: every daemon has to learn of each.
+// maxOrderChange is the number of upstreams by which an order changes their number at most, unless more
+// are missing: every daemon has to learn of each.
 const maxOrderChange = 20
 
 // limitChange returns the count to order on the way to a target.
-func (s *Sizer) limitChange(key orderKey, have, target, missing int) int {
-	ordered := max(have, s.placed[key].count)
-	return min(max(target, have-maxOrderChange), ordered+max(maxOrderChange, missing))
+func limitChange(have, target, missing int) int {
+	return min(max(target, have-maxOrderChange), have+max(maxOrderChange, missing))
 }
 
 // settleMargin is added to the boot time before the present number is compared with an order.
--- a/fleetsize/fleetsize_test.go
+++ b/fleetsize/fleetsize_test.go
@@ -271,6 +271,7 @@
 		s.pool.Centres[i].Regular = 1000
 	}
 	const step = 20
+	steps := int(30*time.Second/bootTime) + 1
 	former := slices.Clone(s.pool.Centres)
 	s.run(30*time.Second, 10, func() {
 		for i, c := range s.pool.Centres {
@@ -279,6 +280,7 @@
 		}
 		former = slices.Clone(s.pool.Centres)
 	})
+	require.GreaterOrEqual(t, s.pool.Centres[0].Regular, 1000-steps*step, "a step waits for the effect of the last one")
 	require.Less(t, s.pool.Centres[0].Regular, 1000, "the change goes on")
 }
 
