--- a/fleetsize/fleetsize.go
+++ b/fleetsize/fleetsize.go
@@ -1,9 +1,6 @@
 // Package fleetsize decides how many upstreams of a pool each data centre should have, and of
-// which kind, where the platform bills them by the second.
-//
-// Spot upstreams cost a fraction of regular ones, but all of a data centre may be reclaimed at
-// once. A composition is therefore judged by what is left after the loss of the data centre with
-// the most of them.
+// which kind, where the platform bills them by the second. Spot upstreams are cheap, but a data
+// centre's may be reclaimed all at once: a composition is judged by what is left then.
 package fleetsize
 
 import (
--- a/internal/entry/answer/open.go
+++ b/internal/entry/answer/open.go
@@ -22,10 +22,8 @@
 		if ctx.Err() != nil {
 			return a.ContextFailure(ctx)
 		}
-		if a.job.Admit != nil {
-			if err := a.job.Admit(); err != nil {
-				return a.fail(http.StatusUnauthorized, outcome.CodeUnauthorised, err, "the API key is no longer valid")
-			}
+		if err := a.admitted(); err != nil {
+			return a.fail(http.StatusUnauthorized, outcome.CodeUnauthorised, err, "the API key is no longer valid")
 		}
 		suspected, err := a.runner.CrashDetector.Check(a.job.Digest)
 		if err != nil {
@@ -45,7 +43,7 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, errEngineTerminating) {
+		if errors.Is(err, errEngineTerminating) || errors.Is(err, errNotAdmitted) {
 			a.replan()
 			continue
 		}
@@ -59,13 +57,24 @@
 // the request was sent to it.
 var errEngineTerminating = errors.New("the planned engine is shutting down")
 
+// errNotAdmitted says that the request's key was removed, or can't be checked any more, before the
+// request was sent.
+var errNotAdmitted = errors.New("the request isn't admitted any more")
+
+func (a *Answer) admitted() error {
+	if a.job.Admit == nil {
+		return nil
+	}
+	return a.job.Admit()
+}
+
 // errIsolationConflict says that the request may not run on the engine now because
 // another suspect runs there. It counts as a refusal for the request but not for the
 // engine. Otherwise the router would keep ejecting an engine, perhaps the only one
 // left, until the streams that wait for it exceed MaxEngineWait.
 var errIsolationConflict = fmt.Errorf("another suspect runs on the engine: %w", upstream.ErrRefused)
 
-// replan drops a plan whose engine is terminating. Nothing was sent, so it
+// replan drops a plan that is no longer possible. Nothing was sent, so it
 // doesn't count as an attempt, whatever the rule's retry class.
 func (a *Answer) replan() {
 	a.retryState.RemoveAttempt()
@@ -181,6 +190,9 @@
 	if t.ticket.EngineTerminating() {
 		return errEngineTerminating
 	}
+	if a.admitted() != nil {
+		return errNotAdmitted
+	}
 	engine := a.runner.Engines.Engine(plan.Engine)
 	if engine == nil {
 		return upstream.ErrNotSent
--- a/internal/entry/answer/shutdown_test.go
+++ b/internal/entry/answer/shutdown_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"tamarackchute/infra"
 	"tamarackchute/internal/entry/openai"
+	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/router"
 	"tamarackchute/rules"
 	"tamarackchute/upstream"
@@ -82,3 +85,44 @@
 	require.Equal(t, []string{"e1"}, d.generatedOn)
 	require.Zero(t, d.reserved["e0"]+d.reserved["e1"])
 }
+
+// Guards against sending a request whose key was removed during the prefill on another engine.
+func TestKeyRemovedDuringPrefillElsewhere(t *testing.T) {
+	d := &shutdownFleet{}
+	runner := newRunner(&d.fakeFleet, 2)
+	d.tracker = runner.Tracker.(*router.Tracker)
+	runner.Tracker, runner.Engines = shutdownTracker{d}, prefillOnly{d}
+	checks := 0
+	a := runner.Start(Job{
+		Request: openai.Request{Model: "m", MaxTokens: totalTokens},
+		Route:   router.Request{Pool: "p", Model: "m", OutputTokens: totalTokens},
+		Retry:   rules.RetryNever,
+		Admit: func() error {
+			checks++
+			if checks > 1 {
+				return errors.New("the key was removed")
+			}
+			return nil
+		},
+	})
+	defer a.Close()
+	_, err := a.Next(t.Context())
+	var failure *outcome.Failure
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, http.StatusUnauthorized, failure.Status)
+	require.Empty(t, d.generatedOn)
+	require.Zero(t, d.reserved["e0"]+d.reserved["e1"])
+}
+
+// prefillOnly is the fleet with prefills that leave all engines as they are.
+type prefillOnly struct{ *shutdownFleet }
+
+func (f prefillOnly) Engine(name string) upstream.Engine {
+	return prefillEngine{shutdownEngine{fakeEngine{&f.fakeFleet, name}, f.shutdownFleet}}
+}
+
+type prefillEngine struct{ shutdownEngine }
+
+func (prefillEngine) Prefill(context.Context, upstream.GenerateRequest) (upstream.KVHandle, error) {
+	return upstream.KVHandle{Engine: "e1"}, nil
+}
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -39,8 +39,8 @@
 	// triggered reports whether others trigger all reads that are needed, so that occasional
 	// polling suffices; nil means no.
 	triggered func() bool
-	// onRead is called after each successful read has been processed, with the time at which it
-	// was sent, by the clock of package boottime; nil does nothing.
+	// onRead is called after each read that shows that nothing newer existed when it was sent, with
+	// that time, by the clock of package boottime; nil does nothing.
 	onRead func(sentAt time.Duration)
 	// backoff is shared by all services that retry failed calls to the store.
 	backoff *backoff
@@ -241,7 +241,9 @@
 		start = time.Now() // a long poll's answer is current when it ends
 	}
 	r.recordRead(next, start)
-	r.notifyRead(sentAt)
+	if len(entries) == 0 { // a read with entries may have been cut off at its size limit
+		r.notifyRead(sentAt)
+	}
 	return nil
 }
 
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -226,7 +226,7 @@
 	return &assignment{target: s.Upstreams[plan.Engine], plan: plan, ticket: ticket}
 }
 
-// recordDemand adds a request's work to the measured demand, once per request.
+// recordDemand adds a request's work to the demand on its pool, once per request.
 func (c *call) recordDemand(plan placement.Plan, ok bool, req placement.Request) {
 	if c.demandCounted || c.retried {
 		return
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -1,9 +1,6 @@
-// Package usage counts the requests of each organisation in windows of time, adds up the counts
-// of all daemons, and decides what is reported of each window, by whom and when.
-//
-// It does no I/O. Counts are kept by daemon and incarnation, so that they may reach the reporter
-// on any number of ways without being counted twice. What is reported of a window is decided by
-// the order of the journal: the first entry for a window is the only report that is ever sent.
+// Package usage counts the requests of each organisation in windows of time, and decides what is
+// reported of each window and when. It does no I/O. Counts are kept by daemon and incarnation, so
+// that none is added twice; the first entry for a window in the journal is its only report.
 package usage
 
 import (
