keys: the read that shows a restore, and the first read of a daemon, prove nothing

Reads of a restored store were rejected by a goroutine that waits for the change of the era. The very read that shows the change could be recorded before it ran. Besides, the first era that a daemon learns isn't a change: one that starts right after a restore took the copy for current, and with it keys that had been removed.

Now the era is checked with each recorded read, and the first era above 0 counts as recent. Other daemons' proofs count at once, as those have rejected their own. Cost: a daemon that starts before a store that was ever restored refuses requests with keys until a peer's proof, at most for LapsedEntryGrace.

--- a/apikey/proof.go
+++ b/apikey/proof.go
@@ -43,7 +43,20 @@
 func (f *Freshness) Record(p Proof, inForce uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p.Version > inForce || p.SentAt < f.notBefore || (f.proven && p.SentAt <= f.latest.SentAt) {
+	return p.SentAt >= f.notBefore && f.record(p, inForce)
+}
+
+// RecordPeer records another daemon's proof in the same way. That daemon has rejected proofs of its
+// own by RejectBefore; its others count here even if this daemon's don't yet.
+func (f *Freshness) RecordPeer(p Proof, inForce uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record(p, inForce)
+}
+
+// record is Record without the check by RejectBefore. f.mu is held.
+func (f *Freshness) record(p Proof, inForce uint64) bool {
+	if p.Version > inForce || (f.proven && p.SentAt <= f.latest.SentAt) {
 		return false
 	}
 	f.latest, f.proven = p, true
--- a/internal/member/keys.go
+++ b/internal/member/keys.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -28,6 +29,9 @@
 	// now is the clock of proofs, see package boottime.
 	now func() time.Duration
 	log *slog.Logger
+	// era is the store's era for which reads were last rejected. eraMu guards it.
+	eraMu sync.Mutex
+	era   uint64
 	// usable is the last state that was logged.
 	usable bool
 }
@@ -53,6 +57,7 @@
 
 // recordRead records a completed read of the configuration that was sent at a time.
 func (v *keyView) recordRead(sentAt time.Duration) {
+	v.followEra()
 	if c := v.state.Snapshot().Config; c != nil {
 		v.freshness.Record(apikey.Proof{Version: c.Version, SentAt: sentAt}, c.Version)
 	}
@@ -65,7 +70,18 @@
 	if !m.Known || c == nil || !v.eras.Observe(m.Era, "another daemon") {
 		return
 	}
-	v.freshness.Record(apikey.Proof{Version: m.Version, SentAt: m.RequestedAt - m.Age}, c.Version)
+	v.freshness.RecordPeer(apikey.Proof{Version: m.Version, SentAt: m.RequestedAt - m.Age}, c.Version)
+}
+
+// followEra rejects proofs by reads of a store that was restored lately: its configuration may be
+// older than one that was acknowledged before. When a daemon starts, any restore may be recent.
+func (v *keyView) followEra() {
+	v.eraMu.Lock()
+	defer v.eraMu.Unlock()
+	if era := v.eras.Current(); era != v.era {
+		v.era = era
+		v.freshness.RejectBefore(v.now() + v.settle)
+	}
 }
 
 // reply returns this daemon's proof for a peer.
@@ -146,19 +162,15 @@
 	}
 }
 
-// followEras rejects proofs by reads of a store that was just restored: its configuration may be
-// older than one that was acknowledged before.
+// followEras follows the eras of the store that other reads or daemons report.
 func (p *keyProver) followEras(ctx context.Context) {
-	if p.view.eras.Current() > 0 {
-		p.view.freshness.RejectBefore(p.view.now() + p.view.settle)
-	}
 	for {
 		changed := p.view.eras.Changed()
+		p.view.followEra()
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
-			p.view.freshness.RejectBefore(p.view.now() + p.view.settle)
 		}
 	}
 }
