--- a/internal/soak/access.go
+++ b/internal/soak/access.go
@@ -46,8 +46,8 @@
 	return key
 }
 
-// tenants returns the organisations with their valid keys, the last two.
-func (a *access) tenants() []standin.Tenant {
+// published returns the organisations with their valid keys, the last two.
+func (a *access) published() []standin.Tenant {
 	var all []standin.Tenant
 	for i, keys := range a.keys {
 		t := standin.Tenant{Name: a.organisation(i), Priority: i}
--- a/internal/soak/access_test.go
+++ b/internal/soak/access_test.go
@@ -61,7 +61,7 @@
 }
 
 // Each case breaks one promise about the platform's calls, or is the nearest one that keeps it.
-func TestCloudChecks(t *testing.T) {
+func TestProviderCallChecks(t *testing.T) {
 	start := time.Now()
 	call := func(holder string, launch int, token uint64, after time.Duration, n int) standin.CloudCall {
 		return standin.CloudCall{At: start.Add(after), Holder: holder, Tag: launch, Token: token, Window: 7, Counts: map[string]int{"o": n}}
@@ -82,7 +82,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			o := newOracle(newFaultLog())
 			for _, call := range c.calls {
-				o.cloudCalled(call)
+				o.providerCalled(call)
 			}
 			require.Equal(t, c.broken, brokenBy(o))
 		})
--- a/internal/soak/billing.go
+++ b/internal/soak/billing.go
@@ -20,20 +20,20 @@
 	// begin at the very end of a window count in either.
 	usageTolerance = 0.05
 	usageSlack     = 2
-	// subjectCloud names the platform's calls.
-	subjectCloud = "platform's calls"
+	// subjectProvider names the platform's calls.
+	subjectProvider = "platform's calls"
 )
 
-var cloudFaults = []standin.CloudFault{
+var providerFaults = []standin.CloudFault{
 	standin.CloudBusy, standin.CloudSilent, standin.CloudReset, standin.CloudLate, standin.CloudSlow,
 }
 
-// failCloud fails the platform's calls for a while.
-func (s *site) failCloud(fault standin.CloudFault, duration time.Duration) {
-	end := s.faults.begin(subjectCloud)
-	s.cloud.Fail(fault)
+// failProvider fails the platform's calls for a while.
+func (s *site) failProvider(fault standin.CloudFault, duration time.Duration) {
+	end := s.faults.begin(subjectProvider)
+	s.provider.Fail(fault)
 	time.Sleep(duration)
-	s.cloud.Fail(standin.CloudHealthy)
+	s.provider.Fail(standin.CloudHealthy)
 	time.AfterFunc(settleDelay, end)
 }
 
@@ -43,20 +43,20 @@
 	begun   map[int64]map[string]int
 	reports map[int64]standin.CloudCall
 	// holders maps a token to the process that used it first.
-	holders map[uint64]cloudHolder
+	holders map[uint64]providerCaller
 	// acted are the holders of the platform's calls in the order of their first call since another
 	// one's.
 	acted []standin.CloudCall
 }
 
-// cloudHolder is a holder of the lease and the number of its process.
-type cloudHolder struct {
+// providerCaller is a holder of the lease and the number of its process.
+type providerCaller struct {
 	name   string
 	launch int
 }
 
 func newBilling() billing {
-	return billing{begun: make(map[int64]map[string]int), reports: make(map[int64]standin.CloudCall), holders: make(map[uint64]cloudHolder)}
+	return billing{begun: make(map[int64]map[string]int), reports: make(map[int64]standin.CloudCall), holders: make(map[uint64]providerCaller)}
 }
 
 func windowOf(t time.Time) int64 { return t.UnixNano() / int64(usageWindow) }
@@ -73,13 +73,13 @@
 	o.billing.begun[w][v.Organisation]++
 }
 
-// cloudCalled checks an executed call of the platform, whose tag is the number of the holder's
+// providerCalled checks an executed call of the platform, whose tag is the number of the holder's
 // process.
-func (o *oracle) cloudCalled(c standin.CloudCall) {
+func (o *oracle) providerCalled(c standin.CloudCall) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.counts["platform's calls"]++
-	holder := cloudHolder{c.Holder, c.Tag}
+	holder := providerCaller{c.Holder, c.Tag}
 	if first, known := o.billing.holders[c.Token]; known && first != holder {
 		o.violate(SingleLeaseHolder, "token %d was used by %v and %v", c.Token, first, holder)
 	}
@@ -113,7 +113,7 @@
 
 // checkUsage compares the reports with the truth, where nothing was disturbed that they depend on.
 func (o *oracle) checkUsage(daemons int, end time.Time) {
-	subjects := []string{subjectMachine, subjectStore, subjectCloud}
+	subjects := []string{subjectMachine, subjectStore, subjectProvider}
 	for i := range daemons {
 		subjects = append(subjects, daemonSubject(i), storeLinkSubject(i))
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -39,7 +39,7 @@
 	BackOffServer     FaultKind = "server-backs-off"
 	RotateKey         FaultKind = "rotate-key"
 	RevokeInOutage    FaultKind = "revoke-in-outage"
-	FailCloud         FaultKind = "platform-calls-fail"
+	FailProvider      FaultKind = "platform-calls-fail"
 )
 
 // Step is one fault of a run.
@@ -121,7 +121,7 @@
 var answerKindWeights = []kindWeight{{AnswerTwice, 3}, {AnnounceLeaving, 2}, {BackOffServer, 3}}
 
 // accessKindWeights holds the kinds of the third stream: keys and the platform's calls.
-var accessKindWeights = []kindWeight{{RotateKey, 4}, {RevokeInOutage, 1}, {FailCloud, 2}}
+var accessKindWeights = []kindWeight{{RotateKey, 4}, {RevokeInOutage, 1}, {FailProvider, 2}}
 
 const (
 	// accessStream is the random stream of the third stream of steps, accessIntervalFactor how much
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -84,14 +84,14 @@
 	ip        string
 	store     *standin.Store
 	storeHTTP *httptest.Server
-	// cloud receives the calls that one daemon makes for all.
-	cloud     *standin.Cloud
-	cloudHTTP *httptest.Server
-	daemons   []*daemon
-	links     []*Proxy
-	slots     []*serverSlot
-	oracle    *oracle
-	faults    *faultLog
+	// provider receives the calls that one daemon makes for all.
+	provider     *standin.Cloud
+	providerHTTP *httptest.Server
+	daemons      []*daemon
+	links        []*Proxy
+	slots        []*serverSlot
+	oracle       *oracle
+	faults       *faultLog
 	// handles records whose prompts the engines' handles hold.
 	handles *standin.Handles
 	// pendingChecks tracks the unfinished checks of broken connections.
@@ -179,7 +179,7 @@
 	for _, pool := range versionPools {
 		rules = append(rules, standin.Service{Name: pool, Kind: standin.Idempotent, Attempts: 3, Timeout: time.Second})
 	}
-	s.store.PutConfig(s.published, rules, s.access.tenants()...)
+	s.store.PutConfig(s.published, rules, s.access.published()...)
 }
 
 // launchOf returns the number of a daemon's current process, 0 if there is no such daemon.
@@ -194,14 +194,14 @@
 
 // startCloud starts the platform's calls.
 func (s *site) startCloud() error {
-	s.cloud = standin.NewCloud(s.oracle.cloudCalled)
-	s.cloud.Tag = s.launchOf
+	s.provider = standin.NewCloud(s.oracle.providerCalled)
+	s.provider.Tag = s.launchOf
 	l, err := s.listen()
 	if err != nil {
 		return err
 	}
-	s.cloudHTTP = &httptest.Server{Listener: l, Config: &http.Server{Handler: s.cloud}}
-	s.cloudHTTP.Start()
+	s.providerHTTP = &httptest.Server{Listener: l, Config: &http.Server{Handler: s.provider}}
+	s.providerHTTP.Start()
 	return nil
 }
 
@@ -224,7 +224,7 @@
 				Name: fmt.Sprintf("d%d", i), IP: ip, Seeds: ips[:min(len(ips), 3)], Store: link.Address(),
 				Grace: grace, RetryRatio: siteBudget.ratio, RetrySlack: siteBudget.slack, RetryWindow: siteBudget.window,
 				LeaseTerm: leaseTerm, RevocationBound: revocationBound,
-				Cloud: s.cloudHTTP.Listener.Addr().String(), UsageWindow: usageWindow, UsageDue: usageDue,
+				Cloud: s.providerHTTP.Listener.Addr().String(), UsageWindow: usageWindow, UsageDue: usageDue,
 			},
 		}
 		if err := os.WriteFile(d.settings, []byte(d.config.SettingsFile()), settingsMode); err != nil {
@@ -263,9 +263,9 @@
 	s.store.Close()
 	s.storeHTTP.CloseClientConnections()
 	s.storeHTTP.Close()
-	s.cloud.Close()
-	s.cloudHTTP.CloseClientConnections()
-	s.cloudHTTP.Close()
+	s.provider.Close()
+	s.providerHTTP.CloseClientConnections()
+	s.providerHTTP.Close()
 }
 
 // killDaemons kills all daemons for good.
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -86,8 +86,8 @@
 		s.rotateKey(step.Target % organisations)
 	case RevokeInOutage:
 		s.revokeInOutage(step)
-	case FailCloud:
-		s.failCloud(cloudFaults[step.Variant%len(cloudFaults)], step.For)
+	case FailProvider:
+		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
 }
 
