--- a/fleetsize/fleetsize.go
+++ b/fleetsize/fleetsize.go
@@ -4,6 +4,7 @@
 package fleetsize
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"time"
@@ -36,21 +37,15 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.SpotUtilisation, defaultSpotUtilisation)
-	setDefault(&c.PeakMemory, defaultPeakMemory)
-	setDefault(&c.WorkUtilisation, defaultWorkUtilisation)
-	setDefault(&c.ObservationTime, defaultObservationTime)
-	setDefault(&c.RefusalBackoff, defaultRefusalBackoff)
-	setDefault(&c.MaxBackoff, defaultMaxBackoff)
+	c.SpotUtilisation = cmp.Or(c.SpotUtilisation, defaultSpotUtilisation)
+	c.WorkUtilisation = cmp.Or(c.WorkUtilisation, defaultWorkUtilisation)
+	c.PeakMemory = cmp.Or(c.PeakMemory, defaultPeakMemory)
+	c.ObservationTime = cmp.Or(c.ObservationTime, defaultObservationTime)
+	c.RefusalBackoff = cmp.Or(c.RefusalBackoff, defaultRefusalBackoff)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, defaultMaxBackoff)
 	return c
 }
 
-func setDefault[T ~int64 | ~float64](v *T, value T) {
-	if *v <= 0 {
-		*v = value
-	}
-}
-
 // Centre is a data centre's part of a pool.
 type Centre struct {
 	Name string
