--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -14,6 +14,7 @@
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
+	"tamarackchute/quarantine"
 	"tamarackchute/rules/pathset"
 )
 
@@ -41,6 +42,8 @@
 	rule     *pathset.Rule
 	pool     string
 	body     []byte
+	// digest is the request's digest once it has been computed.
+	digest quarantine.Digest
 	// key is the digest of the caller's API key; keyErr says that there is none.
 	key      apikey.Digest
 	keyErr   error
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/telemetry"
@@ -36,6 +37,9 @@
 	if res.err != nil {
 		attrs = append(attrs, "fate", res.execution.String(), "err", res.err)
 	}
+	if res.execution == dispatch.MayHaveRun && !res.done {
+		attrs = append(attrs, "digest", c.Digest().String())
+	}
 	c.log.Log(c.in.Context(), level, "attempt", attrs...)
 }
 
