--- a/cmd/chute-member/main.go
+++ b/cmd/chute-member/main.go
@@ -68,6 +68,7 @@
 		Decoder:          store,
 		Dialect:          platform.Dialect{},
 		Log:              platform.NewLog(store),
+		QuarantineLog:    platform.NewQuarantineLog(store),
 		Engines:          platform.NewEngines,
 		DirectoryHandler: func(m *member.Member) http.Handler { return platform.DirectoryHandler(m) },
 		ReadyHandler:     platform.ReadyHandler,
--- a/internal/entry/crash/crash.go
+++ b/internal/crash/crash.go
@@ -1,4 +1,4 @@
-// Package crash detects engine crashes and reports the requests that were in flight
+// Package crash detects upstream crashes and reports the requests that were in flight
 // there to the quarantine.
 package crash
 
@@ -17,17 +17,36 @@
 // Quarantine decides which requests may run on which engine and records crashes;
 // quarantine.Guard implements it.
 type Quarantine interface {
+	Knows(r *quarantine.Request) bool
 	Check(d quarantine.Digest) (quarantine.Verdict, error)
 	MayRunOn(upstream string, d quarantine.Digest) bool
 	Isolate(ctx context.Context, upstream string, d quarantine.Digest) (*quarantine.Isolation, error)
 	Crashed(ctx context.Context, upstream, incarnation string, inFlight []quarantine.Digest) error
 	Completed(d quarantine.Digest)
+	Progressed(ctx context.Context, d quarantine.Digest) error
+	Answered(ctx context.Context, d quarantine.Digest) error
 	IsolationError(d quarantine.Digest) *quarantine.Error
 }
 
+// Engine is an upstream, or one of its incarnations if they are known.
+type Engine struct{ ID, Incarnation string }
+
+// String returns a name that is different for each incarnation.
+func (e Engine) String() string {
+	if e.Incarnation == "" {
+		return e.ID
+	}
+	return e.ID + "@" + e.Incarnation
+}
+
 // Probe checks whether an engine responds. An error that matches
 // upstream.ErrNotSent means that nothing listens at its address.
-type Probe func(ctx context.Context, engine string) error
+type Probe func(ctx context.Context, engine Engine) error
+
+// ProbeByID returns a probe of engines whose incarnations aren't known.
+func ProbeByID(probe func(ctx context.Context, id string) error) Probe {
+	return func(ctx context.Context, engine Engine) error { return probe(ctx, engine.ID) }
+}
 
 const (
 	// An engine is probed probeAttempts times, probeInterval apart. A crashed process
@@ -44,15 +63,20 @@
 	isolateTimeout = 250 * time.Millisecond
 )
 
+// ClearAfterTokens is how many tokens a suspected request must produce before it is no longer a
+// suspect: the crash of the earlier engine then had another cause, or comes later in the output.
+const ClearAfterTokens = 4
+
 // Detector tracks the requests in flight at each engine and finds out whether an
 // engine has crashed. It is safe for concurrent use.
 type Detector struct {
 	quarantine Quarantine
 	probe      Probe
+	onCrash    func(Engine, []quarantine.Digest)
 
 	mu      sync.Mutex
-	running map[string]map[*Run]struct{}
-	checks  map[string]*crashCheck
+	running map[Engine]map[*Run]struct{}
+	checks  map[Engine]*crashCheck
 	tasks   conc.WaitGroup
 }
 
@@ -61,11 +85,15 @@
 	return &Detector{
 		quarantine: q,
 		probe:      p,
-		running:    map[string]map[*Run]struct{}{},
-		checks:     map[string]*crashCheck{},
+		running:    map[Engine]map[*Run]struct{}{},
+		checks:     map[Engine]*crashCheck{},
 	}
 }
 
+// OnCrash sets the function that is called with each crash and the requests in flight, before it is
+// reported. It must be set before the first run.
+func (det *Detector) OnCrash(f func(Engine, []quarantine.Digest)) { det.onCrash = f }
+
 // Wait returns once all checks and reports in progress have ended.
 func (det *Detector) Wait() { det.tasks.Wait() }
 
@@ -76,6 +104,15 @@
 	return v.Status == quarantine.Suspected, err
 }
 
+// CheckRequest is Check for a request whose digest isn't known. It costs little unless the request
+// may be suspected.
+func (det *Detector) CheckRequest(r *quarantine.Request) (suspected bool, err error) {
+	if !det.quarantine.Knows(r) {
+		return false, nil
+	}
+	return det.Check(r.Digest())
+}
+
 // MayRunOn reports whether a suspected request may start on an engine.
 func (det *Detector) MayRunOn(engine string, d quarantine.Digest) bool {
 	return det.quarantine.MayRunOn(engine, d)
@@ -103,8 +140,8 @@
 // Run is one request in flight at one engine.
 type Run struct {
 	detector  *Detector
-	engine    string
-	digest    quarantine.Digest
+	engine    Engine
+	request   quarantine.Digester
 	isolation *quarantine.Isolation
 }
 
@@ -112,23 +149,30 @@
 // suspected request is isolated from other suspects there, or Begin returns
 // quarantine.ErrReserved.
 func (det *Detector) Begin(ctx context.Context, engine string, d quarantine.Digest, suspected bool) (*Run, error) {
-	r := &Run{detector: det, engine: engine, digest: d}
-	if suspected {
-		ctx, cancel := context.WithTimeout(ctx, isolateTimeout)
-		defer cancel()
-		isolation, err := det.quarantine.Isolate(ctx, engine, d)
-		if err != nil {
-			return nil, err
-		}
-		r.isolation = isolation
+	if !suspected {
+		return det.Track(Engine{ID: engine}, d), nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, isolateTimeout)
+	defer cancel()
+	isolation, err := det.quarantine.Isolate(ctx, engine, d)
+	if err != nil {
+		return nil, err
+	}
+	r := det.Track(Engine{ID: engine}, d)
+	r.isolation = isolation
+	return r, nil
+}
+
+// Track records a request as in flight at an engine, without isolation.
+func (det *Detector) Track(engine Engine, request quarantine.Digester) *Run {
+	r := &Run{detector: det, engine: engine, request: request}
 	det.mu.Lock()
 	defer det.mu.Unlock()
 	if det.running[engine] == nil {
 		det.running[engine] = map[*Run]struct{}{}
 	}
 	det.running[engine][r] = struct{}{}
-	return r, nil
+	return r
 }
 
 // End ends the run. After Broken it returns once it is known whether the engine
@@ -137,18 +181,61 @@
 	det := r.detector
 	switch result {
 	case Completed:
-		det.quarantine.Completed(r.digest)
+		det.quarantine.Completed(r.request.Digest())
 	case Broken:
-		det.awaitCheck(r)
+		<-det.check(r).done
 	}
-	det.mu.Lock()
-	delete(det.running[r.engine], r)
-	det.mu.Unlock()
+	r.remove()
 	if r.isolation != nil {
 		det.endIsolation(r.isolation, result == Completed)
 	}
 }
 
+// Break ends a run that isn't isolated and that broke off, without waiting for the check of its
+// engine.
+func (r *Run) Break() {
+	r.detector.check(r)
+	r.remove()
+}
+
+// Answer ends a run that isn't isolated and that got a complete response.
+func (r *Run) Answer(request *quarantine.Request) {
+	r.remove()
+	r.detector.reportIfKnown(request, r.detector.quarantine.Answered)
+}
+
+// Progress reports that a run that isn't isolated has produced ClearAfterTokens tokens.
+func (r *Run) Progress(request *quarantine.Request) {
+	r.detector.reportIfKnown(request, r.detector.quarantine.Progressed)
+}
+
+// Drop ends a run whose end says nothing of its engine.
+func (r *Run) Drop() { r.remove() }
+
+func (r *Run) remove() {
+	det := r.detector
+	det.mu.Lock()
+	defer det.mu.Unlock()
+	delete(det.running[r.engine], r)
+	if len(det.running[r.engine]) == 0 {
+		delete(det.running, r.engine)
+	}
+}
+
+// reportIfKnown makes a report about a request in the background, as it writes to the log, if the
+// request may be suspected.
+func (det *Detector) reportIfKnown(request *quarantine.Request, report func(context.Context, quarantine.Digest) error) {
+	if !det.quarantine.Knows(request) {
+		return
+	}
+	d := request.Digest()
+	det.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		_ = report(ctx, d) // the quarantine retries what the log didn't accept
+	})
+}
+
 // Clear ends the isolation of a suspected run once it counts as not having caused
 // the earlier crash. If its engine crashes after that, it becomes a suspect as if
 // for the first time. Clear must not run concurrently with End.
@@ -172,48 +259,48 @@
 
 // crashCheck is a check in progress of whether one engine has crashed.
 type crashCheck struct {
-	digests map[quarantine.Digest]struct{}
-	done    chan struct{}
+	requests map[quarantine.Digester]struct{}
+	done     chan struct{}
 }
 
-// awaitCheck waits for the check of the run's engine and starts one if none is in
-// progress. The suspects are all requests in flight there now and those that break
-// off during the check, as it isn't known which of them crashed the engine.
-func (det *Detector) awaitCheck(r *Run) {
+// check returns the check of the run's engine, and starts one if none is in progress. The suspects
+// are all requests in flight there now and those that break off during the check, as it isn't known
+// which of them crashed the engine.
+func (det *Detector) check(r *Run) *crashCheck {
 	det.mu.Lock()
+	defer det.mu.Unlock()
 	c := det.checks[r.engine]
 	if c == nil {
-		c = &crashCheck{digests: map[quarantine.Digest]struct{}{}, done: make(chan struct{})}
+		c = &crashCheck{requests: map[quarantine.Digester]struct{}{}, done: make(chan struct{})}
 		det.checks[r.engine] = c
 		for other := range det.running[r.engine] {
-			c.digests[other.digest] = struct{}{}
+			c.requests[other.request] = struct{}{}
 		}
 		det.tasks.Go(func() { det.runCheck(r.engine, c) })
 	}
-	c.digests[r.digest] = struct{}{}
-	det.mu.Unlock()
-	<-c.done
+	c.requests[r.request] = struct{}{}
+	return c
 }
 
-func (det *Detector) runCheck(engine string, c *crashCheck) {
+func (det *Detector) runCheck(engine Engine, c *crashCheck) {
 	defer close(c.done)
 	crashed := det.engineCrashed(engine)
 	det.mu.Lock()
 	delete(det.checks, engine)
-	suspects := make([]quarantine.Digest, 0, len(c.digests))
-	for d := range c.digests {
-		suspects = append(suspects, d)
-	}
 	det.mu.Unlock()
 	if !crashed {
 		return
 	}
+	suspects := c.digests()
+	if det.onCrash != nil {
+		det.onCrash(engine, suspects)
+	}
 	reported := make(chan struct{})
 	det.tasks.Go(func() {
 		defer close(reported)
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
-		_ = det.quarantine.Crashed(ctx, engine, "", suspects) // the quarantine retries what the log didn't accept
+		_ = det.quarantine.Crashed(ctx, engine.String(), engine.Incarnation, suspects) // the quarantine retries what the log didn't accept
 	})
 	timer := time.NewTimer(reportWait)
 	defer timer.Stop()
@@ -223,9 +310,23 @@
 	}
 }
 
+// digests returns the digests of the suspects. The check must be over.
+func (c *crashCheck) digests() []quarantine.Digest {
+	seen := make(map[quarantine.Digest]struct{}, len(c.requests))
+	all := make([]quarantine.Digest, 0, len(c.requests))
+	for r := range c.requests {
+		d := r.Digest()
+		if _, again := seen[d]; !again {
+			seen[d] = struct{}{}
+			all = append(all, d)
+		}
+	}
+	return all
+}
+
 // engineCrashed reports whether nothing listens at the engine's address. A connection
 // that broke while the engine still responds is no crash.
-func (det *Detector) engineCrashed(engine string) bool {
+func (det *Detector) engineCrashed(engine Engine) bool {
 	for i := range probeAttempts {
 		if i > 0 {
 			time.Sleep(probeInterval)
--- a/internal/entry/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -43,8 +43,8 @@
 		log := &applyingLog{}
 		guard := quarantine.NewGuard(quarantine.DefaultConfig(), log, "w", nil)
 		log.guard = guard
-		det := New(guard, func(_ context.Context, engine string) error {
-			if down[engine] {
+		det := New(guard, func(_ context.Context, engine Engine) error {
+			if down[engine.ID] {
 				return upstream.ErrNotSent
 			}
 			return nil
--- a/internal/daemonstatus/status.go
+++ b/internal/daemonstatus/status.go
@@ -30,6 +30,20 @@
 	Peers           []Peer         `json:"peers"`
 	Upstreams       []Upstream     `json:"upstreams"`
 	RetryBudgets    []RetryBudget  `json:"budgets"`
+	// Quarantined are the requests that are refused because upstreams crashed while they ran;
+	// Suspects is the number of those that may become so.
+	Quarantined []Quarantined `json:"quarantined,omitempty"`
+	Suspects    int           `json:"suspects,omitempty"`
+}
+
+// Quarantined is a request that isn't run for now.
+type Quarantined struct {
+	// Digest identifies the request in logs and releases.
+	Digest string `json:"digest"`
+	// Crashed are the upstreams that crashed with it in flight, each with its start.
+	Crashed []string `json:"crashed"`
+	// RemainingMS is how long it lasts.
+	RemainingMS float64 `json:"remaining_ms"`
 }
 
 // Organisation is one of the callers' organisations.
--- a/internal/entry/answer/answer_test.go
+++ b/internal/entry/answer/answer_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"tamarackchute/internal/entry/crash"
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/entry/openai"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/internal/entry/stream"
@@ -49,8 +49,10 @@
 func (f *fakeFleet) Check(quarantine.Digest) (bool, error)   { return false, nil }
 func (f *fakeFleet) MayRunOn(string, quarantine.Digest) bool { return true }
 func (f *fakeFleet) IsolationError(quarantine.Digest) error  { return nil }
-func (f *fakeFleet) detector() *crash.Detector               { return crash.New(noQuarantine{}, unreachable) }
-func unreachable(context.Context, string) error              { return upstream.ErrNotSent }
+func (f *fakeFleet) detector() *crash.Detector {
+	return crash.New(noQuarantine{}, crash.ProbeByID(unreachable))
+}
+func unreachable(context.Context, string) error { return upstream.ErrNotSent }
 func (f *fakeFleet) Begin(ctx context.Context, e string, d quarantine.Digest, s bool) (*crash.Run, error) {
 	return f.detector().Begin(ctx, e, d, s)
 }
--- a/internal/entry/answer/attempt.go
+++ b/internal/entry/answer/attempt.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 
-	"tamarackchute/internal/entry/crash"
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/entry/stream"
 	"tamarackchute/router"
 	"tamarackchute/upstream"
@@ -30,11 +30,6 @@
 	produced int
 }
 
-// clearAfterTokens is how many tokens a suspected request must produce in
-// isolation before it is no longer a suspect: the crash of the earlier engine then
-// had another cause, or comes later in the output.
-const clearAfterTokens = 4
-
 func (t *attempt) origin(job Job) stream.Origin {
 	return stream.Origin{
 		Answer:   job.Answer,
@@ -78,7 +73,7 @@
 		}
 		if token.Index == expected {
 			t.ticket.Tokens(1)
-			if t.produced++; t.produced == clearAfterTokens {
+			if t.produced++; t.produced == crash.ClearAfterTokens {
 				t.run.Clear()
 			}
 			return token, nil
--- a/internal/entry/answer/open.go
+++ b/internal/entry/answer/open.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"time"
 
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
-	"tamarackchute/internal/entry/crash"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/router"
 	"tamarackchute/rules"
--- a/internal/entry/answer/runner.go
+++ b/internal/entry/answer/runner.go
@@ -6,8 +6,8 @@
 
 	"github.com/sourcegraph/conc"
 
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
-	"tamarackchute/internal/entry/crash"
 	"tamarackchute/internal/entry/openai"
 	"tamarackchute/internal/entry/stream"
 	"tamarackchute/quarantine"
--- a/internal/entry/answer/wait_test.go
+++ b/internal/entry/answer/wait_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tamarackchute/internal/entry/crash"
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/entry/openai"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/journal"
@@ -95,7 +95,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &crashingFleet{down: make(chan struct{})}
 		guard := quarantine.NewGuard(quarantine.DefaultConfig(), c, "w", nil)
-		c.detector = crash.New(guard, func(context.Context, string) error { return upstream.ErrNotSent })
+		c.detector = crash.New(guard, func(context.Context, crash.Engine) error { return upstream.ErrNotSent })
 		runner := newRunner(&c.fakeFleet, 2)
 		runner.Engines, runner.InFlight, runner.CrashDetector = c, c, c
 		runner.MaxEngineWait, runner.MaxAttempts = time.Minute, 4
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,9 +16,9 @@
 	"tamarackchute/infra"
 	"tamarackchute/internal/audit"
 	"tamarackchute/internal/boottime"
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
-	"tamarackchute/internal/entry/crash"
 	"tamarackchute/internal/entry/discovery"
 	"tamarackchute/internal/entry/forward"
 	"tamarackchute/internal/entry/gateway"
@@ -200,7 +200,7 @@
 	e.inflight = inflight.NewCounter(e.drains, e.journal.Applied, engineNames(d))
 	e.demand = newDemandMeter(time.Now, demandWindow(d.Roles))
 	e.load = &loadFraction{}
-	e.crashDetector = crash.New(e.quarantine, e.cfg.Upstreams.Probe)
+	e.crashDetector = crash.New(e.quarantine, crash.ProbeByID(e.cfg.Upstreams.Probe))
 }
 
 // buildGateway creates the gateway and what it depends on.
--- a/internal/entry/gateway/backpressure_test.go
+++ b/internal/entry/gateway/backpressure_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/entry/answer"
-	"tamarackchute/internal/entry/crash"
 	"tamarackchute/internal/entry/openai"
 	"tamarackchute/internal/entry/stream"
 	"tamarackchute/quarantine"
--- a/internal/entry/gateway/harness_test.go
+++ b/internal/entry/gateway/harness_test.go
@@ -22,9 +22,9 @@
 	"tamarackchute/admission"
 	"tamarackchute/apikey"
 	"tamarackchute/infra"
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
-	"tamarackchute/internal/entry/crash"
 	"tamarackchute/internal/entry/forward"
 	"tamarackchute/internal/entry/gateway"
 	"tamarackchute/internal/entry/stream"
@@ -241,7 +241,7 @@
 	g := gateway.New(options, gateway.Dependencies{
 		Rules: deps, Admission: deps, Estimator: tracker, Demand: deps, CallerWatch: watch,
 		Answers: &answer.Runner{
-			Tracker: tracker, Engines: deps, InFlight: deps, CrashDetector: crash.New(guard, deps.probe), RetryBudget: deps,
+			Tracker: tracker, Engines: deps, InFlight: deps, CrashDetector: crash.New(guard, crash.ProbeByID(deps.probe)), RetryBudget: deps,
 			MemoryBudget: stream.NewMemoryBudget(1 << 20), MaxBufferedBytes: 1 << 10, MaxAttempts: 3, NewID: newID,
 		},
 		Services:   &forward.Runner{Tracker: tracker, Services: deps, RetryBudget: deps, MaxAttempts: 3, NewID: newID},
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -159,6 +159,16 @@
 	return newConn(raw, p.options.MaxIdle), nil
 }
 
+// Connect opens a connection for later exchanges. Its error is a *NotSentError.
+func (p *Pool) Connect(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.put(c, time.Now())
+	return nil
+}
+
 // setUnackedTimeout makes the kernel close a connection whose sent bytes stay
 // unacknowledged. If it fails, only the request's own deadline applies.
 func setUnackedTimeout(raw net.Conn, d time.Duration) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -41,7 +41,7 @@
 	minAssumedDaemons = 10
 	// peerSecret isn't confidential: the platform's network is closed, and its settings hold
 	// nothing known only to the system's processes. It rejects other protocols.
-	peerSecret = "tamarackchute member exchange, protocol 4"
+	peerSecret = "tamarackchute member exchange, protocol 5"
 	// replacedTimeout is how long all daemons avoid an upstream whose address now belongs to
 	// another one: its store entry lapses after three missed heartbeats.
 	replacedTimeout = 3 * time.Second
@@ -55,8 +55,8 @@
 	Store    Store
 	Decoder  Decoder
 	Dialect  relay.Dialect
-	// Log is used for role changes.
-	Log infra.Log
+	// Log is used for role changes, QuarantineLog for requests that crash upstreams.
+	Log, QuarantineLog infra.Log
 	// Engines returns the control calls of model engines behind a gate.
 	Engines func(Gate) Engines
 	// Provider makes the calls to the platform; nil if the settings name none.
@@ -82,9 +82,11 @@
 	peers                   *Peers
 	upstreams               *upstreamFeed
 	readers                 []*topicReader
-	retryBudget             *relay.RetryBudget
-	self                    wire.MemberAddress
-	shuttingDown            atomic.Bool
+	// longPolls are restarted when the store is reachable again.
+	longPolls    []interface{ restartRead() }
+	retryBudget  *relay.RetryBudget
+	self         wire.MemberAddress
+	shuttingDown atomic.Bool
 	// settings are the current ones, lease is this daemon's lease status.
 	settings atomic.Pointer[Settings]
 	lease    atomic.Pointer[daemonstatus.Lease]
@@ -97,6 +99,8 @@
 	keys *keyView
 	// backoff is shared by all services that retry failed calls to the store.
 	backoff *backoff
+	// quarantine shares with the other daemons which requests crash upstreams.
+	quarantine *quarantineExchange
 }
 
 // New returns a daemon; Run starts it.
@@ -109,6 +113,8 @@
 	m.settings.Store(&s)
 	m.retryBudget = relay.NewRetryBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil)
 	m.keys = newKeyView(s, m.state, cfg.Store.Eras(), m.log)
+	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
+	m.quarantine = newQuarantineExchange(m, cfg.QuarantineLog)
 	m.relay = relay.New(relay.Config{
 		DataCentre:    s.DataCentre,
 		Dialect:       cfg.Dialect,
@@ -122,9 +128,9 @@
 		MinRetryAfter: minRetryAfter,
 		KeysUsable:    m.keys.mayUse,
 		OnBegun:       m.recordBegun,
+		Crashes:       m.quarantine.detector,
 	})
 	m.engines = cfg.Engines(m.relay)
-	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.peers.localDemand = m.localDemand
 	m.peers.requestsWaiting = m.relay.HasWaiting
 	m.peers.onPeerList = m.confirmList
@@ -135,6 +141,8 @@
 		m.buildUsage(s)
 	}
 	m.buildFeeds()
+	m.quarantine.reader.backoff = m.backoff
+	m.longPolls = append(m.longPolls, m.quarantine.reader)
 	return m
 }
 
@@ -210,7 +218,7 @@
 	m.upstreams.restored = func() bool { return store.Eras().Current() > 0 }
 	m.upstreams.hasReadSince, m.upstreams.recoveredAt = upstreams.hasReadSince, upstreams.recoveredTime
 	upstreams.onRecovered = func() {
-		for _, r := range m.readers[1:] {
+		for _, r := range m.longPolls {
 			r.restartRead()
 		}
 	}
@@ -225,6 +233,9 @@
 			applyAll: daemons.apply, applyChanges: daemons.apply, backoff: m.backoff, log: m.log,
 		},
 	}
+	for _, r := range m.readers[1:] {
+		m.longPolls = append(m.longPolls, r)
+	}
 }
 
 // Ready reports whether the daemon accepts callers.
@@ -344,6 +355,7 @@
 //	│   │   ├── updates from peers that have newer data
 //	│   │   ├── initial cache state of the engines
 //	│   │   ├── engine parameters, for operators, and their copy in the store
+//	│   │   ├── quarantine: its journal, reports and checkpoints
 //	│   │   └── announcer
 //	│   ├── exchange
 //	│   │   ├── wire server
@@ -370,6 +382,9 @@
 	learning.Add(&observationSync{store: m.cfg.Store, tracker: m.tracker, peers: m.peers, backoff: m.backoff, log: m.log})
 	learning.Add(&parametersReporter{tracker: m.tracker, scope: m.cfg.Metrics.Scope, log: m.log})
 	learning.Add(&announcer{store: m.cfg.Store, self: m.self, backoff: m.backoff, daemons: m.peers.KnownCount, log: m.log})
+	for _, service := range m.quarantine.services(m.cfg.Settings.StoreRetention) {
+		learning.Add(service)
+	}
 	exchange := suture.New("exchange", spec)
 	exchange.Add(wire.NewServer(m.wireConfig(), m.self.Peers, m.peers, m.log))
 	exchange.Add(m.peers)
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -72,6 +72,12 @@
 	onUsage    func([]usage.Count)
 	usageReply func(wire.UsageRequest) wire.UsageReply
 	onUsageAck func(from string, ack wire.UsageAck)
+	// onQuarantineReport processes another daemon's report and says whether to pass it on.
+	// quarantineFingerprint identifies what this daemon knows of requests that crash upstreams, and
+	// onQuarantineFingerprint is called with a neighbour's.
+	onQuarantineReport      func(wire.QuarantineReport) bool
+	quarantineFingerprint   func() uint64
+	onQuarantineFingerprint func(address string, fingerprint uint64)
 	// localDemand returns the demand of this daemon's callers, by pool.
 	localDemand func() map[string]wire.MemberDemand
 	// heartbeats counts the heartbeats sent.
@@ -135,6 +141,9 @@
 		incarnation: rand.Uint64(),
 		fullMesh:    true, // a site without peers is a full mesh
 		wake:        make(chan struct{}, 1),
+
+		quarantineFingerprint:   func() uint64 { return 0 },
+		onQuarantineFingerprint: func(string, uint64) {},
 	}
 	tracker.OnChange(p.wakeReporter)
 	return p
@@ -193,6 +202,10 @@
 		p.handleReport(m, reply)
 	case wire.ConfigProofRequest:
 		reply(p.configProof(m))
+	case wire.QuarantineReport:
+		if p.onQuarantineReport != nil && p.onQuarantineReport(m) {
+			p.broadcast(m)
+		}
 	case wire.UsageReport:
 		if p.onUsage != nil {
 			p.onUsage(m.Counts)
@@ -245,6 +258,7 @@
 	if forget {
 		p.tracker.ForgetPeer(m.Peers)
 	}
+	p.onQuarantineFingerprint(m.Peers, m.Quarantine)
 	p.onPeerList(Position(m.ListPosition), m.ListDigest, m.ListAge)
 	p.applyUnavailable(m.Unavailable)
 	p.tracker.ApplyPeerUpdate(m.Peers, m.Loads, m.Prefills)
--- /dev/null
+++ b/internal/member/quarantine.go
@@ -0,0 +1,201 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"tamarackchute/infra"
+	"tamarackchute/internal/crash"
+	"tamarackchute/internal/daemonstatus"
+	"tamarackchute/internal/telemetry"
+	"tamarackchute/internal/wire"
+	"tamarackchute/journal"
+	"tamarackchute/quarantine"
+)
+
+// maxLoggedDigests limits the digests in the log line of a crash.
+const maxLoggedDigests = 16
+
+// quarantineExchange shares with all daemons which requests crash upstreams: over the links to
+// other daemons, which takes milliseconds, and over a journal, which outlives the daemons.
+type quarantineExchange struct {
+	guard    *quarantine.Guard
+	detector *crash.Detector
+	entries  *journal.Journal
+	reader   *pacedLog
+	log      *slog.Logger
+	metrics  *telemetry.Metrics
+
+	mu sync.Mutex
+	// informed is when each daemon was last sent all reports, by peer address.
+	informed map[string]time.Time
+}
+
+func newQuarantineExchange(m *Member, log infra.Log) *quarantineExchange {
+	s := m.cfg.Settings
+	x := &quarantineExchange{log: m.log, metrics: m.cfg.Metrics, informed: make(map[string]time.Time)}
+	x.reader = &pacedLog{Log: log, heardByOthers: m.peers.ReportsInDataCentre}
+	writer := s.Instance + "/quarantine"
+	x.entries = journal.New(x.reader, journal.Config{Writer: writer, Retention: s.StoreRetention, LongPoll: longPollTimeout, Logger: m.log})
+	x.guard = quarantine.NewGuard(quarantine.SharedConfig(), x.entries, writer, nil)
+	x.guard.LimitCheckpoints(m.peers.ReadsFirst)
+	x.guard.Observe(x.logEntered)
+	x.guard.Publish(func(e journal.Entry) { m.peers.broadcast(reportMessage(e, false)) })
+	x.entries.Register(journal.KindQuarantine, restorableGuard{x.guard})
+	x.detector = crash.New(x.guard, func(ctx context.Context, e crash.Engine) error { return m.relay.ProbeEngine(ctx, e) })
+	x.detector.OnCrash(x.recordCrash)
+	m.peers.onQuarantineReport = x.hear
+	m.peers.quarantineFingerprint = x.guard.Fingerprint
+	m.peers.onQuarantineFingerprint = func(address string, fingerprint uint64) {
+		if fingerprint != x.guard.Fingerprint() && x.mayInform(address, time.Now()) {
+			x.inform(func(r wire.QuarantineReport) { m.peers.sendTo(address, r) })
+		}
+	}
+	return x
+}
+
+// restorableGuard makes a guard follow restores of the journal.
+type restorableGuard struct{ *quarantine.Guard }
+
+// Restored implements journal.RestoreListener.
+func (g restorableGuard) Restored(infra.Offset) { g.Guard.Restored() }
+
+func reportMessage(e journal.Entry, direct bool) wire.QuarantineReport {
+	return wire.QuarantineReport{ID: e.ID, Writer: e.Writer, Body: e.Body, Direct: direct}
+}
+
+// hear processes a report of another daemon, and reports whether to pass it on.
+func (x *quarantineExchange) hear(m wire.QuarantineReport) bool {
+	fresh := x.guard.Hear(journal.Entry{Kind: journal.KindQuarantine, ID: m.ID, Writer: m.Writer, Body: m.Body})
+	return fresh && !m.Direct
+}
+
+// informInterval is the minimum time between two repetitions of all reports to a daemon: links lose
+// messages, but its fingerprint also differs while one is on its way.
+const informInterval = 500 * time.Millisecond
+
+// mayInform reports whether a daemon may be told everything now, and reserves that.
+func (x *quarantineExchange) mayInform(address string, now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if now.Sub(x.informed[address]) < informInterval {
+		return false
+	}
+	x.informed[address] = now
+	return true
+}
+
+// inform sends all that a daemon which knows something else may have missed.
+func (x *quarantineExchange) inform(send func(wire.QuarantineReport)) {
+	for _, e := range x.guard.Reports() {
+		send(reportMessage(e, true))
+	}
+}
+
+func (x *quarantineExchange) recordCrash(e crash.Engine, inFlight []quarantine.Digest) {
+	x.metrics.Scope.Counter("upstreams_crashed").Inc(1)
+	logged := make([]string, 0, maxLoggedDigests)
+	for _, d := range inFlight[:min(len(inFlight), maxLoggedDigests)] {
+		logged = append(logged, d.String())
+	}
+	x.log.Warn("upstream crashed", "upstream", e.ID, "incarnation", e.Incarnation, "in_flight", len(inFlight), "digests", logged)
+}
+
+func (x *quarantineExchange) logEntered(e quarantine.Entered) {
+	x.log.Warn("request quarantined", "digest", e.Digest.String(), "crashed", e.Upstreams, "reported_by", e.Writer)
+}
+
+// services returns what keeps the journal and the guard going.
+func (x *quarantineExchange) services(retention time.Duration) []suture.Service {
+	return []suture.Service{x.entries, &guardService{guard: x.guard, retention: retention}}
+}
+
+// guardService retries reports and writes checkpoints.
+type guardService struct {
+	guard     *quarantine.Guard
+	retention time.Duration
+}
+
+// String implements fmt.Stringer; the supervisor logs it.
+func (g *guardService) String() string { return "quarantine" }
+
+// Serve implements suture.Service.
+func (g *guardService) Serve(ctx context.Context) error { return g.guard.Serve(ctx, g.retention) }
+
+// pacedLog limits the reads of a log whose news also come from other daemons.
+type pacedLog struct {
+	infra.Log
+	backoff *backoff
+	// heardByOthers reports whether other daemons pass on what the log brings.
+	heardByOthers func() bool
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+}
+
+// Read implements infra.Log.
+func (l *pacedLog) Read(ctx context.Context, from infra.Offset, limit int, wait time.Duration) (infra.ReadResult, error) {
+	for {
+		attempt, cancel := context.WithCancel(ctx)
+		l.setCancel(cancel)
+		result, err := l.read(attempt, from, limit, wait)
+		restarted := attempt.Err() != nil && ctx.Err() == nil
+		cancel()
+		if !restarted {
+			return result, err
+		}
+		wait = 0
+	}
+}
+
+func (l *pacedLog) read(ctx context.Context, from infra.Offset, limit int, wait time.Duration) (infra.ReadResult, error) {
+	l.backoff.await(ctx)
+	if wait > 0 && l.heardByOthers() {
+		sleep(ctx, rarePollInterval)
+		wait = 0
+	}
+	start := time.Now()
+	result, err := l.Log.Read(ctx, from, limit, wait)
+	var missing *infra.TrimmedError
+	var restored *infra.RestoredError
+	switch {
+	case err == nil, errors.As(err, &missing), errors.As(err, &restored):
+		l.backoff.recordSuccess()
+	case ctx.Err() == nil:
+		l.backoff.recordFailure(start, time.Now())
+	}
+	return result, err
+}
+
+func (l *pacedLog) setCancel(cancel context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cancel = cancel
+}
+
+// restartRead cancels the read in progress: its connection may have failed silently.
+func (l *pacedLog) restartRead() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cancel != nil {
+		l.cancel()
+	}
+}
+
+// addStatus adds what is quarantined.
+func (x *quarantineExchange) addStatus(d *daemonstatus.Daemon) {
+	for _, q := range x.guard.List() {
+		if q.Verdict.Status != quarantine.Quarantined {
+			d.Suspects++
+			continue
+		}
+		d.Quarantined = append(d.Quarantined, daemonstatus.Quarantined{
+			Digest: q.Digest.String(), Crashed: q.Verdict.Upstreams, RemainingMS: telemetry.Millis(q.Verdict.Remaining),
+		})
+	}
+}
--- a/internal/member/reporting.go
+++ b/internal/member/reporting.go
@@ -50,7 +50,7 @@
 		Serving: summary.Serving, ConfigVersion: summary.Config, ListAge: summary.ListAge,
 		ListPosition: uint64(summary.ListPosition), ListDigest: summary.ListDigest, ListSize: summary.ListSize,
 		FullMesh: p.fullMesh, Loads: loads, Prefills: prefills, Unavailable: p.unavailableEngines(),
-		KeysStale: summary.KeysStale, Clock: time.Now().UnixNano(),
+		KeysStale: summary.KeysStale, Clock: time.Now().UnixNano(), Quarantine: p.quarantineFingerprint(),
 	}
 }
 
@@ -82,6 +82,15 @@
 	return s
 }
 
+// sendTo sends a message to a neighbour; it is lost if there is no link.
+func (p *Peers) sendTo(address string, m wire.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if to := p.peers[address]; to != nil && to.link != nil {
+		to.link.Send(m)
+	}
+}
+
 // broadcast sends a message to all neighbours.
 func (p *Peers) broadcast(m wire.Message) {
 	encoded, err := wire.Encode(m)
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -22,6 +22,7 @@
 		Peers: m.peers.peerStatuses(time.Now()), Upstreams: m.upstreamStatuses(m.state.Snapshot()), RetryBudgets: []daemonstatus.RetryBudget{},
 	}
 	m.addKeyStatus(&d)
+	m.quarantine.addStatus(&d)
 	if l := m.lease.Load(); l != nil {
 		d.Lease = *l
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -47,6 +47,7 @@
 		p.ticket.HandoffStarted()
 	}
 	res := c.send(ctx, p, c.handoff)
+	c.endRun(res)
 	p.ticket.End(res.outcome)
 	c.updateHandoff(res)
 	c.relay.WakeWaiting()
@@ -110,7 +111,14 @@
 		if err := c.checkIdentity(); err != nil {
 			return err
 		}
-		return c.relay.Admit(u)
+		if err := c.checkQuarantine(); err != nil {
+			return err
+		}
+		if err := c.relay.Admit(u); err != nil {
+			return err
+		}
+		c.trackRun(u)
+		return nil
 	}
 }
 
@@ -241,7 +249,8 @@
 
 // notAdmitted reports whether an attempt was stopped by the checks right before it is sent.
 func notAdmitted(err error) bool {
-	return errors.Is(err, ErrHeldBack) || errors.Is(err, errReplaced) || errors.Is(err, errIdentityChanged)
+	return errors.Is(err, ErrHeldBack) || errors.Is(err, errReplaced) || errors.Is(err, errIdentityChanged) ||
+		errors.Is(err, errQuarantined)
 }
 
 // recordBegun reports that the request began to run at an upstream some time ago. Only its first
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tamarackchute/apikey"
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
@@ -42,8 +43,12 @@
 	rule     *pathset.Rule
 	pool     string
 	body     []byte
-	// digest is the request's digest once it has been computed.
-	digest quarantine.Digest
+	// content identifies equal requests. It is set before the first attempt and doesn't change.
+	content quarantine.Request
+	// inFlight records the attempt in progress at its upstream; nil if nothing has been sent.
+	inFlight *crash.Run
+	// quarantined is why the request was refused as quarantined, if it was.
+	quarantined *quarantine.Error
 	// key is the digest of the caller's API key; keyErr says that there is none.
 	key      apikey.Digest
 	keyErr   error
@@ -111,6 +116,7 @@
 	defer cancel()
 	c.retried = c.relay.timeouts.isRetry(c.rule.Name, c.Timeout)
 	c.relay.cfg.RetryBudget.RecordRequest(c.pool)
+	c.content = c.contentOf()
 	c.attempts = dispatch.New(c.retryPolicy())
 	f := c.run(ctx)
 	c.dropHandoff()
@@ -176,6 +182,9 @@
 		if f := c.identify(c.relay.cfg.State.Snapshot().Config); f != nil {
 			return f
 		}
+		if err := c.checkQuarantine(); err != nil {
+			return c.failQuarantined(err)
+		}
 		p, f := c.assign(ctx)
 		if f != nil {
 			return f
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -26,6 +26,7 @@
 	reasonNoKey          reason = "no key"
 	reasonUnknownKey     reason = "unknown key"
 	reasonStaleKeys      reason = "stale keys"
+	reasonQuarantined    reason = "quarantined"
 )
 
 // failure describes a request that ends without an upstream's response.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -38,7 +38,7 @@
 		attrs = append(attrs, "fate", res.execution.String(), "err", res.err)
 	}
 	if res.execution == dispatch.MayHaveRun && !res.done {
-		attrs = append(attrs, "digest", c.Digest().String())
+		attrs = append(attrs, "digest", c.content.Digest().String())
 	}
 	c.log.Log(c.in.Context(), level, "attempt", attrs...)
 }
@@ -72,6 +72,9 @@
 			"ideal_ms", telemetry.Millis(c.lastPlan.IdealFirstToken), "uncached", c.lastPlan.Uncached, "reread", c.lastPlan.Recomputes,
 			"considered", c.lastPlan.Candidates, "objective_ms", telemetry.Millis(c.rule.Objective), "comeback", c.retried)
 	}
+	if c.quarantined != nil {
+		attrs = append(attrs, "digest", c.quarantined.Digest.String(), "crashed", c.quarantined.Verdict.Upstreams)
+	}
 	if f.reason == reasonNoRule {
 		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -63,6 +63,11 @@
 	m.scope.Tagged(map[string]string{"pool": pool, "cause": cause.Error()}).Counter("sends_held_back").Inc(1)
 }
 
+// recordQuarantined counts an attempt that was refused because the request is quarantined.
+func (m *metrics) recordQuarantined(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("requests_quarantined").Inc(1)
+}
+
 // recordAttempt counts an attempt by its result.
 func (m *metrics) recordAttempt(c *call, p *assignment, res result) {
 	s := m.forRule(c.rule.Name)
--- /dev/null
+++ b/internal/relay/quarantine.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"syscall"
+
+	"tamarackchute/internal/crash"
+	"tamarackchute/internal/fleet"
+	"tamarackchute/placement"
+	"tamarackchute/quarantine"
+	"tamarackchute/upstream"
+)
+
+// CrashDetector tracks which requests are in flight where, and tells which have crashed upstreams;
+// crash.Detector implements it.
+type CrashDetector interface {
+	// CheckRequest returns a *quarantine.Error for a request that must not run.
+	CheckRequest(r *quarantine.Request) (suspected bool, err error)
+	Track(engine crash.Engine, r quarantine.Digester) *crash.Run
+}
+
+// crashEngine returns the name by which an incarnation of an upstream is known to the crash
+// detector.
+func crashEngine(u *fleet.Upstream) crash.Engine {
+	return crash.Engine{ID: u.ID, Incarnation: strconv.FormatInt(u.Started.UnixMilli(), 10)}
+}
+
+// ProbeEngine connects to an upstream. It returns an error that matches upstream.ErrNotSent if
+// nothing listens there although the upstream should be serving.
+func (r *Relay) ProbeEngine(ctx context.Context, e crash.Engine) error {
+	u := r.cfg.State.Snapshot().Upstreams[e.ID]
+	if u == nil || u.Draining || crashEngine(u) != e {
+		return nil
+	}
+	err := r.connsTo(u).Connect(ctx)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+	}
+	return err
+}
+
+// contentOf returns the content by which the call is recognised when it comes again. It doesn't
+// cover what differs with each attempt: IDs and deadlines.
+func (c *call) contentOf() quarantine.Request {
+	return quarantine.Request{Scope: c.identity.organisation, Method: c.in.Method, Path: c.in.RequestURI, Body: c.body}
+}
+
+var errQuarantined = errors.New("the request is quarantined")
+
+// checkQuarantine returns an error that matches errQuarantined if the request has crashed too many
+// upstreams.
+func (c *call) checkQuarantine() error {
+	if c.relay.cfg.Crashes == nil {
+		return nil
+	}
+	_, err := c.relay.cfg.Crashes.CheckRequest(&c.content)
+	if err == nil {
+		return nil
+	}
+	c.relay.metrics.recordQuarantined(c.pool)
+	return fmt.Errorf("%w: %w", errQuarantined, err)
+}
+
+// failQuarantined returns the failure of a quarantined request.
+func (c *call) failQuarantined(err error) *failure {
+	f := c.fail(reasonQuarantined, "upstreams crashed each time they ran this request; it isn't run again for now")
+	var refusal *quarantine.Error
+	if !errors.As(err, &refusal) {
+		return f
+	}
+	c.quarantined = refusal
+	if f.status == http.StatusServiceUnavailable {
+		f.retryAfter = refusal.RetryAfter
+	}
+	return f
+}
+
+// trackRun records that the request is about to be sent to an upstream.
+func (c *call) trackRun(u *fleet.Upstream) {
+	if c.relay.cfg.Crashes != nil {
+		c.inFlight = c.relay.cfg.Crashes.Track(crashEngine(u), &c.content)
+	}
+}
+
+// endRun ends the record of the attempt in progress, if it was sent.
+func (c *call) endRun(res result) {
+	run := c.inFlight
+	c.inFlight = nil
+	switch {
+	case run == nil:
+	case res.done:
+		run.Answer(&c.content)
+	case res.brokeOff():
+		run.Break()
+	default:
+		run.Drop()
+	}
+}
+
+// endPrefillRun ends the record of a prefill at another engine than the one that answers. Its
+// success doesn't show that the request is harmless: the crash may come with the first token.
+func (c *call) endPrefillRun(res result) {
+	res.done = false
+	c.endRun(res)
+}
+
+// brokeOff reports whether the connection to the upstream ended before the response was complete. A
+// silent upstream is slow or cut off, which is no sign of a crash.
+func (r result) brokeOff() bool {
+	return r.reachedUpstream && r.outcome == placement.Unreachable && !errors.Is(r.err, errStalled)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,8 @@
 	// OnReplaced is called for an upstream whose address now belongs to another
 	// incarnation; nil does nothing.
 	OnReplaced func(id string)
+	// Crashes refuses requests that have crashed upstreams; nil refuses none.
+	Crashes CrashDetector
 	// Metrics receives counters and histograms; nil drops them.
 	Metrics tally.Scope
 	// MinRetryAfter is the retry delay that error responses name; they name a shorter one
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/placement"
 )
@@ -56,6 +57,9 @@
 		if err := c.deliver(e, resp); err != nil {
 			return c.failStream(ctx, p, err)
 		}
+		if events := c.eventsOf(p); events == crash.ClearAfterTokens && c.inFlight != nil {
+			c.inFlight.Progress(&c.content)
+		}
 		watch.arm(c.eventGapTimeout())
 	}
 }
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -64,6 +64,8 @@
 	KeysStale bool
 	// Clock is the daemon's time of day, in Unix nanoseconds.
 	Clock int64
+	// Quarantine is the fingerprint of what the daemon knows of requests that crash upstreams.
+	Quarantine uint64
 }
 
 // MemberLoads reports the changes of a daemon's loads since its last state. It is sent
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -40,6 +40,7 @@
 	KindUsageAck           Kind = 19
 	KindUsageRequest       Kind = 20
 	KindUsageReply         Kind = 21
+	KindQuarantineReport   Kind = 22
 )
 
 // Message is a typed message between two processes of the system.
@@ -209,6 +210,8 @@
 		return decodeAs[UsageRequest](body)
 	case KindUsageReply:
 		return decodeAs[UsageReply](body)
+	case KindQuarantineReport:
+		return decodeAs[QuarantineReport](body)
 	case KindLoadTotals:
 		return decodeAs[LoadTotals](body)
 	default:
--- a/quarantine/backlog.go
+++ b/quarantine/backlog.go
@@ -16,10 +16,7 @@
 func (g *Guard) enqueue(e journal.Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.pending) == maxPending {
-		g.pending = append(g.pending[:0], g.pending[1:]...)
-	}
-	g.pending = append(g.pending, e)
+	g.addPending(e)
 }
 
 // flushPeriod is the interval at which Serve retries the backlog and writes the
@@ -37,7 +34,9 @@
 			return ctx.Err()
 		case <-t.C:
 			g.flush(ctx)
-			g.appendAll(ctx, g.due(retention))
+			if g.writesCheckpoints() {
+				g.appendAll(ctx, g.due(retention))
+			}
 		}
 	}
 }
--- a/quarantine/checkpoint.go
+++ b/quarantine/checkpoint.go
@@ -7,6 +7,10 @@
 	"tamarackchute/journal"
 )
 
+// worthKeeping is the number of strikes from which a suspect outlives the log's records: most of
+// those with fewer were only in flight at a crash.
+const worthKeeping = 2
+
 // maxCheckpoints bounds the checkpoints written in one pass.
 const maxCheckpoints = 16
 
@@ -22,7 +26,7 @@
 			break
 		}
 		age := g.state.logNow.Sub(x.written)
-		if age < retention/2 || len(x.crashes) == 0 {
+		if age < retention/2 || len(x.crashes) == 0 || x.quarantined.IsZero() && x.strikes < worthKeeping {
 			continue
 		}
 		id := fmt.Sprintf("quarantine/%s/%d.%d/%d", x.digest, x.basis.Offset, x.basis.Index, x.written.UnixNano())
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -25,39 +25,58 @@
 	maxEndBytes = 256
 )
 
-// DigestOf returns the digest of a request. scope separates requests that aren't equal
-// although their paths and bodies are: by model, or by method and organisation. path and
-// body are those sent to the upstream.
-func DigestOf(scope, path string, body []byte) Digest {
-	return Digest{Head(scope, path, body), sum(wholeSeed, scope, path, body)}
+// Request is the content by which requests are recognised as equal.
+type Request struct {
+	// Scope and Method separate requests that aren't equal although their paths and bodies are.
+	// Scope is the model or the organisation.
+	Scope, Method string
+	// Path and Body are those sent to the upstream.
+	Path string
+	Body []byte
 }
 
-// Head returns the first half of a request's digest, in a time that doesn't grow with the
-// body.
-func Head(scope, path string, body []byte) uint64 {
-	if len(body) <= 2*maxEndBytes {
-		return sum(0, scope, path, body)
+// Digest returns the request's digest.
+func (r *Request) Digest() Digest {
+	return Digest{r.Head(), r.sum(wholeSeed, r.Body)}
+}
+
+// Head returns the first half of the request's digest, in a time that doesn't grow with the body.
+func (r *Request) Head() uint64 {
+	if len(r.Body) <= 2*maxEndBytes {
+		return r.sum(0, r.Body)
 	}
-	return sum(uint64(len(body)), scope, path, body[:maxEndBytes], body[len(body)-maxEndBytes:])
+	return r.sum(uint64(len(r.Body)), r.Body[:maxEndBytes], r.Body[len(r.Body)-maxEndBytes:])
 }
 
-// sum hashes the parts with their lengths, so that moving a byte from one part to
-// the next changes the hash.
-func sum(seed uint64, scope, path string, body ...[]byte) uint64 {
+// sum hashes the names with their lengths, so that moving a byte from one to the next changes the
+// hash, and parts of the body.
+func (r *Request) sum(seed uint64, body ...[]byte) uint64 {
 	var h xxhash.Digest
 	h.ResetWithSeed(seed)
-	var lengths [16]byte
-	binary.BigEndian.PutUint64(lengths[:8], uint64(len(scope)))
-	binary.BigEndian.PutUint64(lengths[8:], uint64(len(path)))
-	_, _ = h.Write(lengths[:]) // writing to a hash never fails
-	_, _ = h.WriteString(scope)
-	_, _ = h.WriteString(path)
+	var length [8]byte
+	for _, name := range [...]string{r.Scope, r.Method, r.Path} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(name)))
+		_, _ = h.Write(length[:]) // writing to a hash never fails
+		_, _ = h.WriteString(name)
+	}
 	for _, part := range body {
 		_, _ = h.Write(part)
 	}
 	return h.Sum64()
 }
 
+// Digest returns the digest itself, so that a known digest can stand for its request.
+func (d Digest) Digest() Digest { return d }
+
+// Digester is a request whose digest may have to be computed.
+type Digester interface{ Digest() Digest }
+
+// DigestOf returns the digest of a request for a model.
+func DigestOf(model, path string, body []byte) Digest {
+	r := Request{Scope: model, Path: path, Body: body}
+	return r.Digest()
+}
+
 // String returns the digest in hex, the form that operators use.
 func (d Digest) String() string { return fmt.Sprintf("%016x%016x", d.A, d.B) }
 
--- a/quarantine/digest_test.go
+++ b/quarantine/digest_test.go
@@ -13,10 +13,11 @@
 	middle := bytes.Clone(long)
 	middle[len(middle)/2] = 'y'
 	seen := map[Digest]int{}
-	for i, d := range []Digest{
-		DigestOf("ab", "c", nil), DigestOf("a", "bc", nil), DigestOf("a", "b", []byte("c")), DigestOf("", "", nil),
-		DigestOf("", "", long), DigestOf("", "", middle), DigestOf("", "", long[1:]),
+	for i, r := range []Request{
+		{Scope: "ab", Path: "c"}, {Scope: "a", Path: "bc"}, {Scope: "a", Method: "b", Path: "c"}, {Scope: "a", Path: "b", Body: []byte("c")}, {},
+		{Body: long}, {Body: middle}, {Body: long[1:]},
 	} {
+		d := r.Digest()
 		other, known := seen[d]
 		require.False(t, known, "requests %d and %d", i, other)
 		seen[d] = i
@@ -24,27 +25,20 @@
 	require.Equal(t, DigestOf("a", "b", long), DigestOf("a", "b", bytes.Clone(long)))
 }
 
-func TestParseDigestReversesString(t *testing.T) {
-	d := DigestOf("scope", "/path", []byte("body"))
-	parsed, err := ParseDigest(d.String())
-	require.NoError(t, err)
-	require.Equal(t, d, parsed)
-}
-
 // Computes the digests of a request of the common size and of the largest.
 func BenchmarkDigest(b *testing.B) {
 	for name, size := range map[string]int{"8KB": 8 << 10, "4MB": 4 << 20} {
-		body := make([]byte, size)
+		r := Request{Scope: "organisation", Method: "POST", Path: "/path/of/a/request", Body: make([]byte, size)}
 		b.Run("head-"+name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				Head("POST organisation", "/path/of/a/request", body)
+				r.Head()
 			}
 		})
 		b.Run("whole-"+name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				DigestOf("POST organisation", "/path/of/a/request", body)
+				r.Digest()
 			}
 		})
 	}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,6 +35,12 @@
 	now    func() time.Time
 	// observe is called with each new quarantine; it may be nil.
 	observe func(Entered)
+	// publish passes a report on to other processes; it may be nil.
+	publish func(journal.Entry)
+	// checkpoints reports whether this process writes checkpoints; nil means yes.
+	checkpoints func() bool
+	heads       atomic.Pointer[heads]
+	fingerprint atomic.Uint64
 
 	mu          sync.Mutex
 	state       *State
@@ -41,6 +48,7 @@
 	pending     []journal.Entry   // entries not yet in the log
 	unconfirmed map[Digest]*unconfirmedCrashes
 	completed   *simplelru.LRU[Digest, time.Time]
+	heard       *simplelru.LRU[string, struct{}]
 }
 
 // NewGuard returns a guard. writer identifies the process in the journal; now is
@@ -50,6 +58,7 @@
 		now = time.Now
 	}
 	completed, _ := simplelru.NewLRU[Digest, time.Time](maxCompleted, nil)
+	heard, _ := simplelru.NewLRU[string, struct{}](maxHeard, nil)
 	return &Guard{
 		journal:     w,
 		writer:      writer,
@@ -58,9 +67,16 @@
 		local:       map[string]Digest{},
 		unconfirmed: map[Digest]*unconfirmedCrashes{},
 		completed:   completed,
+		heard:       heard,
 	}
 }
 
+// LimitCheckpoints makes only the processes write checkpoints for which f returns true. It must be
+// set before the first use.
+func (g *Guard) LimitCheckpoints(f func() bool) { g.checkpoints = f }
+
+func (g *Guard) writesCheckpoints() bool { return g.checkpoints == nil || g.checkpoints() }
+
 // Apply folds an entry of the journal.
 func (g *Guard) Apply(p journal.LogEntry) {
 	g.mu.Lock()
@@ -69,6 +85,12 @@
 	for _, d := range g.state.touched {
 		g.confirm(d, g.state.crashed)
 	}
+	for _, d := range g.state.cleared {
+		delete(g.unconfirmed, d)
+	}
+	if p.Entry.Kind == journal.KindQuarantine {
+		g.updateHeads()
+	}
 	if g.observe == nil {
 		return
 	}
@@ -113,17 +135,13 @@
 	if len(inFlight) == 0 {
 		return nil
 	}
-	e := g.recordCrash(upstream, incarnation, inFlight)
-	_, err := g.journal.Append(ctx, e)
-	if err != nil {
-		g.enqueue(e)
-	}
-	return err
+	return g.report(ctx, message{Crash: g.recordCrash(upstream, incarnation, inFlight)})
 }
 
-func (g *Guard) recordCrash(upstream, incarnation string, inFlight []Digest) journal.Entry {
+func (g *Guard) recordCrash(upstream, incarnation string, inFlight []Digest) *Crash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.updateHeads()
 	c := &Crash{Upstream: upstream, Incarnation: incarnation}
 	delete(g.local, upstream)
 	for _, d := range inFlight {
@@ -132,9 +150,9 @@
 			continue
 		}
 		c.Suspects = append(c.Suspects, d)
-		g.addUnconfirmed(d, upstream)
+		g.addUnconfirmed(d, unconfirmedCrash{upstream, incarnation}, 0)
 	}
-	return entryOf(uuid.NewString(), g.writer, message{Crash: c})
+	return c
 }
 
 func (g *Guard) completedRecently(d Digest) bool {
@@ -209,12 +227,16 @@
 
 // Release lets a digest run again, on an operator's request.
 func (g *Guard) Release(ctx context.Context, r Release) error {
-	_, err := g.journal.Append(ctx, entryOf(uuid.NewString(), g.writer, message{Release: &r}))
-	if err != nil {
+	e := entryOf(uuid.NewString(), g.writer, message{Release: &r})
+	if _, err := g.journal.Append(ctx, e); err != nil {
 		return err
 	}
+	if g.publish != nil {
+		g.publish(e)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.unconfirmed, r.Digest)
+	g.updateHeads()
 	return nil
 }
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -13,6 +13,7 @@
 	Crash        *Crash        `msgpack:"c,omitempty"`
 	Isolate      *isolate      `msgpack:"i,omitempty"`
 	IsolationEnd *isolationEnd `msgpack:"k,omitempty"`
+	Completed    *completed    `msgpack:"d,omitempty"`
 	Release      *Release      `msgpack:"r,omitempty"`
 	Checkpoint   *checkpoint   `msgpack:"p,omitempty"`
 }
@@ -27,6 +28,8 @@
 	// response recently and are unlikely to be the cause.
 	Suspects []Digest `msgpack:"s"`
 	Doubtful []Digest `msgpack:"d"`
+	// Age is the time since the crash if the report is a repetition; 0 in the journal.
+	Age time.Duration `msgpack:"a,omitempty"`
 }
 
 // isolate requests an upstream on which no other suspect runs.
@@ -43,6 +46,11 @@
 	Passed   bool   `msgpack:"p"`
 }
 
+// completed reports that a suspect got a complete response.
+type completed struct {
+	Digest Digest `msgpack:"d"`
+}
+
 // Release is an operator's decision that a digest may run again.
 type Release struct {
 	Digest   Digest `msgpack:"d"`
--- /dev/null
+++ b/quarantine/report.go
@@ -0,0 +1,173 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"tamarackchute/internal/codec"
+	"tamarackchute/journal"
+)
+
+// maxHeard bounds the IDs of reports that are remembered to recognise copies.
+const maxHeard = 8192
+
+// Publish sets the function that passes this process's reports on to other processes, which may
+// read the journal late or not at all. It must be set before the first report and must not block.
+func (g *Guard) Publish(f func(journal.Entry)) { g.publish = f }
+
+// Hear processes a report that another process has passed on. It returns false for a copy of a
+// known one, which needn't be passed on again.
+func (g *Guard) Hear(e journal.Entry) bool {
+	var m message
+	if e.Kind != journal.KindQuarantine || codec.Unmarshal(e.Body, &m) != nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.markHeard(e.ID) {
+		return false
+	}
+	defer g.updateHeads()
+	switch {
+	case m.Crash != nil:
+		for _, d := range m.Crash.Suspects {
+			g.addUnconfirmed(d, unconfirmedCrash{m.Crash.Upstream, m.Crash.Incarnation}, m.Crash.Age)
+		}
+	case m.Completed != nil:
+		delete(g.unconfirmed, m.Completed.Digest)
+	case m.IsolationEnd != nil && m.IsolationEnd.Passed:
+		delete(g.unconfirmed, m.IsolationEnd.Digest)
+	case m.Release != nil:
+		delete(g.unconfirmed, m.Release.Digest)
+	}
+	return true
+}
+
+// markHeard remembers the ID of a report, and returns false if it is known. The caller holds g.mu.
+func (g *Guard) markHeard(id string) bool {
+	if g.heard.Contains(id) {
+		return false
+	}
+	g.heard.Add(id, struct{}{})
+	return true
+}
+
+// report passes an entry on to other processes and appends it to the journal, or queues it if that
+// fails.
+func (g *Guard) report(ctx context.Context, m message) error {
+	e := entryOf(uuid.NewString(), g.writer, m)
+	if g.publish != nil {
+		g.mu.Lock()
+		g.markHeard(e.ID)
+		g.mu.Unlock()
+		g.publish(e)
+	}
+	_, err := g.journal.Append(ctx, e)
+	if err != nil {
+		g.enqueue(e)
+	}
+	return err
+}
+
+// Reports returns reports of what a process needs to know that has heard of no crash: the crashes
+// behind the quarantined digests and the likely ones. They aren't in the journal in this form.
+func (g *Guard) Reports() []journal.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []journal.Entry
+	for d, crashes := range g.worthKnowing() {
+		for c := range crashes {
+			m := message{Crash: &Crash{Upstream: c.upstream, Incarnation: c.incarnation, Suspects: []Digest{d}, Age: g.age(d)}}
+			all = append(all, entryOf(uuid.NewString(), g.writer, m))
+		}
+	}
+	return all
+}
+
+// Fingerprint returns a number that is the same in processes whose Reports tell the same.
+func (g *Guard) Fingerprint() uint64 { return g.fingerprint.Load() }
+
+// fingerprintOf combines crashes in a way that doesn't depend on their order.
+func fingerprintOf(known map[Digest]map[unconfirmedCrash]struct{}) uint64 {
+	sum := uint64(0)
+	for d, crashes := range known {
+		for c := range crashes {
+			sum ^= xxhash.Sum64String(d.String() + c.upstream)
+		}
+	}
+	return sum
+}
+
+// worthKnowing returns the counted crashes of the digests that are more than one of many that were
+// in flight at a crash.
+func (g *Guard) worthKnowing() map[Digest]map[unconfirmedCrash]struct{} {
+	all := map[Digest]map[unconfirmedCrash]struct{}{}
+	for d := range g.state.suspects {
+		g.addWorthKnowing(all, d)
+	}
+	for d := range g.unconfirmed {
+		g.addWorthKnowing(all, d)
+	}
+	return all
+}
+
+func (g *Guard) addWorthKnowing(all map[Digest]map[unconfirmedCrash]struct{}, d Digest) {
+	if all[d] != nil || g.verdict(d).Status == Clean {
+		return
+	}
+	crashes := map[unconfirmedCrash]struct{}{}
+	if x := g.state.suspects[d]; x != nil {
+		for _, c := range x.counted() {
+			crashes[unconfirmedCrash{c.Upstream, c.Incarnation}] = struct{}{}
+		}
+	}
+	if known := g.unconfirmed[d]; known != nil {
+		for _, c := range known.crashes {
+			crashes[c] = struct{}{}
+		}
+	}
+	if len(crashes) >= worthKeeping {
+		all[d] = crashes
+	}
+}
+
+// age returns the time since the last known crash with a digest in flight.
+func (g *Guard) age(d Digest) time.Duration {
+	age := g.state.cfg.SuspectFor
+	if x := g.state.suspects[d]; x != nil {
+		age = min(age, g.state.logNow.Sub(x.last))
+	}
+	if known := g.unconfirmed[d]; known != nil {
+		age = min(age, g.state.cfg.SuspectFor-known.until.Sub(g.now()))
+	}
+	return max(0, age)
+}
+
+// Progressed reports that a run of a suspect came further than the one that made it a suspect. The
+// report is in the journal when it returns, or will be retried by Serve.
+func (g *Guard) Progressed(ctx context.Context, d Digest) error {
+	return g.exonerate(ctx, d, message{IsolationEnd: &isolationEnd{Digest: d, Passed: true}})
+}
+
+// Answered reports that a suspect that isn't isolated got a complete response.
+func (g *Guard) Answered(ctx context.Context, d Digest) error {
+	return g.exonerate(ctx, d, message{Completed: &completed{d}})
+}
+
+// exonerate clears a suspect here and reports that. Digests that aren't suspected need no report.
+func (g *Guard) exonerate(ctx context.Context, d Digest, m message) error {
+	g.mu.Lock()
+	suspected := g.verdict(d).Status == Suspected
+	if suspected {
+		delete(g.unconfirmed, d)
+		g.updateHeads()
+	}
+	g.mu.Unlock()
+	if !suspected {
+		return nil
+	}
+	return g.report(ctx, m)
+}
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -21,9 +21,13 @@
 	CrashDedupWindow time.Duration
 	// MaxDigests bounds the known digests; the oldest suspect is evicted first.
 	MaxDigests int
+	// MaxStrikes and MaxCrashes are the numbers of crashes that quarantine a digest. Strikes are
+	// crashes of different upstreams without progress in between; MaxCrashes counts all crashes,
+	// to catch a request that crashes upstreams only sometimes.
+	MaxStrikes, MaxCrashes int
 }
 
-// DefaultConfig returns the default settings.
+// DefaultConfig returns the settings of processes that isolate suspects.
 func DefaultConfig() Config {
 	return Config{
 		SuspectFor:       10 * time.Minute,
@@ -31,16 +35,19 @@
 		IsolateFor:       time.Minute,
 		CrashDedupWindow: 15 * time.Second,
 		MaxDigests:       4096,
+		MaxStrikes:       2,
+		MaxCrashes:       3,
 	}
 }
 
-// The numbers of crashes that quarantine a digest. Strikes are crashes of
-// different upstreams without a success in between; maxCrashes counts all crashes,
-// to catch a request that crashes upstreams only sometimes.
-const (
-	maxStrikes = 2
-	maxCrashes = 3
-)
+// SharedConfig returns the settings of processes that don't isolate suspects. Two requests may
+// then share two upstreams by chance, so that more crashes are needed to tell them apart.
+func SharedConfig() Config {
+	c := DefaultConfig()
+	c.MaxStrikes = 3
+	c.MaxCrashes = 6
+	return c
+}
 
 // suspect is the state of a digest.
 type suspect struct {
@@ -83,6 +90,8 @@
 	// report; crashed is the upstream of the last crash report.
 	touched []Digest
 	crashed string
+	// cleared are the digests that the entry folded last shows to be harmless.
+	cleared []Digest
 	// entered are the quarantines that began with the entry folded last.
 	entered []Entered
 	logNow  time.Time
@@ -98,6 +107,7 @@
 // by every process.
 func (s *State) Apply(p journal.LogEntry) {
 	s.touched = s.touched[:0]
+	s.cleared = s.cleared[:0]
 	s.entered = s.entered[:0]
 	if p.At.After(s.logNow) {
 		s.logNow = p.At
@@ -118,6 +128,8 @@
 		s.applyIsolate(m.Isolate)
 	case m.IsolationEnd != nil:
 		s.applyIsolationEnd(m.IsolationEnd, p)
+	case m.Completed != nil:
+		s.applyCompleted(m.Completed)
 	case m.Release != nil:
 		s.applyRelease(m.Release, p)
 	case m.Checkpoint != nil:
@@ -157,12 +169,16 @@
 		x.strikes++
 		x.lastStrike = c.Upstream
 	}
-	if x.quarantined.IsZero() && (x.strikes >= maxStrikes || len(x.crashes) >= maxCrashes) {
+	if x.quarantined.IsZero() && s.exceedsLimits(x.strikes, len(x.crashes)) {
 		x.quarantined = p.At
 		s.entered = append(s.entered, x.entered(p))
 	}
 }
 
+func (s *State) exceedsLimits(strikes, crashes int) bool {
+	return strikes >= s.cfg.MaxStrikes || crashes >= s.cfg.MaxCrashes
+}
+
 // alreadyCounted reports whether a crash was already counted against a digest:
 // several instances observe the same crash, and each reports it.
 func (s *State) alreadyCounted(x *suspect, c *Crash, at time.Time) bool {
@@ -209,6 +225,15 @@
 	x.written = p.At
 }
 
+// applyCompleted clears a suspect that got a complete response. A quarantined digest stays: the
+// response is one of a run that began before.
+func (s *State) applyCompleted(c *completed) {
+	s.cleared = append(s.cleared, c.Digest)
+	if x := s.suspects[c.Digest]; x != nil && x.quarantined.IsZero() {
+		delete(s.suspects, c.Digest)
+	}
+}
+
 func (s *State) applyRelease(r *Release, p journal.LogEntry) {
 	mark := released{*r, r.Basis, r.At, p.At}
 	if r.Basis.IsZero() {
--- a/quarantine/unconfirmed.go
+++ b/quarantine/unconfirmed.go
@@ -1,39 +1,73 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
-// unconfirmedCrashes are the crashes of one digest that this process observed and
-// hasn't read from the journal yet.
+// unconfirmedCrashes are the crashes of one digest that this process observed, or that another one
+// told it of, and that it hasn't read from the journal yet.
 type unconfirmedCrashes struct {
-	// upstreams crashed in this order, without consecutive duplicates.
-	upstreams []string
-	until     time.Time
+	// crashes are in the order in which they became known, without consecutive duplicates.
+	crashes []unconfirmedCrash
+	until   time.Time
 }
 
-// addUnconfirmed adds a crash observed by this process.
-func (g *Guard) addUnconfirmed(d Digest, upstream string) {
-	crashes := g.unconfirmed[d]
-	if crashes == nil {
-		crashes = &unconfirmedCrashes{}
-		g.unconfirmed[d] = crashes
+type unconfirmedCrash struct{ upstream, incarnation string }
+
+// addUnconfirmed adds a crash of some time ago. Beyond MaxDigests, the digests with the fewest
+// crashes make room.
+func (g *Guard) addUnconfirmed(d Digest, c unconfirmedCrash, age time.Duration) {
+	until := g.now().Add(g.state.cfg.SuspectFor - age)
+	if !until.After(g.now()) || g.state.hasCrash(d, c) {
+		return
+	}
+	known := g.unconfirmed[d]
+	if known == nil {
+		if len(g.unconfirmed) >= g.state.cfg.MaxDigests {
+			g.evictUnconfirmed()
+		}
+		known = &unconfirmedCrashes{}
+		g.unconfirmed[d] = known
+	}
+	if known.has(c) {
+		return
 	}
-	if len(crashes.upstreams) == 0 || crashes.upstreams[len(crashes.upstreams)-1] != upstream {
-		crashes.upstreams = append(crashes.upstreams, upstream)
+	known.crashes = append(known.crashes, c)
+	if until.After(known.until) {
+		known.until = until
+	}
+}
+
+// has reports whether a crash is known. Without an incarnation, an upstream that crashes again
+// after another one has crashed anew.
+func (u *unconfirmedCrashes) has(c unconfirmedCrash) bool {
+	if c.incarnation != "" {
+		return slices.Contains(u.crashes, c)
+	}
+	n := len(u.crashes)
+	return n > 0 && u.crashes[n-1] == c
+}
+
+// evictUnconfirmed drops what has expired and, if that isn't enough, the digests with the fewest
+// crashes.
+func (g *Guard) evictUnconfirmed() {
+	now := g.now()
+	maps.DeleteFunc(g.unconfirmed, func(_ Digest, u *unconfirmedCrashes) bool { return !u.until.After(now) })
+	for few := 1; len(g.unconfirmed) >= g.state.cfg.MaxDigests; few++ {
+		maps.DeleteFunc(g.unconfirmed, func(_ Digest, u *unconfirmedCrashes) bool { return len(u.crashes) <= few })
 	}
-	crashes.until = g.now().Add(g.state.cfg.SuspectFor)
 }
 
 // confirm drops a crash that has been read from the journal.
 func (g *Guard) confirm(d Digest, upstream string) {
-	crashes := g.unconfirmed[d]
-	if crashes == nil {
+	known := g.unconfirmed[d]
+	if known == nil {
 		return
 	}
-	crashes.upstreams = slices.DeleteFunc(crashes.upstreams, func(u string) bool { return u == upstream })
-	if len(crashes.upstreams) == 0 {
+	known.crashes = slices.DeleteFunc(known.crashes, func(c unconfirmedCrash) bool { return c.upstream == upstream })
+	if len(known.crashes) == 0 {
 		delete(g.unconfirmed, d)
 	}
 }
@@ -44,35 +78,51 @@
 // after the other.
 func (g *Guard) verdict(d Digest) Verdict {
 	v := g.state.Verdict(d, g.now())
-	crashes := g.unconfirmed[d]
-	if crashes == nil {
+	known := g.unconfirmed[d]
+	if known == nil || v.Status == Quarantined {
 		return v
 	}
-	left := crashes.until.Sub(g.now())
+	left := known.until.Sub(g.now())
 	if left <= 0 {
 		delete(g.unconfirmed, d)
 		return v
 	}
-	if v.Status == Quarantined {
-		return v
-	}
 	strikes, last := g.state.strikesOf(d, v)
-	for _, u := range crashes.upstreams {
-		if u != last {
+	total := len(v.Upstreams)
+	for _, c := range known.crashes {
+		if g.state.hasCrash(d, c) {
+			continue // the journal has it by another process's report
+		}
+		total++
+		if c.upstream != last {
 			strikes++
-			last = u
+			last = c.upstream
 		}
-		if !slices.Contains(v.Upstreams, u) {
-			v.Upstreams = append(v.Upstreams, u)
+		if !slices.Contains(v.Upstreams, c.upstream) {
+			v.Upstreams = append(v.Upstreams, c.upstream)
 		}
 	}
+	if strikes == 0 {
+		return v
+	}
 	v.Status, v.Remaining = Suspected, max(v.Remaining, left)
-	if strikes >= maxStrikes {
+	if g.state.exceedsLimits(strikes, total) {
 		v.Status, v.Remaining = Quarantined, left
 	}
 	return v
 }
 
+// hasCrash reports whether the journal counts a crash of a known incarnation against a digest.
+func (s *State) hasCrash(d Digest, c unconfirmedCrash) bool {
+	x := s.suspects[d]
+	if x == nil || c.incarnation == "" {
+		return false
+	}
+	return slices.ContainsFunc(x.crashes, func(have crash) bool {
+		return have.Upstream == c.upstream && have.Incarnation == c.incarnation
+	})
+}
+
 // strikesOf returns the number of strikes behind a verdict and the upstream of
 // the last one.
 func (s *State) strikesOf(d Digest, v Verdict) (int, string) {
