--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -46,6 +46,19 @@
 			"budgets are shown as reported by the first one that answers. Needs no settings file.",
 		prepare: prepareDaemons,
 	},
+	{
+		name: "quarantine list", arguments: "ADDRESS", operands: 1,
+		summary: "lists the requests that a daemon refuses because they crash upstreams",
+		help: "Queries the metrics address of a chute-member. Each request is shown by its digest, as in\n" +
+			"the logs, with the upstreams that crashed. Needs no settings file.",
+		prepare: prepareListQuarantine,
+	},
+	{
+		name: "quarantine release", arguments: "ADDRESS DIGEST", operands: 2,
+		summary: "lets such a request run again, at all daemons",
+		help:    "Sent to the metrics address of any chute-member. Needs no settings file.",
+		prepare: prepareReleaseQuarantined,
+	},
 	{
 		name:    "rules get",
 		summary: "prints the rules in force",
@@ -189,7 +202,7 @@
 func (s *session) printHelp(flags *flag.FlagSet) {
 	fmt.Fprint(s.Stdout, "Usage: chutectl [flags] COMMAND [arguments]\n\nCommands:\n")
 	for _, c := range commands {
-		fmt.Fprintf(s.Stdout, "  %-20s %s\n", strings.TrimSpace(c.name+" "+c.arguments), c.summary)
+		fmt.Fprintf(s.Stdout, "  %-33s %s\n", strings.TrimSpace(c.name+" "+c.arguments), c.summary)
 	}
 	fmt.Fprint(s.Stdout, "\nFlags:\n")
 	printFlags(s.Stdout, flags)
--- a/internal/daemonstatus/status.go
+++ b/internal/daemonstatus/status.go
@@ -6,6 +6,17 @@
 // Path is the path of the status page at the metrics address.
 const Path = "/status"
 
+// ReleasePath is the path at the metrics address to which a Release is posted.
+const ReleasePath = "/quarantine/release"
+
+// Release lets a quarantined request run again.
+type Release struct {
+	// Digest identifies the request, Operator and Reason are for the log.
+	Digest   string `json:"digest"`
+	Operator string `json:"operator"`
+	Reason   string `json:"reason"`
+}
+
 // Daemon is the status of a daemon and its view of its surroundings.
 type Daemon struct {
 	Instance     string `json:"instance"`
--- a/internal/member/quarantine.go
+++ b/internal/member/quarantine.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -199,3 +201,37 @@
 		})
 	}
 }
+
+const (
+	// maxReleaseBytes limits the body of a release, releaseTimeout the time to write it to the
+	// journal.
+	maxReleaseBytes = 4 << 10
+	releaseTimeout  = 3 * time.Second
+)
+
+// serveRelease lets a quarantined request run again, on an operator's request.
+func (x *quarantineExchange) serveRelease(w http.ResponseWriter, r *http.Request) {
+	var release daemonstatus.Release
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReleaseBytes)).Decode(&release); err != nil {
+		http.Error(w, "the body is no release: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	digest, err := quarantine.ParseDigest(release.Digest)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if release.Operator == "" || release.Reason == "" {
+		http.Error(w, "a release needs an operator and a reason", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), releaseTimeout)
+	defer cancel()
+	err = x.guard.Release(ctx, quarantine.Release{Digest: digest, Operator: release.Operator, Reason: release.Reason})
+	x.log.Warn("release of a quarantined request", "digest", release.Digest, "operator", release.Operator, "reason", release.Reason, "err", err)
+	if err != nil {
+		http.Error(w, "not released for certain, try again: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -95,6 +95,7 @@
 func (m *Member) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+daemonstatus.Path, m.serveStatus)
+	mux.HandleFunc("POST "+daemonstatus.ReleasePath, m.quarantine.serveRelease)
 	mux.HandleFunc("GET /", m.serveMetrics)
 	return mux
 }
