--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -201,3 +201,16 @@
 	defer p.mu.Unlock()
 	return 1 + len(p.peers)
 }
+
+// HearsAll reports whether this daemon hears all neighbours, so that its messages should reach the
+// whole site.
+func (p *Peers) HearsAll() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.peers {
+		if other.link != nil && !other.up {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/member/quarantine.go
+++ b/internal/member/quarantine.go
@@ -47,7 +47,7 @@
 	x.guard = quarantine.NewGuard(quarantine.SharedConfig(), x.entries, writer, nil)
 	x.guard.LimitCheckpoints(m.peers.ReadsFirst)
 	x.guard.Observe(x.logEntered)
-	x.guard.Publish(func(e journal.Entry) { m.peers.broadcast(reportMessage(e, false)) })
+	x.guard.Publish(func(e journal.Entry) { m.peers.broadcast(reportMessage(e, false)) }, m.peers.HearsAll)
 	x.entries.Register(journal.KindQuarantine, restorableGuard{x.guard})
 	x.detector = crash.New(x.guard, func(ctx context.Context, e crash.Engine) error { return m.relay.ProbeEngine(ctx, e) })
 	x.detector.OnCrash(x.recordCrash)
@@ -129,6 +129,10 @@
 // Serve implements suture.Service.
 func (g *guardService) Serve(ctx context.Context) error { return g.guard.Serve(ctx, g.retention) }
 
+// minReadInterval is the minimum time between two reads of the journal: what has to be known sooner
+// comes from other daemons.
+const minReadInterval = time.Second
+
 // pacedLog limits the reads of a log whose news also come from other daemons.
 type pacedLog struct {
 	infra.Log
@@ -138,6 +142,7 @@
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
+	readAt time.Time
 }
 
 // Read implements infra.Log.
@@ -161,7 +166,9 @@
 		sleep(ctx, rarePollInterval)
 		wait = 0
 	}
+	sleep(ctx, time.Until(l.readAt.Add(minReadInterval)))
 	start := time.Now()
+	l.readAt = start
 	result, err := l.Log.Read(ctx, from, limit, wait)
 	var missing *infra.TrimmedError
 	var restored *infra.RestoredError
--- a/quarantine/backlog.go
+++ b/quarantine/backlog.go
@@ -36,6 +36,7 @@
 			g.flush(ctx)
 			if g.writesCheckpoints() {
 				g.appendAll(ctx, g.due(retention))
+				g.appendAll(ctx, g.likely(g.unconfirmedDigests()))
 			}
 		}
 	}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -37,6 +37,8 @@
 	observe func(Entered)
 	// publish passes a report on to other processes; it may be nil.
 	publish func(journal.Entry)
+	// reachesAll reports whether publish reaches all other processes.
+	reachesAll func() bool
 	// checkpoints reports whether this process writes checkpoints; nil means yes.
 	checkpoints func() bool
 	heads       atomic.Pointer[heads]
@@ -135,7 +137,7 @@
 	if len(inFlight) == 0 {
 		return nil
 	}
-	return g.report(ctx, message{Crash: g.recordCrash(upstream, incarnation, inFlight)})
+	return g.reportCrash(ctx, g.recordCrash(upstream, incarnation, inFlight))
 }
 
 func (g *Guard) recordCrash(upstream, incarnation string, inFlight []Digest) *Crash {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,9 +18,13 @@
 // maxHeard bounds the IDs of reports that are remembered to recognise copies.
 const maxHeard = 8192
 
-// Publish sets the function that passes this process's reports on to other processes, which may
-// read the journal late or not at all. It must be set before the first report and must not block.
-func (g *Guard) Publish(f func(journal.Entry)) { g.publish = f }
+// Publish sets the function that passes this process's reports on to other processes, and one that
+// reports whether it reaches them all. While it does, the journal only gets what has to outlive the
+// processes: not the many that were in flight at one crash. Both must be set before the first report
+// and must not block.
+func (g *Guard) Publish(f func(journal.Entry), reachesAll func() bool) {
+	g.publish, g.reachesAll = f, reachesAll
+}
 
 // Hear processes a report that another process has passed on. It returns false for a copy of a
 // known one, which needn't be passed on again.
@@ -39,7 +47,7 @@
 	case m.Completed != nil:
 		delete(g.unconfirmed, m.Completed.Digest)
 	case m.IsolationEnd != nil && m.IsolationEnd.Passed:
-		delete(g.unconfirmed, m.IsolationEnd.Digest)
+		g.markProgress(m.IsolationEnd.Digest)
 	case m.Release != nil:
 		delete(g.unconfirmed, m.Release.Digest)
 	}
@@ -55,16 +63,30 @@
 	return true
 }
 
-// report passes an entry on to other processes and appends it to the journal, or queues it if that
-// fails.
-func (g *Guard) report(ctx context.Context, m message) error {
-	e := entryOf(uuid.NewString(), g.writer, m)
-	if g.publish != nil {
-		g.mu.Lock()
-		g.markHeard(e.ID)
-		g.mu.Unlock()
-		g.publish(e)
+// reportCrash passes a crash on to other processes and appends it to the journal, or what is likely
+// of it.
+func (g *Guard) reportCrash(ctx context.Context, c *Crash) error {
+	e := entryOf(uuid.NewString(), g.writer, message{Crash: c})
+	if !g.pass(e) {
+		return g.persist(ctx, e)
 	}
+	return g.persistAll(ctx, g.likely(c.Suspects))
+}
+
+// pass passes an entry on, and reports whether it reaches all other processes.
+func (g *Guard) pass(e journal.Entry) bool {
+	if g.publish == nil {
+		return false
+	}
+	g.mu.Lock()
+	g.markHeard(e.ID)
+	g.mu.Unlock()
+	g.publish(e)
+	return g.reachesAll()
+}
+
+// persist appends an entry to the journal, or queues it if that fails.
+func (g *Guard) persist(ctx context.Context, e journal.Entry) error {
 	_, err := g.journal.Append(ctx, e)
 	if err != nil {
 		g.enqueue(e)
@@ -72,6 +94,56 @@
 	return err
 }
 
+func (g *Guard) persistAll(ctx context.Context, entries []journal.Entry) error {
+	var all error
+	for _, e := range entries {
+		all = errors.Join(all, g.persist(ctx, e))
+	}
+	return all
+}
+
+// likely returns reports of the crashes that the journal lacks, of those digests that were in
+// flight at more than one since their last progress.
+func (g *Guard) likely(digests []Digest) []journal.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	byCrash := map[unconfirmedCrash][]Digest{}
+	for _, d := range digests {
+		known := g.unconfirmed[d]
+		if known == nil || len(known.sinceProgress())+g.state.crashesOf(d) < worthKeeping {
+			continue
+		}
+		for _, c := range known.sinceProgress() {
+			if !g.state.hasCrash(d, c) {
+				byCrash[c] = append(byCrash[c], d)
+			}
+		}
+	}
+	var all []journal.Entry
+	for c, suspects := range byCrash {
+		// Processes that report the same write the same ID, so that it counts once.
+		id := fmt.Sprintf("quarantine/crash/%s/%x", c.upstream, fingerprintOfDigests(suspects))
+		all = append(all, entryOf(id, g.writer, message{Crash: &Crash{Upstream: c.upstream, Incarnation: c.incarnation, Suspects: suspects}}))
+	}
+	return all
+}
+
+func fingerprintOfDigests(digests []Digest) uint64 {
+	sum := uint64(0)
+	for _, d := range digests {
+		sum ^= xxhash.Sum64String(d.String())
+	}
+	return sum
+}
+
+// unconfirmedDigests returns the digests of which other processes have told something that the
+// journal lacks.
+func (g *Guard) unconfirmedDigests() []Digest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Keys(g.unconfirmed))
+}
+
 // Reports returns reports of what a process needs to know that has heard of no crash: the crashes
 // behind the quarantined digests and the likely ones. They aren't in the journal in this form.
 func (g *Guard) Reports() []journal.Entry {
@@ -125,7 +197,7 @@
 		}
 	}
 	if known := g.unconfirmed[d]; known != nil {
-		for _, c := range known.crashes {
+		for _, c := range known.sinceProgress() {
 			crashes[c] = struct{}{}
 		}
 	}
@@ -149,25 +221,31 @@
 // Progressed reports that a run of a suspect came further than the one that made it a suspect. The
 // report is in the journal when it returns, or will be retried by Serve.
 func (g *Guard) Progressed(ctx context.Context, d Digest) error {
-	return g.exonerate(ctx, d, message{IsolationEnd: &isolationEnd{Digest: d, Passed: true}})
+	return g.exonerate(ctx, d, g.markProgress, message{IsolationEnd: &isolationEnd{Digest: d, Passed: true}})
 }
 
 // Answered reports that a suspect that isn't isolated got a complete response.
 func (g *Guard) Answered(ctx context.Context, d Digest) error {
-	return g.exonerate(ctx, d, message{Completed: &completed{d}})
+	forget := func(d Digest) { delete(g.unconfirmed, d) }
+	return g.exonerate(ctx, d, forget, message{Completed: &completed{d}})
 }
 
 // exonerate clears a suspect here and reports that. Digests that aren't suspected need no report.
-func (g *Guard) exonerate(ctx context.Context, d Digest, m message) error {
+func (g *Guard) exonerate(ctx context.Context, d Digest, forgive func(Digest), m message) error {
 	g.mu.Lock()
 	suspected := g.verdict(d).Status == Suspected
+	journaled := g.state.crashesOf(d) > 0
 	if suspected {
-		delete(g.unconfirmed, d)
+		forgive(d)
 		g.updateHeads()
 	}
 	g.mu.Unlock()
 	if !suspected {
 		return nil
 	}
-	return g.report(ctx, m)
+	e := entryOf(uuid.NewString(), g.writer, m)
+	if g.pass(e) && !journaled {
+		return nil
+	}
+	return g.persist(ctx, e)
 }
--- a/quarantine/report_test.go
+++ b/quarantine/report_test.go
@@ -28,7 +28,7 @@
 	s := &sharedSite{now: testStart, read: make([]int, processes)}
 	for i := range processes {
 		g := NewGuard(SharedConfig(), s, fmt.Sprint("p", i), func() time.Time { return s.now })
-		g.Publish(func(e journal.Entry) { s.pass(i, e) })
+		g.Publish(func(e journal.Entry) { s.pass(i, e) }, func() bool { return !s.linksDown })
 		s.guards = append(s.guards, g)
 	}
 	return s
--- a/quarantine/unconfirmed.go
+++ b/quarantine/unconfirmed.go
@@ -11,7 +11,9 @@
 type unconfirmedCrashes struct {
 	// crashes are in the order in which they became known, without consecutive duplicates.
 	crashes []unconfirmedCrash
-	until   time.Time
+	// passed is the number of crashes before the digest's last progress. They give no strikes.
+	passed int
+	until  time.Time
 }
 
 type unconfirmedCrash struct{ upstream, incarnation string }
@@ -60,13 +62,31 @@
 	}
 }
 
+// sinceProgress returns the crashes since the digest's last progress.
+func (u *unconfirmedCrashes) sinceProgress() []unconfirmedCrash { return u.crashes[u.passed:] }
+
+// markProgress records that a digest came further than when it was in flight at the known crashes.
+func (g *Guard) markProgress(d Digest) {
+	if known := g.unconfirmed[d]; known != nil {
+		known.passed = len(known.crashes)
+	}
+}
+
 // confirm drops a crash that has been read from the journal.
 func (g *Guard) confirm(d Digest, upstream string) {
 	known := g.unconfirmed[d]
 	if known == nil {
 		return
 	}
-	known.crashes = slices.DeleteFunc(known.crashes, func(c unconfirmedCrash) bool { return c.upstream == upstream })
+	for i := len(known.crashes) - 1; i >= 0; i-- {
+		if known.crashes[i].upstream != upstream {
+			continue
+		}
+		known.crashes = slices.Delete(known.crashes, i, i+1)
+		if i < known.passed {
+			known.passed--
+		}
+	}
 	if len(known.crashes) == 0 {
 		delete(g.unconfirmed, d)
 	}
@@ -89,12 +109,12 @@
 	}
 	strikes, last := g.state.strikesOf(d, v)
 	total := len(v.Upstreams)
-	for _, c := range known.crashes {
+	for i, c := range known.crashes {
 		if g.state.hasCrash(d, c) {
 			continue // the journal has it by another process's report
 		}
 		total++
-		if c.upstream != last {
+		if i >= known.passed && c.upstream != last {
 			strikes++
 			last = c.upstream
 		}
@@ -102,12 +122,11 @@
 			v.Upstreams = append(v.Upstreams, c.upstream)
 		}
 	}
-	if strikes == 0 {
-		return v
-	}
-	v.Status, v.Remaining = Suspected, max(v.Remaining, left)
-	if g.state.exceedsLimits(strikes, total) {
+	switch {
+	case g.state.exceedsLimits(strikes, total):
 		v.Status, v.Remaining = Quarantined, left
+	case strikes > 0:
+		v.Status, v.Remaining = Suspected, max(v.Remaining, left)
 	}
 	return v
 }
@@ -123,6 +142,14 @@
 	})
 }
 
+// crashesOf returns how many crashes the journal counts against a digest.
+func (s *State) crashesOf(d Digest) int {
+	if x := s.suspects[d]; x != nil {
+		return len(x.crashes)
+	}
+	return 0
+}
+
 // strikesOf returns the number of strikes behind a verdict and the upstream of
 // the last one.
 func (s *State) strikesOf(d Digest, v Verdict) (int, string) {
