--- a/internal/member/peers_test.go
+++ b/internal/member/peers_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +18,24 @@
 	*Peers
 	tracker *placement.Tracker
 	summary Summary
+
+	mu sync.Mutex
+	// heard counts the copies of each report of a crash, by its ID.
+	heard map[string]int
+}
+
+// hearReport counts a report, and says whether it is the first copy.
+func (h *peersHarness) hearReport(r wire.QuarantineReport) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard[r.ID]++
+	return h.heard[r.ID] == 1
+}
+
+func (h *peersHarness) copiesHeard(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heard[id]
 }
 
 func newPeersHarness(address string) *peersHarness {
@@ -24,12 +43,16 @@
 }
 
 func newPeersHarnessAt(self wire.MemberAddress, cfg wire.Config) *peersHarness {
-	h := &peersHarness{tracker: placement.NewTracker(nil), summary: Summary{Serving: true, Config: 1, ListPosition: 2, ListDigest: 3}}
+	h := &peersHarness{
+		tracker: placement.NewTracker(nil), heard: make(map[string]int),
+		summary: Summary{Serving: true, Config: 1, ListPosition: 2, ListDigest: 3},
+	}
 	h.tracker.Sync([]placement.Member{{ID: "e", DataCentre: "d", Role: upstream.RoleDecode, Slots: 4, KVTokens: 1000}})
 	h.Peers = newPeers(self, cfg, h.tracker, discardLogger)
 	h.Peers.summary = func() Summary { return h.summary }
 	h.Peers.localDemand = func() map[string]wire.MemberDemand { return nil }
 	h.Peers.onUpdate = func() {}
+	h.Peers.onQuarantineReport = h.hearReport
 	h.Peers.requestsWaiting = func() bool { return false }
 	h.Peers.onPeerList = func(Position, uint64, time.Duration) {}
 	h.Peers.configProof = func(wire.ConfigProofRequest) wire.ConfigProofReply { return wire.ConfigProofReply{} }
