--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -152,6 +152,9 @@
 		case u.Usable:
 			state = "used"
 		}
+		if u.LimitPerSecond != nil {
+			state += fmt.Sprintf(", %g a second", *u.LimitPerSecond)
+		}
 		t.row(u.ID, u.Pool, u.DataCentre, u.Address, u.Role, state, fmt.Sprintf("%d of %d", u.Running, u.Slots))
 	}
 	return t.flush()
--- a/internal/daemonstatus/status.go
+++ b/internal/daemonstatus/status.go
@@ -97,6 +97,10 @@
 	// Usable means that the upstream may get requests: it isn't draining, ejected after failures
 	// or changing its role.
 	Usable bool `json:"usable"`
+	// LimitPerSecond is the limit that the upstream has named, in requests a second from all daemons;
+	// SharesLimit says whether this daemon is among those that may send them.
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
+	SharesLimit    *bool    `json:"shares_limit,omitempty"`
 	// Running is the number of requests there from all daemons, as far as known.
 	Running int `json:"running"`
 	Slots   int `json:"slots"`
--- a/internal/exchange/admit_test.go
+++ b/internal/exchange/admit_test.go
@@ -75,9 +75,11 @@
 		readRequest(in)
 	})
 	var seen []string
-	observe := func(status int, h http.Header) {
-		require.Equal(t, http.StatusOK, status)
-		seen = append(seen, h.Get("X-Id"))
+	var known []bool
+	observe := func(r ObservedResponse) {
+		require.Equal(t, http.StatusOK, r.Status)
+		seen = append(seen, r.Header.Get("X-Id"))
+		known = append(known, !r.SentAt.IsZero())
 	}
 	p := NewPool(s.listener.Addr().String(), Options{OnResponse: observe})
 	for _, target := range []string{"/a", "/b"} {
@@ -85,6 +87,7 @@
 		require.NoError(t, err)
 	}
 	require.Equal(t, []string{"/a", "/a", "/b"}, seen)
+	require.Equal(t, []bool{true, false, true}, known, "a late copy has no known request")
 }
 
 // The response on a new connection that belongs to no request is observed too.
@@ -95,7 +98,7 @@
 		readRequest(in)
 	})
 	observed := 0
-	p := NewPool(s.listener.Addr().String(), Options{OnResponse: func(int, http.Header) { observed++ }})
+	p := NewPool(s.listener.Addr().String(), Options{OnResponse: func(ObservedResponse) { observed++ }})
 	_, err := do(t, p, request("/a"))
 	require.ErrorIs(t, err, ErrMismatchedResponse)
 	require.Equal(t, 1, observed)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -75,6 +75,7 @@
 // exchange sends the request and reads the response headers. Only on a reused connection
 // can a response to an earlier request come first.
 func (resp *Response) exchange(r *Request, reused bool) error {
+	sentAt := time.Now()
 	if len(r.Body) < writeBuffer {
 		resp.sent <- r.write(resp.conn.writer)
 	} else {
@@ -88,9 +89,11 @@
 			return err
 		}
 		if r.Match.accepts(response.Header) {
+			resp.pool.observe(response, sentAt)
 			resp.setResponse(response, r)
 			return nil
 		}
+		resp.pool.observe(response, time.Time{})
 		resp.pool.options.OnMismatch(r.Match.mismatch(response, reused))
 		if !reused {
 			return ErrMismatchedResponse
@@ -110,15 +113,14 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			resp.pool.observe(response)
 			return response, nil
 		}
 	}
 }
 
-func (p *Pool) observe(response *http.Response) {
+func (p *Pool) observe(response *http.Response, sentAt time.Time) {
 	if p.options.OnResponse != nil {
-		p.options.OnResponse(response.StatusCode, response.Header)
+		p.options.OnResponse(ObservedResponse{Status: response.StatusCode, Header: response.Header, SentAt: sentAt})
 	}
 }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -27,7 +27,16 @@
 	OnMismatch func(Mismatch)
 	// OnResponse is called for the headers of each final response read, also of those that
 	// are discarded because they belong to no request. Nil does nothing.
-	OnResponse func(status int, h http.Header)
+	OnResponse func(r ObservedResponse)
+}
+
+// ObservedResponse holds the headers of a response.
+type ObservedResponse struct {
+	Status int
+	Header http.Header
+	// SentAt is when its request was begun to be sent; zero if it isn't the response to the request
+	// in progress.
+	SentAt time.Time
 }
 
 // The defaults of Options, and the limit of idle connections.
--- a/internal/member/engines.go
+++ b/internal/member/engines.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
+	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
 	"tamarackchute/upstream"
@@ -60,7 +60,7 @@
 	// before the first byte is written.
 	Admit(u *fleet.Upstream) error
 	// Observe is called for the headers of each response.
-	Observe(u *fleet.Upstream, status int, h http.Header)
+	Observe(u *fleet.Upstream, r exchange.ObservedResponse)
 }
 
 // Engines calls the control interface of model engines.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -99,8 +99,10 @@
 	keys *keyView
 	// backoff is shared by all services that retry failed calls to the store.
 	backoff *backoff
-	// quarantine shares with the other daemons which requests crash upstreams.
+	// quarantine shares with the other daemons which requests crash upstreams, limits the limits that
+	// upstreams name.
 	quarantine *quarantineExchange
+	limits     *limitExchange
 }
 
 // New returns a daemon; Run starts it.
@@ -115,6 +117,7 @@
 	m.keys = newKeyView(s, m.state, cfg.Store.Eras(), m.log)
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.quarantine = newQuarantineExchange(m, cfg.QuarantineLog)
+	m.limits = newLimitExchange(m)
 	m.relay = relay.New(relay.Config{
 		DataCentre:    s.DataCentre,
 		Dialect:       cfg.Dialect,
@@ -129,6 +132,7 @@
 		KeysUsable:    m.keys.mayUse,
 		OnBegun:       m.recordBegun,
 		Crashes:       m.quarantine.detector,
+		Limits:        m.limits.forRelay(),
 	})
 	m.engines = cfg.Engines(m.relay)
 	m.peers.localDemand = m.localDemand
@@ -359,6 +363,7 @@
 //	│   │   └── announcer
 //	│   ├── exchange
 //	│   │   ├── wire server
+//	│   │   ├── upstreams' limits
 //	│   │   └── peers
 //	│   └── directing
 //	│       ├── leadership, with journal and lease while it is a candidate
@@ -388,6 +393,7 @@
 	exchange := suture.New("exchange", spec)
 	exchange.Add(wire.NewServer(m.wireConfig(), m.self.Peers, m.peers, m.log))
 	exchange.Add(m.peers)
+	exchange.Add(m.limits)
 	serving := suture.New("serving", spec)
 	for _, s := range servers {
 		serving.Add(s)
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -78,6 +78,8 @@
 	onQuarantineReport      func(wire.QuarantineReport) bool
 	quarantineFingerprint   func() uint64
 	onQuarantineFingerprint func(address string, fingerprint uint64)
+	// onUpstreamLimits processes the limits that a neighbour knows.
+	onUpstreamLimits func(wire.UpstreamLimits)
 	// localDemand returns the demand of this daemon's callers, by pool.
 	localDemand func() map[string]wire.MemberDemand
 	// heartbeats counts the heartbeats sent.
@@ -206,6 +208,10 @@
 		if p.onQuarantineReport != nil && p.onQuarantineReport(m) {
 			p.broadcast(m)
 		}
+	case wire.UpstreamLimits:
+		if p.onUpstreamLimits != nil {
+			p.onUpstreamLimits(m)
+		}
 	case wire.UsageReport:
 		if p.onUsage != nil {
 			p.onUsage(m.Counts)
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -61,6 +61,7 @@
 		if engines := m.tracker.Engines([]string{u.ID}); len(engines) > 0 {
 			r.Usable, r.Running = !u.Draining, engines[0].Running
 		}
+		m.limits.addStatus(&r, u)
 		all = append(all, r)
 	}
 	slices.SortFunc(all, func(a, b daemonstatus.Upstream) int {
--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
+	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/telemetry"
 )
@@ -17,15 +17,17 @@
 var (
 	errUpstreamDraining = fmt.Errorf("%w: the upstream is draining", ErrHeldBack)
 	errUpstreamBackoff  = fmt.Errorf("%w: the upstream is in backoff", ErrHeldBack)
+	errUpstreamLimit    = fmt.Errorf("%w: the upstream's limit is used up", ErrHeldBack)
 	errUpstreamGone     = fmt.Errorf("%w: the upstream is gone", ErrHeldBack)
 )
 
 // Observe records what a response says about further requests to its upstream. It must be
 // called for each response, whether or not a request was waiting for it.
-func (r *Relay) Observe(u *fleet.Upstream, status int, h http.Header) {
-	advice := r.cfg.Dialect.Advice(status, h)
+func (r *Relay) Observe(u *fleet.Upstream, response exchange.ObservedResponse) {
+	advice := r.cfg.Dialect.Advice(response.Status, response.Header)
 	attrs := []any{
-		"upstream", u.ID, "started", u.Started, "pool", u.Pool, "status", status, "request", h.Get(r.cfg.Dialect.RequestIDHeader()),
+		"upstream", u.ID, "started", u.Started, "pool", u.Pool, "status", response.Status,
+		"request", response.Header.Get(r.cfg.Dialect.RequestIDHeader()),
 	}
 	if advice.Draining && r.cfg.State.MarkDraining(u) {
 		r.metrics.recordLeaving(u.Pool)
@@ -35,12 +37,17 @@
 		r.metrics.recordBackoff(u.Pool)
 		r.cfg.Logger.Info("upstream backoff", append(attrs, "backoff_ms", telemetry.Millis(backoff), "until", time.Now().Add(backoff))...)
 	}
+	r.observeLimit(u, advice, response.SentAt)
 }
 
 // Admit returns an error if nothing may be sent to an upstream now. It is asked right before
-// the first byte is written: the answer may have changed since the upstream was chosen.
+// the first byte is written: the answer may have changed since the upstream was chosen. A request
+// that it admits counts towards the upstream's limit.
 func (r *Relay) Admit(u *fleet.Upstream) error {
 	err := r.heldBack(u)
+	if err == nil && !r.takeFromLimit(u) {
+		err = errUpstreamLimit
+	}
 	if err != nil {
 		r.metrics.recordHeldBack(u.Pool, err)
 	}
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -107,7 +107,7 @@
 
 // failBackoff returns the failure of a request if all upstreams are in a backoff that is too long.
 func (c *call) failBackoff(backoff time.Duration) *failure {
-	f := c.fail(reasonAllBackingOff, "all upstreams have asked for a backoff")
+	f := c.fail(reasonAllBackingOff, "all upstreams have asked for fewer requests")
 	if f.status == http.StatusServiceUnavailable {
 		f.retryAfter = backoff
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -58,6 +58,11 @@
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstream_backoffs").Inc(1)
 }
 
+// recordLimit counts a change of an upstream's limit.
+func (m *metrics) recordLimit(pool string, limited bool) {
+	m.scope.Tagged(map[string]string{"pool": pool, "limited": strconv.FormatBool(limited)}).Counter("upstream_limits").Inc(1)
+}
+
 // recordHeldBack counts a request that wasn't sent because the upstream wants none.
 func (m *metrics) recordHeldBack(pool string, cause error) {
 	m.scope.Tagged(map[string]string{"pool": pool, "cause": cause.Error()}).Counter("sends_held_back").Inc(1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,8 @@
 	// OnReplaced is called for an upstream whose address now belongs to another
 	// incarnation; nil does nothing.
 	OnReplaced func(id string)
+	// Limits keeps the limits that upstreams name; nil keeps none.
+	Limits *Limits
 	// Crashes refuses requests that have crashed upstreams; nil refuses none.
 	Crashes CrashDetector
 	// Metrics receives counters and histograms; nil drops them.
@@ -69,6 +71,11 @@
 // the state's first change.
 func New(cfg Config) *Relay {
 	r := &Relay{cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns)}
+	if cfg.Limits != nil {
+		cfg.Tracker.SetLimits(func(id string, started time.Time) time.Duration {
+			return cfg.Limits.Limiter.Wait(limitKey(id, started))
+		})
+	}
 	cfg.State.Watch(r.update)
 	return r
 }
@@ -173,7 +180,7 @@
 		if known {
 			c.pool.Close()
 		}
-		observe := func(status int, h http.Header) { r.Observe(u, status, h) }
+		observe := func(response exchange.ObservedResponse) { r.Observe(u, response) }
 		options := exchange.Options{OnMismatch: r.mismatchRecorder(u), OnResponse: observe}
 		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, options)}
 		r.conns[u.ID] = c
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -84,8 +84,25 @@
 	// RetryAfter is how long the upstream wants no requests from this daemon, 0 if it doesn't
 	// say.
 	RetryAfter time.Duration
+	// Limit says what the response states of the requests that the upstream takes from all daemons;
+	// PerSecond is the limit if it names one.
+	Limit     LimitStatement
+	PerSecond float64
 }
 
+// LimitStatement is what a response states of its upstream's limit.
+type LimitStatement uint8
+
+// The statements on a limit.
+const (
+	// NothingStated is a response that isn't certainly the upstream's, or names no valid limit.
+	NothingStated LimitStatement = iota
+	// Unlimited is a response without a limit.
+	Unlimited
+	// Limited is a response that names one.
+	Limited
+)
+
 // Dialect translates between the headers of the outer protocol and this package's types.
 type Dialect interface {
 	// ParseCall parses the headers of a caller's request.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -41,6 +41,7 @@
 	KindUsageRequest       Kind = 20
 	KindUsageReply         Kind = 21
 	KindQuarantineReport   Kind = 22
+	KindUpstreamLimits     Kind = 23
 )
 
 // Message is a typed message between two processes of the system.
@@ -212,6 +213,8 @@
 		return decodeAs[UsageReply](body)
 	case KindQuarantineReport:
 		return decodeAs[QuarantineReport](body)
+	case KindUpstreamLimits:
+		return decodeAs[UpstreamLimits](body)
 	case KindLoadTotals:
 		return decodeAs[LoadTotals](body)
 	default:
--- a/placement/backoff.go
+++ b/placement/backoff.go
@@ -61,7 +61,8 @@
 }
 
 // PoolBackoff returns the backoffs of the upstreams of a pool, if all those that could run a request
-// are in one. ok is false otherwise, or if there are none.
+// are in one, or have named a limit that allows no request now. ok is false otherwise, or if there
+// are none.
 func (tr *Tracker) PoolBackoff(pool string, exclude []string) (backoff PoolBackoff, ok bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -75,7 +76,7 @@
 		if e.Role == upstream.RolePrefill {
 			continue
 		}
-		left := e.health.backoffUntil.Sub(now)
+		left := max(e.health.backoffUntil.Sub(now), tr.waitForLimit(e))
 		if left <= 0 {
 			return backoff, false
 		}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -77,6 +77,9 @@
 	now := tr.now()
 	s.engines = slices.Grow(s.engines, len(p.all))
 	for _, e := range p.all {
+		if tr.waitForLimit(e) > 0 {
+			continue
+		}
 		s.add(e, now)
 	}
 	rank := 0
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -40,6 +40,9 @@
 	// backoffs are the ends of the backoffs that upstreams have asked for, also of those that aren't
 	// listed at the moment.
 	backoffs map[start]time.Time
+	// limitWait returns how long no request may be sent to an upstream because of a limit; nil if
+	// there are no limits.
+	limitWait func(id string, started time.Time) time.Duration
 	// newEnginesEmpty is set if engines that appear from now on have an empty cache.
 	newEnginesEmpty bool
 	// prefillEvents are the events since the last call of PrefillEvents, for the peers.
@@ -110,6 +113,21 @@
 	}
 }
 
+// SetLimits sets the function that says how long no request may be sent to an upstream because of a
+// limit that it has named. It must be set before the first decision and must not call the tracker.
+// An upstream that may get none now isn't chosen, but counts as available otherwise.
+func (tr *Tracker) SetLimits(wait func(id string, started time.Time) time.Duration) {
+	tr.limitWait = wait
+}
+
+// waitForLimit returns how long no request may be sent to an upstream because of a limit.
+func (tr *Tracker) waitForLimit(e *trackedUpstream) time.Duration {
+	if tr.limitWait == nil {
+		return 0
+	}
+	return tr.limitWait(e.ID, e.Started)
+}
+
 func (m Member) key() Key { return KeyOf(m.ID, m.Started) }
 
 // KeyOf returns the key of the current start of an upstream.
--- /dev/null
+++ b/upstreamlimit/limiter.go
@@ -0,0 +1,167 @@
+package upstreamlimit
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// handoverDelay is how long a process waits before it uses a share that it has just got: the
+	// holder before it may not know yet that it has none any more.
+	handoverDelay = 1500 * time.Millisecond
+	// A limit that wasn't named for staleAfter may be over, but its holders send nothing: they have no
+	// requests, or are gone. Then any process may send one after a random delay of up to probeSpread,
+	// or probeSpreadPerMember for each member. The first response tells all.
+	staleAfter           = 3 * time.Second
+	probeSpread          = 4 * time.Second
+	probeSpreadPerMember = 40 * time.Millisecond
+)
+
+// Limiter grants the requests of one process to upstreams that have named a limit. It is safe for
+// concurrent use.
+type Limiter struct {
+	book *Book
+	now  func() time.Time
+	// self names this process.
+	self string
+
+	mu sync.Mutex
+	// members are the processes that may be holders, generation counts their changes.
+	members    []string
+	generation int
+	upstreams  map[Upstream]*bucket
+}
+
+// bucket holds the requests that may be sent to an upstream now.
+type bucket struct {
+	share    share
+	tokens   float64
+	filledAt time.Time
+	// perSecond and generation are the limit and the generation of the members that share is for.
+	perSecond  float64
+	generation int
+	// usableAt is when the share may be used.
+	usableAt time.Time
+	// namedAt is when the limit was last named, probeAt when a process without a share may send a
+	// request.
+	namedAt, probeAt time.Time
+}
+
+// NewLimiter returns a limiter for the limits in a book. Until SetMembers names the process itself,
+// it has no shares.
+func NewLimiter(book *Book, self string) *Limiter {
+	return &Limiter{book: book, now: book.now, self: self, upstreams: make(map[Upstream]*bucket)}
+}
+
+// SetMembers sets the names of the processes among which limits are divided, in any order.
+func (l *Limiter) SetMembers(members []string) {
+	slices.Sort(members)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !slices.Equal(members, l.members) {
+		l.members = members
+		l.generation++
+	}
+}
+
+// Wait returns how long no request may be sent to an upstream, as far as is known now: 0 if one may
+// be sent.
+func (l *Limiter) Wait(u Upstream) time.Duration {
+	limit, limited := l.book.limit(u)
+	if !limited {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	return l.fill(u, limit, now).wait(now)
+}
+
+// Holds reports whether this process has a share of an upstream's limit.
+func (l *Limiter) Holds(u Upstream) bool {
+	limit, limited := l.book.limit(u)
+	if !limited {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fill(u, limit, l.now()).share.perSecond > 0
+}
+
+// Take reports whether a request may be sent to an upstream now, and counts it if so.
+func (l *Limiter) Take(u Upstream) bool {
+	limit, limited := l.book.limit(u)
+	if !limited {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	b := l.fill(u, limit, now)
+	if b.wait(now) > 0 {
+		return false
+	}
+	if b.share.perSecond == 0 {
+		b.probeAt = now.Add(l.probeDelay())
+	} else {
+		b.tokens--
+	}
+	return true
+}
+
+// fill returns the bucket of an upstream, brought up to date. l.mu is held.
+func (l *Limiter) fill(u Upstream, limit limit, now time.Time) *bucket {
+	b := l.upstreams[u]
+	if b == nil {
+		b = &bucket{filledAt: now, generation: -1}
+		l.upstreams[u] = b
+	}
+	b.tokens = min(b.share.burst, b.tokens+b.share.perSecond*now.Sub(b.filledAt).Seconds())
+	b.filledAt = now
+	if b.perSecond != limit.perSecond || b.generation != l.generation {
+		b.perSecond, b.generation = limit.perSecond, l.generation
+		b.setShare(shareOf(limit.perSecond, u, l.self, l.members), now)
+	}
+	if !b.namedAt.Equal(limit.namedAt) {
+		b.namedAt = limit.namedAt
+		b.probeAt = limit.namedAt.Add(l.probeDelay())
+	}
+	return b
+}
+
+// probeDelay draws the time until this process may send a request without a share. l.mu is held.
+func (l *Limiter) probeDelay() time.Duration {
+	spread := max(probeSpread, time.Duration(len(l.members))*probeSpreadPerMember)
+	return staleAfter + rand.N(spread)
+}
+
+func (b *bucket) setShare(s share, now time.Time) {
+	if b.share.perSecond == 0 {
+		b.tokens = 0
+		b.usableAt = now.Add(handoverDelay)
+	}
+	b.share = s
+	b.tokens = min(b.tokens, s.burst)
+}
+
+// wait returns how long no request may be sent. The bucket must be up to date.
+func (b *bucket) wait(now time.Time) time.Duration {
+	if b.share.perSecond == 0 {
+		return max(0, b.probeAt.Sub(now))
+	}
+	fill := time.Duration(max(0, 1-b.tokens) / b.share.perSecond * float64(time.Second))
+	return max(fill, b.usableAt.Sub(now), 0)
+}
+
+// Retain drops what is kept for upstreams without a limit.
+func (l *Limiter) Retain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for u := range l.upstreams {
+		if _, limited := l.book.Limit(u); !limited {
+			delete(l.upstreams, u)
+		}
+	}
+}
