--- a/internal/adapters/engineclient/engineclient.go
+++ b/internal/adapters/engineclient/engineclient.go
@@ -30,7 +30,9 @@
 
 // New returns an adapter for the engine at an address.
 func New(addr string, o httpx.Options) *Client {
-	c := &Client{http: httpx.New(addr, o), control: httpx.New(addr, o)}
+	c := &Client{http: httpx.New(addr, o)}
+	o.Gate = nil // an engine's limit is one on work
+	c.control = httpx.New(addr, o)
 	c.cancels = newCanceller(c)
 	return c
 }
--- a/internal/adapters/httpx/client.go
+++ b/internal/adapters/httpx/client.go
@@ -121,6 +121,13 @@
 	if err != nil {
 		return nil, notSent(contextCause(ctx, err))
 	}
+	if gate := c.opts.Gate; gate != nil {
+		if err := gate.Admit(); err != nil {
+			x.release(true)
+			return nil, notSent(err)
+		}
+	}
+	x.sentAt = time.Now()
 	x.id = c.ids.next(req.Header.IsHead())
 	c.prepare(req, x.id)
 	return x, nil
--- a/internal/adapters/httpx/errors.go
+++ b/internal/adapters/httpx/errors.go
@@ -18,6 +18,9 @@
 	// HeaderAttempt carries the ID of an attempt, in the request and in its
 	// response.
 	HeaderAttempt = "X-Attempt-Id"
+	// HeaderLimit names, in a response, the requests a second that its sender takes from all processes
+	// together, for as long as it says so.
+	HeaderLimit = "X-Request-Limit"
 	// HeaderSender names the process that sends a request.
 	HeaderSender = "X-Sender"
 )
--- a/internal/adapters/httpx/exchange.go
+++ b/internal/adapters/httpx/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -19,6 +20,7 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	id     []byte
+	sentAt time.Time
 	// reused means that the connection has had earlier exchanges.
 	reused bool
 	// identified means that the response had the exchange's ID.
@@ -88,6 +90,7 @@
 		e.identified = bytes.Equal(id, e.id)
 		switch {
 		case e.identified, len(id) == 0 && !e.reused:
+			e.observe(&resp.Header)
 			return e.readBody(resp, maxBody)
 		case len(id) == 0:
 			return errUnidentified
@@ -99,6 +102,19 @@
 	return errTooManyForeign
 }
 
+// observe tells the client's gate which limits the response names.
+func (e *exchange) observe(h *fasthttp.ResponseHeader) {
+	gate := e.client.opts.Gate
+	if gate == nil {
+		return
+	}
+	var limits []string
+	for _, value := range h.PeekAll(HeaderLimit) {
+		limits = append(limits, string(value))
+	}
+	gate.Observe(limits, e.sentAt)
+}
+
 // readHeader reads a response's header and skips informational responses.
 func (e *exchange) readHeader(h *fasthttp.ResponseHeader) error {
 	for range maxInterimResponses + 1 {
--- a/internal/adapters/httpx/options.go
+++ b/internal/adapters/httpx/options.go
@@ -43,12 +43,24 @@
 	MaxBody int
 	// Sender is the name of the calling process, sent in HeaderSender.
 	Sender string
+	// Gate admits requests and observes responses; nil admits all.
+	Gate Gate
 	// Dial replaces the default TCP dialer.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Logger replaces the default logger.
 	Logger *slog.Logger
 }
 
+// Gate decides whether requests may be sent to the address.
+type Gate interface {
+	// Admit returns an error if no request may be sent now, and counts one otherwise. It is asked
+	// right before the first byte.
+	Admit() error
+	// Observe is called for each response with the limits that it names, and when its request was
+	// sent.
+	Observe(limits []string, sentAt time.Time)
+}
+
 func (o Options) withDefaults() Options {
 	if o.Timeout <= 0 {
 		o.Timeout = DefaultTimeout
--- a/internal/entry/answer/attempt.go
+++ b/internal/entry/answer/attempt.go
@@ -86,6 +86,8 @@
 	switch {
 	case err == nil:
 		return router.OutcomeOK
+	case errors.Is(err, upstream.ErrLimited):
+		return router.OutcomeCancelled
 	case errors.Is(err, upstream.ErrNotSent):
 		return router.OutcomeNotSent
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/entry/deployment.go
+++ b/internal/entry/deployment.go
@@ -47,6 +47,15 @@
 	return all
 }
 
+// instanceNames returns the names of all entries.
+func instanceNames(d *settings.Deployment) []string {
+	names := make([]string, 0, len(d.Instances))
+	for _, in := range d.Instances {
+		names = append(names, in.Name)
+	}
+	return names
+}
+
 func engineNames(d *settings.Deployment) []string {
 	var names []string
 	for _, u := range d.Upstreams {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -190,7 +190,10 @@
 // buildRouting creates the components that decide where and when a request runs.
 func (e *Entry) buildRouting() {
 	d := e.cfg.Deployment
-	e.tracker = router.NewTracker(routerConfig(d, e.self.DataCentre), routerUpstreams(d), nil)
+	e.cfg.Upstreams.shareLimits(e.cfg.Instance, instanceNames(d))
+	routing := routerConfig(d, e.self.DataCentre)
+	routing.Limited = e.cfg.Upstreams.limited
+	e.tracker = router.NewTracker(routing, routerUpstreams(d), nil)
 	a := admission.DefaultConfig()
 	a.MaxQueued = d.Admission.MaxQueued
 	a.ShortReserve = d.Admission.ShortReserve
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -168,6 +168,8 @@
 		return router.OutcomeBroken
 	case err == nil:
 		return router.OutcomeOK
+	case errors.Is(err, upstream.ErrLimited):
+		return router.OutcomeCancelled
 	case errors.Is(err, upstream.ErrNotSent):
 		return router.OutcomeNotSent
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -2,25 +2,32 @@
 
 import (
 	"context"
+	"sync/atomic"
+	"time"
 
 	"tamarackchute/internal/adapters/engineclient"
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/adapters/serviceclient"
 	"tamarackchute/internal/settings"
 	"tamarackchute/upstream"
+	"tamarackchute/upstreamlimit"
 )
 
 // Upstreams holds an adapter for each upstream of the deployment.
 type Upstreams struct {
 	engines  map[string]upstream.Engine
 	services map[string]upstream.Service
+	limits   *upstreamlimit.Book
+	// limiter is set by shareLimits.
+	limiter atomic.Pointer[upstreamlimit.Limiter]
 }
 
 // NewUpstreams creates the adapters. Calls are bounded by their requests' deadlines,
 // so o.Timeout should be at least the longest of those.
 func NewUpstreams(d *settings.Deployment, o httpx.Options) *Upstreams {
-	us := &Upstreams{engines: map[string]upstream.Engine{}, services: map[string]upstream.Service{}}
+	us := &Upstreams{engines: map[string]upstream.Engine{}, services: map[string]upstream.Service{}, limits: upstreamlimit.NewBook(nil)}
 	for _, u := range d.Upstreams {
+		o.Gate = limitGate{us, upstreamlimit.Upstream{ID: u.Name}}
 		if u.Kind == settings.KindEngine {
 			us.engines[u.Name] = engineclient.New(u.Address, o)
 		} else {
@@ -46,3 +53,44 @@
 	_, err := engine.Load(ctx)
 	return err
 }
+
+// shareLimits divides the limits that upstreams name among entries.
+func (us *Upstreams) shareLimits(self string, entries []string) {
+	l := upstreamlimit.NewLimiter(us.limits, self, false)
+	l.SetMembers(entries)
+	us.limiter.Store(l)
+}
+
+// limited reports whether an upstream's limit allows no request of this entry now.
+func (us *Upstreams) limited(name string) bool {
+	l := us.limiter.Load()
+	return l != nil && l.Wait(upstreamlimit.Upstream{ID: name}) > 0
+}
+
+// limitGate keeps the limit of one upstream. Its starts aren't told apart: the first response of the
+// next one says whether there still is a limit.
+type limitGate struct {
+	upstreams *Upstreams
+	key       upstreamlimit.Upstream
+}
+
+// Admit implements httpx.Gate.
+func (g limitGate) Admit() error {
+	if l := g.upstreams.limiter.Load(); l != nil && !l.Take(g.key) {
+		return upstream.ErrLimited
+	}
+	return nil
+}
+
+// Observe implements httpx.Gate.
+func (g limitGate) Observe(limits []string, sentAt time.Time) {
+	s := upstreamlimit.Statement{SentAt: sentAt, ReceivedAt: time.Now()}
+	if len(limits) > 0 {
+		perSecond, ok := upstreamlimit.Parse(limits)
+		if !ok {
+			return
+		}
+		s.Limited, s.PerSecond = true, perSecond
+	}
+	g.upstreams.limits.Observe(g.key, s)
+}
--- a/internal/member/limits.go
+++ b/internal/member/limits.go
@@ -29,7 +29,7 @@
 func newLimitExchange(m *Member) *limitExchange {
 	book := upstreamlimit.NewBook(nil)
 	x := &limitExchange{
-		book: book, limiter: upstreamlimit.NewLimiter(book, m.self.Peers),
+		book: book, limiter: upstreamlimit.NewLimiter(book, m.self.Peers, true),
 		peers: m.peers, state: m.state, serving: m.Ready, log: m.log,
 	}
 	m.peers.onUpstreamLimits = x.merge
--- a/router/candidate.go
+++ b/router/candidate.go
@@ -15,6 +15,8 @@
 	InFlight int
 	// Ejected and Probing are its health at the time of the decision.
 	Ejected, Probing bool
+	// Limited says that the limit that the upstream has named allows no request now.
+	Limited bool
 	// Probes counts this process's probes in flight there.
 	Probes int
 	// Link is the one-way latency from the request's data centre.
@@ -44,6 +46,7 @@
 	h := n.healthAt(now)
 	c.Ejected = h == ejected
 	c.Probing = h == probing
+	c.Limited = s.cfg.Limited != nil && s.cfg.Limited(u.Name)
 	c.Probes = int(n.live.probes.Load())
 	c.InFlight = int(n.live.inFlight.Load())
 	if !u.ReportAt.IsZero() {
--- a/router/config.go
+++ b/router/config.go
@@ -54,6 +54,9 @@
 	CacheHalfLife time.Duration
 	// Outlier configures the ejection of failing upstreams.
 	Outlier OutlierConfig
+	// Limited reports whether the limit that an upstream has named allows no request now; nil means
+	// that there are no limits. It must be safe for concurrent use.
+	Limited func(upstream string) bool
 	// Pipeline constructs the pipeline; nil means NewScheduler.
 	Pipeline func(Config) *Scheduler
 }
--- a/router/errors.go
+++ b/router/errors.go
@@ -14,6 +14,7 @@
 	NoUpstreamKVMemory     NoUpstreamReason = "the request exceeds every engine's KV memory"
 	NoUpstreamEjected      NoUpstreamReason = "all upstreams failed lately"
 	NoUpstreamExcluded     NoUpstreamReason = "all upstreams have been tried"
+	NoUpstreamLimited      NoUpstreamReason = "the limits that upstreams have named are used up"
 	NoUpstreamIsolation    NoUpstreamReason = "a suspected request must run apart from others"
 )
 
--- a/router/filter.go
+++ b/router/filter.go
@@ -19,8 +19,13 @@
 	excludedFilter struct{}
 	isolatedFilter struct{}
 	memoryFilter   struct{}
+	limitFilter    struct{}
 )
 
+// limitFilter rejects upstreams whose limit allows no request now.
+func (limitFilter) Keep(c *Candidate, _ *Request) bool { return !c.Limited }
+func (limitFilter) Reason() NoUpstreamReason           { return NoUpstreamLimited }
+
 // drainingFilter rejects upstreams that are terminating or about to be changed.
 func (drainingFilter) Keep(c *Candidate, _ *Request) bool {
 	return !c.Upstream.Terminating && !c.Upstream.Draining
--- a/router/schedule.go
+++ b/router/schedule.go
@@ -33,11 +33,11 @@
 func NewScheduler(cfg Config) *Scheduler {
 	s := &Scheduler{
 		Filters: []Filter{
-			drainingFilter{}, serviceFilter{}, memoryFilter{}, ejectedFilter{},
+			drainingFilter{}, serviceFilter{}, memoryFilter{}, limitFilter{}, ejectedFilter{},
 			probingFilter{}, excludedFilter{}, isolatedFilter{},
 		},
 		Fallback: []Filter{
-			drainingFilter{}, serviceFilter{}, memoryFilter{}, ejectedFilter{},
+			drainingFilter{}, serviceFilter{}, memoryFilter{}, limitFilter{}, ejectedFilter{},
 			excludedFilter{}, isolatedFilter{},
 		},
 		Picker: spreadPicker{minWidth: defaultMinWidth, costShare: cfg.SpreadByCost, ageShare: cfg.SpreadByAge},
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -167,6 +167,9 @@
 	// ErrNotSent: no byte of the request reached the upstream, as the connection failed.
 	// The call did not run.
 	ErrNotSent = errors.New("upstream: request was not sent")
+	// ErrLimited: nothing was sent, as the limit that the upstream has named allows no request now.
+	// It says nothing about the upstream's health. It comes with ErrNotSent.
+	ErrLimited = errors.New("upstream: the limit that it has named is used up")
 	// ErrRefused: the upstream responded that it accepts no work now. The call did not run.
 	ErrRefused = errors.New("upstream: refused before running")
 	// ErrBroken: the upstream died or the connection broke after the request was sent. The
--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -13,7 +13,8 @@
 	handoverDelay = 1500 * time.Millisecond
 	// A limit that wasn't named for staleAfter may be over, but its holders send nothing: they have no
 	// requests, or are gone. Then any process may send one after a random delay of up to probeSpread,
-	// or probeSpreadPerMember for each member. The first response tells all.
+	// or probeSpreadPerMember for each member if the first response tells all; otherwise after
+	// probeSpread for each member, and up to twice that.
 	staleAfter           = 3 * time.Second
 	probeSpread          = 4 * time.Second
 	probeSpreadPerMember = 40 * time.Millisecond
@@ -24,8 +25,9 @@
 type Limiter struct {
 	book *Book
 	now  func() time.Time
-	// self names this process.
-	self string
+	// self names this process; shared says that processes pass on what is in their books.
+	self   string
+	shared bool
 
 	mu sync.Mutex
 	// members are the processes that may be holders, generation counts their changes.
@@ -49,10 +51,10 @@
 	namedAt, probeAt time.Time
 }
 
-// NewLimiter returns a limiter for the limits in a book. Until SetMembers names the process itself,
-// it has no shares.
-func NewLimiter(book *Book, self string) *Limiter {
-	return &Limiter{book: book, now: book.now, self: self, upstreams: make(map[Upstream]*bucket)}
+// NewLimiter returns a limiter for the limits in a book. shared says that the processes pass on what
+// is in their books. Until SetMembers names the process itself, it has no shares.
+func NewLimiter(book *Book, self string, shared bool) *Limiter {
+	return &Limiter{book: book, now: book.now, self: self, shared: shared, upstreams: make(map[Upstream]*bucket)}
 }
 
 // SetMembers sets the names of the processes among which limits are divided, in any order.
@@ -133,8 +135,12 @@
 
 // probeDelay draws the time until this process may send a request without a share. l.mu is held.
 func (l *Limiter) probeDelay() time.Duration {
-	spread := max(probeSpread, time.Duration(len(l.members))*probeSpreadPerMember)
-	return staleAfter + rand.N(spread)
+	members := time.Duration(len(l.members))
+	if l.shared {
+		return staleAfter + rand.N(max(probeSpread, members*probeSpreadPerMember))
+	}
+	spread := max(1, members) * probeSpread
+	return staleAfter + spread + rand.N(spread)
 }
 
 func (b *bucket) setShare(s share, now time.Time) {
--- a/upstreamlimit/limiter_test.go
+++ b/upstreamlimit/limiter_test.go
@@ -32,6 +32,7 @@
 	perSecond float64
 	limited   bool
 	rng       *rand.Rand
+	unshared  bool
 	// news are reports that are on their way to all processes.
 	news []Report
 }
@@ -41,7 +42,7 @@
 	for i := range size {
 		b := NewBook(func() time.Time { return f.now })
 		f.books = append(f.books, b)
-		f.limiters = append(f.limiters, NewLimiter(b, fmt.Sprint("p", i)))
+		f.limiters = append(f.limiters, NewLimiter(b, fmt.Sprint("p", i), true))
 		f.up = append(f.up, true)
 	}
 	f.tellMembers()
@@ -79,6 +80,10 @@
 			f.news = f.books[i].Reports()
 		}
 	}
+	if f.unshared {
+		f.news = nil
+		return
+	}
 	for i := range f.books {
 		for _, r := range f.books[f.rng.IntN(len(f.books))].Reports() {
 			f.books[i].Merge(r)
@@ -130,6 +135,32 @@
 	}
 }
 
+// Guards against a limit that isn't kept where the processes don't tell each other of it.
+func TestLimitHoldsWithoutExchange(t *testing.T) {
+	for _, perSecond := range []float64{0, 0.3, 1, 6.7, 200} {
+		f := newFleet(7, 5)
+		f.unshared = true
+		for _, l := range f.limiters {
+			l.shared = false
+		}
+		f.limited, f.perSecond = true, perSecond
+		f.step(0)
+		named := f.now
+		for range 1600 {
+			f.step(50 * time.Millisecond)
+		}
+		require.LessOrEqual(t, f.most(named.Add(notice)), allowed(perSecond), "limit %v", perSecond)
+		f.limited = false
+		for range 1600 {
+			f.step(50 * time.Millisecond)
+		}
+		for _, b := range f.books {
+			_, still := b.Limit(limited)
+			require.False(t, still, "limit %v", perSecond)
+		}
+	}
+}
+
 // Guards against a limit that ends nowhere because nobody sends any more.
 func TestEndOfLimitIsNoticed(t *testing.T) {
 	for _, perSecond := range []float64{0, 0.01, 5} {
@@ -287,7 +318,7 @@
 // Without limits, a request costs the load of a counter.
 func BenchmarkTake(b *testing.B) {
 	book := NewBook(nil)
-	l := NewLimiter(book, "p0")
+	l := NewLimiter(book, "p0", true)
 	l.SetMembers([]string{"p0", "p1"})
 	b.Run("no limits", func(b *testing.B) {
 		b.ReportAllocs()
