--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -14,10 +14,10 @@
 	// A limit that wasn't named for staleAfter may be over, but its holders send nothing: they have no
 	// requests, or are gone. Then any process may send one after a random delay of up to probeSpread,
 	// or probeSpreadPerMember for each member if the first response tells all; otherwise after
-	// probeSpread for each member, and up to twice that.
+	// two probeSpread for each member, and up to twice that.
 	staleAfter           = 3 * time.Second
 	probeSpread          = 4 * time.Second
-	probeSpreadPerMember = 40 * time.Millisecond
+	probeSpreadPerMember = 80 * time.Millisecond
 )
 
 // Limiter grants the requests of one process to upstreams that have named a limit. It is safe for
@@ -28,6 +28,8 @@
 	// self names this process; shared says that processes pass on what is in their books.
 	self   string
 	shared bool
+	// draw returns a random duration below a bound.
+	draw func(time.Duration) time.Duration
 
 	mu sync.Mutex
 	// members are the processes that may be holders, generation counts their changes.
@@ -54,7 +56,7 @@
 // NewLimiter returns a limiter for the limits in a book. shared says that the processes pass on what
 // is in their books. Until SetMembers names the process itself, it has no shares.
 func NewLimiter(book *Book, self string, shared bool) *Limiter {
-	return &Limiter{book: book, now: book.now, self: self, shared: shared, upstreams: make(map[Upstream]*bucket)}
+	return &Limiter{book: book, now: book.now, self: self, shared: shared, draw: rand.N[time.Duration], upstreams: make(map[Upstream]*bucket)}
 }
 
 // SetMembers sets the names of the processes among which limits are divided, in any order.
@@ -137,10 +139,10 @@
 func (l *Limiter) probeDelay() time.Duration {
 	members := time.Duration(len(l.members))
 	if l.shared {
-		return staleAfter + rand.N(max(probeSpread, members*probeSpreadPerMember))
+		return staleAfter + l.draw(max(probeSpread, members*probeSpreadPerMember))
 	}
-	spread := max(1, members) * probeSpread
-	return staleAfter + spread + rand.N(spread)
+	spread := max(1, members) * 2 * probeSpread
+	return staleAfter + spread + l.draw(spread)
 }
 
 func (b *bucket) setShare(s share, now time.Time) {
--- a/upstreamlimit/limiter_test.go
+++ b/upstreamlimit/limiter_test.go
@@ -42,7 +42,9 @@
 	for i := range size {
 		b := NewBook(func() time.Time { return f.now })
 		f.books = append(f.books, b)
-		f.limiters = append(f.limiters, NewLimiter(b, fmt.Sprint("p", i), true))
+		l := NewLimiter(b, fmt.Sprint("p", i), true)
+		l.draw = func(limit time.Duration) time.Duration { return time.Duration(f.rng.Int64N(int64(limit))) }
+		f.limiters = append(f.limiters, l)
 		f.up = append(f.up, true)
 	}
 	f.tellMembers()
@@ -137,26 +139,28 @@
 
 // Guards against a limit that isn't kept where the processes don't tell each other of it.
 func TestLimitHoldsWithoutExchange(t *testing.T) {
-	for _, perSecond := range []float64{0, 0.3, 1, 6.7, 200} {
-		f := newFleet(7, 5)
-		f.unshared = true
-		for _, l := range f.limiters {
-			l.shared = false
-		}
-		f.limited, f.perSecond = true, perSecond
-		f.step(0)
-		named := f.now
-		for range 1600 {
-			f.step(50 * time.Millisecond)
-		}
-		require.LessOrEqual(t, f.most(named.Add(notice)), allowed(perSecond), "limit %v", perSecond)
-		f.limited = false
-		for range 1600 {
-			f.step(50 * time.Millisecond)
-		}
-		for _, b := range f.books {
-			_, still := b.Limit(limited)
-			require.False(t, still, "limit %v", perSecond)
+	for seed := range uint64(10) {
+		for _, perSecond := range []float64{0, 0.3, 1, 6.7, 200} {
+			f := newFleet(7, seed)
+			f.unshared = true
+			for _, l := range f.limiters {
+				l.shared = false
+			}
+			f.limited, f.perSecond = true, perSecond
+			f.step(0)
+			named := f.now
+			for range 2500 {
+				f.step(50 * time.Millisecond)
+			}
+			require.LessOrEqual(t, f.most(named.Add(notice)), allowed(perSecond), "limit %v", perSecond)
+			f.limited = false
+			for range 2500 {
+				f.step(50 * time.Millisecond)
+			}
+			for _, b := range f.books {
+				_, still := b.Limit(limited)
+				require.False(t, still, "limit %v", perSecond)
+			}
 		}
 	}
 }
@@ -198,22 +202,24 @@
 // Guards against a limit that ends nowhere because its holders have no requests, and against
 // processes that all ask at once whether it has ended.
 func TestProcessesWithoutShareAskSeldom(t *testing.T) {
-	for _, size := range []int{7, 82, 1700} {
-		f := newFleet(size, 4)
-		f.limited, f.perSecond = true, 0
-		f.step(0)
-		for i, l := range f.limiters {
-			if l.Holds(limited) {
-				f.up[i] = false // and its place isn't taken
+	for size, seeds := range map[int]uint64{7: 10, 82: 10, 1700: 3} {
+		for seed := range seeds {
+			f := newFleet(size, seed)
+			f.limited, f.perSecond = true, 0
+			f.step(0)
+			for i, l := range f.limiters {
+				if l.Holds(limited) {
+					f.up[i] = false // and its place isn't taken
+				}
 			}
+			from := f.now
+			f.sent = nil
+			for range 400 {
+				f.step(50 * time.Millisecond)
+			}
+			require.NotEmpty(t, f.sent, "size %d", size)
+			require.LessOrEqual(t, f.most(from.Add(notice)), allowed(0), "size %d", size)
 		}
-		from := f.now
-		f.sent = nil
-		for range 400 {
-			f.step(50 * time.Millisecond)
-		}
-		require.NotEmpty(t, f.sent, "size %d", size)
-		require.LessOrEqual(t, f.most(from.Add(notice)), allowed(0), "size %d", size)
 	}
 }
 
--- a/upstreamlimit/share.go
+++ b/upstreamlimit/share.go
@@ -10,7 +10,7 @@
 
 // minPerSecond is the least rate at which an upstream gets requests, whatever limit it names: only a
 // response can say that the limit is over.
-const minPerSecond = 0.5
+const minPerSecond = 0.25
 
 // share is the part of an upstream's limit that one process may use.
 type share struct {
