--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -22,6 +22,8 @@
 	activeAtClose bool
 	refused       bool
 	runs          int
+	// lethal is the body of a request that crashes servers, empty for others.
+	lethal string
 	// arrivals counts complete requests that reached a server, prefills those for prefill only.
 	arrivals, prefills int
 	// active counts the servers that are handling the request, lastEndAt is when the last one
@@ -57,7 +59,9 @@
 	billing      billing
 	drainNotices map[daemonServer][]time.Time
 	backoffs     map[daemonServer][]*backoff
-	counts       map[string]int
+	// lethal holds the requests that crash servers, by body.
+	lethal map[string]*lethalRequest
+	counts map[string]int
 	// lastFailure is when a request that its caller didn't close last failed.
 	lastFailure time.Time
 }
@@ -83,6 +87,7 @@
 		draining: make(map[string]time.Time), removed: make(map[string]time.Time), newestVersion: make(map[process]observedVersion),
 		retries: make(map[string][]time.Time), requestTimes: make(map[string][]time.Time), counts: make(map[string]int),
 		drainNotices: make(map[daemonServer][]time.Time), backoffs: make(map[daemonServer][]*backoff),
+		lethal: make(map[string]*lethalRequest),
 	}
 }
 
@@ -177,6 +182,7 @@
 	if q.prefills > 1 && v.PrefillOnly || q.arrivals > 1 && !v.PrefillOnly {
 		o.retries[q.service.name] = append(o.retries[q.service.name], now)
 	}
+	o.checkLethal(v, q, now)
 	o.checkDraining(v, q, now)
 	o.checkRemoved(v, q, now)
 	if v.ExpectedServer == "" || v.ExpectedServer == v.Server {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -40,6 +40,7 @@
 	RotateKey         FaultKind = "rotate-key"
 	RevokeInOutage    FaultKind = "revoke-in-outage"
 	FailProvider      FaultKind = "platform-calls-fail"
+	SendLethal        FaultKind = "request-crashes-servers"
 )
 
 // Step is one fault of a run.
@@ -123,7 +124,14 @@
 // accessKindWeights holds the kinds of the third stream: keys and the platform's calls.
 var accessKindWeights = []kindWeight{{RotateKey, 4}, {RevokeInOutage, 1}, {FailProvider, 2}}
 
+// needKindWeights holds the kinds of the fourth stream: what servers need to survive.
+var needKindWeights = []kindWeight{{SendLethal, 1}}
+
 const (
+	// needStream is the random stream of the fourth stream of steps, needIntervalFactor how much
+	// longer its intervals are.
+	needStream         = 1 << 34
+	needIntervalFactor = 12
 	// accessStream is the random stream of the third stream of steps, accessIntervalFactor how much
 	// longer its intervals are.
 	accessStream         = 1 << 33
@@ -142,6 +150,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, answerStream)), profile, answerKindWeights)...)
 	profile.MeanInterval *= accessIntervalFactor / answerIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, accessStream)), profile, accessKindWeights)...)
+	profile.MeanInterval *= needIntervalFactor / accessIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, needStream)), profile, needKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -35,6 +35,7 @@
 	ValidKeysAccepted      Promise = "a valid key isn't refused"
 	OneReport              Promise = "a window's usage is reported in one way only"
 	UsageReported          Promise = "usage is reported in time and as it was"
+	LethalRefused          Promise = "a request that crashes servers is refused by all daemons"
 )
 
 // Violation is a broken promise.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -56,12 +56,16 @@
 		return nil, eris.Wrap(err, "proxy listener")
 	}
 	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]struct{})}
-	p.wg.Go(p.accept)
+	p.wg.Go(func() { p.accept(l) })
 	return p, nil
 }
 
 // Address returns the address that the proxy listens at.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
 
 // SetTarget changes the target of new connections.
 func (p *Proxy) SetTarget(target string) {
@@ -82,12 +86,35 @@
 	}
 }
 
+// Pause closes the listener, as if no program listened at the address, and resets all connections.
+func (p *Proxy) Pause() {
+	p.mu.Lock()
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.closeAll()
+}
+
+// Resume listens at the address again. If that fails, the run can't go on.
+func (p *Proxy) Resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	l, err := net.Listen("tcp", p.listener.Addr().String())
+	if err != nil {
+		panic(err)
+	}
+	p.listener = l
+	p.wg.Go(func() { p.accept(l) })
+}
+
 // Close closes the listener and resets all connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	p.closed = true
-	p.mu.Unlock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.SetMode(ModeReset)
 	p.wg.Wait()
 }
@@ -107,9 +134,9 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return // the listener is closed
 		}
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -86,6 +86,8 @@
 		s.rotateKey(step.Target % organisations)
 	case RevokeInOutage:
 		s.revokeInOutage(step)
+	case SendLethal:
+		s.sendLethal(step)
 	case FailProvider:
 		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
