--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -59,8 +59,9 @@
 	billing      billing
 	drainNotices map[daemonServer][]time.Time
 	backoffs     map[daemonServer][]*backoff
-	// lethal holds the requests that crash servers, by body.
+	// lethal holds the requests that crash servers, by body, limits the servers that name a limit.
 	lethal map[string]*lethalRequest
+	limits map[string]*limitedServer
 	counts map[string]int
 	// lastFailure is when a request that its caller didn't close last failed.
 	lastFailure time.Time
@@ -87,7 +88,7 @@
 		draining: make(map[string]time.Time), removed: make(map[string]time.Time), newestVersion: make(map[process]observedVersion),
 		retries: make(map[string][]time.Time), requestTimes: make(map[string][]time.Time), counts: make(map[string]int),
 		drainNotices: make(map[daemonServer][]time.Time), backoffs: make(map[daemonServer][]*backoff),
-		lethal: make(map[string]*lethalRequest),
+		lethal: make(map[string]*lethalRequest), limits: make(map[string]*limitedServer),
 	}
 }
 
@@ -183,6 +184,7 @@
 		o.retries[q.service.name] = append(o.retries[q.service.name], now)
 	}
 	o.checkLethal(v, q, now)
+	o.recordLimited(v, q, now)
 	o.checkDraining(v, q, now)
 	o.checkRemoved(v, q, now)
 	if v.ExpectedServer == "" || v.ExpectedServer == v.Server {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -41,6 +41,7 @@
 	RevokeInOutage    FaultKind = "revoke-in-outage"
 	FailProvider      FaultKind = "platform-calls-fail"
 	SendLethal        FaultKind = "request-crashes-servers"
+	LimitServer       FaultKind = "server-names-limit"
 )
 
 // Step is one fault of a run.
@@ -125,7 +126,7 @@
 var accessKindWeights = []kindWeight{{RotateKey, 4}, {RevokeInOutage, 1}, {FailProvider, 2}}
 
 // needKindWeights holds the kinds of the fourth stream: what servers need to survive.
-var needKindWeights = []kindWeight{{SendLethal, 1}}
+var needKindWeights = []kindWeight{{SendLethal, 1}, {LimitServer, 2}}
 
 const (
 	// needStream is the random stream of the fourth stream of steps, needIntervalFactor how much
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -36,6 +36,7 @@
 	OneReport              Promise = "a window's usage is reported in one way only"
 	UsageReported          Promise = "usage is reported in time and as it was"
 	LethalRefused          Promise = "a request that crashes servers is refused by all daemons"
+	LimitKept              Promise = "a server's limit holds over all daemons"
 )
 
 // Violation is a broken promise.
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -88,6 +88,8 @@
 		s.revokeInOutage(step)
 	case SendLethal:
 		s.sendLethal(step)
+	case LimitServer:
+		tryReplace(slot, func() { s.limitServer(slot, step) })
 	case FailProvider:
 		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
