--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -7,8 +7,12 @@
 	"time"
 )
 
-// windowBuckets is the number of buckets of a budget's sliding window.
-const windowBuckets = 20
+const (
+	// windowBuckets is the number of buckets of a budget's sliding window.
+	windowBuckets = 20
+	// keptBuckets covers a whole window also while the newest bucket has just begun.
+	keptBuckets = windowBuckets + 1
+)
 
 // RetryBudget limits the retries of one daemon towards each pool. In any window all
 // daemons together may retry a ratio of the pool's requests plus a fixed slack. Each
@@ -32,10 +36,10 @@
 	Requests, Retries, Allowed float64
 }
 
-// window counts the requests and retries of the last windowBuckets buckets of time; current
+// window counts the requests and retries of the last keptBuckets buckets of time; current
 // is the number of the newest one since the epoch.
 type window struct {
-	buckets [windowBuckets]struct{ requests, retries float64 }
+	buckets [keptBuckets]struct{ requests, retries float64 }
 	current int64
 }
 
@@ -54,7 +58,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(pool)
-	w.buckets[w.current%windowBuckets].requests++
+	w.buckets[w.current%keptBuckets].requests++
 }
 
 // AllowRetry reports whether one more retry towards a pool is within the budget, and
@@ -67,7 +71,7 @@
 	if retries+1 > b.allowed(requests) {
 		return false
 	}
-	w.buckets[w.current%windowBuckets].retries++
+	w.buckets[w.current%keptBuckets].retries++
 	return true
 }
 
@@ -94,11 +98,14 @@
 	return all
 }
 
-// sum adds up the window's buckets.
+// sum adds up the window's buckets: all of the retries, and the requests of no more than a window.
 func (w *window) sum() (requests, retries float64) {
-	for _, b := range w.buckets {
-		requests += b.requests
+	oldest := (w.current + 1) % keptBuckets
+	for i, b := range w.buckets {
 		retries += b.retries
+		if int64(i) != oldest {
+			requests += b.requests
+		}
 	}
 	return requests, retries
 }
@@ -112,11 +119,11 @@
 	}
 	at := b.now().UnixNano() / int64(b.bucket)
 	for w.current < at {
-		if at-w.current > windowBuckets {
-			w.current = at - windowBuckets
+		if at-w.current > keptBuckets {
+			w.current = at - keptBuckets
 		}
 		w.current++
-		w.buckets[w.current%windowBuckets] = struct{ requests, retries float64 }{}
+		w.buckets[w.current%keptBuckets] = struct{ requests, retries float64 }{}
 	}
 	return w
 }
--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -39,9 +39,7 @@
 				}
 				return n
 			}
-			// The oldest bucket is dropped whole, so a window can be short by one bucket.
-			short := window - window/windowBuckets
-			require.LessOrEqual(t, inWindow(retries, short), ratio*inWindow(requests, 2*window)+slack)
+			require.LessOrEqual(t, inWindow(retries, window), ratio*inWindow(requests, 2*window)+slack)
 		}
 	})
 }
