--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -114,6 +114,7 @@
 	cfg.Store.Eras().SetLogger(m.log)
 	m.settings.Store(&s)
 	m.retryBudget = relay.NewRetryBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil)
+	m.retryBudget.AssumeSlackSpent()
 	m.keys = newKeyView(s, m.state, cfg.Store.Eras(), m.log)
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.quarantine = newQuarantineExchange(m, cfg.QuarantineLog)
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -26,6 +26,8 @@
 	mu    sync.Mutex
 	ratio float64
 	pools map[string]*window
+	// slackFrom is when the slack may be used.
+	slackFrom time.Time
 }
 
 // RetryBudgetState is the current state of a pool's window.
@@ -76,7 +78,20 @@
 }
 
 // allowed returns the limit of retries for a number of requests. The caller holds b.mu.
-func (b *RetryBudget) allowed(requests float64) float64 { return b.ratio*requests + b.slack() }
+func (b *RetryBudget) allowed(requests float64) float64 {
+	if b.now().Before(b.slackFrom) {
+		return b.ratio * requests
+	}
+	return b.ratio*requests + b.slack()
+}
+
+// AssumeSlackSpent withholds the slack for a window: the process of this daemon before this one may
+// have used it just before its end.
+func (b *RetryBudget) AssumeSlackSpent() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slackFrom = b.now().Add(b.bucket * keptBuckets)
+}
 
 // SetRatio changes the ratio of requests that may be retried.
 func (b *RetryBudget) SetRatio(ratio float64) {
--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -44,6 +44,61 @@
 	})
 }
 
+// Guards against a daemon that starts anew and uses its share of the slack once more, while the
+// retries of the process before it still count: the sum over all daemons, as kills, starts and
+// added daemons are drawn.
+func TestBudgetHoldsOverAllDaemonsAcrossRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const (
+			window  = 10 * time.Second
+			ratio   = 0.2
+			slack   = 54.0
+			daemons = 7
+		)
+		now := time.Unix(1000, 0)
+		start := func() *RetryBudget {
+			b := NewRetryBudget(ratio, func() float64 { return slack / daemons }, window, func() time.Time { return now })
+			b.AssumeSlackSpent()
+			return b
+		}
+		var site []*RetryBudget
+		for range daemons {
+			site = append(site, start())
+		}
+		var requests, retries []time.Time
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(50, 1000).Draw(t, "ms")) * time.Millisecond)
+			for i, b := range site {
+				if rapid.IntRange(0, 20).Draw(t, "kill") == 0 {
+					site[i] = start()
+				}
+				for range rapid.IntRange(0, 3).Draw(t, "requests") {
+					b.RecordRequest("p")
+					requests = append(requests, now)
+				}
+				for b.AllowRetry("p") {
+					retries = append(retries, now)
+				}
+			}
+		}
+		within := func(times []time.Time, from, to time.Time) (n float64) {
+			for _, at := range times {
+				if at.After(from) && !at.After(to) {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range retries {
+			mostRequests := 0.0
+			for _, shift := range []time.Duration{0, window / 2, window} {
+				mostRequests = max(mostRequests, within(requests, end.Add(-window-shift), end.Add(-shift)))
+			}
+			require.LessOrEqual(t, within(retries, end.Add(-window), end), ratio*mostRequests+slack)
+		}
+	})
+}
+
 func TestBudgetsArePerPool(t *testing.T) {
 	b := NewRetryBudget(0, func() float64 { return 1 }, time.Second, nil)
 	require.True(t, b.AllowRetry("a"))
