--- a/internal/soak/lethal.go
+++ b/internal/soak/lethal.go
@@ -17,10 +17,11 @@
 	lethalCrashes     = 3
 	refusalNotice     = 3 * time.Second
 	maxLethalArrivals = 3
-	// lethalInterval is the time between two copies of a lethal request, lethalCopies their number:
-	// they go on well beyond refusalNotice.
+	// lethalInterval is the time between two copies of a lethal request. Up to maxFirstCopies go to one
+	// daemon until it has crashed enough servers, and lateCopies to all daemons after refusalNotice.
 	lethalInterval = 150 * time.Millisecond
-	lethalCopies   = 50
+	maxFirstCopies = 20
+	lateCopies     = 20
 	// crashDowntime is how long a crashed server is down.
 	crashDowntime = 300 * time.Millisecond
 )
@@ -33,7 +34,8 @@
 	arrivals    int
 }
 
-// sendLethal sends copies of a request that crashes servers, each under an ID of its own.
+// sendLethal sends copies of a request that crashes servers, each under an ID of its own: to one
+// daemon, and to all once they must refuse it.
 func (s *site) sendLethal(step Step) {
 	service := services[slices.IndexFunc(services, func(v service) bool { return v.name == "repeat" })]
 	end := s.faults.begin(serversSubject(service.name))
@@ -41,17 +43,28 @@
 	client := standin.NewCaller()
 	defer client.Close()
 	client.Body = fmt.Sprintf("%s-%d-%d", lethalPrefix, step.Target, step.Variant)
-	for i := range lethalCopies {
-		d := s.daemons[(step.Target+i)%len(s.daemons)]
-		id := fmt.Sprintf("%s-%d", client.Body, i)
-		key := s.keyFor(step.Variant%organisations, false)
-		client.Key = key.text
+	key := s.keyFor(step.Variant%organisations, false)
+	client.Key = key.text
+	sent := 0
+	send := func(d *daemon) {
+		sent++
+		id := fmt.Sprintf("%s-%d", client.Body, sent)
 		s.oracle.sentLethal(id, client.Body, service, key, d.number)
 		ctx, cancel := context.WithTimeout(context.Background(), service.deadline+callerTimeoutSlack)
+		defer cancel()
 		client.Send(ctx, d.config.Callers(), service.name, id, service.deadline, false, func() {})
-		cancel()
 		time.Sleep(lethalInterval)
 	}
+	for range maxFirstCopies {
+		send(s.daemons[step.Target%len(s.daemons)])
+		if s.oracle.mustBeRefused(client.Body) {
+			break
+		}
+	}
+	time.Sleep(refusalNotice)
+	for i := range lateCopies {
+		send(s.daemons[i%len(s.daemons)])
+	}
 }
 
 // serverCrashed replaces a server that a request has crashed. Nothing listens at its address
@@ -84,6 +97,13 @@
 	}
 }
 
+// mustBeRefused reports whether a request has crashed enough servers.
+func (o *oracle) mustBeRefused(body string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.lethal[body].refusedFrom.IsZero()
+}
+
 func (o *oracle) lethalCrash(body string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
