--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -41,8 +41,8 @@
 	reachesAll func() bool
 	// checkpoints reports whether this process writes checkpoints; nil means yes.
 	checkpoints func() bool
-	heads       atomic.Pointer[heads]
-	fingerprint atomic.Uint64
+	// index is nil after a change; see changed.
+	index atomic.Pointer[index]
 
 	mu          sync.Mutex
 	state       *State
@@ -91,7 +91,7 @@
 		delete(g.unconfirmed, d)
 	}
 	if p.Entry.Kind == journal.KindQuarantine {
-		g.updateHeads()
+		g.changed()
 	}
 	if g.observe == nil {
 		return
@@ -143,7 +143,7 @@
 func (g *Guard) recordCrash(upstream, incarnation string, inFlight []Digest) *Crash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	defer g.updateHeads()
+	defer g.changed()
 	c := &Crash{Upstream: upstream, Incarnation: incarnation}
 	delete(g.local, upstream)
 	for _, d := range inFlight {
@@ -239,6 +239,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.unconfirmed, r.Digest)
-	g.updateHeads()
+	g.changed()
 	return nil
 }
--- a/quarantine/isolation.go
+++ b/quarantine/isolation.go
@@ -40,5 +40,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.unconfirmed, d)
-	g.updateHeads()
+	g.changed()
 }
--- a/quarantine/known.go
+++ b/quarantine/known.go
@@ -5,31 +5,48 @@
 	"strings"
 )
 
-// heads are the first halves of the digests that a guard knows. They are immutable.
-type heads map[uint64]struct{}
+// index summarises what a guard knows. It is immutable.
+type index struct {
+	// heads are the first halves of the known digests.
+	heads map[uint64]struct{}
+	// fingerprint identifies what Reports tells.
+	fingerprint uint64
+}
 
 // Knows reports whether a request may be suspected or quarantined. It costs little: where it
 // returns false, the whole digest need not be computed.
 func (g *Guard) Knows(r *Request) bool {
-	known := g.heads.Load()
-	if known == nil || len(*known) == 0 {
+	known := g.currentIndex().heads
+	if len(known) == 0 {
 		return false
 	}
-	_, ok := (*known)[r.Head()]
+	_, ok := known[r.Head()]
 	return ok
 }
 
-// updateHeads follows a change of the known digests. The caller holds g.mu.
-func (g *Guard) updateHeads() {
-	known := make(heads, len(g.state.suspects)+len(g.unconfirmed))
+// Fingerprint returns a number that is the same in processes whose Reports tell the same.
+func (g *Guard) Fingerprint() uint64 { return g.currentIndex().fingerprint }
+
+// changed drops the index after a change of what is known. The next look builds it anew, so that
+// many changes at once, as at a start, cost one.
+func (g *Guard) changed() { g.index.Store(nil) }
+
+func (g *Guard) currentIndex() *index {
+	if current := g.index.Load(); current != nil {
+		return current
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	built := &index{heads: make(map[uint64]struct{}, len(g.state.suspects)+len(g.unconfirmed))}
 	for d := range g.state.suspects {
-		known[d.A] = struct{}{}
+		built.heads[d.A] = struct{}{}
 	}
 	for d := range g.unconfirmed {
-		known[d.A] = struct{}{}
+		built.heads[d.A] = struct{}{}
 	}
-	g.heads.Store(&known)
-	g.fingerprint.Store(fingerprintOf(g.worthKnowing()))
+	built.fingerprint = fingerprintOf(g.worthKnowing())
+	g.index.Store(built)
+	return built
 }
 
 // Listed is a suspected or quarantined digest.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -38,7 +38,7 @@
 	if !g.markHeard(e.ID) {
 		return false
 	}
-	defer g.updateHeads()
+	defer g.changed()
 	switch {
 	case m.Crash != nil:
 		for _, d := range m.Crash.Suspects {
@@ -159,9 +159,6 @@
 	return all
 }
 
-// Fingerprint returns a number that is the same in processes whose Reports tell the same.
-func (g *Guard) Fingerprint() uint64 { return g.fingerprint.Load() }
-
 // fingerprintOf combines crashes in a way that doesn't depend on their order.
 func fingerprintOf(known map[Digest]map[unconfirmedCrash]struct{}) uint64 {
 	sum := uint64(0)
@@ -237,7 +234,7 @@
 	journaled := g.state.crashesOf(d) > 0
 	if suspected {
 		forgive(d)
-		g.updateHeads()
+		g.changed()
 	}
 	g.mu.Unlock()
 	if !suspected {
--- a/quarantine/restore.go
+++ b/quarantine/restore.go
@@ -29,7 +29,7 @@
 	for _, k := range kept {
 		g.addUnconfirmed(k.digest, k.crash, k.age)
 	}
-	g.updateHeads()
+	g.changed()
 	if !g.writesCheckpoints() {
 		return
 	}
