--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -57,7 +57,7 @@
 }
 
 // limitEnded checks what a server got while it named a limit, from daemons that neither restarted nor
-// paused since.
+// paused shortly before.
 func (o *oracle) limitEnded(server string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -65,7 +65,7 @@
 	delete(o.limits, server)
 	var times []time.Time
 	for _, a := range l.arrivals {
-		if o.faults.undisturbed(l.named, now, daemonSubject(a.daemon), pauseSubject(a.daemon)) {
+		if o.faults.undisturbed(a.at.Add(-limitNotice), a.at, daemonSubject(a.daemon), pauseSubject(a.daemon)) {
 			times = append(times, a.at)
 		}
 	}
