--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -68,6 +68,9 @@
 	m.scope.Tagged(map[string]string{"pool": pool, "cause": cause.Error()}).Counter("sends_held_back").Inc(1)
 }
 
+// recordPanic counts a panic of a request's handler.
+func (m *metrics) recordPanic() { m.scope.Counter("panics").Inc(1) }
+
 // recordQuarantined counts an attempt that was refused because the request is quarantined.
 func (m *metrics) recordQuarantined(pool string) {
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter("requests_quarantined").Inc(1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -198,6 +199,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
+	defer r.logPanic(in)
 	if r.shutdown.Load() != nil || slices.Contains(in.TransferEncoding, "chunked") {
 		// Guards against request smuggling: a request with both Content-Length and
 		// chunked encoding can hide another one after its body. net/http uses the
@@ -212,6 +214,19 @@
 	c.serve()
 }
 
+// logPanic logs a panic of a request's handler before net/http ends it, which closes the connection.
+func (r *Relay) logPanic(in *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		r.metrics.recordPanic()
+		r.cfg.Logger.Error("panic", "request", in.Header.Get(r.cfg.Dialect.RequestIDHeader()), "cause", cause, "stack", string(debug.Stack()))
+	}
+	panic(cause)
+}
+
 // accept parses a request, matches its rule and reads its body.
 func (r *Relay) accept(w http.ResponseWriter, in *http.Request) (*call, *failure) {
 	c := &call{relay: r, out: w, in: in, arrived: time.Now(), log: r.cfg.Logger}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -77,10 +77,7 @@
 	now := tr.now()
 	s.engines = slices.Grow(s.engines, len(p.all))
 	for _, e := range p.all {
-		if tr.waitForLimit(e) > 0 {
-			continue
-		}
-		s.add(e, now)
+		s.add(e, now, tr.waitForLimit(e) == 0)
 	}
 	rank := 0
 	for _, e := range p.decode {
@@ -92,9 +89,9 @@
 	return s
 }
 
-// add adds an upstream to the search if it is available.
-func (s *search) add(e *trackedUpstream, now time.Time) {
-	if !e.available(now) {
+// add adds an upstream to the search if it is available and its limit allows a request.
+func (s *search) add(e *trackedUpstream, now time.Time, withinLimit bool) {
+	if !withinLimit || !e.available(now) {
 		e.searchIndex = -1
 		return
 	}
