--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -8,16 +8,18 @@
 )
 
 const (
-	// handoverDelay is how long a process waits before it uses a share that it has just got: the
-	// holder before it may not know yet that it has none any more.
+	// handoverDelay is how long a process waits before it uses a share that is new or has grown: who
+	// had it before may not know yet that it has lost it.
 	handoverDelay = 1500 * time.Millisecond
-	// A limit that wasn't named for staleAfter may be over, but its holders send nothing: they have no
-	// requests, or are gone. Then any process may send one after a random delay of up to probeSpread,
-	// or probeSpreadPerMember for each member if the first response tells all; otherwise after
-	// two probeSpread for each member, and up to twice that.
-	staleAfter           = 3 * time.Second
+	// staleAfter is the time since a limit was last named from which its holders are taken to send
+	// nothing: they have no requests, or are gone. Then any process may ask whether it is over.
+	staleAfter = 3 * time.Second
+	// probeSpread is the least range of the random delay before a process asks. With many members it
+	// is probeSpreadPerMember for each, so that few ask before the first response tells all.
 	probeSpread          = 4 * time.Second
 	probeSpreadPerMember = 80 * time.Millisecond
+	// unsharedProbeSpread replaces both, for each member, where processes don't tell each other.
+	unsharedProbeSpread = 8 * time.Second
 )
 
 // Limiter grants the requests of one process to upstreams that have named a limit. It is safe for
@@ -46,8 +48,9 @@
 	// perSecond and generation are the limit and the generation of the members that share is for.
 	perSecond  float64
 	generation int
-	// usableAt is when the share may be used.
-	usableAt time.Time
+	// grown replaces share at grownAt; it is zero if share isn't about to grow.
+	grown   share
+	grownAt time.Time
 	// namedAt is when the limit was last named, probeAt when a process without a share may send a
 	// request.
 	namedAt, probeAt time.Time
@@ -91,7 +94,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fill(u, limit, l.now()).share.perSecond > 0
+	b := l.fill(u, limit, l.now())
+	return b.share.perSecond > 0 || b.grown.perSecond > 0
 }
 
 // Take reports whether a request may be sent to an upstream now, and counts it if so.
@@ -124,6 +128,7 @@
 	}
 	b.tokens = min(b.share.burst, b.tokens+b.share.perSecond*now.Sub(b.filledAt).Seconds())
 	b.filledAt = now
+	b.growIfDue(now)
 	if b.perSecond != limit.perSecond || b.generation != l.generation {
 		b.perSecond, b.generation = limit.perSecond, l.generation
 		b.setShare(shareOf(limit.perSecond, u, l.self, l.members), now)
@@ -141,26 +146,41 @@
 	if l.shared {
 		return staleAfter + l.draw(max(probeSpread, members*probeSpreadPerMember))
 	}
-	spread := max(1, members) * 2 * probeSpread
+	spread := max(1, members) * unsharedProbeSpread
 	return staleAfter + spread + l.draw(spread)
 }
 
+// setShare makes a smaller share hold at once, and a larger one after handoverDelay.
 func (b *bucket) setShare(s share, now time.Time) {
+	switch {
+	case s.perSecond <= b.share.perSecond:
+		b.share, b.grown = s, share{}
+		b.tokens = min(b.tokens, s.burst)
+	default:
+		b.grown, b.grownAt = s, now.Add(handoverDelay)
+	}
+}
+
+func (b *bucket) growIfDue(now time.Time) {
+	if b.grown.perSecond == 0 || now.Before(b.grownAt) {
+		return
+	}
 	if b.share.perSecond == 0 {
-		b.tokens = 0
-		b.usableAt = now.Add(handoverDelay)
+		b.tokens = 1 // the first response soon tells whether the limit still holds
 	}
-	b.share = s
-	b.tokens = min(b.tokens, s.burst)
+	b.share, b.grown = b.grown, share{}
 }
 
 // wait returns how long no request may be sent. The bucket must be up to date.
 func (b *bucket) wait(now time.Time) time.Duration {
-	if b.share.perSecond == 0 {
+	switch {
+	case b.share.perSecond > 0:
+		return time.Duration(max(0, 1-b.tokens) / b.share.perSecond * float64(time.Second))
+	case b.grown.perSecond > 0:
+		return max(0, b.grownAt.Sub(now))
+	default:
 		return max(0, b.probeAt.Sub(now))
 	}
-	fill := time.Duration(max(0, 1-b.tokens) / b.share.perSecond * float64(time.Second))
-	return max(fill, b.usableAt.Sub(now), 0)
 }
 
 // Retain drops what is kept for upstreams without a limit.
--- a/upstreamlimit/limiter_test.go
+++ b/upstreamlimit/limiter_test.go
@@ -204,6 +204,29 @@
 	require.GreaterOrEqual(t, f.limiters[heir].Wait(limited), handoverDelay)
 }
 
+// Guards against a share that grows at once because others seem to be gone, while they still use
+// theirs.
+func TestGrowingShareWaits(t *testing.T) {
+	f := newFleet(7, 6)
+	f.limited, f.perSecond = true, 7
+	f.step(0)
+	for range 50 {
+		f.step(100 * time.Millisecond)
+	}
+	l := f.limiters[0]
+	before := l.upstreams[limited].share.perSecond
+	require.Positive(t, before)
+	l.SetMembers([]string{"p0", "p1"})
+	l.Wait(limited)
+	require.Equal(t, before, l.upstreams[limited].share.perSecond)
+	f.now = f.now.Add(handoverDelay)
+	l.Wait(limited)
+	require.Greater(t, l.upstreams[limited].share.perSecond, before)
+	l.SetMembers([]string{"p0", "p1", "p2", "p3", "p4", "p5", "p6"})
+	l.Wait(limited)
+	require.Equal(t, before, l.upstreams[limited].share.perSecond, "a smaller share holds at once")
+}
+
 // Guards against a limit that ends nowhere because its holders have no requests, and against
 // processes that all ask at once whether it has ended.
 func TestProcessesWithoutShareAskSeldom(t *testing.T) {
--- a/upstreamlimit/share.go
+++ b/upstreamlimit/share.go
@@ -9,8 +9,8 @@
 )
 
 // minPerSecond is the least rate at which an upstream gets requests, whatever limit it names: only a
-// response can say that the limit is over.
-const minPerSecond = 0.25
+// response can say that the limit is over. At this rate it is named again within staleAfter.
+const minPerSecond = 0.4
 
 // share is the part of an upstream's limit that one process may use.
 type share struct {
