--- a/internal/member/quarantine.go
+++ b/internal/member/quarantine.go
@@ -44,7 +44,7 @@
 	x.reader = &pacedLog{Log: log, heardByOthers: m.peers.ReportsInDataCentre}
 	writer := s.Instance + "/quarantine"
 	x.entries = journal.New(x.reader, journal.Config{Writer: writer, Retention: s.StoreRetention, LongPoll: longPollTimeout, Logger: m.log})
-	x.guard = quarantine.NewGuard(quarantine.SharedConfig(), x.entries, writer, nil)
+	x.guard = quarantine.NewGuard(quarantine.NoIsolationConfig(), x.entries, writer, nil)
 	x.guard.LimitCheckpoints(m.peers.ReadsFirst)
 	x.guard.Observe(x.logEntered)
 	x.guard.Publish(func(e journal.Entry) { m.peers.broadcast(reportMessage(e, false)) }, m.peers.HearsAll)
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -88,6 +88,9 @@
 		g.confirm(d, g.state.crashed)
 	}
 	for _, d := range g.state.cleared {
+		g.forgetSuspect(d)
+	}
+	for _, d := range g.state.freed {
 		delete(g.unconfirmed, d)
 	}
 	if p.Entry.Kind == journal.KindQuarantine {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -45,7 +45,7 @@
 			g.addUnconfirmed(d, unconfirmedCrash{m.Crash.Upstream, m.Crash.Incarnation}, m.Crash.Age)
 		}
 	case m.Completed != nil:
-		delete(g.unconfirmed, m.Completed.Digest)
+		g.forgetSuspect(m.Completed.Digest)
 	case m.IsolationEnd != nil && m.IsolationEnd.Passed:
 		g.markProgress(m.IsolationEnd.Digest)
 	case m.Release != nil:
@@ -203,16 +203,21 @@
 	}
 }
 
-// age returns the time since the last known crash with a digest in flight.
+// maxTransit is taken off what is left of a repeated report, so that no repetition prolongs it.
+const maxTransit = time.Second
+
+// age returns the age of a crash from which a suspicion would last as long as the digest's status
+// does. It is negative for a new quarantine, which lasts longer.
 func (g *Guard) age(d Digest) time.Duration {
-	age := g.state.cfg.SuspectFor
-	if x := g.state.suspects[d]; x != nil {
-		age = min(age, g.state.logNow.Sub(x.last))
-	}
-	if known := g.unconfirmed[d]; known != nil {
-		age = min(age, g.state.cfg.SuspectFor-known.until.Sub(g.now()))
+	return g.state.cfg.SuspectFor - g.verdict(d).Remaining + maxTransit
+}
+
+// forgetSuspect drops the unconfirmed crashes of a digest that got a complete response. A quarantined
+// digest stays: the response is one of a run that began before.
+func (g *Guard) forgetSuspect(d Digest) {
+	if g.verdict(d).Status != Quarantined {
+		delete(g.unconfirmed, d)
 	}
-	return max(0, age)
 }
 
 // Progressed reports that a run of a suspect came further than the one that made it a suspect. The
@@ -223,8 +228,7 @@
 
 // Answered reports that a suspect that isn't isolated got a complete response.
 func (g *Guard) Answered(ctx context.Context, d Digest) error {
-	forget := func(d Digest) { delete(g.unconfirmed, d) }
-	return g.exonerate(ctx, d, forget, message{Completed: &completed{d}})
+	return g.exonerate(ctx, d, g.forgetSuspect, message{Completed: &completed{d}})
 }
 
 // exonerate clears a suspect here and reports that. Digests that aren't suspected need no report.
--- a/quarantine/report_test.go
+++ b/quarantine/report_test.go
@@ -27,7 +27,7 @@
 func newSharedSite(processes int) *sharedSite {
 	s := &sharedSite{now: testStart, read: make([]int, processes)}
 	for i := range processes {
-		g := NewGuard(SharedConfig(), s, fmt.Sprint("p", i), func() time.Time { return s.now })
+		g := NewGuard(NoIsolationConfig(), s, fmt.Sprint("p", i), func() time.Time { return s.now })
 		g.Publish(func(e journal.Entry) { s.pass(i, e) }, func() bool { return !s.linksDown })
 		s.guards = append(s.guards, g)
 	}
@@ -168,7 +168,7 @@
 		g.flush(background)
 	}
 	s.readAll()
-	late := NewGuard(SharedConfig(), s, "late", func() time.Time { return s.now })
+	late := NewGuard(NoIsolationConfig(), s, "late", func() time.Time { return s.now })
 	for _, e := range s.entries {
 		late.Apply(e)
 	}
@@ -243,3 +243,59 @@
 		})
 	}
 }
+
+// Guards against a released request that is quarantined again by a process that hasn't heard of the
+// release.
+func TestReleaseOutlastsStaleReports(t *testing.T) {
+	s := newSharedSite(2)
+	lethal := digest(1)
+	for i := range 3 {
+		s.crash(0, fmt.Sprint("u", i), lethal)
+	}
+	s.readAll()
+	stale := s.guards[1].Reports()
+	s.linksDown = true
+	require.NoError(t, s.guards[0].Release(background, Release{Digest: lethal, Operator: "o", Reason: "r"}))
+	s.now = s.now.Add(time.Second)
+	s.readAll()
+	for _, e := range stale {
+		s.guards[0].Hear(e)
+		s.guards[1].Hear(e)
+	}
+	require.Equal(t, Clean, s.statusAt(0, lethal))
+	require.Equal(t, Clean, s.statusAt(1, lethal))
+}
+
+// Guards against a quarantine older than a suspicion lasts that a restore of the log ends, and that
+// other processes can't be told of.
+func TestOldQuarantineOutlivesARestore(t *testing.T) {
+	s := newSharedSite(2)
+	lethal := digest(1)
+	for i := range 3 {
+		s.crash(0, fmt.Sprint("u", i), lethal)
+	}
+	s.readAll()
+	s.now = s.now.Add(2 * s.guards[0].state.cfg.SuspectFor)
+	late := newSharedSite(1)
+	late.now = s.now
+	for _, e := range s.guards[0].Reports() {
+		late.guards[0].Hear(e)
+	}
+	require.Equal(t, Quarantined, late.statusAt(0, lethal), "a process that was told")
+	s.guards[0].Restored()
+	require.Equal(t, Quarantined, s.statusAt(0, lethal))
+	s.now = s.now.Add(s.guards[0].state.cfg.QuarantineFor)
+	require.Equal(t, Clean, s.statusAt(0, lethal))
+}
+
+// Guards against a quarantine that a response to a run from before ends, where it isn't in the log.
+func TestLateResponseDoesNotEndAQuarantine(t *testing.T) {
+	s := newSharedSite(2)
+	s.logDown = true
+	lethal := digest(1)
+	for i := range 3 {
+		s.crash(0, fmt.Sprint("u", i), lethal)
+	}
+	s.guards[1].Hear(entryOf("late", "p9", message{Completed: &completed{lethal}}))
+	require.Equal(t, Quarantined, s.statusAt(1, lethal))
+}
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -40,9 +40,9 @@
 	}
 }
 
-// SharedConfig returns the settings of processes that don't isolate suspects. Two requests may
+// NoIsolationConfig returns the settings of processes that don't isolate suspects. Two requests may
 // then share two upstreams by chance, so that more crashes are needed to tell them apart.
-func SharedConfig() Config {
+func NoIsolationConfig() Config {
 	c := DefaultConfig()
 	c.MaxStrikes = 3
 	c.MaxCrashes = 6
@@ -73,7 +73,9 @@
 // a checkpoint written later by a lagging process would otherwise restore the
 // quarantine.
 type released struct {
-	release  Release
+	release Release
+	// crashes are those that it has undone.
+	crashes  []unconfirmedCrash
 	position journal.Position
 	at       time.Time
 	written  time.Time
@@ -90,8 +92,9 @@
 	// report; crashed is the upstream of the last crash report.
 	touched []Digest
 	crashed string
-	// cleared are the digests that the entry folded last shows to be harmless.
-	cleared []Digest
+	// cleared are the digests that the entry folded last shows to be harmless, freed those that it
+	// releases.
+	cleared, freed []Digest
 	// entered are the quarantines that began with the entry folded last.
 	entered []Entered
 	logNow  time.Time
@@ -107,7 +110,7 @@
 // by every process.
 func (s *State) Apply(p journal.LogEntry) {
 	s.touched = s.touched[:0]
-	s.cleared = s.cleared[:0]
+	s.cleared, s.freed = s.cleared[:0], s.freed[:0]
 	s.entered = s.entered[:0]
 	if p.At.After(s.logNow) {
 		s.logNow = p.At
@@ -235,7 +238,12 @@
 }
 
 func (s *State) applyRelease(r *Release, p journal.LogEntry) {
-	mark := released{*r, r.Basis, r.At, p.At}
+	mark := released{release: *r, crashes: s.released[r.Digest].crashes, position: r.Basis, at: r.At, written: p.At}
+	if x := s.suspects[r.Digest]; x != nil {
+		for _, c := range x.crashes {
+			mark.crashes = append(mark.crashes, unconfirmedCrash{c.Upstream, c.Incarnation})
+		}
+	}
 	if r.Basis.IsZero() {
 		mark.position, mark.at = p.Position, p.At
 	}
@@ -243,6 +251,7 @@
 		return
 	}
 	s.released[r.Digest] = mark
+	s.freed = append(s.freed, r.Digest)
 	if x := s.suspects[r.Digest]; x != nil && x.basis.Less(mark.position) {
 		delete(s.suspects, r.Digest)
 	}
--- a/quarantine/unconfirmed.go
+++ b/quarantine/unconfirmed.go
@@ -22,7 +22,7 @@
 // crashes make room.
 func (g *Guard) addUnconfirmed(d Digest, c unconfirmedCrash, age time.Duration) {
 	until := g.now().Add(g.state.cfg.SuspectFor - age)
-	if !until.After(g.now()) || g.state.hasCrash(d, c) {
+	if !until.After(g.now()) || g.state.hasCrash(d, c) || g.state.freedFrom(d, c) {
 		return
 	}
 	known := g.unconfirmed[d]
@@ -142,6 +142,12 @@
 	})
 }
 
+// freedFrom reports whether a release has undone a crash that the journal counted against a digest.
+func (s *State) freedFrom(d Digest, c unconfirmedCrash) bool {
+	r, released := s.released[d]
+	return released && c.incarnation != "" && slices.Contains(r.crashes, c)
+}
+
 // crashesOf returns how many crashes the journal counts against a digest.
 func (s *State) crashesOf(d Digest) int {
 	if x := s.suspects[d]; x != nil {
