--- a/internal/adapters/httpx/client.go
+++ b/internal/adapters/httpx/client.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"tamarackchute/upstream"
 )
 
 // Sizes of a connection's buffers, in bytes. They are allocated only while a request
@@ -121,11 +123,9 @@
 	if err != nil {
 		return nil, notSent(contextCause(ctx, err))
 	}
-	if gate := c.opts.Gate; gate != nil {
-		if err := gate.Admit(); err != nil {
-			x.release(true)
-			return nil, notSent(err)
-		}
+	if err := c.checkBeforeSending(ctx); err != nil {
+		x.release(true)
+		return nil, notSent(err)
 	}
 	x.sentAt = time.Now()
 	x.id = c.ids.next(req.Header.IsHead())
@@ -133,6 +133,18 @@
 	return x, nil
 }
 
+// checkBeforeSending is the last check before the first byte. The gate comes last, as it counts what
+// it admits.
+func (c *Client) checkBeforeSending(ctx context.Context) error {
+	if err := upstream.CheckAdmission(ctx); err != nil {
+		return err
+	}
+	if c.opts.Gate == nil {
+		return nil
+	}
+	return c.opts.Gate.Admit()
+}
+
 func (c *Client) prepare(req *fasthttp.Request, id []byte) {
 	req.Header.SetHost(c.addr)
 	req.Header.SetBytesV(HeaderExchange, id)
--- a/internal/entry/answer/attempt.go
+++ b/internal/entry/answer/attempt.go
@@ -86,7 +86,7 @@
 	switch {
 	case err == nil:
 		return router.OutcomeOK
-	case errors.Is(err, upstream.ErrLimited):
+	case errors.Is(err, upstream.ErrLimited), errors.Is(err, upstream.ErrNotAdmitted):
 		return router.OutcomeCancelled
 	case errors.Is(err, upstream.ErrNotSent):
 		return router.OutcomeNotSent
--- a/internal/entry/answer/open.go
+++ b/internal/entry/answer/open.go
@@ -43,7 +43,7 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, errEngineTerminating) || errors.Is(err, errNotAdmitted) {
+		if errors.Is(err, errEngineTerminating) || errors.Is(err, upstream.ErrNotAdmitted) {
 			a.replan()
 			continue
 		}
@@ -57,9 +57,15 @@
 // the request was sent to it.
 var errEngineTerminating = errors.New("the planned engine is shutting down")
 
-// errNotAdmitted says that the request's key was removed, or can't be checked any more, before the
-// request was sent.
-var errNotAdmitted = errors.New("the request isn't admitted any more")
+// admittedToSend is the last check before each first byte: the request's key may have been removed, or
+// the request quarantined, while it waited.
+func (a *Answer) admittedToSend() error {
+	if err := a.admitted(); err != nil {
+		return err
+	}
+	_, err := a.runner.CrashDetector.Check(a.job.Digest)
+	return err
+}
 
 func (a *Answer) admitted() error {
 	if a.job.Admit == nil {
@@ -171,6 +177,7 @@
 		ticket:   a.runner.Tracker.Begin(plan, route),
 	}
 	a.attempt = t
+	ctx = upstream.WithAdmission(ctx, a.admittedToSend)
 	var err error
 	if t.run, err = a.runner.CrashDetector.Begin(ctx, plan.Engine, a.job.Digest, suspected); err != nil {
 		return errIsolationConflict
@@ -190,8 +197,8 @@
 	if t.ticket.EngineTerminating() {
 		return errEngineTerminating
 	}
-	if a.admitted() != nil {
-		return errNotAdmitted
+	if a.admittedToSend() != nil {
+		return upstream.ErrNotAdmitted
 	}
 	engine := a.runner.Engines.Engine(plan.Engine)
 	if engine == nil {
--- a/internal/entry/answer/shutdown_test.go
+++ b/internal/entry/answer/shutdown_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"tamarackchute/infra"
 	"tamarackchute/internal/entry/openai"
 	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/quarantine"
 	"tamarackchute/router"
 	"tamarackchute/rules"
 	"tamarackchute/upstream"
@@ -114,6 +116,39 @@
 	require.Zero(t, d.reserved["e0"]+d.reserved["e1"])
 }
 
+// quarantinedLater is a detector that knows a request as quarantined from the second check on.
+type quarantinedLater struct {
+	CrashDetector
+	checks int
+}
+
+func (d *quarantinedLater) Check(quarantine.Digest) (bool, error) {
+	if d.checks++; d.checks > 1 {
+		return false, &quarantine.Error{RetryAfter: time.Minute}
+	}
+	return false, nil
+}
+
+// Guards against sending a request that was quarantined during the prefill on another engine.
+func TestQuarantinedDuringPrefillElsewhere(t *testing.T) {
+	d := &shutdownFleet{}
+	runner := newRunner(&d.fakeFleet, 2)
+	d.tracker = runner.Tracker.(*router.Tracker)
+	runner.Tracker, runner.Engines = shutdownTracker{d}, prefillOnly{d}
+	runner.CrashDetector = &quarantinedLater{CrashDetector: runner.CrashDetector}
+	a := runner.Start(Job{
+		Request: openai.Request{Model: "m", MaxTokens: totalTokens},
+		Route:   router.Request{Pool: "p", Model: "m", OutputTokens: totalTokens},
+		Retry:   rules.RetryNever,
+	})
+	defer a.Close()
+	_, err := a.Next(t.Context())
+	var failure *outcome.Failure
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, statusQuarantined, failure.Status)
+	require.Empty(t, d.generatedOn)
+}
+
 // prefillOnly is the fleet with prefills that leave all engines as they are.
 type prefillOnly struct{ *shutdownFleet }
 
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -115,7 +115,7 @@
 	}
 	request := c.job.Request
 	request.AttemptID = c.runner.NewID()
-	return service.Call(ctx, request)
+	return service.Call(upstream.WithAdmission(ctx, c.admitted), request)
 }
 
 // handleFailure returns the final failure after a failed attempt, or nil if
@@ -126,6 +126,9 @@
 		return c.fail(http.StatusServiceUnavailable, outcome.CodeNoUpstream, err,
 			"no service can take the request now").WithRetryAfter(retryAfterNoService)
 	}
+	if errors.Is(err, upstream.ErrNotAdmitted) {
+		return nil // the check before the next attempt says why
+	}
 	notRun := errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrRefused)
 	execution := dispatch.NotRun
 	if !notRun {
@@ -168,7 +171,7 @@
 		return router.OutcomeBroken
 	case err == nil:
 		return router.OutcomeOK
-	case errors.Is(err, upstream.ErrLimited):
+	case errors.Is(err, upstream.ErrLimited), errors.Is(err, upstream.ErrNotAdmitted):
 		return router.OutcomeCancelled
 	case errors.Is(err, upstream.ErrNotSent):
 		return router.OutcomeNotSent
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -167,6 +167,9 @@
 	// ErrNotSent: no byte of the request reached the upstream, as the connection failed.
 	// The call did not run.
 	ErrNotSent = errors.New("upstream: request was not sent")
+	// ErrNotAdmitted: nothing was sent, as the request itself may not be sent any more (WithAdmission).
+	// It comes with ErrNotSent.
+	ErrNotAdmitted = errors.New("upstream: the request isn't admitted any more")
 	// ErrLimited: nothing was sent, as the limit that the upstream has named allows no request now.
 	// It says nothing about the upstream's health. It comes with ErrNotSent.
 	ErrLimited = errors.New("upstream: the limit that it has named is used up")
