--- a/internal/adapters/httpx/client.go
+++ b/internal/adapters/httpx/client.go
@@ -145,6 +145,16 @@
 	return c.opts.Gate.Admit()
 }
 
+// Connect reports whether a connection can be made, and keeps it for later requests.
+func (c *Client) Connect(ctx context.Context) error {
+	x, err := c.connect(ctx)
+	if err != nil {
+		return notSent(contextCause(ctx, err))
+	}
+	x.release(true)
+	return nil
+}
+
 func (c *Client) prepare(req *fasthttp.Request, id []byte) {
 	req.Header.SetHost(c.addr)
 	req.Header.SetBytesV(HeaderExchange, id)
--- a/internal/adapters/serviceclient/serviceclient.go
+++ b/internal/adapters/serviceclient/serviceclient.go
@@ -41,6 +41,9 @@
 	return toResponse(resp), nil
 }
 
+// Connect reports whether the service accepts connections.
+func (c *Client) Connect(ctx context.Context) error { return c.http.Connect(ctx) }
+
 func fillRequest(req *fasthttp.Request, r upstream.ServiceRequest) {
 	req.Header.SetMethod(r.Method)
 	req.SetRequestURI(r.Path)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,27 +77,31 @@
 	journal *journal.Journal
 	replica *rules.Replica
 	// keys says how recent the known rules are, for the use of API keys.
-	keys          *apikey.Freshness
-	ruleSource    ruleSource
-	trail         *audit.Trail
-	leases        *lease.View
-	orders        *orders.View
-	drains        *peerDrains
-	quarantine    *quarantine.Guard
-	crashDetector *crash.Detector
-	tracker       *router.Tracker
-	admission     *admission.Controller
-	inflight      *inflight.Counter
-	demand        *demandMeter
-	load          *loadFraction
-	node          *status.Node
-	directory     *discovery.Directory
-	answers       *answer.Runner
-	callerWatcher *callerwatch.Watcher
-	gateway       *gateway.Gateway
-	claims        *claim.Guard
-	listeners     []*listener
-	shutdown      shutdown.State
+	keys       *apikey.Freshness
+	ruleSource ruleSource
+	trail      *audit.Trail
+	leases     *lease.View
+	orders     *orders.View
+	drains     *peerDrains
+	quarantine *quarantine.Guard
+	// serviceQuarantine is that of calls of plain services, which can't be isolated from each other.
+	serviceQuarantine *quarantine.Guard
+	crashDetector     *crash.Detector
+	// serviceCrashes is the detector of plain services.
+	serviceCrashes *crash.Detector
+	tracker        *router.Tracker
+	admission      *admission.Controller
+	inflight       *inflight.Counter
+	demand         *demandMeter
+	load           *loadFraction
+	node           *status.Node
+	directory      *discovery.Directory
+	answers        *answer.Runner
+	callerWatcher  *callerwatch.Watcher
+	gateway        *gateway.Gateway
+	claims         *claim.Guard
+	listeners      []*listener
+	shutdown       shutdown.State
 }
 
 // New returns an entry; Run runs it.
@@ -158,11 +162,14 @@
 	e.orders = orders.NewView(e.leases)
 	e.quarantine = quarantine.NewGuard(quarantine.DefaultConfig(), e.journal, e.writer(), nil)
 	e.quarantine.Observe(e.trail.ObserveQuarantine)
+	e.serviceQuarantine = quarantine.NewGuard(serviceQuarantineConfig(), e.journal, e.writer(), nil)
+	e.serviceQuarantine.Observe(e.trail.ObserveQuarantine)
 	e.journal.Register(journal.KindRules, e.replica)
 	e.journal.Register(journal.KindAudit, e.trail)
 	e.journal.Register(journal.KindLease, e.leases)
 	e.journal.Register(journal.KindOrder, e.orders)
 	e.journal.Register(journal.KindQuarantine, e.quarantine)
+	e.journal.Register(journal.KindServiceQuarantine, e.serviceQuarantine)
 	var err error
 	e.claims, err = claim.NewGuard(e.journal, e.claimConfig())
 	if err != nil {
@@ -172,6 +179,17 @@
 	return nil
 }
 
+// serviceRestartTime is less than a crashed service takes to start again, and more than all entries
+// take to report one crash: their reports name no incarnation.
+const serviceRestartTime = 2 * time.Second
+
+func serviceQuarantineConfig() quarantine.Config {
+	c := quarantine.NoIsolationConfig()
+	c.Kind = journal.KindServiceQuarantine
+	c.CrashDedupWindow = serviceRestartTime
+	return c
+}
+
 func (e *Entry) claimConfig() claim.Config {
 	d := e.cfg.Deployment
 	c := claim.Config{
@@ -204,6 +222,7 @@
 	e.demand = newDemandMeter(time.Now, demandWindow(d.Roles))
 	e.load = &loadFraction{}
 	e.crashDetector = crash.New(e.quarantine, crash.ProbeByID(e.cfg.Upstreams.Probe))
+	e.serviceCrashes = crash.New(e.serviceQuarantine, crash.ProbeByID(e.cfg.Upstreams.Probe))
 }
 
 // buildGateway creates the gateway and what it depends on.
@@ -228,11 +247,12 @@
 		Estimator: e.tracker,
 		Answers:   e.answers,
 		Services: &forward.Runner{
-			Tracker:     e.tracker,
-			Services:    e.cfg.Upstreams,
-			RetryBudget: retryBudget{e.admission},
-			MaxAttempts: maxAttempts,
-			NewID:       uuid.NewString,
+			Tracker:       e.tracker,
+			Services:      e.cfg.Upstreams,
+			RetryBudget:   retryBudget{e.admission},
+			CrashDetector: e.serviceCrashes,
+			MaxAttempts:   maxAttempts,
+			NewID:         uuid.NewString,
 		},
 		Protected:   protect.New(e.claims),
 		Directory:   e.directory,
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"time"
 
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/quarantine"
 	"tamarackchute/router"
 	"tamarackchute/rules"
 	"tamarackchute/upstream"
@@ -33,13 +35,22 @@
 	Allow() bool
 }
 
+// CrashDetector keeps requests that crash services from crashing more of them; crash.Detector
+// implements it.
+type CrashDetector interface {
+	CheckRequest(r *quarantine.Request) (suspected bool, err error)
+	Track(engine crash.Engine, r quarantine.Digester) *crash.Run
+}
+
 // Runner sends requests to services. It is safe for concurrent use.
 type Runner struct {
 	Tracker     Tracker
 	Services    Services
 	RetryBudget RetryBudget
-	MaxAttempts int
-	NewID       func() string
+	// CrashDetector refuses requests that have crashed services; nil refuses none.
+	CrashDetector CrashDetector
+	MaxAttempts   int
+	NewID         func() string
 }
 
 // Job is one request with its route and the settings of the matched rule.
@@ -56,7 +67,7 @@
 
 // Call sends the request and returns the service's response, whatever its status.
 func (r *Runner) Call(ctx context.Context, job Job) (upstream.ServiceResponse, *outcome.Failure) {
-	c := call{runner: r, job: job, retryState: dispatch.New(dispatch.Policy{
+	c := call{runner: r, job: job, content: contentOf(job), retryState: dispatch.New(dispatch.Policy{
 		Mode: dispatch.RetryModeOf(job.Retry), MaxAttempts: r.MaxAttempts, CountNotRun: true, AllowRetry: r.RetryBudget.Allow,
 	})}
 	for {
@@ -66,6 +77,9 @@
 		if err := c.admitted(); err != nil {
 			return upstream.ServiceResponse{}, c.fail(http.StatusUnauthorized, outcome.CodeUnauthorised, err, "the API key is no longer valid")
 		}
+		if err := c.checkQuarantine(); err != nil {
+			return upstream.ServiceResponse{}, c.quarantineFailure(err)
+		}
 		response, err := c.attempt(ctx)
 		if err == nil {
 			return response, nil
@@ -82,6 +96,37 @@
 	job        Job
 	retryState dispatch.State
 	excluded   []string
+	// content identifies equal requests.
+	content quarantine.Request
+}
+
+func contentOf(job Job) quarantine.Request {
+	return quarantine.Request{Scope: job.Route.Organisation, Method: job.Request.Method, Path: job.Request.Path, Body: job.Request.Body}
+}
+
+func (c *call) checkQuarantine() error {
+	if c.runner.CrashDetector == nil {
+		return nil
+	}
+	_, err := c.runner.CrashDetector.CheckRequest(&c.content)
+	return err
+}
+
+func (c *call) quarantineFailure(cause error) *outcome.Failure {
+	f := c.fail(http.StatusUnprocessableEntity, outcome.CodeQuarantined, cause, "the request was in flight each time services crashed, and is kept from others")
+	var refusal *quarantine.Error
+	if errors.As(cause, &refusal) {
+		f.RetryAfter = refusal.RetryAfter
+	}
+	return f
+}
+
+// admittedToSend is the last check before each first byte.
+func (c *call) admittedToSend() error {
+	if err := c.admitted(); err != nil {
+		return err
+	}
+	return c.checkQuarantine()
 }
 
 func (c *call) admitted() error {
@@ -115,7 +160,21 @@
 	}
 	request := c.job.Request
 	request.AttemptID = c.runner.NewID()
-	return service.Call(upstream.WithAdmission(ctx, c.admitted), request)
+	ctx = upstream.WithAdmission(ctx, c.admittedToSend)
+	if c.runner.CrashDetector == nil {
+		return service.Call(ctx, request)
+	}
+	run := c.runner.CrashDetector.Track(crash.Engine{ID: name}, &c.content)
+	response, err := service.Call(ctx, request)
+	switch {
+	case err == nil:
+		run.Answer(&c.content)
+	case errors.Is(err, upstream.ErrBroken) && ctx.Err() == nil:
+		run.Break()
+	default:
+		run.Drop()
+	}
+	return response, err
 }
 
 // handleFailure returns the final failure after a failed attempt, or nil if
@@ -127,7 +186,7 @@
 			"no service can take the request now").WithRetryAfter(retryAfterNoService)
 	}
 	if errors.Is(err, upstream.ErrNotAdmitted) {
-		return nil // the check before the next attempt says why
+		return nil // the checks before the next attempt say why
 	}
 	notRun := errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrRefused)
 	execution := dispatch.NotRun
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -4,17 +4,24 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/adapters/serviceclient"
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/journal"
+	"tamarackchute/quarantine"
 	"tamarackchute/router"
 	"tamarackchute/rules"
 	"tamarackchute/upstream"
@@ -28,10 +35,52 @@
 	w.Header().Set(httpx.HeaderExchange, r.Header.Get(httpx.HeaderExchange))
 }
 
+// crashingService stops listening when it gets a lethal request.
+type crashingService struct {
+	listener io.Closer
+	crashes  *atomic.Int32
+}
+
+func (s *crashingService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if string(body) == "lethal" {
+		s.crashes.Add(1)
+		_ = s.listener.Close()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(httpx.HeaderExchange, r.Header.Get(httpx.HeaderExchange))
+}
+
+// applyingLog applies each entry to a guard at once.
+type applyingLog struct {
+	mu    sync.Mutex
+	guard *quarantine.Guard
+	next  infra.Offset
+}
+
+// Append implements journal.Writer.
+func (l *applyingLog) Append(_ context.Context, e journal.Entry) (journal.Position, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next++
+	p := journal.LogEntry{Position: journal.Position{Offset: l.next}, At: time.Now(), Entry: e}
+	l.guard.Apply(p)
+	return p.Position, nil
+}
+
+func (h *harness) connect(ctx context.Context, name string) error {
+	err := h.services[name].(*serviceclient.Client).Connect(ctx)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return upstream.ErrNotSent
+	}
+	return nil
+}
+
 // harness is a runner before services.
 type harness struct {
 	runner   *Runner
 	services map[string]upstream.Service
+	servers  []*httptest.Server
 }
 
 func (h *harness) Service(name string) upstream.Service { return h.services[name] }
@@ -44,6 +93,7 @@
 	for i, handler := range services {
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
+		h.servers = append(h.servers, server)
 		name := fmt.Sprint("s", i)
 		h.services[name] = serviceclient.New(server.Listener.Addr().String(), httpx.Options{})
 		ups = append(ups, router.Upstream{Name: name, Kind: infra.KindService, Pool: "p", DataCentre: "d"})
@@ -82,3 +132,34 @@
 	require.Equal(t, outcome.NotRun, f.Execution)
 	require.Zero(t, service.requests.Load())
 }
+
+// Guards against a call that crashes each service that runs it and is sent on to the next one.
+func TestLethalCallIsRefused(t *testing.T) {
+	var crashes atomic.Int32
+	services := make([]*crashingService, 6)
+	handlers := make([]http.Handler, len(services))
+	for i := range services {
+		services[i] = &crashingService{crashes: &crashes}
+		handlers[i] = services[i]
+	}
+	h := newHarness(t, handlers...)
+	for i, server := range h.servers {
+		services[i].listener = server.Listener
+	}
+	log := &applyingLog{}
+	log.guard = quarantine.NewGuard(quarantine.NoIsolationConfig(), log, "w", nil)
+	detector := crash.New(log.guard, crash.ProbeByID(h.connect))
+	h.runner.CrashDetector = detector
+	for range services {
+		_, f := h.call("lethal", nil)
+		require.NotNil(t, f)
+		detector.Wait()
+	}
+	require.EqualValues(t, 3, crashes.Load())
+	_, f := h.call("lethal", nil)
+	require.Equal(t, http.StatusUnprocessableEntity, f.Status)
+	require.Equal(t, outcome.NotRun, f.Execution)
+	require.Positive(t, f.RetryAfter)
+	_, f = h.call("harmless", nil)
+	require.Nil(t, f)
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"tamarackchute/internal/operator"
 	"tamarackchute/internal/operator/api"
+	"tamarackchute/quarantine"
 	"tamarackchute/rules"
 )
 
@@ -41,7 +43,7 @@
 		KnownNames: known,
 		Trail:      e.trail,
 		Journal:    e.journal,
-		Quarantine: e.quarantine,
+		Quarantine: releasers{e.quarantine, e.serviceQuarantine},
 		Claims:     e.claims,
 		Status:     e.status,
 		Logger:     e.log,
@@ -101,3 +103,16 @@
 	}
 	return all
 }
+
+// releasers releases a request at each guard: its digest doesn't say which one holds it.
+type releasers []*quarantine.Guard
+
+// Release implements operator.Releaser.
+func (r releasers) Release(ctx context.Context, release quarantine.Release) error {
+	for _, guard := range r {
+		if err := guard.Release(ctx, release); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -78,7 +78,9 @@
 	s.Add(e.admission)
 	s.Add(e.checkpointer())
 	s.Add(newGauges(e))
-	s.Add(quarantineService{e.quarantine, seconds(e.cfg.Deployment.Platform.RetentionSeconds)})
+	for _, guard := range []*quarantine.Guard{e.quarantine, e.serviceQuarantine} {
+		s.Add(quarantineService{guard, seconds(e.cfg.Deployment.Platform.RetentionSeconds)})
+	}
 	return s
 }
 
@@ -146,6 +148,7 @@
 	e.gateway.Wait()
 	e.answers.Wait()
 	e.crashDetector.Wait()
+	e.serviceCrashes.Wait()
 	stopBase()
 	<-baseDone
 	return nil
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -46,14 +46,15 @@
 // Service returns the adapter of a service, or nil if the name is unknown.
 func (us *Upstreams) Service(name string) upstream.Service { return us.services[name] }
 
-// Probe checks whether an engine is running. Its error matches upstream.ErrNotSent if nothing listens
-// at its address. Any response, also an error status, shows that it is running.
+// Probe checks whether an upstream is running. Its error matches upstream.ErrNotSent if nothing
+// listens at its address. Any response of an engine, also an error status, shows that it is running.
 func (us *Upstreams) Probe(ctx context.Context, name string) error {
-	engine := us.engines[name]
-	if engine == nil {
-		return fmt.Errorf("no engine is called %s", name)
+	var err error
+	if engine := us.engines[name]; engine != nil {
+		_, err = engine.Load(ctx)
+	} else if service, ok := us.services[name].(interface{ Connect(context.Context) error }); ok {
+		err = service.Connect(ctx)
 	}
-	_, err := engine.Load(ctx)
 	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
 		return fmt.Errorf("probe of %s: %v", name, err) // slow or cut off: no sign of a crash
 	}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -42,6 +42,8 @@
 	KindQuarantine Kind = 5 // quarantine: suspicions and releases
 	KindAudit      Kind = 6 // audit: operator and system actions with their reasons
 	KindUsage      Kind = 7 // usage: what is reported of a window
+
+	KindServiceQuarantine Kind = 8 // quarantine: the same for calls of plain services
 )
 
 // Entry is one typed entry of the journal.
--- a/quarantine/checkpoint.go
+++ b/quarantine/checkpoint.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		id := fmt.Sprintf("quarantine/%s/%d.%d/%d", x.digest, x.basis.Offset, x.basis.Index, x.written.UnixNano())
-		out = append(out, entryOf(id, g.writer, message{Checkpoint: x.checkpoint()}))
+		out = append(out, entryOf(g.kind, id, g.writer, message{Checkpoint: x.checkpoint()}))
 	}
 	return append(out, g.state.releasesDue(retention, g.writer)...)
 }
@@ -46,7 +46,7 @@
 		release := r.release
 		release.Basis, release.At = r.position, r.at
 		id := fmt.Sprintf("quarantine/release/%s/%d", d, r.written.UnixNano())
-		out = append(out, entryOf(id, writer, message{Release: &release}))
+		out = append(out, entryOf(s.cfg.Kind, id, writer, message{Release: &release}))
 	}
 	return out
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -30,6 +30,8 @@
 // process. It is safe for concurrent use.
 type Guard struct {
 	journal journal.Writer
+	// kind is that of the guard's entries.
+	kind journal.Kind
 	// writer identifies this process in the journal.
 	writer string
 	now    func() time.Time
@@ -63,6 +65,7 @@
 	heard, _ := simplelru.NewLRU[string, struct{}](maxHeard, nil)
 	return &Guard{
 		journal:     w,
+		kind:        cfg.Kind,
 		writer:      writer,
 		now:         now,
 		state:       NewState(cfg),
@@ -93,7 +96,7 @@
 	for _, d := range g.state.freed {
 		delete(g.unconfirmed, d)
 	}
-	if p.Entry.Kind == journal.KindQuarantine {
+	if p.Entry.Kind == g.state.cfg.Kind {
 		g.changed()
 	}
 	if g.observe == nil {
@@ -179,7 +182,7 @@
 	if !g.reserveLocally(upstream, d) {
 		return nil, ErrReserved
 	}
-	e := entryOf(uuid.NewString(), g.writer, message{Isolate: &isolate{d, upstream}})
+	e := entryOf(g.kind, uuid.NewString(), g.writer, message{Isolate: &isolate{d, upstream}})
 	_, err := g.journal.Append(ctx, e)
 	iso := &Isolation{g: g, upstream: upstream, digest: d, logged: err == nil}
 	if err != nil {
@@ -232,7 +235,7 @@
 
 // Release lets a digest run again, on an operator's request.
 func (g *Guard) Release(ctx context.Context, r Release) error {
-	e := entryOf(uuid.NewString(), g.writer, message{Release: &r})
+	e := entryOf(g.kind, uuid.NewString(), g.writer, message{Release: &r})
 	if _, err := g.journal.Append(ctx, e); err != nil {
 		return err
 	}
--- a/quarantine/isolation.go
+++ b/quarantine/isolation.go
@@ -29,7 +29,7 @@
 	if passed {
 		i.g.clearSuspicion(i.digest)
 	}
-	e := entryOf(uuid.NewString(), i.g.writer, message{IsolationEnd: &isolationEnd{i.digest, i.upstream, passed}})
+	e := entryOf(i.g.kind, uuid.NewString(), i.g.writer, message{IsolationEnd: &isolationEnd{i.digest, i.upstream, passed}})
 	if _, err := i.g.journal.Append(ctx, e); err != nil {
 		i.g.enqueue(e)
 	}
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -82,10 +82,10 @@
 }
 
 // entryOf encodes a message. Encoding can't fail for these types.
-func entryOf(id, writer string, m message) journal.Entry {
+func entryOf(kind journal.Kind, id, writer string, m message) journal.Entry {
 	body, err := msgpack.Marshal(m)
 	if err != nil {
 		panic(err)
 	}
-	return journal.Entry{Kind: journal.KindQuarantine, ID: id, Writer: writer, Body: body}
+	return journal.Entry{Kind: kind, ID: id, Writer: writer, Body: body}
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -321,7 +321,7 @@
 		upstream string
 		wins     bool
 	}{{digest(1), "b", true}, {digest(2), "b", false}, {digest(1), "c", false}, {digest(2), "c", true}} {
-		_, _ = l.Append(background, entryOf(fmt.Sprint(i), "w", message{Isolate: &isolate{c.d, c.upstream}}))
+		_, _ = l.Append(background, entryOf(journal.KindQuarantine, fmt.Sprint(i), "w", message{Isolate: &isolate{c.d, c.upstream}}))
 		for _, g := range l.guards {
 			require.Equal(t, c.wins, g.reservedFor(c.upstream, c.d))
 		}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -30,7 +30,7 @@
 // known one, which needn't be passed on again.
 func (g *Guard) Hear(e journal.Entry) bool {
 	var m message
-	if e.Kind != journal.KindQuarantine || codec.Unmarshal(e.Body, &m) != nil {
+	if e.Kind != g.kind || codec.Unmarshal(e.Body, &m) != nil {
 		return false
 	}
 	g.mu.Lock()
@@ -66,7 +66,7 @@
 // reportCrash passes a crash on to other processes and appends it to the journal, or what is likely
 // of it.
 func (g *Guard) reportCrash(ctx context.Context, c *Crash) error {
-	e := entryOf(uuid.NewString(), g.writer, message{Crash: c})
+	e := entryOf(g.kind, uuid.NewString(), g.writer, message{Crash: c})
 	if !g.pass(e) {
 		return g.persist(ctx, e)
 	}
@@ -123,7 +123,7 @@
 	for c, suspects := range byCrash {
 		// Processes that report the same write the same ID, so that it counts once.
 		id := fmt.Sprintf("quarantine/crash/%s/%x", c.upstream, fingerprintOfDigests(suspects))
-		all = append(all, entryOf(id, g.writer, message{Crash: &Crash{Upstream: c.upstream, Incarnation: c.incarnation, Suspects: suspects}}))
+		all = append(all, entryOf(g.kind, id, g.writer, message{Crash: &Crash{Upstream: c.upstream, Incarnation: c.incarnation, Suspects: suspects}}))
 	}
 	return all
 }
@@ -153,7 +153,7 @@
 	for d, crashes := range g.worthKnowing() {
 		for c := range crashes {
 			m := message{Crash: &Crash{Upstream: c.upstream, Incarnation: c.incarnation, Suspects: []Digest{d}, Age: g.age(d)}}
-			all = append(all, entryOf(uuid.NewString(), g.writer, m))
+			all = append(all, entryOf(g.kind, uuid.NewString(), g.writer, m))
 		}
 	}
 	return all
@@ -244,7 +244,7 @@
 	if !suspected {
 		return nil
 	}
-	e := entryOf(uuid.NewString(), g.writer, m)
+	e := entryOf(g.kind, uuid.NewString(), g.writer, m)
 	if g.pass(e) && !journaled {
 		return nil
 	}
--- a/quarantine/restore.go
+++ b/quarantine/restore.go
@@ -60,7 +60,7 @@
 
 // enqueueLocked queues an entry for Serve. The caller holds g.mu.
 func (g *Guard) enqueueLocked(m message) {
-	g.addPending(entryOf(uuid.NewString(), g.writer, m))
+	g.addPending(entryOf(g.kind, uuid.NewString(), g.writer, m))
 }
 
 func (g *Guard) addPending(e journal.Entry) {
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -19,6 +19,8 @@
 	// CrashDedupWindow is the time within which two reports of a crash of the same
 	// upstream mean the same crash if either has no incarnation.
 	CrashDedupWindow time.Duration
+	// Kind is the kind of the journal's entries. Two folds of different settings need two kinds.
+	Kind journal.Kind
 	// MaxDigests bounds the known digests; the oldest suspect is evicted first.
 	MaxDigests int
 	// MaxStrikes and MaxCrashes are the numbers of crashes that quarantine a digest. Strikes are
@@ -34,6 +36,7 @@
 		QuarantineFor:    time.Hour,
 		IsolateFor:       time.Minute,
 		CrashDedupWindow: 15 * time.Second,
+		Kind:             journal.KindQuarantine,
 		MaxDigests:       4096,
 		MaxStrikes:       2,
 		MaxCrashes:       3,
@@ -116,7 +119,7 @@
 		s.logNow = p.At
 		s.readAt = p.ReadAt
 	}
-	if p.Entry.Kind != journal.KindQuarantine {
+	if p.Entry.Kind != s.cfg.Kind {
 		return
 	}
 	var m message
