--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -38,7 +38,7 @@
 // CrashDetector keeps requests that crash services from crashing more of them; crash.Detector
 // implements it.
 type CrashDetector interface {
-	CheckRequest(r *quarantine.Request) (suspected bool, err error)
+	Check(d quarantine.Digest) (suspected bool, err error)
 	Track(engine crash.Engine, r quarantine.Digester) *crash.Run
 }
 
@@ -67,7 +67,8 @@
 
 // Call sends the request and returns the service's response, whatever its status.
 func (r *Runner) Call(ctx context.Context, job Job) (upstream.ServiceResponse, *outcome.Failure) {
-	c := call{runner: r, job: job, content: contentOf(job), retryState: dispatch.New(dispatch.Policy{
+	content := contentOf(job)
+	c := call{runner: r, job: job, content: content, digest: content.Digest(), retryState: dispatch.New(dispatch.Policy{
 		Mode: dispatch.RetryModeOf(job.Retry), MaxAttempts: r.MaxAttempts, CountNotRun: true, AllowRetry: r.RetryBudget.Allow,
 	})}
 	for {
@@ -96,8 +97,9 @@
 	job        Job
 	retryState dispatch.State
 	excluded   []string
-	// content identifies equal requests.
+	// content identifies equal requests; it is valid until the call ends.
 	content quarantine.Request
+	digest  quarantine.Digest
 }
 
 func contentOf(job Job) quarantine.Request {
@@ -108,7 +110,7 @@
 	if c.runner.CrashDetector == nil {
 		return nil
 	}
-	_, err := c.runner.CrashDetector.CheckRequest(&c.content)
+	_, err := c.runner.CrashDetector.Check(c.digest)
 	return err
 }
 
@@ -164,7 +166,7 @@
 	if c.runner.CrashDetector == nil {
 		return service.Call(ctx, request)
 	}
-	run := c.runner.CrashDetector.Track(crash.Engine{ID: name}, &c.content)
+	run := c.runner.CrashDetector.Track(crash.Engine{ID: name}, c.digest)
 	response, err := service.Call(ctx, request)
 	switch {
 	case err == nil:
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -108,9 +108,11 @@
 	return h
 }
 
-func (h *harness) call(body string, admit func() error) (upstream.ServiceResponse, *outcome.Failure) {
+func (h *harness) call(content string, admit func() error) (upstream.ServiceResponse, *outcome.Failure) {
+	body := []byte(content)
+	defer clear(body) // the caller's buffer is used again once its call has ended
 	return h.runner.Call(context.Background(), Job{
-		Request: upstream.ServiceRequest{Method: http.MethodPost, Path: "/x", Body: []byte(body)},
+		Request: upstream.ServiceRequest{Method: http.MethodPost, Path: "/x", Body: body},
 		Route:   router.Request{Pool: "p"},
 		Retry:   rules.RetryRepeatable,
 		Admit:   admit,
