--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"net"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/audit"
+	"tamarackchute/internal/crash"
 	"tamarackchute/internal/settings"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/journal/journaltest"
@@ -35,7 +38,11 @@
 func newFollowingEntry(t *testing.T, log *journaltest.Log, instance string) *Entry {
 	d, err := settings.Load("../../deploy/kalku-rinda/settings.json")
 	require.NoError(t, err)
-	e := newTestEntry(t, d, log, instance)
+	return follow(t, newTestEntry(t, d, log, instance))
+}
+
+// follow lets an entry read the log.
+func follow(t *testing.T, e *Entry) *Entry {
 	ctx, stop := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = e.journal.Serve(ctx) })
@@ -85,3 +92,35 @@
 		}
 	})
 }
+
+// Guards against crashes of plain services that only the entry that saw them knows, or that count
+// against the requests of engines.
+func TestCrashesOfServicesAreKnownAtEachEntry(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	d, err := settings.Load("../../deploy/kalku-rinda/settings.json")
+	require.NoError(t, err)
+	for i := range d.Upstreams {
+		d.Upstreams[i].Address = gone.Addr().String()
+	}
+	services := slices.DeleteFunc(slices.Clone(d.Upstreams), func(u settings.Upstream) bool { return u.Kind != settings.KindService })
+	require.GreaterOrEqual(t, len(services), 3)
+	log := journaltest.NewLog()
+	a, b := follow(t, newTestEntry(t, d, log, d.Instances[0].Name)), follow(t, newTestEntry(t, d, log, d.Instances[1].Name))
+	digest := quarantine.DigestOf("", "/x", []byte("lethal"))
+	for _, s := range services[:3] {
+		a.serviceCrashes.Track(crash.Engine{ID: s.Name}, digest).Break()
+		a.serviceCrashes.Wait()
+	}
+	refused := func() bool {
+		_, err := b.serviceCrashes.Check(digest)
+		return err != nil
+	}
+	require.Eventually(t, refused, 10*time.Second, time.Millisecond)
+	_, err = b.crashDetector.Check(digest)
+	require.NoError(t, err)
+	operators := releasers{b.quarantine, b.serviceQuarantine}
+	require.NoError(t, operators.Release(t.Context(), quarantine.Release{Digest: digest, Operator: "anna"}))
+	require.Eventually(t, func() bool { return !refused() }, 10*time.Second, time.Millisecond)
+}
