relay, placement: ejections are logged and counted, 'unreachable' isn't 'no place'

Now 'upstream ejected' and 'upstream readmitted' say so with the counts of the pool, the refusal has the reason 'unreachable' if connections to all upstreams of the pool failed, and the metrics count both.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -86,7 +86,7 @@
 		if f := c.contextFailure(ctx); f != nil {
 			return nil, f
 		}
-		return nil, c.fail(reasonNoCapacity, "no upstream has a free place")
+		return nil, c.failCapacity()
 	}
 	if found == nil {
 		return nil, c.failBackoff(backoff)
@@ -95,6 +95,15 @@
 	return found, nil
 }
 
+// failCapacity returns the failure of a request for which no upstream has capacity, or none is
+// reached.
+func (c *call) failCapacity() *failure {
+	if h := c.relay.cfg.Tracker.PoolHealth(c.pool); h.Listed > 0 && h.Unreachable == h.Listed {
+		return c.fail(reasonUnreachable, "this daemon reaches no upstream")
+	}
+	return c.fail(reasonNoCapacity, "no upstream has a free place")
+}
+
 // backoffBeyond returns the time until the first upstream of the pool ends its backoff, if all
 // are in one and none that the request may use is back while it is queued. Otherwise it is 0.
 func (c *call) backoffBeyond(until time.Time) time.Duration {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,7 +48,7 @@
 	}
 	res := c.send(ctx, p, c.handoff)
 	c.endRun(res)
-	p.ticket.End(res.outcome)
+	c.endTicket(p.target, p.ticket, res)
 	c.updateHandoff(res)
 	c.relay.WakeWaiting()
 	return res
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -15,6 +15,7 @@
 	reasonNoConfig       reason = "no configuration"
 	reasonNoRule         reason = "no rule"
 	reasonNoCapacity     reason = "no place"
+	reasonUnreachable    reason = "unreachable"
 	reasonAllBackingOff  reason = "all back off"
 	reasonCannotComplete reason = "too late to be whole"
 	reasonNoBudget       reason = "no retry budget"
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -8,6 +8,7 @@
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/telemetry"
+	"tamarackchute/placement"
 )
 
 // logAttempt counts an attempt and logs where it went, by which estimates, and how it
@@ -67,8 +68,9 @@
 		c.log.Info("answered", attrs...)
 		return
 	}
-	if f.reason == reasonNoCapacity {
-		attrs = append(attrs, "expected_ms", telemetry.Millis(c.lastPlan.FirstToken), "queue_ms", telemetry.Millis(c.lastPlan.QueueTime),
+	if f.reason == reasonNoCapacity || f.reason == reasonUnreachable {
+		health := c.relay.cfg.Tracker.PoolHealth(c.pool)
+		attrs = append(attrs, "listed", health.Listed, "ejected", health.Ejected, "unreachable", health.Unreachable, "expected_ms", telemetry.Millis(c.lastPlan.FirstToken), "queue_ms", telemetry.Millis(c.lastPlan.QueueTime),
 			"ideal_ms", telemetry.Millis(c.lastPlan.IdealFirstToken), "uncached", c.lastPlan.Uncached, "reread", c.lastPlan.Recomputes,
 			"considered", c.lastPlan.Candidates, "objective_ms", telemetry.Millis(c.rule.Objective), "comeback", c.retried)
 	}
@@ -82,6 +84,25 @@
 	c.log.Warn("failed", attrs...)
 }
 
+// endTicket ends an attempt's ticket at an upstream, and logs what that changed in its health.
+func (c *call) endTicket(u *fleet.Upstream, t *placement.Ticket, res result) {
+	change := t.End(res.outcome)
+	if change == placement.HealthUnchanged {
+		return
+	}
+	c.relay.metrics.recordHealth(u.Pool, change)
+	health := c.relay.cfg.Tracker.PoolHealth(u.Pool)
+	attrs := []any{
+		"upstream", u.ID, "started", u.Started, "pool", u.Pool, "request", c.ID,
+		"listed", health.Listed, "ejected", health.Ejected, "unreachable", health.Unreachable,
+	}
+	if change == placement.HealthReadmitted {
+		c.log.Info("upstream readmitted", attrs...)
+		return
+	}
+	c.log.Warn("upstream ejected", append(attrs, "err", res.err)...)
+}
+
 // mismatchRecorder returns a function that counts and logs an upstream's responses that
 // were dropped because they belong to other requests.
 func (r *Relay) mismatchRecorder(u *fleet.Upstream) func(exchange.Mismatch) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"tamarackchute/placement"
 )
 
 // metrics records the relay's metrics by rule. The library caches scopes and counters,
@@ -48,6 +50,15 @@
 	}
 }
 
+// recordHealth counts an ejection of an upstream, or its end.
+func (m *metrics) recordHealth(pool string, change placement.HealthChange) {
+	name := "upstreams_ejected"
+	if change == placement.HealthReadmitted {
+		name = "upstreams_readmitted"
+	}
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter(name).Inc(1)
+}
+
 // recordLeaving counts an upstream that has said that it is draining.
 func (m *metrics) recordLeaving(pool string) {
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstreams_leaving").Inc(1)
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -75,14 +75,14 @@
 		c.prefills++
 		p.prefillTime = time.Since(p.sentAt)
 		p.prefillTicket.PrefillDone()
-		p.prefillTicket.End(placement.Done)
+		c.endTicket(p.prefill, p.prefillTicket, result{outcome: placement.Done})
 		c.relay.WakeWaiting()
 		return handle, res
 	}
 	if ctx.Err() != nil && c.in.Context().Err() != nil {
 		res.outcome = placement.Cancelled
 	}
-	p.prefillTicket.End(res.outcome)
+	c.endTicket(p.prefill, p.prefillTicket, res)
 	if !notAdmitted(res.err) {
 		c.excluded = append(c.excluded, p.prefill.ID)
 	}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -26,6 +26,9 @@
 // crashEngine returns the name by which an incarnation of an upstream is known to the crash
 // detector.
 func crashEngine(u *fleet.Upstream) crash.Engine {
+	if u.Started.IsZero() {
+		return crash.Engine{ID: u.ID}
+	}
 	return crash.Engine{ID: u.ID, Incarnation: strconv.FormatInt(u.Started.UnixMilli(), 10)}
 }
 
--- a/placement/health.go
+++ b/placement/health.go
@@ -47,26 +47,52 @@
 	lastEjected        time.Time
 	ejectedUntil       time.Time
 	probing            bool
+	// unreachable is set if the last ejection followed from failed connections.
+	unreachable bool
 	// backoffUntil is the time until which the upstream wants no requests. probingBackoff is set
 	// if it is probed only because it was in backoff.
 	backoffUntil   time.Time
 	probingBackoff bool
 }
 
-func (h *health) record(o Outcome, began, now time.Time) {
+// record adds the outcome of an attempt, and returns whether it ejected the upstream or ended the
+// probing of an ejected one.
+func (h *health) record(o Outcome, began, now time.Time) HealthChange {
+	ejectedUntil, probing := h.ejectedUntil, h.probing
 	switch o {
 	case Cancelled, Refused, Replaced:
-		return
+		return HealthUnchanged
 	case Done:
 		h.succeed(began)
 	case Unreachable:
 		h.connectionFailures++
-		h.fail(now)
+		h.fail(o, now)
 	case Failed:
-		h.fail(now)
+		h.fail(o, now)
+	}
+	switch {
+	case h.ejectedUntil.After(ejectedUntil):
+		return HealthEjected
+	case probing && !h.probing:
+		return HealthReadmitted
+	default:
+		return HealthUnchanged
 	}
 }
 
+// HealthChange is what the end of an attempt changed in an upstream's health.
+type HealthChange uint8
+
+// The changes of an upstream's health.
+const (
+	// HealthUnchanged means that it is as before.
+	HealthUnchanged HealthChange = iota
+	// HealthEjected means that the upstream gets no requests for a while.
+	HealthEjected
+	// HealthReadmitted means that an ejected upstream gets all requests again.
+	HealthReadmitted
+)
+
 func (h *health) succeed(began time.Time) {
 	h.connectionFailures = 0
 	h.failureRate *= 1 - failureSmoothing
@@ -96,12 +122,13 @@
 	}
 }
 
-func (h *health) fail(now time.Time) {
+func (h *health) fail(o Outcome, now time.Time) {
 	h.failureRate += failureSmoothing * (1 - h.failureRate)
 	if h.ejected(now) {
 		return // the request began before the ejection
 	}
 	if h.probing && !h.probingBackoff || h.connectionFailures >= unreachableLimit || h.failureRate > failureLimit {
+		h.unreachable = o == Unreachable
 		h.eject(now)
 	}
 }
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -232,12 +232,13 @@
 	}
 }
 
-// End closes the attempt. Only the first call counts.
-func (t *Ticket) End(o Outcome) {
+// End closes the attempt, and returns what that changed in the upstream's health. Only the first
+// call counts.
+func (t *Ticket) End(o Outcome) HealthChange {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
 	if t.ended {
-		return
+		return HealthUnchanged
 	}
 	t.ended = true
 	e := t.tracked
@@ -258,8 +259,9 @@
 	if o == Done && e.Role == "" {
 		e.latency += latencyStep * (enginemodel.Millis(now.Sub(t.began)) - e.latency)
 	}
-	e.health.record(o, t.began, now)
+	change := e.health.record(o, t.began, now)
 	e.recordRefusal(o, now)
+	return change
 }
 
 // latencyStep is the weight of one call in the smoothed latency.
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -292,3 +292,34 @@
 	e := tr.byID[id]
 	return e != nil && tr.now().Before(e.unavailableUntil)
 }
+
+// PoolHealth counts the upstreams of a pool that aren't draining, by their health as seen by this
+// daemon.
+type PoolHealth struct {
+	// Listed counts all, Ejected those that get no requests after failures, and Unreachable the ones
+	// among these to which connections failed.
+	Listed, Ejected, Unreachable int
+}
+
+// PoolHealth returns the health of a pool's upstreams.
+func (tr *Tracker) PoolHealth(pool string) PoolHealth {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var h PoolHealth
+	p := tr.pools[pool]
+	if p == nil {
+		return h
+	}
+	now := tr.now()
+	for _, e := range p.all {
+		h.Listed++
+		if !e.health.ejected(now) && !e.health.probing {
+			continue
+		}
+		h.Ejected++
+		if e.health.unreachable {
+			h.Unreachable++
+		}
+	}
+	return h
+}
