--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -22,6 +22,9 @@
 	// UnackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is closed; a network partition shows no other sign.
 	UnackedTimeout time.Duration
+	// Dial opens a connection to an address; nil means a TCP connection. It returns once the context
+	// ends.
+	Dial Dialer
 	// OnMismatch is called for each dropped response that belongs to another request; it
 	// must not block. Nil does nothing.
 	OnMismatch func(Mismatch)
@@ -30,6 +33,9 @@
 	OnResponse func(r ObservedResponse)
 }
 
+// Dialer opens a connection to IP:PORT.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 // ObservedResponse holds the headers of a response.
 type ObservedResponse struct {
 	Status int
@@ -70,6 +76,9 @@
 	setDefault(&o.MaxIdleNonIdempotent, defaultMaxIdleNonIdempotent)
 	setDefault(&o.MaxIdle, defaultMaxIdle)
 	setDefault(&o.UnackedTimeout, defaultUnackedTimeout)
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
 	if o.OnMismatch == nil {
 		o.OnMismatch = func(Mismatch) {}
 	}
@@ -159,8 +168,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	d := net.Dialer{Timeout: p.options.DialTimeout, KeepAlive: -1}
-	raw, err := d.DialContext(ctx, "tcp", p.address)
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	raw, err := p.options.Dial(ctx, p.address)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
@@ -168,6 +178,11 @@
 	return newConn(raw, p.options.MaxIdle), nil
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // Connect opens a connection for later exchanges. Its error is a *NotSentError.
 func (p *Pool) Connect(ctx context.Context) error {
 	c, err := p.dial(ctx)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -14,6 +14,7 @@
 	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/daemonstatus"
 	"tamarackchute/internal/entry/shutdown"
+	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/graceful"
 	"tamarackchute/internal/relay"
@@ -57,6 +58,8 @@
 	Dialect  relay.Dialect
 	// Log is used for role changes, QuarantineLog for requests that crash upstreams.
 	Log, QuarantineLog infra.Log
+	// Dial opens connections to upstreams for callers' requests; nil means TCP connections.
+	Dial exchange.Dialer
 	// Engines returns the control calls of model engines behind a gate.
 	Engines func(Gate) Engines
 	// Provider makes the calls to the platform; nil if the settings name none.
@@ -128,6 +131,7 @@
 		Logger:        m.log,
 		Metrics:       cfg.Metrics.Scope,
 		Refresh:       func(ctx context.Context) { m.peers.Refresh(ctx) },
+		Dial:          cfg.Dial,
 		OnReplaced:    func(id string) { m.peers.MarkUnavailable(id, "", replacedTimeout) },
 		MinRetryAfter: minRetryAfter,
 		KeysUsable:    m.keys.mayUse,
@@ -391,10 +395,10 @@
 	for _, service := range m.quarantine.services(m.cfg.Settings.StoreRetention) {
 		learning.Add(service)
 	}
-	exchange := suture.New("exchange", spec)
-	exchange.Add(wire.NewServer(m.wireConfig(), m.self.Peers, m.peers, m.log))
-	exchange.Add(m.peers)
-	exchange.Add(m.limits)
+	links := suture.New("exchange", spec)
+	links.Add(wire.NewServer(m.wireConfig(), m.self.Peers, m.peers, m.log))
+	links.Add(m.peers)
+	links.Add(m.limits)
 	serving := suture.New("serving", spec)
 	for _, s := range servers {
 		serving.Add(s)
@@ -402,7 +406,7 @@
 	directing := suture.New("directing", spec)
 	directing.Add(m.leadership)
 	if m.usage != nil {
-		exchange.Add(m.usageSync)
+		links.Add(m.usageSync)
 		directing.Add(&usageReporter{
 			meter: m.usage, leadership: m.leadership, provider: m.cfg.Provider, log: m.log,
 			planner: usage.NewPlanner(m.usage.schedule(), m.leadership.ledger),
@@ -422,7 +426,7 @@
 	background := suture.New("background", spec)
 	background.Add(directing)
 	background.Add(learning)
-	background.Add(exchange)
+	background.Add(links)
 	root := suture.New("member", spec)
 	token := root.Add(background)
 	root.Add(serving)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,8 @@
 	// OnBegun is called once for each request of an organisation that has begun to run at an
 	// upstream, with the time since then; nil does nothing.
 	OnBegun func(organisation string, ago time.Duration)
+	// Dial opens connections to upstreams; nil means TCP connections.
+	Dial exchange.Dialer
 	// OnReplaced is called for an upstream whose address now belongs to another
 	// incarnation; nil does nothing.
 	OnReplaced func(id string)
@@ -182,7 +184,7 @@
 			c.pool.Close()
 		}
 		observe := func(response exchange.ObservedResponse) { r.Observe(u, response) }
-		options := exchange.Options{OnMismatch: r.mismatchRecorder(u), OnResponse: observe}
+		options := exchange.Options{Dial: r.cfg.Dial, OnMismatch: r.mismatchRecorder(u), OnResponse: observe}
 		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, options)}
 		r.conns[u.ID] = c
 	}
