relay, member: requests are forwarded where a daemon has lost its path

Cause: a daemon took its own view of the upstreams for their state, and nobody counted a daemon without a path as unable to serve: the directory named it, its peers didn't know, and a request had no other way than its own connections.

reach decides, from failed connections, from silence while requests are in flight, and from checks that connect to some upstreams of the pool, that a path is lost or works again. The relay then hands requests to another daemon, on a listener that callers don't reach: one hop, decided there by the same code, with attempts, elapsed time, the last event, and what may have run passed on. A connection that breaks after the request was sent counts as 'may have run'.

Daemons speak protocol 6: not with those of the release before.

--- /dev/null
+++ b/internal/member/forwarding.go
@@ -0,0 +1,62 @@
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tamarackchute/internal/relay"
+	"tamarackchute/internal/wire"
+)
+
+// minLocalForwardPeers is the number of daemons of the same data centre from which requests are
+// forwarded only there: one alone would carry all of them.
+const minLocalForwardPeers = 2
+
+// forwardPeers implements relay.Config.ForwardPeers: daemons known to have a path to the pool's
+// upstreams, those of the same data centre if there are several, in random order. In a large site
+// most daemons' states aren't received here; these come last, as they may have lost their paths
+// too.
+func (p *Peers) forwardPeers(pool string) []relay.ForwardPeer {
+	p.mu.Lock()
+	var known, unknown []wire.MemberAddress
+	for _, other := range p.peers {
+		switch {
+		case other.Forwards == "":
+		case other.up && other.hasState():
+			if other.canServe(pool) {
+				known = append(known, other.MemberAddress)
+			}
+		case !p.fullMesh && other.link == nil:
+			unknown = append(unknown, other.MemberAddress)
+		}
+	}
+	p.mu.Unlock()
+	local := slices.DeleteFunc(slices.Clone(known), func(a wire.MemberAddress) bool { return a.DataCentre != p.self.DataCentre })
+	if len(local) >= minLocalForwardPeers {
+		known = local
+	}
+	shuffle(known)
+	shuffle(unknown)
+	peers := make([]relay.ForwardPeer, 0, len(known)+len(unknown))
+	for _, a := range slices.Concat(known, unknown) {
+		peers = append(peers, relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards})
+	}
+	return peers
+}
+
+func shuffle(list []wire.MemberAddress) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// hasState reports whether the peer's state was received recently.
+func (p *peer) hasState() bool { return time.Since(p.lastUpdate) <= peerTimeout }
+
+// canServe reports whether the peer, by its last state, can serve requests for a pool.
+func (p *peer) canServe(pool string) bool {
+	s := p.summary
+	return s.Serving && !s.KeysStale && !slices.Contains(s.LostPools, pool)
+}
+
+// reportNow sends this daemon's state to the others at once.
+func (p *Peers) reportNow() { p.broadcast(p.heartbeatState(time.Now())) }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -42,7 +42,7 @@
 	minAssumedDaemons = 10
 	// peerSecret isn't confidential: the platform's network is closed, and its settings hold
 	// nothing known only to the system's processes. It rejects other protocols.
-	peerSecret = "tamarackchute member exchange, protocol 5"
+	peerSecret = "tamarackchute member exchange, protocol 6"
 	// replacedTimeout is how long all daemons avoid an upstream whose address now belongs to
 	// another one: its store entry lapses after three missed heartbeats.
 	replacedTimeout = 3 * time.Second
@@ -112,7 +112,7 @@
 func New(cfg Config) *Member {
 	s := cfg.Settings
 	m := &Member{cfg: cfg, log: cfg.Logger, state: fleet.NewState(), tracker: placement.NewTracker(nil), callerConns: graceful.New(cfg.Logger), otherConns: graceful.New(cfg.Logger)}
-	m.self = wire.MemberAddress{Instance: s.Instance, DataCentre: s.DataCentre, Callers: s.Callers, Peers: s.PeerAddress, Capacity: s.Capacity}
+	m.self = wire.MemberAddress{Instance: s.Instance, DataCentre: s.DataCentre, Callers: s.Callers, Peers: s.PeerAddress, Forwards: s.ForwardAddress, Capacity: s.Capacity}
 	m.otherConns.LimitWait(graceful.AcceptReserve)
 	cfg.Store.Eras().SetLogger(m.log)
 	m.settings.Store(&s)
@@ -123,6 +123,7 @@
 	m.quarantine = newQuarantineExchange(m, cfg.QuarantineLog)
 	m.limits = newLimitExchange(m)
 	m.relay = relay.New(relay.Config{
+		Instance:      s.Instance,
 		DataCentre:    s.DataCentre,
 		Dialect:       cfg.Dialect,
 		State:         m.state,
@@ -132,6 +133,8 @@
 		Metrics:       cfg.Metrics.Scope,
 		Refresh:       func(ctx context.Context) { m.peers.Refresh(ctx) },
 		Dial:          cfg.Dial,
+		ForwardPeers:  m.peers.forwardPeers,
+		OnPathChange:  m.peers.reportNow,
 		OnReplaced:    func(id string) { m.peers.MarkUnavailable(id, "", replacedTimeout) },
 		MinRetryAfter: minRetryAfter,
 		KeysUsable:    m.keys.mayUse,
@@ -277,7 +280,7 @@
 	position := m.readers[0].position()
 	list := m.upstreams.current()
 	summary := Summary{
-		Serving: m.Ready(), KeysStale: !m.keys.mayUse(), ListAge: m.readers[0].age(),
+		Serving: m.Ready(), LostPools: m.relay.LostPools(), PathLost: !m.relay.HasPath(), KeysStale: !m.keys.mayUse(), ListAge: m.readers[0].age(),
 		ListPosition: position, ListDigest: list.digest,
 		ListSize: len(snapshot.Upstreams),
 	}
@@ -298,35 +301,6 @@
 	return v
 }
 
-// Locate returns the addresses that callers of a data centre may connect to: the daemons there if
-// there are at least two, since traffic between data centres adds latency and cost, and all
-// daemons otherwise.
-func (m *Member) Locate(dataCentre string) ([]string, time.Duration) {
-	serving := m.peers.ServingWithKeys()
-	if m.Ready() && (m.keys.mayUse() || len(serving) == 0) {
-		serving = append(serving, m.self)
-	}
-	var local, all []string
-	for _, a := range serving {
-		all = append(all, a.Callers)
-		if a.DataCentre == dataCentre {
-			local = append(local, a.Callers)
-		}
-	}
-	ttl := directoryTTL
-	if limit := m.settings.Load().DirectoryTTL; limit > 0 {
-		ttl = min(ttl, limit)
-	}
-	if len(local) >= minLocalDaemons {
-		return local, ttl
-	}
-	return all, ttl
-}
-
-// minLocalDaemons is the number of daemons from which the callers of a data centre get only
-// those addresses. With one, its failure would leave them without any.
-const minLocalDaemons = 2
-
 // Run serves until the context ends, then stops gracefully.
 func (m *Member) Run(ctx context.Context) error {
 	m.applySettings(m.settings.Load())
@@ -369,6 +343,7 @@
 //	│   ├── exchange
 //	│   │   ├── wire server
 //	│   │   ├── upstreams' limits
+//	│   │   ├── paths to upstreams
 //	│   │   └── peers
 //	│   └── directing
 //	│       ├── leadership, with journal and lease while it is a candidate
@@ -399,6 +374,7 @@
 	links.Add(wire.NewServer(m.wireConfig(), m.self.Peers, m.peers, m.log))
 	links.Add(m.peers)
 	links.Add(m.limits)
+	links.Add(m.relay.PathService())
 	serving := suture.New("serving", spec)
 	for _, s := range servers {
 		serving.Add(s)
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -110,6 +110,10 @@
 	// ListSize is the number of upstreams in it.
 	ListSize int
 	ListAge  time.Duration
+	// LostPools are the pools to whose upstreams it has lost its path; PathLost means that it has none
+	// to any upstream.
+	LostPools []string
+	PathLost  bool
 	// KeysStale means that it can't use the API keys of its configuration now.
 	KeysStale bool
 }
@@ -244,7 +248,7 @@
 	from.fullMesh = m.FullMesh
 	from.incarnation, from.seq = m.Incarnation, m.Seq
 	from.summary = Summary{
-		Serving: m.Serving, KeysStale: m.KeysStale, Config: m.ConfigVersion,
+		Serving: m.Serving, LostPools: m.LostPools, PathLost: m.PathLost, KeysStale: m.KeysStale, Config: m.ConfigVersion,
 		ListPosition: Position(m.ListPosition), ListDigest: m.ListDigest, ListSize: m.ListSize, ListAge: m.ListAge,
 	}
 	if m.Demands != nil {
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -100,27 +100,6 @@
 	return serving
 }
 
-// ServingWithKeys returns the daemons that serve callers and can use their API keys, or all that
-// serve if none can.
-func (p *Peers) ServingWithKeys() []wire.MemberAddress {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var usable, serving []wire.MemberAddress
-	for _, other := range p.peers {
-		if !other.up || !other.summary.Serving {
-			continue
-		}
-		serving = append(serving, other.MemberAddress)
-		if !other.summary.KeysStale {
-			usable = append(usable, other.MemberAddress)
-		}
-	}
-	if len(usable) == 0 {
-		return serving
-	}
-	return usable
-}
-
 // ReadsFirst reports whether this daemon reads the store for the others: the root of a large site,
 // or the first in rank of a small one.
 func (p *Peers) ReadsFirst() bool {
--- a/internal/member/reporting.go
+++ b/internal/member/reporting.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"tamarackchute/internal/wire"
@@ -36,7 +37,7 @@
 
 // covers reports whether the reported summary still holds, apart from the time passed.
 func (r reportedSummary) covers(now Summary, at time.Time) bool {
-	same := r.Serving == now.Serving && r.KeysStale == now.KeysStale && r.Config == now.Config &&
+	same := r.Serving == now.Serving && r.KeysStale == now.KeysStale && slices.Equal(r.LostPools, now.LostPools) && r.PathLost == now.PathLost && r.Config == now.Config &&
 		r.ListPosition == now.ListPosition && r.ListDigest == now.ListDigest
 	return same && now.ListAge > r.ListAge+at.Sub(r.at)-listAgeSlack
 }
@@ -50,6 +51,7 @@
 		Serving: summary.Serving, ConfigVersion: summary.Config, ListAge: summary.ListAge,
 		ListPosition: uint64(summary.ListPosition), ListDigest: summary.ListDigest, ListSize: summary.ListSize,
 		FullMesh: p.fullMesh, Loads: loads, Prefills: prefills, Unavailable: p.unavailableEngines(),
+		LostPools: summary.LostPools, PathLost: summary.PathLost,
 		KeysStale: summary.KeysStale, Clock: time.Now().UnixNano(), Quarantine: p.quarantineFingerprint(),
 	}
 }
--- a/internal/member/restore_site_test.go
+++ b/internal/member/restore_site_test.go
@@ -14,6 +14,7 @@
 
 	"tamarackchute/infra"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/relay"
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
 )
@@ -180,6 +181,7 @@
 		},
 		log: discardLogger, state: fleet.NewState(), tracker: placement.NewTracker(nil), self: wire.MemberAddress{Instance: name, Peers: name},
 	}
+	m.relay = relay.New(relay.Config{State: m.state, Tracker: m.tracker})
 	m.keys = newKeyView(m.cfg.Settings, m.state, m.cfg.Store.Eras(), m.log)
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.peers.localDemand = func() map[string]wire.MemberDemand { return nil }
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -59,6 +59,7 @@
 		handler       http.Handler
 	}{
 		{"callers", s.Callers, m.relay},
+		{"forwarded", s.ForwardAddress, m.relay.ForwardedHandler()},
 		{"ready", s.Ready, m.cfg.ReadyHandler(m.Ready)},
 		{"directory", s.Directory, m.cfg.DirectoryHandler(m)},
 		{"metrics", s.Metrics, m.operatorHandler()},
@@ -73,7 +74,7 @@
 			return nil, eris.Wrapf(err, "%s: can't listen on %s", h.name, h.address)
 		}
 		conns := m.otherConns
-		if h.address == s.Callers {
+		if h.address == s.Callers || h.address == s.ForwardAddress {
 			conns = m.callerConns
 		}
 		server := newServer(h.handler)
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -21,6 +21,8 @@
 	// daemons listen for each other.
 	PeerAddress string
 	PeerPort    int
+	// ForwardAddress is where this daemon listens for requests that other daemons forward.
+	ForwardAddress string
 	// Seeds are peer addresses of some daemons; they may be outdated.
 	Seeds []string
 	// Store is the address of the platform's store.
@@ -65,6 +67,7 @@
 	require(s.Store != "", "store address", "is missing")
 	require(s.Callers != "", "callers' address", "is missing")
 	require(s.PeerAddress != "", "peers' address", "is missing")
+	require(s.ForwardAddress != "", "address for forwarded requests", "is missing")
 	require(s.Grace > 0, "grace", "must be more than 0")
 	require(s.RetryWindow > 0, "retry window", "must be more than 0")
 	require(s.LeaseTerm > 0, "lease term", "must be more than 0")
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -40,6 +40,9 @@
 // assignment is where an attempt goes, with the work recorded for it in the tracker.
 type assignment struct {
 	target *fleet.Upstream
+	// peer is the daemon to which the request is forwarded, nil if it goes to an upstream. The target
+	// then stands for that daemon.
+	peer *ForwardPeer
 	// prefill is the engine that does the prefill, nil if it is the target.
 	prefill *fleet.Upstream
 	// source is the engine from which shared prompt parts are transferred, nil if none.
@@ -98,7 +101,8 @@
 // failCapacity returns the failure of a request for which no upstream has capacity, or none is
 // reached.
 func (c *call) failCapacity() *failure {
-	if h := c.relay.cfg.Tracker.PoolHealth(c.pool); h.Listed > 0 && h.Unreachable == h.Listed {
+	h := c.relay.cfg.Tracker.PoolHealth(c.pool)
+	if h.Listed > 0 && h.Unreachable == h.Listed || c.relay.paths.tracker.IsLost(c.pool) {
 		return c.fail(reasonUnreachable, "this daemon reaches no upstream")
 	}
 	return c.fail(reasonNoCapacity, "no upstream has a free place")
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -35,6 +35,8 @@
 func (c *call) attempt(ctx context.Context, p *assignment) result {
 	p.sentAt = time.Now()
 	p.resumedAfter = c.resumeAfter()
+	c.relay.paths.tracker.Sent(c.pool)
+	defer c.relay.paths.tracker.Ended(c.pool)
 	if p.prefill != nil {
 		handle, res := c.prefill(ctx, p)
 		if res.err != nil {
@@ -288,7 +290,7 @@
 	}
 	// A stream that has begun may only go on with events: the body of another response
 	// after them would end it as if it were complete.
-	if c.stream != nil || c.worthRetrying(resp.Status) {
+	if c.stream != nil || p.peer == nil && c.worthRetrying(resp.Status) {
 		res := c.lostResult(p, placement.Failed, errUpstreamFailed)
 		res.status = resp.Status
 		return res
@@ -298,7 +300,7 @@
 		// caller that it hasn't run.
 		return c.lostResult(p, placement.Failed, errUpstreamFailed)
 	}
-	c.relay.cfg.Dialect.CopyResponseHeaders(c.out.Header(), resp.Header)
+	c.copyResponseHeaders(resp.Header)
 	length := int64(len(body))
 	if c.in.Method == http.MethodHead {
 		length = resp.Length // of the body that a GET would get
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -56,6 +56,9 @@
 	// begun says that the request has begun to run at an upstream.
 	begun bool
 
+	// forwarded is nil unless another daemon has forwarded the request to this one.
+	forwarded *forwardedCall
+
 	// retryReserved says that the next retry has already been counted against the budget.
 	retryReserved atomic.Bool
 	// attempts counts the attempts that may have run.
@@ -107,17 +110,23 @@
 
 // serve runs the request to its end.
 func (c *call) serve() {
-	c.deadline = c.arrived.Add(c.callerTimeout())
+	c.attempts = dispatch.New(c.retryPolicy())
+	if c.forwarded != nil {
+		c.resume(c.forwarded)
+	} else {
+		c.deadline = c.arrived.Add(c.callerTimeout())
+	}
 	if f := c.checkShutdown(); f != nil {
 		c.relay.writeFailure(c.out, c.in, c, f)
 		return
 	}
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline.Add(deadlineGrace))
 	defer cancel()
-	c.retried = c.relay.timeouts.isRetry(c.rule.Name, c.Timeout)
-	c.relay.cfg.RetryBudget.RecordRequest(c.pool)
+	if c.forwarded == nil {
+		c.retried = c.relay.timeouts.isRetry(c.rule.Name, c.Timeout)
+		c.relay.cfg.RetryBudget.RecordRequest(c.pool)
+	}
 	c.content = c.contentOf()
-	c.attempts = dispatch.New(c.retryPolicy())
 	f := c.run(ctx)
 	c.dropHandoff()
 	switch {
@@ -185,7 +194,23 @@
 		if err := c.checkQuarantine(); err != nil {
 			return c.failQuarantined(err)
 		}
+		if c.shouldForward() {
+			switch forwarded, f := c.forward(ctx); forwarded {
+			case forwardEnded:
+				return f
+			case forwardBroke:
+				continue
+			}
+		}
 		p, f := c.assign(ctx)
+		if f != nil && c.mayForwardAfter(f) {
+			switch forwarded, failed := c.forward(ctx); forwarded {
+			case forwardEnded:
+				return failed
+			case forwardBroke:
+				continue
+			}
+		}
 		if f != nil {
 			return f
 		}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -13,6 +13,7 @@
 	reasonBadBody        reason = "bad body"
 	reasonTooLarge       reason = "too large"
 	reasonNoConfig       reason = "no configuration"
+	reasonOlderConfig    reason = "older configuration"
 	reasonNoRule         reason = "no rule"
 	reasonNoCapacity     reason = "no place"
 	reasonUnreachable    reason = "unreachable"
@@ -56,5 +57,6 @@
 	if f.status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
+	c.addOutcome(w.Header(), c.failureOutcome(f))
 	r.cfg.Dialect.WriteError(w, f.status, f.retryAfter, f.message)
 }
--- /dev/null
+++ b/internal/relay/forward.go
@@ -0,0 +1,309 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"tamarackchute/internal/dispatch"
+	"tamarackchute/internal/exchange"
+	"tamarackchute/internal/fleet"
+	"tamarackchute/placement"
+	"tamarackchute/rules/pathset"
+)
+
+const (
+	// maxForwardTries is the number of daemons to which one request is offered.
+	maxForwardTries = 3
+	// maxForwarding limits the requests that are forwarded at the same time, as their bodies are kept.
+	maxForwarding = 256
+	// forwardDialTimeout limits the time to connect to another daemon, which takes milliseconds.
+	forwardDialTimeout = 250 * time.Millisecond
+	// avoidIncapable, avoidOutdated and avoidUnreachable are how long a daemon gets no further requests
+	// that has said that it can't serve them, that its configuration is older, or that wasn't reached.
+	avoidIncapable   = 300 * time.Millisecond
+	avoidOutdated    = 30 * time.Millisecond
+	avoidUnreachable = time.Second
+	// forwardReserve is the part of the remaining time that isn't passed on, so that the other
+	// daemon's response to a missed deadline arrives before this daemon's own.
+	forwardReserve = 5 * time.Millisecond
+	// forwardStallFactor lengthens the timeouts for silence of another daemon: it has the same ones
+	// for its upstream, and may send the request to another one after that.
+	forwardStallFactor = 2
+	// maxForwardedExclusions limits the upstreams named in a forwarded request.
+	maxForwardedExclusions = 16
+)
+
+// ForwardPeer is a daemon to which requests can be forwarded.
+type ForwardPeer struct {
+	// Instance is its name, Address where it listens for forwarded requests.
+	Instance, Address string
+}
+
+// forwarder keeps the connections to other daemons and what is known of their answers.
+type forwarder struct {
+	mu     sync.Mutex
+	conns  map[string]*exchange.Pool
+	avoid  map[string]time.Time
+	active int
+}
+
+func newForwarder() *forwarder {
+	return &forwarder{conns: make(map[string]*exchange.Pool), avoid: make(map[string]time.Time)}
+}
+
+// begin counts a request that is about to be forwarded, and reports whether it may be.
+func (f *forwarder) begin() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.active >= maxForwarding {
+		return false
+	}
+	f.active++
+	return true
+}
+
+func (f *forwarder) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active--
+}
+
+// usable returns the peers that aren't avoided now, in the same order.
+func (f *forwarder) usable(peers []ForwardPeer, now time.Time) []ForwardPeer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(peers, func(p ForwardPeer) bool { return now.Before(f.avoid[p.Address]) })
+}
+
+func (f *forwarder) avoidFor(p ForwardPeer, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.avoid[p.Address] = time.Now().Add(d)
+}
+
+// connsTo returns the connections to a peer.
+func (f *forwarder) connsTo(p ForwardPeer) *exchange.Pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pool := f.conns[p.Address]
+	if pool == nil {
+		pool = exchange.NewPool(p.Address, exchange.Options{DialTimeout: forwardDialTimeout})
+		f.conns[p.Address] = pool
+	}
+	return pool
+}
+
+// retain closes the connections to daemons that are no longer known.
+func (f *forwarder) retain(peers []ForwardPeer) {
+	known := make(map[string]bool, len(peers))
+	for _, p := range peers {
+		known[p.Address] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address, pool := range f.conns {
+		if !known[address] {
+			pool.Close()
+			delete(f.conns, address)
+			delete(f.avoid, address)
+		}
+	}
+}
+
+// forwardResult says how an attempt to forward a request ended.
+type forwardResult uint8
+
+const (
+	// notForwarded means that no other daemon has taken the request.
+	notForwarded forwardResult = iota
+	// forwardEnded means that the request has been answered, or has failed for good.
+	forwardEnded
+	// forwardBroke means that the request may have run elsewhere, and may be tried again.
+	forwardBroke
+)
+
+// shouldForward reports whether other daemons are asked before this one tries.
+func (c *call) shouldForward() bool {
+	return c.mayForward() && c.relay.paths.tracker.IsLost(c.pool)
+}
+
+// mayForward reports whether the request may be forwarded: one that was forwarded already never is.
+func (c *call) mayForward() bool { return c.forwarded == nil && c.relay.cfg.ForwardPeers != nil }
+
+// mayForwardAfter reports whether another daemon may serve a request that this one can't place.
+func (c *call) mayForwardAfter(f *failure) bool {
+	if !c.mayForward() {
+		return false
+	}
+	switch f.reason {
+	case reasonUnreachable:
+		return true
+	case reasonNoCapacity:
+		return c.relay.cfg.Tracker.PoolHealth(c.pool).Unreachable > 0
+	case reasonAllBackingOff:
+		return c.relay.lacksShares(c.pool)
+	}
+	return false
+}
+
+// forward offers the request to other daemons, one after the other.
+func (c *call) forward(ctx context.Context) (forwardResult, *failure) {
+	f := c.relay.forwarder
+	peers := f.usable(c.relay.cfg.ForwardPeers(c.pool), time.Now())
+	if len(peers) == 0 || !f.begin() {
+		return notForwarded, nil
+	}
+	defer f.end()
+	c.dropHandoff()
+	for _, peer := range peers[:min(len(peers), maxForwardTries)] {
+		if result, failed := c.forwardTo(ctx, peer); result != notForwarded {
+			return result, failed
+		}
+		if f := c.contextFailure(ctx); f != nil {
+			return forwardEnded, f
+		}
+	}
+	return notForwarded, nil
+}
+
+// forwardTo offers the request to one daemon.
+func (c *call) forwardTo(ctx context.Context, peer ForwardPeer) (forwardResult, *failure) {
+	p := &assignment{target: &fleet.Upstream{ID: peer.Instance, Pool: c.pool, Address: peer.Address}, peer: &peer, sentAt: time.Now(), resumedAfter: c.resumeAfter()}
+	res, failed := c.sendForwarded(ctx, p)
+	c.logForward(p, res, failed)
+	switch {
+	case res.done:
+		c.logEnd(nil)
+		return forwardEnded, nil
+	case failed != nil:
+		return forwardEnded, failed
+	case res.execution != dispatch.MayHaveRun:
+		return notForwarded, nil
+	}
+	if failed := c.checkRetry(ctx, res); failed != nil {
+		return forwardEnded, failed
+	}
+	return forwardBroke, nil
+}
+
+// sendForwarded sends the request to a daemon and relays its response. The failure is the other
+// daemon's final one.
+func (c *call) sendForwarded(ctx context.Context, p *assignment) (result, *failure) {
+	ctx, watch := c.watchForStall(ctx, p)
+	defer watch.stop()
+	resp, err := c.relay.forwarder.connsTo(*p.peer).Do(ctx, c.newForwardedRequest())
+	if err != nil {
+		return c.forwardFailed(ctx, p, err), nil
+	}
+	defer resp.Close()
+	var outcome forwardedOutcome
+	if err := decodeHeader(resp.Header, outcomeHeader, &outcome); err != nil {
+		c.recordForwardedRun(1)
+		return c.lostResult(p, placement.Failed, errUnsigned), nil
+	}
+	resp.Header.Del(outcomeHeader)
+	if outcome.Reason != "" {
+		watch.disarm()
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)) // frees the connection
+		return c.refusedByPeer(p, resp.Status, outcome)
+	}
+	c.recordForwardedRun(outcome.Attempts - c.attempts.Attempts())
+	if c.rule.Stream && resp.Status == http.StatusOK {
+		return c.relayStream(ctx, p, resp, watch), nil
+	}
+	watch.disarm()
+	return c.relayResponse(ctx, p, resp), nil
+}
+
+// newForwardedRequest returns the caller's request with what this daemon has decided so far. The
+// caller's API key goes along: the other daemon checks it by its own configuration.
+func (c *call) newForwardedRequest() *exchange.Request {
+	d := c.relay.cfg.Dialect
+	h := d.RequestHeaders(c.in.Header)
+	h.Set(forwardHeader, encodeHeader(forwardedCall{
+		From: c.relay.cfg.Instance, ConfigVersion: c.version,
+		Elapsed: time.Since(c.arrived), Remaining: time.Until(c.deadline) - forwardReserve,
+		Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(), Begun: c.begun,
+		Excluded: c.excluded[:min(len(c.excluded), maxForwardedExclusions)], ResumeAfter: c.resumeAfter(),
+		Retried: c.retried, DemandCounted: c.demandCounted,
+	}))
+	return &exchange.Request{
+		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: h, Body: c.body,
+		Match:         exchange.EchoedID(d.RequestIDHeader(), c.ID),
+		NonIdempotent: c.rule.RetryMode == pathset.NonIdempotent,
+		Admit:         func() error { return errors.Join(c.checkIdentity(), c.checkQuarantine()) },
+	}
+}
+
+// recordForwardedRun counts attempts that another daemon has made. They are counted and billed
+// there.
+func (c *call) recordForwardedRun(attempts int) {
+	for range attempts {
+		c.attempts.RecordAttempt()
+	}
+	c.attempts.RecordRun()
+	c.begun = true
+}
+
+// forwardFailed returns the result of a request to which a daemon has given no response.
+func (c *call) forwardFailed(ctx context.Context, p *assignment, err error) result {
+	if notAdmitted(err) {
+		return result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
+	}
+	err = withStallError(ctx, err)
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
+		c.relay.forwarder.avoidFor(*p.peer, avoidUnreachable)
+	}
+	if !mayHaveReached(err) {
+		return result{execution: dispatch.NotSent, outcome: placement.Unreachable, err: err}
+	}
+	c.recordForwardedRun(1)
+	return result{execution: dispatch.MayHaveRun, reachedUpstream: true, outcome: placement.Unreachable, err: err}
+}
+
+var errPeerRefused = errors.New("the other daemon can't serve the request")
+
+// refusedByPeer returns the result of a request that another daemon has failed. The failure is nil
+// if a third one may serve it.
+func (c *call) refusedByPeer(p *assignment, status int, o forwardedOutcome) (result, *failure) {
+	res := result{execution: dispatch.NotRun, outcome: placement.Refused, status: status, err: errPeerRefused}
+	if o.Incapable && !o.MayHaveRun {
+		avoid := avoidIncapable
+		if reason(o.Reason) == reasonOlderConfig {
+			avoid = avoidOutdated
+		}
+		c.relay.forwarder.avoidFor(*p.peer, avoid)
+		return res, nil
+	}
+	if o.MayHaveRun {
+		c.recordForwardedRun(o.Attempts - c.attempts.Attempts())
+		res.execution = dispatch.MayHaveRun
+	}
+	f := newFailure(status, reason(o.Reason), o.Message)
+	return res, f.withRetryAfter(o.RetryAfter)
+}
+
+// lacksShares reports whether this daemon holds no share of any of the limits that the upstreams
+// of a pool name.
+func (r *Relay) lacksShares(pool string) bool {
+	if r.cfg.Limits == nil {
+		return false
+	}
+	limited := false
+	for _, u := range r.cfg.State.Snapshot().Pools[pool] {
+		if u.Draining {
+			continue
+		}
+		key := limitKey(u.ID, u.Started)
+		if _, named := r.cfg.Limits.Book.Limit(key); !named || r.cfg.Limits.Limiter.Holds(key) {
+			return false
+		}
+		limited = true
+	}
+	return limited
+}
--- /dev/null
+++ b/internal/relay/forwarded.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"tamarackchute/internal/fleet"
+)
+
+// ForwardedHandler returns the handler of requests that other daemons forward. They are decided as
+// callers' requests are, but never forwarded again. It must not be reachable by callers.
+func (r *Relay) ForwardedHandler() http.Handler { return http.HandlerFunc(r.serveForwarded) }
+
+func (r *Relay) serveForwarded(w http.ResponseWriter, in *http.Request) {
+	var forwarded forwardedCall
+	if err := decodeHeader(in.Header, forwardHeader, &forwarded); err != nil {
+		http.Error(w, "the request doesn't come from a daemon: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	in.Header.Del(forwardHeader)
+	r.serve(w, in, &forwarded)
+}
+
+// checkForwarded returns a failure if this daemon's configuration is older than that of the daemon
+// which forwarded the request: it must not decide for it.
+func (c *call) checkForwarded(config *fleet.Config) *failure {
+	if c.forwarded == nil || config.Version >= c.forwarded.ConfigVersion {
+		return nil
+	}
+	return newFailure(http.StatusServiceUnavailable, reasonOlderConfig, "this daemon's configuration is older")
+}
+
+// resume takes over what the forwarding daemon has decided.
+func (c *call) resume(f *forwardedCall) {
+	now := time.Now()
+	c.arrived = now.Add(-f.Elapsed)
+	c.deadline = now.Add(f.Remaining)
+	c.Call.ResumeAfter = f.ResumeAfter
+	c.retried, c.demandCounted, c.begun = f.Retried, f.DemandCounted, f.Begun
+	c.excluded = append(c.excluded, f.Excluded...)
+	for range f.Attempts {
+		c.attempts.RecordAttempt()
+	}
+	if f.MayHaveRun {
+		c.attempts.RecordRun()
+	}
+}
--- /dev/null
+++ b/internal/relay/forwarding.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"encoding/base64"
+	"net/http"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tamarackchute/internal/codec"
+)
+
+// A daemon without a path to the upstreams of a pool forwards requests to another daemon, which
+// treats them as if they were its own callers'. Both speak HTTP/1.1 on a listener that callers
+// don't know, with one header for each direction.
+const (
+	// forwardHeader carries a forwardedCall in a request, outcomeHeader a forwardedOutcome in its
+	// response.
+	forwardHeader = "Tamarackchute-Forwarded"
+	outcomeHeader = "Tamarackchute-Outcome"
+)
+
+// forwardedCall is what the daemon that took a request from its caller has decided so far.
+type forwardedCall struct {
+	//lint:ignore U1000 msgpack reads it: the fields are encoded without their names.
+	_msgpack struct{} `msgpack:",as_array"`
+	// From is the instance that forwards the request.
+	From string
+	// ConfigVersion is the version of the configuration in force there.
+	ConfigVersion uint64
+	// Elapsed is the time since the request arrived there, Remaining that until its deadline.
+	Elapsed, Remaining time.Duration
+	// Attempts counts the attempts that may have run, MayHaveRun says that one of them may have run the
+	// request, and Begun that one has begun to.
+	Attempts   int
+	MayHaveRun bool
+	Begun      bool
+	// Excluded names upstreams that must not be tried again.
+	Excluded []string
+	// ResumeAfter is the id of the last event that the caller received.
+	ResumeAfter int
+	// Retried says that the caller retries after a refusal, DemandCounted that the request has been
+	// added to the measured demand.
+	Retried, DemandCounted bool
+}
+
+// forwardedOutcome is what the daemon to which a request was forwarded says of its response.
+type forwardedOutcome struct {
+	//lint:ignore U1000 msgpack reads it: the fields are encoded without their names.
+	_msgpack struct{} `msgpack:",as_array"`
+	// Attempts counts the attempts that may have run, those of the forwarding daemon included.
+	Attempts int
+	// MayHaveRun says that the request may have run.
+	MayHaveRun bool
+	// Reason says why the daemon failed the request; empty if the response is an upstream's.
+	Reason string
+	// Message is the failure's message, RetryAfter when the caller may come back.
+	Message    string
+	RetryAfter time.Duration
+	// Incapable means that the daemon can't serve such requests now, though another one may.
+	Incapable bool
+}
+
+func encodeHeader(v any) string {
+	b, err := msgpack.Marshal(v)
+	if err != nil { // the types passed here can always be encoded
+		panic(err)
+	}
+	return base64.RawStdEncoding.EncodeToString(b)
+}
+
+func decodeHeader(h http.Header, name string, v any) error {
+	b, err := base64.RawStdEncoding.DecodeString(h.Get(name))
+	if err != nil {
+		return err
+	}
+	return codec.Unmarshal(b, v)
+}
+
+// failureOutcome describes a failure of a forwarded request to the daemon that forwarded it.
+func (c *call) failureOutcome(f *failure) forwardedOutcome {
+	return forwardedOutcome{
+		Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(),
+		Reason: string(f.reason), Message: f.message, RetryAfter: f.retryAfter, Incapable: !c.attempts.MayHaveRun() && incapable(f.reason),
+	}
+}
+
+// incapable reports whether a failure for this reason says nothing of what other daemons can do.
+func incapable(why reason) bool {
+	switch why {
+	case reasonNoConfig, reasonOlderConfig, reasonShuttingDown, reasonStaleKeys, reasonUnreachable:
+		return true
+	}
+	return false
+}
+
+// addOutcome adds the outcome to the headers of a response, if the request was forwarded to this
+// daemon. It replaces any header of that name that an upstream has sent.
+func (c *call) addOutcome(h http.Header, o forwardedOutcome) {
+	h.Del(outcomeHeader)
+	if c.forwarded == nil {
+		return
+	}
+	h.Set(outcomeHeader, encodeHeader(o))
+	h.Set(c.relay.cfg.Dialect.RequestIDHeader(), c.ID)
+}
+
+// copyResponseHeaders copies the headers of an upstream's response to the caller's.
+func (c *call) copyResponseHeaders(src http.Header) {
+	h := c.out.Header()
+	c.relay.cfg.Dialect.CopyResponseHeaders(h, src)
+	c.addOutcome(h, forwardedOutcome{Attempts: c.attempts.Attempts(), MayHaveRun: true})
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -44,6 +44,24 @@
 	c.log.Log(c.in.Context(), level, "attempt", attrs...)
 }
 
+// logForward logs to which daemon the request was forwarded, and how that ended.
+func (c *call) logForward(p *assignment, res result, f *failure) {
+	c.relay.metrics.recordForward(c.pool, res)
+	attrs := []any{
+		"request", c.ID, "to", p.peer.Instance, "address", p.peer.Address, "pool", c.pool, "config", c.version,
+		"path_lost", c.relay.paths.tracker.IsLost(c.pool), "first_ms", telemetry.Millis(p.firstEventTime),
+		"lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "done", res.done, "status", res.status,
+	}
+	if f != nil {
+		attrs = append(attrs, "reason", string(f.reason))
+	}
+	if res.done {
+		c.log.Info("forwarded", attrs...)
+		return
+	}
+	c.log.Warn("forwarded", append(attrs, "fate", res.execution.String(), "err", res.err)...)
+}
+
 // completionAttrs returns the attributes of a long response: whether it was expected to
 // complete within the deadline, and how far it came.
 func (c *call) completionAttrs(p *assignment) []any {
@@ -57,6 +75,9 @@
 func (c *call) logEnd(f *failure) {
 	c.relay.metrics.recordRequest(c, f)
 	attrs := []any{"request", c.ID, "took_ms", telemetry.Millis(time.Since(c.arrived)), "attempts", c.attempts.Attempts(), "config", c.version}
+	if c.forwarded != nil {
+		attrs = append(attrs, "forwarded_by", c.forwarded.From)
+	}
 	if c.rule != nil {
 		attrs = append(attrs, "rule", c.rule.Name, "pool", c.pool)
 	}
@@ -86,6 +107,9 @@
 
 // endTicket ends an attempt's ticket at an upstream, and logs what that changed in its health.
 func (c *call) endTicket(u *fleet.Upstream, t *placement.Ticket, res result) {
+	if res.outcome == placement.Unreachable {
+		c.relay.paths.recordFailure(u.Pool)
+	}
 	change := t.End(res.outcome)
 	if change == placement.HealthUnchanged {
 		return
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"tamarackchute/placement"
+	"tamarackchute/reach"
 )
 
 // metrics records the relay's metrics by rule. The library caches scopes and counters,
@@ -59,6 +60,24 @@
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter(name).Inc(1)
 }
 
+// recordPath counts a path to a pool's upstreams that was lost, or works again.
+func (m *metrics) recordPath(pool string, change reach.Change) {
+	name := "paths_lost"
+	if change == reach.Regained {
+		name = "paths_regained"
+	}
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter(name).Inc(1)
+}
+
+// recordForward counts a request that was sent to another daemon, by its result.
+func (m *metrics) recordForward(pool string, res result) {
+	fate := "answered"
+	if !res.done {
+		fate = res.execution.String()
+	}
+	m.scope.Tagged(map[string]string{"pool": pool, "fate": fate}).Counter("requests_forwarded").Inc(1)
+}
+
 // recordLeaving counts an upstream that has said that it is draining.
 func (m *metrics) recordLeaving(pool string) {
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstreams_leaving").Inc(1)
--- /dev/null
+++ b/internal/relay/paths.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"tamarackchute/internal/fleet"
+	"tamarackchute/reach"
+)
+
+const (
+	// pathsInterval is how often paths are looked at without a failed connection.
+	pathsInterval = 100 * time.Millisecond
+	// maxCheckedUpstreams is the number of upstreams that a check of a path connects to.
+	maxCheckedUpstreams = 8
+	// pathCheckTimeout limits the time to connect. Within a site it takes a few milliseconds; an
+	// upstream that takes longer isn't reached in time for most requests.
+	pathCheckTimeout = 250 * time.Millisecond
+)
+
+// paths finds out whether this daemon's path to the upstreams of a pool is lost. It is a
+// suture.Service.
+type paths struct {
+	relay   *Relay
+	tracker *reach.Tracker
+	// failed gets a token when a connection has failed.
+	failed chan struct{}
+	checks conc.WaitGroup
+}
+
+func newPaths(r *Relay) *paths {
+	return &paths{relay: r, tracker: reach.NewTracker(reach.Config{}, nil), failed: make(chan struct{}, 1)}
+}
+
+// String implements fmt.Stringer; the supervisor logs it.
+func (p *paths) String() string { return "paths to upstreams" }
+
+// Serve implements suture.Service.
+func (p *paths) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(pathsInterval)
+	defer ticker.Stop()
+	defer p.checks.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-p.failed:
+		}
+		pools := p.relay.cfg.State.Snapshot().Pools
+		p.tracker.Retain(func(pool string) bool { return len(pools[pool]) > 0 })
+		for pool, upstreams := range pools {
+			if p.tracker.BeginCheck(pool) {
+				p.checks.Go(func() { p.check(ctx, pool, upstreams) })
+			}
+		}
+	}
+}
+
+// recordFailure records that a connection to a pool's upstream could not be made, or broke.
+func (p *paths) recordFailure(pool string) {
+	p.tracker.Failed(pool)
+	select {
+	case p.failed <- struct{}{}:
+	default:
+	}
+}
+
+// check connects to some upstreams of a pool.
+func (p *paths) check(ctx context.Context, pool string, upstreams []*fleet.Upstream) {
+	result := p.connect(ctx, upstreams)
+	change := p.tracker.EndCheck(pool, result)
+	if change == reach.Unchanged {
+		return
+	}
+	p.relay.metrics.recordPath(pool, change)
+	attrs := []any{"pool", pool, "tried", result.Tried, "reached", result.Reached}
+	if change == reach.Lost {
+		p.relay.cfg.Logger.Warn("path to upstreams lost", attrs...)
+		for other := range p.relay.cfg.State.Snapshot().Pools {
+			if other != pool {
+				p.recordFailure(other)
+			}
+		}
+	} else {
+		p.relay.cfg.Logger.Info("path to upstreams works again", attrs...)
+		p.relay.cfg.Tracker.ReadmitUnreachable(pool)
+	}
+	if p.relay.cfg.OnPathChange != nil {
+		p.relay.cfg.OnPathChange()
+	}
+	p.relay.WakeWaiting()
+}
+
+// connect tries to connect to up to maxCheckedUpstreams of the given upstreams.
+func (p *paths) connect(ctx context.Context, upstreams []*fleet.Upstream) reach.Check {
+	sample := slices.DeleteFunc(slices.Clone(upstreams), func(u *fleet.Upstream) bool { return u.Draining })
+	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
+	sample = sample[:min(len(sample), maxCheckedUpstreams)]
+	ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+	defer cancel()
+	reached := make([]bool, len(sample))
+	var wg conc.WaitGroup
+	for i, u := range sample {
+		wg.Go(func() { reached[i] = p.relay.connsTo(u).Connect(ctx) == nil })
+	}
+	wg.Wait()
+	check := reach.Check{Tried: len(sample)}
+	for _, ok := range reached {
+		if ok {
+			check.Reached++
+		}
+	}
+	return check
+}
+
+// PathService returns the service that watches the paths to upstreams.
+func (r *Relay) PathService() interface{ Serve(context.Context) error } { return r.paths }
+
+// LostPools returns the pools to whose upstreams this daemon has lost its path.
+func (r *Relay) LostPools() []string { return r.paths.tracker.LostPools() }
+
+// HasPath reports whether this daemon has a path to the upstreams of a pool, or of any if there
+// are several. A daemon that knows no upstreams has one.
+func (r *Relay) HasPath() bool {
+	lost := r.LostPools()
+	if len(lost) == 0 {
+		return true
+	}
+	for pool := range r.cfg.State.Snapshot().Pools {
+		if !slices.Contains(lost, pool) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,8 @@
 
 // Config holds the settings and dependencies of a Relay.
 type Config struct {
+	// Instance is the daemon's name.
+	Instance    string
 	DataCentre  string
 	Dialect     Dialect
 	State       *fleet.State
@@ -39,6 +41,10 @@
 	OnBegun func(organisation string, ago time.Duration)
 	// Dial opens connections to upstreams; nil means TCP connections.
 	Dial exchange.Dialer
+	// ForwardPeers returns the daemons to which a request for a pool can be forwarded, the preferred
+	// ones first; nil forwards none. OnPathChange is called when a path to upstreams is lost or works again.
+	ForwardPeers func(pool string) []ForwardPeer
+	OnPathChange func()
 	// OnReplaced is called for an upstream whose address now belongs to another
 	// incarnation; nil does nothing.
 	OnReplaced func(id string)
@@ -60,6 +66,9 @@
 	metrics  *metrics
 	timeouts timeoutStats
 	demand   demandMeter
+	paths    *paths
+	// forwarder passes requests on to other daemons.
+	forwarder *forwarder
 	// shutdown is set once the process begins to shut down.
 	shutdown atomic.Pointer[shutdown]
 
@@ -73,7 +82,8 @@
 // New returns a relay. It watches the state for changes, so it must be called before
 // the state's first change.
 func New(cfg Config) *Relay {
-	r := &Relay{cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns)}
+	r := &Relay{cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns), forwarder: newForwarder()}
+	r.paths = newPaths(r)
 	if cfg.Limits != nil {
 		cfg.Tracker.SetLimits(func(id string, started time.Time) time.Duration {
 			return cfg.Limits.Limiter.Wait(limitKey(id, started))
@@ -183,7 +193,10 @@
 		if known {
 			c.pool.Close()
 		}
-		observe := func(response exchange.ObservedResponse) { r.Observe(u, response) }
+		observe := func(response exchange.ObservedResponse) {
+			r.paths.tracker.Answered(u.Pool)
+			r.Observe(u, response)
+		}
 		options := exchange.Options{Dial: r.cfg.Dial, OnMismatch: r.mismatchRecorder(u), OnResponse: observe}
 		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, options)}
 		r.conns[u.ID] = c
@@ -198,7 +211,10 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (r *Relay) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+func (r *Relay) ServeHTTP(w http.ResponseWriter, in *http.Request) { r.serve(w, in, nil) }
+
+// serve serves a request of a caller, or one that another daemon has forwarded.
+func (r *Relay) serve(w http.ResponseWriter, in *http.Request, forwarded *forwardedCall) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	defer r.logPanic(in)
@@ -208,7 +224,7 @@
 		// chunks; the rest of the connection must not be parsed as a request.
 		w.Header().Set("Connection", "close")
 	}
-	c, f := r.accept(w, in)
+	c, f := r.accept(w, in, forwarded)
 	if f != nil {
 		r.writeFailure(w, in, c, f)
 		return
@@ -230,8 +246,8 @@
 }
 
 // accept parses a request, matches its rule and reads its body.
-func (r *Relay) accept(w http.ResponseWriter, in *http.Request) (*call, *failure) {
-	c := &call{relay: r, out: w, in: in, arrived: time.Now(), log: r.cfg.Logger}
+func (r *Relay) accept(w http.ResponseWriter, in *http.Request, forwarded *forwardedCall) (*call, *failure) {
+	c := &call{relay: r, out: w, in: in, arrived: time.Now(), log: r.cfg.Logger, forwarded: forwarded}
 	var err error
 	if c.Call, err = r.cfg.Dialect.ParseCall(in); err != nil {
 		return c, newFailure(http.StatusBadRequest, reasonBadHeaders, err.Error())
@@ -241,6 +257,9 @@
 		return c, newFailure(http.StatusServiceUnavailable, reasonNoConfig, "no configuration is known yet").withRetryAfter(r.cfg.MinRetryAfter)
 	}
 	c.version = s.Config.Version
+	if f := c.checkForwarded(s.Config); f != nil {
+		return c, f
+	}
 	rule, ok := s.Config.Rules.Match(hostOf(in.Host), pathOf(in.RequestURI))
 	if !ok {
 		return c, newFailure(http.StatusNotFound, reasonNoRule, "no rule matches")
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -48,15 +48,23 @@
 		return 0
 	}
 	expected := prefillTimeoutFactor*p.plan.FirstToken + prefillSlack
-	return max(minStallTimeout, firstEventTimeoutFactor*c.rule.Objective, expected)
+	return p.stallFactor() * max(minStallTimeout, firstEventTimeoutFactor*c.rule.Objective, expected)
 }
 
 // eventGapTimeout returns the timeout between two events of a stream, 0 for none.
-func (c *call) eventGapTimeout() time.Duration {
+func (c *call) eventGapTimeout(p *assignment) time.Duration {
 	if c.rule.GapObjective == 0 || !c.attempts.MayRetry(0) {
 		return 0
 	}
-	return max(minStallTimeout, eventGapTimeoutFactor*c.rule.GapObjective)
+	return p.stallFactor() * max(minStallTimeout, eventGapTimeoutFactor*c.rule.GapObjective)
+}
+
+// stallFactor lengthens the timeouts where another daemon applies them to its upstream.
+func (p *assignment) stallFactor() time.Duration {
+	if p.peer != nil {
+		return forwardStallFactor
+	}
+	return 1
 }
 
 // arm starts the timeout for the next data from the upstream; 0 means no timeout.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -48,19 +48,22 @@
 				p.ticket.HandoffDone()
 			}
 			p.ticket.PrefillDone()
-			c.recordBegun(0)
+			c.recordBegun(0) // another daemon has counted a forwarded request
 			c.relay.WakeWaiting()
 		}
 		if s := c.stream; s != nil {
 			p.ticket.RecordGap(time.Since(s.lastAt))
 		}
+		if p.peer == nil {
+			c.relay.paths.tracker.Answered(c.pool)
+		}
 		if err := c.deliver(e, resp); err != nil {
 			return c.failStream(ctx, p, err)
 		}
 		if events := c.eventsOf(p); events == crash.ClearAfterTokens && c.inFlight != nil {
 			c.inFlight.Progress(&c.content)
 		}
-		watch.arm(c.eventGapTimeout())
+		watch.arm(c.eventGapTimeout(p))
 	}
 }
 
@@ -95,7 +98,7 @@
 func (c *call) beginStream(resp *exchange.Response) {
 	now := time.Now()
 	c.stream = &streamState{lastEvent: c.ResumeAfter, flusher: http.NewResponseController(c.out), lastAt: now, started: now}
-	c.relay.cfg.Dialect.CopyResponseHeaders(c.out.Header(), resp.Header)
+	c.copyResponseHeaders(resp.Header)
 	c.out.WriteHeader(resp.Status)
 }
 
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -16,6 +16,8 @@
 	// callers and for other daemons.
 	Callers string `msgpack:"c" json:"callers"`
 	Peers   string `msgpack:"p" json:"peers"`
+	// Forwards is the address at which it listens for requests that other daemons forward.
+	Forwards string `msgpack:"f" json:"forwards"`
 	// Capacity ranks daemons by how much work they can do for the others in addition
 	// to their requests.
 	Capacity int `msgpack:"z" json:"capacity"`
@@ -62,6 +64,10 @@
 	KnownPeers []MemberAddress
 	// KeysStale means that the daemon can't use the API keys of its configuration now.
 	KeysStale bool
+	// LostPools are the pools to whose upstreams the daemon has lost its path, PathLost that it has
+	// none to any upstream.
+	LostPools []string
+	PathLost  bool
 	// Clock is the daemon's time of day, in Unix nanoseconds.
 	Clock int64
 	// Quarantine is the fingerprint of what the daemon knows of requests that crash upstreams.
--- a/placement/health.go
+++ b/placement/health.go
@@ -146,3 +146,13 @@
 
 // ejected reports whether the upstream is ejected at the given time.
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
+
+// readmitUnreachable ends an ejection after failed connections. A backoff goes on.
+func (h *health) readmitUnreachable() {
+	if !h.unreachable {
+		return
+	}
+	*h = health{ejections: h.ejections, lastEjected: h.lastEjected, ejectedUntil: h.backoffUntil, backoffUntil: h.backoffUntil}
+	h.probing = !h.backoffUntil.IsZero()
+	h.probingBackoff = h.probing
+}
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -27,7 +27,7 @@
 	Late bool
 }
 
-// Ticket tracks one attempt at one upstream.
+// Ticket tracks one attempt at one upstream. A nil Ticket tracks nothing.
 type Ticket struct {
 	tracker *Tracker
 	tracked *trackedUpstream
@@ -137,6 +137,9 @@
 // PrefillDone records that the engine has the prompt in its memory, by prefill or by KV
 // transfer.
 func (t *Ticket) PrefillDone() {
+	if t == nil {
+		return
+	}
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
 	e := t.tracked
@@ -206,6 +209,9 @@
 
 // RecordGap records the time between two events of a stream.
 func (t *Ticket) RecordGap(d time.Duration) {
+	if t == nil {
+		return
+	}
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
 	e := t.tracked
@@ -225,6 +231,9 @@
 // RecordStream records the time from the first event to the last of a complete stream, and
 // its number of events.
 func (t *Ticket) RecordStream(events int, d time.Duration) {
+	if t == nil {
+		return
+	}
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
 	if t.tracked.model != nil && t.work.OutputTokens > 0 {
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -323,3 +323,17 @@
 	}
 	return h
 }
+
+// ReadmitUnreachable ends the ejections of a pool's upstreams to which connections failed: this
+// daemon reaches them again.
+func (tr *Tracker) ReadmitUnreachable(pool string) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	p := tr.pools[pool]
+	if p == nil {
+		return
+	}
+	for _, e := range p.all {
+		e.health.readmitUnreachable()
+	}
+}
