relay: a connection that is refused here only is no crash

Cause: the probe asked only the daemon whose connection had broken. Now it asks up to two other daemons, on the listener for forwarded requests, whether they reach the same start of the upstream; if one does, the path is lost, not the upstream. If none reaches it, or none responds, the crash stands as before. TestRefusedConnectionsBehindACutAreNoCrash fails without the question (quarantined where all servers are cut off, 2 crashes reported where one is) and passes with it; TestLethal* and TestQuarantine* are green.

--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -7,11 +7,16 @@
 	"tamarackchute/internal/fleet"
 )
 
-// ForwardedHandler returns the handler of requests that other daemons forward. They are decided as
-// callers' requests are, but never forwarded again. It must not be reachable by callers.
+// ForwardedHandler returns the handler of requests that other daemons forward, and of their probes.
+// Forwarded requests are decided as callers' are, but never forwarded again. It must not be
+// reachable by callers.
 func (r *Relay) ForwardedHandler() http.Handler { return http.HandlerFunc(r.serveForwarded) }
 
 func (r *Relay) serveForwarded(w http.ResponseWriter, in *http.Request) {
+	if in.Header.Get(probeHeader) != "" {
+		r.serveProbe(w, in)
+		return
+	}
 	var forwarded forwardedCall
 	if err := decodeHeader(in.Header, forwardHeader, &forwarded); err != nil {
 		http.Error(w, "the request doesn't come from a daemon: "+err.Error(), http.StatusBadRequest)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -69,6 +69,9 @@
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter(name).Inc(1)
 }
 
+// recordContradicted counts an upstream that refuses connections of this daemon, but not of another.
+func (m *metrics) recordContradicted() { m.scope.Counter("crashes_contradicted").Inc(1) }
+
 // recordForward counts a request that was sent to another daemon, by its result.
 func (m *metrics) recordForward(pool string, res result) {
 	fate := "answered"
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -1,18 +1,15 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
-	"syscall"
 
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
 	"tamarackchute/quarantine"
-	"tamarackchute/upstream"
 )
 
 // CrashDetector tracks which requests are in flight where, and tells which have crashed upstreams;
@@ -32,20 +29,6 @@
 	return crash.Engine{ID: u.ID, Incarnation: strconv.FormatInt(u.Started.UnixMilli(), 10)}
 }
 
-// ProbeEngine connects to an upstream. It returns an error that matches upstream.ErrNotSent if
-// nothing listens there although the upstream should be serving.
-func (r *Relay) ProbeEngine(ctx context.Context, e crash.Engine) error {
-	u := r.cfg.State.Snapshot().Upstreams[e.ID]
-	if u == nil || u.Draining || crashEngine(u) != e {
-		return nil
-	}
-	err := r.connsTo(u).Connect(ctx)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
-	}
-	return err
-}
-
 // contentOf returns the content by which the call is recognised when it comes again. It doesn't
 // cover what differs with each attempt: IDs and deadlines.
 func (c *call) contentOf() quarantine.Request {
