member: duties and shares of limits go to daemons with a path

The same cause elsewhere: a daemon without a path to the upstreams kept the lease, whose orders to engines it can't deliver, and its share of an upstream's limit, which nobody could use meanwhile. Daemons without a path now rank last for the lease in a small site, and hold no share while others have a path. In a large site the ranks follow from the tree of aggregators as before: a leader without a path stays one there.

--- a/internal/member/leadership.go
+++ b/internal/member/leadership.go
@@ -72,7 +72,7 @@
 	defer l.setCandidate(false)
 	for ctx.Err() == nil {
 		sleep(ctx, leadershipInterval)
-		l.setCandidate(l.member.Ready() && l.member.peers.Rank() < maxCandidates)
+		l.setCandidate(l.member.Ready() && l.member.peers.DutyRank() < maxCandidates)
 		l.mayOrder(0)
 		l.publishStatus()
 	}
@@ -125,7 +125,7 @@
 		Config: lease.Config{
 			Scope: leaseScope, Instance: s.Instance, Incarnation: incarnation,
 			Term: l.term(), Renew: time.Duration(renewRatio * float64(l.term())), Drift: maxClockDrift,
-			ClaimDelay: claimDelay * time.Duration(l.member.peers.Rank()), Retention: s.StoreRetention,
+			ClaimDelay: claimDelay * time.Duration(l.member.peers.DutyRank()), Retention: s.StoreRetention,
 		},
 		Writer: writer,
 	}, entries, view, alwaysPresent{}, l.logger)
--- a/internal/member/limits.go
+++ b/internal/member/limits.go
@@ -22,7 +22,7 @@
 	limiter *upstreamlimit.Limiter
 	peers   *Peers
 	state   *fleet.State
-	serving func() bool
+	summary func() Summary
 	log     *slog.Logger
 }
 
@@ -30,7 +30,7 @@
 	book := upstreamlimit.NewBook(nil)
 	x := &limitExchange{
 		book: book, limiter: upstreamlimit.NewLimiter(book, m.self.Peers, true),
-		peers: m.peers, state: m.state, serving: m.Ready, log: m.log,
+		peers: m.peers, state: m.state, summary: m.summary, log: m.log,
 	}
 	m.peers.onUpstreamLimits = x.merge
 	return x
@@ -47,7 +47,7 @@
 // Serve implements suture.Service.
 func (x *limitExchange) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		x.limiter.SetMembers(x.peers.limitMembers(x.serving()))
+		x.limiter.SetMembers(x.peers.limitMembers(x.summary()))
 		x.broadcast()
 		x.book.Retain(x.isListed)
 		x.limiter.Retain()
@@ -97,18 +97,36 @@
 }
 
 // limitMembers returns the daemons among which limits are divided: those that serve callers, as far
-// as their state is received, and all known ones of a large site.
-func (p *Peers) limitMembers(serving bool) []string {
+// as their state is received, and all known ones of a large site. A daemon without a path to any
+// upstream can't use a share, and counts only if all are without one.
+func (p *Peers) limitMembers(own Summary) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var members []string
-	if serving {
-		members = append(members, p.self.Peers)
+	var able, members []string
+	add := func(address string, s Summary) {
+		members = append(members, address)
+		if !s.PathLost {
+			able = append(able, address)
+		}
+	}
+	if own.Serving {
+		add(p.self.Peers, own)
 	}
 	for address, other := range p.peers {
 		if !p.fullMesh || other.up && other.summary.Serving {
-			members = append(members, address)
+			add(address, other.recentSummary())
 		}
 	}
-	return members
+	if len(able) == 0 {
+		return members
+	}
+	return able
+}
+
+// recentSummary returns the peer's summary, the zero value if it is outdated.
+func (p *peer) recentSummary() Summary {
+	if !p.hasState() {
+		return Summary{}
+	}
+	return p.summary
 }
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -73,14 +73,31 @@
 // all. In a small site those are the serving ones with a lower address; in a large one, where
 // each daemon receives the state of a few only, those ranked before it as aggregators.
 func (p *Peers) Rank() int {
+	return p.rank(func(other *peer) bool { return other.Peers < p.self.Peers })
+}
+
+// DutyRank is Rank for duties that need a path to the upstreams: in a small site, daemons without
+// one come last.
+func (p *Peers) DutyRank() int {
+	lost := p.summary().PathLost
+	return p.rank(func(other *peer) bool {
+		if other.summary.PathLost != lost {
+			return lost
+		}
+		return other.Peers < p.self.Peers
+	})
+}
+
+// rank counts the serving daemons of a small site that precede this one.
+func (p *Peers) rank(precedes func(other *peer) bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.fullMesh {
 		return p.parent.rank()
 	}
 	rank := 0
-	for address, other := range p.peers {
-		if other.up && other.summary.Serving && address < p.self.Peers {
+	for _, other := range p.peers {
+		if other.up && other.summary.Serving && precedes(other) {
 			rank++
 		}
 	}
