reach, relay: a path that accepts connections and carries nothing is lost too

A check of a path connected to upstreams. What stands between may accept a connection and reset it, or leave it silent, so the check passed while no request did. Now a connection must stay open for 10 ms, and where the pool has been silent while requests were in flight, or its path is lost, an upstream must answer a request for its health, with any status.

--- a/cmd/chute-member/main.go
+++ b/cmd/chute-member/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/member"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/platform"
@@ -28,18 +29,19 @@
 
 func main() {
 	file := flag.String("settings", os.Getenv(platform.SettingsEnv), "settings `file` of the platform")
+	source := flag.String("source", "", "local `IP` address of connections to upstreams; by default the system chooses")
 	flag.Parse()
 	if *file == "" || flag.NArg() > 0 {
 		flag.Usage()
 		os.Exit(exitUsage)
 	}
-	if err := run(*file); err != nil {
+	if err := run(*file, *source); err != nil {
 		fmt.Fprintf(os.Stderr, "chute-member: %v\n", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func run(file string) error {
+func run(file, source string) error {
 	// Handle signals before anything else: during startup their default action would end the
 	// process.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -47,6 +49,10 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 
+	dial, err := exchange.DialFrom(source)
+	if err != nil {
+		return err
+	}
 	s, err := platform.ReadSettings(file)
 	if err != nil {
 		return err
@@ -63,6 +69,7 @@
 	}
 	m := member.New(member.Config{
 		Provider:         provider,
+		Dial:             dial,
 		Settings:         s,
 		Store:            store,
 		Decoder:          store,
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -178,6 +181,22 @@
 	return newConn(raw, p.options.MaxIdle), nil
 }
 
+// DialFrom returns a Dialer of TCP connections from a local IP address, nil if it is empty.
+func DialFrom(ip string) (Dialer, error) {
+	if ip == "" {
+		return nil, nil
+	}
+	source, err := netip.ParseAddr(ip)
+	if err != nil {
+		return nil, fmt.Errorf("source address: %w", err)
+	}
+	local := net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		d := net.Dialer{KeepAlive: -1, LocalAddr: local}
+		return d.DialContext(ctx, "tcp", address)
+	}, nil
+}
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1}
 	return d.DialContext(ctx, "tcp", address)
@@ -193,6 +212,26 @@
 	return nil
 }
 
+// ErrClosedAtOnce is returned for a connection that was made and then ended by the other side before
+// anything was sent.
+var ErrClosedAtOnce = errors.New("exchange: the connection was closed at once")
+
+// Verify is Connect for a connection that stays open for a while. What stands between this process and the
+// upstream may accept connections that it then resets. Its error is a *NotSentError.
+func (p *Pool) Verify(ctx context.Context, open time.Duration) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	time.Sleep(open)
+	if !c.healthy() {
+		c.close()
+		return &NotSentError{Cause: ErrClosedAtOnce}
+	}
+	p.put(c, time.Now())
+	return nil
+}
+
 // setUnackedTimeout makes the kernel close a connection whose sent bytes stay
 // unacknowledged. If it fails, only the request's own deadline applies.
 func setUnackedTimeout(raw net.Conn, d time.Duration) {
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/reach"
 )
@@ -15,11 +17,13 @@
 const (
 	// pathsInterval is how often paths are looked at without a failed connection.
 	pathsInterval = 100 * time.Millisecond
-	// maxCheckedUpstreams is the number of upstreams that a check of a path connects to.
+	// maxCheckedUpstreams is the number of upstreams that a check of a path tries.
 	maxCheckedUpstreams = 8
-	// pathCheckTimeout limits the time to connect. Within a site it takes a few milliseconds; an
-	// upstream that takes longer isn't reached in time for most requests.
+	// pathCheckTimeout limits the time of a check. Within a site a connection takes a few milliseconds;
+	// an upstream that takes longer isn't reached in time for most requests.
 	pathCheckTimeout = 250 * time.Millisecond
+	// verifyOpen is how long a connection must stay open. Within a site a reset arrives in less.
+	verifyOpen = 10 * time.Millisecond
 )
 
 // paths finds out whether this daemon's path to the upstreams of a pool is lost. It is a
@@ -54,8 +58,8 @@
 		pools := p.relay.cfg.State.Snapshot().Pools
 		p.tracker.Retain(func(pool string) bool { return len(pools[pool]) > 0 })
 		for pool, upstreams := range pools {
-			if p.tracker.BeginCheck(pool) {
-				p.checks.Go(func() { p.check(ctx, pool, upstreams) })
+			if kind := p.tracker.BeginCheck(pool); kind != reach.NoCheck {
+				p.checks.Go(func() { p.check(ctx, pool, upstreams, kind) })
 			}
 		}
 	}
@@ -70,9 +74,9 @@
 	}
 }
 
-// check connects to some upstreams of a pool.
-func (p *paths) check(ctx context.Context, pool string, upstreams []*fleet.Upstream) {
-	result := p.connect(ctx, upstreams)
+// check checks the path to a pool.
+func (p *paths) check(ctx context.Context, pool string, upstreams []*fleet.Upstream, kind reach.CheckKind) {
+	result := p.try(ctx, upstreams, kind)
 	change := p.tracker.EndCheck(pool, result)
 	if change == reach.Unchanged {
 		return
@@ -96,17 +100,21 @@
 	p.relay.WakeWaiting()
 }
 
-// connect tries to connect to up to maxCheckedUpstreams of the given upstreams.
-func (p *paths) connect(ctx context.Context, upstreams []*fleet.Upstream) reach.Check {
+// try tries to reach some of the given upstreams.
+func (p *paths) try(ctx context.Context, upstreams []*fleet.Upstream, kind reach.CheckKind) reach.Check {
 	sample := slices.DeleteFunc(slices.Clone(upstreams), func(u *fleet.Upstream) bool { return u.Draining })
 	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
 	sample = sample[:min(len(sample), maxCheckedUpstreams)]
+	reaches := p.connects
+	if kind == reach.CheckResponses {
+		reaches = p.responds
+	}
 	ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
 	defer cancel()
 	reached := make([]bool, len(sample))
 	var wg conc.WaitGroup
 	for i, u := range sample {
-		wg.Go(func() { reached[i] = p.relay.connsTo(u).Connect(ctx) == nil })
+		wg.Go(func() { reached[i] = reaches(ctx, u) })
 	}
 	wg.Wait()
 	check := reach.Check{Tried: len(sample)}
@@ -118,6 +126,35 @@
 	return check
 }
 
+// connects reports whether an upstream accepts a connection and leaves it open.
+func (p *paths) connects(ctx context.Context, u *fleet.Upstream) bool {
+	return p.relay.connsTo(u).Verify(ctx, verifyOpen) == nil
+}
+
+// responds reports whether an upstream answers a request for its health, whatever it says.
+func (p *paths) responds(ctx context.Context, u *fleet.Upstream) bool {
+	path := p.healthPath(u.Pool)
+	if path == "" {
+		return p.connects(ctx, u)
+	}
+	h := http.Header{}
+	p.relay.cfg.Dialect.SetAttemptHeaders(h, Attempt{Upstream: u.ID, Urgency: -1})
+	resp, err := p.relay.connsTo(u).Do(ctx, &exchange.Request{Method: http.MethodGet, Target: path, Host: u.Address, Header: h})
+	if err != nil {
+		return false
+	}
+	resp.Close()
+	return true
+}
+
+func (p *paths) healthPath(pool string) string {
+	config := p.relay.cfg.State.Snapshot().Config
+	if config == nil || config.Pools[pool] == nil {
+		return ""
+	}
+	return config.Pools[pool].HealthPath
+}
+
 // PathService returns the service that watches the paths to upstreams.
 func (r *Relay) PathService() interface{ Serve(context.Context) error } { return r.paths }
 
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -48,7 +48,22 @@
 	Regained
 )
 
-// Check is the result of connecting to some upstreams of a pool.
+// CheckKind says what a check of a path has to try.
+type CheckKind uint8
+
+// The kinds of checks.
+const (
+	// NoCheck means that none is due.
+	NoCheck CheckKind = iota
+	// CheckConnections connects to upstreams.
+	CheckConnections
+	// CheckResponses also awaits a response on each connection: what stands between may accept
+	// connections although the path behind it is cut. Responses of busy upstreams take long, so this
+	// is due only where the pool has not answered for a while, or its path is lost.
+	CheckResponses
+)
+
+// Check is the result of a check of some upstreams of a pool.
 type Check struct {
 	Tried, Reached int
 }
@@ -139,25 +154,33 @@
 	t.path(pool).suspected = true
 }
 
-// BeginCheck reports whether the path to a pool is to be checked now. If so, EndCheck must follow.
-func (t *Tracker) BeginCheck(pool string) bool {
+// BeginCheck returns the check of the path to a pool that is due now. EndCheck must follow unless it
+// is NoCheck.
+func (t *Tracker) BeginCheck(pool string) CheckKind {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, now := t.path(pool), t.now()
-	if p.checking || !t.isDue(p, now) {
-		return false
+	if p.checking {
+		return NoCheck
+	}
+	kind := t.due(p, now)
+	if kind != NoCheck {
+		p.checking, p.suspected, p.checked = true, false, now
 	}
-	p.checking, p.suspected, p.checked = true, false, now
-	return true
+	return kind
 }
 
-func (t *Tracker) isDue(p *path, now time.Time) bool {
+func (t *Tracker) due(p *path, now time.Time) CheckKind {
 	since := now.Sub(p.checked)
-	if p.lost {
-		return since >= t.cfg.LostCheckInterval
-	}
 	quiet := p.inFlight > 0 && now.Sub(p.answered) >= t.cfg.QuietLimit
-	return p.suspected && since >= t.cfg.MinCheckInterval || quiet && since >= t.cfg.QuietLimit
+	switch {
+	case p.lost && since >= t.cfg.LostCheckInterval, !p.lost && quiet && since >= t.cfg.QuietLimit:
+		return CheckResponses
+	case !p.lost && p.suspected && since >= t.cfg.MinCheckInterval:
+		return CheckConnections
+	default:
+		return NoCheck
+	}
 }
 
 // EndCheck records the result of a check. One that tried nothing says nothing.
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -23,22 +23,22 @@
 // check runs a check that is due, and fails the test if none is.
 func check(t *testing.T, tr *Tracker, tried, reached int) Change {
 	t.Helper()
-	require.True(t, tr.BeginCheck(pool), "a check is due")
+	require.NotEqual(t, NoCheck, tr.BeginCheck(pool), "a check is due")
 	return tr.EndCheck(pool, Check{Tried: tried, Reached: reached})
 }
 
 // Guards against checks of paths that nothing speaks against.
 func TestNoCheckWithoutSuspicion(t *testing.T) {
 	tr, c := newTracker()
-	require.False(t, tr.BeginCheck(pool), "no request was sent")
+	require.Equal(t, NoCheck, tr.BeginCheck(pool), "no request was sent")
 	for range 100 {
 		tr.Sent(pool)
 		c.advance(120 * time.Millisecond)
 		tr.Answered(pool)
 		tr.Ended(pool)
-		require.False(t, tr.BeginCheck(pool))
+		require.Equal(t, NoCheck, tr.BeginCheck(pool))
 		c.advance(time.Second)
-		require.False(t, tr.BeginCheck(pool), "nothing is in flight")
+		require.Equal(t, NoCheck, tr.BeginCheck(pool), "nothing is in flight")
 	}
 }
 
@@ -62,9 +62,10 @@
 	c.advance(200 * time.Millisecond)
 	tr.Answered(pool)
 	c.advance(299 * time.Millisecond)
-	require.False(t, tr.BeginCheck(pool))
+	require.Equal(t, NoCheck, tr.BeginCheck(pool))
 	c.advance(time.Millisecond)
-	require.Equal(t, Lost, check(t, tr, 8, 0))
+	require.Equal(t, CheckResponses, tr.BeginCheck(pool), "connections may be accepted before the cut")
+	require.Equal(t, Lost, tr.EndCheck(pool, Check{Tried: 8}))
 	require.Equal(t, []string{pool}, tr.LostPools())
 }
 
@@ -74,9 +75,9 @@
 	checks := 0
 	for range 1000 {
 		tr.Failed(pool)
-		if tr.BeginCheck(pool) {
+		if tr.BeginCheck(pool) != NoCheck {
 			checks++
-			require.False(t, tr.BeginCheck(pool), "one at a time")
+			require.Equal(t, NoCheck, tr.BeginCheck(pool), "one at a time")
 			tr.EndCheck(pool, Check{Tried: 3, Reached: 3})
 		}
 		c.advance(time.Millisecond)
@@ -138,5 +139,13 @@
 	require.Empty(t, tr.LostPools())
 	tr.Failed(pool)
 	tr.Retain(func(string) bool { return false })
-	require.False(t, tr.BeginCheck(pool), "forgotten")
+	require.Equal(t, NoCheck, tr.BeginCheck(pool), "forgotten")
+}
+
+// Guards against responses that a check awaits of busy upstreams because one other has crashed.
+func TestFailedConnectionsAreCheckedByConnections(t *testing.T) {
+	tr, _ := newTracker()
+	tr.Sent(pool)
+	tr.Failed(pool)
+	require.Equal(t, CheckConnections, tr.BeginCheck(pool))
 }
