relay: a drain notice in a forwarded response counts here too

A daemon that gets an upstream's response through another daemon passes on that the upstream drains, but didn't know it: once its own path is back, it would have sent requests there. Responses between daemons now name their upstream, and the notice is recorded.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -300,7 +300,7 @@
 		// caller that it hasn't run.
 		return c.lostResult(p, placement.Failed, errUpstreamFailed)
 	}
-	c.copyResponseHeaders(resp.Header)
+	c.copyResponseHeaders(p.target, resp.Header)
 	length := int64(len(body))
 	if c.in.Method == http.MethodHead {
 		length = resp.Length // of the body that a GET would get
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -213,6 +213,7 @@
 		return c.refusedByPeer(p, resp.Status, outcome)
 	}
 	c.recordForwardedRun(outcome.Attempts - c.attempts.Attempts())
+	c.relay.observeForwarded(outcome, resp.Status, resp.Header)
 	if c.rule.Stream && resp.Status == http.StatusOK {
 		return c.relayStream(ctx, p, resp, watch), nil
 	}
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"tamarackchute/internal/codec"
+	"tamarackchute/internal/fleet"
 )
 
 // A daemon without a path to the upstreams of a pool forwards requests to another daemon, which
@@ -57,6 +58,10 @@
 	// Message is the failure's message, RetryAfter when the caller may come back.
 	Message    string
 	RetryAfter time.Duration
+	// Upstream and Started identify the upstream whose response it is; Started is in Unix
+	// milliseconds.
+	Upstream string
+	Started  int64
 	// Incapable means that the daemon can't serve such requests now, though another one may.
 	Incapable bool
 }
@@ -106,8 +111,21 @@
 }
 
 // copyResponseHeaders copies the headers of an upstream's response to the caller's.
-func (c *call) copyResponseHeaders(src http.Header) {
+func (c *call) copyResponseHeaders(from *fleet.Upstream, src http.Header) {
 	h := c.out.Header()
 	c.relay.cfg.Dialect.CopyResponseHeaders(h, src)
-	c.addOutcome(h, forwardedOutcome{Attempts: c.attempts.Attempts(), MayHaveRun: true})
+	c.addOutcome(h, forwardedOutcome{Attempts: c.attempts.Attempts(), MayHaveRun: true, Upstream: from.ID, Started: from.Started.UnixMilli()})
+}
+
+// observeForwarded records that an upstream says, in a response to another daemon, that it is
+// draining: this daemon passes that on.
+func (r *Relay) observeForwarded(o forwardedOutcome, status int, h http.Header) {
+	u := r.cfg.State.Snapshot().Upstreams[o.Upstream]
+	if u == nil || u.Started.UnixMilli() != o.Started || !r.cfg.Dialect.Advice(status, h).Draining {
+		return
+	}
+	if r.cfg.State.MarkDraining(u) {
+		r.metrics.recordLeaving(u.Pool)
+		r.cfg.Logger.Info("upstream leaves", "upstream", u.ID, "started", u.Started, "pool", u.Pool, "status", status)
+	}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -57,7 +57,7 @@
 		if p.peer == nil {
 			c.relay.paths.tracker.Answered(c.pool)
 		}
-		if err := c.deliver(e, resp); err != nil {
+		if err := c.deliver(p, e, resp); err != nil {
 			return c.failStream(ctx, p, err)
 		}
 		if events := c.eventsOf(p); events == crash.ClearAfterTokens && c.inFlight != nil {
@@ -69,7 +69,7 @@
 
 // deliver sends one event to the caller. Events that were sent already are skipped: an
 // upstream that resumes after an event may send it again.
-func (c *call) deliver(e event, resp *exchange.Response) error {
+func (c *call) deliver(p *assignment, e event, resp *exchange.Response) error {
 	if e.id > 0 {
 		last := c.resumeAfter()
 		if e.id <= last {
@@ -80,7 +80,7 @@
 		}
 	}
 	if c.stream == nil {
-		c.beginStream(resp)
+		c.beginStream(p, resp)
 	}
 	s := c.stream
 	if e.id > 0 {
@@ -95,10 +95,10 @@
 	return s.flusher.Flush()
 }
 
-func (c *call) beginStream(resp *exchange.Response) {
+func (c *call) beginStream(p *assignment, resp *exchange.Response) {
 	now := time.Now()
 	c.stream = &streamState{lastEvent: c.ResumeAfter, flusher: http.NewResponseController(c.out), lastAt: now, started: now}
-	c.copyResponseHeaders(resp.Header)
+	c.copyResponseHeaders(p.target, resp.Header)
 	c.out.WriteHeader(resp.Status)
 }
 
@@ -106,7 +106,7 @@
 // without events to send is passed on as it is.
 func (c *call) endStream(p *assignment, resp *exchange.Response) result {
 	if c.stream == nil {
-		c.beginStream(resp)
+		c.beginStream(p, resp)
 	}
 	if p.firstEventTime > 0 && p.resumedAfter == 0 {
 		p.ticket.RecordStream(c.stream.lastEvent, time.Since(p.sentAt)-p.firstEventTime)
