soak: daemons lose their paths to servers, servers fall silent

Each daemon dials servers from its own address (-source), so one proxy per server can treat each daemon by itself: silent, answers only, reset, and reset for new connections only. The kernel drops what comes from a silenced address, so that connecting hangs; a listener without Multipath TCP takes such a filter. Refused connections aren't possible here: the daemons share the listeners. A step draws how, how many daemons (all but one at most) and which; another one makes a sound server silent for 1 to 1.5 s. Two promises: daemons without a path serve, from 3 s on, two thirds of what the others do unless no more than 10 + 1/50 fail, and a request is passed on by one daemon only. Checks of what reaches servers now name the daemon that sent it, told by its address, instead of the one that the caller chose: with requests passed on, these differ. Where that daemon was killed or stopped, a stream cut there, or a close that arrived late, isn't the first daemon's doing; that it is disturbed is in the fault log. Tests of plans compare the fourth stream of steps too, and know the fifth.

--- a/internal/soak/access.go
+++ b/internal/soak/access.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"regexp"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -99,13 +100,24 @@
 	return keys[len(keys)-2]
 }
 
-// checkLogs reports keys in the daemons' logs.
+// forwardedLine matches the log line of a request that was passed on to another daemon.
+var forwardedLine = regexp.MustCompile(`"msg":"forwarded","instance":"[^"]*","request":"([^"]*)"`)
+
+// checkLogs reports keys in the daemons' logs, and requests that were passed on by two daemons.
 func (s *site) checkLogs() error {
+	forwardedBy := make(map[string]int)
 	for _, d := range s.daemons {
 		text, err := os.ReadFile(d.logs)
 		if err != nil {
 			return eris.Wrap(err, "read daemon log")
 		}
+		for _, line := range forwardedLine.FindAllSubmatch(text, -1) {
+			id := string(line[1])
+			if first, again := forwardedBy[id]; again && first != d.number {
+				s.oracle.report(ForwardedOnce, "%s was passed on by daemon %d and by daemon %d", id, first, d.number)
+			}
+			forwardedBy[id] = d.number
+		}
 		for _, keys := range s.access.keys {
 			for _, key := range keys {
 				if bytes.Contains(text, []byte(key.text)) {
--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -98,12 +98,12 @@
 // checkDrainNotice reports a request that its caller sent more than maxLeavingNotice after its
 // daemon had passed on the server's drain notice, unless the daemon has restarted or paused since.
 func (o *oracle) checkDrainNotice(v standin.RequestInfo, q *request, now time.Time) {
-	for _, at := range o.drainNotices[daemonServer{q.daemon, v.Server}] {
-		if !q.sentAt.After(at.Add(maxLeavingNotice)) || o.faults.began(at.Add(-restartDelay), now, daemonSubject(q.daemon)) {
+	for _, at := range o.drainNotices[daemonServer{q.sender, v.Server}] {
+		if !q.sentAt.After(at.Add(maxLeavingNotice)) || o.faults.began(at.Add(-restartDelay), now, daemonSubject(q.sender)) {
 			continue
 		}
-		if o.faults.undisturbed(at, now, subjectMachine, pauseSubject(q.daemon)) {
-			o.violate(DrainNoticeRespected, "%s reached %s, sent %v after daemon %d had passed on that it leaves", v.ID, v.Server, q.sentAt.Sub(at), q.daemon)
+		if o.faults.undisturbed(at, now, subjectMachine, pauseSubject(q.sender)) {
+			o.violate(DrainNoticeRespected, "%s reached %s, sent %v after daemon %d had passed on that it leaves", v.ID, v.Server, q.sentAt.Sub(at), q.sender)
 			return
 		}
 	}
@@ -115,21 +115,21 @@
 		return
 	}
 	o.counts["backoffs asked for"]++
-	key, now := daemonServer{q.daemon, v.Server}, time.Now()
+	key, now := daemonServer{q.sender, v.Server}, time.Now()
 	o.backoffs[key] = append(o.backoffs[key], &backoff{refused: q, asked: now, from: now.Add(backoffNotice), to: now.Add(v.Backoff)})
 }
 
 // checkBackoffs counts an arrival in the backoffs that it falls into, and reports the first that is
 // too much in one.
 func (o *oracle) checkBackoffs(v standin.RequestInfo, q *request, now time.Time) {
-	for _, r := range o.backoffs[daemonServer{q.daemon, v.Server}] {
+	for _, r := range o.backoffs[daemonServer{q.sender, v.Server}] {
 		if !now.After(r.from) || !now.Before(r.to) {
 			continue
 		}
 		r.arrivals++
-		if r.arrivals == maxBackoffArrivals+1 && o.backoffKnown(r, v.Server, q.daemon, now) {
+		if r.arrivals == maxBackoffArrivals+1 && o.backoffKnown(r, v.Server, q.sender, now) {
 			o.violate(BackoffRespected, "%s is request %d that reached %s in a backoff of %v, %v after daemon %d was asked for it",
-				v.ID, r.arrivals, v.Server, r.to.Sub(r.asked), now.Sub(r.asked), q.daemon)
+				v.ID, r.arrivals, v.Server, r.to.Sub(r.asked), now.Sub(r.asked), q.sender)
 		}
 	}
 }
--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -233,7 +233,7 @@
 // The faults of the later streams must not change those that a seed had without them.
 func TestLaterStreamsLeaveOtherSteps(t *testing.T) {
 	profile := DefaultFaultProfile()
-	later := slices.Concat(answerKindWeights, accessKindWeights, needKindWeights)
+	later := slices.Concat(answerKindWeights, accessKindWeights, needKindWeights, pathKindWeights)
 	for seed := range uint64(20) {
 		steps := NewPlan(seed, profile)
 		require.True(t, slices.IsSortedFunc(steps, func(a, b Step) int { return int(a.At - b.At) }))
@@ -247,6 +247,9 @@
 		access := profile
 		access.MeanInterval *= accessIntervalFactor
 		require.Equal(t, append([]Step{}, drawSteps(rand.New(rand.NewPCG(seed, accessStream)), access, accessKindWeights)...), stepsOf(NewPlan(seed, profile), accessKindWeights))
+		need := profile
+		need.MeanInterval *= needIntervalFactor
+		require.Equal(t, append([]Step{}, drawSteps(rand.New(rand.NewPCG(seed, needStream)), need, needKindWeights)...), stepsOf(NewPlan(seed, profile), needKindWeights))
 	}
 }
 
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -30,8 +30,8 @@
 	if !draining || since.After(from) {
 		return
 	}
-	if o.faults.undisturbed(from, now, subjectMachine, subjectStore, daemonSubject(q.daemon), storeLinkSubject(q.daemon), serversSubject(q.service.name)) {
-		o.violate(DrainedServerSpared, "%s reached %s, %v after it was listed as leaving, by daemon %d", v.ID, v.Server, now.Sub(since), q.daemon)
+	if o.faults.undisturbed(from, now, subjectMachine, subjectStore, daemonSubject(q.sender), storeLinkSubject(q.sender), serversSubject(q.service.name)) {
+		o.violate(DrainedServerSpared, "%s reached %s, %v after it was listed as leaving, by daemon %d", v.ID, v.Server, now.Sub(since), q.sender)
 	}
 }
 
@@ -43,8 +43,8 @@
 	if !removed || since.After(from) {
 		return
 	}
-	if o.faults.undisturbed(from, now, subjectMachine, subjectStore, daemonSubject(q.daemon), storeLinkSubject(q.daemon)) {
-		o.violate(DrainedServerSpared, "%s was meant for %s, %v after its entry was taken out, by daemon %d", v.ID, v.ExpectedServer, now.Sub(since), q.daemon)
+	if o.faults.undisturbed(from, now, subjectMachine, subjectStore, daemonSubject(q.sender), storeLinkSubject(q.sender)) {
+		o.violate(DrainedServerSpared, "%s was meant for %s, %v after its entry was taken out, by daemon %d", v.ID, v.ExpectedServer, now.Sub(since), q.sender)
 	}
 }
 
@@ -132,6 +132,9 @@
 	if !o.faults.undisturbed(q.sentAt, lostAt, pauseSubject(q.daemon)) {
 		return
 	}
+	if q.sender != q.daemon && !o.faults.undisturbed(q.sentAt, lostAt, daemonSubject(q.sender)) {
+		return // the daemon that it was passed on to was killed or stopped
+	}
 	if r.Status != 0 && (q.service.stream || r.Status != http.StatusOK) && !o.faults.undisturbed(q.sentAt, lostAt, serversSubject(q.service.name)) {
 		return // a stream broken by its server can't be distinguished from one that the daemon cut
 	}
@@ -159,7 +162,7 @@
 			continue
 		}
 		due := q.closedAt.Add(maxCancelDelay)
-		if !o.faults.undisturbed(q.closedAt, due, subjectMachine, daemonSubject(q.daemon), serversSubject(q.service.name)) {
+		if !o.faults.undisturbed(q.closedAt, due, subjectMachine, daemonSubject(q.daemon), daemonSubject(q.sender), serversSubject(q.service.name)) {
 			continue
 		}
 		closed[q.service.name]++
--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -75,7 +75,7 @@
 		return eris.Wrap(err, "open daemon log")
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
-	cmd := exec.Command(d.program, "-settings", d.settings)
+	cmd := exec.Command(d.program, "-settings", d.settings, "-source", d.config.IP)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return eris.Wrap(err, "start daemon")
--- a/internal/soak/lethal.go
+++ b/internal/soak/lethal.go
@@ -121,11 +121,11 @@
 	if l == nil || l.refusedFrom.IsZero() || q.sentAt.Before(l.refusedFrom) {
 		return
 	}
-	if !o.faults.undisturbed(now.Add(-refusalNotice), now, subjectMachine, daemonSubject(q.daemon), pauseSubject(q.daemon)) {
+	if !o.faults.undisturbed(now.Add(-refusalNotice), now, subjectMachine, daemonSubject(q.sender), pauseSubject(q.sender)) {
 		return
 	}
 	if l.arrivals++; l.arrivals > maxLethalArrivals {
 		o.violate(LethalRefused, "%s reached %s from daemon %d, the %dth time since it had to be refused; it crashed %d servers",
-			v.ID, v.Server, q.daemon, l.arrivals, l.crashes)
+			v.ID, v.Server, q.sender, l.arrivals, l.crashes)
 	}
 }
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -54,7 +54,7 @@
 
 func (o *oracle) recordLimited(v standin.RequestInfo, q *request, now time.Time) {
 	if l := o.limits[v.Server]; l != nil && now.After(l.named.Add(limitNotice)) {
-		l.arrivals = append(l.arrivals, limitedArrival{now, q.daemon})
+		l.arrivals = append(l.arrivals, limitedArrival{now, q.sender})
 	}
 }
 
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -14,8 +14,9 @@
 type request struct {
 	service service
 	key     *accessKey
-	daemon  int
-	sentAt  time.Time
+	// daemon is the one that the caller chose, sender the one that last sent the request to a server.
+	daemon, sender int
+	sentAt         time.Time
 	// closedAt is when the caller closed the connection; zero if it didn't.
 	closedAt time.Time
 	// activeAtClose is set if a server was handling the request at that time.
@@ -62,6 +63,10 @@
 	// lethal holds the requests that crash servers, by body, limits the servers that name a limit.
 	lethal map[string]*lethalRequest
 	limits map[string]*limitedServer
+	// senders returns the daemon that sent what arrives at a server from an address; nil knows none.
+	senders func(address string) (daemon int, known bool)
+	// cuts holds the cuts in progress.
+	cuts   map[*pathCut]bool
 	counts map[string]int
 	// lastFailure is when a request that its caller didn't close last failed.
 	lastFailure time.Time
@@ -88,7 +93,7 @@
 		draining: make(map[string]time.Time), removed: make(map[string]time.Time), newestVersion: make(map[process]observedVersion),
 		retries: make(map[string][]time.Time), requestTimes: make(map[string][]time.Time), counts: make(map[string]int),
 		drainNotices: make(map[daemonServer][]time.Time), backoffs: make(map[daemonServer][]*backoff),
-		lethal: make(map[string]*lethalRequest), limits: make(map[string]*limitedServer),
+		lethal: make(map[string]*lethalRequest), limits: make(map[string]*limitedServer), cuts: make(map[*pathCut]bool),
 	}
 }
 
@@ -149,7 +154,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
-	o.requests[id] = &request{service: s, key: key, daemon: daemon, sentAt: now, saidLeaving: make(map[string]bool)}
+	o.requests[id] = &request{service: s, key: key, daemon: daemon, sender: daemon, sentAt: now, saidLeaving: make(map[string]bool)}
 	o.requestTimes[s.name] = append(o.requestTimes[s.name], now)
 }
 
@@ -171,6 +176,7 @@
 		return
 	}
 	now := time.Now()
+	q.sender = o.senderOf(v, q)
 	if v.Forged {
 		o.violate(NoForgedHeaders, "%s at %s", v.ID, v.Server)
 	}
@@ -195,6 +201,22 @@
 	q.active++
 }
 
+// senderOf returns the daemon that has sent a request to a server: the one that the caller chose may
+// have passed it on.
+func (o *oracle) senderOf(v standin.RequestInfo, q *request) int {
+	if o.senders == nil {
+		return q.daemon
+	}
+	sender, known := o.senders(v.From)
+	if !known {
+		return q.daemon
+	}
+	if sender != q.daemon {
+		o.counts["arrivals by another daemon"]++
+	}
+	return sender
+}
+
 // Ran implements standin.Observer.
 func (o *oracle) Ran(v standin.RequestInfo) {
 	o.mu.Lock()
@@ -243,6 +265,7 @@
 	if (r.Status != http.StatusOK || r.Err != nil) && q.key.removedAt.IsZero() {
 		o.lastFailure = now
 	}
+	o.recordCut(q, r, now)
 	o.checkUnauthorised(id, q, r, now)
 	o.checkDeadline(id, q, now)
 	if r.Err != nil && r.Status == 0 {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,6 +42,8 @@
 	FailProvider      FaultKind = "platform-calls-fail"
 	SendLethal        FaultKind = "request-crashes-servers"
 	LimitServer       FaultKind = "server-names-limit"
+	CutPaths          FaultKind = "daemons-lose-path"
+	SilenceServer     FaultKind = "server-falls-silent"
 )
 
 // Step is one fault of a run.
@@ -128,7 +130,14 @@
 // needKindWeights holds the kinds of the fourth stream: what servers need to survive.
 var needKindWeights = []kindWeight{{SendLethal, 1}, {LimitServer, 2}}
 
+// pathKindWeights holds the kinds of the fifth stream: paths from daemons to servers.
+var pathKindWeights = []kindWeight{{CutPaths, 2}, {SilenceServer, 1}}
+
 const (
+	// pathStream is the random stream of the fifth stream of steps, pathIntervalFactor how much longer
+	// its intervals are.
+	pathStream         = 1 << 35
+	pathIntervalFactor = 12
 	// needStream is the random stream of the fourth stream of steps, needIntervalFactor how much
 	// longer its intervals are.
 	needStream         = 1 << 34
@@ -153,6 +162,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, accessStream)), profile, accessKindWeights)...)
 	profile.MeanInterval *= needIntervalFactor / accessIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, needStream)), profile, needKindWeights)...)
+	profile.MeanInterval = profile.MeanInterval / needIntervalFactor * pathIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, pathStream)), profile, pathKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -36,6 +36,8 @@
 	OneReport              Promise = "a window's usage is reported in one way only"
 	UsageReported          Promise = "usage is reported in time and as it was"
 	LethalRefused          Promise = "a request that crashes servers is refused by all daemons"
+	CutDaemonsServe        Promise = "daemons without a path to the servers serve what others could"
+	ForwardedOnce          Promise = "a request goes from one daemon to another once"
 	LimitKept              Promise = "a server's limit holds over all daemons"
 )
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	ModeStallReplies
 	// ModeReset resets all connections, and new ones at once.
 	ModeReset
+	// ModeResetNew resets new connections at once; those from before live on.
+	ModeResetNew
 )
 
 const (
@@ -43,19 +46,24 @@
 	mu     sync.Mutex
 	target string
 	mode   Mode
+	// modes are the modes of connections from single addresses; they precede the proxy's.
+	modes map[string]Mode
 	// changed is closed and replaced whenever the mode is set.
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
+	// sources holds the IP address from which each connection to the target is used, by the local
+	// address of that connection.
+	sources map[string]string
 	closed  bool
 }
 
 // NewProxy listens at a loopback address. Close must be called.
 func NewProxy(ip, target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	l, err := listenTCP(net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy listener")
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]struct{})}
+	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]struct{}), modes: make(map[string]Mode), sources: make(map[string]string)}
 	p.wg.Go(func() { p.accept(l) })
 	return p, nil
 }
@@ -86,6 +94,50 @@
 	}
 }
 
+// SetModeFor changes the mode of all connections that come from an IP address, including open ones.
+func (p *Proxy) SetModeFor(ip string, m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.modes[ip] = m
+	if m == ModePass {
+		delete(p.modes, ip)
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if err := p.filter(); err != nil && !errors.Is(err, net.ErrClosed) {
+		panic(err) // the run would not have the fault that it reports
+	}
+	if m != ModeReset {
+		return
+	}
+	for c := range p.conns {
+		if hostOf(c.RemoteAddr()) == ip {
+			reset(c)
+		}
+	}
+}
+
+// filter keeps new connections from being made that would get no answer. p.mu is held.
+func (p *Proxy) filter() error {
+	var silent []string
+	for ip, m := range p.modes {
+		if m == ModeStall || m == ModeStallReplies {
+			silent = append(silent, ip)
+		}
+	}
+	return dropPacketsFrom(p.listener, silent)
+}
+
+func hostOf(a net.Addr) string { return a.(*net.TCPAddr).IP.String() }
+
+// modeFor returns the mode of a connection. p.mu is held.
+func (p *Proxy) modeFor(ip string) Mode {
+	if m, set := p.modes[ip]; set {
+		return m
+	}
+	return p.mode
+}
+
 // Pause closes the listener, as if no program listened at the address, and resets all connections.
 func (p *Proxy) Pause() {
 	p.mu.Lock()
@@ -101,11 +153,14 @@
 	if p.closed {
 		return
 	}
-	l, err := net.Listen("tcp", p.listener.Addr().String())
+	l, err := listenTCP(p.listener.Addr().String())
 	if err != nil {
 		panic(err)
 	}
 	p.listener = l
+	if err := p.filter(); err != nil {
+		panic(err)
+	}
 	p.wg.Go(func() { p.accept(l) })
 }
 
@@ -147,7 +202,8 @@
 func (p *Proxy) serve(caller net.Conn) {
 	defer func() { _ = caller.Close() }()
 	p.mu.Lock()
-	target, broken := p.target, p.mode == ModeReset || p.closed
+	mode := p.modeFor(hostOf(caller.RemoteAddr()))
+	target, broken := p.target, mode == ModeReset || mode == ModeResetNew || p.closed
 	p.mu.Unlock()
 	if broken {
 		reset(caller)
@@ -164,9 +220,11 @@
 		return
 	}
 	defer p.untrack(caller, server)
+	p.setSource(server, hostOf(caller.RemoteAddr()))
 	var wg conc.WaitGroup
-	wg.Go(func() { p.forward(server, caller, false) })
-	wg.Go(func() { p.forward(caller, server, true) })
+	from := hostOf(caller.RemoteAddr())
+	wg.Go(func() { p.forward(server, caller, from, false) })
+	wg.Go(func() { p.forward(caller, server, from, true) })
 	wg.Wait()
 }
 
@@ -182,6 +240,20 @@
 	return true
 }
 
+func (p *Proxy) setSource(server net.Conn, ip string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sources[server.LocalAddr().String()] = ip
+}
+
+// Source returns the IP address for which the proxy connects to the target from an address.
+func (p *Proxy) Source(address string) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ip, known := p.sources[address]
+	return ip, known
+}
+
 func (p *Proxy) untrack(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -191,11 +263,11 @@
 }
 
 // forward copies one direction. When either side closes, it closes both.
-func (p *Proxy) forward(dst, src net.Conn, replies bool) {
+func (p *Proxy) forward(dst, src net.Conn, from string, replies bool) {
 	chunk := make([]byte, chunkSize)
 	for {
 		n, err := src.Read(chunk)
-		p.awaitMode(replies)
+		p.awaitMode(from, replies)
 		if n > 0 {
 			if _, werr := dst.Write(chunk[:n]); werr != nil {
 				err = werr
@@ -209,11 +281,11 @@
 	}
 }
 
-// awaitMode blocks while the mode holds back this direction.
-func (p *Proxy) awaitMode(replies bool) {
+// awaitMode blocks while the mode of connections from an address holds back this direction.
+func (p *Proxy) awaitMode(from string, replies bool) {
 	for {
 		p.mu.Lock()
-		mode, changed := p.mode, p.changed
+		mode, changed := p.modeFor(from), p.changed
 		p.mu.Unlock()
 		switch {
 		case mode == ModeDelay:
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -98,3 +98,40 @@
 	require.NoError(t, err)
 	require.True(t, receives(t, c, 10*time.Second))
 }
+
+// Guards against cuts of one daemon's path that hit other daemons, or let anything through.
+func TestProxyModeOfOneAddress(t *testing.T) {
+	const cutIP, otherIP = "127.0.0.3", "127.0.0.4"
+	for _, mode := range pathModes {
+		p, err := NewProxy("127.0.0.1", echo(t))
+		require.NoError(t, err)
+		defer p.Close()
+		dialFrom := func(ip string) (net.Conn, error) {
+			d := net.Dialer{Timeout: 200 * time.Millisecond, LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+			c, err := d.Dial("tcp", p.Address())
+			if err == nil {
+				t.Cleanup(func() { _ = c.Close() })
+			}
+			return c, err
+		}
+		reaches := func(ip string) bool {
+			c, err := dialFrom(ip)
+			if err != nil {
+				return false
+			}
+			_, _ = c.Write([]byte("x"))
+			return receives(t, c, 200*time.Millisecond)
+		}
+		before, err := dialFrom(cutIP)
+		require.NoError(t, err)
+		require.True(t, echoes(t, before))
+		require.True(t, reaches(otherIP))
+		p.SetModeFor(cutIP, mode)
+		require.False(t, reaches(cutIP), "%v", mode)
+		require.True(t, reaches(otherIP), "%v", mode)
+		_, _ = before.Write([]byte("x"))
+		require.Equal(t, mode == ModeResetNew, receives(t, before, 200*time.Millisecond), "%v: a connection from before", mode)
+		p.SetModeFor(cutIP, ModePass)
+		require.True(t, reaches(cutIP), "%v", mode)
+	}
+}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -103,6 +103,8 @@
 	published      int
 	access         access
 	serversStarted int
+	// serverLinks are all links to servers.
+	serverLinks    []*Proxy
 	stoppedServers []*standin.Server
 	// freeLinks are links whose servers have stopped: the next server, of any pool, gets the
 	// address that was released last.
@@ -149,6 +151,7 @@
 		}
 	}
 	s.publish()
+	s.oracle.senders = s.senderAt
 	return s, s.addDaemons(o, network)
 }
 
@@ -182,6 +185,18 @@
 	s.store.PutConfig(s.published, rules, s.access.published()...)
 }
 
+// senderAt returns the daemon whose connection reaches a server from an address.
+func (s *site) senderAt(address string) (int, bool) {
+	for _, link := range s.serverLinks {
+		if ip, known := link.Source(address); known {
+			if d, ok := s.daemonAt(net.JoinHostPort(ip, "0")); ok {
+				return d.number, true
+			}
+		}
+	}
+	return 0, false
+}
+
 // launchOf returns the number of a daemon's current process, 0 if there is no such daemon.
 func (s *site) launchOf(name string) int {
 	for _, d := range s.daemons {
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -62,6 +62,7 @@
 			return err
 		}
 		s.freeLinks = append(s.freeLinks, link)
+		s.serverLinks = append(s.serverLinks, link)
 	}
 	return nil
 }
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -90,6 +90,10 @@
 		s.sendLethal(step)
 	case LimitServer:
 		tryReplace(slot, func() { s.limitServer(slot, step) })
+	case CutPaths:
+		s.cutPaths(step)
+	case SilenceServer:
+		s.silenceServer(slot, step)
 	case FailProvider:
 		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
