relay: requests in flight over a lost path go on elsewhere

What callers saw (the soak's first plan with a silent cut): streams in flight when the cut began hung until their deadline and broke off, 16 events of 20, where the rule names no gap objective and so no timeout for silence. Once the path to a pool is lost, attempts that have been silent for 0.3 s are now aborted if they may be sent again and the retry budget allows it; they go on at another daemon from the last event. Others run on: connections from before a cut may live on, and what may not run twice ends at its deadline. A second fault showed once in the new test under the race detector, behind reset paths, and was traced by its logs: the forwarding daemon passed on which upstreams it had excluded, which were all, so that the other daemon found no place. What one daemon doesn't reach says nothing of the upstream: exclusions stay at home. In the soak, a stream that breaks while the path of the daemon that sent it is cut counts like one whose server broke it: without budget it can't go on (the trace of that plan).

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -34,8 +34,6 @@
 	// forwardStallFactor lengthens the timeouts for silence of another daemon: it has the same ones
 	// for its upstream, and may send the request to another one after that.
 	forwardStallFactor = 2
-	// maxForwardedExclusions limits the upstreams named in a forwarded request.
-	maxForwardedExclusions = 16
 )
 
 // ForwardPeer is a daemon to which requests can be forwarded.
@@ -98,14 +96,17 @@
 	return pool
 }
 
-// retain closes the connections to daemons that are no longer known.
-func (f *forwarder) retain(peers []ForwardPeer) {
-	known := make(map[string]bool, len(peers))
-	for _, p := range peers {
-		known[p.Address] = true
-	}
+// closeUnknown closes the connections to daemons that are no longer known.
+func (f *forwarder) closeUnknown(peers func(pool string) []ForwardPeer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.conns) == 0 {
+		return
+	}
+	known := make(map[string]bool)
+	for _, p := range peers("") {
+		known[p.Address] = true
+	}
 	for address, pool := range f.conns {
 		if !known[address] {
 			pool.Close()
@@ -221,8 +222,9 @@
 	return c.relayResponse(ctx, p, resp), nil
 }
 
-// newForwardedRequest returns the caller's request with what this daemon has decided so far. The
-// caller's API key goes along: the other daemon checks it by its own configuration.
+// newForwardedRequest returns the caller's request with what this daemon has decided so far, but for
+// the upstreams that it excludes: it may be the only one that doesn't reach them. The caller's API key
+// goes along: the other daemon checks it by its own configuration.
 func (c *call) newForwardedRequest() *exchange.Request {
 	d := c.relay.cfg.Dialect
 	h := d.RequestHeaders(c.in.Header)
@@ -230,8 +232,8 @@
 		From: c.relay.cfg.Instance, ConfigVersion: c.version,
 		Elapsed: time.Since(c.arrived), Remaining: time.Until(c.deadline) - forwardReserve,
 		Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(), Begun: c.begun,
-		Excluded: c.excluded[:min(len(c.excluded), maxForwardedExclusions)], ResumeAfter: c.resumeAfter(),
-		Retried: c.retried, DemandCounted: c.demandCounted,
+		ResumeAfter: c.resumeAfter(),
+		Retried:     c.retried, DemandCounted: c.demandCounted,
 	}))
 	return &exchange.Request{
 		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: h, Body: c.body,
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -42,7 +42,6 @@
 	c.deadline = now.Add(f.Remaining)
 	c.Call.ResumeAfter = f.ResumeAfter
 	c.retried, c.demandCounted, c.begun = f.Retried, f.DemandCounted, f.Begun
-	c.excluded = append(c.excluded, f.Excluded...)
 	for range f.Attempts {
 		c.attempts.RecordAttempt()
 	}
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -36,8 +36,6 @@
 	Attempts   int
 	MayHaveRun bool
 	Begun      bool
-	// Excluded names upstreams that must not be tried again.
-	Excluded []string
 	// ResumeAfter is the id of the last event that the caller received.
 	ResumeAfter int
 	// Retried says that the caller retries after a refusal, DemandCounted that the request has been
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -34,10 +36,14 @@
 	// failed gets a token when a connection has failed.
 	failed chan struct{}
 	checks conc.WaitGroup
+
+	mu sync.Mutex
+	// attempts are those in progress.
+	attempts map[*stallWatchdog]struct{}
 }
 
 func newPaths(r *Relay) *paths {
-	return &paths{relay: r, tracker: reach.NewTracker(reach.Config{}, nil), failed: make(chan struct{}, 1)}
+	return &paths{relay: r, tracker: reach.NewTracker(reach.Config{}, nil), failed: make(chan struct{}, 1), attempts: make(map[*stallWatchdog]struct{})}
 }
 
 // String implements fmt.Stringer; the supervisor logs it.
@@ -53,6 +59,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			p.relay.forwarder.closeUnknown(p.relay.cfg.ForwardPeers)
 		case <-p.failed:
 		}
 		pools := p.relay.cfg.State.Snapshot().Pools
@@ -78,6 +85,9 @@
 func (p *paths) check(ctx context.Context, pool string, upstreams []*fleet.Upstream, kind reach.CheckKind) {
 	result := p.try(ctx, upstreams, kind)
 	change := p.tracker.EndCheck(pool, result)
+	if p.tracker.IsLost(pool) {
+		p.abortSilent(pool)
+	}
 	if change == reach.Unchanged {
 		return
 	}
@@ -100,6 +110,35 @@
 	p.relay.WakeWaiting()
 }
 
+// watch adds an attempt that is aborted if it is silent while its path is lost, unwatch removes it.
+func (p *paths) watch(w *stallWatchdog) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.attempts[w] = struct{}{}
+}
+
+func (p *paths) unwatch(w *stallWatchdog) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.attempts, w)
+}
+
+// abortSilent aborts the silent attempts at a pool's upstreams. Connections from before a cut may
+// live on.
+func (p *paths) abortSilent(pool string) {
+	p.mu.Lock()
+	var lost []*stallWatchdog
+	for w := range p.attempts {
+		if w.call.pool == pool {
+			lost = append(lost, w)
+		}
+	}
+	p.mu.Unlock()
+	for _, w := range lost {
+		w.pathLost()
+	}
+}
+
 // try tries to reach some of the given upstreams.
 func (p *paths) try(ctx context.Context, upstreams []*fleet.Upstream, kind reach.CheckKind) reach.Check {
 	sample := slices.DeleteFunc(slices.Clone(upstreams), func(u *fleet.Upstream) bool { return u.Draining })
@@ -139,9 +178,9 @@
 	}
 	h := http.Header{}
 	p.relay.cfg.Dialect.SetAttemptHeaders(h, Attempt{Upstream: u.ID, Urgency: -1})
-	resp, err := p.relay.connsTo(u).Do(ctx, &exchange.Request{Method: http.MethodGet, Target: path, Host: u.Address, Header: h})
+	resp, err := p.relay.connsTo(u).Do(ctx, &exchange.Request{Method: http.MethodGet, Target: path, Host: u.Address, Header: h, Admit: p.relay.admit(u)})
 	if err != nil {
-		return false
+		return errors.Is(err, ErrHeldBack) // which says nothing of the path
 	}
 	resp.Close()
 	return true
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -18,6 +18,8 @@
 	// minStallTimeout is the lower bound of both timeouts. It is longer than the pauses of
 	// healthy upstreams (up to 0.28 s) and than the retransmission of a lost packet.
 	minStallTimeout = 600 * time.Millisecond
+	// lostPathSilence is the silence after which an attempt is aborted that goes over a lost path.
+	lostPathSilence = 300 * time.Millisecond
 )
 
 var errStalled = errors.New("the upstream stalled")
@@ -28,17 +30,24 @@
 type stallWatchdog struct {
 	call   *call
 	cancel context.CancelCauseFunc
+	// retryable says that the request may be sent again after the attempt.
+	retryable bool
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// heardAt is when the upstream last sent something, or the attempt began.
+	heardAt time.Time
 }
 
 // watchForStall returns a context that is cancelled when the upstream stalls, with a
 // watchdog that is armed for the first event.
 func (c *call) watchForStall(ctx context.Context, p *assignment) (context.Context, *stallWatchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &stallWatchdog{call: c, cancel: cancel}
+	w := &stallWatchdog{call: c, cancel: cancel, retryable: c.attempts.MayRetry(1), heardAt: time.Now()}
 	w.arm(c.firstEventTimeout(p))
+	if p.peer == nil {
+		c.relay.paths.watch(w)
+	}
 	return ctx, w
 }
 
@@ -81,12 +90,24 @@
 func (w *stallWatchdog) disarm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.heardAt = time.Now()
 	if w.timer != nil {
 		w.timer.Stop()
 		w.timer = nil
 	}
 }
 
+// pathLost aborts an attempt whose upstream has been silent for a while, because the path to its
+// pool is lost: other daemons may reach it.
+func (w *stallWatchdog) pathLost() {
+	w.mu.Lock()
+	silent := time.Since(w.heardAt)
+	w.mu.Unlock()
+	if silent >= lostPathSilence && w.retryable {
+		w.expire()
+	}
+}
+
 // expire aborts the attempt if the budget allows a retry: a stalled upstream is still
 // better than none.
 func (w *stallWatchdog) expire() {
@@ -108,6 +129,7 @@
 
 // stop releases the watchdog.
 func (w *stallWatchdog) stop() {
+	w.call.relay.paths.unwatch(w)
 	w.disarm()
 	w.cancel(nil)
 }
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -135,8 +135,8 @@
 	if q.sender != q.daemon && !o.faults.undisturbed(q.sentAt, lostAt, daemonSubject(q.sender)) {
 		return // the daemon that it was passed on to was killed or stopped
 	}
-	if r.Status != 0 && (q.service.stream || r.Status != http.StatusOK) && !o.faults.undisturbed(q.sentAt, lostAt, serversSubject(q.service.name)) {
-		return // a stream broken by its server can't be distinguished from one that the daemon cut
+	if r.Status != 0 && (q.service.stream || r.Status != http.StatusOK) && !o.faults.undisturbed(q.sentAt, lostAt, serversSubject(q.service.name), pathSubject(q.sender)) {
+		return // a stream broken on the way from its server can't be distinguished from one that the daemon cut
 	}
 	if o.faults.undisturbed(q.sentAt, lostAt, subjectMachine) {
 		o.violate(NoCutRequests, "%s to %s at daemon %d was cut: %v; sent %s, cut %s, process ended %s, passed on %t",
--- a/internal/soak/cut.go
+++ b/internal/soak/cut.go
@@ -147,7 +147,7 @@
 // inTouch reports whether a request's daemon was undisturbed, but for its path to servers.
 func (o *oracle) inTouch(q *request, now time.Time) bool {
 	from := q.sentAt.Add(-cutNotice)
-	return o.faults.undisturbed(from, now, subjectMachine, subjectStore, daemonSubject(q.daemon), pauseSubject(q.daemon), storeLinkSubject(q.daemon))
+	return o.faults.undisturbed(from, now, subjectMachine, daemonSubject(q.daemon), pauseSubject(q.daemon), storeLinkSubject(q.daemon))
 }
 
 // pathsHealed checks what the daemons without a path have served.
