pathwatch: the checks of paths, apart from the relay

The same runtime will serve the own interface: when reach asks for a check, it tries some upstreams of the pool and records the result.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -102,7 +102,7 @@
 // reached.
 func (c *call) failCapacity() *failure {
 	h := c.relay.cfg.Tracker.PoolHealth(c.pool)
-	if h.Listed > 0 && h.Unreachable == h.Listed || c.relay.paths.tracker.IsLost(c.pool) {
+	if h.Listed > 0 && h.Unreachable == h.Listed || c.relay.paths.Tracker.IsLost(c.pool) {
 		return c.fail(reasonUnreachable, "this daemon reaches no upstream")
 	}
 	return c.fail(reasonNoCapacity, "no upstream has a free place")
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -35,8 +35,8 @@
 func (c *call) attempt(ctx context.Context, p *assignment) result {
 	p.sentAt = time.Now()
 	p.resumedAfter = c.resumeAfter()
-	c.relay.paths.tracker.Sent(c.pool)
-	defer c.relay.paths.tracker.Ended(c.pool)
+	c.relay.paths.Tracker.Sent(c.pool)
+	defer c.relay.paths.Tracker.Ended(c.pool)
 	if p.prefill != nil {
 		handle, res := c.prefill(ctx, p)
 		if res.err != nil {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -130,7 +130,7 @@
 
 // shouldForward reports whether other daemons are asked before this one tries.
 func (c *call) shouldForward() bool {
-	return c.mayForward() && c.relay.paths.tracker.IsLost(c.pool)
+	return c.mayForward() && c.relay.paths.Tracker.IsLost(c.pool)
 }
 
 // mayForward reports whether the request may be forwarded: one that was forwarded already never is.
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -3,39 +3,23 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/pathwatch"
 	"tamarackchute/reach"
 )
 
-const (
-	// pathsInterval is how often paths are looked at without a failed connection.
-	pathsInterval = 100 * time.Millisecond
-	// maxCheckedUpstreams is the number of upstreams that a check of a path tries.
-	maxCheckedUpstreams = 8
-	// pathCheckTimeout limits the time of a check. Within a site a connection takes a few milliseconds;
-	// an upstream that takes longer isn't reached in time for most requests.
-	pathCheckTimeout = 250 * time.Millisecond
-	// verifyOpen is how long a connection must stay open. Within a site a reset arrives in less.
-	verifyOpen = 10 * time.Millisecond
-)
+// verifyOpen is how long a new connection must stay open. Within a site a reset arrives in less.
+const verifyOpen = 10 * time.Millisecond
 
-// paths finds out whether this daemon's path to the upstreams of a pool is lost. It is a
-// suture.Service.
+// paths knows to which pools this daemon has lost its path, and the attempts that go over them.
 type paths struct {
-	relay   *Relay
-	tracker *reach.Tracker
-	// failed gets a token when a connection has failed.
-	failed chan struct{}
-	checks conc.WaitGroup
+	*pathwatch.Watcher
+	relay *Relay
 
 	mu sync.Mutex
 	// attempts are those in progress.
@@ -43,71 +27,48 @@
 }
 
 func newPaths(r *Relay) *paths {
-	return &paths{relay: r, tracker: reach.NewTracker(reach.Config{}, nil), failed: make(chan struct{}, 1), attempts: make(map[*stallWatchdog]struct{})}
+	p := &paths{relay: r, attempts: make(map[*stallWatchdog]struct{})}
+	p.Watcher = pathwatch.New(pathwatch.Config{Pools: p.pools, Reaches: p.reaches, OnCheck: p.checked, OnChange: p.changed})
+	return p
 }
 
-// String implements fmt.Stringer; the supervisor logs it.
-func (p *paths) String() string { return "paths to upstreams" }
-
-// Serve implements suture.Service.
-func (p *paths) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(pathsInterval)
-	defer ticker.Stop()
-	defer p.checks.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			p.relay.forwarder.closeUnknown(p.relay.cfg.ForwardPeers)
-		case <-p.failed:
-		}
-		pools := p.relay.cfg.State.Snapshot().Pools
-		p.tracker.Retain(func(pool string) bool { return len(pools[pool]) > 0 })
-		for pool, upstreams := range pools {
-			if kind := p.tracker.BeginCheck(pool); kind != reach.NoCheck {
-				p.checks.Go(func() { p.check(ctx, pool, upstreams, kind) })
+// pools returns the IDs of the upstreams that aren't draining, by pool.
+func (p *paths) pools() map[string][]string {
+	snapshot := p.relay.cfg.State.Snapshot()
+	pools := make(map[string][]string, len(snapshot.Pools))
+	for name, upstreams := range snapshot.Pools {
+		for _, u := range upstreams {
+			if !u.Draining {
+				pools[name] = append(pools[name], u.ID)
 			}
 		}
 	}
+	return pools
 }
 
-// recordFailure records that a connection to a pool's upstream could not be made, or broke.
-func (p *paths) recordFailure(pool string) {
-	p.tracker.Failed(pool)
-	select {
-	case p.failed <- struct{}{}:
-	default:
-	}
-}
-
-// check checks the path to a pool.
-func (p *paths) check(ctx context.Context, pool string, upstreams []*fleet.Upstream, kind reach.CheckKind) {
-	result := p.try(ctx, upstreams, kind)
-	change := p.tracker.EndCheck(pool, result)
-	if p.tracker.IsLost(pool) {
-		p.abortSilent(pool)
-	}
-	if change == reach.Unchanged {
-		return
-	}
-	p.relay.metrics.recordPath(pool, change)
+// changed implements pathwatch.Config.OnChange.
+func (p *paths) changed(pool string, change reach.Change, result reach.Check) {
+	r := p.relay
+	r.metrics.recordPath(pool, change)
 	attrs := []any{"pool", pool, "tried", result.Tried, "reached", result.Reached}
 	if change == reach.Lost {
-		p.relay.cfg.Logger.Warn("path to upstreams lost", attrs...)
-		for other := range p.relay.cfg.State.Snapshot().Pools {
-			if other != pool {
-				p.recordFailure(other)
-			}
-		}
+		r.cfg.Logger.Warn("path to upstreams lost", attrs...)
 	} else {
-		p.relay.cfg.Logger.Info("path to upstreams works again", attrs...)
-		p.relay.cfg.Tracker.ReadmitUnreachable(pool)
+		r.cfg.Logger.Info("path to upstreams works again", attrs...)
+		r.cfg.Tracker.ReadmitUnreachable(pool)
 	}
-	if p.relay.cfg.OnPathChange != nil {
-		p.relay.cfg.OnPathChange()
+	if r.cfg.OnPathChange != nil {
+		r.cfg.OnPathChange()
 	}
-	p.relay.WakeWaiting()
+	r.WakeWaiting()
+}
+
+// checked implements pathwatch.Config.OnCheck.
+func (p *paths) checked(pool string) {
+	if p.IsLost(pool) {
+		p.abortSilent(pool)
+	}
+	p.relay.forwarder.closeUnknown(p.relay.cfg.ForwardPeers)
 }
 
 // watch adds an attempt that is aborted if it is silent while its path is lost, unwatch removes it.
@@ -139,43 +100,20 @@
 	}
 }
 
-// try tries to reach some of the given upstreams.
-func (p *paths) try(ctx context.Context, upstreams []*fleet.Upstream, kind reach.CheckKind) reach.Check {
-	sample := slices.DeleteFunc(slices.Clone(upstreams), func(u *fleet.Upstream) bool { return u.Draining })
-	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
-	sample = sample[:min(len(sample), maxCheckedUpstreams)]
-	reaches := p.connects
-	if kind == reach.CheckResponses {
-		reaches = p.responds
-	}
-	ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
-	defer cancel()
-	reached := make([]bool, len(sample))
-	var wg conc.WaitGroup
-	for i, u := range sample {
-		wg.Go(func() { reached[i] = reaches(ctx, u) })
+// reaches implements pathwatch.Config.Reaches.
+func (p *paths) reaches(ctx context.Context, id string, kind reach.CheckKind) bool {
+	u := p.relay.cfg.State.Snapshot().Upstreams[id]
+	if u == nil {
+		return false
 	}
-	wg.Wait()
-	check := reach.Check{Tried: len(sample)}
-	for _, ok := range reached {
-		if ok {
-			check.Reached++
-		}
+	if path := p.healthPath(u.Pool); kind == reach.CheckResponses && path != "" {
+		return p.responds(ctx, u, path)
 	}
-	return check
-}
-
-// connects reports whether an upstream accepts a connection and leaves it open.
-func (p *paths) connects(ctx context.Context, u *fleet.Upstream) bool {
 	return p.relay.connsTo(u).Verify(ctx, verifyOpen) == nil
 }
 
 // responds reports whether an upstream answers a request for its health, whatever it says.
-func (p *paths) responds(ctx context.Context, u *fleet.Upstream) bool {
-	path := p.healthPath(u.Pool)
-	if path == "" {
-		return p.connects(ctx, u)
-	}
+func (p *paths) responds(ctx context.Context, u *fleet.Upstream, path string) bool {
 	h := http.Header{}
 	p.relay.cfg.Dialect.SetAttemptHeaders(h, Attempt{Upstream: u.ID, Urgency: -1})
 	resp, err := p.relay.connsTo(u).Do(ctx, &exchange.Request{Method: http.MethodGet, Target: path, Host: u.Address, Header: h, Admit: p.relay.admit(u)})
@@ -195,22 +133,10 @@
 }
 
 // PathService returns the service that watches the paths to upstreams.
-func (r *Relay) PathService() interface{ Serve(context.Context) error } { return r.paths }
+func (r *Relay) PathService() *pathwatch.Watcher { return r.paths.Watcher }
 
 // LostPools returns the pools to whose upstreams this daemon has lost its path.
-func (r *Relay) LostPools() []string { return r.paths.tracker.LostPools() }
-
-// HasPath reports whether this daemon has a path to the upstreams of a pool, or of any if there
-// are several. A daemon that knows no upstreams has one.
-func (r *Relay) HasPath() bool {
-	lost := r.LostPools()
-	if len(lost) == 0 {
-		return true
-	}
-	for pool := range r.cfg.State.Snapshot().Pools {
-		if !slices.Contains(lost, pool) {
-			return true
-		}
-	}
-	return false
-}
+func (r *Relay) LostPools() []string { return r.paths.Tracker.LostPools() }
+
+// HasPath reports whether this daemon has a path to the upstreams of any pool.
+func (r *Relay) HasPath() bool { return r.paths.HasPath() }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -194,7 +194,7 @@
 			c.pool.Close()
 		}
 		observe := func(response exchange.ObservedResponse) {
-			r.paths.tracker.Answered(u.Pool)
+			r.paths.Tracker.Answered(u.Pool)
 			r.Observe(u, response)
 		}
 		options := exchange.Options{Dial: r.cfg.Dial, OnMismatch: r.mismatchRecorder(u), OnResponse: observe}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -55,7 +55,7 @@
 			p.ticket.RecordGap(time.Since(s.lastAt))
 		}
 		if p.peer == nil {
-			c.relay.paths.tracker.Answered(c.pool)
+			c.relay.paths.Tracker.Answered(c.pool)
 		}
 		if err := c.deliver(p, e, resp); err != nil {
 			return c.failStream(ctx, p, err)
