entry: an instance without a path forwards, on the own interface too

The same cause on the second request path: chute-entry took callers whatever it reached, refused what it couldn't send, and counted connections refused to it alone as crashes. It now decides by the same reach and pathwatch: failed connections and polls of engines lead to checks; a lost path makes it pass requests on, as they came, to another instance, on a listener of its own (instances[].forwards). One hop; an instance with older rules, or without a path itself, refuses, and the next is asked; a connection that breaks after the request was sent is 'may have run'. Claims of protected calls hold over all instances by the log, so they need nothing more. Its own directory names it last, and a refused connection is a crash only if no other instance reaches the upstream.

--- a/internal/adapters/httpx/client.go
+++ b/internal/adapters/httpx/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"time"
 
@@ -103,10 +104,12 @@
 	defer stop()
 	resp.SkipBody = req.Header.IsHead()
 	if err := x.send(req); err != nil {
+		c.failed(ctx)
 		x.end(false)
 		return Broken(contextCause(ctx, err))
 	}
 	if err := x.receive(resp, c.opts.MaxBody); err != nil {
+		c.failed(ctx)
 		x.end(false)
 		return Broken(contextCause(ctx, err))
 	}
@@ -121,6 +124,7 @@
 	}
 	x, err := c.connect(ctx)
 	if err != nil {
+		c.failed(ctx)
 		return nil, notSent(contextCause(ctx, err))
 	}
 	if err := c.checkBeforeSending(ctx); err != nil {
@@ -145,6 +149,13 @@
 	return c.opts.Gate.Admit()
 }
 
+// failed reports a request without a response.
+func (c *Client) failed(ctx context.Context) {
+	if c.opts.OnFailure != nil && !errors.Is(context.Cause(ctx), context.Canceled) {
+		c.opts.OnFailure()
+	}
+}
+
 // Connect reports whether a connection can be made, and keeps it for later requests.
 func (c *Client) Connect(ctx context.Context) error {
 	x, err := c.connect(ctx)
--- a/internal/adapters/httpx/options.go
+++ b/internal/adapters/httpx/options.go
@@ -45,6 +45,9 @@
 	Sender string
 	// Gate admits requests and observes responses; nil admits all.
 	Gate Gate
+	// OnFailure is called for each request to which no response came, unless its caller cancelled it;
+	// nil does nothing.
+	OnFailure func()
 	// Dial replaces the default TCP dialer.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Logger replaces the default logger.
--- a/internal/adapters/httpx/stream.go
+++ b/internal/adapters/httpx/stream.go
@@ -38,6 +38,7 @@
 		err = ctx.Err()
 	}
 	if err != nil {
+		c.failed(ctx)
 		stop()
 		x.end(false)
 		return nil, Broken(contextCause(ctx, err))
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -154,6 +154,15 @@
 	return inForce.Set.Match(r), true
 }
 
+// Version implements gateway.Rules.
+func (s ruleSource) Version() rules.Version {
+	inForce := s.current()
+	if inForce == nil {
+		return rules.Version{}
+	}
+	return inForce.Version
+}
+
 // Holds implements gateway.Rules.
 func (s ruleSource) Holds(key *apikey.Digest, organisation string) bool {
 	inForce := s.current()
--- a/internal/entry/discovery/discovery.go
+++ b/internal/entry/discovery/discovery.go
@@ -31,6 +31,9 @@
 
 // Directory is the discovery service of one instance. It is safe for concurrent use.
 type Directory struct {
+	// HasPath reports whether this instance reaches any upstream; nil means that it does.
+	HasPath func() bool
+
 	self    settings.Instance
 	maxAge  float64
 	members Members
@@ -101,5 +104,8 @@
 	if d.shuttingDown.Load() {
 		return membership.Leaving
 	}
+	if d.HasPath != nil && !d.HasPath() {
+		return membership.Suspected // others serve callers sooner
+	}
 	return membership.Live
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"tamarackchute/internal/entry/protect"
 	"tamarackchute/internal/entry/shutdown"
 	"tamarackchute/internal/entry/stream"
+	"tamarackchute/internal/pathwatch"
 	"tamarackchute/internal/settings"
 	"tamarackchute/internal/status"
 	"tamarackchute/internal/telemetry"
@@ -95,13 +96,17 @@
 	demand         *demandMeter
 	load           *loadFraction
 	node           *status.Node
-	directory      *discovery.Directory
-	answers        *answer.Runner
-	callerWatcher  *callerwatch.Watcher
-	gateway        *gateway.Gateway
-	claims         *claim.Guard
-	listeners      []*listener
-	shutdown       shutdown.State
+	// paths knows to which pools this instance has lost its path.
+	paths *pathwatch.Watcher
+	// forwarder passes requests on to other instances.
+	forwarder     *forwarder
+	directory     *discovery.Directory
+	answers       *answer.Runner
+	callerWatcher *callerwatch.Watcher
+	gateway       *gateway.Gateway
+	claims        *claim.Guard
+	listeners     []*listener
+	shutdown      shutdown.State
 }
 
 // New returns an entry; Run runs it.
@@ -212,6 +217,8 @@
 	routing := routerConfig(d, e.self.DataCentre)
 	routing.Limited = e.cfg.Upstreams.limited
 	e.tracker = router.NewTracker(routing, routerUpstreams(d), nil)
+	e.paths = e.newPaths()
+	e.cfg.Upstreams.watch(e.paths)
 	a := admission.DefaultConfig()
 	a.MaxQueued = d.Admission.MaxQueued
 	a.ShortReserve = d.Admission.ShortReserve
@@ -221,14 +228,16 @@
 	e.inflight = inflight.NewCounter(e.drains, e.journal.Applied, engineNames(d))
 	e.demand = newDemandMeter(time.Now, demandWindow(d.Roles))
 	e.load = &loadFraction{}
-	e.crashDetector = crash.New(e.quarantine, crash.ProbeByID(e.cfg.Upstreams.Probe))
-	e.serviceCrashes = crash.New(e.serviceQuarantine, crash.ProbeByID(e.cfg.Upstreams.Probe))
+	e.crashDetector = crash.New(e.quarantine, crash.ProbeByID(e.probe))
+	e.serviceCrashes = crash.New(e.serviceQuarantine, crash.ProbeByID(e.probe))
 }
 
 // buildGateway creates the gateway and what it depends on.
 func (e *Entry) buildGateway() {
 	e.directory = discovery.New(e.cfg.Deployment, e.self, e.node)
+	e.directory.HasPath = e.paths.HasPath
 	e.callerWatcher = callerwatch.New()
+	e.forwarder = e.newForwarder()
 	e.answers = &answer.Runner{
 		Tracker:          e.tracker,
 		Engines:          e.cfg.Upstreams,
@@ -256,6 +265,8 @@
 		},
 		Protected:   protect.New(e.claims),
 		Directory:   e.directory,
+		Forwarder:   e.forwarder,
+		Reaches:     e.cfg.Upstreams.Reaches,
 		Signer:      stream.NewSigner(e.cfg.Secret),
 		CallerWatch: e.callerWatcher,
 		Demand:      e.demand,
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -50,6 +50,7 @@
 	cancel       context.CancelCauseFunc
 	stopTimer    context.CancelFunc
 	registration *callerwatch.Registration
+	ended        bool
 }
 
 func newCall(c *fiber.Ctx, id string) (*call, *outcome.Failure) {
@@ -89,15 +90,17 @@
 	timed, stop := context.WithDeadline(g.baseContext, k.deadline)
 	k.stopTimer = stop
 	k.ctx, k.cancel = context.WithCancelCause(timed)
+	k.ended = false
 	k.registration = g.deps.CallerWatch.Add(c.Context().Conn(), k.cancel)
 	return nil
 }
 
 // end releases what begin acquired. It may be called without begin.
 func (k *call) end() {
-	if k.ctx == nil {
+	if k.ctx == nil || k.ended {
 		return
 	}
+	k.ended = true
 	k.registration.Remove()
 	k.cancel(nil)
 	k.stopTimer()
@@ -117,6 +120,9 @@
 	if f := g.identify(k); f != nil {
 		return f
 	}
+	if f := g.refuseForwarded(c, k); f != nil {
+		return f
+	}
 	if refuse := decision.Then.Refuse; refuse != nil {
 		code := outcome.CodeRefusedByRule
 		if !decision.Matched {
--- a/internal/entry/gateway/failure.go
+++ b/internal/entry/gateway/failure.go
@@ -55,6 +55,7 @@
 	g.deps.Log.Debug("request failed", "request", k.id, "path", k.path, "rule", f.Rule,
 		"code", f.Code, "outcome", f.Execution, "after", time.Since(k.began), "cause", f.Cause)
 	c.Set(headerRequestID, k.id)
+	markIncapable(c, f)
 	return writeFailure(c, f)
 }
 
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -31,6 +31,8 @@
 	// Holds reports whether an organisation still holds a key and the rules in force are known to
 	// be recent enough for it.
 	Holds(key *apikey.Digest, organisation string) bool
+	// Version returns the version in force, the zero version if none is known.
+	Version() rules.Version
 }
 
 // Admission admits or refuses requests; admission.Controller implements it.
@@ -89,13 +91,17 @@
 
 // Dependencies are the components that the gateway uses.
 type Dependencies struct {
-	Rules       Rules
-	Admission   Admission
-	Estimator   Estimator
-	Answers     *answer.Runner
-	Services    *forward.Runner
-	Protected   ProtectedRunner
-	Directory   Directory
+	Rules     Rules
+	Admission Admission
+	Estimator Estimator
+	Answers   *answer.Runner
+	Services  *forward.Runner
+	Protected ProtectedRunner
+	Directory Directory
+	// Forwarder is nil if requests aren't passed on.
+	Forwarder Forwarder
+	// Reaches reports whether this instance reaches an upstream; needed if others forward requests.
+	Reaches     func(ctx context.Context, upstream string) bool
 	Signer      *stream.Signer
 	CallerWatch *callerwatch.Watcher
 	Demand      DemandRecorder
@@ -124,10 +130,12 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	opts    Options
-	deps    Dependencies
-	app     *fiber.App
-	metrics *metrics
+	opts Options
+	deps Dependencies
+	app  *fiber.App
+	// forwardedApp serves requests that other instances forward.
+	forwardedApp *fiber.App
+	metrics      *metrics
 	// active counts requests whose response isn't completely sent.
 	active atomic.Int64
 	// pumps are the goroutines that read engines' streams.
@@ -143,7 +151,17 @@
 func New(o Options, deps Dependencies) *Gateway {
 	g := &Gateway{opts: o, deps: deps, metrics: newMetrics(deps.Scope)}
 	g.baseContext, g.cancelAll = context.WithCancelCause(context.Background())
-	g.app = fiber.New(fiber.Config{
+	g.app, g.forwardedApp = g.newApp(), g.newApp()
+	g.forwardedApp.Get(ProbePath+":upstream", g.probe)
+	g.forwardedApp.Use(g.markForwarded)
+	g.routes(g.app)
+	g.routes(g.forwardedApp)
+	return g
+}
+
+func (g *Gateway) newApp() *fiber.App {
+	o := g.opts
+	return fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             o.MaxBodyBytes,
 		ReadTimeout:           o.ReadTimeout,
@@ -156,19 +174,17 @@
 		// The handlers parse the bodies themselves.
 		DisablePreParseMultipartForm: true,
 	})
-	g.routes()
-	return g
 }
 
-func (g *Gateway) routes() {
-	g.app.Use(g.closeIfShuttingDown)
-	g.app.Get("/healthz", g.healthz)
-	g.app.Get("/readyz", g.readyz)
-	g.app.Get("/v1/where", g.locate)
-	g.app.Get("/v1/models", g.models)
-	g.app.Post("/v1/completions", g.completions)
-	g.app.Post("/v1/chat/completions", g.chat)
-	g.app.Use(g.service)
+func (g *Gateway) routes(app *fiber.App) {
+	app.Use(g.closeIfShuttingDown)
+	app.Get("/healthz", g.healthz)
+	app.Get("/readyz", g.readyz)
+	app.Get("/v1/where", g.locate)
+	app.Get("/v1/models", g.models)
+	app.Post("/v1/completions", g.completions)
+	app.Post("/v1/chat/completions", g.chat)
+	app.Use(g.service)
 }
 
 // closeIfShuttingDown ends keep-alive connections with the next response while the
--- a/internal/entry/gateway/harness_test.go
+++ b/internal/entry/gateway/harness_test.go
@@ -153,6 +153,8 @@
 	directory gateway.Directory
 	// set, if set, decides instead; keysStale says that its keys can't be used.
 	set       *rules.Set
+	version   rules.Version
+	forwarder gateway.Forwarder
 	keysStale atomic.Bool
 }
 
@@ -169,6 +171,8 @@
 	return d.set == nil || d.set.Holds(key, organisation)
 }
 
+func (d *fakeDeps) Version() rules.Version { return d.version }
+
 func (d *fakeDeps) Match(r rules.Request) (rules.Decision, bool) {
 	if d.set != nil {
 		return d.set.Match(r), true
@@ -247,6 +251,7 @@
 		Services:   &forward.Runner{Tracker: tracker, Services: deps, RetryBudget: deps, MaxAttempts: 3, NewID: newID},
 		Protected:  deps.protected,
 		Directory:  deps.directory,
+		Forwarder:  deps.forwarder,
 		Signer:     stream.NewSigner([]byte("secret")),
 		Load:       func() float64 { return 0 },
 		KeysUsable: func() bool { return !deps.keysStale.Load() },
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -53,6 +53,12 @@
 	if f != nil {
 		return f
 	}
+	if done, f := g.forward(c, k); done || f != nil {
+		if done {
+			g.active.Add(-1) // the response's body counts
+		}
+		return f
+	}
 	if g.opts.ServicePools[k.decision.Then.Pool] {
 		return g.forwardModelRequest(c, k)
 	}
--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -23,7 +23,6 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	k, f := newCall(c, g.deps.NewID())
-	defer k.end()
 	if f == nil {
 		f = g.applyRules(c, k, rules.Request{})
 	}
@@ -32,14 +31,25 @@
 			"rule %q sends this path to engines, which take only model requests", k.decision.Rule)
 	}
 	if f == nil {
-		f = g.callService(c, k)
+		f = g.forwardOrCall(c, k)
 	}
 	if f == nil {
 		return nil
 	}
+	k.end()
 	return g.fail(c, k, f)
 }
 
+// forwardOrCall passes the request on, or calls a service.
+func (g *Gateway) forwardOrCall(c *fiber.Ctx, k *call) *outcome.Failure {
+	if done, f := g.forward(c, k); done || f != nil {
+		return f
+	}
+	f := g.callService(c, k)
+	k.end()
+	return f
+}
+
 // forwardModelRequest serves a model request that the rules route to a plain service.
 func (g *Gateway) forwardModelRequest(c *fiber.Ctx, k *call) *outcome.Failure {
 	f := g.callService(c, k)
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -29,6 +29,7 @@
 //	│   ├── orders         drains and roles from the journal to the router
 //	│   ├── capacity       engines' capacity for admission, load for rules
 //	│   ├── admission      refuses early what can't meet its deadline
+//	│   ├── paths          whether the upstreams are reached
 //	│   ├── gauges         state for the metrics page
 //	│   ├── rules          checkpoints
 //	│   └── quarantine     checkpoints; crash reports that aren't in the log yet
@@ -76,6 +77,7 @@
 		entries:    e.servingEntries,
 	})
 	s.Add(e.admission)
+	s.Add(e.paths)
 	s.Add(e.checkpointer())
 	s.Add(newGauges(e))
 	for _, guard := range []*quarantine.Guard{e.quarantine, e.serviceQuarantine} {
@@ -125,6 +127,12 @@
 	operators := newListener("operators", e.self.Operators, e.cfg.ServerTLS, e.operatorsApp(), e.log)
 	operators.conns.LimitWait(graceful.AcceptReserve)
 	e.listeners = []*listener{callers, operators}
+	conns := graceful.All{operators.conns, callers.conns}
+	if e.self.Forwards != "" {
+		forwarded := newListener("forwarded", e.self.Forwards, e.cfg.ServerTLS, e.gateway.ForwardedApp(), e.log)
+		e.listeners = append(e.listeners, forwarded)
+		conns = append(conns, forwarded.conns)
+	}
 	for _, l := range e.listeners {
 		if err := l.bind(); err != nil {
 			return err
@@ -141,7 +149,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.drain(done, graceful.All{operators.conns, callers.conns})
+	e.drain(done, conns)
 	e.gateway.Abort()
 	stopWork()
 	<-done
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -11,6 +11,7 @@
 	"tamarackchute/internal/adapters/engineclient"
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/adapters/serviceclient"
+	"tamarackchute/internal/pathwatch"
 	"tamarackchute/internal/settings"
 	"tamarackchute/upstream"
 	"tamarackchute/upstreamlimit"
@@ -23,6 +24,8 @@
 	limits   *upstreamlimit.Book
 	// limiter is set by shareLimits.
 	limiter atomic.Pointer[upstreamlimit.Limiter]
+	// paths is set by watch.
+	paths atomic.Pointer[pathwatch.Watcher]
 }
 
 // NewUpstreams creates the adapters. Calls are bounded by their requests' deadlines,
@@ -31,6 +34,7 @@
 	us := &Upstreams{engines: map[string]upstream.Engine{}, services: map[string]upstream.Service{}, limits: upstreamlimit.NewBook(nil)}
 	for _, u := range d.Upstreams {
 		o.Gate = limitGate{us, upstreamlimit.Upstream{ID: u.Name}}
+		o.OnFailure = func() { us.failed(u.Pool) }
 		if u.Kind == settings.KindEngine {
 			us.engines[u.Name] = engineclient.New(u.Address, o)
 		} else {
@@ -61,6 +65,15 @@
 	return err
 }
 
+// watch makes failed connections known to what watches the paths.
+func (us *Upstreams) watch(w *pathwatch.Watcher) { us.paths.Store(w) }
+
+func (us *Upstreams) failed(pool string) {
+	if w := us.paths.Load(); w != nil {
+		w.Failed(pool)
+	}
+}
+
 // shareLimits divides the limits that upstreams name among entries.
 func (us *Upstreams) shareLimits(self string, entries []string) {
 	l := upstreamlimit.NewLimiter(us.limits, self, false)
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -53,6 +53,9 @@
 	// Peers is the address at which chute-entry accepts connections from the
 	// system's other processes.
 	Peers string `json:"peers" validate:"required,ip_port"`
+	// Forwards is the address at which chute-entry takes requests that other instances forward; empty
+	// if it takes none. Callers must not reach it.
+	Forwards string `json:"forwards,omitempty" validate:"omitempty,ip_port"`
 	// ControllerOperators and ControllerPeers are the corresponding addresses of
 	// chute-controller.
 	ControllerOperators string `json:"controller_operators" validate:"required,ip_port"`
