--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -106,6 +106,8 @@
 		return "stopping"
 	case d.Ready && d.KeysUsable != nil && !*d.KeysUsable:
 		return "ready, keys stale"
+	case d.Ready && len(d.LostPools) > 0:
+		return "ready, no path to " + strings.Join(d.LostPools, ", ")
 	case d.Ready:
 		return "ready"
 	default:
@@ -131,6 +133,8 @@
 	for _, p := range peers {
 		state := "silent"
 		switch {
+		case p.Up && p.Serving && p.PathLost:
+			state = "serving, no path"
 		case p.Up && p.Serving:
 			state = "serving"
 		case p.Up:
--- a/internal/daemonstatus/status.go
+++ b/internal/daemonstatus/status.go
@@ -32,6 +32,8 @@
 	// UpstreamsAgeMS is the time since the list of upstreams was last read, by this daemon or by
 	// a peer with the same list.
 	UpstreamsAgeMS float64 `json:"upstreams_age_ms"`
+	// LostPools are the pools to whose upstreams the daemon has lost its path.
+	LostPools []string `json:"lost_pools,omitempty"`
 	// KeysUsable says that API keys may be used, KeysProvenAgeMS the age of the proof that they are
 	// current; both only where removed keys must not be used beyond a bound.
 	KeysUsable      *bool          `json:"keys_usable,omitempty"`
@@ -80,6 +82,8 @@
 	// Up means that the peer reported recently, Serving that it accepts callers.
 	Up      bool `json:"up"`
 	Serving bool `json:"serving"`
+	// PathLost means that it reaches no upstream.
+	PathLost bool `json:"path_lost,omitempty"`
 	// UpdateAgeMS is the time since its last update.
 	UpdateAgeMS   float64 `json:"told_ms"`
 	ConfigVersion uint64  `json:"config_version"`
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -111,6 +111,7 @@
 		s.Gauge("keys_usable").Update(usable)
 		s.Gauge("keys_proven_age_seconds").Update(m.keys.age(m.keys.now()).Seconds())
 	}
+	s.Gauge("pools_without_path").Update(float64(len(summary.LostPools)))
 	isRoot := 0.0
 	if m.peers.IsRoot() {
 		isRoot = 1
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -18,7 +18,7 @@
 	d := daemonstatus.Daemon{
 		Instance: m.self.Instance, DataCentre: m.self.DataCentre, Callers: m.self.Callers,
 		Ready: summary.Serving, ShuttingDown: m.shuttingDown.Load(), Requests: m.relay.Active(),
-		ConfigVersion: summary.Config, StoreEra: m.cfg.Store.Eras().Current(), UpstreamsAgeMS: telemetry.Millis(summary.ListAge),
+		LostPools: summary.LostPools, ConfigVersion: summary.Config, StoreEra: m.cfg.Store.Eras().Current(), UpstreamsAgeMS: telemetry.Millis(summary.ListAge),
 		Peers: m.peers.peerStatuses(time.Now()), Upstreams: m.upstreamStatuses(m.state.Snapshot()), RetryBudgets: []daemonstatus.RetryBudget{},
 	}
 	m.addKeyStatus(&d)
@@ -77,7 +77,7 @@
 	all := make([]daemonstatus.Peer, 0, len(p.peers))
 	for _, other := range p.peers {
 		all = append(all, daemonstatus.Peer{
-			Instance: other.Instance, DataCentre: other.DataCentre, Up: other.up, Serving: other.summary.Serving,
+			Instance: other.Instance, DataCentre: other.DataCentre, Up: other.up, Serving: other.summary.Serving, PathLost: other.summary.PathLost,
 			UpdateAgeMS: telemetry.Millis(now.Sub(other.lastUpdate)), ConfigVersion: other.summary.Config,
 		})
 	}
