member, relay: daemons with stale keys serve public requests of others

They are asked last now, and a refusal for stale keys keeps no other request away. TestDaemonsWithStaleKeysAreAskedLast is new; the former expectation that they aren't asked was the fault.

--- a/internal/member/forwarding.go
+++ b/internal/member/forwarding.go
@@ -14,17 +14,21 @@
 const minLocalForwardPeers = 2
 
 // forwardPeers implements relay.Config.ForwardPeers: daemons known to have a path to the pool's
-// upstreams, those of the same data centre if there are several, in random order. In a large site
-// most daemons' states aren't received here; these come last, as they may have lost their paths
-// too.
+// upstreams, those of the same data centre if there are several, in random order. Those that can't
+// check API keys now serve public requests only, and come later. In a large site most daemons' states
+// aren't received here; these come last, as they may have lost their paths too.
 func (p *Peers) forwardPeers(pool string) []relay.ForwardPeer {
 	p.mu.Lock()
-	var known, unknown []wire.MemberAddress
+	var known, staleKeys, unknown []wire.MemberAddress
 	for _, other := range p.peers {
 		switch {
 		case other.Forwards == "":
 		case other.up && other.hasState():
-			if other.canServe(pool) {
+			switch {
+			case !other.canServe(pool):
+			case other.summary.KeysStale:
+				staleKeys = append(staleKeys, other.MemberAddress)
+			default:
 				known = append(known, other.MemberAddress)
 			}
 		case !p.fullMesh && other.link == nil:
@@ -37,9 +41,10 @@
 		known = local
 	}
 	shuffle(known)
+	shuffle(staleKeys)
 	shuffle(unknown)
-	peers := make([]relay.ForwardPeer, 0, len(known)+len(unknown))
-	for _, a := range slices.Concat(known, unknown) {
+	peers := make([]relay.ForwardPeer, 0, len(known)+len(staleKeys)+len(unknown))
+	for _, a := range slices.Concat(known, staleKeys, unknown) {
 		peers = append(peers, relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards})
 	}
 	return peers
@@ -55,7 +60,7 @@
 // canServe reports whether the peer, by its last state, can serve requests for a pool.
 func (p *peer) canServe(pool string) bool {
 	s := p.summary
-	return s.Serving && !s.KeysStale && !slices.Contains(s.LostPools, pool)
+	return s.Serving && !slices.Contains(s.LostPools, pool)
 }
 
 // reportNow sends this daemon's state to the others at once.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -130,7 +130,7 @@
 
 // shouldForward reports whether other daemons are asked before this one tries.
 func (c *call) shouldForward() bool {
-	return c.mayForward() && c.relay.paths.Tracker.IsLost(c.pool)
+	return c.mayForward() && c.relay.paths.IsLost(c.pool)
 }
 
 // mayForward reports whether the request may be forwarded: one that was forwarded already never is.
@@ -276,11 +276,7 @@
 func (c *call) refusedByPeer(p *assignment, status int, o forwardedOutcome) (result, *failure) {
 	res := result{execution: dispatch.NotRun, outcome: placement.Refused, status: status, err: errPeerRefused}
 	if o.Incapable && !o.MayHaveRun {
-		avoid := avoidIncapable
-		if reason(o.Reason) == reasonOlderConfig {
-			avoid = avoidOutdated
-		}
-		c.relay.forwarder.avoidFor(*p.peer, avoid)
+		c.relay.forwarder.avoidFor(*p.peer, avoidAfter(reason(o.Reason)))
 		return res, nil
 	}
 	if o.MayHaveRun {
@@ -291,6 +287,18 @@
 	return res, f.withRetryAfter(o.RetryAfter)
 }
 
+// avoidAfter returns how long a daemon is avoided that couldn't serve a request for a reason.
+func avoidAfter(why reason) time.Duration {
+	switch why {
+	case reasonStaleKeys:
+		return 0 // it serves public requests
+	case reasonOlderConfig:
+		return avoidOutdated
+	default:
+		return avoidIncapable
+	}
+}
+
 // lacksShares reports whether this daemon holds no share of any of the limits that the upstreams
 // of a pool name.
 func (r *Relay) lacksShares(pool string) bool {
