relay: what can't be served behind a lost path is refused at once

While the path to the pool is lost and connections to all of its upstreams have failed, a new request is refused at once; checks of the path say when that ends. One that may have run, or whose stream has begun, waits as before.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -69,6 +69,9 @@
 	if c.cannotComplete() {
 		return nil, c.fail(reasonCannotComplete, "no upstream can end the answer in the time left")
 	}
+	if c.mustNotWait() {
+		return nil, c.failCapacity()
+	}
 	late := c.isLate(began)
 	until := began.Add(c.maxWait(late))
 	var found *assignment
@@ -101,13 +104,25 @@
 // failCapacity returns the failure of a request for which no upstream has capacity, or none is
 // reached.
 func (c *call) failCapacity() *failure {
-	h := c.relay.cfg.Tracker.PoolHealth(c.pool)
-	if h.Listed > 0 && h.Unreachable == h.Listed || c.relay.paths.Tracker.IsLost(c.pool) {
+	if c.unreachable() || c.relay.paths.IsLost(c.pool) {
 		return c.fail(reasonUnreachable, "this daemon reaches no upstream")
 	}
 	return c.fail(reasonNoCapacity, "no upstream has a free place")
 }
 
+// mustNotWait reports whether a new request can't be served until a check finds that the path to its
+// pool works again.
+func (c *call) mustNotWait() bool {
+	begun := c.stream != nil || c.attempts.MayHaveRun()
+	return !begun && c.relay.paths.IsLost(c.pool) && c.unreachable()
+}
+
+// unreachable reports whether connections to all upstreams of the pool have failed.
+func (c *call) unreachable() bool {
+	h := c.relay.cfg.Tracker.PoolHealth(c.pool)
+	return h.Listed > 0 && h.Unreachable == h.Listed
+}
+
 // backoffBeyond returns the time until the first upstream of the pool ends its backoff, if all
 // are in one and none that the request may use is back while it is queued. Otherwise it is 0.
 func (c *call) backoffBeyond(until time.Time) time.Duration {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -49,7 +49,7 @@
 	c.relay.metrics.recordForward(c.pool, res)
 	attrs := []any{
 		"request", c.ID, "to", p.peer.Instance, "address", p.peer.Address, "pool", c.pool, "config", c.version,
-		"path_lost", c.relay.paths.Tracker.IsLost(c.pool), "first_ms", telemetry.Millis(p.firstEventTime),
+		"path_lost", c.relay.paths.IsLost(c.pool), "first_ms", telemetry.Millis(p.firstEventTime),
 		"lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "done", res.done, "status", res.status,
 	}
 	if f != nil {
