--- a/internal/soak/cut.go
+++ b/internal/soak/cut.go
@@ -144,10 +144,11 @@
 	}
 }
 
-// inTouch reports whether a request's daemon was undisturbed, but for its path to servers.
+// inTouch reports whether a request's daemon was undisturbed, but for its path to servers. One that
+// is being stopped isn't: it serves its own callers, but isn't asked by others.
 func (o *oracle) inTouch(q *request, now time.Time) bool {
 	from := q.sentAt.Add(-cutNotice)
-	return o.faults.undisturbed(from, now, subjectMachine, daemonSubject(q.daemon), pauseSubject(q.daemon), storeLinkSubject(q.daemon))
+	return o.faults.undisturbed(from, now, subjectMachine, subjectStore, daemonSubject(q.daemon), stopSubject(q.daemon), pauseSubject(q.daemon), storeLinkSubject(q.daemon))
 }
 
 // pathsHealed checks what the daemons without a path have served.
--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -27,6 +27,9 @@
 // daemonSubject names a daemon's outages: it is down, starting or paused.
 func daemonSubject(daemon int) string { return fmt.Sprintf("daemon %d", daemon) }
 
+// stopSubject names a daemon's planned stops.
+func stopSubject(daemon int) string { return fmt.Sprintf("stop %d", daemon) }
+
 // pauseSubject names a daemon's pauses.
 func pauseSubject(daemon int) string { return fmt.Sprintf("pause %d", daemon) }
 
@@ -123,6 +126,8 @@
 
 // stop sends SIGTERM, kills the process if its grace period passes, and waits for its exit.
 func (d *daemon) stop() {
+	endStop := d.faults.begin(stopSubject(d.number))
+	defer endStop()
 	d.signal(syscall.SIGTERM)
 	requestedAt := time.Now()
 	d.mu.Lock()
