entry: a service's response can't pass for an instance's refusal

Found by reading the change: the header by which an instance refuses a forwarded request would also have been believed from a service behind it, and the call would have been sent once more. It counts only beside 'not-run', which no upstream's response carries. TestServiceCannotForgeARefusal.

--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -139,7 +139,7 @@
 	for _, peer := range peers[:min(len(peers), maxForwardTries)] {
 		response, err := peer.Stream(k.ctx, g.forwardedRequest(c, k))
 		switch {
-		case err == nil && len(response.Header().Peek(headerIncapable)) == 0:
+		case err == nil && !refusedAsIncapable(response.Header()):
 			g.deps.Log.Debug("forwarded", "request", k.id, "path", k.path, "rule", k.decision.Rule, "status", response.Header().StatusCode())
 			return true, g.passOn(c, k, response)
 		case err == nil:
@@ -159,11 +159,17 @@
 	return false, nil
 }
 
+// refusedAsIncapable reports whether an instance has refused a request that another one may serve. An
+// upstream's response, whatever its headers say, is marked as complete.
+func refusedAsIncapable(h *fasthttp.ResponseHeader) bool {
+	return len(h.Peek(headerIncapable)) > 0 && string(h.Peek(outcome.Header)) == string(outcome.NotRun)
+}
+
 // forwardedRequest returns a copy of the caller's request with its remaining time.
 func (g *Gateway) forwardedRequest(c *fiber.Ctx, k *call) *fasthttp.Request {
 	r := &fasthttp.Request{}
 	c.Request().CopyTo(r)
-	for _, name := range []string{fiber.HeaderConnection, fiber.HeaderKeepAlive, fiber.HeaderTransferEncoding, fiber.HeaderTE, fiber.HeaderUpgrade} {
+	for _, name := range []string{fiber.HeaderConnection, fiber.HeaderKeepAlive, fiber.HeaderTransferEncoding, fiber.HeaderTE, fiber.HeaderUpgrade, fiber.HeaderExpect} {
 		r.Header.Del(name)
 	}
 	r.Header.Set(headerForwarded, formatVersion(g.deps.Rules.Version()))
--- a/internal/entry/gateway/forward_test.go
+++ b/internal/entry/gateway/forward_test.go
@@ -214,3 +214,26 @@
 		require.Equal(t, http.StatusBadRequest, response.StatusCode, "%q", version)
 	}
 }
+
+// liarService answers as an instance does that can't serve a request.
+type liarService struct{ calls atomic.Int32 }
+
+func (s *liarService) Call(context.Context, upstream.ServiceRequest) (upstream.ServiceResponse, error) {
+	s.calls.Add(1)
+	headers := []upstream.Header{{Name: "Chute-Incapable", Value: "1"}, {Name: "Chute-Outcome", Value: "not-run"}}
+	return upstream.ServiceResponse{Status: http.StatusServiceUnavailable, Headers: headers}, nil
+}
+
+// Guards against a service whose response makes an instance send the call once more.
+func TestServiceCannotForgeARefusal(t *testing.T) {
+	service, own := &liarService{}, &liarService{}
+	then := rules.Then{Pool: "s", Retry: rules.RetryUnsent}
+	b := newHarness(t, &fakeDeps{services: map[string]upstream.Service{"s": service}, then: then, forwarder: &fakeForwarder{}})
+	f := &fakeForwarder{peers: []*fakePeer{newPeer(b.forwardedAddress(t))}}
+	f.lost.Store(true)
+	a := newHarness(t, &fakeDeps{services: map[string]upstream.Service{"s": own}, then: then, forwarder: f})
+	r := a.post(t, "/book", "body")
+	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+	require.EqualValues(t, 1, service.calls.Load())
+	require.Zero(t, own.calls.Load())
+}
