relay: what goes along with a forwarded request, on reading it once more

- A caller's Tamarackchute-Probe header went along, and made the other daemon answer it as a probe: the caller got 502.
TestCallersCannotForgeForwarding covers it (red before).
- The prefills already done go along, so that a further one counts against the budget.
- A refusal of the other daemon never says 'not run' of a request that may have run here.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -247,12 +247,13 @@
 func (c *call) newForwardedRequest() *exchange.Request {
 	d := c.relay.cfg.Dialect
 	h := d.RequestHeaders(c.in.Header)
+	h.Del(probeHeader) // a caller's
 	h.Set(forwardHeader, encodeHeader(forwardedCall{
 		From: c.relay.cfg.Instance, ConfigVersion: c.version,
 		Elapsed: time.Since(c.arrived), Remaining: time.Until(c.deadline) - forwardReserve,
 		Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(), Begun: c.begun,
-		ResumeAfter: c.resumeAfter(),
-		Retried:     c.retried, DemandCounted: c.demandCounted,
+		Prefills: c.prefills, ResumeAfter: c.resumeAfter(),
+		Retried: c.retried, DemandCounted: c.demandCounted,
 	}))
 	return &exchange.Request{
 		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: h, Body: c.body,
@@ -302,6 +303,9 @@
 		c.recordForwardedRun(o.Attempts - c.attempts.Attempts())
 		res.execution = dispatch.MayHaveRun
 	}
+	if c.attempts.MayHaveRun() && assertsNotRun(status) {
+		return res, c.fail(reason(o.Reason), o.Message) // an attempt of this daemon may have run
+	}
 	f := newFailure(status, reason(o.Reason), o.Message)
 	return res, f.withRetryAfter(o.RetryAfter)
 }
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -40,7 +40,7 @@
 	now := time.Now()
 	c.arrived = now.Add(-f.Elapsed)
 	c.deadline = now.Add(f.Remaining)
-	c.Call.ResumeAfter = f.ResumeAfter
+	c.Call.ResumeAfter, c.prefills = f.ResumeAfter, f.Prefills
 	c.retried, c.demandCounted, c.begun = f.Retried, f.DemandCounted, f.Begun
 	for range f.Attempts {
 		c.attempts.RecordAttempt()
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -36,6 +36,8 @@
 	Attempts   int
 	MayHaveRun bool
 	Begun      bool
+	// Prefills counts the prefills done.
+	Prefills int
 	// ResumeAfter is the id of the last event that the caller received.
 	ResumeAfter int
 	// Retried says that the caller retries after a refusal, DemandCounted that the request has been
