relay: a daemon without a share of the limits forwards to a holder

Where all upstreams of a pool name limits, a daemon that holds no share of any refused its callers' requests, while a holder could serve them within the limit. The limiter tells who the holders are, and the request goes to one of those.

--- a/internal/member/forwarding.go
+++ b/internal/member/forwarding.go
@@ -45,7 +45,7 @@
 	shuffle(unknown)
 	peers := make([]relay.ForwardPeer, 0, len(known)+len(staleKeys)+len(unknown))
 	for _, a := range slices.Concat(known, staleKeys, unknown) {
-		peers = append(peers, relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards})
+		peers = append(peers, relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards, Holder: a.Peers})
 	}
 	return peers
 }
--- a/internal/member/path_test.go
+++ b/internal/member/path_test.go
@@ -61,7 +61,7 @@
 			for range 100 {
 				var names []string
 				for _, f := range p.forwardPeers("p") {
-					require.Equal(t, relay.ForwardPeer{Instance: f.Instance, Address: "forwards-" + f.Instance}, f)
+					require.Equal(t, relay.ForwardPeer{Instance: f.Instance, Address: "forwards-" + f.Instance, Holder: f.Instance}, f)
 					names = append(names, f.Instance)
 				}
 				if len(names) > 0 {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"tamarackchute/internal/dispatch"
@@ -36,86 +35,6 @@
 	forwardStallFactor = 2
 )
 
-// ForwardPeer is a daemon to which requests can be forwarded.
-type ForwardPeer struct {
-	// Instance is its name, Address where it listens for forwarded requests.
-	Instance, Address string
-}
-
-// forwarder keeps the connections to other daemons and what is known of their answers.
-type forwarder struct {
-	mu     sync.Mutex
-	conns  map[string]*exchange.Pool
-	avoid  map[string]time.Time
-	active int
-}
-
-func newForwarder() *forwarder {
-	return &forwarder{conns: make(map[string]*exchange.Pool), avoid: make(map[string]time.Time)}
-}
-
-// begin counts a request that is about to be forwarded, and reports whether it may be.
-func (f *forwarder) begin() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.active >= maxForwarding {
-		return false
-	}
-	f.active++
-	return true
-}
-
-func (f *forwarder) end() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.active--
-}
-
-// usable returns the peers that aren't avoided now, in the same order.
-func (f *forwarder) usable(peers []ForwardPeer, now time.Time) []ForwardPeer {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.DeleteFunc(peers, func(p ForwardPeer) bool { return now.Before(f.avoid[p.Address]) })
-}
-
-func (f *forwarder) avoidFor(p ForwardPeer, d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.avoid[p.Address] = time.Now().Add(d)
-}
-
-// connsTo returns the connections to a peer.
-func (f *forwarder) connsTo(p ForwardPeer) *exchange.Pool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	pool := f.conns[p.Address]
-	if pool == nil {
-		pool = exchange.NewPool(p.Address, exchange.Options{DialTimeout: forwardDialTimeout})
-		f.conns[p.Address] = pool
-	}
-	return pool
-}
-
-// closeUnknown closes the connections to daemons that are no longer known.
-func (f *forwarder) closeUnknown(peers func(pool string) []ForwardPeer) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.conns) == 0 {
-		return
-	}
-	known := make(map[string]bool)
-	for _, p := range peers("") {
-		known[p.Address] = true
-	}
-	for address, pool := range f.conns {
-		if !known[address] {
-			pool.Close()
-			delete(f.conns, address)
-			delete(f.avoid, address)
-		}
-	}
-}
-
 // forwardResult says how an attempt to forward a request ended.
 type forwardResult uint8
 
@@ -133,15 +52,19 @@
 func (c *call) assignOrForward(ctx context.Context) (*assignment, forwardResult, *failure) {
 	first := c.shouldForward()
 	if first {
-		if result, f := c.forward(ctx); result != notForwarded {
+		if result, f := c.forward(ctx, anyPeer); result != notForwarded {
 			return nil, result, f
 		}
 	}
 	p, f := c.assign(ctx)
-	if f == nil || first || !c.mayForwardAfter(f) {
+	if f == nil || first {
 		return p, notForwarded, f
 	}
-	if result, failed := c.forward(ctx); result != notForwarded {
+	suits, ok := c.mayForwardAfter(f)
+	if !ok {
+		return nil, notForwarded, f
+	}
+	if result, failed := c.forward(ctx, suits); result != notForwarded {
 		return nil, result, failed
 	}
 	return nil, notForwarded, f
@@ -155,26 +78,30 @@
 // mayForward reports whether the request may be forwarded: one that was forwarded already never is.
 func (c *call) mayForward() bool { return c.forwarded == nil && c.relay.cfg.ForwardPeers != nil }
 
-// mayForwardAfter reports whether another daemon may serve a request that this one can't place.
-func (c *call) mayForwardAfter(f *failure) bool {
+func anyPeer(ForwardPeer) bool { return true }
+
+// mayForwardAfter reports whether other daemons may serve a request that this one can't place, and
+// which ones.
+func (c *call) mayForwardAfter(f *failure) (suits func(ForwardPeer) bool, ok bool) {
 	if !c.mayForward() {
-		return false
+		return nil, false
 	}
 	switch f.reason {
 	case reasonUnreachable:
-		return true
+		return anyPeer, true
 	case reasonNoCapacity:
-		return c.relay.cfg.Tracker.PoolHealth(c.pool).Unreachable > 0
+		return anyPeer, c.relay.cfg.Tracker.PoolHealth(c.pool).Unreachable > 0
 	case reasonAllBackingOff:
-		return c.relay.lacksShares(c.pool)
+		holders := c.relay.otherHolders(c.pool)
+		return func(p ForwardPeer) bool { return slices.Contains(holders, p.Holder) }, len(holders) > 0
 	}
-	return false
+	return nil, false
 }
 
-// forward offers the request to other daemons, one after the other.
-func (c *call) forward(ctx context.Context) (forwardResult, *failure) {
+// forward offers the request to other daemons that suit it, one after the other.
+func (c *call) forward(ctx context.Context, suits func(ForwardPeer) bool) (forwardResult, *failure) {
 	f := c.relay.forwarder
-	peers := f.usable(c.relay.cfg.ForwardPeers(c.pool), time.Now())
+	peers := f.usable(c.relay.cfg.ForwardPeers(c.pool), suits, time.Now())
 	if len(peers) == 0 || !f.begin() {
 		return notForwarded, nil
 	}
@@ -322,22 +249,22 @@
 	}
 }
 
-// lacksShares reports whether this daemon holds no share of any of the limits that the upstreams
-// of a pool name.
-func (r *Relay) lacksShares(pool string) bool {
+// otherHolders returns the daemons that hold shares of the limits that the upstreams of a pool name,
+// if all of these name one and this daemon holds no share.
+func (r *Relay) otherHolders(pool string) []string {
 	if r.cfg.Limits == nil {
-		return false
+		return nil
 	}
-	limited := false
+	var holders []string
 	for _, u := range r.cfg.State.Snapshot().Pools[pool] {
 		if u.Draining {
 			continue
 		}
 		key := limitKey(u.ID, u.Started)
 		if _, named := r.cfg.Limits.Book.Limit(key); !named || r.cfg.Limits.Limiter.Holds(key) {
-			return false
+			return nil
 		}
-		limited = true
+		holders = append(holders, r.cfg.Limits.Limiter.Holders(key)...)
 	}
-	return limited
+	return holders
 }
--- /dev/null
+++ b/internal/relay/forwarder.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"tamarackchute/internal/exchange"
+)
+
+// ForwardPeer is a daemon to which requests can be forwarded.
+type ForwardPeer struct {
+	// Instance is its name, Address where it listens for forwarded requests.
+	Instance, Address string
+	// Holder is its name among those that hold shares of limits.
+	Holder string
+}
+
+// forwarder keeps the connections to other daemons and what is known of their answers.
+type forwarder struct {
+	mu     sync.Mutex
+	conns  map[string]*exchange.Pool
+	avoid  map[string]time.Time
+	active int
+}
+
+func newForwarder() *forwarder {
+	return &forwarder{conns: make(map[string]*exchange.Pool), avoid: make(map[string]time.Time)}
+}
+
+// begin counts a request that is about to be forwarded, and reports whether it may be.
+func (f *forwarder) begin() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.active >= maxForwarding {
+		return false
+	}
+	f.active++
+	return true
+}
+
+func (f *forwarder) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active--
+}
+
+// usable returns the peers that suit a request and aren't avoided now, in the same order.
+func (f *forwarder) usable(peers []ForwardPeer, suits func(ForwardPeer) bool, now time.Time) []ForwardPeer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(peers, func(p ForwardPeer) bool { return !suits(p) || now.Before(f.avoid[p.Address]) })
+}
+
+func (f *forwarder) avoidFor(p ForwardPeer, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.avoid[p.Address] = time.Now().Add(d)
+}
+
+// connsTo returns the connections to a peer.
+func (f *forwarder) connsTo(p ForwardPeer) *exchange.Pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pool := f.conns[p.Address]
+	if pool == nil {
+		pool = exchange.NewPool(p.Address, exchange.Options{DialTimeout: forwardDialTimeout})
+		f.conns[p.Address] = pool
+	}
+	return pool
+}
+
+// closeUnknown closes the connections to daemons that are no longer known.
+func (f *forwarder) closeUnknown(peers func(pool string) []ForwardPeer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.conns) == 0 {
+		return
+	}
+	known := make(map[string]bool)
+	for _, p := range peers("") {
+		known[p.Address] = true
+	}
+	for address, pool := range f.conns {
+		if !known[address] {
+			pool.Close()
+			delete(f.conns, address)
+			delete(f.avoid, address)
+		}
+	}
+}
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -68,7 +68,7 @@
 	if u == nil || r.cfg.ForwardPeers == nil {
 		return ""
 	}
-	peers := r.forwarder.usable(r.cfg.ForwardPeers(u.Pool), time.Now())
+	peers := r.forwarder.usable(r.cfg.ForwardPeers(u.Pool), anyPeer, time.Now())
 	ctx, cancel := context.WithTimeout(ctx, peerProbeTimeout)
 	defer cancel()
 	reached := make(chan string, maxProbingPeers)
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -162,3 +162,12 @@
 		tr.Ended(pool)
 	}
 }
+
+// Guards against a daemon that keeps all of its requests for the one upstream of many that it reaches.
+func TestPathToFewOfManyIsLost(t *testing.T) {
+	for reached, change := range []Change{Lost, Lost, Lost, Unchanged, Unchanged} {
+		tr, _ := newTracker()
+		tr.Failed(pool)
+		require.Equal(t, change, check(t, tr, 8, reached), "%d of 8", reached)
+	}
+}
--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -98,6 +98,24 @@
 	return b.share.perSecond > 0 || b.grown.perSecond > 0
 }
 
+// Holders returns the names of the processes that have a share of an upstream's limit.
+func (l *Limiter) Holders(u Upstream) []string {
+	limit, limited := l.book.limit(u)
+	if !limited {
+		return nil
+	}
+	l.mu.Lock()
+	members := l.members
+	l.mu.Unlock()
+	var holders []string
+	for _, m := range members {
+		if shareOf(limit.perSecond, u, m, members).perSecond > 0 {
+			holders = append(holders, m)
+		}
+	}
+	return holders
+}
+
 // Take reports whether a request may be sent to an upstream now, and counts it if so.
 func (l *Limiter) Take(u Upstream) bool {
 	limit, limited := l.book.limit(u)
