--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -216,8 +216,8 @@
 // anything was sent.
 var ErrClosedAtOnce = errors.New("exchange: the connection was closed at once")
 
-// Verify is Connect for a connection that stays open for a while. What stands between this process and the
-// upstream may accept connections that it then resets. Its error is a *NotSentError.
+// Verify is Connect for a connection that stays open for a while: what stands between this process
+// and the upstream may accept connections that it then resets. Its error is a *NotSentError.
 func (p *Pool) Verify(ctx context.Context, open time.Duration) error {
 	c, err := p.dial(ctx)
 	if err != nil {
