--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -132,8 +132,8 @@
 	if !o.faults.undisturbed(q.sentAt, lostAt, pauseSubject(q.daemon)) {
 		return
 	}
-	if q.sender != q.daemon && !o.faults.undisturbed(q.sentAt, lostAt, daemonSubject(q.sender)) {
-		return // the daemon that it was passed on to was killed or stopped
+	if q.sender != q.daemon && !o.faults.undisturbed(q.sentAt, lostAt.Add(exitSlack), daemonSubject(q.sender)) {
+		return // the daemon that it was passed on to was killed or stopped; its exit is noticed a moment later
 	}
 	if r.Status != 0 && (q.service.stream || r.Status != http.StatusOK) && !o.faults.undisturbed(q.sentAt, lostAt, serversSubject(q.service.name), pathSubject(q.sender)) {
 		return // a stream broken on the way from its server can't be distinguished from one that the daemon cut
