relay: over several daemons too, a configuration never goes back

Daemons now tell by which version they decide; the forwarding one asks for no older one from then on, neither of others nor of itself, until it has the version. It refuses in between what nobody takes, and answers no 404 by an older version.

--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -27,7 +27,8 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	// From is the instance that forwards the request.
 	From string
-	// ConfigVersion is the version of the configuration in force there.
+	// ConfigVersion is the version of the configuration in force there, or the newest by which one of its
+	// callers' requests was decided elsewhere.
 	ConfigVersion uint64
 	// Elapsed is the time since the request arrived there, Remaining that until its deadline.
 	Elapsed, Remaining time.Duration
@@ -49,6 +50,8 @@
 type forwardedOutcome struct {
 	//lint:ignore U1000 msgpack reads it: the fields are encoded without their names.
 	_msgpack struct{} `msgpack:",as_array"`
+	// ConfigVersion is the version of the configuration in force at the daemon.
+	ConfigVersion uint64
 	// Attempts counts the attempts that may have run, those of the forwarding daemon included.
 	Attempts int
 	// MayHaveRun says that the request may have run.
@@ -85,7 +88,7 @@
 // failureOutcome describes a failure of a forwarded request to the daemon that forwarded it.
 func (c *call) failureOutcome(f *failure) forwardedOutcome {
 	return forwardedOutcome{
-		Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(),
+		ConfigVersion: c.version, Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(),
 		Reason: string(f.reason), Message: f.message, RetryAfter: f.retryAfter, Incapable: !c.attempts.MayHaveRun() && incapable(f.reason),
 	}
 }
@@ -114,7 +117,28 @@
 func (c *call) copyResponseHeaders(from *fleet.Upstream, src http.Header) {
 	h := c.out.Header()
 	c.relay.cfg.Dialect.CopyResponseHeaders(h, src)
-	c.addOutcome(h, forwardedOutcome{Attempts: c.attempts.Attempts(), MayHaveRun: true, Upstream: from.ID, Started: from.Started.UnixMilli()})
+	c.addOutcome(h, forwardedOutcome{ConfigVersion: c.version, Attempts: c.attempts.Attempts(), MayHaveRun: true, Upstream: from.ID, Started: from.Started.UnixMilli()})
+}
+
+// recordConfig records by which version of the configuration another daemon has decided.
+func (r *Relay) recordConfig(version uint64) {
+	for {
+		newest := r.newestConfig.Load()
+		if version <= newest || r.newestConfig.CompareAndSwap(newest, version) {
+			return
+		}
+	}
+}
+
+// outdated reports whether the configuration in force here is older than one by which another daemon
+// has decided.
+func (r *Relay) outdated() bool {
+	return r.cfg.State.Snapshot().Config.Version < r.newestConfig.Load()
+}
+
+// failOutdated returns the failure of a request that this daemon may not decide for now.
+func (c *call) failOutdated() *failure {
+	return c.fail(reasonOlderConfig, "this daemon's configuration is older than another one's")
 }
 
 // observeForwarded records that an upstream says, in a response to another daemon, that it is
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,9 @@
 	paths    *paths
 	// forwarder passes requests on to other daemons.
 	forwarder *forwarder
+	// newestConfig is the newest version of the configuration by which another daemon has decided a
+	// request of this one's callers: none may be decided by an older one any more.
+	newestConfig atomic.Uint64
 	// shutdown is set once the process begins to shut down.
 	shutdown atomic.Pointer[shutdown]
 
@@ -261,6 +264,9 @@
 		return c, f
 	}
 	rule, ok := s.Config.Rules.Match(hostOf(in.Host), pathOf(in.RequestURI))
+	if !ok && r.outdated() {
+		return c, c.failOutdated()
+	}
 	if !ok {
 		return c, newFailure(http.StatusNotFound, reasonNoRule, "no rule matches")
 	}
