relay: a request that waits for a place is forwarded when its path is lost

Traced: a stream whose connection was reset tried all engines, which refused connections, before the check of the path had ended; then it waited for a place until its deadline, and was never looked at again. Waiting requests now end their wait when the path is lost, and are forwarded; one that has begun and finds no taker waits on as before.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -80,9 +80,9 @@
 		if found = c.tryAssign(late); found == nil {
 			backoff = c.backoffBeyond(until)
 		}
-		return found != nil || backoff > 0
+		return found != nil || backoff > 0 || c.forwardsFirst()
 	}
-	got := backoff > 0 || c.relay.queue(c.rule.Name).await(ctx, late, until, try)
+	got := backoff > 0 || c.forwardsFirst() || c.relay.queue(c.rule.Name).await(ctx, late, until, try)
 	if !got && !late && c.Generation != nil && c.contextFailure(ctx) == nil {
 		// No upstream can meet the objective. A late response is worth more than none.
 		late = true
@@ -94,8 +94,11 @@
 		}
 		return nil, c.failCapacity()
 	}
-	if found == nil {
+	switch {
+	case found == nil && backoff > 0:
 		return nil, c.failBackoff(backoff)
+	case found == nil:
+		return nil, c.failCapacity() // the path was lost meanwhile
 	}
 	found.waited = time.Since(began)
 	return found, nil
@@ -113,10 +116,12 @@
 // mustNotWait reports whether a new request can't be served until a check finds that the path to its
 // pool works again.
 func (c *call) mustNotWait() bool {
-	begun := c.stream != nil || c.attempts.MayHaveRun()
-	return !begun && c.relay.paths.IsLost(c.pool) && c.unreachable()
+	return !c.hasBegun() && c.relay.paths.IsLost(c.pool) && c.unreachable()
 }
 
+// hasBegun reports whether the request may have run, or its stream has begun.
+func (c *call) hasBegun() bool { return c.stream != nil || c.attempts.MayHaveRun() }
+
 // unreachable reports whether connections to all upstreams of the pool have failed.
 func (c *call) unreachable() bool {
 	h := c.relay.cfg.Tracker.PoolHealth(c.pool)
@@ -146,7 +151,7 @@
 // If sent, it would be cut off there and have slowed the concurrent streams. A request
 // that may have run or whose stream has begun isn't refused for this.
 func (c *call) cannotComplete() bool {
-	if c.Generation == nil || c.stream != nil || c.attempts.MayHaveRun() {
+	if c.Generation == nil || c.hasBegun() {
 		return false
 	}
 	r := c.placementRequest()
@@ -166,7 +171,7 @@
 // has begun, is queued until its deadline.
 func (c *call) maxWait(late bool) time.Duration {
 	switch {
-	case c.stream != nil, c.attempts.MayHaveRun():
+	case c.hasBegun():
 		return time.Until(c.deadline)
 	case late || c.rule.Objective == 0:
 		return time.Duration(lateWaitShare * float64(time.Until(c.deadline)))
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -58,6 +58,8 @@
 
 	// forwarded is nil unless another daemon has forwarded the request to this one.
 	forwarded *forwardedCall
+	// forwardRefused says that no other daemon has taken the request before this placement.
+	forwardRefused bool
 
 	// retryReserved says that the next retry has already been counted against the budget.
 	retryReserved atomic.Bool
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -50,14 +50,18 @@
 // assignOrForward assigns the request to an upstream, or lets another daemon serve it: at once if the
 // path to the pool is lost, otherwise if no upstream is found that others may reach.
 func (c *call) assignOrForward(ctx context.Context) (*assignment, forwardResult, *failure) {
-	first := c.shouldForward()
-	if first {
+	c.forwardRefused = false
+	if c.forwardsFirst() {
 		if result, f := c.forward(ctx, anyPeer); result != notForwarded {
 			return nil, result, f
 		}
+		c.forwardRefused = true
+	}
+	if !c.hasBegun() && c.relay.outdated() {
+		return nil, notForwarded, c.failOutdated()
 	}
 	p, f := c.assign(ctx)
-	if f == nil || first {
+	if f == nil || c.forwardRefused {
 		return p, notForwarded, f
 	}
 	suits, ok := c.mayForwardAfter(f)
@@ -67,12 +71,17 @@
 	if result, failed := c.forward(ctx, suits); result != notForwarded {
 		return nil, result, failed
 	}
-	return nil, notForwarded, f
+	if f.reason != reasonUnreachable || !c.hasBegun() {
+		return nil, notForwarded, f
+	}
+	c.forwardRefused = true // the path may work again before the deadline
+	p, f = c.assign(ctx)
+	return p, notForwarded, f
 }
 
-// shouldForward reports whether other daemons are asked before this one tries.
-func (c *call) shouldForward() bool {
-	return c.mayForward() && c.relay.paths.IsLost(c.pool)
+// forwardsFirst reports whether other daemons are to be asked before this one tries.
+func (c *call) forwardsFirst() bool {
+	return c.mayForward() && !c.forwardRefused && (c.relay.paths.IsLost(c.pool) || c.relay.outdated())
 }
 
 // mayForward reports whether the request may be forwarded: one that was forwarded already never is.
@@ -154,6 +163,7 @@
 		return c.lostResult(p, placement.Failed, errUnsigned), nil
 	}
 	resp.Header.Del(outcomeHeader)
+	c.relay.recordConfig(outcome.ConfigVersion)
 	if outcome.Reason != "" {
 		watch.disarm()
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)) // frees the connection
@@ -176,7 +186,7 @@
 	h := d.RequestHeaders(c.in.Header)
 	h.Del(probeHeader) // a caller's
 	h.Set(forwardHeader, encodeHeader(forwardedCall{
-		From: c.relay.cfg.Instance, ConfigVersion: c.version,
+		From: c.relay.cfg.Instance, ConfigVersion: max(c.version, c.relay.newestConfig.Load()),
 		Elapsed: time.Since(c.arrived), Remaining: time.Until(c.deadline) - forwardReserve,
 		Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(), Begun: c.begun,
 		Prefills: c.prefills, ResumeAfter: c.resumeAfter(),
