--- a/internal/exchange/errors.go
+++ b/internal/exchange/errors.go
@@ -31,3 +31,7 @@
 
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
+
+// ErrClosedAtOnce is returned for a connection that was made and then ended by the other side before
+// anything was sent.
+var ErrClosedAtOnce = errors.New("exchange: the connection was closed at once")
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -212,10 +211,6 @@
 	return nil
 }
 
-// ErrClosedAtOnce is returned for a connection that was made and then ended by the other side before
-// anything was sent.
-var ErrClosedAtOnce = errors.New("exchange: the connection was closed at once")
-
 // Verify is Connect for a connection that stays open for a while: what stands between this process
 // and the upstream may accept connections that it then resets. Its error is a *NotSentError.
 func (p *Pool) Verify(ctx context.Context, open time.Duration) error {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -224,9 +224,6 @@
 	return Regained
 }
 
-// Suspect makes the path to a pool be checked soon, because that to another pool was lost.
-func (t *Tracker) Suspect(pool string) { t.Failed(pool) }
-
 // IsLost reports whether the path to a pool is lost.
 func (t *Tracker) IsLost(pool string) bool {
 	t.mu.Lock()
