pathwatch: no list of all upstreams where no check is due

Each 0.1 s the watcher listed the upstreams of all pools, with 3,000 servers some 3,000 names, to find that nothing was to be done. reach says first whether any check is due.

--- a/internal/pathwatch/pathwatch.go
+++ b/internal/pathwatch/pathwatch.go
@@ -64,6 +64,9 @@
 		case <-ticker.C:
 		case <-w.failed:
 		}
+		if !w.Tracker.HasDue() {
+			continue // a list of all upstreams is costly in a large site
+		}
 		pools := w.cfg.Pools()
 		w.Tracker.Retain(func(pool string) bool { return len(pools[pool]) > 0 })
 		for pool, upstreams := range pools {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -155,6 +155,19 @@
 	t.path(pool).suspected = true
 }
 
+// HasDue reports whether a check of any path is due now.
+func (t *Tracker) HasDue() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, p := range t.pools {
+		if !p.checking && t.due(p, now) != NoCheck {
+			return true
+		}
+	}
+	return false
+}
+
 // BeginCheck returns the check of the path to a pool that is due now. EndCheck must follow unless it
 // is NoCheck.
 func (t *Tracker) BeginCheck(pool string) CheckKind {
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -37,6 +37,7 @@
 		c.advance(120 * time.Millisecond)
 		tr.Answered(pool)
 		tr.Ended(pool)
+		require.False(t, tr.HasDue())
 		require.Equal(t, NoCheck, tr.BeginCheck(pool))
 		c.advance(time.Second)
 		require.Equal(t, NoCheck, tr.BeginCheck(pool), "nothing is in flight")
@@ -149,7 +150,9 @@
 	tr, _ := newTracker()
 	tr.Sent(pool)
 	tr.Failed(pool)
+	require.True(t, tr.HasDue())
 	require.Equal(t, CheckConnections, tr.BeginCheck(pool))
+	require.False(t, tr.HasDue(), "it is in progress")
 }
 
 // The cost that each request bears.
