entry: after a broken hop nothing may say 'not run'

Found by reading the change once more: a repeatable request whose connection to another instance broke was offered to the next one, or served here, and their refusals said 'not-run' although the first one may have run it; nor did that repeat use the retry budget. It now fails with 'may have run', as one that isn't repeatable does; its caller may repeat it. TestConnectionBetweenInstancesIsLost expected the repeat, which was the fault, and now asks for the truth of both kinds. go test -race ./internal/entry/... is green.

--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -147,7 +147,8 @@
 			peer.Avoid()
 		case errors.Is(err, upstream.ErrNotSent):
 			peer.Avoid()
-		case k.decision.Then.RetryClass() != rules.RetryRepeatable || k.ctx.Err() != nil:
+		default:
+			// Whatever came next could no longer say truthfully that the request did not run.
 			return false, &outcome.Failure{
 				Status: fiber.StatusBadGateway, Code: outcome.CodeUpstreamBroken, Execution: outcome.MayHaveRun,
 				Message: "the instance to which the request was passed on broke off", Cause: err,
