relay: a suspected request is tried by one daemon at a time

Cause: the relay dropped the answer that a request is suspected; suspects were isolated on the own interface only. Class: a promise built on one of two request paths. Ruled out: a crash credited to nobody (each server that ended is reported with the digests in flight), and reports that come late.

After two crashes it shares no server with other suspects. One usable server of several stays without suspects. A lost attempt goes on only after its crash is recorded, or the first probe shows none.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -21,11 +21,20 @@
 	Check(d quarantine.Digest) (quarantine.Verdict, error)
 	MayRunOn(upstream string, d quarantine.Digest) bool
 	Isolate(ctx context.Context, upstream string, d quarantine.Digest) (*quarantine.Isolation, error)
-	Crashed(ctx context.Context, upstream, incarnation string, inFlight []quarantine.Digest) error
+	RecordCrash(upstream, incarnation string, inFlight []quarantine.Digest) (persist func(context.Context) error)
 	Completed(d quarantine.Digest)
 	Progressed(ctx context.Context, d quarantine.Digest) error
 	Answered(ctx context.Context, d quarantine.Digest) error
 	IsolationError(d quarantine.Digest) *quarantine.Error
+	Claims
+}
+
+// Claims reserves runs of suspects among processes that report to each other directly;
+// quarantine.Guard implements it.
+type Claims interface {
+	Claim(ctx context.Context, d quarantine.Digest, lasting time.Duration, upstreams ...string) (*quarantine.Claim, error)
+	Reservations(d quarantine.Digest) quarantine.Reservations
+	Changed() <-chan struct{}
 }
 
 // Engine is an upstream, or one of its incarnations if they are known.
@@ -70,6 +79,7 @@
 // Detector tracks the requests in flight at each engine and finds out whether an
 // engine has crashed. It is safe for concurrent use.
 type Detector struct {
+	Claims
 	quarantine Quarantine
 	probe      Probe
 	onCrash    func(Engine, []quarantine.Digest)
@@ -83,6 +93,7 @@
 // New returns a detector that reports crashes to a quarantine.
 func New(q Quarantine, p Probe) *Detector {
 	return &Detector{
+		Claims:     q,
 		quarantine: q,
 		probe:      p,
 		running:    map[Engine]map[*Run]struct{}{},
@@ -186,21 +197,36 @@
 		<-det.check(r).done
 	}
 	r.remove()
+	r.release(result == Completed)
+}
+
+// Break ends a run that broke off. It returns once a crash is recorded, or
+// the first probe of the engine shows none, so that the request goes on as a suspect after a crash.
+// The check itself may go on.
+func (r *Run) Break(ctx context.Context) {
+	c := r.detector.check(r)
+	r.remove()
 	if r.isolation != nil {
-		det.endIsolation(r.isolation, result == Completed)
+		ctx = context.WithoutCancel(ctx) // the next copy must find the crash recorded
+	}
+	select {
+	case <-c.probed:
+	case <-ctx.Done():
 	}
+	r.release(false)
 }
 
-// Break ends a run that isn't isolated and that broke off, without waiting for the check of its
-// engine.
-func (r *Run) Break() {
-	r.detector.check(r)
-	r.remove()
+// release ends the run's isolation, if it has one.
+func (r *Run) release(passed bool) {
+	if r.isolation != nil {
+		r.detector.endIsolation(r.isolation, passed)
+	}
 }
 
-// Answer ends a run that isn't isolated and that got a complete response.
+// Answer ends a run that got a complete response.
 func (r *Run) Answer(request *quarantine.Request) {
 	r.remove()
+	r.release(true)
 	r.detector.reportIfKnown(request, r.detector.quarantine.Answered)
 }
 
@@ -210,7 +236,10 @@
 }
 
 // Drop ends a run whose end says nothing of its engine.
-func (r *Run) Drop() { r.remove() }
+func (r *Run) Drop() {
+	r.remove()
+	r.release(false)
+}
 
 func (r *Run) remove() {
 	det := r.detector
@@ -260,9 +289,14 @@
 // crashCheck is a check in progress of whether one engine has crashed.
 type crashCheck struct {
 	requests map[quarantine.Digester]struct{}
-	done     chan struct{}
+	// probed is closed once a crash is recorded, or the first probe shows none; done when the
+	// check is over.
+	probed, done chan struct{}
+	probedOnce   sync.Once
 }
 
+func (c *crashCheck) endProbe() { c.probedOnce.Do(func() { close(c.probed) }) }
+
 // check returns the check of the run's engine, and starts one if none is in progress. The suspects
 // are all requests in flight there now and those that break off during the check, as it isn't known
 // which of them crashed the engine.
@@ -271,7 +305,7 @@
 	defer det.mu.Unlock()
 	c := det.checks[r.engine]
 	if c == nil {
-		c = &crashCheck{requests: map[quarantine.Digester]struct{}{}, done: make(chan struct{})}
+		c = &crashCheck{requests: map[quarantine.Digester]struct{}{}, probed: make(chan struct{}), done: make(chan struct{})}
 		det.checks[r.engine] = c
 		for other := range det.running[r.engine] {
 			c.requests[other.request] = struct{}{}
@@ -284,7 +318,8 @@
 
 func (det *Detector) runCheck(engine Engine, c *crashCheck) {
 	defer close(c.done)
-	crashed := det.engineCrashed(engine)
+	defer c.endProbe()
+	crashed := det.engineCrashed(engine, c.endProbe)
 	det.mu.Lock()
 	delete(det.checks, engine)
 	det.mu.Unlock()
@@ -295,12 +330,14 @@
 	if det.onCrash != nil {
 		det.onCrash(engine, suspects)
 	}
+	persist := det.quarantine.RecordCrash(engine.String(), engine.Incarnation, suspects)
+	c.endProbe()
 	reported := make(chan struct{})
 	det.tasks.Go(func() {
 		defer close(reported)
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
-		_ = det.quarantine.Crashed(ctx, engine.String(), engine.Incarnation, suspects) // the quarantine retries what the log didn't accept
+		_ = persist(ctx) // the quarantine retries what the log didn't accept
 	})
 	timer := time.NewTimer(reportWait)
 	defer timer.Stop()
@@ -325,8 +362,9 @@
 }
 
 // engineCrashed reports whether nothing listens at the engine's address. A connection
-// that broke while the engine still responds is no crash.
-func (det *Detector) engineCrashed(engine Engine) bool {
+// that broke while the engine still responds is no crash. It calls responded after each probe that
+// shows none.
+func (det *Detector) engineCrashed(engine Engine, responded func()) bool {
 	for i := range probeAttempts {
 		if i > 0 {
 			time.Sleep(probeInterval)
@@ -337,6 +375,7 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			return true
 		}
+		responded()
 	}
 	return false
 }
--- a/internal/entry/answer/answer_test.go
+++ b/internal/entry/answer/answer_test.go
@@ -61,7 +61,9 @@
 
 func (noQuarantine) Completed(quarantine.Digest) {}
 
-func (noQuarantine) Crashed(context.Context, string, string, []quarantine.Digest) error { return nil }
+func (noQuarantine) RecordCrash(string, string, []quarantine.Digest) func(context.Context) error {
+	return func(context.Context) error { return nil }
+}
 
 type fakeEngine struct {
 	fleet *fakeFleet
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -172,7 +172,7 @@
 	case err == nil:
 		run.Answer(&c.content)
 	case errors.Is(err, upstream.ErrBroken) && ctx.Err() == nil:
-		run.Break()
+		run.Break(ctx)
 	default:
 		run.Drop()
 	}
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -110,7 +110,7 @@
 	a, b := follow(t, newTestEntry(t, d, log, d.Instances[0].Name)), follow(t, newTestEntry(t, d, log, d.Instances[1].Name))
 	digest := quarantine.DigestOf("", "/x", []byte("lethal"))
 	for _, s := range services[:3] {
-		a.serviceCrashes.Track(crash.Engine{ID: s.Name}, digest).Break()
+		a.serviceCrashes.Track(crash.Engine{ID: s.Name}, digest).Break(t.Context())
 		a.serviceCrashes.Wait()
 	}
 	refused := func() bool {
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"tamarackchute/enginemodel"
@@ -315,7 +316,7 @@
 func (c *call) placementRequest() placement.Request {
 	r := placement.Request{
 		DataCentre: c.relay.cfg.DataCentre,
-		Exclude:    c.excluded,
+		Exclude:    slices.Concat(c.excluded, c.trial.avoid),
 	}
 	if g := c.Generation; g != nil {
 		r.Parts = g.Parts
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -33,6 +33,7 @@
 
 // attempt sends the request to the assigned engines and ends their tickets.
 func (c *call) attempt(ctx context.Context, p *assignment) result {
+	defer c.endTrial()
 	p.sentAt = time.Now()
 	p.resumedAfter = c.resumeAfter()
 	c.relay.paths.Tracker.Sent(c.pool)
@@ -49,7 +50,7 @@
 		p.ticket.HandoffStarted()
 	}
 	res := c.send(ctx, p, c.handoff)
-	c.endRun(res)
+	c.endRun(ctx, res)
 	c.endTicket(p.target, p.ticket, res)
 	c.updateHandoff(res)
 	c.relay.WakeWaiting()
@@ -116,6 +117,9 @@
 		if err := c.checkQuarantine(); err != nil {
 			return err
 		}
+		if err := c.checkTrial(); err != nil {
+			return err
+		}
 		if err := c.relay.Admit(u); err != nil {
 			return err
 		}
@@ -252,7 +256,7 @@
 // notAdmitted reports whether an attempt was stopped by the checks right before it is sent.
 func notAdmitted(err error) bool {
 	return errors.Is(err, ErrHeldBack) || errors.Is(err, errReplaced) || errors.Is(err, errIdentityChanged) ||
-		errors.Is(err, errQuarantined)
+		errors.Is(err, errQuarantined) || errors.Is(err, errSuspected)
 }
 
 // recordBegun reports that the request began to run at an upstream some time ago. Only its first
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -47,6 +47,8 @@
 	content quarantine.Request
 	// inFlight records the attempt in progress at its upstream; nil if nothing has been sent.
 	inFlight *crash.Run
+	// trial is set while the request is suspected of crashing upstreams.
+	trial trial
 	// quarantined is why the request was refused as quarantined, if it was.
 	quarantined *quarantine.Error
 	// key is the digest of the caller's API key; keyErr says that there is none.
@@ -193,8 +195,8 @@
 		if f := c.identify(c.relay.cfg.State.Snapshot().Config); f != nil {
 			return f
 		}
-		if err := c.checkQuarantine(); err != nil {
-			return c.failQuarantined(err)
+		if f := c.awaitTrial(ctx); f != nil {
+			return f
 		}
 		p, forwarded, f := c.assignOrForward(ctx)
 		if forwarded == forwardBroke {
@@ -203,6 +205,9 @@
 		if f != nil || forwarded == forwardEnded {
 			return f
 		}
+		if !c.beginTrial(ctx, p) {
+			continue
+		}
 		res := c.attempt(ctx, p)
 		c.logAttempt(p, res)
 		if res.done {
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -29,6 +29,7 @@
 	reasonUnknownKey     reason = "unknown key"
 	reasonStaleKeys      reason = "stale keys"
 	reasonQuarantined    reason = "quarantined"
+	reasonSuspected      reason = "suspected"
 )
 
 // failure describes a request that ends without an upstream's response.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -101,6 +101,9 @@
 	if f.reason == reasonNoRule {
 		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
 	}
+	if f.reason == reasonSuspected {
+		attrs = append(attrs, "digest", c.trial.digest.String())
+	}
 	attrs = append(attrs, "status", f.status, "reason", string(f.reason), "ran", c.attempts.MayHaveRun(), "retry_after_ms", telemetry.Millis(f.retryAfter))
 	c.log.Warn("failed", attrs...)
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -114,6 +114,11 @@
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter("requests_quarantined").Inc(1)
 }
 
+// recordTrial counts an attempt of a request that is suspected of crashing upstreams.
+func (m *metrics) recordTrial(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("suspects_tried").Inc(1)
+}
+
 // recordAttempt counts an attempt by its result.
 func (m *metrics) recordAttempt(c *call, p *assignment, res result) {
 	s := m.forRule(c.rule.Name)
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -70,7 +70,7 @@
 	defer cancel()
 	r := c.newRequest(p.prefill, p, Attempt{PrefillOnly: true, KVSource: c.sourceAddress(p)})
 	handle, res := c.sendPrefill(ctx, p, r)
-	c.endPrefillRun(res)
+	c.endPrefillRun(ctx, res)
 	if res.err == nil {
 		c.prefills++
 		p.prefillTime = time.Since(p.sentAt)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -15,8 +16,10 @@
 // CrashDetector tracks which requests are in flight where, and tells which have crashed upstreams;
 // crash.Detector implements it.
 type CrashDetector interface {
-	// CheckRequest returns a *quarantine.Error for a request that must not run.
+	// CheckRequest returns a *quarantine.Error for a request that must not run, and whether it may
+	// run only by itself.
 	CheckRequest(r *quarantine.Request) (suspected bool, err error)
+	crash.Claims
 	Track(engine crash.Engine, r quarantine.Digester) *crash.Run
 }
 
@@ -38,13 +41,17 @@
 var errQuarantined = errors.New("the request is quarantined")
 
 // checkQuarantine returns an error that matches errQuarantined if the request has crashed too many
-// upstreams.
+// upstreams, and notes whether it is suspected of that.
 func (c *call) checkQuarantine() error {
 	if c.relay.cfg.Crashes == nil {
 		return nil
 	}
-	_, err := c.relay.cfg.Crashes.CheckRequest(&c.content)
+	suspected, err := c.relay.cfg.Crashes.CheckRequest(&c.content)
+	c.trial.suspected = suspected
 	if err == nil {
+		if suspected {
+			c.trial.digest = c.content.Digest()
+		}
 		return nil
 	}
 	c.relay.metrics.recordQuarantined(c.pool)
@@ -72,8 +79,9 @@
 	}
 }
 
-// endRun ends the record of the attempt in progress, if it was sent.
-func (c *call) endRun(res result) {
+// endRun ends the record of the attempt in progress, if it was sent. After a crash, the request is
+// known as a suspect when it returns.
+func (c *call) endRun(ctx context.Context, res result) {
 	run := c.inFlight
 	c.inFlight = nil
 	switch {
@@ -81,7 +89,10 @@
 	case res.done:
 		run.Answer(&c.content)
 	case res.brokeOff():
-		run.Break()
+		if c.trial.claim != nil {
+			ctx = context.WithoutCancel(ctx) // the next copy must find the crash recorded
+		}
+		run.Break(ctx)
 	default:
 		run.Drop()
 	}
@@ -89,9 +100,9 @@
 
 // endPrefillRun ends the record of a prefill at another engine than the one that answers. Its
 // success doesn't show that the request is harmless: the crash may come with the first token.
-func (c *call) endPrefillRun(res result) {
+func (c *call) endPrefillRun(ctx context.Context, res result) {
 	res.done = false
-	c.endRun(res)
+	c.endRun(ctx, res)
 }
 
 // brokeOff reports whether the connection to the upstream ended before the response was complete. A
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -62,6 +62,7 @@
 		}
 		if events := c.eventsOf(p); events == crash.ClearAfterTokens && c.inFlight != nil {
 			c.inFlight.Progress(&c.content)
+			c.endTrial()
 		}
 		watch.arm(c.eventGapTimeout(p))
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -324,6 +324,32 @@
 	return h
 }
 
+// UsableUpstreams are those upstreams of a pool that take requests, as seen by this daemon.
+type UsableUpstreams struct {
+	IDs []string
+	// Listed counts those that aren't draining, usable or not.
+	Listed int
+}
+
+// Usable returns the upstreams of a pool that are neither draining nor ejected.
+func (tr *Tracker) Usable(pool string) UsableUpstreams {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var u UsableUpstreams
+	p := tr.pools[pool]
+	if p == nil {
+		return u
+	}
+	now := tr.now()
+	for _, e := range p.all {
+		u.Listed++
+		if !e.health.ejected(now) && !e.health.probing {
+			u.IDs = append(u.IDs, e.ID)
+		}
+	}
+	return u
+}
+
 // ReadmitUnreachable ends the ejections of a pool's upstreams to which connections failed: this
 // daemon reaches them again.
 func (tr *Tracker) ReadmitUnreachable(pool string) {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -53,6 +53,9 @@
 	unconfirmed map[Digest]*unconfirmedCrashes
 	completed   *simplelru.LRU[Digest, time.Time]
 	heard       *simplelru.LRU[string, struct{}]
+	// claims are those in force, by ID; news is closed when one ends or a verdict may have changed.
+	claims map[string]*knownClaim
+	news   chan struct{}
 }
 
 // NewGuard returns a guard. writer identifies the process in the journal; now is
@@ -73,6 +76,8 @@
 		unconfirmed: map[Digest]*unconfirmedCrashes{},
 		completed:   completed,
 		heard:       heard,
+		claims:      map[string]*knownClaim{},
+		news:        make(chan struct{}),
 	}
 }
 
@@ -140,10 +145,16 @@
 // flight. incarnation may be "". They become suspects in this process at once; an
 // error means that the report isn't in the log yet, and Serve will retry it.
 func (g *Guard) Crashed(ctx context.Context, upstream, incarnation string, inFlight []Digest) error {
+	return g.RecordCrash(upstream, incarnation, inFlight)(ctx)
+}
+
+// RecordCrash is Crashed but for the journal: it is known here and passed on to other processes when
+// it returns. The returned function writes it to the journal.
+func (g *Guard) RecordCrash(upstream, incarnation string, inFlight []Digest) func(context.Context) error {
 	if len(inFlight) == 0 {
-		return nil
+		return func(context.Context) error { return nil }
 	}
-	return g.reportCrash(ctx, g.recordCrash(upstream, incarnation, inFlight))
+	return g.reportCrash(g.recordCrash(upstream, incarnation, inFlight))
 }
 
 func (g *Guard) recordCrash(upstream, incarnation string, inFlight []Digest) *Crash {
--- a/quarantine/known.go
+++ b/quarantine/known.go
@@ -29,7 +29,11 @@
 
 // changed drops the index after a change of what is known. The next look builds it anew, so that
 // many changes at once, as at a start, cost one.
-func (g *Guard) changed() { g.index.Store(nil) }
+// The caller holds g.mu.
+func (g *Guard) changed() {
+	g.index.Store(nil)
+	g.notify()
+}
 
 func (g *Guard) currentIndex() *index {
 	if current := g.index.Load(); current != nil {
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -16,6 +16,9 @@
 	Completed    *completed    `msgpack:"d,omitempty"`
 	Release      *Release      `msgpack:"r,omitempty"`
 	Checkpoint   *checkpoint   `msgpack:"p,omitempty"`
+	// Claim and ClaimEnd pass between processes only.
+	Claim    *claim    `msgpack:"l,omitempty"`
+	ClaimEnd *claimEnd `msgpack:"e,omitempty"`
 }
 
 // Crash reports that an upstream crashed with requests in flight.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -33,11 +33,14 @@
 	if e.Kind != g.kind || codec.Unmarshal(e.Body, &m) != nil {
 		return false
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.markHeard(e.ID) {
+	if !g.hearFirst(e.ID) {
 		return false
 	}
+	if g.hearOfClaim(m) {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	defer g.changed()
 	switch {
 	case m.Crash != nil:
@@ -54,6 +57,13 @@
 	return true
 }
 
+// hearFirst is markHeard for callers that don't hold g.mu.
+func (g *Guard) hearFirst(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.markHeard(id)
+}
+
 // markHeard remembers the ID of a report, and returns false if it is known. The caller holds g.mu.
 func (g *Guard) markHeard(id string) bool {
 	if g.heard.Contains(id) {
@@ -63,14 +73,17 @@
 	return true
 }
 
-// reportCrash passes a crash on to other processes and appends it to the journal, or what is likely
-// of it.
-func (g *Guard) reportCrash(ctx context.Context, c *Crash) error {
+// reportCrash passes a crash on to other processes. The returned function appends it to the journal,
+// or what is likely of it.
+func (g *Guard) reportCrash(c *Crash) func(context.Context) error {
 	e := entryOf(g.kind, uuid.NewString(), g.writer, message{Crash: c})
-	if !g.pass(e) {
-		return g.persist(ctx, e)
+	reached := g.pass(e)
+	return func(ctx context.Context) error {
+		if !reached {
+			return g.persist(ctx, e)
+		}
+		return g.persistAll(ctx, g.likely(c.Suspects))
 	}
-	return g.persistAll(ctx, g.likely(c.Suspects))
 }
 
 // pass passes an entry on, and reports whether it reaches all other processes.
@@ -78,9 +91,7 @@
 	if g.publish == nil {
 		return false
 	}
-	g.mu.Lock()
-	g.markHeard(e.ID)
-	g.mu.Unlock()
+	g.hearFirst(e.ID)
 	g.publish(e)
 	return g.reachesAll()
 }
