entry: a suspected call of a service runs one copy at a time

The own interface isolated suspects among engines, not among its services: between the first crash and the third, copies of a call went to all services at once. Same class as on the relay, found by comparing the two paths.

--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -39,7 +39,10 @@
 // implements it.
 type CrashDetector interface {
 	Check(d quarantine.Digest) (suspected bool, err error)
-	Track(engine crash.Engine, r quarantine.Digester) *crash.Run
+	MayRunOn(service string, d quarantine.Digest) bool
+	// Begin records a call as in flight; a suspect needs the service for itself among suspects.
+	Begin(ctx context.Context, service string, d quarantine.Digest, suspected bool) (*crash.Run, error)
+	IsolationError(d quarantine.Digest) error
 }
 
 // Runner sends requests to services. It is safe for concurrent use.
@@ -78,13 +81,20 @@
 		if err := c.admitted(); err != nil {
 			return upstream.ServiceResponse{}, c.fail(http.StatusUnauthorized, outcome.CodeUnauthorised, err, "the API key is no longer valid")
 		}
-		if err := c.checkQuarantine(); err != nil {
+		suspected, err := c.checkQuarantine()
+		if err != nil {
 			return upstream.ServiceResponse{}, c.quarantineFailure(err)
 		}
-		response, err := c.attempt(ctx)
+		response, err := c.attempt(ctx, suspected)
 		if err == nil {
 			return response, nil
 		}
+		if waitsForTurn(err) {
+			if !c.waitForTurn(ctx) {
+				return upstream.ServiceResponse{}, c.turnFailure()
+			}
+			continue
+		}
 		if f := c.handleFailure(ctx, err); f != nil {
 			return upstream.ServiceResponse{}, f
 		}
@@ -100,18 +110,23 @@
 	// content identifies equal requests; it is valid until the call ends.
 	content quarantine.Request
 	digest  quarantine.Digest
+	// isolated says that the attempt in progress is one of a suspect, apart from others.
+	isolated bool
+	// waited is how long the call, a suspect, has waited for its turn.
+	waited time.Duration
 }
 
 func contentOf(job Job) quarantine.Request {
 	return quarantine.Request{Scope: job.Route.Organisation, Method: job.Request.Method, Path: job.Request.Path, Body: job.Request.Body}
 }
 
-func (c *call) checkQuarantine() error {
+// checkQuarantine returns an error if the call is quarantined, and whether it is a suspect, of which
+// one copy runs at a time.
+func (c *call) checkQuarantine() (suspected bool, err error) {
 	if c.runner.CrashDetector == nil {
-		return nil
+		return false, nil
 	}
-	_, err := c.runner.CrashDetector.Check(c.digest)
-	return err
+	return c.runner.CrashDetector.Check(c.digest)
 }
 
 func (c *call) quarantineFailure(cause error) *outcome.Failure {
@@ -128,7 +143,11 @@
 	if err := c.admitted(); err != nil {
 		return err
 	}
-	return c.checkQuarantine()
+	suspected, err := c.checkQuarantine()
+	if err == nil && suspected && !c.isolated {
+		return errSuspected
+	}
+	return err
 }
 
 func (c *call) admitted() error {
@@ -140,22 +159,29 @@
 
 // attempt sends the request once. It returns a *router.NoUpstreamError, and sends
 // nothing, if no service is available.
-func (c *call) attempt(ctx context.Context) (upstream.ServiceResponse, error) {
+func (c *call) attempt(ctx context.Context, suspected bool) (upstream.ServiceResponse, error) {
 	route := c.job.Route
 	route.Exclude = c.excluded
+	if suspected {
+		route.MayRunOn = func(service string) bool { return c.runner.CrashDetector.MayRunOn(service, c.digest) }
+	}
 	plan, err := c.runner.Tracker.Pick(route)
 	if err != nil {
 		return upstream.ServiceResponse{}, err
 	}
 	c.retryState.RecordAttempt()
-	c.excluded = append(c.excluded, plan.Engine)
 	ticket := c.runner.Tracker.Begin(plan, route)
-	response, err := c.send(ctx, plan.Engine)
+	response, err := c.send(ctx, plan.Engine, suspected)
 	ticket.End(routerOutcome(ctx, response, err))
+	if waitsForTurn(err) {
+		c.retryState.RemoveAttempt() // nothing was sent
+	} else {
+		c.excluded = append(c.excluded, plan.Engine)
+	}
 	return response, err
 }
 
-func (c *call) send(ctx context.Context, name string) (upstream.ServiceResponse, error) {
+func (c *call) send(ctx context.Context, name string, suspected bool) (upstream.ServiceResponse, error) {
 	service := c.runner.Services.Service(name)
 	if service == nil {
 		return upstream.ServiceResponse{}, upstream.ErrNotSent
@@ -166,7 +192,11 @@
 	if c.runner.CrashDetector == nil {
 		return service.Call(ctx, request)
 	}
-	run := c.runner.CrashDetector.Track(crash.Engine{ID: name}, c.digest)
+	run, err := c.runner.CrashDetector.Begin(ctx, name, c.digest, suspected)
+	if err != nil {
+		return upstream.ServiceResponse{}, err
+	}
+	c.isolated = suspected
 	response, err := service.Call(ctx, request)
 	switch {
 	case err == nil:
@@ -232,7 +262,7 @@
 		return router.OutcomeBroken
 	case err == nil:
 		return router.OutcomeOK
-	case errors.Is(err, upstream.ErrLimited), errors.Is(err, upstream.ErrNotAdmitted):
+	case errors.Is(err, upstream.ErrLimited), errors.Is(err, upstream.ErrNotAdmitted), errors.Is(err, quarantine.ErrReserved):
 		return router.OutcomeCancelled
 	case errors.Is(err, upstream.ErrNotSent):
 		return router.OutcomeNotSent
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -135,13 +135,13 @@
 	require.Zero(t, service.requests.Load())
 }
 
-// Guards against a call that crashes each service that runs it and is sent on to the next one.
-func TestLethalCallIsRefused(t *testing.T) {
-	var crashes atomic.Int32
-	services := make([]*crashingService, 6)
+// newCrashingHarness returns a harness before services that lethal requests crash, with a
+// quarantine.
+func newCrashingHarness(t *testing.T, crashes *atomic.Int32) (*harness, *crash.Detector) {
+	services := make([]*crashingService, crashingServices)
 	handlers := make([]http.Handler, len(services))
 	for i := range services {
-		services[i] = &crashingService{crashes: &crashes}
+		services[i] = &crashingService{crashes: crashes}
 		handlers[i] = services[i]
 	}
 	h := newHarness(t, handlers...)
@@ -152,7 +152,38 @@
 	log.guard = quarantine.NewGuard(quarantine.NoIsolationConfig(), log, "w", nil)
 	detector := crash.New(log.guard, crash.ProbeByID(h.connect))
 	h.runner.CrashDetector = detector
-	for range services {
+	return h, detector
+}
+
+const crashingServices = 6
+
+// Guards against copies of a suspected call that go to all services at once.
+func TestSuspectedCallsRunOneAtATime(t *testing.T) {
+	var crashes atomic.Int32
+	h, detector := newCrashingHarness(t, &crashes)
+	_, f := h.call("lethal", nil)
+	require.NotNil(t, f)
+	detector.Wait()
+	var callers sync.WaitGroup
+	for range 4 * crashingServices {
+		callers.Go(func() {
+			_, f := h.call("lethal", nil)
+			require.NotNil(t, f)
+		})
+	}
+	callers.Go(func() {
+		_, f := h.call("harmless", nil)
+		require.Nil(t, f)
+	})
+	callers.Wait()
+	require.EqualValues(t, 3, crashes.Load())
+}
+
+// Guards against a call that crashes each service that runs it and is sent on to the next one.
+func TestLethalCallIsRefused(t *testing.T) {
+	var crashes atomic.Int32
+	h, detector := newCrashingHarness(t, &crashes)
+	for range crashingServices {
 		_, f := h.call("lethal", nil)
 		require.NotNil(t, f)
 		detector.Wait()
