relay: a stream goes on only at the software version that began it

Callers got streams whose halves are of two software versions. Cause: the version in a server's entry was validated and dropped, so every way on which a stream goes on (the daemon's own resume, a caller's Last-Event-Id at any daemon, a forwarded request) took any server. Class: a field of the platform's pages that nobody decodes. Ruled out: two responses to one request joined (one is read at a time), memory that crosses versions (it brings no event).

A stream's version is fixed with its first event. Who takes it up at another daemon finds it in that daemon's book (streamversion): begun there, told by neighbours, or no other version has served within a minute, which a daemon that started lately, or whose list is old, doesn't assume. It asks its neighbours for 60 ms at most. Unknown, or no server of that version left: refused at once, 'version unknown' or 'version gone', with the versions that serve in the log line. Daemons tell each other only while versions differ, and for a minute after their start; the streams begun before a second version came are told when it comes. 'attempt' lines have the server's version. Links speak protocol 7.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,8 @@
 	Pool       string
 	Address    string
 	DataCentre string
+	// Version is that of its software. What two versions write to a stream doesn't fit together.
+	Version string
 	// Slots is how many requests it runs concurrently.
 	Slots int
 	// Role is empty for a plain service.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -42,7 +42,7 @@
 	minAssumedDaemons = 10
 	// peerSecret isn't confidential: the platform's network is closed, and its settings hold
 	// nothing known only to the system's processes. It rejects other protocols.
-	peerSecret = "tamarackchute member exchange, protocol 6"
+	peerSecret = "tamarackchute member exchange, protocol 7"
 	// replacedTimeout is how long all daemons avoid an upstream whose address now belongs to
 	// another one: its store entry lapses after three missed heartbeats.
 	replacedTimeout = 3 * time.Second
@@ -106,6 +106,8 @@
 	// upstreams name.
 	quarantine *quarantineExchange
 	limits     *limitExchange
+	// streamVersions knows at which software version streams began.
+	streamVersions *streamVersions
 }
 
 // New returns a daemon; Run starts it.
@@ -122,6 +124,7 @@
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.quarantine = newQuarantineExchange(m, cfg.QuarantineLog)
 	m.limits = newLimitExchange(m)
+	m.streamVersions = newStreamVersions(m)
 	m.relay = relay.New(relay.Config{
 		Instance:      s.Instance,
 		DataCentre:    s.DataCentre,
@@ -141,6 +144,7 @@
 		OnBegun:       m.recordBegun,
 		Crashes:       m.quarantine.detector,
 		Limits:        m.limits.forRelay(),
+		Versions:      m.streamVersions,
 	})
 	m.engines = cfg.Engines(m.relay)
 	m.peers.localDemand = m.localDemand
@@ -374,6 +378,7 @@
 	links.Add(wire.NewServer(m.wireConfig(), m.self.Peers, m.peers, m.log))
 	links.Add(m.peers)
 	links.Add(m.limits)
+	links.Add(m.streamVersions)
 	links.Add(m.relay.PathService())
 	serving := suture.New("serving", spec)
 	for _, s := range servers {
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -80,6 +80,10 @@
 	onQuarantineFingerprint func(address string, fingerprint uint64)
 	// onUpstreamLimits processes the limits that a neighbour knows.
 	onUpstreamLimits func(wire.UpstreamLimits)
+	// onStreamVersions processes the versions at which another daemon's streams began;
+	// streamVersion returns what this daemon knows of one, if anything.
+	onStreamVersions func(wire.StreamVersions)
+	streamVersion    func(wire.StreamVersionRequest) (wire.StreamVersions, bool)
 	// localDemand returns the demand of this daemon's callers, by pool.
 	localDemand func() map[string]wire.MemberDemand
 	// heartbeats counts the heartbeats sent.
@@ -216,6 +220,12 @@
 		if p.onUpstreamLimits != nil {
 			p.onUpstreamLimits(m)
 		}
+	case wire.StreamVersions:
+		if p.onStreamVersions != nil {
+			p.onStreamVersions(m)
+		}
+	case wire.StreamVersionRequest:
+		p.replyStreamVersion(m, reply)
 	case wire.UsageReport:
 		if p.onUsage != nil {
 			p.onUsage(m.Counts)
--- /dev/null
+++ b/internal/member/streamversions.go
@@ -0,0 +1,160 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/wire"
+	"tamarackchute/streamversion"
+)
+
+const (
+	// streamVersionsInterval is how long streams are collected before other daemons are told.
+	streamVersionsInterval = 10 * time.Millisecond
+	// streamVersionWait is how long other daemons are given to say at which version a stream began.
+	streamVersionWait = 60 * time.Millisecond
+)
+
+// streamVersions shares with the other daemons at which software version streams began, where a
+// pool's upstreams have several. It implements relay.StreamVersions and is a suture.Service.
+type streamVersions struct {
+	book  *streamversion.Book
+	peers *Peers
+
+	mu sync.Mutex
+	// untold are streams of which other daemons haven't been told; wake gets a token for the first.
+	untold []streamversion.Begun
+	wake   chan struct{}
+}
+
+var _ suture.Service = (*streamVersions)(nil)
+
+func newStreamVersions(m *Member) *streamVersions {
+	x := &streamVersions{peers: m.peers, wake: make(chan struct{}, 1)}
+	// A version that this daemon's list lacks is known to those that use it, and they tell.
+	x.book = streamversion.NewBook(nil, func() bool { return m.readers[0].age() < maxListAge || m.peers.HearsAll() })
+	m.peers.onStreamVersions, m.peers.streamVersion = x.hear, x.answer
+	m.state.Watch(func(s *fleet.Snapshot) { x.tell(x.book.Observe(versionsOf(s))...) })
+	return x
+}
+
+// versionsOf returns the versions of each pool's upstreams.
+func versionsOf(s *fleet.Snapshot) map[string][]string {
+	all := make(map[string][]string, len(s.Pools))
+	for pool, upstreams := range s.Pools {
+		for _, u := range upstreams {
+			all[pool] = append(all[pool], u.Version)
+		}
+	}
+	return all
+}
+
+// String implements fmt.Stringer; the supervisor logs it.
+func (x *streamVersions) String() string { return "streams' versions" }
+
+// Serve implements suture.Service.
+func (x *streamVersions) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-x.wake:
+			sleep(ctx, streamVersionsInterval)
+			x.flush()
+		}
+	}
+}
+
+// Begin implements relay.StreamVersions.
+func (x *streamVersions) Begin(pool, request, version string) {
+	s := streamversion.Begun{Pool: pool, Version: version, Stream: streamversion.StreamOf(request)}
+	if x.book.Begin(s) {
+		x.tell(s)
+	}
+}
+
+func (x *streamVersions) tell(streams ...streamversion.Begun) {
+	if len(streams) == 0 {
+		return
+	}
+	x.mu.Lock()
+	x.untold = append(x.untold, streams...)
+	x.mu.Unlock()
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// flush tells the neighbours of the collected streams, in one message for each pool and version.
+func (x *streamVersions) flush() {
+	x.mu.Lock()
+	streams := x.untold
+	x.untold = nil
+	x.mu.Unlock()
+	type group struct{ pool, version string }
+	groups := make(map[group][]uint64)
+	for _, s := range streams {
+		g := group{s.Pool, s.Version}
+		groups[g] = append(groups[g], uint64(s.Stream))
+	}
+	for g, names := range groups {
+		x.peers.broadcast(wire.StreamVersions{Pool: g.pool, Version: g.version, Streams: names})
+	}
+}
+
+// hear records what another daemon tells.
+func (x *streamVersions) hear(m wire.StreamVersions) {
+	for _, s := range m.Streams {
+		x.book.Hear(streamversion.Begun{Pool: m.Pool, Version: m.Version, Stream: streamversion.Stream(s)})
+	}
+	if m.Sole {
+		x.book.HearSole(m.Pool, m.Version)
+	}
+}
+
+// answer returns what this daemon knows of a stream.
+func (x *streamVersions) answer(m wire.StreamVersionRequest) (wire.StreamVersions, bool) {
+	if version, sole := x.book.Sole(m.Pool); sole {
+		return wire.StreamVersions{Pool: m.Pool, Version: version, Sole: true}, true
+	}
+	version, known := x.book.Version(m.Pool, streamversion.Stream(m.Stream))
+	return wire.StreamVersions{Pool: m.Pool, Version: version, Streams: []uint64{m.Stream}}, known
+}
+
+// VersionOf implements relay.StreamVersions. It asks other daemons if this one doesn't know.
+func (x *streamVersions) VersionOf(ctx context.Context, pool, request string) (string, bool) {
+	stream := streamversion.StreamOf(request)
+	changed := x.book.Changed()
+	if version, known := x.book.Version(pool, stream); known {
+		return version, true
+	}
+	x.peers.broadcast(wire.StreamVersionRequest{Pool: pool, Stream: uint64(stream)})
+	ctx, cancel := context.WithTimeout(ctx, streamVersionWait)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return "", false
+		case <-changed:
+		}
+		changed = x.book.Changed()
+		if version, known := x.book.Version(pool, stream); known {
+			return version, true
+		}
+	}
+}
+
+// replyStreamVersion replies what this daemon knows of a stream, if anything.
+func (p *Peers) replyStreamVersion(m wire.StreamVersionRequest, reply func(wire.Message)) {
+	if p.streamVersion == nil {
+		return
+	}
+	if known, ok := p.streamVersion(m); ok {
+		reply(known)
+	}
+}
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -67,6 +67,9 @@
 	if refresh := c.relay.cfg.Refresh; refresh != nil {
 		refresh(ctx)
 	}
+	if f := c.checkOrigin(c.relay.cfg.State.Snapshot()); f != nil {
+		return nil, f
+	}
 	if c.cannotComplete() {
 		return nil, c.fail(reasonCannotComplete, "no upstream can end the answer in the time left")
 	}
@@ -316,7 +319,7 @@
 func (c *call) placementRequest() placement.Request {
 	r := placement.Request{
 		DataCentre: c.relay.cfg.DataCentre,
-		Exclude:    slices.Concat(c.excluded, c.trial.avoid),
+		Exclude:    slices.Concat(c.excluded, c.trial.avoid, c.otherVersions(c.relay.cfg.State.Snapshot())),
 	}
 	if g := c.Generation; g != nil {
 		r.Parts = g.Parts
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -111,6 +111,9 @@
 		if a.Handoff.Handle != "" && c.handoffLost() {
 			return errReplaced
 		}
+		if !c.suitsOrigin(u) {
+			return errOtherVersion
+		}
 		if err := c.checkIdentity(); err != nil {
 			return err
 		}
@@ -256,7 +259,7 @@
 // notAdmitted reports whether an attempt was stopped by the checks right before it is sent.
 func notAdmitted(err error) bool {
 	return errors.Is(err, ErrHeldBack) || errors.Is(err, errReplaced) || errors.Is(err, errIdentityChanged) ||
-		errors.Is(err, errQuarantined) || errors.Is(err, errSuspected)
+		errors.Is(err, errQuarantined) || errors.Is(err, errSuspected) || errors.Is(err, errOtherVersion)
 }
 
 // recordBegun reports that the request began to run at an upstream some time ago. Only its first
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -47,6 +47,8 @@
 	content quarantine.Request
 	// inFlight records the attempt in progress at its upstream; nil if nothing has been sent.
 	inFlight *crash.Run
+	// origin is where the stream began, once that is known.
+	origin streamOrigin
 	// trial is set while the request is suspected of crashing upstreams.
 	trial trial
 	// quarantined is why the request was refused as quarantined, if it was.
@@ -195,6 +197,9 @@
 		if f := c.identify(c.relay.cfg.State.Snapshot().Config); f != nil {
 			return f
 		}
+		if f := c.findOrigin(ctx); f != nil {
+			return f
+		}
 		if f := c.awaitTrial(ctx); f != nil {
 			return f
 		}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -30,6 +30,8 @@
 	reasonStaleKeys      reason = "stale keys"
 	reasonQuarantined    reason = "quarantined"
 	reasonSuspected      reason = "suspected"
+	reasonVersionUnknown reason = "version unknown"
+	reasonVersionGone    reason = "version gone"
 )
 
 // failure describes a request that ends without an upstream's response.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -171,6 +171,7 @@
 	}
 	c.recordForwardedRun(outcome.Attempts - c.attempts.Attempts())
 	c.relay.observeForwarded(outcome, resp.Status, resp.Header)
+	p.target.Version = outcome.Version
 	if c.rule.Stream && resp.Status == http.StatusOK {
 		return c.relayStream(ctx, p, resp, watch), nil
 	}
@@ -191,6 +192,7 @@
 		Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(), Begun: c.begun,
 		Prefills: c.prefills, ResumeAfter: c.resumeAfter(),
 		Retried: c.retried, DemandCounted: c.demandCounted,
+		VersionFixed: c.origin.fixed, Version: c.origin.version,
 	}))
 	return &exchange.Request{
 		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: h, Body: c.body,
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -42,6 +42,7 @@
 	c.deadline = now.Add(f.Remaining)
 	c.Call.ResumeAfter, c.prefills = f.ResumeAfter, f.Prefills
 	c.retried, c.demandCounted, c.begun = f.Retried, f.DemandCounted, f.Begun
+	c.origin = streamOrigin{fixed: f.VersionFixed, version: f.Version}
 	for range f.Attempts {
 		c.attempts.RecordAttempt()
 	}
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -44,6 +44,9 @@
 	// Retried says that the caller retries after a refusal, DemandCounted that the request has been
 	// added to the measured demand.
 	Retried, DemandCounted bool
+	// VersionFixed says that the stream may go on only at Version of the upstreams' software.
+	VersionFixed bool
+	Version      string
 }
 
 // forwardedOutcome is what the daemon to which a request was forwarded says of its response.
@@ -65,6 +68,8 @@
 	// milliseconds.
 	Upstream string
 	Started  int64
+	// Version is that of the upstream's software.
+	Version string
 	// Incapable means that the daemon can't serve such requests now, though another one may.
 	Incapable bool
 }
@@ -117,7 +122,7 @@
 func (c *call) copyResponseHeaders(from *fleet.Upstream, src http.Header) {
 	h := c.out.Header()
 	c.relay.cfg.Dialect.CopyResponseHeaders(h, src)
-	c.addOutcome(h, forwardedOutcome{ConfigVersion: c.version, Attempts: c.attempts.Attempts(), MayHaveRun: true, Upstream: from.ID, Started: from.Started.UnixMilli()})
+	c.addOutcome(h, forwardedOutcome{ConfigVersion: c.version, Attempts: c.attempts.Attempts(), MayHaveRun: true, Upstream: from.ID, Version: from.Version, Started: from.Started.UnixMilli()})
 }
 
 // recordConfig records by which version of the configuration another daemon has decided.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -20,7 +20,7 @@
 		level = slog.LevelWarn
 	}
 	attrs := []any{
-		"request", c.ID, "upstream", p.target.ID, "pool", c.pool, "config", c.version,
+		"request", c.ID, "upstream", p.target.ID, "version", p.target.Version, "pool", c.pool, "config", c.version,
 		"waited_ms", telemetry.Millis(p.waited), "expected_ms", telemetry.Millis(p.plan.FirstToken),
 		"prompt", c.promptTokens(), "output", c.outputTokens(), "max_output", c.maxOutput(),
 		"uncached", p.plan.Uncached, "fetched", p.plan.Transferred, "reread", p.plan.Recomputes,
@@ -101,6 +101,9 @@
 	if f.reason == reasonNoRule {
 		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
 	}
+	if f.reason == reasonVersionUnknown || f.reason == reasonVersionGone {
+		attrs = append(attrs, "stream", c.streamID(), "begun_at_version", c.origin.version, "versions", servingVersions(c.relay.cfg.State.Snapshot(), c.pool))
+	}
 	if f.reason == reasonSuspected {
 		attrs = append(attrs, "digest", c.trial.digest.String())
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,8 @@
 	Limits *Limits
 	// Crashes refuses requests that have crashed upstreams; nil refuses none.
 	Crashes CrashDetector
+	// Versions knows at which software version streams began; nil if upstreams have one only.
+	Versions StreamVersions
 	// Metrics receives counters and histograms; nil drops them.
 	Metrics tally.Scope
 	// MinRetryAfter is the retry delay that error responses name; they name a shorter one
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -23,6 +23,9 @@
 	// ResumeAfter is the id of the last event that the caller received of a stream,
 	// 0 to start from the first.
 	ResumeAfter int
+	// Resumes is the ID of the caller's request that brought the first event of the stream; empty if
+	// it names none.
+	Resumes string
 }
 
 // Generation describes a request for a model.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -42,6 +42,9 @@
 	KindUsageReply         Kind = 21
 	KindQuarantineReport   Kind = 22
 	KindUpstreamLimits     Kind = 23
+
+	KindStreamVersions       Kind = 24
+	KindStreamVersionRequest Kind = 25
 )
 
 // Message is a typed message between two processes of the system.
@@ -215,6 +218,10 @@
 		return decodeAs[QuarantineReport](body)
 	case KindUpstreamLimits:
 		return decodeAs[UpstreamLimits](body)
+	case KindStreamVersions:
+		return decodeAs[StreamVersions](body)
+	case KindStreamVersionRequest:
+		return decodeAs[StreamVersionRequest](body)
 	case KindLoadTotals:
 		return decodeAs[LoadTotals](body)
 	default:
--- /dev/null
+++ b/streamversion/book.go
@@ -0,0 +1,229 @@
+// Package streamversion knows the software version of the upstream that began a stream. What two
+// versions write doesn't fit together, so a stream may go on only at the version that began it. Where
+// that isn't known, nothing is guessed.
+//
+// Streams are named by hashes of the IDs of the requests that began them.
+package streamversion
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// Retention is how long after its begin a stream may go on elsewhere. Versions that served in
+	// that time may have begun it.
+	Retention = time.Minute
+	// maxStreams bounds the streams whose version is remembered; the oldest go first.
+	maxStreams = 1 << 15
+)
+
+// Stream names a stream.
+type Stream uint64
+
+// StreamOf returns the name of the stream that a request began.
+func StreamOf(requestID string) Stream { return Stream(xxhash.Sum64String(requestID)) }
+
+// Begun is a stream with the pool and the version that began it.
+type Begun struct {
+	Pool, Version string
+	Stream        Stream
+}
+
+// Book remembers which versions serve in each pool, and the streams that have begun. It is safe for
+// concurrent use.
+type Book struct {
+	now func() time.Time
+	// current reports whether the list of upstreams that Observe gets is recent.
+	current func() bool
+
+	mu      sync.Mutex
+	started time.Time
+	pools   map[string]*pool
+	streams *simplelru.LRU[Stream, record]
+	// news is closed when a stream or a pool becomes known.
+	news chan struct{}
+}
+
+// pool is what is known of a pool's versions.
+type pool struct {
+	// listed are those with upstreams in the list; removed says when others were last in it.
+	listed  map[string]bool
+	removed map[string]time.Time
+	// confirmed means that another process vouches for the time before this one's start.
+	confirmed bool
+}
+
+type record struct {
+	Begun
+	at time.Time
+	// own means that this process began the stream.
+	own bool
+}
+
+// NewBook returns an empty book. now is the clock, time.Now if nil; current says whether the list of
+// upstreams is recent.
+func NewBook(now func() time.Time, current func() bool) *Book {
+	if now == nil {
+		now = time.Now
+	}
+	streams, _ := simplelru.NewLRU[Stream, record](maxStreams, nil)
+	return &Book{now: now, current: current, started: now(), pools: make(map[string]*pool), streams: streams, news: make(chan struct{})}
+}
+
+// Observe records the versions that the list of upstreams names, by pool. It returns the streams that
+// this process began in pools which have several versions from now on: others must know of them.
+func (b *Book) Observe(versions map[string][]string) []Begun {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	var tell []Begun
+	for name := range b.pools {
+		if _, listed := versions[name]; !listed {
+			b.pools[name].observe(nil, now)
+		}
+	}
+	for name, listed := range versions {
+		p := b.pool(name)
+		mixed := p.mixed(now)
+		p.observe(listed, now)
+		if !mixed && p.mixed(now) {
+			tell = append(tell, b.ownStreams(name, now)...)
+		}
+	}
+	return tell
+}
+
+func (b *Book) pool(name string) *pool {
+	p := b.pools[name]
+	if p == nil {
+		p = &pool{listed: make(map[string]bool), removed: make(map[string]time.Time)}
+		b.pools[name] = p
+	}
+	return p
+}
+
+func (p *pool) observe(listed []string, now time.Time) {
+	for v := range p.listed {
+		if !slices.Contains(listed, v) {
+			p.removed[v] = now
+			delete(p.listed, v)
+		}
+	}
+	for _, v := range listed {
+		p.listed[v] = true
+		delete(p.removed, v)
+	}
+	maps.DeleteFunc(p.removed, func(_ string, at time.Time) bool { return now.Sub(at) > Retention })
+}
+
+// served returns the versions that have served within Retention.
+func (p *pool) served(now time.Time) []string {
+	served := slices.Collect(maps.Keys(p.listed))
+	for v, at := range p.removed {
+		if now.Sub(at) <= Retention {
+			served = append(served, v)
+		}
+	}
+	return served
+}
+
+// mixed reports whether several versions have served within Retention.
+func (p *pool) mixed(now time.Time) bool {
+	if len(p.removed) == 0 {
+		return len(p.listed) > 1
+	}
+	return len(p.served(now)) > 1
+}
+
+func (b *Book) ownStreams(pool string, now time.Time) []Begun {
+	var all []Begun
+	for _, r := range b.streams.Values() {
+		if r.own && r.Pool == pool && now.Sub(r.at) <= Retention {
+			all = append(all, r.Begun)
+		}
+	}
+	return all
+}
+
+// Begin records that a stream has begun at an upstream of this process's choice, and reports whether
+// other processes must know: where versions differ, or may have before this process's start.
+func (b *Book) Begin(s Begun) (tell bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.streams.Add(s.Stream, record{s, now, true})
+	p := b.pool(s.Pool)
+	return p.mixed(now) || !b.knowsPast(p, now)
+}
+
+// knowsPast reports whether the versions are known that served before this process's start.
+func (b *Book) knowsPast(p *pool, now time.Time) bool {
+	return p.confirmed || now.Sub(b.started) > Retention
+}
+
+// Hear records a stream of which another process has told.
+func (b *Book) Hear(s Begun) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.streams.Add(s.Stream, record{s, b.now(), false})
+	b.notify()
+}
+
+// HearSole records that another process knows of no other version that has served in a pool within
+// Retention.
+func (b *Book) HearSole(pool, version string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pool(pool)
+	if served := p.served(b.now()); len(served) == 1 && served[0] == version {
+		p.confirmed = true
+		b.notify()
+	}
+}
+
+// Version returns the version that began a stream, and whether it is known: from the begin itself, or
+// because no other version can have begun it.
+func (b *Book) Version(pool string, s Stream) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	if r, ok := b.streams.Get(s); ok && r.Pool == pool && now.Sub(r.at) <= Retention {
+		return r.Version, true
+	}
+	return b.sole(pool, now)
+}
+
+// Sole returns the version of a pool in which no other one has served within Retention, as far as
+// this process can know.
+func (b *Book) Sole(pool string) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sole(pool, b.now())
+}
+
+func (b *Book) sole(name string, now time.Time) (string, bool) {
+	p := b.pool(name)
+	served := p.served(now)
+	if len(served) != 1 || !b.knowsPast(p, now) || !b.current() {
+		return "", false
+	}
+	return served[0], true
+}
+
+// Changed returns a channel that is closed when a stream or a pool becomes known.
+func (b *Book) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.news
+}
+
+func (b *Book) notify() {
+	close(b.news)
+	b.news = make(chan struct{})
+}
