member: daemons hear the replies of those that they ask for a stream's version

A daemon that started after a stream began refused to take it up: the replies to its question were dropped, as links hand on only the kinds that handleReply names.

--- a/internal/member/peerlinks.go
+++ b/internal/member/peerlinks.go
@@ -42,6 +42,8 @@
 	switch m := m.(type) {
 	case wire.ConfigProofReply:
 		p.onConfigProof(m)
+	case wire.StreamVersions:
+		p.onStreamVersions(m)
 	case wire.UsageAck:
 		if p.onUsageAck != nil {
 			p.onUsageAck(from, m)
--- a/internal/member/streamversions.go
+++ b/internal/member/streamversions.go
@@ -9,6 +9,7 @@
 
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/wire"
+	"tamarackchute/rules/pathset"
 	"tamarackchute/streamversion"
 )
 
@@ -17,6 +18,10 @@
 	streamVersionsInterval = 10 * time.Millisecond
 	// streamVersionWait is how long other daemons are given to say at which version a stream began.
 	streamVersionWait = 60 * time.Millisecond
+	// maxStreamTime is how long a request may last where its rule has no timeout, reconnectTime how long
+	// its caller may take to come back after it has ended.
+	maxStreamTime = time.Minute
+	reconnectTime = 2 * time.Second
 )
 
 // streamVersions shares with the other daemons at which software version streams began, where a
@@ -38,21 +43,47 @@
 	// A version that this daemon's list lacks is known to those that use it, and they tell.
 	x.book = streamversion.NewBook(nil, func() bool { return m.readers[0].age() < maxListAge || m.peers.HearsAll() })
 	m.peers.onStreamVersions, m.peers.streamVersion = x.hear, x.answer
-	m.state.Watch(func(s *fleet.Snapshot) { x.tell(x.book.Observe(versionsOf(s))...) })
+	m.state.Watch(func(s *fleet.Snapshot) { x.tell(x.book.Observe(listedOf(s))...) })
 	return x
 }
 
-// versionsOf returns the versions of each pool's upstreams.
-func versionsOf(s *fleet.Snapshot) map[string][]string {
-	all := make(map[string][]string, len(s.Pools))
+// listedOf returns what a snapshot says of each pool's versions.
+func listedOf(s *fleet.Snapshot) map[string]streamversion.Listed {
+	all := make(map[string]streamversion.Listed, len(s.Pools))
 	for pool, upstreams := range s.Pools {
+		listed := streamversion.Listed{Retention: maxStreamTime}
 		for _, u := range upstreams {
-			all[pool] = append(all[pool], u.Version)
+			listed.Versions = append(listed.Versions, u.Version)
+		}
+		all[pool] = listed
+	}
+	if s.Config == nil {
+		return all
+	}
+	for pool, longest := range longestTimeouts(s.Config.Rules.Rules()) {
+		if listed, ok := all[pool]; ok {
+			listed.Retention = longest + reconnectTime
+			all[pool] = listed
 		}
 	}
 	return all
 }
 
+// longestTimeouts returns the longest timeout of the rules that lead to each pool.
+func longestTimeouts(all []pathset.Rule) map[string]time.Duration {
+	longest := make(map[string]time.Duration)
+	for _, r := range all {
+		timeout := r.Timeout
+		if timeout == 0 {
+			timeout = maxStreamTime
+		}
+		for _, target := range r.Targets {
+			longest[target.Pool] = max(longest[target.Pool], timeout)
+		}
+	}
+	return longest
+}
+
 // String implements fmt.Stringer; the supervisor logs it.
 func (x *streamVersions) String() string { return "streams' versions" }
 
--- a/streamversion/book.go
+++ b/streamversion/book.go
@@ -15,13 +15,8 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-const (
-	// Retention is how long after its begin a stream may go on elsewhere. Versions that served in
-	// that time may have begun it.
-	Retention = time.Minute
-	// maxStreams bounds the streams whose version is remembered; the oldest go first.
-	maxStreams = 1 << 15
-)
+// maxStreams bounds the streams whose version is remembered; the oldest go first.
+const maxStreams = 1 << 15
 
 // Stream names a stream.
 type Stream uint64
@@ -35,6 +30,15 @@
 	Stream        Stream
 }
 
+// Listed is what is known of a pool now.
+type Listed struct {
+	// Versions are those of its upstreams; they may repeat.
+	Versions []string
+	// Retention is how long after its begin, or after it was last taken up, a stream may be taken up
+	// again. Any version that served in that time may have begun it.
+	Retention time.Duration
+}
+
 // Book remembers which versions serve in each pool, and the streams that have begun. It is safe for
 // concurrent use.
 type Book struct {
@@ -52,6 +56,7 @@
 
 // pool is what is known of a pool's versions.
 type pool struct {
+	retention time.Duration
 	// listed are those with upstreams in the list; removed says when others were last in it.
 	listed  map[string]bool
 	removed map[string]time.Time
@@ -76,19 +81,19 @@
 	return &Book{now: now, current: current, started: now(), pools: make(map[string]*pool), streams: streams, news: make(chan struct{})}
 }
 
-// Observe records the versions that the list of upstreams names, by pool. It returns the streams that
+// Observe records what the configuration and the list of upstreams say of each pool. It returns the streams that
 // this process began in pools which have several versions from now on: others must know of them.
-func (b *Book) Observe(versions map[string][]string) []Begun {
+func (b *Book) Observe(pools map[string]Listed) []Begun {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	var tell []Begun
-	for name := range b.pools {
-		if _, listed := versions[name]; !listed {
-			b.pools[name].observe(nil, now)
+	for name, p := range b.pools {
+		if _, listed := pools[name]; !listed {
+			p.observe(Listed{Retention: p.retention}, now)
 		}
 	}
-	for name, listed := range versions {
+	for name, listed := range pools {
 		p := b.pool(name)
 		mixed := p.mixed(now)
 		p.observe(listed, now)
@@ -108,32 +113,33 @@
 	return p
 }
 
-func (p *pool) observe(listed []string, now time.Time) {
+func (p *pool) observe(listed Listed, now time.Time) {
+	p.retention = listed.Retention
 	for v := range p.listed {
-		if !slices.Contains(listed, v) {
+		if !slices.Contains(listed.Versions, v) {
 			p.removed[v] = now
 			delete(p.listed, v)
 		}
 	}
-	for _, v := range listed {
+	for _, v := range listed.Versions {
 		p.listed[v] = true
 		delete(p.removed, v)
 	}
-	maps.DeleteFunc(p.removed, func(_ string, at time.Time) bool { return now.Sub(at) > Retention })
+	maps.DeleteFunc(p.removed, func(_ string, at time.Time) bool { return now.Sub(at) > p.retention })
 }
 
-// served returns the versions that have served within Retention.
+// served returns the versions that have served within the pool's retention.
 func (p *pool) served(now time.Time) []string {
 	served := slices.Collect(maps.Keys(p.listed))
 	for v, at := range p.removed {
-		if now.Sub(at) <= Retention {
+		if now.Sub(at) <= p.retention {
 			served = append(served, v)
 		}
 	}
 	return served
 }
 
-// mixed reports whether several versions have served within Retention.
+// mixed reports whether several versions have served within the pool's retention.
 func (p *pool) mixed(now time.Time) bool {
 	if len(p.removed) == 0 {
 		return len(p.listed) > 1
@@ -144,7 +150,7 @@
 func (b *Book) ownStreams(pool string, now time.Time) []Begun {
 	var all []Begun
 	for _, r := range b.streams.Values() {
-		if r.own && r.Pool == pool && now.Sub(r.at) <= Retention {
+		if r.own && r.Pool == pool && now.Sub(r.at) <= b.pool(pool).retention {
 			all = append(all, r.Begun)
 		}
 	}
@@ -164,7 +170,7 @@
 
 // knowsPast reports whether the versions are known that served before this process's start.
 func (b *Book) knowsPast(p *pool, now time.Time) bool {
-	return p.confirmed || now.Sub(b.started) > Retention
+	return p.confirmed || now.Sub(b.started) > p.retention
 }
 
 // Hear records a stream of which another process has told.
@@ -176,7 +182,7 @@
 }
 
 // HearSole records that another process knows of no other version that has served in a pool within
-// Retention.
+// its retention.
 func (b *Book) HearSole(pool, version string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -193,14 +199,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if r, ok := b.streams.Get(s); ok && r.Pool == pool && now.Sub(r.at) <= Retention {
+	if r, ok := b.streams.Get(s); ok && r.Pool == pool && now.Sub(r.at) <= b.pool(pool).retention {
 		return r.Version, true
 	}
 	return b.sole(pool, now)
 }
 
-// Sole returns the version of a pool in which no other one has served within Retention, as far as
-// this process can know.
+// Sole returns the version of a pool in which no other one has served within its retention, as
+// far as this process can know.
 func (b *Book) Sole(pool string) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
