soak: engines of two software versions; a stream holds events of one

Engines' events tell their version, alternately of two, and the oracle checks that a stream holds events of one.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -84,6 +84,9 @@
 			return
 		}
 	}
+	if len(r.Versions) > 1 {
+		o.violate(OneVersion, "%s holds events of versions %v", id, r.Versions)
+	}
 	if r.Err == nil && len(r.Events) != streamEvents {
 		o.violate(CompleteStream, "%s ended as if whole after %d of %d events", id, len(r.Events), streamEvents)
 	}
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -33,6 +33,9 @@
 	return slot.server, slot.link
 }
 
+// engineVersions is the number of software versions of the engines.
+const engineVersions = 2
+
 // spareLinks is the number of initially unused addresses: a draining server's replacement starts
 // before it stops.
 const spareLinks = 2
@@ -96,6 +99,7 @@
 	server.SlowEvery, server.SlowFor = slowEvery, slowDuration
 	server.SetLethal(&standin.Lethal{Prefix: lethalPrefix, Crashed: s.serverCrashed})
 	if slot.role != "" {
+		server.Version = s.nextVersion()
 		server.Events, server.EventGap = streamEvents, eventGap
 		server.SetStage(slot.role)
 	}
@@ -118,6 +122,13 @@
 	return link, s.serversStarted
 }
 
+// nextVersion returns the software version of the next engine: several serve side by side.
+func (s *site) nextVersion() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprint("v", s.serversStarted%engineVersions+1)
+}
+
 // retire records that a server has stopped and releases its address.
 func (s *site) retire(server *standin.Server, link *Proxy) {
 	s.mu.Lock()
