member: an old list of upstreams isn't trusted once silent daemons are forgotten

A daemon that was cut off from the store and all other daemons for over a minute forgot those, heard 'all' of none, and would have taken the version in its old list for the only one. Found by reading. Its list now counts for a minute at most.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -200,9 +200,8 @@
 	r.release(result == Completed)
 }
 
-// Break ends a run that broke off. It returns once a crash is recorded, or
-// the first probe of the engine shows none, so that the request goes on as a suspect after a crash.
-// The check itself may go on.
+// Break ends a run that broke off. It returns once a crash is recorded, or the first probe of the
+// engine shows none, so that after a crash the request goes on as a suspect. The check may go on.
 func (r *Run) Break(ctx context.Context) {
 	c := r.detector.check(r)
 	r.remove()
--- a/internal/member/streamversions.go
+++ b/internal/member/streamversions.go
@@ -40,8 +40,7 @@
 
 func newStreamVersions(m *Member) *streamVersions {
 	x := &streamVersions{peers: m.peers, wake: make(chan struct{}, 1)}
-	// A version that this daemon's list lacks is known to those that use it, and they tell.
-	x.book = streamversion.NewBook(nil, func() bool { return m.readers[0].age() < maxListAge || m.peers.HearsAll() })
+	x.book = streamversion.NewBook(nil, func() bool { return knowsVersions(m.readers[0].age(), m.peers.HearsAll) })
 	m.peers.onStreamVersions, m.peers.streamVersion = x.hear, x.answer
 	m.state.Watch(func(s *fleet.Snapshot) { x.tell(x.book.Observe(listedOf(s))...) })
 	return x
@@ -84,6 +83,13 @@
 	return longest
 }
 
+// knowsVersions reports whether this daemon would know if a pool had another version than those in its
+// list of upstreams: by the list, or by those that use that version, who tell. Daemons that have been
+// silent for too long are forgotten, and no longer missed.
+func knowsVersions(listAge time.Duration, hearsAll func() bool) bool {
+	return listAge < maxListAge || listAge < forgetPeerAfter && hearsAll()
+}
+
 // String implements fmt.Stringer; the supervisor logs it.
 func (x *streamVersions) String() string { return "streams' versions" }
 
--- a/quarantine/claim.go
+++ b/quarantine/claim.go
@@ -247,4 +247,3 @@
 	close(g.news)
 	g.news = make(chan struct{})
 }
-
