soak: two kinds of lethal requests in waves, whole generations of servers

Every second step of requests that crash servers sends two kinds from all daemons at once, waits until the whole generation is replaced past the time from which copies count, and goes on for twenty rounds. A request must be refused after its third run, not only after the third server. The promise and its bound stay.

--- a/internal/soak/lethal.go
+++ b/internal/soak/lethal.go
@@ -4,8 +4,12 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"tamarackchute/platform/standin"
 )
 
@@ -22,59 +26,122 @@
 	lethalInterval = 150 * time.Millisecond
 	maxFirstCopies = 20
 	lateCopies     = 20
-	// crashDowntime is how long a crashed server is down.
-	crashDowntime = 300 * time.Millisecond
+	// crashDowntime is how long a crashed server is down. With requests that come in waves, a whole
+	// generation of servers is down until copies count.
+	crashDowntime      = 300 * time.Millisecond
+	generationDowntime = refusalNotice + 500*time.Millisecond
+	// lethalRun is how long a lethal request runs.
+	lethalRun = 20 * time.Millisecond
+	// wavePrefix begins, after lethalPrefix, the bodies of requests that come in waves.
+	wavePrefix = "-wave"
 )
 
 // lethalRequest is a request that crashes servers, under different IDs.
 type lethalRequest struct {
 	crashes int
+	// reached counts the copies that reached servers.
+	reached int
 	// refusedFrom is when it must be refused; zero before it has crashed enough servers.
 	refusedFrom time.Time
 	arrivals    int
 }
 
-// sendLethal sends copies of a request that crashes servers, each under an ID of its own: to one
-// daemon, and to all once they must refuse it.
+// sendLethal sends copies of requests that crash servers, each under an ID of its own: of one kind
+// one after the other, or of two kinds in waves.
 func (s *site) sendLethal(step Step) {
 	service := services[slices.IndexFunc(services, func(v service) bool { return v.name == "repeat" })]
 	end := s.faults.begin(serversSubject(service.name))
 	defer time.AfterFunc(entryExpiry+settleDelay, end)
-	client := standin.NewCaller()
-	defer client.Close()
-	client.Body = fmt.Sprintf("%s-%d-%d", lethalPrefix, step.Target, step.Variant)
+	name := fmt.Sprintf("-%d-%d", step.Target, step.Variant)
 	key := s.keyFor(step.Variant%organisations, false)
-	client.Key = key.text
-	sent := 0
-	send := func(d *daemon) {
-		sent++
-		id := fmt.Sprintf("%s-%d", client.Body, sent)
-		s.oracle.sentLethal(id, client.Body, service, key, d.number)
-		ctx, cancel := context.WithTimeout(context.Background(), service.deadline+callerTimeoutSlack)
-		defer cancel()
-		client.Send(ctx, d.config.Callers(), service.name, id, service.deadline, false, func() {})
-		time.Sleep(lethalInterval)
+	if step.Variant%2 == 0 {
+		s.sendLethalInTurn(newLethalSender(s, service, key, lethalPrefix+name), step.Target)
+		return
+	}
+	var kinds conc.WaitGroup
+	for kind := range lethalKinds {
+		l := newLethalSender(s, service, key, fmt.Sprint(lethalPrefix, wavePrefix, name, "-", kind))
+		kinds.Go(func() { s.sendLethalInWaves(l) })
 	}
+	kinds.Wait()
+}
+
+// lethalKinds is the number of kinds of requests that come in waves.
+const lethalKinds = 2
+
+// sendLethalInTurn sends copies to one daemon, and to all once they must refuse it.
+func (s *site) sendLethalInTurn(l *lethalSender, first int) {
+	defer l.client.Close()
 	for range maxFirstCopies {
-		send(s.daemons[step.Target%len(s.daemons)])
-		if s.oracle.mustBeRefused(client.Body) {
+		l.send(s.daemons[first%len(s.daemons)])
+		time.Sleep(lethalInterval)
+		if s.oracle.mustBeRefused(l.client.Body) {
 			break
 		}
 	}
 	time.Sleep(refusalNotice)
 	for i := range lateCopies {
-		send(s.daemons[i%len(s.daemons)])
+		l.send(s.daemons[i%len(s.daemons)])
+		time.Sleep(lethalInterval)
+	}
+}
+
+// sendLethalInWaves sends copies to all daemons at once, and again to the servers that replace the
+// crashed ones.
+func (s *site) sendLethalInWaves(l *lethalSender) {
+	defer l.client.Close()
+	l.sendToAll(s.daemons)
+	time.Sleep(generationDowntime)
+	for range lateCopies {
+		l.sendToAll(s.daemons)
+		time.Sleep(lethalInterval)
 	}
 }
 
+// lethalSender sends copies of one request that crashes servers.
+type lethalSender struct {
+	site    *site
+	service service
+	key     *accessKey
+	client  *standin.Caller
+	sent    atomic.Int32
+}
+
+func newLethalSender(s *site, service service, key *accessKey, body string) *lethalSender {
+	l := &lethalSender{site: s, service: service, key: key, client: standin.NewCaller()}
+	l.client.Body, l.client.Key = body, key.text
+	return l
+}
+
+// send sends one copy to a daemon and waits for its end.
+func (l *lethalSender) send(d *daemon) {
+	id := fmt.Sprintf("%s-%d", l.client.Body, l.sent.Add(1))
+	l.site.oracle.sentLethal(id, l.client.Body, l.service, l.key, d.number)
+	ctx, cancel := context.WithTimeout(context.Background(), l.service.deadline+callerTimeoutSlack)
+	defer cancel()
+	l.client.Send(ctx, d.config.Callers(), l.service.name, id, l.service.deadline, false, func() {})
+}
+
+func (l *lethalSender) sendToAll(daemons []*daemon) {
+	var copies conc.WaitGroup
+	for _, d := range daemons {
+		copies.Go(func() { l.send(d) })
+	}
+	copies.Wait()
+}
+
 // serverCrashed replaces a server that a request has crashed. Nothing listens at its address
 // meanwhile.
 func (s *site) serverCrashed(server *standin.Server, body string) {
 	s.oracle.lethalCrash(body)
+	downtime := crashDowntime
+	if strings.HasPrefix(body, lethalPrefix+wavePrefix) {
+		downtime = generationDowntime
+	}
 	for _, slot := range s.slots {
 		if current, link := slot.current(); current == server {
 			link.Pause()
-			time.Sleep(crashDowntime)
+			time.Sleep(downtime)
 			link.Resume()
 			slot.replacing.Lock()
 			defer slot.replacing.Unlock()
@@ -118,7 +185,13 @@
 // that weren't disturbed for a while.
 func (o *oracle) checkLethal(v standin.RequestInfo, q *request, now time.Time) {
 	l := o.lethal[q.lethal]
-	if l == nil || l.refusedFrom.IsZero() || q.sentAt.Before(l.refusedFrom) {
+	if l == nil {
+		return
+	}
+	if l.reached++; l.reached == lethalCrashes && l.refusedFrom.IsZero() {
+		l.refusedFrom = now.Add(refusalNotice)
+	}
+	if l.refusedFrom.IsZero() || q.sentAt.Before(l.refusedFrom) {
 		return
 	}
 	if !o.faults.undisturbed(now.Add(-refusalNotice), now, subjectMachine, daemonSubject(q.sender), pauseSubject(q.sender)) {
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -97,7 +97,7 @@
 	server.Born = time.Now().UnixMilli()
 	server.Observer, server.Handles = s.oracle, s.handles
 	server.SlowEvery, server.SlowFor = slowEvery, slowDuration
-	server.SetLethal(&standin.Lethal{Prefix: lethalPrefix, Crashed: s.serverCrashed})
+	server.SetLethal(&standin.Lethal{Prefix: lethalPrefix, RunFor: lethalRun, Crashed: s.serverCrashed})
 	if slot.role != "" {
 		server.Version = s.nextVersion()
 		server.Events, server.EventGap = streamEvents, eventGap
