relay: a stream is counted after a hop between daemons that broke

Cause: a daemon whose hop to another one broke took the request for begun, hence counted there. Streams are counted with their first event only, so one that went on at a third daemon was counted by nobody. TestStreamIsCountedAfterABrokenHop: 0 of 1 counted before.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -159,7 +159,7 @@
 	defer resp.Close()
 	var outcome forwardedOutcome
 	if err := decodeHeader(resp.Header, outcomeHeader, &outcome); err != nil {
-		c.recordForwardedRun(1)
+		c.recordBrokenHop()
 		return c.lostResult(p, placement.Failed, errUnsigned), nil
 	}
 	resp.Header.Del(outcomeHeader)
@@ -212,6 +212,14 @@
 	c.begun = true
 }
 
+// recordBrokenHop counts the attempt of another daemon from which no response came. A stream is counted
+// there only with its first event, so it may not have been.
+func (c *call) recordBrokenHop() {
+	begun := c.begun || !c.rule.Stream
+	c.recordForwardedRun(1)
+	c.begun = begun
+}
+
 // forwardFailed returns the result of a request to which a daemon has given no response.
 func (c *call) forwardFailed(ctx context.Context, p *assignment, err error) result {
 	if notAdmitted(err) {
@@ -224,7 +232,7 @@
 	if !mayHaveReached(err) {
 		return result{execution: dispatch.NotSent, outcome: placement.Unreachable, err: err}
 	}
-	c.recordForwardedRun(1)
+	c.recordBrokenHop()
 	return result{execution: dispatch.MayHaveRun, reachedUpstream: true, outcome: placement.Unreachable, err: err}
 }
 
