--- a/streamversion/book.go
+++ b/streamversion/book.go
@@ -1,8 +1,5 @@
-// Package streamversion knows the software version of the upstream that began a stream. What two
-// versions write doesn't fit together, so a stream may go on only at the version that began it. Where
-// that isn't known, nothing is guessed.
-//
-// Streams are named by hashes of the IDs of the requests that began them.
+// Package streamversion knows the software version of the upstream that began a stream: it may go on
+// only there, as what two versions write doesn't fit together. An unknown version is never guessed.
 package streamversion
 
 import (
@@ -18,7 +15,7 @@
 // maxStreams bounds the streams whose version is remembered; the oldest go first.
 const maxStreams = 1 << 15
 
-// Stream names a stream.
+// Stream names a stream: a hash of the ID of the request that began it.
 type Stream uint64
 
 // StreamOf returns the name of the stream that a request began.
