relay: a line while a pool isn't served, and when it is again

Now a daemon logs, for each pool, the first answer after its start, each second in which all requests have failed for a second or more, and the answer that ends that, with the failures by reason, ejections, engines that only prefill and draining servers.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -74,6 +74,9 @@
 // logEnd counts a request and logs its end; a nil failure means that an upstream answered.
 func (c *call) logEnd(f *failure) {
 	c.relay.metrics.recordRequest(c, f)
+	if c.forwarded == nil {
+		c.relay.outages.record(c.pool, f)
+	}
 	attrs := []any{"request", c.ID, "took_ms", telemetry.Millis(time.Since(c.arrived)), "attempts", c.attempts.Attempts(), "config", c.version}
 	if c.forwarded != nil {
 		attrs = append(attrs, "forwarded_by", c.forwarded.From)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,7 @@
 	timeouts timeoutStats
 	demand   demandMeter
 	paths    *paths
+	outages  *outages
 	// forwarder passes requests on to other daemons.
 	forwarder *forwarder
 	// newestConfig is the newest version of the configuration by which another daemon has decided a
@@ -89,6 +90,7 @@
 func New(cfg Config) *Relay {
 	r := &Relay{cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns), forwarder: newForwarder()}
 	r.paths = newPaths(r)
+	r.outages = newOutages(r)
 	if cfg.Limits != nil {
 		cfg.Tracker.SetLimits(func(id string, started time.Time) time.Duration {
 			return cfg.Limits.Limiter.Wait(limitKey(id, started))
