relay: failing tests of the retry budget over restarts

A process that is killed takes its count of retries with it, and the one after it spends the ratio of its own requests: both together go beyond the budget of a window.

--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"testing"
 	"time"
@@ -99,6 +100,127 @@
 	})
 }
 
+// budgetSite is a site of daemons whose processes end and start, as its retry budgets see it.
+type budgetSite struct {
+	ratio, slack float64
+	window       time.Duration
+	now          time.Time
+	daemons      []*RetryBudget
+	// requests and retries are the times of all daemons'.
+	requests, retries []time.Time
+}
+
+// newBudgetSite returns a site that has run for a while.
+func newBudgetSite(daemons int, ratio, slack float64, window time.Duration) *budgetSite {
+	s := &budgetSite{ratio: ratio, slack: slack, window: window, now: time.Unix(1000, 0)}
+	for range daemons {
+		s.daemons = append(s.daemons, s.start(daemons))
+	}
+	s.now = s.now.Add(2 * window)
+	return s
+}
+
+// start returns the budget of a new process that knows of a number of daemons.
+func (s *budgetSite) start(known int) *RetryBudget {
+	const minAssumedDaemons = 10
+	share := s.slack / float64(max(minAssumedDaemons, known))
+	b := NewRetryBudget(s.ratio, func() float64 { return share }, s.window, func() time.Time { return s.now })
+	b.AssumeSlackSpent()
+	return b
+}
+
+func (s *budgetSite) request(daemon int) {
+	s.daemons[daemon].RecordRequest("p")
+	s.requests = append(s.requests, s.now)
+}
+
+func (s *budgetSite) retry(daemon int) {
+	if s.daemons[daemon].AllowRetry("p") {
+		s.retries = append(s.retries, s.now)
+	}
+}
+
+// check requires of every window that it has no more retries than the ratio of the requests in it, in
+// the window before it or in that half a window before it, whichever has most, plus the slack.
+func (s *budgetSite) check(t require.TestingT) {
+	for _, end := range s.retries {
+		requests := 0
+		for _, shift := range []time.Duration{0, s.window / 2, s.window} {
+			requests = max(requests, countIn(s.requests, end.Add(-s.window-shift), end.Add(-shift)))
+		}
+		require.LessOrEqual(t, float64(countIn(s.retries, end.Add(-s.window), end)), s.ratio*float64(requests)+s.slack, "the window that ends at %v", end)
+	}
+}
+
+// countIn counts the times after one and not after another; they are in order.
+func countIn(times []time.Time, after, until time.Time) int {
+	notAfter := func(limit time.Time) int {
+		return sort.Search(len(times), func(i int) bool { return times[i].After(limit) })
+	}
+	return notAfter(until) - notAfter(after)
+}
+
+// Guards against processes that spend anew what the processes before them have spent in the same
+// window: drawn series of failures, kills of some and of all daemons, and daemons that join.
+func TestRetriesOfOldAndNewProcessesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const step = 100 * time.Millisecond
+		s := newBudgetSite(rapid.IntRange(1, 7).Draw(t, "daemons"), rapid.Float64Range(0, 0.5).Draw(t, "ratio"), rapid.Float64Range(10, 54).Draw(t, "slack"), 10*time.Second)
+		for range rapid.IntRange(2, 10).Draw(t, "phases") {
+			perStep := rapid.IntRange(0, 3).Draw(t, "requests per step and daemon")
+			failed := rapid.SampledFrom([]int{0, 3}).Draw(t, "failures per step and daemon")
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				s.now = s.now.Add(step)
+				for i := range s.daemons {
+					for range perStep {
+						s.request(i)
+					}
+					for range failed {
+						s.retry(i)
+					}
+				}
+			}
+			switch rapid.SampledFrom([]string{"all restart", "all restart", "one restarts", "one joins", "none"}).Draw(t, "change") {
+			case "all restart":
+				for i := range s.daemons {
+					s.daemons[i] = s.start(len(s.daemons))
+				}
+			case "one restarts":
+				i := rapid.IntRange(0, len(s.daemons)-1).Draw(t, "killed")
+				s.daemons[i] = s.start(len(s.daemons))
+			case "one joins":
+				if len(s.daemons) < 10 {
+					s.daemons = append(s.daemons, s.start(1))
+				}
+			}
+		}
+		s.check(t)
+	})
+}
+
+// Guards against the same with one example: failures that begin three seconds before all daemons are
+// killed, twice within a window.
+func TestRetriesStayWithinTheBudgetWhenAllRestartTwice(t *testing.T) {
+	s := newBudgetSite(7, 0.2, 54, 10*time.Second)
+	for tenth := range 300 {
+		s.now = s.now.Add(100 * time.Millisecond)
+		if tenth == 150 || tenth == 190 {
+			for i := range s.daemons {
+				s.daemons[i] = s.start(7)
+			}
+		}
+		for i := range s.daemons {
+			s.request(i)
+			for range 3 {
+				if tenth >= 120 {
+					s.retry(i)
+				}
+			}
+		}
+	}
+	s.check(t)
+}
+
 func TestBudgetsArePerPool(t *testing.T) {
 	b := NewRetryBudget(0, func() float64 { return 1 }, time.Second, nil)
 	require.True(t, b.AllowRetry("a"))
