relay: the retry budget holds over processes that end, start and join

Callers of a service whose servers refused saw nothing; its servers got more repeats than the budget allows in a window around a restart of all daemons.

Cause: a budget let the whole ratio of the last window be spent in its last second, and a new process, which doesn't know what its predecessor spent, spends the ratio of its own requests. Class: a count that a process loses with its life while the promise is the system's.

The slack is divided by the most daemons ever known at a time, with room for joins; a daemon that has heard of none takes none.

The soak kills all daemons while servers refuse (kill-all-daemons); the old bound planted wasn't found by its plan, as its traffic is low.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -85,6 +85,8 @@
 	peers                   *Peers
 	upstreams               *upstreamFeed
 	readers                 []*topicReader
+	// daemons is the reader of the other daemons' entries.
+	daemons *topicReader
 	// longPolls are restarted when the store is reachable again.
 	longPolls    []interface{ restartRead() }
 	retryBudget  *relay.RetryBudget
@@ -208,11 +210,6 @@
 	}
 }
 
-// retrySlack returns this daemon's share of the retries allowed in addition to the ratio.
-func (m *Member) retrySlack() float64 {
-	return m.settings.Load().RetrySlack / float64(max(minAssumedDaemons, m.peers.KnownCount()))
-}
-
 func (m *Member) wireConfig() wire.Config {
 	return wire.Config{
 		Name: m.cfg.Settings.Instance, Secret: []byte(peerSecret),
@@ -238,16 +235,17 @@
 			r.restartRead()
 		}
 	}
+	m.daemons = &topicReader{
+		store: store, topic: TopicMembers, name: "daemons", longPoll: longPollTimeout, interval: time.Second, triggered: m.peers.ReportsInDataCentre,
+		applyAll: daemons.apply, applyChanges: daemons.apply, backoff: m.backoff, log: m.log,
+	}
 	m.readers = []*topicReader{
 		upstreams,
 		{
 			store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, triggered: m.keys.enforced, onRead: m.keys.recordRead,
 			applyAll: configs.apply, applyChanges: configs.apply, backoff: m.backoff, log: m.log,
 		},
-		{
-			store: store, topic: TopicMembers, name: "daemons", longPoll: longPollTimeout, interval: time.Second, triggered: m.peers.ReportsInDataCentre,
-			applyAll: daemons.apply, applyChanges: daemons.apply, backoff: m.backoff, log: m.log,
-		},
+		m.daemons,
 	}
 	for _, r := range m.readers[1:] {
 		m.longPolls = append(m.longPolls, r)
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -90,6 +90,9 @@
 	heartbeats int
 	// reported is what was last reported of this daemon.
 	reported reportedSummary
+	// mostKnown is the largest number of peers known at a time, heard says that one was heard.
+	mostKnown int
+	heard     bool
 	// fullMesh means that states go to every known peer.
 	fullMesh bool
 	// aggregate adds up the loads of this daemon's subtree; parent is where it reports them.
@@ -187,6 +190,7 @@
 	if known == nil {
 		known = &peer{MemberAddress: a}
 		p.peers[a.Peers] = known
+		p.mostKnown = max(p.mostKnown, len(p.peers))
 		p.log.Info("peer discovered", "peer", a.Instance, "address", a.Peers)
 		p.updateLinks()
 	} else if a.Instance != "" && known.MemberAddress != a {
@@ -267,7 +271,7 @@
 	from.lastReceived = time.Now()
 	from.lastUpdate = from.lastReceived
 	recovered := !from.up
-	from.up = true
+	from.up, p.heard = true, true
 	p.mu.Unlock()
 	if p.onClock != nil && m.Clock != 0 {
 		p.onClock(m.Peers, time.Unix(0, m.Clock))
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -198,6 +198,21 @@
 	return 1 + len(p.peers)
 }
 
+// MostKnown returns the largest number of daemons that were known at a time since the start, including
+// this one.
+func (p *Peers) MostKnown() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return 1 + p.mostKnown
+}
+
+// HasHeard reports whether another daemon was ever heard.
+func (p *Peers) HasHeard() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard
+}
+
 // HearsAll reports whether this daemon hears all neighbours, so that its messages should reach the
 // whole site.
 func (p *Peers) HearsAll() bool {
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -97,6 +97,9 @@
 	return r.readAt.After(t)
 }
 
+// hasRead reports whether there was a successful read.
+func (r *topicReader) hasRead() bool { return r.hasReadSince(time.Time{}) }
+
 // recoveredTime returns when a read first succeeded after the last outage; zero if there was none.
 func (r *topicReader) recoveredTime() time.Time {
 	r.mu.Lock()
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -107,6 +107,10 @@
 	if f.reason == reasonVersionUnknown || f.reason == reasonVersionGone {
 		attrs = append(attrs, "stream", c.streamID(), "begun_at_version", c.origin.version, "versions", servingVersions(c.relay.cfg.State.Snapshot(), c.pool))
 	}
+	if f.reason == reasonNoBudget {
+		b := c.relay.cfg.RetryBudget.PoolState(c.pool)
+		attrs = append(attrs, "window_requests", b.Requests, "window_retries", b.Retries, "window_allowed", b.Allowed)
+	}
 	if f.reason == reasonSuspected {
 		attrs = append(attrs, "digest", c.trial.digest.String())
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -44,6 +44,7 @@
 	LimitServer       FaultKind = "server-names-limit"
 	CutPaths          FaultKind = "daemons-lose-path"
 	SilenceServer     FaultKind = "server-falls-silent"
+	KillAllDaemons    FaultKind = "kill-all-daemons"
 )
 
 // Step is one fault of a run.
@@ -133,7 +134,14 @@
 // pathKindWeights holds the kinds of the fifth stream: paths from daemons to servers.
 var pathKindWeights = []kindWeight{{CutPaths, 2}, {SilenceServer, 1}}
 
+// siteKindWeights holds the kinds of the sixth stream: what hits all daemons at once.
+var siteKindWeights = []kindWeight{{KillAllDaemons, 1}}
+
 const (
+	// siteStream is the random stream of the sixth stream of steps, siteIntervalFactor how much longer
+	// its intervals are.
+	siteStream         = 1 << 36
+	siteIntervalFactor = 24
 	// pathStream is the random stream of the fifth stream of steps, pathIntervalFactor how much longer
 	// its intervals are.
 	pathStream         = 1 << 35
@@ -164,6 +172,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, needStream)), profile, needKindWeights)...)
 	profile.MeanInterval = profile.MeanInterval / needIntervalFactor * pathIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, pathStream)), profile, pathKindWeights)...)
+	profile.MeanInterval = profile.MeanInterval / pathIntervalFactor * siteIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, siteStream)), profile, siteKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -94,6 +94,8 @@
 		s.cutPaths(step)
 	case SilenceServer:
 		s.silenceServer(slot, step)
+	case KillAllDaemons:
+		s.killAllDaemons(step)
 	case FailProvider:
 		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
