member: role orders have room within the limits that engines name

Callers of a pool whose engines had kept their roles over the death of all daemons, and named limits, were refused with 'no place' for good: too few engines decoded, and the order that would have changed one was held back.

Cause: both calls of an order took from the share of the limit of the daemon that leads. Without a share it may only ask whether the limit is over, three seconds after it was last named, which the requests of others never let pass; with one, its own requests take it first. Class: what repairs a state competes with the work that the state hampers.

Change: Limiter.TakeOrder. The two calls are counted at once, before the first: one order, and a tenth of the limit after that; a holder's requests wait for as long. A server that hardly allows requests gets no orders, as before.

--- a/internal/member/engines.go
+++ b/internal/member/engines.go
@@ -59,6 +59,10 @@
 	// Admit returns an error if nothing may be sent to an upstream now. It is asked right
 	// before the first byte is written.
 	Admit(u *fleet.Upstream) error
+	// AdmitOrder is Admit for the first of the two calls of an order, which the limit of an upstream
+	// must leave room for, and AdmitOrdered for the second one.
+	AdmitOrder(u *fleet.Upstream) error
+	AdmitOrdered(u *fleet.Upstream) error
 	// Observe is called for the headers of each response.
 	Observe(u *fleet.Upstream, r exchange.ObservedResponse)
 }
--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -43,9 +43,20 @@
 // Admit returns an error if nothing may be sent to an upstream now. It is asked right before
 // the first byte is written: the answer may have changed since the upstream was chosen. A request
 // that it admits counts towards the upstream's limit.
-func (r *Relay) Admit(u *fleet.Upstream) error {
+func (r *Relay) Admit(u *fleet.Upstream) error { return r.admitBy(u, r.takeFromLimit) }
+
+// AdmitOrder returns an error if no order may be given to an upstream now. Both requests of an order
+// that it admits count towards the upstream's limit; AdmitOrdered is asked before the second one.
+func (r *Relay) AdmitOrder(u *fleet.Upstream) error { return r.admitBy(u, r.takeOrderFromLimit) }
+
+// AdmitOrdered returns an error if nothing may be sent to an upstream now, whatever its limit.
+func (r *Relay) AdmitOrdered(u *fleet.Upstream) error {
+	return r.admitBy(u, func(*fleet.Upstream) bool { return true })
+}
+
+func (r *Relay) admitBy(u *fleet.Upstream, withinLimit func(*fleet.Upstream) bool) error {
 	err := r.heldBack(u)
-	if err == nil && !r.takeFromLimit(u) {
+	if err == nil && !withinLimit(u) {
 		err = errUpstreamLimit
 	}
 	if err != nil {
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -34,6 +34,12 @@
 	r.WakeWaiting()
 }
 
+// takeOrderFromLimit counts the requests of an order towards its upstream's limit, and reports whether
+// it may be given.
+func (r *Relay) takeOrderFromLimit(u *fleet.Upstream) bool {
+	return r.cfg.Limits == nil || r.cfg.Limits.Limiter.TakeOrder(limitKey(u.ID, u.Started))
+}
+
 // takeFromLimit counts a request towards its upstream's limit, and reports whether it may be sent.
 func (r *Relay) takeFromLimit(u *fleet.Upstream) bool {
 	return r.cfg.Limits == nil || r.cfg.Limits.Limiter.Take(limitKey(u.ID, u.Started))
--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -40,6 +40,14 @@
 	upstreams  map[Upstream]*bucket
 }
 
+const (
+	// callsOfOrder is the number of requests of an order: to read the state, and to change it.
+	callsOfOrder = 2
+	// orderShare is the part of a limit that a process without a share may use for orders. The process
+	// that gives them is one at a time.
+	orderShare = 0.1
+)
+
 // bucket holds the requests that may be sent to an upstream now.
 type bucket struct {
 	share    share
@@ -51,6 +59,8 @@
 	// grown replaces share at grownAt; it is zero if share isn't about to grow.
 	grown   share
 	grownAt time.Time
+	// orders are the requests of orders that may be sent.
+	orders float64
 	// namedAt is when the limit was last named, probeAt when a process without a share may send a
 	// request.
 	namedAt, probeAt time.Time
@@ -137,14 +147,36 @@
 	return true
 }
 
+// TakeOrder reports whether an order may be given to an upstream now, and counts its requests if so.
+// Orders come before other requests: without one, an upstream may have no use at all. One that hardly
+// allows requests has none either way.
+func (l *Limiter) TakeOrder(u Upstream) bool {
+	limit, limited := l.book.limit(u)
+	if !limited {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.fill(u, limit, l.now())
+	if limit.perSecond < minPerSecond || b.orders < callsOfOrder || !slices.Contains(l.members, l.self) {
+		return false
+	}
+	b.orders -= callsOfOrder
+	if b.share.perSecond > 0 {
+		b.tokens -= callsOfOrder // other requests wait for as long
+	}
+	return true
+}
+
 // fill returns the bucket of an upstream, brought up to date. l.mu is held.
 func (l *Limiter) fill(u Upstream, limit limit, now time.Time) *bucket {
 	b := l.upstreams[u]
 	if b == nil {
-		b = &bucket{filledAt: now, generation: -1}
+		b = &bucket{filledAt: now, generation: -1, orders: callsOfOrder}
 		l.upstreams[u] = b
 	}
 	b.tokens = min(b.share.burst, b.tokens+b.share.perSecond*now.Sub(b.filledAt).Seconds())
+	b.orders = min(callsOfOrder, b.orders+orderShare*max(limit.perSecond, minPerSecond)*now.Sub(b.filledAt).Seconds())
 	b.filledAt = now
 	b.growIfDue(now)
 	if b.perSecond != limit.perSecond || b.generation != l.generation {
