--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"time"
 
 	"tamarackchute/internal/dispatch"
@@ -39,7 +40,7 @@
 		attrs = append(attrs, "fate", res.execution.String(), "err", res.err)
 	}
 	if res.execution == dispatch.MayHaveRun && !res.done {
-		attrs = append(attrs, "digest", c.content.Digest().String())
+		attrs = append(attrs, "digest", c.content.Digest().String(), "parts", c.sharedParts())
 	}
 	c.log.Log(c.in.Context(), level, "attempt", attrs...)
 }
@@ -150,6 +151,18 @@
 	}
 }
 
+// sharedParts returns the IDs of the prompt's parts that other requests may have, as callers name them.
+func (c *call) sharedParts() []string {
+	if c.Generation == nil || len(c.Generation.Parts) == 0 {
+		return nil
+	}
+	var ids []string
+	for _, p := range c.Generation.Parts[:len(c.Generation.Parts)-1] {
+		ids = append(ids, strconv.FormatUint(p.ID, 16))
+	}
+	return ids
+}
+
 func (c *call) promptTokens() int {
 	if c.Generation == nil {
 		return 0
