relay, quarantine: a part of prompts is a name by which requests are quarantined

Callers of a route whose prompts have a part in common that crashes engines were refused, as one engine after the other ended under requests that were no two alike.

Cause: a request was known by its whole content, so each crash was a first one. Class: what is told apart more finely than what does the harm.

Each crash is a strike for the parts in flight, each complete answer with a part takes its strikes away; from three on requests with it run one at a time in all daemons, six quarantine it. A common part is answered at its first trials, so a route doesn't wait for long.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -115,13 +115,23 @@
 	return v.Status == quarantine.Suspected, err
 }
 
-// CheckRequest is Check for a request whose digest isn't known. It costs little unless the request
-// may be suspected.
-func (det *Detector) CheckRequest(r *quarantine.Request) (suspected bool, err error) {
+// CheckRequest is Check for a request whose digests aren't known: it is suspected for the one with the
+// most strikes. It costs little unless the request may be suspected.
+func (det *Detector) CheckRequest(r *quarantine.Request) (suspect quarantine.Digest, suspected bool, err error) {
 	if !det.quarantine.Knows(r) {
-		return false, nil
+		return suspect, false, nil
 	}
-	return det.Check(r.Digest())
+	strikes := 0
+	for _, d := range r.Digests() {
+		v, err := det.quarantine.Check(d)
+		if err != nil {
+			return d, false, err
+		}
+		if v.Status == quarantine.Suspected && v.Strikes >= strikes {
+			suspect, suspected, strikes = d, true, v.Strikes
+		}
+	}
+	return suspect, suspected, nil
 }
 
 // MayRunOn reports whether a suspected request may start on an engine.
@@ -226,12 +236,17 @@
 func (r *Run) Answer(request *quarantine.Request) {
 	r.remove()
 	r.release(true)
-	r.detector.reportIfKnown(request, r.detector.quarantine.Answered)
+	if r.detector.quarantine.Knows(request) {
+		r.detector.report(request.Digests(), r.detector.quarantine.Answered)
+	}
 }
 
-// Progress reports that a run that isn't isolated has produced ClearAfterTokens tokens.
+// Progress reports that a run that isn't isolated has produced ClearAfterTokens tokens. Parts of its
+// prompt are cleared by an answer only: a run of another request with the same part may have come as far.
 func (r *Run) Progress(request *quarantine.Request) {
-	r.detector.reportIfKnown(request, r.detector.quarantine.Progressed)
+	if r.detector.quarantine.Knows(request) {
+		r.detector.report([]quarantine.Digest{request.Digest()}, r.detector.quarantine.Progressed)
+	}
 }
 
 // Drop ends a run whose end says nothing of its engine.
@@ -250,17 +265,14 @@
 	}
 }
 
-// reportIfKnown makes a report about a request in the background, as it writes to the log, if the
-// request may be suspected.
-func (det *Detector) reportIfKnown(request *quarantine.Request, report func(context.Context, quarantine.Digest) error) {
-	if !det.quarantine.Knows(request) {
-		return
-	}
-	d := request.Digest()
+// report makes a report about digests in the background, as it writes to the log.
+func (det *Detector) report(digests []quarantine.Digest, report func(context.Context, quarantine.Digest) error) {
 	det.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
-		_ = report(ctx, d) // the quarantine retries what the log didn't accept
+		for _, d := range digests {
+			_ = report(ctx, d) // the quarantine retries what the log didn't accept
+		}
 	})
 }
 
@@ -351,10 +363,11 @@
 	seen := make(map[quarantine.Digest]struct{}, len(c.requests))
 	all := make([]quarantine.Digest, 0, len(c.requests))
 	for r := range c.requests {
-		d := r.Digest()
-		if _, again := seen[d]; !again {
-			seen[d] = struct{}{}
-			all = append(all, d)
+		for _, d := range r.Digests() {
+			if _, again := seen[d]; !again {
+				seen[d] = struct{}{}
+				all = append(all, d)
+			}
 		}
 	}
 	return all
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -40,7 +40,7 @@
 		attrs = append(attrs, "fate", res.execution.String(), "err", res.err)
 	}
 	if res.execution == dispatch.MayHaveRun && !res.done {
-		attrs = append(attrs, "digest", c.content.Digest().String(), "parts", c.sharedParts())
+		attrs = append(attrs, "digest", c.content.Digest().String(), "parts", c.partNames())
 	}
 	c.log.Log(c.in.Context(), level, "attempt", attrs...)
 }
@@ -100,7 +100,7 @@
 			"considered", c.lastPlan.Candidates, "objective_ms", telemetry.Millis(c.rule.Objective), "comeback", c.retried)
 	}
 	if c.quarantined != nil {
-		attrs = append(attrs, "digest", c.quarantined.Digest.String(), "crashed", c.quarantined.Verdict.Upstreams)
+		attrs = append(attrs, "digest", c.quarantined.Digest.String(), "part", c.quarantined.Digest.IsPart(), "parts", c.partNames(), "crashed", c.quarantined.Verdict.Upstreams)
 	}
 	if f.reason == reasonNoRule {
 		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
@@ -151,16 +151,13 @@
 	}
 }
 
-// sharedParts returns the IDs of the prompt's parts that other requests may have, as callers name them.
-func (c *call) sharedParts() []string {
-	if c.Generation == nil || len(c.Generation.Parts) == 0 {
-		return nil
+// partNames returns the parts of the prompt that other requests may have, as callers name them.
+func (c *call) partNames() []string {
+	names := make([]string, 0, len(c.content.Parts))
+	for _, id := range c.content.Parts {
+		names = append(names, strconv.FormatUint(id, 16))
 	}
-	var ids []string
-	for _, p := range c.Generation.Parts[:len(c.Generation.Parts)-1] {
-		ids = append(ids, strconv.FormatUint(p.ID, 16))
-	}
-	return ids
+	return names
 }
 
 func (c *call) promptTokens() int {
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -16,9 +16,9 @@
 // CrashDetector tracks which requests are in flight where, and tells which have crashed upstreams;
 // crash.Detector implements it.
 type CrashDetector interface {
-	// CheckRequest returns a *quarantine.Error for a request that must not run, and whether it may
-	// run only by itself.
-	CheckRequest(r *quarantine.Request) (suspected bool, err error)
+	// CheckRequest returns a *quarantine.Error for a request that must not run, and the digest of which
+	// only one request may run at a time, if it is suspected.
+	CheckRequest(r *quarantine.Request) (suspect quarantine.Digest, suspected bool, err error)
 	crash.Claims
 	Track(engine crash.Engine, r quarantine.Digester) *crash.Run
 }
@@ -35,7 +35,23 @@
 // contentOf returns the content by which the call is recognised when it comes again. It doesn't
 // cover what differs with each attempt: IDs and deadlines.
 func (c *call) contentOf() quarantine.Request {
-	return quarantine.Request{Scope: c.identity.organisation, Method: c.in.Method, Path: c.in.RequestURI, Body: c.body}
+	r := quarantine.Request{Scope: c.identity.organisation, Method: c.in.Method, Path: c.in.RequestURI, Body: c.body}
+	if g := c.Generation; g != nil {
+		r.Model, r.Parts = g.Model, sharedParts(g.Parts)
+	}
+	return r
+}
+
+// sharedParts returns the IDs of the parts of a prompt that other requests may have: all but the last.
+func sharedParts(parts []placement.Part) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, 0, len(parts)-1)
+	for _, p := range parts[:len(parts)-1] {
+		ids = append(ids, p.ID)
+	}
+	return ids
 }
 
 var errQuarantined = errors.New("the request is quarantined")
@@ -46,12 +62,9 @@
 	if c.relay.cfg.Crashes == nil {
 		return nil
 	}
-	suspected, err := c.relay.cfg.Crashes.CheckRequest(&c.content)
-	c.trial.suspected = suspected
+	suspect, suspected, err := c.relay.cfg.Crashes.CheckRequest(&c.content)
+	c.trial.suspected, c.trial.digest = suspected, suspect
 	if err == nil {
-		if suspected {
-			c.trial.digest = c.content.Digest()
-		}
 		return nil
 	}
 	c.relay.metrics.recordQuarantined(c.pool)
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -33,6 +33,10 @@
 	// Path and Body are those sent to the upstream.
 	Path string
 	Body []byte
+	// Parts are the IDs of the parts of its prompt that other requests may have, Model is the model
+	// that it is for.
+	Parts []uint64
+	Model string
 }
 
 // Digest returns the request's digest.
@@ -68,8 +72,11 @@
 // Digest returns the digest itself, so that a known digest can stand for its request.
 func (d Digest) Digest() Digest { return d }
 
-// Digester is a request whose digest may have to be computed.
-type Digester interface{ Digest() Digest }
+// Digester is a request whose digests may have to be computed: its own, which is among all of them.
+type Digester interface {
+	Digest() Digest
+	Digests() []Digest
+}
 
 // DigestOf returns the digest of a request for a model.
 func DigestOf(model, path string, body []byte) Digest {
--- a/quarantine/known.go
+++ b/quarantine/known.go
@@ -20,8 +20,15 @@
 	if len(known) == 0 {
 		return false
 	}
-	_, ok := known[r.Head()]
-	return ok
+	if _, ok := known[r.Head()]; ok {
+		return true
+	}
+	for _, id := range r.Parts {
+		if _, ok := known[PartDigest(r.Model, id).A]; ok {
+			return true
+		}
+	}
+	return false
 }
 
 // Fingerprint returns a number that is the same in processes whose Reports tell the same.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -121,7 +121,7 @@
 	byCrash := map[unconfirmedCrash][]Digest{}
 	for _, d := range digests {
 		known := g.unconfirmed[d]
-		if known == nil || len(known.sinceProgress())+g.state.crashesOf(d) < worthKeeping {
+		if known == nil || len(known.sinceProgress())+g.state.crashesOf(d) < g.worthJournaling(d) {
 			continue
 		}
 		for _, c := range known.sinceProgress() {
@@ -139,6 +139,15 @@
 	return all
 }
 
+// worthJournaling is the number of crashes from which a digest is written to the journal. Of a part that
+// many requests have, an answer may be on its way after two.
+func (g *Guard) worthJournaling(d Digest) int {
+	if d.IsPart() {
+		return g.state.cfg.PartTrialStrikes
+	}
+	return worthKeeping
+}
+
 func fingerprintOfDigests(digests []Digest) uint64 {
 	sum := uint64(0)
 	for _, d := range digests {
@@ -195,7 +204,7 @@
 }
 
 func (g *Guard) addWorthKnowing(all map[Digest]map[unconfirmedCrash]struct{}, d Digest) {
-	if all[d] != nil || g.verdict(d).Status == Clean {
+	if all[d] != nil || g.verdict(d).Strikes == 0 {
 		return
 	}
 	crashes := map[unconfirmedCrash]struct{}{}
@@ -245,8 +254,10 @@
 // exonerate clears a suspect here and reports that. Digests that aren't suspected need no report.
 func (g *Guard) exonerate(ctx context.Context, d Digest, forgive func(Digest), m message) error {
 	g.mu.Lock()
-	suspected := g.verdict(d).Status == Suspected
-	journaled := g.state.crashesOf(d) > 0
+	v := g.verdict(d)
+	suspected := v.Status != Quarantined && v.Strikes > 0
+	// Another process may have written the crashes of a part that this one hasn't read yet.
+	journaled := g.state.crashesOf(d) > 0 || d.IsPart() && v.Strikes >= worthKeeping
 	if suspected {
 		forgive(d)
 		g.changed()
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -27,6 +27,10 @@
 	// crashes of different upstreams without progress in between; MaxCrashes counts all crashes,
 	// to catch a request that crashes upstreams only sometimes.
 	MaxStrikes, MaxCrashes int
+	// PartTrialStrikes is the number of strikes from which requests with a part of prompts run one at a
+	// time: a part that many requests have is in flight at most crashes, and soon answered.
+	// MaxPartStrikes is that from which they are refused.
+	PartTrialStrikes, MaxPartStrikes int
 }
 
 // DefaultConfig returns the settings of processes that isolate suspects.
@@ -40,6 +44,8 @@
 		MaxDigests:       4096,
 		MaxStrikes:       2,
 		MaxCrashes:       3,
+		PartTrialStrikes: 3,
+		MaxPartStrikes:   6,
 	}
 }
 
@@ -175,16 +181,27 @@
 		x.strikes++
 		x.lastStrike = c.Upstream
 	}
-	if x.quarantined.IsZero() && s.exceedsLimits(x.strikes, len(x.crashes)) {
+	if x.quarantined.IsZero() && s.exceedsLimits(d, x.strikes, len(x.crashes)) {
 		x.quarantined = p.At
 		s.entered = append(s.entered, x.entered(p))
 	}
 }
 
-func (s *State) exceedsLimits(strikes, crashes int) bool {
+func (s *State) exceedsLimits(d Digest, strikes, crashes int) bool {
+	if d.IsPart() {
+		return strikes >= s.cfg.MaxPartStrikes
+	}
 	return strikes >= s.cfg.MaxStrikes || crashes >= s.cfg.MaxCrashes
 }
 
+// statusOf returns the status of a digest that isn't quarantined.
+func (s *State) statusOf(d Digest, strikes int) Status {
+	if strikes == 0 || d.IsPart() && strikes < s.cfg.PartTrialStrikes {
+		return Clean
+	}
+	return Suspected
+}
+
 // alreadyCounted reports whether a crash was already counted against a digest:
 // several instances observe the same crash, and each reports it.
 func (s *State) alreadyCounted(x *suspect, c *Crash, at time.Time) bool {
--- a/quarantine/unconfirmed.go
+++ b/quarantine/unconfirmed.go
@@ -122,11 +122,12 @@
 			v.Upstreams = append(v.Upstreams, c.upstream)
 		}
 	}
+	v.Strikes = strikes
 	switch {
-	case g.state.exceedsLimits(strikes, total):
+	case g.state.exceedsLimits(d, strikes, total):
 		v.Status, v.Remaining = Quarantined, left
 	case strikes > 0:
-		v.Status, v.Remaining = Suspected, max(v.Remaining, left)
+		v.Status, v.Remaining = g.state.statusOf(d, strikes), max(v.Remaining, left)
 	}
 	return v
 }
@@ -159,7 +160,7 @@
 // strikesOf returns the number of strikes behind a verdict and the upstream of
 // the last one.
 func (s *State) strikesOf(d Digest, v Verdict) (int, string) {
-	if v.Status == Clean {
+	if v.Strikes == 0 {
 		return 0, ""
 	}
 	x := s.suspects[d]
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -23,6 +23,8 @@
 	Status Status
 	// Upstreams are those that crashed with it in flight.
 	Upstreams []string
+	// Strikes are the crashes since its last answer or progress.
+	Strikes int
 	// Remaining is how long the status lasts if nothing else happens.
 	Remaining time.Duration
 }
@@ -42,15 +44,13 @@
 	if left <= 0 {
 		return Verdict{}
 	}
-	v := Verdict{Remaining: left}
+	v := Verdict{Remaining: left, Strikes: x.strikes}
 	for _, c := range x.crashes {
 		v.Upstreams = append(v.Upstreams, c.Upstream)
 	}
-	switch {
-	case !x.quarantined.IsZero():
+	v.Status = s.statusOf(d, x.strikes)
+	if !x.quarantined.IsZero() {
 		v.Status = Quarantined
-	case x.strikes > 0:
-		v.Status = Suspected
 	}
 	return v
 }
