relay: an unframed stream without any event has been broken off

Callers got an empty answer as a whole one, and the crash that had cut it counted as an answer: it took the strikes of the request that had crashed its server.

Cause: a body without a length or chunks ends with its connection, which a crashed server closes, too; a stream without events was passed on as it is. Events tell where a stream may end, so one without any tells nothing. A stream that was to go on after an event may have none left, and stays whole.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,6 +22,9 @@
 	Header http.Header
 	// Length is the body's length in bytes, or -1 if it isn't known.
 	Length int64
+	// Framed says that a length or chunks tell where the body ends. One without ends with its
+	// connection.
+	Framed bool
 
 	body io.ReadCloser
 	pool *Pool
@@ -141,8 +144,8 @@
 	resp.Header = response.Header
 	resp.Length = response.ContentLength
 	resp.body = response.Body
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	resp.reusable = framed && !response.Close && resp.pool.mayKeep(r)
+	resp.Framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	resp.reusable = resp.Framed && !response.Close && resp.pool.mayKeep(r)
 	limit, ok := parseKeepAlive(response.Header.Get("Keep-Alive"))
 	if ok {
 		resp.conn.maxIdle = limit
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -23,6 +23,10 @@
 	started    time.Time
 }
 
+// errEmptyStream is returned for a stream of which only the end of its connection came: an upstream that
+// has crashed ends it in the same way.
+var errEmptyStream = errors.New("the stream ended with its connection before the first event")
+
 var errEventGap = errors.New("events are missing from the stream")
 
 // relayStream sends complete events to the caller as they arrive, each once. The headers
@@ -33,6 +37,9 @@
 	for {
 		e, err := events.next()
 		watch.disarm()
+		if err == io.EOF && first && !resp.Framed && p.resumedAfter == 0 {
+			err = errEmptyStream
+		}
 		if err == io.EOF {
 			return c.endStream(p, resp)
 		}
