--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -28,10 +28,14 @@
 	if s.format == formatJSON {
 		return s.printJSON(status.Quarantined)
 	}
-	t := s.table("REQUEST", "REFUSED FOR", "CRASHED")
+	t := s.table("REFUSED", "KIND", "FOR", "CRASHED")
 	for _, q := range status.Quarantined {
 		left := time.Duration(q.RemainingMS * float64(time.Millisecond)).Round(time.Second)
-		t.row(q.Digest, left.String(), strings.Join(q.Crashed, " "))
+		kind := "request"
+		if q.Part {
+			kind = "prompt part"
+		}
+		t.row(q.Digest, kind, left.String(), strings.Join(q.Crashed, " "))
 	}
 	return t.flush()
 }
--- a/internal/daemonstatus/status.go
+++ b/internal/daemonstatus/status.go
@@ -53,6 +53,8 @@
 type Quarantined struct {
 	// Digest identifies the request in logs and releases.
 	Digest string `json:"digest"`
+	// Part says that it is a part of prompts, which all requests with it share.
+	Part bool `json:"part,omitempty"`
 	// Crashed are the upstreams that crashed with it in flight, each with its start.
 	Crashed []string `json:"crashed"`
 	// RemainingMS is how long it lasts.
--- a/internal/member/quarantine.go
+++ b/internal/member/quarantine.go
@@ -109,7 +109,7 @@
 }
 
 func (x *quarantineExchange) logEntered(e quarantine.Entered) {
-	x.log.Warn("request quarantined", "digest", e.Digest.String(), "crashed", e.Upstreams, "reported_by", e.Writer)
+	x.log.Warn("request quarantined", "digest", e.Digest.String(), "part", e.Digest.IsPart(), "crashed", e.Upstreams, "reported_by", e.Writer)
 }
 
 // services returns what keeps the journal and the guard going.
@@ -204,7 +204,7 @@
 			continue
 		}
 		d.Quarantined = append(d.Quarantined, daemonstatus.Quarantined{
-			Digest: q.Digest.String(), Crashed: q.Verdict.Upstreams, RemainingMS: telemetry.Millis(q.Verdict.Remaining),
+			Digest: q.Digest.String(), Part: q.Digest.IsPart(), Crashed: q.Verdict.Upstreams, RemainingMS: telemetry.Millis(q.Verdict.Remaining),
 		})
 	}
 }
