soak: requests with a lethal part of their prompts

SendLethal has a third form: different requests that share a part, to the engines' service; a part must be refused from 3 s after its fifth crash on, but for three.

--- a/internal/soak/lethal.go
+++ b/internal/soak/lethal.go
@@ -18,7 +18,9 @@
 	lethalPrefix = "lethal"
 	// lethalCrashes is the number of crashes after which such a request must be refused, from
 	// refusalNotice later on but for maxLethalArrivals.
-	lethalCrashes     = 3
+	lethalCrashes = 3
+	// partCrashes is the same of requests with a part of prompts that crashes engines.
+	partCrashes       = 5
 	refusalNotice     = 3 * time.Second
 	maxLethalArrivals = 3
 	// lethalInterval is the time between two copies of a lethal request. Up to maxFirstCopies go to one
@@ -36,9 +38,14 @@
 	wavePrefix = "-wave"
 )
 
-// lethalRequest is a request that crashes servers, under different IDs.
+// lethalParts are IDs of parts of prompts that crash each engine that answers one.
+var lethalParts = []string{"dead0", "dead1", "dead2", "dead3"}
+
+// lethalRequest is a request that crashes servers, under different IDs, or all requests with one part.
 type lethalRequest struct {
-	crashes int
+	// maxCrashes is the number of crashes after which it must be refused.
+	maxCrashes int
+	crashes    int
 	// reached counts the copies that reached servers.
 	reached int
 	// refusedFrom is when it must be refused; zero before it has crashed enough servers.
@@ -46,15 +53,19 @@
 	arrivals    int
 }
 
-// sendLethal sends copies of requests that crash servers, each under an ID of its own: of one kind
-// one after the other, or of two kinds in waves.
+// sendLethal sends requests that crash servers, each under an ID of its own: copies of one kind one
+// after the other, of two kinds in waves, or different ones that share a part of their prompts.
 func (s *site) sendLethal(step Step) {
-	service := services[slices.IndexFunc(services, func(v service) bool { return v.name == "repeat" })]
+	if step.Variant%lethalForms == lethalForms-1 {
+		s.sendLethalPart(step)
+		return
+	}
+	service := serviceNamed("repeat")
 	end := s.faults.begin(serversSubject(service.name))
 	defer time.AfterFunc(entryExpiry+settleDelay, end)
 	name := fmt.Sprintf("-%d-%d", step.Target, step.Variant)
 	key := s.keyFor(step.Variant%organisations, false)
-	if step.Variant%2 == 0 {
+	if step.Variant%lethalForms == 0 {
 		s.sendLethalInTurn(newLethalSender(s, service, key, lethalPrefix+name), step.Target)
 		return
 	}
@@ -66,6 +77,23 @@
 	kinds.Wait()
 }
 
+// lethalForms is the number of forms of requests that crash servers.
+const lethalForms = 3
+
+// sendLethalPart sends different requests with one part.
+func (s *site) sendLethalPart(step Step) {
+	service := serviceNamed("llm")
+	end := s.faults.begin(serversSubject(service.name))
+	defer time.AfterFunc(entryExpiry+settleDelay, end)
+	l := newLethalSender(s, service, s.keyFor(step.Variant%organisations, false), lethalParts[step.Target%len(lethalParts)])
+	l.client.Body, l.client.SharedPart = "", l.name
+	s.sendLethalInTurn(l, step.Target)
+}
+
+func serviceNamed(name string) service {
+	return services[slices.IndexFunc(services, func(v service) bool { return v.name == name })]
+}
+
 // lethalKinds is the number of kinds of requests that come in waves.
 const lethalKinds = 2
 
@@ -75,7 +103,7 @@
 	for range maxFirstCopies {
 		l.send(s.daemons[first%len(s.daemons)])
 		time.Sleep(lethalInterval)
-		if s.oracle.mustBeRefused(l.client.Body) {
+		if s.oracle.mustBeRefused(l.name) {
 			break
 		}
 	}
@@ -100,6 +128,8 @@
 
 // lethalSender sends copies of one request that crashes servers.
 type lethalSender struct {
+	// name is the body or the part of all.
+	name    string
 	site    *site
 	service service
 	key     *accessKey
@@ -108,18 +138,18 @@
 }
 
 func newLethalSender(s *site, service service, key *accessKey, body string) *lethalSender {
-	l := &lethalSender{site: s, service: service, key: key, client: standin.NewCaller()}
+	l := &lethalSender{name: body, site: s, service: service, key: key, client: standin.NewCaller()}
 	l.client.Body, l.client.Key = body, key.text
 	return l
 }
 
 // send sends one copy to a daemon and waits for its end.
 func (l *lethalSender) send(d *daemon) {
-	id := fmt.Sprintf("%s-%d", l.client.Body, l.sent.Add(1))
-	l.site.oracle.sentLethal(id, l.client.Body, l.service, l.key, d.number)
+	id := fmt.Sprintf("%s-%d-%d", l.name, time.Now().UnixNano(), l.sent.Add(1))
+	l.site.oracle.sentLethal(id, l.name, l.service, l.key, d.number)
 	ctx, cancel := context.WithTimeout(context.Background(), l.service.deadline+callerTimeoutSlack)
 	defer cancel()
-	l.client.Send(ctx, d.config.Callers(), l.service.name, id, l.service.deadline, false, func() {})
+	l.client.Send(ctx, d.config.Callers(), l.service.name, id, l.service.deadline, l.service.stream, func() {})
 }
 
 func (l *lethalSender) sendToAll(daemons []*daemon) {
@@ -160,7 +190,10 @@
 	defer o.mu.Unlock()
 	o.requests[id].lethal = body
 	if o.lethal[body] == nil {
-		o.lethal[body] = &lethalRequest{}
+		o.lethal[body] = &lethalRequest{maxCrashes: lethalCrashes}
+		if s.stream {
+			o.lethal[body].maxCrashes = partCrashes
+		}
 	}
 }
 
@@ -176,7 +209,7 @@
 	defer o.mu.Unlock()
 	o.counts["servers crashed by a request"]++
 	l := o.lethal[body]
-	if l.crashes++; l.crashes == lethalCrashes {
+	if l.crashes++; l.crashes == l.maxCrashes {
 		l.refusedFrom = time.Now().Add(refusalNotice)
 	}
 }
@@ -188,7 +221,7 @@
 	if l == nil {
 		return
 	}
-	if l.reached++; l.reached == lethalCrashes && l.refusedFrom.IsZero() {
+	if l.reached++; l.reached == lethalCrashes && l.maxCrashes == lethalCrashes && l.refusedFrom.IsZero() {
 		l.refusedFrom = now.Add(refusalNotice)
 	}
 	if l.refusedFrom.IsZero() || q.sentAt.Before(l.refusedFrom) {
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -97,8 +97,10 @@
 	server.Born = time.Now().UnixMilli()
 	server.Observer, server.Handles = s.oracle, s.handles
 	server.SlowEvery, server.SlowFor = slowEvery, slowDuration
-	server.SetLethal(&standin.Lethal{Prefix: lethalPrefix, RunFor: lethalRun, Crashed: s.serverCrashed})
+	lethal := &standin.Lethal{Prefix: lethalPrefix, RunFor: lethalRun, Crashed: s.serverCrashed}
+	server.SetLethal(lethal)
 	if slot.role != "" {
+		lethal.Parts = lethalParts
 		server.Version = s.nextVersion()
 		server.Events, server.EventGap = streamEvents, eventGap
 		server.SetStage(slot.role)
