--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -1,12 +1,7 @@
-// Package retrybudget limits the retries of all processes of a system together, without
-// coordination: in any window they make at most a ratio of the requests of that window, or of the
-// window before it if that has more, and a fixed slack in addition. That holds over processes that
-// end, start and join, none of which knows what another one has spent.
-//
-// Each process keeps to the following for each moment of the last window: its retries since then are
-// at most the ratio of the weighted mean of its requests since then and its requests in the window
-// before that moment, plus its share of the slack. The sum of these means over all processes is at
-// most the larger one of the sums.
+// Package retrybudget limits the retries of all processes of a system together, without coordination:
+// in any window at most a ratio of its requests, or of those of the window before it, and a slack.
+// That holds over processes that end, start and join: each bounds its retries since any moment of the
+// last window by a mean of its requests before and since, and such means add up.
 package retrybudget
 
 import (
