freshness: proofs of age leave the package of API keys

Where to seek a proof that a copy is current, and how old it may be, isn't a matter of keys: the configuration has an age everywhere. The tracker no longer holds a limit, so that one proof can serve purposes with limits of their own.

--- a/apikey/apikey.go
+++ b/apikey/apikey.go
@@ -1,5 +1,4 @@
-// Package apikey identifies the organisation of a request by its API key, and says until
-// when a view of the keys may be used without another look at their source.
+// Package apikey identifies the organisation of a request by its API key.
 //
 // Keys are held and compared as digests only: no value of this package contains a key.
 package apikey
--- a/apikey/apikey_test.go
+++ b/apikey/apikey_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -63,68 +62,6 @@
 	require.False(t, ok)
 }
 
-const bound = 5 * time.Second
-
-// Guards against keys that are used although nobody knows whether they still hold.
-func TestKeysNeedARecentProof(t *testing.T) {
-	f := NewFreshness(bound)
-	require.False(t, f.MayUse(0), "there is no proof")
-	require.True(t, f.Record(Proof{Version: 3, SentAt: time.Second}, 3))
-	require.True(t, f.MayUse(5*time.Second))
-	require.False(t, f.MayUse(6*time.Second), "the bound has passed")
-	require.False(t, f.Record(Proof{Version: 3, SentAt: time.Second / 2}, 3), "an older proof")
-	require.False(t, f.Record(Proof{Version: 4, SentAt: 2 * time.Second}, 3), "the version in force isn't the newest")
-	require.True(t, f.Record(Proof{Version: 2, SentAt: 2 * time.Second}, 3), "a newer version in force was published later")
-	require.True(t, f.MayUse(6*time.Second))
-	require.True(t, NewFreshness(0).MayUse(time.Hour), "there is no bound")
-}
-
-// Guards against a restored store, whose older configuration would prove that keys still hold.
-func TestProofsOfARestoredStoreAreRejected(t *testing.T) {
-	f := NewFreshness(bound)
-	require.True(t, f.Record(Proof{Version: 3, SentAt: time.Second}, 3))
-	f.RejectBefore(4 * time.Second)
-	require.False(t, f.Record(Proof{Version: 3, SentAt: 3 * time.Second}, 3))
-	require.True(t, f.MayUse(2*time.Second), "the proof from before the restore holds")
-	require.True(t, f.Record(Proof{Version: 3, SentAt: 4 * time.Second}, 3))
-}
-
-// The daemon that reads for the others does so often, the others ask it, and each has tried all
-// sources before its proof is too old.
-func TestSearchUsesEverySourceInTime(t *testing.T) {
-	search := Search{Limit: bound, Spread: 1}
-	first := Search{Limit: bound}
-	var sources [3]time.Duration
-	for age := time.Duration(0); age < bound; age += 50 * time.Millisecond {
-		step := search.Next(age, age, false)
-		for i, seen := range []bool{step.Read, step.Ask, step.AskAny} {
-			if seen && sources[i] == 0 {
-				sources[i] = age
-			}
-		}
-		if age >= 400*time.Millisecond && age < 450*time.Millisecond {
-			require.True(t, first.Next(age, age, true).Read)
-		}
-	}
-	read, ask, any := sources[0], sources[1], sources[2]
-	require.Less(t, ask, read)
-	require.Less(t, read, any)
-	require.Less(t, any, bound/2)
-	require.NotZero(t, ask)
-}
-
-// Guards against a search that floods a source that doesn't answer.
-func TestSearchRepeatsAtIntervals(t *testing.T) {
-	search := Search{Limit: bound}
-	reads := 0
-	for now := time.Duration(0); now < time.Second; now += 10 * time.Millisecond {
-		if search.Next(bound+now, bound+now, true).Read {
-			reads++
-		}
-	}
-	require.LessOrEqual(t, reads, 4)
-}
-
 func BenchmarkLookup(b *testing.B) {
 	const keys = 100_000
 	organisations := make([]Organisation, keys/2)
--- /dev/null
+++ b/freshness/freshness_test.go
@@ -0,0 +1,72 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const bound = 5 * time.Second
+
+// Guards against a document that is relied on although nobody knows whether it still holds.
+func TestRelianceNeedsARecentProof(t *testing.T) {
+	var f Tracker
+	limit := NewLimit(bound)
+	allowed := func(now time.Duration) bool { return limit.Allows(f.Age(now)) }
+	require.False(t, allowed(0), "there is no proof")
+	require.True(t, f.Record(Proof{Version: 3, SentAt: time.Second}, 3))
+	require.True(t, allowed(5*time.Second))
+	require.False(t, allowed(6*time.Second), "the bound has passed")
+	require.False(t, f.Record(Proof{Version: 3, SentAt: time.Second / 2}, 3), "an older proof")
+	require.False(t, f.Record(Proof{Version: 4, SentAt: 2 * time.Second}, 3), "the version in force isn't the newest")
+	require.True(t, f.Record(Proof{Version: 2, SentAt: 2 * time.Second}, 3), "a newer version in force was published later")
+	require.True(t, allowed(6*time.Second))
+	require.True(t, NewLimit(0).Allows(Unproven), "there is no bound")
+}
+
+// Guards against a restored store, whose older configuration would prove that a newer one holds.
+func TestProofsOfARestoredStoreAreRejected(t *testing.T) {
+	var f Tracker
+	require.True(t, f.Record(Proof{Version: 3, SentAt: time.Second}, 3))
+	f.RejectBefore(4 * time.Second)
+	require.False(t, f.Record(Proof{Version: 3, SentAt: 3 * time.Second}, 3))
+	require.Equal(t, time.Second, f.Age(2*time.Second), "the proof from before the restore holds")
+	require.True(t, f.Record(Proof{Version: 3, SentAt: 4 * time.Second}, 3))
+}
+
+// The daemon that reads for the others does so often, the others ask it, and each has tried all
+// sources before its proof is too old.
+func TestSearchUsesEverySourceInTime(t *testing.T) {
+	search := Search{Limit: NewLimit(bound), Shares: KeyShares, Spread: 1}
+	first := Search{Limit: NewLimit(bound), Shares: KeyShares}
+	var sources [3]time.Duration
+	for age := time.Duration(0); age < bound; age += 50 * time.Millisecond {
+		step := search.Next(age, age, false)
+		for i, seen := range []bool{step.Read, step.Ask, step.AskAny} {
+			if seen && sources[i] == 0 {
+				sources[i] = age
+			}
+		}
+		if age >= 400*time.Millisecond && age < 450*time.Millisecond {
+			require.True(t, first.Next(age, age, true).Read)
+		}
+	}
+	read, ask, any := sources[0], sources[1], sources[2]
+	require.Less(t, ask, read)
+	require.Less(t, read, any)
+	require.Less(t, any, bound/2)
+	require.NotZero(t, ask)
+}
+
+// Guards against a search that floods a source that doesn't answer.
+func TestSearchRepeatsAtIntervals(t *testing.T) {
+	search := Search{Limit: NewLimit(bound), Shares: KeyShares}
+	reads := 0
+	for now := time.Duration(0); now < time.Second; now += 10 * time.Millisecond {
+		if search.Next(bound+now, bound+now, true).Read {
+			reads++
+		}
+	}
+	require.LessOrEqual(t, reads, 4)
+}
--- a/apikey/sim_test.go
+++ b/freshness/sim_test.go
@@ -1,4 +1,4 @@
-package apikey
+package freshness
 
 import (
 	"math/rand/v2"
@@ -24,7 +24,7 @@
 
 // simDaemon is a daemon of a simulated site.
 type simDaemon struct {
-	freshness *Freshness
+	freshness Tracker
 	search    Search
 	parent    *simDaemon
 	// cut says that it doesn't reach the source.
@@ -49,8 +49,7 @@
 func newSimSite(s sourceScheme, daemons, centres int, rng *rand.Rand) *simSite {
 	site := &simSite{scheme: s}
 	for i := range daemons {
-		d := &simDaemon{freshness: NewFreshness(bound)}
-		d.search = Search{Limit: d.freshness.Limit(), Spread: rng.Float64()}
+		d := &simDaemon{search: Search{Limit: NewLimit(bound), Shares: KeyShares, Spread: rng.Float64()}}
 		switch {
 		case i == 0:
 		case i < centres:
@@ -72,10 +71,7 @@
 }
 
 func (s *simSite) step(d *simDaemon, rng *rand.Rand) {
-	age := time.Hour
-	if latest, ok := d.freshness.Latest(); ok {
-		age = s.now - latest.SentAt
-	}
+	age := d.freshness.Age(s.now)
 	first := d.parent == nil
 	step := d.search.Next(s.now, age, first || s.scheme.readsAll)
 	if step.Read && (s.scheme.read || first) {
@@ -90,7 +86,7 @@
 	if step.AskAny && s.scheme.askAny {
 		s.learn(d, s.daemons[rng.IntN(len(s.daemons))])
 	}
-	if !d.freshness.MayUse(s.now) {
+	if !d.search.Limit.Allows(d.freshness.Age(s.now)) {
 		s.unusable += simStep
 		return
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,8 +11,8 @@
 	"github.com/rotisserie/eris"
 
 	"tamarackchute/admission"
-	"tamarackchute/apikey"
 	"tamarackchute/claim"
+	"tamarackchute/freshness"
 	"tamarackchute/infra"
 	"tamarackchute/internal/audit"
 	"tamarackchute/internal/boottime"
@@ -77,8 +77,8 @@
 
 	journal *journal.Journal
 	replica *rules.Replica
-	// keys says how recent the known rules are, for the use of API keys.
-	keys       *apikey.Freshness
+	// rulesRead says when the log was last read to its end: older rules may not be the newest.
+	rulesRead  freshness.Tracker
 	ruleSource ruleSource
 	trail      *audit.Trail
 	leases     *lease.View
@@ -145,15 +145,20 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// keysUsable reports whether the rules are known to be recent enough for the use of API keys.
+func (e *Entry) keysUsable() bool {
+	limit := freshness.NewLimit(seconds(e.cfg.Deployment.Keys.RevocationSeconds))
+	return limit.Allows(e.rulesRead.Age(boottime.Now()))
+}
+
 func (e *Entry) writer() string { return e.cfg.Instance + "/entry/" + e.incarnation }
 
 // buildJournal creates the journal and the views that are built from its entries.
 func (e *Entry) buildJournal() error {
 	d := e.cfg.Deployment
-	e.keys = apikey.NewFreshness(seconds(d.Keys.RevocationSeconds))
 	e.journal = journal.New(e.cfg.Log, journal.Config{
 		LongPoll:         keyPollInterval(d),
-		OnRead:           func(sentAt time.Duration) { e.keys.Record(apikey.Proof{SentAt: sentAt}, 0) },
+		OnRead:           func(sentAt time.Duration) { e.rulesRead.Record(freshness.Proof{SentAt: sentAt}, 0) },
 		Writer:           e.writer(),
 		Linger:           time.Duration(d.Protected.LingerMillis * float64(time.Millisecond)),
 		AppendsPerSecond: d.Platform.AppendsPerSecond / float64(len(d.Instances)),
@@ -272,7 +277,7 @@
 		Demand:      e.demand,
 		Ready:       e.ready,
 		Load:        e.load.get,
-		KeysUsable:  func() bool { return e.keys.MayUse(boottime.Now()) },
+		KeysUsable:  e.keysUsable,
 		NewID:       uuid.NewString,
 		Scope:       e.cfg.Metrics.Scope,
 		Log:         e.log,
--- a/internal/member/keys.go
+++ b/internal/member/configfreshness.go
@@ -9,21 +9,25 @@
 
 	"github.com/sourcegraph/conc"
 
-	"tamarackchute/apikey"
+	"tamarackchute/freshness"
 	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/telemetry"
 	"tamarackchute/internal/wire"
 )
 
-// keyCheckInterval is how often a daemon checks whether it needs another proof.
-const keyCheckInterval = 50 * time.Millisecond
-
-// keyView proves that no configuration newer than the one in force existed a short time ago. Only
-// while it can may API keys be used: a newer one may have removed them.
-type keyView struct {
-	freshness *apikey.Freshness
-	state     *fleet.State
-	eras      *EraTracker
+// proofCheckInterval is how often a daemon checks whether it needs another proof.
+const proofCheckInterval = 50 * time.Millisecond
+
+// configFreshness tracks the proofs that no configuration newer than the one in force existed a short
+// time ago.
+type configFreshness struct {
+	tracker freshness.Tracker
+	// keyLimit is the age of a proof up to which API keys may be used: a newer configuration may have
+	// removed them.
+	keyLimit freshness.Limit
+	state    *fleet.State
+	eras     *EraTracker
 	// settle is how long after a restore of the store its configuration may be an older one.
 	settle time.Duration
 	// now is the clock of proofs, see package boottime.
@@ -36,80 +40,82 @@
 	usable bool
 }
 
-func newKeyView(s Settings, state *fleet.State, eras *EraTracker, log *slog.Logger) *keyView {
-	return &keyView{
-		freshness: apikey.NewFreshness(s.RevocationBound), state: state, eras: eras,
+func newConfigFreshness(s Settings, state *fleet.State, eras *EraTracker, log *slog.Logger) *configFreshness {
+	return &configFreshness{
+		keyLimit: freshness.NewLimit(s.RevocationBound), state: state, eras: eras,
 		settle: s.LapsedEntryGrace, now: boottime.Now, log: log,
 	}
 }
 
-// enforced reports whether the configuration in force has keys whose removal has to be effective
+// enforcesKeys reports whether the configuration in force has keys whose removal has to be effective
 // within a bound.
-func (v *keyView) enforced() bool {
+func (v *configFreshness) enforcesKeys() bool {
 	c := v.state.Snapshot().Config
-	return v.freshness.Limit() > 0 && c != nil && c.Keys != nil
+	return v.keyLimit > 0 && c != nil && c.Keys != nil
 }
 
-// mayUse reports whether the keys of the configuration in force may be used now.
-func (v *keyView) mayUse() bool {
-	return !v.enforced() || v.freshness.MayUse(v.now())
+// keysUsable reports whether the keys of the configuration in force may be used now.
+func (v *configFreshness) keysUsable() bool {
+	return !v.enforcesKeys() || v.keyLimit.Allows(v.age(v.now()))
 }
 
 // recordRead records a completed read of the configuration that was sent at a time.
-func (v *keyView) recordRead(sentAt time.Duration) {
+func (v *configFreshness) recordRead(sentAt time.Duration) {
 	v.followEra()
 	if c := v.state.Snapshot().Config; c != nil {
-		v.freshness.Record(apikey.Proof{Version: c.Version, SentAt: sentAt}, c.Version)
+		v.tracker.Record(freshness.Proof{Version: c.Version, SentAt: sentAt}, c.Version)
 	}
 }
 
 // recordReply records a peer's proof. Its age counts from when the request was sent: how long the
 // reply was on its way isn't known.
-func (v *keyView) recordReply(m wire.ConfigProofReply) {
+func (v *configFreshness) recordReply(m wire.ConfigProofReply) {
 	c := v.state.Snapshot().Config
 	if !m.Known || c == nil || !v.eras.Observe(m.Era, "another daemon") {
 		return
 	}
-	v.freshness.RecordPeer(apikey.Proof{Version: m.Version, SentAt: m.RequestedAt - m.Age}, c.Version)
+	v.tracker.RecordPeer(freshness.Proof{Version: m.Version, SentAt: m.RequestedAt - m.Age}, c.Version)
 }
 
 // followEra rejects proofs by reads of a store that was restored lately: its configuration may be
 // older than one that was acknowledged before. When a daemon starts, any restore may be recent.
-func (v *keyView) followEra() {
+func (v *configFreshness) followEra() {
 	v.eraMu.Lock()
 	defer v.eraMu.Unlock()
 	if era := v.eras.Current(); era != v.era {
 		v.era = era
-		v.freshness.RejectBefore(v.now() + v.settle)
+		v.tracker.RejectBefore(v.now() + v.settle)
 	}
 }
 
 // reply returns this daemon's proof for a peer.
-func (v *keyView) reply(m wire.ConfigProofRequest) wire.ConfigProofReply {
-	latest, known := v.freshness.Latest()
+func (v *configFreshness) reply(m wire.ConfigProofRequest) wire.ConfigProofReply {
+	latest, known := v.tracker.Latest()
 	return wire.ConfigProofReply{
 		RequestedAt: m.RequestedAt, Known: known, Version: latest.Version, Age: v.now() - latest.SentAt, Era: v.eras.Current(),
 	}
 }
 
-// age returns the age of the latest proof; more than any limit if there is none.
-func (v *keyView) age(now time.Duration) time.Duration {
-	latest, known := v.freshness.Latest()
-	if !known {
-		return v.freshness.Limit() + time.Hour
+// age returns the age of the latest proof.
+func (v *configFreshness) age(now time.Duration) time.Duration { return v.tracker.Age(now) }
+
+// ageMillis returns an age for logs and the status page; -1 if nothing is proven.
+func ageMillis(age time.Duration) float64 {
+	if age == freshness.Unproven {
+		return -1
 	}
-	return now - latest.SentAt
+	return telemetry.Millis(age)
 }
 
 // logChange logs when keys become usable, and when they no longer are.
-func (v *keyView) logChange(now time.Duration) {
-	usable := v.freshness.MayUse(now)
+func (v *configFreshness) logChange(now time.Duration) {
+	usable := v.keyLimit.Allows(v.age(now))
 	if usable == v.usable {
 		return
 	}
 	v.usable = usable
-	latest, _ := v.freshness.Latest()
-	attrs := []any{"age_ms", v.age(now).Milliseconds(), "limit_ms", v.freshness.Limit().Milliseconds(), "version", latest.Version}
+	latest, _ := v.tracker.Latest()
+	attrs := []any{"age_ms", ageMillis(v.age(now)), "limit_ms", time.Duration(v.keyLimit).Milliseconds(), "version", latest.Version}
 	if usable {
 		v.log.Info("API keys usable", attrs...)
 		return
@@ -117,9 +123,9 @@
 	v.log.Warn("API keys not usable: the configuration may be outdated", attrs...)
 }
 
-// keyProver seeks proofs for a keyView, from the store or from peers. It is a suture.Service.
-type keyProver struct {
-	view  *keyView
+// configProver seeks proofs for a configFreshness, from the store or from peers. It is a suture.Service.
+type configProver struct {
+	view  *configFreshness
 	peers *Peers
 	// expediteRead makes the reader of the configuration read now.
 	expediteRead func()
@@ -128,17 +134,17 @@
 }
 
 // String implements fmt.Stringer; the supervisor logs it.
-func (p *keyProver) String() string { return "prover of API keys" }
+func (p *configProver) String() string { return "proofs of the configuration" }
 
 // Serve implements suture.Service.
-func (p *keyProver) Serve(ctx context.Context) error {
+func (p *configProver) Serve(ctx context.Context) error {
 	var eras conc.WaitGroup
 	eras.Go(func() { p.followEras(ctx) })
 	defer eras.Wait()
-	search := apikey.Search{Limit: p.view.freshness.Limit(), Spread: rand.Float64()}
+	search := freshness.Search{Limit: p.view.keyLimit, Shares: freshness.KeyShares, Spread: rand.Float64()}
 	for ctx.Err() == nil {
-		sleep(ctx, keyCheckInterval)
-		if p.view.enforced() {
+		sleep(ctx, proofCheckInterval)
+		if p.view.enforcesKeys() {
 			p.seek(&search)
 		}
 	}
@@ -146,7 +152,7 @@
 }
 
 // seek takes the next step of the search for a proof.
-func (p *keyProver) seek(search *apikey.Search) {
+func (p *configProver) seek(search *freshness.Search) {
 	now := p.view.now()
 	p.view.logChange(now)
 	step := search.Next(now, p.view.age(now), p.isFirst())
@@ -163,7 +169,7 @@
 }
 
 // followEras follows the eras of the store that other reads or daemons report.
-func (p *keyProver) followEras(ctx context.Context) {
+func (p *configProver) followEras(ctx context.Context) {
 	for {
 		changed := p.view.eras.Changed()
 		p.view.followEra()
--- a/internal/member/keys_test.go
+++ b/internal/member/configfreshness_test.go
@@ -46,10 +46,10 @@
 	require.Equal(t, 1, proofs)
 }
 
-func keyViewOf(eras *EraTracker, now *time.Duration) *keyView {
+func configFreshnessOf(eras *EraTracker, now *time.Duration) *configFreshness {
 	state := fleet.NewState()
 	state.ApplyConfig(&fleet.Config{Version: 3, Keys: &apikey.Set{}})
-	v := newKeyView(Settings{RevocationBound: 5 * time.Second, LapsedEntryGrace: 2 * time.Second}, state, eras, discardLogger)
+	v := newConfigFreshness(Settings{RevocationBound: 5 * time.Second, LapsedEntryGrace: 2 * time.Second}, state, eras, discardLogger)
 	v.now = func() time.Duration { return *now }
 	return v
 }
@@ -57,23 +57,23 @@
 // Guards against a proof by the very read that shows that the store was restored.
 func TestReadOfARestoredStoreProvesNothing(t *testing.T) {
 	eras, now := &EraTracker{}, time.Hour
-	v := keyViewOf(eras, &now)
+	v := configFreshnessOf(eras, &now)
 	eras.Observe(0, "the store")
 	eras.Observe(1, "the store")
 	v.recordRead(now)
-	require.False(t, v.mayUse())
+	require.False(t, v.keysUsable())
 	now += 2 * time.Second
 	v.recordRead(now)
-	require.True(t, v.mayUse())
+	require.True(t, v.keysUsable())
 }
 
 // Guards against a daemon that starts right after a restore and takes the copy for current.
 func TestFirstReadAfterARestoreProvesNothing(t *testing.T) {
 	eras, now := &EraTracker{}, time.Hour
-	v := keyViewOf(eras, &now)
+	v := configFreshnessOf(eras, &now)
 	eras.Observe(4, "the store")
 	v.recordRead(now)
-	require.False(t, v.mayUse())
+	require.False(t, v.keysUsable())
 	v.recordReply(wire.ConfigProofReply{RequestedAt: now, Known: true, Version: 3, Age: time.Second, Era: 4})
-	require.True(t, v.mayUse(), "another daemon knows")
+	require.True(t, v.keysUsable(), "another daemon knows")
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -100,8 +100,8 @@
 	// usage counts requests; nil if usage isn't reported. usageSync passes the counts on.
 	usage     *usageMeter
 	usageSync *usageSync
-	// keys says whether API keys may be used.
-	keys *keyView
+	// configAge says how old the configuration in force may be.
+	configAge *configFreshness
 	// backoff is shared by all services that retry failed calls to the store.
 	backoff *backoff
 	// quarantine shares with the other daemons which requests crash upstreams, limits the limits that
@@ -122,7 +122,7 @@
 	m.settings.Store(&s)
 	m.retryBudget = relay.NewRetryBudget(s.RetryRatio, m.retrySlack, s.RetryWindow, nil)
 	m.retryBudget.AssumeSlackSpent()
-	m.keys = newKeyView(s, m.state, cfg.Store.Eras(), m.log)
+	m.configAge = newConfigFreshness(s, m.state, cfg.Store.Eras(), m.log)
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.quarantine = newQuarantineExchange(m, cfg.QuarantineLog)
 	m.limits = newLimitExchange(m)
@@ -142,7 +142,7 @@
 		OnPathChange:  m.peers.reportNow,
 		OnReplaced:    func(id string) { m.peers.MarkUnavailable(id, "", replacedTimeout) },
 		MinRetryAfter: minRetryAfter,
-		KeysUsable:    m.keys.mayUse,
+		KeysUsable:    m.configAge.keysUsable,
 		OnBegun:       m.recordBegun,
 		Crashes:       m.quarantine.detector,
 		Limits:        m.limits.forRelay(),
@@ -152,7 +152,7 @@
 	m.peers.localDemand = m.localDemand
 	m.peers.requestsWaiting = m.relay.HasWaiting
 	m.peers.onPeerList = m.confirmList
-	m.peers.configProof, m.peers.onConfigProof = m.keys.reply, m.keys.recordReply
+	m.peers.configProof, m.peers.onConfigProof = m.configAge.reply, m.configAge.recordReply
 	m.peers.summary, m.peers.view, m.peers.onUpdate = m.summaryForPeers, m.view, m.relay.WakeWaiting
 	m.leadership = &leadership{member: m, log: cfg.Log, logger: m.log}
 	if s.Provider.ReportsUsage {
@@ -242,7 +242,7 @@
 	m.readers = []*topicReader{
 		upstreams,
 		{
-			store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, triggered: m.keys.enforced, onRead: m.keys.recordRead,
+			store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, triggered: m.configAge.enforcesKeys, onRead: m.configAge.recordRead,
 			applyAll: configs.apply, applyChanges: configs.apply, backoff: m.backoff, log: m.log,
 		},
 		m.daemons,
@@ -282,7 +282,7 @@
 	position := m.readers[0].position()
 	list := m.upstreams.current()
 	summary := Summary{
-		Serving: m.Ready(), LostPools: m.relay.LostPools(), PathLost: !m.relay.HasPath(), KeysStale: !m.keys.mayUse(), ListAge: m.readers[0].age(),
+		Serving: m.Ready(), LostPools: m.relay.LostPools(), PathLost: !m.relay.HasPath(), KeysStale: !m.configAge.keysUsable(), ListAge: m.readers[0].age(),
 		ListPosition: position, ListDigest: list.digest,
 		ListSize: len(snapshot.Upstreams),
 	}
@@ -336,7 +336,7 @@
 //	│   ├── learning
 //	│   │   ├── readers of upstreams, configuration, daemons
 //	│   │   ├── restarts of the readers in a new era of the store
-//	│   │   ├── proofs that the API keys are current
+//	│   │   ├── proofs that the configuration is current
 //	│   │   ├── updates from peers that have newer data
 //	│   │   ├── initial cache state of the engines
 //	│   │   ├── engine parameters, for operators, and their copy in the store
@@ -361,8 +361,8 @@
 		learning.Add(r)
 	}
 	learning.Add(&eraFollower{eras: m.cfg.Store.Eras(), readers: m.readers, daemons: m.peers.KnownCount})
-	if m.keys.freshness.Limit() > 0 {
-		learning.Add(&keyProver{view: m.keys, peers: m.peers, expediteRead: m.readers[1].expedite, isFirst: m.peers.ReadsFirst})
+	if m.configAge.keyLimit > 0 {
+		learning.Add(&configProver{view: m.configAge, peers: m.peers, expediteRead: m.readers[1].expedite, isFirst: m.peers.ReadsFirst})
 	}
 	learning.Add(&peerView{member: m})
 	learning.Add(&catchUp{member: m, log: m.log})
--- a/internal/member/restore_site_test.go
+++ b/internal/member/restore_site_test.go
@@ -182,7 +182,7 @@
 		log: discardLogger, state: fleet.NewState(), tracker: placement.NewTracker(nil), self: wire.MemberAddress{Instance: name, Peers: name},
 	}
 	m.relay = relay.New(relay.Config{State: m.state, Tracker: m.tracker})
-	m.keys = newKeyView(m.cfg.Settings, m.state, m.cfg.Store.Eras(), m.log)
+	m.configAge = newConfigFreshness(m.cfg.Settings, m.state, m.cfg.Store.Eras(), m.log)
 	m.peers = newPeers(m.self, m.wireConfig(), m.tracker, m.log)
 	m.peers.localDemand = func() map[string]wire.MemberDemand { return nil }
 	m.peers.requestsWaiting = func() bool { return false }
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -103,13 +103,13 @@
 	s.Gauge("upstreams_age_seconds").Update(summary.ListAge.Seconds())
 	s.Gauge("daemons_known").Update(float64(m.peers.KnownCount()))
 	s.Gauge("daemons_serving").Update(float64(len(m.peers.Serving())))
-	if m.keys.enforced() {
+	if m.configAge.enforcesKeys() {
 		usable := 0.0
-		if m.keys.mayUse() {
+		if m.configAge.keysUsable() {
 			usable = 1
 		}
 		s.Gauge("keys_usable").Update(usable)
-		s.Gauge("keys_proven_age_seconds").Update(m.keys.age(m.keys.now()).Seconds())
+		s.Gauge("keys_proven_age_seconds").Update(m.configAge.age(m.configAge.now()).Seconds())
 	}
 	s.Gauge("pools_without_path").Update(float64(len(summary.LostPools)))
 	isRoot := 0.0
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -45,8 +45,8 @@
 		}
 		d.Organisations = append(d.Organisations, status)
 	}
-	if m.keys.enforced() {
-		usable, age := m.keys.mayUse(), telemetry.Millis(m.keys.age(m.keys.now()))
+	if m.configAge.enforcesKeys() {
+		usable, age := m.configAge.keysUsable(), ageMillis(m.configAge.age(m.configAge.now()))
 		d.KeysUsable, d.KeysProvenAgeMS = &usable, &age
 	}
 }
