member, relay: logs, metrics and status say how current the configuration is

The logs couldn't tell a poll that brings nothing from an age that nobody asks for and from a daemon that knows better. Each refusal that a newer configuration might change now has the age of the last proof, whose it is, and the newest version that another daemon names. No decision changes.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -85,6 +85,14 @@
 // Unproven is the age of a document of which nothing is proven.
 const Unproven = time.Duration(math.MaxInt64)
 
+// Millis returns an age in milliseconds for logs and status pages; -1 if nothing is proven.
+func Millis(age time.Duration) float64 {
+	if age == Unproven {
+		return -1
+	}
+	return float64(age.Microseconds()) / 1000
+}
+
 // Age returns the age of the latest proof, Unproven if there is none.
 func (t *Tracker) Age(now time.Duration) time.Duration {
 	latest, proven := t.Latest()
--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -106,6 +106,10 @@
 		return "stopping"
 	case d.Ready && d.KeysUsable != nil && !*d.KeysUsable:
 		return "ready, keys stale"
+	case d.Ready && d.ConfigRejected != nil:
+		return "ready, configuration rejected"
+	case d.Ready && d.NewestConfig > d.ConfigVersion:
+		return "ready, configuration outdated"
 	case d.Ready && len(d.LostPools) > 0:
 		return "ready, no path to " + strings.Join(d.LostPools, ", ")
 	case d.Ready:
--- a/internal/daemonstatus/status.go
+++ b/internal/daemonstatus/status.go
@@ -3,6 +3,8 @@
 // packages.
 package daemonstatus
 
+import "time"
+
 // Path is the path of the status page at the metrics address.
 const Path = "/status"
 
@@ -27,6 +29,12 @@
 	// Requests is the number of requests in progress.
 	Requests      int64  `json:"requests"`
 	ConfigVersion uint64 `json:"config_version"`
+	// ConfigAgeMS is the time since the configuration was last proven to be the newest, by the store
+	// or by a peer; -1 if it never was. NewestConfig is the newest version that a peer has lately named.
+	ConfigAgeMS  float64 `json:"config_age_ms"`
+	NewestConfig uint64  `json:"newest_config,omitempty"`
+	// ConfigRejected is set if the latest document can't be decoded.
+	ConfigRejected *ConfigRejection `json:"config_rejected,omitempty"`
 	// StoreEra counts how often the store was restored from an older copy.
 	StoreEra uint64 `json:"store_era"`
 	// UpstreamsAgeMS is the time since the list of upstreams was last read, by this daemon or by
@@ -49,6 +57,14 @@
 	Suspects    int           `json:"suspects,omitempty"`
 }
 
+// ConfigRejection is a document that the daemon can't decode.
+type ConfigRejection struct {
+	At time.Time `json:"at"`
+	// From is the store or the peer that it came from.
+	From  string `json:"from"`
+	Error string `json:"error"`
+}
+
 // Quarantined is a request that isn't run for now.
 type Quarantined struct {
 	// Digest identifies the request in logs and releases.
--- a/internal/member/aggregation.go
+++ b/internal/member/aggregation.go
@@ -232,6 +232,7 @@
 	}
 	p.mu.Unlock()
 	p.onPeerList(Position(totals.ListPosition), totals.ListDigest, totals.ListAge)
+	p.onConfigNamed(totals.ConfigVersion, from)
 	p.aggregate.applyParentTotals(totals, now)
 	p.recordTotals(p.aggregate.totalsFor(p.self.Peers, now))
 	if answered != nil {
--- a/internal/member/configfreshness.go
+++ b/internal/member/configfreshness.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -12,7 +13,6 @@
 	"tamarackchute/freshness"
 	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/fleet"
-	"tamarackchute/internal/telemetry"
 	"tamarackchute/internal/wire"
 )
 
@@ -33,6 +33,10 @@
 	// now is the clock of proofs, see package boottime.
 	now func() time.Duration
 	log *slog.Logger
+	// named is what the other daemons say of their versions.
+	named freshness.Named
+	// provenBy is whose proof is the latest; an atomic string.
+	provenBy atomic.Value
 	// era is the store's era for which reads were last rejected. eraMu guards it.
 	eraMu sync.Mutex
 	era   uint64
@@ -63,18 +67,42 @@
 func (v *configFreshness) recordRead(sentAt time.Duration) {
 	v.followEra()
 	if c := v.state.Snapshot().Config; c != nil {
-		v.tracker.Record(freshness.Proof{Version: c.Version, SentAt: sentAt}, c.Version)
+		v.record(v.tracker.Record(freshness.Proof{Version: c.Version, SentAt: sentAt}, c.Version), "store")
 	}
 }
 
+// record notes whose proof is the latest.
+func (v *configFreshness) record(latest bool, by string) {
+	if latest {
+		v.provenBy.Store(by)
+	}
+}
+
+// Standing implements relay.Configuration.
+func (v *configFreshness) Standing() freshness.Standing {
+	now := v.now()
+	s := freshness.Standing{Age: v.age(now)}
+	s.ProvenBy, _ = v.provenBy.Load().(string)
+	s.Newest, s.NamedBy = v.named.Newest(now)
+	if c := v.state.Snapshot().Config; c != nil {
+		s.Version = c.Version
+	}
+	return s
+}
+
+// RecordNamed implements relay.Configuration.
+func (v *configFreshness) RecordNamed(version uint64, by string) {
+	v.named.Record(version, by, v.now())
+}
+
 // recordReply records a peer's proof. Its age counts from when the request was sent: how long the
 // reply was on its way isn't known.
-func (v *configFreshness) recordReply(m wire.ConfigProofReply) {
+func (v *configFreshness) recordReply(from string, m wire.ConfigProofReply) {
 	c := v.state.Snapshot().Config
 	if !m.Known || c == nil || !v.eras.Observe(m.Era, "another daemon") {
 		return
 	}
-	v.tracker.RecordPeer(freshness.Proof{Version: m.Version, SentAt: m.RequestedAt - m.Age}, c.Version)
+	v.record(v.tracker.RecordPeer(freshness.Proof{Version: m.Version, SentAt: m.RequestedAt - m.Age}, c.Version), from)
 }
 
 // followEra rejects proofs by reads of a store that was restored lately: its configuration may be
@@ -99,14 +127,6 @@
 // age returns the age of the latest proof.
 func (v *configFreshness) age(now time.Duration) time.Duration { return v.tracker.Age(now) }
 
-// ageMillis returns an age for logs and the status page; -1 if nothing is proven.
-func ageMillis(age time.Duration) float64 {
-	if age == freshness.Unproven {
-		return -1
-	}
-	return telemetry.Millis(age)
-}
-
 // logChange logs when keys become usable, and when they no longer are.
 func (v *configFreshness) logChange(now time.Duration) {
 	usable := v.keyLimit.Allows(v.age(now))
@@ -115,7 +135,7 @@
 	}
 	v.usable = usable
 	latest, _ := v.tracker.Latest()
-	attrs := []any{"age_ms", ageMillis(v.age(now)), "limit_ms", time.Duration(v.keyLimit).Milliseconds(), "version", latest.Version}
+	attrs := []any{"age_ms", freshness.Millis(v.age(now)), "limit_ms", time.Duration(v.keyLimit).Milliseconds(), "version", latest.Version}
 	if usable {
 		v.log.Info("API keys usable", attrs...)
 		return
--- a/internal/member/configfreshness_test.go
+++ b/internal/member/configfreshness_test.go
@@ -74,6 +74,6 @@
 	eras.Observe(4, "the store")
 	v.recordRead(now)
 	require.False(t, v.keysUsable())
-	v.recordReply(wire.ConfigProofReply{RequestedAt: now, Known: true, Version: 3, Age: time.Second, Era: 4})
+	v.recordReply("one", wire.ConfigProofReply{RequestedAt: now, Known: true, Version: 3, Age: time.Second, Era: 4})
 	require.True(t, v.keysUsable(), "another daemon knows")
 }
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -4,8 +4,12 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"tamarackchute/internal/daemonstatus"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/wire"
 )
@@ -14,22 +18,40 @@
 type configFeed struct {
 	decoder Decoder
 	state   *fleet.State
-	log     *slog.Logger
+	// rejected counts the documents that can't be decoded.
+	rejected tally.Counter
+	// lastRejection is that of the latest document; nil if it was accepted.
+	lastRejection atomic.Pointer[daemonstatus.ConfigRejection]
+	log           *slog.Logger
+}
+
+func newConfigFeed(decoder Decoder, state *fleet.State, scope tally.Scope, log *slog.Logger) *configFeed {
+	return &configFeed{decoder: decoder, state: state, rejected: scope.Counter("configs_rejected"), log: log}
 }
 
 func (f *configFeed) apply(entries []Entry) {
 	for _, e := range entries {
-		c, ok, err := f.decoder.Config(e)
-		if err != nil {
-			f.log.Warn("invalid configuration; keeping the current one", "err", err)
-			continue
-		}
-		if ok && f.state.ApplyConfig(c) {
-			f.log.Info("configuration applied", "version", c.Version, "rules", len(c.Rules.Rules()))
+		if c, ok, err := f.decoder.Config(e); ok || err != nil {
+			f.accept(c, err, "store")
 		}
 	}
 }
 
+// accept applies a decoded configuration, or records that it was rejected. The current one stays in
+// force then.
+func (f *configFeed) accept(c *fleet.Config, err error, from string) {
+	if err != nil {
+		f.rejected.Inc(1)
+		f.lastRejection.Store(&daemonstatus.ConfigRejection{At: time.Now(), From: from, Error: err.Error()})
+		f.log.Error("configuration rejected; keeping the current one", "from", from, "err", err)
+		return
+	}
+	f.lastRejection.Store(nil)
+	if f.state.ApplyConfig(c) {
+		f.log.Info("configuration applied", "version", c.Version, "rules", len(c.Rules.Rules()), "from", from)
+	}
+}
+
 // memberFeed adds other daemons from their entries.
 type memberFeed struct {
 	peers *Peers
--- a/internal/member/feeds_test.go
+++ b/internal/member/feeds_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"tamarackchute/internal/fleet"
 	"tamarackchute/rules/pathset"
@@ -198,7 +199,7 @@
 // the current version in force.
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
 	state := fleet.NewState()
-	feed := &configFeed{decoder: textDecoder{}, state: state, log: discardLogger}
+	feed := newConfigFeed(textDecoder{}, state, tally.NoopScope, discardLogger)
 	version := func() uint64 { return state.Snapshot().Config.Version }
 	feed.apply([]Entry{entry("config", "5")})
 	require.EqualValues(t, 5, version())
@@ -251,7 +252,7 @@
 func TestReaderRestartsAfterExpiry(t *testing.T) {
 	store := &scriptedStore{}
 	state := fleet.NewState()
-	feed := &configFeed{decoder: textDecoder{}, state: state, log: discardLogger}
+	feed := newConfigFeed(textDecoder{}, state, tally.NoopScope, discardLogger)
 	r := &topicReader{backoff: newBackoff(oneDaemon), store: store, topic: TopicConfig, name: "configuration", interval: time.Millisecond, applyAll: feed.apply, applyChanges: feed.apply, log: discardLogger}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -311,7 +312,7 @@
 func TestLongPollRestartsAfterOutage(t *testing.T) {
 	store := &hangingStore{hung: make(chan struct{})}
 	state := fleet.NewState()
-	feed := &configFeed{decoder: textDecoder{}, state: state, log: discardLogger}
+	feed := newConfigFeed(textDecoder{}, state, tally.NoopScope, discardLogger)
 	r := &topicReader{backoff: newBackoff(oneDaemon), store: store, longPoll: time.Hour, applyAll: feed.apply, applyChanges: feed.apply, log: discardLogger}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -100,7 +100,8 @@
 	// usage counts requests; nil if usage isn't reported. usageSync passes the counts on.
 	usage     *usageMeter
 	usageSync *usageSync
-	// configAge says how old the configuration in force may be.
+	// configs applies configurations, configAge says how old the one in force may be.
+	configs   *configFeed
 	configAge *configFreshness
 	// backoff is shared by all services that retry failed calls to the store.
 	backoff *backoff
@@ -143,6 +144,7 @@
 		OnReplaced:    func(id string) { m.peers.MarkUnavailable(id, "", replacedTimeout) },
 		MinRetryAfter: minRetryAfter,
 		KeysUsable:    m.configAge.keysUsable,
+		Configuration: m.configAge,
 		OnBegun:       m.recordBegun,
 		Crashes:       m.quarantine.detector,
 		Limits:        m.limits.forRelay(),
@@ -153,6 +155,7 @@
 	m.peers.requestsWaiting = m.relay.HasWaiting
 	m.peers.onPeerList = m.confirmList
 	m.peers.configProof, m.peers.onConfigProof = m.configAge.reply, m.configAge.recordReply
+	m.peers.onConfigNamed = m.configAge.RecordNamed
 	m.peers.summary, m.peers.view, m.peers.onUpdate = m.summaryForPeers, m.view, m.relay.WakeWaiting
 	m.leadership = &leadership{member: m, log: cfg.Log, logger: m.log}
 	if s.Provider.ReportsUsage {
@@ -220,7 +223,7 @@
 func (m *Member) buildFeeds() {
 	store, decoder := m.cfg.Store, m.cfg.Decoder
 	m.backoff = newBackoff(m.peers.KnownCount)
-	configs := &configFeed{decoder: decoder, state: m.state, log: m.log}
+	m.configs = newConfigFeed(decoder, m.state, m.cfg.Metrics.Scope, m.log)
 	m.upstreams = newUpstreamFeed(decoder, m.state, m.cfg.Settings.LapsedEntryGrace, m.log)
 	daemons := &memberFeed{peers: m.peers, log: m.log}
 	upstreams := &topicReader{
@@ -243,7 +246,7 @@
 		upstreams,
 		{
 			store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, triggered: m.configAge.enforcesKeys, onRead: m.configAge.recordRead,
-			applyAll: configs.apply, applyChanges: configs.apply, backoff: m.backoff, log: m.log,
+			applyAll: m.configs.apply, applyChanges: m.configs.apply, backoff: m.backoff, log: m.log,
 		},
 		m.daemons,
 	}
@@ -336,7 +339,7 @@
 //	│   ├── learning
 //	│   │   ├── readers of upstreams, configuration, daemons
 //	│   │   ├── restarts of the readers in a new era of the store
-//	│   │   ├── proofs that the configuration is current
+//	│   │   ├── proofs that the configuration is current, reports that it isn't
 //	│   │   ├── updates from peers that have newer data
 //	│   │   ├── initial cache state of the engines
 //	│   │   ├── engine parameters, for operators, and their copy in the store
@@ -364,6 +367,7 @@
 	if m.configAge.keyLimit > 0 {
 		learning.Add(&configProver{view: m.configAge, peers: m.peers, expediteRead: m.readers[1].expedite, isFirst: m.peers.ReadsFirst})
 	}
+	learning.Add(&configLag{freshness: m.configAge, configs: m.configs, storeDown: m.readers[1].isDown, log: m.log})
 	learning.Add(&peerView{member: m})
 	learning.Add(&catchUp{member: m, log: m.log})
 	learning.Add(&observationSync{store: m.cfg.Store, tracker: m.tracker, peers: m.peers, backoff: m.backoff, log: m.log})
--- a/internal/member/peerlinks.go
+++ b/internal/member/peerlinks.go
@@ -41,7 +41,7 @@
 func (p *Peers) handleReply(from string, m wire.Message) {
 	switch m := m.(type) {
 	case wire.ConfigProofReply:
-		p.onConfigProof(m)
+		p.onConfigProof(from, m)
 	case wire.StreamVersions:
 		p.onStreamVersions(m)
 	case wire.UsageAck:
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -63,7 +63,9 @@
 	// configProof returns this daemon's proof that its configuration is current, onConfigProof
 	// processes a peer's.
 	configProof   func(wire.ConfigProofRequest) wire.ConfigProofReply
-	onConfigProof func(wire.ConfigProofReply)
+	onConfigProof func(from string, proof wire.ConfigProofReply)
+	// onConfigNamed is called with the version of another daemon's configuration.
+	onConfigNamed func(version uint64, by string)
 	// onClock is called with another daemon's time of day, onForget when one falls silent, and
 	// onUsage with its counts; nil if usage isn't reported. usageReply returns this daemon's.
 	// onUsageAck is called for the recipient of this daemon's counts.
@@ -157,6 +159,7 @@
 
 		quarantineFingerprint:   func() uint64 { return 0 },
 		onQuarantineFingerprint: func(string, uint64) {},
+		onConfigNamed:           func(uint64, string) {},
 	}
 	tracker.OnChange(p.wakeReporter)
 	return p
@@ -283,6 +286,7 @@
 		p.tracker.ForgetPeer(m.Peers)
 	}
 	p.onQuarantineFingerprint(m.Peers, m.Quarantine)
+	p.onConfigNamed(m.ConfigVersion, m.Instance)
 	p.onPeerList(Position(m.ListPosition), m.ListDigest, m.ListAge)
 	p.applyUnavailable(m.Unavailable)
 	p.tracker.ApplyPeerUpdate(m.Peers, m.Loads, m.Prefills)
--- a/internal/member/peers_test.go
+++ b/internal/member/peers_test.go
@@ -56,7 +56,7 @@
 	h.Peers.requestsWaiting = func() bool { return false }
 	h.Peers.onPeerList = func(Position, uint64, time.Duration) {}
 	h.Peers.configProof = func(wire.ConfigProofRequest) wire.ConfigProofReply { return wire.ConfigProofReply{} }
-	h.Peers.onConfigProof = func(wire.ConfigProofReply) {}
+	h.Peers.onConfigProof = func(string, wire.ConfigProofReply) {}
 	return h
 }
 
--- a/internal/member/restore_site_test.go
+++ b/internal/member/restore_site_test.go
@@ -11,10 +11,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"tamarackchute/infra"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/relay"
+	"tamarackchute/internal/telemetry"
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
 )
@@ -177,7 +179,7 @@
 	m := &Member{
 		cfg: Config{
 			Settings: Settings{Instance: name, PeerAddress: name, LapsedEntryGrace: testGrace}, Store: &logClient{logStore: s.store},
-			Decoder: textDecoder{},
+			Decoder: textDecoder{}, Metrics: &telemetry.Metrics{Scope: tally.NoopScope},
 		},
 		log: discardLogger, state: fleet.NewState(), tracker: placement.NewTracker(nil), self: wire.MemberAddress{Instance: name, Peers: name},
 	}
--- a/internal/member/restore_test.go
+++ b/internal/member/restore_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"tamarackchute/infra"
 	"tamarackchute/internal/fleet"
@@ -136,7 +137,7 @@
 // Guards against a configuration that reverts to that of the restored copy.
 func TestConfigurationSurvivesRestore(t *testing.T) {
 	state := fleet.NewState()
-	feed := &configFeed{decoder: textDecoder{}, state: state, log: discardLogger}
+	feed := newConfigFeed(textDecoder{}, state, tally.NoopScope, discardLogger)
 	feed.apply([]Entry{entry("config", "7")})
 	feed.apply([]Entry{entry("config", "5")})
 	require.EqualValues(t, 7, state.Snapshot().Config.Version)
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -98,6 +98,9 @@
 	s := m.cfg.Metrics.Scope
 	summary := m.summary()
 	s.Gauge("config_version").Update(float64(summary.Config))
+	standing := m.configAge.Standing()
+	s.Gauge("config_age_seconds").Update(standing.Age.Seconds())
+	s.Gauge("newest_config_named").Update(float64(standing.Newest))
 	s.Gauge("store_era").Update(float64(m.cfg.Store.Eras().Current()))
 	s.Gauge("upstreams").Update(float64(len(m.state.Snapshot().Upstreams)))
 	s.Gauge("upstreams_age_seconds").Update(summary.ListAge.Seconds())
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"tamarackchute/freshness"
 	"tamarackchute/internal/daemonstatus"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/telemetry"
@@ -21,6 +22,8 @@
 		LostPools: summary.LostPools, ConfigVersion: summary.Config, StoreEra: m.cfg.Store.Eras().Current(), UpstreamsAgeMS: telemetry.Millis(summary.ListAge),
 		Peers: m.peers.peerStatuses(time.Now()), Upstreams: m.upstreamStatuses(m.state.Snapshot()), RetryBudgets: []daemonstatus.RetryBudget{},
 	}
+	standing := m.configAge.Standing()
+	d.ConfigAgeMS, d.NewestConfig, d.ConfigRejected = freshness.Millis(standing.Age), standing.Newest, m.configs.lastRejection.Load()
 	m.addKeyStatus(&d)
 	m.quarantine.addStatus(&d)
 	if l := m.lease.Load(); l != nil {
@@ -46,7 +49,7 @@
 		d.Organisations = append(d.Organisations, status)
 	}
 	if m.configAge.enforcesKeys() {
-		usable, age := m.configAge.keysUsable(), ageMillis(m.configAge.age(m.configAge.now()))
+		usable, age := m.configAge.keysUsable(), freshness.Millis(m.configAge.age(m.configAge.now()))
 		d.KeysUsable, d.KeysProvenAgeMS = &usable, &age
 	}
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -102,13 +102,7 @@
 
 func (v *peerView) applyConfig(peer string, document []byte) {
 	c, err := v.member.cfg.Decoder.ConfigDocument(document)
-	if err != nil {
-		v.member.log.Warn("invalid configuration from a peer", "peer", peer, "err", err)
-		return
-	}
-	if v.member.state.ApplyConfig(c) {
-		v.member.log.Info("configuration applied", "version", c.Version, "rules", len(c.Rules.Rules()), "from", peer)
-	}
+	v.member.configs.accept(c, err, peer)
 }
 
 // applyUpstreams replaces the list with the peer's if that was read later.
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -51,6 +51,15 @@
 	return f
 }
 
+// dependsOnConfig reports whether a newer configuration may change the decision.
+func (f *failure) dependsOnConfig() bool {
+	switch f.reason {
+	case reasonNoRule, reasonNoKey, reasonUnknownKey, reasonTooLarge, reasonOlderConfig, reasonStaleKeys:
+		return true
+	}
+	return false
+}
+
 // writeFailure logs a failure and sends it to the caller as the relay's own response.
 func (r *Relay) writeFailure(w http.ResponseWriter, in *http.Request, c *call, f *failure) {
 	c.logEnd(f)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -164,6 +164,7 @@
 	}
 	resp.Header.Del(outcomeHeader)
 	c.relay.recordConfig(outcome.ConfigVersion)
+	c.relay.recordNamed(outcome.ConfigVersion, p.peer.Instance)
 	if outcome.Reason != "" {
 		watch.disarm()
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)) // frees the connection
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"tamarackchute/freshness"
 	"tamarackchute/internal/codec"
 	"tamarackchute/internal/fleet"
 )
@@ -135,6 +136,21 @@
 	}
 }
 
+// recordNamed records that another daemon has named a version.
+func (r *Relay) recordNamed(version uint64, by string) {
+	if r.cfg.Configuration != nil {
+		r.cfg.Configuration.RecordNamed(version, by)
+	}
+}
+
+// standing returns how current the configuration in force is.
+func (r *Relay) standing() freshness.Standing {
+	if r.cfg.Configuration == nil {
+		return freshness.Standing{Version: r.cfg.State.Snapshot().Config.Version}
+	}
+	return r.cfg.Configuration.Standing()
+}
+
 // outdated reports whether the configuration in force here is older than one by which another daemon
 // has decided.
 func (r *Relay) outdated() bool {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"tamarackchute/freshness"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
@@ -102,6 +103,9 @@
 	if c.quarantined != nil {
 		attrs = append(attrs, "digest", c.quarantined.Digest.String(), "part", c.quarantined.Digest.IsPart(), "parts", c.partNames(), "crashed", c.quarantined.Verdict.Upstreams)
 	}
+	if f.dependsOnConfig() {
+		attrs = append(attrs, standingAttrs(c.relay.standing())...)
+	}
 	if f.reason == reasonNoRule {
 		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
 	}
@@ -119,6 +123,11 @@
 	c.log.Warn("failed", attrs...)
 }
 
+// standingAttrs returns the attributes of how current the configuration in force is.
+func standingAttrs(s freshness.Standing) []any {
+	return []any{"config_age_ms", freshness.Millis(s.Age), "proven_by", s.ProvenBy, "newest_config", s.Newest, "named_by", s.NamedBy}
+}
+
 // endTicket ends an attempt's ticket at an upstream, and logs what that changed in its health.
 func (c *call) endTicket(u *fleet.Upstream, t *placement.Ticket, res result) {
 	if res.outcome == placement.Unreachable {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"tamarackchute/apikey"
+	"tamarackchute/freshness"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
@@ -36,6 +37,8 @@
 	// KeysUsable reports whether the API keys of the configuration in force may be used now. Nil
 	// means that they always may.
 	KeysUsable func() bool
+	// Configuration says how current the configuration in force is; nil if it always is.
+	Configuration Configuration
 	// OnBegun is called once for each request of an organisation that has begun to run at an
 	// upstream, with the time since then; nil does nothing.
 	OnBegun func(organisation string, ago time.Duration)
@@ -61,6 +64,13 @@
 	MinRetryAfter time.Duration
 }
 
+// Configuration knows how current the configuration in force is.
+type Configuration interface {
+	Standing() freshness.Standing
+	// RecordNamed records that another daemon has named a version.
+	RecordNamed(version uint64, by string)
+}
+
 // Relay forwards callers' requests to upstreams. It is an http.Handler.
 type Relay struct {
 	cfg      Config
@@ -264,6 +274,9 @@
 		return c, newFailure(http.StatusServiceUnavailable, reasonNoConfig, "no configuration is known yet").withRetryAfter(r.cfg.MinRetryAfter)
 	}
 	c.version = s.Config.Version
+	if forwarded != nil {
+		r.recordNamed(forwarded.ConfigVersion, forwarded.From)
+	}
 	if f := c.checkForwarded(s.Config); f != nil {
 		return c, f
 	}
