--- a/internal/member/reload.go
+++ b/internal/member/reload.go
@@ -31,6 +31,7 @@
 	{"store's retention", func(s *Settings) any { return s.StoreRetention }, nil},
 	{"grace for lapsed entries", func(s *Settings) any { return s.LapsedEntryGrace }, nil},
 	{"platform's calls", func(s *Settings) any { return s.Provider }, nil},
+	{"bound of configurations", func(s *Settings) any { return s.ConfigBound }, nil},
 	{"revocation bound", func(s *Settings) any { return s.RevocationBound }, nil},
 	{"seeds", func(s *Settings) any { return s.Seeds }, func(now, next *Settings) { now.Seeds = next.Seeds }},
 	{"memory", func(s *Settings) any { return s.MemoryBytes }, func(now, next *Settings) { now.MemoryBytes = next.MemoryBytes }},
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -45,6 +45,9 @@
 	LeaseTerm time.Duration
 	// StoreRetention is how long the store keeps records.
 	StoreRetention time.Duration
+	// ConfigBound is the time within which a published configuration is to be in force at every daemon; 0
+	// if there is no such bound.
+	ConfigBound time.Duration
 	// RevocationBound is the time after its removal from which an API key must not be used any more
 	// by any daemon; 0 if there is no such bound.
 	RevocationBound time.Duration
