member: a configuration is confirmed by reads that don't wait

What callers saw: 404 for a route that had been acknowledged longer ago than the bound.

Cause: where no keys are enforced, only a read that waits for a change brought the configuration, for up to 20 s and 1.5 s more; its restart hung on a failure that another topic's reader happened to see. A waiting read that gets no response (a connection lost in silence, a store that serves all but waiting reads) held each new version back that long, at all daemons if all their reads were hit.

Now each daemon seeks proofs that its configuration is the newest, as those with keys do, at any site: the one that reads for the others reads without waiting at a fifth of the bound, the others ask it, and read themselves at half of it. Checks run beside each other, so that one hung connection doesn't delay the next.

Ruled out: waits shorter than the bound.

--- a/freshness/search.go
+++ b/freshness/search.go
@@ -20,6 +20,10 @@
 // early.
 var KeyShares = Shares{FirstRead: 0.08, Ask: 0.1, OwnRead: 0.3, OwnReadSpread: 0.1, AskAny: 0.45, Repeat: 0.05}
 
+// ConfigShares are the Shares for documents whose changes usually arrive by another way, which may fail
+// unnoticed: there is time to ask other processes before the source.
+var ConfigShares = Shares{FirstRead: 0.2, Ask: 0.3, AskAny: 0.4, OwnRead: 0.5, OwnReadSpread: 0.15, Repeat: 0.1}
+
 // Search decides where a process seeks its next proof.
 type Search struct {
 	// Limit is the age up to which a proof suffices.
@@ -38,6 +42,11 @@
 	Read, Ask, AskAny bool
 }
 
+// Or returns the steps of both.
+func (s Step) Or(o Step) Step {
+	return Step{Read: s.Read || o.Read, Ask: s.Ask || o.Ask, AskAny: s.AskAny || o.AskAny}
+}
+
 // Next returns what to do at a time, with the age of the latest proof. first means that this
 // process reads for the others.
 func (s *Search) Next(now, age time.Duration, first bool) Step {
--- a/freshness/sim_test.go
+++ b/freshness/sim_test.go
@@ -46,10 +46,10 @@
 
 // newSimSite returns a site of daemons that report to the first of their data centre, and these to the
 // first of all.
-func newSimSite(s sourceScheme, daemons, centres int, rng *rand.Rand) *simSite {
+func newSimSite(s sourceScheme, shares Shares, daemons, centres int, rng *rand.Rand) *simSite {
 	site := &simSite{scheme: s}
 	for i := range daemons {
-		d := &simDaemon{search: Search{Limit: NewLimit(bound), Shares: KeyShares, Spread: rng.Float64()}}
+		d := &simDaemon{search: Search{Limit: NewLimit(bound), Shares: shares, Spread: rng.Float64()}}
 		switch {
 		case i == 0:
 		case i < centres:
@@ -108,7 +108,7 @@
 		unusable := make(map[string]time.Duration)
 		for _, scheme := range schemes {
 			rng := rand.New(rand.NewPCG(1, uint64(size.daemons)))
-			site := newSimSite(scheme, size.daemons, size.centres, rng)
+			site := newSimSite(scheme, KeyShares, size.daemons, size.centres, rng)
 			site.run(5*time.Second, rng)
 			site.reads, site.unusable, site.worstAge = 0, 0, 0
 			site.run(20*time.Second, rng)
@@ -129,3 +129,27 @@
 		require.Positive(t, unusable["peers"])
 	}
 }
+
+// Guards against calls to the store that grow with the number of daemons, and against daemons that
+// learn too late that their copy is outdated, also while those that read for the others don't reach
+// the store.
+func TestConfirmationsOfTheConfiguration(t *testing.T) {
+	for _, size := range []struct{ daemons, centres int }{{7, 3}, {95, 5}, {300, 5}, {1717, 10}} {
+		rng := rand.New(rand.NewPCG(2, uint64(size.daemons)))
+		site := newSimSite(sourceScheme{read: true, ask: true, askAny: true}, ConfigShares, size.daemons, size.centres, rng)
+		site.run(3*time.Second, rng)
+		site.reads, site.worstAge = 0, 0
+		site.run(10*time.Second, rng)
+		calls, worst := float64(site.reads)/10, site.worstAge
+		for i, d := range site.daemons {
+			d.cut = i == 0 || i%3 == 1
+		}
+		site.reads, site.worstAge, site.unusable = 0, 0, 0
+		site.run(10*time.Second, rng)
+		t.Logf("%d daemons: %.1f calls a second, oldest proof %v; a third and the first without the store: %.1f calls, %v",
+			size.daemons, calls, worst, float64(site.reads)/10, site.worstAge)
+		require.LessOrEqual(t, calls, 2.0)
+		require.Less(t, worst, bound/2)
+		require.Zero(t, site.unusable)
+	}
+}
--- a/internal/member/configfreshness.go
+++ b/internal/member/configfreshness.go
@@ -24,8 +24,9 @@
 type configFreshness struct {
 	tracker freshness.Tracker
 	// keyLimit is the age of a proof up to which API keys may be used: a newer configuration may have
-	// removed them.
+	// removed them. bound is the age at which a newer one should have arrived.
 	keyLimit freshness.Limit
+	bound    freshness.Limit
 	state    *fleet.State
 	eras     *EraTracker
 	// settle is how long after a restore of the store its configuration may be an older one.
@@ -46,7 +47,7 @@
 
 func newConfigFreshness(s Settings, state *fleet.State, eras *EraTracker, log *slog.Logger) *configFreshness {
 	return &configFreshness{
-		keyLimit: freshness.NewLimit(s.RevocationBound), state: state, eras: eras,
+		keyLimit: freshness.NewLimit(s.RevocationBound), bound: freshness.NewLimit(s.ConfigBound), state: state, eras: eras,
 		settle: s.LapsedEntryGrace, now: boottime.Now, log: log,
 	}
 }
@@ -147,8 +148,8 @@
 type configProver struct {
 	view  *configFreshness
 	peers *Peers
-	// expediteRead makes the reader of the configuration read now.
-	expediteRead func()
+	// confirmRead reads the configuration now.
+	confirmRead func(context.Context)
 	// isFirst reports whether this daemon reads the store for the others.
 	isFirst func() bool
 }
@@ -158,27 +159,33 @@
 
 // Serve implements suture.Service.
 func (p *configProver) Serve(ctx context.Context) error {
-	var eras conc.WaitGroup
-	eras.Go(func() { p.followEras(ctx) })
-	defer eras.Wait()
-	search := freshness.Search{Limit: p.view.keyLimit, Shares: freshness.KeyShares, Spread: rand.Float64()}
+	var calls conc.WaitGroup
+	calls.Go(func() { p.followEras(ctx) })
+	defer calls.Wait()
+	spread := rand.Float64()
+	keys := freshness.Search{Limit: p.view.keyLimit, Shares: freshness.KeyShares, Spread: spread}
+	all := freshness.Search{Limit: p.view.bound, Shares: freshness.ConfigShares, Spread: spread}
 	for ctx.Err() == nil {
 		sleep(ctx, proofCheckInterval)
+		now := p.view.now()
+		var step freshness.Step
 		if p.view.enforcesKeys() {
-			p.seek(&search)
+			p.view.logChange(now)
+			step = keys.Next(now, p.view.age(now), p.isFirst())
 		}
+		if p.view.bound > 0 {
+			step = step.Or(all.Next(now, p.view.age(now), p.isFirst()))
+		}
+		if step.Read {
+			calls.Go(func() { p.confirmRead(ctx) })
+		}
+		p.ask(step, now)
 	}
 	return ctx.Err()
 }
 
-// seek takes the next step of the search for a proof.
-func (p *configProver) seek(search *freshness.Search) {
-	now := p.view.now()
-	p.view.logChange(now)
-	step := search.Next(now, p.view.age(now), p.isFirst())
-	if step.Read {
-		p.expediteRead()
-	}
+// ask asks other daemons for their proofs.
+func (p *configProver) ask(step freshness.Step, now time.Duration) {
 	request := wire.ConfigProofRequest{RequestedAt: now}
 	if step.Ask {
 		p.peers.askParent(request)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -364,9 +364,7 @@
 		learning.Add(r)
 	}
 	learning.Add(&eraFollower{eras: m.cfg.Store.Eras(), readers: m.readers, daemons: m.peers.KnownCount})
-	if m.configAge.keyLimit > 0 {
-		learning.Add(&configProver{view: m.configAge, peers: m.peers, expediteRead: m.readers[1].expedite, isFirst: m.peers.ReadsFirst})
-	}
+	learning.Add(&configProver{view: m.configAge, peers: m.peers, confirmRead: m.readers[1].confirm, isFirst: m.peers.ReadsFirst})
 	learning.Add(&configLag{freshness: m.configAge, configs: m.configs, storeDown: m.readers[1].isDown, log: m.log})
 	learning.Add(&peerView{member: m})
 	learning.Add(&catchUp{member: m, log: m.log})
