relay: a daemon that knows of a newer configuration denies nothing

What callers saw: 404 from a daemon although it had heard of the version that has the route.

Cause: before a 404 the relay asked whether it was outdated, before a 401 and a 413 it didn't; and the newest version it knew rose by outcomes of requests that it had forwarded, neither by peers' states, which name their versions several times a second, nor by a forwarded request that it refused for being older itself. The promise was kept on one of several paths, and one daemon's belief taken for the system's.

Now one decision (freshness.Standing.MayDeny), asked where refusals are written: one that refuses for good by the configuration in force here becomes a 503 with Retry-After while another daemon names a newer version. The log has the reason withheld. What another daemon has decided is passed on. Requests that match a rule are served as before.

--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -70,3 +70,19 @@
 	}
 	require.LessOrEqual(t, reads, 4)
 }
+
+// Guards against a version that is named once and counts for ever, though a restore has undone it.
+func TestNamedVersionsExpire(t *testing.T) {
+	var n Named
+	newest := func(now time.Duration) uint64 {
+		version, _ := n.Newest(now)
+		return version
+	}
+	require.Zero(t, newest(time.Hour))
+	n.Record(7, "a", time.Hour)
+	n.Record(6, "b", time.Hour+time.Second)
+	require.EqualValues(t, 7, newest(time.Hour+time.Second))
+	require.Zero(t, newest(time.Hour+2*nameTimeout))
+	n.Record(6, "b", time.Hour+2*nameTimeout)
+	require.EqualValues(t, 6, newest(time.Hour+2*nameTimeout))
+}
--- a/freshness/standing.go
+++ b/freshness/standing.go
@@ -21,6 +21,10 @@
 // Outdated reports whether another process knows a newer version.
 func (s Standing) Outdated() bool { return s.Newest > s.Version }
 
+// MayDeny reports whether a request may be refused for good by the version in force: a newer one might
+// allow it.
+func (s Standing) MayDeny() bool { return !s.Outdated() }
+
 // nameTimeout is how long a version counts after it was last named. Live processes name theirs
 // several times a second; after a restore of the source a version may be gone for good.
 const nameTimeout = 5 * time.Second
--- a/internal/member/peers_test.go
+++ b/internal/member/peers_test.go
@@ -146,3 +146,16 @@
 	require.Zero(t, r.delay())
 	require.Positive(t, r.delay(), "one read only")
 }
+
+// Guards against a daemon that has heard of a newer configuration and doesn't know it.
+func TestPeersNameTheirConfigurations(t *testing.T) {
+	h := newPeersHarness("a")
+	var named []uint64
+	h.Peers.onConfigNamed = func(version uint64, by string) {
+		require.Equal(t, "b", by)
+		named = append(named, version)
+	}
+	h.applyState(wire.MemberState{MemberAddress: wire.MemberAddress{Instance: "b", Peers: "b"}, Seq: 1, ConfigVersion: 7})
+	h.applyState(wire.MemberState{MemberAddress: wire.MemberAddress{Instance: "b", Peers: "b"}, Seq: 2, ConfigVersion: 9})
+	require.Equal(t, []uint64{7, 9}, named)
+}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -40,6 +40,10 @@
 	reason     reason
 	message    string
 	retryAfter time.Duration
+	// elsewhere says that another daemon has decided it.
+	elsewhere bool
+	// withheld is the reason for which the request would have been refused for good.
+	withheld reason
 }
 
 func newFailure(status int, why reason, message string) *failure {
@@ -60,8 +64,33 @@
 	return false
 }
 
+// deniedFor returns the reason if the failure refuses the request for good by the configuration in
+// force here, and otherwise none.
+func (f *failure) deniedFor() reason {
+	switch f.status {
+	case http.StatusNotFound, http.StatusUnauthorized, http.StatusRequestEntityTooLarge:
+		if !f.elsewhere {
+			return f.reason
+		}
+	}
+	return ""
+}
+
+// withholdDenial replaces a failure that refuses a request for good, if the configuration in force isn't
+// known to be the newest.
+func (c *call) withholdDenial(f *failure) *failure {
+	denied := f.deniedFor()
+	if denied == "" || c.relay.standing().MayDeny() {
+		return f
+	}
+	withheld := c.fail(reasonOlderConfig, "this daemon's configuration may not be the newest")
+	withheld.withheld = denied
+	return withheld
+}
+
 // writeFailure logs a failure and sends it to the caller as the relay's own response.
 func (r *Relay) writeFailure(w http.ResponseWriter, in *http.Request, c *call, f *failure) {
+	f = c.withholdDenial(f)
 	c.logEnd(f)
 	if in.Context().Err() != nil {
 		return // the caller has gone
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -255,6 +255,7 @@
 		return res, c.fail(reason(o.Reason), o.Message) // an attempt of this daemon may have run
 	}
 	f := newFailure(status, reason(o.Reason), o.Message)
+	f.elsewhere = true
 	return res, f.withRetryAfter(o.RetryAfter)
 }
 
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -145,10 +145,12 @@
 
 // standing returns how current the configuration in force is.
 func (r *Relay) standing() freshness.Standing {
-	if r.cfg.Configuration == nil {
-		return freshness.Standing{Version: r.cfg.State.Snapshot().Config.Version}
+	s := freshness.Standing{Version: r.cfg.State.Snapshot().Config.Version}
+	if r.cfg.Configuration != nil {
+		s = r.cfg.Configuration.Standing()
 	}
-	return r.cfg.Configuration.Standing()
+	s.Newest = max(s.Newest, r.newestConfig.Load())
+	return s
 }
 
 // outdated reports whether the configuration in force here is older than one by which another daemon
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -106,7 +106,10 @@
 	if f.dependsOnConfig() {
 		attrs = append(attrs, standingAttrs(c.relay.standing())...)
 	}
-	if f.reason == reasonNoRule {
+	if f.withheld != "" {
+		attrs = append(attrs, "withheld", string(f.withheld))
+	}
+	if f.reason == reasonNoRule || f.withheld == reasonNoRule {
 		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
 	}
 	if f.reason == reasonVersionUnknown || f.reason == reasonVersionGone {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -281,9 +281,6 @@
 		return c, f
 	}
 	rule, ok := s.Config.Rules.Match(hostOf(in.Host), pathOf(in.RequestURI))
-	if !ok && r.outdated() {
-		return c, c.failOutdated()
-	}
 	if !ok {
 		return c, newFailure(http.StatusNotFound, reasonNoRule, "no rule matches")
 	}
