relay: a configuration of unproven age denies nothing

What callers saw: 404 from a daemon that hadn't heard from the store for longer than a version may take, as if it had.

Cause: without keys a configuration had no age. A daemon that is out of touch can't know whether a route has been added since.

Now a refusal for good needs a proof younger than the bound of the settings; without it the request gets a 503 with Retry-After and can be served elsewhere. What matches a rule is served whatever the age: out of touch a daemon must go on serving. Weighed: forwarding such requests instead (no rule says where to, and with the store away for all nobody knows better), and answering 404 (callers don't come back after it).

--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -86,3 +86,22 @@
 	n.Record(6, "b", time.Hour+2*nameTimeout)
 	require.EqualValues(t, 6, newest(time.Hour+2*nameTimeout))
 }
+
+// Guards against a request that is refused for good by an outdated version, and against one that no
+// longer is although the version is known to be the newest.
+func TestWhoMayDeny(t *testing.T) {
+	limit := NewLimit(bound)
+	for name, c := range map[string]struct {
+		standing Standing
+		may      bool
+	}{
+		"proven":              {Standing{Version: 3, Age: bound / 2, Limit: limit}, true},
+		"proven too long ago": {Standing{Version: 3, Age: bound, Limit: limit}, false},
+		"never proven":        {Standing{Version: 3, Age: Unproven, Limit: limit}, false},
+		"no limit":            {Standing{Version: 3, Age: Unproven}, true},
+		"others are older":    {Standing{Version: 3, Newest: 2, Age: bound / 2, Limit: limit}, true},
+		"another is newer":    {Standing{Version: 3, Newest: 4, Limit: limit}, false},
+	} {
+		require.Equal(t, c.may, c.standing.MayDeny(), name)
+	}
+}
--- a/freshness/standing.go
+++ b/freshness/standing.go
@@ -13,17 +13,19 @@
 	// none has.
 	Newest  uint64
 	NamedBy string
-	// Age is that of the latest proof, ProvenBy whose it is.
+	// Age is that of the latest proof, ProvenBy whose it is. Limit is the age at which a newer version
+	// should have arrived.
 	Age      time.Duration
 	ProvenBy string
+	Limit    Limit
 }
 
 // Outdated reports whether another process knows a newer version.
 func (s Standing) Outdated() bool { return s.Newest > s.Version }
 
 // MayDeny reports whether a request may be refused for good by the version in force: a newer one might
-// allow it.
-func (s Standing) MayDeny() bool { return !s.Outdated() }
+// allow it. What the version in force allows may be served whatever its age.
+func (s Standing) MayDeny() bool { return !s.Outdated() && s.Limit.Allows(s.Age) }
 
 // nameTimeout is how long a version counts after it was last named. Live processes name theirs
 // several times a second; after a restore of the source a version may be gone for good.
--- a/internal/member/configfreshness.go
+++ b/internal/member/configfreshness.go
@@ -82,7 +82,7 @@
 // Standing implements relay.Configuration.
 func (v *configFreshness) Standing() freshness.Standing {
 	now := v.now()
-	s := freshness.Standing{Age: v.age(now)}
+	s := freshness.Standing{Age: v.age(now), Limit: v.bound}
 	s.ProvenBy, _ = v.provenBy.Load().(string)
 	s.Newest, s.NamedBy = v.named.Newest(now)
 	if c := v.state.Snapshot().Config; c != nil {
