member: a rejected configuration proves nothing

What callers saw: 404 by the old version after a new one that a daemon rejects; where keys are enforced, a key that the rejected version had removed would be used on, with proofs ever new.

Cause: a read that brought a document which can't be decoded left the version before in force, and the next read, which brought nothing more, counted as the proof that this one is the newest.

Now reads prove nothing while the store's latest document is rejected: nothing is denied by the version before, and keys aren't used once the last proof is too old. Requests that need no key are served.

--- a/internal/member/configfreshness.go
+++ b/internal/member/configfreshness.go
@@ -68,7 +68,7 @@
 func (v *configFreshness) recordRead(sentAt time.Duration) {
 	v.followEra()
 	if c := v.state.Snapshot().Config; c != nil {
-		v.record(v.tracker.Record(freshness.Proof{Version: c.Version, SentAt: sentAt}, c.Version), "store")
+		v.record(v.tracker.Record(freshness.Proof{Version: c.Version, SentAt: sentAt}, c.Version), sourceStore)
 	}
 }
 
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -20,11 +20,20 @@
 	state   *fleet.State
 	// rejected counts the documents that can't be decoded.
 	rejected tally.Counter
-	// lastRejection is that of the latest document; nil if it was accepted.
+	// lastRejection is that of the latest document; nil if it was accepted. pending says that the store's
+	// latest one was rejected.
 	lastRejection atomic.Pointer[daemonstatus.ConfigRejection]
+	pending       atomic.Bool
 	log           *slog.Logger
 }
 
+// sourceStore names the store as the source of a configuration or a proof.
+const sourceStore = "store"
+
+// readToEnd reports whether the configuration in force is the latest that was read from the store: a
+// rejected one may have taken away what the one in force allows.
+func (f *configFeed) readToEnd() bool { return !f.pending.Load() }
+
 func newConfigFeed(decoder Decoder, state *fleet.State, scope tally.Scope, log *slog.Logger) *configFeed {
 	return &configFeed{decoder: decoder, state: state, rejected: scope.Counter("configs_rejected"), log: log}
 }
@@ -32,7 +41,7 @@
 func (f *configFeed) apply(entries []Entry) {
 	for _, e := range entries {
 		if c, ok, err := f.decoder.Config(e); ok || err != nil {
-			f.accept(c, err, "store")
+			f.accept(c, err, sourceStore)
 		}
 	}
 }
@@ -40,6 +49,9 @@
 // accept applies a decoded configuration, or records that it was rejected. The current one stays in
 // force then.
 func (f *configFeed) accept(c *fleet.Config, err error, from string) {
+	if from == sourceStore {
+		f.pending.Store(err != nil)
+	}
 	if err != nil {
 		f.rejected.Inc(1)
 		f.lastRejection.Store(&daemonstatus.ConfigRejection{At: time.Now(), From: from, Error: err.Error()})
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -245,7 +245,7 @@
 	m.readers = []*topicReader{
 		upstreams,
 		{
-			store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, triggered: m.configAge.enforcesKeys, onRead: m.configAge.recordRead,
+			store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, triggered: m.configAge.enforcesKeys, onRead: m.recordConfigRead,
 			applyAll: m.configs.apply, applyChanges: m.configs.apply, backoff: m.backoff, log: m.log,
 		},
 		m.daemons,
@@ -255,6 +255,13 @@
 	}
 }
 
+// recordConfigRead records a read that has brought the newest configuration.
+func (m *Member) recordConfigRead(sentAt time.Duration) {
+	if m.configs.readToEnd() {
+		m.configAge.recordRead(sentAt)
+	}
+}
+
 // Ready reports whether the daemon accepts callers.
 func (m *Member) Ready() bool {
 	return !m.shuttingDown.Load() && m.state.Snapshot().Config != nil
