member: a newer configuration is asked of further peers

Cause, found by reading: a daemon that has heard of a newer configuration fetched it from one peer, the first with the newest version, for up to a second; a frozen or cut peer was chosen again and again, as long as it had been heard within a second, and held the configuration back though others have it.

Now a configuration that neither the store nor the first peer has brought after 300 ms is asked of another peer chosen at random, for 400 ms each, and a peer that failed isn't asked for its view for 3 s. In an undisturbed site nothing more is sent.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -347,7 +347,7 @@
 //	│   │   ├── readers of upstreams, configuration, daemons
 //	│   │   ├── restarts of the readers in a new era of the store
 //	│   │   ├── proofs that the configuration is current, reports that it isn't
-//	│   │   ├── updates from peers that have newer data
+//	│   │   ├── updates from peers that have newer data; the configuration from further ones
 //	│   │   ├── initial cache state of the engines
 //	│   │   ├── engine parameters, for operators, and their copy in the store
 //	│   │   ├── quarantine: its journal, reports and checkpoints
@@ -374,6 +374,7 @@
 	learning.Add(&configProver{view: m.configAge, peers: m.peers, confirmRead: m.readers[1].confirm, isFirst: m.peers.ReadsFirst})
 	learning.Add(&configLag{freshness: m.configAge, configs: m.configs, storeDown: m.readers[1].isDown, log: m.log})
 	learning.Add(&peerView{member: m})
+	learning.Add(newConfigHedge(m))
 	learning.Add(&catchUp{member: m, log: m.log})
 	learning.Add(&observationSync{store: m.cfg.Store, tracker: m.tracker, peers: m.peers, backoff: m.backoff, log: m.log})
 	learning.Add(&parametersReporter{tracker: m.tracker, scope: m.cfg.Metrics.Scope, log: m.log})
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -142,6 +142,8 @@
 	lastReceived, lastUpdate time.Time
 	lastNamed                time.Time
 	up                       bool
+	// viewFailedAt is when a request for its view last failed.
+	viewFailedAt time.Time
 	// fullMesh is the value in its last state.
 	fullMesh bool
 }
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -174,7 +174,7 @@
 	best, newest, minAge := "", local.Config, local.ListAge-minAgeGain
 	var summary Summary
 	for address, other := range p.peers {
-		if time.Since(other.lastUpdate) > peerTimeout {
+		if !other.givesView() {
 			continue
 		}
 		remote := other.summary
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -85,6 +85,7 @@
 	sent := time.Now()
 	answer, err := wire.Request(ctx, m.wireConfig(), peer, request)
 	if err != nil {
+		m.peers.avoidView(peer)
 		m.log.Warn("request for a peer's view failed", "peer", peer, "err", err)
 		return
 	}
