member: a topic that fails by itself doesn't hold the others back

Cause, found by reading: all readers of a daemon share one back-off. While the store is down in part, a failing topic kept the configuration's reader from its next call, for 4 s in the mean at 80 daemons and more, as long as a version may take.

Now a failure counts for its topic alone if another topic has succeeded since the call began, or since this topic's failure before; and the topic that has failed last lets the others try first.

unconfirmed_test sets the number of daemons where it is now kept.

--- a/internal/member/backoff_test.go
+++ b/internal/member/backoff_test.go
@@ -49,7 +49,7 @@
 	now = b.retryAt
 	require.Zero(t, b.reserve(now), "one probes")
 	require.Positive(t, b.reserve(now), "the others wait for it")
-	b.recordSuccess()
+	b.recordSuccess(now)
 	require.Zero(t, b.reserve(now))
 	require.Zero(t, b.reserve(now))
 }
@@ -63,3 +63,30 @@
 	require.Zero(t, b.reserve(now))
 	require.Zero(t, b.reserve(now.Add(probeTimeout)))
 }
+
+// Guards against a topic that fails, as the store is down in part, and keeps the others waiting at a
+// large site, where the mean wait is seconds.
+func TestFailingTopicDoesntDelayOthers(t *testing.T) {
+	failing := newBackoff(func() int { return 300 })
+	other := failing.another()
+	now := time.Unix(1000, 0)
+	end := now.Add(time.Minute)
+	nextRead, failures, late := now, 0, 0
+	for ; now.Before(end); now = now.Add(wakeInterval) {
+		if failing.reserve(now) <= 0 {
+			failures++
+			failing.recordFailure(now, now.Add(time.Millisecond))
+		}
+		if now.Before(nextRead) {
+			continue
+		}
+		if other.reserve(now) > 0 {
+			late++
+			continue
+		}
+		other.recordSuccess(now)
+		nextRead = now.Add(500 * time.Millisecond)
+	}
+	require.Less(t, late*int(wakeInterval), int(10*time.Second), "the other one waits only until both have been tried")
+	require.Less(t, failures, 40, "the failing topic backs off")
+}
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -111,7 +111,7 @@
 		err := a.store.Put(call, TopicMembers, Entry{Key: a.self.Instance, Value: value})
 		cancel()
 		if err == nil {
-			a.backoff.recordSuccess()
+			a.backoff.recordSuccess(time.Now())
 			a.log.Info("daemon's entry written", "address", a.self.Peers, "era", a.store.Eras().Current())
 			select {
 			case <-ctx.Done():
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -162,7 +162,7 @@
 		m.buildUsage(s)
 	}
 	m.buildFeeds()
-	m.quarantine.reader.backoff = m.backoff
+	m.quarantine.reader.backoff = m.backoff.another()
 	m.longPolls = append(m.longPolls, m.quarantine.reader)
 	return m
 }
@@ -228,7 +228,7 @@
 	daemons := &memberFeed{peers: m.peers, log: m.log}
 	upstreams := &topicReader{
 		store: store, topic: TopicUpstreams, name: "upstreams", interval: upstreamsInterval, jitter: upstreamsJitter, readsFirst: m.peers.IsRoot,
-		applyAll: m.upstreams.reset, applyRestored: m.upstreams.resetRestored, applyChanges: m.upstreams.apply, backoff: m.backoff, log: m.log,
+		applyAll: m.upstreams.reset, applyRestored: m.upstreams.resetRestored, applyChanges: m.upstreams.apply, backoff: m.backoff.another(), log: m.log,
 	}
 	m.upstreams.age = upstreams.age
 	m.upstreams.restored = func() bool { return store.Eras().Current() > 0 }
@@ -240,13 +240,13 @@
 	}
 	m.daemons = &topicReader{
 		store: store, topic: TopicMembers, name: "daemons", longPoll: longPollTimeout, interval: time.Second, triggered: m.peers.ReportsInDataCentre,
-		applyAll: daemons.apply, applyChanges: daemons.apply, backoff: m.backoff, log: m.log,
+		applyAll: daemons.apply, applyChanges: daemons.apply, backoff: m.backoff.another(), log: m.log,
 	}
 	m.readers = []*topicReader{
 		upstreams,
 		{
 			store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, triggered: m.configAge.enforcesKeys, onRead: m.recordConfigRead,
-			applyAll: m.configs.apply, applyChanges: m.configs.apply, backoff: m.backoff, log: m.log,
+			applyAll: m.configs.apply, applyChanges: m.configs.apply, backoff: m.backoff.another(), log: m.log,
 		},
 		m.daemons,
 	}
@@ -376,9 +376,9 @@
 	learning.Add(&peerView{member: m})
 	learning.Add(newConfigHedge(m))
 	learning.Add(&catchUp{member: m, log: m.log})
-	learning.Add(&observationSync{store: m.cfg.Store, tracker: m.tracker, peers: m.peers, backoff: m.backoff, log: m.log})
+	learning.Add(&observationSync{store: m.cfg.Store, tracker: m.tracker, peers: m.peers, backoff: m.backoff.another(), log: m.log})
 	learning.Add(&parametersReporter{tracker: m.tracker, scope: m.cfg.Metrics.Scope, log: m.log})
-	learning.Add(&announcer{store: m.cfg.Store, self: m.self, backoff: m.backoff, daemons: m.peers.KnownCount, log: m.log})
+	learning.Add(&announcer{store: m.cfg.Store, self: m.self, backoff: m.backoff.another(), daemons: m.peers.KnownCount, log: m.log})
 	for _, service := range m.quarantine.services(m.cfg.Settings.StoreRetention) {
 		learning.Add(service)
 	}
--- a/internal/member/observations.go
+++ b/internal/member/observations.go
@@ -55,7 +55,7 @@
 		entries, _, err := s.store.Newest(call, TopicObservations)
 		cancel()
 		if err == nil {
-			s.backoff.recordSuccess()
+			s.backoff.recordSuccess(time.Now())
 			s.merge(entries)
 			return
 		}
--- a/internal/member/quarantine.go
+++ b/internal/member/quarantine.go
@@ -174,7 +174,7 @@
 	var restored *infra.RestoredError
 	switch {
 	case err == nil, errors.As(err, &missing), errors.As(err, &restored):
-		l.backoff.recordSuccess()
+		l.backoff.recordSuccess(time.Now())
 	case ctx.Err() == nil:
 		l.backoff.recordFailure(start, time.Now())
 	}
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -121,9 +121,9 @@
 		err := r.read(ctx)
 		switch {
 		case err == nil:
-			r.backoff.recordSuccess()
+			r.backoff.recordSuccess(time.Now())
 		case errors.Is(err, ErrExpired):
-			r.backoff.recordSuccess()
+			r.backoff.recordSuccess(time.Now())
 			r.mu.Lock()
 			r.positioned = false
 			r.mu.Unlock()
@@ -325,7 +325,7 @@
 		r.confirmFailed(ctx, start, err)
 		return
 	}
-	r.backoff.recordSuccess()
+	r.backoff.recordSuccess(time.Now())
 	r.applying.Lock()
 	defer r.applying.Unlock()
 	if r.position() != from {
@@ -365,7 +365,7 @@
 	case ctx.Err() != nil:
 		return
 	case errors.Is(err, ErrExpired):
-		r.backoff.recordSuccess()
+		r.backoff.recordSuccess(time.Now())
 		r.mu.Lock()
 		r.positioned = false
 		r.mu.Unlock()
--- a/internal/member/unconfirmed_test.go
+++ b/internal/member/unconfirmed_test.go
@@ -88,7 +88,7 @@
 		for _, every := range []int{2, 4} {
 			t.Run(fmt.Sprint("restored ", restored, ", one refused of ", every), func(t *testing.T) {
 				requireRemovalCounts(t, 1, restored, func(m *Member) Store {
-					m.backoff.daemons = func() int { return 1700 }
+					m.backoff.store.daemons = func() int { return 1700 }
 					return &refusingClient{logClient: m.cfg.Store.(*logClient), every: every}
 				})
 			})
