gateway: rules of unknown age deny nothing

There an instance that hadn't read the log for long answered 404, 403 of a rule, or 401 by what it had; and one that refuses a forwarded request because its rules are older went on denying its own callers' requests.

A rule's own 429 and 5xx stay.

Gap, in the table by path: instances don't name their versions to each other in between.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -278,6 +278,7 @@
 		Ready:       e.ready,
 		Load:        e.load.get,
 		KeysUsable:  e.keysUsable,
+		RulesAge:    func() time.Duration { return e.rulesRead.Age(boottime.Now()) },
 		NewID:       uuid.NewString,
 		Scope:       e.cfg.Metrics.Scope,
 		Log:         e.log,
@@ -295,6 +296,7 @@
 		ReadTimeout:     readTimeout,
 		IdleTimeout:     idleTimeout,
 		Models:          modelNames(d),
+		RulesLimit:      freshness.NewLimit(seconds(d.Rules.ApplySeconds)),
 		ServicePools:    servicePools(d),
 	}
 }
--- a/internal/entry/gateway/failure.go
+++ b/internal/entry/gateway/failure.go
@@ -51,6 +51,7 @@
 // fail responds with a failure at once: the caller gets a Retry-After instead of
 // being kept waiting.
 func (g *Gateway) fail(c *fiber.Ctx, k *call, f *outcome.Failure) error {
+	f = g.withholdDenial(k, f)
 	g.metrics.failed(f)
 	g.deps.Log.Debug("request failed", "request", k.id, "path", k.path, "rule", f.Rule,
 		"code", f.Code, "outcome", f.Execution, "after", time.Since(k.began), "cause", f.Cause)
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -15,6 +15,7 @@
 
 	"tamarackchute/infra"
 	"tamarackchute/internal/adapters/httpx"
+	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/rules"
 	"tamarackchute/upstream"
@@ -78,6 +79,7 @@
 	if err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString("the request doesn't come from an instance: " + err.Error())
 	}
+	g.namedRules.Record(uint64(version.Offset), c.IP(), boottime.Now())
 	c.Locals(localForwarded{}, version)
 	c.Request().Header.Del(headerForwarded)
 	return c.Next()
@@ -118,7 +120,7 @@
 		return
 	}
 	switch f.Code {
-	case outcome.CodeRulesMissing, outcome.CodeKeysStale, outcome.CodeShuttingDown, outcome.CodeNoUpstream:
+	case outcome.CodeRulesMissing, outcome.CodeRulesOutdated, outcome.CodeKeysStale, outcome.CodeShuttingDown, outcome.CodeNoUpstream:
 		c.Set(headerIncapable, "1")
 	}
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"tamarackchute/admission"
 	"tamarackchute/apikey"
+	"tamarackchute/freshness"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/discovery"
@@ -83,6 +84,8 @@
 	// ReadTimeout bounds how long a caller may take to send a request, IdleTimeout
 	// how long a connection is kept open between two requests.
 	ReadTimeout, IdleTimeout time.Duration
+	// RulesLimit is the age of the rules from which on no request is refused for good.
+	RulesLimit freshness.Limit
 	// Models are the models listed to callers.
 	Models []string
 	// ServicePools names the pools of plain services; all others have engines.
@@ -110,6 +113,9 @@
 	// KeysUsable reports whether the rules in force are known to be recent enough for the use of
 	// API keys; nil means that they always are.
 	KeysUsable func() bool
+	// RulesAge returns the time since the rules in force were last known to be the newest; nil means
+	// that they always are.
+	RulesAge func() time.Duration
 	// Load returns the fraction of the capacity of the data centre's engines that is
 	// in use.
 	Load  func() float64
@@ -136,6 +142,8 @@
 	// forwardedApp serves requests that other instances forward.
 	forwardedApp *fiber.App
 	metrics      *metrics
+	// namedRules is the newest version of the rules that another instance has named.
+	namedRules freshness.Named
 	// active counts requests whose response isn't completely sent.
 	active atomic.Int64
 	// pumps are the goroutines that read engines' streams.
--- a/internal/entry/gateway/harness_test.go
+++ b/internal/entry/gateway/harness_test.go
@@ -156,6 +156,8 @@
 	version   rules.Version
 	forwarder gateway.Forwarder
 	keysStale atomic.Bool
+	// rulesAge is the age of the rules, in nanoseconds.
+	rulesAge atomic.Int64
 }
 
 func (d *fakeDeps) Engine(name string) upstream.Engine {
@@ -255,6 +257,7 @@
 		Signer:     stream.NewSigner([]byte("secret")),
 		Load:       func() float64 { return 0 },
 		KeysUsable: func() bool { return !deps.keysStale.Load() },
+		RulesAge:   func() time.Duration { return time.Duration(deps.rulesAge.Load()) },
 		NewID:      newID, Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/entry/outcome/outcome.go
+++ b/internal/entry/outcome/outcome.go
@@ -66,6 +66,7 @@
 	CodeNoRule              Code = "no_rule_matches"
 	CodeRefusedByRule       Code = "refused_by_rule"
 	CodeRulesMissing        Code = "rules_not_loaded"
+	CodeRulesOutdated       Code = "rules_may_be_outdated"
 	CodeRuleLimit           Code = "rule_limit"
 	CodeOverload            Code = "overloaded"
 	CodeDeadlineTooShort    Code = "deadline_cannot_be_met"
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -18,6 +18,8 @@
 	Admission Admission  `json:"admission"`
 	// Keys is omitted when a deployment without it is encoded.
 	Keys Keys `json:"keys,omitzero"`
+	// Rules is omitted when a deployment without it is encoded.
+	Rules Rules `json:"rules,omitzero"`
 	// Streams is omitted when a deployment without it is encoded.
 	Streams  Streams  `json:"streams,omitzero"`
 	Roles    Roles    `json:"roles"`
@@ -150,6 +152,13 @@
 	RevocationSeconds float64 `json:"revocation_s" validate:"gte=0"`
 }
 
+// Rules says when published rules take effect.
+type Rules struct {
+	// ApplySeconds is the time within which published rules decide at each instance. One that hasn't
+	// read the log for longer refuses no request for good. 0 means that there is no such bound.
+	ApplySeconds float64 `json:"apply_s" validate:"gte=0"`
+}
+
 // Admission configures admission control.
 type Admission struct {
 	// MaxQueued is the most requests that one entry queues.
