--- a/journal/journaltest/log.go
+++ b/journal/journaltest/log.go
@@ -43,6 +43,7 @@
 	changed   chan struct{}
 	outage    bool
 	hang      bool
+	hangWaits bool
 	faults    []Fault
 	lateAfter time.Duration
 	latency   time.Duration
@@ -79,6 +80,9 @@
 // an error that matches ErrNotWritten.
 func (l *Log) Outage(on bool) { l.update(func() { l.outage = on }) }
 
+// HangWaitingReads makes reads hang that wait for a record, whether there is one or not.
+func (l *Log) HangWaitingReads(on bool) { l.update(func() { l.hangWaits = on }) }
+
 // Hang starts or ends an outage in which every call blocks until its context
 // ends. Appends made meanwhile are not written.
 func (l *Log) Hang(on bool) { l.update(func() { l.hang = on }) }
@@ -164,6 +168,7 @@
 		if err != nil {
 			return res, err
 		}
+		hang = hang || wait > 0 && l.waitsHang()
 		if !hang && (len(res.Records) > 0 || expired) {
 			if sleep(ctx, l.currentLatency()) != nil {
 				return infra.ReadResult{}, infra.ErrUnavailable
@@ -180,6 +185,12 @@
 	}
 }
 
+func (l *Log) waitsHang() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hangWaits
+}
+
 // errHang makes Append block until its context ends.
 const errHang = hangError("hang")
 
--- a/journal/onread_test.go
+++ b/journal/onread_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -39,3 +40,38 @@
 	putAt.Store(int64(boottime.Now()))
 	require.Eventually(t, func() bool { return claimed.Load() > 2 }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against entries that are applied, and leases that are kept, only after a waiting read has timed
+// out that gets no response.
+func TestHungReadDoesntHoldEntriesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		j, sm := startJournal(t, log, journal.Config{})
+		<-j.CaughtUp()
+		log.HangWaitingReads(true)
+		for i := range 3 {
+			begin := time.Now()
+			_, err := j.Append(t.Context(), entry("e"+string(rune('0'+i))))
+			require.NoError(t, err)
+			require.LessOrEqual(t, time.Since(begin), 300*time.Millisecond)
+		}
+		require.Len(t, sm.applied, 3)
+	})
+}
+
+// Guards against a slow log whose reads are all taken for hung ones.
+func TestSlowReadsAreNotRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := journaltest.NewLog()
+		j, sm := startJournal(t, log, journal.Config{AppendTimeout: 5 * time.Second})
+		<-j.CaughtUp()
+		log.SetLatency(time.Second)
+		for i := range 3 {
+			begin := time.Now()
+			_, err := j.Append(t.Context(), entry("e"+string(rune('0'+i))))
+			require.NoError(t, err)
+			require.LessOrEqual(t, time.Since(begin), 4*time.Second)
+		}
+		require.Len(t, sm.applied, 3)
+	})
+}
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -33,15 +33,9 @@
 
 // readOnce performs one read and reports whether it succeeded.
 func (j *Journal) readOnce(ctx context.Context) bool {
-	from, first := j.readFrom()
-	wait := j.cfg.LongPoll
-	if first {
-		// The first read must not wait for new records: CaughtUp needs the log's
-		// current end.
-		wait = 0
-	}
 	rctx, cancel := context.WithTimeout(ctx, 2*j.cfg.LongPoll)
 	defer cancel()
+	from, wait := j.beginRead(cancel)
 	sentAt := boottime.Now()
 	res, err := j.log.Read(rctx, from, maxReadRecords, wait)
 	readAt := time.Now()
@@ -58,6 +52,9 @@
 		j.handleRestore(restored.Oldest)
 		return true
 	}
+	if err != nil && j.wasHung() {
+		return true // the next read doesn't wait
+	}
 	if err != nil {
 		j.markDown(ctx, err)
 		return false
@@ -79,11 +76,41 @@
 	return j.next >= end
 }
 
-// readFrom returns the next offset to read, and whether it is the first read.
-func (j *Journal) readFrom() (from infra.Offset, first bool) {
+// beginRead returns the next offset to read, and how long the read may wait for a record. cancel
+// cancels it. The first read must not wait: CaughtUp needs the log's current end. Nor must one that
+// replaces a hung one.
+func (j *Journal) beginRead(cancel context.CancelFunc) (from infra.Offset, wait time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.target != 0 && !j.readHung {
+		wait = j.cfg.LongPoll
+	}
+	j.readHung, j.cancelRead = false, nil
+	if wait > 0 {
+		j.cancelRead = cancel
+	}
+	return j.next, wait
+}
+
+// restartHungRead cancels a waiting read that should have returned the record at an offset by now: its
+// connection may have failed silently.
+func (j *Journal) restartHungRead(offset infra.Offset) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.next > offset || j.cancelRead == nil {
+		return
+	}
+	j.cfg.Logger.Warn("waiting read of the log doesn't return", "confirmed", offset, "read_up_to", j.next)
+	j.readHung = true
+	j.cancelRead()
+	j.cancelRead = nil
+}
+
+// wasHung reports whether the last read was cancelled as hung.
+func (j *Journal) wasHung() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.next, j.target == 0
+	return j.readHung
 }
 
 // checkProgress closes CaughtUp once the reader has reached the initial end of
--- a/journal/runtime.go
+++ b/journal/runtime.go
@@ -136,8 +136,12 @@
 	next    infra.Offset // next offset to read
 	target  infra.Offset // end of the log at the first read; 0 before that
 	applied Position
-	health  Health
-	stats   Stats
+	// cancelRead cancels the waiting read in progress, nil if there is none. readHung says that it was
+	// cancelled because it hung.
+	cancelRead context.CancelFunc
+	readHung   bool
+	health     Health
+	stats      Stats
 	// consecutiveFailures counts the failed appends since the last confirmed one.
 	consecutiveFailures int
 }
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -14,6 +14,10 @@
 // the local reader to find its record before the entries are sent again.
 const unknownOutcomeDelay = 250 * time.Millisecond
 
+// confirmedReadTime is how long after the confirmation of an append a waiting read should have
+// returned its record.
+const confirmedReadTime = 200 * time.Millisecond
+
 // maxBackoffDoublings keeps the exponential backoff of appends from overflowing.
 const maxBackoffDoublings = 8
 
@@ -137,10 +141,11 @@
 // send performs one append and handles its outcome.
 func (j *Journal) send(ctx context.Context, b *batch) {
 	actx, cancel := context.WithTimeout(ctx, j.cfg.AppendTimeout)
-	_, err := j.log.Append(actx, b.data)
+	offset, err := j.log.Append(actx, b.data)
 	cancel()
 	if err == nil {
 		j.appendConfirmed(len(b.pendings))
+		time.AfterFunc(confirmedReadTime, func() { j.restartHungRead(offset) })
 		return
 	}
 	// After a lost reply the record may be in the log. The local reader then
