soak: configurations amid waiting reads that hang, and each daemon asked for the newest rule

A 404 later than the bound after the acknowledgement breaks a promise at any daemon at any time: out of touch it must answer 503.

TestLaterStreamsLeaveOtherSteps and TestPlanIsDeterministicPerSeed: one stream of steps more.

--- a/cmd/chute-soak/main.go
+++ b/cmd/chute-soak/main.go
@@ -56,7 +56,7 @@
 			fmt.Fprintln(os.Stderr, "chute-soak:", err)
 			return exitUsage
 		}
-		o.Steps = saved.Steps
+		o.Steps, o.LongPolls = saved.Steps, saved.LongPolls
 		if saved.Callers > 0 {
 			o.Callers = saved.Callers
 		}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -14,7 +14,8 @@
 // server may reach its successor at the same address, which rejects it.
 func (o *oracle) checkPool(v standin.RequestInfo, q *request) {
 	pool := o.pools[v.Server]
-	if q.service.name == versionService && strings.HasPrefix(pool, versionService) {
+	forVersion := q.service.name == versionService || strings.HasPrefix(q.service.name, addedService)
+	if forVersion && strings.HasPrefix(pool, versionService) {
 		return
 	}
 	if pool != q.service.name {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,6 +45,7 @@
 	CutPaths          FaultKind = "daemons-lose-path"
 	SilenceServer     FaultKind = "server-falls-silent"
 	KillAllDaemons    FaultKind = "kill-all-daemons"
+	HangReads         FaultKind = "waiting-reads-hang"
 )
 
 // Step is one fault of a run.
@@ -65,7 +66,9 @@
 	Cause string
 	// Callers is the number of callers that the plan needs; 0 leaves it to the run.
 	Callers int `json:",omitempty"`
-	Steps   []Step
+	// LongPolls is as in Options.
+	LongPolls bool `json:",omitempty"`
+	Steps     []Step
 }
 
 // ReadPlan reads a plan from a file.
@@ -137,7 +140,14 @@
 // siteKindWeights holds the kinds of the sixth stream: what hits all daemons at once.
 var siteKindWeights = []kindWeight{{KillAllDaemons, 1}}
 
+// configKindWeights holds the kinds of the seventh stream: new configurations while reads hang.
+var configKindWeights = []kindWeight{{HangReads, 1}}
+
 const (
+	// configStream is the random stream of the seventh stream of steps, configIntervalFactor how much
+	// longer its intervals are.
+	configStream         = 1 << 37
+	configIntervalFactor = 12
 	// siteStream is the random stream of the sixth stream of steps, siteIntervalFactor how much longer
 	// its intervals are.
 	siteStream         = 1 << 36
@@ -174,6 +184,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, pathStream)), profile, pathKindWeights)...)
 	profile.MeanInterval = profile.MeanInterval / pathIntervalFactor * siteIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, siteStream)), profile, siteKindWeights)...)
+	profile.MeanInterval = profile.MeanInterval / siteIntervalFactor * configIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, configStream)), profile, configKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -20,6 +20,7 @@
 	CancellationPropagates Promise = "a caller's close ends the work at the servers"
 	DrainedServerSpared    Promise = "a server that leaves or has gone gets nothing new after some seconds"
 	ConfigApplied          Promise = "a new configuration is in force in time"
+	NothingDenied          Promise = "what a configuration allows isn't denied by an older one"
 	ConfigMonotonic        Promise = "a configuration never goes back"
 	NoCutRequests          Promise = "a daemon that lives or stops as planned cuts off no request"
 	AnsweredByDeadline     Promise = "each request has its final answer soon after its deadline"
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,6 +27,9 @@
 	Daemons int
 	Callers int
 	Profile FaultProfile
+	// LongPolls lets the daemons wait for changes of the configuration, as they do where removed keys
+	// needn't be unusable within a bound; some seeds do so anyway.
+	LongPolls bool
 	// Steps replace the seed's plan unless they are empty.
 	Steps []Step
 }
@@ -50,6 +53,8 @@
 }
 
 const (
+	// In one of longPollsOneIn seeds the daemons wait for changes of the configuration.
+	longPollsOneIn = 5
 	// startTimeout bounds the first start, which has no faults and takes under a second on an
 	// idle machine; a busy machine must not fail the run.
 	startTimeout = time.Minute
@@ -107,6 +112,9 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { s.faults.watchMachineLoad(ctx.Done()) })
 	wg.Go(func() { s.relist(ctx.Done()) })
+	for _, d := range s.daemons {
+		wg.Go(func() { s.probeRules(ctx, d) })
+	}
 	for i := range o.Callers {
 		wg.Go(func() { newCaller(s, o.Seed, i).run(ctx) })
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -100,8 +100,10 @@
 	mu       sync.Mutex
 	versions int
 	// published counts the configurations, with those that change only keys.
-	published      int
-	access         access
+	published int
+	access    access
+	// longPolls says that the daemons wait for changes of the configuration.
+	longPolls      bool
 	serversStarted int
 	// serverLinks are all links to servers.
 	serverLinks    []*Proxy
@@ -116,7 +118,7 @@
 	faults := newFaultLog()
 	s := &site{
 		ip: fmt.Sprintf("%s.%d", network, standinHost), store: standin.NewStore(), oracle: newOracle(faults), faults: faults,
-		handles: standin.NewHandles(),
+		handles: standin.NewHandles(), longPolls: o.LongPolls || o.Seed%longPollsOneIn == longPollsOneIn-1,
 	}
 	l, err := s.listen()
 	if err != nil {
@@ -182,6 +184,7 @@
 	for _, pool := range versionPools {
 		rules = append(rules, standin.Service{Name: pool, Kind: standin.Idempotent, Attempts: 3, Timeout: time.Second})
 	}
+	rules = append(rules, addedRules(s.versions)...)
 	s.store.PutConfig(s.published, rules, s.access.published()...)
 }
 
@@ -238,10 +241,13 @@
 			config: standin.Daemon{
 				Name: fmt.Sprintf("d%d", i), IP: ip, Seeds: ips[:min(len(ips), 3)], Store: link.Address(),
 				Grace: grace, RetryRatio: siteBudget.ratio, RetrySlack: siteBudget.slack, RetryWindow: siteBudget.window,
-				LeaseTerm: leaseTerm, RevocationBound: revocationBound,
+				LeaseTerm: leaseTerm, RevocationBound: revocationBound, ConfigBound: maxConfigDelay,
 				Cloud: s.providerHTTP.Listener.Addr().String(), UsageWindow: usageWindow, UsageDue: usageDue,
 			},
 		}
+		if s.longPolls {
+			d.config.RevocationBound = 0 // daemons read often where keys must soon be unusable
+		}
 		if err := os.WriteFile(d.settings, []byte(d.config.SettingsFile()), settingsMode); err != nil {
 			return eris.Wrap(err, "write daemon settings")
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,7 +77,7 @@
 			saved, err := ReadPlan(file)
 			require.NoError(t, err)
 			require.NotEmpty(t, saved.Cause)
-			requireNoViolations(t, Options{Program: program, Callers: saved.Callers, Steps: saved.Steps})
+			requireNoViolations(t, Options{Program: program, Callers: saved.Callers, LongPolls: saved.LongPolls, Steps: saved.Steps})
 		})
 	}
 }
@@ -112,7 +112,7 @@
 		}
 		require.LessOrEqual(t, versions, maxVersions)
 	}
-	require.Len(t, kinds, len(kindWeights)+len(answerKindWeights)+len(accessKindWeights)+len(needKindWeights)+len(pathKindWeights)+len(siteKindWeights), "each kind comes up")
+	require.Len(t, kinds, len(kindWeights)+len(answerKindWeights)+len(accessKindWeights)+len(needKindWeights)+len(pathKindWeights)+len(siteKindWeights)+len(configKindWeights), "each kind comes up")
 }
 
 func TestFaultLogUndisturbed(t *testing.T) {
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -83,9 +83,15 @@
 	case BackOffServer:
 		s.backOffServer(slot, step)
 	case RotateKey:
-		s.rotateKey(step.Target % organisations)
+		if !s.longPolls {
+			s.rotateKey(step.Target % organisations)
+		}
 	case RevokeInOutage:
-		s.revokeInOutage(step)
+		if !s.longPolls {
+			s.revokeInOutage(step)
+		}
+	case HangReads:
+		s.hangReads(step)
 	case SendLethal:
 		s.sendLethal(step)
 	case LimitServer:
