--- /dev/null
+++ b/internal/member/confirm.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"tamarackchute/internal/boottime"
+)
+
+// maxConfirming limits the concurrent reads by confirm: one whose connection has failed silently takes
+// until its timeout.
+const maxConfirming = 3
+
+// confirm reads without waiting for a change, beside a long poll that may never return. If the long
+// poll has missed a change or the read fails, the long poll is restarted.
+func (r *topicReader) confirm(ctx context.Context) {
+	from, ok := r.beginConfirm()
+	if !ok {
+		return
+	}
+	defer r.endConfirm()
+	if r.backoff.reserve(time.Now()) > 0 {
+		return
+	}
+	start, sentAt := time.Now(), boottime.Now()
+	call, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	entries, next, err := r.store.Changes(call, r.topic, from, 0)
+	if err != nil {
+		r.confirmFailed(ctx, start, err)
+		return
+	}
+	r.backoff.recordSuccess(time.Now())
+	r.applying.Lock()
+	defer r.applying.Unlock()
+	if r.position() != from {
+		return // another read has brought more
+	}
+	if len(entries) > 0 {
+		r.applyChanges(entries)
+		r.log.Info("change not brought by the waiting read", "topic", r.name, "entries", len(entries))
+		r.restartRead()
+	}
+	r.recordRead(next, start)
+	if len(entries) == 0 {
+		r.notifyRead(sentAt)
+	}
+}
+
+// beginConfirm returns the position to read from, or false if no read by confirm may begin.
+func (r *topicReader) beginConfirm() (Position, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.positioned || r.confirming >= maxConfirming {
+		return 0, false
+	}
+	r.confirming++
+	return r.next, true
+}
+
+func (r *topicReader) endConfirm() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirming--
+}
+
+// confirmFailed processes the failure of a read by confirm that was begun at a time.
+func (r *topicReader) confirmFailed(ctx context.Context, start time.Time, err error) {
+	switch {
+	case ctx.Err() != nil:
+		return
+	case errors.Is(err, ErrExpired):
+		r.backoff.recordSuccess(time.Now())
+		r.mu.Lock()
+		r.positioned = false
+		r.mu.Unlock()
+	case r.hasReadSince(start):
+		return // only this read's connection has failed
+	default:
+		r.recordFailure(ctx, err)
+		r.backoff.recordFailure(start, time.Now())
+	}
+	r.restartRead()
+}
