--- a/internal/member/confighedge.go
+++ b/internal/member/confighedge.go
@@ -66,8 +66,17 @@
 		h.member.log.Warn("request for a peer's configuration failed", "peer", peer, "err", err)
 		return
 	}
-	c, err := h.member.cfg.Decoder.ConfigDocument(reply.Config)
-	h.member.configs.accept(c, err, peer)
+	h.member.acceptFromPeer(peer, reply.Config)
+}
+
+// acceptFromPeer applies a peer's configuration. A peer whose document can't be decoded isn't asked
+// again for a while.
+func (m *Member) acceptFromPeer(peer string, document []byte) {
+	c, err := m.cfg.Decoder.ConfigDocument(document)
+	if err != nil {
+		m.peers.avoidView(peer)
+	}
+	m.configs.accept(c, err, peer)
 }
 
 // withConfigAfter returns the address of a peer, chosen at random, with a newer configuration than
--- a/internal/member/confighedge_test.go
+++ b/internal/member/confighedge_test.go
@@ -50,3 +50,25 @@
 		}
 	})
 }
+
+// Guards against a peer whose document can't be decoded here, and that is asked for it ten times a
+// second.
+func TestPeerWithAnUnreadableDocumentIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newRestoreSite(t, 1).daemons[0]
+		m.configs.apply([]Entry{entry("config", "3")})
+		asked := 0
+		hedge := newConfigHedge(m)
+		hedge.request = func(context.Context, string, wire.ViewRequest) (wire.Message, error) {
+			asked++
+			return wire.ViewReply{Config: []byte("unreadable")}, nil
+		}
+		for i := range 50 {
+			m.peers.applyState(wire.MemberState{MemberAddress: wire.MemberAddress{Instance: "a", Peers: "a"}, Incarnation: 1, Seq: uint64(1 + i), ConfigVersion: 4})
+			hedge.check(t.Context(), time.Now())
+			time.Sleep(viewInterval)
+		}
+		require.EqualValues(t, 3, m.summary().Config)
+		require.LessOrEqual(t, asked, 2)
+	})
+}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -94,18 +94,13 @@
 		return
 	}
 	if reply.Config != nil {
-		v.applyConfig(peer, reply.Config)
+		m.acceptFromPeer(peer, reply.Config)
 	}
 	if !request.ConfigOnly {
 		v.applyUpstreams(peer, reply, reply.Age+time.Since(sent))
 	}
 }
 
-func (v *peerView) applyConfig(peer string, document []byte) {
-	c, err := v.member.cfg.Decoder.ConfigDocument(document)
-	v.member.configs.accept(c, err, peer)
-}
-
 // applyUpstreams replaces the list with the peer's if that was read later.
 func (v *peerView) applyUpstreams(peer string, reply wire.ViewReply, age time.Duration) {
 	m := v.member
