member: names from reading the change as a newcomer

The view of peers and the peers' own view had each other's file names; the feed says whether the store's latest document was rejected, not that something is pending. No change of behaviour.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -20,7 +20,7 @@
 // clockDrift is the largest relative difference between the rates of two clocks.
 const clockDrift = 0.01
 
-// Limit is the age up to which a proof suffices for a purpose; 0 means any age, or none at all.
+// Limit is the age up to which a proof suffices for a purpose; 0 means that none is needed.
 type Limit time.Duration
 
 // NewLimit returns the limit for a purpose that has to end a time after a newer version is
--- a/internal/member/configfreshness.go
+++ b/internal/member/configfreshness.go
@@ -164,7 +164,7 @@
 	defer calls.Wait()
 	spread := rand.Float64()
 	keys := freshness.Search{Limit: p.view.keyLimit, Shares: freshness.KeyShares, Spread: spread}
-	all := freshness.Search{Limit: p.view.bound, Shares: freshness.ConfigShares, Spread: spread}
+	versions := freshness.Search{Limit: p.view.bound, Shares: freshness.ConfigShares, Spread: spread}
 	for ctx.Err() == nil {
 		sleep(ctx, proofCheckInterval)
 		now := p.view.now()
@@ -174,7 +174,7 @@
 			step = keys.Next(now, p.view.age(now), p.isFirst())
 		}
 		if p.view.bound > 0 {
-			step = step.Or(all.Next(now, p.view.age(now), p.isFirst()))
+			step = step.Or(versions.Next(now, p.view.age(now), p.isFirst()))
 		}
 		if step.Read {
 			calls.Go(func() { p.confirmRead(ctx) })
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -20,19 +20,19 @@
 	state   *fleet.State
 	// rejected counts the documents that can't be decoded.
 	rejected tally.Counter
-	// lastRejection is that of the latest document; nil if it was accepted. pending says that the store's
-	// latest one was rejected.
+	// lastRejection is that of the latest document; nil if it was accepted.
 	lastRejection atomic.Pointer[daemonstatus.ConfigRejection]
-	pending       atomic.Bool
+	// storeRejected says that the store's latest document was rejected.
+	storeRejected atomic.Bool
 	log           *slog.Logger
 }
 
 // sourceStore names the store as the source of a configuration or a proof.
 const sourceStore = "store"
 
-// readToEnd reports whether the configuration in force is the latest that was read from the store: a
-// rejected one may have taken away what the one in force allows.
-func (f *configFeed) readToEnd() bool { return !f.pending.Load() }
+// upToDate reports whether the store's latest document was accepted: a rejected one may have taken away
+// what the configuration in force allows.
+func (f *configFeed) upToDate() bool { return !f.storeRejected.Load() }
 
 func newConfigFeed(decoder Decoder, state *fleet.State, scope tally.Scope, log *slog.Logger) *configFeed {
 	return &configFeed{decoder: decoder, state: state, rejected: scope.Counter("configs_rejected"), log: log}
@@ -50,7 +50,7 @@
 // force then.
 func (f *configFeed) accept(c *fleet.Config, err error, from string) {
 	if from == sourceStore {
-		f.pending.Store(err != nil)
+		f.storeRejected.Store(err != nil)
 	}
 	if err != nil {
 		f.rejected.Inc(1)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -255,9 +255,9 @@
 	}
 }
 
-// recordConfigRead records a read that has brought the newest configuration.
+// recordConfigRead records a read of the configuration that was sent at a time and brought nothing newer.
 func (m *Member) recordConfigRead(sentAt time.Duration) {
-	if m.configs.readToEnd() {
+	if m.configs.upToDate() {
 		m.configAge.recordRead(sentAt)
 	}
 }
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -1,227 +1,129 @@
 package member
 
 import (
+	"context"
 	"time"
 
 	"tamarackchute/internal/wire"
-	"tamarackchute/upstream"
 )
 
-// unavailableEngine is an engine that gets no work until a time, or until it has a role.
-type unavailableEngine struct {
-	to    upstream.Role
-	until time.Time
-}
+const (
+	// viewInterval is how often a daemon checks whether a peer has newer data.
+	viewInterval = 100 * time.Millisecond
+	// viewTimeout limits a request to a peer.
+	viewTimeout = time.Second
+	// minAgeGain is how much more recent a peer's copy must be to be adopted, transitAllowance
+	// is added to its age for the transfer. Without them two daemons could keep refreshing each
+	// other's age although neither reads the store.
+	minAgeGain       = 100 * time.Millisecond
+	transitAllowance = 20 * time.Millisecond
+)
 
-// MarkUnavailable makes all daemons avoid an engine for a time, or until it has the role to; to
-// is empty if its role doesn't change. The other daemons aren't told again while an earlier
-// report still holds for more than half of the time.
-func (p *Peers) MarkUnavailable(id string, to upstream.Role, d time.Duration) {
-	key := p.tracker.KeyOf(id)
-	p.tracker.MarkUnavailable(key, to, d)
-	p.mu.Lock()
-	reported := time.Until(p.unavailable[key].until) > d/2
-	p.unavailable[key] = unavailableEngine{to: to, until: time.Now().Add(d)}
-	p.mu.Unlock()
-	if !reported {
-		p.broadcast(p.heartbeatState(time.Now()))
-	}
+// peerView fetches newer data from peers. It saves most reads of the store, and keeps a daemon
+// that is cut off from the store, or starts during an outage, from serving with an outdated
+// configuration or none.
+type peerView struct {
+	member *Member
 }
 
-// applyUnavailable records the unavailable engines that another daemon reports.
-func (p *Peers) applyUnavailable(engines []wire.UnavailableEngine) {
-	for _, a := range engines {
-		p.tracker.MarkUnavailable(a.Engine, a.TargetRole, a.Remaining)
-	}
-}
+// String implements fmt.Stringer; the supervisor logs it.
+func (v *peerView) String() string { return "view of peers" }
 
-func (p *Peers) unavailableEngines() []wire.UnavailableEngine {
-	var list []wire.UnavailableEngine
-	for at, e := range p.unavailable {
-		left := time.Until(e.until)
-		if left <= 0 {
-			delete(p.unavailable, at)
-			continue
-		}
-		list = append(list, wire.UnavailableEngine{Engine: at, TargetRole: e.to, Remaining: left})
+// Serve implements suture.Service.
+func (v *peerView) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, viewInterval)
+		v.member.upstreams.expireLapsed()
+		v.check(ctx)
 	}
-	return list
+	return ctx.Err()
 }
 
-// Demand returns the demand of all daemons' callers for a pool. The root of a large site gets it
-// in reports; its other daemons estimate the rest from the average of the peers whose state they
-// receive.
-func (p *Peers) Demand(pool string) wire.MemberDemand {
-	if p.IsRoot() {
-		return p.aggregate.demand(pool)
-	}
-	sum := p.localDemand()[pool]
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var others wire.MemberDemand
-	for _, other := range p.peers {
-		if other.up {
-			others = others.Add(other.demands[pool])
-		}
-	}
-	sum.PrefillEngines += (1 + p.unreportedRatio()) * others.PrefillEngines
-	sum.DecodeEngines += (1 + p.unreportedRatio()) * others.DecodeEngines
-	return sum
-}
+// largeListSize is the number of upstreams above which a list is fetched from a peer only while
+// the store is down. A change in the store has some hundred bytes, a list of this size a hundred
+// kilobytes; with hundreds of daemons all fetching it from the first that has read it, changes
+// and recovery are slow.
+const largeListSize = 400
 
-// Rank returns the number of daemons that precede this one for tasks that one daemon does for
-// all. In a small site those are the serving ones with a lower address; in a large one, where
-// each daemon receives the state of a few only, those ranked before it as aggregators.
-func (p *Peers) Rank() int {
-	return p.rank(func(other *peer) bool { return other.Peers < p.self.Peers })
+// listSource says where to get the data that a peer has and this daemon lacks.
+type listSource struct {
+	// full fetches everything from the peer, config only the configuration.
+	full, config bool
+	// store reads the list from the store.
+	store bool
 }
 
-// DutyRank is Rank for duties that need a path to the upstreams: in a small site, daemons without
-// one come last.
-func (p *Peers) DutyRank() int {
-	lost := p.summary().PathLost
-	return p.rank(func(other *peer) bool {
-		if other.summary.PathLost != lost {
-			return lost
-		}
-		return other.Peers < p.self.Peers
-	})
+// chooseSource returns the cheapest source of a peer's newer data.
+func chooseSource(local, peer Summary, storeDown bool) listSource {
+	if peer.ListSize <= largeListSize || storeDown {
+		return listSource{full: true}
+	}
+	return listSource{config: peer.Config > local.Config, store: true}
 }
 
-// rank counts the serving daemons of a small site that precede this one.
-func (p *Peers) rank(precedes func(other *peer) bool) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.fullMesh {
-		return p.parent.rank()
+// check fetches data from a peer that has newer data, if there is one.
+func (v *peerView) check(ctx context.Context) {
+	m := v.member
+	local := m.summary()
+	peer, peerSummary := m.peers.Freshest(local)
+	if peer == "" {
+		return
 	}
-	rank := 0
-	for _, other := range p.peers {
-		if other.up && other.summary.Serving && precedes(other) {
-			rank++
-		}
+	source := chooseSource(local, peerSummary, m.readers[0].isDown())
+	if source.store {
+		m.readers[0].expedite()
 	}
-	return rank
-}
-
-// Serving returns the daemons that serve callers, as recently reported.
-func (p *Peers) Serving() []wire.MemberAddress {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var serving []wire.MemberAddress
-	for _, other := range p.peers {
-		if other.up && other.summary.Serving {
-			serving = append(serving, other.MemberAddress)
-		}
+	if source.full || source.config {
+		v.fetch(ctx, peer, wire.ViewRequest{ConfigOnly: !source.full})
 	}
-	return serving
 }
 
-// ReadsFirst reports whether this daemon reads the store for the others: the root of a large site,
-// or the first in rank of a small one.
-func (p *Peers) ReadsFirst() bool {
-	if p.isFullMesh() {
-		return p.Rank() == 0
+func (v *peerView) fetch(ctx context.Context, peer string, request wire.ViewRequest) {
+	m := v.member
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	sent := time.Now()
+	answer, err := wire.Request(ctx, m.wireConfig(), peer, request)
+	if err != nil {
+		m.peers.avoidView(peer)
+		m.log.Warn("request for a peer's view failed", "peer", peer, "err", err)
+		return
 	}
-	return p.IsRoot()
-}
-
-// askParent sends a request to the daemon that this one reports to, or to the first in rank of a
-// small site. The request is lost if there is no connection.
-func (p *Peers) askParent(m wire.ConfigProofRequest) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.fullMesh {
-		if p.parent.link != nil {
-			p.parent.link.Send(m)
-		}
+	reply, ok := answer.(wire.ViewReply)
+	if !ok {
 		return
 	}
-	if first := p.firstServing(); first != nil && first.link != nil {
-		first.link.Send(m)
+	if reply.Config != nil {
+		m.acceptFromPeer(peer, reply.Config)
 	}
-}
-
-// firstServing returns the serving peer with the lowest address, nil if there is none.
-func (p *Peers) firstServing() *peer {
-	var first *peer
-	for _, other := range p.peers {
-		if other.up && other.summary.Serving && (first == nil || other.Peers < first.Peers) {
-			first = other
-		}
+	if !request.ConfigOnly {
+		v.applyUpstreams(peer, reply, reply.Age+time.Since(sent))
 	}
-	return first
 }
 
-// askAny sends a request to a neighbour chosen at random.
-func (p *Peers) askAny(m wire.ConfigProofRequest) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, other := range p.peers { // the order of the iteration is random
-		if other.up && other.link != nil && !other.summary.KeysStale {
-			other.link.Send(m)
-			return
-		}
+// applyUpstreams replaces the list with the peer's if that was read later.
+func (v *peerView) applyUpstreams(peer string, reply wire.ViewReply, age time.Duration) {
+	m := v.member
+	m.readers[0].applying.Lock()
+	defer m.readers[0].applying.Unlock()
+	localAge := m.readers[0].age()
+	if Position(reply.Position) <= m.readers[0].position() || age >= localAge {
+		return
 	}
-}
-
-// Freshest returns the address and summary of the peer with the newest configuration, if newer
-// than the local one, or else of one with a different list of upstreams that was read later; ""
-// if there is none.
-func (p *Peers) Freshest(local Summary) (string, Summary) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	best, newest, minAge := "", local.Config, local.ListAge-minAgeGain
-	var summary Summary
-	for address, other := range p.peers {
-		if !other.givesView() {
-			continue
-		}
-		remote := other.summary
-		age := remote.ListAge + time.Since(other.lastUpdate)
-		newerList := remote.ListPosition > local.ListPosition && remote.ListDigest != local.ListDigest && age < minAge
-		if remote.Config > newest || (remote.Config == newest && newerList) {
-			best, newest, summary = address, remote.Config, remote
-			if newerList {
-				minAge = age
-			}
-		}
+	if !m.cfg.Store.Eras().Observe(Position(reply.Position).Era(), "another daemon") {
+		return
 	}
-	return best, summary
-}
-
-// KnownCount returns the number of daemons that are or recently were part of the system,
-// including this one.
-func (p *Peers) KnownCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return 1 + len(p.peers)
-}
-
-// MostKnown returns the largest number of daemons that were known at a time since the start, including
-// this one.
-func (p *Peers) MostKnown() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return 1 + p.mostKnown
-}
-
-// HasHeard reports whether another daemon was ever heard.
-func (p *Peers) HasHeard() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.heard
+	m.log.Info("upstreams taken from a peer", "peer", peer, "age_ms", age.Milliseconds(), "own_age_ms", localAge.Milliseconds())
+	at := Position(reply.Position)
+	newEra := at.Era() > m.readers[0].position().Era()
+	m.upstreams.resetFromPeer(entriesOf(reply.Upstreams), entriesOf(reply.Unconfirmed), newEra)
+	m.readers[0].adopt(at, age)
 }
 
-// HearsAll reports whether this daemon hears all neighbours, so that its messages should reach the
-// whole site.
-func (p *Peers) HearsAll() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, other := range p.peers {
-		if other.link != nil && !other.up {
-			return false
-		}
+func entriesOf(values map[string][]byte) []Entry {
+	entries := make([]Entry, 0, len(values))
+	for id, value := range values {
+		entries = append(entries, Entry{Key: id, Value: value})
 	}
-	return true
+	return entries
 }
