member: an expired position is read anew where daemons don't wait for changes

The reader is woken, also by each confirming read while it has no position. TestExpiredPositionOfAKeyedSite red before (10 s), green now.

--- a/internal/member/confirm.go
+++ b/internal/member/confirm.go
@@ -52,6 +52,9 @@
 func (r *topicReader) beginConfirm() (Position, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.positioned {
+		r.expedited = true // the newest entries have to be read first, by Serve
+	}
 	if !r.positioned || r.confirming >= maxConfirming {
 		return 0, false
 	}
@@ -82,4 +85,5 @@
 		r.backoff.recordFailure(start, time.Now())
 	}
 	r.restartRead()
+	r.expedite()
 }
