quarantine: a common part outlives crashes at once, and what an answer cleared stays cleared

Now two of the crashes must have ended trials; - what an answer cleared came back from others' repeated and late reports, as nothing remembered the answer. Now cleared crashes are remembered, in memory and in the fold, and the report of an answer names them (32 at most); - an answer after progress cleared nothing, so that six crashes over ten minutes quarantined a frequent request; - all daemons claimed the trial of a common part at once. Now each waits for a random time first.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -21,7 +21,7 @@
 	Check(d quarantine.Digest) (quarantine.Verdict, error)
 	MayRunOn(upstream string, d quarantine.Digest) bool
 	Isolate(ctx context.Context, upstream string, d quarantine.Digest) (*quarantine.Isolation, error)
-	RecordCrash(upstream, incarnation string, inFlight []quarantine.Digest) (persist func(context.Context) error)
+	RecordCrash(upstream, incarnation string, inFlight []quarantine.Digest, tried ...quarantine.Digest) (persist func(context.Context) error)
 	Completed(d quarantine.Digest)
 	Progressed(ctx context.Context, d quarantine.Digest) error
 	Answered(ctx context.Context, d quarantine.Digest) error
@@ -164,6 +164,8 @@
 	engine    Engine
 	request   quarantine.Digester
 	isolation *quarantine.Isolation
+	// tried are the digests of which this run is a trial.
+	tried []quarantine.Digest
 }
 
 // Begin records a request as in flight at an engine before anything is sent. A
@@ -179,14 +181,15 @@
 	if err != nil {
 		return nil, err
 	}
-	r := det.Track(Engine{ID: engine}, d)
+	r := det.Track(Engine{ID: engine}, d, d)
 	r.isolation = isolation
 	return r, nil
 }
 
-// Track records a request as in flight at an engine, without isolation.
-func (det *Detector) Track(engine Engine, request quarantine.Digester) *Run {
-	r := &Run{detector: det, engine: engine, request: request}
+// Track records a request as in flight at an engine, without isolation. tried are the digests of which
+// this is a trial: no other request of theirs runs.
+func (det *Detector) Track(engine Engine, request quarantine.Digester, tried ...quarantine.Digest) *Run {
+	r := &Run{detector: det, engine: engine, request: request, tried: tried}
 	det.mu.Lock()
 	defer det.mu.Unlock()
 	if det.running[engine] == nil {
@@ -300,12 +303,18 @@
 // crashCheck is a check in progress of whether one engine has crashed.
 type crashCheck struct {
 	requests map[quarantine.Digester]struct{}
+	tried    []quarantine.Digest
 	// probed is closed once a crash is recorded, or the first probe shows none; done when the
 	// check is over.
 	probed, done chan struct{}
 	probedOnce   sync.Once
 }
 
+func (c *crashCheck) add(r *Run) {
+	c.requests[r.request] = struct{}{}
+	c.tried = append(c.tried, r.tried...)
+}
+
 func (c *crashCheck) endProbe() { c.probedOnce.Do(func() { close(c.probed) }) }
 
 // check returns the check of the run's engine, and starts one if none is in progress. The suspects
@@ -319,11 +328,11 @@
 		c = &crashCheck{requests: map[quarantine.Digester]struct{}{}, probed: make(chan struct{}), done: make(chan struct{})}
 		det.checks[r.engine] = c
 		for other := range det.running[r.engine] {
-			c.requests[other.request] = struct{}{}
+			c.add(other)
 		}
 		det.tasks.Go(func() { det.runCheck(r.engine, c) })
 	}
-	c.requests[r.request] = struct{}{}
+	c.add(r)
 	return c
 }
 
@@ -341,7 +350,7 @@
 	if det.onCrash != nil {
 		det.onCrash(engine, suspects)
 	}
-	persist := det.quarantine.RecordCrash(engine.String(), engine.Incarnation, suspects)
+	persist := det.quarantine.RecordCrash(engine.String(), engine.Incarnation, suspects, c.tried...)
 	c.endProbe()
 	reported := make(chan struct{})
 	det.tasks.Go(func() {
--- a/internal/entry/answer/answer_test.go
+++ b/internal/entry/answer/answer_test.go
@@ -61,7 +61,7 @@
 
 func (noQuarantine) Completed(quarantine.Digest) {}
 
-func (noQuarantine) RecordCrash(string, string, []quarantine.Digest) func(context.Context) error {
+func (noQuarantine) RecordCrash(string, string, []quarantine.Digest, ...quarantine.Digest) func(context.Context) error {
 	return func(context.Context) error { return nil }
 }
 
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -20,7 +20,7 @@
 	// only one request may run at a time, if it is suspected.
 	CheckRequest(r *quarantine.Request) (suspect quarantine.Digest, suspected bool, err error)
 	crash.Claims
-	Track(engine crash.Engine, r quarantine.Digester) *crash.Run
+	Track(engine crash.Engine, r quarantine.Digester, tried ...quarantine.Digest) *crash.Run
 }
 
 // crashEngine returns the name by which an incarnation of an upstream is known to the crash
@@ -87,9 +87,14 @@
 
 // trackRun records that the request is about to be sent to an upstream.
 func (c *call) trackRun(u *fleet.Upstream) {
-	if c.relay.cfg.Crashes != nil {
-		c.inFlight = c.relay.cfg.Crashes.Track(crashEngine(u), &c.content)
+	if c.relay.cfg.Crashes == nil {
+		return
+	}
+	var tried []quarantine.Digest
+	if c.trial.claim != nil {
+		tried = append(tried, c.trial.digest)
 	}
+	c.inFlight = c.relay.cfg.Crashes.Track(crashEngine(u), &c.content, tried...)
 }
 
 // endRun ends the record of the attempt in progress, if it was sent. After a crash, the request is
--- a/internal/relay/trial.go
+++ b/internal/relay/trial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	maxTrialWait   = time.Second
 	// trialRecheck is how often a waiting suspect looks again: upstreams come back without a signal.
 	trialRecheck = 50 * time.Millisecond
+	// maxPartTrialDelay limits the random delay before a trial of a part of prompts, which requests at all
+	// daemons may wait for: one of them claims it, and an answer on its way may clear the part.
+	maxPartTrialDelay = 200 * time.Millisecond
 )
 
 // errSuspected stops an attempt whose request became a suspect after it was placed.
@@ -29,8 +33,9 @@
 	digest    quarantine.Digest
 	// claim is the reservation of the attempt in progress; nil if there is none.
 	claim *quarantine.Claim
-	// until is when the request no longer waits for its turn; zero until it first waits.
-	until time.Time
+	// until is when the request no longer waits for its turn; zero until it first waits. claimAt is when
+	// it may claim its turn; zero while another one has it.
+	until, claimAt time.Time
 	// avoid names the upstreams that the next attempt must not use.
 	avoid []string
 }
@@ -48,7 +53,7 @@
 		}
 		changed := c.relay.cfg.Crashes.Changed()
 		r := c.relay.cfg.Crashes.Reservations(c.trial.digest)
-		if !r.Running {
+		if c.trial.mayClaim(r.Running, time.Now()) {
 			var ok bool
 			if c.trial.avoid, ok = trialRoom(c.relay.cfg.Tracker.Usable(c.pool), r); ok {
 				return nil
@@ -60,6 +65,20 @@
 	}
 }
 
+// mayClaim reports whether the request may claim its turn now, as no other one has it.
+func (t *trial) mayClaim(running bool, now time.Time) bool {
+	switch {
+	case running:
+		t.claimAt = time.Time{}
+		return false
+	case !t.digest.IsPart():
+		return true
+	case t.claimAt.IsZero():
+		t.claimAt = now.Add(rand.N(maxPartTrialDelay))
+	}
+	return !now.Before(t.claimAt)
+}
+
 // waitForTrial waits until the request may have its turn.
 func (c *call) waitForTrial(ctx context.Context, changed <-chan struct{}) *failure {
 	if c.trial.until.IsZero() {
@@ -69,6 +88,9 @@
 	if left <= 0 {
 		return c.fail(reasonSuspected, "the request was in flight when an upstream crashed, and waits for its turn")
 	}
+	if untilClaim := time.Until(c.trial.claimAt); untilClaim > 0 {
+		left = min(left, untilClaim)
+	}
 	timer := time.NewTimer(min(left, trialRecheck))
 	defer timer.Stop()
 	select {
@@ -107,6 +129,7 @@
 		upstreams = append(upstreams, p.prefill.ID)
 	}
 	claim, err := c.relay.cfg.Crashes.Claim(ctx, c.trial.digest, time.Until(c.deadline), upstreams...)
+	c.trial.claimAt = time.Time{}
 	if err != nil {
 		p.release()
 		return false
--- a/internal/relay/trial_test.go
+++ b/internal/relay/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -33,3 +34,25 @@
 		})
 	}
 }
+
+// Guards against claims by all daemons at once for a part that requests at all of them wait for.
+func TestTrialsOfPartsAreSpread(t *testing.T) {
+	now := time.Now()
+	part := trial{digest: quarantine.PartDigest("m", 7)}
+	claims := 0
+	for range 200 {
+		next := part
+		if next.mayClaim(false, now.Add(maxPartTrialDelay/20)) {
+			claims++
+		}
+		if next.mayClaim(false, now.Add(maxPartTrialDelay/10)) {
+			claims++
+		}
+		require.True(t, next.mayClaim(false, now.Add(2*maxPartTrialDelay)), "it has its turn")
+		require.False(t, next.mayClaim(true, now.Add(2*maxPartTrialDelay)), "another one has it")
+		require.False(t, next.claimAt.After(now), "its delay is drawn anew")
+	}
+	require.Less(t, claims, 100)
+	whole := trial{digest: quarantine.Digest{A: 1, B: 2}}
+	require.True(t, whole.mayClaim(false, now), "few wait for a whole request")
+}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,8 +96,8 @@
 	for _, d := range g.state.touched {
 		g.confirm(d, g.state.crashed)
 	}
-	for _, d := range g.state.cleared {
-		g.forgetSuspect(d)
+	for _, c := range g.state.cleared {
+		g.forgetSuspect(c.Digest, c.Crashes)
 	}
 	for _, d := range g.state.freed {
 		delete(g.unconfirmed, d)
@@ -150,18 +151,19 @@
 
 // RecordCrash is Crashed but for the journal: it is known here and passed on to other processes when
 // it returns. The returned function writes it to the journal.
-func (g *Guard) RecordCrash(upstream, incarnation string, inFlight []Digest) func(context.Context) error {
+// tried are those in flight in trials.
+func (g *Guard) RecordCrash(upstream, incarnation string, inFlight []Digest, tried ...Digest) func(context.Context) error {
 	if len(inFlight) == 0 {
 		return func(context.Context) error { return nil }
 	}
-	return g.reportCrash(g.recordCrash(upstream, incarnation, inFlight))
+	return g.reportCrash(g.recordCrash(upstream, incarnation, inFlight, tried))
 }
 
-func (g *Guard) recordCrash(upstream, incarnation string, inFlight []Digest) *Crash {
+func (g *Guard) recordCrash(upstream, incarnation string, inFlight, tried []Digest) *Crash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	defer g.changed()
-	c := &Crash{Upstream: upstream, Incarnation: incarnation}
+	c := &Crash{Upstream: upstream, Incarnation: incarnation, Tried: tried}
 	delete(g.local, upstream)
 	for _, d := range inFlight {
 		if g.completedRecently(d) {
@@ -169,7 +171,7 @@
 			continue
 		}
 		c.Suspects = append(c.Suspects, d)
-		g.addUnconfirmed(d, unconfirmedCrash{upstream, incarnation}, 0)
+		g.addUnconfirmed(d, crashID{upstream, incarnation}, slices.Contains(tried, d), 0)
 	}
 	return c
 }
--- a/quarantine/known.go
+++ b/quarantine/known.go
@@ -49,13 +49,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	built := &index{heads: make(map[uint64]struct{}, len(g.state.suspects)+len(g.unconfirmed))}
-	for d := range g.state.suspects {
-		built.heads[d.A] = struct{}{}
+	for d, x := range g.state.suspects {
+		if len(x.crashes) > 0 {
+			built.heads[d.A] = struct{}{}
+		}
 	}
-	for d := range g.unconfirmed {
-		built.heads[d.A] = struct{}{}
+	for d, u := range g.unconfirmed {
+		if len(u.crashes) > 0 {
+			built.heads[d.A] = struct{}{}
+		}
 	}
-	built.fingerprint = fingerprintOf(g.worthKnowing())
+	built.fingerprint = g.fingerprintOf(g.worthKnowing())
 	g.index.Store(built)
 	return built
 }
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -31,10 +31,14 @@
 	// response recently and are unlikely to be the cause.
 	Suspects []Digest `msgpack:"s"`
 	Doubtful []Digest `msgpack:"d"`
+	// Tried are those of Suspects of which this was a trial: no other request of theirs was running.
+	Tried []Digest `msgpack:"t,omitempty"`
 	// Age is the time since the crash if the report is a repetition; 0 in the journal.
 	Age time.Duration `msgpack:"a,omitempty"`
 }
 
+func (c *Crash) id() crashID { return crashID{c.Upstream, c.Incarnation} }
+
 // isolate requests an upstream on which no other suspect runs.
 type isolate struct {
 	Digest   Digest `msgpack:"d"`
@@ -52,6 +56,26 @@
 // completed reports that a suspect got a complete response.
 type completed struct {
 	Digest Digest `msgpack:"d"`
+	// Crashes are those that the writer knew of. Reports of them may be read later.
+	Crashes []crashID `msgpack:"c,omitempty"`
+}
+
+// crashID identifies a crash, for certain if the incarnation is known.
+type crashID struct {
+	Upstream    string `msgpack:"u"`
+	Incarnation string `msgpack:"n"`
+}
+
+// sameAs reports whether two reports tell of the same crash. Where either lacks the incarnation, it depends
+// on whether they are close in time.
+func (c crashID) sameAs(o crashID, closeInTime bool) bool {
+	if c.Upstream != o.Upstream {
+		return false
+	}
+	if c.Incarnation == "" || o.Incarnation == "" {
+		return closeInTime
+	}
+	return c.Incarnation == o.Incarnation
 }
 
 // Release is an operator's decision that a digest may run again.
@@ -82,8 +106,12 @@
 	Upstream    string    `msgpack:"u"`
 	Incarnation string    `msgpack:"n"`
 	At          time.Time `msgpack:"t"`
+	// Tried says that it ended a trial of the digest.
+	Tried bool `msgpack:"r,omitempty"`
 }
 
+func (c *crash) id() crashID { return crashID{c.Upstream, c.Incarnation} }
+
 // entryOf encodes a message. Encoding can't fail for these types.
 func entryOf(kind journal.Kind, id, writer string, m message) journal.Entry {
 	body, err := msgpack.Marshal(m)
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -45,10 +45,10 @@
 	switch {
 	case m.Crash != nil:
 		for _, d := range m.Crash.Suspects {
-			g.addUnconfirmed(d, unconfirmedCrash{m.Crash.Upstream, m.Crash.Incarnation}, m.Crash.Age)
+			g.addUnconfirmed(d, m.Crash.id(), slices.Contains(m.Crash.Tried, d), m.Crash.Age)
 		}
 	case m.Completed != nil:
-		g.forgetSuspect(m.Completed.Digest)
+		g.forgetSuspect(m.Completed.Digest, m.Completed.Crashes)
 	case m.IsolationEnd != nil && m.IsolationEnd.Passed:
 		g.markProgress(m.IsolationEnd.Digest)
 	case m.Release != nil:
@@ -118,23 +118,25 @@
 func (g *Guard) likely(digests []Digest) []journal.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	byCrash := map[unconfirmedCrash][]Digest{}
+	byCrash := map[crashID][]Digest{}
 	for _, d := range digests {
 		known := g.unconfirmed[d]
 		if known == nil || len(known.sinceProgress())+g.state.crashesOf(d) < g.worthJournaling(d) {
 			continue
 		}
 		for _, c := range known.sinceProgress() {
-			if !g.state.hasCrash(d, c) {
-				byCrash[c] = append(byCrash[c], d)
+			journaled := g.state.hasCrash(d, c.crashID, g.closeTo(c.at, false))
+			if !journaled || slices.Contains(known.tried, c.crashID) && !g.state.hasTrial(d, c.crashID) {
+				byCrash[c.crashID] = append(byCrash[c.crashID], d)
 			}
 		}
 	}
 	var all []journal.Entry
 	for c, suspects := range byCrash {
 		// Processes that report the same write the same ID, so that it counts once.
-		id := fmt.Sprintf("quarantine/crash/%s/%x", c.upstream, fingerprintOfDigests(suspects))
-		all = append(all, entryOf(g.kind, id, g.writer, message{Crash: &Crash{Upstream: c.upstream, Incarnation: c.incarnation, Suspects: suspects}}))
+		tried := g.triedOf(suspects, c)
+		id := fmt.Sprintf("quarantine/crash/%s/%x/%x", c.Upstream, fingerprintOfDigests(suspects), fingerprintOfDigests(tried))
+		all = append(all, entryOf(g.kind, id, g.writer, message{Crash: &Crash{Upstream: c.Upstream, Incarnation: c.Incarnation, Suspects: suspects, Tried: tried}}))
 	}
 	return all
 }
@@ -172,19 +174,24 @@
 	var all []journal.Entry
 	for d, crashes := range g.worthKnowing() {
 		for c := range crashes {
-			m := message{Crash: &Crash{Upstream: c.upstream, Incarnation: c.incarnation, Suspects: []Digest{d}, Age: g.age(d)}}
+			m := message{Crash: &Crash{
+				Upstream: c.Upstream, Incarnation: c.Incarnation, Suspects: []Digest{d}, Tried: g.triedOf([]Digest{d}, c), Age: g.age(d),
+			}}
 			all = append(all, entryOf(g.kind, uuid.NewString(), g.writer, m))
 		}
 	}
 	return all
 }
 
-// fingerprintOf combines crashes in a way that doesn't depend on their order.
-func fingerprintOf(known map[Digest]map[unconfirmedCrash]struct{}) uint64 {
+// fingerprintOf combines crashes in a way that doesn't depend on their order. The caller holds g.mu.
+func (g *Guard) fingerprintOf(known map[Digest]map[crashID]struct{}) uint64 {
 	sum := uint64(0)
 	for d, crashes := range known {
 		for c := range crashes {
-			sum ^= xxhash.Sum64String(d.String() + c.upstream)
+			sum ^= xxhash.Sum64String(d.String() + c.Upstream)
+			if g.hasTried(d, c) {
+				sum ^= xxhash.Sum64String(d.String() + c.Upstream + " tried")
+			}
 		}
 	}
 	return sum
@@ -192,8 +199,8 @@
 
 // worthKnowing returns the counted crashes of the digests that are more than one of many that were
 // in flight at a crash.
-func (g *Guard) worthKnowing() map[Digest]map[unconfirmedCrash]struct{} {
-	all := map[Digest]map[unconfirmedCrash]struct{}{}
+func (g *Guard) worthKnowing() map[Digest]map[crashID]struct{} {
+	all := map[Digest]map[crashID]struct{}{}
 	for d := range g.state.suspects {
 		g.addWorthKnowing(all, d)
 	}
@@ -203,19 +210,19 @@
 	return all
 }
 
-func (g *Guard) addWorthKnowing(all map[Digest]map[unconfirmedCrash]struct{}, d Digest) {
+func (g *Guard) addWorthKnowing(all map[Digest]map[crashID]struct{}, d Digest) {
 	if all[d] != nil || g.verdict(d).Strikes == 0 {
 		return
 	}
-	crashes := map[unconfirmedCrash]struct{}{}
+	crashes := map[crashID]struct{}{}
 	if x := g.state.suspects[d]; x != nil {
 		for _, c := range x.counted() {
-			crashes[unconfirmedCrash{c.Upstream, c.Incarnation}] = struct{}{}
+			crashes[c.id()] = struct{}{}
 		}
 	}
 	if known := g.unconfirmed[d]; known != nil {
 		for _, c := range known.sinceProgress() {
-			crashes[c] = struct{}{}
+			crashes[c.crashID] = struct{}{}
 		}
 	}
 	if len(crashes) >= worthKeeping {
@@ -232,38 +239,62 @@
 	return g.state.cfg.SuspectFor - g.verdict(d).Remaining + maxTransit
 }
 
-// forgetSuspect drops the unconfirmed crashes of a digest that got a complete response. A quarantined
-// digest stays: the response is one of a run that began before.
-func (g *Guard) forgetSuspect(d Digest) {
-	if g.verdict(d).Status != Quarantined {
-		delete(g.unconfirmed, d)
+// forgetSuspect clears the unconfirmed crashes of a digest that got a complete response, and those that the
+// process knew of that reports it. A quarantined digest stays: the response is one of a run that began before.
+func (g *Guard) forgetSuspect(d Digest, others []crashID) {
+	if g.verdict(d).Status == Quarantined || g.unconfirmed[d] == nil && len(others) == 0 {
+		return
 	}
+	known := g.unconfirmedOf(d)
+	known.clear(others, g.now())
+	known.until = g.now().Add(g.state.cfg.SuspectFor)
+}
+
+// knownCrashes returns the crashes of a digest since its last answer. The caller holds g.mu.
+func (g *Guard) knownCrashes(d Digest) []crashID {
+	var all []crashID
+	if x := g.state.suspects[d]; x != nil {
+		for _, c := range x.crashes {
+			all = append(all, c.id())
+		}
+	}
+	if known := g.unconfirmed[d]; known != nil {
+		for _, c := range known.crashes {
+			all = append(all, c.crashID)
+		}
+	}
+	return all[max(0, len(all)-maxNamed):]
 }
 
 // Progressed reports that a run of a suspect came further than the one that made it a suspect. The
 // report is in the journal when it returns, or will be retried by Serve.
 func (g *Guard) Progressed(ctx context.Context, d Digest) error {
-	return g.exonerate(ctx, d, g.markProgress, message{IsolationEnd: &isolationEnd{Digest: d, Passed: true}})
+	return g.exonerate(ctx, d, func(v Verdict) (message, bool) {
+		if v.Strikes == 0 {
+			return message{}, false
+		}
+		g.markProgress(d)
+		return message{IsolationEnd: &isolationEnd{Digest: d, Passed: true}}, true
+	})
 }
 
-// Answered reports that a suspect that isn't isolated got a complete response.
+// Answered reports that a suspect that isn't isolated got a complete response. It clears all its crashes,
+// those before its last progress too.
 func (g *Guard) Answered(ctx context.Context, d Digest) error {
-	return g.exonerate(ctx, d, g.forgetSuspect, message{Completed: &completed{d}})
+	return g.exonerate(ctx, d, func(Verdict) (message, bool) {
+		crashes := g.knownCrashes(d)
+		if len(crashes) == 0 {
+			return message{}, false
+		}
+		g.forgetSuspect(d, crashes)
+		return message{Completed: &completed{d, crashes}}, true
+	})
 }
 
-// exonerate clears a suspect here and reports that. Digests that aren't suspected need no report.
-func (g *Guard) exonerate(ctx context.Context, d Digest, forgive func(Digest), m message) error {
-	g.mu.Lock()
-	v := g.verdict(d)
-	suspected := v.Status != Quarantined && v.Strikes > 0
-	// Another process may have written the crashes of a part that this one hasn't read yet.
-	journaled := g.state.crashesOf(d) > 0 || d.IsPart() && v.Strikes >= worthKeeping
-	if suspected {
-		forgive(d)
-		g.changed()
-	}
-	g.mu.Unlock()
-	if !suspected {
+// exonerate clears a suspect here and reports that. forgive returns the report, and whether there is one.
+func (g *Guard) exonerate(ctx context.Context, d Digest, forgive func(Verdict) (message, bool)) error {
+	m, journaled, ok := g.forgive(d, forgive)
+	if !ok {
 		return nil
 	}
 	e := entryOf(g.kind, uuid.NewString(), g.writer, m)
@@ -272,3 +303,20 @@
 	}
 	return g.persist(ctx, e)
 }
+
+// forgive is exonerate but for the report. journaled says that the journal may have crashes of the digest.
+func (g *Guard) forgive(d Digest, forgive func(Verdict) (message, bool)) (m message, journaled, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.verdict(d)
+	if v.Status == Quarantined {
+		return m, false, false
+	}
+	// Another process may have written the crashes of a part that this one hasn't read yet.
+	journaled = g.state.crashesOf(d) > 0 || d.IsPart() && v.Strikes >= worthKeeping
+	m, ok = forgive(v)
+	if ok {
+		g.changed()
+	}
+	return m, journaled, ok
+}
--- a/quarantine/report_test.go
+++ b/quarantine/report_test.go
@@ -296,6 +296,6 @@
 	for i := range 3 {
 		s.crash(0, fmt.Sprint("u", i), lethal)
 	}
-	s.guards[1].Hear(entryOf(journal.KindQuarantine, "late", "p9", message{Completed: &completed{lethal}}))
+	s.guards[1].Hear(entryOf(journal.KindQuarantine, "late", "p9", message{Completed: &completed{Digest: lethal}}))
 	require.Equal(t, Quarantined, s.statusAt(1, lethal))
 }
--- a/quarantine/restore.go
+++ b/quarantine/restore.go
@@ -15,26 +15,29 @@
 func (g *Guard) Restored() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	byUpstream := map[unconfirmedCrash][]Digest{}
+	byUpstream, tried := map[crashID][]Digest{}, map[crashID][]Digest{}
 	var kept []keptCrash
 	for d, x := range g.state.suspects {
 		for _, c := range x.counted() {
-			crash := unconfirmedCrash{c.Upstream, c.Incarnation}
+			crash := c.id()
 			byUpstream[crash] = append(byUpstream[crash], d)
-			kept = append(kept, keptCrash{d, crash, g.age(d)})
+			kept = append(kept, keptCrash{d, crash, c.Tried, g.age(d)})
+			if c.Tried {
+				tried[crash] = append(tried[crash], d)
+			}
 		}
 	}
 	releases := g.state.released
 	g.state = NewState(g.state.cfg)
 	for _, k := range kept {
-		g.addUnconfirmed(k.digest, k.crash, k.age)
+		g.addUnconfirmed(k.digest, k.crash, k.tried, k.age)
 	}
 	g.changed()
 	if !g.writesCheckpoints() {
 		return
 	}
 	for c, digests := range byUpstream {
-		g.enqueueLocked(message{Crash: &Crash{Upstream: c.upstream, Incarnation: c.incarnation, Suspects: digests}})
+		g.enqueueLocked(message{Crash: &Crash{Upstream: c.Upstream, Incarnation: c.Incarnation, Suspects: digests, Tried: tried[c]}})
 	}
 	for _, r := range releases { // after the crashes, which they undo
 		release := r.release
@@ -45,7 +48,8 @@
 // keptCrash is a crash that stays known across a restore.
 type keptCrash struct {
 	digest Digest
-	crash  unconfirmedCrash
+	crash  crashID
+	tried  bool
 	age    time.Duration
 }
 
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -29,8 +30,9 @@
 	MaxStrikes, MaxCrashes int
 	// PartTrialStrikes is the number of strikes from which requests with a part of prompts run one at a
 	// time: a part that many requests have is in flight at most crashes, and soon answered.
-	// MaxPartStrikes is that from which they are refused.
-	PartTrialStrikes, MaxPartStrikes int
+	// MaxPartStrikes is that from which they are refused, if at least MinPartTrials of the crashes ended
+	// trials: many upstreams may crash of another cause before the next answer.
+	PartTrialStrikes, MaxPartStrikes, MinPartTrials int
 }
 
 // DefaultConfig returns the settings of processes that isolate suspects.
@@ -46,6 +48,7 @@
 		MaxCrashes:       3,
 		PartTrialStrikes: 3,
 		MaxPartStrikes:   6,
+		MinPartTrials:    2,
 	}
 }
 
@@ -60,8 +63,10 @@
 
 // suspect is the state of a digest.
 type suspect struct {
-	digest      Digest
-	crashes     []crash
+	digest  Digest
+	crashes []crash
+	// cleared are crashes before an answer. They don't count, whoever reports them again.
+	cleared     []crash
 	strikes     int
 	lastStrike  string // upstream of the last strike
 	quarantined time.Time
@@ -84,7 +89,7 @@
 type released struct {
 	release Release
 	// crashes are those that it has undone.
-	crashes  []unconfirmedCrash
+	crashes  []crashID
 	position journal.Position
 	at       time.Time
 	written  time.Time
@@ -101,9 +106,9 @@
 	// report; crashed is the upstream of the last crash report.
 	touched []Digest
 	crashed string
-	// cleared are the digests that the entry folded last shows to be harmless, freed those that it
-	// releases.
-	cleared, freed []Digest
+	// cleared is what the entry folded last shows to be harmless, freed the digests that it releases.
+	cleared []completed
+	freed   []Digest
 	// entered are the quarantines that began with the entry folded last.
 	entered []Entered
 	logNow  time.Time
@@ -141,7 +146,7 @@
 	case m.IsolationEnd != nil:
 		s.applyIsolationEnd(m.IsolationEnd, p)
 	case m.Completed != nil:
-		s.applyCompleted(m.Completed)
+		s.applyCompleted(m.Completed, p)
 	case m.Release != nil:
 		s.applyRelease(m.Release, p)
 	case m.Checkpoint != nil:
@@ -172,24 +177,41 @@
 	}
 	x.basis = p.Position
 	x.written = p.At
-	if s.alreadyCounted(x, c, p.At) {
+	tried := slices.Contains(c.Tried, d)
+	isClose := func(at time.Time) bool { return p.At.Sub(at) < s.cfg.CrashDedupWindow }
+	if findCrash(x.cleared, c.id(), isClose) != nil {
 		return
 	}
-	x.crashes = append(x.crashes, crash{c.Upstream, c.Incarnation, p.At})
-	x.last = p.At
-	if counts && x.lastStrike != c.Upstream {
-		x.strikes++
-		x.lastStrike = c.Upstream
+	if known := findCrash(x.crashes, c.id(), isClose); known != nil {
+		known.Tried = known.Tried || tried // another process has reported the trial
+	} else {
+		x.crashes = append(x.crashes, crash{c.Upstream, c.Incarnation, p.At, tried})
+		x.last = p.At
+		if counts && x.lastStrike != c.Upstream {
+			x.strikes++
+			x.lastStrike = c.Upstream
+		}
 	}
-	if x.quarantined.IsZero() && s.exceedsLimits(d, x.strikes, len(x.crashes)) {
+	if x.quarantined.IsZero() && s.exceedsLimits(d, x.strikes, len(x.crashes), x.trials()) {
 		x.quarantined = p.At
 		s.entered = append(s.entered, x.entered(p))
 	}
 }
 
-func (s *State) exceedsLimits(d Digest, strikes, crashes int) bool {
+// trials returns how many of the crashes ended trials.
+func (x *suspect) trials() int {
+	n := 0
+	for _, c := range x.crashes {
+		if c.Tried {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) exceedsLimits(d Digest, strikes, crashes, trials int) bool {
 	if d.IsPart() {
-		return strikes >= s.cfg.MaxPartStrikes
+		return strikes >= s.cfg.MaxPartStrikes && trials >= s.cfg.MinPartTrials
 	}
 	return strikes >= s.cfg.MaxStrikes || crashes >= s.cfg.MaxCrashes
 }
@@ -202,24 +224,19 @@
 	return Suspected
 }
 
-// alreadyCounted reports whether a crash was already counted against a digest:
-// several instances observe the same crash, and each reports it.
-func (s *State) alreadyCounted(x *suspect, c *Crash, at time.Time) bool {
-	for _, have := range x.crashes {
-		if have.Upstream != c.Upstream {
-			continue
-		}
-		if have.Incarnation != "" && have.Incarnation == c.Incarnation {
-			return true
-		}
-		oneUnknown := have.Incarnation == "" || c.Incarnation == ""
-		if oneUnknown && at.Sub(have.At) < s.cfg.CrashDedupWindow {
-			return true
+// findCrash returns the one of the crashes that is reported again, nil if none is: several instances observe
+// the same crash, and each reports it. isClose judges the crashes' times.
+func findCrash(crashes []crash, c crashID, isClose func(time.Time) bool) *crash {
+	for i := range crashes {
+		if crashes[i].id().sameAs(c, isClose(crashes[i].At)) {
+			return &crashes[i]
 		}
 	}
-	return false
+	return nil
 }
 
+func atAnyTime(time.Time) bool { return true }
+
 // applyIsolate reserves an upstream for a suspect, unless another suspect has it
 // or this one has another upstream: two concurrent runs could crash two upstreams.
 func (s *State) applyIsolate(i *isolate) {
@@ -250,18 +267,41 @@
 
 // applyCompleted clears a suspect that got a complete response. A quarantined digest stays: the
 // response is one of a run that began before.
-func (s *State) applyCompleted(c *completed) {
-	s.cleared = append(s.cleared, c.Digest)
-	if x := s.suspects[c.Digest]; x != nil && x.quarantined.IsZero() {
-		delete(s.suspects, c.Digest)
+func (s *State) applyCompleted(c *completed, p journal.LogEntry) {
+	s.cleared = append(s.cleared, *c)
+	x := s.suspects[c.Digest]
+	if x == nil {
+		if len(c.Crashes) == 0 {
+			return
+		}
+		x = &suspect{digest: c.Digest}
+		s.suspects[c.Digest] = x
+	}
+	if !x.quarantined.IsZero() {
+		return
+	}
+	x.clear(c.Crashes, p.At)
+	x.basis, x.written, x.last = p.Position, p.At, p.At
+	s.evict()
+}
+
+// clear forgets the crashes, and those that the process knew of that reports the answer.
+func (x *suspect) clear(others []crashID, at time.Time) {
+	cleared := slices.Concat(x.cleared, x.crashes)
+	for _, c := range others[:min(len(others), maxNamed)] {
+		if findCrash(cleared, c, atAnyTime) == nil {
+			cleared = append(cleared, crash{c.Upstream, c.Incarnation, at, false})
+		}
 	}
+	x.cleared = cleared[max(0, len(cleared)-maxCleared):]
+	x.crashes, x.strikes, x.lastStrike = nil, 0, ""
 }
 
 func (s *State) applyRelease(r *Release, p journal.LogEntry) {
 	mark := released{release: *r, crashes: s.released[r.Digest].crashes, position: r.Basis, at: r.At, written: p.At}
 	if x := s.suspects[r.Digest]; x != nil {
 		for _, c := range x.crashes {
-			mark.crashes = append(mark.crashes, unconfirmedCrash{c.Upstream, c.Incarnation})
+			mark.crashes = append(mark.crashes, c.id())
 		}
 	}
 	if r.Basis.IsZero() {
--- a/quarantine/unconfirmed.go
+++ b/quarantine/unconfirmed.go
@@ -9,22 +9,55 @@
 // unconfirmedCrashes are the crashes of one digest that this process observed, or that another one
 // told it of, and that it hasn't read from the journal yet.
 type unconfirmedCrashes struct {
-	// crashes are in the order in which they became known, without consecutive duplicates.
-	crashes []unconfirmedCrash
+	// crashes are in the order in which they became known.
+	crashes []heardCrash
+	// cleared are crashes before an answer. They don't count, whoever reports them again.
+	cleared []heardCrash
+	// tried are those of the crashes that ended trials.
+	tried []crashID
 	// passed is the number of crashes before the digest's last progress. They give no strikes.
 	passed int
 	until  time.Time
 }
 
-type unconfirmedCrash struct{ upstream, incarnation string }
+// maxCleared bounds the cleared crashes that are remembered of one digest, maxNamed those that the report of an
+// answer names.
+const (
+	maxCleared = 64
+	maxNamed   = maxCleared / 2
+)
+
+// heardCrash is a crash and the local time at which it became known.
+type heardCrash struct {
+	crashID
+	at time.Time
+}
 
-// addUnconfirmed adds a crash of some time ago. Beyond MaxDigests, the digests with the fewest
-// crashes make room.
-func (g *Guard) addUnconfirmed(d Digest, c unconfirmedCrash, age time.Duration) {
+// addUnconfirmed adds a crash of some time ago, which has ended a trial of the digest or not. Beyond
+// MaxDigests, the digests with the fewest crashes make room.
+func (g *Guard) addUnconfirmed(d Digest, c crashID, tried bool, age time.Duration) {
 	until := g.now().Add(g.state.cfg.SuspectFor - age)
-	if !until.After(g.now()) || g.state.hasCrash(d, c) || g.state.freedFrom(d, c) {
+	if !until.After(g.now()) || g.state.freedFrom(d, c) || g.isCleared(d, c, age != 0) {
+		return
+	}
+	if g.state.hasCrash(d, c, g.closeTo(g.now(), age != 0)) && (!tried || g.state.hasTrial(d, c)) {
+		return
+	}
+	known := g.unconfirmedOf(d)
+	if tried && !slices.Contains(known.tried, c) {
+		known.tried = append(known.tried, c)
+	}
+	if hasHeard(known.crashes, c, g.closeTo(g.now(), age != 0)) {
 		return
 	}
+	known.crashes = append(known.crashes, heardCrash{c, g.now()})
+	if until.After(known.until) {
+		known.until = until
+	}
+}
+
+// unconfirmedOf returns the unconfirmed crashes of a digest to add to.
+func (g *Guard) unconfirmedOf(d Digest) *unconfirmedCrashes {
 	known := g.unconfirmed[d]
 	if known == nil {
 		if len(g.unconfirmed) >= g.state.cfg.MaxDigests {
@@ -33,23 +66,36 @@
 		known = &unconfirmedCrashes{}
 		g.unconfirmed[d] = known
 	}
-	if known.has(c) {
-		return
-	}
-	known.crashes = append(known.crashes, c)
-	if until.After(known.until) {
-		known.until = until
-	}
+	return known
+}
+
+// closeTo returns a function that reports whether a crash that became known at another time may be the same:
+// it is if a repetition tells of it.
+func (g *Guard) closeTo(at time.Time, repeated bool) func(time.Time) bool {
+	return func(other time.Time) bool { return repeated || at.Sub(other).Abs() < g.state.cfg.CrashDedupWindow }
+}
+
+func hasHeard(crashes []heardCrash, c crashID, isClose func(time.Time) bool) bool {
+	return slices.ContainsFunc(crashes, func(have heardCrash) bool { return have.sameAs(c, isClose(have.at)) })
+}
+
+// isCleared reports whether an answer has cleared a crash of a digest.
+func (g *Guard) isCleared(d Digest, c crashID, repeated bool) bool {
+	isClose := g.closeTo(g.now(), repeated)
+	known := g.unconfirmed[d]
+	return g.state.hasCleared(d, c, isClose) || known != nil && hasHeard(known.cleared, c, isClose)
 }
 
-// has reports whether a crash is known. Without an incarnation, an upstream that crashes again
-// after another one has crashed anew.
-func (u *unconfirmedCrashes) has(c unconfirmedCrash) bool {
-	if c.incarnation != "" {
-		return slices.Contains(u.crashes, c)
+// clear forgets the crashes, and those that another process has cleared.
+func (u *unconfirmedCrashes) clear(others []crashID, now time.Time) {
+	cleared := slices.Concat(u.cleared, u.crashes)
+	for _, c := range others[:min(len(others), maxNamed)] {
+		if !hasHeard(cleared, c, atAnyTime) {
+			cleared = append(cleared, heardCrash{c, now})
+		}
 	}
-	n := len(u.crashes)
-	return n > 0 && u.crashes[n-1] == c
+	u.cleared = cleared[max(0, len(cleared)-maxCleared):]
+	u.crashes, u.tried, u.passed = nil, nil, 0
 }
 
 // evictUnconfirmed drops what has expired and, if that isn't enough, the digests with the fewest
@@ -63,7 +109,7 @@
 }
 
 // sinceProgress returns the crashes since the digest's last progress.
-func (u *unconfirmedCrashes) sinceProgress() []unconfirmedCrash { return u.crashes[u.passed:] }
+func (u *unconfirmedCrashes) sinceProgress() []heardCrash { return u.crashes[u.passed:] }
 
 // markProgress records that a digest came further than when it was in flight at the known crashes.
 func (g *Guard) markProgress(d Digest) {
@@ -79,15 +125,16 @@
 		return
 	}
 	for i := len(known.crashes) - 1; i >= 0; i-- {
-		if known.crashes[i].upstream != upstream {
-			continue
+		c := known.crashes[i]
+		if c.Upstream != upstream || slices.Contains(known.tried, c.crashID) && !g.state.hasTrial(d, c.crashID) {
+			continue // the journal lacks that it ended a trial
 		}
 		known.crashes = slices.Delete(known.crashes, i, i+1)
 		if i < known.passed {
 			known.passed--
 		}
 	}
-	if len(known.crashes) == 0 {
+	if len(known.crashes) == 0 && len(known.cleared) == 0 {
 		delete(g.unconfirmed, d)
 	}
 }
@@ -108,23 +155,23 @@
 		return v
 	}
 	strikes, last := g.state.strikesOf(d, v)
-	total := len(v.Upstreams)
+	total, trials := len(v.Upstreams), g.trialsOf(d)
 	for i, c := range known.crashes {
-		if g.state.hasCrash(d, c) {
+		if g.state.hasCrash(d, c.crashID, g.closeTo(c.at, false)) {
 			continue // the journal has it by another process's report
 		}
 		total++
-		if i >= known.passed && c.upstream != last {
+		if i >= known.passed && c.Upstream != last {
 			strikes++
-			last = c.upstream
+			last = c.Upstream
 		}
-		if !slices.Contains(v.Upstreams, c.upstream) {
-			v.Upstreams = append(v.Upstreams, c.upstream)
+		if !slices.Contains(v.Upstreams, c.Upstream) {
+			v.Upstreams = append(v.Upstreams, c.Upstream)
 		}
 	}
 	v.Strikes = strikes
 	switch {
-	case g.state.exceedsLimits(d, strikes, total):
+	case g.state.exceedsLimits(d, strikes, total, trials):
 		v.Status, v.Remaining = Quarantined, left
 	case strikes > 0:
 		v.Status, v.Remaining = g.state.statusOf(d, strikes), max(v.Remaining, left)
@@ -132,21 +179,62 @@
 	return v
 }
 
-// hasCrash reports whether the journal counts a crash of a known incarnation against a digest.
-func (s *State) hasCrash(d Digest, c unconfirmedCrash) bool {
+// hasCrash reports whether the journal counts a crash against a digest. isClose judges local times.
+func (s *State) hasCrash(d Digest, c crashID, isClose func(time.Time) bool) bool {
 	x := s.suspects[d]
-	if x == nil || c.incarnation == "" {
-		return false
-	}
-	return slices.ContainsFunc(x.crashes, func(have crash) bool {
-		return have.Upstream == c.upstream && have.Incarnation == c.incarnation
+	return x != nil && findCrash(x.crashes, c, s.byLocalTime(isClose)) != nil
+}
+
+// hasCleared is hasCrash for crashes that an answer in the journal has cleared.
+func (s *State) hasCleared(d Digest, c crashID, isClose func(time.Time) bool) bool {
+	x := s.suspects[d]
+	return x != nil && findCrash(x.cleared, c, s.byLocalTime(isClose)) != nil
+}
+
+// byLocalTime makes a function of local times one of the log's times.
+func (s *State) byLocalTime(f func(time.Time) bool) func(time.Time) bool {
+	return func(at time.Time) bool { return f(s.readAt.Add(at.Sub(s.logNow))) }
+}
+
+// hasTrial reports whether the journal has a crash of a known incarnation as the end of a digest's trial.
+func (s *State) hasTrial(d Digest, c crashID) bool {
+	x := s.suspects[d]
+	return x != nil && slices.ContainsFunc(x.crashes, func(have crash) bool {
+		return have.Upstream == c.Upstream && have.Incarnation == c.Incarnation && have.Tried
 	})
 }
 
+// trialsOf returns how many crashes are known that ended trials of a digest. The caller holds g.mu.
+func (g *Guard) trialsOf(d Digest) int {
+	n := 0
+	if x := g.state.suspects[d]; x != nil {
+		n = x.trials()
+	}
+	if known := g.unconfirmed[d]; known != nil {
+		for _, c := range known.tried {
+			if !g.state.hasTrial(d, c) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// hasTried reports whether a crash is known here as the end of a digest's trial. The caller holds g.mu.
+func (g *Guard) hasTried(d Digest, c crashID) bool {
+	known := g.unconfirmed[d]
+	return g.state.hasTrial(d, c) || known != nil && slices.Contains(known.tried, c)
+}
+
+// triedOf returns those of digests of which a crash has ended a trial. The caller holds g.mu.
+func (g *Guard) triedOf(digests []Digest, c crashID) []Digest {
+	return slices.DeleteFunc(slices.Clone(digests), func(d Digest) bool { return !g.hasTried(d, c) })
+}
+
 // freedFrom reports whether a release has undone a crash that the journal counted against a digest.
-func (s *State) freedFrom(d Digest, c unconfirmedCrash) bool {
+func (s *State) freedFrom(d Digest, c crashID) bool {
 	r, released := s.released[d]
-	return released && c.incarnation != "" && slices.Contains(r.crashes, c)
+	return released && c.Incarnation != "" && slices.Contains(r.crashes, c)
 }
 
 // crashesOf returns how many crashes the journal counts against a digest.
