exchange, httpx: bytes without end are given up, and bodies share a limit

Callers would see: a server that sends a head without end took some gigabytes by each request until its deadline, again at the next daemon; machines have 184 to 536 MB. A body had a limit, many bodies together had none.

Now on both paths: limits on a head's bytes, headers and interim responses, on an event, and one on the sum of bodies (internal/bodylimit); the own interface counts a large response until its caller has received it. What exceeds a limit is an upstream's failure, neither a lost path nor a crash; where others hold the memory it counts against nobody and calls no crash probe.

--- a/cmd/chute-controller/main.go
+++ b/cmd/chute-controller/main.go
@@ -10,6 +10,7 @@
 	"tamarackchute/internal/adapters/listclient"
 	"tamarackchute/internal/adapters/logclient"
 	"tamarackchute/internal/adapters/weightclient"
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/controller"
 	"tamarackchute/internal/program"
 	"tamarackchute/internal/settings"
@@ -18,6 +19,10 @@
 // controlConns limits the connections to one engine or platform service.
 const controlConns = 16
 
+// maxHeldBytes bounds what responses of engines and of the platform hold together. One read of the log may have
+// half of it.
+const maxHeldBytes = 64 << 20
+
 // callTimeout bounds a call whose caller sets no earlier deadline.
 const callTimeout = 5 * time.Second
 
@@ -26,7 +31,8 @@
 func build(env program.Env) (program.Daemon, error) {
 	d := env.Deployment
 	o := httpx.Options{
-		TLS: env.ClientTLS, Timeout: callTimeout, MaxConns: controlConns, Sender: env.Instance + "/controller",
+		TLS: env.ClientTLS, Timeout: callTimeout, MaxConns: controlConns, Bodies: bodylimit.New(maxHeldBytes),
+		Sender: env.Instance + "/controller",
 	}
 	return controller.New(controller.Config{
 		Deployment: d, Instance: env.Instance, Secret: env.Secret,
--- a/cmd/chute-entry/main.go
+++ b/cmd/chute-entry/main.go
@@ -9,6 +9,7 @@
 	"tamarackchute/internal/adapters/httpx"
 	"tamarackchute/internal/adapters/listclient"
 	"tamarackchute/internal/adapters/logclient"
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/entry"
 	"tamarackchute/internal/program"
 )
@@ -19,6 +20,10 @@
 	callTimeout = 10 * time.Minute
 	// maxResponse bounds the response of a plain service, in bytes.
 	maxResponse = 8 << 20
+	// maxHeldControls bounds what control responses of upstreams hold together, maxHeldPlatform what those of
+	// the platform do, in bytes. One read of the log may have half of the latter.
+	maxHeldControls = 32 << 20
+	maxHeldPlatform = 64 << 20
 	// platformTimeout bounds a call to a service of the platform.
 	platformTimeout = 5 * time.Second
 )
@@ -31,8 +36,8 @@
 func build(env program.Env) (program.Daemon, error) {
 	d := env.Deployment
 	sender := env.Instance + "/entry"
-	toPlatform := httpx.Options{TLS: env.ClientTLS, Timeout: platformTimeout, Sender: sender}
-	toUpstreams := httpx.Options{TLS: env.ClientTLS, Timeout: callTimeout, MaxBody: maxResponse, Sender: sender}
+	toPlatform := httpx.Options{TLS: env.ClientTLS, Timeout: platformTimeout, Bodies: bodylimit.New(maxHeldPlatform), Sender: sender}
+	toUpstreams := httpx.Options{TLS: env.ClientTLS, Timeout: callTimeout, MaxBody: maxResponse, Bodies: bodylimit.New(maxHeldControls), Sender: sender}
 	return entry.New(entry.Config{
 		Deployment: d,
 		Instance:   env.Instance,
--- a/internal/adapters/httpx/client.go
+++ b/internal/adapters/httpx/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/upstream"
 )
 
@@ -102,6 +103,12 @@
 	}
 	stop := context.AfterFunc(ctx, x.abort)
 	defer stop()
+	share := bodylimit.ShareOf(ctx)
+	if share == nil {
+		share = c.opts.Bodies.Share()
+		defer share.Release()
+	}
+	x.metered = &meteredConn{Conn: x.conn, share: share, read: notCounted}
 	resp.SkipBody = req.Header.IsHead()
 	if err := x.send(req); err != nil {
 		c.failed(ctx)
@@ -109,7 +116,9 @@
 		return Broken(contextCause(ctx, err))
 	}
 	if err := x.receive(resp, c.opts.MaxBody); err != nil {
-		c.failed(ctx)
+		if !errors.Is(err, bodylimit.ErrExceeded) { // others hold the memory
+			c.failed(ctx)
+		}
 		x.end(false)
 		return Broken(contextCause(ctx, err))
 	}
--- a/internal/adapters/httpx/exchange.go
+++ b/internal/adapters/httpx/exchange.go
@@ -18,9 +18,11 @@
 type exchange struct {
 	client *Client
 	conn   net.Conn
-	reader *bufio.Reader
-	id     []byte
-	sentAt time.Time
+	// metered is conn, if what is read of the body is counted.
+	metered *meteredConn
+	reader  *bufio.Reader
+	id      []byte
+	sentAt  time.Time
 	// reused means that the connection has had earlier exchanges.
 	reused bool
 	// identified means that the response had the exchange's ID.
@@ -80,7 +82,7 @@
 // receive reads the response, or only its header if resp.StreamBody is set. Responses to
 // other exchanges are dropped.
 func (e *exchange) receive(resp *fasthttp.Response, maxBody int) error {
-	e.reader = e.client.host.AcquireReader(e.conn)
+	e.reader = e.client.host.AcquireReader(e.readsFrom())
 	resp.ResetBody()
 	for range maxForeignResponses + 1 {
 		if err := e.readHeader(&resp.Header); err != nil {
@@ -137,6 +139,9 @@
 	if resp.SkipBody || !hasBody(resp.StatusCode()) {
 		return nil
 	}
+	if err := e.metered.begin(resp.Header.ContentLength(), maxBody); err != nil {
+		return err
+	}
 	if err := resp.ReadBody(e.reader, maxBody); err != nil {
 		return err
 	}
--- a/internal/adapters/httpx/options.go
+++ b/internal/adapters/httpx/options.go
@@ -14,6 +14,8 @@
 	"log/slog"
 	"net"
 	"time"
+
+	"tamarackchute/internal/bodylimit"
 )
 
 // Defaults of Options.
@@ -41,6 +43,9 @@
 	MaxConns int
 	// MaxBody is the size limit of a buffered response body, in bytes.
 	MaxBody int
+	// Bodies limits what buffered response bodies hold together, also with those of other clients; nil for
+	// no limit. A body counts until Do returns, or as long as the share in its context is held.
+	Bodies *bodylimit.Limit
 	// Sender is the name of the calling process, sent in HeaderSender.
 	Sender string
 	// Gate admits requests and observes responses; nil admits all.
--- a/internal/adapters/serviceclient/serviceclient.go
+++ b/internal/adapters/serviceclient/serviceclient.go
@@ -61,7 +61,7 @@
 func toResponse(resp *fasthttp.Response) upstream.ServiceResponse {
 	out := upstream.ServiceResponse{
 		Status: resp.StatusCode(),
-		Body:   append([]byte(nil), resp.Body()...),
+		Body:   resp.SwapBody(nil), // a copy would double what a large body takes
 	}
 	for name, value := range resp.Header.All() {
 		if !isHopByHop(string(name)) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"tamarackchute/freshness"
 	"tamarackchute/infra"
 	"tamarackchute/internal/audit"
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/entry/answer"
@@ -49,6 +50,8 @@
 	writeTimeout = 30 * time.Second
 	readTimeout  = 30 * time.Second
 	idleTimeout  = 60 * time.Second
+	// maxHeldBytes bounds what large responses of services hold together.
+	maxHeldBytes = 32 << 20
 )
 
 // Config holds an entry's settings and its connections to other components.
@@ -298,5 +301,6 @@
 		Models:          modelNames(d),
 		RulesLimit:      freshness.NewLimit(seconds(d.Rules.ApplySeconds)),
 		ServicePools:    servicePools(d),
+		Bodies:          bodylimit.New(maxHeldBytes),
 	}
 }
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/entry/callerwatch"
@@ -201,7 +202,7 @@
 	switch {
 	case err == nil:
 		run.Answer(&c.content)
-	case errors.Is(err, upstream.ErrBroken) && ctx.Err() == nil:
+	case errors.Is(err, upstream.ErrBroken) && !errors.Is(err, bodylimit.ErrExceeded) && ctx.Err() == nil:
 		run.Break(ctx)
 	default:
 		run.Drop()
@@ -262,7 +263,8 @@
 		return router.OutcomeBroken
 	case err == nil:
 		return router.OutcomeOK
-	case errors.Is(err, upstream.ErrLimited), errors.Is(err, upstream.ErrNotAdmitted), errors.Is(err, quarantine.ErrReserved):
+	case errors.Is(err, upstream.ErrLimited), errors.Is(err, upstream.ErrNotAdmitted), errors.Is(err, quarantine.ErrReserved),
+		errors.Is(err, bodylimit.ErrExceeded): // others hold the memory
 		return router.OutcomeCancelled
 	case errors.Is(err, upstream.ErrNotSent):
 		return router.OutcomeNotSent
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"tamarackchute/admission"
 	"tamarackchute/apikey"
 	"tamarackchute/freshness"
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/entry/answer"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/discovery"
@@ -90,6 +91,8 @@
 	Models []string
 	// ServicePools names the pools of plain services; all others have engines.
 	ServicePools map[string]bool
+	// Bodies limits what services' responses hold together until callers have received them; nil for no limit.
+	Bodies *bodylimit.Limit
 }
 
 // Dependencies are the components that the gateway uses.
--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/entry/forward"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/internal/entry/stream"
@@ -87,14 +88,16 @@
 	if f != nil {
 		return f
 	}
-	response, f := g.runService(k, job, key)
+	share := g.opts.Bodies.Share()
+	response, f := g.runService(bodylimit.WithShare(k.ctx, share), k, job, key)
 	grant.Release(admissionResult(f), 0)
 	if f != nil {
+		share.Release()
 		return f
 	}
 	g.metrics.answered.Inc(1)
 	g.metrics.complete.RecordDuration(elapsed(k))
-	writeResponse(c, k, response)
+	writeResponse(c, k, response, share)
 	return nil
 }
 
@@ -115,15 +118,15 @@
 
 // runService runs the call, at most once if it is protected. An attempt of a
 // protected call is retried only if it certainly did not run.
-func (g *Gateway) runService(k *call, job forward.Job, key string) (upstream.ServiceResponse, *outcome.Failure) {
+func (g *Gateway) runService(ctx context.Context, k *call, job forward.Job, key string) (upstream.ServiceResponse, *outcome.Failure) {
 	if !k.decision.Then.Protected {
-		return g.deps.Services.Call(k.ctx, job)
+		return g.deps.Services.Call(ctx, job)
 	}
 	if job.Retry == rules.RetryRepeatable {
 		job.Retry = rules.RetryUnsent
 	}
 	protected := ProtectedCall{Organisation: k.organisation, Key: key, Digest: requestDigest(job.Request)}
-	return g.deps.Protected.Do(k.ctx, protected, func(ctx context.Context) (upstream.ServiceResponse, *outcome.Failure) {
+	return g.deps.Protected.Do(ctx, protected, func(ctx context.Context) (upstream.ServiceResponse, *outcome.Failure) {
 		return g.deps.Services.Call(ctx, job)
 	})
 }
@@ -154,12 +157,30 @@
 	return r
 }
 
-func writeResponse(c *fiber.Ctx, k *call, r upstream.ServiceResponse) {
+// writeResponse sets the response. A large body counts in its share until the caller has received it.
+func writeResponse(c *fiber.Ctx, k *call, r upstream.ServiceResponse, share *bodylimit.Share) {
 	c.Status(r.Status)
 	for _, h := range r.Headers {
 		c.Response().Header.Add(h.Name, h.Value)
 	}
 	c.Set(outcome.Header, string(outcome.Completed))
 	c.Set(headerRequestID, k.id)
+	if share.Holds() {
+		c.Response().SetBodyStream(&heldBody{Reader: bytes.NewReader(r.Body), share: share}, len(r.Body))
+		return
+	}
+	share.Release()
 	c.Response().SetBodyRaw(r.Body)
 }
+
+// heldBody is a body that is closed once it has been written or its connection is lost.
+type heldBody struct {
+	*bytes.Reader
+	share *bodylimit.Share
+}
+
+// Close implements io.Closer.
+func (b *heldBody) Close() error {
+	b.share.Release()
+	return nil
+}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -21,6 +21,7 @@
 // conn is one connection to an upstream. It carries one exchange at a time.
 type conn struct {
 	raw    net.Conn
+	input  *limitedInput
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// used is set once the connection has carried a request.
@@ -36,9 +37,11 @@
 }
 
 func newConn(raw net.Conn, maxIdle time.Duration) *conn {
+	input := &limitedInput{raw: raw}
 	return &conn{
 		raw:     raw,
-		reader:  bufio.NewReaderSize(raw, readBuffer),
+		input:   input,
+		reader:  bufio.NewReaderSize(input, readBuffer),
 		writer:  bufio.NewWriterSize(raw, writeBuffer),
 		maxIdle: maxIdle,
 
--- a/internal/exchange/errors.go
+++ b/internal/exchange/errors.go
@@ -8,7 +8,7 @@
 // ErrMismatchedResponse is returned for a response that belongs to another request.
 var ErrMismatchedResponse = errors.New("exchange: the response belongs to another request")
 
-// ErrResponseTooLarge is returned for a response body that exceeds its limit.
+// ErrResponseTooLarge is returned for a response whose head or body exceeds its limit.
 var ErrResponseTooLarge = errors.New("exchange: the response exceeds its size limit")
 
 // NotSentError means that no byte of the request reached the upstream.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -6,6 +6,9 @@
 	"io"
 	"net/http"
 	"time"
+
+	"tamarackchute/internal/bodylimit"
+	"tamarackchute/internal/transfer"
 )
 
 // maxStaleResponses limits the responses to earlier requests that are discarded before
@@ -35,8 +38,11 @@
 	sent chan error
 	// complete is set once the body has been read to its proper end.
 	complete bool
+	share    *bodylimit.Share
 	// reusable is set if the headers allow another exchange on the connection.
 	reusable bool
+	// transfer is told what is received of the body; nil if nobody measures it.
+	transfer *transfer.Transfer
 }
 
 // Do sends a request and returns once the response headers have arrived. The context
@@ -63,7 +69,7 @@
 	c.used = true
 	c.remember(r.Match)
 	stop := context.AfterFunc(ctx, c.close)
-	resp := &Response{pool: p, conn: c, stop: stop, sent: make(chan error, 1)}
+	resp := &Response{pool: p, conn: c, stop: stop, share: p.options.Bodies.Share(), sent: make(chan error, 1), transfer: transfer.Of(ctx)}
 	if err := resp.exchange(r, reused); err != nil {
 		stop()
 		c.close()
@@ -110,15 +116,20 @@
 
 // readHead reads the headers of the next response, skipping informational (1xx) ones.
 func (resp *Response) readHead(method string) (*http.Response, error) {
-	for {
+	resp.conn.input.limit(maxHeadBytes)
+	defer resp.conn.input.unlimit()
+	for range maxInterim + 1 {
 		response, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: method})
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
+		case len(response.Header) > maxHeaders:
+			return nil, errTooManyHeaders
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
 	}
+	return nil, errTooManyInterim
 }
 
 func (p *Pool) observe(response *http.Response, sentAt time.Time) {
@@ -156,25 +167,17 @@
 // body gives another error.
 func (resp *Response) Read(b []byte) (int, error) {
 	n, err := resp.body.Read(b)
+	resp.transfer.Received(n)
 	if err == io.EOF {
 		resp.complete = true
 	}
 	return n, err
 }
 
-// ReadAll reads the complete body. One of more than limit bytes is an error, so that a
-// truncated body can't pass for a complete one.
-func (resp *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, ErrResponseTooLarge
-	}
-	return body, err
-}
-
 // Close ends the exchange. The connection is reused only if the response was read
 // completely, the request was sent completely, and no further bytes have arrived.
 func (resp *Response) Close() {
+	resp.share.Release()
 	usable := resp.stop() && resp.reusable && resp.complete && resp.requestSent()
 	if !usable || resp.conn.worn() || resp.conn.reader.Buffered() > 0 {
 		resp.conn.close()
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tamarackchute/internal/bodylimit"
 )
 
 // Options are the options of a Pool. Zero values stand for the defaults.
@@ -33,6 +35,8 @@
 	// OnResponse is called for the headers of each final response read, also of those that
 	// are discarded because they belong to no request. Nil does nothing.
 	OnResponse func(r ObservedResponse)
+	// Bodies limits what bodies hold in memory together, also with those of other pools; nil for no limit.
+	Bodies *bodylimit.Limit
 }
 
 // Dialer opens a connection to IP:PORT.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tamarackchute/apikey"
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
@@ -16,8 +17,12 @@
 	"tamarackchute/rules/pathset"
 )
 
-// maxResponseBytes limits the body of a response that isn't streamed.
-const maxResponseBytes = 8 << 20
+const (
+	// maxResponseBytes limits the body of a response that isn't streamed.
+	maxResponseBytes = 8 << 20
+	// maxHeldBytes limits what the responses of all upstreams and daemons hold in memory at a time.
+	maxHeldBytes = 32 << 20
+)
 
 // result is the result of an attempt.
 type result struct {
@@ -174,8 +179,12 @@
 	return errors.As(err, &lost)
 }
 
-func outcomeOfError(ctx context.Context) placement.Outcome {
+func outcomeOfError(ctx context.Context, err error) placement.Outcome {
 	switch {
+	case errors.Is(err, exchange.ErrResponseTooLarge):
+		return placement.Failed // it is reached
+	case errors.Is(err, bodylimit.ErrExceeded):
+		return placement.Cancelled // others hold the memory
 	case errors.Is(context.Cause(ctx), errStalled):
 		return placement.Unreachable
 	case errors.Is(ctx.Err(), context.Canceled):
@@ -246,7 +255,7 @@
 	if notAdmitted(err) {
 		return result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
 	}
-	outcome := outcomeOfError(ctx)
+	outcome := outcomeOfError(ctx, err)
 	err = withStallError(ctx, err)
 	if !mayHaveReached(err) {
 		c.excluded = append(c.excluded, p.target.ID)
@@ -293,7 +302,7 @@
 func (c *call) relayResponse(ctx context.Context, p *assignment, resp *exchange.Response) result {
 	body, err := resp.ReadAll(maxResponseBytes)
 	if err != nil {
-		return c.lostResult(p, outcomeOfError(ctx), err)
+		return c.lostResult(p, outcomeOfError(ctx, err), err)
 	}
 	// A stream that has begun may only go on with events: the body of another response
 	// after them would end it as if it were complete.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"tamarackchute/internal/exchange"
 )
 
 // maxEventBytes limits the size of one event of a stream.
@@ -27,10 +29,12 @@
 // upstream's first event.
 type eventReader struct {
 	in *bufio.Reader
+	// hold is told how many bytes of an event are held, and may reject them.
+	hold func(bytes int) error
 }
 
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{in: bufio.NewReaderSize(r, 4<<10)}
+	return &eventReader{in: bufio.NewReaderSize(r, 4<<10), hold: func(int) error { return nil }}
 }
 
 // next returns the next complete event, or io.EOF after the last one.
@@ -40,7 +44,10 @@
 		line, err := r.in.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
 		if len(e.raw) > maxEventBytes {
-			return event{}, fmt.Errorf("an event has more than %d bytes", maxEventBytes)
+			return event{}, fmt.Errorf("%w: an event has more than %d bytes", exchange.ErrResponseTooLarge, maxEventBytes)
+		}
+		if err := r.hold(len(e.raw)); err != nil {
+			return event{}, err
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/exchange"
 )
 
@@ -14,6 +15,8 @@
 	Instance, Address string
 	// Holder is its name among those that hold shares of limits.
 	Holder string
+	// ConfigVersion is the version of its configuration as last heard, 0 if it isn't known.
+	ConfigVersion uint64
 }
 
 // forwarder keeps the connections to other daemons and what is known of their answers.
@@ -22,10 +25,11 @@
 	conns  map[string]*exchange.Pool
 	avoid  map[string]time.Time
 	active int
+	bodies *bodylimit.Limit
 }
 
-func newForwarder() *forwarder {
-	return &forwarder{conns: make(map[string]*exchange.Pool), avoid: make(map[string]time.Time)}
+func newForwarder(bodies *bodylimit.Limit) *forwarder {
+	return &forwarder{bodies: bodies, conns: make(map[string]*exchange.Pool), avoid: make(map[string]time.Time)}
 }
 
 // begin counts a request that is about to be forwarded, and reports whether it may be.
@@ -64,7 +68,7 @@
 	defer f.mu.Unlock()
 	pool := f.conns[p.Address]
 	if pool == nil {
-		pool = exchange.NewPool(p.Address, exchange.Options{DialTimeout: forwardDialTimeout})
+		pool = exchange.NewPool(p.Address, exchange.Options{DialTimeout: forwardDialTimeout, Bodies: f.bodies})
 		f.conns[p.Address] = pool
 	}
 	return pool
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -101,7 +101,7 @@
 		return "", result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
 	}
 	if err != nil {
-		return "", result{execution: dispatch.NotRun, reachedUpstream: mayHaveReached(err), outcome: outcomeOfError(ctx), err: err}
+		return "", result{execution: dispatch.NotRun, reachedUpstream: mayHaveReached(err), outcome: outcomeOfError(ctx, err), err: err}
 	}
 	defer resp.Close()
 	body, err := resp.ReadAll(maxResponseBytes)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"tamarackchute/apikey"
 	"tamarackchute/freshness"
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
@@ -82,6 +83,8 @@
 	outages  *outages
 	// forwarder passes requests on to other daemons.
 	forwarder *forwarder
+	// bodies limits what responses hold in memory.
+	bodies *bodylimit.Limit
 	// newestConfig is the newest version of the configuration by which another daemon has decided a
 	// request of this one's callers: none may be decided by an older one any more.
 	newestConfig atomic.Uint64
@@ -98,7 +101,11 @@
 // New returns a relay. It watches the state for changes, so it must be called before
 // the state's first change.
 func New(cfg Config) *Relay {
-	r := &Relay{cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns), forwarder: newForwarder()}
+	bodies := bodylimit.New(maxHeldBytes)
+	r := &Relay{
+		cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns),
+		bodies: bodies, forwarder: newForwarder(bodies),
+	}
 	r.paths = newPaths(r)
 	r.outages = newOutages(r)
 	if cfg.Limits != nil {
@@ -214,7 +221,7 @@
 			r.paths.Tracker.Answered(u.Pool)
 			r.Observe(u, response)
 		}
-		options := exchange.Options{Dial: r.cfg.Dial, OnMismatch: r.mismatchRecorder(u), OnResponse: observe}
+		options := exchange.Options{Dial: r.cfg.Dial, OnMismatch: r.mismatchRecorder(u), OnResponse: observe, Bodies: r.bodies}
 		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, options)}
 		r.conns[u.ID] = c
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,6 +33,7 @@
 // are sent with the first event, so that a failure before it can still be retried.
 func (c *call) relayStream(ctx context.Context, p *assignment, resp *exchange.Response, watch *stallWatchdog) result {
 	events := newEventReader(resp)
+	events.hold = resp.Hold
 	first := true
 	for {
 		e, err := events.next()
@@ -127,5 +128,5 @@
 	if c.stream != nil {
 		err = errors.Join(err, errors.New("the stream broke off"))
 	}
-	return c.lostResult(p, outcomeOfError(ctx), withStallError(ctx, err))
+	return c.lostResult(p, outcomeOfError(ctx, err), withStallError(ctx, err))
 }
