--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -87,6 +87,50 @@
 	require.EqualValues(t, 6, newest(time.Hour+2*nameTimeout))
 }
 
+// Guards against a process that is never behind as versions follow each other faster than it gets them,
+// and against one that is behind for ever as a version was withdrawn by a restore.
+func TestHowLongAProcessIsBehind(t *testing.T) {
+	var n Named
+	require.Zero(t, n.Behind(1, time.Hour))
+	n.Record(1, "a", time.Hour)
+	require.Zero(t, n.Behind(1, time.Hour))
+	at := time.Hour
+	for version := uint64(2); version < 100; version++ {
+		at += 100 * time.Millisecond
+		n.Record(version, "a", at)
+		n.Record(version-1, "b", at)
+		require.NotZero(t, n.Behind(1, at+1))
+	}
+	require.Equal(t, at-time.Hour-100*time.Millisecond, n.Behind(1, at), "since version 2")
+	require.Equal(t, 100*time.Millisecond, n.Behind(97, at), "since version 98")
+	require.Zero(t, n.Behind(99, at))
+	n.Record(100, "a", at+time.Second)
+	require.Equal(t, time.Second, n.Behind(99, at+2*time.Second))
+	require.Zero(t, n.Behind(99, at+time.Second+2*nameTimeout))
+	n.Record(50, "a", at+time.Second+2*nameTimeout)
+	require.Zero(t, n.Behind(50, at+time.Second+2*nameTimeout))
+}
+
+// Guards against a request that is run by a version which has long been replaced elsewhere, and against a
+// process out of touch that stops serving.
+func TestWhenAVersionIsOverdue(t *testing.T) {
+	limit := NewLimit(bound)
+	for name, c := range map[string]struct {
+		standing Standing
+		overdue  bool
+	}{
+		"the newest":                 {Standing{Version: 3, Newest: 3, Limit: limit}, false},
+		"just replaced":              {Standing{Version: 3, Newest: 4, Behind: bound / 4, Limit: limit}, false},
+		"replaced long ago":          {Standing{Version: 3, Newest: 4, Behind: bound / 2, Limit: limit}, true},
+		"no limit":                   {Standing{Version: 3, Newest: 4, Behind: bound}, false},
+		"out of touch, not proven":   {Standing{Version: 3, Age: Unproven, Limit: limit}, false},
+		"others are older than it":   {Standing{Version: 3, Newest: 2, Limit: limit}, false},
+		"behind, but nobody says so": {Standing{Version: 3, Behind: bound, Limit: limit}, false},
+	} {
+		require.Equal(t, c.overdue, c.standing.Overdue(), name)
+	}
+}
+
 // Guards against a request that is refused for good by an outdated version, and against one that no
 // longer is although the version is known to be the newest.
 func TestWhoMayDeny(t *testing.T) {
--- a/internal/entry/gateway/denial.go
+++ b/internal/entry/gateway/denial.go
@@ -16,7 +16,9 @@
 // standing returns how current the rules in force are. Versions written together count as one.
 func (g *Gateway) standing() freshness.Standing {
 	s := freshness.Standing{Version: uint64(g.deps.Rules.Version().Offset), Limit: g.opts.RulesLimit}
-	s.Newest, s.NamedBy = g.namedRules.Newest(boottime.Now())
+	now := boottime.Now()
+	s.Newest, s.NamedBy = g.namedRules.Newest(now)
+	s.Behind = g.namedRules.Behind(s.Version, now)
 	if g.deps.RulesAge != nil {
 		s.Age = g.deps.RulesAge()
 	}
@@ -46,6 +48,16 @@
 	}
 	g.deps.Log.Warn("denial withheld", "request", k.id, "path", k.path, "rule", f.Rule, "code", f.Code, "rules", s.Version,
 		"rules_age_ms", freshness.Millis(s.Age), "newest_rules", s.Newest, "named_by", s.NamedBy)
-	return outcome.Refused(fiber.StatusServiceUnavailable, outcome.CodeRulesOutdated,
-		"this instance's rules may not be the newest").WithRetryAfter(retryAfterOutdated)
+	return refuseOutdated("this instance's rules may not be the newest")
+}
+
+func refuseOutdated(message string) *outcome.Failure {
+	return outcome.Refused(fiber.StatusServiceUnavailable, outcome.CodeRulesOutdated, "%s", message).WithRetryAfter(retryAfterOutdated)
+}
+
+// refuseOverdue returns the refusal of a request that other instances would decide by newer rules.
+func (g *Gateway) refuseOverdue(k *call, s freshness.Standing) *outcome.Failure {
+	g.deps.Log.Warn("rules overdue", "request", k.id, "path", k.path, "rule", k.decision.Rule, "rules", s.Version,
+		"newest_rules", s.Newest, "named_by", s.NamedBy, "behind_ms", s.Behind.Milliseconds())
+	return refuseOutdated("this instance's rules are older than others'")
 }
--- a/internal/entry/gateway/denial_test.go
+++ b/internal/entry/gateway/denial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,3 +64,41 @@
 	require.NoError(t, response.Body.Close())
 	require.Equal(t, http.StatusServiceUnavailable, r.post(t, "/calls/1", "x").StatusCode)
 }
+
+// Guards against a request that is run by rules which other instances have long replaced: one of them
+// serves it, or it is refused.
+func TestOverdueRulesRunNothing(t *testing.T) {
+	const bound = 100 * time.Millisecond
+	engine, own := newEngine(3), newEngine(3)
+	newer := modelDeps(engine, &fakeForwarder{})
+	newer.version = rules.Version{Offset: 9}
+	b := newHarness(t, newer)
+	f := &fakeForwarder{}
+	a := newHarness(t, modelDeps(own, f), func(o *gateway.Options) { o.RulesLimit = freshness.NewLimit(bound) })
+	require.Equal(t, http.StatusOK, a.post(t, "/v1/completions", forwardBody).StatusCode)
+	require.Len(t, own.seen(), 1)
+
+	address := a.forwardedAddress(t)
+	name := func() int {
+		forwarded, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(forwardBody))
+		require.NoError(t, err)
+		forwarded.Header.Set("Content-Type", "application/json")
+		forwarded.Header.Set("Chute-Forwarded", "9.0")
+		response, err := http.DefaultClient.Do(forwarded)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusServiceUnavailable, name())
+	time.Sleep(bound)
+	require.Equal(t, http.StatusServiceUnavailable, name())
+	refused := a.post(t, "/v1/completions", forwardBody)
+	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
+	require.NotEmpty(t, refused.Header.Get("Retry-After"))
+	require.Len(t, own.seen(), 1)
+
+	f.peers = []*fakePeer{newPeer(b.forwardedAddress(t))}
+	require.Equal(t, http.StatusOK, a.post(t, "/v1/completions", forwardBody).StatusCode)
+	require.Len(t, engine.seen(), 1)
+	require.Len(t, own.seen(), 1)
+}
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -105,6 +105,8 @@
 	switch {
 	case !ok:
 		return nil
+	case g.standing().Overdue():
+		return g.refuseOverdue(k, g.standing())
 	case g.deps.Rules.Version().Less(version):
 		return outcome.Refused(fiber.StatusServiceUnavailable, outcome.CodeRulesMissing, "this instance's rules are older")
 	case g.deps.Forwarder != nil && !g.deps.Forwarder.HasPath(k.decision.Then.Pool):
@@ -125,10 +127,29 @@
 	}
 }
 
-// forward passes a request on if this instance has no path to its upstreams. It reports whether the
-// response has been written, or returns the request's failure; otherwise the request is served here.
+// forward passes a request on if this instance has no path to its upstreams, or overdue rules. It reports
+// whether the response has been written, or returns the request's failure; otherwise the request is served
+// here.
 func (g *Gateway) forward(c *fiber.Ctx, k *call) (done bool, f *outcome.Failure) {
-	if g.deps.Forwarder == nil || isForwarded(c) || g.deps.Forwarder.HasPath(k.decision.Then.Pool) {
+	standing := g.standing()
+	switch {
+	case !standing.Overdue():
+		return g.passToPeers(c, k, g.deps.Rules.Version())
+	case isForwarded(c):
+		return false, nil // it was checked already
+	}
+	required := rules.Version{Offset: infra.Offset(standing.Newest)}
+	if done, f := g.passToPeers(c, k, required); done || f != nil {
+		return done, f
+	}
+	return false, g.refuseOverdue(k, standing)
+}
+
+// passToPeers offers a request to instances whose rules are no older than a version, unless this one may
+// and can serve it.
+func (g *Gateway) passToPeers(c *fiber.Ctx, k *call, required rules.Version) (done bool, f *outcome.Failure) {
+	own := g.deps.Rules.Version()
+	if g.deps.Forwarder == nil || isForwarded(c) || !own.Less(required) && g.deps.Forwarder.HasPath(k.decision.Then.Pool) {
 		return false, nil
 	}
 	peers := g.deps.Forwarder.Peers()
@@ -139,7 +160,7 @@
 		return false, f
 	}
 	for _, peer := range peers[:min(len(peers), maxForwardTries)] {
-		response, err := peer.Stream(k.ctx, g.forwardedRequest(c, k))
+		response, err := peer.Stream(k.ctx, g.forwardedRequest(c, k, required))
 		switch {
 		case err == nil && !refusedAsIncapable(response.Header()):
 			g.deps.Log.Debug("forwarded", "request", k.id, "path", k.path, "rule", k.decision.Rule, "status", response.Header().StatusCode())
@@ -168,14 +189,15 @@
 	return len(h.Peek(headerIncapable)) > 0 && string(h.Peek(outcome.Header)) == string(outcome.NotRun)
 }
 
-// forwardedRequest returns a copy of the caller's request with its remaining time.
-func (g *Gateway) forwardedRequest(c *fiber.Ctx, k *call) *fasthttp.Request {
+// forwardedRequest returns a copy of the caller's request with its remaining time and the oldest version of
+// the rules by which it may be decided.
+func (g *Gateway) forwardedRequest(c *fiber.Ctx, k *call, required rules.Version) *fasthttp.Request {
 	r := &fasthttp.Request{}
 	c.Request().CopyTo(r)
 	for _, name := range []string{fiber.HeaderConnection, fiber.HeaderKeepAlive, fiber.HeaderTransferEncoding, fiber.HeaderTE, fiber.HeaderUpgrade, fiber.HeaderExpect} {
 		r.Header.Del(name)
 	}
-	r.Header.Set(headerForwarded, formatVersion(g.deps.Rules.Version()))
+	r.Header.Set(headerForwarded, formatVersion(required))
 	r.Header.Set(headerTimeout, strconv.FormatInt(max(1, time.Until(k.deadline).Milliseconds()), 10))
 	return r
 }
--- a/internal/member/aggregation.go
+++ b/internal/member/aggregation.go
@@ -126,7 +126,7 @@
 		return
 	}
 	summary := p.summary()
-	totals.ConfigVersion, totals.ListAge = summary.Config, summary.ListAge
+	totals.ConfigVersion, totals.ConfigBytes, totals.ListAge = summary.Config, summary.ConfigBytes, summary.ListAge
 	totals.ListPosition, totals.ListDigest, totals.ListSize = uint64(summary.ListPosition), summary.ListDigest, summary.ListSize
 	reply(totals)
 }
@@ -222,7 +222,7 @@
 	answered := parent.pendingAnswer
 	parent.pendingAnswer = nil
 	if sender := p.peers[from]; sender != nil {
-		sender.summary.Config, sender.summary.ListAge = totals.ConfigVersion, totals.ListAge
+		sender.summary.Config, sender.summary.ConfigBytes, sender.summary.ListAge = totals.ConfigVersion, totals.ConfigBytes, totals.ListAge
 		sender.summary.ListPosition, sender.summary.ListDigest, sender.summary.ListSize = Position(totals.ListPosition), totals.ListDigest, totals.ListSize
 		sender.lastUpdate = now
 	}
--- a/internal/member/configfreshness.go
+++ b/internal/member/configfreshness.go
@@ -34,8 +34,14 @@
 	// now is the clock of proofs, see package boottime.
 	now func() time.Duration
 	log *slog.Logger
-	// named is what the other daemons say of their versions.
-	named freshness.Named
+	// named is what the other daemons say of their versions; rejects reports whether this one can't
+	// decode the latest document, which they can: it goes on by the one before.
+	named   freshness.Named
+	rejects func() bool
+	// receiving reports whether a newer configuration is arriving from the store; onChanging is called when
+	// one is at a peer.
+	receiving  func() bool
+	onChanging func()
 	// provenBy is whose proof is the latest; an atomic string.
 	provenBy atomic.Value
 	// era is the store's era for which reads were last rejected. eraMu guards it.
@@ -48,7 +54,8 @@
 func newConfigFreshness(s Settings, state *fleet.State, eras *EraTracker, log *slog.Logger) *configFreshness {
 	return &configFreshness{
 		keyLimit: freshness.NewLimit(s.RevocationBound), bound: freshness.NewLimit(s.ConfigBound), state: state, eras: eras,
-		settle: s.LapsedEntryGrace, now: boottime.Now, log: log,
+		settle: s.LapsedEntryGrace, now: boottime.Now, log: log, rejects: func() bool { return false },
+		receiving: func() bool { return false }, onChanging: func() {},
 	}
 }
 
@@ -88,6 +95,9 @@
 	if c := v.state.Snapshot().Config; c != nil {
 		s.Version = c.Version
 	}
+	if !v.rejects() {
+		s.Behind = v.named.Behind(s.Version, now)
+	}
 	return s
 }
 
@@ -100,6 +110,9 @@
 // reply was on its way isn't known.
 func (v *configFreshness) recordReply(from string, m wire.ConfigProofReply) {
 	c := v.state.Snapshot().Config
+	if m.Changing {
+		v.onChanging()
+	}
 	if !m.Known || c == nil || !v.eras.Observe(m.Era, "another daemon") {
 		return
 	}
@@ -122,6 +135,7 @@
 	latest, known := v.tracker.Latest()
 	return wire.ConfigProofReply{
 		RequestedAt: m.RequestedAt, Known: known, Version: latest.Version, Age: v.now() - latest.SentAt, Era: v.eras.Current(),
+		Changing: v.receiving(),
 	}
 }
 
--- a/internal/member/configfreshness_test.go
+++ b/internal/member/configfreshness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -77,3 +78,24 @@
 	v.recordReply("one", wire.ConfigProofReply{RequestedAt: now, Known: true, Version: 3, Age: time.Second, Era: 4})
 	require.True(t, v.keysUsable(), "another daemon knows")
 }
+
+// Guards against daemons that begin to read a long configuration only once the one that reads for them has
+// all of it.
+func TestTransferInProgressIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newRestoreSite(t, 2)
+		first, second := site.daemons[0], site.daemons[1]
+		request := wire.ConfigProofRequest{RequestedAt: second.configAge.now()}
+		second.readers[configReader].takeExpedited()
+		second.configAge.recordReply("first", first.configAge.reply(request))
+		require.False(t, second.readers[configReader].takeExpedited(), "nothing changes")
+
+		_, transfer := first.readers[configReader].beginTransfer(t.Context(), changesLimits(0))
+		transfer.Received(1)
+		second.configAge.recordReply("first", first.configAge.reply(request))
+		require.True(t, second.readers[configReader].takeExpedited())
+		first.readers[configReader].endTransfer(transfer)
+		second.configAge.recordReply("first", first.configAge.reply(request))
+		require.False(t, second.readers[configReader].takeExpedited())
+	})
+}
--- a/internal/member/confighedge.go
+++ b/internal/member/confighedge.go
@@ -11,7 +11,7 @@
 	// hedgeDelay is how long a daemon that has heard of a newer configuration waits for it to arrive
 	// before it asks further peers.
 	hedgeDelay = 300 * time.Millisecond
-	// hedgeTimeout limits a request to one of them.
+	// hedgeTimeout limits the time until one of them begins to respond.
 	hedgeTimeout = 400 * time.Millisecond
 	// avoidFailedPeer is how long a peer isn't asked for its view again that gave none.
 	avoidFailedPeer = 3 * time.Second
@@ -22,14 +22,13 @@
 type configHedge struct {
 	member *Member
 	// request sends a request to a peer.
-	request func(ctx context.Context, peer string, m wire.ViewRequest) (wire.Message, error)
-	since   time.Time
+	request viewRequester
+	// since is when a newer configuration was first heard of; zero if there is none.
+	since time.Time
 }
 
 func newConfigHedge(m *Member) *configHedge {
-	return &configHedge{member: m, request: func(ctx context.Context, peer string, request wire.ViewRequest) (wire.Message, error) {
-		return wire.Request(ctx, m.wireConfig(), peer, request)
-	}}
+	return &configHedge{member: m, request: m.sendViewRequest}
 }
 
 // String implements fmt.Stringer; the supervisor logs it.
@@ -45,28 +44,30 @@
 }
 
 func (h *configHedge) check(ctx context.Context, now time.Time) {
-	peer := h.member.peers.withConfigAfter(h.member.summary().Config)
+	m := h.member
+	peer, size := m.peers.withConfigAfter(m.summary().Config)
 	switch {
 	case peer == "":
 		h.since = time.Time{}
+		return
 	case h.since.IsZero():
 		h.since = now
-	case now.Sub(h.since) >= hedgeDelay:
+	}
+	awaited := awaitedConfig{known: now.Sub(h.since), received: m.receivedConfig(), size: size, bound: m.cfg.Settings.ConfigBound}
+	if awaited.needsPeer() {
 		h.fetch(ctx, peer)
 	}
 }
 
 func (h *configHedge) fetch(ctx context.Context, peer string) {
-	ctx, cancel := context.WithTimeout(ctx, hedgeTimeout)
-	defer cancel()
-	answer, err := h.request(ctx, peer, wire.ViewRequest{ConfigOnly: true})
-	reply, ok := answer.(wire.ViewReply)
-	if err != nil || !ok || reply.Config == nil {
-		h.member.peers.avoidView(peer)
-		h.member.log.Warn("request for a peer's configuration failed", "peer", peer, "err", err)
+	m := h.member
+	reply, err := m.requestView(ctx, h.request, peer, wire.ViewRequest{ConfigOnly: true, ConfigVersion: m.summary().Config}, hedgeTimeout)
+	if err != nil || reply.Config == nil {
+		m.peers.avoidView(peer)
+		m.log.Warn("request for a peer's configuration failed", "peer", peer, "err", err)
 		return
 	}
-	h.member.acceptFromPeer(peer, reply.Config)
+	m.acceptFromPeer(peer, reply.Config)
 }
 
 // acceptFromPeer applies a peer's configuration. A peer whose document can't be decoded isn't asked
@@ -80,16 +81,16 @@
 }
 
 // withConfigAfter returns the address of a peer, chosen at random, with a newer configuration than
-// version; "" if there is none.
-func (p *Peers) withConfigAfter(version uint64) string {
+// version, and the configuration's size; "" if there is none.
+func (p *Peers) withConfigAfter(version uint64) (address string, size int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, other := range p.peers { // the order of the iteration is random
 		if other.summary.Config > version && other.givesView() {
-			return address
+			return address, other.summary.ConfigBytes
 		}
 	}
-	return ""
+	return "", 0
 }
 
 // givesView reports whether the peer was heard lately and hasn't just failed to give its view.
--- a/internal/member/confirm.go
+++ b/internal/member/confirm.go
@@ -24,11 +24,12 @@
 		return
 	}
 	start, sentAt := time.Now(), boottime.Now()
-	call, cancel := context.WithTimeout(ctx, CallTimeout)
-	defer cancel()
+	call, received := r.beginTransfer(ctx, changesLimits(0))
+	defer r.endTransfer(received)
 	entries, next, err := r.store.Changes(call, r.topic, from, 0)
+	r.noteFetch(received, len(entries), err)
 	if err != nil {
-		r.confirmFailed(ctx, start, err)
+		r.confirmFailed(ctx, start, received.Error(err))
 		return
 	}
 	r.backoff.recordSuccess(time.Now())
@@ -48,8 +49,12 @@
 	}
 }
 
-// beginConfirm returns the position to read from, or false if no read by confirm may begin.
+// beginConfirm returns the position to read from, or false if no read by confirm may begin. While a read
+// is receiving a change, another one would only receive the same bytes.
 func (r *topicReader) beginConfirm() (Position, bool) {
+	if r.receiving() {
+		return 0, false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.positioned {
--- a/internal/member/forwarding.go
+++ b/internal/member/forwarding.go
@@ -20,10 +20,12 @@
 func (p *Peers) forwardPeers(pool string) []relay.ForwardPeer {
 	p.mu.Lock()
 	var known, staleKeys, unknown []wire.MemberAddress
+	versions := make(map[string]uint64)
 	for _, other := range p.peers {
 		switch {
 		case other.Forwards == "":
 		case other.up && other.hasState():
+			versions[other.Peers] = other.summary.Config
 			switch {
 			case !other.canServe(pool):
 			case other.summary.KeysStale:
@@ -45,7 +47,7 @@
 	shuffle(unknown)
 	peers := make([]relay.ForwardPeer, 0, len(known)+len(staleKeys)+len(unknown))
 	for _, a := range slices.Concat(known, staleKeys, unknown) {
-		peers = append(peers, relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards, Holder: a.Peers})
+		peers = append(peers, relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards, Holder: a.Peers, ConfigVersion: versions[a.Peers]})
 	}
 	return peers
 }
@@ -60,7 +62,7 @@
 // canServe reports whether the peer, by its last state, can serve requests for a pool.
 func (p *peer) canServe(pool string) bool {
 	s := p.summary
-	return s.Serving && !slices.Contains(s.LostPools, pool)
+	return s.Serving && !s.Overdue && !slices.Contains(s.LostPools, pool)
 }
 
 // reportNow sends this daemon's state to the others at once.
--- a/internal/member/locate.go
+++ b/internal/member/locate.go
@@ -16,13 +16,13 @@
 	summary Summary
 }
 
-// fitness ranks a daemon by what it can do for callers now. A daemon without a path to upstreams
-// forwards its requests, one that can't use its API keys refuses them.
+// fitness ranks a daemon by what it can do for callers now. A daemon without a path to upstreams, or with
+// an overdue configuration, forwards its requests; one that can't use its API keys refuses them.
 func (c candidate) fitness() int {
 	switch {
 	case c.summary.KeysStale:
 		return 0
-	case c.summary.PathLost:
+	case c.summary.PathLost || c.summary.Overdue:
 		return 1
 	default:
 		return 2
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -19,6 +19,7 @@
 	"tamarackchute/internal/graceful"
 	"tamarackchute/internal/relay"
 	"tamarackchute/internal/telemetry"
+	"tamarackchute/internal/transfer"
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
 	"tamarackchute/rolepolicy"
@@ -84,7 +85,8 @@
 	callerConns, otherConns *graceful.Connections
 	peers                   *Peers
 	upstreams               *upstreamFeed
-	readers                 []*topicReader
+	// readers are the readers of the store's topics, by the constants below.
+	readers []*topicReader
 	// daemons is the reader of the other daemons' entries.
 	daemons *topicReader
 	// longPolls are restarted when the store is reachable again.
@@ -103,6 +105,9 @@
 	// configs applies configurations, configAge says how old the one in force may be.
 	configs   *configFeed
 	configAge *configFreshness
+	// fetches logs fetches of the configuration, peerFetch is the one from a peer in progress, if any.
+	fetches   *fetchLog
+	peerFetch atomic.Pointer[transfer.Transfer]
 	// backoff is shared by all services that retry failed calls to the store.
 	backoff *backoff
 	// quarantine shares with the other daemons which requests crash upstreams, limits the limits that
@@ -113,6 +118,12 @@
 	streamVersions *streamVersions
 }
 
+// The places of Member.readers. All but the first wait for changes.
+const (
+	upstreamReader = iota
+	configReader
+)
+
 // New returns a daemon; Run starts it.
 func New(cfg Config) *Member {
 	s := cfg.Settings
@@ -200,16 +211,16 @@
 	if position == 0 || !m.cfg.Store.Eras().Observe(position.Era(), "another daemon") {
 		return
 	}
-	if !m.readers[0].applying.TryLock() {
+	if !m.readers[upstreamReader].applying.TryLock() {
 		return // a reading is being processed; messages of peers don't wait for it
 	}
-	defer m.readers[0].applying.Unlock()
+	defer m.readers[upstreamReader].applying.Unlock()
 	if m.upstreams.current().unconfirmed {
 		return
 	}
 	age += transitAllowance
-	if digest == m.upstreams.current().digest && digest != 0 && age+minAgeGain < m.readers[0].age() {
-		m.readers[0].adopt(position, age)
+	if digest == m.upstreams.current().digest && digest != 0 && age+minAgeGain < m.readers[upstreamReader].age() {
+		m.readers[upstreamReader].adopt(position, age)
 	}
 }
 
@@ -223,6 +234,8 @@
 func (m *Member) buildFeeds() {
 	store, decoder := m.cfg.Store, m.cfg.Decoder
 	m.backoff = newBackoff(m.peers.KnownCount)
+	m.fetches = &fetchLog{scope: m.cfg.Metrics.Scope, log: m.log}
+	m.configAge.rejects = func() bool { return m.configs.lastRejection.Load() != nil }
 	m.configs = newConfigFeed(decoder, m.state, m.cfg.Metrics.Scope, m.log)
 	m.upstreams = newUpstreamFeed(decoder, m.state, m.cfg.Settings.LapsedEntryGrace, m.log)
 	daemons := &memberFeed{peers: m.peers, log: m.log}
@@ -246,11 +259,13 @@
 		upstreams,
 		{
 			store: store, topic: TopicConfig, name: "configuration", longPoll: longPollTimeout, triggered: m.configAge.enforcesKeys, onRead: m.recordConfigRead,
+			onFetch:  func(p transfer.Progress, err error) { m.fetches.record(sourceStore, p, err) },
 			applyAll: m.configs.apply, applyChanges: m.configs.apply, backoff: m.backoff.another(), log: m.log,
 		},
 		m.daemons,
 	}
-	for _, r := range m.readers[1:] {
+	m.configAge.receiving, m.configAge.onChanging = m.readers[configReader].receiving, m.expediteConfig
+	for _, r := range m.readers[configReader:] {
 		m.longPolls = append(m.longPolls, r)
 	}
 }
@@ -289,25 +304,26 @@
 // position: it may be newer, never older.
 func (m *Member) summarize() (Summary, bool) {
 	snapshot := m.state.Snapshot()
-	position := m.readers[0].position()
+	position := m.readers[upstreamReader].position()
 	list := m.upstreams.current()
 	summary := Summary{
-		Serving: m.Ready(), LostPools: m.relay.LostPools(), PathLost: !m.relay.HasPath(), KeysStale: !m.configAge.keysUsable(), ListAge: m.readers[0].age(),
+		Serving: m.Ready(), LostPools: m.relay.LostPools(), PathLost: !m.relay.HasPath(), KeysStale: !m.configAge.keysUsable(), Overdue: m.configAge.Standing().Overdue(), ListAge: m.readers[upstreamReader].age(),
 		ListPosition: position, ListDigest: list.digest,
 		ListSize: len(snapshot.Upstreams),
 	}
 	if c := snapshot.Config; c != nil {
-		summary.Config = c.Version
+		summary.Config, summary.ConfigBytes = c.Version, len(c.Document)
 	}
 	return summary, list.unconfirmed
 }
 
-func (m *Member) view(configOnly bool) wire.ViewReply {
-	v := wire.ViewReply{Position: uint64(m.readers[0].position()), Age: m.readers[0].age()}
-	if !configOnly {
+// view returns what a peer asks for.
+func (m *Member) view(request wire.ViewRequest) wire.ViewReply {
+	v := wire.ViewReply{Position: uint64(m.readers[upstreamReader].position()), Age: m.readers[upstreamReader].age()}
+	if !request.ConfigOnly {
 		v.Upstreams, v.Unconfirmed = m.upstreams.entries() // read last: the list may be newer than its position, never older
 	}
-	if c := m.state.Snapshot().Config; c != nil {
+	if c := m.state.Snapshot().Config; c != nil && !request.ListOnly && c.Version > request.ConfigVersion {
 		v.Config = c.Document
 	}
 	return v
@@ -371,9 +387,9 @@
 		learning.Add(r)
 	}
 	learning.Add(&eraFollower{eras: m.cfg.Store.Eras(), readers: m.readers, daemons: m.peers.KnownCount})
-	learning.Add(&configProver{view: m.configAge, peers: m.peers, confirmRead: m.readers[1].confirm, isFirst: m.peers.ReadsFirst})
-	learning.Add(&configLag{freshness: m.configAge, configs: m.configs, storeDown: m.readers[1].isDown, log: m.log})
-	learning.Add(&peerView{member: m})
+	learning.Add(&configProver{view: m.configAge, peers: m.peers, confirmRead: m.readers[configReader].confirm, isFirst: m.peers.ReadsFirst})
+	learning.Add(&configLag{freshness: m.configAge, configs: m.configs, storeDown: m.readers[configReader].isDown, log: m.log})
+	learning.Add(newPeerView(m))
 	learning.Add(newConfigHedge(m))
 	learning.Add(&catchUp{member: m, log: m.log})
 	learning.Add(&observationSync{store: m.cfg.Store, tracker: m.tracker, peers: m.peers, backoff: m.backoff.another(), log: m.log})
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -48,7 +48,7 @@
 	// summary returns this daemon's summary, view its data for a peer; onUpdate is called after
 	// each update from a peer.
 	summary  func() Summary
-	view     func(configOnly bool) wire.ViewReply
+	view     func(wire.ViewRequest) wire.ViewReply
 	onUpdate func()
 	links    *suture.Supervisor
 
@@ -110,9 +110,11 @@
 
 // Summary is what a daemon reports of itself besides its load.
 type Summary struct {
-	// Serving means that it accepts callers, Config is the version of its configuration.
-	Serving bool
-	Config  uint64
+	// Serving means that it accepts callers, Config is the version of its configuration, ConfigBytes the
+	// size.
+	Serving     bool
+	Config      uint64
+	ConfigBytes int
 	// ListPosition, ListDigest, ListSize and ListAge describe the list of upstreams.
 	ListPosition Position
 	ListDigest   uint64
@@ -123,8 +125,9 @@
 	// to any upstream.
 	LostPools []string
 	PathLost  bool
-	// KeysStale means that it can't use the API keys of its configuration now.
-	KeysStale bool
+	// KeysStale means that it can't use the API keys of its configuration now, Overdue that it runs no
+	// requests by its configuration, as a newer one is in force elsewhere.
+	KeysStale, Overdue bool
 }
 
 // peer is another daemon as it was last reported.
@@ -214,7 +217,7 @@
 	case wire.MemberLoads:
 		p.applyLoads(m)
 	case wire.ViewRequest:
-		reply(p.view(m.ConfigOnly))
+		reply(p.view(m))
 	case wire.SnapshotRequest:
 		reply(wire.SnapshotReply{Snapshot: p.tracker.Snapshot(m.Engines)})
 	case wire.LoadReport:
@@ -267,7 +270,7 @@
 	from.fullMesh = m.FullMesh
 	from.incarnation, from.seq = m.Incarnation, m.Seq
 	from.summary = Summary{
-		Serving: m.Serving, LostPools: m.LostPools, PathLost: m.PathLost, KeysStale: m.KeysStale, Config: m.ConfigVersion,
+		Serving: m.Serving, LostPools: m.LostPools, PathLost: m.PathLost, KeysStale: m.KeysStale, Overdue: m.Overdue, Config: m.ConfigVersion, ConfigBytes: m.ConfigBytes,
 		ListPosition: Position(m.ListPosition), ListDigest: m.ListDigest, ListSize: m.ListSize, ListAge: m.ListAge,
 	}
 	if m.Demands != nil {
--- a/internal/member/peerview.go
+++ b/internal/member/peerview.go
@@ -10,8 +10,11 @@
 const (
 	// viewInterval is how often a daemon checks whether a peer has newer data.
 	viewInterval = 100 * time.Millisecond
-	// viewTimeout limits a request to a peer.
+	// viewTimeout limits the time in which a request to a peer makes no progress.
 	viewTimeout = time.Second
+	// expediteInterval is the minimum time between two attempts to make the store's reader fetch a
+	// configuration.
+	expediteInterval = 500 * time.Millisecond
 	// minAgeGain is how much more recent a peer's copy must be to be adopted, transitAllowance
 	// is added to its age for the transfer. Without them two daemons could keep refreshing each
 	// other's age although neither reads the store.
@@ -24,8 +27,14 @@
 // configuration or none.
 type peerView struct {
 	member *Member
+	// request sends a request to a peer.
+	request viewRequester
+	// expeditedAt is when the reader of the configuration was last expedited.
+	expeditedAt time.Time
 }
 
+func newPeerView(m *Member) *peerView { return &peerView{member: m, request: m.sendViewRequest} }
+
 // String implements fmt.Stringer; the supervisor logs it.
 func (v *peerView) String() string { return "view of peers" }
 
@@ -65,34 +74,43 @@
 func (v *peerView) check(ctx context.Context) {
 	m := v.member
 	local := m.summary()
+	request := wire.ViewRequest{ConfigVersion: local.Config}
 	peer, peerSummary := m.peers.Freshest(local)
+	for peerSummary.Config > local.Config && readsFromStore(peerSummary, m.readers[configReader].isDown()) {
+		v.expediteConfig(time.Now())
+		request.ListOnly = true
+		local.Config = peerSummary.Config
+		peer, peerSummary = m.peers.Freshest(local)
+	}
 	if peer == "" {
 		return
 	}
-	source := chooseSource(local, peerSummary, m.readers[0].isDown())
+	source := chooseSource(local, peerSummary, m.readers[upstreamReader].isDown())
 	if source.store {
-		m.readers[0].expedite()
+		m.readers[upstreamReader].expedite()
 	}
 	if source.full || source.config {
-		v.fetch(ctx, peer, wire.ViewRequest{ConfigOnly: !source.full})
+		request.ConfigOnly = !source.full
+		v.fetch(ctx, peer, request)
+	}
+}
+
+// expediteConfig makes the store's reader fetch the configuration.
+func (v *peerView) expediteConfig(now time.Time) {
+	if now.Sub(v.expeditedAt) >= expediteInterval {
+		v.expeditedAt = now
+		v.member.expediteConfig()
 	}
 }
 
 func (v *peerView) fetch(ctx context.Context, peer string, request wire.ViewRequest) {
 	m := v.member
-	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
-	defer cancel()
 	sent := time.Now()
-	answer, err := wire.Request(ctx, m.wireConfig(), peer, request)
+	reply, err := m.requestView(ctx, v.request, peer, request, viewTimeout)
 	if err != nil {
-		m.peers.avoidView(peer)
 		m.log.Warn("request for a peer's view failed", "peer", peer, "err", err)
 		return
 	}
-	reply, ok := answer.(wire.ViewReply)
-	if !ok {
-		return
-	}
 	if reply.Config != nil {
 		m.acceptFromPeer(peer, reply.Config)
 	}
@@ -104,10 +122,10 @@
 // applyUpstreams replaces the list with the peer's if that was read later.
 func (v *peerView) applyUpstreams(peer string, reply wire.ViewReply, age time.Duration) {
 	m := v.member
-	m.readers[0].applying.Lock()
-	defer m.readers[0].applying.Unlock()
-	localAge := m.readers[0].age()
-	if Position(reply.Position) <= m.readers[0].position() || age >= localAge {
+	m.readers[upstreamReader].applying.Lock()
+	defer m.readers[upstreamReader].applying.Unlock()
+	localAge := m.readers[upstreamReader].age()
+	if Position(reply.Position) <= m.readers[upstreamReader].position() || age >= localAge {
 		return
 	}
 	if !m.cfg.Store.Eras().Observe(Position(reply.Position).Era(), "another daemon") {
@@ -115,9 +133,9 @@
 	}
 	m.log.Info("upstreams taken from a peer", "peer", peer, "age_ms", age.Milliseconds(), "own_age_ms", localAge.Milliseconds())
 	at := Position(reply.Position)
-	newEra := at.Era() > m.readers[0].position().Era()
+	newEra := at.Era() > m.readers[upstreamReader].position().Era()
 	m.upstreams.resetFromPeer(entriesOf(reply.Upstreams), entriesOf(reply.Unconfirmed), newEra)
-	m.readers[0].adopt(at, age)
+	m.readers[upstreamReader].adopt(at, age)
 }
 
 func entriesOf(values map[string][]byte) []Entry {
--- a/internal/member/reporting.go
+++ b/internal/member/reporting.go
@@ -37,7 +37,7 @@
 
 // covers reports whether the reported summary still holds, apart from the time passed.
 func (r reportedSummary) covers(now Summary, at time.Time) bool {
-	same := r.Serving == now.Serving && r.KeysStale == now.KeysStale && slices.Equal(r.LostPools, now.LostPools) && r.PathLost == now.PathLost && r.Config == now.Config &&
+	same := r.Serving == now.Serving && r.KeysStale == now.KeysStale && r.Overdue == now.Overdue && slices.Equal(r.LostPools, now.LostPools) && r.PathLost == now.PathLost && r.Config == now.Config &&
 		r.ListPosition == now.ListPosition && r.ListDigest == now.ListDigest
 	return same && now.ListAge > r.ListAge+at.Sub(r.at)-listAgeSlack
 }
@@ -48,11 +48,11 @@
 	p.reported = reportedSummary{summary, now}
 	return wire.MemberState{
 		MemberAddress: p.self, Incarnation: p.incarnation, Seq: p.seq,
-		Serving: summary.Serving, ConfigVersion: summary.Config, ListAge: summary.ListAge,
+		Serving: summary.Serving, ConfigVersion: summary.Config, ConfigBytes: summary.ConfigBytes, ListAge: summary.ListAge,
 		ListPosition: uint64(summary.ListPosition), ListDigest: summary.ListDigest, ListSize: summary.ListSize,
 		FullMesh: p.fullMesh, Loads: loads, Prefills: prefills, Unavailable: p.unavailableEngines(),
 		LostPools: summary.LostPools, PathLost: summary.PathLost,
-		KeysStale: summary.KeysStale, Clock: time.Now().UnixNano(), Quarantine: p.quarantineFingerprint(),
+		KeysStale: summary.KeysStale, Overdue: summary.Overdue, Clock: time.Now().UnixNano(), Quarantine: p.quarantineFingerprint(),
 	}
 }
 
--- a/internal/member/restore_order_test.go
+++ b/internal/member/restore_order_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/wire"
 )
 
 // Guards against requests to a server that is gone: its removal is lost in a restore and
@@ -241,12 +243,12 @@
 	time.Sleep(testReadGap)
 	s.store.write("live", upstreamEntry("live", 2))
 	s.read(s.daemons[1])
-	reply := s.daemons[1].view(false)
+	reply := s.daemons[1].view(wire.ViewRequest{})
 	s.store.write("dead", "")
 	m := s.daemons[0]
-	apply := m.readers[0].applyChanges
+	apply := m.readers[upstreamReader].applyChanges
 	taken := make(chan struct{})
-	m.readers[0].applyChanges = func(entries []Entry) {
+	m.readers[upstreamReader].applyChanges = func(entries []Entry) {
 		apply(entries)
 		go func() {
 			defer close(taken)
--- a/internal/member/restore_site_test.go
+++ b/internal/member/restore_site_test.go
@@ -198,7 +198,7 @@
 // read lets a daemon read the store until it has an answer.
 func (s *restoreSite) read(m *Member) {
 	s.t.Helper()
-	r := m.readers[0]
+	r := m.readers[upstreamReader]
 	err := r.read(s.t.Context())
 	if errors.Is(err, ErrExpired) {
 		r.mu.Lock()
@@ -222,12 +222,12 @@
 		if peer.self.Peers != address {
 			continue
 		}
-		source := chooseSource(local, summary, m.readers[0].isDown())
+		source := chooseSource(local, summary, m.readers[upstreamReader].isDown())
 		if source.store {
-			m.readers[0].expedite()
+			m.readers[upstreamReader].expedite()
 		}
 		if source.full {
-			reply := peer.view(false)
+			reply := peer.view(wire.ViewRequest{})
 			(&peerView{member: m}).applyUpstreams(address, reply, reply.Age)
 		}
 	}
@@ -250,7 +250,7 @@
 	ctx, cancel := context.WithTimeout(s.t.Context(), d)
 	defer cancel()
 	for _, m := range s.daemons {
-		go func() { _ = m.readers[0].Serve(ctx) }()
+		go func() { _ = m.readers[upstreamReader].Serve(ctx) }()
 		follower := &eraFollower{eras: m.cfg.Store.Eras(), readers: m.readers[:1], daemons: m.peers.KnownCount}
 		go func() { _ = follower.Serve(ctx) }()
 		go func() {
@@ -286,7 +286,7 @@
 func (s *restoreSite) requireGone(id string) {
 	s.t.Helper()
 	for _, m := range s.daemons {
-		require.False(s.t, s.lists(m, id), "%s lists %s, position %v", m.self.Instance, id, m.readers[0].position())
+		require.False(s.t, s.lists(m, id), "%s lists %s, position %v", m.self.Instance, id, m.readers[upstreamReader].position())
 	}
 }
 
@@ -305,7 +305,7 @@
 	for _, m := range s.daemons {
 		m.upstreams.expireLapsed()
 		s.takeList(m)
-		if m.readers[0].age() > testReadGap {
+		if m.readers[upstreamReader].age() > testReadGap {
 			s.read(m)
 		}
 		for _, other := range s.daemons {
--- a/internal/member/servers.go
+++ b/internal/member/servers.go
@@ -57,7 +57,7 @@
 // listCurrent reports whether the list of upstreams is complete and recent: a part of it would
 // look like a loss of upstreams.
 func (d *sizeDirector) listCurrent() bool {
-	return d.member.readers[0].age() < maxListAge && !d.member.upstreams.current().unconfirmed
+	return d.member.readers[upstreamReader].age() < maxListAge && !d.member.upstreams.current().unconfirmed
 }
 
 // check orders upstreams for each pool that the platform scales.
--- a/internal/member/store.go
+++ b/internal/member/store.go
@@ -40,12 +40,13 @@
 // Store is the platform's store.
 type Store interface {
 	// Newest returns the newest entry of each key and the position from which Changes continues. It
-	// may take many calls, each of which is limited by CallTimeout: on a slow store a long list
-	// takes its time, but a store that doesn't answer is noticed.
+	// may take many calls, each of which ends after CallTimeout without progress: on a slow store a long
+	// list takes its time, but a store that doesn't answer is noticed.
 	Newest(ctx context.Context, t Topic) ([]Entry, Position, error)
 	// Changes returns the entries written from a position on, in order, and the position after
 	// them. It waits up to the given time for one. ErrExpired means that Newest is needed: the
-	// records have expired, or the store has started a new era.
+	// records have expired, or the store has started a new era. What is received is reported to the
+	// context's transfer.Transfer.
 	Changes(ctx context.Context, t Topic, from Position, wait time.Duration) ([]Entry, Position, error)
 	// Put writes an entry; a nil value removes the key.
 	Put(ctx context.Context, t Topic, e Entry) error
--- a/internal/member/streamversions.go
+++ b/internal/member/streamversions.go
@@ -40,7 +40,7 @@
 
 func newStreamVersions(m *Member) *streamVersions {
 	x := &streamVersions{peers: m.peers, wake: make(chan struct{}, 1)}
-	x.book = streamversion.NewBook(nil, func() bool { return knowsVersions(m.readers[0].age(), m.peers.HearsAll) })
+	x.book = streamversion.NewBook(nil, func() bool { return knowsVersions(m.readers[upstreamReader].age(), m.peers.HearsAll) })
 	m.peers.onStreamVersions, m.peers.streamVersion = x.hear, x.answer
 	m.state.Watch(func(s *fleet.Snapshot) { x.tell(x.book.Observe(listedOf(s))...) })
 	return x
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -5,10 +5,12 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"tamarackchute/internal/boottime"
+	"tamarackchute/internal/transfer"
 )
 
 const (
@@ -21,8 +23,11 @@
 	// upstreamsJitter is the mean of the random delay added, so that one daemon reads and the
 	// others learn the result from it.
 	upstreamsJitter = 300 * time.Millisecond
-	// CallTimeout limits a call to the store, in addition to the requested wait.
+	// CallTimeout limits the time in which a call to the store makes no progress, in addition to the
+	// requested wait.
 	CallTimeout = 1500 * time.Millisecond
+	// ReadTimeout limits a read that makes progress: after that, what it brings would be outdated.
+	ReadTimeout = 20 * time.Second
 	// outageThreshold is the time without a successful read after which removals aren't trusted:
 	// entries lapse while their owners can't reach the store.
 	outageThreshold = 1500 * time.Millisecond
@@ -42,6 +47,9 @@
 	// onRead is called after each read that shows that nothing newer existed when it was sent, with
 	// that time, by the clock of package boottime; nil does nothing.
 	onRead func(sentAt time.Duration)
+	// onFetch is called after each read that brought entries, or that failed after some bytes had arrived;
+	// nil does nothing.
+	onFetch func(p transfer.Progress, err error)
 	// backoff is shared by all services that retry failed calls to the store.
 	backoff *backoff
 	// applyAll processes the newest entries, applyChanges the changes since.
@@ -71,10 +79,11 @@
 	recoveredAt time.Time
 	// expedited means that the next read must not be delayed.
 	expedited bool
-	// confirming is the number of reads by confirm in progress.
+	// confirming is the number of reads by confirm in progress, transfers are those of all reads.
 	confirming int
-	// cancelRead cancels the read in progress.
-	cancelRead context.CancelFunc
+	transfers  []*transfer.Transfer
+	// reading is the read by Serve, which may wait for a change; nil before the first one.
+	reading *transfer.Transfer
 	// onRecovered is called when the store is reachable again.
 	onRecovered func()
 }
@@ -211,15 +220,23 @@
 }
 
 func (r *topicReader) read(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	r.mu.Lock()
 	from, known := r.next, r.positioned
-	r.cancelRead = cancel
+	r.mu.Unlock()
+	wait := r.longPollWait()
+	limits := changesLimits(wait)
+	if !known {
+		limits = transfer.Limits{} // each of its calls has limits
+	}
+	ctx, received := r.beginTransfer(ctx, limits)
+	defer r.endTransfer(received)
+	r.mu.Lock()
+	r.reading = received
 	r.mu.Unlock()
 	start, sentAt := time.Now(), boottime.Now()
 	if !known {
 		entries, next, err := r.store.Newest(ctx, r.topic)
+		r.noteFetch(received, len(entries), err)
 		if err != nil {
 			return err
 		}
@@ -230,12 +247,10 @@
 		r.notifyRead(sentAt)
 		return nil
 	}
-	wait := r.longPollWait()
-	ctx, cancelChanges := context.WithTimeout(ctx, wait+CallTimeout)
-	defer cancelChanges()
 	entries, next, err := r.store.Changes(ctx, r.topic, from, wait)
+	r.noteFetch(received, len(entries), err)
 	if err != nil {
-		return err
+		return received.Error(err)
 	}
 	r.applying.Lock()
 	defer r.applying.Unlock()
@@ -252,6 +267,51 @@
 	return nil
 }
 
+// changesLimits returns the limits of a read of changes that may wait for one for a time.
+func changesLimits(wait time.Duration) transfer.Limits {
+	return transfer.Limits{First: wait + CallTimeout, Idle: CallTimeout, Total: wait + ReadTimeout}
+}
+
+// beginTransfer begins to measure and limit a read.
+func (r *topicReader) beginTransfer(ctx context.Context, l transfer.Limits) (context.Context, *transfer.Transfer) {
+	ctx, received := transfer.Begin(ctx, l)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.transfers = append(r.transfers, received)
+	return ctx, received
+}
+
+func (r *topicReader) endTransfer(received *transfer.Transfer) {
+	received.End()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.transfers = slices.DeleteFunc(r.transfers, func(t *transfer.Transfer) bool { return t == received })
+}
+
+// received returns how far the read in progress has come that has received most.
+func (r *topicReader) received() transfer.Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var most transfer.Progress
+	for _, t := range r.transfers {
+		if p := t.Progress(); p.Bytes > most.Bytes {
+			most = p
+		}
+	}
+	return most
+}
+
+// receiving reports whether a read has begun to receive its response and goes on.
+func (r *topicReader) receiving() bool { return r.received().Bytes > 0 }
+
+// noteFetch passes on what a read has received.
+func (r *topicReader) noteFetch(received *transfer.Transfer, entries int, err error) {
+	p := received.Progress()
+	if r.onFetch != nil && (entries > 0 || err != nil && p.Bytes > 0) {
+		r.onFetch(p, received.Error(err))
+	}
+}
+
 func (r *topicReader) notifyRead(sentAt time.Duration) {
 	if r.onRead != nil {
 		r.onRead(sentAt)
@@ -303,12 +363,12 @@
 }
 
 // restartRead cancels a long poll. Its connection may have failed silently during an outage, and
-// would report no change until it times out.
+// would report no change until it times out. One that is receiving its response goes on.
 func (r *topicReader) restartRead() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.longPoll > 0 && r.cancelRead != nil {
-		r.cancelRead()
+	if r.longPoll > 0 && r.reading != nil && r.reading.Progress().Bytes == 0 {
+		r.reading.End()
 	}
 }
 
--- a/internal/member/unconfirmed_test.go
+++ b/internal/member/unconfirmed_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackchute/infra"
+	"tamarackchute/internal/wire"
 )
 
 // slowClient is a daemon's access to a store whose answers take a time.
@@ -54,7 +55,7 @@
 		s := newRestoreSite(t, daemons, "dead", "live")
 		s.keepAlive("live")
 		for _, m := range s.daemons {
-			m.readers[0].store = access(m)
+			m.readers[upstreamReader].store = access(m)
 		}
 		s.run(5*time.Second, func() { s.requireListed("live") })
 		copied := s.store.end()
@@ -114,9 +115,9 @@
 		}
 		ahead.upstreams.expireLapsed()
 		require.False(t, s.lists(ahead, "dead"))
-		removal := behind.readers[0].position()
+		removal := behind.readers[upstreamReader].position()
 		behind.confirmList(reported.ListPosition, reported.ListDigest, reported.ListAge)
-		require.Equal(t, removal, behind.readers[0].position(), "the removal is yet to be read")
+		require.Equal(t, removal, behind.readers[upstreamReader].position(), "the removal is yet to be read")
 	})
 }
 
@@ -227,8 +228,8 @@
 		time.Sleep(testReadGap)
 		s.read(peer)
 		client := reader.cfg.Store.(*logClient)
-		reader.readers[0].store = &interruptedClient{logClient: client, during: func() {
-			reply := peer.view(false)
+		reader.readers[upstreamReader].store = &interruptedClient{logClient: client, during: func() {
+			reply := peer.view(wire.ViewRequest{})
 			(&peerView{member: reader}).applyUpstreams(peer.self.Peers, reply, reply.Age)
 		}}
 		s.store.write("only in copy", upstreamEntry("only in copy", 1))
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -48,11 +48,12 @@
 )
 
 // assignOrForward assigns the request to an upstream, or lets another daemon serve it: at once if the
-// path to the pool is lost, otherwise if no upstream is found that others may reach.
+// path to the pool is lost or the configuration here is outdated, otherwise if no upstream is found that
+// others may reach.
 func (c *call) assignOrForward(ctx context.Context) (*assignment, forwardResult, *failure) {
 	c.forwardRefused = false
 	if c.forwardsFirst() {
-		if result, f := c.forward(ctx, anyPeer); result != notForwarded {
+		if result, f := c.forward(ctx, c.relay.notOlder); result != notForwarded {
 			return nil, result, f
 		}
 		c.forwardRefused = true
@@ -89,6 +90,12 @@
 
 func anyPeer(ForwardPeer) bool { return true }
 
+// notOlder reports whether a daemon may decide by the newest configuration known here, if this one
+// mustn't decide by its own.
+func (r *Relay) notOlder(p ForwardPeer) bool {
+	return p.ConfigVersion == 0 || !r.outdated() || p.ConfigVersion >= r.standing().Newest
+}
+
 // mayForwardAfter reports whether other daemons may serve a request that this one can't place, and
 // which ones.
 func (c *call) mayForwardAfter(f *failure) (suits func(ForwardPeer) bool, ok bool) {
@@ -188,7 +195,7 @@
 	h := d.RequestHeaders(c.in.Header)
 	h.Del(probeHeader) // a caller's
 	h.Set(forwardHeader, encodeHeader(forwardedCall{
-		From: c.relay.cfg.Instance, ConfigVersion: max(c.version, c.relay.newestConfig.Load()),
+		From: c.relay.cfg.Instance, ConfigVersion: max(c.version, c.relay.requiredConfig()),
 		Elapsed: time.Since(c.arrived), Remaining: time.Until(c.deadline) - forwardReserve,
 		Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(), Begun: c.begun,
 		Prefills: c.prefills, ResumeAfter: c.resumeAfter(),
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -153,10 +153,19 @@
 	return s
 }
 
-// outdated reports whether the configuration in force here is older than one by which another daemon
-// has decided.
+// requiredConfig returns the oldest version of the configuration by which requests may be decided: the
+// newest by which another daemon has decided one of this daemon's, or that has been in force elsewhere for
+// so long that the one here is overdue.
+func (r *Relay) requiredConfig() uint64 {
+	if s := r.standing(); s.Overdue() {
+		return s.Newest
+	}
+	return r.newestConfig.Load()
+}
+
+// outdated reports whether the configuration in force here is older than the one required.
 func (r *Relay) outdated() bool {
-	return r.cfg.State.Snapshot().Config.Version < r.newestConfig.Load()
+	return r.cfg.State.Snapshot().Config.Version < r.requiredConfig()
 }
 
 // failOutdated returns the failure of a request that this daemon may not decide for now.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -40,6 +40,9 @@
 	if res.err != nil {
 		attrs = append(attrs, "fate", res.execution.String(), "err", res.err)
 	}
+	if s := c.relay.standing(); s.Newest > c.version {
+		attrs = append(attrs, standingAttrs(s)...)
+	}
 	if res.execution == dispatch.MayHaveRun && !res.done {
 		attrs = append(attrs, "digest", c.content.Digest().String(), "parts", c.partNames())
 	}
@@ -128,7 +131,7 @@
 
 // standingAttrs returns the attributes of how current the configuration in force is.
 func standingAttrs(s freshness.Standing) []any {
-	return []any{"config_age_ms", freshness.Millis(s.Age), "proven_by", s.ProvenBy, "newest_config", s.Newest, "named_by", s.NamedBy}
+	return []any{"config_age_ms", freshness.Millis(s.Age), "proven_by", s.ProvenBy, "newest_config", s.Newest, "named_by", s.NamedBy, "behind_ms", telemetry.Millis(s.Behind)}
 }
 
 // endTicket ends an attempt's ticket at an upstream, and logs what that changed in its health.
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"tamarackchute/internal/transfer"
 )
 
 // Link maintains one connection to a peer's address and reconnects whenever it
@@ -131,6 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.input.received = transfer.Of(ctx).Received
 	defer func() { _ = c.raw.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
 	defer stop()
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -21,7 +21,7 @@
 type Limits struct {
 	// Dial is the timeout for connecting, Handshake for the whole handshake.
 	Dial, Handshake time.Duration
-	// Write is the timeout for writing one frame.
+	// Write is the timeout for writing a part of a frame.
 	Write time.Duration
 	// Ping is the interval between pings. A connection on which nothing is received
 	// for Idle is closed.
--- a/internal/wire/configproof.go
+++ b/internal/wire/configproof.go
@@ -26,6 +26,8 @@
 	Age     time.Duration
 	// Era is the store's era that the peer knows.
 	Era uint64
+	// Changing means that the peer is receiving a newer configuration from the store.
+	Changing bool
 }
 
 // Kind implements Message.
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -13,6 +13,7 @@
 // one calls receive.
 type conn struct {
 	raw     net.Conn
+	input   *input
 	reader  *bufio.Reader
 	peer    string
 	out, in *sealer
@@ -20,9 +21,11 @@
 }
 
 func newConn(raw net.Conn, s session, limits Limits) *conn {
+	in := &input{raw: raw, idle: limits.Idle, received: func(int) {}}
 	return &conn{
 		raw:    raw,
-		reader: bufio.NewReader(raw),
+		input:  in,
+		reader: bufio.NewReader(in),
 		peer:   s.peer,
 		out:    newSealer(s.sendKey),
 		in:     newSealer(s.receiveKey),
@@ -30,26 +33,53 @@
 	}
 }
 
+// input reads a connection and says how much has arrived. A peer whose instance has failed doesn't close
+// its connection. Pings arrive well within idle, so a longer silence means that the connection is dead;
+// a frame that arrives slowly doesn't.
+type input struct {
+	raw      net.Conn
+	idle     time.Duration
+	received func(n int)
+}
+
+// Read implements io.Reader.
+func (i *input) Read(b []byte) (int, error) {
+	if err := i.raw.SetReadDeadline(time.Now().Add(i.idle)); err != nil {
+		return 0, err
+	}
+	n, err := i.raw.Read(b)
+	i.received(n)
+	return n, err
+}
+
+// writeChunk is how many bytes of a frame have to be written within Limits.Write.
+const writeChunk = 32 << 10
+
+// write writes a frame. A peer that has stopped reading fills the socket's buffer and would block the
+// write forever; one that reads slowly gets its time.
+func (c *conn) write(frame []byte) error {
+	for len(frame) > 0 {
+		if err := c.raw.SetWriteDeadline(time.Now().Add(c.limits.Write)); err != nil {
+			return err
+		}
+		n := min(len(frame), writeChunk)
+		if _, err := c.raw.Write(frame[:n]); err != nil {
+			return err
+		}
+		frame = frame[n:]
+	}
+	return nil
+}
+
 func (c *conn) send(m Message) error {
 	frame, err := c.out.seal(m)
 	if err != nil {
 		return err
 	}
-	// A peer that has stopped reading fills the socket's buffer and would block
-	// the write forever.
-	if err := c.raw.SetWriteDeadline(time.Now().Add(c.limits.Write)); err != nil {
-		return err
-	}
-	_, err = c.raw.Write(frame)
-	return err
+	return c.write(frame)
 }
 
 func (c *conn) receive() (Message, error) {
-	// A peer whose instance has failed doesn't close its connection. Pings arrive
-	// well within the limit, so a longer silence means that the connection is dead.
-	if err := c.raw.SetReadDeadline(time.Now().Add(c.limits.Idle)); err != nil {
-		return nil, err
-	}
 	data, err := readPrefixed(c.reader, MaxFrameBytes)
 	if err != nil {
 		return nil, err
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/binary"
@@ -20,8 +21,11 @@
 )
 
 // MaxFrameBytes is the size limit of a frame after the handshake. It leaves room
-// for the largest rule set.
-const MaxFrameBytes = 1 << 20
+// for the largest configuration that the store returns.
+const MaxFrameBytes = 8 << 20
+
+// firstAllocation is the size up to which memory for a frame is allocated before its bytes arrive.
+const firstAllocation = 64 << 10
 
 // readPrefixed reads a length prefix and as many bytes as it says.
 func readPrefixed(r io.Reader, maxBytes int) ([]byte, error) {
@@ -33,11 +37,15 @@
 	if uint64(size) > uint64(maxBytes) {
 		return nil, &TooLargeError{Size: int(size), Max: maxBytes}
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return nil, unexpectedEOF(err)
+	if size <= firstAllocation {
+		data := make([]byte, size)
+		_, err := io.ReadFull(r, data)
+		return data, unexpectedEOF(err)
 	}
-	return data, nil
+	var data bytes.Buffer
+	data.Grow(firstAllocation)
+	_, err := io.CopyN(&data, r, int64(size))
+	return data.Bytes(), unexpectedEOF(err)
 }
 
 // unexpectedEOF turns io.EOF, which within a frame means that it was truncated, into
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -72,6 +72,11 @@
 	Clock int64
 	// Quarantine is the fingerprint of what the daemon knows of requests that crash upstreams.
 	Quarantine uint64
+	// ConfigBytes is the size of the daemon's configuration.
+	ConfigBytes int
+	// Overdue means that the daemon runs no requests by its configuration, as a newer one has been in
+	// force elsewhere for long.
+	Overdue bool
 }
 
 // MemberLoads reports the changes of a daemon's loads since its last state. It is sent
@@ -120,6 +125,10 @@
 type ViewRequest struct {
 	// ConfigOnly asks for the configuration without the list of upstreams.
 	ConfigOnly bool `msgpack:"c,omitempty"`
+	// ListOnly asks for the list without the configuration.
+	ListOnly bool `msgpack:"l,omitempty"`
+	// ConfigVersion is the version that the sender has, 0 if it has none: it only needs a newer one.
+	ConfigVersion uint64 `msgpack:"v,omitempty"`
 }
 
 // Kind implements Message.
@@ -127,7 +136,7 @@
 
 // ViewReply is the response to a ViewRequest, with documents as the store holds them.
 type ViewReply struct {
-	// Config is nil if the peer has no configuration.
+	// Config is nil if the peer has none that is newer than the one of the request.
 	Config []byte `msgpack:"c"`
 	// Upstreams are the entries by ID, Position is their position in the store and Age
 	// the time since they were read. Unconfirmed are those of upstreams that may be gone
@@ -194,6 +203,8 @@
 	ListDigest    uint64
 	ListSize      int
 	ListAge       time.Duration
+	// ConfigBytes is the size of the aggregator's configuration.
+	ConfigBytes int
 }
 
 // Kind implements Message.
--- a/internal/wire/member_test.go
+++ b/internal/wire/member_test.go
@@ -28,7 +28,7 @@
 		},
 		MemberLoads{Incarnation: 1, Seq: 2, Loads: loads, Prefills: []placement.PrefillEvent{{Engine: at, LastShared: placement.Part{ID: 6, Tokens: 7}}}},
 		ViewRequest{},
-		ViewRequest{ConfigOnly: true},
+		ViewRequest{ConfigOnly: true, ConfigVersion: 17},
 		ViewReply{Config: []byte("c"), Upstreams: map[string][]byte{"u": []byte("x")}, Position: 1, Age: 2},
 		LoadReport{
 			PeerAddress: "p", Full: true, Loads: loads, Daemons: 3, Depth: 2, NoReply: true,
