--- a/internal/soak/access_test.go
+++ b/internal/soak/access_test.go
@@ -89,11 +89,30 @@
 	}
 }
 
+// Guards against a check of usage that takes a request on its way at a window's end for a wrong count.
+func TestUsageAtTheEndOfAWindow(t *testing.T) {
+	name := (&access{}).organisation(0)
+	const window = 7
+	start, end := time.Unix(0, window*int64(usageWindow)), time.Unix(0, (window+1)*int64(usageWindow))
+	b := newBilling()
+	for range 10 {
+		b.begun[name] = append(b.begun[name], interval{from: start, to: start},
+			interval{from: end.Add(-time.Millisecond), to: end})
+	}
+	b.begun[name] = append(b.begun[name], interval{from: start.Add(-time.Millisecond), to: start})
+	require.Equal(t, []int64{window}, b.windows())
+	for reported, fits := range map[int]bool{8: false, 9: true, 10: true, 21: true, 23: true, 24: false} {
+		detail := b.difference(window, map[string]int{name: reported})
+		require.Equal(t, fits, detail == "", "%d: %s", reported, detail)
+	}
+}
+
 // Guards against a check of usage that accepts a missing, late or wrong report.
 func TestUsageChecks(t *testing.T) {
 	name := (&access{}).organisation(0)
 	window := windowOf(time.Now().Add(-time.Minute))
-	due := time.Unix(0, (window+1)*int64(usageWindow)).Add(usageDue)
+	start := time.Unix(0, window*int64(usageWindow))
+	due := start.Add(usageWindow + usageDue)
 	cases := []struct {
 		name     string
 		reported int
@@ -102,15 +121,17 @@
 	}{
 		{"exact", 100, due, nil},
 		{"within the tolerance", 106, due, nil},
-		{"too many", 108, due, []Promise{UsageReported}},
-		{"too few", 92, due, []Promise{UsageReported}},
+		{"too many", 107, due, []Promise{UsageReported}},
+		{"too few", 93, due, []Promise{UsageReported}},
 		{"late", 100, due.Add(time.Millisecond), []Promise{UsageReported}},
 		{"missing", 0, time.Time{}, []Promise{UsageReported}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			o := newOracle(newFaultLog())
-			o.billing.begun[window] = map[string]int{name: 100}
+			for range 100 {
+				o.billing.begun[name] = append(o.billing.begun[name], interval{from: start, to: start})
+			}
 			if !c.at.IsZero() {
 				o.billing.reports[window] = standin.CloudCall{At: c.at, Counts: map[string]int{name: c.reported}}
 			}
--- a/internal/soak/billing.go
+++ b/internal/soak/billing.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"tamarackchute/platform/standin"
@@ -16,10 +17,12 @@
 	// billingTail is how long requests go on after the recovery, so that some windows are
 	// undisturbed until they are due.
 	billingTail = settleDelay + usageWindow + usageDue + time.Second
-	// A count may differ from the truth by usageTolerance of it and usageSlack requests: those that
-	// begin at the very end of a window count in either.
+	// A count may differ from the truth by usageTolerance of it, and by usageSlack streams that broke off
+	// on the way of their first events. A request on its way when a window ends may count before or
+	// after the end; usageTransit limits the time on the way.
 	usageTolerance = 0.05
-	usageSlack     = 2
+	usageSlack     = 1
+	usageTransit   = maxWakeDelay
 	// subjectProvider names the platform's calls.
 	subjectProvider = "platform's calls"
 )
@@ -39,8 +42,9 @@
 
 // billing holds what is known of usage: the truth by the servers, and what was reported.
 type billing struct {
-	// begun counts the requests that began to run, by window and organisation.
-	begun   map[int64]map[string]int
+	// begun are the requests that began to run, by organisation: the times between which a daemon may
+	// count each of them.
+	begun   map[string][]interval
 	reports map[int64]standin.CloudCall
 	// holders maps a token to the process that used it first.
 	holders map[uint64]providerCaller
@@ -56,21 +60,23 @@
 }
 
 func newBilling() billing {
-	return billing{begun: make(map[int64]map[string]int), reports: make(map[int64]standin.CloudCall), holders: make(map[uint64]providerCaller)}
+	return billing{begun: make(map[string][]interval), reports: make(map[int64]standin.CloudCall), holders: make(map[uint64]providerCaller)}
 }
 
 func windowOf(t time.Time) int64 { return t.UnixNano() / int64(usageWindow) }
 
-// recordBegun counts a request at its first run. o.mu must be held.
-func (o *oracle) recordBegun(v standin.RequestInfo) {
+// recordBegun records a request's first run. A daemon counts a stream when its first event arrives,
+// and other requests when it sends them. o.mu must be held.
+func (o *oracle) recordBegun(v standin.RequestInfo, q *request) {
 	if v.Organisation == "" {
 		return
 	}
-	w := windowOf(time.Now())
-	if o.billing.begun[w] == nil {
-		o.billing.begun[w] = make(map[string]int)
+	now := time.Now()
+	counted := interval{from: now, to: now.Add(usageTransit)}
+	if !q.service.stream {
+		counted = interval{from: now.Add(-min(usageTransit, now.Sub(q.sentAt))), to: now}
 	}
-	o.billing.begun[w][v.Organisation]++
+	o.billing.begun[v.Organisation] = append(o.billing.begun[v.Organisation], counted)
 }
 
 // providerCalled checks an executed call of the platform, whose tag is the number of the holder's
@@ -118,7 +124,7 @@
 		// A daemon without a path hands over its duties, as one that is stopped or killed does.
 		subjects = append(subjects, daemonSubject(i), storeLinkSubject(i), pathSubject(i))
 	}
-	for w, begun := range o.billing.begun {
+	for _, w := range o.billing.windows() {
 		from := time.Unix(0, w*int64(usageWindow))
 		due := from.Add(usageWindow + usageDue)
 		if due.After(end) || !o.faults.undisturbed(from.Add(-settleDelay), due, subjects...) {
@@ -127,23 +133,45 @@
 		o.counts["windows of usage checked"]++
 		report, reported := o.billing.reports[w]
 		if !reported || report.At.After(due) {
-			o.violate(UsageReported, "window %d with %v was not reported in time", w, begun)
+			o.violate(UsageReported, "window %d was not reported in time", w)
 			continue
 		}
-		if detail := usageDifference(begun, report.Counts); detail != "" {
+		if detail := o.billing.difference(w, report.Counts); detail != "" {
 			o.violate(UsageReported, "window %d: %s", w, detail)
 		}
 	}
 }
 
-// usageDifference describes the first count that is off; empty if none is.
-func usageDifference(begun, reported map[string]int) string {
+// windows returns the windows in which requests certainly count.
+func (b *billing) windows() []int64 {
+	seen := make(map[int64]bool)
+	for _, begun := range b.begun {
+		for _, counted := range begun {
+			if w := windowOf(counted.from); w == windowOf(counted.to) {
+				seen[w] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// difference describes the first count of a window that is off; empty if none is.
+func (b *billing) difference(window int64, reported map[string]int) string {
 	for i := range organisations {
 		name := (&access{}).organisation(i)
-		truth, got := begun[name], reported[name]
-		allowed := usageTolerance*float64(truth) + usageSlack
-		if difference := float64(got - truth); difference > allowed || -difference > allowed {
-			return fmt.Sprintf("%d requests of %s were reported, %d began", got, name, truth)
+		least, most := 0, 0
+		for _, counted := range b.begun[name] {
+			first, last := windowOf(counted.from) == window, windowOf(counted.to) == window
+			if first && last {
+				least++
+			}
+			if first || last {
+				most++
+			}
+		}
+		got := float64(reported[name])
+		if got < float64(least)*(1-usageTolerance)-usageSlack || got > float64(most)*(1+usageTolerance)+usageSlack {
+			return fmt.Sprintf("%d requests of %s were reported, %d to %d began", reported[name], name, least, most)
 		}
 	}
 	return ""
--- a/internal/soak/cut.go
+++ b/internal/soak/cut.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -39,7 +40,9 @@
 // pathCut is a step in which daemons have no path to any server.
 type pathCut struct {
 	daemons map[int]bool
-	from    time.Time
+	// withPath are the daemons that the step leaves their paths.
+	withPath []int
+	from     time.Time
 	// cut and others count the requests to the daemons with and without the cut.
 	cut, others servedCount
 }
@@ -59,6 +62,9 @@
 		defer time.AfterFunc(cutNotice, s.faults.begin(pathSubject(d.number)))
 		s.setPath(d, mode)
 	}
+	for i := n; i < len(s.daemons); i++ {
+		cut.withPath = append(cut.withPath, (step.Target+i)%len(s.daemons))
+	}
 	s.oracle.pathsCut(cut)
 	time.Sleep(cutNotice)
 	s.askAllDaemons(fmt.Sprintf("cut-%d-%d", step.Target, step.Variant), cutWindow+step.For)
@@ -126,16 +132,24 @@
 	o.cuts[c] = true
 }
 
-// recordCut counts a request's end in the cuts of its time.
+// recordCut counts a request's end in the cuts of its time. Those at the daemons of a cut count while
+// another daemon has a path and is in touch: without one, nobody could serve them.
 func (o *oracle) recordCut(q *request, r standin.Reply, now time.Time) {
 	for c := range o.cuts {
-		from := c.from.Add(cutNotice)
-		if q.sentAt.Before(from) || q.lethal != "" || !q.key.removedAt.IsZero() || !o.inTouch(q, now) {
+		if q.sentAt.Before(c.from.Add(cutNotice)) || q.lethal != "" || !q.key.removedAt.IsZero() || !o.inTouch(q.daemon, q, now) {
 			continue
 		}
-		count := &c.others
-		if c.daemons[q.daemon] {
+		serves := func(daemon int) bool {
+			return o.inTouch(daemon, q, now) && o.faults.undisturbed(q.sentAt.Add(-cutNotice), now, pathSubject(daemon))
+		}
+		var count *servedCount
+		switch {
+		case c.daemons[q.daemon] && slices.ContainsFunc(c.withPath, serves):
 			count = &c.cut
+		case !c.daemons[q.daemon] && serves(q.daemon):
+			count = &c.others
+		default:
+			continue
 		}
 		count.sent++
 		if r.Status == http.StatusOK && r.Err == nil {
@@ -144,11 +158,11 @@
 	}
 }
 
-// inTouch reports whether a request's daemon was undisturbed, but for its path to servers. One that
-// is being stopped isn't: it serves its own callers, but isn't asked by others.
-func (o *oracle) inTouch(q *request, now time.Time) bool {
-	from := q.sentAt.Add(-cutNotice)
-	return o.faults.undisturbed(from, now, subjectMachine, subjectStore, daemonSubject(q.daemon), stopSubject(q.daemon), pauseSubject(q.daemon), storeLinkSubject(q.daemon))
+// inTouch reports whether a daemon was undisturbed during a request, but for its path to servers. One
+// that is being stopped isn't: it serves its own callers, but isn't asked by others.
+func (o *oracle) inTouch(daemon int, q *request, now time.Time) bool {
+	return o.faults.undisturbed(q.sentAt.Add(-cutNotice), now, subjectMachine, subjectStore,
+		daemonSubject(daemon), stopSubject(daemon), pauseSubject(daemon), storeLinkSubject(daemon))
 }
 
 // pathsHealed checks what the daemons without a path have served.
--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -19,6 +19,8 @@
 	// startupGrace is the time after a start in which a daemon's time limits aren't checked, as
 	// it loads the configuration and the server list first.
 	startupGrace = 4 * time.Second
+	// handlerGrace is the time after a process's start without SIGHUP.
+	handlerGrace = 500 * time.Millisecond
 	// restartDelay is how long the platform takes to restart a process that exited.
 	restartDelay = 300 * time.Millisecond
 	logMode      = 0o644
@@ -47,6 +49,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	launch int
+	// startedAt is when the latest process was started.
+	startedAt time.Time
 	// stopping is set once this process was sent a signal to stop, killed if that was SIGKILL.
 	stopping, killed bool
 	// noRestart is set once no further process may be started.
@@ -85,6 +89,7 @@
 	}
 	d.cmd, d.stopping, d.killed, d.exited = cmd, false, false, make(chan struct{})
 	d.launch++
+	d.startedAt = time.Now()
 	go d.wait(cmd, d.launch, d.exited)
 	time.AfterFunc(startupGrace, d.endOutage)
 	d.endOutage = nil
@@ -124,6 +129,16 @@
 	}
 }
 
+// reload sends SIGHUP, but not before the process can have installed its handler: until then, the
+// signal's default action ends it.
+func (d *daemon) reload() {
+	d.mu.Lock()
+	wait := time.Until(d.startedAt.Add(handlerGrace))
+	d.mu.Unlock()
+	time.Sleep(wait)
+	d.signal(syscall.SIGHUP)
+}
+
 // stop sends SIGTERM, kills the process if its grace period passes, and waits for its exit.
 func (d *daemon) stop() {
 	endStop := d.faults.begin(stopSubject(d.number))
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -230,7 +230,7 @@
 	o.checkRevocation(v, q)
 	q.runs++
 	if q.runs == 1 {
-		o.recordBegun(v)
+		o.recordBegun(v, q)
 	}
 	if q.service.atMostOnce && q.runs > 1 {
 		o.violate(AtMostOnce, "%s ran %d times, lastly at %s", v.ID, q.runs, v.Server)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,9 @@
 	SilenceServer     FaultKind = "server-falls-silent"
 	KillAllDaemons    FaultKind = "kill-all-daemons"
 	HangReads         FaultKind = "waiting-reads-hang"
+	GrowConfiguration FaultKind = "configuration-grows"
+	SendEndless       FaultKind = "server-sends-without-end"
+	SilenceStoreLinks FaultKind = "store-connections-silent"
 )
 
 // Step is one fault of a run.
@@ -143,7 +146,14 @@
 // configKindWeights holds the kinds of the seventh stream: new configurations while reads hang.
 var configKindWeights = []kindWeight{{HangReads, 1}}
 
+// transferKindWeights holds the kinds of the eighth stream: long, endless and silent transfers.
+var transferKindWeights = []kindWeight{{GrowConfiguration, 1}, {SendEndless, 3}, {SilenceStoreLinks, 1}}
+
 const (
+	// transferStream is the random stream of the eighth stream of steps, transferIntervalFactor how much
+	// longer its intervals are.
+	transferStream         = 1 << 38
+	transferIntervalFactor = 8
 	// configStream is the random stream of the seventh stream of steps, configIntervalFactor how much
 	// longer its intervals are.
 	configStream         = 1 << 37
@@ -186,6 +196,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, siteStream)), profile, siteKindWeights)...)
 	profile.MeanInterval = profile.MeanInterval / siteIntervalFactor * configIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, configStream)), profile, configKindWeights)...)
+	profile.MeanInterval = profile.MeanInterval / configIntervalFactor * transferIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, transferStream)), profile, transferKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -22,6 +22,7 @@
 	ConfigApplied          Promise = "a new configuration is in force in time"
 	NothingDenied          Promise = "what a configuration allows isn't denied by an older one"
 	ConfigMonotonic        Promise = "a configuration never goes back"
+	EndlessGivenUp         Promise = "bytes without end are given up"
 	NoCutRequests          Promise = "a daemon that lives or stops as planned cuts off no request"
 	AnsweredByDeadline     Promise = "each request has its final answer soon after its deadline"
 	SingleLeaseHolder      Promise = "an engine's orders come from one holder at a time"
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -51,6 +51,8 @@
 	// changed is closed and replaced whenever the mode is set.
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
+	// silent are the connections on which everything is lost.
+	silent map[net.Conn]struct{}
 	// sources holds the IP address from which each connection to the target is used, by the local
 	// address of that connection.
 	sources map[string]string
@@ -63,7 +65,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy listener")
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]struct{}), modes: make(map[string]Mode), sources: make(map[string]string)}
+	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]struct{}), silent: make(map[net.Conn]struct{}), modes: make(map[string]Mode), sources: make(map[string]string)}
 	p.wg.Go(func() { p.accept(l) })
 	return p, nil
 }
@@ -259,6 +261,7 @@
 	defer p.mu.Unlock()
 	for _, c := range conns {
 		delete(p.conns, c)
+		delete(p.silent, c)
 	}
 }
 
@@ -268,7 +271,7 @@
 	for {
 		n, err := src.Read(chunk)
 		p.awaitMode(from, replies)
-		if n > 0 {
+		if n > 0 && !p.isSilent(src) {
 			if _, werr := dst.Write(chunk[:n]); werr != nil {
 				err = werr
 			}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -99,6 +99,9 @@
 
 	mu       sync.Mutex
 	versions int
+	// further is the number of rules that nobody uses.
+	further   int
+	slowStore slowStore
 	// published counts the configurations, with those that change only keys.
 	published int
 	access    access
@@ -173,6 +176,7 @@
 // s.mu must be held.
 func (s *site) putConfig() {
 	s.published++
+	s.noteSlowPublication(time.Now())
 	var rules []standin.Service
 	for _, v := range services {
 		rule := standin.Service{Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline, Public: v.public()}
@@ -185,6 +189,7 @@
 		rules = append(rules, standin.Service{Name: pool, Kind: standin.Idempotent, Attempts: 3, Timeout: time.Second})
 	}
 	rules = append(rules, addedRules(s.versions)...)
+	rules = append(rules, furtherNames(s.further)...)
 	s.store.PutConfig(s.published, rules, s.access.published()...)
 }
 
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"syscall"
 	"time"
 
 	"tamarackchute/platform/standin"
@@ -49,7 +48,7 @@
 	case PauseDaemon:
 		d.pause(step.For)
 	case ReloadDaemon:
-		d.signal(syscall.SIGHUP)
+		d.reload()
 	case FailStore:
 		s.failStore(storeFaults[step.Variant%len(storeFaults)], step.For)
 	case DropHistory:
@@ -92,6 +91,12 @@
 		}
 	case HangReads:
 		s.hangReads(step)
+	case GrowConfiguration:
+		s.growConfiguration(step)
+	case SendEndless:
+		s.sendEndless(slot, step)
+	case SilenceStoreLinks:
+		s.silenceStoreConnections(step)
 	case SendLethal:
 		s.sendLethal(step)
 	case LimitServer:
@@ -178,6 +183,7 @@
 		server.Fail(serverFaults[(step.Variant+i)%len(serverFaults)])
 	}
 	time.Sleep(step.For)
+	server.ClearFaults() // a server that got no request would fail one later, as if undisturbed
 	time.AfterFunc(settleDelay, end)
 }
 
