soak: a stream that sends no event doesn't count in the usage of a window

Cause: the check's truth. A request that crashes its engine before the first event, an error, or bytes without end counted in the truth and rightly not at the daemons. In that plan up to six lethal requests begin in a second.

Change: the stand-in says when a request counts as begun, for streams with their first event, and the check compares with that. It is as strict for all requests that count.

--- a/internal/soak/billing.go
+++ b/internal/soak/billing.go
@@ -65,8 +65,8 @@
 
 func windowOf(t time.Time) int64 { return t.UnixNano() / int64(usageWindow) }
 
-// recordBegun records a request's first run. A daemon counts a stream when its first event arrives,
-// and other requests when it sends them. o.mu must be held.
+// recordBegun records that a request has begun for the first time. A daemon counts a stream when its
+// first event arrives, and other requests when it sends them. o.mu must be held.
 func (o *oracle) recordBegun(v standin.RequestInfo, q *request) {
 	if v.Organisation == "" {
 		return
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -23,6 +23,8 @@
 	activeAtClose bool
 	refused       bool
 	runs          int
+	// begun is set once a server counts the request as begun.
+	begun bool
 	// lethal is the body of a request that crashes servers, empty for others.
 	lethal string
 	// arrivals counts complete requests that reached a server, prefills those for prefill only.
@@ -229,9 +231,6 @@
 	o.checkHandle(v)
 	o.checkRevocation(v, q)
 	q.runs++
-	if q.runs == 1 {
-		o.recordBegun(v, q)
-	}
 	if q.service.atMostOnce && q.runs > 1 {
 		o.violate(AtMostOnce, "%s ran %d times, lastly at %s", v.ID, q.runs, v.Server)
 	}
@@ -240,6 +239,16 @@
 	}
 }
 
+// Began implements standin.Observer.
+func (o *oracle) Began(v standin.RequestInfo) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if q := o.requests[v.ID]; q != nil && !q.begun {
+		q.begun = true
+		o.recordBegun(v, q)
+	}
+}
+
 // Ended implements standin.Observer.
 func (o *oracle) Ended(v standin.RequestInfo) {
 	o.mu.Lock()
