member: a lapse of the lease doesn't make its holder wait anew

Cause: a renewal that comes late leaves a gap of some tenths of a second in the authority. Class: a wait meant for a change of holder, paid at each hiccup.

Change: the waits count from the claim that gave the fencing token (`tenure`). Counts of other daemons are fetched during a gap, as before they weren't. `lease lapsed` and `lease regained` are logged.

--- a/internal/member/leadership.go
+++ b/internal/member/leadership.go
@@ -54,8 +54,7 @@
 	keeper    *lease.Keeper
 	entries   *journal.Journal
 	stopLease func()
-	// heldSince is when the lease was acquired; it has been held without interruption since.
-	heldSince time.Time
+	held      tenure
 	// blockedUntil is when orders are allowed again after a suspension or a fenced order.
 	blockedUntil time.Time
 	// checkedAt and checkedBoot are the times of the last check by the monotonic clock and by one
@@ -105,7 +104,7 @@
 	case !candidate && stop != nil:
 		stop()
 		l.mu.Lock()
-		l.stopLease, l.keeper, l.entries, l.heldSince = nil, nil, nil, time.Time{}
+		l.stopLease, l.keeper, l.entries, l.held = nil, nil, nil, tenure{}
 		l.mu.Unlock()
 		l.logger.Info("no longer a lease candidate")
 	}
@@ -157,7 +156,7 @@
 // their fencing tokens: the former holder may have given its last one at the very end of its term.
 func (l *leadership) quietTime() time.Duration { return l.term() + quietMargin }
 
-// mayOrder reports whether this daemon holds the lease and has held it for a time.
+// mayOrder reports whether this daemon holds the lease, and no other one has for a time.
 func (l *leadership) mayOrder(heldFor time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -166,15 +165,32 @@
 	if l.keeper == nil {
 		return false
 	}
-	if _, ok := l.keeper.Authority(); !ok {
-		l.heldSince = time.Time{}
-		return false
+	authority, ok := l.keeper.Authority()
+	if ok {
+		l.logTenure(l.held.hold(authority.FencingToken, now))
+	} else {
+		l.logTenure(l.held.lapse())
 	}
-	if l.heldSince.IsZero() {
-		l.heldSince = now
-		l.logger.Info("lease acquired", "quiet_ms", l.quietTime().Milliseconds())
+	return ok && l.held.heldFor(now) >= heldFor && now.After(l.blockedUntil)
+}
+
+// logTenure logs a change of the lease's tenure. l.mu is held.
+func (l *leadership) logTenure(c tenureChange) {
+	switch c {
+	case tenureAcquired:
+		l.logger.Info("lease acquired", "fence", l.held.token, "quiet_ms", l.quietTime().Milliseconds())
+	case tenureLapsed:
+		l.logger.Warn("lease lapsed", "fence", l.held.token)
+	case tenureRegained:
+		l.logger.Info("lease regained", "fence", l.held.token)
 	}
-	return now.Sub(l.heldSince) >= heldFor && now.After(l.blockedUntil)
+}
+
+// isLastHolder reports whether the journal has this daemon as the lease's holder. The term may be over.
+func (l *leadership) isLastHolder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper != nil && l.keeper.IsLastHolder()
 }
 
 // checkSuspension blocks orders for a term after a suspension of the process: the monotonic clock,
--- a/internal/member/usage.go
+++ b/internal/member/usage.go
@@ -30,7 +30,7 @@
 	reportInterval   = 250 * time.Millisecond
 	maxReportBackoff = 2 * time.Second
 	// reporterSettle is how long a new lease holder waits until the other daemons' counts have come
-	// in, if the platform checks fencing tokens.
+	// in, if the platform checks fencing tokens. While its lease has lapsed, it goes on fetching them.
 	reporterSettle = usageHops * usagePushInterval
 	// providerTimeout limits one call to the platform, journalTimeout one entry in the journal.
 	providerTimeout = time.Second
@@ -90,7 +90,7 @@
 		sleep(ctx, usagePushInterval)
 		s.meter.table.Forget(s.meter.schedule().Oldest(s.meter.clock.Now()))
 		s.push()
-		if s.leadership.mayOrder(0) {
+		if s.leadership.isLastHolder() {
 			s.fetch(ctx)
 		}
 	}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -174,6 +174,12 @@
 	return k.machine.Authority(s, time.Now())
 }
 
+// IsLastHolder reports whether the journal has this process as the scope's holder, even if its term is
+// over: then it may regain the authority under the same fencing token.
+func (k *Keeper) IsLastHolder() bool {
+	return k.view.Scope(k.cfg.Scope).HeldBy(k.cfg.Instance, k.cfg.Incarnation)
+}
+
 // Use begins an action under the authority and returns a function that ends
 // it. A release waits for the end, so an order in progress is finished before
 // another process can claim the scope after this one's release.
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -62,17 +62,55 @@
 	return n
 }
 
-// Guards against two leaders at a time, and against none after the faults, while
+// Guards against two leaders at a time, against none after the faults, and against a fencing token that is
+// used again after another leader, while
 // the log loses replies and appends, stores some appends late and has outages.
 func TestKeepersOnFaultyLog(t *testing.T) {
+	var tokens tokenCheck
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { faultyLog(t, rand.New(rand.NewPCG(seed, 1))) })
+			synctest.Test(t, func(t *testing.T) {
+				tokens = tokenCheck{regained: tokens.regained}
+				faultyLog(t, rand.New(rand.NewPCG(seed, 1)), &tokens)
+			})
 		})
 	}
+	require.Positive(t, tokens.regained, "some gaps between authorities under one token")
 }
 
-func faultyLog(t *testing.T, rng *rand.Rand) {
+// tokenCheck fails if a process has authority under a token again after another process has had any.
+type tokenCheck struct {
+	last   Authority
+	holder *process
+	past   map[uint64]bool
+	// regained counts authorities that were regained after a gap.
+	regained int
+	gap      bool
+}
+
+func (c *tokenCheck) observe(t *testing.T, processes []*process) {
+	held := false
+	for _, p := range processes {
+		a, ok := p.Authority()
+		if !ok {
+			continue
+		}
+		held = true
+		require.True(t, p.IsLastHolder())
+		require.Falsef(t, c.past[a.FencingToken], "token %d is used again", a.FencingToken)
+		if c.holder != nil && a.FencingToken != c.last.FencingToken {
+			c.past[c.last.FencingToken] = true
+		} else if c.gap {
+			require.Same(t, c.holder, p)
+			c.regained++
+		}
+		c.holder, c.last = p, a
+	}
+	c.gap = c.holder != nil && !held
+}
+
+func faultyLog(t *testing.T, rng *rand.Rand, tokens *tokenCheck) {
+	tokens.past = make(map[uint64]bool)
 	log := journaltest.NewLog()
 	log.SetLatency(10 * time.Millisecond)
 	log.SetLateAfter(4 * time.Second)
@@ -98,6 +136,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 		require.LessOrEqual(t, countLeaders(processes), 1)
+		tokens.observe(t, processes)
 	}
 	time.Sleep(2 * time.Minute) // by then the remaining faults are used up
 	assert.Equal(t, 1, countLeaders(processes))
