soak: a report of a cut request says when it had been written

KNOWN-RED's all-daemons-stop says that requests were sent 96 and 426 ms before the close of a starved daemon. The time noted is that before the caller writes; on a machine without a free processor the write itself may be that late.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -143,8 +143,8 @@
 		return // a stream broken on the way from its server can't be distinguished from one that the daemon cut
 	}
 	if o.faults.undisturbed(q.sentAt, lostAt, subjectMachine) {
-		o.violate(NoCutRequests, "%s to %s at daemon %d was cut: %v; sent %s, cut %s, process ended %s, passed on %t",
-			id, q.service.name, q.daemon, r, formatTime(q.sentAt), formatTime(lostAt), formatTime(exit.at), forwarded)
+		o.violate(NoCutRequests, "%s to %s at daemon %d was cut: %v; sent %s, written %s, cut %s, process ended %s, passed on %t",
+			id, q.service.name, q.daemon, r, formatTime(q.sentAt), formatTime(r.WrittenAt), formatTime(lostAt), formatTime(exit.at), forwarded)
 	}
 }
 
