--- a/internal/soak/lethal.go
+++ b/internal/soak/lethal.go
@@ -46,6 +46,8 @@
 	// maxCrashes is the number of crashes after which it must be refused.
 	maxCrashes int
 	crashes    int
+	// reached counts the copies that reached servers.
+	reached int
 	// refusedFrom is when it must be refused; zero before it has crashed enough servers.
 	refusedFrom time.Time
 	arrivals    int
@@ -216,7 +218,13 @@
 // that weren't disturbed for a while.
 func (o *oracle) checkLethal(v standin.RequestInfo, q *request, now time.Time) {
 	l := o.lethal[q.lethal]
-	if l == nil || l.refusedFrom.IsZero() || q.sentAt.Before(l.refusedFrom) {
+	if l == nil {
+		return
+	}
+	if l.reached++; l.reached == lethalCrashes && l.maxCrashes == lethalCrashes && l.refusedFrom.IsZero() {
+		l.refusedFrom = now.Add(refusalNotice)
+	}
+	if l.refusedFrom.IsZero() || q.sentAt.Before(l.refusedFrom) {
 		return
 	}
 	if !o.faults.undisturbed(now.Add(-refusalNotice), now, subjectMachine, daemonSubject(q.sender), pauseSubject(q.sender)) {
