upstreamlimit: an order finds that a limit near zero is over

Of four engines one decodes, another one is to, and every call for its state is "held back: the upstream's limit is used up".

Cause: the engine had named a limit of zero a second, once. A limit ends with a response without one, so somebody has to send a request; the engine only prefills and the prompts are short, so nobody does. Orders had no room at a limit below 0.4 a second, as such an engine "has no use either way". So it stayed without a use for good. Class: a belief that only its subject can end, kept by not talking to it.

Change: at such a limit the first call of an order is taken as any request, from the share or as the question that a process without one may ask after 3 to 7 s. The second one follows if the limit wasn't named again meanwhile; the answer to a control call that names none doesn't end the limit by itself, as it isn't signed. A limit that the first response names now also binds the second call, which nothing checked.

Tests: TestOrderAsksWhetherALimitIsOver and TestRoleOrderFindsThatALimitIsOver, red without it; TestLimitNamedDuringAnOrder; TestOrdersHaveRoomWithinTheLimit plays responses that are silent on the limit, too: within what is allowed for all limits. It demanded no order at all below 0.4 a second; now none unless the engine stopped naming the limit.

--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -49,10 +49,8 @@
 // that it admits count towards the upstream's limit; AdmitOrdered is asked before the second one.
 func (r *Relay) AdmitOrder(u *fleet.Upstream) error { return r.admitBy(u, r.takeOrderFromLimit) }
 
-// AdmitOrdered returns an error if nothing may be sent to an upstream now, whatever its limit.
-func (r *Relay) AdmitOrdered(u *fleet.Upstream) error {
-	return r.admitBy(u, func(*fleet.Upstream) bool { return true })
-}
+// AdmitOrdered returns an error if the second request of an order may not be sent to an upstream now.
+func (r *Relay) AdmitOrdered(u *fleet.Upstream) error { return r.admitBy(u, r.takeOrderedFromLimit) }
 
 func (r *Relay) admitBy(u *fleet.Upstream, withinLimit func(*fleet.Upstream) bool) error {
 	err := r.heldBack(u)
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -40,6 +40,11 @@
 	return r.cfg.Limits == nil || r.cfg.Limits.Limiter.TakeOrder(limitKey(u.ID, u.Started))
 }
 
+// takeOrderedFromLimit is takeOrderFromLimit for the second request of an order.
+func (r *Relay) takeOrderedFromLimit(u *fleet.Upstream) bool {
+	return r.cfg.Limits == nil || r.cfg.Limits.Limiter.TakeOrdered(limitKey(u.ID, u.Started))
+}
+
 // takeFromLimit counts a request towards its upstream's limit, and reports whether it may be sent.
 func (r *Relay) takeFromLimit(u *fleet.Upstream) bool {
 	return r.cfg.Limits == nil || r.cfg.Limits.Limiter.Take(limitKey(u.ID, u.Started))
--- a/upstreamlimit/limiter.go
+++ b/upstreamlimit/limiter.go
@@ -59,8 +59,11 @@
 	// grown replaces share at grownAt; it is zero if share isn't about to grow.
 	grown   share
 	grownAt time.Time
-	// orders are the requests of orders that may be sent.
-	orders float64
+	// orders are the requests of orders that may be sent. orderedAt is when the current order was
+	// admitted, prepaid whether its second request is already counted.
+	orders    float64
+	orderedAt time.Time
+	prepaid   bool
 	// namedAt is when the limit was last named, probeAt when a process without a share may send a
 	// request.
 	namedAt, probeAt time.Time
@@ -135,7 +138,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	b := l.fill(u, limit, now)
+	return l.take(l.fill(u, limit, now), now)
+}
+
+// take is Take for a limited upstream's bucket. l.mu is held.
+func (l *Limiter) take(b *bucket, now time.Time) bool {
 	if b.wait(now) > 0 {
 		return false
 	}
@@ -147,10 +154,34 @@
 	return true
 }
 
-// TakeOrder reports whether an order may be given to an upstream now, and counts its requests if so.
-// Orders come before other requests: without one, an upstream may have no use at all. One that hardly
-// allows requests has none either way.
+// TakeOrder reports whether the first request of an order may be sent to an upstream now, and counts the
+// order's requests if so. Orders come before other requests: without one, an upstream may have no use at
+// all. One that hardly allows requests has none either way, but if no others reach it, only an order can
+// find that this is over: there its first request is one like any other.
 func (l *Limiter) TakeOrder(u Upstream) bool {
+	limit, limited := l.book.limit(u)
+	if !limited {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	b := l.fill(u, limit, now)
+	if limit.perSecond < minPerSecond {
+		b.prepaid = l.take(b, now)
+		if b.prepaid && b.share.perSecond > 0 {
+			b.tokens--
+		}
+	} else {
+		b.prepaid = l.takeForOrder(b, callsOfOrder)
+	}
+	b.orderedAt = now
+	return b.prepaid
+}
+
+// TakeOrdered reports whether the second request of an order may be sent. The response to the first one
+// may have named a limit, or named again one that hardly allows requests.
+func (l *Limiter) TakeOrdered(u Upstream) bool {
 	limit, limited := l.book.limit(u)
 	if !limited {
 		return true
@@ -158,12 +189,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.fill(u, limit, l.now())
-	if limit.perSecond < minPerSecond || b.orders < callsOfOrder || !slices.Contains(l.members, l.self) {
+	prepaid, unusable := b.prepaid, limit.perSecond < minPerSecond
+	b.prepaid = false
+	switch {
+	case unusable && !limit.namedAt.Before(b.orderedAt):
+		return false
+	case prepaid:
+		return true
+	default:
+		return !unusable && l.takeForOrder(b, 1)
+	}
+}
+
+// takeForOrder counts requests of an order if there is room for them. l.mu is held.
+func (l *Limiter) takeForOrder(b *bucket, requests float64) bool {
+	if b.orders < requests || !slices.Contains(l.members, l.self) {
 		return false
 	}
-	b.orders -= callsOfOrder
+	b.orders -= requests
 	if b.share.perSecond > 0 {
-		b.tokens -= callsOfOrder // other requests wait for as long
+		b.tokens -= requests // other requests wait for as long
 	}
 	return true
 }
--- a/upstreamlimit/limiter_test.go
+++ b/upstreamlimit/limiter_test.go
@@ -70,19 +70,10 @@
 // step lets each process send as much as it may, and every process hear the responses.
 func (f *fleet) step(d time.Duration) {
 	f.now = f.now.Add(d)
-	for _, r := range f.news {
-		for _, b := range f.books {
-			b.Merge(r)
-		}
-	}
-	f.news = nil
+	f.exchange()
 	for _, i := range f.rng.Perm(len(f.limiters)) {
-		if !f.up[i] || !f.limiters[i].Take(limited) {
-			continue
-		}
-		f.sent = append(f.sent, f.now)
-		if f.books[i].Observe(limited, Statement{Limited: f.limited, PerSecond: f.perSecond, SentAt: f.now, ReceivedAt: f.now.Add(time.Millisecond)}) {
-			f.news = f.books[i].Reports()
+		if f.up[i] && f.limiters[i].Take(limited) {
+			f.answer(i)
 		}
 	}
 	if f.unshared {
@@ -98,6 +89,24 @@
 	}
 }
 
+// answer lets a process send a request, and hear what the response says of the limit.
+func (f *fleet) answer(i int) {
+	f.sent = append(f.sent, f.now)
+	if f.books[i].Observe(limited, Statement{Limited: f.limited, PerSecond: f.perSecond, SentAt: f.now, ReceivedAt: f.now.Add(time.Millisecond)}) {
+		f.news = f.books[i].Reports()
+	}
+}
+
+// exchange tells all processes the news.
+func (f *fleet) exchange() {
+	for _, r := range f.news {
+		for _, b := range f.books {
+			b.Merge(r)
+		}
+	}
+	f.news = nil
+}
+
 // most returns the largest number of requests in a window that begins at a time or later.
 func (f *fleet) most(from time.Time) int {
 	most, first := 0, 0
