rolepolicy: the last engine of a pool decodes

Seen while a test was written: a pool whose only engine left prefills gets no order, `roles checked` says "prefill":1,"decode":0 for 10 s, and nothing of the pool is served until another engine joins.

Cause: one engine was always left to prefill, and pools of one engine were never looked at. An engine that decodes prefills too; one that prefills serves nothing by itself.

Change: without an engine that decodes, the last one may change as well. TestLastEngineDecodes fails without it. Gain, the policy of the own interface, compares all splits and has no such bound.

--- a/rolepolicy/balance.go
+++ b/rolepolicy/balance.go
@@ -111,11 +111,15 @@
 func (b *Balancer) propose(p Pool) (Change, bool) {
 	engines := p.Prefill + p.Decode
 	maxChanges := int(math.Max(1, b.cfg.MaxChangingShare*float64(engines))) - p.Changing
-	if engines < 2 || maxChanges < 1 {
+	if engines < 1 || maxChanges < 1 {
 		return Change{}, false
 	}
-	if shortage := b.decodeShortage(p); p.Prefill > 1 && shortage > 0 {
-		n := min(int(math.Ceil(shortage)), maxChanges, p.Prefill-1)
+	spare := p.Prefill - 1
+	if p.Decode == 0 {
+		spare = p.Prefill // without one that decodes, nothing is served
+	}
+	if shortage := b.decodeShortage(p); spare > 0 && shortage > 0 {
+		n := min(int(math.Ceil(shortage)), maxChanges, spare)
 		return Change{
 			To:      upstream.RoleDecode,
 			Engines: n,
--- a/rolepolicy/balance_test.go
+++ b/rolepolicy/balance_test.go
@@ -81,6 +81,21 @@
 	require.False(t, ok)
 }
 
+// Guards against a pool that serves nothing, as its last engine only prefills.
+func TestLastEngineDecodes(t *testing.T) {
+	c, after, ok := decideFor(NewBalancer(DefaultBalancerConfig()), testPool(1, 0, 0.3, 0), 5*time.Second)
+	require.True(t, ok)
+	require.Equal(t, upstream.RoleDecode, c.To)
+	require.Equal(t, 1, c.Engines)
+	require.LessOrEqual(t, after, 4*time.Second)
+	_, _, ok = decideFor(NewBalancer(DefaultBalancerConfig()), testPool(0, 1, 20, 0.1), time.Minute)
+	require.False(t, ok, "it stays one that decodes")
+	_, _, ok = decideFor(NewBalancer(DefaultBalancerConfig()), testPool(1, 1, 20, 0.1), time.Minute)
+	require.False(t, ok)
+	_, _, ok = decideFor(NewBalancer(DefaultBalancerConfig()), testPool(0, 0, 0, 0), time.Minute)
+	require.False(t, ok)
+}
+
 // However many prompts wait, there must stay enough decode engines for the present
 // load and for the loss of one, and only few may change concurrently.
 func TestBoundsOfChanges(t *testing.T) {
