relay: a request that can't wait for a backoff or limit is refused at once

Evidence: the log of a red run. The daemon has the share of a limit near zero, one request in 2.5 s; each request of the only caller has "waited_ms=2500" and is answered. In green runs the daemon doesn't know itself as a member yet and refuses. So the tests demanded what isn't promised: the waited-for requests were answered in time. Suspected before and ruled out: an attempt that broke off and excluded the only server.

The fault under it: a request was held against the time for which it may be queued, not against its deadline. With 2 s left and a wait of 2.5 s it was queued until its deadline. Now such a request is refused when it comes, with the time to come back.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -133,8 +133,12 @@
 }
 
 // backoffBeyond returns the time until the first upstream of the pool ends its backoff, if all
-// are in one and none that the request may use is back while it is queued. Otherwise it is 0.
+// are in one and none that the request may use is back while it is queued and before its deadline.
+// Otherwise it is 0.
 func (c *call) backoffBeyond(until time.Time) time.Duration {
+	if c.deadline.Before(until) {
+		until = c.deadline
+	}
 	backoff, ok := c.relay.cfg.Tracker.PoolBackoff(c.pool, c.excluded)
 	if !ok || backoff.FirstUsable <= time.Until(until) {
 		return 0
