soak: usage counts by when a request was seen on both sides of its daemon

Cause: the check. A daemon counts a stream when its first event arrives, and another request when it sends it; the check allowed 0.15 s for the way. The logs of all ten daemons have gaps of 0.3 to 0.8 s at both ends of that second, so requests on their way count in the second before or after. Reports were in time, the lease held.

Ruled out: counts lost on their way to the reporter (one site has more than began).

Change: the check uses what is seen of each request. A stream counts between its server's first event and the moment its caller has one, other requests between their caller's sending and their server's start. Where machines aren't starved, that is stricter than 0.15 s. Without a first event the time until the caller's connection ended counts.

--- a/internal/soak/billing.go
+++ b/internal/soak/billing.go
@@ -19,7 +19,7 @@
 	billingTail = settleDelay + usageWindow + usageDue + time.Second
 	// A count may differ from the truth by usageTolerance of it, and by usageSlack streams that broke off
 	// on the way of their first events. A request on its way when a window ends may count before or
-	// after the end; usageTransit limits the time on the way.
+	// after the end; usageTransit is the time on the way of a first event that its caller didn't get.
 	usageTolerance = 0.05
 	usageSlack     = 1
 	usageTransit   = maxWakeDelay
@@ -44,7 +44,7 @@
 type billing struct {
 	// begun are the requests that began to run, by organisation: the times between which a daemon may
 	// count each of them.
-	begun   map[string][]interval
+	begun   map[string][]*interval
 	reports map[int64]standin.CloudCall
 	// holders maps a token to the process that used it first.
 	holders map[uint64]providerCaller
@@ -60,23 +60,43 @@
 }
 
 func newBilling() billing {
-	return billing{begun: make(map[string][]interval), reports: make(map[int64]standin.CloudCall), holders: make(map[uint64]providerCaller)}
+	return billing{begun: make(map[string][]*interval), reports: make(map[int64]standin.CloudCall), holders: make(map[uint64]providerCaller)}
 }
 
 func windowOf(t time.Time) int64 { return t.UnixNano() / int64(usageWindow) }
 
 // recordBegun records that a request has begun for the first time. A daemon counts a stream when its
-// first event arrives, and other requests when it sends them. o.mu must be held.
+// first event arrives, before it passes the event on, and other requests when it sends them, after its
+// caller has. o.mu must be held.
 func (o *oracle) recordBegun(v standin.RequestInfo, q *request) {
 	if v.Organisation == "" {
 		return
 	}
 	now := time.Now()
-	counted := interval{from: now, to: now.Add(usageTransit)}
+	q.counted = &interval{from: now, to: now.Add(usageTransit)}
 	if !q.service.stream {
-		counted = interval{from: now.Add(-min(usageTransit, now.Sub(q.sentAt))), to: now}
+		q.counted = &interval{from: q.sentAt, to: now}
 	}
-	o.billing.begun[v.Organisation] = append(o.billing.begun[v.Organisation], counted)
+	o.billing.begun[v.Organisation] = append(o.billing.begun[v.Organisation], q.counted)
+}
+
+// recordFirstEvent records when the caller of a stream got its first event, or how its connection ended
+// without one. o.mu must be held.
+func (o *oracle) recordFirstEvent(q *request, r standin.Reply, now time.Time) {
+	switch {
+	case q.counted == nil || !q.service.stream:
+	case !r.FirstEventAt.IsZero():
+		q.counted.to = later(q.counted.from, r.FirstEventAt)
+	default:
+		q.counted.to = later(q.counted.to, now)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
 }
 
 // providerCalled checks an executed call of the platform, whose tag is the number of the holder's
@@ -161,11 +181,11 @@
 		name := (&access{}).organisation(i)
 		least, most := 0, 0
 		for _, counted := range b.begun[name] {
-			first, last := windowOf(counted.from) == window, windowOf(counted.to) == window
-			if first && last {
+			first, last := windowOf(counted.from), windowOf(counted.to)
+			if first == window && last == window {
 				least++
 			}
-			if first || last {
+			if first <= window && window <= last {
 				most++
 			}
 		}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -23,8 +23,10 @@
 	activeAtClose bool
 	refused       bool
 	runs          int
-	// begun is set once a server counts the request as begun.
-	begun bool
+	// begun is set once a server counts the request as begun, counted the times between which a daemon
+	// counts it then.
+	begun   bool
+	counted *interval
 	// lethal is the body of a request that crashes servers, empty for others.
 	lethal string
 	// arrivals counts complete requests that reached a server, prefills those for prefill only.
@@ -268,6 +270,7 @@
 	q, now := o.requests[id], time.Now()
 	o.counts[q.service.name+" "+outcomeOf(r)]++
 	o.recordDrainNotice(q, r)
+	o.recordFirstEvent(q, r, now)
 	if !q.closedAt.IsZero() {
 		return
 	}
