--- a/internal/soak/billing.go
+++ b/internal/soak/billing.go
@@ -80,8 +80,8 @@
 	o.billing.begun[v.Organisation] = append(o.billing.begun[v.Organisation], q.counted)
 }
 
-// recordFirstEvent records when the caller of a stream got its first event, or how its connection ended
-// without one. o.mu must be held.
+// recordFirstEvent limits the time at which a daemon has counted a stream: until its caller had the first
+// event, or without one, until the caller's connection ended. o.mu must be held.
 func (o *oracle) recordFirstEvent(q *request, r standin.Reply, now time.Time) {
 	switch {
 	case q.counted == nil || !q.service.stream:
