relay: a request without a place says which upstreams were excluded, why and since when

The log of a refused request had only counts: listed, ejected, unreachable. Which upstreams were excluded, by what (a refusal, a backoff, a limit, an ejection, a probe), since when, and how many were left couldn't be told. The line now has the usable and full ones, up to eight exclusions and what the request itself had tried; together with the lines of ejections a request's ID leads to each cause.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -98,8 +98,8 @@
 		return
 	}
 	if f.reason == reasonNoCapacity || f.reason == reasonUnreachable {
-		health := c.relay.cfg.Tracker.PoolHealth(c.pool)
-		attrs = append(attrs, "listed", health.Listed, "ejected", health.Ejected, "unreachable", health.Unreachable, "expected_ms", telemetry.Millis(c.lastPlan.FirstToken), "queue_ms", telemetry.Millis(c.lastPlan.QueueTime),
+		attrs = append(attrs, c.poolAttrs()...)
+		attrs = append(attrs, "expected_ms", telemetry.Millis(c.lastPlan.FirstToken), "queue_ms", telemetry.Millis(c.lastPlan.QueueTime),
 			"ideal_ms", telemetry.Millis(c.lastPlan.IdealFirstToken), "uncached", c.lastPlan.Uncached, "reread", c.lastPlan.Recomputes,
 			"considered", c.lastPlan.Candidates, "objective_ms", telemetry.Millis(c.rule.Objective), "comeback", c.retried)
 	}
@@ -129,6 +129,23 @@
 	c.log.Warn("failed", attrs...)
 }
 
+// maxLoggedExclusions bounds the upstreams named in one line of the log.
+const maxLoggedExclusions = 8
+
+// poolAttrs returns the attributes of what the pool had left for a request that wasn't placed.
+func (c *call) poolAttrs() []any {
+	tracker := c.relay.cfg.Tracker
+	health, use := tracker.PoolHealth(c.pool), tracker.PoolUse(c.pool, maxLoggedExclusions)
+	excluded := make([]string, len(use.Excluded))
+	for i, x := range use.Excluded {
+		excluded[i] = x.String()
+	}
+	return []any{
+		"listed", health.Listed, "ejected", health.Ejected, "unreachable", health.Unreachable,
+		"usable", use.Usable, "full", use.Full, "excluded", excluded, "tried", c.excluded,
+	}
+}
+
 // standingAttrs returns the attributes of how current the configuration in force is.
 func standingAttrs(s freshness.Standing) []any {
 	return []any{"config_age_ms", freshness.Millis(s.Age), "proven_by", s.ProvenBy, "newest_config", s.Newest, "named_by", s.NamedBy, "behind_ms", telemetry.Millis(s.Behind)}
--- /dev/null
+++ b/placement/exclusion.go
@@ -0,0 +1,92 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+)
+
+// ExclusionReason says why an upstream gets no requests of this daemon for now.
+type ExclusionReason string
+
+// The reasons, in the order in which they are checked.
+const (
+	// ExcludedUnavailable: it refused, was replaced or changes its role.
+	ExcludedUnavailable ExclusionReason = "unavailable"
+	// ExcludedBackoff: it has asked for a backoff.
+	ExcludedBackoff ExclusionReason = "backoff"
+	// ExcludedLimit: the limit that it has named allows no request now.
+	ExcludedLimit ExclusionReason = "limit"
+	// ExcludedEjected: its attempts failed.
+	ExcludedEjected ExclusionReason = "ejected"
+	// ExcludedProbing: one request at a time finds out whether it answers again.
+	ExcludedProbing ExclusionReason = "probing"
+)
+
+// Exclusion is an upstream that gets no requests for now.
+type Exclusion struct {
+	ID     string
+	Reason ExclusionReason
+	// Since is the time since it was ejected, zero for the other reasons; Left that until the
+	// exclusion ends, zero if that isn't known.
+	Since, Left time.Duration
+}
+
+// String returns the exclusion in the form of the log.
+func (x Exclusion) String() string {
+	return fmt.Sprintf("%s %s since_ms=%d left_ms=%d", x.ID, x.Reason, x.Since.Milliseconds(), x.Left.Milliseconds())
+}
+
+// PoolUse tells which upstreams of a pool get requests.
+type PoolUse struct {
+	// Usable counts those that aren't excluded; the ones among them that have no free slot are Full.
+	Usable, Full int
+	// Excluded are some of the others.
+	Excluded []Exclusion
+}
+
+// PoolUse returns which upstreams of a pool get requests, with at most limit exclusions.
+func (tr *Tracker) PoolUse(pool string, limit int) PoolUse {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var use PoolUse
+	p := tr.pools[pool]
+	if p == nil {
+		return use
+	}
+	now := tr.now()
+	for _, e := range p.all {
+		x := tr.exclusion(e, now)
+		switch {
+		case x.Reason == "":
+			use.Usable++
+			if e.Slots > 0 && e.total().Running >= e.Slots {
+				use.Full++
+			}
+		case len(use.Excluded) < limit:
+			use.Excluded = append(use.Excluded, x)
+		}
+	}
+	return use
+}
+
+// exclusion returns why an upstream is excluded; the reason is empty if it isn't. tr.mu is held.
+func (tr *Tracker) exclusion(e *trackedUpstream, now time.Time) Exclusion {
+	x := Exclusion{ID: e.ID}
+	h := &e.health
+	switch limited := tr.waitForLimit(e); {
+	case now.Before(e.unavailableUntil):
+		x.Reason, x.Left = ExcludedUnavailable, e.unavailableUntil.Sub(now)
+	case now.Before(h.backoffUntil):
+		x.Reason, x.Left = ExcludedBackoff, h.backoffUntil.Sub(now)
+	case limited > 0:
+		x.Reason, x.Left = ExcludedLimit, limited
+	case h.ejected(now):
+		x.Reason, x.Since, x.Left = ExcludedEjected, now.Sub(h.lastEjected), h.ejectedUntil.Sub(now)
+	case h.probing && e.probes > 0:
+		x.Reason = ExcludedProbing
+		if !h.probingBackoff {
+			x.Since = now.Sub(h.lastEjected)
+		}
+	}
+	return x
+}
