placement, router: upstreams that fail some requests are a last resort, not excluded

Cause: an exclusion that doesn't look at what remains.

Change: package outlier tells an upstream that has stopped answering from one that usually fails a share, by the likelihood of its row of failures. Ejected upstreams that answer are chosen if no other one takes the request, for whatever reason (full, excluded by the request, another version, a role), in placement; in router they count within the share of a pool that may be ejected, also for broken connections and failed probes, and are the last filter stage. One that answers isn't 'unreachable'. Backoffs and limits that upstreams name hold.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -31,6 +31,10 @@
 		"read_ms", telemetry.Millis(p.prefillTime), "first_ms", telemetry.Millis(p.firstEventTime),
 		"lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "done", res.done, "status", res.status,
 	}
+	if p.ticket.LastResort() || p.prefillTicket.LastResort() {
+		c.relay.metrics.recordLastResort(c.pool)
+		attrs = append(attrs, "last_resort", true)
+	}
 	if p.plan.LongStream {
 		attrs = append(attrs, c.completionAttrs(p)...)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -65,6 +65,11 @@
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter(name).Inc(1)
 }
 
+// recordLastResort counts an attempt at an upstream that only gets what no other one takes.
+func (m *metrics) recordLastResort(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("last_resort_attempts").Inc(1)
+}
+
 // recordPath counts a path to a pool's upstreams that was lost, or works again.
 func (m *metrics) recordPath(pool string, change reach.Change) {
 	name := "paths_lost"
--- a/placement/health.go
+++ b/placement/health.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"tamarackchute/outlier"
+)
 
 // Outcome is the result of an attempt at an upstream.
 type Outcome uint8
@@ -41,6 +45,8 @@
 
 // health is the failure history of an upstream as seen by this daemon.
 type health struct {
+	// history tells whether the upstream still answers some requests.
+	history            outlier.History
 	failureRate        float64
 	connectionFailures int
 	ejections          int
@@ -94,6 +100,7 @@
 )
 
 func (h *health) succeed(began time.Time) {
+	h.history.Succeed()
 	h.connectionFailures = 0
 	h.failureRate *= 1 - failureSmoothing
 	h.answered(began)
@@ -123,6 +130,7 @@
 }
 
 func (h *health) fail(o Outcome, now time.Time) {
+	h.history.Fail()
 	h.failureRate += failureSmoothing * (1 - h.failureRate)
 	if h.ejected(now) {
 		return // the request began before the ejection
@@ -147,6 +155,15 @@
 // ejected reports whether the upstream is ejected at the given time.
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
+// lastResort reports whether the upstream may get requests that no other one takes: it is ejected or
+// probed, but still answers some. It isn't while in a backoff, or while that is probed.
+func (h *health) lastResort(now time.Time) bool {
+	return (h.ejected(now) || h.probing) && !h.probingBackoff && !now.Before(h.backoffUntil) && h.history.Answers()
+}
+
+// unreached reports whether connections to an ejected upstream fail, as far as is known all of them.
+func (h *health) unreached() bool { return h.unreachable && !h.history.Answers() }
+
 // readmitUnreachable ends an ejection after failed connections. A backoff goes on.
 func (h *health) readmitUnreachable() {
 	if !h.unreachable {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -18,6 +18,8 @@
 // search holds the state of one decision.
 type search struct {
 	engines []Engine
+	// lastResorts counts the ejected upstreams that still answer some requests.
+	lastResorts int
 	// sources are the engines with the longest cached prefix of the prompt.
 	sources cacheSources
 	// decodeChoices caches the best decode engine by the data centre of the prefill.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -41,12 +41,21 @@
 	return pools
 }
 
-// Pick returns the plan with the lowest cost among the engines of a pool with a free slot.
-// ok is false if there is none.
+// Pick returns the plan with the lowest cost among the engines of a pool with a free slot. Those that
+// fail but still answer some requests are considered if no other one meets the request's limit. ok is
+// false if there is none.
 func (tr *Tracker) Pick(pool string, r Request) (plan Plan, ok bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	return tr.searchIn(pool).pick(r)
+	s := tr.searchIn(pool, healthy)
+	if plan, ok = s.pick(r); ok && plan.MeetsLimit(r) || s.lastResorts == 0 {
+		return plan, ok
+	}
+	last, found := tr.searchIn(pool, lastResort).pick(r)
+	if !found || ok && !last.MeetsLimit(r) {
+		return plan, ok
+	}
+	return last, true
 }
 
 // PickDecode returns the engine of a pool that can continue soonest from a KV cache held in
@@ -54,22 +63,41 @@
 func (tr *Tracker) PickDecode(pool, dataCentre string, r Request) (plan Plan, ok bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	return tr.searchIn(pool).pickDecode(dataCentre, r)
+	s := tr.searchIn(pool, healthy)
+	if plan, ok = s.pickDecode(dataCentre, r); ok || s.lastResorts == 0 {
+		return plan, ok
+	}
+	return tr.searchIn(pool, lastResort).pickDecode(dataCentre, r)
 }
 
 // PickService returns the plain upstream of a pool with the lowest cost, mainly its load
-// relative to its slots. full is set if its slots and queue are taken.
+// relative to its slots. full is set if its slots and queue are taken. Upstreams that fail but still
+// answer some requests are considered if all others are full.
 func (tr *Tracker) PickService(pool string, r Request) (id string, full, ok bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	return PickService(tr.searchIn(pool).engines, r)
+	s := tr.searchIn(pool, healthy)
+	if id, full, ok = PickService(s.engines, r); ok && !full || s.lastResorts == 0 {
+		return id, full, ok
+	}
+	return PickService(tr.searchIn(pool, lastResort).engines, r)
 }
 
+// admission says which upstreams a search considers.
+type admission uint8
+
+const (
+	// healthy leaves out the ejected ones.
+	healthy admission = iota
+	// lastResort includes the ejected ones that still answer some requests.
+	lastResort
+)
+
 // searchIn starts a search among the available upstreams of a pool. tr.mu is held until the
 // search ends.
-func (tr *Tracker) searchIn(pool string) *search {
+func (tr *Tracker) searchIn(pool string, admitted admission) *search {
 	s := &tr.search
-	s.engines = s.engines[:0]
+	s.engines, s.lastResorts = s.engines[:0], 0
 	p := tr.pools[pool]
 	if p == nil {
 		return s
@@ -77,7 +105,7 @@
 	now := tr.now()
 	s.engines = slices.Grow(s.engines, len(p.all))
 	for _, e := range p.all {
-		s.add(e, now, tr.waitForLimit(e) == 0)
+		s.add(e, now, admitted, tr.waitForLimit(e) == 0)
 	}
 	rank := 0
 	for _, e := range p.decode {
@@ -90,11 +118,20 @@
 }
 
 // add adds an upstream to the search if it is available and its limit allows a request.
-func (s *search) add(e *trackedUpstream, now time.Time, withinLimit bool) {
-	if !withinLimit || !e.available(now) {
-		e.searchIndex = -1
+func (s *search) add(e *trackedUpstream, now time.Time, admitted admission, withinLimit bool) {
+	e.searchIndex = -1
+	if !withinLimit {
 		return
 	}
+	if !e.available(now) {
+		if !e.lastResort(now) {
+			return
+		}
+		s.lastResorts++
+		if admitted == healthy {
+			return
+		}
+	}
 	e.searchIndex = len(s.engines)
 	s.engines = s.engines[:e.searchIndex+1]
 	e.describe(&s.engines[e.searchIndex], now)
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -45,7 +45,7 @@
 	// cacheKnown is set if the engine's cache contents were known when the prompt was sent,
 	// wasCached if they included the prompt's shared parts.
 	cacheKnown, wasCached bool
-	probe                 bool
+	probe, lastResort     bool
 	prefilled             bool
 	ended                 bool
 }
@@ -69,6 +69,7 @@
 	if e.model != nil {
 		t.reservePrefill()
 	}
+	t.lastResort = e.lastResort(t.began)
 	if e.health.probing {
 		t.probe = true
 		e.probes++
@@ -76,6 +77,9 @@
 	return t
 }
 
+// LastResort reports whether the upstream was ejected when the attempt began, or was being probed.
+func (t *Ticket) LastResort() bool { return t != nil && t.lastResort }
+
 // learnLongResponse records the expected length and time limit of a long response. Those of
 // late requests are skipped: the time left after a caller retry says nothing about future
 // requests.
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -249,6 +249,11 @@
 	return !now.Before(e.unavailableUntil) && !e.health.ejected(now) && (!e.health.probing || e.probes == 0)
 }
 
+// lastResort reports whether the upstream takes only requests that no other one takes.
+func (e *trackedUpstream) lastResort(now time.Time) bool {
+	return !now.Before(e.unavailableUntil) && e.health.lastResort(now)
+}
+
 // describe fills in the estimated state of the upstream.
 func (e *trackedUpstream) describe(v *Engine, now time.Time) {
 	load := e.total()
@@ -296,8 +301,8 @@
 // PoolHealth counts the upstreams of a pool that aren't draining, by their health as seen by this
 // daemon.
 type PoolHealth struct {
-	// Listed counts all, Ejected those that get no requests after failures, and Unreachable the ones
-	// among these to which connections failed.
+	// Listed counts all, Ejected those that failed and get no requests or only those that no other one
+	// takes, and Unreachable the ones among these to which no connection works.
 	Listed, Ejected, Unreachable int
 }
 
@@ -317,7 +322,7 @@
 			continue
 		}
 		h.Ejected++
-		if e.health.unreachable {
+		if e.health.unreached() {
 			h.Unreachable++
 		}
 	}
--- a/router/filter.go
+++ b/router/filter.go
@@ -15,6 +15,7 @@
 	drainingFilter struct{}
 	serviceFilter  struct{}
 	ejectedFilter  struct{}
+	silentFilter   struct{}
 	probingFilter  struct{}
 	excludedFilter struct{}
 	isolatedFilter struct{}
@@ -41,6 +42,12 @@
 func (ejectedFilter) Keep(c *Candidate, _ *Request) bool { return !c.Ejected }
 func (ejectedFilter) Reason() NoUpstreamReason           { return NoUpstreamEjected }
 
+// silentFilter rejects ejected upstreams that don't seem to answer any request.
+func (silentFilter) Keep(c *Candidate, _ *Request) bool {
+	return !c.Ejected || !c.node.live.silent.Load()
+}
+func (silentFilter) Reason() NoUpstreamReason { return NoUpstreamEjected }
+
 // probingFilter allows an upstream that is probed one request at a time, and none with
 // NoProbe set.
 func (probingFilter) Keep(c *Candidate, r *Request) bool {
--- a/router/node.go
+++ b/router/node.go
@@ -35,6 +35,7 @@
 	health                                      atomic.Uint32
 	ejectedUntil                                atomic.Int64 // Unix nanoseconds
 	unreachable                                 atomic.Bool  // ejected because it can't be reached
+	silent                                      atomic.Bool  // fails more in a row than usual
 	probes                                      atomic.Int64 // requests in flight that are probes
 	prefillFactor                               atomicFloat
 	gapFactor                                   atomicFloat
@@ -70,6 +71,7 @@
 	case u.Ejected:
 		n.live.health.Store(uint32(ejected))
 		n.live.ejectedUntil.Store(math.MaxInt64)
+		n.live.silent.Store(true)
 	case u.Probing:
 		n.live.health.Store(uint32(probing))
 	}
--- a/router/outlier.go
+++ b/router/outlier.go
@@ -3,10 +3,14 @@
 import (
 	"slices"
 	"time"
+
+	"tamarackchute/outlier"
 )
 
 // attemptHistory is an upstream's history of attempts from this process.
 type attemptHistory struct {
+	// answers tells whether the upstream still answers some requests.
+	answers      outlier.History
 	attempts     int // since the start or the last recovery
 	consecutive  int // failures in a row
 	ejections    int // without a long healthy period between; sets the next one's length
@@ -38,6 +42,8 @@
 	ut.mu.Lock()
 	defer ut.mu.Unlock()
 	l := &ut.node.live
+	ut.history.answers.Succeed()
+	l.silent.Store(false)
 	ut.history.consecutive = 0
 	ut.history.attempts++
 	l.failureRate.store(l.failureRate.load() * (1 - failureStep))
@@ -56,12 +62,18 @@
 	if ut.history.probesPassed < ut.t.cfg.Outlier.SuccessfulProbes {
 		return
 	}
+	ut.readmit()
+}
+
+// readmit restores an upstream that was ejected.
+func (ut *upstreamTracker) readmit() {
+	l := &ut.node.live
 	l.health.Store(uint32(healthy))
 	l.failureRate.store(0)
 	l.latencyFactor.store(1)
 	l.prefillFactor.store(1)
 	l.gapFactor.store(1)
-	ut.history = attemptHistory{ejections: ut.history.ejections, lastEjected: ut.history.lastEjected}
+	ut.history = attemptHistory{answers: ut.history.answers, ejections: ut.history.ejections, lastEjected: ut.history.lastEjected}
 }
 
 func (ut *upstreamTracker) recordFailure(o Outcome, began, now time.Time) {
@@ -69,6 +81,8 @@
 	defer ut.mu.Unlock()
 	l := &ut.node.live
 	h := &ut.history
+	h.answers.Fail()
+	l.silent.Store(!h.answers.Answers())
 	h.consecutive++
 	h.attempts++
 	l.failureRate.store(l.failureRate.load() + failureStep*(1-l.failureRate.load()))
@@ -78,8 +92,8 @@
 		return
 	case probing:
 		// Requests that began before the ejection say nothing about the recovery.
-		if began.UnixNano() >= l.ejectedUntil.Load() {
-			ut.eject(o, now)
+		if began.UnixNano() >= l.ejectedUntil.Load() && !ut.ejectIfAllowed(o, now) {
+			ut.readmit()
 		}
 		return
 	}
@@ -128,10 +142,18 @@
 
 // ejectIfAllowed ejects unless too much of the pool is ejected already: if all
 // fail alike, the cause lies elsewhere. Unreachable upstreams are always ejected.
-func (ut *upstreamTracker) ejectIfAllowed(o Outcome, now time.Time) {
-	if isUnreachable(o) || ut.ejectedShare(now) < ut.t.cfg.Outlier.MaxEjectedFraction {
+func (ut *upstreamTracker) ejectIfAllowed(o Outcome, now time.Time) bool {
+	allowed := ut.isGone(o) || ut.ejectedShare(now) < ut.t.cfg.Outlier.MaxEjectedFraction
+	if allowed {
 		ut.eject(o, now)
 	}
+	return allowed
+}
+
+// isGone reports whether a failure means that the upstream can't be reached at all: a
+// broken connection of one that often breaks them and answers between doesn't.
+func (ut *upstreamTracker) isGone(o Outcome) bool {
+	return isUnreachable(o) && !ut.history.answers.Answers()
 }
 
 // ejectedShare is the fraction of the pool that would be ejected with one more,
@@ -163,7 +185,8 @@
 		h.ejections = 0
 	}
 	longest := cfg.MaxEjectionTime
-	if isUnreachable(o) {
+	gone := ut.isGone(o)
+	if gone {
 		longest = cfg.MaxEjectionTimeUnreachable
 	}
 	duration := min(longest, cfg.BaseEjectionTime<<min(h.ejections, 16))
@@ -171,10 +194,10 @@
 	h.probesPassed = 0
 	h.lastEjected = now
 	l := &ut.node.live
-	l.unreachable.Store(isUnreachable(o))
+	l.unreachable.Store(gone)
 	l.ejectedUntil.Store(now.Add(duration).UnixNano())
 	l.health.Store(uint32(ejected))
-	if isUnreachable(o) {
+	if gone {
 		ut.t.cache.invalidate(ut.node.id, now)
 	}
 }
--- a/router/schedule.go
+++ b/router/schedule.go
@@ -24,9 +24,12 @@
 	// Fallback replaces Filters if those leave no candidate: it lets upstreams that
 	// are probed run more than one request.
 	Fallback []Filter
-	Scorers  []Scorer
-	Picker   Picker
-	cfg      Config
+	// LastResort replaces Fallback if that leaves no candidate either: it lets ejected
+	// upstreams that still answer some requests run them.
+	LastResort []Filter
+	Scorers    []Scorer
+	Picker     Picker
+	cfg        Config
 }
 
 // NewScheduler returns the default pipeline.
@@ -40,6 +43,10 @@
 			drainingFilter{}, serviceFilter{}, memoryFilter{}, limitFilter{}, ejectedFilter{},
 			excludedFilter{}, isolatedFilter{},
 		},
+		LastResort: []Filter{
+			drainingFilter{}, serviceFilter{}, memoryFilter{}, limitFilter{}, silentFilter{},
+			excludedFilter{}, isolatedFilter{},
+		},
 		Picker: spreadPicker{minWidth: defaultMinWidth, costShare: cfg.SpreadByCost, ageShare: cfg.SpreadByAge},
 		cfg:    cfg,
 	}
@@ -125,9 +132,12 @@
 	d.lookupCache()
 	reason := PlanReason("")
 	d.collectCandidates(p.Filters)
-	if len(d.sc.cands) == 0 {
+	for _, filters := range [][]Filter{p.Fallback, p.LastResort} {
+		if len(d.sc.cands) > 0 {
+			break
+		}
 		reason = ReasonFallback
-		d.collectCandidates(p.Fallback)
+		d.collectCandidates(filters)
 	}
 	if len(d.sc.cands) == 0 {
 		return Plan{}, d.noUpstreamError(p.Filters)
