member, streamversion: streams go on after all daemons died if one version has served

Cause: only another daemon that has run for the retention can vouch for the time before a start, and none is left. The log of the servers' entries can't tell by itself: an unchanged heartbeat adds no record, records carry no time, and an empty log may mean that nothing changed or that its history was dropped.

Change: one daemon of a site, which follows that log, claims in the store that a pool has had a sole version up to a position, at most once a second and only when entries were written. A new daemon that lacks nothing but the past asks its neighbours, then reads the claim and the entries since, and believes it if all of them are retained, of the same era and the same version. Anything else is refused as before.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -403,6 +403,7 @@
 	links.Add(m.peers)
 	links.Add(m.limits)
 	links.Add(m.streamVersions)
+	links.Add(m.streamVersions.claims)
 	links.Add(m.relay.PathService())
 	serving := suture.New("serving", spec)
 	for _, s := range servers {
--- a/internal/member/store.go
+++ b/internal/member/store.go
@@ -22,6 +22,8 @@
 	TopicMembers
 	// TopicObservations holds the observed engine timings of each pool.
 	TopicObservations
+	// TopicVersions holds the claims on the software versions of pools.
+	TopicVersions
 )
 
 // Entry is the newest record of a key. A nil value means that the key was removed.
--- a/internal/member/streamversions.go
+++ b/internal/member/streamversions.go
@@ -27,8 +27,9 @@
 // streamVersions shares with the other daemons at which software version streams began, where a
 // pool's upstreams have several. It implements relay.StreamVersions and is a suture.Service.
 type streamVersions struct {
-	book  *streamversion.Book
-	peers *Peers
+	book   *streamversion.Book
+	peers  *Peers
+	claims *versionClaims
 
 	mu sync.Mutex
 	// untold are streams of which other daemons haven't been told; wake gets a token for the first.
@@ -41,6 +42,7 @@
 func newStreamVersions(m *Member) *streamVersions {
 	x := &streamVersions{peers: m.peers, wake: make(chan struct{}, 1)}
 	x.book = streamversion.NewBook(nil, func() bool { return knowsVersions(m.readers[upstreamReader].age(), m.peers.HearsAll) })
+	x.claims = newVersionClaims(m, x.book)
 	m.peers.onStreamVersions, m.peers.streamVersion = x.hear, x.answer
 	m.state.Watch(func(s *fleet.Snapshot) { x.tell(x.book.Observe(listedOf(s))...) })
 	return x
@@ -59,12 +61,21 @@
 	if s.Config == nil {
 		return all
 	}
-	for pool, longest := range longestTimeouts(s.Config.Rules.Rules()) {
+	rules := s.Config.Rules.Rules()
+	for pool, longest := range longestTimeouts(rules) {
 		if listed, ok := all[pool]; ok {
 			listed.Retention = longest + reconnectTime
 			all[pool] = listed
 		}
 	}
+	for _, r := range rules {
+		for _, target := range r.Targets {
+			if listed, ok := all[target.Pool]; ok && r.Stream {
+				listed.Streams = true
+				all[target.Pool] = listed
+			}
+		}
+	}
 	return all
 }
 
@@ -163,26 +174,38 @@
 	return wire.StreamVersions{Pool: m.Pool, Version: version, Streams: []uint64{m.Stream}}, known
 }
 
-// VersionOf implements relay.StreamVersions. It asks other daemons if this one doesn't know.
+// VersionOf implements relay.StreamVersions. If this daemon doesn't know, it asks other daemons, and then
+// the store for a claim on the pool.
 func (x *streamVersions) VersionOf(ctx context.Context, pool, request string) (string, bool) {
 	stream := streamversion.StreamOf(request)
-	changed := x.book.Changed()
 	if version, known := x.book.Version(pool, stream); known {
 		return version, true
 	}
 	x.peers.broadcast(wire.StreamVersionRequest{Pool: pool, Stream: uint64(stream)})
-	ctx, cancel := context.WithTimeout(ctx, streamVersionWait)
+	asked, cancel := context.WithTimeout(ctx, streamVersionWait)
 	defer cancel()
+	if version, known := x.awaitVersion(asked, pool, stream); known || !x.book.LacksPast(pool) {
+		return version, known
+	}
+	select {
+	case <-ctx.Done():
+	case <-x.claims.recall(pool):
+	}
+	return x.book.Version(pool, stream)
+}
+
+// awaitVersion waits until the version of a stream is known.
+func (x *streamVersions) awaitVersion(ctx context.Context, pool string, stream streamversion.Stream) (string, bool) {
 	for {
+		changed := x.book.Changed()
+		if version, known := x.book.Version(pool, stream); known {
+			return version, true
+		}
 		select {
 		case <-ctx.Done():
 			return "", false
 		case <-changed:
 		}
-		changed = x.book.Changed()
-		if version, known := x.book.Version(pool, stream); known {
-			return version, true
-		}
 	}
 }
 
--- a/streamversion/book.go
+++ b/streamversion/book.go
@@ -34,6 +34,8 @@
 	// Retention is how long after its begin, or after it was last taken up, a stream may be taken up
 	// again. Any version that served in that time may have begun it.
 	Retention time.Duration
+	// Streams means that rules send streams there.
+	Streams bool
 }
 
 // Book remembers which versions serve in each pool, and the streams that have begun. It is safe for
@@ -54,6 +56,7 @@
 // pool is what is known of a pool's versions.
 type pool struct {
 	retention time.Duration
+	streams   bool
 	// listed are those with upstreams in the list; removed says when others were last in it.
 	listed  map[string]bool
 	removed map[string]time.Time
@@ -111,7 +114,7 @@
 }
 
 func (p *pool) observe(listed Listed, now time.Time) {
-	p.retention = listed.Retention
+	p.retention, p.streams = listed.Retention, listed.Streams
 	for v := range p.listed {
 		if !slices.Contains(listed.Versions, v) {
 			p.removed[v] = now
@@ -190,6 +193,38 @@
 	}
 }
 
+// Streaming returns the versions of the listed upstreams of each pool that has streams.
+func (b *Book) Streaming() map[string][]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make(map[string][]string, len(b.pools))
+	for name, p := range b.pools {
+		if p.streams {
+			all[name] = slices.Collect(maps.Keys(p.listed))
+		}
+	}
+	return all
+}
+
+// Retention returns how long streams of a pool may be taken up again, zero if the pool is unknown.
+func (b *Book) Retention(pool string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.pools[pool]; p != nil {
+		return p.retention
+	}
+	return 0
+}
+
+// LacksPast reports whether the version of a pool's streams is unknown only for the time before this
+// process's start.
+func (b *Book) LacksPast(pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, p := b.now(), b.pool(pool)
+	return len(p.served(now)) == 1 && !b.knowsPast(p, now)
+}
+
 // Version returns the version that began a stream, and whether it is known: from the begin itself, or
 // because no other version can have begun it.
 func (b *Book) Version(pool string, s Stream) (string, bool) {
