--- a/internal/member/upstreams.go
+++ b/internal/member/upstreams.go
@@ -258,11 +258,15 @@
 // rejectedEntries returns the number of invalid entries.
 func (f *upstreamFeed) rejectedEntries() int64 { return f.rejectedCount.Load() }
 
+// maxClockDifference is the largest difference between the clocks of this daemon and of an upstream. A
+// start further in the future isn't one that later starts follow.
+const maxClockDifference = 24 * time.Hour
+
 // maxRememberedStarts limits the starts remembered of servers that are gone.
 const maxRememberedStarts = 10_000
 
 func (f *upstreamFeed) recordStart(u *fleet.Upstream) {
-	if u.Started.IsZero() {
+	if u.Started.IsZero() || time.Until(u.Started) > maxClockDifference {
 		return
 	}
 	if len(f.latestStart) >= maxRememberedStarts {
--- a/placement/service.go
+++ b/placement/service.go
@@ -13,7 +13,7 @@
 		}
 		cost := serviceCost(u, r)
 		if cost < best {
-			best, id, full = cost, u.ID, u.Running >= u.Slots+maxQueuedCalls
+			best, id, full = cost, u.ID, u.Running-maxQueuedCalls >= u.Slots
 		}
 	}
 	return id, full, id != ""
