--- a/enginemodel/observations.go
+++ b/enginemodel/observations.go
@@ -1,6 +1,7 @@
 package enginemodel
 
 import (
+	"math"
 	"slices"
 
 	"tamarackchute/upstream"
@@ -37,8 +38,24 @@
 	return Stats{Normal: slices.Clone(s.Normal), Right: slices.Clone(s.Right), Count: s.Count}
 }
 
-// Merge replaces the observations of another process.
-func (m *Model) Merge(from string, o Observations) {
+// maxStatistic bounds each number of another process's observations, so that their sums and products are
+// finite.
+const maxStatistic = 1e30
+
+// valid reports whether the numbers can be observations: an infinite one would spoil all sums for good.
+func (o Observations) valid() bool {
+	all := []float64{o.Generated, o.Events, o.Expected, o.Typical, o.Responses.Count, o.Responses.Tokens, o.Responses.Squares, o.Responses.Left}
+	for _, s := range []Stats{o.Prefill, o.Decode, o.Handoff, o.Interval} {
+		all = slices.Concat(all, s.Normal, s.Right)
+	}
+	return !slices.ContainsFunc(all, func(x float64) bool { return math.IsNaN(x) || math.Abs(x) > maxStatistic })
+}
+
+// Merge replaces the observations of another process, and reports whether they are valid.
+func (m *Model) Merge(from string, o Observations) bool {
+	if !o.valid() {
+		return false
+	}
 	m.prefill[upstream.RolePrefill].merge(from, o.Prefill)
 	m.prefill[upstream.RoleDecode].merge(from, o.Decode)
 	m.handoff.merge(from, o.Handoff)
@@ -47,6 +64,7 @@
 		m.others[from] = o
 	}
 	m.current = nil
+	return true
 }
 
 // allStreams sums up the stream observations of all processes.
--- a/internal/member/feeds.go
+++ b/internal/member/feeds.go
@@ -76,7 +76,11 @@
 			continue
 		}
 		var a wire.MemberAddress
-		if err := json.Unmarshal(e.Value, &a); err != nil {
+		err := json.Unmarshal(e.Value, &a)
+		if err == nil {
+			err = a.Validate()
+		}
+		if err != nil {
 			f.log.Warn("invalid daemon entry ignored", "key", e.Key, "err", err)
 			continue
 		}
--- a/internal/member/observations.go
+++ b/internal/member/observations.go
@@ -74,7 +74,9 @@
 		}
 		models[entry.Key] = observations
 	}
-	s.tracker.Merge(storeSource, models)
+	if invalid := s.tracker.Merge(storeSource, models); len(invalid) > 0 {
+		s.log.Warn("engine observations out of range ignored", "pools", invalid)
+	}
 	s.log.Info("engine observations loaded", "pools", len(models))
 }
 
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"fmt"
+	"net/netip"
 	"time"
 
 	"tamarackchute/enginemodel"
@@ -23,6 +25,22 @@
 	Capacity int `msgpack:"z" json:"capacity"`
 }
 
+// maxNameBytes limits the names of a daemon and its data centre.
+const maxNameBytes = 255
+
+// Validate returns an error for addresses that no daemon has.
+func (a MemberAddress) Validate() error {
+	if a.Instance == "" || len(a.Instance) > maxNameBytes || len(a.DataCentre) > maxNameBytes {
+		return fmt.Errorf("names of %d and %d bytes", len(a.Instance), len(a.DataCentre))
+	}
+	for _, address := range []string{a.Callers, a.Peers, a.Forwards} {
+		if _, err := netip.ParseAddrPort(address); err != nil && address != "" {
+			return err
+		}
+	}
+	return nil
+}
+
 // MemberState is the state that a daemon reports to the others, several times a
 // second while it serves requests.
 type MemberState struct {
--- a/placement/snapshot.go
+++ b/placement/snapshot.go
@@ -66,13 +66,17 @@
 	return all
 }
 
-// Merge replaces a peer's observations of the engines.
-func (tr *Tracker) Merge(peer string, models map[string]enginemodel.Observations) {
+// Merge replaces a peer's observations of the engines. It returns the pools whose observations are
+// invalid and ignored.
+func (tr *Tracker) Merge(peer string, models map[string]enginemodel.Observations) (invalid []string) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	for pool, observations := range models {
-		tr.model(pool).Merge(peer, observations)
+		if !tr.model(pool).Merge(peer, observations) {
+			invalid = append(invalid, pool)
+		}
 	}
+	return invalid
 }
 
 // Restore takes over a peer's snapshot.
