streamversion: a sole version is claimed though the log's last entry was of another one

Found by reading: the watch of a pool followed the version of the last entry written; after a release, or once the entries before had expired, a quiet log left it at another version and nothing was claimed any more.

--- a/streamversion/claim.go
+++ b/streamversion/claim.go
@@ -34,9 +34,10 @@
 }
 
 // Claim returns what the watch can claim, if the pool has a sole version: that must be the one watched
-// for the retention.
+// for the retention. Another one is watched from now on.
 func (w *Watch) Claim(sole string, retention time.Duration, now time.Time) (Claim, bool) {
-	if sole != w.version || now.Sub(w.since) < retention {
+	w.See(sole, now)
+	if now.Sub(w.since) < retention {
 		return Claim{}, false
 	}
 	return Claim{Version: sole, Retention: retention}, true
