--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -78,24 +78,31 @@
 	}
 }
 
-func (o *oracle) checkStream(id string, r standin.Reply) {
+func (o *oracle) checkStream(id string, q *request, r standin.Reply) {
 	for i, event := range r.Events {
-		if event != i+1 {
-			o.violate(CompleteStream, "%s: event %d is number %d", id, i+1, event)
+		if event != q.resumedAfter+i+1 {
+			o.violate(CompleteStream, "%s: event %d is number %d", id, q.resumedAfter+i+1, event)
 			return
 		}
 	}
-	if len(r.Versions) > 1 {
-		o.violate(OneVersion, "%s holds events of versions %v", id, r.Versions)
+	if versions := union(q.versions, r.Versions); len(versions) > 1 {
+		o.violate(OneVersion, "%s holds events of versions %v", id, versions)
 	}
-	if r.Err == nil && len(r.Events) != streamEvents {
-		o.violate(CompleteStream, "%s ended as if whole after %d of %d events", id, len(r.Events), streamEvents)
+	if all := q.resumedAfter + len(r.Events); r.Err == nil && all != streamEvents {
+		o.violate(CompleteStream, "%s ended as if whole after %d of %d events", id, all, streamEvents)
 	}
 	if r.ID != id {
 		o.violate(CorrectResponse, "%s got a stream under id %q", id, r.ID)
 	}
 }
 
+// union returns the elements of both lists, each once.
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // checkVersion derives the configuration's version from the pool that answered.
 func (o *oracle) checkVersion(p process, q *request, now time.Time, body string) {
 	pool := o.pools[strings.Fields(body)[2]]
--- a/internal/soak/cut.go
+++ b/internal/soak/cut.go
@@ -93,13 +93,18 @@
 }
 
 // askDaemon sends one request to a daemon on a connection of its own.
-func (s *site) askDaemon(d *daemon, v service, id string) {
-	client := standin.NewCaller()
+func (s *site) askDaemon(d *daemon, v service, id string) standin.Reply {
+	return s.askDaemonBy(standin.NewCaller(), d, v, id, func() {})
+}
+
+// askDaemonBy sends a request of a caller to a daemon, and calls prepare once the oracle knows of it.
+func (s *site) askDaemonBy(client *standin.Caller, d *daemon, v service, id string, prepare func()) standin.Reply {
 	defer client.Close()
 	key := s.keyFor(d.number%organisations, false)
 	client.Key = key.text
 	launch := d.currentLaunch()
 	s.oracle.sent(id, v, key, d.number)
+	prepare()
 	ctx, cancel := context.WithTimeout(context.Background(), v.deadline+callerTimeoutSlack)
 	defer cancel()
 	reply := client.Send(ctx, d.config.Callers(), v.name, id, v.deadline, v.stream, func() {})
@@ -107,6 +112,7 @@
 	if reply.Err != nil && !nothingSent(reply.Err) {
 		s.checkLostConnection(d, launch, id, reply)
 	}
+	return reply
 }
 
 // setPath sets the mode of a daemon's links to all servers.
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -35,6 +35,10 @@
 	// finished.
 	active    int
 	lastEndAt time.Time
+	// resumedAfter is the event after which the caller takes a stream up, versions are those of the events
+	// before; zero for a new stream.
+	resumedAfter int
+	versions     []string
 	// saidLeaving holds the servers whose answers to the request said that they leave.
 	saidLeaving map[string]bool
 }
@@ -162,6 +166,13 @@
 	o.requestTimes[s.name] = append(o.requestTimes[s.name], now)
 }
 
+// resumes records that a request takes up the stream of another one after an event.
+func (o *oracle) resumes(id string, after int, versions []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.requests[id].resumedAfter, o.requests[id].versions = after, versions
+}
+
 // callerClosed records that the caller of a request has closed its connection.
 func (o *oracle) callerClosed(id string) {
 	o.mu.Lock()
@@ -290,7 +301,7 @@
 			o.violate(RefusedNotRun, "%s answered %d and has run", id, r.Status)
 		}
 	case r.Status == http.StatusOK && q.service.stream:
-		o.checkStream(id, r)
+		o.checkStream(id, q, r)
 	case r.Status == http.StatusOK:
 		o.checkResponse(id, r)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -49,6 +49,10 @@
 	GrowConfiguration FaultKind = "configuration-grows"
 	SendEndless       FaultKind = "server-sends-without-end"
 	SilenceStoreLinks FaultKind = "store-connections-silent"
+	FailShareOfPool   FaultKind = "pool-fails-a-share"
+	WriteOddEntry     FaultKind = "odd-entry"
+	CutHeads          FaultKind = "server-cuts-heads"
+	ResumeAfterDeath  FaultKind = "streams-after-all-died"
 )
 
 // Step is one fault of a run.
@@ -149,7 +153,14 @@
 // transferKindWeights holds the kinds of the eighth stream: long, endless and silent transfers.
 var transferKindWeights = []kindWeight{{GrowConfiguration, 1}, {SendEndless, 3}, {SilenceStoreLinks, 1}}
 
+// poolKindWeights holds the kinds of the ninth stream: what makes a pool useless, or its streams mixed.
+var poolKindWeights = []kindWeight{{FailShareOfPool, 1}, {WriteOddEntry, 3}, {CutHeads, 2}, {ResumeAfterDeath, 1}}
+
 const (
+	// poolStream is the random stream of the ninth stream of steps, poolIntervalFactor how much longer its
+	// intervals are.
+	poolStream         = 1 << 39
+	poolIntervalFactor = 12
 	// transferStream is the random stream of the eighth stream of steps, transferIntervalFactor how much
 	// longer its intervals are.
 	transferStream         = 1 << 38
@@ -198,6 +209,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, configStream)), profile, configKindWeights)...)
 	profile.MeanInterval = profile.MeanInterval / configIntervalFactor * transferIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, transferStream)), profile, transferKindWeights)...)
+	profile.MeanInterval = profile.MeanInterval / transferIntervalFactor * poolIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, poolStream)), profile, poolKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -40,6 +40,7 @@
 	LethalRefused          Promise = "a request that crashes servers is refused by all daemons"
 	CutDaemonsServe        Promise = "daemons without a path to the servers serve what others could"
 	ForwardedOnce          Promise = "a request goes from one daemon to another once"
+	PoolUsed               Promise = "a pool that answers most requests is used"
 	OneVersion             Promise = "a stream holds events of one software version"
 	LimitKept              Promise = "a server's limit holds over all daemons"
 )
--- a/internal/soak/restarts.go
+++ b/internal/soak/restarts.go
@@ -37,17 +37,22 @@
 	}
 	time.Sleep(refusalLead)
 	for range 1 + step.Variant%maxRestartsOfAll {
-		var restarts conc.WaitGroup
-		for _, d := range s.daemons {
-			restarts.Go(func() {
-				d.kill()
-				s.restartDaemon(d, step.For)
-			})
-		}
-		restarts.Wait()
+		s.restartAll(step.For)
 		time.Sleep(refusalLead)
 	}
 	for _, end := range slices.Backward(endings) {
 		end()
 	}
 }
+
+// restartAll kills all daemons at once, and starts each again after a time.
+func (s *site) restartAll(after time.Duration) {
+	var restarts conc.WaitGroup
+	for _, d := range s.daemons {
+		restarts.Go(func() {
+			d.kill()
+			s.restartDaemon(d, after)
+		})
+	}
+	restarts.Wait()
+}
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -107,6 +107,14 @@
 		s.silenceServer(slot, step)
 	case KillAllDaemons:
 		s.killAllDaemons(step)
+	case FailShareOfPool:
+		s.failShareOfPool(step)
+	case WriteOddEntry:
+		s.writeOddEntry(slot, step)
+	case CutHeads:
+		s.cutHeads(slot, step)
+	case ResumeAfterDeath:
+		s.resumeAfterDeath(step)
 	case FailProvider:
 		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
@@ -245,9 +253,14 @@
 func (s *site) writeForeignEntry(slot *serverSlot, step Step) {
 	server, link := slot.current()
 	entry := fmt.Sprintf(foreignEntries[step.Variant%len(foreignEntries)], link.Address())
+	s.writeEntry(slot, step, server.ID, entry)
+}
+
+// writeEntry writes an entry under a key of its own or over that of a server.
+func (s *site) writeEntry(slot *serverSlot, step Step, server, entry string) {
 	key := fmt.Sprintf("foreign-%d", step.Variant)
 	if step.Target%2 == 0 {
-		key = server.ID
+		key = server
 		end := s.faults.begin(serversSubject(slot.pool))
 		time.AfterFunc(ticksPerHeartbeat*relistInterval+settleDelay, end)
 	}
