--- a/internal/soak/pools.go
+++ b/internal/soak/pools.go
@@ -133,6 +133,7 @@
 	}
 	callers.Wait()
 	s.restartAll(step.For)
+	time.Sleep(settleDelay) // streams may be taken up for longer
 	for i, begun := range left {
 		if len(begun.Events) == 0 || len(begun.Events) == streamEvents {
 			continue
