--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -22,6 +22,10 @@
 		require.NoError(t, err)
 		head, body, found := strings.Cut(string(text), "\n")
 		require.True(t, found && strings.HasPrefix(head, "Promise: "), file)
+		if plan, rest, _ := strings.Cut(body, "\n"); strings.HasPrefix(plan, "Plan: ") {
+			require.FileExists(t, filepath.Join("testdata/plans", strings.TrimPrefix(plan, "Plan: ")+".json"), file)
+			body = rest
+		}
 		for _, change := range strings.Split(body, "\n--- a/") {
 			path, hunks, _ := strings.Cut(strings.TrimPrefix(change, "--- a/"), "\n")
 			code, err := os.ReadFile(filepath.Join("../..", path))
--- a/scripts/soak-planted.sh
+++ b/scripts/soak-planted.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Checks that the soak detects faults: each patch in internal/soak/testdata/planted
 # breaks one promise in a copy of the sources, and the soak must report it within a
-# number of seeds. Prints a line per patch; fails if one isn't detected.
+# number of seeds, or of runs of the saved plan that the patch names. Prints a line per
+# patch; fails if one isn't detected.
 # Usage: scripts/soak-planted.sh [SEEDS] [PATCH...]
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -14,11 +15,11 @@
 trap 'rm -rf "$work"' EXIT
 go build -o "$work/chute-soak" ./cmd/chute-soak || exit 1
 
-# finds SEED PROMISE succeeds if the soak with this seed reports this promise as
-# broken. The soak's exit code doesn't tell which promise was broken.
+# finds SEED PROMISE [PLAN] succeeds if the soak with this seed, or this plan, reports this
+# promise as broken. The soak's exit code doesn't tell which promise was broken.
 finds() {
   local out
-  out=$("$work/chute-soak" -member "$work/chute-member" -folder "$work/logs" -seed "$1")
+  out=$("$work/chute-soak" -member "$work/chute-member" -folder "$work/logs" -seed "$1" ${3:+-plan "internal/soak/testdata/plans/$3.json"})
   grep -qF "$2:" <<<"$(sed -n 's/^   BROKEN [^ ]* //p' <<<"$out")"
 }
 
@@ -26,6 +27,7 @@
 for patch in "${patches[@]}"; do
   name=$(basename "$patch" .patch)
   promise=$(sed -n 's/^Promise: //p' "$patch")
+  plan=$(sed -n 's/^Plan: //p' "$patch")
   rm -rf "$work/src" && mkdir "$work/src"
   git ls-files -z | xargs -0 cp --parents -t "$work/src"
   if ! (cd "$work/src" && patch -s -p1 <"$OLDPWD/$patch" && go build -o "$work/chute-member" ./cmd/chute-member); then
@@ -35,7 +37,7 @@
   fi
   found=""
   for seed in $(seq 1 "$seeds"); do
-    if finds "$seed" "$promise"; then
+    if finds "$seed" "$promise" "$plan"; then
       found=$seed
       break
     fi
