review: case 2, a request that crashes the servers of one host is refused at another host

The quarantine knows a request by method, target and body, not by host or service, so a deadly request of one host has a sound service of another host refused.

--- a/review/stand/crowd/main.go
+++ b/review/stand/crowd/main.go
@@ -1,4 +1,4 @@
-// Command crowd shows case 2: callers poll one path, three of twelve servers crash at the same moment, and all
+// Command crowd shows case 3: callers poll one path, three of twelve servers crash at the same moment, and all
 // daemons are killed and start again.
 package main
 
@@ -15,10 +15,9 @@
 )
 
 const (
-	slots    = 6
-	downFor  = 4500 * time.Millisecond
-	recoverS = 12.0
-	day      = 40 * time.Second
+	slots   = 6
+	downFor = 4500 * time.Millisecond
+	day     = 40 * time.Second
 )
 
 var (
@@ -116,62 +115,7 @@
 			_ = exec.Command("cp", d.LogFile(), keep).Run()
 		}
 	}
-	return judge(record, clients.Attempts(), site, began, final, back)
-}
-
-// judge checks RECOVER: of the requests sent later than RecoverS after the machines are back, less than a
-// quarter is served, though a quarter or more was before the final fault.
-func judge(record *kit.Record, attempts []*kit.Attempt, site *kit.Site, began, final, back float64) int {
-	var before, after, beforeServed, afterServed int
-	type second struct{ sent, served, refused, other int }
-	seconds := make(map[int]*second)
-	for _, a := range attempts {
-		n := int(a.SentAt - began)
-		if seconds[n] == nil {
-			seconds[n] = &second{}
-		}
-		served := a.Status == http.StatusOK
-		seconds[n].sent++
-		switch {
-		case served:
-			seconds[n].served++
-		case a.Status == http.StatusServiceUnavailable:
-			seconds[n].refused++
-		default:
-			seconds[n].other++
-		}
-		switch {
-		case a.SentAt < final:
-			before++
-			if served {
-				beforeServed++
-			}
-		case a.SentAt > back+recoverS:
-			after++
-			if served {
-				afterServed++
-			}
-		}
-	}
-	for n := 0; n < int(day.Seconds()); n++ {
-		if s := seconds[n]; s != nil {
-			record.Printf("second %d of traffic: %d attempts sent, %d served, %d answered 503, %d other", n, s.sent, s.served, s.refused, s.other)
-		}
-	}
-	for _, v := range site.Servers() {
-		record.Printf("server %s ran %d requests", v.ID, len(v.Runs()))
-	}
-	record.Say("before the final fault: %d sent, %d served; from %.1f s after the machines are back: %d sent, %d served", before, beforeServed, recoverS, after, afterServed)
-	if before == 0 || after == 0 || beforeServed*4 < before {
-		record.Say("can't be judged")
-		return 2
-	}
-	if afterServed*4 < after {
-		record.Say("RECOVER is broken")
-		return 1
-	}
-	record.Say("RECOVER holds")
-	return 0
+	return site.JudgeRecover(clients.Attempts(), began, final, back)
 }
 
 func config() any {
--- a/review/stand/kit/client.go
+++ b/review/stand/kit/client.go
@@ -134,6 +134,10 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
+	if host := req.Header.Get("Host"); host != "" {
+		req.Host = host
+		req.Header.Del("Host")
+	}
 	req.Header.Set("X-Request-Id", a.ID)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := c.http.Do(req)
--- a/review/stand/kit/server.go
+++ b/review/stand/kit/server.go
@@ -77,6 +77,7 @@
 		}
 	}
 	_ = v.cmd.Wait()
+	v.once.Do(func() { close(v.stop) })
 	close(v.done)
 }
 
@@ -109,15 +110,16 @@
 	}
 }
 
+// Crashed returns a channel that closes when the process has ended.
+func (v *Server) Crashed() <-chan struct{} { return v.done }
+
 // Command tells the server what to do from now on.
 func (v *Server) Command(text string) { _, _ = fmt.Fprintln(v.in, text) }
 
 // Kill crashes the server: its process is killed, and its entry lapses.
 func (v *Server) Kill() {
-	v.once.Do(func() {
-		_ = v.cmd.Process.Kill()
-		close(v.stop)
-	})
+	_ = v.cmd.Process.Kill()
+	v.once.Do(func() { close(v.stop) })
 }
 
 // Servers returns all servers that were ever started.
--- a/review/stand/server/main.go
+++ b/review/stand/server/main.go
@@ -23,12 +23,13 @@
 	work := flag.Duration("work", 60*time.Millisecond, "time that a request takes")
 	slots := flag.Int("slots", 6, "requests that run at a time")
 	queue := flag.Int("queue", 24, "requests that wait")
+	deadly := flag.String("deadly", "", "`path` of a request that crashes the server")
 	flag.Parse()
 	l, err := net.Listen("tcp", *listen)
 	if err != nil {
 		log.Fatal(err)
 	}
-	s := &server{id: *id, work: *work, slots: make(chan struct{}, *slots), waiting: make(chan struct{}, *slots+*queue)}
+	s := &server{id: *id, work: *work, deadly: *deadly, slots: make(chan struct{}, *slots), waiting: make(chan struct{}, *slots+*queue)}
 	s.print("listens " + l.Addr().String())
 	go s.obey()
 	log.Fatal(http.Serve(l, s))
@@ -61,6 +62,7 @@
 type server struct {
 	id      string
 	work    time.Duration
+	deadly  string
 	slots   chan struct{}
 	waiting chan struct{}
 	// lose is the share of the answers that get lost, in thousandths.
@@ -106,6 +108,10 @@
 		return
 	}
 	s.print("run " + request)
+	if s.deadly != "" && r.URL.Path == s.deadly {
+		s.print("crashes by " + request + " for " + r.Host)
+		os.Exit(2)
+	}
 	select {
 	case <-time.After(s.work):
 	case <-r.Context().Done():
