review: callers of one host have addresses of their own, processes end with their driver

A reader could take callers with one address for one caller, so each kind has its own. Drivers end their processes when they are told to stop.

--- a/review/stand/crowd/main.go
+++ b/review/stand/crowd/main.go
@@ -67,7 +67,7 @@
 		return 2
 	}
 	time.Sleep(4 * time.Second) // traffic starts some seconds after the machines do
-	clients := site.NewClients()
+	clients := site.NewClients(150, 40)
 	ctx, cancel := context.WithTimeout(context.Background(), day)
 	defer cancel()
 	done := make(chan struct{})
--- a/review/stand/hosts/main.go
+++ b/review/stand/hosts/main.go
@@ -15,12 +15,12 @@
 
 const (
 	slots   = 6
-	perHost = 4
+	perHost = 6
 	day     = 44 * time.Second
-	// The deadly request comes again each second from three callers, for deadlyFor; a crashed server is back
+	// The deadly request comes again each second from four callers, for deadlyFor; a crashed server is back
 	// after downFor.
 	deadlyFor = 8 * time.Second
-	callers   = 3
+	callers   = 4
 	downFor   = 3 * time.Second
 	path      = "/api/status"
 	deadlyAt  = "north.example"
@@ -65,20 +65,20 @@
 		return 2
 	}
 	time.Sleep(4 * time.Second)
-	sound, deadly := site.NewClients(), site.NewClients()
+	sound, deadly := site.NewClients(150, 40), site.NewClients(210, 3)
 	traffic, stop := context.WithTimeout(ctx, day)
 	defer stop()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		sound.Load(traffic, 10, func() {
+		sound.Load(traffic, 5, func() {
 			sound.Request("sound", http.MethodGet, path, "", 1500*time.Millisecond, http.Header{"Host": {soundAt}})
 		})
 	}()
 	began := record.Since()
 	time.Sleep(10 * time.Second)
 	if trouble != "0" && trouble != "kill" {
-		record.Say("%.1f s: a request to %s that crashes each server comes each second from three callers", record.Since(), deadlyAt)
+		record.Say("%.1f s: a request to %s that crashes each server comes each second from four callers", record.Since(), deadlyAt)
 		for end := time.Now().Add(deadlyFor); time.Now().Before(end); time.Sleep(time.Second) {
 			for range callers {
 				go func() {
--- a/review/stand/kit/client.go
+++ b/review/stand/kit/client.go
@@ -42,13 +42,14 @@
 	EndedAt                float64
 }
 
-// NewClients returns clients of a site.
-func (s *Site) NewClients() *Clients {
+// NewClients returns clients of a site. They have n IP addresses from first on; each connection has one of them.
+func (s *Site) NewClients(first, n int) *Clients {
 	c := &Clients{site: s}
-	dialer := &net.Dialer{Timeout: time.Second}
 	c.http = &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 64, IdleConnTimeout: 3 * time.Second, DisableCompression: true,
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+			from := net.ParseIP(fmt.Sprintf("%s.%d", s.Network, first+rand.IntN(n)))
+			dialer := &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: from}}
 			return dialer.DialContext(ctx, network, c.front())
 		},
 	}}
--- a/review/stand/kit/site.go
+++ b/review/stand/kit/site.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -69,6 +70,7 @@
 	s.storeAddress = l.Addr().String()
 	s.storeServer = &http.Server{Handler: s.Store}
 	go func() { _ = s.storeServer.Serve(l) }()
+	go s.closeOnSignal()
 	var seeds []string
 	for i := range min(n, 3) {
 		seeds = append(seeds, fmt.Sprintf("%q", s.address(i, portControl)))
@@ -84,6 +86,15 @@
 	return s, nil
 }
 
+// closeOnSignal ends all processes if this one is told to stop.
+func (s *Site) closeOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	<-stop
+	s.Close()
+	os.Exit(2)
+}
+
 func (s *Site) free(n int) bool {
 	for i := range n {
 		for _, port := range []int{portFront, portReady, portDirectory, portInternal, portInternal + 1, 9464} {
--- a/review/stand/links/main.go
+++ b/review/stand/links/main.go
@@ -54,7 +54,7 @@
 		return 2
 	}
 	time.Sleep(4 * time.Second)
-	clients := site.NewClients()
+	clients := site.NewClients(150, 40)
 	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
 	defer cancel()
 	kinds := map[string]string{
--- a/review/stand/server/main.go
+++ b/review/stand/server/main.go
@@ -45,6 +45,7 @@
 			s.lose.Store(int64(share * 1000))
 		}
 	}
+	os.Exit(0) // who started it has ended
 }
 
 // reset resets the connection of a request.
