--- a/internal/soak/access.go
+++ b/internal/soak/access.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"regexp"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -173,4 +174,6 @@
 }
 
 // public reports whether requests need no key.
-func (s service) public() bool { return s.name == versionService }
+func (s service) public() bool {
+	return s.name == versionService || strings.HasPrefix(s.name, releasePrefix)
+}
--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -180,16 +180,9 @@
 
 // pause suspends the process with SIGSTOP for a while.
 func (d *daemon) pause(duration time.Duration) {
-	ends := []func(){d.faults.begin(daemonSubject(d.number)), d.faults.begin(pauseSubject(d.number))}
-	d.signal(syscall.SIGSTOP)
+	resume := d.suspend()
 	time.Sleep(duration)
-	d.signal(syscall.SIGCONT)
-	// The process first catches up on the work that the pause delayed.
-	time.AfterFunc(startupGrace, func() {
-		for _, end := range ends {
-			end()
-		}
-	})
+	resume()
 }
 
 // currentLaunch returns the number of the process that is running or ran last.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -53,6 +53,7 @@
 	WriteOddEntry     FaultKind = "odd-entry"
 	CutHeads          FaultKind = "server-cuts-heads"
 	ResumeAfterDeath  FaultKind = "streams-after-all-died"
+	JoinVersion       FaultKind = "version-joins-in-standstill"
 )
 
 // Step is one fault of a run.
@@ -156,7 +157,14 @@
 // poolKindWeights holds the kinds of the ninth stream: what makes a pool useless, or its streams mixed.
 var poolKindWeights = []kindWeight{{FailShareOfPool, 1}, {WriteOddEntry, 3}, {CutHeads, 2}, {ResumeAfterDeath, 1}}
 
+// releaseKindWeights holds the kinds of the tenth stream: releases beside daemons out of step.
+var releaseKindWeights = []kindWeight{{JoinVersion, 1}}
+
 const (
+	// releaseStream is the random stream of the tenth stream of steps, releaseIntervalFactor how much longer
+	// its intervals are.
+	releaseStream         = 1 << 40
+	releaseIntervalFactor = 16
 	// poolStream is the random stream of the ninth stream of steps, poolIntervalFactor how much longer its
 	// intervals are.
 	poolStream         = 1 << 39
@@ -211,6 +219,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, transferStream)), profile, transferKindWeights)...)
 	profile.MeanInterval = profile.MeanInterval / transferIntervalFactor * poolIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, poolStream)), profile, poolKindWeights)...)
+	profile.MeanInterval = profile.MeanInterval / poolIntervalFactor * releaseIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, releaseStream)), profile, releaseKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -42,6 +42,7 @@
 	ForwardedOnce          Promise = "a request goes from one daemon to another once"
 	PoolUsed               Promise = "a pool that answers most requests is used"
 	OneVersion             Promise = "a stream holds events of one software version"
+	StreamsGoOn            Promise = "streams go on while servers of their version serve"
 	LimitKept              Promise = "a server's limit holds over all daemons"
 )
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -108,6 +108,8 @@
 	// longPolls says that the daemons wait for changes of the configuration.
 	longPolls      bool
 	serversStarted int
+	// release joins a software version to pools of another one.
+	release release
 	// serverLinks are all links to servers.
 	serverLinks    []*Proxy
 	stoppedServers []*standin.Server
@@ -155,6 +157,9 @@
 			return nil, err
 		}
 	}
+	if err := s.addReleasePools(); err != nil {
+		return nil, err
+	}
 	s.publish()
 	s.oracle.senders = s.senderAt
 	return s, s.addDaemons(o, network)
@@ -188,6 +193,10 @@
 	for _, pool := range versionPools {
 		rules = append(rules, standin.Service{Name: pool, Kind: standin.Idempotent, Attempts: 3, Timeout: time.Second})
 	}
+	for i := range releasePools {
+		v := releaseService(i)
+		rules = append(rules, standin.Service{Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline, Public: v.public()})
+	}
 	rules = append(rules, addedRules(s.versions)...)
 	rules = append(rules, furtherNames(s.further)...)
 	s.store.PutConfig(s.published, rules, s.access.published()...)
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 type serverSlot struct {
 	pool string
 	role string
+	// version is the software version of its servers; empty means that engines alternate.
+	version string
 	// replacing is held by the step that replaces the server.
 	replacing sync.Mutex
 
@@ -55,7 +58,7 @@
 
 // addLinks creates a link for each server and the spare ones.
 func (s *site) addLinks(callers int) error {
-	n := len(versionPools) + spareLinks
+	n := len(versionPools) + spareLinks + releasePools*releaseServers + releaseJoiners
 	for _, v := range services {
 		n += v.serversFor(callers)
 	}
@@ -105,6 +108,9 @@
 		server.Events, server.EventGap = streamEvents, eventGap
 		server.SetStage(slot.role)
 	}
+	if slot.version != "" {
+		server.Version, server.Events, server.EventGap = slot.version, streamEvents, eventGap
+	}
 	link.SetTarget(server.Address())
 	s.oracle.serverListed(server.ID, slot.pool)
 	slot.mu.Lock()
@@ -156,7 +162,7 @@
 			return
 		case <-time.After(relistInterval):
 		}
-		for _, slot := range s.slots {
+		for _, slot := range slices.Concat(s.slots, s.joined()) {
 			slot.relist(s.store, tick%ticksPerHeartbeat == 0)
 		}
 	}
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -115,6 +115,8 @@
 		s.cutHeads(slot, step)
 	case ResumeAfterDeath:
 		s.resumeAfterDeath(step)
+	case JoinVersion:
+		s.joinVersion(step)
 	case FailProvider:
 		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
