member, relay: the log says by what a stream's version was known

Each decision on a stream that is taken up now has one line: the stream, the version, the age of the list and the longest silence of a peer that counts as up; the request's last line names the stream it takes up and the version. No logic is changed.

--- a/internal/member/peersview.go
+++ b/internal/member/peersview.go
@@ -225,3 +225,16 @@
 	}
 	return true
 }
+
+// longestSilence returns the longest time since a neighbour that counts as up was heard.
+func (p *Peers) longestSilence() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var longest time.Duration
+	for _, other := range p.peers {
+		if other.link != nil && other.up {
+			longest = max(longest, time.Since(other.lastReceived))
+		}
+	}
+	return longest
+}
--- a/internal/member/streamversions.go
+++ b/internal/member/streamversions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	book   *streamversion.Book
 	peers  *Peers
 	claims *versionClaims
+	// listAge returns the age of the list of upstreams.
+	listAge func() time.Duration
+	log     *slog.Logger
 
 	mu sync.Mutex
 	// untold are streams of which other daemons haven't been told; wake gets a token for the first.
@@ -40,8 +44,9 @@
 var _ suture.Service = (*streamVersions)(nil)
 
 func newStreamVersions(m *Member) *streamVersions {
-	x := &streamVersions{peers: m.peers, wake: make(chan struct{}, 1)}
-	x.book = streamversion.NewBook(nil, func() bool { return knowsVersions(m.readers[upstreamReader].age(), m.peers.HearsAll) })
+	x := &streamVersions{peers: m.peers, wake: make(chan struct{}, 1), log: m.log}
+	x.listAge = func() time.Duration { return m.readers[upstreamReader].age() }
+	x.book = streamversion.NewBook(nil, func() bool { return knowsVersions(x.listAge(), m.peers.HearsAll) })
 	x.claims = newVersionClaims(m, x.book)
 	m.peers.onStreamVersions, m.peers.streamVersion = x.hear, x.answer
 	m.state.Watch(func(s *fleet.Snapshot) { x.tell(x.book.Observe(listedOf(s))...) })
@@ -174,10 +179,18 @@
 	return wire.StreamVersions{Pool: m.Pool, Version: version, Streams: []uint64{m.Stream}}, known
 }
 
-// VersionOf implements relay.StreamVersions. If this daemon doesn't know, it asks other daemons, and then
-// the store for a claim on the pool.
+// VersionOf implements relay.StreamVersions.
 func (x *streamVersions) VersionOf(ctx context.Context, pool, request string) (string, bool) {
-	stream := streamversion.StreamOf(request)
+	listAge, silent := x.listAge(), x.peers.longestSilence()
+	version, known := x.versionOf(ctx, pool, streamversion.StreamOf(request))
+	x.log.Info("version of a stream", "stream", request, "pool", pool, "version", version, "known", known,
+		"list_age_ms", listAge.Milliseconds(), "longest_silence_ms", silent.Milliseconds())
+	return version, known
+}
+
+// versionOf returns the version at which a stream began. If this daemon doesn't know, it asks other
+// daemons, and then the store for a claim on the pool.
+func (x *streamVersions) versionOf(ctx context.Context, pool string, stream streamversion.Stream) (string, bool) {
 	if version, known := x.book.Version(pool, stream); known {
 		return version, true
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -97,6 +97,9 @@
 		attrs = append(attrs, "first_ms", telemetry.Millis(c.stream.started.Sub(c.arrived)), "objective_ms", telemetry.Millis(c.rule.Objective),
 			"gap_ms", telemetry.Millis(c.stream.longestGap), "gap_objective_ms", telemetry.Millis(c.rule.GapObjective), "last_event", c.stream.lastEvent)
 	}
+	if c.ResumeAfter > 0 && c.Resumes != "" {
+		attrs = append(attrs, "resumes", c.Resumes, "resume_after", c.ResumeAfter, "begun_at_version", c.origin.version)
+	}
 	if f == nil {
 		c.log.Info("answered", attrs...)
 		return
