streamversion, member, relay: what was known before the question doesn't decide on a stream's version

Cause: beliefs from before a standstill counted until timers had run. A list younger than 2 s, or an older one while all peers count as up, proved a sole version; 'up' is written by a timer that stood still too; and a peer's word on the list's age counts from its arrival, also if it waited in the socket. 'Version gone' came from the same list.

Change: a version counts as the only one by evidence that is newer than the question: a read of the list that began after it (shared by all who wait), or the word of all other daemons, whose answers carry the question's number. Entries that come and go between two reads count; a list that is replaced after it wasn't read for long loses the past. Before 'version gone' the list is read again. The daemon notices that it stood still: its peers aren't blamed for the silence, and their word on its list doesn't count before it has read itself. The digest of a list covers versions.

--- a/internal/member/confirm.go
+++ b/internal/member/confirm.go
@@ -40,6 +40,8 @@
 	}
 	if len(entries) > 0 {
 		r.applyChanges(entries)
+	}
+	if len(entries) > 0 && r.longPoll > 0 {
 		r.log.Info("change not brought by the waiting read", "topic", r.name, "entries", len(entries))
 		r.restartRead()
 	}
@@ -92,3 +94,48 @@
 	r.restartRead()
 	r.expedite()
 }
+
+// confirmInterval is the minimum time between two attempts to read for those that wait.
+const confirmInterval = 20 * time.Millisecond
+
+// awaitReadSince waits until a read that began after a time has succeeded, and reads for that. Those who
+// wait at the same time share the reads. It returns false if ctx ends before.
+func (r *topicReader) awaitReadSince(ctx context.Context, t time.Time) bool {
+	for !r.hasOwnReadSince(t) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-r.sharedConfirm():
+		}
+		if !r.hasOwnReadSince(t) {
+			sleep(ctx, confirmInterval)
+		}
+	}
+	return true
+}
+
+// hasOwnReadSince reports whether a successful read of this daemon has begun since a time.
+func (r *topicReader) hasOwnReadSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ownReadAt.After(t)
+}
+
+// sharedConfirm begins to confirm unless one who waits already does. The channel is closed at its end.
+func (r *topicReader) sharedConfirm() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.shared != nil {
+		return r.shared
+	}
+	done := make(chan struct{})
+	r.shared = done
+	go func() {
+		r.confirm(context.Background())
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.shared = nil
+		close(done)
+	}()
+	return done
+}
--- a/internal/member/feeds_test.go
+++ b/internal/member/feeds_test.go
@@ -67,6 +67,10 @@
 			u.Revision = n
 			continue
 		}
+		if version, ok := strings.CutPrefix(field, "version="); ok {
+			u.Version = version
+			continue
+		}
 		u.Draining = true
 	}
 	return u, nil
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -164,7 +164,12 @@
 	m.engines = cfg.Engines(m.relay)
 	m.peers.localDemand = m.localDemand
 	m.peers.requestsWaiting = m.relay.HasWaiting
-	m.peers.onPeerList = m.confirmList
+	m.peers.onPeerList = func(position Position, digest uint64, age time.Duration) {
+		// What arrives after a standstill may have waited all the while.
+		if m.peers.beat.unbroken(m.readers[upstreamReader].ownRead()) {
+			m.confirmList(position, digest, age)
+		}
+	}
 	m.peers.configProof, m.peers.onConfigProof = m.configAge.reply, m.configAge.recordReply
 	m.peers.onConfigNamed = m.configAge.RecordNamed
 	m.peers.summary, m.peers.view, m.peers.onUpdate = m.summaryForPeers, m.view, m.relay.WakeWaiting
@@ -173,6 +178,7 @@
 		m.buildUsage(s)
 	}
 	m.buildFeeds()
+	m.upstreams.onEntry, m.upstreams.onReplace = m.streamVersions.see, m.streamVersions.listReplaced
 	m.quarantine.reader.backoff = m.backoff.another()
 	m.longPolls = append(m.longPolls, m.quarantine.reader)
 	return m
--- a/internal/member/peerlinks.go
+++ b/internal/member/peerlinks.go
@@ -43,7 +43,7 @@
 	case wire.ConfigProofReply:
 		p.onConfigProof(from, m)
 	case wire.StreamVersions:
-		p.onStreamVersions(m)
+		p.onStreamVersions(from, m)
 	case wire.UsageAck:
 		if p.onUsageAck != nil {
 			p.onUsageAck(from, m)
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -51,6 +51,8 @@
 	view     func(wire.ViewRequest) wire.ViewReply
 	onUpdate func()
 	links    *suture.Supervisor
+	// beat tells when this process last stood still.
+	beat *beat
 
 	mu          sync.Mutex
 	peers       map[string]*peer // by peer address
@@ -84,8 +86,8 @@
 	onUpstreamLimits func(wire.UpstreamLimits)
 	// onStreamVersions processes the versions at which another daemon's streams began;
 	// streamVersion returns what this daemon knows of one, if anything.
-	onStreamVersions func(wire.StreamVersions)
-	streamVersion    func(wire.StreamVersionRequest) (wire.StreamVersions, bool)
+	onStreamVersions func(from string, m wire.StreamVersions)
+	streamVersion    func(wire.StreamVersionRequest) wire.StreamVersions
 	// localDemand returns the demand of this daemon's callers, by pool.
 	localDemand func() map[string]wire.MemberDemand
 	// heartbeats counts the heartbeats sent.
@@ -158,6 +160,7 @@
 		peers:       make(map[string]*peer),
 		unavailable: make(map[placement.Key]unavailableEngine),
 		aggregate:   newLoadAggregate(),
+		beat:        newBeat(),
 		incarnation: rand.Uint64(),
 		fullMesh:    true, // a site without peers is a full mesh
 		wake:        make(chan struct{}, 1),
@@ -210,7 +213,7 @@
 }
 
 // Handle implements wire.Handler.
-func (p *Peers) Handle(_ string, m wire.Message, reply func(wire.Message)) {
+func (p *Peers) Handle(from string, m wire.Message, reply func(wire.Message)) {
 	switch m := m.(type) {
 	case wire.MemberState:
 		p.applyState(m)
@@ -234,7 +237,7 @@
 		}
 	case wire.StreamVersions:
 		if p.onStreamVersions != nil {
-			p.onStreamVersions(m)
+			p.onStreamVersions(from, m)
 		}
 	case wire.StreamVersionRequest:
 		p.replyStreamVersion(m, reply)
@@ -325,12 +328,17 @@
 	return nil
 }
 
-// checkSilence marks silent peers as down, and removes those that are gone.
+// checkSilence marks silent peers as down, and removes those that are gone. Peers aren't to blame for a
+// silence in which this process stood still.
 func (p *Peers) checkSilence(now time.Time) {
+	if stood := p.beat.tick(now); stood > 0 {
+		p.log.Warn("this process stood still", "stood_still_ms", stood.Milliseconds())
+	}
+	resumed := p.beat.resumedAt()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, other := range p.peers {
-		if other.up && now.Sub(other.lastReceived) > peerTimeout {
+		if other.up && now.Sub(latest(other.lastReceived, resumed)) > peerTimeout {
 			other.up = false
 			p.tracker.ForgetPeer(address)
 			if p.onForget != nil {
@@ -360,3 +368,10 @@
 	}
 	return float64(len(p.peers)-reporting) / float64(reporting)
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/member/peersview.go
+++ b/internal/member/peersview.go
@@ -219,22 +219,31 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, other := range p.peers {
-		if other.link != nil && !other.up {
+		if other.link == nil {
+			continue
+		}
+		if !other.up || time.Since(other.lastReceived) > peerTimeout || !p.beat.unbroken(other.lastReceived) {
 			return false
 		}
 	}
 	return true
 }
 
-// longestSilence returns the longest time since a neighbour that counts as up was heard.
-func (p *Peers) longestSilence() time.Duration {
+// neighbour is a daemon that this one has a link to.
+type neighbour struct {
+	address string
+	up      bool
+}
+
+// neighbours returns the neighbours, and whether they are all other daemons.
+func (p *Peers) neighbours() (all []neighbour, complete bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var longest time.Duration
-	for _, other := range p.peers {
-		if other.link != nil && other.up {
-			longest = max(longest, time.Since(other.lastReceived))
+	complete = p.fullMesh
+	for address, other := range p.peers {
+		if other.link != nil {
+			all = append(all, neighbour{address, other.up})
 		}
 	}
-	return longest
+	return all, complete
 }
--- a/internal/member/streamversions.go
+++ b/internal/member/streamversions.go
@@ -9,6 +9,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/notify"
 	"tamarackchute/internal/wire"
 	"tamarackchute/rules/pathset"
 	"tamarackchute/streamversion"
@@ -17,8 +18,6 @@
 const (
 	// streamVersionsInterval is how long streams are collected before other daemons are told.
 	streamVersionsInterval = 10 * time.Millisecond
-	// streamVersionWait is how long other daemons are given to say at which version a stream began.
-	streamVersionWait = 60 * time.Millisecond
 	// maxStreamTime is how long a request may last where its rule has no timeout, reconnectTime how long
 	// its caller may take to come back after it has ended.
 	maxStreamTime = time.Minute
@@ -31,22 +30,30 @@
 	book   *streamversion.Book
 	peers  *Peers
 	claims *versionClaims
-	// listAge returns the age of the list of upstreams.
-	listAge func() time.Duration
-	log     *slog.Logger
+	// list returns the reader of the list of upstreams.
+	list func() *topicReader
+	log  *slog.Logger
 
 	mu sync.Mutex
 	// untold are streams of which other daemons haven't been told; wake gets a token for the first.
 	untold []streamversion.Begun
 	wake   chan struct{}
+	// questions are those that neighbours haven't all answered, by number; lastQuestion is the last one's.
+	questions    map[uint64]*question
+	lastQuestion uint64
+	// answered is signalled at each answer.
+	answered notify.Broadcaster
 }
 
 var _ suture.Service = (*streamVersions)(nil)
 
 func newStreamVersions(m *Member) *streamVersions {
 	x := &streamVersions{peers: m.peers, wake: make(chan struct{}, 1), log: m.log}
-	x.listAge = func() time.Duration { return m.readers[upstreamReader].age() }
-	x.book = streamversion.NewBook(nil, func() bool { return knowsVersions(x.listAge(), m.peers.HearsAll) })
+	x.list = func() *topicReader { return m.readers[upstreamReader] }
+	x.book = streamversion.NewBook(nil, func() bool {
+		return m.peers.beat.unbroken(x.list().ownRead()) && knowsVersions(x.list().age(), m.peers.HearsAll)
+	})
+	x.questions = make(map[uint64]*question)
 	x.claims = newVersionClaims(m, x.book)
 	m.peers.onStreamVersions, m.peers.streamVersion = x.hear, x.answer
 	m.state.Watch(func(s *fleet.Snapshot) { x.tell(x.book.Observe(listedOf(s))...) })
@@ -161,7 +168,8 @@
 }
 
 // hear records what another daemon tells.
-func (x *streamVersions) hear(m wire.StreamVersions) {
+func (x *streamVersions) hear(from string, m wire.StreamVersions) {
+	defer x.recordAnswer(from, m)
 	for _, s := range m.Streams {
 		x.book.Hear(streamversion.Begun{Pool: m.Pool, Version: m.Version, Stream: streamversion.Stream(s)})
 	}
@@ -171,63 +179,33 @@
 }
 
 // answer returns what this daemon knows of a stream.
-func (x *streamVersions) answer(m wire.StreamVersionRequest) (wire.StreamVersions, bool) {
+func (x *streamVersions) answer(m wire.StreamVersionRequest) wire.StreamVersions {
+	reply := wire.StreamVersions{Pool: m.Pool, Question: m.Question}
 	if version, sole := x.book.Sole(m.Pool); sole {
-		return wire.StreamVersions{Pool: m.Pool, Version: version, Sole: true}, true
+		reply.Version, reply.Sole = version, true
+		return reply
 	}
-	version, known := x.book.Version(m.Pool, streamversion.Stream(m.Stream))
-	return wire.StreamVersions{Pool: m.Pool, Version: version, Streams: []uint64{m.Stream}}, known
-}
-
-// VersionOf implements relay.StreamVersions.
-func (x *streamVersions) VersionOf(ctx context.Context, pool, request string) (string, bool) {
-	listAge, silent := x.listAge(), x.peers.longestSilence()
-	version, known := x.versionOf(ctx, pool, streamversion.StreamOf(request))
-	x.log.Info("version of a stream", "stream", request, "pool", pool, "version", version, "known", known,
-		"list_age_ms", listAge.Milliseconds(), "longest_silence_ms", silent.Milliseconds())
-	return version, known
-}
-
-// versionOf returns the version at which a stream began. If this daemon doesn't know, it asks other
-// daemons, and then the store for a claim on the pool.
-func (x *streamVersions) versionOf(ctx context.Context, pool string, stream streamversion.Stream) (string, bool) {
-	if version, known := x.book.Version(pool, stream); known {
-		return version, true
-	}
-	x.peers.broadcast(wire.StreamVersionRequest{Pool: pool, Stream: uint64(stream)})
-	asked, cancel := context.WithTimeout(ctx, streamVersionWait)
-	defer cancel()
-	if version, known := x.awaitVersion(asked, pool, stream); known || !x.book.LacksPast(pool) {
-		return version, known
+	if version, known := x.book.Version(m.Pool, streamversion.Stream(m.Stream)); known {
+		reply.Version, reply.Streams = version, []uint64{m.Stream}
 	}
-	select {
-	case <-ctx.Done():
-	case <-x.claims.recall(pool):
-	}
-	return x.book.Version(pool, stream)
+	return reply
 }
 
-// awaitVersion waits until the version of a stream is known.
-func (x *streamVersions) awaitVersion(ctx context.Context, pool string, stream streamversion.Stream) (string, bool) {
-	for {
-		changed := x.book.Changed()
-		if version, known := x.book.Version(pool, stream); known {
-			return version, true
-		}
-		select {
-		case <-ctx.Done():
-			return "", false
-		case <-changed:
-		}
+// replyStreamVersion replies what this daemon knows of a stream.
+func (p *Peers) replyStreamVersion(m wire.StreamVersionRequest, reply func(wire.Message)) {
+	if p.streamVersion != nil {
+		reply(p.streamVersion(m))
 	}
 }
 
-// replyStreamVersion replies what this daemon knows of a stream, if anything.
-func (p *Peers) replyStreamVersion(m wire.StreamVersionRequest, reply func(wire.Message)) {
-	if p.streamVersion == nil {
-		return
-	}
-	if known, ok := p.streamVersion(m); ok {
-		reply(known)
+// see records an entry of an upstream as it is read.
+func (x *streamVersions) see(u *fleet.Upstream) { x.tell(x.book.See(u.Pool, u.Version)...) }
+
+// listReplaced records that the list of upstreams is replaced as a whole: what came and went since it was last
+// read isn't known, unless others would have told.
+func (x *streamVersions) listReplaced() {
+	if list := x.list(); list.hasRead() && list.age() > maxListAge && !x.peers.HearsAll() {
+		x.log.Warn("versions may have come and gone unseen", "list_age_ms", list.age().Milliseconds())
+		x.book.LosePast()
 	}
 }
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -74,14 +74,19 @@
 	next       Position
 	positioned bool
 	readAt     time.Time
-	down       bool
+	// ownReadAt is when the last successful read of this daemon began; readAt may be by a peer's word, whose
+	// age on arrival nobody knows.
+	ownReadAt time.Time
+	down      bool
 	// recoveredAt is when a read first succeeded after an outage.
 	recoveredAt time.Time
 	// expedited means that the next read must not be delayed.
 	expedited bool
 	// confirming is the number of reads by confirm in progress, transfers are those of all reads.
 	confirming int
-	transfers  []*transfer.Transfer
+	// shared is closed at the end of the confirm in progress that all who wait share; nil if there is none.
+	shared    chan struct{}
+	transfers []*transfer.Transfer
 	// reading is the read by Serve, which may wait for a change; nil before the first one.
 	reading *transfer.Transfer
 	// onRecovered is called when the store is reachable again.
@@ -352,7 +357,7 @@
 		r.recoveredAt = time.Now()
 	}
 	r.next, r.positioned = next, true
-	r.readAt = at
+	r.readAt, r.ownReadAt = at, at
 	if r.down {
 		r.down = false
 		r.log.Info("store reachable again", "topic", r.name)
@@ -395,3 +400,10 @@
 	case <-t.C:
 	}
 }
+
+// ownRead returns when the last successful read of this daemon began; zero if there was none.
+func (r *topicReader) ownRead() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ownReadAt
+}
--- a/internal/member/upstreams.go
+++ b/internal/member/upstreams.go
@@ -29,6 +29,9 @@
 	// when the store was last reachable again after an outage.
 	hasReadSince func(time.Time) bool
 	recoveredAt  func() time.Time
+	// onEntry is called with each valid entry as it is read, onReplace before the list is replaced as a whole.
+	onEntry   func(*fleet.Upstream)
+	onReplace func()
 
 	// latestStart is the latest start seen of each ID, rejected the hash of each invalid entry,
 	// by key.
@@ -80,6 +83,8 @@
 		restored:     func() bool { return false },
 		hasReadSince: func(time.Time) bool { return true },
 		recoveredAt:  func() time.Time { return time.Time{} },
+		onEntry:      func(*fleet.Upstream) {},
+		onReplace:    func() {},
 	}
 }
 
@@ -95,6 +100,7 @@
 // reset processes the newest entries of all upstreams, read from a store that has lost nothing
 // since the last read. If it lost something before, an unknown entry may be left from the copy.
 func (f *upstreamFeed) reset(entries []Entry) {
+	f.onReplace()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range entries {
@@ -124,6 +130,7 @@
 // upstream still exists: until it writes, each upstream is unconfirmed. One that only the copy has
 // is ignored, unless nothing else is known.
 func (f *upstreamFeed) resetRestored(entries []Entry) {
+	f.onReplace()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.beginEra()
@@ -135,6 +142,7 @@
 // resetFromPeer processes the list of a peer that has read more of the store, with the upstreams
 // that are unconfirmed there. newEra means that the store was restored in between.
 func (f *upstreamFeed) resetFromPeer(confirmed, unconfirmed []Entry, newEra bool) {
+	f.onReplace()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if newEra {
@@ -222,6 +230,7 @@
 		return false
 	}
 	f.recordStart(u)
+	f.onEntry(u)
 	f.raw[e.Key] = e.Value
 	f.revisions[e.Key] = u.Revision
 	old := f.list[e.Key]
@@ -338,7 +347,7 @@
 	h := xxhash.New()
 	for _, id := range slices.Sorted(maps.Keys(list)) {
 		u := list[id]
-		_, _ = fmt.Fprintf(h, "%s %d %s %s %s %t\n", u.ID, u.Started.UnixMilli(), u.Pool, u.Address, u.Role, u.Draining) // writing to a hash never fails
+		_, _ = fmt.Fprintf(h, "%s %d %s %s %s %s %t\n", u.ID, u.Started.UnixMilli(), u.Pool, u.Address, u.Version, u.Role, u.Draining) // writing to a hash never fails
 	}
 	return h.Sum64()
 }
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -67,7 +67,7 @@
 	if refresh := c.relay.cfg.Refresh; refresh != nil {
 		refresh(ctx)
 	}
-	if f := c.checkOrigin(c.relay.cfg.State.Snapshot()); f != nil {
+	if f := c.checkOrigin(ctx); f != nil {
 		return nil, f
 	}
 	if c.cannotComplete() {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -123,7 +123,7 @@
 		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
 	}
 	if f.reason == reasonVersionUnknown || f.reason == reasonVersionGone {
-		attrs = append(attrs, "stream", c.streamID(), "begun_at_version", c.origin.version, "versions", servingVersions(c.relay.cfg.State.Snapshot(), c.pool))
+		attrs = append(attrs, "stream", c.streamID(), "begun_at_version", c.origin.version, "list_read", c.origin.listRead, "versions", servingVersions(c.relay.cfg.State.Snapshot(), c.pool))
 	}
 	if f.reason == reasonNoBudget {
 		b := c.relay.cfg.RetryBudget.PoolState(c.pool)
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -16,6 +16,9 @@
 	// VersionOf returns the version at which a stream began, and whether that is known. It may ask
 	// other daemons, which takes milliseconds.
 	VersionOf(ctx context.Context, pool, request string) (string, bool)
+	// AwaitList waits until the list of upstreams has been read by a call that began after this one,
+	// and reports whether it has.
+	AwaitList(ctx context.Context) bool
 }
 
 // errOtherVersion stops an attempt at an upstream whose software has changed since it was placed.
@@ -26,6 +29,8 @@
 	// fixed says that the stream has begun; version is that of the upstream which began it.
 	fixed   bool
 	version string
+	// listAwaited says that the list of upstreams was to be read again, listRead that this has succeeded.
+	listAwaited, listRead bool
 }
 
 // findOrigin finds the version at which a stream began that the caller takes up again.
@@ -42,14 +47,27 @@
 }
 
 // checkOrigin returns a failure if no upstream of the version that began the stream takes requests any
-// more.
-func (c *call) checkOrigin(s *fleet.Snapshot) *failure {
-	if !c.origin.fixed || slices.ContainsFunc(s.Pools[c.pool], func(u *fleet.Upstream) bool { return !u.Draining && u.Version == c.origin.version }) {
+// more. A list from before the request may lack those that have joined since.
+func (c *call) checkOrigin(ctx context.Context) *failure {
+	if !c.origin.fixed || c.originServes() {
 		return nil
 	}
+	if versions := c.relay.cfg.Versions; versions != nil && !c.origin.listAwaited {
+		c.origin.listAwaited = true
+		c.origin.listRead = versions.AwaitList(ctx)
+		if c.originServes() {
+			return nil
+		}
+	}
 	return c.fail(reasonVersionGone, "no upstream of the software version that began the stream is left")
 }
 
+// originServes reports whether an upstream of the version that began the stream takes requests.
+func (c *call) originServes() bool {
+	upstreams := c.relay.cfg.State.Snapshot().Pools[c.pool]
+	return slices.ContainsFunc(upstreams, func(u *fleet.Upstream) bool { return !u.Draining && u.Version == c.origin.version })
+}
+
 // suitsOrigin reports whether the stream may go on at an upstream, whose entry may have changed since
 // the request was placed.
 func (c *call) suitsOrigin(u *fleet.Upstream) bool {
--- a/streamversion/book.go
+++ b/streamversion/book.go
@@ -45,7 +45,8 @@
 	// current reports whether the list of upstreams that Observe gets is recent.
 	current func() bool
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// started is when the process started, or last lost its knowledge of the past.
 	started time.Time
 	pools   map[string]*pool
 	streams *simplelru.LRU[Stream, record]
@@ -231,8 +232,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if r, ok := b.streams.Get(s); ok && r.Pool == pool && now.Sub(r.at) <= b.pool(pool).retention {
-		return r.Version, true
+	if version, told := b.told(pool, s, now); told {
+		return version, true
 	}
 	return b.sole(pool, now)
 }
