relay, soak: a list of other daemons ends the wait before 'version gone'; a daemon cut off from the store

The wait for the list of upstreams before a refusal ends as soon as the list has an upstream of the version, by whatever way: a daemon whose store is silent gets it from others.

--- a/internal/member/streamdecision.go
+++ b/internal/member/streamdecision.go
@@ -92,10 +92,18 @@
 }
 
 // AwaitList implements relay.StreamVersions.
-func (x *streamVersions) AwaitList(ctx context.Context) bool {
+func (x *streamVersions) AwaitList(ctx context.Context, suffices func() bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
 	defer cancel()
-	return x.list().awaitReadSince(ctx, time.Now())
+	began := time.Now()
+	go x.readList(ctx, began)
+	for {
+		answered := x.answered.Changed()
+		if read := x.list().hasOwnReadSince(began); read || ctx.Err() != nil || suffices() {
+			return read
+		}
+		x.awaitEvidence(ctx, vouchDelay, answered, nil, nil) // other daemons' lists come unannounced
+	}
 }
 
 // readList reads the list of upstreams for a question that began at a time.
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -16,9 +16,9 @@
 	// VersionOf returns the version at which a stream began, and whether that is known. It may ask
 	// other daemons, which takes milliseconds.
 	VersionOf(ctx context.Context, pool, request string) (string, bool)
-	// AwaitList waits until the list of upstreams has been read by a call that began after this one,
-	// and reports whether it has.
-	AwaitList(ctx context.Context) bool
+	// AwaitList waits until the list of upstreams has been read by a call that began after this one, which
+	// it reports, or until the list suffices.
+	AwaitList(ctx context.Context, suffices func() bool) bool
 }
 
 // errOtherVersion stops an attempt at an upstream whose software has changed since it was placed.
@@ -54,7 +54,7 @@
 	}
 	if versions := c.relay.cfg.Versions; versions != nil && !c.origin.listAwaited {
 		c.origin.listAwaited = true
-		c.origin.listRead = versions.AwaitList(ctx)
+		c.origin.listRead = versions.AwaitList(ctx, c.originServes)
 		if c.originServes() {
 			return nil
 		}
--- a/internal/soak/release.go
+++ b/internal/soak/release.go
@@ -17,7 +17,9 @@
 	// releaseServers of the first version, and gets releaseJoiners of the second.
 	releasePools, releaseServers, releaseJoiners = 3, 2, 4
 	firstVersion, secondVersion                  = "v1", "v2"
-	releasePrefix                                = "release"
+	// outOfStepForms is the number of forms in which a daemon is out of step.
+	outOfStepForms = 3
+	releasePrefix  = "release"
 	// joinNotice is how long daemons in touch take to use servers that join.
 	joinNotice = 800 * time.Millisecond
 	// queueTime is how long requests wait at a daemon that stands still.
@@ -56,7 +58,7 @@
 	return nil
 }
 
-// joinVersion lets a version join a pool while a daemon stands still. Streams that begin at the new version
+// joinVersion lets a version join a pool while a daemon is out of step. Streams that begin at the new version
 // by way of other daemons are taken up at this one, whose belief in a sole version is outdated.
 func (s *site) joinVersion(step Step) {
 	if !s.release.running.TryLock() {
@@ -68,7 +70,7 @@
 	name := fmt.Sprintf("join-%d-%d", step.Target, step.Variant)
 	started := time.Now()
 	still := s.daemons[step.Target%len(s.daemons)]
-	resume := still.suspend()
+	resume := s.putOutOfStep(still, step)
 	leave := s.join(v)
 	time.Sleep(joinNotice)
 	begun := s.leaveStreams(v, name, still)
@@ -78,6 +80,20 @@
 	s.checkGoingOn(v, still, started, taken, wentOn)
 }
 
+// putOutOfStep makes a daemon stand still, or in one of outOfStepForms cuts it off from the store. It returns
+// what ends that.
+func (s *site) putOutOfStep(d *daemon, step Step) (end func()) {
+	if step.Variant%outOfStepForms < outOfStepForms-1 {
+		return d.suspend()
+	}
+	ended := s.faults.begin(storeLinkSubject(d.number))
+	s.links[d.number].SetMode(ModeStall)
+	return func() {
+		s.links[d.number].SetMode(ModePass)
+		time.AfterFunc(settleDelay, ended)
+	}
+}
+
 // join starts the servers of the second version, and returns what removes them.
 func (s *site) join(v service) (leave func()) {
 	var slots []*serverSlot
@@ -163,11 +179,11 @@
 			subjects = append(subjects, daemonSubject(d.number), stopSubject(d.number), pathSubject(d.number), storeLinkSubject(d.number))
 		}
 	}
-	subjects = append(subjects, stopSubject(still.number), pathSubject(still.number), storeLinkSubject(still.number))
-	s.oracle.count("streams taken up after a standstill", taken)
-	s.oracle.count("streams that went on after a standstill", wentOn)
+	subjects = append(subjects, stopSubject(still.number), pathSubject(still.number))
+	s.oracle.count("streams taken up at daemons out of step", taken)
+	s.oracle.count("streams that went on at daemons out of step", wentOn)
 	if taken >= minTakenUp && float64(wentOn) < leastGoingOn*float64(taken) && s.faults.undisturbed(since, time.Now(), subjects...) {
-		s.oracle.report(StreamsGoOn, "%d of %d streams of %s went on at daemon %d, which stood still from %s on", wentOn, taken, v.name, still.number, formatTime(since))
+		s.oracle.report(StreamsGoOn, "%d of %d streams of %s went on at daemon %d, which was out of step from %s on", wentOn, taken, v.name, still.number, formatTime(since))
 	}
 }
 
