member, platform: a read cut off at its size limit isn't evidence for the whole list

What callers could see: a stream goes on at another version, as the entry of the version that began it comes after the size limit of the read that counts as newer than the question. Cause: a read counted as whole whatever followed.

--- a/internal/member/confirm.go
+++ b/internal/member/confirm.go
@@ -46,6 +46,9 @@
 		r.restartRead()
 	}
 	r.recordRead(next, start)
+	if !received.Progress().Partial {
+		r.recordWhole(start)
+	}
 	if len(entries) == 0 {
 		r.notifyRead(sentAt)
 	}
--- a/internal/member/streamversions_test.go
+++ b/internal/member/streamversions_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackchute/internal/transfer"
 	"tamarackchute/internal/wire"
 )
 
@@ -108,3 +109,36 @@
 		require.NotEqual(t, before, m.upstreams.current().digest)
 	})
 }
+
+// oneByOneClient reads one record at a time.
+type oneByOneClient struct{ *logClient }
+
+// Changes implements Store.
+func (c *oneByOneClient) Changes(ctx context.Context, t Topic, from Position, wait time.Duration) ([]Entry, Position, error) {
+	entries, next, err := c.logClient.Changes(ctx, t, from, wait)
+	if len(entries) > 1 {
+		transfer.Of(ctx).MarkPartial()
+		entries, next = entries[:1], from+1
+	}
+	return entries, next, err
+}
+
+// Guards against a read that was cut off at its size limit and passes for the whole list.
+func TestPartialListDoesNotDecide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m := newVersionDaemon(t)
+		m.readers[upstreamReader].store = &oneByOneClient{m.cfg.Store.(*logClient)}
+		for range 3 {
+			s.store.write("e0", versionedEntry("e0", "v1"))
+		}
+		version, known := versionOf(m)
+		require.True(t, known)
+		require.Equal(t, "v1", version)
+		for range 3 {
+			s.store.write("e0", versionedEntry("e0", "v1"))
+		}
+		s.store.write("e1", versionedEntry("e1", "v2"))
+		_, known = versionOf(m)
+		require.False(t, known)
+	})
+}
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -74,8 +74,8 @@
 	next       Position
 	positioned bool
 	readAt     time.Time
-	// ownReadAt is when the last successful read of this daemon began; readAt may be by a peer's word, whose
-	// age on arrival nobody knows.
+	// ownReadAt is when the last read of this daemon began that brought all there was; readAt may be by a peer's
+	// word, whose age on arrival nobody knows.
 	ownReadAt time.Time
 	down      bool
 	// recoveredAt is when a read first succeeded after an outage.
@@ -249,6 +249,7 @@
 		defer r.applying.Unlock()
 		r.applyNewest(entries, from, next)
 		r.recordRead(next, start)
+		r.recordWhole(start)
 		r.notifyRead(sentAt)
 		return nil
 	}
@@ -266,6 +267,9 @@
 		start = time.Now() // a long poll's answer is current when it ends
 	}
 	r.recordRead(next, start)
+	if !received.Progress().Partial {
+		r.recordWhole(start)
+	}
 	if len(entries) == 0 { // a read with entries may have been cut off at its size limit
 		r.notifyRead(sentAt)
 	}
@@ -357,7 +361,7 @@
 		r.recoveredAt = time.Now()
 	}
 	r.next, r.positioned = next, true
-	r.readAt, r.ownReadAt = at, at
+	r.readAt = at
 	if r.down {
 		r.down = false
 		r.log.Info("store reachable again", "topic", r.name)
@@ -377,6 +381,13 @@
 	}
 }
 
+// recordWhole records that a read that began at a time has brought all there was.
+func (r *topicReader) recordWhole(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ownReadAt = at
+}
+
 func (r *topicReader) recordFailure(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -28,6 +28,7 @@
 	timer   *time.Timer
 	bytes   int
 	firstAt time.Time
+	partial bool
 	err     error
 }
 
@@ -65,6 +66,16 @@
 	t.arm(t.limits.Idle)
 }
 
+// MarkPartial records that the sender has more than it sent. A nil transfer records nothing.
+func (t *Transfer) MarkPartial() {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.partial = true
+}
+
 // arm starts the time until which the next byte has to arrive. The caller holds t.mu, or is Begin.
 func (t *Transfer) arm(limit time.Duration) {
 	if t.err != nil {
@@ -120,13 +131,15 @@
 	Bytes int
 	// First is the time until the first byte, 0 if there was none; Lasted is the time since the beginning.
 	First, Lasted time.Duration
+	// Partial means that the sender has more than it sent.
+	Partial bool
 }
 
 // Progress returns what has been received so far.
 func (t *Transfer) Progress() Progress {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := Progress{Bytes: t.bytes, Lasted: time.Since(t.began)}
+	p := Progress{Bytes: t.bytes, Partial: t.partial, Lasted: time.Since(t.began)}
 	if !t.firstAt.IsZero() {
 		p.First = t.firstAt.Sub(t.began)
 	}
