--- a/internal/member/confirm.go
+++ b/internal/member/confirm.go
@@ -98,23 +98,32 @@
 	r.expedite()
 }
 
-// confirmInterval is the minimum time between two attempts to read for those that wait.
-const confirmInterval = 20 * time.Millisecond
+const (
+	// confirmInterval is the minimum time between two reads for those that wait, at a site of up to
+	// baselineDaemons. It grows with the site, up to maxConfirmInterval.
+	confirmInterval, maxConfirmInterval = 20 * time.Millisecond, 300 * time.Millisecond
+	// confirmPatience is the time after which a read without an answer doesn't keep another one from beginning:
+	// its connection may have failed silently.
+	confirmPatience = 100 * time.Millisecond
+)
 
 // awaitReadSince waits until a read that began after a time has succeeded, and reads for that. Those who
 // wait at the same time share the reads. It returns false if ctx ends before.
 func (r *topicReader) awaitReadSince(ctx context.Context, t time.Time) bool {
-	for !r.hasOwnReadSince(t) {
+	for !r.hasOwnReadSince(t) && ctx.Err() == nil {
+		ended, next := r.sharedConfirm(time.Now())
+		pause := time.NewTimer(next)
 		select {
 		case <-ctx.Done():
-			return false
-		case <-r.sharedConfirm():
+		case <-ended:
+		case <-pause.C:
 		}
-		if !r.hasOwnReadSince(t) {
-			sleep(ctx, confirmInterval)
+		pause.Stop()
+		if isClosed(ended) && !r.hasOwnReadSince(t) {
+			sleep(ctx, next)
 		}
 	}
-	return true
+	return r.hasOwnReadSince(t)
 }
 
 // hasOwnReadSince reports whether a successful read of this daemon has begun since a time.
@@ -124,21 +133,30 @@
 	return r.ownReadAt.After(t)
 }
 
-// sharedConfirm begins to confirm unless one who waits already does. The channel is closed at its end.
-func (r *topicReader) sharedConfirm() <-chan struct{} {
+// shared is a read that all who wait share.
+type shared struct {
+	began time.Time
+	ended chan struct{}
+}
+
+// sharedConfirm begins to confirm if that is due. It returns what is closed at the end of the last read, and
+// the time until the next one may begin.
+func (r *topicReader) sharedConfirm(now time.Time) (ended <-chan struct{}, next time.Duration) {
+	interval := min(maxConfirmInterval, confirmInterval*time.Duration(max(baselineDaemons, r.backoff.store.daemons()))/baselineDaemons)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.shared != nil {
-		return r.shared
+	wait := confirmPatience
+	if isClosed(r.shared.ended) {
+		wait = interval
 	}
-	done := make(chan struct{})
-	r.shared = done
+	if r.shared.ended != nil && now.Sub(r.shared.began) < max(wait, interval) {
+		return r.shared.ended, max(wait, interval) - now.Sub(r.shared.began)
+	}
+	begun := shared{now, make(chan struct{})}
+	r.shared = begun
 	go func() {
+		defer close(begun.ended)
 		r.confirm(context.Background())
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.shared = nil
-		close(done)
 	}()
-	return done
+	return begun.ended, max(confirmPatience, interval)
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -43,7 +43,7 @@
 	minAssumedDaemons = 10
 	// peerSecret isn't confidential: the platform's network is closed, and its settings hold
 	// nothing known only to the system's processes. It rejects other protocols.
-	peerSecret = "tamarackchute member exchange, protocol 7"
+	peerSecret = "tamarackchute member exchange, protocol 8"
 	// replacedTimeout is how long all daemons avoid an upstream whose address now belongs to
 	// another one: its store entry lapses after three missed heartbeats.
 	replacedTimeout = 3 * time.Second
@@ -226,6 +226,7 @@
 	}
 	age += transitAllowance
 	if digest == m.upstreams.current().digest && digest != 0 && age+minAgeGain < m.readers[upstreamReader].age() {
+		m.upstreams.onReplace()
 		m.readers[upstreamReader].adopt(position, age)
 	}
 }
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -53,6 +53,8 @@
 	links    *suture.Supervisor
 	// beat tells when this process last stood still.
 	beat *beat
+	// rejoinedAt is when a peer was last heard that had been silent for too long.
+	rejoinedAt time.Time
 
 	mu          sync.Mutex
 	peers       map[string]*peer // by peer address
@@ -87,7 +89,7 @@
 	// onStreamVersions processes the versions at which another daemon's streams began;
 	// streamVersion returns what this daemon knows of one, if anything.
 	onStreamVersions func(from string, m wire.StreamVersions)
-	streamVersion    func(wire.StreamVersionRequest) wire.StreamVersions
+	streamVersion    func(wire.StreamVersionRequest) []wire.StreamVersions
 	// localDemand returns the demand of this daemon's callers, by pool.
 	localDemand func() map[string]wire.MemberDemand
 	// heartbeats counts the heartbeats sent.
@@ -279,8 +281,11 @@
 	if m.Demands != nil {
 		from.demands = m.Demands
 	}
-	from.lastReceived = time.Now()
-	from.lastUpdate = from.lastReceived
+	now := time.Now()
+	if !from.lastReceived.IsZero() && now.Sub(from.lastReceived) > peerTimeout {
+		p.rejoinedAt = now
+	}
+	from.lastReceived, from.lastUpdate = now, now
 	recovered := !from.up
 	from.up, p.heard = true, true
 	p.mu.Unlock()
--- a/internal/member/peersview.go
+++ b/internal/member/peersview.go
@@ -229,21 +229,32 @@
 	return true
 }
 
+// heardThroughout reports whether this daemon has heard all neighbours since a time, so that their messages
+// should have reached it.
+func (p *Peers) heardThroughout(since time.Time) bool {
+	if !p.beat.unbroken(since) || !p.HearsAll() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.rejoinedAt.After(since)
+}
+
 // neighbour is a daemon that this one has a link to.
 type neighbour struct {
 	address string
 	up      bool
 }
 
-// neighbours returns the neighbours, and whether they are all other daemons.
-func (p *Peers) neighbours() (all []neighbour, complete bool) {
+// neighbours returns the neighbours.
+func (p *Peers) neighbours() []neighbour {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	complete = p.fullMesh
+	var all []neighbour
 	for address, other := range p.peers {
 		if other.link != nil {
 			all = append(all, neighbour{address, other.up})
 		}
 	}
-	return all, complete
+	return all
 }
--- a/internal/member/streamdecision.go
+++ b/internal/member/streamdecision.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"tamarackchute/internal/wire"
@@ -18,37 +19,40 @@
 	vouchDelay = 30 * time.Millisecond
 )
 
-// question is one that all neighbours are asked.
+// question is one that the neighbours are asked about a stream.
 type question struct {
-	number uint64
+	pool   string
+	stream streamversion.Stream
 	began  time.Time
-	// asked is when it was last sent; zero before.
+	// asked is when it was last to be sent; zero before.
 	asked time.Time
 	// answers holds for each neighbour that has answered the version that it vouches for, empty for none.
 	answers map[string]string
 }
 
+// batch is questions that were sent in one message.
+type batch struct {
+	sentAt    time.Time
+	questions []*question
+}
+
 // VersionOf implements relay.StreamVersions.
 func (x *streamVersions) VersionOf(ctx context.Context, pool, request string) (string, bool) {
-	s := streamversion.StreamOf(request)
-	version, verdict := x.book.Decide(pool, s, streamversion.Evidence{})
-	if verdict == streamversion.Known {
-		x.log.Info("version of a stream", "stream", request, "pool", pool, "version", version, "known", true, "by", "word")
-		return version, true
-	}
-	q := x.newQuestion()
-	defer x.endQuestion(q)
-	version, verdict, e := x.findVersion(ctx, pool, s, q)
+	q := &question{pool: pool, stream: streamversion.StreamOf(request), began: time.Now(), answers: make(map[string]string)}
+	if list := x.list(); !x.peers.beat.unbroken(list.ownRead()) {
+		x.AwaitList(ctx, func() bool { return false }) // the servers behind the entries may be others by now
+	}
+	version, verdict, e := x.findVersion(ctx, q)
 	known := verdict == streamversion.Known
 	x.log.Info("version of a stream", "stream", request, "pool", pool, "version", version, "known", known, "verdict", verdict.String(),
 		"list_read", e.ListRead, "vouched", e.Vouched, "answered", e.Answered, "recalled", e.Recalled, "answers", x.answersTo(q),
 		"list_age_ms", time.Since(x.list().ownRead()).Milliseconds(), "took_ms", time.Since(q.began).Milliseconds(),
-		"resumed_ms_ago", x.sinceResumed().Milliseconds())
+		"resumed_at", x.peers.beat.resumedAt())
 	return version, known
 }
 
 // findVersion gathers evidence on a stream's version until it suffices.
-func (x *streamVersions) findVersion(ctx context.Context, pool string, s streamversion.Stream, q *question) (string, streamversion.Verdict, streamversion.Evidence) {
+func (x *streamVersions) findVersion(ctx context.Context, q *question) (string, streamversion.Verdict, streamversion.Evidence) {
 	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
 	defer cancel()
 	var recalled <-chan struct{}
@@ -57,7 +61,7 @@
 		heard, answered := x.book.Changed(), x.answered.Changed()
 		e := x.evidence(q)
 		e.Recalled = isClosed(recalled)
-		version, verdict := x.book.Decide(pool, s, e)
+		version, verdict := x.book.Decide(q.pool, q.stream, e)
 		if verdict <= streamversion.Unknown || ctx.Err() != nil {
 			return version, verdict, e
 		}
@@ -67,9 +71,9 @@
 			reading, wait = true, vouchDelay
 			go x.readList(ctx, q.began)
 		case verdict == streamversion.LacksClaim && recalled == nil:
-			recalled = x.claims.recall(pool)
+			recalled = x.claims.recall(q.pool)
 		case time.Since(q.asked) >= askInterval:
-			x.ask(q, pool, s)
+			x.ask(q)
 		}
 		x.awaitEvidence(ctx, wait, heard, answered, recalled)
 	}
@@ -113,39 +117,43 @@
 	}
 }
 
-// newQuestion returns a question that hasn't been sent yet.
-func (x *streamVersions) newQuestion() *question {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.lastQuestion++
-	q := &question{number: x.lastQuestion, began: time.Now(), answers: make(map[string]string)}
-	x.questions[q.number] = q
-	return q
-}
-
-func (x *streamVersions) endQuestion(q *question) {
+// ask has a question sent to the neighbours, with others of the pool.
+func (x *streamVersions) ask(q *question) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	delete(x.questions, q.number)
+	q.asked = time.Now()
+	x.unasked = append(x.unasked, q)
+	x.mu.Unlock()
+	x.wakeUp()
 }
 
-// ask sends a question to the neighbours that haven't answered it.
-func (x *streamVersions) ask(q *question, pool string, s streamversion.Stream) {
-	m := wire.StreamVersionRequest{Pool: pool, Stream: uint64(s), Question: q.number}
-	neighbours, _ := x.peers.neighbours()
-	for _, n := range neighbours {
-		if !x.hasAnswered(q, n.address) {
-			x.peers.sendTo(n.address, m)
-		}
+// askAll sends the collected questions to the neighbours, in one message for each pool.
+func (x *streamVersions) askAll() {
+	for _, m := range x.takeUnasked(time.Now()) {
+		x.peers.broadcast(m)
 	}
-	q.asked = time.Now()
 }
 
-func (x *streamVersions) hasAnswered(q *question, address string) bool {
+// takeUnasked turns the collected questions into batches, and forgets batches that nobody waits for.
+func (x *streamVersions) takeUnasked(now time.Time) []wire.StreamVersionRequest {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	_, answered := q.answers[address]
-	return answered
+	maps.DeleteFunc(x.batches, func(_ uint64, b batch) bool { return now.Sub(b.sentAt) > versionTimeout })
+	pools := make(map[string][]*question)
+	for _, q := range x.unasked {
+		pools[q.pool] = append(pools[q.pool], q)
+	}
+	x.unasked = nil
+	var requests []wire.StreamVersionRequest
+	for pool, questions := range pools {
+		x.lastBatch++
+		x.batches[x.lastBatch] = batch{now, questions}
+		m := wire.StreamVersionRequest{Pool: pool, Question: x.lastBatch}
+		for _, q := range questions {
+			m.Streams = append(m.Streams, uint64(q.stream))
+		}
+		requests = append(requests, m)
+	}
+	return requests
 }
 
 func (x *streamVersions) answersTo(q *question) int {
@@ -154,17 +162,21 @@
 	return len(q.answers)
 }
 
-// recordAnswer records that a neighbour has answered a question.
+// recordAnswer records that a neighbour has answered a batch of questions.
 func (x *streamVersions) recordAnswer(from string, m wire.StreamVersions) {
 	x.mu.Lock()
-	q := x.questions[m.Question]
-	if q != nil {
+	asked, ok := x.batches[m.Question]
+	for _, q := range asked.questions {
 		q.answers[from] = vouchedBy(m)
 	}
 	x.mu.Unlock()
-	if q != nil {
-		x.answered.Broadcast()
+	if !ok {
+		return
+	}
+	if m.Sole {
+		x.book.HearSole(m.Pool, m.Version)
 	}
+	x.answered.Broadcast()
 }
 
 // vouchedBy returns the version that an answer vouches for, empty if it vouches for none.
@@ -175,35 +187,29 @@
 	return ""
 }
 
-// evidence returns what has been learned since a question began.
+// evidence returns what has been learned since a question began. Where no neighbour counts as up, links may
+// have to be made anew.
 func (x *streamVersions) evidence(q *question) streamversion.Evidence {
-	neighbours, complete := x.peers.neighbours()
-	e := streamversion.Evidence{ListRead: x.list().hasOwnReadSince(q.began), Answered: !q.asked.IsZero()}
+	neighbours := x.peers.neighbours()
+	// Entries of a restored store may be missing until the upstreams have written again.
+	listRead := x.list().hasOwnReadSince(q.began) && !x.unconfirmed()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for i, n := range neighbours {
-		vouched, answered := q.answers[n.address]
+	e := streamversion.Evidence{ListRead: listRead, Answered: !q.asked.IsZero() && (len(q.answers) > 0 || len(neighbours) == 0)}
+	vouched := len(neighbours) > 0
+	for _, n := range neighbours {
+		version, answered := q.answers[n.address]
 		e.Answered = e.Answered && (answered || !n.up)
-		if i == 0 {
-			e.Vouched = vouched
-		}
-		complete = complete && vouched == e.Vouched
+		vouched = vouched && version != "" && (e.Vouched == "" || e.Vouched == version)
+		e.Vouched = version
 	}
-	if !complete {
+	if !vouched {
 		e.Vouched = ""
 	}
 	e.Answered = e.Answered || time.Since(q.began) > answerTimeout
 	return e
 }
 
-// sinceResumed returns how long ago this process last went on after it stood still; an hour if it never has.
-func (x *streamVersions) sinceResumed() time.Duration {
-	if at := x.peers.beat.resumedAt(); !at.IsZero() {
-		return time.Since(at)
-	}
-	return time.Hour
-}
-
 func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
--- a/internal/member/streamversions.go
+++ b/internal/member/streamversions.go
@@ -30,17 +30,19 @@
 	book   *streamversion.Book
 	peers  *Peers
 	claims *versionClaims
-	// list returns the reader of the list of upstreams.
-	list func() *topicReader
-	log  *slog.Logger
+	// list returns the reader of the list of upstreams, unconfirmed says that some of them may be gone.
+	list        func() *topicReader
+	unconfirmed func() bool
+	log         *slog.Logger
 
 	mu sync.Mutex
 	// untold are streams of which other daemons haven't been told; wake gets a token for the first.
 	untold []streamversion.Begun
 	wake   chan struct{}
-	// questions are those that neighbours haven't all answered, by number; lastQuestion is the last one's.
-	questions    map[uint64]*question
-	lastQuestion uint64
+	// unasked are questions that neighbours haven't been asked, batches those that they have, by number.
+	unasked   []*question
+	batches   map[uint64]batch
+	lastBatch uint64
 	// answered is signalled at each answer.
 	answered notify.Broadcaster
 }
@@ -50,10 +52,11 @@
 func newStreamVersions(m *Member) *streamVersions {
 	x := &streamVersions{peers: m.peers, wake: make(chan struct{}, 1), log: m.log}
 	x.list = func() *topicReader { return m.readers[upstreamReader] }
+	x.unconfirmed = func() bool { return m.upstreams.current().unconfirmed }
 	x.book = streamversion.NewBook(nil, func() bool {
 		return m.peers.beat.unbroken(x.list().ownRead()) && knowsVersions(x.list().age(), m.peers.HearsAll)
 	})
-	x.questions = make(map[uint64]*question)
+	x.batches = make(map[uint64]batch)
 	x.claims = newVersionClaims(m, x.book)
 	m.peers.onStreamVersions, m.peers.streamVersion = x.hear, x.answer
 	m.state.Watch(func(s *fleet.Snapshot) { x.tell(x.book.Observe(listedOf(s))...) })
@@ -125,6 +128,7 @@
 		case <-x.wake:
 			sleep(ctx, streamVersionsInterval)
 			x.flush()
+			x.askAll()
 		}
 	}
 }
@@ -144,6 +148,11 @@
 	x.mu.Lock()
 	x.untold = append(x.untold, streams...)
 	x.mu.Unlock()
+	x.wakeUp()
+}
+
+// wakeUp makes Serve send what has been collected. It doesn't block.
+func (x *streamVersions) wakeUp() {
 	select {
 	case x.wake <- struct{}{}:
 	default:
@@ -169,43 +178,52 @@
 
 // hear records what another daemon tells.
 func (x *streamVersions) hear(from string, m wire.StreamVersions) {
-	defer x.recordAnswer(from, m)
 	for _, s := range m.Streams {
-		x.book.Hear(streamversion.Begun{Pool: m.Pool, Version: m.Version, Stream: streamversion.Stream(s)})
-	}
-	if m.Sole {
-		x.book.HearSole(m.Pool, m.Version)
+		x.tell(x.book.Hear(streamversion.Begun{Pool: m.Pool, Version: m.Version, Stream: streamversion.Stream(s)})...)
 	}
+	x.recordAnswer(from, m)
 }
 
-// answer returns what this daemon knows of a stream.
-func (x *streamVersions) answer(m wire.StreamVersionRequest) wire.StreamVersions {
-	reply := wire.StreamVersions{Pool: m.Pool, Question: m.Question}
-	if version, sole := x.book.Sole(m.Pool); sole {
-		reply.Version, reply.Sole = version, true
-		return reply
+// answer returns what this daemon knows of streams; the last message ends the answer.
+func (x *streamVersions) answer(m wire.StreamVersionRequest) []wire.StreamVersions {
+	known := make(map[string][]uint64)
+	for _, s := range m.Streams {
+		if version, told := x.book.Told(m.Pool, streamversion.Stream(s)); told {
+			known[version] = append(known[version], s)
+		}
 	}
-	if version, known := x.book.Version(m.Pool, streamversion.Stream(m.Stream)); known {
-		reply.Version, reply.Streams = version, []uint64{m.Stream}
+	var replies []wire.StreamVersions
+	for version, streams := range known {
+		replies = append(replies, wire.StreamVersions{Pool: m.Pool, Version: version, Streams: streams})
 	}
-	return reply
+	last := wire.StreamVersions{Pool: m.Pool, Question: m.Question}
+	if version, sole := x.book.Sole(m.Pool); sole {
+		last.Version, last.Sole = version, true
+	}
+	return append(replies, last)
 }
 
-// replyStreamVersion replies what this daemon knows of a stream.
+// replyStreamVersion replies what this daemon knows of streams.
 func (p *Peers) replyStreamVersion(m wire.StreamVersionRequest, reply func(wire.Message)) {
-	if p.streamVersion != nil {
-		reply(p.streamVersion(m))
+	if p.streamVersion == nil {
+		return
+	}
+	for _, known := range p.streamVersion(m) {
+		reply(known)
 	}
 }
 
 // see records an entry of an upstream as it is read.
 func (x *streamVersions) see(u *fleet.Upstream) { x.tell(x.book.See(u.Pool, u.Version)...) }
 
-// listReplaced records that the list of upstreams is replaced as a whole: what came and went since it was last
-// read isn't known, unless others would have told.
+// listReplaced records that the list of upstreams is about to be replaced without the entries written since it was
+// last known to be current: what came and went meanwhile isn't known, unless others would have told.
 func (x *streamVersions) listReplaced() {
-	if list := x.list(); list.hasRead() && list.age() > maxListAge && !x.peers.HearsAll() {
-		x.log.Warn("versions may have come and gone unseen", "list_age_ms", list.age().Milliseconds())
-		x.book.LosePast()
+	list := x.list()
+	age := list.age()
+	if !list.hasRead() || age <= maxListAge || x.peers.heardThroughout(time.Now().Add(-age)) {
+		return
 	}
+	x.log.Warn("versions may have come and gone unseen", "list_age_ms", age.Milliseconds())
+	x.book.LosePast()
 }
--- a/internal/member/streamversions_test.go
+++ b/internal/member/streamversions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,15 +85,14 @@
 		require.False(t, known)
 		require.LessOrEqual(t, time.Since(began), versionTimeout)
 
-		m.peers.peers["b"] = &peer{MemberAddress: wire.MemberAddress{Peers: "b"}, up: true}
-		m.peers.peers["b"].link = wire.NewLink(wire.Config{}, "b", nil, discardLogger)
+		addNeighbour(m, "b", true)
 		for _, vouched := range []string{"v2", "v1"} {
-			number := m.streamVersions.lastQuestion + 1
-			time.AfterFunc(2*vouchDelay, func() {
-				m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Version: "v1", Sole: true, Question: number - 1}) // an earlier question's
-				m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Version: vouched, Sole: true, Question: number})
+			ended := answerQuestions(m, func(r wire.StreamVersionRequest) {
+				m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Version: "v1", Sole: true, Question: r.Question - 1}) // an earlier question's
+				m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Version: vouched, Sole: true, Question: r.Question})
 			})
 			version, known := versionOf(m)
+			ended()
 			require.Equal(t, vouched == "v1", known)
 			require.Equal(t, known, version == "v1")
 		}
@@ -142,3 +142,119 @@
 		require.False(t, known)
 	})
 }
+
+// answerQuestions answers a daemon's questions in place of its neighbours until it is ended.
+func answerQuestions(m *Member, answer func(wire.StreamVersionRequest)) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for ctx.Err() == nil {
+			sleep(ctx, streamVersionsInterval)
+			for _, r := range m.streamVersions.takeUnasked(time.Now()) {
+				answer(r)
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		synctest.Wait()
+	}
+}
+
+// addNeighbour gives a daemon a neighbour that it has just heard.
+func addNeighbour(m *Member, address string, up bool) {
+	link := outgoingLink{link: wire.NewLink(wire.Config{}, address, nil, discardLogger)}
+	m.peers.peers[address] = &peer{MemberAddress: wire.MemberAddress{Peers: address}, outgoingLink: link, up: up, lastReceived: time.Now()}
+}
+
+// Guards against a stream that goes on at another version, as its daemon takes up a position of the log, or a list, of others
+// beyond what it has read itself after a cut.
+func TestPositionOfOthersAfterACutLosesThePast(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s, m := newVersionDaemon(t)
+			addNeighbour(m, "b", true)
+			time.Sleep(maxListAge + time.Second)
+			s.store.write("e1", versionedEntry("e1", "v2"))
+			s.store.write("e1", "")
+			m.peers.peers["b"].lastReceived = time.Now()
+			if !heard {
+				m.peers.rejoinedAt = time.Now()
+			}
+			m.confirmList(m.readers[upstreamReader].position()+2, m.upstreams.current().digest, 0)
+			_, known := versionOf(m)
+			require.Equal(t, heard, known, "a neighbour that was heard throughout would have told")
+		})
+	}
+}
+
+// Guards against a restored store whose list lacks the versions that have not been written again.
+func TestRestoredListIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m := newVersionDaemon(t)
+		s.store.restore(s.store.end())
+		s.read(m)
+		_, known := versionOf(m)
+		require.False(t, known, "e0 hasn't written again, nor might others have")
+	})
+}
+
+// Guards against a version that only the copy of a restored store has, and whose streams go on at another one.
+func TestVersionInTheCopyCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m := newVersionDaemon(t)
+		s.store.write("e1", versionedEntry("e1", "v2"))
+		s.store.restore(s.store.end())
+		s.read(m)
+		s.store.write("e0", "p e0:1 started=5 revision=2 version=v1")
+		s.read(m)
+		_, known := versionOf(m)
+		require.False(t, known)
+	})
+}
+
+// Guards against streams that are refused because no neighbour counts as up after a cut, before links are made anew.
+func TestNeighboursAreAwaitedAfterACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m := newVersionDaemon(t)
+		s.store.write("e1", versionedEntry("e1", "v2"))
+		s.read(m)
+		addNeighbour(m, "b", false)
+		asked := 0
+		ended := answerQuestions(m, func(r wire.StreamVersionRequest) {
+			if asked++; asked > 2 {
+				m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Version: "v2", Streams: r.Streams})
+				m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Question: r.Question})
+			}
+		})
+		version, known := versionOf(m)
+		ended()
+		require.True(t, known)
+		require.Equal(t, "v2", version)
+	})
+}
+
+// Guards against a connection to the store that has failed silently and keeps all others from reading.
+func TestHangingReadDoesNotKeepOthersFromReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, m := newVersionDaemon(t)
+		m.readers[upstreamReader].store = &hangsOnceClient{logClient: m.cfg.Store.(*logClient)}
+		_, known := versionOf(m)
+		require.True(t, known)
+		time.Sleep(ReadTimeout) // the read that hangs ends by its limit
+	})
+}
+
+// hangsOnceClient gets no answer to its first read.
+type hangsOnceClient struct {
+	*logClient
+	hung atomic.Bool
+}
+
+// Changes implements Store.
+func (c *hangsOnceClient) Changes(ctx context.Context, t Topic, from Position, wait time.Duration) ([]Entry, Position, error) {
+	if !c.hung.Swap(true) {
+		<-ctx.Done()
+		return nil, from, ctx.Err()
+	}
+	return c.logClient.Changes(ctx, t, from, wait)
+}
--- a/internal/member/topicreader.go
+++ b/internal/member/topicreader.go
@@ -84,8 +84,8 @@
 	expedited bool
 	// confirming is the number of reads by confirm in progress, transfers are those of all reads.
 	confirming int
-	// shared is closed at the end of the confirm in progress that all who wait share; nil if there is none.
-	shared    chan struct{}
+	// shared is the last read that all who wait share.
+	shared    shared
 	transfers []*transfer.Transfer
 	// reading is the read by Serve, which may wait for a change; nil before the first one.
 	reading *transfer.Transfer
--- a/internal/member/upstreams.go
+++ b/internal/member/upstreams.go
@@ -106,6 +106,8 @@
 	for _, e := range entries {
 		if f.list[e.Key] != nil || !f.restored() {
 			f.put(e)
+		} else {
+			f.note(e)
 		}
 	}
 	f.removeAllBut(entries)
@@ -174,6 +176,7 @@
 	for _, e := range entries {
 		known := f.list[e.Key]
 		if known == nil && !empty {
+			f.note(e)
 			f.log.Info("unconfirmed upstream ignored until it writes", "upstream", e.Key)
 			continue
 		}
@@ -186,6 +189,13 @@
 	}
 }
 
+// note passes an entry on that is ignored.
+func (f *upstreamFeed) note(e Entry) {
+	if u, err := f.decoder.Upstream(e); err == nil {
+		f.onEntry(u)
+	}
+}
+
 // isNewer reports whether an entry is of a later start, or of a later revision of the same start,
 // than the known one.
 func (f *upstreamFeed) isNewer(e Entry, known *fleet.Upstream) bool {
--- a/internal/wire/streams.go
+++ b/internal/wire/streams.go
@@ -10,20 +10,20 @@
 	Streams []uint64
 	// Sole means that the sender knows of no other version that has served in the pool lately.
 	Sole bool
-	// Question is that of the request answered, 0 if the sender wasn't asked.
+	// Question is that of the request to which this is the last reply, 0 for others.
 	Question uint64
 }
 
 // Kind implements Message.
 func (StreamVersions) Kind() Kind { return KindStreamVersions }
 
-// StreamVersionRequest asks for the version at which a stream began. The reply of a recipient that
-// doesn't know it names none.
+// StreamVersionRequest asks for the versions at which streams of a pool began. The replies name those that the
+// recipient knows; the last one has the question's number.
 type StreamVersionRequest struct {
 	//lint:ignore U1000 msgpack reads it: the fields are encoded without their names.
 	_msgpack struct{} `msgpack:",as_array"`
 	Pool     string
-	Stream   uint64
+	Streams  []uint64
 	// Question identifies the request in the replies.
 	Question uint64
 }
--- a/streamversion/book.go
+++ b/streamversion/book.go
@@ -56,7 +56,10 @@
 
 // pool is what is known of a pool's versions.
 type pool struct {
+	// retention may become shorter at shortenAt, when streams of the longer one have ended; zero means
+	// that it stays.
 	retention time.Duration
+	shortenAt time.Time
 	streams   bool
 	// listed are those with upstreams in the list; removed says when others were last in it.
 	listed  map[string]bool
@@ -68,8 +71,8 @@
 type record struct {
 	Begun
 	at time.Time
-	// own means that this process began the stream.
-	own bool
+	// own means that this process began the stream, disputed that others have told of two versions.
+	own, disputed bool
 }
 
 // NewBook returns an empty book. now is the clock, time.Now if nil; current says whether the list of
@@ -115,7 +118,8 @@
 }
 
 func (p *pool) observe(listed Listed, now time.Time) {
-	p.retention, p.streams = listed.Retention, listed.Streams
+	p.streams = listed.Streams
+	p.setRetention(listed.Retention, now)
 	for v := range p.listed {
 		if !slices.Contains(listed.Versions, v) {
 			p.removed[v] = now
@@ -129,6 +133,19 @@
 	maps.DeleteFunc(p.removed, func(_ string, at time.Time) bool { return now.Sub(at) > p.retention })
 }
 
+// setRetention sets the retention. Streams that began before it became shorter may be taken up for as long as
+// before.
+func (p *pool) setRetention(d time.Duration, now time.Time) {
+	switch {
+	case d >= p.retention:
+		p.retention, p.shortenAt = d, time.Time{}
+	case p.shortenAt.IsZero():
+		p.shortenAt = now.Add(p.retention)
+	case !now.Before(p.shortenAt):
+		p.retention, p.shortenAt = d, time.Time{}
+	}
+}
+
 // served returns the versions that have served within the pool's retention.
 func (p *pool) served(now time.Time) []string {
 	served := slices.Collect(maps.Keys(p.listed))
@@ -164,7 +181,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	b.streams.Add(s.Stream, record{s, now, true})
+	b.streams.Add(s.Stream, record{Begun: s, at: now, own: true})
 	p := b.pool(s.Pool)
 	return p.mixed(now) || !b.knowsPast(p, now)
 }
@@ -174,12 +191,24 @@
 	return p.confirmed || now.Sub(b.started) > p.retention
 }
 
-// Hear records a stream of which another process has told.
-func (b *Book) Hear(s Begun) {
+// Hear records a stream of which another process has told. What this process has begun itself stands; other
+// words that differ make the version unknown. It returns streams as Observe does.
+func (b *Book) Hear(s Begun) []Begun {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.streams.Add(s.Stream, record{s, b.now(), false})
-	b.notify()
+	defer b.notify()
+	now := b.now()
+	tell := b.see(s.Pool, s.Version, now)
+	r, ok := b.streams.Get(s.Stream)
+	switch fresh := ok && r.Pool == s.Pool && now.Sub(r.at) <= b.pool(s.Pool).retention; {
+	case fresh && r.own:
+	case fresh && r.Version != s.Version:
+		r.disputed = true
+		b.streams.Add(s.Stream, r)
+	default:
+		b.streams.Add(s.Stream, record{Begun: s, at: now})
+	}
+	return tell
 }
 
 // HearSole records that another process knows of no other version that has served in a pool within
@@ -232,8 +261,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if version, told := b.told(pool, s, now); told {
-		return version, true
+	if version, verdict := b.told(pool, s, now); verdict != untold {
+		return version, verdict == Known
 	}
 	return b.sole(pool, now)
 }
--- a/streamversion/decision.go
+++ b/streamversion/decision.go
@@ -43,12 +43,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now, p := b.now(), b.pool(pool)
-	if version, told := b.told(pool, s, now); told {
-		return version, Known
+	if version, verdict := b.told(pool, s, now); verdict != untold {
+		return version, verdict
 	}
 	served := p.served(now)
 	sole := len(served) == 1
-	current := e.ListRead || sole && e.Vouched == served[0]
+	current := e.ListRead || sole && e.Vouched != "" && e.Vouched == served[0]
 	switch {
 	case len(served) <= 1 && !current:
 		return "", LacksList
@@ -62,13 +62,27 @@
 	return "", Unknown
 }
 
+// untold is the verdict on a stream of which nobody has told.
+const untold Verdict = -1
+
 // told returns the version of a stream that this process began, or of which another one has told.
-func (b *Book) told(pool string, s Stream, now time.Time) (string, bool) {
+func (b *Book) told(pool string, s Stream, now time.Time) (string, Verdict) {
 	r, ok := b.streams.Get(s)
-	if !ok || r.Pool != pool || now.Sub(r.at) > b.pool(pool).retention {
-		return "", false
+	switch {
+	case !ok || r.Pool != pool || now.Sub(r.at) > b.pool(pool).retention:
+		return "", untold
+	case r.disputed:
+		return "", Unknown
 	}
-	return r.Version, true
+	return r.Version, Known
+}
+
+// Told returns the version of a stream that this process began, or of which another one has told.
+func (b *Book) Told(pool string, s Stream) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	version, verdict := b.told(pool, s, b.now())
+	return version, verdict == Known
 }
 
 // See records an entry of an upstream. One that comes and goes between two lists is in none, but its version
@@ -76,7 +90,11 @@
 func (b *Book) See(pool, version string) []Begun {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now, p := b.now(), b.pool(pool)
+	return b.see(pool, version, b.now())
+}
+
+func (b *Book) see(pool, version string, now time.Time) []Begun {
+	p := b.pool(pool)
 	if p.listed[version] {
 		return nil
 	}
--- a/streamversion/decision_test.go
+++ b/streamversion/decision_test.go
@@ -83,3 +83,56 @@
 	_, verdict = p.Decide("llm", 1, Evidence{ListRead: true})
 	require.Equal(t, Known, verdict)
 }
+
+// Guards against a version that was never named and needs no evidence.
+func TestUnnamedVersionNeedsEvidence(t *testing.T) {
+	p := newProcess()
+	p.Observe(pools([]string{""}))
+	p.now = p.now.Add(retention + time.Second)
+	p.Observe(pools([]string{""}))
+	_, verdict := p.Decide("llm", 1, Evidence{})
+	require.Equal(t, LacksList, verdict)
+}
+
+// Guards against a late word that replaces a right one.
+func TestContradictingWordsDecideNothing(t *testing.T) {
+	p := newProcess()
+	p.Observe(pools([]string{"v1", "v2"}))
+	p.Begin(Begun{Pool: "llm", Version: "v2", Stream: 1})
+	p.Hear(Begun{Pool: "llm", Version: "v1", Stream: 1})
+	version, verdict := p.Decide("llm", 1, Evidence{})
+	require.Equal(t, Known, verdict)
+	require.Equal(t, "v2", version, "the process that began it knows")
+	p.Hear(Begun{Pool: "llm", Version: "v1", Stream: 2})
+	p.Hear(Begun{Pool: "llm", Version: "v1", Stream: 2})
+	_, verdict = p.Decide("llm", 2, Evidence{})
+	require.Equal(t, Known, verdict)
+	p.Hear(Begun{Pool: "llm", Version: "v2", Stream: 2})
+	_, verdict = p.Decide("llm", 2, Evidence{})
+	require.Equal(t, Unknown, verdict)
+}
+
+// Guards against a version of which others tell before it is listed here.
+func TestVersionToldOfCounts(t *testing.T) {
+	p := newProcess()
+	own := Begun{Pool: "llm", Version: "v1", Stream: 7}
+	p.Begin(own)
+	require.Equal(t, []Begun{own}, p.Hear(Begun{Pool: "llm", Version: "v2", Stream: 1}))
+	_, verdict := p.Decide("llm", 2, Evidence{ListRead: true})
+	require.Equal(t, LacksAnswers, verdict)
+}
+
+// Guards against streams that a longer timeout allowed, and whose version is forgotten when it becomes shorter.
+func TestShorterRetentionHoldsForLaterStreams(t *testing.T) {
+	p := newProcess()
+	p.Observe(pools([]string{"v1", "v2"}))
+	shorter := map[string]Listed{"llm": {Versions: []string{"v1"}, Retention: time.Second}}
+	p.Observe(shorter)
+	p.now = p.now.Add(retention - time.Second)
+	p.Observe(shorter)
+	_, verdict := p.Decide("llm", 1, Evidence{ListRead: true, Answered: true})
+	require.Equal(t, Unknown, verdict)
+	p.now = p.now.Add(2 * time.Second)
+	p.Observe(shorter)
+	require.Equal(t, time.Second, p.Retention("llm"))
+}
