stopplan, relay: a stopping daemon decides a request each time before it sends it

Callers saw requests that came while a daemon stopped taken, passed on and cut off at the end of the grace, also ones that may not be repeated.

Cause: checkShutdown was asked once, right after the request was read, and compared the time at which its head had arrived. What waited while the stop began, was refused by an upstream and tried again, or came in parts, was sent with any deadline. What was in progress was cut off by the exit without an answer. A request for which neither its caller nor its rule has a timeout went out without the deadline that the stop gives it.

The decision is now pure logic of its own (package stopplan), asked before each placement, while a request waits for a place, and right before the first byte, with the time of that moment. What is in progress right before the exit fails with 502 or 503, by what is known of its run; streams that have begun go on until the exit, as nothing but their end could be said. Each cut and refusal has a line "decided by the stop".

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -81,6 +81,9 @@
 	var found *assignment
 	backoff := c.backoffBeyond(until)
 	try := func() bool {
+		if c.refusedByShutdown() {
+			return true
+		}
 		if found = c.tryAssign(late); found == nil {
 			backoff = c.backoffBeyond(until)
 		}
@@ -99,6 +102,8 @@
 		return nil, c.failCapacity()
 	}
 	switch {
+	case found == nil && c.refusedByShutdown():
+		return nil, c.failShutdown()
 	case found == nil && backoff > 0:
 		return nil, c.failBackoff(backoff)
 	case found == nil:
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -84,7 +84,7 @@
 	d := c.relay.cfg.Dialect
 	h := d.RequestHeaders(c.in.Header)
 	a.Upstream = u.ID
-	if c.Timeout > 0 || c.rule.Timeout > 0 {
+	if c.Timeout > 0 || c.rule.Timeout > 0 || c.cut {
 		a.Timeout = max(time.Millisecond, time.Until(c.deadline))
 	}
 	a.Urgency = -1
@@ -128,6 +128,9 @@
 		if err := c.checkTrial(); err != nil {
 			return err
 		}
+		if err := c.checkShutdownBeforeSend(); err != nil {
+			return err
+		}
 		if err := c.relay.Admit(u); err != nil {
 			return err
 		}
@@ -268,7 +271,8 @@
 // notAdmitted reports whether an attempt was stopped by the checks right before it is sent.
 func notAdmitted(err error) bool {
 	return errors.Is(err, ErrHeldBack) || errors.Is(err, errReplaced) || errors.Is(err, errIdentityChanged) ||
-		errors.Is(err, errQuarantined) || errors.Is(err, errSuspected) || errors.Is(err, errOtherVersion)
+		errors.Is(err, errQuarantined) || errors.Is(err, errSuspected) || errors.Is(err, errOtherVersion) ||
+		errors.Is(err, errTooLate)
 }
 
 // recordBegun reports that the request began to run at an upstream some time ago. Only its first
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -37,12 +37,16 @@
 	in      *http.Request
 	log     *slog.Logger
 	arrived time.Time
-	// deadline follows from the caller's or the rule's timeout, whichever ends first.
-	deadline time.Time
-	version  uint64
-	rule     *pathset.Rule
-	pool     string
-	body     []byte
+	// ownDeadline follows from the caller's or the rule's timeout, whichever ends first. deadline is
+	// earlier if the process stops before; cut says so.
+	ownDeadline, deadline time.Time
+	cut                   bool
+	// runUntilExit lets the call go on until the process exits.
+	runUntilExit func()
+	version      uint64
+	rule         *pathset.Rule
+	pool         string
+	body         []byte
 	// content identifies equal requests. It is set before the first attempt and doesn't change.
 	content quarantine.Request
 	// inFlight records the attempt in progress at its upstream; nil if nothing has been sent.
@@ -122,12 +126,15 @@
 	} else {
 		c.deadline = c.arrived.Add(c.callerTimeout())
 	}
+	c.ownDeadline = c.deadline
 	if f := c.checkShutdown(); f != nil {
 		c.relay.writeFailure(c.out, c.in, c, f)
 		return
 	}
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline.Add(deadlineGrace))
 	defer cancel()
+	ctx, end := c.withShutdown(ctx)
+	defer end()
 	if c.forwarded == nil {
 		c.retried = c.relay.timeouts.isRetry(c.rule.Name, c.Timeout)
 		c.relay.cfg.RetryBudget.RecordRequest(c.pool)
@@ -194,6 +201,9 @@
 // run makes attempts until one is answered or no retry is allowed.
 func (c *call) run(ctx context.Context) *failure {
 	for {
+		if f := c.checkShutdown(); f != nil {
+			return f
+		}
 		if f := c.identify(c.relay.cfg.State.Snapshot().Config); f != nil {
 			return f
 		}
@@ -259,6 +269,9 @@
 	if c.in.Context().Err() != nil {
 		return c.fail(reasonCallerGone, "the caller has gone")
 	}
+	if errors.Is(context.Cause(ctx), errShuttingDown) {
+		return c.failShutdown()
+	}
 	if ctx.Err() != nil {
 		return c.fail(reasonDeadline, "the deadline has passed")
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,6 +90,9 @@
 	newestConfig atomic.Uint64
 	// shutdown is set once the process begins to shut down.
 	shutdown atomic.Pointer[shutdown]
+	// ending ends right before the process exits; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 
 	mu     sync.Mutex
 	queues map[string]*queue
@@ -106,6 +109,7 @@
 		cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns),
 		bodies: bodies, forwarder: newForwarder(bodies),
 	}
+	r.ending, r.endRequests = context.WithCancel(context.Background())
 	r.paths = newPaths(r)
 	r.outages = newOutages(r)
 	if cfg.Limits != nil {
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -1,47 +1,99 @@
 package relay
 
 import (
-	"net/http"
+	"context"
+	"errors"
 	"time"
+
+	"tamarackchute/internal/telemetry"
+	"tamarackchute/stopplan"
 )
 
 // shutdown holds the schedule of the process's shutdown.
 type shutdown struct {
-	// noticed is when all callers know that they have to use other daemons.
-	noticed time.Time
-	exit    time.Time
+	plan stopplan.Plan
 	// othersServe reports whether other daemons serve.
 	othersServe func() bool
 }
 
-// BeginShutdown sets when the process exits. From now on each response closes its
-// connection, and no request is accepted that the exit would cut off.
-//
-// Requests that arrive before noticed are served, with their deadlines cut to the exit.
-// Later ones are refused unless their deadline is before the exit: at another daemon they
-// have all of their time. They may retry at once if others serve.
+// shutdownReserve covers an upstream's response to a missed deadline, and then the caller's.
+const shutdownReserve = 2 * deadlineGrace
+
+var (
+	// errShuttingDown ends the requests that are still in progress right before the process exits.
+	errShuttingDown = errors.New("this daemon stops")
+	// errTooLate says that an attempt wasn't sent, as the exit would cut it off.
+	errTooLate = errors.New("this daemon may stop before the answer's end")
+)
+
+// BeginShutdown sets when the process exits. From now on each response closes its connection, and no
+// request is sent that the exit would cut off; noticed is when all callers know of the shutdown. A
+// refused request may be retried at once if others serve. What is in progress right before the exit
+// fails, so that its callers learn whether it may have run; streams that have begun go on.
 func (r *Relay) BeginShutdown(noticed, exit time.Time, othersServe func() bool) {
-	r.shutdown.Store(&shutdown{noticed: noticed, exit: exit, othersServe: othersServe})
+	plan := stopplan.Plan{Noticed: noticed, Exit: exit, Reserve: shutdownReserve}
+	r.shutdown.Store(&shutdown{plan: plan, othersServe: othersServe})
+	time.AfterFunc(time.Until(exit.Add(-deadlineGrace)), r.endRequests)
 }
 
-// checkShutdown limits the call's deadline to the exit of the process, or returns a
-// failure if the call can't be accepted any more.
-func (c *call) checkShutdown() *failure {
+// withShutdown returns a context that also ends right before the process exits, unless the call's stream
+// has begun by then: it can't be answered otherwise any more.
+func (c *call) withShutdown(ctx context.Context) (context.Context, func()) {
+	ctx, end := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.relay.ending, func() { end(errShuttingDown) })
+	c.runUntilExit = func() { stop() }
+	return ctx, func() {
+		stop()
+		end(nil)
+	}
+}
+
+// decideShutdown returns what a shutdown in progress makes of the call if it were sent now.
+func (c *call) decideShutdown() (stopplan.Decision, stopplan.Plan) {
 	s := c.relay.shutdown.Load()
 	if s == nil {
-		return nil
+		return stopplan.Serve, stopplan.Plan{}
 	}
-	latest := s.exit.Add(-deadlineGrace)
-	if !c.deadline.After(latest) {
+	return s.plan.Decide(stopplan.Request{Deadline: c.ownDeadline, MayHaveRun: c.hasBegun()}, time.Now()), s.plan
+}
+
+// refusedByShutdown reports whether the call may not be sent any more.
+func (c *call) refusedByShutdown() bool {
+	decision, _ := c.decideShutdown()
+	return decision == stopplan.Refuse
+}
+
+// checkShutdown limits the call's deadline to the exit of the process, or returns a failure if the call
+// may not be sent any more.
+func (c *call) checkShutdown() *failure {
+	decision, plan := c.decideShutdown()
+	if decision == stopplan.Serve || decision == stopplan.Cut && c.cut {
 		return nil
 	}
-	if c.arrived.Before(s.noticed) && c.arrived.Before(latest) {
-		c.deadline = latest
-		return nil
+	now := time.Now()
+	c.log.Info("decided by the stop", "request", c.ID, "decision", decision.String(), "ran", c.attempts.MayHaveRun(), "forwarded", c.forwarded != nil,
+		"arrived_ms", telemetry.Millis(now.Sub(c.arrived)), "left_ms", telemetry.Millis(c.ownDeadline.Sub(now)),
+		"noticed_in_ms", telemetry.Millis(plan.Noticed.Sub(now)), "exit_in_ms", telemetry.Millis(plan.Exit.Sub(now)))
+	if decision == stopplan.Refuse {
+		return c.failShutdown()
 	}
-	f := newFailure(http.StatusServiceUnavailable, reasonShuttingDown, "this daemon may stop before the answer's end")
-	if s.othersServe() {
-		return f
+	c.deadline, c.cut = plan.Latest(), true
+	return nil
+}
+
+// checkShutdownBeforeSend is the check of an attempt right before its first byte.
+func (c *call) checkShutdownBeforeSend() error {
+	if c.refusedByShutdown() {
+		return errTooLate
+	}
+	return nil
+}
+
+// failShutdown returns the failure of a call that the exit of the process would cut off.
+func (c *call) failShutdown() *failure {
+	f := c.fail(reasonShuttingDown, errTooLate.Error())
+	if s := c.relay.shutdown.Load(); s != nil && s.othersServe() {
+		f.retryAfter = 0
 	}
-	return f.withRetryAfter(c.retryAfter())
+	return f
 }
--- /dev/null
+++ b/stopplan/stopplan.go
@@ -0,0 +1,56 @@
+// Package stopplan decides which requests a process serves that is about to stop, so that none is sent
+// on whose response can't reach its caller before the process ends.
+package stopplan
+
+import "time"
+
+// Plan is the schedule of a stop.
+type Plan struct {
+	// Noticed is when all callers know that they have to use other processes.
+	Noticed time.Time
+	// Exit is when the process ends.
+	Exit time.Time
+	// Reserve is the time before Exit that a response needs to reach its caller.
+	Reserve time.Duration
+}
+
+// Decision says what becomes of a request.
+type Decision uint8
+
+// The decisions.
+const (
+	// Serve means that the request's deadline is early enough.
+	Serve Decision = iota
+	// Cut means that the request is served with the deadline Latest.
+	Cut
+	// Refuse means that the request isn't sent: elsewhere it has all of its time.
+	Refuse
+)
+
+// String returns the decision's name in logs.
+func (d Decision) String() string { return [...]string{"serve", "cut", "refuse"}[d] }
+
+// Request is what is known of a request when it is decided.
+type Request struct {
+	// Deadline is when its caller gives it up; zero if it never does.
+	Deadline time.Time
+	// MayHaveRun says that an attempt may have run it, so that no refusal can deny that.
+	MayHaveRun bool
+}
+
+// Latest is the latest deadline at which a response still reaches its caller.
+func (p Plan) Latest() time.Time { return p.Exit.Add(-p.Reserve) }
+
+// Decide returns what becomes of a request that is complete now and about to be sent. It is asked before
+// each attempt: the body, or the wait for a place, may have taken time.
+func (p Plan) Decide(r Request, now time.Time) Decision {
+	latest := p.Latest()
+	switch {
+	case !r.Deadline.IsZero() && !r.Deadline.After(latest):
+		return Serve
+	case r.MayHaveRun, now.Before(p.Noticed) && now.Before(latest):
+		return Cut
+	default:
+		return Refuse
+	}
+}
--- /dev/null
+++ b/stopplan/stopplan_test.go
@@ -0,0 +1,39 @@
+package stopplan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against requests that are cut off by the end of a process which could have refused them.
+func TestDecide(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	plan := Plan{Noticed: at(3), Exit: at(10), Reserve: time.Second}
+	short := Plan{Noticed: at(3), Exit: at(2), Reserve: time.Second}
+	for name, tc := range map[string]struct {
+		plan Plan
+		r    Request
+		now  time.Time
+		want Decision
+	}{
+		"ends in time, before the notice":            {plan, Request{Deadline: at(8)}, at(1), Serve},
+		"ends in time, late":                         {plan, Request{Deadline: at(9)}, at(8), Serve},
+		"too long, before the notice":                {plan, Request{Deadline: at(9.1)}, at(2.9), Cut},
+		"too long, at the notice":                    {plan, Request{Deadline: at(9.1)}, at(3), Refuse},
+		"no deadline, before the notice":             {plan, Request{}, at(1), Cut},
+		"no deadline, after the notice":              {plan, Request{}, at(4), Refuse},
+		"too long, may have run":                     {plan, Request{Deadline: at(20), MayHaveRun: true}, at(4), Cut},
+		"ends in time, may have run":                 {plan, Request{Deadline: at(5), MayHaveRun: true}, at(4), Serve},
+		"after the exit, as after a standstill":      {plan, Request{Deadline: at(30)}, at(11), Refuse},
+		"no time left, though nobody knows yet":      {short, Request{Deadline: at(4)}, at(1), Refuse},
+		"time left, and nobody knows before the end": {short, Request{Deadline: at(4)}, at(0.5), Cut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.want.String(), tc.plan.Decide(tc.r, tc.now).String())
+		})
+	}
+	require.Equal(t, at(9), plan.Latest())
+}
