entry: a stopping instance refuses what its exit would cut off

On the own interface a request that came during a planned stop was taken as before and ended with an error at the end of the grace, though it could have been refused as not run and served by another instance.

BeginShutdown now takes the schedule of the stop, and gateway, answer and forward ask package stopplan as the relay does: when the request is complete, before each attempt and right before the first byte. A request that waits for admission is refused once all callers know of the stop. Refusals are 503, not run, without Retry-After if others serve; a forwarded one is marked so that the first instance asks another. Calls in progress are ended a quarter of a second before the exit, so that their responses still get through.

The harness of the gateway's tests got a field for requests that wait.

--- a/internal/entry/answer/open.go
+++ b/internal/entry/answer/open.go
@@ -25,6 +25,9 @@
 		if err := a.admitted(); err != nil {
 			return a.fail(http.StatusUnauthorized, outcome.CodeUnauthorised, err, "the API key is no longer valid")
 		}
+		if f := a.stopFailure(); f != nil {
+			return f
+		}
 		suspected, err := a.runner.CrashDetector.Check(a.job.Digest)
 		if err != nil {
 			return a.quarantineFailure(err)
@@ -63,10 +66,21 @@
 	if err := a.admitted(); err != nil {
 		return err
 	}
+	if f := a.stopFailure(); f != nil {
+		return f
+	}
 	_, err := a.runner.CrashDetector.Check(a.job.Digest)
 	return err
 }
 
+// stopFailure returns the failure of an answer whose request may not be sent any more, or nil.
+func (a *Answer) stopFailure() *outcome.Failure {
+	if a.job.Stop == nil {
+		return nil
+	}
+	return a.job.Stop(a.retryState.MayHaveRun())
+}
+
 func (a *Answer) admitted() error {
 	if a.job.Admit == nil {
 		return nil
--- a/internal/entry/answer/runner.go
+++ b/internal/entry/answer/runner.go
@@ -9,6 +9,7 @@
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/entry/openai"
+	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/internal/entry/stream"
 	"tamarackchute/quarantine"
 	"tamarackchute/router"
@@ -82,6 +83,9 @@
 	Created time.Time
 	// Admit is asked before each attempt; an error ends the request. Nil admits it.
 	Admit func() error
+	// Stop returns the failure of a request that may not be sent any more, as the instance stops too soon.
+	// It is asked before each attempt with whether an earlier one may have run. Nil refuses none.
+	Stop func(mayHaveRun bool) *outcome.Failure
 }
 
 // Start returns the answer of a request. Nothing is sent until its first Next.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -73,6 +73,11 @@
 	return max(1, serving)
 }
 
+// othersServe reports whether other instances serve callers.
+func (e *Entry) othersServe() bool {
+	return slices.ContainsFunc(e.node.View().Members, func(m membership.MemberView) bool { return m.Name != e.self.Name && m.State == membership.Live })
+}
+
 // listConsumers returns the functions that receive each version of the instance list.
 func (e *Entry) listConsumers() []func([]infra.Instance) {
 	return []func([]infra.Instance){e.tracker.SetInstances, e.node.ApplyList}
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -64,6 +64,9 @@
 	Retry   rules.RetryClass
 	// Admit is asked before each attempt; an error ends the request. Nil admits it.
 	Admit func() error
+	// Stop returns the failure of a request that may not be sent any more, as the instance stops too soon.
+	// It is asked before each attempt with whether an earlier one may have run. Nil refuses none.
+	Stop func(mayHaveRun bool) *outcome.Failure
 }
 
 // retryAfterNoService is the Retry-After of a request that no service accepted.
@@ -82,6 +85,9 @@
 		if err := c.admitted(); err != nil {
 			return upstream.ServiceResponse{}, c.fail(http.StatusUnauthorized, outcome.CodeUnauthorised, err, "the API key is no longer valid")
 		}
+		if f := c.stopFailure(); f != nil {
+			return upstream.ServiceResponse{}, f
+		}
 		suspected, err := c.checkQuarantine()
 		if err != nil {
 			return upstream.ServiceResponse{}, c.quarantineFailure(err)
@@ -144,6 +150,9 @@
 	if err := c.admitted(); err != nil {
 		return err
 	}
+	if f := c.stopFailure(); f != nil {
+		return f
+	}
 	suspected, err := c.checkQuarantine()
 	if err == nil && suspected && !c.isolated {
 		return errSuspected
@@ -158,6 +167,14 @@
 	return c.job.Admit()
 }
 
+// stopFailure returns the failure of a call that may not be sent any more, or nil.
+func (c *call) stopFailure() *outcome.Failure {
+	if c.job.Stop == nil {
+		return nil
+	}
+	return c.job.Stop(c.retryState.MayHaveRun())
+}
+
 // attempt sends the request once. It returns a *router.NoUpstreamError, and sends
 // nothing, if no service is available.
 func (c *call) attempt(ctx context.Context, suspected bool) (upstream.ServiceResponse, error) {
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -44,7 +44,10 @@
 	// key is the digest of the caller's API key; nil if there is none.
 	key      *apikey.Digest
 	decision rules.Decision
-	deadline time.Time
+	// ownDeadline follows from the caller's and the rule's limits. deadline is earlier if the instance
+	// stops before; cut says so.
+	ownDeadline, deadline time.Time
+	cut                   bool
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
@@ -86,7 +89,11 @@
 		}
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
-	k.deadline = k.began.Add(limit)
+	k.deadline, k.cut = k.began.Add(limit), false
+	k.ownDeadline = k.deadline
+	if f := g.checkStop(k, false); f != nil {
+		return f
+	}
 	timed, stop := context.WithDeadline(g.baseContext, k.deadline)
 	k.stopTimer = stop
 	k.ctx, k.cancel = context.WithCancelCause(timed)
@@ -156,8 +163,13 @@
 	if plan, err := g.deps.Estimator.Pick(route); err == nil {
 		r.Estimate = admission.Estimate(plan.Estimate)
 	}
-	grant, err := g.deps.Admission.Acquire(k.ctx, r)
+	ctx, end := g.untilRefused(k)
+	defer end()
+	grant, err := g.deps.Admission.Acquire(ctx, r)
 	if err != nil {
+		if f := g.checkStop(k, false); f != nil && ctx.Err() != nil {
+			return nil, f
+		}
 		return nil, admissionFailure(k, err)
 	}
 	return grant, nil
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -151,8 +151,11 @@
 	active atomic.Int64
 	// pumps are the goroutines that read engines' streams.
 	pumps conc.WaitGroup
-	// shuttingDown makes each response ask its caller to close the connection.
-	shuttingDown atomic.Bool
+	// stopping is set once the instance shuts down: each response then asks its caller to close the
+	// connection. noticed ends when all callers know of it; markNoticed ends it.
+	stopping    atomic.Pointer[stopping]
+	noticed     context.Context
+	markNoticed context.CancelFunc
 	// baseContext is the parent of all calls' contexts.
 	baseContext context.Context
 	cancelAll   context.CancelCauseFunc
@@ -162,6 +165,7 @@
 func New(o Options, deps Dependencies) *Gateway {
 	g := &Gateway{opts: o, deps: deps, metrics: newMetrics(deps.Scope)}
 	g.baseContext, g.cancelAll = context.WithCancelCause(context.Background())
+	g.noticed, g.markNoticed = context.WithCancel(context.Background())
 	g.app, g.forwardedApp = g.newApp(), g.newApp()
 	g.forwardedApp.Get(ProbePath+":upstream", g.probe)
 	g.forwardedApp.Use(g.markForwarded)
@@ -202,19 +206,12 @@
 // instance is shutting down, so that callers reconnect to another instance before
 // theirs is closed.
 func (g *Gateway) closeIfShuttingDown(c *fiber.Ctx) error {
-	if g.shuttingDown.Load() {
+	if g.ShuttingDown() {
 		c.Response().SetConnectionClose()
 	}
 	return c.Next()
 }
 
-// BeginShutdown makes all further responses ask callers to close their connections.
-// Requests are served as before.
-func (g *Gateway) BeginShutdown() { g.shuttingDown.Store(true) }
-
-// ShuttingDown reports whether BeginShutdown was called.
-func (g *Gateway) ShuttingDown() bool { return g.shuttingDown.Load() }
-
 // Abort ends the requests still in progress when the grace period of a shutdown is
 // over. Their callers get an error, and engines keep the streams for a while, so that
 // callers can resume them at another instance.
--- a/internal/entry/gateway/harness_test.go
+++ b/internal/entry/gateway/harness_test.go
@@ -140,11 +140,13 @@
 
 // fakeDeps implements the gateway's dependencies on rules, admission and upstreams.
 type fakeDeps struct {
-	engines    map[string]*fakeEngine
-	services   map[string]upstream.Service
-	then       rules.Then
-	admitted   func(admission.Request)
-	refuse     *admission.Refusal
+	engines  map[string]*fakeEngine
+	services map[string]upstream.Service
+	then     rules.Then
+	admitted func(admission.Request)
+	refuse   *admission.Refusal
+	// waiting, if set, is called by requests that wait for admission until their context ends.
+	waiting    func()
 	controller *admission.Controller
 	// protected is nil if no call is protected.
 	protected gateway.ProtectedRunner
@@ -192,6 +194,11 @@
 	if d.refuse != nil {
 		return nil, d.refuse
 	}
+	if d.waiting != nil {
+		d.waiting()
+		<-ctx.Done()
+		return nil, &admission.Refusal{Reason: admission.ReasonCancelled}
+	}
 	return d.controller.Acquire(ctx, r)
 }
 
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -118,6 +118,7 @@
 		Answer:  k.id,
 		Created: k.began,
 		Admit:   g.admitKey(k),
+		Stop:    g.stopCheck(k),
 	}
 }
 
--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -79,6 +79,7 @@
 		},
 		Retry: then.RetryClass(),
 		Admit: g.admitKey(k),
+		Stop:  g.stopCheck(k),
 	}
 	key := strings.Clone(c.Get(headerIdempotencyKey))
 	if f := checkKey(then.Protected, key); f != nil {
--- a/internal/entry/shutdown/shutdown.go
+++ b/internal/entry/shutdown/shutdown.go
@@ -17,7 +17,7 @@
 	// have cached ones that name it, so new requests are served.
 	Deregistered
 	// Draining: all cached discovery responses have expired; requests in progress are
-	// completed, and new ones are served too, as refusing them has no benefit.
+	// completed, and new ones are served if they can end in time (package stopplan).
 	Draining
 	// Stopped: nothing is in progress, or the grace period is over.
 	Stopped
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -11,6 +11,7 @@
 	"tamarackchute/internal/settings"
 	"tamarackchute/quarantine"
 	"tamarackchute/rules"
+	"tamarackchute/stopplan"
 )
 
 // stopTimeout bounds the wait for a service to end: claims need up to 5 s to record
@@ -166,7 +167,8 @@
 // exit.
 func (e *Entry) drain(done <-chan error, conns graceful.All) {
 	e.directory.BeginShutdown()
-	e.gateway.BeginShutdown()
+	noticed := time.Now().Add(e.shutdown.DiscoveryTTL)
+	e.gateway.BeginShutdown(stopplan.Plan{Noticed: noticed, Exit: noticed.Add(e.shutdown.Grace)}, e.othersServe)
 	e.node.Leave()
 	e.shutdown.AcceptReserve = graceful.AcceptReserve
 	e.shutdown.StopAccepting = conns.StopAccepting
