quarantine, relay, entry: a digest names the pool and the host of a request

Cause: a request was known by organisation, method, target and body only. The host and the service decide who runs it.

Change: on both paths the digest covers the pool and the host as routes match it (engines of the own interface don't get the host: there the pool). A part of prompts is known by pool and model, not by host, as requests of several hosts share it in one pool. Older entries of the log stay as names that match no request, until they expire: a newer process neither refuses by them nor stumbles, and learns a lethal request anew, by three crashes at most.

PartDigest has the pool as an argument, which two existing tests now pass; the cases of TestDigestsDifferInEachPart got five more.

--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -60,8 +60,10 @@
 // Job is one request with its route and the settings of the matched rule.
 type Job struct {
 	Request upstream.ServiceRequest
-	Route   router.Request
-	Retry   rules.RetryClass
+	// Host is the name by which the caller addressed the request.
+	Host  string
+	Route router.Request
+	Retry rules.RetryClass
 	// Admit is asked before each attempt; an error ends the request. Nil admits it.
 	Admit func() error
 }
@@ -118,7 +120,9 @@
 }
 
 func contentOf(job Job) quarantine.Request {
-	return quarantine.Request{Scope: job.Route.Organisation, Method: job.Request.Method, Path: job.Request.Path, Body: job.Request.Body}
+	return quarantine.Request{
+		Scope: job.Route.Organisation, Method: job.Request.Method, Pool: job.Route.Pool, Host: job.Host, Path: job.Request.Path, Body: job.Request.Body,
+	}
 }
 
 // checkQuarantine returns an error if the call is quarantined, and whether it is a suspect, of which
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -196,3 +196,33 @@
 	_, f = h.call("harmless", nil)
 	require.Nil(t, f)
 }
+
+// Guards against calls that are refused because they crash the services of another pool, or that go on there
+// because this pool answers them, or a pool's answers to another host do.
+func TestLethalCallOfAnotherPoolIsServed(t *testing.T) {
+	var crashes atomic.Int32
+	h, detector := newCrashingHarness(t, &crashes)
+	server := httptest.NewServer(&countingService{})
+	t.Cleanup(server.Close)
+	h.services["sound"] = serviceclient.New(server.Listener.Addr().String(), httpx.Options{})
+	ups := []router.Upstream{{Name: "sound", Kind: infra.KindService, Pool: "q", DataCentre: "d"}}
+	for i := range crashingServices {
+		ups = append(ups, router.Upstream{Name: fmt.Sprint("s", i), Kind: infra.KindService, Pool: "p", DataCentre: "d"})
+	}
+	h.runner.Tracker = router.NewTracker(router.DefaultConfig("d"), ups, nil)
+	call := func(host, pool string) *outcome.Failure {
+		_, f := h.runner.Call(context.Background(), Job{
+			Request: upstream.ServiceRequest{Method: http.MethodPost, Path: "/x", Body: []byte("lethal")},
+			Host:    host, Route: router.Request{Pool: pool}, Retry: rules.RetryRepeatable,
+		})
+		detector.Wait()
+		return f
+	}
+	for range crashingServices {
+		require.NotNil(t, call("north.example", "p"))
+		require.Nil(t, call("north.example", "q"))
+		require.Nil(t, call("south.example", "q"))
+	}
+	require.EqualValues(t, 3, crashes.Load())
+	require.Equal(t, http.StatusUnprocessableEntity, call("north.example", "p").Status)
+}
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -114,13 +114,18 @@
 			Deadline:     k.deadline,
 		},
 		Retry:   then.RetryClass(),
-		Digest:  quarantine.DigestOf(request.Model, k.path, c.BodyRaw()),
+		Digest:  contentOf(k, request.Model, c.BodyRaw()).Digest(),
 		Answer:  k.id,
 		Created: k.began,
 		Admit:   g.admitKey(k),
 	}
 }
 
+// contentOf returns the content by which a model request is recognised. Engines don't get its host.
+func contentOf(k *call, model string, body []byte) *quarantine.Request {
+	return &quarantine.Request{Scope: model, Pool: k.decision.Then.Pool, Path: k.path, Body: body}
+}
+
 // modelCall is a model request whose answer is in progress.
 type modelCall struct {
 	call           *call
--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"strings"
 
 	"github.com/gofiber/fiber/v2"
@@ -69,6 +70,7 @@
 	then := k.decision.Then
 	job := forward.Job{
 		Request: serviceRequest(c, k),
+		Host:    hostOf(c.Get(fiber.HeaderHost)),
 		Route: router.Request{
 			Pool:         then.Pool,
 			Organisation: k.organisation,
@@ -157,6 +159,14 @@
 	return r
 }
 
+// hostOf returns a copy of a host's name without its port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.Clone(host)
+}
+
 // writeResponse sets the response. A large body counts in its share until the caller has received it.
 func writeResponse(c *fiber.Ctx, k *call, r upstream.ServiceResponse, share *bodylimit.Share) {
 	c.Status(r.Status)
--- a/internal/relay/trial_test.go
+++ b/internal/relay/trial_test.go
@@ -38,7 +38,7 @@
 // Guards against claims by all daemons at once for a part that requests at all of them wait for.
 func TestTrialsOfPartsAreSpread(t *testing.T) {
 	now := time.Now()
-	part := trial{digest: quarantine.PartDigest("m", 7)}
+	part := trial{digest: quarantine.PartDigest("p", "m", 7)}
 	claims := 0
 	for range 200 {
 		next := part
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -30,11 +30,14 @@
 	// Scope and Method separate requests that aren't equal although their paths and bodies are.
 	// Scope is the model or the organisation.
 	Scope, Method string
+	// Pool is that of the upstreams that may run it, Host the name by which the caller addressed it:
+	// another host or pool may run an equal path and body differently.
+	Pool, Host string
 	// Path and Body are those sent to the upstream.
 	Path string
 	Body []byte
 	// Parts are the IDs of the parts of its prompt that other requests may have, Model is the model
-	// that it is for.
+	// that it is for. They are known by pool.
 	Parts []uint64
 	Model string
 }
@@ -58,7 +61,7 @@
 	var h xxhash.Digest
 	h.ResetWithSeed(seed)
 	var length [8]byte
-	for _, name := range [...]string{r.Scope, r.Method, r.Path} {
+	for _, name := range [...]string{r.Scope, r.Method, r.Pool, r.Host, r.Path} {
 		binary.BigEndian.PutUint64(length[:], uint64(len(name)))
 		_, _ = h.Write(length[:]) // writing to a hash never fails
 		_, _ = h.WriteString(name)
@@ -78,7 +81,7 @@
 	Digests() []Digest
 }
 
-// DigestOf returns the digest of a request for a model.
+// DigestOf returns the digest of a request for a model whose pool and host aren't known.
 func DigestOf(model, path string, body []byte) Digest {
 	r := Request{Scope: model, Path: path, Body: body}
 	return r.Digest()
--- a/quarantine/digest_test.go
+++ b/quarantine/digest_test.go
@@ -16,6 +16,7 @@
 	for i, r := range []Request{
 		{Scope: "ab", Path: "c"}, {Scope: "a", Path: "bc"}, {Scope: "a", Method: "b", Path: "c"}, {Scope: "a", Path: "b", Body: []byte("c")}, {},
 		{Body: long}, {Body: middle}, {Body: long[1:]},
+		{Path: "c", Pool: "a"}, {Path: "c", Pool: "b"}, {Path: "c", Host: "a"}, {Path: "c", Pool: "a", Host: "b"}, {Path: "c", Pool: "ab"},
 	} {
 		d := r.Digest()
 		other, known := seen[d]
--- a/quarantine/known.go
+++ b/quarantine/known.go
@@ -24,7 +24,7 @@
 		return true
 	}
 	for _, id := range r.Parts {
-		if _, ok := known[PartDigest(r.Model, id).A]; ok {
+		if _, ok := known[PartDigest(r.Pool, r.Model, id).A]; ok {
 			return true
 		}
 	}
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-var commonPart = PartDigest("m", 7)
+var commonPart = PartDigest("p", "m", 7)
 
 // Guards against a part that many prompts have, and that is refused for crashes of another cause: it was in
 // flight at all of them, and answers come a moment later.
