quarantine, crash: what was answered lately is refused only after trials of it have crashed servers

Cause: each crash with the request in flight was a strike. Servers that crash at one moment, of whatever cause, are as many strikes as there are servers before the next answer; three convict. That the request had been answered wasn't known on the platform's path, and on the own interface six crashes convicted it all the same.

Change: each process remembers the complete responses of late (8,192, ten minutes). Reports of crashes name the requests in flight that were answered; reports, checkpoints and repetitions carry it on, an answer in the log counts too. Such a request is a suspect after the crashes, tried one copy at a time, and is refused only once two of them have ended trials, as parts of prompts. One fold decides for both paths (services of the own interface; its engines keep their own rule). A request that crashes one server after the other costs no more: from the first crash on its runs are trials. After a crash of many at once it costs two. A verdict that fell before it was known that the request had been answered is lifted. The log says by how many strikes and trials a request was quarantined, or that it was spared.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -23,6 +23,7 @@
 	Isolate(ctx context.Context, upstream string, d quarantine.Digest) (*quarantine.Isolation, error)
 	RecordCrash(upstream, incarnation string, inFlight []quarantine.Digest, tried ...quarantine.Digest) (persist func(context.Context) error)
 	Completed(d quarantine.Digest)
+	CompletedHead(head uint64)
 	Progressed(ctx context.Context, d quarantine.Digest) error
 	Answered(ctx context.Context, d quarantine.Digest) error
 	IsolationError(d quarantine.Digest) *quarantine.Error
@@ -239,6 +240,7 @@
 func (r *Run) Answer(request *quarantine.Request) {
 	r.remove()
 	r.release(true)
+	r.detector.quarantine.CompletedHead(request.Head())
 	if r.detector.quarantine.Knows(request) {
 		r.detector.report(request.Digests(), r.detector.quarantine.Answered)
 	}
--- a/internal/entry/answer/answer_test.go
+++ b/internal/entry/answer/answer_test.go
@@ -60,6 +60,7 @@
 type noQuarantine struct{ crash.Quarantine }
 
 func (noQuarantine) Completed(quarantine.Digest) {}
+func (noQuarantine) CompletedHead(uint64)        {}
 
 func (noQuarantine) RecordCrash(string, string, []quarantine.Digest, ...quarantine.Digest) func(context.Context) error {
 	return func(context.Context) error { return nil }
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -124,3 +124,38 @@
 	require.NoError(t, operators.Release(t.Context(), quarantine.Release{Digest: digest, Operator: "anna"}))
 	require.Eventually(t, func() bool { return !refused() }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a call that many callers make, and that is refused after services have crashed at one moment with
+// copies of it in flight, though it was answered before.
+func TestAnsweredCallOutlivesServicesThatCrashAtOnce(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	d, err := settings.Load("../../deploy/kalku-rinda/settings.json")
+	require.NoError(t, err)
+	for i := range d.Upstreams {
+		d.Upstreams[i].Address = gone.Addr().String()
+	}
+	log := journaltest.NewLog()
+	a, b := follow(t, newTestEntry(t, d, log, d.Instances[0].Name)), follow(t, newTestEntry(t, d, log, d.Instances[1].Name))
+	digest := quarantine.DigestOf("", "/x", []byte("common"))
+	a.serviceCrashes.Track(crash.Engine{ID: d.Upstreams[0].Name}, digest).End(crash.Completed)
+	var runs []*crash.Run
+	for _, u := range d.Upstreams {
+		runs = append(runs, a.serviceCrashes.Track(crash.Engine{ID: u.Name}, digest))
+	}
+	for _, r := range runs {
+		r.Break(t.Context())
+	}
+	a.serviceCrashes.Wait()
+	known := func() bool {
+		suspected, err := b.serviceCrashes.Check(digest)
+		return suspected || err != nil
+	}
+	require.Eventually(t, known, 10*time.Second, time.Millisecond)
+	for _, e := range []*Entry{a, b} {
+		suspected, err := e.serviceCrashes.Check(digest)
+		require.NoError(t, err)
+		require.True(t, suspected, "it is tried")
+	}
+}
--- a/internal/member/quarantine.go
+++ b/internal/member/quarantine.go
@@ -47,6 +47,7 @@
 	x.guard = quarantine.NewGuard(quarantine.NoIsolationConfig(), x.entries, writer, nil)
 	x.guard.LimitCheckpoints(m.peers.ReadsFirst)
 	x.guard.Observe(x.logEntered)
+	x.guard.ObserveSpared(x.logSpared)
 	x.guard.Publish(func(e journal.Entry) { m.peers.broadcast(reportMessage(e, false)) }, m.peers.HearsAll)
 	x.entries.Register(journal.KindQuarantine, restorableGuard{x.guard})
 	x.detector = crash.New(x.guard, func(ctx context.Context, e crash.Engine) error { return m.relay.ProbeEngine(ctx, e) })
@@ -109,7 +110,13 @@
 }
 
 func (x *quarantineExchange) logEntered(e quarantine.Entered) {
-	x.log.Warn("request quarantined", "digest", e.Digest.String(), "part", e.Digest.IsPart(), "crashed", e.Upstreams, "reported_by", e.Writer)
+	x.log.Warn("request quarantined", "digest", e.Digest.String(), "part", e.Digest.IsPart(), "crashed", e.Upstreams, "reported_by", e.Writer,
+		"strikes", e.Strikes, "trials", e.Trials, "answered", e.Answered)
+}
+
+func (x *quarantineExchange) logSpared(e quarantine.Entered) {
+	x.log.Info("request not quarantined, as it was answered before the crashes", "digest", e.Digest.String(), "crashed", e.Upstreams,
+		"reported_by", e.Writer, "strikes", e.Strikes, "trials", e.Trials)
 }
 
 // services returns what keeps the journal and the guard going.
--- a/quarantine/checkpoint.go
+++ b/quarantine/checkpoint.go
@@ -57,6 +57,7 @@
 		Crashes:     x.crashes,
 		Strikes:     x.strikes,
 		Quarantined: x.quarantined,
+		Answered:    x.answered,
 		Basis:       x.basis,
 	}
 }
--- a/quarantine/entered.go
+++ b/quarantine/entered.go
@@ -18,10 +18,13 @@
 	Writer string
 	// At is by the log's clock.
 	At time.Time
+	// Strikes and Trials are those behind it. Answered says that it got a complete response lately.
+	Strikes, Trials int
+	Answered        bool
 }
 
 func (x *suspect) entered(p journal.LogEntry) Entered {
-	e := Entered{Digest: x.digest, Writer: p.Entry.Writer, At: p.At}
+	e := Entered{Digest: x.digest, Writer: p.Entry.Writer, At: p.At, Strikes: x.strikes, Trials: x.trials(), Answered: x.answered}
 	for _, c := range x.crashes {
 		e.Upstreams = append(e.Upstreams, c.Upstream)
 	}
@@ -32,3 +35,20 @@
 // order. It must be set before the first entry is folded; the function must not
 // call the guard.
 func (g *Guard) Observe(f func(Entered)) { g.observe = f }
+
+// ObserveSpared is Observe for digests whose crashes would quarantine them if they hadn't been answered lately.
+// They are suspects until trials of them have crashed upstreams, too.
+func (g *Guard) ObserveSpared(f func(Entered)) { g.observeSpared = f }
+
+func (g *Guard) observeAll() {
+	for _, e := range g.state.entered {
+		if g.observe != nil {
+			g.observe(e)
+		}
+	}
+	for _, e := range g.state.spared {
+		if g.observeSpared != nil {
+			g.observeSpared(e)
+		}
+	}
+}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -20,7 +20,7 @@
 
 // Limits of a guard's local state.
 const (
-	maxCompleted = 8192
+	maxAnswers = 8192
 	// suspectRetry is the Retry-After of a suspect that finds no free upstream.
 	suspectRetry = 2 * time.Second
 )
@@ -36,8 +36,9 @@
 	// writer identifies this process in the journal.
 	writer string
 	now    func() time.Time
-	// observe is called with each new quarantine; it may be nil.
-	observe func(Entered)
+	// observe is called with each new quarantine, observeSpared with each digest that was spared; they may
+	// be nil.
+	observe, observeSpared func(Entered)
 	// publish passes a report on to other processes; it may be nil.
 	publish func(journal.Entry)
 	// reachesAll reports whether publish reaches all other processes.
@@ -52,7 +53,7 @@
 	local       map[string]Digest // upstreams on which suspects of this process run
 	pending     []journal.Entry   // entries not yet in the log
 	unconfirmed map[Digest]*unconfirmedCrashes
-	completed   *simplelru.LRU[Digest, time.Time]
+	completed   *answers
 	heard       *simplelru.LRU[string, struct{}]
 	// claims are those in force, by ID; news is closed when one ends or a verdict may have changed.
 	claims map[string]*knownClaim
@@ -65,7 +66,6 @@
 	if now == nil {
 		now = time.Now
 	}
-	completed, _ := simplelru.NewLRU[Digest, time.Time](maxCompleted, nil)
 	heard, _ := simplelru.NewLRU[string, struct{}](maxHeard, nil)
 	return &Guard{
 		journal:     w,
@@ -75,7 +75,7 @@
 		state:       NewState(cfg),
 		local:       map[string]Digest{},
 		unconfirmed: map[Digest]*unconfirmedCrashes{},
-		completed:   completed,
+		completed:   newAnswers(),
 		heard:       heard,
 		claims:      map[string]*knownClaim{},
 		news:        make(chan struct{}),
@@ -105,12 +105,7 @@
 	if p.Entry.Kind == g.state.cfg.Kind {
 		g.changed()
 	}
-	if g.observe == nil {
-		return
-	}
-	for _, e := range g.state.entered {
-		g.observe(e)
-	}
+	g.observeAll()
 }
 
 // Check returns a digest's verdict, and an *Error if it is quarantined.
@@ -166,29 +161,17 @@
 	c := &Crash{Upstream: upstream, Incarnation: incarnation, Tried: tried}
 	delete(g.local, upstream)
 	for _, d := range inFlight {
-		if g.completedRecently(d) {
+		if g.state.cfg.MinAnsweredTrials == 0 && g.completedRecently(d) {
 			c.Doubtful = append(c.Doubtful, d)
 			continue
 		}
 		c.Suspects = append(c.Suspects, d)
 		g.addUnconfirmed(d, crashID{upstream, incarnation}, slices.Contains(tried, d), 0)
 	}
+	c.Answered = g.answeredOf(c.Suspects)
 	return c
 }
 
-func (g *Guard) completedRecently(d Digest) bool {
-	at, ok := g.completed.Get(d)
-	return ok && g.now().Sub(at) < g.state.cfg.SuspectFor
-}
-
-// Completed records that a digest got its complete response, which makes it an
-// unlikely cause of the next crash.
-func (g *Guard) Completed(d Digest) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.completed.Add(d, g.now())
-}
-
 // Isolate reserves an upstream for one suspect. It returns ErrReserved if another
 // suspect has it. The caller must end the isolation.
 func (g *Guard) Isolate(ctx context.Context, upstream string, d Digest) (*Isolation, error) {
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -33,6 +33,8 @@
 	Doubtful []Digest `msgpack:"d"`
 	// Tried are those of Suspects of which this was a trial: no other request of theirs was running.
 	Tried []Digest `msgpack:"t,omitempty"`
+	// Answered are those of Suspects that got a complete response lately, as far as the writer knows.
+	Answered []Digest `msgpack:"w,omitempty"`
 	// Age is the time since the crash if the report is a repetition; 0 in the journal.
 	Age time.Duration `msgpack:"a,omitempty"`
 }
@@ -96,6 +98,7 @@
 	Strikes int     `msgpack:"s"`
 	// Quarantined is when it was quarantined; zero for a suspect.
 	Quarantined time.Time `msgpack:"q"`
+	Answered    bool      `msgpack:"w,omitempty"`
 	// Basis is the position of the last entry that the writer had folded for the
 	// digest: a checkpoint never overrides a newer entry, such as a release.
 	Basis journal.Position `msgpack:"b"`
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -47,6 +47,7 @@
 		for _, d := range m.Crash.Suspects {
 			g.addUnconfirmed(d, m.Crash.id(), slices.Contains(m.Crash.Tried, d), m.Crash.Age)
 		}
+		g.markAnswered(m.Crash.Answered)
 	case m.Completed != nil:
 		g.forgetSuspect(m.Completed.Digest, m.Completed.Crashes)
 	case m.IsolationEnd != nil && m.IsolationEnd.Passed:
@@ -126,7 +127,7 @@
 		}
 		for _, c := range known.sinceProgress() {
 			journaled := g.state.hasCrash(d, c.crashID, g.closeTo(c.at, false))
-			if !journaled || slices.Contains(known.tried, c.crashID) && !g.state.hasTrial(d, c.crashID) {
+			if !journaled || slices.Contains(known.tried, c.crashID) && !g.state.hasTrial(d, c.crashID) || g.lacksAnswer(d) {
 				byCrash[c.crashID] = append(byCrash[c.crashID], d)
 			}
 		}
@@ -134,9 +135,10 @@
 	var all []journal.Entry
 	for c, suspects := range byCrash {
 		// Processes that report the same write the same ID, so that it counts once.
-		tried := g.triedOf(suspects, c)
-		id := fmt.Sprintf("quarantine/crash/%s/%x/%x", c.Upstream, fingerprintOfDigests(suspects), fingerprintOfDigests(tried))
-		all = append(all, entryOf(g.kind, id, g.writer, message{Crash: &Crash{Upstream: c.Upstream, Incarnation: c.Incarnation, Suspects: suspects, Tried: tried}}))
+		tried, answered := g.triedOf(suspects, c), g.answeredOf(suspects)
+		id := fmt.Sprintf("quarantine/crash/%s/%x/%x/%x", c.Upstream, fingerprintOfDigests(suspects), fingerprintOfDigests(tried), fingerprintOfDigests(answered))
+		crash := &Crash{Upstream: c.Upstream, Incarnation: c.Incarnation, Suspects: suspects, Tried: tried, Answered: answered}
+		all = append(all, entryOf(g.kind, id, g.writer, message{Crash: crash}))
 	}
 	return all
 }
@@ -175,7 +177,8 @@
 	for d, crashes := range g.worthKnowing() {
 		for c := range crashes {
 			m := message{Crash: &Crash{
-				Upstream: c.Upstream, Incarnation: c.Incarnation, Suspects: []Digest{d}, Tried: g.triedOf([]Digest{d}, c), Age: g.age(d),
+				Upstream: c.Upstream, Incarnation: c.Incarnation, Suspects: []Digest{d}, Tried: g.triedOf([]Digest{d}, c),
+				Answered: g.answeredOf([]Digest{d}), Age: g.age(d),
 			}}
 			all = append(all, entryOf(g.kind, uuid.NewString(), g.writer, m))
 		}
@@ -248,6 +251,7 @@
 	known := g.unconfirmedOf(d)
 	known.clear(others, g.now())
 	known.until = g.now().Add(g.state.cfg.SuspectFor)
+	known.answered = true
 }
 
 // knownCrashes returns the crashes of a digest since its last answer. The caller holds g.mu.
--- a/quarantine/restore.go
+++ b/quarantine/restore.go
@@ -15,29 +15,35 @@
 func (g *Guard) Restored() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	byUpstream, tried := map[crashID][]Digest{}, map[crashID][]Digest{}
+	byUpstream, tried, answered := map[crashID][]Digest{}, map[crashID][]Digest{}, map[crashID][]Digest{}
 	var kept []keptCrash
 	for d, x := range g.state.suspects {
 		for _, c := range x.counted() {
 			crash := c.id()
 			byUpstream[crash] = append(byUpstream[crash], d)
-			kept = append(kept, keptCrash{d, crash, c.Tried, g.age(d)})
+			kept = append(kept, keptCrash{d, crash, c.Tried, x.answered, g.age(d)})
 			if c.Tried {
 				tried[crash] = append(tried[crash], d)
 			}
+			if x.answered {
+				answered[crash] = append(answered[crash], d)
+			}
 		}
 	}
 	releases := g.state.released
 	g.state = NewState(g.state.cfg)
 	for _, k := range kept {
 		g.addUnconfirmed(k.digest, k.crash, k.tried, k.age)
+		if k.answered {
+			g.markAnswered([]Digest{k.digest})
+		}
 	}
 	g.changed()
 	if !g.writesCheckpoints() {
 		return
 	}
 	for c, digests := range byUpstream {
-		g.enqueueLocked(message{Crash: &Crash{Upstream: c.Upstream, Incarnation: c.Incarnation, Suspects: digests, Tried: tried[c]}})
+		g.enqueueLocked(message{Crash: &Crash{Upstream: c.Upstream, Incarnation: c.Incarnation, Suspects: digests, Tried: tried[c], Answered: answered[c]}})
 	}
 	for _, r := range releases { // after the crashes, which they undo
 		release := r.release
@@ -47,10 +53,10 @@
 
 // keptCrash is a crash that stays known across a restore.
 type keptCrash struct {
-	digest Digest
-	crash  crashID
-	tried  bool
-	age    time.Duration
+	digest          Digest
+	crash           crashID
+	tried, answered bool
+	age             time.Duration
 }
 
 // counted returns the crashes that count against the digest: all of a quarantined one, and of a
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -33,6 +33,10 @@
 	// MaxPartStrikes is that from which they are refused, if at least MinPartTrials of the crashes ended
 	// trials: many upstreams may crash of another cause before the next answer.
 	PartTrialStrikes, MaxPartStrikes, MinPartTrials int
+	// MinAnsweredTrials is how many of the crashes must have ended trials before a request is refused that
+	// was answered lately: upstreams that crash at one moment crash with it in flight, if many callers send it.
+	// With 0, what was answered lately gets no strikes instead.
+	MinAnsweredTrials int
 }
 
 // DefaultConfig returns the settings of processes that isolate suspects.
@@ -58,6 +62,7 @@
 	c := DefaultConfig()
 	c.MaxStrikes = 3
 	c.MaxCrashes = 6
+	c.MinAnsweredTrials = 2
 	return c
 }
 
@@ -69,6 +74,7 @@
 	cleared     []crash
 	strikes     int
 	lastStrike  string // upstream of the last strike
+	answered    bool   // completely, lately, according to a process
 	quarantined time.Time
 	last        time.Time // log time of the last crash
 	// basis is the position of the last entry that this state reflects.
@@ -109,8 +115,10 @@
 	// cleared is what the entry folded last shows to be harmless, freed the digests that it releases.
 	cleared []completed
 	freed   []Digest
-	// entered are the quarantines that began with the entry folded last.
+	// entered are the quarantines that began with the entry folded last, spared what would have been
+	// quarantined by it without an answer.
 	entered []Entered
+	spared  []Entered
 	logNow  time.Time
 	readAt  time.Time
 }
@@ -125,7 +133,7 @@
 func (s *State) Apply(p journal.LogEntry) {
 	s.touched = s.touched[:0]
 	s.cleared, s.freed = s.cleared[:0], s.freed[:0]
-	s.entered = s.entered[:0]
+	s.entered, s.spared = s.entered[:0], s.spared[:0]
 	if p.At.After(s.logNow) {
 		s.logNow = p.At
 		s.readAt = p.ReadAt
@@ -192,12 +200,43 @@
 			x.lastStrike = c.Upstream
 		}
 	}
-	if x.quarantined.IsZero() && s.exceedsLimits(d, x.strikes, len(x.crashes), x.trials()) {
-		x.quarantined = p.At
-		s.entered = append(s.entered, x.entered(p))
+	x.answered = x.answered || !counts || slices.Contains(c.Answered, d)
+	s.judge(x, p)
+}
+
+// judge quarantines a digest that its crashes convict. One that was quarantined before it became known that
+// it was answered is a suspect again.
+func (s *State) judge(x *suspect, p journal.LogEntry) {
+	crashed := evidence{strikes: x.strikes, crashes: len(x.crashes), trials: x.trials(), answered: x.answered}
+	switch s.judgementOf(x.digest, crashed) {
+	case convicted:
+		if x.quarantined.IsZero() {
+			x.quarantined = p.At
+			s.entered = append(s.entered, x.entered(p))
+		}
+	case lacksTrials:
+		x.quarantined = time.Time{}
+		s.spared = append(s.spared, x.entered(p))
 	}
 }
 
+// evidence is what is known against a digest.
+type evidence struct {
+	strikes, crashes, trials int
+	// answered says that it got a complete response lately.
+	answered bool
+}
+
+// judgement is what follows from evidence.
+type judgement uint8
+
+const (
+	notConvicted judgement = iota
+	// lacksTrials is a request that is refused only once trials of it have crashed upstreams, too.
+	lacksTrials
+	convicted
+)
+
 // trials returns how many of the crashes ended trials.
 func (x *suspect) trials() int {
 	n := 0
@@ -209,11 +248,19 @@
 	return n
 }
 
-func (s *State) exceedsLimits(d Digest, strikes, crashes, trials int) bool {
-	if d.IsPart() {
-		return strikes >= s.cfg.MaxPartStrikes && trials >= s.cfg.MinPartTrials
+func (s *State) judgementOf(d Digest, e evidence) judgement {
+	switch {
+	case d.IsPart():
+		if e.strikes >= s.cfg.MaxPartStrikes && e.trials >= s.cfg.MinPartTrials {
+			return convicted
+		}
+		return notConvicted
+	case e.strikes < s.cfg.MaxStrikes && e.crashes < s.cfg.MaxCrashes:
+		return notConvicted
+	case e.answered && e.trials < s.cfg.MinAnsweredTrials:
+		return lacksTrials
 	}
-	return strikes >= s.cfg.MaxStrikes || crashes >= s.cfg.MaxCrashes
+	return convicted
 }
 
 // statusOf returns the status of a digest that isn't quarantined.
@@ -281,6 +328,7 @@
 		return
 	}
 	x.clear(c.Crashes, p.At)
+	x.answered = true
 	x.basis, x.written, x.last = p.Position, p.At, p.At
 	s.evict()
 }
@@ -332,6 +380,7 @@
 		crashes:     c.Crashes,
 		strikes:     c.Strikes,
 		quarantined: c.Quarantined,
+		answered:    c.Answered,
 		last:        c.Crashes[len(c.Crashes)-1].At,
 		basis:       c.Basis,
 		written:     p.At,
--- a/quarantine/unconfirmed.go
+++ b/quarantine/unconfirmed.go
@@ -15,6 +15,8 @@
 	cleared []heardCrash
 	// tried are those of the crashes that ended trials.
 	tried []crashID
+	// answered says that another process has told of a complete response.
+	answered bool
 	// passed is the number of crashes before the digest's last progress. They give no strikes.
 	passed int
 	until  time.Time
@@ -126,8 +128,8 @@
 	}
 	for i := len(known.crashes) - 1; i >= 0; i-- {
 		c := known.crashes[i]
-		if c.Upstream != upstream || slices.Contains(known.tried, c.crashID) && !g.state.hasTrial(d, c.crashID) {
-			continue // the journal lacks that it ended a trial
+		if c.Upstream != upstream || slices.Contains(known.tried, c.crashID) && !g.state.hasTrial(d, c.crashID) || known.answered && g.lacksAnswer(d) {
+			continue // the journal lacks that it ended a trial, or that the request was answered
 		}
 		known.crashes = slices.Delete(known.crashes, i, i+1)
 		if i < known.passed {
@@ -155,7 +157,7 @@
 		return v
 	}
 	strikes, last := g.state.strikesOf(d, v)
-	total, trials := len(v.Upstreams), g.trialsOf(d)
+	total := len(v.Upstreams)
 	for i, c := range known.crashes {
 		if g.state.hasCrash(d, c.crashID, g.closeTo(c.at, false)) {
 			continue // the journal has it by another process's report
@@ -170,8 +172,9 @@
 		}
 	}
 	v.Strikes = strikes
+	crashed := evidence{strikes: strikes, crashes: total, trials: g.trialsOf(d), answered: g.wasAnswered(d)}
 	switch {
-	case g.state.exceedsLimits(d, strikes, total, trials):
+	case g.state.judgementOf(d, crashed) == convicted:
 		v.Status, v.Remaining = Quarantined, left
 	case strikes > 0:
 		v.Status, v.Remaining = g.state.statusOf(d, strikes), max(v.Remaining, left)
