relay: the connection of a caller that left is broken off

Cause: Relay.writeFailure returned without writing once the request's context had ended. net/http ends the context as soon as it reads the caller's FIN, and completes a handler that has written nothing with 200. All failures pass that line: at an upstream, in the queue, forwarded, and given up by the daemon that forwarded.

Now call.abort breaks the connection off there, as for streams that end early, and logs the decision.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -14,6 +14,7 @@
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/telemetry"
 	"tamarackchute/placement"
 	"tamarackchute/quarantine"
 	"tamarackchute/rules/pathset"
@@ -145,9 +146,12 @@
 	}
 }
 
-// abort breaks the connection of a caller whose response has begun: only that tells that the
-// response is incomplete. Under HTTP/1.0 a closed connection is its proper end, a reset isn't.
+// abort breaks a caller's connection off, and doesn't return: only that tells that no response comes, or
+// that the one that has begun is incomplete. Under HTTP/1.0 a closed connection is its proper end, a reset
+// isn't.
 func (c *call) abort() {
+	c.log.Info("connection broken off", "request", c.ID, "caller_gone", c.in.Context().Err() != nil, "response_begun", c.stream != nil,
+		"ran", c.attempts.MayHaveRun(), "took_ms", telemetry.Millis(time.Since(c.arrived)))
 	if !c.in.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(c.out).Hijack(); err == nil {
 			reset(conn)
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -88,12 +88,14 @@
 	return withheld
 }
 
-// writeFailure logs a failure and sends it to the caller as the relay's own response.
+// writeFailure logs a failure and sends it to the caller as the relay's own response. The connection of a
+// caller that has left is broken off: net/http answers 200 for a handler that writes nothing, and a caller
+// that has closed its sending side only still reads that.
 func (r *Relay) writeFailure(w http.ResponseWriter, in *http.Request, c *call, f *failure) {
 	f = c.withholdDenial(f)
 	c.logEnd(f)
 	if in.Context().Err() != nil {
-		return // the caller has gone
+		c.abort()
 	}
 	if f.status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
