patience, pathwatch, exchange: waiting for others counts only while this process runs

Cause: a check of a path, or a connection to another daemon, timed out because this process had no processor, and the other side was blamed. A sound daemon took its path for lost and told the others, so that none forwarded to it; one whose connection timed out was avoided for a second.

Change: both timeouts count only time in which the process ran, by a beat that counts for two of its lengths at most. A timeout still ends after as much time on a process that runs, and refused connections count as before.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"tamarackchute/internal/bodylimit"
+	"tamarackchute/internal/patience"
 )
 
 // Options are the options of a Pool. Zero values stand for the defaults.
@@ -174,7 +175,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	ctx, cancel := patience.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
 	raw, err := p.options.Dial(ctx, p.address)
 	if err != nil {
--- a/internal/pathwatch/pathwatch.go
+++ b/internal/pathwatch/pathwatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"tamarackchute/internal/patience"
 	"tamarackchute/reach"
 )
 
@@ -128,7 +129,7 @@
 	sample := slices.Clone(upstreams)
 	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
 	sample = sample[:min(len(sample), maxUpstreams)]
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	ctx, cancel := patience.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	reached := make([]bool, len(sample))
 	var wg conc.WaitGroup
