relay, patience: a silence in which this process stood still isn't the upstream's

What callers would see: after a standstill of a daemon, the requests and streams in flight there were aborted and sent again although their answers waited to be read, and all upstreams with one were taken for stalled at once, out of one retry budget. Found by the audit of what a daemon believes after a standstill; not seen at a caller.

Cause: the timeout for the first or next event was a timer, which fires the moment the process goes on.

Change: the last 50 ms of the timeout count only while the process runs, by the beat of package patience, so that what came meanwhile is read and ends the timeout. On a process that runs it is as long as before.

--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -12,6 +12,9 @@
 	beat = 10 * time.Millisecond
 	// maxBeat is the most that one beat counts for: the rest of a longer one is time without a processor.
 	maxBeat = 2 * beat
+	// settleTime is how long this process must run at the end of a longer wait, so that it reads what came
+	// while it stood still.
+	settleTime = 50 * time.Millisecond
 )
 
 // WithTimeout is context.WithTimeout, but that time counts only while this process runs. The deadline of
@@ -27,6 +30,23 @@
 	return ctx, func() { cancel(context.Canceled) }
 }
 
+// AfterFunc calls f in its own goroutine once d has passed, at the end of which this process has run for a
+// moment: what waited unread was read, and may have called stop. It costs less than WithTimeout where
+// waits are many and long.
+func AfterFunc(d time.Duration, f func()) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	timer := time.AfterFunc(max(0, d-settleTime), func() {
+		defer cancel()
+		if spend(ctx, min(d, settleTime)) {
+			f()
+		}
+	})
+	return func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 // spend waits until this process has run for d. It returns false if ctx ends before.
 func spend(ctx context.Context, d time.Duration) bool {
 	ticker := time.NewTicker(beat)
--- a/internal/patience/patience_test.go
+++ b/internal/patience/patience_test.go
@@ -40,3 +40,26 @@
 		require.ErrorIs(t, context.Cause(ctx), context.Canceled)
 	})
 }
+
+// Guards against waits that end early or late in a process that runs.
+func TestAfterFuncOfARunningProcess(t *testing.T) {
+	for _, d := range []time.Duration{beat, settleTime, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			began, called := time.Now(), make(chan time.Time, 1)
+			AfterFunc(d, func() { called <- time.Now() })
+			require.Equal(t, d, (<-called).Sub(began))
+		})
+	}
+}
+
+// Guards against timeouts that fire after they were stopped, also in their last moment.
+func TestAfterFuncIsStopped(t *testing.T) {
+	for _, at := range []time.Duration{0, time.Second - settleTime/2} {
+		synctest.Test(t, func(t *testing.T) {
+			stop := AfterFunc(time.Second, func() { t.Error("fired") })
+			time.Sleep(at)
+			stop()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"tamarackchute/internal/patience"
 )
 
 const (
@@ -33,8 +35,9 @@
 	// retryable says that the request may be sent again after the attempt.
 	retryable bool
 
-	mu    sync.Mutex
-	timer *time.Timer
+	mu sync.Mutex
+	// stopTimer stops the timeout, nil if there is none.
+	stopTimer func()
 	// heardAt is when the upstream last sent something, or the attempt began.
 	heardAt time.Time
 }
@@ -76,14 +79,15 @@
 	return 1
 }
 
-// arm starts the timeout for the next data from the upstream; 0 means no timeout.
+// arm starts the timeout for the next data from the upstream; 0 means no timeout. A silence in which this
+// process stood still isn't the upstream's.
 func (w *stallWatchdog) arm(limit time.Duration) {
 	if limit == 0 {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(limit, w.expire)
+	w.stopTimer = patience.AfterFunc(limit, w.expire)
 }
 
 // disarm stops the timeout.
@@ -91,9 +95,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.heardAt = time.Now()
-	if w.timer != nil {
-		w.timer.Stop()
-		w.timer = nil
+	if w.stopTimer != nil {
+		w.stopTimer()
+		w.stopTimer = nil
 	}
 }
 
