transit, member, wire: ages in a late state of a peer count from its sending

What callers would see: a state that waited in a socket, on a link that stalled or as its recipient stood still, said "my list is 0.1 s old and equals yours" as of its arrival. So a list of upstreams seemed as young after any wait, a peer's clock as late as the wait (usage is counted by the median of these), and an engine's rest began anew.

Cause: ages in a message counted from its arrival. The daemon's own standstills were handled for the list, links that stall and deliver late weren't.

Change: a state names its sender's steady clock. The recipient compares each state with the quickest one of that sender; how much later it is was lost on its way, whatever the clocks' difference, and is added to ages and clocks and taken off what remains. The quickest one of the last period is remembered over any silence. What can't be told: that the first state of a daemon's run was late. Old daemons name no clock and are believed as before.

--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -10,6 +10,7 @@
 
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
+	"tamarackchute/transit"
 	"tamarackchute/usage"
 )
 
@@ -53,6 +54,8 @@
 	links    *suture.Supervisor
 	// beat tells when this process last stood still.
 	beat *beat
+	// transit tells how late the states of peers are.
+	transit transit.Meter
 
 	mu          sync.Mutex
 	peers       map[string]*peer // by peer address
@@ -253,7 +256,29 @@
 	}
 }
 
+// lateLogged is the delay from which a late state is logged.
+const lateLogged = peerTimeout
+
+// settleAge makes the ages and times in a state count from now instead of from when it was sent.
+func (p *Peers) settleAge(m *wire.MemberState) {
+	if m.SentAt == 0 {
+		return
+	}
+	late := p.transit.Late(m.Incarnation, m.SentAt, p.beat.elapsed())
+	m.ListAge += late
+	if m.Clock != 0 {
+		m.Clock += late.Nanoseconds()
+	}
+	for i := range m.Unavailable {
+		m.Unavailable[i].Remaining -= late
+	}
+	if late >= lateLogged {
+		p.log.Warn("late state of a peer", "peer", m.Instance, "late_ms", late.Milliseconds(), "list_age_ms", m.ListAge.Milliseconds())
+	}
+}
+
 func (p *Peers) applyState(m wire.MemberState) {
+	p.settleAge(&m)
 	p.mu.Lock()
 	from := p.add(m.MemberAddress)
 	if from == nil {
--- a/internal/member/peersview.go
+++ b/internal/member/peersview.go
@@ -31,6 +31,9 @@
 // applyUnavailable records the unavailable engines that another daemon reports.
 func (p *Peers) applyUnavailable(engines []wire.UnavailableEngine) {
 	for _, a := range engines {
+		if a.Remaining <= 0 {
+			continue // it came too late
+		}
 		p.tracker.MarkUnavailable(a.Engine, a.TargetRole, a.Remaining)
 	}
 }
--- a/internal/member/reporting.go
+++ b/internal/member/reporting.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
 )
@@ -53,6 +54,7 @@
 		FullMesh: p.fullMesh, Loads: loads, Prefills: prefills, Unavailable: p.unavailableEngines(),
 		LostPools: summary.LostPools, PathLost: summary.PathLost,
 		KeysStale: summary.KeysStale, Overdue: summary.Overdue, Clock: time.Now().UnixNano(), Quarantine: p.quarantineFingerprint(),
+		SentAt: boottime.Now(),
 	}
 }
 
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -95,6 +95,9 @@
 	// Overdue means that the daemon runs no requests by its configuration, as a newer one has been in
 	// force elsewhere for long.
 	Overdue bool
+	// SentAt is when the state was written, by a clock of the sender that isn't set and doesn't stand
+	// still; 0 if it isn't named. All ages and times in the state count from then.
+	SentAt time.Duration
 }
 
 // MemberLoads reports the changes of a daemon's loads since its last state. It is sent
