relay: the bodies of all requests share a limit

A request may have 4 MB by the users' limits, and nothing limited what many of them hold together: a hundred callers with large bodies, complete or not, fill a machine of 184 to 536 MB. All bodies beyond 64 kB each now share 64 MB. A request for which no room is left gets 503, not run, with Retry-After; one that another daemon has forwarded goes back and may be served elsewhere. Small requests are read whatever large ones hold.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tamarackchute/apikey"
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
@@ -47,6 +48,8 @@
 	rule         *pathset.Rule
 	pool         string
 	body         []byte
+	// bodyShare counts the body among those of all requests.
+	bodyShare *bodylimit.Share
 	// content identifies equal requests. It is set before the first attempt and doesn't change.
 	content quarantine.Request
 	// inFlight records the attempt in progress at its upstream; nil if nothing has been sent.
@@ -106,11 +109,13 @@
 	if c.in.ContentLength > limit {
 		return newFailure(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body is too large")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.out, c.in.Body, limit))
+	body, err := io.ReadAll(&sharedReader{Reader: http.MaxBytesReader(c.out, c.in.Body, limit), share: c.bodyShare})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return newFailure(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body is too large")
+	case errors.Is(err, bodylimit.ErrExceeded):
+		return newFailure(http.StatusServiceUnavailable, reasonNoMemory, "the bodies of other requests leave no room").withRetryAfter(c.relay.cfg.MinRetryAfter)
 	case err != nil:
 		return newFailure(http.StatusBadRequest, reasonBadBody, "the body can't be read: "+err.Error())
 	}
@@ -118,6 +123,26 @@
 	return nil
 }
 
+// maxRequestBytes limits what the bodies of all requests hold in memory at a time.
+const maxRequestBytes = 64 << 20
+
+// sharedReader counts what is read in a share.
+type sharedReader struct {
+	io.Reader
+	share *bodylimit.Share
+	read  int
+}
+
+// Read implements io.Reader.
+func (r *sharedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += n
+	if full := r.share.Hold(r.read); full != nil {
+		return n, full
+	}
+	return n, err
+}
+
 // serve runs the request to its end.
 func (c *call) serve() {
 	c.attempts = dispatch.New(c.retryPolicy())
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -12,6 +12,7 @@
 	reasonBadHeaders     reason = "bad head"
 	reasonBadBody        reason = "bad body"
 	reasonTooLarge       reason = "too large"
+	reasonNoMemory       reason = "no memory"
 	reasonNoConfig       reason = "no configuration"
 	reasonOlderConfig    reason = "older configuration"
 	reasonNoRule         reason = "no rule"
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -102,7 +102,7 @@
 // incapable reports whether a failure for this reason says nothing of what other daemons can do.
 func incapable(why reason) bool {
 	switch why {
-	case reasonNoConfig, reasonOlderConfig, reasonShuttingDown, reasonStaleKeys, reasonUnreachable:
+	case reasonNoConfig, reasonOlderConfig, reasonShuttingDown, reasonStaleKeys, reasonUnreachable, reasonNoMemory:
 		return true
 	}
 	return false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,6 +85,8 @@
 	forwarder *forwarder
 	// bodies limits what responses hold in memory.
 	bodies *bodylimit.Limit
+	// requestBodies limits what requests hold in memory.
+	requestBodies *bodylimit.Limit
 	// newestConfig is the newest version of the configuration by which another daemon has decided a
 	// request of this one's callers: none may be decided by an older one any more.
 	newestConfig atomic.Uint64
@@ -107,7 +109,7 @@
 	bodies := bodylimit.New(maxHeldBytes)
 	r := &Relay{
 		cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns),
-		bodies: bodies, forwarder: newForwarder(bodies),
+		bodies: bodies, requestBodies: bodylimit.New(maxRequestBytes), forwarder: newForwarder(bodies),
 	}
 	r.ending, r.endRequests = context.WithCancel(context.Background())
 	r.paths = newPaths(r)
@@ -252,7 +254,9 @@
 		// chunks; the rest of the connection must not be parsed as a request.
 		w.Header().Set("Connection", "close")
 	}
-	c, f := r.accept(w, in, forwarded)
+	share := r.requestBodies.Share()
+	defer share.Release()
+	c, f := r.accept(w, in, forwarded, share)
 	if f != nil {
 		r.writeFailure(w, in, c, f)
 		return
@@ -274,8 +278,8 @@
 }
 
 // accept parses a request, matches its rule and reads its body.
-func (r *Relay) accept(w http.ResponseWriter, in *http.Request, forwarded *forwardedCall) (*call, *failure) {
-	c := &call{relay: r, out: w, in: in, arrived: time.Now(), log: r.cfg.Logger, forwarded: forwarded}
+func (r *Relay) accept(w http.ResponseWriter, in *http.Request, forwarded *forwardedCall, share *bodylimit.Share) (*call, *failure) {
+	c := &call{relay: r, out: w, in: in, arrived: time.Now(), log: r.cfg.Logger, forwarded: forwarded, bodyShare: share}
 	var err error
 	if c.Call, err = r.cfg.Dialect.ParseCall(in); err != nil {
 		return c, newFailure(http.StatusBadRequest, reasonBadHeaders, err.Error())
