member, upstreamlimit, wire: a late report doesn't end a limit in force

What callers would see (LIMIT): a report of limits that waited on its way told of an earlier end of an upstream's limit as of a new one. A limit named meanwhile ended in this daemon's view, and in its reports at the others, until the upstream named it again in an answer.

Cause: the ages in the report counted from its arrival; 0.1 s was allowed for its way.

Change: a report names its sender's steady clock, and by how much it is late (package transit) is added to its ages. The allowance of 0.1 s stays.

Evidence: TestLateReportDoesNotEndALimit: red with the lateness left out, green now; it also asks that a punctual report ends the limit. ./upstreamlimit, ./internal/wire and the tests of limits in ./internal/member pass.

--- a/internal/member/late_state_test.go
+++ b/internal/member/late_state_test.go
@@ -8,6 +8,7 @@
 
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
+	"tamarackchute/upstreamlimit"
 )
 
 // Guards against a state that counts as new though it waited on its way: a list, a clock and an
@@ -46,3 +47,37 @@
 	require.Equal(t, "rests", excluded[0].ID)
 	require.LessOrEqual(t, excluded[0].Left, time.Minute)
 }
+
+// Guards against a limit in force that ends by another daemon's report which waited on its way, and
+// tells of an earlier end as of a new one.
+func TestLateReportDoesNotEndALimit(t *testing.T) {
+	p := peersWith(nil)
+	p.onUpdate = func() {}
+	began := time.Unix(1000, 0)
+	elapsed := time.Duration(0)
+	p.beat.elapsed = func() time.Duration { return elapsed }
+	x := &limitExchange{book: upstreamlimit.NewBook(func() time.Time { return began.Add(elapsed) }), peers: p, log: p.log}
+	key := upstreamlimit.Upstream{ID: "s1", Started: 1}
+	ended := wire.UpstreamLimit{
+		ID: "s1", Started: 1, PerSecond: 5, NamedSentAge: 2 * time.Second, NamedAge: 2 * time.Second,
+		Denied: true, DeniedAge: 200 * time.Millisecond,
+	}
+	report := func(sentAt time.Duration) wire.UpstreamLimits {
+		return wire.UpstreamLimits{Limits: []wire.UpstreamLimit{ended}, Incarnation: 1, SentAt: time.Hour + sentAt}
+	}
+	elapsed = time.Second
+	x.merge(report(elapsed))
+	elapsed = 4 * time.Second
+	x.book.Observe(key, upstreamlimit.Statement{PerSecond: 7, Limited: true, SentAt: began.Add(elapsed - time.Millisecond), ReceivedAt: began.Add(elapsed)})
+	elapsed = 5 * time.Second
+	x.merge(report(2 * time.Second))
+	perSecond, limited := x.book.Limit(key)
+	require.True(t, limited)
+	require.InDelta(t, 7, perSecond, 0)
+
+	x.merge(report(elapsed))
+	elapsed = 6 * time.Second
+	x.merge(report(elapsed))
+	_, limited = x.book.Limit(key)
+	require.False(t, limited, "a punctual report ends it")
+}
--- a/internal/member/limits.go
+++ b/internal/member/limits.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"tamarackchute/internal/boottime"
 	"tamarackchute/internal/daemonstatus"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/relay"
@@ -64,20 +65,21 @@
 // broadcast sends all known limits to the neighbours.
 func (x *limitExchange) broadcast() {
 	if reports := x.book.Reports(); len(reports) > 0 {
-		x.peers.broadcast(wire.LimitsOf(reports))
+		x.peers.broadcast(wire.LimitsOf(reports, x.peers.incarnation, boottime.Now()))
 	}
 }
 
 // merge processes the limits that a neighbour knows, and passes on what is new.
 func (x *limitExchange) merge(m wire.UpstreamLimits) {
 	changed := false
+	late := x.peers.late(m.Incarnation, m.SentAt)
 	for _, l := range m.Limits {
-		if !x.book.Merge(l.Report()) {
+		if !x.book.Merge(l.Report().Older(late)) {
 			continue
 		}
 		changed = true
 		perSecond, limited := x.book.Limit(l.Report().Upstream)
-		x.log.Info("upstream limit heard", "upstream", l.ID, "limited", limited, "per_second", perSecond)
+		x.log.Info("upstream limit heard", "upstream", l.ID, "limited", limited, "per_second", perSecond, "late_ms", late.Milliseconds())
 	}
 	if changed {
 		x.broadcast()
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -259,12 +259,17 @@
 // lateLogged is the delay from which a late state is logged.
 const lateLogged = peerTimeout
 
+// late returns how late a peer's message is; 0 if it doesn't name when it was sent.
+func (p *Peers) late(incarnation uint64, sentAt time.Duration) time.Duration {
+	if sentAt == 0 {
+		return 0
+	}
+	return p.transit.Late(incarnation, sentAt, p.beat.elapsed())
+}
+
 // settleAge makes the ages and times in a state count from now instead of from when it was sent.
 func (p *Peers) settleAge(m *wire.MemberState) {
-	if m.SentAt == 0 {
-		return
-	}
-	late := p.transit.Late(m.Incarnation, m.SentAt, p.beat.elapsed())
+	late := p.late(m.Incarnation, m.SentAt)
 	m.ListAge += late
 	if m.Clock != 0 {
 		m.Clock += late.Nanoseconds()
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -11,6 +11,9 @@
 	//lint:ignore U1000 msgpack reads it: the fields are encoded without their names.
 	_msgpack struct{} `msgpack:",as_array"`
 	Limits   []UpstreamLimit
+	// Incarnation and SentAt are as in MemberState; the ages in the limits count from SentAt.
+	Incarnation uint64
+	SentAt      time.Duration
 }
 
 // UpstreamLimit is an upstreamlimit.Report.
@@ -29,9 +32,9 @@
 // Kind implements Message.
 func (UpstreamLimits) Kind() Kind { return KindUpstreamLimits }
 
-// LimitsOf returns the message for reports.
-func LimitsOf(reports []upstreamlimit.Report) UpstreamLimits {
-	m := UpstreamLimits{Limits: make([]UpstreamLimit, 0, len(reports))}
+// LimitsOf returns the message for reports, as an incarnation of a daemon sends it at a time.
+func LimitsOf(reports []upstreamlimit.Report, incarnation uint64, sentAt time.Duration) UpstreamLimits {
+	m := UpstreamLimits{Limits: make([]UpstreamLimit, 0, len(reports)), Incarnation: incarnation, SentAt: sentAt}
 	for _, r := range reports {
 		m.Limits = append(m.Limits, UpstreamLimit{
 			ID: r.Upstream.ID, Started: r.Upstream.Started, PerSecond: r.PerSecond,
--- a/upstreamlimit/book.go
+++ b/upstreamlimit/book.go
@@ -158,6 +158,14 @@
 	DeniedAge time.Duration
 }
 
+// Older returns the report as it is after some more time.
+func (r Report) Older(by time.Duration) Report {
+	r.NamedSentAge += by
+	r.NamedAge += by
+	r.DeniedAge += by
+	return r
+}
+
 // Reports returns all records, ordered by upstream.
 func (b *Book) Reports() []Report {
 	if b.size.Load() == 0 {
