pathwatch, httpx: a check of a path ends in its time, also on the own interface

What callers would see: on the own interface a path that was cut silently was noticed after a second instead of 0.25 s.

Cause: httpx reads its limit from the context's deadline. A context by package patience names none, so that a connection took its own timeout.

Change: a check counts what was reached when its time is over, whether or not the calls heed the context. Connections by httpx count only time in which the process runs, too, beside the caller's deadline, which holds as ever.

Evidence: TestCheckEndsInTime: 1 s before, 250 ms now. ./internal/pathwatch (3 times), ./internal/adapters/httpx and TestFailedConnectionsLoseThePath in ./internal/entry pass with the race detector.

--- a/internal/adapters/httpx/client.go
+++ b/internal/adapters/httpx/client.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tamarackchute/internal/bodylimit"
+	"tamarackchute/internal/patience"
 	"tamarackchute/upstream"
 )
 
@@ -61,11 +62,13 @@
 // dial opens a connection and completes its TLS handshake, so that a failed
 // handshake counts as not sent.
 func (c *Client) dial(addr string, timeout time.Duration) (net.Conn, error) {
-	if timeout <= 0 || timeout > c.opts.DialTimeout {
-		timeout = c.opts.DialTimeout
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := patience.WithTimeout(context.Background(), c.opts.DialTimeout)
 	defer cancel()
+	if timeout > 0 {
+		var cancelDeadline context.CancelFunc
+		ctx, cancelDeadline = context.WithTimeout(ctx, timeout)
+		defer cancelDeadline()
+	}
 	conn, err := c.opts.Dial(ctx, addr)
 	if err != nil || c.opts.TLS == nil {
 		return conn, err
--- a/internal/pathwatch/pathwatch.go
+++ b/internal/pathwatch/pathwatch.go
@@ -131,16 +131,19 @@
 	sample = sample[:min(len(sample), maxUpstreams)]
 	ctx, cancel := patience.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	reached := make([]bool, len(sample))
-	var wg conc.WaitGroup
-	for i, upstream := range sample {
-		wg.Go(func() { reached[i] = w.cfg.Reaches(ctx, upstream, kind) })
+	results := make(chan bool, len(sample))
+	for _, upstream := range sample {
+		go func() { results <- w.cfg.Reaches(ctx, upstream, kind) }()
 	}
-	wg.Wait()
 	check := reach.Check{Tried: len(sample)}
-	for _, ok := range reached {
-		if ok {
-			check.Reached++
+	for range sample {
+		select {
+		case <-ctx.Done():
+			return check // a call may not heed the context
+		case ok := <-results:
+			if ok {
+				check.Reached++
+			}
 		}
 	}
 	return check
--- a/internal/pathwatch/standstill_test.go
+++ b/internal/pathwatch/standstill_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -30,3 +31,21 @@
 	})
 	require.Equal(t, "lost: false", got)
 }
+
+// Guards against a lost path that is noticed late, as a connection heeds only its own timeout.
+func TestCheckEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := New(Config{
+			Pools: func() map[string][]string { return nil },
+			Reaches: func(context.Context, string, reach.CheckKind) bool {
+				time.Sleep(4 * checkTimeout)
+				return false
+			},
+		})
+		began := time.Now()
+		w.check(t.Context(), "pool", []string{"a", "b"}, reach.CheckConnections)
+		require.Equal(t, checkTimeout, time.Since(began))
+		require.True(t, w.IsLost("pool"))
+		time.Sleep(4 * checkTimeout) // the calls end by themselves
+	})
+}
