reqtarget: one reading of a request's target on both paths

internal/reqtarget now reads a target once; only one that doesn't begin with a slash is in absolute form. Rules, log, quarantine, forwarding and upstreams take their parts from it, and upstreams get origin form with the path's bytes as sent. Other readers that differed:

- own interface: fasthttp normalised the path of forwarded requests ("/app//x/../y/%2e%2e/%2Fz" became "/app/z"), and fiber's router ends a path at "#" while services got all of it; such targets get 400.
- net/http answered "OPTIONS *" with an unsigned 200; it now finds no rule.
- IPv6 hosts had brackets or not, depending on a port.

Before the fix TestLinkInAPathPicksNoRule, TestForwardedTargetIsReadInOneWay, TestRulesAndServicesReadOneTarget and TestOptionsOfTheWholeServerIsNoSuccess failed. FuzzReadersAgree ran for 20 s without a finding.

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -12,6 +12,7 @@
 	"tamarackchute/apikey"
 	"tamarackchute/internal/entry/callerwatch"
 	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/internal/reqtarget"
 	"tamarackchute/router"
 	"tamarackchute/rules"
 )
@@ -40,6 +41,7 @@
 	began        time.Time
 	method       string
 	path         string
+	target       reqtarget.Target
 	organisation string
 	// key is the digest of the caller's API key; nil if there is none.
 	key      *apikey.Digest
@@ -58,9 +60,10 @@
 		id:           id,
 		began:        time.Now(),
 		method:       strings.Clone(c.Method()),
-		path:         strings.Clone(c.Path()),
+		target:       targetOf(c),
 		organisation: defaultOrganisation,
 	}
+	k.path = k.target.Path
 	k.key = keyOf(c)
 	if name := c.Get(headerOrganisation); name != "" {
 		k.organisation = strings.Clone(name)
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -194,6 +194,7 @@
 func (g *Gateway) forwardedRequest(c *fiber.Ctx, k *call, required rules.Version) *fasthttp.Request {
 	r := &fasthttp.Request{}
 	c.Request().CopyTo(r)
+	r.SetRequestURI(k.target.Origin())
 	for _, name := range []string{fiber.HeaderConnection, fiber.HeaderKeepAlive, fiber.HeaderTransferEncoding, fiber.HeaderTE, fiber.HeaderUpgrade, fiber.HeaderExpect} {
 		r.Header.Del(name)
 	}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -189,6 +189,7 @@
 
 func (g *Gateway) routes(app *fiber.App) {
 	app.Use(g.closeIfShuttingDown)
+	app.Use(g.refuseAmbiguous)
 	app.Get("/healthz", g.healthz)
 	app.Get("/readyz", g.readyz)
 	app.Get("/v1/where", g.locate)
--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -142,7 +142,7 @@
 func serviceRequest(c *fiber.Ctx, k *call) upstream.ServiceRequest {
 	r := upstream.ServiceRequest{
 		Method: k.method,
-		Path:   strings.Clone(c.OriginalURL()),
+		Path:   k.target.Origin(),
 		Body:   bytes.Clone(c.BodyRaw()),
 	}
 	for name, value := range c.Request().Header.All() {
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -129,6 +129,8 @@
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(io.Discard, "", 0), // broken connections of callers would log one line each
+		// Otherwise net/http answers "OPTIONS *" with a success of its own.
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     log.New(io.Discard, "", 0), // broken connections of callers would log one line each
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -99,7 +99,7 @@
 	d.SetAttemptHeaders(h, a)
 	return &exchange.Request{
 		Method:        c.in.Method,
-		Target:        c.in.RequestURI,
+		Target:        c.target.Origin(),
 		Host:          c.in.Host,
 		Header:        h,
 		Body:          c.body,
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -14,6 +14,7 @@
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/reqtarget"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/placement"
 	"tamarackchute/quarantine"
@@ -36,6 +37,7 @@
 	relay   *Relay
 	out     http.ResponseWriter
 	in      *http.Request
+	target  reqtarget.Target
 	log     *slog.Logger
 	arrived time.Time
 	// deadline follows from the caller's or the rule's timeout, whichever ends first.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -203,7 +203,7 @@
 		VersionFixed: c.origin.fixed, Version: c.origin.version,
 	}))
 	return &exchange.Request{
-		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: h, Body: c.body,
+		Method: c.in.Method, Target: c.target.Origin(), Host: c.in.Host, Header: h, Body: c.body,
 		Match:         exchange.EchoedID(d.RequestIDHeader(), c.ID),
 		NonIdempotent: c.rule.RetryMode == pathset.NonIdempotent,
 		Admit:         func() error { return errors.Join(c.checkIdentity(), c.checkQuarantine()) },
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -120,7 +120,7 @@
 		attrs = append(attrs, "withheld", string(f.withheld))
 	}
 	if f.reason == reasonNoRule || f.withheld == reasonNoRule {
-		attrs = append(attrs, "host", c.in.Host, "path", pathOf(c.in.RequestURI))
+		attrs = append(attrs, "host", c.in.Host, "path", c.target.Path)
 	}
 	if f.reason == reasonVersionUnknown || f.reason == reasonVersionGone {
 		attrs = append(attrs, "stream", c.streamID(), "begun_at_version", c.origin.version, "list_read", c.origin.listRead, "versions", servingVersions(c.relay.cfg.State.Snapshot(), c.pool))
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -35,7 +35,7 @@
 // contentOf returns the content by which the call is recognised when it comes again. It doesn't
 // cover what differs with each attempt: IDs and deadlines.
 func (c *call) contentOf() quarantine.Request {
-	r := quarantine.Request{Scope: c.identity.organisation, Method: c.in.Method, Path: c.in.RequestURI, Body: c.body}
+	r := quarantine.Request{Scope: c.identity.organisation, Method: c.in.Method, Path: c.target.Origin(), Body: c.body}
 	if g := c.Generation; g != nil {
 		r.Model, r.Parts = g.Model, sharedParts(g.Parts)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +17,7 @@
 	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/reqtarget"
 	"tamarackchute/placement"
 )
 
@@ -271,7 +270,7 @@
 
 // accept parses a request, matches its rule and reads its body.
 func (r *Relay) accept(w http.ResponseWriter, in *http.Request, forwarded *forwardedCall) (*call, *failure) {
-	c := &call{relay: r, out: w, in: in, arrived: time.Now(), log: r.cfg.Logger, forwarded: forwarded}
+	c := &call{relay: r, out: w, in: in, target: reqtarget.Parse(in.RequestURI), arrived: time.Now(), log: r.cfg.Logger, forwarded: forwarded}
 	var err error
 	if c.Call, err = r.cfg.Dialect.ParseCall(in); err != nil {
 		return c, newFailure(http.StatusBadRequest, reasonBadHeaders, err.Error())
@@ -287,7 +286,7 @@
 	if f := c.checkForwarded(s.Config); f != nil {
 		return c, f
 	}
-	rule, ok := s.Config.Rules.Match(hostOf(in.Host), pathOf(in.RequestURI))
+	rule, ok := s.Config.Rules.Match(reqtarget.Host(in.Host), c.target.Path)
 	if !ok {
 		return c, newFailure(http.StatusNotFound, reasonNoRule, "no rule matches")
 	}
@@ -299,22 +298,3 @@
 	}
 	return c, c.readBody(s.Config.Limits)
 }
-
-func hostOf(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
-// pathOf returns the path of a request target as it was sent. It isn't unescaped,
-// because that could make two different paths equal.
-func pathOf(target string) string {
-	path, _, _ := strings.Cut(target, "?")
-	if i := strings.Index(path, "://"); i > 0 {
-		if j := strings.IndexByte(path[i+3:], '/'); j >= 0 {
-			return path[i+3+j:]
-		}
-	}
-	return path
-}
