--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"strings"
 
 	"github.com/gofiber/fiber/v2"
@@ -12,6 +11,7 @@
 	"tamarackchute/internal/entry/forward"
 	"tamarackchute/internal/entry/outcome"
 	"tamarackchute/internal/entry/stream"
+	"tamarackchute/internal/reqtarget"
 	"tamarackchute/router"
 	"tamarackchute/rules"
 	"tamarackchute/upstream"
@@ -70,7 +70,7 @@
 	then := k.decision.Then
 	job := forward.Job{
 		Request: serviceRequest(c, k),
-		Host:    hostOf(c.Get(fiber.HeaderHost)),
+		Host:    reqtarget.Host(strings.Clone(c.Get(fiber.HeaderHost))),
 		Route: router.Request{
 			Pool:         then.Pool,
 			Organisation: k.organisation,
@@ -145,7 +145,7 @@
 func serviceRequest(c *fiber.Ctx, k *call) upstream.ServiceRequest {
 	r := upstream.ServiceRequest{
 		Method: k.method,
-		Path:   strings.Clone(c.OriginalURL()),
+		Path:   k.target.Origin(),
 		Body:   bytes.Clone(c.BodyRaw()),
 	}
 	for name, value := range c.Request().Header.All() {
@@ -160,14 +160,6 @@
 	return r
 }
 
-// hostOf returns a copy of a host's name without its port.
-func hostOf(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return strings.Clone(host)
-}
-
 // writeResponse sets the response. A large body counts in its share until the caller has received it.
 func writeResponse(c *fiber.Ctx, k *call, r upstream.ServiceResponse, share *bodylimit.Share) {
 	c.Status(r.Status)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -15,6 +15,7 @@
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/reqtarget"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/placement"
 	"tamarackchute/quarantine"
@@ -37,6 +38,7 @@
 	relay   *Relay
 	out     http.ResponseWriter
 	in      *http.Request
+	target  reqtarget.Target
 	log     *slog.Logger
 	arrived time.Time
 	// ownDeadline follows from the caller's or the rule's timeout, whichever ends first. deadline is
