soak: servers crash at one moment, and the same path of two hosts

The oracle compares an answer with the body that was sent where that isn't the ID: as strict as before.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -73,7 +74,7 @@
 	if r.Err != nil {
 		return // the caller saw the connection break
 	}
-	if r.ID != id || !r.Signed || !strings.HasPrefix(r.Body, "answer of ") || !strings.HasSuffix(r.Body, " to "+id) {
+	if r.ID != id || !r.Signed || !strings.HasPrefix(r.Body, "answer of ") || !strings.HasSuffix(r.Body, " to "+cmp.Or(o.requests[id].body, id)) {
 		o.violate(CorrectResponse, "%s got id %q, signed %t, body %q", id, r.ID, r.Signed, r.Body)
 	}
 }
--- a/internal/soak/cut.go
+++ b/internal/soak/cut.go
@@ -99,8 +99,12 @@
 
 // askDaemonBy sends a request of a caller to a daemon, and calls prepare once the oracle knows of it.
 func (s *site) askDaemonBy(client *standin.Caller, d *daemon, v service, id string, prepare func()) standin.Reply {
+	return s.askDaemonWith(client, s.keyFor(d.number%organisations, false), d, v, id, prepare)
+}
+
+// askDaemonWith is askDaemonBy with a key.
+func (s *site) askDaemonWith(client *standin.Caller, key *accessKey, d *daemon, v service, id string, prepare func()) standin.Reply {
 	defer client.Close()
-	key := s.keyFor(d.number%organisations, false)
 	client.Key = key.text
 	launch := d.currentLaunch()
 	s.oracle.sent(id, v, key, d.number)
--- a/internal/soak/lethal.go
+++ b/internal/soak/lethal.go
@@ -168,20 +168,7 @@
 	if strings.HasPrefix(body, lethalPrefix+wavePrefix) {
 		downtime = generationDowntime
 	}
-	for _, slot := range s.slots {
-		if current, link := slot.current(); current == server {
-			link.Pause()
-			time.Sleep(downtime)
-			link.Resume()
-			slot.replacing.Lock()
-			defer slot.replacing.Unlock()
-			if current, _ = slot.current(); current == server {
-				s.stopServer(slot)
-				s.startReplacement(slot)
-			}
-			return
-		}
-	}
+	s.replaceCrashed(server, downtime)
 }
 
 func (o *oracle) sentLethal(id, body string, s service, key *accessKey, daemon int) {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -13,7 +13,9 @@
 // request holds what the caller and the servers observed of one request.
 type request struct {
 	service service
-	key     *accessKey
+	// body is that of the request; empty means that it is the ID.
+	body string
+	key  *accessKey
 	// daemon is the one that the caller chose, sender the one that last sent the request to a server.
 	daemon, sender int
 	sentAt         time.Time
@@ -173,6 +175,13 @@
 	o.requests[id].resumedAfter, o.requests[id].versions = after, versions
 }
 
+// has records the body of a request.
+func (o *oracle) has(id, body string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.requests[id].body = body
+}
+
 // callerClosed records that the caller of a request has closed its connection.
 func (o *oracle) callerClosed(id string) {
 	o.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,6 +54,8 @@
 	CutHeads          FaultKind = "server-cuts-heads"
 	ResumeAfterDeath  FaultKind = "streams-after-all-died"
 	JoinVersion       FaultKind = "version-joins-in-standstill"
+	CrashAtOnce       FaultKind = "servers-crash-at-one-moment"
+	SendToTwoHosts    FaultKind = "path-of-two-hosts"
 )
 
 // Step is one fault of a run.
@@ -160,7 +162,14 @@
 // releaseKindWeights holds the kinds of the tenth stream: releases beside daemons out of step.
 var releaseKindWeights = []kindWeight{{JoinVersion, 1}}
 
+// momentKindWeights holds the kinds of the twelfth stream: whose crash it was.
+var momentKindWeights = []kindWeight{{CrashAtOnce, 1}, {SendToTwoHosts, 1}}
+
 const (
+	// momentStream is the random stream of the twelfth stream of steps, momentIntervalFactor how much
+	// longer its intervals are.
+	momentStream         = 1 << 42
+	momentIntervalFactor = 16
 	// releaseStream is the random stream of the tenth stream of steps, releaseIntervalFactor how much longer
 	// its intervals are.
 	releaseStream         = 1 << 40
@@ -221,6 +230,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, poolStream)), profile, poolKindWeights)...)
 	profile.MeanInterval = profile.MeanInterval / poolIntervalFactor * releaseIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, releaseStream)), profile, releaseKindWeights)...)
+	profile.MeanInterval = profile.MeanInterval / releaseIntervalFactor * momentIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, momentStream)), profile, momentKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -43,6 +43,8 @@
 	PoolUsed               Promise = "a pool that answers most requests is used"
 	OneVersion             Promise = "a stream holds events of one software version"
 	StreamsGoOn            Promise = "streams go on while servers of their version serve"
+	CommonServed           Promise = "a request that was answered is served after servers crash at one moment"
+	OtherHostServed        Promise = "a request isn't refused for what the same path of another host does"
 	LimitKept              Promise = "a server's limit holds over all daemons"
 )
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -110,6 +110,7 @@
 	serversStarted int
 	// release joins a software version to pools of another one.
 	release release
+	moments moments
 	// serverLinks are all links to servers.
 	serverLinks    []*Proxy
 	stoppedServers []*standin.Server
@@ -160,6 +161,9 @@
 	if err := s.addReleasePools(); err != nil {
 		return nil, err
 	}
+	if err := s.addMomentServers(); err != nil {
+		return nil, err
+	}
 	s.publish()
 	s.oracle.senders = s.senderAt
 	return s, s.addDaemons(o, network)
@@ -197,6 +201,7 @@
 		v := releaseService(i)
 		rules = append(rules, standin.Service{Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline, Public: v.public()})
 	}
+	rules = append(rules, momentRules()...)
 	rules = append(rules, addedRules(s.versions)...)
 	rules = append(rules, furtherNames(s.further)...)
 	s.store.PutConfig(s.published, rules, s.access.published()...)
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -18,6 +18,10 @@
 	role string
 	// version is the software version of its servers; empty means that engines alternate.
 	version string
+	// runTime is how long each call takes; 0 means that few take long. sound means that no request
+	// crashes its servers.
+	runTime time.Duration
+	sound   bool
 	// replacing is held by the step that replaces the server.
 	replacing sync.Mutex
 
@@ -58,7 +62,7 @@
 
 // addLinks creates a link for each server and the spare ones.
 func (s *site) addLinks(callers int) error {
-	n := len(versionPools) + spareLinks + releasePools*releaseServers + releaseJoiners
+	n := len(versionPools) + spareLinks + releasePools*releaseServers + releaseJoiners + momentServers + len(hostServices)*hostServers
 	for _, v := range services {
 		n += v.serversFor(callers)
 	}
@@ -101,7 +105,12 @@
 	server.Observer, server.Handles = s.oracle, s.handles
 	server.SlowEvery, server.SlowFor = slowEvery, slowDuration
 	lethal := &standin.Lethal{Prefix: lethalPrefix, RunFor: lethalRun, Crashed: s.serverCrashed}
-	server.SetLethal(lethal)
+	if !slot.sound {
+		server.SetLethal(lethal)
+	}
+	if slot.runTime != 0 {
+		server.SlowEvery, server.SlowFor = 1, slot.runTime
+	}
 	if slot.role != "" {
 		lethal.Parts = lethalParts
 		server.Version = s.nextVersion()
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -117,6 +117,10 @@
 		s.resumeAfterDeath(step)
 	case JoinVersion:
 		s.joinVersion(step)
+	case CrashAtOnce:
+		s.crashAtOnce(step)
+	case SendToTwoHosts:
+		s.sendToTwoHosts(step)
 	case FailProvider:
 		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
