--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -37,7 +37,7 @@
 // cover what differs with each attempt: IDs and deadlines.
 func (c *call) contentOf() quarantine.Request {
 	r := quarantine.Request{
-		Scope: c.identity.organisation, Method: c.in.Method, Pool: c.pool, Host: hostOf(c.in.Host), Path: c.target.Origin(), Body: c.body,
+		Scope: c.identity.organisation, Method: c.in.Method, Pool: c.pool, Host: reqtarget.Host(c.in.Host), Path: c.target.Origin(), Body: c.body,
 	}
 	if g := c.Generation; g != nil {
 		r.Model, r.Parts = g.Model, sharedParts(g.Parts)
