--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -26,6 +26,9 @@
 	// at another engine.
 	longPromptsOneIn = 4
 	longPrompt       = 9000
+	// One in linksOneIn callers has a link in the paths of its requests, which leads to another service.
+	linksOneIn = 5
+	link       = "https://" + standin.RuleHost + "/repeat/x"
 	// minResolveInterval bounds how often a caller asks a directory for addresses.
 	minResolveInterval = 200 * time.Millisecond
 	// callerTimeoutSlack is how long a caller waits beyond its request's deadline.
@@ -142,6 +145,9 @@
 	id := fmt.Sprintf("%d-%d", c.name, c.sent)
 	key := c.site.keyFor(c.name%organisations, c.rng.IntN(removedKeyOneIn) == 0)
 	client.Key = key.text
+	if c.name%linksOneIn == 0 {
+		client.Path = "/" + s.name + "/" + link
+	}
 	c.site.oracle.sent(id, s, key, d.number)
 
 	ctx, cancel := context.WithTimeout(context.Background(), s.deadline+callerTimeoutSlack)
