streamversion: a shorter timeout keeps only what left before

Cause: the retention of the whole pool stayed long, though only versions that have left matter. Now each of these keeps the longest retention of when it left. TestShorterRetentionHoldsForLaterStreams holds as it was; ./platform's tests of streams, versions and claims pass (39.8 s, race detector).

--- a/streamversion/book.go
+++ b/streamversion/book.go
@@ -56,18 +56,23 @@
 
 // pool is what is known of a pool's versions.
 type pool struct {
-	// retention may become shorter at shortenAt, when streams of the longer one have ended; zero means
-	// that it stays.
 	retention time.Duration
-	shortenAt time.Time
 	streams   bool
 	// listed are those with upstreams in the list; removed says when others were last in it.
 	listed  map[string]bool
-	removed map[string]time.Time
+	removed map[string]departure
 	// confirmed means that another process vouches for the time before this one's start.
 	confirmed bool
 }
 
+// departure is when a version was last listed, and until when its streams may be taken up at least.
+type departure struct{ at, until time.Time }
+
+// over reports whether no stream of the version may be taken up any more.
+func (d departure) over(now time.Time, retention time.Duration) bool {
+	return now.Sub(d.at) > retention && now.After(d.until)
+}
+
 type record struct {
 	Begun
 	at time.Time
@@ -111,18 +116,18 @@
 func (b *Book) pool(name string) *pool {
 	p := b.pools[name]
 	if p == nil {
-		p = &pool{listed: make(map[string]bool), removed: make(map[string]time.Time)}
+		p = &pool{listed: make(map[string]bool), removed: make(map[string]departure)}
 		b.pools[name] = p
 	}
 	return p
 }
 
 func (p *pool) observe(listed Listed, now time.Time) {
-	p.streams = listed.Streams
-	p.setRetention(listed.Retention, now)
+	longest := max(p.retention, listed.Retention) // streams of an earlier configuration may last longer
+	p.retention, p.streams = listed.Retention, listed.Streams
 	for v := range p.listed {
 		if !slices.Contains(listed.Versions, v) {
-			p.removed[v] = now
+			p.removed[v] = departure{now, now.Add(longest)}
 			delete(p.listed, v)
 		}
 	}
@@ -130,27 +135,14 @@
 		p.listed[v] = true
 		delete(p.removed, v)
 	}
-	maps.DeleteFunc(p.removed, func(_ string, at time.Time) bool { return now.Sub(at) > p.retention })
-}
-
-// setRetention sets the retention. Streams that began before it became shorter may be taken up for as long as
-// before.
-func (p *pool) setRetention(d time.Duration, now time.Time) {
-	switch {
-	case d >= p.retention:
-		p.retention, p.shortenAt = d, time.Time{}
-	case p.shortenAt.IsZero():
-		p.shortenAt = now.Add(p.retention)
-	case !now.Before(p.shortenAt):
-		p.retention, p.shortenAt = d, time.Time{}
-	}
+	maps.DeleteFunc(p.removed, func(_ string, d departure) bool { return d.over(now, p.retention) })
 }
 
 // served returns the versions that have served within the pool's retention.
 func (p *pool) served(now time.Time) []string {
 	served := slices.Collect(maps.Keys(p.listed))
-	for v, at := range p.removed {
-		if now.Sub(at) <= p.retention {
+	for v, d := range p.removed {
+		if !d.over(now, p.retention) {
 			served = append(served, v)
 		}
 	}
--- a/streamversion/decision.go
+++ b/streamversion/decision.go
@@ -99,7 +99,7 @@
 		return nil
 	}
 	mixed := p.mixed(now)
-	p.removed[version] = now
+	p.removed[version] = departure{now, now.Add(p.retention)}
 	if mixed || !p.mixed(now) {
 		return nil
 	}
