member: the time for other daemons' answers counts from the question's sending

What callers could see (LOST): a daemon that goes on after a standstill while the store is away refuses streams whose version another daemon knows, without having asked it. Cause: the time for answers counted from the take-up's arrival, and the wait for the list had used it up. Now it counts from when others were first asked; the whole search stays within its limit. TestOthersAreAskedAfterASlowList is red before and green now.

--- a/internal/member/streamdecision.go
+++ b/internal/member/streamdecision.go
@@ -24,8 +24,8 @@
 	pool   string
 	stream streamversion.Stream
 	began  time.Time
-	// asked is when it was last to be sent; zero before.
-	asked time.Time
+	// firstAsked and asked are when it was first and last to be sent; zero before.
+	firstAsked, asked time.Time
 	// answers holds for each neighbour that has answered the version that it vouches for, empty for none.
 	answers map[string]string
 }
@@ -121,6 +121,9 @@
 func (x *streamVersions) ask(q *question) {
 	x.mu.Lock()
 	q.asked = time.Now()
+	if q.firstAsked.IsZero() {
+		q.firstAsked = q.asked
+	}
 	x.unasked = append(x.unasked, q)
 	x.mu.Unlock()
 	x.wakeUp()
@@ -206,7 +209,7 @@
 	if !vouched {
 		e.Vouched = ""
 	}
-	e.Answered = e.Answered || time.Since(q.began) > answerTimeout
+	e.Answered = e.Answered || !q.firstAsked.IsZero() && time.Since(q.firstAsked) > answerTimeout
 	return e
 }
 
--- a/internal/member/streamversions_test.go
+++ b/internal/member/streamversions_test.go
@@ -258,3 +258,24 @@
 	}
 	return c.logClient.Changes(ctx, t, from, wait)
 }
+
+// Guards against a stream that is refused without asking others, as reading the list took all the time for answers.
+func TestOthersAreAskedAfterASlowList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m := newVersionDaemon(t)
+		s.store.write("e1", versionedEntry("e1", "v2"))
+		s.read(m)
+		addNeighbour(m, "b", true)
+		s.store.setDown(true)
+		m.peers.beat.tick(time.Now())
+		m.peers.beat.resumed = time.Now().Add(time.Millisecond) // it stood still after its last read
+		ended := answerQuestions(m, func(r wire.StreamVersionRequest) {
+			m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Version: "v2", Streams: r.Streams})
+			m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Question: r.Question})
+		})
+		version, known := versionOf(m)
+		ended()
+		require.True(t, known)
+		require.Equal(t, "v2", version)
+	})
+}
