--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -21,16 +21,20 @@
 	if !res.done {
 		level = slog.LevelWarn
 	}
-	attrs := []any{
-		"request", c.ID, "upstream", p.target.ID, "version", p.target.Version, "pool", c.pool, "config", c.version,
+	attrs := []any{"request", c.ID, "upstream", p.target.ID, "done", res.done, "status", res.status}
+	if res.err != nil {
+		attrs = append(attrs, "fate", res.execution.String(), "err", res.err)
+	}
+	attrs = append(attrs,
+		"lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "first_ms", telemetry.Millis(p.firstEventTime), "events", c.eventsOf(p),
+		"version", p.target.Version, "pool", c.pool, "config", c.version,
 		"waited_ms", telemetry.Millis(p.waited), "expected_ms", telemetry.Millis(p.plan.FirstToken),
 		"prompt", c.promptTokens(), "output", c.outputTokens(), "max_output", c.maxOutput(),
 		"uncached", p.plan.Uncached, "fetched", p.plan.Transferred, "reread", p.plan.Recomputes,
 		"queue_ms", telemetry.Millis(p.plan.QueueTime), "ideal_ms", telemetry.Millis(p.plan.IdealFirstToken),
 		"expected_gap_ms", telemetry.Millis(p.plan.MaxGap), "behind", c.late, "considered", p.plan.Candidates,
-		"read_ms", telemetry.Millis(p.prefillTime), "first_ms", telemetry.Millis(p.firstEventTime),
-		"lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "done", res.done, "status", res.status,
-	}
+		"read_ms", telemetry.Millis(p.prefillTime),
+	)
 	if p.ticket.LastResort() || p.prefillTicket.LastResort() {
 		c.relay.metrics.recordLastResort(c.pool)
 		attrs = append(attrs, "last_resort", true)
@@ -41,9 +45,6 @@
 	if p.prefill != nil {
 		attrs = append(attrs, "prefill", p.prefill.ID)
 	}
-	if res.err != nil {
-		attrs = append(attrs, "fate", res.execution.String(), "err", res.err)
-	}
 	if s := c.relay.standing(); s.Newest > c.version {
 		attrs = append(attrs, standingAttrs(s)...)
 	}
@@ -56,11 +57,14 @@
 // logForward logs to which daemon the request was forwarded, and how that ended.
 func (c *call) logForward(p *assignment, res result, f *failure) {
 	c.relay.metrics.recordForward(c.pool, res)
-	attrs := []any{
-		"request", c.ID, "to", p.peer.Instance, "address", p.peer.Address, "pool", c.pool, "config", c.version,
-		"path_lost", c.relay.paths.IsLost(c.pool), "first_ms", telemetry.Millis(p.firstEventTime),
-		"lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "done", res.done, "status", res.status,
+	attrs := []any{"request", c.ID, "to", p.peer.Instance, "done", res.done, "status", res.status}
+	if !res.done {
+		attrs = append(attrs, "fate", res.execution.String(), "err", res.err)
 	}
+	attrs = append(attrs,
+		"lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "first_ms", telemetry.Millis(p.firstEventTime), "events", c.eventsOf(p),
+		"path_lost", c.relay.paths.IsLost(c.pool), "address", p.peer.Address, "pool", c.pool, "config", c.version,
+	)
 	if f != nil {
 		attrs = append(attrs, "reason", string(f.reason))
 	}
@@ -68,7 +72,7 @@
 		c.log.Info("forwarded", attrs...)
 		return
 	}
-	c.log.Warn("forwarded", append(attrs, "fate", res.execution.String(), "err", res.err)...)
+	c.log.Warn("forwarded", attrs...)
 }
 
 // completionAttrs returns the attributes of a long response: whether it was expected to
@@ -76,7 +80,7 @@
 func (c *call) completionAttrs(p *assignment) []any {
 	return []any{
 		"beside", p.plan.Concurrent, "expected_whole_ms", telemetry.Millis(p.plan.Completion),
-		"left_ms", telemetry.Millis(c.deadline.Sub(p.sentAt)), "events", c.eventsOf(p),
+		"left_ms", telemetry.Millis(c.deadline.Sub(p.sentAt)),
 	}
 }
 
@@ -86,7 +90,11 @@
 	if c.forwarded == nil {
 		c.relay.outages.record(c.pool, f)
 	}
-	attrs := []any{"request", c.ID, "took_ms", telemetry.Millis(time.Since(c.arrived)), "attempts", c.attempts.Attempts(), "config", c.version}
+	attrs := []any{"request", c.ID}
+	if f != nil {
+		attrs = append(attrs, "reason", string(f.reason), "status", f.status, "ran", c.attempts.MayHaveRun())
+	}
+	attrs = append(attrs, "took_ms", telemetry.Millis(time.Since(c.arrived)), "attempts", c.attempts.Attempts(), "config", c.version)
 	if c.forwarded != nil {
 		attrs = append(attrs, "forwarded_by", c.forwarded.From)
 	}
@@ -132,7 +140,7 @@
 	if f.reason == reasonSuspected {
 		attrs = append(attrs, "digest", c.trial.digest.String())
 	}
-	attrs = append(attrs, "status", f.status, "reason", string(f.reason), "ran", c.attempts.MayHaveRun(), "retry_after_ms", telemetry.Millis(f.retryAfter))
+	attrs = append(attrs, "retry_after_ms", telemetry.Millis(f.retryAfter))
 	c.log.Warn("failed", attrs...)
 }
 
--- a/review/stand/silences/main.go
+++ b/review/stand/silences/main.go
@@ -56,7 +56,6 @@
 	began     time.Time
 
 	counts map[string]int
-	late   []time.Duration
 }
 
 func main() {
