relay: a silent upstream is given up only for a place that is held

Callers saw streams that had begun end at their deadline or without attempts left, after their sound server had been silent for a second. The watchdog asked whether the attempt could be repeated and the budget had a retry left, not whether there was a place elsewhere; each attempt it ended counted as a failed connection, so that two of them ejected the server, which then took one request at a time until that had ended whole.

Now the watchdog reserves a place first, and goes on listening while there is none; freed places go to these requests before new ones. A silent upstream gets no new requests until it is heard again, by any request. One that was given up may be tried again after 0.5 s.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"tamarackchute/enginemodel"
@@ -328,7 +327,7 @@
 func (c *call) placementRequest() placement.Request {
 	r := placement.Request{
 		DataCentre: c.relay.cfg.DataCentre,
-		Exclude:    slices.Concat(c.excluded, c.trial.avoid, c.otherVersions(c.relay.cfg.State.Snapshot())),
+		Exclude:    append(c.excludedNow(), c.otherVersions(c.relay.cfg.State.Snapshot())...),
 	}
 	if g := c.Generation; g != nil {
 		r.Parts = g.Parts
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -189,6 +189,8 @@
 	case errors.Is(err, bodylimit.ErrExceeded):
 		return placement.Cancelled // others hold the memory
 	case errors.Is(context.Cause(ctx), errStalled):
+		return placement.Stalled
+	case errors.Is(context.Cause(ctx), errPathLost):
 		return placement.Unreachable
 	case errors.Is(ctx.Err(), context.Canceled):
 		return placement.Cancelled
@@ -219,11 +221,13 @@
 	defer watch.stop()
 	resp, err := c.relay.connsTo(p.target).Do(ctx, c.newRequest(p.target, p, c.decodeAttempt(p, handoff)))
 	if err != nil {
+		watch.disarm()
 		return c.sendFailed(ctx, p, err)
 	}
 	defer resp.Close()
 	switch class := c.relay.cfg.Dialect.Classify(resp.Status, resp.Header); class {
 	case NotRun, WrongUpstream:
+		watch.disarm()
 		c.excluded = append(c.excluded, p.target.ID)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)) // frees the connection
 		res := result{execution: dispatch.NotRun, reachedUpstream: true, outcome: outcomeOfRefusal(resp.Status), status: resp.Status, err: errNotRun}
@@ -234,6 +238,7 @@
 		}
 		return res
 	case Unsigned:
+		watch.disarm()
 		c.recordRun(p)
 		return c.lostResult(p, placement.Failed, errUnsigned)
 	}
@@ -295,9 +300,13 @@
 }
 
 // lostResult returns the result of an attempt that may have run but gave no usable
-// response, and excludes its upstream from retries.
+// response, and excludes its upstream from retries, for a while if it was silent.
 func (c *call) lostResult(p *assignment, o placement.Outcome, err error) result {
-	c.excluded = append(c.excluded, p.target.ID)
+	if o == placement.Stalled {
+		c.silent = append(c.silent, silentUpstream{id: p.target.ID, at: time.Now()})
+	} else {
+		c.excluded = append(c.excluded, p.target.ID)
+	}
 	return result{execution: dispatch.MayHaveRun, reachedUpstream: true, outcome: o, err: err}
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -79,8 +79,11 @@
 	retryReserved atomic.Bool
 	// attempts counts the attempts that may have run.
 	attempts dispatch.State
-	// excluded names upstreams that won't be tried again.
+	// excluded names upstreams that won't be tried again, silent those that may be later.
 	excluded []string
+	silent   []silentUpstream
+	// replacement is the place reserved for the next attempt by the watchdog of the one in progress.
+	replacement *assignment
 	// stream is set once the headers of a streamed response have been sent.
 	stream *streamState
 	// retried says that the caller retries after an earlier refusal.
@@ -169,6 +172,7 @@
 	}
 	c.content = c.contentOf()
 	f := c.run(ctx)
+	c.releaseReplacement()
 	c.dropHandoff()
 	switch {
 	case f == nil:
@@ -244,12 +248,16 @@
 		if f := c.awaitTrial(ctx); f != nil {
 			return f
 		}
-		p, forwarded, f := c.assignOrForward(ctx)
-		if forwarded == forwardBroke {
-			continue
-		}
-		if f != nil || forwarded == forwardEnded {
-			return f
+		p := c.takeReplacement()
+		if p == nil {
+			var forwarded forwardResult
+			var f *failure
+			if p, forwarded, f = c.assignOrForward(ctx); forwarded == forwardBroke {
+				continue
+			}
+			if f != nil || forwarded == forwardEnded {
+				return f
+			}
 		}
 		if !c.beginTrial(ctx, p) {
 			continue
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -161,11 +161,13 @@
 	defer watch.stop()
 	resp, err := c.relay.forwarder.connsTo(*p.peer).Do(ctx, c.newForwardedRequest())
 	if err != nil {
+		watch.disarm()
 		return c.forwardFailed(ctx, p, err), nil
 	}
 	defer resp.Close()
 	var outcome forwardedOutcome
 	if err := decodeHeader(resp.Header, outcomeHeader, &outcome); err != nil {
+		watch.disarm()
 		c.recordBrokenHop()
 		return c.lostResult(p, placement.Failed, errUnsigned), nil
 	}
@@ -234,7 +236,7 @@
 		return result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: err}
 	}
 	err = withStallError(ctx, err)
-	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
+	if ctx.Err() == nil || gaveUp(context.Cause(ctx)) {
 		c.relay.forwarder.avoidFor(*p.peer, avoidUnreachable)
 	}
 	if !mayHaveReached(err) {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -176,11 +176,7 @@
 		return
 	}
 	c.relay.metrics.recordHealth(u.Pool, change)
-	health := c.relay.cfg.Tracker.PoolHealth(u.Pool)
-	attrs := []any{
-		"upstream", u.ID, "started", u.Started, "pool", u.Pool, "request", c.ID,
-		"listed", health.Listed, "ejected", health.Ejected, "unreachable", health.Unreachable,
-	}
+	attrs := c.relay.healthAttrs(u, c.ID)
 	if change == placement.HealthReadmitted {
 		c.log.Info("upstream readmitted", attrs...)
 		return
@@ -188,6 +184,31 @@
 	c.log.Warn("upstream ejected", append(attrs, "err", res.err)...)
 }
 
+// logSilent logs that an upstream was ejected for its silence.
+func (r *Relay) logSilent(u *fleet.Upstream, request string) {
+	r.metrics.recordHealth(u.Pool, placement.HealthEjected)
+	r.cfg.Logger.Warn("upstream ejected", append(r.healthAttrs(u, request), "err", errStalled)...)
+}
+
+// recordHeard logs that an upstream which was ejected for its silence was heard, if it was.
+func (r *Relay) recordHeard(readmitted bool, u *fleet.Upstream, request string) {
+	if !readmitted {
+		return
+	}
+	r.metrics.recordHealth(u.Pool, placement.HealthReadmitted)
+	r.cfg.Logger.Info("upstream readmitted", r.healthAttrs(u, request)...)
+	r.WakeWaiting()
+}
+
+// healthAttrs returns the attributes of a change in an upstream's health.
+func (r *Relay) healthAttrs(u *fleet.Upstream, request string) []any {
+	health := r.cfg.Tracker.PoolHealth(u.Pool)
+	return []any{
+		"upstream", u.ID, "started", u.Started, "pool", u.Pool, "request", request,
+		"listed", health.Listed, "ejected", health.Ejected, "unreachable", health.Unreachable,
+	}
+}
+
 // mismatchRecorder returns a function that counts and logs an upstream's responses that
 // were dropped because they belong to other requests.
 func (r *Relay) mismatchRecorder(u *fleet.Upstream) func(exchange.Mismatch) {
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -74,7 +74,7 @@
 	if res.err == nil {
 		c.prefills++
 		p.prefillTime = time.Since(p.sentAt)
-		p.prefillTicket.PrefillDone()
+		c.relay.recordHeard(p.prefillTicket.PrefillDone(), p.prefill, c.ID)
 		c.endTicket(p.prefill, p.prefillTicket, result{outcome: placement.Done})
 		c.relay.WakeWaiting()
 		return handle, res
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -129,5 +129,5 @@
 // brokeOff reports whether the connection to the upstream ended before the response was complete. A
 // silent upstream is slow or cut off, which is no sign of a crash.
 func (r result) brokeOff() bool {
-	return r.reachedUpstream && r.outcome == placement.Unreachable && !errors.Is(r.err, errStalled)
+	return r.reachedUpstream && r.outcome == placement.Unreachable && !gaveUp(r.err)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,9 @@
 	// ones first; nil forwards none. OnPathChange is called when a path to upstreams is lost or works again.
 	ForwardPeers func(pool string) []ForwardPeer
 	OnPathChange func()
+	// PeerSilent reports whether nothing was heard lately of a daemon to which requests are forwarded;
+	// nil means that it isn't known.
+	PeerSilent func(instance string) bool
 	// OnReplaced is called for an upstream whose address now belongs to another
 	// incarnation; nil does nothing.
 	OnReplaced func(id string)
@@ -80,6 +83,7 @@
 	demand   demandMeter
 	paths    *paths
 	outages  *outages
+	silences silences
 	// forwarder passes requests on to other daemons.
 	forwarder *forwarder
 	// bodies limits what responses hold in memory.
@@ -137,8 +141,10 @@
 	return false
 }
 
-// WakeWaiting lets queued requests try again, because an upstream may have free capacity.
+// WakeWaiting lets queued requests try again, because an upstream may have free capacity. Requests that
+// were sent to an upstream which is silent come first.
 func (r *Relay) WakeWaiting() {
+	r.silences.wake()
 	r.mu.Lock()
 	queues := make([]*queue, 0, len(r.queues))
 	for _, q := range r.queues {
@@ -224,6 +230,7 @@
 		}
 		observe := func(response exchange.ObservedResponse) {
 			r.paths.Tracker.Answered(u.Pool)
+			r.recordHeard(r.cfg.Tracker.Heard(u.ID), u, "")
 			r.Observe(u, response)
 		}
 		options := exchange.Options{Dial: r.cfg.Dial, OnMismatch: r.mismatchRecorder(u), OnResponse: observe, Bodies: r.bodies}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"tamarackchute/internal/fleet"
 	"tamarackchute/internal/patience"
+	"tamarackchute/internal/telemetry"
+	"tamarackchute/placement"
 )
 
 const (
 	// A response must begin within firstEventTimeoutFactor times the objective, or
 	// prefillTimeoutFactor times the expected time plus prefillSlack, whichever is longer.
-	// After that the request is retried at another upstream.
+	// After that another place is sought for the request.
 	firstEventTimeoutFactor = 4
 	// The gap between two events may last eventGapTimeoutFactor times the objective for
 	// gaps. Healthy engines pause for up to twice the objective.
@@ -22,31 +26,60 @@
 	minStallTimeout = 600 * time.Millisecond
 	// lostPathSilence is the silence after which an attempt is aborted that goes over a lost path.
 	lostPathSilence = 300 * time.Millisecond
+	// silentExclusion is how long an upstream that was given up for its silence isn't tried again.
+	silentExclusion = 500 * time.Millisecond
+	// stallRecheck is how often another place is sought for an attempt whose upstream is silent.
+	stallRecheck = 100 * time.Millisecond
 )
 
-var errStalled = errors.New("the upstream stalled")
+var (
+	errStalled = errors.New("the upstream stalled")
+	// errPathLost aborts an attempt whose path is lost, while other daemons have one.
+	errPathLost = errors.New("the path to the upstream is lost")
+)
 
-// stallWatchdog aborts an attempt whose upstream sends nothing. A network partition or a
-// stopped process gives no error: without the watchdog a stream would hang until its
-// caller's timeout, and the upstream would keep getting requests.
+// stallWatchdog watches an attempt whose upstream sends nothing. A network partition or a stopped process
+// gives no error, but a sound upstream may be silent for a while, too. So an attempt is given up only for
+// another place, which is held before; without one, its upstream may still answer.
 type stallWatchdog struct {
 	call   *call
 	cancel context.CancelCauseFunc
+	// assigned is the attempt's place.
+	assigned *assignment
 	// retryable says that the request may be sent again after the attempt.
 	retryable bool
 
 	mu sync.Mutex
-	// stopTimer stops the timeout, nil if there is none.
+	// stopTimer stops the timeout, nil if there is none. round counts the timeouts, so that one which fires
+	// while it is stopped does nothing.
 	stopTimer func()
+	round     int
 	// heardAt is when the upstream last sent something, or the attempt began.
 	heardAt time.Time
+	// decision is the last one logged of the current silence.
+	decision silenceDecision
 }
 
-// watchForStall returns a context that is cancelled when the upstream stalls, with a
-// watchdog that is armed for the first event.
+// silenceDecision is what becomes of an attempt whose upstream is silent.
+type silenceDecision string
+
+const (
+	undecided silenceDecision = ""
+	// keepWithoutPlace and keepWithoutBudget go on waiting.
+	keepWithoutPlace  silenceDecision = "wait: no other place"
+	keepWithoutBudget silenceDecision = "wait: no retry budget"
+	// keepPeer goes on waiting for another daemon, which watches its upstream itself.
+	keepPeer silenceDecision = "wait: the other daemon lives"
+	// moveToPlace and givePeerUp abort the attempt.
+	moveToPlace silenceDecision = "move"
+	givePeerUp  silenceDecision = "give up: the other daemon is silent"
+)
+
+// watchForStall returns a context that is cancelled when the attempt is given up for the silence of its
+// upstream, with a watchdog that is armed for the first event.
 func (c *call) watchForStall(ctx context.Context, p *assignment) (context.Context, *stallWatchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &stallWatchdog{call: c, cancel: cancel, retryable: c.attempts.MayRetry(1), heardAt: time.Now()}
+	w := &stallWatchdog{call: c, cancel: cancel, assigned: p, retryable: c.attempts.MayRetry(1), heardAt: time.Now()}
 	w.arm(c.firstEventTimeout(p))
 	if p.peer == nil {
 		c.relay.paths.watch(w)
@@ -80,14 +113,22 @@
 }
 
 // arm starts the timeout for the next data from the upstream; 0 means no timeout. A silence in which this
-// process stood still isn't the upstream's.
+// process stood still isn't the upstream's. Until disarm, only the watchdog may change the call.
 func (w *stallWatchdog) arm(limit time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.decision, w.heardAt = undecided, time.Now()
+	w.startTimer(limit)
+}
+
+// startTimer starts the timeout. The caller holds w.mu.
+func (w *stallWatchdog) startTimer(limit time.Duration) {
 	if limit == 0 {
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.stopTimer = patience.AfterFunc(limit, w.expire)
+	w.round++
+	round := w.round
+	w.stopTimer = patience.AfterFunc(limit, func() { w.expire(round) })
 }
 
 // disarm stops the timeout.
@@ -95,45 +136,244 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.heardAt = time.Now()
+	w.round++
 	if w.stopTimer != nil {
 		w.stopTimer()
 		w.stopTimer = nil
 	}
 }
 
-// pathLost aborts an attempt whose upstream has been silent for a while, because the path to its
-// pool is lost: other daemons may reach it.
-func (w *stallWatchdog) pathLost() {
+// expire decides what becomes of an attempt whose upstream is silent.
+func (w *stallWatchdog) expire(round int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if round != w.round {
+		return
+	}
+	decision := w.decideSilence()
+	w.logDecision(decision)
+	switch decision {
+	case moveToPlace, givePeerUp:
+		w.abort(errStalled)
+	default:
+		w.startTimer(stallRecheck)
+		w.call.relay.silences.add(w)
+	}
+}
+
+// tryAgain decides anew about an attempt that waits for another place. It reports whether others may still
+// find one.
+func (w *stallWatchdog) tryAgain() bool {
 	w.mu.Lock()
-	silent := time.Since(w.heardAt)
-	w.mu.Unlock()
-	if silent >= lostPathSilence && w.retryable {
-		w.expire()
+	defer w.mu.Unlock()
+	if w.stopTimer == nil || w.decision != keepWithoutPlace {
+		return true
+	}
+	decision := w.decideSilence()
+	w.logDecision(decision)
+	if decision != moveToPlace {
+		return false
+	}
+	w.stopTimer()
+	w.abort(errStalled)
+	return true
+}
+
+// decideSilence holds another place for the attempt if there is one. The caller holds w.mu.
+func (w *stallWatchdog) decideSilence() silenceDecision {
+	if w.assigned.peer != nil {
+		return w.decidePeerSilence()
+	}
+	c := w.call
+	if c.relay.cfg.Tracker.MarkSilent(w.assigned.target.ID, w.heardAt) {
+		c.relay.logSilent(w.assigned.target, c.ID)
+	}
+	next := c.findReplacement(w.assigned.target)
+	if next == nil {
+		return keepWithoutPlace
+	}
+	if !w.reserveRetry() {
+		next.release()
+		return keepWithoutBudget
+	}
+	c.replacement = next
+	return moveToPlace
+}
+
+// decidePeerSilence decides for a request that was forwarded. The other daemon knows best what becomes of
+// it, unless it is silent itself.
+func (w *stallWatchdog) decidePeerSilence() silenceDecision {
+	silent := w.call.relay.cfg.PeerSilent
+	switch {
+	case silent != nil && !silent(w.assigned.peer.Instance):
+		return keepPeer
+	case !w.reserveRetry():
+		return keepWithoutBudget
+	default:
+		return givePeerUp
 	}
 }
 
-// expire aborts the attempt if the budget allows a retry: a stalled upstream is still
-// better than none.
-func (w *stallWatchdog) expire() {
+// reserveRetry counts the retry that follows the attempt, if the budget allows one.
+func (w *stallWatchdog) reserveRetry() bool {
 	c := w.call
 	if !c.relay.cfg.RetryBudget.AllowRetry(c.pool) {
-		return
+		return false
 	}
 	c.retryReserved.Store(true)
-	w.cancel(errStalled)
+	return true
+}
+
+// abort ends the attempt. The caller holds w.mu.
+func (w *stallWatchdog) abort(cause error) {
+	w.round++
+	w.cancel(cause)
 }
 
-// withStallError adds errStalled to the error of an attempt that the watchdog aborted.
+// logDecision logs a decision, once in a row. The caller holds w.mu.
+func (w *stallWatchdog) logDecision(d silenceDecision) {
+	if d == w.decision {
+		return
+	}
+	w.decision = d
+	c := w.call
+	attrs := []any{"request", c.ID, "upstream", w.assigned.target.ID, "decision", string(d), "silent_ms", telemetry.Millis(time.Since(w.heardAt)), "pool", c.pool}
+	if c.replacement != nil {
+		attrs = append(attrs, "to", c.replacement.target.ID)
+	}
+	c.log.Info("upstream is silent", attrs...)
+}
+
+// pathLost aborts an attempt whose upstream has been silent for a while, because the path to its
+// pool is lost and other daemons reach it.
+func (w *stallWatchdog) pathLost() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.retryable && time.Since(w.heardAt) >= lostPathSilence && w.reserveRetry() {
+		w.abort(errPathLost)
+	}
+}
+
+// withStallError adds the reason to the error of an attempt that the watchdog aborted.
 func withStallError(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errStalled) {
-		return errors.Join(errStalled, err)
+	for _, cause := range []error{errStalled, errPathLost} {
+		if errors.Is(context.Cause(ctx), cause) {
+			return errors.Join(cause, err)
+		}
 	}
 	return err
 }
 
+// gaveUp reports whether an attempt was ended for the silence of its upstream.
+func gaveUp(err error) bool { return errors.Is(err, errStalled) || errors.Is(err, errPathLost) }
+
 // stop releases the watchdog.
 func (w *stallWatchdog) stop() {
 	w.call.relay.paths.unwatch(w)
+	w.call.relay.silences.remove(w)
 	w.disarm()
 	w.cancel(nil)
 }
+
+// silences holds the attempts that wait for another place, the one that has waited longest first.
+type silences struct {
+	mu      sync.Mutex
+	waiting []*stallWatchdog
+}
+
+func (s *silences) add(w *stallWatchdog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Contains(s.waiting, w) {
+		s.waiting = append(s.waiting, w)
+	}
+}
+
+func (s *silences) remove(w *stallWatchdog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.waiting, w); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+}
+
+// wake lets the attempts look for a place again, until one of each pool finds none.
+func (s *silences) wake() {
+	s.mu.Lock()
+	waiting := slices.Clone(s.waiting)
+	s.mu.Unlock()
+	if len(waiting) == 0 {
+		return
+	}
+	full := make(map[string]bool)
+	for _, w := range waiting {
+		if pool := w.call.pool; !full[pool] {
+			full[pool] = !w.tryAgain()
+		}
+	}
+}
+
+// findReplacement reserves a place at another upstream than a silent one, nil if there is none that can
+// end the response in time.
+func (c *call) findReplacement(silent *fleet.Upstream) *assignment {
+	s, tracker := c.relay.cfg.State.Snapshot(), c.relay.cfg.Tracker
+	req := c.placementRequest()
+	req.Exclude = append(req.Exclude, silent.ID)
+	if c.Generation == nil {
+		id, full, ok := tracker.PickService(c.pool, req)
+		if !ok || full || s.Upstreams[id] == nil {
+			return nil
+		}
+		return &assignment{target: s.Upstreams[id], ticket: tracker.Begin(id, placement.Work{})}
+	}
+	req.Late = true
+	if c.stream != nil {
+		req.OutputTokens = max(1, req.OutputTokens-c.stream.lastEvent)
+	}
+	plan, ok := tracker.Pick(c.pool, req)
+	if !ok || s.Upstreams[plan.Engine] == nil || max(plan.FirstToken, plan.Completion) >= req.TimeLeft {
+		return nil
+	}
+	return c.reserve(s, plan, req)
+}
+
+// takeReplacement returns the place that was reserved for the next attempt, nil if there is none, or if it
+// doesn't suit the request any more.
+func (c *call) takeReplacement() *assignment {
+	p := c.replacement
+	c.replacement = nil
+	if p == nil {
+		return nil
+	}
+	if !c.suitsOrigin(p.target) || c.relay.heldBack(p.target) != nil || slices.Contains(c.trial.avoid, p.target.ID) {
+		p.release()
+		return nil
+	}
+	return p
+}
+
+// releaseReplacement frees a reserved place that isn't needed.
+func (c *call) releaseReplacement() {
+	if c.replacement != nil {
+		c.replacement.release()
+		c.replacement = nil
+	}
+}
+
+// silentUpstream is an upstream that was given up for its silence.
+type silentUpstream struct {
+	id string
+	at time.Time
+}
+
+// excludedNow returns the upstreams that may not be tried now. One that was given up for its silence may be
+// tried again later: it may be the only one left.
+func (c *call) excludedNow() []string {
+	all := slices.Concat(c.excluded, c.trial.avoid)
+	for _, u := range c.silent {
+		if time.Since(u.at) < silentExclusion {
+			all = append(all, u.id)
+		}
+	}
+	return all
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -55,12 +55,12 @@
 			} else {
 				p.ticket.HandoffDone()
 			}
-			p.ticket.PrefillDone()
+			c.relay.recordHeard(p.ticket.PrefillDone(), p.target, c.ID)
 			c.recordBegun(0) // another daemon has counted a forwarded request
 			c.relay.WakeWaiting()
 		}
 		if s := c.stream; s != nil {
-			p.ticket.RecordGap(time.Since(s.lastAt))
+			c.relay.recordHeard(p.ticket.RecordGap(time.Since(s.lastAt)), p.target, c.ID)
 		}
 		if p.peer == nil {
 			c.relay.paths.Tracker.Answered(c.pool)
--- a/placement/health.go
+++ b/placement/health.go
@@ -23,8 +23,13 @@
 	Unreachable
 	// Replaced: another incarnation has taken over the address.
 	Replaced
+	// Stalled: it sent nothing for too long, though its connection stands.
+	Stalled
 )
 
+// answered reports whether the upstream has sent a response.
+func (o Outcome) answered() bool { return o == Done || o == Refused || o == Replaced }
+
 const (
 	// failureSmoothing is the weight of one attempt in the smoothed failure rate.
 	failureSmoothing = 0.15
@@ -53,8 +58,9 @@
 	lastEjected        time.Time
 	ejectedUntil       time.Time
 	probing            bool
-	// unreachable is set if the last ejection followed from failed connections.
-	unreachable bool
+	// unreachable is set if the last ejection followed from failed connections, silent if it
+	// followed from a silence.
+	unreachable, silent bool
 	// backoffUntil is the time until which the upstream wants no requests. probingBackoff is set
 	// if it is probed only because it was in backoff.
 	backoffUntil   time.Time
@@ -73,7 +79,7 @@
 	case Unreachable:
 		h.connectionFailures++
 		h.fail(o, now)
-	case Failed:
+	case Failed, Stalled:
 		h.fail(o, now)
 	}
 	switch {
@@ -105,7 +111,7 @@
 	h.failureRate *= 1 - failureSmoothing
 	h.answered(began)
 	if h.probing && began.After(h.ejectedUntil) {
-		h.probing = false
+		h.probing, h.silent = false, false
 		h.failureRate = 0
 	}
 }
@@ -136,7 +142,7 @@
 		return // the request began before the ejection
 	}
 	if h.probing && !h.probingBackoff || h.connectionFailures >= unreachableLimit || h.failureRate > failureLimit {
-		h.unreachable = o == Unreachable
+		h.unreachable, h.silent = o == Unreachable, o == Stalled
 		h.eject(now)
 	}
 }
@@ -152,13 +158,34 @@
 	h.connectionFailures = 0
 }
 
+// fallSilent ejects the upstream until it is heard again, or for the time of an ejection.
+func (h *health) fallSilent(now time.Time) bool {
+	if h.ejected(now) || h.probing {
+		return false
+	}
+	h.unreachable, h.silent = false, true
+	h.eject(now)
+	return true
+}
+
+// heard ends an ejection for silence. A backoff goes on.
+func (h *health) heard() bool {
+	if !h.silent {
+		return false
+	}
+	*h = health{history: h.history, failureRate: h.failureRate, ejectedUntil: h.backoffUntil, backoffUntil: h.backoffUntil}
+	h.probing = !h.backoffUntil.IsZero()
+	h.probingBackoff = h.probing
+	return true
+}
+
 // ejected reports whether the upstream is ejected at the given time.
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
 // lastResort reports whether the upstream may get requests that no other one takes: it is ejected or
 // probed, but still answers some. It isn't while in a backoff, or while that is probed.
 func (h *health) lastResort(now time.Time) bool {
-	return (h.ejected(now) || h.probing) && !h.probingBackoff && !now.Before(h.backoffUntil) && h.history.Answers()
+	return (h.ejected(now) || h.probing) && !h.silent && !h.probingBackoff && !now.Before(h.backoffUntil) && h.history.Answers()
 }
 
 // unreached reports whether connections to an ejected upstream fail, as far as is known all of them.
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -139,16 +139,17 @@
 }
 
 // PrefillDone records that the engine has the prompt in its memory, by prefill or by KV
-// transfer.
-func (t *Ticket) PrefillDone() {
+// transfer. It reports whether that has ended an ejection of the engine for its silence.
+func (t *Ticket) PrefillDone() (readmitted bool) {
 	if t == nil {
-		return
+		return false
 	}
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
 	e := t.tracked
+	readmitted = t.tracker.recordHeard(e)
 	if t.prefilled || e.cache == nil {
-		return
+		return readmitted
 	}
 	t.prefilled = true
 	e.health.answered(t.began)
@@ -158,6 +159,7 @@
 	if t.work.Prefill.Tokens > 0 && t.cacheKnown {
 		t.learnPrefill()
 	}
+	return readmitted
 }
 
 // releasePrefill removes the prefill from the engine's pending work.
@@ -211,16 +213,18 @@
 	}
 }
 
-// RecordGap records the time between two events of a stream.
-func (t *Ticket) RecordGap(d time.Duration) {
+// RecordGap records the time between two events of a stream. It reports whether the event has ended an
+// ejection of the upstream for its silence.
+func (t *Ticket) RecordGap(d time.Duration) (readmitted bool) {
 	if t == nil {
-		return
+		return false
 	}
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
 	e := t.tracked
+	readmitted = t.tracker.recordHeard(e)
 	if e.model == nil {
-		return
+		return readmitted
 	}
 	// Gaps during prefills say nothing about decode speed.
 	if e.recentPrefill.within(t.tracker.now(), d) == 0 && e.pendingPrefill() == 0 {
@@ -230,6 +234,7 @@
 		e.local.recordEventTime(enginemodel.Millis(d), e.model.Parameters().IntervalMillis(others))
 		e.model.LearnInterval(others, d)
 	}
+	return readmitted
 }
 
 // RecordStream records the time from the first event to the last of a complete stream, and
@@ -272,7 +277,11 @@
 	if o == Done && e.Role == "" {
 		e.latency += latencyStep * (enginemodel.Millis(now.Sub(t.began)) - e.latency)
 	}
+	readmitted := o.answered() && t.tracker.recordHeard(e)
 	change := e.health.record(o, t.began, now)
+	if readmitted && change == HealthUnchanged {
+		change = HealthReadmitted
+	}
 	e.recordRefusal(o, now)
 	return change
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -84,6 +84,8 @@
 	latency                        float64 // smoothed latency of plain calls, in milliseconds
 	health                         health
 	probes                         int
+	// heardAt is when the upstream last sent something to this daemon.
+	heardAt time.Time
 	// unavailableUntil is the time until which the upstream takes no work, for example
 	// because it changes its role.
 	unavailableUntil time.Time
