relay: a daemon that lives isn't given up for its upstream's silence

Callers saw a stream end that a daemon had handed to another one: the first judged the silence of the hop like a server's, at twice the timeouts, while the other daemon, whose watchdog had no retry or no place left, went on listening. The end at the other daemon is logged 30 to 200 us after the attempt, as "caller gone" with attempts 1, as in the users' record.

The other daemon watches its upstream itself and is given up only if it sends no states.

--- a/internal/member/forwarding.go
+++ b/internal/member/forwarding.go
@@ -52,6 +52,18 @@
 	return peers
 }
 
+// silent implements relay.Config.PeerSilent. A daemon that sends no states here counts as silent, too.
+func (p *Peers) silent(instance string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.peers {
+		if other.Instance == instance && other.up && other.hasState() {
+			return false
+		}
+	}
+	return true
+}
+
 func shuffle(list []wire.MemberAddress) {
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -152,6 +152,7 @@
 		Dial:          cfg.Dial,
 		ForwardPeers:  m.peers.forwardPeers,
 		OnPathChange:  m.peers.reportNow,
+		PeerSilent:    m.peers.silent,
 		OnReplaced:    func(id string) { m.peers.MarkUnavailable(id, "", replacedTimeout) },
 		MinRetryAfter: minRetryAfter,
 		KeysUsable:    m.configAge.keysUsable,
