relay: the path of all daemons is no lost path

With all servers of a pool silent, each daemon took its own path for lost within 0.2 s of the others, and aborted what had been silent for 0.3 s in favour of daemons that had just found the same.

Attempts over a lost path are aborted once it has been lost for 0.4 s, within which all daemons find the silence of the servers, and only if another daemon tells that it has a path.

--- a/internal/member/forwarding.go
+++ b/internal/member/forwarding.go
@@ -46,8 +46,10 @@
 	shuffle(staleKeys)
 	shuffle(unknown)
 	peers := make([]relay.ForwardPeer, 0, len(known)+len(staleKeys)+len(unknown))
-	for _, a := range slices.Concat(known, staleKeys, unknown) {
-		peers = append(peers, relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards, Holder: a.Peers, ConfigVersion: versions[a.Peers]})
+	for i, a := range slices.Concat(known, staleKeys, unknown) {
+		peers = append(peers, relay.ForwardPeer{
+			Instance: a.Instance, Address: a.Forwards, Holder: a.Peers, ConfigVersion: versions[a.Peers], Vouched: i < len(known)+len(staleKeys),
+		})
 	}
 	return peers
 }
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,12 +66,22 @@
 
 // checked implements pathwatch.Config.OnCheck.
 func (p *paths) checked(pool string) {
-	if p.IsLost(pool) {
+	if p.othersReach(pool) {
 		p.abortSilent(pool)
 	}
 	p.relay.forwarder.closeUnknown(p.relay.cfg.ForwardPeers)
 }
 
+// settleTime is how long a path must be lost until attempts over it are given up: if the upstreams
+// themselves are silent, all daemons find their paths lost within that time.
+const settleTime = 400 * time.Millisecond
+
+// othersReach reports whether the path to a pool is lost here, and another daemon still has one.
+func (p *paths) othersReach(pool string) bool {
+	peers := p.relay.cfg.ForwardPeers
+	return peers != nil && p.Tracker.LostFor(pool) >= settleTime && slices.ContainsFunc(peers(pool), func(f ForwardPeer) bool { return f.Vouched })
+}
+
 // watch adds an attempt that is aborted if it is silent while its path is lost, unwatch removes it.
 func (p *paths) watch(w *stallWatchdog) {
 	p.mu.Lock()
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -245,6 +245,17 @@
 	return p != nil && p.lost
 }
 
+// LostFor returns how long the path to a pool has been lost, 0 if it works.
+func (t *Tracker) LostFor(pool string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[pool]
+	if p == nil || !p.lost {
+		return 0
+	}
+	return max(1, t.now().Sub(p.lostAt))
+}
+
 // LostPools returns the pools whose paths are lost, ordered by name.
 func (t *Tracker) LostPools() []string {
 	t.mu.Lock()
