--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -117,6 +117,9 @@
 func (w *stallWatchdog) arm(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.decision != undecided {
+		w.call.relay.silences.remove(w)
+	}
 	w.decision, w.heardAt = undecided, time.Now()
 	w.startTimer(limit)
 }
@@ -269,9 +272,9 @@
 
 // stop releases the watchdog.
 func (w *stallWatchdog) stop() {
+	w.disarm() // from now on, the timeout adds it to no list
 	w.call.relay.paths.unwatch(w)
 	w.call.relay.silences.remove(w)
-	w.disarm()
 	w.cancel(nil)
 }
 
