relay: a stream isn't ended for want of budget for a second prefill

Callers saw a stream that had begun end with 502 right after it had been moved from a silent server: the next place was reserved with a prefill at an engine of its own, a second one counts as a retry, and the budget had none left, which ended the request ("too many requests are being repeated", at a daemon with 10 requests in the window; also at one that a stream had been handed to, where the first daemon's budget had plenty).

A move reserves both retries, or a place where the engine that answers does the prefill. A prefill that the budget doesn't allow leads to such a place instead of the request's end.

TestStreamGoesOnWithoutBudgetForAPrefill was red before.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -338,6 +338,7 @@
 		r.TimeLeft = time.Until(c.deadline)
 		r.GapObjective = c.rule.GapObjective
 		r.Elapsed = time.Since(c.arrived)
+		r.WithoutPrefill = c.withoutPrefill
 	}
 	return r
 }
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -50,10 +50,14 @@
 
 // AllowRetry reports whether one more retry towards a pool is within the budget, and
 // counts it if so.
-func (b *RetryBudget) AllowRetry(pool string) bool {
+func (b *RetryBudget) AllowRetry(pool string) bool { return b.AllowRetries(pool, 1) }
+
+// AllowRetries reports whether n more retries towards a pool are within the budget, and counts them if
+// so.
+func (b *RetryBudget) AllowRetries(pool string, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.account(pool).Retry(b.limit(), b.now())
+	return b.account(pool).Retries(n, b.limit(), b.now())
 }
 
 // AssumeSlackSpent withholds the slack for a window: the process of this daemon before this one may
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -94,8 +94,11 @@
 	handoff         Handoff
 	handoffFrom     *fleet.Upstream
 	handoffRefusals int
-	// prefills counts the prefills done at engines other than the decode engine.
-	prefills int
+	// prefills counts the prefills done at engines other than the decode engine. prefillReserved says that
+	// the retry budget has counted the next one; withoutPrefill that it allows none.
+	prefills        int
+	prefillReserved bool
+	withoutPrefill  bool
 	// lastPlan is the plan that placement found last, whether it was used or not. Of a
 	// refused request it says what was expected.
 	lastPlan placement.Plan
@@ -280,7 +283,8 @@
 		return f
 	}
 	if errors.Is(res.err, errNoBudget) {
-		return c.failDecision(dispatch.BudgetExhausted)
+		c.withoutPrefill = true // the engine that answers can do it
+		return nil
 	}
 	if decision := c.attempts.Next(res.execution, res.reachedUpstream); decision != dispatch.Retry {
 		return c.failDecision(decision)
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -62,7 +62,7 @@
 // the KV cache. A prefill doesn't count as running the request.
 func (c *call) prefill(ctx context.Context, p *assignment) (string, result) {
 	// The first prefill is part of the request, any further one is a retry.
-	if c.prefills > 0 && !c.relay.cfg.RetryBudget.AllowRetry(c.pool) {
+	if c.prefills > 0 && !c.takePrefillReserve() && !c.relay.cfg.RetryBudget.AllowRetry(c.pool) {
 		p.prefillTicket.End(placement.Cancelled)
 		return "", result{execution: dispatch.NotSent, outcome: placement.Cancelled, err: errNoBudget}
 	}
@@ -89,9 +89,16 @@
 	return "", res
 }
 
+// takePrefillReserve reports whether the retry budget has counted the prefill already.
+func (c *call) takePrefillReserve() bool {
+	reserved := c.prefillReserved
+	c.prefillReserved = false
+	return reserved
+}
+
 var (
 	errPrefill  = errors.New("prefill failed")
-	errNoBudget = errors.New("too many requests are being repeated")
+	errNoBudget = errors.New("the retry budget allows no further prefill")
 	errReplaced = errors.New("the engine that did the prefill has been replaced")
 )
 
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -191,14 +191,20 @@
 	if c.relay.cfg.Tracker.MarkSilent(w.assigned.target.ID, w.heardAt) {
 		c.relay.logSilent(w.assigned.target, c.ID)
 	}
-	next := c.findReplacement(w.assigned.target)
+	next := c.findReplacement(w.assigned.target, c.withoutPrefill)
+	if next != nil && !w.reserveRetries(next) {
+		next.release()
+		if next.prefill == nil {
+			return keepWithoutBudget
+		}
+		if next = c.findReplacement(w.assigned.target, true); next != nil && !w.reserveRetries(next) {
+			next.release()
+			return keepWithoutBudget
+		}
+	}
 	if next == nil {
 		return keepWithoutPlace
 	}
-	if !w.reserveRetry() {
-		next.release()
-		return keepWithoutBudget
-	}
 	c.replacement = next
 	return moveToPlace
 }
@@ -210,20 +216,27 @@
 	switch {
 	case silent != nil && !silent(w.assigned.peer.Instance):
 		return keepPeer
-	case !w.reserveRetry():
+	case !w.reserveRetries(nil):
 		return keepWithoutBudget
 	default:
 		return givePeerUp
 	}
 }
 
-// reserveRetry counts the retry that follows the attempt, if the budget allows one.
-func (w *stallWatchdog) reserveRetry() bool {
+// reserveRetries counts the retry that follows the attempt, with a further prefill if the next place needs
+// one, if the budget allows that.
+func (w *stallWatchdog) reserveRetries(next *assignment) bool {
 	c := w.call
-	if !c.relay.cfg.RetryBudget.AllowRetry(c.pool) {
+	prefills := next != nil && next.prefill != nil && c.prefills > 0
+	retries := 1
+	if prefills {
+		retries++
+	}
+	if !c.relay.cfg.RetryBudget.AllowRetries(c.pool, retries) {
 		return false
 	}
 	c.retryReserved.Store(true)
+	c.prefillReserved = prefills
 	return true
 }
 
@@ -252,7 +265,7 @@
 func (w *stallWatchdog) pathLost() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.retryable && time.Since(w.heardAt) >= lostPathSilence && w.reserveRetry() {
+	if w.retryable && time.Since(w.heardAt) >= lostPathSilence && w.reserveRetries(nil) {
 		w.abort(errPathLost)
 	}
 }
@@ -318,7 +331,7 @@
 
 // findReplacement reserves a place at another upstream than a silent one, nil if there is none that can
 // end the response in time.
-func (c *call) findReplacement(silent *fleet.Upstream) *assignment {
+func (c *call) findReplacement(silent *fleet.Upstream, withoutPrefill bool) *assignment {
 	s, tracker := c.relay.cfg.State.Snapshot(), c.relay.cfg.Tracker
 	req := c.placementRequest()
 	req.Exclude = append(req.Exclude, silent.ID)
@@ -329,7 +342,7 @@
 		}
 		return &assignment{target: s.Upstreams[id], ticket: tracker.Begin(id, placement.Work{})}
 	}
-	req.Late = true
+	req.Late, req.WithoutPrefill = true, withoutPrefill
 	if c.stream != nil {
 		req.OutputTokens = max(1, req.OutputTokens-c.stream.lastEvent)
 	}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -44,7 +44,7 @@
 	capacity := !r.Late || hasLateCapacity(s.engines)
 	for i := range s.engines {
 		e := &s.engines[i]
-		if !capacity || excluded(e, r) || full(e, r) || unmeasured(e) {
+		if !capacity || excluded(e, r) || full(e, r) || unmeasured(e) || r.WithoutPrefill && e.Role == upstream.RolePrefill {
 			continue
 		}
 		p, cost, unseenCost, fits := s.consider(e, r)
--- a/placement/types.go
+++ b/placement/types.go
@@ -50,6 +50,8 @@
 	DataCentre string
 	// Exclude names engines at which an earlier attempt has failed.
 	Exclude []string
+	// WithoutPrefill leaves out plans in which another engine than the one that answers does the prefill.
+	WithoutPrefill bool
 }
 
 // Engine is the estimated state of one engine at the time of a decision.
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -57,11 +57,14 @@
 }
 
 // Retry reports whether a retry may be made now, and counts it if so.
-func (a *Account) Retry(l Limit, now time.Time) bool {
-	if a.Left(l, now) < 1 {
+func (a *Account) Retry(l Limit, now time.Time) bool { return a.Retries(1, l, now) }
+
+// Retries reports whether n retries may be made now, and counts them if so.
+func (a *Account) Retries(n int, l Limit, now time.Time) bool {
+	if a.Left(l, now) < n {
 		return false
 	}
-	a.newest(l, now).retries++
+	a.newest(l, now).retries += n
 	return true
 }
 
