relay: requests over a lost path are given up only if it is lost here alone

Callers saw a stream end around a planned stop: of a pool of twelve servers, most of them silent for a second, a daemon had tried eight and reached too few, took its path for lost and gave the stream up, though its server went on 0.3 s later; the daemon it went to had no retry budget.

Attempts over a lost path are given up if no server has been reached at all for 0.25 s, and if more of the other daemons tell that they have a path than that they have lost it, too.

--- a/internal/member/forwarding.go
+++ b/internal/member/forwarding.go
@@ -46,14 +46,28 @@
 	shuffle(staleKeys)
 	shuffle(unknown)
 	peers := make([]relay.ForwardPeer, 0, len(known)+len(staleKeys)+len(unknown))
-	for i, a := range slices.Concat(known, staleKeys, unknown) {
-		peers = append(peers, relay.ForwardPeer{
-			Instance: a.Instance, Address: a.Forwards, Holder: a.Peers, ConfigVersion: versions[a.Peers], Vouched: i < len(known)+len(staleKeys),
-		})
+	for _, a := range slices.Concat(known, staleKeys, unknown) {
+		peers = append(peers, relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards, Holder: a.Peers, ConfigVersion: versions[a.Peers]})
 	}
 	return peers
 }
 
+// pathsTo implements relay.Config.PeerPaths.
+func (p *Peers) pathsTo(pool string) (with, without int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.peers {
+		switch {
+		case !other.up || !other.hasState():
+		case slices.Contains(other.summary.LostPools, pool):
+			without++
+		case other.canServe(pool):
+			with++
+		}
+	}
+	return with, without
+}
+
 // silent implements relay.Config.PeerSilent. A daemon that sends no states here counts as silent, too.
 func (p *Peers) silent(instance string) bool {
 	p.mu.Lock()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -153,6 +153,7 @@
 		ForwardPeers:  m.peers.forwardPeers,
 		OnPathChange:  m.peers.reportNow,
 		PeerSilent:    m.peers.silent,
+		PeerPaths:     m.peers.pathsTo,
 		OnReplaced:    func(id string) { m.peers.MarkUnavailable(id, "", replacedTimeout) },
 		MinRetryAfter: minRetryAfter,
 		KeysUsable:    m.configAge.keysUsable,
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -17,8 +17,6 @@
 	Holder string
 	// ConfigVersion is the version of its configuration as last heard, 0 if it isn't known.
 	ConfigVersion uint64
-	// Vouched says that the daemon has told lately that it serves and has a path to the pool.
-	Vouched bool
 }
 
 // forwarder keeps the connections to other daemons and what is known of their answers.
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +53,7 @@
 	attrs := []any{"pool", pool, "tried", result.Tried, "reached", result.Reached}
 	if change == reach.Lost {
 		r.cfg.Logger.Warn("path to upstreams lost", attrs...)
+		time.AfterFunc(settleTime, func() { p.abortIfCut(pool) })
 	} else {
 		r.cfg.Logger.Info("path to upstreams works again", attrs...)
 		r.cfg.Tracker.ReadmitUnreachable(pool)
@@ -66,20 +66,28 @@
 
 // checked implements pathwatch.Config.OnCheck.
 func (p *paths) checked(pool string) {
+	p.abortIfCut(pool)
+	p.relay.forwarder.closeUnknown(p.relay.cfg.ForwardPeers)
+}
+
+// settleTime is how long no upstream must be reached until attempts over a lost path are given up: if the
+// upstreams themselves are silent, all daemons that use them find their paths lost within that time.
+const settleTime = 250 * time.Millisecond
+
+// abortIfCut aborts the silent attempts over a path that is lost here alone.
+func (p *paths) abortIfCut(pool string) {
 	if p.othersReach(pool) {
 		p.abortSilent(pool)
 	}
-	p.relay.forwarder.closeUnknown(p.relay.cfg.ForwardPeers)
 }
 
-// settleTime is how long a path must be lost until attempts over it are given up: if the upstreams
-// themselves are silent, all daemons find their paths lost within that time.
-const settleTime = 400 * time.Millisecond
-
-// othersReach reports whether the path to a pool is lost here, and another daemon still has one.
+// othersReach reports whether the path to a pool is cut here, and most other daemons have one.
 func (p *paths) othersReach(pool string) bool {
-	peers := p.relay.cfg.ForwardPeers
-	return peers != nil && p.Tracker.LostFor(pool) >= settleTime && slices.ContainsFunc(peers(pool), func(f ForwardPeer) bool { return f.Vouched })
+	if p.relay.cfg.PeerPaths == nil || p.Tracker.CutFor(pool) < settleTime {
+		return false
+	}
+	with, without := p.relay.cfg.PeerPaths(pool)
+	return with > without
 }
 
 // watch adds an attempt that is aborted if it is silent while its path is lost, unwatch removes it.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,9 @@
 	// PeerSilent reports whether nothing was heard lately of a daemon to which requests are forwarded;
 	// nil means that it isn't known.
 	PeerSilent func(instance string) bool
+	// PeerPaths returns how many other daemons have told lately that they have a path to a pool, and how many
+	// that they have lost it; nil means that none has told.
+	PeerPaths func(pool string) (with, without int)
 	// OnReplaced is called for an upstream whose address now belongs to another
 	// incarnation; nil does nothing.
 	OnReplaced func(id string)
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -90,8 +90,11 @@
 	checking  bool
 	checked   time.Time
 
-	lost       bool
-	lostAt     time.Time
+	lost   bool
+	lostAt time.Time
+	// noneSince is when the first of the checks ended that have reached no upstream since, zero if the last
+	// one has reached some.
+	noneSince  time.Time
 	losses     int
 	goodChecks int
 }
@@ -203,6 +206,11 @@
 	defer t.mu.Unlock()
 	p, now := t.path(pool), t.now()
 	p.checking = false
+	if c.Reached > 0 {
+		p.noneSince = time.Time{}
+	} else if c.Tried > 0 && p.noneSince.IsZero() {
+		p.noneSince = now
+	}
 	switch {
 	case c.Tried == 0:
 		return Unchanged
@@ -245,15 +253,16 @@
 	return p != nil && p.lost
 }
 
-// LostFor returns how long the path to a pool has been lost, 0 if it works.
-func (t *Tracker) LostFor(pool string) time.Duration {
+// CutFor returns how long the path to a pool has been lost with no upstream reached at all, 0 if it works or
+// some are reached.
+func (t *Tracker) CutFor(pool string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pools[pool]
-	if p == nil || !p.lost {
+	if p == nil || !p.lost || p.noneSince.IsZero() {
 		return 0
 	}
-	return max(1, t.now().Sub(p.lostAt))
+	return max(1, t.now().Sub(p.noneSince))
 }
 
 // LostPools returns the pools whose paths are lost, ordered by name.
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -174,3 +174,29 @@
 		require.Equal(t, change, check(t, tr, 8, reached), "%d of 8", reached)
 	}
 }
+
+// Guards against a path that passes for cut although some upstreams are reached over it: the others may be
+// silent.
+func TestPathThatReachesSomeIsNotCut(t *testing.T) {
+	now := time.Unix(0, 0)
+	tr := NewTracker(Config{}, func() time.Time { return now })
+	check := func(reached int) {
+		now = now.Add(200 * time.Millisecond)
+		tr.Failed("p")
+		require.NotEqual(t, NoCheck, tr.BeginCheck("p"))
+		tr.EndCheck("p", Check{Tried: 8, Reached: reached})
+	}
+	check(0)
+	check(0)
+	require.Equal(t, 200*time.Millisecond, tr.CutFor("p"))
+	check(1)
+	require.True(t, tr.IsLost("p"))
+	require.Zero(t, tr.CutFor("p"))
+	check(0)
+	check(0)
+	require.Equal(t, 200*time.Millisecond, tr.CutFor("p"))
+	check(8)
+	check(8)
+	require.False(t, tr.IsLost("p"))
+	require.Zero(t, tr.CutFor("p"))
+}
