placement: a backoff that is over doesn't bind an upstream that is heard again

An upstream that had ever asked for a backoff was probed, one request at a time, when its silence or its lost path ended: the time of the backoff was kept after its end. It is dropped with the first answer after it.

TestUpstreamThatIsHeardIsProbedOnlyAfterABackoff was red before.

--- a/placement/health.go
+++ b/placement/health.go
@@ -61,8 +61,8 @@
 	// unreachable is set if the last ejection followed from failed connections, silent if it
 	// followed from a silence.
 	unreachable, silent bool
-	// backoffUntil is the time until which the upstream wants no requests. probingBackoff is set
-	// if it is probed only because it was in backoff.
+	// backoffUntil is the time until which the upstream wants no requests, zero once it has answered
+	// after that. probingBackoff is set if it is probed only because it was in backoff.
 	backoffUntil   time.Time
 	probingBackoff bool
 }
@@ -111,7 +111,7 @@
 	h.failureRate *= 1 - failureSmoothing
 	h.answered(began)
 	if h.probing && began.After(h.ejectedUntil) {
-		h.probing, h.silent = false, false
+		h.probing, h.silent, h.backoffUntil = false, false, time.Time{}
 		h.failureRate = 0
 	}
 }
@@ -131,7 +131,7 @@
 // response must not hold up all others.
 func (h *health) answered(began time.Time) {
 	if h.probingBackoff && began.After(h.ejectedUntil) {
-		h.probing, h.probingBackoff = false, false
+		h.probing, h.probingBackoff, h.backoffUntil = false, false, time.Time{}
 	}
 }
 
