relay: what a silent attempt moves to ends before the exit, and is reserved once

Of a stopping daemon, a silent stream was moved to a place that would end it before its caller's deadline, but after the exit of the daemon, which cut it; now the place must end it before the exit. While the retry budget was spent, each silent attempt reserved a place and gave it back ten times a second, with a prefill that was told to the other daemons. An attempt over a lost path that ends slowly counted one more retry with each check.

A daemon that sends no states here, as most of a large site, was taken for silent, so that a stream handed to it was given up for its upstream's silence; it is asked now, and given up only if it doesn't answer.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -21,15 +21,17 @@
 
 // forwarder keeps the connections to other daemons and what is known of their answers.
 type forwarder struct {
-	mu     sync.Mutex
-	conns  map[string]*exchange.Pool
-	avoid  map[string]time.Time
+	mu    sync.Mutex
+	conns map[string]*exchange.Pool
+	avoid map[string]time.Time
+	// asked are the daemons that were asked whether they live.
+	asked  map[string]lifeCheck
 	active int
 	bodies *bodylimit.Limit
 }
 
 func newForwarder(bodies *bodylimit.Limit) *forwarder {
-	return &forwarder{bodies: bodies, conns: make(map[string]*exchange.Pool), avoid: make(map[string]time.Time)}
+	return &forwarder{bodies: bodies, conns: make(map[string]*exchange.Pool), avoid: make(map[string]time.Time), asked: make(map[string]lifeCheck)}
 }
 
 // begin counts a request that is about to be forwarded, and reports whether it may be.
@@ -90,6 +92,7 @@
 			pool.Close()
 			delete(f.conns, address)
 			delete(f.avoid, address)
+			delete(f.asked, address)
 		}
 	}
 }
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -192,29 +192,26 @@
 		c.relay.logSilent(w.assigned.target, c.ID)
 	}
 	next := c.findReplacement(w.assigned.target, c.withoutPrefill)
-	if next != nil && !w.reserveRetries(next) {
-		next.release()
-		if next.prefill == nil {
-			return keepWithoutBudget
-		}
-		if next = c.findReplacement(w.assigned.target, true); next != nil && !w.reserveRetries(next) {
-			next.release()
-			return keepWithoutBudget
-		}
-	}
 	if next == nil {
 		return keepWithoutPlace
 	}
-	c.replacement = next
+	if next.plan.Prefill != "" && c.prefills > 0 && !w.reserveRetries(next) {
+		if next = c.findReplacement(w.assigned.target, true); next == nil {
+			return keepWithoutPlace
+		}
+	}
+	if !w.reserveRetries(next) {
+		return keepWithoutBudget
+	}
+	c.replacement = next.reserve()
 	return moveToPlace
 }
 
 // decidePeerSilence decides for a request that was forwarded. The other daemon knows best what becomes of
 // it, unless it is silent itself.
 func (w *stallWatchdog) decidePeerSilence() silenceDecision {
-	silent := w.call.relay.cfg.PeerSilent
 	switch {
-	case silent != nil && !silent(w.assigned.peer.Instance):
+	case !w.call.relay.peerIsSilent(*w.assigned.peer):
 		return keepPeer
 	case !w.reserveRetries(nil):
 		return keepWithoutBudget
@@ -224,19 +221,22 @@
 }
 
 // reserveRetries counts the retry that follows the attempt, with a further prefill if the next place needs
-// one, if the budget allows that.
-func (w *stallWatchdog) reserveRetries(next *assignment) bool {
+// one, as far as they aren't counted yet and if the budget allows them.
+func (w *stallWatchdog) reserveRetries(next *replacement) bool {
 	c := w.call
-	prefills := next != nil && next.prefill != nil && c.prefills > 0
-	retries := 1
-	if prefills {
+	prefills := next != nil && next.plan.Prefill != "" && c.prefills > 0
+	retries := 0
+	if !c.retryReserved.Load() {
 		retries++
 	}
-	if !c.relay.cfg.RetryBudget.AllowRetries(c.pool, retries) {
+	if prefills && !c.prefillReserved {
+		retries++
+	}
+	if retries > 0 && !c.relay.cfg.RetryBudget.AllowRetries(c.pool, retries) {
 		return false
 	}
 	c.retryReserved.Store(true)
-	c.prefillReserved = prefills
+	c.prefillReserved = c.prefillReserved || prefills
 	return true
 }
 
@@ -329,28 +329,49 @@
 	}
 }
 
-// findReplacement reserves a place at another upstream than a silent one, nil if there is none that can
-// end the response in time.
-func (c *call) findReplacement(silent *fleet.Upstream, withoutPrefill bool) *assignment {
+// replacement is a place at another upstream than a silent one, which isn't reserved yet.
+type replacement struct {
+	call     *call
+	snapshot *fleet.Snapshot
+	req      placement.Request
+	// plan names only the upstream if the request isn't a model request.
+	plan placement.Plan
+}
+
+// reserve records the work in the tracker.
+func (r *replacement) reserve() *assignment {
+	if r.call.Generation == nil {
+		return &assignment{target: r.snapshot.Upstreams[r.plan.Engine], ticket: r.call.relay.cfg.Tracker.Begin(r.plan.Engine, placement.Work{})}
+	}
+	return r.call.reserve(r.snapshot, r.plan, r.req)
+}
+
+// findReplacement returns a place at another upstream than a silent one, nil if there is none that can end
+// the response in time.
+func (c *call) findReplacement(silent *fleet.Upstream, withoutPrefill bool) *replacement {
 	s, tracker := c.relay.cfg.State.Snapshot(), c.relay.cfg.Tracker
 	req := c.placementRequest()
 	req.Exclude = append(req.Exclude, silent.ID)
+	left := time.Until(c.deadline)
+	if stop := c.relay.shutdown.Load(); stop != nil {
+		left = min(left, time.Until(stop.plan.Latest()))
+	}
 	if c.Generation == nil {
 		id, full, ok := tracker.PickService(c.pool, req)
-		if !ok || full || s.Upstreams[id] == nil {
+		if !ok || full || s.Upstreams[id] == nil || left <= 0 {
 			return nil
 		}
-		return &assignment{target: s.Upstreams[id], ticket: tracker.Begin(id, placement.Work{})}
+		return &replacement{call: c, snapshot: s, req: req, plan: placement.Plan{Engine: id}}
 	}
-	req.Late, req.WithoutPrefill = true, withoutPrefill
+	req.Late, req.WithoutPrefill, req.TimeLeft = true, withoutPrefill, left
 	if c.stream != nil {
 		req.OutputTokens = max(1, req.OutputTokens-c.stream.lastEvent)
 	}
 	plan, ok := tracker.Pick(c.pool, req)
-	if !ok || s.Upstreams[plan.Engine] == nil || max(plan.FirstToken, plan.Completion) >= req.TimeLeft {
+	if !ok || s.Upstreams[plan.Engine] == nil || max(plan.FirstToken, plan.Completion) >= left {
 		return nil
 	}
-	return c.reserve(s, plan, req)
+	return &replacement{call: c, snapshot: s, req: req, plan: plan}
 }
 
 // takeReplacement returns the place that was reserved for the next attempt, nil if there is none, or if it
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -33,3 +33,15 @@
 	})
 	require.Equal(t, "stalled: false", got)
 }
+
+// Guards against an attempt that takes more than one retry from the budget: it isn't over at once when it
+// was given up, as its caller may read slowly, and the next check finds its path lost again.
+func TestAttemptThatIsGivenUpTakesOneRetry(t *testing.T) {
+	ctx, w := watchdogWithBudget()
+	w.heardAt = time.Now().Add(-time.Second)
+	for range 3 {
+		w.pathLost()
+	}
+	require.ErrorIs(t, context.Cause(ctx), errPathLost)
+	require.EqualValues(t, 1, w.call.relay.cfg.RetryBudget.PoolState("p").Retries)
+}
