relay: a prefill that fails without budget for another one doesn't end the request

Callers got 503, and a stream that had been moved its end, when an engine that only prefills was silent for longer than its timeout and the retry budget was spent, though no other engine had been asked yet. The engine that answers does the prefill then, which is the request's first run.

TestSilenceOfAPrefillEngineEndsNoRequest was red before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,9 +31,11 @@
 	execution dispatch.Execution
 	// reachedUpstream says that an upstream received the request.
 	reachedUpstream bool
-	outcome         placement.Outcome
-	status          int
-	err             error
+	// prefill says that a prefill failed before the request itself was sent.
+	prefill bool
+	outcome placement.Outcome
+	status  int
+	err     error
 }
 
 // attempt sends the request to the assigned engines and ends their tickets.
@@ -47,6 +49,7 @@
 		handle, res := c.prefill(ctx, p)
 		if res.err != nil {
 			p.ticket.End(placement.Cancelled)
+			res.prefill = true
 			return res
 		}
 		c.handoff, c.handoffFrom, c.handoffRefusals = Handoff{Address: p.prefill.Address, Handle: handle}, p.prefill, 0
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -286,7 +286,12 @@
 		c.withoutPrefill = true // the engine that answers can do it
 		return nil
 	}
-	if decision := c.attempts.Next(res.execution, res.reachedUpstream); decision != dispatch.Retry {
+	decision := c.attempts.Next(res.execution, res.reachedUpstream)
+	if decision == dispatch.BudgetExhausted && res.prefill {
+		c.withoutPrefill = true // the engine that answers hasn't been asked yet
+		decision = dispatch.Retry
+	}
+	if decision != dispatch.Retry {
 		return c.failDecision(decision)
 	}
 	if time.Until(c.deadline) < minAttemptTime {
