reach: a path that another daemon has lost is checked here as well

A daemon without requests to a pool checked no path there, so that it told of one which it hadn't tried: with all servers silent, a daemon that had requests gave them up in its favour, and they ran twice. A daemon that loses its path tells the others, which check theirs at once; what goes over a lost path is given up 0.35 s later, if most have one still.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -175,6 +175,7 @@
 	m.peers.configProof, m.peers.onConfigProof = m.configAge.reply, m.configAge.recordReply
 	m.peers.onConfigNamed = m.configAge.RecordNamed
 	m.peers.summary, m.peers.view, m.peers.onUpdate = m.summaryForPeers, m.view, m.relay.WakeWaiting
+	m.peers.onPathLost = m.relay.DoubtPath
 	m.leadership = &leadership{member: m, log: cfg.Log, logger: m.log}
 	if s.Provider.ReportsUsage {
 		m.buildUsage(s)
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +52,9 @@
 	summary  func() Summary
 	view     func(wire.ViewRequest) wire.ViewReply
 	onUpdate func()
-	links    *suture.Supervisor
+	// onPathLost is called for a pool to which a peer has lost its path; nil does nothing.
+	onPathLost func(pool string)
+	links      *suture.Supervisor
 	// beat tells when this process last stood still.
 	beat *beat
 	// rejoinedAt is when a peer was last heard that had been silent for too long.
@@ -304,6 +307,7 @@
 	forget := m.Incarnation != from.incarnation || (from.fullMesh && !m.FullMesh)
 	from.fullMesh = m.FullMesh
 	from.incarnation, from.seq = m.Incarnation, m.Seq
+	lost := newlyLost(from.summary.LostPools, m.LostPools)
 	from.summary = Summary{
 		Serving: m.Serving, LostPools: m.LostPools, PathLost: m.PathLost, KeysStale: m.KeysStale, Overdue: m.Overdue, Config: m.ConfigVersion, ConfigBytes: m.ConfigBytes,
 		ListPosition: Position(m.ListPosition), ListDigest: m.ListDigest, ListSize: m.ListSize, ListAge: m.ListAge,
@@ -328,6 +332,11 @@
 	if forget {
 		p.tracker.ForgetPeer(m.Peers)
 	}
+	if p.onPathLost != nil {
+		for _, pool := range lost {
+			p.onPathLost(pool)
+		}
+	}
 	p.onQuarantineFingerprint(m.Peers, m.Quarantine)
 	p.onConfigNamed(m.ConfigVersion, m.Instance)
 	p.onPeerList(Position(m.ListPosition), m.ListDigest, m.ListAge)
@@ -337,6 +346,11 @@
 	p.onUpdate()
 }
 
+// newlyLost returns the pools that weren't lost before.
+func newlyLost(before, now []string) []string {
+	return slices.DeleteFunc(slices.Clone(now), func(pool string) bool { return slices.Contains(before, pool) })
+}
+
 // applyLoads records changed loads of a peer. It ignores them before the peer's first state,
 // which will contain all of them.
 func (p *Peers) applyLoads(m wire.MemberLoads) {
--- a/internal/pathwatch/pathwatch.go
+++ b/internal/pathwatch/pathwatch.go
@@ -40,7 +40,7 @@
 	cfg Config
 	// Tracker decides.
 	Tracker *reach.Tracker
-	// failed gets a token when a connection has failed.
+	// failed gets a token when a connection has failed, or a path is doubted.
 	failed chan struct{}
 	checks conc.WaitGroup
 }
@@ -87,6 +87,15 @@
 	}
 }
 
+// Doubt records that another process has lost its path to a pool. This one checks its own.
+func (w *Watcher) Doubt(pool string) {
+	w.Tracker.Doubt(pool)
+	select {
+	case w.failed <- struct{}{}:
+	default:
+	}
+}
+
 // IsLost reports whether the path to a pool is lost.
 func (w *Watcher) IsLost(pool string) bool { return w.Tracker.IsLost(pool) }
 
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -72,7 +72,7 @@
 
 // settleTime is how long no upstream must be reached until attempts over a lost path are given up: if the
 // upstreams themselves are silent, all daemons that use them find their paths lost within that time.
-const settleTime = 250 * time.Millisecond
+const settleTime = 350 * time.Millisecond
 
 // abortIfCut aborts the silent attempts over a path that is lost here alone.
 func (p *paths) abortIfCut(pool string) {
@@ -154,6 +154,9 @@
 // PathService returns the service that watches the paths to upstreams.
 func (r *Relay) PathService() *pathwatch.Watcher { return r.paths.Watcher }
 
+// DoubtPath has the path to a pool checked, since another daemon has lost its own.
+func (r *Relay) DoubtPath(pool string) { r.paths.Doubt(pool) }
+
 // LostPools returns the pools to whose upstreams this daemon has lost its path.
 func (r *Relay) LostPools() []string { return r.paths.Tracker.LostPools() }
 
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -87,6 +87,7 @@
 	// answered is when the pool last answered, or a request was sent while none was in flight.
 	answered  time.Time
 	suspected bool
+	doubted   bool
 	checking  bool
 	checked   time.Time
 
@@ -158,6 +159,14 @@
 	t.path(pool).suspected = true
 }
 
+// Doubt records that another process has lost its path to a pool: if the upstreams are silent, this one
+// finds its path lost as well, also without requests of its own.
+func (t *Tracker) Doubt(pool string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.path(pool).doubted = true
+}
+
 // HasDue reports whether a check of any path is due now.
 func (t *Tracker) HasDue() bool {
 	t.mu.Lock()
@@ -182,7 +191,7 @@
 	}
 	kind := t.due(p, now)
 	if kind != NoCheck {
-		p.checking, p.suspected, p.checked = true, false, now
+		p.checking, p.suspected, p.doubted, p.checked = true, false, false, now
 	}
 	return kind
 }
@@ -191,7 +200,8 @@
 	since := now.Sub(p.checked)
 	quiet := p.inFlight > 0 && now.Sub(p.answered) >= t.cfg.QuietLimit
 	switch {
-	case p.lost && since >= t.cfg.LostCheckInterval, !p.lost && quiet && since >= t.cfg.QuietLimit:
+	case p.lost && since >= t.cfg.LostCheckInterval, !p.lost && quiet && since >= t.cfg.QuietLimit,
+		!p.lost && p.doubted && since >= t.cfg.MinCheckInterval:
 		return CheckResponses
 	case !p.lost && p.suspected && since >= t.cfg.MinCheckInterval:
 		return CheckConnections
