entry: a stream that a stop ends between two tokens goes on at its engine

Callers whose stream was ended at the end of the grace were told to take it up again at another instance, and some got 410 there: the engine no longer knew the answer.

A stream that waited for its engine was left there. One that waited for its caller, or was just passing a token on, was closed, which cancels it at the engine.

TestAbortKeepsTheStreamOfASlowCaller was red before (1 stream closed, 0 wanted).

--- a/internal/entry/answer/answer.go
+++ b/internal/entry/answer/answer.go
@@ -105,3 +105,18 @@
 	a.finished = true
 	a.output.Discard()
 }
+
+// Leave ends the answer as Close does, but its work goes on at the engine. The engine sees the
+// connection end with the process and keeps the stream, so that the caller can resume it at
+// another instance.
+func (a *Answer) Leave() {
+	a.leaveStream()
+	a.Close()
+}
+
+// leaveStream lets go of the engine's stream without closing it, as that would cancel it there.
+func (a *Answer) leaveStream() {
+	if a.attempt != nil {
+		a.attempt.stream = nil
+	}
+}
--- a/internal/entry/answer/fail.go
+++ b/internal/entry/answer/fail.go
@@ -72,10 +72,7 @@
 func (a *Answer) handleStreamFailure(ctx context.Context, err error) *outcome.Failure {
 	a.excluded = append(a.excluded, a.attempt.engine)
 	if errors.Is(context.Cause(ctx), outcome.ErrShuttingDown) {
-		// The stream isn't closed, as that would cancel it at the engine. The engine
-		// sees the connection end with the process and keeps the stream, so that
-		// the caller can resume it at another instance.
-		a.attempt.stream = nil
+		a.leaveStream() // as Leave does
 	}
 	a.endAttempt(err, cancelled(ctx))
 	if cancelled(ctx) {
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -153,9 +153,13 @@
 }
 
 // finish releases what the answer holds and updates the metrics. A nil failure means
-// that the answer is complete.
+// that the answer is complete. What the stop of the instance has ended goes on at the engine.
 func (g *Gateway) finish(r *modelCall, f *outcome.Failure) {
-	r.answer.Close()
+	if f != nil && f.Code == outcome.CodeShuttingDown {
+		r.answer.Leave()
+	} else {
+		r.answer.Close()
+	}
 	produced := r.answer.Tokens()
 	if r.grant != nil {
 		r.grant.Release(admissionResult(f), produced)
