httpx: an upstream that is silent before a TLS handshake isn't gone

With TLS to the engines and all of them silent for 1.2 s (trial, real entries and engines, the silence between them): callers that took a stream up again got 502 after 1.0 s, "the engine of this answer has died", though it went on; 14 of 16 new requests were refused with 503 at one engine, 3 of 16 at four, and of those right after the silence 16 of 16 at either. Without TLS none.

The time to connect, one second, included the handshake, for which the engine itself must answer; without TLS its host accepts the connection. The handshake has 2.5 s of its own now, within the request's deadline. To other entries it has 0.25 s as the connection has: there are others to ask.

--- a/internal/adapters/httpx/client.go
+++ b/internal/adapters/httpx/client.go
@@ -62,17 +62,18 @@
 // dial opens a connection and completes its TLS handshake, so that a failed
 // handshake counts as not sent.
 func (c *Client) dial(addr string, timeout time.Duration) (net.Conn, error) {
-	ctx, cancel := patience.WithTimeout(context.Background(), c.opts.DialTimeout)
-	defer cancel()
+	ctx := context.Background()
 	if timeout > 0 {
-		var cancelDeadline context.CancelFunc
-		ctx, cancelDeadline = context.WithTimeout(ctx, timeout)
-		defer cancelDeadline()
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
 	}
-	conn, err := c.opts.Dial(ctx, addr)
+	conn, err := c.dialTransport(ctx, addr)
 	if err != nil || c.opts.TLS == nil {
 		return conn, err
 	}
+	ctx, cancel := patience.WithTimeout(ctx, c.opts.HandshakeTimeout)
+	defer cancel()
 	secured := tls.Client(conn, c.tlsConfig())
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
@@ -81,6 +82,12 @@
 	return secured, nil
 }
 
+func (c *Client) dialTransport(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := patience.WithTimeout(ctx, c.opts.DialTimeout)
+	defer cancel()
+	return c.opts.Dial(ctx, addr)
+}
+
 // tlsConfig returns the TLS options, with the client's address as the server name unless
 // another one is set.
 func (c *Client) tlsConfig() *tls.Config {
--- a/internal/adapters/httpx/options.go
+++ b/internal/adapters/httpx/options.go
@@ -22,7 +22,9 @@
 const (
 	DefaultTimeout     = 10 * time.Second
 	DefaultDialTimeout = time.Second
-	DefaultMaxConns    = 16384
+	// DefaultHandshakeTimeout is longer than a peer that will go on is silent.
+	DefaultHandshakeTimeout = 2500 * time.Millisecond
+	DefaultMaxConns         = 16384
 	// DefaultIdleTimeout is shorter than the idle timeout of most servers, so that
 	// idle connections are rarely closed by the server.
 	DefaultIdleTimeout = 8 * time.Second
@@ -37,8 +39,9 @@
 	// Timeout applies to a call whose context has no earlier deadline. For a stream
 	// it applies only until the response header has been received.
 	Timeout time.Duration
-	// DialTimeout applies to connecting, including the TLS handshake.
-	DialTimeout time.Duration
+	// DialTimeout applies to connecting, HandshakeTimeout to the TLS handshake that follows: a peer that
+	// accepts a connection and is silent for a second isn't gone.
+	DialTimeout, HandshakeTimeout time.Duration
 	// MaxConns is the maximum number of connections to the address.
 	MaxConns int
 	// MaxBody is the size limit of a buffered response body, in bytes.
@@ -76,6 +79,9 @@
 	if o.DialTimeout <= 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
+	if o.HandshakeTimeout <= 0 {
+		o.HandshakeTimeout = DefaultHandshakeTimeout
+	}
 	if o.MaxConns <= 0 {
 		o.MaxConns = DefaultMaxConns
 	}
--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// forwardDialTimeout limits the time to connect to another instance, which takes milliseconds.
+	// forwardDialTimeout limits the time to connect to another instance, and that of the handshake, which
+	// take milliseconds: there are others.
 	forwardDialTimeout = 250 * time.Millisecond
 	// forwardTimeout limits a call to another instance, of which a plain answer comes last. A request's own
 	// deadline is usually earlier.
@@ -69,7 +70,9 @@
 		if in.Name == e.self.Name || in.Forwards == "" {
 			continue
 		}
-		options := httpx.Options{TLS: e.cfg.ClientTLS, Timeout: forwardTimeout, DialTimeout: forwardDialTimeout, Sender: e.self.Name}
+		options := httpx.Options{
+			TLS: e.cfg.ClientTLS, Timeout: forwardTimeout, DialTimeout: forwardDialTimeout, HandshakeTimeout: forwardDialTimeout, Sender: e.self.Name,
+		}
 		f.peers = append(f.peers, &forwardPeer{instance: in, client: httpx.New(in.Forwards, options)})
 	}
 	return f
