--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -418,3 +418,59 @@
 		require.Greater(t, r.took, httpx.DefaultTimeout)
 	}
 }
+
+// takeUp returns what became of a request: a stream that was cut off is taken up again at an address.
+func takeUp(t *testing.T, r result, address string) string {
+	if r.complete() {
+		return "whole"
+	}
+	t.Log("cut off:", r)
+	if !r.streamed || r.id == "" {
+		return fmt.Sprintf("cut off (%d)", r.status)
+	}
+	rest := ask(t.Context(), address, r.prompt, true, r.id)
+	rest.text = r.text + rest.text
+	if !rest.complete() {
+		t.Log("lost:", rest)
+		return "lost"
+	}
+	return "taken up again"
+}
+
+// Guards against streams that are lost since a silence has moved their ends beyond the stop of their instance: another
+// one must have the rest.
+func TestSilenceBesideAStopLosesNoStream(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// cutOff is the entry that has no path, if any; stops is the one that stops.
+		cutOff, stops int
+		entries       int
+		silence       time.Duration
+	}{
+		{"no silence", -1, 0, 3, 0},
+		{"own stream", -1, 0, 3, silence},
+		{"passed on to the one that stops", 0, 1, 2, silence},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, tc.entries, 4, func(d *settings.Deployment) { d.Discovery = settings.Discovery{TTLSeconds: 1, GraceSeconds: 2.5} })
+			if tc.cutOff >= 0 {
+				s.cutOff(t, s.entries[tc.cutOff])
+			}
+			var begun load
+			begun.send(t, "begun", 16, s.callers()[0])
+			time.Sleep(400 * time.Millisecond)
+			s.stops[tc.stops]()
+			s.fallSilent(t, s.engines, tc.silence, nil)
+			begun.wg.Wait()
+			s.setFaults(t, s.engines, `{"blocked":[]}`)
+			other := s.callers()[(tc.stops+1)%tc.entries]
+			counts := map[string]int{}
+			for _, r := range begun.all {
+				counts[fmt.Sprintf("streamed=%t: %s", r.streamed, takeUp(t, r, other))]++
+			}
+			t.Log(counts)
+			require.Zero(t, counts["streamed=true: lost"])
+		})
+	}
+}
