relay: a daemon that answers isn't avoided for one connection

Callers of a daemon that had lost its path got "this daemon reaches no upstream" (503, not run) for up to a second, while the daemon with a path stood free. Cause: a connection to it that took longer than 250 ms made the forwarder avoid it for a second, although it answered other requests before, during and after that; with one such daemon left, nobody was asked.

Evidence (trial, logs of TestDaemonWithoutPathServes/reset_2 on a busy machine, load 30): d2's request r355 gave up connecting to d3 after 455 ms; in these 455 ms and the 120 ms after them d3 answered d2's other requests, then none was sent for 0.9 s, and 106 of 106 were refused.

Now a connection that couldn't be made, or broke, says nothing if the daemon has answered since the request was sent, and an answer ends the avoidance. A refusal is kept for as long as before.

TestDaemonWithoutPathServes stays red on a starved machine: there sound daemons take their own path for lost, and stand still for seconds.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -165,6 +165,7 @@
 		return c.forwardFailed(ctx, p, err), nil
 	}
 	defer resp.Close()
+	c.relay.forwarder.answered(*p.peer)
 	var outcome forwardedOutcome
 	if err := decodeHeader(resp.Header, outcomeHeader, &outcome); err != nil {
 		watch.disarm()
@@ -237,7 +238,7 @@
 	}
 	err = withStallError(ctx, err)
 	if ctx.Err() == nil || gaveUp(context.Cause(ctx)) {
-		c.relay.forwarder.avoidFor(*p.peer, avoidUnreachable)
+		c.relay.forwarder.unreached(*p.peer, p.sentAt)
 	}
 	if !mayHaveReached(err) {
 		return result{execution: dispatch.NotSent, outcome: placement.Unreachable, err: err}
@@ -253,7 +254,7 @@
 func (c *call) refusedByPeer(p *assignment, status int, o forwardedOutcome) (result, *failure) {
 	res := result{execution: dispatch.NotRun, outcome: placement.Refused, status: status, err: errPeerRefused}
 	if o.Incapable && !o.MayHaveRun {
-		c.relay.forwarder.avoidFor(*p.peer, avoidAfter(reason(o.Reason)))
+		c.relay.forwarder.refused(*p.peer, avoidAfter(reason(o.Reason)))
 		return res, nil
 	}
 	if o.MayHaveRun {
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -23,15 +23,23 @@
 
 // forwarder keeps the connections to other daemons and what is known of their answers.
 type forwarder struct {
-	mu     sync.Mutex
-	conns  map[string]*exchange.Pool
-	avoid  map[string]time.Time
+	mu    sync.Mutex
+	conns map[string]*exchange.Pool
+	avoid map[string]avoidance
+	// heard is when each daemon last answered.
+	heard  map[string]time.Time
 	active int
 	bodies *bodylimit.Limit
 }
 
+// avoidance is until when a daemon gets no requests: because it has refused one, or because it wasn't
+// reached, which its next answer disproves.
+type avoidance struct{ refused, unreached time.Time }
+
+func (a avoidance) holds(now time.Time) bool { return now.Before(a.refused) || now.Before(a.unreached) }
+
 func newForwarder(bodies *bodylimit.Limit) *forwarder {
-	return &forwarder{bodies: bodies, conns: make(map[string]*exchange.Pool), avoid: make(map[string]time.Time)}
+	return &forwarder{bodies: bodies, conns: make(map[string]*exchange.Pool), avoid: make(map[string]avoidance), heard: make(map[string]time.Time)}
 }
 
 // begin counts a request that is about to be forwarded, and reports whether it may be.
@@ -55,13 +63,38 @@
 func (f *forwarder) usable(peers []ForwardPeer, suits func(ForwardPeer) bool, now time.Time) []ForwardPeer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.DeleteFunc(peers, func(p ForwardPeer) bool { return !suits(p) || now.Before(f.avoid[p.Address]) })
+	return slices.DeleteFunc(peers, func(p ForwardPeer) bool { return !suits(p) || f.avoid[p.Address].holds(now) })
+}
+
+// refused keeps requests away from a daemon that has refused one.
+func (f *forwarder) refused(p ForwardPeer, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := f.avoid[p.Address]
+	a.refused = time.Now().Add(d)
+	f.avoid[p.Address] = a
+}
+
+// unreached keeps requests away from a daemon that a request sent at a time hasn't reached, unless it has
+// answered another one since: a single connection says less than that, and it may be the only daemon with a
+// path.
+func (f *forwarder) unreached(p ForwardPeer, sentAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.heard[p.Address].After(sentAt) {
+		return
+	}
+	a := f.avoid[p.Address]
+	a.unreached = time.Now().Add(avoidUnreachable)
+	f.avoid[p.Address] = a
 }
 
-func (f *forwarder) avoidFor(p ForwardPeer, d time.Duration) {
+// answered records that a daemon has answered a request.
+func (f *forwarder) answered(p ForwardPeer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.avoid[p.Address] = time.Now().Add(d)
+	f.heard[p.Address] = time.Now()
+	f.avoid[p.Address] = avoidance{refused: f.avoid[p.Address].refused}
 }
 
 // connsTo returns the connections to a peer.
@@ -92,6 +125,7 @@
 			pool.Close()
 			delete(f.conns, address)
 			delete(f.avoid, address)
+			delete(f.heard, address)
 		}
 	}
 }
