soak: streams have the objectives of real sites

The soak's streams had an objective of half of their timeout and none for the gaps between events, so that the watchdog for silent servers was hardly ever armed. They now have 500 and 150 ms. No check and no plan uses these figures: only the rule has them. No bound changes.

--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -28,6 +28,9 @@
 	// maxCancelDelay, so that it shows whether a caller's close reaches the server.
 	slowEvery    = 8
 	slowDuration = 1500 * time.Millisecond
+	// The objectives of streams are those of the users' sites, by which daemons look for another place when a
+	// server is silent.
+	streamObjective, streamGapObjective = 500 * time.Millisecond, 150 * time.Millisecond
 )
 
 // service is a kind of request.
@@ -38,6 +41,8 @@
 	kind               standin.Kind
 	servers            int
 	deadline           time.Duration
+	// objective is that for the first event, gapObjective that for the time between two events; 0 sets none.
+	objective, gapObjective time.Duration
 }
 
 // callersPerServerSet is the number of callers that a service's servers can serve while some of
@@ -55,7 +60,10 @@
 var services = []service{
 	{name: "once", atMostOnce: true, kind: standin.NonIdempotent, servers: 2, deadline: 3 * time.Second},
 	{name: "repeat", kind: standin.Idempotent, servers: 2, deadline: 3 * time.Second},
-	{name: "llm", stream: true, kind: standin.Streaming, servers: 4, deadline: 6 * time.Second},
+	{
+		name: "llm", stream: true, kind: standin.Streaming, servers: 4, deadline: 6 * time.Second,
+		objective: streamObjective, gapObjective: streamGapObjective,
+	},
 	{name: versionService, kind: standin.Idempotent, deadline: 3 * time.Second},
 }
 
@@ -188,7 +196,9 @@
 	s.noteSlowPublication(time.Now())
 	var rules []standin.Service
 	for _, v := range services {
-		rule := standin.Service{Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline, Public: v.public()}
+		rule := standin.Service{
+			Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline, Objective: v.objective, GapObjective: v.gapObjective, Public: v.public(),
+		}
 		if v.name == versionService {
 			rule.Pool = versionPools[s.versions-1]
 		}
