soak: sound servers fall silent beside stops and configurations

Streams were given up for the silence of their sound servers, and no step played that. A thirteenth stream of steps, with random numbers of its own, silences 0.6 or all of the servers of a pool for 1 to 1.3 s, at once or one after another, alone or beside a planned stop, changes of the configuration, or both. Two promises: a stream that has begun isn't ended for it, and what a stopping daemon has read ends whole or is refused as not run. One server has a version of its own, so that its streams have no other place. Servers may refuse what goes beyond their places.

--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -32,6 +32,9 @@
 // stopSubject names a daemon's planned stops.
 func stopSubject(daemon int) string { return fmt.Sprintf("stop %d", daemon) }
 
+// killSubject names a daemon's kills, until the process has exited.
+func killSubject(daemon int) string { return fmt.Sprintf("kill %d", daemon) }
+
 // pauseSubject names a daemon's pauses.
 func pauseSubject(daemon int) string { return fmt.Sprintf("pause %d", daemon) }
 
@@ -53,6 +56,10 @@
 	startedAt time.Time
 	// stopping is set once this process was sent a signal to stop, killed if that was SIGKILL.
 	stopping, killed bool
+	// toldAt is when this process was first told to stop, zero if it wasn't.
+	toldAt time.Time
+	// endKill ends the kill in progress, nil if there is none.
+	endKill func()
 	// noRestart is set once no further process may be started.
 	noRestart bool
 	exits     map[int]processExit
@@ -61,10 +68,10 @@
 	endOutage func()
 }
 
-// processExit is when and how a process exited.
+// processExit is when and how a process exited. toldAt is when it was told to stop, zero if it wasn't.
 type processExit struct {
-	at     time.Time
-	killed bool
+	at, toldAt time.Time
+	killed     bool
 }
 
 // start starts a new process unless one is running.
@@ -87,7 +94,7 @@
 	if err := cmd.Start(); err != nil {
 		return eris.Wrap(err, "start daemon")
 	}
-	d.cmd, d.stopping, d.killed, d.exited = cmd, false, false, make(chan struct{})
+	d.cmd, d.stopping, d.killed, d.toldAt, d.exited = cmd, false, false, time.Time{}, make(chan struct{})
 	d.launch++
 	d.startedAt = time.Now()
 	go d.wait(cmd, d.launch, d.exited)
@@ -101,7 +108,11 @@
 	err := cmd.Wait()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.exits[launch] = processExit{at: time.Now(), killed: d.killed}
+	d.exits[launch] = processExit{at: time.Now(), toldAt: d.toldAt, killed: d.killed}
+	if d.endKill != nil {
+		d.endKill()
+		d.endKill = nil
+	}
 	if d.endOutage == nil {
 		d.endOutage = d.faults.begin(daemonSubject(d.number))
 	}
@@ -121,8 +132,13 @@
 	switch s {
 	case syscall.SIGKILL:
 		d.stopping, d.killed = true, true
+		if d.endKill == nil {
+			d.endKill = d.faults.begin(killSubject(d.number))
+		}
 	case syscall.SIGTERM:
-		d.stopping = true
+		if d.stopping = true; d.toldAt.IsZero() {
+			d.toldAt = time.Now()
+		}
 	}
 	if err := d.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		d.oracle.report(NoUnexpectedExit, "daemon %d can't be signalled: %v", d.number, err)
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -18,7 +18,9 @@
 	key  *accessKey
 	// daemon is the one that the caller chose, sender the one that last sent the request to a server.
 	daemon, sender int
-	sentAt         time.Time
+	// senders are all that sent the request to servers.
+	senders []int
+	sentAt  time.Time
 	// closedAt is when the caller closed the connection; zero if it didn't.
 	closedAt time.Time
 	// activeAtClose is set if a server was handling the request at that time.
@@ -75,6 +77,8 @@
 	limits map[string]*limitedServer
 	// senders returns the daemon that sent what arrives at a server from an address; nil knows none.
 	senders func(address string) (daemon int, known bool)
+	// daemonNumbers are the numbers of all daemons.
+	daemonNumbers []int
 	// cuts holds the cuts in progress.
 	cuts   map[*pathCut]bool
 	counts map[string]int
@@ -201,6 +205,7 @@
 	}
 	now := time.Now()
 	q.sender = o.senderOf(v, q)
+	q.senders = append(q.senders, q.sender)
 	if v.Forged {
 		o.violate(NoForgedHeaders, "%s at %s", v.ID, v.Server)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -56,6 +56,7 @@
 	JoinVersion       FaultKind = "version-joins-in-standstill"
 	CrashAtOnce       FaultKind = "servers-crash-at-one-moment"
 	SendToTwoHosts    FaultKind = "path-of-two-hosts"
+	SilencePool       FaultKind = "pool-falls-silent"
 )
 
 // Step is one fault of a run.
@@ -165,7 +166,14 @@
 // momentKindWeights holds the kinds of the twelfth stream: whose crash it was.
 var momentKindWeights = []kindWeight{{CrashAtOnce, 1}, {SendToTwoHosts, 1}}
 
+// silenceKindWeights holds the kinds of the thirteenth stream: sound servers that say nothing for a while.
+var silenceKindWeights = []kindWeight{{SilencePool, 1}}
+
 const (
+	// silenceStream is the random stream of the thirteenth stream of steps, silenceIntervalFactor how much
+	// longer its intervals are.
+	silenceStream         = 1 << 43
+	silenceIntervalFactor = 16
 	// momentStream is the random stream of the twelfth stream of steps, momentIntervalFactor how much
 	// longer its intervals are.
 	momentStream         = 1 << 42
@@ -232,6 +240,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, releaseStream)), profile, releaseKindWeights)...)
 	profile.MeanInterval = profile.MeanInterval / releaseIntervalFactor * momentIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, momentStream)), profile, momentKindWeights)...)
+	profile.MeanInterval = profile.MeanInterval / momentIntervalFactor * silenceIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, silenceStream)), profile, silenceKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -45,6 +45,8 @@
 	StreamsGoOn            Promise = "streams go on while servers of their version serve"
 	CommonServed           Promise = "a request that was answered is served after servers crash at one moment"
 	OtherHostServed        Promise = "a request isn't refused for what the same path of another host does"
+	StreamsOutlastSilence  Promise = "a stream that has begun isn't ended for the silence of sound servers"
+	StopEndsWhole          Promise = "what a stopping daemon has read ends whole or is refused as not run"
 	LimitKept              Promise = "a server's limit holds over all daemons"
 )
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -117,8 +117,9 @@
 	longPolls      bool
 	serversStarted int
 	// release joins a software version to pools of another one.
-	release release
-	moments moments
+	release  release
+	moments  moments
+	silences silences
 	// serverLinks are all links to servers.
 	serverLinks    []*Proxy
 	stoppedServers []*standin.Server
@@ -172,6 +173,9 @@
 	if err := s.addMomentServers(); err != nil {
 		return nil, err
 	}
+	if err := s.addSilentServers(); err != nil {
+		return nil, err
+	}
 	s.publish()
 	s.oracle.senders = s.senderAt
 	return s, s.addDaemons(o, network)
@@ -212,6 +216,7 @@
 		rules = append(rules, standin.Service{Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline, Public: v.public()})
 	}
 	rules = append(rules, momentRules()...)
+	rules = append(rules, silentRule(s.published))
 	rules = append(rules, addedRules(s.versions)...)
 	rules = append(rules, furtherNames(s.further)...)
 	s.store.PutConfig(s.published, rules, s.access.published()...)
@@ -281,6 +286,7 @@
 			return eris.Wrap(err, "write daemon settings")
 		}
 		s.daemons = append(s.daemons, d)
+		s.oracle.daemonNumbers = append(s.oracle.daemonNumbers, d.number)
 	}
 	for _, d := range s.daemons {
 		if err := d.start(); err != nil {
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -62,7 +62,7 @@
 
 // addLinks creates a link for each server and the spare ones.
 func (s *site) addLinks(callers int) error {
-	n := len(versionPools) + spareLinks + releasePools*releaseServers + releaseJoiners + momentServers + len(hostServices)*hostServers
+	n := len(versionPools) + spareLinks + releasePools*releaseServers + releaseJoiners + momentServers + len(hostServices)*hostServers + silentServers
 	for _, v := range services {
 		n += v.serversFor(callers)
 	}
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -121,6 +121,8 @@
 		s.crashAtOnce(step)
 	case SendToTwoHosts:
 		s.sendToTwoHosts(step)
+	case SilencePool:
+		s.silencePool(step)
 	case FailProvider:
 		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
