entry: sites in tests take addresses that differ

One run of the whole package hung for ten minutes: two addresses of a test's entry were the same port, taken one after the other, so the entry ended at once and never read the log. All addresses are taken together now, and an entry that ends with an error fails its test.

--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"tamarackchute/infra"
@@ -68,9 +69,10 @@
 	d.Instances, d.Upstreams = d.Instances[:entries], nil
 	d.Discovery = settings.Discovery{TTLSeconds: 0.1, GraceSeconds: 1}
 	host := siteHost()
+	free := freeAddresses(t, host, 4*entries)
 	for i := range d.Instances {
-		in := &d.Instances[i]
-		in.Callers, in.Operators, in.Peers, in.Forwards = freeAddress(t, host), freeAddress(t, host), freeAddress(t, host), freeAddress(t, host)
+		in, own := &d.Instances[i], free[4*i:]
+		in.Callers, in.Operators, in.Peers, in.Forwards = own[0], own[1], own[2], own[3]
 	}
 	for i := range engines {
 		speed := standin.DefaultSpeed()
@@ -91,7 +93,11 @@
 	}
 	t.Cleanup(s.stop)
 	for _, e := range s.entries {
-		<-e.journal.CaughtUp()
+		select {
+		case <-e.journal.CaughtUp():
+		case <-time.After(20 * time.Second):
+			require.Fail(t, "an entry doesn't read the log")
+		}
 	}
 	s.publish(t)
 	require.Eventually(t, s.settled, 20*time.Second, 20*time.Millisecond, "all entries know the rules and each other")
@@ -105,11 +111,16 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()/250%64, os.Getpid()%250, sites.Add(1))
 }
 
-func freeAddress(t *testing.T, host string) string {
-	l, err := net.Listen("tcp", host+":0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// freeAddresses returns different addresses at which nothing listens.
+func freeAddresses(t *testing.T, host string, n int) []string {
+	var all []string
+	for range n {
+		l, err := net.Listen("tcp", host+":0")
+		require.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		all = append(all, l.Addr().String())
+	}
+	return all
 }
 
 func (s *site) start(t *testing.T, log infra.Log, name string) {
@@ -122,7 +133,7 @@
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	s.entries, s.stops = append(s.entries, e), append(s.stops, stop)
-	s.running.Go(func() { _ = e.Run(ctx) })
+	s.running.Go(func() { assert.NoError(t, e.Run(ctx)) })
 }
 
 func testLog(name string) *slog.Logger {
