relay: a standstill while others are asked for an upstream is no crash

Cause: a refused connection counts as a crash if no other daemon says within 120 ms, by the wall clock, that it reaches the upstream, and that daemon connects within 80 ms by the wall clock. A process that stood still meanwhile found its own time over, and took its own or the other's standstill for a confirmation.

Both times now count while the waiting process runs (internal/patience), as those of path checks and connections do.

A daemon that is merely slow is still taken for one that doesn't reach the upstream.

--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -12,6 +12,7 @@
 
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/exchange"
+	"tamarackchute/internal/patience"
 	"tamarackchute/upstream"
 )
 
@@ -21,7 +22,7 @@
 	// maxProbingPeers is the number of daemons that are asked whether they reach an upstream.
 	maxProbingPeers = 2
 	// peerProbeTimeout limits the time to ask them; peerConnectTimeout is the part of it for the
-	// connection to the upstream.
+	// connection to the upstream. Both count only while the waiting process runs.
 	peerProbeTimeout   = 120 * time.Millisecond
 	peerConnectTimeout = 80 * time.Millisecond
 )
@@ -69,7 +70,7 @@
 		return ""
 	}
 	peers := r.forwarder.usable(r.cfg.ForwardPeers(u.Pool), anyPeer, time.Now())
-	ctx, cancel := context.WithTimeout(ctx, peerProbeTimeout)
+	ctx, cancel := patience.WithTimeout(ctx, peerProbeTimeout)
 	defer cancel()
 	reached := make(chan string, maxProbingPeers)
 	var asked conc.WaitGroup
@@ -109,7 +110,7 @@
 		http.Error(w, "the probe can't be decoded: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(in.Context(), peerConnectTimeout)
+	ctx, cancel := patience.WithTimeout(in.Context(), peerConnectTimeout)
 	defer cancel()
 	e := crash.Engine{ID: probe.ID, Incarnation: probe.Incarnation}
 	u := r.cfg.State.Snapshot().Upstreams[e.ID]
