--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -41,7 +41,8 @@
 	kind               standin.Kind
 	servers            int
 	deadline           time.Duration
-	// objective is that for the first event, gapObjective that for the time between two events; 0 sets none.
+	// objective is that for the first event, half of the deadline if it is 0, gapObjective that for the time
+	// between two events, 0 for none.
 	objective, gapObjective time.Duration
 }
 
@@ -62,7 +63,7 @@
 	{name: "repeat", kind: standin.Idempotent, servers: 2, deadline: 3 * time.Second},
 	{
 		name: "llm", stream: true, kind: standin.Streaming, servers: 4, deadline: 6 * time.Second,
-		objective: streamObjective, gapObjective: streamGapObjective,
+		gapObjective: streamGapObjective,
 	},
 	{name: versionService, kind: standin.Idempotent, deadline: 3 * time.Second},
 }
