--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -291,6 +291,9 @@
 		c.withoutPrefill = true // the engine that answers hasn't been asked yet
 		decision = dispatch.Retry
 	}
+	if decision == dispatch.BudgetExhausted && c.movedStream() && c.awaitBudget(ctx) {
+		decision = dispatch.Retry
+	}
 	if decision != dispatch.Retry {
 		return c.failDecision(decision)
 	}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -397,6 +397,27 @@
 	}
 }
 
+// movedStream reports whether the call's stream has begun and was moved away from a silent upstream, which
+// may have been sound.
+func (c *call) movedStream() bool { return c.stream != nil && len(c.silent) > 0 }
+
+// awaitBudget waits until the retry budget allows a retry, and counts it. It returns false if the call ends
+// before.
+func (c *call) awaitBudget(ctx context.Context) bool {
+	ticker := time.NewTicker(stallRecheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		if c.relay.cfg.RetryBudget.AllowRetry(c.pool) {
+			return true
+		}
+	}
+}
+
 // silentUpstream is an upstream that was given up for its silence.
 type silentUpstream struct {
 	id string
