--- a/review/stand/kit/site.go
+++ b/review/stand/kit/site.go
@@ -221,7 +221,9 @@
 
 // Daemon is a daemon, started with the command of the deploy file.
 type Daemon struct {
-	Name     string
+	Name string
+	// Args are further arguments of its command.
+	Args     []string
 	site     *Site
 	number   int
 	settings string
@@ -235,6 +237,9 @@
 // Front returns the address for clients.
 func (d *Daemon) Front() string { return d.site.address(d.number, portFront) }
 
+// IP returns its address without a port.
+func (d *Daemon) IP() string { return fmt.Sprintf("%s.%d", d.site.Network, d.number+1) }
+
 // Directory returns the address of the directory.
 func (d *Daemon) Directory() string { return d.site.address(d.number, portDirectory) }
 
@@ -248,7 +253,7 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command("target/chute-member")
+	cmd := exec.Command("target/chute-member", d.Args...)
 	cmd.Env = append(os.Environ(), "TAMARACKCHUTE_CONFIG="+d.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
