relay: name the streams that a stop leaves over, and the upstream behind a hop

A stream that had begun ended with the exit of its daemon without a line in that daemon's log: the hypotheses on requests cut at another daemon's stop couldn't be told apart by the id. Right before the exit each such stream gets the line 'left over by the stop' with the daemon that forwarded it, and 'forwarded' names the upstream that served at the other daemon. No decision changes.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -43,6 +43,8 @@
 	// peer is the daemon to which the request is forwarded, nil if it goes to an upstream. The target
 	// then stands for that daemon.
 	peer *ForwardPeer
+	// peerUpstream is the upstream whose response the peer relays, empty until that is known.
+	peerUpstream string
 	// prefill is the engine that does the prefill, nil if it is the target.
 	prefill *fleet.Upstream
 	// source is the engine from which shared prompt parts are transferred, nil if none.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -45,12 +45,12 @@
 	// earlier if the process stops before; cut says so.
 	ownDeadline, deadline time.Time
 	cut                   bool
-	// runUntilExit lets the call go on until the process exits.
-	runUntilExit func()
-	version      uint64
-	rule         *pathset.Rule
-	pool         string
-	body         []byte
+	// runsUntilExit says that the call goes on until the process exits.
+	runsUntilExit atomic.Bool
+	version       uint64
+	rule          *pathset.Rule
+	pool          string
+	body          []byte
 	// bodyShare counts the body among those of all requests.
 	bodyShare *bodylimit.Share
 	// content identifies equal requests. It is set before the first attempt and doesn't change.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -182,7 +182,7 @@
 	}
 	c.recordForwardedRun(outcome.Attempts - c.attempts.Attempts())
 	c.relay.observeForwarded(outcome, resp.Status, resp.Header)
-	p.target.Version = outcome.Version
+	p.target.Version, p.peerUpstream = outcome.Version, outcome.Upstream
 	if c.rule.Stream && resp.Status == http.StatusOK {
 		return c.relayStream(ctx, p, resp, watch), nil
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -65,6 +65,9 @@
 		"lasted_ms", telemetry.Millis(time.Since(p.sentAt)), "first_ms", telemetry.Millis(p.firstEventTime), "events", c.eventsOf(p),
 		"path_lost", c.relay.paths.IsLost(c.pool), "address", p.peer.Address, "pool", c.pool, "config", c.version,
 	)
+	if p.peerUpstream != "" {
+		attrs = append(attrs, "at", p.peerUpstream)
+	}
 	if f != nil {
 		attrs = append(attrs, "reason", string(f.reason))
 	}
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -40,14 +40,28 @@
 // has begun by then: it can't be answered otherwise any more.
 func (c *call) withShutdown(ctx context.Context) (context.Context, func()) {
 	ctx, end := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(c.relay.ending, func() { end(errShuttingDown) })
-	c.runUntilExit = func() { stop() }
+	stop := context.AfterFunc(c.relay.ending, func() {
+		if c.runsUntilExit.Load() {
+			c.logLeftOver()
+			return
+		}
+		end(errShuttingDown)
+	})
 	return ctx, func() {
 		stop()
 		end(nil)
 	}
 }
 
+// logLeftOver logs that the exit of the process ends the call.
+func (c *call) logLeftOver() {
+	attrs := []any{"request", c.ID, "took_ms", telemetry.Millis(time.Since(c.arrived)), "left_ms", telemetry.Millis(time.Until(c.ownDeadline)), "pool", c.pool}
+	if c.forwarded != nil {
+		attrs = append(attrs, "forwarded_by", c.forwarded.From)
+	}
+	c.log.Warn("left over by the stop", attrs...)
+}
+
 // decideShutdown returns what a shutdown in progress makes of the call if it were sent now.
 func (c *call) decideShutdown() (stopplan.Decision, stopplan.Plan) {
 	s := c.relay.shutdown.Load()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -106,7 +106,7 @@
 
 func (c *call) beginStream(p *assignment, resp *exchange.Response) {
 	now := time.Now()
-	c.runUntilExit()
+	c.runsUntilExit.Store(true)
 	c.recordOrigin(p.target)
 	c.stream = &streamState{lastEvent: c.ResumeAfter, flusher: http.NewResponseController(c.out), lastAt: now, started: now}
 	c.copyResponseHeaders(p.target, resp.Header)
