relay: a request that may have run waits for a path, not for the one that is lost

Such a request now waits until a check finds the path again, or another daemon has one, asked each 0.1 s; before, it asked others once and then waited for its own path alone. What certainly hasn't run is refused at once as before.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -88,7 +88,7 @@
 		if found = c.tryAssign(late); found == nil {
 			backoff = c.backoffBeyond(until)
 		}
-		return found != nil || backoff > 0 || c.forwardsFirst()
+		return found != nil || backoff > 0 || c.forwardsFirst() || c.mustNotWait()
 	}
 	got := backoff > 0 || c.forwardsFirst() || c.relay.queue(c.rule.Name).await(ctx, late, until, try)
 	if !got && !late && c.Generation != nil && c.contextFailure(ctx) == nil {
@@ -123,11 +123,9 @@
 	return c.fail(reasonNoCapacity, "no upstream has a free place")
 }
 
-// mustNotWait reports whether a new request can't be served until a check finds that the path to its
+// mustNotWait reports whether a request can't be served here until a check finds that the path to its
 // pool works again.
-func (c *call) mustNotWait() bool {
-	return !c.hasBegun() && c.relay.paths.IsLost(c.pool) && c.unreachable()
-}
+func (c *call) mustNotWait() bool { return c.relay.paths.IsLost(c.pool) && c.unreachable() }
 
 // hasBegun reports whether the request may have run, or its stream has begun.
 func (c *call) hasBegun() bool { return c.stream != nil || c.attempts.MayHaveRun() }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -11,6 +11,7 @@
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/telemetry"
 	"tamarackchute/placement"
 	"tamarackchute/rules/pathset"
 )
@@ -33,6 +34,8 @@
 	// forwardStallFactor lengthens the timeouts for silence of another daemon: it has the same ones
 	// for its upstream, and may send the request to another one after that.
 	forwardStallFactor = 2
+	// pathRecheck is how often a request that waits for a path looks for one.
+	pathRecheck = 100 * time.Millisecond
 )
 
 // forwardResult says how an attempt to forward a request ended.
@@ -51,6 +54,42 @@
 // path to the pool is lost or the configuration here is outdated, otherwise if no upstream is found that
 // others may reach.
 func (c *call) assignOrForward(ctx context.Context) (*assignment, forwardResult, *failure) {
+	waiting := false
+	for {
+		p, result, f := c.assignOrForwardOnce(ctx)
+		if f == nil || result != notForwarded || !c.waitsForAPath(f) {
+			return p, result, f
+		}
+		if !waiting {
+			waiting = true
+			c.log.Info("waits for a path", "request", c.ID, "pool", c.pool, "left_ms", telemetry.Millis(time.Until(c.deadline)), "last_event", c.resumeAfter())
+		}
+		if f := c.pause(ctx, pathRecheck); f != nil {
+			return nil, notForwarded, f
+		}
+	}
+}
+
+// waitsForAPath reports whether a call that can't be refused any more waits until this daemon, or another one, reaches an
+// upstream.
+func (c *call) waitsForAPath(f *failure) bool {
+	return c.forwarded == nil && f.reason == reasonUnreachable && c.hasBegun() && time.Until(c.deadline) > minAttemptTime
+}
+
+// pause waits, and returns a failure if the call ends meanwhile.
+func (c *call) pause(ctx context.Context, d time.Duration) *failure {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return c.contextFailure(ctx)
+	case <-timer.C:
+		return c.checkShutdown()
+	}
+}
+
+// assignOrForwardOnce is assignOrForward without a wait for a path.
+func (c *call) assignOrForwardOnce(ctx context.Context) (*assignment, forwardResult, *failure) {
 	c.forwardRefused = false
 	if c.forwardsFirst() {
 		if result, f := c.forward(ctx, c.relay.notOlder); result != notForwarded {
@@ -69,15 +108,11 @@
 	if !ok {
 		return nil, notForwarded, f
 	}
-	if result, failed := c.forward(ctx, suits); result != notForwarded {
-		return nil, result, failed
-	}
-	if f.reason != reasonUnreachable || !c.hasBegun() {
-		return nil, notForwarded, f
+	result, failed := c.forward(ctx, suits)
+	if result == notForwarded {
+		failed = f
 	}
-	c.forwardRefused = true // the path may work again before the deadline
-	p, f = c.assign(ctx)
-	return p, notForwarded, f
+	return nil, result, failed
 }
 
 // forwardsFirst reports whether other daemons are to be asked before this one tries.
