relay: a daemon that stops returns what it does for others

What callers saw: a stream that a daemon without a path had handed on ended broken off, or a plain request with 502, at the planned exit of the daemon that served it, with seconds left to the deadline and a sound upstream. The daemon that had the caller read the end of the connection as a failed attempt, so that it needed an attempt and a retry, of which there were none.

Cause: forwarded requests were treated like the stopping daemon's own: deadline brought forward to the exit, cut there, without a word to the daemon that could go on.

- Right before its exit a daemon returns what it hasn't ended: in the trailer of a response that has begun, or in the head.
The one that has the caller goes on after the last event.
- The same if the other daemon is lost (killed, or silent): its upstream is sound.
- What the stopping daemon would cut short it doesn't take if others have a path.
- A daemon that hasn't sent a request on hands it back, also one that may have run elsewhere before; such a stream was held by a daemon without a path until its deadline.
- What can't be refused any more goes to daemons that stop if no other one has a path.
- A stream that a daemon fails for another one ends with the reason and the attempts made, which were counted anew before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -112,6 +112,22 @@
 	return s.policy.Mode == RetryAlways && s.attempts+uncounted < s.policy.MaxAttempts
 }
 
+// Repeatable reports whether the request may run more than once.
+func (s *State) Repeatable() bool { return s.policy.Mode == RetryAlways }
+
+// Repeat decides whether a request that may run more than once is sent again to where it has run already, which is no
+// further attempt but uses the budget.
+func (s *State) Repeat() Decision {
+	switch {
+	case !s.Repeatable():
+		return NotRetryable
+	case !s.policy.AllowRetry():
+		return BudgetExhausted
+	default:
+		return Retry
+	}
+}
+
 // Next decides after a failed attempt whether to retry. costly says that the attempt put
 // load on an upstream, so that a retry uses the budget.
 func (s *State) Next(e Execution, costly bool) Decision {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -29,9 +29,10 @@
 	// connection.
 	Framed bool
 
-	body io.ReadCloser
-	pool *Pool
-	conn *conn
+	response *http.Response
+	body     io.ReadCloser
+	pool     *Pool
+	conn     *conn
 	// stop keeps the end of the context from closing conn; it returns false if it is too late.
 	stop func() bool
 	// sent receives the result of writing the request.
@@ -154,7 +155,7 @@
 	resp.Status = response.StatusCode
 	resp.Header = response.Header
 	resp.Length = response.ContentLength
-	resp.body = response.Body
+	resp.response, resp.body = response, response.Body
 	resp.Framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	resp.reusable = resp.Framed && !response.Close && resp.pool.mayKeep(r)
 	limit, ok := parseKeepAlive(response.Header.Get("Keep-Alive"))
@@ -174,6 +175,9 @@
 	return n, err
 }
 
+// Trailer returns the headers that followed the body. They are known once it has been read to its end.
+func (resp *Response) Trailer() http.Header { return resp.response.Trailer }
+
 // Close ends the exchange. The connection is reused only if the response was read
 // completely, the request was sent completely, and no further bytes have arrived.
 func (resp *Response) Close() {
--- a/internal/member/forwarding.go
+++ b/internal/member/forwarding.go
@@ -47,11 +47,29 @@
 	shuffle(unknown)
 	peers := make([]relay.ForwardPeer, 0, len(known)+len(staleKeys)+len(unknown))
 	for _, a := range slices.Concat(known, staleKeys, unknown) {
-		peers = append(peers, relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards, Holder: a.Peers, ConfigVersion: versions[a.Peers]})
+		peers = append(peers, forwardPeer(a, versions[a.Peers]))
 	}
 	return peers
 }
 
+func forwardPeer(a wire.MemberAddress, configVersion uint64) relay.ForwardPeer {
+	return relay.ForwardPeer{Instance: a.Instance, Address: a.Forwards, Holder: a.Peers, ConfigVersion: configVersion}
+}
+
+// leavingPeers implements relay.Config.LeavingPeers, in random order.
+func (p *Peers) leavingPeers(pool string) []relay.ForwardPeer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var peers []relay.ForwardPeer
+	for _, other := range p.peers {
+		if other.Forwards != "" && other.up && other.hasState() && !other.summary.Serving && other.reaches(pool) {
+			peers = append(peers, forwardPeer(other.MemberAddress, other.summary.Config))
+		}
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
+
 // pathsTo implements relay.Config.PeerPaths.
 func (p *Peers) pathsTo(pool string) (with, without int) {
 	p.mu.Lock()
@@ -89,8 +107,12 @@
 
 // canServe reports whether the peer, by its last state, can serve requests for a pool.
 func (p *peer) canServe(pool string) bool {
-	s := p.summary
-	return s.Serving && !s.Overdue && !slices.Contains(s.LostPools, pool)
+	return p.summary.Serving && p.reaches(pool)
+}
+
+// reaches reports whether the peer, by its last state, has a path to a pool and a current configuration.
+func (p *peer) reaches(pool string) bool {
+	return !p.summary.Overdue && !slices.Contains(p.summary.LostPools, pool)
 }
 
 // reportNow sends this daemon's state to the others at once.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -151,6 +151,7 @@
 		Refresh:       func(ctx context.Context) { m.peers.Refresh(ctx) },
 		Dial:          cfg.Dial,
 		ForwardPeers:  m.peers.forwardPeers,
+		LeavingPeers:  m.peers.leavingPeers,
 		OnPathChange:  m.peers.reportNow,
 		PeerSilent:    m.peers.silent,
 		PeerPaths:     m.peers.pathsTo,
--- a/internal/member/path_test.go
+++ b/internal/member/path_test.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// Guards against streams in progress that end although a daemon which stops still has a path.
+func TestLeavingPeers(t *testing.T) {
+	p := peersWith(map[string]Summary{"d0": withPath, "d2": withoutPath, "d3": stopping, "d4": {LostPools: []string{"p"}}, "d5": {Overdue: true}})
+	leaving := p.leavingPeers("p")
+	require.Equal(t, []relay.ForwardPeer{{Instance: "d3", Address: "forwards-d3", Holder: "d3"}}, leaving)
+}
+
 // Guards against requests that are refused for stale keys where another daemon could check them.
 func TestDaemonsWithStaleKeysAreAskedLast(t *testing.T) {
 	p := peersWith(map[string]Summary{"d0": staleKeys, "d2": withPath, "d3": staleKeys, "d4": withPath})
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"tamarackchute/enginemodel"
+	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
 	"tamarackchute/placement"
 	"tamarackchute/upstream"
@@ -71,6 +73,9 @@
 	if f := c.checkOrigin(ctx); f != nil {
 		return nil, f
 	}
+	if c.goesOnOnly() && !c.canGoOn() {
+		return nil, c.failDecision(dispatch.AttemptsExhausted)
+	}
 	if c.cannotComplete() {
 		return nil, c.fail(reasonCannotComplete, "no upstream can end the answer in the time left")
 	}
@@ -327,7 +332,7 @@
 func (c *call) placementRequest() placement.Request {
 	r := placement.Request{
 		DataCentre: c.relay.cfg.DataCentre,
-		Exclude:    append(c.excludedNow(), c.otherVersions(c.relay.cfg.State.Snapshot())...),
+		Exclude:    c.excludedIn(c.relay.cfg.State.Snapshot()),
 	}
 	if g := c.Generation; g != nil {
 		r.Parts = g.Parts
@@ -343,6 +348,11 @@
 	return r
 }
 
+// excludedIn returns the upstreams at which the call may not be placed now.
+func (c *call) excludedIn(s *fleet.Snapshot) []string {
+	return slices.Concat(c.excludedNow(), c.otherVersions(s), c.beyondAttempts(s))
+}
+
 func expectedOutput(g *Generation) int {
 	switch {
 	case g.ExpectedOutput > 0 && g.MaxOutput > 0:
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -231,7 +232,7 @@
 	switch class := c.relay.cfg.Dialect.Classify(resp.Status, resp.Header); class {
 	case NotRun, WrongUpstream:
 		watch.disarm()
-		c.excluded = append(c.excluded, p.target.ID)
+		c.excludeRefusing(p.target.ID)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)) // frees the connection
 		res := result{execution: dispatch.NotRun, reachedUpstream: true, outcome: outcomeOfRefusal(resp.Status), status: resp.Status, err: errNotRun}
 		if class == NotRun {
@@ -253,6 +254,16 @@
 	return c.relayResponse(ctx, p, resp)
 }
 
+// excludeRefusing excludes an upstream that has refused the call; for a while if it is one of the few at which the call
+// may go on.
+func (c *call) excludeRefusing(id string) {
+	if c.goesOnOnly() && slices.Contains(c.returnedFrom, id) {
+		c.silent = append(c.silent, silentUpstream{id: id, at: time.Now()})
+		return
+	}
+	c.excluded = append(c.excluded, id)
+}
+
 var (
 	errNotRun         = errors.New("the upstream did not run the request")
 	errUnsigned       = errors.New("the response lacks the upstream's signature")
@@ -293,10 +304,13 @@
 	c.relay.cfg.OnBegun(c.identity.organisation, ago)
 }
 
-// recordRun counts an attempt that may have run. A stream begins to run with its first event.
+// recordRun counts an attempt that may have run, unless it goes on where the call has run before. A stream begins to run with its first event.
 func (c *call) recordRun(p *assignment) {
-	c.attempts.RecordAttempt()
+	if !slices.Contains(c.returnedFrom, p.target.ID) {
+		c.attempts.RecordAttempt()
+	}
 	c.attempts.RecordRun()
+	c.lastRun = p.target.ID
 	if !c.rule.Stream {
 		c.recordBegun(time.Since(p.sentAt))
 	}
@@ -305,6 +319,7 @@
 // lostResult returns the result of an attempt that may have run but gave no usable
 // response, and excludes its upstream from retries, for a while if it was silent.
 func (c *call) lostResult(p *assignment, o placement.Outcome, err error) result {
+	c.failedThere(p.target.ID)
 	if o == placement.Stalled {
 		c.silent = append(c.silent, silentUpstream{id: p.target.ID, at: time.Now()})
 	} else {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -72,6 +72,13 @@
 
 	// forwarded is nil unless another daemon has forwarded the request to this one.
 	forwarded *forwardedCall
+	// lastRun is the upstream at which this daemon has run the call last, empty if it hasn't.
+	lastRun string
+	// returnedFrom names the upstreams that have run the call and were left for no fault of theirs; returns counts how
+	// often the call went on there without another attempt.
+	returnedFrom []string
+	returns      int
+
 	// forwardRefused says that no other daemon has taken the request before this placement.
 	forwardRefused bool
 
@@ -181,7 +188,9 @@
 	case f == nil:
 	case c.stream != nil:
 		c.logEnd(f)
-		c.abort()
+		if !c.endForwardedStream(f) {
+			c.abort()
+		}
 	default:
 		c.relay.writeFailure(c.out, c.in, c, f)
 	}
@@ -291,7 +300,10 @@
 		c.withoutPrefill = true // the engine that answers hasn't been asked yet
 		decision = dispatch.Retry
 	}
-	if decision == dispatch.BudgetExhausted && c.movedStream() && c.awaitBudget(ctx) {
+	if decision == dispatch.AttemptsExhausted {
+		decision = c.decideReturn(res.err)
+	}
+	if decision == dispatch.BudgetExhausted && c.mayAwaitBudget() && c.awaitBudget(ctx) {
 		decision = dispatch.Retry
 	}
 	if decision != dispatch.Retry {
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -102,5 +102,6 @@
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
 	c.addOutcome(w.Header(), c.failureOutcome(f))
+	c.addReturn(w.Header(), f)
 	r.cfg.Dialect.WriteError(w, f.status, f.retryAfter, f.message)
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -152,7 +152,7 @@
 // forward offers the request to other daemons that suit it, one after the other.
 func (c *call) forward(ctx context.Context, suits func(ForwardPeer) bool) (forwardResult, *failure) {
 	f := c.relay.forwarder
-	peers := f.usable(c.relay.cfg.ForwardPeers(c.pool), suits, time.Now())
+	peers := f.usable(c.peersFor(), suits, time.Now())
 	if len(peers) == 0 || !f.begin() {
 		return notForwarded, nil
 	}
@@ -169,6 +169,16 @@
 	return notForwarded, nil
 }
 
+// peersFor returns the daemons that may take the request, the best ones first. Those that stop are worth a try only if it
+// can't be refused any more.
+func (c *call) peersFor() []ForwardPeer {
+	peers := c.relay.cfg.ForwardPeers(c.pool)
+	if leaving := c.relay.cfg.LeavingPeers; leaving != nil && c.hasBegun() {
+		peers = slices.Concat(peers, leaving(c.pool))
+	}
+	return peers
+}
+
 // forwardTo offers the request to one daemon.
 func (c *call) forwardTo(ctx context.Context, peer ForwardPeer) (forwardResult, *failure) {
 	p := &assignment{target: &fleet.Upstream{ID: peer.Instance, Pool: c.pool, Address: peer.Address}, peer: &peer, sentAt: time.Now(), resumedAfter: c.resumeAfter()}
@@ -208,11 +218,16 @@
 		return c.lostResult(p, placement.Failed, errUnsigned), nil
 	}
 	resp.Header.Del(outcomeHeader)
+	returned, isReturned := returnedIn(resp.Header)
+	resp.Header.Del(returnedHeader)
 	c.relay.recordConfig(outcome.ConfigVersion)
 	c.relay.recordNamed(outcome.ConfigVersion, p.peer.Instance)
 	if outcome.Reason != "" {
 		watch.disarm()
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)) // frees the connection
+		if isReturned && returned.Sound {
+			return c.takeBack(p, returned), nil
+		}
 		return c.refusedByPeer(p, resp.Status, outcome)
 	}
 	c.recordForwardedRun(outcome.Attempts - c.attempts.Attempts())
@@ -240,6 +255,7 @@
 		Retried: c.retried, DemandCounted: c.demandCounted,
 		VersionFixed: c.origin.fixed, Version: c.origin.version,
 	}))
+	h.Set(returnableHeader, encodeHeader(returnableCall{ReturnedFrom: c.returnedFrom}))
 	return &exchange.Request{
 		Method: c.in.Method, Target: c.target.Origin(), Host: c.in.Host, Header: h, Body: c.body,
 		Match:         exchange.EchoedID(d.RequestIDHeader(), c.ID),
@@ -278,7 +294,11 @@
 	if !mayHaveReached(err) {
 		return result{execution: dispatch.NotSent, outcome: placement.Unreachable, err: err}
 	}
-	c.recordBrokenHop()
+	if c.goesOnOnly() { // no upstream has run it that hadn't before
+		err = errors.Join(errHopLost, err)
+	} else {
+		c.recordBrokenHop()
+	}
 	return result{execution: dispatch.MayHaveRun, reachedUpstream: true, outcome: placement.Unreachable, err: err}
 }
 
@@ -288,7 +308,7 @@
 // if a third one may serve it.
 func (c *call) refusedByPeer(p *assignment, status int, o forwardedOutcome) (result, *failure) {
 	res := result{execution: dispatch.NotRun, outcome: placement.Refused, status: status, err: errPeerRefused}
-	if o.Incapable && !o.MayHaveRun {
+	if o.Incapable && o.Attempts <= c.attempts.Attempts() {
 		c.relay.forwarder.refused(*p.peer, avoidAfter(reason(o.Reason)))
 		return res, nil
 	}
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -23,6 +23,11 @@
 		return
 	}
 	in.Header.Del(forwardHeader)
+	var returnable returnableCall
+	if in.Header.Get(returnableHeader) != "" && decodeHeader(in.Header, returnableHeader, &returnable) == nil {
+		forwarded.returnable = &returnable
+	}
+	in.Header.Del(returnableHeader)
 	r.serve(w, in, &forwarded)
 }
 
@@ -49,4 +54,7 @@
 	if f.MayHaveRun {
 		c.attempts.RecordRun()
 	}
+	if r := f.returnable; r != nil {
+		c.returnedFrom = r.ReturnedFrom[:min(len(r.ReturnedFrom), maxReturns)]
+	}
 }
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -48,6 +48,9 @@
 	// VersionFixed says that the stream may go on only at Version of the upstreams' software.
 	VersionFixed bool
 	Version      string
+
+	// returnable is nil unless the daemon takes the request back from one that stops.
+	returnable *returnableCall
 }
 
 // forwardedOutcome is what the daemon to which a request was forwarded says of its response.
@@ -95,7 +98,7 @@
 func (c *call) failureOutcome(f *failure) forwardedOutcome {
 	return forwardedOutcome{
 		ConfigVersion: c.version, Attempts: c.attempts.Attempts(), MayHaveRun: c.attempts.MayHaveRun(),
-		Reason: string(f.reason), Message: f.message, RetryAfter: f.retryAfter, Incapable: !c.attempts.MayHaveRun() && incapable(f.reason),
+		Reason: string(f.reason), Message: f.message, RetryAfter: f.retryAfter, Incapable: !c.ranHere() && incapable(f.reason),
 	}
 }
 
@@ -112,6 +115,7 @@
 // daemon. It replaces any header of that name that an upstream has sent.
 func (c *call) addOutcome(h http.Header, o forwardedOutcome) {
 	h.Del(outcomeHeader)
+	h.Del(returnedHeader)
 	if c.forwarded == nil {
 		return
 	}
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"tamarackchute/internal/telemetry"
@@ -68,7 +69,16 @@
 	if s == nil {
 		return stopplan.Serve, stopplan.Plan{}
 	}
-	return s.plan.Decide(stopplan.Request{Deadline: c.ownDeadline, MayHaveRun: c.hasBegun()}, time.Now()), s.plan
+	request := stopplan.Request{Deadline: c.ownDeadline, MayHaveRun: c.hasBegun(), Returnable: c.isReturnable(), Elsewhere: c.othersTake()}
+	return s.plan.Decide(request, time.Now()), s.plan
+}
+
+// othersTake reports whether the call was forwarded by a daemon that can hand it to another one than this.
+func (c *call) othersTake() bool {
+	if c.forwarded == nil || c.relay.cfg.ForwardPeers == nil {
+		return false
+	}
+	return slices.ContainsFunc(c.relay.cfg.ForwardPeers(c.pool), func(p ForwardPeer) bool { return p.Instance != c.forwarded.From })
 }
 
 // refusedByShutdown reports whether the call may not be sent any more.
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -397,9 +397,11 @@
 	}
 }
 
-// movedStream reports whether the call's stream has begun and was moved away from a silent upstream, which
-// may have been sound.
-func (c *call) movedStream() bool { return c.stream != nil && len(c.silent) > 0 }
+// mayAwaitBudget reports whether the call is worth a wait for the retry budget: its stream has begun and was moved away
+// from a silent upstream, which may have been sound, or another daemon has left it, for which nothing is to blame.
+func (c *call) mayAwaitBudget() bool {
+	return c.stream != nil && len(c.silent) > 0 || len(c.returnedFrom) > 0
+}
 
 // awaitBudget waits until the retry budget allows a retry, and counts it. It returns false if the call ends
 // before.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -38,6 +38,11 @@
 	for {
 		e, err := events.next()
 		watch.disarm()
+		if err == io.EOF && p.peer != nil {
+			if returned, ok := returnedIn(resp.Trailer()); ok {
+				return c.takeBack(p, returned)
+			}
+		}
 		if err == io.EOF && first && !resp.Framed && p.resumedAfter == 0 {
 			err = errEmptyStream
 		}
@@ -106,7 +111,7 @@
 
 func (c *call) beginStream(p *assignment, resp *exchange.Response) {
 	now := time.Now()
-	c.runsUntilExit.Store(true)
+	c.runsUntilExit.Store(!c.isReturnable())
 	c.recordOrigin(p.target)
 	c.stream = &streamState{lastEvent: c.ResumeAfter, flusher: http.NewResponseController(c.out), lastAt: now, started: now}
 	c.copyResponseHeaders(p.target, resp.Header)
@@ -129,5 +134,10 @@
 	if c.stream != nil {
 		err = errors.Join(err, errors.New("the stream broke off"))
 	}
+	if p.peer != nil && c.stream != nil && (ctx.Err() == nil || gaveUp(context.Cause(ctx))) {
+		c.relay.forwarder.unreached(*p.peer, time.Now())
+		c.leftWithoutFault(p.peerUpstream)
+		err = errors.Join(errHopLost, err)
+	}
 	return c.lostResult(p, outcomeOfError(ctx, err), withStallError(ctx, err))
 }
--- a/stopplan/stopplan.go
+++ b/stopplan/stopplan.go
@@ -36,6 +36,11 @@
 	Deadline time.Time
 	// MayHaveRun says that an attempt may have run it, so that no refusal can deny that.
 	MayHaveRun bool
+	// Returnable says that another process has the caller, and goes on with the request if it is returned to it before
+	// the exit.
+	Returnable bool
+	// Elsewhere says that another process has the caller, and can hand the request to one that doesn't stop.
+	Elsewhere bool
 }
 
 // Latest is the latest deadline at which a response still reaches its caller.
@@ -48,6 +53,12 @@
 	switch {
 	case !r.Deadline.IsZero() && !r.Deadline.After(latest):
 		return Serve
+	case r.Elsewhere && !r.MayHaveRun:
+		return Refuse
+	case r.Returnable && now.Before(latest):
+		return Serve
+	case r.Returnable:
+		return Refuse
 	case r.MayHaveRun, now.Before(p.Noticed) && now.Before(latest):
 		return Cut
 	default:
