relay: a returned stream costs the stopping daemon's retry first, and its last upstream is not sought as late

- The daemon that returns a request counts the retry against its own share of the budget if there is one: it ends, and its successor doesn't use the share for a window.
- A request that may go on only where it ran isn't placed as a late one, which gets only capacity that nobody else could use.
- What a daemon excluded itself, as its path failed, may be named as the sound upstream by another.
- A request that may have run isn't sent over a path on which the last checks reached nothing: its attempts were spent there.
- Stopping daemons get only streams that have begun: others were begun there and cut.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -129,8 +129,11 @@
 }
 
 // mustNotWait reports whether a request can't be served here until a check finds that the path to its
-// pool works again.
-func (c *call) mustNotWait() bool { return c.relay.paths.IsLost(c.pool) && c.unreachable() }
+// pool works again. Upstreams that weren't reached count as reachable after a while, for a new request to try
+// them; one that has an attempt to lose doesn't.
+func (c *call) mustNotWait() bool {
+	return c.relay.paths.IsLost(c.pool) && (c.unreachable() || c.hasBegun() && c.relay.paths.Tracker.CutFor(c.pool) > 0)
+}
 
 // hasBegun reports whether the request may have run, or its stream has begun.
 func (c *call) hasBegun() bool { return c.stream != nil || c.attempts.MayHaveRun() }
@@ -220,6 +223,10 @@
 // no engine could meet the objective.
 func (c *call) choosePlan(req *placement.Request, late bool) (plan placement.Plan, planLate, ok bool) {
 	tracker := c.relay.cfg.Tracker
+	if c.goesOnOnly() { // it was placed there before, and has nowhere else to go
+		plan, ok = tracker.Pick(c.pool, *req)
+		return plan, false, ok
+	}
 	req.Late = late
 	if !late {
 		c.setObjectiveLimits(req)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -169,11 +169,11 @@
 	return notForwarded, nil
 }
 
-// peersFor returns the daemons that may take the request, the best ones first. Those that stop are worth a try only if it
-// can't be refused any more.
+// peersFor returns the daemons that may take the request, the best ones first. Those that stop go on only with a stream
+// that has begun: others could be cut by the next exit before they are.
 func (c *call) peersFor() []ForwardPeer {
 	peers := c.relay.cfg.ForwardPeers(c.pool)
-	if leaving := c.relay.cfg.LeavingPeers; leaving != nil && c.hasBegun() {
+	if leaving := c.relay.cfg.LeavingPeers; leaving != nil && c.stream != nil {
 		peers = slices.Concat(peers, leaving(c.pool))
 	}
 	return peers
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,8 +47,8 @@
 	// ForwardPeers returns the daemons to which a request for a pool can be forwarded, the preferred
 	// ones first; nil forwards none. OnPathChange is called when a path to upstreams is lost or works again.
 	ForwardPeers func(pool string) []ForwardPeer
-	// LeavingPeers returns those that take no new requests and have a path to a pool: until their exit they serve what
-	// can't be refused any more. nil knows none.
+	// LeavingPeers returns those that take no new requests and have a path to a pool: until their exit they go on with
+	// streams. nil knows none.
 	LeavingPeers func(pool string) []ForwardPeer
 	OnPathChange func()
 	// PeerSilent reports whether nothing was heard lately of a daemon to which requests are forwarded;
--- a/internal/relay/returned.go
+++ b/internal/relay/returned.go
@@ -36,6 +36,8 @@
 	Reason string
 	// Sound means that nothing has failed at Upstream: the daemon stops, or has lost its path.
 	Sound bool
+	// RetryCounted means that the daemon has counted the next retry against its share of the retry budget.
+	RetryCounted bool
 	// Upstream ran the request last.
 	Upstream string
 	// Attempts and Prefills count those made, those of the forwarding daemon included.
@@ -64,8 +66,9 @@
 
 // returned describes a call that this daemon doesn't end.
 func (c *call) returned(why reason) returnedCall {
+	sound := c.isReturnable() && leavesSound(why)
 	return returnedCall{
-		Reason: string(why), Sound: c.isReturnable() && leavesSound(why),
+		Reason: string(why), Sound: sound, RetryCounted: sound && c.relay.cfg.RetryBudget.AllowRetry(c.pool),
 		Upstream: c.lastRun, Attempts: c.attempts.Attempts(), Prefills: c.prefills,
 	}
 }
@@ -108,17 +111,21 @@
 	res := result{execution: dispatch.MayHaveRun, reachedUpstream: true, outcome: placement.Cancelled, err: errPeerFailed}
 	if r.Sound {
 		res.err = errReturned
+		if r.RetryCounted {
+			c.retryReserved.Store(true)
+		}
 		c.leftWithoutFault(r.Upstream)
 	}
 	c.relay.forwarder.refused(*p.peer, avoidAfter(reason(r.Reason)))
 	c.log.Info("taken back", "request", c.ID, "from", p.target.ID, "reason", r.Reason, "sound", r.Sound, "at", r.Upstream,
-		"attempts", c.attempts.Attempts(), "returns", c.returns, "last_event", c.resumeAfter())
+		"attempts", c.attempts.Attempts(), "returns", c.returns, "retry_counted", r.RetryCounted, "last_event", c.resumeAfter())
 	return res
 }
 
 // leftWithoutFault records that the call has left an upstream which ran it and is sound: it may go on there, which is no
 // further attempt.
 func (c *call) leftWithoutFault(upstream string) {
+	c.excluded = slices.DeleteFunc(c.excluded, func(id string) bool { return id == upstream })
 	if upstream != "" && len(c.returnedFrom) < maxReturns && !slices.Contains(c.returnedFrom, upstream) {
 		c.returnedFrom = append(c.returnedFrom, upstream)
 	}
