--- a/internal/soak/access.go
+++ b/internal/soak/access.go
@@ -176,5 +176,5 @@
 
 // public reports whether requests need no key.
 func (s service) public() bool {
-	return s.name == versionService || s.name == momentService.name || s.name == silentService.name || slices.ContainsFunc(hostServices, func(v service) bool { return v.name == s.name }) || strings.HasPrefix(s.name, releasePrefix)
+	return s.name == versionService || s.name == momentService.name || s.name == silentService.name || s.name == handedService.name || slices.ContainsFunc(hostServices, func(v service) bool { return v.name == s.name }) || strings.HasPrefix(s.name, releasePrefix)
 }
--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -233,7 +233,7 @@
 // The faults of the later streams must not change those that a seed had without them.
 func TestLaterStreamsLeaveOtherSteps(t *testing.T) {
 	profile := DefaultFaultProfile()
-	later := slices.Concat(answerKindWeights, accessKindWeights, needKindWeights, pathKindWeights, siteKindWeights, configKindWeights, transferKindWeights, poolKindWeights, momentKindWeights, releaseKindWeights, silenceKindWeights)
+	later := slices.Concat(answerKindWeights, accessKindWeights, needKindWeights, pathKindWeights, siteKindWeights, configKindWeights, transferKindWeights, poolKindWeights, momentKindWeights, releaseKindWeights, silenceKindWeights, handOnKindWeights)
 	for seed := range uint64(20) {
 		steps := NewPlan(seed, profile)
 		require.True(t, slices.IsSortedFunc(steps, func(a, b Step) int { return int(a.At - b.At) }))
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -57,6 +57,7 @@
 	CrashAtOnce       FaultKind = "servers-crash-at-one-moment"
 	SendToTwoHosts    FaultKind = "path-of-two-hosts"
 	SilencePool       FaultKind = "pool-falls-silent"
+	StopBesideACut    FaultKind = "stops-beside-a-cut"
 )
 
 // Step is one fault of a run.
@@ -169,7 +170,14 @@
 // silenceKindWeights holds the kinds of the thirteenth stream: sound servers that say nothing for a while.
 var silenceKindWeights = []kindWeight{{SilencePool, 1}}
 
+// handOnKindWeights holds the kinds of the fourteenth stream: stops of daemons that serve for others.
+var handOnKindWeights = []kindWeight{{StopBesideACut, 1}}
+
 const (
+	// handOnStream is the random stream of the fourteenth stream of steps, handOnIntervalFactor how much longer
+	// its intervals are.
+	handOnStream         = 1 << 44
+	handOnIntervalFactor = 24
 	// silenceStream is the random stream of the thirteenth stream of steps, silenceIntervalFactor how much
 	// longer its intervals are.
 	silenceStream         = 1 << 43
@@ -242,6 +250,8 @@
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, momentStream)), profile, momentKindWeights)...)
 	profile.MeanInterval = profile.MeanInterval / momentIntervalFactor * silenceIntervalFactor
 	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, silenceStream)), profile, silenceKindWeights)...)
+	profile.MeanInterval = profile.MeanInterval / silenceIntervalFactor * handOnIntervalFactor
+	steps = append(steps, drawSteps(rand.New(rand.NewPCG(seed, handOnStream)), profile, handOnKindWeights)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -47,6 +47,7 @@
 	OtherHostServed        Promise = "a request isn't refused for what the same path of another host does"
 	StreamsOutlastSilence  Promise = "a stream that has begun isn't ended for the silence of sound servers"
 	StopEndsWhole          Promise = "what a stopping daemon has read ends whole or is refused as not run"
+	HandedStreamsGoOn      Promise = "a stream doesn't end with the daemon to which another one has handed it"
 	LimitKept              Promise = "a server's limit holds over all daemons"
 )
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -177,6 +177,9 @@
 	if err := s.addSilentServers(); err != nil {
 		return nil, err
 	}
+	if err := s.addHandedServers(); err != nil {
+		return nil, err
+	}
 	s.publish()
 	s.oracle.senders = s.senderAt
 	return s, s.addDaemons(o, network)
@@ -217,7 +220,7 @@
 		rules = append(rules, standin.Service{Name: v.name, Kind: v.kind, Attempts: 3, Timeout: v.deadline, Public: v.public()})
 	}
 	rules = append(rules, momentRules()...)
-	rules = append(rules, silentRule(s.published))
+	rules = append(rules, silentRule(s.published), handedRule())
 	rules = append(rules, addedRules(s.versions)...)
 	rules = append(rules, furtherNames(s.further)...)
 	s.store.PutConfig(s.published, rules, s.access.published()...)
--- a/internal/soak/slots.go
+++ b/internal/soak/slots.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"slices"
@@ -22,6 +23,8 @@
 	// crashes its servers.
 	runTime time.Duration
 	sound   bool
+	// eventGap is the time between two events of its streams, if it isn't the usual one.
+	eventGap time.Duration
 	// replacing is held by the step that replaces the server.
 	replacing sync.Mutex
 
@@ -62,7 +65,7 @@
 
 // addLinks creates a link for each server and the spare ones.
 func (s *site) addLinks(callers int) error {
-	n := len(versionPools) + spareLinks + releasePools*releaseServers + releaseJoiners + momentServers + len(hostServices)*hostServers + silentServers
+	n := len(versionPools) + spareLinks + releasePools*releaseServers + releaseJoiners + momentServers + len(hostServices)*hostServers + silentServers + handedServers
 	for _, v := range services {
 		n += v.serversFor(callers)
 	}
@@ -118,7 +121,7 @@
 		server.SetStage(slot.role)
 	}
 	if slot.version != "" {
-		server.Version, server.Events, server.EventGap = slot.version, streamEvents, eventGap
+		server.Version, server.Events, server.EventGap = slot.version, streamEvents, cmp.Or(slot.eventGap, eventGap)
 	}
 	link.SetTarget(server.Address())
 	s.oracle.serverListed(server.ID, slot.pool)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -112,7 +112,7 @@
 		}
 		require.LessOrEqual(t, versions, maxVersions)
 	}
-	require.Len(t, kinds, len(kindWeights)+len(answerKindWeights)+len(accessKindWeights)+len(needKindWeights)+len(pathKindWeights)+len(siteKindWeights)+len(configKindWeights)+len(transferKindWeights)+len(poolKindWeights)+len(releaseKindWeights)+len(momentKindWeights)+len(silenceKindWeights), "each kind comes up")
+	require.Len(t, kinds, len(kindWeights)+len(answerKindWeights)+len(accessKindWeights)+len(needKindWeights)+len(pathKindWeights)+len(siteKindWeights)+len(configKindWeights)+len(transferKindWeights)+len(poolKindWeights)+len(releaseKindWeights)+len(momentKindWeights)+len(silenceKindWeights)+len(handOnKindWeights), "each kind comes up")
 }
 
 func TestFaultLogUndisturbed(t *testing.T) {
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -123,6 +123,8 @@
 		s.sendToTwoHosts(step)
 	case SilencePool:
 		s.silencePool(step)
+	case StopBesideACut:
+		s.stopBesideACut(step)
 	case FailProvider:
 		s.failProvider(providerFaults[step.Variant%len(providerFaults)], step.For)
 	}
