entry: a stream outlives the instance that passed it on

What callers saw: a stream that another instance served couldn't be taken up again (410) after the instance that had passed it on stopped: its end looked like that of a caller that has gone, so the engine was told to drop the stream. The same class as on the other path: work for another one ends with a planned stop.

A forwarded stream now has a name, under which the instance that has the caller says that this one has left. The end of the connection without that word leaves the stream at its engine. The engine's connection is closed without a cancel (upstream.Leaver); before, it was left to the end of the process.

--- a/internal/adapters/engineclient/stream.go
+++ b/internal/adapters/engineclient/stream.go
@@ -127,7 +127,13 @@
 // Close implements upstream.TokenStream. Unless the response was read completely, it
 // closes the connection, which makes a Next in progress fail, and sends a cancel,
 // because an engine that isn't sending doesn't notice the closed connection.
-func (s *stream) Close() error {
+func (s *stream) Close() error { return s.end(func() { s.cancels.send(s.attempt) }) }
+
+// Leave implements upstream.Leaver.
+func (s *stream) Leave() { _ = s.end(func() {}) } // fails only if the connection is closed already
+
+// end closes the connection, and calls unfinished if the response wasn't read completely.
+func (s *stream) end(unfinished func()) error {
 	s.body.Abort()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,7 +147,7 @@
 	if s.finished {
 		return nil
 	}
-	s.cancels.send(s.attempt)
+	unfinished()
 	return s.body.Close()
 }
 
--- a/internal/entry/answer/answer.go
+++ b/internal/entry/answer/answer.go
@@ -107,8 +107,7 @@
 }
 
 // Leave ends the answer as Close does, but its work goes on at the engine. The engine sees the
-// connection end with the process and keeps the stream, so that the caller can resume it at
-// another instance.
+// connection end and keeps the stream, so that the caller can resume it at another instance.
 func (a *Answer) Leave() {
 	a.leaveStream()
 	a.Close()
@@ -116,7 +115,11 @@
 
 // leaveStream lets go of the engine's stream without closing it, as that would cancel it there.
 func (a *Answer) leaveStream() {
-	if a.attempt != nil {
-		a.attempt.stream = nil
+	if a.attempt == nil {
+		return
+	}
+	if s, ok := a.attempt.stream.(upstream.Leaver); ok {
+		s.Leave()
 	}
+	a.attempt.stream = nil
 }
--- a/internal/entry/answer/fail.go
+++ b/internal/entry/answer/fail.go
@@ -45,7 +45,7 @@
 // stopping.
 func (a *Answer) ContextFailure(ctx context.Context) *outcome.Failure {
 	cause := context.Cause(ctx)
-	if errors.Is(cause, callerwatch.ErrGone) {
+	if errors.Is(cause, callerwatch.ErrGone) || errors.Is(cause, outcome.ErrForwarderGone) {
 		return a.fail(outcome.StatusCallerGone, outcome.CodeCallerGone, cause, "the caller closed its connection")
 	}
 	if errors.Is(cause, outcome.ErrShuttingDown) {
@@ -71,7 +71,7 @@
 // off. It returns the final failure, or nil if another engine may continue.
 func (a *Answer) handleStreamFailure(ctx context.Context, err error) *outcome.Failure {
 	a.excluded = append(a.excluded, a.attempt.engine)
-	if errors.Is(context.Cause(ctx), outcome.ErrShuttingDown) {
+	if outcome.KeepsStream(context.Cause(ctx)) {
 		a.leaveStream() // as Leave does
 	}
 	a.endAttempt(err, cancelled(ctx))
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -56,6 +57,10 @@
 	stopTimer    context.CancelFunc
 	registration *callerwatch.Registration
 	ended        bool
+	// forwardID names the call to the instance that passed it on, empty if there is none or it names none. keptFor says
+	// that its stream outlives that instance.
+	forwardID string
+	keptFor   atomic.Bool
 }
 
 func newCall(c *fiber.Ctx, id string) (*call, *outcome.Failure) {
@@ -101,10 +106,19 @@
 	k.stopTimer = stop
 	k.ctx, k.cancel = context.WithCancelCause(timed)
 	k.ended = false
-	k.registration = g.deps.CallerWatch.Add(c.Context().Conn(), k.cancel)
+	k.registration = g.deps.CallerWatch.Add(c.Context().Conn(), k.callerGone)
 	return nil
 }
 
+// callerGone ends the call as its connection was closed. A caller that has left says so, or closes its own connection;
+// an instance that passed the call on says whether its caller has.
+func (k *call) callerGone(cause error) {
+	if k.keptFor.Load() {
+		cause = outcome.ErrForwarderGone
+	}
+	k.cancel(cause)
+}
+
 // end releases what begin acquired. It may be called without begin.
 func (k *call) end() {
 	if k.ctx == nil || k.ended {
@@ -112,7 +126,7 @@
 	}
 	k.ended = true
 	k.registration.Remove()
-	k.cancel(nil)
+	k.callerGone(nil)
 	k.stopTimer()
 }
 
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -64,11 +64,16 @@
 	Stream(ctx context.Context, r *fasthttp.Request) (*httpx.Stream, error)
 	// Avoid keeps requests away for a while: the instance can't serve them, or wasn't reached.
 	Avoid()
+	// Left says that the caller of a request, which was passed on under a name, has left.
+	Left(ctx context.Context, forwardID string)
 }
 
 // localForwarded is the key of a request's forwarding instance's rules version among its locals.
 type localForwarded struct{}
 
+// localForwardID is the key of the name that the forwarding instance gave a request.
+type localForwardID struct{}
+
 // ForwardedApp returns the application for requests that other instances forward. They are served as
 // callers' are, but not forwarded again.
 func (g *Gateway) ForwardedApp() *fiber.App { return g.forwardedApp }
@@ -81,7 +86,9 @@
 	}
 	g.namedRules.Record(uint64(version.Offset), c.IP(), boottime.Now())
 	c.Locals(localForwarded{}, version)
+	c.Locals(localForwardID{}, strings.Clone(c.Get(headerForwardID)))
 	c.Request().Header.Del(headerForwarded)
+	c.Request().Header.Del(headerForwardID)
 	return c.Next()
 }
 
@@ -160,11 +167,14 @@
 		return false, f
 	}
 	for _, peer := range peers[:min(len(peers), maxForwardTries)] {
-		response, err := peer.Stream(k.ctx, g.forwardedRequest(c, k, required))
+		forwardID := g.deps.NewID()
+		request := g.forwardedRequest(c, k, required)
+		request.Header.Set(headerForwardID, forwardID)
+		response, err := peer.Stream(k.ctx, request)
 		switch {
 		case err == nil && !refusedAsIncapable(response.Header()):
 			g.deps.Log.Debug("forwarded", "request", k.id, "path", k.path, "rule", k.decision.Rule, "status", response.Header().StatusCode())
-			return true, g.passOn(c, k, response)
+			return true, g.passOn(c, k, &passedBody{Stream: response, gateway: g, call: k, conn: c.Context().Conn(), peer: peer, forwardID: forwardID})
 		case err == nil:
 			_ = response.Close()
 			peer.Avoid()
@@ -205,8 +215,8 @@
 
 // passOn writes another instance's response. Its body is passed on as it arrives; one that breaks off
 // also breaks the caller's connection.
-func (g *Gateway) passOn(c *fiber.Ctx, k *call, response *httpx.Stream) *outcome.Failure {
-	h := response.Header()
+func (g *Gateway) passOn(c *fiber.Ctx, k *call, body *passedBody) *outcome.Failure {
+	h := body.Header()
 	c.Status(h.StatusCode())
 	for name, value := range h.All() {
 		if !isConnectionHeader(string(name)) {
@@ -215,7 +225,6 @@
 	}
 	// The caller's connection may wait for the next event longer than for a plain response.
 	_ = c.Context().SetWriteDeadline(time.Now().Add(g.opts.WriteTimeout))
-	body := &passedBody{Stream: response, gateway: g, call: k, conn: c.Context().Conn()}
 	c.Context().SetBodyStream(body, h.ContentLength())
 	g.active.Add(1) // until the body is closed
 	return nil
@@ -237,27 +246,11 @@
 	call    *call
 	conn    net.Conn
 	closed  bool
-}
-
-// Read implements io.Reader. It ends with the call, whose end closes the other instance's connection.
-func (b *passedBody) Read(p []byte) (int, error) {
-	stop := context.AfterFunc(b.call.ctx, b.Abort)
-	defer stop()
-	n, err := b.Stream.Read(p)
-	_ = b.conn.SetWriteDeadline(time.Now().Add(b.gateway.opts.WriteTimeout))
-	return n, err
-}
-
-// Close implements io.Closer.
-func (b *passedBody) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	err := b.Stream.Close()
-	b.call.end()
-	b.gateway.active.Add(-1)
-	return err
+	// peer is the other instance, forwardID the request's name there. complete says that the body has been read to its
+	// end.
+	peer      ForwardPeer
+	forwardID string
+	complete  bool
 }
 
 var _ io.ReadCloser = (*passedBody)(nil)
--- a/internal/entry/gateway/forward_test.go
+++ b/internal/entry/gateway/forward_test.go
@@ -51,6 +51,15 @@
 	return p.client.Stream(ctx, r)
 }
 
+func (p *fakePeer) Left(ctx context.Context, forwardID string) {
+	r := &fasthttp.Request{}
+	r.Header.SetMethod(fasthttp.MethodDelete)
+	r.SetRequestURI(gateway.LeftPath + forwardID)
+	if s, err := p.client.Stream(ctx, r); err == nil {
+		_ = s.Close()
+	}
+}
+
 func (p *fakePeer) Avoid() { p.avoids.Add(1) }
 
 // forwardedAddress starts the gateway's listener for forwarded requests.
@@ -231,3 +240,21 @@
 	require.EqualValues(t, 1, service.calls.Load())
 	require.Zero(t, own.calls.Load())
 }
+
+// Guards against a stream that is lost with the instance that passed it on: its engine must keep it, as it keeps one
+// whose own instance has ended.
+func TestEndOfThePassingInstanceKeepsTheStream(t *testing.T) {
+	engine := newEngine(20)
+	engine.stallAt = 4
+	b := newHarness(t, modelDeps(engine, &fakeForwarder{}))
+	f := &fakeForwarder{peers: []*fakePeer{newPeer(b.forwardedAddress(t))}}
+	f.lost.Store(true)
+	a := newHarness(t, modelDeps(newEngine(20), f))
+	s := events(a.post(t, path, forwardBody))
+	s.tokens(t, 4)
+	a.gateway.Abort()
+	s.tokens(t, -1)
+	eventuallyIdle(t, b)
+	b.gateway.Wait()
+	require.Empty(t, engine.cancelled)
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -147,6 +147,8 @@
 	metrics      *metrics
 	// namedRules is the newest version of the rules that another instance has named.
 	namedRules freshness.Named
+	// forwarded are the streams that are served for other instances.
+	forwarded forwardedStreams
 	// active counts requests whose response isn't completely sent.
 	active atomic.Int64
 	// pumps are the goroutines that read engines' streams.
@@ -168,6 +170,7 @@
 	g.noticed, g.markNoticed = context.WithCancel(context.Background())
 	g.app, g.forwardedApp = g.newApp(), g.newApp()
 	g.forwardedApp.Get(ProbePath+":upstream", g.probe)
+	g.forwardedApp.Delete(LeftPath+":id", g.callerLeft)
 	g.forwardedApp.Use(g.markForwarded)
 	g.routes(g.app)
 	g.routes(g.forwardedApp)
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -153,9 +153,9 @@
 }
 
 // finish releases what the answer holds and updates the metrics. A nil failure means
-// that the answer is complete. What the stop of the instance has ended goes on at the engine.
+// that the answer is complete. What the stop of an instance has ended goes on at the engine.
 func (g *Gateway) finish(r *modelCall, f *outcome.Failure) {
-	if f != nil && f.Code == outcome.CodeShuttingDown {
+	if f != nil && (f.Code == outcome.CodeShuttingDown || outcome.KeepsStream(f.Cause)) {
 		r.answer.Leave()
 	} else {
 		r.answer.Close()
--- a/internal/entry/gateway/sse.go
+++ b/internal/entry/gateway/sse.go
@@ -69,10 +69,12 @@
 // not longer than one heartbeat, so that a request that fails before its first token
 // gets an ordinary HTTP error.
 func (g *Gateway) stream(c *fiber.Ctx, k *call, r *modelCall) *outcome.Failure {
+	g.forwarded.keep(c, k)
 	s := g.newSSE(c.Context().Conn(), r, stream.NewRequestDigest(k.organisation, k.path, c.BodyRaw()))
 	g.pumps.Go(s.pump)
 	if f := s.awaitFirst(); f != nil {
 		s.heartbeat.Stop()
+		g.forwarded.remove(k)
 		return f
 	}
 	g.metrics.streams.Inc(1)
@@ -286,6 +288,7 @@
 		s.heartbeat.Stop()
 		close(s.closed)
 		s.modelCall.call.end()
+		s.gateway.forwarded.remove(s.modelCall.call)
 		s.gateway.active.Add(-1)
 	})
 	return nil
--- a/internal/entry/outcome/outcome.go
+++ b/internal/entry/outcome/outcome.go
@@ -48,6 +48,16 @@
 // stopping and its grace period is over.
 var ErrShuttingDown = errors.New("the instance is stopping")
 
+// ErrForwarderGone is the cause of a context that ended because the instance that passed a stream on has ended: its
+// caller may take the stream up again at another one.
+var ErrForwarderGone = errors.New("the instance that passed the stream on has gone")
+
+// KeepsStream reports whether the engine's stream of a context that ended for this cause is left for its caller to take
+// up again.
+func KeepsStream(cause error) bool {
+	return errors.Is(cause, ErrShuttingDown) || errors.Is(cause, ErrForwarderGone)
+}
+
 // Code is the machine-readable reason of a failure.
 type Code string
 
--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -115,6 +115,17 @@
 	return p.client.Stream(ctx, r)
 }
 
+// Left implements gateway.ForwardPeer. If the word is lost, the engine gives the stream up after a while.
+func (p *forwardPeer) Left(ctx context.Context, forwardID string) {
+	r := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(r)
+	r.Header.SetMethod(fasthttp.MethodDelete)
+	r.SetRequestURI(gateway.LeftPath + url.PathEscape(forwardID))
+	if response, err := p.client.Stream(ctx, r); err == nil {
+		_ = response.Close()
+	}
+}
+
 // Avoid implements gateway.ForwardPeer.
 func (p *forwardPeer) Avoid() {
 	p.mu.Lock()
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -461,6 +461,7 @@
 		{"no silence", -1, 0, 3, 0},
 		{"own stream", -1, 0, 3, silence},
 		{"passed on to the one that stops", 0, 1, 2, silence},
+		{"passed on by the one that stops", 0, 0, 2, silence},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -59,6 +59,12 @@
 	Close() error
 }
 
+// Leaver is a TokenStream that can be let go of without an end of its work: the engine keeps it for a while, to be resumed.
+type Leaver interface {
+	// Leave releases what the stream holds in this process.
+	Leave()
+}
+
 // KVHandle refers to a KV cache that an engine keeps for export.
 type KVHandle struct {
 	Engine string `json:"engine"` // address of the engine that holds it
