--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -304,7 +304,8 @@
 	c.relay.cfg.OnBegun(c.identity.organisation, ago)
 }
 
-// recordRun counts an attempt that may have run, unless it goes on where the call has run before. A stream begins to run with its first event.
+// recordRun counts an attempt that may have run, unless it goes on where the call has run before. A stream begins to run
+// with its first event.
 func (c *call) recordRun(p *assignment) {
 	if !slices.Contains(c.returnedFrom, p.target.ID) {
 		c.attempts.RecordAttempt()
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -91,6 +91,16 @@
 	m.scope.Tagged(map[string]string{"pool": pool, "fate": fate}).Counter("requests_forwarded").Inc(1)
 }
 
+// recordReturn counts a request that another daemon hasn't ended; sound says that nothing had failed there.
+func (m *metrics) recordReturn(pool string, sound bool) {
+	m.scope.Tagged(map[string]string{"pool": pool, "sound": strconv.FormatBool(sound)}).Counter("requests_taken_back").Inc(1)
+}
+
+// recordLeftOver counts a stream that the exit of this process ends.
+func (m *metrics) recordLeftOver(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("streams_left_over").Inc(1)
+}
+
 // recordLeaving counts an upstream that has said that it is draining.
 func (m *metrics) recordLeaving(pool string) {
 	m.scope.Tagged(map[string]string{"pool": pool}).Counter("upstreams_leaving").Inc(1)
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -60,6 +60,7 @@
 	if c.forwarded != nil {
 		attrs = append(attrs, "forwarded_by", c.forwarded.From)
 	}
+	c.relay.metrics.recordLeftOver(c.pool)
 	c.log.Warn("left over by the stop", attrs...)
 }
 
