relay: a stream goes on past a daemon that doesn't know its rule or its servers

A stream that had begun ended with the refusal of the next daemon to which it was handed: one that had no rule for it any more (404, by a newer configuration), no upstream of its version, or none at all yet, as after a restart; with an empty pool it was held to its deadline. Such a daemon has nothing to decide for it: the one that has the caller asks others, or waits for its path.

TestStreamGoesOnPastADaemonThatDoesNotKnowIt (rule, servers): red before, green now.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -122,7 +122,7 @@
 // failCapacity returns the failure of a request for which no upstream has capacity, or none is
 // reached.
 func (c *call) failCapacity() *failure {
-	if c.unreachable() || c.relay.paths.IsLost(c.pool) {
+	if c.unreachable() || c.relay.paths.IsLost(c.pool) || c.forwarded != nil && c.unlisted() {
 		return c.fail(reasonUnreachable, "this daemon reaches no upstream")
 	}
 	return c.fail(reasonNoCapacity, "no upstream has a free place")
@@ -132,6 +132,9 @@
 // pool works again. Upstreams that weren't reached count as reachable after a while, for a new request to try
 // them; one that has an attempt to lose doesn't.
 func (c *call) mustNotWait() bool {
+	if c.forwarded != nil && c.unlisted() {
+		return true // the daemon that forwarded it may know others
+	}
 	return c.relay.paths.IsLost(c.pool) && (c.unreachable() || c.hasBegun() && c.relay.paths.Tracker.CutFor(c.pool) > 0)
 }
 
@@ -144,6 +147,9 @@
 	return h.Listed > 0 && h.Unreachable == h.Listed
 }
 
+// unlisted reports whether this daemon knows no upstream of the pool.
+func (c *call) unlisted() bool { return c.relay.cfg.Tracker.PoolHealth(c.pool).Listed == 0 }
+
 // backoffBeyond returns the time until the first upstream of the pool ends its backoff, if all
 // are in one and none that the request may use is back while it is queued and before its deadline.
 // Otherwise it is 0.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -308,7 +308,8 @@
 // if a third one may serve it.
 func (c *call) refusedByPeer(p *assignment, status int, o forwardedOutcome) (result, *failure) {
 	res := result{execution: dispatch.NotRun, outcome: placement.Refused, status: status, err: errPeerRefused}
-	if o.Incapable && o.Attempts <= c.attempts.Attempts() {
+	ran := o.Attempts > c.attempts.Attempts()
+	if !ran && (o.Incapable || c.stream != nil && unknownThere(reason(o.Reason))) {
 		c.relay.forwarder.refused(*p.peer, avoidAfter(reason(o.Reason)))
 		return res, nil
 	}
@@ -324,6 +325,16 @@
 	return res, f.withRetryAfter(o.RetryAfter)
 }
 
+// unknownThere reports whether a daemon has refused a stream for what it doesn't know, or doesn't know any more: others may,
+// and the daemon that has the caller goes on by the rule by which it has begun.
+func unknownThere(why reason) bool {
+	switch why {
+	case reasonNoRule, reasonVersionGone, reasonVersionUnknown:
+		return true
+	}
+	return false
+}
+
 // avoidAfter returns how long a daemon is avoided that couldn't serve a request for a reason.
 func avoidAfter(why reason) time.Duration {
 	switch why {
