quarantine: a request to a public rule is known whatever its key

The digest has the caller's organisation, and a request to a public rule goes on without one if its key is removed, or can't be checked. So the same request was a new one, on both request paths; leaving the key out did the same.

On a public rule the organisation isn't part of the digest any more. Rules that need a key keep it.

--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -63,6 +63,9 @@
 	// Host is the name by which the caller addressed the request.
 	Host  string
 	Route router.Request
+	// Public says that the call needs no key: the same one may come with a key, without one, or with one that is removed
+	// meanwhile.
+	Public bool
 	Retry rules.RetryClass
 	// Admit is asked before each attempt; an error ends the request. Nil admits it.
 	Admit func() error
@@ -126,8 +129,12 @@
 }
 
 func contentOf(job Job) quarantine.Request {
+	scope := job.Route.Organisation
+	if job.Public {
+		scope = ""
+	}
 	return quarantine.Request{
-		Scope: job.Route.Organisation, Method: job.Request.Method, Pool: job.Route.Pool, Host: job.Host, Path: job.Request.Path, Body: job.Request.Body,
+		Scope: scope, Method: job.Request.Method, Pool: job.Route.Pool, Host: job.Host, Path: job.Request.Path, Body: job.Request.Body,
 	}
 }
 
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -226,3 +226,23 @@
 	require.EqualValues(t, 3, crashes.Load())
 	require.Equal(t, http.StatusUnprocessableEntity, call("north.example", "p").Status)
 }
+
+// Guards against a public call that crashes services again once its key is removed, or comes without one.
+func TestLethalPublicCallIsRefusedWhateverItsKey(t *testing.T) {
+	var crashes atomic.Int32
+	h, detector := newCrashingHarness(t, &crashes)
+	call := func(organisation string) *outcome.Failure {
+		_, f := h.runner.Call(context.Background(), Job{
+			Request: upstream.ServiceRequest{Method: http.MethodPost, Path: "/x", Body: []byte("lethal")},
+			Route:   router.Request{Pool: "p", Organisation: organisation}, Public: true, Retry: rules.RetryRepeatable,
+		})
+		detector.Wait()
+		return f
+	}
+	for range crashingServices {
+		require.NotNil(t, call("orchard"))
+	}
+	require.EqualValues(t, 3, crashes.Load())
+	require.Equal(t, http.StatusUnprocessableEntity, call("anonymous").Status)
+	require.EqualValues(t, 3, crashes.Load())
+}
--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -79,9 +79,10 @@
 			Deadline:     k.deadline,
 			NoProbe:      then.Protected,
 		},
-		Retry: then.RetryClass(),
-		Admit: g.admitKey(k),
-		Stop:  g.stopCheck(k),
+		Public: k.decision.Keyed && then.Public,
+		Retry:  then.RetryClass(),
+		Admit:  g.admitKey(k),
+		Stop:   g.stopCheck(k),
 	}
 	key := strings.Clone(c.Get(headerIdempotencyKey))
 	if f := checkKey(then.Protected, key); f != nil {
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -37,7 +37,7 @@
 // cover what differs with each attempt: IDs and deadlines.
 func (c *call) contentOf() quarantine.Request {
 	r := quarantine.Request{
-		Scope: c.identity.organisation, Method: c.in.Method, Pool: c.pool, Host: reqtarget.Host(c.in.Host), Path: c.target.Origin(), Body: c.body,
+		Scope: c.scope(), Method: c.in.Method, Pool: c.pool, Host: reqtarget.Host(c.in.Host), Path: c.target.Origin(), Body: c.body,
 	}
 	if g := c.Generation; g != nil {
 		r.Model, r.Parts = g.Model, sharedParts(g.Parts)
@@ -45,6 +45,15 @@
 	return r
 }
 
+// scope returns the organisation whose requests aren't taken for those of others. To a public rule the same request may come
+// with a key, without one, or with one that is removed meanwhile.
+func (c *call) scope() string {
+	if c.rule.Public {
+		return ""
+	}
+	return c.identity.organisation
+}
+
 // sharedParts returns the IDs of the parts of a prompt that other requests may have: all but the last.
 func sharedParts(parts []placement.Part) []uint64 {
 	if len(parts) < 2 {
