--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -66,7 +66,7 @@
 	// Public says that the call needs no key: the same one may come with a key, without one, or with one that is removed
 	// meanwhile.
 	Public bool
-	Retry rules.RetryClass
+	Retry  rules.RetryClass
 	// Admit is asked before each attempt; an error ends the request. Nil admits it.
 	Admit func() error
 	// Stop returns the failure of a request that may not be sent any more, as the instance stops too soon.
--- a/internal/soak/handons.go
+++ b/internal/soak/handons.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -85,13 +84,8 @@
 			defer client.Close()
 			key := s.keyFor(d.number%organisations, false)
 			client.Key = key.text
-			id, launch := fmt.Sprint(name, "-", i), d.currentLaunch()
-			s.oracle.sent(id, handedService, key, d.number)
-			ctx, cancel := context.WithTimeout(context.Background(), handedService.deadline+callerTimeoutSlack)
-			defer cancel()
-			reply := client.Send(ctx, d.config.Callers(), handedService.name, id, handedService.deadline, true, func() {})
-			endedAt := time.Now()
-			s.oracle.answered(id, launch, reply)
+			id := fmt.Sprint(name, "-", i)
+			reply, endedAt, launch := s.askForStream(client, key, d, handedService, id)
 			time.Sleep(exitSlack)
 			s.oracle.handedStreamEnded(id, reply, endedAt, d.awaitExit(launch))
 		})
--- a/internal/soak/silences.go
+++ b/internal/soak/silences.go
@@ -207,13 +207,7 @@
 
 // sendStream sends one stream, and checks its end once it is known whether and how its daemon ended.
 func (s *site) sendStream(client *standin.Caller, key *accessKey, d *daemon, id string) {
-	launch := d.currentLaunch()
-	s.oracle.sent(id, silentService, key, d.number)
-	ctx, cancel := context.WithTimeout(context.Background(), silentService.deadline+callerTimeoutSlack)
-	defer cancel()
-	reply := client.Send(ctx, d.config.Callers(), silentService.name, id, silentService.deadline, true, func() {})
-	endedAt := time.Now()
-	s.oracle.answered(id, launch, reply)
+	reply, endedAt, launch := s.askForStream(client, key, d, silentService, id)
 	if reply.Err != nil && nothingSent(reply.Err) {
 		return
 	}
@@ -227,6 +221,18 @@
 	})
 }
 
+// askForStream sends one stream to a process of a daemon, and returns its end and the process.
+func (s *site) askForStream(client *standin.Caller, key *accessKey, d *daemon, v service, id string) (reply standin.Reply, endedAt time.Time, launch int) {
+	launch = d.currentLaunch()
+	s.oracle.sent(id, v, key, d.number)
+	ctx, cancel := context.WithTimeout(context.Background(), v.deadline+callerTimeoutSlack)
+	defer cancel()
+	reply = client.Send(ctx, d.config.Callers(), v.name, id, v.deadline, true, func() {})
+	endedAt = time.Now()
+	s.oracle.answered(id, launch, reply)
+	return reply, endedAt, launch
+}
+
 // silentStreamEnded checks the end of a stream whose servers fell silent, but for that were sound.
 func (o *oracle) silentStreamEnded(id string, r standin.Reply, endedAt time.Time, exit processExit) {
 	o.mu.Lock()
