relay: a daemon that fails a stream for its server's sake isn't avoided

Only a daemon that stops, or has lost its path, is avoided by all; after a broken connection only that stream doesn't go back there at once.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -78,6 +78,10 @@
 	// often the call went on there without another attempt.
 	returnedFrom []string
 	returns      int
+	// lostPeer is the address of the daemon whose connection broke last after the stream had begun, lostPeerAt when: this
+	// call doesn't go back there at once.
+	lostPeer   string
+	lostPeerAt time.Time
 
 	// forwardRefused says that no other daemon has taken the request before this placement.
 	forwardRefused bool
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -152,7 +152,10 @@
 // forward offers the request to other daemons that suit it, one after the other.
 func (c *call) forward(ctx context.Context, suits func(ForwardPeer) bool) (forwardResult, *failure) {
 	f := c.relay.forwarder
-	peers := f.usable(c.peersFor(), suits, time.Now())
+	now := time.Now()
+	peers := f.usable(c.peersFor(), func(p ForwardPeer) bool {
+		return suits(p) && (p.Address != c.lostPeer || now.Sub(c.lostPeerAt) >= avoidIncapable)
+	}, now)
 	if len(peers) == 0 || !f.begin() {
 		return notForwarded, nil
 	}
--- a/internal/relay/returned.go
+++ b/internal/relay/returned.go
@@ -115,8 +115,8 @@
 			c.retryReserved.Store(true)
 		}
 		c.leftWithoutFault(r.Upstream)
+		c.relay.forwarder.refused(*p.peer, avoidAfter(reason(r.Reason)))
 	}
-	c.relay.forwarder.refused(*p.peer, avoidAfter(reason(r.Reason)))
 	c.relay.metrics.recordReturn(c.pool, r.Sound)
 	c.log.Info("taken back", "request", c.ID, "from", p.target.ID, "reason", r.Reason, "sound", r.Sound, "at", r.Upstream,
 		"attempts", c.attempts.Attempts(), "returns", c.returns, "retry_counted", r.RetryCounted, "last_event", c.resumeAfter())
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -135,7 +135,7 @@
 		err = errors.Join(err, errors.New("the stream broke off"))
 	}
 	if p.peer != nil && c.stream != nil && (ctx.Err() == nil || gaveUp(context.Cause(ctx))) {
-		c.relay.forwarder.unreached(*p.peer, time.Now())
+		c.lostPeer, c.lostPeerAt = p.peer.Address, time.Now()
 		c.leftWithoutFault(p.peerUpstream)
 		err = errors.Join(errHopLost, err)
 	}
