relay: a return that can't be read is no end of a stream

Found by reading the change once more: a trailer of another form, as a later release may send, was passed over, and the stream that it follows taken for whole. It counts as a failed stream now, which goes on within its attempts.

TestUnreadableReturnIsNoEnd: red before. Green on this commit with the race detector: internal/relay, and the tests of hops and cut responses in platform.

--- a/internal/relay/returned.go
+++ b/internal/relay/returned.go
@@ -95,10 +95,13 @@
 
 // returnedIn returns what the head or the trailer of a daemon's response says of a request that it hasn't ended.
 func returnedIn(h http.Header) (returnedCall, bool) {
-	var r returnedCall
-	if h.Get(returnedHeader) == "" || decodeHeader(h, returnedHeader, &r) != nil {
+	if h.Get(returnedHeader) == "" {
 		return returnedCall{}, false
 	}
+	var r returnedCall
+	if decodeHeader(h, returnedHeader, &r) != nil {
+		return returnedCall{}, true // its stream isn't whole, whatever else it says
+	}
 	return r, true
 }
 
