relay, handons: when a request that a stop cuts came, and whether others served

A stream that is left over by the exit now says when it came in the stop's own time and under which rule; each decision of the stop whether other daemons served. The driver says how long after the SIGTERM a cut request was sent, counts those after the notice, and can keep a daemon from handling its SIGTERM for a while (-late).

--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -12,7 +12,8 @@
 
 // shutdown holds the schedule of the process's shutdown.
 type shutdown struct {
-	plan stopplan.Plan
+	plan  stopplan.Plan
+	began time.Time
 	// othersServe reports whether other daemons serve.
 	othersServe func() bool
 }
@@ -33,7 +34,7 @@
 // fails, so that its callers learn whether it may have run; streams that have begun go on.
 func (r *Relay) BeginShutdown(noticed, exit time.Time, othersServe func() bool) {
 	plan := stopplan.Plan{Noticed: noticed, Exit: exit, Reserve: shutdownReserve}
-	r.shutdown.Store(&shutdown{plan: plan, othersServe: othersServe})
+	r.shutdown.Store(&shutdown{plan: plan, began: time.Now(), othersServe: othersServe})
 	time.AfterFunc(time.Until(exit.Add(-deadlineGrace)), r.endRequests)
 }
 
@@ -54,9 +55,14 @@
 	}
 }
 
-// logLeftOver logs that the exit of the process ends the call.
+// logLeftOver logs that the exit of the process ends the call. arrived_in_stop_ms is negative for a call that was there
+// before the stop.
 func (c *call) logLeftOver() {
-	attrs := []any{"request", c.ID, "took_ms", telemetry.Millis(time.Since(c.arrived)), "left_ms", telemetry.Millis(time.Until(c.ownDeadline)), "pool", c.pool}
+	attrs := []any{"request", c.ID, "took_ms", telemetry.Millis(time.Since(c.arrived)), "left_ms", telemetry.Millis(time.Until(c.ownDeadline)), "pool", c.pool,
+		"rule", c.rule.Name}
+	if s := c.relay.shutdown.Load(); s != nil {
+		attrs = append(attrs, "arrived_in_stop_ms", telemetry.Millis(c.arrived.Sub(s.began)), "others_serve", s.othersServe())
+	}
 	if c.forwarded != nil {
 		attrs = append(attrs, "forwarded_by", c.forwarded.From)
 	}
@@ -97,6 +103,7 @@
 	}
 	now := time.Now()
 	c.log.Info("decided by the stop", "request", c.ID, "decision", decision.String(), "ran", c.attempts.MayHaveRun(), "forwarded", c.forwarded != nil,
+		"others_serve", c.relay.shutdown.Load().othersServe(),
 		"arrived_ms", telemetry.Millis(now.Sub(c.arrived)), "left_ms", telemetry.Millis(c.ownDeadline.Sub(now)),
 		"noticed_in_ms", telemetry.Millis(plan.Noticed.Sub(now)), "exit_in_ms", telemetry.Millis(plan.Exit.Sub(now)))
 	if decision == stopplan.Refuse {
--- a/review/stand/handons/main.go
+++ b/review/stand/handons/main.go
@@ -30,6 +30,9 @@
 	calm     = 6 * time.Second
 	grace    = 8 * time.Second
 
+	// notice is how long after a SIGTERM callers may not know of it.
+	notice = 3 * time.Second
+
 	// plainTime is what one of ten plain requests takes.
 	plainTime = 4 * time.Second
 )
@@ -52,7 +55,7 @@
 type play struct {
 	daemons, cut, callers, engines, attempts, events int
 	stopCut, kill                                    bool
-	between                                          time.Duration
+	between, late                                    time.Duration
 	configs                                          int
 
 	site    *kit.Site
@@ -80,6 +83,7 @@
 	flag.DurationVar(&p.between, "between", 2*time.Second, "time between two stops at most")
 	flag.BoolVar(&p.stopCut, "stop-cut", false, "stop the daemons without a path, too, before the others")
 	flag.BoolVar(&p.kill, "kill", false, "kill daemons instead of stopping them")
+	flag.DurationVar(&p.late, "late", 0, "time for which a daemon can't handle its SIGTERM")
 	flag.IntVar(&p.configs, "configs", 0, "changes of the configuration, one with each of the first stops")
 	flag.Parse()
 	r, err := kit.NewRecord(*record)
@@ -164,7 +168,7 @@
 		if p.kill {
 			d.Signal(syscall.SIGKILL)
 		} else {
-			d.Signal(syscall.SIGTERM)
+			p.terminate(d)
 		}
 		if n < p.configs {
 			p.configure(2 + n)
@@ -182,6 +186,17 @@
 	time.Sleep(2 * time.Second)
 }
 
+// terminate sends a SIGTERM that the daemon handles some time later.
+func (p *play) terminate(d *kit.Daemon) {
+	if p.late == 0 {
+		d.Signal(syscall.SIGTERM)
+		return
+	}
+	d.Signal(syscall.SIGSTOP)
+	d.Signal(syscall.SIGTERM)
+	time.AfterFunc(p.late, func() { d.Signal(syscall.SIGCONT) })
+}
+
 // startServer starts a server that daemons without a path don't reach.
 func (p *play) startServer(ctx context.Context, service, id string, events int) error {
 	l, err := net.Listen("tcp", p.site.Network+".100:0")
@@ -323,10 +338,13 @@
 	what = v.name + ": " + what
 	beside := ""
 	if !told.IsZero() && time.Now().After(told) && sent.Before(told.Add(grace)) {
-		beside = fmt.Sprintf(", its daemon told to stop %.2f s before", time.Since(told).Seconds())
+		beside = fmt.Sprintf(", its daemon told to stop %.2f s before, sent %.2f s after", time.Since(told).Seconds(), sent.Sub(told).Seconds())
 	}
 	if beside != "" {
 		p.counts[what+" (stopping)"]++
+		if sent.After(told.Add(notice)) {
+			p.counts[what+" (sent after the notice)"]++
+		}
 	} else {
 		p.counts[what]++
 	}
