stopplan: a stop signal that is handled late extends no notice

Cause: the notice ran from the moment at which the process handled the signal, callers' knowledge from the one at which it was sent. A busy process is later by some tens or hundreds of milliseconds; what came in between was accepted with its deadline brought forward, and cut.

Change: both request paths take their plan from stopplan.Begin, whose notice ends half a second before discovery responses expire. What comes then and would outlast the exit is refused as not run; its caller may go elsewhere at once. Exit and listeners are as before.

TestLateSignalExtendsNoNotice is red without the margin (Cut instead of Refuse, from a delay of 20 ms on).

--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -167,8 +167,7 @@
 // exit.
 func (e *Entry) drain(done <-chan error, conns graceful.All) {
 	e.directory.BeginShutdown()
-	noticed := time.Now().Add(e.shutdown.DiscoveryTTL)
-	e.gateway.BeginShutdown(stopplan.Plan{Noticed: noticed, Exit: noticed.Add(e.shutdown.Grace)}, e.othersServe)
+	e.gateway.BeginShutdown(stopplan.Begin(time.Now(), e.shutdown.DiscoveryTTL, e.shutdown.Grace), e.othersServe)
 	e.node.Leave()
 	e.shutdown.AcceptReserve = graceful.AcceptReserve
 	e.shutdown.StopAccepting = conns.StopAccepting
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -23,6 +23,7 @@
 	"tamarackchute/internal/wire"
 	"tamarackchute/placement"
 	"tamarackchute/rolepolicy"
+	"tamarackchute/stopplan"
 	"tamarackchute/usage"
 )
 
@@ -475,8 +476,8 @@
 		BeforeClose:   beforeClose,
 		CloseIdle:     conns.CloseIdle,
 	}
-	directoriesExpired := time.Now().Add(stop.DiscoveryTTL)
-	m.relay.BeginShutdown(directoriesExpired, directoriesExpired.Add(stop.Grace), func() bool { return len(m.peers.Serving()) > 0 })
+	plan := stopplan.Begin(time.Now(), stop.DiscoveryTTL, stop.Grace)
+	m.relay.BeginShutdown(plan.Noticed, plan.Exit, func() bool { return len(m.peers.Serving()) > 0 })
 	stop.Drain(nil, conns.Active, m.log)
 	conns.Wait()
 }
--- a/stopplan/stopplan.go
+++ b/stopplan/stopplan.go
@@ -6,7 +6,7 @@
 
 // Plan is the schedule of a stop.
 type Plan struct {
-	// Noticed is when all callers know that they have to use other processes.
+	// Noticed is when callers count as knowing that they have to use other processes.
 	Noticed time.Time
 	// Exit is when the process ends.
 	Exit time.Time
@@ -14,6 +14,16 @@
 	Reserve time.Duration
 }
 
+// signalDelay is how long a busy process may take to handle its stop signal: callers count from when it was sent.
+const signalDelay = 500 * time.Millisecond
+
+// Begin returns the plan, without a reserve, of a stop whose signal is handled now. Callers may keep a discovery
+// response for discoveryTTL from the signal on; the process ends grace later.
+func Begin(now time.Time, discoveryTTL, grace time.Duration) Plan {
+	expired := now.Add(discoveryTTL)
+	return Plan{Noticed: expired.Add(-min(signalDelay, discoveryTTL/2)), Exit: expired.Add(grace)}
+}
+
 // Decision says what becomes of a request.
 type Decision uint8
 
--- a/stopplan/stopplan_test.go
+++ b/stopplan/stopplan_test.go
@@ -42,3 +42,17 @@
 	}
 	require.Equal(t, at(9), plan.Latest())
 }
+
+// Guards against requests that a process accepts, and cuts, since it has handled its stop signal late.
+func TestLateSignalExtendsNoNotice(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	for _, ttl := range []time.Duration{time.Second, 3 * time.Second, 10 * time.Second} {
+		known := sent.Add(ttl)
+		for _, delay := range []time.Duration{0, 20 * time.Millisecond, 450 * time.Millisecond} {
+			plan := Begin(sent.Add(delay), ttl, 5*time.Second)
+			require.Equal(t, sent.Add(delay+ttl+5*time.Second), plan.Exit)
+			require.Equal(t, Refuse, plan.Decide(Request{Deadline: sent.Add(time.Minute)}, known), "%v late, %v", delay, ttl)
+			require.Equal(t, Cut, plan.Decide(Request{Deadline: sent.Add(time.Minute)}, sent.Add(delay+ttl/3)), "callers may not know yet")
+		}
+	}
+}
