relay: a stream that will outlast the exit is refused while others serve it

Cause: within the notice every request was accepted, whatever was known of its length.

Change: stopplan.Request has the time that the request is expected to last, and whether others serve. A request that hasn't run, is expected to outlast the exit and finds another process at once is refused as not run, without a Retry-After. The relay takes the expected length from the engine model, for an idle engine: it refuses what is late at best. If no other daemon serves, or nothing is known, it is accepted as before. On the own interface engines keep what an exit cuts, so its requests name no expectation.

--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -77,6 +77,9 @@
 		return stopplan.Serve, stopplan.Plan{}
 	}
 	request := stopplan.Request{Deadline: c.ownDeadline, MayHaveRun: c.hasBegun(), Returnable: c.isReturnable(), Elsewhere: c.othersTake()}
+	if c.rule.Stream && c.Generation != nil && !request.MayHaveRun {
+		request.Expected, request.OthersServe = c.relay.cfg.Tracker.IdleCompletionTime(c.pool, c.placementRequest()), s.othersServe()
+	}
 	return s.plan.Decide(request, time.Now()), s.plan
 }
 
--- a/placement/completion.go
+++ b/placement/completion.go
@@ -98,8 +98,14 @@
 // MinCompletionTime returns the least time in which the response can complete: on an idle
 // engine, with the shortest likely output. It is 0 if too little is known.
 func (tr *Tracker) MinCompletionTime(pool string, r Request) time.Duration {
+	return time.Duration(minOutputShare * float64(tr.IdleCompletionTime(pool, r)))
+}
+
+// IdleCompletionTime returns the time from the first to the last event of a response with the expected
+// output on an idle engine. It is 0 if too little is known.
+func (tr *Tracker) IdleCompletionTime(pool string, r Request) time.Duration {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	model := tr.model(pool).Parameters()
-	return fromMillis(minOutputShare * model.Events(r.OutputTokens) * model.IntervalMillis(0))
+	return fromMillis(model.Events(r.OutputTokens) * model.IntervalMillis(0))
 }
--- a/stopplan/stopplan.go
+++ b/stopplan/stopplan.go
@@ -49,6 +49,10 @@
 	// Returnable says that another process has the caller, and goes on with the request if it is returned to it before
 	// the exit.
 	Returnable bool
+	// Expected is how long the request probably lasts from now on; zero if unknown.
+	Expected time.Duration
+	// OthersServe says that the caller finds another process at once that has all of the time.
+	OthersServe bool
 	// Elsewhere says that another process has the caller, and can hand the request to one that doesn't stop.
 	Elsewhere bool
 }
@@ -69,7 +73,11 @@
 		return Serve
 	case r.Returnable:
 		return Refuse
-	case r.MayHaveRun, now.Before(p.Noticed) && now.Before(latest):
+	case r.MayHaveRun:
+		return Cut
+	case r.OthersServe && now.Add(r.Expected).After(latest):
+		return Refuse
+	case now.Before(p.Noticed) && now.Before(latest):
 		return Cut
 	default:
 		return Refuse
