relay, graceful: what callers make a daemon hold is limited before memory is given

Cause: memory and descriptors were given for what a client begins, before anything counted it, or by constants that know nothing of the machine. The first 64 KiB of a body, heads and connections counted in no sum; the sum of the rest was 64 MiB whatever the machine has; a buffer that doubled held more than was counted.

Change, one account by shares of the machine (MemoryMb, MaxFds, or what the process finds): - bodylimit counts the first 64 KiB of all bodies in a sum of their own, for responses too, and reads bodies in buffers that grow with what has arrived and count before they are allocated; - graceful limits connections and heads; where room is short, connections that have stood still for longest are closed, never one whose request is complete, so that a refusal's 'not run' is true; - a body has the time of its request (408); a SIGHUP with other limits counts at once.

TestRequestBodiesShareALimit and the tests of bodylimit are as they were.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tamarackchute/internal/bodylimit"
 )
 
 // conn is a tracked connection from a caller.
@@ -29,6 +31,17 @@
 	responded time.Time
 	// received means that bytes have been read since the last response.
 	received bool
+	// progressAt is when the caller last made progress with its request, sinceProgress the bytes received after that.
+	progressAt    time.Time
+	sinceProgress int
+	// headBytes counts what has been read of the request's head, which head holds. headRead means that the head is
+	// complete, complete that all of the request is.
+	headBytes          int
+	head               *bodylimit.Share
+	headRead, complete bool
+	// evicted means that the connection is closed to make room for others.
+	evicted       bool
+	countedEnding bool
 	// firstReadTimeout is the server's timeout for the first request, 0 if it has set none.
 	firstReadTimeout time.Duration
 	// closing means that the sending side is closed; data that still arrives is dropped.
@@ -61,10 +74,15 @@
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
 	case n == 0:
 		return 0, io.EOF
+	case !c.holdHead():
+		return 0, errNoRoom
 	}
 	return n, nil
 }
 
+// errNoRoom ends a connection whose request's head has no room beside those of others.
+var errNoRoom = errors.New("graceful: the heads of other requests leave no room")
+
 // readAvailable reads from the socket without blocking. On a closing connection, it drops
 // the data and returns 0, the end of the connection.
 func (c *conn) readAvailable(fd int, p []byte) (int, error) {
@@ -87,17 +105,18 @@
 		_ = c.TCPConn.SetReadDeadline(time.Now().Add(c.firstReadTimeout)) // fails only if the connection has failed
 		c.firstReadTimeout = 0
 	}
+	c.countReceived(n)
 	c.received = true
 	return n, nil
 }
 
-// SetReadDeadline implements net.Conn. It doesn't change the deadline of a closing connection. The
+// SetReadDeadline implements net.Conn. It doesn't change the deadline of a connection that is being closed. The
 // time for the first request begins with its first byte: a caller may have opened the connection in
 // advance, and until then it is as idle as between two requests.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || c.evicted {
 		return nil
 	}
 	if c.state == http.StateNew && !c.received && t.After(time.Now()) {
@@ -118,8 +137,10 @@
 	defer c.mu.Unlock()
 	c.state = s
 	if s == http.StateIdle {
-		c.received = false
+		c.received, c.complete, c.headRead = false, false, false
+		c.headBytes, c.sinceProgress = 0, 0
 		c.responded = time.Now()
+		_ = c.head.Hold(0) // fails only for more than before
 	}
 }
 
@@ -184,6 +205,7 @@
 // when the last response was written. c.mu is held.
 func (c *conn) beginClose(responded time.Time) {
 	c.closing = true
+	c.countEnding()
 	c.lingerUntil = responded.Add(lingerTimeout)
 	// Errors mean that the connection has failed, which the next read reports.
 	_ = c.TCPConn.CloseWrite()
@@ -233,5 +255,6 @@
 
 func (c *conn) release() error {
 	c.owner.remove(c)
+	c.head.Release()
 	return c.TCPConn.Close()
 }
--- a/internal/graceful/connections.go
+++ b/internal/graceful/connections.go
@@ -46,6 +46,14 @@
 	mu        sync.Mutex
 	open      map[*conn]struct{}
 	listeners []*listener
+	limits    Limits
+	// ending counts the open connections that are being closed.
+	ending int
+	// evictAfter is when connections to close for others are sought again.
+	evictAfter time.Time
+	// refused counts the connections that were refused since refusalLogged.
+	refused       int
+	refusalLogged time.Time
 }
 
 // New returns the tracker for a server.
@@ -85,15 +93,19 @@
 
 // ConnState must be set as the ConnState hook of the server.
 func (c *Connections) ConnState(nc net.Conn, s http.ConnState) {
+	if tracked, ok := innermost(nc).(*conn); ok {
+		tracked.setState(s)
+	}
+}
+
+// innermost returns the connection below others, for example below one of TLS.
+func innermost(nc net.Conn) net.Conn {
 	for {
 		outer, ok := nc.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return nc
 		}
-		nc = outer.NetConn() // for example of a TLS connection
-	}
-	if tracked, ok := nc.(*conn); ok {
-		tracked.setState(s)
+		nc = outer.NetConn()
 	}
 }
 
@@ -165,6 +177,9 @@
 func (c *Connections) remove(tracked *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, open := c.open[tracked]; open && tracked.countedEnding {
+		c.ending--
+	}
 	delete(c.open, tracked)
 }
 
--- a/internal/graceful/graceful_test.go
+++ b/internal/graceful/graceful_test.go
@@ -42,6 +42,7 @@
 			<-idle
 		}
 	}
+	r.server.Config.ConnContext = ConnContext
 	require.NoError(t, r.server.Listener.Close())
 	l, err := Bind("127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -48,8 +48,12 @@
 // Accept implements net.Listener. It must not be called concurrently.
 func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
-	if err == nil {
-		return l.track(accepted), nil
+	for err == nil {
+		if l.owner.admits() {
+			return l.track(accepted), nil
+		}
+		_ = accepted.Close()
+		accepted, err = l.Listener.Accept()
 	}
 	select {
 	case <-l.stopping:
@@ -85,6 +89,7 @@
 	c := &conn{TCPConn: tcp, raw: raw, owner: l.owner, accepted: time.Now()}
 	l.owner.mu.Lock()
 	defer l.owner.mu.Unlock()
+	c.head = l.owner.limits.Heads.Share()
 	l.owner.open[c] = struct{}{}
 	return c
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -84,6 +84,7 @@
 	// callerConns are the connections to the callers' address, otherConns those to all other
 	// addresses.
 	callerConns, otherConns *graceful.Connections
+	requestLimits           requestLimits
 	peers                   *Peers
 	upstreams               *upstreamFeed
 	// readers are the readers of the store's topics, by the constants below.
@@ -140,6 +141,7 @@
 	m.quarantine = newQuarantineExchange(m, cfg.QuarantineLog)
 	m.limits = newLimitExchange(m)
 	m.streamVersions = newStreamVersions(m)
+	m.requestLimits = newRequestLimits(&s)
 	m.relay = relay.New(relay.Config{
 		Instance:      s.Instance,
 		DataCentre:    s.DataCentre,
@@ -149,6 +151,7 @@
 		RetryBudget:   m.retryBudget,
 		Logger:        m.log,
 		Metrics:       cfg.Metrics.Scope,
+		RequestBodies: m.requestLimits.bodies, ResponseBodies: m.requestLimits.responses,
 		Refresh:       func(ctx context.Context) { m.peers.Refresh(ctx) },
 		Dial:          cfg.Dial,
 		ForwardPeers:  m.peers.forwardPeers,
--- a/internal/member/reload.go
+++ b/internal/member/reload.go
@@ -35,6 +35,7 @@
 	{"revocation bound", func(s *Settings) any { return s.RevocationBound }, nil},
 	{"seeds", func(s *Settings) any { return s.Seeds }, func(now, next *Settings) { now.Seeds = next.Seeds }},
 	{"memory", func(s *Settings) any { return s.MemoryBytes }, func(now, next *Settings) { now.MemoryBytes = next.MemoryBytes }},
+	{"descriptors", func(s *Settings) any { return s.MaxDescriptors }, func(now, next *Settings) { now.MaxDescriptors = next.MaxDescriptors }},
 	{"grace", func(s *Settings) any { return s.Grace }, func(now, next *Settings) { now.Grace = next.Grace }},
 	{"retry ratio", func(s *Settings) any { return s.RetryRatio }, func(now, next *Settings) { now.RetryRatio = next.RetryRatio }},
 	{"retry slack", func(s *Settings) any { return s.RetrySlack }, func(now, next *Settings) { now.RetrySlack = next.RetrySlack }},
@@ -65,6 +66,7 @@
 func (m *Member) applySettings(s *Settings) {
 	m.retryBudget.SetRatio(s.RetryRatio)
 	limitMemory(s.MemoryBytes)
+	m.limitRequests(s)
 	for _, seed := range s.Seeds {
 		m.peers.Add(wire.MemberAddress{Peers: seed})
 	}
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -60,9 +60,9 @@
 	}{
 		{"callers", s.Callers, m.relay},
 		{"forwarded", s.ForwardAddress, m.relay.ForwardedHandler()},
-		{"ready", s.Ready, m.cfg.ReadyHandler(m.Ready)},
-		{"directory", s.Directory, m.cfg.DirectoryHandler(m)},
-		{"metrics", s.Metrics, m.operatorHandler()},
+		{"ready", s.Ready, withoutBody(m.cfg.ReadyHandler(m.Ready))},
+		{"directory", s.Directory, withoutBody(m.cfg.DirectoryHandler(m))},
+		{"metrics", s.Metrics, withoutBody(m.operatorHandler())},
 	}
 	var services []*httpService
 	for _, h := range handlers {
@@ -126,6 +126,7 @@
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
+		ConnContext:       graceful.ConnContext,
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/member/settings.go
+++ b/internal/member/settings.go
@@ -31,6 +31,8 @@
 	Capacity int
 	// MemoryBytes limits the memory of the process.
 	MemoryBytes int64
+	// MaxDescriptors limits the open descriptors of the process; 0 means the limit that it was started with.
+	MaxDescriptors int
 	// Grace is the time between the stop signal and the kill.
 	Grace time.Duration
 	// LapsedEntryGrace is how long upstreams stay in use whose entries lapsed during a store outage,
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -18,12 +18,8 @@
 	"tamarackchute/rules/pathset"
 )
 
-const (
-	// maxResponseBytes limits the body of a response that isn't streamed.
-	maxResponseBytes = 8 << 20
-	// maxHeldBytes limits what the responses of all upstreams and daemons hold in memory at a time.
-	maxHeldBytes = 32 << 20
-)
+// maxResponseBytes limits the body of a response that isn't streamed.
+const maxResponseBytes = 8 << 20
 
 // result is the result of an attempt.
 type result struct {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +15,7 @@
 	"tamarackchute/internal/crash"
 	"tamarackchute/internal/dispatch"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/graceful"
 	"tamarackchute/internal/reqtarget"
 	"tamarackchute/internal/telemetry"
 	"tamarackchute/placement"
@@ -126,43 +127,33 @@
 	if limit <= 0 {
 		limit = 4 << 20
 	}
-	if c.in.ContentLength > limit {
-		return newFailure(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body is too large")
+	request := graceful.FromContext(c.in.Context())
+	request.HeadRead()
+	control := http.NewResponseController(c.out)
+	if c.in.Body != http.NoBody {
+		_ = control.SetReadDeadline(c.arrived.Add(c.callerTimeout())) // fails only if the connection has failed
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := io.ReadAll(&sharedReader{Reader: http.MaxBytesReader(c.out, c.in.Body, limit), share: c.bodyShare})
-	var tooLarge *http.MaxBytesError
+	body, err := bodylimit.ReadAll(c.in.Body, c.in.ContentLength, limit, c.bodyShare, request.MakeRoom)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bodylimit.ErrTooLarge):
+		c.out.Header().Set("Connection", "close")
 		return newFailure(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body is too large")
-	case errors.Is(err, bodylimit.ErrExceeded):
+	case errors.Is(err, bodylimit.ErrExceeded), request.Evicted():
+		c.out.Header().Set("Connection", "close")
 		return newFailure(http.StatusServiceUnavailable, reasonNoMemory, "the bodies of other requests leave no room").withRetryAfter(c.relay.cfg.MinRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.out.Header().Set("Connection", "close")
+		return newFailure(http.StatusRequestTimeout, reasonDeadline, "the body has not come in time")
 	case err != nil:
 		return newFailure(http.StatusBadRequest, reasonBadBody, "the body can't be read: "+err.Error())
+	case !request.Complete():
+		return newFailure(http.StatusServiceUnavailable, reasonNoMemory, "other requests need the connection's place").withRetryAfter(c.relay.cfg.MinRetryAfter)
 	}
 	c.body = body
 	return nil
 }
 
-// maxRequestBytes limits what the bodies of all requests hold in memory at a time.
-const maxRequestBytes = 64 << 20
-
-// sharedReader counts what is read in a share.
-type sharedReader struct {
-	io.Reader
-	share *bodylimit.Share
-	read  int
-}
-
-// Read implements io.Reader.
-func (r *sharedReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.read += n
-	if full := r.share.Hold(r.read); full != nil {
-		return n, full
-	}
-	return n, err
-}
-
 // serve runs the request to its end.
 func (c *call) serve() {
 	c.attempts = dispatch.New(c.retryPolicy())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/exchange"
 	"tamarackchute/internal/fleet"
+	"tamarackchute/internal/machine"
 	"tamarackchute/internal/reqtarget"
 	"tamarackchute/placement"
 )
@@ -68,6 +69,9 @@
 	Versions StreamVersions
 	// Metrics receives counters and histograms; nil drops them.
 	Metrics tally.Scope
+	// RequestBodies and ResponseBodies limit what bodies hold in memory together; nil means those of a machine whose memory
+	// isn't known.
+	RequestBodies, ResponseBodies *bodylimit.Limit
 	// MinRetryAfter is the retry delay that error responses name; they name a shorter one
 	// if the caller's remaining time is too short for it.
 	MinRetryAfter time.Duration
@@ -92,10 +96,6 @@
 	silences silences
 	// forwarder passes requests on to other daemons.
 	forwarder *forwarder
-	// bodies limits what responses hold in memory.
-	bodies *bodylimit.Limit
-	// requestBodies limits what requests hold in memory.
-	requestBodies *bodylimit.Limit
 	// newestConfig is the newest version of the configuration by which another daemon has decided a
 	// request of this one's callers: none may be decided by an older one any more.
 	newestConfig atomic.Uint64
@@ -115,10 +115,16 @@
 // New returns a relay. It watches the state for changes, so it must be called before
 // the state's first change.
 func New(cfg Config) *Relay {
-	bodies := bodylimit.New(maxHeldBytes)
+	shares := machine.SharesOf(0, 0)
+	if cfg.RequestBodies == nil {
+		cfg.RequestBodies = bodylimit.NewOf(shares.SmallBodies, shares.LargeBodies)
+	}
+	if cfg.ResponseBodies == nil {
+		cfg.ResponseBodies = bodylimit.NewOf(shares.SmallResponses, shares.LargeResponses)
+	}
 	r := &Relay{
 		cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns),
-		bodies: bodies, requestBodies: bodylimit.New(maxRequestBytes), forwarder: newForwarder(bodies),
+		forwarder: newForwarder(cfg.ResponseBodies),
 	}
 	r.ending, r.endRequests = context.WithCancel(context.Background())
 	r.paths = newPaths(r)
@@ -239,7 +245,7 @@
 			r.recordHeard(r.cfg.Tracker.Heard(u.ID), u, "")
 			r.Observe(u, response)
 		}
-		options := exchange.Options{Dial: r.cfg.Dial, OnMismatch: r.mismatchRecorder(u), OnResponse: observe, Bodies: r.bodies}
+		options := exchange.Options{Dial: r.cfg.Dial, OnMismatch: r.mismatchRecorder(u), OnResponse: observe, Bodies: r.cfg.ResponseBodies}
 		c = upstreamConns{to: u, pool: exchange.NewPool(u.Address, options)}
 		r.conns[u.ID] = c
 	}
@@ -266,7 +272,7 @@
 		// chunks; the rest of the connection must not be parsed as a request.
 		w.Header().Set("Connection", "close")
 	}
-	share := r.requestBodies.Share()
+	share := r.cfg.RequestBodies.Share()
 	defer share.Release()
 	c, f := r.accept(w, in, forwarded, share)
 	if f != nil {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,7 +14,9 @@
 # The soak checks time limits of real processes, so it runs alone, and few sites of it at a time.
 soak=$(go list ./internal/soak)
 soak_sites=3
-mapfile -t without_rapid < <(go list ./... | sort | comm -23 - <(printf '%s\n' "${with_rapid[@]}") | grep -vxF "$soak")
+# The crowds take all of a process's limits, so they run alone and one after the other.
+crowd=$(go list ./internal/crowd)
+mapfile -t without_rapid < <(go list ./... | sort | comm -23 - <(printf '%s\n' "${with_rapid[@]}") | grep -vxF -e "$soak" -e "$crowd")
 
 # run_all FLAG... runs `go test` with the flags on all packages.
 run_all() {
@@ -22,6 +24,7 @@
   go test -race -count=1 "$@" "${without_rapid[@]}" || verdict=$?
   go test -race -count=1 "$@" "${with_rapid[@]}" -rapid.seed="$RAPID_SEED" || verdict=$?
   go test -race -count=1 -parallel "$soak_sites" "$@" "$soak" || verdict=$?
+  go test -race -count=1 "$@" "$crowd" || verdict=$?
   return "$verdict"
 }
 
