entry: bodies are read within limits, not allocated by what they announce

Callers saw: an instance of the own interface that held 448 MB for 400 connections which announced 1 MiB and sent nothing of it, 869 MB for as many announced chunks, and gave no answer to ordinary callers beside 1300 connections. Cause: fasthttp allocates what is announced before any handler runs, and nothing limited connections.

Change: requests are streamed, and requestbody reads them within the same limits, by the same code, before the handlers; what is announced as too large is refused at once, as before. The listeners have the limits of graceful. Memory is the least of the machine's, the control group's and GOMEMLIMIT.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"tamarackchute/internal/entry/protect"
 	"tamarackchute/internal/entry/shutdown"
 	"tamarackchute/internal/entry/stream"
+	"tamarackchute/internal/machine"
 	"tamarackchute/internal/pathwatch"
 	"tamarackchute/internal/settings"
 	"tamarackchute/internal/status"
@@ -50,8 +51,6 @@
 	writeTimeout = 30 * time.Second
 	readTimeout  = 30 * time.Second
 	idleTimeout  = 60 * time.Second
-	// maxHeldBytes bounds what large responses of services hold together.
-	maxHeldBytes = 32 << 20
 )
 
 // Config holds an entry's settings and its connections to other components.
@@ -108,8 +107,10 @@
 	callerWatcher *callerwatch.Watcher
 	gateway       *gateway.Gateway
 	claims        *claim.Guard
-	listeners     []*listener
-	shutdown      shutdown.State
+	// shares are the parts of the machine that requests may take.
+	shares    machine.Shares
+	listeners []*listener
+	shutdown  shutdown.State
 }
 
 // New returns an entry; Run runs it.
@@ -123,6 +124,7 @@
 		self:        self,
 		incarnation: uuid.NewString(),
 		log:         cfg.Logger,
+		shares:      machine.SharesOf(machine.Memory(), machine.Descriptors()),
 		shutdown: shutdown.State{
 			DiscoveryTTL: seconds(cfg.Deployment.Discovery.TTLSeconds),
 			Grace:        seconds(cfg.Deployment.Discovery.GraceSeconds),
@@ -301,6 +303,7 @@
 		Models:          modelNames(d),
 		RulesLimit:      freshness.NewLimit(seconds(d.Rules.ApplySeconds)),
 		ServicePools:    servicePools(d),
-		Bodies:          bodylimit.New(maxHeldBytes),
+		Bodies:          bodylimit.NewOf(e.shares.SmallResponses, e.shares.LargeResponses),
+		RequestBodies:   bodylimit.NewOf(e.shares.SmallBodies, e.shares.LargeBodies),
 	}
 }
--- a/internal/entry/gateway/failure.go
+++ b/internal/entry/gateway/failure.go
@@ -72,8 +72,11 @@
 	return c.JSON(errorBody(f))
 }
 
-// serverError responds to requests that fasthttp refused before any handler ran:
-// bodies or headers that are too large, senders that are too slow, invalid HTTP.
+// retryAfterNoRoom is the Retry-After of requests whose bodies have no room beside those of others.
+const retryAfterNoRoom = time.Second
+
+// serverError responds to requests that were refused before any handler ran: bodies or headers that are too large,
+// senders that are too slow, bodies without room, invalid HTTP.
 func (g *Gateway) serverError(c *fiber.Ctx, err error) error {
 	f := outcome.Refused(fiber.StatusBadRequest, outcome.CodeInvalidRequest, "the request can't be read")
 	var status *fiber.Error
@@ -88,6 +91,10 @@
 		f.Message = "the headers are too large"
 	case fiber.StatusRequestTimeout:
 		f.Message = "the request did not arrive in time"
+	case fiber.StatusServiceUnavailable:
+		f.Code = outcome.CodeOverload
+		f.Message = err.Error()
+		f = f.WithRetryAfter(retryAfterNoRoom)
 	}
 	f.Cause = err
 	g.metrics.failed(f)
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"tamarackchute/internal/entry/discovery"
 	"tamarackchute/internal/entry/forward"
 	"tamarackchute/internal/entry/outcome"
+	"tamarackchute/internal/entry/requestbody"
 	"tamarackchute/internal/entry/stream"
 	"tamarackchute/router"
 	"tamarackchute/rules"
@@ -93,6 +94,8 @@
 	ServicePools map[string]bool
 	// Bodies limits what services' responses hold together until callers have received them; nil for no limit.
 	Bodies *bodylimit.Limit
+	// RequestBodies limits what the bodies of requests hold together; nil for no limit.
+	RequestBodies *bodylimit.Limit
 }
 
 // Dependencies are the components that the gateway uses.
@@ -182,8 +185,10 @@
 	return fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             o.MaxBodyBytes,
-		ReadTimeout:           o.ReadTimeout,
-		IdleTimeout:           o.IdleTimeout,
+		// Otherwise memory is allocated by what requests announce, before any handler runs.
+		StreamRequestBody: true,
+		ReadTimeout:       o.ReadTimeout,
+		IdleTimeout:       o.IdleTimeout,
 		// Releases read buffers while a request is served, which matters with
 		// thousands of open streams.
 		ReduceMemoryUsage: true,
@@ -197,6 +202,7 @@
 func (g *Gateway) routes(app *fiber.App) {
 	app.Use(g.closeIfShuttingDown)
 	app.Use(g.refuseAmbiguous)
+	requestbody.Use(app, g.opts.MaxBodyBytes, g.opts.RequestBodies)
 	app.Get("/healthz", g.healthz)
 	app.Get("/readyz", g.readyz)
 	app.Get("/v1/where", g.locate)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -7,6 +7,8 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"tamarackchute/internal/bodylimit"
+	"tamarackchute/internal/entry/requestbody"
 	"tamarackchute/internal/operator"
 	"tamarackchute/internal/operator/api"
 	"tamarackchute/quarantine"
@@ -17,6 +19,8 @@
 const (
 	// operatorsMaxBody has room for the largest rule set with JSON escapes.
 	operatorsMaxBody = 1 << 20
+	// operatorsMaxHeld is what the bodies of all their requests may hold together.
+	operatorsMaxHeld = 8 << 20
 	operatorsTimeout = 15 * time.Second
 	contentMetrics   = "text/plain; version=0.0.4; charset=utf-8"
 )
@@ -27,9 +31,11 @@
 	app := fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             operatorsMaxBody,
+		StreamRequestBody:     true, // see requestbody.Use
 		ReadTimeout:           operatorsTimeout,
 		WriteTimeout:          operatorsTimeout,
 	})
+	requestbody.Use(app, operatorsMaxBody, bodylimit.New(operatorsMaxHeld))
 	app.Get("/metrics", func(c *fiber.Ctx) error {
 		c.Set(fiber.HeaderContentType, contentMetrics)
 		_, err := e.cfg.Metrics.Page.WriteTo(c)
--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -7,6 +7,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/graceful"
 	"tamarackchute/internal/settings"
 	"tamarackchute/quarantine"
@@ -134,6 +135,7 @@
 		e.listeners = append(e.listeners, forwarded)
 		conns = append(conns, forwarded.conns)
 	}
+	e.limitRequests()
 	for _, l := range e.listeners {
 		if err := l.bind(); err != nil {
 			return err
@@ -163,6 +165,16 @@
 	return nil
 }
 
+// limitRequests limits what the connections to each address may take of the machine. Each has a part of the shares, so
+// that a crowd at one leaves the others theirs.
+func (e *Entry) limitRequests() {
+	for _, l := range e.listeners {
+		l.conns.SetLimits(graceful.Limits{
+			Connections: e.shares.Connections / len(e.listeners), Heads: bodylimit.New(e.shares.Heads / int64(len(e.listeners))),
+		})
+	}
+}
+
 // drain removes the instance from discovery responses at once and returns when it may
 // exit.
 func (e *Entry) drain(done <-chan error, conns graceful.All) {
