relay: a prefill that its engine has failed takes a retry

Cause: a prefill that is reset or refused has had no prompt read, so it counts as the request's first arrival, and the run after it as another one; without a retry in the budget the run went out all the same, as the engine that answers hadn't been asked yet.

Change: only a prefill whose engine was silent is made up for without a retry, as it may still have the prompt read. After one that has failed the request ends as not run if the budget is spent, or waits for it if its stream has begun.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -28,11 +28,12 @@
 	execution dispatch.Execution
 	// reachedUpstream says that an upstream received the request.
 	reachedUpstream bool
-	// prefill says that a prefill failed before the request itself was sent.
-	prefill bool
-	outcome placement.Outcome
-	status  int
-	err     error
+	// prefill says that a prefill failed before the request itself was sent; prefillSilent that the engine hasn't
+	// answered in time, and may still have the prompt read.
+	prefill, prefillSilent bool
+	outcome                placement.Outcome
+	status                 int
+	err                    error
 }
 
 // attempt sends the request to the assigned engines and ends their tickets.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -291,7 +291,7 @@
 		return nil
 	}
 	decision := c.attempts.Next(res.execution, res.reachedUpstream)
-	if decision == dispatch.BudgetExhausted && res.prefill {
+	if decision == dispatch.BudgetExhausted && res.prefillSilent {
 		c.withoutPrefill = true // the engine that answers hasn't been asked yet
 		decision = dispatch.Retry
 	}
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -82,6 +82,7 @@
 	if ctx.Err() != nil && c.in.Context().Err() != nil {
 		res.outcome = placement.Cancelled
 	}
+	res.prefillSilent = ctx.Err() != nil
 	c.endTicket(p.prefill, p.prefillTicket, res)
 	if !notAdmitted(res.err) {
 		c.excluded = append(c.excluded, p.prefill.ID)
