--- a/internal/graceful/limit.go
+++ b/internal/graceful/limit.go
@@ -1,9 +1,6 @@
 package graceful
 
 import (
-	"cmp"
-	"context"
-	"net"
 	"slices"
 	"time"
 
@@ -73,26 +70,13 @@
 // those that wait for a request count.
 func (c *Connections) evict(idle bool) int {
 	now := time.Now()
-	c.mu.Lock()
-	if now.Before(c.evictAfter) {
-		c.mu.Unlock()
+	if c.evictedInVain(now) {
 		return 0
 	}
-	c.mu.Unlock()
-	type candidate struct {
-		conn  *conn
-		since time.Time
-	}
-	var stalled []candidate
-	all := c.all()
-	for _, tracked := range all {
-		if since, ok := tracked.stalledSince(now, idle); ok {
-			stalled = append(stalled, candidate{tracked, since})
-		}
-	}
-	slices.SortFunc(stalled, func(a, b candidate) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
+	open := c.all()
+	stalled := stalledOf(open, now, idle)
 	n := 0
-	for _, s := range stalled[:min(len(stalled), 1+int(evictShare*float64(len(all))))] {
+	for _, s := range stalled[:min(len(stalled), 1+int(evictShare*float64(len(open))))] {
 		if s.conn.evict() {
 			n++
 		}
@@ -103,10 +87,35 @@
 		c.mu.Unlock()
 		return 0
 	}
-	c.log.Info("connections closed for others", "closed", n, "stalled", len(stalled), "connections", len(all), "longest_ms", now.Sub(stalled[0].since).Milliseconds())
+	c.log.Info("connections closed for others", "closed", n, "stalled", len(stalled), "connections", len(open), "longest_ms", now.Sub(stalled[0].since).Milliseconds())
 	return n
 }
 
+// evictedInVain reports whether no connection could be closed a moment ago.
+func (c *Connections) evictedInVain(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.evictAfter)
+}
+
+// stalledConn is a connection whose caller has sent nothing since a time.
+type stalledConn struct {
+	conn  *conn
+	since time.Time
+}
+
+// stalledOf returns the stalled ones of some connections, those that have sent nothing for longest first.
+func stalledOf(open []*conn, now time.Time, idle bool) []stalledConn {
+	var stalled []stalledConn
+	for _, tracked := range open {
+		if since, ok := tracked.stalledSince(now, idle); ok {
+			stalled = append(stalled, stalledConn{tracked, since})
+		}
+	}
+	slices.SortFunc(stalled, func(a, b stalledConn) int { return a.since.Compare(b.since) })
+	return stalled
+}
+
 // stalledSince returns since when the caller has sent nothing, if that is long ago and no request of it is complete.
 func (c *conn) stalledSince(now time.Time, idle bool) (time.Time, bool) {
 	c.mu.Lock()
@@ -124,7 +133,7 @@
 	return since, !c.complete && !c.ending() && now.Sub(since) >= stallTime
 }
 
-// evict ends a connection without a complete request. It reports whether it has.
+// evict ends a connection without a complete request, unless it is being closed or has sent more. It reports whether it has.
 func (c *conn) evict() bool {
 	if !c.hasRequest() {
 		_, began := c.closeIfIdle()
@@ -132,7 +141,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.complete || c.ending() {
+	if c.complete || c.ending() || c.hasUnread() { // after a standstill of this process, bytes may wait
 		return false
 	}
 	c.evicted = true
@@ -183,60 +192,3 @@
 	c.owner.evict(false)
 	return c.head.Hold(bytes) == nil
 }
-
-// Request is the request in progress on a connection. The zero value is that of a connection that isn't tracked.
-type Request struct{ conn *conn }
-
-type requestKey struct{}
-
-// ConnContext must be set as the ConnContext hook of the server, for FromContext.
-func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, requestKey{}, FromConn(c))
-}
-
-// FromContext returns the request of a handler's context.
-func FromContext(ctx context.Context) Request {
-	r, _ := ctx.Value(requestKey{}).(Request)
-	return r
-}
-
-// FromConn returns the request in progress on a connection.
-func FromConn(c net.Conn) Request {
-	tracked, _ := innermost(c).(*conn)
-	return Request{conn: tracked}
-}
-
-// HeadRead records that the head is complete: what is read from now on is counted by the handler.
-func (r Request) HeadRead() {
-	if r.conn == nil {
-		return
-	}
-	r.conn.mu.Lock()
-	defer r.conn.mu.Unlock()
-	r.conn.headRead = true
-}
-
-// Complete records that the request is complete, after which its connection isn't closed for others. It returns false if
-// the connection is being closed already: the request must not be run.
-func (r Request) Complete() bool {
-	if r.conn == nil {
-		return true
-	}
-	r.conn.mu.Lock()
-	defer r.conn.mu.Unlock()
-	r.conn.complete = !r.conn.evicted
-	return r.conn.complete
-}
-
-// Evicted reports whether the connection is closed to make room for others.
-func (r Request) Evicted() bool {
-	if r.conn == nil {
-		return false
-	}
-	r.conn.mu.Lock()
-	defer r.conn.mu.Unlock()
-	return r.conn.evicted
-}
-
-// MakeRoom closes connections with a request that has stalled, and reports whether there were any.
-func (r Request) MakeRoom() bool { return r.conn != nil && r.conn.owner.evict(false) > 0 }
--- a/internal/graceful/limit_test.go
+++ b/internal/graceful/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -112,6 +113,39 @@
 	require.False(t, <-ran)
 }
 
+// Guards against a request that is closed for others although the process just hasn't read what its caller has sent.
+func TestUnreadRequestIsNotClosedForOthers(t *testing.T) {
+	conns := New(slog.New(slog.DiscardHandler))
+	inner, err := Bind("127.0.0.1:0")
+	require.NoError(t, err)
+	l := conns.Listen(inner)
+	defer func() { _ = l.Close() }()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	c := accepted.(*conn)
+	send := func(text string) {
+		_, err := io.WriteString(caller, text)
+		require.NoError(t, err)
+		require.Eventually(t, c.hasUnread, time.Minute, time.Millisecond)
+	}
+	read := func() {
+		_, err := c.Read(make([]byte, 100))
+		require.NoError(t, err)
+	}
+	send("POST / HTTP/1.1\r\n")
+	read()
+	c.progressAt = time.Unix(1000, 0)
+	send("Host: h\r\n")
+	require.Zero(t, conns.evict(false))
+	read()
+	c.progressAt = time.Unix(1000, 0)
+	conns.evictAfter = time.Time{}
+	require.Equal(t, 1, conns.evict(false))
+}
+
 // Guards against a caller that sends a little all the time, so that it never counts as standing still.
 func TestDrippingCallerStandsStill(t *testing.T) {
 	c := &conn{}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -148,6 +148,7 @@
 	case err != nil:
 		return newFailure(http.StatusBadRequest, reasonBadBody, "the body can't be read: "+err.Error())
 	case !request.Complete():
+		c.out.Header().Set("Connection", "close")
 		return newFailure(http.StatusServiceUnavailable, reasonNoMemory, "other requests need the connection's place").withRetryAfter(c.relay.cfg.MinRetryAfter)
 	}
 	c.body = body
