requestbody: a body that is refused by its length ends the connection

Found in the read-through, not seen by a caller: the length of a body that is announced as too large is dropped, so that the server doesn't wait for its first bytes. A request that was answered before its body's turn, as one with a target that can't be read, kept the connection, and the body was read as the next request. TestRefusedBodyIsNoRequest/too_large,_target_refused is red without the change (two responses).

--- a/internal/entry/requestbody/requestbody.go
+++ b/internal/entry/requestbody/requestbody.go
@@ -22,7 +22,7 @@
 )
 
 // headerTooLarge marks a request whose body is announced as too large. Its length is dropped, as the server would wait for
-// the first bytes of such a body.
+// the first bytes of such a body, and the connection ends with the response: the body must not be read as a request.
 const headerTooLarge = "Tamarackchute-Body-Too-Large"
 
 // Use makes an application read each request's body of at most limit bytes, which counts among the bodies of all requests
@@ -34,6 +34,7 @@
 		if h.ContentLength() > limit {
 			h.Set(headerTooLarge, "1")
 			h.SetContentLength(0)
+			h.SetConnectionClose()
 		}
 		return fasthttp.RequestConfig{}
 	}
