--- a/internal/entry/tree.go
+++ b/internal/entry/tree.go
@@ -128,14 +128,16 @@
 	callers := newListener("callers", e.self.Callers, e.cfg.ServerTLS, e.gateway.App(), e.log)
 	operators := newListener("operators", e.self.Operators, e.cfg.ServerTLS, e.operatorsApp(), e.log)
 	operators.conns.LimitWait(graceful.AcceptReserve)
+	e.limitConnections(callers.conns, callersPart)
+	e.limitConnections(operators.conns, operatorsPart)
 	e.listeners = []*listener{callers, operators}
 	conns := graceful.All{operators.conns, callers.conns}
 	if e.self.Forwards != "" {
 		forwarded := newListener("forwarded", e.self.Forwards, e.cfg.ServerTLS, e.gateway.ForwardedApp(), e.log)
+		e.limitConnections(forwarded.conns, forwardedPart)
 		e.listeners = append(e.listeners, forwarded)
 		conns = append(conns, forwarded.conns)
 	}
-	e.limitRequests()
 	for _, l := range e.listeners {
 		if err := l.bind(); err != nil {
 			return err
@@ -165,14 +167,18 @@
 	return nil
 }
 
-// limitRequests limits what the connections to each address may take of the machine. Each has a part of the shares, so
-// that a crowd at one leaves the others theirs.
-func (e *Entry) limitRequests() {
-	for _, l := range e.listeners {
-		l.conns.SetLimits(graceful.Limits{
-			Connections: e.shares.Connections / len(e.listeners), Heads: bodylimit.New(e.shares.Heads / int64(len(e.listeners))),
-		})
-	}
+// The parts of the shares for connections that each address has, so that a crowd at one leaves the others theirs.
+const (
+	callersPart   = 0.6
+	forwardedPart = 0.3
+	operatorsPart = 0.1
+)
+
+// limitConnections limits what the connections to an address take to a part of the shares.
+func (e *Entry) limitConnections(conns *graceful.Connections, part float64) {
+	conns.SetLimits(graceful.Limits{
+		Connections: int(part * float64(e.shares.Connections)), Heads: bodylimit.New(int64(part * float64(e.shares.Heads))),
+	})
 }
 
 // drain removes the instance from discovery responses at once and returns when it may
