relay: a body that this daemon gives up reading is answered

Found by the test of the body's time limit, which hung: net/http ends a request's context when a read fails, for our own deadline too, so the request counted as one whose caller has left; its connection was to be broken off, and stayed open and unanswered, as the deadline had been taken back. The same for a body that was ended to make room: its connection was closed without the 503. Now the deadline stays until the connection has ended, and both get their 408 or 503.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -54,6 +54,9 @@
 	body          []byte
 	// bodyShare counts the body among those of all requests.
 	bodyShare *bodylimit.Share
+	// bodyCut says that this daemon has given up reading the body, which ends the request's context though the caller may
+	// still be there.
+	bodyCut bool
 	// content identifies equal requests. It is set before the first attempt and doesn't change.
 	content quarantine.Request
 	// inFlight records the attempt in progress at its upstream; nil if nothing has been sent.
@@ -132,27 +135,37 @@
 	control := http.NewResponseController(c.out)
 	if c.in.Body != http.NoBody {
 		_ = control.SetReadDeadline(c.arrived.Add(c.callerTimeout())) // fails only if the connection has failed
-		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
 	body, err := bodylimit.ReadAll(c.in.Body, c.in.ContentLength, limit, c.bodyShare, request.MakeRoom)
+	if f := c.bodyFailure(err, request); f != nil {
+		c.out.Header().Set("Connection", "close") // the rest of the body isn't read
+		return f
+	}
+	if c.in.Body != http.NoBody {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	c.body = body
+	return nil
+}
+
+// bodyFailure returns the failure of a request whose body hasn't been read, nil if it has. err is that of the reading.
+func (c *call) bodyFailure(err error, request graceful.Request) *failure {
+	late := errors.Is(err, os.ErrDeadlineExceeded)
+	c.bodyCut = late || request.Evicted()
 	switch {
 	case errors.Is(err, bodylimit.ErrTooLarge):
-		c.out.Header().Set("Connection", "close")
 		return newFailure(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body is too large")
 	case errors.Is(err, bodylimit.ErrExceeded), request.Evicted():
-		c.out.Header().Set("Connection", "close")
 		return newFailure(http.StatusServiceUnavailable, reasonNoMemory, "the bodies of other requests leave no room").withRetryAfter(c.relay.cfg.MinRetryAfter)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.out.Header().Set("Connection", "close")
+	case late:
 		return newFailure(http.StatusRequestTimeout, reasonDeadline, "the body has not come in time")
 	case err != nil:
 		return newFailure(http.StatusBadRequest, reasonBadBody, "the body can't be read: "+err.Error())
 	case !request.Complete():
-		c.out.Header().Set("Connection", "close")
 		return newFailure(http.StatusServiceUnavailable, reasonNoMemory, "other requests need the connection's place").withRetryAfter(c.relay.cfg.MinRetryAfter)
+	default:
+		return nil
 	}
-	c.body = body
-	return nil
 }
 
 // serve runs the request to its end.
