member: an unread body at the directory doesn't keep its connection

Found by a test of crowds at the directory's port: 400 clients that announce a chunk kept all connections that it may have, and no caller got an answer within a minute. The request counted as complete with its head, so that its connection wasn't closed for others, and net/http waits for the rest of an unread body before it closes. Now nothing more is read of it.

--- a/internal/member/memory.go
+++ b/internal/member/memory.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"runtime/debug"
+	"time"
 
 	"tamarackchute/internal/bodylimit"
 	"tamarackchute/internal/graceful"
@@ -69,6 +70,8 @@
 		request.HeadRead()
 		if in.ContentLength != 0 {
 			w.Header().Set("Connection", "close")
+			// Otherwise net/http waits for the rest of the body before it closes the connection.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has failed
 		}
 		if !request.Complete() {
 			w.WriteHeader(http.StatusServiceUnavailable)
