relay: a refusal for want of capacity tells how long it queued, and why each upstream was passed over

The log of a request that found no place counted the upstreams of its pool, though a stream that has begun may use only those of its version. It now adds queued_ms, queued_behind, tries, the version's upstreams (version_listed, _answering, _usable, _full) and why engines were passed over (rejected_*).

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -67,6 +67,7 @@
 // assign waits for an upstream that can take the request.
 func (c *call) assign(ctx context.Context) (*assignment, *failure) {
 	began := time.Now()
+	defer func() { c.queued += time.Since(began) }()
 	if refresh := c.relay.cfg.Refresh; refresh != nil {
 		refresh(ctx)
 	}
@@ -86,6 +87,8 @@
 	until := began.Add(c.maxWait(late))
 	var found *assignment
 	backoff := c.backoffBeyond(until)
+	q := c.relay.queue(c.rule.Name)
+	c.queuedBehind = q.length()
 	try := func() bool {
 		if c.refusedByShutdown() {
 			return true
@@ -95,7 +98,7 @@
 		}
 		return found != nil || backoff > 0 || c.forwardsFirst() || c.mustNotWait()
 	}
-	got := backoff > 0 || c.forwardsFirst() || c.relay.queue(c.rule.Name).await(ctx, late, until, try)
+	got := backoff > 0 || c.forwardsFirst() || q.await(ctx, late, until, try)
 	if !got && !late && c.Generation != nil && c.contextFailure(ctx) == nil {
 		// No upstream can meet the objective. A late response is worth more than none.
 		late = true
@@ -210,6 +213,7 @@
 
 // tryAssign looks for an upstream with capacity and reserves it; nil if there is none.
 func (c *call) tryAssign(late bool) *assignment {
+	c.tries++
 	s := c.relay.cfg.State.Snapshot()
 	if c.Generation == nil {
 		return c.tryService(s)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -114,6 +114,10 @@
 	prefills        int
 	prefillReserved bool
 	withoutPrefill  bool
+	// queued is how long the call has waited for capacity in all, queuedBehind how many others waited when it began to
+	// last, and tries how often a place was sought for it.
+	queued              time.Duration
+	queuedBehind, tries int
 	// lastPlan is the plan that placement found last, whether it was used or not. Of a
 	// refused request it says what was expected.
 	lastPlan placement.Plan
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -158,9 +158,29 @@
 	for i, x := range use.Excluded {
 		excluded[i] = x.String()
 	}
-	return []any{
+	attrs := []any{
 		"listed", health.Listed, "ejected", health.Ejected, "unreachable", health.Unreachable,
 		"usable", use.Usable, "full", use.Full, "excluded", excluded, "tried", c.excluded,
+		"queued_ms", telemetry.Millis(c.queued), "queued_behind", c.queuedBehind, "tries", c.tries,
+	}
+	if c.origin.fixed {
+		of := tracker.UseWithout(c.pool, c.otherVersions(c.relay.cfg.State.Snapshot()), 0)
+		attrs = append(attrs, "version_listed", of.Listed, "version_answering", of.Answering, "version_usable", of.Usable, "version_full", of.Full)
+	}
+	return append(attrs, c.rejectionAttrs()...)
+}
+
+// rejectionAttrs returns the attributes of why no engine of the pool takes the request.
+func (c *call) rejectionAttrs() []any {
+	if c.Generation == nil {
+		return nil
+	}
+	req := c.placementRequest()
+	req.Late = c.late
+	j := c.relay.cfg.Tracker.Rejections(c.pool, req)
+	return []any{
+		"rejected_unsuited", j.Excluded, "rejected_full", j.Full, "rejected_unmeasured", j.Unmeasured,
+		"rejected_undecodable", j.Undecodable, "rejected_busy", j.Busy, "late_share_taken", j.LateShareTaken,
 	}
 }
 
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -93,10 +93,13 @@
 }
 
 // empty reports whether there are no waiters.
-func (q *queue) empty() bool {
+func (q *queue) empty() bool { return q.length() == 0 }
+
+// length returns the number of waiters.
+func (q *queue) length() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting) == 0
+	return len(q.waiting)
 }
 
 func (q *queue) wakeFirst() {
--- a/placement/exclusion.go
+++ b/placement/exclusion.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
+
+	"tamarackchute/upstream"
 )
 
 // ExclusionReason says why an upstream gets no requests of this daemon for now.
@@ -38,14 +41,17 @@
 
 // PoolUse tells which upstreams of a pool get requests.
 type PoolUse struct {
-	// Usable counts those that aren't excluded; the ones among them that have no free slot are Full.
-	Usable, Full int
+	// Listed counts all, Answering those that don't only prefill. Usable counts those that aren't excluded; the ones among them that have no free slot are Full.
+	Listed, Answering, Usable, Full int
 	// Excluded are some of the others.
 	Excluded []Exclusion
 }
 
 // PoolUse returns which upstreams of a pool get requests, with at most limit exclusions.
-func (tr *Tracker) PoolUse(pool string, limit int) PoolUse {
+func (tr *Tracker) PoolUse(pool string, limit int) PoolUse { return tr.UseWithout(pool, nil, limit) }
+
+// UseWithout is PoolUse without the upstreams at which a request can't be placed.
+func (tr *Tracker) UseWithout(pool string, unsuited []string, limit int) PoolUse {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	var use PoolUse
@@ -55,6 +61,13 @@
 	}
 	now := tr.now()
 	for _, e := range p.all {
+		if slices.Contains(unsuited, e.ID) {
+			continue
+		}
+		use.Listed++
+		if e.Role != upstream.RolePrefill {
+			use.Answering++
+		}
 		x := tr.exclusion(e, now)
 		switch {
 		case x.Reason == "":
