relay: a stream that its caller takes up waits as one that has begun, for its version only

What callers saw: streams that broke beside a release and were taken up got 503 "no upstream has a free place" after 12 to 250 ms, with seconds left, while all new streams began.

Cause: what narrows a request's choice didn't count in its wait, its place in the queue and its refusal.

Change: waiting requests line up by what narrows their choice, and the first of each line tries. Streams that have begun go first, also before a newcomer that would take the place they wait for. A take-up waits as long as its rest can be in time, is placed without the limits of late requests, and needs time for its rest only. If no upstream of its version comes back in that time it is refused at once, with that time; if none of them is reached, other daemons are asked at once. TestQueueOrder and TestAbandonedWaiterIsRemoved name classes instead of a bool; what they check is unchanged.

--- a/internal/relay/advice_test.go
+++ b/internal/relay/advice_test.go
@@ -45,7 +45,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		start := time.Now()
-		go r.queue("app").await(ctx, false, start.Add(time.Hour), func() bool { return false })
+		go r.queue("app").await(ctx, turn{class: onTime}, start.Add(time.Hour), func() bool { return false })
 		synctest.Wait()
 		c := &call{
 			relay: r, in: httptest.NewRequest(http.MethodPost, "/", nil), arrived: start, deadline: start.Add(10 * time.Second),
--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -84,7 +84,11 @@
 		return nil, c.failCapacity()
 	}
 	late := c.isLate(began)
-	until := began.Add(c.maxWait(late))
+	wait := c.maxWait(late)
+	if f := c.checkChoice(wait); f != nil {
+		return nil, f
+	}
+	until := began.Add(wait)
 	var found *assignment
 	backoff := c.backoffBeyond(until)
 	q := c.relay.queue(c.rule.Name)
@@ -98,7 +102,7 @@
 		}
 		return found != nil || backoff > 0 || c.forwardsFirst() || c.mustNotWait()
 	}
-	got := backoff > 0 || c.forwardsFirst() || q.await(ctx, late, until, try)
+	got := backoff > 0 || c.forwardsFirst() || q.await(ctx, c.turn(late), until, try)
 	if !got && !late && c.Generation != nil && c.contextFailure(ctx) == nil {
 		// No upstream can meet the objective. A late response is worth more than none.
 		late = true
@@ -138,15 +142,18 @@
 	if c.forwarded != nil && c.unlisted() {
 		return true // the daemon that forwarded it may know others
 	}
+	if c.isTakenUp() && c.unreachable() {
+		return true // other daemons may reach an upstream of its version
+	}
 	return c.relay.paths.IsLost(c.pool) && (c.unreachable() || c.hasBegun() && c.relay.paths.Tracker.CutFor(c.pool) > 0)
 }
 
 // hasBegun reports whether the request may have run, or its stream has begun.
 func (c *call) hasBegun() bool { return c.stream != nil || c.attempts.MayHaveRun() }
 
-// unreachable reports whether connections to all upstreams of the pool have failed.
+// unreachable reports whether connections to all upstreams have failed at which the call may be placed.
 func (c *call) unreachable() bool {
-	h := c.relay.cfg.Tracker.PoolHealth(c.pool)
+	h := c.health()
 	return h.Listed > 0 && h.Unreachable == h.Listed
 }
 
@@ -183,25 +190,34 @@
 	if c.Generation == nil || c.hasBegun() {
 		return false
 	}
-	r := c.placementRequest()
-	return c.relay.cfg.Tracker.MinCompletionTime(c.pool, r) > max(0, r.TimeLeft)
+	return c.minCompletion() > max(0, time.Until(c.deadline))
+}
+
+// minCompletion returns the least time in which what is left of the response can be complete, 0 if too little is known.
+func (c *call) minCompletion() time.Duration {
+	if c.Generation == nil {
+		return 0
+	}
+	return c.relay.cfg.Tracker.MinCompletionTime(c.pool, c.placementRequest())
 }
 
 // isLate reports whether the request can't meet its objective any more: too much time has
 // passed, as after a failed attempt, or it is the caller's retry after a refusal.
 func (c *call) isLate(now time.Time) bool {
-	if c.rule.Objective == 0 {
+	if c.rule.Objective == 0 || c.continuesStream() {
 		return false
 	}
 	return c.retried || now.Sub(c.arrived) > time.Duration(onTimeShare*float64(c.rule.Objective))
 }
 
-// maxWait returns how long the request is queued. One that may have run, or whose stream
-// has begun, is queued until its deadline.
+// maxWait returns how long the request is queued. One that may have run, or whose stream has begun, is queued until its
+// deadline, and one whose stream its caller takes up as long as the rest of it can be in time.
 func (c *call) maxWait(late bool) time.Duration {
 	switch {
 	case c.hasBegun():
 		return time.Until(c.deadline)
+	case c.continuesStream():
+		return max(0, time.Until(c.deadline)-c.minCompletion())
 	case late || c.rule.Objective == 0:
 		return time.Duration(lateWaitShare * float64(time.Until(c.deadline)))
 	case c.Generation == nil:
@@ -233,8 +249,11 @@
 // no engine could meet the objective.
 func (c *call) choosePlan(req *placement.Request, late bool) (plan placement.Plan, planLate, ok bool) {
 	tracker := c.relay.cfg.Tracker
-	if c.goesOnOnly() { // it was placed there before, and has nowhere else to go
+	if c.goesOnOnly() || c.continuesStream() { // it can't go elsewhere, and its first event has been on time or late already
 		plan, ok = tracker.Pick(c.pool, *req)
+		c.late = false
+		c.keepPlan(plan, ok)
+		c.recordDemand(plan, ok, *req)
 		return plan, false, ok
 	}
 	req.Late = late
@@ -247,11 +266,16 @@
 		plan, ok = tracker.Pick(c.pool, *req)
 	}
 	c.late = req.Late
+	c.keepPlan(plan, ok)
+	c.recordDemand(plan, ok, *req)
+	return plan, req.Late, ok
+}
+
+// keepPlan keeps a plan for the log.
+func (c *call) keepPlan(plan placement.Plan, ok bool) {
 	if ok || c.lastPlan.Candidates == 0 {
 		c.lastPlan = plan
 	}
-	c.recordDemand(plan, ok, *req)
-	return plan, req.Late, ok
 }
 
 // reserve records the work of a plan in the tracker.
@@ -309,12 +333,12 @@
 }
 
 // acceptable reports whether a plan is expected to meet the objective, or, for a late
-// request, to give the first event before the deadline.
+// request or a stream that has begun, to give the first event before the deadline.
 func (c *call) acceptable(plan placement.Plan, req placement.Request, late bool) bool {
 	if c.rule.Objective == 0 {
 		return true
 	}
-	if late {
+	if late || c.continuesStream() {
 		return time.Until(c.deadline) > plan.FirstToken
 	}
 	return plan.MeetsLimit(req)
@@ -356,7 +380,7 @@
 		r.PromptTokens = g.PromptTokens
 		r.BodyBytes = len(c.body)
 		r.Objective = c.rule.Objective
-		r.OutputTokens, r.MaxOutputTokens = expectedOutput(g), g.MaxOutput
+		r.OutputTokens, r.MaxOutputTokens = outputAfter(expectedOutput(g), c.resumeAfter()), outputAfter(g.MaxOutput, c.resumeAfter())
 		r.TimeLeft = time.Until(c.deadline)
 		r.GapObjective = c.rule.GapObjective
 		r.Elapsed = time.Since(c.arrived)
@@ -370,6 +394,14 @@
 	return slices.Concat(c.excludedNow(), c.otherVersions(s), c.beyondAttempts(s))
 }
 
+// outputAfter returns what is left of an output after some events, of a token each. 0 tokens mean that it isn't known.
+func outputAfter(tokens, events int) int {
+	if tokens == 0 {
+		return 0
+	}
+	return max(1, tokens-events)
+}
+
 func expectedOutput(g *Generation) int {
 	switch {
 	case g.ExpectedOutput > 0 && g.MaxOutput > 0:
--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -263,18 +263,18 @@
 	defer cancel()
 	until := time.Now().Add(time.Minute)
 	var wg sync.WaitGroup
-	join := func(name string, late bool) {
+	join := func(name string, class waitClass) {
 		before := waitingIn(q)
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			require.True(t, q.await(ctx, late, until, s.acquire(name)))
+			require.True(t, q.await(ctx, turn{class: class}, until, s.acquire(name)))
 		}()
 		require.Eventually(t, func() bool { return waitingIn(q) == before+1 }, 10*time.Second, time.Millisecond)
 	}
-	join("late", true)
-	join("first", false)
-	join("second", false)
+	join("late", lateRequest)
+	join("first", onTime)
+	join("second", onTime)
 	s.release(q, 3)
 	wg.Wait()
 	require.Equal(t, []string{"first", "second", "late"}, s.order)
@@ -282,9 +282,7 @@
 }
 
 func waitingIn(q *queue) int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return len(q.waiting)
+	return q.length()
 }
 
 // A waiter that is cancelled or times out is removed from the queue and doesn't block
@@ -293,11 +291,11 @@
 	q, s := &queue{}, &slots{}
 	cancelled, cancel := context.WithCancel(context.Background())
 	cancel()
-	require.False(t, q.await(cancelled, false, time.Now().Add(time.Minute), s.acquire("gave up")))
-	require.False(t, q.await(context.Background(), false, time.Now().Add(time.Millisecond), s.acquire("timed out")))
+	require.False(t, q.await(cancelled, turn{class: onTime}, time.Now().Add(time.Minute), s.acquire("gave up")))
+	require.False(t, q.await(context.Background(), turn{class: onTime}, time.Now().Add(time.Millisecond), s.acquire("timed out")))
 	require.Zero(t, waitingIn(q))
 	s.release(q, 1)
-	require.True(t, q.await(context.Background(), false, time.Now(), s.acquire("next")))
+	require.True(t, q.await(context.Background(), turn{class: onTime}, time.Now(), s.acquire("next")))
 	require.Equal(t, []string{"next"}, s.order)
 }
 
--- /dev/null
+++ b/internal/relay/choice_test.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackchute/internal/fleet"
+	"tamarackchute/placement"
+	"tamarackchute/rules/pathset"
+	"tamarackchute/upstream"
+)
+
+// takenUp returns a call that takes up a stream of version v1 with a deadline in 10 s, in a pool with an upstream of v1 and
+// one of v2, one place each.
+func takenUp(r *Relay) *call {
+	now := time.Now()
+	return &call{
+		Call:  Call{ID: "taken-up", ResumeAfter: 3, Resumes: "begun", Generation: &Generation{PromptTokens: 10, MaxOutput: 10}},
+		relay: r, in: httptest.NewRequest(http.MethodPost, "/", nil), arrived: now, deadline: now.Add(10 * time.Second),
+		rule: &pathset.Rule{Name: "llm", Objective: 100 * time.Millisecond, Stream: true}, pool: "llm",
+		origin: streamOrigin{fixed: true, version: "v1"}, retried: true,
+	}
+}
+
+func newVersionRelay() *Relay {
+	state := fleet.NewState()
+	r := New(Config{State: state, Tracker: placement.NewTracker(nil)})
+	all := make(map[string]*fleet.Upstream)
+	for _, version := range []string{"v1", "v2"} {
+		all[version] = &fleet.Upstream{ID: version, Pool: "llm", Version: version, Slots: 1, Role: upstream.RoleDecode}
+	}
+	state.SetUpstreams(all)
+	return r
+}
+
+// Guards against a stream that its caller takes up and that is refused before its version has a place again, as a new or a
+// late request would be.
+func TestTakenUpStreamWaitsForAPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newVersionRelay()
+		held := r.cfg.Tracker.Begin("v1", placement.Work{})
+		time.AfterFunc(5*time.Second, func() {
+			held.End(placement.Done)
+			r.WakeWaiting()
+		})
+		p, f := takenUp(r).assign(t.Context())
+		require.Nil(t, f)
+		require.Equal(t, "v1", p.target.ID)
+		require.Equal(t, 5*time.Second, p.waited)
+	})
+}
+
+// Guards against a stream that its caller takes up and that waits, though no upstream of its version comes back in time.
+func TestTakenUpStreamIsRefusedAtOnceIfNothingComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newVersionRelay()
+		start := time.Now()
+		r.cfg.Tracker.BackOff("v1", time.Time{}, time.Minute)
+		_, f := takenUp(r).assign(t.Context())
+		require.Equal(t, reasonNoCapacity, f.reason)
+		require.Equal(t, time.Minute, f.retryAfter)
+		require.Equal(t, start, time.Now())
+	})
+}
+
+// Guards against a stream that its caller takes up near its end and that is refused because a whole response would take too
+// long.
+func TestTakenUpStreamNeedsTimeForItsRestOnly(t *testing.T) {
+	c := takenUp(newVersionRelay())
+	c.Generation.MaxOutput = 1000
+	require.Equal(t, 997, c.placementRequest().OutputTokens)
+	c.ResumeAfter = 2000
+	require.Equal(t, 1, c.placementRequest().OutputTokens)
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -141,7 +141,7 @@
 	case reasonUnreachable:
 		return anyPeer, true
 	case reasonNoCapacity:
-		return anyPeer, c.relay.cfg.Tracker.PoolHealth(c.pool).Unreachable > 0
+		return anyPeer, c.health().Unreachable > 0
 	case reasonAllBackingOff:
 		holders := c.relay.otherHolders(c.pool)
 		return func(p ForwardPeer) bool { return slices.Contains(holders, p.Holder) }, len(holders) > 0
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -1,91 +1,185 @@
 package relay
 
 import (
-	"container/heap"
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
 
-// queue holds the requests of one rule that wait for capacity. Requests that can meet
-// their objective precede late ones; among equals it is first in, first out.
+// queue holds the requests of one rule that wait for capacity. Streams that have begun precede requests that can meet
+// their objective, and these precede late ones; among equals it is first in, first out. Requests that differ in the
+// upstreams which they may use don't wait for each other: the first one of each choice tries.
 type queue struct {
-	mu      sync.Mutex
-	waiting waiters
-	seq     uint64
+	mu  sync.Mutex
+	seq uint64
+	// lines are the waiters by choice, each in order. None is empty.
+	lines map[string][]*waiter
+}
+
+// waitClass is the precedence of a waiting request. Lower ones go first.
+type waitClass uint8
+
+const (
+	// begunStream is a stream that has begun, here or in an earlier request of its caller.
+	begunStream waitClass = iota
+	onTime
+	lateRequest
+)
+
+// turn is a request's position among the others.
+type turn struct {
+	class waitClass
+	// choice tells requests apart that may use different upstreams.
+	choice string
 }
 
 type waiter struct {
-	late  bool
-	seq   uint64
-	index int
+	turn
+	seq uint64
+	try func() bool
+	// served says that a try has succeeded.
+	served bool
 	// wake receives a token when the waiter should try again.
 	wake chan struct{}
 }
 
-// recheckInterval is how often the first waiter tries again without being woken: limits
-// and exclusions of upstreams end without a signal.
-const recheckInterval = 10 * time.Millisecond
+const (
+	// recheckInterval is how often the first waiter of a choice tries again without being woken: limits
+	// and exclusions of upstreams end without a signal.
+	recheckInterval = 10 * time.Millisecond
+	// maxChoicesTried limits the choices of preceding waiters that are tried before a request.
+	maxChoicesTried = 8
+)
 
-// await calls try until it returns true, the context ends, or until has passed. It keeps
-// the order of the queue.
-func (q *queue) await(ctx context.Context, late bool, until time.Time, try func() bool) bool {
-	q.mu.Lock()
-	if !q.hasPrecedence(late) && try() {
-		q.mu.Unlock()
+// await calls try until it returns true, the context ends, or until has passed. It keeps the order of the queue: try may
+// be called by other requests, one call at a time.
+func (q *queue) await(ctx context.Context, t turn, until time.Time, try func() bool) bool {
+	w := &waiter{turn: t, try: try, wake: make(chan struct{}, 1)}
+	if q.enter(w) {
 		return true
 	}
-	q.seq++
-	w := &waiter{late: late, seq: q.seq, wake: make(chan struct{}, 1)}
-	heap.Push(&q.waiting, w)
-	q.mu.Unlock()
-
-	timer := time.NewTimer(min(recheckInterval, time.Until(until)))
+	timer := time.NewTimer(q.recheckAfter(until))
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			q.remove(w)
-			return false
+			return q.leave(w)
 		case <-w.wake:
 		case <-timer.C:
-			timer.Reset(max(0, min(recheckInterval, time.Until(until))))
+			timer.Reset(q.recheckAfter(until))
 		}
-		if q.tryFirst(w, try) {
+		if q.tryFirst(w) {
 			return true
 		}
 		if !time.Now().Before(until) {
-			q.remove(w)
-			return false
+			return q.leave(w)
 		}
 	}
 }
 
-// hasPrecedence reports whether a waiter precedes a newcomer.
-func (q *queue) hasPrecedence(late bool) bool {
-	return len(q.waiting) > 0 && (late || !q.waiting[0].late)
+// enter tries at once if no waiter of the same choice precedes w, and otherwise, or if that fails, adds it to the queue.
+func (q *queue) enter(w *waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.seq++
+	w.seq = q.seq
+	if line := q.lines[w.choice]; (len(line) == 0 || w.precedes(line[0])) && q.tryInTurn(w) {
+		return true
+	}
+	if q.lines == nil {
+		q.lines = make(map[string][]*waiter)
+	}
+	line := q.lines[w.choice]
+	i, _ := slices.BinarySearchFunc(line, w, (*waiter).compare)
+	q.lines[w.choice] = slices.Insert(line, i, w)
+	return false
+}
+
+// recheckAfter returns the time until the next try without a signal. Many choices share the work of one.
+func (q *queue) recheckAfter(until time.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	interval := recheckInterval * time.Duration(1+len(q.lines)/maxChoicesTried)
+	return max(0, min(interval, time.Until(until)))
 }
 
-// tryFirst calls try if w is the first waiter, and wakes the next one on success.
-func (q *queue) tryFirst(w *waiter, try func() bool) bool {
+// tryFirst calls try if w is the first waiter of its choice, and wakes the next ones on success.
+func (q *queue) tryFirst(w *waiter) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.waiting[0] != w || !try() {
+	if w.served {
+		return true
+	}
+	if q.lines[w.choice][0] != w || !q.tryInTurn(w) {
 		return false
 	}
-	heap.Remove(&q.waiting, w.index)
+	q.remove(w)
 	q.wakeFirst()
 	return true
 }
 
-func (q *queue) remove(w *waiter) {
+// tryInTurn calls try after the waiters of other choices that precede w have tried. The caller holds q.mu.
+func (q *queue) tryInTurn(w *waiter) bool {
+	for _, first := range q.ahead(w) {
+		for first != nil && first.try() {
+			first = q.serve(first)
+			if first != nil && !first.precedes(w) {
+				break
+			}
+		}
+	}
+	return w.try()
+}
+
+// ahead returns the first waiters of other choices that precede w, in order. The caller holds q.mu.
+func (q *queue) ahead(w *waiter) []*waiter {
+	var all []*waiter
+	for choice, line := range q.lines {
+		if choice != w.choice && line[0].precedes(w) {
+			all = append(all, line[0])
+		}
+	}
+	slices.SortFunc(all, (*waiter).compare)
+	return all[:min(len(all), maxChoicesTried)]
+}
+
+// serve removes a waiter whose try has succeeded and returns the next one of its choice, nil if there is none. The caller
+// holds q.mu.
+func (q *queue) serve(w *waiter) *waiter {
+	w.served = true
+	q.remove(w)
+	w.notify()
+	if line := q.lines[w.choice]; len(line) > 0 {
+		return line[0]
+	}
+	return nil
+}
+
+// leave removes a waiter that gives up. It returns true if a try has succeeded meanwhile.
+func (q *queue) leave(w *waiter) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	heap.Remove(&q.waiting, w.index)
-	q.wakeFirst()
+	if !w.served {
+		q.remove(w)
+		q.wakeFirst()
+	}
+	return w.served
+}
+
+// remove removes a waiter. The caller holds q.mu.
+func (q *queue) remove(w *waiter) {
+	line := q.lines[w.choice]
+	if len(line) == 1 {
+		delete(q.lines, w.choice)
+		return
+	}
+	i := slices.Index(line, w)
+	q.lines[w.choice] = slices.Delete(line, i, i+1)
 }
 
-// wake lets the first waiter try again, because capacity may have become free.
+// wake lets the first waiters try again, because capacity may have become free.
 func (q *queue) wake() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -99,45 +193,30 @@
 func (q *queue) length() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting)
+	n := 0
+	for _, line := range q.lines {
+		n += len(line)
+	}
+	return n
 }
 
+// wakeFirst wakes the first waiter of each choice. The caller holds q.mu.
 func (q *queue) wakeFirst() {
-	if len(q.waiting) == 0 {
-		return
-	}
-	select {
-	case q.waiting[0].wake <- struct{}{}:
-	default:
+	for _, line := range q.lines {
+		line[0].notify()
 	}
 }
 
-// waiters implements heap.Interface.
-type waiters []*waiter
-
-func (w waiters) Len() int { return len(w) }
-
-func (w waiters) Less(i, j int) bool {
-	if w[i].late != w[j].late {
-		return w[j].late
+func (w *waiter) notify() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
 	}
-	return w[i].seq < w[j].seq
 }
 
-func (w waiters) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].index, w[j].index = i, j
+// compare orders waiters by precedence.
+func (w *waiter) compare(other *waiter) int {
+	return cmp.Or(cmp.Compare(w.class, other.class), cmp.Compare(w.seq, other.seq))
 }
 
-func (w *waiters) Push(x any) {
-	item := x.(*waiter)
-	item.index = len(*w)
-	*w = append(*w, item)
-}
-
-func (w *waiters) Pop() any {
-	old := *w
-	item := old[len(old)-1]
-	*w = old[:len(old)-1]
-	return item
-}
+func (w *waiter) precedes(other *waiter) bool { return w.compare(other) < 0 }
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -364,9 +364,6 @@
 		return &replacement{call: c, snapshot: s, req: req, plan: placement.Plan{Engine: id}}
 	}
 	req.Late, req.WithoutPrefill, req.TimeLeft = true, withoutPrefill, left
-	if c.stream != nil {
-		req.OutputTokens = max(1, req.OutputTokens-c.stream.lastEvent)
-	}
 	plan, ok := tracker.Pick(c.pool, req)
 	if !ok || s.Upstreams[plan.Engine] == nil || max(plan.FirstToken, plan.Completion) >= left {
 		return nil
--- a/placement/exclusion.go
+++ b/placement/exclusion.go
@@ -82,6 +82,32 @@
 	return use
 }
 
+// UsableIn returns the time until an upstream of a pool may take requests again, full or not: 0 if one may now. It leaves out
+// those at which a request can't be placed, and those that only prefill. ok is false if there are no others.
+func (tr *Tracker) UsableIn(pool string, unsuited []string) (d time.Duration, ok bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	p := tr.pools[pool]
+	if p == nil {
+		return 0, false
+	}
+	now := tr.now()
+	for _, e := range p.all {
+		if e.Role == upstream.RolePrefill || slices.Contains(unsuited, e.ID) {
+			continue
+		}
+		h := &e.health
+		left := max(0, e.unavailableUntil.Sub(now), h.backoffUntil.Sub(now), tr.waitForLimit(e))
+		if !e.lastResort(now) {
+			left = max(left, h.ejectedUntil.Sub(now))
+		}
+		if !ok || left < d {
+			d, ok = left, true
+		}
+	}
+	return d, ok
+}
+
 // exclusion returns why an upstream is excluded; the reason is empty if it isn't. tr.mu is held.
 func (tr *Tracker) exclusion(e *trackedUpstream, now time.Time) Exclusion {
 	x := Exclusion{ID: e.ID}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -309,7 +310,10 @@
 }
 
 // PoolHealth returns the health of a pool's upstreams.
-func (tr *Tracker) PoolHealth(pool string) PoolHealth {
+func (tr *Tracker) PoolHealth(pool string) PoolHealth { return tr.HealthWithout(pool, nil) }
+
+// HealthWithout is PoolHealth without the upstreams at which a request can't be placed.
+func (tr *Tracker) HealthWithout(pool string, unsuited []string) PoolHealth {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	var h PoolHealth
@@ -319,6 +323,9 @@
 	}
 	now := tr.now()
 	for _, e := range p.all {
+		if slices.Contains(unsuited, e.ID) {
+			continue
+		}
 		h.Listed++
 		if !e.health.ejected(now) && !e.health.probing {
 			continue
