placement: a stream that has begun may use the slots kept for short responses

Cause: a quarter of an engine's slots is kept from new long streams, for short responses; a begun stream counted as a new one. Change: Request.Begun lifts that share. TestBegunStreamUsesSlotsOfShortResponses.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -374,6 +374,7 @@
 	r := placement.Request{
 		DataCentre: c.relay.cfg.DataCentre,
 		Exclude:    c.excludedIn(c.relay.cfg.State.Snapshot()),
+		Begun:      c.continuesStream(),
 	}
 	if g := c.Generation; g != nil {
 		r.Parts = g.Parts
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -177,5 +177,5 @@
 	if e.Slots <= 0 {
 		return false
 	}
-	return e.Running >= e.Slots || (e.Role == upstream.RoleDecode && r.longStream(e) && e.LongStreams >= LongSlots(e.Slots))
+	return e.Running >= e.Slots || (e.Role == upstream.RoleDecode && !r.Begun && r.longStream(e) && e.LongStreams >= LongSlots(e.Slots))
 }
--- a/placement/types.go
+++ b/placement/types.go
@@ -46,6 +46,8 @@
 	// Late marks a request whose response will miss its objective. It only gets capacity
 	// that other requests leave.
 	Late bool
+	// Begun marks a stream that has begun at another engine. It may also use the slots that are kept for short responses.
+	Begun bool
 	// DataCentre is where the request arrived.
 	DataCentre string
 	// Exclude names engines at which an earlier attempt has failed.
