relay: a refusal by the only upstream of its version doesn't end a stream that is taken up

Cause: an upstream that refuses a request is excluded for good, though it may be all that the stream's version has; and a retry that the budget doesn't allow at the moment ends the call, though its stream has begun. Class: what excludes doesn't look at what remains.

TestTakenUpStreamOutlastsARefusal and TestTakenUpStreamWaitsForTheBudget, both red before (503, no place; 503, no budget).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -252,9 +252,9 @@
 }
 
 // excludeRefusing excludes an upstream that has refused the call; for a while if it is one of the few at which the call
-// may go on.
+// may go on, or all others at which a stream may go on are excluded, too.
 func (c *call) excludeRefusing(id string) {
-	if c.goesOnOnly() && slices.Contains(c.returnedFrom, id) {
+	if c.goesOnOnly() && slices.Contains(c.returnedFrom, id) || c.continuesStream() && !c.hasOther(id) {
 		c.silent = append(c.silent, silentUpstream{id: id, at: time.Now()})
 		return
 	}
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -49,6 +49,13 @@
 	return f
 }
 
+// hasOther reports whether the call may be placed at another upstream that answers than the given one, in whatever state.
+func (c *call) hasOther(id string) bool {
+	unsuited := slices.Concat([]string{id}, c.excluded, c.beyondChoice(c.relay.cfg.State.Snapshot()))
+	_, ok := c.relay.cfg.Tracker.UsableIn(c.pool, unsuited)
+	return ok
+}
+
 // turn returns the call's position among those that wait for capacity.
 func (c *call) turn(late bool) turn {
 	t := turn{class: onTime, choice: c.choice()}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -395,9 +395,10 @@
 }
 
 // mayAwaitBudget reports whether the call is worth a wait for the retry budget: its stream has begun and was moved away
-// from a silent upstream, which may have been sound, or another daemon has left it, for which nothing is to blame.
+// from a silent upstream, which may have been sound, or an upstream has refused to go on with it; or another daemon has left
+// it, for which nothing is to blame.
 func (c *call) mayAwaitBudget() bool {
-	return c.stream != nil && len(c.silent) > 0 || len(c.returnedFrom) > 0
+	return c.stream != nil && len(c.silent) > 0 || c.isTakenUp() || len(c.returnedFrom) > 0
 }
 
 // awaitBudget waits until the retry budget allows a retry, and counts it. It returns false if the call ends
@@ -405,7 +406,7 @@
 func (c *call) awaitBudget(ctx context.Context) bool {
 	ticker := time.NewTicker(stallRecheck)
 	defer ticker.Stop()
-	for {
+	for !c.isTakenUp() || time.Until(c.deadline) > c.minCompletion() {
 		select {
 		case <-ctx.Done():
 			return false
@@ -415,6 +416,7 @@
 			return true
 		}
 	}
+	return false
 }
 
 // silentUpstream is an upstream that was given up for its silence.
