quarantine: the end of a claim is told again

Cause: a request in flight at a crash is a suspect, of which one copy at a time runs, by a claim that daemons tell each other. The daemons that had retried these streams ended their claims within 3 ms, as their connections were reset; the links to the other daemons broke with them, so these kept the claim for 5 s. Class: a belief that rests on one message. Change: the end of a claim is told again after 0.1, 0.5 and 2 s. What a broken link loses is heard by a waiting suspect in time; a claim of a run that goes on holds as long as before.

TestLostEndOfAClaimIsToldAgain, red without the repeats.

--- a/quarantine/claim.go
+++ b/quarantine/claim.go
@@ -22,6 +22,10 @@
 	aloneAfter = 2
 )
 
+// claimEndRepeats are the times after which the end of a claim is told again: a link that breaks loses what is on its way,
+// and until a claim lapses it keeps the suspect from running anywhere.
+var claimEndRepeats = []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second}
+
 // claim reserves one run of a suspect.
 type claim struct {
 	ID        string   `msgpack:"i"`
@@ -130,7 +134,11 @@
 		c.guard.mu.Lock()
 		c.guard.dropClaim(c.id)
 		c.guard.mu.Unlock()
-		c.guard.passClaim(message{ClaimEnd: &claimEnd{c.id}})
+		tell := func() { c.guard.passClaim(message{ClaimEnd: &claimEnd{c.id}}) }
+		tell()
+		for _, d := range claimEndRepeats {
+			time.AfterFunc(d, tell)
+		}
 	})
 }
 
--- a/quarantine/claim_test.go
+++ b/quarantine/claim_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"tamarackchute/journal"
 )
 
 // claimAtOnce makes all processes claim a run of a digest at the same time, and returns how many
@@ -59,6 +61,29 @@
 	})
 }
 
+// Guards against a suspect that waits for a claim to lapse, since a broken link has lost its end.
+func TestLostEndOfAClaimIsToldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSharedSite(2)
+		s.crash(0, "u0", digest(1))
+		var broken atomic.Bool
+		s.guards[0].Publish(func(e journal.Entry) {
+			if !broken.Load() {
+				s.pass(0, e)
+			}
+		}, s.guards[0].reachesAll)
+		claim, err := s.guards[0].Claim(background, digest(1), time.Hour, "u1")
+		require.NoError(t, err)
+		broken.Store(true)
+		claim.End()
+		broken.Store(false)
+		require.True(t, s.guards[1].Reservations(digest(1)).Running)
+		time.Sleep(claimEndRepeats[0] + time.Millisecond)
+		synctest.Wait()
+		require.False(t, s.guards[1].Reservations(digest(1)).Running)
+	})
+}
+
 // Guards against a claim that a process which wasn't heard for a while makes beside one in force.
 func TestClaimInForceIsToldToNewcomers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
