--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -230,6 +230,9 @@
 // tryAssign looks for an upstream with capacity and reserves it; nil if there is none.
 func (c *call) tryAssign(late bool) *assignment {
 	c.tries++
+	if !c.mayTryNow() {
+		return nil
+	}
 	s := c.relay.cfg.State.Snapshot()
 	if c.Generation == nil {
 		return c.tryService(s)
