relay: a taken-up stream waits for the retry budget for half of the time left

What callers saw: in 1 of 5 plays of review/bin/takeups a take-up got 503, no retry budget, 4.8 s after its request, of 5 s: a daemon that has just started may have no retry left for seconds, and other daemons have budgets of their own. Change: the wait for the budget ends after half of the time left, so that the caller can try elsewhere. Streams of which this call has brought events wait as before: they have no other way.

--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -28,6 +28,8 @@
 	lostPathSilence = 300 * time.Millisecond
 	// silentExclusion is how long an upstream that was given up for its silence isn't tried again.
 	silentExclusion = 500 * time.Millisecond
+	// budgetWaitShare is the share of the time left for which a stream that its caller takes up waits for the retry budget.
+	budgetWaitShare = 0.5
 	// stallRecheck is how often another place is sought for an attempt whose upstream is silent.
 	stallRecheck = 100 * time.Millisecond
 )
@@ -402,11 +404,12 @@
 }
 
 // awaitBudget waits until the retry budget allows a retry, and counts it. It returns false if the call ends
-// before.
+// before, or if a caller that takes up a stream should rather try another daemon, which has a budget of its own.
 func (c *call) awaitBudget(ctx context.Context) bool {
+	until := time.Now().Add(time.Duration(budgetWaitShare * float64(time.Until(c.deadline))))
 	ticker := time.NewTicker(stallRecheck)
 	defer ticker.Stop()
-	for !c.isTakenUp() || time.Until(c.deadline) > c.minCompletion() {
+	for !c.isTakenUp() || time.Now().Before(until) {
 		select {
 		case <-ctx.Done():
 			return false
