quarantine: a claim ends with the process that made it

Cause: the killed daemons had claims for the suspects that they were trying, 10 ms old. What ran by them ended with the processes, but others kept the claims for up to 5 s, also when the daemons were back after 0.5 s. Class: a belief about a process outlives it. Change: claims carry the process that made them, and a daemon that hears a peer's new incarnation drops those of the old one. A silent peer's claims last as before: it may go on.

TestClaimEndsWithItsProcess, TestRestartOfAPeerIsTold (neither compiles without the change).

--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -87,7 +87,9 @@
 	// onQuarantineReport processes another daemon's report and says whether to pass it on.
 	// quarantineFingerprint identifies what this daemon knows of requests that crash upstreams, and
 	// onQuarantineFingerprint is called with a neighbour's.
+	// onRestart is called for a daemon whose process has started again.
 	onQuarantineReport      func(wire.QuarantineReport) bool
+	onRestart               func(instance string)
 	quarantineFingerprint   func() uint64
 	onQuarantineFingerprint func(address string, fingerprint uint64)
 	// onUpstreamLimits processes the limits that a neighbour knows.
@@ -304,6 +306,7 @@
 	}
 	// Its reported load is outdated if its process has restarted, or if from now on the load is
 	// part of the totals.
+	restarted := from.incarnation != 0 && m.Incarnation != from.incarnation
 	forget := m.Incarnation != from.incarnation || (from.fullMesh && !m.FullMesh)
 	from.fullMesh = m.FullMesh
 	from.incarnation, from.seq = m.Incarnation, m.Seq
@@ -332,6 +335,9 @@
 	if forget {
 		p.tracker.ForgetPeer(m.Peers)
 	}
+	if restarted && p.onRestart != nil {
+		p.onRestart(m.Instance)
+	}
 	if p.onPathLost != nil {
 		for _, pool := range lost {
 			p.onPathLost(pool)
--- a/internal/member/peers_test.go
+++ b/internal/member/peers_test.go
@@ -159,3 +159,16 @@
 	h.applyState(wire.MemberState{MemberAddress: wire.MemberAddress{Instance: "b", Peers: "b"}, Seq: 2, ConfigVersion: 9})
 	require.Equal(t, []uint64{7, 9}, named)
 }
+
+// Guards against what a daemon's process did that others take for going on after it was killed.
+func TestRestartOfAPeerIsTold(t *testing.T) {
+	h := newPeersHarness("a")
+	h.onQuarantineFingerprint, h.onConfigNamed = func(string, uint64) {}, func(uint64, string) {}
+	var restarts []string
+	h.onRestart = func(instance string) { restarts = append(restarts, instance) }
+	b := wire.MemberAddress{Instance: "b", Peers: "b"}
+	for _, state := range []struct{ incarnation, seq uint64 }{{1, 1}, {1, 2}, {2, 1}, {2, 2}} {
+		h.applyState(wire.MemberState{MemberAddress: b, Incarnation: state.incarnation, Seq: state.seq})
+	}
+	require.Equal(t, []string{"b"}, restarts)
+}
--- a/internal/member/quarantine.go
+++ b/internal/member/quarantine.go
@@ -42,7 +42,7 @@
 	s := m.cfg.Settings
 	x := &quarantineExchange{log: m.log, metrics: m.cfg.Metrics, informed: make(map[string]time.Time)}
 	x.reader = &pacedLog{Log: log, heardByOthers: m.peers.ReportsInDataCentre}
-	writer := s.Instance + "/quarantine"
+	writer := quarantineWriter(s.Instance)
 	x.entries = journal.New(x.reader, journal.Config{Writer: writer, Retention: s.StoreRetention, LongPoll: longPollTimeout, Logger: m.log})
 	x.guard = quarantine.NewGuard(quarantine.NoIsolationConfig(), x.entries, writer, nil)
 	x.guard.LimitCheckpoints(m.peers.ReadsFirst)
@@ -53,6 +53,7 @@
 	x.detector = crash.New(x.guard, func(ctx context.Context, e crash.Engine) error { return m.relay.ProbeEngine(ctx, e) })
 	x.detector.OnCrash(x.recordCrash)
 	m.peers.onQuarantineReport = x.hear
+	m.peers.onRestart = func(instance string) { x.guard.Restarted(quarantineWriter(instance)) }
 	m.peers.quarantineFingerprint = x.guard.Fingerprint
 	m.peers.onQuarantineFingerprint = func(address string, fingerprint uint64) {
 		if fingerprint != x.guard.Fingerprint() && x.mayInform(address, time.Now()) {
@@ -62,6 +63,9 @@
 	return x
 }
 
+// quarantineWriter names a daemon's reports.
+func quarantineWriter(instance string) string { return instance + "/quarantine" }
+
 // restorableGuard makes a guard follow restores of the journal.
 type restorableGuard struct{ *quarantine.Guard }
 
--- a/quarantine/claim.go
+++ b/quarantine/claim.go
@@ -47,8 +47,10 @@
 // knownClaim is a claim of this process or another one.
 type knownClaim struct {
 	claim
-	until time.Time
-	own   bool
+	// writer is the process that made it.
+	writer string
+	until  time.Time
+	own    bool
 }
 
 // conflictsWith reports whether two claims can't hold at the same time.
@@ -112,7 +114,7 @@
 			return c, false
 		}
 	}
-	g.addClaim(c, true)
+	g.addClaim(c, g.writer, true)
 	return c, true
 }
 
@@ -144,7 +146,7 @@
 
 // hearClaim processes another process's claim. It returns the claims of this process that the other
 // one must not have heard of.
-func (g *Guard) hearClaim(c claim) []claim {
+func (g *Guard) hearClaim(c claim, writer string) []claim {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.Lasting = min(c.Lasting, maxClaimTime)
@@ -160,14 +162,26 @@
 			unheard = append(unheard, own.claim)
 		}
 	}
-	g.addClaim(c, false)
+	g.addClaim(c, writer, false)
 	return unheard
 }
 
 // addClaim records a claim. The caller holds g.mu.
-func (g *Guard) addClaim(c claim, own bool) {
+func (g *Guard) addClaim(c claim, writer string, own bool) {
 	if len(g.claims) < maxClaims || own {
-		g.claims[c.ID] = &knownClaim{claim: c, until: g.now().Add(c.Lasting), own: own}
+		g.claims[c.ID] = &knownClaim{claim: c, writer: writer, until: g.now().Add(c.Lasting), own: own}
+	}
+}
+
+// Restarted drops the claims of another process, by the name of the journal's writer, which has started again: what ran by
+// them ended with it.
+func (g *Guard) Restarted(writer string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, c := range g.claims {
+		if c.writer == writer && !c.own {
+			g.dropClaim(id)
+		}
 	}
 }
 
@@ -202,10 +216,10 @@
 }
 
 // hearOfClaim processes a report about a claim, and reports whether it is one.
-func (g *Guard) hearOfClaim(m message) bool {
+func (g *Guard) hearOfClaim(m message, writer string) bool {
 	switch {
 	case m.Claim != nil:
-		for _, own := range g.hearClaim(*m.Claim) {
+		for _, own := range g.hearClaim(*m.Claim, writer) {
 			g.passClaim(message{Claim: &own})
 		}
 	case m.ClaimEnd != nil:
--- a/quarantine/claim_test.go
+++ b/quarantine/claim_test.go
@@ -84,6 +84,22 @@
 	})
 }
 
+// Guards against a suspect that waits for the claim of a process that was killed and has started again.
+func TestClaimEndsWithItsProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSharedSite(3)
+		s.crash(0, "u0", digest(1))
+		s.crash(0, "u0", digest(2))
+		_, err := s.guards[0].Claim(background, digest(1), time.Hour, "u1")
+		require.NoError(t, err)
+		_, err = s.guards[2].Claim(background, digest(2), time.Hour, "u2")
+		require.NoError(t, err)
+		s.guards[1].Restarted("p0")
+		require.False(t, s.guards[1].Reservations(digest(1)).Running)
+		require.True(t, s.guards[1].Reservations(digest(2)).Running, "of a process that goes on")
+	})
+}
+
 // Guards against a claim that a process which wasn't heard for a while makes beside one in force.
 func TestClaimInForceIsToldToNewcomers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -36,7 +36,7 @@
 	if !g.hearFirst(e.ID) {
 		return false
 	}
-	if g.hearOfClaim(m) {
+	if g.hearOfClaim(m, e.Writer) {
 		return true
 	}
 	g.mu.Lock()
