exchange: a response without a length isn't whole if its connection ends before the request is written

What callers saw (users' report of other systems, the same here): a server answers a long upload at once with a 200 without a length, sends part of its body and resets the connection while the upload is written. The caller gets that part as a complete answer.

Cause: a socket tells an error once. If the writer meets the reset first, the reader finds an orderly end, and only the reader was asked. Class: a response taken without a look at whether its request was written. Change: the end of the connection ends such a body only once the request has been written completely. An upstream that ends its sending side and reads on still gets through.

The own interface writes the request before it reads, and fails there.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -164,15 +165,33 @@
 	}
 }
 
-// Read reads the body. io.EOF means that it is complete by its framing; a truncated
-// body gives another error.
+// Read reads the body. io.EOF means that it is complete by its framing, or by the end of a connection on which the
+// upstream has taken the whole request; a truncated body gives another error.
 func (resp *Response) Read(b []byte) (int, error) {
 	n, err := resp.body.Read(b)
 	resp.transfer.Received(n)
-	if err == io.EOF {
-		resp.complete = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if err := resp.checkEnd(); err != nil {
+		return n, err
+	}
+	resp.complete = true
+	return n, io.EOF
+}
+
+// checkEnd returns an error if the end of the connection doesn't show that a body without framing is complete. A reset tells
+// only one of reader and writer: after a failed write, the reader finds an orderly end.
+func (resp *Response) checkEnd() error {
+	if resp.Framed {
+		return nil
+	}
+	err := <-resp.sent // the end of the context closes the connection, which ends the writing
+	resp.sent <- err
+	if err != nil {
+		return fmt.Errorf("%w: the connection ended before the request was written: %w", io.ErrUnexpectedEOF, err)
+	}
+	return nil
 }
 
 // Trailer returns the headers that followed the body. They are known once it has been read to its end.
