exchange, httpx: what has an impossible status is no response

What callers saw (users' report of other systems, in part the same here): a server in trouble sends an answer whose status is 000, and the client gets it as an answer. Here the own interface passed on 000 as a 200, and 001, 020, 099, 101, 600 and 999 as they were; the platform's path passed on 600 and 999.

Cause: the status was compared with single values only, and the library of the own interface reads 000 as no status, which it takes for 200. Class: a response taken without a look at its status. Change: both clients check the status of each head that comes in, interim ones too, by one package (100 to 599 without 101); httpx looks at the status line itself. The request may have run, so it is a broken exchange.

--- a/internal/adapters/httpx/exchange.go
+++ b/internal/adapters/httpx/exchange.go
@@ -4,11 +4,15 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"tamarackchute/internal/responsestatus"
 )
 
 // exchange is one request and its response on a connection. The response is the one with
@@ -120,6 +124,9 @@
 // readHeader reads a response's header and skips informational responses.
 func (e *exchange) readHeader(h *fasthttp.ResponseHeader) error {
 	for range maxInterimResponses + 1 {
+		if err := checkStatusLine(e.reader); err != nil {
+			return err
+		}
 		if err := h.Read(e.reader); err != nil {
 			return err
 		}
@@ -130,10 +137,33 @@
 	return errTooManyInterim
 }
 
-func isInterim(status int) bool {
-	return status >= 100 && status < 200 && status != fasthttp.StatusSwitchingProtocols
+// maxBlankBytes limits the empty lines before a response.
+const maxBlankBytes = 16
+
+// checkStatusLine returns an error if the next response has an impossible status, which the library doesn't tell: it takes 000
+// for 200. What is no status line is left to the library.
+func checkStatusLine(r *bufio.Reader) error {
+	for range maxBlankBytes {
+		next, err := r.Peek(1)
+		if err != nil || next[0] != '\r' && next[0] != '\n' {
+			break
+		}
+		_, _ = r.Discard(1) // it has been peeked at
+	}
+	const prefix, digits = len("HTTP/1.1 "), 3
+	line, err := r.Peek(prefix + digits)
+	if err != nil || !bytes.HasPrefix(line, []byte("HTTP/")) {
+		return nil
+	}
+	status, err := strconv.Atoi(string(line[prefix:]))
+	if err != nil {
+		return fmt.Errorf("%w: %q", responsestatus.ErrImpossible, line[prefix:])
+	}
+	return responsestatus.Check(status)
 }
 
+func isInterim(status int) bool { return status >= 100 && status < 200 }
+
 // readBody reads the body that belongs to the response's header.
 func (e *exchange) readBody(resp *fasthttp.Response, maxBody int) error {
 	if resp.SkipBody || !hasBody(resp.StatusCode()) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tamarackchute/internal/bodylimit"
+	"tamarackchute/internal/responsestatus"
 	"tamarackchute/internal/transfer"
 )
 
@@ -127,7 +128,11 @@
 			return nil, err
 		case len(response.Header) > maxHeaders:
 			return nil, errTooManyHeaders
-		case response.StatusCode >= http.StatusOK:
+		}
+		if err := responsestatus.Check(response.StatusCode); err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
