relay: a stream that waits for its version goes before new requests of all rules of its pool

What callers would see: rules that share a pool had a queue each, so a new request of one rule took the place that a begun stream of another rule waited for.

Change: begun streams wait in one queue for each pool, and every other request lets them try first. Locks are taken in one order, a rule's queue before the pool's.

TestRequestOfAnotherRuleTakesNoPlaceOfAStream, red without the offer.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -91,12 +91,13 @@
 	until := began.Add(wait)
 	var found *assignment
 	backoff := c.backoffBeyond(until)
-	q := c.relay.queue(c.rule.Name)
+	q, streams := c.queue(), c.streamsAhead()
 	c.queuedBehind = q.length()
 	try := func() bool {
 		if c.refusedByShutdown() {
 			return true
 		}
+		streams.offer()
 		if found = c.tryAssign(late); found == nil {
 			backoff = c.backoffBeyond(until)
 		}
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -59,15 +59,29 @@
 // turn returns the call's position among those that wait for capacity.
 func (c *call) turn(late bool) turn {
 	t := turn{class: onTime, choice: c.choice()}
-	switch {
-	case c.continuesStream():
-		t.class = begunStream
-	case late:
+	if late {
 		t.class = lateRequest
 	}
 	return t
 }
 
+// queue returns where the call waits for capacity.
+func (c *call) queue() *queue {
+	if c.continuesStream() {
+		return c.relay.streamQueue(c.pool)
+	}
+	return c.relay.queue(c.rule.Name)
+}
+
+// streamsAhead returns the queue of the begun streams that try before the call does: a stream may have no other place, and its
+// caller has waited for longer. It is nil for such a stream itself.
+func (c *call) streamsAhead() *queue {
+	if c.continuesStream() {
+		return nil
+	}
+	return c.relay.streamQueue(c.pool)
+}
+
 // choice names what narrows the call's choice of upstreams; it is empty if nothing does.
 func (c *call) choice() string {
 	var by []string
--- a/internal/relay/choice_test.go
+++ b/internal/relay/choice_test.go
@@ -107,7 +107,7 @@
 		ended := time.Now().Add(time.Second)
 		go func() {
 			time.Sleep(time.Until(ended))
-			q := r.queue("llm")
+			q := r.streamQueue("llm")
 			q.mu.Lock()
 			claims.now = quarantine.Reservations{}
 			q.mu.Unlock()
@@ -117,3 +117,29 @@
 		require.Equal(t, "v1", p.target.ID)
 	})
 }
+
+// Guards against a request of another rule that takes the place which a begun stream of the same pool waits for.
+func TestRequestOfAnotherRuleTakesNoPlaceOfAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newVersionRelay()
+		held := make(map[string]*placement.Ticket)
+		for _, id := range []string{"v1", "v2", "other-v2"} {
+			held[id] = r.cfg.Tracker.Begin(id, placement.Work{})
+		}
+		placed := make(chan *assignment, 1)
+		go func() {
+			p, _ := takenUp(r).assign(t.Context())
+			placed <- p
+		}()
+		synctest.Wait()
+		held["v1"].End(placement.Done) // without a signal, so that the newcomer is first to look
+		newcomer := takenUp(r)
+		newcomer.rule, newcomer.ResumeAfter, newcomer.origin, newcomer.retried = &pathset.Rule{Name: "other", Objective: time.Second}, 0, streamOrigin{}, false
+		_, f := newcomer.assign(t.Context())
+		require.NotNil(t, f, "it is refused")
+		require.Equal(t, reasonNoCapacity, f.reason)
+		p := <-placed
+		require.NotNil(t, p)
+		require.Equal(t, "v1", p.target.ID)
+	})
+}
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// queue holds the requests of one rule that wait for capacity. Streams that have begun precede requests that can meet
-// their objective, and these precede late ones; among equals it is first in, first out. Requests that differ in the
-// upstreams which they may use don't wait for each other: the first one of each choice tries.
+// queue holds requests that wait for capacity: the streams of one pool that have begun, or the other requests of one rule.
+// Those that can meet their objective precede late ones; among equals it is first in, first out. Requests that differ in
+// the upstreams which they may use don't wait for each other: the first one of each choice tries.
 type queue struct {
 	mu  sync.Mutex
 	seq uint64
@@ -22,9 +22,7 @@
 type waitClass uint8
 
 const (
-	// begunStream is a stream that has begun, here or in an earlier request of its caller.
-	begunStream waitClass = iota
-	onTime
+	onTime waitClass = iota
 	lateRequest
 )
 
@@ -49,7 +47,7 @@
 	// recheckInterval is how often the first waiter of a choice tries again without being woken: limits
 	// and exclusions of upstreams end without a signal.
 	recheckInterval = 10 * time.Millisecond
-	// maxChoicesTried limits the choices of preceding waiters that are tried before a request.
+	// maxChoicesTried limits the choices of waiters that are tried before a request.
 	maxChoicesTried = 8
 )
 
@@ -122,27 +120,34 @@
 
 // tryInTurn calls try after the waiters of other choices that precede w have tried. The caller holds q.mu.
 func (q *queue) tryInTurn(w *waiter) bool {
-	for _, first := range q.ahead(w) {
-		for first != nil && first.try() {
-			first = q.serve(first)
-			if first != nil && !first.precedes(w) {
-				break
-			}
-		}
-	}
+	q.serveAll(func(first *waiter) bool { return first.choice != w.choice && first.precedes(w) })
 	return w.try()
 }
 
-// ahead returns the first waiters of other choices that precede w, in order. The caller holds q.mu.
-func (q *queue) ahead(w *waiter) []*waiter {
-	var all []*waiter
-	for choice, line := range q.lines {
-		if choice != w.choice && line[0].precedes(w) {
-			all = append(all, line[0])
+// offer lets the waiters try before a request that isn't in this queue. A nil queue has none.
+func (q *queue) offer() {
+	if q == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.serveAll(func(*waiter) bool { return true })
+}
+
+// serveAll lets waiters try in order, those of each choice until one fails, as long as they may. The caller holds q.mu.
+func (q *queue) serveAll(may func(*waiter) bool) {
+	var firsts []*waiter
+	for _, line := range q.lines {
+		if may(line[0]) {
+			firsts = append(firsts, line[0])
+		}
+	}
+	slices.SortFunc(firsts, (*waiter).compare)
+	for _, first := range firsts[:min(len(firsts), maxChoicesTried)] {
+		for first != nil && may(first) && first.try() {
+			first = q.serve(first)
 		}
 	}
-	slices.SortFunc(all, (*waiter).compare)
-	return all[:min(len(all), maxChoicesTried)]
 }
 
 // serve removes a waiter whose try has succeeded and returns the next one of its choice, nil if there is none. The caller
--- a/internal/relay/queue_test.go
+++ b/internal/relay/queue_test.go
@@ -45,7 +45,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		until := time.Now().Add(time.Hour)
-		go q.await(ctx, turn{class: begunStream, choice: "v1"}, until, p.take("stream", "v1"))
+		go q.await(ctx, turn{choice: "v1"}, until, p.take("stream", "v1"))
 		synctest.Wait()
 		require.True(t, q.await(ctx, turn{class: onTime}, time.Now(), p.take("new", "v1", "v2")))
 		require.Equal(t, 1, q.length())
@@ -60,12 +60,13 @@
 		var streams sync.WaitGroup
 		for range 2 {
 			streams.Go(func() {
-				require.True(t, q.await(t.Context(), turn{class: begunStream, choice: "v1"}, until, p.take("stream", "v1")))
+				require.True(t, q.await(t.Context(), turn{choice: "v1"}, until, p.take("stream", "v1")))
 			})
 		}
 		synctest.Wait()
 		p.add("v1", 3)
-		require.True(t, q.await(t.Context(), turn{class: onTime}, time.Now(), p.take("new", "v1")))
+		q.offer()
+		require.True(t, p.take("new", "v1")())
 		streams.Wait()
 		require.Equal(t, []string{"stream", "stream", "new"}, p.order)
 		require.True(t, q.empty())
@@ -75,7 +76,7 @@
 // Guards against a place that is lost because its waiter gave up while another one found it.
 func TestWaiterThatIsServedDoesntLeave(t *testing.T) {
 	q, p := &queue{}, &placesByChoice{free: map[string]int{"v1": 1}}
-	w := &waiter{turn: turn{class: begunStream, choice: "v1"}, try: func() bool { return false }, wake: make(chan struct{}, 1)}
+	w := &waiter{turn: turn{choice: "v1"}, try: func() bool { return false }, wake: make(chan struct{}, 1)}
 	require.False(t, q.enter(w))
 	w.try = p.take("stream", "v1")
 	require.False(t, q.enter(&waiter{turn: turn{class: onTime}, try: func() bool { return false }, wake: make(chan struct{}, 1)}))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -105,9 +106,10 @@
 	ending      context.Context
 	endRequests context.CancelFunc
 
-	mu     sync.Mutex
-	queues map[string]*queue
-	conns  map[string]upstreamConns
+	mu sync.Mutex
+	// queues holds the requests that wait for capacity, by rule, streamQueues the streams that have begun, by pool.
+	queues, streamQueues map[string]*queue
+	conns                map[string]upstreamConns
 	// config is the configuration by which unused rules were last dropped.
 	config *fleet.Config
 }
@@ -123,7 +125,7 @@
 		cfg.ResponseBodies = bodylimit.NewOf(shares.SmallResponses, shares.LargeResponses)
 	}
 	r := &Relay{
-		cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), conns: make(map[string]upstreamConns),
+		cfg: cfg, metrics: newMetrics(cfg.Metrics), queues: make(map[string]*queue), streamQueues: make(map[string]*queue), conns: make(map[string]upstreamConns),
 		forwarder: newForwarder(cfg.ResponseBodies),
 	}
 	r.ending, r.endRequests = context.WithCancel(context.Background())
@@ -143,38 +145,36 @@
 
 // HasWaiting reports whether requests are queued for an upstream.
 func (r *Relay) HasWaiting() bool {
+	return slices.ContainsFunc(r.allQueues(), func(q *queue) bool { return !q.empty() })
+}
+
+// allQueues returns the queues of begun streams, then those of other requests.
+func (r *Relay) allQueues() []*queue {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, q := range r.queues {
-		if !q.empty() {
-			return true
-		}
-	}
-	return false
+	return slices.AppendSeq(slices.Collect(maps.Values(r.streamQueues)), maps.Values(r.queues))
 }
 
 // WakeWaiting lets queued requests try again, because an upstream may have free capacity. Requests that
 // were sent to an upstream which is silent come first.
 func (r *Relay) WakeWaiting() {
 	r.silences.wake()
-	r.mu.Lock()
-	queues := make([]*queue, 0, len(r.queues))
-	for _, q := range r.queues {
-		queues = append(queues, q)
-	}
-	r.mu.Unlock()
-	for _, q := range queues {
+	for _, q := range r.allQueues() {
 		q.wake()
 	}
 }
 
-func (r *Relay) queue(rule string) *queue {
+func (r *Relay) queue(rule string) *queue { return r.queueIn(r.queues, rule) }
+
+func (r *Relay) streamQueue(pool string) *queue { return r.queueIn(r.streamQueues, pool) }
+
+func (r *Relay) queueIn(queues map[string]*queue, name string) *queue {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	q := r.queues[rule]
+	q := queues[name]
 	if q == nil {
 		q = &queue{}
-		r.queues[rule] = q
+		queues[name] = q
 	}
 	return q
 }
@@ -191,7 +191,7 @@
 	defer r.mu.Unlock()
 	if s.Config != r.config {
 		r.config = s.Config
-		r.dropUnusedRules(s.Config)
+		r.dropUnused(s.Config)
 	}
 	for id, c := range r.conns {
 		if u := s.Upstreams[id]; u == nil || !u.SameIncarnation(c.to) {
@@ -201,19 +201,16 @@
 	}
 }
 
-// dropUnusedRules drops the state of rules that a configuration no longer has. The
+// dropUnused drops the state of rules and pools that a configuration no longer has. The
 // caller holds r.mu.
-func (r *Relay) dropUnusedRules(c *fleet.Config) {
+func (r *Relay) dropUnused(c *fleet.Config) {
 	inForce := make(map[string]bool)
 	for _, rule := range c.Rules.Rules() {
 		inForce[rule.Name] = true
 	}
 	r.timeouts.retain(inForce)
-	for name, q := range r.queues {
-		if !inForce[name] && q.empty() {
-			delete(r.queues, name)
-		}
-	}
+	maps.DeleteFunc(r.queues, func(rule string, q *queue) bool { return !inForce[rule] && q.empty() })
+	maps.DeleteFunc(r.streamQueues, func(pool string, q *queue) bool { return c.Pools[pool] == nil && q.empty() })
 }
 
 func placementMember(s *fleet.Snapshot, u *fleet.Upstream) placement.Member {
