exchange, httpx: a request that is given up isn't sent any more

Cause: the daemon closes the connection of a request whose caller has left, but the kernel still sends what it was given. Behind a slow link or a full receiver the request is complete at its upstream seconds later, and looks like one whose sender has ended its side. Change: if bytes are left that the kernel hasn't sent once, the close is a reset and drops them; else it is orderly, as before.

--- a/internal/adapters/httpx/exchange.go
+++ b/internal/adapters/httpx/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tamarackchute/internal/responsestatus"
+	"tamarackchute/internal/unsent"
 )
 
 // exchange is one request and its response on a connection. The response is the one with
@@ -48,6 +49,7 @@
 		return
 	}
 	e.aborted = true
+	unsent.Drop(transport(e.conn))
 	_ = e.conn.Close()
 }
 
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tamarackchute/internal/unsent"
 )
 
 const (
@@ -49,7 +51,7 @@
 	}
 }
 
-func (c *conn) close() { c.closing.Do(func() { _ = c.raw.Close() }) }
+func (c *conn) close() { c.closing.Do(func() { _ = unsent.Close(c.raw) }) }
 
 // remember adds the id of a request that the connection is about to carry.
 func (c *conn) remember(m Match) {
