relay: a stopping daemon leaves a stream to others only if one reaches its pool

Cause: what narrows the request's choice, its pool, didn't count in the refusal. Change: others count only if one of them has told of a path to the pool, or none has told that it lost one.

--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -78,11 +78,20 @@
 	}
 	request := stopplan.Request{Deadline: c.ownDeadline, MayHaveRun: c.hasBegun(), Returnable: c.isReturnable(), Elsewhere: c.othersTake()}
 	if c.rule.Stream && c.Generation != nil && !request.MayHaveRun {
-		request.Expected, request.OthersServe = c.relay.cfg.Tracker.IdleCompletionTime(c.pool, c.placementRequest()), s.othersServe()
+		request.Expected, request.OthersServe = c.relay.cfg.Tracker.IdleCompletionTime(c.pool, c.placementRequest()), s.othersServe() && c.othersReach()
 	}
 	return s.plan.Decide(request, time.Now()), s.plan
 }
 
+// othersReach reports whether another daemon may have a path to the call's pool: one has told so, or none has told of a lost one.
+func (c *call) othersReach() bool {
+	if c.relay.cfg.PeerPaths == nil {
+		return true
+	}
+	with, without := c.relay.cfg.PeerPaths(c.pool)
+	return with > 0 || without == 0
+}
+
 // othersTake reports whether the call was forwarded by a daemon that can hand it to another one than this.
 func (c *call) othersTake() bool {
 	if c.forwarded == nil || c.relay.cfg.ForwardPeers == nil {
