relay, callerwatch: a request whose caller left before it was read isn't sent

Cause: a request that waits unread at a starved daemon is read together with the end of its caller's connection, but net/http reads that end in another goroutine, which runs when the handler first waits. With an idle connection to the upstream that is after the request has been sent. The own interface looked 0.2 to 0.4 s after the request had begun. Change: each attempt, prefill and hop looks at the caller's socket right before its first byte; the own interface when a request begins.

--- a/internal/entry/callerwatch/watch.go
+++ b/internal/entry/callerwatch/watch.go
@@ -24,7 +24,7 @@
 const Interval = 200 * time.Millisecond
 
 // Watcher polls the connections of requests in progress. A request that ends within
-// an interval costs no system call.
+// an interval is polled by Check only.
 type Watcher struct {
 	mu     sync.Mutex
 	active map[*Registration]struct{}
@@ -56,6 +56,14 @@
 	return r
 }
 
+// Check looks at the connection at once: the caller may have closed it before its request was read. It may be called on nil.
+func (r *Registration) Check() {
+	if r != nil && peerClosed(r.conn) {
+		r.cancel(ErrGone)
+		r.Remove()
+	}
+}
+
 // Remove stops watching the connection. It may be called on nil.
 func (r *Registration) Remove() {
 	if r == nil {
@@ -82,10 +90,7 @@
 
 func (w *Watcher) sweep() {
 	for _, r := range w.due() {
-		if peerClosed(r.conn) {
-			r.cancel(ErrGone)
-			r.Remove()
-		}
+		r.Check()
 	}
 }
 
--- a/internal/entry/callerwatch/watch_test.go
+++ b/internal/entry/callerwatch/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -78,3 +79,22 @@
 	t.Cleanup(func() { _ = dialled.Close(); _ = accepted.Close() })
 	return dialled.(*net.TCPConn), accepted.(*net.TCPConn)
 }
+
+// Guards against a request that runs for up to two intervals although its caller had closed the connection before it was read.
+func TestCheckDetectsACloseAtOnce(t *testing.T) {
+	caller, served := connPair(t)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	defer cancel(nil)
+	w := New()
+	registration := w.Add(served, cancel)
+	registration.Check()
+	require.NoError(t, ctx.Err())
+	require.NoError(t, caller.Close())
+	require.Eventually(t, func() bool {
+		registration.Check()
+		return ctx.Err() != nil
+	}, 5*time.Second, time.Millisecond, "loopback delivers the close with a short delay")
+	require.ErrorIs(t, context.Cause(ctx), ErrGone)
+	require.Empty(t, w.active)
+	(*Registration)(nil).Check()
+}
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -107,6 +107,7 @@
 	k.ctx, k.cancel = context.WithCancelCause(timed)
 	k.ended = false
 	k.registration = g.deps.CallerWatch.Add(c.Context().Conn(), k.callerGone)
+	k.registration.Check()
 	return nil
 }
 
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -178,14 +178,33 @@
 
 // hasUnread reports whether the socket has bytes that the server hasn't read.
 func (c *conn) hasUnread() bool {
-	var buf [1]byte
-	n := 0
-	err := c.raw.Control(func(fd uintptr) {
-		n, _, _ = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
+	n, err := c.peek()
 	return err == nil && n > 0
 }
 
+// callerLeft reports whether the caller has ended the connection, or it has failed.
+func (c *conn) callerLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.disconnected {
+		return true
+	}
+	n, err := c.peek()
+	return n <= 0 && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+}
+
+// peek returns what a read of one byte would return now, 0 bytes without an error for the end of the connection. The byte
+// stays unread.
+func (c *conn) peek() (n int, err error) {
+	var buf [1]byte
+	if controlErr := c.raw.Control(func(fd uintptr) {
+		n, _, err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
+}
+
 // closeIfIdle closes the sending side unless a request is in progress. began means that it has
 // done so now, and not before.
 func (c *conn) closeIfIdle() (closing, began bool) {
--- a/internal/graceful/request.go
+++ b/internal/graceful/request.go
@@ -49,6 +49,10 @@
 	return r.conn.complete
 }
 
+// CallerLeft reports whether the caller has ended its connection, also if the server hasn't read that yet. It doesn't look behind
+// further bytes of the caller.
+func (r Request) CallerLeft() bool { return r.conn != nil && r.conn.callerLeft() }
+
 // Evicted reports whether the connection is closed to make room for others.
 func (r Request) Evicted() bool {
 	if r.conn == nil {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -114,6 +114,9 @@
 // cache may have been replaced while it waited for a connection.
 func (c *call) admit(u *fleet.Upstream, a Attempt) func() error {
 	return func() error {
+		if err := c.checkCaller(); err != nil {
+			return err
+		}
 		if a.Handoff.Handle != "" && c.handoffLost() {
 			return errReplaced
 		}
@@ -288,7 +291,7 @@
 func notAdmitted(err error) bool {
 	return errors.Is(err, ErrHeldBack) || errors.Is(err, errReplaced) || errors.Is(err, errIdentityChanged) ||
 		errors.Is(err, errQuarantined) || errors.Is(err, errSuspected) || errors.Is(err, errOtherVersion) ||
-		errors.Is(err, errTooLate)
+		errors.Is(err, errTooLate) || errors.Is(err, errCallerLeft)
 }
 
 // recordBegun reports that the request began to run at an upstream some time ago. Only its first
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -57,6 +57,8 @@
 	// bodyCut says that this daemon has given up reading the body, which ends the request's context though the caller may
 	// still be there.
 	bodyCut bool
+	// left says that the caller had left before an attempt, though the request's context hasn't ended yet.
+	left bool
 	// content identifies equal requests. It is set before the first attempt and doesn't change.
 	content quarantine.Request
 	// inFlight records the attempt in progress at its upstream; nil if nothing has been sent.
@@ -213,7 +215,7 @@
 // that the one that has begun is incomplete. Under HTTP/1.0 a closed connection is its proper end, a reset
 // isn't.
 func (c *call) abort() {
-	c.log.Info("connection broken off", "request", c.ID, "caller_gone", c.in.Context().Err() != nil, "response_begun", c.stream != nil,
+	c.log.Info("connection broken off", "request", c.ID, "caller_gone", c.callerGone(), "response_begun", c.stream != nil,
 		"ran", c.attempts.MayHaveRun(), "took_ms", telemetry.Millis(time.Since(c.arrived)))
 	if !c.in.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(c.out).Hijack(); err == nil {
@@ -340,9 +342,25 @@
 	}
 }
 
+// errCallerLeft stops an attempt whose caller has left.
+var errCallerLeft = errors.New("the caller has left")
+
+// checkCaller is the check of an attempt right before its first byte: what a caller that has left sent before may have
+// waited here unread, and the end of its connection, too.
+func (c *call) checkCaller() error {
+	if graceful.FromContext(c.in.Context()).CallerLeft() {
+		c.left = true
+		return errCallerLeft
+	}
+	return nil
+}
+
+// callerGone reports whether the caller has left.
+func (c *call) callerGone() bool { return c.left || c.in.Context().Err() != nil }
+
 // contextFailure returns the failure of a call whose context has ended, or nil.
 func (c *call) contextFailure(ctx context.Context) *failure {
-	if c.in.Context().Err() != nil {
+	if c.callerGone() {
 		return c.fail(reasonCallerGone, "the caller has gone")
 	}
 	if errors.Is(context.Cause(ctx), errShuttingDown) {
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -95,7 +95,7 @@
 func (r *Relay) writeFailure(w http.ResponseWriter, in *http.Request, c *call, f *failure) {
 	f = c.withholdDenial(f)
 	c.logEnd(f)
-	if in.Context().Err() != nil && !c.bodyCut {
+	if c.callerGone() && !c.bodyCut {
 		c.abort()
 	}
 	if f.status == http.StatusUnauthorized {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -263,7 +263,9 @@
 		Method: c.in.Method, Target: c.target.Origin(), Host: c.in.Host, Header: h, Body: c.body,
 		Match:         exchange.EchoedID(d.RequestIDHeader(), c.ID),
 		NonIdempotent: c.rule.RetryMode == pathset.NonIdempotent,
-		Admit:         func() error { return errors.Join(c.checkIdentity(), c.checkQuarantine(), c.checkShutdownBeforeSend()) },
+		Admit: func() error {
+			return errors.Join(c.checkCaller(), c.checkIdentity(), c.checkQuarantine(), c.checkShutdownBeforeSend())
+		},
 	}
 }
 
