--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -255,9 +255,9 @@
 }
 
 // excludeRefusing excludes an upstream that has refused the call; for a while if it is one of the few at which the call
-// may go on, or all others at which a stream may go on are excluded, too.
+// may go on, or all others are excluded at which a stream may go on that its caller takes up.
 func (c *call) excludeRefusing(id string) {
-	if c.goesOnOnly() && slices.Contains(c.returnedFrom, id) || c.continuesStream() && !c.hasOther(id) {
+	if c.goesOnOnly() && slices.Contains(c.returnedFrom, id) || c.isTakenUp() && !c.hasOther(id) {
 		c.silent = append(c.silent, silentUpstream{id: id, at: time.Now()})
 		return
 	}
