relay: a suspect that waits for its turn holds up no other stream of its version

Found on reading the change as a reviewer: since a suspect looks for its turn before each try for a place, one that may not run yet was the first of its version's line, and the streams behind it waited for the other copy's end, up to 5 s. Change: suspicion is part of what narrows a choice, so a suspect has a line of its own.

TestSuspectHoldsUpNoOtherStream, red before (the other stream is refused at its deadline, with a place free).

--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -100,5 +100,8 @@
 	if c.withoutPrefill {
 		by = append(by, "without prefill")
 	}
+	if c.trial.suspected {
+		by = append(by, "suspect "+c.trial.digest.String())
+	}
 	return strings.Join(by, ", ")
 }
--- a/internal/relay/choice_test.go
+++ b/internal/relay/choice_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -143,3 +144,20 @@
 		require.Equal(t, "v1", p.target.ID)
 	})
 }
+
+// Guards against streams that wait behind a suspect of their version, which waits for its turn.
+func TestSuspectHoldsUpNoOtherStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newVersionRelay()
+		r.cfg.Crashes = &reservations{now: quarantine.Reservations{Running: true}}
+		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+		suspect := takenUp(r)
+		suspect.trial.suspected = true
+		go func() { _, _ = suspect.assign(ctx) }()
+		synctest.Wait()
+		p, f := takenUp(r).assign(t.Context())
+		require.Nil(t, f)
+		require.Equal(t, "v1", p.target.ID)
+	})
+}
