relay: streams that break within a request wait and are placed as before

Cause: the first fix placed all begun streams without the limits of late requests, also those that break within a request; they met more refusals, which use up the budget. Change: that, the slots of short responses and the queue before others are for streams that callers take up.

--- a/internal/relay/assign.go
+++ b/internal/relay/assign.go
@@ -205,7 +205,7 @@
 // isLate reports whether the request can't meet its objective any more: too much time has
 // passed, as after a failed attempt, or it is the caller's retry after a refusal.
 func (c *call) isLate(now time.Time) bool {
-	if c.rule.Objective == 0 || c.continuesStream() {
+	if c.rule.Objective == 0 || c.isTakenUp() {
 		return false
 	}
 	return c.retried || now.Sub(c.arrived) > time.Duration(onTimeShare*float64(c.rule.Objective))
@@ -217,7 +217,7 @@
 	switch {
 	case c.hasBegun():
 		return time.Until(c.deadline)
-	case c.continuesStream():
+	case c.isTakenUp():
 		return max(0, time.Until(c.deadline)-c.minCompletion())
 	case late || c.rule.Objective == 0:
 		return time.Duration(lateWaitShare * float64(time.Until(c.deadline)))
@@ -253,7 +253,7 @@
 // no engine could meet the objective.
 func (c *call) choosePlan(req *placement.Request, late bool) (plan placement.Plan, planLate, ok bool) {
 	tracker := c.relay.cfg.Tracker
-	if c.goesOnOnly() || c.continuesStream() { // it can't go elsewhere, and its first event has been on time or late already
+	if c.goesOnOnly() || c.isTakenUp() { // it has few other places, and its first event has been on time or late already
 		plan, ok = tracker.Pick(c.pool, *req)
 		c.late = false
 		c.keepPlan(plan, ok)
@@ -337,12 +337,12 @@
 }
 
 // acceptable reports whether a plan is expected to meet the objective, or, for a late
-// request or a stream that has begun, to give the first event before the deadline.
+// request or a stream that is taken up, to give the first event before the deadline.
 func (c *call) acceptable(plan placement.Plan, req placement.Request, late bool) bool {
 	if c.rule.Objective == 0 {
 		return true
 	}
-	if late || c.continuesStream() {
+	if late || c.isTakenUp() {
 		return time.Until(c.deadline) > plan.FirstToken
 	}
 	return plan.MeetsLimit(req)
@@ -378,7 +378,7 @@
 	r := placement.Request{
 		DataCentre: c.relay.cfg.DataCentre,
 		Exclude:    c.excludedIn(c.relay.cfg.State.Snapshot()),
-		Begun:      c.continuesStream(),
+		Begun:      c.isTakenUp(),
 	}
 	if g := c.Generation; g != nil {
 		r.Parts = g.Parts
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -67,16 +67,16 @@
 
 // queue returns where the call waits for capacity.
 func (c *call) queue() *queue {
-	if c.continuesStream() {
+	if c.isTakenUp() {
 		return c.relay.streamQueue(c.pool)
 	}
 	return c.relay.queue(c.rule.Name)
 }
 
-// streamsAhead returns the queue of the begun streams that try before the call does: a stream may have no other place, and its
-// caller has waited for longer. It is nil for such a stream itself.
+// streamsAhead returns the queue of the taken-up streams that try before the call does: these may have no other place. It is
+// nil for such a stream itself.
 func (c *call) streamsAhead() *queue {
-	if c.continuesStream() {
+	if c.isTakenUp() {
 		return nil
 	}
 	return c.relay.streamQueue(c.pool)
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// queue holds requests that wait for capacity: the streams of one pool that have begun, or the other requests of one rule.
+// queue holds requests that wait for capacity: the streams of one pool that callers take up, or the other requests of one rule.
 // Those that can meet their objective precede late ones; among equals it is first in, first out. Requests that differ in
 // the upstreams which they may use don't wait for each other: the first one of each choice tries.
 type queue struct {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,7 +107,7 @@
 	endRequests context.CancelFunc
 
 	mu sync.Mutex
-	// queues holds the requests that wait for capacity, by rule, streamQueues the streams that have begun, by pool.
+	// queues holds the requests that wait for capacity, by rule, streamQueues the streams that callers take up, by pool.
 	queues, streamQueues map[string]*queue
 	conns                map[string]upstreamConns
 	// config is the configuration by which unused rules were last dropped.
@@ -148,7 +148,7 @@
 	return slices.ContainsFunc(r.allQueues(), func(q *queue) bool { return !q.empty() })
 }
 
-// allQueues returns the queues of begun streams, then those of other requests.
+// allQueues returns the queues of taken-up streams, then those of other requests.
 func (r *Relay) allQueues() []*queue {
 	r.mu.Lock()
 	defer r.mu.Unlock()
