member: TestOtherDaemonsVouchWithoutTheStore adds a daemon under the lock, and names an earlier question's number

Alone, with the race detector, it is red on in 6 of 120 runs: a race in some, "known" where it should not be in others. Traced: addNeighbour wrote the map of daemons without its lock, while the read of the list that the test had started before still asked for their number. And the number before a request's was taken for an earlier question's, but a question may be asked again under a second number; then it is the same question's, whose answer counts.

--- a/internal/member/streamversions_test.go
+++ b/internal/member/streamversions_test.go
@@ -87,8 +87,13 @@
 
 		addNeighbour(m, "b", true)
 		for _, vouched := range []string{"v2", "v1"} {
+			var earlier *uint64 // the number of an earlier question; this one may be asked again under others
 			ended := answerQuestions(m, func(r wire.StreamVersionRequest) {
-				m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Version: "v1", Sole: true, Question: r.Question - 1}) // an earlier question's
+				if earlier == nil {
+					before := r.Question - 1
+					earlier = &before
+				}
+				m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Version: "v1", Sole: true, Question: *earlier})
 				m.streamVersions.hear("b", wire.StreamVersions{Pool: "p", Version: vouched, Sole: true, Question: r.Question})
 			})
 			version, known := versionOf(m)
@@ -163,6 +168,8 @@
 // addNeighbour gives a daemon a neighbour that it has just heard.
 func addNeighbour(m *Member, address string, up bool) {
 	link := outgoingLink{link: wire.NewLink(wire.Config{}, address, nil, discardLogger)}
+	m.peers.mu.Lock()
+	defer m.peers.mu.Unlock()
 	m.peers.peers[address] = &peer{MemberAddress: wire.MemberAddress{Peers: address}, outgoingLink: link, up: up, lastReceived: time.Now()}
 }
 
