--- a/internal/relay/choice_test.go
+++ b/internal/relay/choice_test.go
@@ -119,7 +119,7 @@
 	})
 }
 
-// Guards against a request of another rule that takes the place which a begun stream of the same pool waits for.
+// Guards against a request of another rule that takes the place which a taken-up stream of the same pool waits for.
 func TestRequestOfAnotherRuleTakesNoPlaceOfAStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newVersionRelay()
--- a/internal/relay/queue_test.go
+++ b/internal/relay/queue_test.go
@@ -52,7 +52,7 @@
 	})
 }
 
-// Guards against a new request that takes the place which a begun stream waits for, before that one looks again.
+// Guards against a new request that takes the place which a taken-up stream waits for, before that one looks again.
 func TestNewRequestTakesNoPlaceThatAStreamWaitsFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q, p := &queue{}, &placesByChoice{free: map[string]int{}}
--- a/placement/types.go
+++ b/placement/types.go
@@ -46,7 +46,7 @@
 	// Late marks a request whose response will miss its objective. It only gets capacity
 	// that other requests leave.
 	Late bool
-	// Begun marks a stream that has begun at another engine. It may also use the slots that are kept for short responses.
+	// Begun marks a stream that its caller takes up again. It may also use the slots that are kept for short responses.
 	Begun bool
 	// DataCentre is where the request arrived.
 	DataCentre string
