review: streams of two software versions after a server came back under its Id

Case 8: while the store is down, a server that has crashed starts again with a newer version; streams of the older one go on there. Nothing is fixed.

--- /dev/null
+++ b/review/stand-2/mixedversions/main.go
@@ -0,0 +1,180 @@
+// Command mixedversions is a case of review/: a stream holds events of two software versions of its service.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"tamarackchute/platform/standin"
+	"tamarackchute/review/stand-2/site"
+)
+
+const (
+	daemons  = 3
+	service  = "llm"
+	deadline = 15 * time.Second
+	// A stream takes events times eventGap.
+	events   = 40
+	eventGap = 100 * time.Millisecond
+	// interval is the time between two streams that clients begin.
+	interval               = 250 * time.Millisecond
+	oldVersion, newVersion = "1.4", "1.5"
+	// calm is the time before the outage of the store, which takes outage.
+	calm   = 14 * time.Second
+	outage = 4500 * time.Millisecond
+	// firstCrash and secondCrash are the times of the servers' crashes after the begin of the outage, downTime how long each
+	// is down.
+	firstCrash, secondCrash = 300 * time.Millisecond, 3 * time.Second
+	downTime                = 500 * time.Millisecond
+	// allowed is the number of mixed streams that the rule allows.
+	allowed = 2
+)
+
+func main() { site.Run("mixedversions", run) }
+
+// machine is a server's place: its processes have one ID and one address.
+type machine struct {
+	site  *site.Site
+	id    string
+	stage string
+
+	address string
+	server  *standin.Server
+	stop    func()
+}
+
+// start starts a process with a version of the software.
+func (m *machine) start(version string) error {
+	var l net.Listener
+	var err error
+	if m.address == "" {
+		l, err = m.site.ListenServer()
+	} else {
+		l, err = net.Listen("tcp", m.address)
+	}
+	if err != nil {
+		return err
+	}
+	m.address = l.Addr().String()
+	m.server = standin.NewServerOn(m.id, l)
+	m.server.Born, m.server.Version = time.Now().UnixMilli(), version
+	m.server.Events, m.server.EventGap = events, eventGap
+	m.server.SetStage(m.stage)
+	m.stop = m.site.Heartbeat(m.server, service)
+	m.site.Logf("server %s starts with version %s at %s", m.id, version, m.address)
+	return nil
+}
+
+// crash ends the process without a word to the store.
+func (m *machine) crash() {
+	m.stop()
+	m.server.Close()
+	m.site.Logf("server %s has crashed", m.id)
+}
+
+func run(s *site.Site) (broken bool, err error) {
+	if err := s.Start(daemons, site.Settings{RequireFencing: true}); err != nil {
+		return false, err
+	}
+	machines := []*machine{{site: s, id: "llm-1", stage: standin.RolePrefill}, {site: s, id: "llm-2", stage: standin.RoleDecode}, {site: s, id: "llm-3", stage: standin.RoleDecode}}
+	for _, m := range machines {
+		if err := m.start(oldVersion); err != nil {
+			return false, err
+		}
+	}
+	s.Store.PutConfig(1, []standin.Service{{
+		Name: service, Kind: standin.Streaming, Attempts: 3, Timeout: deadline, Objective: 500 * time.Millisecond, GapObjective: 150 * time.Millisecond,
+	}})
+	if err := s.StartDaemons(); err != nil {
+		return false, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var streams sync.WaitGroup
+	var mu sync.Mutex
+	mixed, complete := 0, 0
+	streams.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			d, id := s.Daemons[n%len(s.Daemons)], fmt.Sprintf("stream-%d", n)
+			streams.Go(func() {
+				last, versions := stream(s, d, s.Daemons[(n+1)%len(s.Daemons)], id)
+				mu.Lock()
+				defer mu.Unlock()
+				if len(versions) > 1 {
+					mixed++
+				}
+				if last == events {
+					complete++
+				}
+			})
+			time.Sleep(interval)
+		}
+	})
+	time.Sleep(calm)
+	if s.Trouble {
+		if err := disrupt(s, machines[1], machines[2]); err != nil {
+			stop()
+			return false, err
+		}
+	} else {
+		time.Sleep(outage)
+	}
+	time.Sleep(time.Second)
+	stop()
+	streams.Wait()
+	s.Logf("%d streams complete, %d hold events of two versions; %d are allowed", complete, mixed, allowed)
+	return mixed > allowed, nil
+}
+
+// stream begins a stream at a daemon. If its connection breaks, the client takes it up once at another daemon. It returns the
+// last event and the versions of all events.
+func stream(s *site.Site, d, other *site.Daemon, id string) (last int, versions []string) {
+	until := time.Now().Add(deadline)
+	for try := range 2 {
+		caller := standin.NewCaller()
+		attempt := fmt.Sprintf("%s-%d", id, try)
+		if last > 0 {
+			d, caller.Resumes, caller.AfterEvent = other, id+"-0", last
+		}
+		reply := caller.Send(context.Background(), d.Front(), service, attempt, time.Until(until), true, func() {})
+		caller.Close()
+		s.Logf("%s at %s after event %d: status %d, %d events, versions %v, error %v", attempt, d.Name, last, reply.Status, len(reply.Events), reply.Versions, reply.Err)
+		if len(reply.Events) > 0 {
+			last = reply.Events[len(reply.Events)-1]
+		}
+		for _, v := range reply.Versions {
+			if !slices.Contains(versions, v) {
+				versions = append(versions, v)
+			}
+		}
+		if reply.Err == nil || last == 0 {
+			break
+		}
+	}
+	return last, versions
+}
+
+// disrupt takes the store down. Meanwhile a server crashes and starts again with a newer version of its software, and then
+// another one crashes.
+func disrupt(s *site.Site, upgraded, other *machine) error {
+	began := time.Now()
+	s.StoreDown(true)
+	time.Sleep(firstCrash)
+	upgraded.crash()
+	time.Sleep(downTime)
+	if err := upgraded.start(newVersion); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(began.Add(secondCrash)))
+	other.crash()
+	time.Sleep(downTime)
+	if err := other.start(oldVersion); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(began.Add(outage)))
+	s.StoreDown(false)
+	return nil
+}
