--- a/review/stand-2/mixedversions/main.go
+++ b/review/stand-2/mixedversions/main.go
@@ -4,12 +4,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"slices"
 	"sync"
 	"time"
 
 	"tamarackchute/platform/standin"
+	"tamarackchute/review/stand-2/machine"
 	"tamarackchute/review/stand-2/site"
 )
 
@@ -36,55 +36,17 @@
 
 func main() { site.Run("mixedversions", run) }
 
-// machine is a server's place: its processes have one ID and one address.
-type machine struct {
-	site  *site.Site
-	id    string
-	stage string
-
-	address string
-	server  *standin.Server
-	stop    func()
-}
-
-// start starts a process with a version of the software.
-func (m *machine) start(version string) error {
-	var l net.Listener
-	var err error
-	if m.address == "" {
-		l, err = m.site.ListenServer()
-	} else {
-		l, err = net.Listen("tcp", m.address)
-	}
-	if err != nil {
-		return err
-	}
-	m.address = l.Addr().String()
-	m.server = standin.NewServerOn(m.id, l)
-	m.server.Born, m.server.Version = time.Now().UnixMilli(), version
-	m.server.Events, m.server.EventGap = events, eventGap
-	m.server.SetStage(m.stage)
-	m.stop = m.site.Heartbeat(m.server, service)
-	m.site.Logf("server %s starts with version %s at %s", m.id, version, m.address)
-	return nil
-}
-
-// crash ends the process without a word to the store.
-func (m *machine) crash() {
-	m.stop()
-	m.server.Close()
-	m.site.Logf("server %s has crashed", m.id)
-}
-
 func run(s *site.Site) (broken bool, err error) {
 	if err := s.Start(daemons, site.Settings{RequireFencing: true}); err != nil {
 		return false, err
 	}
-	machines := []*machine{{site: s, id: "llm-1", stage: standin.RolePrefill}, {site: s, id: "llm-2", stage: standin.RoleDecode}, {site: s, id: "llm-3", stage: standin.RoleDecode}}
-	for _, m := range machines {
-		if err := m.start(oldVersion); err != nil {
+	var machines []*machine.Machine
+	for i, stage := range []string{standin.RolePrefill, standin.RoleDecode, standin.RoleDecode} {
+		m := &machine.Machine{Site: s, ID: fmt.Sprintf("llm-%d", i+1), Service: service, Stage: stage, Events: events, EventGap: eventGap}
+		if err := m.Start(oldVersion); err != nil {
 			return false, err
 		}
+		machines = append(machines, m)
 	}
 	s.Store.PutConfig(1, []standin.Service{{
 		Name: service, Kind: standin.Streaming, Attempts: 3, Timeout: deadline, Objective: 500 * time.Millisecond, GapObjective: 150 * time.Millisecond,
@@ -159,19 +121,19 @@
 
 // disrupt takes the store down. Meanwhile a server crashes and starts again with a newer version of its software, and then
 // another one crashes.
-func disrupt(s *site.Site, upgraded, other *machine) error {
+func disrupt(s *site.Site, upgraded, other *machine.Machine) error {
 	began := time.Now()
 	s.StoreDown(true)
 	time.Sleep(firstCrash)
-	upgraded.crash()
+	upgraded.Crash()
 	time.Sleep(downTime)
-	if err := upgraded.start(newVersion); err != nil {
+	if err := upgraded.Start(newVersion); err != nil {
 		return err
 	}
 	time.Sleep(time.Until(began.Add(secondCrash)))
-	other.crash()
+	other.Crash()
 	time.Sleep(downTime)
-	if err := other.start(oldVersion); err != nil {
+	if err := other.Start(oldVersion); err != nil {
 		return err
 	}
 	time.Sleep(time.Until(began.Add(outage)))
