--- a/review/stand-2/lostversions/main.go
+++ b/review/stand-2/lostversions/main.go
@@ -1,9 +1,11 @@
-// Command lostversions is a case of review/: after all daemons have died at once during a release, no stream that a client
+// Command lostversions is a case of review/: after all daemons were stopped in turn during a release, no stream that a client
 // takes up goes on.
 package main
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"sync"
 	"time"
@@ -18,15 +20,17 @@
 	service  = "llm"
 	deadline = 15 * time.Second
 	// A stream takes events times eventGap.
-	events                 = 90
+	events                 = 130
 	eventGap               = 100 * time.Millisecond
 	oldVersion, newVersion = "1.4", "1.5"
-	// calm is the time before the servers of the new version join, beforeKill that until the kill.
-	calm, beforeKill = 12 * time.Second, 4 * time.Second
-	// streams are begun in the time streamsWithin before the kill.
-	streams       = 24
-	streamsWithin = 2400 * time.Millisecond
+	// calm is the time before the servers of the new version join, beforeStop that until the first stop.
+	calm, beforeStop = 12 * time.Second, 4 * time.Second
+	// streams are begun in the time streamsWithin before the first stop.
+	streams       = 36
+	streamsWithin = 1500 * time.Millisecond
 	downTime      = time.Second
+	// rollGap is the time between two stops, grace that until a kill, restartDelay that until the next start.
+	rollGap, grace, restartDelay = time.Second, 8 * time.Second, 200 * time.Millisecond
 	// stable is how long a machine must have been calm to be in touch.
 	stable = 3 * time.Second
 	// fewest is the number of streams from which the rule judges, share the part that must go on.
@@ -37,7 +41,13 @@
 // waits are the times between a client's tries.
 var waits = []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second}
 
-func main() { site.Run("lostversions", run) }
+// kills says that the daemons are killed at once; otherwise they are stopped in turn.
+var kills = flag.Bool("kill", false, "kill the daemons at once; otherwise they are stopped in turn")
+
+func main() {
+	flag.Parse()
+	site.Run("lostversions", run)
+}
 
 // result is what became of a stream of a client.
 type result struct {
@@ -73,45 +83,28 @@
 			return false, err
 		}
 	}
-	time.Sleep(beforeKill - streamsWithin)
-	touch := &inTouch{}
+	time.Sleep(beforeStop - streamsWithin)
 	var clients sync.WaitGroup
 	results := make([]result, streams)
 	for i := range streams {
-		clients.Go(func() { results[i] = client(s, touch, i) })
+		clients.Go(func() { results[i] = client(s, i) })
 		time.Sleep(streamsWithin / streams)
 	}
+	end := rollAll
+	if *kills {
+		end = killAll
+	}
 	if s.Trouble {
-		if err := killAll(s); err != nil {
+		if err := end(s); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(stable)
-	touch.begin()
-	s.Logf("all machines are in touch")
 	begun := newStreams(s)
 	clients.Wait()
 	return judge(s, results, begun), nil
 }
 
-// inTouch says whether the machines are in touch after the kill.
-type inTouch struct {
-	mu sync.Mutex
-	is bool
-}
-
-func (t *inTouch) begin() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.is = true
-}
-
-func (t *inTouch) now() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.is
-}
-
 // killAll kills all daemons at once, and starts them again.
 func killAll(s *site.Site) error {
 	var kills sync.WaitGroup
@@ -123,9 +116,25 @@
 	return s.StartDaemons()
 }
 
+// rollAll stops the daemons in turn, as planned work does, and starts them again.
+func rollAll(s *site.Site) error {
+	var stops sync.WaitGroup
+	errs := make([]error, len(s.Daemons))
+	for i, d := range s.Daemons {
+		stops.Go(func() {
+			d.Stop(grace)
+			time.Sleep(restartDelay)
+			errs[i] = d.Start()
+		})
+		time.Sleep(rollGap)
+	}
+	stops.Wait()
+	return errors.Join(errs...)
+}
+
 // client begins a stream. When its connection breaks, the client takes it up at the other daemons in turn, within its
 // deadline.
-func client(s *site.Site, touch *inTouch, n int) result {
+func client(s *site.Site, n int) result {
 	var r result
 	until := time.Now().Add(deadline)
 	id, begunBy, last := fmt.Sprintf("stream-%d", n), "", 0
@@ -136,7 +145,7 @@
 		if last > 0 {
 			caller.Resumes, caller.AfterEvent = begunBy, last
 		}
-		inTouch := touch.now()
+		inTouch := time.Since(d.StartedAt()) > stable
 		reply := caller.Send(context.Background(), d.Front(), service, attempt, time.Until(until), true, func() {})
 		caller.Close()
 		s.Logf("%s at %s after event %d, in touch %t: status %d, %d events, versions %v, body %q, error %v", attempt, d.Name, last, inTouch, reply.Status, len(reply.Events), reply.Versions, reply.Body, reply.Err)
--- a/review/stand-2/site/site.go
+++ b/review/stand-2/site/site.go
@@ -262,10 +262,11 @@
 	// Store is the address at which it reaches the store.
 	Store string
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	done   chan struct{}
-	closed bool
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	startedAt time.Time
+	done      chan struct{}
+	closed    bool
 }
 
 // Front returns the address for clients.
@@ -294,7 +295,7 @@
 		return err
 	}
 	done := make(chan struct{})
-	d.cmd, d.done = cmd, done
+	d.cmd, d.done, d.startedAt = cmd, done, time.Now()
 	d.site.Logf("%s starts as process %d at %s", d.Name, cmd.Process.Pid, d.IP)
 	go func() {
 		err := cmd.Wait()
@@ -304,6 +305,13 @@
 	return nil
 }
 
+// StartedAt returns when the latest process was started.
+func (d *Daemon) StartedAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.startedAt
+}
+
 // Signal sends a signal to the process.
 func (d *Daemon) Signal(sig syscall.Signal) {
 	d.mu.Lock()
