--- a/review/stand-2/machine/machine.go
+++ b/review/stand-2/machine/machine.go
@@ -17,6 +17,8 @@
 	// Events and EventGap are those of its streams.
 	Events   int
 	EventGap time.Duration
+	// Observer is notified of requests; nil does nothing.
+	Observer standin.Observer
 
 	address string
 	server  *standin.Server
@@ -39,6 +41,9 @@
 	m.server = standin.NewServerOn(m.ID, l)
 	m.server.Born, m.server.Version = time.Now().UnixMilli(), version
 	m.server.Events, m.server.EventGap = m.Events, m.EventGap
+	if m.Observer != nil {
+		m.server.Observer = m.Observer
+	}
 	m.server.SetStage(m.Stage)
 	m.stop = m.Site.Heartbeat(m.server, m.Service)
 	m.Site.Logf("server %s starts with version %s at %s", m.ID, version, m.address)
@@ -51,3 +56,6 @@
 	m.server.Close()
 	m.Site.Logf("server %s has crashed", m.ID)
 }
+
+// Silence makes the process send nothing for a time. Then it goes on.
+func (m *Machine) Silence(d time.Duration) { m.server.FallSilent(d) }
