--- a/review/stand-2/mixedversions/main.go
+++ b/review/stand-2/mixedversions/main.go
@@ -15,7 +15,6 @@
 
 const (
 	daemons  = 3
-	service  = "llm"
 	deadline = 15 * time.Second
 	// A stream takes events times eventGap.
 	events   = 40
@@ -34,23 +33,35 @@
 	allowed = 2
 )
 
+// services are alike.
+var services = []string{"llm", "chat"}
+
 func main() { site.Run("mixedversions", run) }
 
 func run(s *site.Site) (broken bool, err error) {
 	if err := s.Start(daemons, site.Settings{RequireFencing: true}); err != nil {
 		return false, err
 	}
-	var machines []*machine.Machine
-	for i, stage := range []string{standin.RolePrefill, standin.RoleDecode, standin.RoleDecode} {
-		m := &machine.Machine{Site: s, ID: fmt.Sprintf("llm-%d", i+1), Service: service, Stage: stage, Events: events, EventGap: eventGap}
-		if err := m.Start(oldVersion); err != nil {
-			return false, err
+	var rules []standin.Service
+	var upgraded, others []*machine.Machine
+	for _, service := range services {
+		rules = append(rules, standin.Service{
+			Name: service, Kind: standin.Streaming, Attempts: 3, Timeout: deadline, Objective: 500 * time.Millisecond, GapObjective: 150 * time.Millisecond,
+		})
+		for i, stage := range []string{standin.RoleDecode, standin.RoleDecode, standin.RolePrefill, standin.RolePrefill, standin.RolePrefill} {
+			m := &machine.Machine{Site: s, ID: fmt.Sprintf("%s-%d", service, i+1), Service: service, Stage: stage, Events: events, EventGap: eventGap}
+			if err := m.Start(oldVersion); err != nil {
+				return false, err
+			}
+			switch i {
+			case 0:
+				upgraded = append(upgraded, m)
+			case 1:
+				others = append(others, m)
+			}
 		}
-		machines = append(machines, m)
 	}
-	s.Store.PutConfig(1, []standin.Service{{
-		Name: service, Kind: standin.Streaming, Attempts: 3, Timeout: deadline, Objective: 500 * time.Millisecond, GapObjective: 150 * time.Millisecond,
-	}})
+	s.Store.PutConfig(1, rules)
 	if err := s.StartDaemons(); err != nil {
 		return false, err
 	}
@@ -60,24 +71,26 @@
 	mixed, complete := 0, 0
 	streams.Go(func() {
 		for n := 0; ctx.Err() == nil; n++ {
-			d, id := s.Daemons[n%len(s.Daemons)], fmt.Sprintf("stream-%d", n)
-			streams.Go(func() {
-				last, versions := stream(s, d, s.Daemons[(n+1)%len(s.Daemons)], id)
-				mu.Lock()
-				defer mu.Unlock()
-				if len(versions) > 1 {
-					mixed++
-				}
-				if last == events {
-					complete++
-				}
-			})
+			d, other := s.Daemons[n%len(s.Daemons)], s.Daemons[(n+1)%len(s.Daemons)]
+			for _, service := range services {
+				streams.Go(func() {
+					last, versions := stream(s, d, other, service, fmt.Sprintf("%s-stream-%d", service, n))
+					mu.Lock()
+					defer mu.Unlock()
+					if len(versions) > 1 {
+						mixed++
+					}
+					if last == events {
+						complete++
+					}
+				})
+			}
 			time.Sleep(interval)
 		}
 	})
 	time.Sleep(calm)
 	if s.Trouble {
-		if err := disrupt(s, machines[1], machines[2]); err != nil {
+		if err := disrupt(s, upgraded, others); err != nil {
 			stop()
 			return false, err
 		}
@@ -93,7 +106,7 @@
 
 // stream begins a stream at a daemon. If its connection breaks, the client takes it up once at another daemon. It returns the
 // last event and the versions of all events.
-func stream(s *site.Site, d, other *site.Daemon, id string) (last int, versions []string) {
+func stream(s *site.Site, d, other *site.Daemon, service, id string) (last int, versions []string) {
 	until := time.Now().Add(deadline)
 	for try := range 2 {
 		caller := standin.NewCaller()
@@ -119,24 +132,34 @@
 	return last, versions
 }
 
-// disrupt takes the store down. Meanwhile a server crashes and starts again with a newer version of its software, and then
-// another one crashes.
-func disrupt(s *site.Site, upgraded, other *machine.Machine) error {
+// disrupt takes the store down. Meanwhile a server of each service crashes and starts again with a newer version of its
+// software, and then another one crashes.
+func disrupt(s *site.Site, upgraded, others []*machine.Machine) error {
 	began := time.Now()
 	s.StoreDown(true)
 	time.Sleep(firstCrash)
-	upgraded.Crash()
-	time.Sleep(downTime)
-	if err := upgraded.Start(newVersion); err != nil {
+	if err := restart(upgraded, newVersion); err != nil {
 		return err
 	}
 	time.Sleep(time.Until(began.Add(secondCrash)))
-	other.Crash()
-	time.Sleep(downTime)
-	if err := other.Start(oldVersion); err != nil {
+	if err := restart(others, oldVersion); err != nil {
 		return err
 	}
 	time.Sleep(time.Until(began.Add(outage)))
 	s.StoreDown(false)
 	return nil
 }
+
+// restart lets servers crash and start again.
+func restart(servers []*machine.Machine, version string) error {
+	for _, m := range servers {
+		m.Crash()
+	}
+	time.Sleep(downTime)
+	for _, m := range servers {
+		if err := m.Start(version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
