--- a/review/stand-2/site/site.go
+++ b/review/stand-2/site/site.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -116,6 +117,12 @@
 		s.Logf("the case takes too long")
 		s.end(Failed)
 	})
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		s.Logf("stopped by %v", <-stop)
+		s.end(Failed)
+	}()
 	broken, err := run(s)
 	switch {
 	case err != nil:
